--- /dev/null
+++ b/packages/cli/cassiaquay_cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line for operators."""
--- /dev/null
+++ b/packages/daemon/cassiaquay_daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The cassiaquay daemon: one entry instance of the request scheduler."""
--- /dev/null
+++ b/packages/dev/cassiaquay_dev/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins, load driver and history checker: for development only."""
