--- /dev/null
+++ b/packages/daemon/cassiaquay_daemon/answers.py
@@ -0,0 +1,110 @@
+"""Answers in the making: events kept from the first on, for any number of readers."""
+
+import asyncio
+import typing
+
+import msgspec
+import xxhash
+
+from . import clock
+
+
+class Final(typing.TypedDict):
+    """The last event of an answer."""
+
+    outcome: str
+    code: str
+    message: str
+    count: int
+    digest: str
+    retry_after_ms: int
+    address: str
+
+
+class Answer:
+    """The events of one answer and, once known, its final event.
+
+    Only bytes that came from the backend server for this id are ever appended; readers
+    start where they like and get the same bytes.
+    """
+
+    def __init__(self) -> None:
+        self.final: Final | None = None
+        self.size = 0
+        self.first_at = 0.0
+        self.forgotten = False
+        self._count = 0
+        self._events: list[bytes] = []
+        self._digest = xxhash.xxh3_128()
+        self._waiters: list[asyncio.Future[None]] = []
+
+    @property
+    def count(self) -> int:
+        """Events so far."""
+        return self._count
+
+    @property
+    def digest(self) -> str:
+        """Digest of the data of the events so far."""
+        return self._digest.hexdigest()
+
+    def append(self, data: bytes) -> None:
+        """Append one event with ``data`` as its payload."""
+        if not self._count:
+            self.first_at = clock.now()
+        event = b"id: %d\ndata: %b\n\n" % (self._count, data)
+        self._events.append(event)
+        self._count += 1
+        self._digest.update(data)
+        self.size += len(event)
+        self._wake()
+
+    def finish(
+        self,
+        outcome: str,
+        code: str,
+        message: str = "",
+        retry_after_ms: int = 0,
+        address: str = "",
+    ) -> None:
+        """End the answer; what was said first stays."""
+        if self.final is not None:
+            return
+        self.final = Final(
+            outcome=outcome,
+            code=code,
+            message=message,
+            count=self.count,
+            digest=self.digest,
+            retry_after_ms=retry_after_ms,
+            address=address,
+        )
+        self._wake()
+
+    async def wait(self, after: int) -> None:
+        """Return when there is an event of number ``after``, or the final one."""
+        while self._count <= after and self.final is None:
+            waiter = asyncio.get_running_loop().create_future()
+            self._waiters.append(waiter)
+            await waiter
+
+    def chunk(self, after: int) -> tuple[bytes, int]:
+        """Return the ready events from ``after`` on as bytes, and the next number."""
+        events = self._events[after:]
+        return b"".join(events), after + len(events)
+
+    def forget(self) -> None:
+        """Let the events go; count, digest and final event stay."""
+        self.forgotten = True
+        self.size = 0
+        self._events.clear()
+
+    def final_event(self) -> bytes:
+        """Return the final event as bytes."""
+        return b"event: final\ndata: %b\n\n" % msgspec.json.encode(self.final)
+
+    def _wake(self) -> None:
+        waiters, self._waiters = self._waiters, []
+        for waiter in waiters:
+            if not waiter.done():
+                waiter.set_result(None)
--- /dev/null
+++ b/packages/daemon/cassiaquay_daemon/backends.py
@@ -0,0 +1,311 @@
+"""Backend servers: how a request is dispatched, read, resumed and cancelled.
+
+Another protocol needs a class registered here under a name, or in a module of its own.
+"""
+
+import asyncio
+import collections.abc
+import types
+import typing
+
+import aiohttp
+import msgspec
+
+from cassiaquay_schema import fleet, registry
+
+from . import answers, exceptions
+
+CONNECT_SECONDS = 2.0
+CANCEL_SECONDS = 3.0
+RESUME_TRIES = 3
+RESUME_PAUSE = 0.1
+
+BeforeSending = collections.abc.Callable[[], None]
+
+
+class Call(typing.NamedTuple):
+    """One request as a backend server gets it.
+
+    Attributes
+    ----------
+    key : str
+        Id under which the server knows it.
+    model, adapter : str
+        For model engines.
+    prompt : str
+        For model engines.
+    max_tokens : int
+        For model engines.
+    path : str
+        For plain services.
+    payload : bytes
+        JSON, for plain services.
+    """
+
+    key: str
+    model: str
+    adapter: str
+    prompt: str
+    max_tokens: int
+    path: str
+    payload: bytes
+
+
+class Figures(typing.NamedTuple):
+    """What a finished request cost, in tokens."""
+
+    prompt_tokens: int
+    cached_tokens: int
+    output_tokens: int
+
+
+class Waste(typing.NamedTuple):
+    """What a cancelled request had cost, in tokens."""
+
+    prefilled_tokens: int
+    generated_tokens: int
+
+
+class Backend(typing.Protocol):
+    """A protocol of backend servers."""
+
+    def __init__(self, http: aiohttp.ClientSession): ...
+
+    async def run(
+        self,
+        server: fleet.Server,
+        call: Call,
+        answer: answers.Answer,
+        before_sending: BeforeSending,
+    ) -> Figures:
+        """Dispatch a request and read its answer to the end.
+
+        ``before_sending`` is called when a connection is there and no byte has been
+        written; it may raise :class:`~exceptions.NotSent` to stop the dispatch.
+        """
+
+    async def resume(
+        self, server: fleet.Server, key: str, answer: answers.Answer
+    ) -> Figures:
+        """Read a stream that the server holds on from where ``answer`` ends."""
+
+    async def cancel(self, server: fleet.Server, key: str) -> Waste | None:
+        """Stop a request; return what it had cost, None where that is not known."""
+
+
+backends: registry.Registry[type[Backend]] = registry.Registry("backend adapter")
+
+
+def tracing() -> aiohttp.TraceConfig:
+    """Return the hooks that call ``before_sending`` for each dispatch."""
+
+    async def connected(
+        session: aiohttp.ClientSession,
+        context: types.SimpleNamespace,
+        parameters: object,
+    ) -> None:
+        before_sending = context.trace_request_ctx
+        if before_sending is not None:
+            before_sending()
+
+    config = aiohttp.TraceConfig()
+    config.on_connection_create_end.append(connected)
+    config.on_connection_reuseconn.append(connected)
+    return config
+
+
+class _DoneBody(typing.TypedDict):
+    count: int
+    prompt_tokens: int
+    cached_tokens: int
+
+
+class _CancelBody(typing.TypedDict):
+    prefilled_tokens: int
+    generated_tokens: int
+
+
+def _timeout() -> aiohttp.ClientTimeout:
+    # The owner's task ends a request at its deadline; the client sets none.
+    return aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_SECONDS)
+
+
+@backends.register("engine-http")
+class EngineHttp:
+    """Model engines that stream events over HTTP."""
+
+    def __init__(self, http: aiohttp.ClientSession):
+        self._http = http
+
+    async def run(
+        self,
+        server: fleet.Server,
+        call: Call,
+        answer: answers.Answer,
+        before_sending: BeforeSending,
+    ) -> Figures:
+        """Dispatch a request and read its stream, resuming it when it breaks off."""
+        body = {
+            "prompt": call.prompt,
+            "max_tokens": call.max_tokens,
+            "model": call.model,
+            "adapter": call.adapter,
+        }
+        request = self._http.post(
+            f"http://{server.address}/v1/streams/{call.key}",
+            data=msgspec.json.encode(body),
+            headers={"Content-Type": "application/json"},
+            timeout=_timeout(),
+            trace_request_ctx=before_sending,
+        )
+        try:
+            async with request as response:
+                await _check(response)
+                return await _read(response, answer)
+        except exceptions.StreamCut:
+            pass
+        except aiohttp.ClientConnectorError as error:
+            raise exceptions.NotSent(str(error)) from error
+        except aiohttp.ConnectionTimeoutError as error:
+            raise exceptions.NotSent(str(error)) from error
+        except (TimeoutError, aiohttp.ClientError, OSError):
+            pass
+        return await self._resume_often(server, call.key, answer)
+
+    async def resume(
+        self, server: fleet.Server, key: str, answer: answers.Answer
+    ) -> Figures:
+        """Read a held stream on from where ``answer`` ends."""
+        request = self._http.get(
+            f"http://{server.address}/v1/streams/{key}?from={answer.count}",
+            timeout=_timeout(),
+        )
+        try:
+            async with request as response:
+                if response.status == 404:
+                    raise exceptions.StreamMissing(key)
+                await _check(response)
+                return await _read(response, answer)
+        except (TimeoutError, aiohttp.ClientError, OSError) as error:
+            raise exceptions.StreamCut(repr(error)) from error
+
+    async def cancel(self, server: fleet.Server, key: str) -> Waste | None:
+        """Stop a stream."""
+        timeout = aiohttp.ClientTimeout(total=CANCEL_SECONDS)
+        url = f"http://{server.address}/v1/streams/{key}"
+        try:
+            async with self._http.delete(url, timeout=timeout) as response:
+                if response.status != 200:
+                    return None
+                body = await response.read()
+                found = msgspec.json.decode(body, type=_CancelBody)
+        except (TimeoutError, aiohttp.ClientError, OSError):
+            return None
+        except msgspec.DecodeError:
+            return None
+        return Waste(found["prefilled_tokens"], found["generated_tokens"])
+
+    async def _resume_often(
+        self, server: fleet.Server, key: str, answer: answers.Answer
+    ) -> Figures:
+        # Reading a held stream again is no second dispatch: the engine knows the id
+        # and neither prefills nor generates anew.
+        for _ in range(RESUME_TRIES):
+            try:
+                return await self.resume(server, key, answer)
+            except exceptions.StreamCut:
+                await asyncio.sleep(RESUME_PAUSE)
+        raise exceptions.StreamCut(f"the stream of {server.name} broke off for good")
+
+
+@backends.register("plain-http")
+class PlainHttp:
+    """Plain services: one JSON body in, one out."""
+
+    def __init__(self, http: aiohttp.ClientSession):
+        self._http = http
+
+    async def run(
+        self,
+        server: fleet.Server,
+        call: Call,
+        answer: answers.Answer,
+        before_sending: BeforeSending,
+    ) -> Figures:
+        """Dispatch a request and keep its body as the answer's only event."""
+        request = self._http.post(
+            f"http://{server.address}{call.path}",
+            data=call.payload,
+            headers={"Content-Type": "application/json", "X-Request-Id": call.key},
+            timeout=_timeout(),
+            allow_redirects=False,
+            trace_request_ctx=before_sending,
+        )
+        try:
+            async with request as response:
+                body = await response.read()
+                if response.status >= 300:
+                    text = body[:200].decode(errors="replace")
+                    raise exceptions.Rejected(f"status {response.status}: {text}")
+        except aiohttp.ClientConnectorError as error:
+            raise exceptions.NotSent(str(error)) from error
+        except aiohttp.ConnectionTimeoutError as error:
+            raise exceptions.NotSent(str(error)) from error
+        except (TimeoutError, aiohttp.ClientError, OSError) as error:
+            # It may have run; plain services hold no answers to be read again.
+            raise exceptions.StreamCut(repr(error)) from error
+        try:
+            msgspec.json.decode(body)
+        except msgspec.DecodeError as error:
+            raise exceptions.Rejected("the answer is not JSON") from error
+        answer.append(body.replace(b"\n", b" ").replace(b"\r", b" "))
+        return Figures(0, 0, 1)
+
+    async def resume(
+        self, server: fleet.Server, key: str, answer: answers.Answer
+    ) -> Figures:
+        """Plain services hold nothing."""
+        raise exceptions.StreamMissing(key)
+
+    async def cancel(self, server: fleet.Server, key: str) -> Waste | None:
+        """Plain services cannot be stopped."""
+        return None
+
+
+async def _check(response: aiohttp.ClientResponse) -> None:
+    if response.status == 200:
+        return
+    text = (await response.read())[:200].decode(errors="replace")
+    message = f"status {response.status}: {text}"
+    if response.status in (400, 503):
+        raise exceptions.Declined(message)
+    if response.status == 409:
+        # The engine knows the id: read what it holds rather than run it again.
+        raise exceptions.StreamCut(message)
+    raise exceptions.Rejected(message)
+
+
+async def _read(response: aiohttp.ClientResponse, answer: answers.Answer) -> Figures:
+    rest = b""
+    async for data in response.content.iter_any():
+        blocks = (rest + data).split(b"\n\n")
+        rest = blocks.pop()
+        for block in blocks:
+            head, _, payload = block.partition(b"\ndata: ")
+            if head == b"event: done":
+                return _figures(payload, answer)
+            if head != b"id: %d" % answer.count:
+                # A gap or a repeat would make the answer another one.
+                raise exceptions.StreamCut(f"event out of order: {head[:40]!r}")
+            answer.append(payload)
+    raise exceptions.StreamCut("the stream ended without its last event")
+
+
+def _figures(payload: bytes, answer: answers.Answer) -> Figures:
+    try:
+        done = msgspec.json.decode(payload, type=_DoneBody)
+    except msgspec.DecodeError as error:
+        raise exceptions.StreamCut(str(error)) from error
+    if done["count"] != answer.count:
+        raise exceptions.StreamCut(f"{answer.count} events of {done['count']}")
+    return Figures(done["prompt_tokens"], done["cached_tokens"], answer.count)
--- /dev/null
+++ b/packages/daemon/cassiaquay_daemon/daemon.py
@@ -0,0 +1,178 @@
+"""One daemon: its parts, put together, started and shut down in order."""
+
+import asyncio
+import collections.abc
+import contextlib
+import signal
+import socket
+
+import aiohttp
+import uvicorn
+from starlette import applications
+
+from cassiaquay_schema import settings as settings_schema
+
+from . import (
+    admin,
+    backends,
+    configuration,
+    demands,
+    keeper,
+    logs,
+    members,
+    owner,
+    peers,
+    platform,
+    recovery,
+    relay,
+    tokens,
+    web,
+)
+
+# Callers that asked for addresses just before the shutdown still come for a moment;
+# they are answered with "not run" and another address instead of a refused connection.
+LINGER_SECONDS = 1.0
+
+
+class _Server(uvicorn.Server):
+    """A server that leaves signals to the daemon."""
+
+    @contextlib.contextmanager
+    def capture_signals(self) -> collections.abc.Iterator[None]:
+        """Capture none."""
+        yield
+
+
+class Daemon:
+    """All parts of one instance.
+
+    Parameters
+    ----------
+    settings : Settings
+        Everything that the process was told.
+    """
+
+    def __init__(self, settings: settings_schema.Settings):
+        self._settings = settings
+        self._stopping = asyncio.Event()
+        self._incarnation = tokens.new_incarnation()
+        self._http = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0),
+            trace_configs=[backends.tracing()],
+            auto_decompress=False,
+        )
+        self._peers = peers.Peers(settings, self._incarnation)
+        self._configuration = configuration.Configuration(settings, self._peers)
+        self._membership = members.Membership(
+            settings, self._incarnation, self._peers, self._mint, self._measure
+        )
+        self._keeper = keeper.Keeper(
+            settings, self._peers, self._membership, self._configuration
+        )
+        self._demands = demands.Demands(
+            settings, self._peers, self._membership, self._keeper
+        )
+        self._owner = owner.Owner(
+            settings, self._incarnation, self._http, self._demands
+        )
+        self._membership.on_heard(self._configuration.heard)
+
+    async def run(self) -> None:
+        """Serve until a signal or a drain, then shut down gracefully."""
+        settings = self._settings
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._stopping.set)
+        await self._peers.start()
+        callers = web.Web(
+            settings,
+            self._configuration,
+            self._membership,
+            self._owner,
+            relay.Relay(settings, self._http),
+            recovery.Recovery(self._http),
+        )
+        operators = admin.Admin(
+            settings,
+            self._configuration,
+            self._membership,
+            self._owner,
+            self._keeper,
+            self._stopping.set,
+        )
+        callers_server, callers_socket = self._server(
+            callers.application(), settings.http_port
+        )
+        admin_server, admin_socket = self._server(
+            operators.application(), settings.admin_port
+        )
+        self._membership.http_address = _address(callers_socket)
+        tasks = [asyncio.create_task(work) for work in self._work()]
+        serving = [
+            asyncio.create_task(callers_server.serve([callers_socket])),
+            asyncio.create_task(admin_server.serve([admin_socket])),
+        ]
+        logs.event(
+            "ready",
+            http=_address(callers_socket),
+            peer=self._peers.address,
+            admin=_address(admin_socket),
+            incarnation=self._incarnation,
+        )
+        await self._stopping.wait()
+        await self._shut_down([callers_server, admin_server], serving, tasks)
+
+    def _work(self) -> list[collections.abc.Coroutine[None, None, None]]:
+        chosen = self._settings.platform
+        service = platform.configuration_services.get(chosen.configuration_adapter)
+        listing = platform.instance_lists.get(chosen.instances_adapter)
+        return [
+            self._membership.beat(),
+            self._membership.read_list(listing(self._http, chosen.instances)),
+            self._configuration.watch(
+                service(self._http, chosen.configuration), self._membership
+            ),
+            self._keeper.tick(),
+            self._demands.renew(),
+            self._owner.sweep(),
+        ]
+
+    async def _shut_down(
+        self,
+        servers: list[_Server],
+        serving: list[asyncio.Task[None]],
+        tasks: list[asyncio.Task[None]],
+    ) -> None:
+        logs.event("leaving", open=self._owner.open_count)
+        self._membership.farewell()
+        await self._owner.leave()
+        await asyncio.sleep(LINGER_SECONDS)
+        for server in servers:
+            server.should_exit = True
+        await asyncio.gather(*serving, return_exceptions=True)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        await self._peers.stop()
+        await self._http.close()
+        logs.event("stopped")
+
+    def _server(
+        self, application: applications.Starlette, port: int
+    ) -> tuple[_Server, socket.socket]:
+        config = uvicorn.Config(
+            application, log_config=None, access_log=False, lifespan="off"
+        )
+        bound = socket.create_server((self._settings.host, port), backlog=512)
+        return _Server(config), bound
+
+    def _mint(self) -> str:
+        return self._owner.mint()
+
+    def _measure(self) -> tuple[float, int]:
+        return float(self._owner.open_count), self._configuration.revision
+
+
+def _address(bound: socket.socket) -> str:
+    host, port = bound.getsockname()[:2]
+    return f"{host}:{port}"
--- /dev/null
+++ b/packages/daemon/cassiaquay_daemon/exceptions.py
@@ -0,0 +1,248 @@
+"""Errors of the daemon: one root, a group for each layer, a stable code for each.
+
+docs/ERRORS.md lists the codes. A layer raises its own errors and turns those of the
+layer below into them.
+"""
+
+import http
+
+
+class DaemonError(Exception):
+    """Root of the daemon's errors."""
+
+    code = "daemon"
+
+
+class PeerError(DaemonError):
+    """A connection between instances is of no use any more."""
+
+    code = "peer"
+
+
+class FrameFault(PeerError):
+    """A peer sent something that is not a message."""
+
+    code = "peer_frame"
+
+
+class ProofFault(PeerError):
+    """A peer does not know the shared key."""
+
+    code = "peer_proof"
+
+
+class PlatformError(DaemonError):
+    """The platform gave no usable answer."""
+
+    code = "platform"
+
+
+class BackendError(DaemonError):
+    """A backend server gave no whole answer."""
+
+    code = "backend"
+
+
+class NotSent(BackendError):
+    """No byte of the request was written: another server may be chosen."""
+
+    code = "backend_not_sent"
+
+
+class Declined(BackendError):
+    """The backend server said that it does not run this request."""
+
+    code = "backend_declined"
+
+
+class Rejected(BackendError):
+    """The backend server ran the request, or judged it, and said no."""
+
+    code = "backend_rejected"
+
+
+class StreamCut(BackendError):
+    """The answer broke off, or never began, after the request was sent."""
+
+    code = "backend_cut"
+
+
+class StreamMissing(BackendError):
+    """The backend server does not hold the stream that was asked for."""
+
+    code = "backend_missing"
+
+
+class Refusal(DaemonError):
+    """A request ends here, with an answer that the caller can rely on.
+
+    Parameters
+    ----------
+    message : str
+        What happened.
+    retry_after_ms : int
+        When asking again is worth it, milliseconds; 0 says nothing.
+    address : str
+        A better address, or empty.
+    """
+
+    code = "refused"
+    outcome = "not_run"
+    status = http.HTTPStatus.SERVICE_UNAVAILABLE
+
+    def __init__(self, message: str = "", retry_after_ms: int = 0, address: str = ""):
+        super().__init__(message or self.__doc__ or "")
+        self.message = message or (self.__doc__ or "").splitlines()[0]
+        self.retry_after_ms = retry_after_ms
+        self.address = address
+
+
+class BadRequest(Refusal):
+    """The request is malformed."""
+
+    code = "bad_request"
+    status = http.HTTPStatus.BAD_REQUEST
+
+
+class BadId(Refusal):
+    """The request id is malformed, or its token is not one of ours."""
+
+    code = "bad_id"
+    status = http.HTTPStatus.BAD_REQUEST
+
+
+class TooLarge(Refusal):
+    """The body is larger than allowed."""
+
+    code = "too_large"
+    status = http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE
+
+
+class Unauthorized(Refusal):
+    """The credential is missing or unknown."""
+
+    code = "unauthorized"
+    status = http.HTTPStatus.UNAUTHORIZED
+
+
+class Forbidden(Refusal):
+    """The team may not do this."""
+
+    code = "forbidden"
+    status = http.HTTPStatus.FORBIDDEN
+
+
+class UnknownId(Refusal):
+    """The owner of the id has never seen it."""
+
+    code = "unknown_id"
+    status = http.HTTPStatus.NOT_FOUND
+
+
+class Shed(Refusal):
+    """Overload: more important work has the capacity."""
+
+    code = "shed_overload"
+
+
+class Infeasible(Refusal):
+    """The answer could not be whole before the deadline."""
+
+    code = "deadline_infeasible"
+
+
+class LimitReached(Refusal):
+    """A limit of the team or service is reached."""
+
+    code = "limit_reached"
+    status = http.HTTPStatus.TOO_MANY_REQUESTS
+
+
+class TableFull(Refusal):
+    """The instance holds too many requests."""
+
+    code = "table_full"
+
+
+class Leaving(Refusal):
+    """The instance is shutting down."""
+
+    code = "instance_leaving"
+
+
+class NotReady(Refusal):
+    """The instance has no configuration yet."""
+
+    code = "not_ready"
+
+
+class CallerGone(Refusal):
+    """The caller's connection was gone for longer than the grace time."""
+
+    code = "caller_gone"
+
+
+class Cancelled(Refusal):
+    """The caller gave the request up while it waited."""
+
+    code = "cancelled"
+
+
+class ServerDeclined(Refusal):
+    """The backend server declined the request before running it."""
+
+    code = "server_declined"
+
+
+class DependencyDown(Refusal):
+    """A service that this one depends on cannot serve."""
+
+    code = "dependency_unavailable"
+
+
+class OutcomeUnknown(Refusal):
+    """The request may have run; nobody that could be asked knows."""
+
+    code = "outcome_unknown"
+    outcome = "outcome_unknown"
+    status = http.HTTPStatus.BAD_GATEWAY
+
+
+class TokenExpired(OutcomeUnknown):
+    """The id's token expired before the owner first saw it."""
+
+    code = "token_expired"
+
+
+class OwnerGone(OutcomeUnknown):
+    """The owner is gone and no engine holds the stream."""
+
+    code = "owner_gone"
+
+
+class AnswerLost(OutcomeUnknown):
+    """The request was sent and its answer broke off for good."""
+
+    code = "answer_lost"
+
+
+class DeadlineExceeded(OutcomeUnknown):
+    """The request was running when its deadline passed."""
+
+    code = "deadline_exceeded"
+
+
+class AnswerForgotten(Refusal):
+    """The request completed; its answer is not kept any more."""
+
+    code = "answer_forgotten"
+    outcome = "completed"
+    status = http.HTTPStatus.GONE
+
+
+class BackendFailed(Refusal):
+    """The request ran and the backend server said no."""
+
+    code = "backend_failed"
+    outcome = "failed"
+    status = http.HTTPStatus.INTERNAL_SERVER_ERROR
--- /dev/null
+++ b/packages/daemon/cassiaquay_daemon/frames.py
@@ -0,0 +1,58 @@
+"""Frames between instances: msgpack arrays of a message's code and fields."""
+
+import typing
+
+import msgpack
+import msgspec
+
+from cassiaquay_schema import messages
+
+from . import exceptions
+
+MAX_FRAME_BYTES = 4 * 1024 * 1024
+
+
+def encode(message: messages.Message) -> bytes:
+    """Return the frame of a message."""
+    frame = msgpack.packb([messages.CODES[type(message)], *message])
+    return typing.cast(bytes, frame)
+
+
+class Decoder:
+    """Turn the bytes of one connection into messages."""
+
+    def __init__(self) -> None:
+        self._unpacker = msgpack.Unpacker(max_buffer_size=MAX_FRAME_BYTES)
+
+    def feed(self, data: bytes) -> list[messages.Message]:
+        """Return the messages that ``data`` completes.
+
+        Raises
+        ------
+        FrameFault
+            When the bytes are no message; the connection is of no use after that.
+        """
+        found = []
+        try:
+            self._unpacker.feed(data)
+            for frame in self._unpacker:
+                found.append(_message(frame))
+        except exceptions.FrameFault:
+            raise
+        except Exception as error:
+            # msgpack raises a dozen kinds for bad bytes; whichever it is, a peer
+            # that sends garbage may only lose its own connection.
+            raise exceptions.FrameFault(str(error)) from error
+        return found
+
+
+def _message(frame: object) -> messages.Message:
+    if not isinstance(frame, list) or not frame or not isinstance(frame[0], int):
+        raise exceptions.FrameFault("not an array that begins with a code")
+    kind = messages.BY_CODE.get(frame[0])
+    if kind is None:
+        raise exceptions.FrameFault(f"no message has code {frame[0]}")
+    try:
+        return msgspec.convert(frame[1:], kind)
+    except msgspec.ValidationError as error:
+        raise exceptions.FrameFault(f"{kind.__name__}: {error}") from error
--- /dev/null
+++ b/packages/daemon/cassiaquay_daemon/main.py
@@ -0,0 +1,44 @@
+"""The command ``cassiaquayd``: run one instance from its settings file."""
+
+import pathlib
+import sys
+
+import fire
+import uvloop
+
+from cassiaquay_schema import exceptions as schema_exceptions
+from cassiaquay_schema import texts
+
+from . import daemon, logs
+
+BAD_SETTINGS = 2
+
+
+def serve(settings: str) -> None:
+    """Run one instance until it is told to stop.
+
+    Parameters
+    ----------
+    settings : str
+        Path of its settings, a TOML file; docs/CONFIGURATION.md lists the keys.
+    """
+    try:
+        found = texts.read_settings(pathlib.Path(settings).read_text())
+    except (OSError, schema_exceptions.SchemaError) as error:
+        print(f"cassiaquayd: {settings}: {error}", file=sys.stderr)
+        raise SystemExit(BAD_SETTINGS) from error
+    logs.set_up(found)
+
+    async def run() -> None:
+        await daemon.Daemon(found).run()
+
+    uvloop.run(run())
+
+
+def run() -> None:
+    """Read the command line."""
+    fire.Fire(serve, name="cassiaquayd")
+
+
+if __name__ == "__main__":
+    run()
--- /dev/null
+++ b/packages/daemon/cassiaquay_daemon/peers.py
@@ -0,0 +1,247 @@
+"""Connections between instances: dialled when needed, authenticated, one task each.
+
+A connection carries frames both ways. Whoever dials sends first. Nothing is taken from
+a peer before it has proved that it knows a shared key.
+"""
+
+import asyncio
+import collections.abc
+import contextlib
+import hashlib
+import hmac
+import secrets
+import typing
+
+from cassiaquay_schema import messages
+from cassiaquay_schema import settings as settings_schema
+
+from . import exceptions, frames, logs
+
+PROTOCOL_VERSION = 1
+NONCE_BYTES = 16
+DIALLED = b"dialled"
+ACCEPTED = b"accepted"
+HANDSHAKE_SECONDS = 3.0
+DIAL_SECONDS = 2.0
+REDIAL_SECONDS = 0.2
+READ_BYTES = 65536
+# A peer that does not read (paused, cut off) must not make this process grow: past
+# this many unsent bytes its connection is closed, and state is sent anew on the next.
+MAX_UNSENT_BYTES = 8 * 1024 * 1024
+
+Handler = collections.abc.Callable[["Link", typing.Any], None]
+
+
+class Link:
+    """One authenticated connection to another instance.
+
+    Parameters
+    ----------
+    reader, writer
+        The streams of the connection.
+    """
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter):
+        self.instance = ""
+        self.incarnation = ""
+        self._reader = reader
+        self._writer = writer
+        self._decoder = frames.Decoder()
+        self._ready: list[messages.Message] = []
+
+    @property
+    def closing(self) -> bool:
+        """Whether nothing can be sent any more."""
+        return self._writer.is_closing()
+
+    def send(self, message: messages.Message) -> bool:
+        """Queue a message for sending; return False when the link is closed."""
+        if self._writer.is_closing():
+            return False
+        transport = self._writer.transport
+        if transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
+            logs.trouble("peer_not_reading", peer=self.instance)
+            transport.abort()
+            return False
+        self._writer.write(frames.encode(message))
+        return True
+
+    async def receive(self) -> list[messages.Message]:
+        """Return the next messages; an empty list says that the link is closed."""
+        while not self._ready:
+            data = await self._reader.read(READ_BYTES)
+            if not data:
+                return []
+            self._ready = self._decoder.feed(data)
+        found, self._ready = self._ready, []
+        return found
+
+    async def receive_one(self) -> messages.Message:
+        """Return the next message; raise PeerError when the link closes."""
+        if not self._ready:
+            self._ready = await self.receive()
+        if not self._ready:
+            raise exceptions.PeerError("closed")
+        return self._ready.pop(0)
+
+    def close(self) -> None:
+        """Close the connection."""
+        with contextlib.suppress(RuntimeError):
+            self._writer.close()
+
+
+class Peers:
+    """All connections of this instance to others.
+
+    Parameters
+    ----------
+    settings : Settings
+        Names, keys and addresses of this process.
+    incarnation : str
+        This life of the process.
+    """
+
+    def __init__(self, settings: settings_schema.Settings, incarnation: str):
+        self.address = ""
+        self._settings = settings
+        self._incarnation = incarnation
+        self._handlers: dict[type, Handler] = {}
+        self._on_up: list[collections.abc.Callable[[Link], None]] = []
+        self._on_down: list[collections.abc.Callable[[Link], None]] = []
+        self._dialled: dict[str, Link] = {}
+        self._tasks: dict[str, asyncio.Task[None]] = {}
+        self._addresses: dict[str, str] = {}
+        self._accepted: set[Link] = set()
+        self._server: asyncio.Server | None = None
+
+    def on(self, kind: type, handler: Handler) -> None:
+        """Let ``handler`` have the messages of one kind."""
+        self._handlers[kind] = handler
+
+    def on_up(self, call: collections.abc.Callable[[Link], None]) -> None:
+        """Call ``call`` when a dialled link is ready."""
+        self._on_up.append(call)
+
+    def on_down(self, call: collections.abc.Callable[[Link], None]) -> None:
+        """Call ``call`` when any link has closed."""
+        self._on_down.append(call)
+
+    async def start(self) -> None:
+        """Listen for peers."""
+        self._server = await asyncio.start_server(
+            self._accept, self._settings.host, self._settings.peer_port
+        )
+        host, port = self._server.sockets[0].getsockname()[:2]
+        self.address = f"{host}:{port}"
+
+    async def stop(self) -> None:
+        """Close every connection and stop listening."""
+        for task in self._tasks.values():
+            task.cancel()
+        for link in [*self._accepted, *self._dialled.values()]:
+            link.close()
+        if self._server is not None:
+            self._server.close()
+        await asyncio.gather(*self._tasks.values(), return_exceptions=True)
+
+    def link(self, instance: str, address: str) -> Link | None:
+        """Return the link dialled to an instance; start dialling when there is none."""
+        self._addresses[instance] = address
+        link = self._dialled.get(instance)
+        if link is not None and not link.closing:
+            return link
+        task = self._tasks.get(instance)
+        if task is None or task.done():
+            self._tasks[instance] = asyncio.create_task(self._dial(instance))
+        return None
+
+    async def _dial(self, instance: str) -> None:
+        host, _, port = self._addresses[instance].rpartition(":")
+        try:
+            reader, writer = await asyncio.wait_for(
+                asyncio.open_connection(host, int(port)), DIAL_SECONDS
+            )
+        except (TimeoutError, OSError, ValueError):
+            await asyncio.sleep(REDIAL_SECONDS)
+            return
+        link = Link(reader, writer)
+        try:
+            await asyncio.wait_for(self._prove(link, True), HANDSHAKE_SECONDS)
+            self._dialled[link.instance] = link
+            for call in self._on_up:
+                call(link)
+            await self._read(link)
+        except (TimeoutError, exceptions.PeerError, OSError) as error:
+            logs.detail("peer_lost", peer=instance, cause=repr(error))
+            await asyncio.sleep(REDIAL_SECONDS)
+        finally:
+            self._close(link)
+
+    async def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        link = Link(reader, writer)
+        self._accepted.add(link)
+        try:
+            await asyncio.wait_for(self._prove(link, False), HANDSHAKE_SECONDS)
+            await self._read(link)
+        except exceptions.PeerError as error:
+            # Only this connection ends: a faulty peer must not disturb the others.
+            logs.trouble("peer_refused", code=error.code, cause=str(error))
+        except (TimeoutError, OSError) as error:
+            logs.detail("peer_lost", peer=link.instance, cause=repr(error))
+        finally:
+            self._accepted.discard(link)
+            self._close(link)
+
+    async def _prove(self, link: Link, dialled: bool) -> None:
+        # The MAC names the side that made it: without that, an intruder could send
+        # this instance's own proof, got on a second connection, back to it.
+        ours, theirs = (DIALLED, ACCEPTED) if dialled else (ACCEPTED, DIALLED)
+        nonce = secrets.token_bytes(NONCE_BYTES)
+        settings = self._settings
+        link.send(
+            messages.Hello(
+                PROTOCOL_VERSION, settings.instance, self._incarnation, nonce
+            )
+        )
+        hello = await link.receive_one()
+        if not isinstance(hello, messages.Hello):
+            raise exceptions.ProofFault("no hello")
+        if hello.version != PROTOCOL_VERSION:
+            raise exceptions.ProofFault(f"protocol version {hello.version}")
+        mac = _mac(settings.keys[0], ours, hello.nonce, nonce, settings.instance)
+        link.send(messages.Proof(mac))
+        proof = await link.receive_one()
+        if not isinstance(proof, messages.Proof):
+            raise exceptions.ProofFault("no proof")
+        for key in settings.keys:
+            expected = _mac(key, theirs, nonce, hello.nonce, hello.instance)
+            if hmac.compare_digest(expected, proof.mac):
+                link.instance = hello.instance
+                link.incarnation = hello.incarnation
+                return
+        raise exceptions.ProofFault(f"{hello.instance} does not know the key")
+
+    async def _read(self, link: Link) -> None:
+        while True:
+            found = await link.receive()
+            if not found:
+                return
+            for message in found:
+                handler = self._handlers.get(type(message))
+                if handler is None:
+                    raise exceptions.FrameFault(f"unexpected {type(message).__name__}")
+                handler(link, message)
+
+    def _close(self, link: Link) -> None:
+        link.close()
+        if self._dialled.get(link.instance) is link:
+            del self._dialled[link.instance]
+        for call in self._on_down:
+            call(link)
+
+
+def _mac(key: str, side: bytes, theirs: bytes, ours: bytes, instance: str) -> bytes:
+    body = side + theirs + ours + instance.encode()
+    return hmac.new(key.encode(), body, hashlib.sha256).digest()
--- /dev/null
+++ b/packages/daemon/cassiaquay_daemon/platform.py
@@ -0,0 +1,156 @@
+"""What the platform publishes: the configuration and the instance list, read only.
+
+Another platform protocol needs a class here, or in a module of its own, registered
+under a name; settings choose it.
+"""
+
+import typing
+
+import aiohttp
+import msgspec
+
+from cassiaquay_schema import registry
+
+from . import exceptions
+
+ANSWER_SECONDS = 3.0
+
+
+class Published(typing.NamedTuple):
+    """A configuration text with its revision."""
+
+    revision: int
+    text: str
+
+
+class Listed(typing.NamedTuple):
+    """One line of the instance list.
+
+    Attributes
+    ----------
+    name, domain : str
+        Name and failure domain.
+    kind : str
+        ``entry`` or ``backend``.
+    http, peer : str
+        Addresses as host:port; ``peer`` is empty for backend servers.
+    leaving : bool
+        Whether it is about to go.
+    """
+
+    name: str
+    domain: str
+    kind: str
+    http: str
+    peer: str
+    leaving: bool
+
+
+class ConfigurationService(typing.Protocol):
+    """How the configuration is read."""
+
+    def __init__(self, http: aiohttp.ClientSession, address: str): ...
+
+    async def watch(self, after: int, wait: float) -> Published | None:
+        """Return what is newer than ``after``, or None after ``wait`` seconds."""
+
+
+class InstanceList(typing.Protocol):
+    """How the instance list is read."""
+
+    def __init__(self, http: aiohttp.ClientSession, address: str): ...
+
+    async def read(self) -> list[Listed]:
+        """Return all lines."""
+
+
+configuration_services: registry.Registry[type[ConfigurationService]] = (
+    registry.Registry("configuration adapter")
+)
+instance_lists: registry.Registry[type[InstanceList]] = registry.Registry(
+    "instance list adapter"
+)
+
+
+class _PublishedBody(typing.TypedDict):
+    revision: int
+    text: str
+
+
+class _ListedBody(typing.TypedDict):
+    name: str
+    kind: str
+    domain: str
+    http: str
+    peer: str
+    state: str
+
+
+class _ListBody(typing.TypedDict):
+    instances: list[_ListedBody]
+
+
+async def _get(
+    http: aiohttp.ClientSession, url: str, seconds: float
+) -> tuple[int, bytes]:
+    timeout = aiohttp.ClientTimeout(total=seconds)
+    try:
+        async with http.get(url, timeout=timeout) as response:
+            return response.status, await response.read()
+    except (TimeoutError, aiohttp.ClientError, OSError) as error:
+        raise exceptions.PlatformError(repr(error)) from error
+
+
+@configuration_services.register("config-http")
+class ConfigurationHttp:
+    """The configuration service over HTTP with a long poll."""
+
+    def __init__(self, http: aiohttp.ClientSession, address: str):
+        self._http = http
+        self._url = f"http://{address}/v1/config"
+
+    async def watch(self, after: int, wait: float) -> Published | None:
+        """Return what is newer than ``after``, or None after ``wait`` seconds."""
+        url = f"{self._url}?after={after}&wait={wait}"
+        status, body = await _get(self._http, url, wait + ANSWER_SECONDS)
+        if status == 204:
+            return None
+        if status != 200:
+            raise exceptions.PlatformError(f"configuration service: status {status}")
+        try:
+            found = msgspec.json.decode(body, type=_PublishedBody)
+        except msgspec.DecodeError as error:
+            raise exceptions.PlatformError(str(error)) from error
+        return Published(found["revision"], found["text"])
+
+
+@instance_lists.register("instances-http")
+class InstancesHttp:
+    """The instance list over HTTP."""
+
+    def __init__(self, http: aiohttp.ClientSession, address: str):
+        self._http = http
+        self._url = f"http://{address}/v1/instances"
+
+    async def read(self) -> list[Listed]:
+        """Return all lines."""
+        status, body = await _get(self._http, self._url, ANSWER_SECONDS)
+        if status != 200:
+            raise exceptions.PlatformError(f"instance list: status {status}")
+        try:
+            found = msgspec.json.decode(body, type=_ListBody)
+        except msgspec.DecodeError as error:
+            raise exceptions.PlatformError(str(error)) from error
+        lines = []
+        for line in found["instances"]:
+            lines.append(
+                Listed(
+                    line["name"],
+                    line["domain"],
+                    line["kind"],
+                    line["http"],
+                    line["peer"],
+                    line["state"] != "live",
+                )
+            )
+        return lines
--- /dev/null
+++ b/packages/daemon/cassiaquay_daemon/snapshots.py
@@ -0,0 +1,68 @@
+"""One accepted configuration, indexed for use. Requests keep the one they came with."""
+
+import hashlib
+import typing
+
+from cassiaquay_schema import fleet as fleet_schema
+from cassiaquay_schema import texts
+
+SHARD_SERVERS = 16
+
+
+class Snapshot(typing.NamedTuple):
+    """An accepted fleet text.
+
+    Attributes
+    ----------
+    revision : int
+        Its place in the platform's order.
+    text : str
+        As published.
+    fleet : Fleet
+        Parsed and checked.
+    teams_by_credential : dict of str to str
+        Team names by SHA-256 hex digest of a credential.
+    """
+
+    revision: int
+    text: str
+    fleet: fleet_schema.Fleet
+    teams_by_credential: dict[str, str]
+
+    def team_of(self, credential: str) -> str | None:
+        """Return the team that a credential belongs to."""
+        digest = hashlib.sha256(credential.encode()).hexdigest()
+        return self.teams_by_credential.get(digest)
+
+    def shard_count(self, pool: str) -> int:
+        """Return the number of shards of a pool."""
+        return -(-len(self.fleet.pools[pool].servers) // SHARD_SERVERS)
+
+    def shard_servers(self, shard: str) -> list[fleet_schema.Server]:
+        """Return the backend servers of a shard such as ``tutor#0``."""
+        pool, _, number = shard.rpartition("#")
+        if pool not in self.fleet.pools:
+            return []
+        servers = sorted(self.fleet.pools[pool].servers, key=_name)
+        return servers[int(number) :: self.shard_count(pool)]
+
+    def server(self, pool: str, name: str) -> fleet_schema.Server | None:
+        """Return a backend server by name."""
+        for server in self.fleet.pools[pool].servers:
+            if server.name == name:
+                return server
+        return None
+
+
+def read(revision: int, text: str) -> Snapshot:
+    """Return the snapshot of a text; raise SchemaError when it is not accepted."""
+    found = texts.read_fleet(text)
+    credentials = {}
+    for name, team in found.teams.items():
+        for digest in team.credentials:
+            credentials[digest] = name
+    return Snapshot(revision, text, found, credentials)
+
+
+def _name(server: fleet_schema.Server) -> str:
+    return server.name
--- /dev/null
+++ b/packages/daemon/cassiaquay_daemon/web.py
@@ -0,0 +1,281 @@
+"""What callers reach over HTTP; docs/CALLERS.md is the contract."""
+
+import collections.abc
+
+import msgspec
+from starlette import applications, responses, routing, types
+from starlette import requests as web_requests
+
+from cassiaquay_schema import settings as settings_schema
+
+from . import (
+    addresses,
+    configuration,
+    exceptions,
+    members,
+    owner,
+    recovery,
+    relay,
+    requests,
+    snapshots,
+    streams,
+    tokens,
+)
+
+Respond = collections.abc.Awaitable[types.ASGIApp]
+
+
+class Web:
+    """The handlers of the callers' address.
+
+    Parameters
+    ----------
+    settings : Settings
+        Limits and keys.
+    configured : Configuration
+        Teams and services.
+    membership : Membership
+        Where other owners are.
+    owned : Owner
+        The table of this instance.
+    passing : Relay
+        The way to other owners.
+    recovering : Recovery
+        The way to streams of dead owners.
+    """
+
+    def __init__(
+        self,
+        settings: settings_schema.Settings,
+        configured: configuration.Configuration,
+        membership: members.Membership,
+        owned: owner.Owner,
+        passing: relay.Relay,
+        recovering: recovery.Recovery,
+    ):
+        self._settings = settings
+        self._configured = configured
+        self._membership = membership
+        self._owner = owned
+        self._relay = passing
+        self._recovery = recovering
+
+    def application(self) -> applications.Starlette:
+        """Return the ASGI application."""
+        one = "/v1/requests/{id}"
+        return applications.Starlette(
+            routes=[
+                routing.Route("/v1/addresses", self.addresses, methods=["GET"]),
+                routing.Route(one, self._handler(self._submit), methods=["POST"]),
+                routing.Route(one, self._handler(self._resume), methods=["GET"]),
+                routing.Route(
+                    one, self._handler(self._acknowledge), methods=["DELETE"]
+                ),
+                routing.Route(
+                    f"{one}/cancel", self._handler(self._cancel), methods=["POST"]
+                ),
+                routing.Route(
+                    f"{one}/outcome", self._handler(self._outcome), methods=["GET"]
+                ),
+            ]
+        )
+
+    async def addresses(self, request: web_requests.Request) -> responses.Response:
+        """Answer with addresses to use."""
+        domain = request.query_params.get("domain", "")
+        found = addresses.answer(self._settings, self._membership, domain)
+        return _json(found)
+
+    def _handler(
+        self,
+        act: collections.abc.Callable[
+            [web_requests.Request, tokens.RequestId, str, snapshots.Snapshot, bytes],
+            Respond,
+        ],
+    ) -> collections.abc.Callable[[web_requests.Request], Respond]:
+        async def handle(request: web_requests.Request) -> types.ASGIApp:
+            try:
+                return await self._handle(request, act)
+            except exceptions.Refusal as refusal:
+                return streams.RefusalResponse(refusal)
+
+        return handle
+
+    async def _handle(
+        self,
+        request: web_requests.Request,
+        act: collections.abc.Callable[
+            [web_requests.Request, tokens.RequestId, str, snapshots.Snapshot, bytes],
+            Respond,
+        ],
+    ) -> types.ASGIApp:
+        snapshot = self._configured.current
+        if snapshot is None:
+            raise exceptions.NotReady(retry_after_ms=500)
+        request_id = tokens.parse(self._settings.keys, request.path_params["id"])
+        team = _team(request, snapshot)
+        body = await self._body(request)
+        if self._owner.owns(request_id):
+            return await act(request, request_id, team, snapshot, body)
+        return await self._elsewhere(request, request_id, team, snapshot, body)
+
+    async def _elsewhere(
+        self,
+        request: web_requests.Request,
+        request_id: tokens.RequestId,
+        team: str,
+        snapshot: snapshots.Snapshot,
+        body: bytes,
+    ) -> types.ASGIApp:
+        member = self._membership.find(request_id.instance)
+        hopped = relay.HOP_HEADER in request.headers
+        if member is not None and member.incarnation == request_id.incarnation:
+            if not hopped:
+                target = request.url.path
+                if request.url.query:
+                    target += f"?{request.url.query}"
+                try:
+                    return await self._relay.forward(
+                        member, request.method, target, dict(request.headers), body
+                    )
+                except relay.OwnerUnreachable:
+                    pass
+        return await self._recover(request, request_id, team, snapshot, body)
+
+    async def _recover(
+        self,
+        request: web_requests.Request,
+        request_id: tokens.RequestId,
+        team: str,
+        snapshot: snapshots.Snapshot,
+        body: bytes,
+    ) -> types.ASGIApp:
+        service = request.query_params.get("service", "")
+        if body:
+            service = requests.service_of(body)
+        if service not in snapshot.fleet.services:
+            service = ""
+        key = requests.key_of(request_id, team)
+        found = await self._recovery.find(key, snapshot, service)
+        if request.url.path.endswith("/outcome"):
+            final = found.answer.final
+            outcome = final["outcome"] if final else ""
+            return _json({"outcome": outcome, "code": outcome, "state": "dispatched"})
+        return streams.AnswerResponse(
+            found.answer, _from(request), lambda: found.refusal, _nothing, _nothing
+        )
+
+    async def _submit(
+        self,
+        request: web_requests.Request,
+        request_id: tokens.RequestId,
+        team: str,
+        snapshot: snapshots.Snapshot,
+        body: bytes,
+    ) -> types.ASGIApp:
+        after = _from(request)
+
+        def accept() -> requests.Accepted:
+            return requests.accept(request_id, team, body, snapshot)
+
+        entry = self._owner.submit(request_id, team, accept)
+        return self._read(entry, after)
+
+    async def _resume(
+        self,
+        request: web_requests.Request,
+        request_id: tokens.RequestId,
+        team: str,
+        snapshot: snapshots.Snapshot,
+        body: bytes,
+    ) -> types.ASGIApp:
+        return self._read(self._owner.find(request_id, team), _from(request))
+
+    async def _acknowledge(
+        self,
+        request: web_requests.Request,
+        request_id: tokens.RequestId,
+        team: str,
+        snapshot: snapshots.Snapshot,
+        body: bytes,
+    ) -> types.ASGIApp:
+        self._owner.acknowledge(self._owner.find(request_id, team))
+        return responses.Response(status_code=204)
+
+    async def _cancel(
+        self,
+        request: web_requests.Request,
+        request_id: tokens.RequestId,
+        team: str,
+        snapshot: snapshots.Snapshot,
+        body: bytes,
+    ) -> types.ASGIApp:
+        entry = self._owner.find(request_id, team)
+        self._owner.cancel(entry)
+        return _outcome(entry)
+
+    async def _outcome(
+        self,
+        request: web_requests.Request,
+        request_id: tokens.RequestId,
+        team: str,
+        snapshot: snapshots.Snapshot,
+        body: bytes,
+    ) -> types.ASGIApp:
+        return _outcome(self._owner.find(request_id, team))
+
+    def _read(self, entry: owner.Entry, after: int) -> types.ASGIApp:
+        return streams.AnswerResponse(
+            entry.answer,
+            after,
+            lambda: entry.refusal,
+            lambda: self._owner.attach(entry),
+            lambda: self._owner.detach(entry),
+        )
+
+    async def _body(self, request: web_requests.Request) -> bytes:
+        limit = self._settings.owner.max_body_bytes
+        parts = []
+        size = 0
+        async for part in request.stream():
+            size += len(part)
+            if size > limit:
+                raise exceptions.TooLarge(f"more than {limit} bytes")
+            parts.append(part)
+        return b"".join(parts)
+
+
+def _team(request: web_requests.Request, snapshot: snapshots.Snapshot) -> str:
+    scheme, _, credential = request.headers.get("authorization", "").partition(" ")
+    if scheme.lower() != "bearer":
+        raise exceptions.Unauthorized("an Authorization header of type Bearer")
+    team = snapshot.team_of(credential)
+    if team is None:
+        raise exceptions.Unauthorized()
+    return team
+
+
+def _from(request: web_requests.Request) -> int:
+    text = request.query_params.get("from", "0")
+    if not text.isdecimal() or len(text) > 9:
+        raise exceptions.BadRequest("from: a number of events")
+    return int(text)
+
+
+def _outcome(entry: owner.Entry) -> responses.Response:
+    final = entry.answer.final
+    return _json(
+        {
+            "outcome": final["outcome"] if final else "",
+            "code": final["code"] if final else "",
+            "state": entry.state.value,
+        }
+    )
+
+
+def _json(value: object) -> responses.Response:
+    return responses.Response(msgspec.json.encode(value), media_type="application/json")
+
+
+def _nothing() -> None:
+    """Do nothing: recovered answers count no readers."""
--- /dev/null
+++ b/packages/dev/cassiaquay_dev/cluster.py
@@ -0,0 +1,218 @@
+"""A deployment on the loopback address: stand-ins and real daemons as processes."""
+
+import asyncio
+import json
+import pathlib
+import typing
+
+import aiohttp
+
+from . import deployments, processes
+
+KEY = "key-of-the-instances"
+
+
+class DaemonAddresses(typing.NamedTuple):
+    """Where one daemon listens, as host:port."""
+
+    http: str
+    peer: str
+    admin: str
+
+
+class Cluster:
+    """Stand-ins and daemons of one deployment.
+
+    Parameters
+    ----------
+    deployment : Deployment
+        What to start.
+    daemons : int
+        Number of instances.
+    folder : Path
+        Where settings and logs go.
+    policy : str
+        Policy of the keepers.
+    extra : str
+        More lines for the settings of each daemon.
+    """
+
+    def __init__(
+        self,
+        deployment: deployments.Deployment,
+        daemons: int,
+        folder: pathlib.Path,
+        policy: str = "tiered",
+        extra: str = "",
+    ):
+        self.deployment = deployment
+        self.folder = folder
+        self.addresses: dict[str, str] = {}
+        self.daemons: dict[str, processes.Process] = {}
+        self.listening: dict[str, DaemonAddresses] = {}
+        self.standins: dict[str, processes.Process] = {}
+        self.platform = ""
+        self.http = aiohttp.ClientSession()
+        self._count = daemons
+        self._policy = policy
+        self._extra = extra
+
+    @property
+    def seeds(self) -> list[str]:
+        """The callers' addresses of all daemons."""
+        return [one.http for one in self.listening.values()]
+
+    async def start(self) -> None:
+        """Start everything and wait until each daemon has the configuration."""
+        await self._start_standins()
+        await self.publish(deployments.fleet_text(self.deployment, self.addresses))
+        names = [f"cq-{number}" for number in range(1, self._count + 1)]
+        await asyncio.gather(*(self.start_daemon(name) for name in names))
+        await asyncio.gather(*(self.wait_until_known(name) for name in names))
+
+    async def start_daemon(self, name: str) -> None:
+        """Start one daemon and put it on the instance list."""
+        number = int(name.rpartition("-")[2])
+        domain = self.deployment.domains[number % len(self.deployment.domains)]
+        settings = self.folder / f"{name}.toml"
+        settings.write_text(self._settings(name, domain))
+        process = processes.Process(
+            name,
+            ["-m", "cassiaquay_daemon.main", f"--settings={settings}"],
+            self.folder,
+        )
+        self.daemons[name] = process
+        before = len(process.lines())
+        await process.start()
+        await process.wait_for(lambda lines: _ready(lines[before:]) is not None)
+        found = _ready(process.lines()[before:])
+        assert found is not None
+        self.listening[name] = found
+        await self.list_instance(name, "entry", domain, found.http, found.peer, "live")
+
+    async def wait_until_known(self, name: str) -> None:
+        """Wait until a daemon has a configuration and sees the other live daemons."""
+        process = self.daemons[name]
+        end = asyncio.get_running_loop().time() + processes.START_SECONDS
+        while True:
+            status = await self.status(name)
+            if status["revision"] and len(status["members"]) >= len(self.listening):
+                return
+            if asyncio.get_running_loop().time() > end:
+                raise processes.StartFault(f"{process.name} is alone: {status}")
+            await asyncio.sleep(processes.POLL_SECONDS)
+
+    async def status(self, name: str) -> dict[str, typing.Any]:
+        """Return what a daemon tells operators."""
+        url = f"http://{self.listening[name].admin}/v1/status"
+        async with self.http.get(url) as response:
+            return typing.cast(dict[str, typing.Any], await response.json())
+
+    async def publish(self, text: str) -> None:
+        """Publish a fleet text."""
+        await self.control(self.platform, "PUT", "/control/config", {"text": text})
+
+    async def list_instance(
+        self, name: str, kind: str, domain: str, http: str, peer: str, state: str
+    ) -> None:
+        """Put one line on the platform's instance list."""
+        line = {
+            "name": name,
+            "kind": kind,
+            "domain": domain,
+            "http": http,
+            "peer": peer,
+            "state": state,
+        }
+        await self.control(self.platform, "PUT", "/control/instances", line)
+
+    async def control(
+        self, address: str, method: str, path: str, body: object = None
+    ) -> typing.Any:
+        """Call a stand-in's control; return its JSON answer."""
+        url = f"http://{address}{path}"
+        async with self.http.request(method, url, json=body) as response:
+            response.raise_for_status()
+            text = await response.text()
+            return json.loads(text) if text else None
+
+    async def stop(self) -> dict[str, int]:
+        """Stop the daemons gracefully, then the stand-ins; return exit statuses."""
+        names = list(self.daemons)
+        codes = await asyncio.gather(*(self.daemons[n].stop() for n in names))
+        await asyncio.gather(*(one.stop() for one in self.standins.values()))
+        await self.http.close()
+        return dict(zip(names, codes, strict=True))
+
+    async def _start_standins(self) -> None:
+        starts = [self._start_platform()]
+        for engine in self.deployment.engines:
+            starts.append(self._start_engine(engine))
+        for plain in self.deployment.plains:
+            starts.append(self._start_plain(plain))
+        await asyncio.gather(*starts)
+
+    async def _start_platform(self) -> None:
+        process = await self._standin("platform", ["--instances_lag_ms=200"])
+        self.platform = _address(process)
+
+    async def _start_engine(self, engine: deployments.EngineSpec) -> None:
+        flags = [
+            f"--model={self.deployment.model}",
+            f"--prefill_tokens_per_second={engine.prefill_tokens_per_second}",
+            f"--step_ms={engine.step_ms}",
+            f"--max_batch={engine.max_batch}",
+            f"--cache_tokens={engine.cache_tokens}",
+        ]
+        process = await self._standin(engine.name, flags, "engine")
+        self.addresses[engine.name] = _address(process)
+
+    async def _start_plain(self, plain: deployments.PlainSpec) -> None:
+        flags = [f"--slots={plain.slots}", f"--service_ms={plain.service_ms}"]
+        process = await self._standin(plain.name, flags, "plain")
+        self.addresses[plain.name] = _address(process)
+
+    async def _standin(
+        self, name: str, flags: list[str], module: str = "platform"
+    ) -> processes.Process:
+        process = processes.Process(
+            name, ["-m", f"cassiaquay_dev.{module}", *flags], self.folder
+        )
+        self.standins[name] = process
+        await process.start()
+        await process.wait_for(lambda lines: any(_is_ready(line) for line in lines))
+        return process
+
+    def _settings(self, name: str, domain: str) -> str:
+        return f"""\
+instance = "{name}"
+domain = "{domain}"
+keys = ["{KEY}"]
+{self._extra}
+[platform]
+configuration = "{self.platform}"
+instances = "{self.platform}"
+[keeper]
+policy = "{self._policy}"
+[logs]
+format = "json"
+"""
+
+
+def _is_ready(line: str) -> bool:
+    return line.startswith("ready address=")
+
+
+def _address(process: processes.Process) -> str:
+    line = next(line for line in process.lines() if _is_ready(line))
+    return line.partition("=")[2]
+
+
+def _ready(lines: list[str]) -> DaemonAddresses | None:
+    for line in lines:
+        if not line.startswith("{"):
+            continue
+        event = json.loads(line)
+        if event.get("event") == "ready":
+            return DaemonAddresses(event["http"], event["peer"], event["admin"])
+    return None
--- /dev/null
+++ b/packages/dev/cassiaquay_dev/driver.py
@@ -0,0 +1,125 @@
+"""Send a workload by the caller package and note what became of each request."""
+
+import asyncio
+import typing
+
+import cassiaquay
+
+from . import workloads
+
+
+class Result(typing.NamedTuple):
+    """What became of one arrival.
+
+    Attributes
+    ----------
+    arrival : Arrival
+        The request.
+    outcome : str
+        ``completed``, ``not_run``, ``outcome_unknown`` or ``failed``.
+    code : str
+        Code of the error, or ``completed``.
+    request_id : str
+        Last id used.
+    seconds : float
+        From the first attempt to the end.
+    text : str
+        The answer.
+    """
+
+    arrival: workloads.Arrival
+    outcome: str
+    code: str
+    request_id: str
+    seconds: float
+    text: str
+
+    @property
+    def in_time(self) -> bool:
+        """Whether the whole answer came before the deadline."""
+        return self.outcome == "completed" and self.seconds <= self.arrival.deadline
+
+
+class Driver:
+    """Sends arrivals at their times, one session for each team.
+
+    Parameters
+    ----------
+    seeds : list of str
+        Addresses of instances to start from.
+    domains : list of str
+        Failure domains that the callers are in, in turn.
+    """
+
+    def __init__(self, seeds: list[str], domains: list[str]):
+        self.results: list[Result] = []
+        self._seeds = seeds
+        self._domains = domains
+        self._sessions: dict[str, cassiaquay.Session] = {}
+
+    async def run(self, arrivals: list[workloads.Arrival]) -> list[Result]:
+        """Send all arrivals; return when the last one has ended."""
+        loop = asyncio.get_running_loop()
+        start = loop.time()
+        tasks = []
+        for arrival in arrivals:
+            await asyncio.sleep(max(start + arrival.at - loop.time(), 0.0))
+            tasks.append(asyncio.create_task(self._send(arrival)))
+        await asyncio.gather(*tasks)
+        for session in self._sessions.values():
+            await session.close()
+        return self.results
+
+    def _session(self, arrival: workloads.Arrival) -> cassiaquay.Session:
+        team = arrival.team
+        if team.name not in self._sessions:
+            domain = self._domains[len(self._sessions) % len(self._domains)]
+            self._sessions[team.name] = cassiaquay.Session(
+                cassiaquay.Settings(
+                    seeds=self._seeds, domain=domain, credential=team.credential
+                )
+            )
+        return self._sessions[team.name]
+
+    async def _send(self, arrival: workloads.Arrival) -> None:
+        loop = asyncio.get_running_loop()
+        start = loop.time()
+        outcome, code, request_id, text = "completed", "completed", "", ""
+        try:
+            answer = await self._ask(arrival)
+            request_id = answer.request_id
+            text = answer.text
+        except cassiaquay.exceptions.CassiaquayError as error:
+            code = error.code
+            request_id = error.request_id
+            outcome = _outcome(error)
+        elapsed = loop.time() - start
+        self.results.append(Result(arrival, outcome, code, request_id, elapsed, text))
+
+    async def _ask(self, arrival: workloads.Arrival) -> cassiaquay.Answer:
+        session = self._session(arrival)
+        if arrival.path:
+            return await session.call(
+                arrival.service,
+                arrival.path,
+                {"at": arrival.at},
+                tier=arrival.tier,
+                deadline=arrival.deadline,
+                idempotent=arrival.idempotent,
+            )
+        return await session.ask(
+            arrival.service,
+            arrival.prompt,
+            max_tokens=arrival.max_tokens,
+            tier=arrival.tier,
+            deadline=arrival.deadline,
+            session=arrival.session,
+        )
+
+
+def _outcome(error: cassiaquay.exceptions.CassiaquayError) -> str:
+    if isinstance(error, cassiaquay.exceptions.NotRun):
+        return "not_run"
+    if isinstance(error, cassiaquay.exceptions.Failed):
+        return "failed"
+    return "outcome_unknown"
--- /dev/null
+++ b/packages/dev/cassiaquay_dev/processes.py
@@ -0,0 +1,96 @@
+"""Child processes of a test or an experiment: started, read, stopped by pid."""
+
+import asyncio
+import os
+import pathlib
+import signal
+import sys
+import typing
+
+START_SECONDS = 20.0
+STOP_SECONDS = 20.0
+POLL_SECONDS = 0.02
+
+
+class StartFault(RuntimeError):
+    """A process did not become ready."""
+
+
+class Process:
+    """One child process whose output goes to a file.
+
+    Parameters
+    ----------
+    name : str
+        For messages and the name of the file.
+    arguments : list of str
+        Arguments of this Python.
+    folder : Path
+        Where the output goes.
+    """
+
+    def __init__(self, name: str, arguments: list[str], folder: pathlib.Path):
+        self.name = name
+        self.path = folder / f"{name}.log"
+        self._arguments = arguments
+        self._child: asyncio.subprocess.Process | None = None
+
+    @property
+    def pid(self) -> int:
+        """Process id."""
+        if self._child is None:
+            raise StartFault(f"{self.name} was not started")
+        return self._child.pid
+
+    @property
+    def returncode(self) -> int | None:
+        """Exit status, None while it runs."""
+        return self._child.returncode if self._child else None
+
+    def lines(self) -> list[str]:
+        """Return what it has written so far."""
+        return self.path.read_text().splitlines() if self.path.exists() else []
+
+    async def start(self) -> None:
+        """Start it."""
+        with self.path.open("ab") as output:
+            self._child = await asyncio.create_subprocess_exec(
+                sys.executable,
+                *self._arguments,
+                stdout=output,
+                stderr=output,
+                env=os.environ | {"PYTHONUNBUFFERED": "1"},
+            )
+
+    async def wait_for(self, found: typing.Callable[[list[str]], bool]) -> None:
+        """Wait until its output satisfies ``found``; raise StartFault otherwise."""
+        loop = asyncio.get_running_loop()
+        end = loop.time() + START_SECONDS
+        while not found(self.lines()):
+            if self.returncode is not None or loop.time() > end:
+                text = "\n".join(self.lines()[-20:])
+                raise StartFault(f"{self.name} did not become ready:\n{text}")
+            await asyncio.sleep(POLL_SECONDS)
+
+    def send(self, number: signal.Signals) -> None:
+        """Send it a signal."""
+        if self.returncode is None:
+            os.kill(self.pid, number)
+
+    async def stop(self) -> int:
+        """End it gracefully, by force when that takes too long; return its status."""
+        if self._child is None:
+            return 0
+        self.send(signal.SIGTERM)
+        try:
+            return await asyncio.wait_for(self._child.wait(), STOP_SECONDS)
+        except TimeoutError:
+            self.send(signal.SIGKILL)
+            return await self._child.wait()
+
+    async def kill(self) -> None:
+        """End it at once."""
+        if self._child is None:
+            return
+        self.send(signal.SIGKILL)
+        await self._child.wait()
