--- /dev/null
+++ b/packages/dev/cassiaquay_dev/weight_store.py
@@ -0,0 +1,70 @@
+"""Weight store of the platform stand-in: transfers under two limits."""
+
+import asyncio
+import time
+import typing
+
+from starlette import requests, responses, routing
+
+from . import platform_settings
+
+
+class Transfer(typing.TypedDict):
+    """One call; ``at`` is seconds since 1970."""
+
+    model: str
+    version: str
+    at: float
+    status: int
+
+
+class WeightStore:
+    """Limits transfers at a time and transfers started per second."""
+
+    def __init__(self, settings: platform_settings.PlatformSettings) -> None:
+        self.transfers: list[Transfer] = []
+        self._settings = settings
+        self._running = 0
+        self._allowed = max(1.0, settings.weights_per_second)
+        self._refilled_at = time.monotonic()
+
+    def routes(self) -> list[routing.Route]:
+        """Return the routes of the store and of its control."""
+        return [
+            routing.Route("/v1/weights/{model}/{version}", self._get, methods=["GET"]),
+            routing.Route("/control/weights", self._log, methods=["GET"]),
+        ]
+
+    def _admit(self) -> bool:
+        rate = self._settings.weights_per_second
+        now = time.monotonic()
+        refill = (now - self._refilled_at) * rate
+        self._refilled_at = now
+        self._allowed = min(max(1.0, rate), self._allowed + refill)
+        if self._running >= self._settings.weights_concurrent or self._allowed < 1:
+            return False
+        self._allowed -= 1
+        return True
+
+    async def _get(self, request: requests.Request) -> responses.Response:
+        model = request.path_params["model"]
+        version = request.path_params["version"]
+        admitted = self._admit()
+        status = 200 if admitted else 429
+        self.transfers.append(
+            {"model": model, "version": version, "at": time.time(), "status": status}
+        )
+        if not admitted:
+            headers = {"Retry-After": f"{self._settings.weights_retry_seconds:g}"}
+            return responses.JSONResponse(
+                {"code": "over_rate"}, status_code=status, headers=headers
+            )
+        self._running += 1
+        try:
+            await asyncio.sleep(self._settings.weights_transfer_ms / 1000)
+        finally:
+            self._running -= 1
+        return responses.JSONResponse({"model": model, "version": version})
+
+    async def _log(self, request: requests.Request) -> responses.Response:
+        return responses.JSONResponse({"transfers": self.transfers})
