Let the weight store be closed by order and test more of the stand-ins

The 429 of the weight store had no test that was sure to meet it. Requests without an id no longer count as repeats of each other. Load samples are pruned when they are taken, so an engine whose load nobody reads does not keep them all.

--- a/packages/dev/cassiaquay_dev/engine_model.py
+++ b/packages/dev/cassiaquay_dev/engine_model.py
@@ -148,9 +148,7 @@
         """Return the load as it was ``report_lag_ms`` ago."""
         if self._settings.report_lag_ms <= 0:
             self._sample(forced=True)
-        due = time.monotonic() - self._settings.report_lag_ms / 1000
-        while len(self._samples) > 1 and self._samples[1].at <= due:
-            self._samples.popleft()
+        self._prune_samples()
         return self._samples[0]
 
     def totals(self) -> Totals:
@@ -283,3 +281,10 @@
         tokens += self._reserved
         sample = LoadSample(now, len(self._running), len(self._waiting), tokens)
         self._samples.append(sample)
+        self._prune_samples()
+
+    def _prune_samples(self) -> None:
+        """Keep the newest sample that is due, and those that are not yet due."""
+        due = time.monotonic() - self._settings.report_lag_ms / 1000
+        while len(self._samples) > 1 and self._samples[1].at <= due:
+            self._samples.popleft()
--- a/packages/dev/cassiaquay_dev/plain.py
+++ b/packages/dev/cassiaquay_dev/plain.py
@@ -101,7 +101,7 @@
             "at": time.time(),
             "finished_at": None,
             "state": RUNNING,
-            "repeat": request_id in self._seen,
+            "repeat": bool(request_id) and request_id in self._seen,
         }
         self._seen.add(request_id)
         self.runs.append(run)
--- a/packages/dev/cassiaquay_dev/weight_store.py
+++ b/packages/dev/cassiaquay_dev/weight_store.py
@@ -25,6 +25,7 @@
         self.transfers: list[Transfer] = []
         self._settings = settings
         self._running = 0
+        self._refuse = False
         self._allowed = max(1.0, settings.weights_per_second)
         self._refilled_at = time.monotonic()
 
@@ -33,6 +34,7 @@
         return [
             routing.Route("/v1/weights/{model}/{version}", self._get, methods=["GET"]),
             routing.Route("/control/weights", self._log, methods=["GET"]),
+            routing.Route("/control/weights", self._set_refuse, methods=["POST"]),
         ]
 
     def _admit(self) -> bool:
@@ -41,7 +43,9 @@
         refill = (now - self._refilled_at) * rate
         self._refilled_at = now
         self._allowed = min(max(1.0, rate), self._allowed + refill)
-        if self._running >= self._settings.weights_concurrent or self._allowed < 1:
+        if self._refuse or self._running >= self._settings.weights_concurrent:
+            return False
+        if self._allowed < 1:
             return False
         self._allowed -= 1
         return True
@@ -66,5 +70,9 @@
             self._running -= 1
         return responses.JSONResponse({"model": model, "version": version})
 
+    async def _set_refuse(self, request: requests.Request) -> responses.Response:
+        self._refuse = bool((await request.json())["refuse"])
+        return responses.JSONResponse({"refuse": self._refuse})
+
     async def _log(self, request: requests.Request) -> responses.Response:
         return responses.JSONResponse({"transfers": self.transfers})
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -31,13 +31,25 @@
     """Calls to one stand-in."""
 
     def __init__(self, session: aiohttp.ClientSession, address: str) -> None:
+        self.address = address
         self._session = session
         self._base = f"http://{address}"
 
+    async def read_one_event(self, path: str, body: typing.Any) -> bytes:
+        """POST, and close the connection after the first event."""
+        async with self._session.post(self._base + path, json=body) as answer:
+            return await answer.content.readuntil(b"\n\n")
+
     async def call(
-        self, method: str, path: str, body: typing.Any = None, text: str | None = None
+        self,
+        method: str,
+        path: str,
+        body: typing.Any = None,
+        text: str | None = None,
+        request_id: str = "",
     ) -> tuple[int, typing.Any]:
-        data = {"data": text} if text is not None else {"json": body}
+        data: dict[str, typing.Any] = {"headers": {"X-Request-Id": request_id}}
+        data |= {"data": text} if text is not None else {"json": body}
         async with self._session.request(method, self._base + path, **data) as answer:
             content = await answer.text()
         if answer.content_type == "application/json":
@@ -182,6 +194,53 @@
     asyncio.run(scenario())
 
 
+def test_disconnect_does_not_stop_the_stream():
+    """The caller closes the connection of its POST after one event.
+
+    The engine goes on to the end, so that a later read from 0 gives the whole answer;
+    a reader that comes while it runs gets the same.
+    """
+
+    async def scenario() -> None:
+        async with serve(engine.Engine(FAST)) as client:
+            first = await client.read_one_event("/v1/streams/a", ask(50))
+            assert first.decode() == events(1)
+            both = await asyncio.gather(
+                client.call("GET", "/v1/streams/a"),
+                client.call("GET", "/v1/streams/a?from=0"),
+            )
+            for _, text in both:
+                assert text.startswith(events(50) + "event: done")
+
+    asyncio.run(scenario())
+
+
+def test_finished_stream_is_forgotten_after_its_time():
+    async def scenario() -> None:
+        async with serve(engine.Engine(FAST._replace(hold_seconds=0.01))) as client:
+            await client.call("POST", "/v1/streams/a", ask(1))
+            await client.until(
+                "/v1/streams/a", lambda content: content == {"code": "not_held"}
+            )
+
+    asyncio.run(scenario())
+
+
+def test_lost_cache_events_leave_gaps_in_the_sequence():
+    async def scenario() -> None:
+        settings = FAST._replace(event_gap_share=0.5, cache_tokens=64)
+        async with serve(engine.Engine(settings)) as client:
+            for number in range(20):
+                body = ask(1, f"{number} {PROMPT}")
+                await client.call("POST", f"/v1/streams/s{number}", body)
+            _, news = await client.call("GET", "/v1/kv/events?after=0")
+            numbers = [event["sequence"] for event in news["events"]]
+            assert numbers == sorted(set(numbers))
+            assert 0 < len(numbers) < news["sequence"]
+
+    asyncio.run(scenario())
+
+
 def test_cancel_reports_the_tokens_spent():
     """A hung engine holds a stream, which its caller cancels.
 
@@ -261,18 +320,19 @@
 def test_loading_refuses_new_streams_and_finishes_running_ones():
     """An order to load another model comes while a stream runs.
 
-    The running stream ends whole, new ones get 503, the weight store's 429 is
-    retried; afterwards the old model's name is a bad request.
+    The running stream ends whole and new ones get 503. The weight store answers 429
+    until the test lets it go; afterwards the old model's name is a bad request.
     """
 
     async def scenario() -> None:
         weights = platform_settings.PlatformSettings(
-            weights_per_second=50, weights_transfer_ms=1, weights_retry_seconds=0.01
+            weights_transfer_ms=1, weights_retry_seconds=0.01
         )
-        store = serving.Served(platform.Platform(weights))
-        await store.start()
-        settings = FAST._replace(weights=store.address)
-        async with serve(engine.Engine(settings)) as client:
+        async with contextlib.AsyncExitStack() as stack:
+            store = await stack.enter_async_context(serve(platform.Platform(weights)))
+            await store.call("POST", "/control/weights", {"refuse": True})
+            settings = FAST._replace(weights=store.address)
+            client = await stack.enter_async_context(serve(engine.Engine(settings)))
             await client.call("POST", "/control/hang", {"on": True})
             post = asyncio.create_task(client.call("POST", "/v1/streams/a", ask(5)))
             await client.until("/control/log", lambda log: log["dispatches"])
@@ -283,14 +343,19 @@
             assert refused == (503, {"code": "loading"})
             await client.call("POST", "/control/hang", {"on": False})
             assert done((await post)[1])["count"] == 5
+            await store.until("/control/weights", lambda log: log["transfers"])
+            assert (await client.call("POST", "/v1/streams/b", ask(1)))[0] == 503
+            await store.call("POST", "/control/weights", {"refuse": False})
             await client.until("/v1/load", lambda load: load["model"] == "m2")
+            _, log = await store.call("GET", "/control/weights")
+            statuses = [one["status"] for one in log["transfers"]]
+            assert statuses == [429] * (len(statuses) - 1) + [200]
             old = await client.call(
                 "POST", "/v1/streams/c", ask(1, model=settings.model)
             )
             assert old[0] == 400
             new = await client.call("POST", "/v1/streams/d", ask(1, model="m2"))
             assert new[0] == 200
-        await store.stop()
 
     asyncio.run(scenario())
 
@@ -299,12 +364,15 @@
     async def scenario() -> None:
         settings = plain.PlainSettings(slots=1, service_ms=1)
         async with serve(plain.Plain(settings)) as client:
-            status, content = await client.call("POST", "/book", {"seat": 4})
+            status, content = await client.call(
+                "POST", "/book", {"seat": 4}, request_id="r1"
+            )
             assert status == 200
-            assert content["path"] == "/book"
-            assert content["echo"] == {"seat": 4}
+            answer = {"ok": True, "id": "r1", "path": "/book", "echo": {"seat": 4}}
+            assert content == answer
             await client.call("POST", "/control/fail", {"share": 1})
-            assert (await client.call("POST", "/book", {}))[0] == 500
+            status, _ = await client.call("POST", "/book", {}, request_id="r1")
+            assert status == 500
             _, log = await client.call("GET", "/control/log")
             seen = [(one["state"], one["repeat"]) for one in log["runs"]]
             assert seen == [("completed", False), ("failed", True)]
