--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -31,6 +31,7 @@
     """Calls to one stand-in."""
 
     def __init__(self, session: aiohttp.ClientSession, address: str) -> None:
+        self.address = address
         self._session = session
         self._base = f"http://{address}"
 
