--- /dev/null
+++ b/packages/cli/cassiaquay_cli/differences.py
@@ -0,0 +1,51 @@
+"""What changes between two fleet texts, place by place."""
+
+import typing
+
+import msgspec
+
+from cassiaquay_schema import fleet
+
+Path = tuple[str, ...]
+
+
+class Difference(typing.NamedTuple):
+    """One change.
+
+    Attributes
+    ----------
+    place : str
+        Dotted path.
+    before, after : str
+        JSON, empty where the place does not exist.
+    """
+
+    place: str
+    before: str
+    after: str
+
+
+def between(old: fleet.Fleet, new: fleet.Fleet) -> list[Difference]:
+    """Return the differences, sorted by place."""
+    before = dict(_leaves((), msgspec.to_builtins(old)))
+    after = dict(_leaves((), msgspec.to_builtins(new)))
+    found = []
+    for path in sorted(before.keys() | after.keys()):
+        if before.get(path) == after.get(path):
+            continue
+        place = ".".join(path)
+        found.append(Difference(place, before.get(path, ""), after.get(path, "")))
+    return found
+
+
+def _leaves(path: Path, value: object) -> typing.Iterator[tuple[Path, str]]:
+    if isinstance(value, dict):
+        for key, item in value.items():
+            yield from _leaves((*path, str(key)), item)
+        return
+    if isinstance(value, list) and value and isinstance(value[0], dict):
+        for index, item in enumerate(value):
+            name = item.get("name", str(index))
+            yield from _leaves((*path, str(name)), item)
+        return
+    yield path, msgspec.json.encode(value).decode()
--- a/packages/dev/cassiaquay_dev/cluster.py
+++ b/packages/dev/cassiaquay_dev/cluster.py
@@ -110,7 +110,9 @@
 
     async def publish(self, text: str) -> None:
         """Publish a fleet text."""
-        await self.control(self.platform, "PUT", "/control/config", {"text": text})
+        url = f"http://{self.platform}/control/config"
+        async with self.http.put(url, data=text.encode()) as response:
+            response.raise_for_status()
 
     async def list_instance(
         self, name: str, kind: str, domain: str, http: str, peer: str, state: str
