Form no new id from a caller's address list that is too old

Cause: an expired token gets outcome_unknown for a request that nobody saw. A list that no instance renews now gives new ids for four times keep_seconds (at least 0.8 s) and NoAddress after that.

--- a/packages/caller/cassiaquay/addresses.py
+++ b/packages/caller/cassiaquay/addresses.py
@@ -59,7 +59,7 @@
         Raises
         ------
         NoAddress
-            When no instance gave a list and none was kept.
+            When no instance gave a list and none, or too old a one, was kept.
         """
         await self._refresh()
         # An expired token gets ``outcome_unknown`` for a request that nobody saw;
@@ -127,7 +127,8 @@
                 continue
             self._fetched = loop.time()
             self._expiry = self._fetched + found.keep_seconds
-            self._stale = self._fetched + found.keep_seconds * STALE_KEEPS
+            keep = max(found.keep_seconds, MIN_REFRESH_SECONDS)
+            self._stale = self._fetched + keep * STALE_KEEPS
             self._addresses = found.addresses
             now = loop.time()
             self._suspects = {
--- a/tests/test_caller.py
+++ b/tests/test_caller.py
@@ -37,8 +37,12 @@
         self.script = script
         self.seen: list[Seen] = []
         self.outcome = {"outcome": "outcome_unknown", "code": "lost"}
+        self.outcome_status = 200
         self.cancelled = {"outcome": "not_run", "code": "cancelled"}
         self.acknowledged: list[str] = []
+        self.given_up: list[str] = []
+        self.keep_seconds = 10.0
+        self.lists_addresses = True
         self.ports: list[int] = []
         self.app = applications.Starlette(
             routes=[
@@ -71,7 +75,11 @@
             }
             for place, port in enumerate(self.ports)
         ]
-        return responses.JSONResponse({"keep_seconds": 10.0, "addresses": listed})
+        if not self.lists_addresses:
+            return responses.JSONResponse({}, status_code=503)
+        return responses.JSONResponse(
+            {"keep_seconds": self.keep_seconds, "addresses": listed}
+        )
 
     async def request(self, request: requests.Request) -> responses.Response:
         assert request.headers["authorization"] == "Bearer secret"
@@ -88,9 +96,10 @@
         return responses.JSONResponse({})
 
     async def tell(self, _: requests.Request) -> responses.Response:
-        return responses.JSONResponse(self.outcome)
+        return responses.JSONResponse(self.outcome, status_code=self.outcome_status)
 
-    async def cancel(self, _: requests.Request) -> responses.Response:
+    async def cancel(self, request: requests.Request) -> responses.Response:
+        self.given_up.append(request.path_params["id"])
         return responses.JSONResponse(self.cancelled)
 
 
@@ -480,6 +489,101 @@
     run(work())
 
 
+def test_dead_instance_costs_no_answer_though_many_callers_meet_it_at_once():
+    """All callers see whole answers, more of them than the budget has retries.
+
+    The best-ranked instance is dead and 60 requests start before anyone knows.
+    The first repeat under an id adds no work, so the budget does not bind it.
+    """
+
+    async def work() -> None:
+        async with serve([whole], budget_capacity=1.0, budget_ratio=0.0) as (
+            fake,
+            session,
+        ):
+            fake.ports.insert(0, _free_port())
+            asked = [session.ask("tutor-assist", "2+2?") for _ in range(60)]
+            answers = await asyncio.gather(*asked)
+        assert {one.text for one in answers} == {"".join(TEXTS)}
+        assert any(one.request_id.startswith("cq-0.") for one in answers)
+
+    run(work())
+
+
+def test_bad_status_of_a_resume_does_not_claim_not_run():
+    """The caller sees OutcomeUnknown, since the request was taken before.
+
+    The answer is cut after two events and the resume gets 401: that is said of
+    the resume, not of the request.
+    """
+
+    async def work() -> None:
+        async with serve([cut, refuse(401, "not_run", "unauthorized")]) as (
+            _,
+            session,
+        ):
+            with pytest.raises(exceptions.OutcomeUnknown):
+                await session.ask("tutor-assist", "2+2?")
+
+    run(work())
+
+
+def test_refused_question_about_an_outcome_is_not_taken_for_the_outcome():
+    """A booking whose outcome is unknown is not sent again.
+
+    The question about its outcome is refused, and the refusal says not_run of
+    the question itself.
+    """
+
+    async def work() -> None:
+        async with serve([UNKNOWN, whole]) as (fake, session):
+            fake.outcome = {"outcome": "not_run", "code": "unauthorized"}
+            fake.outcome_status = 401
+            with pytest.raises(exceptions.OutcomeUnknown):
+                await session.call("bookings-app", "/book", {}, idempotent=False)
+        assert len(fake.posted) == 1
+
+    run(work())
+
+
+def test_application_that_goes_away_cancels_its_request():
+    async def work() -> None:
+        async with serve([hang]) as (fake, session):
+            task = asyncio.create_task(session.ask("tutor-assist", "2+2?"))
+            async with asyncio.timeout(LONG):
+                while not fake.seen:
+                    await asyncio.sleep(0.005)
+            task.cancel()
+            with pytest.raises(asyncio.CancelledError):
+                await task
+        assert fake.given_up == fake.posted
+
+    run(work())
+
+
+def test_list_kept_too_long_forms_no_new_id():
+    """The caller sees NoAddress, which says truly that nothing ran.
+
+    No instance renews the list; an expired token would get outcome_unknown.
+    """
+
+    async def work() -> None:
+        async with serve([whole], max_attempts=1) as (fake, session):
+            fake.keep_seconds = 0.0
+            await session.ask("tutor-assist", "2+2?")
+            fake.lists_addresses = False
+            answered = 1
+            with pytest.raises(exceptions.NoAddress):
+                async with asyncio.timeout(LONG):
+                    while True:
+                        await session.ask("tutor-assist", "2+2?")
+                        answered += 1
+                        await asyncio.sleep(0.02)
+        assert len(fake.seen) == answered
+
+    run(work())
+
+
 def test_no_address_is_raised_when_no_instance_answers():
     async def work() -> None:
         settings = cassiaquay.Settings(
