--- a/packages/caller/cassiaquay/models.py
+++ b/packages/caller/cassiaquay/models.py
@@ -131,8 +131,8 @@
         return "".join(read_text(data) for data in self.events)
 
     def json(self) -> typing.Any:
-        """Return the text read as JSON, as plain services answer."""
-        return msgspec.json.decode(self.text)
+        """Return the body of a plain service, which is the only event."""
+        return msgspec.json.decode(self.events[0])
 
 
 def read_text(data: str) -> str:
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -3,6 +3,7 @@
 import asyncio
 import pathlib
 
+import cassiaquay
 from cassiaquay_dev import cluster, demo, deployments, driver, workloads
 
 
@@ -24,3 +25,25 @@
         assert set(codes.values()) == {0}
 
     asyncio.run(run())
+
+
+def test_a_plain_service_answers_with_its_own_body(tmp_path: pathlib.Path) -> None:
+    async def run() -> None:
+        deployment = deployments.BRINDLEY
+        started = cluster.Cluster(deployment, 2, tmp_path)
+        try:
+            await started.start()
+            team = deployment.teams[0]
+            settings = cassiaquay.Settings(
+                seeds=started.seeds, credential=team.credential
+            )
+            async with cassiaquay.Session(settings) as session:
+                answer = await session.call(
+                    deployment.plain_service, "/book", {"day": 3}, idempotent=False
+                )
+        finally:
+            await started.stop()
+        assert answer.json()["echo"] == {"day": 3}
+        assert answer.json()["path"] == "/book"
+
+    asyncio.run(run())
