Drop idle connections to back ends before the back ends do

Cause: aiohttp keeps idle connections 15 s, common servers 5 s; a dispatch written onto a connection at the moment it closes ends as outcome_unknown. Not measured: the window is small.

--- a/packages/daemon/cassiaquay_daemon/daemon.py
+++ b/packages/daemon/cassiaquay_daemon/daemon.py
@@ -32,6 +32,10 @@
 # Callers that asked for addresses just before the shutdown still come for a moment;
 # they are answered with "not run" and another address instead of a refused connection.
 LINGER_SECONDS = 1.0
+# Servers close idle connections, commonly after 5 s. A dispatch written onto one that
+# closes at that moment may have run or not, and its caller gets `outcome_unknown`.
+# Dropping idle connections well before the servers do makes that rare.
+IDLE_CONNECTION_SECONDS = 2.0
 
 
 class _Server(uvicorn.Server):
@@ -57,7 +61,9 @@
         self._stopping = asyncio.Event()
         self._incarnation = tokens.new_incarnation()
         self._http = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0),
+            connector=aiohttp.TCPConnector(
+                limit=0, keepalive_timeout=IDLE_CONNECTION_SECONDS
+            ),
             trace_configs=[backends.tracing()],
             auto_decompress=False,
         )
