--- a/packages/daemon/cassiaquay_daemon/clock.py
+++ b/packages/daemon/cassiaquay_daemon/clock.py
@@ -1,9 +1,12 @@
 """Time as the daemon uses it: seconds that pass also while the machine sleeps."""
 
+import collections.abc
 import time
 
+Source = collections.abc.Callable[[], float]
 
-def now() -> float:
+
+def machine() -> float:
     """Return seconds since the machine started.
 
     Unlike ``time.monotonic`` this goes on while the machine is suspended: leases
@@ -12,6 +15,22 @@
     return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
+_source: Source = machine
+
+
+def now() -> float:
+    """Return seconds on the clock that is in use."""
+    return _source()
+
+
+def use(source: Source) -> Source:
+    """Take time from ``source``, as tests do; return the source used before."""
+    global _source
+    before = _source
+    _source = source
+    return before
+
+
 class Stopwatch:
     """Milliseconds since it was made."""
 
--- a/packages/daemon/cassiaquay_daemon/daemon.py
+++ b/packages/daemon/cassiaquay_daemon/daemon.py
@@ -140,6 +140,7 @@
             ),
             self._keeper.tick(),
             self._demands.renew(),
+            self._demands.report(),
             self._owner.sweep(),
         ]
 
--- a/packages/daemon/cassiaquay_daemon/demands.py
+++ b/packages/daemon/cassiaquay_daemon/demands.py
@@ -10,7 +10,12 @@
 from cassiaquay_schema import messages
 from cassiaquay_schema import settings as settings_schema
 
-from . import clock, exceptions, keeper, logs, members, peers, shards
+from . import answers, clock, exceptions, keeper, lengths, logs, members, peers, shards
+
+# How often news of dispatches and first events is sent. A keeper holds back until it
+# hears that a prompt has been read; 50 ms here cost a twentieth of goodput
+# (docs/experiments/shard-lab.md).
+PROGRESS_SECONDS = 0.02
 
 
 class Permission(typing.NamedTuple):
@@ -36,6 +41,44 @@
     future: asyncio.Future[Permission]
 
 
+class Sent:
+    """A dispatched request, with what its keeper has not been told yet.
+
+    Parameters
+    ----------
+    item : Outstanding
+        As stated by the caller.
+    answer : Answer or None
+        Where its events are counted.
+    """
+
+    def __init__(self, item: messages.Outstanding, answer: answers.Answer | None):
+        self.item = item
+        self.answer = answer
+        self.sent_at = clock.now()
+        self.told_sent = False
+        self.told_first = False
+
+    @property
+    def renewed(self) -> messages.Outstanding:
+        """The request as a renewal tells of it."""
+        produced = self.answer.count if self.answer is not None else 0
+        return self.item._replace(produced=produced)
+
+    def step(self, now: float) -> messages.Step | None:
+        """Return what is new, once."""
+        item = self.item
+        if not self.told_sent:
+            self.told_sent = True
+            age_ms = (now - self.sent_at) * 1000.0
+            return messages.Step(item.id, item.server, False, age_ms)
+        if self.told_first or self.answer is None or not self.answer.count:
+            return None
+        self.told_first = True
+        age_ms = (now - self.answer.first_at) * 1000.0
+        return messages.Step(item.id, item.server, True, age_ms)
+
+
 class _Local:
     """Stands for the link when this instance is the keeper itself."""
 
@@ -83,17 +126,21 @@
         self._keeper = local
         self._local = _Local(settings.instance, self)
         self._pending: dict[str, Pending] = {}
-        self._outstanding: dict[str, dict[str, messages.Outstanding]] = {}
+        self._outstanding: dict[str, dict[str, Sent]] = {}
+        self._lengths = lengths.Lengths()
         self._keepers: dict[str, str] = {}
         links.on(messages.Permit, self.answer)
         links.on(messages.Shed, self.answer)
         links.on(messages.NotKeeper, self.answer)
+        links.on(messages.RenewalQuery, self.answer)
         links.on_up(self._up)
         membership.on_change(self._moved)
+        local.on_ask(self._told_local)
 
     async def obtain(self, demand: messages.Demand, deadline: float) -> Permission:
         """Return a permission to dispatch; raise Refusal when the request is shed."""
         future: asyncio.Future[Permission] = asyncio.get_running_loop().create_future()
+        demand = self._estimated(demand)
         self._pending[demand.id] = Pending(demand, deadline, future)
         self._tell(demand.shard, demand)
         try:
@@ -108,19 +155,26 @@
         """Give back a permission that was not used."""
         self._tell(demand.shard, messages.Withdraw(demand.id, demand.shard))
 
-    def dispatched(self, shard: str, item: messages.Outstanding) -> None:
+    def dispatched(
+        self,
+        shard: str,
+        item: messages.Outstanding,
+        answer: answers.Answer | None = None,
+    ) -> None:
         """Note that a permission is in use; its lease is renewed from now on."""
-        self._outstanding.setdefault(shard, {})[item.id] = item
+        self._outstanding.setdefault(shard, {})[item.id] = Sent(item, answer)
 
     def release(self, message: messages.Release) -> None:
         """Tell the keeper that a dispatched request has ended."""
-        self._outstanding.get(message.shard, {}).pop(message.id, None)
+        sent = self._outstanding.get(message.shard, {}).pop(message.id, None)
+        if sent is not None and message.outcome == "completed":
+            self._learn(sent.item, message)
         self._tell(message.shard, message)
 
     def answer(self, replier: shards.Replier, message: messages.Message) -> None:
         """Take a keeper's answer."""
         if isinstance(message, messages.Permit):
-            self._permit(message)
+            self._permit(replier, message)
             return
         if isinstance(message, messages.Shed):
             pending = self._pending.get(message.id)
@@ -130,7 +184,11 @@
                     kind(retry_after_ms=message.retry_after_ms)
                 )
             return
-        # NotKeeper: the views differ for a moment; the renewal loop asks again.
+        if isinstance(message, messages.RenewalQuery):
+            replier.send(self._renewal(message.shard))
+            return
+        if isinstance(message, messages.NotKeeper):
+            self._redirected(replier, message)
 
     async def renew(self) -> None:
         """Renew leases and repeat unanswered demands for ever."""
@@ -141,27 +199,96 @@
             for pending in list(self._pending.values()):
                 self._tell_again(pending)
 
+    async def report(self) -> None:
+        """Tell keepers of dispatches and first events for ever."""
+        while True:
+            await asyncio.sleep(PROGRESS_SECONDS)
+            for shard in list(self._outstanding):
+                self._report(shard)
+
+    def _told_local(self, shard: str) -> None:
+        self._keeper.renewal(self._local, self._renewal(shard))
+
+    def _report(self, shard: str) -> None:
+        now = clock.now()
+        steps = []
+        for sent in self._outstanding[shard].values():
+            step = sent.step(now)
+            if step is not None:
+                steps.append(step)
+        if steps:
+            self._tell(shard, messages.Progress(shard, steps))
+
+    def _renewal(self, shard: str) -> messages.Renewal:
+        sent = self._outstanding.get(shard, {})
+        return messages.Renewal(shard, [item.renewed for item in sent.values()])
+
     def _renew(self, shard: str) -> None:
-        items = list(self._outstanding[shard].values())
-        if items:
-            self._tell(shard, messages.Renewal(shard, items))
+        if self._outstanding[shard]:
+            self._tell(shard, self._renewal(shard))
             return
         del self._outstanding[shard]
 
-    def _permit(self, permit: messages.Permit) -> None:
+    def _estimated(self, demand: messages.Demand) -> messages.Demand:
+        return demand._replace(
+            prompt_tokens=self._lengths.prompt_tokens(
+                demand.service, demand.prompt_tokens
+            ),
+            output_tokens=self._lengths.output_tokens(
+                demand.service, demand.team, demand.output_tokens
+            ),
+        )
+
+    def _learn(self, item: messages.Outstanding, message: messages.Release) -> None:
+        self._lengths.learn_prompt(
+            item.service, item.prompt_tokens, message.prompt_tokens
+        )
+        self._lengths.learn_answer(
+            item.service, item.team, item.output_tokens, message.output_tokens
+        )
+
+    def _redirected(self, replier: shards.Replier, message: messages.NotKeeper) -> None:
+        # The views differ for a moment. The named keeper is asked once, at once; when
+        # it disagrees too, the next renewal asks again.
+        pending = self._pending.get(message.id)
+        if pending is None or message.keeper in ("", replier.instance):
+            return
+        if replier.instance != self._membership.keeper_of(pending.demand.shard):
+            return
+        link = self._membership.link(message.keeper)
+        if message.keeper == self._settings.instance:
+            self._tell_local(self._now(pending))
+        elif link is not None:
+            link.send(self._now(pending))
+
+    def _permit(self, replier: shards.Replier, permit: messages.Permit) -> None:
         pending = self._pending.get(permit.id)
-        if pending is None or pending.future.done():
-            # The request has ended meanwhile, or a second keeper has granted too.
+        if pending is None:
+            self._give_back(replier, permit)
+            return
+        if pending.future.done() or permit.server in pending.demand.avoid:
+            # A repeat, or one given before the keeper knew that this server refused a
+            # connection. The keeper has been told, or the permit ends by itself.
             return
         expires_at = clock.now() + permit.lifetime_ms / 1000.0
         pending.future.set_result(Permission(permit.server, expires_at))
 
-    def _tell_again(self, pending: Pending) -> None:
-        if pending.future.done():
+    def _give_back(self, replier: shards.Replier, permit: messages.Permit) -> None:
+        # The request has ended meanwhile, or a second keeper has granted too: without
+        # this the engine's capacity would be held until the permit's end. A repeat of
+        # the permit in use is left alone, giving it back would free a busy engine.
+        sent = self._outstanding.get(permit.shard, {}).get(permit.id)
+        if sent is not None and sent.item.server == permit.server:
             return
+        replier.send(messages.Withdraw(permit.id, permit.shard))
+
+    def _now(self, pending: Pending) -> messages.Demand:
         remaining = int((pending.deadline - clock.now()) * 1000.0)
-        demand = pending.demand._replace(remaining_ms=max(remaining, 0))
-        self._tell(demand.shard, demand)
+        return pending.demand._replace(remaining_ms=max(remaining, 0))
+
+    def _tell_again(self, pending: Pending) -> None:
+        if not pending.future.done():
+            self._tell(pending.demand.shard, self._now(pending))
 
     def _tell(
         self,
@@ -169,7 +296,8 @@
         message: messages.Demand
         | messages.Withdraw
         | messages.Release
-        | messages.Renewal,
+        | messages.Renewal
+        | messages.Progress,
     ) -> None:
         name = self._membership.keeper_of(shard)
         self._keepers[shard] = name
@@ -185,7 +313,8 @@
         message: messages.Demand
         | messages.Withdraw
         | messages.Release
-        | messages.Renewal,
+        | messages.Renewal
+        | messages.Progress,
     ) -> None:
         if isinstance(message, messages.Demand):
             self._keeper.demand(self._local, message)
@@ -193,6 +322,8 @@
             self._keeper.withdraw(self._local, message)
         elif isinstance(message, messages.Release):
             self._keeper.release(self._local, message)
+        elif isinstance(message, messages.Progress):
+            self._keeper.progress(self._local, message)
         else:
             self._keeper.renewal(self._local, message)
 
--- a/packages/daemon/cassiaquay_daemon/keeper.py
+++ b/packages/daemon/cassiaquay_daemon/keeper.py
@@ -5,13 +5,19 @@
 """
 
 import asyncio
+import collections.abc
 
 from cassiaquay_schema import messages
 from cassiaquay_schema import settings as settings_schema
 
-from . import configuration, members, peers, policies, shards
+from . import clock, configuration, logs, members, peers, policies, shards
+from . import tiered as tiered  # registers its policy
 
 TICK_SECONDS = 0.1
+# A tick that comes this late says that the process was paused.
+PAUSE_SECONDS = 1.0
+# More owners than this are not asked one by one; a new keeper waits for them instead.
+MOST_ASKED = 32
 
 
 class Keeper:
@@ -24,7 +30,7 @@
     links : Peers
         Connections from owners.
     membership : Membership
-        Which servers leave.
+        Which servers leave, and who else may be the keeper.
     configured : Configuration
         The pools.
     """
@@ -42,21 +48,34 @@
         self._configured = configured
         self._policies: dict[str, policies.Policy] = {}
         self._due: set[str] = set()
+        self._ask_local: collections.abc.Callable[[str], None] = _nothing
+        self._ticked_at = clock.now()
         links.on(messages.Demand, self.demand)
         links.on(messages.Withdraw, self.withdraw)
         links.on(messages.Release, self.release)
         links.on(messages.Renewal, self.renewal)
+        links.on(messages.Progress, self.progress)
         links.on_down(self._lost)
         configured.on_accept(self._refresh)
 
+    def on_ask(self, call: collections.abc.Callable[[str], None]) -> None:
+        """Call ``call`` when this instance's own requests in a shard are asked for."""
+        self._ask_local = call
+
     def demand(self, replier: shards.Replier, demand: messages.Demand) -> None:
         """Queue a demand, or say that another instance is the keeper."""
+        keeper = self._membership.keeper_of(demand.shard)
+        if keeper != self._settings.instance:
+            # Two keepers of a shard would each fill the engines. The owner asks the
+            # named one; should that one disagree, the owner's next renewal decides.
+            replier.send(messages.NotKeeper(demand.id, keeper))
+            return
         shard = self._shard(demand.shard)
         if shard is None:
             replier.send(messages.NotKeeper(demand.id))
             return
         shard.add(demand, replier)
-        self._serve_soon(shard.name)
+        self._serve_soon(demand.shard)
 
     def withdraw(self, replier: shards.Replier, message: messages.Withdraw) -> None:
         """Forget a demand or an unused permit."""
@@ -64,32 +83,55 @@
         if shard is None:
             return
         shard.drop(message.id)
-        self._serve_soon(shard.name)
+        self._serve_soon(message.shard)
 
     def release(self, replier: shards.Replier, message: messages.Release) -> None:
         """Free what a finished request held and learn from it."""
         shard = self.shards.get(message.shard)
         if shard is None:
             return
-        shard.drop(message.id)
         self._policies[shard.name].learn(message)
-        self._serve_soon(shard.name)
+        shard.drop(message.id)
+        self._serve_soon(message.shard)
 
     def renewal(self, replier: shards.Replier, message: messages.Renewal) -> None:
         """Renew leases; a new keeper learns from it what is out."""
         shard = self._shard(message.shard)
         if shard is not None:
             shard.renew(replier.instance, message.outstanding)
+            self._serve_soon(message.shard)
+
+    def progress(self, replier: shards.Replier, message: messages.Progress) -> None:
+        """Take in which permits are in use and which prompts have been read."""
+        shard = self.shards.get(message.shard)
+        if shard is not None:
+            shard.progress(message)
+            self._serve_soon(message.shard)
 
     async def tick(self) -> None:
         """Let leases expire and serve again, for ever."""
         while True:
-            for shard in list(self.shards.values()):
+            self._wake()
+            for name, shard in list(self.shards.items()):
                 self._update(shard)
                 shard.expire()
-                self._serve(shard.name)
+                self._ask(shard)
+                self._serve(name)
             await asyncio.sleep(TICK_SECONDS)
 
+    def _wake(self) -> None:
+        now = clock.now()
+        paused = now - self._ticked_at > PAUSE_SECONDS
+        self._ticked_at = now
+        if not paused:
+            return
+        # What is queued was true before the pause: its owners have long turned to
+        # another keeper, and permits given now would be a second load on the engines.
+        logs.event("keeper_paused")
+        for shard in self.shards.values():
+            shard.drop_queue()
+            shard.close(self._owners())
+
     def _shard(self, name: str) -> shards.Shard | None:
         shard = self.shards.get(name)
         if shard is not None:
@@ -98,12 +140,27 @@
         if snapshot is None or not snapshot.shard_servers(name):
             return None
         shard = shards.Shard(name, self._settings)
+        shard.close(self._owners())
         self.shards[name] = shard
         policy = policies.policies.get(self._settings.keeper.policy)
         self._policies[name] = policy(shard)
         self._update(shard)
+        self._ask(shard)
         return shard
 
+    def _owners(self) -> list[str] | None:
+        names = [member.instance for member in self._membership.alive()]
+        return names if len(names) <= MOST_ASKED else None
+
+    def _ask(self, shard: shards.Shard) -> None:
+        for owner in sorted(shard.unheard):
+            if owner == self._settings.instance:
+                self._ask_local(shard.name)
+                continue
+            link = self._membership.link(owner)
+            if link is not None:
+                link.send(messages.RenewalQuery(shard.name))
+
     def _refresh(self) -> None:
         for shard in self.shards.values():
             self._update(shard)
@@ -114,6 +171,9 @@
             return
         servers = snapshot.shard_servers(shard.name)
         shard.servers = {server.name: server for server in servers}
+        shard.weights = {
+            name: team.weight for name, team in snapshot.fleet.teams.items()
+        }
         shard.gone = set()
         for name in shard.servers:
             line = self._membership.listed.get(name)
@@ -130,6 +190,10 @@
     def _serve(self, name: str) -> None:
         self._due.discard(name)
         shard = self.shards[name]
+        if self._membership.keeper_of(name) != self._settings.instance:
+            # Handed over: the owners tell the new keeper, nothing is lost here.
+            shard.drop_queue()
+            return
         if not shard.is_open:
             return
         self._policies[name].serve()
@@ -137,3 +201,7 @@
     def _lost(self, link: peers.Link) -> None:
         for shard in self.shards.values():
             shard.drop_owner(link)
+
+
+def _nothing(shard: str) -> None:
+    """Do nothing: no owner is connected yet."""
--- a/packages/daemon/cassiaquay_daemon/owner.py
+++ b/packages/daemon/cassiaquay_daemon/owner.py
@@ -340,6 +340,7 @@
                     demand.prompt_tokens,
                     demand.output_tokens,
                 ),
+                entry.answer,
             )
 
         figures = backends.Figures(accepted.prompt_tokens, 0, 0)
--- /dev/null
+++ b/packages/daemon/cassiaquay_daemon/placement.py
@@ -0,0 +1,202 @@
+"""Where a demand should run: the engine on which its answer is whole first.
+
+The cost of an engine is time: what it still reads, plus the uncached part of the prompt
+at its learned speed, plus the answer at its learned time per token. A cached prefix,
+a short queue and a fast engine are thus weighed in one unit.
+"""
+
+import typing
+
+from cassiaquay_schema import fleet, messages
+
+from . import affinity, clock, shards, speeds
+
+# How much unread prompt an engine may have when it gets more: enough that it never
+# runs dry before the next permit arrives, little enough that an important request
+# that comes next does not find a long queue that it cannot pass.
+BACKLOG_SECONDS = 0.15
+# Estimates are never exact; what would end this close to its deadline is not begun.
+MARGIN_FACTOR = 1.1
+MARGIN_SECONDS = 0.05
+# Waiting for a better engine must gain this much, and may not take longer than this.
+WAIT_GAIN = 0.8
+WAIT_LEAST_SECONDS = 0.02
+WAIT_SHARE = 0.25
+
+
+class Engine:
+    """What the policy knows of one backend server."""
+
+    def __init__(self, server: fleet.Server, start_tokens: int):
+        self.server = server
+        self.speed = speeds.Speed(start_tokens, server.max_tokens_in_flight)
+        self.index = affinity.PrefixIndex()
+
+
+class View:
+    """One engine as it is during one pass over the queue."""
+
+    def __init__(self, engine: Engine, shard: shards.Shard, now: float):
+        self.engine = engine
+        self.name = engine.server.name
+        self._shard = shard
+        self._load = shard.load(self.name)
+        self._now = now
+        self.estimate = engine.speed.estimate(now, not self._load.count)
+        self.backlog = 0.0
+        self.refresh()
+
+    @property
+    def is_full(self) -> bool:
+        """Whether nothing at all fits now."""
+        return (
+            self._load.count >= self.engine.server.slots
+            or self.backlog > BACKLOG_SECONDS
+        )
+
+    def fits(self, tokens: int) -> bool:
+        """Tell whether a request of this many tokens may go there now."""
+        if self.is_full:
+            return False
+        return not self._load.tokens or (
+            self._load.tokens + tokens <= self.engine.speed.limit
+        )
+
+    def refresh(self) -> None:
+        """Take in a grant."""
+        self.backlog = self._load.backlog_seconds(self.estimate.prefill_rate, self._now)
+
+    @property
+    def wait_seconds(self) -> float:
+        """Estimated time until the engine may get one more request."""
+        wait = max(self.backlog - BACKLOG_SECONDS, 0.0)
+        if self._load.count >= self.engine.server.slots:
+            # One of the slots comes free after about a slot's share of an answer.
+            wait += self.estimate.token_seconds
+        return wait
+
+
+class Choice(typing.NamedTuple):
+    """An engine for a demand.
+
+    Attributes
+    ----------
+    view : View
+        The engine.
+    cached_tokens : int
+        Prompt tokens that its cache is taken to hold.
+    first_seconds, finish_seconds : float
+        Estimated time to the first event and to the end, when granted as soon as the
+        engine may get it.
+    cost : float
+        Seconds; the least is best.
+    fits : bool
+        Whether that is now.
+    """
+
+    view: View
+    cached_tokens: int
+    first_seconds: float
+    finish_seconds: float
+    cost: float
+    fits: bool
+
+
+class Options(typing.NamedTuple):
+    """What can be done with a demand.
+
+    Attributes
+    ----------
+    best : Choice or None
+        Where to send it now; None when it must wait.
+    usable : list of str
+        Engines that could serve it in time, now or soon.
+    least_seconds : float
+        Estimated time to the end on the best idle engine.
+    """
+
+    best: Choice | None
+    usable: list[str]
+    least_seconds: float
+
+
+def weigh(
+    demand: messages.Demand,
+    deadline: float,
+    views: list[View],
+    pressure: float = 0.0,
+) -> Options:
+    """Return where a demand can go.
+
+    Parameters
+    ----------
+    demand : Demand
+        The request.
+    deadline : float
+        Seconds on this clock.
+    views : list of View
+        The engines that it may use.
+    pressure : float
+        Weight of the engine time that reading the prompt takes from others.
+    """
+    left = deadline - clock.now()
+    tokens = demand.prompt_tokens + demand.output_tokens
+    usable = []
+    now_best: Choice | None = None
+    soon_best: Choice | None = None
+    least = float("inf")
+    # Servers to avoid refused a connection a moment ago. When that is all of them, the
+    # request may try again rather than be told that nothing could serve it.
+    avoid = set(demand.avoid)
+    if all(view.name in avoid for view in views):
+        avoid = set()
+    for view in views:
+        if view.name in avoid:
+            continue
+        choice = _choose(demand, tokens, view, pressure)
+        least = min(least, _idle_seconds(demand, choice))
+        if not in_time(choice.finish_seconds, left):
+            continue
+        usable.append(view.name)
+        if choice.fits:
+            if now_best is None or choice.cost < now_best.cost:
+                now_best = choice
+        elif soon_best is None or choice.cost < soon_best.cost:
+            soon_best = choice
+    if now_best is not None and soon_best is not None:
+        if _worth_waiting(now_best, soon_best, left):
+            now_best = None
+    return Options(now_best, usable, least)
+
+
+def in_time(seconds: float, left: float) -> bool:
+    """Tell whether something that is estimated to take so long ends in time."""
+    return seconds * MARGIN_FACTOR + MARGIN_SECONDS <= left
+
+
+def _choose(
+    demand: messages.Demand, tokens: int, view: View, pressure: float
+) -> Choice:
+    estimate = view.estimate
+    cached = min(view.engine.index.cached_tokens(demand.blocks), demand.prompt_tokens)
+    first = view.backlog + estimate.token_seconds
+    reading = (demand.prompt_tokens - cached) / estimate.prefill_rate
+    first += reading
+    fits = view.fits(tokens)
+    if not fits:
+        first += view.wait_seconds
+    finish = first + demand.output_tokens * estimate.token_seconds
+    return Choice(view, cached, first, finish, finish + pressure * reading, fits)
+
+
+def _idle_seconds(demand: messages.Demand, choice: Choice) -> float:
+    estimate = choice.view.estimate
+    seconds = (demand.prompt_tokens - choice.cached_tokens) / estimate.prefill_rate
+    return seconds + demand.output_tokens * estimate.floor_seconds
+
+
+def _worth_waiting(now_best: Choice, soon_best: Choice, left: float) -> bool:
+    gain = now_best.cost - soon_best.cost
+    if gain < WAIT_LEAST_SECONDS or soon_best.view.wait_seconds > left * WAIT_SHARE:
+        return False
+    return soon_best.cost < now_best.cost * WAIT_GAIN
--- a/packages/daemon/cassiaquay_daemon/shards.py
+++ b/packages/daemon/cassiaquay_daemon/shards.py
@@ -5,7 +5,13 @@
 from cassiaquay_schema import fleet, messages
 from cassiaquay_schema import settings as settings_schema
 
-from . import clock, peers
+from . import clock, loads, logs, peers
+
+# Time for the news of a dispatch to reach the keeper after a permit's last moment.
+NEWS_SECONDS = 0.4
+# Owners repeat unanswered demands every renewal period; one not repeated for this
+# many periods is an owner's that has gone, or was read after a pause of this process.
+STALE_PERIODS = 4.0
 
 
 class Replier(typing.Protocol):
@@ -28,12 +34,15 @@
         Where the answer goes.
     arrived_at, deadline : float
         Seconds on this clock.
+    told_at : float
+        When the owner said so last; seconds on this clock.
     """
 
     demand: messages.Demand
     replier: Replier
     arrived_at: float
     deadline: float
+    told_at: float = 0.0
 
 
 class Running(typing.NamedTuple):
@@ -49,12 +58,43 @@
         Tokens that it is taken to occupy.
     expires_at : float
         Seconds on this clock; renewals move it on.
+    demand : Demand or None
+        What was granted; None where only an owner's renewal told of it.
+    dispatched : bool
+        Whether the owner has put the permit to use.
+    cached_tokens : int
+        Prompt tokens that the engine was taken to have in its cache.
+    produced : int
+        Tokens of the answer at the last renewal.
+    produced_at : float
+        When that was; seconds on this clock.
     """
 
     owner: str
     server: str
     tokens: int
     expires_at: float
+    demand: messages.Demand | None = None
+    dispatched: bool = False
+    cached_tokens: int = 0
+    produced: int = 0
+    produced_at: float = 0.0
+
+
+class Observer(typing.Protocol):
+    """Follows the changes of a shard, so that nobody need walk through all of it."""
+
+    def queued(self, waiting: Waiting) -> None:
+        """Take in a demand that is new in the queue."""
+
+    def unqueued(self, waiting: Waiting) -> None:
+        """Take in that a demand has left the queue."""
+
+    def advanced(self, server: str, tokens: int, seconds: float) -> None:
+        """Take in that one answer grew by ``tokens`` (perhaps 0) in ``seconds``."""
+
+    def started(self, server: str, found: loads.Started) -> None:
+        """Take in that a prompt has been read."""
 
 
 class Shard:
@@ -75,28 +115,77 @@
         self.running: dict[str, Running] = {}
         self.servers: dict[str, fleet.Server] = {}
         self.gone: set[str] = set()
-        # A new keeper first lets owners tell what is out: granting at once would put
-        # a second load on engines that are full already.
-        self._opens_at = clock.now() + settings.keeper.renew_seconds * 1.5
+        self.weights: dict[str, float] = {}
+        self._loads: dict[str, loads.Load] = {}
+        self._observers: list[Observer] = []
+        self._unheard: set[str] = set()
+        self._opens_at = 0.0
+        self.close()
 
     @property
     def is_open(self) -> bool:
         """Whether this keeper may grant yet."""
-        return clock.now() >= self._opens_at
+        return not self._unheard or clock.now() >= self._opens_at
+
+    def close(self, owners: typing.Collection[str] | None = None) -> None:
+        """Grant nothing until the owners have told what is out.
+
+        Parameters
+        ----------
+        owners : collection of str, optional
+            Live instances; the shard opens early when all of them have told.
+        """
+        # A new keeper that granted at once would put a second load on engines that
+        # are full already: callers would see every answer come late.
+        self._unheard = {"nobody"} if owners is None else set(owners)
+        self._opens_at = clock.now() + self.settings.keeper.renew_seconds * 1.5
+
+    @property
+    def unheard(self) -> set[str]:
+        """Owners that have not told what they have out; empty once open."""
+        return set() if self.is_open else self._unheard
+
+    def observe(self, observer: Observer) -> None:
+        """Let ``observer`` follow the changes of this shard."""
+        self._observers.append(observer)
+
+    def load(self, server: str) -> loads.Load:
+        """Return the running totals of a server."""
+        found = self._loads.get(server)
+        if found is None:
+            found = self._loads[server] = loads.Load()
+        return found
 
     def add(self, demand: messages.Demand, replier: Replier) -> None:
-        """Queue a demand; one that is queued or running already changes nothing."""
-        if demand.id in self.running:
+        """Queue a demand, or take in that its owner repeats it."""
+        now = clock.now()
+        running = self.running.get(demand.id)
+        if running is not None:
+            # The owner asks again and so has no permit: the one sent was lost with a
+            # connection. It would wait for the permit's end otherwise.
+            left = running.expires_at - NEWS_SECONDS - now
+            if not running.dispatched and left > 0:
+                permit = messages.Permit(
+                    demand.id, running.server, int(left * 1000), self.name
+                )
+                replier.send(permit)
             return
         waiting = self.queue.get(demand.id)
-        arrived_at = waiting.arrived_at if waiting else clock.now()
-        deadline = clock.now() + demand.remaining_ms / 1000.0
-        self.queue[demand.id] = Waiting(demand, replier, arrived_at, deadline)
+        deadline = now + demand.remaining_ms / 1000.0
+        if waiting is not None:
+            self.queue[demand.id] = waiting._replace(
+                demand=demand, replier=replier, deadline=deadline, told_at=now
+            )
+            return
+        waiting = Waiting(demand, replier, now, deadline, now)
+        self.queue[demand.id] = waiting
+        for observer in self._observers:
+            observer.queued(waiting)
 
     def drop(self, request_id: str) -> None:
         """Forget a demand or a permit."""
-        self.queue.pop(request_id, None)
-        self.running.pop(request_id, None)
+        self._unqueue(request_id)
+        self._stop(request_id)
 
     def drop_owner(self, link: peers.Link) -> None:
         """Forget the demands that came over a closed link.
@@ -106,39 +195,116 @@
         """
         for request_id in list(self.queue):
             if self.queue[request_id].replier is link:
-                del self.queue[request_id]
+                self._unqueue(request_id)
+
+    def drop_queue(self) -> None:
+        """Forget all demands; their owners tell those that still wait again."""
+        for request_id in list(self.queue):
+            self._unqueue(request_id)
 
     def renew(self, owner: str, outstanding: list[messages.Outstanding]) -> None:
         """Take an owner's dispatched requests as they are, whoever permitted them."""
-        lease = clock.now() + self.settings.keeper.lease_seconds
+        now = clock.now()
+        lease = now + self.settings.keeper.lease_seconds
+        named = set()
         for item in outstanding:
-            tokens = item.prompt_tokens + item.output_tokens
-            self.queue.pop(item.id, None)
-            self.running[item.id] = Running(owner, item.server, tokens, lease)
+            named.add(item.id)
+            self._unqueue(item.id)
+            self._renew(owner, item, now, lease)
+        for request_id, running in list(self.running.items()):
+            # Told of before and not any more: it has ended and the news was lost.
+            if running.owner == owner and running.dispatched:
+                if request_id not in named:
+                    self._stop(request_id)
+        self._unheard.discard(owner)
+
+    def progress(self, message: messages.Progress) -> None:
+        """Take in which permits were put to use and which prompts were read."""
+        now = clock.now()
+        for step in message.steps:
+            running = self.running.get(step.id)
+            if running is None:
+                continue
+            at = now - step.age_ms / 1000.0
+            lease = now + self.settings.keeper.lease_seconds
+            self.running[step.id] = running._replace(dispatched=True, expires_at=lease)
+            if not step.started:
+                continue
+            found = self.load(running.server).start(step.id, at)
+            if found is None:
+                continue
+            self.running[step.id] = self.running[step.id]._replace(
+                produced=1, produced_at=at
+            )
+            for observer in self._observers:
+                observer.started(running.server, found)
+
+    def grant(
+        self,
+        waiting: Waiting,
+        server: str,
+        cached_tokens: int = 0,
+        expected_seconds: float = 0.0,
+    ) -> None:
+        """Give a permit.
 
-    def grant(self, waiting: Waiting, server: str) -> None:
-        """Give a permit."""
+        Parameters
+        ----------
+        waiting : Waiting
+            A demand of the queue.
+        server : str
+            Backend server.
+        cached_tokens : int
+            Prompt tokens that its cache is taken to hold.
+        expected_seconds : float
+            Estimated time to the first event.
+        """
         demand = waiting.demand
-        del self.queue[demand.id]
+        self._unqueue(demand.id)
+        now = clock.now()
         keeper = self.settings.keeper
-        lease = clock.now() + keeper.permit_ms / 1000.0 + keeper.lease_seconds
+        # Nobody renews a permit that is not in use; without news of a dispatch the
+        # capacity comes back right after the permit's end.
+        expires_at = now + keeper.permit_ms / 1000.0 + NEWS_SECONDS
         tokens = demand.prompt_tokens + demand.output_tokens
-        self.running[demand.id] = Running(
-            waiting.replier.instance, server, tokens, lease
+        running = Running(
+            waiting.replier.instance,
+            server,
+            tokens,
+            expires_at,
+            demand,
+            cached_tokens=cached_tokens,
         )
-        waiting.replier.send(messages.Permit(demand.id, server, keeper.permit_ms))
+        self._begin(demand.id, running)
+        uncached = max(demand.prompt_tokens - cached_tokens, 0)
+        self.load(server).begin(demand.id, uncached, now, expected_seconds)
+        logs.detail("granted", id=demand.id, shard=self.name, rank=demand.rank)
+        permit = messages.Permit(demand.id, server, keeper.permit_ms, self.name)
+        waiting.replier.send(permit)
 
     def shed(self, waiting: Waiting, code: str, retry_after_ms: int) -> None:
         """Give a demand up; the owner tells its caller at once."""
-        del self.queue[waiting.demand.id]
+        self._unqueue(waiting.demand.id)
+        logs.event(
+            "shed",
+            id=waiting.demand.id,
+            shard=self.name,
+            rank=waiting.demand.rank,
+            code=code,
+            waited_ms=round((clock.now() - waiting.arrived_at) * 1000.0, 1),
+        )
         waiting.replier.send(messages.Shed(waiting.demand.id, code, retry_after_ms))
 
     def expire(self) -> None:
-        """Drop leases that nobody renewed."""
+        """Drop leases that nobody renewed, and demands that nobody repeats."""
         now = clock.now()
         for request_id in list(self.running):
             if self.running[request_id].expires_at < now:
-                del self.running[request_id]
+                self._stop(request_id)
+        horizon = now - self.settings.keeper.renew_seconds * STALE_PERIODS
+        for request_id in list(self.queue):
+            if self.queue[request_id].told_at < horizon:
+                self._unqueue(request_id)
 
     def open_servers(self) -> list[fleet.Server]:
         """Return the servers that may get new work."""
@@ -146,8 +312,56 @@
 
     def tokens_on(self, server: str) -> int:
         """Return the tokens in flight on a server."""
-        return sum(r.tokens for r in self.running.values() if r.server == server)
+        return self.load(server).tokens
 
     def count_on(self, server: str) -> int:
         """Return the requests in flight on a server."""
-        return sum(1 for r in self.running.values() if r.server == server)
+        return self.load(server).count
+
+    def _renew(
+        self, owner: str, item: messages.Outstanding, now: float, lease: float
+    ) -> None:
+        known = self.running.get(item.id)
+        if known is not None and known.server != item.server:
+            self._stop(item.id)
+            known = None
+        if known is None:
+            tokens = item.prompt_tokens + item.output_tokens
+            known = Running(owner, item.server, tokens, lease, produced_at=now)
+            self._begin(item.id, known)
+        known = known._replace(owner=owner, expires_at=lease, dispatched=True)
+        self.running[item.id] = self._grow(item, known, now)
+
+    def _grow(self, item: messages.Outstanding, known: Running, now: float) -> Running:
+        if not item.produced:
+            return known
+        self.load(known.server).forget(item.id, now)
+        if known.produced:
+            grown = item.produced - known.produced
+            for observer in self._observers:
+                observer.advanced(known.server, grown, now - known.produced_at)
+            if grown <= 0:
+                return known
+        return known._replace(produced=item.produced, produced_at=now)
+
+    def _unqueue(self, request_id: str) -> None:
+        waiting = self.queue.pop(request_id, None)
+        if waiting is None:
+            return
+        for observer in self._observers:
+            observer.unqueued(waiting)
+
+    def _begin(self, request_id: str, running: Running) -> None:
+        self.running[request_id] = running
+        load = self.load(running.server)
+        load.count += 1
+        load.tokens += running.tokens
+
+    def _stop(self, request_id: str) -> None:
+        running = self.running.pop(request_id, None)
+        if running is None:
+            return
+        load = self.load(running.server)
+        load.count -= 1
+        load.tokens -= running.tokens
+        load.forget(request_id, clock.now())
--- /dev/null
+++ b/packages/daemon/cassiaquay_daemon/shedding.py
@@ -0,0 +1,72 @@
+"""How fast a shard's queue drains, and so who waits in vain and when to come back."""
+
+import random
+
+from . import clock
+
+HALF_LIFE_SECONDS = 2.0
+# Seconds of saturation seen before the measured drain is believed.
+BELIEF_SECONDS = 0.7
+LEAST_RETRY_MS = 200
+MOST_RETRY_MS = 15_000
+JITTER = 0.5
+
+
+class Drain:
+    """Tokens granted a second while somebody waited, by rank.
+
+    Time without a queue does not count: there the rate is that of the arrivals and
+    says nothing of what the engines could do.
+    """
+
+    def __init__(self) -> None:
+        self._tokens: dict[int, float] = {}
+        self._seconds = 0.0
+        self._since = clock.now()
+        self._saturated = False
+        self._random = random.Random()
+
+    def granted(self, rank: int, tokens: int) -> None:
+        """Count a grant."""
+        if self._saturated:
+            self._tokens[rank] = self._tokens.get(rank, 0.0) + tokens
+
+    def note(self, saturated: bool) -> None:
+        """Note whether somebody waits from now on."""
+        now = clock.now()
+        passed = now - self._since
+        self._since = now
+        if passed > 0.0:
+            factor = 0.5 ** (passed / HALF_LIFE_SECONDS)
+            self._seconds *= factor
+            for rank in self._tokens:
+                self._tokens[rank] *= factor
+        if self._saturated:
+            self._seconds += passed
+        self._saturated = saturated
+
+    def rate(self, rank: int) -> float | None:
+        """Return tokens a second that reach a rank and those below it.
+
+        What more important tiers take is not for it. None when not yet known.
+        """
+        if self._seconds < BELIEF_SECONDS:
+            return None
+        reached = sum(self._tokens[other] for other in self._tokens if other >= rank)
+        return reached / self._seconds
+
+    def wait_seconds(self, rank: int, tokens_before: int) -> float:
+        """Return the estimated wait behind ``tokens_before``; 0 when not known."""
+        rate = self.rate(rank)
+        if rate is None or not tokens_before:
+            return 0.0
+        return tokens_before / max(rate, 1.0)
+
+    def retry_after_ms(self, seconds: float) -> int:
+        """Return when to ask again, at least ``seconds`` from now.
+
+        Spread, because callers that were told the same moment would come back
+        together and be shed together.
+        """
+        milliseconds = min(max(seconds * 1000.0, LEAST_RETRY_MS), MOST_RETRY_MS)
+        return int(milliseconds * (1.0 + JITTER * self._random.random()))
--- /dev/null
+++ b/packages/daemon/cassiaquay_daemon/tiered.py
@@ -0,0 +1,251 @@
+"""The policy: strict tiers, fair teams, and the engine that is done first."""
+
+import heapq
+
+from cassiaquay_schema import messages
+
+from . import clock, loads, placement, policies, queues, shards, shedding
+
+# Demands of one team looked at in one pass: those behind may fit where the first do
+# not, but a pass must stay short however long the queue is.
+LOOK_AHEAD = 8
+MOST_WEIGHED = 300
+# A wait is an estimate; only one that is far too long is taken at its word.
+SHED_FACTOR = 1.5
+# After a tier was shed for overload, no tier below it gets a grant for this long.
+FLOOR_SECONDS = 0.5
+# With more than so many waiting, prefill is dear: it is taken from somebody.
+PRESSURE_QUEUE = 8
+PRESSURE = 6.0
+
+
+@policies.policies.register("tiered")
+class Tiered:
+    """Strict tiers, weighted fairness in tokens, deadlines, prefix affinity.
+
+    Parameters
+    ----------
+    shard : Shard
+        Whose demands are served.
+    """
+
+    def __init__(self, shard: shards.Shard):
+        self._shard = shard
+        self._queues = queues.TierQueues(shard)
+        self._drain = shedding.Drain()
+        self._engines: dict[str, placement.Engine] = {}
+        self._latest: list[tuple[float, str]] = []
+        self._new: list[str] = []
+        self._floor_rank = 0
+        self._floor_until = float("-inf")
+        self._weighed = 0
+        shard.observe(self)
+
+    # What the shard tells.
+
+    def queued(self, waiting: shards.Waiting) -> None:
+        """Take in a new demand."""
+        self._new.append(waiting.demand.id)
+        self._queues.add(waiting)
+
+    def unqueued(self, waiting: shards.Waiting) -> None:
+        """Take in that a demand has left."""
+        self._queues.remove(waiting)
+
+    def advanced(self, server: str, tokens: int, seconds: float) -> None:
+        """Learn the time per token while an answer grows."""
+        engine = self._engines.get(server)
+        if engine is None:
+            return
+        if tokens > 0:
+            engine.speed.heard(clock.now())
+            engine.speed.generated(tokens, seconds)
+        else:
+            engine.speed.stalled(seconds)
+
+    def started(self, server: str, found: loads.Started) -> None:
+        """Learn the speed of prefill and move the limit of tokens in flight."""
+        engine = self._engines.get(server)
+        if engine is None:
+            return
+        engine.speed.heard(clock.now())
+        engine.speed.prefilled(found.tokens, found.alone_seconds)
+        in_flight = self._shard.tokens_on(server)
+        engine.speed.started(
+            found.expected_seconds, found.seconds, in_flight, clock.now()
+        )
+
+    # What the keeper calls.
+
+    def learn(self, release: messages.Release) -> None:
+        """Take in the figures of a request that has ended."""
+        engine = self._engines.get(release.server)
+        if engine is None or release.outcome != "completed":
+            return
+        if release.output_tokens > 1:
+            seconds = (release.total_ms - release.first_ms) / 1000.0
+            engine.speed.heard(clock.now())
+            engine.speed.generated(release.output_tokens - 1, seconds)
+        running = self._shard.running.get(release.id)
+        if running is None or running.demand is None or not running.demand.blocks:
+            return
+        engine.index.correct(
+            running.demand.blocks, running.cached_tokens, release.cached_tokens
+        )
+
+    def serve(self) -> None:
+        """Shed what cannot be in time, then grant tier after tier."""
+        now = clock.now()
+        self._update(now)
+        views = self._views(now)
+        self._admit(views, now)
+        self._give_up(views, now)
+        self._bound()
+        self._weighed = 0
+        open_views = views
+        for rank in self._queues.ranks():
+            if rank > self._floor_rank and now < self._floor_until:
+                break
+            open_views = self._serve_tier(rank, open_views, views)
+            if not open_views or self._weighed >= MOST_WEIGHED:
+                break
+        # Somebody waits and nothing is free: only then grants show the capacity.
+        full = all(view.is_full for view in views)
+        self._drain.note(full and len(self._queues) > 0)
+
+    def _update(self, now: float) -> None:
+        start_tokens = self._shard.settings.keeper.start_tokens
+        for name, server in self._shard.servers.items():
+            engine = self._engines.get(name)
+            if engine is None or engine.server != server:
+                self._engines[name] = placement.Engine(server, start_tokens)
+                continue
+            tokens, seconds = self._shard.load(name).overdue(now)
+            engine.speed.overdue(tokens, seconds)
+        for name in list(self._engines):
+            if name not in self._shard.servers:
+                del self._engines[name]
+
+    def _views(self, now: float) -> list[placement.View]:
+        found = []
+        for server in self._shard.open_servers():
+            engine = self._engines[server.name]
+            found.append(placement.View(engine, self._shard, now))
+        return found
+
+    def _admit(self, views: list[placement.View], now: float) -> None:
+        """Look at new demands once: what would wait in vain is told so at once."""
+        fresh, self._new = self._new, []
+        for request_id in fresh:
+            waiting = self._shard.queue.get(request_id)
+            if waiting is None:
+                continue
+            options = placement.weigh(waiting.demand, waiting.deadline, views)
+            latest = waiting.deadline - options.least_seconds
+            if views and latest < now:
+                # Not even an idle engine could; asking again would not help.
+                self._shard.shed(waiting, "deadline_infeasible", 0)
+                continue
+            tokens = queues.tokens_of(waiting)
+            before = self._queues.tokens_before(waiting) - tokens
+            wait = self._drain.wait_seconds(waiting.demand.rank, before)
+            if views and wait > (latest - now) * SHED_FACTOR:
+                self._shed_overload(waiting, wait - (latest - now), now)
+                continue
+            heapq.heappush(self._latest, (min(latest, waiting.deadline), request_id))
+
+    def _give_up(self, views: list[placement.View], now: float) -> None:
+        """Shed those whose last moment has passed."""
+        while self._latest and self._latest[0][0] <= now:
+            _, request_id = heapq.heappop(self._latest)
+            waiting = self._shard.queue.get(request_id)
+            if waiting is None:
+                continue
+            options = placement.weigh(waiting.demand, waiting.deadline, views)
+            latest = waiting.deadline - options.least_seconds
+            if latest > now and now < waiting.deadline:
+                heapq.heappush(self._latest, (latest, request_id))
+                continue
+            before = self._queues.tokens_before(waiting)
+            wait = self._drain.wait_seconds(waiting.demand.rank, before)
+            self._shard.shed(
+                waiting, "deadline_infeasible", self._drain.retry_after_ms(wait)
+            )
+
+    def _bound(self) -> None:
+        limit = self._shard.settings.keeper.max_queue
+        while len(self._queues) > limit:
+            waiting = self._shard.queue[self._queues.last()]
+            before = self._queues.tokens_before(waiting)
+            wait = self._drain.wait_seconds(waiting.demand.rank, before)
+            self._shed_overload(waiting, wait, clock.now())
+
+    def _shed_overload(
+        self, waiting: shards.Waiting, seconds: float, now: float
+    ) -> None:
+        # Whoever sees this tier shed must not see a lower one served meanwhile.
+        rank = waiting.demand.rank
+        if now >= self._floor_until or rank < self._floor_rank:
+            self._floor_rank = rank
+        self._floor_until = now + FLOOR_SECONDS
+        retry_after_ms = self._drain.retry_after_ms(seconds)
+        self._shard.shed(waiting, "shed_overload", retry_after_ms)
+
+    def _serve_tier(
+        self,
+        rank: int,
+        open_views: list[placement.View],
+        views: list[placement.View],
+    ) -> list[placement.View]:
+        """Grant what fits; return the engines that the tiers below may use."""
+        reserved: set[str] = set()
+        teams = self._queues.teams(rank)
+        while teams and self._weighed < MOST_WEIGHED:
+            if all(view.is_full for view in open_views):
+                return []
+            team = teams[0]
+            if self._serve_team(rank, team, open_views, reserved):
+                teams = [name for name in self._queues.teams(rank) if name in teams]
+            else:
+                teams.remove(team)
+        # An engine that a waiting demand of this tier could use is held for it: what
+        # a lower tier gets elsewhere cannot delay this one.
+        return [view for view in open_views if view.name not in reserved]
+
+    def _serve_team(
+        self,
+        rank: int,
+        team: str,
+        open_views: list[placement.View],
+        reserved: set[str],
+    ) -> bool:
+        """Grant the first of a team's demands that fits; return whether one did."""
+        for looked, request_id in enumerate(self._queues.ids(rank, team)):
+            if looked >= LOOK_AHEAD:
+                # Those not looked at may be able to use any engine.
+                reserved.update(view.name for view in open_views)
+                return False
+            self._weighed += 1
+            waiting = self._shard.queue[request_id]
+            options = placement.weigh(
+                waiting.demand, waiting.deadline, open_views, self._pressure()
+            )
+            if options.best is not None:
+                self._grant(waiting, options.best)
+                return True
+            reserved.update(options.usable)
+        return False
+
+    def _pressure(self) -> float:
+        return PRESSURE if len(self._queues) > PRESSURE_QUEUE else 0.0
+
+    def _grant(self, waiting: shards.Waiting, choice: placement.Choice) -> None:
+        demand = waiting.demand
+        uncached = demand.prompt_tokens - choice.cached_tokens
+        self._queues.charge(demand.rank, demand.team, uncached + demand.output_tokens)
+        self._drain.granted(demand.rank, queues.tokens_of(waiting))
+        choice.view.engine.index.add(demand.blocks)
+        self._shard.grant(
+            waiting, choice.view.name, choice.cached_tokens, choice.first_seconds
+        )
+        choice.view.refresh()
--- /dev/null
+++ b/packages/dev/cassiaquay_dev/shard_lab.py
@@ -0,0 +1,387 @@
+"""A policy on one shard in virtual time, paired with others on the same arrivals.
+
+``python -m cassiaquay_dev.shard_lab --deployment brindley --load 1.5 --seeds 3``. The
+keeper's code is the daemon's own; engines and owners are small fakes. It answers
+which of two policies is better, not how fast a daemon is: that is for ``make bench``.
+"""
+
+import functools
+import importlib
+import statistics
+import time
+import typing
+
+import fire
+
+from cassiaquay_daemon import clock, policies, prefixes, shards
+from cassiaquay_schema import fleet, messages
+from cassiaquay_schema import settings as settings_schema
+
+from . import blocks, deployments, shard_engines, workloads
+
+NETWORK_SECONDS = 0.001
+PROGRESS_SECONDS = 0.02
+TICK_SECONDS = 0.1
+# Model requests a second that the deployments' engines can just serve, found by
+# raising the load until goodput stops rising (docs/experiments/shard-lab.md).
+CAPACITY = {"brindley": 110.0, "veiqia": 90.0}
+SHORT_TOKENS = 200
+
+
+class Prepared(typing.NamedTuple):
+    """An arrival with what all policies would compute from it."""
+
+    arrival: workloads.Arrival
+    rank: int
+    sampled: list[int]
+    hashes: list[int]
+
+
+class Outcome(typing.NamedTuple):
+    """What became of an arrival; seconds after it arrived, 0 where there is none."""
+
+    prepared: Prepared
+    code: str
+    first: float
+    end: float
+
+
+class Fault(typing.NamedTuple):
+    """An engine that slows down by a factor at a time."""
+
+    at: float
+    engine: str
+    factor: float
+
+
+class Summary(typing.NamedTuple):
+    """Figures of one run."""
+
+    goodput: float
+    by_tier: list[float]
+    wasted_share: float
+    cached_share: float
+    short_first_p95: float
+    long_first_p50: float
+    busy_share: float
+    keeper_ms_per_demand: float
+    by_second: list[float]
+
+
+def prepare(
+    deployment: deployments.Deployment, seed: int, seconds: float, rate: float
+) -> list[Prepared]:
+    """Return the model requests of a seeded workload."""
+    found = []
+    # A fifth of the mixed workload goes to the plain service.
+    for arrival in workloads.mixed(deployment, seed, seconds, rate / 0.8):
+        if not arrival.prompt:
+            continue
+        found.append(
+            Prepared(
+                arrival,
+                deployment.tiers.index(arrival.tier),
+                prefixes.blocks(arrival.prompt),
+                blocks.block_hashes(arrival.prompt),
+            )
+        )
+    return found
+
+
+class Lab:
+    """One shard, its engines and one owner, in virtual time."""
+
+    def __init__(self, deployment: deployments.Deployment, policy: str):
+        self.timeline = shard_engines.Timeline()
+        self.outcomes: list[Outcome] = []
+        self.engines = {
+            spec.name: shard_engines.FakeEngine(spec, self.timeline)
+            for spec in deployment.engines
+        }
+        self.instance = "lab"
+        self.keeper_seconds = 0.0
+        self.settings = settings_schema.Settings(
+            instance="lab",
+            domain="lab",
+            keys=["lab"],
+            platform=settings_schema.Platform(configuration="", instances=""),
+        )
+        self._shard = shards.Shard("engines#0", self.settings)
+        self._shard.close([])
+        for spec in deployment.engines:
+            self._shard.servers[spec.name] = fleet.Server(
+                name=spec.name, address="127.0.0.1:1", slots=spec.max_batch
+            )
+        self._policy = policies.policies.get(policy)(self._shard)
+        self._serve_due = False
+        self._ids: dict[str, Prepared] = {}
+        self._jobs: dict[str, tuple[shard_engines.Job, str, float]] = {}
+        self._steps: list[tuple[float, messages.Step]] = []
+
+    def run(self, arrivals: list[Prepared], seconds: float) -> None:
+        """Run all arrivals and some time more."""
+        for number, prepared in enumerate(arrivals):
+            request_id = f"r{number}"
+            call = functools.partial(self._arrive, request_id, prepared)
+            self.timeline.at(prepared.arrival.at, call)
+        self.timeline.after(TICK_SECONDS, self._tick)
+        self.timeline.after(PROGRESS_SECONDS, self._progress)
+        self.timeline.after(self.settings.keeper.renew_seconds, self._renew)
+        before = clock.use(lambda: self.timeline.now)
+        try:
+            self.timeline.run(seconds + 20.0)
+        finally:
+            clock.use(before)
+
+    def slow(self, fault: Fault) -> None:
+        """Plan a fault."""
+
+        def act() -> None:
+            self.engines[fault.engine].slow_factor = fault.factor
+
+        self.timeline.at(fault.at, act)
+
+    def send(self, message: messages.Message) -> bool:
+        """Take the keeper's answers, as an owner's link does."""
+        if isinstance(message, messages.Permit):
+            self.timeline.after(NETWORK_SECONDS, lambda: self._dispatch(message))
+        elif isinstance(message, messages.Shed):
+            prepared = self._ids.pop(message.id)
+            end = self.timeline.now - prepared.arrival.at
+            self.outcomes.append(Outcome(prepared, message.code, 0.0, end))
+        return True
+
+    def _arrive(self, request_id: str, prepared: Prepared) -> None:
+        arrival = prepared.arrival
+        self._ids[request_id] = prepared
+        demand = messages.Demand(
+            request_id,
+            "engines#0",
+            arrival.service,
+            arrival.team.name,
+            prepared.rank,
+            prefixes.tokens(arrival.prompt),
+            arrival.max_tokens,
+            int(arrival.deadline * 1000),
+            arrival.session,
+            prepared.sampled,
+            [],
+        )
+        started = time.perf_counter()
+        self._shard.add(demand, self)
+        self.keeper_seconds += time.perf_counter() - started
+        self._serve_soon()
+
+    def _serve_soon(self) -> None:
+        if not self._serve_due:
+            self._serve_due = True
+            self.timeline.after(0.0, self._serve)
+
+    def _serve(self) -> None:
+        self._serve_due = False
+        started = time.perf_counter()
+        self._policy.serve()
+        self.keeper_seconds += time.perf_counter() - started
+
+    def _dispatch(self, permit: messages.Permit) -> None:
+        prepared = self._ids.get(permit.id)
+        if prepared is None:
+            return
+        now = self.timeline.now
+        arrival = prepared.arrival
+        key = permit.id
+        job = shard_engines.Job(
+            prefixes.tokens(arrival.prompt),
+            arrival.max_tokens,
+            prepared.hashes,
+            lambda: self._first(key),
+            lambda: self._end(key, "completed"),
+        )
+        self._jobs[key] = (job, permit.server, now)
+        step = messages.Step(key, permit.server, False, 0.0)
+        self._steps.append((now, step))
+        self.engines[permit.server].submit(job)
+        self.timeline.at(
+            arrival.at + arrival.deadline, lambda: self._end(key, "deadline_exceeded")
+        )
+
+    def _first(self, key: str) -> None:
+        job, server, _ = self._jobs[key]
+        now = self.timeline.now
+        self._steps.append((now, messages.Step(key, server, True, 0.0)))
+        job.first_at = now
+
+    def _end(self, key: str, code: str) -> None:
+        prepared = self._ids.pop(key, None)
+        if prepared is None:
+            return
+        job, server, sent_at = self._jobs.pop(key)
+        now = self.timeline.now
+        if code != "completed":
+            self.engines[server].cancel(job)
+        first = job.first_at - prepared.arrival.at if job.first_at else 0.0
+        end = now - prepared.arrival.at
+        self.outcomes.append(Outcome(prepared, code, first, end))
+        release = messages.Release(
+            key,
+            "engines#0",
+            server,
+            code,
+            job.prompt_tokens,
+            job.cached,
+            job.produced,
+            max(job.first_at - sent_at, 0.0) * 1000.0,
+            (now - sent_at) * 1000.0,
+        )
+        self.timeline.after(NETWORK_SECONDS, lambda: self._release(release))
+
+    def _release(self, release: messages.Release) -> None:
+        started = time.perf_counter()
+        self._policy.learn(release)
+        self._shard.drop(release.id)
+        self.keeper_seconds += time.perf_counter() - started
+        self._serve_soon()
+
+    def _tick(self) -> None:
+        started = time.perf_counter()
+        self._shard.expire()
+        self.keeper_seconds += time.perf_counter() - started
+        self._serve_soon()
+        self.timeline.after(TICK_SECONDS, self._tick)
+
+    def _progress(self) -> None:
+        now = self.timeline.now
+        steps = [s._replace(age_ms=(now - at) * 1000.0) for at, s in self._steps]
+        self._steps.clear()
+        if steps:
+            started = time.perf_counter()
+            self._shard.progress(messages.Progress("engines#0", steps))
+            self.keeper_seconds += time.perf_counter() - started
+            self._serve_soon()
+        self.timeline.after(PROGRESS_SECONDS, self._progress)
+
+    def _renew(self) -> None:
+        items = []
+        for key, (job, server, _) in self._jobs.items():
+            items.append(
+                messages.Outstanding(
+                    key, "", "", 0, server, job.prompt_tokens, 0, job.produced
+                )
+            )
+        started = time.perf_counter()
+        self._shard.renew(self.instance, items)
+        for waiting in list(self._shard.queue.values()):
+            left = int((waiting.deadline - clock.now()) * 1000)
+            self._shard.add(waiting.demand._replace(remaining_ms=max(left, 0)), self)
+        self.keeper_seconds += time.perf_counter() - started
+        self.timeline.after(self.settings.keeper.renew_seconds, self._renew)
+
+
+def summarize(
+    lab: Lab, arrivals: list[Prepared], tiers: int, seconds: float
+) -> Summary:
+    """Return the figures of a finished run."""
+    good = [item for item in lab.outcomes if item.code == "completed"]
+    by_tier = []
+    for rank in range(tiers):
+        sent = sum(1 for item in arrivals if item.rank == rank)
+        done = sum(1 for item in good if item.prepared.rank == rank)
+        by_tier.append(done / max(sent, 1))
+    prefilled = sum(engine.prefilled for engine in lab.engines.values())
+    wasted = sum(engine.wasted for engine in lab.engines.values())
+    cached = sum(engine.cached for engine in lab.engines.values())
+    busy = sum(engine.busy_seconds for engine in lab.engines.values())
+    short = [item.first for item in good if _is_short(item)]
+    long = [item.first for item in good if not _is_short(item)]
+    by_second = [0.0] * int(seconds)
+    for item in good:
+        second = int(item.prepared.arrival.at)
+        by_second[min(second, len(by_second) - 1)] += 1
+    return Summary(
+        len(good) / max(len(arrivals), 1),
+        by_tier,
+        wasted / max(prefilled, 1),
+        cached / max(cached + prefilled, 1),
+        _quantile(short, 0.95),
+        _quantile(long, 0.5),
+        busy / seconds / len(lab.engines),
+        lab.keeper_seconds * 1000.0 / max(len(arrivals), 1),
+        by_second,
+    )
+
+
+def run(
+    deployment: deployments.Deployment,
+    policy: str,
+    arrivals: list[Prepared],
+    seconds: float,
+    faults: typing.Sequence[Fault] = (),
+) -> Summary:
+    """Run one policy on arrivals."""
+    lab = Lab(deployment, policy)
+    for fault in faults:
+        lab.slow(fault)
+    lab.run(arrivals, seconds)
+    return summarize(lab, arrivals, len(deployment.tiers), seconds)
+
+
+def _is_short(item: Outcome) -> bool:
+    return prefixes.tokens(item.prepared.arrival.prompt) < SHORT_TOKENS
+
+
+def _quantile(values: list[float], share: float) -> float:
+    if not values:
+        return 0.0
+    return sorted(values)[int(share * (len(values) - 1))]
+
+
+def main(
+    deployment: str = "brindley",
+    load: float = 1.0,
+    seeds: int = 3,
+    seconds: float = 15.0,
+    policy: str = "tiered,round-robin",
+    modules: str = "cassiaquay_daemon.tiered,cassiaquay_daemon.baselines",
+    slow: float = 1.0,
+) -> None:
+    """Print a line for each policy: means over the seeds."""
+    for name in modules.split(",") if isinstance(modules, str) else modules:
+        importlib.import_module(name)
+    chosen = deployments.deployments.get(deployment)
+    names = policy.split(",") if isinstance(policy, str) else list(policy)
+    found: dict[str, list[Summary]] = {name: [] for name in names}
+    faults = []
+    if slow != 1.0:
+        faults.append(Fault(seconds / 2, chosen.engines[0].name, slow))
+    for seed in range(1, seeds + 1):
+        rate = CAPACITY[deployment] * load
+        arrivals = prepare(chosen, seed, seconds, rate)
+        for name in names:
+            found[name].append(run(chosen, name, arrivals, seconds, faults))
+    print(
+        "policy        goodput by tier                  wasted cached short95 long50 "
+        "busy keeper-ms"
+    )
+    for name in names:
+        print(_line(name, found[name]))
+
+
+def _line(name: str, found: list[Summary]) -> str:
+    def mean(pick: typing.Callable[[Summary], float]) -> float:
+        return statistics.mean(pick(item) for item in found)
+
+    tiers = []
+    for rank in range(len(found[0].by_tier)):
+        share = statistics.mean(item.by_tier[rank] for item in found)
+        tiers.append(f"{share:.3f}")
+    return (
+        f"{name:13} {mean(lambda s: s.goodput):.3f}   {' '.join(tiers)}   "
+        f"{mean(lambda s: s.wasted_share):.4f} {mean(lambda s: s.cached_share):.3f}  "
+        f"{mean(lambda s: s.short_first_p95):.3f}  "
+        f"{mean(lambda s: s.long_first_p50):.3f}  {mean(lambda s: s.busy_share):.2f} "
+        f"{mean(lambda s: s.keeper_ms_per_demand):.3f}"
+    )
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
--- a/packages/schema/cassiaquay_schema/messages.py
+++ b/packages/schema/cassiaquay_schema/messages.py
@@ -176,11 +176,14 @@
         Backend server.
     lifetime_ms : int
         Time in which the dispatch must begin.
+    shard : str
+        Pool and number of the shard.
     """
 
     id: str
     server: str
     lifetime_ms: int
+    shard: str = ""
 
 
 class Shed(typing.NamedTuple):
@@ -271,6 +274,8 @@
         Tokens of the prompt.
     output_tokens : int
         Estimated tokens of the answer.
+    produced : int
+        Tokens of the answer that the owner has so far.
     """
 
     id: str
@@ -280,6 +285,7 @@
     server: str
     prompt_tokens: int
     output_tokens: int
+    produced: int = 0
 
 
 class Renewal(typing.NamedTuple):
@@ -304,9 +310,60 @@
     ----------
     id : str
         Request id.
+    keeper : str
+        Instance that the sender takes for the keeper, or empty.
     """
 
     id: str
+    keeper: str = ""
+
+
+class RenewalQuery(typing.NamedTuple):
+    """A new keeper asks what the receiver has outstanding in a shard.
+
+    Attributes
+    ----------
+    shard : str
+        Pool and number of the shard.
+    """
+
+    shard: str
+
+
+class Step(typing.NamedTuple):
+    """One request's dispatch, or its first event.
+
+    Attributes
+    ----------
+    id : str
+        Request id.
+    server : str
+        Backend server.
+    started : bool
+        Whether the first event is there; the prompt has then been read.
+    age_ms : float
+        How long ago it was when this was sent.
+    """
+
+    id: str
+    server: str
+    started: bool
+    age_ms: float
+
+
+class Progress(typing.NamedTuple):
+    """Permits put to use and prompts read since the last of these.
+
+    Attributes
+    ----------
+    shard : str
+        Pool and number of the shard.
+    steps : list[Step]
+        In the order in which they happened.
+    """
+
+    shard: str
+    steps: list[Step]
 
 
 Message = (
@@ -324,6 +381,9 @@
     | Outstanding
     | Renewal
     | NotKeeper
+    | RenewalQuery
+    | Step
+    | Progress
 )
 
 BY_CODE: dict[int, type] = {
@@ -341,6 +401,9 @@
     12: Outstanding,
     13: Renewal,
     14: NotKeeper,
+    32: RenewalQuery,
+    33: Step,
+    34: Progress,
 }
 
 CODES: dict[type, int] = {kind: code for code, kind in BY_CODE.items()}
