Let reports for operators hook into ends, refusals, waste and peer traffic

Metrics, burn windows and history need each final outcome once, and explanations need the operators' address of other members. One call at the two places where outcomes are decided; Member gets the field admin at its end with a default, so that an older instance's frame still reads; generated messages now render defaults.

--- a/packages/daemon/cassiaquay_daemon/daemon.py
+++ b/packages/daemon/cassiaquay_daemon/daemon.py
@@ -107,6 +107,7 @@
             operators.application(), settings.admin_port
         )
         self._membership.http_address = _address(callers_socket)
+        self._membership.admin_address = _address(admin_socket)
         tasks = [asyncio.create_task(work) for work in self._work()]
         serving = [
             asyncio.create_task(callers_server.serve([callers_socket])),
--- a/packages/daemon/cassiaquay_daemon/members.py
+++ b/packages/daemon/cassiaquay_daemon/members.py
@@ -49,6 +49,7 @@
     ):
         self.leaving = False
         self.http_address = ""
+        self.admin_address = ""
         self.listed: dict[str, platform.Listed] = {}
         self._settings = settings
         self._incarnation = incarnation
@@ -81,6 +82,7 @@
             load,
             revision,
             self._born,
+            self.admin_address,
         )
 
     def on_heard(
--- a/packages/daemon/cassiaquay_daemon/owner.py
+++ b/packages/daemon/cassiaquay_daemon/owner.py
@@ -60,6 +60,7 @@
         self.deadline = clock.now() + accepted.deadline_seconds
         self.ended_at = 0.0
         self.server = ""
+        self.figures = backends.Figures(accepted.prompt_tokens, 0, 0)
         self.readers = 0
         self.unread_since = clock.now()
         self.acknowledged = False
@@ -70,6 +71,11 @@
         """Whether the outcome is final."""
         return self.answer.final is not None
 
+    @property
+    def accepted_at(self) -> float:
+        """Second of acceptance on this clock."""
+        return self.deadline - self.accepted.deadline_seconds
+
 
 class Owner:
     """Accepts, dispatches and answers the requests whose ids name this incarnation.
@@ -100,6 +106,8 @@
         self._started = clock.now()
         self._demands = asked
         self._background: set[asyncio.Task[None]] = set()
+        self._on_ended: list[collections.abc.Callable[[Entry], None]] = []
+        self._on_wasted: list[collections.abc.Callable[[int], None]] = []
         self._backends: dict[str, backends.Backend] = {}
         for name in backends.backends.names():
             self._backends[name] = backends.backends.get(name)(http)
@@ -109,6 +117,14 @@
         """Requests that have not ended."""
         return sum(1 for entry in self.table.values() if not entry.ended)
 
+    def on_ended(self, call: collections.abc.Callable[[Entry], None]) -> None:
+        """Call ``call`` with each entry whose outcome has become final."""
+        self._on_ended.append(call)
+
+    def on_wasted(self, call: collections.abc.Callable[[int], None]) -> None:
+        """Call ``call`` with the prompt tokens that a stopped request had read."""
+        self._on_wasted.append(call)
+
     def mint(self) -> str:
         """Return a fresh token for ids that this incarnation will own."""
         settings = self._settings
@@ -248,6 +264,11 @@
             team=entry.accepted.team,
             service=entry.accepted.service,
         )
+        self._tell_ended(entry)
+
+    def _tell_ended(self, entry: Entry) -> None:
+        for call in self._on_ended:
+            call(entry)
 
     async def _run(self, entry: Entry) -> None:
         remaining = entry.deadline - clock.now()
@@ -349,6 +370,7 @@
                 server, accepted.call, entry.answer, before_sending
             )
             outcome = "completed"
+            entry.figures = figures
             entry.state = State.FINISHED
             entry.ended_at = clock.now()
             entry.answer.finish("completed", "completed")
@@ -363,6 +385,7 @@
                 ms=round(watch.elapsed_ms, 1),
                 count=entry.answer.count,
             )
+            self._tell_ended(entry)
         except exceptions.Declined as error:
             raise exceptions.ServerDeclined(str(error)) from error
         except exceptions.Rejected as error:
@@ -403,6 +426,8 @@
                 id=entry.accepted.id.text,
                 prefilled_tokens=waste.prefilled_tokens,
             )
+            for call in self._on_wasted:
+                call(waste.prefilled_tokens)
 
     def _demand(self, entry: Entry, avoid: list[str]) -> messages.Demand:
         accepted = entry.accepted
--- a/packages/daemon/cassiaquay_daemon/peers.py
+++ b/packages/daemon/cassiaquay_daemon/peers.py
@@ -46,6 +46,8 @@
         self.incarnation = ""
         self._reader = reader
         self._writer = writer
+        self.sent_bytes = 0
+        self.received_bytes = 0
         self._decoder = frames.Decoder()
         self._ready: list[messages.Message] = []
 
@@ -63,7 +65,9 @@
             logs.trouble("peer_not_reading", peer=self.instance)
             transport.abort()
             return False
-        self._writer.write(frames.encode(message))
+        frame = frames.encode(message)
+        self.sent_bytes += len(frame)
+        self._writer.write(frame)
         return True
 
     async def receive(self) -> list[messages.Message]:
@@ -72,6 +76,7 @@
             data = await self._reader.read(READ_BYTES)
             if not data:
                 return []
+            self.received_bytes += len(data)
             self._ready = self._decoder.feed(data)
         found, self._ready = self._ready, []
         return found
@@ -103,6 +108,8 @@
 
     def __init__(self, settings: settings_schema.Settings, incarnation: str):
         self.address = ""
+        self.closed_sent_bytes = 0
+        self.closed_received_bytes = 0
         self._settings = settings
         self._incarnation = incarnation
         self._handlers: dict[type, Handler] = {}
@@ -114,6 +121,10 @@
         self._accepted: set[Link] = set()
         self._server: asyncio.Server | None = None
 
+    def open_links(self) -> list[Link]:
+        """Return the links that are up, dialled or accepted."""
+        return [*self._dialled.values(), *self._accepted]
+
     def on(self, kind: type, handler: Handler) -> None:
         """Let ``handler`` have the messages of one kind."""
         self._handlers[kind] = handler
@@ -236,6 +247,8 @@
 
     def _close(self, link: Link) -> None:
         link.close()
+        self.closed_sent_bytes += link.sent_bytes
+        self.closed_received_bytes += link.received_bytes
         if self._dialled.get(link.instance) is link:
             del self._dialled[link.instance]
         for call in self._on_down:
--- a/packages/daemon/cassiaquay_daemon/relay.py
+++ b/packages/daemon/cassiaquay_daemon/relay.py
@@ -80,6 +80,7 @@
     """
 
     def __init__(self, settings: settings_schema.Settings, http: aiohttp.ClientSession):
+        self.passed = 0
         self._settings = settings
         self._http = http
 
@@ -107,6 +108,7 @@
             )
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             raise OwnerUnreachable(repr(error)) from error
+        self.passed += 1
         return RelayedResponse(response)
 
 
--- a/packages/daemon/cassiaquay_daemon/web.py
+++ b/packages/daemon/cassiaquay_daemon/web.py
@@ -59,6 +59,14 @@
         self._owner = owned
         self._relay = passing
         self._recovery = recovering
+        self._on_refused: list[collections.abc.Callable[[exceptions.Refusal], None]]
+        self._on_refused = []
+
+    def on_refused(
+        self, call: collections.abc.Callable[[exceptions.Refusal], None]
+    ) -> None:
+        """Call ``call`` with each refusal that no entry of the owner stands for."""
+        self._on_refused.append(call)
 
     def application(self) -> applications.Starlette:
         """Return the ASGI application."""
@@ -97,6 +105,8 @@
             try:
                 return await self._handle(request, act)
             except exceptions.Refusal as refusal:
+                for call in self._on_refused:
+                    call(refusal)
                 return streams.RefusalResponse(refusal)
 
         return handle
--- a/packages/schema/cassiaquay_schema/generate.py
+++ b/packages/schema/cassiaquay_schema/generate.py
@@ -35,7 +35,7 @@
         {{ field.doc }}
 {% endfor %}    """
 
-{% for field in item.fields %}    {{ field.name }}: {{ field.type }}
+{% for field in item.fields %}    {{ field | declare }}
 {% endfor %}
 
 {% endfor %}
--- a/packages/schema/cassiaquay_schema/messages.py
+++ b/packages/schema/cassiaquay_schema/messages.py
@@ -66,6 +66,8 @@
         Configuration revision in force there.
     born : float
         Wall-clock second of its start; orders the incarnations of one instance.
+    admin : str
+        host:port for operators.
     """
 
     instance: str
@@ -79,6 +81,7 @@
     load: float
     revision: int
     born: float
+    admin: str = ""
 
 
 class Heartbeat(typing.NamedTuple):
--- a/packages/schema/cassiaquay_schema/settings.py
+++ b/packages/schema/cassiaquay_schema/settings.py
@@ -132,6 +132,27 @@
     level: typing.Literal["DEBUG", "INFO", "WARNING", "ERROR"] = "INFO"
 
 
+class Reports(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """What an instance keeps in memory for operators.
+
+    Attributes
+    ----------
+    history : int
+        Recent events and refusals kept.
+    heaviest_teams : int
+        Teams named one by one in metrics and burn; the rest is `other`.
+    burn_scale : float
+        Factor on the burn windows of 5 min, 1 h, 6 h and 3 d; below 1 for trials.
+    burn_max_cells : int
+        Counters in one bucket of a burn window; what is past them goes to `other`.
+    """
+
+    history: typing.Annotated[int, msgspec.Meta(ge=1)] = 500
+    heaviest_teams: typing.Annotated[int, msgspec.Meta(ge=1)] = 10
+    burn_scale: typing.Annotated[float, msgspec.Meta(gt=0)] = 1.0
+    burn_max_cells: typing.Annotated[int, msgspec.Meta(ge=10)] = 1000
+
+
 class Settings(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
     """Everything that one daemon process is told.
 
@@ -165,6 +186,10 @@
         Admission.
     logs : Logs
         Logs.
+    reports : Reports
+        History, metrics and burn.
+    operators : list[str]
+        SHA-256 digests of operators' credentials; empty: only loopback.
     """
 
     instance: typing.Annotated[
@@ -183,3 +208,5 @@
     owner: Owner = msgspec.field(default_factory=Owner)
     keeper: Keeper = msgspec.field(default_factory=Keeper)
     logs: Logs = msgspec.field(default_factory=Logs)
+    reports: Reports = msgspec.field(default_factory=Reports)
+    operators: list[str] = msgspec.field(default_factory=list)
