Count requests for operators and open an authenticated administration address

Metrics by aioprometheus at /metrics, burn windows of 5 min, 1 h, 6 h and 3 d, a ring of recent events and refusals, views of instances, backend servers, keepers, queues and configuration, explanations of requests. Operators are known by digests in the process settings, teams by those of the fleet text; a team sees its own queues, refusals and counts. Without operators' digests only the loopback address is let in.

--- a/packages/daemon/cassiaquay_daemon/admin.py
+++ b/packages/daemon/cassiaquay_daemon/admin.py
@@ -1,13 +1,24 @@
-"""What operators reach over HTTP, on an address of its own."""
+"""What operators and teams reach over HTTP, on an address of its own.
+
+Read-only but for the drain of this instance; docs/OPERATIONS.md lists the calls.
+"""
 
 import collections.abc
 
+import aiohttp
 import msgspec
 from starlette import applications, requests, responses, routing
 
+from cassiaquay_schema import messages
 from cassiaquay_schema import settings as settings_schema
 
-from . import configuration, keeper, members, owner
+from . import burn, clock, exceptions, explain, logs, reports, viewers, views
+
+MAX_HISTORY = 1000
+DEFAULT_HISTORY = 100
+
+Answer = collections.abc.Awaitable[responses.Response]
+Act = collections.abc.Callable[[requests.Request, viewers.Viewer], Answer]
 
 
 class Admin:
@@ -16,15 +27,15 @@
     Parameters
     ----------
     settings : Settings
-        Name of this instance.
-    configured : Configuration
-        The configuration in force.
-    membership : Membership
-        The instances.
-    owned : Owner
-        The table of this instance.
-    kept : Keeper
-        The shards of this instance.
+        Name of this instance, digests of operators' credentials.
+    incarnation : str
+        This life of the process.
+    parts : Parts
+        What is shown.
+    noted : Reports
+        Metrics, history and burn.
+    http : ClientSession
+        Connections to other instances.
     drain : callable
         Begins the graceful shutdown.
     """
@@ -32,46 +43,223 @@
     def __init__(
         self,
         settings: settings_schema.Settings,
-        configured: configuration.Configuration,
-        membership: members.Membership,
-        owned: owner.Owner,
-        kept: keeper.Keeper,
+        incarnation: str,
+        parts: reports.Parts,
+        noted: reports.Reports,
+        http: aiohttp.ClientSession,
         drain: collections.abc.Callable[[], None],
     ):
         self._settings = settings
-        self._configured = configured
-        self._membership = membership
-        self._owner = owned
-        self._keeper = kept
+        self._incarnation = incarnation
+        self._parts = parts
+        self._noted = noted
+        self._viewers = viewers.Viewers(settings, parts.configured)
+        self._explainer = explain.Explainer(settings, parts, http)
         self._drain = drain
 
     def application(self) -> applications.Starlette:
         """Return the ASGI application."""
-        return applications.Starlette(
-            routes=[
-                routing.Route("/v1/status", self.status, methods=["GET"]),
-                routing.Route("/v1/drain", self.drain, methods=["POST"]),
-            ]
-        )
+        pages: dict[str, Act] = {
+            "/v1/status": self._status,
+            "/v1/instances": self._instances,
+            "/v1/servers": self._servers,
+            "/v1/keepers": self._keepers,
+            "/v1/queues": self._queues,
+            "/v1/configuration": self._configuration,
+            "/v1/history": self._history,
+            "/v1/burn": self._burn,
+            "/v1/explain": self._explain,
+            "/v1/placement": self._placement,
+            "/metrics": self._metrics,
+        }
+        routes = [routing.Route("/v1/health", self._health, methods=["GET"])]
+        for path, act in pages.items():
+            routes.append(routing.Route(path, self._handler(act), methods=["GET"]))
+        begin = self._handler(self._begin_drain)
+        routes.append(routing.Route("/v1/drain", begin, methods=["POST"]))
+        return applications.Starlette(routes=routes)
+
+    def _handler(
+        self, act: Act
+    ) -> collections.abc.Callable[[requests.Request], Answer]:
+        async def handle(request: requests.Request) -> responses.Response:
+            try:
+                return await act(request, self._viewers.viewer(request))
+            except exceptions.AdminRefusal as error:
+                body = {"code": error.code, "message": str(error)}
+                return _json(body, int(error.status))
 
-    async def status(self, request: requests.Request) -> responses.Response:
-        """Answer with what this instance does now."""
+        return handle
+
+    async def _health(self, request: requests.Request) -> responses.Response:
+        ready = self._parts.configured.current is not None
+        body = {
+            "instance": self._settings.instance,
+            "ready": ready,
+            "leaving": self._parts.membership.leaving,
+        }
+        return _json(body, 200 if ready else 503)
+
+    async def _status(
+        self, request: requests.Request, viewer: viewers.Viewer
+    ) -> responses.Response:
+        viewer.must_be_operator()
+        parts = self._parts
         found = {
             "instance": self._settings.instance,
-            "revision": self._configured.revision,
-            "rejected": self._configured.rejected,
-            "members": [member.instance for member in self._membership.serving()],
-            "open": self._owner.open_count,
+            "incarnation": self._incarnation,
+            "domain": self._settings.domain,
+            "region": self._settings.region,
+            "since": self._noted.since,
+            "leaving": parts.membership.leaving,
+            "revision": parts.configured.revision,
+            "rejected": parts.configured.rejected,
+            "members": [member.instance for member in parts.membership.serving()],
+            "open": parts.owned.open_count,
             "shards": {
                 name: {"queue": len(shard.queue), "running": len(shard.running)}
-                for name, shard in self._keeper.shards.items()
+                for name, shard in parts.kept.shards.items()
             },
         }
-        return responses.Response(
-            msgspec.json.encode(found), media_type="application/json"
+        return _json(found)
+
+    async def _instances(
+        self, request: requests.Request, viewer: viewers.Viewer
+    ) -> responses.Response:
+        viewer.must_be_operator()
+        return _json(views.instances(self._parts.membership))
+
+    async def _servers(
+        self, request: requests.Request, viewer: viewers.Viewer
+    ) -> responses.Response:
+        viewer.must_be_operator()
+        return _json(views.servers(self._parts))
+
+    async def _keepers(
+        self, request: requests.Request, viewer: viewers.Viewer
+    ) -> responses.Response:
+        viewer.must_be_operator()
+        return _json(views.keepers(self._parts))
+
+    async def _queues(
+        self, request: requests.Request, viewer: viewers.Viewer
+    ) -> responses.Response:
+        tiers = views.tier_names(self._parts)
+        return _json(views.queues(self._parts, viewer, tiers, clock.now()))
+
+    async def _configuration(
+        self, request: requests.Request, viewer: viewers.Viewer
+    ) -> responses.Response:
+        viewer.must_be_operator()
+        with_text = request.query_params.get("text", "") == "1"
+        return _json(views.configuration(self._parts, with_text))
+
+    async def _history(
+        self, request: requests.Request, viewer: viewers.Viewer
+    ) -> responses.Response:
+        limit = _number(request, "limit", DEFAULT_HISTORY, MAX_HISTORY)
+        return _json(self._noted.history.recent(limit, viewer.team))
+
+    async def _burn(
+        self, request: requests.Request, viewer: viewers.Viewer
+    ) -> responses.Response:
+        found = self._noted.burn.report(clock.now())
+        if viewer.team:
+            found = _only(found, viewer.team)
+        snapshot = self._parts.configured.current
+        objectives = []
+        if snapshot is not None:
+            for name, service in snapshot.fleet.services.items():
+                for item in service.objectives:
+                    objectives.append(
+                        {
+                            "service": name,
+                            "tier": item.tier,
+                            "share": item.share,
+                            "within_ms": item.within_ms,
+                        }
+                    )
+        body = {
+            "instance": self._settings.instance,
+            "incarnation": self._incarnation,
+            "since": self._noted.since,
+            "revision": self._parts.configured.revision,
+            "objectives": objectives,
+            "report": found,
+        }
+        return _json(body)
+
+    async def _explain(
+        self, request: requests.Request, viewer: viewers.Viewer
+    ) -> responses.Response:
+        authorization = request.headers.get("authorization", "")
+        text = request.query_params.get("id", "")
+        if text:
+            return _json(await self._explainer.by_id(text, viewer, authorization))
+        description = explain.Description(
+            request.query_params.get("service", ""),
+            viewer.team or request.query_params.get("team", ""),
+            request.query_params.get("tier", ""),
+            _number(request, "prompt_tokens", 0, 10_000_000),
+            _number(request, "output_tokens", 256, 10_000_000),
+        )
+        return _json(await self._explainer.described(description, authorization))
+
+    async def _placement(
+        self, request: requests.Request, viewer: viewers.Viewer
+    ) -> responses.Response:
+        # The keeper's part of an explanation: figures of servers and queue lengths,
+        # no names of teams or requests, so that teams may have it for their own.
+        demand = messages.Demand(
+            request.query_params.get("id", ""),
+            request.query_params.get("shard", ""),
+            "",
+            viewer.team,
+            _number(request, "rank", 0, 1000),
+            _number(request, "tokens", 0, 10_000_000),
+            0,
+            0,
+            "",
+            [],
+            [],
         )
+        return _json(self._explainer.at_keeper(demand))
 
-    async def drain(self, request: requests.Request) -> responses.Response:
-        """Begin the graceful shutdown."""
+    async def _metrics(
+        self, request: requests.Request, viewer: viewers.Viewer
+    ) -> responses.Response:
+        viewer.must_be_operator()
+        body, headers = self._noted.page(request.headers.getlist("accept"))
+        return responses.Response(body, headers=headers)
+
+    async def _begin_drain(
+        self, request: requests.Request, viewer: viewers.Viewer
+    ) -> responses.Response:
+        viewer.must_be_operator()
+        logs.event("drain_ordered", open=self._parts.owned.open_count)
         self._drain()
         return responses.Response(status_code=202)
+
+
+def _only(report: burn.Report, team: str) -> burn.Report:
+    for window in report["windows"]:
+        kept = []
+        for count in window["counts"]:
+            if count["axis"] == "team" and count["name"] == team:
+                kept.append(count)
+        window["counts"] = kept
+    return burn.Report(windows=report["windows"], fast=[], slow=[], excluded=0)
+
+
+def _number(request: requests.Request, name: str, default: int, limit: int) -> int:
+    text = request.query_params.get(name, "")
+    if not text:
+        return default
+    if not text.isascii() or not text.isdecimal() or len(text) > 9:
+        raise exceptions.AdminBadRequest(f"{name}: a whole number")
+    return min(int(text), limit)
+
+
+def _json(value: object, status: int = 200) -> responses.Response:
+    body = msgspec.json.encode(value)
+    return responses.Response(body, status, media_type="application/json")
--- a/packages/daemon/cassiaquay_daemon/daemon.py
+++ b/packages/daemon/cassiaquay_daemon/daemon.py
@@ -25,6 +25,7 @@
     platform,
     recovery,
     relay,
+    reports,
     tokens,
     web,
 )
@@ -84,20 +85,31 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._stopping.set)
         await self._peers.start()
-        callers = web.Web(
-            settings,
+        parts = reports.Parts(
             self._configuration,
             self._membership,
             self._owner,
+            self._keeper,
+            self._peers,
             relay.Relay(settings, self._http),
             recovery.Recovery(self._http),
         )
-        operators = admin.Admin(
+        noted = reports.Reports(settings, parts)
+        callers = web.Web(
             settings,
             self._configuration,
             self._membership,
             self._owner,
-            self._keeper,
+            parts.passing,
+            parts.recovering,
+        )
+        callers.on_refused(noted.refused)
+        operators = admin.Admin(
+            settings,
+            self._incarnation,
+            parts,
+            noted,
+            self._http,
             self._stopping.set,
         )
         callers_server, callers_socket = self._server(
@@ -109,6 +121,7 @@
         self._membership.http_address = _address(callers_socket)
         self._membership.admin_address = _address(admin_socket)
         tasks = [asyncio.create_task(work) for work in self._work()]
+        tasks.append(asyncio.create_task(noted.watch_lag()))
         serving = [
             asyncio.create_task(callers_server.serve([callers_socket])),
             asyncio.create_task(admin_server.serve([admin_socket])),
--- a/packages/daemon/cassiaquay_daemon/exceptions.py
+++ b/packages/daemon/cassiaquay_daemon/exceptions.py
@@ -246,3 +246,44 @@
     code = "backend_failed"
     outcome = "failed"
     status = http.HTTPStatus.INTERNAL_SERVER_ERROR
+
+
+class AdminRefusal(DaemonError):
+    """The operators' address does not do what it was asked for."""
+
+    code = "admin_refused"
+    status = http.HTTPStatus.BAD_REQUEST
+
+
+class AdminBadRequest(AdminRefusal):
+    """A parameter of the call is missing or malformed."""
+
+    code = "admin_bad_request"
+
+
+class AdminUnauthorized(AdminRefusal):
+    """No operator's or team's credential came with the call."""
+
+    code = "admin_unauthorized"
+    status = http.HTTPStatus.UNAUTHORIZED
+
+
+class AdminForbidden(AdminRefusal):
+    """Only operators may ask for this."""
+
+    code = "admin_forbidden"
+    status = http.HTTPStatus.FORBIDDEN
+
+
+class AdminUnknown(AdminRefusal):
+    """There is nothing here by the name that was asked for."""
+
+    code = "admin_unknown"
+    status = http.HTTPStatus.NOT_FOUND
+
+
+class AdminElsewhere(AdminRefusal):
+    """The instance that knows gave no answer."""
+
+    code = "admin_elsewhere"
+    status = http.HTTPStatus.BAD_GATEWAY
--- a/packages/daemon/cassiaquay_daemon/logs.py
+++ b/packages/daemon/cassiaquay_daemon/logs.py
@@ -63,3 +63,8 @@
 def detail(name: str, **fields: typing.Any) -> None:
     """Write one event at the level DEBUG."""
     _LOGGER.debug(name, extra=fields)
+
+
+def also(handler: logging.Handler) -> None:
+    """Give each event to one more handler."""
+    _LOGGER.addHandler(handler)
--- /dev/null
+++ b/packages/daemon/cassiaquay_daemon/metrics.py
@@ -0,0 +1,284 @@
+"""Metrics by Prometheus' conventions; docs/METRICS.md lists each.
+
+A label set is turned into a key by the metrics library at each change, about 10 us;
+what changes with every request is counted in plain dictionaries and held histograms
+here and handed to the library when it is asked for.
+"""
+
+import collections
+import typing
+
+import aioprometheus
+from aioprometheus import collectors
+from aioprometheus import histogram as histograms
+
+Labels = dict[str, str]
+Key = tuple[str, ...]
+
+FIRST_SECONDS = (0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8, 25.6)
+WHOLE_SECONDS = (0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 20.0, 40.0, 80.0)
+LAG_SECONDS = (0.001, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 5.0)
+
+
+class Family(typing.NamedTuple):
+    """One metric: its name, kind, labels and meaning.
+
+    Attributes
+    ----------
+    name : str
+        With its unit, as Prometheus asks.
+    kind : str
+        ``counter``, ``gauge`` or ``histogram``.
+    labels : tuple of str
+        Names of its labels.
+    doc : str
+        What it says.
+    buckets : tuple of float
+        Upper bounds, for histograms.
+    """
+
+    name: str
+    kind: str
+    labels: Key
+    doc: str
+    buckets: tuple[float, ...] = ()
+
+
+REQUESTS = Family(
+    "cassiaquay_requests_total",
+    "counter",
+    ("service", "tier", "outcome", "code"),
+    "Requests of this owner that have ended.",
+)
+TEAM_REQUESTS = Family(
+    "cassiaquay_team_requests_total",
+    "counter",
+    ("team", "outcome"),
+    "The same by team: the heaviest few by name, the others as `other`.",
+)
+REFUSALS = Family(
+    "cassiaquay_early_refusals_total",
+    "counter",
+    ("code",),
+    "Calls refused before there was an entry: bad ids, credentials, bodies.",
+)
+FIRST = Family(
+    "cassiaquay_first_event_seconds",
+    "histogram",
+    ("service", "tier"),
+    "From acceptance to the first event of the answer.",
+    FIRST_SECONDS,
+)
+WHOLE = Family(
+    "cassiaquay_request_seconds",
+    "histogram",
+    ("service", "tier"),
+    "From acceptance to the end, completed requests.",
+    WHOLE_SECONDS,
+)
+PROMPT_TOKENS = Family(
+    "cassiaquay_prompt_tokens_total",
+    "counter",
+    ("service",),
+    "Tokens of prompts of completed requests, as engines counted them.",
+)
+CACHED_TOKENS = Family(
+    "cassiaquay_cached_prompt_tokens_total",
+    "counter",
+    ("service",),
+    "Of these, read from engines' prefix caches.",
+)
+OUTPUT_TOKENS = Family(
+    "cassiaquay_output_tokens_total",
+    "counter",
+    ("service",),
+    "Tokens of answers of completed requests.",
+)
+WASTED_TOKENS = Family(
+    "cassiaquay_wasted_prompt_tokens_total",
+    "counter",
+    (),
+    "Prompt tokens that engines had read for requests which were then stopped.",
+)
+LAG = Family(
+    "cassiaquay_event_loop_lag_seconds",
+    "histogram",
+    (),
+    "By how much a timer of this process was late.",
+    LAG_SECONDS,
+)
+ALARMS = Family(
+    "cassiaquay_alarms_total",
+    "counter",
+    ("event",),
+    "Log lines of level WARNING; docs/OPERATIONS.md tells what to do on each.",
+)
+OPEN = Family(
+    "cassiaquay_open_requests",
+    "gauge",
+    ("state",),
+    "Requests of this owner that have not ended: waiting or dispatched.",
+)
+TABLE = Family(
+    "cassiaquay_table_entries",
+    "gauge",
+    (),
+    "Entries in the owner's table, ended ones included.",
+)
+QUEUE = Family(
+    "cassiaquay_keeper_queue_requests",
+    "gauge",
+    ("shard", "tier"),
+    "Demands that wait at this keeper.",
+)
+PERMITS = Family(
+    "cassiaquay_keeper_running_requests",
+    "gauge",
+    ("shard",),
+    "Permits given by this keeper and dispatches that it knows of.",
+)
+SERVER_TOKENS = Family(
+    "cassiaquay_server_tokens_in_flight",
+    "gauge",
+    ("server",),
+    "Tokens that this keeper takes to be in flight on a backend server.",
+)
+REVISION = Family(
+    "cassiaquay_configuration_revision",
+    "gauge",
+    (),
+    "Configuration revision in force here; 0 before there is one.",
+)
+REJECTED = Family(
+    "cassiaquay_configuration_rejected_revisions",
+    "gauge",
+    (),
+    "Published revisions that were not accepted here.",
+)
+MEMBERS = Family(
+    "cassiaquay_members",
+    "gauge",
+    ("state",),
+    "Instances that this one takes for alive: serving or leaving.",
+)
+PEER_SENT = Family(
+    "cassiaquay_peer_sent_bytes_total",
+    "counter",
+    (),
+    "Bytes of frames sent to other instances.",
+)
+PEER_RECEIVED = Family(
+    "cassiaquay_peer_received_bytes_total",
+    "counter",
+    (),
+    "Bytes read from other instances.",
+)
+RELAYED = Family(
+    "cassiaquay_relayed_requests_total",
+    "counter",
+    (),
+    "Calls passed on to the owner of their id.",
+)
+RECOVERIES = Family(
+    "cassiaquay_recoveries_total",
+    "counter",
+    ("result",),
+    "Streams looked for at engines because their owner is gone: found or missing.",
+)
+
+FAMILIES = (
+    REQUESTS,
+    TEAM_REQUESTS,
+    REFUSALS,
+    FIRST,
+    WHOLE,
+    PROMPT_TOKENS,
+    CACHED_TOKENS,
+    OUTPUT_TOKENS,
+    WASTED_TOKENS,
+    LAG,
+    ALARMS,
+    OPEN,
+    TABLE,
+    QUEUE,
+    PERMITS,
+    SERVER_TOKENS,
+    REVISION,
+    REJECTED,
+    MEMBERS,
+    PEER_SENT,
+    PEER_RECEIVED,
+    RELAYED,
+    RECOVERIES,
+)
+
+_KINDS: dict[str, type[collectors.Collector]] = {
+    "counter": aioprometheus.Counter,
+    "gauge": aioprometheus.Gauge,
+}
+
+
+class Metrics:
+    """The metrics of one process."""
+
+    def __init__(self) -> None:
+        self.registry = aioprometheus.Registry()
+        self._counts: dict[str, collections.Counter[Key]] = {}
+        self._held: dict[tuple[str, Key], histograms.Histogram] = {}
+        self._collectors: dict[str, collectors.Collector] = {}
+        for family in FAMILIES:
+            self._collectors[family.name] = self._collector(family)
+            self._counts[family.name] = collections.Counter()
+
+    def count(self, family: Family, key: Key = (), number: int = 1) -> None:
+        """Add to a counter."""
+        self._counts[family.name][key] += number
+
+    def observe(self, family: Family, key: Key, seconds: float) -> None:
+        """Add one observation to a histogram."""
+        held = self._held.get((family.name, key))
+        if held is None:
+            held = histograms.Histogram(*family.buckets, float("inf"))
+            self._held[family.name, key] = held
+            self._collectors[family.name].set_value(_labels(family, key), held)
+        held.observe(seconds)
+
+    def replace(self, family: Family, values: dict[Key, float]) -> None:
+        """Set all values of a gauge, or of a counter that is kept elsewhere."""
+        collector = self._collectors[family.name]
+        # A label set that is gone must not show its last value for ever.
+        collector.values.store.clear()
+        for key, value in values.items():
+            collector.set_value(_labels(family, key), value)
+
+    def render(self, accept: list[str]) -> tuple[bytes, dict[str, str]]:
+        """Return the page in a format that the reader accepts, and its headers."""
+        for family in FAMILIES:
+            for key, value in self._counts[family.name].items():
+                labels = _labels(family, key)
+                self._collectors[family.name].set_value(labels, value)
+        return aioprometheus.render(self.registry, accept)
+
+    def _collector(self, family: Family) -> collectors.Collector:
+        if family.kind == "histogram":
+            return aioprometheus.Histogram(
+                family.name,
+                family.doc,
+                registry=self.registry,
+                buckets=[*family.buckets, float("inf")],
+            )
+        kind = _KINDS[family.kind]
+        return kind(family.name, family.doc, registry=self.registry)
+
+
+def _labels(family: Family, key: Key) -> Labels:
+    return dict(zip(family.labels, key, strict=True))
+
+
+def page() -> str:
+    """Return the table of docs/METRICS.md."""
+    lines = ["| metric | kind | labels | meaning |", "|---|---|---|---|"]
+    for family in FAMILIES:
+        labels = ", ".join(f"`{label}`" for label in family.labels)
+        lines.append(f"| `{family.name}` | {family.kind} | {labels} | {family.doc} |")
+    return "\n".join(lines)
--- a/packages/daemon/cassiaquay_daemon/owner.py
+++ b/packages/daemon/cassiaquay_daemon/owner.py
@@ -60,6 +60,7 @@
         self.deadline = clock.now() + accepted.deadline_seconds
         self.ended_at = 0.0
         self.server = ""
+        self.shard = ""
         self.figures = backends.Figures(accepted.prompt_tokens, 0, 0)
         self.readers = 0
         self.unread_since = clock.now()
@@ -303,6 +304,7 @@
         avoid: list[str] = []
         while not entry.ended:
             demand = self._demand(entry, avoid)
+            entry.shard = demand.shard
             permission = await self._demands.obtain(demand, entry.deadline)
             server = entry.accepted.snapshot.server(
                 entry.accepted.pool, permission.server
--- /dev/null
+++ b/packages/daemon/cassiaquay_daemon/reports.py
@@ -0,0 +1,212 @@
+"""What an instance notes for operators when a request ends, and when they ask."""
+
+import asyncio
+import time
+import typing
+
+from cassiaquay_schema import messages
+from cassiaquay_schema import settings as settings_schema
+
+from . import (
+    burn,
+    clock,
+    configuration,
+    exceptions,
+    heaviest,
+    history,
+    keeper,
+    logs,
+    members,
+    metrics,
+    owner,
+    peers,
+    recovery,
+    relay,
+)
+
+LAG_PERIOD = 0.5
+
+
+class Parts(typing.NamedTuple):
+    """The parts of the daemon whose state is read when metrics are asked for."""
+
+    configured: configuration.Configuration
+    membership: members.Membership
+    owned: owner.Owner
+    kept: keeper.Keeper
+    links: peers.Peers
+    passing: relay.Relay
+    recovering: recovery.Recovery
+
+
+class Reports:
+    """Metrics, burn windows and history of one instance.
+
+    Parameters
+    ----------
+    settings : Settings
+        Sizes and lengths.
+    parts : Parts
+        What is read.
+    """
+
+    def __init__(self, settings: settings_schema.Settings, parts: Parts):
+        chosen = settings.reports
+        self.since = time.time()
+        self.metrics = metrics.Metrics()
+        self.history = history.History(chosen.history)
+        self.burn = burn.Burn(
+            chosen.burn_scale,
+            chosen.heaviest_teams,
+            chosen.burn_max_cells,
+            clock.now(),
+        )
+        self._parts = parts
+        self._teams = heaviest.Heaviest(chosen.heaviest_teams)
+        logs.also(self.history)
+        parts.owned.on_ended(self.ended)
+        parts.owned.on_wasted(self.wasted)
+
+    def ended(self, entry: owner.Entry) -> None:
+        """Count a request whose outcome is final."""
+        accepted = entry.accepted
+        final = entry.answer.final
+        if final is None:
+            return
+        outcome, code = final["outcome"], final["code"]
+        seconds = entry.ended_at - entry.accepted_at
+        key = (accepted.service, accepted.tier)
+        count = self.metrics.count
+        count(metrics.REQUESTS, (*key, outcome, code))
+        self._teams.add(accepted.team)
+        count(metrics.TEAM_REQUESTS, (self._teams.label(accepted.team), outcome))
+        if entry.answer.first_at:
+            first_seconds = entry.answer.first_at - entry.accepted_at
+            self.metrics.observe(metrics.FIRST, key, first_seconds)
+        if outcome == "completed":
+            self.metrics.observe(metrics.WHOLE, key, seconds)
+            service = (accepted.service,)
+            count(metrics.PROMPT_TOKENS, service, entry.figures.prompt_tokens)
+            count(metrics.CACHED_TOKENS, service, entry.figures.cached_tokens)
+            count(metrics.OUTPUT_TOKENS, service, entry.figures.output_tokens)
+        else:
+            self.history.refused(
+                accepted.team,
+                id=accepted.id.text,
+                service=accepted.service,
+                tier=accepted.tier,
+                outcome=outcome,
+                code=code,
+                message=final["message"],
+                server=entry.server,
+            )
+        self.burn.add(
+            clock.now(),
+            burn.Ended(
+                accepted.service,
+                accepted.tier,
+                accepted.team,
+                entry.server,
+                outcome,
+                code,
+                seconds,
+                _within_seconds(entry),
+            ),
+        )
+
+    def wasted(self, prompt_tokens: int) -> None:
+        """Count prompt tokens that an engine had read for nothing."""
+        self.metrics.count(metrics.WASTED_TOKENS, (), prompt_tokens)
+
+    def refused(self, refusal: exceptions.Refusal) -> None:
+        """Count a refusal of a call that has no entry."""
+        self.metrics.count(metrics.REFUSALS, (refusal.code,))
+        self.history.refused(
+            "", outcome=refusal.outcome, code=refusal.code, message=refusal.message
+        )
+
+    async def watch_lag(self) -> None:
+        """Observe for ever by how much a timer of this process is late."""
+        while True:
+            before = clock.now()
+            await asyncio.sleep(LAG_PERIOD)
+            late = max(clock.now() - before - LAG_PERIOD, 0.0)
+            self.metrics.observe(metrics.LAG, (), late)
+
+    def page(self, accept: list[str]) -> tuple[bytes, dict[str, str]]:
+        """Return the metrics page and its headers."""
+        self._read_owner()
+        self._read_keeper()
+        self._read_members()
+        self._read_peers()
+        return self.metrics.render(accept)
+
+    def _read_owner(self) -> None:
+        states: dict[metrics.Key, float] = {("waiting",): 0, ("dispatched",): 0}
+        table = self._parts.owned.table
+        for entry in table.values():
+            if not entry.ended:
+                states[(entry.state.value,)] += 1
+        self.metrics.replace(metrics.OPEN, states)
+        self.metrics.replace(metrics.TABLE, {(): len(table)})
+
+    def _read_keeper(self) -> None:
+        queued: dict[metrics.Key, float] = {}
+        running: dict[metrics.Key, float] = {}
+        tokens: dict[metrics.Key, float] = {}
+        for name, shard in self._parts.kept.shards.items():
+            running[(name,)] = len(shard.running)
+            for waiting in shard.queue.values():
+                key = (name, self._tier(waiting.demand))
+                queued[key] = queued.get(key, 0) + 1
+            for server in shard.servers:
+                tokens.setdefault((server,), 0)
+            for item in shard.running.values():
+                tokens[(item.server,)] = tokens.get((item.server,), 0) + item.tokens
+        self.metrics.replace(metrics.QUEUE, queued)
+        self.metrics.replace(metrics.PERMITS, running)
+        self.metrics.replace(metrics.SERVER_TOKENS, tokens)
+
+    def _tier(self, demand: messages.Demand) -> str:
+        snapshot = self._parts.configured.current
+        if snapshot is not None:
+            for name, tier in snapshot.fleet.tiers.items():
+                if tier.rank == demand.rank:
+                    return name
+        return f"rank {demand.rank}"
+
+    def _read_members(self) -> None:
+        configured = self._parts.configured
+        alive = self._parts.membership.alive()
+        serving = len(self._parts.membership.serving())
+        states: dict[metrics.Key, float] = {}
+        states[("serving",)] = serving
+        states[("leaving",)] = len(alive) - serving
+        self.metrics.replace(metrics.MEMBERS, states)
+        self.metrics.replace(metrics.REVISION, {(): configured.revision})
+        self.metrics.replace(metrics.REJECTED, {(): len(configured.rejected)})
+
+    def _read_peers(self) -> None:
+        links = self._parts.links
+        sent, received = links.closed_sent_bytes, links.closed_received_bytes
+        for link in links.open_links():
+            sent += link.sent_bytes
+            received += link.received_bytes
+        recovering = self._parts.recovering
+        found: dict[metrics.Key, float] = {}
+        found[("found",)] = recovering.recovered
+        found[("missing",)] = recovering.not_found
+        replace = self.metrics.replace
+        replace(metrics.PEER_SENT, {(): sent})
+        replace(metrics.PEER_RECEIVED, {(): received})
+        replace(metrics.RELAYED, {(): self._parts.passing.passed})
+        replace(metrics.RECOVERIES, found)
+        alarms = self.history.alarms
+        replace(metrics.ALARMS, {(name,): n for name, n in alarms.items()})
+
+
+def _within_seconds(entry: owner.Entry) -> float:
+    for objective in entry.accepted.service_settings.objectives:
+        if objective.tier == entry.accepted.tier:
+            return objective.within_ms / 1000.0
+    return 0.0
--- /dev/null
+++ b/packages/daemon/cassiaquay_daemon/views.py
@@ -0,0 +1,217 @@
+"""What operators see of one instance, as JSON bodies."""
+
+import collections
+import typing
+
+from . import members, reports, shards, viewers
+
+
+class InstanceView(typing.TypedDict):
+    """One instance as this one sees it."""
+
+    instance: str
+    incarnation: str
+    domain: str
+    state: str
+    http: str
+    admin: str
+    revision: int
+    load: float
+    born: float
+
+
+class ServerView(typing.TypedDict):
+    """One backend server as its keeper, this instance, sees it."""
+
+    server: str
+    address: str
+    domain: str
+    model: str
+    role: str
+    shard: str
+    state: str
+    requests: int
+    slots: int
+    tokens: int
+
+
+class GroupView(typing.TypedDict):
+    """Requests of one tier and team at a keeper."""
+
+    shard: str
+    tier: str
+    team: str
+    waiting: int
+    oldest_seconds: float
+
+
+class RunningView(typing.TypedDict):
+    """Permits and dispatches of one shard."""
+
+    shard: str
+    running: int
+
+
+class QueuesView(typing.TypedDict):
+    """What waits and runs at the shards that this instance keeps."""
+
+    waiting: list[GroupView]
+    running: list[RunningView]
+
+
+class KeeperView(typing.TypedDict):
+    """A shard and the instance that this one takes for its keeper."""
+
+    shard: str
+    keeper: str
+    servers: list[str]
+
+
+class ConfigurationView(typing.TypedDict):
+    """The configuration in force here, and what is on its way or was refused."""
+
+    revision: int
+    pending: int
+    rejected: dict[int, str]
+    text: str
+
+
+def instances(membership: members.Membership) -> list[InstanceView]:
+    """Return the members, and listed instances that nothing was heard of."""
+    serving = {member.instance for member in membership.serving()}
+    found = {}
+    for member in membership.alive():
+        found[member.instance] = InstanceView(
+            instance=member.instance,
+            incarnation=member.incarnation,
+            domain=member.domain,
+            state="serving" if member.instance in serving else "leaving",
+            http=member.http,
+            admin=member.admin,
+            revision=member.revision,
+            load=member.load,
+            born=member.born,
+        )
+    for line in membership.listed.values():
+        if line.kind != "entry" or line.name in found:
+            continue
+        found[line.name] = InstanceView(
+            instance=line.name,
+            incarnation="",
+            domain=line.domain,
+            state="silent",
+            http=line.http,
+            admin="",
+            revision=0,
+            load=0.0,
+            born=0.0,
+        )
+    return [found[name] for name in sorted(found)]
+
+
+def servers(parts: reports.Parts) -> list[ServerView]:
+    """Return the backend servers of the shards kept here."""
+    found = []
+    for shard in _kept(parts):
+        for server in shard.servers.values():
+            leaving = server.name in shard.gone
+            found.append(
+                ServerView(
+                    server=server.name,
+                    address=server.address,
+                    domain=server.domain,
+                    model=server.model,
+                    role=server.role,
+                    shard=shard.name,
+                    state="leaving" if leaving else "open",
+                    requests=shard.count_on(server.name),
+                    slots=server.slots,
+                    tokens=shard.tokens_on(server.name),
+                )
+            )
+    return found
+
+
+def queues(
+    parts: reports.Parts, viewer: viewers.Viewer, tiers: dict[int, str], now: float
+) -> QueuesView:
+    """Return what waits by tier and team; a team sees itself only."""
+    counts: collections.Counter[tuple[str, int, str]] = collections.Counter()
+    oldest: dict[tuple[str, int, str], float] = {}
+    running = []
+    for shard in _kept(parts):
+        if viewer.is_operator:
+            running.append(RunningView(shard=shard.name, running=len(shard.running)))
+        for waiting in shard.queue.values():
+            demand = waiting.demand
+            if viewer.team and demand.team != viewer.team:
+                continue
+            key = (shard.name, demand.rank, demand.team)
+            counts[key] += 1
+            oldest[key] = max(oldest.get(key, 0.0), now - waiting.arrived_at)
+    groups = []
+    for key in sorted(counts):
+        shard_name, rank, team = key
+        groups.append(
+            GroupView(
+                shard=shard_name,
+                tier=tiers.get(rank, f"rank {rank}"),
+                team=team,
+                waiting=counts[key],
+                oldest_seconds=round(oldest[key], 3),
+            )
+        )
+    return QueuesView(waiting=groups, running=running)
+
+
+def keepers(parts: reports.Parts) -> list[KeeperView]:
+    """Return each shard of the configuration and its keeper as seen from here."""
+    snapshot = parts.configured.current
+    if snapshot is None:
+        return []
+    found = []
+    for pool in snapshot.fleet.pools:
+        for number in range(snapshot.shard_count(pool)):
+            shard = f"{pool}#{number}"
+            found.append(
+                KeeperView(
+                    shard=shard,
+                    keeper=parts.membership.keeper_of(shard),
+                    servers=[item.name for item in snapshot.shard_servers(shard)],
+                )
+            )
+    return found
+
+
+def configuration(parts: reports.Parts, with_text: bool) -> ConfigurationView:
+    """Return the configuration in force; ``pending`` is a newer one known of."""
+    known = [parts.configured.revision]
+    for member in parts.membership.alive():
+        known.append(member.revision)
+    newest = max(known)
+    current = parts.configured.current
+    return ConfigurationView(
+        revision=parts.configured.revision,
+        pending=newest if newest > parts.configured.revision else 0,
+        rejected=dict(parts.configured.rejected),
+        text=current.text if current is not None and with_text else "",
+    )
+
+
+def tier_names(parts: reports.Parts) -> dict[int, str]:
+    """Return the names of tiers by rank, as configured now."""
+    snapshot = parts.configured.current
+    if snapshot is None:
+        return {}
+    return {tier.rank: name for name, tier in snapshot.fleet.tiers.items()}
+
+
+def _kept(parts: reports.Parts) -> list[shards.Shard]:
+    """Return the shards that are kept here, without those handed on long ago."""
+    found = []
+    for shard in parts.kept.shards.values():
+        keeper = parts.membership.keeper_of(shard.name)
+        mine = keeper == parts.membership.me.instance
+        if mine or shard.queue or shard.running:
+            found.append(shard)
+    return found
--- /dev/null
+++ b/tests/test_admin.py
@@ -0,0 +1,241 @@
+"""The operators' address: who sees what, and what it tells."""
+
+import logging
+
+import operators_fakes as fakes
+import pytest
+
+from cassiaquay_daemon import exceptions, logs, shards
+from cassiaquay_schema import messages
+
+TEAMS = fakes.DEPLOYMENT.teams
+LARGE, SMALL = TEAMS[0], TEAMS[1]
+OPERATORS = [fakes.digest(fakes.OPERATOR)]
+PAGES = [
+    "/v1/status",
+    "/v1/instances",
+    "/v1/servers",
+    "/v1/keepers",
+    "/v1/queues",
+    "/v1/configuration",
+    "/v1/history",
+    "/v1/burn",
+    "/metrics",
+]
+OPERATORS_ONLY = [
+    "/v1/status",
+    "/v1/instances",
+    "/v1/servers",
+    "/v1/keepers",
+    "/v1/configuration",
+    "/metrics",
+]
+
+
+def _demand(request_id: str, team: str, rank: int) -> messages.Demand:
+    service = fakes.DEPLOYMENT.model_service
+    return messages.Demand(
+        request_id, "engines#0", service, team, rank, 10, 20, 9000, "", [], []
+    )
+
+
+class _Replier:
+    instance = "cq-1"
+
+    def send(self, message: messages.Message) -> bool:
+        return True
+
+
+def _shard(instance: fakes.Instance) -> shards.Shard:
+    for number, team in enumerate([LARGE, LARGE, SMALL]):
+        demand = _demand(f"id-{number}", team.name, 0 if number else 3)
+        instance.kept.demand(_Replier(), demand)
+    return instance.kept.shards["engines#0"]
+
+
+@pytest.mark.parametrize("path", PAGES)
+def test_an_operator_sees_every_page(path: str) -> None:
+    async def test(instance: fakes.Instance) -> None:
+        reply = await instance.call(path, fakes.OPERATOR, client="10.0.0.9")
+        assert reply.status == 200
+        assert reply.body
+
+    fakes.run(test, operators=OPERATORS)
+
+
+@pytest.mark.parametrize("path", PAGES)
+def test_nobody_unknown_sees_a_page(path: str) -> None:
+    async def test(instance: fakes.Instance) -> None:
+        for credential in ("", "wrong"):
+            reply = await instance.call(path, credential)
+            assert reply.status == 401
+            assert reply.json["code"] == "admin_unauthorized"
+
+    fakes.run(test, operators=OPERATORS)
+
+
+@pytest.mark.parametrize("path", OPERATORS_ONLY)
+def test_a_team_does_not_see_what_is_the_operators(path: str) -> None:
+    async def test(instance: fakes.Instance) -> None:
+        reply = await instance.call(path, LARGE.credential)
+        assert reply.status == 403
+
+    fakes.run(test, operators=OPERATORS)
+
+
+def test_only_loopback_is_let_in_when_no_operator_is_named() -> None:
+    """A fresh instance without operators' digests listens on an address of its network.
+
+    A neighbour on that network asks for its status and orders a drain; both are
+    refused. Only a process on the same machine is taken for an operator.
+    """
+
+    async def test(instance: fakes.Instance) -> None:
+        assert (await instance.call("/v1/status")).status == 200
+        assert (await instance.call("/v1/status", client="10.0.0.9")).status == 401
+        drain = await instance.call("/v1/drain", method="POST", client="10.0.0.9")
+        assert drain.status == 401
+        assert not instance.drained
+
+    fakes.run(test)
+
+
+def test_loopback_is_not_enough_once_operators_are_named() -> None:
+    async def test(instance: fakes.Instance) -> None:
+        assert (await instance.call("/v1/drain", method="POST")).status == 401
+        reply = await instance.call("/v1/drain", LARGE.credential, method="POST")
+        assert reply.status == 403
+        assert not instance.drained
+        reply = await instance.call("/v1/drain", fakes.OPERATOR, method="POST")
+        assert reply.status == 202
+        assert instance.drained
+
+    fakes.run(test, operators=OPERATORS)
+
+
+def test_health_needs_no_credential() -> None:
+    async def test(instance: fakes.Instance) -> None:
+        reply = await instance.call("/v1/health", client="10.0.0.9")
+        assert reply.status == 200
+        assert reply.json["ready"]
+
+    fakes.run(test, operators=OPERATORS)
+
+
+def test_a_team_sees_its_own_queue_only() -> None:
+    async def test(instance: fakes.Instance) -> None:
+        _shard(instance)
+        everything = (await instance.call("/v1/queues", fakes.OPERATOR)).json
+        own = (await instance.call("/v1/queues", SMALL.credential)).json
+        found = [(g["tier"], g["team"], g["waiting"]) for g in everything["waiting"]]
+        assert found == [
+            ("urgent", LARGE.name, 1),
+            ("urgent", SMALL.name, 1),
+            ("background", LARGE.name, 1),
+        ]
+        assert [group["team"] for group in own["waiting"]] == [SMALL.name]
+        assert not own["running"]
+
+    fakes.run(test, operators=OPERATORS)
+
+
+def test_a_team_sees_its_own_refusals_only() -> None:
+    async def test(instance: fakes.Instance) -> None:
+        for number, team in enumerate([LARGE, SMALL]):
+            entry = instance.entry(team.name, unique=f"u{number}")
+            instance.owned._refuse(entry, exceptions.Shed("engines are full"))
+        instance.reports.refused(exceptions.BadId())
+        everything = (await instance.call("/v1/history", fakes.OPERATOR)).json
+        own = (await instance.call("/v1/history", SMALL.credential)).json
+        refused = [event for event in everything if event["name"] == "refused"]
+        codes = [event["fields"]["code"] for event in refused]
+        assert codes == ["bad_id", "shed_overload", "shed_overload"]
+        assert refused[1]["fields"]["message"] == "engines are full"
+        assert [event["team"] for event in own] == [SMALL.name]
+
+    fakes.run(test, operators=OPERATORS)
+
+
+def test_history_keeps_alarms_and_counts_them(caplog: pytest.LogCaptureFixture) -> None:
+    async def test(instance: fakes.Instance) -> None:
+        logging.getLogger("cassiaquay").setLevel(logging.INFO)
+        logs.trouble("peer_not_reading", peer="cq-2")
+        events = (await instance.call("/v1/history?limit=1")).json
+        assert events[0]["name"] == "peer_not_reading"
+        assert events[0]["alarm"]
+        assert events[0]["fields"]["peer"] == "cq-2"
+        page = (await instance.call("/metrics")).body.decode()
+        assert 'cassiaquay_alarms_total{event="peer_not_reading"} 1' in page
+
+    fakes.run(test)
+
+
+def test_history_is_bounded() -> None:
+    async def test(instance: fakes.Instance) -> None:
+        for number in range(9):
+            instance.reports.history.refused("", number=number)
+        events = (await instance.call("/v1/history")).json
+        assert [event["fields"]["number"] for event in events] == [8, 7, 6]
+
+    fakes.run(test, reports={"history": 3})
+
+
+def test_explains_a_described_request() -> None:
+    async def test(instance: fakes.Instance) -> None:
+        shard = _shard(instance)
+        shard.gone.add("tutor-1")
+        path = f"/v1/explain?service=tutor-assist&team={SMALL.name}&tier=standard"
+        found = (await instance.call(path)).json
+        assert (found["tier"], found["rank"]) == ("standard", 2)
+        assert found["keeper"] == "cq-1"
+        placement = found["placement"]
+        assert (placement["ahead_higher"], placement["ahead_same"]) == (2, 0)
+        verdicts = {item["server"]: item["verdict"] for item in placement["servers"]}
+        assert verdicts["tutor-1"] == "leaving: gets no new work"
+        assert verdicts["tutor-2"] == "fits"
+
+    fakes.run(test)
+
+
+def test_explains_a_request_by_its_id_to_its_team_only() -> None:
+    async def test(instance: fakes.Instance) -> None:
+        entry = instance.entry(LARGE.name)
+        instance.owned._refuse(entry, exceptions.Infeasible())
+        path = f"/v1/explain?id={entry.accepted.id.text}"
+        found = (await instance.call(path, LARGE.credential)).json
+        assert found["state"] == "refused"
+        assert any("deadline_infeasible" in reason for reason in found["reasons"])
+        assert (await instance.call(path, SMALL.credential)).status == 404
+
+    fakes.run(test, operators=OPERATORS)
+
+
+def test_explain_says_why_it_cannot() -> None:
+    async def test(instance: fakes.Instance) -> None:
+        for query, status in (
+            ("id=nonsense", 400),
+            ("service=none&team=feedback", 400),
+            ("service=tutor-assist&team=feedback&prompt_tokens=-1", 400),
+        ):
+            reply = await instance.call(f"/v1/explain?{query}")
+            assert reply.status == status
+            assert reply.json["message"]
+
+    fakes.run(test)
+
+
+def test_configuration_shows_what_was_refused_and_what_is_on_its_way() -> None:
+    async def test(instance: fakes.Instance) -> None:
+        instance.configured.accept(2, "tiers = 1")
+        instance.membership._learn(
+            messages.Member(
+                "cq-2", "b" * 12, "leicester", "h", "p", 1, False, "t", 0.0, 3, 1.0, "a"
+            )
+        )
+        found = (await instance.call("/v1/configuration")).json
+        assert (found["revision"], found["pending"]) == (1, 3)
+        assert "text_shape" in found["rejected"]["2"]
+        instances = (await instance.call("/v1/instances")).json
+        assert [item["instance"] for item in instances] == ["cq-1", "cq-2"]
+
+    fakes.run(test)
