--- /dev/null
+++ b/packages/cli/cassiaquay_cli/burn_sums.py
@@ -0,0 +1,281 @@
+"""Burn of service-level objectives, added up over the instances of a fleet."""
+
+import time
+import typing
+
+from . import bodies, clients
+
+# Rates of the usual two-window alarms: at 14.4 a thirtieth of a month's budget is
+# spent in 1.4 hours, at 1 it is spent exactly when the period ends.
+PAGE_RATE = 14.4
+TICKET_RATE = 1.0
+FAST = ("5m", "1h")
+SLOW = ("6h", "3d")
+PERIOD = "3d"
+BURNERS = 5
+
+
+class WindowBurn(typing.TypedDict):
+    """One objective in one window.
+
+    Attributes
+    ----------
+    name : str
+        Window.
+    total, good : int
+        Requests.
+    rate : float or None
+        Share of bad requests over the share that the objective allows; None without
+        requests.
+    """
+
+    name: str
+    total: int
+    good: int
+    rate: float | None
+
+
+class Burner(typing.TypedDict):
+    """A team or backend server and its part of an objective's bad requests."""
+
+    axis: str
+    name: str
+    bad: int
+    total: int
+    part: float
+
+
+class ObjectiveBurn(typing.TypedDict):
+    """One objective: how fast its budget burns, what is left, who burns it."""
+
+    service: str
+    tier: str
+    share: float
+    within_ms: int
+    windows: list[WindowBurn]
+    budget_left: float | None
+    verdict: str
+    burners: list[Burner]
+
+
+class Young(typing.TypedDict):
+    """An instance that has not counted for as long as the windows are."""
+
+    instance: str
+    incarnation: str
+    since: float
+    counted_seconds: float
+
+
+class Bucket(typing.TypedDict):
+    """One point of a plot."""
+
+    age_seconds: float
+    total: int
+    good: int
+
+
+class Series(typing.TypedDict):
+    """The points of one objective in one ring, oldest first."""
+
+    service: str
+    tier: str
+    ring: str
+    bucket_seconds: float
+    points: list[Bucket]
+
+
+class Report(typing.TypedDict):
+    """What a fleet's instances know of its objectives, and what is missing."""
+
+    at: float
+    revision: int
+    instances: int
+    objectives: list[ObjectiveBurn]
+    missing: list[dict[str, str]]
+    young: list[Young]
+    coverage: dict[str, float]
+    excluded: int
+    series: list[Series]
+
+
+def report(collected: clients.Collected[bodies.Burn]) -> Report:
+    """Return the burn of a fleet from its instances' counts."""
+    answers = list(collected.answers.values())
+    newest = max(answers, key=lambda item: item["revision"], default=None)
+    objectives = newest["objectives"] if newest is not None else []
+    found = Report(
+        at=time.time(),
+        revision=newest["revision"] if newest is not None else 0,
+        instances=len(answers),
+        objectives=[_objective(item, answers) for item in objectives],
+        missing=[dict(item._asdict()) for item in collected.missing],
+        young=_young(answers),
+        coverage=_coverage(answers, len(collected.missing)),
+        excluded=sum(item["report"]["excluded"] for item in answers),
+        series=[],
+    )
+    for objective in objectives:
+        for ring in ("fast", "slow"):
+            found["series"].append(_series(objective, ring, answers))
+    return found
+
+
+def is_burning(found: Report) -> bool:
+    """Return whether an objective burns too fast or its budget is spent."""
+    return any(item["verdict"] in ("page", "ticket") for item in found["objectives"])
+
+
+def _objective(
+    objective: bodies.Objective, answers: list[bodies.Burn]
+) -> ObjectiveBurn:
+    windows = []
+    for name in (*FAST, *SLOW):
+        total, good = _sum(objective, answers, name, "all").get("", (0, 0))
+        windows.append(
+            WindowBurn(
+                name=name,
+                total=total,
+                good=good,
+                rate=_rate(objective["share"], total, good),
+            )
+        )
+    period = windows[-1]
+    left = None if period["rate"] is None else 1.0 - period["rate"]
+    return ObjectiveBurn(
+        service=objective["service"],
+        tier=objective["tier"],
+        share=objective["share"],
+        within_ms=objective["within_ms"],
+        windows=windows,
+        budget_left=left,
+        verdict=_verdict({item["name"]: item["rate"] for item in windows}),
+        burners=_burners(objective, answers),
+    )
+
+
+def _sum(
+    objective: bodies.Objective, answers: list[bodies.Burn], window: str, axis: str
+) -> dict[str, tuple[int, int]]:
+    found: dict[str, tuple[int, int]] = {}
+    for answer in answers:
+        for item in answer["report"]["windows"]:
+            if item["name"] != window:
+                continue
+            for count in item["counts"]:
+                if count["axis"] != axis or not _matches(objective, count):
+                    continue
+                total, good = found.get(count["name"], (0, 0))
+                found[count["name"]] = (total + count["total"], good + count["good"])
+    return found
+
+
+def _matches(objective: bodies.Objective, count: bodies.Count | bodies.Point) -> bool:
+    return (
+        count["service"] == objective["service"] and count["tier"] == objective["tier"]
+    )
+
+
+def _rate(share: float, total: int, good: int) -> float | None:
+    if not total:
+        return None
+    bad = (total - good) / total
+    allowed = 1.0 - share
+    if allowed <= 0.0:
+        # An objective of every single request has no budget: one bad request
+        # spends it many times over.
+        return 0.0 if not bad else bad * total * PAGE_RATE
+    return bad / allowed
+
+
+def _verdict(rates: dict[str, float | None]) -> str:
+    if all(rate is None for rate in rates.values()):
+        return "no data"
+    # Both windows of a pair: the long one says that it matters, the short one that it
+    # still goes on.
+    if all((rates[name] or 0.0) >= PAGE_RATE for name in FAST):
+        return "page"
+    if all((rates[name] or 0.0) >= TICKET_RATE for name in SLOW):
+        return "ticket"
+    return "ok"
+
+
+def _burners(objective: bodies.Objective, answers: list[bodies.Burn]) -> list[Burner]:
+    total, good = _sum(objective, answers, PERIOD, "all").get("", (0, 0))
+    found = []
+    for axis in ("team", "server"):
+        rows = []
+        for name, (mine, mine_good) in _sum(objective, answers, PERIOD, axis).items():
+            bad = mine - mine_good
+            if not bad:
+                continue
+            part = bad / max(total - good, 1)
+            rows.append(Burner(axis=axis, name=name, bad=bad, total=mine, part=part))
+        rows.sort(key=lambda row: row["bad"], reverse=True)
+        found += rows[:BURNERS]
+    return found
+
+
+def _young(answers: list[bodies.Burn]) -> list[Young]:
+    found = []
+    for answer in answers:
+        window = answer["report"]["windows"][-1]
+        if window["counted_seconds"] >= window["seconds"]:
+            continue
+        found.append(
+            Young(
+                instance=answer["instance"],
+                incarnation=answer["incarnation"],
+                since=answer["since"],
+                counted_seconds=window["counted_seconds"],
+            )
+        )
+    return found
+
+
+def _coverage(answers: list[bodies.Burn], missing: int) -> dict[str, float]:
+    """Return the part of instances' time in each window that was counted."""
+    found = {}
+    for name in (*FAST, *SLOW):
+        counted = 0.0
+        for answer in answers:
+            for window in answer["report"]["windows"]:
+                if window["name"] == name:
+                    counted += window["counted_seconds"] / window["seconds"]
+        found[name] = counted / max(len(answers) + missing, 1)
+    return found
+
+
+def _series(
+    objective: bodies.Objective, ring: str, answers: list[bodies.Burn]
+) -> Series:
+    seconds = 60.0 if ring == "fast" else 3600.0
+    for answer in answers:
+        windows = {item["name"]: item for item in answer["report"]["windows"]}
+        seconds = windows["1h"]["seconds"] / 60.0
+        if ring == "slow":
+            seconds = windows["3d"]["seconds"] / 72.0
+    buckets: dict[int, list[int]] = {}
+    for answer in answers:
+        points = answer["report"]["fast"]
+        if ring == "slow":
+            points = answer["report"]["slow"]
+        for point in points:
+            if not _matches(objective, point):
+                continue
+            bucket = buckets.setdefault(int(point["age_seconds"] / seconds), [0, 0])
+            bucket[0] += point["total"]
+            bucket[1] += point["good"]
+    points_found = []
+    for number in sorted(buckets, reverse=True):
+        total, good = buckets[number]
+        points_found.append(
+            Bucket(age_seconds=number * seconds, total=total, good=good)
+        )
+    return Series(
+        service=objective["service"],
+        tier=objective["tier"],
+        ring=ring,
+        bucket_seconds=seconds,
+        points=points_found,
+    )
--- /dev/null
+++ b/packages/cli/cassiaquay_cli/check.py
@@ -0,0 +1,42 @@
+"""``cassiaquay check``: judge a fleet text without a fleet."""
+
+import typing
+
+from . import commands, files, outputs
+
+
+class Sizes(typing.TypedDict):
+    """What an accepted text holds."""
+
+    services: int
+    pools: int
+    servers: int
+    tiers: int
+    teams: int
+
+
+@commands.commands.register("check")
+def check(file: str, json: bool = False) -> outputs.Shown:
+    """Check a fleet text whole, without a fleet; exits 2 when it is refused.
+
+    Parameters
+    ----------
+    file : str
+        Path of the text.
+    json : bool
+        Print JSON.
+    """
+    found = files.read_fleet(str(file))
+    sizes = Sizes(
+        services=len(found.services),
+        pools=len(found.pools),
+        servers=sum(len(pool.servers) for pool in found.pools.values()),
+        tiers=len(found.tiers),
+        teams=len(found.teams),
+    )
+    text = (
+        f"accepted: {sizes['services']} services, {sizes['pools']} pools,"
+        f" {sizes['servers']} backend servers, {sizes['tiers']} tiers,"
+        f" {sizes['teams']} teams"
+    )
+    return outputs.show(outputs.Output(text, sizes), json)
--- /dev/null
+++ b/packages/cli/cassiaquay_cli/clients.py
@@ -0,0 +1,176 @@
+"""Calls to the operators' addresses of a fleet, beginning with one that is known."""
+
+import asyncio
+import os
+import typing
+
+import aiohttp
+import msgspec
+
+from . import bodies, exceptions
+
+ADDRESS_VARIABLE = "CASSIAQUAY_ADMIN"
+CREDENTIAL_VARIABLE = "CASSIAQUAY_CREDENTIAL"
+CALL_SECONDS = 5.0
+
+Body = typing.TypeVar("Body")
+
+
+class Missing(typing.NamedTuple):
+    """An instance that gave no answer, and why."""
+
+    instance: str
+    reason: str
+
+
+class Collected(typing.NamedTuple, typing.Generic[Body]):
+    """What the instances of a fleet answered.
+
+    Attributes
+    ----------
+    answers : dict of str to Body
+        By name of the instance.
+    missing : list of Missing
+        Instances that gave none.
+    """
+
+    answers: dict[str, Body]
+    missing: list[Missing]
+
+
+class Client:
+    """Calls with the operator's credential.
+
+    Parameters
+    ----------
+    at : str
+        host:port to begin with, or several with commas between them, of which the
+        first that answers is taken; the environment's when empty.
+    http : ClientSession
+        Connections.
+    """
+
+    def __init__(self, at: str, http: aiohttp.ClientSession):
+        text = at or os.environ.get(ADDRESS_VARIABLE, "")
+        self.addresses = [part.strip() for part in text.split(",") if part.strip()]
+        if not self.addresses:
+            raise exceptions.AddressMissing(
+                "say where to begin: --at=HOST:PORT or the environment variable"
+                f" {ADDRESS_VARIABLE}; it is `admin=` in a daemon's log line `ready`"
+            )
+        self.at = self.addresses[0]
+        self._http = http
+        self._credential = os.environ.get(CREDENTIAL_VARIABLE, "")
+
+    async def begin(self) -> None:
+        """Begin with the first address that answers; raise when none does."""
+        last: exceptions.NothingAnswers | None = None
+        for address in self.addresses:
+            try:
+                await self.get("/v1/health", bodies.Health, address)
+            except exceptions.Refused:
+                pass
+            except exceptions.NothingAnswers as error:
+                last = error
+                continue
+            self.at = address
+            return
+        if last is not None:
+            raise last
+
+    async def get(self, path: str, shape: type[Body], at: str = "") -> Body:
+        """Return the decoded answer of one instance."""
+        body = await self._call("GET", at or self.at, path)
+        try:
+            return msgspec.json.decode(body, type=shape)
+        except msgspec.DecodeError as error:
+            raise exceptions.NotOperators(
+                f"{at or self.at} answers {path} with something else: {error}"
+            ) from error
+
+    async def post(self, path: str, at: str) -> None:
+        """Order something of one instance."""
+        await self._call("POST", at, path)
+
+    async def instances(self) -> list[bodies.Instance]:
+        """Return the fleet as the first instance sees it."""
+        return await self.get("/v1/instances", list[bodies.Instance])
+
+    async def collect(
+        self, path: str, shape: type[Body], instances: list[bodies.Instance]
+    ) -> Collected[Body]:
+        """Return the answers of all instances, and which gave none."""
+        answers: dict[str, Body] = {}
+        missing = []
+        asked = [item for item in instances if item["admin"]]
+        for item in instances:
+            if not item["admin"]:
+                reason = "listed by the platform, but no heartbeat of it is heard"
+                missing.append(Missing(item["instance"], reason))
+        calls = [self.get(path, shape, item["admin"]) for item in asked]
+        found = await asyncio.gather(*calls, return_exceptions=True)
+        for item, answer in zip(asked, found, strict=True):
+            if isinstance(answer, exceptions.NotAllowed):
+                raise answer
+            if isinstance(answer, exceptions.CommandError):
+                missing.append(Missing(item["instance"], str(answer)))
+                continue
+            if isinstance(answer, BaseException):
+                raise answer
+            answers[item["instance"]] = answer
+        return Collected(answers, missing)
+
+    async def _call(self, method: str, at: str, path: str) -> bytes:
+        headers = {}
+        if self._credential:
+            headers["Authorization"] = f"Bearer {self._credential}"
+        timeout = aiohttp.ClientTimeout(total=CALL_SECONDS)
+        request = self._http.request(
+            method, f"http://{at}{path}", headers=headers, timeout=timeout
+        )
+        try:
+            async with request as response:
+                body = await response.read()
+                _check(at, path, response.status, body)
+                return body
+        except (TimeoutError, aiohttp.ClientError, OSError, ValueError) as error:
+            raise exceptions.NothingAnswers(
+                f"no daemon answers at {at} ({_cause(error)}); is it up, and is this"
+                " its `admin=` address rather than `http=` or `peer=`? Any other"
+                " instance of the fleet does as well"
+            ) from error
+
+
+def missing_lines(missing: list[Missing]) -> list[str]:
+    """Return a line for each instance that gave no answer."""
+    return [f"no answer of {item.instance}: {item.reason}" for item in missing]
+
+
+def _check(at: str, path: str, status: int, body: bytes) -> None:
+    if status < 300:
+        return
+    try:
+        problem = msgspec.json.decode(body, type=bodies.Problem)
+    except msgspec.DecodeError:
+        problem = bodies.Problem()
+    code = problem.get("code", "")
+    message = f"{at}: {code or status}: {problem.get('message', '')}"
+    if status in (401, 403) and code:
+        raise exceptions.NotAllowed(
+            f"{message}; put the credential into {CREDENTIAL_VARIABLE}"
+        )
+    if not code:
+        raise exceptions.NotOperators(
+            f"something answers at {at}, but does not know {path} (status {status});"
+            " is it the callers' address? The operators' is `admin=` in the log line"
+            " `ready`"
+        )
+    raise exceptions.Refused(message)
+
+
+def _cause(error: Exception) -> str:
+    if isinstance(error, aiohttp.ClientConnectorError):
+        return error.os_error.strerror or str(error)
+    if isinstance(error, TimeoutError):
+        return f"no answer within {CALL_SECONDS:.0f} s"
+    return str(error) or type(error).__name__
--- /dev/null
+++ b/packages/cli/cassiaquay_cli/diff.py
@@ -0,0 +1,25 @@
+"""``cassiaquay diff``: what a new fleet text would change."""
+
+from . import commands, differences, files, outputs
+
+
+@commands.commands.register("diff")
+def diff(old: str, new: str, json: bool = False) -> outputs.Shown:
+    """Show what a new fleet text would change, place by place.
+
+    Parameters
+    ----------
+    old, new : str
+        Paths of the texts.
+    json : bool
+        Print JSON.
+    """
+    before, after = files.read_fleet(str(old)), files.read_fleet(str(new))
+    found = differences.between(before, after)
+    lines = []
+    for item in found:
+        left, right = item.before or "(none)", item.after or "(none)"
+        lines.append(f"{item.place}: {left} -> {right}")
+    text = "\n".join(lines) or "no difference"
+    data = [item._asdict() for item in found]
+    return outputs.show(outputs.Output(text, data), json)
--- /dev/null
+++ b/packages/cli/cassiaquay_cli/drain.py
@@ -0,0 +1,80 @@
+"""``cassiaquay drain``: the graceful shutdown of one instance."""
+
+import asyncio
+
+from . import bodies, clients, commands, exceptions, outputs
+
+POLL_SECONDS = 0.3
+
+
+def find(instances: list[bodies.Instance], name: str, force: bool) -> bodies.Instance:
+    """Return the instance to be drained; raise CommandError when it must not be."""
+    live = [item for item in instances if item["admin"]]
+    named = [item for item in live if item["instance"] == name]
+    if not named:
+        known = ", ".join(item["instance"] for item in live) or "none"
+        raise exceptions.UnknownInstance(f"no live instance {name!r}; live: {known}")
+    others = []
+    for item in live:
+        if item["state"] == "serving" and item["instance"] != name:
+            others.append(item["instance"])
+    if not others and not force:
+        raise exceptions.LastInstance(
+            f"{name} is the last instance that serves: callers would have no address;"
+            " --force drains it all the same"
+        )
+    return named[0]
+
+
+async def gone(client: clients.Client, address: str, timeout: float) -> None:
+    """Return when an instance answers no more; raise StillThere when it does."""
+    end = asyncio.get_running_loop().time() + timeout
+    while True:
+        try:
+            await client.get("/v1/status", bodies.Status, address)
+        except exceptions.NothingAnswers:
+            return
+        if asyncio.get_running_loop().time() > end:
+            raise exceptions.StillThere(
+                f"it still works on open requests after {timeout:g} s; it ends when"
+                " they have: `cassiaquay status` shows how many"
+            )
+        await asyncio.sleep(POLL_SECONDS)
+
+
+@commands.commands.register("drain")
+def drain(
+    instance: str,
+    at: str = "",
+    wait: bool = True,
+    timeout: float = 60.0,
+    force: bool = False,
+    json: bool = False,
+) -> outputs.Shown:
+    """Shut one instance down gracefully; no request in progress is cut off.
+
+    Parameters
+    ----------
+    instance : str
+        Its name.
+    at : str
+        Operators' address of any instance; CASSIAQUAY_ADMIN otherwise.
+    wait : bool
+        Return only when it has gone; --nowait returns at once.
+    timeout : float
+        Longest wait, seconds.
+    force : bool
+        Drain also the last instance that serves.
+    json : bool
+        Print JSON.
+    """
+
+    async def work(client: clients.Client) -> outputs.Output:
+        chosen = find(await client.instances(), str(instance), force)
+        await client.post("/v1/drain", chosen["admin"])
+        if wait:
+            await gone(client, chosen["admin"], timeout)
+        text = f"{instance} has gone" if wait else f"{instance} leaves"
+        return outputs.Output(text, {"instance": instance, "gone": wait})
+
+    return outputs.show(commands.run(at, work), json)
--- /dev/null
+++ b/packages/cli/cassiaquay_cli/explain.py
@@ -0,0 +1,81 @@
+"""``cassiaquay explain``: which limits, tier, keeper and engine apply, and why."""
+
+import urllib.parse
+
+from . import bodies, clients, commands, outputs
+
+
+def text_of(found: bodies.Explanation) -> str:
+    """Return an explanation for people."""
+    lines = []
+    if found["id"]:
+        lines.append(f"request {found['id']}: {found['state']}")
+    lines.append(f"service {found['service']}, team {found['team']}")
+    lines.append(f"tier {found['tier']} (rank {found['rank']})")
+    lines.append(
+        f"deadline {found['deadline_ms']} ms, configuration {found['revision']}"
+    )
+    lines.append(f"shard {found['shard']}, kept by {found['keeper']}")
+    lines += [f"- {reason}" for reason in found["reasons"]]
+    placement = found["placement"]
+    if placement is None:
+        return "\n".join(lines)
+    if not placement["keeper_since_open"]:
+        lines.append("- the keeper is new and waits for owners' renewals first")
+    lines.append(
+        f"- ahead of it: {placement['ahead_higher']} of higher tiers,"
+        f" {placement['ahead_same']} of its own"
+    )
+    if placement["server"]:
+        lines.append(f"- backend server: {placement['server']}")
+    else:
+        lines.append("- no backend server has room now: it would wait")
+    rows = []
+    for item in placement["servers"]:
+        load = f"{item['requests']}/{item['slots']}"
+        rows.append([item["server"], item["verdict"], load, str(item["tokens"])])
+    header = ["server", "verdict", "requests", "tokens"]
+    return "\n".join(lines) + "\n\n" + outputs.table(header, rows)
+
+
+@commands.commands.register("explain")
+def explain(
+    id: str = "",
+    service: str = "",
+    team: str = "",
+    tier: str = "",
+    prompt_tokens: int = 0,
+    output_tokens: int = 256,
+    at: str = "",
+    json: bool = False,
+) -> outputs.Shown:
+    """Explain a request by its id, or where a described request would go.
+
+    Parameters
+    ----------
+    id : str
+        Request id; its owner is asked.
+    service, team, tier : str
+        A described request; the team's default tier when empty.
+    prompt_tokens, output_tokens : int
+        Its size.
+    at : str
+        Operators' address of any instance; CASSIAQUAY_ADMIN otherwise.
+    json : bool
+        Print JSON.
+    """
+    query = {
+        "id": id,
+        "service": service,
+        "team": team,
+        "tier": tier,
+        "prompt_tokens": prompt_tokens,
+        "output_tokens": output_tokens,
+    }
+    path = "/v1/explain?" + urllib.parse.urlencode(query)
+
+    async def work(client: clients.Client) -> outputs.Output:
+        found = await client.get(path, bodies.Explanation)
+        return outputs.Output(text_of(found), found)
+
+    return outputs.show(commands.run(at, work), json)
--- /dev/null
+++ b/packages/cli/cassiaquay_cli/history.py
@@ -0,0 +1,76 @@
+"""``cassiaquay history``: recent events and refusals of all instances, in order."""
+
+import datetime
+import typing
+
+from . import bodies, clients, commands, outputs
+
+
+class Line(typing.NamedTuple):
+    """An event and the instance that it happened at."""
+
+    instance: str
+    event: bodies.Event
+
+
+def merge(
+    collected: clients.Collected[list[bodies.Event]], limit: int, alarms: bool
+) -> list[Line]:
+    """Return the last events of all instances, oldest first."""
+    lines = []
+    for instance, events in collected.answers.items():
+        for event in events:
+            if alarms and not event["alarm"]:
+                continue
+            lines.append(Line(instance, event))
+    lines.sort(key=lambda line: line.event["at"])
+    return lines[-limit:]
+
+
+def text_of(line: Line) -> str:
+    """Return one line for people."""
+    event = line.event
+    at = datetime.datetime.fromtimestamp(event["at"]).isoformat(" ", "milliseconds")
+    mark = "!" if event["alarm"] else " "
+    fields = []
+    for key, value in event["fields"].items():
+        if value in ("", None):
+            continue
+        fields.append(f"{key}={value}")
+    return f"{at} {mark} {line.instance} {event['name']} {' '.join(fields)}"
+
+
+@commands.commands.register("history")
+def history(
+    limit: int = 50, alarms: bool = False, at: str = "", json: bool = False
+) -> outputs.Shown:
+    """Show recent events and refusals of a fleet; exits 6 when instances are missing.
+
+    With a team's credential it shows that team's refusals only.
+
+    Parameters
+    ----------
+    limit : int
+        Lines shown.
+    alarms : bool
+        Only events that an operator should look at.
+    at : str
+        Operators' address of any instance; CASSIAQUAY_ADMIN otherwise.
+    json : bool
+        Print JSON.
+    """
+
+    async def work(client: clients.Client) -> outputs.Output:
+        instances = await client.instances()
+        found = await client.collect("/v1/history", list[bodies.Event], instances)
+        lines = merge(found, limit, alarms)
+        texts = [text_of(line) for line in lines] or ["nothing has happened"]
+        texts += clients.missing_lines(found.missing)
+        data = {
+            "events": [{"instance": i, **event} for i, event in lines],
+            "missing": [item._asdict() for item in found.missing],
+        }
+        code = outputs.PARTIAL if found.missing else outputs.COMPLETE
+        return outputs.Output("\n".join(texts), data, code)
+
+    return outputs.show(commands.run(at, work), json)
--- a/packages/cli/cassiaquay_cli/main.py
+++ b/packages/cli/cassiaquay_cli/main.py
@@ -4,51 +4,36 @@
 
 import fire
 
-from . import differences, exceptions, files
-
-
-class Commands:
-    """Operate a fleet of cassiaquay daemons."""
-
-    def check(self, file: str) -> str:
-        """Check a fleet text whole, without a fleet.
-
-        Parameters
-        ----------
-        file : str
-            Path of the text.
-        """
-        found = files.read_fleet(file)
-        servers = sum(len(pool.servers) for pool in found.pools.values())
-        return (
-            f"accepted: {len(found.services)} services, {len(found.pools)} pools,"
-            f" {servers} backend servers, {len(found.tiers)} tiers,"
-            f" {len(found.teams)} teams"
-        )
-
-    def diff(self, old: str, new: str) -> str:
-        """Show what a new fleet text would change.
-
-        Parameters
-        ----------
-        old, new : str
-            Paths of the texts.
-        """
-        found = differences.between(files.read_fleet(old), files.read_fleet(new))
-        lines = []
-        for item in found:
-            before, after = item.before or "(none)", item.after or "(none)"
-            lines.append(f"{item.place}: {before} -> {after}")
-        return "\n".join(lines) or "no difference"
+from . import (
+    burn,
+    check,
+    commands,
+    diff,
+    drain,
+    exceptions,
+    explain,
+    history,
+    outputs,
+    status,
+    top,
+)
+
+# Importing a command's module registers it.
+MODULES = (burn, check, diff, drain, explain, history, status, top)
 
 
 def run() -> None:
-    """Read the command line."""
+    """Read the command line, run the command, exit with its code."""
+    named = {name: commands.commands.get(name) for name in commands.commands.names()}
     try:
-        fire.Fire(Commands, name="cassiaquay")
+        shown = fire.Fire(named, name="cassiaquay")
     except exceptions.CommandError as error:
         print(f"cassiaquay: {error.code}: {error}", file=sys.stderr)
         raise SystemExit(error.exit_code) from error
+    except KeyboardInterrupt:
+        raise SystemExit(outputs.COMPLETE) from None
+    if isinstance(shown, outputs.Shown):
+        raise SystemExit(shown.exit_code)
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/packages/cli/cassiaquay_cli/status.py
@@ -0,0 +1,141 @@
+"""``cassiaquay status``: instances, configuration, backend servers, queues."""
+
+import time
+import typing
+
+from . import bodies, clients, commands, outputs
+
+
+class Fleet(typing.NamedTuple):
+    """What all instances of a fleet say of themselves."""
+
+    instances: list[bodies.Instance]
+    statuses: clients.Collected[bodies.Status]
+    servers: list[bodies.Server]
+    waiting: list[bodies.Group]
+
+
+async def collect(client: clients.Client) -> Fleet:
+    """Return the state of the fleet."""
+    instances = await client.instances()
+    statuses = await client.collect("/v1/status", bodies.Status, instances)
+    servers = await client.collect("/v1/servers", list[bodies.Server], instances)
+    queues = await client.collect("/v1/queues", bodies.Queues, instances)
+    groups = []
+    for answer in queues.answers.values():
+        groups.extend(answer["waiting"])
+    lines = []
+    for found in servers.answers.values():
+        lines.extend(found)
+    lines.sort(key=lambda line: (line["shard"], line["server"]))
+    return Fleet(instances, statuses, lines, groups)
+
+
+def instance_table(fleet: Fleet) -> str:
+    """Return a line for each instance."""
+    rows = []
+    for item in fleet.instances:
+        name = item["instance"]
+        status = fleet.statuses.answers.get(name)
+        if status is None:
+            state = item["state"] if item["state"] == "silent" else "no answer"
+            rows.append([name, item["domain"], state, "", "", "", item["admin"]])
+            continue
+        age = outputs.duration(time.time() - status["since"])
+        rows.append(
+            [
+                name,
+                item["domain"],
+                "leaving" if status["leaving"] else item["state"],
+                str(status["revision"]),
+                str(status["open"]),
+                age,
+                item["admin"],
+            ]
+        )
+    header = ["instance", "domain", "state", "revision", "open", "up", "admin"]
+    return outputs.table(header, rows)
+
+
+def configuration_line(fleet: Fleet) -> str:
+    """Return one line on the configuration in force."""
+    revisions = {item["revision"] for item in fleet.statuses.answers.values()}
+    if not revisions:
+        return "configuration: unknown"
+    newest = max(revisions)
+    if len(revisions) == 1:
+        text = f"configuration: revision {newest} everywhere"
+    else:
+        behind = []
+        for name, item in fleet.statuses.answers.items():
+            if item["revision"] < newest:
+                behind.append(f"{name} ({item['revision']})")
+        text = f"configuration: revision {newest}, pending at {', '.join(behind)}"
+    rejected = {}
+    for item in fleet.statuses.answers.values():
+        for revision, cause in item["rejected"].items():
+            if int(revision) > newest:
+                rejected[revision] = cause
+    for revision, cause in rejected.items():
+        text += f"\nrevision {revision} was rejected: {cause}"
+    return text
+
+
+def server_table(fleet: Fleet) -> str:
+    """Return a line for each backend server."""
+    rows = []
+    for item in fleet.servers:
+        load = f"{item['requests']}/{item['slots']}"
+        tokens = str(item["tokens"])
+        row = [item["shard"], item["server"], item["domain"], item["state"]]
+        rows.append([*row, load, tokens])
+    header = ["shard", "server", "domain", "state", "requests", "tokens"]
+    return outputs.table(header, rows)
+
+
+def queue_table(fleet: Fleet) -> str:
+    """Return a line for each tier and team that waits."""
+    rows = []
+    for item in fleet.waiting:
+        oldest = f"{item['oldest_seconds']:.1f} s"
+        row = [item["shard"], item["tier"], item["team"], str(item["waiting"])]
+        rows.append([*row, oldest])
+    if not rows:
+        return "nothing waits"
+    return outputs.table(["shard", "tier", "team", "waiting", "oldest"], rows)
+
+
+@commands.commands.register("status")
+def status(at: str = "", json: bool = False) -> outputs.Shown:
+    """Show instances, configuration, backend servers and queues of a fleet.
+
+    Exits 6 when some instances gave no answer.
+
+    Parameters
+    ----------
+    at : str
+        Operators' address of any instance; CASSIAQUAY_ADMIN otherwise.
+    json : bool
+        Print JSON.
+    """
+
+    async def work(client: clients.Client) -> outputs.Output:
+        fleet = await collect(client)
+        parts = [
+            instance_table(fleet),
+            configuration_line(fleet),
+            server_table(fleet),
+            queue_table(fleet),
+            *clients.missing_lines(fleet.statuses.missing),
+        ]
+        data = {
+            "instances": fleet.instances,
+            "statuses": fleet.statuses.answers,
+            "missing": [item._asdict() for item in fleet.statuses.missing],
+            "servers": fleet.servers,
+            "waiting": fleet.waiting,
+        }
+        partial = outputs.PARTIAL if fleet.statuses.missing else outputs.COMPLETE
+        return outputs.Output("\n\n".join(parts), data, partial)
+
+    return outputs.show(commands.run(at, work), json)
--- /dev/null
+++ b/packages/cli/cassiaquay_cli/top.py
@@ -0,0 +1,71 @@
+"""``cassiaquay top``: the fleet as it works, drawn anew every moment."""
+
+import asyncio
+import sys
+
+from . import bodies, clients, commands, outputs, status
+
+CLEAR = "\x1b[2J\x1b[H"
+OUTCOMES = ("completed", "not_run", "outcome_unknown", "failed")
+
+
+def rates(
+    before: dict[str, bodies.Status], now: dict[str, bodies.Status], seconds: float
+) -> dict[str, float]:
+    """Return ended requests a second by outcome, over all instances."""
+    found = dict.fromkeys(OUTCOMES, 0.0)
+    for name, current in now.items():
+        old = before.get(name)
+        # Counters of a new life of an instance begin at 0: no rate can be told.
+        if old is None or old["incarnation"] != current["incarnation"]:
+            continue
+        for outcome, count in current["ended"].items():
+            difference = count - old["ended"].get(outcome, 0)
+            found[outcome] = found.get(outcome, 0.0) + difference / seconds
+    return found
+
+
+def screen(fleet: status.Fleet, speed: dict[str, float]) -> str:
+    """Return one screen."""
+    parts = [f"{outcome} {value:.1f}/s" for outcome, value in speed.items()]
+    texts = [
+        "  ".join(parts),
+        status.instance_table(fleet),
+        status.configuration_line(fleet),
+        status.server_table(fleet),
+        status.queue_table(fleet),
+        *clients.missing_lines(fleet.statuses.missing),
+    ]
+    return "\n\n".join(texts)
+
+
+@commands.commands.register("top")
+def top(every: float = 1.0, times: int = 0, at: str = "") -> outputs.Shown:
+    """Show rates, instances, backend servers and queues, live; ends with ctrl-c.
+
+    Parameters
+    ----------
+    every : float
+        Seconds between two screens.
+    times : int
+        Screens drawn; 0 goes on for ever.
+    at : str
+        Operators' address of any instance; CASSIAQUAY_ADMIN otherwise.
+    """
+
+    async def work(client: clients.Client) -> outputs.Output:
+        before = (await status.collect(client)).statuses.answers
+        drawn = 0
+        while True:
+            await asyncio.sleep(every)
+            fleet = await status.collect(client)
+            now = fleet.statuses.answers
+            text = screen(fleet, rates(before, now, every))
+            before = now
+            drawn += 1
+            if times and drawn >= times:
+                return outputs.Output(text, None)
+            sys.stdout.write(CLEAR + text + "\n")
+            sys.stdout.flush()
+
+    return outputs.show(commands.run(at, work), False)
--- a/packages/daemon/cassiaquay_daemon/admin.py
+++ b/packages/daemon/cassiaquay_daemon/admin.py
@@ -12,7 +12,7 @@
 from cassiaquay_schema import messages
 from cassiaquay_schema import settings as settings_schema
 
-from . import burn, clock, exceptions, explain, logs, reports, viewers, views
+from . import burn, clock, exceptions, explain, logs, metrics, reports, viewers, views
 
 MAX_HISTORY = 1000
 DEFAULT_HISTORY = 100
@@ -98,7 +98,11 @@
             "ready": ready,
             "leaving": self._parts.membership.leaving,
         }
-        return _json(body, 200 if ready else 503)
+        if ready:
+            return _json(body)
+        refusal = exceptions.NotReady()
+        body |= {"code": refusal.code, "message": refusal.message}
+        return _json(body, int(refusal.status))
 
     async def _status(
         self, request: requests.Request, viewer: viewers.Viewer
@@ -116,6 +120,7 @@
             "rejected": parts.configured.rejected,
             "members": [member.instance for member in parts.membership.serving()],
             "open": parts.owned.open_count,
+            "ended": self._noted.metrics.total(metrics.REQUESTS, 2),
             "shards": {
                 name: {"queue": len(shard.queue), "running": len(shard.running)}
                 for name, shard in parts.kept.shards.items()
@@ -126,7 +131,7 @@
     async def _instances(
         self, request: requests.Request, viewer: viewers.Viewer
     ) -> responses.Response:
-        viewer.must_be_operator()
+        # Teams may have it too: they find their queues and refusals at all instances.
         return _json(views.instances(self._parts.membership))
 
     async def _servers(
--- a/packages/daemon/cassiaquay_daemon/metrics.py
+++ b/packages/daemon/cassiaquay_daemon/metrics.py
@@ -243,6 +243,13 @@
             self._collectors[family.name].set_value(_labels(family, key), held)
         held.observe(seconds)
 
+    def total(self, family: Family, position: int) -> dict[str, int]:
+        """Return a counter's sums by the label at ``position``."""
+        found: dict[str, int] = {}
+        for key, value in self._counts[family.name].items():
+            found[key[position]] = found.get(key[position], 0) + value
+        return found
+
     def replace(self, family: Family, values: dict[Key, float]) -> None:
         """Set all values of a gauge, or of a counter that is kept elsewhere."""
         collector = self._collectors[family.name]
--- a/packages/dev/cassiaquay_dev/driver.py
+++ b/packages/dev/cassiaquay_dev/driver.py
@@ -66,9 +66,13 @@
             await asyncio.sleep(max(start + arrival.at - loop.time(), 0.0))
             tasks.append(asyncio.create_task(self._send(arrival)))
         await asyncio.gather(*tasks)
+        await self.close()
+        return self.results
+
+    async def close(self) -> None:
+        """Close the sessions, also after a run that was cancelled."""
         for session in self._sessions.values():
             await session.close()
-        return self.results
 
     def _session(self, arrival: workloads.Arrival) -> cassiaquay.Session:
         team = arrival.team
--- a/packages/schema/cassiaquay_schema/settings.py
+++ b/packages/schema/cassiaquay_schema/settings.py
@@ -150,7 +150,7 @@
     history: typing.Annotated[int, msgspec.Meta(ge=1)] = 500
     heaviest_teams: typing.Annotated[int, msgspec.Meta(ge=1)] = 10
     burn_scale: typing.Annotated[float, msgspec.Meta(gt=0)] = 1.0
-    burn_max_cells: typing.Annotated[int, msgspec.Meta(ge=10)] = 1000
+    burn_max_cells: typing.Annotated[int, msgspec.Meta(ge=10)] = 400
 
 
 class Settings(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
--- /dev/null
+++ b/tests/test_cli.py
@@ -0,0 +1,294 @@
+"""The operators' commands against instances that answer, do not, or answer wrongly."""
+
+import asyncio
+import json
+import os
+import pathlib
+import subprocess
+import sys
+import typing
+
+import aiohttp
+import operators_fakes as fakes
+import pytest
+from starlette import applications, responses, routing
+
+from cassiaquay_cli import (
+    bodies,
+    burn,
+    burn_page,
+    burn_sums,
+    clients,
+    commands,
+    drain,
+    exceptions,
+    explain,
+    history,
+    status,
+    top,
+)
+from cassiaquay_daemon import exceptions as daemon_exceptions
+from cassiaquay_daemon import platform
+from cassiaquay_dev import serving
+
+Test = typing.Callable[[fakes.Instance, clients.Client], typing.Awaitable[None]]
+DEAD = "127.0.0.1:9"
+
+
+class _Served:
+    def __init__(self, application: applications.Starlette):
+        self.app = application
+
+    def start(self) -> None:
+        """Do nothing."""
+
+    async def stop(self) -> None:
+        """Do nothing."""
+
+
+def _run(test: Test, credential: str = "", **more: typing.Any) -> None:
+    async def inside(instance: fakes.Instance) -> None:
+        served = serving.Served(_Served(instance.application))
+        await served.start()
+        instance.membership.admin_address = served.address
+        try:
+            async with aiohttp.ClientSession() as http:
+                client = clients.Client(served.address, http)
+                client._credential = credential
+                await test(instance, client)
+        finally:
+            await served.stop()
+
+    fakes.run(inside, **more)
+
+
+def _cli(*arguments: str, **environment: str) -> subprocess.CompletedProcess[str]:
+    return subprocess.run(
+        [sys.executable, "-m", "cassiaquay_cli.main", *arguments],
+        capture_output=True,
+        text=True,
+        timeout=30,
+        env={**os.environ, "CASSIAQUAY_ADMIN": "", **environment},
+    )
+
+
+def test_status_shows_what_instances_say_and_which_are_silent() -> None:
+    async def test(instance: fakes.Instance, client: clients.Client) -> None:
+        instance.membership.listed["cq-9"] = platform.Listed(
+            "cq-9", "derby", "entry", "h:1", "p:1", False
+        )
+        fleet = await status.collect(client)
+        table = status.instance_table(fleet).splitlines()
+        assert "cq-1" in table[1]
+        assert "serving" in table[1]
+        assert "silent" in table[2]
+        assert [item.instance for item in fleet.statuses.missing] == ["cq-9"]
+        assert status.configuration_line(fleet).endswith("revision 1 everywhere")
+        assert status.queue_table(fleet) == "nothing waits"
+
+    _run(test)
+
+
+def test_history_merges_and_names_what_was_refused() -> None:
+    async def test(instance: fakes.Instance, client: clients.Client) -> None:
+        entry = instance.entry("feedback")
+        refusal = daemon_exceptions.Shed("engines are full")
+        instance.owned._refuse(entry, refusal)
+        instances = await client.instances()
+        found = await client.collect("/v1/history", list[bodies.Event], instances)
+        lines = history.merge(found, 50, False)
+        assert "code=shed_overload" in history.text_of(lines[-1])
+        assert "message=engines are full" in history.text_of(lines[-1])
+        assert not history.merge(found, 50, True)
+
+    _run(test)
+
+
+def test_explain_prints_tier_keeper_and_server() -> None:
+    async def test(instance: fakes.Instance, client: clients.Client) -> None:
+        instance.kept._shard("engines#0")
+        path = "/v1/explain?service=tutor-assist&team=feedback"
+        text = explain.text_of(await client.get(path, bodies.Explanation))
+        assert "tier urgent (rank 0)" in text
+        assert "kept by cq-1" in text
+        assert "backend server: tutor-1" in text
+
+    _run(test)
+
+
+def test_drain_spares_the_last_instance() -> None:
+    async def test(instance: fakes.Instance, client: clients.Client) -> None:
+        instances = await client.instances()
+        with pytest.raises(exceptions.LastInstance):
+            drain.find(instances, "cq-1", False)
+        with pytest.raises(exceptions.UnknownInstance, match="live: cq-1"):
+            drain.find(instances, "cq-7", False)
+        chosen = drain.find(instances, "cq-1", True)
+        await client.post("/v1/drain", chosen["admin"])
+        assert instance.drained
+        with pytest.raises(exceptions.StillThere):
+            await drain.gone(client, client.at, 0.1)
+        await drain.gone(client, DEAD, 5.0)
+
+    _run(test)
+
+
+def test_a_team_reads_its_own_and_no_more() -> None:
+    async def test(instance: fakes.Instance, client: clients.Client) -> None:
+        instances = await client.instances()
+        found = await client.collect("/v1/history", list[bodies.Event], instances)
+        assert list(found.answers) == ["cq-1"]
+        with pytest.raises(exceptions.NotAllowed, match="CASSIAQUAY_CREDENTIAL"):
+            await client.get("/v1/status", bodies.Status)
+
+    credential = fakes.DEPLOYMENT.teams[0].credential
+    _run(test, credential, operators=[fakes.digest(fakes.OPERATOR)])
+
+
+def test_burn_adds_up_and_says_what_is_missing(tmp_path: pathlib.Path) -> None:
+    async def test(instance: fakes.Instance, client: clients.Client) -> None:
+        instance.membership.listed["cq-9"] = platform.Listed(
+            "cq-9", "derby", "entry", "h:1", "p:1", False
+        )
+        for number in range(4):
+            entry = instance.entry("feedback", unique=f"u{number}")
+            instance.owned._refuse(entry, daemon_exceptions.Shed())
+        instances = await client.instances()
+        found = await client.collect("/v1/burn", bodies.Burn, instances)
+        report = burn_sums.report(found)
+        urgent = report["objectives"][0]
+        assert urgent["verdict"] == "page"
+        assert urgent["budget_left"] == pytest.approx(1 - 1 / 0.01)
+        assert [item["name"] for item in urgent["burners"]] == ["feedback", "(none)"]
+        assert report["objectives"][1]["verdict"] == "no data"
+        assert burn_sums.is_burning(report)
+        text = burn.text_of(report)
+        assert "cq-9 gave no answer" in text
+        assert "cq-1 counts since" in text
+        assert report["coverage"]["3d"] < 0.5
+        page = burn_page.render(report)
+        assert page.count("<svg") == 2 * len(report["objectives"])
+        assert "cq-9 gave no answer" in page
+        assert "http://" not in page.replace("http://www.w3.org", "")
+
+    _run(test)
+
+
+def _answer(
+    instance: str, total: int, good: int, counted: float = 259200.0
+) -> bodies.Burn:
+    objective = bodies.Objective(service="s", tier="t", share=0.9, within_ms=1000)
+    windows = []
+    for name, seconds in (("5m", 300), ("1h", 3600), ("6h", 21600), ("3d", 259200)):
+        count = bodies.Count(
+            service="s", tier="t", axis="all", name="", total=total, good=good
+        )
+        windows.append(
+            bodies.Window(
+                name=name,
+                seconds=float(seconds),
+                counted_seconds=min(counted, float(seconds)),
+                counts=[count],
+            )
+        )
+    report = bodies.BurnReport(windows=windows, fast=[], slow=[], excluded=0)
+    return bodies.Burn(
+        instance=instance,
+        incarnation="i",
+        since=0.0,
+        revision=1,
+        objectives=[objective],
+        report=report,
+    )
+
+
+def test_rates_and_budget_are_of_the_sum() -> None:
+    answers = {"a": _answer("a", 90, 90), "b": _answer("b", 10, 5, 3600.0)}
+    missing = [clients.Missing("c", "gone"), clients.Missing("d", "gone")]
+    report = burn_sums.report(clients.Collected(answers, missing))
+    found = report["objectives"][0]
+    assert [window["rate"] for window in found["windows"]] == pytest.approx([0.5] * 4)
+    assert found["budget_left"] == pytest.approx(0.5)
+    assert found["verdict"] == "ok"
+    assert [item["instance"] for item in report["young"]] == ["b"]
+    assert report["coverage"]["1h"] == pytest.approx(0.5)
+    assert report["coverage"]["3d"] == pytest.approx((1 + 3600 / 259200) / 4)
+
+
+def test_begins_with_the_first_address_that_answers() -> None:
+    async def test(instance: fakes.Instance, client: clients.Client) -> None:
+        client.addresses = [DEAD, *client.addresses]
+        client.at = DEAD
+        await client.begin()
+        assert [item["instance"] for item in await client.instances()] == ["cq-1"]
+        client.addresses = [DEAD]
+        with pytest.raises(exceptions.NothingAnswers, match=DEAD):
+            await client.begin()
+
+    _run(test)
+
+
+def test_top_knows_no_rate_of_a_new_life() -> None:
+    def body(incarnation: str, completed: int) -> bodies.Status:
+        return bodies.Status(
+            instance="a",
+            incarnation=incarnation,
+            domain="d",
+            since=0.0,
+            leaving=False,
+            revision=1,
+            rejected={},
+            members=[],
+            open=0,
+            ended={"completed": completed},
+            shards={},
+        )
+
+    before, now = {"a": body("one", 5)}, {"a": body("one", 9)}
+    assert top.rates(before, now, 2.0)["completed"] == 2.0
+    assert top.rates(before, {"a": body("two", 9)}, 2.0)["completed"] == 0.0
+
+
+def test_says_when_the_address_is_not_the_operators() -> None:
+    async def inside() -> None:
+        async def page(request: object) -> responses.Response:
+            return responses.PlainTextResponse("not here", 404)
+
+        other = applications.Starlette(routes=[routing.Route("/{path:path}", page)])
+        served = serving.Served(_Served(other))
+        await served.start()
+        try:
+            async with aiohttp.ClientSession() as http:
+                with pytest.raises(exceptions.NotOperators, match="callers' address"):
+                    await clients.Client(served.address, http).instances()
+        finally:
+            await served.stop()
+
+    asyncio.run(inside())
+
+
+def test_exit_codes(tmp_path: pathlib.Path) -> None:
+    good = tmp_path / "good.toml"
+    good.write_text(fakes.TEXT)
+    bad = tmp_path / "bad.toml"
+    bad.write_text(fakes.TEXT.replace("rank = 1", "rank = 0", 1))
+    accepted = _cli("check", str(good), "--json")
+    assert accepted.returncode == 0
+    assert json.loads(accepted.stdout)["tiers"] == 4
+    refused = _cli("check", str(bad))
+    assert refused.returncode == 2
+    assert "text_duplicate: tiers.interactive.rank" in refused.stderr
+    assert _cli("check", str(tmp_path / "none.toml")).returncode == 3
+    silent = _cli("status", f"--at={DEAD}")
+    assert silent.returncode == 4
+    assert "no daemon answers" in silent.stderr
+    assert len(silent.stderr.splitlines()) == 1
+    nowhere = _cli("burn")
+    assert nowhere.returncode == 4
+    assert "CASSIAQUAY_ADMIN" in nowhere.stderr
+
+
+def test_every_command_is_documented() -> None:
+    for name in commands.commands.names():
+        assert commands.commands.get(name).__doc__
+    assert set(commands.commands.names()) >= {"status", "burn", "drain", "top"}
