Name the faulty key of a refused text and check settings against each other

msgspec calls the entries of a table [...], so a fleet of 23,000 teams was told that some team is wrong; the key is found by converting the entries one by one after the refusal. Unknown and missing keys are part of the place and the accepted ones are listed. Settings whose values contradict each other, and names that nothing is registered under, are refused before the start; a fleet text with an unknown pool adapter is not put in force.

tests/test_texts.py expects the stricter places (tiers.urgent.rank for tiers[...].rank, teams.feedback.weigth for teams[...], pools.empty.servers for pools[...].servers).

--- a/packages/daemon/cassiaquay_daemon/main.py
+++ b/packages/daemon/cassiaquay_daemon/main.py
@@ -9,7 +9,7 @@
 from cassiaquay_schema import exceptions as schema_exceptions
 from cassiaquay_schema import texts
 
-from . import daemon, logs
+from . import daemon, logs, names
 
 BAD_SETTINGS = 2
 
@@ -24,6 +24,7 @@
     """
     try:
         found = texts.read_settings(pathlib.Path(settings).read_text())
+        names.check_settings(found)
     except (OSError, schema_exceptions.SchemaError) as error:
         print(f"cassiaquayd: {settings}: {error}", file=sys.stderr)
         raise SystemExit(BAD_SETTINGS) from error
--- /dev/null
+++ b/packages/daemon/cassiaquay_daemon/names.py
@@ -0,0 +1,29 @@
+"""Names of registered behaviour in settings: known, or refused before the start."""
+
+from cassiaquay_schema import exceptions, settings
+
+from . import platform, policies
+
+
+def check_settings(found: settings.Settings) -> None:
+    """Raise NameFault when the settings name something that is not registered."""
+    check(policies.policies.names(), found.keeper.policy, "keeper.policy")
+    check(
+        platform.configuration_services.names(),
+        found.platform.configuration_adapter,
+        "platform.configuration_adapter",
+    )
+    check(
+        platform.instance_lists.names(),
+        found.platform.instances_adapter,
+        "platform.instances_adapter",
+    )
+
+
+def check(known: list[str], name: str, place: str) -> None:
+    """Raise NameFault when ``name`` is none of the known ones."""
+    if name in known:
+        return
+    raise exceptions.NameFault(
+        f"nothing is registered as {name!r}", place, f"one of: {', '.join(known)}"
+    )
--- a/packages/daemon/cassiaquay_daemon/snapshots.py
+++ b/packages/daemon/cassiaquay_daemon/snapshots.py
@@ -3,8 +3,10 @@
 import hashlib
 import typing
 
+from cassiaquay_schema import exceptions, texts
 from cassiaquay_schema import fleet as fleet_schema
-from cassiaquay_schema import texts
+
+from . import backends
 
 SHARD_SERVERS = 16
 
@@ -57,6 +59,7 @@
 def read(revision: int, text: str) -> Snapshot:
     """Return the snapshot of a text; raise SchemaError when it is not accepted."""
     found = texts.read_fleet(text)
+    _check_adapters(found)
     credentials = {}
     for name, team in found.teams.items():
         for digest in team.credentials:
@@ -66,3 +69,16 @@
 
 def _name(server: fleet_schema.Server) -> str:
     return server.name
+
+
+def _check_adapters(found: fleet_schema.Fleet) -> None:
+    # In force, such a text would fail each request of the pool at its dispatch.
+    known = backends.backends.names()
+    for name, pool in found.pools.items():
+        if pool.adapter in known:
+            continue
+        raise exceptions.NameFault(
+            f"no adapter is registered as {pool.adapter!r}",
+            f"pools.{name}.adapter",
+            f"one of: {', '.join(known)}",
+        )
--- a/packages/schema/cassiaquay_schema/exceptions.py
+++ b/packages/schema/cassiaquay_schema/exceptions.py
@@ -58,3 +58,15 @@
     """A name or rank stands twice."""
 
     code = "text_duplicate"
+
+
+class LimitFault(SchemaError):
+    """Two values do not fit together."""
+
+    code = "text_limit"
+
+
+class NameFault(SchemaError):
+    """No behaviour is registered under a name."""
+
+    code = "text_name"
--- a/packages/schema/cassiaquay_schema/texts.py
+++ b/packages/schema/cassiaquay_schema/texts.py
@@ -10,15 +10,20 @@
 
 import msgspec
 
-from . import exceptions, fleet, settings
+from . import exceptions, fleet, places, settings
 
 Shape = typing.TypeVar("Shape")
-PLACE = re.compile(r"^(?P<message>.*?)(?: - at `\$(?P<place>.*)`)?$", re.DOTALL)
+DIGEST = re.compile(r"[0-9a-f]{64}")
+TOKEN_KEEPS = 4
+SUSPECT_BEATS = 2
+LEASE_RENEWALS = 2
 
 
 def read_settings(text: str) -> settings.Settings:
-    """Return the settings of one daemon process."""
-    return _read(text, settings.Settings)
+    """Return the settings of one daemon process, checked whole."""
+    found = _read(text, settings.Settings)
+    check_settings(found)
+    return found
 
 
 def read_fleet(text: str) -> fleet.Fleet:
@@ -28,6 +33,43 @@
     return found
 
 
+def check_settings(found: settings.Settings) -> None:
+    """Raise the first fault in how the settings fit together."""
+    owner, keeper, membership = found.owner, found.keeper, found.membership
+    _at_least(
+        "owner.token_seconds",
+        owner.token_seconds,
+        TOKEN_KEEPS * owner.keep_seconds,
+        f"at least {TOKEN_KEEPS} times owner.keep_seconds: a caller forms ids with a"
+        " token for as long as it keeps the address, and retries under them",
+    )
+    _at_least(
+        "membership.suspect_after",
+        membership.suspect_after,
+        SUSPECT_BEATS * membership.period,
+        f"at least {SUSPECT_BEATS} times membership.period: one late heartbeat is no"
+        " failure",
+    )
+    _at_least(
+        "membership.forget_after",
+        membership.forget_after,
+        membership.suspect_after,
+        "at least membership.suspect_after",
+    )
+    _at_least(
+        "keeper.lease_seconds",
+        keeper.lease_seconds,
+        LEASE_RENEWALS * keeper.renew_seconds,
+        f"at least {LEASE_RENEWALS} times keeper.renew_seconds: one lost renewal must"
+        " not free capacity that is in use",
+    )
+    for digest in found.operators:
+        if DIGEST.fullmatch(digest) is None:
+            raise exceptions.ShapeFault(
+                "not a digest", "operators", "64 hex digits of a SHA-256 digest"
+            )
+
+
 def check_fleet(found: fleet.Fleet) -> None:
     """Raise the first fault in how the parts of a fleet refer to each other."""
     _check_tiers(found)
@@ -45,16 +87,14 @@
     try:
         return msgspec.convert(values, shape)
     except msgspec.ValidationError as error:
-        match = PLACE.match(str(error))
-        message, place = (match["message"], match["place"]) if match else ("", "")
-        accepted = ""
-        if message.startswith("Object contains unknown field"):
-            accepted = "only the keys of the schema, see docs/CONFIGURATION.md"
-        elif message.startswith("Expected "):
-            accepted = message.removeprefix("Expected ").split(", got")[0]
-        raise exceptions.ShapeFault(
-            message, (place or "").lstrip("."), accepted
-        ) from error
+        raise places.shape_fault(error, values, shape) from error
+
+
+def _at_least(place: str, value: float, least: float, accepted: str) -> None:
+    if value < least:
+        raise exceptions.LimitFault(
+            f"{value:g} is less than {least:g}", place, accepted
+        )
 
 
 def _check_tiers(found: fleet.Fleet) -> None:
@@ -76,7 +116,7 @@
             _refer(tier, found.tiers, "tier", f"teams.{name}.tiers")
         for digest in team.credentials:
             place = f"teams.{name}.credentials"
-            if re.fullmatch(r"[0-9a-f]{64}", digest) is None:
+            if DIGEST.fullmatch(digest) is None:
                 raise exceptions.ShapeFault(
                     "not a digest", place, "64 hex digits of a SHA-256 digest"
                 )
--- a/tests/test_texts.py
+++ b/tests/test_texts.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from cassiaquay_daemon import names, snapshots
 from cassiaquay_dev import deployments
 from cassiaquay_schema import exceptions, texts
 
@@ -12,10 +13,28 @@
 
 FAULTS = [
     ("rank = 0", "rank =", exceptions.SyntaxFault, ""),
-    ("rank = 0", 'rank = "0"', exceptions.ShapeFault, "tiers[...].rank"),
+    ("rank = 0", 'rank = "0"', exceptions.ShapeFault, "tiers.urgent.rank"),
     ("rank = 1", "rank = 0", exceptions.DuplicateFault, "tiers.interactive.rank"),
-    ("weight = 1.0", "weigth = 1.0", exceptions.ShapeFault, "teams[...]"),
-    ("weight = 1.0", "weight = 0.0", exceptions.ShapeFault, "teams[...].weight"),
+    ("weight = 1.0", "weigth = 1.0", exceptions.ShapeFault, "teams.feedback.weigth"),
+    ("weight = 1.0", "weight = 0.0", exceptions.ShapeFault, "teams.feedback.weight"),
+    (
+        'name = "tutor-2"',
+        "nome = 2",
+        exceptions.ShapeFault,
+        "pools.engines.servers[1].nome",
+    ),
+    (
+        "deadline_ms = 5000",
+        'deadline_ms = 5000\n[services."a.b"]\npool = 1\n',
+        exceptions.ShapeFault,
+        'services."a.b".pool',
+    ),
+    (
+        'version = "1"',
+        'version = "1"\nadapters = { lessons = 2 }',
+        exceptions.ShapeFault,
+        "models.tutor-7b.adapters.lessons",
+    ),
     (
         'name = "tutor-2"',
         'name = "tutor-1"',
@@ -44,7 +63,7 @@
         'pool = "plain"',
         'pool = "empty"\n[pools.empty]\nservers = []\n',
         exceptions.ShapeFault,
-        "pools[...].servers",
+        "pools.empty.servers",
     ),
 ]
 
@@ -69,9 +88,80 @@
     assert caught.value.accepted
 
 
-def test_settings_refuse_an_unknown_key() -> None:
-    text = 'instance = "a"\ndomain = "d"\nkeys = ["k"]\nport = 1\n'
-    text += '[platform]\nconfiguration = "127.0.0.1:1"\ninstances = "127.0.0.1:1"\n'
-    with pytest.raises(exceptions.ShapeFault):
-        texts.read_settings(text)
-    assert texts.read_settings(text.replace("port = 1\n", "")).instance == "a"
+SETTINGS = """\
+instance = "a"
+domain = "d"
+keys = ["k"]
+[platform]
+configuration = "127.0.0.1:1"
+instances = "127.0.0.1:1"
+"""
+
+SETTINGS_FAULTS = [
+    ("port = 1", exceptions.ShapeFault, "port"),
+    ("host = 1", exceptions.ShapeFault, "host"),
+    ("operators = ['x']", exceptions.ShapeFault, "operators"),
+    ("owner.token_seconds = 30.0", exceptions.LimitFault, "owner.token_seconds"),
+    (
+        "membership = { suspect_after = 0.5 }",
+        exceptions.LimitFault,
+        "membership.suspect_after",
+    ),
+    (
+        "membership = { forget_after = 1.0 }",
+        exceptions.LimitFault,
+        "membership.forget_after",
+    ),
+    (
+        "keeper = { lease_seconds = 1.0 }",
+        exceptions.LimitFault,
+        "keeper.lease_seconds",
+    ),
+]
+
+
+@pytest.mark.parametrize(("line", "kind", "place"), SETTINGS_FAULTS)
+def test_settings_refuse(
+    line: str, kind: type[exceptions.SchemaError], place: str
+) -> None:
+    assert texts.read_settings(SETTINGS).instance == "a"
+    with pytest.raises(kind) as caught:
+        texts.read_settings(f"{line}\n{SETTINGS}")
+    assert caught.value.place == place
+    assert caught.value.accepted
+
+
+def test_an_unknown_key_is_told_the_known_ones() -> None:
+    with pytest.raises(exceptions.ShapeFault) as caught:
+        texts.read_fleet(TEXT.replace("weight = 1.0", "weigth = 1.0", 1))
+    assert "requests_per_second" in caught.value.accepted
+
+
+@pytest.mark.parametrize(
+    ("line", "place"),
+    [
+        ('keeper = { policy = "best" }', "keeper.policy"),
+        ("", "platform.configuration_adapter"),
+    ],
+)
+def test_settings_name_registered_behaviour(line: str, place: str) -> None:
+    names.check_settings(texts.read_settings(SETTINGS))
+    text = f"{line}\n{SETTINGS}"
+    if not line:
+        text += 'configuration_adapter = "etcd"\n'
+    with pytest.raises(exceptions.NameFault) as caught:
+        names.check_settings(texts.read_settings(text))
+    assert caught.value.place == place
+    assert "one of: " in caught.value.accepted
+
+
+def test_a_pool_with_an_unknown_adapter_is_not_put_in_force() -> None:
+    """A published text names a protocol that this daemon does not speak.
+
+    Put in force, each request to that pool would fail at its dispatch. It is refused
+    whole instead; the revision before it stays in force.
+    """
+    assert snapshots.read(1, TEXT).revision == 1
+    with pytest.raises(exceptions.NameFault) as caught:
+        snapshots.read(2, TEXT.replace('"plain-http"', '"plain-grpc"'))
+    assert caught.value.place == "pools.plain.adapter"
