Add the bench: policies paired on seeded workloads, loads and faults

Real daemons and stand-in engines on loopback, the baselines as registered policies, and an upper bound of the engines' capacity computed for strict tier order and without tiers. In demands.py, the policy first-come-local makes each owner its own keeper; no other policy changes.

--- a/packages/daemon/cassiaquay_daemon/demands.py
+++ b/packages/daemon/cassiaquay_daemon/demands.py
@@ -10,7 +10,7 @@
 from cassiaquay_schema import messages
 from cassiaquay_schema import settings as settings_schema
 
-from . import clock, exceptions, keeper, logs, members, peers, shards
+from . import baselines, clock, exceptions, keeper, logs, members, peers, shards
 
 
 class Permission(typing.NamedTuple):
@@ -171,7 +171,7 @@
         | messages.Release
         | messages.Renewal,
     ) -> None:
-        name = self._membership.keeper_of(shard)
+        name = self._keeper_of(shard)
         self._keepers[shard] = name
         if name == self._settings.instance:
             self._tell_local(message)
@@ -180,6 +180,11 @@
         if link is not None:
             link.send(message)
 
+    def _keeper_of(self, shard: str) -> str:
+        if self._settings.keeper.policy == baselines.LOCAL:
+            return self._settings.instance
+        return self._membership.keeper_of(shard)
+
     def _tell_local(
         self,
         message: messages.Demand
@@ -204,11 +209,9 @@
 
     def _moved(self) -> None:
         for shard, name in list(self._keepers.items()):
-            if self._membership.keeper_of(shard) == name:
+            if self._keeper_of(shard) == name:
                 continue
-            logs.event(
-                "keeper_moved", shard=shard, keeper=self._membership.keeper_of(shard)
-            )
+            logs.event("keeper_moved", shard=shard, keeper=self._keeper_of(shard))
             self._tell_shard(shard)
 
     def _tell_shard(self, shard: str) -> None:
--- /dev/null
+++ b/packages/dev/cassiaquay_dev/bench_metrics.py
@@ -0,0 +1,242 @@
+"""Figures of one bench run, from the callers' records and the engines' logs."""
+
+import typing
+
+import numpy
+
+from . import bench_driver, blocks, bounds, deployments, engine_stream
+
+PERCENTILES = [50, 95, 99]
+
+
+class EngineFigures(typing.NamedTuple):
+    """What one engine told at the end of a run.
+
+    Attributes
+    ----------
+    name : str
+        Name.
+    busy_seconds : float
+        Time spent in steps.
+    dispatches : list of Dispatch
+        Its log.
+    """
+
+    name: str
+    busy_seconds: float
+    dispatches: list[engine_stream.Dispatch]
+
+
+class Prefill(typing.NamedTuple):
+    """Prompt tokens of a run.
+
+    Attributes
+    ----------
+    done, wasted : int
+        Read by engines, and read for a request that was not answered in time.
+    asked, cached, oracle : int
+        Of all dispatched prompts, those served from the engine's cache, and those
+        that an oracle with all caches would have served.
+    """
+
+    done: int
+    wasted: int
+    asked: int
+    cached: int
+    oracle: int
+
+    @property
+    def wasted_share(self) -> float:
+        """Share of the prefill that was for nothing."""
+        return self.wasted / max(self.done, 1)
+
+    @property
+    def oracle_share(self) -> float:
+        """Tokens from the cache for those of the oracle."""
+        return self.cached / max(self.oracle, 1)
+
+
+class Figures(typing.TypedDict):
+    """All figures of a run; times in milliseconds, shares 0 to 1."""
+
+    sent: dict[str, int]
+    finishable: dict[str, int]
+    in_time: dict[str, int]
+    goodput: int
+    plain_in_time_share: float
+    outcomes: dict[str, int]
+    wrong: int
+    repeated_dispatches: int
+    bound_strict: float
+    bound_by_tier: dict[str, float]
+    bound_without_tiers: float
+    prefill_tokens: int
+    wasted_prefill_share: float
+    cached_tokens: int
+    cached_share: float
+    oracle_cached_share: float
+    first_ms: list[float]
+    gap_ms: list[float]
+    jain: float
+    busy_share: dict[str, float]
+    recovery_share: float
+    processor_share: dict[str, float]
+
+
+def jain(values: list[float]) -> float:
+    """Return Jain's index of fairness, 1 for equal values.
+
+    Source: Jain, Chiu and Hawe, DEC-TR-301, 1984.
+    """
+    squares = sum(value * value for value in values)
+    if not squares:
+        return 1.0
+    return sum(values) ** 2 / (len(values) * squares)
+
+
+def fair_shares(
+    wanted: dict[str, float], weights: dict[str, float], total: float
+) -> dict[str, float]:
+    """Return the weighted max-min fair division of ``total`` over what is wanted."""
+    given = dict.fromkeys(wanted, 0.0)
+    left = total
+    hungry = set(wanted)
+    while hungry and left > 1e-9:
+        unit = left / sum(weights[name] for name in hungry)
+        full = [n for n in hungry if wanted[n] - given[n] <= unit * weights[n]]
+        if not full:
+            for name in hungry:
+                given[name] += unit * weights[name]
+            return given
+        for name in full:
+            left -= wanted[name] - given[name]
+            given[name] = wanted[name]
+            hungry.discard(name)
+    return given
+
+
+def fairness(
+    records: list[bench_driver.Record], teams: list[deployments.TeamSpec]
+) -> float:
+    """Return Jain's index of what teams got against their max-min fair shares.
+
+    Counted in prompt and answer tokens of requests answered in time.
+    """
+    wanted = dict.fromkeys((team.name for team in teams), 0.0)
+    got = dict(wanted)
+    for record in records:
+        arrival = record.arrival
+        if arrival.path:
+            continue
+        tokens = blocks.count_tokens(arrival.prompt) + arrival.max_tokens
+        wanted[arrival.team.name] += tokens
+        if record.in_time:
+            got[arrival.team.name] += tokens
+    weights = {team.name: team.weight for team in teams}
+    fair = fair_shares(wanted, weights, sum(got.values()))
+    return jain([got[name] / fair[name] for name in got if fair[name]])
+
+
+def prefill(
+    records: list[bench_driver.Record], engines: list[EngineFigures]
+) -> Prefill:
+    """Add up the prompt tokens of all dispatches, in the order they were made."""
+    by_key = {record.key: record for record in records}
+    useful = {record.key for record in records if record.in_time}
+    logged = [line for engine in engines for line in engine.dispatches]
+    known: set[int] = set()
+    done = wasted = asked = cached = oracle = 0
+    for line in sorted(logged, key=lambda line: line["at"]):
+        done += line["prefilled_tokens"]
+        if line["id"] not in useful:
+            wasted += line["prefilled_tokens"]
+        if line["state"] == engine_stream.REFUSED or line["id"] not in by_key:
+            continue
+        if not line["cached_tokens"] and not line["prefilled_tokens"]:
+            # Never admitted: no cache was asked.
+            continue
+        asked += line["prompt_tokens"]
+        cached += line["cached_tokens"]
+        for block in blocks.block_hashes(by_key[line["id"]].arrival.prompt):
+            if block in known:
+                oracle += blocks.TOKENS_PER_BLOCK
+            known.add(block)
+    return Prefill(done, wasted, asked, cached, oracle)
+
+
+def recovery(
+    records: list[bench_driver.Record], at: float, seconds: float, settle: float
+) -> float:
+    """Return the goodput rate from ``settle`` after a fault against that before it.
+
+    By time of arrival; ``at`` is the time of the fault, ``seconds`` the end of
+    arrivals.
+    """
+    before = [r for r in records if r.arrival.at < at]
+    after = [r for r in records if r.arrival.at >= at + settle]
+    if not before or not after or at + settle >= seconds:
+        return float("nan")
+    rate_before = sum(1 for record in before if record.in_time) / at
+    done_after = sum(1 for record in after if record.in_time)
+    rate_after = done_after / (seconds - at - settle)
+    return rate_after / rate_before if rate_before else float("nan")
+
+
+def figures(
+    records: list[bench_driver.Record],
+    engines: list[EngineFigures],
+    deployment: deployments.Deployment,
+    limit: bounds.Bound,
+    elapsed: float,
+    recovery_share: float,
+    processor_share: dict[str, float],
+) -> Figures:
+    """Return the figures of a run that took ``elapsed`` seconds."""
+    tiers = deployment.tiers
+    sent = dict.fromkeys(tiers, 0)
+    in_time = dict.fromkeys(tiers, 0)
+    outcomes: dict[str, int] = {}
+    plain = [record for record in records if record.arrival.path]
+    model = [record for record in records if not record.arrival.path]
+    for record in model:
+        sent[record.arrival.tier] += 1
+        in_time[record.arrival.tier] += record.in_time
+        outcomes[record.code] = outcomes.get(record.code, 0) + 1
+    done = [record for record in model if record.outcome == "completed"]
+    tokens = prefill(model, engines)
+    keys = [line["id"] for engine in engines for line in engine.dispatches]
+    return Figures(
+        sent=sent,
+        finishable=limit.finishable,
+        in_time=in_time,
+        goodput=sum(in_time.values()),
+        plain_in_time_share=_share([record.in_time for record in plain]),
+        outcomes=outcomes,
+        wrong=sum(1 for record in done if not record.correct),
+        repeated_dispatches=len(keys) - len(set(keys)),
+        bound_strict=limit.strict,
+        bound_by_tier=limit.by_tier,
+        bound_without_tiers=limit.without_tiers,
+        prefill_tokens=tokens.done,
+        wasted_prefill_share=tokens.wasted_share,
+        cached_tokens=tokens.cached,
+        cached_share=tokens.cached / max(tokens.asked, 1),
+        oracle_cached_share=tokens.oracle_share,
+        first_ms=_percentiles([record.first_seconds for record in done]),
+        gap_ms=_percentiles([gap for record in done for gap in record.gaps]),
+        jain=fairness(model, deployment.teams),
+        busy_share={engine.name: engine.busy_seconds / elapsed for engine in engines},
+        recovery_share=recovery_share,
+        processor_share=processor_share,
+    )
+
+
+def _share(flags: list[bool]) -> float:
+    return sum(flags) / len(flags) if flags else 1.0
+
+
+def _percentiles(seconds: list[float]) -> list[float]:
+    if not seconds:
+        return [float("nan")] * len(PERCENTILES)
+    found = numpy.percentile(seconds, PERCENTILES) * 1000.0
+    return [round(float(value), 2) for value in found]
--- /dev/null
+++ b/packages/dev/cassiaquay_dev/bench_runs.py
@@ -0,0 +1,182 @@
+"""One run of the bench: a cluster, a workload, a fault, a policy, a seed."""
+
+import asyncio
+import pathlib
+import tempfile
+import time
+import typing
+
+from . import (
+    bench_cluster,
+    bench_driver,
+    bench_metrics,
+    bench_workloads,
+    bounds,
+    deployments,
+    faults,
+    workloads,
+)
+
+CAPACITY_SEED = 0
+SETTLE_SECONDS = 5.0
+# Owners tell a new keeper of what is out before it grants.
+OPENING_SECONDS = 1.5
+
+
+class Plan(typing.NamedTuple):
+    """What is run; names are those of the registries.
+
+    Attributes
+    ----------
+    deployment, workload : str
+        Names.
+    load : float
+        Multiple of the computed capacity.
+    fault : str
+        Name.
+    seconds : float
+        Time over which requests arrive.
+    scale : float
+        How much slower engines are than in the deployment.
+    daemons : int
+        Instances.
+    """
+
+    deployment: str
+    workload: str
+    load: float
+    fault: str
+    seconds: float
+    scale: float
+    daemons: int
+
+
+class Run(typing.TypedDict):
+    """One run and its figures."""
+
+    policy: str
+    seed: int
+    rate: float
+    figures: bench_metrics.Figures
+
+
+DEFAULT_WORKLOADS = {"brindley": "brindley-evening", "veiqia": "veiqia-fittings"}
+
+
+def default_workload(deployment: str) -> str:
+    """Return the name of a deployment's own workload."""
+    return DEFAULT_WORKLOADS[deployment]
+
+
+def arrivals_of(plan: Plan, seed: int) -> tuple[list[workloads.Arrival], float]:
+    """Return the arrivals of a run and their rate outside bursts."""
+    deployment = scaled_deployment(plan)
+    workload = bench_workloads.registered.get(plan.workload)
+
+    def build(rate: float) -> list[workloads.Arrival]:
+        return bench_workloads.build(
+            workload, deployment, CAPACITY_SEED, plan.seconds, rate
+        )
+
+    rate = bounds.rate_for(
+        plan.load, deployment.engines, decode_ms(plan), build, plan.seconds
+    )
+    found = bench_workloads.build(workload, deployment, seed, plan.seconds, rate)
+    return found, rate
+
+
+def scaled_deployment(plan: Plan) -> deployments.Deployment:
+    """Return the deployment as it runs."""
+    named = deployments.deployments.get(plan.deployment)
+    return bench_cluster.scaled(named, plan.scale)
+
+
+def decode_ms(plan: Plan) -> float:
+    """Return the milliseconds that each running request adds to a step."""
+    return bounds.DECODE_MS_PER_SEQUENCE * plan.scale
+
+
+def limit_of(plan: Plan, arrivals: list[workloads.Arrival]) -> bounds.Bound:
+    """Return the upper bound for the arrivals of a run under its fault."""
+    deployment = scaled_deployment(plan)
+    found = bounds.needs(arrivals)
+    pool = bounds.Pool(deployment.engines, decode_ms(plan), found)
+    fault = faults.faults.get(plan.fault)
+
+    def speed_at(at: float) -> float:
+        lost = 1.0 - fault.speed(at, plan.seconds)
+        return pool.speed - lost * pool.speeds[0]
+
+    return bounds.bound(pool, found, deployment.tiers, speed_at)
+
+
+async def run(plan: Plan, policy: str, seed: int) -> Run:
+    """Run one policy on the arrivals of one seed."""
+    deployment = scaled_deployment(plan)
+    workload = bench_workloads.registered.get(plan.workload)
+    fault = faults.faults.get(plan.fault)
+    arrivals, rate = arrivals_of(plan, seed)
+    with tempfile.TemporaryDirectory(prefix="cassiaquay-bench-") as folder:
+        started = bench_cluster.BenchCluster(
+            deployment,
+            plan.daemons,
+            pathlib.Path(folder),
+            policy,
+            plan.scale,
+            fault.engine_settings,
+        )
+        try:
+            await started.start()
+            await asyncio.sleep(OPENING_SECONDS)
+            sender = bench_driver.StreamDriver(
+                started.seeds, deployment.domains, workload.repeats
+            )
+            before = started.processor_seconds()
+            own_before = time.process_time()
+            start = time.monotonic()
+            acting = asyncio.create_task(_act(fault, started, plan.seconds))
+            records = await sender.run(arrivals)
+            elapsed = time.monotonic() - start
+            await acting
+            shares = {"driver": (time.process_time() - own_before) / elapsed}
+            for name, spent in started.processor_seconds().items():
+                shares[name] = (spent - before.get(name, 0.0)) / elapsed
+            engines = await _engines(started)
+        finally:
+            await started.stop()
+    recovery = bench_metrics.recovery(
+        records, plan.seconds / 3, plan.seconds, SETTLE_SECONDS
+    )
+    figures = bench_metrics.figures(
+        records,
+        engines,
+        deployment,
+        limit_of(plan, arrivals),
+        elapsed,
+        recovery,
+        shares,
+    )
+    return Run(policy=policy, seed=seed, rate=rate, figures=figures)
+
+
+async def _act(
+    fault: faults.Fault, started: bench_cluster.BenchCluster, seconds: float
+) -> None:
+    await fault.act(started, seconds)
+
+
+async def _engines(
+    started: bench_cluster.BenchCluster,
+) -> list[bench_metrics.EngineFigures]:
+    found = []
+    for engine in started.deployment.engines:
+        totals = await started.engine_state(engine.name, "/control/totals")
+        log = await started.engine_state(engine.name, "/control/log")
+        if totals is None or log is None:
+            continue
+        found.append(
+            bench_metrics.EngineFigures(
+                engine.name, totals["busy_seconds"], log["dispatches"]
+            )
+        )
+    return found
--- a/packages/dev/cassiaquay_dev/driver.py
+++ b/packages/dev/cassiaquay_dev/driver.py
@@ -92,7 +92,7 @@
         except cassiaquay.exceptions.CassiaquayError as error:
             code = error.code
             request_id = error.request_id
-            outcome = _outcome(error)
+            outcome = outcome_of(error)
         elapsed = loop.time() - start
         self.results.append(Result(arrival, outcome, code, request_id, elapsed, text))
 
@@ -117,7 +117,8 @@
         )
 
 
-def _outcome(error: cassiaquay.exceptions.CassiaquayError) -> str:
+def outcome_of(error: cassiaquay.exceptions.CassiaquayError) -> str:
+    """Return the outcome that an error stands for."""
     if isinstance(error, cassiaquay.exceptions.NotRun):
         return "not_run"
     if isinstance(error, cassiaquay.exceptions.Failed):
--- /dev/null
+++ b/tests/test_bench.py
@@ -0,0 +1,175 @@
+"""The bench: its bound and figures by hand, its workloads, and one small run."""
+
+import asyncio
+import json
+import pathlib
+
+import pytest
+
+from cassiaquay_dev import (
+    bench_driver,
+    bench_metrics,
+    bench_report,
+    bench_runs,
+    bench_workloads,
+    bounds,
+    deployments,
+    engine_stream,
+    texts,
+    workloads,
+)
+
+TEAM = deployments.BRINDLEY.teams[0]
+# 1 ms a generated token with a full batch, 1000 prompt tokens a second.
+ENGINE = deployments.EngineSpec("engine-1", "derby", 1000.0, 0.0, 1, 100_000)
+DECODE_MS = 1.0
+
+
+def arrival(
+    at: float = 0.0,
+    tier: str = "urgent",
+    tokens: int = 500,
+    deadline: float = 1.0,
+    prompt: str = "x",
+) -> workloads.Arrival:
+    return workloads.Arrival(
+        at, TEAM, tier, "tutor-assist", "", prompt, tokens, "", deadline, True
+    )
+
+
+def bound_of(arrivals: list[workloads.Arrival]) -> bounds.Bound:
+    found = bounds.needs(arrivals)
+    pool = bounds.Pool([ENGINE], DECODE_MS, found)
+    return bounds.bound(pool, found, ["urgent", "standard"])
+
+
+def test_bound_is_what_fits_into_the_window() -> None:
+    # Each is 0.5 s of tokens and 1 ms of prompt; one window of 1 s (and its slots).
+    limit = bound_of([arrival() for _ in range(5)])
+    assert limit.without_tiers == pytest.approx(1.0 / 0.501, rel=1e-6)
+    assert limit.finishable == {"urgent": 5, "standard": 0}
+
+
+def test_bound_by_strict_order_serves_long_urgent_work_first() -> None:
+    long = arrival(tokens=900)
+    short = [arrival(tier="standard", tokens=99) for _ in range(10)]
+    limit = bound_of([long, *short])
+    assert limit.by_tier["urgent"] == pytest.approx(1.0)
+    assert limit.by_tier["standard"] == pytest.approx(0.99, abs=0.02)
+    assert limit.without_tiers == pytest.approx(10.0, abs=0.01)
+
+
+def test_bound_leaves_out_what_no_idle_engine_finishes_in_time() -> None:
+    limit = bound_of([arrival(tokens=1500)])
+    assert limit.finishable["urgent"] == 0
+    assert limit.strict == 0.0
+
+
+def test_bound_follows_an_engine_that_is_lost() -> None:
+    found = bounds.needs([arrival(), arrival(at=1.0)])
+    pool = bounds.Pool([ENGINE], DECODE_MS, found)
+    limit = bounds.bound(pool, found, ["urgent"], lambda at: 1.0 if at < 1 else 0.0)
+    assert limit.strict == pytest.approx(1.0)
+
+
+def test_windows_that_overlap_share_the_work_between_them() -> None:
+    # Two windows of 1 s, half a second apart: 1.5 s of work at most for both.
+    first = [arrival(tokens=499) for _ in range(2)]
+    second = [arrival(at=0.5, tokens=499) for _ in range(2)]
+    limit = bound_of(first + second)
+    assert limit.without_tiers == pytest.approx(3.0, rel=1e-6)
+
+
+def test_needs_count_what_an_oracle_has_cached() -> None:
+    prompt = "a" * 256 * 3
+    found = bounds.needs([arrival(prompt=prompt), arrival(prompt=prompt + "b" * 8)])
+    assert [need.cached_tokens for need in found] == [0, 192]
+    assert [need.fresh_tokens for need in found] == [192, 2]
+
+
+def test_rate_gives_the_work_that_is_asked_for() -> None:
+    deployment = deployments.BRINDLEY
+    workload = bench_workloads.registered.get("brindley-evening")
+
+    def build(rate: float) -> list[workloads.Arrival]:
+        return bench_workloads.build(workload, deployment, 0, 5.0, rate)
+
+    rate = bounds.rate_for(2.0, deployment.engines, 0.2, build, 5.0)
+    found = bounds.needs(build(rate))
+    pool = bounds.Pool(deployment.engines, 0.2, found)
+    work = sum(pool.work(need) for need in found)
+    assert work == pytest.approx(2.0 * pool.speed * 5.0, rel=0.2)
+
+
+def test_jain_index() -> None:
+    assert bench_metrics.jain([1.0, 1.0, 1.0]) == pytest.approx(1.0)
+    assert bench_metrics.jain([1.0, 0.0, 0.0, 0.0]) == pytest.approx(0.25)
+
+
+def test_fair_shares_fill_the_small_first() -> None:
+    wanted = {"small": 10.0, "large": 100.0, "huge": 100.0}
+    weights = {"small": 1.0, "large": 1.0, "huge": 2.0}
+    shares = bench_metrics.fair_shares(wanted, weights, 100.0)
+    assert shares == pytest.approx({"small": 10.0, "large": 30.0, "huge": 60.0})
+
+
+def test_prefill_of_late_answers_counts_as_wasted() -> None:
+    prompt = "c" * 256 * 4
+    records = []
+    lines: list[engine_stream.Dispatch] = []
+    for number, seconds in enumerate([0.5, 2.0]):
+        record = bench_driver.Record(arrival(tokens=2, prompt=prompt))
+        record.request_id = f"id-{number}"
+        record.outcome = "completed"
+        record.text = texts.expected_answer(record.key, 2)
+        record.seconds = seconds
+        records.append(record)
+        lines.append(
+            {
+                "id": record.key,
+                "at": float(number),
+                "prompt_tokens": 256,
+                "cached_tokens": 128 * number,
+                "prefilled_tokens": 256 - 128 * number,
+                "generated_tokens": 2,
+                "state": engine_stream.FINISHED,
+                "finished_at": None,
+                "repeat": False,
+            }
+        )
+    found = bench_metrics.prefill(
+        records, [bench_metrics.EngineFigures("e", 1.0, lines)]
+    )
+    assert found.wasted_share == pytest.approx(128 / 384)
+    assert found.oracle_share == pytest.approx(128 / 256)
+
+
+@pytest.mark.parametrize("name", bench_workloads.registered.names())
+def test_workloads_depend_on_the_seed_only(name: str) -> None:
+    workload = bench_workloads.registered.get(name)
+    deployment = deployments.deployments.get(name.partition("-")[0])
+    first = bench_workloads.build(workload, deployment, 4, 3.0, 30.0)
+    again = bench_workloads.build(workload, deployment, 4, 3.0, 30.0)
+    other = bench_workloads.build(workload, deployment, 5, 3.0, 30.0)
+    assert first == again
+    assert first != other
+    lengths = [len(one.prompt) for one in first if one.prompt]
+    assert max(lengths) > 10 * min(lengths)
+
+
+def test_small_bench_gives_whole_results(tmp_path: pathlib.Path) -> None:
+    plan = bench_runs.Plan("brindley", "brindley-evening", 0.2, "none", 2.0, 2.0, 2)
+    runs = [asyncio.run(bench_runs.run(plan, "round-robin", 1))]
+    text = bench_report.write(plan, runs, tmp_path)
+    assert "| round-robin |" in text
+    kept = json.loads((tmp_path / "brindley-evening-0.2x-none.json").read_text())
+    figures = kept["runs"][0]["figures"]
+    assert figures["wrong"] == 0
+    assert figures["repeated_dispatches"] == 0
+    arrivals, _ = bench_runs.arrivals_of(plan, 1)
+    sent = sum(figures["sent"].values())
+    assert sent == sum(1 for one in arrivals if not one.path)
+    assert sum(figures["outcomes"].values()) == sent
+    assert figures["prefill_tokens"] > 0
+    assert len(figures["busy_share"]) == 5
+    assert (tmp_path / "brindley-evening-0.2x-none.png").stat().st_size > 0
