--- a/packages/daemon/cassiaquay_daemon/demands.py
+++ b/packages/daemon/cassiaquay_daemon/demands.py
@@ -10,7 +10,17 @@
 from cassiaquay_schema import messages
 from cassiaquay_schema import settings as settings_schema
 
-from . import answers, clock, exceptions, keeper, lengths, logs, members, peers, shards
+from . import (
+    answers,
+    clock,
+    exceptions,
+    keeper,
+    lengths,
+    logs,
+    members,
+    peers,
+    shards,
+)
 
 # How often news of dispatches and first events is sent. A keeper holds back until it
 # hears that a prompt has been read; 50 ms here cost a twentieth of goodput
@@ -253,7 +263,7 @@
         pending = self._pending.get(message.id)
         if pending is None or message.keeper in ("", replier.instance):
             return
-        if replier.instance != self._membership.keeper_of(pending.demand.shard):
+        if replier.instance != self._keeper.keeper_of(pending.demand.shard):
             return
         link = self._membership.link(message.keeper)
         if message.keeper == self._settings.instance:
@@ -299,7 +309,7 @@
         | messages.Renewal
         | messages.Progress,
     ) -> None:
-        name = self._membership.keeper_of(shard)
+        name = self._keeper.keeper_of(shard)
         self._keepers[shard] = name
         if name == self._settings.instance:
             self._tell_local(message)
@@ -335,10 +345,10 @@
 
     def _moved(self) -> None:
         for shard, name in list(self._keepers.items()):
-            if self._membership.keeper_of(shard) == name:
+            if self._keeper.keeper_of(shard) == name:
                 continue
             logs.event(
-                "keeper_moved", shard=shard, keeper=self._membership.keeper_of(shard)
+                "keeper_moved", shard=shard, keeper=self._keeper.keeper_of(shard)
             )
             self._tell_shard(shard)
 
--- a/packages/daemon/cassiaquay_daemon/keeper.py
+++ b/packages/daemon/cassiaquay_daemon/keeper.py
@@ -10,9 +10,19 @@
 from cassiaquay_schema import messages
 from cassiaquay_schema import settings as settings_schema
 
-from . import clock, configuration, logs, members, peers, policies, shards
-from . import tiered as tiered  # registers its policy
-
+from . import (
+    baselines,
+    clock,
+    configuration,
+    logs,
+    members,
+    peers,
+    policies,
+    shards,
+    tiered,
+)
+
+DEFAULT_POLICY = tiered.NAME
 TICK_SECONDS = 0.1
 # A tick that comes this late says that the process was paused.
 PAUSE_SECONDS = 1.0
@@ -47,6 +57,7 @@
         self._membership = membership
         self._configured = configured
         self._policies: dict[str, policies.Policy] = {}
+        self._keepers: dict[str, str] = {}
         self._due: set[str] = set()
         self._ask_local: collections.abc.Callable[[str], None] = _nothing
         self._ticked_at = clock.now()
@@ -56,15 +67,27 @@
         links.on(messages.Renewal, self.renewal)
         links.on(messages.Progress, self.progress)
         links.on_down(self._lost)
+        membership.on_change(self._keepers.clear)
         configured.on_accept(self._refresh)
 
+    def keeper_of(self, shard: str) -> str:
+        """Return the instance that should be the keeper of a shard."""
+        if self._settings.keeper.policy == baselines.LOCAL:
+            return self._settings.instance
+        # Ranking all members for each message cost more than the message; the answer
+        # changes only with the members.
+        found = self._keepers.get(shard)
+        if found is None:
+            found = self._keepers[shard] = self._membership.keeper_of(shard)
+        return found
+
     def on_ask(self, call: collections.abc.Callable[[str], None]) -> None:
         """Call ``call`` when this instance's own requests in a shard are asked for."""
         self._ask_local = call
 
     def demand(self, replier: shards.Replier, demand: messages.Demand) -> None:
         """Queue a demand, or say that another instance is the keeper."""
-        keeper = self._membership.keeper_of(demand.shard)
+        keeper = self.keeper_of(demand.shard)
         if keeper != self._settings.instance:
             # Two keepers of a shard would each fill the engines. The owner asks the
             # named one; should that one disagree, the owner's next renewal decides.
@@ -190,7 +213,7 @@
     def _serve(self, name: str) -> None:
         self._due.discard(name)
         shard = self.shards[name]
-        if self._membership.keeper_of(name) != self._settings.instance:
+        if self.keeper_of(name) != self._settings.instance:
             # Handed over: the owners tell the new keeper, nothing is lost here.
             shard.drop_queue()
             return
--- a/packages/daemon/cassiaquay_daemon/tiered.py
+++ b/packages/daemon/cassiaquay_daemon/tiered.py
@@ -6,6 +6,7 @@
 
 from . import clock, loads, placement, policies, queues, shards, shedding
 
+NAME = "tiered"
 # Demands of one team looked at in one pass: those behind may fit where the first do
 # not, but a pass must stay short however long the queue is.
 LOOK_AHEAD = 8
@@ -19,7 +20,7 @@
 PRESSURE = 6.0
 
 
-@policies.policies.register("tiered")
+@policies.policies.register(NAME)
 class Tiered:
     """Strict tiers, weighted fairness in tokens, deadlines, prefix affinity.
 
--- a/packages/dev/cassiaquay_dev/shard_lab.py
+++ b/packages/dev/cassiaquay_dev/shard_lab.py
@@ -6,14 +6,13 @@
 """
 
 import functools
-import importlib
 import statistics
 import time
 import typing
 
 import fire
 
-from cassiaquay_daemon import clock, policies, prefixes, shards
+from cassiaquay_daemon import clock, keeper, policies, prefixes, shards
 from cassiaquay_schema import fleet, messages
 from cassiaquay_schema import settings as settings_schema
 
@@ -340,13 +339,10 @@
     load: float = 1.0,
     seeds: int = 3,
     seconds: float = 15.0,
-    policy: str = "tiered,round-robin",
-    modules: str = "cassiaquay_daemon.tiered,cassiaquay_daemon.baselines",
+    policy: str = f"{keeper.DEFAULT_POLICY},round-robin",
     slow: float = 1.0,
 ) -> None:
     """Print a line for each policy: means over the seeds."""
-    for name in modules.split(",") if isinstance(modules, str) else modules:
-        importlib.import_module(name)
     chosen = deployments.deployments.get(deployment)
     names = policy.split(",") if isinstance(policy, str) else list(policy)
     found: dict[str, list[Summary]] = {name: [] for name in names}
