Size demands by the work that they are and let those behind see a promised engine

Cause: size classes counted cached prompt tokens and took a token of an answer for a token of a prompt; all who waited for one fast engine took themselves for the next, and an engine held for a higher tier was out of sight for the lower ones, which then read long histories a second time elsewhere.

--- a/packages/daemon/cassiaquay_daemon/placement.py
+++ b/packages/daemon/cassiaquay_daemon/placement.py
@@ -19,9 +19,10 @@
 MARGIN_FACTOR = 1.1
 MARGIN_SECONDS = 0.05
 # Waiting for a better engine must gain this much, and may not take longer than this.
+CHEAP_TOKENS = 512
 WAIT_GAIN = 0.8
 WAIT_LEAST_SECONDS = 0.02
-WAIT_SHARE = 0.25
+WAIT_SHARE = 0.7
 
 
 class Engine:
@@ -44,13 +45,17 @@
         self._now = now
         self.estimate = engine.speed.estimate(now, not self._load.count)
         self.backlog = 0.0
+        # Held for a more important demand; a lower tier may wait for it, too.
+        self.held = False
+        self._promised = 0.0
         self.refresh()
 
     @property
     def is_full(self) -> bool:
         """Whether nothing at all fits now."""
         return (
-            self._load.count >= self.engine.server.slots
+            self.held
+            or self._load.count >= self.engine.server.slots
             or self.backlog > BACKLOG_SECONDS
         )
 
@@ -62,6 +67,15 @@
             self._load.tokens + tokens <= self.engine.speed.limit
         )
 
+    def promise(self, choice: "Choice") -> None:
+        """Note that a demand waits for this engine; those behind it wait longer.
+
+        Without this all would wait for the same fast engine, each taking itself for
+        the next one, while other engines stand idle.
+        """
+        slot = choice.finish_seconds - choice.first_seconds
+        self._promised += choice.reading_seconds + slot / self.engine.server.slots
+
     def refresh(self) -> None:
         """Take in a grant."""
         self.backlog = self._load.backlog_seconds(self.estimate.prefill_rate, self._now)
@@ -69,7 +83,7 @@
     @property
     def wait_seconds(self) -> float:
         """Estimated time until the engine may get one more request."""
-        wait = max(self.backlog - BACKLOG_SECONDS, 0.0)
+        wait = max(self.backlog - BACKLOG_SECONDS, 0.0) + self._promised
         if self._load.count >= self.engine.server.slots:
             # One of the slots comes free after about a slot's share of an answer.
             wait += self.estimate.token_seconds
@@ -88,6 +102,8 @@
     first_seconds, finish_seconds : float
         Estimated time to the first event and to the end, when granted as soon as the
         engine may get it.
+    reading_seconds : float
+        Estimated time in which the engine reads the uncached part of the prompt.
     cost : float
         Seconds; the least is best.
     fits : bool
@@ -98,6 +114,7 @@
     cached_tokens: int
     first_seconds: float
     finish_seconds: float
+    reading_seconds: float
     cost: float
     fits: bool
 
@@ -109,6 +126,8 @@
     ----------
     best : Choice or None
         Where to send it now; None when it must wait.
+    awaited : Choice or None
+        The engine that it waits for though another one is free now.
     usable : list of str
         Engines that could serve it in time, now or soon.
     least_seconds : float
@@ -116,6 +135,7 @@
     """
 
     best: Choice | None
+    awaited: Choice | None
     usable: list[str]
     least_seconds: float
 
@@ -165,8 +185,25 @@
             soon_best = choice
     if now_best is not None and soon_best is not None:
         if _worth_waiting(now_best, soon_best, left):
-            now_best = None
-    return Options(now_best, usable, least)
+            return Options(None, soon_best, usable, least)
+    return Options(now_best, None, usable, least)
+
+
+def work(demand: messages.Demand, views: list[View]) -> int:
+    """Return the least work that a demand is for one of the engines.
+
+    In prompt tokens: those not cached there, and those that the engine could read in
+    its share of the time that it takes to generate the answer.
+    """
+    least = float(demand.prompt_tokens + demand.output_tokens)
+    for number, view in enumerate(views):
+        estimate = view.estimate
+        cached = view.engine.index.cached_tokens(demand.blocks)
+        step = estimate.floor_seconds * estimate.prefill_rate
+        found = max(demand.prompt_tokens - cached, 0)
+        found += demand.output_tokens * step / view.engine.server.slots
+        least = found if not number else min(least, found)
+    return max(int(least), 1)
 
 
 def in_time(seconds: float, left: float) -> bool:
@@ -186,7 +223,10 @@
     if not fits:
         first += view.wait_seconds
     finish = first + demand.output_tokens * estimate.token_seconds
-    return Choice(view, cached, first, finish, finish + pressure * reading, fits)
+    # A short prefix is read once on each engine and serves many from then on.
+    dear = max(demand.prompt_tokens - cached - CHEAP_TOKENS, 0)
+    cost = finish + pressure * dear / estimate.prefill_rate
+    return Choice(view, cached, first, finish, reading, cost, fits)
 
 
 def _idle_seconds(demand: messages.Demand, choice: Choice) -> float:
--- a/packages/daemon/cassiaquay_daemon/queues.py
+++ b/packages/daemon/cassiaquay_daemon/queues.py
@@ -1,8 +1,10 @@
 """The queue of one shard: by tier, team and size, so that nobody walks through it all.
 
 Between tiers the order is strict. Between the teams of a tier it is by virtual time:
-tokens granted, divided by the team's weight. Within a team small work goes first:
-lengths differ a hundredfold, and one history takes what fifty questions need.
+work granted, divided by the team's weight. Within a team small work goes first:
+lengths differ a hundredfold, and one history takes what fifty questions need. Work is
+in prompt tokens: those not cached, and those that the engine could have read in the
+time that it takes to generate the answer.
 """
 
 import collections
@@ -11,7 +13,9 @@
 
 from . import shards
 
-SIZE_STEP = 4
+SIZE_STEP = 2
+
+Measure = collections.abc.Callable[[shards.Waiting], int]
 
 
 class Place(typing.NamedTuple):
@@ -20,7 +24,7 @@
     rank: int
     team: str
     size: int
-    tokens: int
+    work: int
 
 
 class TeamQueue:
@@ -61,13 +65,16 @@
     Parameters
     ----------
     shard : Shard
-        What to follow.
+        Whose demands they are.
+    measure : callable
+        Returns the work of a demand, in prompt tokens.
     """
 
-    def __init__(self, shard: shards.Shard):
+    def __init__(self, shard: shards.Shard, measure: Measure):
         self._shard = shard
+        self._measure = measure
         self._tiers: dict[int, dict[str, TeamQueue]] = {}
-        self._tokens: collections.Counter[int] = collections.Counter()
+        self._work: collections.Counter[int] = collections.Counter()
         self._smaller: dict[int, collections.Counter[int]] = {}
         self._places: dict[str, Place] = {}
 
@@ -84,20 +91,21 @@
         if not queue.count:
             active = [item.virtual for item in teams.values() if item.count]
             queue.virtual = max(queue.virtual, min(active, default=0.0))
-        place = Place(demand.rank, demand.team, size_of(waiting), tokens_of(waiting))
+        work = self._measure(waiting)
+        place = Place(demand.rank, demand.team, size_of(work), work)
         queue.add(place.size, waiting)
         self._places[demand.id] = place
-        self._tokens[place.rank] += place.tokens
+        self._work[place.rank] += place.work
         sizes = self._smaller.setdefault(place.rank, collections.Counter())
-        sizes[place.size] += place.tokens
+        sizes[place.size] += place.work
 
     def remove(self, waiting: shards.Waiting) -> None:
         """Remove a demand."""
         place = self._places.pop(waiting.demand.id)
         teams = self._tiers[place.rank]
         teams[place.team].remove(place.size, waiting.demand.id)
-        self._tokens[place.rank] -= place.tokens
-        self._smaller[place.rank][place.size] -= place.tokens
+        self._work[place.rank] -= place.work
+        self._smaller[place.rank][place.size] -= place.work
 
     def ranks(self) -> list[int]:
         """Return the ranks at which somebody waits, the most important first."""
@@ -121,18 +129,30 @@
         """Return how many demands of a team wait."""
         return self._tiers[rank][team].count
 
-    def charge(self, rank: int, team: str, tokens: int) -> None:
-        """Count granted tokens against a team."""
+    def work(self, request_id: str) -> int:
+        """Return the work of a waiting demand as it was measured last."""
+        return self._places[request_id].work
+
+    def measure_again(self, waiting: shards.Waiting) -> None:
+        """Take in that the work of a demand may have changed."""
+        place = self._places[waiting.demand.id]
+        if size_of(self._measure(waiting)) == place.size:
+            return
+        self.remove(waiting)
+        self.add(waiting)
+
+    def charge(self, rank: int, team: str, work: int) -> None:
+        """Count granted work against a team."""
         weight = self._shard.weights.get(team, 1.0)
-        self._tiers[rank][team].virtual += tokens / weight
+        self._tiers[rank][team].virtual += work / weight
 
-    def tokens_before(self, waiting: shards.Waiting) -> int:
-        """Return the tokens that are served before a demand that arrives now."""
-        rank = waiting.demand.rank
-        found = sum(self._tokens[other] for other in self._tokens if other < rank)
-        own = size_of(waiting)
-        sizes = self._smaller.get(rank, collections.Counter())
-        return found + sum(sizes[size] for size in sizes if size <= own)
+    def work_before(self, request_id: str) -> int:
+        """Return the work that is served before a waiting demand."""
+        place = self._places[request_id]
+        found = sum(self._work[other] for other in self._work if other < place.rank)
+        sizes = self._smaller[place.rank]
+        found += sum(sizes[size] for size in sizes if size <= place.size)
+        return found - place.work
 
     def last(self) -> str:
         """Return the demand to give up first: lowest tier, richest team, largest."""
@@ -141,16 +161,6 @@
         return self._tiers[rank][team].last()
 
 
-def tokens_of(waiting: shards.Waiting) -> int:
-    """Return the tokens that a demand is for, prompt and answer."""
-    return waiting.demand.prompt_tokens + waiting.demand.output_tokens
-
-
-def size_of(waiting: shards.Waiting) -> int:
-    """Return the size class: 0 for up to 4 tokens, one more for each fourfold."""
-    size = 0
-    tokens = tokens_of(waiting)
-    while tokens > SIZE_STEP:
-        tokens //= SIZE_STEP
-        size += 1
-    return size
+def size_of(work: int) -> int:
+    """Return the size class: one more for each doubling of the work."""
+    return work.bit_length() // (SIZE_STEP.bit_length() - 1)
--- a/packages/daemon/cassiaquay_daemon/shedding.py
+++ b/packages/daemon/cassiaquay_daemon/shedding.py
@@ -13,23 +13,23 @@
 
 
 class Drain:
-    """Tokens granted a second while somebody waited, by rank.
+    """Work granted a second while somebody waited, by rank.
 
     Time without a queue does not count: there the rate is that of the arrivals and
     says nothing of what the engines could do.
     """
 
     def __init__(self) -> None:
-        self._tokens: dict[int, float] = {}
+        self._work: dict[int, float] = {}
         self._seconds = 0.0
         self._since = clock.now()
         self._saturated = False
         self._random = random.Random()
 
-    def granted(self, rank: int, tokens: int) -> None:
+    def granted(self, rank: int, work: int) -> None:
         """Count a grant."""
         if self._saturated:
-            self._tokens[rank] = self._tokens.get(rank, 0.0) + tokens
+            self._work[rank] = self._work.get(rank, 0.0) + work
 
     def note(self, saturated: bool) -> None:
         """Note whether somebody waits from now on."""
@@ -39,28 +39,28 @@
         if passed > 0.0:
             factor = 0.5 ** (passed / HALF_LIFE_SECONDS)
             self._seconds *= factor
-            for rank in self._tokens:
-                self._tokens[rank] *= factor
+            for rank in self._work:
+                self._work[rank] *= factor
         if self._saturated:
             self._seconds += passed
         self._saturated = saturated
 
     def rate(self, rank: int) -> float | None:
-        """Return tokens a second that reach a rank and those below it.
+        """Return work a second that reach a rank and those below it.
 
         What more important tiers take is not for it. None when not yet known.
         """
         if self._seconds < BELIEF_SECONDS:
             return None
-        reached = sum(self._tokens[other] for other in self._tokens if other >= rank)
+        reached = sum(self._work[other] for other in self._work if other >= rank)
         return reached / self._seconds
 
-    def wait_seconds(self, rank: int, tokens_before: int) -> float:
-        """Return the estimated wait behind ``tokens_before``; 0 when not known."""
+    def wait_seconds(self, rank: int, work_before: int) -> float:
+        """Return the estimated wait behind ``work_before``; 0 when not known."""
         rate = self.rate(rank)
-        if rate is None or not tokens_before:
+        if rate is None or not work_before:
             return 0.0
-        return tokens_before / max(rate, 1.0)
+        return work_before / max(rate, 1.0)
 
     def retry_after_ms(self, seconds: float) -> int:
         """Return when to ask again, at least ``seconds`` from now.
--- a/packages/daemon/cassiaquay_daemon/tiered.py
+++ b/packages/daemon/cassiaquay_daemon/tiered.py
@@ -9,7 +9,7 @@
 NAME = "tiered"
 # Demands of one team looked at in one pass: those behind may fit where the first do
 # not, but a pass must stay short however long the queue is.
-LOOK_AHEAD = 8
+LOOK_AHEAD = 32
 MOST_WEIGHED = 300
 # A wait is an estimate; only one that is far too long is taken at its word.
 SHED_FACTOR = 1.5
@@ -17,7 +17,7 @@
 FLOOR_SECONDS = 0.5
 # With more than so many waiting, prefill is dear: it is taken from somebody.
 PRESSURE_QUEUE = 8
-PRESSURE = 6.0
+PRESSURE = 20.0
 
 
 @policies.policies.register(NAME)
@@ -32,11 +32,13 @@
 
     def __init__(self, shard: shards.Shard):
         self._shard = shard
-        self._queues = queues.TierQueues(shard)
+        self._queues = queues.TierQueues(shard, self._measure)
         self._drain = shedding.Drain()
         self._engines: dict[str, placement.Engine] = {}
         self._latest: list[tuple[float, str]] = []
         self._new: list[str] = []
+        self._views: list[placement.View] = []
+        self._sessions: dict[str, dict[str, None]] = {}
         self._floor_rank = 0
         self._floor_until = float("-inf")
         self._weighed = 0
@@ -46,12 +48,21 @@
 
     def queued(self, waiting: shards.Waiting) -> None:
         """Take in a new demand."""
-        self._new.append(waiting.demand.id)
+        demand = waiting.demand
+        self._new.append(demand.id)
         self._queues.add(waiting)
+        if demand.session:
+            self._sessions.setdefault(demand.session, {})[demand.id] = None
 
     def unqueued(self, waiting: shards.Waiting) -> None:
         """Take in that a demand has left."""
         self._queues.remove(waiting)
+        demand = waiting.demand
+        members = self._sessions.get(demand.session)
+        if members is not None:
+            members.pop(demand.id, None)
+            if not members:
+                del self._sessions[demand.session]
 
     def advanced(self, server: str, tokens: int, seconds: float) -> None:
         """Learn the time per token while an answer grows."""
@@ -70,7 +81,9 @@
         if engine is None:
             return
         engine.speed.heard(clock.now())
-        engine.speed.prefilled(found.tokens, found.alone_seconds)
+        # The first event comes one step after the prompt has been read.
+        step = min(engine.speed.token_seconds, found.alone_seconds / 2)
+        engine.speed.prefilled(found.tokens, found.alone_seconds - step)
         in_flight = self._shard.tokens_on(server)
         engine.speed.started(
             found.expected_seconds, found.seconds, in_flight, clock.now()
@@ -98,17 +111,17 @@
         """Shed what cannot be in time, then grant tier after tier."""
         now = clock.now()
         self._update(now)
-        views = self._views(now)
+        views = self._views = self._look(now)
         self._admit(views, now)
         self._give_up(views, now)
         self._bound()
         self._weighed = 0
-        open_views = views
         for rank in self._queues.ranks():
             if rank > self._floor_rank and now < self._floor_until:
                 break
-            open_views = self._serve_tier(rank, open_views, views)
-            if not open_views or self._weighed >= MOST_WEIGHED:
+            self._serve_tier(rank, views)
+            full = all(view.is_full for view in views)
+            if full or self._weighed >= MOST_WEIGHED:
                 break
         # Somebody waits and nothing is free: only then grants show the capacity.
         full = all(view.is_full for view in views)
@@ -127,7 +140,7 @@
             if name not in self._shard.servers:
                 del self._engines[name]
 
-    def _views(self, now: float) -> list[placement.View]:
+    def _look(self, now: float) -> list[placement.View]:
         found = []
         for server in self._shard.open_servers():
             engine = self._engines[server.name]
@@ -147,8 +160,7 @@
                 # Not even an idle engine could; asking again would not help.
                 self._shard.shed(waiting, "deadline_infeasible", 0)
                 continue
-            tokens = queues.tokens_of(waiting)
-            before = self._queues.tokens_before(waiting) - tokens
+            before = self._queues.work_before(request_id)
             wait = self._drain.wait_seconds(waiting.demand.rank, before)
             if views and wait > (latest - now) * SHED_FACTOR:
                 self._shed_overload(waiting, wait - (latest - now), now)
@@ -167,7 +179,7 @@
             if latest > now and now < waiting.deadline:
                 heapq.heappush(self._latest, (latest, request_id))
                 continue
-            before = self._queues.tokens_before(waiting)
+            before = self._queues.work_before(waiting.demand.id)
             wait = self._drain.wait_seconds(waiting.demand.rank, before)
             self._shard.shed(
                 waiting, "deadline_infeasible", self._drain.retry_after_ms(wait)
@@ -177,7 +189,7 @@
         limit = self._shard.settings.keeper.max_queue
         while len(self._queues) > limit:
             waiting = self._shard.queue[self._queues.last()]
-            before = self._queues.tokens_before(waiting)
+            before = self._queues.work_before(waiting.demand.id)
             wait = self._drain.wait_seconds(waiting.demand.rank, before)
             self._shed_overload(waiting, wait, clock.now())
 
@@ -192,49 +204,52 @@
         retry_after_ms = self._drain.retry_after_ms(seconds)
         self._shard.shed(waiting, "shed_overload", retry_after_ms)
 
-    def _serve_tier(
-        self,
-        rank: int,
-        open_views: list[placement.View],
-        views: list[placement.View],
-    ) -> list[placement.View]:
-        """Grant what fits; return the engines that the tiers below may use."""
+    def _serve_tier(self, rank: int, views: list[placement.View]) -> None:
+        """Grant what fits, and hold the engines that those who wait could use."""
         reserved: set[str] = set()
         teams = self._queues.teams(rank)
         while teams and self._weighed < MOST_WEIGHED:
-            if all(view.is_full for view in open_views):
-                return []
+            if all(view.is_full for view in views):
+                return
             team = teams[0]
-            if self._serve_team(rank, team, open_views, reserved):
+            if self._serve_team(rank, team, views, reserved):
                 teams = [name for name in self._queues.teams(rank) if name in teams]
             else:
                 teams.remove(team)
         # An engine that a waiting demand of this tier could use is held for it: what
         # a lower tier gets elsewhere cannot delay this one.
-        return [view for view in open_views if view.name not in reserved]
+        for view in views:
+            if view.name in reserved:
+                view.held = True
 
     def _serve_team(
         self,
         rank: int,
         team: str,
-        open_views: list[placement.View],
+        views: list[placement.View],
         reserved: set[str],
     ) -> bool:
         """Grant the first of a team's demands that fits; return whether one did."""
         for looked, request_id in enumerate(self._queues.ids(rank, team)):
             if looked >= LOOK_AHEAD:
                 # Those not looked at may be able to use any engine.
-                reserved.update(view.name for view in open_views)
+                reserved.update(view.name for view in views)
                 return False
             self._weighed += 1
             waiting = self._shard.queue[request_id]
             options = placement.weigh(
-                waiting.demand, waiting.deadline, open_views, self._pressure()
+                waiting.demand, waiting.deadline, views, self._pressure()
             )
             if options.best is not None:
                 self._grant(waiting, options.best)
                 return True
-            reserved.update(options.usable)
+            if options.awaited is None:
+                reserved.update(options.usable)
+                continue
+            # It was offered a free engine and ends sooner by waiting for another one,
+            # so only that one is held for it.
+            options.awaited.view.promise(options.awaited)
+            reserved.add(options.awaited.view.name)
         return False
 
     def _pressure(self) -> float:
@@ -242,11 +257,17 @@
 
     def _grant(self, waiting: shards.Waiting, choice: placement.Choice) -> None:
         demand = waiting.demand
-        uncached = demand.prompt_tokens - choice.cached_tokens
-        self._queues.charge(demand.rank, demand.team, uncached + demand.output_tokens)
-        self._drain.granted(demand.rank, queues.tokens_of(waiting))
+        work = self._queues.work(demand.id)
+        self._queues.charge(demand.rank, demand.team, work)
+        self._drain.granted(demand.rank, work)
         choice.view.engine.index.add(demand.blocks)
         self._shard.grant(
             waiting, choice.view.name, choice.cached_tokens, choice.first_seconds
         )
         choice.view.refresh()
+        # The others of its session find their prompt's beginning cached there.
+        for request_id in list(self._sessions.get(demand.session, ())):
+            self._queues.measure_again(self._shard.queue[request_id])
+
+    def _measure(self, waiting: shards.Waiting) -> int:
+        return placement.work(waiting.demand, self._views)
--- a/packages/dev/cassiaquay_dev/shard_lab.py
+++ b/packages/dev/cassiaquay_dev/shard_lab.py
@@ -16,15 +16,24 @@
 from cassiaquay_schema import fleet, messages
 from cassiaquay_schema import settings as settings_schema
 
-from . import blocks, deployments, shard_engines, workloads
+from . import (
+    bench_workloads,
+    blocks,
+    bounds,
+    deployments,
+    shard_engines,
+    workloads,
+)
 
 NETWORK_SECONDS = 0.001
 PROGRESS_SECONDS = 0.02
 TICK_SECONDS = 0.1
-# Model requests a second that the deployments' engines can just serve, found by
-# raising the load until goodput stops rising (docs/experiments/shard-lab.md).
-CAPACITY = {"brindley": 110.0, "veiqia": 90.0}
-SHORT_TOKENS = 200
+SHORT_TOKENS = 800
+DEFAULT_WORKLOADS = {"brindley": "brindley-evening", "veiqia": "veiqia-fittings"}
+HEAD = (
+    "policy        good of-bound by tier               "
+    "wasted cached short95 long50 busy keeper-ms"
+)
 
 
 class Prepared(typing.NamedTuple):
@@ -57,6 +66,7 @@
     """Figures of one run."""
 
     goodput: float
+    of_bound: float
     by_tier: list[float]
     wasted_share: float
     cached_share: float
@@ -67,16 +77,37 @@
     by_second: list[float]
 
 
+class Case(typing.NamedTuple):
+    """The model requests of one seeded run and the most that can be in time."""
+
+    prepared: list[Prepared]
+    limit: bounds.Bound
+
+
 def prepare(
-    deployment: deployments.Deployment, seed: int, seconds: float, rate: float
-) -> list[Prepared]:
-    """Return the model requests of a seeded workload."""
-    found = []
-    # A fifth of the mixed workload goes to the plain service.
-    for arrival in workloads.mixed(deployment, seed, seconds, rate / 0.8):
-        if not arrival.prompt:
-            continue
-        found.append(
+    deployment: deployments.Deployment,
+    workload: str,
+    seed: int,
+    seconds: float,
+    load: float,
+) -> Case:
+    """Return a seeded case at a multiple of the engines' computed capacity."""
+    mix = bench_workloads.registered.get(workload)
+
+    def build(rate: float) -> list[workloads.Arrival]:
+        return bench_workloads.build(mix, deployment, seed, seconds, rate)
+
+    decode_ms = bounds.DECODE_MS_PER_SEQUENCE
+    engines = deployment.engines
+    rate = bounds.rate_for(load, engines, decode_ms, build, seconds)
+    arrivals = build(rate)
+    found = bounds.needs(arrivals)
+    pool = bounds.Pool(engines, decode_ms, found)
+    limit = bounds.bound(pool, found, deployment.tiers)
+    prepared = []
+    for need in found:
+        arrival = need.arrival
+        prepared.append(
             Prepared(
                 arrival,
                 deployment.tiers.index(arrival.tier),
@@ -84,7 +115,7 @@
                 blocks.block_hashes(arrival.prompt),
             )
         )
-    return found
+    return Case(prepared, limit)
 
 
 class Lab:
@@ -277,13 +308,14 @@
 
 
 def summarize(
-    lab: Lab, arrivals: list[Prepared], tiers: int, seconds: float
+    lab: Lab, case: Case, deployment: deployments.Deployment, seconds: float
 ) -> Summary:
     """Return the figures of a finished run."""
+    arrivals = case.prepared
     good = [item for item in lab.outcomes if item.code == "completed"]
     by_tier = []
-    for rank in range(tiers):
-        sent = sum(1 for item in arrivals if item.rank == rank)
+    for rank, tier in enumerate(deployment.tiers):
+        sent = case.limit.finishable[tier]
         done = sum(1 for item in good if item.prepared.rank == rank)
         by_tier.append(done / max(sent, 1))
     prefilled = sum(engine.prefilled for engine in lab.engines.values())
@@ -298,6 +330,7 @@
         by_second[min(second, len(by_second) - 1)] += 1
     return Summary(
         len(good) / max(len(arrivals), 1),
+        len(good) / case.limit.strict,
         by_tier,
         wasted / max(prefilled, 1),
         cached / max(cached + prefilled, 1),
@@ -312,16 +345,16 @@
 def run(
     deployment: deployments.Deployment,
     policy: str,
-    arrivals: list[Prepared],
+    case: Case,
     seconds: float,
     faults: typing.Sequence[Fault] = (),
 ) -> Summary:
-    """Run one policy on arrivals."""
+    """Run one policy on a case."""
     lab = Lab(deployment, policy)
     for fault in faults:
         lab.slow(fault)
-    lab.run(arrivals, seconds)
-    return summarize(lab, arrivals, len(deployment.tiers), seconds)
+    lab.run(case.prepared, seconds)
+    return summarize(lab, case, deployment, seconds)
 
 
 def _is_short(item: Outcome) -> bool:
@@ -336,6 +369,7 @@
 
 def main(
     deployment: str = "brindley",
+    workload: str = "",
     load: float = 1.0,
     seeds: int = 3,
     seconds: float = 15.0,
@@ -344,25 +378,24 @@
 ) -> None:
     """Print a line for each policy: means over the seeds."""
     chosen = deployments.deployments.get(deployment)
+    mix = workload or DEFAULT_WORKLOADS[deployment]
     names = policy.split(",") if isinstance(policy, str) else list(policy)
     found: dict[str, list[Summary]] = {name: [] for name in names}
     faults = []
     if slow != 1.0:
         faults.append(Fault(seconds / 2, chosen.engines[0].name, slow))
     for seed in range(1, seeds + 1):
-        rate = CAPACITY[deployment] * load
-        arrivals = prepare(chosen, seed, seconds, rate)
+        case = prepare(chosen, mix, seed, seconds, load)
         for name in names:
-            found[name].append(run(chosen, name, arrivals, seconds, faults))
-    print(
-        "policy        goodput by tier                  wasted cached short95 long50 "
-        "busy keeper-ms"
-    )
+            found[name].append(run(chosen, name, case, seconds, faults))
+    print(HEAD)
     for name in names:
-        print(_line(name, found[name]))
+        print(line(name, found[name]))
+
 
+def line(name: str, found: list[Summary]) -> str:
+    """Return one line of the table."""
 
-def _line(name: str, found: list[Summary]) -> str:
     def mean(pick: typing.Callable[[Summary], float]) -> float:
         return statistics.mean(pick(item) for item in found)
 
@@ -371,7 +404,8 @@
         share = statistics.mean(item.by_tier[rank] for item in found)
         tiers.append(f"{share:.3f}")
     return (
-        f"{name:13} {mean(lambda s: s.goodput):.3f}   {' '.join(tiers)}   "
+        f"{name:13} {mean(lambda s: s.goodput):.3f} {mean(lambda s: s.of_bound):.3f}   "
+        f"{' '.join(tiers)}   "
         f"{mean(lambda s: s.wasted_share):.4f} {mean(lambda s: s.cached_share):.3f}  "
         f"{mean(lambda s: s.short_first_p95):.3f}  "
         f"{mean(lambda s: s.long_first_p50):.3f}  {mean(lambda s: s.busy_share):.2f} "
