--- /dev/null
+++ b/packages/dev/cassiaquay_dev/path_client.py
@@ -0,0 +1,177 @@
+"""Closed-loop streams over raw HTTP, cheap enough to measure others.
+
+Run as ``python -m cassiaquay_dev.path_client --config FILE.json`` with the fields of
+`ClientSettings`; prints one JSON line, a `ClientResult`.
+"""
+
+import asyncio
+import functools
+import json
+import pathlib
+import time
+import typing
+
+import fire
+import uvloop
+
+LAST_CHUNK = b"0\r\n\r\n"
+EVENT = b"id: "
+
+
+class ClientSettings(typing.NamedTuple):
+    """What is sent.
+
+    Attributes
+    ----------
+    address : str
+        host:port.
+    path : str
+        Path of a request without the unique part of its id.
+    authorization : str
+        Value of that header.
+    body : str
+        JSON of each request.
+    streams : int
+        Streams open at a time.
+    spread : float
+        Seconds over which the streams start.
+    warm_up, seconds : float
+        Time before the measurement, and its length.
+    """
+
+    address: str
+    path: str
+    authorization: str
+    body: str
+    streams: int
+    spread: float
+    warm_up: float
+    seconds: float
+
+
+class ClientResult(typing.TypedDict):
+    """What came back inside the measured time.
+
+    Attributes
+    ----------
+    requests, tokens : int
+        Whole answers and events.
+    refused : int
+        Answers with another status than 200.
+    first_ms : list of float
+        Time to the first event of each request.
+    """
+
+    requests: int
+    tokens: int
+    refused: int
+    first_ms: list[float]
+
+
+class _Stream(asyncio.Protocol):
+    """One connection that sends the next request when an answer has ended."""
+
+    def __init__(self, client: "Client", number: int):
+        self._client = client
+        self._number = number
+        self._sent = 0
+        self._sent_at = 0.0
+        self._waits_first = False
+        self._tail = b""
+        self._transport: asyncio.Transport | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self._transport = typing.cast(asyncio.Transport, transport)
+        self._send()
+
+    def data_received(self, data: bytes) -> None:
+        client = self._client
+        now = time.perf_counter()
+        counts = client.starts <= now < client.ends
+        if self._waits_first:
+            self._waits_first = False
+            if not data.startswith(b"HTTP/1.1 200"):
+                client.result["refused"] += 1
+            if counts:
+                client.result["first_ms"].append((now - self._sent_at) * 1000.0)
+        if counts:
+            client.result["tokens"] += data.count(EVENT)
+        self._tail = (self._tail + data)[-len(LAST_CHUNK) :]
+        if not self._tail.endswith(LAST_CHUNK):
+            return
+        self._tail = b""
+        if counts:
+            client.result["requests"] += 1
+        if now < client.ends:
+            self._send()
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """Nothing is sent again: a lost connection shows as missing tokens."""
+
+    def close(self) -> None:
+        if self._transport is not None:
+            self._transport.abort()
+
+    def _send(self) -> None:
+        assert self._transport is not None
+        settings = self._client.settings
+        unique = f"{self._client.name}-{self._number}-{self._sent}"
+        self._sent += 1
+        body = settings.body.encode()
+        head = (
+            f"POST {settings.path}{unique} HTTP/1.1\r\nhost: {settings.address}\r\n"
+            f"authorization: {settings.authorization}\r\n"
+            f"content-type: application/json\r\ncontent-length: {len(body)}\r\n\r\n"
+        )
+        self._waits_first = True
+        self._sent_at = time.perf_counter()
+        self._transport.write(head.encode() + body)
+
+
+class Client:
+    """All streams of one process.
+
+    Parameters
+    ----------
+    settings : ClientSettings
+        What is sent.
+    name : str
+        Makes the ids unique.
+    """
+
+    def __init__(self, settings: ClientSettings, name: str):
+        self.settings = settings
+        self.name = name
+        self.starts = 0.0
+        self.ends = 0.0
+        self.result = ClientResult(requests=0, tokens=0, refused=0, first_ms=[])
+
+    async def run(self) -> ClientResult:
+        """Return what came back."""
+        settings = self.settings
+        loop = asyncio.get_running_loop()
+        host, _, port = settings.address.partition(":")
+        self.starts = time.perf_counter() + settings.spread + settings.warm_up
+        self.ends = self.starts + settings.seconds
+        streams = []
+        for number in range(settings.streams):
+            _, stream = await loop.create_connection(
+                functools.partial(_Stream, self, number), host, int(port)
+            )
+            streams.append(stream)
+            await asyncio.sleep(settings.spread / settings.streams)
+        await asyncio.sleep(max(self.ends - time.perf_counter(), 0.0))
+        for stream in streams:
+            stream.close()
+        return self.result
+
+
+def main(config: str, name: str) -> None:
+    """Run the streams of the settings file ``config``."""
+    settings = ClientSettings(**json.loads(pathlib.Path(config).read_text()))
+    result = uvloop.run(Client(settings, str(name)).run())
+    print(json.dumps(result), flush=True)
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
