--- a/packages/dev/cassiaquay_dev/bench_path.py
+++ b/packages/dev/cassiaquay_dev/bench_path.py
@@ -41,7 +41,7 @@
     interval_ms : float
         Time between two events of a stream.
     tokens : int
-        Events of each answer.
+        Mean number of events of an answer.
     prompt : int
         Characters of each prompt.
     policy : str
@@ -170,10 +170,7 @@
     async def _target(self, direct: bool) -> path_client.ClientSettings:
         settings = self._settings
         deployment = self._started.deployment
-        body: dict[str, object] = {
-            "prompt": "p" * settings.prompt,
-            "max_tokens": settings.tokens,
-        }
+        body: dict[str, object] = {"prompt": "p" * settings.prompt}
         if direct:
             address = self._started.addresses[deployment.engines[0].name]
             path = "/v1/streams/"
@@ -188,7 +185,8 @@
             address,
             path,
             f"Bearer {deployment.teams[0].credential}",
-            json.dumps(body),
+            body,
+            settings.tokens,
             0,
             SPREAD,
             WARM_UP,
@@ -206,6 +204,8 @@
             await started.start()
             await asyncio.sleep(OPENING_SECONDS)
             measurement = _Measurement(settings, started, folder)
+            # The keeper opens its shard a while after the first request.
+            await measurement.phase(CLIENTS, direct=False)
             for _ in range(settings.rounds):
                 for rate in (settings.aim // 2, settings.aim):
                     streams = int(rate * settings.interval_ms / 1000.0)
--- a/packages/dev/cassiaquay_dev/fast_engine.py
+++ b/packages/dev/cassiaquay_dev/fast_engine.py
@@ -1,8 +1,9 @@
 """A model engine stand-in that replays prepared events, faster than any daemon relays.
 
 Run as ``python -m cassiaquay_dev.fast_engine --interval_ms 20``. It models nothing: the
-first event of a stream leaves at once, then one event each ``interval_ms``. It
-speaks just enough HTTP/1.1 for `cassiaquay_daemon.backends` and `path_client`.
+first event of a stream leaves at once, then one event each ``interval_ms``, in
+`GROUPS` groups one after the other as the steps of so many engines would. It speaks
+just enough HTTP/1.1 for `cassiaquay_daemon.backends` and `path_client`.
 """
 
 import asyncio
@@ -15,6 +16,7 @@
 
 HOST = "127.0.0.1"
 LONGEST_ANSWER = 1000
+GROUPS = 16
 HEAD = (
     b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n"
     b"transfer-encoding: chunked\r\n\r\n"
@@ -56,7 +58,7 @@
         self.transport = typing.cast(asyncio.Transport, transport)
 
     def connection_lost(self, error: Exception | None) -> None:
-        self._engine.streams.pop(self, None)
+        self._engine.drop(self)
 
     def data_received(self, data: bytes) -> None:
         self._data += data
@@ -79,7 +81,7 @@
 
 
 class FastEngine:
-    """All connections, and the clock of the events.
+    """All connections, and the clocks of the events.
 
     Parameters
     ----------
@@ -88,7 +90,10 @@
     """
 
     def __init__(self, interval: float):
-        self.streams: dict[_Connection, tuple[int, int]] = {}
+        self._groups: list[dict[_Connection, tuple[int, int]]] = []
+        for _ in range(GROUPS):
+            self._groups.append({})
+        self._started = 0
         self._interval = interval
         self._events = prepare(LONGEST_ANSWER)
 
@@ -96,23 +101,34 @@
         """Answer with the first event of ``count``."""
         assert connection.transport is not None
         connection.transport.write(HEAD + self._events[0])
-        self.streams[connection] = (1, count)
+        self._groups[self._started % GROUPS][connection] = (1, count)
+        self._started += 1
+
+    def drop(self, connection: _Connection) -> None:
+        """Forget a connection that was lost."""
+        for group in self._groups:
+            group.pop(connection, None)
 
     async def run(self) -> None:
         """Send events for ever."""
         loop = asyncio.get_running_loop()
+        pause = self._interval / GROUPS
         due = loop.time()
         while True:
-            due = max(due + self._interval, loop.time() - self._interval)
-            await asyncio.sleep(max(due - loop.time(), 0.0))
-            for connection, (sent, count) in list(self.streams.items()):
-                assert connection.transport is not None
-                if sent >= count:
-                    del self.streams[connection]
-                    connection.transport.write(done(count))
-                    continue
-                connection.transport.write(self._events[sent])
-                self.streams[connection] = (sent + 1, count)
+            for group in self._groups:
+                due = max(due + pause, loop.time() - self._interval)
+                await asyncio.sleep(max(due - loop.time(), 0.0))
+                self._step(group)
+
+    def _step(self, group: dict[_Connection, tuple[int, int]]) -> None:
+        for connection, (sent, count) in list(group.items()):
+            assert connection.transport is not None
+            if sent >= count:
+                del group[connection]
+                connection.transport.write(done(count))
+                continue
+            connection.transport.write(self._events[sent])
+            group[connection] = (sent + 1, count)
 
 
 async def _serve(interval: float) -> None:
--- a/packages/dev/cassiaquay_dev/path_client.py
+++ b/packages/dev/cassiaquay_dev/path_client.py
@@ -8,6 +8,7 @@
 import functools
 import json
 import pathlib
+import random
 import time
 import typing
 
@@ -29,8 +30,10 @@
         Path of a request without the unique part of its id.
     authorization : str
         Value of that header.
-    body : str
-        JSON of each request.
+    body : dict
+        Fields of each request but ``max_tokens``.
+    tokens : int
+        Mean length of the answers, which are half to one and a half times as long.
     streams : int
         Streams open at a time.
     spread : float
@@ -42,7 +45,8 @@
     address: str
     path: str
     authorization: str
-    body: str
+    body: dict[str, typing.Any]
+    tokens: int
     streams: int
     spread: float
     warm_up: float
@@ -74,6 +78,7 @@
     def __init__(self, client: "Client", number: int):
         self._client = client
         self._number = number
+        self._source = random.Random(f"{client.name}-{number}")
         self._sent = 0
         self._sent_at = 0.0
         self._waits_first = False
@@ -117,7 +122,10 @@
         settings = self._client.settings
         unique = f"{self._client.name}-{self._number}-{self._sent}"
         self._sent += 1
-        body = settings.body.encode()
+        # Answers of one length would end together, and the next requests begin so.
+        half = settings.tokens // 2
+        count = self._source.randint(half, half + settings.tokens)
+        body = json.dumps(settings.body | {"max_tokens": count}).encode()
         head = (
             f"POST {settings.path}{unique} HTTP/1.1\r\nhost: {settings.address}\r\n"
             f"authorization: {settings.authorization}\r\n"
