--- a/Makefile
+++ b/Makefile
@@ -34,6 +34,8 @@
 	$(PYTHON) -m ruff format --check .
 	$(PYTHON) -m ruff check .
 	$(PYTHON) -m cassiaquay_dev.imports packages tests
+	$(PYTHON) -m cassiaquay_dev.lengths packages
+	$(VENV)/bin/lint-imports --no-cache --no-logo
 	$(PYTHON) -m mypy $(foreach p,$(PACKAGES),packages/$(p))
 	$(PYTHON) -m cassiaquay_schema.generate --check
 
--- a/packages/daemon/cassiaquay_daemon/metrics.py
+++ b/packages/daemon/cassiaquay_daemon/metrics.py
@@ -8,8 +8,7 @@
 import collections
 import typing
 
-import aioprometheus
-from aioprometheus import collectors
+from aioprometheus import collectors, renderer
 from aioprometheus import histogram as histograms
 
 Labels = dict[str, str]
@@ -213,8 +212,8 @@
 )
 
 _KINDS: dict[str, type[collectors.Collector]] = {
-    "counter": aioprometheus.Counter,
-    "gauge": aioprometheus.Gauge,
+    "counter": collectors.Counter,
+    "gauge": collectors.Gauge,
 }
 
 
@@ -222,7 +221,7 @@
     """The metrics of one process."""
 
     def __init__(self) -> None:
-        self.registry = aioprometheus.Registry()
+        self.registry = collectors.Registry()
         self._counts: dict[str, collections.Counter[Key]] = {}
         self._held: dict[tuple[str, Key], histograms.Histogram] = {}
         self._collectors: dict[str, collectors.Collector] = {}
@@ -264,11 +263,11 @@
             for key, value in self._counts[family.name].items():
                 labels = _labels(family, key)
                 self._collectors[family.name].set_value(labels, value)
-        return aioprometheus.render(self.registry, accept)
+        return renderer.render(self.registry, accept)
 
     def _collector(self, family: Family) -> collectors.Collector:
         if family.kind == "histogram":
-            return aioprometheus.Histogram(
+            return collectors.Histogram(
                 family.name,
                 family.doc,
                 registry=self.registry,
--- a/packages/daemon/cassiaquay_daemon/owner.py
+++ b/packages/daemon/cassiaquay_daemon/owner.py
@@ -57,7 +57,8 @@
         self.answer = answers.Answer()
         self.refusal: exceptions.Refusal | None = None
         self.state = State.WAITING
-        self.deadline = clock.now() + accepted.deadline_seconds
+        self.accepted_at = clock.now()
+        self.deadline = self.accepted_at + accepted.deadline_seconds
         self.ended_at = 0.0
         self.server = ""
         self.shard = ""
@@ -72,11 +73,6 @@
         """Whether the outcome is final."""
         return self.answer.final is not None
 
-    @property
-    def accepted_at(self) -> float:
-        """Second of acceptance on this clock."""
-        return self.deadline - self.accepted.deadline_seconds
-
 
 class Owner:
     """Accepts, dispatches and answers the requests whose ids name this incarnation.
--- /dev/null
+++ b/packages/dev/cassiaquay_dev/lengths.py
@@ -0,0 +1,38 @@
+"""Check that no source file is longer than can be read at a sitting.
+
+Run as ``python -m cassiaquay_dev.lengths DIRECTORY [DIRECTORY ...]``; exits 1 when a
+file is longer than `MOST_LINES`. Generated code is left aside.
+"""
+
+import pathlib
+import sys
+
+MOST_LINES = 450
+GENERATED_MARK = "# Generated"
+
+
+def too_long(folder: pathlib.Path) -> list[str]:
+    """Return a line for each Python file below ``folder`` that is too long."""
+    found = []
+    for path in sorted(folder.rglob("*.py")):
+        text = path.read_text()
+        if text.startswith(GENERATED_MARK):
+            continue
+        lines = text.count("\n")
+        if lines > MOST_LINES:
+            found.append(f"{path}: {lines} lines, more than {MOST_LINES}")
+    return found
+
+
+def main(folders: list[str]) -> int:
+    """Check every folder and print what was found."""
+    findings = []
+    for folder in folders:
+        findings.extend(too_long(pathlib.Path(folder)))
+    for finding in findings:
+        print(finding)
+    return 1 if findings else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- a/packages/dev/cassiaquay_dev/reports_cost.py
+++ b/packages/dev/cassiaquay_dev/reports_cost.py
@@ -7,7 +7,7 @@
 import time
 import tracemalloc
 
-import aioprometheus
+from aioprometheus import collectors
 
 from cassiaquay_daemon import burn, heaviest, metrics
 
@@ -45,9 +45,9 @@
 
 def library() -> float:
     """Return microseconds a request for the same counters by the library alone."""
-    registry = aioprometheus.Registry()
-    counter = aioprometheus.Counter("c_total", "c", registry=registry)
-    histogram = aioprometheus.Histogram("h_seconds", "h", registry=registry)
+    registry = collectors.Registry()
+    counter = collectors.Counter("c_total", "c", registry=registry)
+    histogram = collectors.Histogram("h_seconds", "h", registry=registry)
     labels = {"service": "s", "tier": "urgent", "outcome": "o", "code": "c"}
     start = time.perf_counter()
     for _ in range(REQUESTS):
