--- a/packages/daemon/cassiaquay_daemon/admin.py
+++ b/packages/daemon/cassiaquay_daemon/admin.py
@@ -138,7 +138,7 @@
         self, request: requests.Request, viewer: viewers.Viewer
     ) -> responses.Response:
         viewer.must_be_operator()
-        return _json(views.servers(self._parts))
+        return _json(views.servers(self._parts, self._settings))
 
     async def _keepers(
         self, request: requests.Request, viewer: viewers.Viewer
--- a/packages/daemon/cassiaquay_daemon/explain.py
+++ b/packages/daemon/cassiaquay_daemon/explain.py
@@ -8,7 +8,17 @@
 from cassiaquay_schema import messages
 from cassiaquay_schema import settings as settings_schema
 
-from . import clock, exceptions, owner, reports, shards, snapshots, tokens, viewers
+from . import (
+    clock,
+    exceptions,
+    owner,
+    reports,
+    shards,
+    snapshots,
+    tokens,
+    viewers,
+    views,
+)
 
 ASK_SECONDS = 3.0
 
@@ -159,7 +169,7 @@
 
     def at_keeper(self, demand: messages.Demand) -> Placement:
         """Return what this instance, as the keeper, would do with a demand."""
-        shard = self._parts.kept.shards.get(demand.shard)
+        shard = views.shard_at_keeper(self._parts, self._settings, demand.shard)
         if shard is None:
             raise exceptions.AdminUnknown(f"no shard {demand.shard!r} is kept here")
         higher, same = _ahead(shard, demand)
--- a/packages/daemon/cassiaquay_daemon/views.py
+++ b/packages/daemon/cassiaquay_daemon/views.py
@@ -3,6 +3,8 @@
 import collections
 import typing
 
+from cassiaquay_schema import settings as settings_schema
+
 from . import members, reports, shards, viewers
 
 
@@ -109,10 +111,39 @@
     return [found[name] for name in sorted(found)]
 
 
-def servers(parts: reports.Parts) -> list[ServerView]:
+def shard_at_keeper(
+    parts: reports.Parts, settings: settings_schema.Settings, name: str
+) -> shards.Shard | None:
+    """Return a shard that this instance keeps, or would as soon as it is asked."""
+    known = parts.kept.shards.get(name)
+    if known is not None:
+        return known
+    snapshot = parts.configured.current
+    if snapshot is None or parts.membership.keeper_of(name) != settings.instance:
+        return None
+    servers = snapshot.shard_servers(name)
+    if not servers:
+        return None
+    # Keepers begin a shard with its first demand; until then there is nothing to show
+    # but its servers. This one is not kept.
+    shard = shards.Shard(name, settings)
+    shard.servers = {server.name: server for server in servers}
+    for server in servers:
+        line = parts.membership.listed.get(server.name)
+        if line is not None and line.leaving:
+            shard.gone.add(server.name)
+    return shard
+
+
+def servers(
+    parts: reports.Parts, settings: settings_schema.Settings
+) -> list[ServerView]:
     """Return the backend servers of the shards kept here."""
     found = []
-    for shard in _kept(parts):
+    for kept in keepers(parts):
+        shard = shard_at_keeper(parts, settings, kept["shard"])
+        if shard is None or kept["keeper"] != settings.instance:
+            continue
         for server in shard.servers.values():
             leaving = server.name in shard.gone
             found.append(
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -196,6 +196,25 @@
     fakes.run(test)
 
 
+def test_servers_are_shown_before_their_keeper_had_a_demand() -> None:
+    """A fresh fleet has had no request yet; its operator looks before opening it.
+
+    Keepers begin a shard with its first demand. The backend servers are shown and
+    explained all the same, and looking does not begin the shard.
+    """
+
+    async def test(instance: fakes.Instance) -> None:
+        found = (await instance.call("/v1/servers")).json
+        assert sorted(item["server"] for item in found) == sorted(fakes.NAMES)
+        path = "/v1/explain?service=bookings-app&team=parents"
+        placement = (await instance.call(path)).json["placement"]
+        assert placement["server"] == "bookings-1"
+        assert not placement["keeper_since_open"]
+        assert not instance.kept.shards
+
+    fakes.run(test)
+
+
 def test_explains_a_request_by_its_id_to_its_team_only() -> None:
     async def test(instance: fakes.Instance) -> None:
         entry = instance.entry(LARGE.name)
--- /dev/null
+++ b/tests/test_pages.py
@@ -0,0 +1,121 @@
+"""The operators' pages say what the code says: codes, alarms, tests, capacity."""
+
+import ast
+import importlib
+import pathlib
+import pkgutil
+import re
+import types
+
+import cassiaquay
+import cassiaquay_cli
+import cassiaquay_daemon
+import cassiaquay_schema
+from cassiaquay import exceptions as caller_exceptions
+from cassiaquay_cli import exceptions as cli_exceptions
+from cassiaquay_daemon import exceptions as daemon_exceptions
+from cassiaquay_schema import exceptions as schema_exceptions
+
+ROOT = pathlib.Path(__file__).parents[1]
+DOCS = ROOT / "docs"
+TABLES = {
+    "What callers are told": daemon_exceptions.Refusal,
+    "Inside the daemon": daemon_exceptions.DaemonError,
+    "The operators' address": daemon_exceptions.AdminRefusal,
+    "Fleet texts and settings": schema_exceptions.SchemaError,
+    "The command line": cli_exceptions.CommandError,
+    "The caller package": caller_exceptions.CassiaquayError,
+}
+# Modules that need the development requirements.
+DEVELOPMENT = {"generate", "page"}
+
+
+def _load(package: types.ModuleType) -> None:
+    for found in pkgutil.iter_modules(package.__path__):
+        if found.name not in DEVELOPMENT:
+            importlib.import_module(f"{package.__name__}.{found.name}")
+
+
+def _kinds(root: type[Exception]) -> list[type[Exception]]:
+    found = [root]
+    for kind in root.__subclasses__():
+        found += _kinds(kind)
+    return found
+
+
+def _rows(page: str, title: str) -> list[list[str]]:
+    section = re.search(rf"^## {re.escape(title)}$(.*?)(?=^## |\Z)", page, re.M | re.S)
+    assert section, title
+    rows = []
+    for line in section[1].splitlines():
+        if line.startswith("| `"):
+            rows.append([cell.strip().strip("`") for cell in line.split("|")[1:-1]])
+    return rows
+
+
+def test_every_error_code_is_on_its_page() -> None:
+    for package in (cassiaquay, cassiaquay_cli, cassiaquay_daemon, cassiaquay_schema):
+        _load(package)
+    page = (DOCS / "ERRORS.md").read_text()
+    for title, root in TABLES.items():
+        kinds = _kinds(root)
+        if root is daemon_exceptions.DaemonError:
+            told = _kinds(daemon_exceptions.Refusal)
+            told += _kinds(daemon_exceptions.AdminRefusal)
+            kinds = [kind for kind in kinds if kind not in told]
+        expected = sorted(kind.code for kind in kinds)  # type: ignore[attr-defined]
+        assert sorted(row[0] for row in _rows(page, title)) == expected, title
+
+
+def test_outcomes_statuses_and_exit_codes_are_right() -> None:
+    page = (DOCS / "ERRORS.md").read_text()
+    refusals = {kind.code: kind for kind in _kinds(daemon_exceptions.Refusal)}  # type: ignore[attr-defined]
+    for code, outcome, status, *_ in _rows(page, "What callers are told"):
+        kind = refusals[code]
+        found = (kind.outcome, int(kind.status))  # type: ignore[attr-defined]
+        assert found == (outcome, int(status)), code
+    refusals = {kind.code: kind for kind in _kinds(daemon_exceptions.AdminRefusal)}  # type: ignore[attr-defined]
+    for code, status, *_ in _rows(page, "The operators' address"):
+        assert int(refusals[code].status) == int(status), code  # type: ignore[attr-defined]
+    commands = {kind.code: kind for kind in _kinds(cli_exceptions.CommandError)}  # type: ignore[attr-defined]
+    for code, exit_code, *_ in _rows(page, "The command line"):
+        assert commands[code].exit_code == int(exit_code), code  # type: ignore[attr-defined]
+
+
+def _alarms() -> set[str]:
+    found = set()
+    for path in (ROOT / "packages" / "daemon").rglob("*.py"):
+        for node in ast.walk(ast.parse(path.read_text())):
+            if not isinstance(node, ast.Call):
+                continue
+            if ast.unparse(node.func) != "logs.trouble":
+                continue
+            name = node.args[0]
+            assert isinstance(name, ast.Constant), f"{path}: a name that varies"
+            found.add(name.value)
+    return found
+
+
+def test_every_alarm_has_a_line_that_says_what_to_do() -> None:
+    page = (DOCS / "OPERATIONS.md").read_text()
+    rows = _rows(page, "Alarms")
+    assert {row[0] for row in rows} == _alarms()
+    assert all(row[-1] for row in rows)
+
+
+def test_every_call_of_the_operators_address_is_listed() -> None:
+    source = (
+        ROOT / "packages" / "daemon" / "cassiaquay_daemon" / "admin.py"
+    ).read_text()
+    paths = set(re.findall(r'"(/(?:v1/\w+|metrics))"', source))
+    page = (DOCS / "OPERATIONS.md").read_text()
+    listed = {row[0].split(" ")[1] for row in _rows(page, "The operators' address")}
+    assert listed == paths
+
+
+def test_named_tests_exist() -> None:
+    page = (DOCS / "PROMISES.md").read_text()
+    named = re.findall(r"`(tests/\w+\.py)::(\w+)`", page)
+    assert len(named) >= 8
+    for path, name in named:
+        assert f"def {name}(" in (ROOT / path).read_text(), f"{path}::{name}"
