--- a/Makefile
+++ b/Makefile
@@ -48,3 +48,4 @@
 
 generate: setup
 	$(PYTHON) -m cassiaquay_schema.generate
+	$(PYTHON) -m cassiaquay_dev.capacity
--- /dev/null
+++ b/packages/dev/cassiaquay_dev/measure_slopes.py
@@ -0,0 +1,213 @@
+"""Measure slopes of docs/capacity/slopes.toml that need one machine only.
+
+Run as ``python -m cassiaquay_dev.measure_slopes [NAME ...]``; prints the values, and
+writes them with ``--write``. Without names all that this module knows are measured.
+"""
+
+import collections.abc
+import datetime
+import sys
+import time
+import tracemalloc
+
+import msgspec
+
+from cassiaquay_daemon import (
+    frames,
+    owner,
+    prefixes,
+    requests,
+    snapshots,
+    tokens,
+)
+from cassiaquay_schema import messages, registry
+
+from . import deployments, reports_cost, slopes, slopes_path
+
+Measure = collections.abc.Callable[[], float]
+measures: registry.Registry[Measure] = registry.Registry("slope")
+
+KEY = "key"
+FEW, MANY = 1000, 5000
+ITEMS = 2000
+PROMPT = "why " * 2000
+
+
+def fleet_text(teams: int) -> str:
+    """Return Brindley Lane's text with ``teams`` more teams."""
+    deployment = deployments.BRINDLEY
+    names = [item.name for item in [*deployment.engines, *deployment.plains]]
+    addresses = {name: f"10.0.0.{index}:9000" for index, name in enumerate(names)}
+    lines = [deployments.fleet_text(deployment, addresses)]
+    for number in range(teams):
+        lines += [f"[teams.team-{number}]", f'credentials = ["{number:064x}"]']
+        lines += ['tiers = ["standard", "background"]', "weight = 1.0", ""]
+    return "\n".join(lines)
+
+
+def _demand(number: int) -> messages.Demand:
+    blocks = prefixes.blocks(PROMPT)
+    request_id = f"cq-1.0123456789ab.60000.0123456789abcdef~{number:032x}"
+    return messages.Demand(
+        request_id,
+        "engines#0",
+        "tutor-assist",
+        "feedback",
+        1,
+        2000,
+        256,
+        20000,
+        f"session-{number}",
+        blocks,
+        [],
+    )
+
+
+def _outstanding(number: int) -> messages.Outstanding:
+    demand = _demand(number)
+    return messages.Outstanding(
+        demand.id, demand.service, demand.team, demand.rank, "tutor-1", 2000, 256
+    )
+
+
+@measures.register("configuration_text_bytes_per_team")
+def text_bytes() -> float:
+    """Return the bytes of one more team in the text."""
+    return (len(fleet_text(MANY)) - len(fleet_text(FEW))) / (MANY - FEW)
+
+
+@measures.register("configuration_seconds_per_team")
+def text_seconds() -> float:
+    """Return the processor time to read one more team."""
+    spent = []
+    for teams in (FEW, MANY):
+        text = fleet_text(teams)
+        best = float("inf")
+        for _ in range(3):
+            start = time.process_time()
+            snapshots.read(1, text)
+            best = min(best, time.process_time() - start)
+        spent.append(best)
+    return (spent[1] - spent[0]) / (MANY - FEW)
+
+
+@measures.register("configuration_bytes_per_team")
+def configuration_bytes() -> float:
+    """Return the memory of one more team in force, its text included."""
+    sizes = []
+    for teams in (FEW, MANY):
+        tracemalloc.start()
+        kept = snapshots.read(1, fleet_text(teams))
+        size, _ = tracemalloc.get_traced_memory()
+        tracemalloc.stop()
+        sizes.append(size)
+        del kept
+    return (sizes[1] - sizes[0]) / (MANY - FEW)
+
+
+@measures.register("keeper_wire_bytes_per_demand")
+def demand_bytes() -> float:
+    """Return the bytes of demand, permit and release on the wire."""
+    demand = _demand(1)
+    release = messages.Release(
+        demand.id, demand.shard, "tutor-1", "completed", 2000, 1500, 204, 210.5, 16000.5
+    )
+    permit = messages.Permit(demand.id, "tutor-1", 1500)
+    return float(sum(len(frames.encode(item)) for item in (demand, permit, release)))
+
+
+@measures.register("renewal_wire_bytes_per_item")
+def renewal_bytes() -> float:
+    """Return the bytes of one item of a renewal."""
+    items = [_outstanding(number) for number in range(ITEMS)]
+    return len(frames.encode(messages.Renewal("engines#0", items))) / ITEMS
+
+
+@measures.register("renewal_seconds_per_item")
+def renewal_seconds() -> float:
+    """Return the processor time to encode and decode one item of a renewal."""
+    items = [_outstanding(number) for number in range(ITEMS)]
+    best = float("inf")
+    for _ in range(5):
+        start = time.process_time()
+        frame = frames.encode(messages.Renewal("engines#0", items))
+        frames.Decoder().feed(frame)
+        best = min(best, time.process_time() - start)
+    return best / ITEMS
+
+
+@measures.register("owner_bytes_per_entry")
+def entry_bytes() -> float:
+    """Return the memory of one entry without events."""
+    snapshot = snapshots.read(1, fleet_text(0))
+    token = tokens.mint(KEY, "cq-1", "0123456789ab", 60.0)
+    kept = {}
+    tracemalloc.start()
+    for number in range(ITEMS):
+        request_id = tokens.parse([KEY], f"{token}~{number:032x}")
+        prompt = f"{number} {PROMPT}"
+        body = {"service": "tutor-assist", "prompt": prompt}
+        data = msgspec.json.encode(body)
+        accepted = requests.accept(request_id, "feedback", data, snapshot)
+        kept[request_id.text] = owner.Entry(accepted)
+    size, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    return size / ITEMS
+
+
+@measures.register("owner_bytes_per_event")
+def event_bytes() -> float:
+    """Return the memory of one kept event of an answer."""
+    snapshot = snapshots.read(1, fleet_text(0))
+    token = tokens.mint(KEY, "cq-1", "0123456789ab", 60.0)
+    request_id = tokens.parse([KEY], f"{token}~a")
+    data = msgspec.json.encode({"service": "tutor-assist", "prompt": PROMPT})
+    entry = owner.Entry(requests.accept(request_id, "feedback", data, snapshot))
+    tracemalloc.start()
+    for number in range(ITEMS):
+        entry.answer.append(b'{"text":"word%d "}' % number)
+    size, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    return size / ITEMS
+
+
+@measures.register("metric_seconds_per_request")
+def metric_seconds() -> float:
+    """Return the processor time to count one request."""
+    return min(reports_cost.ours() for _ in range(3)) / 1e6
+
+
+@measures.register("burn_bytes_per_cell")
+def burn_bytes() -> float:
+    """Return the memory of one burn counter."""
+    return reports_cost.cell_bytes()
+
+
+measures.register("base_bytes")(slopes_path.base_bytes)
+measures.register("owner_seconds_per_request")(slopes_path.seconds_per_request)
+measures.register("owner_seconds_per_event")(slopes_path.seconds_per_event)
+
+
+def write(found: dict[str, float]) -> None:
+    """Put values into the file of slopes, beside those that are there."""
+    known = slopes.read()
+    today = datetime.date.today()
+    for name, value in found.items():
+        command = f"python -m cassiaquay_dev.measure_slopes {name}"
+        known[name] = slopes.Slope(value=value, command=command, date=today)
+    slopes.write(known)
+
+
+def main(arguments: list[str]) -> None:
+    """Measure, print, and write when asked to."""
+    names = [text for text in arguments if not text.startswith("--")]
+    found = {}
+    for name in names or measures.names():
+        found[name] = float(f"{measures.get(name)():.3g}")
+        print(f"{name} = {found[name]:g} {slopes.KNOWN[name].unit}", flush=True)
+    if "--write" in arguments:
+        write(found)
+
+
+if __name__ == "__main__":
+    main(sys.argv[1:])
--- a/packages/dev/cassiaquay_dev/slopes.py
+++ b/packages/dev/cassiaquay_dev/slopes.py
@@ -5,6 +5,7 @@
 """
 
 import datetime
+import json
 import pathlib
 import tomllib
 import typing
@@ -116,3 +117,23 @@
         if name not in KNOWN:
             raise ValueError(f"{path.name}: no slope named {name!r}")
     return found
+
+
+def write(found: dict[str, Slope], path: pathlib.Path = PATH) -> None:
+    """Write the measured slopes below the comment that the file begins with."""
+    head = []
+    for line in path.read_text().splitlines():
+        if not line.startswith("#"):
+            break
+        head.append(line)
+    parts = ["\n".join(head)]
+    for name in KNOWN:
+        if name not in found:
+            continue
+        slope = found[name]
+        lines = [f"[{name}]", f"value = {slope.value!r}"]
+        lines += [f"command = {json.dumps(slope.command)}", f"date = {slope.date}"]
+        if slope.note:
+            lines.append(f"note = {json.dumps(slope.note)}")
+        parts.append("\n".join(lines))
+    path.write_text("\n\n".join(parts) + "\n")
