--- a/packages/dev/cassiaquay_dev/capacity_page.py
+++ b/packages/dev/cassiaquay_dev/capacity_page.py
@@ -74,7 +74,8 @@
         ]
         lines.append(f"| {' | '.join(cells)} |")
     note = (
-        "\n\nA dash: the role has nothing of the kind worth a slope. The busiest daemon is shown, which keeps"
+        "\n\nA dash: the role has nothing of the kind worth a slope. The busiest daemon is"
+        " shown, which keeps"
         f" {capacity_roles.BUSIEST_SHARDS} shards."
     )
     return "\n".join(lines) + note
@@ -207,9 +208,9 @@
         f" engines; the others carry {size.domains / (size.domains - 1):.2f} times"
         " their load, the lowest tiers are shed | as above; strict tiers |",
         "| regions apart for an hour | each side serves with its own engines and"
-        f" keepers; about {size.changes_per_day / 24:.0f} changes reach only the side that sees"
-        " the platform; the other takes the newest one when they meet | revisions of"
-        " the platform; no agreement needed |",
+        f" keepers; about {size.changes_per_day / 24:.0f} changes reach only the side"
+        " that sees the platform; the other takes the newest one when they meet |"
+        " revisions of the platform; no agreement needed |",
     ]
     return "\n".join(lines)
 
