--- a/packages/dev/cassiaquay_dev/capacity_page.py
+++ b/packages/dev/cassiaquay_dev/capacity_page.py
@@ -74,8 +74,8 @@
         ]
         lines.append(f"| {' | '.join(cells)} |")
     note = (
-        "\n\nA dash: the role has nothing of the kind worth a slope. The busiest daemon is"
-        " shown, which keeps"
+        "\n\nA dash: the role has nothing of the kind worth a slope. The busiest daemon"
+        " is shown, which keeps"
         f" {capacity_roles.BUSIEST_SHARDS} shards."
     )
     return "\n".join(lines) + note
--- a/packages/dev/cassiaquay_dev/measure_slopes.py
+++ b/packages/dev/cassiaquay_dev/measure_slopes.py
@@ -36,7 +36,8 @@
 def fleet_text(teams: int) -> str:
     """Return Brindley Lane's text with ``teams`` more teams."""
     deployment = deployments.BRINDLEY
-    names = [item.name for item in [*deployment.engines, *deployment.plains]]
+    names = [engine.name for engine in deployment.engines]
+    names += [plain.name for plain in deployment.plains]
     addresses = {name: f"10.0.0.{index}:9000" for index, name in enumerate(names)}
     lines = [deployments.fleet_text(deployment, addresses)]
     for number in range(teams):
