Refuse a browser's page on the loopback address and note the design

Any page open on an instance's machine could have ordered a drain while no operator was named: its call comes from the loopback address too. Browsers name the page as Origin.

--- a/packages/daemon/cassiaquay_daemon/viewers.py
+++ b/packages/daemon/cassiaquay_daemon/viewers.py
@@ -61,7 +61,10 @@
         # Without digests nobody could prove to be an operator. Only a process on this
         # very machine is taken for one then: an address that is reachable from
         # elsewhere must not hand out queues or drain the instance unasked.
-        if not self._settings.operators and _is_loopback(request):
+        # A page in a browser on this machine comes from the loopback address as well,
+        # but browsers say so: without this check any page could order a drain.
+        from_page = "origin" in request.headers
+        if not self._settings.operators and _is_loopback(request) and not from_page:
             return Viewer("")
         raise exceptions.AdminUnauthorized("an Authorization header of type Bearer")
 
--- a/tests/operators_fakes.py
+++ b/tests/operators_fakes.py
@@ -115,12 +115,15 @@
         credential: str = "",
         method: str = "GET",
         client: str = "127.0.0.1",
+        origin: str = "",
     ) -> Reply:
         """Call the operators' address as if from ``client``."""
         target, _, query = path.partition("?")
         headers = []
         if credential:
             headers.append((b"authorization", f"Bearer {credential}".encode()))
+        if origin:
+            headers.append((b"origin", origin.encode()))
         scope: types.Scope = {
             "type": "http",
             "method": method,
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -99,6 +99,23 @@
     fakes.run(test)
 
 
+def test_a_page_in_a_browser_on_the_machine_is_no_operator() -> None:
+    """Somebody with a browser on the instance's machine opens a hostile page.
+
+    The page sends POST /v1/drain to the loopback address. The browser names the page
+    as the origin, so the call is refused although it comes from this machine.
+    """
+
+    async def test(instance: fakes.Instance) -> None:
+        reply = await instance.call(
+            "/v1/drain", method="POST", origin="http://hostile.example"
+        )
+        assert reply.status == 401
+        assert not instance.drained
+
+    fakes.run(test)
+
+
 def test_loopback_is_not_enough_once_operators_are_named() -> None:
     async def test(instance: fakes.Instance) -> None:
         assert (await instance.call("/v1/drain", method="POST")).status == 401
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -4,9 +4,11 @@
 import json
 import os
 import pathlib
+import re
 import subprocess
 import sys
 import typing
+from xml.etree import ElementTree
 
 import aiohttp
 import operators_fakes as fakes
@@ -167,7 +169,10 @@
         assert "cq-1 counts since" in text
         assert report["coverage"]["3d"] < 0.5
         page = burn_page.render(report)
-        assert page.count("<svg") == 2 * len(report["objectives"])
+        drawn = re.findall(r"<svg.*?</svg>", page, re.S)
+        assert len(drawn) == 2 * len(report["objectives"])
+        bars = [len(ElementTree.fromstring(text).findall("rect")) for text in drawn]
+        assert bars[:3] == [1, 1, 0]
         assert "cq-9 gave no answer" in page
         assert "http://" not in page.replace("http://www.w3.org", "")
 
