Hold fleet-wide limits and refuse early what depends on a service that is down

Limits of rate come as chunks of permits that expire, limits of concurrency as leases that owners renew; each limit has one keeper by rendezvous hashing, no shared state. Dependents are refused while the keeper of a dependency says that their rank does not get through. A nested call never outranks nor outlives a parent that this instance owns.

--- a/packages/daemon/cassiaquay_daemon/affinity.py
+++ b/packages/daemon/cassiaquay_daemon/affinity.py
@@ -31,13 +31,23 @@
     def __len__(self) -> int:
         return len(self._blocks)
 
-    def cached_tokens(self, hashes: collections.abc.Sequence[int]) -> int:
-        """Return how many prompt tokens the engine need not read."""
+    def cached_tokens(
+        self, hashes: collections.abc.Sequence[int], block_count: int
+    ) -> int:
+        """Return how many prompt tokens the engine need not read.
+
+        Parameters
+        ----------
+        hashes : sequence of int
+            As a demand carries them, at ``prefixes.positions(block_count)``.
+        block_count : int
+            Full blocks of the prompt.
+        """
         # Deepest first: its cache keeps the beginning of a prompt longest, so a
         # block that is there says that those before it are there too.
-        for count in range(len(hashes), 0, -1):
-            if hashes[count - 1] in self._blocks:
-                return prefixes.tokens_at(count)
+        for index in range(len(hashes) - 1, -1, -1):
+            if hashes[index] in self._blocks:
+                return prefixes.tokens_at(block_count, index)
         return 0
 
     def add(self, hashes: collections.abc.Iterable[int]) -> None:
--- a/packages/daemon/cassiaquay_daemon/daemon.py
+++ b/packages/daemon/cassiaquay_daemon/daemon.py
@@ -17,7 +17,11 @@
     backends,
     configuration,
     demands,
+    dependencies,
+    gates,
     keeper,
+    limit_keepers,
+    limits,
     logs,
     members,
     owner,
@@ -79,8 +83,23 @@
         self._demands = demands.Demands(
             settings, self._peers, self._membership, self._keeper
         )
+        self._limits = limits.Limits(
+            settings,
+            self._peers,
+            self._membership,
+            limit_keepers.LimitKeeper(
+                settings, self._peers, self._membership, self._configuration
+            ),
+        )
+        self._dependencies = dependencies.Dependencies(
+            settings, self._peers, self._membership, self._keeper
+        )
         self._owner = owner.Owner(
-            settings, self._incarnation, self._http, self._demands
+            settings,
+            self._incarnation,
+            self._http,
+            self._demands,
+            gates.Checked(self._dependencies, self._limits),
         )
         self._membership.on_heard(self._configuration.heard)
 
@@ -155,6 +174,8 @@
             self._keeper.tick(),
             self._demands.renew(),
             self._demands.report(),
+            self._limits.renew(),
+            self._dependencies.ask(),
             self._owner.sweep(),
         ]
 
--- a/packages/daemon/cassiaquay_daemon/demands.py
+++ b/packages/daemon/cassiaquay_daemon/demands.py
@@ -58,11 +58,11 @@
     ----------
     item : Outstanding
         As stated by the caller.
-    answer : Answer or None
+    answer : Answer
         Where its events are counted.
     """
 
-    def __init__(self, item: messages.Outstanding, answer: answers.Answer | None):
+    def __init__(self, item: messages.Outstanding, answer: answers.Answer):
         self.item = item
         self.answer = answer
         self.sent_at = clock.now()
@@ -72,8 +72,7 @@
     @property
     def renewed(self) -> messages.Outstanding:
         """The request as a renewal tells of it."""
-        produced = self.answer.count if self.answer is not None else 0
-        return self.item._replace(produced=produced)
+        return self.item._replace(produced=self.answer.count)
 
     def step(self, now: float) -> messages.Step | None:
         """Return what is new, once."""
@@ -82,7 +81,7 @@
             self.told_sent = True
             age_ms = (now - self.sent_at) * 1000.0
             return messages.Step(item.id, item.server, False, age_ms)
-        if self.told_first or self.answer is None or not self.answer.count:
+        if self.told_first or not self.answer.count:
             return None
         self.told_first = True
         age_ms = (now - self.answer.first_at) * 1000.0
@@ -166,13 +165,20 @@
         self._tell(demand.shard, messages.Withdraw(demand.id, demand.shard))
 
     def dispatched(
-        self,
-        shard: str,
-        item: messages.Outstanding,
-        answer: answers.Answer | None = None,
+        self, demand: messages.Demand, server: str, answer: answers.Answer
     ) -> None:
         """Note that a permission is in use; its lease is renewed from now on."""
-        self._outstanding.setdefault(shard, {})[item.id] = Sent(item, answer)
+        item = messages.Outstanding(
+            demand.id,
+            demand.service,
+            demand.team,
+            demand.rank,
+            server,
+            demand.prompt_tokens,
+            demand.output_tokens,
+        )
+        shard = self._outstanding.setdefault(demand.shard, {})
+        shard[item.id] = Sent(item, answer)
 
     def release(self, message: messages.Release) -> None:
         """Tell the keeper that a dispatched request has ended."""
--- /dev/null
+++ b/packages/daemon/cassiaquay_daemon/gates.py
@@ -0,0 +1,56 @@
+"""What a request must pass before it asks for capacity: dependencies, then limits."""
+
+import collections.abc
+import contextlib
+import typing
+
+from . import dependencies, limits, requests
+
+
+class Gate(typing.Protocol):
+    """What stands before the request for capacity."""
+
+    def hold(
+        self, accepted: requests.Accepted
+    ) -> contextlib.AbstractAsyncContextManager[None]:
+        """Let a request through while it runs; raise a Refusal otherwise."""
+
+
+class Open:
+    """Lets everything through."""
+
+    @contextlib.asynccontextmanager
+    async def hold(
+        self, accepted: requests.Accepted
+    ) -> collections.abc.AsyncIterator[None]:
+        """Let a request through."""
+        yield
+
+
+OPEN = Open()
+
+
+class Checked:
+    """Dependencies and limits together.
+
+    Parameters
+    ----------
+    depending : Dependencies
+        Health of the services that others depend on.
+    limited : Limits
+        Limits of teams and services.
+    """
+
+    def __init__(self, depending: dependencies.Dependencies, limited: limits.Limits):
+        self._dependencies = depending
+        self._limits = limited
+
+    @contextlib.asynccontextmanager
+    async def hold(
+        self, accepted: requests.Accepted
+    ) -> collections.abc.AsyncIterator[None]:
+        """Let a request through while it runs; raise a Refusal otherwise."""
+        # Dependencies first: what is refused for them must not use up a permit.
+        self._dependencies.check(accepted.service, accepted.rank, accepted.snapshot)
+        async with self._limits.hold(accepted.team, accepted.service, accepted.rank):
+            yield
--- a/packages/daemon/cassiaquay_daemon/keeper.py
+++ b/packages/daemon/cassiaquay_daemon/keeper.py
@@ -66,6 +66,7 @@
         links.on(messages.Release, self.release)
         links.on(messages.Renewal, self.renewal)
         links.on(messages.Progress, self.progress)
+        links.on(messages.HealthQuery, self._health_asked)
         links.on_down(self._lost)
         membership.on_change(self._keepers.clear)
         configured.on_accept(self._refresh)
@@ -131,6 +132,14 @@
             shard.progress(message)
             self._serve_soon(message.shard)
 
+    def health(self, name: str) -> messages.Health:
+        """Return what gets through a shard, as far as this instance knows."""
+        shard = self.shards.get(name)
+        if shard is None:
+            return messages.Health(name, -1, 0)
+        floor, retry_after_ms = shard.health()
+        return messages.Health(name, floor, retry_after_ms)
+
     async def tick(self) -> None:
         """Let leases expire and serve again, for ever."""
         while True:
@@ -142,6 +151,11 @@
                 self._serve(name)
             await asyncio.sleep(TICK_SECONDS)
 
+    def _health_asked(
+        self, replier: shards.Replier, query: messages.HealthQuery
+    ) -> None:
+        replier.send(self.health(query.shard))
+
     def _wake(self) -> None:
         now = clock.now()
         paused = now - self._ticked_at > PAUSE_SECONDS
--- /dev/null
+++ b/packages/daemon/cassiaquay_daemon/limit_keepers.py
@@ -0,0 +1,183 @@
+"""Limits of teams and services over the whole fleet: the keeper's side.
+
+Each limit has one keeper, by rendezvous hashing of what it limits. Owners fetch
+permits from it: of a rate in chunks that expire, of concurrency one by one as leases.
+In a partition each part has its own keeper and grants the whole limit, so the fleet
+uses at most the limit times the parts; docs/design/limits.md has the measured figures.
+"""
+
+import typing
+
+from cassiaquay_schema import messages
+from cassiaquay_schema import settings as settings_schema
+
+from . import clock, configuration, members, peers, shards
+
+TEAM = "team"
+SERVICE = "service"
+# A chunk is never more than this share of what is there: the rest is for the others.
+CHUNK_SHARE = 4
+CHUNK_LIFETIME_SECONDS = 1.0
+BURST_SECONDS = 1.0
+
+
+class Limit(typing.NamedTuple):
+    """The limits of one team or service; None where there is none."""
+
+    rate: float | None
+    concurrent: int | None
+
+
+class Lease(typing.NamedTuple):
+    """Requests that one owner runs under a limit, and when that must be renewed."""
+
+    held: int
+    expires_at: float
+
+
+class Bucket:
+    """The state of one limit at its keeper."""
+
+    def __init__(self, now: float):
+        # One permit, not a whole second's: a keeper that takes over does not know
+        # what the one before gave out a moment ago.
+        self._permits = 1.0
+        self._filled_at = now
+        self._leases: dict[str, Lease] = {}
+
+    def renew(self, owner: str, held: int, expires_at: float) -> None:
+        """Take in what an owner runs."""
+        if held:
+            self._leases[owner] = Lease(held, expires_at)
+        else:
+            self._leases.pop(owner, None)
+
+    def take(
+        self, limit: Limit, query: messages.LimitQuery, now: float
+    ) -> tuple[int, float]:
+        """Return permits for a query, and the seconds until there is another one."""
+        count = query.needed
+        wait = 0.0
+        if limit.rate is not None:
+            count, wait = self._take_rate(limit.rate, query, now)
+        if limit.concurrent is not None:
+            running = self._running(now)
+            free = max(limit.concurrent - running, 0)
+            if free < count or (not free and query.needed):
+                wait = max(wait, self._typical_seconds())
+            count = min(count, free, query.needed)
+        if limit.rate is not None:
+            self._permits -= count
+        return count, wait
+
+    def _take_rate(
+        self, rate: float, query: messages.LimitQuery, now: float
+    ) -> tuple[int, float]:
+        most = max(rate * BURST_SECONDS, 1.0)
+        filled = self._permits + (now - self._filled_at) * rate
+        self._permits = min(filled, most)
+        self._filled_at = now
+        available = int(self._permits)
+        welcome = max(query.needed, available // CHUNK_SHARE)
+        count = min(query.wanted, available, welcome)
+        missing = max(query.needed - self._permits, 1.0)
+        return count, missing / rate
+
+    def _running(self, now: float) -> int:
+        # An owner that died or is cut off renews nothing: its requests end or are
+        # taken as ended with its lease.
+        for owner in list(self._leases):
+            if self._leases[owner].expires_at < now:
+                del self._leases[owner]
+        return sum(lease.held for lease in self._leases.values())
+
+    def _typical_seconds(self) -> float:
+        return 0.5
+
+
+class LimitKeeper:
+    """All limits that rendezvous hashing gives this instance.
+
+    Parameters
+    ----------
+    settings : Settings
+        Lives of leases.
+    links : Peers
+        Connections from owners.
+    membership : Membership
+        Changes of keepers.
+    configured : Configuration
+        The limits.
+    """
+
+    def __init__(
+        self,
+        settings: settings_schema.Settings,
+        links: peers.Peers,
+        membership: members.Membership,
+        configured: configuration.Configuration,
+    ):
+        self._settings = settings
+        self._configured = configured
+        self._buckets: dict[str, Bucket] = {}
+        self._changed_at = clock.now()
+        links.on(messages.LimitQuery, self.query)
+        links.on(messages.LimitReturn, self.give_back)
+        membership.on_change(self._changed)
+
+    def query(self, replier: shards.Replier, query: messages.LimitQuery) -> None:
+        """Answer with permits."""
+        limit = self.limit(query.key)
+        now = clock.now()
+        bucket = self._bucket(query.key, now)
+        bucket.renew(replier.instance, query.held, self._expiry(now))
+        if limit.concurrent is not None and now < self._opens_at:
+            # The members changed: owners that ran under the keeper before must tell
+            # what they run, or the limit would be given out a second time.
+            count, wait = 0, self._opens_at - now
+        else:
+            count, wait = bucket.take(limit, query, now)
+            if limit.concurrent is not None:
+                held = query.held + count
+                bucket.renew(replier.instance, held, self._expiry(now))
+        lifetime_ms = int(CHUNK_LIFETIME_SECONDS * 1000)
+        replier.send(
+            messages.LimitPermits(query.key, count, lifetime_ms, int(wait * 1000))
+        )
+
+    def give_back(self, replier: shards.Replier, message: messages.LimitReturn) -> None:
+        """Take in that requests have ended."""
+        now = clock.now()
+        bucket = self._bucket(message.key, now)
+        bucket.renew(replier.instance, message.held, self._expiry(now))
+
+    def limit(self, key: str) -> Limit:
+        """Return the limits that the fleet text sets for a key."""
+        snapshot = self._configured.current
+        kind, _, name = key.partition(" ")
+        if snapshot is None:
+            return Limit(None, None)
+        if kind == TEAM:
+            team = snapshot.fleet.teams.get(name)
+            if team is not None:
+                return Limit(team.requests_per_second, team.concurrent)
+        else:
+            service = snapshot.fleet.services.get(name)
+            if service is not None:
+                return Limit(service.requests_per_second, service.concurrent)
+        return Limit(None, None)
+
+    @property
+    def _opens_at(self) -> float:
+        return self._changed_at + self._settings.keeper.renew_seconds * 1.5
+
+    def _expiry(self, now: float) -> float:
+        return now + self._settings.keeper.lease_seconds
+
+    def _bucket(self, key: str, now: float) -> Bucket:
+        if key not in self._buckets:
+            self._buckets[key] = Bucket(now)
+        return self._buckets[key]
+
+    def _changed(self) -> None:
+        self._changed_at = clock.now()
--- a/packages/daemon/cassiaquay_daemon/owner.py
+++ b/packages/daemon/cassiaquay_daemon/owner.py
@@ -19,7 +19,9 @@
     backends,
     clock,
     demands,
+    dependencies,
     exceptions,
+    gates,
     logs,
     prefixes,
     rendezvous,
@@ -87,6 +89,8 @@
         Connections to backend servers.
     asked : Demands
         The way to keepers.
+    gate : Gate, optional
+        Dependencies and limits; none are looked at without it.
     """
 
     def __init__(
@@ -95,6 +99,7 @@
         incarnation: str,
         http: aiohttp.ClientSession,
         asked: demands.Demands,
+        gate: gates.Gate = gates.OPEN,
     ):
         self.leaving = False
         self.table: dict[str, Entry] = {}
@@ -102,6 +107,7 @@
         self._incarnation = incarnation
         self._started = clock.now()
         self._demands = asked
+        self._gate = gate
         self._background: set[asyncio.Task[None]] = set()
         self._on_ended: list[collections.abc.Callable[[Entry], None]] = []
         self._on_wasted: list[collections.abc.Callable[[int], None]] = []
@@ -161,7 +167,7 @@
         if self._expired(request_id):
             # Its entry may have been here and dropped: saying "not run" might lie.
             raise exceptions.TokenExpired()
-        accepted = accept()
+        accepted = dependencies.inherit(accept(), self.table)
         entry = Entry(accepted)
         self.table[request_id.text] = entry
         if self.leaving:
@@ -271,7 +277,8 @@
         remaining = entry.deadline - clock.now()
         try:
             async with asyncio.timeout(remaining):
-                await self._serve(entry)
+                async with self._gate.hold(entry.accepted):
+                    await self._serve(entry)
         except exceptions.Refusal as refusal:
             self._refuse(entry, refusal)
         except TimeoutError:
@@ -348,19 +355,7 @@
                 tier=accepted.tier,
                 team=accepted.team,
             )
-            self._demands.dispatched(
-                demand.shard,
-                messages.Outstanding(
-                    demand.id,
-                    demand.service,
-                    demand.team,
-                    demand.rank,
-                    server.name,
-                    demand.prompt_tokens,
-                    demand.output_tokens,
-                ),
-                entry.answer,
-            )
+            self._demands.dispatched(demand, server.name, entry.answer)
 
         figures = backends.Figures(accepted.prompt_tokens, 0, 0)
         outcome = "unknown"
@@ -445,4 +440,5 @@
             accepted.body.session,
             prefixes.blocks(accepted.body.prompt) if accepted.call.model else [],
             list(avoid),
+            prefixes.block_count(accepted.body.prompt) if accepted.call.model else 0,
         )
--- a/packages/daemon/cassiaquay_daemon/placement.py
+++ b/packages/daemon/cassiaquay_daemon/placement.py
@@ -59,6 +59,11 @@
             or self.backlog > BACKLOG_SECONDS
         )
 
+    def cached_tokens(self, demand: messages.Demand) -> int:
+        """Return the prompt tokens that the engine's cache is taken to hold."""
+        found = self.engine.index.cached_tokens(demand.blocks, demand.block_count)
+        return min(found, demand.prompt_tokens)
+
     def fits(self, tokens: int) -> bool:
         """Tell whether a request of this many tokens may go there now."""
         if self.is_full:
@@ -198,9 +203,9 @@
     least = float(demand.prompt_tokens + demand.output_tokens)
     for number, view in enumerate(views):
         estimate = view.estimate
-        cached = view.engine.index.cached_tokens(demand.blocks)
+        cached = view.cached_tokens(demand)
         step = estimate.floor_seconds * estimate.prefill_rate
-        found = max(demand.prompt_tokens - cached, 0)
+        found = float(max(demand.prompt_tokens - cached, 0))
         found += demand.output_tokens * step / view.engine.server.slots
         least = found if not number else min(least, found)
     return max(int(least), 1)
@@ -215,7 +220,7 @@
     demand: messages.Demand, tokens: int, view: View, pressure: float
 ) -> Choice:
     estimate = view.estimate
-    cached = min(view.engine.index.cached_tokens(demand.blocks), demand.prompt_tokens)
+    cached = view.cached_tokens(demand)
     first = view.backlog + estimate.token_seconds
     reading = (demand.prompt_tokens - cached) / estimate.prefill_rate
     first += reading
--- a/packages/daemon/cassiaquay_daemon/shards.py
+++ b/packages/daemon/cassiaquay_daemon/shards.py
@@ -5,13 +5,16 @@
 from cassiaquay_schema import fleet, messages
 from cassiaquay_schema import settings as settings_schema
 
-from . import clock, loads, logs, peers
+from . import clock, loads, logs, peers, prefixes
 
 # Time for the news of a dispatch to reach the keeper after a permit's last moment.
 NEWS_SECONDS = 0.4
 # Owners repeat unanswered demands every renewal period; one not repeated for this
 # many periods is an owner's that has gone, or was read after a pause of this process.
 STALE_PERIODS = 4.0
+# How long a server that refused connections is taken for down without other news.
+REFUSED_SECONDS = 2.0
+DOWN_RETRY_MS = 2000
 
 
 class Replier(typing.Protocol):
@@ -116,6 +119,10 @@
         self.servers: dict[str, fleet.Server] = {}
         self.gone: set[str] = set()
         self.weights: dict[str, float] = {}
+        self._refused: dict[str, float] = {}
+        self._floor = -1
+        self._floor_until = float("-inf")
+        self._floor_retry_ms = 0
         self._loads: dict[str, loads.Load] = {}
         self._observers: list[Observer] = []
         self._unheard: set[str] = set()
@@ -159,6 +166,12 @@
     def add(self, demand: messages.Demand, replier: Replier) -> None:
         """Queue a demand, or take in that its owner repeats it."""
         now = clock.now()
+        for server in demand.avoid:
+            self._refused[server] = now
+        if not prefixes.consistent(demand.blocks, demand.block_count):
+            # An owner of another version samples otherwise: no affinity is better
+            # than a wrong one.
+            demand = demand._replace(blocks=[], block_count=0)
         running = self.running.get(demand.id)
         if running is not None:
             # The owner asks again and so has no permit: the one sent was lost with a
@@ -231,6 +244,7 @@
             if not step.started:
                 continue
             found = self.load(running.server).start(step.id, at)
+            self._refused.pop(running.server, None)
             if found is None:
                 continue
             self.running[step.id] = self.running[step.id]._replace(
@@ -306,6 +320,36 @@
             if self.queue[request_id].told_at < horizon:
                 self._unqueue(request_id)
 
+    def raise_floor(self, rank: int, until: float, retry_after_ms: int) -> None:
+        """Note that a rank, and so all below it, is being shed."""
+        now = clock.now()
+        if now >= self._floor_until or rank < self._floor:
+            self._floor = rank
+        self._floor_until = until
+        self._floor_retry_ms = retry_after_ms
+
+    def held_back(self, rank: int) -> bool:
+        """Tell whether a more important rank was shed a moment ago."""
+        return rank > self._floor and clock.now() < self._floor_until
+
+    def health(self) -> tuple[int, int]:
+        """Return the rank from which on requests are refused, and when to ask again.
+
+        The rank is -1 when all get through, 0 when no server can be reached.
+        """
+        now = clock.now()
+        up = [item for item in self.open_servers() if not self.is_refusing(item.name)]
+        if not up:
+            return 0, DOWN_RETRY_MS
+        if now < self._floor_until:
+            return self._floor, self._floor_retry_ms
+        return -1, 0
+
+    def is_refusing(self, server: str) -> bool:
+        """Tell whether a server refused a connection and has done nothing since."""
+        since = clock.now() - self._refused.get(server, float("-inf"))
+        return since < REFUSED_SECONDS
+
     def open_servers(self) -> list[fleet.Server]:
         """Return the servers that may get new work."""
         return [item for item in self.servers.values() if item.name not in self.gone]
--- a/packages/daemon/cassiaquay_daemon/tiered.py
+++ b/packages/daemon/cassiaquay_daemon/tiered.py
@@ -9,8 +9,8 @@
 NAME = "tiered"
 # Demands of one team looked at in one pass: those behind may fit where the first do
 # not, but a pass must stay short however long the queue is.
-LOOK_AHEAD = 32
-MOST_WEIGHED = 300
+LOOK_AHEAD = 12
+MOST_WEIGHED = 100
 # A wait is an estimate; only one that is far too long is taken at its word.
 SHED_FACTOR = 1.5
 # After a tier was shed for overload, no tier below it gets a grant for this long.
@@ -39,8 +39,6 @@
         self._new: list[str] = []
         self._views: list[placement.View] = []
         self._sessions: dict[str, dict[str, None]] = {}
-        self._floor_rank = 0
-        self._floor_until = float("-inf")
         self._weighed = 0
         shard.observe(self)
 
@@ -117,7 +115,7 @@
         self._bound()
         self._weighed = 0
         for rank in self._queues.ranks():
-            if rank > self._floor_rank and now < self._floor_until:
+            if self._shard.held_back(rank):
                 break
             self._serve_tier(rank, views)
             full = all(view.is_full for view in views)
@@ -142,7 +140,11 @@
 
     def _look(self, now: float) -> list[placement.View]:
         found = []
-        for server in self._shard.open_servers():
+        servers = self._shard.open_servers()
+        # One that refuses connections would get every request that looks for an empty
+        # engine; when all refuse, trying is all that is left.
+        up = [item for item in servers if not self._shard.is_refusing(item.name)]
+        for server in up or servers:
             engine = self._engines[server.name]
             found.append(placement.View(engine, self._shard, now))
         return found
@@ -198,10 +200,8 @@
     ) -> None:
         # Whoever sees this tier shed must not see a lower one served meanwhile.
         rank = waiting.demand.rank
-        if now >= self._floor_until or rank < self._floor_rank:
-            self._floor_rank = rank
-        self._floor_until = now + FLOOR_SECONDS
         retry_after_ms = self._drain.retry_after_ms(seconds)
+        self._shard.raise_floor(rank, now + FLOOR_SECONDS, retry_after_ms)
         self._shard.shed(waiting, "shed_overload", retry_after_ms)
 
     def _serve_tier(self, rank: int, views: list[placement.View]) -> None:
--- a/packages/dev/cassiaquay_dev/shard_lab.py
+++ b/packages/dev/cassiaquay_dev/shard_lab.py
@@ -196,6 +196,7 @@
             arrival.session,
             prepared.sampled,
             [],
+            prefixes.block_count(arrival.prompt),
         )
         started = time.perf_counter()
         self._shard.add(demand, self)
