Let no second request of a session read a prompt that is being read

Cause: engines look into their cache when they admit a request. The limit of tokens in flight shrank for lateness that it had not caused, and requests were shed by an estimate of the wait that was too high.

--- a/packages/daemon/cassiaquay_daemon/affinity.py
+++ b/packages/daemon/cassiaquay_daemon/affinity.py
@@ -26,8 +26,39 @@
 
     def __init__(self) -> None:
         self._blocks: collections.OrderedDict[int, None] = collections.OrderedDict()
+        self._coming: collections.Counter[int] = collections.Counter()
         self._capacity = START_CAPACITY
 
+    def begin(self, hashes: collections.abc.Iterable[int]) -> None:
+        """Note blocks that the engine will hold once it has read a granted prompt.
+
+        Engines look into their cache when they admit a request: a second request of
+        the session that is admitted before the first one's prompt has been read would
+        read all of it again.
+        """
+        self._coming.update(hashes)
+
+    def arrive(self, hashes: collections.abc.Iterable[int]) -> None:
+        """Note that such a prompt has been read."""
+        self.cancel(hashes)
+        self.add(hashes)
+
+    def cancel(self, hashes: collections.abc.Iterable[int]) -> None:
+        """Note that such a prompt will not be read."""
+        for block in hashes:
+            self._coming[block] -= 1
+            if self._coming[block] <= 0:
+                del self._coming[block]
+
+    def coming_tokens(
+        self, hashes: collections.abc.Sequence[int], block_count: int
+    ) -> int:
+        """Return how many prompt tokens are being read there for another request."""
+        for index in range(len(hashes) - 1, -1, -1):
+            if hashes[index] in self._coming:
+                return prefixes.tokens_at(block_count, index)
+        return 0
+
     def __len__(self) -> int:
         return len(self._blocks)
 
@@ -51,7 +82,7 @@
         return 0
 
     def add(self, hashes: collections.abc.Iterable[int]) -> None:
-        """Note blocks that the engine holds, or will hold once it has read them."""
+        """Note blocks that the engine holds."""
         for block in hashes:
             self._blocks[block] = None
             self._blocks.move_to_end(block)
--- a/packages/daemon/cassiaquay_daemon/placement.py
+++ b/packages/daemon/cassiaquay_daemon/placement.py
@@ -64,6 +64,11 @@
         found = self.engine.index.cached_tokens(demand.blocks, demand.block_count)
         return min(found, demand.prompt_tokens)
 
+    def coming_tokens(self, demand: messages.Demand) -> int:
+        """Return the prompt tokens that its cache will hold before long."""
+        found = self.engine.index.coming_tokens(demand.blocks, demand.block_count)
+        return min(found, demand.prompt_tokens)
+
     def fits(self, tokens: int) -> bool:
         """Tell whether a request of this many tokens may go there now."""
         if self.is_full:
@@ -203,7 +208,7 @@
     least = float(demand.prompt_tokens + demand.output_tokens)
     for number, view in enumerate(views):
         estimate = view.estimate
-        cached = view.cached_tokens(demand)
+        cached = max(view.cached_tokens(demand), view.coming_tokens(demand))
         step = estimate.floor_seconds * estimate.prefill_rate
         found = float(max(demand.prompt_tokens - cached, 0))
         found += demand.output_tokens * step / view.engine.server.slots
@@ -222,9 +227,14 @@
     estimate = view.estimate
     cached = view.cached_tokens(demand)
     first = view.backlog + estimate.token_seconds
+    coming = view.coming_tokens(demand)
+    # Sent now it would read once more what is being read for another request.
+    is_early = coming > cached + CHEAP_TOKENS
+    if is_early:
+        cached = coming
     reading = (demand.prompt_tokens - cached) / estimate.prefill_rate
     first += reading
-    fits = view.fits(tokens)
+    fits = not is_early and view.fits(tokens)
     if not fits:
         first += view.wait_seconds
     finish = first + demand.output_tokens * estimate.token_seconds
--- a/packages/daemon/cassiaquay_daemon/shards.py
+++ b/packages/daemon/cassiaquay_daemon/shards.py
@@ -96,9 +96,12 @@
     def advanced(self, server: str, tokens: int, seconds: float) -> None:
         """Take in that one answer grew by ``tokens`` (perhaps 0) in ``seconds``."""
 
-    def started(self, server: str, found: loads.Started) -> None:
+    def started(self, running: Running, found: loads.Started) -> None:
         """Take in that a prompt has been read."""
 
+    def stopped(self, running: Running) -> None:
+        """Take in that a permit or a dispatch has ended, however it did."""
+
 
 class Shard:
     """The keeper's state of one shard. All of it is soft: owners can tell it anew.
@@ -251,7 +254,7 @@
                 produced=1, produced_at=at
             )
             for observer in self._observers:
-                observer.started(running.server, found)
+                observer.started(running, found)
 
     def grant(
         self,
@@ -379,7 +382,10 @@
     def _grow(self, item: messages.Outstanding, known: Running, now: float) -> Running:
         if not item.produced:
             return known
-        self.load(known.server).forget(item.id, now)
+        found = self.load(known.server).start(item.id, now)
+        if found is not None:
+            for observer in self._observers:
+                observer.started(known, found)
         if known.produced:
             grown = item.produced - known.produced
             for observer in self._observers:
@@ -409,3 +415,5 @@
         load.count -= 1
         load.tokens -= running.tokens
         load.forget(request_id, clock.now())
+        for observer in self._observers:
+            observer.stopped(running)
--- a/packages/daemon/cassiaquay_daemon/speeds.py
+++ b/packages/daemon/cassiaquay_daemon/speeds.py
@@ -156,9 +156,13 @@
         now : float
             Seconds on this clock.
         """
+        if in_flight * 2 <= self.limit or not self._rate_known:
+            # Far below the limit, or estimated without any figure of this engine:
+            # being late says nothing of the limit.
+            return
         if seconds > expected * LATE_FACTOR + LATE_SLACK_SECONDS:
             self._decrease(in_flight, now)
-        elif in_flight * 2 > self.limit:
+        else:
             self._increase()
 
     def _increase(self) -> None:
--- a/packages/daemon/cassiaquay_daemon/tiered.py
+++ b/packages/daemon/cassiaquay_daemon/tiered.py
@@ -12,7 +12,7 @@
 LOOK_AHEAD = 12
 MOST_WEIGHED = 100
 # A wait is an estimate; only one that is far too long is taken at its word.
-SHED_FACTOR = 1.5
+SHED_FACTOR = 6.0
 # After a tier was shed for overload, no tier below it gets a grant for this long.
 FLOOR_SECONDS = 0.5
 # With more than so many waiting, prefill is dear: it is taken from somebody.
@@ -38,6 +38,7 @@
         self._latest: list[tuple[float, str]] = []
         self._new: list[str] = []
         self._views: list[placement.View] = []
+        self._unread: set[str] = set()
         self._sessions: dict[str, dict[str, None]] = {}
         self._weighed = 0
         shard.observe(self)
@@ -73,20 +74,33 @@
         else:
             engine.speed.stalled(seconds)
 
-    def started(self, server: str, found: loads.Started) -> None:
+    def started(self, running: shards.Running, found: loads.Started) -> None:
         """Learn the speed of prefill and move the limit of tokens in flight."""
-        engine = self._engines.get(server)
+        engine = self._engines.get(running.server)
         if engine is None:
             return
+        if running.demand is not None:
+            self._unread.discard(running.demand.id)
+            engine.index.arrive(running.demand.blocks)
         engine.speed.heard(clock.now())
         # The first event comes one step after the prompt has been read.
         step = min(engine.speed.token_seconds, found.alone_seconds / 2)
         engine.speed.prefilled(found.tokens, found.alone_seconds - step)
-        in_flight = self._shard.tokens_on(server)
+        in_flight = self._shard.tokens_on(running.server)
         engine.speed.started(
             found.expected_seconds, found.seconds, in_flight, clock.now()
         )
 
+    def stopped(self, running: shards.Running) -> None:
+        """Forget a prompt that ended before it was read."""
+        demand = running.demand
+        if demand is None or demand.id not in self._unread:
+            return
+        self._unread.discard(demand.id)
+        engine = self._engines.get(running.server)
+        if engine is not None:
+            engine.index.cancel(demand.blocks)
+
     # What the keeper calls.
 
     def learn(self, release: messages.Release) -> None:
@@ -260,7 +274,8 @@
         work = self._queues.work(demand.id)
         self._queues.charge(demand.rank, demand.team, work)
         self._drain.granted(demand.rank, work)
-        choice.view.engine.index.add(demand.blocks)
+        self._unread.add(demand.id)
+        choice.view.engine.index.begin(demand.blocks)
         self._shard.grant(
             waiting, choice.view.name, choice.cached_tokens, choice.first_seconds
         )
