--- a/packages/dev/cassiaquay_dev/bench_path.py
+++ b/packages/dev/cassiaquay_dev/bench_path.py
@@ -246,4 +246,4 @@
 
 
 def _median(phases: list[Phase], column: str) -> float:
-    return statistics.median(getattr(phase, column) for phase in phases)
+    return float(statistics.median(getattr(phase, column) for phase in phases))
