--- a/packages/daemon/cassiaquay_daemon/affinity.py
+++ b/packages/daemon/cassiaquay_daemon/affinity.py
@@ -7,6 +7,7 @@
 
 import collections
 import collections.abc
+import typing
 
 from . import prefixes
 
@@ -17,6 +18,21 @@
 GROW = 8
 
 
+class Found(typing.NamedTuple):
+    """What one engine has of a prompt, in tokens.
+
+    Attributes
+    ----------
+    cached : int
+        Held by its cache.
+    coming : int
+        Held by it once the prompts that it reads now have been read.
+    """
+
+    cached: int
+    coming: int
+
+
 class PrefixIndex:
     """The sampled blocks that one engine is taken to hold, least recently used first.
 
@@ -28,6 +44,32 @@
         self._blocks: collections.OrderedDict[int, None] = collections.OrderedDict()
         self._coming: collections.Counter[int] = collections.Counter()
         self._capacity = START_CAPACITY
+        self._version = 0
+        self._memory: dict[str, tuple[int, Found]] = {}
+
+    def find(
+        self, request_id: str, hashes: collections.abc.Sequence[int], block_count: int
+    ) -> Found:
+        """Return what the engine has of the prompt of a waiting request.
+
+        Kept until the index changes: waiting requests are looked at again and again,
+        and between two passes the indexes of most engines stay as they are.
+        """
+        if not hashes:
+            return Found(0, 0)
+        known = self._memory.get(request_id)
+        if known is not None and known[0] == self._version:
+            return known[1]
+        found = Found(
+            self.cached_tokens(hashes, block_count),
+            self.coming_tokens(hashes, block_count),
+        )
+        self._memory[request_id] = (self._version, found)
+        return found
+
+    def forget(self, request_id: str) -> None:
+        """Drop what is kept for a request that waits no more."""
+        self._memory.pop(request_id, None)
 
     def begin(self, hashes: collections.abc.Iterable[int]) -> None:
         """Note blocks that the engine will hold once it has read a granted prompt.
@@ -36,6 +78,7 @@
         the session that is admitted before the first one's prompt has been read would
         read all of it again.
         """
+        self._version += 1
         self._coming.update(hashes)
 
     def arrive(self, hashes: collections.abc.Iterable[int]) -> None:
@@ -45,6 +88,7 @@
 
     def cancel(self, hashes: collections.abc.Iterable[int]) -> None:
         """Note that such a prompt will not be read."""
+        self._version += 1
         for block in hashes:
             self._coming[block] -= 1
             if self._coming[block] <= 0:
@@ -83,6 +127,7 @@
 
     def add(self, hashes: collections.abc.Iterable[int]) -> None:
         """Note blocks that the engine holds."""
+        self._version += 1
         for block in hashes:
             self._blocks[block] = None
             self._blocks.move_to_end(block)
@@ -91,11 +136,13 @@
 
     def remove(self, hashes: collections.abc.Iterable[int]) -> None:
         """Note blocks that the engine has dropped."""
+        self._version += 1
         for block in hashes:
             self._blocks.pop(block, None)
 
     def clear(self) -> None:
         """Forget everything, as after a restart of the engine."""
+        self._version += 1
         self._blocks.clear()
 
     def correct(
--- a/packages/daemon/cassiaquay_daemon/keeper.py
+++ b/packages/daemon/cassiaquay_daemon/keeper.py
@@ -225,6 +225,7 @@
         asyncio.get_running_loop().call_soon(self._serve, name)
 
     def _serve(self, name: str) -> None:
+        self._wake()
         self._due.discard(name)
         shard = self.shards[name]
         if self.keeper_of(name) != self._settings.instance:
--- a/packages/daemon/cassiaquay_daemon/placement.py
+++ b/packages/daemon/cassiaquay_daemon/placement.py
@@ -59,15 +59,11 @@
             or self.backlog > BACKLOG_SECONDS
         )
 
-    def cached_tokens(self, demand: messages.Demand) -> int:
-        """Return the prompt tokens that the engine's cache is taken to hold."""
-        found = self.engine.index.cached_tokens(demand.blocks, demand.block_count)
-        return min(found, demand.prompt_tokens)
-
-    def coming_tokens(self, demand: messages.Demand) -> int:
-        """Return the prompt tokens that its cache will hold before long."""
-        found = self.engine.index.coming_tokens(demand.blocks, demand.block_count)
-        return min(found, demand.prompt_tokens)
+    def find(self, demand: messages.Demand) -> affinity.Found:
+        """Return what the engine has of a demand's prompt, now and before long."""
+        found = self.engine.index.find(demand.id, demand.blocks, demand.block_count)
+        most = demand.prompt_tokens
+        return affinity.Found(min(found.cached, most), min(found.coming, most))
 
     def fits(self, tokens: int) -> bool:
         """Tell whether a request of this many tokens may go there now."""
@@ -90,14 +86,18 @@
         """Take in a grant."""
         self.backlog = self._load.backlog_seconds(self.estimate.prefill_rate, self._now)
 
+    @property
+    def turn_seconds(self) -> float:
+        """Estimated wait besides the backlog: for those promised, and for a slot."""
+        if self._load.count < self.engine.server.slots:
+            return self._promised
+        # One of the slots comes free after about a slot's share of an answer.
+        return self._promised + self.estimate.token_seconds
+
     @property
     def wait_seconds(self) -> float:
         """Estimated time until the engine may get one more request."""
-        wait = max(self.backlog - BACKLOG_SECONDS, 0.0) + self._promised
-        if self._load.count >= self.engine.server.slots:
-            # One of the slots comes free after about a slot's share of an answer.
-            wait += self.estimate.token_seconds
-        return wait
+        return max(self.backlog - BACKLOG_SECONDS, 0.0) + self.turn_seconds
 
 
 class Choice(typing.NamedTuple):
@@ -208,7 +208,7 @@
     least = float(demand.prompt_tokens + demand.output_tokens)
     for number, view in enumerate(views):
         estimate = view.estimate
-        cached = max(view.cached_tokens(demand), view.coming_tokens(demand))
+        cached = max(view.find(demand))
         step = estimate.floor_seconds * estimate.prefill_rate
         found = float(max(demand.prompt_tokens - cached, 0))
         found += demand.output_tokens * step / view.engine.server.slots
@@ -225,9 +225,8 @@
     demand: messages.Demand, tokens: int, view: View, pressure: float
 ) -> Choice:
     estimate = view.estimate
-    cached = view.cached_tokens(demand)
+    cached, coming = view.find(demand)
     first = view.backlog + estimate.token_seconds
-    coming = view.coming_tokens(demand)
     # Sent now it would read once more what is being read for another request.
     is_early = coming > cached + CHEAP_TOKENS
     if is_early:
@@ -236,7 +235,7 @@
     first += reading
     fits = not is_early and view.fits(tokens)
     if not fits:
-        first += view.wait_seconds
+        first += view.turn_seconds
     finish = first + demand.output_tokens * estimate.token_seconds
     # A short prefix is read once on each engine and serves many from then on.
     dear = max(demand.prompt_tokens - cached - CHEAP_TOKENS, 0)
--- a/packages/daemon/cassiaquay_daemon/speeds.py
+++ b/packages/daemon/cassiaquay_daemon/speeds.py
@@ -16,7 +16,10 @@
 # Prompts below this say more about the step time than about the prefill rate.
 LEAST_SAMPLE_TOKENS = 256
 RATE_WEIGHT = 0.3
-TOKEN_WEIGHT = 0.3
+# Slower is believed sooner than faster: the time per token jumps fivefold while an
+# engine reads a long prompt, and an answer begun on the hope that it does not is late.
+SLOWER_WEIGHT = 0.3
+FASTER_WEIGHT = 0.3
 # A first event later than this many times the estimate, and later by the slack,
 # shows a queue inside the engine.
 LATE_FACTOR = 2.0
@@ -92,8 +95,8 @@
             return Estimate(rate, token, min(floor, token))
         factor = 2.0 ** min(age / FORGET_SECONDS, 16.0)
         rate = max(rate, min(rate * factor, MOST_PREFILL_RATE))
-        token = min(token, max(token / factor, floor, LEAST_TOKEN_SECONDS))
-        floor = min(floor, max(floor / factor, LEAST_TOKEN_SECONDS))
+        token = min(token, max(token / factor, LEAST_TOKEN_SECONDS))
+        floor = min(floor, token)
         return Estimate(rate, token, floor)
 
     def heard(self, now: float) -> None:
@@ -132,7 +135,8 @@
             self._tokens_known = True
             self.token_seconds = self._floor = sample
             return
-        weight = TOKEN_WEIGHT * min(tokens / 8.0, 1.0)
+        weight = SLOWER_WEIGHT if sample > self.token_seconds else FASTER_WEIGHT
+        weight *= min(tokens / 8.0, 1.0)
         self.token_seconds += weight * (sample - self.token_seconds)
         if tokens >= 4:
             self._floor = min(self._floor * FLOOR_RISE, sample)
--- a/packages/daemon/cassiaquay_daemon/tiered.py
+++ b/packages/daemon/cassiaquay_daemon/tiered.py
@@ -10,14 +10,13 @@
 # Demands of one team looked at in one pass: those behind may fit where the first do
 # not, but a pass must stay short however long the queue is.
 LOOK_AHEAD = 12
-MOST_WEIGHED = 100
-# A wait is an estimate; only one that is far too long is taken at its word.
-SHED_FACTOR = 6.0
+MOST_WEIGHED = 64
 # After a tier was shed for overload, no tier below it gets a grant for this long.
 FLOOR_SECONDS = 0.5
 # With more than so many waiting, prefill is dear: it is taken from somebody.
 PRESSURE_QUEUE = 8
 PRESSURE = 20.0
+IDLE_PRESSURE = 1.0
 
 
 @policies.policies.register(NAME)
@@ -57,6 +56,8 @@
         """Take in that a demand has left."""
         self._queues.remove(waiting)
         demand = waiting.demand
+        for engine in self._engines.values():
+            engine.index.forget(demand.id)
         members = self._sessions.get(demand.session)
         if members is not None:
             members.pop(demand.id, None)
@@ -176,11 +177,6 @@
                 # Not even an idle engine could; asking again would not help.
                 self._shard.shed(waiting, "deadline_infeasible", 0)
                 continue
-            before = self._queues.work_before(request_id)
-            wait = self._drain.wait_seconds(waiting.demand.rank, before)
-            if views and wait > (latest - now) * SHED_FACTOR:
-                self._shed_overload(waiting, wait - (latest - now), now)
-                continue
             heapq.heappush(self._latest, (min(latest, waiting.deadline), request_id))
 
     def _give_up(self, views: list[placement.View], now: float) -> None:
@@ -267,7 +263,7 @@
         return False
 
     def _pressure(self) -> float:
-        return PRESSURE if len(self._queues) > PRESSURE_QUEUE else 0.0
+        return PRESSURE if len(self._queues) > PRESSURE_QUEUE else IDLE_PRESSURE
 
     def _grant(self, waiting: shards.Waiting, choice: placement.Choice) -> None:
         demand = waiting.demand
--- /dev/null
+++ b/tests/test_policy.py
@@ -0,0 +1,327 @@
+"""The policy of one shard: order, fairness, deadlines, placement."""
+
+import collections
+
+import policy_fakes as fakes
+import pytest
+
+from cassiaquay_daemon import affinity, lengths, loads, prefixes, speeds
+from cassiaquay_dev import blocks
+from cassiaquay_schema import messages
+
+HISTORY = "measure " * 2000
+
+
+@pytest.fixture(name="time")
+def _time():
+    with fakes.Time().used() as time:
+        yield time
+
+
+def _read(shard, owner, time, seconds=0.02) -> None:
+    """Let all prompts granted so far be read."""
+    time.now += seconds
+    steps = []
+    for request_id, running in list(shard.running.items()):
+        steps.append(messages.Step(request_id, running.server, True, 0.0))
+    shard.progress(messages.Progress(shard.name, steps))
+
+
+def test_a_waiting_higher_tier_gets_the_next_slot(time) -> None:
+    """A full engine frees one slot while background work came first.
+
+    The background caller waits longer; the urgent one, which came last, is served.
+    """
+    shard = fakes.shard({"a": 1})
+    policy = fakes.policy(shard)
+    owner = fakes.Owner()
+    shard.add(fakes.demand("running"), owner)
+    policy.serve()
+    for number in range(3):
+        shard.add(fakes.demand(f"background-{number}", rank=3), owner)
+    shard.add(fakes.demand("urgent", rank=0), owner)
+    policy.serve()
+    assert list(owner.permits()) == ["running"]
+    policy.learn(fakes.release("running", "a"))
+    shard.drop("running")
+    policy.serve()
+    assert list(owner.permits()) == ["running", "urgent"]
+
+
+def test_capacity_that_a_higher_tier_cannot_use_is_not_wasted(time) -> None:
+    """An urgent request refuses the only free engine (its connection just failed).
+
+    A background request may have that engine; the one that is full stays held.
+    """
+    shard = fakes.shard({"a": 1, "b": 1})
+    policy = fakes.policy(shard)
+    owner = fakes.Owner()
+    shard.add(fakes.demand("running")._replace(avoid=["b"]), owner)
+    policy.serve()
+    time.now += 3.0
+    shard.renew("cq-1", [messages.Outstanding("running", "", "", 0, "a", 40, 20)])
+    urgent = fakes.demand("urgent")._replace(avoid=["b"])
+    shard.add(urgent, owner)
+    shard.add(fakes.demand("background", rank=3), owner)
+    time.now += 2.1
+    shard.add(fakes.demand("background", rank=3), owner)
+    policy.serve()
+    assert owner.permits() == {"running": "a", "background": "b"}
+    assert "urgent" in shard.queue
+
+
+def test_teams_of_a_tier_share_by_weight(time) -> None:
+    """Two teams keep the queue full; one has three times the other's weight."""
+    shard = fakes.shard({"a": 4})
+    shard.weights = {"heavy": 3.0, "light": 1.0}
+    policy = fakes.policy(shard)
+    owner = fakes.Owner()
+    for number in range(200):
+        for team in ("heavy", "light"):
+            demand = fakes.demand(f"{team}-{number}", team=team, remaining_ms=600_000)
+            shard.add(demand, owner)
+    while len(owner.permits()) < 120:
+        policy.serve()
+        _read(shard, owner, time)
+        for request_id, running in list(shard.running.items()):
+            policy.learn(fakes.release(request_id, running.server))
+            shard.drop(request_id)
+    teams = collections.Counter(name.partition("-")[0] for name in owner.permits())
+    assert teams["heavy"] / teams["light"] == pytest.approx(3.0, rel=0.1)
+
+
+def test_what_no_engine_can_finish_is_refused_at_once(time) -> None:
+    """An answer of 2000 tokens is wanted within a second.
+
+    The caller hears "not run" in the same pass, and that asking again is no use.
+    """
+    shard = fakes.shard({"a": 8})
+    policy = fakes.policy(shard)
+    owner = fakes.Owner()
+    shard.add(fakes.demand("late", output_tokens=2000, remaining_ms=1000), owner)
+    policy.serve()
+    assert owner.sheds()["late"].code == "deadline_infeasible"
+    assert owner.sheds()["late"].retry_after_ms == 0
+    assert not owner.permits()
+
+
+def test_a_request_that_waited_too_long_is_never_granted(time) -> None:
+    """The engine frees up when the deadline is nearer than the answer takes.
+
+    The caller is told before; the engine is not given work whose result is late.
+    """
+    shard = fakes.shard({"a": 1})
+    policy = fakes.policy(shard)
+    owner = fakes.Owner()
+    shard.add(fakes.demand("first"), owner)
+    policy.serve()
+    shard.add(fakes.demand("second", output_tokens=100, remaining_ms=3000), owner)
+    policy.serve()
+    time.now += 2.0
+    policy.serve()
+    assert owner.sheds()["second"].code == "deadline_infeasible"
+    shard.drop("first")
+    policy.serve()
+    assert list(owner.permits()) == ["first"]
+
+
+def test_the_queue_gives_up_the_lowest_tier_first(time) -> None:
+    """More demands come than the queue may hold; urgent ones push background out."""
+    shard = fakes.shard({"a": 1}, max_queue=10)
+    policy = fakes.policy(shard)
+    owner = fakes.Owner()
+    shard.add(fakes.demand("running"), owner)
+    policy.serve()
+    for number in range(10):
+        shard.add(fakes.demand(f"background-{number}", rank=3), owner)
+    for number in range(10):
+        shard.add(fakes.demand(f"urgent-{number}", rank=0), owner)
+    policy.serve()
+    shed = owner.sheds()
+    assert {name.partition("-")[0] for name in shed} == {"background"}
+    assert len(shed) == 10
+    assert all(item.retry_after_ms >= 200 for item in shed.values())
+
+
+def test_no_lower_tier_is_served_right_after_a_higher_one_was_shed(time) -> None:
+    """A tier was shed for overload; a moment later a slot is free.
+
+    Background work gets nothing until the floor is over: whoever was shed must not
+    see less important work served meanwhile.
+    """
+    shard = fakes.shard({"a": 4})
+    policy = fakes.policy(shard)
+    owner = fakes.Owner()
+    shard.raise_floor(1, time.now + 0.5, 1000)
+    shard.add(fakes.demand("background", rank=3), owner)
+    shard.add(fakes.demand("same", rank=1), owner)
+    policy.serve()
+    assert list(owner.permits()) == ["same"]
+    time.now += 0.6
+    policy.serve()
+    assert list(owner.permits()) == ["same", "background"]
+
+
+def test_a_session_goes_back_to_where_its_prefix_is(time) -> None:
+    """Two engines are idle; one has read the session's history."""
+    shard = fakes.shard({"a": 8, "b": 8})
+    policy = fakes.policy(shard)
+    owner = fakes.Owner()
+    shard.add(fakes.demand("one", prompt=HISTORY, session="s"), owner)
+    policy.serve()
+    _read(shard, owner, time, 0.4)
+    server = owner.permits()["one"]
+    for number in range(4):
+        prompt = f"{HISTORY} question {number}"
+        shard.add(fakes.demand(f"more-{number}", prompt=prompt, session="s"), owner)
+        policy.serve()
+        _read(shard, owner, time)
+    assert set(owner.permits().values()) == {server}
+
+
+def test_a_prompt_that_is_being_read_is_not_read_twice(time) -> None:
+    """A second request of a session comes while its history is being read.
+
+    Engines look into their cache at admission: granted now it would read everything
+    again. It waits for the first event of the other one, then goes there.
+    """
+    shard = fakes.shard({"a": 8, "b": 8})
+    policy = fakes.policy(shard)
+    owner = fakes.Owner()
+    for name in ("one", "two"):
+        shard.add(fakes.demand(name, prompt=HISTORY, session="s"), owner)
+    policy.serve()
+    assert list(owner.permits()) == ["one"]
+    _read(shard, owner, time, 0.4)
+    policy.serve()
+    assert owner.permits()["two"] == owner.permits()["one"]
+
+
+def test_an_engine_that_falls_silent_gets_nothing_more(time) -> None:
+    """An engine slows down without telling: the prompt it reads does not end.
+
+    Nothing completes, so nothing can be learned from completions; the age of what is
+    out is enough to send the next requests elsewhere.
+    """
+    shard = fakes.shard({"a": 8, "b": 8})
+    policy = fakes.policy(shard)
+    owner = fakes.Owner()
+    shard.add(fakes.demand("stuck", prompt=HISTORY), owner)
+    policy.serve()
+    stuck = owner.permits()["stuck"]
+    time.now += 3.0
+    shard.renew("cq-1", [messages.Outstanding("stuck", "", "", 0, stuck, 4000, 20)])
+    for number in range(5):
+        shard.add(fakes.demand(f"next-{number}"), owner)
+        policy.serve()
+        time.now += 0.01
+    servers = [owner.permits()[f"next-{number}"] for number in range(5)]
+    assert stuck not in servers
+
+
+def test_a_long_queue_is_served_in_bounded_work(time) -> None:
+    """4000 demands wait for full engines: a pass looks at none of them."""
+    shard = fakes.shard({f"e{number}": 1 for number in range(16)}, max_queue=5000)
+    policy = fakes.policy(shard)
+    owner = fakes.Owner()
+    for number in range(4000):
+        demand = fakes.demand(f"{number}", rank=number % 4, team=f"t{number % 5}")
+        shard.add(demand._replace(remaining_ms=600_000), owner)
+    policy.serve()
+    seen = []
+    weighed = policy._serve_team
+    policy._serve_team = lambda *found: seen.append(found) or weighed(*found)
+    policy.serve()
+    assert len(owner.permits()) == 16
+    assert not seen
+
+
+def test_totals_agree_with_what_runs(time) -> None:
+    """Running totals after grants, renewals, expiry and drops equal the sums."""
+    shard = fakes.shard({"a": 8, "b": 8})
+    policy = fakes.policy(shard)
+    owner = fakes.Owner()
+    for number in range(12):
+        shard.add(fakes.demand(f"{number}", prompt_tokens=40 + number), owner)
+    policy.serve()
+    out = list(shard.running.items())
+    shard.renew(
+        "cq-1",
+        [messages.Outstanding(i, "", "", 0, r.server, 40, 20) for i, r in out[:4]],
+    )
+    shard.drop(out[5][0])
+    time.now += 2.0
+    shard.expire()
+    for server in ("a", "b"):
+        mine = [r for r in shard.running.values() if r.server == server]
+        assert shard.count_on(server) == len(mine)
+        assert shard.tokens_on(server) == sum(r.tokens for r in mine)
+    assert len(shard.running) == 4
+
+
+def test_sampled_blocks_are_those_of_the_engines() -> None:
+    prompt = "lace " * 6000
+    hashes = blocks.block_hashes(prompt)
+    count = prefixes.block_count(prompt)
+    wanted = [hashes[number - 1] for number in prefixes.positions(count)]
+    assert prefixes.blocks(prompt) == wanted
+    assert len(wanted) < 40
+
+
+def test_the_index_forgets_sooner_than_an_engine_that_forgets_soon() -> None:
+    index = affinity.PrefixIndex()
+    for number in range(1000):
+        index.add([number])
+    for _ in range(50):
+        index.correct([5000], 640, 0)
+    assert len(index) < 200
+    assert index.cached_tokens([5000], 1) == 64
+
+
+def test_the_limit_grows_by_doubling_and_shrinks_when_late() -> None:
+    speed = speeds.Speed(8000, None)
+    speed.prefilled(4000, 0.4)
+    for _ in range(60):
+        speed.started(0.2, 0.2, int(speed.limit), 0.0)
+    grown = speed.limit
+    assert grown > 64_000
+    speed.started(0.2, 2.0, int(grown), 1.0)
+    speed.started(0.2, 2.0, int(grown), 1.1)
+    assert speed.limit == pytest.approx(int(grown) * 0.8)
+
+
+def test_a_slow_estimate_does_not_keep_an_idle_engine_idle() -> None:
+    """An engine once took a second for each token and then got no more work.
+
+    Taken at its word for ever it would never show that it has recovered.
+    """
+    speed = speeds.Speed(8000, None)
+    speed.heard(0.0)
+    speed.generated(10, 10.0)
+    assert speed.estimate(0.5, True).token_seconds == pytest.approx(1.0)
+    assert speed.estimate(30.0, False).token_seconds == pytest.approx(1.0)
+    assert speed.estimate(30.0, True).token_seconds < 0.01
+
+
+def test_backlog_counts_a_prompt_until_its_first_event() -> None:
+    load = loads.Load()
+    load.begin("one", 1000, 0.0, 0.1)
+    assert load.backlog_seconds(10_000.0, 0.05) == pytest.approx(0.05)
+    assert load.backlog_seconds(10_000.0, 9.0) == pytest.approx(0.01)
+    found = load.start("one", 0.2)
+    assert found is not None
+    assert found.alone_seconds == pytest.approx(0.2)
+    assert load.backlog_seconds(10_000.0, 0.2) == 0.0
+
+
+def test_lengths_are_learned_by_service_and_team() -> None:
+    found = lengths.Lengths()
+    assert found.output_tokens("s", "t", 100) == 100
+    for _ in range(20):
+        found.learn_answer("s", "short", 100, 10)
+        found.learn_answer("s", "long", 100, 80)
+        found.learn_prompt("s", 100, 150)
+    assert found.output_tokens("s", "short", 200) == 20
+    assert found.output_tokens("s", "long", 200) == 160
+    assert 20 < found.output_tokens("s", "new", 200) < 160
+    assert found.prompt_tokens("s", 40) == 60
