--- a/packages/caller/cassiaquay/exchanges.py
+++ b/packages/caller/cassiaquay/exchanges.py
@@ -9,6 +9,7 @@
 import collections.abc
 import contextlib
 import typing
+import uuid
 
 import msgspec
 
@@ -63,6 +64,7 @@
         self._session = session
         self._request = request
         self._streamed = streamed
+        self._call = uuid.uuid4().hex
         self._deadline = Deadline(request.timeout)
         self._backoff = retries.Backoff(session.settings)
         self._attempts = 0
@@ -195,7 +197,14 @@
         url = f"http://{self._address}/v1/requests/{self.request_id}?from={start}"
         self._session.hooks.dispatch(
             hooks.ATTEMPT,
-            hooks.Attempt(self.request_id, self._address, method, start),
+            hooks.Attempt(
+                self.request_id,
+                self._address,
+                method,
+                start,
+                self._call,
+                self._request.body.get("idempotent", True),
+            ),
         )
         if self._accepted:
             return self._session.form_call(method, url)
--- a/packages/caller/cassiaquay/hooks.py
+++ b/packages/caller/cassiaquay/hooks.py
@@ -22,6 +22,9 @@
     method: str
     start: int
     """Number of the first event asked for."""
+    call: str = ""
+    """The same for all ids that serve one call of the application."""
+    idempotent: bool = True
 
 
 class Event(typing.NamedTuple):
--- a/packages/daemon/cassiaquay_daemon/shards.py
+++ b/packages/daemon/cassiaquay_daemon/shards.py
@@ -5,7 +5,7 @@
 from cassiaquay_schema import fleet, messages
 from cassiaquay_schema import settings as settings_schema
 
-from . import clock, peers
+from . import clock, logs, peers
 
 
 class Replier(typing.Protocol):
@@ -126,11 +126,20 @@
         self.running[demand.id] = Running(
             waiting.replier.instance, server, tokens, lease
         )
+        logs.detail("granted", id=demand.id, shard=self.name, rank=demand.rank)
         waiting.replier.send(messages.Permit(demand.id, server, keeper.permit_ms))
 
     def shed(self, waiting: Waiting, code: str, retry_after_ms: int) -> None:
         """Give a demand up; the owner tells its caller at once."""
         del self.queue[waiting.demand.id]
+        logs.event(
+            "shed",
+            id=waiting.demand.id,
+            shard=self.name,
+            rank=waiting.demand.rank,
+            code=code,
+            waited_ms=round((clock.now() - waiting.arrived_at) * 1000.0, 1),
+        )
         waiting.replier.send(messages.Shed(waiting.demand.id, code, retry_after_ms))
 
     def expire(self) -> None:
--- /dev/null
+++ b/packages/dev/cassiaquay_dev/history.py
@@ -0,0 +1,274 @@
+"""Histories of concurrent runs: what callers, daemons and back ends saw, as events.
+
+Callers are recorded through the hooks of their sessions, daemons by their JSON log
+lines, back ends by their own logs. Times are seconds since 1970 of one machine, so
+events of different processes can be compared.
+"""
+
+import json
+import time
+import typing
+
+import cassiaquay
+
+from . import cluster
+
+ENDED_STATES = ("finished", "completed")
+
+
+class Attempted(typing.NamedTuple):
+    """A caller is about to send a request; ``call`` is the application's call."""
+
+    at: float
+    id: str
+    call: str
+    team: str
+    idempotent: bool
+
+
+class Told(typing.NamedTuple):
+    """A caller was told what became of an id."""
+
+    at: float
+    id: str
+    outcome: str
+    code: str
+
+
+class Answered(typing.NamedTuple):
+    """An application got a whole answer."""
+
+    at: float
+    id: str
+    team: str
+    text: str
+    count: int
+
+
+class Dispatched(typing.NamedTuple):
+    """An owner is about to send a request to a backend server."""
+
+    at: float
+    instance: str
+    id: str
+    server: str
+
+
+class Ended(typing.NamedTuple):
+    """An owner fixed the outcome of an id."""
+
+    at: float
+    instance: str
+    id: str
+    outcome: str
+    code: str
+
+
+class Arrived(typing.NamedTuple):
+    """A back end's own log line; ``key`` is the id with the team."""
+
+    at: float
+    server: str
+    key: str
+    state: str
+
+
+class ServerLeaving(typing.NamedTuple):
+    """The instance list shows a backend server as leaving from now on."""
+
+    at: float
+    server: str
+
+
+class Started(typing.NamedTuple):
+    """A daemon process began to serve."""
+
+    at: float
+    instance: str
+    incarnation: str
+
+
+class InForce(typing.NamedTuple):
+    """A configuration revision is in force at an instance."""
+
+    at: float
+    instance: str
+    revision: int
+
+
+class Leaving(typing.NamedTuple):
+    """A daemon began its planned stop."""
+
+    at: float
+    instance: str
+
+
+class Stopped(typing.NamedTuple):
+    """A daemon ended its planned stop."""
+
+    at: float
+    instance: str
+
+
+class Granted(typing.NamedTuple):
+    """A keeper gave a permit; ``rank`` 0 is the most important tier."""
+
+    at: float
+    instance: str
+    shard: str
+    id: str
+    rank: int
+
+
+class Shed(typing.NamedTuple):
+    """A keeper gave a demand up that had waited for ``waited`` seconds."""
+
+    at: float
+    instance: str
+    shard: str
+    id: str
+    rank: int
+    code: str
+    waited: float
+
+
+Event = (
+    Attempted
+    | Told
+    | Answered
+    | Dispatched
+    | Ended
+    | Arrived
+    | ServerLeaving
+    | Started
+    | InForce
+    | Leaving
+    | Stopped
+    | Granted
+    | Shed
+)
+Kind = typing.TypeVar("Kind")
+
+
+class History:
+    """Events of one run, sorted by time when read."""
+
+    def __init__(self, events: list[Event] | None = None):
+        self.events: list[Event] = list(events or [])
+
+    def of(self, kind: type[Kind]) -> list[Kind]:
+        """Return the events of one kind, oldest first."""
+        found = [event for event in self.events if isinstance(event, kind)]
+        return sorted(found, key=_time)
+
+    def team_of(self, request_id: str) -> str:
+        """Return the team that sent an id, or an empty string."""
+        for event in self.events:
+            if isinstance(event, Attempted) and event.id == request_id:
+                return event.team
+        return ""
+
+
+class Recorder:
+    """Writes what the sessions of a run see into a history."""
+
+    def __init__(self) -> None:
+        self.history = History()
+
+    def watch(self, session: cassiaquay.Session, team: str) -> None:
+        """Record the attempts and outcomes of a session."""
+
+        def attempt(report: cassiaquay.hooks.Attempt) -> None:
+            self.history.events.append(
+                Attempted(
+                    time.time(),
+                    report.request_id,
+                    report.call,
+                    team,
+                    report.idempotent,
+                )
+            )
+
+        def outcome(report: cassiaquay.hooks.Outcome) -> None:
+            self.told(report.request_id, report.outcome, report.code)
+
+        session.hooks.register(cassiaquay.hooks.ATTEMPT, attempt)
+        session.hooks.register(cassiaquay.hooks.OUTCOME, outcome)
+
+    def told(self, request_id: str, outcome: str, code: str) -> None:
+        """Record what a caller was told of an id."""
+        self.history.events.append(Told(time.time(), request_id, outcome, code))
+
+    def answered(self, answer: cassiaquay.Answer, team: str) -> None:
+        """Record a whole answer of a model engine."""
+        self.history.events.append(
+            Answered(time.time(), answer.request_id, team, answer.text, answer.count)
+        )
+
+    def server_leaving(self, server: str) -> None:
+        """Record that the list shows a backend server as leaving."""
+        self.history.events.append(ServerLeaving(time.time(), server))
+
+
+async def collect(started: cluster.Cluster, history: History) -> None:
+    """Add the log lines of all daemons and back ends of a cluster."""
+    for process in started.daemons.values():
+        history.events += read_log(process.lines())
+    for name, address in started.addresses.items():
+        log = await started.control(address, "GET", "/control/log")
+        for line in log.get("dispatches", []) + log.get("runs", []):
+            history.events.append(
+                Arrived(line["at"], name, line["id"], str(line["state"]))
+            )
+
+
+def read_log(lines: list[str]) -> list[Event]:
+    """Return the events among a daemon's JSON log lines."""
+    found = []
+    for line in lines:
+        if not line.startswith("{"):
+            continue
+        try:
+            fields = json.loads(line)
+        except ValueError:
+            # A process that was killed may leave half a line.
+            continue
+        event = _read_line(fields)
+        if event is not None:
+            found.append(event)
+    return found
+
+
+def _read_line(fields: dict[str, typing.Any]) -> Event | None:
+    at = float(fields.get("at", 0.0))
+    instance = fields.get("instance", "")
+    name = fields.get("event")
+    if name == "dispatch":
+        return Dispatched(at, instance, fields["id"], fields["server"])
+    if name == "ended":
+        return Ended(at, instance, fields["id"], fields["outcome"], fields["code"])
+    if name == "ready":
+        return Started(at, instance, fields["incarnation"])
+    if name == "configuration_in_force":
+        return InForce(at, instance, fields["revision"])
+    if name == "leaving":
+        return Leaving(at, instance)
+    if name == "stopped":
+        return Stopped(at, instance)
+    if name == "granted":
+        return Granted(at, instance, fields["shard"], fields["id"], fields["rank"])
+    if name == "shed":
+        return Shed(
+            at,
+            instance,
+            fields["shard"],
+            fields["id"],
+            fields["rank"],
+            fields["code"],
+            fields["waited_ms"] / 1000.0,
+        )
+    return None
+
+
+def _time(event: typing.Any) -> float:
+    return float(event.at)
