--- a/packages/daemon/cassiaquay_daemon/answers.py
+++ b/packages/daemon/cassiaquay_daemon/answers.py
@@ -21,18 +21,36 @@
     address: str
 
 
+class Ledger:
+    """Bytes that many answers and requests hold together."""
+
+    def __init__(self) -> None:
+        self.used = 0
+
+    def add(self, size: int) -> None:
+        """Count ``size`` bytes more; fewer when negative."""
+        self.used += size
+
+
 class Answer:
     """The events of one answer and, once known, its final event.
 
     Only bytes that came from the backend server for this id are ever appended; readers
     start where they like and get the same bytes.
+
+    Parameters
+    ----------
+    ledger : Ledger, optional
+        Counts the bytes.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, ledger: Ledger | None = None) -> None:
+        self._ledger = ledger or Ledger()
         self.final: Final | None = None
         self.size = 0
         self.first_at = 0.0
         self.forgotten = False
+        self.opened = False
         self._count = 0
         self._events: list[bytes] = []
         self._digest = xxhash.xxh3_128()
@@ -48,6 +66,11 @@
         """Digest of the data of the events so far."""
         return self._digest.hexdigest()
 
+    def open(self) -> None:
+        """Note that a backend server has the answer and sends it."""
+        self.opened = True
+        self._wake()
+
     def append(self, data: bytes) -> None:
         """Append one event with ``data`` as its payload."""
         if not self._count:
@@ -57,6 +80,7 @@
         self._count += 1
         self._digest.update(data)
         self.size += len(event)
+        self._ledger.add(len(event))
         self._wake()
 
     def finish(
@@ -70,6 +94,17 @@
         """End the answer; what was said first stays."""
         if self.final is not None:
             return
+        self.settle(outcome, code, message, retry_after_ms, address)
+
+    def settle(
+        self,
+        outcome: str,
+        code: str,
+        message: str = "",
+        retry_after_ms: int = 0,
+        address: str = "",
+    ) -> None:
+        """End the answer, also when it was ``outcome_unknown`` so far."""
         self.final = Final(
             outcome=outcome,
             code=code,
@@ -81,12 +116,15 @@
         )
         self._wake()
 
+    async def wait_open(self) -> None:
+        """Return when a backend server sends the answer, or it has ended."""
+        while not self.opened and self.final is None:
+            await self._change()
+
     async def wait(self, after: int) -> None:
         """Return when there is an event of number ``after``, or the final one."""
         while self._count <= after and self.final is None:
-            waiter = asyncio.get_running_loop().create_future()
-            self._waiters.append(waiter)
-            await waiter
+            await self._change()
 
     def chunk(self, after: int) -> tuple[bytes, int]:
         """Return the ready events from ``after`` on as bytes, and the next number."""
@@ -96,6 +134,7 @@
     def forget(self) -> None:
         """Let the events go; count, digest and final event stay."""
         self.forgotten = True
+        self._ledger.add(-self.size)
         self.size = 0
         self._events.clear()
 
@@ -103,6 +142,11 @@
         """Return the final event as bytes."""
         return b"event: final\ndata: %b\n\n" % msgspec.json.encode(self.final)
 
+    async def _change(self) -> None:
+        waiter = asyncio.get_running_loop().create_future()
+        self._waiters.append(waiter)
+        await waiter
+
     def _wake(self) -> None:
         waiters, self._waiters = self._waiters, []
         for waiter in waiters:
--- a/packages/daemon/cassiaquay_daemon/backends.py
+++ b/packages/daemon/cassiaquay_daemon/backends.py
@@ -67,7 +67,15 @@
 
 
 class Backend(typing.Protocol):
-    """A protocol of backend servers."""
+    """A protocol of backend servers.
+
+    Attributes
+    ----------
+    can_stop : bool
+        Whether a running request can be stopped.
+    """
+
+    can_stop: bool
 
     def __init__(self, http: aiohttp.ClientSession): ...
 
@@ -134,6 +142,8 @@
 class EngineHttp:
     """Model engines that stream events over HTTP."""
 
+    can_stop = True
+
     def __init__(self, http: aiohttp.ClientSession):
         self._http = http
 
@@ -161,6 +171,7 @@
         try:
             async with request as response:
                 await _check(response)
+                answer.open()
                 return await _read(response, answer)
         except exceptions.StreamCut:
             pass
@@ -185,6 +196,7 @@
                 if response.status == 404:
                     raise exceptions.StreamMissing(key)
                 await _check(response)
+                answer.open()
                 return await _read(response, answer)
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             raise exceptions.StreamCut(repr(error)) from error
@@ -222,6 +234,8 @@
 class PlainHttp:
     """Plain services: one JSON body in, one out."""
 
+    can_stop = False
+
     def __init__(self, http: aiohttp.ClientSession):
         self._http = http
 
--- a/packages/daemon/cassiaquay_daemon/daemon.py
+++ b/packages/daemon/cassiaquay_daemon/daemon.py
@@ -13,6 +13,7 @@
 from cassiaquay_schema import settings as settings_schema
 
 from . import (
+    addresses,
     admin,
     backends,
     configuration,
@@ -79,7 +80,12 @@
             settings, self._peers, self._membership, self._keeper
         )
         self._owner = owner.Owner(
-            settings, self._incarnation, self._http, self._demands
+            settings,
+            self._incarnation,
+            self._http,
+            self._demands,
+            self._membership.is_leaving,
+            self._better_address,
         )
         self._membership.on_heard(self._configuration.heard)
 
@@ -95,7 +101,7 @@
             self._configuration,
             self._membership,
             self._owner,
-            relay.Relay(settings, self._http),
+            relay.Relay(settings, self._http, self._membership.find),
             recovery.Recovery(self._http),
         )
         operators = admin.Admin(
@@ -172,6 +178,15 @@
         bound = socket.create_server((self._settings.host, port), backlog=512)
         return _Server(config), bound
 
+    def _better_address(self) -> str:
+        chosen = addresses.answer(
+            self._settings, self._membership, self._settings.domain
+        )
+        for one in chosen["addresses"]:
+            if one["instance"] != self._settings.instance:
+                return one["address"]
+        return ""
+
     def _mint(self) -> str:
         return self._owner.mint()
 
--- a/packages/daemon/cassiaquay_daemon/demands.py
+++ b/packages/daemon/cassiaquay_daemon/demands.py
@@ -12,6 +12,11 @@
 
 from . import clock, exceptions, keeper, logs, members, peers, shards
 
+# Renewals that must have been missed before a pause is concluded, and how long after
+# it permits are not taken: enough for all that lay in the sockets to be read.
+LATE_RENEWALS = 3.0
+VOID_SECONDS = 0.2
+
 
 class Permission(typing.NamedTuple):
     """A permit as its owner holds it.
@@ -85,6 +90,8 @@
         self._pending: dict[str, Pending] = {}
         self._outstanding: dict[str, dict[str, messages.Outstanding]] = {}
         self._keepers: dict[str, str] = {}
+        self._renewed_at = clock.now()
+        self._void_until = 0.0
         links.on(messages.Permit, self.answer)
         links.on(messages.Shed, self.answer)
         links.on(messages.NotKeeper, self.answer)
@@ -136,6 +143,9 @@
         """Renew leases and repeat unanswered demands for ever."""
         while True:
             await asyncio.sleep(self._settings.keeper.renew_seconds)
+            if self._is_late():
+                self._void_until = clock.now() + VOID_SECONDS
+            self._renewed_at = clock.now()
             for shard in list(self._outstanding):
                 self._renew(shard)
             for pending in list(self._pending.values()):
@@ -153,9 +163,21 @@
         if pending is None or pending.future.done():
             # The request has ended meanwhile, or a second keeper has granted too.
             return
+        if self._is_late() or clock.now() < self._void_until:
+            # This process was paused. The permit may have lain in the socket for as
+            # long as that, and the callers' disconnections lie there too: taken now,
+            # it would dispatch work that nobody waits for. Ask again instead.
+            demand = pending.demand
+            self._tell(demand.shard, messages.Withdraw(demand.id, demand.shard))
+            self._tell_again(pending)
+            return
         expires_at = clock.now() + permit.lifetime_ms / 1000.0
         pending.future.set_result(Permission(permit.server, expires_at))
 
+    def _is_late(self) -> bool:
+        late = LATE_RENEWALS * self._settings.keeper.renew_seconds
+        return clock.now() - self._renewed_at > late
+
     def _tell_again(self, pending: Pending) -> None:
         if pending.future.done():
             return
--- /dev/null
+++ b/packages/daemon/cassiaquay_daemon/dispatching.py
@@ -0,0 +1,297 @@
+"""The way of one waiting request to a backend server, and its one dispatch."""
+
+import asyncio
+import collections.abc
+import typing
+
+import aiohttp
+
+from cassiaquay_schema import fleet, messages
+
+from . import (
+    backends,
+    clock,
+    demands,
+    entries,
+    exceptions,
+    logs,
+    prefixes,
+    rendezvous,
+    table,
+)
+
+NOT_SENT_PAUSE = 0.05
+# How long the answer of a request that cannot be stopped is still waited for after its
+# caller was told "unknown", so that its outcome can be asked for later.
+SETTLE_SECONDS = 60.0
+
+
+class Capacity(typing.Protocol):
+    """Where permissions to dispatch come from."""
+
+    async def obtain(
+        self, demand: messages.Demand, deadline: float
+    ) -> demands.Permission:
+        """Return a permission to dispatch; raise Refusal when the request is shed."""
+
+    def give_back(self, demand: messages.Demand) -> None:
+        """Give back a permission that was not used."""
+
+    def dispatched(self, shard: str, item: messages.Outstanding) -> None:
+        """Note that a permission is in use."""
+
+    def release(self, message: messages.Release) -> None:
+        """Note that a dispatched request has ended."""
+
+
+class Dispatcher:
+    """Dispatches the requests of one owner.
+
+    Parameters
+    ----------
+    capacity : Capacity
+        Where permissions come from.
+    http : ClientSession
+        Connections to backend servers.
+    requests : Table
+        Is told when a request waits no longer.
+    is_leaving : callable
+        Tells whether the instance list shows a backend server as leaving.
+    """
+
+    def __init__(
+        self,
+        capacity: Capacity,
+        http: aiohttp.ClientSession,
+        requests: table.Table,
+        is_leaving: collections.abc.Callable[[str], bool],
+    ):
+        self.background: set[asyncio.Task[None]] = set()
+        self._capacity = capacity
+        self._table = requests
+        self._is_leaving = is_leaving
+        self._backends: dict[str, backends.Backend] = {}
+        for name in backends.backends.names():
+            self._backends[name] = backends.backends.get(name)(http)
+
+    def can_stop(self, entry: entries.Entry) -> bool:
+        """Tell whether the backend server of a request can stop it."""
+        return self._backends[entry.accepted.adapter_name].can_stop
+
+    async def serve(self, entry: entries.Entry) -> None:
+        """Dispatch a request once and read its answer; raise Refusal for any other end.
+
+        A request whose caller is not connected waits here: dispatching it could waste
+        a long prefill, and after a pause of this process it is the rule, not the
+        exception, that callers have gone.
+        """
+        avoid: list[str] = []
+        while not entry.ended:
+            await entry.read.wait()
+            demand = _demand(entry, avoid)
+            permission = await self._capacity.obtain(demand, entry.deadline)
+            server = entry.accepted.snapshot.server(
+                entry.accepted.pool, permission.server
+            )
+            if server is None:
+                # The keeper already uses a configuration that this request does not.
+                self._capacity.give_back(demand)
+                avoid.append(permission.server)
+                await asyncio.sleep(NOT_SENT_PAUSE)
+                continue
+            try:
+                await self._dispatch(entry, demand, permission, server)
+                return
+            except exceptions.NotSent as error:
+                logs.detail("not_sent", server=server.name, cause=str(error))
+                self._capacity.give_back(demand)
+                if entry.readers:
+                    avoid.append(server.name)
+                await asyncio.sleep(NOT_SENT_PAUSE)
+
+    async def _dispatch(
+        self,
+        entry: entries.Entry,
+        demand: messages.Demand,
+        permission: demands.Permission,
+        server: fleet.Server,
+    ) -> None:
+        backend = self._backends[entry.accepted.adapter_name]
+        attempt = _Attempt(entry, demand, server, clock.now())
+
+        def before_sending() -> None:
+            self._check(entry, permission, server)
+            self._mark(attempt)
+
+        running = asyncio.create_task(
+            backend.run(server, entry.accepted.call, entry.answer, before_sending)
+        )
+        try:
+            figures = await asyncio.shield(running)
+        except asyncio.CancelledError:
+            if entry.state is entries.State.DISPATCHED and not backend.can_stop:
+                # Cutting the connection saves no work and loses the outcome.
+                self._in_background(self._settle(attempt, running))
+                raise
+            running.cancel()
+            await asyncio.gather(running, return_exceptions=True)
+            self._failed(attempt, backend)
+            raise
+        except exceptions.NotSent:
+            raise
+        except exceptions.BackendError as error:
+            self._failed(attempt, backend)
+            raise _refusal(error) from error
+        except Exception:
+            self._failed(attempt, backend)
+            raise
+        self._release(attempt, "completed", figures)
+
+    def _check(
+        self,
+        entry: entries.Entry,
+        permission: demands.Permission,
+        server: fleet.Server,
+    ) -> None:
+        # A process that was paused wakes up here with a permit that is long over, or
+        # with a caller that has gone or was told "not run": it must not send.
+        if entry.ended or entry.state is not entries.State.WAITING:
+            raise exceptions.NotSent("ended meanwhile")
+        if not entry.readers:
+            raise exceptions.NotSent("no caller is connected")
+        if clock.now() >= min(permission.expires_at, entry.deadline):
+            raise exceptions.NotSent("the permit has expired")
+        # The keeper may have granted just before the list showed the server leaving.
+        if self._is_leaving(server.name):
+            raise exceptions.NotSent("the server is leaving")
+
+    def _mark(self, attempt: "_Attempt") -> None:
+        # From here on the request may run: it is never unmarked, whatever happens to
+        # the connection, so no second server ever gets it.
+        entry, demand, server, _ = attempt
+        entry.state = entries.State.DISPATCHED
+        entry.server = server.name
+        self._table.dispatched(entry)
+        logs.event(
+            "dispatch",
+            id=demand.id,
+            server=server.name,
+            tier=entry.accepted.tier,
+            team=entry.accepted.team,
+        )
+        self._capacity.dispatched(
+            demand.shard,
+            messages.Outstanding(
+                demand.id,
+                demand.service,
+                demand.team,
+                demand.rank,
+                server.name,
+                demand.prompt_tokens,
+                demand.output_tokens,
+            ),
+        )
+
+    def _failed(self, attempt: "_Attempt", backend: backends.Backend) -> None:
+        entry = attempt.entry
+        if entry.state is entries.State.WAITING:
+            return
+        figures = backends.Figures(entry.accepted.prompt_tokens, 0, 0)
+        self._release(attempt, "unknown", figures)
+        self._in_background(self._stop(backend, attempt))
+
+    def _release(
+        self, attempt: "_Attempt", outcome: str, figures: backends.Figures
+    ) -> None:
+        entry, demand, server, started_at = attempt
+        now = clock.now()
+        first_ms = max(entry.answer.first_at - started_at, 0.0) * 1000.0
+        self._capacity.release(
+            messages.Release(
+                demand.id,
+                demand.shard,
+                server.name,
+                outcome,
+                figures.prompt_tokens,
+                figures.cached_tokens,
+                entry.answer.count,
+                first_ms,
+                (now - started_at) * 1000.0,
+            )
+        )
+
+    async def _settle(
+        self, attempt: "_Attempt", running: "asyncio.Task[backends.Figures]"
+    ) -> None:
+        entry = attempt.entry
+        outcome, code = "", ""
+        try:
+            async with asyncio.timeout(SETTLE_SECONDS):
+                figures = await running
+            outcome, code = "completed", "completed"
+        except exceptions.BackendError as error:
+            refusal = _refusal(error)
+            outcome, code = refusal.outcome, refusal.code
+        except TimeoutError:
+            pass
+        if outcome in ("completed", "failed"):
+            self._table.settle(entry, outcome, code)
+            logs.event("settled", id=entry.accepted.id.text, outcome=outcome, code=code)
+        if outcome != "completed":
+            figures = backends.Figures(0, 0, 0)
+        self._release(attempt, outcome or "unknown", figures)
+
+    async def _stop(self, backend: backends.Backend, attempt: "_Attempt") -> None:
+        waste = await backend.cancel(attempt.server, attempt.entry.accepted.call.key)
+        if waste is None:
+            return
+        logs.event(
+            "wasted",
+            id=attempt.demand.id,
+            tier=attempt.entry.accepted.tier,
+            team=attempt.entry.accepted.team,
+            prefilled_tokens=waste.prefilled_tokens,
+            generated_tokens=waste.generated_tokens,
+        )
+
+    def _in_background(self, work: collections.abc.Coroutine[None, None, None]) -> None:
+        task = asyncio.create_task(work)
+        self.background.add(task)
+        task.add_done_callback(self.background.discard)
+
+
+class _Attempt(typing.NamedTuple):
+    """One permitted try to dispatch a request."""
+
+    entry: entries.Entry
+    demand: messages.Demand
+    server: fleet.Server
+    started_at: float
+
+
+def _refusal(error: exceptions.BackendError) -> exceptions.Refusal:
+    if isinstance(error, exceptions.Declined):
+        return exceptions.ServerDeclined(str(error))
+    if isinstance(error, exceptions.Rejected):
+        return exceptions.BackendFailed(str(error))
+    return exceptions.AnswerLost(str(error))
+
+
+def _demand(entry: entries.Entry, avoid: list[str]) -> messages.Demand:
+    accepted = entry.accepted
+    count = accepted.snapshot.shard_count(accepted.pool)
+    key = accepted.body.session or accepted.body.prompt[:256]
+    number = int(rendezvous.first(key, [str(index) for index in range(count)]))
+    return messages.Demand(
+        accepted.id.text,
+        f"{accepted.pool}#{number}",
+        accepted.service,
+        accepted.team,
+        accepted.rank,
+        accepted.prompt_tokens,
+        accepted.output_tokens,
+        max(int((entry.deadline - clock.now()) * 1000.0), 0),
+        accepted.body.session,
+        prefixes.blocks(accepted.body.prompt) if accepted.call.model else [],
+        list(avoid),
+    )
--- a/packages/daemon/cassiaquay_daemon/exceptions.py
+++ b/packages/daemon/cassiaquay_daemon/exceptions.py
@@ -84,19 +84,40 @@
         When asking again is worth it, milliseconds; 0 says nothing.
     address : str
         A better address, or empty.
+    code : str
+        Another stable code than the one of the class.
     """
 
     code = "refused"
     outcome = "not_run"
     status = http.HTTPStatus.SERVICE_UNAVAILABLE
 
-    def __init__(self, message: str = "", retry_after_ms: int = 0, address: str = ""):
+    def __init__(
+        self,
+        message: str = "",
+        retry_after_ms: int = 0,
+        address: str = "",
+        code: str = "",
+    ):
         super().__init__(message or self.__doc__ or "")
+        self.code = code or type(self).code
         self.message = message or (self.__doc__ or "").splitlines()[0]
         self.retry_after_ms = retry_after_ms
         self.address = address
 
 
+class CallRejected(Refusal):
+    """The call did nothing.
+
+    It was turned away before the owner looked at the id, so it says nothing of other
+    calls under the same id: "not run" could be a lie about a request under way.
+    """
+
+    code = "call_rejected"
+    outcome = ""
+    status = http.HTTPStatus.BAD_REQUEST
+
+
 class BadRequest(Refusal):
     """The request is malformed."""
 
@@ -104,35 +125,35 @@
     status = http.HTTPStatus.BAD_REQUEST
 
 
-class BadId(Refusal):
+class BadId(CallRejected):
     """The request id is malformed, or its token is not one of ours."""
 
     code = "bad_id"
     status = http.HTTPStatus.BAD_REQUEST
 
 
-class TooLarge(Refusal):
+class TooLarge(CallRejected):
     """The body is larger than allowed."""
 
     code = "too_large"
     status = http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE
 
 
-class Unauthorized(Refusal):
+class Unauthorized(CallRejected):
     """The credential is missing or unknown."""
 
     code = "unauthorized"
     status = http.HTTPStatus.UNAUTHORIZED
 
 
-class Forbidden(Refusal):
+class Forbidden(CallRejected):
     """The team may not do this."""
 
     code = "forbidden"
     status = http.HTTPStatus.FORBIDDEN
 
 
-class UnknownId(Refusal):
+class UnknownId(CallRejected):
     """The owner of the id has never seen it."""
 
     code = "unknown_id"
@@ -164,13 +185,26 @@
     code = "table_full"
 
 
+class TierForbidden(Refusal):
+    """The team may not use this tier."""
+
+    code = "forbidden"
+    status = http.HTTPStatus.FORBIDDEN
+
+
+class RefusedBefore(Refusal):
+    """The request was refused before and stays refused."""
+
+    code = "refused_before"
+
+
 class Leaving(Refusal):
     """The instance is shutting down."""
 
     code = "instance_leaving"
 
 
-class NotReady(Refusal):
+class NotReady(CallRejected):
     """The instance has no configuration yet."""
 
     code = "not_ready"
@@ -246,3 +280,62 @@
     code = "backend_failed"
     outcome = "failed"
     status = http.HTTPStatus.INTERNAL_SERVER_ERROR
+
+
+class BadQuery(CallRejected):
+    """A parameter of the URL is malformed."""
+
+    code = "bad_request"
+
+
+class WrongType(CallRejected):
+    """The body is not of the type application/json."""
+
+    code = "wrong_content_type"
+    status = http.HTTPStatus.UNSUPPORTED_MEDIA_TYPE
+
+
+class HeadersTooLarge(CallRejected):
+    """The headers or the URL are larger than allowed."""
+
+    code = "headers_too_large"
+    status = http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
+
+
+class SlowBody(CallRejected):
+    """The body did not arrive in time."""
+
+    code = "slow_body"
+    status = http.HTTPStatus.REQUEST_TIMEOUT
+
+
+class NotFinished(CallRejected):
+    """A request under way cannot be acknowledged."""
+
+    code = "not_finished"
+    status = http.HTTPStatus.CONFLICT
+
+
+class IdConflict(OutcomeUnknown):
+    """The id belongs to a request with another body; this one did nothing."""
+
+    code = "id_conflict"
+    status = http.HTTPStatus.CONFLICT
+
+
+class CancelledRunning(OutcomeUnknown):
+    """The caller gave the request up while it ran."""
+
+    code = "cancelled_running"
+
+
+class CallerGoneRunning(OutcomeUnknown):
+    """The caller's connection was gone for longer than the grace time."""
+
+    code = "caller_gone_running"
+
+
+class InternalError(Refusal):
+    """An error in the daemon itself ended the request before it was sent."""
+
+    code = "internal_error"
--- a/packages/daemon/cassiaquay_daemon/members.py
+++ b/packages/daemon/cassiaquay_daemon/members.py
@@ -119,6 +119,11 @@
                 return member
         return None
 
+    def is_leaving(self, name: str) -> bool:
+        """Tell whether the instance list shows an instance or server as leaving."""
+        line = self.listed.get(name)
+        return line is not None and line.leaving
+
     def keeper_of(self, shard: str) -> str:
         """Return the instance that should be the keeper of a shard."""
         names = [member.instance for member in self.serving()]
--- a/packages/daemon/cassiaquay_daemon/owner.py
+++ b/packages/daemon/cassiaquay_daemon/owner.py
@@ -1,74 +1,38 @@
-"""The table of requests that this instance owns, and each one's way to its end.
+"""The requests that this instance owns: who may run, who is told what.
 
 The right to dispatch a request belongs to the incarnation named in its id. Nobody
 else may ever dispatch it, even when this one is dead; so at most once needs no
-agreement with anybody.
+agreement with anybody. docs/design/ownership.md gives the reasons of each rule.
 """
 
 import asyncio
 import collections.abc
-import enum
 
 import aiohttp
 
-from cassiaquay_schema import fleet, messages
 from cassiaquay_schema import settings as settings_schema
 
 from . import (
-    answers,
-    backends,
     clock,
-    demands,
+    dispatching,
+    entries,
     exceptions,
     logs,
-    prefixes,
-    rendezvous,
     requests,
+    snapshots,
+    table,
     tokens,
 )
 
-# Entries outlive their token by this much, so that no copy of a request that is
-# still allowed to arrive finds its entry gone.
-TOMBSTONE_SECONDS = 5.0
-SWEEP_SECONDS = 1.0
-NOT_SENT_PAUSE = 0.05
-
-
-class State(enum.Enum):
-    """Where a request is."""
-
-    WAITING = "waiting"
-    DISPATCHED = "dispatched"
-    FINISHED = "finished"
-    REFUSED = "refused"
-
-
-class Entry:
-    """One request in the owner's table.
-
-    Parameters
-    ----------
-    accepted : Accepted
-        The checked request.
-    """
-
-    def __init__(self, accepted: requests.Accepted):
-        self.accepted = accepted
-        self.answer = answers.Answer()
-        self.refusal: exceptions.Refusal | None = None
-        self.state = State.WAITING
-        self.deadline = clock.now() + accepted.deadline_seconds
-        self.ended_at = 0.0
-        self.server = ""
-        self.readers = 0
-        self.unread_since = clock.now()
-        self.acknowledged = False
-        self.task: asyncio.Task[None] | None = None
-
-    @property
-    def ended(self) -> bool:
-        """Whether the outcome is final."""
-        return self.answer.final is not None
+SWEEP_SECONDS = 0.5
+# Refusals are kept as entries for this long, so that a caller whose connection broke
+# still reads the hint when and where to ask again.
+REFUSED_SECONDS = 5.0
+# How long a leaving instance waits for callers that have not read their answers.
+UNREAD_SECONDS = 5.0
+UNREAD_POLL = 0.05
+CANCEL_SECONDS = 5.0
+UNSEEN = entries.Told("", "", "unseen")
 
 
 class Owner:
@@ -82,8 +46,12 @@
         This life of the process.
     http : ClientSession
         Connections to backend servers.
-    asked : Demands
+    capacity : Capacity
         The way to keepers.
+    is_leaving : callable
+        Tells whether the instance list shows a backend server as leaving.
+    better_address : callable
+        Returns the address of another instance, or an empty string.
     """
 
     def __init__(
@@ -91,28 +59,29 @@
         settings: settings_schema.Settings,
         incarnation: str,
         http: aiohttp.ClientSession,
-        asked: demands.Demands,
+        capacity: dispatching.Capacity,
+        is_leaving: collections.abc.Callable[[str], bool],
+        better_address: collections.abc.Callable[[], str],
     ):
         self.leaving = False
-        self.table: dict[str, Entry] = {}
+        self.table = table.Table(settings.owner)
         self._settings = settings
         self._incarnation = incarnation
         self._started = clock.now()
-        self._demands = asked
-        self._background: set[asyncio.Task[None]] = set()
-        self._backends: dict[str, backends.Backend] = {}
-        for name in backends.backends.names():
-            self._backends[name] = backends.backends.get(name)(http)
+        self._better_address = better_address
+        self._dispatcher = dispatching.Dispatcher(
+            capacity, http, self.table, is_leaving
+        )
 
     @property
     def open_count(self) -> int:
         """Requests that have not ended."""
-        return sum(1 for entry in self.table.values() if not entry.ended)
+        return self.table.open_count
 
     def mint(self) -> str:
         """Return a fresh token for ids that this incarnation will own."""
         settings = self._settings
-        expiry = clock.now() - self._started + settings.owner.token_seconds
+        expiry = self._uptime() + settings.owner.token_seconds
         return tokens.mint(
             settings.keys[0], settings.instance, self._incarnation, expiry
         )
@@ -124,113 +93,201 @@
             and request_id.incarnation == self._incarnation
         )
 
-    def find(self, request_id: tokens.RequestId, team: str) -> Entry:
+    def find(self, request_id: tokens.RequestId, team: str) -> entries.Entry:
         """Return the entry of a known id; raise Refusal for any other."""
-        entry = self.table.get(request_id.text)
-        if entry is not None:
-            if entry.accepted.team != team:
-                raise exceptions.Forbidden("this id belongs to another team")
-            return entry
-        if self._expired(request_id):
-            raise exceptions.TokenExpired()
-        raise exceptions.UnknownId()
+        entry = self._known(request_id, team)
+        if entry is None:
+            raise exceptions.UnknownId()
+        return entry
 
     def submit(
         self,
         request_id: tokens.RequestId,
         team: str,
-        accept: collections.abc.Callable[[], requests.Accepted],
-    ) -> Entry:
-        """Return the entry of an id, made by ``accept`` when it is new."""
-        known = self.table.get(request_id.text)
+        data: bytes,
+        snapshot: snapshots.Snapshot,
+    ) -> entries.Entry:
+        """Return the entry of an id, made from the body ``data`` when it is new."""
+        known = self._known(request_id, team)
         if known is not None:
-            return self.find(request_id, team)
-        if self._expired(request_id):
-            # Its entry may have been here and dropped: saying "not run" might lie.
-            raise exceptions.TokenExpired()
-        accepted = accept()
-        entry = Entry(accepted)
-        self.table[request_id.text] = entry
-        if self.leaving:
-            self._refuse(entry, exceptions.Leaving())
-            return entry
+            _check_same(known, data)
+            return known
+        try:
+            accepted = requests.accept(request_id, team, data, snapshot)
+            if self.leaving:
+                raise exceptions.Leaving(address=self._better_address())
+            self.table.make_room(accepted.rank, self._give_up)
+        except exceptions.Refusal as refusal:
+            # "Not run" holds for ever only when a late copy finds the id closed: what
+            # was wrong today (a full table, an unknown service) may be right then.
+            self.table.refuse(request_id, team, refusal.outcome, refusal.code)
+            self._log_end(request_id.text, refusal)
+            raise
+        entry = entries.Entry(accepted, self.table.ledger)
+        self.table.add(entry)
         entry.task = asyncio.create_task(self._run(entry))
         return entry
 
-    def attach(self, entry: Entry) -> None:
+    def attach(self, entry: entries.Entry) -> None:
         """Count a reader of an entry's answer."""
-        entry.readers += 1
+        entry.attach()
 
-    def detach(self, entry: Entry) -> None:
+    def detach(self, entry: entries.Entry, delivered: bool) -> None:
         """Count a reader as gone."""
-        entry.readers -= 1
-        if not entry.readers:
-            entry.unread_since = clock.now()
+        entry.detach(delivered)
+        if entry.acknowledged and not entry.readers:
+            self._close(entry)
 
-    def acknowledge(self, entry: Entry) -> None:
+    def acknowledge(self, request_id: tokens.RequestId, team: str) -> None:
         """Let go of an answer that the caller has whole; its id stays known."""
-        if entry.ended:
-            entry.acknowledged = True
-            entry.answer.forget()
-
-    def cancel(self, entry: Entry) -> None:
-        """End a request that its caller has given up."""
-        if entry.ended:
+        if self._closed(request_id, team):
             return
-        if entry.state is State.WAITING:
-            self._refuse(entry, exceptions.Cancelled())
-        if entry.task is not None:
-            entry.task.cancel()
+        entry = self.find(request_id, team)
+        if not entry.ended:
+            raise exceptions.NotFinished()
+        entry.acknowledged = True
+        if not entry.readers:
+            self._close(entry)
+
+    def outcome(self, request_id: tokens.RequestId, team: str) -> entries.Told:
+        """Return what became of an id, as far as this owner knows."""
+        closed = self._closed(request_id, team)
+        if closed is not None:
+            return closed
+        entry = self._known(request_id, team)
+        # An id not seen yet may still arrive and run: nothing is said of it.
+        return UNSEEN if entry is None else entry.told
+
+    async def cancel(self, request_id: tokens.RequestId, team: str) -> entries.Told:
+        """End a request that its caller has given up, and return what became of it."""
+        closed = self._closed(request_id, team)
+        if closed is not None:
+            return closed
+        entry = self._known(request_id, team)
+        if entry is None:
+            # The cancellation may have overtaken its request: the id is closed, so
+            # that the request, when it arrives, does not run after "not run".
+            refusal = exceptions.Cancelled()
+            self.table.refuse(request_id, team, refusal.outcome, refusal.code)
+            self._log_end(request_id.text, refusal)
+            return entries.Told(refusal.outcome, refusal.code, "refused")
+        if entry.ended:
+            return entry.told
+        if entry.state is entries.State.WAITING:
+            self._give_up(entry, exceptions.Cancelled())
+            return entry.told
+        if not self._dispatcher.can_stop(entry):
+            return entry.told
+        await self._stop(entry, exceptions.CancelledRunning())
+        return entry.told
 
     async def sweep(self) -> None:
         """Drop abandoned requests and old entries for ever."""
         while True:
             await asyncio.sleep(SWEEP_SECONDS)
-            now = clock.now()
-            for text in list(self.table):
-                self._sweep(text, self.table[text], now)
+            self.sweep_once()
+
+    def sweep_once(self) -> None:
+        """Drop abandoned requests and old entries."""
+        now = clock.now()
+        for entry in list(self.table.entries.values()):
+            if entry.readers:
+                continue
+            if entry.ended:
+                self._forget_old(entry, now)
+                continue
+            if now - entry.unread_since >= self._settings.owner.disconnect_grace:
+                self._abandon(entry)
+        self.table.relieve()
+        self.table.closed.expire(self._uptime() - self._settings.owner.answer_seconds)
 
     async def leave(self) -> None:
-        """Hand waiting requests back, and return when the others have ended."""
+        """Hand waiting requests back, and return when the others have been read."""
         self.leaving = True
-        for entry in list(self.table.values()):
-            if entry.state is State.WAITING and not entry.ended:
-                self._refuse(entry, exceptions.Leaving())
-                if entry.task is not None:
-                    entry.task.cancel()
-        running = [e.task for e in self.table.values() if e.task and not e.task.done()]
-        await asyncio.gather(*running, return_exceptions=True)
-
-    def _expired(self, request_id: tokens.RequestId) -> bool:
-        return clock.now() - self._started > request_id.expiry
-
-    def _sweep(self, text: str, entry: Entry, now: float) -> None:
-        grace = self._settings.owner.disconnect_grace
-        if not entry.ended:
-            if entry.readers or now - entry.unread_since < grace:
-                return
-            if entry.state is State.WAITING:
-                self._refuse(entry, exceptions.CallerGone())
-            elif entry.accepted.service_settings.on_disconnect == "finish":
-                return
-            if entry.task is not None:
-                entry.task.cancel()
-            return
+        for entry in self.table.waiting():
+            self._give_up(entry, exceptions.Leaving(address=self._better_address()))
+        while self._running():
+            await asyncio.wait(self._running())
+        end = clock.now() + UNREAD_SECONDS
+        while any(_is_unread(one) for one in self.table.ended()) and clock.now() < end:
+            await asyncio.sleep(UNREAD_POLL)
+
+    def _uptime(self) -> float:
+        return clock.now() - self._started
+
+    def _running(self) -> list["asyncio.Task[None]"]:
+        held = [entry.task for entry in self.table.entries.values() if entry.task]
+        running = [*held, *self._dispatcher.background]
+        return [task for task in running if not task.done()]
+
+    def _known(self, request_id: tokens.RequestId, team: str) -> entries.Entry | None:
+        """Return the entry, None for an id that may still begin, or raise Refusal."""
+        entry = self.table.entries.get(request_id.text)
+        if entry is not None:
+            if entry.accepted.team != team:
+                raise exceptions.Forbidden("this id belongs to another team")
+            return entry
+        closed = self.table.closed.find(request_id)
+        if closed is not None:
+            if closed.team != team:
+                raise exceptions.Forbidden("this id belongs to another team")
+            raise closed.refusal()
+        gone = self.table.closed.may_be_gone(request_id)
+        if gone or self._uptime() > request_id.expiry:
+            # Its entry may have been here and dropped: "not run" might be a lie.
+            raise exceptions.TokenExpired()
+        return None
+
+    def _closed(self, request_id: tokens.RequestId, team: str) -> entries.Told | None:
+        if request_id.text in self.table.entries:
+            return None
+        closed = self.table.closed.find(request_id)
+        if closed is None or closed.team != team:
+            return None
+        return entries.Told(closed.outcome, closed.code, closed.state)
+
+    def _forget_old(self, entry: entries.Entry, now: float) -> None:
         kept = self._settings.owner.answer_seconds
-        if now - entry.ended_at > kept and not entry.readers:
-            entry.answer.forget()
-        age = now - self._started - entry.accepted.id.expiry
-        if age > max(TOMBSTONE_SECONDS, kept) and not entry.readers:
-            del self.table[text]
+        if entry.state is entries.State.REFUSED:
+            kept = min(kept, REFUSED_SECONDS)
+        if entry.acknowledged or now - entry.ended_at > kept:
+            self._close(entry)
+
+    def _close(self, entry: entries.Entry) -> None:
+        self.table.close(entry)
+
+    def _abandon(self, entry: entries.Entry) -> None:
+        if entry.state is entries.State.WAITING:
+            self._give_up(entry, exceptions.CallerGone())
+            return
+        if entry.accepted.service_settings.on_disconnect == "finish":
+            return
+        if not self._dispatcher.can_stop(entry):
+            return
+        if entry.stop_reason is None and entry.task is not None:
+            entry.stop_reason = exceptions.CallerGoneRunning()
+            entry.task.cancel()
+
+    def _give_up(self, entry: entries.Entry, refusal: exceptions.Refusal) -> None:
+        """End a waiting request as not run."""
+        self._end(entry, refusal)
+        if entry.task is not None:
+            entry.task.cancel()
+
+    async def _stop(self, entry: entries.Entry, reason: exceptions.Refusal) -> None:
+        if entry.stop_reason is None:
+            entry.stop_reason = reason
+        if entry.task is not None:
+            entry.task.cancel()
+            await asyncio.wait({entry.task}, timeout=CANCEL_SECONDS)
 
-    def _refuse(self, entry: Entry, refusal: exceptions.Refusal) -> None:
+    def _end(self, entry: entries.Entry, refusal: exceptions.Refusal) -> None:
         if entry.ended:
             return
-        if refusal.outcome == "not_run":
-            entry.state = State.REFUSED
-        else:
-            entry.state = State.FINISHED
         entry.refusal = refusal
+        entry.state = entries.State.FINISHED
+        if refusal.outcome == "not_run":
+            entry.state = entries.State.REFUSED
         entry.ended_at = clock.now()
         entry.answer.finish(
             refusal.outcome,
@@ -239,186 +296,83 @@
             refusal.retry_after_ms,
             refusal.address,
         )
+        self.table.end(entry)
+        self._log_end(entry.accepted.id.text, refusal, entry)
+
+    def _complete(self, entry: entries.Entry, watch: clock.Stopwatch) -> None:
+        if entry.ended:
+            return
+        entry.state = entries.State.FINISHED
+        entry.ended_at = clock.now()
+        entry.answer.finish("completed", "completed")
+        self.table.end(entry)
+        accepted = entry.accepted
         logs.event(
             "ended",
-            id=entry.accepted.id.text,
+            id=accepted.id.text,
+            outcome="completed",
+            code="completed",
+            tier=accepted.tier,
+            team=accepted.team,
+            service=accepted.service,
+            ms=round(watch.elapsed_ms, 1),
+            count=entry.answer.count,
+        )
+
+    def _log_end(
+        self, text: str, refusal: exceptions.Refusal, entry: entries.Entry | None = None
+    ) -> None:
+        accepted = entry.accepted if entry is not None else None
+        logs.event(
+            "ended",
+            id=text,
             outcome=refusal.outcome,
             code=refusal.code,
-            tier=entry.accepted.tier,
-            team=entry.accepted.team,
-            service=entry.accepted.service,
+            tier=accepted.tier if accepted else None,
+            team=accepted.team if accepted else None,
+            service=accepted.service if accepted else None,
         )
 
-    async def _run(self, entry: Entry) -> None:
-        remaining = entry.deadline - clock.now()
+    async def _run(self, entry: entries.Entry) -> None:
+        watch = clock.Stopwatch()
         try:
-            async with asyncio.timeout(remaining):
-                await self._serve(entry)
+            async with asyncio.timeout(entry.deadline - clock.now()):
+                await self._dispatcher.serve(entry)
+            self._complete(entry, watch)
         except exceptions.Refusal as refusal:
-            self._refuse(entry, refusal)
+            self._end(entry, refusal)
         except TimeoutError:
-            if entry.state is State.DISPATCHED:
-                self._refuse(entry, exceptions.DeadlineExceeded())
+            if entry.state is entries.State.DISPATCHED:
+                self._end(entry, exceptions.DeadlineExceeded())
             else:
-                self._refuse(entry, exceptions.Infeasible())
+                self._end(entry, exceptions.Infeasible())
         except asyncio.CancelledError:
-            if entry.state is State.DISPATCHED:
-                self._refuse(
-                    entry, exceptions.OutcomeUnknown("cancelled while running")
-                )
+            if entry.state is entries.State.DISPATCHED:
+                self._end(entry, entry.stop_reason or exceptions.OutcomeUnknown())
             else:
-                self._refuse(entry, exceptions.Cancelled())
+                self._end(entry, exceptions.Cancelled())
         except Exception as error:
             # Whatever went wrong here, the caller gets an answer that is true.
             logs.trouble(
                 "request_crashed", id=entry.accepted.id.text, cause=repr(error)
             )
-            if entry.state is State.DISPATCHED:
-                self._refuse(entry, exceptions.OutcomeUnknown())
+            if entry.state is entries.State.DISPATCHED:
+                self._end(entry, exceptions.OutcomeUnknown())
             else:
-                self._refuse(entry, exceptions.Shed("internal error"))
-
-    async def _serve(self, entry: Entry) -> None:
-        avoid: list[str] = []
-        while not entry.ended:
-            demand = self._demand(entry, avoid)
-            permission = await self._demands.obtain(demand, entry.deadline)
-            server = entry.accepted.snapshot.server(
-                entry.accepted.pool, permission.server
-            )
-            if server is None:
-                # The keeper already uses a configuration that this request does not.
-                self._demands.give_back(demand)
-                avoid.append(permission.server)
-                await asyncio.sleep(NOT_SENT_PAUSE)
-                continue
-            try:
-                await self._dispatch(entry, demand, permission, server)
-                return
-            except exceptions.NotSent as error:
-                logs.detail("not_sent", server=server.name, cause=str(error))
-                self._demands.give_back(demand)
-                avoid.append(server.name)
-                await asyncio.sleep(NOT_SENT_PAUSE)
-
-    async def _dispatch(
-        self,
-        entry: Entry,
-        demand: messages.Demand,
-        permission: demands.Permission,
-        server: fleet.Server,
-    ) -> None:
-        accepted = entry.accepted
-        backend = self._backends[accepted.adapter_name]
-        watch = clock.Stopwatch()
-        started_at = clock.now()
-
-        def before_sending() -> None:
-            # A process that was paused wakes up here with a permit that is long
-            # over, or with a caller that has been told "not run": it must not send.
-            if entry.ended or entry.state is not State.WAITING:
-                raise exceptions.NotSent("ended meanwhile")
-            if clock.now() >= min(permission.expires_at, entry.deadline):
-                raise exceptions.NotSent("the permit has expired")
-            entry.state = State.DISPATCHED
-            entry.server = server.name
-            logs.event(
-                "dispatch",
-                id=accepted.id.text,
-                server=server.name,
-                tier=accepted.tier,
-                team=accepted.team,
-            )
-            self._demands.dispatched(
-                demand.shard,
-                messages.Outstanding(
-                    demand.id,
-                    demand.service,
-                    demand.team,
-                    demand.rank,
-                    server.name,
-                    demand.prompt_tokens,
-                    demand.output_tokens,
-                ),
-            )
+                self._end(entry, exceptions.InternalError())
 
-        figures = backends.Figures(accepted.prompt_tokens, 0, 0)
-        outcome = "unknown"
-        try:
-            figures = await backend.run(
-                server, accepted.call, entry.answer, before_sending
-            )
-            outcome = "completed"
-            entry.state = State.FINISHED
-            entry.ended_at = clock.now()
-            entry.answer.finish("completed", "completed")
-            logs.event(
-                "ended",
-                id=accepted.id.text,
-                outcome="completed",
-                code="completed",
-                tier=accepted.tier,
-                team=accepted.team,
-                service=accepted.service,
-                ms=round(watch.elapsed_ms, 1),
-                count=entry.answer.count,
-            )
-        except exceptions.Declined as error:
-            raise exceptions.ServerDeclined(str(error)) from error
-        except exceptions.Rejected as error:
-            raise exceptions.BackendFailed(str(error)) from error
-        except (exceptions.StreamCut, exceptions.StreamMissing) as error:
-            raise exceptions.AnswerLost(str(error)) from error
-        finally:
-            if entry.state is not State.WAITING:
-                first_ms = max(entry.answer.first_at - started_at, 0.0) * 1000.0
-                self._demands.release(
-                    messages.Release(
-                        demand.id,
-                        demand.shard,
-                        server.name,
-                        outcome,
-                        figures.prompt_tokens,
-                        figures.cached_tokens,
-                        entry.answer.count,
-                        first_ms,
-                        watch.elapsed_ms,
-                    )
-                )
-            if outcome != "completed" and entry.state is State.DISPATCHED:
-                self._in_background(self._stop(backend, server, entry))
-
-    def _in_background(self, work: collections.abc.Coroutine[None, None, None]) -> None:
-        task = asyncio.create_task(work)
-        self._background.add(task)
-        task.add_done_callback(self._background.discard)
-
-    async def _stop(
-        self, backend: backends.Backend, server: fleet.Server, entry: Entry
-    ) -> None:
-        waste = await backend.cancel(server, entry.accepted.call.key)
-        if waste is not None:
-            logs.event(
-                "wasted",
-                id=entry.accepted.id.text,
-                prefilled_tokens=waste.prefilled_tokens,
-            )
 
-    def _demand(self, entry: Entry, avoid: list[str]) -> messages.Demand:
-        accepted = entry.accepted
-        count = accepted.snapshot.shard_count(accepted.pool)
-        key = accepted.body.session or accepted.body.prompt[:256]
-        number = int(rendezvous.first(key, [str(index) for index in range(count)]))
-        return messages.Demand(
-            accepted.id.text,
-            f"{accepted.pool}#{number}",
-            accepted.service,
-            accepted.team,
-            accepted.rank,
-            accepted.prompt_tokens,
-            accepted.output_tokens,
-            max(int((entry.deadline - clock.now()) * 1000.0), 0),
-            accepted.body.session,
-            prefixes.blocks(accepted.body.prompt) if accepted.call.model else [],
-            list(avoid),
-        )
+def _check_same(entry: entries.Entry, data: bytes) -> None:
+    # Two requests under one id: the second caller would get the first one's answer.
+    try:
+        body = requests.read(data)
+    except exceptions.BadRequest as error:
+        raise exceptions.IdConflict() from error
+    if requests.fingerprint(body) != entry.fingerprint:
+        raise exceptions.IdConflict()
+
+
+def _is_unread(entry: entries.Entry) -> bool:
+    if entry.answer.forgotten or entry.acknowledged:
+        return False
+    return not entry.delivered and entry.state is entries.State.FINISHED
--- a/packages/daemon/cassiaquay_daemon/recovery.py
+++ b/packages/daemon/cassiaquay_daemon/recovery.py
@@ -14,6 +14,10 @@
 
 PROBE_SECONDS = 2.0
 KEEP_SECONDS = 60.0
+# Streams kept for callers that come again; an older one is read from its engine anew.
+MAX_KEPT = 1000
+READ_TRIES = 3
+READ_PAUSE = 0.1
 
 
 class Recovered:
@@ -50,17 +54,12 @@
         if known is not None and known.refusal is None:
             return known
         probes = []
-        for name, pool in snapshot.fleet.pools.items():
-            if service and snapshot.fleet.services[service].pool != name:
-                continue
-            backend = self._backends[pool.adapter]
-            for server in pool.servers:
-                recovered = Recovered()
-                reading = self._read(backend, server, key, recovered)
-                task = asyncio.create_task(reading)
-                self._tasks.add(task)
-                task.add_done_callback(self._tasks.discard)
-                probes.append((task, recovered))
+        for backend, server in self._places(snapshot, service):
+            recovered = Recovered()
+            task = asyncio.create_task(self._read(backend, server, key, recovered))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+            probes.append((task, recovered))
         found = await _first_found([recovered for _, recovered in probes])
         for task, recovered in probes:
             if recovered is not found:
@@ -71,6 +70,33 @@
         self._found[key] = found
         return found
 
+    async def cancel(
+        self, key: str, snapshot: snapshots.Snapshot, service: str
+    ) -> None:
+        """Stop the stream wherever it is held; its caller has given it up."""
+        stops = []
+        for backend, server in self._places(snapshot, service):
+            stops.append(self._stop(backend, server, key))
+        await asyncio.gather(*stops)
+
+    def _places(
+        self, snapshot: snapshots.Snapshot, service: str
+    ) -> list[tuple[backends.Backend, fleet.Server]]:
+        found = []
+        for name, pool in snapshot.fleet.pools.items():
+            if service and snapshot.fleet.services[service].pool != name:
+                continue
+            backend = self._backends[pool.adapter]
+            found += [(backend, server) for server in pool.servers]
+        return found
+
+    async def _stop(
+        self, backend: backends.Backend, server: fleet.Server, key: str
+    ) -> None:
+        waste = await backend.cancel(server, key)
+        if waste is not None:
+            logs.event("wasted", id=key, prefilled_tokens=waste.prefilled_tokens)
+
     async def _read(
         self,
         backend: backends.Backend,
@@ -78,29 +104,36 @@
         key: str,
         recovered: Recovered,
     ) -> None:
-        try:
-            await backend.resume(server, key, recovered.answer)
-            recovered.answer.finish("completed", "completed")
-        except (exceptions.StreamCut, exceptions.StreamMissing) as error:
-            recovered.refusal = exceptions.AnswerLost(str(error))
-            refusal = recovered.refusal
-            recovered.answer.finish(refusal.outcome, refusal.code, refusal.message)
-        except exceptions.BackendError as error:
-            recovered.refusal = exceptions.AnswerLost(str(error))
-            refusal = recovered.refusal
-            recovered.answer.finish(refusal.outcome, refusal.code, refusal.message)
+        answer = recovered.answer
+        for _ in range(READ_TRIES):
+            try:
+                await backend.resume(server, key, answer)
+                answer.finish("completed", "completed")
+                return
+            except exceptions.StreamCut as error:
+                cause = str(error)
+                if not answer.opened:
+                    break
+                await asyncio.sleep(READ_PAUSE)
+            except exceptions.BackendError as error:
+                cause = str(error)
+                break
+        recovered.refusal = exceptions.AnswerLost(cause)
+        refusal = recovered.refusal
+        answer.finish(refusal.outcome, refusal.code, refusal.message)
 
     def _forget(self) -> None:
         horizon = clock.now() - KEEP_SECONDS
         for key in list(self._found):
-            if self._found[key].since < horizon:
+            too_many = len(self._found) > MAX_KEPT
+            if self._found[key].since < horizon or too_many:
                 del self._found[key]
 
 
 async def _first_found(candidates: list[Recovered]) -> Recovered | None:
     waits: dict[asyncio.Task[None], Recovered] = {}
     for candidate in candidates:
-        waits[asyncio.create_task(candidate.answer.wait(0))] = candidate
+        waits[asyncio.create_task(candidate.answer.wait_open())] = candidate
     end = clock.now() + PROBE_SECONDS
     try:
         while waits:
@@ -113,7 +146,7 @@
                 return None
             for task in done:
                 candidate = waits.pop(task)
-                if candidate.answer.count or candidate.refusal is None:
+                if candidate.answer.opened:
                     return candidate
         return None
     finally:
--- a/packages/daemon/cassiaquay_daemon/relay.py
+++ b/packages/daemon/cassiaquay_daemon/relay.py
@@ -1,6 +1,7 @@
 """Requests whose owner is another instance: passed on, one hop at most."""
 
 import asyncio
+import collections.abc
 
 import aiohttp
 from starlette import types
@@ -8,12 +9,12 @@
 from cassiaquay_schema import messages
 from cassiaquay_schema import settings as settings_schema
 
-from . import exceptions
+from . import exceptions, logs
 
 HOP_HEADER = "X-Cassiaquay-Hop"
 CONNECT_SECONDS = 1.0
-CHUNK_BYTES = 65536
-PASSED_HEADERS = ("Authorization", "Content-Type")
+LOOK_SECONDS = 0.25
+PASSED_HEADERS = ("authorization", "content-type")
 
 
 class OwnerUnreachable(exceptions.DaemonError):
@@ -29,10 +30,17 @@
     ----------
     response : ClientResponse
         The owner's, its body not yet read.
+    is_gone : callable
+        Tells whether the owner is not heard of any more.
     """
 
-    def __init__(self, response: aiohttp.ClientResponse):
+    def __init__(
+        self,
+        response: aiohttp.ClientResponse,
+        is_gone: collections.abc.Callable[[], bool],
+    ):
         self._response = response
+        self._is_gone = is_gone
 
     async def __call__(
         self, scope: types.Scope, receive: types.Receive, send: types.Send
@@ -40,14 +48,17 @@
         """Pass status, type and body on; end without a last chunk when it breaks."""
         passing = asyncio.create_task(self._pass(send))
         watching = asyncio.create_task(_disconnected(receive))
+        # A paused owner keeps its connections open and says nothing: its caller would
+        # wait for as long as the pause lasts. Cut off, it comes again, and the stream
+        # is read on from the engine.
+        losing = asyncio.create_task(_until(self._is_gone))
+        tasks = {passing, watching, losing}
         try:
-            await asyncio.wait({passing, watching}, return_when=asyncio.FIRST_COMPLETED)
-            if passing.done():
-                passing.result()
+            await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
         finally:
-            passing.cancel()
-            watching.cancel()
-            await asyncio.gather(passing, watching, return_exceptions=True)
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
             self._response.close()
 
     async def _pass(self, send: types.Send) -> None:
@@ -63,8 +74,14 @@
                 "headers": headers,
             }
         )
-        async for data in response.content.iter_any():
-            await send({"type": "http.response.body", "body": data, "more_body": True})
+        try:
+            async for data in response.content.iter_any():
+                await send(
+                    {"type": "http.response.body", "body": data, "more_body": True}
+                )
+        except (aiohttp.ClientError, OSError) as error:
+            logs.detail("relay_cut", cause=repr(error))
+            return
         await send({"type": "http.response.body", "body": b""})
 
 
@@ -77,11 +94,19 @@
         Name of this instance.
     http : ClientSession
         Connections to the other instances.
+    find : callable
+        Returns a live member by name, or None.
     """
 
-    def __init__(self, settings: settings_schema.Settings, http: aiohttp.ClientSession):
+    def __init__(
+        self,
+        settings: settings_schema.Settings,
+        http: aiohttp.ClientSession,
+        find: collections.abc.Callable[[str], messages.Member | None],
+    ):
         self._settings = settings
         self._http = http
+        self._find = find
 
     async def forward(
         self,
@@ -96,18 +121,42 @@
         for name in PASSED_HEADERS:
             if name in headers:
                 passed[name] = headers[name]
+
+        def is_gone() -> bool:
+            member = self._find(owner.instance)
+            return member is None or member.incarnation != owner.incarnation
+
+        asking = asyncio.create_task(
+            self._ask(method, f"http://{owner.http}{target}", passed, body)
+        )
+        losing = asyncio.create_task(_until(is_gone))
+        try:
+            await asyncio.wait({asking, losing}, return_when=asyncio.FIRST_COMPLETED)
+            if not asking.done():
+                raise OwnerUnreachable("not heard of any more")
+            return RelayedResponse(asking.result(), is_gone)
+        finally:
+            asking.cancel()
+            losing.cancel()
+            await asyncio.gather(asking, losing, return_exceptions=True)
+
+    async def _ask(
+        self, method: str, url: str, headers: dict[str, str], body: bytes
+    ) -> aiohttp.ClientResponse:
+        # A waiting request legitimately holds its status line back, so there is no
+        # limit on the wait but the owner's own life.
         timeout = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_SECONDS)
         try:
-            response = await self._http.request(
-                method,
-                f"http://{owner.http}{target}",
-                headers=passed,
-                data=body or None,
-                timeout=timeout,
+            return await self._http.request(
+                method, url, headers=headers, data=body or None, timeout=timeout
             )
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             raise OwnerUnreachable(repr(error)) from error
-        return RelayedResponse(response)
+
+
+async def _until(is_gone: collections.abc.Callable[[], bool]) -> None:
+    while not is_gone():
+        await asyncio.sleep(LOOK_SECONDS)
 
 
 async def _disconnected(receive: types.Receive) -> None:
--- a/packages/daemon/cassiaquay_daemon/requests.py
+++ b/packages/daemon/cassiaquay_daemon/requests.py
@@ -1,5 +1,6 @@
 """Requests as callers send them, checked before anything else looks at them."""
 
+import hashlib
 import typing
 
 import msgspec
@@ -78,21 +79,42 @@
         return self.snapshot.fleet.services[self.service]
 
 
+def read(data: bytes) -> Body:
+    """Return the parsed body; raise BadRequest when it is none."""
+    try:
+        return msgspec.json.decode(data, type=Body)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+        raise exceptions.BadRequest(str(error)) from error
+
+
+def fingerprint(body: Body) -> bytes:
+    """Return a digest of all that must not change between copies of a request."""
+    # The time left shrinks from copy to copy; it is the only part that may differ.
+    fixed = msgspec.structs.replace(body, deadline_ms=None)
+    return hashlib.blake2b(msgspec.json.encode(fixed), digest_size=16).digest()
+
+
+def without_body(accepted: Accepted) -> Accepted:
+    """Return a request without what only its dispatch needs."""
+    body = msgspec.structs.replace(
+        accepted.body, prompt="", payload=msgspec.Raw(b"null")
+    )
+    call = accepted.call._replace(prompt="", payload=b"")
+    return accepted._replace(body=body, call=call)
+
+
 def accept(
     request_id: tokens.RequestId, team: str, data: bytes, snapshot: snapshots.Snapshot
 ) -> Accepted:
     """Return the checked request; raise a Refusal when it cannot be one."""
-    try:
-        body = msgspec.json.decode(data, type=Body)
-    except msgspec.DecodeError as error:
-        raise exceptions.BadRequest(str(error)) from error
+    body = read(data)
     service = snapshot.fleet.services.get(body.service)
     if service is None:
         raise exceptions.BadRequest(f"no service named {body.service!r}")
     allowed = snapshot.fleet.teams[team].tiers
     tier = body.tier or allowed[0]
     if tier not in allowed:
-        raise exceptions.Forbidden(f"team {team!r} may not use tier {tier!r}")
+        raise exceptions.TierForbidden(f"team {team!r} may not use tier {tier!r}")
     if service.model and not body.prompt:
         raise exceptions.BadRequest("a prompt is needed")
     if not service.model and not body.path.startswith("/"):
--- a/packages/daemon/cassiaquay_daemon/streams.py
+++ b/packages/daemon/cassiaquay_daemon/streams.py
@@ -73,8 +73,10 @@
         Events to skip.
     refused : callable
         Returns the refusal, when the answer ended with one.
-    attach, detach : callable
-        Called when the reading begins and ends.
+    attach : callable
+        Called when the reading begins.
+    detach : callable
+        Called when it ends, with whether the caller was sent the final event.
     """
 
     def __init__(
@@ -83,13 +85,14 @@
         after: int,
         refused: collections.abc.Callable[[], exceptions.Refusal | None],
         attach: collections.abc.Callable[[], None],
-        detach: collections.abc.Callable[[], None],
+        detach: collections.abc.Callable[[bool], None],
     ):
         self._answer = answer
         self._after = after
         self._refused = refused
         self._attach = attach
         self._detach = detach
+        self._delivered = False
 
     async def __call__(
         self, scope: types.Scope, receive: types.Receive, send: types.Send
@@ -106,7 +109,7 @@
             reading.cancel()
             watching.cancel()
             await asyncio.gather(reading, watching, return_exceptions=True)
-            self._detach()
+            self._detach(self._delivered)
 
     async def _stream(
         self, scope: types.Scope, receive: types.Receive, send: types.Send
@@ -117,6 +120,7 @@
         refusal = self._refused()
         if refusal is not None and answer.count <= after:
             await RefusalResponse(refusal)(scope, receive, send)
+            self._delivered = True
             return
         if answer.forgotten and after < answer.count:
             await RefusalResponse(exceptions.AnswerForgotten())(scope, receive, send)
@@ -131,6 +135,7 @@
                 {"type": "http.response.body", "body": chunk, "more_body": not ended}
             )
             if ended:
+                self._delivered = True
                 return
             await answer.wait(after)
 
--- a/packages/daemon/cassiaquay_daemon/web.py
+++ b/packages/daemon/cassiaquay_daemon/web.py
@@ -10,7 +10,9 @@
 
 from . import (
     addresses,
+    bodies,
     configuration,
+    entries,
     exceptions,
     members,
     owner,
@@ -22,6 +24,7 @@
     tokens,
 )
 
+QUESTIONS = ("/outcome", "/cancel")
 Respond = collections.abc.Awaitable[types.ASGIApp]
 
 
@@ -96,6 +99,12 @@
         async def handle(request: web_requests.Request) -> types.ASGIApp:
             try:
                 return await self._handle(request, act)
+            except exceptions.OutcomeUnknown as refusal:
+                if request.url.path.endswith(QUESTIONS):
+                    # It is the answer to the question, no failure of asking it.
+                    told = entries.Told(refusal.outcome, refusal.code, "unknown")
+                    return _told(told)
+                return streams.RefusalResponse(refusal)
             except exceptions.Refusal as refusal:
                 return streams.RefusalResponse(refusal)
 
@@ -114,7 +123,7 @@
             raise exceptions.NotReady(retry_after_ms=500)
         request_id = tokens.parse(self._settings.keys, request.path_params["id"])
         team = _team(request, snapshot)
-        body = await self._body(request)
+        body = await bodies.read(request, self._settings.owner)
         if self._owner.owns(request_id):
             return await act(request, request_id, team, snapshot, body)
         return await self._elsewhere(request, request_id, team, snapshot, body)
@@ -156,13 +165,20 @@
         if service not in snapshot.fleet.services:
             service = ""
         key = requests.key_of(request_id, team)
+        if request.url.path.endswith("/cancel"):
+            await self._recovery.cancel(key, snapshot, service)
+            raise exceptions.OwnerGone()
         found = await self._recovery.find(key, snapshot, service)
+        if request.method == "DELETE":
+            # The engine forgets the stream in its own time.
+            return responses.Response(status_code=204)
         if request.url.path.endswith("/outcome"):
             final = found.answer.final
-            outcome = final["outcome"] if final else ""
-            return _json({"outcome": outcome, "code": outcome, "state": "dispatched"})
+            if final is None:
+                return _told(entries.Told("", "", "dispatched"))
+            return _told(entries.Told(final["outcome"], final["code"], "finished"))
         return streams.AnswerResponse(
-            found.answer, _from(request), lambda: found.refusal, _nothing, _nothing
+            found.answer, _from(request), lambda: found.refusal, _nothing, _ignore
         )
 
     async def _submit(
@@ -174,12 +190,7 @@
         body: bytes,
     ) -> types.ASGIApp:
         after = _from(request)
-
-        def accept() -> requests.Accepted:
-            return requests.accept(request_id, team, body, snapshot)
-
-        entry = self._owner.submit(request_id, team, accept)
-        return self._read(entry, after)
+        return self._read(self._owner.submit(request_id, team, body, snapshot), after)
 
     async def _resume(
         self,
@@ -189,7 +200,8 @@
         snapshot: snapshots.Snapshot,
         body: bytes,
     ) -> types.ASGIApp:
-        return self._read(self._owner.find(request_id, team), _from(request))
+        after = _from(request)
+        return self._read(self._owner.find(request_id, team), after)
 
     async def _acknowledge(
         self,
@@ -199,7 +211,7 @@
         snapshot: snapshots.Snapshot,
         body: bytes,
     ) -> types.ASGIApp:
-        self._owner.acknowledge(self._owner.find(request_id, team))
+        self._owner.acknowledge(request_id, team)
         return responses.Response(status_code=204)
 
     async def _cancel(
@@ -210,9 +222,7 @@
         snapshot: snapshots.Snapshot,
         body: bytes,
     ) -> types.ASGIApp:
-        entry = self._owner.find(request_id, team)
-        self._owner.cancel(entry)
-        return _outcome(entry)
+        return _told(await self._owner.cancel(request_id, team))
 
     async def _outcome(
         self,
@@ -222,28 +232,17 @@
         snapshot: snapshots.Snapshot,
         body: bytes,
     ) -> types.ASGIApp:
-        return _outcome(self._owner.find(request_id, team))
+        return _told(self._owner.outcome(request_id, team))
 
-    def _read(self, entry: owner.Entry, after: int) -> types.ASGIApp:
+    def _read(self, entry: entries.Entry, after: int) -> types.ASGIApp:
         return streams.AnswerResponse(
             entry.answer,
             after,
             lambda: entry.refusal,
             lambda: self._owner.attach(entry),
-            lambda: self._owner.detach(entry),
+            lambda whole: self._owner.detach(entry, whole),
         )
 
-    async def _body(self, request: web_requests.Request) -> bytes:
-        limit = self._settings.owner.max_body_bytes
-        parts = []
-        size = 0
-        async for part in request.stream():
-            size += len(part)
-            if size > limit:
-                raise exceptions.TooLarge(f"more than {limit} bytes")
-            parts.append(part)
-        return b"".join(parts)
-
 
 def _team(request: web_requests.Request, snapshot: snapshots.Snapshot) -> str:
     scheme, _, credential = request.headers.get("authorization", "").partition(" ")
@@ -258,19 +257,12 @@
 def _from(request: web_requests.Request) -> int:
     text = request.query_params.get("from", "0")
     if not text.isdecimal() or len(text) > 9:
-        raise exceptions.BadRequest("from: a number of events")
+        raise exceptions.BadQuery("from: a number of events")
     return int(text)
 
 
-def _outcome(entry: owner.Entry) -> responses.Response:
-    final = entry.answer.final
-    return _json(
-        {
-            "outcome": final["outcome"] if final else "",
-            "code": final["code"] if final else "",
-            "state": entry.state.value,
-        }
-    )
+def _told(told: entries.Told) -> responses.Response:
+    return _json(told._asdict())
 
 
 def _json(value: object) -> responses.Response:
@@ -279,3 +271,7 @@
 
 def _nothing() -> None:
     """Do nothing: recovered answers count no readers."""
+
+
+def _ignore(delivered: bool) -> None:
+    """Do nothing, as above."""
--- a/packages/dev/cassiaquay_dev/checker.py
+++ b/packages/dev/cassiaquay_dev/checker.py
@@ -68,9 +68,9 @@
     found = []
     for answer in seen.of(history.Answered):
         key = f"{answer.id}~{answer.team}"
-        if answer.text != texts.expected_answer(key, answer.count):
+        if answer.text != texts.expected_answer(key, answer.length):
             found.append(f"{answer.id} got another text")
-    lengths = {event.id: event.count for event in seen.of(history.Answered)}
+    lengths = {event.id: event.length for event in seen.of(history.Answered)}
     for told in seen.of(history.Told):
         if told.outcome == "completed" and lengths.get(told.id, 1) == 0:
             found.append(f"{told.id} is completed with an empty answer")
--- a/packages/dev/cassiaquay_dev/history.py
+++ b/packages/dev/cassiaquay_dev/history.py
@@ -42,7 +42,7 @@
     id: str
     team: str
     text: str
-    count: int
+    length: int
 
 
 class Dispatched(typing.NamedTuple):
--- a/packages/schema/cassiaquay_schema/settings.py
+++ b/packages/schema/cassiaquay_schema/settings.py
@@ -76,6 +76,10 @@
         Largest body of a request.
     max_answer_bytes : int
         Memory for kept answers.
+    max_closed : int
+        Ids of ended requests that are kept until their tokens expire.
+    body_seconds : float
+        Longest time that the body of a request may take to arrive.
     disconnect_grace : float
         Seconds that a waiting request outlives its caller's connection.
     """
@@ -87,6 +91,8 @@
     max_waiting: typing.Annotated[int, msgspec.Meta(ge=1)] = 2000
     max_body_bytes: typing.Annotated[int, msgspec.Meta(ge=1024)] = 1048576
     max_answer_bytes: typing.Annotated[int, msgspec.Meta(ge=1024)] = 67108864
+    max_closed: typing.Annotated[int, msgspec.Meta(ge=1)] = 150000
+    body_seconds: typing.Annotated[float, msgspec.Meta(gt=0)] = 10.0
     disconnect_grace: typing.Annotated[float, msgspec.Meta(ge=0)] = 2.0
 
 
--- a/packages/schema/cassiaquay_schema/texts.py
+++ b/packages/schema/cassiaquay_schema/texts.py
@@ -13,12 +13,15 @@
 from . import exceptions, fleet, settings
 
 Shape = typing.TypeVar("Shape")
+TOKEN_KEEPS = 4
 PLACE = re.compile(r"^(?P<message>.*?)(?: - at `\$(?P<place>.*)`)?$", re.DOTALL)
 
 
 def read_settings(text: str) -> settings.Settings:
     """Return the settings of one daemon process."""
-    return _read(text, settings.Settings)
+    found = _read(text, settings.Settings)
+    _check_tokens(found.owner)
+    return found
 
 
 def read_fleet(text: str) -> fleet.Fleet:
@@ -57,6 +60,18 @@
         ) from error
 
 
+def _check_tokens(owner: settings.Owner) -> None:
+    # Callers form ids from an address answer for up to this many times the time that
+    # it is kept; an id formed later than its token lives gets "outcome unknown" for a
+    # request that nobody ever saw.
+    if owner.token_seconds < TOKEN_KEEPS * owner.keep_seconds:
+        raise exceptions.ShapeFault(
+            "tokens expire while callers may still form ids from them",
+            "owner.token_seconds",
+            f"at least {TOKEN_KEEPS} times owner.keep_seconds",
+        )
+
+
 def _check_tiers(found: fleet.Fleet) -> None:
     ranks: dict[int, str] = {}
     for name, tier in found.tiers.items():
--- /dev/null
+++ b/tests/owner_fakes.py
@@ -0,0 +1,238 @@
+"""Fakes at the owner's interfaces: capacity that grants, scripted backend servers."""
+
+import asyncio
+import contextlib
+import hashlib
+import json
+import typing
+
+from cassiaquay_daemon import (
+    answers,
+    backends,
+    clock,
+    demands,
+    exceptions,
+    owner,
+    snapshots,
+    tokens,
+)
+from cassiaquay_schema import fleet, messages, texts
+
+KEY = "key"
+SETTINGS = """
+instance = "cq-1"
+domain = "derby"
+keys = ["key"]
+[platform]
+configuration = "127.0.0.1:1"
+instances = "127.0.0.1:1"
+[owner]
+"""
+TEAM = hashlib.sha256(b"secret").hexdigest()
+OTHER = hashlib.sha256(b"other").hexdigest()
+FLEET = f"""
+[tiers.urgent]
+rank = 0
+[tiers.standard]
+rank = 1
+[tiers.background]
+rank = 2
+[teams.questions]
+credentials = ["{TEAM}"]
+tiers = ["standard", "urgent", "background"]
+[teams.parents]
+credentials = ["{OTHER}"]
+tiers = ["standard"]
+[models.m]
+[pools.engines]
+adapter = "fake-engine"
+servers = [{{ name = "e-1", address = "127.0.0.1:1", model = "m" }},
+           {{ name = "e-2", address = "127.0.0.1:2", model = "m" }}]
+[pools.plain]
+adapter = "fake-plain"
+servers = [{{ name = "p-1", address = "127.0.0.1:3" }}]
+[services.tutor]
+pool = "engines"
+model = "m"
+[services.finishing]
+pool = "engines"
+model = "m"
+on_disconnect = "finish"
+[services.bookings]
+pool = "plain"
+"""
+SNAPSHOT = snapshots.read(1, FLEET)
+
+
+class Servers:
+    """What the fake backend servers saw, and what they do next.
+
+    ``script`` holds for each dispatch a function of the answer that awaits, appends
+    and returns or raises; the last one is used again.
+    """
+
+    def __init__(self) -> None:
+        self.seen: list[str] = []
+        self.stopped: list[str] = []
+        self.script: list[typing.Any] = [complete]
+        self.connecting: asyncio.Event | None = None
+
+
+async def complete(answer: answers.Answer) -> None:
+    answer.append(b'{"text":"a"}')
+
+
+async def hang(answer: answers.Answer) -> None:
+    await asyncio.Event().wait()
+
+
+async def cut(answer: answers.Answer) -> None:
+    answer.append(b'{"text":"a"}')
+    raise exceptions.StreamCut("cut")
+
+
+class FakeEngine:
+    can_stop = True
+
+    def __init__(self, servers: Servers):
+        self._servers = servers
+
+    async def run(
+        self,
+        server: fleet.Server,
+        call: backends.Call,
+        answer: answers.Answer,
+        before_sending: backends.BeforeSending,
+    ) -> backends.Figures:
+        if self._servers.connecting is not None:
+            await self._servers.connecting.wait()
+        before_sending()
+        self._servers.seen.append(call.key)
+        script = self._servers.script
+        step = script.pop(0) if len(script) > 1 else script[0]
+        await step(answer)
+        return backends.Figures(1, 0, answer.count)
+
+    async def resume(
+        self, server: fleet.Server, key: str, answer: answers.Answer
+    ) -> backends.Figures:
+        raise exceptions.StreamMissing(key)
+
+    async def cancel(self, server: fleet.Server, key: str) -> backends.Waste | None:
+        self._servers.stopped.append(key)
+        return backends.Waste(7, 0)
+
+
+class FakePlain(FakeEngine):
+    can_stop = False
+
+
+if "fake-engine" not in backends.backends.names():
+    backends.backends.register("fake-engine")(FakeEngine)
+    backends.backends.register("fake-plain")(FakePlain)
+
+
+class Keepers:
+    """Grants everything, unless closed; then only what a test lets through."""
+
+    def __init__(self) -> None:
+        self.open = True
+        self.lifetime = 10.0
+        self.asked: list[messages.Demand] = []
+        self.given_back: list[str] = []
+        self.released: list[messages.Release] = []
+        self.changed = asyncio.Event()
+
+    async def obtain(
+        self, demand: messages.Demand, deadline: float
+    ) -> demands.Permission:
+        self.asked.append(demand)
+        while not self.open:
+            await self.changed.wait()
+        server = "p-1" if demand.shard.startswith("plain") else "e-1"
+        if server in demand.avoid:
+            server = "e-2"
+        return demands.Permission(server, clock.now() + self.lifetime)
+
+    def let_through(self) -> None:
+        self.open = True
+        self.changed.set()
+
+    def give_back(self, demand: messages.Demand) -> None:
+        self.given_back.append(demand.id)
+
+    def dispatched(self, shard: str, item: messages.Outstanding) -> None:
+        pass
+
+    def release(self, message: messages.Release) -> None:
+        self.released.append(message)
+
+
+class Bench:
+    """An owner between fakes."""
+
+    def __init__(self, **limits: float):
+        lines = "\n".join(f"{name} = {value}" for name, value in limits.items())
+        settings = texts.read_settings(SETTINGS + lines)
+        self.servers = Servers()
+        self.keepers = Keepers()
+        self.leaving: set[str] = set()
+        self.owner = owner.Owner(
+            settings,
+            "0123456789ab",
+            typing.cast(typing.Any, self.servers),
+            self.keepers,
+            lambda name: name in self.leaving,
+            lambda: "127.0.0.1:9",
+        )
+        self._count = 0
+
+    def new_id(self, seconds: float | None = None) -> tokens.RequestId:
+        """Return an unused id; its token lives for ``seconds`` of the owner's life."""
+        self._count += 1
+        token = self.owner.mint()
+        if seconds is not None:
+            token = tokens.mint(KEY, "cq-1", "0123456789ab", seconds)
+        return tokens.parse([KEY], f"{token}~{self._count}")
+
+    def submit(
+        self,
+        request_id: tokens.RequestId,
+        *,
+        read: bool = True,
+        team: str = "questions",
+        **body: typing.Any,
+    ):
+        """Submit a request and, like a connected caller, read its answer."""
+        values = {"service": "tutor", "prompt": "why?", "max_tokens": 3, **body}
+        if values["service"] == "bookings":
+            values = {"service": "bookings", "path": "/book", **body}
+        data = json.dumps(values).encode()
+        entry = self.owner.submit(request_id, team, data, SNAPSHOT)
+        if read:
+            self.owner.attach(entry)
+        return entry
+
+
+async def ended(entry) -> dict[str, typing.Any]:
+    """Return the final event of an entry, within a bounded time."""
+    async with asyncio.timeout(10.0):
+        while entry.answer.final is None:
+            await entry.answer.wait(entry.answer.count)
+    return entry.answer.final
+
+
+async def until(condition: typing.Callable[[], bool]) -> None:
+    """Let the loop run until a condition holds, within a bounded time."""
+    async with asyncio.timeout(10.0):
+        while not condition():
+            await asyncio.sleep(0.001)
+
+
+@contextlib.contextmanager
+def later(monkeypatch: typing.Any, seconds: float):
+    """Let the daemon's clock show a later time, as after a pause of the process."""
+    real = clock.now
+    with monkeypatch.context() as patch:
+        patch.setattr(clock, "now", lambda: real() + seconds)
+        yield
