Test bad input, relays and arbitrary bytes at every reader

Cause: nothing tested what callers and peers may send. Every bad call gets a coded 4xx and no dispatch; arbitrary ids, bodies, frames and texts are refused with a code; a bad frame closes its own connection only. Seeds are fixed, so the verdict is the same every time.

--- /dev/null
+++ b/tests/test_fuzz.py
@@ -0,0 +1,127 @@
+"""Arbitrary bytes and texts at every place where the daemon reads them."""
+
+import asyncio
+import typing
+
+import hypothesis
+import msgpack
+import owner_fakes
+import pytest
+from hypothesis import strategies
+
+from cassiaquay_daemon import exceptions, frames, peers, requests, tokens
+from cassiaquay_schema import exceptions as schema_exceptions
+from cassiaquay_schema import messages, texts
+
+REPEATABLE = hypothesis.settings(
+    derandomize=True, deadline=None, max_examples=200, print_blob=True
+)
+TOKEN = tokens.mint("key", "cq-1", "0123456789ab", 60.0)
+VALUES = strategies.recursive(
+    strategies.none()
+    | strategies.booleans()
+    | strategies.integers(-(2**63), 2**63 - 1)
+    | strategies.floats()
+    | strategies.text(max_size=8)
+    | strategies.binary(max_size=8),
+    lambda inner: strategies.lists(inner, max_size=4),
+    max_leaves=12,
+)
+FRAMES = strategies.tuples(
+    strategies.sampled_from(sorted(messages.BY_CODE)),
+    strategies.lists(VALUES, max_size=12),
+)
+
+
+@REPEATABLE
+@hypothesis.given(strategies.text(max_size=120))
+def test_an_arbitrary_id_is_refused_with_a_code(text):
+    with pytest.raises(exceptions.BadId):
+        tokens.parse(["key"], text)
+
+
+@REPEATABLE
+@hypothesis.given(strategies.integers(0, len(TOKEN) - 1), strategies.characters())
+def test_a_token_with_one_changed_character_is_refused(place, character):
+    changed = TOKEN[:place] + character + TOKEN[place + 1 :]
+    hypothesis.assume(changed != TOKEN)
+    with pytest.raises(exceptions.BadId):
+        tokens.parse(["key"], f"{changed}~1")
+
+
+@REPEATABLE
+@hypothesis.given(strategies.binary(max_size=200))
+def test_an_arbitrary_body_is_refused_with_a_code_or_read(data):
+    try:
+        body = requests.read(data)
+    except exceptions.BadRequest:
+        return
+    assert requests.fingerprint(body)
+
+
+@REPEATABLE
+@hypothesis.given(strategies.binary(max_size=200) | FRAMES)
+def test_an_arbitrary_frame_is_a_fault_or_a_message(content):
+    data = content
+    if isinstance(content, tuple):
+        data = msgpack.packb([content[0], *content[1]])
+    try:
+        found = frames.Decoder().feed(data)
+    except exceptions.FrameFault:
+        return
+    for message in found:
+        assert type(message) in messages.CODES
+
+
+@REPEATABLE
+@hypothesis.given(
+    strategies.sampled_from([owner_fakes.FLEET, owner_fakes.SETTINGS]),
+    strategies.integers(0, 1000),
+    strategies.integers(0, 40),
+    strategies.text(max_size=20),
+)
+def test_a_damaged_text_is_refused_or_accepted_whole(text, place, length, inserted):
+    damaged = text[: place % len(text)] + inserted + text[place % len(text) + length :]
+    read: typing.Callable[[str], object] = texts.read_settings
+    if text is owner_fakes.FLEET:
+        read = texts.read_fleet
+    try:
+        assert read(damaged) is not None
+    except schema_exceptions.SchemaError as error:
+        assert error.code
+
+
+@pytest.mark.parametrize(
+    "garbage", [b"\xc1", b"GET / HTTP/1.1\r\n\r\n", msgpack.packb([99]), b"\x91\xa1x"]
+)
+def test_a_bad_frame_closes_its_own_connection_only(garbage):
+    """Operators see one refused peer; the other instances go on talking."""
+
+    async def work() -> None:
+        settings = texts.read_settings(owner_fakes.SETTINGS)
+        named = texts.read_settings(owner_fakes.SETTINGS.replace("cq-1", "cq-2"))
+        listening = peers.Peers(settings, "0123456789ab")
+        dialling = peers.Peers(named, "ba9876543210")
+        heard: list[object] = []
+        listening.on(messages.NotKeeper, lambda link, message: heard.append(message))
+        await listening.start()
+        try:
+            await owner_fakes.until(
+                lambda: dialling.link("cq-1", listening.address) is not None
+            )
+            host, _, port = listening.address.rpartition(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(garbage)
+            async with asyncio.timeout(10.0):
+                while await reader.read(1000):
+                    continue
+            writer.close()
+            link = dialling.link("cq-1", listening.address)
+            assert link is not None
+            assert link.send(messages.NotKeeper("1"))
+            await owner_fakes.until(lambda: bool(heard))
+        finally:
+            await dialling.stop()
+            await listening.stop()
+
+    asyncio.run(work())
--- /dev/null
+++ b/tests/test_web.py
@@ -0,0 +1,250 @@
+"""What callers reach over HTTP: bad input, questions about ids, relays."""
+
+import asyncio
+import contextlib
+import json
+import types
+import typing
+
+import aiohttp
+import owner_fakes
+import pytest
+import uvicorn
+
+from cassiaquay_daemon import backends, exceptions, recovery, relay, web
+from cassiaquay_schema import messages, texts
+
+AUTH = {"Authorization": "Bearer secret"}
+JSON = {**AUTH, "Content-Type": "application/json"}
+BODY = json.dumps({"service": "tutor", "prompt": "why?", "max_tokens": 3}).encode()
+
+
+class Members:
+    """Membership as a web layer needs it: who lives, by name."""
+
+    def __init__(self) -> None:
+        self.alive: dict[str, messages.Member] = {}
+
+    def find(self, instance: str) -> messages.Member | None:
+        return self.alive.get(instance)
+
+
+class Served:
+    """One instance's web layer, served on a free port."""
+
+    def __init__(self, bench: owner_fakes.Bench, members: Members, http):
+        settings = texts.read_settings(owner_fakes.SETTINGS + "body_seconds = 0.3")
+        self.recovery = recovery.Recovery(typing.cast(typing.Any, bench.servers))
+        self.server = uvicorn.Server(
+            uvicorn.Config(
+                web.Web(
+                    settings,
+                    typing.cast(
+                        typing.Any, types.SimpleNamespace(current=owner_fakes.SNAPSHOT)
+                    ),
+                    typing.cast(typing.Any, members),
+                    bench.owner,
+                    relay.Relay(settings, http, members.find),
+                    self.recovery,
+                ).application(),
+                port=0,
+                log_level="critical",
+                lifespan="off",
+                timeout_graceful_shutdown=1,
+            )
+        )
+        self.address = ""
+
+    async def start(self) -> asyncio.Task[None]:
+        task = asyncio.create_task(self.server.serve())
+        await owner_fakes.until(lambda: self.server.started)
+        port = self.server.servers[0].sockets[0].getsockname()[1]
+        self.address = f"127.0.0.1:{port}"
+        return task
+
+
+@contextlib.asynccontextmanager
+async def serve():
+    """Yield an owner's bench, its served web layer, a second one, and members."""
+    bench, other, members = owner_fakes.Bench(), owner_fakes.Bench(), Members()
+    other.owner._incarnation = "ba9876543210"
+    async with aiohttp.ClientSession() as http:
+        first, second = Served(bench, members, http), Served(other, members, http)
+        tasks = [await first.start(), await second.start()]
+        members.alive["cq-1"] = messages.Member(
+            "cq-1", "0123456789ab", "", first.address, "", 1, False, "", 0.0, 1, 0.0
+        )
+        try:
+            yield bench, first, second, members, http
+        finally:
+            for one in (first, second):
+                one.server.should_exit = True
+            await asyncio.gather(*tasks)
+
+
+def run(work: typing.Coroutine[typing.Any, typing.Any, None]) -> None:
+    async def bounded() -> None:
+        async with asyncio.timeout(30.0):
+            await work
+
+    asyncio.run(bounded())
+
+
+async def trickle() -> typing.AsyncIterator[bytes]:
+    for _ in range(100):
+        yield b" "
+        await asyncio.sleep(0.02)
+
+
+async def endless() -> typing.AsyncIterator[bytes]:
+    for _ in range(100):
+        yield b" " * 65536
+
+
+BAD = [
+    ({"data": BODY, "headers": {**AUTH, "Content-Type": "text/plain"}}, 415),
+    ({"data": b"{", "headers": JSON}, 400),
+    ({"data": b"[" * 50000, "headers": JSON}, 400),
+    ({"data": b"\xff\xfe", "headers": JSON}, 400),
+    ({"data": b'{"service":"tutor","nope":1}', "headers": JSON}, 400),
+    ({"data": b" " * 1048577, "headers": JSON}, 413),
+    ({"data": endless(), "headers": JSON}, 413),
+    ({"data": trickle(), "headers": JSON}, 408),
+    ({"data": BODY, "headers": {**JSON, "X-Large": "x" * 20000}}, 431),
+    ({"data": BODY, "headers": {"Content-Type": "application/json"}}, 401),
+    ({"data": BODY, "headers": {**JSON, "Authorization": "Bearer no"}}, 401),
+    ({"data": BODY, "headers": JSON, "params": {"from": "-1"}}, 400),
+]
+
+
+@pytest.mark.parametrize(("call", "status"), BAD)
+def test_bad_input_is_told_with_a_code_and_never_dispatched(call, status):
+    """The caller sees a coded 4xx, and its next try under the same id is served.
+
+    Only what the owner itself judged is "not run"; calls turned away before that say
+    nothing of the id.
+    """
+
+    async def work() -> None:
+        async with serve() as (bench, first, _, _, http):
+            name = bench.new_id()
+            url = f"http://{first.address}/v1/requests/{name.text}"
+            async with http.post(url, **call) as response:
+                body = await response.json()
+            assert response.status == status
+            assert body["code"] not in ("", "daemon", "refused")
+            known = bench.owner.outcome(name, "questions").outcome
+            assert body["outcome"] == known
+            assert not bench.servers.seen
+
+    run(work())
+
+
+@pytest.mark.parametrize("text", ["x", "cq-1.0123456789ab.1.0123456789abcdef~a"])
+def test_ids_that_are_none_of_ours_are_bad(text):
+    async def work() -> None:
+        async with serve() as (bench, first, _, _, http):
+            url = f"http://{first.address}/v1/requests/{text}"
+            async with http.post(url, data=BODY, headers=JSON) as response:
+                assert response.status == 400
+                assert (await response.json())["code"] == "bad_id"
+            assert not bench.servers.seen
+
+    run(work())
+
+
+def test_questions_about_an_id_are_answered_with_200_and_what_is_known():
+    """The caller reads what became of an id from the body, whatever it is."""
+
+    async def work() -> None:
+        async with serve() as (bench, first, second, members, http):
+            unseen, late = bench.new_id(), bench.new_id(seconds=0.0)
+
+            async def ask(place, name, verb, method="GET") -> dict[str, str]:
+                url = f"http://{place.address}/v1/requests/{name.text}/{verb}"
+                async with http.request(method, url, headers=AUTH) as response:
+                    assert response.status == 200
+                    return await response.json()
+
+            assert (await ask(first, unseen, "outcome"))["state"] == "unseen"
+            told = await ask(second, unseen, "cancel", "POST")
+            assert (told["outcome"], told["state"]) == ("not_run", "refused")
+            assert await ask(first, unseen, "outcome") == told
+            told = await ask(first, late, "outcome")
+            assert told["outcome"] == "outcome_unknown"
+            members.alive.clear()
+            told = await ask(second, unseen, "outcome")
+            assert (told["outcome"], told["code"]) == ("outcome_unknown", "owner_gone")
+
+    run(work())
+
+
+def test_a_request_at_another_instance_is_relayed_with_its_credential():
+    """The caller reaches any instance and reads the owner's answer."""
+
+    async def work() -> None:
+        async with serve() as (bench, _, second, _, http):
+            url = f"http://{second.address}/v1/requests/{bench.new_id().text}"
+            async with http.post(url, data=BODY, headers=JSON) as response:
+                assert response.status == 200
+                assert b"event: final" in await response.read()
+            assert len(bench.servers.seen) == 1
+
+    run(work())
+
+
+def test_a_relay_gives_up_on_an_owner_that_is_heard_of_no_more():
+    """The caller of another instance sees outcome_unknown soon, not silence.
+
+    The owner holds the request and is paused: its connections stay open and say
+    nothing, while its heartbeats stop.
+    """
+
+    async def work() -> None:
+        async with serve() as (bench, _, second, members, http):
+            bench.keepers.open = False
+            url = f"http://{second.address}/v1/requests/{bench.new_id().text}"
+            asking = asyncio.create_task(http.post(url, data=BODY, headers=JSON))
+            await owner_fakes.until(lambda: bool(bench.keepers.asked))
+            members.alive.clear()
+            async with await asking as response:
+                assert response.status == 502
+                assert (await response.json())["code"] == "owner_gone"
+
+    run(work())
+
+
+def test_a_stream_still_in_prefill_is_found_at_the_engine(monkeypatch):
+    """The caller of a dead owner waits for its answer instead of "unknown".
+
+    The engine holds the stream and has not made an event yet; that takes longer than
+    the other engines need to say that they do not hold it.
+    """
+
+    async def work() -> None:
+        async with serve() as (bench, _, second, members, http):
+            members.alive.clear()
+            prefilled = asyncio.Event()
+            calls = []
+
+            async def resume(self, server, key, answer) -> backends.Figures:
+                calls.append(server.name)
+                if server.name != "e-2":
+                    raise exceptions.StreamMissing(key)
+                answer.open()
+                await prefilled.wait()
+                answer.append(b'{"text":"a"}')
+                return backends.Figures(1, 0, 1)
+
+            monkeypatch.setattr(owner_fakes.FakeEngine, "resume", resume)
+            name = bench.new_id()
+            url = f"http://{second.address}/v1/requests/{name.text}"
+            asking = asyncio.create_task(http.post(url, data=BODY, headers=JSON))
+            await owner_fakes.until(lambda: len(second.recovery._found) == 1)
+            prefilled.set()
+            async with await asking as response:
+                assert b'"outcome":"completed"' in await response.read()
+            assert sorted(calls) == ["e-1", "e-2"]
+            assert not bench.servers.seen
+
+    run(work())
