Keep promises through death, pause, partition and planned stops

Fault tests run real processes and decide by the history checker. Faults that they found, and their cures: a caller's silence limit sent waiting requests round all instances and spent its retry budget (now it asks the instance whether the request goes on); after a new address list nobody asked the owner about an id that a relay called unknown, so a booking ended unknown in a partition while it waited (tokens' addresses are remembered); questions had no bound of their own (question_timeout). The first restart after an owner's death is free of the retry budget. exchanges.py is split by job. Instances may advertise another peer address (settings), which tests use to put proxies between them.

--- a/packages/caller/cassiaquay/adapters.py
+++ b/packages/caller/cassiaquay/adapters.py
@@ -131,10 +131,9 @@
 
     def _open_client(self) -> aiohttp.ClientSession:
         if self._client is None:
+            # Silence is judged by each attempt: a waiting request is silent too.
             timeout = aiohttp.ClientTimeout(
-                total=None,
-                sock_connect=self.settings.connect_timeout,
-                sock_read=self.settings.silence_timeout,
+                total=None, sock_connect=self.settings.connect_timeout
             )
             connector = aiohttp.TCPConnector(limit=0)
             self._client = aiohttp.ClientSession(connector=connector, timeout=timeout)
--- a/packages/caller/cassiaquay/addresses.py
+++ b/packages/caller/cassiaquay/addresses.py
@@ -15,6 +15,8 @@
 """Least time between two look-ups, however often the list is doubted."""
 STALE_KEEPS = 4.0
 """Times ``keep_seconds`` for which a list that can't be renewed gives new ids."""
+MAX_OWNERS = 256
+"""Tokens of earlier lists of which the address is remembered."""
 
 Send = collections.abc.Callable[
     [adapters.Call], collections.abc.Awaitable[adapters.Reply]
@@ -40,6 +42,7 @@
         self._stale = 0.0
         self._fetched = float("-inf")
         self._suspects: dict[str, float] = {}
+        self._owners: dict[str, models.Address] = {}
         self._lock = asyncio.Lock()
 
     async def choose(
@@ -81,11 +84,7 @@
     async def find_owner(self, request_id: str) -> models.Address | None:
         """Return the address whose token formed ``request_id``, if known."""
         await self._refresh()
-        token = ids.find_token(request_id)
-        for one in self._addresses:
-            if one.token == token:
-                return one
-        return None
+        return self._owners.get(ids.find_token(request_id))
 
     def report_failure(self, address: str) -> None:
         """Move on from an address that broke off, and doubt the list."""
@@ -130,6 +129,7 @@
             keep = max(found.keep_seconds, MIN_REFRESH_SECONDS)
             self._stale = self._fetched + keep * STALE_KEEPS
             self._addresses = found.addresses
+            self._remember_owners()
             now = loop.time()
             self._suspects = {
                 one: until for one, until in self._suspects.items() if until > now
@@ -138,6 +138,14 @@
         # Nobody answers: the list kept is the best there is, for a short while.
         self._fetched = loop.time()
 
+    def _remember_owners(self) -> None:
+        # Each list brings new tokens. Without the old ones, nobody would ask the owner
+        # itself about a request that another instance calls unknown.
+        for one in self._addresses:
+            self._owners[one.token] = one
+        for token in list(self._owners)[:-MAX_OWNERS]:
+            del self._owners[token]
+
     def _order_places(self) -> list[str]:
         known = [one.address for one in self._addresses]
         seeds = list(self._settings.seeds)
--- a/packages/caller/cassiaquay/exchanges.py
+++ b/packages/caller/cassiaquay/exchanges.py
@@ -13,7 +13,17 @@
 
 import msgspec
 
-from . import adapters, exceptions, hooks, ids, models, retries, streams
+from . import (
+    adapters,
+    attempts,
+    deadlines,
+    exceptions,
+    hooks,
+    ids,
+    models,
+    retries,
+    streams,
+)
 
 if typing.TYPE_CHECKING:
     from . import sessions
@@ -22,25 +32,6 @@
 ATTEMPTS_SPENT = "attempts_spent"
 UNKNOWN_ID = "unknown_id"
 
-_T = typing.TypeVar("_T")
-
-
-class Deadline:
-    """A point of the event loop's monotonic clock that bounds single awaits."""
-
-    def __init__(self, seconds: float) -> None:
-        self._at = asyncio.get_running_loop().time() + seconds
-
-    @property
-    def left(self) -> float:
-        """Seconds left; negative once passed."""
-        return self._at - asyncio.get_running_loop().time()
-
-    async def bound(self, awaitable: collections.abc.Awaitable[_T]) -> _T:
-        """Await no longer than the deadline. Raises TimeoutError."""
-        async with asyncio.timeout_at(self._at):
-            return await awaitable
-
 
 class Exchange:
     """One request of a session.
@@ -65,7 +56,7 @@
         self._request = request
         self._streamed = streamed
         self._call = uuid.uuid4().hex
-        self._deadline = Deadline(request.timeout)
+        self._deadline = deadlines.Deadline(request.timeout)
         self._backoff = retries.Backoff(session.settings)
         self._attempts = 0
         # Given to the application; text of no other id may follow.
@@ -74,10 +65,10 @@
         self._owner = ""
         self._accepted = False
         self._reread = False
-        self._asked = False
         self._sent = 0
         self._refusal: exceptions.NotRun | None = None
         self._doubtful = False
+        self._restarted = False
 
     async def run(self) -> collections.abc.AsyncGenerator[str, None]:
         """Yield the ``data:`` values in order; ends only when they are whole.
@@ -143,7 +134,7 @@
         self._refusal = None
         self._sent = 0
         self._address = self._owner = chosen.address
-        self._accepted = self._reread = self._asked = False
+        self._accepted = self._reread = False
         self.transcript = streams.Transcript()
 
     async def _choose(
@@ -166,30 +157,17 @@
     ) -> collections.abc.AsyncGenerator[str | models.Outcome, None]:
         """Yield new events, then the outcome unless the attempt broke off."""
         self._sent += 1
-        try:
-            reply = await self._deadline.bound(self._session.send(self._form_call()))
-        except exceptions.AttemptFailed:
-            self._session.addresses.report_failure(self._address)
-            return
-        finished = False
-        try:
-            if reply.status != 200:
-                outcome = await self._read_refusal(reply)
-                if outcome is not None:
-                    yield outcome
-                return
-            self._accepted = True
-            async with contextlib.aclosing(self._read_events(reply)) as parts:
-                async for part in parts:
-                    finished = isinstance(part, models.Outcome)
-                    yield part
-        except (exceptions.AttemptFailed, streams.BrokenStream):
-            self._session.addresses.report_failure(self._address)
-        finally:
-            if finished:
-                self._session.drain_later(reply)
-            else:
-                reply.close()
+        attempt = attempts.Attempt(
+            self._session, self._deadline, self.request_id, self._address
+        )
+        running = attempt.run(self._form_call(), self.transcript)
+        async with contextlib.aclosing(running) as parts:
+            async for part in parts:
+                self._accepted = True
+                yield part
+        self._accepted = self._accepted or attempt.accepted
+        if attempt.refusal is not None:
+            yield self._judge(attempt.refusal)
 
     def _form_call(self) -> adapters.Call:
         start = self.transcript.count
@@ -212,20 +190,15 @@
         body["deadline_ms"] = max(1, int(self._deadline.left * 1000))
         return self._session.form_call(method, url, msgspec.json.encode(body))
 
-    async def _read_refusal(self, reply: adapters.Reply) -> models.Outcome | None:
-        raw = await self._deadline.bound(reply.read_all())
-        outcome = models.parse_outcome(raw, reply.status)
-        if outcome is not None and outcome.outcome in _UNSETTLED:
-            return outcome
-        if 400 <= reply.status < 500 and reply.status != 429:
-            known = outcome or models.Outcome(status=reply.status)
-            if known.code == UNKNOWN_ID and known.outcome:
-                return known
-            raise self._blame(known)
-        if outcome is None or not outcome.outcome:
-            # No outcome in our words (a crash page): nothing is known by it.
-            raise exceptions.AttemptFailed(f"status {reply.status} without outcome")
-        return outcome
+    def _judge(self, refusal: models.Outcome) -> models.Outcome:
+        """Return the outcome that a status other than 200 tells; raise for 4xx."""
+        if refusal.outcome in _UNSETTLED:
+            return refusal
+        if 400 <= refusal.status < 500 and refusal.status != 429:
+            if refusal.code == UNKNOWN_ID and refusal.outcome:
+                return refusal
+            raise self._blame(refusal)
+        return refusal
 
     def _blame(self, refusal: models.Outcome) -> exceptions.CassiaquayError:
         """Return the error for a 4xx status, which may be about a retry only."""
@@ -239,30 +212,6 @@
         message = refusal.message or f"status {refusal.status}"
         return kind(message, code=refusal.code, request_id=self.request_id)
 
-    async def _read_events(
-        self, reply: adapters.Reply
-    ) -> collections.abc.AsyncGenerator[str | models.Outcome, None]:
-        parser = streams.Parser()
-        while True:
-            chunk = await self._deadline.bound(reply.read())
-            if not chunk:
-                raise exceptions.AttemptFailed("ended without a final event")
-            for event in parser.feed(chunk):
-                if event.kind == streams.FINAL:
-                    outcome = models.parse_outcome(event.data)
-                    if outcome is None or not outcome.outcome:
-                        raise exceptions.AttemptFailed("the final event is broken")
-                    self._session.addresses.report_success(self._address)
-                    yield outcome
-                    return
-                if event.kind or not self.transcript.take(event):
-                    continue
-                self._session.hooks.dispatch(
-                    hooks.EVENT,
-                    hooks.Event(self.request_id, event.number, event.data),
-                )
-                yield event.data
-
     def _is_new(self, data: str) -> bool:
         """Tell whether the application lacks this event; raise if it differs."""
         if not self._streamed:
@@ -287,7 +236,7 @@
         self.transcript = streams.Transcript()
         return False
 
-    async def _go_on(self, *, progress: bool) -> None:
+    async def _go_on(self, *, progress: bool, hint: str = "") -> None:
         """After a cut: the same id, at the same address once, then at others."""
         if progress:
             # Reading on what was made already adds no load worth a budget.
@@ -299,7 +248,7 @@
         if self._attempts > 1:
             self._spend("the attempts broke off")
         await self._pause(0.0)
-        self._address = (await self._choose("", self._address, fresh=False)).address
+        self._address = (await self._choose(hint, self._address, fresh=False)).address
 
     async def _restart_refused(self, verdict: models.Outcome) -> None:
         self._forbid_mixing(verdict)
@@ -321,21 +270,19 @@
         await self._form_id(verdict.address, avoid=self._address)
 
     async def _settle_unknown(self, verdict: models.Outcome) -> None:
-        """Ask once more what became of the id, then restart or raise."""
+        """Ask the owner what became of the id, then go on, restart or raise."""
         self._session.addresses.invalidate()
-        if not self._asked:
-            self._asked = True
-            told = await self._deadline.bound(self._session.outcome(self.request_id))
-            if told.outcome == models.FAILED:
-                raise self._failed(told)
-            if told.outcome == models.NOT_RUN:
-                self._report(told)
-                await self._restart_refused(told)
-                return
-            if told.outcome == models.COMPLETED or told.state in _UNDER_WAY:
-                self._accepted = True
-                await self._go_on(progress=False)
-                return
+        told = await self._deadline.bound(self._session.outcome(self.request_id))
+        if told.outcome == models.FAILED:
+            raise self._failed(told)
+        if told.outcome == models.NOT_RUN:
+            self._report(told)
+            await self._restart_refused(told)
+            return
+        if told.outcome == models.COMPLETED or told.state in models.UNDER_WAY:
+            self._accepted = True
+            await self._go_on(progress=False, hint=self._owner)
+            return
         if not self._request.may_restart:
             raise exceptions.OutcomeUnknown(
                 verdict.message or "the request may have run",
@@ -343,7 +290,11 @@
                 request_id=self.request_id,
             )
         self._forbid_mixing(verdict)
-        self._spend(verdict.message or verdict.code)
+        if verdict.code not in _OWNER_LOST or self._restarted:
+            self._spend(verdict.message or verdict.code)
+        # The first restart after the owner's death is free of the budget: its queue is
+        # gone too, so the new id replaces work and adds none.
+        self._restarted = True
         self._doubtful = True
         await self._pause(verdict.retry_after)
         await self._form_id(verdict.address, avoid=self._owner)
@@ -411,5 +362,13 @@
 
 
 _UNSETTLED = frozenset({models.OUTCOME_UNKNOWN})
-_OVERLOAD = frozenset({"shed_overload"})
-_UNDER_WAY = frozenset({"waiting", "dispatched"})
+_OVERLOAD = frozenset(
+    {
+        "shed_overload",
+        "deadline_infeasible",
+        "limit_reached",
+        "table_full",
+        "dependency_unavailable",
+    }
+)
+_OWNER_LOST = frozenset({"owner_gone"})
--- a/packages/caller/cassiaquay/models.py
+++ b/packages/caller/cassiaquay/models.py
@@ -8,6 +8,8 @@
 NOT_RUN = "not_run"
 OUTCOME_UNKNOWN = "outcome_unknown"
 FAILED = "failed"
+UNDER_WAY = frozenset({"waiting", "dispatched"})
+"""States of a request whose outcome is still to come."""
 
 
 class Settings(typing.NamedTuple):
@@ -26,8 +28,10 @@
     """Deadline of a request that names none."""
     connect_timeout: float = 1.0
     """Bound on opening a connection, and on each address look-up."""
-    silence_timeout: float = 15.0
-    """Silence after which an attempt goes on at another address, same id."""
+    silence_timeout: float = 3.0
+    """Silence after which the instance is asked whether the request goes on."""
+    question_timeout: float = 1.0
+    """Bound on each question about a request; without an answer, others are asked."""
     cancel_timeout: float = 0.5
     """Bound on the cancellation sent once the deadline has passed."""
     close_timeout: float = 1.0
@@ -107,6 +111,11 @@
     event_count: int = -1
     digest: str = ""
 
+    @property
+    def is_settled(self) -> bool:
+        """Whether the outcome is known for good."""
+        return self.outcome not in ("", OUTCOME_UNKNOWN)
+
 
 class Answer(typing.NamedTuple):
     """A whole answer, checked against its count and digest.
--- a/packages/caller/cassiaquay/sessions.py
+++ b/packages/caller/cassiaquay/sessions.py
@@ -150,6 +150,12 @@
         except TimeoutError:
             return models.Outcome(models.OUTCOME_UNKNOWN, "cancel_timeout")
 
+    async def is_under_way(self, request_id: str, address: str) -> bool:
+        """Tell whether the instance at ``address`` says that a request goes on."""
+        url = f"http://{address}/v1/requests/{request_id}/outcome"
+        told = await self._ask_once(self.form_call("GET", url))
+        return told is not None and (told.state in models.UNDER_WAY or told.is_settled)
+
     def mount(self, prefix: str, adapter: adapters.BaseAdapter) -> None:
         """Use ``adapter`` for URLs that start with ``prefix``; the longest wins."""
         self._adapters[prefix] = adapter
@@ -250,13 +256,15 @@
         return models.Outcome(models.OUTCOME_UNKNOWN, "unreachable")
 
     async def _ask_once(self, call: adapters.Call) -> models.Outcome | None:
+        # Answered without waiting for the request itself, so silence is a fault here.
         try:
-            reply = await self.send(call)
-            try:
-                raw = await reply.read_all()
-            finally:
-                reply.close()
-        except exceptions.AttemptFailed:
+            async with asyncio.timeout(self.settings.question_timeout):
+                reply = await self.send(call)
+                try:
+                    raw = await reply.read_all()
+                finally:
+                    reply.close()
+        except (TimeoutError, exceptions.AttemptFailed):
             return None
         told = models.parse_outcome(raw, reply.status)
         if told is None or reply.status == 200:
--- a/packages/daemon/cassiaquay_daemon/dispatching.py
+++ b/packages/daemon/cassiaquay_daemon/dispatching.py
@@ -67,6 +67,7 @@
         is_leaving: collections.abc.Callable[[str], bool],
     ):
         self.background: set[asyncio.Task[None]] = set()
+        self._on_wasted: list[collections.abc.Callable[[int], None]] = []
         self._capacity = capacity
         self._table = requests
         self._is_leaving = is_leaving
@@ -74,6 +75,10 @@
         for name in backends.backends.names():
             self._backends[name] = backends.backends.get(name)(http)
 
+    def on_wasted(self, call: collections.abc.Callable[[int], None]) -> None:
+        """Call ``call`` with the prompt tokens that a stopped request had read."""
+        self._on_wasted.append(call)
+
     def can_stop(self, entry: entries.Entry) -> bool:
         """Tell whether the backend server of a request can stop it."""
         return self._backends[entry.accepted.adapter_name].can_stop
@@ -89,6 +94,7 @@
         while not entry.ended:
             await entry.read.wait()
             demand = _demand(entry, avoid)
+            entry.shard = demand.shard
             permission = await self._capacity.obtain(demand, entry.deadline)
             server = entry.accepted.snapshot.server(
                 entry.accepted.pool, permission.server
@@ -145,6 +151,7 @@
         except Exception:
             self._failed(attempt, backend)
             raise
+        entry.figures = figures
         self._release(attempt, "completed", figures)
 
     def _check(
@@ -253,6 +260,8 @@
             prefilled_tokens=waste.prefilled_tokens,
             generated_tokens=waste.generated_tokens,
         )
+        for call in self._on_wasted:
+            call(waste.prefilled_tokens)
 
     def _in_background(self, work: collections.abc.Coroutine[None, None, None]) -> None:
         task = asyncio.create_task(work)
--- a/packages/daemon/cassiaquay_daemon/entries.py
+++ b/packages/daemon/cassiaquay_daemon/entries.py
@@ -4,7 +4,7 @@
 import enum
 import typing
 
-from . import answers, clock, exceptions, requests
+from . import answers, backends, clock, exceptions, requests
 
 
 class State(enum.Enum):
@@ -39,11 +39,14 @@
     ----------
     accepted : Accepted
         The checked request.
-    ledger : Ledger
+    ledger : Ledger, optional
         Counts the bytes that it holds.
     """
 
-    def __init__(self, accepted: requests.Accepted, ledger: answers.Ledger):
+    def __init__(
+        self, accepted: requests.Accepted, ledger: answers.Ledger | None = None
+    ):
+        ledger = ledger or answers.Ledger()
         self.accepted = accepted
         self.fingerprint = requests.fingerprint(accepted.body)
         self.answer = answers.Answer(ledger)
@@ -52,6 +55,8 @@
         self.deadline = clock.now() + accepted.deadline_seconds
         self.ended_at = 0.0
         self.server = ""
+        self.shard = ""
+        self.figures = backends.Figures(accepted.prompt_tokens, 0, 0)
         self.readers = 0
         self.read = asyncio.Event()
         self.unread_since = clock.now()
@@ -68,6 +73,11 @@
         """Whether the outcome is final."""
         return self.answer.final is not None
 
+    @property
+    def accepted_at(self) -> float:
+        """Second of acceptance on this clock."""
+        return self.deadline - self.accepted.deadline_seconds
+
     @property
     def told(self) -> Told:
         """What a caller is told that asks for the outcome."""
--- a/packages/daemon/cassiaquay_daemon/members.py
+++ b/packages/daemon/cassiaquay_daemon/members.py
@@ -74,7 +74,7 @@
             self._incarnation,
             self._settings.domain,
             self.http_address,
-            self._links.address,
+            self._settings.advertised_peer or self._links.address,
             self._sequence,
             self.leaving,
             self._mint(),
--- a/packages/daemon/cassiaquay_daemon/owner.py
+++ b/packages/daemon/cassiaquay_daemon/owner.py
@@ -32,6 +32,8 @@
 UNREAD_SECONDS = 5.0
 UNREAD_POLL = 0.05
 CANCEL_SECONDS = 5.0
+Entry = entries.Entry
+State = entries.State
 UNSEEN = entries.Told("", "", "unseen")
 
 
@@ -64,19 +66,31 @@
         better_address: collections.abc.Callable[[], str],
     ):
         self.leaving = False
-        self.table = table.Table(settings.owner)
+        self.held = table.Table(settings.owner)
         self._settings = settings
         self._incarnation = incarnation
         self._started = clock.now()
         self._better_address = better_address
-        self._dispatcher = dispatching.Dispatcher(
-            capacity, http, self.table, is_leaving
-        )
+        self._on_ended: list[collections.abc.Callable[[entries.Entry], None]] = []
+        self._dispatcher = dispatching.Dispatcher(capacity, http, self.held, is_leaving)
+
+    @property
+    def table(self) -> dict[str, entries.Entry]:
+        """The entries by id."""
+        return self.held.entries
 
     @property
     def open_count(self) -> int:
         """Requests that have not ended."""
-        return self.table.open_count
+        return self.held.open_count
+
+    def on_ended(self, call: collections.abc.Callable[[entries.Entry], None]) -> None:
+        """Call ``call`` with each entry whose outcome has become final."""
+        self._on_ended.append(call)
+
+    def on_wasted(self, call: collections.abc.Callable[[int], None]) -> None:
+        """Call ``call`` with the prompt tokens that a stopped request had read."""
+        self._dispatcher.on_wasted(call)
 
     def mint(self) -> str:
         """Return a fresh token for ids that this incarnation will own."""
@@ -116,15 +130,15 @@
             accepted = requests.accept(request_id, team, data, snapshot)
             if self.leaving:
                 raise exceptions.Leaving(address=self._better_address())
-            self.table.make_room(accepted.rank, self._give_up)
+            self.held.make_room(accepted.rank, self._give_up)
         except exceptions.Refusal as refusal:
             # "Not run" holds for ever only when a late copy finds the id closed: what
             # was wrong today (a full table, an unknown service) may be right then.
-            self.table.refuse(request_id, team, refusal.outcome, refusal.code)
+            self.held.refuse(request_id, team, refusal.outcome, refusal.code)
             self._log_end(request_id.text, refusal)
             raise
-        entry = entries.Entry(accepted, self.table.ledger)
-        self.table.add(entry)
+        entry = entries.Entry(accepted, self.held.ledger)
+        self.held.add(entry)
         entry.task = asyncio.create_task(self._run(entry))
         return entry
 
@@ -168,7 +182,7 @@
             # The cancellation may have overtaken its request: the id is closed, so
             # that the request, when it arrives, does not run after "not run".
             refusal = exceptions.Cancelled()
-            self.table.refuse(request_id, team, refusal.outcome, refusal.code)
+            self.held.refuse(request_id, team, refusal.outcome, refusal.code)
             self._log_end(request_id.text, refusal)
             return entries.Told(refusal.outcome, refusal.code, "refused")
         if entry.ended:
@@ -190,7 +204,7 @@
     def sweep_once(self) -> None:
         """Drop abandoned requests and old entries."""
         now = clock.now()
-        for entry in list(self.table.entries.values()):
+        for entry in list(self.held.entries.values()):
             if entry.readers:
                 continue
             if entry.ended:
@@ -198,50 +212,50 @@
                 continue
             if now - entry.unread_since >= self._settings.owner.disconnect_grace:
                 self._abandon(entry)
-        self.table.relieve()
-        self.table.closed.expire(self._uptime() - self._settings.owner.answer_seconds)
+        self.held.relieve()
+        self.held.closed.expire(self._uptime() - self._settings.owner.answer_seconds)
 
     async def leave(self) -> None:
         """Hand waiting requests back, and return when the others have been read."""
         self.leaving = True
-        for entry in self.table.waiting():
+        for entry in self.held.waiting():
             self._give_up(entry, exceptions.Leaving(address=self._better_address()))
         while self._running():
             await asyncio.wait(self._running())
         end = clock.now() + UNREAD_SECONDS
-        while any(_is_unread(one) for one in self.table.ended()) and clock.now() < end:
+        while any(_is_unread(one) for one in self.held.ended()) and clock.now() < end:
             await asyncio.sleep(UNREAD_POLL)
 
     def _uptime(self) -> float:
         return clock.now() - self._started
 
     def _running(self) -> list["asyncio.Task[None]"]:
-        held = [entry.task for entry in self.table.entries.values() if entry.task]
+        held = [entry.task for entry in self.held.entries.values() if entry.task]
         running = [*held, *self._dispatcher.background]
         return [task for task in running if not task.done()]
 
     def _known(self, request_id: tokens.RequestId, team: str) -> entries.Entry | None:
         """Return the entry, None for an id that may still begin, or raise Refusal."""
-        entry = self.table.entries.get(request_id.text)
+        entry = self.held.entries.get(request_id.text)
         if entry is not None:
             if entry.accepted.team != team:
                 raise exceptions.Forbidden("this id belongs to another team")
             return entry
-        closed = self.table.closed.find(request_id)
+        closed = self.held.closed.find(request_id)
         if closed is not None:
             if closed.team != team:
                 raise exceptions.Forbidden("this id belongs to another team")
             raise closed.refusal()
-        gone = self.table.closed.may_be_gone(request_id)
+        gone = self.held.closed.may_be_gone(request_id)
         if gone or self._uptime() > request_id.expiry:
             # Its entry may have been here and dropped: "not run" might be a lie.
             raise exceptions.TokenExpired()
         return None
 
     def _closed(self, request_id: tokens.RequestId, team: str) -> entries.Told | None:
-        if request_id.text in self.table.entries:
+        if request_id.text in self.held.entries:
             return None
-        closed = self.table.closed.find(request_id)
+        closed = self.held.closed.find(request_id)
         if closed is None or closed.team != team:
             return None
         return entries.Told(closed.outcome, closed.code, closed.state)
@@ -254,7 +268,7 @@
             self._close(entry)
 
     def _close(self, entry: entries.Entry) -> None:
-        self.table.close(entry)
+        self.held.close(entry)
 
     def _abandon(self, entry: entries.Entry) -> None:
         if entry.state is entries.State.WAITING:
@@ -270,7 +284,7 @@
 
     def _give_up(self, entry: entries.Entry, refusal: exceptions.Refusal) -> None:
         """End a waiting request as not run."""
-        self._end(entry, refusal)
+        self._refuse(entry, refusal)
         if entry.task is not None:
             entry.task.cancel()
 
@@ -281,7 +295,7 @@
             entry.task.cancel()
             await asyncio.wait({entry.task}, timeout=CANCEL_SECONDS)
 
-    def _end(self, entry: entries.Entry, refusal: exceptions.Refusal) -> None:
+    def _refuse(self, entry: entries.Entry, refusal: exceptions.Refusal) -> None:
         if entry.ended:
             return
         entry.refusal = refusal
@@ -296,8 +310,13 @@
             refusal.retry_after_ms,
             refusal.address,
         )
-        self.table.end(entry)
+        self.held.end(entry)
         self._log_end(entry.accepted.id.text, refusal, entry)
+        self._tell_ended(entry)
+
+    def _tell_ended(self, entry: entries.Entry) -> None:
+        for call in self._on_ended:
+            call(entry)
 
     def _complete(self, entry: entries.Entry, watch: clock.Stopwatch) -> None:
         if entry.ended:
@@ -305,7 +324,7 @@
         entry.state = entries.State.FINISHED
         entry.ended_at = clock.now()
         entry.answer.finish("completed", "completed")
-        self.table.end(entry)
+        self.held.end(entry)
         accepted = entry.accepted
         logs.event(
             "ended",
@@ -318,6 +337,7 @@
             ms=round(watch.elapsed_ms, 1),
             count=entry.answer.count,
         )
+        self._tell_ended(entry)
 
     def _log_end(
         self, text: str, refusal: exceptions.Refusal, entry: entries.Entry | None = None
@@ -340,26 +360,26 @@
                 await self._dispatcher.serve(entry)
             self._complete(entry, watch)
         except exceptions.Refusal as refusal:
-            self._end(entry, refusal)
+            self._refuse(entry, refusal)
         except TimeoutError:
             if entry.state is entries.State.DISPATCHED:
-                self._end(entry, exceptions.DeadlineExceeded())
+                self._refuse(entry, exceptions.DeadlineExceeded())
             else:
-                self._end(entry, exceptions.Infeasible())
+                self._refuse(entry, exceptions.Infeasible())
         except asyncio.CancelledError:
             if entry.state is entries.State.DISPATCHED:
-                self._end(entry, entry.stop_reason or exceptions.OutcomeUnknown())
+                self._refuse(entry, entry.stop_reason or exceptions.OutcomeUnknown())
             else:
-                self._end(entry, exceptions.Cancelled())
+                self._refuse(entry, exceptions.Cancelled())
         except Exception as error:
             # Whatever went wrong here, the caller gets an answer that is true.
             logs.trouble(
                 "request_crashed", id=entry.accepted.id.text, cause=repr(error)
             )
             if entry.state is entries.State.DISPATCHED:
-                self._end(entry, exceptions.OutcomeUnknown())
+                self._refuse(entry, exceptions.OutcomeUnknown())
             else:
-                self._end(entry, exceptions.InternalError())
+                self._refuse(entry, exceptions.InternalError())
 
 
 def _check_same(entry: entries.Entry, data: bytes) -> None:
--- a/packages/daemon/cassiaquay_daemon/recovery.py
+++ b/packages/daemon/cassiaquay_daemon/recovery.py
@@ -39,6 +39,8 @@
     """
 
     def __init__(self, http: aiohttp.ClientSession):
+        self.recovered = 0
+        self.not_found = 0
         self._backends: dict[str, backends.Backend] = {}
         for name in backends.backends.names():
             self._backends[name] = backends.backends.get(name)(http)
@@ -65,7 +67,9 @@
             if recovered is not found:
                 task.cancel()
         if found is None:
+            self.not_found += 1
             raise exceptions.OwnerGone()
+        self.recovered += 1
         logs.event("recovered", key=key)
         self._found[key] = found
         return found
--- a/packages/daemon/cassiaquay_daemon/relay.py
+++ b/packages/daemon/cassiaquay_daemon/relay.py
@@ -104,6 +104,7 @@
         http: aiohttp.ClientSession,
         find: collections.abc.Callable[[str], messages.Member | None],
     ):
+        self.passed = 0
         self._settings = settings
         self._http = http
         self._find = find
@@ -134,6 +135,7 @@
             await asyncio.wait({asking, losing}, return_when=asyncio.FIRST_COMPLETED)
             if not asking.done():
                 raise OwnerUnreachable("not heard of any more")
+            self.passed += 1
             return RelayedResponse(asking.result(), is_gone)
         finally:
             asking.cancel()
--- a/packages/daemon/cassiaquay_daemon/web.py
+++ b/packages/daemon/cassiaquay_daemon/web.py
@@ -62,6 +62,14 @@
         self._owner = owned
         self._relay = passing
         self._recovery = recovering
+        self._on_refused: list[collections.abc.Callable[[exceptions.Refusal], None]]
+        self._on_refused = []
+
+    def on_refused(
+        self, call: collections.abc.Callable[[exceptions.Refusal], None]
+    ) -> None:
+        """Call ``call`` with each refusal that no entry of the owner stands for."""
+        self._on_refused.append(call)
 
     def application(self) -> applications.Starlette:
         """Return the ASGI application."""
@@ -104,12 +112,18 @@
                     # It is the answer to the question, no failure of asking it.
                     told = entries.Told(refusal.outcome, refusal.code, "unknown")
                     return _told(told)
+                self._note(refusal)
                 return streams.RefusalResponse(refusal)
             except exceptions.Refusal as refusal:
+                self._note(refusal)
                 return streams.RefusalResponse(refusal)
 
         return handle
 
+    def _note(self, refusal: exceptions.Refusal) -> None:
+        for call in self._on_refused:
+            call(refusal)
+
     async def _handle(
         self,
         request: web_requests.Request,
--- a/packages/dev/cassiaquay_dev/cluster.py
+++ b/packages/dev/cassiaquay_dev/cluster.py
@@ -7,7 +7,7 @@
 
 import aiohttp
 
-from . import deployments, processes
+from . import deployments, partition, processes
 
 KEY = "key-of-the-instances"
 
@@ -35,6 +35,8 @@
         Policy of the keepers.
     extra : str
         More lines for the settings of each daemon.
+    level : str
+        Lowest level of its log lines.
     """
 
     def __init__(
@@ -44,6 +46,7 @@
         folder: pathlib.Path,
         policy: str = "tiered",
         extra: str = "",
+        level: str = "INFO",
     ):
         self.deployment = deployment
         self.folder = folder
@@ -56,6 +59,8 @@
         self._count = daemons
         self._policy = policy
         self._extra = extra
+        self._level = level
+        self._partition: partition.Partition | None = None
 
     @property
     def seeds(self) -> list[str]:
@@ -70,11 +75,17 @@
         await asyncio.gather(*(self.start_daemon(name) for name in names))
         await asyncio.gather(*(self.wait_until_known(name) for name in names))
 
+    def use(self, partition_: partition.Partition) -> None:
+        """Let the instances reach each other through proxies that can be cut."""
+        self._partition = partition_
+
     async def start_daemon(self, name: str) -> None:
         """Start one daemon and put it on the instance list."""
         number = int(name.rpartition("-")[2])
         domain = self.deployment.domains[number % len(self.deployment.domains)]
         settings = self.folder / f"{name}.toml"
+        if self._partition is not None:
+            await self._partition.add(name)
         settings.write_text(self._settings(name, domain))
         process = processes.Process(
             name,
@@ -87,6 +98,8 @@
         await process.wait_for(lambda lines: _ready(lines[before:]) is not None)
         found = _ready(process.lines()[before:])
         assert found is not None
+        if self._partition is not None:
+            found = found._replace(peer=self._partition.proxy(name).join(found.peer))
         self.listening[name] = found
         await self.list_instance(name, "entry", domain, found.http, found.peer, "live")
 
@@ -186,10 +199,14 @@
         return process
 
     def _settings(self, name: str, domain: str) -> str:
+        advertised = ""
+        if self._partition is not None:
+            advertised = self._partition.proxy(name).address
         return f"""\
 instance = "{name}"
 domain = "{domain}"
 keys = ["{KEY}"]
+advertised_peer = "{advertised}"
 {self._extra}
 [platform]
 configuration = "{self.platform}"
@@ -198,6 +215,7 @@
 policy = "{self._policy}"
 [logs]
 format = "json"
+level = "{self._level}"
 """
 
 
--- a/packages/schema/cassiaquay_schema/settings.py
+++ b/packages/schema/cassiaquay_schema/settings.py
@@ -155,6 +155,8 @@
         Port for callers; 0 takes a free one.
     peer_port : int
         Port for instances; 0 takes a free one.
+    advertised_peer : str
+        host:port for instances, when not where it listens.
     admin_port : int
         Port for operators; 0 takes a free one.
     keys : list[str]
@@ -181,6 +183,7 @@
     host: str = "127.0.0.1"
     http_port: typing.Annotated[int, msgspec.Meta(ge=0, le=65535)] = 0
     peer_port: typing.Annotated[int, msgspec.Meta(ge=0, le=65535)] = 0
+    advertised_peer: str = ""
     admin_port: typing.Annotated[int, msgspec.Meta(ge=0, le=65535)] = 0
     keys: typing.Annotated[list[str], msgspec.Meta(min_length=1)]
     seeds: list[str] = msgspec.field(default_factory=list)
