--- a/packages/caller/cassiaquay/exchanges.py
+++ b/packages/caller/cassiaquay/exchanges.py
@@ -262,7 +262,7 @@
             request_id=self.request_id,
             retry_after=verdict.retry_after,
         )
-        if delay >= self._deadline.left or not self._may_spend():
+        if delay >= self._deadline.left or not self._may_move(verdict):
             raise error
         self._refusal = error
         await self._deadline.bound(asyncio.sleep(delay))
@@ -314,6 +314,13 @@
             return False
         return self._session.budget.spend()
 
+    def _may_move(self, verdict: models.Outcome) -> bool:
+        # A leaving instance hands all its waiting work back at once. Sent on, that work
+        # adds nothing to the load, so a budget made against overload must not lose it.
+        if verdict.code in _HANDED_BACK:
+            return self._attempts < self._session.settings.max_attempts
+        return self._may_spend()
+
     def _spend(self, message: str) -> None:
         """Take one retry. Raises OutcomeUnknown when none is left."""
         if self._may_spend():
@@ -371,4 +378,5 @@
         "dependency_unavailable",
     }
 )
+_HANDED_BACK = frozenset({"instance_leaving"})
 _OWNER_LOST = frozenset({"owner_gone"})
--- a/tests/owner_fakes.py
+++ b/tests/owner_fakes.py
@@ -61,7 +61,6 @@
 [services.bookings]
 pool = "plain"
 """
-SNAPSHOT = snapshots.read(1, FLEET)
 
 
 class Servers:
@@ -130,6 +129,7 @@
 if "fake-engine" not in backends.backends.names():
     backends.backends.register("fake-engine")(FakeEngine)
     backends.backends.register("fake-plain")(FakePlain)
+SNAPSHOT = snapshots.read(1, FLEET)
 
 
 class Keepers:
