--- a/packages/daemon/cassiaquay_daemon/dispatching.py
+++ b/packages/daemon/cassiaquay_daemon/dispatching.py
@@ -9,6 +9,7 @@
 from cassiaquay_schema import fleet, messages
 
 from . import (
+    answers,
     backends,
     clock,
     demands,
@@ -37,7 +38,12 @@
     def give_back(self, demand: messages.Demand) -> None:
         """Give back a permission that was not used."""
 
-    def dispatched(self, shard: str, item: messages.Outstanding) -> None:
+    def dispatched(
+        self,
+        shard: str,
+        item: messages.Outstanding,
+        answer: answers.Answer | None = None,
+    ) -> None:
         """Note that a permission is in use."""
 
     def release(self, message: messages.Release) -> None:
@@ -197,6 +203,7 @@
                 demand.prompt_tokens,
                 demand.output_tokens,
             ),
+            entry.answer,
         )
 
     def _failed(self, attempt: "_Attempt", backend: backends.Backend) -> None:
--- a/tests/owner_fakes.py
+++ b/tests/owner_fakes.py
@@ -161,7 +161,7 @@
     def give_back(self, demand: messages.Demand) -> None:
         self.given_back.append(demand.id)
 
-    def dispatched(self, shard: str, item: messages.Outstanding) -> None:
+    def dispatched(self, shard: str, item: messages.Outstanding, answer) -> None:
         pass
 
     def release(self, message: messages.Release) -> None:
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -99,6 +99,23 @@
     fakes.run(test)
 
 
+def test_a_page_in_a_browser_on_the_machine_is_no_operator() -> None:
+    """Somebody with a browser on the instance's machine opens a hostile page.
+
+    The page sends POST /v1/drain to the loopback address. The browser names the page
+    as the origin, so the call is refused although it comes from this machine.
+    """
+
+    async def test(instance: fakes.Instance) -> None:
+        reply = await instance.call(
+            "/v1/drain", method="POST", origin="http://hostile.example"
+        )
+        assert reply.status == 401
+        assert not instance.drained
+
+    fakes.run(test)
+
+
 def test_loopback_is_not_enough_once_operators_are_named() -> None:
     async def test(instance: fakes.Instance) -> None:
         assert (await instance.call("/v1/drain", method="POST")).status == 401
@@ -196,6 +213,25 @@
     fakes.run(test)
 
 
+def test_servers_are_shown_before_their_keeper_had_a_demand() -> None:
+    """A fresh fleet has had no request yet; its operator looks before opening it.
+
+    Keepers begin a shard with its first demand. The backend servers are shown and
+    explained all the same, and looking does not begin the shard.
+    """
+
+    async def test(instance: fakes.Instance) -> None:
+        found = (await instance.call("/v1/servers")).json
+        assert sorted(item["server"] for item in found) == sorted(fakes.NAMES)
+        path = "/v1/explain?service=bookings-app&team=parents"
+        placement = (await instance.call(path)).json["placement"]
+        assert placement["server"] == "bookings-1"
+        assert not placement["keeper_since_open"]
+        assert not instance.kept.shards
+
+    fakes.run(test)
+
+
 def test_explains_a_request_by_its_id_to_its_team_only() -> None:
     async def test(instance: fakes.Instance) -> None:
         entry = instance.entry(LARGE.name)
