--- a/packages/daemon/cassiaquay_daemon/exceptions.py
+++ b/packages/daemon/cassiaquay_daemon/exceptions.py
@@ -188,7 +188,7 @@
 class TierForbidden(Refusal):
     """The team may not use this tier."""
 
-    code = "forbidden"
+    code = "tier_forbidden"
     status = http.HTTPStatus.FORBIDDEN
 
 
@@ -285,7 +285,7 @@
 class BadQuery(CallRejected):
     """A parameter of the URL is malformed."""
 
-    code = "bad_request"
+    code = "bad_query"
 
 
 class WrongType(CallRejected):
