--- a/packages/dev/cassiaquay_dev/bench.py
+++ b/packages/dev/cassiaquay_dev/bench.py
@@ -8,6 +8,7 @@
 """
 
 import asyncio
+import importlib
 import pathlib
 import typing
 
@@ -19,6 +20,9 @@
 
 from . import bench_path, bench_report, bench_runs, bench_workloads, deployments, faults
 
+# Registers the policies that a daemon knows.
+importlib.import_module("cassiaquay_daemon.keeper")
+
 experiments: registry.Registry[typing.Any] = registry.Registry("experiment")
 
 FOLDER = "build/bench"
