--- a/packages/cli/cassiaquay_cli/status.py
+++ b/packages/cli/cassiaquay_cli/status.py
@@ -38,7 +38,9 @@
         name = item["instance"]
         status = fleet.statuses.answers.get(name)
         if status is None:
-            state = item["state"] if item["state"] == "silent" else "no answer"
+            state = item["state"]
+            if state != "silent":
+                state += ", no answer"
             rows.append([name, item["domain"], state, "", "", "", item["admin"]])
             continue
         age = outputs.duration(time.time() - status["since"])
--- a/packages/dev/cassiaquay_dev/driver.py
+++ b/packages/dev/cassiaquay_dev/driver.py
@@ -61,19 +61,22 @@
         """Send all arrivals; return when the last one has ended."""
         loop = asyncio.get_running_loop()
         start = loop.time()
-        tasks = []
-        for arrival in arrivals:
-            await asyncio.sleep(max(start + arrival.at - loop.time(), 0.0))
-            tasks.append(asyncio.create_task(self._send(arrival)))
-        await asyncio.gather(*tasks)
-        await self.close()
+        tasks: list[asyncio.Task[None]] = []
+        try:
+            for arrival in arrivals:
+                await asyncio.sleep(max(start + arrival.at - loop.time(), 0.0))
+                tasks.append(asyncio.create_task(self._send(arrival)))
+            await asyncio.gather(*tasks)
+        finally:
+            # A run that is cancelled must not leave requests behind that then find
+            # their sessions closed.
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+            for session in self._sessions.values():
+                await session.close()
         return self.results
 
-    async def close(self) -> None:
-        """Close the sessions, also after a run that was cancelled."""
-        for session in self._sessions.values():
-            await session.close()
-
     def _session(self, arrival: workloads.Arrival) -> cassiaquay.Session:
         team = arrival.team
         if team.name not in self._sessions:
--- a/packages/dev/cassiaquay_dev/up.py
+++ b/packages/dev/cassiaquay_dev/up.py
@@ -39,10 +39,7 @@
         seed += 1
         arrivals = workloads.mixed(started.deployment, seed, ROUND_SECONDS, rate)
         sender = driver.Driver(started.seeds, started.deployment.domains)
-        try:
-            await sender.run(arrivals)
-        finally:
-            await sender.close()
+        await sender.run(arrivals)
 
 
 def describe(started: cluster.Cluster, path: pathlib.Path) -> str:
