Explain by what the policy itself estimates

The keeper's policy tells what each server would mean for a demand: whether it fits, what its cache holds, when the answer would be whole, which limit of tokens it has learned. Before, the explanation guessed from slots and the configured limit.

--- a/packages/cli/cassiaquay_cli/bodies.py
+++ b/packages/cli/cassiaquay_cli/bodies.py
@@ -105,6 +105,9 @@
     requests: int
     slots: int
     tokens: int
+    limit_tokens: int
+    cached_tokens: int
+    finish_ms: float
 
 
 class Placement(typing.TypedDict):
--- a/packages/cli/cassiaquay_cli/explain.py
+++ b/packages/cli/cassiaquay_cli/explain.py
@@ -33,8 +33,13 @@
     rows = []
     for item in placement["servers"]:
         load = f"{item['requests']}/{item['slots']}"
-        rows.append([item["server"], item["verdict"], load, str(item["tokens"])])
-    header = ["server", "verdict", "requests", "tokens"]
+        tokens = str(item["tokens"])
+        if item["limit_tokens"]:
+            tokens += f"/{item['limit_tokens']}"
+        finish = f"{item['finish_ms'] / 1000:.2f} s" if item["finish_ms"] else ""
+        cached = str(item["cached_tokens"])
+        rows.append([item["server"], item["verdict"], load, tokens, cached, finish])
+    header = ["server", "verdict", "requests", "tokens", "cached", "whole after"]
     return "\n".join(lines) + "\n\n" + outputs.table(header, rows)
 
 
--- a/packages/daemon/cassiaquay_daemon/explain.py
+++ b/packages/daemon/cassiaquay_daemon/explain.py
@@ -12,6 +12,7 @@
     clock,
     exceptions,
     owner,
+    policies,
     reports,
     shards,
     snapshots,
@@ -34,13 +35,19 @@
 
 
 class ServerVerdict(typing.TypedDict):
-    """Why a backend server would or would not get a request."""
+    """Why a backend server would or would not get a request.
+
+    ``limit_tokens`` and ``finish_ms`` are 0 where the policy does not estimate them.
+    """
 
     server: str
     verdict: str
     requests: int
     slots: int
     tokens: int
+    limit_tokens: int
+    cached_tokens: int
+    finish_ms: float
 
 
 class Placement(typing.TypedDict):
@@ -172,14 +179,21 @@
         shard = views.shard_at_keeper(self._parts, self._settings, demand.shard)
         if shard is None:
             raise exceptions.AdminUnknown(f"no shard {demand.shard!r} is kept here")
+        waiting = shard.queue.get(demand.id)
+        if waiting is not None:
+            # With the hashes of its prefix, which the question does not carry.
+            demand = waiting.demand
         higher, same = _ahead(shard, demand)
-        verdicts = [_verdict(shard, name, demand) for name in sorted(shard.servers)]
+        weighed = self._weighed(shard, demand)
+        verdicts = []
+        for name in sorted(shard.servers):
+            verdicts.append(_verdict(shard, name, weighed.get(name)))
         running = shard.running.get(demand.id)
-        server = running.server if running is not None else _least_loaded(verdicts)
+        server = running.server if running is not None else _best(verdicts)
         state = "new"
         if running is not None:
             state = "running"
-        elif demand.id in shard.queue:
+        elif waiting is not None:
             state = "waiting"
         return Placement(
             shard=demand.shard,
@@ -192,6 +206,14 @@
             servers=verdicts,
         )
 
+    def _weighed(
+        self, shard: shards.Shard, demand: messages.Demand
+    ) -> dict[str, policies.Weighed]:
+        policy = self._parts.kept.policy(shard.name)
+        if not isinstance(policy, policies.Explaining):
+            return {}
+        return {item.server: item for item in policy.explain(demand)}
+
     async def _owned(
         self, text: str, viewer: viewers.Viewer, authorization: str
     ) -> Explanation:
@@ -352,25 +374,34 @@
     return higher, same
 
 
-def _verdict(shard: shards.Shard, name: str, demand: messages.Demand) -> ServerVerdict:
+def _verdict(
+    shard: shards.Shard, name: str, weighed: policies.Weighed | None
+) -> ServerVerdict:
     server = shard.servers[name]
     count = shard.count_on(name)
-    load = shard.tokens_on(name)
-    limit = server.max_tokens_in_flight
+    limit = weighed.limit_tokens if weighed else server.max_tokens_in_flight or 0
     verdict = "fits"
     if name in shard.gone:
         verdict = "leaving: gets no new work"
     elif count >= server.slots:
         verdict = "all slots taken"
-    elif limit and load and load + demand.prompt_tokens + demand.output_tokens > limit:
-        verdict = f"over {limit} tokens in flight"
+    elif weighed is not None and not weighed.fits:
+        verdict = "full: unread prompts or tokens in flight"
     return ServerVerdict(
-        server=name, verdict=verdict, requests=count, slots=server.slots, tokens=load
+        server=name,
+        verdict=verdict,
+        requests=count,
+        slots=server.slots,
+        tokens=shard.tokens_on(name),
+        limit_tokens=limit,
+        cached_tokens=weighed.cached_tokens if weighed else 0,
+        finish_ms=round(weighed.finish_seconds * 1000.0, 1) if weighed else 0.0,
     )
 
 
-def _least_loaded(verdicts: list[ServerVerdict]) -> str:
+def _best(verdicts: list[ServerVerdict]) -> str:
     fitting = [item for item in verdicts if item["verdict"] == "fits"]
     if not fitting:
         return ""
-    return min(fitting, key=lambda item: item["tokens"])["server"]
+    best = min(fitting, key=lambda item: (item["finish_ms"], item["tokens"]))
+    return best["server"]
--- a/packages/daemon/cassiaquay_daemon/keeper.py
+++ b/packages/daemon/cassiaquay_daemon/keeper.py
@@ -81,6 +81,10 @@
             found = self._keepers[shard] = self._membership.keeper_of(shard)
         return found
 
+    def policy(self, shard: str) -> policies.Policy | None:
+        """Return the policy of a shard that is kept here."""
+        return self._policies.get(shard)
+
     def on_ask(self, call: collections.abc.Callable[[str], None]) -> None:
         """Call ``call`` when this instance's own requests in a shard are asked for."""
         self._ask_local = call
--- a/packages/daemon/cassiaquay_daemon/placement.py
+++ b/packages/daemon/cassiaquay_daemon/placement.py
@@ -169,6 +169,11 @@
     return Options(now_best, usable, least)
 
 
+def choose(demand: messages.Demand, view: View) -> Choice:
+    """Return what one engine would mean for a demand."""
+    return _choose(demand, demand.prompt_tokens + demand.output_tokens, view, 0.0)
+
+
 def in_time(seconds: float, left: float) -> bool:
     """Tell whether something that is estimated to take so long ends in time."""
     return seconds * MARGIN_FACTOR + MARGIN_SECONDS <= left
--- a/packages/daemon/cassiaquay_daemon/policies.py
+++ b/packages/daemon/cassiaquay_daemon/policies.py
@@ -19,4 +19,37 @@
         """Take in what a finished request cost; its permit is still known."""
 
 
+class Weighed(typing.NamedTuple):
+    """What one backend server would mean for a demand, as a policy estimates it.
+
+    Attributes
+    ----------
+    server : str
+        Backend server.
+    fits : bool
+        Whether it may get the demand now.
+    cached_tokens : int
+        Prompt tokens that its cache is taken to hold.
+    first_seconds, finish_seconds : float
+        Time to the first event and to the end of the answer.
+    limit_tokens : int
+        Tokens in flight that it is allowed now.
+    """
+
+    server: str
+    fits: bool
+    cached_tokens: int
+    first_seconds: float
+    finish_seconds: float
+    limit_tokens: int
+
+
+@typing.runtime_checkable
+class Explaining(typing.Protocol):
+    """A policy that can tell operators how it weighs the servers."""
+
+    def explain(self, demand: messages.Demand) -> list[Weighed]:
+        """Return what each open server would mean for a demand."""
+
+
 policies: registry.Registry[type[Policy]] = registry.Registry("policy")
--- a/packages/daemon/cassiaquay_daemon/tiered.py
+++ b/packages/daemon/cassiaquay_daemon/tiered.py
@@ -114,6 +114,25 @@
         full = all(view.is_full for view in views)
         self._drain.note(full and len(self._queues) > 0)
 
+    def explain(self, demand: messages.Demand) -> list[policies.Weighed]:
+        """Return what each open server would mean for a demand, for operators."""
+        now = clock.now()
+        self._update(now)
+        found = []
+        for view in self._views(now):
+            choice = placement.choose(demand, view)
+            found.append(
+                policies.Weighed(
+                    view.name,
+                    choice.fits,
+                    choice.cached_tokens,
+                    choice.first_seconds,
+                    choice.finish_seconds,
+                    int(view.engine.speed.limit),
+                )
+            )
+        return found
+
     def _update(self, now: float) -> None:
         start_tokens = self._shard.settings.keeper.start_tokens
         for name, server in self._shard.servers.items():
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -209,6 +209,9 @@
         verdicts = {item["server"]: item["verdict"] for item in placement["servers"]}
         assert verdicts["tutor-1"] == "leaving: gets no new work"
         assert verdicts["tutor-2"] == "fits"
+        assert placement["server"] in ("tutor-2", "tutor-3", "tutor-4", "tutor-5")
+        weighed = {item["server"]: item["finish_ms"] for item in placement["servers"]}
+        assert weighed[placement["server"]] > 0
 
     fakes.run(test)
 
