--- a/packages/dev/cassiaquay_dev/bench_report.py
+++ b/packages/dev/cassiaquay_dev/bench_report.py
@@ -26,6 +26,7 @@
     "gap p99 ms",
     "Jain",
     "busy",
+    "recovery",
 )
 
 
@@ -50,6 +51,7 @@
                 figures["gap_ms"][2],
                 figures["jain"],
                 sum(busy) / max(len(busy), 1),
+                figures["recovery_share"],
             ),
             strict=True,
         )
--- a/tests/test_bench.py
+++ b/tests/test_bench.py
@@ -9,12 +9,15 @@
 from cassiaquay_dev import (
     bench_driver,
     bench_metrics,
+    bench_path,
     bench_report,
     bench_runs,
     bench_workloads,
     bounds,
     deployments,
     engine_stream,
+    path_client,
+    processes,
     texts,
     workloads,
 )
@@ -113,6 +116,28 @@
     assert shares == pytest.approx({"small": 10.0, "large": 30.0, "huge": 60.0})
 
 
+def record_of(team: int, tier: str, in_time: bool) -> bench_driver.Record:
+    asked = arrival(tier=tier, tokens=9)._replace(team=deployments.BRINDLEY.teams[team])
+    record = bench_driver.Record(asked)
+    record.request_id = f"{team}-{tier}-{in_time}"
+    record.outcome = "completed"
+    record.text = texts.expected_answer(record.key, 9)
+    record.seconds = 0.5 if in_time else 2.0
+    return record
+
+
+def test_fairness_is_judged_inside_each_tier() -> None:
+    # All urgent work is served and no other: fair, though only one team sent any.
+    served = [record_of(0, "urgent", True) for _ in range(3)]
+    starved = [record_of(team, "standard", False) for team in (0, 1, 2)]
+    assert bench_metrics.fairness(served + starved, deployments.BRINDLEY) == 1.0
+    # One of two equal teams gets everything of a tier.
+    unfair = [record_of(0, "standard", True), record_of(1, "standard", False)]
+    unfair += [record_of(0, "standard", True), record_of(1, "standard", False)]
+    found = bench_metrics.fairness(unfair, deployments.BRINDLEY)
+    assert found == pytest.approx(0.5)
+
+
 def test_prefill_of_late_answers_counts_as_wasted() -> None:
     prompt = "c" * 256 * 4
     records = []
@@ -157,6 +182,47 @@
     assert max(lengths) > 10 * min(lengths)
 
 
+def test_path_table_gives_medians_and_what_the_daemon_adds() -> None:
+    settings = bench_path.PathSettings(aim=2000)
+    phases = {}
+    for way, first in (("direct", 1.0), ("daemon", 3.0)):
+        for rate in (1000, 2000):
+            rounds = []
+            for number in range(3):
+                rounds.append(bench_path.Phase(rate, 20.0, first + number, 9.0, 0.1, 0))
+            phases[f"{way} {rate}/s"] = rounds
+    text = bench_path.table(settings, phases)
+    assert "added to first_p50 at 1000 tokens/s: 2.00 ms" in text
+    assert "added to first_p99 at 1000 tokens/s: 0.00 ms" in text
+    assert "| daemon 1000/s | 1000 | 20 | 4 | 9 | 0.1 | 0 | 100.0 |" in text
+
+
+def test_fast_stand_in_and_clients_agree_on_what_was_sent(
+    tmp_path: pathlib.Path,
+) -> None:
+    async def run() -> path_client.ClientResult:
+        arguments = ["-m", "cassiaquay_dev.fast_engine", "--interval_ms=5"]
+        engine = processes.Process("engine", arguments, tmp_path)
+        await engine.start()
+        try:
+            await engine.wait_for(lambda lines: bool(lines))
+            address = engine.lines()[0].partition("=")[2]
+            settings = path_client.ClientSettings(
+                address, "/v1/streams/", "", {}, 4, 3, 0.0, 0.0, 1.0
+            )
+            client = path_client.Client(settings, "test")
+            return await client.run()
+        finally:
+            await engine.stop()
+
+    result = asyncio.run(run())
+    assert result["refused"] == 0
+    assert result["requests"] > 0
+    assert len(result["first_ms"]) - result["requests"] in range(4)
+    # Answers of 4 have 2 to 6 events; three streams may be under way at the end.
+    assert 2 * result["requests"] <= result["tokens"] <= 6 * (result["requests"] + 3)
+
+
 def test_small_bench_gives_whole_results(tmp_path: pathlib.Path) -> None:
     plan = bench_runs.Plan("brindley", "brindley-evening", 0.2, "none", 2.0, 2.0, 2)
     runs = [asyncio.run(bench_runs.run(plan, "round-robin", 1))]
