--- a/packages/daemon/cassiaquay_daemon/daemon.py
+++ b/packages/daemon/cassiaquay_daemon/daemon.py
@@ -13,6 +13,7 @@
 from cassiaquay_schema import settings as settings_schema
 
 from . import (
+    addresses,
     admin,
     backends,
     configuration,
@@ -99,6 +100,8 @@
             self._incarnation,
             self._http,
             self._demands,
+            self._membership.is_leaving,
+            self._better_address,
             gates.Checked(self._dependencies, self._limits),
         )
         self._membership.on_heard(self._configuration.heard)
@@ -116,7 +119,7 @@
             self._owner,
             self._keeper,
             self._peers,
-            relay.Relay(settings, self._http),
+            relay.Relay(settings, self._http, self._membership.find),
             recovery.Recovery(self._http),
         )
         noted = reports.Reports(settings, parts)
@@ -208,6 +211,15 @@
         bound = socket.create_server((self._settings.host, port), backlog=512)
         return _Server(config), bound
 
+    def _better_address(self) -> str:
+        chosen = addresses.answer(
+            self._settings, self._membership, self._settings.domain
+        )
+        for one in chosen["addresses"]:
+            if one["instance"] != self._settings.instance:
+                return one["address"]
+        return ""
+
     def _mint(self) -> str:
         return self._owner.mint()
 
--- a/packages/daemon/cassiaquay_daemon/demands.py
+++ b/packages/daemon/cassiaquay_daemon/demands.py
@@ -28,6 +28,12 @@
 PROGRESS_SECONDS = 0.02
 
 
+# Renewals that must have been missed before a pause is concluded, and how long after
+# it permits are not taken: enough for all that lay in the sockets to be read.
+LATE_RENEWALS = 3.0
+VOID_SECONDS = 0.2
+
+
 class Permission(typing.NamedTuple):
     """A permit as its owner holds it.
 
@@ -58,11 +64,11 @@
     ----------
     item : Outstanding
         As stated by the caller.
-    answer : Answer
+    answer : Answer or None
         Where its events are counted.
     """
 
-    def __init__(self, item: messages.Outstanding, answer: answers.Answer):
+    def __init__(self, item: messages.Outstanding, answer: answers.Answer | None):
         self.item = item
         self.answer = answer
         self.sent_at = clock.now()
@@ -72,7 +78,8 @@
     @property
     def renewed(self) -> messages.Outstanding:
         """The request as a renewal tells of it."""
-        return self.item._replace(produced=self.answer.count)
+        produced = self.answer.count if self.answer is not None else 0
+        return self.item._replace(produced=produced)
 
     def step(self, now: float) -> messages.Step | None:
         """Return what is new, once."""
@@ -81,7 +88,7 @@
             self.told_sent = True
             age_ms = (now - self.sent_at) * 1000.0
             return messages.Step(item.id, item.server, False, age_ms)
-        if self.told_first or not self.answer.count:
+        if self.told_first or self.answer is None or not self.answer.count:
             return None
         self.told_first = True
         age_ms = (now - self.answer.first_at) * 1000.0
@@ -138,6 +145,8 @@
         self._outstanding: dict[str, dict[str, Sent]] = {}
         self._lengths = lengths.Lengths()
         self._keepers: dict[str, str] = {}
+        self._renewed_at = clock.now()
+        self._void_until = 0.0
         links.on(messages.Permit, self.answer)
         links.on(messages.Shed, self.answer)
         links.on(messages.NotKeeper, self.answer)
@@ -165,20 +174,13 @@
         self._tell(demand.shard, messages.Withdraw(demand.id, demand.shard))
 
     def dispatched(
-        self, demand: messages.Demand, server: str, answer: answers.Answer
+        self,
+        shard: str,
+        item: messages.Outstanding,
+        answer: answers.Answer | None = None,
     ) -> None:
         """Note that a permission is in use; its lease is renewed from now on."""
-        item = messages.Outstanding(
-            demand.id,
-            demand.service,
-            demand.team,
-            demand.rank,
-            server,
-            demand.prompt_tokens,
-            demand.output_tokens,
-        )
-        shard = self._outstanding.setdefault(demand.shard, {})
-        shard[item.id] = Sent(item, answer)
+        self._outstanding.setdefault(shard, {})[item.id] = Sent(item, answer)
 
     def release(self, message: messages.Release) -> None:
         """Tell the keeper that a dispatched request has ended."""
@@ -210,6 +212,9 @@
         """Renew leases and repeat unanswered demands for ever."""
         while True:
             await asyncio.sleep(self._settings.keeper.renew_seconds)
+            if self._is_late():
+                self._void_until = clock.now() + VOID_SECONDS
+            self._renewed_at = clock.now()
             for shard in list(self._outstanding):
                 self._renew(shard)
             for pending in list(self._pending.values()):
@@ -286,6 +291,13 @@
             # A repeat, or one given before the keeper knew that this server refused a
             # connection. The keeper has been told, or the permit ends by itself.
             return
+        if self._is_late() or clock.now() < self._void_until:
+            # This process was paused. The permit may have lain in the socket for as
+            # long as that, and the callers' disconnections lie there too: taken now,
+            # it would dispatch work that nobody waits for. Ask again instead.
+            replier.send(messages.Withdraw(permit.id, permit.shard))
+            self._tell_again(pending)
+            return
         expires_at = clock.now() + permit.lifetime_ms / 1000.0
         pending.future.set_result(Permission(permit.server, expires_at))
 
@@ -302,6 +314,10 @@
         remaining = int((pending.deadline - clock.now()) * 1000.0)
         return pending.demand._replace(remaining_ms=max(remaining, 0))
 
+    def _is_late(self) -> bool:
+        late = LATE_RENEWALS * self._settings.keeper.renew_seconds
+        return clock.now() - self._renewed_at > late
+
     def _tell_again(self, pending: Pending) -> None:
         if not pending.future.done():
             self._tell(pending.demand.shard, self._now(pending))
--- a/packages/daemon/cassiaquay_daemon/members.py
+++ b/packages/daemon/cassiaquay_daemon/members.py
@@ -75,7 +75,7 @@
             self._incarnation,
             self._settings.domain,
             self.http_address,
-            self._links.address,
+            self._settings.advertised_peer or self._links.address,
             self._sequence,
             self.leaving,
             self._mint(),
@@ -121,6 +121,11 @@
                 return member
         return None
 
+    def is_leaving(self, name: str) -> bool:
+        """Tell whether the instance list shows an instance or server as leaving."""
+        line = self.listed.get(name)
+        return line is not None and line.leaving
+
     def keeper_of(self, shard: str) -> str:
         """Return the instance that should be the keeper of a shard."""
         names = [member.instance for member in self.serving()]
--- a/packages/daemon/cassiaquay_daemon/placement.py
+++ b/packages/daemon/cassiaquay_daemon/placement.py
@@ -16,7 +16,7 @@
 # that comes next does not find a long queue that it cannot pass.
 BACKLOG_SECONDS = 0.15
 # Estimates are never exact; what would end this close to its deadline is not begun.
-MARGIN_FACTOR = 1.1
+MARGIN_FACTOR = 1.3
 MARGIN_SECONDS = 0.05
 # Waiting for a better engine must gain this much, and may not take longer than this.
 CHEAP_TOKENS = 512
@@ -216,6 +216,11 @@
     return max(int(least), 1)
 
 
+def choose(demand: messages.Demand, view: View) -> Choice:
+    """Return what one engine would mean for a demand."""
+    return _choose(demand, demand.prompt_tokens + demand.output_tokens, view, 0.0)
+
+
 def in_time(seconds: float, left: float) -> bool:
     """Tell whether something that is estimated to take so long ends in time."""
     return seconds * MARGIN_FACTOR + MARGIN_SECONDS <= left
--- a/tests/test_keeper.py
+++ b/tests/test_keeper.py
@@ -9,6 +9,7 @@
 from cassiaquay_schema import messages
 
 RENEW = 0.7
+RUNS = messages.Outstanding("runs", "", "", 0, "tutor-1", 40, 20)
 
 
 class Site:
@@ -246,7 +247,7 @@
     async def work() -> None:
         site = Site(keeps=False)
         late = fakes.Owner("cq-2")
-        site.demands.dispatched(fakes.demand("runs"), "tutor-1", answers.Answer())
+        site.demands.dispatched(fakes.SHARD, RUNS, answers.Answer())
         permit = messages.Permit("runs", "tutor-1", 1500, fakes.SHARD)
         site.demands.answer(late, permit)
         assert late.sent == []
@@ -276,7 +277,7 @@
     async def work() -> None:
         site = Site(keeps=False)
         answer = answers.Answer()
-        site.demands.dispatched(fakes.demand("runs"), "tutor-1", answer)
+        site.demands.dispatched(fakes.SHARD, RUNS, answer)
         reporting = asyncio.create_task(site.demands.report())
         await asyncio.sleep(0.07)
         answer.append(b"{}")
