Read the engines' cache events and load reports, spread calls of plain services

Calls of plain services all went to the first server until its slots were full, since their times were not learned and equal servers tied. A new keeper knew no cache, and nobody saw the work of a second keeper behind a partition.

--- a/packages/daemon/cassiaquay_daemon/daemon.py
+++ b/packages/daemon/cassiaquay_daemon/daemon.py
@@ -19,6 +19,7 @@
     configuration,
     demands,
     dependencies,
+    engine_reports,
     gates,
     keeper,
     limit_keepers,
@@ -92,6 +93,9 @@
                 settings, self._peers, self._membership, self._configuration
             ),
         )
+        self._engine_reports = engine_reports.EngineReports(
+            self._http, self._keeper, self._configuration
+        )
         self._dependencies = dependencies.Dependencies(
             settings, self._peers, self._membership, self._keeper
         )
@@ -179,6 +183,7 @@
             self._demands.report(),
             self._limits.renew(),
             self._dependencies.ask(),
+            self._engine_reports.read(),
             self._owner.sweep(),
         ]
 
--- /dev/null
+++ b/packages/daemon/cassiaquay_daemon/engine_reports.py
@@ -0,0 +1,161 @@
+"""What engines tell about themselves: late cache events with gaps, and stale load.
+
+Neither is needed for a right answer. Cache events tell a new keeper what is cached and
+an old one what was dropped; load reports show work that this keeper did not grant,
+such as that of a second keeper behind a partition.
+"""
+
+import asyncio
+import typing
+
+import aiohttp
+import msgspec
+
+from cassiaquay_schema import fleet, registry
+
+from . import clock, configuration, exceptions, keeper, policies, shards
+
+PERIOD_SECONDS = 0.5
+TIMEOUT_SECONDS = 1.0
+
+
+class CacheEvent(msgspec.Struct):
+    """A change of an engine's cache."""
+
+    sequence: int
+    kind: str
+    blocks: list[int]
+
+
+class CacheEvents(msgspec.Struct):
+    """Changes after a number, and the number of the last one published."""
+
+    sequence: int
+    events: list[CacheEvent]
+
+
+class LoadReport(msgspec.Struct):
+    """Requests on an engine, as they were ``age_ms`` ago."""
+
+    age_ms: float
+    running: int
+    waiting: int
+
+
+Body = typing.TypeVar("Body", CacheEvents, LoadReport)
+
+
+class Reader(typing.Protocol):
+    """Reads reports by one protocol of backend servers."""
+
+    def __init__(self, http: aiohttp.ClientSession): ...
+
+    async def events(self, server: fleet.Server, after: int) -> CacheEvents:
+        """Return the cache events after a sequence number."""
+
+    async def load(self, server: fleet.Server) -> LoadReport:
+        """Return the last load report."""
+
+
+readers: registry.Registry[type[Reader]] = registry.Registry("report reader")
+
+
+@readers.register("engine-http")
+class EngineHttp:
+    """Reports of model engines over HTTP."""
+
+    def __init__(self, http: aiohttp.ClientSession):
+        self._http = http
+
+    async def events(self, server: fleet.Server, after: int) -> CacheEvents:
+        """Return the cache events after a sequence number."""
+        path = f"/v1/kv/events?after={after}"
+        return await self._get(server, path, CacheEvents)
+
+    async def load(self, server: fleet.Server) -> LoadReport:
+        """Return the last load report."""
+        return await self._get(server, "/v1/load", LoadReport)
+
+    async def _get(
+        self, server: fleet.Server, path: str, kind: typing.Any
+    ) -> typing.Any:
+        timeout = aiohttp.ClientTimeout(total=TIMEOUT_SECONDS)
+        url = f"http://{server.address}{path}"
+        try:
+            async with self._http.get(url, timeout=timeout) as response:
+                body = await response.read()
+            return msgspec.json.decode(body, type=kind)
+        except (TimeoutError, aiohttp.ClientError, OSError) as error:
+            raise exceptions.BackendError(repr(error)) from error
+        except msgspec.DecodeError as error:
+            raise exceptions.BackendError(str(error)) from error
+
+
+class EngineReports:
+    """Reads the reports of all engines of the shards that are kept here.
+
+    Parameters
+    ----------
+    http : ClientSession
+        Connections to backend servers.
+    kept : Keeper
+        The shards and their policies.
+    configured : Configuration
+        Which protocol the servers of a pool speak.
+    """
+
+    def __init__(
+        self,
+        http: aiohttp.ClientSession,
+        kept: keeper.Keeper,
+        configured: configuration.Configuration,
+    ):
+        self._keeper = kept
+        self._configured = configured
+        self._sequences: dict[str, int] = {}
+        self._readers: dict[str, Reader] = {}
+        for name in readers.names():
+            self._readers[name] = readers.get(name)(http)
+
+    async def read(self) -> None:
+        """Read reports for ever."""
+        while True:
+            await asyncio.sleep(PERIOD_SECONDS)
+            for shard in list(self._keeper.shards.values()):
+                if self._keeper.keeps(shard.name):
+                    await self._read_shard(shard)
+
+    async def _read_shard(self, shard: shards.Shard) -> None:
+        snapshot = self._configured.current
+        pool = shard.name.rpartition("#")[0]
+        if snapshot is None or pool not in snapshot.fleet.pools:
+            return
+        reader = self._readers.get(snapshot.fleet.pools[pool].adapter)
+        if reader is None:
+            return
+        work = [self.read_one(shard, reader, item) for item in shard.open_servers()]
+        await asyncio.gather(*work)
+
+    async def read_one(
+        self, shard: shards.Shard, reader: Reader, server: fleet.Server
+    ) -> None:
+        """Read the reports of one engine."""
+        try:
+            report = await reader.load(server)
+            requests = report.running + report.waiting
+            shard.load(server.name).report(requests, report.age_ms / 1000, clock.now())
+            policy = self._keeper.policy(shard.name)
+            if not isinstance(policy, policies.Caching):
+                return
+            after = self._sequences.get(server.name, 0)
+            found = await reader.events(server, after)
+        except exceptions.BackendError:
+            # No report is no news: the keeper's own counts go on.
+            return
+        if found.sequence < after:
+            # The engine has begun anew, with an empty cache.
+            policy.cache_lost(server.name)
+            found.events = []
+        for event in found.events:
+            policy.cache_changed(server.name, event.kind == "stored", event.blocks)
+        self._sequences[server.name] = found.sequence if found.sequence >= after else 0
--- a/packages/daemon/cassiaquay_daemon/keeper.py
+++ b/packages/daemon/cassiaquay_daemon/keeper.py
@@ -24,8 +24,6 @@
 
 DEFAULT_POLICY = tiered.NAME
 TICK_SECONDS = 0.1
-# A tick that comes this late says that the process was paused.
-PAUSE_SECONDS = 1.0
 # More owners than this are not asked one by one; a new keeper waits for them instead.
 MOST_ASKED = 32
 
@@ -82,6 +80,10 @@
             found = self._keepers[shard] = self._membership.keeper_of(shard)
         return found
 
+    def keeps(self, shard: str) -> bool:
+        """Tell whether this instance should be the keeper of a shard."""
+        return self.keeper_of(shard) == self._settings.instance
+
     def policy(self, shard: str) -> policies.Policy | None:
         """Return the policy of a shard that is kept here."""
         return self._policies.get(shard)
@@ -162,7 +164,9 @@
 
     def _wake(self) -> None:
         now = clock.now()
-        paused = now - self._ticked_at > PAUSE_SECONDS
+        # After so long without a sign of life the others turn to another keeper.
+        patience = self._settings.membership.suspect_after
+        paused = now - self._ticked_at > patience
         self._ticked_at = now
         if not paused:
             return
@@ -232,7 +236,7 @@
         self._wake()
         self._due.discard(name)
         shard = self.shards[name]
-        if self.keeper_of(name) != self._settings.instance:
+        if not self.keeps(name):
             # Handed over: the owners tell the new keeper, nothing is lost here.
             shard.drop_queue()
             return
--- a/packages/daemon/cassiaquay_daemon/loads.py
+++ b/packages/daemon/cassiaquay_daemon/loads.py
@@ -4,6 +4,12 @@
 import collections.abc
 import typing
 
+# Reports come twice a second and may be seconds old.
+KEPT_COUNTS = 16
+# Requests on their way to the server and back are no others' requests.
+REPORT_SLACK_SECONDS = 1.0
+REPORT_HALF_LIFE_SECONDS = 1.0
+
 
 class Prefill(typing.NamedTuple):
     """A prompt that the engine has not read yet, as far as its keeper knows."""
@@ -32,11 +38,21 @@
     expected_seconds: float
 
 
+class Report(typing.NamedTuple):
+    """Requests on a server that this keeper did not grant, and when that was so."""
+
+    foreign: int
+    at: float
+
+
 class Load:
     """Totals of one backend server. No figure is a sum over what is running."""
 
     def __init__(self) -> None:
         self.count = 0
+        self._report = Report(0, float("-inf"))
+        self._counts: collections.deque[tuple[float, int]]
+        self._counts = collections.deque(maxlen=KEPT_COUNTS)
         self.tokens = 0
         self.prefill_tokens = 0
         self._prefills: collections.OrderedDict[str, Prefill]
@@ -75,6 +91,25 @@
         self.prefill_tokens -= prefill.tokens
         self._head_since = max(self._head_since, at)
 
+    def report(self, requests: int, age: float, now: float) -> None:
+        """Take in how many requests the server had ``age`` seconds ago."""
+        self._counts.append((now, self.count))
+        at = now - age
+        around = [
+            count
+            for when, count in self._counts
+            if abs(when - at) <= REPORT_SLACK_SECONDS
+        ]
+        # The most that this keeper had out around then: only what is more than that
+        # is certainly not its own.
+        foreign = max(requests - max(around, default=requests), 0)
+        self._report = Report(foreign, at)
+
+    def foreign(self, now: float) -> int:
+        """Return the requests of others, weighed by the age of the report."""
+        age = max(now - self._report.at, 0.0)
+        return int(self._report.foreign * 0.5 ** (age / REPORT_HALF_LIFE_SECONDS))
+
     def backlog_seconds(self, rate: float, now: float) -> float:
         """Return how long the engine still reads what it has.
 
--- a/packages/daemon/cassiaquay_daemon/placement.py
+++ b/packages/daemon/cassiaquay_daemon/placement.py
@@ -44,6 +44,7 @@
         self._load = shard.load(self.name)
         self._now = now
         self.estimate = engine.speed.estimate(now, not self._load.count)
+        self._foreign = self._load.foreign(now)
         self.backlog = 0.0
         # Held for a more important demand; a lower tier may wait for it, too.
         self.held = False
@@ -55,7 +56,7 @@
         """Whether nothing at all fits now."""
         return (
             self.held
-            or self._load.count >= self.engine.server.slots
+            or self._load.count + self._foreign >= self.engine.server.slots
             or self.backlog > BACKLOG_SECONDS
         )
 
@@ -86,6 +87,15 @@
         """Take in a grant."""
         self.backlog = self._load.backlog_seconds(self.estimate.prefill_rate, self._now)
 
+    @property
+    def crowd_seconds(self) -> float:
+        """What the requests that run there add to the cost, at most one token's time.
+
+        Of servers that are equal otherwise the emptier one is taken.
+        """
+        share = self._load.count / self.engine.server.slots
+        return share * self.estimate.token_seconds
+
     @property
     def turn_seconds(self) -> float:
         """Estimated wait besides the backlog: for those promised, and for a slot."""
@@ -244,7 +254,7 @@
     finish = first + demand.output_tokens * estimate.token_seconds
     # A short prefix is read once on each engine and serves many from then on.
     dear = max(demand.prompt_tokens - cached - CHEAP_TOKENS, 0)
-    cost = finish + pressure * dear / estimate.prefill_rate
+    cost = finish + pressure * dear / estimate.prefill_rate + view.crowd_seconds
     return Choice(view, cached, first, finish, reading, cost, fits)
 
 
--- a/packages/daemon/cassiaquay_daemon/policies.py
+++ b/packages/daemon/cassiaquay_daemon/policies.py
@@ -52,4 +52,15 @@
         """Return what each open server would mean for a demand."""
 
 
+@typing.runtime_checkable
+class Caching(typing.Protocol):
+    """A policy that reckons with the prefix caches of engines."""
+
+    def cache_changed(self, server: str, stored: bool, blocks: list[int]) -> None:
+        """Take in that an engine has stored or dropped blocks a while ago."""
+
+    def cache_lost(self, server: str) -> None:
+        """Take in that an engine's cache is empty."""
+
+
 policies: registry.Registry[type[Policy]] = registry.Registry("policy")
--- a/packages/daemon/cassiaquay_daemon/speeds.py
+++ b/packages/daemon/cassiaquay_daemon/speeds.py
@@ -20,6 +20,7 @@
 # engine reads a long prompt, and an answer begun on the hope that it does not is late.
 SLOWER_WEIGHT = 0.3
 FASTER_WEIGHT = 0.3
+CALL_WEIGHT = 0.1
 # A first event later than this many times the estimate, and later by the slack,
 # shows a queue inside the engine.
 LATE_FACTOR = 2.0
@@ -141,6 +142,15 @@
         if tokens >= 4:
             self._floor = min(self._floor * FLOOR_RISE, sample)
 
+    def served(self, seconds: float) -> None:
+        """Learn from a call of a plain service, whose answer is one unit of output."""
+        if not self._tokens_known:
+            self._tokens_known = True
+            self.token_seconds = self._floor = seconds
+            return
+        self.token_seconds += CALL_WEIGHT * (seconds - self.token_seconds)
+        self._floor = min(self._floor * FLOOR_RISE, seconds)
+
     def stalled(self, seconds: float) -> None:
         """Learn from a stream that has got no token for ``seconds``."""
         if seconds > STALL_SECONDS:
--- a/packages/daemon/cassiaquay_daemon/tiered.py
+++ b/packages/daemon/cassiaquay_daemon/tiered.py
@@ -102,6 +102,24 @@
         if engine is not None:
             engine.index.cancel(demand.blocks)
 
+    # What engines report.
+
+    def cache_changed(self, server: str, stored: bool, blocks: list[int]) -> None:
+        """Take in that an engine has stored or dropped blocks a while ago."""
+        engine = self._engines.get(server)
+        if engine is None:
+            return
+        if stored:
+            engine.index.add(blocks)
+        else:
+            engine.index.remove(blocks)
+
+    def cache_lost(self, server: str) -> None:
+        """Take in that an engine's cache is empty."""
+        engine = self._engines.get(server)
+        if engine is not None:
+            engine.index.clear()
+
     # What the keeper calls.
 
     def learn(self, release: messages.Release) -> None:
@@ -113,6 +131,9 @@
             seconds = (release.total_ms - release.first_ms) / 1000.0
             engine.speed.heard(clock.now())
             engine.speed.generated(release.output_tokens - 1, seconds)
+        elif not release.prompt_tokens:
+            engine.speed.heard(clock.now())
+            engine.speed.served(release.total_ms / 1000.0)
         running = self._shard.running.get(release.id)
         if running is None or running.demand is None or not running.demand.blocks:
             return
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -179,6 +179,30 @@
     assert set(owner.permits().values()) == {server}
 
 
+def test_calls_of_a_plain_service_spread_and_shun_the_slow_server(time) -> None:
+    """Three plain servers, one ten times slower; all calls are one unit of output."""
+    shard = fakes.shard({"a": 8, "b": 8, "slow": 8})
+    policy = fakes.policy(shard)
+    owner = fakes.Owner()
+    seconds = {"a": 0.02, "b": 0.02, "slow": 0.2}
+    for number in range(300):
+        call = fakes.demand(f"{number}", prompt_tokens=0, output_tokens=1)
+        shard.add(call, owner)
+        policy.serve()
+        time.now += 0.005
+        if number < 4:
+            continue
+        request_id, running = next(iter(shard.running.items()))
+        total_ms = seconds[running.server] * 1000.0
+        release = fakes.release(request_id, running.server)
+        release = release._replace(prompt_tokens=0, output_tokens=1, total_ms=total_ms)
+        policy.learn(release)
+        shard.drop(request_id)
+    servers = collections.Counter(owner.permits().values())
+    assert min(servers["a"], servers["b"]) > 80
+    assert servers["slow"] < 40
+
+
 def test_a_prompt_that_is_being_read_is_not_read_twice(time) -> None:
     """A second request of a session comes while its history is being read.
 
