Carry membership by facts and suspicions, and hold back until what is true is known

Cause: each heartbeat repeated 16 members of about 200 bytes to 8 neighbours every 0.3 s, some 85 KB/s a daemon, and aliveness needed a fresh sequence of everybody. A restarted instance served by the first text that it got, also from a stale service; a paused one acted on what was true before the pause; seeds never carried a heartbeat, since their links were kept under another name; an instance that nobody chose as a neighbour heard nothing.

Now: heartbeats carry only news, each fact once over each link, within a budget; whoever is silent is asked for at others before it is suspected; the suspected refutes. Links carry heartbeats both ways. A start or a pause (by the clock that goes on meanwhile) is followed by a renewal: service and neighbours are asked, the highest text is put in force, then grants, dispatches and address answers begin. Tokens are made by whoever answers for addresses and are not spread. Texts are ordered by revision and digest and spread as the changed part. wait_for of Python 3.11 lost a cancellation that came with its result, and a shutdown hung; asyncio.timeout does not.

In keeper.py, shards.py, owner.py and web.py only the checks of the pause and the draining of a removed shard are new.

--- a/packages/daemon/cassiaquay_daemon/daemon.py
+++ b/packages/daemon/cassiaquay_daemon/daemon.py
@@ -21,10 +21,12 @@
     logs,
     members,
     owner,
+    pause,
     peers,
     platform,
     recovery,
     relay,
+    renewal,
     tokens,
     web,
 )
@@ -61,21 +63,29 @@
             trace_configs=[backends.tracing()],
             auto_decompress=False,
         )
+        self._pauses = pause.Pauses(pause.shortest_lease(settings))
         self._peers = peers.Peers(settings, self._incarnation)
         self._configuration = configuration.Configuration(settings, self._peers)
         self._membership = members.Membership(
             settings, self._incarnation, self._peers, self._mint, self._measure
         )
         self._keeper = keeper.Keeper(
-            settings, self._peers, self._membership, self._configuration
+            settings,
+            self._peers,
+            self._membership,
+            self._configuration,
+            self._pauses,
         )
         self._demands = demands.Demands(
             settings, self._peers, self._membership, self._keeper
         )
         self._owner = owner.Owner(
-            settings, self._incarnation, self._http, self._demands
+            settings, self._incarnation, self._http, self._demands, self._pauses
         )
         self._membership.on_heard(self._configuration.heard)
+        self._membership.digest = lambda: self._configuration.digest
+        self._configuration.on_accept(self._membership.update)
+        self._pauses.on_overslept(self._membership.overslept)
 
     async def run(self) -> None:
         """Serve until a signal or a drain, then shut down gracefully."""
@@ -91,6 +101,7 @@
             self._owner,
             relay.Relay(settings, self._http),
             recovery.Recovery(self._http),
+            self._pauses,
         )
         operators = admin.Admin(
             settings,
@@ -126,12 +137,24 @@
         chosen = self._settings.platform
         service = platform.configuration_services.get(chosen.configuration_adapter)
         listing = platform.instance_lists.get(chosen.instances_adapter)
+        instances = listing(self._http, chosen.instances)
+        texts = service(self._http, chosen.configuration)
+        renewing = renewal.Renewal(
+            self._settings,
+            self._pauses,
+            self._peers,
+            self._membership,
+            self._configuration,
+            texts,
+            instances,
+        )
+        renewing.start()
         return [
+            self._pauses.tick(),
+            renewing.run(),
             self._membership.beat(),
-            self._membership.read_list(listing(self._http, chosen.instances)),
-            self._configuration.watch(
-                service(self._http, chosen.configuration), self._membership
-            ),
+            self._membership.read_list(instances),
+            self._configuration.watch(texts, self._membership),
             self._keeper.tick(),
             self._demands.renew(),
             self._owner.sweep(),
--- a/packages/daemon/cassiaquay_daemon/keeper.py
+++ b/packages/daemon/cassiaquay_daemon/keeper.py
@@ -9,7 +9,7 @@
 from cassiaquay_schema import messages
 from cassiaquay_schema import settings as settings_schema
 
-from . import configuration, members, peers, policies, shards
+from . import configuration, members, pause, peers, policies, shards
 
 TICK_SECONDS = 0.1
 
@@ -27,6 +27,8 @@
         Which servers leave.
     configured : Configuration
         The pools.
+    pauses : Pauses, optional
+        Whether this process has just slept through its leases.
     """
 
     def __init__(
@@ -35,6 +37,7 @@
         links: peers.Peers,
         membership: members.Membership,
         configured: configuration.Configuration,
+        pauses: pause.Pauses | None = None,
     ):
         self.shards: dict[str, shards.Shard] = {}
         self._settings = settings
@@ -42,6 +45,8 @@
         self._configured = configured
         self._policies: dict[str, policies.Policy] = {}
         self._due: set[str] = set()
+        self._pauses = pauses or pause.Pauses(pause.shortest_lease(settings))
+        self._pauses.on_overslept(self._overslept)
         links.on(messages.Demand, self.demand)
         links.on(messages.Withdraw, self.withdraw)
         links.on(messages.Release, self.release)
@@ -113,6 +118,10 @@
         if snapshot is None:
             return
         servers = snapshot.shard_servers(shard.name)
+        if not servers:
+            # The shard has gone from the configuration. What waits was accepted under
+            # an earlier one and is served by that one's servers; nothing new comes.
+            return
         shard.servers = {server.name: server for server in servers}
         shard.gone = set()
         for name in shard.servers:
@@ -130,10 +139,16 @@
     def _serve(self, name: str) -> None:
         self._due.discard(name)
         shard = self.shards[name]
-        if not shard.is_open:
+        if not self._pauses.current or not shard.is_open:
             return
         self._policies[name].serve()
 
+    def _overslept(self) -> None:
+        # The leases that owners renewed meanwhile look expired here: the engines
+        # would be taken for idle. Owners tell anew what is out, as to a new keeper.
+        for shard in self.shards.values():
+            shard.reopen()
+
     def _lost(self, link: peers.Link) -> None:
         for shard in self.shards.values():
             shard.drop_owner(link)
--- a/packages/daemon/cassiaquay_daemon/members.py
+++ b/packages/daemon/cassiaquay_daemon/members.py
@@ -1,7 +1,7 @@
-"""Membership: which instances live, from direct heartbeats and the instance list.
+"""Membership: which instances live, who is the keeper of what.
 
 Nothing that must be correct rests on it: a wrong view makes a second keeper or a
-needless relay, never a second dispatch.
+needless relay, never a second dispatch. docs/design/membership.md tells why it is so.
 """
 
 import asyncio
@@ -12,14 +12,32 @@
 from cassiaquay_schema import messages
 from cassiaquay_schema import settings as settings_schema
 
-from . import clock, exceptions, logs, peers, platform, rendezvous
+from . import (
+    clock,
+    exceptions,
+    facts,
+    logs,
+    peers,
+    platform,
+    rendezvous,
+    spread,
+    watching,
+)
 
+# Load is told of when it has moved by this much: enough to spread callers, and rare
+# enough that hundreds of instances do not fill the budget with it.
+LOAD_STEP = 4.0
+LOAD_SHARE = 0.5
+LOAD_SECONDS = 2.0
+# Regions lose each other for an hour; after twice that, what is not listed is gone.
+RETRY_SECONDS = 7200.0
 
-class Known(typing.NamedTuple):
-    """A member and when its newest heartbeat was heard of, on this clock."""
 
-    member: messages.Member
-    heard_at: float
+class _Lost(typing.NamedTuple):
+    """A buried instance: where it was, and since when it is lost."""
+
+    address: str
+    since: float
 
 
 class Membership:
@@ -49,44 +67,85 @@
     ):
         self.leaving = False
         self.http_address = ""
-        self.listed: dict[str, platform.Listed] = {}
+        self.digest: collections.abc.Callable[[], int] = int
+        self.mint = mint
+        self.facts = facts.Facts()
+        self._listed: dict[str, platform.Listed] = {}
         self._settings = settings
         self._incarnation = incarnation
         self._links = links
-        self._mint = mint
         self._measure = measure
-        self._sequence = 0
+        self._started = clock.now()
         self._born = time.time()
-        self._known: dict[str, Known] = {}
+        self._sequence = 0
+        self._number = 0
+        self._load = 0.0
+        self._load_at = clock.now()
+        self._lost: dict[str, _Lost] = {}
+        self._spread = spread.Spread(self.facts, settings.membership.spread_bytes)
+        self._watching = watching.Watching(settings, self.facts, self._send_to)
         self._on_heard: list[
-            collections.abc.Callable[[peers.Link, messages.Member], None]
+            collections.abc.Callable[[peers.Link, messages.Heartbeat], None]
         ] = []
         self._on_change: list[collections.abc.Callable[[], None]] = []
         self._before: set[str] = set()
+        self._serving: list[messages.Member] | None = None
+        self._keepers: dict[str, str] = {}
         links.on(messages.Heartbeat, self._heartbeat)
+        links.on(messages.Suspicion, self._suspicion)
+        links.on(messages.Probe, self._watching.probe)
+        links.on(messages.Heard, self._watching.heard)
+        links.on_down(self._watching.lost)
+
+    @property
+    def listed(self) -> dict[str, platform.Listed]:
+        """The platform's instance list as last read, by name."""
+        return self._listed
+
+    @listed.setter
+    def listed(self, lines: dict[str, platform.Listed]) -> None:
+        self._listed = lines
+        self._changed()
 
     @property
     def me(self) -> messages.Member:
         """What the others are told of this instance."""
+        known = self.facts.records.get(self._settings.instance)
+        return self.update() if known is None else known.member
+
+    def update(self) -> messages.Member:
+        """Look at this instance anew; a fact that differs becomes news."""
         load, revision = self._measure()
-        return messages.Member(
-            self._settings.instance,
+        self._note_load(load)
+        settings = self._settings
+        fact = messages.Member(
+            settings.instance,
             self._incarnation,
-            self._settings.domain,
+            settings.domain,
             self.http_address,
             self._links.address,
             self._sequence,
             self.leaving,
-            self._mint(),
-            load,
-            revision,
+            revision > 0,
+            self._load,
+            clock.now() - self._started,
             self._born,
         )
+        known = self.facts.records.get(settings.instance)
+        if known is not None and known.member == fact._replace(
+            uptime=known.member.uptime
+        ):
+            return known.member
+        self._sequence += 1
+        fact = fact._replace(sequence=self._sequence)
+        self.facts.learn(fact)
+        self._changed()
+        return fact
 
     def on_heard(
-        self, call: collections.abc.Callable[[peers.Link, messages.Member], None]
+        self, call: collections.abc.Callable[[peers.Link, messages.Heartbeat], None]
     ) -> None:
-        """Call ``call`` with each heartbeat's link and sender."""
+        """Call ``call`` with each heartbeat and the link that it came over."""
         self._on_heard.append(call)
 
     def on_change(self, call: collections.abc.Callable[[], None]) -> None:
@@ -94,129 +153,241 @@
         self._on_change.append(call)
 
     def alive(self) -> list[messages.Member]:
-        """Return the members heard of lately, this one included, leaving or not."""
-        horizon = clock.now() - self._settings.membership.suspect_after
+        """Return the members that nobody suspects, this one included."""
         found = [self.me]
-        for known in self._known.values():
-            if known.heard_at >= horizon:
-                found.append(known.member)
+        for name, record in self.facts.records.items():
+            if record.suspected_at is None and name != self._settings.instance:
+                found.append(record.member)
         return found
 
     def serving(self) -> list[messages.Member]:
-        """Return the live members that are not leaving."""
-        found = []
-        for member in self.alive():
-            listed = self.listed.get(member.instance)
-            if member.leaving or (listed is not None and listed.leaving):
-                continue
-            found.append(member)
-        return found
+        """Return the live members that have a configuration and do not leave."""
+        if self._serving is None:
+            found = []
+            for member in self.alive():
+                if member.ready and not self._leaves(member):
+                    found.append(member)
+            self._serving = found
+        return self._serving
 
     def find(self, instance: str) -> messages.Member | None:
         """Return a live member by name."""
-        for member in self.alive():
-            if member.instance == instance:
-                return member
-        return None
+        if instance == self._settings.instance:
+            return self.me
+        record = self.facts.records.get(instance)
+        if record is None or record.suspected_at is not None:
+            return None
+        return record.member
+
+    def uptime(self, instance: str) -> float:
+        """Return the seconds since a known member's start, or a little less."""
+        return self.facts.records[instance].uptime
 
     def keeper_of(self, shard: str) -> str:
         """Return the instance that should be the keeper of a shard."""
-        names = [member.instance for member in self.serving()]
-        return rendezvous.first(shard, names or [self._settings.instance])
+        serving = self.serving()
+        if shard not in self._keepers:
+            names = [member.instance for member in serving]
+            first = rendezvous.first(shard, names or [self._settings.instance])
+            self._keepers[shard] = first
+        return self._keepers[shard]
 
     def link(self, instance: str) -> peers.Link | None:
         """Return a link to a member, dialling when there is none."""
-        known = self._known.get(instance)
+        known = self.facts.records.get(instance)
         if known is None:
             return None
         return self._links.link(instance, known.member.peer)
 
+    def neighbours(self) -> dict[str, str]:
+        """Return the peer addresses of the instances that get heartbeats, by name."""
+        addresses: dict[str, str] = {}
+        for line in self._listed.values():
+            if line.kind == "entry" and line.peer and line.name not in self._lost:
+                addresses[line.name] = line.peer
+        for name, record in self.facts.records.items():
+            if record.suspected_at is None:
+                addresses[name] = record.member.peer
+        addresses.pop(self._settings.instance, None)
+        if not addresses:
+            addresses = {f"{peers.SEED}{seed}": seed for seed in self._settings.seeds}
+        ranked = watching.rank(self._settings.instance, addresses)
+        chosen = ranked[: self._settings.membership.neighbours]
+        return {name: addresses[name] for name in chosen}
+
     async def beat(self) -> None:
         """Send heartbeats for ever."""
         while True:
-            self._sequence += 1
-            self._send()
-            self._notice()
+            self.beat_once()
             await asyncio.sleep(self._settings.membership.period)
 
+    def beat_once(self) -> None:
+        """Send one round of heartbeats and judge who is silent."""
+        self._number += 1
+        self._send()
+        self._watching.judge()
+        for name in self.facts.forget(self._settings.membership.forget_after):
+            logs.event("member_forgotten", member=name)
+        self._notice()
+        self._links.close_idle()
+
     async def read_list(self, source: platform.InstanceList) -> None:
         """Read the platform's instance list for ever."""
         while True:
-            try:
-                lines = await source.read()
-                self.listed = {line.name: line for line in lines}
-                self._notice()
-            except exceptions.PlatformError as error:
-                # The last list stays in use: heartbeats carry membership meanwhile.
-                logs.detail("instance_list_unreadable", cause=str(error))
+            await self.read_list_once(source)
             await asyncio.sleep(self._settings.platform.instances_period)
 
+    async def read_list_once(self, source: platform.InstanceList) -> None:
+        """Read the platform's instance list."""
+        try:
+            lines = await source.read()
+        except exceptions.PlatformError as error:
+            # The last list stays in use: heartbeats carry membership meanwhile.
+            logs.detail("instance_list_unreadable", cause=str(error))
+            return
+        found = {line.name: line for line in lines}
+        if found != self._listed:
+            self.listed = found
+        self._notice()
+
     def farewell(self) -> None:
         """Tell the neighbours at once that this instance leaves."""
         self.leaving = True
-        self._sequence += 1
         self._send()
         self._notice()
 
+    def learn(self, member: messages.Member) -> None:
+        """Take in a fact that a peer told."""
+        if member.instance == self._settings.instance:
+            if member.incarnation != self._incarnation and member.born > self._born:
+                logs.trouble("instance_name_used_twice", by=member.incarnation)
+            return
+        if self.facts.learn(member):
+            self._lost.pop(member.instance, None)
+            self._changed()
+
+    def told(self) -> list[messages.Member]:
+        """Return the facts of all unsuspected members, as they are sent on."""
+        found = []
+        for record in self.facts.records.values():
+            if record.suspected_at is None:
+                found.append(facts.told(record))
+        return found
+
+    def overslept(self) -> None:
+        """Judge nobody by the silence during this process's own pause."""
+        self._watching.restart()
+
     def _send(self) -> None:
-        beat = messages.Heartbeat(self.me, self._gossip())
-        for instance, address in self._neighbours().items():
+        # This instance's own fact is among the records that are spread.
+        self.update()
+        _, revision = self._measure()
+        for link in self._links_to_use():
+            portion = self._spread.portion(link)
+            link.send(
+                messages.Heartbeat(
+                    self._number,
+                    revision,
+                    self.digest(),
+                    portion.members,
+                    portion.suspicions,
+                )
+            )
+
+    def _links_to_use(self) -> list[peers.Link]:
+        found = []
+        chosen = self.neighbours()
+        for instance, address in [*chosen.items(), *self._retry()]:
             link = self._links.link(instance, address)
             if link is not None:
-                link.send(beat)
+                found.append(link)
+        # Whoever chose this instance gets heartbeats back on the same link: else one
+        # that happens to be chosen by nobody would send and never hear anything.
+        for instance, link in self._watching.links.items():
+            if instance not in chosen and not link.closing:
+                found.append(link)
+        return found
 
-    def _neighbours(self) -> dict[str, str]:
-        addresses = {f"seed {seed}": seed for seed in self._settings.seeds}
-        for line in self.listed.values():
-            if line.kind == "entry" and line.peer:
-                addresses[line.name] = line.peer
-        for name, known in self._known.items():
-            addresses[name] = known.member.peer
-        addresses.pop(self._settings.instance, None)
-        if any(not name.startswith("seed ") for name in addresses):
-            seeds = [name for name in addresses if name.startswith("seed ")]
-            for name in seeds:
-                del addresses[name]
-        ranked = rendezvous.rank(self._settings.instance, addresses)
-        chosen = ranked[: self._settings.membership.neighbours]
-        return {name: addresses[name] for name in chosen}
+    def _retry(self) -> list[tuple[str, str]]:
+        # Two sides of a healed partition have buried each other and would both wait:
+        # one buried instance after another is tried again.
+        now = clock.now()
+        for name, record in self.facts.records.items():
+            if record.suspected_at is not None:
+                self._lost[name] = _Lost(record.member.peer, now)
+        for name, lost in list(self._lost.items()):
+            if now - lost.since > RETRY_SECONDS and name not in self._listed:
+                del self._lost[name]
+        if not self._lost:
+            return []
+        names = sorted(self._lost)
+        name = names[self._number % len(names)]
+        return [(name, self._lost[name].address)]
 
-    def _gossip(self) -> list[messages.Member]:
-        freshest = sorted(
-            self._known.values(), key=lambda known: known.heard_at, reverse=True
-        )
-        limit = self._settings.membership.gossip_members
-        return [known.member for known in freshest[:limit]]
+    def _send_to(self, instance: str, message: messages.Message) -> None:
+        link = self.link(instance)
+        if link is not None:
+            link.send(message)
 
     def _heartbeat(self, link: peers.Link, beat: messages.Heartbeat) -> None:
-        self._learn(beat.member)
-        for member in beat.known:
-            self._learn(member)
+        for member in beat.members:
+            self.learn(member)
+        for suspicion in beat.suspicions:
+            self._suspicion(link, suspicion)
+        self._watching.beat(link)
+        doubt = self.facts.suspicion_of(link.instance)
+        if doubt is not None:
+            # It lives and does not know that it is taken for dead here.
+            link.send(doubt)
         for call in self._on_heard:
-            call(link, beat.member)
+            call(link, beat)
         self._notice()
 
-    def _learn(self, member: messages.Member) -> None:
-        if member.instance == self._settings.instance:
+    def _suspicion(self, link: peers.Link, suspicion: messages.Suspicion) -> None:
+        if suspicion.instance != self._settings.instance:
+            if self.facts.suspect(suspicion):
+                self._changed()
             return
-        known = self._known.get(member.instance)
-        if known is not None:
-            old = known.member
-            # An older life, or an older beat of this life, that took a detour says
-            # nothing about now.
-            if (member.born, member.sequence) <= (old.born, old.sequence):
-                return
-        self._known[member.instance] = Known(member, clock.now())
+        if suspicion.born == self._born and suspicion.sequence >= self._sequence:
+            self._sequence = suspicion.sequence
+            self.facts.records.pop(self._settings.instance, None)
+            self.update()
+
+    def _leaves(self, member: messages.Member) -> bool:
+        if member.leaving:
+            return True
+        line = self._listed.get(member.instance)
+        # The list lags: a line with another address is of an earlier life. Where the
+        # list says "leaving" of this life, the platform takes it away soon, whatever
+        # its heartbeats say; being wrong costs a moment's capacity, no request.
+        return line is not None and line.leaving and line.http == member.http
+
+    def _note_load(self, load: float) -> None:
+        now = clock.now()
+        moved = abs(load - self._load)
+        if moved <= LOAD_STEP + LOAD_SHARE * self._load:
+            return
+        if now - self._load_at < LOAD_SECONDS:
+            return
+        self._load = load
+        self._load_at = now
+
+    def _changed(self) -> None:
+        self._serving = None
+        self._keepers.clear()
 
     def _notice(self) -> None:
-        horizon = clock.now() - self._settings.membership.forget_after
-        for name in list(self._known):
-            if self._known[name].heard_at < horizon:
-                del self._known[name]
+        self._watching_changed()
         now = {f"{m.instance}/{m.incarnation}" for m in self.serving()}
         if now == self._before:
             return
-        logs.event("members", serving=sorted(now))
+        come = sorted(now - self._before)
+        gone = sorted(self._before - now)
+        logs.event("members", count=len(now), come=come, gone=gone)
         self._before = now
         for call in self._on_change:
             call()
+
+    def _watching_changed(self) -> None:
+        if self._watching.take_changes():
+            self._changed()
--- a/packages/daemon/cassiaquay_daemon/owner.py
+++ b/packages/daemon/cassiaquay_daemon/owner.py
@@ -21,6 +21,7 @@
     demands,
     exceptions,
     logs,
+    pause,
     prefixes,
     rendezvous,
     requests,
@@ -84,6 +85,8 @@
         Connections to backend servers.
     asked : Demands
         The way to keepers.
+    pauses : Pauses, optional
+        Whether this process has just slept through its leases.
     """
 
     def __init__(
@@ -92,6 +95,7 @@
         incarnation: str,
         http: aiohttp.ClientSession,
         asked: demands.Demands,
+        pauses: pause.Pauses | None = None,
     ):
         self.leaving = False
         self.table: dict[str, Entry] = {}
@@ -99,6 +103,7 @@
         self._incarnation = incarnation
         self._started = clock.now()
         self._demands = asked
+        self._pauses = pauses or pause.Pauses(pause.shortest_lease(settings))
         self._background: set[asyncio.Task[None]] = set()
         self._backends: dict[str, backends.Backend] = {}
         for name in backends.backends.names():
@@ -318,6 +323,8 @@
             # over, or with a caller that has been told "not run": it must not send.
             if entry.ended or entry.state is not State.WAITING:
                 raise exceptions.NotSent("ended meanwhile")
+            if not self._pauses.current:
+                raise exceptions.NotSent("this process was paused")
             if clock.now() >= min(permission.expires_at, entry.deadline):
                 raise exceptions.NotSent("the permit has expired")
             entry.state = State.DISPATCHED
--- a/packages/daemon/cassiaquay_daemon/peers.py
+++ b/packages/daemon/cassiaquay_daemon/peers.py
@@ -15,7 +15,7 @@
 from cassiaquay_schema import messages
 from cassiaquay_schema import settings as settings_schema
 
-from . import exceptions, frames, logs
+from . import clock, exceptions, frames, logs
 
 PROTOCOL_VERSION = 1
 NONCE_BYTES = 16
@@ -24,6 +24,9 @@
 HANDSHAKE_SECONDS = 3.0
 DIAL_SECONDS = 2.0
 REDIAL_SECONDS = 0.2
+# Neighbours and keepers change; a link that nobody asked for in this long is closed.
+IDLE_SECONDS = 30.0
+SEED = "seed "
 READ_BYTES = 65536
 # A peer that does not read (paused, cut off) must not make this process grow: past
 # this many unsent bytes its connection is closed, and state is sent anew on the next.
@@ -111,6 +114,8 @@
         self._dialled: dict[str, Link] = {}
         self._tasks: dict[str, asyncio.Task[None]] = {}
         self._addresses: dict[str, str] = {}
+        self._used_at: dict[str, float] = {}
+        self._failed_at: dict[str, float] = {}
         self._accepted: set[Link] = set()
         self._server: asyncio.Server | None = None
 
@@ -147,6 +152,7 @@
     def link(self, instance: str, address: str) -> Link | None:
         """Return the link dialled to an instance; start dialling when there is none."""
         self._addresses[instance] = address
+        self._used_at[instance] = clock.now()
         link = self._dialled.get(instance)
         if link is not None and not link.closing:
             return link
@@ -155,24 +161,50 @@
             self._tasks[instance] = asyncio.create_task(self._dial(instance))
         return None
 
+    def failed_since(self, instance: str, at: float) -> bool:
+        """Tell whether dialling an instance has failed since a time on this clock."""
+        return self._failed_at.get(instance, at - 1.0) >= at
+
+    def close_idle(self) -> None:
+        """Close the links that were not asked for lately."""
+        horizon = clock.now() - IDLE_SECONDS
+        for instance, used_at in list(self._used_at.items()):
+            if used_at >= horizon:
+                continue
+            del self._used_at[instance]
+            self._addresses.pop(instance, None)
+            self._failed_at.pop(instance, None)
+            task = self._tasks.pop(instance, None)
+            if task is not None:
+                task.cancel()
+
     async def _dial(self, instance: str) -> None:
         host, _, port = self._addresses[instance].rpartition(":")
         try:
-            reader, writer = await asyncio.wait_for(
-                asyncio.open_connection(host, int(port)), DIAL_SECONDS
-            )
+            # Not `wait_for`: in Python 3.11 it loses a cancellation that comes with
+            # its result, and the shutdown would wait for this task for ever.
+            async with asyncio.timeout(DIAL_SECONDS):
+                reader, writer = await asyncio.open_connection(host, int(port))
         except (TimeoutError, OSError, ValueError):
+            self._failed_at[instance] = clock.now()
             await asyncio.sleep(REDIAL_SECONDS)
             return
         link = Link(reader, writer)
         try:
-            await asyncio.wait_for(self._prove(link, True), HANDSHAKE_SECONDS)
+            async with asyncio.timeout(HANDSHAKE_SECONDS):
+                await self._prove(link, True)
+            if link.instance != instance and not instance.startswith(SEED):
+                # Its address belongs to another one now.
+                raise exceptions.ProofFault(f"{link.instance} answers for {instance}")
             self._dialled[link.instance] = link
+            # A seed is asked for by its address, as long as its name is not known.
+            self._dialled[instance] = link
             for call in self._on_up:
                 call(link)
             await self._read(link)
         except (TimeoutError, exceptions.PeerError, OSError) as error:
             logs.detail("peer_lost", peer=instance, cause=repr(error))
+            self._failed_at[instance] = clock.now()
             await asyncio.sleep(REDIAL_SECONDS)
         finally:
             self._close(link)
@@ -183,7 +215,8 @@
         link = Link(reader, writer)
         self._accepted.add(link)
         try:
-            await asyncio.wait_for(self._prove(link, False), HANDSHAKE_SECONDS)
+            async with asyncio.timeout(HANDSHAKE_SECONDS):
+                await self._prove(link, False)
             await self._read(link)
         except exceptions.PeerError as error:
             # Only this connection ends: a faulty peer must not disturb the others.
@@ -215,6 +248,10 @@
         proof = await link.receive_one()
         if not isinstance(proof, messages.Proof):
             raise exceptions.ProofFault("no proof")
+        if hello.instance == settings.instance:
+            # This process itself, by way of a seed, or a second one of its name:
+            # either would be taken for a peer that agrees with everything.
+            raise exceptions.ProofFault("a peer has the name of this instance")
         for key in settings.keys:
             expected = _mac(key, theirs, nonce, hello.nonce, hello.instance)
             if hmac.compare_digest(expected, proof.mac):
@@ -236,8 +273,8 @@
 
     def _close(self, link: Link) -> None:
         link.close()
-        if self._dialled.get(link.instance) is link:
-            del self._dialled[link.instance]
+        for instance in [n for n, one in self._dialled.items() if one is link]:
+            del self._dialled[instance]
         for call in self._on_down:
             call(link)
 
--- a/packages/daemon/cassiaquay_daemon/shards.py
+++ b/packages/daemon/cassiaquay_daemon/shards.py
@@ -75,15 +75,20 @@
         self.running: dict[str, Running] = {}
         self.servers: dict[str, fleet.Server] = {}
         self.gone: set[str] = set()
-        # A new keeper first lets owners tell what is out: granting at once would put
-        # a second load on engines that are full already.
-        self._opens_at = clock.now() + settings.keeper.renew_seconds * 1.5
+        self._opens_at = 0.0
+        self.reopen()
 
     @property
     def is_open(self) -> bool:
         """Whether this keeper may grant yet."""
         return clock.now() >= self._opens_at
 
+    def reopen(self) -> None:
+        """Grant nothing until the owners have told what is out."""
+        # A new keeper that granted at once would put a second load on engines that
+        # are full already.
+        self._opens_at = clock.now() + self.settings.keeper.renew_seconds * 1.5
+
     def add(self, demand: messages.Demand, replier: Replier) -> None:
         """Queue a demand; one that is queued or running already changes nothing."""
         if demand.id in self.running:
--- a/packages/daemon/cassiaquay_daemon/snapshots.py
+++ b/packages/daemon/cassiaquay_daemon/snapshots.py
@@ -43,8 +43,11 @@
         pool, _, number = shard.rpartition("#")
         if pool not in self.fleet.pools:
             return []
+        count = self.shard_count(pool)
+        if int(number) >= count:
+            return []
         servers = sorted(self.fleet.pools[pool].servers, key=_name)
-        return servers[int(number) :: self.shard_count(pool)]
+        return servers[int(number) :: count]
 
     def server(self, pool: str, name: str) -> fleet_schema.Server | None:
         """Return a backend server by name."""
--- /dev/null
+++ b/packages/daemon/cassiaquay_daemon/spread.py
@@ -0,0 +1,70 @@
+"""How facts on members go out: each to each neighbour once, within a budget."""
+
+import typing
+import weakref
+
+from cassiaquay_schema import messages
+
+from . import clock, facts, peers
+
+# Sizes of one fact and one suspicion on the wire, measured and rounded up: the budget
+# needs no encoding of its own.
+MEMBER_BYTES = 130
+SUSPICION_BYTES = 40
+BURST_SECONDS = 8.0
+
+
+class Portion(typing.NamedTuple):
+    """What one heartbeat tells."""
+
+    members: list[messages.Member]
+    suspicions: list[messages.Suspicion]
+
+
+class Spread:
+    """Chooses what to tell over each link.
+
+    Parameters
+    ----------
+    known : Facts
+        What there is to tell.
+    bytes_per_second : int
+        Budget of all links together. Unused budget adds up for some seconds: a
+        failure domain that goes at once is told of at once.
+    """
+
+    def __init__(self, known: facts.Facts, bytes_per_second: int):
+        self._facts = known
+        self._rate = float(bytes_per_second)
+        self._left = self._rate * BURST_SECONDS
+        self._filled_at = clock.now()
+        self._told: weakref.WeakKeyDictionary[peers.Link, int] = (
+            weakref.WeakKeyDictionary()
+        )
+
+    def portion(self, link: peers.Link) -> Portion:
+        """Return what the peer has not been told, as far as the budget goes."""
+        self._fill()
+        portion = Portion([], [])
+        change = self._told.get(link, 0)
+        for record in self._facts.news(change):
+            if self._left <= 0:
+                break
+            change = record.change
+            if record.member.instance == link.instance and not record.suspected_at:
+                continue
+            if record.suspected_at is not None:
+                suspicion = messages.Suspicion(record.member.instance, *record.order)
+                portion.suspicions.append(suspicion)
+                self._left -= SUSPICION_BYTES
+                continue
+            portion.members.append(facts.told(record))
+            self._left -= MEMBER_BYTES
+        self._told[link] = change
+        return portion
+
+    def _fill(self) -> None:
+        now = clock.now()
+        filled = self._left + (now - self._filled_at) * self._rate
+        self._left = min(filled, self._rate * BURST_SECONDS)
+        self._filled_at = now
--- a/packages/daemon/cassiaquay_daemon/web.py
+++ b/packages/daemon/cassiaquay_daemon/web.py
@@ -14,6 +14,7 @@
     exceptions,
     members,
     owner,
+    pause,
     recovery,
     relay,
     requests,
@@ -42,6 +43,8 @@
         The way to other owners.
     recovering : Recovery
         The way to streams of dead owners.
+    pauses : Pauses, optional
+        Whether this instance knows what is true now.
     """
 
     def __init__(
@@ -52,6 +55,7 @@
         owned: owner.Owner,
         passing: relay.Relay,
         recovering: recovery.Recovery,
+        pauses: pause.Pauses | None = None,
     ):
         self._settings = settings
         self._configured = configured
@@ -59,6 +63,7 @@
         self._owner = owned
         self._relay = passing
         self._recovery = recovering
+        self._pauses = pauses or pause.Pauses(pause.shortest_lease(settings))
 
     def application(self) -> applications.Starlette:
         """Return the ASGI application."""
@@ -82,6 +87,9 @@
 
     async def addresses(self, request: web_requests.Request) -> responses.Response:
         """Answer with addresses to use."""
+        # After a pause the others look dead, and the answer would send all callers
+        # here: a moment's wait for fresh news is enough.
+        await self._pauses.wait(self._settings.membership.refresh_seconds)
         domain = request.query_params.get("domain", "")
         found = addresses.answer(self._settings, self._membership, domain)
         return _json(found)
--- a/packages/schema/cassiaquay_schema/messages.py
+++ b/packages/schema/cassiaquay_schema/messages.py
@@ -40,7 +40,7 @@
 
 
 class Member(typing.NamedTuple):
-    """What the sender knows of one instance.
+    """What all instances know of one. A new fact of it has a higher sequence.
 
     Attributes
     ----------
@@ -55,15 +55,15 @@
     peer : str
         host:port for instances.
     sequence : int
-        Grows with each heartbeat of that incarnation.
+        Grows with each new fact that this incarnation tells of itself.
     leaving : bool
         It shuts down gracefully.
-    token : str
-        Token that callers put before their ids.
+    ready : bool
+        It has a configuration and may serve.
     load : float
-        Open requests, for the spread of callers.
-    revision : int
-        Configuration revision in force there.
+        Open requests, coarsely, for the spread of callers.
+    uptime : float
+        Seconds on its own clock since its start, when this was sent on.
     born : float
         Wall-clock second of its start; orders the incarnations of one instance.
     """
@@ -75,37 +75,49 @@
     peer: str
     sequence: int
     leaving: bool
-    token: str
+    ready: bool
     load: float
-    revision: int
+    uptime: float
     born: float
 
 
 class Heartbeat(typing.NamedTuple):
-    """The sender is alive; with it, some of what it knows of others.
+    """The sender is alive; with it, what the receiver has not yet been told of.
 
     Attributes
     ----------
-    member : Member
-        The sender itself.
-    known : list[Member]
-        Bounded number of other members, freshest first.
+    number : int
+        Counts the sender's heartbeats.
+    revision : int
+        Configuration revision in force there.
+    digest : int
+        xxh3-64 of that configuration's text.
+    members : list[Member]
+        New facts, the sender's own among them.
+    suspicions : list[Suspicion]
+        New suspicions.
     """
 
-    member: Member
-    known: list[Member]
+    number: int
+    revision: int
+    digest: int
+    members: list[Member]
+    suspicions: list[Suspicion]
 
 
 class ConfigurationQuery(typing.NamedTuple):
-    """Ask for the configuration when newer than a revision.
+    """Ask for the configuration when newer than what the sender has.
 
     Attributes
     ----------
     revision : int
         Revision that the sender has.
+    digest : int
+        xxh3-64 of its text.
     """
 
     revision: int
+    digest: int
 
 
 class ConfigurationText(typing.NamedTuple):
@@ -309,6 +321,108 @@
     id: str
 
 
+class Suspicion(typing.NamedTuple):
+    """No watcher hears an instance; a fact of it with a higher sequence refutes this.
+
+    Attributes
+    ----------
+    instance : str
+        Name.
+    born : float
+        Start of the suspected incarnation.
+    sequence : int
+        Newest sequence known of it.
+    """
+
+    instance: str
+    born: float
+    sequence: int
+
+
+class Probe(typing.NamedTuple):
+    """Asks whether the receiver hears an instance that the sender no longer hears.
+
+    Attributes
+    ----------
+    instance : str
+        Name.
+    """
+
+    instance: str
+
+
+class Heard(typing.NamedTuple):
+    """Answer to a probe: the sender of this hears that instance directly.
+
+    Attributes
+    ----------
+    instance : str
+        Name.
+    """
+
+    instance: str
+
+
+class Refresh(typing.NamedTuple):
+    """The sender has just started or was paused, and asks what is true now.
+
+    Attributes
+    ----------
+    number : int
+        Names the question; an answer to an older one is too old.
+    """
+
+    number: int
+
+
+class Refreshed(typing.NamedTuple):
+    """Answer to a refresh.
+
+    Attributes
+    ----------
+    number : int
+        Of the question.
+    revision : int
+        Configuration revision in force at the sender.
+    digest : int
+        xxh3-64 of its text.
+    members : list[Member]
+        All members that the sender does not suspect.
+    """
+
+    number: int
+    revision: int
+    digest: int
+    members: list[Member]
+
+
+class ConfigurationChange(typing.NamedTuple):
+    """A configuration text told as one replaced part of the text that the receiver has.
+
+    Attributes
+    ----------
+    revision : int
+        Revision of the platform.
+    digest : int
+        xxh3-64 of the new text.
+    base : int
+        xxh3-64 of the text that is changed.
+    start : int
+        First replaced character.
+    end : int
+        First character after the replaced part.
+    part : str
+        What stands there now.
+    """
+
+    revision: int
+    digest: int
+    base: int
+    start: int
+    end: int
+    part: str
+
+
 Message = (
     Hello
     | Proof
@@ -324,6 +438,12 @@
     | Outstanding
     | Renewal
     | NotKeeper
+    | Suspicion
+    | Probe
+    | Heard
+    | Refresh
+    | Refreshed
+    | ConfigurationChange
 )
 
 BY_CODE: dict[int, type] = {
@@ -341,6 +461,12 @@
     12: Outstanding,
     13: Renewal,
     14: NotKeeper,
+    40: Suspicion,
+    41: Probe,
+    42: Heard,
+    43: Refresh,
+    44: Refreshed,
+    45: ConfigurationChange,
 }
 
 CODES: dict[type, int] = {kind: code for code, kind in BY_CODE.items()}
--- a/packages/schema/cassiaquay_schema/settings.py
+++ b/packages/schema/cassiaquay_schema/settings.py
@@ -45,16 +45,19 @@
     suspect_after : float
         Seconds without news before a member is suspected.
     forget_after : float
-        Seconds without news before a member is taken for dead.
-    gossip_members : int
-        Other members told of in one heartbeat.
+        Seconds after a suspicion before a member is taken for dead.
+    spread_bytes : int
+        Bytes of facts on members told in a second, to all neighbours together.
+    refresh_seconds : float
+        Longest wait for the platform and neighbours at the start and after a pause.
     """
 
     neighbours: typing.Annotated[int, msgspec.Meta(ge=1)] = 8
     period: typing.Annotated[float, msgspec.Meta(gt=0)] = 0.3
     suspect_after: typing.Annotated[float, msgspec.Meta(gt=0)] = 1.5
     forget_after: typing.Annotated[float, msgspec.Meta(gt=0)] = 6.0
-    gossip_members: typing.Annotated[int, msgspec.Meta(ge=0)] = 16
+    spread_bytes: typing.Annotated[int, msgspec.Meta(ge=100)] = 4000
+    refresh_seconds: typing.Annotated[float, msgspec.Meta(gt=0)] = 2.0
 
 
 class Owner(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
