--- a/packages/daemon/cassiaquay_daemon/daemon.py
+++ b/packages/daemon/cassiaquay_daemon/daemon.py
@@ -27,6 +27,7 @@
     recovery,
     relay,
     renewal,
+    reports,
     tokens,
     web,
 )
@@ -34,6 +35,10 @@
 # Callers that asked for addresses just before the shutdown still come for a moment;
 # they are answered with "not run" and another address instead of a refused connection.
 LINGER_SECONDS = 1.0
+# Servers close idle connections, commonly after 5 s. A dispatch written onto one that
+# closes at that moment may have run or not, and its caller gets `outcome_unknown`.
+# Dropping idle connections well before the servers do makes that rare.
+IDLE_CONNECTION_SECONDS = 2.0
 
 
 class _Server(uvicorn.Server):
@@ -59,7 +64,9 @@
         self._stopping = asyncio.Event()
         self._incarnation = tokens.new_incarnation()
         self._http = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0),
+            connector=aiohttp.TCPConnector(
+                limit=0, keepalive_timeout=IDLE_CONNECTION_SECONDS
+            ),
             trace_configs=[backends.tracing()],
             auto_decompress=False,
         )
@@ -94,21 +101,32 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._stopping.set)
         await self._peers.start()
-        callers = web.Web(
-            settings,
+        parts = reports.Parts(
             self._configuration,
             self._membership,
             self._owner,
+            self._keeper,
+            self._peers,
             relay.Relay(settings, self._http),
             recovery.Recovery(self._http),
-            self._pauses,
         )
-        operators = admin.Admin(
+        noted = reports.Reports(settings, parts)
+        callers = web.Web(
             settings,
             self._configuration,
             self._membership,
             self._owner,
-            self._keeper,
+            parts.passing,
+            parts.recovering,
+            self._pauses,
+        )
+        callers.on_refused(noted.refused)
+        operators = admin.Admin(
+            settings,
+            self._incarnation,
+            parts,
+            noted,
+            self._http,
             self._stopping.set,
         )
         callers_server, callers_socket = self._server(
@@ -118,7 +136,9 @@
             operators.application(), settings.admin_port
         )
         self._membership.http_address = _address(callers_socket)
+        self._membership.admin_address = _address(admin_socket)
         tasks = [asyncio.create_task(work) for work in self._work()]
+        tasks.append(asyncio.create_task(noted.watch_lag()))
         serving = [
             asyncio.create_task(callers_server.serve([callers_socket])),
             asyncio.create_task(admin_server.serve([admin_socket])),
--- a/packages/daemon/cassiaquay_daemon/facts.py
+++ b/packages/daemon/cassiaquay_daemon/facts.py
@@ -95,6 +95,13 @@
             return messages.Suspicion(instance, *buried[0])
         return None
 
+    def note_revision(self, instance: str, revision: int) -> None:
+        """Note a configuration revision; it is no news that spreads."""
+        known = self._records.get(instance)
+        if known is not None and known.member.revision and revision:
+            member = known.member._replace(revision=revision)
+            self._records[instance] = known._replace(member=member)
+
     def forget(self, seconds: float) -> list[str]:
         """Bury those suspected for ``seconds``; return their names."""
         now = clock.now()
--- a/packages/daemon/cassiaquay_daemon/members.py
+++ b/packages/daemon/cassiaquay_daemon/members.py
@@ -70,6 +70,7 @@
         self.digest: collections.abc.Callable[[], int] = int
         self.mint = mint
         self.facts = facts.Facts()
+        self.admin_address = ""
         self._listed: dict[str, platform.Listed] = {}
         self._settings = settings
         self._incarnation = incarnation
@@ -110,8 +111,7 @@
     @property
     def me(self) -> messages.Member:
         """What the others are told of this instance."""
-        known = self.facts.records.get(self._settings.instance)
-        return self.update() if known is None else known.member
+        return self.update()
 
     def update(self) -> messages.Member:
         """Look at this instance anew; a fact that differs becomes news."""
@@ -126,16 +126,15 @@
             self._links.address,
             self._sequence,
             self.leaving,
-            revision > 0,
             self._load,
-            clock.now() - self._started,
+            revision,
             self._born,
+            self.admin_address,
+            clock.now() - self._started,
         )
         known = self.facts.records.get(settings.instance)
-        if known is not None and known.member == fact._replace(
-            uptime=known.member.uptime
-        ):
-            return known.member
+        if known is not None and _same(known.member, fact):
+            return fact
         self._sequence += 1
         fact = fact._replace(sequence=self._sequence)
         self.facts.learn(fact)
@@ -165,7 +164,7 @@
         if self._serving is None:
             found = []
             for member in self.alive():
-                if member.ready and not self._leaves(member):
+                if member.revision and not self._leaves(member):
                     found.append(member)
             self._serving = found
         return self._serving
@@ -335,6 +334,7 @@
         for suspicion in beat.suspicions:
             self._suspicion(link, suspicion)
         self._watching.beat(link)
+        self.facts.note_revision(link.instance, beat.revision)
         doubt = self.facts.suspicion_of(link.instance)
         if doubt is not None:
             # It lives and does not know that it is taken for dead here.
@@ -391,3 +391,11 @@
     def _watching_changed(self) -> None:
         if self._watching.take_changes():
             self._changed()
+
+
+def _same(one: messages.Member, other: messages.Member) -> bool:
+    # The revision travels with heartbeats: told of as a fact, each change of the
+    # configuration would make one of every instance.
+    if bool(one.revision) != bool(other.revision):
+        return False
+    return one == other._replace(uptime=one.uptime, revision=one.revision)
--- a/packages/dev/cassiaquay_dev/driver.py
+++ b/packages/dev/cassiaquay_dev/driver.py
@@ -66,9 +66,13 @@
             await asyncio.sleep(max(start + arrival.at - loop.time(), 0.0))
             tasks.append(asyncio.create_task(self._send(arrival)))
         await asyncio.gather(*tasks)
+        await self.close()
+        return self.results
+
+    async def close(self) -> None:
+        """Close the sessions, also after a run that was cancelled."""
         for session in self._sessions.values():
             await session.close()
-        return self.results
 
     def _session(self, arrival: workloads.Arrival) -> cassiaquay.Session:
         team = arrival.team
@@ -92,7 +96,7 @@
         except cassiaquay.exceptions.CassiaquayError as error:
             code = error.code
             request_id = error.request_id
-            outcome = _outcome(error)
+            outcome = outcome_of(error)
         elapsed = loop.time() - start
         self.results.append(Result(arrival, outcome, code, request_id, elapsed, text))
 
@@ -117,7 +121,8 @@
         )
 
 
-def _outcome(error: cassiaquay.exceptions.CassiaquayError) -> str:
+def outcome_of(error: cassiaquay.exceptions.CassiaquayError) -> str:
+    """Return the outcome that an error stands for."""
     if isinstance(error, cassiaquay.exceptions.NotRun):
         return "not_run"
     if isinstance(error, cassiaquay.exceptions.Failed):
--- a/packages/schema/cassiaquay_schema/messages.py
+++ b/packages/schema/cassiaquay_schema/messages.py
@@ -58,14 +58,16 @@
         Grows with each new fact that this incarnation tells of itself.
     leaving : bool
         It shuts down gracefully.
-    ready : bool
-        It has a configuration and may serve.
     load : float
         Open requests, coarsely, for the spread of callers.
-    uptime : float
-        Seconds on its own clock since its start, when this was sent on.
+    revision : int
+        Configuration revision in force there when this was told; 0 before it may serve.
     born : float
         Wall-clock second of its start; orders the incarnations of one instance.
+    admin : str
+        host:port for operators.
+    uptime : float
+        Seconds on its own clock since its start, when this was sent on.
     """
 
     instance: str
@@ -75,10 +77,11 @@
     peer: str
     sequence: int
     leaving: bool
-    ready: bool
     load: float
-    uptime: float
+    revision: int
     born: float
+    admin: str
+    uptime: float
 
 
 class Heartbeat(typing.NamedTuple):
