Bring engines to the configuration by orders of each shard's keeper

Desired models, versions, adapters and roles are a function of the configuration; the fencing number is its revision. Every keeper that reads the engines' own state comes to the same list of engines that may load next, so a model's minimum and the number of loads at a time hold over all shards without a coordinator. An engine gets no new work from its keeper, and is empty, before it loads. The right to order is checked right before sending; what an engine that ignores the number obeyed nevertheless is read and put right. In keeper.py only the set of draining engines is new.

--- a/packages/daemon/cassiaquay_daemon/daemon.py
+++ b/packages/daemon/cassiaquay_daemon/daemon.py
@@ -24,6 +24,7 @@
     pause,
     peers,
     platform,
+    reconciler,
     recovery,
     relay,
     renewal,
@@ -176,6 +177,14 @@
             self._membership.read_list(instances),
             self._configuration.watch(texts, self._membership),
             self._keeper.tick(),
+            reconciler.Reconciler(
+                self._settings,
+                self._http,
+                self._membership,
+                self._configuration,
+                self._keeper,
+                self._pauses,
+            ).run(),
             self._demands.renew(),
             self._owner.sweep(),
         ]
--- a/packages/daemon/cassiaquay_daemon/exceptions.py
+++ b/packages/daemon/cassiaquay_daemon/exceptions.py
@@ -73,6 +73,12 @@
     code = "backend_missing"
 
 
+class OutrankedOrder(BackendError):
+    """The engine has obeyed an order with a higher fencing number."""
+
+    code = "order_outranked"
+
+
 class Refusal(DaemonError):
     """A request ends here, with an answer that the caller can rely on.
 
--- a/packages/daemon/cassiaquay_daemon/keeper.py
+++ b/packages/daemon/cassiaquay_daemon/keeper.py
@@ -40,6 +40,8 @@
         pauses: pause.Pauses | None = None,
     ):
         self.shards: dict[str, shards.Shard] = {}
+        # Engines that are about to be loaded or do not have their model yet.
+        self.draining: set[str] = set()
         self._settings = settings
         self._membership = membership
         self._configured = configured
@@ -123,7 +125,7 @@
             # an earlier one and is served by that one's servers; nothing new comes.
             return
         shard.servers = {server.name: server for server in servers}
-        shard.gone = set()
+        shard.gone = self.draining.intersection(shard.servers)
         for name in shard.servers:
             line = self._membership.listed.get(name)
             if line is not None and line.leaving:
--- a/packages/schema/cassiaquay_schema/settings.py
+++ b/packages/schema/cassiaquay_schema/settings.py
@@ -120,6 +120,27 @@
     start_tokens: typing.Annotated[int, msgspec.Meta(ge=1)] = 8000
 
 
+class Orders(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """Orders to engines.
+
+    Attributes
+    ----------
+    period : float
+        Seconds between two looks at the engines.
+    loads_at_once : int
+        Loads of one model at a time in the whole fleet.
+    drain_seconds : float
+        Longest wait for an engine's requests before a load is ordered.
+    repeat_seconds : float
+        Seconds until an order without effect is repeated; longer than a load.
+    """
+
+    period: typing.Annotated[float, msgspec.Meta(gt=0)] = 1.0
+    loads_at_once: typing.Annotated[int, msgspec.Meta(ge=1)] = 2
+    drain_seconds: typing.Annotated[float, msgspec.Meta(ge=0)] = 60.0
+    repeat_seconds: typing.Annotated[float, msgspec.Meta(gt=0)] = 120.0
+
+
 class Logs(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
     """Log lines.
 
@@ -187,6 +208,8 @@
         Requests.
     keeper : Keeper
         Admission.
+    orders : Orders
+        Orders to engines.
     logs : Logs
         Logs.
     reports : Reports
@@ -210,6 +233,7 @@
     membership: Membership = msgspec.field(default_factory=Membership)
     owner: Owner = msgspec.field(default_factory=Owner)
     keeper: Keeper = msgspec.field(default_factory=Keeper)
+    orders: Orders = msgspec.field(default_factory=Orders)
     logs: Logs = msgspec.field(default_factory=Logs)
     reports: Reports = msgspec.field(default_factory=Reports)
     operators: list[str] = msgspec.field(default_factory=list)
