--- a/packages/daemon/cassiaquay_daemon/facts.py
+++ b/packages/daemon/cassiaquay_daemon/facts.py
@@ -7,6 +7,8 @@
 
 import typing
 
+import xxhash
+
 from cassiaquay_schema import messages
 
 from . import clock
@@ -50,10 +52,14 @@
 
 
 class Facts:
-    """All records, the one changed last at the end."""
+    """All records, the one changed last at the end.
+
+    ``changes`` counts their changes; ``digest`` is the same wherever the same is known.
+    """
 
     def __init__(self) -> None:
         self.changes = 0
+        self.digest = 0
         self._records: dict[str, Record] = {}
         self._tombstones: dict[str, tuple[Order, float]] = {}
 
@@ -110,6 +116,7 @@
             if record.suspected_at is None or now - record.suspected_at < seconds:
                 continue
             del self._records[name]
+            self.digest ^= _mark(record)
             self._tombstones[name] = (record.order, now)
             dead.append(name)
         for name, (_, at) in list(self._tombstones.items()):
@@ -129,7 +136,10 @@
 
     def _put(self, record: Record) -> None:
         self.changes += 1
-        self._records.pop(record.member.instance, None)
+        old = self._records.pop(record.member.instance, None)
+        if old is not None:
+            self.digest ^= _mark(old)
+        self.digest ^= _mark(record)
         self._records[record.member.instance] = record._replace(change=self.changes)
 
 
@@ -140,3 +150,8 @@
     give tokens that expired an hour ago.
     """
     return record.member._replace(uptime=record.uptime)
+
+
+def _mark(record: Record) -> int:
+    state = (record.member.instance, record.order, record.suspected_at is not None)
+    return xxhash.xxh3_64_intdigest(repr(state).encode())
--- a/packages/daemon/cassiaquay_daemon/members.py
+++ b/packages/daemon/cassiaquay_daemon/members.py
@@ -83,7 +83,9 @@
         self._load = 0.0
         self._load_at = clock.now()
         self._lost: dict[str, _Lost] = {}
-        self._spread = spread.Spread(self.facts, settings.membership.spread_bytes)
+        self._spread = spread.Spread(
+            settings.instance, self.facts, settings.membership.spread_bytes
+        )
         self._watching = watching.Watching(settings, self.facts, self._send_to)
         self._on_heard: list[
             collections.abc.Callable[[peers.Link, messages.Heartbeat], None]
@@ -91,6 +93,8 @@
         self._on_change: list[collections.abc.Callable[[], None]] = []
         self._before: set[str] = set()
         self._serving: list[messages.Member] | None = None
+        self._neighbours: dict[str, str] | None = None
+        self._unnoticed = True
         self._keepers: dict[str, str] = {}
         links.on(messages.Heartbeat, self._heartbeat)
         links.on(messages.Suspicion, self._suspicion)
@@ -113,8 +117,8 @@
         """What the others are told of this instance."""
         return self.update()
 
-    def update(self) -> messages.Member:
-        """Look at this instance anew; a fact that differs becomes news."""
+    def update(self, again: bool = False) -> messages.Member:
+        """Look at this instance anew; a fact that differs, or ``again``, is news."""
         load, revision = self._measure()
         self._note_load(load)
         settings = self._settings
@@ -133,7 +137,7 @@
             clock.now() - self._started,
         )
         known = self.facts.records.get(settings.instance)
-        if known is not None and _same(known.member, fact):
+        if known is not None and not again and _same(known.member, fact):
             return fact
         self._sequence += 1
         fact = fact._replace(sequence=self._sequence)
@@ -200,19 +204,9 @@
 
     def neighbours(self) -> dict[str, str]:
         """Return the peer addresses of the instances that get heartbeats, by name."""
-        addresses: dict[str, str] = {}
-        for line in self._listed.values():
-            if line.kind == "entry" and line.peer and line.name not in self._lost:
-                addresses[line.name] = line.peer
-        for name, record in self.facts.records.items():
-            if record.suspected_at is None:
-                addresses[name] = record.member.peer
-        addresses.pop(self._settings.instance, None)
-        if not addresses:
-            addresses = {f"{peers.SEED}{seed}": seed for seed in self._settings.seeds}
-        ranked = watching.rank(self._settings.instance, addresses)
-        chosen = ranked[: self._settings.membership.neighbours]
-        return {name: addresses[name] for name in chosen}
+        if self._neighbours is None:
+            self._neighbours = self._choose()
+        return self._neighbours
 
     async def beat(self) -> None:
         """Send heartbeats for ever."""
@@ -290,9 +284,25 @@
                     self.digest(),
                     portion.members,
                     portion.suspicions,
+                    self.facts.digest,
                 )
             )
 
+    def _choose(self) -> dict[str, str]:
+        addresses: dict[str, str] = {}
+        for line in self._listed.values():
+            if line.kind == "entry" and line.peer and line.name not in self._lost:
+                addresses[line.name] = line.peer
+        for name, record in self.facts.records.items():
+            if record.suspected_at is None:
+                addresses[name] = record.member.peer
+        addresses.pop(self._settings.instance, None)
+        if not addresses:
+            addresses = {f"{peers.SEED}{seed}": seed for seed in self._settings.seeds}
+        ranked = watching.rank(self._settings.instance, addresses)
+        chosen = ranked[: self._settings.membership.neighbours]
+        return {name: addresses[name] for name in chosen}
+
     def _links_to_use(self) -> list[peers.Link]:
         found = []
         chosen = self.neighbours()
@@ -313,6 +323,8 @@
         now = clock.now()
         for name, record in self.facts.records.items():
             if record.suspected_at is not None:
+                if name not in self._lost:
+                    self._neighbours = None
                 self._lost[name] = _Lost(record.member.peer, now)
         for name, lost in list(self._lost.items()):
             if now - lost.since > RETRY_SECONDS and name not in self._listed:
@@ -333,6 +345,7 @@
             self.learn(member)
         for suspicion in beat.suspicions:
             self._suspicion(link, suspicion)
+        self._spread.compare(link.instance, beat.table)
         self._watching.beat(link)
         self.facts.note_revision(link.instance, beat.revision)
         doubt = self.facts.suspicion_of(link.instance)
@@ -350,8 +363,7 @@
             return
         if suspicion.born == self._born and suspicion.sequence >= self._sequence:
             self._sequence = suspicion.sequence
-            self.facts.records.pop(self._settings.instance, None)
-            self.update()
+            self.update(again=True)
 
     def _leaves(self, member: messages.Member) -> bool:
         if member.leaving:
@@ -374,10 +386,18 @@
 
     def _changed(self) -> None:
         self._serving = None
+        self._neighbours = None
+        self._unnoticed = True
         self._keepers.clear()
 
     def _notice(self) -> None:
-        self._watching_changed()
+        if self._watching.take_changes():
+            self._changed()
+        if not self._unnoticed:
+            # Nothing has changed since the last look; with hundreds of members and
+            # dozens of heartbeats a second, looking again would cost too much.
+            return
+        self._unnoticed = False
         now = {f"{m.instance}/{m.incarnation}" for m in self.serving()}
         if now == self._before:
             return
@@ -388,10 +408,6 @@
         for call in self._on_change:
             call()
 
-    def _watching_changed(self) -> None:
-        if self._watching.take_changes():
-            self._changed()
-
 
 def _same(one: messages.Member, other: messages.Member) -> bool:
     # The revision travels with heartbeats: told of as a fact, each change of the
--- a/packages/daemon/cassiaquay_daemon/spread.py
+++ b/packages/daemon/cassiaquay_daemon/spread.py
@@ -26,6 +26,8 @@
 
     Parameters
     ----------
+    instance : str
+        Name of this instance.
     known : Facts
         What there is to tell.
     bytes_per_second : int
@@ -33,12 +35,13 @@
         failure domain that goes at once is told of at once.
     """
 
-    def __init__(self, known: facts.Facts, bytes_per_second: int):
+    def __init__(self, instance: str, known: facts.Facts, bytes_per_second: int):
+        self._instance = instance
         self._facts = known
         self._rate = float(bytes_per_second)
         self._left = self._rate * BURST_SECONDS
         self._filled_at = clock.now()
-        self._told: weakref.WeakKeyDictionary[peers.Link, int] = (
+        self._told: weakref.WeakKeyDictionary[peers.Link, int | None] = (
             weakref.WeakKeyDictionary()
         )
 
@@ -46,7 +49,14 @@
         """Return what the peer has not been told, as far as the budget goes."""
         self._fill()
         portion = Portion([], [])
-        change = self._told.get(link, 0)
+        change = self._told.setdefault(link, None)
+        if change is None:
+            # Most often the peer knows all that is known here; its first heartbeat
+            # will tell. Until then it is told who speaks.
+            own = self._facts.records.get(self._instance)
+            if own is not None:
+                portion.members.append(facts.told(own))
+            return portion
         for record in self._facts.news(change):
             if self._left <= 0:
                 break
@@ -63,6 +73,17 @@
         self._told[link] = change
         return portion
 
+    def compare(self, instance: str, digest: int) -> None:
+        """Take in the digest of all that another instance knows."""
+        same = digest == self._facts.digest
+        for link, change in self._told.items():
+            if link.instance != instance:
+                continue
+            if same:
+                self._told[link] = self._facts.changes
+            elif change is None:
+                self._told[link] = 0
+
     def _fill(self) -> None:
         now = clock.now()
         filled = self._left + (now - self._filled_at) * self._rate
--- a/packages/schema/cassiaquay_schema/messages.py
+++ b/packages/schema/cassiaquay_schema/messages.py
@@ -99,6 +99,8 @@
         New facts, the sender's own among them.
     suspicions : list[Suspicion]
         New suspicions.
+    table : int
+        Digest of all facts and suspicions that the sender has.
     """
 
     number: int
@@ -106,6 +108,7 @@
     digest: int
     members: list[Member]
     suspicions: list[Suspicion]
+    table: int
 
 
 class ConfigurationQuery(typing.NamedTuple):
