--- a/packages/dev/cassiaquay_dev/light.py
+++ b/packages/dev/cassiaquay_dev/light.py
@@ -93,6 +93,12 @@
             if link.instance == instance:
                 link.close()
 
+    @property
+    def sent_bytes(self) -> int:
+        """Bytes of all frames sent so far."""
+        links = {*self._accepted, *self._dialled.values()}
+        return self.closed_sent_bytes + sum(link.sent_bytes for link in links)
+
     async def _prove(self, link: peers.Link, dialled: bool) -> None:
         await super()._prove(link, dialled)
         if link.instance in self.cut:
@@ -160,6 +166,10 @@
         """Listen, and begin as a daemon does."""
         await self.peers.start()
         self.membership.http_address = f"{self.name}:80"
+        self.begin()
+
+    def begin(self) -> None:
+        """Begin as a daemon does that listens already."""
         self.renewal.start()
         for work in (
             self.pauses.tick(),
