--- a/packages/daemon/cassiaquay_daemon/daemon.py
+++ b/packages/daemon/cassiaquay_daemon/daemon.py
@@ -88,8 +88,9 @@
             settings, self._peers, self._membership, self._keeper
         )
         self._owner = owner.Owner(
-            settings, self._incarnation, self._http, self._demands, self._pauses
+            settings, self._incarnation, self._http, self._demands
         )
+        self._owner.pauses = self._pauses
         self._membership.on_heard(self._configuration.heard)
         self._membership.digest = lambda: self._configuration.digest
         self._configuration.on_accept(self._membership.update)
@@ -186,6 +187,7 @@
                 self._pauses,
             ).run(),
             self._demands.renew(),
+            self._demands.report(),
             self._owner.sweep(),
         ]
 
--- a/packages/daemon/cassiaquay_daemon/owner.py
+++ b/packages/daemon/cassiaquay_daemon/owner.py
@@ -58,7 +58,8 @@
         self.answer = answers.Answer()
         self.refusal: exceptions.Refusal | None = None
         self.state = State.WAITING
-        self.deadline = clock.now() + accepted.deadline_seconds
+        self.accepted_at = clock.now()
+        self.deadline = self.accepted_at + accepted.deadline_seconds
         self.ended_at = 0.0
         self.server = ""
         self.shard = ""
@@ -73,11 +74,6 @@
         """Whether the outcome is final."""
         return self.answer.final is not None
 
-    @property
-    def accepted_at(self) -> float:
-        """Second of acceptance on this clock."""
-        return self.deadline - self.accepted.deadline_seconds
-
 
 class Owner:
     """Accepts, dispatches and answers the requests whose ids name this incarnation.
@@ -92,8 +88,6 @@
         Connections to backend servers.
     asked : Demands
         The way to keepers.
-    pauses : Pauses, optional
-        Whether this process has just slept through its leases.
     """
 
     def __init__(
@@ -102,7 +96,6 @@
         incarnation: str,
         http: aiohttp.ClientSession,
         asked: demands.Demands,
-        pauses: pause.Pauses | None = None,
     ):
         self.leaving = False
         self.table: dict[str, Entry] = {}
@@ -110,7 +103,7 @@
         self._incarnation = incarnation
         self._started = clock.now()
         self._demands = asked
-        self._pauses = pauses or pause.Pauses(pause.shortest_lease(settings))
+        self.pauses = pause.Pauses(pause.shortest_lease(settings))
         self._background: set[asyncio.Task[None]] = set()
         self._on_ended: list[collections.abc.Callable[[Entry], None]] = []
         self._on_wasted: list[collections.abc.Callable[[int], None]] = []
@@ -344,12 +337,10 @@
         def before_sending() -> None:
             # A process that was paused wakes up here with a permit that is long
             # over, or with a caller that has been told "not run": it must not send.
-            if entry.ended or entry.state is not State.WAITING:
-                raise exceptions.NotSent("ended meanwhile")
-            if not self._pauses.current:
-                raise exceptions.NotSent("this process was paused")
-            if clock.now() >= min(permission.expires_at, entry.deadline):
-                raise exceptions.NotSent("the permit has expired")
+            end = min(permission.expires_at, entry.deadline)
+            over = clock.now() >= end or not self.pauses.current
+            if over or entry.ended or entry.state is not State.WAITING:
+                raise exceptions.NotSent("ended, expired or paused meanwhile")
             entry.state = State.DISPATCHED
             entry.server = server.name
             logs.event(
@@ -370,6 +361,7 @@
                     demand.prompt_tokens,
                     demand.output_tokens,
                 ),
+                entry.answer,
             )
 
         figures = backends.Figures(accepted.prompt_tokens, 0, 0)
--- a/packages/dev/cassiaquay_dev/measure_fleet.py
+++ b/packages/dev/cassiaquay_dev/measure_fleet.py
@@ -171,7 +171,8 @@
     seconds = time.monotonic() - start
 
     def spent(key: str) -> float:
-        return sum(one[key] for one in last) - sum(one[key] for one in first)
+        grown = [new[key] - old[key] for old, new in zip(first, last, strict=True)]
+        return float(sum(grown))
 
     grown = sum(one["peak_kib"] for one in last) - sum(
         one["peak_kib"] for one in before
--- a/tests/test_pause.py
+++ b/tests/test_pause.py
@@ -69,7 +69,8 @@
     """A caller's request is not put on an engine that others have filled meanwhile.
 
     The keeper sleeps through all leases and wakes up with a demand in its hands. It
-    grants after the renewal and after the owners could tell what is out.
+    drops that, which its owner has long told elsewhere, and grants what the owner
+    tells again only after the renewal and after the owners could tell what is out.
     """
 
     async def run() -> None:
@@ -86,6 +87,7 @@
         assert len(owning.messages) == 1
         pauses.renewed()
         assert not kept.shards["plain#0"].is_open
+        kept.demand(owning, _demand(2))
         await light.until(lambda: len(owning.messages) == 2, 10)
         task.cancel()
 
@@ -145,7 +147,8 @@
         )
         asked = _Granting(SETTINGS, links, membership, kept)
         async with aiohttp.ClientSession() as http:
-            owned = owner.Owner(SETTINGS, "a" * 12, http, asked, pauses)
+            owned = owner.Owner(SETTINGS, "a" * 12, http, asked)
+            owned.pauses = pauses
             configured = configuration.Configuration(SETTINGS, links)
             text = fleets.text(1).replace("plain-http", "noting")
             configured.accept(1, text)
