--- a/packages/daemon/cassiaquay_daemon/daemon.py
+++ b/packages/daemon/cassiaquay_daemon/daemon.py
@@ -13,6 +13,7 @@
 from cassiaquay_schema import settings as settings_schema
 
 from . import (
+    addresses,
     admin,
     backends,
     configuration,
@@ -88,9 +89,14 @@
             settings, self._peers, self._membership, self._keeper
         )
         self._owner = owner.Owner(
-            settings, self._incarnation, self._http, self._demands
+            settings,
+            self._incarnation,
+            self._http,
+            self._demands,
+            self._membership.is_leaving,
+            self._better_address,
         )
-        self._owner.pauses = self._pauses
+        self._owner.heed(self._pauses)
         self._membership.on_heard(self._configuration.heard)
         self._membership.digest = lambda: self._configuration.digest
         self._configuration.on_accept(self._membership.update)
@@ -109,7 +115,7 @@
             self._owner,
             self._keeper,
             self._peers,
-            relay.Relay(settings, self._http),
+            relay.Relay(settings, self._http, self._membership.find),
             recovery.Recovery(self._http),
         )
         noted = reports.Reports(settings, parts)
@@ -220,6 +226,15 @@
         bound = socket.create_server((self._settings.host, port), backlog=512)
         return _Server(config), bound
 
+    def _better_address(self) -> str:
+        chosen = addresses.answer(
+            self._settings, self._membership, self._settings.domain
+        )
+        for one in chosen["addresses"]:
+            if one["instance"] != self._settings.instance:
+                return one["address"]
+        return ""
+
     def _mint(self) -> str:
         return self._owner.mint()
 
--- a/packages/daemon/cassiaquay_daemon/demands.py
+++ b/packages/daemon/cassiaquay_daemon/demands.py
@@ -28,6 +28,12 @@
 PROGRESS_SECONDS = 0.02
 
 
+# Renewals that must have been missed before a pause is concluded, and how long after
+# it permits are not taken: enough for all that lay in the sockets to be read.
+LATE_RENEWALS = 3.0
+VOID_SECONDS = 0.2
+
+
 class Permission(typing.NamedTuple):
     """A permit as its owner holds it.
 
@@ -139,6 +145,8 @@
         self._outstanding: dict[str, dict[str, Sent]] = {}
         self._lengths = lengths.Lengths()
         self._keepers: dict[str, str] = {}
+        self._renewed_at = clock.now()
+        self._void_until = 0.0
         links.on(messages.Permit, self.answer)
         links.on(messages.Shed, self.answer)
         links.on(messages.NotKeeper, self.answer)
@@ -204,6 +212,9 @@
         """Renew leases and repeat unanswered demands for ever."""
         while True:
             await asyncio.sleep(self._settings.keeper.renew_seconds)
+            if self._is_late():
+                self._void_until = clock.now() + VOID_SECONDS
+            self._renewed_at = clock.now()
             for shard in list(self._outstanding):
                 self._renew(shard)
             for pending in list(self._pending.values()):
@@ -280,6 +291,13 @@
             # A repeat, or one given before the keeper knew that this server refused a
             # connection. The keeper has been told, or the permit ends by itself.
             return
+        if self._is_late() or clock.now() < self._void_until:
+            # This process was paused. The permit may have lain in the socket for as
+            # long as that, and the callers' disconnections lie there too: taken now,
+            # it would dispatch work that nobody waits for. Ask again instead.
+            replier.send(messages.Withdraw(permit.id, permit.shard))
+            self._tell_again(pending)
+            return
         expires_at = clock.now() + permit.lifetime_ms / 1000.0
         pending.future.set_result(Permission(permit.server, expires_at))
 
@@ -296,6 +314,10 @@
         remaining = int((pending.deadline - clock.now()) * 1000.0)
         return pending.demand._replace(remaining_ms=max(remaining, 0))
 
+    def _is_late(self) -> bool:
+        late = LATE_RENEWALS * self._settings.keeper.renew_seconds
+        return clock.now() - self._renewed_at > late
+
     def _tell_again(self, pending: Pending) -> None:
         if not pending.future.done():
             self._tell(pending.demand.shard, self._now(pending))
--- a/packages/daemon/cassiaquay_daemon/members.py
+++ b/packages/daemon/cassiaquay_daemon/members.py
@@ -127,7 +127,7 @@
             self._incarnation,
             settings.domain,
             self.http_address,
-            self._links.address,
+            self._settings.advertised_peer or self._links.address,
             self._sequence,
             self.leaving,
             self._load,
@@ -186,6 +186,11 @@
         """Return the seconds since a known member's start, or a little less."""
         return self.facts.records[instance].uptime
 
+    def is_leaving(self, name: str) -> bool:
+        """Tell whether the instance list shows an instance or server as leaving."""
+        line = self.listed.get(name)
+        return line is not None and line.leaving
+
     def keeper_of(self, shard: str) -> str:
         """Return the instance that should be the keeper of a shard."""
         serving = self.serving()
--- a/packages/daemon/cassiaquay_daemon/spread.py
+++ b/packages/daemon/cassiaquay_daemon/spread.py
@@ -11,7 +11,7 @@
 # needs no encoding of its own.
 MEMBER_BYTES = 130
 SUSPICION_BYTES = 40
-BURST_SECONDS = 8.0
+BURST_SECONDS = 20.0
 
 
 class Portion(typing.NamedTuple):
--- a/packages/schema/cassiaquay_schema/settings.py
+++ b/packages/schema/cassiaquay_schema/settings.py
@@ -79,6 +79,10 @@
         Largest body of a request.
     max_answer_bytes : int
         Memory for kept answers.
+    max_closed : int
+        Ids of ended requests that are kept until their tokens expire.
+    body_seconds : float
+        Longest time that the body of a request may take to arrive.
     disconnect_grace : float
         Seconds that a waiting request outlives its caller's connection.
     """
@@ -90,6 +94,8 @@
     max_waiting: typing.Annotated[int, msgspec.Meta(ge=1)] = 2000
     max_body_bytes: typing.Annotated[int, msgspec.Meta(ge=1024)] = 1048576
     max_answer_bytes: typing.Annotated[int, msgspec.Meta(ge=1024)] = 67108864
+    max_closed: typing.Annotated[int, msgspec.Meta(ge=1)] = 150000
+    body_seconds: typing.Annotated[float, msgspec.Meta(gt=0)] = 10.0
     disconnect_grace: typing.Annotated[float, msgspec.Meta(ge=0)] = 2.0
 
 
@@ -194,6 +200,8 @@
         Port for callers; 0 takes a free one.
     peer_port : int
         Port for instances; 0 takes a free one.
+    advertised_peer : str
+        host:port for instances, when not where it listens.
     admin_port : int
         Port for operators; 0 takes a free one.
     keys : list[str]
@@ -226,6 +234,7 @@
     host: str = "127.0.0.1"
     http_port: typing.Annotated[int, msgspec.Meta(ge=0, le=65535)] = 0
     peer_port: typing.Annotated[int, msgspec.Meta(ge=0, le=65535)] = 0
+    advertised_peer: str = ""
     admin_port: typing.Annotated[int, msgspec.Meta(ge=0, le=65535)] = 0
     keys: typing.Annotated[list[str], msgspec.Meta(min_length=1)]
     seeds: list[str] = msgspec.field(default_factory=list)
--- a/tests/operators_fakes.py
+++ b/tests/operators_fakes.py
@@ -73,7 +73,14 @@
         )
         kept = keeper.Keeper(chosen, links, self.membership, self.configured)
         asked = demands.Demands(chosen, links, self.membership, kept)
-        self.owned = owner.Owner(chosen, "abcdefabcdef", http, asked)
+        self.owned = owner.Owner(
+            chosen,
+            "abcdefabcdef",
+            http,
+            asked,
+            self.membership.is_leaving,
+            lambda: "",
+        )
         self.kept = kept
         self.parts = reports.Parts(
             self.configured,
@@ -81,7 +88,7 @@
             self.owned,
             kept,
             links,
-            relay.Relay(chosen, http),
+            relay.Relay(chosen, http, self.membership.find),
             recovery.Recovery(http),
         )
         self.reports = reports.Reports(chosen, self.parts)
--- a/tests/test_caller.py
+++ b/tests/test_caller.py
@@ -602,3 +602,79 @@
     with socket.socket() as probe:
         probe.bind(("127.0.0.1", 0))
         return probe.getsockname()[1]
+
+
+def test_work_handed_back_by_a_leaving_instance_needs_no_retry_budget():
+    """The caller sees its answer, although its session has no retry left.
+
+    A leaving instance hands back more waiting requests at once than the budget has
+    retries; they go to another instance and add nothing to its load.
+    """
+
+    async def work() -> None:
+        leaving = refuse(503, "not_run", "instance_leaving")
+        script = [leaving, leaving, whole]
+        async with serve(script, budget_capacity=0.0, budget_ratio=0.0) as (
+            fake,
+            session,
+        ):
+            answer = await session.ask("tutor-assist", "2+2?")
+        assert answer.text == "".join(TEXTS)
+        assert len(fake.posted) == 3
+
+    run(work())
+
+
+def test_leaving_a_stream_by_break_cancels_once_the_generator_is_closed():
+    """The application stops reading; the request is given up when it closes it."""
+
+    async def work() -> None:
+        async with serve([whole]) as (fake, session):
+            texts = session.stream("tutor-assist", "2+2?")
+            async for _ in texts:
+                break
+            assert not fake.given_up
+            await texts.aclose()
+        assert fake.given_up == fake.posted
+
+    run(work())
+
+
+def test_a_question_about_an_id_is_bounded_by_itself():
+    """The caller that asks for an outcome is told "unknown", not kept waiting.
+
+    The instance takes the connection and never answers.
+    """
+
+    async def work() -> None:
+        async with serve([whole], question_timeout=0.05) as (fake, session):
+
+            async def silent(_: requests.Request) -> responses.Response:
+                await asyncio.sleep(1.0)
+                return responses.JSONResponse({})
+
+            fake.app.routes[3].app = routing.Route("/", silent).app
+            told = await session.outcome("cq-0.life~1")
+        assert (told.outcome, told.code) == ("outcome_unknown", "unreachable")
+
+    run(work())
+
+
+def test_a_silent_instance_is_asked_before_the_attempt_is_given_up():
+    """The caller that waits its turn sees its answer, from one attempt.
+
+    The instance says nothing for several silence times, but that the request waits.
+    """
+
+    async def work() -> None:
+        async def slow(start: int) -> responses.Response:
+            await asyncio.sleep(0.3)
+            return await whole(start)
+
+        async with serve([slow], silence_timeout=0.05) as (fake, session):
+            fake.outcome = {"outcome": "", "code": "", "state": "waiting"}
+            answer = await session.ask("tutor-assist", "2+2?")
+        assert answer.text == "".join(TEXTS)
+        assert len(fake.seen) == 1
+
+    run(work())
--- a/tests/test_pause.py
+++ b/tests/test_pause.py
@@ -15,7 +15,6 @@
     owner,
     pause,
     peers,
-    requests,
     tokens,
 )
 from cassiaquay_dev import light
@@ -97,6 +96,7 @@
 class _Fake:
     """A backend server's protocol that notes what is sent."""
 
+    can_stop = False
     sent: list[str] = []
 
     def __init__(self, http: object):
@@ -147,8 +147,10 @@
         )
         asked = _Granting(SETTINGS, links, membership, kept)
         async with aiohttp.ClientSession() as http:
-            owned = owner.Owner(SETTINGS, "a" * 12, http, asked)
-            owned.pauses = pauses
+            owned = owner.Owner(
+                SETTINGS, "a" * 12, http, asked, lambda name: False, str
+            )
+            owned.heed(pauses)
             configured = configuration.Configuration(SETTINGS, links)
             text = fleets.text(1).replace("plain-http", "noting")
             configured.accept(1, text)
@@ -159,11 +161,8 @@
             service = fleets.deployments.BRINDLEY.plain_service
             body = b'{"service": "%s", "path": "/"}' % service.encode()
             watch.slept = 60.0
-            entry = owned.submit(
-                name,
-                "feedback",
-                lambda: requests.accept(name, "feedback", body, snapshot),
-            )
+            entry = owned.submit(name, "feedback", body, snapshot)
+            owned.attach(entry)
             await asyncio.sleep(0.3)
             assert _Fake.sent == []
             assert not entry.ended
