--- a/packages/daemon/cassiaquay_daemon/answers.py
+++ b/packages/daemon/cassiaquay_daemon/answers.py
@@ -8,6 +8,10 @@
 
 from . import clock
 
+# What an event takes beside its bytes: without it, answers of many short events would
+# hold more than twice the memory that they are allowed (docs/experiments/outcomes.md).
+EVENT_BYTES = 48
+
 
 class Final(typing.TypedDict):
     """The last event of an answer."""
@@ -79,8 +83,8 @@
         self._events.append(event)
         self._count += 1
         self._digest.update(data)
-        self.size += len(event)
-        self._ledger.add(len(event))
+        self.size += len(event) + EVENT_BYTES
+        self._ledger.add(len(event) + EVENT_BYTES)
         self._wake()
 
     def finish(
--- a/packages/dev/cassiaquay_dev/driver.py
+++ b/packages/dev/cassiaquay_dev/driver.py
@@ -1,6 +1,7 @@
 """Send a workload by the caller package and note what became of each request."""
 
 import asyncio
+import collections.abc
 import typing
 
 import cassiaquay
@@ -49,12 +50,20 @@
         Addresses of instances to start from.
     domains : list of str
         Failure domains that the callers are in, in turn.
+    watch : callable, optional
+        Is given each new session and the name of its team.
     """
 
-    def __init__(self, seeds: list[str], domains: list[str]):
+    def __init__(
+        self,
+        seeds: list[str],
+        domains: list[str],
+        watch: collections.abc.Callable[[cassiaquay.Session, str], None] | None = None,
+    ):
         self.results: list[Result] = []
         self._seeds = seeds
         self._domains = domains
+        self._watch = watch
         self._sessions: dict[str, cassiaquay.Session] = {}
 
     async def run(self, arrivals: list[workloads.Arrival]) -> list[Result]:
@@ -86,6 +95,8 @@
                     seeds=self._seeds, domain=domain, credential=team.credential
                 )
             )
+            if self._watch is not None:
+                self._watch(self._sessions[team.name], team.name)
         return self._sessions[team.name]
 
     async def _send(self, arrival: workloads.Arrival) -> None:
