--- a/packages/dev/cassiaquay_dev/bench_metrics.py
+++ b/packages/dev/cassiaquay_dev/bench_metrics.py
@@ -56,6 +56,24 @@
         return self.cached / max(self.oracle, 1)
 
 
+class Work(typing.NamedTuple):
+    """Where one engine's busy time went; shares 0 to 1.
+
+    Attributes
+    ----------
+    prefill, decode, steps : float
+        Shares of the busy time: reading prompts, the part of a step that grows with
+        the batch, and the fixed part of steps.
+    batch : float
+        Mean number of requests that got a token in a step.
+    """
+
+    prefill: float
+    decode: float
+    steps: float
+    batch: float
+
+
 class Figures(typing.TypedDict):
     """All figures of a run; times in milliseconds, shares 0 to 1."""
 
@@ -79,6 +97,8 @@
     gap_ms: list[float]
     jain: float
     busy_share: dict[str, float]
+    wasted_decode_share: float
+    work: dict[str, Work]
     recovery_share: float
     processor_share: dict[str, float]
 
@@ -174,6 +194,32 @@
     return Prefill(done, wasted, asked, cached, oracle)
 
 
+def work(engine: EngineFigures, spec: deployments.EngineSpec, decode_ms: float) -> Work:
+    """Return where an engine's busy time went, for an engine that was never slowed."""
+    busy = max(engine.busy_seconds, 1e-9)
+    generated = sum(line["generated_tokens"] for line in engine.dispatches)
+    prefilled = sum(line["prefilled_tokens"] for line in engine.dispatches)
+    prefill_share = prefilled / spec.prefill_tokens_per_second / busy
+    decode_share = generated * decode_ms / 1000.0 / busy
+    steps_share = max(1.0 - prefill_share - decode_share, 0.0)
+    steps = steps_share * busy / (spec.step_ms / 1000.0)
+    return Work(prefill_share, decode_share, steps_share, generated / max(steps, 1.0))
+
+
+def wasted_decode(
+    records: list[bench_driver.Record], engines: list[EngineFigures]
+) -> float:
+    """Return the share of generated tokens that no caller had in time."""
+    useful = {record.key for record in records if record.in_time}
+    total = wasted = 0
+    for engine in engines:
+        for line in engine.dispatches:
+            total += line["generated_tokens"]
+            if line["id"] not in useful:
+                wasted += line["generated_tokens"]
+    return wasted / max(total, 1)
+
+
 def recovery(
     records: list[bench_driver.Record], at: float, seconds: float, settle: float
 ) -> float:
@@ -198,6 +244,7 @@
     deployment: deployments.Deployment,
     limit: bounds.Bound,
     elapsed: float,
+    decode_ms: float,
     recovery_share: float,
     processor_share: dict[str, float],
 ) -> Figures:
@@ -214,6 +261,7 @@
         outcomes[record.code] = outcomes.get(record.code, 0) + 1
     done = [record for record in model if record.outcome == "completed"]
     tokens = prefill(model, engines)
+    specs = {spec.name: spec for spec in deployment.engines}
     keys = [line["id"] for engine in engines for line in engine.dispatches]
     return Figures(
         sent=sent,
@@ -236,6 +284,11 @@
         gap_ms=_percentiles([gap for record in done for gap in record.gaps]),
         jain=fairness(model, deployment),
         busy_share={engine.name: engine.busy_seconds / elapsed for engine in engines},
+        wasted_decode_share=wasted_decode(model, engines),
+        work={
+            engine.name: work(engine, specs[engine.name], decode_ms)
+            for engine in engines
+        },
         recovery_share=recovery_share,
         processor_share=processor_share,
     )
--- a/packages/dev/cassiaquay_dev/bench_report.py
+++ b/packages/dev/cassiaquay_dev/bench_report.py
@@ -11,7 +11,7 @@
 
 from matplotlib import pyplot  # the backend goes first
 
-from . import bench_runs
+from . import bench_metrics, bench_runs
 
 COLUMNS = (
     "goodput",
@@ -93,6 +93,7 @@
         pairs = zip(found[first], mine, strict=True)
         ratios = [_ratio(one, other) for one, other in pairs]
         lines.append(f"| {name} | " + " | ".join(cells) + f" | {_spread(ratios)} |")
+    lines += ["", *_work_lines(found)]
     lines += ["", "| policy | " + " | ".join(_tiers(runs)) + " |"]
     lines.append("|---" * (len(_tiers(runs)) + 1) + "|")
     for name, mine in found.items():
@@ -103,6 +104,23 @@
     return "\n".join(lines)
 
 
+def _work_lines(found: dict[str, list[bench_runs.Run]]) -> list[str]:
+    """Return a table of where the engines' time went, over engines and seeds."""
+    lines = ["| policy | prefill | decode | steps | batch | wasted decode |"]
+    lines.append("|---" * 6 + "|")
+    for name, mine in found.items():
+        cells = []
+        for field in bench_metrics.Work._fields:
+            values = []
+            for run in mine:
+                works = run["figures"]["work"].values()
+                values.append(statistics.fmean(getattr(one, field) for one in works))
+            cells.append(_spread(values))
+        wasted = [run["figures"]["wasted_decode_share"] for run in mine]
+        lines.append(f"| {name} | " + " | ".join([*cells, _spread(wasted)]) + " |")
+    return lines
+
+
 def write(
     plan: bench_runs.Plan, runs: list[bench_runs.Run], folder: pathlib.Path
 ) -> str:
--- a/packages/dev/cassiaquay_dev/bench_runs.py
+++ b/packages/dev/cassiaquay_dev/bench_runs.py
@@ -153,6 +153,7 @@
         deployment,
         limit_of(plan, arrivals),
         elapsed,
+        decode_ms(plan),
         recovery,
         shares,
     )
--- a/tests/test_bench.py
+++ b/tests/test_bench.py
@@ -169,6 +169,25 @@
     assert found.oracle_share == pytest.approx(128 / 256)
 
 
+def test_work_splits_the_busy_time() -> None:
+    spec = ENGINE._replace(step_ms=10.0)
+    line: engine_stream.Dispatch = {
+        "id": "a",
+        "at": 0.0,
+        "prompt_tokens": 500,
+        "cached_tokens": 0,
+        "prefilled_tokens": 500,
+        "generated_tokens": 100,
+        "state": engine_stream.FINISHED,
+        "finished_at": None,
+        "repeat": False,
+    }
+    # 0.5 s of prefill, 0.1 s of decode, 0.4 s of fixed time in 40 steps.
+    engine = bench_metrics.EngineFigures("engine-1", 1.0, [line])
+    found = bench_metrics.work(engine, spec, DECODE_MS)
+    assert found == pytest.approx((0.5, 0.1, 0.4, 2.5))
+
+
 @pytest.mark.parametrize("name", bench_workloads.registered.names())
 def test_workloads_depend_on_the_seed_only(name: str) -> None:
     workload = bench_workloads.registered.get(name)
