--- a/packages/daemon/cassiaquay_daemon/exceptions.py
+++ b/packages/daemon/cassiaquay_daemon/exceptions.py
@@ -73,6 +73,18 @@
     code = "backend_missing"
 
 
+class Overslept(NotSent):
+    """A woken process must first learn anew what is true."""
+
+    code = "backend_overslept"
+
+
+class OutrankedOrder(BackendError):
+    """The engine has obeyed an order with a higher fencing number."""
+
+    code = "order_outranked"
+
+
 class Refusal(DaemonError):
     """A request ends here, with an answer that the caller can rely on.
 
--- a/packages/daemon/cassiaquay_daemon/keeper.py
+++ b/packages/daemon/cassiaquay_daemon/keeper.py
@@ -16,6 +16,7 @@
     configuration,
     logs,
     members,
+    pause,
     peers,
     policies,
     shards,
@@ -41,6 +42,8 @@
         Which servers leave, and who else may be the keeper.
     configured : Configuration
         The pools.
+    pauses : Pauses, optional
+        Whether this process has just slept through its leases.
     """
 
     def __init__(
@@ -49,14 +52,18 @@
         links: peers.Peers,
         membership: members.Membership,
         configured: configuration.Configuration,
+        pauses: pause.Pauses | None = None,
     ):
         self.shards: dict[str, shards.Shard] = {}
+        # Engines that are about to be loaded or do not have their model yet.
+        self.draining: set[str] = set()
         self._settings = settings
         self._membership = membership
         self._configured = configured
         self._policies: dict[str, policies.Policy] = {}
-        self._keepers: dict[str, str] = {}
         self._due: set[str] = set()
+        self._pauses = pauses or pause.Pauses(pause.shortest_lease(settings))
+        self._pauses.on_overslept(self._overslept)
         self._ask_local: collections.abc.Callable[[str], None] = _nothing
         self._ticked_at = clock.now()
         links.on(messages.Demand, self.demand)
@@ -66,19 +73,13 @@
         links.on(messages.Progress, self.progress)
         links.on(messages.HealthQuery, self._health_asked)
         links.on_down(self._lost)
-        membership.on_change(self._keepers.clear)
         configured.on_accept(self._refresh)
 
     def keeper_of(self, shard: str) -> str:
         """Return the instance that should be the keeper of a shard."""
         if self._settings.keeper.policy == baselines.LOCAL:
             return self._settings.instance
-        # Ranking all members for each message cost more than the message; the answer
-        # changes only with the members.
-        found = self._keepers.get(shard)
-        if found is None:
-            found = self._keepers[shard] = self._membership.keeper_of(shard)
-        return found
+        return self._membership.keeper_of(shard)
 
     def keeps(self, shard: str) -> bool:
         """Tell whether this instance should be the keeper of a shard."""
@@ -168,8 +169,10 @@
         patience = self._settings.membership.suspect_after
         paused = now - self._ticked_at > patience
         self._ticked_at = now
-        if not paused:
-            return
+        if paused:
+            self._overslept()
+
+    def _overslept(self) -> None:
         # What is queued was true before the pause: its owners have long turned to
         # another keeper, and permits given now would be a second load on the engines.
         logs.event("keeper_paused")
@@ -215,11 +218,15 @@
         if snapshot is None:
             return
         servers = snapshot.shard_servers(shard.name)
+        if not servers:
+            # The shard has gone from the configuration. What waits was accepted under
+            # an earlier one and is served by that one's servers; nothing new comes.
+            return
         shard.servers = {server.name: server for server in servers}
         shard.weights = {
             name: team.weight for name, team in snapshot.fleet.teams.items()
         }
-        shard.gone = set()
+        shard.gone = self.draining.intersection(shard.servers)
         for name in shard.servers:
             line = self._membership.listed.get(name)
             if line is not None and line.leaving:
@@ -240,7 +247,7 @@
             # Handed over: the owners tell the new keeper, nothing is lost here.
             shard.drop_queue()
             return
-        if not shard.is_open:
+        if not self._pauses.current or not shard.is_open:
             return
         self._policies[name].serve()
 
--- a/packages/daemon/cassiaquay_daemon/owner.py
+++ b/packages/daemon/cassiaquay_daemon/owner.py
@@ -20,6 +20,7 @@
     exceptions,
     gates,
     logs,
+    pause,
     requests,
     snapshots,
     table,
@@ -90,6 +91,10 @@
         """Requests that have not ended."""
         return self.held.open_count
 
+    def heed(self, pauses: pause.Pauses) -> None:
+        """Send nothing while this process does not know what is true now."""
+        self._dispatcher.pauses = pauses
+
     def on_ended(self, call: collections.abc.Callable[[entries.Entry], None]) -> None:
         """Call ``call`` with each entry whose outcome has become final."""
         self._on_ended.append(call)
