--- a/packages/daemon/cassiaquay_daemon/reports.py
+++ b/packages/daemon/cassiaquay_daemon/reports.py
@@ -118,11 +118,15 @@
         """Count prompt tokens that an engine had read for nothing."""
         self.metrics.count(metrics.WASTED_TOKENS, (), prompt_tokens)
 
-    def refused(self, refusal: exceptions.Refusal) -> None:
+    def refused(self, refusal: exceptions.Refusal, request_id: str, team: str) -> None:
         """Count a refusal of a call that has no entry."""
         self.metrics.count(metrics.REFUSALS, (refusal.code,))
         self.history.refused(
-            "", outcome=refusal.outcome, code=refusal.code, message=refusal.message
+            team,
+            id=request_id,
+            outcome=refusal.outcome,
+            code=refusal.code,
+            message=refusal.message,
         )
 
     async def watch_lag(self) -> None:
--- a/packages/daemon/cassiaquay_daemon/web.py
+++ b/packages/daemon/cassiaquay_daemon/web.py
@@ -1,6 +1,7 @@
 """What callers reach over HTTP; docs/CALLERS.md is the contract."""
 
 import collections.abc
+import contextlib
 
 import msgspec
 from starlette import applications, responses, routing, types
@@ -25,6 +26,9 @@
 )
 
 QUESTIONS = ("/outcome", "/cancel")
+# Of an id as it was sent: a malformed one may be of any length.
+NOTED_CHARACTERS = 160
+OnRefused = collections.abc.Callable[[exceptions.Refusal, str, str], None]
 Respond = collections.abc.Awaitable[types.ASGIApp]
 
 
@@ -62,13 +66,13 @@
         self._owner = owned
         self._relay = passing
         self._recovery = recovering
-        self._on_refused: list[collections.abc.Callable[[exceptions.Refusal], None]]
-        self._on_refused = []
+        self._on_refused: list[OnRefused] = []
 
-    def on_refused(
-        self, call: collections.abc.Callable[[exceptions.Refusal], None]
-    ) -> None:
-        """Call ``call`` with each refusal that no entry of the owner stands for."""
+    def on_refused(self, call: OnRefused) -> None:
+        """Call ``call`` with each refusal that no entry of the owner stands for.
+
+        It gets the refusal, the id as it was sent, and the team, or empty texts.
+        """
         self._on_refused.append(call)
 
     def application(self) -> applications.Starlette:
@@ -112,17 +116,23 @@
                     # It is the answer to the question, no failure of asking it.
                     told = entries.Told(refusal.outcome, refusal.code, "unknown")
                     return _told(told)
-                self._note(refusal)
+                self._note(request, refusal)
                 return streams.RefusalResponse(refusal)
             except exceptions.Refusal as refusal:
-                self._note(refusal)
+                self._note(request, refusal)
                 return streams.RefusalResponse(refusal)
 
         return handle
 
-    def _note(self, refusal: exceptions.Refusal) -> None:
+    def _note(self, request: web_requests.Request, refusal: exceptions.Refusal) -> None:
+        snapshot = self._configured.current
+        team = ""
+        if snapshot is not None:
+            with contextlib.suppress(exceptions.Refusal):
+                team = _team(request, snapshot)
+        request_id = request.path_params["id"][:NOTED_CHARACTERS]
         for call in self._on_refused:
-            call(refusal)
+            call(refusal, request_id, team)
 
     async def _handle(
         self,
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -170,12 +170,13 @@
         for number, team in enumerate([LARGE, SMALL]):
             entry = instance.entry(team.name, unique=f"u{number}")
             instance.owned._refuse(entry, exceptions.Shed("engines are full"))
-        instance.reports.refused(exceptions.BadId())
+        instance.reports.refused(exceptions.BadId(), "nonsense", "")
         everything = (await instance.call("/v1/history", fakes.OPERATOR)).json
         own = (await instance.call("/v1/history", SMALL.credential)).json
         refused = [event for event in everything if event["name"] == "refused"]
         codes = [event["fields"]["code"] for event in refused]
         assert codes == ["bad_id", "shed_overload", "shed_overload"]
+        assert refused[0]["fields"]["id"] == "nonsense"
         assert refused[1]["fields"]["message"] == "engines are full"
         assert [event["team"] for event in own] == [SMALL.name]
 
