--- a/packages/daemon/cassiaquay_daemon/history.py
+++ b/packages/daemon/cassiaquay_daemon/history.py
@@ -62,7 +62,7 @@
         fields: dict[str, Field] = {}
         for key, value in vars(record).items():
             if key not in _STANDARD:
-                fields[key] = value
+                fields[key] = _plain(value)
         team = str(fields.get("team", ""))
         self._events.append(
             Event(at=record.created, name=name, alarm=alarm, team=team, fields=fields)
@@ -90,3 +90,13 @@
                 continue
             found.append(event)
         return found
+
+
+def _plain(value: object) -> Field:
+    # An event may carry anything that a log line can show; one that JSON cannot must
+    # not keep operators from reading all the others.
+    if value is None or isinstance(value, str | int | float | bool):
+        return value
+    if isinstance(value, list | tuple | set | frozenset):
+        return [str(item) for item in value]
+    return str(value)
--- a/tests/operators_fakes.py
+++ b/tests/operators_fakes.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import hashlib
+import logging
 import typing
 
 import aiohttp
@@ -164,7 +165,11 @@
 
     async def inside() -> None:
         async with aiohttp.ClientSession() as http:
-            await test(Instance(settings(**more), http))
+            instance = Instance(settings(**more), http)
+            try:
+                await test(instance)
+            finally:
+                logging.getLogger("cassiaquay").removeHandler(instance.reports.history)
 
     asyncio.run(inside())
 
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -197,6 +197,18 @@
     fakes.run(test)
 
 
+def test_an_event_that_json_cannot_carry_is_shown_as_text() -> None:
+    async def test(instance: fakes.Instance) -> None:
+        logging.getLogger("cassiaquay").setLevel(logging.INFO)
+        logs.event("odd", cause=ValueError("no"), parts={"a"}, member=object())
+        fields = (await instance.call("/v1/history?limit=1")).json[0]["fields"]
+        assert fields["cause"] == "no"
+        assert fields["parts"] == ["a"]
+        assert fields["member"].startswith("<object")
+
+    fakes.run(test)
+
+
 def test_history_is_bounded() -> None:
     async def test(instance: fakes.Instance) -> None:
         for number in range(9):
