--- a/packages/daemon/cassiaquay_daemon/daemon.py
+++ b/packages/daemon/cassiaquay_daemon/daemon.py
@@ -18,7 +18,12 @@
     backends,
     configuration,
     demands,
+    dependencies,
+    engine_reports,
+    gates,
     keeper,
+    limit_keepers,
+    limits,
     logs,
     members,
     owner,
@@ -88,6 +93,20 @@
         self._demands = demands.Demands(
             settings, self._peers, self._membership, self._keeper
         )
+        self._limits = limits.Limits(
+            settings,
+            self._peers,
+            self._membership,
+            limit_keepers.LimitKeeper(
+                settings, self._peers, self._membership, self._configuration
+            ),
+        )
+        self._engine_reports = engine_reports.EngineReports(
+            self._http, self._keeper, self._configuration
+        )
+        self._dependencies = dependencies.Dependencies(
+            settings, self._peers, self._membership, self._keeper
+        )
         self._owner = owner.Owner(
             settings,
             self._incarnation,
@@ -95,6 +114,7 @@
             self._demands,
             self._membership.is_leaving,
             self._better_address,
+            gates.Checked(self._dependencies, self._limits),
         )
         self._owner.heed(self._pauses)
         self._membership.on_heard(self._configuration.heard)
@@ -194,6 +214,9 @@
             ).run(),
             self._demands.renew(),
             self._demands.report(),
+            self._limits.renew(),
+            self._dependencies.ask(),
+            self._engine_reports.read(),
             self._owner.sweep(),
         ]
 
--- a/packages/daemon/cassiaquay_daemon/keeper.py
+++ b/packages/daemon/cassiaquay_daemon/keeper.py
@@ -25,8 +25,6 @@
 
 DEFAULT_POLICY = tiered.NAME
 TICK_SECONDS = 0.1
-# A tick that comes this late says that the process was paused.
-PAUSE_SECONDS = 1.0
 # More owners than this are not asked one by one; a new keeper waits for them instead.
 MOST_ASKED = 32
 
@@ -74,6 +72,7 @@
         links.on(messages.Release, self.release)
         links.on(messages.Renewal, self.renewal)
         links.on(messages.Progress, self.progress)
+        links.on(messages.HealthQuery, self._health_asked)
         links.on_down(self._lost)
         membership.on_change(self._keepers.clear)
         configured.on_accept(self._refresh)
@@ -89,6 +88,10 @@
             found = self._keepers[shard] = self._membership.keeper_of(shard)
         return found
 
+    def keeps(self, shard: str) -> bool:
+        """Tell whether this instance should be the keeper of a shard."""
+        return self.keeper_of(shard) == self._settings.instance
+
     def policy(self, shard: str) -> policies.Policy | None:
         """Return the policy of a shard that is kept here."""
         return self._policies.get(shard)
@@ -143,6 +146,14 @@
             shard.progress(message)
             self._serve_soon(message.shard)
 
+    def health(self, name: str) -> messages.Health:
+        """Return what gets through a shard, as far as this instance knows."""
+        shard = self.shards.get(name)
+        if shard is None:
+            return messages.Health(name, -1, 0)
+        floor, retry_after_ms = shard.health()
+        return messages.Health(name, floor, retry_after_ms)
+
     async def tick(self) -> None:
         """Let leases expire and serve again, for ever."""
         while True:
@@ -154,9 +165,16 @@
                 self._serve(name)
             await asyncio.sleep(TICK_SECONDS)
 
+    def _health_asked(
+        self, replier: shards.Replier, query: messages.HealthQuery
+    ) -> None:
+        replier.send(self.health(query.shard))
+
     def _wake(self) -> None:
         now = clock.now()
-        paused = now - self._ticked_at > PAUSE_SECONDS
+        # After so long without a sign of life the others turn to another keeper.
+        patience = self._settings.membership.suspect_after
+        paused = now - self._ticked_at > patience
         self._ticked_at = now
         if paused:
             self._overslept()
@@ -229,9 +247,10 @@
         asyncio.get_running_loop().call_soon(self._serve, name)
 
     def _serve(self, name: str) -> None:
+        self._wake()
         self._due.discard(name)
         shard = self.shards[name]
-        if self.keeper_of(name) != self._settings.instance:
+        if not self.keeps(name):
             # Handed over: the owners tell the new keeper, nothing is lost here.
             shard.drop_queue()
             return
