--- a/packages/cli/cassiaquay_cli/status.py
+++ b/packages/cli/cassiaquay_cli/status.py
@@ -3,7 +3,7 @@
 import time
 import typing
 
-from . import bodies, clients, commands, outputs
+from . import bodies, clients, commands, exceptions, outputs
 
 
 class Fleet(typing.NamedTuple):
@@ -20,10 +20,7 @@
     instances = await client.instances()
     statuses = await client.collect("/v1/status", bodies.Status, instances)
     servers = await client.collect("/v1/servers", list[bodies.Server], instances)
-    queues = await client.collect("/v1/queues", bodies.Queues, instances)
-    groups = []
-    for answer in queues.answers.values():
-        groups.extend(answer["waiting"])
+    groups, _ = await collect_queues(client, instances)
     lines = []
     for found in servers.answers.values():
         lines.extend(found)
@@ -31,6 +28,38 @@
     return Fleet(instances, statuses, lines, groups)
 
 
+async def collect_queues(
+    client: clients.Client, instances: list[bodies.Instance]
+) -> tuple[list[bodies.Group], list[clients.Missing]]:
+    """Return what waits at all keepers; a team sees its own."""
+    queues = await client.collect("/v1/queues", bodies.Queues, instances)
+    groups = []
+    for answer in queues.answers.values():
+        groups.extend(answer["waiting"])
+    return groups, queues.missing
+
+
+async def of_team(client: clients.Client) -> outputs.Output:
+    """Return what a team may see: the instances and its own waiting requests."""
+    instances = await client.instances()
+    groups, missing = await collect_queues(client, instances)
+    rows = []
+    for item in instances:
+        rows.append([item["instance"], item["domain"], item["state"], item["http"]])
+    texts = [
+        outputs.table(["instance", "domain", "state", "http"], rows),
+        queue_table(groups),
+        *clients.missing_lines(missing),
+    ]
+    data = {
+        "instances": instances,
+        "waiting": groups,
+        "missing": [item._asdict() for item in missing],
+    }
+    code = outputs.PARTIAL if missing else outputs.COMPLETE
+    return outputs.Output("\n\n".join(texts), data, code)
+
+
 def instance_table(fleet: Fleet) -> str:
     """Return a line for each instance."""
     rows = []
@@ -95,10 +124,10 @@
     return outputs.table(header, rows)
 
 
-def queue_table(fleet: Fleet) -> str:
+def queue_table(waiting: list[bodies.Group]) -> str:
     """Return a line for each tier and team that waits."""
     rows = []
-    for item in fleet.waiting:
+    for item in waiting:
         oldest = f"{item['oldest_seconds']:.1f} s"
         row = [item["shard"], item["tier"], item["team"], str(item["waiting"])]
         rows.append([*row, oldest])
@@ -111,7 +140,8 @@
 def status(at: str = "", json: bool = False) -> outputs.Shown:
     """Show instances, configuration, backend servers and queues of a fleet.
 
-    Exits 6 when some instances gave no answer.
+    A team sees the instances and its own queue. Exits 6 when some instances gave no
+    answer.
 
     Parameters
     ----------
@@ -122,12 +152,16 @@
     """
 
     async def work(client: clients.Client) -> outputs.Output:
-        fleet = await collect(client)
+        try:
+            fleet = await collect(client)
+        except exceptions.NotAllowed:
+            # A team's credential; one that nobody knows is refused once more there.
+            return await of_team(client)
         parts = [
             instance_table(fleet),
             configuration_line(fleet),
             server_table(fleet),
-            queue_table(fleet),
+            queue_table(fleet.waiting),
             *clients.missing_lines(fleet.statuses.missing),
         ]
         data = {
--- a/packages/cli/cassiaquay_cli/top.py
+++ b/packages/cli/cassiaquay_cli/top.py
@@ -33,7 +33,7 @@
         status.instance_table(fleet),
         status.configuration_line(fleet),
         status.server_table(fleet),
-        status.queue_table(fleet),
+        status.queue_table(fleet.waiting),
         *clients.missing_lines(fleet.statuses.missing),
     ]
     return "\n\n".join(texts)
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -86,7 +86,7 @@
         assert "silent" in table[2]
         assert [item.instance for item in fleet.statuses.missing] == ["cq-9"]
         assert status.configuration_line(fleet).endswith("revision 1 everywhere")
-        assert status.queue_table(fleet) == "nothing waits"
+        assert status.queue_table(fleet.waiting) == "nothing waits"
 
     _run(test)
 
@@ -142,6 +142,9 @@
         assert list(found.answers) == ["cq-1"]
         with pytest.raises(exceptions.NotAllowed, match="CASSIAQUAY_CREDENTIAL"):
             await client.get("/v1/status", bodies.Status)
+        output = await status.of_team(client)
+        assert "cq-1" in output.text
+        assert "nothing waits" in output.text
 
     credential = fakes.DEPLOYMENT.teams[0].credential
     _run(test, credential, operators=[fakes.digest(fakes.OPERATOR)])
