Promise an engine to a waiting demand once in a pass

Each grant to a team looked at its other demands again and promised them their engines again, so that those behind saw too long a wait.

--- a/packages/daemon/cassiaquay_daemon/tiered.py
+++ b/packages/daemon/cassiaquay_daemon/tiered.py
@@ -40,6 +40,7 @@
         self._unread: set[str] = set()
         self._sessions: dict[str, dict[str, None]] = {}
         self._weighed = 0
+        self._passed: set[str] = set()
         shard.observe(self)
 
     # What the shard tells.
@@ -150,6 +151,7 @@
         self._give_up(views, now)
         self._bound()
         self._weighed = 0
+        self._passed.clear()
         for rank in self._queues.ranks():
             if self._shard.held_back(rank):
                 break
@@ -285,6 +287,10 @@
                 # Those not looked at may be able to use any engine.
                 reserved.update(view.name for view in views)
                 return False
+            # Engines only fill up during a pass: what could not be placed a moment ago
+            # cannot be now, and what was promised once is not promised again.
+            if request_id in self._passed:
+                continue
             self._weighed += 1
             waiting = self._shard.queue[request_id]
             options = placement.weigh(
@@ -293,6 +299,7 @@
             if options.best is not None:
                 self._grant(waiting, options.best)
                 return True
+            self._passed.add(request_id)
             if options.awaited is None:
                 reserved.update(options.usable)
                 continue
