--- a/packages/daemon/cassiaquay_daemon/engine_reports.py
+++ b/packages/daemon/cassiaquay_daemon/engine_reports.py
@@ -45,6 +45,9 @@
 Body = typing.TypeVar("Body", CacheEvents, LoadReport)
 
 
+Report = typing.TypeVar("Report")
+
+
 class Reader(typing.Protocol):
     """Reads reports by one protocol of backend servers."""
 
@@ -76,9 +79,7 @@
         """Return the last load report."""
         return await self._get(server, "/v1/load", LoadReport)
 
-    async def _get(
-        self, server: fleet.Server, path: str, kind: typing.Any
-    ) -> typing.Any:
+    async def _get(self, server: fleet.Server, path: str, kind: type[Report]) -> Report:
         timeout = aiohttp.ClientTimeout(total=TIMEOUT_SECONDS)
         url = f"http://{server.address}{path}"
         try:
