Keep a stream alive that another instance reads for a caller

An owner back from a pause stopped the engine's stream after the grace time, as its own caller had gone, while that caller read the stream at another instance: answer_lost. A recovered stream's reader now counts at the owner.

--- a/packages/daemon/cassiaquay_daemon/members.py
+++ b/packages/daemon/cassiaquay_daemon/members.py
@@ -121,6 +121,11 @@
                 return member
         return None
 
+    def last_heard(self, instance: str) -> messages.Member | None:
+        """Return what was heard last of another instance, also when silent now."""
+        known = self._known.get(instance)
+        return known.member if known is not None else None
+
     def is_leaving(self, name: str) -> bool:
         """Tell whether the instance list shows an instance or server as leaving."""
         line = self.listed.get(name)
--- a/packages/daemon/cassiaquay_daemon/relay.py
+++ b/packages/daemon/cassiaquay_daemon/relay.py
@@ -118,10 +118,7 @@
         body: bytes,
     ) -> RelayedResponse:
         """Return the owner's response; raise OwnerUnreachable when there is none."""
-        passed = {HOP_HEADER: self._settings.instance}
-        for name in PASSED_HEADERS:
-            if name in headers:
-                passed[name] = headers[name]
+        passed = self._passed(headers)
 
         def is_gone() -> bool:
             member = self._find(owner.instance)
@@ -142,6 +139,26 @@
             losing.cancel()
             await asyncio.gather(asking, losing, return_exceptions=True)
 
+    async def wait_for_end(
+        self, owner: messages.Member, target: str, headers: dict[str, str]
+    ) -> None:
+        """Read an owner's answer to its end; raise OwnerUnreachable when it breaks."""
+        url = f"http://{owner.http}{target}"
+        response = await self._ask("GET", url, self._passed(headers), b"")
+        try:
+            await response.read()
+        except (aiohttp.ClientError, OSError) as error:
+            raise OwnerUnreachable(repr(error)) from error
+        finally:
+            response.close()
+
+    def _passed(self, headers: dict[str, str]) -> dict[str, str]:
+        passed = {HOP_HEADER: self._settings.instance}
+        for name in PASSED_HEADERS:
+            if name in headers:
+                passed[name] = headers[name]
+        return passed
+
     async def _ask(
         self, method: str, url: str, headers: dict[str, str], body: bytes
     ) -> aiohttp.ClientResponse:
--- a/packages/daemon/cassiaquay_daemon/web.py
+++ b/packages/daemon/cassiaquay_daemon/web.py
@@ -14,6 +14,7 @@
     configuration,
     entries,
     exceptions,
+    holds,
     members,
     owner,
     recovery,
@@ -62,6 +63,7 @@
         self._owner = owned
         self._relay = passing
         self._recovery = recovering
+        self._holds = holds.Holds(passing, membership.last_heard)
         self._on_refused: list[collections.abc.Callable[[exceptions.Refusal], None]]
         self._on_refused = []
 
@@ -191,8 +193,9 @@
             if final is None:
                 return _told(entries.Told("", "", "dispatched"))
             return _told(entries.Told(final["outcome"], final["code"], "finished"))
+        hold = _Hold(self._holds, request_id, dict(request.headers))
         return streams.AnswerResponse(
-            found.answer, _from(request), lambda: found.refusal, _nothing, _ignore
+            found.answer, _from(request), lambda: found.refusal, hold.start, hold.stop
         )
 
     async def _submit(
@@ -283,9 +286,23 @@
     return responses.Response(msgspec.json.encode(value), media_type="application/json")
 
 
-def _nothing() -> None:
-    """Do nothing: recovered answers count no readers."""
+class _Hold:
+    """Holds a request at its owner for as long as a recovered answer is read."""
 
+    def __init__(
+        self,
+        holding: holds.Holds,
+        request_id: tokens.RequestId,
+        headers: dict[str, str],
+    ):
+        self._holding = holding
+        self._request_id = request_id
+        self._headers = headers
+        self._stop: collections.abc.Callable[[], None] | None = None
+
+    def start(self) -> None:
+        self._stop = self._holding.start(self._request_id, self._headers)
 
-def _ignore(delivered: bool) -> None:
-    """Do nothing, as above."""
+    def stop(self, delivered: bool) -> None:
+        if self._stop is not None:
+            self._stop()
--- a/tests/test_web.py
+++ b/tests/test_web.py
@@ -24,10 +24,14 @@
 
     def __init__(self) -> None:
         self.alive: dict[str, messages.Member] = {}
+        self.heard: dict[str, messages.Member] = {}
 
     def find(self, instance: str) -> messages.Member | None:
         return self.alive.get(instance)
 
+    def last_heard(self, instance: str) -> messages.Member | None:
+        return self.heard.get(instance)
+
 
 class Served:
     """One instance's web layer, served on a free port."""
@@ -248,3 +252,52 @@
             assert not bench.servers.seen
 
     run(work())
+
+
+def test_an_owner_that_comes_back_leaves_a_stream_that_is_read_elsewhere(monkeypatch):
+    """The caller goes on reading at another instance; its answer is not cut.
+
+    The owner was paused. It comes back, finds that its own caller has gone, and would
+    stop the engine's stream after the grace time.
+    """
+
+    async def work() -> None:
+        async with serve() as (bench, first, second, members, http):
+            finish = asyncio.Event()
+
+            async def late(answer) -> None:
+                await finish.wait()
+                answer.append(b'{"text":"a"}')
+
+            async def resume(self, server, key, answer) -> backends.Figures:
+                answer.open()
+                await late(answer)
+                return backends.Figures(1, 0, 1)
+
+            monkeypatch.setattr(owner_fakes.FakeEngine, "resume", resume)
+            bench.servers.script = [late]
+            name = bench.new_id()
+            path = f"/v1/requests/{name.text}"
+            asking = asyncio.create_task(
+                http.post(f"http://{first.address}{path}", data=BODY, headers=JSON)
+            )
+            await owner_fakes.until(lambda: bool(bench.servers.seen))
+            member = members.alive.pop("cq-1")
+            asking.cancel()
+            entry = bench.owner.table[name.text]
+            await owner_fakes.until(lambda: not entry.readers)
+            reading = asyncio.create_task(
+                http.get(f"http://{second.address}{path}", headers=AUTH)
+            )
+            await owner_fakes.until(lambda: bool(second.recovery._found))
+            members.heard["cq-1"] = member
+            await owner_fakes.until(lambda: bool(entry.readers))
+            with owner_fakes.later(monkeypatch, 60.0):
+                bench.owner.sweep_once()
+            finish.set()
+            async with await reading as response:
+                assert b'"outcome":"completed"' in await response.read()
+            assert (await owner_fakes.ended(entry))["outcome"] == "completed"
+            assert not bench.servers.stopped
+
+    run(work())
