--- a/packages/daemon/cassiaquay_daemon/daemon.py
+++ b/packages/daemon/cassiaquay_daemon/daemon.py
@@ -22,10 +22,13 @@
     logs,
     members,
     owner,
+    pause,
     peers,
     platform,
+    reconciler,
     recovery,
     relay,
+    renewal,
     reports,
     tokens,
     web,
@@ -69,13 +72,18 @@
             trace_configs=[backends.tracing()],
             auto_decompress=False,
         )
+        self._pauses = pause.Pauses(pause.shortest_lease(settings))
         self._peers = peers.Peers(settings, self._incarnation)
         self._configuration = configuration.Configuration(settings, self._peers)
         self._membership = members.Membership(
             settings, self._incarnation, self._peers, self._mint, self._measure
         )
         self._keeper = keeper.Keeper(
-            settings, self._peers, self._membership, self._configuration
+            settings,
+            self._peers,
+            self._membership,
+            self._configuration,
+            self._pauses,
         )
         self._demands = demands.Demands(
             settings, self._peers, self._membership, self._keeper
@@ -88,7 +96,11 @@
             self._membership.is_leaving,
             self._better_address,
         )
+        self._owner.heed(self._pauses)
         self._membership.on_heard(self._configuration.heard)
+        self._membership.digest = lambda: self._configuration.digest
+        self._configuration.on_accept(self._membership.update)
+        self._pauses.on_overslept(self._membership.overslept)
 
     async def run(self) -> None:
         """Serve until a signal or a drain, then shut down gracefully."""
@@ -114,6 +126,7 @@
             self._owner,
             parts.passing,
             parts.recovering,
+            self._pauses,
         )
         callers.on_refused(noted.refused)
         operators = admin.Admin(
@@ -152,13 +165,33 @@
         chosen = self._settings.platform
         service = platform.configuration_services.get(chosen.configuration_adapter)
         listing = platform.instance_lists.get(chosen.instances_adapter)
+        instances = listing(self._http, chosen.instances)
+        texts = service(self._http, chosen.configuration)
+        renewing = renewal.Renewal(
+            self._settings,
+            self._pauses,
+            self._peers,
+            self._membership,
+            self._configuration,
+            texts,
+            instances,
+        )
+        renewing.start()
         return [
+            self._pauses.tick(),
+            renewing.run(),
             self._membership.beat(),
-            self._membership.read_list(listing(self._http, chosen.instances)),
-            self._configuration.watch(
-                service(self._http, chosen.configuration), self._membership
-            ),
+            self._membership.read_list(instances),
+            self._configuration.watch(texts, self._membership),
             self._keeper.tick(),
+            reconciler.Reconciler(
+                self._settings,
+                self._http,
+                self._membership,
+                self._configuration,
+                self._keeper,
+                self._pauses,
+            ).run(),
             self._demands.renew(),
             self._demands.report(),
             self._owner.sweep(),
--- a/packages/daemon/cassiaquay_daemon/dispatching.py
+++ b/packages/daemon/cassiaquay_daemon/dispatching.py
@@ -16,6 +16,7 @@
     entries,
     exceptions,
     logs,
+    pause,
     prefixes,
     rendezvous,
     table,
@@ -73,6 +74,7 @@
         is_leaving: collections.abc.Callable[[str], bool],
     ):
         self.background: set[asyncio.Task[None]] = set()
+        self.pauses: pause.Pauses | None = None
         self._on_wasted: list[collections.abc.Callable[[int], None]] = []
         self._capacity = capacity
         self._table = requests
@@ -114,6 +116,10 @@
             try:
                 await self._dispatch(entry, demand, permission, server)
                 return
+            except exceptions.Overslept:
+                # Nothing is wrong with the server: it may be chosen again.
+                self._capacity.give_back(demand)
+                await asyncio.sleep(NOT_SENT_PAUSE)
             except exceptions.NotSent as error:
                 logs.detail("not_sent", server=server.name, cause=str(error))
                 self._capacity.give_back(demand)
@@ -170,6 +176,8 @@
         # with a caller that has gone or was told "not run": it must not send.
         if entry.ended or entry.state is not entries.State.WAITING:
             raise exceptions.NotSent("ended meanwhile")
+        if self.pauses is not None and not self.pauses.current:
+            raise exceptions.Overslept("this process was paused")
         if not entry.readers:
             raise exceptions.NotSent("no caller is connected")
         if clock.now() >= min(permission.expires_at, entry.deadline):
--- a/packages/daemon/cassiaquay_daemon/web.py
+++ b/packages/daemon/cassiaquay_daemon/web.py
@@ -17,6 +17,7 @@
     holds,
     members,
     owner,
+    pause,
     recovery,
     relay,
     requests,
@@ -46,6 +47,8 @@
         The way to other owners.
     recovering : Recovery
         The way to streams of dead owners.
+    pauses : Pauses, optional
+        Whether this instance knows what is true now.
     """
 
     def __init__(
@@ -56,6 +59,7 @@
         owned: owner.Owner,
         passing: relay.Relay,
         recovering: recovery.Recovery,
+        pauses: pause.Pauses | None = None,
     ):
         self._settings = settings
         self._configured = configured
@@ -64,6 +68,7 @@
         self._relay = passing
         self._recovery = recovering
         self._holds = holds.Holds(passing, membership.last_heard)
+        self._pauses = pauses or pause.Pauses(pause.shortest_lease(settings))
         self._on_refused: list[collections.abc.Callable[[exceptions.Refusal], None]]
         self._on_refused = []
 
@@ -95,6 +100,9 @@
 
     async def addresses(self, request: web_requests.Request) -> responses.Response:
         """Answer with addresses to use."""
+        # After a pause the others look dead, and the answer would send all callers
+        # here: a moment's wait for fresh news is enough.
+        await self._pauses.wait(self._settings.membership.refresh_seconds)
         domain = request.query_params.get("domain", "")
         found = addresses.answer(self._settings, self._membership, domain)
         return _json(found)
--- a/tests/operators_fakes.py
+++ b/tests/operators_fakes.py
@@ -69,7 +69,7 @@
         links = peers.Peers(chosen, "abcdefabcdef")
         self.configured = configuration.Configuration(chosen, links)
         self.membership = members.Membership(
-            chosen, "abcdefabcdef", links, lambda: "token", lambda: (0.0, 0)
+            chosen, "abcdefabcdef", links, lambda: "token", lambda: (0.0, 1)
         )
         kept = keeper.Keeper(chosen, links, self.membership, self.configured)
         asked = demands.Demands(chosen, links, self.membership, kept)
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -265,9 +265,9 @@
 def test_configuration_shows_what_was_refused_and_what_is_on_its_way() -> None:
     async def test(instance: fakes.Instance) -> None:
         instance.configured.accept(2, "tiers = 1")
-        instance.membership._learn(
+        instance.membership.learn(
             messages.Member(
-                "cq-2", "b" * 12, "leicester", "h", "p", 1, False, "t", 0.0, 3, 1.0, "a"
+                "cq-2", "b" * 12, "leicester", "h", "p", 1, False, 0.0, 3, 1.0, "a", 1.0
             )
         )
         found = (await instance.call("/v1/configuration")).json
