--- a/packages/daemon/cassiaquay_daemon/members.py
+++ b/packages/daemon/cassiaquay_daemon/members.py
@@ -186,6 +186,11 @@
         """Return the seconds since a known member's start, or a little less."""
         return self.facts.records[instance].uptime
 
+    def last_heard(self, instance: str) -> messages.Member | None:
+        """Return what was heard last of another instance, also when silent now."""
+        record = self.facts.records.get(instance)
+        return record.member if record is not None else None
+
     def is_leaving(self, name: str) -> bool:
         """Tell whether the instance list shows an instance or server as leaving."""
         line = self.listed.get(name)
