--- a/packages/daemon/cassiaquay_daemon/main.py
+++ b/packages/daemon/cassiaquay_daemon/main.py
@@ -1,5 +1,6 @@
 """The command ``cassiaquayd``: run one instance from its settings file."""
 
+import gc
 import pathlib
 import sys
 
@@ -30,6 +31,11 @@
         raise SystemExit(BAD_SETTINGS) from error
     logs.set_up(found)
 
+    # A full collection goes over every object and stops all streams meanwhile; what was
+    # loaded until here lives as long as the process and need not be looked at.
+    gc.collect()
+    gc.freeze()
+
     async def run() -> None:
         await daemon.Daemon(found).run()
 
