--- a/packages/dev/cassiaquay_dev/bench_metrics.py
+++ b/packages/dev/cassiaquay_dev/bench_metrics.py
@@ -83,6 +83,7 @@
     goodput: int
     plain_in_time_share: float
     outcomes: dict[str, int]
+    missed: dict[str, dict[str, int]]
     wrong: int
     repeated_dispatches: int
     bound_strict: float
@@ -220,6 +221,26 @@
     return wasted / max(total, 1)
 
 
+def missed(
+    records: list[bench_driver.Record], tiers: list[str]
+) -> dict[str, dict[str, int]]:
+    """Count by tier what was not in time, by length of the prompt and code.
+
+    ``long`` are the requests of sessions; ``late`` is a whole answer after the
+    deadline.
+    """
+    found: dict[str, dict[str, int]] = {tier: {} for tier in tiers}
+    for record in records:
+        if record.in_time:
+            continue
+        length = "long" if record.arrival.session else "short"
+        code = "late" if record.outcome == "completed" else record.code
+        counts = found[record.arrival.tier]
+        name = f"{length} {code}"
+        counts[name] = counts.get(name, 0) + 1
+    return found
+
+
 def recovery(
     records: list[bench_driver.Record], at: float, seconds: float, settle: float
 ) -> float:
@@ -270,6 +291,7 @@
         goodput=sum(in_time.values()),
         plain_in_time_share=_share([record.in_time for record in plain]),
         outcomes=outcomes,
+        missed=missed(model, tiers),
         wrong=sum(1 for record in done if not record.correct),
         repeated_dispatches=len(keys) - len(set(keys)),
         bound_strict=limit.strict,
--- a/packages/dev/cassiaquay_dev/bench_report.py
+++ b/packages/dev/cassiaquay_dev/bench_report.py
@@ -101,6 +101,16 @@
         lines.append(f"| {name} in time | " + " | ".join(cells) + " |")
     cells = [_spread(_bound_shares(found[first], tier)) for tier in _tiers(runs)]
     lines.append("| strict bound | " + " | ".join(cells) + " |")
+    top = _tiers(runs)[0]
+    lines.append("")
+    for name, mine in found.items():
+        counts: dict[str, int] = {}
+        for run in mine:
+            for reason, count in run["figures"]["missed"][top].items():
+                counts[reason] = counts.get(reason, 0) + count
+        ordered = sorted(counts.items(), key=lambda item: -item[1])
+        told = ", ".join(f"{reason} {count}" for reason, count in ordered)
+        lines.append(f"{name}, missed in the top tier over all seeds: {told or 'none'}")
     return "\n".join(lines)
 
 
--- a/tests/test_bench.py
+++ b/tests/test_bench.py
@@ -138,6 +138,16 @@
     assert found == pytest.approx(0.5)
 
 
+def test_missed_requests_are_counted_by_tier_length_and_code() -> None:
+    late = record_of(0, "urgent", False)
+    refused = record_of(1, "urgent", False)
+    refused.outcome, refused.code = "not_run", "shed_overload"
+    served = record_of(2, "urgent", True)
+    found = bench_metrics.missed([late, refused, served], ["urgent", "standard"])
+    assert found["urgent"] == {"short late": 1, "short shed_overload": 1}
+    assert found["standard"] == {}
+
+
 def test_prefill_of_late_answers_counts_as_wasted() -> None:
     prompt = "c" * 256 * 4
     records = []
