--- a/tests/test_bench.py
+++ b/tests/test_bench.py
@@ -16,6 +16,7 @@
     bounds,
     deployments,
     engine_stream,
+    fairness,
     path_client,
     processes,
     texts,
@@ -105,14 +106,14 @@
 
 
 def test_jain_index() -> None:
-    assert bench_metrics.jain([1.0, 1.0, 1.0]) == pytest.approx(1.0)
-    assert bench_metrics.jain([1.0, 0.0, 0.0, 0.0]) == pytest.approx(0.25)
+    assert fairness.jain([1.0, 1.0, 1.0]) == pytest.approx(1.0)
+    assert fairness.jain([1.0, 0.0, 0.0, 0.0]) == pytest.approx(0.25)
 
 
 def test_fair_shares_fill_the_small_first() -> None:
     wanted = {"small": 10.0, "large": 100.0, "huge": 100.0}
     weights = {"small": 1.0, "large": 1.0, "huge": 2.0}
-    shares = bench_metrics.fair_shares(wanted, weights, 100.0)
+    shares = fairness.fair_shares(wanted, weights, 100.0)
     assert shares == pytest.approx({"small": 10.0, "large": 30.0, "huge": 60.0})
 
 
@@ -130,11 +131,11 @@
     # All urgent work is served and no other: fair, though only one team sent any.
     served = [record_of(0, "urgent", True) for _ in range(3)]
     starved = [record_of(team, "standard", False) for team in (0, 1, 2)]
-    assert bench_metrics.fairness(served + starved, deployments.BRINDLEY) == 1.0
+    assert fairness.fairness(served + starved, deployments.BRINDLEY) == 1.0
     # One of two equal teams gets everything of a tier.
     unfair = [record_of(0, "standard", True), record_of(1, "standard", False)]
     unfair += [record_of(0, "standard", True), record_of(1, "standard", False)]
-    found = bench_metrics.fairness(unfair, deployments.BRINDLEY)
+    found = fairness.fairness(unfair, deployments.BRINDLEY)
     assert found == pytest.approx(0.5)
 
 
