--- a/tests/test_web.py
+++ b/tests/test_web.py
@@ -72,7 +72,18 @@
         first, second = Served(bench, members, http), Served(other, members, http)
         tasks = [await first.start(), await second.start()]
         members.alive["cq-1"] = messages.Member(
-            "cq-1", "0123456789ab", "", first.address, "", 1, False, "", 0.0, 1, 0.0
+            "cq-1",
+            "0123456789ab",
+            "",
+            first.address,
+            "",
+            1,
+            False,
+            0.0,
+            1,
+            0.0,
+            "",
+            0.0,
         )
         try:
             yield bench, first, second, members, http
