--- a/packages/daemon/cassiaquay_daemon/explain.py
+++ b/packages/daemon/cassiaquay_daemon/explain.py
@@ -291,7 +291,8 @@
             target = (
                 f"/v1/placement?shard={demand.shard.replace('#', '%23')}"
                 f"&id={demand.id}&rank={demand.rank}"
-                f"&tokens={demand.prompt_tokens + demand.output_tokens}"
+                f"&prompt_tokens={demand.prompt_tokens}"
+                f"&output_tokens={demand.output_tokens}"
             )
             body = await self._ask(member, target, authorization)
             return msgspec.json.decode(body, type=Placement)
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -258,6 +258,25 @@
     fakes.run(test)
 
 
+def test_a_long_answer_is_whole_later_than_a_short_one() -> None:
+    """An operator asks through an instance that is not the keeper.
+
+    The question travels to the keeper. When the size of the answer was lost on the way,
+    each engine seemed to have it whole at once.
+    """
+
+    async def test(instance: fakes.Instance) -> None:
+        _shard(instance)
+        path = "/v1/placement?shard=engines%230&prompt_tokens=10&output_tokens="
+        times = []
+        for tokens in (1, 1000):
+            found = (await instance.call(f"{path}{tokens}")).json
+            times.append(min(item["finish_ms"] for item in found["servers"]))
+        assert times[1] > 10 * times[0]
+
+    fakes.run(test)
+
+
 def test_explains_a_request_by_its_id_to_its_team_only() -> None:
     async def test(instance: fakes.Instance) -> None:
         entry = instance.entry(LARGE.name)
