Let the demo judge every promise by the history checker, and show prefill by tier

Cause: the demo judged three promises by a check of its own, beside the history checker, and showed waste in total only. Its test now requires the same as before (every outcome, one dispatch for each arrival, answers as the engines made them) and the other checks too.

--- a/packages/dev/cassiaquay_dev/demo.py
+++ b/packages/dev/cassiaquay_dev/demo.py
@@ -1,6 +1,8 @@
 """``make demo``: Brindley Lane on this machine, a mixed workload, a table by tier."""
 
 import asyncio
+import collections
+import json
 import pathlib
 import sys
 import tempfile
@@ -9,112 +11,118 @@
 import fire
 import numpy
 
-from . import cluster, deployments, driver, texts, workloads
-
-COLUMNS = "tier         sent  in time  late  not run  unknown  failed   p50 s   p95 s"
-
-
-class Promises(typing.NamedTuple):
-    """What the stand-ins' own logs say.
-
-    Attributes
-    ----------
-    dispatches : int
-        Dispatches seen at the back ends.
-    repeats : list of str
-        Ids that a back end got twice.
-    wrong : list of str
-        Ids whose answer is not what the engine made.
-    ran_though_not_run : list of str
-        Ids that callers were told had not run, and that a back end got.
-    prefill_tokens, wasted_tokens : int
-        Prompt tokens read, and read for nothing.
-    """
-
-    dispatches: int
-    repeats: list[str]
-    wrong: list[str]
-    ran_though_not_run: list[str]
-    prefill_tokens: int
-    wasted_tokens: int
-
-    @property
-    def broken(self) -> bool:
-        """Whether a promise broke."""
-        return bool(self.repeats or self.wrong or self.ran_though_not_run)
-
-
-async def check(started: cluster.Cluster, results: list[driver.Result]) -> Promises:
-    """Compare what callers were told with the back ends' logs."""
-    seen: list[str] = []
-    prefill = 0
-    wasted = 0
+from . import checker, cluster, deployments, driver, engine_stream, history, workloads
+
+COLUMNS = (
+    "tier         sent  in time  late  not run  unknown  failed   p50 s   p95 s"
+    "  prefill  wasted"
+)
+LOST = (engine_stream.CANCELLED, engine_stream.DROPPED)
+
+
+class Prefill(typing.NamedTuple):
+    """Prompt tokens that the engines read for one tier, and read for nothing."""
+
+    read: int = 0
+    wasted: int = 0
+
+
+async def prefill_by_tier(started: cluster.Cluster) -> dict[str, Prefill]:
+    """Return what the engines read by tier, from their own logs."""
+    tiers = _tiers(started)
+    found: dict[str, Prefill] = collections.defaultdict(Prefill)
     for engine in started.deployment.engines:
         address = started.addresses[engine.name]
         log = await started.control(address, "GET", "/control/log")
-        seen += [line["id"] for line in log["dispatches"]]
-        totals = await started.control(address, "GET", "/control/totals")
-        prefill += totals["prefilled"]
-        wasted += totals["prefill_wasted"]
-    for plain in started.deployment.plains:
-        address = started.addresses[plain.name]
-        log = await started.control(address, "GET", "/control/log")
-        seen += [line["id"] for line in log["runs"]]
-    repeats = sorted({key for key in seen if seen.count(key) > 1})
-    wrong = [result.request_id for result in results if _is_wrong(result)]
-    at_back_ends = set(seen)
-    told_not_run = []
-    for result in results:
-        if result.outcome == "not_run" and _key(result) in at_back_ends:
-            told_not_run.append(result.request_id)
-    return Promises(len(seen), repeats, wrong, told_not_run, prefill, wasted)
-
-
-def table(results: list[driver.Result], tiers: list[str]) -> str:
+        for line in log["dispatches"]:
+            tier = tiers[line["id"].rpartition("~")[0]]
+            read = line["prefilled_tokens"]
+            wasted = read if line["state"] in LOST else 0
+            before = found[tier]
+            found[tier] = Prefill(before.read + read, before.wasted + wasted)
+    return found
+
+
+def table(
+    results: list[driver.Result], tiers: list[str], prefill: dict[str, Prefill]
+) -> str:
     """Return the table by tier."""
     lines = [COLUMNS]
     for tier in tiers:
         mine = [result for result in results if result.arrival.tier == tier]
         done = [result for result in mine if result.outcome == "completed"]
         in_time = sum(1 for result in done if result.in_time)
-        counts = dict.fromkeys(("not_run", "outcome_unknown", "failed"), 0)
-        for result in mine:
-            if result.outcome in counts:
-                counts[result.outcome] += 1
+        counts = collections.Counter(result.outcome for result in mine)
         seconds = [result.seconds for result in done] or [float("nan")]
         p50, p95 = numpy.percentile(seconds, [50, 95])
+        read, wasted = prefill.get(tier, Prefill())
         lines.append(
             f"{tier:<12}{len(mine):>5}{in_time:>9}{len(done) - in_time:>6}"
             f"{counts['not_run']:>9}{counts['outcome_unknown']:>9}"
-            f"{counts['failed']:>8}{p50:>8.2f}{p95:>8.2f}"
+            f"{counts['failed']:>8}{p50:>8.2f}{p95:>8.2f}{read:>9}{wasted:>8}"
         )
     return "\n".join(lines)
 
 
+def record_answers(recorder: history.Recorder, results: list[driver.Result]) -> None:
+    """Add the whole answers of model engines to the history."""
+    for result in results:
+        if result.outcome != "completed" or result.arrival.path:
+            continue
+        recorder.answered_text(
+            result.request_id,
+            result.arrival.team.name,
+            result.text,
+            result.arrival.max_tokens,
+        )
+
+
 async def demo(seconds: float, rate: float, daemons: int, seed: int) -> int:
     """Run the demonstration; return 1 when a promise broke."""
     deployment = deployments.deployments.get("brindley")
+    recorder = history.Recorder()
     with tempfile.TemporaryDirectory(prefix="cassiaquay-demo-") as folder:
-        started = cluster.Cluster(deployment, daemons, pathlib.Path(folder))
+        started = cluster.Cluster(
+            deployment, daemons, pathlib.Path(folder), level="DEBUG"
+        )
         print(f"starting 5 engines, 3 plain servers and {daemons} daemons", flush=True)
         try:
             await started.start()
             arrivals = workloads.mixed(deployment, seed, seconds, rate)
-            sender = driver.Driver(started.seeds, deployment.domains)
+            sender = driver.Driver(started.seeds, deployment.domains, recorder.watch)
             progress = asyncio.create_task(_progress(sender, len(arrivals)))
             results = await sender.run(arrivals)
             progress.cancel()
-            promises = await check(started, results)
+            prefill = await prefill_by_tier(started)
+            await history.collect_back_ends(started, recorder.history)
         finally:
             codes = await started.stop()
-    print(table(results, deployment.tiers))
-    print(f"dispatches {promises.dispatches}, repeated {len(promises.repeats)}")
-    print(f"wrong answers {len(promises.wrong)}")
-    print(f"ran though told not run {len(promises.ran_though_not_run)}")
-    share = promises.wasted_tokens / max(promises.prefill_tokens, 1)
-    print(f"prefill {promises.prefill_tokens} tokens, wasted {share:.2%}")
-    print(f"daemons stopped with {sorted(codes.items())}")
-    return 1 if promises.broken or any(codes.values()) else 0
+        # Read after the planned stop, so that it is judged too.
+        history.collect_daemons(started, recorder.history)
+    record_answers(recorder, results)
+    breaches = checker.check(recorder.history)
+    print(table(results, deployment.tiers, prefill))
+    arrived = len(recorder.history.of(history.Arrived))
+    print(f"{arrived} dispatches at the back ends")
+    print(f"checked: {', '.join(checker.checks.names())}")
+    for breach in breaches:
+        print(f"broken promise {breach.promise}: {breach.text}")
+    print(
+        f"{len(breaches)} promises broken; daemons stopped with {sorted(codes.items())}"
+    )
+    return 1 if breaches or any(codes.values()) else 0
+
+
+def _tiers(started: cluster.Cluster) -> dict[str, str]:
+    tiers = {}
+    for process in started.daemons.values():
+        for line in process.lines():
+            if not line.startswith("{"):
+                continue
+            event = json.loads(line)
+            if event.get("event") == "dispatch":
+                tiers[event["id"]] = event["tier"]
+    return tiers
 
 
 async def _progress(sender: driver.Driver, total: int) -> None:
@@ -123,17 +131,6 @@
         print(f"  {len(sender.results)} of {total} requests ended", flush=True)
 
 
-def _key(result: driver.Result) -> str:
-    return f"{result.request_id}~{result.arrival.team.name}"
-
-
-def _is_wrong(result: driver.Result) -> bool:
-    if result.outcome != "completed" or result.arrival.path:
-        return False
-    expected = texts.expected_answer(_key(result), result.arrival.max_tokens)
-    return result.text != expected
-
-
 def main(
     seconds: float = 15.0, rate: float = 12.0, daemons: int = 3, seed: int = 1
 ) -> None:
--- a/packages/dev/cassiaquay_dev/history.py
+++ b/packages/dev/cassiaquay_dev/history.py
@@ -201,8 +201,12 @@
 
     def answered(self, answer: cassiaquay.Answer, team: str) -> None:
         """Record a whole answer of a model engine."""
+        self.answered_text(answer.request_id, team, answer.text, answer.count)
+
+    def answered_text(self, request_id: str, team: str, text: str, length: int) -> None:
+        """Record the text of a whole answer that should have ``length`` tokens."""
         self.history.events.append(
-            Answered(time.time(), answer.request_id, team, answer.text, answer.count)
+            Answered(time.time(), request_id, team, text, length)
         )
 
     def server_leaving(self, server: str) -> None:
@@ -212,8 +216,18 @@
 
 async def collect(started: cluster.Cluster, history: History) -> None:
     """Add the log lines of all daemons and back ends of a cluster."""
+    collect_daemons(started, history)
+    await collect_back_ends(started, history)
+
+
+def collect_daemons(started: cluster.Cluster, history: History) -> None:
+    """Add the log lines of all daemons, which may have stopped."""
     for process in started.daemons.values():
         history.events += read_log(process.lines())
+
+
+async def collect_back_ends(started: cluster.Cluster, history: History) -> None:
+    """Add the own logs of all back ends."""
     for name, address in started.addresses.items():
         log = await started.control(address, "GET", "/control/log")
         for line in log.get("dispatches", []) + log.get("runs", []):
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -4,24 +4,36 @@
 import pathlib
 
 import cassiaquay
-from cassiaquay_dev import cluster, demo, deployments, driver, workloads
+from cassiaquay_dev import (
+    checker,
+    cluster,
+    demo,
+    deployments,
+    driver,
+    history,
+    workloads,
+)
 
 
 def test_every_answer_is_whole_and_dispatched_once(tmp_path: pathlib.Path) -> None:
     async def run() -> None:
         deployment = deployments.BRINDLEY
-        started = cluster.Cluster(deployment, 3, tmp_path)
+        recorder = history.Recorder()
+        started = cluster.Cluster(deployment, 3, tmp_path, level="DEBUG")
         try:
             await started.start()
             arrivals = workloads.mixed(deployment, 7, 4.0, 10.0)
-            sender = driver.Driver(started.seeds, deployment.domains)
+            sender = driver.Driver(started.seeds, deployment.domains, recorder.watch)
             results = await sender.run(arrivals)
-            promises = await demo.check(started, results)
+            await history.collect_back_ends(started, recorder.history)
         finally:
             codes = await started.stop()
+        history.collect_daemons(started, recorder.history)
+        demo.record_answers(recorder, results)
         assert [result.outcome for result in results] == ["completed"] * len(arrivals)
-        assert promises.dispatches == len(arrivals)
-        assert not promises.broken
+        assert len(recorder.history.of(history.Arrived)) == len(arrivals)
+        assert len(recorder.history.of(history.Answered)) > 0
+        assert not checker.check(recorder.history)
         assert set(codes.values()) == {0}
 
     asyncio.run(run())
