--- a/packages/daemon/cassiaquay_daemon/engine_reports.py
+++ b/packages/daemon/cassiaquay_daemon/engine_reports.py
@@ -42,7 +42,8 @@
     waiting: int
 
 
-Body = typing.TypeVar("Body", CacheEvents, LoadReport)
+_EVENTS = msgspec.json.Decoder(CacheEvents)
+_LOAD = msgspec.json.Decoder(LoadReport)
 
 
 class Reader(typing.Protocol):
@@ -69,26 +70,28 @@
 
     async def events(self, server: fleet.Server, after: int) -> CacheEvents:
         """Return the cache events after a sequence number."""
-        path = f"/v1/kv/events?after={after}"
-        return await self._get(server, path, CacheEvents)
+        body = await self._get(server, f"/v1/kv/events?after={after}")
+        try:
+            return _EVENTS.decode(body)
+        except msgspec.DecodeError as error:
+            raise exceptions.BackendError(str(error)) from error
 
     async def load(self, server: fleet.Server) -> LoadReport:
         """Return the last load report."""
-        return await self._get(server, "/v1/load", LoadReport)
+        body = await self._get(server, "/v1/load")
+        try:
+            return _LOAD.decode(body)
+        except msgspec.DecodeError as error:
+            raise exceptions.BackendError(str(error)) from error
 
-    async def _get(
-        self, server: fleet.Server, path: str, kind: typing.Any
-    ) -> typing.Any:
+    async def _get(self, server: fleet.Server, path: str) -> bytes:
         timeout = aiohttp.ClientTimeout(total=TIMEOUT_SECONDS)
         url = f"http://{server.address}{path}"
         try:
             async with self._http.get(url, timeout=timeout) as response:
-                body = await response.read()
-            return msgspec.json.decode(body, type=kind)
+                return await response.read()
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             raise exceptions.BackendError(repr(error)) from error
-        except msgspec.DecodeError as error:
-            raise exceptions.BackendError(str(error)) from error
 
 
 class EngineReports:
--- a/packages/schema/cassiaquay_schema/messages.py
+++ b/packages/schema/cassiaquay_schema/messages.py
@@ -168,6 +168,8 @@
         Chained hashes of the prompt's prefix blocks.
     avoid : list[str]
         Backend servers that just refused a connection.
+    block_count : int
+        Full prefix blocks of the prompt; says which of them `blocks` are.
     """
 
     id: str
@@ -181,6 +183,7 @@
     session: str
     blocks: list[int]
     avoid: list[str]
+    block_count: int = 0
 
 
 class Permit(typing.NamedTuple):
@@ -486,6 +489,93 @@
     part: str
 
 
+class LimitQuery(typing.NamedTuple):
+    """An owner asks the keeper of a limit for permits; it renews those that it holds.
+
+    Attributes
+    ----------
+    key : str
+        What is limited, as in `team questions`.
+    needed : int
+        Requests that wait for it.
+    wanted : int
+        Permits of the rate that are welcome, a chunk.
+    held : int
+        Requests that run under it.
+    """
+
+    key: str
+    needed: int
+    wanted: int
+    held: int
+
+
+class LimitPermits(typing.NamedTuple):
+    """Permits of a limit, the answer to a query.
+
+    Attributes
+    ----------
+    key : str
+        What is limited.
+    permits : int
+        How many, perhaps fewer than needed, perhaps 0.
+    lifetime_ms : int
+        Time in which they must be used.
+    retry_after_ms : int
+        When the next one is to be had.
+    """
+
+    key: str
+    permits: int
+    lifetime_ms: int
+    retry_after_ms: int
+
+
+class LimitReturn(typing.NamedTuple):
+    """Requests under a limit of concurrency have ended.
+
+    Attributes
+    ----------
+    key : str
+        What is limited.
+    held : int
+        Requests that still run under it.
+    """
+
+    key: str
+    held: int
+
+
+class HealthQuery(typing.NamedTuple):
+    """An owner asks the keeper of a shard whether requests get through there.
+
+    Attributes
+    ----------
+    shard : str
+        Pool and number of the shard.
+    """
+
+    shard: str
+
+
+class Health(typing.NamedTuple):
+    """What gets through a shard.
+
+    Attributes
+    ----------
+    shard : str
+        Pool and number of the shard.
+    floor : int
+        Rank that is refused, with all below it; -1 for none.
+    retry_after_ms : int
+        When it is worth asking again.
+    """
+
+    shard: str
+    floor: int
+    retry_after_ms: int
+
+
 Message = (
     Hello
     | Proof
@@ -510,6 +600,11 @@
     | Refresh
     | Refreshed
     | ConfigurationChange
+    | LimitQuery
+    | LimitPermits
+    | LimitReturn
+    | HealthQuery
+    | Health
 )
 
 BY_CODE: dict[int, type] = {
@@ -536,6 +631,11 @@
     43: Refresh,
     44: Refreshed,
     45: ConfigurationChange,
+    35: LimitQuery,
+    36: LimitPermits,
+    37: LimitReturn,
+    38: HealthQuery,
+    39: Health,
 }
 
 CODES: dict[type, int] = {kind: code for code, kind in BY_CODE.items()}
--- a/tests/test_faults_death.py
+++ b/tests/test_faults_death.py
@@ -85,7 +85,8 @@
             error = await lost
             assert isinstance(error, cassiaquay.exceptions.OutcomeUnknown)
             await _send_copies(run, answers[0].request_id)
-            assert len(await run.arrivals()) == 5
+            await _send_together(run, session)
+            assert len(await run.arrivals()) == 6
 
     fault_runs.bounded(work())
 
@@ -107,3 +108,23 @@
         # Acknowledged answers are let go of; the id is known all the same.
         assert response.status == 410
         assert (await response.json())["outcome"] == "completed"
+
+
+async def _send_together(run: fault_runs.Run, session: cassiaquay.Session) -> None:
+    team = run.cluster.deployment.teams[0]
+    headers = {"Authorization": f"Bearer {team.credential}"}
+    chosen = await session.addresses.choose(fresh=True)
+    body = {
+        "service": run.cluster.deployment.model_service,
+        "prompt": "together",
+        "max_tokens": 20,
+    }
+    copies = []
+    for address in run.cluster.seeds * 4:
+        url = f"http://{address}/v1/requests/{chosen.token}~together"
+        copies.append(run.cluster.http.post(url, headers=headers, json=body))
+    texts = set()
+    for response in await asyncio.gather(*copies):
+        assert response.status == 200
+        texts.add(await response.text())
+    assert len(texts) == 1
