--- a/packages/daemon/cassiaquay_daemon/keeper.py
+++ b/packages/daemon/cassiaquay_daemon/keeper.py
@@ -61,7 +61,6 @@
         self._membership = membership
         self._configured = configured
         self._policies: dict[str, policies.Policy] = {}
-        self._keepers: dict[str, str] = {}
         self._due: set[str] = set()
         self._pauses = pauses or pause.Pauses(pause.shortest_lease(settings))
         self._pauses.on_overslept(self._overslept)
@@ -74,19 +73,13 @@
         links.on(messages.Progress, self.progress)
         links.on(messages.HealthQuery, self._health_asked)
         links.on_down(self._lost)
-        membership.on_change(self._keepers.clear)
         configured.on_accept(self._refresh)
 
     def keeper_of(self, shard: str) -> str:
         """Return the instance that should be the keeper of a shard."""
         if self._settings.keeper.policy == baselines.LOCAL:
             return self._settings.instance
-        # Ranking all members for each message cost more than the message; the answer
-        # changes only with the members.
-        found = self._keepers.get(shard)
-        if found is None:
-            found = self._keepers[shard] = self._membership.keeper_of(shard)
-        return found
+        return self._membership.keeper_of(shard)
 
     def keeps(self, shard: str) -> bool:
         """Tell whether this instance should be the keeper of a shard."""
--- a/packages/dev/cassiaquay_dev/bench_metrics.py
+++ b/packages/dev/cassiaquay_dev/bench_metrics.py
@@ -4,7 +4,7 @@
 
 import numpy
 
-from . import bench_driver, blocks, bounds, deployments, engine_stream
+from . import bench_driver, blocks, bounds, deployments, engine_stream, fairness
 
 PERCENTILES = [50, 95, 99]
 
@@ -83,6 +83,7 @@
     goodput: int
     plain_in_time_share: float
     outcomes: dict[str, int]
+    missed: dict[str, dict[str, int]]
     wrong: int
     repeated_dispatches: int
     bound_strict: float
@@ -103,70 +104,6 @@
     processor_share: dict[str, float]
 
 
-def jain(values: list[float]) -> float:
-    """Return Jain's index of fairness, 1 for equal values.
-
-    Source: Jain, Chiu and Hawe, DEC-TR-301, 1984.
-    """
-    squares = sum(value * value for value in values)
-    if not squares:
-        return 1.0
-    return sum(values) ** 2 / (len(values) * squares)
-
-
-def fair_shares(
-    wanted: dict[str, float], weights: dict[str, float], total: float
-) -> dict[str, float]:
-    """Return the weighted max-min fair division of ``total`` over what is wanted."""
-    given = dict.fromkeys(wanted, 0.0)
-    left = total
-    hungry = set(wanted)
-    while hungry and left > 1e-9:
-        unit = left / sum(weights[name] for name in hungry)
-        full = [n for n in hungry if wanted[n] - given[n] <= unit * weights[n]]
-        if not full:
-            for name in hungry:
-                given[name] += unit * weights[name]
-            return given
-        for name in full:
-            left -= wanted[name] - given[name]
-            given[name] = wanted[name]
-            hungry.discard(name)
-    return given
-
-
-def fairness(
-    records: list[bench_driver.Record], deployment: deployments.Deployment
-) -> float:
-    """Return how fairly teams were served: the mean over tiers of Jain's index.
-
-    In each tier, what teams got is compared to their weighted max-min fair shares of
-    what all got in that tier, in prompt and answer tokens of requests answered in
-    time; tiers count by what was got in them.
-    """
-    total = 0.0
-    sum_of_tiers = 0.0
-    weights = {team.name: team.weight for team in deployment.teams}
-    for tier in deployment.tiers:
-        wanted = dict.fromkeys(weights, 0.0)
-        got = dict(wanted)
-        for record in records:
-            arrival = record.arrival
-            if arrival.tier != tier or arrival.path:
-                continue
-            tokens = blocks.count_tokens(arrival.prompt) + arrival.max_tokens
-            wanted[arrival.team.name] += tokens
-            if record.in_time:
-                got[arrival.team.name] += tokens
-        tier_total = sum(got.values())
-        fair = fair_shares(wanted, weights, tier_total)
-        shares = [got[name] / fair[name] for name in got if fair[name]]
-        if shares:
-            total += tier_total
-            sum_of_tiers += tier_total * jain(shares)
-    return sum_of_tiers / total if total else 1.0
-
-
 def prefill(
     records: list[bench_driver.Record], engines: list[EngineFigures]
 ) -> Prefill:
@@ -220,6 +157,26 @@
     return wasted / max(total, 1)
 
 
+def missed(
+    records: list[bench_driver.Record], tiers: list[str]
+) -> dict[str, dict[str, int]]:
+    """Count by tier what was not in time, by length of the prompt and code.
+
+    ``long`` are the requests of sessions; ``late`` is a whole answer after the
+    deadline.
+    """
+    found: dict[str, dict[str, int]] = {tier: {} for tier in tiers}
+    for record in records:
+        if record.in_time:
+            continue
+        length = "long" if record.arrival.session else "short"
+        code = "late" if record.outcome == "completed" else record.code
+        counts = found[record.arrival.tier]
+        name = f"{length} {code}"
+        counts[name] = counts.get(name, 0) + 1
+    return found
+
+
 def recovery(
     records: list[bench_driver.Record], at: float, seconds: float, settle: float
 ) -> float:
@@ -270,6 +227,7 @@
         goodput=sum(in_time.values()),
         plain_in_time_share=_share([record.in_time for record in plain]),
         outcomes=outcomes,
+        missed=missed(model, tiers),
         wrong=sum(1 for record in done if not record.correct),
         repeated_dispatches=len(keys) - len(set(keys)),
         bound_strict=limit.strict,
@@ -282,7 +240,7 @@
         oracle_cached_share=tokens.oracle_share,
         first_ms=_percentiles([record.first_seconds for record in done]),
         gap_ms=_percentiles([gap for record in done for gap in record.gaps]),
-        jain=fairness(model, deployment),
+        jain=fairness.fairness(model, deployment),
         busy_share={engine.name: engine.busy_seconds / elapsed for engine in engines},
         wasted_decode_share=wasted_decode(model, engines),
         work={
