Count infeasible work among what a tier may lose only after lower ones

The keepers shed an overload as deadline_infeasible, which the check of the tiers left out, so it judged nothing.

--- a/packages/dev/cassiaquay_dev/checker.py
+++ b/packages/dev/cassiaquay_dev/checker.py
@@ -13,6 +13,7 @@
 from . import history, texts
 
 LEAVING_SECONDS = 2.0
+SHED_CODES = ("shed_overload", "deadline_infeasible")
 
 Check = collections.abc.Callable[[history.History], list[str]]
 checks: registry.Registry[Check] = registry.Registry("check")
@@ -184,7 +185,9 @@
     grants = seen.of(history.Granted)
     found = []
     for shed in seen.of(history.Shed):
-        if shed.code != "shed_overload":
+        # A limit of a team or service may refuse any tier. Work that cannot be in time
+        # even on idle engines is refused at once, so its window is empty.
+        if shed.code not in SHED_CODES:
             continue
         for grant in grants:
             if grant.shard != shed.shard or grant.instance != shed.instance:
--- a/tests/test_checker.py
+++ b/tests/test_checker.py
@@ -87,6 +87,11 @@
         [history.Shed(3.2, "cq-1", "engines#0", "t~8", 1, "shed_overload", 0.5)]
         + [history.Granted(3.0, "cq-1", "engines#0", "t~9", 2)],
     ),
+    (
+        "tiers_under_shedding",
+        [history.Shed(3.2, "cq-1", "engines#0", "t~8", 1, "deadline_infeasible", 0.5)]
+        + [history.Granted(3.0, "cq-1", "engines#0", "t~9", 2)],
+    ),
 ]
 
 
--- a/tests/test_faults_overload.py
+++ b/tests/test_faults_overload.py
@@ -39,5 +39,8 @@
             seen = history.History()
             await history.collect(run.cluster, seen)
             assert [one for one in seen.of(history.Ended) if one.outcome == "not_run"]
+            # Without sheds and grants the check of the tiers would prove nothing.
+            assert seen.of(history.Shed)
+            assert seen.of(history.Granted)
 
     fault_runs.bounded(work())
