--- a/packages/cli/cassiaquay_cli/bodies.py
+++ b/packages/cli/cassiaquay_cli/bodies.py
@@ -73,10 +73,19 @@
     oldest_seconds: float
 
 
+class Running(typing.TypedDict):
+    """Permits and dispatches of one shard, and the tier that it sheds now, or empty."""
+
+    shard: str
+    running: int
+    shedding: str
+
+
 class Queues(typing.TypedDict):
-    """What waits at one keeper."""
+    """What waits and runs at one keeper."""
 
     waiting: list[Group]
+    running: list[Running]
 
 
 class Configuration(typing.TypedDict):
--- a/packages/cli/cassiaquay_cli/status.py
+++ b/packages/cli/cassiaquay_cli/status.py
@@ -13,6 +13,7 @@
     statuses: clients.Collected[bodies.Status]
     servers: list[bodies.Server]
     waiting: list[bodies.Group]
+    shedding: list[bodies.Running]
 
 
 async def collect(client: clients.Client) -> Fleet:
@@ -20,29 +21,37 @@
     instances = await client.instances()
     statuses = await client.collect("/v1/status", bodies.Status, instances)
     servers = await client.collect("/v1/servers", list[bodies.Server], instances)
-    groups, _ = await collect_queues(client, instances)
+    queues = await client.collect("/v1/queues", bodies.Queues, instances)
     lines = []
     for found in servers.answers.values():
         lines.extend(found)
     lines.sort(key=lambda line: (line["shard"], line["server"]))
-    return Fleet(instances, statuses, lines, groups)
+    return Fleet(
+        instances, statuses, lines, waiting(queues.answers), shedding(queues.answers)
+    )
 
 
-async def collect_queues(
-    client: clients.Client, instances: list[bodies.Instance]
-) -> tuple[list[bodies.Group], list[clients.Missing]]:
+def waiting(answers: dict[str, bodies.Queues]) -> list[bodies.Group]:
     """Return what waits at all keepers; a team sees its own."""
-    queues = await client.collect("/v1/queues", bodies.Queues, instances)
-    groups = []
-    for answer in queues.answers.values():
-        groups.extend(answer["waiting"])
-    return groups, queues.missing
+    found: list[bodies.Group] = []
+    for answer in answers.values():
+        found.extend(answer["waiting"])
+    return found
+
+
+def shedding(answers: dict[str, bodies.Queues]) -> list[bodies.Running]:
+    """Return the shards that shed a tier now."""
+    found: list[bodies.Running] = []
+    for answer in answers.values():
+        found.extend(item for item in answer["running"] if item["shedding"])
+    return found
 
 
 async def of_team(client: clients.Client) -> outputs.Output:
     """Return what a team may see: the instances and its own waiting requests."""
     instances = await client.instances()
-    groups, missing = await collect_queues(client, instances)
+    queues = await client.collect("/v1/queues", bodies.Queues, instances)
+    groups, missing = waiting(queues.answers), queues.missing
     rows = []
     for item in instances:
         rows.append([item["instance"], item["domain"], item["state"], item["http"]])
@@ -124,10 +133,19 @@
     return outputs.table(header, rows)
 
 
-def queue_table(waiting: list[bodies.Group]) -> str:
+def shedding_lines(fleet: Fleet) -> list[str]:
+    """Return a line for each shard that sheds a tier now."""
+    lines = []
+    for item in fleet.shedding:
+        tier = item["shedding"]
+        lines.append(f"{item['shard']} sheds tier {tier} and holds lower ones back")
+    return lines
+
+
+def queue_table(groups: list[bodies.Group]) -> str:
     """Return a line for each tier and team that waits."""
     rows = []
-    for item in waiting:
+    for item in groups:
         oldest = f"{item['oldest_seconds']:.1f} s"
         row = [item["shard"], item["tier"], item["team"], str(item["waiting"])]
         rows.append([*row, oldest])
@@ -162,6 +180,7 @@
             configuration_line(fleet),
             server_table(fleet),
             queue_table(fleet.waiting),
+            *shedding_lines(fleet),
             *clients.missing_lines(fleet.statuses.missing),
         ]
         data = {
@@ -170,6 +189,7 @@
             "missing": [item._asdict() for item in fleet.statuses.missing],
             "servers": fleet.servers,
             "waiting": fleet.waiting,
+            "shedding": fleet.shedding,
         }
         partial = outputs.PARTIAL if fleet.statuses.missing else outputs.COMPLETE
         return outputs.Output("\n\n".join(parts), data, partial)
--- a/packages/cli/cassiaquay_cli/top.py
+++ b/packages/cli/cassiaquay_cli/top.py
@@ -34,6 +34,7 @@
         status.configuration_line(fleet),
         status.server_table(fleet),
         status.queue_table(fleet.waiting),
+        *status.shedding_lines(fleet),
         *clients.missing_lines(fleet.statuses.missing),
     ]
     return "\n\n".join(texts)
--- a/packages/daemon/cassiaquay_daemon/views.py
+++ b/packages/daemon/cassiaquay_daemon/views.py
@@ -48,10 +48,11 @@
 
 
 class RunningView(typing.TypedDict):
-    """Permits and dispatches of one shard."""
+    """Permits and dispatches of one shard, and the tier that it sheds now, or empty."""
 
     shard: str
     running: int
+    shedding: str
 
 
 class QueuesView(typing.TypedDict):
@@ -172,7 +173,14 @@
     running = []
     for shard in _kept(parts):
         if viewer.is_operator:
-            running.append(RunningView(shard=shard.name, running=len(shard.running)))
+            floor, _ = shard.health()
+            running.append(
+                RunningView(
+                    shard=shard.name,
+                    running=len(shard.running),
+                    shedding=tiers.get(floor, ""),
+                )
+            )
         for waiting in shard.queue.values():
             demand = waiting.demand
             if viewer.team and demand.team != viewer.team:
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -29,8 +29,8 @@
     status,
     top,
 )
+from cassiaquay_daemon import clock, platform
 from cassiaquay_daemon import exceptions as daemon_exceptions
-from cassiaquay_daemon import platform
 from cassiaquay_dev import serving
 
 Test = typing.Callable[[fakes.Instance, clients.Client], typing.Awaitable[None]]
@@ -87,6 +87,14 @@
         assert [item.instance for item in fleet.statuses.missing] == ["cq-9"]
         assert status.configuration_line(fleet).endswith("revision 1 everywhere")
         assert status.queue_table(fleet.waiting) == "nothing waits"
+        assert not status.shedding_lines(fleet)
+        shard = instance.kept._shard("engines#0")
+        assert shard is not None
+        shard.raise_floor(2, clock.now() + 60.0, 1000)
+        fleet = await status.collect(client)
+        assert status.shedding_lines(fleet) == [
+            "engines#0 sheds tier standard and holds lower ones back"
+        ]
 
     _run(test)
 
