Measure address answers; drop the slope of looks over all members

Who serves and who keeps is remembered until the members change, so no look is left to be paid with each request. python -m cassiaquay_dev.measure_slopes address_seconds_per_member.

--- a/packages/dev/cassiaquay_dev/capacity_roles.py
+++ b/packages/dev/cassiaquay_dev/capacity_roles.py
@@ -158,13 +158,8 @@
 
 def _membership(size: Size, known: Slopes) -> Cost:
     beats = 2.0 * MEMBERSHIP.neighbours / MEMBERSHIP.period
-    looks = 2.0 * size.requests_per_second / size.daemons
     return Cost(
-        core=product(
-            known,
-            ("heartbeat_seconds", beats),
-            ("view_seconds_per_member", looks * size.daemons),
-        ),
+        core=product(known, ("heartbeat_seconds", beats)),
         memory=product(known, ("member_bytes", size.daemons)),
         wire=product(known, ("heartbeat_wire_bytes", beats)),
     )
--- a/packages/dev/cassiaquay_dev/measure_slopes.py
+++ b/packages/dev/cassiaquay_dev/measure_slopes.py
@@ -9,11 +9,14 @@
 import sys
 import time
 import tracemalloc
+import typing
 
 import msgspec
 
 from cassiaquay_daemon import (
+    addresses,
     frames,
+    members,
     owner,
     prefixes,
     requests,
@@ -30,6 +33,7 @@
 KEY = "key"
 FEW, MANY = 1000, 5000
 ITEMS = 2000
+ASKS = 50
 PROMPT = "why " * 2000
 
 
@@ -71,6 +75,58 @@
     )
 
 
+class _Members:
+    """Stands for the membership of an instance that knows many others."""
+
+    def __init__(self, count: int):
+        self._serving = []
+        for number in range(count):
+            member = messages.Member(
+                f"cq-{number}",
+                "0123456789ab",
+                f"domain-{number % 7}",
+                "10.0.0.1:80",
+                "10.0.0.1:81",
+                number,
+                False,
+                float(number % 50),
+                1,
+                0.0,
+                "10.0.0.1:82",
+                100.0,
+            )
+            self._serving.append(member)
+
+    def serving(self) -> list[messages.Member]:
+        """Return all."""
+        return self._serving
+
+    def mint(self) -> str:
+        """Return a token."""
+        return tokens.mint(KEY, "cq-1", "0123456789ab", 160.0)
+
+    def uptime(self, instance: str) -> float:
+        """Return the seconds since a member's start."""
+        return 100.0
+
+
+@measures.register("address_seconds_per_member")
+def address_seconds() -> float:
+    """Return the processor time of an address answer for each member."""
+    settings = slopes_keeper.make_settings()
+    spent = []
+    for count in (20, 380):
+        known = typing.cast(members.Membership, _Members(count))
+        best = float("inf")
+        for _ in range(5):
+            start = time.process_time()
+            for _ in range(ASKS):
+                addresses.answer(settings, known, "domain-1")
+            best = min(best, (time.process_time() - start) / ASKS)
+        spent.append(best)
+    return (spent[1] - spent[0]) / 360
+
+
 @measures.register("configuration_text_bytes_per_team")
 def text_bytes() -> float:
     """Return the bytes of one more team in the text."""
--- a/packages/dev/cassiaquay_dev/slopes.py
+++ b/packages/dev/cassiaquay_dev/slopes.py
@@ -80,9 +80,6 @@
         "bytes / heartbeat", "one heartbeat with its gossip on the wire"
     ),
     "member_bytes": Meaning("bytes / member", "one known member"),
-    "view_seconds_per_member": Meaning(
-        "core s / member", "one look over all members (who serves, who keeps)"
-    ),
     "address_seconds_per_member": Meaning(
         "core s / member", "one address answer, for each known member"
     ),
--- a/packages/dev/cassiaquay_dev/slopes_keeper.py
+++ b/packages/dev/cassiaquay_dev/slopes_keeper.py
@@ -38,7 +38,8 @@
         return True
 
 
-def _settings() -> settings_schema.Settings:
+def make_settings() -> settings_schema.Settings:
+    """Return the settings of one daemon."""
     return msgspec.convert(
         {
             "instance": "cq-1",
@@ -51,7 +52,7 @@
 
 
 def _shard() -> tuple[shards.Shard, policies.Policy]:
-    settings = _settings()
+    settings = make_settings()
     shard = shards.Shard("engines#0", settings)
     for number in range(SERVERS):
         name = f"engine-{number}"
