Hold lower tiers back in all shards of a pool before one sheds

Cause: a pool of more than 16 backend servers has several keepers; one could shed a tier while another still served a lower one, against the second promise. Ruled out: telling after the shedding (a lower tier is served for a message's way). Before: all three tests of tests/test_floors.py fail. After: they pass; a pool of one shard, as today's, asks nobody.

--- a/packages/daemon/cassiaquay_daemon/keeper.py
+++ b/packages/daemon/cassiaquay_daemon/keeper.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import collections.abc
+import functools
 
 from cassiaquay_schema import messages
 from cassiaquay_schema import settings as settings_schema
@@ -14,12 +15,14 @@
     baselines,
     clock,
     configuration,
+    floors,
     logs,
     members,
     pause,
     peers,
     policies,
     shards,
+    snapshots,
     tiered,
 )
 
@@ -66,6 +69,9 @@
         self._pauses.on_overslept(self._overslept)
         self._ask_local: collections.abc.Callable[[str], None] = _nothing
         self._ticked_at = clock.now()
+        self._floors = floors.Floors(
+            settings.instance, links, membership, self, self._snapshot
+        )
         links.on(messages.Demand, self.demand)
         links.on(messages.Withdraw, self.withdraw)
         links.on(messages.Release, self.release)
@@ -106,7 +112,7 @@
             replier.send(messages.NotKeeper(demand.id))
             return
         shard.add(demand, replier)
-        self._serve_soon(demand.shard)
+        self.serve_soon(demand.shard)
 
     def withdraw(self, replier: shards.Replier, message: messages.Withdraw) -> None:
         """Forget a demand or an unused permit."""
@@ -114,7 +120,7 @@
         if shard is None:
             return
         shard.drop(message.id)
-        self._serve_soon(message.shard)
+        self.serve_soon(message.shard)
 
     def release(self, replier: shards.Replier, message: messages.Release) -> None:
         """Free what a finished request held and learn from it."""
@@ -123,21 +129,29 @@
             return
         self._policies[shard.name].learn(message)
         shard.drop(message.id)
-        self._serve_soon(message.shard)
+        self.serve_soon(message.shard)
 
     def renewal(self, replier: shards.Replier, message: messages.Renewal) -> None:
         """Renew leases; a new keeper learns from it what is out."""
         shard = self._shard(message.shard)
         if shard is not None:
             shard.renew(replier.instance, message.outstanding)
-            self._serve_soon(message.shard)
+            self.serve_soon(message.shard)
 
     def progress(self, replier: shards.Replier, message: messages.Progress) -> None:
         """Take in which permits are in use and which prompts have been read."""
         shard = self.shards.get(message.shard)
         if shard is not None:
             shard.progress(message)
-            self._serve_soon(message.shard)
+            self.serve_soon(message.shard)
+
+    def hold(self, floor: messages.Floor) -> bool:
+        """Hold the lower tiers of a shard back; False when it is not kept here."""
+        shard = self._shard(floor.shard) if self.keeps(floor.shard) else None
+        if shard is None:
+            return False
+        shard.hold_back(floor.rank, clock.now() + floor.hold_ms / 1000.0)
+        return True
 
     def health(self, name: str) -> messages.Health:
         """Return what gets through a shard, as far as this instance knows."""
@@ -147,6 +161,14 @@
         floor, retry_after_ms = shard.health()
         return messages.Health(name, floor, retry_after_ms)
 
+    def serve_soon(self, name: str) -> None:
+        """Look at a shard's queue once the messages at hand are read."""
+        # Many demands and releases arrive in one read: serve them once, together.
+        if name in self._due:
+            return
+        self._due.add(name)
+        asyncio.get_running_loop().call_soon(self._serve, name)
+
     async def tick(self) -> None:
         """Let leases expire and serve again, for ever."""
         while True:
@@ -158,6 +180,9 @@
                 self._serve(name)
             await asyncio.sleep(TICK_SECONDS)
 
+    def _snapshot(self) -> snapshots.Snapshot | None:
+        return self._configured.current
+
     def _health_asked(
         self, replier: shards.Replier, query: messages.HealthQuery
     ) -> None:
@@ -189,6 +214,7 @@
             return None
         shard = shards.Shard(name, self._settings)
         shard.close(self._owners())
+        shard.may_shed = functools.partial(self._floors.ready, name)
         self.shards[name] = shard
         policy = policies.policies.get(self._settings.keeper.policy)
         self._policies[name] = policy(shard)
@@ -232,13 +258,6 @@
             if line is not None and line.leaving:
                 shard.gone.add(name)
 
-    def _serve_soon(self, name: str) -> None:
-        # Many demands and releases arrive in one read: serve them once, together.
-        if name in self._due:
-            return
-        self._due.add(name)
-        asyncio.get_running_loop().call_soon(self._serve, name)
-
     def _serve(self, name: str) -> None:
         self._wake()
         self._due.discard(name)
--- a/packages/daemon/cassiaquay_daemon/shards.py
+++ b/packages/daemon/cassiaquay_daemon/shards.py
@@ -1,5 +1,6 @@
 """One shard of a pool at its keeper: who waits, what is out, what fits."""
 
+import collections.abc
 import typing
 
 from cassiaquay_schema import fleet, messages
@@ -122,10 +123,12 @@
         self.servers: dict[str, fleet.Server] = {}
         self.gone: set[str] = set()
         self.weights: dict[str, float] = {}
+        self.may_shed: collections.abc.Callable[[int], bool] = _always
         self._refused: dict[str, float] = {}
         self._floor = -1
         self._floor_until = float("-inf")
         self._floor_retry_ms = 0
+        self._held: dict[int, float] = {}
         self._loads: dict[str, loads.Load] = {}
         self._observers: list[Observer] = []
         self._unheard: set[str] = set()
@@ -323,6 +326,12 @@
             if self.queue[request_id].told_at < horizon:
                 self._unqueue(request_id)
 
+    def hold_back(self, rank: int, until: float) -> None:
+        """Hold back all ranks below one that another shard of the pool sheds."""
+        for other in [held for held in self._held if self._held[held] < clock.now()]:
+            del self._held[other]
+        self._held[rank] = max(until, self._held.get(rank, until))
+
     def raise_floor(self, rank: int, until: float, retry_after_ms: int) -> None:
         """Note that a rank, and so all below it, is being shed."""
         now = clock.now()
@@ -333,7 +342,10 @@
 
     def held_back(self, rank: int) -> bool:
         """Tell whether a more important rank was shed a moment ago."""
-        return rank > self._floor and clock.now() < self._floor_until
+        now = clock.now()
+        if rank > self._floor and now < self._floor_until:
+            return True
+        return any(rank > floor and now < self._held[floor] for floor in self._held)
 
     def health(self) -> tuple[int, int]:
         """Return the rank from which on requests are refused, and when to ask again.
@@ -417,3 +429,8 @@
         load.forget(request_id, clock.now())
         for observer in self._observers:
             observer.stopped(running)
+
+
+def _always(rank: int) -> bool:
+    """Shed any rank: the pool has one shard."""
+    return True
--- a/packages/daemon/cassiaquay_daemon/tiered.py
+++ b/packages/daemon/cassiaquay_daemon/tiered.py
@@ -13,6 +13,8 @@
 MOST_WEIGHED = 64
 # After a tier was shed for overload, no tier below it gets a grant for this long.
 FLOOR_SECONDS = 0.5
+# So long before a demand must be given up the other shards of the pool are told.
+NOTICE_SECONDS = 0.05
 # With more than so many waiting, prefill is dear: it is taken from somebody.
 PRESSURE_QUEUE = 8
 PRESSURE = 20.0
@@ -223,11 +225,17 @@
 
     def _give_up(self, views: list[placement.View], now: float) -> None:
         """Shed those whose last moment has passed."""
-        while self._latest and self._latest[0][0] <= now:
-            _, request_id = heapq.heappop(self._latest)
+        early: list[tuple[float, str]] = []
+        while self._latest and self._latest[0][0] <= now + NOTICE_SECONDS:
+            moment, request_id = heapq.heappop(self._latest)
             waiting = self._shard.queue.get(request_id)
             if waiting is None:
                 continue
+            # Asked a moment before, the other shards hold lower tiers back in time.
+            may_shed = self._shard.may_shed(waiting.demand.rank)
+            if moment > now or not may_shed:
+                early.append((moment, request_id))
+                continue
             options = placement.weigh(waiting.demand, waiting.deadline, views)
             latest = waiting.deadline - options.least_seconds
             if latest > now and now < waiting.deadline:
@@ -238,11 +246,17 @@
             self._shard.shed(
                 waiting, "deadline_infeasible", self._drain.retry_after_ms(wait)
             )
+        for item in early:
+            heapq.heappush(self._latest, item)
 
     def _bound(self) -> None:
         limit = self._shard.settings.keeper.max_queue
         while len(self._queues) > limit:
             waiting = self._shard.queue[self._queues.last()]
+            if not self._shard.may_shed(waiting.demand.rank):
+                # The other shards of the pool are being asked to hold lower tiers
+                # back; the queue is longer than it should be until they answer.
+                return
             before = self._queues.work_before(waiting.demand.id)
             wait = self._drain.wait_seconds(waiting.demand.rank, before)
             self._shed_overload(waiting, wait, clock.now())
--- a/packages/schema/cassiaquay_schema/messages.py
+++ b/packages/schema/cassiaquay_schema/messages.py
@@ -576,6 +576,45 @@
     retry_after_ms: int
 
 
+class Floor(typing.NamedTuple):
+    """A shard is about to shed a tier: the receiver's shard holds the lower ones back.
+
+    Attributes
+    ----------
+    shard : str
+        Shard that holds back, kept by the receiver.
+    source : str
+        Shard that is about to shed.
+    rank : int
+        Rank that it sheds.
+    hold_ms : int
+        How long lower ranks get no grant.
+    """
+
+    shard: str
+    source: str
+    rank: int
+    hold_ms: int
+
+
+class FloorHeld(typing.NamedTuple):
+    """Answer to a floor: from now on the lower ranks are held back there.
+
+    Attributes
+    ----------
+    shard : str
+        Shard that holds back.
+    source : str
+        Shard that asked.
+    rank : int
+        Rank of the floor.
+    """
+
+    shard: str
+    source: str
+    rank: int
+
+
 Message = (
     Hello
     | Proof
@@ -605,6 +644,8 @@
     | LimitReturn
     | HealthQuery
     | Health
+    | Floor
+    | FloorHeld
 )
 
 BY_CODE: dict[int, type] = {
@@ -636,6 +677,8 @@
     37: LimitReturn,
     38: HealthQuery,
     39: Health,
+    46: Floor,
+    47: FloorHeld,
 }
 
 CODES: dict[type, int] = {kind: code for code, kind in BY_CODE.items()}
--- /dev/null
+++ b/tests/test_floors.py
@@ -0,0 +1,183 @@
+"""A pool of two shards with a keeper each: what one sheds, the other must not serve."""
+
+import asyncio
+import typing
+
+import policy_fakes as fakes
+import pytest
+
+from cassiaquay_daemon import floors, keeper, snapshots
+from cassiaquay_schema import messages
+
+SERVERS = 18
+FIRST, SECOND = "engines#0", "engines#1"
+
+
+def _snapshot() -> snapshots.Snapshot:
+    lines = ["[tiers.urgent]", "rank = 0", "[tiers.background]", "rank = 1"]
+    lines += ["[teams.questions]", f'credentials = ["{"0" * 64}"]']
+    lines += ['tiers = ["urgent"]', "[models.tutor-7b]", "[pools.engines]"]
+    for number in range(SERVERS):
+        lines += ["[[pools.engines.servers]]", f'name = "e{number:02}"']
+        lines += [f'address = "h:{number + 1}"', 'model = "tutor-7b"', "slots = 1"]
+    lines += ["[services.tutor-assist]", 'pool = "engines"', 'model = "tutor-7b"']
+    return snapshots.read(1, "\n".join(lines))
+
+
+class Wire:
+    """A link from one keeper to another, which a test can cut."""
+
+    def __init__(self, instance: str):
+        self.instance = instance
+        self.handlers: dict[type, typing.Any] = {}
+        self.back: Wire | None = None
+        self.cut = False
+
+    def send(self, message: messages.Message) -> bool:
+        if not self.cut and type(message) in self.handlers:
+            self.handlers[type(message)](self.back, message)
+        return not self.cut
+
+
+class Members(fakes.Membership):
+    """Members with a keeper for each shard."""
+
+    def keeper_of(self, key: str) -> str:
+        return "cq-1" if key == FIRST else "cq-2"
+
+
+class Pair:
+    """Two keeper roles joined by wires, and the owner of all requests."""
+
+    def __init__(self) -> None:
+        self.owner = fakes.Owner("cq-9")
+        self.wires = {name: Wire(name) for name in ("cq-1", "cq-2")}
+        self.wires["cq-1"].back = self.wires["cq-2"]
+        self.wires["cq-2"].back = self.wires["cq-1"]
+        self.keepers = {name: self._keeper(name) for name in self.wires}
+
+    def _keeper(self, name: str) -> keeper.Keeper:
+        links, configured = fakes.Links(), fakes.Configured()
+        configured.current = _snapshot()
+        members = Members(name, [self.owner])
+        other = "cq-2" if name == "cq-1" else "cq-1"
+        members.owners[other] = self.wires[other]  # type: ignore[assignment]
+        members.alive = lambda: [self.owner]  # type: ignore[method-assign]
+        made = keeper.Keeper(
+            fakes.settings(name, max_queue=1),
+            links,  # type: ignore[arg-type]
+            members,  # type: ignore[arg-type]
+            configured,  # type: ignore[arg-type]
+        )
+        self.wires[name].handlers = links.handlers
+        return made
+
+    def open(self) -> None:
+        """Let the owner tell both that nothing is out."""
+        for name, shard in (("cq-1", FIRST), ("cq-2", SECOND)):
+            self.keepers[name].renewal(self.owner, messages.Renewal(shard, []))
+
+    def ask(self, name: str, shard: str, request_id: str, rank: int) -> None:
+        """Send a demand."""
+        demand = fakes.demand(request_id, rank)._replace(shard=shard)
+        self.keepers[name].demand(self.owner, demand)
+
+    async def fill(self) -> None:
+        """Take every slot of the first shard, one by one: its queue is short."""
+        for number in range(SERVERS // 2):
+            self.ask("cq-1", FIRST, f"fill{number}", 0)
+            await _turn()
+        assert len(self.owner.permits()) == SERVERS // 2
+
+
+@pytest.fixture(name="time")
+def _time():
+    with fakes.Time().used() as time:
+        yield time
+
+
+async def _turn() -> None:
+    for _ in range(8):
+        await asyncio.sleep(0)
+
+
+def test_no_shard_serves_a_lower_tier_once_another_has_shed_a_higher_one(time) -> None:
+    """A caller of the urgent tier is refused while background work is sent on.
+
+    The first shard is full and its queue too long; the second one has free servers.
+    The second shard must hold its background demands back before the first one
+    sheds, and serve them when the overload is over.
+    """
+
+    async def work() -> None:
+        pair = Pair()
+        pair.open()
+        await pair.fill()
+        for number in range(2):
+            pair.ask("cq-1", FIRST, f"urgent{number}", 0)
+        await _turn()
+        assert list(pair.owner.sheds()) == ["urgent1"]
+        pair.ask("cq-2", SECOND, "urgent2", 0)
+        await _turn()
+        assert "urgent2" in pair.owner.permits()
+        pair.ask("cq-2", SECOND, "background", 1)
+        await _turn()
+        assert "background" not in pair.owner.permits()
+        assert "background" not in pair.owner.sheds()
+        time.now += floors.HOLD_SECONDS + 0.1
+        pair.ask("cq-2", SECOND, "background", 1)
+        await _turn()
+        assert "background" in pair.owner.permits()
+
+    asyncio.run(work())
+
+
+def test_a_shard_that_cannot_reach_the_others_sheds_after_its_patience(time) -> None:
+    """A partition lies between the keepers of a pool; a caller is to be refused.
+
+    Its final answer is held up for no longer than the patience with the other keeper:
+    whether that one serves lower tiers cannot be known.
+    """
+
+    async def work() -> None:
+        pair = Pair()
+        for wire in pair.wires.values():
+            wire.cut = True
+        pair.open()
+        await pair.fill()
+        for number in range(2):
+            pair.ask("cq-1", FIRST, f"urgent{number}", 0)
+        await _turn()
+        assert not pair.owner.sheds()
+        time.now += floors.PATIENCE_SECONDS + 0.01
+        pair.ask("cq-1", FIRST, "urgent0", 0)
+        await _turn()
+        assert list(pair.owner.sheds()) == ["urgent1"]
+
+    asyncio.run(work())
+
+
+def test_a_floor_of_a_less_important_tier_is_not_enough(time) -> None:
+    """An urgent request is to be shed soon after a background one was.
+
+    The other shard holds back what is below background, which is nothing; it must be
+    asked anew before the urgent request is given up.
+    """
+
+    async def work() -> None:
+        pair = Pair()
+        pair.open()
+        await pair.fill()
+        pair.ask("cq-1", FIRST, "background0", 1)
+        pair.ask("cq-1", FIRST, "background1", 1)
+        await _turn()
+        assert list(pair.owner.sheds()) == ["background1"]
+        pair.ask("cq-1", FIRST, "urgent0", 0)
+        pair.ask("cq-1", FIRST, "urgent1", 0)
+        await _turn()
+        assert "urgent1" in pair.owner.sheds()
+        pair.ask("cq-2", SECOND, "background2", 1)
+        await _turn()
+        assert "background2" not in pair.owner.permits()
+
+    asyncio.run(work())
