--- /dev/null
+++ b/packages/dev/cassiaquay_dev/measure_members.py
@@ -0,0 +1,113 @@
+"""Measure the slopes of membership: ``python -m cassiaquay_dev.measure_members``.
+
+Writes them to docs/capacity/slopes.toml. A heartbeat's share of core and wire is taken
+from a run of many light instances in quiet operation.
+"""
+
+import asyncio
+import datetime
+import time
+import tracemalloc
+
+from cassiaquay_daemon import addresses, facts, members
+from cassiaquay_schema import messages
+
+from . import light, measure_fleet, slopes
+
+COUNT = 380
+RUN_COUNT = 200
+LOOKS = 20_000
+ANSWERS = 200
+COMMAND = "python -m cassiaquay_dev.measure_members"
+
+
+def member(number: int) -> messages.Member:
+    """Return a member as it is told by a peer."""
+    name = f"cq-{number}"
+    address = f"10.0.{number // 250}.{number % 250}"
+    return messages.Member(
+        name,
+        f"{number:012x}",
+        f"domain-{number % 7}",
+        f"{address}:8101",
+        f"{address}:8102",
+        1,
+        False,
+        0.0,
+        1,
+        1.0,
+        f"{address}:8103",
+        1.0,
+    )
+
+
+def _membership() -> members.Membership:
+    one = light.Light(
+        light.settings_of("cq-0"), light.Published(), light.Listing()
+    ).membership
+    for number in range(1, COUNT):
+        one.learn(member(number))
+    return one
+
+
+def member_bytes() -> float:
+    """Return the memory of one known member."""
+    tracemalloc.start()
+    known = facts.Facts()
+    for number in range(COUNT):
+        known.learn(member(number))
+    kept, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    return kept / COUNT
+
+
+def view_seconds() -> float:
+    """Return the time of one look for a keeper, for each known member."""
+    one = _membership()
+    start = time.process_time()
+    for number in range(LOOKS):
+        one.keeper_of(f"pool#{number % 47}")
+    return (time.process_time() - start) / LOOKS / COUNT
+
+
+def address_seconds() -> float:
+    """Return the time of one address answer, for each known member."""
+    one = _membership()
+    settings = light.settings_of("cq-0")
+    start = time.process_time()
+    for _ in range(ANSWERS):
+        addresses.answer(settings, one, "domain-1")
+    return (time.process_time() - start) / ANSWERS / COUNT
+
+
+def main() -> None:
+    """Measure all and write them."""
+    found = asyncio.run(measure_fleet.measure_members(RUN_COUNT, 8))
+    period = light.settings_of("cq-0").membership.period
+    beats = 2.0 * found.neighbours / period
+    values: dict[str, tuple[float, str]] = {
+        "heartbeat_seconds": (
+            found.core_percent / 100.0 / beats,
+            f"{RUN_COUNT} light instances in quiet operation",
+        ),
+        "heartbeat_wire_bytes": (
+            2.0 * found.bytes_per_second / beats,
+            f"{RUN_COUNT} light instances in quiet operation, without TCP and IP",
+        ),
+        "member_bytes": (member_bytes(), ""),
+        "view_seconds_per_member": (view_seconds(), "mostly kept answers"),
+        "address_seconds_per_member": (address_seconds(), ""),
+    }
+    known = slopes.read()
+    today = datetime.date.today()
+    for name, (value, note) in values.items():
+        rounded = float(f"{value:.3g}")
+        known[name] = slopes.Slope(
+            value=rounded, command=COMMAND, date=today, note=note
+        )
+        print(f"{name}={rounded}", flush=True)
+    slopes.write(known)
+
+
+if __name__ == "__main__":
+    main()
