--- a/packages/cli/cassiaquay_cli/status.py
+++ b/packages/cli/cassiaquay_cli/status.py
@@ -3,7 +3,7 @@
 import time
 import typing
 
-from . import bodies, clients, commands, outputs
+from . import bodies, clients, commands, exceptions, outputs
 
 
 class Fleet(typing.NamedTuple):
@@ -13,6 +13,7 @@
     statuses: clients.Collected[bodies.Status]
     servers: list[bodies.Server]
     waiting: list[bodies.Group]
+    shedding: list[bodies.Running]
 
 
 async def collect(client: clients.Client) -> Fleet:
@@ -21,14 +22,51 @@
     statuses = await client.collect("/v1/status", bodies.Status, instances)
     servers = await client.collect("/v1/servers", list[bodies.Server], instances)
     queues = await client.collect("/v1/queues", bodies.Queues, instances)
-    groups = []
-    for answer in queues.answers.values():
-        groups.extend(answer["waiting"])
     lines = []
     for found in servers.answers.values():
         lines.extend(found)
     lines.sort(key=lambda line: (line["shard"], line["server"]))
-    return Fleet(instances, statuses, lines, groups)
+    return Fleet(
+        instances, statuses, lines, waiting(queues.answers), shedding(queues.answers)
+    )
+
+
+def waiting(answers: dict[str, bodies.Queues]) -> list[bodies.Group]:
+    """Return what waits at all keepers; a team sees its own."""
+    found: list[bodies.Group] = []
+    for answer in answers.values():
+        found.extend(answer["waiting"])
+    return found
+
+
+def shedding(answers: dict[str, bodies.Queues]) -> list[bodies.Running]:
+    """Return the shards that shed a tier now."""
+    found: list[bodies.Running] = []
+    for answer in answers.values():
+        found.extend(item for item in answer["running"] if item["shedding"])
+    return found
+
+
+async def of_team(client: clients.Client) -> outputs.Output:
+    """Return what a team may see: the instances and its own waiting requests."""
+    instances = await client.instances()
+    queues = await client.collect("/v1/queues", bodies.Queues, instances)
+    groups, missing = waiting(queues.answers), queues.missing
+    rows = []
+    for item in instances:
+        rows.append([item["instance"], item["domain"], item["state"], item["http"]])
+    texts = [
+        outputs.table(["instance", "domain", "state", "http"], rows),
+        queue_table(groups),
+        *clients.missing_lines(missing),
+    ]
+    data = {
+        "instances": instances,
+        "waiting": groups,
+        "missing": [item._asdict() for item in missing],
+    }
+    code = outputs.PARTIAL if missing else outputs.COMPLETE
+    return outputs.Output("\n\n".join(texts), data, code)
 
 
 def instance_table(fleet: Fleet) -> str:
@@ -95,10 +133,19 @@
     return outputs.table(header, rows)
 
 
-def queue_table(fleet: Fleet) -> str:
+def shedding_lines(fleet: Fleet) -> list[str]:
+    """Return a line for each shard that sheds a tier now."""
+    lines = []
+    for item in fleet.shedding:
+        tier = item["shedding"]
+        lines.append(f"{item['shard']} sheds tier {tier} and holds lower ones back")
+    return lines
+
+
+def queue_table(groups: list[bodies.Group]) -> str:
     """Return a line for each tier and team that waits."""
     rows = []
-    for item in fleet.waiting:
+    for item in groups:
         oldest = f"{item['oldest_seconds']:.1f} s"
         row = [item["shard"], item["tier"], item["team"], str(item["waiting"])]
         rows.append([*row, oldest])
@@ -111,7 +158,8 @@
 def status(at: str = "", json: bool = False) -> outputs.Shown:
     """Show instances, configuration, backend servers and queues of a fleet.
 
-    Exits 6 when some instances gave no answer.
+    A team sees the instances and its own queue. Exits 6 when some instances gave no
+    answer.
 
     Parameters
     ----------
@@ -122,12 +170,17 @@
     """
 
     async def work(client: clients.Client) -> outputs.Output:
-        fleet = await collect(client)
+        try:
+            fleet = await collect(client)
+        except exceptions.NotAllowed:
+            # A team's credential; one that nobody knows is refused once more there.
+            return await of_team(client)
         parts = [
             instance_table(fleet),
             configuration_line(fleet),
             server_table(fleet),
-            queue_table(fleet),
+            queue_table(fleet.waiting),
+            *shedding_lines(fleet),
             *clients.missing_lines(fleet.statuses.missing),
         ]
         data = {
@@ -136,6 +189,7 @@
             "missing": [item._asdict() for item in fleet.statuses.missing],
             "servers": fleet.servers,
             "waiting": fleet.waiting,
+            "shedding": fleet.shedding,
         }
         partial = outputs.PARTIAL if fleet.statuses.missing else outputs.COMPLETE
         return outputs.Output("\n\n".join(parts), data, partial)
--- a/packages/daemon/cassiaquay_daemon/speeds.py
+++ b/packages/daemon/cassiaquay_daemon/speeds.py
@@ -16,7 +16,11 @@
 # Prompts below this say more about the step time than about the prefill rate.
 LEAST_SAMPLE_TOKENS = 256
 RATE_WEIGHT = 0.3
-TOKEN_WEIGHT = 0.3
+# Slower is believed sooner than faster: the time per token jumps fivefold while an
+# engine reads a long prompt, and an answer begun on the hope that it does not is late.
+SLOWER_WEIGHT = 0.3
+FASTER_WEIGHT = 0.3
+CALL_WEIGHT = 0.1
 # A first event later than this many times the estimate, and later by the slack,
 # shows a queue inside the engine.
 LATE_FACTOR = 2.0
@@ -92,8 +96,8 @@
             return Estimate(rate, token, min(floor, token))
         factor = 2.0 ** min(age / FORGET_SECONDS, 16.0)
         rate = max(rate, min(rate * factor, MOST_PREFILL_RATE))
-        token = min(token, max(token / factor, floor, LEAST_TOKEN_SECONDS))
-        floor = min(floor, max(floor / factor, LEAST_TOKEN_SECONDS))
+        token = min(token, max(token / factor, LEAST_TOKEN_SECONDS))
+        floor = min(floor, token)
         return Estimate(rate, token, floor)
 
     def heard(self, now: float) -> None:
@@ -132,11 +136,21 @@
             self._tokens_known = True
             self.token_seconds = self._floor = sample
             return
-        weight = TOKEN_WEIGHT * min(tokens / 8.0, 1.0)
+        weight = SLOWER_WEIGHT if sample > self.token_seconds else FASTER_WEIGHT
+        weight *= min(tokens / 8.0, 1.0)
         self.token_seconds += weight * (sample - self.token_seconds)
         if tokens >= 4:
             self._floor = min(self._floor * FLOOR_RISE, sample)
 
+    def served(self, seconds: float) -> None:
+        """Learn from a call of a plain service, whose answer is one unit of output."""
+        if not self._tokens_known:
+            self._tokens_known = True
+            self.token_seconds = self._floor = seconds
+            return
+        self.token_seconds += CALL_WEIGHT * (seconds - self.token_seconds)
+        self._floor = min(self._floor * FLOOR_RISE, seconds)
+
     def stalled(self, seconds: float) -> None:
         """Learn from a stream that has got no token for ``seconds``."""
         if seconds > STALL_SECONDS:
@@ -156,9 +170,13 @@
         now : float
             Seconds on this clock.
         """
+        if in_flight * 2 <= self.limit or not self._rate_known:
+            # Far below the limit, or estimated without any figure of this engine:
+            # being late says nothing of the limit.
+            return
         if seconds > expected * LATE_FACTOR + LATE_SLACK_SECONDS:
             self._decrease(in_flight, now)
-        elif in_flight * 2 > self.limit:
+        else:
             self._increase()
 
     def _increase(self) -> None:
--- a/packages/daemon/cassiaquay_daemon/web.py
+++ b/packages/daemon/cassiaquay_daemon/web.py
@@ -1,6 +1,7 @@
 """What callers reach over HTTP; docs/CALLERS.md is the contract."""
 
 import collections.abc
+import contextlib
 
 import msgspec
 from starlette import applications, responses, routing, types
@@ -14,6 +15,7 @@
     configuration,
     entries,
     exceptions,
+    holds,
     members,
     owner,
     pause,
@@ -26,6 +28,9 @@
 )
 
 QUESTIONS = ("/outcome", "/cancel")
+# Of an id as it was sent: a malformed one may be of any length.
+NOTED_CHARACTERS = 160
+OnRefused = collections.abc.Callable[[exceptions.Refusal, str, str], None]
 Respond = collections.abc.Awaitable[types.ASGIApp]
 
 
@@ -66,14 +71,15 @@
         self._owner = owned
         self._relay = passing
         self._recovery = recovering
+        self._holds = holds.Holds(passing, membership.last_heard)
         self._pauses = pauses or pause.Pauses(pause.shortest_lease(settings))
-        self._on_refused: list[collections.abc.Callable[[exceptions.Refusal], None]]
-        self._on_refused = []
+        self._on_refused: list[OnRefused] = []
 
-    def on_refused(
-        self, call: collections.abc.Callable[[exceptions.Refusal], None]
-    ) -> None:
-        """Call ``call`` with each refusal that no entry of the owner stands for."""
+    def on_refused(self, call: OnRefused) -> None:
+        """Call ``call`` with each refusal that no entry of the owner stands for.
+
+        It gets the refusal, the id as it was sent, and the team, or empty texts.
+        """
         self._on_refused.append(call)
 
     def application(self) -> applications.Starlette:
@@ -120,17 +126,23 @@
                     # It is the answer to the question, no failure of asking it.
                     told = entries.Told(refusal.outcome, refusal.code, "unknown")
                     return _told(told)
-                self._note(refusal)
+                self._note(request, refusal)
                 return streams.RefusalResponse(refusal)
             except exceptions.Refusal as refusal:
-                self._note(refusal)
+                self._note(request, refusal)
                 return streams.RefusalResponse(refusal)
 
         return handle
 
-    def _note(self, refusal: exceptions.Refusal) -> None:
+    def _note(self, request: web_requests.Request, refusal: exceptions.Refusal) -> None:
+        snapshot = self._configured.current
+        team = ""
+        if snapshot is not None:
+            with contextlib.suppress(exceptions.Refusal):
+                team = _team(request, snapshot)
+        request_id = request.path_params["id"][:NOTED_CHARACTERS]
         for call in self._on_refused:
-            call(refusal)
+            call(refusal, request_id, team)
 
     async def _handle(
         self,
@@ -199,8 +211,9 @@
             if final is None:
                 return _told(entries.Told("", "", "dispatched"))
             return _told(entries.Told(final["outcome"], final["code"], "finished"))
+        hold = _Hold(self._holds, request_id, dict(request.headers))
         return streams.AnswerResponse(
-            found.answer, _from(request), lambda: found.refusal, _nothing, _ignore
+            found.answer, _from(request), lambda: found.refusal, hold.start, hold.stop
         )
 
     async def _submit(
@@ -291,9 +304,23 @@
     return responses.Response(msgspec.json.encode(value), media_type="application/json")
 
 
-def _nothing() -> None:
-    """Do nothing: recovered answers count no readers."""
+class _Hold:
+    """Holds a request at its owner for as long as a recovered answer is read."""
+
+    def __init__(
+        self,
+        holding: holds.Holds,
+        request_id: tokens.RequestId,
+        headers: dict[str, str],
+    ):
+        self._holding = holding
+        self._request_id = request_id
+        self._headers = headers
+        self._stop: collections.abc.Callable[[], None] | None = None
 
+    def start(self) -> None:
+        self._stop = self._holding.start(self._request_id, self._headers)
 
-def _ignore(delivered: bool) -> None:
-    """Do nothing, as above."""
+    def stop(self, delivered: bool) -> None:
+        if self._stop is not None:
+            self._stop()
--- a/packages/dev/cassiaquay_dev/bench_report.py
+++ b/packages/dev/cassiaquay_dev/bench_report.py
@@ -11,7 +11,7 @@
 
 from matplotlib import pyplot  # the backend goes first
 
-from . import bench_runs
+from . import bench_metrics, bench_runs
 
 COLUMNS = (
     "goodput",
@@ -93,6 +93,7 @@
         pairs = zip(found[first], mine, strict=True)
         ratios = [_ratio(one, other) for one, other in pairs]
         lines.append(f"| {name} | " + " | ".join(cells) + f" | {_spread(ratios)} |")
+    lines += ["", *_work_lines(found)]
     lines += ["", "| policy | " + " | ".join(_tiers(runs)) + " |"]
     lines.append("|---" * (len(_tiers(runs)) + 1) + "|")
     for name, mine in found.items():
@@ -100,9 +101,36 @@
         lines.append(f"| {name} in time | " + " | ".join(cells) + " |")
     cells = [_spread(_bound_shares(found[first], tier)) for tier in _tiers(runs)]
     lines.append("| strict bound | " + " | ".join(cells) + " |")
+    top = _tiers(runs)[0]
+    lines.append("")
+    for name, mine in found.items():
+        counts: dict[str, int] = {}
+        for run in mine:
+            for reason, count in run["figures"]["missed"][top].items():
+                counts[reason] = counts.get(reason, 0) + count
+        ordered = sorted(counts.items(), key=lambda item: -item[1])
+        told = ", ".join(f"{reason} {count}" for reason, count in ordered)
+        lines.append(f"{name}, missed in the top tier over all seeds: {told or 'none'}")
     return "\n".join(lines)
 
 
+def _work_lines(found: dict[str, list[bench_runs.Run]]) -> list[str]:
+    """Return a table of where the engines' time went, over engines and seeds."""
+    lines = ["| policy | prefill | decode | steps | batch | wasted decode |"]
+    lines.append("|---" * 6 + "|")
+    for name, mine in found.items():
+        cells = []
+        for field in bench_metrics.Work._fields:
+            values = []
+            for run in mine:
+                works = run["figures"]["work"].values()
+                values.append(statistics.fmean(getattr(one, field) for one in works))
+            cells.append(_spread(values))
+        wasted = [run["figures"]["wasted_decode_share"] for run in mine]
+        lines.append(f"| {name} | " + " | ".join([*cells, _spread(wasted)]) + " |")
+    return lines
+
+
 def write(
     plan: bench_runs.Plan, runs: list[bench_runs.Run], folder: pathlib.Path
 ) -> str:
--- a/packages/dev/cassiaquay_dev/slopes.py
+++ b/packages/dev/cassiaquay_dev/slopes.py
@@ -58,6 +58,9 @@
     "keeper_seconds_per_demand": Meaning(
         "core s / demand", "the keeper's work for demand, permit and release"
     ),
+    "keeper_seconds_per_full_pass": Meaning(
+        "core s / pass", "one look at a queue of 300 of which nothing fits"
+    ),
     "keeper_bytes_per_demand": Meaning(
         "bytes / demand", "one waiting or running demand at the keeper"
     ),
@@ -77,9 +80,6 @@
         "bytes / heartbeat", "one heartbeat with its gossip on the wire"
     ),
     "member_bytes": Meaning("bytes / member", "one known member"),
-    "view_seconds_per_member": Meaning(
-        "core s / member", "one look over all members (who serves, who keeps)"
-    ),
     "address_seconds_per_member": Meaning(
         "core s / member", "one address answer, for each known member"
     ),
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -138,6 +138,16 @@
     fakes.run(test, operators=OPERATORS)
 
 
+def test_health_is_503_before_there_is_a_configuration() -> None:
+    async def test(instance: fakes.Instance) -> None:
+        instance.configured.current = None
+        reply = await instance.call("/v1/health")
+        assert reply.status == 503
+        assert reply.json["code"] == "not_ready"
+
+    fakes.run(test)
+
+
 def test_a_team_sees_its_own_queue_only() -> None:
     async def test(instance: fakes.Instance) -> None:
         _shard(instance)
@@ -160,12 +170,13 @@
         for number, team in enumerate([LARGE, SMALL]):
             entry = instance.entry(team.name, unique=f"u{number}")
             instance.owned._refuse(entry, exceptions.Shed("engines are full"))
-        instance.reports.refused(exceptions.BadId())
+        instance.reports.refused(exceptions.BadId(), "nonsense", "")
         everything = (await instance.call("/v1/history", fakes.OPERATOR)).json
         own = (await instance.call("/v1/history", SMALL.credential)).json
         refused = [event for event in everything if event["name"] == "refused"]
         codes = [event["fields"]["code"] for event in refused]
         assert codes == ["bad_id", "shed_overload", "shed_overload"]
+        assert refused[0]["fields"]["id"] == "nonsense"
         assert refused[1]["fields"]["message"] == "engines are full"
         assert [event["team"] for event in own] == [SMALL.name]
 
@@ -186,6 +197,18 @@
     fakes.run(test)
 
 
+def test_an_event_that_json_cannot_carry_is_shown_as_text() -> None:
+    async def test(instance: fakes.Instance) -> None:
+        logging.getLogger("cassiaquay").setLevel(logging.INFO)
+        logs.event("odd", cause=ValueError("no"), parts={"a"}, member=object())
+        fields = (await instance.call("/v1/history?limit=1")).json[0]["fields"]
+        assert fields["cause"] == "no"
+        assert fields["parts"] == ["a"]
+        assert fields["member"].startswith("<object")
+
+    fakes.run(test)
+
+
 def test_history_is_bounded() -> None:
     async def test(instance: fakes.Instance) -> None:
         for number in range(9):
@@ -235,6 +258,25 @@
     fakes.run(test)
 
 
+def test_a_long_answer_is_whole_later_than_a_short_one() -> None:
+    """An operator asks through an instance that is not the keeper.
+
+    The question travels to the keeper. When the size of the answer was lost on the way,
+    each engine seemed to have it whole at once.
+    """
+
+    async def test(instance: fakes.Instance) -> None:
+        _shard(instance)
+        path = "/v1/placement?shard=engines%230&prompt_tokens=10&output_tokens="
+        times = []
+        for tokens in (1, 1000):
+            found = (await instance.call(f"{path}{tokens}")).json
+            times.append(min(item["finish_ms"] for item in found["servers"]))
+        assert times[1] > 10 * times[0]
+
+    fakes.run(test)
+
+
 def test_explains_a_request_by_its_id_to_its_team_only() -> None:
     async def test(instance: fakes.Instance) -> None:
         entry = instance.entry(LARGE.name)
