--- a/packages/dev/cassiaquay_dev/capacity_roles.py
+++ b/packages/dev/cassiaquay_dev/capacity_roles.py
@@ -177,9 +177,7 @@
     return Cost(
         core=product(known, ("configuration_seconds_per_team", changes * size.teams)),
         memory=product(known, ("configuration_bytes_per_team", 2.0 * size.teams)),
-        wire=product(
-            known, ("configuration_text_bytes_per_team", 2 * changes * size.teams)
-        ),
+        wire=product(known, ("configuration_change_wire_bytes", 2.0 * changes)),
     )
 
 
@@ -281,7 +279,7 @@
         True,
         "text and index of the revision in force, and of the one before while requests"
         " finish under it",
-        "each text once in, once out",
+        "each change once in, once out: the replaced part of the text",
         "few watchers read the platform; heartbeats carry the revision; who is behind"
         " asks",
         _configuration,
--- a/packages/dev/cassiaquay_dev/measure_slopes.py
+++ b/packages/dev/cassiaquay_dev/measure_slopes.py
@@ -15,6 +15,7 @@
 
 from cassiaquay_daemon import (
     addresses,
+    changes,
     frames,
     members,
     owner,
@@ -133,6 +134,19 @@
     return (len(fleet_text(MANY)) - len(fleet_text(FEW))) / (MANY - FEW)
 
 
+@measures.register("configuration_change_wire_bytes")
+def change_bytes() -> float:
+    """Return the bytes of the message that tells of one team's new weight."""
+    before = fleet_text(FEW)
+    at = before.index("[teams.team-500]")
+    after = before[:at] + before[at:].replace("weight = 1.0", "weight = 2.5", 1)
+    found = changes.difference(before, after)
+    message = messages.ConfigurationChange(
+        2000, 2**63, 2**62, found.start, found.end, found.part
+    )
+    return float(len(frames.encode(message)))
+
+
 @measures.register("configuration_seconds_per_team")
 def text_seconds() -> float:
     """Return the processor time to read one more team."""
--- a/packages/dev/cassiaquay_dev/slopes.py
+++ b/packages/dev/cassiaquay_dev/slopes.py
@@ -89,6 +89,9 @@
     "configuration_text_bytes_per_team": Meaning(
         "bytes / team", "one team in the fleet text"
     ),
+    "configuration_change_wire_bytes": Meaning(
+        "bytes / change", "a change of one team told to one neighbour"
+    ),
     "configuration_bytes_per_team": Meaning(
         "bytes / team", "one team in a configuration in memory"
     ),
