--- a/packages/daemon/cassiaquay_daemon/admin.py
+++ b/packages/daemon/cassiaquay_daemon/admin.py
@@ -12,7 +12,18 @@
 from cassiaquay_schema import messages
 from cassiaquay_schema import settings as settings_schema
 
-from . import burn, clock, exceptions, explain, logs, metrics, reports, viewers, views
+from . import (
+    burn,
+    clock,
+    exceptions,
+    explain,
+    keeper_view,
+    logs,
+    metrics,
+    reports,
+    viewers,
+    views,
+)
 
 MAX_HISTORY = 1000
 DEFAULT_HISTORY = 100
@@ -228,7 +239,7 @@
             [],
             [],
         )
-        return _json(self._explainer.at_keeper(demand))
+        return _json(keeper_view.of_demand(self._parts, self._settings, demand))
 
     async def _metrics(
         self, request: requests.Request, viewer: viewers.Viewer
--- a/packages/daemon/cassiaquay_daemon/explain.py
+++ b/packages/daemon/cassiaquay_daemon/explain.py
@@ -11,14 +11,12 @@
 from . import (
     clock,
     exceptions,
+    keeper_view,
     owner,
-    policies,
     reports,
-    shards,
     snapshots,
     tokens,
     viewers,
-    views,
 )
 
 ASK_SECONDS = 3.0
@@ -34,35 +32,6 @@
     output_tokens: int
 
 
-class ServerVerdict(typing.TypedDict):
-    """Why a backend server would or would not get a request.
-
-    ``limit_tokens`` and ``finish_ms`` are 0 where the policy does not estimate them.
-    """
-
-    server: str
-    verdict: str
-    requests: int
-    slots: int
-    tokens: int
-    limit_tokens: int
-    cached_tokens: int
-    finish_ms: float
-
-
-class Placement(typing.TypedDict):
-    """What the keeper of a shard says of a request."""
-
-    shard: str
-    keeper: str
-    keeper_since_open: bool
-    state: str
-    ahead_higher: int
-    ahead_same: int
-    server: str
-    servers: list[ServerVerdict]
-
-
 class Explanation(typing.TypedDict):
     """Which limits, tier, keeper and engine apply to a request, and why."""
 
@@ -78,7 +47,7 @@
     shard: str
     keeper: str
     reasons: list[str]
-    placement: Placement | None
+    placement: keeper_view.Placement | None
 
 
 class Explainer:
@@ -174,46 +143,6 @@
             placement=placement,
         )
 
-    def at_keeper(self, demand: messages.Demand) -> Placement:
-        """Return what this instance, as the keeper, would do with a demand."""
-        shard = views.shard_at_keeper(self._parts, self._settings, demand.shard)
-        if shard is None:
-            raise exceptions.AdminUnknown(f"no shard {demand.shard!r} is kept here")
-        waiting = shard.queue.get(demand.id)
-        if waiting is not None:
-            # With the hashes of its prefix, which the question does not carry.
-            demand = waiting.demand
-        higher, same = _ahead(shard, demand)
-        weighed = self._weighed(shard, demand)
-        verdicts = []
-        for name in sorted(shard.servers):
-            verdicts.append(_verdict(shard, name, weighed.get(name)))
-        running = shard.running.get(demand.id)
-        server = running.server if running is not None else _best(verdicts)
-        state = "new"
-        if running is not None:
-            state = "running"
-        elif waiting is not None:
-            state = "waiting"
-        return Placement(
-            shard=demand.shard,
-            keeper=self._settings.instance,
-            keeper_since_open=shard.is_open,
-            state=state,
-            ahead_higher=higher,
-            ahead_same=same,
-            server=server,
-            servers=verdicts,
-        )
-
-    def _weighed(
-        self, shard: shards.Shard, demand: messages.Demand
-    ) -> dict[str, policies.Weighed]:
-        policy = self._parts.kept.policy(shard.name)
-        if not isinstance(policy, policies.Explaining):
-            return {}
-        return {item.server: item for item in policy.explain(demand)}
-
     async def _owned(
         self, text: str, viewer: viewers.Viewer, authorization: str
     ) -> Explanation:
@@ -260,7 +189,7 @@
         deadline_ms: int,
         revision: int,
         reasons: list[str],
-        placement: Placement | None,
+        placement: keeper_view.Placement | None,
     ) -> Explanation:
         return Explanation(
             id=id,
@@ -280,11 +209,11 @@
 
     async def _placement(
         self, demand: messages.Demand, reasons: list[str], authorization: str
-    ) -> Placement | None:
+    ) -> keeper_view.Placement | None:
         keeper = self._parts.membership.keeper_of(demand.shard)
         try:
             if keeper == self._settings.instance:
-                return self.at_keeper(demand)
+                return keeper_view.of_demand(self._parts, self._settings, demand)
             member = self._parts.membership.find(keeper)
             if member is None:
                 raise exceptions.AdminElsewhere("its address is not known")
@@ -295,7 +224,7 @@
                 f"&output_tokens={demand.output_tokens}"
             )
             body = await self._ask(member, target, authorization)
-            return msgspec.json.decode(body, type=Placement)
+            return msgspec.json.decode(body, type=keeper_view.Placement)
         except exceptions.AdminRefusal as error:
             reasons.append(f"the keeper, {keeper}, could not tell: {error}")
             return None
@@ -358,51 +287,3 @@
     elif not entry.server:
         found.append("waits for a permit of its keeper")
     return found
-
-
-def _ahead(shard: shards.Shard, demand: messages.Demand) -> tuple[int, int]:
-    higher = 0
-    same = 0
-    mine = shard.queue.get(demand.id)
-    for waiting in shard.queue.values():
-        if waiting.demand.id == demand.id:
-            continue
-        if waiting.demand.rank < demand.rank:
-            higher += 1
-        elif waiting.demand.rank == demand.rank:
-            if mine is None or waiting.arrived_at < mine.arrived_at:
-                same += 1
-    return higher, same
-
-
-def _verdict(
-    shard: shards.Shard, name: str, weighed: policies.Weighed | None
-) -> ServerVerdict:
-    server = shard.servers[name]
-    count = shard.count_on(name)
-    limit = weighed.limit_tokens if weighed else server.max_tokens_in_flight or 0
-    verdict = "fits"
-    if name in shard.gone:
-        verdict = "leaving: gets no new work"
-    elif count >= server.slots:
-        verdict = "all slots taken"
-    elif weighed is not None and not weighed.fits:
-        verdict = "full: unread prompts or tokens in flight"
-    return ServerVerdict(
-        server=name,
-        verdict=verdict,
-        requests=count,
-        slots=server.slots,
-        tokens=shard.tokens_on(name),
-        limit_tokens=limit,
-        cached_tokens=weighed.cached_tokens if weighed else 0,
-        finish_ms=round(weighed.finish_seconds * 1000.0, 1) if weighed else 0.0,
-    )
-
-
-def _best(verdicts: list[ServerVerdict]) -> str:
-    fitting = [item for item in verdicts if item["verdict"] == "fits"]
-    if not fitting:
-        return ""
-    best = min(fitting, key=lambda item: (item["finish_ms"], item["tokens"]))
-    return best["server"]
