Expect heartbeats also of neighbours that were never heard

Cause: an instance that learnt of another by a third and was then cut off from both suspected the third only; it took the other for serving, and for the keeper, for ever. Callers of the cut-off instance were told not_run at their deadline.

--- a/packages/daemon/cassiaquay_daemon/members.py
+++ b/packages/daemon/cassiaquay_daemon/members.py
@@ -228,6 +228,7 @@
         """Send one round of heartbeats and judge who is silent."""
         self._number += 1
         self._send()
+        self._watching.expect(self.neighbours())
         self._watching.judge()
         for name in self.facts.forget(self._settings.membership.forget_after):
             logs.event("member_forgotten", member=name)
--- a/packages/daemon/cassiaquay_daemon/watching.py
+++ b/packages/daemon/cassiaquay_daemon/watching.py
@@ -70,6 +70,18 @@
         self._links[link.instance] = link
         self._probes.pop(link.instance, None)
 
+    def expect(self, names: collections.abc.Iterable[str]) -> None:
+        """Expect heartbeats of these, which were sent some, from now on.
+
+        One that is known by hearsay and was never heard here would be handed out for
+        ever by an instance that is cut off right after it was told of it.
+        """
+        now = clock.now()
+        for name in names:
+            known = self._facts.records.get(name)
+            if known is not None and known.suspected_at is None:
+                self._beats.setdefault(name, now)
+
     def lost(self, link: peers.Link) -> None:
         """Note a closed link: a killed process is asked for without waiting."""
         if link.instance in self._beats:
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -104,6 +104,24 @@
     asyncio.run(run())
 
 
+def test_an_instance_known_by_hearsay_alone_is_suspected_too() -> None:
+    """A caller of an instance that is cut off is not sent to one never heard there.
+
+    One learns of another by a third, and is cut off from the third at once. Nobody
+    that it hears watches the other for it: it has to miss heartbeats that never came.
+    """
+
+    async def run() -> None:
+        async with fleets.fleet() as fleet:
+            one, other, third = await fleet.add_many(3, refresh_seconds=0.1)
+            light.separate(one, other)
+            await fleet.agree()
+            light.separate(one, third)
+            await light.until(lambda: one.view == {"cq-1"}, 10)
+
+    asyncio.run(run())
+
+
 def test_a_restarted_instance_takes_the_place_of_its_earlier_life() -> None:
     async def run() -> None:
         async with fleets.fleet() as fleet:
