Drop an id that never left the caller, instead of asking others about it

The belief that a refused connection tells nothing was wrong: no byte was written, and no other attempt under that id was ever made. Ruled out: a leaving owner that hands its ids over (nothing of an unsent id is there to hand).

--- a/packages/caller/cassiaquay/adapters.py
+++ b/packages/caller/cassiaquay/adapters.py
@@ -77,6 +77,8 @@
 
         Raises
         ------
+        NotConnected
+            When no byte was written.
         AttemptFailed
             When no status came; the call may have been received all the same.
         """
@@ -120,6 +122,8 @@
                 data=call.body or None,
                 allow_redirects=False,
             )
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+            raise exceptions.NotConnected(f"no connection: {error!r}") from error
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             raise exceptions.AttemptFailed(f"no status: {error!r}") from error
         return _AiohttpReply(response)
--- a/packages/caller/cassiaquay/attempts.py
+++ b/packages/caller/cassiaquay/attempts.py
@@ -35,6 +35,8 @@
         """Whether a status 200 came: the id is known and its answer is there."""
         self.refusal: models.Outcome | None = None
         """What a status other than 200 said, for the exchange to judge."""
+        self.unsent = False
+        """Whether no byte of it left the caller."""
         self._session = session
         self._deadline = deadline
         self._request_id = request_id
@@ -56,7 +58,8 @@
                 async for part in parts:
                     finished = isinstance(part, models.Outcome)
                     yield part
-        except (exceptions.AttemptFailed, streams.BrokenStream):
+        except (exceptions.AttemptFailed, streams.BrokenStream) as error:
+            self.unsent = isinstance(error, exceptions.NotConnected)
             self._session.addresses.report_failure(self._address)
         finally:
             if reply is not None:
--- a/packages/caller/cassiaquay/exceptions.py
+++ b/packages/caller/cassiaquay/exceptions.py
@@ -103,3 +103,9 @@
     """One attempt broke off without saying an outcome; never leaves a session."""
 
     code = "attempt_failed"
+
+
+class NotConnected(AttemptFailed):
+    """No connection came about, so no byte of the attempt left the caller."""
+
+    code = "not_connected"
--- a/packages/caller/cassiaquay/exchanges.py
+++ b/packages/caller/cassiaquay/exchanges.py
@@ -66,6 +66,7 @@
         self._accepted = False
         self._reread = False
         self._sent = 0
+        self._seen = False
         self._refusal: exceptions.NotRun | None = None
         self._doubtful = False
         self._restarted = False
@@ -133,6 +134,7 @@
         self.request_id = ids.form_id(chosen.token)
         self._refusal = None
         self._sent = 0
+        self._seen = False
         self._address = self._owner = chosen.address
         self._accepted = self._reread = False
         self.transcript = streams.Transcript()
@@ -166,6 +168,7 @@
                 self._accepted = True
                 yield part
         self._accepted = self._accepted or attempt.accepted
+        self._seen = self._seen or not attempt.unsent
         if attempt.refusal is not None:
             yield self._judge(attempt.refusal)
 
@@ -237,7 +240,12 @@
         return False
 
     async def _go_on(self, *, progress: bool, hint: str = "") -> None:
-        """After a cut: the same id, at the same address once, then at others."""
+        """After a cut: the same id, at the same address once, then at others.
+
+        An id that never left the caller is dropped: its owner has stopped or died, so
+        any other instance would have to say ``outcome_unknown`` of a request that
+        nobody was ever sent.
+        """
         if progress:
             # Reading on what was made already adds no load worth a budget.
             self._attempts = 0
@@ -248,6 +256,9 @@
         if self._attempts > 1:
             self._spend("the attempts broke off")
         await self._pause(0.0)
+        if not self._seen:
+            await self._form_id(hint, avoid=self._address)
+            return
         self._address = (await self._choose(hint, self._address, fresh=False)).address
 
     async def _restart_refused(self, verdict: models.Outcome) -> None:
