--- a/packages/cli/cassiaquay_cli/burn.py
+++ b/packages/cli/cassiaquay_cli/burn.py
@@ -2,7 +2,9 @@
 
 import pathlib
 
-from . import bodies, burn_page, burn_sums, clients, commands, exceptions, outputs
+from cassiaquay_schema import bodies
+
+from . import burn_page, burn_sums, clients, commands, exceptions, outputs
 
 
 def text_of(report: burn_sums.Report) -> str:
--- a/packages/cli/cassiaquay_cli/burn_sums.py
+++ b/packages/cli/cassiaquay_cli/burn_sums.py
@@ -3,7 +3,9 @@
 import time
 import typing
 
-from . import bodies, clients
+from cassiaquay_schema import bodies
+
+from . import clients
 
 # Rates of the usual two-window alarms: at 14.4 a thirtieth of a month's budget is
 # spent in 1.4 hours, at 1 it is spent exactly when the period ends.
--- a/packages/cli/cassiaquay_cli/clients.py
+++ b/packages/cli/cassiaquay_cli/clients.py
@@ -7,7 +7,9 @@
 import aiohttp
 import msgspec
 
-from . import bodies, exceptions
+from cassiaquay_schema import bodies
+
+from . import exceptions
 
 ADDRESS_VARIABLE = "CASSIAQUAY_ADMIN"
 CREDENTIAL_VARIABLE = "CASSIAQUAY_CREDENTIAL"
--- a/packages/cli/cassiaquay_cli/drain.py
+++ b/packages/cli/cassiaquay_cli/drain.py
@@ -2,7 +2,9 @@
 
 import asyncio
 
-from . import bodies, clients, commands, exceptions, outputs
+from cassiaquay_schema import bodies
+
+from . import clients, commands, exceptions, outputs
 
 POLL_SECONDS = 0.3
 
--- a/packages/cli/cassiaquay_cli/explain.py
+++ b/packages/cli/cassiaquay_cli/explain.py
@@ -2,7 +2,9 @@
 
 import urllib.parse
 
-from . import bodies, clients, commands, outputs
+from cassiaquay_schema import bodies
+
+from . import clients, commands, outputs
 
 
 def text_of(found: bodies.Explanation) -> str:
--- a/packages/cli/cassiaquay_cli/history.py
+++ b/packages/cli/cassiaquay_cli/history.py
@@ -3,7 +3,9 @@
 import datetime
 import typing
 
-from . import bodies, clients, commands, outputs
+from cassiaquay_schema import bodies
+
+from . import clients, commands, outputs
 
 
 class Line(typing.NamedTuple):
--- a/packages/cli/cassiaquay_cli/status.py
+++ b/packages/cli/cassiaquay_cli/status.py
@@ -3,7 +3,9 @@
 import time
 import typing
 
-from . import bodies, clients, commands, exceptions, outputs
+from cassiaquay_schema import bodies
+
+from . import clients, commands, exceptions, outputs
 
 
 class Fleet(typing.NamedTuple):
--- a/packages/cli/cassiaquay_cli/top.py
+++ b/packages/cli/cassiaquay_cli/top.py
@@ -3,7 +3,9 @@
 import asyncio
 import sys
 
-from . import bodies, clients, commands, outputs, status
+from cassiaquay_schema import bodies
+
+from . import clients, commands, outputs, status
 
 CLEAR = "\x1b[2J\x1b[H"
 OUTCOMES = ("completed", "not_run", "outcome_unknown", "failed")
--- a/packages/daemon/cassiaquay_daemon/burn.py
+++ b/packages/daemon/cassiaquay_daemon/burn.py
@@ -8,6 +8,8 @@
 import collections
 import typing
 
+from cassiaquay_schema import bodies
+
 from . import heaviest
 
 FAST_BUCKET_SECONDS = 60.0
@@ -81,42 +83,12 @@
     name: str
 
 
-class Count(typing.TypedDict):
-    """A cell with its numbers, as the report carries it."""
-
-    service: str
-    tier: str
-    axis: str
-    name: str
-    total: int
-    good: int
-
-
-class WindowReport(typing.TypedDict):
-    """One window: how much of it was counted, and the counts."""
-
-    name: str
-    seconds: float
-    counted_seconds: float
-    counts: list[Count]
-
-
-class Point(typing.TypedDict):
-    """One bucket of a series: seconds before now of its start, and its numbers."""
-
-    age_seconds: float
-    service: str
-    tier: str
-    total: int
-    good: int
-
-
 class Report(typing.TypedDict):
     """All windows of one instance, and the buckets of its two rings for plots."""
 
-    windows: list[WindowReport]
-    fast: list[Point]
-    slow: list[Point]
+    windows: list[bodies.Window]
+    fast: list[bodies.Point]
+    slow: list[bodies.Point]
     excluded: int
 
 
@@ -178,7 +150,7 @@
                 count[1] += good
         return found
 
-    def points(self, now: float) -> list[Point]:
+    def points(self, now: float) -> list[bodies.Point]:
         """Return the buckets by service and tier, oldest first."""
         found = []
         for number, counts in self._buckets:
@@ -187,7 +159,7 @@
                 if cell.axis != "all":
                     continue
                 found.append(
-                    Point(
+                    bodies.Point(
                         age_seconds=age,
                         service=cell.service,
                         tier=cell.tier,
@@ -252,7 +224,7 @@
             seconds = window.seconds * self._scale
             counts = self._rings[window.ring].sum(now, seconds)
             windows.append(
-                WindowReport(
+                bodies.Window(
                     name=window.name,
                     seconds=seconds,
                     counted_seconds=min(seconds, now - self._since),
@@ -267,8 +239,8 @@
         )
 
 
-def _count(cell: Cell, total: int, good: int) -> Count:
-    return Count(
+def _count(cell: Cell, total: int, good: int) -> bodies.Count:
+    return bodies.Count(
         service=cell.service,
         tier=cell.tier,
         axis=cell.axis,
--- a/packages/daemon/cassiaquay_daemon/explain.py
+++ b/packages/daemon/cassiaquay_daemon/explain.py
@@ -5,7 +5,7 @@
 import aiohttp
 import msgspec
 
-from cassiaquay_schema import messages
+from cassiaquay_schema import bodies, messages
 from cassiaquay_schema import settings as settings_schema
 
 from . import (
@@ -32,24 +32,6 @@
     output_tokens: int
 
 
-class Explanation(typing.TypedDict):
-    """Which limits, tier, keeper and engine apply to a request, and why."""
-
-    id: str
-    state: str
-    service: str
-    team: str
-    tier: str
-    rank: int
-    deadline_ms: int
-    revision: int
-    owner: str
-    shard: str
-    keeper: str
-    reasons: list[str]
-    placement: keeper_view.Placement | None
-
-
 class Explainer:
     """Explains requests, with the help of their owner and their shard's keeper.
 
@@ -75,7 +57,7 @@
 
     async def by_id(
         self, text: str, viewer: viewers.Viewer, authorization: str
-    ) -> Explanation:
+    ) -> bodies.Explanation:
         """Return the explanation of a request by its id; its owner is asked."""
         try:
             request_id = tokens.parse(self._settings.keys, text)
@@ -90,11 +72,11 @@
                 f" {request_id.incarnation}, is gone; with it went what it knew"
             )
         body = await self._ask(member, f"/v1/explain?id={text}", authorization)
-        return msgspec.json.decode(body, type=Explanation)
+        return msgspec.json.decode(body, type=bodies.Explanation)
 
     async def described(
         self, description: Description, authorization: str
-    ) -> Explanation:
+    ) -> bodies.Explanation:
         """Return where a described request would go, and why."""
         snapshot = self._parts.configured.current
         if snapshot is None:
@@ -145,7 +127,7 @@
 
     async def _owned(
         self, text: str, viewer: viewers.Viewer, authorization: str
-    ) -> Explanation:
+    ) -> bodies.Explanation:
         entry = self._parts.owned.table.get(text)
         if entry is None or (viewer.team and entry.accepted.team != viewer.team):
             raise exceptions.AdminUnknown("its owner does not know this id")
@@ -189,9 +171,9 @@
         deadline_ms: int,
         revision: int,
         reasons: list[str],
-        placement: keeper_view.Placement | None,
-    ) -> Explanation:
-        return Explanation(
+        placement: bodies.Placement | None,
+    ) -> bodies.Explanation:
+        return bodies.Explanation(
             id=id,
             state=state,
             service=demand.service,
@@ -209,7 +191,7 @@
 
     async def _placement(
         self, demand: messages.Demand, reasons: list[str], authorization: str
-    ) -> keeper_view.Placement | None:
+    ) -> bodies.Placement | None:
         keeper = self._parts.membership.keeper_of(demand.shard)
         try:
             if keeper == self._settings.instance:
@@ -224,7 +206,7 @@
                 f"&output_tokens={demand.output_tokens}"
             )
             body = await self._ask(member, target, authorization)
-            return msgspec.json.decode(body, type=keeper_view.Placement)
+            return msgspec.json.decode(body, type=bodies.Placement)
         except exceptions.AdminRefusal as error:
             reasons.append(f"the keeper, {keeper}, could not tell: {error}")
             return None
--- a/packages/daemon/cassiaquay_daemon/keeper_view.py
+++ b/packages/daemon/cassiaquay_daemon/keeper_view.py
@@ -1,47 +1,16 @@
 """What the keeper of a shard would do with a demand, and why."""
 
-import typing
-
-from cassiaquay_schema import messages
+from cassiaquay_schema import bodies, messages
 from cassiaquay_schema import settings as settings_schema
 
 from . import exceptions, policies, reports, shards, views
 
 
-class ServerVerdict(typing.TypedDict):
-    """Why a backend server would or would not get a request.
-
-    ``limit_tokens`` and ``finish_ms`` are 0 where the policy does not estimate them.
-    """
-
-    server: str
-    verdict: str
-    requests: int
-    slots: int
-    tokens: int
-    limit_tokens: int
-    cached_tokens: int
-    finish_ms: float
-
-
-class Placement(typing.TypedDict):
-    """What the keeper of a shard says of a request."""
-
-    shard: str
-    keeper: str
-    keeper_since_open: bool
-    state: str
-    ahead_higher: int
-    ahead_same: int
-    server: str
-    servers: list[ServerVerdict]
-
-
 def of_demand(
     parts: reports.Parts,
     settings: settings_schema.Settings,
     demand: messages.Demand,
-) -> Placement:
+) -> bodies.Placement:
     """Return what this instance, as the keeper, would do with a demand."""
     shard = views.shard_at_keeper(parts, settings, demand.shard)
     if shard is None:
@@ -62,7 +31,7 @@
         state = "running"
     elif waiting is not None:
         state = "waiting"
-    return Placement(
+    return bodies.Placement(
         shard=demand.shard,
         keeper=settings.instance,
         keeper_since_open=shard.is_open,
@@ -100,7 +69,7 @@
 
 def _verdict(
     shard: shards.Shard, name: str, weighed: policies.Weighed | None
-) -> ServerVerdict:
+) -> bodies.ServerVerdict:
     server = shard.servers[name]
     count = shard.count_on(name)
     limit = weighed.limit_tokens if weighed else server.max_tokens_in_flight or 0
@@ -111,7 +80,7 @@
         verdict = "all slots taken"
     elif weighed is not None and not weighed.fits:
         verdict = "full: unread prompts or tokens in flight"
-    return ServerVerdict(
+    return bodies.ServerVerdict(
         server=name,
         verdict=verdict,
         requests=count,
@@ -123,7 +92,7 @@
     )
 
 
-def _best(verdicts: list[ServerVerdict]) -> str:
+def _best(verdicts: list[bodies.ServerVerdict]) -> str:
     fitting = [item for item in verdicts if item["verdict"] == "fits"]
     if not fitting:
         return ""
--- a/packages/daemon/cassiaquay_daemon/views.py
+++ b/packages/daemon/cassiaquay_daemon/views.py
@@ -3,25 +3,12 @@
 import collections
 import typing
 
+from cassiaquay_schema import bodies
 from cassiaquay_schema import settings as settings_schema
 
 from . import members, reports, shards, viewers
 
 
-class InstanceView(typing.TypedDict):
-    """One instance as this one sees it."""
-
-    instance: str
-    incarnation: str
-    domain: str
-    state: str
-    http: str
-    admin: str
-    revision: int
-    load: float
-    born: float
-
-
 class ServerView(typing.TypedDict):
     """One backend server as its keeper, this instance, sees it."""
 
@@ -37,31 +24,6 @@
     tokens: int
 
 
-class GroupView(typing.TypedDict):
-    """Requests of one tier and team at a keeper."""
-
-    shard: str
-    tier: str
-    team: str
-    waiting: int
-    oldest_seconds: float
-
-
-class RunningView(typing.TypedDict):
-    """Permits and dispatches of one shard, and the tier that it sheds now, or empty."""
-
-    shard: str
-    running: int
-    shedding: str
-
-
-class QueuesView(typing.TypedDict):
-    """What waits and runs at the shards that this instance keeps."""
-
-    waiting: list[GroupView]
-    running: list[RunningView]
-
-
 class KeeperView(typing.TypedDict):
     """A shard and the instance that this one takes for its keeper."""
 
@@ -79,12 +41,12 @@
     text: str
 
 
-def instances(membership: members.Membership) -> list[InstanceView]:
+def instances(membership: members.Membership) -> list[bodies.Instance]:
     """Return the members, and listed instances that nothing was heard of."""
     serving = {member.instance for member in membership.serving()}
     found = {}
     for member in membership.alive():
-        found[member.instance] = InstanceView(
+        found[member.instance] = bodies.Instance(
             instance=member.instance,
             incarnation=member.incarnation,
             domain=member.domain,
@@ -98,7 +60,7 @@
     for line in membership.listed.values():
         if line.kind != "entry" or line.name in found:
             continue
-        found[line.name] = InstanceView(
+        found[line.name] = bodies.Instance(
             instance=line.name,
             incarnation="",
             domain=line.domain,
@@ -166,7 +128,7 @@
 
 def queues(
     parts: reports.Parts, viewer: viewers.Viewer, tiers: dict[int, str], now: float
-) -> QueuesView:
+) -> bodies.Queues:
     """Return what waits by tier and team; a team sees itself only."""
     counts: collections.Counter[tuple[str, int, str]] = collections.Counter()
     oldest: dict[tuple[str, int, str], float] = {}
@@ -175,7 +137,7 @@
         if viewer.is_operator:
             floor, _ = shard.health()
             running.append(
-                RunningView(
+                bodies.Running(
                     shard=shard.name,
                     running=len(shard.running),
                     shedding=tiers.get(floor, ""),
@@ -192,7 +154,7 @@
     for key in sorted(counts):
         shard_name, rank, team = key
         groups.append(
-            GroupView(
+            bodies.Group(
                 shard=shard_name,
                 tier=tiers.get(rank, f"rank {rank}"),
                 team=team,
@@ -200,7 +162,7 @@
                 oldest_seconds=round(oldest[key], 3),
             )
         )
-    return QueuesView(waiting=groups, running=running)
+    return bodies.Queues(waiting=groups, running=running)
 
 
 def keepers(parts: reports.Parts) -> list[KeeperView]:
--- a/packages/cli/cassiaquay_cli/bodies.py
+++ b/packages/schema/cassiaquay_schema/bodies.py
@@ -1,4 +1,4 @@
-"""JSON bodies of the operators' address, as far as the commands read them."""
+"""JSON bodies of the operators' address, for the daemon that writes and who reads."""
 
 import typing
 
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -16,7 +16,6 @@
 from starlette import applications, responses, routing
 
 from cassiaquay_cli import (
-    bodies,
     burn,
     burn_page,
     burn_sums,
@@ -32,6 +31,7 @@
 from cassiaquay_daemon import clock, platform
 from cassiaquay_daemon import exceptions as daemon_exceptions
 from cassiaquay_dev import serving
+from cassiaquay_schema import bodies
 
 Test = typing.Callable[[fakes.Instance, clients.Client], typing.Awaitable[None]]
 DEAD = "127.0.0.1:9"
