--- a/packages/daemon/cassiaquay_daemon/web.py
+++ b/packages/daemon/cassiaquay_daemon/web.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import contextlib
+import typing
 
 import msgspec
 from starlette import applications, responses, routing, types
@@ -34,6 +35,33 @@
 Respond = collections.abc.Awaitable[types.ASGIApp]
 
 
+class Call(typing.NamedTuple):
+    """A call about one request id, with what was found out before it is acted on.
+
+    Attributes
+    ----------
+    request : Request
+        As it came over HTTP.
+    id : RequestId
+        The id in its path.
+    team : str
+        Whose credential came with it.
+    snapshot : Snapshot
+        The configuration in force.
+    body : bytes
+        Its body, read whole.
+    """
+
+    request: web_requests.Request
+    id: tokens.RequestId
+    team: str
+    snapshot: snapshots.Snapshot
+    body: bytes
+
+
+Act = collections.abc.Callable[[Call], Respond]
+
+
 class Web:
     """The handlers of the callers' address.
 
@@ -112,11 +140,7 @@
         return _json(found)
 
     def _handler(
-        self,
-        act: collections.abc.Callable[
-            [web_requests.Request, tokens.RequestId, str, snapshots.Snapshot, bytes],
-            Respond,
-        ],
+        self, act: Act
     ) -> collections.abc.Callable[[web_requests.Request], Respond]:
         async def handle(request: web_requests.Request) -> types.ASGIApp:
             try:
@@ -144,130 +168,85 @@
         for call in self._on_refused:
             call(refusal, request_id, team)
 
-    async def _handle(
-        self,
-        request: web_requests.Request,
-        act: collections.abc.Callable[
-            [web_requests.Request, tokens.RequestId, str, snapshots.Snapshot, bytes],
-            Respond,
-        ],
-    ) -> types.ASGIApp:
+    async def _handle(self, request: web_requests.Request, act: Act) -> types.ASGIApp:
         snapshot = self._configured.current
         if snapshot is None:
             raise exceptions.NotReady(retry_after_ms=500)
         request_id = tokens.parse(self._settings.keys, request.path_params["id"])
         team = _team(request, snapshot)
         body = await bodies.read(request, self._settings.owner)
+        call = Call(request, request_id, team, snapshot, body)
         if self._owner.owns(request_id):
-            return await act(request, request_id, team, snapshot, body)
-        return await self._elsewhere(request, request_id, team, snapshot, body)
+            return await act(call)
+        return await self._elsewhere(call)
 
-    async def _elsewhere(
-        self,
-        request: web_requests.Request,
-        request_id: tokens.RequestId,
-        team: str,
-        snapshot: snapshots.Snapshot,
-        body: bytes,
-    ) -> types.ASGIApp:
-        member = self._membership.find(request_id.instance)
-        hopped = relay.HOP_HEADER in request.headers
-        if member is not None and member.incarnation == request_id.incarnation:
+    async def _elsewhere(self, call: Call) -> types.ASGIApp:
+        member = self._membership.find(call.id.instance)
+        hopped = relay.HOP_HEADER in call.request.headers
+        if member is not None and member.incarnation == call.id.incarnation:
             if not hopped:
-                target = request.url.path
-                if request.url.query:
-                    target += f"?{request.url.query}"
+                target = call.request.url.path
+                if call.request.url.query:
+                    target += f"?{call.request.url.query}"
                 try:
                     return await self._relay.forward(
-                        member, request.method, target, dict(request.headers), body
+                        member,
+                        call.request.method,
+                        target,
+                        dict(call.request.headers),
+                        call.body,
                     )
                 except relay.OwnerUnreachable:
                     pass
-        return await self._recover(request, request_id, team, snapshot, body)
+        return await self._recover(call)
 
-    async def _recover(
-        self,
-        request: web_requests.Request,
-        request_id: tokens.RequestId,
-        team: str,
-        snapshot: snapshots.Snapshot,
-        body: bytes,
-    ) -> types.ASGIApp:
-        service = request.query_params.get("service", "")
-        if body:
-            service = requests.service_of(body)
-        if service not in snapshot.fleet.services:
+    async def _recover(self, call: Call) -> types.ASGIApp:
+        service = call.request.query_params.get("service", "")
+        if call.body:
+            service = requests.service_of(call.body)
+        if service not in call.snapshot.fleet.services:
             service = ""
-        key = requests.key_of(request_id, team)
-        if request.url.path.endswith("/cancel"):
-            await self._recovery.cancel(key, snapshot, service)
+        key = requests.key_of(call.id, call.team)
+        if call.request.url.path.endswith("/cancel"):
+            await self._recovery.cancel(key, call.snapshot, service)
             raise exceptions.OwnerGone()
-        found = await self._recovery.find(key, snapshot, service)
-        if request.method == "DELETE":
+        found = await self._recovery.find(key, call.snapshot, service)
+        if call.request.method == "DELETE":
             # The engine forgets the stream in its own time.
             return responses.Response(status_code=204)
-        if request.url.path.endswith("/outcome"):
+        if call.request.url.path.endswith("/outcome"):
             final = found.answer.final
             if final is None:
                 return _told(entries.Told("", "", "dispatched"))
             return _told(entries.Told(final["outcome"], final["code"], "finished"))
-        hold = _Hold(self._holds, request_id, dict(request.headers))
+        hold = _Hold(self._holds, call.id, dict(call.request.headers))
         return streams.AnswerResponse(
-            found.answer, _from(request), lambda: found.refusal, hold.start, hold.stop
+            found.answer,
+            _from(call.request),
+            lambda: found.refusal,
+            hold.start,
+            hold.stop,
         )
 
-    async def _submit(
-        self,
-        request: web_requests.Request,
-        request_id: tokens.RequestId,
-        team: str,
-        snapshot: snapshots.Snapshot,
-        body: bytes,
-    ) -> types.ASGIApp:
-        after = _from(request)
-        return self._read(self._owner.submit(request_id, team, body, snapshot), after)
-
-    async def _resume(
-        self,
-        request: web_requests.Request,
-        request_id: tokens.RequestId,
-        team: str,
-        snapshot: snapshots.Snapshot,
-        body: bytes,
-    ) -> types.ASGIApp:
-        after = _from(request)
-        return self._read(self._owner.find(request_id, team), after)
-
-    async def _acknowledge(
-        self,
-        request: web_requests.Request,
-        request_id: tokens.RequestId,
-        team: str,
-        snapshot: snapshots.Snapshot,
-        body: bytes,
-    ) -> types.ASGIApp:
-        self._owner.acknowledge(request_id, team)
+    async def _submit(self, call: Call) -> types.ASGIApp:
+        after = _from(call.request)
+        return self._read(
+            self._owner.submit(call.id, call.team, call.body, call.snapshot), after
+        )
+
+    async def _resume(self, call: Call) -> types.ASGIApp:
+        after = _from(call.request)
+        return self._read(self._owner.find(call.id, call.team), after)
+
+    async def _acknowledge(self, call: Call) -> types.ASGIApp:
+        self._owner.acknowledge(call.id, call.team)
         return responses.Response(status_code=204)
 
-    async def _cancel(
-        self,
-        request: web_requests.Request,
-        request_id: tokens.RequestId,
-        team: str,
-        snapshot: snapshots.Snapshot,
-        body: bytes,
-    ) -> types.ASGIApp:
-        return _told(await self._owner.cancel(request_id, team))
+    async def _cancel(self, call: Call) -> types.ASGIApp:
+        return _told(await self._owner.cancel(call.id, call.team))
 
-    async def _outcome(
-        self,
-        request: web_requests.Request,
-        request_id: tokens.RequestId,
-        team: str,
-        snapshot: snapshots.Snapshot,
-        body: bytes,
-    ) -> types.ASGIApp:
-        return _told(self._owner.outcome(request_id, team))
+    async def _outcome(self, call: Call) -> types.ASGIApp:
+        return _told(self._owner.outcome(call.id, call.team))
 
     def _read(self, entry: entries.Entry, after: int) -> types.ASGIApp:
         return streams.AnswerResponse(
