--- a/packages/daemon/cassiaquay_daemon/demands.py
+++ b/packages/daemon/cassiaquay_daemon/demands.py
@@ -34,6 +34,15 @@
 VOID_SECONDS = 0.2
 
 
+ToKeeper = (
+    messages.Demand
+    | messages.Withdraw
+    | messages.Release
+    | messages.Renewal
+    | messages.Progress
+)
+
+
 class Permission(typing.NamedTuple):
     """A permit as its owner holds it.
 
@@ -322,15 +331,7 @@
         if not pending.future.done():
             self._tell(pending.demand.shard, self._now(pending))
 
-    def _tell(
-        self,
-        shard: str,
-        message: messages.Demand
-        | messages.Withdraw
-        | messages.Release
-        | messages.Renewal
-        | messages.Progress,
-    ) -> None:
+    def _tell(self, shard: str, message: ToKeeper) -> None:
         name = self._keeper.keeper_of(shard)
         self._keepers[shard] = name
         if name == self._settings.instance:
@@ -340,14 +341,7 @@
         if link is not None:
             link.send(message)
 
-    def _tell_local(
-        self,
-        message: messages.Demand
-        | messages.Withdraw
-        | messages.Release
-        | messages.Renewal
-        | messages.Progress,
-    ) -> None:
+    def _tell_local(self, message: ToKeeper) -> None:
         if isinstance(message, messages.Demand):
             self._keeper.demand(self._local, message)
         elif isinstance(message, messages.Withdraw):
--- a/packages/daemon/cassiaquay_daemon/relay.py
+++ b/packages/daemon/cassiaquay_daemon/relay.py
@@ -9,7 +9,7 @@
 from cassiaquay_schema import messages
 from cassiaquay_schema import settings as settings_schema
 
-from . import exceptions, logs
+from . import exceptions, logs, streams
 
 HOP_HEADER = "X-Cassiaquay-Hop"
 CONNECT_SECONDS = 1.0
@@ -47,7 +47,7 @@
     ) -> None:
         """Pass status, type and body on; end without a last chunk when it breaks."""
         passing = asyncio.create_task(self._pass(send))
-        watching = asyncio.create_task(_disconnected(receive))
+        watching = asyncio.create_task(streams.disconnected(receive))
         # A paused owner keeps its connections open and says nothing: its caller would
         # wait for as long as the pause lasts. Cut off, it comes again, and the stream
         # is read on from the engine.
@@ -176,10 +176,3 @@
 async def _until(is_gone: collections.abc.Callable[[], bool]) -> None:
     while not is_gone():
         await asyncio.sleep(LOOK_SECONDS)
-
-
-async def _disconnected(receive: types.Receive) -> None:
-    while True:
-        message = await receive()
-        if message["type"] == "http.disconnect":
-            return
--- a/packages/daemon/cassiaquay_daemon/streams.py
+++ b/packages/daemon/cassiaquay_daemon/streams.py
@@ -100,7 +100,7 @@
         """Stream until the end or until the caller is gone."""
         self._attach()
         reading = asyncio.create_task(self._stream(scope, receive, send))
-        watching = asyncio.create_task(_disconnected(receive))
+        watching = asyncio.create_task(disconnected(receive))
         try:
             await asyncio.wait({reading, watching}, return_when=asyncio.FIRST_COMPLETED)
             if reading.done():
@@ -146,7 +146,8 @@
     await send({"type": "http.response.start", "status": status, "headers": headers})
 
 
-async def _disconnected(receive: types.Receive) -> None:
+async def disconnected(receive: types.Receive) -> None:
+    """Return when the caller has gone; its body must have been read whole."""
     while True:
         message = await receive()
         if message["type"] == "http.disconnect":
