--- a/packages/daemon/cassiaquay_daemon/configuration.py
+++ b/packages/daemon/cassiaquay_daemon/configuration.py
@@ -11,6 +11,7 @@
 import xxhash
 
 from cassiaquay_schema import exceptions as schema_exceptions
+from cassiaquay_schema import fleet as fleet_schema
 from cassiaquay_schema import messages
 from cassiaquay_schema import settings as settings_schema
 
@@ -69,7 +70,11 @@
         self.current: snapshots.Snapshot | None = None
         self.rejected: dict[int, str] = {}
         self._settings = settings
+        self._reader = snapshots.readers.get(settings.platform.text_format)
         self._newest: snapshots.Snapshot | None = None
+        # The text in force as it was read, and the servers that registered since.
+        self._in_force: snapshots.Snapshot | None = None
+        self._servers: dict[str, list[fleet_schema.Server]] | None = None
         self._position = NOWHERE
         self._refused: dict[Position, str] = {}
         self._before = ""
@@ -111,15 +116,21 @@
     def settle(self) -> None:
         """Put the newest text that was found in force."""
         self._held = False
-        if self._newest is not None and self._newest is not self.current:
+        if self._newest is not None and self._newest is not self._in_force:
             self._put_in_force(self._newest)
 
+    def use_servers(self, servers: dict[str, list[fleet_schema.Server]]) -> None:
+        """Take the servers of each pool from their registrations."""
+        self._servers = servers
+        if self._in_force is not None:
+            self._publish(self._in_force)
+
     def accept(self, revision: int, text: str) -> bool:
         """Put a text in force when it is newer and sound; return whether it was."""
         position = Position(revision, digest_of(text))
         if not self._is_news(position):
             return False
-        return self._judge(position, text, _try_to_read(revision, text))
+        return self._judge(position, text, _try_to_read(self._reader, revision, text))
 
     async def offer(self, revision: int, text: str) -> bool:
         """Do as :meth:`accept`, and let the process work on meanwhile."""
@@ -128,7 +139,7 @@
         position = Position(revision, digest_of(text))
         if not self._is_news(position):
             return False
-        found = await asyncio.to_thread(_try_to_read, revision, text)
+        found = await asyncio.to_thread(_try_to_read, self._reader, revision, text)
         return self._is_news(position) and self._judge(position, text, found)
 
     def wants(self, position: Position) -> bool:
@@ -168,19 +179,26 @@
         self, source: platform.ConfigurationService, wait: float
     ) -> bool:
         """Ask the service once; return whether it answered."""
-        known = max([self._position.revision, *self.rejected])
         try:
-            found = await source.watch(known, wait)
+            news = await self.read_once(source, wait)
         except exceptions.PlatformError as error:
             logs.detail("configuration_unreadable", cause=str(error))
             await asyncio.sleep(RETRY_SECONDS)
             return False
-        if found is None:
-            return True
-        if not await self.offer(found.revision, found.text):
+        if news is False:
             await asyncio.sleep(RETRY_SECONDS)
         return True
 
+    async def read_once(
+        self, source: platform.ConfigurationService, wait: float = 0.0
+    ) -> bool | None:
+        """Ask the service once; return whether what it had was taken, None for none."""
+        known = max([self._position.revision, *self.rejected])
+        found = await source.watch(known, wait)
+        if found is None:
+            return None
+        return await self.offer(found.revision, found.text)
+
     def is_watcher(self, membership: members.Membership) -> bool:
         """Tell whether this instance waits for news at the service."""
         domain = self._settings.domain
@@ -235,8 +253,14 @@
         )
 
     def _put_in_force(self, snapshot: snapshots.Snapshot) -> None:
-        self.current = snapshot
+        self._in_force = snapshot
         logs.event("configuration_in_force", revision=snapshot.revision)
+        self._publish(snapshot)
+
+    def _publish(self, snapshot: snapshots.Snapshot) -> None:
+        if self._servers is not None:
+            snapshot = snapshots.with_servers(snapshot, self._servers)
+        self.current = snapshot
         for call in self._on_accept:
             call()
 
@@ -280,10 +304,10 @@
 
 
 def _try_to_read(
-    revision: int, text: str
+    reader: snapshots.Reader, revision: int, text: str
 ) -> snapshots.Snapshot | schema_exceptions.SchemaError:
     try:
-        return snapshots.read(revision, text)
+        return reader(revision, text)
     except schema_exceptions.SchemaError as error:
         return error
     except Exception as error:
--- a/packages/daemon/cassiaquay_daemon/daemon.py
+++ b/packages/daemon/cassiaquay_daemon/daemon.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import collections.abc
-import contextlib
 import signal
 import socket
 
@@ -16,6 +15,7 @@
     addresses,
     admin,
     backends,
+    budgets,
     configuration,
     demands,
     dependencies,
@@ -24,20 +24,24 @@
     keeper,
     limit_keepers,
     limits,
+    listeners,
     logs,
     members,
     owner,
     pause,
     peers,
     platform,
+    quotas,
     reconciler,
     recovery,
     relay,
     renewal,
     reports,
+    servers,
     tokens,
     web,
 )
+from .gateway import admission, connections, directory, forwarding, front, service
 
 # Callers that asked for addresses just before the shutdown still come for a moment;
 # they are answered with "not run" and another address instead of a refused connection.
@@ -48,15 +52,6 @@
 IDLE_CONNECTION_SECONDS = 2.0
 
 
-class _Server(uvicorn.Server):
-    """A server that leaves signals to the daemon."""
-
-    @contextlib.contextmanager
-    def capture_signals(self) -> collections.abc.Iterator[None]:
-        """Capture none."""
-        yield
-
-
 class Daemon:
     """All parts of one instance.
 
@@ -121,6 +116,12 @@
         self._membership.digest = lambda: self._configuration.digest
         self._configuration.on_accept(self._membership.update)
         self._pauses.on_overslept(self._membership.overslept)
+        chosen = settings.platform
+        self._texts = platform.configuration_services.get(chosen.configuration_adapter)(
+            self._http, chosen.configuration
+        )
+        self._servers = self._registered()
+        self._gateway = self._passing_through()
 
     async def run(self) -> None:
         """Serve until a signal or a drain, then shut down gracefully."""
@@ -157,36 +158,35 @@
             self._http,
             self._stopping.set,
         )
-        callers_server, callers_socket = self._server(
-            callers.application(), settings.http_port
-        )
-        admin_server, admin_socket = self._server(
-            operators.application(), settings.admin_port
-        )
-        self._membership.http_address = _address(callers_socket)
+        bound = [self._listen(operators.application(), settings.admin_port)]
+        admin_socket = bound[0][1]
+        if self._gateway is not None:
+            self._membership.http_address = settings.gateway.front
+            self._gateway.start()
+        else:
+            bound.append(self._listen(callers.application(), settings.http_port))
+            self._membership.http_address = _address(bound[1][1])
         self._membership.admin_address = _address(admin_socket)
         tasks = [asyncio.create_task(work) for work in self._work()]
         tasks.append(asyncio.create_task(noted.watch_lag()))
-        serving = [
-            asyncio.create_task(callers_server.serve([callers_socket])),
-            asyncio.create_task(admin_server.serve([admin_socket])),
-        ]
+        serving = []
+        for server, listening in bound:
+            serving.append(asyncio.create_task(server.serve([listening])))
         logs.event(
             "ready",
-            http=_address(callers_socket),
+            http=self._membership.http_address,
             peer=self._peers.address,
             admin=_address(admin_socket),
             incarnation=self._incarnation,
         )
         await self._stopping.wait()
-        await self._shut_down([callers_server, admin_server], serving, tasks)
+        await self._shut_down([server for server, _ in bound], serving, tasks)
 
     def _work(self) -> list[collections.abc.Coroutine[None, None, None]]:
         chosen = self._settings.platform
-        service = platform.configuration_services.get(chosen.configuration_adapter)
         listing = platform.instance_lists.get(chosen.instances_adapter)
         instances = listing(self._http, chosen.instances)
-        texts = service(self._http, chosen.configuration)
+        texts = self._texts
         renewing = renewal.Renewal(
             self._settings,
             self._pauses,
@@ -197,13 +197,20 @@
             instances,
         )
         renewing.start()
-        return [
+        work = [
             self._pauses.tick(),
             renewing.run(),
             self._membership.beat(),
+            self._keeper.tick(),
+            self._demands.renew(),
+            self._demands.report(),
+        ]
+        if self._servers is not None:
+            return [*work, self._servers.read()]
+        return [
+            *work,
             self._membership.read_list(instances),
             self._configuration.watch(texts, self._membership),
-            self._keeper.tick(),
             reconciler.Reconciler(
                 self._settings,
                 self._http,
@@ -212,8 +219,6 @@
                 self._keeper,
                 self._pauses,
             ).run(),
-            self._demands.renew(),
-            self._demands.report(),
             self._limits.renew(),
             self._dependencies.ask(),
             self._engine_reports.read(),
@@ -222,15 +227,18 @@
 
     async def _shut_down(
         self,
-        servers: list[_Server],
+        listening: list[uvicorn.Server],
         serving: list[asyncio.Task[None]],
         tasks: list[asyncio.Task[None]],
     ) -> None:
         logs.event("leaving", open=self._owner.open_count)
-        self._membership.farewell()
-        await self._owner.leave()
-        await asyncio.sleep(LINGER_SECONDS)
-        for server in servers:
+        if self._gateway is not None:
+            await self._gateway.drain()
+        else:
+            self._membership.farewell()
+            await self._owner.leave()
+            await asyncio.sleep(LINGER_SECONDS)
+        for server in listening:
             server.should_exit = True
         await asyncio.gather(*serving, return_exceptions=True)
         for task in tasks:
@@ -240,14 +248,47 @@
         await self._http.close()
         logs.event("stopped")
 
-    def _server(
+    def _listen(
         self, application: applications.Starlette, port: int
-    ) -> tuple[_Server, socket.socket]:
-        config = uvicorn.Config(
-            application, log_config=None, access_log=False, lifespan="off"
-        )
+    ) -> tuple[uvicorn.Server, socket.socket]:
         bound = socket.create_server((self._settings.host, port), backlog=512)
-        return _Server(config), bound
+        return listeners.server(application), bound
+
+    def _registered(self) -> servers.Servers | None:
+        chosen = self._settings.platform
+        if not chosen.servers:
+            return None
+        store = platform.server_stores.get(chosen.servers_adapter)
+        found = servers.Servers(
+            self._settings,
+            self._peers,
+            self._membership,
+            self._configuration,
+            store(self._http, chosen.servers),
+            self._texts,
+        )
+        self._membership.servers_state = lambda: found.state
+        return found
+
+    def _passing_through(self) -> service.Gateway | None:
+        settings = self._settings
+        if not settings.gateway.front or self._servers is None:
+            return None
+        sharers = self._membership.fleet_size
+        served = front.Front(
+            settings,
+            self._configuration,
+            admission.Admission(self._demands, self._membership),
+            forwarding.Forwarder(connections.session()),
+            budgets.RetryBudget(settings, sharers),
+            quotas.Quotas(settings, self._peers, self._membership, self._configuration),
+            self._pauses,
+            self._servers,
+        )
+        found = directory.Directory(
+            settings, self._membership, self._configuration, self._pauses, served
+        )
+        return service.Gateway(settings, self._membership, served, found)
 
     def _better_address(self) -> str:
         chosen = addresses.answer(
--- a/packages/daemon/cassiaquay_daemon/demands.py
+++ b/packages/daemon/cassiaquay_daemon/demands.py
@@ -32,6 +32,11 @@
 # it permits are not taken: enough for all that lay in the sockets to be read.
 LATE_RENEWALS = 3.0
 VOID_SECONDS = 0.2
+# A keeper that lives tells within a few round trips that it has a demand; when it does
+# not, it died, sleeps or is cut off. Well under the shortest objective of 400 ms.
+PATIENCE_SECONDS = 0.15
+# How often a demand that waits is told again, to see whether its keeper still lives.
+PROBE_SECONDS = 0.5
 
 
 ToKeeper = (
@@ -153,30 +158,47 @@
         self._pending: dict[str, Pending] = {}
         self._outstanding: dict[str, dict[str, Sent]] = {}
         self._lengths = lengths.Lengths()
+        self._signs: dict[str, float] = {}
         self._keepers: dict[str, str] = {}
         self._renewed_at = clock.now()
         self._void_until = 0.0
         links.on(messages.Permit, self.answer)
         links.on(messages.Shed, self.answer)
         links.on(messages.NotKeeper, self.answer)
+        links.on(messages.Queued, self.answer)
         links.on(messages.RenewalQuery, self.answer)
         links.on_up(self._up)
         membership.on_change(self._moved)
         local.on_ask(self._told_local)
 
-    async def obtain(self, demand: messages.Demand, deadline: float) -> Permission:
-        """Return a permission to dispatch; raise Refusal when the request is shed."""
+    async def obtain(
+        self, demand: messages.Demand, deadline: float, patience: float | None = None
+    ) -> Permission:
+        """Return a permission to dispatch; raise Refusal when the request is shed.
+
+        Parameters
+        ----------
+        demand : Demand
+            The request.
+        deadline : float
+            Seconds on this clock.
+        patience : float, optional
+            Raise KeeperSilent when the keeper gives no sign for so many seconds.
+        """
         future: asyncio.Future[Permission] = asyncio.get_running_loop().create_future()
         demand = self._estimated(demand)
         self._pending[demand.id] = Pending(demand, deadline, future)
         self._tell(demand.shard, demand)
         try:
+            if patience is not None:
+                await self._watch(self._pending[demand.id], patience)
             return await future
-        except asyncio.CancelledError:
+        except (asyncio.CancelledError, exceptions.KeeperSilent):
             self._tell(demand.shard, messages.Withdraw(demand.id, demand.shard))
             raise
         finally:
             self._pending.pop(demand.id, None)
+            self._signs.pop(demand.id, None)
 
     def give_back(self, demand: messages.Demand) -> None:
         """Give back a permission that was not used."""
@@ -214,6 +236,10 @@
         if isinstance(message, messages.RenewalQuery):
             replier.send(self._renewal(message.shard))
             return
+        if isinstance(message, messages.Queued):
+            if message.id in self._pending:
+                self._signs[message.id] = clock.now()
+            return
         if isinstance(message, messages.NotKeeper):
             self._redirected(replier, message)
 
@@ -236,6 +262,21 @@
             for shard in list(self._outstanding):
                 self._report(shard)
 
+    async def _watch(self, pending: Pending, patience: float) -> None:
+        """Return with the answer; raise KeeperSilent when nobody gives a sign."""
+        future, name = pending.future, pending.demand.id
+        while True:
+            told_at = clock.now()
+            done, _ = await asyncio.wait([future], timeout=patience)
+            if done:
+                return
+            if self._signs.get(name, 0.0) < told_at:
+                raise exceptions.KeeperSilent(pending.demand.shard)
+            done, _ = await asyncio.wait([future], timeout=PROBE_SECONDS - patience)
+            if done:
+                return
+            self._tell_again(pending)
+
     def _told_local(self, shard: str) -> None:
         self._keeper.renewal(self._local, self._renewal(shard))
 
--- a/packages/daemon/cassiaquay_daemon/exceptions.py
+++ b/packages/daemon/cassiaquay_daemon/exceptions.py
@@ -37,6 +37,12 @@
     code = "platform"
 
 
+class KeeperSilent(DaemonError):
+    """The keeper of a shard gives no sign of life."""
+
+    code = "keeper_silent"
+
+
 class BackendError(DaemonError):
     """A backend server gave no whole answer."""
 
@@ -172,6 +178,19 @@
     status = http.HTTPStatus.NOT_FOUND
 
 
+class NoRoute(CallRejected):
+    """No route begins the path on this host."""
+
+    code = "no_route"
+    status = http.HTTPStatus.NOT_FOUND
+
+
+class NoServers(Refusal):
+    """No backend server of the service is known."""
+
+    code = "no_servers"
+
+
 class Shed(Refusal):
     """Overload: more important work has the capacity."""
 
--- /dev/null
+++ b/packages/daemon/cassiaquay_daemon/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Callers' plain HTTP, passed through to backend servers."""
--- /dev/null
+++ b/packages/daemon/cassiaquay_daemon/gateway/admission.py
@@ -0,0 +1,177 @@
+"""Capacity for callers' requests: from the keeper, or alone when it is silent."""
+
+import collections
+import collections.abc
+import typing
+
+from cassiaquay_schema import fleet, messages
+
+from .. import clock, demands, exceptions, logs, members, rendezvous
+from . import calls
+
+# Retry-After while no server of a service is known: registrations are read again
+# several times in this time.
+NO_SERVERS_RETRY_MS = 600
+# Retry-After while the keeper is silent and this instance's own share is in use: the
+# next keeper has taken over by then.
+ALONE_RETRY_MS = 500
+
+
+class Tally:
+    """Events of an answer so far, as renewals tell them to the keeper."""
+
+    def __init__(self) -> None:
+        self.count = 0
+        self.first_at = 0.0
+
+    def add(self, events: int) -> None:
+        """Count events."""
+        if not self.count:
+            self.first_at = clock.now()
+        self.count += events
+
+
+class Ticket(typing.NamedTuple):
+    """Leave to dispatch one request to one server.
+
+    Attributes
+    ----------
+    demand : Demand
+        What was asked for.
+    server : Server
+        Where to.
+    expires_at : float
+        The dispatch must begin before; seconds on this clock.
+    tally : Tally
+        Events of the answer.
+    is_alone : bool
+        Whether it was given without the keeper.
+    """
+
+    demand: messages.Demand
+    server: fleet.Server
+    expires_at: float
+    tally: Tally
+    is_alone: bool
+
+
+class Admission:
+    """Asks for capacity and tells how it was used.
+
+    Parameters
+    ----------
+    demanded : Demands
+        The way to keepers.
+    membership : Membership
+        How many instances share the servers.
+    """
+
+    def __init__(self, demanded: demands.Demands, membership: members.Membership):
+        self._demands = demanded
+        self._membership = membership
+        self._out: collections.Counter[str] = collections.Counter()
+
+    async def obtain(
+        self, call: calls.Call, number: int, avoid: collections.abc.Iterable[str]
+    ) -> Ticket:
+        """Return leave to dispatch; raise Refusal when there is none to be had."""
+        demand = _demand(call, number, list(avoid))
+        if not call.snapshot.fleet.pools[call.service].servers:
+            raise exceptions.NoServers(retry_after_ms=NO_SERVERS_RETRY_MS)
+        try:
+            permission = await self._demands.obtain(
+                demand, call.deadline, demands.PATIENCE_SECONDS
+            )
+        except exceptions.KeeperSilent:
+            return self._alone(call, demand)
+        server = call.snapshot.server(call.service, permission.server)
+        if server is None:
+            self._demands.give_back(demand)
+            raise exceptions.NotSent("the server is not in force here")
+        return Ticket(demand, server, permission.expires_at, Tally(), False)
+
+    def dispatched(self, ticket: Ticket) -> None:
+        """Note that a ticket is in use."""
+        self._out[ticket.server.name] += 1
+        demand = ticket.demand
+        item = messages.Outstanding(
+            demand.id,
+            demand.service,
+            demand.team,
+            demand.rank,
+            ticket.server.name,
+            demand.prompt_tokens,
+            demand.output_tokens,
+        )
+        self._demands.dispatched(demand.shard, item, ticket.tally)
+
+    def unused(self, ticket: Ticket) -> None:
+        """Give a ticket back that was not used."""
+        if not ticket.is_alone:
+            self._demands.give_back(ticket.demand)
+
+    def ended(self, ticket: Ticket, sent_at: float, outcome: str) -> None:
+        """Note that a dispatched request has ended."""
+        self._out[ticket.server.name] -= 1
+        now = clock.now()
+        tally = ticket.tally
+        first_ms = max(tally.first_at - sent_at, 0.0) * 1000.0
+        self._demands.release(
+            messages.Release(
+                ticket.demand.id,
+                ticket.demand.shard,
+                ticket.server.name,
+                outcome,
+                ticket.demand.prompt_tokens,
+                0,
+                tally.count,
+                first_ms,
+                (now - sent_at) * 1000.0,
+            )
+        )
+
+    def _alone(self, call: calls.Call, demand: messages.Demand) -> Ticket:
+        # The keeper died, sleeps or is cut off. Each instance then uses its own part
+        # of each server, so that all of them together do not overfill it.
+        live = max(len(self._membership.serving()), 1)
+        best: fleet.Server | None = None
+        for server in call.snapshot.fleet.pools[call.service].servers:
+            share = max(server.slots // live, 1)
+            if server.name in demand.avoid or self._out[server.name] >= share:
+                continue
+            if best is None or self._out[server.name] < self._out[best.name]:
+                best = server
+        logs.event(
+            "keeper_silent",
+            id=demand.id,
+            shard=demand.shard,
+            live=live,
+            server=best.name if best else None,
+        )
+        if best is None:
+            raise exceptions.Shed(retry_after_ms=ALONE_RETRY_MS)
+        return Ticket(demand, best, call.deadline, Tally(), True)
+
+
+def _demand(call: calls.Call, number: int, avoid: list[str]) -> messages.Demand:
+    facts = call.facts
+    count = max(call.snapshot.shard_count(call.service), 1)
+    key = str(facts.parts[-1].key) if facts.parts else facts.attempt
+    shard = int(rendezvous.first(key, [str(index) for index in range(count)]))
+    name = facts.attempt if number == 1 else f"{facts.attempt}.{number}"
+    return messages.Demand(
+        name,
+        f"{call.service}#{shard}",
+        call.service,
+        call.team_name,
+        call.rank,
+        facts.prompt_tokens,
+        facts.output_tokens,
+        max(int(call.left * 1000.0), 0),
+        "",
+        [],
+        avoid,
+        first_ms=max(int(call.first_left * 1000.0), 1),
+        pause_ms=int(call.route.pause_seconds * 1000.0),
+        parts=facts.parts,
+    )
--- /dev/null
+++ b/packages/daemon/cassiaquay_daemon/gateway/calls.py
@@ -0,0 +1,83 @@
+"""One caller's request at the gateway, from its headers to its end."""
+
+import typing
+
+from .. import clock, routing, snapshots
+from ..platform import headers
+
+# The caller's clock runs from when it sent the first byte; ours from when the headers
+# were read. Its wait ends a moment before ours would.
+MARGIN_SECONDS = 0.01
+
+
+class Call(typing.NamedTuple):
+    """One attempt of a caller.
+
+    Attributes
+    ----------
+    method, target : str
+        As sent; the target is the path with its query.
+    headers : list of pairs
+        As sent, names in lower case.
+    facts : Facts
+        What the headers say.
+    body : bytes
+        Read whole.
+    route : Route
+        Where it goes.
+    service : str
+        The service of that route that gets it.
+    team : Team or None
+        Whose key came with it.
+    snapshot : Snapshot
+        The configuration that it was accepted under.
+    began_at, deadline : float
+        Seconds on this clock; the request ends at the deadline.
+    """
+
+    method: str
+    target: str
+    headers: list[tuple[bytes, bytes]]
+    facts: headers.Facts
+    body: bytes
+    route: routing.Route
+    service: str
+    team: routing.Team | None
+    snapshot: snapshots.Snapshot
+    began_at: float
+    deadline: float
+
+    @property
+    def left(self) -> float:
+        """Seconds until its deadline."""
+        return self.deadline - clock.now()
+
+    @property
+    def rank(self) -> int:
+        """Its rank; the team's goes before the route's."""
+        if self.team is not None and self.team.rank is not None:
+            return self.team.rank
+        return self.route.rank
+
+    @property
+    def team_name(self) -> str:
+        """Name of its team, or empty."""
+        return self.team.name if self.team is not None else ""
+
+    @property
+    def is_stream(self) -> bool:
+        """Whether its answer is a stream of events."""
+        return self.route.kind is routing.Kind.STREAM
+
+    @property
+    def first_left(self) -> float:
+        """Seconds until its answer, or first event, is late."""
+        return self.began_at + self.route.objective_seconds - clock.now()
+
+
+def deadline(began_at: float, facts: headers.Facts, route: routing.Route) -> float:
+    """Return when a request ends: by the caller's patience or the route's bound."""
+    seconds = route.timeout_seconds
+    if facts.deadline_ms:
+        seconds = min(seconds, facts.deadline_ms / 1000.0)
+    return began_at + seconds - MARGIN_SECONDS
--- /dev/null
+++ b/packages/daemon/cassiaquay_daemon/gateway/service.py
@@ -0,0 +1,88 @@
+"""The gateway of one instance: its listeners, put together, started and drained."""
+
+import asyncio
+import contextlib
+import socket
+
+import uvicorn
+
+from cassiaquay_schema import settings as settings_schema
+
+from .. import listeners, logs, members
+from . import directory, front
+
+# Callers reuse idle connections for most of the idle bound that the configuration
+# gives them, 15 s today; a connection closed before would cost one of them a request.
+IDLE_SECONDS = 75
+# Share of the grace time in which a stopping instance still takes new requests: answers
+# of the directory that name it are mostly over by then.
+LINGER_SHARE = 0.4
+# Time at the end of the grace time for closing what is left.
+CLOSING_SECONDS = 0.6
+POLL_SECONDS = 0.05
+
+
+class Gateway:
+    """The listeners of callers, of the directory and of readiness.
+
+    Parameters
+    ----------
+    settings : Settings
+        Addresses and the grace time.
+    membership : Membership
+        Told that this instance leaves.
+    served : Front
+        Callers' requests.
+    found : Directory
+        The other two addresses.
+    """
+
+    def __init__(
+        self,
+        settings: settings_schema.Settings,
+        membership: members.Membership,
+        served: front.Front,
+        found: directory.Directory,
+    ):
+        self._gateway = settings.gateway
+        self._membership = membership
+        self._front = served
+        self._directory = found
+        self._servers: list[uvicorn.Server] = []
+        self._serving: list[asyncio.Task[None]] = []
+
+    def start(self) -> None:
+        """Listen on all addresses."""
+        gateway = self._gateway
+        self._listen(self._front, gateway.front)
+        if gateway.ready:
+            self._listen(self._directory.readiness(), gateway.ready)
+        if gateway.directory:
+            self._listen(self._directory.directory(), gateway.directory)
+
+    async def drain(self) -> None:
+        """Leave without cutting a request off, within the grace time."""
+        loop = asyncio.get_running_loop()
+        grace = self._gateway.grace_seconds
+        ends_at = loop.time() + grace - CLOSING_SECONDS
+        self._front.leaving = True
+        self._membership.farewell()
+        # Callers that asked for addresses just before still come for a while.
+        await asyncio.sleep(grace * LINGER_SHARE)
+        for server in self._servers:
+            server.should_exit = True
+        while self._front.open_count and loop.time() < ends_at:
+            await asyncio.sleep(POLL_SECONDS)
+        logs.event("drained", cut_off=self._front.open_count)
+        for server in self._servers:
+            server.force_exit = True
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(CLOSING_SECONDS / 2):
+                await asyncio.gather(*self._serving, return_exceptions=True)
+
+    def _listen(self, application: listeners.Application, address: str) -> None:
+        host, _, port = address.rpartition(":")
+        bound = socket.create_server((host, int(port)), backlog=1024)
+        server = listeners.server(application, IDLE_SECONDS)
+        self._servers.append(server)
+        self._serving.append(asyncio.create_task(server.serve([bound])))
--- a/packages/daemon/cassiaquay_daemon/keeper.py
+++ b/packages/daemon/cassiaquay_daemon/keeper.py
@@ -65,6 +65,8 @@
         self._configured = configured
         self._policies: dict[str, policies.Policy] = {}
         self._due: set[str] = set()
+        # Demands whose owners have not been told yet that they are in the queue.
+        self._fresh: dict[str, dict[str, shards.Replier]] = {}
         self._pauses = pauses or pause.Pauses(pause.shortest_lease(settings))
         self._pauses.on_overslept(self._overslept)
         self._ask_local: collections.abc.Callable[[str], None] = _nothing
@@ -112,6 +114,7 @@
             replier.send(messages.NotKeeper(demand.id))
             return
         shard.add(demand, replier)
+        self._fresh.setdefault(demand.shard, {})[demand.id] = replier
         self.serve_soon(demand.shard)
 
     def withdraw(self, replier: shards.Replier, message: messages.Withdraw) -> None:
@@ -244,7 +247,8 @@
         if snapshot is None:
             return
         servers = snapshot.shard_servers(shard.name)
-        if not servers:
+        pool = snapshot.fleet.pools.get(shard.name.rpartition("#")[0])
+        if not servers and (pool is None or pool.servers):
             # The shard has gone from the configuration. What waits was accepted under
             # an earlier one and is served by that one's servers; nothing new comes.
             return
@@ -268,10 +272,18 @@
         if not self.keeps(name):
             # Handed over: the owners tell the new keeper, nothing is lost here.
             shard.drop_queue()
+            self._fresh.pop(name, None)
             return
-        if not self._pauses.current or not shard.is_open:
-            return
-        self._policies[name].serve()
+        if self._pauses.current and shard.is_open:
+            self._policies[name].serve()
+        self._acknowledge(name)
+
+    def _acknowledge(self, name: str) -> None:
+        # An owner that hears nothing goes its own way after a moment: those that wait
+        # must know that they are waited for.
+        for request_id, replier in self._fresh.pop(name, {}).items():
+            if request_id in self.shards[name].queue:
+                replier.send(messages.Queued(request_id, name))
 
     def _lost(self, link: peers.Link) -> None:
         for shard in self.shards.values():
--- a/packages/daemon/cassiaquay_daemon/main.py
+++ b/packages/daemon/cassiaquay_daemon/main.py
@@ -11,6 +11,10 @@
 from cassiaquay_schema import texts
 
 from . import daemon, logs, names
+from .platform import documents, store
+
+# Imported for what they register.
+ADAPTERS = (documents, store)
 
 BAD_SETTINGS = 2
 
--- a/packages/daemon/cassiaquay_daemon/members.py
+++ b/packages/daemon/cassiaquay_daemon/members.py
@@ -31,6 +31,17 @@
 LOAD_SECONDS = 2.0
 # Regions lose each other for an hour; after twice that, what is not listed is gone.
 RETRY_SECONDS = 7200.0
+# Instances heard of within this time may be serving behind a partition: they count as
+# sharers of fixed budgets. Longer than a partition of minutes would serve no team well.
+SHARERS_SECONDS = 60.0
+
+
+class ServersState(typing.NamedTuple):
+    """How new this instance's list of backend servers is, for heartbeats."""
+
+    revision: int = 0
+    age_ms: int = 0
+    digest: int = 0
 
 
 class _Lost(typing.NamedTuple):
@@ -68,6 +79,7 @@
         self.leaving = False
         self.http_address = ""
         self.digest: collections.abc.Callable[[], int] = int
+        self.servers_state: collections.abc.Callable[[], ServersState] = ServersState
         self.mint = mint
         self.facts = facts.Facts()
         self.admin_address = ""
@@ -82,6 +94,8 @@
         self._number = 0
         self._load = 0.0
         self._load_at = clock.now()
+        self._sharers = 1
+        self._sharers_at = clock.now()
         self._lost: dict[str, _Lost] = {}
         self._spread = spread.Spread(
             settings.instance, self.facts, settings.membership.spread_bytes
@@ -186,6 +200,21 @@
         """Return the seconds since a known member's start, or a little less."""
         return self.facts.records[instance].uptime
 
+    def fleet_size(self) -> int:
+        """Return how many instances may be spending from a budget of the whole fleet.
+
+        Instances that fell silent may be alive on the other side of a partition.
+        """
+        now = clock.now()
+        count = max(len(self.facts.records), len(self._settings.seeds), 1)
+        if count >= self._sharers:
+            self._sharers = count
+            self._sharers_at = now
+        elif now - self._sharers_at > SHARERS_SECONDS:
+            self._sharers = count
+            self._sharers_at = now
+        return self._sharers
+
     def last_heard(self, instance: str) -> messages.Member | None:
         """Return what was heard last of another instance, also when silent now."""
         record = self.facts.records.get(instance)
@@ -296,6 +325,7 @@
                     portion.members,
                     portion.suspicions,
                     self.facts.digest,
+                    *self.servers_state(),
                 )
             )
 
--- a/packages/daemon/cassiaquay_daemon/peers.py
+++ b/packages/daemon/cassiaquay_daemon/peers.py
@@ -144,9 +144,11 @@
 
     async def start(self) -> None:
         """Listen for peers."""
-        self._server = await asyncio.start_server(
-            self._accept, self._settings.host, self._settings.peer_port
-        )
+        where, port = self._settings.host, self._settings.peer_port
+        if self._settings.peer_listen:
+            where, _, text = self._settings.peer_listen.rpartition(":")
+            port = int(text)
+        self._server = await asyncio.start_server(self._accept, where, port)
         host, port = self._server.sockets[0].getsockname()[:2]
         self.address = f"{host}:{port}"
 
--- a/packages/daemon/cassiaquay_daemon/platform.py
+++ b/packages/daemon/cassiaquay_daemon/platform/__init__.py
@@ -9,9 +9,9 @@
 import aiohttp
 import msgspec
 
-from cassiaquay_schema import registry
+from cassiaquay_schema import messages, registry
 
-from . import exceptions
+from .. import exceptions
 
 ANSWER_SECONDS = 3.0
 
@@ -64,6 +64,22 @@
         """Return all lines."""
 
 
+class ServersRead(typing.NamedTuple):
+    """The registered backend servers at one revision of the platform."""
+
+    revision: int
+    entries: list[messages.ServerEntry]
+
+
+class ServerStore(typing.Protocol):
+    """Where backend servers register."""
+
+    def __init__(self, http: aiohttp.ClientSession, address: str): ...
+
+    async def read(self) -> ServersRead:
+        """Return all of them."""
+
+
 configuration_services: registry.Registry[type[ConfigurationService]] = (
     registry.Registry("configuration adapter")
 )
@@ -71,6 +87,10 @@
     "instance list adapter"
 )
 
+server_stores: registry.Registry[type[ServerStore]] = registry.Registry(
+    "store of backend servers"
+)
+
 
 class _PublishedBody(typing.TypedDict):
     revision: int
--- /dev/null
+++ b/packages/daemon/cassiaquay_daemon/platform/documents.py
@@ -0,0 +1,177 @@
+"""The platform's configuration document, translated into our snapshot."""
+
+import hashlib
+
+import msgspec
+
+from cassiaquay_schema import exceptions as schema_exceptions
+from cassiaquay_schema import fleet as fleet_schema
+
+from .. import routing, snapshots
+
+NAME = "store"
+# The document has no least bound; no request can be served in less.
+LEAST_TIMEOUT_MS = 1.0
+KINDS = {
+    "idempotent": routing.Kind.IDEMPOTENT,
+    "non_idempotent": routing.Kind.NON_IDEMPOTENT,
+    "stream": routing.Kind.STREAM,
+}
+
+
+class _Backend(msgspec.Struct, rename="kebab"):
+    service: str
+    weight: float = 1.0
+
+
+class _Route(msgspec.Struct, rename="kebab"):
+    host: str
+    path_prefix: str
+    kind: str
+    name: str = ""
+    # Named where one service takes all requests; `backends` otherwise.
+    service: str = ""
+    backends: list[_Backend] = []
+    timeout_ms: float = 30_000.0
+    slo_ms: float = 0.0
+    priority: int = 0
+    attempts: int = 1
+    public: bool = False
+    can_resume: bool = False
+    gap_target_ms: float = 0.0
+
+
+class _Service(msgspec.Struct, rename="kebab"):
+    name: str
+    # Present where the servers are model engines.
+    engine: dict[str, object] | None = None
+
+
+class _Limits(msgspec.Struct, rename="kebab"):
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 4_194_304
+    header_timeout_ms: float = 10_000.0
+    idle_timeout_ms: float = 60_000.0
+
+
+class _Tenant(msgspec.Struct, rename="kebab"):
+    name: str
+    api_keys: list[str] = []
+    priority: int | None = None
+    unit: str = "requests"
+    # What counts for a request that does not say its tokens.
+    plain_tokens: int = 1
+    rate_per_s: float = 0.0
+    burst: float = 0.0
+
+
+class _Document(msgspec.Struct, rename="kebab"):
+    version: int
+    routes: list[_Route]
+    services: list[_Service]
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+    tenants: list[_Tenant] | None = None
+
+
+@snapshots.readers.register(NAME)
+def read(revision: int, text: str) -> snapshots.Snapshot:
+    """Return the snapshot of a document; raise SchemaError when it is none."""
+    try:
+        document = msgspec.json.decode(text, type=_Document)
+    except (msgspec.DecodeError, RecursionError) as error:
+        raise schema_exceptions.SchemaError(str(error)) from error
+    teams = [(tenant, _team(tenant)) for tenant in document.tenants or []]
+    found = routing.Routing(
+        document.version,
+        _hosts(document),
+        {key: team for tenant, team in teams for key in tenant.api_keys},
+        {team.name: team.quota for _, team in teams if team.quota is not None},
+        document.tenants is not None,
+        frozenset(item.name for item in document.services if item.engine is not None),
+        routing.Bounds(
+            document.limits.max_header_bytes,
+            document.limits.max_body_bytes,
+            document.limits.header_timeout_ms / 1000.0,
+            document.limits.idle_timeout_ms / 1000.0,
+        ),
+    )
+    fleet = _fleet(document)
+    credentials = {}
+    for name, team in fleet.teams.items():
+        for digest in team.credentials:
+            credentials[digest] = name
+    return snapshots.Snapshot(revision, text, fleet, credentials, found)
+
+
+def _hosts(document: _Document) -> dict[str, list[routing.Route]]:
+    hosts: dict[str, list[routing.Route]] = {}
+    for item in document.routes:
+        route = _route(item)
+        hosts.setdefault(route.host, []).append(route)
+    for routes in hosts.values():
+        routes.sort(key=_prefix_length, reverse=True)
+    return hosts
+
+
+def _prefix_length(route: routing.Route) -> int:
+    return len(route.prefix)
+
+
+def _route(item: _Route) -> routing.Route:
+    kind = KINDS.get(item.kind)
+    if kind is None:
+        # Of an unknown kind nothing may be repeated: the careful reading is safe.
+        kind = routing.Kind.NON_IDEMPOTENT
+    shares = [routing.Share(part.service, part.weight) for part in item.backends]
+    if item.service:
+        shares = [routing.Share(item.service, 1.0)]
+    return routing.Route(
+        item.name,
+        item.host.lower(),
+        item.path_prefix,
+        kind,
+        tuple(share for share in shares if share.weight > 0),
+        max(item.timeout_ms, LEAST_TIMEOUT_MS) / 1000.0,
+        item.slo_ms / 1000.0,
+        item.gap_target_ms / 1000.0,
+        item.priority,
+        max(item.attempts, 1),
+        item.public,
+        item.can_resume,
+    )
+
+
+def _team(tenant: _Tenant) -> routing.Team:
+    quota = None
+    if tenant.rate_per_s > 0:
+        quota = routing.Quota(
+            tenant.rate_per_s,
+            tenant.burst,
+            tenant.unit == "tokens",
+            tenant.plain_tokens if tenant.unit == "tokens" else 1,
+        )
+    return routing.Team(tenant.name, tenant.priority, quota)
+
+
+def _fleet(document: _Document) -> fleet_schema.Fleet:
+    """Return what keepers and operators' views need to know of a document."""
+    ranks = {route.priority for route in document.routes}
+    for tenant in document.tenants or []:
+        if tenant.priority is not None:
+            ranks.add(tenant.priority)
+    tiers = {}
+    for rank in sorted(ranks) or [0]:
+        tiers[f"rank-{rank}"] = fleet_schema.Tier(rank=rank)
+    teams = {}
+    for tenant in document.tenants or []:
+        digests = []
+        for key in tenant.api_keys:
+            digests.append(hashlib.sha256(key.encode()).hexdigest())
+        teams[tenant.name] = fleet_schema.Team(credentials=digests, tiers=list(tiers))
+    pools = {}
+    services = {}
+    for item in document.services:
+        # Servers register by themselves and join the pool as they are read.
+        pools[item.name] = fleet_schema.Pool(servers=[])
+        services[item.name] = fleet_schema.Service(pool=item.name)
+    return fleet_schema.Fleet(tiers=tiers, teams=teams, pools=pools, services=services)
--- /dev/null
+++ b/packages/daemon/cassiaquay_daemon/platform/store.py
@@ -0,0 +1,231 @@
+"""The platform's metadata store: a read-only client and the adapters that use it.
+
+The store numbers its changes with one counter, its revision. A read by key or prefix is
+linearizable. A watch waits for changes after a revision; when the store no longer has
+them it answers 410 and the key is read anew.
+"""
+
+import base64
+import binascii
+import typing
+
+import aiohttp
+import msgspec
+
+from cassiaquay_schema import messages
+
+from .. import exceptions, platform
+from . import entries
+
+CONFIGURATION_KEY = "op/config"
+SERVERS_PREFIX = "servers/"
+ITEM_PATH = "/cassiaquay/kv-key"
+RANGE_PATH = "/cassiaquay/kv-range"
+WATCH_PATH = "/cassiaquay/kv-watch"
+# The store answers in 4 ms and, when slow, in some 60 times that; what takes longer is
+# a lost answer, and its connection returns nothing more.
+ANSWER_SECONDS = 1.0
+# A fleet of thousands of servers fits; a listing that never ends must not be followed.
+MOST_PAGES = 200
+
+
+class _Item(msgspec.Struct):
+    key: str
+    value: str = ""
+    revision: int = 0
+    tombstone: bool = False
+
+
+class _ItemBody(msgspec.Struct):
+    key: str
+    value: str
+    revision: int
+
+
+class _RangeBody(msgspec.Struct):
+    items: list[_Item]
+    truncated: bool = False
+    current: int = msgspec.field(name="current-rev", default=0)
+
+
+class _WatchBody(msgspec.Struct):
+    events: list[_Item]
+    current: int = msgspec.field(name="current-rev", default=0)
+
+
+class Item(typing.NamedTuple):
+    """A key of the store with its value and the revision of its last change."""
+
+    key: str
+    value: bytes
+    revision: int
+
+
+class Items(typing.NamedTuple):
+    """All keys under a prefix, and the store's revision when the read began."""
+
+    revision: int
+    items: list[Item]
+
+
+class Store:
+    """Reads of the platform's store.
+
+    Parameters
+    ----------
+    http : ClientSession
+        Connections.
+    address : str
+        host:port.
+    """
+
+    def __init__(self, http: aiohttp.ClientSession, address: str):
+        self._http = http
+        self._base = f"http://{address}"
+
+    async def item(self, key: str) -> Item | None:
+        """Return one key, or None when there is no such key."""
+        status, body = await self._get(ITEM_PATH, {"key": key}, ANSWER_SECONDS)
+        if status == 404:
+            return None
+        _expect(status)
+        return _decoded(_parse(body, _ItemBody))
+
+    async def items(self, prefix: str) -> Items:
+        """Return all keys under a prefix.
+
+        Pages are no snapshot: the revision is that of the first page, so a key that
+        changes meanwhile carries a higher one and is not taken for older.
+        """
+        found: list[Item] = []
+        revision = 0
+        after = ""
+        for _ in range(MOST_PAGES):
+            query = {"path-prefix": prefix}
+            if after:
+                query["after"] = after
+            status, body = await self._get(RANGE_PATH, query, ANSWER_SECONDS)
+            _expect(status)
+            page = _parse(body, _RangeBody)
+            revision = revision or page.current
+            for item in page.items:
+                found.append(_decoded(item))
+            if not page.truncated or not page.items:
+                return Items(revision, found)
+            after = page.items[-1].key
+        raise exceptions.PlatformError(f"{prefix}: more than {MOST_PAGES} pages")
+
+    async def changed(self, prefix: str, after: int, wait: float) -> int | None:
+        """Wait for a change after a revision; return the revision to go on from.
+
+        None says that the store no longer has the changes after that revision.
+        """
+        query = {
+            "path-prefix": prefix,
+            "after": str(after),
+            "wait-ms": str(int(wait * 1000)),
+        }
+        status, body = await self._get(WATCH_PATH, query, wait + ANSWER_SECONDS)
+        if status == 410:
+            return None
+        _expect(status)
+        found = _parse(body, _WatchBody)
+        if found.events:
+            return found.current
+        return after
+
+    async def _get(
+        self, path: str, query: dict[str, str], seconds: float
+    ) -> tuple[int, bytes]:
+        timeout = aiohttp.ClientTimeout(total=seconds)
+        try:
+            async with self._http.get(
+                self._base + path, params=query, timeout=timeout
+            ) as response:
+                return response.status, await response.read()
+        except (TimeoutError, aiohttp.ClientError, OSError) as error:
+            raise exceptions.PlatformError(repr(error)) from error
+
+
+@platform.configuration_services.register("store")
+class ConfigurationStore:
+    """The configuration as one key of the store."""
+
+    def __init__(self, http: aiohttp.ClientSession, address: str):
+        self._store = Store(http, address)
+        self._after = 0
+
+    async def watch(self, after: int, wait: float) -> platform.Published | None:
+        """Return what is newer than ``after``, or None after ``wait`` seconds."""
+        # A watch tells when to look; the key itself says what is there now, so a watch
+        # whose events were cut short or forgotten costs one read and loses nothing.
+        if after and wait:
+            revision = max(self._after, after)
+            seen = await self._store.changed(CONFIGURATION_KEY, revision, wait)
+            if seen == revision:
+                return None
+        item = await self._store.item(CONFIGURATION_KEY)
+        if item is None:
+            return None
+        self._after = max(self._after, item.revision)
+        if item.revision <= after:
+            return None
+        try:
+            return platform.Published(item.revision, item.value.decode())
+        except UnicodeDecodeError as error:
+            raise exceptions.PlatformError(f"configuration: {error}") from error
+
+
+@platform.server_stores.register("store")
+class ServersStore:
+    """Backend servers as keys of the store."""
+
+    def __init__(self, http: aiohttp.ClientSession, address: str):
+        self._store = Store(http, address)
+
+    async def read(self) -> platform.ServersRead:
+        """Return all servers whose entries can be read."""
+        found = await self._store.items(SERVERS_PREFIX)
+        servers: list[messages.ServerEntry] = []
+        for item in found.items:
+            name = item.key.removeprefix(SERVERS_PREFIX)
+            entry = entries.decode(name, item.value, item.revision)
+            if entry is not None:
+                servers.append(entry)
+        return platform.ServersRead(found.revision, servers)
+
+
+@platform.instance_lists.register("none")
+class NoInstances:
+    """The platform lists none of the system's own instances: seeds and gossip do."""
+
+    def __init__(self, http: aiohttp.ClientSession, address: str):
+        pass
+
+    async def read(self) -> list[platform.Listed]:
+        """Return no line."""
+        return []
+
+
+def _expect(status: int) -> None:
+    if status != 200:
+        raise exceptions.PlatformError(f"store: status {status}")
+
+
+Body = typing.TypeVar("Body")
+
+
+def _parse(body: bytes, kind: type[Body]) -> Body:
+    try:
+        return msgspec.json.decode(body, type=kind)
+    except msgspec.DecodeError as error:
+        raise exceptions.PlatformError(str(error)) from error
+
+
+def _decoded(item: _Item | _ItemBody) -> Item:
+    try:
+        value = base64.b64decode(item.value, validate=True)
+    except (binascii.Error, ValueError):
+        # Another writer's key: its bytes are no value, the other keys hold.
+        value = b""
+    return Item(item.key, value, item.revision)
--- /dev/null
+++ b/packages/daemon/cassiaquay_daemon/servers.py
@@ -0,0 +1,258 @@
+"""The backend servers that registered with the platform, known to every instance.
+
+Reading them at every instance each second would use up the platform's calls. One
+instance reads; heartbeats tell the others how old the list is, and whoever finds it too
+old reads by itself. So a reader that dies, pauses or is cut off from the platform is
+replaced within a fraction of a second, without anybody deciding who is next.
+"""
+
+import asyncio
+
+import xxhash
+
+from cassiaquay_schema import fleet as fleet_schema
+from cassiaquay_schema import messages
+from cassiaquay_schema import settings as settings_schema
+
+from . import clock, configuration, exceptions, logs, members, peers, platform
+from . import rendezvous
+
+# The reader's place in the order of readers adds this much to the age at which it
+# reads: time for the one before it to read and for a heartbeat to tell of it.
+RANK_SECONDS = 0.35
+# Those behind this place read at the same age: all of them together are still few.
+LAST_RANK = 2
+# Registrations that ran out while the platform was away are back within two seconds of
+# its return; the list is read at least this long before one that is missing is gone.
+RETURN_SECONDS = 2.2
+# A list older than this at its renewal says that the platform was away. Registrations
+# run out after three of their periods of 1.2 s, and never sooner than this.
+AWAY_SECONDS = 2.0
+RETRY_SECONDS = 0.15
+TICK_SECONDS = 0.1
+MOST_AGE_SECONDS = 3600.0
+NEVER = float("-inf")
+
+
+class Servers:
+    """The list of backend servers, as new as any instance in reach has it.
+
+    Parameters
+    ----------
+    settings : Settings
+        Age at which the list is read.
+    links : Peers
+        Connections to the other instances.
+    membership : Membership
+        Who they are.
+    configured : Configuration
+        Gets the servers of each pool.
+    store : ServerStore
+        Where they register.
+    texts : ConfigurationService
+        Read with it, so that the age of the list is that of the configuration too.
+    """
+
+    def __init__(
+        self,
+        settings: settings_schema.Settings,
+        links: peers.Peers,
+        membership: members.Membership,
+        configured: configuration.Configuration,
+        store: platform.ServerStore,
+        texts: platform.ConfigurationService,
+    ):
+        self.entries: dict[str, messages.ServerEntry] = {}
+        self._settings = settings
+        self._links = links
+        self._membership = membership
+        self._configured = configured
+        self._store = store
+        self._texts = texts
+        self._revision = 0
+        self._digest = 0
+        self._confirmed_at = NEVER
+        self._missing: dict[str, float] = {}
+        self._back_at = NEVER
+        self._failing = False
+        links.on(messages.ServerListQuery, self._query)
+        links.on(messages.ServerList, self._list)
+        membership.on_heard(self._heard)
+
+    @property
+    def revision(self) -> int:
+        """Revision of the list, 0 before there is one."""
+        return self._revision
+
+    @property
+    def age(self) -> float:
+        """Seconds since the platform confirmed the list, as far as is known here."""
+        return clock.now() - self._confirmed_at
+
+    @property
+    def age_ms(self) -> int:
+        """The same in milliseconds, bounded."""
+        return int(min(self.age, MOST_AGE_SECONDS) * 1000)
+
+    @property
+    def is_behind(self) -> bool:
+        """Whether a change that must be in force may not have been heard here."""
+        return self.age > self._settings.gateway.apply_seconds
+
+    @property
+    def state(self) -> members.ServersState:
+        """What heartbeats tell of the list."""
+        return members.ServersState(self._revision, self.age_ms, self._digest)
+
+    async def read(self) -> None:
+        """Read the list whenever nobody else has lately, for ever."""
+        while True:
+            if self.age < self._patience():
+                await asyncio.sleep(TICK_SECONDS)
+                continue
+            if not await self.read_once():
+                await asyncio.sleep(RETRY_SECONDS)
+
+    async def read_once(self) -> bool:
+        """Read the list now; return whether the platform answered."""
+        began = clock.now()
+        try:
+            found = await self._store.read()
+            await self._configured.read_once(self._texts)
+        except exceptions.PlatformError as error:
+            if not self._failing:
+                logs.event("servers_unreadable", cause=str(error), age_ms=self.age_ms)
+            self._failing = True
+            return False
+        if self._failing:
+            logs.event("servers_readable", age_ms=self.age_ms)
+        self._failing = False
+        self._take(found.revision, found.entries, began)
+        return True
+
+    def _patience(self) -> float:
+        names = [member.instance for member in self._membership.serving()]
+        ranked = rendezvous.rank("server list reader", names)
+        own = self._settings.instance
+        rank = ranked.index(own) if own in ranked else LAST_RANK
+        return (
+            self._settings.platform.servers_seconds
+            + min(rank, LAST_RANK) * RANK_SECONDS
+        )
+
+    def _take(
+        self, revision: int, entries: list[messages.ServerEntry], read_at: float
+    ) -> None:
+        if revision < self._revision:
+            # Read before what another instance has told meanwhile.
+            return
+        if read_at - self._confirmed_at > AWAY_SECONDS:
+            self._back_at = read_at
+        self._revision = revision
+        self._confirmed_at = max(self._confirmed_at, read_at)
+        changed = self._merge(entries, revision)
+        if changed:
+            self._publish()
+            self._tell()
+
+    def _merge(self, entries: list[messages.ServerEntry], revision: int) -> bool:
+        """Take in a full list; return whether what may be used has changed."""
+        named = set()
+        for entry in entries:
+            named.add(entry.name)
+            known = self.entries.get(entry.name)
+            if known is None or entry.revision >= known.revision:
+                self.entries[entry.name] = entry
+            self._missing.pop(entry.name, None)
+        now = clock.now()
+        for name, known in list(self.entries.items()):
+            if name in named or known.revision > revision:
+                continue
+            since = self._missing.setdefault(name, now)
+            # Right after the platform's return a missing entry may only have run out:
+            # dropped at once, a fleet that lives would be left without a server.
+            if now < self._back_at + RETURN_SECONDS and not known.leaving:
+                continue
+            logs.event(
+                "server_gone", server=name, missing_ms=round((now - since) * 1000)
+            )
+            del self.entries[name]
+            self._missing.pop(name, None)
+        before = self._digest
+        self._digest = _digest(self.entries)
+        return self._digest != before
+
+    def _publish(self) -> None:
+        pools: dict[str, list[fleet_schema.Server]] = {}
+        for name, entry in sorted(self.entries.items()):
+            if entry.leaving:
+                continue
+            server = fleet_schema.Server(
+                name=name,
+                address=entry.address,
+                domain=entry.domain,
+                slots=entry.slots,
+                started_ms=entry.started_ms,
+            )
+            pools.setdefault(entry.service, []).append(server)
+        logs.event(
+            "servers_in_force",
+            revision=self._revision,
+            usable=sum(len(servers) for servers in pools.values()),
+            known=len(self.entries),
+        )
+        self._configured.use_servers(pools)
+
+    def _tell(self) -> None:
+        # A server that leaves must get no new work within seconds: those who hear of
+        # it tell their neighbours at once, each list once.
+        message = self._message()
+        for instance, address in self._membership.neighbours().items():
+            link = self._links.link(instance, address)
+            if link is not None:
+                link.send(message)
+
+    def _message(self) -> messages.ServerList:
+        entries = list(self.entries.values())
+        return messages.ServerList(self._revision, self.age_ms, entries)
+
+    def _heard(self, link: peers.Link, beat: messages.Heartbeat) -> None:
+        if not beat.servers_revision or beat.servers_revision < self._revision:
+            return
+        at = clock.now() - beat.servers_age_ms / 1000.0
+        if beat.servers_digest == self._digest:
+            # The same servers, confirmed later: nothing needs to be sent.
+            self._revision = beat.servers_revision
+            self._confirmed_at = max(self._confirmed_at, at)
+            return
+        link.send(messages.ServerListQuery(self._revision))
+
+    def _query(self, link: peers.Link, query: messages.ServerListQuery) -> None:
+        if self._revision > query.revision:
+            link.send(self._message())
+
+    def _list(self, link: peers.Link, found: messages.ServerList) -> None:
+        if found.revision <= self._revision:
+            return
+        self._take(found.revision, found.entries, clock.now() - found.age_ms / 1000.0)
+
+
+def _digest(entries: dict[str, messages.ServerEntry]) -> int:
+    """Return a digest of what decides about the use of servers.
+
+    Their heartbeats change other fields all the time.
+    """
+    lines = []
+    for name in sorted(entries):
+        entry = entries[name]
+        lines.append(
+            (
+                name,
+                entry.service,
+                entry.address,
+                entry.slots,
+                entry.leaving,
+                entry.started_ms,
+            )
+        )
+    return xxhash.xxh3_64_intdigest(repr(lines).encode())
--- a/packages/daemon/cassiaquay_daemon/snapshots.py
+++ b/packages/daemon/cassiaquay_daemon/snapshots.py
@@ -1,12 +1,15 @@
 """One accepted configuration, indexed for use. Requests keep the one they came with."""
 
+import collections.abc
 import hashlib
 import typing
 
-from cassiaquay_schema import exceptions, texts
+import msgspec
+
+from cassiaquay_schema import exceptions, registry, texts
 from cassiaquay_schema import fleet as fleet_schema
 
-from . import backends
+from . import backends, routing
 
 SHARD_SERVERS = 16
 
@@ -24,12 +27,15 @@
         Parsed and checked.
     teams_by_credential : dict of str to str
         Team names by SHA-256 hex digest of a credential.
+    routes : Routing or None
+        Routes of callers' plain HTTP, where the configuration has any.
     """
 
     revision: int
     text: str
     fleet: fleet_schema.Fleet
     teams_by_credential: dict[str, str]
+    routes: routing.Routing | None = None
 
     def team_of(self, credential: str) -> str | None:
         """Return the team that a credential belongs to."""
@@ -59,6 +65,22 @@
         return None
 
 
+Reader = collections.abc.Callable[[int, str], Snapshot]
+readers: registry.Registry[Reader] = registry.Registry("text format")
+
+
+def with_servers(
+    snapshot: Snapshot, servers: dict[str, list[fleet_schema.Server]]
+) -> Snapshot:
+    """Return a snapshot whose pools have these servers, by name of the pool."""
+    pools = {}
+    for name, pool in snapshot.fleet.pools.items():
+        pools[name] = msgspec.structs.replace(pool, servers=servers.get(name, []))
+    fleet = msgspec.structs.replace(snapshot.fleet, pools=pools)
+    return snapshot._replace(fleet=fleet)
+
+
+@readers.register("fleet")
 def read(revision: int, text: str) -> Snapshot:
     """Return the snapshot of a text; raise SchemaError when it is not accepted."""
     found = texts.read_fleet(text)
--- a/packages/schema/cassiaquay_schema/fleet.py
+++ b/packages/schema/cassiaquay_schema/fleet.py
@@ -85,6 +85,8 @@
         Requests at a time.
     max_tokens_in_flight : int | None
         Upper bound of the learned limit.
+    started_ms : int
+        Unix millisecond of its start, where it is known: another start has another cache.
     """
 
     name: typing.Annotated[str, msgspec.Meta(min_length=1)]
@@ -94,6 +96,7 @@
     role: str = ""
     slots: typing.Annotated[int, msgspec.Meta(ge=1)] = 8
     max_tokens_in_flight: typing.Annotated[int, msgspec.Meta(ge=1)] | None = None
+    started_ms: typing.Annotated[int, msgspec.Meta(ge=0)] = 0
 
 
 class Pool(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
--- a/packages/schema/cassiaquay_schema/generate.py
+++ b/packages/schema/cassiaquay_schema/generate.py
@@ -37,7 +37,7 @@
         {{ field.doc }}
 {% endfor %}    """
 
-{% for field in item.fields %}    {{ field | declare }}
+{% for field in item.fields %}    {{ field | declare_plain }}
 {% endfor %}
 
 {% endfor %}
@@ -102,12 +102,20 @@
     return f"{field['name']}: {kind} = {default!r}"
 
 
+def declare_plain(field: dict[str, typing.Any]) -> str:
+    """Return the declaration of one field of a message, whose lists never change."""
+    if field.get("default") == []:
+        return f"{field['name']}: {field['type']} = []"
+    return declare(field)
+
+
 def render(name: str) -> str:
     """Return the formatted text of the module generated for one definition."""
     source = f"{name}.toml"
     definition = tomllib.loads((DEFINITIONS / source).read_text())
     environment = jinja2.Environment(trim_blocks=True, keep_trailing_newline=True)
     environment.filters["declare"] = declare
+    environment.filters["declare_plain"] = declare_plain
     template = MESSAGES if name == "messages" else SETTINGS
     text = environment.from_string(template).render(
         items=list(definition.items()),
--- a/packages/schema/cassiaquay_schema/messages.py
+++ b/packages/schema/cassiaquay_schema/messages.py
@@ -101,6 +101,12 @@
         New suspicions.
     table : int
         Digest of all facts and suspicions that the sender has.
+    servers_revision : int
+        Revision of the list of backend servers there; 0 for none.
+    servers_age_ms : int
+        Time since the platform confirmed that list.
+    servers_digest : int
+        xxh3-64 of what decides about the use of those servers.
     """
 
     number: int
@@ -109,6 +115,9 @@
     members: list[Member]
     suspicions: list[Suspicion]
     table: int
+    servers_revision: int = 0
+    servers_age_ms: int = 0
+    servers_digest: int = 0
 
 
 class ConfigurationQuery(typing.NamedTuple):
@@ -170,6 +179,12 @@
         Backend servers that just refused a connection.
     block_count : int
         Full prefix blocks of the prompt; says which of them `blocks` are.
+    first_ms : int
+        Time left before the first event is late; 0 where only the deadline counts.
+    pause_ms : int
+        Longest pause between events that is still on time; 0 where there are no events.
+    parts : list[PromptPart]
+        Parts of the prompt in order, where the caller names them.
     """
 
     id: str
@@ -184,6 +199,24 @@
     blocks: list[int]
     avoid: list[str]
     block_count: int = 0
+    first_ms: int = 0
+    pause_ms: int = 0
+    parts: list[PromptPart] = []
+
+
+class PromptPart(typing.NamedTuple):
+    """One part of a prompt that other requests may share.
+
+    Attributes
+    ----------
+    key : int
+        Hash of the model, of all parts before it and of this one.
+    tokens : int
+        Tokens of this part.
+    """
+
+    key: int
+    tokens: int
 
 
 class Permit(typing.NamedTuple):
@@ -615,6 +648,117 @@
     rank: int
 
 
+class Queued(typing.NamedTuple):
+    """The keeper has a demand and decides on it later.
+
+    Attributes
+    ----------
+    id : str
+        Request id.
+    shard : str
+        Pool and number of the shard.
+    """
+
+    id: str
+    shard: str
+
+
+class ServerEntry(typing.NamedTuple):
+    """A backend server as it registered itself.
+
+    Attributes
+    ----------
+    name : str
+        Its id.
+    service : str
+        Service that it serves.
+    address : str
+        host:port.
+    domain : str
+        Failure domain.
+    slots : int
+        Requests at a time.
+    leaving : bool
+        It takes no new work.
+    started_ms : int
+        Unix millisecond of its start; 0 where it does not say.
+    revision : int
+        Revision of the entry.
+    """
+
+    name: str
+    service: str
+    address: str
+    domain: str
+    slots: int
+    leaving: bool
+    started_ms: int
+    revision: int
+
+
+class ServerList(typing.NamedTuple):
+    """All backend servers that registered, as read from the platform.
+
+    Attributes
+    ----------
+    revision : int
+        Revision of the platform at the read.
+    age_ms : int
+        Time since the read.
+    entries : list[ServerEntry]
+        The servers.
+    """
+
+    revision: int
+    age_ms: int
+    entries: list[ServerEntry]
+
+
+class ServerListQuery(typing.NamedTuple):
+    """Ask for the list of backend servers when newer than the sender's.
+
+    Attributes
+    ----------
+    revision : int
+        Revision that the sender has.
+    """
+
+    revision: int
+
+
+class QuotaQuery(typing.NamedTuple):
+    """An owner needs more of a team's limit than its own share.
+
+    Attributes
+    ----------
+    number : int
+        Counts the sender's questions.
+    team : str
+        Team.
+    units : int
+        What the request counts.
+    """
+
+    number: int
+    team: str
+    units: int
+
+
+class QuotaAnswer(typing.NamedTuple):
+    """Answer of the limit's keeper.
+
+    Attributes
+    ----------
+    number : int
+        Number of the question.
+    units : int
+        What was given; 0 for none.
+    """
+
+    number: int
+    units: int
+
+
 Message = (
     Hello
     | Proof
@@ -623,6 +767,7 @@
     | ConfigurationQuery
     | ConfigurationText
     | Demand
+    | PromptPart
     | Permit
     | Shed
     | Withdraw
@@ -646,6 +791,12 @@
     | Health
     | Floor
     | FloorHeld
+    | Queued
+    | ServerEntry
+    | ServerList
+    | ServerListQuery
+    | QuotaQuery
+    | QuotaAnswer
 )
 
 BY_CODE: dict[int, type] = {
@@ -656,6 +807,7 @@
     5: ConfigurationQuery,
     6: ConfigurationText,
     7: Demand,
+    48: PromptPart,
     8: Permit,
     9: Shed,
     10: Withdraw,
@@ -679,6 +831,12 @@
     39: Health,
     46: Floor,
     47: FloorHeld,
+    49: Queued,
+    50: ServerEntry,
+    51: ServerList,
+    52: ServerListQuery,
+    53: QuotaQuery,
+    54: QuotaAnswer,
 }
 
 CODES: dict[type, int] = {kind: code for code, kind in BY_CODE.items()}
--- a/packages/schema/cassiaquay_schema/settings.py
+++ b/packages/schema/cassiaquay_schema/settings.py
@@ -23,6 +23,14 @@
         Longest wait of one watch call.
     instances_period : float
         Seconds between two reads of the instance list.
+    text_format : str
+        Registered format of the published configuration.
+    servers : str
+        host:port of the store in which backend servers register; empty when the configuration names them.
+    servers_adapter : str
+        Adapter of that store.
+    servers_seconds : float
+        Age at which the list of backend servers is read again.
     """
 
     configuration: str
@@ -31,6 +39,10 @@
     instances_adapter: str = "instances-http"
     watch_seconds: typing.Annotated[float, msgspec.Meta(gt=0)] = 2.0
     instances_period: typing.Annotated[float, msgspec.Meta(gt=0)] = 0.5
+    text_format: str = "fleet"
+    servers: str = ""
+    servers_adapter: str = "store"
+    servers_seconds: typing.Annotated[float, msgspec.Meta(gt=0)] = 0.6
 
 
 class Membership(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
@@ -183,6 +195,51 @@
     burn_max_cells: typing.Annotated[int, msgspec.Meta(ge=10)] = 400
 
 
+class Gateway(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """Callers' plain HTTP, passed through to backend servers; off without an address.
+
+    Attributes
+    ----------
+    front : str
+        host:port for callers' requests; empty turns the gateway off.
+    ready : str
+        host:port for readiness checks.
+    directory : str
+        host:port where callers ask which address to use.
+    directory_seconds : float
+        How long callers keep the answer of the directory.
+    grace_seconds : float
+        Time from SIGTERM until the process is killed.
+    apply_seconds : float
+        Time in which a published configuration must be in force.
+    quota_window_seconds : float
+        Window over which teams' limits are judged.
+    quota_excess : float
+        Share by which a limit may be passed in a window.
+    quota_slack : float
+        Tokens by which a limit may be passed besides.
+    retry_share : float
+        Dispatches beyond the first, as a share of a service's requests.
+    retry_extra : float
+        Dispatches beyond the first that are allowed besides, in the whole fleet and a window.
+    retry_window_seconds : float
+        Window of that budget.
+    """
+
+    front: str = ""
+    ready: str = ""
+    directory: str = ""
+    directory_seconds: typing.Annotated[float, msgspec.Meta(gt=0)] = 2.0
+    grace_seconds: typing.Annotated[float, msgspec.Meta(gt=0)] = 8.0
+    apply_seconds: typing.Annotated[float, msgspec.Meta(gt=0)] = 2.0
+    quota_window_seconds: typing.Annotated[float, msgspec.Meta(gt=0)] = 8.0
+    quota_excess: typing.Annotated[float, msgspec.Meta(ge=0)] = 0.25
+    quota_slack: typing.Annotated[float, msgspec.Meta(ge=0)] = 0.0
+    retry_share: typing.Annotated[float, msgspec.Meta(ge=0)] = 0.2
+    retry_extra: typing.Annotated[float, msgspec.Meta(ge=0)] = 0.0
+    retry_window_seconds: typing.Annotated[float, msgspec.Meta(gt=0)] = 10.0
+
+
 class Settings(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
     """Everything that one daemon process is told.
 
@@ -200,6 +257,8 @@
         Port for callers; 0 takes a free one.
     peer_port : int
         Port for instances; 0 takes a free one.
+    peer_listen : str
+        host:port for instances; goes before `host` and `peer_port`.
     advertised_peer : str
         host:port for instances, when not where it listens.
     admin_port : int
@@ -218,6 +277,8 @@
         Admission.
     orders : Orders
         Orders to engines.
+    gateway : Gateway
+        Callers' plain HTTP.
     logs : Logs
         Logs.
     reports : Reports
@@ -234,6 +295,7 @@
     host: str = "127.0.0.1"
     http_port: typing.Annotated[int, msgspec.Meta(ge=0, le=65535)] = 0
     peer_port: typing.Annotated[int, msgspec.Meta(ge=0, le=65535)] = 0
+    peer_listen: str = ""
     advertised_peer: str = ""
     admin_port: typing.Annotated[int, msgspec.Meta(ge=0, le=65535)] = 0
     keys: typing.Annotated[list[str], msgspec.Meta(min_length=1)]
@@ -243,6 +305,7 @@
     owner: Owner = msgspec.field(default_factory=Owner)
     keeper: Keeper = msgspec.field(default_factory=Keeper)
     orders: Orders = msgspec.field(default_factory=Orders)
+    gateway: Gateway = msgspec.field(default_factory=Gateway)
     logs: Logs = msgspec.field(default_factory=Logs)
     reports: Reports = msgspec.field(default_factory=Reports)
     operators: list[str] = msgspec.field(default_factory=list)
