Reload settings on SIGHUP and when the file changes

Cause: the signal's default ended the process (exit 129), and requests under way lost their answers.

--- a/packages/daemon/cassiaquay_daemon/budgets.py
+++ b/packages/daemon/cassiaquay_daemon/budgets.py
@@ -72,6 +72,10 @@
         self._requests: dict[str, Window] = {}
         self._repeats: dict[str, Window] = {}
 
+    def adopt(self, settings: settings_schema.Settings) -> None:
+        """Take in changed settings."""
+        self._gateway = settings.gateway
+
     def count(self, service: str) -> None:
         """Count a caller's request for a service."""
         self._window(self._requests, service).add(1.0)
--- a/packages/daemon/cassiaquay_daemon/daemon.py
+++ b/packages/daemon/cassiaquay_daemon/daemon.py
@@ -35,6 +35,7 @@
     reconciler,
     recovery,
     relay,
+    reloading,
     renewal,
     reports,
     servers,
@@ -59,10 +60,17 @@
     ----------
     settings : Settings
         Everything that the process was told.
+    file : Reloading, optional
+        Where changes of the settings come from.
     """
 
-    def __init__(self, settings: settings_schema.Settings):
+    def __init__(
+        self,
+        settings: settings_schema.Settings,
+        file: reloading.Reloading | None = None,
+    ):
         self._settings = settings
+        self._file = file
         self._stopping = asyncio.Event()
         self._incarnation = tokens.new_incarnation()
         self._http = aiohttp.ClientSession(
@@ -129,6 +137,8 @@
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._stopping.set)
+        if self._file is not None:
+            loop.add_signal_handler(signal.SIGHUP, self._file.ask)
         await self._peers.start()
         parts = reports.Parts(
             self._configuration,
@@ -205,6 +215,10 @@
             self._demands.renew(),
             self._demands.report(),
         ]
+        if self._file is not None:
+            self._file.on_change(self._membership.adopt)
+            self._file.on_change(logs.adopt)
+            work.append(self._file.run())
         if self._servers is not None:
             return [*work, self._servers.read()]
         return [
--- a/packages/daemon/cassiaquay_daemon/gateway/front.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/front.py
@@ -7,7 +7,7 @@
 
 import asyncio
 import collections.abc
-import contextlib
+import http
 import typing
 
 import msgspec
@@ -452,7 +452,7 @@
         if refusal.retry_after_ms:
             seconds = refusal.retry_after_ms / 1000.0
             pairs.append((b"retry-after", f"{seconds:.3f}".encode()))
-        await send(_start(int(refusal.status), self._closing(pairs)))
+        await send(_start(_status(refusal), self._closing(pairs)))
         await send(_body(body, False))
 
     def _closing(self, pairs: list[tuple[bytes, bytes]]) -> list[tuple[bytes, bytes]]:
@@ -528,6 +528,13 @@
     return exceptions.Infeasible()
 
 
+def _status(refusal: exceptions.Refusal) -> int:
+    if isinstance(refusal, exceptions.DeadlineExceeded):
+        # On this address the usual status of a gateway whose server is too slow.
+        return int(http.HTTPStatus.GATEWAY_TIMEOUT)
+    return int(refusal.status)
+
+
 def _start(status: int, pairs: list[tuple[bytes, bytes]]) -> Message:
     return {"type": "http.response.start", "status": status, "headers": pairs}
 
@@ -551,7 +558,7 @@
         id=facts.attempt,
         outcome=refusal.outcome or "not_run",
         code=refusal.code,
-        status=int(refusal.status),
+        status=_status(refusal),
         retry_after_ms=refusal.retry_after_ms or None,
         route=progress.call.route.name if progress else None,
         server=progress.server if progress else None,
--- a/packages/daemon/cassiaquay_daemon/logs.py
+++ b/packages/daemon/cassiaquay_daemon/logs.py
@@ -63,6 +63,11 @@
     _LOGGER.propagate = False
 
 
+def adopt(settings: settings_schema.Settings) -> None:
+    """Take in changed settings: the level."""
+    _LOGGER.setLevel(settings.logs.level)
+
+
 def event(name: str, **fields: typing.Any) -> None:
     """Write one event with its fields at the level INFO."""
     _LOGGER.info(name, extra=fields)
--- a/packages/daemon/cassiaquay_daemon/main.py
+++ b/packages/daemon/cassiaquay_daemon/main.py
@@ -10,7 +10,7 @@
 from cassiaquay_schema import exceptions as schema_exceptions
 from cassiaquay_schema import texts
 
-from . import daemon, logs, names
+from . import daemon, logs, names, reloading
 from .platform import documents, store
 
 # Imported for what they register.
@@ -27,8 +27,9 @@
     settings : str
         Path of its settings, a TOML file; docs/CONFIGURATION.md lists the keys.
     """
+    path = pathlib.Path(settings)
     try:
-        found = texts.read_settings(pathlib.Path(settings).read_text())
+        found = texts.read_settings(path.read_text())
         names.check_settings(found)
     except (OSError, schema_exceptions.SchemaError) as error:
         print(f"cassiaquayd: {settings}: {error}", file=sys.stderr)
@@ -41,7 +42,7 @@
     gc.freeze()
 
     async def run() -> None:
-        await daemon.Daemon(found).run()
+        await daemon.Daemon(found, reloading.Reloading(path, found)).run()
 
     uvloop.run(run())
 
--- a/packages/daemon/cassiaquay_daemon/members.py
+++ b/packages/daemon/cassiaquay_daemon/members.py
@@ -85,6 +85,7 @@
         self.admin_address = ""
         self._listed: dict[str, platform.Listed] = {}
         self._settings = settings
+        self._seeds = settings.seeds
         self._incarnation = incarnation
         self._links = links
         self._measure = measure
@@ -159,6 +160,10 @@
         self._changed()
         return fact
 
+    def adopt(self, settings: settings_schema.Settings) -> None:
+        """Take in changed settings: the seeds."""
+        self._seeds = settings.seeds
+
     def on_heard(
         self, call: collections.abc.Callable[[peers.Link, messages.Heartbeat], None]
     ) -> None:
@@ -206,11 +211,8 @@
         Instances that fell silent may be alive on the other side of a partition.
         """
         now = clock.now()
-        count = max(len(self.facts.records), len(self._settings.seeds), 1)
-        if count >= self._sharers:
-            self._sharers = count
-            self._sharers_at = now
-        elif now - self._sharers_at > SHARERS_SECONDS:
+        count = max(len(self.facts.records), len(self._seeds), 1)
+        if count >= self._sharers or now - self._sharers_at > SHARERS_SECONDS:
             self._sharers = count
             self._sharers_at = now
         return self._sharers
@@ -339,7 +341,10 @@
                 addresses[name] = record.member.peer
         addresses.pop(self._settings.instance, None)
         if not addresses:
-            addresses = {f"{peers.SEED}{seed}": seed for seed in self._settings.seeds}
+            # Its own address may be among the seeds of the whole fleet.
+            for seed in self._seeds:
+                if seed != self._links.address:
+                    addresses[f"{peers.SEED}{seed}"] = seed
         ranked = watching.rank(self._settings.instance, addresses)
         chosen = ranked[: self._settings.membership.neighbours]
         return {name: addresses[name] for name in chosen}
--- a/packages/daemon/cassiaquay_daemon/quotas.py
+++ b/packages/daemon/cassiaquay_daemon/quotas.py
@@ -15,8 +15,7 @@
 from cassiaquay_schema import messages
 from cassiaquay_schema import settings as settings_schema
 
-from . import budgets, clock, configuration, exceptions, members, peers, routing
-from . import shards
+from . import budgets, configuration, exceptions, members, peers, routing, shards
 
 # Part of the bound that is given out at all: windows here and at the servers do not
 # begin at the same moment.
@@ -80,6 +79,10 @@
         links.on(messages.QuotaQuery, self._query)
         links.on(messages.QuotaAnswer, self._answer)
 
+    def adopt(self, settings: settings_schema.Settings) -> None:
+        """Take in changed settings."""
+        self._gateway = settings.gateway
+
     async def take(self, team: routing.Team | None, facts: Amounts) -> None:
         """Count a request against its team's limit; raise LimitReached when over."""
         if team is None or team.quota is None:
