--- a/packages/daemon/cassiaquay_daemon/demands.py
+++ b/packages/daemon/cassiaquay_daemon/demands.py
@@ -11,7 +11,6 @@
 from cassiaquay_schema import settings as settings_schema
 
 from . import (
-    answers,
     clock,
     exceptions,
     keeper,
@@ -71,6 +70,18 @@
     future: asyncio.Future[Permission]
 
 
+class Counted(typing.Protocol):
+    """An answer in the making, as far as renewals tell of it."""
+
+    @property
+    def count(self) -> int:
+        """Events so far."""
+
+    @property
+    def first_at(self) -> float:
+        """Seconds on this clock of the first event."""
+
+
 class Sent:
     """A dispatched request, with what its keeper has not been told yet.
 
@@ -78,11 +89,11 @@
     ----------
     item : Outstanding
         As stated by the caller.
-    answer : Answer or None
+    answer : Counted or None
         Where its events are counted.
     """
 
-    def __init__(self, item: messages.Outstanding, answer: answers.Answer | None):
+    def __init__(self, item: messages.Outstanding, answer: Counted | None):
         self.item = item
         self.answer = answer
         self.sent_at = clock.now()
@@ -208,7 +219,7 @@
         self,
         shard: str,
         item: messages.Outstanding,
-        answer: answers.Answer | None = None,
+        answer: Counted | None = None,
     ) -> None:
         """Note that a permission is in use; its lease is renewed from now on."""
         self._outstanding.setdefault(shard, {})[item.id] = Sent(item, answer)
--- a/packages/daemon/cassiaquay_daemon/gateway/admission.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/admission.py
@@ -166,7 +166,7 @@
         call.team_name,
         call.rank,
         facts.prompt_tokens,
-        facts.output_tokens,
+        -(-facts.output_tokens // call.event_tokens),
         max(int(call.left * 1000.0), 0),
         "",
         [],
--- a/packages/daemon/cassiaquay_daemon/gateway/calls.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/calls.py
@@ -64,6 +64,14 @@
         """Name of its team, or empty."""
         return self.team.name if self.team is not None else ""
 
+    @property
+    def event_tokens(self) -> int:
+        """Tokens in one event of its answer."""
+        routes = self.snapshot.routes
+        if routes is None:
+            return 1
+        return routes.event_tokens.get(self.service, 1)
+
     @property
     def is_stream(self) -> bool:
         """Whether its answer is a stream of events."""
--- a/packages/daemon/cassiaquay_daemon/gateway/connections.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/connections.py
@@ -2,6 +2,7 @@
 
 import functools
 import socket
+import typing
 
 import aiohttp
 from aiohttp import client_proto
@@ -37,7 +38,8 @@
         limit=0, keepalive_timeout=IDLE_SECONDS, socket_factory=_socket
     )
     # The library's own hook for its protocol; there is no public one.
-    connector._factory = functools.partial(_Protocol, loop=connector._loop)
+    factory: typing.Any = functools.partial(_Protocol, loop=connector._loop)
+    connector._factory = factory
     found = aiohttp.ClientSession(
         connector=connector,
         cookie_jar=aiohttp.DummyCookieJar(),
--- a/packages/daemon/cassiaquay_daemon/gateway/events.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/events.py
@@ -17,7 +17,7 @@
     ----------
     data : bytes
         Their bytes, as the server sent them.
-    count : int
+    number : int
         How many.
     last : int
         Number of the last one; -1 when none of them has a number.
@@ -26,7 +26,7 @@
     """
 
     data: bytes
-    count: int
+    number: int
     first: int
     last: int
 
--- a/packages/daemon/cassiaquay_daemon/gateway/front.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/front.py
@@ -296,7 +296,7 @@
             )
             try:
                 await self._pass_on(progress, ticket, answer, send)
-                outcome = "completed"
+                outcome = "failed" if answer.is_failure else "completed"
             finally:
                 answer.response.close()
         except exceptions.Declined as error:
@@ -311,7 +311,11 @@
                 cause=str(error),
             )
             raise
-        except (exceptions.NotSent, exceptions.StreamCut):
+        except exceptions.NotSent:
+            progress.avoid.append(ticket.server.name)
+            raise
+        except exceptions.StreamCut as error:
+            outcome = "failed" if isinstance(error, _Failed) else "cut"
             progress.avoid.append(ticket.server.name)
             raise
         finally:
@@ -376,7 +380,7 @@
                 # A stream cannot go on with a failure's bytes.
                 raise exceptions.StreamCut(f"status {answer.status}")
             await self._send_whole(progress, answer, body, send)
-        self._log_end(progress, answer.status, ticket.tally.count)
+        self._log_end(progress, answer.status, ticket.tally)
 
     async def _send_whole(
         self,
@@ -411,14 +415,14 @@
             found = splitter.feed(data)
             if splitter.is_over:
                 raise exceptions.StreamCut("an event is too long")
-            if not found.count:
+            if not found.number:
                 continue
             if found.first not in (progress.last_event + 1, events.NO_EVENT):
                 if progress.last_event != events.NO_EVENT:
                     raise exceptions.StreamCut(
                         f"event {found.first} after {progress.last_event}"
                     )
-            ticket.tally.add(found.count)
+            ticket.tally.add(found.number)
             if found.last != events.NO_EVENT:
                 progress.last_event = found.last
             await send(_body(found.data, True))
@@ -462,8 +466,11 @@
             pairs.append((b"connection", b"close"))
         return pairs
 
-    def _log_end(self, progress: Progress, status: int, count: int) -> None:
+    def _log_end(self, progress: Progress, status: int, tally: admission.Tally) -> None:
         call = progress.call
+        first_ms = None
+        if tally.first_at:
+            first_ms = round((tally.first_at - call.began_at) * 1000.0, 1)
         logs.event(
             "ended",
             id=call.facts.attempt,
@@ -471,7 +478,10 @@
             status=status,
             server=progress.server,
             route=call.route.name,
-            events=count,
+            events=tally.count,
+            prompt_tokens=call.facts.prompt_tokens or None,
+            output_tokens=call.facts.output_tokens or None,
+            first_ms=first_ms,
             ms=_ms(call.began_at),
         )
 
--- a/packages/daemon/cassiaquay_daemon/keeper.py
+++ b/packages/daemon/cassiaquay_daemon/keeper.py
@@ -18,6 +18,7 @@
     floors,
     logs,
     members,
+    objectives,
     pause,
     peers,
     policies,
@@ -27,6 +28,8 @@
 )
 
 DEFAULT_POLICY = tiered.NAME
+# Imported for what they register.
+POLICIES = (tiered, objectives, baselines)
 TICK_SECONDS = 0.1
 # More owners than this are not asked one by one; a new keeper waits for them instead.
 MOST_ASKED = 32
--- /dev/null
+++ b/packages/daemon/cassiaquay_daemon/objectives.py
@@ -0,0 +1,372 @@
+"""The policy for callers that count first events: in time, or refused at once.
+
+Load pattern: bursts of twice the capacity for seconds, prompts whose lengths differ a
+hundredfold, servers that differ threefold in speed. An answer that begins late is worth
+a third of one in time, and one that is refused after a long wait is worth less than one
+refused at once, since its caller could have come back.
+
+- Order: strict tiers; within a tier the team that had least, then arrival. Not the
+  shortest first: long requests must be served about as often as short ones.
+- Place: a free slot of the server where the whole answer is soonest, if its first event
+  is then in time and no running stream pauses for too long while its prompt is read.
+- Shed: what will not get a slot in time, reckoned from when running requests end.
+"""
+
+import typing
+
+from cassiaquay_schema import messages
+
+from . import arrivals, clock, loads, pace, policies, shards, shedding
+
+NAME = "objectives"
+# Estimates are never exact: what would begin this close to its objective is late.
+MARGIN_SECONDS = 0.03
+# Share of the pause that may be used: events also wait on their way to the caller.
+PAUSE_SHARE = 0.8
+# Most prompt tokens that an engine reads between two events of a running stream: five
+# steps (tokens of an event) with a chunk of 2,048 tokens each.
+INTERLEAVED_TOKENS = 10_240
+# A stream whose first event is this late is given up by its caller, who waits at least
+# two seconds; what waits longer is read for nobody.
+PATIENCE_SECONDS = 1.8
+# Cost, in seconds, of a server that fails all of its work: a repeat elsewhere.
+FAILURE_SECONDS = 3.0
+# Demands looked at in one pass: a pass must stay short however long the queue is.
+MOST_LOOKED = 48
+# After a tier was shed, no tier below it gets a slot for this long: time enough for the
+# next of the shed tier to arrive and be preferred.
+FLOOR_SECONDS = 0.3
+# Callers of less important tiers are told to stay away longer.
+RANK_FACTOR = 0.25
+
+
+class Choice(typing.NamedTuple):
+    """A server for a demand.
+
+    Attributes
+    ----------
+    server : str
+        Its name.
+    first_seconds : float
+        Estimated time to the first event.
+    cost : float
+        Seconds; the least is best.
+    is_late : bool
+        Whether the first event misses the objective.
+    """
+
+    server: str
+    first_seconds: float
+    cost: float
+    is_late: bool
+
+
+class _TeamQueue:
+    """Waiting demands of one team in one tier, in order of arrival."""
+
+    def __init__(self) -> None:
+        self.virtual = 0.0
+        self.ids: dict[str, None] = {}
+
+
+@policies.policies.register(NAME)
+class Objectives:
+    """Strict tiers, fair teams, first events in time.
+
+    Parameters
+    ----------
+    shard : Shard
+        Whose demands are served.
+    """
+
+    def __init__(self, shard: shards.Shard):
+        self._shard = shard
+        self._tiers: dict[int, dict[str, _TeamQueue]] = {}
+        self._paces: dict[str, tuple[int, pace.Pace]] = {}
+        self._arrivals = arrivals.Arrivals()
+        self._late_at: dict[str, float] = {}
+        shard.observe(self)
+
+    # What the shard tells.
+
+    def queued(self, waiting: shards.Waiting) -> None:
+        """Take in a new demand; a team that was idle gets no credit for that."""
+        demand = waiting.demand
+        self._arrivals.add(demand.rank)
+        teams = self._tiers.setdefault(demand.rank, {})
+        queue = teams.get(demand.team)
+        if queue is None:
+            queue = teams[demand.team] = _TeamQueue()
+        if not queue.ids:
+            active = [item.virtual for item in teams.values() if item.ids]
+            queue.virtual = max(queue.virtual, min(active, default=0.0))
+        queue.ids[demand.id] = None
+        objective = demand.first_ms or demand.remaining_ms
+        self._late_at[demand.id] = clock.now() + objective / 1000.0
+
+    def unqueued(self, waiting: shards.Waiting) -> None:
+        """Take in that a demand has left."""
+        demand = waiting.demand
+        self._tiers[demand.rank][demand.team].ids.pop(demand.id, None)
+        self._late_at.pop(demand.id, None)
+
+    def advanced(self, server: str, tokens: int, seconds: float) -> None:
+        """Learn the time between events."""
+        self._pace(server).advanced(tokens, seconds)
+
+    def started(self, running: shards.Running, found: loads.Started) -> None:
+        """Learn from a first event."""
+        self._pace(running.server).read(
+            found.tokens, found.alone_seconds, found.seconds
+        )
+
+    def stopped(self, running: shards.Running) -> None:
+        """Do nothing: :meth:`learn` has the figures."""
+
+    # What the keeper calls.
+
+    def learn(self, release: messages.Release) -> None:
+        """Take in how a request ended."""
+        known = self._pace(release.server)
+        now = clock.now()
+        if release.outcome == "completed":
+            known.ended(True, now)
+            if not release.prompt_tokens:
+                known.served(release.total_ms / 1000.0)
+        elif release.outcome in ("cut", "failed", "declined"):
+            known.ended(False, now)
+
+    def serve(self) -> None:
+        """Grant tier after tier, and shed what cannot be in time."""
+        now = clock.now()
+        self._watch(now)
+        looked = 0
+        ahead = 0
+        for rank in sorted(self._tiers):
+            if self._shard.held_back(rank):
+                return
+            order = self._in_order(rank)[: MOST_LOOKED - looked]
+            looked += len(order)
+            left = self._grant_in_time(order, now)
+            ahead = self._settle(left, ahead, now)
+
+    def explain(self, demand: messages.Demand) -> list[policies.Weighed]:
+        """Return what each open server would mean for a demand, for operators."""
+        now = clock.now()
+        found = []
+        for server in self._shard.open_servers():
+            choice = self._weigh(demand, server.name, server.slots, now, 0.0)
+            expected = self._pace(server.name).expect(float(demand.prompt_tokens))
+            finish = expected.first_seconds
+            finish += demand.output_tokens * expected.event_seconds
+            found.append(
+                policies.Weighed(
+                    server.name,
+                    choice is not None and not choice.is_late,
+                    0,
+                    choice.first_seconds if choice else expected.first_seconds,
+                    finish,
+                    0,
+                )
+            )
+        return found
+
+    def _grant_in_time(self, order: list[str], now: float) -> list[shards.Waiting]:
+        """Grant what can be in time now; return the others."""
+        left = []
+        for request_id in order:
+            waiting = self._shard.queue[request_id]
+            late_at = self._late_at[request_id]
+            best = self._best(waiting.demand, late_at, now)
+            if best is not None and not best.is_late:
+                self._grant(waiting, best)
+            else:
+                left.append(waiting)
+        return left
+
+    def _settle(self, left: list[shards.Waiting], ahead: int, now: float) -> int:
+        """Decide on what cannot be in time now; return how many wait so far.
+
+        Late work gets what in-time work of its tier and those above has left over.
+        """
+        for waiting in left:
+            demand = waiting.demand
+            late_at = self._late_at[demand.id]
+            least = self._least_first(demand)
+            wait = self._wait_seconds(demand.rank, ahead, now)
+            if now + wait + least <= late_at:
+                ahead += 1
+                continue
+            best = self._best(demand, late_at, now)
+            if best is not None:
+                self._grant(waiting, best)
+                continue
+            # Whoever could not be in time even alone, or was promised a slot that came
+            # late, waits on for a while; whoever comes into a queue that is too long
+            # is told so at once and can come back when it is short.
+            never = waiting.arrived_at + least > late_at
+            if (never or now > late_at) and not self._is_over(waiting, now):
+                ahead += 1
+                continue
+            if not self._shed(waiting, wait, now):
+                ahead += 1
+        return ahead
+
+    def _is_over(self, waiting: shards.Waiting, now: float) -> bool:
+        patience = waiting.arrived_at + PATIENCE_SECONDS
+        return now > min(patience, waiting.deadline)
+
+    def _shed(self, waiting: shards.Waiting, wait: float, now: float) -> bool:
+        """Give a demand up, once the pool's other shards hold lower tiers back."""
+        rank = waiting.demand.rank
+        if not self._shard.may_shed(rank):
+            return False
+        seconds = wait * (1.0 + RANK_FACTOR * rank)
+        retry_after_ms = shedding.retry_after_ms(seconds)
+        # Whoever sees this tier shed must not see a lower one served meanwhile.
+        self._shard.raise_floor(rank, now + FLOOR_SECONDS, retry_after_ms)
+        self._shard.shed(waiting, "shed_overload", retry_after_ms)
+        return True
+
+    def _grant(self, waiting: shards.Waiting, choice: Choice) -> None:
+        demand = waiting.demand
+        queue = self._tiers[demand.rank][demand.team]
+        weight = self._shard.weights.get(demand.team, 1.0)
+        queue.virtual += (demand.prompt_tokens + demand.output_tokens + 1) / weight
+        self._shard.grant(waiting, choice.server, 0, choice.first_seconds)
+
+    def _in_order(self, rank: int) -> list[str]:
+        """Return the demands of a tier as they are served.
+
+        One of each team in turn, the team that had least first: what a flood of one
+        team brings stands behind the few of the others.
+        """
+        teams = [queue for queue in self._tiers[rank].values() if queue.ids]
+        teams.sort(key=_virtual)
+        rows = [list(queue.ids) for queue in teams]
+        found: list[str] = []
+        depth = 0
+        while len(found) < MOST_LOOKED and any(len(row) > depth for row in rows):
+            for row in rows:
+                if len(row) > depth:
+                    found.append(row[depth])
+            depth += 1
+        return found
+
+    def _best(
+        self, demand: messages.Demand, late_at: float, now: float
+    ) -> Choice | None:
+        """Return the best server with a free slot, one in time before a late one."""
+        best: Choice | None = None
+        avoid = set(demand.avoid)
+        for server in self._shard.open_servers():
+            if server.name in avoid or self._shard.is_refusing(server.name):
+                continue
+            choice = self._weigh(demand, server.name, server.slots, now, late_at)
+            if choice is None:
+                continue
+            if best is None or (choice.is_late, choice.cost) < (
+                best.is_late,
+                best.cost,
+            ):
+                best = choice
+        return best
+
+    def _weigh(
+        self,
+        demand: messages.Demand,
+        server: str,
+        slots: int,
+        now: float,
+        late_at: float,
+    ) -> Choice | None:
+        load = self._shard.load(server)
+        known = self._pace(server)
+        if load.count >= slots or known.is_stalled(now):
+            return None
+        unread = load.backlog_seconds(known.rate, now) * known.rate
+        unread += demand.prompt_tokens
+        expected = known.expect(unread)
+        if load.count and demand.pause_ms and demand.prompt_tokens:
+            reading = min(unread, INTERLEAVED_TOKENS) / known.rate
+            pause = expected.event_seconds + reading
+            if pause > demand.pause_ms / 1000.0 * PAUSE_SHARE:
+                return None
+        is_late = now + expected.first_seconds + MARGIN_SECONDS > late_at
+        cost = expected.first_seconds + demand.output_tokens * expected.event_seconds
+        cost += FAILURE_SECONDS * known.failing(now)
+        # Of servers that are equal otherwise the emptier one.
+        cost += expected.first_seconds * load.count / slots
+        return Choice(server, expected.first_seconds, cost, is_late)
+
+    def _least_first(self, demand: messages.Demand) -> float:
+        """Return the time to the first event at the fastest server."""
+        least = float("inf")
+        for server in self._shard.open_servers():
+            expected = self._pace(server.name).expect(float(demand.prompt_tokens))
+            least = min(least, expected.first_seconds)
+        return least + MARGIN_SECONDS
+
+    def _wait_seconds(self, rank: int, ahead: int, now: float) -> float:
+        """Return the estimated wait for a slot behind ``ahead`` others.
+
+        More important requests that arrive meanwhile go before.
+        """
+        ends = self._ends(now)
+        if not ends:
+            return PATIENCE_SECONDS
+        rate = self._arrivals.rate_above(rank)
+        wait = ends[min(ahead, len(ends) - 1)]
+        place = min(ahead + int(rate * wait), len(ends) - 1)
+        return ends[place] * max((ahead + 1) / len(ends), 1.0)
+
+    def _ends(self, now: float) -> list[float]:
+        """Return in how many seconds slots come free, the soonest first."""
+        found: list[float] = []
+        for server in self._shard.open_servers():
+            known = self._pace(server.name)
+            if known.is_stalled(now):
+                continue
+            free = server.slots - self._shard.load(server.name).count
+            found += [0.0] * max(free, 0)
+        for running in self._shard.running.values():
+            if running.server not in self._shard.servers:
+                continue
+            found.append(self._left(running, now))
+        found.sort()
+        return found
+
+    def _left(self, running: shards.Running, now: float) -> float:
+        known = self._pace(running.server)
+        if running.demand is None:
+            return known.base_seconds
+        events = running.demand.output_tokens - running.produced
+        if running.produced:
+            passed = now - running.produced_at
+            return max(events * known.event_seconds - passed, 0.0)
+        return known.expect(float(running.demand.prompt_tokens)).first_seconds + (
+            max(events, 0) * known.event_seconds
+        )
+
+    def _watch(self, now: float) -> None:
+        """Notice servers that owe a first event for too long."""
+        for server in self._shard.servers:
+            load = self._shard.load(server)
+            tokens, seconds = load.overdue(now)
+            if not seconds:
+                continue
+            known = self._pace(server)
+            known.overdue(known.expect(float(tokens)).first_seconds, seconds, now)
+
+    def _pace(self, server: str) -> pace.Pace:
+        found = self._shard.servers.get(server)
+        started_ms = found.started_ms if found is not None else 0
+        known = self._paces.get(server)
+        if known is None or (found is not None and known[0] != started_ms):
+            # A server that started again under its name is another one.
+            known = self._paces[server] = (started_ms, pace.Pace())
+        return known[1]
+
+
+def _virtual(queue: _TeamQueue) -> float:
+    return queue.virtual
--- a/packages/daemon/cassiaquay_daemon/platform/documents.py
+++ b/packages/daemon/cassiaquay_daemon/platform/documents.py
@@ -41,10 +41,15 @@
     gap_target_ms: float = 0.0
 
 
+class _Engine(msgspec.Struct, rename="kebab"):
+    # Tokens of the answer in one event of its stream.
+    stride: int = 1
+
+
 class _Service(msgspec.Struct, rename="kebab"):
     name: str
     # Present where the servers are model engines.
-    engine: dict[str, object] | None = None
+    engine: _Engine | None = None
 
 
 class _Limits(msgspec.Struct, rename="kebab"):
@@ -87,7 +92,7 @@
         {key: team for tenant, team in teams for key in tenant.api_keys},
         {team.name: team.quota for _, team in teams if team.quota is not None},
         document.tenants is not None,
-        frozenset(item.name for item in document.services if item.engine is not None),
+        _event_tokens(document),
         routing.Bounds(
             document.limits.max_header_bytes,
             document.limits.max_body_bytes,
@@ -103,6 +108,14 @@
     return snapshots.Snapshot(revision, text, fleet, credentials, found)
 
 
+def _event_tokens(document: _Document) -> dict[str, int]:
+    found = {}
+    for item in document.services:
+        if item.engine is not None:
+            found[item.name] = max(item.engine.stride, 1)
+    return found
+
+
 def _hosts(document: _Document) -> dict[str, list[routing.Route]]:
     hosts: dict[str, list[routing.Route]] = {}
     for item in document.routes:
--- a/packages/daemon/cassiaquay_daemon/routing.py
+++ b/packages/daemon/cassiaquay_daemon/routing.py
@@ -134,8 +134,8 @@
         By team.
     needs_keys : bool
         Whether requests carry keys at all.
-    model_services : frozenset of str
-        Services whose servers are model engines.
+    event_tokens : dict of str to int
+        Tokens in one event of a stream, by service whose servers are model engines.
     bounds : Bounds
         What a caller may send.
     """
@@ -145,7 +145,7 @@
     teams_by_key: dict[str, Team]
     quotas: dict[str, Quota]
     needs_keys: bool
-    model_services: frozenset[str]
+    event_tokens: dict[str, int]
     bounds: Bounds
 
     def find(self, host: str, path: str) -> Route | None:
--- a/packages/daemon/cassiaquay_daemon/shedding.py
+++ b/packages/daemon/cassiaquay_daemon/shedding.py
@@ -24,7 +24,6 @@
         self._seconds = 0.0
         self._since = clock.now()
         self._saturated = False
-        self._random = random.Random()
 
     def granted(self, rank: int, work: int) -> None:
         """Count a grant."""
@@ -63,10 +62,15 @@
         return work_before / max(rate, 1.0)
 
     def retry_after_ms(self, seconds: float) -> int:
-        """Return when to ask again, at least ``seconds`` from now.
+        """Return when to ask again, at least ``seconds`` from now."""
+        return retry_after_ms(seconds)
 
-        Spread, because callers that were told the same moment would come back
-        together and be shed together.
-        """
-        milliseconds = min(max(seconds * 1000.0, LEAST_RETRY_MS), MOST_RETRY_MS)
-        return int(milliseconds * (1.0 + JITTER * self._random.random()))
+
+def retry_after_ms(seconds: float) -> int:
+    """Return when to ask again, at least ``seconds`` from now.
+
+    Spread, because callers that were told the same moment would come back together
+    and be shed together.
+    """
+    milliseconds = min(max(seconds * 1000.0, LEAST_RETRY_MS), MOST_RETRY_MS)
+    return int(milliseconds * (1.0 + JITTER * random.random()))
--- a/packages/schema/cassiaquay_schema/fleet.py
+++ b/packages/schema/cassiaquay_schema/fleet.py
@@ -86,7 +86,7 @@
     max_tokens_in_flight : int | None
         Upper bound of the learned limit.
     started_ms : int
-        Unix millisecond of its start, where it is known: another start has another cache.
+        Unix millisecond of its start; 0 where it is not known.
     """
 
     name: typing.Annotated[str, msgspec.Meta(min_length=1)]
--- a/packages/schema/cassiaquay_schema/settings.py
+++ b/packages/schema/cassiaquay_schema/settings.py
@@ -26,7 +26,7 @@
     text_format : str
         Registered format of the published configuration.
     servers : str
-        host:port of the store in which backend servers register; empty when the configuration names them.
+        host:port of the store where backend servers register, if they do.
     servers_adapter : str
         Adapter of that store.
     servers_seconds : float
@@ -221,7 +221,7 @@
     retry_share : float
         Dispatches beyond the first, as a share of a service's requests.
     retry_extra : float
-        Dispatches beyond the first that are allowed besides, in the whole fleet and a window.
+        Dispatches that the fleet may send besides, in a window.
     retry_window_seconds : float
         Window of that budget.
     """
