Keep servers that failed a request apart from those that refuse connections

Cause: a server that answered one request with 500 was named among the refusing ones and got nothing for two seconds, at every instance.

--- a/packages/daemon/cassiaquay_daemon/budgets.py
+++ b/packages/daemon/cassiaquay_daemon/budgets.py
@@ -24,9 +24,15 @@
 
     def __init__(self, seconds: float):
         self._seconds = seconds
+        self._began_at = clock.now()
         self._amounts: collections.deque[tuple[float, float]] = collections.deque()
         self._sum = 0.0
 
+    @property
+    def unknown_share(self) -> float:
+        """Part of the window that was before this one began to count."""
+        return max(1.0 - (clock.now() - self._began_at) / self._seconds, 0.0)
+
     def add(self, amount: float) -> None:
         """Count an amount now."""
         self._amounts.append((clock.now(), amount))
@@ -85,6 +91,9 @@
         requests = self._window(self._requests, service).sum()
         repeats = self._window(self._repeats, service)
         extra = self._gateway.retry_extra / self._fleet_size()
+        if not self._gateway.first_start:
+            # The process before this one may have spent it a moment ago.
+            extra *= 1.0 - repeats.unknown_share
         bound = USED_SHARE * (self._gateway.retry_share * requests + extra)
         if repeats.sum() + 1.0 > bound:
             return False
--- a/packages/daemon/cassiaquay_daemon/gateway/admission.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/admission.py
@@ -1,7 +1,6 @@
 """Capacity for callers' requests: from the keeper, or alone when it is silent."""
 
 import collections
-import collections.abc
 import typing
 
 from cassiaquay_schema import fleet, messages
@@ -72,10 +71,22 @@
         self._out: collections.Counter[str] = collections.Counter()
 
     async def obtain(
-        self, call: calls.Call, number: int, avoid: collections.abc.Iterable[str]
+        self, call: calls.Call, number: int, refused: list[str], tried: list[str]
     ) -> Ticket:
-        """Return leave to dispatch; raise Refusal when there is none to be had."""
-        demand = _demand(call, number, list(avoid))
+        """Return leave to dispatch; raise Refusal when there is none to be had.
+
+        Parameters
+        ----------
+        call : Call
+            The request.
+        number : int
+            Counts its dispatches.
+        refused : list of str
+            Servers that could not be reached.
+        tried : list of str
+            Servers that had it already.
+        """
+        demand = _demand(call, number, refused, tried)
         if not call.snapshot.fleet.pools[call.service].servers:
             raise exceptions.NoServers(retry_after_ms=NO_SERVERS_RETRY_MS)
         try:
@@ -137,7 +148,9 @@
         best: fleet.Server | None = None
         for server in call.snapshot.fleet.pools[call.service].servers:
             share = max(server.slots // live, 1)
-            if server.name in demand.avoid or self._out[server.name] >= share:
+            if server.name in demand.avoid or server.name in demand.tried:
+                continue
+            if self._out[server.name] >= share:
                 continue
             if best is None or self._out[server.name] < self._out[best.name]:
                 best = server
@@ -153,7 +166,9 @@
         return Ticket(demand, best, call.deadline, Tally(), True)
 
 
-def _demand(call: calls.Call, number: int, avoid: list[str]) -> messages.Demand:
+def _demand(
+    call: calls.Call, number: int, refused: list[str], tried: list[str]
+) -> messages.Demand:
     facts = call.facts
     count = max(call.snapshot.shard_count(call.service), 1)
     key = str(facts.parts[-1].key) if facts.parts else facts.attempt
@@ -170,8 +185,9 @@
         max(int(call.left * 1000.0), 0),
         "",
         [],
-        avoid,
+        list(refused),
         first_ms=max(int(call.first_left * 1000.0), 1),
         pause_ms=int(call.route.pause_seconds * 1000.0),
         parts=facts.parts,
+        tried=list(tried),
     )
--- a/packages/daemon/cassiaquay_daemon/gateway/front.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/front.py
@@ -57,6 +57,10 @@
         Number of the last event that the caller was sent.
     started : bool
         Whether the caller has the beginning of an answer.
+    refused : list of str
+        Servers that could not be reached.
+    tried : list of str
+        Servers that got it and did not answer it well.
     """
 
     def __init__(self, call: calls.Call):
@@ -66,7 +70,8 @@
         self.tries = 0
         self.last_event = call.facts.last_event
         self.started = False
-        self.avoid: list[str] = []
+        self.refused: list[str] = []
+        self.tried: list[str] = []
         self.server = ""
 
 
@@ -279,7 +284,9 @@
     async def _try(self, progress: Progress, send: Send) -> None:
         """Dispatch once and pass the answer on."""
         call = progress.call
-        ticket = await self._admission.obtain(call, progress.tries, progress.avoid)
+        ticket = await self._admission.obtain(
+            call, progress.tries, progress.refused, progress.tried
+        )
         progress.server = ticket.server.name
         sent_at = 0.0
 
@@ -303,7 +310,7 @@
             progress.runs -= 1
             progress.sent = progress.runs > 0
             outcome = "declined"
-            progress.avoid.append(ticket.server.name)
+            progress.tried.append(ticket.server.name)
             logs.event(
                 "declined",
                 id=call.facts.attempt,
@@ -311,12 +318,14 @@
                 cause=str(error),
             )
             raise
+        except exceptions.Overslept:
+            raise
         except exceptions.NotSent:
-            progress.avoid.append(ticket.server.name)
+            progress.refused.append(ticket.server.name)
             raise
         except exceptions.StreamCut as error:
             outcome = "failed" if isinstance(error, _Failed) else "cut"
-            progress.avoid.append(ticket.server.name)
+            progress.tried.append(ticket.server.name)
             raise
         finally:
             if sent_at:
--- a/packages/daemon/cassiaquay_daemon/loads.py
+++ b/packages/daemon/cassiaquay_daemon/loads.py
@@ -129,6 +129,21 @@
         done = min(done, head.tokens * 0.9)
         return (self.prefill_tokens - done) / rate
 
+    def silent(self, seconds: float, now: float) -> int:
+        """Return how many requests wait for a sign longer than ``seconds``.
+
+        None, when any other request of the server has given one since.
+        """
+        horizon = now - seconds
+        if self._head_since > horizon:
+            return 0
+        count = 0
+        for prefill in self._prefills.values():
+            if prefill.granted_at > horizon:
+                break
+            count += 1
+        return count
+
     def overdue(self, now: float) -> tuple[int, float]:
         """Return the tokens of the prompt being read and the seconds it has taken."""
         if not self._prefills:
--- a/packages/daemon/cassiaquay_daemon/objectives.py
+++ b/packages/daemon/cassiaquay_daemon/objectives.py
@@ -232,6 +232,7 @@
         demand = waiting.demand
         queue = self._tiers[demand.rank][demand.team]
         weight = self._shard.weights.get(demand.team, 1.0)
+        self._pace(choice.server).granted(clock.now())
         queue.virtual += (demand.prompt_tokens + demand.output_tokens + 1) / weight
         self._shard.grant(waiting, choice.server, 0, choice.first_seconds)
 
@@ -258,7 +259,7 @@
     ) -> Choice | None:
         """Return the best server with a free slot, one in time before a late one."""
         best: Choice | None = None
-        avoid = set(demand.avoid)
+        avoid = {*demand.avoid, *demand.tried}
         for server in self._shard.open_servers():
             if server.name in avoid or self._shard.is_refusing(server.name):
                 continue
@@ -349,14 +350,20 @@
         )
 
     def _watch(self, now: float) -> None:
-        """Notice servers that owe a first event for too long."""
+        """Notice servers that owe a sign of life for too long."""
         for server in self._shard.servers:
             load = self._shard.load(server)
             tokens, seconds = load.overdue(now)
             if not seconds:
                 continue
             known = self._pace(server)
-            known.overdue(known.expect(float(tokens)).first_seconds, seconds, now)
+            expected = known.expect(float(tokens)).first_seconds
+            patience = known.patience(expected)
+            # One call of a plain service may be long by its nature; two at once that
+            # say nothing, while no other does, are the server's silence.
+            needed = 1 if tokens else 2
+            if load.silent(patience, now) >= needed:
+                known.doubt(now, seconds)
 
     def _pace(self, server: str) -> pace.Pace:
         found = self._shard.servers.get(server)
@@ -364,7 +371,7 @@
         known = self._paces.get(server)
         if known is None or (found is not None and known[0] != started_ms):
             # A server that started again under its name is another one.
-            known = self._paces[server] = (started_ms, pace.Pace())
+            known = self._paces[server] = (started_ms, pace.Pace(server))
         return known[1]
 
 
--- a/packages/daemon/cassiaquay_daemon/pace.py
+++ b/packages/daemon/cassiaquay_daemon/pace.py
@@ -10,7 +10,7 @@
 import math
 import typing
 
-from . import clock
+from . import clock, logs
 
 # Where nothing is known yet: of the engines met so far the middle ones.
 START_RATE = 60_000.0
@@ -28,6 +28,8 @@
 LATE_SECONDS = 0.4
 # Events that have stopped for this long show the same: twenty usual intervals.
 STALL_SECONDS = 0.5
+# How long the request that tries a silent server has for a sign, before the next one.
+PROBE_SECONDS = 0.8
 # Failures are forgotten with this half-life: a server that failed for a moment gets
 # work again, one that goes on failing shows it by a request or two.
 FORGET_SECONDS = 3.0
@@ -52,9 +54,16 @@
 
 
 class Pace:
-    """What is known of one server's speed and health."""
+    """What is known of one server's speed and health.
 
-    def __init__(self) -> None:
+    Parameters
+    ----------
+    server : str
+        Its name, for logs.
+    """
+
+    def __init__(self, server: str) -> None:
+        self._server = server
         self.rate = START_RATE
         self.event_seconds = START_EVENT_SECONDS
         self.base_seconds = START_BASE_SECONDS
@@ -64,6 +73,7 @@
         self._failing = 0.0
         self._failing_at = clock.now()
         self._stalled_until = 0.0
+        self._doubtful = False
 
     def expect(self, unread_tokens: float) -> Expected:
         """Return what a request meets behind so many unread tokens, its own included.
@@ -85,6 +95,16 @@
         """Tell whether the server gave no sign where it should have."""
         return now < self._stalled_until
 
+    def granted(self, now: float) -> None:
+        """Note that a request goes there.
+
+        A silent server gets one request at a time, to see whether it is back: without
+        any, one long request alone would keep a sound server out for as long as it
+        runs, and with many a dead one would swallow them all.
+        """
+        if self._doubtful:
+            self._stalled_until = now + PROBE_SECONDS
+
     def read(self, tokens: int, alone_seconds: float, seconds: float) -> None:
         """Learn from a first event.
 
@@ -97,7 +117,7 @@
         seconds : float
             From the permit to the event.
         """
-        self._stalled_until = 0.0
+        self._alive()
         if tokens < LEAST_SAMPLE_TOKENS:
             sample = min(alone_seconds, seconds) - tokens / self.rate
             self._learn_base(max(sample, 0.0))
@@ -118,9 +138,9 @@
         """Learn from events of one stream in a row."""
         if events <= 0:
             if seconds > STALL_SECONDS:
-                self._stalled_until = clock.now() + STALL_SECONDS
+                self.doubt(clock.now(), seconds)
             return
-        self._stalled_until = 0.0
+        self._alive()
         sample = seconds / events
         if not self._events_known:
             self._events_known = True
@@ -133,6 +153,7 @@
 
     def served(self, seconds: float) -> None:
         """Learn from a plain answer."""
+        self._alive()
         self._learn_base(seconds)
 
     def ended(self, well: bool, now: float) -> None:
@@ -144,11 +165,31 @@
         else:
             self._failing = share + FAILURE_WEIGHT * (1.0 - share)
 
-    def overdue(self, expected_seconds: float, seconds: float, now: float) -> None:
-        """Learn from a first event that has not come after ``seconds``."""
-        if seconds > expected_seconds * LATE_FACTOR + LATE_SECONDS:
-            # New work would wait in vain there; the next sign of life ends this.
-            self._stalled_until = now + STALL_SECONDS
+    def patience(self, expected_seconds: float) -> float:
+        """Return how late a first event may be before the server counts as silent."""
+        return expected_seconds * LATE_FACTOR + LATE_SECONDS
+
+    def doubt(self, now: float, seconds: float) -> None:
+        """Take in that the server has given no sign for so long.
+
+        New work would wait in vain there; the next sign of life ends this.
+        """
+        if self._doubtful:
+            return
+        self._doubtful = True
+        self._stalled_until = now + STALL_SECONDS
+        logs.event(
+            "server_silent",
+            server=self._server,
+            silent_ms=round(seconds * 1000.0),
+            base_ms=round(self.base_seconds * 1000.0, 1),
+        )
+
+    def _alive(self) -> None:
+        if self._doubtful:
+            logs.event("server_heard", server=self._server)
+        self._doubtful = False
+        self._stalled_until = 0.0
 
     def _learn_base(self, sample: float) -> None:
         if not math.isfinite(sample):
--- a/packages/daemon/cassiaquay_daemon/quotas.py
+++ b/packages/daemon/cassiaquay_daemon/quotas.py
@@ -78,6 +78,7 @@
         self._number = 0
         links.on(messages.QuotaQuery, self._query)
         links.on(messages.QuotaAnswer, self._answer)
+        membership.on_change(self._moved)
 
     def adopt(self, settings: settings_schema.Settings) -> None:
         """Take in changed settings."""
@@ -91,6 +92,7 @@
         bound = self._bound(team.quota)
         own = self._window(self._own, team.name, 0.0)
         share = bound * OWN_SHARE / self._membership.fleet_size()
+        share *= self._known_share(own)
         if own.sum() + units <= share:
             own.add(units)
             return
@@ -111,6 +113,23 @@
             bound += gateway.quota_slack
         return bound * USED_SHARE
 
+    def _known_share(self, window: budgets.Window) -> float:
+        """Return the part of a window's amount that is certainly unspent.
+
+        A process that was killed and started again, or a keeper that has just taken
+        over, does not know what was spent within this window before. All processes
+        killed at once would let a team run twice its limit; counting the unknown part
+        as spent costs little, since most teams use far less than their limit.
+        """
+        if self._gateway.first_start:
+            return 1.0
+        return 1.0 - window.unknown_share
+
+    def _moved(self) -> None:
+        for team in list(self._given):
+            if self._membership.keeper_of(f"quota {team}") != self._settings.instance:
+                del self._given[team]
+
     async def _ask(self, team: str, units: int) -> bool:
         keeper = self._membership.keeper_of(f"quota {team}")
         if keeper == self._settings.instance:
@@ -139,8 +158,9 @@
         # In a partition each part has a keeper of its own: each gives out the part of
         # the rest that belongs to the instances it can hear.
         heard = len(self._membership.alive()) / self._membership.fleet_size()
-        rest = self._bound(quota) * (1.0 - OWN_SHARE) * min(heard, 1.0)
         given = self._window(self._given, team, USE_SECONDS)
+        rest = self._bound(quota) * (1.0 - OWN_SHARE) * min(heard, 1.0)
+        rest *= self._known_share(given)
         if given.sum() + units > rest:
             return False
         given.add(units)
--- a/packages/schema/cassiaquay_schema/messages.py
+++ b/packages/schema/cassiaquay_schema/messages.py
@@ -185,6 +185,8 @@
         Longest pause between events that is still on time; 0 where there are no events.
     parts : list[PromptPart]
         Parts of the prompt in order, where the caller names them.
+    tried : list[str]
+        Backend servers that had it already and are to be left out.
     """
 
     id: str
@@ -202,6 +204,7 @@
     first_ms: int = 0
     pause_ms: int = 0
     parts: list[PromptPart] = []
+    tried: list[str] = []
 
 
 class PromptPart(typing.NamedTuple):
--- a/packages/schema/cassiaquay_schema/settings.py
+++ b/packages/schema/cassiaquay_schema/settings.py
@@ -208,6 +208,8 @@
         host:port where callers ask which address to use.
     directory_seconds : float
         How long callers keep the answer of the directory.
+    first_start : bool
+        Whether the fleet starts for the first time; nothing was spent before.
     grace_seconds : float
         Time from SIGTERM until the process is killed.
     apply_seconds : float
@@ -230,6 +232,7 @@
     ready: str = ""
     directory: str = ""
     directory_seconds: typing.Annotated[float, msgspec.Meta(gt=0)] = 2.0
+    first_start: bool = False
     grace_seconds: typing.Annotated[float, msgspec.Meta(gt=0)] = 8.0
     apply_seconds: typing.Annotated[float, msgspec.Meta(gt=0)] = 2.0
     quota_window_seconds: typing.Annotated[float, msgspec.Meta(gt=0)] = 8.0
