--- a/packages/daemon/cassiaquay_daemon/objectives.py
+++ b/packages/daemon/cassiaquay_daemon/objectives.py
@@ -26,6 +26,9 @@
 # Most prompt tokens that an engine reads between two events of a running stream: five
 # steps (tokens of an event) with a chunk of 2,048 tokens each.
 INTERLEAVED_TOKENS = 10_240
+# Share of the time left that an answer may take by its estimate: the callers' hints of
+# its length are right only at the median.
+FINISH_SHARE = 0.8
 # A stream whose first event is this late is given up by its caller, who waits at least
 # two seconds; what waits longer is read for nobody.
 PATIENCE_SECONDS = 1.8
@@ -155,7 +158,7 @@
         now = clock.now()
         found = []
         for server in self._shard.open_servers():
-            choice = self._weigh(demand, server.name, server.slots, now, 0.0)
+            choice = self._weigh(demand, server.name, server.slots, now, 0.0, 0.0)
             expected = self._pace(server.name).expect(float(demand.prompt_tokens))
             finish = expected.first_seconds
             finish += demand.output_tokens * expected.event_seconds
@@ -177,7 +180,7 @@
         for request_id in order:
             waiting = self._shard.queue[request_id]
             late_at = self._late_at[request_id]
-            best = self._best(waiting.demand, late_at, now)
+            best = self._best(waiting, late_at, now)
             if best is not None and not best.is_late:
                 self._grant(waiting, best)
             else:
@@ -197,7 +200,7 @@
             if now + wait + least <= late_at:
                 ahead += 1
                 continue
-            best = self._best(demand, late_at, now)
+            best = self._best(waiting, late_at, now)
             if best is not None:
                 self._grant(waiting, best)
                 continue
@@ -255,15 +258,17 @@
         return found
 
     def _best(
-        self, demand: messages.Demand, late_at: float, now: float
+        self, waiting: shards.Waiting, late_at: float, now: float
     ) -> Choice | None:
         """Return the best server with a free slot, one in time before a late one."""
+        left = waiting.deadline - now
+        demand = waiting.demand
         best: Choice | None = None
         avoid = {*demand.avoid, *demand.tried}
         for server in self._shard.open_servers():
             if server.name in avoid or self._shard.is_refusing(server.name):
                 continue
-            choice = self._weigh(demand, server.name, server.slots, now, late_at)
+            choice = self._weigh(demand, server.name, server.slots, now, late_at, left)
             if choice is None:
                 continue
             if best is None or (choice.is_late, choice.cost) < (
@@ -280,6 +285,7 @@
         slots: int,
         now: float,
         late_at: float,
+        left: float,
     ) -> Choice | None:
         load = self._shard.load(server)
         known = self._pace(server)
@@ -293,8 +299,11 @@
             pause = expected.event_seconds + reading
             if pause > demand.pause_ms / 1000.0 * PAUSE_SHARE:
                 return None
-        is_late = now + expected.first_seconds + MARGIN_SECONDS > late_at
         cost = expected.first_seconds + demand.output_tokens * expected.event_seconds
+        is_late = now + expected.first_seconds + MARGIN_SECONDS > late_at
+        if cost > left * FINISH_SHARE:
+            # Begun in time, a long answer would be cut off at its deadline there.
+            is_late = True
         cost += FAILURE_SECONDS * known.failing(now)
         # Of servers that are equal otherwise the emptier one.
         cost += expected.first_seconds * load.count / slots
