--- a/packages/daemon/cassiaquay_daemon/daemon.py
+++ b/packages/daemon/cassiaquay_daemon/daemon.py
@@ -15,7 +15,6 @@
     addresses,
     admin,
     backends,
-    budgets,
     configuration,
     demands,
     dependencies,
@@ -31,7 +30,6 @@
     pause,
     peers,
     platform,
-    quotas,
     reconciler,
     recovery,
     relay,
@@ -42,7 +40,7 @@
     tokens,
     web,
 )
-from .gateway import admission, connections, directory, forwarding, front, service
+from .gateway import service
 
 # Callers that asked for addresses just before the shutdown still come for a moment;
 # they are answered with "not run" and another address instead of a refused connection.
@@ -285,24 +283,20 @@
         return found
 
     def _passing_through(self) -> service.Gateway | None:
-        settings = self._settings
-        if not settings.gateway.front or self._servers is None:
+        if not self._settings.gateway.front or self._servers is None:
             return None
-        sharers = self._membership.fleet_size
-        served = front.Front(
-            settings,
+        shared = service.Shared(
             self._configuration,
-            admission.Admission(self._demands, self._membership),
-            forwarding.Forwarder(connections.session()),
-            budgets.RetryBudget(settings, sharers),
-            quotas.Quotas(settings, self._peers, self._membership, self._configuration),
-            self._pauses,
             self._servers,
+            self._membership,
+            self._peers,
+            self._demands,
+            self._pauses,
         )
-        found = directory.Directory(
-            settings, self._membership, self._configuration, self._pauses, served
-        )
-        return service.Gateway(settings, self._membership, served, found)
+        gateway = service.assemble(self._settings, shared)
+        if self._file is not None:
+            self._file.on_change(gateway.adopt)
+        return gateway
 
     def _better_address(self) -> str:
         chosen = addresses.answer(
--- a/packages/daemon/cassiaquay_daemon/demands.py
+++ b/packages/daemon/cassiaquay_daemon/demands.py
@@ -198,6 +198,8 @@
         """
         future: asyncio.Future[Permission] = asyncio.get_running_loop().create_future()
         demand = self._estimated(demand)
+        if patience is not None:
+            demand = demand._replace(acknowledge=True)
         self._pending[demand.id] = Pending(demand, deadline, future)
         self._tell(demand.shard, demand)
         try:
--- a/packages/daemon/cassiaquay_daemon/exceptions.py
+++ b/packages/daemon/cassiaquay_daemon/exceptions.py
@@ -55,6 +55,12 @@
     code = "backend_not_sent"
 
 
+class Unreachable(NotSent):
+    """There is no connection to the backend server."""
+
+    code = "backend_unreachable"
+
+
 class Declined(BackendError):
     """The backend server said that it does not run this request."""
 
--- /dev/null
+++ b/packages/daemon/cassiaquay_daemon/gateway/accepting.py
@@ -0,0 +1,96 @@
+"""Callers' requests, checked before anything else looks at them."""
+
+from .. import configuration, exceptions, routing, servers
+from ..platform import headers
+from . import calls, replies
+
+# Retry-After before the first configuration is here, or while it may be old.
+NOT_READY_RETRY_MS = 500
+
+
+class Accepting:
+    """Finds the route and the team of requests.
+
+    Parameters
+    ----------
+    configured : Configuration
+        Routes and teams in force.
+    known : Servers
+        How old the configuration may be.
+    """
+
+    def __init__(self, configured: configuration.Configuration, known: servers.Servers):
+        self._configured = configured
+        self._servers = known
+
+    async def accept(
+        self,
+        scope: replies.Scope,
+        receive: replies.Receive,
+        facts: headers.Facts,
+        began_at: float,
+    ) -> calls.Call:
+        """Return a checked request; raise a Refusal when it cannot be one."""
+        snapshot = self._configured.current
+        if snapshot is None or snapshot.routes is None:
+            raise exceptions.NotReady(retry_after_ms=NOT_READY_RETRY_MS)
+        if not facts.attempt:
+            raise exceptions.BadRequest("an id of the attempt is needed")
+        target = scope["raw_path"].decode("latin-1")
+        route = snapshot.routes.find(facts.host, target)
+        if route is None or not route.shares:
+            raise self._unless_behind(exceptions.NoRoute())
+        team = self._team(snapshot.routes, route, facts)
+        body = await _read_body(receive, snapshot.routes.bounds)
+        if scope["query_string"]:
+            target += "?" + scope["query_string"].decode("latin-1")
+        return calls.Call(
+            scope["method"],
+            target,
+            scope["headers"],
+            facts,
+            body,
+            route,
+            route.choose_service(),
+            team,
+            snapshot,
+            began_at,
+            calls.deadline(began_at, facts, route),
+        )
+
+    def _team(
+        self,
+        found: routing.Routing,
+        route: routing.Route,
+        facts: headers.Facts,
+    ) -> routing.Team | None:
+        team = found.teams_by_key.get(facts.key) if facts.key else None
+        if team is None and found.needs_keys and not route.is_public:
+            raise self._unless_behind(exceptions.Unauthorized())
+        return team
+
+    def _unless_behind(self, refusal: exceptions.Refusal) -> exceptions.Refusal:
+        """Return a refusal that holds also when this configuration may be old.
+
+        A route or key that was added a moment ago is unknown to an instance that hears
+        neither the platform nor the others: "not now" is true there, "never" is not.
+        """
+        if self._servers.is_behind:
+            return exceptions.NotReady(retry_after_ms=NOT_READY_RETRY_MS)
+        return refusal
+
+
+async def _read_body(receive: replies.Receive, bounds: routing.Bounds) -> bytes:
+    parts = []
+    size = 0
+    while True:
+        message = await receive()
+        if message["type"] == "http.disconnect":
+            raise replies.Gone
+        part = message.get("body", b"")
+        size += len(part)
+        if size > bounds.body_bytes:
+            raise exceptions.TooLarge()
+        parts.append(part)
+        if not message.get("more_body", False):
+            return b"".join(parts)
--- a/packages/daemon/cassiaquay_daemon/gateway/forwarding.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/forwarding.py
@@ -1,6 +1,5 @@
 """One dispatch of a caller's request to one backend server."""
 
-import asyncio
 import collections.abc
 import typing
 
@@ -62,17 +61,19 @@
         call: calls.Call,
         server: fleet.Server,
         last_event: int,
+        silence: float | None,
         before_sending: BeforeSending,
     ) -> Answer:
         """Send a request and return the beginning of its answer.
 
+        ``silence`` is how many seconds the server may send nothing, None for any.
         ``before_sending`` is called when a connection is there and no byte has been
         written; it may raise NotSent.
 
         Raises
         ------
-        NotSent
-            No byte was written.
+        Unreachable
+            There is no connection; no byte was written.
         Declined
             The server says that it did not run the request.
         StreamCut
@@ -85,7 +86,9 @@
             int(call.left * 1000),
             last_event,
         )
-        timeout = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_SECONDS)
+        timeout = aiohttp.ClientTimeout(
+            total=None, sock_connect=CONNECT_SECONDS, sock_read=silence
+        )
         url = yarl.URL(f"http://{server.address}{call.target}", encoded=True)
         try:
             response = await self._http.request(
@@ -98,7 +101,7 @@
                 trace_request_ctx=before_sending,
             )
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
-            raise exceptions.NotSent(repr(error)) from error
+            raise exceptions.Unreachable(repr(error)) from error
         except (TimeoutError, aiohttp.ClientError, OSError, ValueError) as error:
             raise exceptions.StreamCut(repr(error)) from error
         try:
@@ -107,6 +110,10 @@
             response.close()
             raise
 
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._http.close()
+
     def _check(self, call: calls.Call, response: aiohttp.ClientResponse) -> Answer:
         found = response.headers
         if headers.NOT_EXECUTED in found or response.status == 421:
@@ -137,12 +144,3 @@
             yield part
     except (TimeoutError, aiohttp.ClientError, OSError) as error:
         raise exceptions.StreamCut(repr(error)) from error
-
-
-async def drop(answer: Answer) -> None:
-    """Close the connection of an answer that is not read to its end.
-
-    The server stops working on a request whose connection closes.
-    """
-    answer.response.close()
-    await asyncio.sleep(0)
--- /dev/null
+++ b/packages/daemon/cassiaquay_daemon/gateway/replies.py
@@ -0,0 +1,99 @@
+"""Answers towards callers, as ASGI messages."""
+
+import collections.abc
+import http
+import typing
+
+import msgspec
+
+from .. import clock, exceptions, logs
+from ..platform import headers
+from . import progress
+
+Message = collections.abc.MutableMapping[str, typing.Any]
+Receive = collections.abc.Callable[[], collections.abc.Awaitable[Message]]
+Send = collections.abc.Callable[[Message], collections.abc.Awaitable[None]]
+Scope = collections.abc.MutableMapping[str, typing.Any]
+Pairs = list[tuple[bytes, bytes]]
+
+
+class Gone(Exception):
+    """The caller closed its connection."""
+
+
+class Replies:
+    """Builds answers; tells callers to close their connections during a shutdown."""
+
+    def __init__(self) -> None:
+        self.leaving = False
+
+    def start(self, status: int, pairs: Pairs) -> Message:
+        """Return the beginning of an answer."""
+        if self.leaving:
+            # Callers learn with their next answer that this connection ends, so that
+            # none of them sends into a closing one.
+            pairs.append((b"connection", b"close"))
+        return {"type": "http.response.start", "status": status, "headers": pairs}
+
+    async def refuse(self, send: Send, refusal: exceptions.Refusal) -> None:
+        """Send a refusal as a whole answer."""
+        body = msgspec.json.encode(
+            {
+                "outcome": refusal.outcome,
+                "code": refusal.code,
+                "message": refusal.message,
+            }
+        )
+        pairs = [
+            (b"content-type", b"application/json"),
+            (b"content-length", str(len(body)).encode()),
+        ]
+        if refusal.retry_after_ms:
+            seconds = refusal.retry_after_ms / 1000.0
+            pairs.append((b"retry-after", f"{seconds:.3f}".encode()))
+        await send(self.start(status_of(refusal), pairs))
+        await send(part(body, False))
+
+
+def part(data: bytes, more: bool) -> Message:
+    """Return a part of an answer's body; the last one when there is no more."""
+    return {"type": "http.response.body", "body": data, "more_body": more}
+
+
+def without_length(pairs: Pairs) -> Pairs:
+    """Return headers without the length of the body."""
+    return [pair for pair in pairs if pair[0].lower() != b"content-length"]
+
+
+def status_of(refusal: exceptions.Refusal) -> int:
+    """Return the HTTP status of a refusal on this address."""
+    if isinstance(refusal, exceptions.DeadlineExceeded):
+        # The usual status of a gateway whose server is too slow.
+        return int(http.HTTPStatus.GATEWAY_TIMEOUT)
+    return int(refusal.status)
+
+
+def log_refused(
+    facts: headers.Facts,
+    refusal: exceptions.Refusal,
+    began_at: float,
+    known: progress.Progress | None = None,
+) -> None:
+    """Write the line of a request that did not complete."""
+    logs.event(
+        "ended",
+        id=facts.attempt,
+        outcome=refusal.outcome or "not_run",
+        code=refusal.code,
+        status=status_of(refusal),
+        retry_after_ms=refusal.retry_after_ms or None,
+        route=known.call.route.name if known else None,
+        server=known.server if known else None,
+        tries=known.tries if known else None,
+        ms=ms_since(began_at),
+    )
+
+
+def ms_since(at: float) -> float:
+    """Return the milliseconds since a time on this clock, for logs."""
+    return round((clock.now() - at) * 1000.0, 1)
--- a/packages/daemon/cassiaquay_daemon/gateway/service.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/service.py
@@ -3,13 +3,34 @@
 import asyncio
 import contextlib
 import socket
+import typing
 
 import uvicorn
 
 from cassiaquay_schema import settings as settings_schema
 
-from .. import listeners, logs, members
-from . import directory, front
+from .. import (
+    budgets,
+    configuration,
+    demands,
+    listeners,
+    logs,
+    members,
+    pause,
+    peers,
+    quotas,
+    servers,
+)
+from . import (
+    accepting,
+    admission,
+    connections,
+    directory,
+    forwarding,
+    front,
+    replies,
+    serving,
+)
 
 # Callers reuse idle connections for most of the idle bound that the configuration
 # gives them, 15 s today; a connection closed before would cost one of them a request.
@@ -22,6 +43,17 @@
 POLL_SECONDS = 0.05
 
 
+class Shared(typing.NamedTuple):
+    """The parts of the daemon that the gateway uses."""
+
+    configured: configuration.Configuration
+    known: servers.Servers
+    membership: members.Membership
+    links: peers.Peers
+    demanded: demands.Demands
+    pauses: pause.Pauses
+
+
 class Gateway:
     """The listeners of callers, of the directory and of readiness.
 
@@ -29,25 +61,26 @@
     ----------
     settings : Settings
         Addresses and the grace time.
-    membership : Membership
-        Told that this instance leaves.
-    served : Front
-        Callers' requests.
-    found : Directory
-        The other two addresses.
+    shared : Shared
+        Parts of the daemon.
+    parts : Parts
+        What requests need.
     """
 
     def __init__(
         self,
         settings: settings_schema.Settings,
-        membership: members.Membership,
-        served: front.Front,
-        found: directory.Directory,
+        shared: Shared,
+        parts: serving.Parts,
     ):
         self._gateway = settings.gateway
-        self._membership = membership
-        self._front = served
-        self._directory = found
+        self._membership = shared.membership
+        self._parts = parts
+        accepted = accepting.Accepting(shared.configured, shared.known)
+        self._front = front.Front(accepted, serving.Serving(parts), parts.reply)
+        self._directory = directory.Directory(
+            settings, shared.membership, shared.configured, shared.pauses, self._front
+        )
         self._servers: list[uvicorn.Server] = []
         self._serving: list[asyncio.Task[None]] = []
 
@@ -60,12 +93,17 @@
         if gateway.directory:
             self._listen(self._directory.directory(), gateway.directory)
 
+    def adopt(self, settings: settings_schema.Settings) -> None:
+        """Take in changed settings: budgets and limits."""
+        self._parts.budget.adopt(settings)
+        self._parts.limited.adopt(settings)
+
     async def drain(self) -> None:
         """Leave without cutting a request off, within the grace time."""
         loop = asyncio.get_running_loop()
         grace = self._gateway.grace_seconds
         ends_at = loop.time() + grace - CLOSING_SECONDS
-        self._front.leaving = True
+        self._front.leave()
         self._membership.farewell()
         # Callers that asked for addresses just before still come for a while.
         await asyncio.sleep(grace * LINGER_SHARE)
@@ -79,6 +117,7 @@
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(CLOSING_SECONDS / 2):
                 await asyncio.gather(*self._serving, return_exceptions=True)
+        await self._parts.forwarder.close()
 
     def _listen(self, application: listeners.Application, address: str) -> None:
         host, _, port = address.rpartition(":")
@@ -86,3 +125,17 @@
         server = listeners.server(application, IDLE_SECONDS)
         self._servers.append(server)
         self._serving.append(asyncio.create_task(server.serve([bound])))
+
+
+def assemble(settings: settings_schema.Settings, shared: Shared) -> Gateway:
+    """Return a gateway, put together from the parts of a daemon."""
+    parts = serving.Parts(
+        shared.configured,
+        admission.Admission(shared.demanded, shared.membership),
+        forwarding.Forwarder(connections.session()),
+        budgets.RetryBudget(settings, shared.membership.fleet_size),
+        quotas.Quotas(settings, shared.links, shared.membership, shared.configured),
+        shared.pauses,
+        replies.Replies(),
+    )
+    return Gateway(settings, shared, parts)
--- a/packages/daemon/cassiaquay_daemon/keeper.py
+++ b/packages/daemon/cassiaquay_daemon/keeper.py
@@ -117,7 +117,8 @@
             replier.send(messages.NotKeeper(demand.id))
             return
         shard.add(demand, replier)
-        self._fresh.setdefault(demand.shard, {})[demand.id] = replier
+        if demand.acknowledge:
+            self._fresh.setdefault(demand.shard, {})[demand.id] = replier
         self.serve_soon(demand.shard)
 
     def withdraw(self, replier: shards.Replier, message: messages.Withdraw) -> None:
--- a/packages/daemon/cassiaquay_daemon/members.py
+++ b/packages/daemon/cassiaquay_daemon/members.py
@@ -20,6 +20,7 @@
     peers,
     platform,
     rendezvous,
+    sharers,
     spread,
     watching,
 )
@@ -31,9 +32,6 @@
 LOAD_SECONDS = 2.0
 # Regions lose each other for an hour; after twice that, what is not listed is gone.
 RETRY_SECONDS = 7200.0
-# Instances heard of within this time may be serving behind a partition: they count as
-# sharers of fixed budgets. Longer than a partition of minutes would serve no team well.
-SHARERS_SECONDS = 60.0
 
 
 class ServersState(typing.NamedTuple):
@@ -95,8 +93,7 @@
         self._number = 0
         self._load = 0.0
         self._load_at = clock.now()
-        self._sharers = 1
-        self._sharers_at = clock.now()
+        self._sharers = sharers.Sharers()
         self._lost: dict[str, _Lost] = {}
         self._spread = spread.Spread(
             settings.instance, self.facts, settings.membership.spread_bytes
@@ -206,16 +203,8 @@
         return self.facts.records[instance].uptime
 
     def fleet_size(self) -> int:
-        """Return how many instances may be spending from a budget of the whole fleet.
-
-        Instances that fell silent may be alive on the other side of a partition.
-        """
-        now = clock.now()
-        count = max(len(self.facts.records), len(self._seeds), 1)
-        if count >= self._sharers or now - self._sharers_at > SHARERS_SECONDS:
-            self._sharers = count
-            self._sharers_at = now
-        return self._sharers
+        """Return how many instances may spend from a budget of the whole fleet."""
+        return self._sharers.count(max(len(self.facts.records), len(self._seeds)))
 
     def last_heard(self, instance: str) -> messages.Member | None:
         """Return what was heard last of another instance, also when silent now."""
--- a/packages/schema/cassiaquay_schema/messages.py
+++ b/packages/schema/cassiaquay_schema/messages.py
@@ -187,6 +187,8 @@
         Parts of the prompt in order, where the caller names them.
     tried : list[str]
         Backend servers that had it already and are to be left out.
+    acknowledge : bool
+        Whether the owner wants to hear that the demand is in the queue.
     """
 
     id: str
@@ -205,6 +207,7 @@
     pause_ms: int = 0
     parts: list[PromptPart] = []
     tried: list[str] = []
+    acknowledge: bool = False
 
 
 class PromptPart(typing.NamedTuple):
