Test the gateway byte by byte, the policy of objectives, budgets and the server list

The last two found: a server whose entry was removed within two seconds of a start was still used (the store's first answer was taken for its return after an outage).

--- a/packages/daemon/cassiaquay_daemon/servers.py
+++ b/packages/daemon/cassiaquay_daemon/servers.py
@@ -154,7 +154,7 @@
         if revision < self._revision:
             # Read before what another instance has told meanwhile.
             return
-        if read_at - self._confirmed_at > AWAY_SECONDS:
+        if self._revision and read_at - self._confirmed_at > AWAY_SECONDS:
             self._back_at = read_at
         self._revision = revision
         self._confirmed_at = max(self._confirmed_at, read_at)
--- /dev/null
+++ b/tests/test_platform_documents.py
@@ -0,0 +1,265 @@
+"""The platform's configuration document and registrations, translated once."""
+
+import json
+import pathlib
+import re
+
+import hypothesis
+import pytest
+from hypothesis import strategies
+
+from cassiaquay_daemon import routing
+from cassiaquay_daemon.platform import documents, entries, headers
+from cassiaquay_schema import exceptions
+
+DAEMON = pathlib.Path(documents.__file__).parents[1]
+ROUTE = {
+    "name": "r-1",
+    "host": "Host.Example",
+    "path-prefix": "/a/",
+    "kind": "stream",
+    "timeout-ms": 15000,
+    "slo-ms": 400,
+    "priority": 1,
+    "service": "chat",
+    "attempts": 2,
+    "public": False,
+    "sticky": True,
+    "can-resume": True,
+    "gap-target-ms": 300,
+}
+TENANT = {
+    "name": "blue",
+    "api-keys": ["k1", "k2"],
+    "priority": 0,
+    "unit": "tokens",
+    "plain-tokens": 200,
+    "rate-per-s": 1000,
+    "burst": 500,
+}
+DOCUMENT = {
+    "version": 7,
+    "routes": [ROUTE, ROUTE | {"name": "r-2", "path-prefix": "/a/b/", "kind": "odd"}],
+    "services": [
+        {"name": "chat", "health-path": "/h", "engine": {"slots": 14, "stride": 5}},
+        {"name": "plain", "health-path": "/h"},
+    ],
+    "limits": {"max-body-bytes": 100, "idle-timeout-ms": 15000},
+    "tenants": [TENANT],
+}
+ENTRY = {
+    "service": "chat",
+    "addr": "10.0.0.9:8080",
+    "zone": "a",
+    "slots": 14,
+    "state": "ready",
+    "seq": 4,
+    "born": 1700000000000,
+}
+
+
+def _read(document: object = None) -> routing.Routing:
+    text = json.dumps(DOCUMENT if document is None else document)
+    found = documents.read(3, text).routes
+    assert found is not None
+    return found
+
+
+def test_the_longest_prefix_wins() -> None:
+    found = _read()
+    short = found.find("host.example", "/a/x")
+    long = found.find("host.example", "/a/b/x")
+    assert short is not None
+    assert long is not None
+    assert (short.name, long.name) == ("r-1", "r-2")
+    assert found.find("host.example", "/c/") is None
+    assert found.find("other.example", "/a/x") is None
+
+
+def test_a_route_holds_what_the_document_says() -> None:
+    route = _read().find("host.example", "/a/")
+    assert route is not None
+    assert route.kind is routing.Kind.STREAM
+    assert (route.timeout_seconds, route.objective_seconds) == (15.0, 0.4)
+    assert (route.pause_seconds, route.rank, route.attempts) == (0.3, 1, 2)
+    assert route.is_repeatable
+    assert route.choose_service() == "chat"
+    assert not route._replace(is_resumable=False).is_repeatable
+
+
+def test_of_an_unknown_kind_nothing_is_repeated() -> None:
+    """A later platform names a kind that this version does not know.
+
+    Sent twice, a booking of that kind would be made twice; treated as non-idempotent
+    it is at worst answered with an error.
+    """
+    route = _read().find("host.example", "/a/b/")
+    assert route is not None
+    assert route.kind is routing.Kind.NON_IDEMPOTENT
+    assert not route.is_repeatable
+
+
+def test_teams_keep_their_keys_and_limits() -> None:
+    found = _read()
+    team = found.teams_by_key["k2"]
+    assert (team.name, team.rank) == ("blue", 0)
+    assert team.quota == routing.Quota(1000, 500, True, 200)
+    assert found.needs_keys
+    assert found.event_tokens == {"chat": 5}
+    without = {key: DOCUMENT[key] for key in DOCUMENT if key != "tenants"}
+    assert not _read(without).needs_keys
+
+
+def test_weights_share_a_route_between_services() -> None:
+    shares = [{"service": "chat", "weight": 90}, {"service": "plain", "weight": 0}]
+    split = {key: ROUTE[key] for key in ROUTE if key != "service"}
+    found = _read(DOCUMENT | {"routes": [split | {"backends": shares}]})
+    route = found.find("host.example", "/a/")
+    assert route is not None
+    assert route.shares == (routing.Share("chat", 90),)
+
+
+@pytest.mark.parametrize(
+    "text", ["", "[]", "{}", '{"version": "x"}', "\x00", "[" * 5000]
+)
+def test_what_is_no_document_is_refused(text: str) -> None:
+    with pytest.raises(exceptions.SchemaError):
+        documents.read(1, text)
+
+
+def test_an_entry_names_a_server() -> None:
+    found = entries.decode("i-1", json.dumps(ENTRY).encode(), 9)
+    assert found is not None
+    assert (found.name, found.service, found.address) == (
+        "i-1",
+        "chat",
+        "10.0.0.9:8080",
+    )
+    assert (found.slots, found.leaving, found.revision) == (14, False, 9)
+    assert found.started_ms == 1700000000000
+    leaving = entries.decode(
+        "i-1", json.dumps(ENTRY | {"state": "draining"}).encode(), 9
+    )
+    assert leaving is not None
+    assert leaving.leaving
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"state": "gone"},
+        {"state": 3},
+        {"addr": "nowhere"},
+        {"addr": "10.0.0.9:99999"},
+        {"addr": "10.0.0.900:80"},
+        {"addr": None},
+        {"slots": 0},
+        {"slots": "many"},
+        {"service": ""},
+        {"born": "yesterday"},
+    ],
+)
+def test_an_entry_of_another_writer_names_no_server(change: dict) -> None:
+    assert entries.decode("i-1", json.dumps(ENTRY | change).encode(), 9) is None
+
+
+@hypothesis.given(strategies.binary(max_size=200))
+def test_no_bytes_in_an_entry_stop_the_others(data: bytes) -> None:
+    found = entries.decode("i-1", data, 9)
+    assert found is None or found.name == "i-1"
+
+
+CALLER = [
+    (b"host", b"Host.Example:80"),
+    (b"cassiaquay-attempt-id", b"9c41d07be2a35f68"),
+    (b"cassiaquay-deadline-ms", b"1500"),
+    (b"api-key", b"k1"),
+    (b"cassiaquay-model", b"m"),
+    (b"cassiaquay-token-counts", b"1460,80"),
+    (b"cassiaquay-prompt-prefix", b"5c1e07a2:800,91bd3f06:410,e4402b7d:250"),
+]
+
+
+def test_headers_say_what_a_request_is() -> None:
+    facts = headers.read(CALLER)
+    assert (facts.host, facts.attempt) == ("host.example", "9c41d07be2a35f68")
+    assert (facts.deadline_ms, facts.key) == (1500, "k1")
+    assert (facts.prompt_tokens, facts.most_output_tokens) == (1460, 80)
+    assert facts.output_tokens == 80
+    assert facts.last_event == -1
+    assert [part.tokens for part in facts.parts] == [800, 410, 250]
+    hinted = headers.read([*CALLER, (b"cassiaquay-length-hint", b"30")])
+    assert hinted.output_tokens == 30
+
+
+def test_equal_parts_after_other_parts_are_other_parts() -> None:
+    """A cache holds a part only behind the parts before it."""
+    one = headers.read([(b"cassiaquay-prompt-prefix", b"a:1,b:2")]).parts
+    other = headers.read([(b"cassiaquay-prompt-prefix", b"c:1,b:2")]).parts
+    assert one[1].key != other[1].key
+
+
+def test_what_a_caller_must_not_set_is_dropped() -> None:
+    """A caller sends the headers by which this system speaks to servers.
+
+    Passed on, they would name another team, claim held capacity, pin memory or go on
+    in another request's memory. Its key is for this system only.
+    """
+    forged = [
+        (b"cassiaquay-tenant", b"other"),
+        (b"cassiaquay-hold", b"h"),
+        (b"cassiaquay-pin-ms", b"4000"),
+        (b"cassiaquay-kv-backup", b"1.2.3.4:5"),
+        (b"kv-from", b"1.2.3.4:5/x"),
+        (b"kv-fetch", b"1.2.3.4:5"),
+        (b"cassiaquay-expect-instance", b"i-x"),
+        (b"transfer-encoding", b"chunked"),
+        (b"connection", b"x-private, cassiaquay-model"),
+        (b"x-private", b"1"),
+    ]
+    found = headers.towards_server([*CALLER, *forged], "i-1", "blue", 900, -1)
+    names = [name.lower() for name, _ in found]
+    values = dict(found)
+    assert values["Cassiaquay-Tenant"] == "blue"
+    assert values["Cassiaquay-Expect-Instance"] == "i-1"
+    assert values["cassiaquay-deadline-ms"] == "900"
+    assert names.count("cassiaquay-tenant") == 1
+    assert names.count("cassiaquay-expect-instance") == 1
+    for name in ("api-key", "x-private", "kv-from", "kv-fetch", "cassiaquay-hold"):
+        assert name not in names
+    # What identifies the request stays, whatever the caller lists as its connection's.
+    assert values["cassiaquay-model"] == "m"
+    assert values["cassiaquay-attempt-id"] == "9c41d07be2a35f68"
+    resumed = dict(headers.towards_server(CALLER, "i-1", "", 900, 12))
+    assert resumed["last-event-id"] == "12"
+    assert "Cassiaquay-Tenant" not in resumed
+
+
+@hypothesis.given(strategies.binary(max_size=60), strategies.binary(max_size=60))
+def test_no_header_value_stops_a_request(counts: bytes, prefix: bytes) -> None:
+    facts = headers.read(
+        [
+            (b"cassiaquay-token-counts", counts),
+            (b"cassiaquay-prompt-prefix", prefix),
+            (b"cassiaquay-deadline-ms", counts),
+            (b"last-event-id", prefix),
+        ]
+    )
+    assert facts.prompt_tokens >= 0
+    assert facts.deadline_ms >= 0
+
+
+def test_no_other_module_spells_a_name_of_the_platform() -> None:
+    """The platform's spelling changes in one folder, or it is found everywhere."""
+    spelled = re.compile(
+        r"(^|[^-\w])Cassiaquay-[A-Z]|cassiaquay-[a-z]+-id|/cassiaquay/(ready|resolve|kv-)"
+        r"|op/config|slo-ms|path-prefix|api-keys|gap-target"
+    )
+    found = []
+    for path in DAEMON.rglob("*.py"):
+        if "platform" in path.parts:
+            continue
+        for number, line in enumerate(path.read_text().splitlines(), 1):
+            if spelled.search(line):
+                found.append(f"{path.name}:{number}: {line.strip()}")
+    assert not found
--- /dev/null
+++ b/tests/test_servers.py
@@ -0,0 +1,235 @@
+"""The list of backend servers: as new as anybody has it, never back."""
+
+import asyncio
+
+import policy_fakes as fakes
+import pytest
+
+from cassiaquay_daemon import exceptions, members, platform, servers
+from cassiaquay_schema import messages
+
+
+def _entry(name: str, revision: int = 1, **fields) -> messages.ServerEntry:
+    found = messages.ServerEntry(
+        name, "chat", "10.0.0.1:80", "a", 14, False, 1000, revision
+    )
+    return found._replace(**fields)
+
+
+class Store:
+    """The platform's store."""
+
+    def __init__(self, *entries: messages.ServerEntry):
+        self.revision = 10
+        self.entries = list(entries)
+        self.down = False
+        self.reads = 0
+
+    async def read(self) -> platform.ServersRead:
+        """Return the entries."""
+        self.reads += 1
+        if self.down:
+            raise exceptions.PlatformError("down")
+        self.revision += 1
+        return platform.ServersRead(self.revision, list(self.entries))
+
+
+class Configured:
+    """Stands for the configuration."""
+
+    def __init__(self) -> None:
+        self.pools: dict = {}
+
+    def use_servers(self, pools: dict) -> None:
+        """Keep the servers."""
+        self.pools = pools
+
+    async def read_once(self, texts: object) -> None:
+        """Read nothing."""
+
+    @property
+    def names(self) -> set[str]:
+        """Names of the servers in use."""
+        return {server.name for pool in self.pools.values() for server in pool}
+
+
+class Members(fakes.Membership):
+    """Members that hear each other."""
+
+    def __init__(self, *names: str):
+        super().__init__("", [fakes.Owner(name) for name in names])
+        self.heard: list = []
+
+    def on_heard(self, call) -> None:
+        """Keep a callback."""
+        self.heard.append(call)
+
+    def serving(self) -> list:
+        """Return all of them."""
+        return list(self.owners.values())
+
+    def neighbours(self) -> dict[str, str]:
+        """Return the others."""
+        return {name: "h:1" for name in self.owners if name != "cq-1"}
+
+
+class Links(fakes.Links):
+    """Links to the members."""
+
+    def __init__(self, known: Members):
+        super().__init__()
+        self._members = known
+
+    def link(self, instance: str, address: str) -> fakes.Owner:
+        """Return a member's link."""
+        return self._members.owners[instance]
+
+
+class Site:
+    """One instance's list."""
+
+    def __init__(self, *entries: messages.ServerEntry):
+        self.store = Store(*entries)
+        self.configured = Configured()
+        self.members = Members("cq-1", "cq-2")
+        self.links = Links(self.members)
+        self.list = servers.Servers(
+            fakes.settings("cq-1"),
+            self.links,
+            self.members,
+            self.configured,
+            self.store,
+            None,
+        )
+
+    def read(self) -> bool:
+        """Read the store once."""
+        return asyncio.run(self.list.read_once())
+
+    def beat(self, revision: int, age_ms: int, digest: int) -> fakes.Owner:
+        """Hear a neighbour's heartbeat; return its link."""
+        link = self.members.owners["cq-2"]
+        beat = messages.Heartbeat(1, 0, 0, [], [], 0, revision, age_ms, digest)
+        for call in self.members.heard:
+            call(link, beat)
+        return link
+
+
+@pytest.fixture(name="time")
+def _time():
+    with fakes.Time().used() as time:
+        yield time
+
+
+def test_servers_that_leave_get_no_new_work(time) -> None:
+    site = Site(_entry("i-1"), _entry("i-2"))
+    site.read()
+    assert site.configured.names == {"i-1", "i-2"}
+    site.store.entries[0] = _entry("i-1", 2, leaving=True)
+    site.read()
+    assert site.configured.names == {"i-2"}
+
+
+def test_a_removed_entry_is_a_server_that_has_gone(time) -> None:
+    """Some servers never say that they leave: their entry is taken away."""
+    site = Site(_entry("i-1"), _entry("i-2"))
+    site.read()
+    time.now += 0.6
+    site.store.entries.pop()
+    site.read()
+    assert site.configured.names == {"i-1"}
+
+
+def test_entries_that_ran_out_during_an_outage_have_two_seconds(time) -> None:
+    """The store was down so long that all registrations ran out.
+
+    They are back within two seconds of its return; until then the servers, which
+    live, are used. What is still missing then has gone.
+    """
+    site = Site(_entry("i-1"), _entry("i-2"))
+    site.read()
+    site.store.down = True
+    time.now += 5.0
+    assert not site.read()
+    site.store.down = False
+    entries, site.store.entries = site.store.entries, []
+    site.read()
+    assert site.configured.names == {"i-1", "i-2"}
+    time.now += 1.5
+    site.store.entries = entries[:1]
+    site.read()
+    assert site.configured.names == {"i-1", "i-2"}
+    time.now += 1.0
+    site.read()
+    assert site.configured.names == {"i-1"}
+
+
+def test_an_older_answer_changes_nothing(time) -> None:
+    """An answer that was under way for long comes after a newer one."""
+    site = Site(_entry("i-1", 11))
+    site.read()
+    site.store.entries = [_entry("i-1", 12, leaving=True)]
+    site.read()
+    assert not site.configured.names
+    site.store.revision = 3
+    site.store.entries = [_entry("i-1", 11)]
+    site.read()
+    assert not site.configured.names
+
+
+def test_a_reborn_server_is_news(time) -> None:
+    site = Site(_entry("i-1"))
+    site.read()
+    before = site.list.state.digest
+    site.store.entries = [_entry("i-1", 5, started_ms=2000)]
+    site.read()
+    assert site.list.state.digest != before
+    assert site.configured.pools["chat"][0].started_ms == 2000
+
+
+def test_news_is_told_at_once(time) -> None:
+    site = Site(_entry("i-1"))
+    site.read()
+    told = site.members.owners["cq-2"].sent
+    assert [type(item) for item in told] == [messages.ServerList]
+    site.store.entries = [_entry("i-1", 20)]
+    site.read()
+    assert len(told) == 1, "a heartbeat of a server is no news"
+
+
+def test_a_neighbours_read_saves_an_own_one(time) -> None:
+    """The neighbour's list has the same servers and was read 0.2 s ago."""
+    site = Site(_entry("i-1"))
+    site.read()
+    time.now += 1.5
+    assert site.list.age == pytest.approx(1.5)
+    state = site.list.state
+    site.beat(state.revision + 5, 200, state.digest)
+    assert site.list.age == pytest.approx(0.2)
+
+
+def test_a_newer_list_is_asked_for_and_taken(time) -> None:
+    site = Site(_entry("i-1"))
+    site.read()
+    link = site.beat(99, 0, 12345)
+    assert isinstance(link.sent[-1], messages.ServerListQuery)
+    news = messages.ServerList(99, 0, [_entry("i-1", 98, leaving=True)])
+    site.links.handlers[messages.ServerList](link, news)
+    assert not site.configured.names
+    assert site.list.revision == 99
+    # An older one that comes after it is not taken.
+    old = messages.ServerList(50, 0, [_entry("i-1", 49)])
+    site.links.handlers[messages.ServerList](link, old)
+    assert not site.configured.names
+
+
+def test_a_list_that_nobody_confirms_is_read_here(time) -> None:
+    """The instance that reads has died; this one is the next in order, or last."""
+    site = Site(_entry("i-1"))
+    site.read()
+    patience = site.list._patience()
+    assert 0.5 < patience < 1.5
+    assert not site.list.is_behind
+    time.now += 2.5
+    assert site.list.is_behind
+    assert members.ServersState() == (0, 0, 0)
