--- a/packages/daemon/cassiaquay_daemon/admin.py
+++ b/packages/daemon/cassiaquay_daemon/admin.py
@@ -81,9 +81,11 @@
             "/v1/burn": self._burn,
             "/v1/explain": self._explain,
             "/v1/placement": self._placement,
-            "/metrics": self._metrics,
         }
-        routes = [routing.Route("/v1/health", self._health, methods=["GET"])]
+        routes = [
+            routing.Route("/v1/health", self._health, methods=["GET"]),
+            routing.Route("/metrics", self._open_metrics, methods=["GET"]),
+        ]
         for path, act in pages.items():
             routes.append(routing.Route(path, self._handler(act), methods=["GET"]))
         begin = self._handler(self._begin_drain)
@@ -241,6 +243,13 @@
         )
         return _json(keeper_view.of_demand(self._parts, self._settings, demand))
 
+    async def _open_metrics(self, request: requests.Request) -> responses.Response:
+        # A collector that the platform runs has no credential; what it reads names
+        # services, servers and the heaviest teams, and nothing of any request.
+        if self._settings.open_metrics:
+            return await self._metrics(request, viewers.Viewer(""))
+        return await self._handler(self._metrics)(request)
+
     async def _metrics(
         self, request: requests.Request, viewer: viewers.Viewer
     ) -> responses.Response:
--- a/packages/daemon/cassiaquay_daemon/gateway/service.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/service.py
@@ -23,6 +23,7 @@
 )
 from . import (
     accepting,
+    accounts,
     admission,
     connections,
     directory,
@@ -93,6 +94,10 @@
         if gateway.directory:
             self._listen(self._directory.directory(), gateway.directory)
 
+    def on_ended(self, note: accounts.Note) -> None:
+        """Call ``note`` with each request that has ended."""
+        self._parts.accounts.on_ended(note)
+
     def adopt(self, settings: settings_schema.Settings) -> None:
         """Take in changed settings: budgets and limits."""
         self._parts.budget.adopt(settings)
@@ -137,5 +142,6 @@
         quotas.Quotas(settings, shared.links, shared.membership, shared.configured),
         shared.pauses,
         replies.Replies(),
+        accounts.Accounts(),
     )
     return Gateway(settings, shared, parts)
--- a/packages/daemon/cassiaquay_daemon/gateway/serving.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/serving.py
@@ -18,7 +18,16 @@
     quotas,
     routing,
 )
-from . import accepting, admission, calls, forwarding, passing, progress, replies
+from . import (
+    accepting,
+    accounts,
+    admission,
+    calls,
+    forwarding,
+    passing,
+    progress,
+    replies,
+)
 
 # Retry-After when servers keep refusing or cannot be reached.
 UNREACHABLE_RETRY_MS = 300
@@ -54,6 +63,8 @@
         Whether this process knows what is true now.
     reply : Replies
         The way to callers.
+    accounts : Accounts
+        Told of each end.
     """
 
     configured: configuration.Configuration
@@ -63,6 +74,7 @@
     limited: quotas.Quotas
     pauses: pause.Pauses
     reply: replies.Replies
+    accounts: accounts.Accounts
 
 
 class Serving:
@@ -271,6 +283,8 @@
     ) -> None:
         call = known.call
         replies.log_refused(call.facts, refusal, call.began_at, known)
+        outcome = refusal.outcome or "not_run"
+        self._parts.accounts.ended(known, outcome, refusal.code, 0.0)
         if known.started:
             # The caller has a part: returning without its end breaks the connection,
             # so that the part does not look whole.
@@ -284,10 +298,13 @@
         first_ms = None
         if tally.first_at:
             first_ms = round((tally.first_at - call.began_at) * 1000.0, 1)
+        first_at = tally.first_at or clock.now()
+        outcome = "failed" if status >= forwarding.FIRST_FAILURE else "completed"
+        self._parts.accounts.ended(known, outcome, outcome, first_at - call.began_at)
         logs.event(
             "ended",
             id=call.facts.attempt,
-            outcome="completed",
+            outcome=outcome,
             status=status,
             server=known.server,
             route=call.route.name,
--- a/packages/daemon/cassiaquay_daemon/logs.py
+++ b/packages/daemon/cassiaquay_daemon/logs.py
@@ -1,7 +1,6 @@
 """Log lines: one event a line, as key=value pairs or JSON."""
 
 import logging
-import sys
 import typing
 
 import msgspec
@@ -9,6 +8,8 @@
 
 from cassiaquay_schema import settings as settings_schema
 
+from . import log_writer
+
 _LOGGER = logging.getLogger("cassiaquay")
 
 # No line shows these; collecting them took a third of the time of a line. See
@@ -46,7 +47,7 @@
         if settings.logs.format == "pairs"
         else json_logger.MsgspecFormatter
     )
-    handler = logging.StreamHandler(sys.stdout)
+    handler = log_writer.Writer()
     handler.setFormatter(
         kind(
             "%(created)f %(levelname)s %(message)s",
@@ -58,6 +59,7 @@
             static_fields={"instance": settings.instance},
         )
     )
+    handler.start()
     _LOGGER.handlers[:] = [handler]
     _LOGGER.setLevel(settings.logs.level)
     _LOGGER.propagate = False
--- a/packages/daemon/cassiaquay_daemon/reports.py
+++ b/packages/daemon/cassiaquay_daemon/reports.py
@@ -39,6 +39,34 @@
     recovering: recovery.Recovery
 
 
+class Passed(typing.NamedTuple):
+    """A request that was passed through to a backend server, or refused.
+
+    Attributes
+    ----------
+    service, tier, team, server : str
+        Names; empty where it did not get so far.
+    outcome, code : str
+        How it ended.
+    seconds, first_seconds, within_seconds : float
+        Until its end, until its first event (0 for none), and its objective for that.
+    prompt_tokens, output_tokens : int
+        As the caller counted them.
+    """
+
+    service: str
+    tier: str
+    team: str
+    server: str
+    outcome: str
+    code: str
+    seconds: float
+    first_seconds: float
+    within_seconds: float
+    prompt_tokens: int
+    output_tokens: int
+
+
 class Reports:
     """Metrics, burn windows and history of one instance.
 
@@ -114,6 +142,37 @@
             ),
         )
 
+    def passed(self, found: Passed) -> None:
+        """Count a request of the gateway."""
+        key = (found.service, found.tier)
+        count = self.metrics.count
+        count(metrics.REQUESTS, (*key, found.outcome, found.code))
+        self._teams.add(found.team)
+        team = self._teams.label(found.team)
+        count(metrics.TEAM_REQUESTS, (team, found.outcome))
+        if found.first_seconds:
+            self.metrics.observe(metrics.FIRST, key, found.first_seconds)
+        if found.outcome == "completed":
+            self.metrics.observe(metrics.WHOLE, key, found.seconds)
+            service = (found.service,)
+            count(metrics.PROMPT_TOKENS, service, found.prompt_tokens)
+            count(metrics.OUTPUT_TOKENS, service, found.output_tokens)
+        # The objective is for the first event; plain answers have only their end.
+        until = found.first_seconds or found.seconds
+        self.burn.add(
+            clock.now(),
+            burn.Ended(
+                found.service,
+                found.tier,
+                found.team,
+                found.server,
+                found.outcome,
+                found.code,
+                until,
+                found.within_seconds,
+            ),
+        )
+
     def wasted(self, prompt_tokens: int) -> None:
         """Count prompt tokens that an engine had read for nothing."""
         self.metrics.count(metrics.WASTED_TOKENS, (), prompt_tokens)
--- a/packages/schema/cassiaquay_schema/settings.py
+++ b/packages/schema/cassiaquay_schema/settings.py
@@ -286,6 +286,8 @@
         Logs.
     reports : Reports
         History, metrics and burn.
+    open_metrics : bool
+        Whether metrics are served to anybody who asks.
     operators : list[str]
         SHA-256 digests of operators' credentials; empty: only loopback.
     """
@@ -311,4 +313,5 @@
     gateway: Gateway = msgspec.field(default_factory=Gateway)
     logs: Logs = msgspec.field(default_factory=Logs)
     reports: Reports = msgspec.field(default_factory=Reports)
+    open_metrics: bool = False
     operators: list[str] = msgspec.field(default_factory=list)
--- /dev/null
+++ b/tests/test_log_writer.py
@@ -0,0 +1,61 @@
+"""Logs that never hold the process up."""
+
+import logging
+import os
+import time
+
+from cassiaquay_daemon import log_writer
+
+
+def _record(number: int, level: int = logging.INFO) -> logging.LogRecord:
+    return logging.LogRecord("x", level, "", 0, f"line {number}", (), None)
+
+
+def test_a_reader_that_stands_still_costs_lines_and_no_time() -> None:
+    """The log collector stops reading: the pipe is full after 64 KB.
+
+    Writing goes on being instant; once it reads again, it learns how many lines were
+    left out, and gets the newest ones.
+    """
+    reading, writing = os.pipe()
+    writer = log_writer.Writer(writing)
+    writer.start()
+    began = time.monotonic()
+    for number in range(log_writer.MOST_A_SECOND * 3):
+        writer.emit(_record(number, logging.WARNING))
+    for number in range(log_writer.MOST_WAITING * 2):
+        writer.emit(_record(number, logging.WARNING))
+    spent = time.monotonic() - began
+    # Generous: blocked on the pipe it would never end.
+    assert spent < 20.0
+    got = b""
+    while b"log_lines_left_out" not in got:
+        got += os.read(reading, 65536)
+    assert b"count=" in got
+    os.close(reading)
+    writer.close()
+    os.close(writing)
+
+
+def test_a_flood_of_lines_is_cut_and_warnings_are_kept() -> None:
+    reading, writing = os.pipe()
+    writer = log_writer.Writer(writing)
+    for number in range(log_writer.MOST_A_SECOND * 3):
+        writer.emit(_record(number))
+    writer.emit(_record(1, logging.WARNING))
+    assert len(writer._lines) <= 2 * log_writer.MOST_A_SECOND + 1
+    assert writer._lines[-1] == "line 1"
+    writer._lines.clear()
+    writer.flush()
+    assert b"log_lines_left_out" in os.read(reading, 1000)
+    os.close(reading)
+    os.close(writing)
+
+
+def test_a_reader_that_has_gone_stops_nothing() -> None:
+    reading, writing = os.pipe()
+    os.close(reading)
+    writer = log_writer.Writer(writing)
+    writer.emit(_record(1))
+    writer.flush()
+    os.close(writing)
--- /dev/null
+++ b/tests/test_platform_store.py
@@ -0,0 +1,135 @@
+"""Reads of the platform's store, as it is slow, busy, forgetful or gone."""
+
+import asyncio
+import contextlib
+
+import aiohttp
+import gateway_fakes as fakes
+import pytest
+
+from cassiaquay_daemon import exceptions
+from cassiaquay_daemon.platform import store
+
+
+class Odd(fakes.Store):
+    """A store whose next answers are written by the test."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.raw: list[bytes | None] = []
+
+    async def respond(self, request: fakes.Request, writer: fakes.Writer) -> None:
+        """Write the next raw answer, or a usual one."""
+        if not self.raw:
+            await super().respond(request, writer)
+            return
+        data = self.raw.pop(0)
+        if data is None:
+            await asyncio.sleep(60)
+        else:
+            writer.write(data)
+            await writer.drain()
+
+
+def _answer(status: int, body: str = "{}") -> bytes:
+    return f"HTTP/1.1 {status} X\r\nContent-Length: {len(body)}\r\n\r\n{body}".encode()
+
+
+@contextlib.asynccontextmanager
+async def _store():
+    served = Odd()
+    await served.start()
+    async with aiohttp.ClientSession() as http:
+        yield served, http
+    await served.stop()
+
+
+def _run(work) -> None:
+    async def bounded() -> None:
+        async with asyncio.timeout(10.0), _store() as (served, http):
+            await work(served, http)
+
+    asyncio.run(bounded())
+
+
+def test_all_pages_are_read() -> None:
+    async def work(served: Odd, http: aiohttp.ClientSession) -> None:
+        for number in range(7):
+            served.put(f"servers/i-{number}", {"number": number})
+        served.put("other", {})
+        found = await store.Store(http, served.address).items("servers/")
+        assert [item.key for item in found.items] == [
+            f"servers/i-{number}" for number in range(7)
+        ]
+        assert found.revision == served.revision
+
+    _run(work)
+
+
+@pytest.mark.parametrize(
+    "raw",
+    [
+        _answer(503),
+        _answer(429),
+        _answer(200, "["),
+        _answer(200, '{"items": 3}'),
+        b"\x00\x00\r\n\r\n",
+        b"",
+    ],
+)
+def test_what_is_no_answer_is_an_error_of_the_platform(raw: bytes) -> None:
+    async def work(served: Odd, http: aiohttp.ClientSession) -> None:
+        client = store.Store(http, served.address)
+        # A lost answer: the connection stays open and nothing comes.
+        served.raw = [raw or None]
+        with pytest.raises(exceptions.PlatformError):
+            await client.items("servers/")
+        served.put("servers/i-1", {})
+        assert len((await client.items("servers/")).items) == 1
+
+    _run(work)
+
+
+def test_a_store_that_is_down_is_an_error_of_the_platform() -> None:
+    async def work(served: Odd, http: aiohttp.ClientSession) -> None:
+        await served.stop()
+        with pytest.raises(exceptions.PlatformError):
+            await store.Store(http, served.address).item("op/config")
+
+    _run(work)
+
+
+def test_a_value_that_cannot_be_read_leaves_the_others() -> None:
+    async def work(served: Odd, http: aiohttp.ClientSession) -> None:
+        body = (
+            '{"items": [{"key": "a", "value": "?", "revision": 1},'
+            ' {"key": "b", "value": "eA==", "revision": 2}], "current-rev": 9}'
+        )
+        served.raw = [_answer(200, body)]
+        found = await store.Store(http, served.address).items("")
+        assert [item.value for item in found.items] == [b"", b"x"]
+
+    _run(work)
+
+
+def test_a_forgotten_history_costs_one_read() -> None:
+    """The store has dropped the changes that a watch wants to go on from.
+
+    The key itself is read: the newest configuration is there, whatever was missed.
+    """
+
+    async def work(served: Odd, http: aiohttp.ClientSession) -> None:
+        texts = store.ConfigurationStore(http, served.address)
+        assert await texts.watch(0, 0.0) is None
+        served.put("op/config", b"one")
+        first = await texts.watch(0, 0.0)
+        assert first is not None
+        served.put("op/config", b"two")
+        served.raw = [_answer(410)]
+        second = await texts.watch(first.revision, 1.0)
+        assert second is not None
+        assert second.text == "two"
+        served.raw = [_answer(200, f'{{"events":[],"current-rev":{second.revision}}}')]
+        assert await texts.watch(second.revision, 1.0) is None
+
+    _run(work)
--- /dev/null
+++ b/tests/test_reloading.py
@@ -0,0 +1,53 @@
+"""Settings files that change while the process serves."""
+
+import pathlib
+
+from cassiaquay_daemon import reloading
+from cassiaquay_schema import settings as settings_schema
+from cassiaquay_schema import texts
+
+TEXT = """
+instance = "cq-1"
+domain = "a"
+keys = ["key"]
+seeds = ["10.0.0.1:1"]
+[platform]
+configuration = "10.0.0.9:80"
+instances = "10.0.0.9:80"
+[gateway]
+retry_share = 0.2
+"""
+
+
+def _watch(path: pathlib.Path) -> tuple[reloading.Reloading, list]:
+    path.write_text(TEXT)
+    file = reloading.Reloading(path, texts.read_settings(TEXT))
+    taken: list[settings_schema.Settings] = []
+    file.on_change(taken.append)
+    file.look()
+    return file, taken
+
+
+def test_changed_settings_are_taken_in(tmp_path: pathlib.Path) -> None:
+    path = tmp_path / "settings.toml"
+    file, taken = _watch(path)
+    assert not taken
+    path.write_text(TEXT.replace("0.2", "0.3"))
+    file.look()
+    assert [found.gateway.retry_share for found in taken] == [0.3]
+    file.look()
+    assert len(taken) == 1
+
+
+def test_a_half_written_file_changes_nothing(tmp_path: pathlib.Path) -> None:
+    """The platform writes the file anew and the process looks in the middle."""
+    path = tmp_path / "settings.toml"
+    file, taken = _watch(path)
+    path.write_text(TEXT[:60])
+    file.look()
+    path.unlink()
+    file.look()
+    assert not taken
+    path.write_text(TEXT.replace("10.0.0.1:1", "10.0.0.2:1"))
+    file.look()
+    assert [found.seeds for found in taken] == [["10.0.0.2:1"]]
