--- a/packages/daemon/cassiaquay_daemon/members.py
+++ b/packages/daemon/cassiaquay_daemon/members.py
@@ -16,6 +16,7 @@
     clock,
     exceptions,
     facts,
+    freshness,
     logs,
     peers,
     platform,
@@ -34,14 +35,6 @@
 RETRY_SECONDS = 7200.0
 
 
-class ServersState(typing.NamedTuple):
-    """How new this instance's list of backend servers is, for heartbeats."""
-
-    revision: int = 0
-    age_ms: int = 0
-    digest: int = 0
-
-
 class _Lost(typing.NamedTuple):
     """A buried instance: where it was, and since when it is lost."""
 
@@ -77,7 +70,8 @@
         self.leaving = False
         self.http_address = ""
         self.digest: collections.abc.Callable[[], int] = int
-        self.servers_state: collections.abc.Callable[[], ServersState] = ServersState
+        self.servers_state: collections.abc.Callable[[], freshness.Freshness]
+        self.servers_state = freshness.Freshness
         self.mint = mint
         self.facts = facts.Facts()
         self.admin_address = ""
--- a/packages/daemon/cassiaquay_daemon/servers.py
+++ b/packages/daemon/cassiaquay_daemon/servers.py
@@ -18,6 +18,7 @@
     clock,
     configuration,
     exceptions,
+    freshness,
     logs,
     members,
     peers,
@@ -108,9 +109,9 @@
         return self.age > self._settings.gateway.apply_seconds
 
     @property
-    def state(self) -> members.ServersState:
+    def state(self) -> freshness.Freshness:
         """What heartbeats tell of the list."""
-        return members.ServersState(self._revision, self.age_ms, self._digest)
+        return freshness.Freshness(self._revision, self.age_ms, self._digest)
 
     async def read(self) -> None:
         """Read the list whenever nobody else has lately, for ever."""
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -5,7 +5,7 @@
 import policy_fakes as fakes
 import pytest
 
-from cassiaquay_daemon import exceptions, members, platform, servers
+from cassiaquay_daemon import exceptions, freshness, platform, servers
 from cassiaquay_schema import messages
 
 
@@ -232,4 +232,4 @@
     assert not site.list.is_behind
     time.now += 2.5
     assert site.list.is_behind
-    assert members.ServersState() == (0, 0, 0)
+    assert freshness.Freshness() == (0, 0, 0)
