Order by team, then by route; tell those far behind at once; stop taking work sooner

Of the second: demands beyond the 48 that a pass weighs were not looked at until their callers had gone.

--- a/packages/daemon/cassiaquay_daemon/gateway/calls.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/calls.py
@@ -54,10 +54,8 @@
 
     @property
     def rank(self) -> int:
-        """Its rank; the team's goes before the route's."""
-        if self.team is not None and self.team.rank is not None:
-            return self.team.rank
-        return self.route.rank
+        """Its rank, 0 the most important."""
+        return routing.rank_of(self.team, self.route)
 
     @property
     def team_name(self) -> str:
--- a/packages/daemon/cassiaquay_daemon/gateway/service.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/service.py
@@ -36,11 +36,12 @@
 # Callers reuse idle connections for most of the idle bound that the configuration
 # gives them, 15 s today; a connection closed before would cost one of them a request.
 IDLE_SECONDS = 75
-# Share of the grace time in which a stopping instance still takes new requests: answers
-# of the directory that name it are mostly over by then.
-LINGER_SHARE = 0.4
+# Share of the grace time in which a stopping instance still takes new requests. Answers
+# of the directory that name it are mostly over by then, and a stream of five seconds
+# that is taken at the last moment still ends before the process is killed.
+LINGER_SHARE = 0.3
 # Time at the end of the grace time for closing what is left.
-CLOSING_SECONDS = 0.6
+CLOSING_SECONDS = 0.4
 POLL_SECONDS = 0.05
 
 
--- a/packages/daemon/cassiaquay_daemon/objectives.py
+++ b/packages/daemon/cassiaquay_daemon/objectives.py
@@ -34,7 +34,7 @@
 PATIENCE_SECONDS = 1.8
 # Cost, in seconds, of a server that fails all of its work: a repeat elsewhere.
 FAILURE_SECONDS = 3.0
-# Demands looked at in one pass: a pass must stay short however long the queue is.
+# Demands weighed against every server in one pass, which must stay short.
 MOST_LOOKED = 48
 # After a tier was shed, no tier below it gets a slot for this long: time enough for the
 # next of the shed tier to arrive and be preferred.
@@ -88,6 +88,8 @@
         self._paces: dict[str, tuple[int, pace.Pace]] = {}
         self._arrivals = arrivals.Arrivals()
         self._late_at: dict[str, float] = {}
+        # In how many seconds slots come free, as reckoned in this pass.
+        self._free_at: list[float] = []
         shard.observe(self)
 
     # What the shard tells.
@@ -148,10 +150,15 @@
         for rank in sorted(self._tiers):
             if self._shard.held_back(rank):
                 return
-            order = self._in_order(rank)[: MOST_LOOKED - looked]
-            looked += len(order)
-            left = self._grant_in_time(order, now)
+            order = self._in_order(rank)
+            near = order[: max(MOST_LOOKED - looked, 0)]
+            looked += len(near)
+            left = self._grant_in_time(near, now)
+            self._free_at = self._ends(now)
             ahead = self._settle(left, ahead, now)
+            # Those behind are too many to be weighed one by one. Whoever stands there
+            # in vain must be told so no later for that.
+            ahead = self._settle_far(order[len(near) :], ahead, now)
 
     def explain(self, demand: messages.Demand) -> list[policies.Weighed]:
         """Return what each open server would mean for a demand, for operators."""
@@ -196,7 +203,7 @@
             demand = waiting.demand
             late_at = self._late_at[demand.id]
             least = self._least_first(demand)
-            wait = self._wait_seconds(demand.rank, ahead, now)
+            wait = self._wait_seconds(demand.rank, ahead)
             if now + wait + least <= late_at:
                 ahead += 1
                 continue
@@ -208,7 +215,19 @@
             # late, waits on for a while; whoever comes into a queue that is too long
             # is told so at once and can come back when it is short.
             never = waiting.arrived_at + least > late_at
-            if (never or now > late_at) and not self._is_over(waiting, now):
+            if (never or now > late_at) and not self._is_over(waiting, now + wait):
+                ahead += 1
+                continue
+            if not self._shed(waiting, wait, now):
+                ahead += 1
+        return ahead
+
+    def _settle_far(self, order: list[str], ahead: int, now: float) -> int:
+        """Shed those far behind who stand there in vain; return how many wait."""
+        for request_id in order:
+            waiting = self._shard.queue[request_id]
+            wait = self._wait_seconds(waiting.demand.rank, ahead)
+            if now + wait <= self._late_at[request_id]:
                 ahead += 1
                 continue
             if not self._shed(waiting, wait, now):
@@ -224,7 +243,8 @@
         rank = waiting.demand.rank
         if not self._shard.may_shed(rank):
             return False
-        seconds = wait * (1.0 + RANK_FACTOR * rank)
+        place = sorted(self._tiers).index(rank)
+        seconds = wait * (1.0 + RANK_FACTOR * place)
         retry_after_ms = shedding.retry_after_ms(seconds)
         # Whoever sees this tier shed must not see a lower one served meanwhile.
         self._shard.raise_floor(rank, now + FLOOR_SECONDS, retry_after_ms)
@@ -250,7 +270,7 @@
         rows = [list(queue.ids) for queue in teams]
         found: list[str] = []
         depth = 0
-        while len(found) < MOST_LOOKED and any(len(row) > depth for row in rows):
+        while any(len(row) > depth for row in rows):
             for row in rows:
                 if len(row) > depth:
                     found.append(row[depth])
@@ -317,12 +337,12 @@
             least = min(least, expected.first_seconds)
         return least + MARGIN_SECONDS
 
-    def _wait_seconds(self, rank: int, ahead: int, now: float) -> float:
+    def _wait_seconds(self, rank: int, ahead: int) -> float:
         """Return the estimated wait for a slot behind ``ahead`` others.
 
         More important requests that arrive meanwhile go before.
         """
-        ends = self._ends(now)
+        ends = self._free_at
         if not ends:
             return PATIENCE_SECONDS
         rate = self._arrivals.rate_above(rank)
--- a/packages/daemon/cassiaquay_daemon/platform/documents.py
+++ b/packages/daemon/cassiaquay_daemon/platform/documents.py
@@ -168,10 +168,12 @@
 
 def _fleet(document: _Document) -> fleet_schema.Fleet:
     """Return what keepers and operators' views need to know of a document."""
-    ranks = {route.priority for route in document.routes}
-    for tenant in document.tenants or []:
-        if tenant.priority is not None:
-            ranks.add(tenant.priority)
+    ranks = set()
+    for found in document.routes:
+        route = _route(found)
+        ranks.add(routing.rank_of(None, route))
+        for tenant in document.tenants or []:
+            ranks.add(routing.rank_of(_team(tenant), route))
     tiers = {}
     for rank in sorted(ranks) or [0]:
         tiers[f"rank-{rank}"] = fleet_schema.Tier(rank=rank)
--- a/packages/daemon/cassiaquay_daemon/routing.py
+++ b/packages/daemon/cassiaquay_daemon/routing.py
@@ -4,6 +4,9 @@
 import random
 import typing
 
+# Ranks of routes are told apart within one rank of teams up to this many.
+ROUTE_RANKS = 16
+
 
 class Kind(enum.Enum):
     """What may be repeated.
@@ -154,3 +157,15 @@
             if path.startswith(route.prefix):
                 return route
         return None
+
+
+def rank_of(team: Team | None, route: Route) -> int:
+    """Return the rank of a request: its team's goes before its route's.
+
+    Among requests whose teams rank the same the routes decide, so that teams which all
+    have one rank do not make all kinds of request equal.
+    """
+    first = route.rank
+    if team is not None and team.rank is not None:
+        first = team.rank
+    return first * ROUTE_RANKS + min(max(route.rank, 0), ROUTE_RANKS - 1)
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -110,6 +110,25 @@
     assert not _read(without).needs_keys
 
 
+def test_a_teams_rank_goes_before_its_routes() -> None:
+    """All teams have one rank: then the routes tell important work from other work."""
+    route = _read().find("host.example", "/a/")
+    assert route is not None
+    first = routing.Team("first", 0, None)
+    second = routing.Team("second", 1, None)
+    low = route._replace(rank=5)
+    ranks = [
+        routing.rank_of(first, route),
+        routing.rank_of(first, low),
+        routing.rank_of(second, route._replace(rank=0)),
+        routing.rank_of(second, low),
+    ]
+    assert ranks == sorted(ranks)
+    assert len(set(ranks)) == 4
+    unranked = routing.Team("third", None, None)
+    assert routing.rank_of(unranked, route) < routing.rank_of(unranked, low)
+
+
 def test_weights_share_a_route_between_services() -> None:
     shares = [{"service": "chat", "weight": 90}, {"service": "plain", "weight": 0}]
     split = {key: ROUTE[key] for key in ROUTE if key != "service"}
