--- a/packages/daemon/cassiaquay_daemon/budgets.py
+++ b/packages/daemon/cassiaquay_daemon/budgets.py
@@ -7,56 +7,17 @@
 partition.
 """
 
-import collections
 import collections.abc
 
 from cassiaquay_schema import settings as settings_schema
 
-from . import clock
+from . import windows
 
 # Part of the budget that is used: instances may count a window a little later than
 # whoever adds them all up.
 USED_SHARE = 0.8
 
 
-class Window:
-    """Amounts of the last seconds and their sum."""
-
-    def __init__(self, seconds: float):
-        self._seconds = seconds
-        self._began_at = clock.now()
-        self._amounts: collections.deque[tuple[float, float]] = collections.deque()
-        self._sum = 0.0
-
-    @property
-    def unknown_share(self) -> float:
-        """Part of the window that was before this one began to count."""
-        return max(1.0 - (clock.now() - self._began_at) / self._seconds, 0.0)
-
-    def add(self, amount: float) -> None:
-        """Count an amount now."""
-        self._amounts.append((clock.now(), amount))
-        self._sum += amount
-
-    def sum(self) -> float:
-        """Return the sum of the window that ends now."""
-        horizon = clock.now() - self._seconds
-        while self._amounts and self._amounts[0][0] < horizon:
-            self._sum -= self._amounts.popleft()[1]
-        return self._sum
-
-    def room_after(self, amount: float, bound: float) -> float:
-        """Return the seconds until ``amount`` fits under ``bound``."""
-        missing = self.sum() + amount - bound
-        for at, one in self._amounts:
-            if missing <= 0.0:
-                break
-            missing -= one
-            if missing <= 0.0:
-                return max(at + self._seconds - clock.now(), 0.0)
-        return 0.0 if missing <= 0.0 else self._seconds
-
-
 class RetryBudget:
     """The repeats that this instance may send.
 
@@ -75,8 +36,8 @@
     ):
         self._gateway = settings.gateway
         self._fleet_size = fleet_size
-        self._requests: dict[str, Window] = {}
-        self._repeats: dict[str, Window] = {}
+        self._requests: dict[str, windows.Window] = {}
+        self._repeats: dict[str, windows.Window] = {}
 
     def adopt(self, settings: settings_schema.Settings) -> None:
         """Take in changed settings."""
@@ -100,8 +61,6 @@
         repeats.add(1.0)
         return True
 
-    def _window(self, windows: dict[str, Window], service: str) -> Window:
-        found = windows.get(service)
-        if found is None:
-            found = windows[service] = Window(self._gateway.retry_window_seconds)
-        return found
+    def _window(self, known: dict[str, windows.Window], service: str) -> windows.Window:
+        seconds = self._gateway.retry_window_seconds
+        return windows.window_of(known, service, seconds)
--- a/packages/daemon/cassiaquay_daemon/quotas.py
+++ b/packages/daemon/cassiaquay_daemon/quotas.py
@@ -9,13 +9,12 @@
 """
 
 import asyncio
-import collections.abc
 import typing
 
 from cassiaquay_schema import messages
 from cassiaquay_schema import settings as settings_schema
 
-from . import budgets, configuration, exceptions, members, peers, routing, shards
+from . import configuration, exceptions, members, peers, routing, shards, windows
 
 # Part of the bound that is given out at all: windows here and at the servers do not
 # begin at the same moment.
@@ -72,8 +71,8 @@
         self._gateway = settings.gateway
         self._membership = membership
         self._configured = configured
-        self._own: dict[str, budgets.Window] = {}
-        self._given: dict[str, budgets.Window] = {}
+        self._own: dict[str, windows.Window] = {}
+        self._given: dict[str, windows.Window] = {}
         self._questions: dict[int, asyncio.Future[int]] = {}
         self._number = 0
         links.on(messages.QuotaQuery, self._query)
@@ -113,7 +112,7 @@
             bound += gateway.quota_slack
         return bound * USED_SHARE
 
-    def _known_share(self, window: budgets.Window) -> float:
+    def _known_share(self, window: windows.Window) -> float:
         """Return the part of a window's amount that is certainly unspent.
 
         A process that was killed and started again, or a keeper that has just taken
@@ -182,16 +181,10 @@
             question.set_result(answer.units)
 
     def _window(
-        self,
-        windows: collections.abc.MutableMapping[str, budgets.Window],
-        team: str,
-        more: float,
-    ) -> budgets.Window:
-        found = windows.get(team)
-        if found is None:
-            seconds = self._gateway.quota_window_seconds + more
-            found = windows[team] = budgets.Window(seconds)
-        return found
+        self, known: dict[str, windows.Window], team: str, more: float
+    ) -> windows.Window:
+        seconds = self._gateway.quota_window_seconds + more
+        return windows.window_of(known, team, seconds)
 
 
 def units_of(quota: routing.Quota, facts: Amounts) -> int:
--- /dev/null
+++ b/packages/daemon/cassiaquay_daemon/windows.py
@@ -0,0 +1,54 @@
+"""Sums over a sliding window of time."""
+
+import collections
+import collections.abc
+
+from . import clock
+
+
+class Window:
+    """Amounts of the last seconds and their sum."""
+
+    def __init__(self, seconds: float):
+        self._seconds = seconds
+        self._began_at = clock.now()
+        self._amounts: collections.deque[tuple[float, float]] = collections.deque()
+        self._sum = 0.0
+
+    @property
+    def unknown_share(self) -> float:
+        """Part of the window that was before this one began to count."""
+        return max(1.0 - (clock.now() - self._began_at) / self._seconds, 0.0)
+
+    def add(self, amount: float) -> None:
+        """Count an amount now."""
+        self._amounts.append((clock.now(), amount))
+        self._sum += amount
+
+    def sum(self) -> float:
+        """Return the sum of the window that ends now."""
+        horizon = clock.now() - self._seconds
+        while self._amounts and self._amounts[0][0] < horizon:
+            self._sum -= self._amounts.popleft()[1]
+        return self._sum
+
+    def room_after(self, amount: float, bound: float) -> float:
+        """Return the seconds until ``amount`` fits under ``bound``."""
+        missing = self.sum() + amount - bound
+        for at, one in self._amounts:
+            if missing <= 0.0:
+                break
+            missing -= one
+            if missing <= 0.0:
+                return max(at + self._seconds - clock.now(), 0.0)
+        return 0.0 if missing <= 0.0 else self._seconds
+
+
+def window_of(
+    known: collections.abc.MutableMapping[str, Window], key: str, seconds: float
+) -> Window:
+    """Return the window of a key, a new one when there is none."""
+    found = known.get(key)
+    if found is None:
+        found = known[key] = Window(seconds)
+    return found
--- a/packages/dev/cassiaquay_dev/history.py
+++ b/packages/dev/cassiaquay_dev/history.py
@@ -5,15 +5,19 @@
 events of different processes can be compared.
 """
 
+import asyncio
 import json
 import time
 import typing
 
 import cassiaquay
+from cassiaquay_daemon import log_writer
 
 from . import cluster
 
 ENDED_STATES = ("finished", "completed")
+# Batches of log lines that are waited for: the one being gathered, and one more.
+SETTLE_BATCHES = 3
 
 
 class Attempted(typing.NamedTuple):
@@ -216,6 +220,8 @@
 
 async def collect(started: cluster.Cluster, history: History) -> None:
     """Add the log lines of all daemons and back ends of a cluster."""
+    # Daemons write their lines in batches; those of the last moment are on their way.
+    await asyncio.sleep(SETTLE_BATCHES * log_writer.GATHER_SECONDS)
     collect_daemons(started, history)
     await collect_back_ends(started, history)
 
