--- a/packages/daemon/cassiaquay_daemon/quotas.py
+++ b/packages/daemon/cassiaquay_daemon/quotas.py
@@ -19,8 +19,11 @@
 # Part of the bound that is given out at all: windows here and at the servers do not
 # begin at the same moment.
 USED_SHARE = 0.9
-# Part of that which instances may spend without asking.
+# Part of that which instances may spend without asking, in a fleet of up to this many.
+# In larger ones an own share would be less than one long request, and what nobody can
+# spend is lost to the team: there the part shrinks, and more is asked for.
 OWN_SHARE = 0.55
+OWN_INSTANCES = 12
 # A keeper that lives answers within a few round trips; an instance goes on without it.
 ASK_SECONDS = 0.15
 # Grants are used at once; this much later they can be in another window than here.
@@ -90,7 +93,7 @@
         units = units_of(team.quota, facts)
         bound = self._bound(team.quota)
         own = self._window(self._own, team.name, 0.0)
-        share = bound * OWN_SHARE / self._membership.fleet_size()
+        share = bound * self._own_part() / self._membership.fleet_size()
         share *= self._known_share(own)
         if own.sum() + units <= share:
             own.add(units)
@@ -103,6 +106,10 @@
             f"the limit of team {team.name} is reached", retry_after_ms=int(retry_ms)
         )
 
+    def _own_part(self) -> float:
+        """Return the part of a limit that instances spend without asking."""
+        return OWN_SHARE * min(OWN_INSTANCES / self._membership.fleet_size(), 1.0)
+
     def _bound(self, quota: routing.Quota) -> float:
         """Return what the fleet may run of a team in one window."""
         gateway = self._gateway
@@ -158,7 +165,7 @@
         # the rest that belongs to the instances it can hear.
         heard = len(self._membership.alive()) / self._membership.fleet_size()
         given = self._window(self._given, team, USE_SECONDS)
-        rest = self._bound(quota) * (1.0 - OWN_SHARE) * min(heard, 1.0)
+        rest = self._bound(quota) * (1.0 - self._own_part()) * min(heard, 1.0)
         rest *= self._known_share(given)
         if given.sum() + units > rest:
             return False
--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -211,6 +211,28 @@
     asyncio.run(run())
 
 
+def test_a_large_fleet_strands_little_of_a_limit(time) -> None:
+    """Ninety instances, and requests that are each larger than a ninetieth.
+
+    Split evenly, no instance could spend its share and the team would get less than
+    half of what it may; the keeper gives it most of it.
+    """
+
+    class Many(Members):
+        heard = 90
+
+        def fleet_size(self) -> int:
+            return 90
+
+    async def run() -> None:
+        spent = await _spend(_quotas(Many("cq-1", [])), 100, 1000)
+        assert spent >= 0.7 * BOUND
+        spent += 89 * await _spend(_quotas(Many("cq-0", [])), 100, 1000)
+        assert spent <= BOUND
+
+    asyncio.run(run())
+
+
 def test_requests_count_their_tokens(time) -> None:
     assert quotas.units_of(QUOTA, Facts(50)) == 50
     assert quotas.units_of(QUOTA, Facts(0)) == 10
