--- a/packages/daemon/cassiaquay_daemon/platform/headers.py
+++ b/packages/daemon/cassiaquay_daemon/platform/headers.py
@@ -23,7 +23,6 @@
 TEAM = "Cassiaquay-Tenant"
 # On an answer: the server did not begin to work on the request.
 NOT_EXECUTED = "Cassiaquay-Not-Executed"
-SEAL = "Cassiaquay-Response-Seal"
 
 # Headers that only this system may set towards a server. What a caller sends under
 # these names is dropped: it could pin memory, claim another's capacity or its team.
