Take a neighbour's heartbeat as proof only with its configuration

Cause: servers.py moved the time up to which this instance is known to be up to date whenever a neighbour's list had the same servers, also while that neighbour's configuration was newer and its text still on its way here. Found by reading. For a fetch long, a key taken away could be served by an instance that believed itself fresh. Ruled out: the list itself (its digest is compared) and an instance's own read, which reads the configuration with the list. Now a heartbeat confirms only when its configuration is no news here, and a list that comes by message confirms nothing by itself. The reader's rank is kept until the members change. Before: both new tests fail. After: both pass; test_servers, test_gateway and test_admission pass.

--- a/packages/daemon/cassiaquay_daemon/servers.py
+++ b/packages/daemon/cassiaquay_daemon/servers.py
@@ -81,6 +81,8 @@
         self._revision = 0
         self._digest = 0
         self._confirmed_at = NEVER
+        self._ranked: list[messages.Member] | None = None
+        self._rank = LAST_RANK
         self._missing: dict[str, float] = {}
         self._back_at = NEVER
         self._failing = False
@@ -95,7 +97,7 @@
 
     @property
     def age(self) -> float:
-        """Seconds since the platform confirmed the list, as far as is known here."""
+        """Seconds since the platform confirmed the list and the configuration here."""
         return clock.now() - self._confirmed_at
 
     @property
@@ -137,17 +139,23 @@
             logs.event("servers_readable", age_ms=self.age_ms)
         self._failing = False
         self._take(found.revision, found.entries, began)
+        self._confirm(found.revision, began)
         return True
 
     def _patience(self) -> float:
-        names = [member.instance for member in self._membership.serving()]
+        serving = self._membership.serving()
+        if serving is not self._ranked:
+            self._ranked = serving
+            self._rank = self._rank_among(serving)
+        return self._settings.platform.servers_seconds + self._rank * RANK_SECONDS
+
+    def _rank_among(self, serving: list[messages.Member]) -> int:
+        names = [member.instance for member in serving]
         ranked = rendezvous.rank("server list reader", names)
         own = self._settings.instance
-        rank = ranked.index(own) if own in ranked else LAST_RANK
-        return (
-            self._settings.platform.servers_seconds
-            + min(rank, LAST_RANK) * RANK_SECONDS
-        )
+        if own not in ranked:
+            return LAST_RANK
+        return min(ranked.index(own), LAST_RANK)
 
     def _take(
         self, revision: int, entries: list[messages.ServerEntry], read_at: float
@@ -158,12 +166,17 @@
         if self._revision and read_at - self._confirmed_at > AWAY_SECONDS:
             self._back_at = read_at
         self._revision = revision
-        self._confirmed_at = max(self._confirmed_at, read_at)
         changed = self._merge(entries, revision)
         if changed:
             self._publish()
             self._tell()
 
+    def _confirm(self, revision: int, read_at: float) -> None:
+        if revision < self._revision:
+            return
+        self._revision = revision
+        self._confirmed_at = max(self._confirmed_at, read_at)
+
     def _merge(self, entries: list[messages.ServerEntry], revision: int) -> bool:
         """Take in a full list; return whether what may be used has changed."""
         named = set()
@@ -228,13 +241,19 @@
     def _heard(self, link: peers.Link, beat: messages.Heartbeat) -> None:
         if not beat.servers_revision or beat.servers_revision < self._revision:
             return
-        at = clock.now() - beat.servers_age_ms / 1000.0
-        if beat.servers_digest == self._digest:
-            # The same servers, confirmed later: nothing needs to be sent.
-            self._revision = beat.servers_revision
-            self._confirmed_at = max(self._confirmed_at, at)
+        if beat.servers_digest != self._digest:
+            link.send(messages.ServerListQuery(self._revision))
             return
-        link.send(messages.ServerListQuery(self._revision))
+        # A neighbour whose configuration is newer confirms nothing here: until its
+        # text has come, requests would be answered by the older one, and a key that
+        # was taken away would be served for as long as that text is on its way.
+        position = configuration.Position(beat.revision, beat.digest)
+        if self._configured.wants(position):
+            return
+        # The same servers, confirmed later: nothing needs to be sent.
+        self._confirm(
+            beat.servers_revision, clock.now() - beat.servers_age_ms / 1000.0
+        )
 
     def _query(self, link: peers.Link, query: messages.ServerListQuery) -> None:
         if self._revision > query.revision:
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -5,7 +5,7 @@
 import policy_fakes as fakes
 import pytest
 
-from cassiaquay_daemon import exceptions, freshness, platform, servers
+from cassiaquay_daemon import configuration, exceptions, freshness, platform, servers
 from cassiaquay_schema import messages
 
 
@@ -39,6 +39,11 @@
 
     def __init__(self) -> None:
         self.pools: dict = {}
+        self.revision = 0
+
+    def wants(self, position: configuration.Position) -> bool:
+        """Want what is newer."""
+        return position.revision > self.revision
 
     def use_servers(self, pools: dict) -> None:
         """Keep the servers."""
@@ -106,10 +111,14 @@
         """Read the store once."""
         return asyncio.run(self.list.read_once())
 
-    def beat(self, revision: int, age_ms: int, digest: int) -> fakes.Owner:
+    def beat(
+        self, revision: int, age_ms: int, digest: int, configuration_revision: int = 0
+    ) -> fakes.Owner:
         """Hear a neighbour's heartbeat; return its link."""
         link = self.members.owners["cq-2"]
-        beat = messages.Heartbeat(1, 0, 0, [], [], 0, revision, age_ms, digest)
+        beat = messages.Heartbeat(
+            1, configuration_revision, 0, [], [], 0, revision, age_ms, digest
+        )
         for call in self.members.heard:
             call(link, beat)
         return link
@@ -208,6 +217,36 @@
     assert site.list.age == pytest.approx(0.2)
 
 
+def test_a_neighbour_with_a_newer_configuration_confirms_nothing(time) -> None:
+    """A key is taken away; a caller shows it at an instance that has not heard.
+
+    The neighbour has read the change and says in its heartbeat that its list is
+    fresh; the text of the change is still on its way here. An instance that took the
+    heartbeat as proof that it is up to date would let the caller in.
+    """
+    site = Site(_entry("i-1"))
+    site.read()
+    time.now += 2.5
+    state = site.list.state
+    site.beat(state.revision + 5, 0, state.digest, configuration_revision=7)
+    assert site.list.is_behind
+    site.configured.revision = 7
+    site.beat(state.revision + 5, 0, state.digest, configuration_revision=7)
+    assert not site.list.is_behind
+
+
+def test_a_list_by_message_says_nothing_of_the_configuration(time) -> None:
+    """The servers have come from a neighbour; whether the keys hold is not known."""
+    site = Site(_entry("i-1"))
+    site.read()
+    time.now += 2.5
+    news = messages.ServerList(99, 0, [_entry("i-1", 98, leaving=True)])
+    link = site.members.owners["cq-2"]
+    site.links.handlers[messages.ServerList](link, news)
+    assert not site.configured.names
+    assert site.list.is_behind
+
+
 def test_a_newer_list_is_asked_for_and_taken(time) -> None:
     site = Site(_entry("i-1"))
     site.read()
