Move the stand-ins of the users' platform out of the tests' fakes

The soak and the demo need the store, the engines and the raw HTTP server that the gateway's tests use.

--- a/packages/daemon/cassiaquay_daemon/servers.py
+++ b/packages/daemon/cassiaquay_daemon/servers.py
@@ -251,9 +251,7 @@
         if self._configured.wants(position):
             return
         # The same servers, confirmed later: nothing needs to be sent.
-        self._confirm(
-            beat.servers_revision, clock.now() - beat.servers_age_ms / 1000.0
-        )
+        self._confirm(beat.servers_revision, clock.now() - beat.servers_age_ms / 1000.0)
 
     def _query(self, link: peers.Link, query: messages.ServerListQuery) -> None:
         if self._revision > query.revision:
--- /dev/null
+++ b/packages/dev/cassiaquay_dev/platform_standins.py
@@ -0,0 +1,184 @@
+"""The users' platform, small: its store, its engines and its configuration document."""
+
+import base64
+import json
+import typing
+import urllib.parse
+
+from . import raw_servers
+
+HOST = "host.example"
+# Events of a whole answer.
+PIECES = 6
+
+
+class Store(raw_servers.RawServer):
+    """The platform's store: one configuration and the servers' entries."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.revision = 1
+        self.down = False
+        self.items: dict[str, tuple[int, bytes]] = {}
+
+    def put(self, key: str, value: object) -> None:
+        """Write a key; bytes as they are, anything else as JSON."""
+        self.revision += 1
+        data = value if isinstance(value, bytes) else json.dumps(value).encode()
+        self.items[key] = (self.revision, data)
+
+    def remove(self, key: str) -> None:
+        """Remove a key."""
+        self.revision += 1
+        del self.items[key]
+
+    async def respond(
+        self, request: raw_servers.Request, writer: raw_servers.Writer
+    ) -> None:
+        """Answer a read."""
+        path, _, query = request.target.partition("?")
+        asked = dict(urllib.parse.parse_qsl(query))
+        status, body = 404, {}
+        if self.down:
+            status = 503
+        elif path == "/cassiaquay/kv-key" and asked["key"] in self.items:
+            status, body = 200, self._item(asked["key"])
+        elif path == "/cassiaquay/kv-range":
+            status, body = 200, self._page(asked)
+        data = json.dumps(body | {"current-rev": self.revision}).encode()
+        writer.write(
+            b"HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n" % (status, len(data))
+        )
+        writer.write(data)
+        await writer.drain()
+
+    def _item(self, key: str) -> dict[str, typing.Any]:
+        revision, value = self.items[key]
+        text = base64.b64encode(value).decode()
+        return {
+            "key": key,
+            "value": text,
+            "revision": revision,
+            "created": revision,
+            "lease": 0,
+        }
+
+    def _page(self, asked: dict[str, str]) -> dict[str, typing.Any]:
+        keys = [key for key in sorted(self.items) if key > asked.get("after", "")]
+        keys = [key for key in keys if key.startswith(asked["path-prefix"])]
+        return {
+            "items": [self._item(key) for key in keys[:2]],
+            "truncated": len(keys) > 2,
+        }
+
+
+class Engine(raw_servers.RawServer):
+    """A backend server that answers as `act` says."""
+
+    def __init__(self, name: str):
+        super().__init__()
+        self.name = name
+        self.act: raw_servers.Respond = whole
+
+    @property
+    def runs(self) -> list[str]:
+        """Attempts that it got."""
+        return [request.attempt for request in self.requests]
+
+    async def respond(
+        self, request: raw_servers.Request, writer: raw_servers.Writer
+    ) -> None:
+        """Answer a request, unless it was meant for another server."""
+        meant = request.headers["cassiaquay-expect-instance"]
+        if meant.removesuffix("-plain") != self.name:
+            await raw_servers.send(
+                writer, 421, b"", {"Cassiaquay-Instance-Id": self.name}
+            )
+            return
+        await self.act(request, writer)
+
+
+def seal(request: raw_servers.Request) -> dict[str, str]:
+    """Return the headers of a server's own answer."""
+    return {
+        "Cassiaquay-Attempt-Id": request.attempt,
+        "Cassiaquay-Response-Seal": f"seal-{request.attempt}",
+    }
+
+
+async def whole(request: raw_servers.Request, writer: raw_servers.Writer) -> None:
+    """Answer well: events for a stream, a body otherwise."""
+    if not request.target.startswith("/s"):
+        await raw_servers.send(
+            writer, 200, b"body of " + request.attempt.encode(), seal(request)
+        )
+        return
+    await begin(request, writer)
+    await pieces(request, writer, PIECES)
+    writer.write(b"0\r\n\r\n")
+    await writer.drain()
+
+
+async def begin(request: raw_servers.Request, writer: raw_servers.Writer) -> None:
+    """Write the head of a stream."""
+    head = "".join(f"{name}: {value}\r\n" for name, value in seal(request).items())
+    writer.write(f"HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n{head}\r\n".encode())
+
+
+async def pieces(
+    request: raw_servers.Request, writer: raw_servers.Writer, until: int
+) -> None:
+    """Write events from where the request goes on until a number."""
+    first = int(request.headers.get("last-event-id", "-1")) + 1
+    for number in range(first, until):
+        event = b"id: %d\ndata: piece %d\n\n" % (number, number)
+        writer.write(b"%x\r\n%b\r\n" % (len(event), event))
+        await writer.drain()
+
+
+def stream(until: int = PIECES) -> bytes:
+    """Return the events of a whole answer."""
+    return b"".join(
+        b"id: %d\ndata: piece %d\n\n" % (number, number) for number in range(until)
+    )
+
+
+def route(
+    prefix: str, kind: str, service: str, **more: object
+) -> dict[str, typing.Any]:
+    """Return one route of the configuration."""
+    return {
+        "name": f"r{prefix}",
+        "host": HOST,
+        "path-prefix": prefix,
+        "kind": kind,
+        "service": service,
+        "timeout-ms": 5000,
+        "slo-ms": 1000,
+        "priority": 0,
+        "attempts": 2,
+        "gap-target-ms": 300,
+    } | more
+
+
+ROUTES = [
+    route("/safe/", "idempotent", "plain"),
+    route("/book/", "non_idempotent", "plain"),
+    route("/stream/", "stream", "chat", **{"can-resume": True}),
+    route("/string/", "stream", "chat"),
+    route("/short/", "non_idempotent", "plain", **{"timeout-ms": 300}),
+]
+
+
+def configuration(version: int = 1, **more: object) -> dict[str, typing.Any]:
+    """Return a configuration document."""
+    return {
+        "version": version,
+        "routes": ROUTES,
+        "services": [
+            {"name": "chat", "engine": {"slots": 4, "stride": 1}},
+            {"name": "plain"},
+        ],
+        "limits": {"max-body-bytes": 100_000},
+        "tenants": [{"name": "blue", "api-keys": ["key"]}],
+    } | more
--- /dev/null
+++ b/packages/dev/cassiaquay_dev/raw_servers.py
@@ -0,0 +1,120 @@
+"""HTTP servers whose answers are written byte by byte, also wrong ones."""
+
+import asyncio
+import collections.abc
+import contextlib
+import socket
+import struct
+import typing
+
+
+class Request(typing.NamedTuple):
+    """One request as a server or the store got it."""
+
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+
+    @property
+    def attempt(self) -> str:
+        """The caller's id."""
+        return self.headers.get("cassiaquay-attempt-id", "")
+
+
+Writer = asyncio.StreamWriter
+Respond = collections.abc.Callable[[Request, Writer], collections.abc.Awaitable[None]]
+
+
+class RawServer:
+    """An HTTP server whose answers are written byte by byte."""
+
+    def __init__(self) -> None:
+        self.requests: list[Request] = []
+        self.address = ""
+        self.closed_under: list[str] = []
+        self._server: asyncio.Server | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def start(self) -> None:
+        """Listen."""
+        self._server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
+        self.address = f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
+
+    async def stop(self) -> None:
+        """Close everything."""
+        if self._server is not None:
+            self._server.close()
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def respond(self, request: Request, writer: Writer) -> None:
+        """Answer one request."""
+        raise NotImplementedError
+
+    async def _accept(self, reader: asyncio.StreamReader, writer: Writer) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        try:
+            while not writer.is_closing():
+                request = await _read(reader)
+                if request is None:
+                    return
+                self.requests.append(request)
+                work = asyncio.create_task(self.respond(request, writer))
+                closed = asyncio.create_task(reader.read(1))
+                done, _ = await asyncio.wait(
+                    [work, closed], return_when=asyncio.FIRST_COMPLETED
+                )
+                if work not in done:
+                    self.closed_under.append(request.attempt)
+                    work.cancel()
+                    await asyncio.gather(work, return_exceptions=True)
+                    return
+                await work
+                closed.cancel()
+                with contextlib.suppress(asyncio.CancelledError):
+                    if await closed:
+                        raise AssertionError("bytes between requests")
+        except (ConnectionError, asyncio.IncompleteReadError):
+            pass
+        finally:
+            writer.close()
+
+
+async def _read(reader: asyncio.StreamReader) -> Request | None:
+    try:
+        head = await reader.readuntil(b"\r\n\r\n")
+    except asyncio.IncompleteReadError:
+        return None
+    lines = head.decode("latin-1").split("\r\n")
+    method, target, _ = lines[0].split(" ")
+    headers = {}
+    for line in lines[1:]:
+        if line:
+            name, _, value = line.partition(":")
+            headers[name.lower()] = value.strip()
+    body = await reader.readexactly(int(headers.get("content-length", "0")))
+    return Request(method, target, headers, body)
+
+
+async def send(
+    writer: Writer, status: int, body: bytes, headers: dict[str, str]
+) -> None:
+    """Write an answer with a length."""
+    head = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
+    writer.write(
+        f"HTTP/1.1 {status} X\r\nContent-Length: {len(body)}\r\n{head}\r\n".encode()
+    )
+    writer.write(body)
+    await writer.drain()
+
+
+def reset(writer: Writer) -> None:
+    """Reset a connection, as a crashed server's machine does."""
+    bound = writer.get_extra_info("socket")
+    bound.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
--- a/tests/gateway_fakes.py
+++ b/tests/gateway_fakes.py
@@ -1,307 +1,31 @@
-"""A store, engines and callers for the gateway, byte by byte."""
+"""Daemons with a store and engines for the gateway's tests, byte by byte."""
 
 import asyncio
-import base64
 import collections.abc
 import contextlib
-import json
 import socket
-import struct
 import typing
-import urllib.parse
 
 import aiohttp
 import yarl
 
 from cassiaquay_daemon import daemon
 from cassiaquay_daemon.platform import documents, store
+from cassiaquay_dev import platform_standins as standins
+from cassiaquay_dev import raw_servers
 from cassiaquay_schema import settings as settings_schema
 
 # Imported for what they register.
 ADAPTERS = (documents, store)
-HOST = "host.example"
 SECONDS = 15.0
-PIECES = 6
-
-
-class Request(typing.NamedTuple):
-    """One request as a server or the store got it."""
-
-    method: str
-    target: str
-    headers: dict[str, str]
-    body: bytes
-
-    @property
-    def attempt(self) -> str:
-        """The caller's id."""
-        return self.headers.get("cassiaquay-attempt-id", "")
-
-
-Writer = asyncio.StreamWriter
-Respond = collections.abc.Callable[[Request, Writer], collections.abc.Awaitable[None]]
-
-
-class RawServer:
-    """An HTTP server whose answers are written byte by byte."""
-
-    def __init__(self) -> None:
-        self.requests: list[Request] = []
-        self.address = ""
-        self.closed_under: list[str] = []
-        self._server: asyncio.Server | None = None
-        self._tasks: set[asyncio.Task[None]] = set()
-
-    async def start(self) -> None:
-        """Listen."""
-        self._server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
-        self.address = f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
-
-    async def stop(self) -> None:
-        """Close everything."""
-        if self._server is not None:
-            self._server.close()
-        for task in list(self._tasks):
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
-
-    async def respond(self, request: Request, writer: Writer) -> None:
-        """Answer one request."""
-        raise NotImplementedError
-
-    async def _accept(self, reader: asyncio.StreamReader, writer: Writer) -> None:
-        task = asyncio.current_task()
-        assert task is not None
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-        try:
-            while not writer.is_closing():
-                request = await _read(reader)
-                if request is None:
-                    return
-                self.requests.append(request)
-                work = asyncio.create_task(self.respond(request, writer))
-                closed = asyncio.create_task(reader.read(1))
-                done, _ = await asyncio.wait(
-                    [work, closed], return_when=asyncio.FIRST_COMPLETED
-                )
-                if work not in done:
-                    self.closed_under.append(request.attempt)
-                    work.cancel()
-                    await asyncio.gather(work, return_exceptions=True)
-                    return
-                await work
-                closed.cancel()
-                with contextlib.suppress(asyncio.CancelledError):
-                    if await closed:
-                        raise AssertionError("bytes between requests")
-        except (ConnectionError, asyncio.IncompleteReadError):
-            pass
-        finally:
-            writer.close()
-
-
-async def _read(reader: asyncio.StreamReader) -> Request | None:
-    try:
-        head = await reader.readuntil(b"\r\n\r\n")
-    except asyncio.IncompleteReadError:
-        return None
-    lines = head.decode("latin-1").split("\r\n")
-    method, target, _ = lines[0].split(" ")
-    headers = {}
-    for line in lines[1:]:
-        if line:
-            name, _, value = line.partition(":")
-            headers[name.lower()] = value.strip()
-    body = await reader.readexactly(int(headers.get("content-length", "0")))
-    return Request(method, target, headers, body)
-
-
-class Store(RawServer):
-    """The platform's store: one configuration and the servers' entries."""
-
-    def __init__(self) -> None:
-        super().__init__()
-        self.revision = 1
-        self.down = False
-        self.items: dict[str, tuple[int, bytes]] = {}
-
-    def put(self, key: str, value: object) -> None:
-        """Write a key; bytes as they are, anything else as JSON."""
-        self.revision += 1
-        data = value if isinstance(value, bytes) else json.dumps(value).encode()
-        self.items[key] = (self.revision, data)
-
-    def remove(self, key: str) -> None:
-        """Remove a key."""
-        self.revision += 1
-        del self.items[key]
-
-    async def respond(self, request: Request, writer: Writer) -> None:
-        """Answer a read."""
-        path, _, query = request.target.partition("?")
-        asked = dict(urllib.parse.parse_qsl(query))
-        status, body = 404, {}
-        if self.down:
-            status = 503
-        elif path == "/cassiaquay/kv-key" and asked["key"] in self.items:
-            status, body = 200, self._item(asked["key"])
-        elif path == "/cassiaquay/kv-range":
-            status, body = 200, self._page(asked)
-        data = json.dumps(body | {"current-rev": self.revision}).encode()
-        writer.write(
-            b"HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n" % (status, len(data))
-        )
-        writer.write(data)
-        await writer.drain()
-
-    def _item(self, key: str) -> dict:
-        revision, value = self.items[key]
-        text = base64.b64encode(value).decode()
-        return {
-            "key": key,
-            "value": text,
-            "revision": revision,
-            "created": revision,
-            "lease": 0,
-        }
-
-    def _page(self, asked: dict[str, str]) -> dict:
-        keys = [key for key in sorted(self.items) if key > asked.get("after", "")]
-        keys = [key for key in keys if key.startswith(asked["path-prefix"])]
-        return {
-            "items": [self._item(key) for key in keys[:2]],
-            "truncated": len(keys) > 2,
-        }
-
-
-class Engine(RawServer):
-    """A backend server that answers as `act` says."""
-
-    def __init__(self, name: str):
-        super().__init__()
-        self.name = name
-        self.act: Respond = whole
-
-    @property
-    def runs(self) -> list[str]:
-        """Attempts that it got."""
-        return [request.attempt for request in self.requests]
-
-    async def respond(self, request: Request, writer: Writer) -> None:
-        """Answer a request, unless it was meant for another server."""
-        meant = request.headers["cassiaquay-expect-instance"]
-        if meant.removesuffix("-plain") != self.name:
-            await send(writer, 421, b"", {"Cassiaquay-Instance-Id": self.name})
-            return
-        await self.act(request, writer)
-
-
-async def send(
-    writer: Writer, status: int, body: bytes, headers: dict[str, str]
-) -> None:
-    """Write an answer with a length."""
-    head = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
-    writer.write(
-        f"HTTP/1.1 {status} X\r\nContent-Length: {len(body)}\r\n{head}\r\n".encode()
-    )
-    writer.write(body)
-    await writer.drain()
-
-
-def reset(writer: Writer) -> None:
-    """Reset a connection, as a crashed server's machine does."""
-    bound = writer.get_extra_info("socket")
-    bound.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-    writer.transport.abort()
-
-
-def seal(request: Request) -> dict[str, str]:
-    """Return the headers of a server's own answer."""
-    return {
-        "Cassiaquay-Attempt-Id": request.attempt,
-        "Cassiaquay-Response-Seal": f"seal-{request.attempt}",
-    }
-
-
-async def whole(request: Request, writer: Writer) -> None:
-    """Answer well: events for a stream, a body otherwise."""
-    if not request.target.startswith("/s"):
-        await send(writer, 200, b"body of " + request.attempt.encode(), seal(request))
-        return
-    await begin(request, writer)
-    await pieces(request, writer, PIECES)
-    writer.write(b"0\r\n\r\n")
-    await writer.drain()
-
-
-async def begin(request: Request, writer: Writer) -> None:
-    """Write the head of a stream."""
-    head = "".join(f"{name}: {value}\r\n" for name, value in seal(request).items())
-    writer.write(f"HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n{head}\r\n".encode())
-
-
-async def pieces(request: Request, writer: Writer, until: int) -> None:
-    """Write events from where the request goes on until a number."""
-    first = int(request.headers.get("last-event-id", "-1")) + 1
-    for number in range(first, until):
-        event = b"id: %d\ndata: piece %d\n\n" % (number, number)
-        writer.write(b"%x\r\n%b\r\n" % (len(event), event))
-        await writer.drain()
-
-
-def stream(until: int = PIECES) -> bytes:
-    """Return the events of a whole answer."""
-    return b"".join(
-        b"id: %d\ndata: piece %d\n\n" % (number, number) for number in range(until)
-    )
-
-
-def route(prefix: str, kind: str, service: str, **more: object) -> dict:
-    """Return one route of the configuration."""
-    return {
-        "name": f"r{prefix}",
-        "host": HOST,
-        "path-prefix": prefix,
-        "kind": kind,
-        "service": service,
-        "timeout-ms": 5000,
-        "slo-ms": 1000,
-        "priority": 0,
-        "attempts": 2,
-        "gap-target-ms": 300,
-    } | more
-
-
-ROUTES = [
-    route("/safe/", "idempotent", "plain"),
-    route("/book/", "non_idempotent", "plain"),
-    route("/stream/", "stream", "chat", **{"can-resume": True}),
-    route("/string/", "stream", "chat"),
-    route("/short/", "non_idempotent", "plain", **{"timeout-ms": 300}),
-]
-
-
-def configuration(version: int = 1, **more: object) -> dict:
-    """Return a configuration document."""
-    return {
-        "version": version,
-        "routes": ROUTES,
-        "services": [
-            {"name": "chat", "engine": {"slots": 4, "stride": 1}},
-            {"name": "plain"},
-        ],
-        "limits": {"max-body-bytes": 100_000},
-        "tenants": [{"name": "blue", "api-keys": ["key"]}],
-    } | more
 
 
 class Site:
     """A store, two engines and some daemons before them."""
 
     def __init__(self) -> None:
-        self.store = Store()
-        self.engines = [Engine("i-1"), Engine("i-2")]
+        self.store = standins.Store()
+        self.engines = [standins.Engine("i-1"), standins.Engine("i-2")]
         self.daemons: list[daemon.Daemon] = []
         self.settings: list[settings_schema.Settings] = []
         self.http: aiohttp.ClientSession
@@ -315,14 +39,14 @@
         for engine in self.engines:
             await engine.start()
             self.enlist(engine)
-        self.store.put("op/config", configuration())
+        self.store.put("op/config", standins.configuration())
         seeds = [f"127.0.0.1:{free_port()}" for _ in range(count)]
         for number in range(count):
             await self.add(f"cq-{number + 1}", seeds[number], seeds)
         for found in self.settings:
             await self.until_ready(found)
 
-    def enlist(self, engine: Engine, **more: object) -> None:
+    def enlist(self, engine: standins.Engine, **more: object) -> None:
         """Register an engine for both services."""
         for service in ("chat", "plain"):
             entry = {
@@ -390,7 +114,7 @@
         self._count += 1
         attempt = f"attempt{self._count}"
         pairs = {
-            "Host": HOST,
+            "Host": standins.HOST,
             "Cassiaquay-Attempt-Id": attempt,
             "Cassiaquay-Deadline-Ms": "4000",
             "Api-Key": "key",
@@ -415,20 +139,22 @@
             found = {name.lower(): value for name, value in response.headers.items()}
             return Got(attempt, response.status, found, read, complete)
 
-    def engine_of(self, attempt: str) -> list[Engine]:
+    def engine_of(self, attempt: str) -> list[standins.Engine]:
         """Return the engines that got an attempt, as often as they did."""
         found = []
         for engine in self.engines:
             found += [engine] * engine.runs.count(attempt)
         return found
 
-    def let(self, act: Respond) -> None:
+    def let(self, act: raw_servers.Respond) -> None:
         """Let the first run of each attempt be answered by ``act``, others well."""
         seen: set[str] = set()
 
-        async def once(request: Request, writer: Writer) -> None:
+        async def once(
+            request: raw_servers.Request, writer: raw_servers.Writer
+        ) -> None:
             if request.attempt in seen:
-                await whole(request, writer)
+                await standins.whole(request, writer)
                 return
             seen.add(request.attempt)
             await act(request, writer)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -5,21 +5,24 @@
 import gateway_fakes as fakes
 import pytest
 
+from cassiaquay_dev import platform_standins as standins
+from cassiaquay_dev import raw_servers
 
-async def _reset(request: fakes.Request, writer: fakes.Writer) -> None:
-    fakes.reset(writer)
 
+async def _reset(request: raw_servers.Request, writer: raw_servers.Writer) -> None:
+    raw_servers.reset(writer)
 
-async def _silent(request: fakes.Request, writer: fakes.Writer) -> None:
+
+async def _silent(request: raw_servers.Request, writer: raw_servers.Writer) -> None:
     await asyncio.sleep(60)
 
 
-async def _busy(request: fakes.Request, writer: fakes.Writer) -> None:
-    await fakes.send(writer, 503, b"", {"Cassiaquay-Not-Executed": "1"})
+async def _busy(request: raw_servers.Request, writer: raw_servers.Writer) -> None:
+    await raw_servers.send(writer, 503, b"", {"Cassiaquay-Not-Executed": "1"})
 
 
-async def _failing(request: fakes.Request, writer: fakes.Writer) -> None:
-    await fakes.send(writer, 500, b"broken", fakes.seal(request))
+async def _failing(request: raw_servers.Request, writer: raw_servers.Writer) -> None:
+    await raw_servers.send(writer, 500, b"broken", standins.seal(request))
 
 
 def test_an_answer_comes_through_unchanged() -> None:
@@ -43,7 +46,7 @@
     async def work(site: fakes.Site) -> None:
         got = await site.ask("/stream/x")
         assert (got.status, got.complete) == (200, True)
-        assert got.body == fakes.stream()
+        assert got.body == standins.stream()
 
     fakes.run(work)
 
@@ -160,19 +163,19 @@
     whole.
     """
 
-    async def cut(request: fakes.Request, writer: fakes.Writer) -> None:
-        await fakes.begin(request, writer)
-        await fakes.pieces(request, writer, 3)
+    async def cut(request: raw_servers.Request, writer: raw_servers.Writer) -> None:
+        await standins.begin(request, writer)
+        await standins.pieces(request, writer, 3)
         writer.write(b"a\r\nid: 3\ndata")
         await writer.drain()
         await asyncio.sleep(0.05)
-        fakes.reset(writer)
+        raw_servers.reset(writer)
 
     async def work(site: fakes.Site) -> None:
         site.let(cut)
         got = await site.ask(path)
         if path == "/stream/x":
-            assert (got.body, got.complete) == (fakes.stream(), True)
+            assert (got.body, got.complete) == (standins.stream(), True)
             assert len(site.engine_of(got.attempt)) == 2
             [second] = [
                 request
@@ -183,7 +186,7 @@
             assert second.headers["last-event-id"] == "2"
         else:
             assert not got.complete
-            assert fakes.stream().startswith(got.body)
+            assert standins.stream().startswith(got.body)
             assert len(site.engine_of(got.attempt)) == 1
 
     fakes.run(work)
@@ -196,15 +199,15 @@
     before that, and the silent server's connection is closed so that it stops.
     """
 
-    async def mute(request: fakes.Request, writer: fakes.Writer) -> None:
-        await fakes.begin(request, writer)
-        await fakes.pieces(request, writer, 2)
+    async def mute(request: raw_servers.Request, writer: raw_servers.Writer) -> None:
+        await standins.begin(request, writer)
+        await standins.pieces(request, writer, 2)
         await asyncio.sleep(60)
 
     async def work(site: fakes.Site) -> None:
         site.let(mute)
         got = await site.ask("/stream/x")
-        assert (got.body, got.complete) == (fakes.stream(), True)
+        assert (got.body, got.complete) == (standins.stream(), True)
         closed = [name for engine in site.engines for name in engine.closed_under]
         assert closed == [got.attempt]
 
@@ -214,18 +217,18 @@
 def test_a_server_that_begins_anew_does_not_join_two_runs() -> None:
     """Asked to go on behind event 1, the other server sends event 0 again."""
 
-    async def cut(request: fakes.Request, writer: fakes.Writer) -> None:
-        await fakes.begin(request, writer)
-        await fakes.pieces(request, writer, 2)
-        fakes.reset(writer)
+    async def cut(request: raw_servers.Request, writer: raw_servers.Writer) -> None:
+        await standins.begin(request, writer)
+        await standins.pieces(request, writer, 2)
+        raw_servers.reset(writer)
 
-    async def anew(request: fakes.Request, writer: fakes.Writer) -> None:
+    async def anew(request: raw_servers.Request, writer: raw_servers.Writer) -> None:
         if "last-event-id" not in request.headers:
             await cut(request, writer)
             return
         bare = request._replace(headers={"cassiaquay-attempt-id": request.attempt})
-        await fakes.begin(bare, writer)
-        await fakes.pieces(bare, writer, fakes.PIECES)
+        await standins.begin(bare, writer)
+        await standins.pieces(bare, writer, standins.PIECES)
         writer.write(b"0\r\n\r\n")
 
     async def work(site: fakes.Site) -> None:
@@ -233,7 +236,7 @@
             engine.act = anew
         got = await site.ask("/stream/x")
         assert not got.complete
-        assert fakes.stream(2).startswith(got.body)
+        assert standins.stream(2).startswith(got.body)
 
     fakes.run(work)
 
@@ -245,9 +248,9 @@
     connection it takes, it gets its own answer or none.
     """
 
-    async def twice(request: fakes.Request, writer: fakes.Writer) -> None:
-        await fakes.whole(request, writer)
-        await fakes.send(writer, 200, b"stray", fakes.seal(request))
+    async def twice(request: raw_servers.Request, writer: raw_servers.Writer) -> None:
+        await standins.whole(request, writer)
+        await raw_servers.send(writer, 200, b"stray", standins.seal(request))
 
     async def work(site: fakes.Site) -> None:
         for engine in site.engines:
@@ -265,13 +268,15 @@
 def test_an_answer_without_length_is_whole_only_at_a_clean_end(reset: bool) -> None:
     """The answer ends with its connection; a reset on the way must not look whole."""
 
-    async def unframed(request: fakes.Request, writer: fakes.Writer) -> None:
-        head = "".join(f"{k}: {v}\r\n" for k, v in fakes.seal(request).items())
+    async def unframed(
+        request: raw_servers.Request, writer: raw_servers.Writer
+    ) -> None:
+        head = "".join(f"{k}: {v}\r\n" for k, v in standins.seal(request).items())
         writer.write(f"HTTP/1.1 200 X\r\n{head}\r\npart".encode())
         await writer.drain()
         await asyncio.sleep(0.05)
         if reset:
-            fakes.reset(writer)
+            raw_servers.reset(writer)
         else:
             writer.close()
 
@@ -287,7 +292,7 @@
 
 
 def test_bytes_that_are_no_answer_are_not_passed_on() -> None:
-    async def garbage(request: fakes.Request, writer: fakes.Writer) -> None:
+    async def garbage(request: raw_servers.Request, writer: raw_servers.Writer) -> None:
         writer.write(b"\x00\x01 what is this\r\n\r\n")
         await writer.drain()
 
@@ -367,8 +372,8 @@
 def test_a_change_of_routes_and_keys_is_in_force_soon() -> None:
     async def work(site: fakes.Site) -> None:
         teams = [{"name": "blue", "api-keys": ["other"]}]
-        routes = [*fakes.ROUTES[1:], fakes.route("/new/", "idempotent", "plain")]
-        changed = fakes.configuration(2, routes=routes, tenants=teams)
+        routes = [*standins.ROUTES[1:], standins.route("/new/", "idempotent", "plain")]
+        changed = standins.configuration(2, routes=routes, tenants=teams)
         site.store.put("op/config", changed)
         await _until(lambda: _routing(site).version == 2)
         assert (await site.ask("/book/x")).status == 401
@@ -410,7 +415,7 @@
     async def work(site: fakes.Site) -> None:
         fronts = {one.gateway.front for one in site.settings}
         url = f"http://{site.settings[0].gateway.directory}/cassiaquay/resolve"
-        query = {"name": fakes.HOST, "region": "r", "zone": "a"}
+        query = {"name": standins.HOST, "region": "r", "zone": "a"}
         while True:
             async with site.http.get(url, params=query) as response:
                 answer = await response.json()
@@ -429,12 +434,12 @@
     that it closes; readiness and the directory stop naming the instance.
     """
 
-    async def slow(request: fakes.Request, writer: fakes.Writer) -> None:
-        await fakes.begin(request, writer)
-        for until in range(1, fakes.PIECES + 1):
+    async def slow(request: raw_servers.Request, writer: raw_servers.Writer) -> None:
+        await standins.begin(request, writer)
+        for until in range(1, standins.PIECES + 1):
             bare = dict(request.headers)
             bare["last-event-id"] = str(until - 2)
-            await fakes.pieces(request._replace(headers=bare), writer, until)
+            await standins.pieces(request._replace(headers=bare), writer, until)
             await asyncio.sleep(0.1)
         writer.write(b"0\r\n\r\n")
 
@@ -447,7 +452,7 @@
         site.daemons[0]._stopping.set()
         await asyncio.sleep(0.1)
         for engine in site.engines:
-            engine.act = fakes.whole
+            engine.act = standins.whole
         late = await site.ask("/book/x")
         assert late.status == 200
         assert late.headers["connection"] == "close"
@@ -462,7 +467,7 @@
                     break
             await asyncio.sleep(0.02)
         got = await asking
-        assert (got.body, got.complete) == (fakes.stream(), True)
+        assert (got.body, got.complete) == (standins.stream(), True)
 
     fakes.run(work, 2)
 
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -4,21 +4,24 @@
 import contextlib
 
 import aiohttp
-import gateway_fakes as fakes
 import pytest
 
 from cassiaquay_daemon import exceptions
 from cassiaquay_daemon.platform import store
+from cassiaquay_dev import platform_standins as standins
+from cassiaquay_dev import raw_servers
 
 
-class Odd(fakes.Store):
+class Odd(standins.Store):
     """A store whose next answers are written by the test."""
 
     def __init__(self) -> None:
         super().__init__()
         self.raw: list[bytes | None] = []
 
-    async def respond(self, request: fakes.Request, writer: fakes.Writer) -> None:
+    async def respond(
+        self, request: raw_servers.Request, writer: raw_servers.Writer
+    ) -> None:
         """Write the next raw answer, or a usual one."""
         if not self.raw:
             await super().respond(request, writer)
