A fault soak of our own, and two faults that it and its writing found

Ruled out: the handler itself, which is there from the first turn of the loop. main.py now ignores the signal before it loads anything; the settings are read after. Test: test_a_reload_asked_for_while_the_modules_load_ends_nothing, which fails on the old entry point. Found while reading for it: refusals before a route, and callers that left, were logged but not counted; both are on the metrics page now, with a test.

--- a/packages/daemon/cassiaquay_daemon/daemon.py
+++ b/packages/daemon/cassiaquay_daemon/daemon.py
@@ -170,7 +170,8 @@
         admin_socket = bound[0][1]
         if self._gateway is not None:
             self._membership.http_address = settings.gateway.front
-            self._gateway.on_ended(noted.passed)
+            self._gateway.accounts.on_ended(noted.passed)
+            self._gateway.accounts.on_refused(noted.refused)
             self._gateway.start()
         else:
             bound.append(self._listen(callers.application(), settings.http_port))
--- a/packages/daemon/cassiaquay_daemon/gateway/accounts.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/accounts.py
@@ -2,10 +2,13 @@
 
 import collections.abc
 
-from .. import clock, reports
+from .. import clock, exceptions, reports
+from ..platform import headers
 from . import progress
 
 Note = collections.abc.Callable[[reports.Passed], None]
+# Gets the refusal, the caller's id of the request and its team, which is not known.
+RefusalNote = collections.abc.Callable[[exceptions.Refusal, str, str], None]
 
 
 class Accounts:
@@ -13,11 +16,26 @@
 
     def __init__(self) -> None:
         self._listeners: list[Note] = []
+        self._refusal_listeners: list[RefusalNote] = []
 
     def on_ended(self, note: Note) -> None:
         """Call ``note`` with each request that has ended."""
         self._listeners.append(note)
 
+    def on_refused(self, note: RefusalNote) -> None:
+        """Call ``note`` with each refusal that came before the request had a route."""
+        self._refusal_listeners.append(note)
+
+    def refused(self, facts: headers.Facts, refusal: exceptions.Refusal) -> None:
+        """Note a refusal of a request that has no route, key or sound body."""
+        for note in self._refusal_listeners:
+            note(refusal, facts.attempt, "")
+
+    def abandoned(self, known: progress.Progress) -> None:
+        """Note that a caller has gone before its request had ended."""
+        lost = exceptions.CallerGoneRunning if known.sent else exceptions.CallerGone
+        self.ended(known, lost.outcome or "not_run", lost.code, 0.0)
+
     def ended(
         self, known: progress.Progress, outcome: str, code: str, first_seconds: float
     ) -> None:
--- a/packages/daemon/cassiaquay_daemon/gateway/front.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/front.py
@@ -4,7 +4,7 @@
 
 from .. import clock, exceptions, logs
 from ..platform import headers
-from . import accepting, progress, replies, serving
+from . import accepting, accounts, progress, replies, serving
 
 
 class Front:
@@ -18,6 +18,8 @@
         Serves them.
     reply : Replies
         Told when this instance shuts down.
+    noted : Accounts
+        Told of requests that are refused before they have a route.
     """
 
     def __init__(
@@ -25,11 +27,13 @@
         accepted: accepting.Accepting,
         served: serving.Serving,
         reply: replies.Replies,
+        noted: accounts.Accounts,
     ):
         self.open_count = 0
         self._accepting = accepted
         self._serving = served
         self._replies = reply
+        self._accounts = noted
 
     @property
     def leaving(self) -> bool:
@@ -59,6 +63,7 @@
             call = await self._accepting.accept(scope, receive, facts, began_at)
         except exceptions.Refusal as refusal:
             replies.log_refused(facts, refusal, began_at)
+            self._accounts.refused(facts, refusal)
             await self._replies.refuse(send, refusal)
             return
         except replies.Gone:
@@ -83,6 +88,7 @@
         call = known.call
         if call.is_stream or call.route.is_repeatable or not known.sent:
             work.cancel()
+            self._accounts.abandoned(known)
         logs.event(
             "caller_gone",
             id=call.facts.attempt,
--- a/packages/daemon/cassiaquay_daemon/gateway/service.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/service.py
@@ -79,13 +79,20 @@
         self._membership = shared.membership
         self._parts = parts
         accepted = accepting.Accepting(shared.configured, shared.known)
-        self._front = front.Front(accepted, serving.Serving(parts), parts.reply)
+        self._front = front.Front(
+            accepted, serving.Serving(parts), parts.reply, parts.accounts
+        )
         self._directory = directory.Directory(
             settings, shared.membership, shared.configured, shared.pauses, self._front
         )
         self._servers: list[uvicorn.Server] = []
         self._serving: list[asyncio.Task[None]] = []
 
+    @property
+    def accounts(self) -> accounts.Accounts:
+        """What became of requests."""
+        return self._parts.accounts
+
     def start(self) -> None:
         """Listen on all addresses."""
         gateway = self._gateway
@@ -95,10 +102,6 @@
         if gateway.directory:
             self._listen(self._directory.directory(), gateway.directory)
 
-    def on_ended(self, note: accounts.Note) -> None:
-        """Call ``note`` with each request that has ended."""
-        self._parts.accounts.on_ended(note)
-
     def adopt(self, settings: settings_schema.Settings) -> None:
         """Take in changed settings: budgets and limits."""
         self._parts.budget.adopt(settings)
--- a/packages/daemon/cassiaquay_daemon/main.py
+++ b/packages/daemon/cassiaquay_daemon/main.py
@@ -1,55 +1,16 @@
-"""The command ``cassiaquayd``: run one instance from its settings file."""
+"""Entry point of a daemon; everything else is imported once signals are harmless."""
 
-import gc
-import pathlib
-import sys
-
-import fire
-import uvloop
-
-from cassiaquay_schema import exceptions as schema_exceptions
-from cassiaquay_schema import texts
-
-from . import daemon, logs, names, reloading
-from .platform import documents, store
-
-# Imported for what they register.
-ADAPTERS = (documents, store)
-
-BAD_SETTINGS = 2
-
-
-def serve(settings: str) -> None:
-    """Run one instance until it is told to stop.
-
-    Parameters
-    ----------
-    settings : str
-        Path of its settings, a TOML file; docs/CONFIGURATION.md lists the keys.
-    """
-    path = pathlib.Path(settings)
-    try:
-        found = texts.read_settings(path.read_text())
-        names.check_settings(found)
-    except (OSError, schema_exceptions.SchemaError) as error:
-        print(f"cassiaquayd: {settings}: {error}", file=sys.stderr)
-        raise SystemExit(BAD_SETTINGS) from error
-    logs.set_up(found)
-
-    # A full collection goes over every object and stops all streams meanwhile; what was
-    # loaded until here lives as long as the process and need not be looked at.
-    gc.collect()
-    gc.freeze()
-
-    async def run() -> None:
-        await daemon.Daemon(found, reloading.Reloading(path, found)).run()
-
-    uvloop.run(run())
+import importlib
+import signal
 
 
 def run() -> None:
-    """Read the command line."""
-    fire.Fire(serve, name="cassiaquayd")
+    """Run the daemon's command line."""
+    # Loading the modules takes a third of a second, and a reload asked for meanwhile
+    # would end the process before its own handler is there. Nothing is missed by
+    # ignoring it: the settings file is read after the modules.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    importlib.import_module("cassiaquay_daemon.command").run()
 
 
 if __name__ == "__main__":
--- a/packages/dev/cassiaquay_dev/raw_servers.py
+++ b/packages/dev/cassiaquay_dev/raw_servers.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import collections.abc
-import contextlib
 import socket
 import struct
 import typing
@@ -72,15 +71,18 @@
                 if work not in done:
                     self.closed_under.append(request.attempt)
                     work.cancel()
-                    await asyncio.gather(work, return_exceptions=True)
+                    await asyncio.gather(work, closed, return_exceptions=True)
                     return
-                await work
                 closed.cancel()
-                with contextlib.suppress(asyncio.CancelledError):
-                    if await closed:
-                        raise AssertionError("bytes between requests")
+                [early] = await asyncio.gather(closed, return_exceptions=True)
+                await work
+                if isinstance(early, bytes) and early:
+                    raise AssertionError("bytes between requests")
         except (ConnectionError, asyncio.IncompleteReadError):
             pass
+        except asyncio.CancelledError:
+            # Only `stop` cancels; a stream server prints a cancelled task's traceback.
+            return
         finally:
             writer.close()
 
--- /dev/null
+++ b/packages/dev/cassiaquay_dev/soak/engines.py
@@ -0,0 +1,147 @@
+"""Engines with slots, a queue and faults; every arrival is recorded."""
+
+import asyncio
+import random
+
+from .. import raw_servers
+from . import records
+
+SLOTS = 4
+QUEUE = 4
+# Work of a request: short against its bounds, so that an engine that is slow in a
+# fault is the exception and not the rule.
+WORK_SECONDS = 0.03
+GAP_SECONDS = 0.02
+EVENTS = 8
+SLOW = 8.0
+# What an engine may do wrong to one request.
+FAULTS = ("reset", "truncate", "extra", "silent", "error", "mid_event")
+
+
+class Engine(raw_servers.RawServer):
+    """One start of an engine.
+
+    Parameters
+    ----------
+    name, service : str
+        Its id, and the service that it belongs to.
+    seen : Records
+        Gets the arrivals.
+    chance : Random
+        Decides about faults.
+    """
+
+    def __init__(
+        self, name: str, service: str, seen: records.Records, chance: random.Random
+    ):
+        super().__init__()
+        self.name = name
+        self.service = service
+        self.faulty_share = 0.0
+        self.slow = 1.0
+        self._seen = seen
+        self._chance = chance
+        self._waiting = 0
+        self._slots = asyncio.Semaphore(SLOTS)
+
+    async def respond(
+        self, request: raw_servers.Request, writer: raw_servers.Writer
+    ) -> None:
+        """Answer one request."""
+        run = records.Run(self.name, self.service, request)
+        meant = request.headers.get("cassiaquay-expect-instance", self.name)
+        if not request.attempt or meant != self.name:
+            headers = {"Cassiaquay-Instance-Id": self.name}
+            await raw_servers.send(writer, 421, b"", headers)
+            return
+        self._seen.runs.append(run)
+        if self._slots.locked() and self._waiting >= QUEUE:
+            await raw_servers.send(writer, 503, b"", {"Cassiaquay-Not-Executed": "1"})
+            return
+        self._waiting += 1
+        try:
+            await self._slots.acquire()
+        finally:
+            self._waiting -= 1
+        try:
+            run.executed = True
+            await self._work(run, writer)
+        finally:
+            run.ended_at = records.now()
+            self._slots.release()
+
+    async def _work(self, run: records.Run, writer: raw_servers.Writer) -> None:
+        number = len(self._seen.runs)
+        run.seal = f"{run.request.attempt}.{number}"
+        run.status = 200
+        fault = ""
+        if self._chance.random() < self.faulty_share:
+            fault = self._chance.choice(FAULTS)
+            run.harmed = True
+        await asyncio.sleep(WORK_SECONDS * self.slow * self._chance.uniform(0.5, 2.0))
+        if fault == "error":
+            run.status = 500
+            await raw_servers.send(writer, 500, b"failed", _seal(run))
+            return
+        if fault == "silent":
+            await asyncio.sleep(60.0)
+        if fault == "reset":
+            raw_servers.reset(writer)
+            return
+        if self.service == "chat":
+            await self._stream(run, writer, fault)
+            return
+        body = body_of(run.seal)
+        if fault == "truncate":
+            head = f"HTTP/1.1 200 X\r\nContent-Length: {len(body)}\r\n"
+            head += "".join(
+                f"{name}: {value}\r\n" for name, value in _seal(run).items()
+            )
+            writer.write(f"{head}\r\n".encode() + body[:-3])
+            await writer.drain()
+            writer.close()
+            return
+        await raw_servers.send(writer, 200, body, _seal(run))
+        if fault == "extra":
+            writer.write(b"HTTP/1.1 200 X\r\nContent-Length: 5\r\n\r\nextra")
+
+    async def _stream(
+        self, run: records.Run, writer: raw_servers.Writer, fault: str
+    ) -> None:
+        head = "".join(f"{name}: {value}\r\n" for name, value in _seal(run).items())
+        head = f"HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n{head}\r\n"
+        writer.write(head.encode())
+        first = int(run.request.headers.get("last-event-id", "-1")) + 1
+        for number in range(first, EVENTS):
+            event = event_of(run.request.attempt, number)
+            if fault in ("truncate", "mid_event") and number >= EVENTS // 2:
+                part = event[:7] if fault == "mid_event" else b""
+                if part:
+                    writer.write(b"%x\r\n%b" % (len(event), part))
+                await writer.drain()
+                writer.close()
+                return
+            writer.write(b"%x\r\n%b\r\n" % (len(event), event))
+            await writer.drain()
+            await asyncio.sleep(GAP_SECONDS * self.slow)
+        writer.write(b"0\r\n\r\n")
+        if fault == "extra":
+            writer.write(b"HTTP/1.1 200 X\r\nContent-Length: 5\r\n\r\nextra")
+        await writer.drain()
+
+
+def body_of(seal: str) -> bytes:
+    """Return the body that an engine gives under a seal."""
+    return f"body under {seal}".encode() * 20
+
+
+def event_of(attempt: str, number: int) -> bytes:
+    """Return one event of the answer to an attempt."""
+    return b"id: %d\ndata: piece %d of %b\n\n" % (number, number, attempt.encode())
+
+
+def _seal(run: records.Run) -> dict[str, str]:
+    return {
+        "Cassiaquay-Attempt-Id": run.request.attempt,
+        "Cassiaquay-Response-Seal": run.seal,
+    }
--- /dev/null
+++ b/packages/dev/cassiaquay_dev/soak/exchange.py
@@ -0,0 +1,96 @@
+"""One HTTP exchange of a caller, byte by byte, on a kept or new connection."""
+
+import asyncio
+import typing
+
+from . import records
+
+
+class Connection:
+    """One connection of a caller to a daemon."""
+
+    def __init__(
+        self, address: str, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ):
+        self.address = address
+        self._reader = reader
+        self._writer = writer
+
+    @classmethod
+    async def open(cls, address: str, seconds: float) -> "Connection":
+        """Connect."""
+        host, _, port = address.rpartition(":")
+        async with asyncio.timeout(seconds):
+            reader, writer = await asyncio.open_connection(host, int(port))
+        return cls(address, reader, writer)
+
+    @property
+    def is_usable(self) -> bool:
+        """Whether the daemon has not closed it."""
+        return not (self._writer.is_closing() or self._reader.at_eof())
+
+    async def unasked(self) -> bytes:
+        """Return what has come without a request."""
+        try:
+            async with asyncio.timeout(0.0):
+                return await self._reader.read(1000)
+        except (TimeoutError, OSError):
+            return b""
+
+    async def send(self, head: str, body: bytes) -> None:
+        """Send a request."""
+        self._writer.write(head.encode() + body)
+        await self._writer.drain()
+
+    async def read(self, attempt: records.Attempt) -> bool:
+        """Read the answer into an attempt; return whether the connection stays."""
+        head = await self._reader.readuntil(b"\r\n\r\n")
+        lines = head.decode("latin-1").split("\r\n")
+        for line in lines[1:]:
+            name, _, value = line.partition(":")
+            attempt.headers[name.lower()] = value.strip()
+        attempt.status = int(lines[0].split(" ")[1])
+        if attempt.headers.get("transfer-encoding", "").lower() == "chunked":
+            await self._chunks(attempt)
+        else:
+            length = int(attempt.headers["content-length"])
+            attempt.answer = await self._reader.readexactly(length)
+        attempt.complete = True
+        return attempt.headers.get("connection", "").lower() != "close"
+
+    async def _chunks(self, attempt: records.Attempt) -> None:
+        while True:
+            line = await self._reader.readuntil(b"\r\n")
+            size = int(line, 16)
+            data = await self._reader.readexactly(size + 2)
+            attempt.answer += data[:-2]
+            if not size:
+                return
+
+    def close(self) -> None:
+        """Close it."""
+        self._writer.close()
+
+
+class Resolved(typing.NamedTuple):
+    """Addresses of daemons, and how long they hold."""
+
+    addresses: list[str]
+    until: float
+
+
+async def get(address: str, target: str, seconds: float) -> records.Attempt | None:
+    """Ask a daemon something; return None when it gives no whole answer."""
+    found = records.Attempt("", "get", target, "", b"")
+    try:
+        async with asyncio.timeout(seconds):
+            connection = await Connection.open(address, seconds)
+            try:
+                head = f"GET {target} HTTP/1.1\r\nHost: {address}\r\n"
+                await connection.send(f"{head}Connection: close\r\n\r\n", b"")
+                await connection.read(found)
+            finally:
+                connection.close()
+    except (OSError, TimeoutError, asyncio.IncompleteReadError, ValueError):
+        return None
+    return found
--- a/tests/gateway_fakes.py
+++ b/tests/gateway_fakes.py
@@ -67,6 +67,7 @@
             instance=name,
             domain="a",
             keys=["key"],
+            open_metrics=True,
             peer_listen=peer,
             seeds=seeds,
             platform=settings_schema.Platform(
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -383,6 +383,29 @@
     fakes.run(work)
 
 
+def test_refusals_before_a_route_and_callers_that_left_are_counted() -> None:
+    """A caller shows an unknown key; another one leaves while its server is silent.
+
+    On-call engineers see both on the metrics page, each with its code.
+    """
+
+    async def work(site: fakes.Site) -> None:
+        assert (await site.ask("/book/x", Api_Key="unknown")).status == 401
+        site.let(_silent)
+        with pytest.raises(TimeoutError):
+            async with asyncio.timeout(0.3):
+                await site.ask("/safe/x")
+        admin = site.daemons[0]._membership.admin_address
+        async with site.http.get(f"http://{admin}/metrics") as response:
+            page = await response.text()
+        assert 'cassiaquay_early_refusals_total{code="unauthorized"} 1' in page
+        [line] = [line for line in page.splitlines() if "caller_gone_running" in line]
+        assert line.startswith("cassiaquay_requests_total{")
+        assert line.endswith(" 1")
+
+    fakes.run(work)
+
+
 def test_an_instance_that_may_be_behind_says_not_now() -> None:
     """The store answers nobody; a key that is unknown here may be new.
 
--- a/tests/test_reloading.py
+++ b/tests/test_reloading.py
@@ -1,6 +1,9 @@
 """Settings files that change while the process serves."""
 
 import pathlib
+import signal
+import subprocess
+import sys
 
 from cassiaquay_daemon import reloading
 from cassiaquay_schema import settings as settings_schema
@@ -51,3 +54,31 @@
     path.write_text(TEXT.replace("10.0.0.1:1", "10.0.0.2:1"))
     file.look()
     assert [found.seeds for found in taken] == [["10.0.0.2:1"]]
+
+
+EARLY = """
+import signal, sys, types
+import cassiaquay_daemon.main as entry
+
+class Command(types.ModuleType):
+    def run(self):
+        print(signal.getsignal(signal.SIGHUP) is signal.SIG_IGN)
+
+heavy = [name for name in ("uvloop", "aiohttp", "msgspec") if name in sys.modules]
+print(heavy)
+sys.modules["cassiaquay_daemon.command"] = Command("command")
+entry.run()
+"""
+
+
+def test_a_reload_asked_for_while_the_modules_load_ends_nothing() -> None:
+    """A process is started again and its settings change in the same moment.
+
+    The signal comes before the process has loaded what would handle it. By default it
+    ends the process, and callers that were just sent there are refused.
+    """
+    done = subprocess.run(
+        [sys.executable, "-c", EARLY], capture_output=True, text=True, check=True
+    )
+    assert done.stdout.split() == ["[]", "True"]
+    assert signal.getsignal(signal.SIGHUP) is not signal.SIG_IGN
