--- a/packages/daemon/cassiaquay_daemon/demands.py
+++ b/packages/daemon/cassiaquay_daemon/demands.py
@@ -168,6 +168,7 @@
         self._local = _Local(settings.instance, self)
         self._pending: dict[str, Pending] = {}
         self._outstanding: dict[str, dict[str, Sent]] = {}
+        self._anything_out = asyncio.Event()
         self._lengths = lengths.Lengths()
         self._signs: dict[str, float] = {}
         self._keepers: dict[str, str] = {}
@@ -225,6 +226,7 @@
     ) -> None:
         """Note that a permission is in use; its lease is renewed from now on."""
         self._outstanding.setdefault(shard, {})[item.id] = Sent(item, answer)
+        self._anything_out.set()
 
     def release(self, message: messages.Release) -> None:
         """Tell the keeper that a dispatched request has ended."""
@@ -271,6 +273,8 @@
     async def report(self) -> None:
         """Tell keepers of dispatches and first events for ever."""
         while True:
+            # An instance that has nothing out sleeps: most do, most of the time.
+            await self._anything_out.wait()
             await asyncio.sleep(PROGRESS_SECONDS)
             for shard in list(self._outstanding):
                 self._report(shard)
@@ -312,6 +316,8 @@
             self._tell(shard, self._renewal(shard))
             return
         del self._outstanding[shard]
+        if not self._outstanding:
+            self._anything_out.clear()
 
     def _estimated(self, demand: messages.Demand) -> messages.Demand:
         return demand._replace(
--- a/packages/daemon/cassiaquay_daemon/members.py
+++ b/packages/daemon/cassiaquay_daemon/members.py
@@ -340,9 +340,12 @@
             if link is not None:
                 found.append(link)
         # Whoever chose this instance gets heartbeats back on the same link: else one
-        # that happens to be chosen by nobody would send and never hear anything.
-        for instance, link in self._watching.links.items():
-            if instance not in chosen and not link.closing:
+        # that happens to be chosen by nobody would send and never hear anything. Not
+        # on links that were dialled from here, for a choice that is over: both would
+        # take the other's answer for a choice and go on for ever, and after a start
+        # half the fleet would exchange heartbeats with the other half.
+        for link in self._watching.callers():
+            if link.instance not in chosen:
                 found.append(link)
         return found
 
--- a/packages/daemon/cassiaquay_daemon/peers.py
+++ b/packages/daemon/cassiaquay_daemon/peers.py
@@ -42,9 +42,17 @@
     ----------
     reader, writer
         The streams of the connection.
+    dialled : bool
+        Whether this instance opened it.
     """
 
-    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter):
+    def __init__(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        dialled: bool = False,
+    ):
+        self.dialled = dialled
         self.instance = ""
         self.incarnation = ""
         self._reader = reader
@@ -202,7 +210,7 @@
             self._failed_at[instance] = clock.now()
             await asyncio.sleep(REDIAL_SECONDS)
             return
-        link = Link(reader, writer)
+        link = Link(reader, writer, dialled=True)
         try:
             async with asyncio.timeout(HANDSHAKE_SECONDS):
                 await self._prove(link, True)
--- a/packages/daemon/cassiaquay_daemon/servers.py
+++ b/packages/daemon/cassiaquay_daemon/servers.py
@@ -118,8 +118,9 @@
     async def read(self) -> None:
         """Read the list whenever nobody else has lately, for ever."""
         while True:
-            if self.age < self._patience():
-                await asyncio.sleep(TICK_SECONDS)
+            left = self._patience() - self.age
+            if left > 0.0:
+                await asyncio.sleep(max(left, TICK_SECONDS))
                 continue
             if not await self.read_once():
                 await asyncio.sleep(RETRY_SECONDS)
--- a/packages/daemon/cassiaquay_daemon/watching.py
+++ b/packages/daemon/cassiaquay_daemon/watching.py
@@ -59,10 +59,15 @@
         """Names of those whose heartbeats are expected here."""
         return sorted(self._beats)
 
-    @property
-    def links(self) -> dict[str, peers.Link]:
-        """The links that brought the last heartbeats, by instance."""
-        return self._links
+    def callers(self) -> list[peers.Link]:
+        """Return the links on which others, who dialled them, send heartbeats."""
+        found = []
+        for instance, link in self._links.items():
+            if link.dialled or link.closing:
+                continue
+            if self._silence(instance) < self._settings.suspect_after:
+                found.append(link)
+        return found
 
     def beat(self, link: peers.Link) -> None:
         """Note a heartbeat."""
@@ -119,6 +124,9 @@
                 self._ask(name)
                 continue
             if now - self._probes[name] < patience:
+                # Again: a helper that had no connection from here has not got the
+                # question, and its silence would count as "not heard there either".
+                self._ask(name)
                 continue
             del self._probes[name]
             del self._beats[name]
--- a/packages/dev/cassiaquay_dev/soak/site.py
+++ b/packages/dev/cassiaquay_dev/soak/site.py
@@ -1,6 +1,7 @@
 """The deployment of a soak: store, engines, daemons, and proxies between them."""
 
 import asyncio
+import collections.abc
 import pathlib
 import random
 import signal
@@ -66,11 +67,17 @@
 class Daemon:
     """One daemon process and the proxies around it."""
 
-    def __init__(self, name: str, folder: pathlib.Path, store: str):
+    def __init__(
+        self,
+        name: str,
+        folder: pathlib.Path,
+        store: str,
+        ports: collections.abc.Iterator[int],
+    ):
         self.name = name
         self.lives = 0
         self.wanted = False
-        self.addresses = {use: f"127.0.0.1:{_free_port()}" for use in LISTENERS}
+        self.addresses = {use: f"127.0.0.1:{next(ports)}" for use in LISTENERS}
         self.front = proxies.Proxy(self.addresses["front"])
         self.peer = proxies.Proxy(self.addresses["peer"])
         self.store = proxies.Proxy(store)
@@ -161,8 +168,10 @@
         for number in range(self.settings.engines):
             await self.add_engine("chat" if number % 2 else "plain")
         self.publish()
+        ports = _free_ports()
         for number in range(self.settings.daemons):
-            made = Daemon(f"cq-{number + 1}", self._folder, self.store.address)
+            name = f"cq-{number + 1}"
+            made = Daemon(name, self._folder, self.store.address, ports)
             self.daemons.append(made)
             for proxy in made.proxies:
                 await proxy.start()
@@ -172,6 +181,8 @@
         async with asyncio.timeout(READY_SECONDS):
             for one in self.daemons:
                 while not await one.is_ready():
+                    if not one.is_running:
+                        raise processes.StartFault(f"{one.name} has ended")
                     await asyncio.sleep(0.05)
         for one in self.daemons:
             one.file.write_text(self._text(one, first=False))
@@ -323,15 +334,16 @@
     return bool(handled >> (number - 1) & 1)
 
 
-def _free_port() -> int:
-    """Return a port that nobody listens on, and that no connection is given."""
-    while True:
-        port = random.SystemRandom().randrange(*PORTS)
+def _free_ports() -> collections.abc.Iterator[int]:
+    """Yield ports that nobody listens on, each once."""
+    chance = random.SystemRandom()
+    for port in chance.sample(range(*PORTS), PORTS[1] - PORTS[0]):
         try:
             with socket.create_server(("127.0.0.1", port)):
-                return port
+                pass
         except OSError:
             continue
+        yield port
 
 
 def run(work: typing.Coroutine[typing.Any, typing.Any, typing.Any]) -> typing.Any:
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -79,6 +79,29 @@
     asyncio.run(run())
 
 
+def test_helpers_without_a_connection_are_asked_too() -> None:
+    """Callers keep being sent to both ends of a broken connection in a larger fleet.
+
+    Of twelve instances each has connections to a few. One misses another's heartbeats
+    and asks helpers that it has to dial first.
+    """
+
+    async def run() -> None:
+        async with fleets.fleet() as fleet:
+            lives = await fleet.add_many(12, neighbours=2, suspect_after=0.6)
+            await fleet.agree()
+            await asyncio.sleep(1.5)
+            one = lives[0]
+            other = fleet.lives[next(iter(one.membership.neighbours()))]
+            light.separate(one, other)
+            for _ in range(60):
+                await asyncio.sleep(0.03)
+                views = [life.view for life in fleet.lives.values()]
+                assert views == [set(fleet.lives)] * 12
+
+    asyncio.run(run())
+
+
 def test_two_sides_of_a_partition_find_each_other_again() -> None:
     """Callers of each side are sent to that side only, then to all again.
 
@@ -203,6 +226,35 @@
     asyncio.run(run())
 
 
+def test_choices_that_are_over_are_not_kept_alive() -> None:
+    """Callers of a large fleet do not pay for heartbeats that nobody asked for.
+
+    While 24 instances start, each chooses others as it hears of them. Once all are
+    known, heartbeats go to the three that are chosen, and to those that chose it.
+    """
+
+    async def run() -> None:
+        async with fleets.fleet() as fleet:
+            await fleet.add_many(24, neighbours=3, period=0.1, suspect_after=0.8)
+            await fleet.agree()
+            chose: dict[str, set[str]] = collections.defaultdict(set)
+            for name, one in fleet.lives.items():
+                for other in one.membership.neighbours():
+                    chose[name].add(other)
+                    chose[other].add(name)
+
+            def asked() -> bool:
+                for name, one in fleet.lives.items():
+                    used = {link.instance for link in one.membership._links_to_use()}
+                    if used != chose[name]:
+                        return False
+                return True
+
+            await light.until(asked, 10)
+
+    asyncio.run(run())
+
+
 def test_ranks_of_neighbours_leave_nobody_out() -> None:
     """Each of 380 hears at least the 8 that it chose; few have many more links."""
     names = [f"cq-{number}" for number in range(380)]
