Keep servers in their shards while others come and go

A pool of more than 16 servers is split into shards with a keeper each. Cause, by reading: servers were dealt out in turns by their place in the sorted list, so one that came or went moved half of all others to keepers that know nothing of what runs on them; requests went evenly to shards of uneven size. Engines of the grown sites flap. Now each server goes to the shard that its own name favours while that has room, the number of shards is a power of two, and requests go to shards by their number of servers.

--- a/packages/daemon/cassiaquay_daemon/dispatching.py
+++ b/packages/daemon/cassiaquay_daemon/dispatching.py
@@ -18,7 +18,6 @@
     logs,
     pause,
     prefixes,
-    rendezvous,
     table,
 )
 
@@ -303,12 +302,10 @@
 
 def _demand(entry: entries.Entry, avoid: list[str]) -> messages.Demand:
     accepted = entry.accepted
-    count = accepted.snapshot.shard_count(accepted.pool)
     key = accepted.body.session or accepted.body.prompt[:256]
-    number = int(rendezvous.first(key, [str(index) for index in range(count)]))
     return messages.Demand(
         accepted.id.text,
-        f"{accepted.pool}#{number}",
+        accepted.snapshot.shard_of(accepted.pool, key),
         accepted.service,
         accepted.team,
         accepted.rank,
--- a/packages/daemon/cassiaquay_daemon/gateway/admission.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/admission.py
@@ -5,7 +5,7 @@
 
 from cassiaquay_schema import fleet, messages
 
-from .. import clock, demands, exceptions, logs, members, rendezvous
+from .. import clock, demands, exceptions, logs, members
 from . import calls
 
 # Retry-After while no server of a service is known: registrations are read again
@@ -170,13 +170,11 @@
     call: calls.Call, number: int, refused: list[str], tried: list[str]
 ) -> messages.Demand:
     facts = call.facts
-    count = max(call.snapshot.shard_count(call.service), 1)
     key = str(facts.parts[-1].key) if facts.parts else facts.attempt
-    shard = int(rendezvous.first(key, [str(index) for index in range(count)]))
     name = facts.attempt if number == 1 else f"{facts.attempt}.{number}"
     return messages.Demand(
         name,
-        f"{call.service}#{shard}",
+        call.snapshot.shard_of(call.service, key),
         call.service,
         call.team_name,
         call.rank,
--- a/packages/daemon/cassiaquay_daemon/snapshots.py
+++ b/packages/daemon/cassiaquay_daemon/snapshots.py
@@ -1,7 +1,10 @@
 """One accepted configuration, indexed for use. Requests keep the one they came with."""
 
+import collections
 import collections.abc
+import functools
 import hashlib
+import math
 import typing
 
 import msgspec
@@ -9,9 +12,14 @@
 from cassiaquay_schema import exceptions, registry, texts
 from cassiaquay_schema import fleet as fleet_schema
 
-from . import backends, routing
+from . import backends, rendezvous, routing
 
+# A keeper weighs every server of its shard for every request; this many keep it within
+# a few hundredths of a core at the loads of docs/CAPACITY.md.
 SHARD_SERVERS = 16
+# A shard takes at most this much more than its even part of the servers: enough that
+# a server which comes or goes moves hardly any other one.
+SHARD_ROOM = 1.1
 
 
 class Snapshot(typing.NamedTuple):
@@ -43,8 +51,11 @@
         return self.teams_by_credential.get(digest)
 
     def shard_count(self, pool: str) -> int:
-        """Return the number of shards of a pool."""
-        return -(-len(self.fleet.pools[pool].servers) // SHARD_SERVERS)
+        """Return the number of shards of a pool, a power of two."""
+        # Requests and servers are spread anew when it changes; doubling keeps it the
+        # same while servers come and go.
+        needed = -(-len(self.fleet.pools[pool].servers) // SHARD_SERVERS)
+        return 1 << (needed - 1).bit_length() if needed else 0
 
     def shard_servers(self, shard: str) -> list[fleet_schema.Server]:
         """Return the backend servers of a shard such as ``tutor#0``."""
@@ -55,7 +66,22 @@
         if int(number) >= count:
             return []
         servers = sorted(self.fleet.pools[pool].servers, key=_name)
-        return servers[int(number) :: count]
+        numbers = _assign(tuple(server.name for server in servers), count)
+        found = []
+        for server, chosen in zip(servers, numbers, strict=True):
+            if chosen == int(number):
+                found.append(server)
+        return found
+
+    def shard_of(self, pool: str, key: str) -> str:
+        """Return the shard that serves a key, each as often as it has servers."""
+        names = tuple(sorted(server.name for server in self.fleet.pools[pool].servers))
+        count = self.shard_count(pool)
+        if count <= 1:
+            return f"{pool}#0"
+        numbers = _assign(names, count)
+        weights = {str(number): float(numbers.count(number)) for number in set(numbers)}
+        return f"{pool}#{rendezvous.weighted(key, weights)}"
 
     def server(self, pool: str, name: str) -> fleet_schema.Server | None:
         """Return a backend server by name."""
@@ -92,6 +118,28 @@
     return Snapshot(revision, text, found, credentials)
 
 
+@functools.lru_cache(maxsize=64)
+def _assign(names: tuple[str, ...], count: int) -> list[int]:
+    """Return the number of the shard of each server.
+
+    A server that moved to another shard would meet a keeper that knows nothing of what
+    runs on it, and get more than its share. So each goes to the shard that its own name
+    favours, as long as that one has room.
+    """
+    shards = [str(number) for number in range(count)]
+    most = math.ceil(len(names) / count * SHARD_ROOM) if count > 1 else len(names)
+    taken: collections.Counter[str] = collections.Counter()
+    found = []
+    for name in names:
+        for shard in rendezvous.rank(name, shards):
+            if taken[shard] >= most:
+                continue
+            taken[shard] += 1
+            found.append(int(shard))
+            break
+    return found
+
+
 def _name(server: fleet_schema.Server) -> str:
     return server.name
 
