Start a daemon with a fifth less processor time

The HTTP client's library loads the machine's certificate store when it is imported, which no connection here needs: import of the daemon 0.43 s of processor time, 0.35 s without. Modules are compiled for good at the build.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -13,3 +13,6 @@
 cp -R packages/schema packages/daemon target/packages/
 python3 -m pip install -q -U --no-deps --target "$packages" \
   target/packages/schema target/packages/daemon
+# A process must not compile modules again where times of files have changed on the way
+# to its machine: it cannot write there, so each start would.
+python3 -m compileall -q -f --invalidation-mode unchecked-hash "$packages"
--- a/packages/daemon/cassiaquay_daemon/main.py
+++ b/packages/daemon/cassiaquay_daemon/main.py
@@ -1,8 +1,12 @@
 """Entry point of a daemon; everything else is imported once signals are harmless."""
 
 import importlib
+import os
 import signal
 
+# Variables from which OpenSSL takes the certificate store.
+CERTIFICATES = ("SSL_CERT_FILE", "SSL_CERT_DIR")
+
 
 def run() -> None:
     """Run the daemon's command line."""
@@ -10,6 +14,11 @@
     # would end the process before its own handler is there. Nothing is missed by
     # ignoring it: the settings file is read after the modules.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    # The HTTP client's library loads the machine's certificate store when it is
+    # imported: 80 of 430 ms of processor time at each start (`time` of the import, with
+    # and without). All connections here are without TLS.
+    for name in CERTIFICATES:
+        os.environ.setdefault(name, os.devnull)
     importlib.import_module("cassiaquay_daemon.command").run()
 
 
--- a/tests/test_reloading.py
+++ b/tests/test_reloading.py
@@ -5,10 +5,14 @@
 import subprocess
 import sys
 
-from cassiaquay_daemon import reloading
+from cassiaquay_daemon import keeper, reloading
+from cassiaquay_daemon.platform import store
 from cassiaquay_schema import settings as settings_schema
 from cassiaquay_schema import texts
 
+# Imported for what they register.
+REGISTERED = (keeper, store)
+
 TEXT = """
 instance = "cq-1"
 domain = "a"
