Tell a tier that is held back when its time has passed; shorter holds between shards

Cause: while a more important tier is shed in any of four shards, the pass over the queue ended at the first tier held back, and nobody behind it was granted or refused. 381 sheds held tiers back for a second each. Now those whose objective has passed are refused there, without renewing the floor that holds them, and a hold between shards lasts 0.4 s, not 1 s. The two new tests fail before.

--- a/packages/daemon/cassiaquay_daemon/floors.py
+++ b/packages/daemon/cassiaquay_daemon/floors.py
@@ -13,10 +13,12 @@
 
 from . import clock, members, peers, shards, snapshots
 
-HOLD_SECONDS = 1.0
+# Lower tiers get no slot anywhere for so long after a request was shed: the time that
+# the policies hold them back in the shard itself, and the way there and back.
+HOLD_SECONDS = 0.4
 # A floor is asked for again when so much of it is left, so that a long overload does
-# not wait for answers each second.
-RENEW_SECONDS = 0.5
+# not wait for answers each time.
+RENEW_SECONDS = 0.2
 # Whoever does not answer is cut off or dead. A request that is given up gets its answer
 # at once, not when the partition heals.
 PATIENCE_SECONDS = 0.2
--- a/packages/daemon/cassiaquay_daemon/objectives.py
+++ b/packages/daemon/cassiaquay_daemon/objectives.py
@@ -153,7 +153,8 @@
         ahead = 0
         for rank in sorted(self._tiers):
             if self._shard.held_back(rank):
-                return
+                self._settle_held(rank, ahead, now)
+                continue
             order = self._in_order(rank)
             near = order[: max(MOST_LOOKED - looked, 0)]
             looked += len(near)
@@ -259,6 +260,29 @@
                 ahead += 1
         return ahead
 
+    def _settle_held(self, rank: int, ahead: int, now: float) -> None:
+        """Shed those of a tier that is held back whose time has passed.
+
+        Nobody knows when the tier gets slots again. Whoever waits there in vain until
+        its caller leaves could have come back meanwhile.
+        """
+        for queue in self._tiers[rank].values():
+            for request_id in list(queue.ids):
+                if now + MARGIN_SECONDS <= self._late_at[request_id]:
+                    continue
+                waiting = self._shard.queue[request_id]
+                seconds = self._wait_seconds(rank, ahead) * self._patience_of(rank)
+                # The floor that is there stays as it is: renewed by those whom it
+                # holds back, it would never end.
+                self._shard.hold_back(rank, now + FLOOR_SECONDS)
+                self._shard.shed(
+                    waiting, "shed_overload", shedding.retry_after_ms(seconds)
+                )
+
+    def _patience_of(self, rank: int) -> float:
+        """Return by how much longer callers of a rank are told to stay away."""
+        return 1.0 + RANK_FACTOR * sorted(self._tiers).index(rank)
+
     def _is_over(self, waiting: shards.Waiting, now: float) -> bool:
         patience = waiting.arrived_at + PATIENCE_SECONDS
         return now > min(patience, waiting.deadline)
@@ -268,9 +292,7 @@
         rank = waiting.demand.rank
         if not self._shard.may_shed(rank):
             return False
-        place = sorted(self._tiers).index(rank)
-        seconds = wait * (1.0 + RANK_FACTOR * place)
-        retry_after_ms = shedding.retry_after_ms(seconds)
+        retry_after_ms = shedding.retry_after_ms(wait * self._patience_of(rank))
         # Whoever sees this tier shed must not see a lower one served meanwhile.
         self._shard.raise_floor(rank, now + FLOOR_SECONDS, retry_after_ms)
         self._shard.shed(waiting, "shed_overload", retry_after_ms)
--- a/tests/test_objectives.py
+++ b/tests/test_objectives.py
@@ -300,3 +300,34 @@
     bench = Bench(time, {"a": 1, "b": 1})
     found = bench.policy.explain(fakes.demand("x"))
     assert {item.server for item in found} == {"a", "b"}
+
+
+def test_a_tier_that_is_held_back_is_told_when_its_time_has_passed(time) -> None:
+    """Another shard sheds an urgent tier for seconds; this one has free slots.
+
+    The lower tier gets none of them meanwhile. A caller of it that waits until it
+    leaves has waited for nothing: it is told to come back once it cannot be in time.
+    """
+    bench = Bench(time, {"a": 4})
+    bench.shard.hold_back(0, time.now + 5.0)
+    name = bench.demand(rank=1)
+    bench.serve()
+    assert name not in bench.owner.sheds()
+    time.now += 0.45
+    bench.serve()
+    assert name in bench.owner.sheds()
+    assert not bench.owner.permits()
+
+
+def test_whoever_is_held_back_does_not_make_the_hold_longer(time) -> None:
+    """The hold of the urgent tier ends; the lower tier gets slots at once."""
+    bench = Bench(time, {"a": 4})
+    bench.shard.hold_back(0, time.now + 1.0)
+    bench.demand(rank=1)
+    time.now += 0.9
+    bench.serve()
+    assert bench.owner.sheds()
+    time.now += 0.15
+    name = bench.demand(rank=1)
+    bench.serve()
+    assert name in bench.owner.permits()
