--- a/packages/cli/cassiaquay_cli/main.py
+++ b/packages/cli/cassiaquay_cli/main.py
@@ -16,10 +16,11 @@
     outputs,
     status,
     top,
+    trace,
 )
 
 # Importing a command's module registers it.
-MODULES = (burn, check, diff, drain, explain, history, status, top)
+MODULES = (burn, check, diff, drain, explain, history, status, top, trace)
 
 
 def run() -> None:
