Tell callers of a tier at once when its hold has outlasted what they can wait

Cause: in a hold that goes on for seconds each new request of a lower tier waits out its whole objective before it is told. A hold that has lasted longer than a request can wait refuses new ones at once; shorter ones, which most are, still let them wait.

--- a/packages/daemon/cassiaquay_daemon/objectives.py
+++ b/packages/daemon/cassiaquay_daemon/objectives.py
@@ -91,6 +91,8 @@
         self._paces: dict[str, tuple[int, pace.Pace]] = {}
         self._arrivals = arrivals.Arrivals()
         self._late_at: dict[str, float] = {}
+        # Since when each rank has been held back without a break.
+        self._held_since: dict[int, float] = {}
         # In how many seconds slots come free, as reckoned in this pass.
         self._free_at: list[float] = []
         shard.observe(self)
@@ -153,8 +155,10 @@
         ahead = 0
         for rank in sorted(self._tiers):
             if self._shard.held_back(rank):
+                self._held_since.setdefault(rank, now)
                 self._settle_held(rank, ahead, now)
                 continue
+            self._held_since.pop(rank, None)
             order = self._in_order(rank)
             near = order[: max(MOST_LOOKED - looked, 0)]
             looked += len(near)
@@ -261,16 +265,19 @@
         return ahead
 
     def _settle_held(self, rank: int, ahead: int, now: float) -> None:
-        """Shed those of a tier that is held back whose time has passed.
+        """Shed those of a tier that is held back who wait there in vain.
 
-        Nobody knows when the tier gets slots again. Whoever waits there in vain until
-        its caller leaves could have come back meanwhile.
+        Most holds are short, and what waits is then served in time. One that has
+        lasted for longer than a request can wait will most likely outlast it too: its
+        caller is told at once, and others when their time has passed.
         """
         for queue in self._tiers[rank].values():
             for request_id in list(queue.ids):
-                if now + MARGIN_SECONDS <= self._late_at[request_id]:
-                    continue
                 waiting = self._shard.queue[request_id]
+                late_at = self._late_at[request_id]
+                lasts = now - self._held_since[rank] > late_at - waiting.arrived_at
+                if now + MARGIN_SECONDS <= late_at and not lasts:
+                    continue
                 seconds = self._wait_seconds(rank, ahead) * self._patience_of(rank)
                 # The floor that is there stays as it is: renewed by those whom it
                 # holds back, it would never end.
--- a/packages/dev/cassiaquay_dev/soak/callers.py
+++ b/packages/dev/cassiaquay_dev/soak/callers.py
@@ -131,6 +131,8 @@
                 attempt.daemon = front.name
                 attempt.life = self._lives(front.name)
                 attempt.sent_at = records.now()
+                # To find an address and connect may have taken a while.
+                left = attempt.deadline - attempt.sent_at
                 await connection.send(_head(attempt, left), attempt.body)
                 kept = await connection.read(attempt)
         except TimeoutError:
--- a/tests/test_objectives.py
+++ b/tests/test_objectives.py
@@ -331,3 +331,23 @@
     name = bench.demand(rank=1)
     bench.serve()
     assert name in bench.owner.permits()
+
+
+def test_a_hold_that_lasts_is_told_at_once(time) -> None:
+    """The urgent tier has been shed for longer than a request can wait.
+
+    Who comes now would be told the same when its time has passed; told at once, its
+    caller can come back while there is time left.
+    """
+    bench = Bench(time, {"a": 4})
+    bench.shard.hold_back(0, time.now + 5.0)
+    bench.demand(rank=1)
+    bench.serve()
+    time.now += 0.5
+    name = bench.demand(rank=1)
+    bench.serve()
+    assert name in bench.owner.sheds()
+    time.now += 5.0
+    name = bench.demand(rank=1)
+    bench.serve()
+    assert name in bench.owner.permits()
