--- a/Makefile
+++ b/Makefile
@@ -22,7 +22,7 @@
 	touch $@
 
 demo: setup
-	$(PYTHON) -m cassiaquay_dev.demo
+	$(PYTHON) -m cassiaquay_dev.demo $(ARGS)
 
 up: setup
 	$(PYTHON) -m cassiaquay_dev.up $(ARGS)
--- a/packages/dev/cassiaquay_dev/demo.py
+++ b/packages/dev/cassiaquay_dev/demo.py
@@ -11,7 +11,16 @@
 import fire
 import numpy
 
-from . import checker, cluster, deployments, driver, engine_stream, history, workloads
+from . import (
+    checker,
+    cluster,
+    deployments,
+    driver,
+    engine_stream,
+    gateway_demo,
+    history,
+    workloads,
+)
 
 COLUMNS = (
     "tier         sent  in time  late  not run  unknown  failed   p50 s   p95 s"
@@ -132,9 +141,15 @@
 
 
 def main(
-    seconds: float = 15.0, rate: float = 12.0, daemons: int = 3, seed: int = 1
+    seconds: float = 15.0,
+    rate: float = 12.0,
+    daemons: int = 3,
+    seed: int = 1,
+    path: str = "own",
 ) -> None:
-    """Run the demonstration and exit with its verdict."""
+    """Run the demonstration and exit with its verdict; ``path`` own or gateway."""
+    if path == "gateway":
+        sys.exit(gateway_demo.run(seconds, rate, daemons))
     sys.exit(asyncio.run(demo(seconds, rate, daemons, seed)))
 
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from cassiaquay_dev import raw_servers
+from cassiaquay_dev import gateway_demo, raw_servers
 from cassiaquay_dev.soak import checks, engines, exchange, main, proxies, records, site
 
 START = 1000.0
@@ -276,3 +276,11 @@
     assert not outcome.findings
     assert sum(outcome.faults.values()) > 0
     assert outcome.served > 0
+
+
+def test_the_demonstration_of_the_gateway_keeps_its_promises(capsys) -> None:
+    """A daemon is stopped as planned and started again; no caller loses anything."""
+    assert gateway_demo.run(seconds=3.0, rate=20.0, daemons=2) == 0
+    shown = capsys.readouterr().out
+    assert "0 promises broken" in shown
+    assert "book" in shown
