--- a/packages/cli/cassiaquay_cli/trace.py
+++ b/packages/cli/cassiaquay_cli/trace.py
@@ -56,33 +56,33 @@
 
 @causes.register("shed_overload")
 def _shed(story: Story) -> str:
-    for line in reversed(story):
-        if line.event == "shed":
-            fields = line.fields
-            return (
-                f"no slot in time in {fields.get('shard')} for rank "
-                f"{fields.get('rank')}, given up by {line.instance} after "
-                f"{fields.get('waited_ms')} ms; nothing was sent"
-            )
-    return "no slot in time; the keeper's own line is not in these files"
+    line = _last(story, "shed")
+    if line is None:
+        return "no slot in time; the keeper's own line is not in these files"
+    fields = line.fields
+    return (
+        f"no slot in time in {fields.get('shard')} for rank {fields.get('rank')}, "
+        f"given up by {line.instance} after {fields.get('waited_ms')} ms; "
+        "nothing was sent"
+    )
 
 
 @causes.register("answer_lost")
 def _answer_lost(story: Story) -> str:
-    for line in reversed(story):
-        if line.event == "answer_cut":
-            fields = line.fields
-            return (
-                f"{fields.get('server')} broke off after event {fields.get('after')} "
-                f"({fields.get('cause')}) and it could not be sent again"
-            )
-    return "a server broke off; its line is not in these files"
+    line = _last(story, "answer_cut")
+    if line is None:
+        return "a server broke off; its line is not in these files"
+    fields = line.fields
+    return (
+        f"{fields.get('server')} broke off after event {fields.get('after')} "
+        f"({fields.get('cause')}) and it could not be sent again"
+    )
 
 
 @causes.register("deadline_exceeded")
 def _deadline(story: Story) -> str:
-    sent = [line for line in story if line.event == "dispatch"]
-    server = sent[-1].fields.get("server") if sent else "no server"
+    sent = _last(story, "dispatch")
+    server = sent.fields.get("server") if sent is not None else "no server"
     return f"{server} had it and gave no whole answer before the deadline"
 
 
@@ -157,6 +157,14 @@
     return outputs.show(outputs.Output(text_of(found), found), json)
 
 
+def _last(story: Story, event: str) -> log_lines.Line | None:
+    """Return the last line of an event."""
+    for line in reversed(story):
+        if line.event == event:
+            return line
+    return None
+
+
 def _is_of(found: str, wanted: str) -> bool:
     # Further dispatches of a request carry its id with a number.
     return found == wanted or found.startswith(f"{wanted}.")
