--- a/packages/daemon/cassiaquay_daemon/demands.py
+++ b/packages/daemon/cassiaquay_daemon/demands.py
@@ -18,6 +18,7 @@
     logs,
     members,
     peers,
+    sending,
     shards,
 )
 
@@ -74,56 +75,6 @@
     made_at: float
 
 
-class Counted(typing.Protocol):
-    """An answer in the making, as far as renewals tell of it."""
-
-    @property
-    def count(self) -> int:
-        """Events so far."""
-
-    @property
-    def first_at(self) -> float:
-        """Seconds on this clock of the first event."""
-
-
-class Sent:
-    """A dispatched request, with what its keeper has not been told yet.
-
-    Parameters
-    ----------
-    item : Outstanding
-        As stated by the caller.
-    answer : Counted or None
-        Where its events are counted.
-    """
-
-    def __init__(self, item: messages.Outstanding, answer: Counted | None):
-        self.item = item
-        self.answer = answer
-        self.sent_at = clock.now()
-        self.told_sent = False
-        self.told_first = False
-
-    @property
-    def renewed(self) -> messages.Outstanding:
-        """The request as a renewal tells of it."""
-        produced = self.answer.count if self.answer is not None else 0
-        return self.item._replace(produced=produced)
-
-    def step(self, now: float) -> messages.Step | None:
-        """Return what is new, once."""
-        item = self.item
-        if not self.told_sent:
-            self.told_sent = True
-            age_ms = (now - self.sent_at) * 1000.0
-            return messages.Step(item.id, item.server, False, age_ms)
-        if self.told_first or self.answer is None or not self.answer.count:
-            return None
-        self.told_first = True
-        age_ms = (now - self.answer.first_at) * 1000.0
-        return messages.Step(item.id, item.server, True, age_ms)
-
-
 class _Local:
     """Stands for the link when this instance is the keeper itself."""
 
@@ -171,7 +122,7 @@
         self._keeper = local
         self._local = _Local(settings.instance, self)
         self._pending: dict[str, Pending] = {}
-        self._outstanding: dict[str, dict[str, Sent]] = {}
+        self._outstanding: dict[str, dict[str, sending.Sent]] = {}
         self._anything_out = asyncio.Event()
         self._lengths = lengths.Lengths()
         self._signs: dict[str, float] = {}
@@ -227,10 +178,10 @@
         self,
         shard: str,
         item: messages.Outstanding,
-        answer: Counted | None = None,
+        answer: sending.Counted | None = None,
     ) -> None:
         """Note that a permission is in use; its lease is renewed from now on."""
-        self._outstanding.setdefault(shard, {})[item.id] = Sent(item, answer)
+        self._outstanding.setdefault(shard, {})[item.id] = sending.Sent(item, answer)
         self._anything_out.set()
 
     def release(self, message: messages.Release) -> None:
--- a/packages/daemon/cassiaquay_daemon/keeper.py
+++ b/packages/daemon/cassiaquay_daemon/keeper.py
@@ -161,7 +161,7 @@
         shard = self._shard(floor.shard) if self.keeps(floor.shard) else None
         if shard is None:
             return False
-        shard.hold_back(floor.rank, clock.now() + floor.hold_ms / 1000.0)
+        shard.held.hold_back(floor.rank, clock.now() + floor.hold_ms / 1000.0)
         return True
 
     def health(self, name: str) -> messages.Health:
--- a/packages/daemon/cassiaquay_daemon/objectives.py
+++ b/packages/daemon/cassiaquay_daemon/objectives.py
@@ -12,11 +12,9 @@
 - Shed: what will not get a slot in time, reckoned from when running requests end.
 """
 
-import typing
-
 from cassiaquay_schema import messages
 
-from . import arrivals, clock, loads, pace, policies, shards, shedding
+from . import arrivals, choices, clock, loads, pace, policies, shards, shedding
 
 NAME = "objectives"
 # Estimates are never exact: what would begin this close to its objective is late.
@@ -46,27 +44,6 @@
 RANK_FACTOR = 0.25
 
 
-class Choice(typing.NamedTuple):
-    """A server for a demand.
-
-    Attributes
-    ----------
-    server : str
-        Its name.
-    first_seconds : float
-        Estimated time to the first event.
-    cost : float
-        Seconds; the least is best.
-    is_late : bool
-        Whether the first event misses the objective.
-    """
-
-    server: str
-    first_seconds: float
-    cost: float
-    is_late: bool
-
-
 class _TeamQueue:
     """Waiting demands of one team in one tier, in order of arrival."""
 
@@ -154,7 +131,7 @@
         looked = 0
         ahead = 0
         for rank in sorted(self._tiers):
-            if self._shard.held_back(rank):
+            if self._shard.held.holds(rank):
                 self._held_since.setdefault(rank, now)
                 self._settle_held(rank, ahead, now)
                 continue
@@ -176,7 +153,7 @@
         found = []
         ahead = 0
         for rank in sorted(self._tiers):
-            if self._shard.held_back(rank):
+            if self._shard.held.holds(rank):
                 break
             for queue in self._tiers[rank].values():
                 ahead += len(queue.ids)
@@ -281,7 +258,7 @@
                 seconds = self._wait_seconds(rank, ahead) * self._patience_of(rank)
                 # The floor that is there stays as it is: renewed by those whom it
                 # holds back, it would never end.
-                self._shard.hold_back(rank, now + FLOOR_SECONDS)
+                self._shard.held.hold_back(rank, now + FLOOR_SECONDS)
                 self._shard.shed(
                     waiting, "shed_overload", shedding.retry_after_ms(seconds)
                 )
@@ -301,11 +278,11 @@
             return False
         retry_after_ms = shedding.retry_after_ms(wait * self._patience_of(rank))
         # Whoever sees this tier shed must not see a lower one served meanwhile.
-        self._shard.raise_floor(rank, now + FLOOR_SECONDS, retry_after_ms)
+        self._shard.held.raise_floor(rank, now + FLOOR_SECONDS, retry_after_ms)
         self._shard.shed(waiting, "shed_overload", retry_after_ms)
         return True
 
-    def _grant(self, waiting: shards.Waiting, choice: Choice) -> None:
+    def _grant(self, waiting: shards.Waiting, choice: choices.Choice) -> None:
         demand = waiting.demand
         queue = self._tiers[demand.rank][demand.team]
         weight = self._shard.weights.get(demand.team, 1.0)
@@ -333,11 +310,11 @@
 
     def _best(
         self, waiting: shards.Waiting, late_at: float, now: float
-    ) -> Choice | None:
+    ) -> choices.Choice | None:
         """Return the best server with a free slot, one in time before a late one."""
         left = waiting.deadline - now
         demand = waiting.demand
-        best: Choice | None = None
+        best: choices.Choice | None = None
         avoid = {*demand.avoid, *demand.tried}
         for server in self._shard.open_servers():
             if server.name in avoid or self._shard.is_refusing(server.name):
@@ -360,7 +337,7 @@
         now: float,
         late_at: float,
         left: float,
-    ) -> Choice | None:
+    ) -> choices.Choice | None:
         load = self._shard.load(server)
         known = self._pace(server)
         if load.count >= slots or known.is_stalled(now):
@@ -381,7 +358,7 @@
         cost += FAILURE_SECONDS * known.failing(now)
         # Of servers that are equal otherwise the emptier one.
         cost += expected.first_seconds * load.count / slots
-        return Choice(server, expected.first_seconds, cost, is_late)
+        return choices.Choice(server, expected.first_seconds, cost, is_late)
 
     def _least_first(self, demand: messages.Demand) -> float:
         """Return the time to the first event at the fastest server."""
--- a/packages/daemon/cassiaquay_daemon/shards.py
+++ b/packages/daemon/cassiaquay_daemon/shards.py
@@ -6,7 +6,7 @@
 from cassiaquay_schema import fleet, messages
 from cassiaquay_schema import settings as settings_schema
 
-from . import clock, loads, logs, peers, prefixes
+from . import clock, held_tiers, loads, logs, peers, prefixes
 
 # Time for the news of a dispatch to reach the keeper after a permit's last moment.
 NEWS_SECONDS = 0.4
@@ -129,11 +129,8 @@
         # seconds, or nothing; and what demands would wait here.
         self.find_room: collections.abc.Callable[[Waiting, float], str] = _nowhere
         self.waits: collections.abc.Callable[[], list[messages.RankWait]] = list
+        self.held = held_tiers.HeldTiers()
         self._refused: dict[str, float] = {}
-        self._floor = -1
-        self._floor_until = float("-inf")
-        self._floor_retry_ms = 0
-        self._held: dict[int, float] = {}
         self._loads: dict[str, loads.Load] = {}
         self._observers: list[Observer] = []
         self._unheard: set[str] = set()
@@ -349,39 +346,15 @@
             if self.queue[request_id].told_at < horizon:
                 self._unqueue(request_id)
 
-    def hold_back(self, rank: int, until: float) -> None:
-        """Hold back all ranks below one that another shard of the pool sheds."""
-        for other in [held for held in self._held if self._held[held] < clock.now()]:
-            del self._held[other]
-        self._held[rank] = max(until, self._held.get(rank, until))
-
-    def raise_floor(self, rank: int, until: float, retry_after_ms: int) -> None:
-        """Note that a rank, and so all below it, is being shed."""
-        now = clock.now()
-        if now >= self._floor_until or rank < self._floor:
-            self._floor = rank
-        self._floor_until = until
-        self._floor_retry_ms = retry_after_ms
-
-    def held_back(self, rank: int) -> bool:
-        """Tell whether a more important rank was shed a moment ago."""
-        now = clock.now()
-        if rank > self._floor and now < self._floor_until:
-            return True
-        return any(rank > floor and now < self._held[floor] for floor in self._held)
-
     def health(self) -> tuple[int, int]:
         """Return the rank from which on requests are refused, and when to ask again.
 
         The rank is -1 when all get through, 0 when no server can be reached.
         """
-        now = clock.now()
         up = [item for item in self.open_servers() if not self.is_refusing(item.name)]
         if not up:
             return 0, DOWN_RETRY_MS
-        if now < self._floor_until:
-            return self._floor, self._floor_retry_ms
-        return -1, 0
+        return self.held.floor
 
     def is_refusing(self, server: str) -> bool:
         """Tell whether a server refused a connection and has done nothing since."""
