--- a/packages/daemon/cassiaquay_daemon/watching.py
+++ b/packages/daemon/cassiaquay_daemon/watching.py
@@ -50,9 +50,6 @@
         self._facts = known
         self._send_to = send_to
         self._beats: dict[str, float] = {}
-        # The last real heartbeats: two who only expect some would answer each other
-        # "heard" for ever, and nobody would notice that the third is paused.
-        self._heard_at: dict[str, float] = {}
         self._probes: dict[str, float] = {}
         self._links: dict[str, peers.Link] = {}
         self._changes = 0
@@ -74,7 +71,7 @@
 
     def beat(self, link: peers.Link) -> None:
         """Note a heartbeat."""
-        self._beats[link.instance] = self._heard_at[link.instance] = clock.now()
+        self._beats[link.instance] = clock.now()
         self._links[link.instance] = link
         self._probes.pop(link.instance, None)
 
@@ -106,8 +103,7 @@
 
     def probe(self, link: peers.Link, probe: messages.Probe) -> None:
         """Answer whether an instance is heard here."""
-        silence = clock.now() - self._heard_at.get(probe.instance, NEVER)
-        if silence < self._settings.suspect_after:
+        if self._silence(probe.instance) < self._settings.suspect_after:
             link.send(messages.Heard(probe.instance))
 
     def heard(self, link: peers.Link, answer: messages.Heard) -> None:
