--- a/packages/daemon/cassiaquay_daemon/watching.py
+++ b/packages/daemon/cassiaquay_daemon/watching.py
@@ -50,10 +50,18 @@
         self._facts = known
         self._send_to = send_to
         self._beats: dict[str, float] = {}
+        # The last real heartbeats. Only they answer a probe: two who merely expect some
+        # would tell each other "heard" for ever while the third is paused.
+        self._heard_at: dict[str, float] = {}
         self._probes: dict[str, float] = {}
         self._links: dict[str, peers.Link] = {}
         self._changes = 0
 
+    @property
+    def _patience(self) -> float:
+        """Seconds between the first question about an instance and the verdict."""
+        return PROBE_PERIODS * self._settings.period
+
     @property
     def watched(self) -> list[str]:
         """Names of those whose heartbeats are expected here."""
@@ -71,7 +79,7 @@
 
     def beat(self, link: peers.Link) -> None:
         """Note a heartbeat."""
-        self._beats[link.instance] = clock.now()
+        self._beats[link.instance] = self._heard_at[link.instance] = clock.now()
         self._links[link.instance] = link
         self._probes.pop(link.instance, None)
 
@@ -89,6 +97,7 @@
 
     def lost(self, link: peers.Link) -> None:
         """Note a closed link: a killed process is asked for without waiting."""
+        self._heard_at.pop(link.instance, None)
         if link.instance in self._beats:
             self._beats[link.instance] = NEVER
         if self._links.get(link.instance) is link:
@@ -98,12 +107,15 @@
         """Give everybody a new chance, after a pause of this process itself."""
         now = clock.now()
         for name in self._beats:
-            self._beats[name] = now
+            self._beats[name] = self._heard_at[name] = now
         self._probes.clear()
 
     def probe(self, link: peers.Link, probe: messages.Probe) -> None:
         """Answer whether an instance is heard here."""
-        if self._silence(probe.instance) < self._settings.suspect_after:
+        # Whoever would ask about it as well has no word to give: the last one to ask
+        # must get the others' silence, else nobody ever comes to a verdict.
+        silence = clock.now() - self._heard_at.get(probe.instance, NEVER)
+        if silence < self._settings.suspect_after - self._patience:
             link.send(messages.Heard(probe.instance))
 
     def heard(self, link: peers.Link, answer: messages.Heard) -> None:
@@ -115,15 +127,14 @@
     def judge(self) -> None:
         """Ask for those who are silent; suspect those whom nobody hears."""
         now = clock.now()
-        patience = PROBE_PERIODS * self._settings.period
         for name in list(self._beats):
-            if self._silence(name) < self._settings.suspect_after - patience:
+            if self._silence(name) < self._settings.suspect_after - self._patience:
                 continue
             if name not in self._probes:
                 self._probes[name] = now
                 self._ask(name)
                 continue
-            if now - self._probes[name] < patience:
+            if now - self._probes[name] < self._patience:
                 # Again: a helper that had no connection from here has not got the
                 # question, and its silence would count as "not heard there either".
                 self._ask(name)
--- a/packages/dev/cassiaquay_dev/light.py
+++ b/packages/dev/cassiaquay_dev/light.py
@@ -191,6 +191,11 @@
             leaving,
         )
 
+    def pause(self) -> None:
+        """Do nothing more by itself, with all connections open."""
+        for task in self._tasks:
+            task.cancel()
+
     async def stop(self) -> None:
         """End without a farewell, as a killed process does."""
         for task in self._tasks:
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -102,6 +102,24 @@
     asyncio.run(run())
 
 
+def test_a_paused_instance_is_suspected_whoever_else_waits_for_it() -> None:
+    """Callers of a paused instance are sent on within two periods of the deadline.
+
+    Its connections stay open and say nothing. The two that watch it ask each other in
+    turns; none may take for a sign of life that the other has begun to wait anew.
+    """
+
+    async def run() -> None:
+        async with fleets.fleet() as fleet:
+            one, other, third = await fleet.add_many(3)
+            await fleet.agree()
+            third.pause()
+            await light.until(lambda: one.view == {"cq-1", "cq-2"}, 3)
+            await light.until(lambda: other.view == {"cq-1", "cq-2"}, 3)
+
+    asyncio.run(run())
+
+
 def test_two_sides_of_a_partition_find_each_other_again() -> None:
     """Callers of each side are sent to that side only, then to all again.
 
