Call what is there instead of writing it again

Read again as a whole; behaviour as before. - floors.py and rooms.py found the other shards of a pool and the way to their keepers each by themselves: both use siblings.py. - reports.py counted an end twice over, for owners and for the gateway: both make a Finished, which one method counts and one burns. - front.py waited for a caller's close as streams.disconnected does. - queues.py and objectives.py each had the rule by which an idle team gets no credit: one function. - A request of a pool with one shard sorted its servers before it looked at their number; the weights of shards were summed up for each request. - The store's items carried a field that nothing read.

--- a/packages/daemon/cassiaquay_daemon/floors.py
+++ b/packages/daemon/cassiaquay_daemon/floors.py
@@ -6,12 +6,11 @@
 to hold the lower tiers back, and sheds when all of them do.
 """
 
-import collections.abc
 import typing
 
 from cassiaquay_schema import messages
 
-from . import clock, members, peers, shards, snapshots
+from . import clock, peers, shards, siblings
 
 # Lower tiers get no slot anywhere for so long after a request was shed: the time that
 # the policies hold them back in the shard itself, and the way there and back.
@@ -50,9 +49,6 @@
 
     shards: dict[str, shards.Shard]
 
-    def keeper_of(self, shard: str) -> str:
-        """Return the instance that should be the keeper of a shard."""
-
     def hold(self, floor: messages.Floor) -> bool:
         """Hold the lower tiers of a shard back; False when it is not kept here."""
 
@@ -65,30 +61,17 @@
 
     Parameters
     ----------
-    instance : str
-        Name of this instance.
     links : Peers
         Connections to other keepers.
-    membership : Membership
-        Links to members.
     kept : Role
         This instance's keeper role.
-    current : callable
-        Returns the snapshot in force, or None.
+    mates : Siblings
+        The other shards of its pools.
     """
 
-    def __init__(
-        self,
-        instance: str,
-        links: peers.Peers,
-        membership: members.Membership,
-        kept: Role,
-        current: collections.abc.Callable[[], snapshots.Snapshot | None],
-    ):
-        self._instance = instance
-        self._membership = membership
+    def __init__(self, links: peers.Peers, kept: Role, mates: siblings.Siblings):
         self._kept = kept
-        self._current = current
+        self._siblings = mates
         self._asked: dict[tuple[str, str], Asked] = {}
         links.on(messages.Floor, self.floor)
         links.on(messages.FloorHeld, self.held)
@@ -96,7 +79,7 @@
     def ready(self, source: str, rank: int) -> bool:
         """Tell whether a shard may shed a rank now; ask the others when not yet."""
         found = True
-        for shard in self._others(source):
+        for shard in self._siblings.of(source):
             if not self._holds(source, shard, rank):
                 found = False
         return found
@@ -114,10 +97,6 @@
         if message.source in self._kept.shards:
             self._kept.serve_soon(message.source)
 
-    def _others(self, source: str) -> list[str]:
-        snapshot = self._current()
-        return snapshot.siblings(source) if snapshot is not None else []
-
     def _holds(self, source: str, shard: str, rank: int) -> bool:
         now = clock.now()
         asked = self._asked.get((source, shard))
@@ -136,14 +115,10 @@
         self._asked[(source, shard)] = asked
         hold_ms = int(HOLD_SECONDS * 1000)
         message = messages.Floor(shard, source, asked.rank, hold_ms)
-        name = self._kept.keeper_of(shard)
-        if name == self._instance:
-            if self._kept.hold(message):
-                self._take(source, shard, asked.rank)
+        if self._siblings.send(self._siblings.keeper_of(shard), message):
             return
-        link = self._membership.link(name)
-        if link is not None:
-            link.send(message)
+        if self._kept.hold(message):
+            self._take(source, shard, asked.rank)
 
     def _take(self, source: str, shard: str, rank: int) -> None:
         asked = self._asked.get((source, shard))
--- a/packages/daemon/cassiaquay_daemon/gateway/accounts.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/accounts.py
@@ -6,7 +6,7 @@
 from ..platform import headers
 from . import progress
 
-Note = collections.abc.Callable[[reports.Passed], None]
+Note = collections.abc.Callable[[reports.Finished], None]
 # Gets the refusal, the caller's id of the request and its team, which is not known.
 RefusalNote = collections.abc.Callable[[exceptions.Refusal, str, str], None]
 
@@ -41,7 +41,7 @@
     ) -> None:
         """Note the end of a request."""
         call = known.call
-        found = reports.Passed(
+        found = reports.Finished(
             call.service,
             f"rank-{call.rank}",
             call.team_name,
--- a/packages/daemon/cassiaquay_daemon/gateway/front.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/front.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from .. import clock, exceptions, logs
+from .. import clock, exceptions, logs, streams
 from ..platform import headers
 from . import accepting, accounts, progress, replies, serving
 
@@ -71,7 +71,7 @@
             return
         known = progress.Progress(call)
         work = asyncio.create_task(self._serving.serve(known, send))
-        gone = asyncio.create_task(_wait_gone(receive))
+        gone = asyncio.create_task(streams.disconnected(receive))
         done, _ = await asyncio.wait([work, gone], return_when=asyncio.FIRST_COMPLETED)
         if work in done:
             gone.cancel()
@@ -96,10 +96,3 @@
             server=known.server or None,
             ms=replies.ms_since(call.began_at),
         )
-
-
-async def _wait_gone(receive: replies.Receive) -> None:
-    while True:
-        message = await receive()
-        if message["type"] == "http.disconnect":
-            return
--- a/packages/daemon/cassiaquay_daemon/keeper.py
+++ b/packages/daemon/cassiaquay_daemon/keeper.py
@@ -24,6 +24,7 @@
     policies,
     rooms,
     shards,
+    siblings,
     snapshots,
     tiered,
 )
@@ -75,12 +76,11 @@
         self._pauses.on_overslept(self._overslept)
         self._ask_local: collections.abc.Callable[[str], None] = _nothing
         self._ticked_at = clock.now()
-        self._floors = floors.Floors(
-            settings.instance, links, membership, self, self._snapshot
-        )
-        self._rooms = rooms.Rooms(
-            settings.instance, links, membership, self, self._snapshot
+        mates = siblings.Siblings(
+            settings.instance, membership, self.keeper_of, self._snapshot
         )
+        self._floors = floors.Floors(links, self, mates)
+        self._rooms = rooms.Rooms(links, self, mates)
         links.on(messages.Demand, self.demand)
         links.on(messages.Withdraw, self.withdraw)
         links.on(messages.Release, self.release)
--- a/packages/daemon/cassiaquay_daemon/objectives.py
+++ b/packages/daemon/cassiaquay_daemon/objectives.py
@@ -14,7 +14,7 @@
 
 from cassiaquay_schema import messages
 
-from . import arrivals, choices, clock, loads, pace, policies, shards, shedding
+from . import arrivals, choices, clock, loads, pace, policies, queues, shards, shedding
 
 NAME = "objectives"
 # Estimates are never exact: what would begin this close to its objective is late.
@@ -87,7 +87,7 @@
             queue = teams[demand.team] = _TeamQueue()
         if not queue.ids:
             active = [item.virtual for item in teams.values() if item.ids]
-            queue.virtual = max(queue.virtual, min(active, default=0.0))
+            queue.virtual = queues.virtual_of_comer(queue.virtual, active)
         queue.ids[demand.id] = None
         objective = demand.first_ms or demand.remaining_ms
         self._late_at[demand.id] = clock.now() + objective / 1000.0
--- a/packages/daemon/cassiaquay_daemon/platform/store.py
+++ b/packages/daemon/cassiaquay_daemon/platform/store.py
@@ -33,7 +33,6 @@
     key: str
     value: str = ""
     revision: int = 0
-    tombstone: bool = False
 
 
 class _ItemBody(msgspec.Struct):
--- a/packages/daemon/cassiaquay_daemon/queues.py
+++ b/packages/daemon/cassiaquay_daemon/queues.py
@@ -90,7 +90,7 @@
             queue = teams[demand.team] = TeamQueue()
         if not queue.count:
             active = [item.virtual for item in teams.values() if item.count]
-            queue.virtual = max(queue.virtual, min(active, default=0.0))
+            queue.virtual = virtual_of_comer(queue.virtual, active)
         work = self._measure(waiting)
         place = Place(demand.rank, demand.team, size_of(work), work)
         queue.add(place.size, waiting)
@@ -161,6 +161,15 @@
         return self._tiers[rank][team].last()
 
 
+def virtual_of_comer(virtual: float, active: list[float]) -> float:
+    """Return the virtual time of a team that begins to wait beside active ones.
+
+    A team that was idle gets no credit for that: it would be served alone until it had
+    caught up with what the others got meanwhile.
+    """
+    return max(virtual, min(active, default=0.0))
+
+
 def size_of(work: int) -> int:
     """Return the size class: one more for each doubling of the work."""
     return work.bit_length() // (SIZE_STEP.bit_length() - 1)
--- a/packages/daemon/cassiaquay_daemon/reports.py
+++ b/packages/daemon/cassiaquay_daemon/reports.py
@@ -39,8 +39,8 @@
     recovering: recovery.Recovery
 
 
-class Passed(typing.NamedTuple):
-    """A request that was passed through to a backend server, or refused.
+class Finished(typing.NamedTuple):
+    """A request that has ended, however it did.
 
     Attributes
     ----------
@@ -51,7 +51,7 @@
     seconds, first_seconds, within_seconds : float
         Until its end, until its first event (0 for none), and its objective for that.
     prompt_tokens, output_tokens : int
-        As the caller counted them.
+        As the server counted them, or the caller where the server does not say.
     """
 
     service: str
@@ -101,49 +101,47 @@
         final = entry.answer.final
         if final is None:
             return
-        outcome, code = final["outcome"], final["code"]
-        seconds = entry.ended_at - entry.accepted_at
-        key = (accepted.service, accepted.tier)
-        count = self.metrics.count
-        count(metrics.REQUESTS, (*key, outcome, code))
-        self._teams.add(accepted.team)
-        count(metrics.TEAM_REQUESTS, (self._teams.label(accepted.team), outcome))
+        first_seconds = 0.0
         if entry.answer.first_at:
             first_seconds = entry.answer.first_at - entry.accepted_at
-            self.metrics.observe(metrics.FIRST, key, first_seconds)
-        if outcome == "completed":
-            self.metrics.observe(metrics.WHOLE, key, seconds)
-            service = (accepted.service,)
-            count(metrics.PROMPT_TOKENS, service, entry.figures.prompt_tokens)
-            count(metrics.CACHED_TOKENS, service, entry.figures.cached_tokens)
-            count(metrics.OUTPUT_TOKENS, service, entry.figures.output_tokens)
-        else:
-            self.history.refused(
-                accepted.team,
-                id=accepted.id.text,
-                service=accepted.service,
-                tier=accepted.tier,
-                outcome=outcome,
-                code=code,
-                message=final["message"],
-                server=entry.server,
-            )
-        self.burn.add(
-            clock.now(),
-            burn.Ended(
-                accepted.service,
-                accepted.tier,
-                accepted.team,
-                entry.server,
-                outcome,
-                code,
-                seconds,
-                _within_seconds(entry),
-            ),
+        found = Finished(
+            accepted.service,
+            accepted.tier,
+            accepted.team,
+            entry.server,
+            final["outcome"],
+            final["code"],
+            entry.ended_at - entry.accepted_at,
+            first_seconds,
+            _within_seconds(entry),
+            entry.figures.prompt_tokens,
+            entry.figures.output_tokens,
+        )
+        self._count(found)
+        self._burn(found, found.seconds)
+        if found.outcome == "completed":
+            cached = entry.figures.cached_tokens
+            self.metrics.count(metrics.CACHED_TOKENS, (accepted.service,), cached)
+            return
+        self.history.refused(
+            accepted.team,
+            id=accepted.id.text,
+            service=accepted.service,
+            tier=accepted.tier,
+            outcome=found.outcome,
+            code=found.code,
+            message=final["message"],
+            server=entry.server,
         )
 
-    def passed(self, found: Passed) -> None:
+    def passed(self, found: Finished) -> None:
         """Count a request of the gateway."""
+        self._count(found)
+        # The objective is for the first event; plain answers have only their end.
+        self._burn(found, found.first_seconds or found.seconds)
+
+    def _count(self, found: Finished) -> None:
+        """Count a request that has ended in the metrics."""
         key = (found.service, found.tier)
         count = self.metrics.count
         count(metrics.REQUESTS, (*key, found.outcome, found.code))
@@ -157,8 +155,9 @@
             service = (found.service,)
             count(metrics.PROMPT_TOKENS, service, found.prompt_tokens)
             count(metrics.OUTPUT_TOKENS, service, found.output_tokens)
-        # The objective is for the first event; plain answers have only their end.
-        until = found.first_seconds or found.seconds
+
+    def _burn(self, found: Finished, seconds: float) -> None:
+        """Count a request that has ended against its objective."""
         self.burn.add(
             clock.now(),
             burn.Ended(
@@ -168,7 +167,7 @@
                 found.server,
                 found.outcome,
                 found.code,
-                until,
+                seconds,
                 found.within_seconds,
             ),
         )
--- a/packages/daemon/cassiaquay_daemon/rooms.py
+++ b/packages/daemon/cassiaquay_daemon/rooms.py
@@ -10,12 +10,11 @@
 there; what is in time nowhere is shed as in a pool of one shard.
 """
 
-import collections.abc
 import typing
 
 from cassiaquay_schema import messages
 
-from . import clock, members, peers, shards, snapshots
+from . import clock, peers, shards, siblings
 
 # Waits are told at each tick of the keeper, every 0.1 s; what is moved meanwhile is
 # added by the sender. After three ticks without news nothing is moved there: its keeper
@@ -32,9 +31,6 @@
 
     shards: dict[str, shards.Shard]
 
-    def keeper_of(self, shard: str) -> str:
-        """Return the instance that should be the keeper of a shard."""
-
     def keeps(self, shard: str) -> bool:
         """Tell whether this instance should be the keeper of a shard."""
 
@@ -64,30 +60,17 @@
 
     Parameters
     ----------
-    instance : str
-        Name of this instance.
     links : Peers
         Connections to other keepers.
-    membership : Membership
-        Links to members.
     kept : Role
         This instance's keeper role.
-    current : callable
-        Returns the snapshot in force, or None.
+    mates : Siblings
+        The other shards of its pools.
     """
 
-    def __init__(
-        self,
-        instance: str,
-        links: peers.Peers,
-        membership: members.Membership,
-        kept: Role,
-        current: collections.abc.Callable[[], snapshots.Snapshot | None],
-    ):
-        self._instance = instance
-        self._membership = membership
+    def __init__(self, links: peers.Peers, kept: Role, mates: siblings.Siblings):
         self._kept = kept
-        self._current = current
+        self._siblings = mates
         self._told: dict[str, _Told] = {}
         links.on(messages.Waits, self.heard)
 
@@ -108,7 +91,7 @@
         since = clock.now() - TRUST_SECONDS
         best = ""
         least = limit - GAIN_SECONDS
-        for shard in self._others(source):
+        for shard in self._siblings.of(source):
             told = self._told.get(shard)
             if told is None or told.at < since:
                 continue
@@ -124,26 +107,15 @@
         for name, shard in self._kept.shards.items():
             if not self._kept.keeps(name):
                 continue
-            others = self._others(name)
+            others = self._siblings.of(name)
             if not others:
                 continue
             message = messages.Waits(name, shard.waits())
-            for keeper in {self._kept.keeper_of(other) for other in others}:
-                self._send(keeper, message)
+            for keeper in {self._siblings.keeper_of(other) for other in others}:
+                if not self._siblings.send(keeper, message):
+                    self._told[message.shard] = _Told(message.waits)
 
     def heard(self, replier: shards.Replier, message: messages.Waits) -> None:
         """Take in what another shard tells."""
-        if self._kept.keeper_of(message.shard) == replier.instance:
-            self._told[message.shard] = _Told(message.waits)
-
-    def _send(self, keeper: str, message: messages.Waits) -> None:
-        if keeper == self._instance:
+        if self._siblings.keeper_of(message.shard) == replier.instance:
             self._told[message.shard] = _Told(message.waits)
-            return
-        link = self._membership.link(keeper)
-        if link is not None:
-            link.send(message)
-
-    def _others(self, source: str) -> list[str]:
-        snapshot = self._current()
-        return snapshot.siblings(source) if snapshot is not None else []
--- a/packages/daemon/cassiaquay_daemon/snapshots.py
+++ b/packages/daemon/cassiaquay_daemon/snapshots.py
@@ -83,13 +83,11 @@
 
     def shard_of(self, pool: str, key: str) -> str:
         """Return the shard that serves a key, each as often as it has servers."""
-        names = tuple(sorted(server.name for server in self.fleet.pools[pool].servers))
         count = self.shard_count(pool)
         if count <= 1:
             return f"{pool}#0"
-        numbers = _assign(names, count)
-        weights = {str(number): float(numbers.count(number)) for number in set(numbers)}
-        return f"{pool}#{rendezvous.weighted(key, weights)}"
+        names = tuple(sorted(server.name for server in self.fleet.pools[pool].servers))
+        return f"{pool}#{rendezvous.weighted(key, _weights(names, count))}"
 
     def server(self, pool: str, name: str) -> fleet_schema.Server | None:
         """Return a backend server by name."""
@@ -148,6 +146,13 @@
     return found
 
 
+@functools.lru_cache(maxsize=64)
+def _weights(names: tuple[str, ...], count: int) -> dict[str, float]:
+    """Return the number of servers of each shard, by its number."""
+    numbers = _assign(names, count)
+    return {str(number): float(numbers.count(number)) for number in set(numbers)}
+
+
 def _name(server: fleet_schema.Server) -> str:
     return server.name
 
--- a/tests/test_rooms.py
+++ b/tests/test_rooms.py
@@ -5,7 +5,7 @@
 import policy_fakes as fakes
 import pytest
 
-from cassiaquay_daemon import demands, objectives, rooms, shards
+from cassiaquay_daemon import demands, objectives, rooms, shards, siblings
 from cassiaquay_schema import messages
 
 HERE, THERE, BUSY = "tutor#0", "tutor#1", "tutor#2"
@@ -44,9 +44,9 @@
         self.other = fakes.Owner("cq-2")
         self.links = fakes.Links()
         members = fakes.Membership("cq-1", [self.other])
-        self.rooms = rooms.Rooms(
-            "cq-1", self.links, members, Role(self.shard), lambda: Snapshot()
-        )
+        role = Role(self.shard)
+        mates = siblings.Siblings("cq-1", members, role.keeper_of, lambda: Snapshot())
+        self.rooms = rooms.Rooms(self.links, role, mates)
         self.shard.find_room = lambda waiting, limit: self.rooms.move(
             HERE, waiting, limit
         )
