One proxy, one listener and one choice of ports for all stand-ins

Read again as a whole; no check or assertion changes. - The soak had written a second loopback proxy beside the one of partitions, and the raw server a third accept loop: listening.Listener has the loop, proxies.Proxy the passing on, and a partition's proxy only says who may pass. - Three places built the soak's callers: Site.callers does.

--- a/packages/dev/cassiaquay_dev/gateway_demo.py
+++ b/packages/dev/cassiaquay_dev/gateway_demo.py
@@ -49,9 +49,7 @@
 
 async def _ask(played: site.Site) -> None:
     settings = played.settings
-    asking = callers.Callers(
-        played.fronts_of_daemons(), played.lives_of, played.seen, played.chance
-    )
+    asking = played.callers()
     ended = asyncio.Event()
     calls = asyncio.create_task(asking.run(settings.rate, ended))
     await asyncio.sleep(settings.seconds / 2.0)
--- a/packages/dev/cassiaquay_dev/partition.py
+++ b/packages/dev/cassiaquay_dev/partition.py
@@ -9,11 +9,12 @@
 
 import msgpack
 
+from . import proxies
+
 HELLO_INSTANCE = 2
-READ_BYTES = 65536
 
 
-class Proxy:
+class Proxy(proxies.Proxy):
     """Stands before the peer port of one instance.
 
     Parameters
@@ -25,60 +26,27 @@
     """
 
     def __init__(self, name: str, owner: "Partition"):
-        self.address = ""
+        super().__init__("")
         self._name = name
         self._owner = owner
-        self._target = ""
-        self._server: asyncio.Server | None = None
-        self._pairs: dict[tuple[asyncio.StreamWriter, asyncio.StreamWriter], str] = {}
-
-    async def start(self) -> None:
-        """Listen on a free port."""
-        self._server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
-        host, port = self._server.sockets[0].getsockname()[:2]
-        self.address = f"{host}:{port}"
 
     def join(self, target: str) -> str:
         """Pass connections on to ``target``; return the proxy's own address."""
-        self._target = target
+        self.target = target
         return self.address
 
     def cut(self) -> None:
         """Close what crosses the partition."""
-        for pair, source in list(self._pairs.items()):
-            if self._owner.divides(source, self._name):
-                for writer in pair:
-                    writer.transport.abort()
+        for pair in self._pairs:
+            if self._owner.divides(pair.source, self._name):
+                pair.abort()
 
-    async def stop(self) -> None:
-        """Close everything."""
-        for pair in list(self._pairs):
-            for writer in pair:
-                writer.transport.abort()
-        if self._server is not None:
-            self._server.close()
-
-    async def _accept(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        first = await reader.read(READ_BYTES)
+    async def _admit(self, reader: asyncio.StreamReader) -> proxies.Opening | None:
+        first = await reader.read(proxies.READ_BYTES)
         source = _source(first)
-        if not self._target or self._owner.divides(source, self._name):
-            writer.transport.abort()
-            return
-        host, _, port = self._target.rpartition(":")
-        try:
-            inward, outward = await asyncio.open_connection(host, int(port))
-        except OSError:
-            writer.transport.abort()
-            return
-        outward.write(first)
-        pair = (writer, outward)
-        self._pairs[pair] = source
-        try:
-            await asyncio.gather(_pass(reader, outward), _pass(inward, writer))
-        finally:
-            del self._pairs[pair]
+        if self._owner.divides(source, self._name):
+            return None
+        return proxies.Opening(source, first)
 
 
 class Partition:
@@ -114,17 +82,6 @@
             await proxy.stop()
 
 
-async def _pass(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-    try:
-        while data := await reader.read(READ_BYTES):
-            writer.write(data)
-            await writer.drain()
-    except OSError:
-        pass
-    finally:
-        writer.close()
-
-
 def _source(first: bytes) -> str:
     unpacker = msgpack.Unpacker()
     unpacker.feed(first)
--- a/packages/dev/cassiaquay_dev/soak/proxies.py
+++ b/packages/dev/cassiaquay_dev/proxies.py
@@ -5,6 +5,9 @@
 """
 
 import asyncio
+import typing
+
+from . import listening
 
 READ_BYTES = 65536
 
@@ -32,10 +35,21 @@
         await self._open.wait()
 
 
-class _Pair:
-    """One connection through the proxy."""
+class Pair:
+    """One connection through a proxy.
+
+    Parameters
+    ----------
+    source : str
+        Who opened it, where the proxy knows.
+    inner, outer : StreamWriter
+        Its two sides.
+    """
 
-    def __init__(self, inner: asyncio.StreamWriter, outer: asyncio.StreamWriter):
+    def __init__(
+        self, source: str, inner: asyncio.StreamWriter, outer: asyncio.StreamWriter
+    ):
+        self.source = source
         self.silent = False
         self._writers = (inner, outer)
 
@@ -45,37 +59,29 @@
             writer.transport.abort()
 
 
-class Proxy:
+class Opening(typing.NamedTuple):
+    """What a proxy read of a connection before it passed it on."""
+
+    source: str = ""
+    data: bytes = b""
+
+
+class Proxy(listening.Listener):
     """Stands before one listening address.
 
     Parameters
     ----------
     target : str
-        host:port that it passes on to.
+        host:port that it passes on to; nothing is passed on while it is empty.
     """
 
     def __init__(self, target: str):
+        super().__init__()
         self.target = target
-        self.address = ""
         self.refusing = False
         self.inward = Direction()
         self.outward = Direction()
-        self._pairs: set[_Pair] = set()
-        self._tasks: set[asyncio.Task[None]] = set()
-        self._server: asyncio.Server | None = None
-
-    async def start(self) -> None:
-        """Listen on a free port."""
-        self._server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
-        self.address = f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
-
-    async def stop(self) -> None:
-        """Close everything."""
-        if self._server is not None:
-            self._server.close()
-        for task in list(self._tasks):
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        self._pairs: set[Pair] = set()
 
     def reset(self) -> None:
         """Reset all connections."""
@@ -94,14 +100,15 @@
             direction.delay = 0.0
             direction.heal()
 
-    async def _accept(
+    async def _admit(self, reader: asyncio.StreamReader) -> Opening | None:
+        """Return what was read to let a connection pass; None refuses it."""
+        return Opening()
+
+    async def _connected(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        task = asyncio.current_task()
-        assert task is not None
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-        if self.refusing:
+        opening = None if self.refusing else await self._admit(reader)
+        if opening is None or not self.target:
             writer.transport.abort()
             return
         try:
@@ -111,23 +118,21 @@
         except OSError:
             writer.transport.abort()
             return
-        pair = _Pair(writer, forth)
+        forth.write(opening.data)
+        pair = Pair(opening.source, writer, forth)
         self._pairs.add(pair)
         try:
             await asyncio.gather(
                 self._pump(pair, reader, forth, self.inward),
                 self._pump(pair, back, writer, self.outward),
             )
-        except asyncio.CancelledError:
-            # Only `stop` cancels; a stream server prints a cancelled task's traceback.
-            return
         finally:
             self._pairs.discard(pair)
             pair.abort()
 
     async def _pump(
         self,
-        pair: _Pair,
+        pair: Pair,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
         direction: Direction,
--- a/packages/dev/cassiaquay_dev/raw_servers.py
+++ b/packages/dev/cassiaquay_dev/raw_servers.py
@@ -6,6 +6,8 @@
 import struct
 import typing
 
+from . import listening
+
 
 class Request(typing.NamedTuple):
     """One request as a server or the store got it."""
@@ -25,50 +27,26 @@
 Respond = collections.abc.Callable[[Request, Writer], collections.abc.Awaitable[None]]
 
 
-class RawServer:
+class RawServer(listening.Listener):
     """An HTTP server whose answers are written byte by byte."""
 
     def __init__(self) -> None:
+        super().__init__()
         self.requests: list[Request] = []
-        self.address = ""
         self.closed_under: list[str] = []
-        self._server: asyncio.Server | None = None
-        self._tasks: set[asyncio.Task[None]] = set()
-
-    async def start(self) -> None:
-        """Listen."""
-        self._server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
-        self.address = f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
-
-    async def stop(self) -> None:
-        """Close everything."""
-        if self._server is not None:
-            self._server.close()
-        for task in list(self._tasks):
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
 
     async def respond(self, request: Request, writer: Writer) -> None:
         """Answer one request."""
         raise NotImplementedError
 
-    async def _accept(self, reader: asyncio.StreamReader, writer: Writer) -> None:
-        task = asyncio.current_task()
-        assert task is not None
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+    async def _connected(self, reader: asyncio.StreamReader, writer: Writer) -> None:
         try:
             while not writer.is_closing():
                 request = await _read(reader)
                 if request is None or not await self._serve(request, reader, writer):
                     return
         except (ConnectionError, asyncio.IncompleteReadError):
-            pass
-        except asyncio.CancelledError:
-            # Only `stop` cancels; a stream server prints a cancelled task's traceback.
             return
-        finally:
-            writer.close()
 
     async def _serve(
         self, request: Request, reader: asyncio.StreamReader, writer: Writer
--- a/packages/dev/cassiaquay_dev/soak/engines.py
+++ b/packages/dev/cassiaquay_dev/soak/engines.py
@@ -67,7 +67,6 @@
             run.executed = True
             await self._work(run, writer)
         finally:
-            run.ended_at = records.now()
             self._slots.release()
 
     async def _work(self, run: records.Run, writer: raw_servers.Writer) -> None:
--- a/packages/dev/cassiaquay_dev/soak/faults.py
+++ b/packages/dev/cassiaquay_dev/soak/faults.py
@@ -9,13 +9,15 @@
 import collections.abc
 import random
 import signal
+import typing
 
 from cassiaquay_schema import registry
 
-from . import proxies, records, site
+from .. import proxies
+from . import records, site
 
 Fault = collections.abc.Callable[
-    [site.Site, random.Random], collections.abc.Awaitable[None]
+    [site.Site, random.Random], collections.abc.Coroutine[typing.Any, typing.Any, None]
 ]
 faults: registry.Registry[Fault] = registry.Registry("soak fault")
 ALL = "all"
@@ -42,12 +44,11 @@
     def __enter__(self) -> None:
         self._start = records.now()
         for name in self._names:
-            # Until it has ended nobody knows when: all later times are disturbed.
-            self._at.seen.open_fault(name, self._start)
+            self._at.seen.faults.add(name, self._start)
 
     def __exit__(self, *error: object) -> None:
         for name in self._names:
-            self._at.seen.close_fault(name, self._start, records.now())
+            self._at.seen.faults.end(name, self._start, records.now())
 
 
 async def _kill(
@@ -95,7 +96,7 @@
         if not one.is_running or not one.wanted:
             continue
         start = records.now()
-        at.seen.planned.add(one.name, start, records.FOREVER)
+        at.seen.planned.add(one.name, start)
         await one.stop()
         await one.start()
         at.seen.planned.end(one.name, start, records.now() + site.CONTACT_SECONDS)
--- a/packages/dev/cassiaquay_dev/soak/main.py
+++ b/packages/dev/cassiaquay_dev/soak/main.py
@@ -62,9 +62,7 @@
 
 async def _play(played: site.Site) -> collections.Counter[str]:
     settings = played.settings
-    traffic = callers.Callers(
-        played.fronts_of_daemons(), played.lives_of, played.seen, played.chance
-    )
+    traffic = played.callers()
     traffic.keys = sorted(site.TEAMS)
     traffic.extra_paths = ["/extra0/", "/extra1/", "/extra2/"]
     ended = asyncio.Event()
@@ -79,7 +77,7 @@
         name = plan.choice(names)
         counts[name] += 1
         chance = random.Random(plan.random())
-        work = _one(faults.faults.get(name), played, chance)
+        work = faults.faults.get(name)(played, chance)
         running.append(asyncio.create_task(work))
     async with asyncio.timeout(LAST_SECONDS):
         await asyncio.gather(*running)
@@ -90,10 +88,6 @@
     return counts
 
 
-async def _one(fault: faults.Fault, played: site.Site, chance: random.Random) -> None:
-    await fault(played, chance)
-
-
 def main(
     seed: int = 1,
     count: int = 1,
--- a/packages/dev/cassiaquay_dev/soak/records.py
+++ b/packages/dev/cassiaquay_dev/soak/records.py
@@ -21,7 +21,6 @@
         self.service = service
         self.request = request
         self.at = now()
-        self.ended_at = FOREVER
         # Whether the engine began to work on it.
         self.executed = False
         # Whether the engine itself did something wrong to it.
@@ -74,8 +73,8 @@
     def __init__(self) -> None:
         self._spans: dict[str, list[Span]] = {}
 
-    def add(self, name: str, start: float, end: float) -> None:
-        """Note one disturbance."""
+    def add(self, name: str, start: float, end: float = FOREVER) -> None:
+        """Note one disturbance; until its end is given, it goes on."""
         self._spans.setdefault(name, []).append(Span(start, end))
 
     def end(self, name: str, start: float, end: float) -> None:
@@ -92,7 +91,7 @@
 
 
 class Change(typing.NamedTuple):
-    """One version of the configuration, or an engine that leaves."""
+    """One version of the configuration: when it was written, its keys and routes."""
 
     at: float
     keys: frozenset[str]
@@ -113,17 +112,8 @@
         self.leaving: dict[str, float] = {}
         self.unasked_bytes: list[str] = []
         self.own_ends: list[str] = []
-        self.limits: dict[str, float] = {}
         self.calm_from = FOREVER
 
-    def open_fault(self, name: str, start: float) -> None:
-        """Note that something is disturbed from now on."""
-        self.faults.add(name, start, FOREVER)
-
-    def close_fault(self, name: str, start: float, end: float) -> None:
-        """Note the end of what :meth:`open_fault` began."""
-        self.faults.end(name, start, end)
-
     def is_calm(self, daemon: str, start: float, end: float) -> bool:
         """Tell whether a daemon, its links and the store were left alone."""
         for name in (daemon, "store"):
--- a/packages/dev/cassiaquay_dev/soak/recovery.py
+++ b/packages/dev/cassiaquay_dev/soak/recovery.py
@@ -10,7 +10,7 @@
 
 import fire
 
-from . import callers, records, site
+from . import records, site
 
 BEFORE_SECONDS = 6.0
 AFTER_SECONDS = 14.0
@@ -32,9 +32,7 @@
     played = site.Site(settings)
     try:
         await played.start()
-        traffic = callers.Callers(
-            played.fronts_of_daemons(), played.lives_of, played.seen, played.chance
-        )
+        traffic = played.callers()
         ended = asyncio.Event()
         calls = asyncio.create_task(traffic.run(settings.rate, ended))
         await asyncio.sleep(BEFORE_SECONDS)
--- a/packages/dev/cassiaquay_dev/soak/site.py
+++ b/packages/dev/cassiaquay_dev/soak/site.py
@@ -5,13 +5,12 @@
 import pathlib
 import random
 import signal
-import socket
 import typing
 
 import uvloop
 
-from .. import platform_standins, processes
-from . import callers, engines, exchange, proxies, records
+from .. import platform_standins, ports, processes, proxies
+from . import callers, engines, exchange, records
 
 READY_SECONDS = 15.0
 CONTACT_SECONDS = 3.0
@@ -19,9 +18,6 @@
 APPLY_SECONDS = 2.0
 RETRY_SHARE = 0.2
 RETRY_EXTRA = 60.0
-# Below the ports that the kernel gives to outgoing connections: a daemon that starts
-# again must find its port free.
-PORTS = (10_000, 30_000)
 LISTENERS = ("front", "ready", "directory", "peer")
 TEAMS = {"key-a": "blue", "key-b": "green", "key-c": "small"}
 # Tokens a second and at once of the team with little.
@@ -72,12 +68,12 @@
         name: str,
         folder: pathlib.Path,
         store: str,
-        ports: collections.abc.Iterator[int],
+        free: collections.abc.Iterator[int],
     ):
         self.name = name
         self.lives = 0
         self.wanted = False
-        self.addresses = {use: f"127.0.0.1:{next(ports)}" for use in LISTENERS}
+        self.addresses = {use: f"127.0.0.1:{next(free)}" for use in LISTENERS}
         self.front = proxies.Proxy(self.addresses["front"])
         self.peer = proxies.Proxy(self.addresses["peer"])
         self.store = proxies.Proxy(store)
@@ -168,10 +164,10 @@
         for number in range(self.settings.engines):
             await self.add_engine("chat" if number % 2 else "plain")
         self.publish()
-        ports = _free_ports()
+        free = ports.free_ports()
         for number in range(self.settings.daemons):
             name = f"cq-{number + 1}"
-            made = Daemon(name, self._folder, self.store.address, ports)
+            made = Daemon(name, self._folder, self.store.address, free)
             self.daemons.append(made)
             for proxy in made.proxies:
                 await proxy.start()
@@ -202,7 +198,7 @@
             await engine.stop()
         await self.store.stop()
 
-    def fronts_of_daemons(self) -> list[callers.Front]:
+    def _fronts(self) -> list[callers.Front]:
         """Return the daemons as callers know them."""
         found = []
         for one in self.daemons:
@@ -214,7 +210,11 @@
             )
         return found
 
-    def lives_of(self, name: str) -> int:
+    def callers(self) -> callers.Callers:
+        """Return callers of the daemons."""
+        return callers.Callers(self._fronts(), self._lives_of, self.seen, self.chance)
+
+    def _lives_of(self, name: str) -> int:
         """Return how often a daemon has been started."""
         return next(one.lives for one in self.daemons if one.name == name)
 
@@ -334,18 +334,6 @@
     return bool(handled >> (number - 1) & 1)
 
 
-def _free_ports() -> collections.abc.Iterator[int]:
-    """Yield ports that nobody listens on, each once."""
-    chance = random.SystemRandom()
-    for port in chance.sample(range(*PORTS), PORTS[1] - PORTS[0]):
-        try:
-            with socket.create_server(("127.0.0.1", port)):
-                pass
-        except OSError:
-            continue
-        yield port
-
-
 def run(work: typing.Coroutine[typing.Any, typing.Any, typing.Any]) -> typing.Any:
     """Run a soak's work."""
     return uvloop.run(work)
--- a/tests/caller_fakes.py
+++ b/tests/caller_fakes.py
@@ -5,7 +5,6 @@
 import collections.abc
 import contextlib
 import json
-import socket
 import typing
 
 import uvicorn
@@ -204,9 +203,3 @@
             await work
 
     asyncio.run(bounded())
-
-
-def free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
--- a/tests/gateway_fakes.py
+++ b/tests/gateway_fakes.py
@@ -3,7 +3,6 @@
 import asyncio
 import collections.abc
 import contextlib
-import socket
 import typing
 
 import aiohttp
@@ -12,7 +11,7 @@
 from cassiaquay_daemon import daemon
 from cassiaquay_daemon.platform import documents, store
 from cassiaquay_dev import platform_standins as standins
-from cassiaquay_dev import raw_servers
+from cassiaquay_dev import ports, raw_servers
 from cassiaquay_schema import settings as settings_schema
 
 # Imported for what they register.
@@ -40,7 +39,7 @@
             await engine.start()
             self.enlist(engine)
         self.store.put("op/config", standins.configuration())
-        seeds = [f"127.0.0.1:{free_port()}" for _ in range(count)]
+        seeds = [f"127.0.0.1:{ports.free_port()}" for _ in range(count)]
         for number in range(count):
             await self.add(f"cq-{number + 1}", seeds[number], seeds)
         for found in self.settings:
@@ -82,9 +81,9 @@
             membership=settings_schema.Membership(period=0.1, refresh_seconds=0.5),
             keeper=settings_schema.Keeper(policy="objectives", renew_seconds=0.1),
             gateway=settings_schema.Gateway(
-                front=f"127.0.0.1:{free_port()}",
-                ready=f"127.0.0.1:{free_port()}",
-                directory=f"127.0.0.1:{free_port()}",
+                front=f"127.0.0.1:{ports.free_port()}",
+                ready=f"127.0.0.1:{ports.free_port()}",
+                directory=f"127.0.0.1:{ports.free_port()}",
                 grace_seconds=3.0,
                 retry_extra=1000.0,
                 first_start=True,
@@ -183,12 +182,6 @@
     complete: bool
 
 
-def free_port() -> int:
-    """Return a port that is free now."""
-    with socket.create_server(("127.0.0.1", 0)) as bound:
-        return int(bound.getsockname()[1])
-
-
 @contextlib.asynccontextmanager
 async def site(count: int = 1) -> collections.abc.AsyncIterator[Site]:
     """Give a site that serves."""
--- a/tests/test_caller_faults.py
+++ b/tests/test_caller_faults.py
@@ -8,6 +8,7 @@
 
 import cassiaquay
 from cassiaquay import exceptions, hooks
+from cassiaquay_dev import ports
 
 
 def test_failed_is_not_retried():
@@ -50,7 +51,7 @@
 
     async def work() -> None:
         async with fakes.serve([fakes.whole]) as (fake, session):
-            fake.ports.insert(0, fakes.free_port())
+            fake.ports.insert(0, ports.free_port())
             dead = f":{fake.ports[0]}"
             sent: list[hooks.Attempt] = []
             session.hooks.register(hooks.ATTEMPT, sent.append)
@@ -85,7 +86,7 @@
             fake,
             session,
         ):
-            fake.ports.insert(0, fakes.free_port())
+            fake.ports.insert(0, ports.free_port())
             sent: list[hooks.Attempt] = []
             session.hooks.register(hooks.ATTEMPT, sent.append)
             asked = [session.ask("tutor-assist", "2+2?") for _ in range(60)]
@@ -176,7 +177,7 @@
 def test_no_address_is_raised_when_no_instance_answers():
     async def work() -> None:
         settings = cassiaquay.Settings(
-            [f"127.0.0.1:{fakes.free_port()}"], timeout=fakes.LONG, max_attempts=2
+            [f"127.0.0.1:{ports.free_port()}"], timeout=fakes.LONG, max_attempts=2
         )
         async with cassiaquay.Session(settings) as session:
             with pytest.raises(exceptions.NoAddress):
--- a/tests/test_gateway_schedules.py
+++ b/tests/test_gateway_schedules.py
@@ -160,6 +160,7 @@
             return
 
     monkeypatch.setattr(forwarding, "read", read)
+    monkeypatch.setattr(engines, "FAULTS", ("truncate",))
 
 
 def _any_order(monkeypatch) -> None:
@@ -179,6 +180,7 @@
         return forwarding.Answer(response, response.status, pairs)
 
     monkeypatch.setattr(forwarding.Forwarder, "_check", check)
+    monkeypatch.setattr(engines, "FAULTS", ("extra",))
 
 
 def _forged_team(monkeypatch) -> None:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -5,8 +5,8 @@
 
 import pytest
 
-from cassiaquay_dev import gateway_demo, raw_servers
-from cassiaquay_dev.soak import checks, engines, exchange, main, proxies, records, site
+from cassiaquay_dev import gateway_demo, proxies, raw_servers
+from cassiaquay_dev.soak import checks, engines, exchange, main, records, site
 
 START = 1000.0
 PATHS = {"safe": "/safe/", "book": "/book/", "stream": "/stream/"}
@@ -39,7 +39,6 @@
     request = raw_servers.Request("POST", attempt.path, headers, attempt.body)
     made = records.Run(engine, SERVICES[PATHS[attempt.kind]], request)
     made.at = START + 0.05
-    made.ended_at = START + 0.09
     made.executed = True
     made.status = 200
     made.seal = f"{attempt.name}.{len(seen.runs)}"
@@ -236,7 +235,7 @@
     seen = _records()
     _late_change(seen)
     assert "configuration" in _found(seen)
-    seen.open_fault("cq-1", START - 4.0)
+    seen.faults.add("cq-1", START - 4.0)
     assert "configuration" not in _found(seen)
 
 
