--- a/Makefile
+++ b/Makefile
@@ -36,8 +36,8 @@
 lint: setup
 	$(PYTHON) -m ruff format --check .
 	$(PYTHON) -m ruff check .
-	$(PYTHON) -m cassiaquay_dev.imports packages tests
-	$(PYTHON) -m cassiaquay_dev.lengths packages
+	$(PYTHON) -m cassiaquay_dev.style.imports packages tests
+	$(PYTHON) -m cassiaquay_dev.style.lengths packages
 	$(VENV)/bin/lint-imports --no-cache --no-logo
 	$(PYTHON) -m mypy $(foreach p,$(PACKAGES),packages/$(p))
 	$(PYTHON) -m cassiaquay_schema.generate --check
@@ -47,8 +47,8 @@
 	$(PYTHON) -m ruff check --fix .
 
 bench: setup
-	$(PYTHON) -m cassiaquay_dev.bench $(ARGS)
+	$(PYTHON) -m cassiaquay_dev.trials.bench $(ARGS)
 
 generate: setup
 	$(PYTHON) -m cassiaquay_schema.generate
-	$(PYTHON) -m cassiaquay_dev.capacity
+	$(PYTHON) -m cassiaquay_dev.sizing.capacity
--- a/packages/daemon/cassiaquay_daemon/answers.py
+++ b/packages/daemon/cassiaquay_daemon/adapters/answers.py
@@ -6,7 +6,7 @@
 import msgspec
 import xxhash
 
-from . import clock
+from .. import clock
 
 # What an event takes beside its bytes: without it, answers of many short events would
 # hold more than twice the memory that they are allowed (docs/experiments/outcomes.md).
--- a/packages/daemon/cassiaquay_daemon/backends.py
+++ b/packages/daemon/cassiaquay_daemon/adapters/backends.py
@@ -13,7 +13,8 @@
 
 from cassiaquay_schema import fleet, registry
 
-from . import answers, exceptions
+from .. import exceptions
+from . import answers
 
 CONNECT_SECONDS = 2.0
 CANCEL_SECONDS = 3.0
--- a/packages/daemon/cassiaquay_daemon/snapshots.py
+++ b/packages/daemon/cassiaquay_daemon/configured/snapshots.py
@@ -12,7 +12,9 @@
 from cassiaquay_schema import exceptions, registry, texts
 from cassiaquay_schema import fleet as fleet_schema
 
-from . import backends, rendezvous, routing
+from .. import rendezvous
+from ..adapters import backends
+from . import routing
 
 # A keeper weighs every server of its shard for every request; this many keep it within
 # a few hundredths of a core at the loads of docs/CAPACITY.md.
--- a/packages/daemon/cassiaquay_daemon/daemon.py
+++ b/packages/daemon/cassiaquay_daemon/daemon.py
@@ -11,36 +11,16 @@
 
 from cassiaquay_schema import settings as settings_schema
 
-from . import (
-    addresses,
-    admin,
-    backends,
-    configuration,
-    demands,
-    dependencies,
-    engine_reports,
-    gates,
-    keeper,
-    limit_keepers,
-    limits,
-    listeners,
-    logs,
-    members,
-    owner,
-    pause,
-    peers,
-    platform,
-    reconciler,
-    recovery,
-    relay,
-    reloading,
-    renewal,
-    reports,
-    servers,
-    tokens,
-    web,
-)
+from . import listeners, logs, pause, platform, reloading
+from .adapters import backends
+from .engines import engine_reports, reconciler
+from .fleet import configuration, members, renewal, servers
 from .gateway import service
+from .interface import addresses, relay, web
+from .keepers import demands, keeper, limit_keepers, limits
+from .links import peers
+from .operators import admin, reports
+from .owners import dependencies, gates, owner, recovery, tokens
 
 # Callers that asked for addresses just before the shutdown still come for a moment;
 # they are answered with "not run" and another address instead of a refused connection.
--- a/packages/daemon/cassiaquay_daemon/arrivals.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/arrivals.py
@@ -2,7 +2,7 @@
 
 import collections
 
-from . import clock
+from .. import clock
 
 HALF_LIFE_SECONDS = 1.5
 
--- a/packages/daemon/cassiaquay_daemon/held_tiers.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/held_tiers.py
@@ -1,6 +1,6 @@
 """Tiers that get no slot because a more important one is being shed."""
 
-from . import clock
+from .. import clock
 
 ALL_PASS = (-1, 0)
 
--- a/packages/daemon/cassiaquay_daemon/objectives.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/objectives.py
@@ -14,7 +14,8 @@
 
 from cassiaquay_schema import messages
 
-from . import arrivals, choices, clock, loads, pace, policies, queues, shards, shedding
+from .. import clock
+from . import arrivals, choices, loads, pace, policies, queues, shards, shedding
 
 NAME = "objectives"
 # Estimates are never exact: what would begin this close to its objective is late.
--- a/packages/daemon/cassiaquay_daemon/pace.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/pace.py
@@ -10,7 +10,7 @@
 import math
 import typing
 
-from . import clock, logs
+from .. import clock, logs
 
 # Where nothing is known yet: of the engines met so far the middle ones.
 START_RATE = 60_000.0
--- a/packages/daemon/cassiaquay_daemon/placement.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/placement.py
@@ -9,7 +9,8 @@
 
 from cassiaquay_schema import fleet, messages
 
-from . import affinity, clock, shards, speeds
+from .. import clock
+from . import affinity, shards, speeds
 
 # How much unread prompt an engine may have when it gets more: enough that it never
 # runs dry before the next permit arrives, little enough that an important request
--- a/packages/daemon/cassiaquay_daemon/shards.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/shards.py
@@ -6,7 +6,8 @@
 from cassiaquay_schema import fleet, messages
 from cassiaquay_schema import settings as settings_schema
 
-from . import clock, held_tiers, loads, logs, peers, prefixes
+from .. import clock, logs
+from . import held_tiers, loads, prefixes
 
 # Time for the news of a dispatch to reach the keeper after a permit's last moment.
 NEWS_SECONDS = 0.4
@@ -208,7 +209,7 @@
         self._unqueue(request_id)
         self._stop(request_id)
 
-    def drop_owner(self, link: peers.Link) -> None:
+    def drop_owner(self, link: Replier) -> None:
         """Forget the demands that came over a closed link.
 
         Permits and dispatches stay until their leases end: the owner may be alive
--- a/packages/daemon/cassiaquay_daemon/shedding.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/shedding.py
@@ -2,7 +2,7 @@
 
 import random
 
-from . import clock
+from .. import clock
 
 HALF_LIFE_SECONDS = 2.0
 # Seconds of saturation seen before the measured drain is believed.
--- a/packages/daemon/cassiaquay_daemon/tiered.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/tiered.py
@@ -4,7 +4,8 @@
 
 from cassiaquay_schema import messages
 
-from . import clock, loads, placement, policies, queues, shards, shedding
+from .. import clock
+from . import loads, placement, policies, queues, shards, shedding
 
 NAME = "tiered"
 # Demands of one team looked at in one pass: those behind may fit where the first do
--- a/packages/daemon/cassiaquay_daemon/windows.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/windows.py
@@ -3,7 +3,7 @@
 import collections
 import collections.abc
 
-from . import clock
+from .. import clock
 
 
 class Window:
--- a/packages/daemon/cassiaquay_daemon/engine_orders.py
+++ b/packages/daemon/cassiaquay_daemon/engines/engine_orders.py
@@ -7,7 +7,8 @@
 
 from cassiaquay_schema import fleet, registry
 
-from . import exceptions, orders
+from .. import exceptions
+from . import orders
 
 ANSWER_SECONDS = 2.0
 
--- a/packages/daemon/cassiaquay_daemon/engine_reports.py
+++ b/packages/daemon/cassiaquay_daemon/engines/engine_reports.py
@@ -13,7 +13,10 @@
 
 from cassiaquay_schema import fleet, registry
 
-from . import clock, configuration, exceptions, keeper, policies, shards
+from .. import clock, exceptions
+from ..decisions import policies, shards
+from ..fleet import configuration
+from ..keepers import keeper
 
 PERIOD_SECONDS = 0.5
 TIMEOUT_SECONDS = 1.0
--- a/packages/daemon/cassiaquay_daemon/orders.py
+++ b/packages/daemon/cassiaquay_daemon/engines/orders.py
@@ -7,7 +7,7 @@
 
 from cassiaquay_schema import fleet
 
-from . import snapshots
+from ..configured import snapshots
 
 LOAD_MODEL = "load_model"
 LOAD_ADAPTER = "load_adapter"
--- a/packages/daemon/cassiaquay_daemon/reconciler.py
+++ b/packages/daemon/cassiaquay_daemon/engines/reconciler.py
@@ -12,18 +12,11 @@
 from cassiaquay_schema import fleet
 from cassiaquay_schema import settings as settings_schema
 
-from . import (
-    clock,
-    configuration,
-    engine_orders,
-    exceptions,
-    keeper,
-    logs,
-    members,
-    orders,
-    pause,
-    snapshots,
-)
+from .. import clock, exceptions, logs, pause
+from ..configured import snapshots
+from ..fleet import configuration, members
+from ..keepers import keeper
+from . import engine_orders, orders
 
 
 class _Sent(typing.NamedTuple):
--- a/packages/daemon/cassiaquay_daemon/configuration.py
+++ b/packages/daemon/cassiaquay_daemon/fleet/configuration.py
@@ -15,17 +15,10 @@
 from cassiaquay_schema import messages
 from cassiaquay_schema import settings as settings_schema
 
-from . import (
-    changes,
-    clock,
-    exceptions,
-    logs,
-    members,
-    peers,
-    platform,
-    rendezvous,
-    snapshots,
-)
+from .. import clock, exceptions, logs, platform, rendezvous
+from ..configured import changes, snapshots
+from ..links import peers
+from . import members
 
 # This many instances of the fleet, and one of each failure domain, wait for news at
 # the service. The others look now and then, all together at most so often a second,
--- a/packages/daemon/cassiaquay_daemon/facts.py
+++ b/packages/daemon/cassiaquay_daemon/fleet/facts.py
@@ -11,7 +11,7 @@
 
 from cassiaquay_schema import messages
 
-from . import clock
+from .. import clock
 
 # A dead instance's last facts may still be on their way from slow peers. For this long
 # they are refused, so that nobody brings it back; nothing is under way longer.
--- a/packages/daemon/cassiaquay_daemon/members.py
+++ b/packages/daemon/cassiaquay_daemon/fleet/members.py
@@ -12,19 +12,9 @@
 from cassiaquay_schema import messages
 from cassiaquay_schema import settings as settings_schema
 
-from . import (
-    clock,
-    exceptions,
-    facts,
-    freshness,
-    logs,
-    peers,
-    platform,
-    rendezvous,
-    sharers,
-    spread,
-    watching,
-)
+from .. import clock, exceptions, logs, platform, rendezvous
+from ..links import peers
+from . import facts, freshness, sharers, spread, watching
 
 # Load is told of when it has moved by this much: enough to spread callers, and rare
 # enough that hundreds of instances do not fill the budget with it.
--- a/packages/daemon/cassiaquay_daemon/renewal.py
+++ b/packages/daemon/cassiaquay_daemon/fleet/renewal.py
@@ -9,7 +9,9 @@
 from cassiaquay_schema import messages
 from cassiaquay_schema import settings as settings_schema
 
-from . import clock, configuration, logs, members, pause, peers, platform
+from .. import clock, logs, pause, platform
+from ..links import peers
+from . import configuration, members
 
 POLL_SECONDS = 0.02
 
--- a/packages/daemon/cassiaquay_daemon/servers.py
+++ b/packages/daemon/cassiaquay_daemon/fleet/servers.py
@@ -14,17 +14,9 @@
 from cassiaquay_schema import messages
 from cassiaquay_schema import settings as settings_schema
 
-from . import (
-    clock,
-    configuration,
-    exceptions,
-    freshness,
-    logs,
-    members,
-    peers,
-    platform,
-    rendezvous,
-)
+from .. import clock, exceptions, logs, platform, rendezvous
+from ..links import peers
+from . import configuration, freshness, members
 
 # The reader's place in the order of readers adds this much to the age at which it
 # reads: time for the one before it to read and for a heartbeat to tell of it.
--- a/packages/daemon/cassiaquay_daemon/sharers.py
+++ b/packages/daemon/cassiaquay_daemon/fleet/sharers.py
@@ -4,7 +4,7 @@
 part there. They count for a while after they were heard last.
 """
 
-from . import clock
+from .. import clock
 
 # Partitions of machines and switches end within this; counting the gone for longer
 # would keep budgets small after a real loss.
--- a/packages/daemon/cassiaquay_daemon/spread.py
+++ b/packages/daemon/cassiaquay_daemon/fleet/spread.py
@@ -5,7 +5,9 @@
 
 from cassiaquay_schema import messages
 
-from . import clock, facts, peers
+from .. import clock
+from ..links import peers
+from . import facts
 
 # Sizes of one fact and one suspicion on the wire, measured and rounded up: the budget
 # needs no encoding of its own.
--- a/packages/daemon/cassiaquay_daemon/watching.py
+++ b/packages/daemon/cassiaquay_daemon/fleet/watching.py
@@ -5,7 +5,9 @@
 from cassiaquay_schema import messages
 from cassiaquay_schema import settings as settings_schema
 
-from . import clock, facts, logs, peers, rendezvous
+from .. import clock, logs, rendezvous
+from ..links import peers
+from . import facts
 
 # A silent instance is asked for at this many others that should hear it, and has
 # this many periods until the verdict: one broken connection is no death.
--- a/packages/daemon/cassiaquay_daemon/gateway/accepting.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/accepting.py
@@ -1,6 +1,8 @@
 """Callers' requests, checked before anything else looks at them."""
 
-from .. import configuration, exceptions, routing, servers
+from .. import exceptions
+from ..configured import routing
+from ..fleet import configuration, servers
 from ..platform import headers
 from . import calls, replies
 
--- a/packages/daemon/cassiaquay_daemon/gateway/accounts.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/accounts.py
@@ -2,7 +2,8 @@
 
 import collections.abc
 
-from .. import clock, exceptions, reports
+from .. import clock, exceptions
+from ..operators import reports
 from ..platform import headers
 from . import progress
 
--- a/packages/daemon/cassiaquay_daemon/gateway/admission.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/admission.py
@@ -5,7 +5,9 @@
 
 from cassiaquay_schema import fleet, messages
 
-from .. import clock, demands, exceptions, logs, members
+from .. import clock, exceptions, logs
+from ..fleet import members
+from ..keepers import demands
 from . import calls
 
 # Retry-After while no server of a service is known: registrations are read again
--- a/packages/daemon/cassiaquay_daemon/gateway/calls.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/calls.py
@@ -2,7 +2,8 @@
 
 import typing
 
-from .. import clock, routing, snapshots
+from .. import clock
+from ..configured import routing, snapshots
 from ..platform import headers
 
 # The caller's clock runs from when it sent the first byte; ours from when the headers
--- a/packages/daemon/cassiaquay_daemon/gateway/connections.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/connections.py
@@ -7,7 +7,7 @@
 import aiohttp
 from aiohttp import client_proto
 
-from .. import backends
+from ..adapters import backends
 
 # Servers keep an idle connection for longer; one that is closed under a request leaves
 # its outcome unknown, so connections are given up well before that.
--- a/packages/daemon/cassiaquay_daemon/gateway/directory.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/directory.py
@@ -7,7 +7,8 @@
 
 from cassiaquay_schema import settings as settings_schema
 
-from .. import configuration, members, pause
+from .. import pause
+from ..fleet import configuration, members
 from ..platform import directory as wire
 from . import front
 
--- a/packages/daemon/cassiaquay_daemon/gateway/front.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/front.py
@@ -2,7 +2,8 @@
 
 import asyncio
 
-from .. import clock, exceptions, logs, streams
+from .. import clock, exceptions, logs
+from ..owners import streams
 from ..platform import headers
 from . import accepting, accounts, progress, replies, serving
 
--- a/packages/daemon/cassiaquay_daemon/gateway/service.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/service.py
@@ -9,18 +9,11 @@
 
 from cassiaquay_schema import settings as settings_schema
 
-from .. import (
-    budgets,
-    configuration,
-    demands,
-    listeners,
-    logs,
-    members,
-    pause,
-    peers,
-    quotas,
-    servers,
-)
+from .. import listeners, logs, pause
+from ..decisions import budgets
+from ..fleet import configuration, members, servers
+from ..keepers import demands, quotas
+from ..links import peers
 from . import (
     accepting,
     accounts,
--- a/packages/daemon/cassiaquay_daemon/gateway/serving.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/serving.py
@@ -8,16 +8,11 @@
 import asyncio
 import typing
 
-from .. import (
-    budgets,
-    clock,
-    configuration,
-    exceptions,
-    logs,
-    pause,
-    quotas,
-    routing,
-)
+from .. import clock, exceptions, logs, pause
+from ..configured import routing
+from ..decisions import budgets
+from ..fleet import configuration
+from ..keepers import quotas
 from . import (
     accepting,
     accounts,
--- a/packages/daemon/cassiaquay_daemon/addresses.py
+++ b/packages/daemon/cassiaquay_daemon/interface/addresses.py
@@ -6,7 +6,8 @@
 from cassiaquay_schema import messages
 from cassiaquay_schema import settings as settings_schema
 
-from . import members, tokens
+from ..fleet import members
+from ..owners import tokens
 
 MAX_ADDRESSES = 16
 DOMAIN_WEIGHT = 16.0
--- a/packages/daemon/cassiaquay_daemon/bodies.py
+++ b/packages/daemon/cassiaquay_daemon/interface/bodies.py
@@ -6,7 +6,7 @@
 
 from cassiaquay_schema import settings as settings_schema
 
-from . import exceptions
+from .. import exceptions
 
 MAX_HEADER_BYTES = 16384
 JSON_TYPE = "application/json"
--- a/packages/daemon/cassiaquay_daemon/holds.py
+++ b/packages/daemon/cassiaquay_daemon/interface/holds.py
@@ -11,7 +11,8 @@
 
 from cassiaquay_schema import messages
 
-from . import relay, tokens
+from ..owners import tokens
+from . import relay
 
 TRY_SECONDS = 0.3
 # Past any event that an answer can have: only its end is waited for.
--- a/packages/daemon/cassiaquay_daemon/relay.py
+++ b/packages/daemon/cassiaquay_daemon/interface/relay.py
@@ -9,7 +9,8 @@
 from cassiaquay_schema import messages
 from cassiaquay_schema import settings as settings_schema
 
-from . import exceptions, logs, streams
+from .. import exceptions, logs
+from ..owners import streams
 
 HOP_HEADER = "X-Cassiaquay-Hop"
 CONNECT_SECONDS = 1.0
--- a/packages/daemon/cassiaquay_daemon/web.py
+++ b/packages/daemon/cassiaquay_daemon/interface/web.py
@@ -10,23 +10,11 @@
 
 from cassiaquay_schema import settings as settings_schema
 
-from . import (
-    addresses,
-    bodies,
-    configuration,
-    entries,
-    exceptions,
-    holds,
-    members,
-    owner,
-    pause,
-    recovery,
-    relay,
-    requests,
-    snapshots,
-    streams,
-    tokens,
-)
+from .. import exceptions, pause
+from ..configured import snapshots
+from ..fleet import configuration, members
+from ..owners import entries, owner, recovery, requests, streams, tokens
+from . import addresses, bodies, holds, relay
 
 QUESTIONS = ("/outcome", "/cancel")
 # Of an id as it was sent: a malformed one may be of any length.
--- a/packages/daemon/cassiaquay_daemon/baselines.py
+++ b/packages/daemon/cassiaquay_daemon/keepers/baselines.py
@@ -13,7 +13,8 @@
 
 from cassiaquay_schema import fleet, messages
 
-from . import clock, policies, rendezvous, shards
+from .. import clock, rendezvous
+from ..decisions import policies, shards
 
 # Under this policy each owner keeps its own shards: there are no keepers.
 LOCAL = "first-come-local"
--- a/packages/daemon/cassiaquay_daemon/demands.py
+++ b/packages/daemon/cassiaquay_daemon/keepers/demands.py
@@ -10,17 +10,11 @@
 from cassiaquay_schema import messages
 from cassiaquay_schema import settings as settings_schema
 
-from . import (
-    clock,
-    exceptions,
-    keeper,
-    lengths,
-    logs,
-    members,
-    peers,
-    sending,
-    shards,
-)
+from .. import clock, exceptions, logs
+from ..decisions import lengths, shards
+from ..fleet import members
+from ..links import peers
+from . import keeper, sending
 
 # How often news of dispatches and first events is sent. A keeper holds back until it
 # hears that a prompt has been read; 50 ms here cost a twentieth of goodput
--- a/packages/daemon/cassiaquay_daemon/floors.py
+++ b/packages/daemon/cassiaquay_daemon/keepers/floors.py
@@ -10,7 +10,10 @@
 
 from cassiaquay_schema import messages
 
-from . import clock, peers, shards, siblings
+from .. import clock
+from ..decisions import shards
+from ..links import peers
+from . import siblings
 
 # Lower tiers get no slot anywhere for so long after a request was shed: the time that
 # the policies hold them back in the shard itself, and the way there and back.
--- a/packages/daemon/cassiaquay_daemon/keeper.py
+++ b/packages/daemon/cassiaquay_daemon/keepers/keeper.py
@@ -11,23 +11,12 @@
 from cassiaquay_schema import messages
 from cassiaquay_schema import settings as settings_schema
 
-from . import (
-    baselines,
-    clock,
-    configuration,
-    floors,
-    logs,
-    members,
-    objectives,
-    pause,
-    peers,
-    policies,
-    rooms,
-    shards,
-    siblings,
-    snapshots,
-    tiered,
-)
+from .. import clock, logs, pause
+from ..configured import snapshots
+from ..decisions import objectives, policies, shards, tiered
+from ..fleet import configuration, members
+from ..links import peers
+from . import baselines, floors, rooms, siblings
 
 DEFAULT_POLICY = tiered.NAME
 # Imported for what they register.
--- a/packages/daemon/cassiaquay_daemon/limit_keepers.py
+++ b/packages/daemon/cassiaquay_daemon/keepers/limit_keepers.py
@@ -11,7 +11,10 @@
 from cassiaquay_schema import messages
 from cassiaquay_schema import settings as settings_schema
 
-from . import clock, configuration, members, peers, shards
+from .. import clock
+from ..decisions import shards
+from ..fleet import configuration, members
+from ..links import peers
 
 TEAM = "team"
 SERVICE = "service"
--- a/packages/daemon/cassiaquay_daemon/limits.py
+++ b/packages/daemon/cassiaquay_daemon/keepers/limits.py
@@ -14,7 +14,11 @@
 from cassiaquay_schema import messages
 from cassiaquay_schema import settings as settings_schema
 
-from . import clock, exceptions, limit_keepers, members, peers, shards
+from .. import clock, exceptions
+from ..decisions import shards
+from ..fleet import members
+from ..links import peers
+from . import limit_keepers
 
 CHUNK = 8
 ASK_SECONDS = 0.3
--- a/packages/daemon/cassiaquay_daemon/quotas.py
+++ b/packages/daemon/cassiaquay_daemon/keepers/quotas.py
@@ -14,7 +14,11 @@
 from cassiaquay_schema import messages
 from cassiaquay_schema import settings as settings_schema
 
-from . import configuration, exceptions, members, peers, routing, shards, windows
+from .. import exceptions
+from ..configured import routing
+from ..decisions import shards, windows
+from ..fleet import configuration, members
+from ..links import peers
 
 # Part of the bound that is given out at all: windows here and at the servers do not
 # begin at the same moment.
--- a/packages/daemon/cassiaquay_daemon/rooms.py
+++ b/packages/daemon/cassiaquay_daemon/keepers/rooms.py
@@ -14,7 +14,10 @@
 
 from cassiaquay_schema import messages
 
-from . import clock, peers, shards, siblings
+from .. import clock
+from ..decisions import shards
+from ..links import peers
+from . import siblings
 
 # Waits are told at each tick of the keeper, every 0.1 s; what is moved meanwhile is
 # added by the sender. After three ticks without news nothing is moved there: its keeper
--- a/packages/daemon/cassiaquay_daemon/sending.py
+++ b/packages/daemon/cassiaquay_daemon/keepers/sending.py
@@ -4,7 +4,7 @@
 
 from cassiaquay_schema import messages
 
-from . import clock
+from .. import clock
 
 
 class Counted(typing.Protocol):
--- a/packages/daemon/cassiaquay_daemon/siblings.py
+++ b/packages/daemon/cassiaquay_daemon/keepers/siblings.py
@@ -4,7 +4,8 @@
 
 from cassiaquay_schema import messages
 
-from . import members, snapshots
+from ..configured import snapshots
+from ..fleet import members
 
 
 class Siblings:
--- a/packages/daemon/cassiaquay_daemon/frames.py
+++ b/packages/daemon/cassiaquay_daemon/links/frames.py
@@ -7,7 +7,7 @@
 
 from cassiaquay_schema import messages
 
-from . import exceptions
+from .. import exceptions
 
 MAX_FRAME_BYTES = 4 * 1024 * 1024
 
--- a/packages/daemon/cassiaquay_daemon/peers.py
+++ b/packages/daemon/cassiaquay_daemon/links/peers.py
@@ -15,7 +15,8 @@
 from cassiaquay_schema import messages
 from cassiaquay_schema import settings as settings_schema
 
-from . import clock, exceptions, frames, logs
+from .. import clock, exceptions, logs
+from . import frames
 
 PROTOCOL_VERSION = 1
 NONCE_BYTES = 16
--- a/packages/daemon/cassiaquay_daemon/names.py
+++ b/packages/daemon/cassiaquay_daemon/names.py
@@ -2,7 +2,8 @@
 
 from cassiaquay_schema import exceptions, settings
 
-from . import platform, policies
+from . import platform
+from .decisions import policies
 
 
 def check_settings(found: settings.Settings) -> None:
--- a/packages/daemon/cassiaquay_daemon/admin.py
+++ b/packages/daemon/cassiaquay_daemon/operators/admin.py
@@ -12,18 +12,8 @@
 from cassiaquay_schema import messages
 from cassiaquay_schema import settings as settings_schema
 
-from . import (
-    burn,
-    clock,
-    exceptions,
-    explain,
-    keeper_view,
-    logs,
-    metrics,
-    reports,
-    viewers,
-    views,
-)
+from .. import clock, exceptions, logs
+from . import burn, explain, keeper_view, metrics, reports, viewers, views
 
 MAX_HISTORY = 1000
 DEFAULT_HISTORY = 100
--- a/packages/daemon/cassiaquay_daemon/explain.py
+++ b/packages/daemon/cassiaquay_daemon/operators/explain.py
@@ -8,16 +8,10 @@
 from cassiaquay_schema import bodies, messages
 from cassiaquay_schema import settings as settings_schema
 
-from . import (
-    clock,
-    exceptions,
-    keeper_view,
-    owner,
-    reports,
-    snapshots,
-    tokens,
-    viewers,
-)
+from .. import clock, exceptions
+from ..configured import snapshots
+from ..owners import owner, tokens
+from . import keeper_view, reports, viewers
 
 ASK_SECONDS = 3.0
 
--- a/packages/daemon/cassiaquay_daemon/keeper_view.py
+++ b/packages/daemon/cassiaquay_daemon/operators/keeper_view.py
@@ -3,7 +3,9 @@
 from cassiaquay_schema import bodies, messages
 from cassiaquay_schema import settings as settings_schema
 
-from . import exceptions, policies, reports, shards, views
+from .. import exceptions
+from ..decisions import policies, shards
+from . import reports, views
 
 
 def of_demand(
--- a/packages/daemon/cassiaquay_daemon/reports.py
+++ b/packages/daemon/cassiaquay_daemon/operators/reports.py
@@ -7,22 +7,13 @@
 from cassiaquay_schema import messages
 from cassiaquay_schema import settings as settings_schema
 
-from . import (
-    burn,
-    clock,
-    configuration,
-    exceptions,
-    heaviest,
-    history,
-    keeper,
-    logs,
-    members,
-    metrics,
-    owner,
-    peers,
-    recovery,
-    relay,
-)
+from .. import clock, exceptions, logs
+from ..fleet import configuration, members
+from ..interface import relay
+from ..keepers import keeper
+from ..links import peers
+from ..owners import owner, recovery
+from . import burn, heaviest, history, metrics
 
 LAG_PERIOD = 0.5
 
--- a/packages/daemon/cassiaquay_daemon/viewers.py
+++ b/packages/daemon/cassiaquay_daemon/operators/viewers.py
@@ -9,7 +9,8 @@
 
 from cassiaquay_schema import settings as settings_schema
 
-from . import configuration, exceptions
+from .. import exceptions
+from ..fleet import configuration
 
 
 class Viewer(typing.NamedTuple):
--- a/packages/daemon/cassiaquay_daemon/views.py
+++ b/packages/daemon/cassiaquay_daemon/operators/views.py
@@ -6,7 +6,9 @@
 from cassiaquay_schema import bodies
 from cassiaquay_schema import settings as settings_schema
 
-from . import members, reports, shards, viewers
+from ..decisions import shards
+from ..fleet import members
+from . import reports, viewers
 
 
 class ServerView(typing.TypedDict):
--- a/packages/daemon/cassiaquay_daemon/dependencies.py
+++ b/packages/daemon/cassiaquay_daemon/owners/dependencies.py
@@ -12,7 +12,13 @@
 from cassiaquay_schema import messages
 from cassiaquay_schema import settings as settings_schema
 
-from . import clock, exceptions, keeper, members, peers, requests, shards, snapshots
+from .. import clock, exceptions
+from ..configured import snapshots
+from ..decisions import shards
+from ..fleet import members
+from ..keepers import keeper
+from ..links import peers
+from . import requests
 
 PERIOD_SECONDS = 0.5
 # Without news for so long nothing is known, and requests go ahead.
--- a/packages/daemon/cassiaquay_daemon/dispatching.py
+++ b/packages/daemon/cassiaquay_daemon/owners/dispatching.py
@@ -8,18 +8,11 @@
 
 from cassiaquay_schema import fleet, messages
 
-from . import (
-    answers,
-    backends,
-    clock,
-    demands,
-    entries,
-    exceptions,
-    logs,
-    pause,
-    prefixes,
-    table,
-)
+from .. import clock, exceptions, logs, pause
+from ..adapters import answers, backends
+from ..decisions import prefixes
+from ..keepers import demands
+from . import entries, table
 
 NOT_SENT_PAUSE = 0.05
 # How long the answer of a request that cannot be stopped is still waited for after its
--- a/packages/daemon/cassiaquay_daemon/entries.py
+++ b/packages/daemon/cassiaquay_daemon/owners/entries.py
@@ -4,7 +4,9 @@
 import enum
 import typing
 
-from . import answers, backends, clock, exceptions, requests
+from .. import clock, exceptions
+from ..adapters import answers, backends
+from . import requests
 
 
 class State(enum.Enum):
--- a/packages/daemon/cassiaquay_daemon/gates.py
+++ b/packages/daemon/cassiaquay_daemon/owners/gates.py
@@ -4,7 +4,8 @@
 import contextlib
 import typing
 
-from . import dependencies, limits, requests
+from ..keepers import limits
+from . import dependencies, requests
 
 
 class Gate(typing.Protocol):
--- a/packages/daemon/cassiaquay_daemon/owner.py
+++ b/packages/daemon/cassiaquay_daemon/owners/owner.py
@@ -12,20 +12,9 @@
 
 from cassiaquay_schema import settings as settings_schema
 
-from . import (
-    clock,
-    dependencies,
-    dispatching,
-    entries,
-    exceptions,
-    gates,
-    logs,
-    pause,
-    requests,
-    snapshots,
-    table,
-    tokens,
-)
+from .. import clock, exceptions, logs, pause
+from ..configured import snapshots
+from . import dependencies, dispatching, entries, gates, requests, table, tokens
 
 SWEEP_SECONDS = 0.5
 # Refusals are kept as entries for this long, so that a caller whose connection broke
--- a/packages/daemon/cassiaquay_daemon/recovery.py
+++ b/packages/daemon/cassiaquay_daemon/owners/recovery.py
@@ -10,7 +10,9 @@
 
 from cassiaquay_schema import fleet
 
-from . import answers, backends, clock, exceptions, logs, snapshots
+from .. import clock, exceptions, logs
+from ..adapters import answers, backends
+from ..configured import snapshots
 
 PROBE_SECONDS = 2.0
 KEEP_SECONDS = 60.0
--- a/packages/daemon/cassiaquay_daemon/requests.py
+++ b/packages/daemon/cassiaquay_daemon/owners/requests.py
@@ -7,7 +7,11 @@
 
 from cassiaquay_schema import fleet
 
-from . import backends, exceptions, prefixes, snapshots, tokens
+from .. import exceptions
+from ..adapters import backends
+from ..configured import snapshots
+from ..decisions import prefixes
+from . import tokens
 
 MAX_TOKENS_LIMIT = 32768
 DEFAULT_MAX_TOKENS = 256
--- a/packages/daemon/cassiaquay_daemon/streams.py
+++ b/packages/daemon/cassiaquay_daemon/owners/streams.py
@@ -7,7 +7,8 @@
 import msgspec
 from starlette import types
 
-from . import answers, exceptions
+from .. import exceptions
+from ..adapters import answers
 
 EVENT_STREAM = b"text/event-stream"
 JSON = b"application/json"
--- a/packages/daemon/cassiaquay_daemon/table.py
+++ b/packages/daemon/cassiaquay_daemon/owners/table.py
@@ -4,7 +4,9 @@
 
 from cassiaquay_schema import settings as settings_schema
 
-from . import answers, entries, exceptions, tokens, tombstones
+from .. import exceptions
+from ..adapters import answers
+from . import entries, tokens, tombstones
 
 RETRY_AFTER_MS = 1000
 
--- a/packages/daemon/cassiaquay_daemon/tokens.py
+++ b/packages/daemon/cassiaquay_daemon/owners/tokens.py
@@ -11,7 +11,7 @@
 import secrets
 import typing
 
-from . import exceptions
+from .. import exceptions
 
 UNIQUE = re.compile(r"^[A-Za-z0-9_-]{1,64}$")
 TOKEN = re.compile(
--- a/packages/daemon/cassiaquay_daemon/tombstones.py
+++ b/packages/daemon/cassiaquay_daemon/owners/tombstones.py
@@ -9,7 +9,8 @@
 import hashlib
 import typing
 
-from . import exceptions, tokens
+from .. import exceptions
+from . import tokens
 
 DIGEST_BYTES = 16
 
--- a/packages/daemon/cassiaquay_daemon/platform/documents.py
+++ b/packages/daemon/cassiaquay_daemon/platform/documents.py
@@ -7,7 +7,7 @@
 from cassiaquay_schema import exceptions as schema_exceptions
 from cassiaquay_schema import fleet as fleet_schema
 
-from .. import routing, snapshots
+from ..configured import routing, snapshots
 
 NAME = "store"
 # The document has no least bound; no request can be served in less.
--- a/packages/dev/cassiaquay_dev/cluster.py
+++ b/packages/dev/cassiaquay_dev/cluster.py
@@ -7,7 +7,8 @@
 
 import aiohttp
 
-from . import deployments, partition, processes
+from . import deployments
+from .network import partition, processes
 
 KEY = "key-of-the-instances"
 
@@ -191,7 +192,7 @@
         self, name: str, flags: list[str], module: str = "platform"
     ) -> processes.Process:
         process = processes.Process(
-            name, ["-m", f"cassiaquay_dev.{module}", *flags], self.folder
+            name, ["-m", f"cassiaquay_dev.standins.{module}", *flags], self.folder
         )
         self.standins[name] = process
         await process.start()
--- a/packages/dev/cassiaquay_dev/demo.py
+++ b/packages/dev/cassiaquay_dev/demo.py
@@ -11,16 +11,9 @@
 import fire
 import numpy
 
-from . import (
-    checker,
-    cluster,
-    deployments,
-    driver,
-    engine_stream,
-    gateway_demo,
-    history,
-    workloads,
-)
+from . import cluster, deployments, gateway_demo
+from .standins import engine_stream
+from .trials import checker, driver, history, workloads
 
 COLUMNS = (
     "tier         sent  in time  late  not run  unknown  failed   p50 s   p95 s"
--- /dev/null
+++ b/packages/dev/cassiaquay_dev/lab/__init__.py
@@ -0,0 +1,1 @@
+"""Models without processes: a shard in virtual time, ownership by exploration."""
--- a/packages/dev/cassiaquay_dev/shard_engines.py
+++ b/packages/dev/cassiaquay_dev/lab/shard_engines.py
@@ -4,7 +4,8 @@
 import collections.abc
 import heapq
 
-from . import deployments, prefix_cache
+from .. import deployments
+from ..standins import prefix_cache
 
 CHUNK_TOKENS = 512
 DECODE_SECONDS = 0.0002
--- a/packages/dev/cassiaquay_dev/shard_lab.py
+++ b/packages/dev/cassiaquay_dev/lab/shard_lab.py
@@ -1,7 +1,7 @@
 """A policy on one shard in virtual time, paired with others on the same arrivals.
 
-``python -m cassiaquay_dev.shard_lab --deployment brindley --load 1.5 --seeds 3``. The
-keeper's code is the daemon's own; engines and owners are small fakes. It answers
+``python -m cassiaquay_dev.lab.shard_lab --deployment brindley --load 1.5 --seeds 3``.
+The keeper's code is the daemon's own; engines and owners are small fakes. It answers
 which of two policies is better, not how fast a daemon is: that is for ``make bench``.
 """
 
@@ -12,18 +12,16 @@
 
 import fire
 
-from cassiaquay_daemon import clock, keeper, policies, prefixes, shards
+from cassiaquay_daemon import clock
+from cassiaquay_daemon.decisions import policies, prefixes, shards
+from cassiaquay_daemon.keepers import keeper
 from cassiaquay_schema import fleet, messages
 from cassiaquay_schema import settings as settings_schema
 
-from . import (
-    bench_workloads,
-    blocks,
-    bounds,
-    deployments,
-    shard_engines,
-    workloads,
-)
+from .. import deployments
+from ..standins import blocks
+from ..trials import bench_workloads, bounds, workloads
+from . import shard_engines
 
 NETWORK_SECONDS = 0.001
 PROGRESS_SECONDS = 0.02
--- /dev/null
+++ b/packages/dev/cassiaquay_dev/network/__init__.py
@@ -0,0 +1,1 @@
+"""Processes, ports and faulty connections on the loopback interface."""
--- /dev/null
+++ b/packages/dev/cassiaquay_dev/sizing/__init__.py
@@ -0,0 +1,1 @@
+"""What each role costs, measured as slopes, and what that means at full size."""
--- a/packages/dev/cassiaquay_dev/capacity.py
+++ b/packages/dev/cassiaquay_dev/sizing/capacity.py
@@ -1,6 +1,6 @@
 """docs/CAPACITY.md: what each role costs at the size that the fleet is to reach.
 
-Run as ``python -m cassiaquay_dev.capacity`` after a slope was measured; with
+Run as ``python -m cassiaquay_dev.sizing.capacity`` after a slope was measured; with
 ``--check`` it writes nothing and exits 1 when the page is not up to date.
 """
 
@@ -9,7 +9,7 @@
 
 from . import capacity_page, slopes
 
-PAGE = pathlib.Path(__file__).parents[3] / "docs" / "CAPACITY.md"
+PAGE = pathlib.Path(__file__).parents[4] / "docs" / "CAPACITY.md"
 
 
 def main(arguments: list[str]) -> int:
--- a/packages/dev/cassiaquay_dev/capacity_page.py
+++ b/packages/dev/cassiaquay_dev/sizing/capacity_page.py
@@ -5,7 +5,7 @@
 from . import capacity_roles, slopes
 
 HEAD = """\
-<!-- Written by `python -m cassiaquay_dev.capacity`. Do not edit. -->
+<!-- Written by `python -m cassiaquay_dev.sizing.capacity`. Do not edit. -->
 # Capacity
 
 What each role would cost one daemon at the size that is built towards, worked out from
--- a/packages/dev/cassiaquay_dev/light.py
+++ b/packages/dev/cassiaquay_dev/sizing/light.py
@@ -7,17 +7,10 @@
 import asyncio
 import collections.abc
 
-from cassiaquay_daemon import (
-    clock,
-    configuration,
-    exceptions,
-    members,
-    pause,
-    peers,
-    platform,
-    renewal,
-    tokens,
-)
+from cassiaquay_daemon import clock, exceptions, pause, platform
+from cassiaquay_daemon.fleet import configuration, members, renewal
+from cassiaquay_daemon.links import peers
+from cassiaquay_daemon.owners import tokens
 from cassiaquay_schema import settings as settings_schema
 
 KEY = "key-of-the-light-instances"
--- a/packages/dev/cassiaquay_dev/measure_changes.py
+++ b/packages/dev/cassiaquay_dev/sizing/measure_changes.py
@@ -1,4 +1,6 @@
-"""Measure changes of a fleet of nine: ``python -m cassiaquay_dev.measure_changes``.
+"""Measure changes of a fleet of nine.
+
+Run as ``python -m cassiaquay_dev.sizing.measure_changes``.
 
 Real daemons and stand-ins as processes: a text until in force, a kill until no caller
 is sent there, a restart of all nine under load, a new model version under load.
@@ -13,7 +15,8 @@
 
 import fire
 
-from . import cluster, deployments, driver, workloads
+from .. import cluster, deployments
+from ..trials import driver, workloads
 
 DAEMONS = 9
 RATE = 12.0
--- a/packages/dev/cassiaquay_dev/measure_fleet.py
+++ b/packages/dev/cassiaquay_dev/sizing/measure_fleet.py
@@ -1,4 +1,6 @@
-"""Measure membership and configuration: ``python -m cassiaquay_dev.measure_fleet``.
+"""Measure membership and configuration.
+
+Run as ``python -m cassiaquay_dev.sizing.measure_fleet``.
 
 ``members`` runs the daemon's own parts of N instances in a few processes, on real
 connections; ``texts`` reads fleet texts of growing size. docs/experiments/fleet.md
@@ -15,7 +17,7 @@
 
 import fire
 
-from cassiaquay_daemon import snapshots
+from cassiaquay_daemon.configured import snapshots
 
 PROCESSES = 6
 SETTLE_SECONDS = 6.0
@@ -36,7 +38,7 @@
         child = await asyncio.create_subprocess_exec(
             sys.executable,
             "-m",
-            "cassiaquay_dev.light_worker",
+            "cassiaquay_dev.sizing.light_worker",
             stdin=asyncio.subprocess.PIPE,
             stdout=asyncio.subprocess.PIPE,
             limit=8 * 1024 * 1024,
--- a/packages/dev/cassiaquay_dev/measure_members.py
+++ b/packages/dev/cassiaquay_dev/sizing/measure_members.py
@@ -1,4 +1,6 @@
-"""Measure the slopes of membership: ``python -m cassiaquay_dev.measure_members``.
+"""Measure the slopes of membership.
+
+Run as ``python -m cassiaquay_dev.sizing.measure_members``.
 
 Writes them to docs/capacity/slopes.toml. A heartbeat's share of core and wire is taken
 from a run of many light instances in quiet operation.
@@ -9,7 +11,8 @@
 import time
 import tracemalloc
 
-from cassiaquay_daemon import addresses, facts, members
+from cassiaquay_daemon.fleet import facts, members
+from cassiaquay_daemon.interface import addresses
 from cassiaquay_schema import messages
 
 from . import light, measure_fleet, slopes
@@ -17,7 +20,7 @@
 COUNT = 380
 RUN_COUNT = 200
 ANSWERS = 200
-COMMAND = "python -m cassiaquay_dev.measure_members"
+COMMAND = "python -m cassiaquay_dev.sizing.measure_members"
 
 
 def member(number: int) -> messages.Member:
--- a/packages/dev/cassiaquay_dev/measure_outcomes.py
+++ b/packages/dev/cassiaquay_dev/sizing/measure_outcomes.py
@@ -1,8 +1,8 @@
 """Measure what the ownership of requests costs and what it saves.
 
-``python -m cassiaquay_dev.measure_outcomes death`` kills 1 of 8 instances under load,
-``relay`` times the hop to another instance, ``memory`` weighs what is kept of an id.
-docs/experiments/outcomes.md holds the figures.
+``python -m cassiaquay_dev.sizing.measure_outcomes death`` kills 1 of 8 instances under
+load, ``relay`` times the hop to another instance, ``memory`` weighs what is kept of an
+id. docs/experiments/outcomes.md holds the figures.
 """
 
 import asyncio
@@ -18,9 +18,11 @@
 import aiohttp
 import fire
 
-from cassiaquay_daemon import answers, tokens, tombstones
+from cassiaquay_daemon.adapters import answers
+from cassiaquay_daemon.owners import tokens, tombstones
 
-from . import checker, cluster, deployments, driver, history, workloads
+from .. import cluster, deployments
+from ..trials import checker, driver, history, workloads
 
 DAEMONS = 8
 KILL_AT = 0.45
--- a/packages/dev/cassiaquay_dev/measure_slopes.py
+++ b/packages/dev/cassiaquay_dev/sizing/measure_slopes.py
@@ -1,7 +1,7 @@
 """Measure slopes of docs/capacity/slopes.toml that need one machine only.
 
-Run as ``python -m cassiaquay_dev.measure_slopes [NAME ...]``; prints the values, and
-writes them with ``--write``. Without names all that this module knows are measured.
+Run as ``python -m cassiaquay_dev.sizing.measure_slopes [NAME ...]``; prints the values,
+and writes them with ``--write``. Without names all that this module knows are measured.
 """
 
 import collections.abc
@@ -13,20 +13,16 @@
 
 import msgspec
 
-from cassiaquay_daemon import (
-    addresses,
-    changes,
-    frames,
-    members,
-    owner,
-    prefixes,
-    requests,
-    snapshots,
-    tokens,
-)
+from cassiaquay_daemon.configured import changes, snapshots
+from cassiaquay_daemon.decisions import prefixes
+from cassiaquay_daemon.fleet import members
+from cassiaquay_daemon.interface import addresses
+from cassiaquay_daemon.links import frames
+from cassiaquay_daemon.owners import owner, requests, tokens
 from cassiaquay_schema import messages, registry
 
-from . import deployments, reports_cost, slopes, slopes_keeper, slopes_path
+from .. import deployments
+from . import reports_cost, slopes, slopes_keeper, slopes_path
 
 Measure = collections.abc.Callable[[], float]
 measures: registry.Registry[Measure] = registry.Registry("slope")
@@ -268,7 +264,7 @@
     known = slopes.read()
     today = datetime.date.today()
     for name, value in found.items():
-        command = f"python -m cassiaquay_dev.measure_slopes {name}"
+        command = f"python -m cassiaquay_dev.sizing.measure_slopes {name}"
         known[name] = slopes.Slope(value=value, command=command, date=today)
     slopes.write(known)
 
--- a/packages/dev/cassiaquay_dev/reports_cost.py
+++ b/packages/dev/cassiaquay_dev/sizing/reports_cost.py
@@ -1,7 +1,7 @@
 """What counting one ended request costs an instance, and a burn counter's memory.
 
-Run as ``python -m cassiaquay_dev.reports_cost``; prints microseconds and bytes. The
-same counts by the metrics library alone are the yardstick.
+Run as ``python -m cassiaquay_dev.sizing.reports_cost``; prints microseconds and bytes.
+The same counts by the metrics library alone are the yardstick.
 """
 
 import time
@@ -9,7 +9,7 @@
 
 from aioprometheus import collectors
 
-from cassiaquay_daemon import burn, heaviest, metrics
+from cassiaquay_daemon.operators import burn, heaviest, metrics
 
 REQUESTS = 50_000
 TEAMS = 500
--- a/packages/dev/cassiaquay_dev/slopes.py
+++ b/packages/dev/cassiaquay_dev/sizing/slopes.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-PATH = pathlib.Path(__file__).parents[3] / "docs" / "capacity" / "slopes.toml"
+PATH = pathlib.Path(__file__).parents[4] / "docs" / "capacity" / "slopes.toml"
 
 
 class Meaning(typing.NamedTuple):
--- a/packages/dev/cassiaquay_dev/slopes_keeper.py
+++ b/packages/dev/cassiaquay_dev/sizing/slopes_keeper.py
@@ -6,7 +6,9 @@
 
 import msgspec
 
-from cassiaquay_daemon import affinity, frames, keeper, policies, shards
+from cassiaquay_daemon.decisions import affinity, policies, shards
+from cassiaquay_daemon.keepers import keeper
+from cassiaquay_daemon.links import frames
 from cassiaquay_schema import fleet, messages
 from cassiaquay_schema import settings as settings_schema
 
--- a/packages/dev/cassiaquay_dev/slopes_path.py
+++ b/packages/dev/cassiaquay_dev/sizing/slopes_path.py
@@ -13,7 +13,7 @@
 
 import cassiaquay
 
-from . import cluster, deployments
+from .. import cluster, deployments
 
 REQUESTS = 240
 AT_A_TIME = 40
--- a/packages/dev/cassiaquay_dev/soak/callers.py
+++ b/packages/dev/cassiaquay_dev/soak/callers.py
@@ -5,7 +5,7 @@
 import random
 import typing
 
-from .. import platform_standins
+from ..standins import platform_standins
 from . import exchange, records
 
 CONNECT_SECONDS = 1.0
--- a/packages/dev/cassiaquay_dev/soak/engines.py
+++ b/packages/dev/cassiaquay_dev/soak/engines.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 
-from .. import raw_servers
+from ..standins import raw_servers
 from . import records
 
 SLOTS = 4
--- a/packages/dev/cassiaquay_dev/soak/faults.py
+++ b/packages/dev/cassiaquay_dev/soak/faults.py
@@ -13,7 +13,7 @@
 
 from cassiaquay_schema import registry
 
-from .. import proxies
+from ..network import proxies
 from . import records, site
 
 Fault = collections.abc.Callable[
--- a/packages/dev/cassiaquay_dev/soak/records.py
+++ b/packages/dev/cassiaquay_dev/soak/records.py
@@ -3,7 +3,7 @@
 import time
 import typing
 
-from .. import raw_servers
+from ..standins import raw_servers
 
 FOREVER = float("inf")
 
--- a/packages/dev/cassiaquay_dev/soak/site.py
+++ b/packages/dev/cassiaquay_dev/soak/site.py
@@ -9,7 +9,8 @@
 
 import uvloop
 
-from .. import platform_standins, ports, processes, proxies
+from ..network import ports, processes, proxies
+from ..standins import platform_standins
 from . import callers, engines, exchange, records
 
 READY_SECONDS = 15.0
--- /dev/null
+++ b/packages/dev/cassiaquay_dev/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the outside: engines, plain servers, both platforms' services."""
--- a/packages/dev/cassiaquay_dev/engine.py
+++ b/packages/dev/cassiaquay_dev/standins/engine.py
@@ -1,9 +1,9 @@
 """Model engine stand-in: continuous batching behind the HTTP of docs/BACKENDS.md.
 
-Run as ``python -m cassiaquay_dev.engine --model tutor-7b --max_batch 16`` with the
-fields of `engine_settings.EngineSettings` as flags. ``--config FILE.json`` hosts
-several engines in one process: ``{"engines": [{settings}, …]}``; flags then give
-the settings that an entry leaves out.
+Run as ``python -m cassiaquay_dev.standins.engine --model tutor-7b --max_batch 16`` with
+the fields of `engine_settings.EngineSettings` as flags. ``--config FILE.json`` hosts
+several engines in one process: ``{"engines": [{settings}, …]}``; flags then give the
+settings that an entry leaves out.
 """
 
 import asyncio
--- a/packages/dev/cassiaquay_dev/fast_engine.py
+++ b/packages/dev/cassiaquay_dev/standins/fast_engine.py
@@ -1,9 +1,10 @@
 """A model engine stand-in that replays prepared events, faster than any daemon relays.
 
-Run as ``python -m cassiaquay_dev.fast_engine --interval_ms 20``. It models nothing: the
-first event of a stream leaves at once, then one event each ``interval_ms``, in
-`GROUPS` groups one after the other as the steps of so many engines would. It speaks
-just enough HTTP/1.1 for `cassiaquay_daemon.backends` and `path_client`.
+Run as ``python -m cassiaquay_dev.standins.fast_engine --interval_ms 20``. It models
+nothing: the first event of a stream leaves at once, then one event each
+``interval_ms``, in `GROUPS` groups one after the other as the steps of so many engines
+would. It speaks just enough HTTP/1.1 for `cassiaquay_daemon.adapters.backends` and
+`path_client`.
 """
 
 import asyncio
--- a/packages/dev/cassiaquay_dev/plain.py
+++ b/packages/dev/cassiaquay_dev/standins/plain.py
@@ -1,8 +1,8 @@
 """Plain service stand-in: a queue, a number of slots and a service time.
 
-Run as ``python -m cassiaquay_dev.plain --slots 8`` with the fields of `PlainSettings`
-as flags. It answers any POST outside ``/control`` and knows nothing of repeats: it
-runs each request that it gets, and logs it.
+Run as ``python -m cassiaquay_dev.standins.plain --slots 8`` with the fields of
+`PlainSettings` as flags. It answers any POST outside ``/control`` and knows nothing of
+repeats: it runs each request that it gets, and logs it.
 """
 
 import asyncio
--- a/packages/dev/cassiaquay_dev/platform.py
+++ b/packages/dev/cassiaquay_dev/standins/platform.py
@@ -1,7 +1,7 @@
 """Platform stand-in: configuration service, instance list and weight store.
 
-Run as ``python -m cassiaquay_dev.platform --config_calls 600`` with the fields of
-`platform_settings.PlatformSettings` as flags.
+Run as ``python -m cassiaquay_dev.standins.platform --config_calls 600`` with the fields
+of `platform_settings.PlatformSettings` as flags.
 """
 
 import typing
@@ -9,13 +9,7 @@
 import fire
 from starlette import applications
 
-from . import (
-    config_service,
-    instance_list,
-    platform_settings,
-    serving,
-    weight_store,
-)
+from . import config_service, instance_list, platform_settings, serving, weight_store
 
 
 class Platform:
--- a/packages/dev/cassiaquay_dev/raw_servers.py
+++ b/packages/dev/cassiaquay_dev/standins/raw_servers.py
@@ -6,7 +6,7 @@
 import struct
 import typing
 
-from . import listening
+from ..network import listening
 
 
 class Request(typing.NamedTuple):
--- /dev/null
+++ b/packages/dev/cassiaquay_dev/style/__init__.py
@@ -0,0 +1,1 @@
+"""Checks of how the code is written, for `make lint`."""
--- a/packages/dev/cassiaquay_dev/imports.py
+++ b/packages/dev/cassiaquay_dev/style/imports.py
@@ -3,8 +3,8 @@
 ``from . import keeper`` and ``import typing`` pass; ``from typing import NamedTuple``
 does not. Generated code and ``__future__`` are left aside.
 
-Run as ``python -m cassiaquay_dev.imports DIRECTORY [DIRECTORY ...]``; exits 1 when
-a name is imported.
+Run as ``python -m cassiaquay_dev.style.imports DIRECTORY [DIRECTORY ...]``; exits 1
+when a name is imported.
 """
 
 import ast
--- a/packages/dev/cassiaquay_dev/lengths.py
+++ b/packages/dev/cassiaquay_dev/style/lengths.py
@@ -1,7 +1,7 @@
 """Check that no source file is longer than can be read at a sitting.
 
-Run as ``python -m cassiaquay_dev.lengths DIRECTORY [DIRECTORY ...]``; exits 1 when a
-file is longer than `MOST_LINES`. Generated code is left aside.
+Run as ``python -m cassiaquay_dev.style.lengths DIRECTORY [DIRECTORY ...]``; exits 1
+when a file is longer than `MOST_LINES`. Generated code is left aside.
 """
 
 import pathlib
--- /dev/null
+++ b/packages/dev/cassiaquay_dev/trials/__init__.py
@@ -0,0 +1,1 @@
+"""Load, measurement and history checks of real daemons against stand-ins."""
--- a/packages/dev/cassiaquay_dev/bench.py
+++ b/packages/dev/cassiaquay_dev/trials/bench.py
@@ -1,6 +1,6 @@
 """``make bench``: policies compared on the same arrivals, and the data path's cost.
 
-Run as ``python -m cassiaquay_dev.bench [WHAT] [--FLAG=VALUE ...]``. ``WHAT`` is
+Run as ``python -m cassiaquay_dev.trials.bench [WHAT] [--FLAG=VALUE ...]``. ``WHAT`` is
 
 - ``compare`` (the default): policies paired on seeded workloads, loads and faults
 - ``path``: what one daemon relays on one core
@@ -15,13 +15,15 @@
 import fire
 import uvloop
 
-from cassiaquay_daemon import baselines, policies
+from cassiaquay_daemon.decisions import policies
+from cassiaquay_daemon.keepers import baselines
 from cassiaquay_schema import registry
 
-from . import bench_path, bench_report, bench_runs, bench_workloads, deployments, faults
+from .. import deployments
+from . import bench_path, bench_report, bench_runs, bench_workloads, faults
 
 # Registers the policies that a daemon knows.
-importlib.import_module("cassiaquay_daemon.keeper")
+importlib.import_module("cassiaquay_daemon.keepers.keeper")
 
 experiments: registry.Registry[typing.Any] = registry.Registry("experiment")
 
--- a/packages/dev/cassiaquay_dev/bench_cluster.py
+++ b/packages/dev/cassiaquay_dev/trials/bench_cluster.py
@@ -5,7 +5,9 @@
 import pathlib
 import typing
 
-from . import bounds, cluster, deployments, processes
+from .. import cluster, deployments
+from ..network import processes
+from . import bounds
 
 TICKS = os.sysconf("SC_CLK_TCK")
 PROCESSOR_FIELDS = (11, 12)
@@ -122,7 +124,9 @@
         path = self.folder / f"{name}.json"
         path.write_text(json.dumps({"engines": entries}))
         process = processes.Process(
-            name, ["-m", "cassiaquay_dev.engine", f"--config={path}"], self.folder
+            name,
+            ["-m", "cassiaquay_dev.standins.engine", f"--config={path}"],
+            self.folder,
         )
         self.standins[name] = process
         await process.start()
--- a/packages/dev/cassiaquay_dev/bench_driver.py
+++ b/packages/dev/cassiaquay_dev/trials/bench_driver.py
@@ -7,7 +7,8 @@
 import cassiaquay
 from cassiaquay import hooks
 
-from . import driver, texts, workloads
+from ..standins import texts
+from . import driver, workloads
 
 REPEAT_PAUSE = 0.2
 
--- a/packages/dev/cassiaquay_dev/bench_metrics.py
+++ b/packages/dev/cassiaquay_dev/trials/bench_metrics.py
@@ -4,7 +4,9 @@
 
 import numpy
 
-from . import bench_driver, blocks, bounds, deployments, engine_stream, fairness
+from .. import deployments
+from ..standins import blocks, engine_stream
+from . import bench_driver, bounds, fairness
 
 PERCENTILES = [50, 95, 99]
 
--- a/packages/dev/cassiaquay_dev/bench_path.py
+++ b/packages/dev/cassiaquay_dev/trials/bench_path.py
@@ -16,7 +16,9 @@
 
 import numpy
 
-from . import bench_cluster, cluster, deployments, path_client, processes
+from .. import cluster, deployments
+from ..network import processes
+from . import bench_cluster, path_client
 
 CLIENTS = 2
 WARM_UP = 1.0
@@ -130,7 +132,7 @@
             mine = target._replace(streams=max(streams // CLIENTS, 1))
             path = self._folder / f"{name}.json"
             path.write_text(json.dumps(mine._asdict()))
-            arguments = ["-m", "cassiaquay_dev.path_client"]
+            arguments = ["-m", "cassiaquay_dev.trials.path_client"]
             arguments += [f"--config={path}", f"--name={name}"]
             clients.append(processes.Process(name, arguments, self._folder))
         self._phases += 1
--- a/packages/dev/cassiaquay_dev/bench_runs.py
+++ b/packages/dev/cassiaquay_dev/trials/bench_runs.py
@@ -6,13 +6,13 @@
 import time
 import typing
 
+from .. import deployments
 from . import (
     bench_cluster,
     bench_driver,
     bench_metrics,
     bench_workloads,
     bounds,
-    deployments,
     faults,
     workloads,
 )
--- a/packages/dev/cassiaquay_dev/bench_workloads.py
+++ b/packages/dev/cassiaquay_dev/trials/bench_workloads.py
@@ -5,7 +5,8 @@
 
 from cassiaquay_schema import registry
 
-from . import deployments, workloads
+from .. import deployments
+from . import workloads
 
 SHARED_TOKENS = 256
 
--- a/packages/dev/cassiaquay_dev/bounds.py
+++ b/packages/dev/cassiaquay_dev/trials/bounds.py
@@ -23,7 +23,9 @@
 
 import numpy
 
-from . import blocks, deployments, workloads
+from .. import deployments
+from ..standins import blocks
+from . import workloads
 
 SLOT_SECONDS = 0.25
 DECODE_MS_PER_SEQUENCE = 0.2
--- a/packages/dev/cassiaquay_dev/checker.py
+++ b/packages/dev/cassiaquay_dev/trials/checker.py
@@ -10,7 +10,8 @@
 
 from cassiaquay_schema import registry
 
-from . import history, texts
+from ..standins import texts
+from . import history
 
 LEAVING_SECONDS = 2.0
 SHED_CODES = ("shed_overload", "deadline_infeasible")
--- a/packages/dev/cassiaquay_dev/fairness.py
+++ b/packages/dev/cassiaquay_dev/trials/fairness.py
@@ -1,6 +1,8 @@
 """How fairly teams were served, inside each tier."""
 
-from . import bench_driver, blocks, deployments
+from .. import deployments
+from ..standins import blocks
+from . import bench_driver
 
 
 def jain(values: list[float]) -> float:
--- a/packages/dev/cassiaquay_dev/history.py
+++ b/packages/dev/cassiaquay_dev/trials/history.py
@@ -13,7 +13,7 @@
 import cassiaquay
 from cassiaquay_daemon import log_writer
 
-from . import cluster
+from .. import cluster
 
 ENDED_STATES = ("finished", "completed")
 # Batches of log lines that are waited for: the one being gathered, and one more.
--- a/packages/dev/cassiaquay_dev/path_client.py
+++ b/packages/dev/cassiaquay_dev/trials/path_client.py
@@ -1,7 +1,7 @@
 """Closed-loop streams over raw HTTP, cheap enough to measure others.
 
-Run as ``python -m cassiaquay_dev.path_client --config FILE.json`` with the fields of
-`ClientSettings`; prints one JSON line, a `ClientResult`.
+Run as ``python -m cassiaquay_dev.trials.path_client --config FILE.json`` with the
+fields of `ClientSettings`; prints one JSON line, a `ClientResult`.
 """
 
 import asyncio
--- a/packages/dev/cassiaquay_dev/workloads.py
+++ b/packages/dev/cassiaquay_dev/trials/workloads.py
@@ -3,7 +3,7 @@
 import random
 import typing
 
-from . import deployments
+from .. import deployments
 
 WORDS = ("lesson", "answer", "measure", "hem", "lace", "exam", "pupil", "plan")
 
--- a/packages/dev/cassiaquay_dev/up.py
+++ b/packages/dev/cassiaquay_dev/up.py
@@ -13,7 +13,8 @@
 
 import fire
 
-from . import cluster, deployments, driver, workloads
+from . import cluster, deployments
+from .trials import driver, workloads
 
 POLL_SECONDS = 0.3
 ROUND_SECONDS = 10.0
--- a/tests/fault_runs.py
+++ b/tests/fault_runs.py
@@ -8,7 +8,9 @@
 import typing
 
 import cassiaquay
-from cassiaquay_dev import checker, cluster, deployments, history, partition
+from cassiaquay_dev import cluster, deployments
+from cassiaquay_dev.network import partition
+from cassiaquay_dev.trials import checker, history
 
 BOUND_SECONDS = 60.0
 ENGINE = deployments.EngineSpec("tutor-1", "derby", 20_000, 10.0, 4, 40_000)
--- a/tests/fleets.py
+++ b/tests/fleets.py
@@ -4,7 +4,8 @@
 import collections.abc
 import contextlib
 
-from cassiaquay_dev import deployments, light
+from cassiaquay_dev import deployments
+from cassiaquay_dev.sizing import light
 
 SECONDS = 15.0
 QUICK = {
--- a/tests/gateway_fakes.py
+++ b/tests/gateway_fakes.py
@@ -10,8 +10,9 @@
 
 from cassiaquay_daemon import daemon
 from cassiaquay_daemon.platform import documents, store
-from cassiaquay_dev import platform_standins as standins
-from cassiaquay_dev import ports, raw_servers
+from cassiaquay_dev.network import ports
+from cassiaquay_dev.standins import platform_standins as standins
+from cassiaquay_dev.standins import raw_servers
 from cassiaquay_schema import settings as settings_schema
 
 # Imported for what they register.
--- a/tests/operators_fakes.py
+++ b/tests/operators_fakes.py
@@ -9,21 +9,13 @@
 import msgspec
 from starlette import applications, types
 
-from cassiaquay_daemon import (
-    admin,
-    answers,
-    configuration,
-    demands,
-    keeper,
-    members,
-    owner,
-    peers,
-    recovery,
-    relay,
-    reports,
-    requests,
-    tokens,
-)
+from cassiaquay_daemon.adapters import answers
+from cassiaquay_daemon.fleet import configuration, members
+from cassiaquay_daemon.interface import relay
+from cassiaquay_daemon.keepers import demands, keeper
+from cassiaquay_daemon.links import peers
+from cassiaquay_daemon.operators import admin, reports
+from cassiaquay_daemon.owners import owner, recovery, requests, tokens
 from cassiaquay_dev import deployments
 from cassiaquay_schema import settings as settings_schema
 
--- a/tests/owner_fakes.py
+++ b/tests/owner_fakes.py
@@ -6,16 +6,11 @@
 import json
 import typing
 
-from cassiaquay_daemon import (
-    answers,
-    backends,
-    clock,
-    demands,
-    exceptions,
-    owner,
-    snapshots,
-    tokens,
-)
+from cassiaquay_daemon import clock, exceptions
+from cassiaquay_daemon.adapters import answers, backends
+from cassiaquay_daemon.configured import snapshots
+from cassiaquay_daemon.keepers import demands
+from cassiaquay_daemon.owners import owner, tokens
 from cassiaquay_schema import fleet, messages, texts
 
 KEY = "key"
--- a/tests/policy_fakes.py
+++ b/tests/policy_fakes.py
@@ -4,7 +4,10 @@
 import contextlib
 import typing
 
-from cassiaquay_daemon import clock, keeper, policies, prefixes, shards, snapshots
+from cassiaquay_daemon import clock
+from cassiaquay_daemon.configured import snapshots
+from cassiaquay_daemon.decisions import policies, prefixes, shards
+from cassiaquay_daemon.keepers import keeper
 from cassiaquay_dev import deployments
 from cassiaquay_schema import fleet, messages
 from cassiaquay_schema import settings as settings_schema
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -5,7 +5,8 @@
 import operators_fakes as fakes
 import pytest
 
-from cassiaquay_daemon import exceptions, logs, shards
+from cassiaquay_daemon import exceptions, logs
+from cassiaquay_daemon.decisions import shards
 from cassiaquay_schema import messages
 
 TEAMS = fakes.DEPLOYMENT.teams
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -5,8 +5,10 @@
 import policy_fakes as fakes
 import pytest
 
-from cassiaquay_daemon import demands, exceptions, keeper, routing, snapshots
+from cassiaquay_daemon import exceptions
+from cassiaquay_daemon.configured import routing, snapshots
 from cassiaquay_daemon.gateway import admission, calls
+from cassiaquay_daemon.keepers import demands, keeper
 from cassiaquay_daemon.platform import headers
 from cassiaquay_schema import fleet, messages
 
--- a/tests/test_bench.py
+++ b/tests/test_bench.py
@@ -6,7 +6,10 @@
 
 import pytest
 
-from cassiaquay_dev import (
+from cassiaquay_dev import deployments
+from cassiaquay_dev.network import processes
+from cassiaquay_dev.standins import engine_stream, texts
+from cassiaquay_dev.trials import (
     bench_driver,
     bench_metrics,
     bench_path,
@@ -14,12 +17,8 @@
     bench_runs,
     bench_workloads,
     bounds,
-    deployments,
-    engine_stream,
     fairness,
     path_client,
-    processes,
-    texts,
     workloads,
 )
 
@@ -231,7 +230,7 @@
     tmp_path: pathlib.Path,
 ) -> None:
     async def run() -> path_client.ClientResult:
-        arguments = ["-m", "cassiaquay_dev.fast_engine", "--interval_ms=5"]
+        arguments = ["-m", "cassiaquay_dev.standins.fast_engine", "--interval_ms=5"]
         engine = processes.Process("engine", arguments, tmp_path)
         await engine.start()
         try:
--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -5,7 +5,11 @@
 import policy_fakes as fakes
 import pytest
 
-from cassiaquay_daemon import budgets, exceptions, quotas, routing, sharers
+from cassiaquay_daemon import exceptions
+from cassiaquay_daemon.configured import routing
+from cassiaquay_daemon.decisions import budgets
+from cassiaquay_daemon.fleet import sharers
+from cassiaquay_daemon.keepers import quotas
 from cassiaquay_schema import messages, settings
 
 GATEWAY = settings.Gateway(
--- a/tests/test_caller_faults.py
+++ b/tests/test_caller_faults.py
@@ -8,7 +8,7 @@
 
 import cassiaquay
 from cassiaquay import exceptions, hooks
-from cassiaquay_dev import ports
+from cassiaquay_dev.network import ports
 
 
 def test_failed_is_not_retried():
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from cassiaquay_dev import capacity, capacity_page, capacity_roles, slopes
+from cassiaquay_dev.sizing import capacity, capacity_page, capacity_roles, slopes
 
 SIZE = capacity_roles.Size()
 
--- a/tests/test_checker.py
+++ b/tests/test_checker.py
@@ -2,7 +2,8 @@
 
 import pytest
 
-from cassiaquay_dev import checker, history, texts
+from cassiaquay_dev.standins import texts
+from cassiaquay_dev.trials import checker, history
 
 GOOD = history.History(
     [
--- a/tests/test_checks.py
+++ b/tests/test_checks.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from cassiaquay_dev import imports, lengths
+from cassiaquay_dev.style import imports, lengths
 
 
 def test_a_long_file_is_named(
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -30,7 +30,7 @@
 )
 from cassiaquay_daemon import clock, platform
 from cassiaquay_daemon import exceptions as daemon_exceptions
-from cassiaquay_dev import serving
+from cassiaquay_dev.standins import serving
 from cassiaquay_schema import bodies
 
 Test = typing.Callable[[fakes.Instance, clients.Client], typing.Awaitable[None]]
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -7,8 +7,10 @@
 import pytest
 from hypothesis import strategies
 
-from cassiaquay_daemon import changes, configuration, peers
-from cassiaquay_dev import light
+from cassiaquay_daemon.configured import changes
+from cassiaquay_daemon.fleet import configuration
+from cassiaquay_daemon.links import peers
+from cassiaquay_dev.sizing import light
 from cassiaquay_schema import messages
 
 
--- a/tests/test_engine_reports.py
+++ b/tests/test_engine_reports.py
@@ -5,7 +5,9 @@
 import policy_fakes as fakes
 import pytest
 
-from cassiaquay_daemon import engine_reports, exceptions, keeper
+from cassiaquay_daemon import exceptions
+from cassiaquay_daemon.engines import engine_reports
+from cassiaquay_daemon.keepers import keeper
 from cassiaquay_schema import messages
 
 PROMPT = "measure " * 800
--- a/tests/test_faults_death.py
+++ b/tests/test_faults_death.py
@@ -6,7 +6,7 @@
 import fault_runs
 
 import cassiaquay
-from cassiaquay_dev import history
+from cassiaquay_dev.trials import history
 
 
 def test_callers_of_a_killed_instance_get_whole_answers(tmp_path: pathlib.Path) -> None:
--- a/tests/test_faults_leaving.py
+++ b/tests/test_faults_leaving.py
@@ -6,7 +6,7 @@
 import fault_runs
 
 import cassiaquay
-from cassiaquay_dev import checker
+from cassiaquay_dev.trials import checker
 
 
 def test_a_planned_stop_cuts_nothing_and_callers_move_on(
--- a/tests/test_faults_overload.py
+++ b/tests/test_faults_overload.py
@@ -6,7 +6,7 @@
 import fault_runs
 
 import cassiaquay
-from cassiaquay_dev import history
+from cassiaquay_dev.trials import history
 
 
 def test_under_overload_important_work_is_served_and_refusals_are_true(
--- a/tests/test_faults_pause.py
+++ b/tests/test_faults_pause.py
@@ -7,7 +7,7 @@
 import fault_runs
 
 import cassiaquay
-from cassiaquay_dev import history
+from cassiaquay_dev.trials import history
 
 # Longer than the leases of permits (3 s) and of members (1.5 s), by the settings.
 PAUSE_SECONDS = 4.0
--- a/tests/test_floors.py
+++ b/tests/test_floors.py
@@ -6,7 +6,8 @@
 import policy_fakes as fakes
 import pytest
 
-from cassiaquay_daemon import floors, keeper, snapshots
+from cassiaquay_daemon.configured import snapshots
+from cassiaquay_daemon.keepers import floors, keeper
 from cassiaquay_schema import messages
 
 SERVERS = 18
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -9,7 +9,9 @@
 import pytest
 from hypothesis import strategies
 
-from cassiaquay_daemon import exceptions, frames, peers, requests, tokens
+from cassiaquay_daemon import exceptions
+from cassiaquay_daemon.links import frames, peers
+from cassiaquay_daemon.owners import requests, tokens
 from cassiaquay_schema import exceptions as schema_exceptions
 from cassiaquay_schema import messages, texts
 
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -5,8 +5,8 @@
 import gateway_fakes as fakes
 import pytest
 
-from cassiaquay_dev import platform_standins as standins
-from cassiaquay_dev import raw_servers
+from cassiaquay_dev.standins import platform_standins as standins
+from cassiaquay_dev.standins import raw_servers
 
 
 async def _reset(request: raw_servers.Request, writer: raw_servers.Writer) -> None:
--- a/tests/test_gateway_schedules.py
+++ b/tests/test_gateway_schedules.py
@@ -13,12 +13,13 @@
 import gateway_fakes as fakes
 import pytest
 
-from cassiaquay_daemon import exceptions, quotas
+from cassiaquay_daemon import exceptions
 from cassiaquay_daemon.gateway import forwarding, passing, serving
+from cassiaquay_daemon.keepers import quotas
 from cassiaquay_daemon.platform import headers
-from cassiaquay_dev import platform_standins as standins
 from cassiaquay_dev.soak import callers, checks, engines, records
 from cassiaquay_dev.soak import site as soak_site
+from cassiaquay_dev.standins import platform_standins as standins
 
 SEEDS = (1, 2)
 RATE = 200.0
--- a/tests/test_keeper.py
+++ b/tests/test_keeper.py
@@ -5,7 +5,8 @@
 import policy_fakes as fakes
 import pytest
 
-from cassiaquay_daemon import answers, demands, keeper
+from cassiaquay_daemon.adapters import answers
+from cassiaquay_daemon.keepers import demands, keeper
 from cassiaquay_schema import messages
 
 RENEW = 0.7
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -5,7 +5,9 @@
 import policy_fakes as fakes
 import pytest
 
-from cassiaquay_daemon import dependencies, exceptions, keeper, limit_keepers, limits
+from cassiaquay_daemon import exceptions
+from cassiaquay_daemon.keepers import keeper, limit_keepers, limits
+from cassiaquay_daemon.owners import dependencies
 from cassiaquay_schema import messages
 
 RATE = "[teams.questions]\nrequests_per_second = 10.0"
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -7,8 +7,12 @@
 import fleets
 import pytest
 
-from cassiaquay_daemon import addresses, exceptions, frames, peers, tokens, watching
-from cassiaquay_dev import light
+from cassiaquay_daemon import exceptions
+from cassiaquay_daemon.fleet import watching
+from cassiaquay_daemon.interface import addresses
+from cassiaquay_daemon.links import frames, peers
+from cassiaquay_daemon.owners import tokens
+from cassiaquay_dev.sizing import light
 from cassiaquay_schema import messages
 
 
--- a/tests/test_objectives.py
+++ b/tests/test_objectives.py
@@ -3,7 +3,7 @@
 import policy_fakes as fakes
 import pytest
 
-from cassiaquay_daemon import objectives, pace, shards
+from cassiaquay_daemon.decisions import objectives, pace, shards
 from cassiaquay_schema import messages
 
 
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -10,17 +10,14 @@
 import msgspec
 from hypothesis import strategies
 
-from cassiaquay_daemon import (
-    configuration,
-    keeper,
-    members,
-    orders,
-    pause,
-    peers,
-    reconciler,
-    shards,
-)
-from cassiaquay_dev import engine, engine_settings, light, serving
+from cassiaquay_daemon import pause
+from cassiaquay_daemon.decisions import shards
+from cassiaquay_daemon.engines import orders, reconciler
+from cassiaquay_daemon.fleet import configuration, members
+from cassiaquay_daemon.keepers import keeper
+from cassiaquay_daemon.links import peers
+from cassiaquay_dev.sizing import light
+from cassiaquay_dev.standins import engine, engine_settings, serving
 from cassiaquay_schema import settings as settings_schema
 
 ACTUAL = orders.Actual("m", "1", [], "", 0, 0)
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -7,7 +7,8 @@
 import owner_fakes
 import pytest
 
-from cassiaquay_daemon import exceptions, requests
+from cassiaquay_daemon import exceptions
+from cassiaquay_daemon.owners import requests
 
 
 def run(work: typing.Coroutine[typing.Any, typing.Any, None]) -> None:
--- a/tests/test_owner_schedules.py
+++ b/tests/test_owner_schedules.py
@@ -12,14 +12,8 @@
 import pytest
 from hypothesis import stateful, strategies
 
-from cassiaquay_daemon import (
-    clock,
-    dispatching,
-    entries,
-    exceptions,
-    table,
-    tombstones,
-)
+from cassiaquay_daemon import clock, exceptions
+from cassiaquay_daemon.owners import dispatching, entries, table, tombstones
 
 TIERS = strategies.sampled_from(["urgent", "standard", "background"])
 SERVICES = strategies.sampled_from(["tutor", "finishing", "bookings"])
--- a/tests/test_ownership_model.py
+++ b/tests/test_ownership_model.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from cassiaquay_dev import ownership_model
+from cassiaquay_dev.lab import ownership_model
 
 
 def test_all_states_keep_the_promises() -> None:
--- a/tests/test_pause.py
+++ b/tests/test_pause.py
@@ -5,19 +5,13 @@
 import aiohttp
 import fleets
 
-from cassiaquay_daemon import (
-    backends,
-    clock,
-    configuration,
-    demands,
-    keeper,
-    members,
-    owner,
-    pause,
-    peers,
-    tokens,
-)
-from cassiaquay_dev import light
+from cassiaquay_daemon import clock, pause
+from cassiaquay_daemon.adapters import backends
+from cassiaquay_daemon.fleet import configuration, members
+from cassiaquay_daemon.keepers import demands, keeper
+from cassiaquay_daemon.links import peers
+from cassiaquay_daemon.owners import owner, tokens
+from cassiaquay_dev.sizing import light
 from cassiaquay_schema import messages
 
 SETTINGS = light.settings_of("cq-1")
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -8,7 +8,7 @@
 import pytest
 from hypothesis import strategies
 
-from cassiaquay_daemon import routing
+from cassiaquay_daemon.configured import routing
 from cassiaquay_daemon.platform import documents, entries, headers
 from cassiaquay_schema import exceptions
 
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -8,8 +8,8 @@
 
 from cassiaquay_daemon import exceptions
 from cassiaquay_daemon.platform import store
-from cassiaquay_dev import platform_standins as standins
-from cassiaquay_dev import raw_servers
+from cassiaquay_dev.standins import platform_standins as standins
+from cassiaquay_dev.standins import raw_servers
 
 
 class Odd(standins.Store):
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -5,8 +5,8 @@
 import policy_fakes as fakes
 import pytest
 
-from cassiaquay_daemon import affinity, lengths, loads, prefixes, speeds
-from cassiaquay_dev import blocks
+from cassiaquay_daemon.decisions import affinity, lengths, loads, prefixes, speeds
+from cassiaquay_dev.standins import blocks
 from cassiaquay_schema import messages
 
 HISTORY = "measure " * 2000
--- a/tests/test_reloading.py
+++ b/tests/test_reloading.py
@@ -5,7 +5,8 @@
 import subprocess
 import sys
 
-from cassiaquay_daemon import keeper, reloading
+from cassiaquay_daemon import reloading
+from cassiaquay_daemon.keepers import keeper
 from cassiaquay_daemon.platform import store
 from cassiaquay_schema import settings as settings_schema
 from cassiaquay_schema import texts
--- a/tests/test_reports.py
+++ b/tests/test_reports.py
@@ -6,7 +6,8 @@
 
 import operators_fakes as fakes
 
-from cassiaquay_daemon import burn, exceptions, heaviest, metrics
+from cassiaquay_daemon import exceptions
+from cassiaquay_daemon.operators import burn, heaviest, metrics
 
 PAGE = pathlib.Path(__file__).parents[1] / "docs" / "METRICS.md"
 UNITS = ("_seconds", "_total", "_requests", "_entries", "_revision", "_revisions")
--- a/tests/test_rooms.py
+++ b/tests/test_rooms.py
@@ -5,7 +5,8 @@
 import policy_fakes as fakes
 import pytest
 
-from cassiaquay_daemon import demands, objectives, rooms, shards, siblings
+from cassiaquay_daemon.decisions import objectives, shards
+from cassiaquay_daemon.keepers import demands, rooms, siblings
 from cassiaquay_schema import messages
 
 HERE, THERE, BUSY = "tutor#0", "tutor#1", "tutor#2"
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -5,7 +5,8 @@
 import policy_fakes as fakes
 import pytest
 
-from cassiaquay_daemon import configuration, exceptions, freshness, platform, servers
+from cassiaquay_daemon import exceptions, platform
+from cassiaquay_daemon.fleet import configuration, freshness, servers
 from cassiaquay_schema import messages
 
 
--- a/tests/test_snapshots.py
+++ b/tests/test_snapshots.py
@@ -2,7 +2,8 @@
 
 import collections
 
-from cassiaquay_daemon import rendezvous, snapshots
+from cassiaquay_daemon import rendezvous
+from cassiaquay_daemon.configured import snapshots
 from cassiaquay_schema import fleet
 
 # Servers of one service of a grown deployment.
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -5,8 +5,10 @@
 
 import pytest
 
-from cassiaquay_dev import gateway_demo, proxies, raw_servers
+from cassiaquay_dev import gateway_demo
+from cassiaquay_dev.network import proxies
 from cassiaquay_dev.soak import checks, engines, exchange, main, records, site
+from cassiaquay_dev.standins import raw_servers
 
 START = 1000.0
 PATHS = {"safe": "/safe/", "book": "/book/", "stream": "/stream/"}
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -9,7 +9,7 @@
 import aiohttp
 import pytest
 
-from cassiaquay_dev import (
+from cassiaquay_dev.standins import (
     blocks,
     engine,
     engine_settings,
--- a/tests/test_texts.py
+++ b/tests/test_texts.py
@@ -2,7 +2,8 @@
 
 import pytest
 
-from cassiaquay_daemon import names, snapshots
+from cassiaquay_daemon import names
+from cassiaquay_daemon.configured import snapshots
 from cassiaquay_dev import deployments
 from cassiaquay_schema import exceptions, texts
 
--- a/tests/test_walk.py
+++ b/tests/test_walk.py
@@ -8,7 +8,8 @@
 import typing
 
 import cassiaquay
-from cassiaquay_dev import cluster, deployments, texts
+from cassiaquay_dev import cluster, deployments
+from cassiaquay_dev.standins import texts
 
 DEPLOYMENT = deployments.BRINDLEY
 BOUND_SECONDS = 15.0
--- a/tests/test_web.py
+++ b/tests/test_web.py
@@ -11,7 +11,10 @@
 import pytest
 import uvicorn
 
-from cassiaquay_daemon import backends, exceptions, recovery, relay, web
+from cassiaquay_daemon import exceptions
+from cassiaquay_daemon.adapters import backends
+from cassiaquay_daemon.interface import relay, web
+from cassiaquay_daemon.owners import recovery
 from cassiaquay_schema import messages, texts
 
 AUTH = {"Authorization": "Bearer secret"}
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -4,15 +4,8 @@
 import pathlib
 
 import cassiaquay
-from cassiaquay_dev import (
-    checker,
-    cluster,
-    demo,
-    deployments,
-    driver,
-    history,
-    workloads,
-)
+from cassiaquay_dev import cluster, demo, deployments
+from cassiaquay_dev.trials import checker, driver, history, workloads
 
 
 def test_every_answer_is_whole_and_dispatched_once(tmp_path: pathlib.Path) -> None:
