--- a/tests/test_pages.py
+++ b/tests/test_pages.py
@@ -114,7 +114,7 @@
 
 def test_every_call_of_the_operators_address_is_listed() -> None:
     source = (
-        ROOT / "packages" / "daemon" / "cassiaquay_daemon" / "admin.py"
+        ROOT / "packages" / "daemon" / "cassiaquay_daemon" / "operators" / "admin.py"
     ).read_text()
     paths = set(re.findall(r'"(/(?:v1/\w+|metrics))"', source))
     page = (DOCS / "OPERATIONS.md").read_text()
