--- a/packages/daemon/cassiaquay_daemon/command.py
+++ b/packages/daemon/cassiaquay_daemon/command.py
@@ -4,13 +4,12 @@
 import pathlib
 import sys
 
-import fire
 import uvloop
 
 from cassiaquay_schema import exceptions as schema_exceptions
 from cassiaquay_schema import texts
 
-from . import daemon, logs, names, reloading
+from . import daemon, early, logs, names, reloading
 from .platform import documents, store
 
 # Imported for what they register.
@@ -40,6 +39,7 @@
     # loaded until here lives as long as the process and need not be looked at.
     gc.collect()
     gc.freeze()
+    gc.enable()
 
     async def run() -> None:
         await daemon.Daemon(found, reloading.Reloading(path, found)).run()
@@ -49,4 +49,11 @@
 
 def run() -> None:
     """Read the command line."""
+    path = early.settings_path(sys.argv)
+    if path:
+        serve(path)
+        return
+    # Loaded only here: it takes a fifth of a start, and callers wait for that.
+    import fire
+
     fire.Fire(serve, name="cassiaquayd")
--- a/packages/daemon/cassiaquay_daemon/daemon.py
+++ b/packages/daemon/cassiaquay_daemon/daemon.py
@@ -11,7 +11,7 @@
 
 from cassiaquay_schema import settings as settings_schema
 
-from . import listeners, logs, pause, platform, reloading
+from . import early, listeners, logs, pause, platform, reloading
 from .adapters import backends
 from .engines import engine_reports, reconciler
 from .fleet import configuration, members, renewal, servers
@@ -156,6 +156,7 @@
         else:
             bound.append(self._listen(callers.application(), settings.http_port))
             self._membership.http_address = _address(bound[1][1])
+        early.close_rest()
         self._membership.admin_address = _address(admin_socket)
         tasks = [asyncio.create_task(work) for work in self._work()]
         tasks.append(asyncio.create_task(noted.watch_lag()))
--- a/packages/daemon/cassiaquay_daemon/gateway/service.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/service.py
@@ -2,14 +2,13 @@
 
 import asyncio
 import contextlib
-import socket
 import typing
 
 import uvicorn
 
 from cassiaquay_schema import settings as settings_schema
 
-from .. import listeners, logs, pause
+from .. import early, listeners, logs, pause
 from ..decisions import budgets
 from ..fleet import configuration, members, servers
 from ..keepers import demands, quotas
@@ -71,7 +70,7 @@
         self._gateway = settings.gateway
         self._membership = shared.membership
         self._parts = parts
-        accepted = accepting.Accepting(shared.configured, shared.known)
+        accepted = accepting.Accepting(shared.configured, shared.known, shared.pauses)
         self._front = front.Front(
             accepted, serving.Serving(parts), parts.reply, parts.accounts
         )
@@ -122,8 +121,7 @@
         await self._parts.forwarder.close()
 
     def _listen(self, application: listeners.Application, address: str) -> None:
-        host, _, port = address.rpartition(":")
-        bound = socket.create_server((host, int(port)), backlog=1024)
+        bound = early.take(address)
         server = listeners.server(application, IDLE_SECONDS)
         self._servers.append(server)
         self._serving.append(asyncio.create_task(server.serve([bound])))
--- a/packages/daemon/cassiaquay_daemon/links/peers.py
+++ b/packages/daemon/cassiaquay_daemon/links/peers.py
@@ -15,7 +15,7 @@
 from cassiaquay_schema import messages
 from cassiaquay_schema import settings as settings_schema
 
-from .. import clock, exceptions, logs
+from .. import clock, early, exceptions, logs
 from . import frames
 
 PROTOCOL_VERSION = 1
@@ -153,11 +153,9 @@
 
     async def start(self) -> None:
         """Listen for peers."""
-        where, port = self._settings.host, self._settings.peer_port
-        if self._settings.peer_listen:
-            where, _, text = self._settings.peer_listen.rpartition(":")
-            port = int(text)
-        self._server = await asyncio.start_server(self._accept, where, port)
+        settings = self._settings
+        where = settings.peer_listen or f"{settings.host}:{settings.peer_port}"
+        self._server = await asyncio.start_server(self._accept, sock=early.take(where))
         host, port = self._server.sockets[0].getsockname()[:2]
         self.address = f"{host}:{port}"
 
--- /dev/null
+++ b/tests/test_early.py
@@ -0,0 +1,92 @@
+"""A process that has just been started, before its modules are loaded.
+
+All instances are killed at once and start again. Callers connect to each of them
+meanwhile; whoever is refused everywhere goes away. So the addresses listen first.
+"""
+
+import pathlib
+import socket
+import subprocess
+import sys
+
+from cassiaquay_daemon import early
+
+TEXT = """
+peer_listen = "127.0.0.1:{peers}"
+[gateway]
+front = "127.0.0.1:{front}"
+ready = ""
+"""
+START = """
+import socket, sys, types
+import cassiaquay_daemon.main as entry
+
+class Command(types.ModuleType):
+    def run(self):
+        heavy = {{"uvloop", "aiohttp", "msgspec"}} & set(sys.modules)
+        caller = socket.create_connection(("127.0.0.1", {front}), timeout=5.0)
+        from cassiaquay_daemon import early
+        found = early.take("127.0.0.1:{front}")
+        found.settimeout(5.0)
+        print(len(heavy), found.accept()[1] == caller.getsockname())
+
+sys.modules["cassiaquay_daemon.command"] = Command("command")
+sys.argv = ["cassiaquayd", "--settings", {path!r}]
+entry.run()
+"""
+
+
+def _free_port() -> int:
+    with socket.create_server(("127.0.0.1", 0)) as bound:
+        return int(bound.getsockname()[1])
+
+
+def _settings(folder: pathlib.Path) -> tuple[pathlib.Path, int, int]:
+    front, peers = _free_port(), _free_port()
+    path = folder / "settings.toml"
+    path.write_text(TEXT.format(front=front, peers=peers))
+    return path, front, peers
+
+
+def test_a_caller_connects_before_the_modules_are_loaded(
+    tmp_path: pathlib.Path,
+) -> None:
+    """A caller connects while a process that was killed starts again.
+
+    Its connection is accepted by the socket that listens from the first moment, and is
+    the one that the gateway serves once it is there.
+    """
+    path, front, _ = _settings(tmp_path)
+    program = START.format(front=front, path=str(path))
+    done = subprocess.run(
+        [sys.executable, "-c", program], capture_output=True, text=True, check=True
+    )
+    assert done.stdout.split() == ["0", "True"]
+
+
+def test_what_nobody_takes_is_closed(tmp_path: pathlib.Path) -> None:
+    """The settings name an address that this process then does not serve.
+
+    A caller there must be refused, not left waiting for nobody.
+    """
+    path, front, peers = _settings(tmp_path)
+    early.listen_all(str(path))
+    early.take(f"127.0.0.1:{front}").close()
+    with socket.create_connection(("127.0.0.1", peers), timeout=5.0):
+        pass
+    early.close_rest()
+    try:
+        socket.create_connection(("127.0.0.1", peers), timeout=5.0)
+    except ConnectionRefusedError:
+        return
+    raise AssertionError("somebody listens")
+
+
+def test_settings_that_cannot_be_read_bind_nothing(tmp_path: pathlib.Path) -> None:
+    """The file is half written; the command, not this, tells the operator."""
+    path = tmp_path / "settings.toml"
+    for text in ("front = ", 'gateway = 3\npeer_listen = "nowhere"'):
+        path.write_text(text)
+        early.listen_all(str(path))
+    early.listen_all(str(tmp_path / "missing.toml"))
+    early.close_rest()
