Let requests wait while an instance learns what is true

Cause: the callers that connected during a start were answered 503 in the first 15 ms, 30 ms before the configuration was in force, and came back half a second later. Change: a request waits for the renewal after a start or a pause, 0.4 s at most.

--- a/packages/daemon/cassiaquay_daemon/gateway/accepting.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/accepting.py
@@ -1,6 +1,6 @@
 """Callers' requests, checked before anything else looks at them."""
 
-from .. import exceptions
+from .. import exceptions, pause
 from ..configured import routing
 from ..fleet import configuration, servers
 from ..platform import headers
@@ -8,6 +8,10 @@
 
 # Retry-After before the first configuration is here, or while it may be old.
 NOT_READY_RETRY_MS = 500
+# After a start or a pause an instance knows what is true within some 50 ms, and the
+# callers that connected meanwhile are served then. Whoever would wait longer than the
+# shortest objective in use has a better chance at another instance.
+RENEWAL_WAIT_SECONDS = 0.4
 
 
 class Accepting:
@@ -19,9 +23,17 @@
         Routes and teams in force.
     known : Servers
         How old the configuration may be.
+    pauses : Pauses
+        Whether this instance knows what is true now.
     """
 
-    def __init__(self, configured: configuration.Configuration, known: servers.Servers):
+    def __init__(
+        self,
+        configured: configuration.Configuration,
+        known: servers.Servers,
+        pauses: pause.Pauses,
+    ):
+        self._pauses = pauses
         self._configured = configured
         self._servers = known
 
@@ -33,6 +45,7 @@
         began_at: float,
     ) -> calls.Call:
         """Return a checked request; raise a Refusal when it cannot be one."""
+        await self._pauses.wait(RENEWAL_WAIT_SECONDS)
         snapshot = self._configured.current
         if snapshot is None or snapshot.routes is None:
             raise exceptions.NotReady(retry_after_ms=NOT_READY_RETRY_MS)
