Keep teams' limits by token buckets whose room can be reserved

Cause 1, found by generated schedules: a window that is unknown after a start or a change of the keeper came back evenly, as if it had been spent evenly. Cause 3, by reading: a question to a keeper to which no connection was up counted as refused, at once and for 4 s; on a fleet of 84 that is the first question to each keeper. Now it goes out when the connection is up. Change: the limit's own rate comes steadily, the rest of the bound may be spent at once; what is not there yet is reserved for a moment soon and waited for, up to half of the time to the objective; refusals tell the real time. Three tests spent a window's bound within one moment; they now spend it over the window, with the same shares of the bound. The answer of the keeper is compared whole, with its new field.

--- a/packages/daemon/cassiaquay_daemon/decisions/windows.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/windows.py
@@ -32,17 +32,6 @@
             self._sum -= self._amounts.popleft()[1]
         return self._sum
 
-    def room_after(self, amount: float, bound: float) -> float:
-        """Return the seconds until ``amount`` fits under ``bound``."""
-        missing = self.sum() + amount - bound
-        for at, one in self._amounts:
-            if missing <= 0.0:
-                break
-            missing -= one
-            if missing <= 0.0:
-                return max(at + self._seconds - clock.now(), 0.0)
-        return 0.0 if missing <= 0.0 else self._seconds
-
 
 def window_of(
     known: collections.abc.MutableMapping[str, Window], key: str, seconds: float
--- a/packages/daemon/cassiaquay_daemon/gateway/serving.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/serving.py
@@ -26,6 +26,9 @@
 
 # Retry-After when servers keep refusing or cannot be reached.
 UNREACHABLE_RETRY_MS = 300
+# Share of the time to its objective that a request may wait for room in its team's
+# limit; the other half is for its slot and its first event.
+LIMIT_WAIT_SHARE = 0.5
 # Pause before a request whose connection failed asks for another server.
 AGAIN_SECONDS = 0.01
 # A server that says nothing for so long is taken for silent while its caller, who waits
@@ -90,7 +93,8 @@
         self._parts.budget.count(call.service)
         try:
             async with asyncio.timeout(max(call.left, 0.0)):
-                await self._parts.limited.take(call.team, call.facts)
+                patience = call.first_left * LIMIT_WAIT_SHARE
+                await self._parts.limited.take(call.team, call.facts, patience)
                 await self._answer(known, send)
         except exceptions.Refusal as refusal:
             await self._end(known, send, refusal)
--- a/packages/daemon/cassiaquay_daemon/keepers/quotas.py
+++ b/packages/daemon/cassiaquay_daemon/keepers/quotas.py
@@ -6,17 +6,21 @@
 comes from the rest, which the limit's keeper gives out. Own shares and the rest
 together are never more than the fleet may run, whoever is cut off from whom; asking
 only beyond the own share keeps the keeper out of the way of ordinary requests.
+
+Where room comes back soon, a request waits for it: refused, its caller would be back
+no sooner than a fifth of a second later.
 """
 
 import asyncio
+import math
 import typing
 
 from cassiaquay_schema import messages
 from cassiaquay_schema import settings as settings_schema
 
-from .. import exceptions
+from .. import clock, exceptions
 from ..configured import routing
-from ..decisions import shards, windows
+from ..decisions import buckets, shards
 from ..fleet import configuration, members
 from ..links import peers
 
@@ -28,12 +32,26 @@
 # spend is lost to the team: there the part shrinks, and more is asked for.
 OWN_SHARE = 0.55
 OWN_INSTANCES = 12
-# A keeper that lives answers within a few round trips; an instance goes on without it.
+# A keeper that lives answers within a few round trips, of which some may go for the
+# connection; an instance goes on without it.
 ASK_SECONDS = 0.15
 # Grants are used at once; this much later they can be in another window than here.
 USE_SECONDS = 1.0
+# Least part of the bound that may be spent at once, where the limit's own burst and
+# what it may be passed by would leave less: requests come in bunches.
+LEAST_DEPTH_SHARE = 0.25
 LEAST_RETRY_MS = 200
 MOST_RETRY_MS = 4000
+# A fleet that starts for the first time has spent nothing.
+NOBODY_BEFORE = -math.inf
+
+
+class _Question(typing.NamedTuple):
+    """A question to a limit's keeper and where its answer goes."""
+
+    keeper: str
+    query: messages.QuotaQuery
+    answer: asyncio.Future[messages.QuotaAnswer]
 
 
 class Amounts(typing.Protocol):
@@ -78,103 +96,133 @@
         self._gateway = settings.gateway
         self._membership = membership
         self._configured = configured
-        self._own: dict[str, windows.Window] = {}
-        self._given: dict[str, windows.Window] = {}
-        self._questions: dict[int, asyncio.Future[int]] = {}
+        self._own: dict[str, buckets.Bucket] = {}
+        self._given: dict[str, buckets.Bucket] = {}
+        self._questions: dict[int, _Question] = {}
         self._number = 0
+        # What was spent before is not known: by the process that was here before, and
+        # by whoever was the keeper of a limit before the last change of the members.
+        self._own_from = NOBODY_BEFORE
+        if not settings.gateway.first_start:
+            self._own_from = clock.now()
+        self._given_from = self._own_from
         links.on(messages.QuotaQuery, self._query)
         links.on(messages.QuotaAnswer, self._answer)
+        links.on_up(self._up)
         membership.on_change(self._moved)
 
     def adopt(self, settings: settings_schema.Settings) -> None:
         """Take in changed settings."""
         self._gateway = settings.gateway
 
-    async def take(self, team: routing.Team | None, facts: Amounts) -> None:
-        """Count a request against its team's limit; raise LimitReached when over."""
+    async def take(
+        self, team: routing.Team | None, facts: Amounts, patience: float = 0.0
+    ) -> None:
+        """Count a request against its team's limit; raise LimitReached when over.
+
+        Parameters
+        ----------
+        team : Team or None
+            Whose request it is.
+        facts : Amounts
+            What it says of its tokens.
+        patience : float
+            Seconds that it may wait for room.
+        """
         if team is None or team.quota is None:
             return
         units = units_of(team.quota, facts)
-        bound = self._bound(team.quota)
-        own = self._window(self._own, team.name, 0.0)
-        share = bound * self._own_part() / self._membership.fleet_size()
-        share *= self._known_share(own)
-        if own.sum() + units <= share:
-            own.add(units)
+        own = _bucket(self._own, team.name, self._own_from)
+        share = self._own_part() / self._membership.fleet_size()
+        flow = self._flow(team.quota).part(share)
+        own_wait = own.reserve(units, flow, 0.0)
+        if not own_wait:
+            return
+        given = await self._ask(team.name, units, min(patience, own_wait))
+        if given.units:
+            await asyncio.sleep(given.wait_ms / 1000.0)
             return
-        if await self._ask(team.name, units):
+        own_wait = own.reserve(units, flow, patience)
+        if own_wait <= patience:
+            await asyncio.sleep(own_wait)
             return
-        wait = own.room_after(units, share)
-        retry_ms = min(max(wait * 1000.0, LEAST_RETRY_MS), MOST_RETRY_MS)
+        wait_ms = own_wait * 1000.0
+        if given.wait_ms:
+            wait_ms = min(wait_ms, given.wait_ms)
         raise exceptions.LimitReached(
-            f"the limit of team {team.name} is reached", retry_after_ms=int(retry_ms)
+            f"the limit of team {team.name} is reached",
+            retry_after_ms=int(min(max(wait_ms, LEAST_RETRY_MS), MOST_RETRY_MS)),
         )
 
     def _own_part(self) -> float:
         """Return the part of a limit that instances spend without asking."""
         return OWN_SHARE * min(OWN_INSTANCES / self._membership.fleet_size(), 1.0)
 
-    def _bound(self, quota: routing.Quota) -> float:
-        """Return what the fleet may run of a team in one window."""
+    def _flow(self, quota: routing.Quota) -> buckets.Flow:
+        """Return what the fleet may run of a team: never more than the bound a window.
+
+        The team's own rate comes steadily, and all that the bound leaves besides may
+        be spent at once.
+        """
         gateway = self._gateway
-        limit = quota.rate * gateway.quota_window_seconds + quota.burst
-        bound = limit * (1.0 + gateway.quota_excess)
+        seconds = gateway.quota_window_seconds
+        bound = (quota.rate * seconds + quota.burst) * (1.0 + gateway.quota_excess)
         if quota.counts_tokens:
             bound += gateway.quota_slack
-        return bound * USED_SHARE
-
-    def _known_share(self, window: windows.Window) -> float:
-        """Return the part of a window's amount that is certainly unspent.
-
-        A process that was killed and started again, or a keeper that has just taken
-        over, does not know what was spent within this window before. All processes
-        killed at once would let a team run twice its limit; counting the unknown part
-        as spent costs little, since most teams use far less than their limit.
-        """
-        if self._gateway.first_start:
-            return 1.0
-        return 1.0 - window.unknown_share
+        bound *= USED_SHARE
+        seconds += USE_SECONDS
+        depth = max(bound - quota.rate * seconds, bound * LEAST_DEPTH_SHARE)
+        return buckets.Flow((bound - depth) / seconds, depth)
 
     def _moved(self) -> None:
+        self._given_from = clock.now()
         for team in list(self._given):
-            if self._membership.keeper_of(f"quota {team}") != self._settings.instance:
+            if self._membership.keeper_of(_limit(team)) != self._settings.instance:
                 del self._given[team]
 
-    async def _ask(self, team: str, units: int) -> bool:
-        keeper = self._membership.keeper_of(f"quota {team}")
+    async def _ask(
+        self, team: str, units: int, patience: float
+    ) -> messages.QuotaAnswer:
+        """Return what the limit's keeper gives; no units when it gives none."""
+        self._number += 1
+        query = messages.QuotaQuery(self._number, team, units, int(patience * 1000.0))
+        keeper = self._membership.keeper_of(_limit(team))
         if keeper == self._settings.instance:
-            return self._give(team, units)
+            return self._give(query)
+        question = _Question(keeper, query, asyncio.get_running_loop().create_future())
+        self._questions[query.number] = question
         link = self._membership.link(keeper)
-        if link is None:
-            return False
-        self._number += 1
-        number = self._number
-        question: asyncio.Future[int] = asyncio.get_running_loop().create_future()
-        self._questions[number] = question
-        link.send(messages.QuotaQuery(number, team, units))
+        if link is not None:
+            link.send(query)
+        # Without a connection it is being dialled; the question goes out once it is up.
         try:
             async with asyncio.timeout(ASK_SECONDS):
-                return bool(await question)
+                return await question.answer
         except TimeoutError:
-            return False
+            return messages.QuotaAnswer(query.number, 0)
         finally:
-            del self._questions[number]
+            del self._questions[query.number]
+
+    def _up(self, link: peers.Link) -> None:
+        for question in self._questions.values():
+            if question.keeper == link.instance:
+                link.send(question.query)
 
-    def _give(self, team: str, units: int) -> bool:
-        """Give units of the common rest, as the limit's keeper; return whether."""
-        quota = self._quota(team)
+    def _give(self, query: messages.QuotaQuery) -> messages.QuotaAnswer:
+        """Give units of the common rest, as the limit's keeper."""
+        quota = self._quota(query.team)
         if quota is None:
-            return False
+            return messages.QuotaAnswer(query.number, 0)
         # In a partition each part has a keeper of its own: each gives out the part of
         # the rest that belongs to the instances it can hear.
         heard = len(self._membership.alive()) / self._membership.fleet_size()
-        given = self._window(self._given, team, USE_SECONDS)
-        rest = self._bound(quota) * (1.0 - self._own_part()) * min(heard, 1.0)
-        rest *= self._known_share(given)
-        if given.sum() + units > rest:
-            return False
-        given.add(units)
-        return True
+        rest = self._flow(quota).part((1.0 - self._own_part()) * min(heard, 1.0))
+        given = _bucket(self._given, query.team, self._given_from)
+        patience = query.patience_ms / 1000.0
+        wait = given.reserve(query.units, rest, patience)
+        wait_ms = math.ceil(min(wait * 1000.0, MOST_RETRY_MS))
+        units = query.units if wait <= patience else 0
+        return messages.QuotaAnswer(query.number, units, wait_ms)
 
     def _quota(self, team: str) -> routing.Quota | None:
         snapshot = self._configured.current
@@ -183,19 +231,12 @@
         return snapshot.routes.quotas.get(team)
 
     def _query(self, link: peers.Link, query: messages.QuotaQuery) -> None:
-        given = self._give(query.team, query.units)
-        link.send(messages.QuotaAnswer(query.number, query.units if given else 0))
+        link.send(self._give(query))
 
     def _answer(self, link: shards.Replier, answer: messages.QuotaAnswer) -> None:
         question = self._questions.get(answer.number)
-        if question is not None and not question.done():
-            question.set_result(answer.units)
-
-    def _window(
-        self, known: dict[str, windows.Window], team: str, more: float
-    ) -> windows.Window:
-        seconds = self._gateway.quota_window_seconds + more
-        return windows.window_of(known, team, seconds)
+        if question is not None and not question.answer.done():
+            question.answer.set_result(answer)
 
 
 def units_of(quota: routing.Quota, facts: Amounts) -> int:
@@ -205,3 +246,17 @@
     if not facts.counts_tokens:
         return quota.plain_units
     return facts.prompt_tokens + facts.most_output_tokens
+
+
+def _limit(team: str) -> str:
+    """Return the key by which a team's limit finds its keeper."""
+    return f"quota {team}"
+
+
+def _bucket(
+    known: dict[str, buckets.Bucket], team: str, empty_at: float
+) -> buckets.Bucket:
+    found = known.get(team)
+    if found is None:
+        found = known[team] = buckets.Bucket(empty_at)
+    return found
--- a/packages/schema/cassiaquay_schema/messages.py
+++ b/packages/schema/cassiaquay_schema/messages.py
@@ -797,11 +797,14 @@
         Team.
     units : int
         What the request counts.
+    patience_ms : int
+        How long the request may wait for room.
     """
 
     number: int
     team: str
     units: int
+    patience_ms: int = 0
 
 
 class QuotaAnswer(typing.NamedTuple):
@@ -813,10 +816,13 @@
         Number of the question.
     units : int
         What was given; 0 for none.
+    wait_ms : int
+        When to use it, or, where nothing was given, to ask again.
     """
 
     number: int
     units: int
+    wait_ms: int = 0
 
 
 Message = (
--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -1,6 +1,7 @@
 """Budgets of the whole fleet that no two instances talk about."""
 
 import asyncio
+import math
 
 import policy_fakes as fakes
 import pytest
@@ -83,6 +84,16 @@
     return quotas.Quotas(_settings(**gateway), fakes.Links(), members, Configured())
 
 
+async def _spend_window(time, fleet: list[quotas.Quotas], tokens: int) -> int:
+    """Spend all that instances may in a window of eight seconds."""
+    spent = 0
+    for _ in range(160):
+        for one in fleet:
+            spent += await _spend(one, tokens, 1000)
+        time.now += 0.05
+    return spent
+
+
 async def _spend(found: quotas.Quotas, tokens: int, times: int) -> int:
     spent = 0
     for _ in range(times):
@@ -143,16 +154,16 @@
     heard = 9 // parts
 
     async def run() -> None:
-        spent = 0
+        fleet = []
         for _ in range(parts):
             keeping = Members("cq-1", [])
             keeping.heard = heard
-            spent += await _spend(_quotas(keeping), 5, 1000)
+            fleet.append(_quotas(keeping))
             # The other instances of the part: their own shares, and no more, since
-            # the keeper has given all of the rest by now.
+            # the keeper gives all of the rest.
             for _ in range(heard - 1):
-                away = Members("cq-0", [])
-                spent += await _spend(_quotas(away), 5, 1000)
+                fleet.append(_quotas(Members("cq-0", [])))
+        spent = await _spend_window(time, fleet, 5)
         assert spent <= BOUND
         assert spent >= 0.8 * BOUND
 
@@ -193,7 +204,9 @@
         query = messages.QuotaQuery(1, "blue", 20)
         asking = fakes.Owner("cq-3")
         found._query(asking, query)
-        assert asking.sent == [messages.QuotaAnswer(1, 0)]
+        # The keeper's part of the rate, from nothing.
+        wait_ms = math.ceil(1000.0 * 20 / (100.0 * 0.45))
+        assert asking.sent == [messages.QuotaAnswer(1, 0, wait_ms)]
         time.now += 9.5
         found._query(asking, query)
         assert asking.sent[-1] == messages.QuotaAnswer(1, 20)
@@ -229,9 +242,11 @@
             return 90
 
     async def run() -> None:
-        spent = await _spend(_quotas(Many("cq-1", [])), 100, 1000)
+        start = time.now
+        spent = await _spend_window(time, [_quotas(Many("cq-1", []))], 100)
         assert spent >= 0.7 * BOUND
-        spent += 89 * await _spend(_quotas(Many("cq-0", [])), 100, 1000)
+        time.now = start
+        spent += 89 * await _spend_window(time, [_quotas(Many("cq-0", []))], 100)
         assert spent <= BOUND
 
     asyncio.run(run())
