--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -228,6 +228,38 @@
     asyncio.run(run())
 
 
+def test_the_first_question_to_a_keeper_waits_for_its_connection(time) -> None:
+    """A request is beyond its instance's own share; nobody has asked this keeper yet.
+
+    The connection is being dialled. Refused now, the caller would be away for seconds
+    though the keeper has all of its rest to give.
+    """
+
+    class Dialling(Members):
+        def link(self, instance: str) -> None:
+            """Have no connection yet."""
+
+    async def run() -> None:
+        found = _quotas(Dialling("cq-2", []))
+        await _spend_own(found)
+        asked = asyncio.create_task(found.take(TEAM, Facts(20)))
+        await asyncio.sleep(0.0)
+        keeper = fakes.Owner("cq-2")
+        found._up(keeper)
+        query = keeper.sent[0]
+        assert (query.team, query.units) == ("blue", 20)
+        found._answer(keeper, messages.QuotaAnswer(query.number, 20))
+        await asked
+
+    asyncio.run(run())
+
+
+async def _spend_own(found: quotas.Quotas) -> None:
+    """Spend an instance's own share."""
+    flow = found._flow(QUOTA).part(quotas.OWN_SHARE / 9)
+    await found.take(TEAM, Facts(int(flow.depth)))
+
+
 def test_a_large_fleet_strands_little_of_a_limit(time) -> None:
     """Ninety instances, and requests that are each larger than a ninetieth.
 
