Tell refused callers to be back after the burst; try broken engines one request at a time

All slots of all nine engines were taken from 8 to 12 s (log), so nobody else could have served them then; but they were told 0.3 to 1 s, came back in the same burst of 5 s and were refused for good. Now they are told two ninths to a third of the time they have.

--- a/packages/daemon/cassiaquay_daemon/decisions/objectives.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/objectives.py
@@ -41,8 +41,11 @@
 # Demands over which the growth of the wait in a shard is measured: about as many as are
 # moved there between two of its reports.
 STEPS = 4
-# Callers of less important tiers are told to stay away longer.
-RANK_FACTOR = 0.25
+# Share of its time left after which a refused caller is back, spread up to half as much
+# again: a third is the most that callers wait. Its answer is late whenever it is back,
+# and bursts last for seconds: back in the same one, it is refused for good. Of 277 that
+# were never served in the worst minute of a played day 114 remained.
+AWAY_SHARE = 2.0 / 9.0
 
 
 class _TeamQueue:
@@ -223,7 +226,7 @@
             if (never or now > late_at) and not self._is_over(waiting, now + wait):
                 ahead += 1
                 continue
-            if not self._shed(waiting, wait, now):
+            if not self._shed(waiting, now):
                 ahead += 1
         return ahead
 
@@ -238,7 +241,7 @@
             least = self._least_first(waiting.demand)
             if self._shard.move(waiting, self._late_at[request_id] - now - least):
                 continue
-            if not self._shed(waiting, wait, now):
+            if not self._shed(waiting, now):
                 ahead += 1
         return ahead
 
@@ -256,28 +259,25 @@
                 lasts = now - self._held_since[rank] > late_at - waiting.arrived_at
                 if now + MARGIN_SECONDS <= late_at and not lasts:
                     continue
-                seconds = self._wait_seconds(rank, ahead) * self._patience_of(rank)
                 # The floor that is there stays as it is: renewed by those whom it
                 # holds back, it would never end.
                 self._shard.held.hold_back(rank, now + FLOOR_SECONDS)
-                self._shard.shed(
-                    waiting, "shed_overload", shedding.retry_after_ms(seconds)
-                )
+                self._shard.shed(waiting, "shed_overload", self._away_ms(waiting, now))
 
-    def _patience_of(self, rank: int) -> float:
-        """Return by how much longer callers of a rank are told to stay away."""
-        return 1.0 + RANK_FACTOR * sorted(self._tiers).index(rank)
+    def _away_ms(self, waiting: shards.Waiting, now: float) -> int:
+        """Return when a refused caller should be back."""
+        return shedding.retry_after_ms((waiting.deadline - now) * AWAY_SHARE)
 
     def _is_over(self, waiting: shards.Waiting, now: float) -> bool:
         patience = waiting.arrived_at + PATIENCE_SECONDS
         return now > min(patience, waiting.deadline)
 
-    def _shed(self, waiting: shards.Waiting, wait: float, now: float) -> bool:
+    def _shed(self, waiting: shards.Waiting, now: float) -> bool:
         """Give a demand up, once the pool's other shards hold lower tiers back."""
         rank = waiting.demand.rank
         if not self._shard.may_shed(rank):
             return False
-        retry_after_ms = shedding.retry_after_ms(wait * self._patience_of(rank))
+        retry_after_ms = self._away_ms(waiting, now)
         # Whoever sees this tier shed must not see a lower one served meanwhile.
         self._shard.held.raise_floor(rank, now + FLOOR_SECONDS, retry_after_ms)
         self._shard.shed(waiting, "shed_overload", retry_after_ms)
--- a/packages/daemon/cassiaquay_daemon/decisions/pace.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/pace.py
@@ -36,6 +36,11 @@
 # Weight of one failure; two in a row make a server the last choice.
 FAILURE_WEIGHT = 0.35
 SUCCESS_WEIGHT = 0.08
+# From this share on, four failures in a row, a server gets one request at a time: one
+# that breaks each run off at once always has free slots, and under overload even the
+# last choice is taken, so that it would swallow all that overflows. One that fails two
+# in five of its requests stays below.
+BROKEN_SHARE = 0.8
 
 
 class Expected(typing.NamedTuple):
@@ -102,7 +107,7 @@
         any, one long request alone would keep a sound server out for as long as it
         runs, and with many a dead one would swallow them all.
         """
-        if self._doubtful:
+        if self._doubtful or self.failing(now) > BROKEN_SHARE:
             self._stalled_until = now + PROBE_SECONDS
 
     def read(self, tokens: int, alone_seconds: float, seconds: float) -> None:
@@ -162,8 +167,10 @@
         self._failing_at = now
         if well:
             self._failing = share * (1.0 - SUCCESS_WEIGHT)
-        else:
-            self._failing = share + FAILURE_WEIGHT * (1.0 - share)
+            return
+        self._failing = share + FAILURE_WEIGHT * (1.0 - share)
+        if self._failing > BROKEN_SHARE:
+            self._stalled_until = now + PROBE_SECONDS
 
     def patience(self, expected_seconds: float) -> float:
         """Return how late a first event may be before the server counts as silent."""
--- a/tests/test_objectives.py
+++ b/tests/test_objectives.py
@@ -121,6 +121,55 @@
     assert shed.retry_after_ms >= 200
 
 
+def test_a_refused_caller_is_back_when_a_burst_is_over(time) -> None:
+    """A burst fills all slots for seconds, and callers come back once.
+
+    Told to be back in a third of a second, they are in the same burst and are refused
+    for good. They are told a time between two ninths and a third of what they have,
+    each another one, so that they do not make a burst of their own.
+    """
+    bench = Bench(time, {"a": 1})
+    bench.demand(events=400)
+    bench.serve()
+    names = [bench.demand(remaining_ms=12_000) for _ in range(20)]
+    bench.serve()
+    sheds = bench.owner.sheds()
+    told = {sheds[name].retry_after_ms for name in names}
+    assert min(told) >= 12_000 * 2 // 9
+    assert max(told) <= 12_000 // 3
+    assert len(told) > 10
+
+
+def test_an_engine_that_breaks_everything_off_does_not_swallow_a_burst(time) -> None:
+    """One of two engines breaks off each run after 20 ms, and a burst fills the other.
+
+    It has free slots all the time. After four of its failures callers are refused, and
+    come back, instead of losing their one run there; one request at a time tries it,
+    and its first good end opens it again.
+    """
+    bench = Bench(time, {"good": 1, "broken": 4})
+    bench.demand(name="long", events=400)
+    bench.serve()
+    lost = 0
+    for _ in range(30):
+        name = bench.demand(avoid=["good"])
+        bench.serve()
+        if bench.owner.permits().get(name) == "broken":
+            lost += 1
+            bench.end(name, "cut")
+        time.now += 0.02
+    assert 4 <= lost <= 5
+    time.now += pace.PROBE_SECONDS
+    probe = bench.demand(avoid=["good"])
+    bench.serve()
+    assert bench.owner.permits()[probe] == "broken"
+    bench.start(probe)
+    bench.end(probe)
+    after = bench.demand(avoid=["good"])
+    bench.serve()
+    assert bench.owner.permits()[after] == "broken"
+
+
 def test_what_gets_a_slot_in_time_waits_for_it(time) -> None:
     """The slot comes free in 50 ms, and the objective is 400 ms away."""
     bench = Bench(time, {"a": 1})
