--- a/packages/daemon/cassiaquay_daemon/decisions/objectives.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/objectives.py
@@ -137,7 +137,7 @@
         for rank in sorted(self._tiers):
             if self._shard.held.holds(rank):
                 self._held_since.setdefault(rank, now)
-                self._settle_held(rank, ahead, now)
+                self._settle_held(rank, now)
                 continue
             self._held_since.pop(rank, None)
             order = self._in_order(rank)
@@ -245,7 +245,7 @@
                 ahead += 1
         return ahead
 
-    def _settle_held(self, rank: int, ahead: int, now: float) -> None:
+    def _settle_held(self, rank: int, now: float) -> None:
         """Shed those of a tier that is held back who wait there in vain.
 
         Most holds are short, and what waits is then served in time. One that has
