Give a lowered limit's slack in every window, not once

The slack, most of such a bound, was all depth: spent once, it came back at the rate of the lowered limit. Change: the depth is 0.25 to 0.35 of the bound, and the rest is the rate; own shares are 0.3 of it, so that the longest prompt still fits the keeper's depth.

--- a/packages/daemon/cassiaquay_daemon/keepers/quotas.py
+++ b/packages/daemon/cassiaquay_daemon/keepers/quotas.py
@@ -29,17 +29,20 @@
 USED_SHARE = 0.9
 # Part of that which instances may spend without asking, in a fleet of up to this many.
 # In larger ones an own share would be less than one long request, and what nobody can
-# spend is lost to the team: there the part shrinks, and more is asked for.
-OWN_SHARE = 0.55
+# spend is lost to the team: there the part shrinks, and more is asked for. The larger
+# part is the keeper's: a prompt of 54,600 tokens, the longest met, must fit its depth.
+OWN_SHARE = 0.3
 OWN_INSTANCES = 12
 # A keeper that lives answers within a few round trips, of which some may go for the
 # connection; an instance goes on without it.
 ASK_SECONDS = 0.15
 # Grants are used at once; this much later they can be in another window than here.
 USE_SECONDS = 1.0
-# Least part of the bound that may be spent at once, where the limit's own burst and
-# what it may be passed by would leave less: requests come in bunches.
+# Least part of the bound that may be spent at once: requests come in bunches.
 LEAST_DEPTH_SHARE = 0.25
+# Most part: where a limit is far below what its team sends, the slack is most of the
+# bound, and as depth it would be spent once instead of in every window.
+MOST_DEPTH_SHARE = 0.35
 LEAST_RETRY_MS = 200
 MOST_RETRY_MS = 4000
 # A fleet that starts for the first time has spent nothing.
@@ -161,8 +164,8 @@
     def _flow(self, quota: routing.Quota) -> buckets.Flow:
         """Return what the fleet may run of a team: never more than the bound a window.
 
-        The team's own rate comes steadily, and all that the bound leaves besides may
-        be spent at once.
+        The team's own rate comes steadily at least, and about what the bound leaves
+        besides may be spent at once.
         """
         gateway = self._gateway
         seconds = gateway.quota_window_seconds
@@ -172,6 +175,7 @@
         bound *= USED_SHARE
         seconds += USE_SECONDS
         depth = max(bound - quota.rate * seconds, bound * LEAST_DEPTH_SHARE)
+        depth = min(depth, bound * MOST_DEPTH_SHARE)
         return buckets.Flow((bound - depth) / seconds, depth)
 
     def _moved(self) -> None:
