--- a/packages/daemon/cassiaquay_daemon/decisions/objectives.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/objectives.py
@@ -43,8 +43,8 @@
 STEPS = 4
 # Share of its time left after which a refused caller is back, spread up to half as much
 # again: a third is the most that callers wait. Its answer is late whenever it is back,
-# and bursts last for seconds: back in the same one, it is refused for good. Of 277 that
-# were never served in the worst minute of a played day 114 remained.
+# and bursts last for seconds: back in the same one, it is refused for good. Of 172
+# refused for good on one played day 114 remained.
 AWAY_SHARE = 2.0 / 9.0
 
 
