Play large fleets in virtual time with the daemon's own admission roles

What falls over with hundreds of daemons needs many keepers, floors and moves between shards, and owners that hear of permits late.

--- /dev/null
+++ b/packages/dev/cassiaquay_dev/lab/instances.py
@@ -0,0 +1,155 @@
+"""One daemon of the lab: the daemon's own roles for admission, joined by wires."""
+
+import asyncio
+import collections.abc
+import typing
+
+from cassiaquay_daemon import pause, rendezvous
+from cassiaquay_daemon.configured import routing, snapshots
+from cassiaquay_daemon.decisions import objectives
+from cassiaquay_daemon.gateway import admission, calls
+from cassiaquay_daemon.keepers import demands, keeper
+from cassiaquay_daemon.platform import headers
+from cassiaquay_schema import messages
+from cassiaquay_schema import settings as settings_schema
+
+from . import days, traffic, wires
+
+POOL = "engines"
+MODEL = "model"
+HOST = "lab"
+
+
+class Configured:
+    """A configuration that stays as it is."""
+
+    def __init__(self, current: snapshots.Snapshot):
+        self.current = current
+
+    def on_accept(self, call: collections.abc.Callable[[], None]) -> None:
+        """Do nothing: it never changes."""
+
+
+class Instance:
+    """One daemon.
+
+    Parameters
+    ----------
+    name : str
+        Its name.
+    crew : Crew
+        All of them.
+    configured : Configured
+        What is in force.
+    policy : str
+        Registered policy that its shards are served by.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        crew: wires.Crew,
+        configured: Configured,
+        policy: str = objectives.NAME,
+    ):
+        settings = settings_schema.Settings(
+            instance=name,
+            domain=crew.zones[name],
+            keys=["lab"],
+            platform=settings_schema.Platform(configuration="", instances=""),
+            keeper=settings_schema.Keeper(policy=policy),
+        )
+        # The roles ask of members, links and configuration just what the stand-ins
+        # have; they are typed as the daemon's own.
+        members = typing.cast(typing.Any, wires.Members(crew, name))
+        links = typing.cast(typing.Any, crew.links[name])
+        known = typing.cast(typing.Any, configured)
+        self.pauses = pause.Pauses(pause.shortest_lease(settings))
+        self.keeper = keeper.Keeper(settings, links, members, known, self.pauses)
+        self.demands = demands.Demands(settings, links, members, self.keeper)
+        self.admission = admission.Admission(self.demands, members)
+        self._tasks: list[asyncio.Task[None]] = []
+
+    def start(self) -> None:
+        """Run its periodic jobs."""
+        jobs = (
+            self.pauses.tick(),
+            self.keeper.tick(),
+            self.demands.renew(),
+            self.demands.report(),
+        )
+        for job in jobs:
+            self._tasks.append(asyncio.get_running_loop().create_task(job))
+
+
+def snapshot(day: days.Day) -> snapshots.Snapshot:
+    """Return the configuration of a day."""
+    ranks = sorted({kind.rank for kind in day.kinds.values()})
+    lines = []
+    for rank in ranks:
+        lines += [f"[tiers.rank-{rank}]", f"rank = {rank}"]
+    for number in range(day.teams):
+        credential = f"{number:064x}"
+        lines += [f"[teams.team-{number}]", f'credentials = ["{credential}"]']
+        lines.append(f'tiers = ["rank-{ranks[0]}"]')
+    lines += [f"[models.{MODEL}]", f"[pools.{POOL}]"]
+    for number in range(day.engines.count):
+        lines += [f"[[pools.{POOL}.servers]]", f'name = "{engine_name(number)}"']
+        lines += [f'address = "h:{number + 1}"', f'model = "{MODEL}"']
+        lines.append(f"slots = {day.engines.slots}")
+    lines += ["[services.generate]", f'pool = "{POOL}"', f'model = "{MODEL}"']
+    found = snapshots.read(1, "\n".join(lines))
+    bounds = routing.Bounds(1, 1, 1.0, 1.0)
+    events = {POOL: day.engines.event_tokens}
+    routes = routing.Routing(1, {}, {}, {}, False, events, bounds)
+    return found._replace(routes=routes)
+
+
+def engine_name(number: int) -> str:
+    """Return the name of an engine."""
+    return f"engine-{number:03}"
+
+
+def call(
+    day: days.Day,
+    request: traffic.Request,
+    attempt: str,
+    began_at: float,
+    deadline: float,
+    current: snapshots.Snapshot,
+) -> calls.Call:
+    """Return an attempt of a caller as the gateway would have it."""
+    kind = day.kinds[request.kind]
+    tokens = day.engines.event_tokens
+    part = messages.PromptPart(
+        rendezvous.score(request.name, "prompt"), request.prompt_tokens
+    )
+    facts = headers.Facts(
+        HOST,
+        attempt,
+        0,
+        "",
+        request.prompt_tokens,
+        request.hinted_events * tokens,
+        request.hinted_events * tokens,
+        [part],
+        -1,
+    )
+    route = routing.Route(
+        request.kind,
+        HOST,
+        "/",
+        routing.Kind.STREAM,
+        (routing.Share(POOL, 1.0),),
+        kind.deadline_ms / 1000.0,
+        kind.objective_ms / 1000.0,
+        kind.pause_ms / 1000.0,
+        kind.rank,
+        kind.attempts,
+        True,
+        kind.attempts > 1,
+    )
+    team = routing.Team(request.team, None, None)
+    return calls.Call(
+        "POST", "/", [], facts, b"", route, POOL, team, current, began_at, deadline
+    )
--- /dev/null
+++ b/packages/dev/cassiaquay_dev/lab/played.py
@@ -0,0 +1,240 @@
+"""Plays a day: callers, instances and engines in virtual time, and what came of it."""
+
+import asyncio
+import collections
+import random
+import typing
+
+from cassiaquay_daemon import clock, exceptions
+from cassiaquay_daemon.gateway import admission, calls
+
+from . import batching, days, instances, traffic, wires
+
+# Instances know each other and all shards are open before the load begins.
+WARM_UP_SECONDS = 3.0
+# After the last arrival, for what still runs.
+REST_SECONDS = 5.0
+SAMPLE_SECONDS = 0.1
+# A caller comes back once.
+MOST_ATTEMPTS = 2
+IN_TIME, LATE, REFUSED, LEFT = "in time", "late", "refused", "left"
+
+
+class Ended(typing.NamedTuple):
+    """What became of a request.
+
+    Attributes
+    ----------
+    request : Request
+        The request.
+    outcome : str
+        In time, late, refused or left: its caller gave up.
+    attempts : int
+        How often it was tried.
+    first_seconds : float
+        From its arrival to its first event; 0 when there was none.
+    """
+
+    request: traffic.Request
+    outcome: str
+    attempts: int
+    first_seconds: float
+
+
+class Sample(typing.NamedTuple):
+    """The engines at one moment.
+
+    Attributes
+    ----------
+    at : float
+        Seconds from the start of the load.
+    busy_fast, busy_slow : int
+        Taken slots of engines faster than the mean, and of the others.
+    queued : int
+        Requests that wait inside engines.
+    waiting : int
+        Demands that wait at keepers.
+    """
+
+    at: float
+    busy_fast: int
+    busy_slow: int
+    queued: int
+    waiting: int
+
+
+class Played(typing.NamedTuple):
+    """A played day."""
+
+    ended: list[Ended]
+    samples: list[Sample]
+    received: int
+
+
+class Fleet:
+    """All that a day needs.
+
+    Parameters
+    ----------
+    day : Day
+        What to play.
+    seed : int
+        Of the callers' choices.
+    """
+
+    def __init__(self, day: days.Day, seed: int):
+        self.day = day
+        self.ended: list[Ended] = []
+        self.samples: list[Sample] = []
+        self._chance = random.Random(seed)
+        self._snapshot = instances.snapshot(day)
+        names = [f"daemon-{number:03}" for number in range(day.instances)]
+        zones = {
+            name: f"zone-{number % day.zones}" for number, name in enumerate(names)
+        }
+        self.crew = wires.Crew(zones, day.crossing_ms / 1000.0)
+        configured = instances.Configured(self._snapshot)
+        self.instances = [
+            instances.Instance(name, self.crew, configured) for name in names
+        ]
+        self.engines = {}
+        for number in range(day.engines.count):
+            factors = day.engines.time_factors
+            settings = batching.EngineSettings(
+                instances.engine_name(number),
+                day.engines.slots,
+                day.engines.step_ms,
+                day.engines.slot_ms,
+                day.engines.prompt_tokens_per_ms,
+                day.engines.chunk_tokens,
+                day.engines.event_tokens,
+                factors[number % len(factors)],
+            )
+            self.engines[settings.name] = batching.Engine(settings)
+
+    async def play(self, requests: list[traffic.Request]) -> None:
+        """Play all requests to their ends."""
+        for instance in self.instances:
+            instance.start()
+        await asyncio.sleep(WARM_UP_SECONDS)
+        began_at = clock.now()
+        sampler = asyncio.create_task(self._sample(began_at))
+        callers = []
+        for request in requests:
+            await asyncio.sleep(max(began_at + request.at - clock.now(), 0.0))
+            callers.append(asyncio.create_task(self._caller(request)))
+        await asyncio.gather(*callers)
+        sampler.cancel()
+
+    async def _caller(self, request: traffic.Request) -> None:
+        """Ask, and come back once when told to."""
+        kind = self.day.kinds[request.kind]
+        came_at = clock.now()
+        leaves_at = came_at + kind.deadline_ms / 1000.0
+        watch = _Watch(came_at, kind.objective_ms / 1000.0, kind.pause_ms / 1000.0)
+        outcome = LEFT
+        number = 0
+        for number in range(1, MOST_ATTEMPTS + 1):
+            instance = self._chance.choice(self.instances)
+            await asyncio.sleep(self.day.caller_ms / 1000.0)
+            attempt = instances.call(
+                self.day,
+                request,
+                f"{request.name}.{number}",
+                clock.now(),
+                leaves_at,
+                self._snapshot,
+            )
+            try:
+                async with asyncio.timeout_at(leaves_at):
+                    await self._serve(instance, attempt, request, watch)
+                outcome = LATE if watch.is_late else IN_TIME
+                break
+            except TimeoutError:
+                outcome = LEFT
+                break
+            except exceptions.Refusal as refusal:
+                outcome = REFUSED
+                back_at = clock.now() + (refusal.retry_after_ms or 0) / 1000.0
+                if back_at >= leaves_at:
+                    break
+                await asyncio.sleep(back_at - clock.now())
+        first = watch.first_at - came_at if watch.first_at else 0.0
+        self.ended.append(Ended(request, outcome, number, first))
+
+    async def _serve(
+        self,
+        instance: instances.Instance,
+        attempt: calls.Call,
+        request: traffic.Request,
+        watch: "_Watch",
+    ) -> None:
+        ticket = await instance.admission.obtain(attempt, 1, [], [])
+        run = batching.Run(
+            request.prompt_tokens, request.events, _events(ticket, watch)
+        )
+        engine = self.engines[ticket.server.name]
+        sent_at = clock.now()
+        instance.admission.dispatched(ticket)
+        engine.submit(run)
+        outcome = "cut"
+        try:
+            await run.ended
+            outcome = "completed"
+        finally:
+            engine.cancel(run)
+            instance.admission.ended(ticket, sent_at, outcome)
+
+    async def _sample(self, began_at: float) -> None:
+        factors = [engine.settings.time_factor for engine in self.engines.values()]
+        middle = sum(factors) / len(factors)
+        while True:
+            busy: collections.Counter[bool] = collections.Counter()
+            queued = 0
+            for engine in self.engines.values():
+                busy[engine.settings.time_factor < middle] += engine.busy
+                queued += engine.queued
+            waiting = 0
+            for instance in self.instances:
+                for shard in instance.keeper.shards.values():
+                    waiting += len(shard.queue)
+            now = clock.now() - began_at
+            self.samples.append(Sample(now, busy[True], busy[False], queued, waiting))
+            await asyncio.sleep(SAMPLE_SECONDS)
+
+
+class _Watch:
+    """Whether the events of an answer come in time."""
+
+    def __init__(self, came_at: float, objective: float, pause: float):
+        self.first_at = 0.0
+        self.is_late = False
+        self._due_at = came_at + objective
+        self._pause = pause
+
+    def event(self) -> None:
+        """Take in an event."""
+        now = clock.now()
+        if now > self._due_at:
+            self.is_late = True
+        if not self.first_at:
+            self.first_at = now
+        self._due_at = now + self._pause
+
+
+def _events(ticket: admission.Ticket, watch: _Watch) -> typing.Callable[[], None]:
+    def event() -> None:
+        ticket.tally.add(1)
+        watch.event()
+
+    return event
+
+
+async def play(day: days.Day, seed: int) -> Played:
+    """Play a day; the same seed gives the same day again."""
+    # The daemon's own choices (Retry-After) draw from the common generator.
+    random.seed(seed)
+    fleet = Fleet(day, seed)
+    await fleet.play(traffic.build(day, seed))
+    received = sum(links.received for links in fleet.crew.links.values())
+    return Played(fleet.ended, fleet.samples, received)
