Give back what a refused request took of its team's limit

Cause: a request takes its part of the limit first and then asks for a slot. Ruled out: own shares cut too small (the keeper gives nearly all of the limit in a fleet of this size). Change: an owner returns the units of what never ran, to its own share or to the keeper that gave them; a keeper takes back once, and only what it gave itself.

--- a/packages/daemon/cassiaquay_daemon/decisions/buckets.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/buckets.py
@@ -59,6 +59,10 @@
             self._level -= amount
         return wait
 
+    def put_back(self, amount: float) -> None:
+        """Take back what was spent for something that never ran."""
+        self._level += amount
+
     def _fill(self, flow: Flow) -> None:
         now = clock.now()
         filled = self._level + flow.rate * (now - self._at)
--- a/packages/daemon/cassiaquay_daemon/gateway/serving.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/serving.py
@@ -91,10 +91,11 @@
         """Serve one request; it has its final answer when this returns."""
         call = known.call
         self._parts.budget.count(call.service)
+        taken: quotas.Taken | None = None
         try:
             async with asyncio.timeout(max(call.left, 0.0)):
                 patience = call.first_left * LIMIT_WAIT_SHARE
-                await self._parts.limited.take(call.team, call.facts, patience)
+                taken = await self._parts.limited.take(call.team, call.facts, patience)
                 await self._answer(known, send)
         except exceptions.Refusal as refusal:
             await self._end(known, send, refusal)
@@ -106,6 +107,9 @@
             logs.trouble("request_crashed", id=call.facts.attempt, cause=repr(error))
             lost = exceptions.OutcomeUnknown if known.sent else exceptions.InternalError
             await self._end(known, send, lost())
+        finally:
+            if taken is not None and not known.sent:
+                self._parts.limited.give_back(taken)
 
     async def _answer(self, known: progress.Progress, send: replies.Send) -> None:
         """Dispatch until an answer is whole; raise Refusal for any other end."""
--- a/packages/daemon/cassiaquay_daemon/keepers/quotas.py
+++ b/packages/daemon/cassiaquay_daemon/keepers/quotas.py
@@ -9,9 +9,15 @@
 
 Where room comes back soon, a request waits for it: refused, its caller would be back
 no sooner than a fifth of a second later.
+
+Under overload requests that have their share of the limit are refused for want of a
+slot, and their callers come back. What they were given goes back, too: counted each
+time, refusals would use the limit up, and a team that stays below it would be told
+that it is over.
 """
 
 import asyncio
+import collections
 import math
 import typing
 
@@ -38,6 +44,8 @@
 ASK_SECONDS = 0.15
 # Grants are used at once; this much later they can be in another window than here.
 USE_SECONDS = 1.0
+# A keeper takes back what it gave for so long: no request waits longer for a slot.
+RETURN_SECONDS = 15.0
 # Least part of the bound that may be spent at once: requests come in bunches.
 LEAST_DEPTH_SHARE = 0.25
 # Most part: where a limit is far below what its team sends, the slack is most of the
@@ -57,6 +65,35 @@
     answer: asyncio.Future[messages.QuotaAnswer]
 
 
+class Taken(typing.NamedTuple):
+    """Units of a limit that a request has been given.
+
+    Attributes
+    ----------
+    units : int
+        How many.
+    own : Bucket or None
+        Where they were taken, when that is this instance's own share.
+    keeper : str
+        Instance that gave them otherwise.
+    number : int
+        Number of the question.
+    """
+
+    units: int
+    own: buckets.Bucket | None = None
+    keeper: str = ""
+    number: int = 0
+
+
+class _Given(typing.NamedTuple):
+    """Units that this instance has given as a limit's keeper."""
+
+    bucket: buckets.Bucket
+    units: int
+    at: float
+
+
 class Amounts(typing.Protocol):
     """What a request says of its tokens."""
 
@@ -101,6 +138,9 @@
         self._configured = configured
         self._own: dict[str, buckets.Bucket] = {}
         self._given: dict[str, buckets.Bucket] = {}
+        # By the instance that asked and its number of the question, oldest first.
+        self._returnable: collections.OrderedDict[tuple[str, int], _Given]
+        self._returnable = collections.OrderedDict()
         self._questions: dict[int, _Question] = {}
         self._number = 0
         # What was spent before is not known: by the process that was here before, and
@@ -111,6 +151,7 @@
         self._given_from = self._own_from
         links.on(messages.QuotaQuery, self._query)
         links.on(messages.QuotaAnswer, self._answer)
+        links.on(messages.QuotaReturn, self._returned)
         links.on_up(self._up)
         membership.on_change(self._moved)
 
@@ -120,9 +161,12 @@
 
     async def take(
         self, team: routing.Team | None, facts: Amounts, patience: float = 0.0
-    ) -> None:
+    ) -> Taken | None:
         """Count a request against its team's limit; raise LimitReached when over.
 
+        What is returned goes to :meth:`give_back` when the request never ran; it is
+        None where there is no limit.
+
         Parameters
         ----------
         team : Team or None
@@ -133,22 +177,22 @@
             Seconds that it may wait for room.
         """
         if team is None or team.quota is None:
-            return
+            return None
         units = units_of(team.quota, facts)
         own = _bucket(self._own, team.name, self._own_from)
         share = self._own_part() / self._membership.fleet_size()
         flow = self._flow(team.quota).part(share)
         own_wait = own.reserve(units, flow, 0.0)
         if not own_wait:
-            return
-        given = await self._ask(team.name, units, min(patience, own_wait))
+            return Taken(units, own)
+        keeper = self._membership.keeper_of(_limit(team.name))
+        given = await self._ask(keeper, team.name, units, min(patience, own_wait))
         if given.units:
-            await asyncio.sleep(given.wait_ms / 1000.0)
-            return
+            taken = Taken(units, keeper=keeper, number=given.number)
+            return await self._wait(taken, given.wait_ms / 1000.0)
         own_wait = own.reserve(units, flow, patience)
         if own_wait <= patience:
-            await asyncio.sleep(own_wait)
-            return
+            return await self._wait(Taken(units, own), own_wait)
         wait_ms = own_wait * 1000.0
         if given.wait_ms:
             wait_ms = min(wait_ms, given.wait_ms)
@@ -157,6 +201,28 @@
             retry_after_ms=int(min(max(wait_ms, LEAST_RETRY_MS), MOST_RETRY_MS)),
         )
 
+    def give_back(self, taken: Taken) -> None:
+        """Give back what a request took that never ran; once for each request."""
+        if taken.own is not None:
+            taken.own.put_back(taken.units)
+            return
+        message = messages.QuotaReturn(taken.number)
+        if taken.keeper == self._settings.instance:
+            self._take_back(taken.keeper, message)
+            return
+        link = self._membership.link(taken.keeper)
+        if link is not None:
+            link.send(message)
+
+    async def _wait(self, taken: Taken, seconds: float) -> Taken:
+        """Wait for the moment of units that were taken ahead."""
+        try:
+            await asyncio.sleep(seconds)
+        except asyncio.CancelledError:
+            self.give_back(taken)
+            raise
+        return taken
+
     def _own_part(self) -> float:
         """Return the part of a limit that instances spend without asking."""
         return OWN_SHARE * min(OWN_INSTANCES / self._membership.fleet_size(), 1.0)
@@ -185,14 +251,13 @@
                 del self._given[team]
 
     async def _ask(
-        self, team: str, units: int, patience: float
+        self, keeper: str, team: str, units: int, patience: float
     ) -> messages.QuotaAnswer:
         """Return what the limit's keeper gives; no units when it gives none."""
         self._number += 1
         query = messages.QuotaQuery(self._number, team, units, int(patience * 1000.0))
-        keeper = self._membership.keeper_of(_limit(team))
         if keeper == self._settings.instance:
-            return self._give(query)
+            return self._give(keeper, query)
         question = _Question(keeper, query, asyncio.get_running_loop().create_future())
         self._questions[query.number] = question
         link = self._membership.link(keeper)
@@ -212,7 +277,7 @@
             if question.keeper == link.instance:
                 link.send(question.query)
 
-    def _give(self, query: messages.QuotaQuery) -> messages.QuotaAnswer:
+    def _give(self, asker: str, query: messages.QuotaQuery) -> messages.QuotaAnswer:
         """Give units of the common rest, as the limit's keeper."""
         quota = self._quota(query.team)
         if quota is None:
@@ -225,8 +290,30 @@
         patience = query.patience_ms / 1000.0
         wait = given.reserve(query.units, rest, patience)
         wait_ms = math.ceil(min(wait * 1000.0, MOST_RETRY_MS))
-        units = query.units if wait <= patience else 0
-        return messages.QuotaAnswer(query.number, units, wait_ms)
+        if wait > patience:
+            return messages.QuotaAnswer(query.number, 0, wait_ms)
+        self._note_given(asker, query, given)
+        return messages.QuotaAnswer(query.number, query.units, wait_ms)
+
+    def _note_given(
+        self, asker: str, query: messages.QuotaQuery, bucket: buckets.Bucket
+    ) -> None:
+        now = clock.now()
+        while self._returnable:
+            oldest = next(iter(self._returnable))
+            if self._returnable[oldest].at > now - RETURN_SECONDS:
+                break
+            del self._returnable[oldest]
+        given = _Given(bucket, query.units, now)
+        self._returnable[(asker, query.number)] = given
+
+    def _take_back(self, asker: str, message: messages.QuotaReturn) -> None:
+        # Only what this process gave, and once: the keeper before it kept its own
+        # count, and room for what nobody gave would let the limit be passed. A bucket
+        # that was given up with the role takes back what no one spends any more.
+        given = self._returnable.pop((asker, message.number), None)
+        if given is not None:
+            given.bucket.put_back(given.units)
 
     def _quota(self, team: str) -> routing.Quota | None:
         snapshot = self._configured.current
@@ -235,7 +322,10 @@
         return snapshot.routes.quotas.get(team)
 
     def _query(self, link: peers.Link, query: messages.QuotaQuery) -> None:
-        link.send(self._give(query))
+        link.send(self._give(link.instance, query))
+
+    def _returned(self, link: shards.Replier, message: messages.QuotaReturn) -> None:
+        self._take_back(link.instance, message)
 
     def _answer(self, link: shards.Replier, answer: messages.QuotaAnswer) -> None:
         question = self._questions.get(answer.number)
--- a/packages/schema/cassiaquay_schema/messages.py
+++ b/packages/schema/cassiaquay_schema/messages.py
@@ -825,6 +825,18 @@
     wait_ms: int = 0
 
 
+class QuotaReturn(typing.NamedTuple):
+    """A request that was given units of a team's limit was refused before it ran.
+
+    Attributes
+    ----------
+    number : int
+        Number of the question that they were given for.
+    """
+
+    number: int
+
+
 Message = (
     Hello
     | Proof
@@ -866,6 +878,7 @@
     | ServerListQuery
     | QuotaQuery
     | QuotaAnswer
+    | QuotaReturn
 )
 
 BY_CODE: dict[int, type] = {
@@ -909,6 +922,7 @@
     52: ServerListQuery,
     53: QuotaQuery,
     54: QuotaAnswer,
+    58: QuotaReturn,
 }
 
 CODES: dict[type, int] = {kind: code for code, kind in BY_CODE.items()}
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -1,13 +1,14 @@
 """Capacity for the gateway's requests while keepers die, sleep and are cut off."""
 
 import asyncio
+from unittest import mock
 
 import policy_fakes as fakes
 import pytest
 
 from cassiaquay_daemon import exceptions
 from cassiaquay_daemon.configured import routing, snapshots
-from cassiaquay_daemon.gateway import admission, calls
+from cassiaquay_daemon.gateway import admission, calls, progress, serving
 from cassiaquay_daemon.keepers import demands, keeper
 from cassiaquay_daemon.platform import headers
 from cassiaquay_schema import fleet, messages
@@ -225,3 +226,37 @@
         assert not [item for item in plain.sent if isinstance(item, messages.Queued)]
 
     _run(work)
+
+
+def _refuses(call, tries, refused, tried) -> None:
+    raise exceptions.Shed(retry_after_ms=300)
+
+
+def _breaks_off(call, tries, refused, tried) -> None:
+    raise exceptions.AnswerLost()
+
+
+@pytest.mark.parametrize(("ends", "returned"), [(_refuses, 1), (_breaks_off, 0)])
+def test_a_refused_request_returns_its_part_of_the_limit(ends, returned) -> None:
+    """A request has its part of the team's limit and gets no slot; its caller returns.
+
+    What never ran is given back. What a server may have run stays counted: the limit
+    is on what engines run.
+    """
+
+    async def work(site: Site) -> None:
+        parts = mock.Mock()
+        parts.limited.take = mock.AsyncMock(return_value="part")
+        parts.reply.refuse = mock.AsyncMock()
+        known = progress.Progress(site.call(1))
+
+        async def obtain(*asked) -> None:
+            known.runs = 0 if returned else 1
+            ends(*asked)
+
+        parts.admitted.obtain = obtain
+        await serving.Serving(parts).serve(known, mock.AsyncMock())
+        assert parts.limited.give_back.call_count == returned
+        assert parts.reply.refuse.await_count == 1
+
+    _run(work)
--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -302,3 +302,74 @@
     assert found.count(4) == 8
     time.now += 31.0
     assert found.count(4) == 4
+
+
+def test_what_was_refused_for_want_of_a_slot_does_not_use_up_a_limit(time) -> None:
+    """All slots are taken for a second, and every request of a team is refused.
+
+    The team stays below its limit, and its callers come back when there are slots.
+    Counted though they never ran, the refused ones would have used the limit up.
+    """
+
+    async def run() -> None:
+        found = _quotas(Members("cq-1", []))
+        for _ in range(400):
+            taken = await found.take(TEAM, Facts(20))
+            assert taken is not None
+            found.give_back(taken)
+        untouched = await _spend(_quotas(Members("cq-1", [])), 20, 1000)
+        assert await _spend(found, 20, 1000) == untouched > 0
+
+    asyncio.run(run())
+
+
+def test_the_keeper_of_a_limit_takes_back_what_it_gave_once(time) -> None:
+    """An instance returns what the keeper gave, and the message comes twice.
+
+    Room that nobody gave would let the team pass its limit, so the second one, one of
+    another instance and one for a question that was never answered count for nothing.
+    """
+
+    async def run() -> None:
+        found = _quotas(Members("cq-1", []))
+        asking = fakes.Owner("cq-3")
+        for number in range(1, 1000):
+            found._query(asking, messages.QuotaQuery(number, "blue", 20))
+            if not asking.sent[-1].units:
+                break
+        last = asking.sent[-2].number
+        found._returned(fakes.Owner("cq-4"), messages.QuotaReturn(last))
+        found._returned(asking, messages.QuotaReturn(5000))
+        found._query(asking, messages.QuotaQuery(1001, "blue", 20))
+        assert not asking.sent[-1].units
+        for _ in range(2):
+            found._returned(asking, messages.QuotaReturn(last))
+        found._query(asking, messages.QuotaQuery(1002, "blue", 20))
+        assert asking.sent[-1].units == 20
+        found._query(asking, messages.QuotaQuery(1003, "blue", 20))
+        assert not asking.sent[-1].units
+
+    asyncio.run(run())
+
+
+def test_an_instance_returns_what_a_keeper_gave_it(time) -> None:
+    class Linked(Members):
+        def link(self, instance: str) -> fakes.Owner:
+            """Return the keeper's link."""
+            return keeper
+
+    keeper = fakes.Owner("cq-2")
+
+    async def run() -> None:
+        found = _quotas(Linked("cq-2", []))
+        await _spend_own(found)
+        keeper.sent.clear()
+        asked = asyncio.create_task(found.take(TEAM, Facts(20)))
+        await asyncio.sleep(0.0)
+        number = keeper.sent[0].number
+        found._answer(keeper, messages.QuotaAnswer(number, 20))
+        taken = await asked
+        found.give_back(taken)
+        assert keeper.sent[-1] == messages.QuotaReturn(number)
+
+    asyncio.run(run())
--- a/tests/test_quota_schedules.py
+++ b/tests/test_quota_schedules.py
@@ -44,6 +44,8 @@
         back = Link(fleet, self.instance, self._source)
         if isinstance(message, messages.QuotaQuery):
             other._query(back, message)
+        elif isinstance(message, messages.QuotaReturn):
+            other._returned(back, message)
         else:
             other._answer(back, message)
         return True
@@ -84,8 +86,9 @@
 class Fleet:
     """Six instances, each with its own memory of the team's limit."""
 
-    def __init__(self, time: fakes.Time, seed: int):
+    def __init__(self, time: fakes.Time, seed: int, refused_share: float = 0.0):
         self.time = time
+        self.refused_share = refused_share
         self.random = random.Random(seed)
         self.part = dict.fromkeys(NAMES, 0)
         self.dead_until = dict.fromkeys(NAMES, -math.inf)
@@ -165,15 +168,20 @@
                 units = self.random.choice([5, 20, 90])
                 wait.clear()
                 try:
-                    await self.quotas[name].take(
+                    taken = await self.quotas[name].take(
                         budgets_case.TEAM, budgets_case.Facts(units), 0.3
                     )
                 except exceptions.LimitReached:
                     break
+                if self.refused_share and self.random.random() < self.refused_share:
+                    self.quotas[name].give_back(taken)
+                    continue
                 self.spent.append(Spent(self.time.now + sum(wait), units))
 
 
-def play(monkeypatch: pytest.MonkeyPatch, seed: int) -> float:
+def play(
+    monkeypatch: pytest.MonkeyPatch, seed: int, refused_share: float = 0.0
+) -> float:
     """Return the most that the team got in any window, as a share of the bound."""
     wait: list[float] = []
 
@@ -181,7 +189,7 @@
         wait.append(seconds)
 
     async def run(time: fakes.Time) -> list[Spent]:
-        fleet = Fleet(time, seed)
+        fleet = Fleet(time, seed, refused_share)
         ends_at = time.now + SECONDS
         while time.now < ends_at:
             fleet.step()
@@ -214,6 +222,20 @@
     assert 0.3 <= share <= 1.0
 
 
+@pytest.mark.parametrize("seed", SEEDS)
+def test_the_limit_holds_while_requests_are_refused_and_return_their_part(
+    monkeypatch, seed: int
+) -> None:
+    """Half of what the limit lets through finds no slot, and never runs.
+
+    What it was given is given out again, also by keepers that died, moved or were cut
+    off meanwhile; what runs stays under the bound in every window, and the team gets
+    as much of it as when nothing is refused.
+    """
+    share = play(monkeypatch, seed, 0.5)
+    assert 0.3 <= share <= 1.0
+
+
 def _knows_half_of_the_fleet(monkeypatch: pytest.MonkeyPatch) -> None:
     """Let each instance take its own share for one of three."""
     monkeypatch.setattr(View, "fleet_size", lambda self: len(NAMES) // 2)
@@ -246,6 +268,41 @@
     monkeypatch.setattr(quotas.Quotas, "_moved", lambda self: None)
 
 
+def _takes_back_what_it_never_gave(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Let whoever keeps a limit now take back what the keeper before it gave."""
+    take_back = quotas.Quotas._take_back
+
+    def trusting(self, asker, message) -> None:
+        if (asker, message.number) in self._returnable:
+            take_back(self, asker, message)
+            return
+        quotas._bucket(self._given, "blue", self._given_from).put_back(90)
+
+    monkeypatch.setattr(quotas.Quotas, "_take_back", trusting)
+
+    def give_back(self, taken) -> None:
+        if taken.own is not None:
+            taken.own.put_back(taken.units)
+            return
+        keeper = self._membership.keeper_of("quota blue")
+        message = messages.QuotaReturn(taken.number)
+        for _ in range(2):
+            if keeper == self._settings.instance:
+                self._take_back(keeper, message)
+            else:
+                self._membership.link(keeper).send(message)
+
+    monkeypatch.setattr(quotas.Quotas, "give_back", give_back)
+
+
+def test_a_keeper_that_takes_back_what_it_never_gave_is_found(monkeypatch) -> None:
+    for seed in MUTANT_SEEDS:
+        _takes_back_what_it_never_gave(monkeypatch)
+        if play(monkeypatch, seed, 0.5) > 1.0:
+            return
+    raise AssertionError("no schedule finds the mutant")
+
+
 @pytest.mark.parametrize(
     "mutant",
     [
