Keep one slot for each request shed, in place of holding all lower tiers back

Cause: after a request of a tier was shed, all tiers below got no slot for 0.3 s in its shard and 0.4 s in all shards of the pool. In a pool of hundreds of slots some request is shed in every moment of a burst, so lower tiers were held for its whole length while slots stood empty. Change: a slot is kept for each request shed until it would have been late or one of its tier gets one. A request that cannot be in time in its shard is moved where it is, as before, and shed when there is no such shard; floors between shards remain for the policy that asks for them.

--- a/packages/daemon/cassiaquay_daemon/decisions/held_tiers.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/held_tiers.py
@@ -37,7 +37,11 @@
 
     def holds(self, rank: int) -> bool:
         """Tell whether a more important rank was shed a moment ago."""
-        now = clock.now()
-        if rank > self._floor and now < self._floor_until:
+        if rank > self._floor and clock.now() < self._floor_until:
             return True
+        return self.holds_for_others(rank)
+
+    def holds_for_others(self, rank: int) -> bool:
+        """Tell whether another shard of the pool sheds a more important rank."""
+        now = clock.now()
         return any(rank > floor and now < self._held[floor] for floor in self._held)
--- a/packages/daemon/cassiaquay_daemon/decisions/objectives.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/objectives.py
@@ -9,13 +9,26 @@
   shortest first: long requests must be served about as often as short ones.
 - Place: a free slot of the server where the whole answer is soonest, if its first event
   is then in time and no running stream pauses for too long while its prompt is read.
-- Shed: what will not get a slot in time, reckoned from when running requests end.
+- Shed: what will not get a slot in time, reckoned from when running requests end. A
+  slot is then kept from lower tiers, should the reckoning be wrong. In a pool of
+  several shards a request is shed only when it is in time in none of them.
 """
 
 from cassiaquay_schema import messages
 
 from .. import clock
-from . import arrivals, choices, loads, pace, policies, queues, shards, shedding
+from . import (
+    arrivals,
+    choices,
+    forecasts,
+    loads,
+    pace,
+    policies,
+    queues,
+    reservations,
+    shards,
+    shedding,
+)
 
 NAME = "objectives"
 # Estimates are never exact: what would begin this close to its objective is late.
@@ -28,15 +41,12 @@
 # Share of the time left that an answer may take by its estimate: the callers' hints of
 # its length are right only at the median.
 FINISH_SHARE = 0.8
-# A stream whose first event is this late is given up by its caller, who waits at least
-# two seconds; what waits longer is read for nobody.
-PATIENCE_SECONDS = 1.8
+PATIENCE_SECONDS = forecasts.PATIENCE_SECONDS
 # Cost, in seconds, of a server that fails all of its work: a repeat elsewhere.
 FAILURE_SECONDS = 3.0
 # Demands weighed against every server in one pass, which must stay short.
 MOST_LOOKED = 48
-# After a tier was shed, no tier below it gets a slot for this long: time enough for the
-# next of the shed tier to arrive and be preferred.
+# How long others are told that a tier is being shed here.
 FLOOR_SECONDS = 0.3
 # Demands over which the growth of the wait in a shard is measured: about as many as are
 # moved there between two of its reports.
@@ -71,11 +81,11 @@
         self._tiers: dict[int, dict[str, _TeamQueue]] = {}
         self._paces: dict[str, tuple[int, pace.Pace]] = {}
         self._arrivals = arrivals.Arrivals()
+        self._reserved = reservations.Reservations()
         self._late_at: dict[str, float] = {}
         # Since when each rank has been held back without a break.
         self._held_since: dict[int, float] = {}
-        # In how many seconds slots come free, as reckoned in this pass.
-        self._free_at: list[float] = []
+        self._forecast = forecasts.Forecast(shard, self._pace, self._arrivals)
         shard.observe(self)
         shard.waits = self.waits
 
@@ -135,7 +145,7 @@
         looked = 0
         ahead = 0
         for rank in sorted(self._tiers):
-            if self._shard.held.holds(rank):
+            if self._shard.held.holds_for_others(rank):
                 self._held_since.setdefault(rank, now)
                 self._settle_held(rank, now)
                 continue
@@ -144,25 +154,30 @@
             near = order[: max(MOST_LOOKED - looked, 0)]
             looked += len(near)
             left = self._grant_in_time(near, now)
-            self._free_at = self._ends(now)
-            ahead = self._settle(left, ahead, now)
+            far = order[len(near) :]
+            if not left and not far:
+                continue
+            self._forecast.refresh()
+            kept = self._reserved.above(rank, now)
+            waiting = self._settle(left, ahead + kept, now)
             # Those behind are too many to be weighed one by one. Whoever stands there
             # in vain must be told so no later for that.
-            ahead = self._settle_far(order[len(near) :], ahead, now)
+            ahead = self._settle_far(far, waiting, now) - kept
 
     def waits(self) -> list[messages.RankWait]:
         """Return what a new demand of each rank would wait here."""
         now = clock.now()
-        self._free_at = self._ends(now)
+        self._forecast.refresh()
         found = []
         ahead = 0
         for rank in sorted(self._tiers):
-            if self._shard.held.holds(rank):
+            if self._shard.held.holds_for_others(rank):
                 break
             for queue in self._tiers[rank].values():
                 ahead += len(queue.ids)
-            wait = self._wait_seconds(rank, ahead)
-            step = (self._wait_seconds(rank, ahead + STEPS) - wait) / STEPS
+            before = ahead + self._reserved.above(rank, now)
+            wait = self._forecast.wait_seconds(rank, before)
+            step = (self._forecast.wait_seconds(rank, before + STEPS) - wait) / STEPS
             found.append(messages.RankWait(rank, wait * 1000.0, step * 1000.0))
         return found
 
@@ -209,7 +224,7 @@
             demand = waiting.demand
             late_at = self._late_at[demand.id]
             least = self._least_first(demand)
-            wait = self._wait_seconds(demand.rank, ahead)
+            wait = self._forecast.wait_seconds(demand.rank, ahead)
             if now + wait + least <= late_at:
                 ahead += 1
                 continue
@@ -226,23 +241,21 @@
             if (never or now > late_at) and not self._is_over(waiting, now + wait):
                 ahead += 1
                 continue
-            if not self._shed(waiting, now):
-                ahead += 1
+            self._shed(waiting, now)
         return ahead
 
     def _settle_far(self, order: list[str], ahead: int, now: float) -> int:
         """Shed those far behind who stand there in vain; return how many wait."""
         for request_id in order:
             waiting = self._shard.queue[request_id]
-            wait = self._wait_seconds(waiting.demand.rank, ahead)
+            wait = self._forecast.wait_seconds(waiting.demand.rank, ahead)
             if now + wait <= self._late_at[request_id]:
                 ahead += 1
                 continue
             least = self._least_first(waiting.demand)
             if self._shard.move(waiting, self._late_at[request_id] - now - least):
                 continue
-            if not self._shed(waiting, now):
-                ahead += 1
+            self._shed(waiting, now)
         return ahead
 
     def _settle_held(self, rank: int, now: float) -> None:
@@ -272,22 +285,20 @@
         patience = waiting.arrived_at + PATIENCE_SECONDS
         return now > min(patience, waiting.deadline)
 
-    def _shed(self, waiting: shards.Waiting, now: float) -> bool:
-        """Give a demand up, once the pool's other shards hold lower tiers back."""
+    def _shed(self, waiting: shards.Waiting, now: float) -> None:
+        """Give a demand up, and keep a slot for its tier while it could be in time."""
         rank = waiting.demand.rank
-        if not self._shard.may_shed(rank):
-            return False
         retry_after_ms = self._away_ms(waiting, now)
-        # Whoever sees this tier shed must not see a lower one served meanwhile.
+        self._reserved.add(rank, self._late_at[waiting.demand.id])
         self._shard.held.raise_floor(rank, now + FLOOR_SECONDS, retry_after_ms)
         self._shard.shed(waiting, "shed_overload", retry_after_ms)
-        return True
 
     def _grant(self, waiting: shards.Waiting, choice: choices.Choice) -> None:
         demand = waiting.demand
         queue = self._tiers[demand.rank][demand.team]
         weight = self._shard.weights.get(demand.team, 1.0)
         self._pace(choice.server).granted(clock.now())
+        self._reserved.use(demand.rank)
         queue.virtual += (demand.prompt_tokens + demand.output_tokens + 1) / weight
         self._shard.grant(waiting, choice.server, 0, choice.first_seconds)
 
@@ -313,6 +324,9 @@
         self, waiting: shards.Waiting, late_at: float, now: float
     ) -> choices.Choice | None:
         """Return the best server with a free slot, one in time before a late one."""
+        kept = self._reserved.above(waiting.demand.rank, now)
+        if kept and self._forecast.free_slots() <= kept:
+            return None
         left = waiting.deadline - now
         demand = waiting.demand
         best: choices.Choice | None = None
@@ -369,47 +383,6 @@
             least = min(least, expected.first_seconds)
         return least + MARGIN_SECONDS
 
-    def _wait_seconds(self, rank: int, ahead: int) -> float:
-        """Return the estimated wait for a slot behind ``ahead`` others.
-
-        More important requests that arrive meanwhile go before.
-        """
-        ends = self._free_at
-        if not ends:
-            return PATIENCE_SECONDS
-        rate = self._arrivals.rate_above(rank)
-        wait = ends[min(ahead, len(ends) - 1)]
-        place = min(ahead + int(rate * wait), len(ends) - 1)
-        return ends[place] * max((ahead + 1) / len(ends), 1.0)
-
-    def _ends(self, now: float) -> list[float]:
-        """Return in how many seconds slots come free, the soonest first."""
-        found: list[float] = []
-        for server in self._shard.open_servers():
-            known = self._pace(server.name)
-            if known.is_stalled(now):
-                continue
-            free = server.slots - self._shard.load(server.name).count
-            found += [0.0] * max(free, 0)
-        for running in self._shard.running.values():
-            if running.server not in self._shard.servers:
-                continue
-            found.append(self._left(running, now))
-        found.sort()
-        return found
-
-    def _left(self, running: shards.Running, now: float) -> float:
-        known = self._pace(running.server)
-        if running.demand is None:
-            return known.base_seconds
-        events = running.demand.output_tokens - running.produced
-        if running.produced:
-            passed = now - running.produced_at
-            return max(events * known.event_seconds - passed, 0.0)
-        return known.expect(float(running.demand.prompt_tokens)).first_seconds + (
-            max(events, 0) * known.event_seconds
-        )
-
     def _watch(self, now: float) -> None:
         """Notice servers that owe a sign of life for too long."""
         for server in self._shard.servers:
--- a/packages/daemon/cassiaquay_daemon/keepers/rooms.py
+++ b/packages/daemon/cassiaquay_daemon/keepers/rooms.py
@@ -114,7 +114,7 @@
             if not others:
                 continue
             message = messages.Waits(name, shard.waits())
-            for keeper in {self._siblings.keeper_of(other) for other in others}:
+            for keeper in sorted({self._siblings.keeper_of(other) for other in others}):
                 if not self._siblings.send(keeper, message):
                     self._told[message.shard] = _Told(message.waits)
 
--- /dev/null
+++ b/tests/test_overload.py
@@ -0,0 +1,87 @@
+"""More load than a large pool can carry: 195 daemons, four shards, fifty engines.
+
+Played in virtual time with the daemon's own roles. Requests of three ranks burst to
+twice their rate for some seconds; each shard has a keeper of its own, and every daemon
+takes requests.
+"""
+
+import collections
+
+import pytest
+
+from cassiaquay_dev.lab import __main__ as lab
+from cassiaquay_dev.lab import days, played, virtual_time
+
+REPORT, QUESTION, TAG = "report", "question", "tag"
+
+
+class Result:
+    """A played day.
+
+    Parameters
+    ----------
+    day : Day
+        What was played.
+    found : Played
+        What came of it.
+    """
+
+    def __init__(self, day: days.Day, found: played.Played):
+        self.day = day
+        self.found = found
+
+    def share(self, kind: str, outcome: str, start: float, end: float) -> float:
+        """Return the share of a kind's arrivals of some seconds that ended so."""
+        counts: collections.Counter[str] = collections.Counter()
+        for item in self.found.ended:
+            if item.request.kind == kind and start <= item.request.at < end:
+                counts[item.outcome] += 1
+        return counts[outcome] / max(sum(counts.values()), 1)
+
+    def busy(self, start: float, end: float) -> float:
+        """Return the mean share of slots that were taken."""
+        slots = self.day.engines.count * self.day.engines.slots
+        taken = []
+        for sample in self.found.samples:
+            if start <= sample.at < end:
+                taken.append(sample.busy_fast + sample.busy_slow)
+        return sum(taken) / len(taken) / slots
+
+
+@pytest.fixture(name="burst", scope="module")
+def _burst() -> Result:
+    """Play seconds 3 to 6 of a burst, and what follows."""
+    day = days.read("burst")
+    return Result(day, virtual_time.run(played.play(day, 1)))
+
+
+def test_engines_stay_full_while_requests_are_refused(burst: Result) -> None:
+    """Some request of a higher rank is refused in every moment of the burst.
+
+    Slots that come free meanwhile are for whoever waits, of any rank: kept empty in all
+    shards for each of them, a third of the engines' work would be lost.
+    """
+    assert burst.busy(4.5, 9.0) > 0.95
+
+
+def test_higher_ranks_are_refused_less(burst: Result) -> None:
+    refused = []
+    for kind in (REPORT, QUESTION, TAG):
+        refused.append(burst.share(kind, played.REFUSED, 3.0, 9.0))
+    assert refused == sorted(refused)
+    assert refused[0] < 0.05 < refused[2]
+
+
+def test_the_most_important_rank_is_served_as_without_a_burst(burst: Result) -> None:
+    in_time = burst.share(REPORT, played.IN_TIME, 3.0, 9.0)
+    assert in_time > 0.9 * burst.share(REPORT, played.IN_TIME, 1.5, 3.0)
+
+
+def test_a_burst_is_over_when_it_is_over(burst: Result) -> None:
+    """One second after the last request of the burst nobody is refused any more."""
+    for kind in (REPORT, QUESTION, TAG):
+        assert burst.share(kind, played.REFUSED, 10.0, 14.0) < 0.02
+
+
+def test_a_burst_costs_no_more_than_what_engines_lack(burst: Result) -> None:
+    assert lab.worth(burst.found.ended) > 0.8
