Rest between passes over a queue for as long as they take

Cause: each message to a keeper asked for a pass. Under overload passes filled its processor, and the messages, heartbeats and callers of that instance waited for them. Change: after a pass the keeper rests for the time that it took; messages are taken in meanwhile and served together.

--- a/packages/daemon/cassiaquay_daemon/keepers/keeper.py
+++ b/packages/daemon/cassiaquay_daemon/keepers/keeper.py
@@ -22,6 +22,10 @@
 # Imported for what they register.
 POLICIES = (tiered, objectives, baselines)
 TICK_SECONDS = 0.1
+# After a pass over a queue the keeper rests for this share of the time that it took.
+# Under overload each message asks for a pass; without a rest passes would fill the
+# processor, and messages, heartbeats and callers of this instance would wait for them.
+REST_SHARE = 1.0
 # The members must not have changed for so long before shards are taken up without a
 # demand: while a fleet starts, each instance that knows few others takes itself for the
 # keeper of everything.
@@ -63,6 +67,8 @@
         self._configured = configured
         self._policies: dict[str, policies.Policy] = {}
         self._due: set[str] = set()
+        # When the next pass over a shard's queue may begin; seconds on this clock.
+        self._rested_at: dict[str, float] = {}
         # Demands whose owners have not been told yet that they are in the queue.
         self._fresh: dict[str, dict[str, shards.Replier]] = {}
         self._pauses = pauses or pause.Pauses(pause.shortest_lease(settings))
@@ -173,7 +179,12 @@
         if name in self._due:
             return
         self._due.add(name)
-        asyncio.get_running_loop().call_soon(self._serve, name)
+        wait = self._rested_at.get(name, 0.0) - clock.now()
+        loop = asyncio.get_running_loop()
+        if wait <= 0.0:
+            loop.call_soon(self._serve, name)
+        else:
+            loop.call_later(wait, self._serve, name)
 
     async def tick(self) -> None:
         """Let leases expire and serve again, for ever."""
@@ -307,7 +318,10 @@
             self._fresh.pop(name, None)
             return
         if self._pauses.current and shard.is_open:
+            began = clock.now()
             self._policies[name].serve()
+            now = clock.now()
+            self._rested_at[name] = now + (now - began) * REST_SHARE
         self._acknowledge(name)
 
     def _acknowledge(self, name: str) -> None:
--- a/tests/test_keeper.py
+++ b/tests/test_keeper.py
@@ -7,6 +7,7 @@
 
 from cassiaquay_daemon.adapters import answers
 from cassiaquay_daemon.keepers import demands, keeper
+from cassiaquay_dev.lab import virtual_time
 from cassiaquay_schema import messages
 
 RENEW = 0.7
@@ -326,3 +327,36 @@
         assert not site.keeper.shards
 
     _run(work)
+
+
+def test_passes_over_a_long_queue_leave_time_for_the_rest(monkeypatch) -> None:
+    """Hundreds of owners send news to a keeper whose queue is long.
+
+    Each message asks for a pass, and each pass takes 10 ms of this keeper's processor.
+    At most half of its time goes into passes; the messages are taken in meanwhile.
+    """
+    passes = []
+
+    async def work() -> None:
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        spent = 0.0
+        before = keeper.clock.use(lambda: loop.time() + spent)
+        site = Site()
+        site.keeper.demand(site.others[0], fakes.demand("first"))
+        site.open()
+
+        def serve() -> None:
+            nonlocal spent
+            passes.append(keeper.clock.now())
+            spent += 0.01
+
+        monkeypatch.setattr(site.keeper._policies[fakes.SHARD], "serve", serve)
+        while loop.time() + spent < began + 1.0:
+            site.keeper.serve_soon(fakes.SHARD)
+            await asyncio.sleep(0.001)
+        keeper.clock.use(before)
+        assert spent <= 0.55
+
+    virtual_time.run(work())
+    assert 40 <= len(passes) <= 55
