Add a heartbeat's time on its way to the age that it tells

Cause: a heartbeat says how old the sender's list of servers (and its configuration) is, and the receiver counted from its arrival. Over links that lose packets it arrives up to seconds late, so lists looked fresh that nobody could read, at every hop anew. Change: heartbeats carry the sender's steady clock; what one took longer than the fastest of its link is added to the age. Clocks are not compared. A link's first heartbeat confirms nothing.

--- a/packages/daemon/cassiaquay_daemon/fleet/members.py
+++ b/packages/daemon/cassiaquay_daemon/fleet/members.py
@@ -301,6 +301,7 @@
                     portion.suspicions,
                     self.facts.digest,
                     *self.servers_state(),
+                    int(clock.now() * 1000.0),
                 )
             )
 
--- a/packages/daemon/cassiaquay_daemon/fleet/servers.py
+++ b/packages/daemon/cassiaquay_daemon/fleet/servers.py
@@ -16,7 +16,7 @@
 
 from .. import clock, exceptions, logs, platform, rendezvous
 from ..links import peers
-from . import configuration, freshness, members
+from . import configuration, freshness, members, transit
 
 # The reader's place in the order of readers adds this much to the age at which it
 # reads: time for the one before it to read and for a heartbeat to tell of it.
@@ -75,6 +75,7 @@
         self._confirmed_at = NEVER
         self._ranked: list[messages.Member] | None = None
         self._rank = LAST_RANK
+        self._transit = transit.Transit()
         self._missing: dict[str, float] = {}
         self._back_at = NEVER
         self._failing = False
@@ -232,6 +233,7 @@
         return messages.ServerList(self._revision, self.age_ms, entries)
 
     def _heard(self, link: peers.Link, beat: messages.Heartbeat) -> None:
+        delay = self._transit.seconds(link, beat.sent_ms)
         if not beat.servers_revision or beat.servers_revision < self._revision:
             return
         if beat.servers_digest != self._digest:
@@ -243,8 +245,10 @@
         position = configuration.Position(beat.revision, beat.digest)
         if self._configured.wants(position):
             return
-        # The same servers, confirmed later: nothing needs to be sent.
-        self._confirm(beat.servers_revision, clock.now() - beat.servers_age_ms / 1000.0)
+        # The same servers, confirmed later: nothing needs to be sent. The age was true
+        # when the heartbeat was sent, so what it has spent on the way is added.
+        age = beat.servers_age_ms / 1000.0 + delay
+        self._confirm(beat.servers_revision, clock.now() - age)
 
     def _query(self, link: peers.Link, query: messages.ServerListQuery) -> None:
         if self._revision > query.revision:
--- a/packages/schema/cassiaquay_schema/messages.py
+++ b/packages/schema/cassiaquay_schema/messages.py
@@ -107,6 +107,8 @@
         Time since the platform confirmed that list.
     servers_digest : int
         xxh3-64 of what decides about the use of those servers.
+    sent_ms : int
+        When it was sent, on the sender's steady clock; 0 where it does not say.
     """
 
     number: int
@@ -118,6 +120,7 @@
     servers_revision: int = 0
     servers_age_ms: int = 0
     servers_digest: int = 0
+    sent_ms: int = 0
 
 
 class ConfigurationQuery(typing.NamedTuple):
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -273,3 +273,35 @@
     time.now += 2.5
     assert site.list.is_behind
     assert freshness.Freshness() == (0, 0, 0)
+
+
+def test_a_heartbeat_that_was_long_on_its_way_confirms_nothing_new(time) -> None:
+    """A link loses packets, and a heartbeat arrives two seconds after it was sent.
+
+    It says that the list was confirmed 0.1 s ago, which was so when it was sent. Taken
+    for true now, nobody here would read the list though it may be two seconds old, and
+    a configuration of that time would stay in force.
+    """
+    site = Site(_entry("i-1"))
+    asyncio.run(site.list.read_once())
+    link = site.members.owners["cq-2"]
+    digest = site.list.state.digest
+    started = time.now - 700.0
+
+    def hear(sent_at: float) -> None:
+        sent_ms = int((sent_at - started) * 1000.0)
+        beat = messages.Heartbeat(1, 0, 0, [], [], 0, 99, 100, digest, sent_ms)
+        for call in site.members.heard:
+            call(link, beat)
+
+    time.now += 0.5
+    hear(time.now - 0.002)
+    assert site.list.age == pytest.approx(0.5)
+    time.now += 0.3
+    hear(time.now - 0.002)
+    assert site.list.age == pytest.approx(0.1, abs=0.01)
+    time.now += 2.2
+    hear(time.now - 2.0)
+    assert site.list.age == pytest.approx(2.1, abs=0.01)
+    hear(time.now - 0.002)
+    assert site.list.age == pytest.approx(0.1, abs=0.01)
