--- a/packages/daemon/cassiaquay_daemon/fleet/transit.py
+++ b/packages/daemon/cassiaquay_daemon/fleet/transit.py
@@ -2,7 +2,7 @@
 
 Load pattern: a link loses packets, and heartbeats arrive seconds late, several at once.
 What they tell was true when they were sent. Taken as true now, a list that nobody could
-read for seconds looks fresh at every hop: the instances that could read it do not, and a
+read for seconds looks fresh at every hop: instances that could read it do not, and a
 key that was taken away is served for as long.
 
 Both clocks run at the same rate, so the difference between a heartbeat's arrival here
