Stop waiting for neighbours once the platform has answered a start

Cause: an instance that starts or wakes up asks its neighbours what is true and waits for all of them. While a whole fleet starts its neighbours change with each instance that it hears of. Change: when the platform has answered, neighbours have 0.3 s from the beginning. Its answer is as new as what they know; where it does not answer they are waited for as before.

--- a/packages/daemon/cassiaquay_daemon/fleet/renewal.py
+++ b/packages/daemon/cassiaquay_daemon/fleet/renewal.py
@@ -14,6 +14,11 @@
 from . import configuration, members
 
 POLL_SECONDS = 0.02
+# Neighbours have so long to answer once the platform has. Those that live answer within
+# some milliseconds. While a whole fleet starts, the neighbours of an instance change
+# with each one that it hears of, and waiting for all of them takes seconds in which
+# every caller is refused.
+NEIGHBOURS_SECONDS = 0.3
 
 
 class Renewal:
@@ -92,8 +97,7 @@
         try:
             async with asyncio.timeout(self._seconds):
                 await self._membership.read_list_once(self._listing)
-                await self._ask_peers(began)
-                await self._take_highest()
+                await self._hear_peers(service, began)
                 await asyncio.wait([service])
         except TimeoutError:
             # Whoever has not answered by now may be dead, or on the other side of a
@@ -102,6 +106,23 @@
         finally:
             service.cancel()
 
+    async def _hear_peers(self, service: asyncio.Task[bool], began: float) -> None:
+        """Take what neighbours have; stop waiting for them when the platform tells."""
+        heard = asyncio.create_task(self._take_from_peers(began))
+        try:
+            await asyncio.wait([heard, service], return_when=asyncio.FIRST_COMPLETED)
+            if service.done() and service.result():
+                left = began + NEIGHBOURS_SECONDS - clock.now()
+                await asyncio.wait([heard], timeout=max(left, 0.0))
+            else:
+                await heard
+        finally:
+            heard.cancel()
+
+    async def _take_from_peers(self, began: float) -> None:
+        await self._ask_peers(began)
+        await self._take_highest()
+
     async def _ask_peers(self, began: float) -> None:
         asked: set[str] = set()
         while True:
