--- a/tests/test_renewal.py
+++ b/tests/test_renewal.py
@@ -72,7 +72,7 @@
     """All processes were killed and start again at once; the platform answers each.
 
     Neighbours come up one after the other, and whoever waits for all refuses its
-    callers for seconds. What the platform says is as new as what any of them could know;
+    callers for seconds. What the platform says is as new as what any of them knows;
     where it does not answer they are waited for.
     """
 
