Give the longest answers what is free at once

Cause: an answer that by its estimate would be cut off at every server counted as late there, and late work waits until its first event is nearly late. With slots free or not it got what was free at that one moment: in a burst nothing. Change: what no server could end in time is granted the best free slot at once.

--- a/packages/daemon/cassiaquay_daemon/decisions/candidates.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/candidates.py
@@ -8,7 +8,7 @@
 import collections.abc
 import typing
 
-from cassiaquay_schema import fleet
+from cassiaquay_schema import fleet, messages
 
 from .. import clock
 from . import loads, pace, shards
@@ -61,6 +61,7 @@
         self._reachable: list[Candidate] = []
         # Fixed seconds and tokens a second of those that are fastest for some prompt.
         self._fastest: list[tuple[float, float]] = []
+        self._least_event_seconds = 0.0
 
     def refresh(self) -> None:
         """Look at all servers anew."""
@@ -74,6 +75,9 @@
             if not self._shard.is_refusing(server.name):
                 self._reachable.append(found)
         self._fastest = _fastest(self.open)
+        self._least_event_seconds = min(
+            (found.pace.event_seconds for found in self.open), default=0.0
+        )
 
     def with_slots(
         self, avoid: collections.abc.Set[str], now: float
@@ -99,6 +103,11 @@
             default=float("inf"),
         )
 
+    def least_seconds(self, demand: messages.Demand) -> float:
+        """Return the time to the end of an answer, at the best of all speeds."""
+        events = demand.output_tokens * self._least_event_seconds
+        return self.least_first_seconds(demand.prompt_tokens) + events
+
 
 def _fastest(found: list[Candidate]) -> list[tuple[float, float]]:
     """Return the speeds that no other server beats for every prompt."""
--- a/packages/daemon/cassiaquay_daemon/decisions/objectives.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/objectives.py
@@ -235,6 +235,12 @@
             late_at = self._late_at[demand.id]
             least = self._least_first(demand)
             wait = self._forecast.wait_seconds(demand.rank, ahead)
+            if self._is_too_long(waiting, now):
+                # No other server and no later moment is better for it.
+                best = self._best(waiting, late_at, now)
+                if best is not None:
+                    self._grant(waiting, best)
+                    continue
             if now + wait + least <= late_at:
                 ahead += 1
                 continue
@@ -380,6 +386,11 @@
         cost += expected.first_seconds * load.count / server.slots
         return choices.Choice(server.name, expected.first_seconds, cost, is_late)
 
+    def _is_too_long(self, waiting: shards.Waiting, now: float) -> bool:
+        """Tell whether an answer would be cut off at the fastest server, too."""
+        left = (waiting.deadline - now) * FINISH_SHARE
+        return self._servers.least_seconds(waiting.demand) > left
+
     def _least_first(self, demand: messages.Demand) -> float:
         """Return the time to the first event at the fastest server."""
         least = self._servers.least_first_seconds(demand.prompt_tokens)
--- a/tests/test_objectives.py
+++ b/tests/test_objectives.py
@@ -400,3 +400,18 @@
     name = bench.demand(rank=1)
     bench.serve()
     assert name in bench.owner.permits()
+
+
+def test_the_longest_answers_do_not_wait_for_what_will_not_come(time) -> None:
+    """An answer of 400 events takes eight of its ten seconds at the fastest server.
+
+    By its estimate it would be cut off anywhere. Held back while slots are free, until
+    its first event is nearly late, it gets what is free at that moment, in a burst
+    nothing; its caller, who waits for the largest of all answers, is refused late.
+    """
+    bench = Bench(time, {"a": 2, "b": 2})
+    for name in ("a", "b"):
+        bench.know(name, 75_000.0, 0.022)
+    bench.demand(name="longest", events=400, remaining_ms=10_000)
+    bench.serve()
+    assert "longest" in bench.owner.permits()
