Wait for a newer text that a neighbour has named, also when the platform has answered

A platform that is behind answers at once; what a neighbour named within the 0.3 s is still fetched, so that an older text does not come back with a restart.

--- a/packages/daemon/cassiaquay_daemon/fleet/renewal.py
+++ b/packages/daemon/cassiaquay_daemon/fleet/renewal.py
@@ -98,6 +98,9 @@
             async with asyncio.timeout(self._seconds):
                 await self._membership.read_list_once(self._listing)
                 await self._hear_peers(service, began)
+                # A text that one of them has and the platform does not is waited for:
+                # the platform may be behind, and an older text must not come back.
+                await self._take_highest()
                 await asyncio.wait([service])
         except TimeoutError:
             # Whoever has not answered by now may be dead, or on the other side of a
@@ -107,21 +110,17 @@
             service.cancel()
 
     async def _hear_peers(self, service: asyncio.Task[bool], began: float) -> None:
-        """Take what neighbours have; stop waiting for them when the platform tells."""
-        heard = asyncio.create_task(self._take_from_peers(began))
+        """Ask neighbours; stop waiting for their answers when the platform has told."""
+        asking = asyncio.create_task(self._ask_peers(began))
         try:
-            await asyncio.wait([heard, service], return_when=asyncio.FIRST_COMPLETED)
+            await asyncio.wait([asking, service], return_when=asyncio.FIRST_COMPLETED)
             if service.done() and service.result():
                 left = began + NEIGHBOURS_SECONDS - clock.now()
-                await asyncio.wait([heard], timeout=max(left, 0.0))
+                await asyncio.wait([asking], timeout=max(left, 0.0))
             else:
-                await heard
+                await asking
         finally:
-            heard.cancel()
-
-    async def _take_from_peers(self, began: float) -> None:
-        await self._ask_peers(began)
-        await self._take_highest()
+            asking.cancel()
 
     async def _ask_peers(self, began: float) -> None:
         asked: set[str] = set()
