Reckon with answers that are longer than their callers said

Cause: half of all answers pass their estimates, and each that did counted as a slot about to come free. Under overload demands were held for such slots until their time had nearly passed and were refused then. Ruled out: arrivals of higher ranks (reckoned with), slots kept for shed requests. Change: an answer past its estimate goes on for 0.3 of what it has produced.

--- a/packages/daemon/cassiaquay_daemon/decisions/forecasts.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/forecasts.py
@@ -13,6 +13,10 @@
 # A stream whose first event is this late is given up by its caller, who waits at least
 # two seconds; what waits longer is read for nobody.
 PATIENCE_SECONDS = 1.8
+# An answer that is longer than its caller said goes on for about this share of what it
+# has already. Taken to end at once, all that overrun look like slots that are about to
+# come free, and demands wait for them until their time has passed.
+OVERRUN_SHARE = 0.3
 
 
 class Forecast:
@@ -71,10 +75,11 @@
         known = self._servers.paces[running.server]
         if running.demand is None:
             return known.base_seconds
-        events = running.demand.output_tokens - running.produced
+        events = float(running.demand.output_tokens - running.produced)
         if running.produced:
+            events = max(events, running.produced * OVERRUN_SHARE)
             passed = now - running.produced_at
             return max(events * known.event_seconds - passed, 0.0)
         return known.expect(float(running.demand.prompt_tokens)).first_seconds + (
-            max(events, 0) * known.event_seconds
+            max(events, 0.0) * known.event_seconds
         )
--- a/packages/dev/cassiaquay_dev/lab/played.py
+++ b/packages/dev/cassiaquay_dev/lab/played.py
@@ -64,10 +64,23 @@
 
 
 class Played(typing.NamedTuple):
-    """A played day."""
+    """A played day.
+
+    Attributes
+    ----------
+    ended : list of Ended
+        All requests.
+    samples : list of Sample
+        The engines over the day.
+    refused_at : list of float
+        When attempts were refused; seconds from the start of the load.
+    received : int
+        Messages between instances.
+    """
 
     ended: list[Ended]
     samples: list[Sample]
+    refused_at: list[float]
     received: int
 
 
@@ -86,6 +99,8 @@
         self.day = day
         self.ended: list[Ended] = []
         self.samples: list[Sample] = []
+        self.refused_at: list[float] = []
+        self._began_at = 0.0
         self._chance = random.Random(seed)
         self._snapshot = instances.snapshot(day)
         names = [f"daemon-{number:03}" for number in range(day.instances)]
@@ -117,8 +132,8 @@
         for instance in self.instances:
             instance.start()
         await asyncio.sleep(WARM_UP_SECONDS)
-        began_at = clock.now()
-        sampler = asyncio.create_task(self._sample(began_at))
+        began_at = self._began_at = clock.now()
+        sampler = asyncio.create_task(self._sample())
         callers = []
         for request in requests:
             await asyncio.sleep(max(began_at + request.at - clock.now(), 0.0))
@@ -155,6 +170,7 @@
                 break
             except exceptions.Refusal as refusal:
                 outcome = REFUSED
+                self.refused_at.append(clock.now() - self._began_at)
                 back_at = clock.now() + (refusal.retry_after_ms or 0) / 1000.0
                 if back_at >= leaves_at:
                     break
@@ -185,7 +201,7 @@
             engine.cancel(run)
             instance.admission.ended(ticket, sent_at, outcome)
 
-    async def _sample(self, began_at: float) -> None:
+    async def _sample(self) -> None:
         factors = [engine.settings.time_factor for engine in self.engines.values()]
         middle = sum(factors) / len(factors)
         while True:
@@ -198,7 +214,7 @@
             for instance in self.instances:
                 for shard in instance.keeper.shards.values():
                     waiting += len(shard.queue)
-            now = clock.now() - began_at
+            now = clock.now() - self._began_at
             self.samples.append(Sample(now, busy[True], busy[False], queued, waiting))
             await asyncio.sleep(SAMPLE_SECONDS)
 
@@ -237,4 +253,4 @@
     fleet = Fleet(day, seed)
     await fleet.play(traffic.build(day, seed))
     received = sum(links.received for links in fleet.crew.links.values())
-    return Played(fleet.ended, fleet.samples, received)
+    return Played(fleet.ended, fleet.samples, fleet.refused_at, received)
--- a/tests/test_objectives.py
+++ b/tests/test_objectives.py
@@ -415,3 +415,22 @@
     bench.demand(name="longest", events=400, remaining_ms=10_000)
     bench.serve()
     assert "longest" in bench.owner.permits()
+
+
+def test_an_answer_longer_than_its_caller_said_is_not_about_to_end(time) -> None:
+    """All slots run answers that have passed their estimates, as half of all do.
+
+    Each counted as a slot that comes free at once, a request would be held for it until
+    its time has nearly passed, and be refused then. It is refused when it comes.
+    """
+    bench = Bench(time, {"a": 1})
+    bench.know("a", 75_000.0, 0.05)
+    bench.demand(name="runs", events=20)
+    bench.serve()
+    bench.start("runs")
+    time.now += 2.0
+    grown = messages.Outstanding("runs", "", "", 0, "a", 600, 20, 40)
+    bench.shard.renew("cq-1", [grown])
+    late = bench.demand()
+    bench.serve()
+    assert late in bench.owner.sheds()
