--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -88,7 +88,7 @@
 def test_nobody_is_refused_while_a_tenth_of_the_slots_is_free(burst: Result) -> None:
     """In the burst and after it, what engines can still do is done.
 
-    Refused with slots free, a caller stands back for a reckoning that was wrong or for a
+    Refused with slots free, a caller stands back for a wrong reckoning or for a
     slot in another shard. Slots that come free in the same tenth of a second are taken.
     """
     slots = burst.day.engines.count * burst.day.engines.slots
