Ask the platform again when its answer to a start is lost

Cause: a started instance asked the platform once. Its answer lost, it waited for neighbours that were starting too, for the whole 2 s. Where neighbours answer one try is enough, as before.

--- a/packages/daemon/cassiaquay_daemon/fleet/renewal.py
+++ b/packages/daemon/cassiaquay_daemon/fleet/renewal.py
@@ -93,7 +93,8 @@
         self._number += 1
         self._answers = {}
         began = clock.now()
-        service = asyncio.create_task(self._configured.watch_once(self._service, 0.0))
+        tried = asyncio.Event()
+        service = asyncio.create_task(self._ask_platform(tried))
         try:
             async with asyncio.timeout(self._seconds):
                 await self._membership.read_list_once(self._listing)
@@ -101,7 +102,7 @@
                 # A text that one of them has and the platform does not is waited for:
                 # the platform may be behind, and an older text must not come back.
                 await self._take_highest()
-                await asyncio.wait([service])
+                await (tried.wait() if self._answers else service)
         except TimeoutError:
             # Whoever has not answered by now may be dead, or on the other side of a
             # partition; waiting on would stop this side too.
@@ -109,12 +110,21 @@
         finally:
             service.cancel()
 
-    async def _hear_peers(self, service: asyncio.Task[bool], began: float) -> None:
+    async def _ask_platform(self, tried: asyncio.Event) -> None:
+        """Ask until the platform answers; say so when it has been asked once.
+
+        It loses answers, and while a whole fleet starts nobody else can tell.
+        """
+        while not await self._configured.watch_once(self._service, 0.0):
+            tried.set()
+        tried.set()
+
+    async def _hear_peers(self, service: asyncio.Task[None], began: float) -> None:
         """Ask neighbours; stop waiting for their answers when the platform has told."""
         asking = asyncio.create_task(self._ask_peers(began))
         try:
             await asyncio.wait([asking, service], return_when=asyncio.FIRST_COMPLETED)
-            if service.done() and service.result():
+            if service.done():
                 left = began + NEIGHBOURS_SECONDS - clock.now()
                 await asyncio.wait([asking], timeout=max(left, 0.0))
             else:
