Forget a kept slot when its own time is over; split a long function

Slots are kept for objectives of different length: one that had ended stood behind one that had not, and was kept on.

--- a/packages/daemon/cassiaquay_daemon/decisions/reservations.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/reservations.py
@@ -10,37 +10,34 @@
 of its tier or above gets a slot.
 """
 
-import collections
+import typing
+
+
+class _Kept(typing.NamedTuple):
+    rank: int
+    until: float
 
 
 class Reservations:
     """What one shard keeps."""
 
     def __init__(self) -> None:
-        self._until: dict[int, collections.deque[float]] = {}
+        self._kept: list[_Kept] = []
 
     def add(self, rank: int, until: float) -> None:
         """Keep one slot for a rank until a time; seconds on the daemon's clock."""
-        self._until.setdefault(rank, collections.deque()).append(until)
+        self._kept.append(_Kept(rank, until))
 
     def use(self, rank: int) -> None:
         """Take in that a request of a rank got a slot.
 
         It was kept for that rank, or for a lower one that is next to be served.
         """
-        for other in sorted(self._until):
-            if other < rank or not self._until[other]:
-                continue
-            self._until[other].popleft()
-            return
+        found = min((kept for kept in self._kept if kept.rank >= rank), default=None)
+        if found is not None:
+            self._kept.remove(found)
 
     def above(self, rank: int, now: float) -> int:
         """Return how many slots are kept for ranks more important than this one."""
-        count = 0
-        for other, kept in self._until.items():
-            if other >= rank:
-                continue
-            while kept and kept[0] <= now:
-                kept.popleft()
-            count += len(kept)
-        return count
+        self._kept = [kept for kept in self._kept if kept.until > now]
+        return sum(kept.rank < rank for kept in self._kept)
--- a/packages/daemon/cassiaquay_daemon/keepers/quotas.py
+++ b/packages/daemon/cassiaquay_daemon/keepers/quotas.py
@@ -193,13 +193,7 @@
         own_wait = own.reserve(units, flow, patience)
         if own_wait <= patience:
             return await self._wait(Taken(units, own), own_wait)
-        wait_ms = own_wait * 1000.0
-        if given.wait_ms:
-            wait_ms = min(wait_ms, given.wait_ms)
-        raise exceptions.LimitReached(
-            f"the limit of team {team.name} is reached",
-            retry_after_ms=int(min(max(wait_ms, LEAST_RETRY_MS), MOST_RETRY_MS)),
-        )
+        raise _refusal(team.name, own_wait * 1000.0, given.wait_ms)
 
     def give_back(self, taken: Taken) -> None:
         """Give back what a request took that never ran; once for each request."""
@@ -342,6 +336,14 @@
     return facts.prompt_tokens + facts.most_output_tokens
 
 
+def _refusal(team: str, own_ms: float, given_ms: int) -> exceptions.LimitReached:
+    wait_ms = min(own_ms, given_ms) if given_ms else own_ms
+    return exceptions.LimitReached(
+        f"the limit of team {team} is reached",
+        retry_after_ms=int(min(max(wait_ms, LEAST_RETRY_MS), MOST_RETRY_MS)),
+    )
+
+
 def _limit(team: str) -> str:
     """Return the key by which a team's limit finds its keeper."""
     return f"quota {team}"
--- a/tests/test_reservations.py
+++ b/tests/test_reservations.py
@@ -24,6 +24,15 @@
     assert found.above(1, 11.5) == 0
 
 
+def test_a_short_objective_ends_before_a_longer_one_that_was_shed_first() -> None:
+    found = reservations.Reservations()
+    found.add(0, 20.0)
+    found.add(0, 10.0)
+    assert found.above(1, 15.0) == 1
+    found.use(0)
+    assert found.above(1, 15.0) == 0
+
+
 def test_one_of_the_tier_that_gets_a_slot_uses_what_was_kept() -> None:
     """The next request of the shed tier got the slot that came free.
 
