Let the next of a tier and long prompts wait where a short one is refused

Cause: in a burst nine reports, the top rank, were refused while lower ranks were served (lab, twice the load for 6 s). Some had waited as the next of their tier and were refused when the reckoning got worse, though the next slot was their own; the others were long prompts whose reading takes most of their objective: late in a queue of any length, and refused whenever slots are short. Change: the next of a tier that has waited keeps its place, and a prompt that takes over half of its objective waits for a slot as one that can never be in time does.

--- a/packages/daemon/cassiaquay_daemon/decisions/objectives.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/objectives.py
@@ -43,6 +43,9 @@
 # its length are right only at the median.
 FINISH_SHARE = 0.8
 PATIENCE_SECONDS = forecasts.PATIENCE_SECONDS
+# A prompt whose reading takes more than this share of its objective is long: in a queue
+# of any length it is late.
+LONG_SHARE = 0.5
 # Cost, in seconds, of a server that fails all of its work: a repeat elsewhere.
 FAILURE_SECONDS = 3.0
 # Demands weighed against every server in one pass, which must stay short.
@@ -230,6 +233,7 @@
 
         Late work gets what in-time work of its tier and those above has left over.
         """
+        before = ahead
         for waiting in left:
             demand = waiting.demand
             late_at = self._late_at[demand.id]
@@ -250,16 +254,33 @@
             if best is not None:
                 self._grant(waiting, best)
                 continue
-            # Whoever could not be in time even alone, or was promised a slot that came
-            # late, waits on for a while; whoever comes into a queue that is too long
-            # is told so at once and can come back when it is short.
-            never = waiting.arrived_at + least > late_at
-            if (never or now > late_at) and not self._is_over(waiting, now + wait):
+            is_next = ahead == before and now > waiting.arrived_at
+            if self._waits_on(waiting, least, wait, is_next):
                 ahead += 1
                 continue
             self._shed(waiting, now)
         return ahead
 
+    def _waits_on(
+        self, waiting: shards.Waiting, least: float, wait: float, is_next: bool
+    ) -> bool:
+        """Tell whether a demand that will be late waits for a slot all the same.
+
+        Whoever comes into a queue that is too long is told so at once and can come back
+        when it is short. The others wait for a while: one that has waited and is the
+        next of its tier, one that was promised a slot that came late, and one whose
+        prompt takes most of its time: refused whenever slots are short, the longest
+        would hardly ever be served.
+        """
+        now = clock.now()
+        late_at = self._late_at[waiting.demand.id]
+        if is_next and now + least <= late_at:
+            return True
+        objective = late_at - waiting.arrived_at
+        if least <= objective * LONG_SHARE and now <= late_at:
+            return False
+        return not self._is_over(waiting, now + wait)
+
     def _settle_far(self, order: list[str], ahead: int, now: float) -> int:
         """Shed those far behind who stand there in vain; return how many wait."""
         for request_id in order:
--- a/tests/test_objectives.py
+++ b/tests/test_objectives.py
@@ -434,3 +434,52 @@
     late = bench.demand()
     bench.serve()
     assert late in bench.owner.sheds()
+
+
+def test_a_long_prompt_waits_for_a_late_slot_in_place_of_being_refused(time) -> None:
+    """A prompt takes 0.4 s of its 0.6 s, and the only slot comes free in 0.5 s.
+
+    Refused at once as a short one is, it would be refused whenever slots are short. It
+    is served late.
+    """
+    bench = Bench(time, {"a": 1})
+    bench.know("a", 75_000.0, 0.025)
+    bench.demand(name="runs", events=20)
+    bench.serve()
+    bench.start("runs")
+    bench.demand(name="long", prompt=27_000, first_ms=600)
+    short = bench.demand(name="short", first_ms=300)
+    bench.serve()
+    assert list(bench.owner.sheds()) == [short]
+    time.now += 0.5
+    bench.end("runs")
+    bench.serve()
+    assert "long" in bench.owner.permits()
+
+
+def test_the_next_of_a_tier_keeps_its_place_when_a_reckoning_gets_worse(time) -> None:
+    """It was to get a slot in 50 ms; the answer there goes on for longer than reckoned.
+
+    The next slot that comes free is its own, whichever that is. Refused for the new
+    reckoning, it would leave that slot to a lower tier.
+    """
+    bench = Bench(time, {"a": 1})
+    bench.know("a", 75_000.0, 0.025)
+    bench.demand(name="runs", events=20)
+    bench.serve()
+    bench.start("runs")
+    time.now += 0.45
+    name = bench.demand()
+    bench.serve()
+    time.now += 0.1
+    grown = messages.Outstanding("runs", "", "", 0, "a", 600, 20, 60)
+    bench.shard.renew("cq-1", [grown])
+    bench.know("a", 75_000.0, 0.025)
+    bench.serve()
+    assert name not in bench.owner.sheds()
+    time.now += 0.1
+    bench.end("runs")
+    bench.demand(name="lower", rank=1)
+    bench.serve()
+    assert name in bench.owner.permits()
+    assert "lower" not in bench.owner.permits()
