--- a/packages/caller/cassiaquay/attempts.py
+++ b/packages/caller/cassiaquay/attempts.py
@@ -3,12 +3,8 @@
 import asyncio
 import collections.abc
 import contextlib
-import typing
 
-from . import adapters, deadlines, exceptions, hooks, models, streams
-
-if typing.TYPE_CHECKING:
-    from . import sessions
+from . import adapters, channels, deadlines, exceptions, hooks, models, streams
 
 
 class Attempt:
@@ -16,7 +12,7 @@
 
     Parameters
     ----------
-    session : sessions.Session
+    session : Channel
         Gives transports, addresses and hooks.
     deadline : deadlines.Deadline
         Bounds the whole request.
@@ -26,7 +22,7 @@
 
     def __init__(
         self,
-        session: "sessions.Session",
+        session: channels.Channel,
         deadline: deadlines.Deadline,
         request_id: str,
         address: str,
--- a/packages/caller/cassiaquay/exchanges.py
+++ b/packages/caller/cassiaquay/exchanges.py
@@ -8,7 +8,6 @@
 import asyncio
 import collections.abc
 import contextlib
-import typing
 import uuid
 
 import msgspec
@@ -16,6 +15,7 @@
 from . import (
     adapters,
     attempts,
+    channels,
     deadlines,
     exceptions,
     hooks,
@@ -25,9 +25,6 @@
     streams,
 )
 
-if typing.TYPE_CHECKING:
-    from . import sessions
-
 BUDGET_SPENT = "retry_budget_spent"
 ATTEMPTS_SPENT = "attempts_spent"
 UNKNOWN_ID = "unknown_id"
@@ -38,7 +35,7 @@
 
     Parameters
     ----------
-    session : sessions.Session
+    session : Channel
         Gives addresses, transports, budget and hooks.
     request : models.Request
         What to send.
@@ -48,7 +45,7 @@
     """
 
     def __init__(
-        self, session: "sessions.Session", request: models.Request, *, streamed: bool
+        self, session: channels.Channel, request: models.Request, *, streamed: bool
     ) -> None:
         self.request_id = ""
         self.transcript = streams.Transcript()
