--- a/packages/dev/cassiaquay_dev/lab/__main__.py
+++ b/packages/dev/cassiaquay_dev/lab/__main__.py
@@ -9,12 +9,20 @@
 
 from cassiaquay_schema import exceptions
 
-from . import days, played, virtual_time
+from . import ablation, days, mechanisms, played, virtual_time
 
 OUTCOMES = (played.IN_TIME, played.LATE, played.REFUSED, played.LEFT)
 
 
-def main(day: str, seeds: int = 1, seed: int = 1, by_second: bool = False) -> None:
+def main(
+    day: str,
+    seeds: int = 1,
+    seed: int = 1,
+    by_second: bool = False,
+    without: str | tuple[str, ...] = (),
+    ablate: bool = False,
+    workers: int = 2,
+) -> None:
     """Play a day and print its tables.
 
     Parameters
@@ -27,34 +35,41 @@
         The first of them.
     by_second : bool
         Whether to print each second as well.
+    without : str or tuple of str
+        Mechanisms to switch off, separated by commas.
+    ablate : bool
+        Play the day without each mechanism in turn, and print what each is worth.
+    workers : int
+        Processes that play at a time for that.
     """
+    names = without.split(",") if isinstance(without, str) else list(without)
     try:
         chosen = days.read(day)
-    except exceptions.SchemaError as error:
+        for name in names:
+            mechanisms.mechanisms.get(name)
+    except (exceptions.SchemaError, LookupError) as error:
         print(error, file=sys.stderr)
         sys.exit(1)
-    for number in range(seed, seed + seeds):
-        began = time.monotonic()
-        found = virtual_time.run(played.play(chosen, number))
-        seconds = time.monotonic() - began
-        print(f"seed {number}: {len(found.ended)} requests in {seconds:.1f} s")
-        print("\n".join(kinds_table(chosen, found)))
-        if by_second:
-            print("\n".join(seconds_table(found)))
-        sys.stdout.flush()
-
-
-def earned(item: played.Ended) -> float:
-    """Return what a request was worth in the end."""
-    if item.outcome == played.IN_TIME:
-        return item.request.worth
-    return item.request.late_worth if item.outcome == played.LATE else 0.0
-
-
-def worth(items: list[played.Ended]) -> float:
-    """Return the share of the worth of some requests that was earned."""
-    owed = sum(item.request.worth for item in items)
-    return sum(earned(item) for item in items) / owed if owed else 1.0
+    numbers = range(seed, seed + seeds)
+    if ablate:
+        known = mechanisms.mechanisms.names()
+        found = ablation.ablate(chosen, numbers, known, workers)
+        print("\n".join(ablation.table(found)))
+        return
+    for number in numbers:
+        _play(chosen, number, names, by_second)
+
+
+def _play(day: days.Day, seed: int, without: list[str], by_second: bool) -> None:
+    began = time.monotonic()
+    with mechanisms.switched_off(without):
+        found = virtual_time.run(played.play(day, seed))
+    seconds = time.monotonic() - began
+    print(f"seed {seed}: {len(found.ended)} requests in {seconds:.1f} s")
+    print("\n".join(kinds_table(day, found)))
+    if by_second:
+        print("\n".join(seconds_table(found)))
+    sys.stdout.flush()
 
 
 def kinds_table(day: days.Day, found: played.Played) -> list[str]:
@@ -64,7 +79,7 @@
         items = [item for item in found.ended if name in ("", item.request.kind)]
         counts = collections.Counter(item.outcome for item in items)
         shares = [f"{counts[outcome] / max(len(items), 1):.3f}" for outcome in OUTCOMES]
-        line = f"{name or 'all':10} {len(items):6} {worth(items):6.3f}  "
+        line = f"{name or 'all':10} {len(items):6} {played.worth(items):6.3f}  "
         lines.append(line + " ".join(shares))
     return lines
 
@@ -88,7 +103,7 @@
         for column in range(1, len(played.Sample._fields)):
             values = [sample[column] for sample in samples[second]]
             means.append(f"{statistics.mean(values or [0]):6.1f}")
-        line = f"{second:6} {len(items):5} {worth(items):.3f}  {shares} | "
+        line = f"{second:6} {len(items):5} {played.worth(items):.3f}  {shares} | "
         lines.append(line + " ".join(means))
     return lines
 
--- a/packages/dev/cassiaquay_dev/lab/played.py
+++ b/packages/dev/cassiaquay_dev/lab/played.py
@@ -246,6 +246,19 @@
     return event
 
 
+def earned(item: Ended) -> float:
+    """Return what a request was worth in the end."""
+    if item.outcome == IN_TIME:
+        return item.request.worth
+    return item.request.late_worth if item.outcome == LATE else 0.0
+
+
+def worth(items: list[Ended]) -> float:
+    """Return the share of the worth of some requests that was earned."""
+    owed = sum(item.request.worth for item in items)
+    return sum(earned(item) for item in items) / owed if owed else 1.0
+
+
 async def play(day: days.Day, seed: int) -> Played:
     """Play a day; the same seed gives the same day again."""
     # The daemon's own choices (Retry-After) draw from the common generator.
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -6,8 +6,17 @@
 import pytest
 
 from cassiaquay_daemon import clock
+from cassiaquay_daemon.decisions import forecasts, reservations
 from cassiaquay_dev.lab import __main__ as lab
-from cassiaquay_dev.lab import batching, days, played, traffic, virtual_time
+from cassiaquay_dev.lab import (
+    ablation,
+    batching,
+    days,
+    mechanisms,
+    played,
+    traffic,
+    virtual_time,
+)
 from cassiaquay_schema import exceptions
 
 SMALL = msgspec.structs.replace(days.read("burst"), instances=8, seconds=2.0, load=0.2)
@@ -50,7 +59,7 @@
     names = [item.request.name for item in found.ended]
     assert sorted(names) == sorted(item.name for item in traffic.build(SMALL, 1))
     assert len(names) == len(set(names)) > 50
-    assert lab.worth(found.ended) > 0.95
+    assert played.worth(found.ended) > 0.95
 
 
 def test_an_engine_gives_every_running_request_a_token_in_each_step() -> None:
@@ -86,3 +95,35 @@
 @pytest.mark.parametrize("path", sorted(days.FOLDER.glob("*.toml")))
 def test_the_days_that_come_with_it_can_be_read(path) -> None:
     assert days.read(path.stem).instances > 0
+
+
+def test_a_mechanism_is_off_only_for_as_long_as_asked() -> None:
+    before = reservations.Reservations.above
+    with mechanisms.switched_off(["kept-slots", "overrun"]):
+        assert reservations.Reservations.above is not before
+        assert forecasts.OVERRUN_SHARE == 0.0
+    assert reservations.Reservations.above is before
+    assert forecasts.OVERRUN_SHARE > 0.0
+
+
+@pytest.mark.parametrize("name", mechanisms.mechanisms.names())
+def test_a_day_can_be_played_without_each_mechanism(name: str) -> None:
+    task = ablation.Task(SMALL, 1, (name,))
+    assert 0.5 < ablation.play(task) <= 1.0
+
+
+def test_an_effect_is_told_apart_from_nothing_by_its_seeds() -> None:
+    clear = ablation.effect("clear", [0.9, 0.8, 0.7], [0.8, 0.69, 0.61])
+    assert clear.worth == pytest.approx(0.1)
+    assert clear.verdict == "worth its place"
+    noise = ablation.effect("noise", [0.9, 0.8, 0.7], [0.95, 0.7, 0.7])
+    assert noise.verdict == "not told apart from nothing"
+    assert ablation.effect("one", [0.9], [0.5]).verdict == noise.verdict
+    harmful = ablation.effect("bad", [0.5, 0.51, 0.52], [0.7, 0.71, 0.72])
+    assert harmful.verdict == "harmful here"
+
+
+def test_an_unknown_mechanism_is_refused_by_name(capsys) -> None:
+    with pytest.raises(SystemExit):
+        lab.main("burst", without="nothing")
+    assert "kept-slots" in capsys.readouterr().err
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -9,7 +9,6 @@
 
 import pytest
 
-from cassiaquay_dev.lab import __main__ as lab
 from cassiaquay_dev.lab import days, played, virtual_time
 
 REPORT, QUESTION, TAG = "report", "question", "tag"
@@ -115,4 +114,4 @@
 
 
 def test_a_burst_costs_no_more_than_what_engines_lack(burst: Result) -> None:
-    assert lab.worth(burst.found.ended) > 0.8
+    assert played.worth(burst.found.ended) > 0.8
