Leave a server to its probes only when it fails more than the others do

Cause: four failures in a row make a server count as broken, and it gets one request each 0.8 s. Where all servers of a service fail part of their work, as plain ones do whatever server gets a request, all of them count as broken by turns. Ruled out: slots (all but some were free), servers that left, limits. Change: it counts as broken only when its share of failures is 0.3 above that of the median server of its shard. Silence and failures are kept apart. The engine that alone breaks everything off is found as before.

--- a/packages/daemon/cassiaquay_daemon/decisions/candidates.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/candidates.py
@@ -6,6 +6,7 @@
 """
 
 import collections.abc
+import statistics
 import typing
 
 from cassiaquay_schema import fleet, messages
@@ -13,6 +14,10 @@
 from .. import clock
 from . import loads, pace, shards
 
+# A server is left to its probes only when it fails by so much more than the median one
+# of its shard.
+BROKEN_EXCESS = 0.3
+
 
 class Candidate(typing.NamedTuple):
     """A server that may get work.
@@ -24,18 +29,25 @@
     load : Load
         What is out on it; changes during the pass.
     pace : Pace
-        What is known of its speed.
+        What is known of its speed and health.
+    usual_failing : float
+        Share of requests that the median server of its shard fails.
     """
 
     server: fleet.Server
     load: loads.Load
     pace: pace.Pace
+    usual_failing: float
 
     def has_slot(self, now: float) -> bool:
         """Tell whether one more request may go there now."""
-        if self.load.count >= self.server.slots:
+        if self.load.count >= self.server.slots or self.pace.is_silent(now):
             return False
-        return not self.pace.is_stalled(now)
+        if not self.pace.is_broken(now):
+            return True
+        # Where all fail alike there is no sound server to wait for: held back, callers
+        # would be refused while nearly all slots are free.
+        return self.pace.failing(now) < self.usual_failing + BROKEN_EXCESS
 
 
 class Candidates:
@@ -68,9 +80,11 @@
         self.paces = {name: self._pace_of(name) for name in self._shard.servers}
         self.open = []
         self._reachable = []
-        for server in self._shard.open_servers():
+        servers = self._shard.open_servers()
+        usual = self._usual_failing(servers)
+        for server in servers:
             load = self._shard.load(server.name)
-            found = Candidate(server, load, self.paces[server.name])
+            found = Candidate(server, load, self.paces[server.name], usual)
             self.open.append(found)
             if not self._shard.is_refusing(server.name):
                 self._reachable.append(found)
@@ -108,6 +122,11 @@
         events = demand.output_tokens * self._least_event_seconds
         return self.least_first_seconds(demand.prompt_tokens) + events
 
+    def _usual_failing(self, servers: list[fleet.Server]) -> float:
+        now = clock.now()
+        found = [self.paces[server.name].failing(now) for server in servers]
+        return statistics.median(found) if found else 0.0
+
 
 def _fastest(found: list[Candidate]) -> list[tuple[float, float]]:
     """Return the speeds that no other server beats for every prompt."""
--- a/packages/daemon/cassiaquay_daemon/decisions/objectives.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/objectives.py
@@ -388,7 +388,7 @@
         late_at: float,
         left: float,
     ) -> choices.Choice | None:
-        server, load, known = found
+        server, load, known, _ = found
         unread = load.backlog_seconds(known.rate, now) * known.rate
         unread += demand.prompt_tokens
         expected = known.expect(unread)
--- a/packages/daemon/cassiaquay_daemon/decisions/pace.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/pace.py
@@ -77,7 +77,8 @@
         self._base_known = False
         self._failing = 0.0
         self._failing_at = clock.now()
-        self._stalled_until = 0.0
+        self._silent_until = 0.0
+        self._broken_until = 0.0
         self._doubtful = False
 
     def expect(self, unread_tokens: float) -> Expected:
@@ -96,9 +97,13 @@
         age = max(now - self._failing_at, 0.0)
         return float(self._failing * 0.5 ** (age / FORGET_SECONDS))
 
-    def is_stalled(self, now: float) -> bool:
+    def is_silent(self, now: float) -> bool:
         """Tell whether the server gave no sign where it should have."""
-        return now < self._stalled_until
+        return now < self._silent_until
+
+    def is_broken(self, now: float) -> bool:
+        """Tell whether the server fails nearly all it gets, and has just been tried."""
+        return now < self._broken_until
 
     def granted(self, now: float) -> None:
         """Note that a request goes there.
@@ -107,8 +112,10 @@
         any, one long request alone would keep a sound server out for as long as it
         runs, and with many a dead one would swallow them all.
         """
-        if self._doubtful or self.failing(now) > BROKEN_SHARE:
-            self._stalled_until = now + PROBE_SECONDS
+        if self._doubtful:
+            self._silent_until = now + PROBE_SECONDS
+        if self.failing(now) > BROKEN_SHARE:
+            self._broken_until = now + PROBE_SECONDS
 
     def read(self, tokens: int, alone_seconds: float, seconds: float) -> None:
         """Learn from a first event.
@@ -170,7 +177,7 @@
             return
         self._failing = share + FAILURE_WEIGHT * (1.0 - share)
         if self._failing > BROKEN_SHARE:
-            self._stalled_until = now + PROBE_SECONDS
+            self._broken_until = now + PROBE_SECONDS
 
     def patience(self, expected_seconds: float) -> float:
         """Return how late a first event may be before the server counts as silent."""
@@ -184,7 +191,7 @@
         if self._doubtful:
             return
         self._doubtful = True
-        self._stalled_until = now + STALL_SECONDS
+        self._silent_until = now + STALL_SECONDS
         logs.event(
             "server_silent",
             server=self._server,
@@ -196,7 +203,8 @@
         if self._doubtful:
             logs.event("server_heard", server=self._server)
         self._doubtful = False
-        self._stalled_until = 0.0
+        self._silent_until = 0.0
+        self._broken_until = 0.0
 
     def _learn_base(self, sample: float) -> None:
         if not math.isfinite(sample):
--- a/tests/test_objectives.py
+++ b/tests/test_objectives.py
@@ -483,3 +483,36 @@
     bench.serve()
     assert name in bench.owner.permits()
     assert "lower" not in bench.owner.permits()
+
+
+def test_nobody_is_refused_because_all_servers_fail_alike(time) -> None:
+    """Each of four plain servers fails three in four, several in a row at times.
+
+    Each then counts as broken, and there is no sound one to send callers to. Refused,
+    they get nothing while nearly all slots are free; sent on, some are served, and of
+    those that may be repeated more.
+    """
+    bench = Bench(time, {"a": 6, "b": 6, "c": 6, "d": 6})
+    plain = {"prompt": 0, "events": 0, "pause_ms": 0}
+    for number in range(80):
+        name = bench.demand(**plain)
+        bench.serve()
+        assert name not in bench.owner.sheds()
+        bench.end(name, "failed" if number % 8 < 6 else "completed")
+        time.now += 0.01
+
+
+def test_a_server_that_alone_breaks_everything_off_is_left_to_its_probes(time) -> None:
+    """One of four servers fails everything; the others fail as ever, one in eight."""
+    bench = Bench(time, {"a": 6, "b": 6, "c": 6, "broken": 6})
+    plain = {"prompt": 0, "events": 0, "pause_ms": 0}
+    lost = 0
+    for number in range(200):
+        name = bench.demand(**plain)
+        bench.serve()
+        server = bench.owner.permits()[name]
+        lost += server == "broken"
+        fails = server == "broken" or number % 8 == 0
+        bench.end(name, "failed" if fails else "completed")
+        time.now += 0.01
+    assert lost <= 4 + 200 * 0.01 / pace.PROBE_SECONDS + 1
