--- a/packages/dev/cassiaquay_dev/lab/instances.py
+++ b/packages/dev/cassiaquay_dev/lab/instances.py
@@ -135,8 +135,16 @@
         [part],
         -1,
     )
-    route = routing.Route(
-        request.kind,
+    route = _route(request.kind, kind)
+    team = routing.Team(request.team, None, None)
+    return calls.Call(
+        "POST", "/", [], facts, b"", route, POOL, team, current, began_at, deadline
+    )
+
+
+def _route(name: str, kind: days.Kind) -> routing.Route:
+    return routing.Route(
+        name,
         HOST,
         "/",
         routing.Kind.STREAM,
@@ -149,7 +157,3 @@
         True,
         kind.attempts > 1,
     )
-    team = routing.Team(request.team, None, None)
-    return calls.Call(
-        "POST", "/", [], facts, b"", route, POOL, team, current, began_at, deadline
-    )
