--- a/packages/dev/cassiaquay_dev/lab/__init__.py
+++ b/packages/dev/cassiaquay_dev/lab/__init__.py
@@ -1,1 +1,1 @@
-"""Models without processes: a shard in virtual time, ownership by exploration."""
+"""Models without processes: fleets and shards in virtual time, ownership explored."""
--- a/packages/dev/cassiaquay_dev/lab/batching.py
+++ b/packages/dev/cassiaquay_dev/lab/batching.py
@@ -1,4 +1,4 @@
-"""Backend servers of the lab: engines that batch continuously, and plain servers.
+"""Engines of the lab: they batch continuously.
 
 An engine runs a few requests side by side. Each step gives each of them a token, and
 reads a chunk of the prompts that are not read yet, in order of arrival: a long prompt
@@ -8,38 +8,8 @@
 import asyncio
 import collections
 import collections.abc
-import typing
 
-
-class EngineSettings(typing.NamedTuple):
-    """One engine.
-
-    Attributes
-    ----------
-    name : str
-        Its name.
-    slots : int
-        Requests side by side.
-    step_ms, slot_ms : float
-        Time of a step, and what each running request adds to it.
-    prompt_tokens_per_ms : float
-        Speed of reading prompts.
-    chunk_tokens : int
-        Prompt tokens read in one step at most.
-    event_tokens : int
-        Tokens of one event.
-    time_factor : float
-        How many times longer than that this engine takes.
-    """
-
-    name: str
-    slots: int
-    step_ms: float
-    slot_ms: float
-    prompt_tokens_per_ms: float
-    chunk_tokens: int
-    event_tokens: int
-    time_factor: float
+from . import days
 
 
 class Run:
@@ -75,14 +45,15 @@
 
     Parameters
     ----------
-    settings : EngineSettings
-        Its figures.
+    settings : Engines
+        Figures of all engines of a day.
+    time_factor : float
+        How many times longer this one takes.
     """
 
-    def __init__(self, settings: EngineSettings):
-        self.settings = settings
-        self.time_factor = settings.time_factor
-        self.events = 0
+    def __init__(self, settings: days.Engines, time_factor: float):
+        self.time_factor = time_factor
+        self._settings = settings
         self._running: list[Run] = []
         self._queue: collections.deque[Run] = collections.deque()
         self._stepping = False
@@ -112,12 +83,12 @@
             self._queue.remove(run)
 
     def _step(self) -> None:
-        while self._queue and len(self._running) < self.settings.slots:
+        while self._queue and len(self._running) < self._settings.slots:
             self._running.append(self._queue.popleft())
         if not self._running:
             self._stepping = False
             return
-        left = self.settings.chunk_tokens
+        left = self._settings.chunk_tokens
         reading = []
         decoding = []
         for run in self._running:
@@ -127,9 +98,9 @@
             tokens = min(left, run.unread)
             left -= tokens
             reading.append((run, tokens))
-        read = self.settings.chunk_tokens - left
-        spent_ms = self.settings.step_ms + self.settings.slot_ms * len(self._running)
-        spent_ms += read / self.settings.prompt_tokens_per_ms
+        read = self._settings.chunk_tokens - left
+        spent_ms = self._settings.step_ms + self._settings.slot_ms * len(self._running)
+        spent_ms += read / self._settings.prompt_tokens_per_ms
         loop = asyncio.get_running_loop()
         seconds = spent_ms * self.time_factor / 1000.0
         loop.call_later(seconds, self._apply, reading, decoding)
@@ -139,34 +110,12 @@
             run.unread -= tokens
         for run in decoding:
             run.tokens += 1
-            if run.tokens % self.settings.event_tokens or run not in self._running:
+            if run.tokens % self._settings.event_tokens or run not in self._running:
                 continue
             run.produced += 1
-            self.events += 1
             run.on_event()
             if run.produced >= run.events:
                 self._running.remove(run)
                 if not run.ended.done():
                     run.ended.set_result(None)
         self._step()
-
-
-class PlainServer:
-    """A server that answers after some time of work.
-
-    Parameters
-    ----------
-    name : str
-        Its name.
-    slots : int
-        Requests side by side; one more waits.
-    """
-
-    def __init__(self, name: str, slots: int):
-        self.name = name
-        self._slots = asyncio.Semaphore(slots)
-
-    async def work(self, seconds: float) -> None:
-        """Serve one request."""
-        async with self._slots:
-            await asyncio.sleep(seconds)
--- a/packages/dev/cassiaquay_dev/lab/played.py
+++ b/packages/dev/cassiaquay_dev/lab/played.py
@@ -12,8 +12,6 @@
 
 # Instances know each other and all shards are open before the load begins.
 WARM_UP_SECONDS = 3.0
-# After the last arrival, for what still runs.
-REST_SECONDS = 5.0
 SAMPLE_SECONDS = 0.1
 # A caller comes back once.
 MOST_ATTEMPTS = 2
@@ -112,20 +110,11 @@
         self.instances = [
             instances.Instance(name, self.crew, configured) for name in names
         ]
-        self.engines = {}
+        self.engines: dict[str, batching.Engine] = {}
+        factors = day.engines.time_factors
         for number in range(day.engines.count):
-            factors = day.engines.time_factors
-            settings = batching.EngineSettings(
-                instances.engine_name(number),
-                day.engines.slots,
-                day.engines.step_ms,
-                day.engines.slot_ms,
-                day.engines.prompt_tokens_per_ms,
-                day.engines.chunk_tokens,
-                day.engines.event_tokens,
-                factors[number % len(factors)],
-            )
-            self.engines[settings.name] = batching.Engine(settings)
+            engine = batching.Engine(day.engines, factors[number % len(factors)])
+            self.engines[instances.engine_name(number)] = engine
 
     async def play(self, requests: list[traffic.Request]) -> None:
         """Play all requests to their ends."""
@@ -202,13 +191,13 @@
             instance.admission.ended(ticket, sent_at, outcome)
 
     async def _sample(self) -> None:
-        factors = [engine.settings.time_factor for engine in self.engines.values()]
+        factors = [engine.time_factor for engine in self.engines.values()]
         middle = sum(factors) / len(factors)
         while True:
             busy: collections.Counter[bool] = collections.Counter()
             queued = 0
             for engine in self.engines.values():
-                busy[engine.settings.time_factor < middle] += engine.busy
+                busy[engine.time_factor < middle] += engine.busy
                 queued += engine.queued
             waiting = 0
             for instance in self.instances:
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -67,11 +67,20 @@
 
     Then two events of two tokens each take four steps of 10 ms.
     """
-    settings = batching.EngineSettings("e", 2, 10.0, 0.0, 1.0, 10, 2, 1.0)
+    settings = days.Engines(
+        count=1,
+        slots=2,
+        step_ms=10.0,
+        slot_ms=0.0,
+        prompt_tokens_per_ms=1.0,
+        chunk_tokens=10,
+        event_tokens=2,
+        time_factors=[1.0],
+    )
     events = []
 
     async def work() -> None:
-        engine = batching.Engine(settings)
+        engine = batching.Engine(settings, 1.0)
         run = batching.Run(30, 2, lambda: events.append(clock.now()))
         engine.submit(run)
         await run.ended
