--- a/packages/dev/cassiaquay_dev/lab/instances.py
+++ b/packages/dev/cassiaquay_dev/lab/instances.py
@@ -37,7 +37,7 @@
     ----------
     name : str
         Its name.
-    crew : Crew
+    network : Network
         All of them.
     configured : Configured
         What is in force.
@@ -48,21 +48,21 @@
     def __init__(
         self,
         name: str,
-        crew: wires.Crew,
+        network: wires.Network,
         configured: Configured,
         policy: str = objectives.NAME,
     ):
         settings = settings_schema.Settings(
             instance=name,
-            domain=crew.zones[name],
+            domain=network.zones[name],
             keys=["lab"],
             platform=settings_schema.Platform(configuration="", instances=""),
             keeper=settings_schema.Keeper(policy=policy),
         )
         # The roles ask of members, links and configuration just what the stand-ins
         # have; they are typed as the daemon's own.
-        members = typing.cast(typing.Any, wires.Members(crew, name))
-        links = typing.cast(typing.Any, crew.links[name])
+        members = typing.cast(typing.Any, wires.Members(network, name))
+        links = typing.cast(typing.Any, network.links[name])
         known = typing.cast(typing.Any, configured)
         self.pauses = pause.Pauses(pause.shortest_lease(settings))
         self.keeper = keeper.Keeper(settings, links, members, known, self.pauses)
--- a/packages/dev/cassiaquay_dev/lab/played.py
+++ b/packages/dev/cassiaquay_dev/lab/played.py
@@ -105,10 +105,10 @@
         zones = {
             name: f"zone-{number % day.zones}" for number, name in enumerate(names)
         }
-        self.crew = wires.Crew(zones, day.crossing_ms / 1000.0)
+        self.network = wires.Network(zones, day.crossing_ms / 1000.0)
         configured = instances.Configured(self._snapshot)
         self.instances = [
-            instances.Instance(name, self.crew, configured) for name in names
+            instances.Instance(name, self.network, configured) for name in names
         ]
         self.engines: dict[str, batching.Engine] = {}
         factors = day.engines.time_factors
@@ -254,5 +254,5 @@
     random.seed(seed)
     fleet = Fleet(day, seed)
     await fleet.play(traffic.build(day, seed))
-    received = sum(links.received for links in fleet.crew.links.values())
+    received = sum(links.received for links in fleet.network.links.values())
     return Played(fleet.ended, fleet.samples, fleet.refused_at, received)
--- a/packages/dev/cassiaquay_dev/lab/wires.py
+++ b/packages/dev/cassiaquay_dev/lab/wires.py
@@ -39,32 +39,32 @@
 
     Parameters
     ----------
-    crew : Crew
+    network : Network
         All instances.
     source, target : str
         Names of the two.
     """
 
-    def __init__(self, crew: "Crew", source: str, target: str):
+    def __init__(self, network: "Network", source: str, target: str):
         self.instance = target
-        self._crew = crew
+        self._network = network
         self._source = source
         self._last_at = 0.0
 
     def send(self, message: messages.Message) -> bool:
         """Send a message; it is lost when the target is gone by then."""
         loop = asyncio.get_running_loop()
-        delay = self._crew.delay(self._source, self.instance)
+        delay = self._network.delay(self._source, self.instance)
         self._last_at = max(loop.time() + delay, self._last_at + SPACING_SECONDS)
         loop.call_at(self._last_at, self._deliver, message)
         return True
 
     def _deliver(self, message: messages.Message) -> None:
-        links = self._crew.links[self.instance]
+        links = self._network.links[self.instance]
         links.received += 1
         handler = links.handlers.get(type(message))
         if handler is not None:
-            handler(self._crew.wire(self.instance, self._source), message)
+            handler(self._network.wire(self.instance, self._source), message)
 
 
 class Named(typing.NamedTuple):
@@ -73,7 +73,7 @@
     instance: str
 
 
-class Crew:
+class Network:
     """All instances of a day.
 
     Parameters
@@ -113,42 +113,42 @@
 
 
 class Members:
-    """One instance's view of the crew: all live and known.
+    """One instance's view of the network: all live and known.
 
     Parameters
     ----------
-    crew : Crew
+    network : Network
         All instances.
     instance : str
         Name of this one.
     """
 
-    def __init__(self, crew: Crew, instance: str):
+    def __init__(self, network: Network, instance: str):
         self.listed: dict[str, typing.Any] = {}
-        self._crew = crew
+        self._network = network
         self._instance = instance
 
     def keeper_of(self, key: str) -> str:
         """Return the instance that keeps a key."""
-        return self._crew.keeper_of(key)
+        return self._network.keeper_of(key)
 
     def alive(self) -> list[Named]:
         """Return all instances."""
-        return self._crew.members
+        return self._network.members
 
     def serving(self) -> list[Named]:
         """Return all instances."""
-        return self._crew.members
+        return self._network.members
 
     def fleet_size(self) -> int:
         """Return how many share a budget."""
-        return len(self._crew.members)
+        return len(self._network.members)
 
     def link(self, instance: str) -> Wire | None:
         """Return the way to another instance; None when there is none of that name."""
-        if instance not in self._crew.zones:
+        if instance not in self._network.zones:
             return None
-        return self._crew.wire(self._instance, instance)
+        return self._network.wire(self._instance, instance)
 
     def on_change(self, call: collections.abc.Callable[[], None]) -> None:
         """Do nothing: nobody comes or goes."""
