--- /dev/null
+++ b/tests/objectives_fakes.py
@@ -0,0 +1,60 @@
+"""A shard under the policy of objectives, and engines that answer as they are told."""
+
+import policy_fakes as fakes
+
+from cassiaquay_daemon.decisions import objectives, shards
+from cassiaquay_schema import messages
+
+
+class Bench:
+    """A shard under the policy, and engines that answer as they are told."""
+
+    def __init__(self, time: fakes.Time, slots: dict[str, int], **tokens: int):
+        self.time = time
+        self.shard: shards.Shard = fakes.shard(slots)
+        self.policy = fakes.policy(self.shard, objectives.NAME)
+        self.owner = fakes.Owner()
+        self.count = 0
+
+    def demand(self, **fields) -> str:
+        """Bring a demand; return its id."""
+        self.count += 1
+        found = fakes.demand(
+            fields.pop("name", f"d{self.count}"),
+            rank=fields.pop("rank", 0),
+            team=fields.pop("team", "questions"),
+            prompt_tokens=fields.pop("prompt", 600),
+            output_tokens=fields.pop("events", 20),
+            remaining_ms=fields.pop("remaining_ms", 15_000),
+        )
+        found = found._replace(first_ms=400, pause_ms=300)._replace(**fields)
+        self.shard.add(found, self.owner)
+        return found.id
+
+    def start(self, request_id: str) -> None:
+        """Let a request that was granted give its first event."""
+        server = self.owner.permits()[request_id]
+        steps = [
+            messages.Step(request_id, server, False, 0.0),
+            messages.Step(request_id, server, True, 0.0),
+        ]
+        self.shard.progress(messages.Progress(fakes.SHARD, steps[:1]))
+        self.shard.progress(messages.Progress(fakes.SHARD, steps[1:]))
+
+    def end(self, request_id: str, outcome: str = "completed") -> None:
+        """Let a request that was granted end."""
+        server = self.owner.permits()[request_id]
+        release = fakes.release(request_id, server)._replace(outcome=outcome)
+        self.policy.learn(release)
+        self.shard.drop(request_id)
+
+    def know(self, server: str, rate: float, event_seconds: float) -> None:
+        """Let the policy know a server's speed."""
+        found = self.policy._pace(server)
+        found.rate = rate
+        found.event_seconds = event_seconds
+        found.base_seconds = 0.04
+
+    def serve(self) -> None:
+        """Let the policy decide."""
+        self.policy.serve()
