Wait until nothing has been open for a while before a planned stop breaks connections

Cause: a stopping instance ended its listeners, found no request open and broke all connections at once. The listeners notice up to 0.1 s later, and a request that came on a kept connection meanwhile was cut off. Change: it leaves when no request has been open for 0.5 s, or at the end of the time. The test, in virtual time, fails before.

--- a/packages/daemon/cassiaquay_daemon/gateway/service.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/service.py
@@ -35,6 +35,9 @@
 # Time at the end of the grace time for closing what is left.
 CLOSING_SECONDS = 0.4
 POLL_SECONDS = 0.05
+# Without an open request for so long, nothing that was on its way is still to come: the
+# listeners look ten times a second whether they should end.
+SETTLE_SECONDS = 0.5
 
 
 class Shared(typing.NamedTuple):
@@ -110,8 +113,7 @@
         await asyncio.sleep(grace * LINGER_SHARE)
         for server in self._servers:
             server.should_exit = True
-        while self._front.open_count and loop.time() < ends_at:
-            await asyncio.sleep(POLL_SECONDS)
+        await self._until_settled(ends_at)
         logs.event("drained", cut_off=self._front.open_count)
         for server in self._servers:
             server.force_exit = True
@@ -120,6 +122,20 @@
                 await asyncio.gather(*self._serving, return_exceptions=True)
         await self._parts.forwarder.close()
 
+    async def _until_settled(self, ends_at: float) -> None:
+        """Return when no request has been open for a while, or the time is over.
+
+        The listeners notice a moment later that they should end, and what callers sent
+        on kept connections until then is still read: an instance that left at the first
+        moment with nothing open would cut such a request off.
+        """
+        loop = asyncio.get_running_loop()
+        busy_at = loop.time()
+        while loop.time() < min(busy_at + SETTLE_SECONDS, ends_at):
+            await asyncio.sleep(POLL_SECONDS)
+            if self._front.open_count:
+                busy_at = loop.time()
+
     def _listen(self, application: listeners.Application, address: str) -> None:
         bound = early.take(address)
         server = listeners.server(application, IDLE_SECONDS)
