--- a/packages/daemon/cassiaquay_daemon/configured/snapshots.py
+++ b/packages/daemon/cassiaquay_daemon/configured/snapshots.py
@@ -98,19 +98,59 @@
                 return server
         return None
 
+    def is_evacuated(self, server: fleet_schema.Server) -> bool:
+        """Tell whether a server's failure domain was taken out of use."""
+        return server.domain in self.fleet.evacuated
+
+    @property
+    def evacuated_names(self) -> set[str]:
+        """Names of the backend servers in evacuated failure domains."""
+        found = set()
+        for pool in self.fleet.pools.values():
+            for server in pool.servers:
+                if self.is_evacuated(server):
+                    found.add(server.name)
+        return found
+
+    def open_server(self, pool: str, name: str) -> fleet_schema.Server | None:
+        """Return a backend server by name if it may get new work."""
+        found = self.server(pool, name)
+        return None if found is None or self.is_evacuated(found) else found
+
+    def open_servers(self, pool: str) -> list[fleet_schema.Server]:
+        """Return the backend servers of a pool that may get new work."""
+        servers = self.fleet.pools[pool].servers
+        return [server for server in servers if not self.is_evacuated(server)]
+
 
 Reader = collections.abc.Callable[[int, str], Snapshot]
 readers: registry.Registry[Reader] = registry.Registry("text format")
 
 
-def with_servers(
-    snapshot: Snapshot, servers: dict[str, list[fleet_schema.Server]]
-) -> Snapshot:
-    """Return a snapshot whose pools have these servers, by name of the pool."""
+class Registered(typing.NamedTuple):
+    """What the platform tells of backend servers.
+
+    Attributes
+    ----------
+    pools : dict of str to list of Server
+        Servers by name of the pool.
+    evacuated : list of str
+        Failure domains that the operator took out of use.
+    """
+
+    pools: dict[str, list[fleet_schema.Server]]
+    evacuated: list[str]
+
+
+def with_servers(snapshot: Snapshot, registered: Registered) -> Snapshot:
+    """Return a snapshot whose pools have the servers that registered."""
     pools = {}
     for name, pool in snapshot.fleet.pools.items():
-        pools[name] = msgspec.structs.replace(pool, servers=servers.get(name, []))
-    fleet = msgspec.structs.replace(snapshot.fleet, pools=pools)
+        pools[name] = msgspec.structs.replace(
+            pool, servers=registered.pools.get(name, [])
+        )
+    evacuated = sorted({*snapshot.fleet.evacuated, *registered.evacuated})
+    fleet = msgspec.structs.replace(snapshot.fleet, pools=pools, evacuated=evacuated)
     return snapshot._replace(fleet=fleet)
 
 
--- a/packages/daemon/cassiaquay_daemon/daemon.py
+++ b/packages/daemon/cassiaquay_daemon/daemon.py
@@ -93,7 +93,7 @@
             self._incarnation,
             self._http,
             self._demands,
-            self._membership.is_leaving,
+            self._takes_no_work,
             self._better_address,
             gates.Checked(self._dependencies, self._limits),
         )
@@ -274,6 +274,7 @@
             self._membership,
             self._peers,
             self._demands,
+            self._keeper.cold,
             self._pauses,
         )
         gateway = service.assemble(self._settings, shared)
@@ -290,6 +291,13 @@
                 return one["address"]
         return ""
 
+    def _takes_no_work(self, server: str) -> bool:
+        """Tell whether a backend server leaves or is evacuated."""
+        snapshot = self._configuration.current
+        if snapshot is not None and server in snapshot.evacuated_names:
+            return True
+        return self._membership.is_leaving(server)
+
     def _mint(self) -> str:
         return self._owner.mint()
 
--- a/packages/daemon/cassiaquay_daemon/decisions/buckets.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/buckets.py
@@ -59,6 +59,16 @@
             self._level -= amount
         return wait
 
+    def level(self, flow: Flow) -> float:
+        """Return what may be spent at once."""
+        self._fill(flow)
+        return self._level
+
+    def spend(self, amount: float, flow: Flow) -> None:
+        """Spend an amount, whether it is there or not."""
+        self._fill(flow)
+        self._level -= amount
+
     def put_back(self, amount: float) -> None:
         """Take back what was spent for something that never ran."""
         self._level += amount
--- a/packages/daemon/cassiaquay_daemon/decisions/candidates.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/candidates.py
@@ -12,7 +12,7 @@
 from cassiaquay_schema import fleet, messages
 
 from .. import clock
-from . import loads, pace, shards
+from . import loads, pace, shards, slow_start
 
 # A server is left to its probes only when it fails by so much more than the median one
 # of its shard.
@@ -32,17 +32,28 @@
         What is known of its speed and health.
     usual_failing : float
         Share of requests that the median server of its shard fails.
+    ration : Ration or None
+        What it may still get while it is cold; None when it is warm.
     """
 
     server: fleet.Server
     load: loads.Load
     pace: pace.Pace
     usual_failing: float
+    ration: slow_start.Ration | None = None
+
+    @property
+    def free_slots(self) -> int:
+        """Requests that it may get now, where it may get any."""
+        free = self.server.slots - self.load.count
+        return free if self.ration is None else min(free, self.ration.turns)
 
     def has_slot(self, now: float) -> bool:
         """Tell whether one more request may go there now."""
         if self.load.count >= self.server.slots or self.pace.is_silent(now):
             return False
+        if self.ration is not None and not self.ration.turns:
+            return False
         if not self.pace.is_broken(now):
             return True
         # Where all fail alike there is no sound server to wait for: held back, callers
@@ -84,7 +95,8 @@
         usual = self._usual_failing(servers)
         for server in servers:
             load = self._shard.load(server.name)
-            found = Candidate(server, load, self.paces[server.name], usual)
+            ration = self._shard.rations.of(server.name)
+            found = Candidate(server, load, self.paces[server.name], usual, ration)
             self.open.append(found)
             if not self._shard.is_refusing(server.name):
                 self._reachable.append(found)
@@ -107,9 +119,20 @@
         count = 0
         for found in self.open:
             if found.has_slot(now):
-                count += found.server.slots - found.load.count
+                count += found.free_slots
         return count
 
+    def next_turns(self) -> list[float]:
+        """Return in how many seconds free slots of cold servers may be used."""
+        found: list[float] = []
+        for item in self.open:
+            if item.ration is None:
+                continue
+            free = item.server.slots - item.load.count
+            turns = item.ration.turn_seconds(max(free, 0))
+            found += [seconds for seconds in turns if seconds > 0.0]
+        return found
+
     def least_first_seconds(self, tokens: int) -> float:
         """Return the time to the first event of a prompt at the fastest server."""
         return min(
--- a/packages/daemon/cassiaquay_daemon/decisions/objectives.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/objectives.py
@@ -388,7 +388,7 @@
         late_at: float,
         left: float,
     ) -> choices.Choice | None:
-        server, load, known, _ = found
+        server, load, known = found.server, found.load, found.pace
         unread = load.backlog_seconds(known.rate, now) * known.rate
         unread += demand.prompt_tokens
         expected = known.expect(unread)
@@ -432,6 +432,7 @@
             needed = 1 if tokens else 2
             if load.silent(patience, now) >= needed:
                 known.doubt(now, seconds)
+                self._shard.rations.cold.doubted(server)
 
     def _pace(self, server: str) -> pace.Pace:
         found = self._shard.servers.get(server)
--- a/packages/daemon/cassiaquay_daemon/decisions/shards.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/shards.py
@@ -7,7 +7,7 @@
 from cassiaquay_schema import settings as settings_schema
 
 from .. import clock, logs
-from . import held_tiers, loads, prefixes
+from . import held_tiers, loads, prefixes, slow_start
 
 # Time for the news of a dispatch to reach the keeper after a permit's last moment.
 NEWS_SECONDS = 0.4
@@ -114,9 +114,16 @@
         Pool and number, as in ``tutor#0``.
     settings : Settings
         Lives of permits and leases, limits.
+    cold : SlowStart, optional
+        Which servers are cold.
     """
 
-    def __init__(self, name: str, settings: settings_schema.Settings):
+    def __init__(
+        self,
+        name: str,
+        settings: settings_schema.Settings,
+        cold: slow_start.SlowStart | None = None,
+    ):
         self.name = name
         self.settings = settings
         self.queue: dict[str, Waiting] = {}
@@ -131,6 +138,7 @@
         self.find_room: collections.abc.Callable[[Waiting, float], str] = _nowhere
         self.waits: collections.abc.Callable[[], list[messages.RankWait]] = list
         self.held = held_tiers.HeldTiers()
+        self.rations = slow_start.Rations(cold or slow_start.SlowStart(settings))
         self._refused: dict[str, float] = {}
         self._loads: dict[str, loads.Load] = {}
         self._observers: list[Observer] = []
@@ -155,6 +163,7 @@
         # are full already: callers would see every answer come late.
         self._unheard = {"nobody"} if owners is None else set(owners)
         self._opens_at = clock.now() + self.settings.keeper.renew_seconds * 1.5
+        self.rations.forget()
 
     @property
     def unheard(self) -> set[str]:
@@ -177,6 +186,7 @@
         now = clock.now()
         for server in demand.avoid:
             self._refused[server] = now
+            self.rations.cold.doubted(server)
         if not prefixes.consistent(demand.blocks, demand.block_count):
             # An owner of another version samples otherwise: no affinity is better
             # than a wrong one.
@@ -254,6 +264,7 @@
                 continue
             found = self.load(running.server).start(step.id, at)
             self._refused.pop(running.server, None)
+            self.rations.cold.answered(running.server)
             if found is None:
                 continue
             self.running[step.id] = self.running[step.id]._replace(
@@ -288,7 +299,8 @@
         keeper = self.settings.keeper
         # Nobody renews a permit that is not in use; without news of a dispatch the
         # capacity comes back right after the permit's end.
-        expires_at = now + keeper.permit_ms / 1000.0 + NEWS_SECONDS
+        permit_ms = self.rations.granted(server, keeper.permit_ms)
+        expires_at = now + permit_ms / 1000.0 + NEWS_SECONDS
         tokens = demand.prompt_tokens + demand.output_tokens
         running = Running(
             waiting.replier.instance,
@@ -302,7 +314,7 @@
         uncached = max(demand.prompt_tokens - cached_tokens, 0)
         self.load(server).begin(demand.id, uncached, now, expected_seconds)
         logs.detail("granted", id=demand.id, shard=self.name, rank=demand.rank)
-        permit = messages.Permit(demand.id, server, keeper.permit_ms, self.name)
+        permit = messages.Permit(demand.id, server, permit_ms, self.name)
         waiting.replier.send(permit)
 
     def shed(self, waiting: Waiting, code: str, retry_after_ms: int) -> None:
--- a/packages/daemon/cassiaquay_daemon/fleet/configuration.py
+++ b/packages/daemon/cassiaquay_daemon/fleet/configuration.py
@@ -11,7 +11,6 @@
 import xxhash
 
 from cassiaquay_schema import exceptions as schema_exceptions
-from cassiaquay_schema import fleet as fleet_schema
 from cassiaquay_schema import messages
 from cassiaquay_schema import settings as settings_schema
 
@@ -67,7 +66,7 @@
         self._newest: snapshots.Snapshot | None = None
         # The text in force as it was read, and the servers that registered since.
         self._in_force: snapshots.Snapshot | None = None
-        self._servers: dict[str, list[fleet_schema.Server]] | None = None
+        self._servers: snapshots.Registered | None = None
         self._position = NOWHERE
         self._refused: dict[Position, str] = {}
         self._before = ""
@@ -112,9 +111,9 @@
         if self._newest is not None and self._newest is not self._in_force:
             self._put_in_force(self._newest)
 
-    def use_servers(self, servers: dict[str, list[fleet_schema.Server]]) -> None:
+    def use_servers(self, registered: snapshots.Registered) -> None:
         """Take the servers of each pool from their registrations."""
-        self._servers = servers
+        self._servers = registered
         if self._in_force is not None:
             self._publish(self._in_force)
 
--- a/packages/daemon/cassiaquay_daemon/fleet/servers.py
+++ b/packages/daemon/cassiaquay_daemon/fleet/servers.py
@@ -15,6 +15,7 @@
 from cassiaquay_schema import settings as settings_schema
 
 from .. import clock, exceptions, logs, platform, rendezvous
+from ..configured import snapshots
 from ..links import peers
 from . import configuration, freshness, members, transit
 
@@ -64,6 +65,7 @@
         texts: platform.ConfigurationService,
     ):
         self.entries: dict[str, messages.ServerEntry] = {}
+        self.evacuated = platform.NOTHING_EVACUATED
         self._settings = settings
         self._links = links
         self._membership = membership
@@ -132,7 +134,10 @@
         if self._failing:
             logs.event("servers_readable", age_ms=self.age_ms)
         self._failing = False
-        self._take(found.revision, found.entries, began)
+        is_changed = self._take(found.revision, found.entries, began)
+        if self._evacuate(self._texts.evacuated) or is_changed:
+            self._publish()
+            self._tell()
         self._confirm(found.revision, began)
         return True
 
@@ -153,17 +158,35 @@
 
     def _take(
         self, revision: int, entries: list[messages.ServerEntry], read_at: float
-    ) -> None:
+    ) -> bool:
+        """Take in a list; return whether what may be used has changed."""
         if revision < self._revision:
             # Read before what another instance has told meanwhile.
-            return
+            return False
         if self._revision and read_at - self._confirmed_at > AWAY_SECONDS:
             self._back_at = read_at
         self._revision = revision
-        changed = self._merge(entries, revision)
-        if changed:
-            self._publish()
-            self._tell()
+        return self._merge(entries, revision)
+
+    def _evacuate(self, found: platform.Evacuated) -> bool:
+        """Take in what is evacuated; return whether that has changed."""
+        if found.revision < self.evacuated.revision:
+            return False
+        before = self.evacuated.domains
+        self.evacuated = found
+        if found.domains == before:
+            return False
+        logs.event(
+            "domains_evacuated",
+            domains=",".join(found.domains),
+            before=",".join(before),
+            revision=found.revision,
+        )
+        self._digest = self._digest_now()
+        return True
+
+    def _digest_now(self) -> int:
+        return _digest(self.entries, self.evacuated.domains)
 
     def _confirm(self, revision: int, read_at: float) -> None:
         if revision < self._revision:
@@ -195,7 +218,7 @@
             del self.entries[name]
             self._missing.pop(name, None)
         before = self._digest
-        self._digest = _digest(self.entries)
+        self._digest = self._digest_now()
         return self._digest != before
 
     def _publish(self) -> None:
@@ -209,6 +232,7 @@
                 domain=entry.domain,
                 slots=entry.slots,
                 started_ms=entry.started_ms,
+                cold_ms=entry.cold_ms,
             )
             pools.setdefault(entry.service, []).append(server)
         logs.event(
@@ -217,7 +241,9 @@
             usable=sum(len(servers) for servers in pools.values()),
             known=len(self.entries),
         )
-        self._configured.use_servers(pools)
+        self._configured.use_servers(
+            snapshots.Registered(pools, self.evacuated.domains)
+        )
 
     def _tell(self) -> None:
         # A server that leaves must get no new work within seconds: those who hear of
@@ -230,7 +256,13 @@
 
     def _message(self) -> messages.ServerList:
         entries = list(self.entries.values())
-        return messages.ServerList(self._revision, self.age_ms, entries)
+        return messages.ServerList(
+            self._revision,
+            self.age_ms,
+            entries,
+            self.evacuated.domains,
+            self.evacuated.revision,
+        )
 
     def _heard(self, link: peers.Link, beat: messages.Heartbeat) -> None:
         delay = self._transit.seconds(link, beat.sent_ms)
@@ -255,17 +287,22 @@
             link.send(self._message())
 
     def _list(self, link: peers.Link, found: messages.ServerList) -> None:
-        if found.revision <= self._revision:
-            return
-        self._take(found.revision, found.entries, clock.now() - found.age_ms / 1000.0)
+        is_changed = False
+        if found.revision > self._revision:
+            read_at = clock.now() - found.age_ms / 1000.0
+            is_changed = self._take(found.revision, found.entries, read_at)
+        evacuated = platform.Evacuated(found.evacuated_revision, found.evacuated)
+        if self._evacuate(evacuated) or is_changed:
+            self._publish()
+            self._tell()
 
 
-def _digest(entries: dict[str, messages.ServerEntry]) -> int:
+def _digest(entries: dict[str, messages.ServerEntry], evacuated: list[str]) -> int:
     """Return a digest of what decides about the use of servers.
 
     Their heartbeats change other fields all the time.
     """
-    lines = []
+    lines: list[object] = list(evacuated)
     for name in sorted(entries):
         entry = entries[name]
         lines.append(
@@ -276,6 +313,7 @@
                 entry.slots,
                 entry.leaving,
                 entry.started_ms,
+                entry.cold_ms > 0,
             )
         )
     return xxhash.xxh3_64_intdigest(repr(lines).encode())
--- a/packages/daemon/cassiaquay_daemon/gateway/admission.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/admission.py
@@ -1,11 +1,13 @@
 """Capacity for callers' requests: from the keeper, or alone when it is silent."""
 
 import collections
+import random
 import typing
 
 from cassiaquay_schema import fleet, messages
 
 from .. import clock, exceptions, logs
+from ..decisions import slow_start
 from ..fleet import members
 from ..keepers import demands
 from . import calls
@@ -65,11 +67,19 @@
         The way to keepers.
     membership : Membership
         How many instances share the servers.
+    cold : SlowStart
+        Which servers only keepers grant for.
     """
 
-    def __init__(self, demanded: demands.Demands, membership: members.Membership):
+    def __init__(
+        self,
+        demanded: demands.Demands,
+        membership: members.Membership,
+        cold: slow_start.SlowStart,
+    ):
         self._demands = demanded
         self._membership = membership
+        self._cold = cold
         self._out: collections.Counter[str] = collections.Counter()
 
     async def obtain(
@@ -89,7 +99,7 @@
             Servers that had it already.
         """
         demand = _demand(call, number, refused, tried)
-        if not call.snapshot.fleet.pools[call.service].servers:
+        if not call.snapshot.open_servers(call.service):
             raise exceptions.NoServers(retry_after_ms=NO_SERVERS_RETRY_MS)
         try:
             permission = await self._demands.obtain(
@@ -98,7 +108,7 @@
         except exceptions.KeeperSilent:
             return self._alone(call, demand)
         demand = demand._replace(shard=permission.shard)
-        server = call.snapshot.server(call.service, permission.server)
+        server = call.snapshot.open_server(call.service, permission.server)
         if server is None:
             self._demands.give_back(demand)
             raise exceptions.NotSent("the server is not in force here")
@@ -149,10 +159,17 @@
         # of each server, so that all of them together do not overfill it.
         live = max(len(self._membership.serving()), 1)
         best: fleet.Server | None = None
-        for server in call.snapshot.fleet.pools[call.service].servers:
+        servers = call.snapshot.open_servers(call.service)
+        # Instances that lose a keeper do so together: in the same order, all of them
+        # would send to the same server.
+        random.shuffle(servers)
+        for server in servers:
             share = max(server.slots // live, 1)
             if server.name in demand.avoid or server.name in demand.tried:
                 continue
+            # What other instances send to it is not known here.
+            if self._cold.is_cold(server.name):
+                continue
             if self._out[server.name] >= share:
                 continue
             if best is None or self._out[server.name] < self._out[best.name]:
--- a/packages/daemon/cassiaquay_daemon/gateway/service.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/service.py
@@ -9,7 +9,7 @@
 from cassiaquay_schema import settings as settings_schema
 
 from .. import early, listeners, logs, pause
-from ..decisions import budgets
+from ..decisions import budgets, slow_start
 from ..fleet import configuration, members, servers
 from ..keepers import demands, quotas
 from ..links import peers
@@ -48,6 +48,7 @@
     membership: members.Membership
     links: peers.Peers
     demanded: demands.Demands
+    cold: slow_start.SlowStart
     pauses: pause.Pauses
 
 
@@ -147,7 +148,7 @@
     """Return a gateway, put together from the parts of a daemon."""
     parts = serving.Parts(
         shared.configured,
-        admission.Admission(shared.demanded, shared.membership),
+        admission.Admission(shared.demanded, shared.membership, shared.cold),
         forwarding.Forwarder(connections.session()),
         budgets.RetryBudget(settings, shared.membership.fleet_size),
         quotas.Quotas(settings, shared.links, shared.membership, shared.configured),
--- a/packages/daemon/cassiaquay_daemon/gateway/serving.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/serving.py
@@ -251,8 +251,8 @@
         snapshot = self._parts.configured.current
         if snapshot is None or snapshot.routes is None:
             raise exceptions.NotSent("no configuration")
-        if snapshot.server(call.service, ticket.server.name) is None:
-            raise exceptions.NotSent("the server has left")
+        if snapshot.open_server(call.service, ticket.server.name) is None:
+            raise exceptions.NotSent("the server has left or is evacuated")
         if snapshot is call.snapshot or _is_allowed(call, snapshot.routes):
             return
         raise exceptions.NotReady(
--- a/packages/daemon/cassiaquay_daemon/keepers/keeper.py
+++ b/packages/daemon/cassiaquay_daemon/keepers/keeper.py
@@ -13,7 +13,7 @@
 
 from .. import clock, logs, pause
 from ..configured import snapshots
-from ..decisions import objectives, policies, shards, tiered
+from ..decisions import objectives, policies, shards, slow_start, tiered
 from ..fleet import configuration, members
 from ..links import peers
 from . import baselines, floors, rooms, siblings
@@ -62,6 +62,7 @@
         self.shards: dict[str, shards.Shard] = {}
         # Engines that are about to be loaded or do not have their model yet.
         self.draining: set[str] = set()
+        self.cold = slow_start.SlowStart(settings)
         self._settings = settings
         self._membership = membership
         self._configured = configured
@@ -254,8 +255,9 @@
         snapshot = self._configured.current
         if snapshot is None or not snapshot.shard_servers(name):
             return None
-        shard = shards.Shard(name, self._settings)
+        shard = shards.Shard(name, self._settings, self.cold)
         shard.close(self._owners())
+        shard.rations.heard = self._heard
         shard.may_shed = functools.partial(self._floors.ready, name)
         shard.find_room = functools.partial(self._rooms.move, name)
         self.shards[name] = shard
@@ -281,7 +283,15 @@
     def _members_changed(self) -> None:
         self._changed_at = clock.now()
 
+    def _heard(self) -> float:
+        """Return the part of the fleet's instances that this one hears."""
+        alive = len(self._membership.alive())
+        return min(alive / self._membership.fleet_size(), 1.0)
+
     def _refresh(self) -> None:
+        snapshot = self._configured.current
+        if snapshot is not None:
+            self.cold.update(snapshot.fleet)
         for shard in self.shards.values():
             self._update(shard)
 
@@ -303,10 +313,12 @@
             tier.rank: tier.margin for tier in snapshot.fleet.tiers.values()
         }
         shard.gone = self.draining.intersection(shard.servers)
-        for name in shard.servers:
+        for name, server in shard.servers.items():
             line = self._membership.listed.get(name)
             if line is not None and line.leaving:
                 shard.gone.add(name)
+            if snapshot.is_evacuated(server):
+                shard.gone.add(name)
 
     def _serve(self, name: str) -> None:
         self._wake()
--- a/packages/daemon/cassiaquay_daemon/operators/keeper_view.py
+++ b/packages/daemon/cassiaquay_daemon/operators/keeper_view.py
@@ -24,8 +24,10 @@
     higher, same = _ahead(shard, demand)
     weighed = _weighed(parts, shard, demand)
     verdicts = []
-    for name in sorted(shard.servers):
-        verdicts.append(_verdict(shard, name, weighed.get(name)))
+    snapshot = parts.configured.current
+    for name, item in sorted(shard.servers.items()):
+        is_evacuated = snapshot is not None and snapshot.is_evacuated(item)
+        verdicts.append(_verdict(shard, name, weighed.get(name), is_evacuated))
     running = shard.running.get(demand.id)
     server = running.server if running is not None else _best(verdicts)
     state = "new"
@@ -70,16 +72,23 @@
 
 
 def _verdict(
-    shard: shards.Shard, name: str, weighed: policies.Weighed | None
+    shard: shards.Shard,
+    name: str,
+    weighed: policies.Weighed | None,
+    is_evacuated: bool,
 ) -> bodies.ServerVerdict:
     server = shard.servers[name]
     count = shard.count_on(name)
     limit = weighed.limit_tokens if weighed else server.max_tokens_in_flight or 0
     verdict = "fits"
-    if name in shard.gone:
+    if is_evacuated:
+        verdict = "evacuated: gets no new work"
+    elif name in shard.gone:
         verdict = "leaving: gets no new work"
     elif count >= server.slots:
         verdict = "all slots taken"
+    elif not shard.rations.has_turn(name):
+        verdict = "cold: gets more in a moment"
     elif weighed is not None and not weighed.fits:
         verdict = "full: unread prompts or tokens in flight"
     return bodies.ServerVerdict(
--- a/packages/daemon/cassiaquay_daemon/operators/metrics.py
+++ b/packages/daemon/cassiaquay_daemon/operators/metrics.py
@@ -142,6 +142,24 @@
     ("server",),
     "Tokens that this keeper takes to be in flight on a backend server.",
 )
+COLD_SERVERS = Family(
+    "cassiaquay_cold_servers",
+    "gauge",
+    (),
+    "Backend servers that this instance takes for cold: slow start limits them.",
+)
+COLD_GRANTS = Family(
+    "cassiaquay_keeper_cold_grants_total",
+    "counter",
+    ("shard",),
+    "Permits of this keeper for cold backend servers.",
+)
+EVACUATED = Family(
+    "cassiaquay_evacuated_domains",
+    "gauge",
+    (),
+    "Failure domains whose backend servers get no new work.",
+)
 REVISION = Family(
     "cassiaquay_configuration_revision",
     "gauge",
@@ -202,6 +220,9 @@
     QUEUE,
     PERMITS,
     SERVER_TOKENS,
+    COLD_SERVERS,
+    COLD_GRANTS,
+    EVACUATED,
     REVISION,
     REJECTED,
     MEMBERS,
--- a/packages/daemon/cassiaquay_daemon/operators/reports.py
+++ b/packages/daemon/cassiaquay_daemon/operators/reports.py
@@ -216,10 +216,22 @@
                 tokens.setdefault((server,), 0)
             for item in shard.running.values():
                 tokens[(item.server,)] = tokens.get((item.server,), 0) + item.tokens
+        self._read_cold()
         self.metrics.replace(metrics.QUEUE, queued)
         self.metrics.replace(metrics.PERMITS, running)
         self.metrics.replace(metrics.SERVER_TOKENS, tokens)
 
+    def _read_cold(self) -> None:
+        kept = self._parts.kept
+        granted: dict[metrics.Key, float] = {}
+        for name, shard in kept.shards.items():
+            granted[(name,)] = shard.rations.granted_count
+        self.metrics.replace(metrics.COLD_GRANTS, granted)
+        self.metrics.replace(metrics.COLD_SERVERS, {(): len(kept.cold.cold_servers())})
+        snapshot = self._parts.configured.current
+        evacuated = len(snapshot.fleet.evacuated) if snapshot is not None else 0
+        self.metrics.replace(metrics.EVACUATED, {(): evacuated})
+
     def _tier(self, demand: messages.Demand) -> str:
         snapshot = self._parts.configured.current
         if snapshot is not None:
--- a/packages/daemon/cassiaquay_daemon/operators/views.py
+++ b/packages/daemon/cassiaquay_daemon/operators/views.py
@@ -3,7 +3,7 @@
 import collections
 import typing
 
-from cassiaquay_schema import bodies
+from cassiaquay_schema import bodies, fleet
 from cassiaquay_schema import settings as settings_schema
 
 from ..decisions import shards
@@ -91,11 +91,11 @@
         return None
     # Keepers begin a shard with its first demand; until then there is nothing to show
     # but its servers. This one is not kept.
-    shard = shards.Shard(name, settings)
+    shard = shards.Shard(name, settings, parts.kept.cold)
     shard.servers = {server.name: server for server in servers}
     for server in servers:
         line = parts.membership.listed.get(server.name)
-        if line is not None and line.leaving:
+        if snapshot.is_evacuated(server) or (line is not None and line.leaving):
             shard.gone.add(server.name)
     return shard
 
@@ -110,7 +110,6 @@
         if shard is None or kept["keeper"] != settings.instance:
             continue
         for server in shard.servers.values():
-            leaving = server.name in shard.gone
             found.append(
                 ServerView(
                     server=server.name,
@@ -119,7 +118,7 @@
                     model=server.model,
                     role=server.role,
                     shard=shard.name,
-                    state="leaving" if leaving else "open",
+                    state=_state(parts, shard, server),
                     requests=shard.count_on(server.name),
                     slots=server.slots,
                     tokens=shard.tokens_on(server.name),
@@ -128,6 +127,19 @@
     return found
 
 
+def _state(parts: reports.Parts, shard: shards.Shard, server: fleet.Server) -> str:
+    """Return in one word whether a server gets new work, with how long it is cold."""
+    snapshot = parts.configured.current
+    if snapshot is not None and snapshot.is_evacuated(server):
+        return "evacuated"
+    if server.name in shard.gone:
+        return "leaving"
+    cold = shard.rations.cold
+    if cold.is_cold(server.name):
+        return f"cold, {cold.seconds_left(server.name):.1f} s left"
+    return "open"
+
+
 def queues(
     parts: reports.Parts, viewer: viewers.Viewer, tiers: dict[int, str], now: float
 ) -> bodies.Queues:
--- a/packages/daemon/cassiaquay_daemon/platform/__init__.py
+++ b/packages/daemon/cassiaquay_daemon/platform/__init__.py
@@ -46,8 +46,26 @@
     leaving: bool
 
 
+class Evacuated(typing.NamedTuple):
+    """Failure domains that the operator took out of use, at a revision."""
+
+    revision: int
+    domains: list[str]
+
+
+NOTHING_EVACUATED = Evacuated(0, [])
+
+
 class ConfigurationService(typing.Protocol):
-    """How the configuration is read."""
+    """How the configuration is read.
+
+    Attributes
+    ----------
+    evacuated : Evacuated
+        As found by the last read; where the text itself says it, nothing.
+    """
+
+    evacuated: Evacuated
 
     def __init__(self, http: aiohttp.ClientSession, address: str): ...
 
@@ -126,6 +144,7 @@
     """The configuration service over HTTP with a long poll."""
 
     def __init__(self, http: aiohttp.ClientSession, address: str):
+        self.evacuated = NOTHING_EVACUATED
         self._http = http
         self._url = f"http://{address}/v1/config"
 
--- a/packages/daemon/cassiaquay_daemon/platform/documents.py
+++ b/packages/daemon/cassiaquay_daemon/platform/documents.py
@@ -50,6 +50,9 @@
     name: str
     # Present where the servers are model engines.
     engine: _Engine | None = None
+    # How long a server is cold after its start, and what it bears meanwhile.
+    cold_start_s: float = 0.0
+    cold_per_s: float = 0.0
 
 
 class _Limits(msgspec.Struct, rename="kebab"):
@@ -187,6 +190,10 @@
     services = {}
     for item in document.services:
         # Servers register by themselves and join the pool as they are read.
-        pools[item.name] = fleet_schema.Pool(servers=[])
+        pools[item.name] = fleet_schema.Pool(
+            servers=[],
+            cold_seconds=max(item.cold_start_s, 0.0),
+            cold_requests_per_second=max(item.cold_per_s, 0.0),
+        )
         services[item.name] = fleet_schema.Service(pool=item.name)
     return fleet_schema.Fleet(tiers=tiers, teams=teams, pools=pools, services=services)
--- a/packages/daemon/cassiaquay_daemon/platform/entries.py
+++ b/packages/daemon/cassiaquay_daemon/platform/entries.py
@@ -22,6 +22,8 @@
     slots: int = 1
     # Unix milliseconds of the start of this process under its id.
     born: int = 0
+    # How much longer it bears only a few requests after its start.
+    cold_left_ms: float = msgspec.field(name="cold-left-ms", default=0.0)
 
 
 def decode(name: str, value: bytes, revision: int) -> messages.ServerEntry | None:
@@ -50,6 +52,7 @@
         entry.state == DRAINING,
         entry.born,
         revision,
+        max(int(entry.cold_left_ms), 0),
     )
 
 
--- a/packages/daemon/cassiaquay_daemon/platform/store.py
+++ b/packages/daemon/cassiaquay_daemon/platform/store.py
@@ -17,7 +17,11 @@
 from .. import exceptions, platform
 from . import entries
 
+# All that the operator writes: the configuration, and a key for each zone that is
+# evacuated. One read by this prefix has both.
+OPERATOR_PREFIX = "op/"
 CONFIGURATION_KEY = "op/config"
+EVACUATED_PREFIX = "op/evacuate/"
 SERVERS_PREFIX = "servers/"
 ITEM_PATH = "/cassiaquay/kv-key"
 RANGE_PATH = "/cassiaquay/kv-range"
@@ -151,6 +155,7 @@
     """The configuration as one key of the store."""
 
     def __init__(self, http: aiohttp.ClientSession, address: str):
+        self.evacuated = platform.NOTHING_EVACUATED
         self._store = Store(http, address)
         self._after = 0
 
@@ -163,7 +168,7 @@
             seen = await self._store.changed(CONFIGURATION_KEY, revision, wait)
             if seen == revision:
                 return None
-        item = await self._store.item(CONFIGURATION_KEY)
+        item = await self._read()
         if item is None:
             return None
         self._after = max(self._after, item.revision)
@@ -174,6 +179,19 @@
         except UnicodeDecodeError as error:
             raise exceptions.PlatformError(f"configuration: {error}") from error
 
+    async def _read(self) -> Item | None:
+        """Return the configuration's item, and keep what is evacuated."""
+        found = await self._store.items(OPERATOR_PREFIX)
+        domains = []
+        configuration = None
+        for item in found.items:
+            if item.key == CONFIGURATION_KEY:
+                configuration = item
+            elif item.key.startswith(EVACUATED_PREFIX):
+                domains.append(item.key.removeprefix(EVACUATED_PREFIX))
+        self.evacuated = platform.Evacuated(found.revision, sorted(domains))
+        return configuration
+
 
 @platform.server_stores.register("store")
 class ServersStore:
--- a/packages/dev/cassiaquay_dev/sizing/light.py
+++ b/packages/dev/cassiaquay_dev/sizing/light.py
@@ -21,6 +21,7 @@
     """Stands for the configuration service."""
 
     def __init__(self) -> None:
+        self.evacuated = platform.NOTHING_EVACUATED
         self.calls = 0
         self.down = False
         self.revision = 0
--- a/packages/schema/cassiaquay_schema/fleet.py
+++ b/packages/schema/cassiaquay_schema/fleet.py
@@ -87,6 +87,8 @@
         Upper bound of the learned limit.
     started_ms : int
         Unix millisecond of its start; 0 where it is not known.
+    cold_ms : int
+        Time that it stays cold, as it said itself; 0 when warm.
     """
 
     name: typing.Annotated[str, msgspec.Meta(min_length=1)]
@@ -97,6 +99,7 @@
     slots: typing.Annotated[int, msgspec.Meta(ge=1)] = 8
     max_tokens_in_flight: typing.Annotated[int, msgspec.Meta(ge=1)] | None = None
     started_ms: typing.Annotated[int, msgspec.Meta(ge=0)] = 0
+    cold_ms: typing.Annotated[int, msgspec.Meta(ge=0)] = 0
 
 
 class Pool(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
@@ -108,10 +111,16 @@
         Protocol of its servers.
     servers : list[Server]
         Its servers.
+    cold_seconds : float
+        Slow start: time for which a started server is cold; 0 turns slow start off.
+    cold_requests_per_second : float
+        Requests a second that a cold server bears, from the whole fleet.
     """
 
     adapter: str = "engine-http"
     servers: typing.Annotated[list[Server], msgspec.Meta(min_length=1)]
+    cold_seconds: typing.Annotated[float, msgspec.Meta(ge=0)] = 0.0
+    cold_requests_per_second: typing.Annotated[float, msgspec.Meta(ge=0)] = 0.0
 
 
 class Objective(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
@@ -183,6 +192,8 @@
         Pools by name.
     services : dict[str, Service]
         Services by name.
+    evacuated : list[str]
+        Failure domains whose backend servers get no new work.
     """
 
     tiers: typing.Annotated[dict[str, Tier], msgspec.Meta(min_length=1)]
@@ -190,3 +201,4 @@
     models: dict[str, Model] = msgspec.field(default_factory=dict)
     pools: typing.Annotated[dict[str, Pool], msgspec.Meta(min_length=1)]
     services: typing.Annotated[dict[str, Service], msgspec.Meta(min_length=1)]
+    evacuated: list[str] = msgspec.field(default_factory=list)
--- a/packages/schema/cassiaquay_schema/messages.py
+++ b/packages/schema/cassiaquay_schema/messages.py
@@ -747,6 +747,8 @@
         Unix millisecond of its start; 0 where it does not say.
     revision : int
         Revision of the entry.
+    cold_ms : int
+        Time that it stays cold, when the entry was written; 0 when warm.
     """
 
     name: str
@@ -757,6 +759,7 @@
     leaving: bool
     started_ms: int
     revision: int
+    cold_ms: int = 0
 
 
 class ServerList(typing.NamedTuple):
@@ -770,11 +773,17 @@
         Time since the read.
     entries : list[ServerEntry]
         The servers.
+    evacuated : list[str]
+        Failure domains whose servers get no new work.
+    evacuated_revision : int
+        Revision of the platform at which those were read.
     """
 
     revision: int
     age_ms: int
     entries: list[ServerEntry]
+    evacuated: list[str] = []
+    evacuated_revision: int = 0
 
 
 class ServerListQuery(typing.NamedTuple):
--- a/packages/schema/cassiaquay_schema/settings.py
+++ b/packages/schema/cassiaquay_schema/settings.py
@@ -128,6 +128,10 @@
         Registered policy that orders and places demands.
     start_tokens : int
         Tokens in flight allowed on an engine not yet known.
+    cold_excess : float
+        Times its rate that a cold server may get in a second.
+    cold_slack : float
+        Requests that it may get in a second besides.
     """
 
     permit_ms: typing.Annotated[int, msgspec.Meta(ge=50)] = 1500
@@ -136,6 +140,8 @@
     max_queue: typing.Annotated[int, msgspec.Meta(ge=1)] = 4000
     policy: str = "tiered"
     start_tokens: typing.Annotated[int, msgspec.Meta(ge=1)] = 8000
+    cold_excess: typing.Annotated[float, msgspec.Meta(gt=0)] = 1.0
+    cold_slack: typing.Annotated[float, msgspec.Meta(ge=0)] = 2.0
 
 
 class Orders(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -58,7 +58,7 @@
         self.configured = Configured()
         local = keeper.Keeper(settings, self.links, self.members, self.configured)
         self.demands = demands.Demands(settings, self.links, self.members, local)
-        self.admission = admission.Admission(self.demands, self.members)
+        self.admission = admission.Admission(self.demands, self.members, local.cold)
         # Renewals run all the time in a daemon; without them every permit is late.
         self.renewing: asyncio.Task[None] | None = None
 
@@ -194,9 +194,40 @@
     _run(work)
 
 
+def test_without_a_keeper_no_cold_server_gets_work() -> None:
+    """Each instance would send to it by itself, and all of them together too much."""
+
+    async def work(site: Site) -> None:
+        site.admission._cold = mock.Mock(is_cold=lambda name: name == "i-1")
+        tickets = [await site.obtain(number) for number in (1, 2, 3, 4)]
+        assert {ticket.server.name for ticket in tickets} == {"i-2"}
+        site.admission._cold.is_cold = lambda name: True
+        with pytest.raises(exceptions.Shed):
+            await site.obtain(5)
+
+    _run(work)
+
+
+def test_instances_that_lose_their_keeper_do_not_all_send_to_one_server() -> None:
+    """Hundreds of instances lose it at the same moment and know the same servers."""
+
+    async def work(site: Site) -> None:
+        used = set()
+        for _ in range(3):
+            other = Site()
+            asking = [other.obtain(number) for number in range(6)]
+            for ticket in await asyncio.gather(*asking):
+                used.add(ticket.server.name)
+        assert used == {"i-1", "i-2"}
+
+    _run(work)
+
+
 def test_a_service_without_servers_is_refused_at_once() -> None:
     async def work(site: Site) -> None:
-        empty = snapshots.with_servers(site.configured.current, {})
+        empty = snapshots.with_servers(
+            site.configured.current, snapshots.Registered({}, [])
+        )
         site.configured.current = empty
         with pytest.raises(exceptions.NoServers) as refused:
             await site.obtain(1)
--- /dev/null
+++ b/tests/test_evacuation.py
@@ -0,0 +1,127 @@
+"""Failure domains that the operator takes out of use, seen by callers and servers."""
+
+import asyncio
+
+import gateway_fakes as fakes
+
+from cassiaquay_daemon.platform import store
+from cassiaquay_dev.standins import platform_standins as standins
+from cassiaquay_dev.standins import raw_servers
+
+EVACUATION = "op/evacuate/b"
+
+
+def _split(site: fakes.Site) -> tuple[standins.Engine, standins.Engine]:
+    """Put the second engine into another failure domain."""
+    site.enlist(site.engines[1], zone="b")
+    return site.engines[0], site.engines[1]
+
+
+async def _until(site: fakes.Site, evacuated: list[str]) -> None:
+    for made in site.daemons:
+        while made._configuration.current.fleet.evacuated != evacuated:
+            await asyncio.sleep(0.02)
+
+
+def test_an_evacuated_domain_gets_nothing_until_it_is_taken_back() -> None:
+    async def work(site: fakes.Site) -> None:
+        stays, leaves = _split(site)
+        site.store.put(EVACUATION, {})
+        await _until(site, ["b"])
+        before = len(leaves.requests)
+        for _ in range(12):
+            assert (await site.ask("/safe/x")).status == 200
+        assert len(leaves.requests) == before
+        assert len(stays.requests) >= 12
+        site.store.remove(EVACUATION)
+        await _until(site, [])
+        answers = await asyncio.gather(*(site.ask("/safe/x") for _ in range(30)))
+        assert {got.status for got in answers} <= {200, 503}
+        assert len(leaves.requests) > before
+
+    fakes.run(work)
+
+
+def test_what_runs_in_an_evacuated_domain_ends_in_peace() -> None:
+    """A stream that was begun before the evacuation is not cut off by it."""
+    going_on = asyncio.Event()
+
+    async def slowly(request: raw_servers.Request, writer: raw_servers.Writer) -> None:
+        await standins.begin(request, writer)
+        await standins.pieces(request, writer, 2)
+        await going_on.wait()
+        await raw_servers_rest(writer)
+
+    async def raw_servers_rest(writer: raw_servers.Writer) -> None:
+        for number in range(2, standins.PIECES):
+            event = b"id: %d\ndata: piece %d\n\n" % (number, number)
+            writer.write(b"%x\r\n%b\r\n" % (len(event), event))
+        writer.write(b"0\r\n\r\n")
+        await writer.drain()
+
+    async def work(site: fakes.Site) -> None:
+        for engine in site.engines:
+            engine.act = slowly
+        asking = asyncio.create_task(site.ask("/string/x"))
+        while not any(engine.requests for engine in site.engines):
+            await asyncio.sleep(0.02)
+        site.store.put("op/evacuate/a", {})
+        await _until(site, ["a"])
+        going_on.set()
+        got = await asking
+        assert (got.status, got.complete) == (200, True)
+        assert got.body == standins.stream()
+
+    fakes.run(work)
+
+
+def test_with_all_domains_evacuated_callers_are_refused_at_once() -> None:
+    """The refusal says "not run", and when to come back."""
+
+    async def work(site: fakes.Site) -> None:
+        site.store.put("op/evacuate/a", {})
+        await _until(site, ["a"])
+        got = await asyncio.wait_for(site.ask("/book/x"), 1.0)
+        assert got.status == 503
+        assert float(got.headers["retry-after"]) > 0.0
+        assert not any(engine.requests for engine in site.engines)
+
+    fakes.run(work)
+
+
+def test_a_daemon_that_starts_during_an_evacuation_knows_of_it() -> None:
+    """All daemons are replaced while a domain is evacuated and the store is slow."""
+
+    async def work(site: fakes.Site) -> None:
+        _, leaves = _split(site)
+        site.store.put(EVACUATION, {})
+        await _until(site, ["b"])
+        before = len(leaves.requests)
+        peer = site.settings[0].peer_listen.rpartition(":")[0]
+        await site.add("cq-9", f"{peer}:0", [site.settings[0].peer_listen])
+        await site.until_ready(site.settings[-1])
+        site.settings.reverse()
+        for _ in range(12):
+            assert (await site.ask("/safe/x")).status == 200
+        assert len(leaves.requests) == before
+
+    fakes.run(work)
+
+
+def test_an_evacuation_is_heard_by_a_daemon_that_cannot_read_the_store() -> None:
+    """The store turns one instance away; the other one tells it."""
+
+    async def work(site: fakes.Site) -> None:
+        _, leaves = _split(site)
+        await asyncio.sleep(0.3)
+        deaf = site.daemons[1]._servers
+        deaf._store = store.ServersStore(site.http, "127.0.0.1:9")
+        site.store.put(EVACUATION, {})
+        await _until(site, ["b"])
+        site.settings.reverse()
+        before = len(leaves.requests)
+        for _ in range(12):
+            await site.ask("/safe/x")
+        assert len(leaves.requests) == before
+
+    fakes.run(work, count=2)
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -6,6 +6,7 @@
 import pytest
 
 from cassiaquay_daemon import exceptions, platform
+from cassiaquay_daemon.configured import snapshots
 from cassiaquay_daemon.fleet import configuration, freshness, servers
 from cassiaquay_schema import messages
 
@@ -40,15 +41,17 @@
 
     def __init__(self) -> None:
         self.pools: dict = {}
+        self.evacuated: list[str] = []
         self.revision = 0
 
     def wants(self, position: configuration.Position) -> bool:
         """Want what is newer."""
         return position.revision > self.revision
 
-    def use_servers(self, pools: dict) -> None:
+    def use_servers(self, registered: snapshots.Registered) -> None:
         """Keep the servers."""
-        self.pools = pools
+        self.pools = registered.pools
+        self.evacuated = registered.evacuated
 
     async def read_once(self, texts: object) -> None:
         """Read nothing."""
@@ -59,6 +62,13 @@
         return {server.name for pool in self.pools.values() for server in pool}
 
 
+class Texts:
+    """The configuration service, and what the operator has evacuated."""
+
+    def __init__(self) -> None:
+        self.evacuated = platform.NOTHING_EVACUATED
+
+
 class Members(fakes.Membership):
     """Members that hear each other."""
 
@@ -96,6 +106,7 @@
 
     def __init__(self, *entries: messages.ServerEntry):
         self.store = Store(*entries)
+        self.texts = Texts()
         self.configured = Configured()
         self.members = Members("cq-1", "cq-2")
         self.links = Links(self.members)
@@ -105,7 +116,7 @@
             self.members,
             self.configured,
             self.store,
-            None,
+            self.texts,
         )
 
     def read(self) -> bool:
@@ -305,3 +316,59 @@
     assert site.list.age == pytest.approx(2.1, abs=0.01)
     hear(time.now - 0.002)
     assert site.list.age == pytest.approx(0.1, abs=0.01)
+
+
+def _evacuate(site: Site, revision: int, *domains: str) -> None:
+    site.texts.evacuated = platform.Evacuated(revision, list(domains))
+
+
+def test_an_evacuation_is_in_force_with_the_list_that_names_it(time) -> None:
+    """A daemon that starts during one must know of it before its first request."""
+    site = Site(_entry("i-1"), _entry("i-2", domain="b"))
+    _evacuate(site, 11, "b")
+    site.read()
+    assert site.configured.evacuated == ["b"]
+    assert site.configured.names == {"i-1", "i-2"}
+
+
+def test_an_evacuation_reaches_instances_that_cannot_read_the_store(time) -> None:
+    site = Site(_entry("i-1"))
+    site.read()
+    site.store.down = True
+    news = messages.ServerList(12, 0, [_entry("i-1")], ["a"], 13)
+    site.links.handlers[messages.ServerList](site.members.owners["cq-2"], news)
+    assert site.configured.evacuated == ["a"]
+    told = site.members.owners["cq-2"].sent[-1]
+    assert told.evacuated == ["a"]
+    assert told.evacuated_revision == 13
+
+
+def test_an_older_list_does_not_take_an_evacuation_back(time) -> None:
+    """The reader of a slow store ends after another one that has seen the change."""
+    site = Site(_entry("i-1"))
+    _evacuate(site, 20, "a")
+    site.read()
+    _evacuate(site, 15)
+    site.read()
+    assert site.configured.evacuated == ["a"]
+    old = messages.ServerList(site.list.revision + 1, 0, [_entry("i-1")], [], 19)
+    site.links.handlers[messages.ServerList](site.members.owners["cq-2"], old)
+    assert site.configured.evacuated == ["a"]
+
+
+def test_evacuations_overlap_and_end_each_by_itself(time) -> None:
+    site = Site(_entry("i-1"), _entry("i-2", domain="b"))
+    for revision, domains in ((20, "a"), (21, "ab"), (22, "b"), (23, "")):
+        _evacuate(site, revision, *domains)
+        site.read()
+        assert site.configured.evacuated == list(domains)
+
+
+def test_an_evacuation_alone_changes_the_digest(time) -> None:
+    """A neighbour is asked for its list only where the digests differ."""
+    site = Site(_entry("i-1"))
+    site.read()
+    before = site.list.state.digest
+    _evacuate(site, 20, "a")
+    site.read()
+    assert site.list.state.digest != before
--- /dev/null
+++ b/tests/test_slow_start.py
@@ -0,0 +1,262 @@
+"""Slow start: what cold servers get, whoever grants and whatever is known of them."""
+
+import collections
+
+import hypothesis
+import objectives_fakes
+import policy_fakes as fakes
+import pytest
+from hypothesis import strategies
+
+from cassiaquay_daemon.decisions import shards, slow_start
+from cassiaquay_schema import fleet, messages
+
+COLD_SECONDS = 3.0
+RATE = 12.0
+EXCESS = 1.5
+SLACK = 5.0
+BOUND = RATE * EXCESS + SLACK
+SERVERS = ("e1", "e2")
+
+
+@pytest.fixture(name="time")
+def _time():
+    with fakes.Time().used() as time:
+        yield time
+
+
+def _fleet(evacuated: tuple[str, ...] = (), **servers: fleet.Server) -> fleet.Fleet:
+    pool = fleet.Pool(
+        servers=list(servers.values()),
+        cold_seconds=COLD_SECONDS,
+        cold_requests_per_second=RATE,
+    )
+    return fleet.Fleet(
+        tiers={"t": fleet.Tier(rank=0)},
+        teams={"q": fleet.Team(credentials=["0"], tiers=["t"])},
+        pools={"engines": pool},
+        services={"s": fleet.Service(pool="engines")},
+        evacuated=list(evacuated),
+    )
+
+
+def _server(name: str, **fields) -> fleet.Server:
+    found = {"started_ms": 1, "domain": "derby", "slots": 8, **fields}
+    return fleet.Server(name=name, address="h:1", **found)
+
+
+def _cold() -> slow_start.SlowStart:
+    settings = fakes.settings(cold_excess=EXCESS, cold_slack=SLACK)
+    return slow_start.SlowStart(settings)
+
+
+def test_servers_that_were_there_before_the_instance_are_warm(time) -> None:
+    """An instance that restarts must not ration a fleet that has run for hours."""
+    cold = _cold()
+    cold.update(_fleet(e1=_server("e1")))
+    assert not cold.is_cold("e1")
+
+
+@pytest.mark.parametrize("fields", [{"started_ms": 2}, {"cold_ms": 3000}])
+def test_a_server_is_cold_after_a_start_and_when_it_says_so(time, fields) -> None:
+    cold = _cold()
+    cold.update(_fleet(e1=_server("e1"), e2=_server("e2")))
+    cold.update(_fleet(e1=_server("e1", **fields), e2=_server("e2")))
+    assert cold.cold_servers() == ["e1"]
+    time.now += COLD_SECONDS - 0.01
+    assert cold.is_cold("e1")
+    time.now += 0.02
+    assert not cold.is_cold("e1")
+
+
+def test_a_new_server_is_cold(time) -> None:
+    cold = _cold()
+    cold.update(_fleet(e1=_server("e1")))
+    cold.update(_fleet(e1=_server("e1"), e2=_server("e2")))
+    assert cold.cold_servers() == ["e2"]
+
+
+def test_an_unchanged_report_does_not_make_a_server_cold_for_longer(time) -> None:
+    """A stale entry that says cold for ever would ration its server for ever."""
+    cold = _cold()
+    cold.update(_fleet(e1=_server("e1", cold_ms=2000)))
+    time.now += 1.5
+    cold.update(_fleet(e1=_server("e1", cold_ms=2000)))
+    time.now += 0.6
+    assert not cold.is_cold("e1")
+
+
+def test_an_evacuated_domain_comes_back_cold(time) -> None:
+    """Its servers stood idle; their own report of being cold comes seconds later."""
+    cold = _cold()
+    cold.update(_fleet(e1=_server("e1"), e2=_server("e2", domain="leek")))
+    cold.update(_fleet(("leek",), e1=_server("e1"), e2=_server("e2", domain="leek")))
+    assert not cold.is_cold("e2")
+    cold.update(_fleet(e1=_server("e1"), e2=_server("e2", domain="leek")))
+    assert cold.cold_servers() == ["e2"]
+    time.now += COLD_SECONDS + slow_start.REPORT_SECONDS + 0.01
+    assert not cold.is_cold("e2")
+
+
+def test_a_server_that_refused_is_cold_until_well_after_it_answers(time) -> None:
+    """A server that crashed serves again seconds before the list shows its start."""
+    cold = _cold()
+    cold.update(_fleet(e1=_server("e1")))
+    cold.doubted("e1")
+    time.now += 60.0
+    assert cold.is_cold("e1")
+    cold.answered("e1")
+    time.now += COLD_SECONDS - 0.01
+    assert cold.is_cold("e1")
+    time.now += 0.02
+    assert not cold.is_cold("e1")
+
+
+def test_a_pool_without_slow_start_has_no_cold_servers(time) -> None:
+    cold = _cold()
+    pool = fleet.Pool(servers=[_server("e1")])
+    text = _fleet()
+    text.pools["engines"] = pool
+    cold.update(text)
+    cold.doubted("e1")
+    pool.servers[0] = _server("e1", started_ms=2, cold_ms=9)
+    cold.update(text)
+    assert not cold.cold_servers()
+
+
+class Site(objectives_fakes.Bench):
+    """A shard with one cold server and one warm one."""
+
+    def __init__(self, time: fakes.Time, slots: tuple[int, int] = (8, 8)):
+        super().__init__(time, dict(zip(SERVERS, slots, strict=True)))
+        self.cold = _cold()
+        self.cold.update(_fleet(e1=_server("e1"), e2=_server("e2")))
+        self.cold.update(_fleet(e1=_server("e1", started_ms=2), e2=_server("e2")))
+        self.shard.rations = slow_start.Rations(self.cold)
+        for name in SERVERS:
+            self.know(name, 100_000.0, 0.005)
+        assert not self.shard.rations.has_turn("e1")
+
+    def granted(self, server: str) -> list[str]:
+        """Return the requests that a server got."""
+        permits = self.owner.permits()
+        return [name for name, found in permits.items() if found == server]
+
+
+def test_a_returned_server_with_free_slots_gets_few_requests_in_a_second(time) -> None:
+    """All that waits at a peak would go to the free slots of whoever just came back."""
+    site = Site(time, slots=(50, 1))
+    for _ in range(100):
+        for _ in range(2):
+            site.demand(events=1)
+        site.serve()
+        for name in list(site.owner.permits()):
+            if name in site.shard.running:
+                site.start(name)
+                site.end(name)
+        time.now += 0.01
+    assert BOUND / 4 < len(site.granted("e1")) <= BOUND / 2
+    assert len(site.granted("e2")) >= 90
+
+
+def test_a_queue_is_not_kept_waiting_for_slots_that_cannot_be_used(time) -> None:
+    """Seen by its free slots a cold server would promise room to all who wait.
+
+    Those who cannot be in time must be told so at once, not when their time is over.
+    """
+    site = Site(time)
+    site.shard.gone.add("e2")
+    for _ in range(60):
+        site.demand()
+    site.serve()
+    assert len(site.owner.sheds()) >= 40
+    assert len(site.shard.queue) + len(site.granted("e1")) <= BOUND
+
+
+def test_a_permit_for_a_cold_server_is_soon_over(time) -> None:
+    """Permits that are used a second late would arrive together with later ones."""
+    site = Site(time)
+    site.shard.gone.add("e2")
+    time.now += 0.2
+    site.demand()
+    site.serve()
+    (permit,) = [item for item in site.owner.sent if isinstance(item, messages.Permit)]
+    assert permit.server == "e1"
+    assert permit.lifetime_ms == slow_start.PERMIT_MS
+
+
+class Keeper:
+    """One keeper's view of one cold server."""
+
+    def __init__(self, cold: slow_start.SlowStart):
+        self.heard = 1.0
+        self.rations = slow_start.Rations(cold)
+        self.rations.heard = lambda: self.heard
+
+
+EVENTS = strategies.lists(
+    strategies.tuples(
+        strategies.sampled_from(["ask", "wait", "move", "split", "heal", "restart"]),
+        strategies.floats(0.0, 0.4),
+        strategies.integers(0, 1),
+    ),
+    max_size=120,
+)
+
+
+@hypothesis.given(EVENTS)
+@hypothesis.settings(deadline=None, max_examples=200)
+def test_no_schedule_of_keepers_passes_the_bound_of_a_cold_server(events) -> None:
+    """Two keepers at once, keepers in both parts of a partition, keepers that restart.
+
+    Each grants all it can, and permits are used at the worst moment of their life.
+    """
+    with fakes.Time().used() as time:
+        cold = _cold()
+        cold.update(_fleet(e1=_server("e1")))
+        cold.update(_fleet(e1=_server("e1", started_ms=2)))
+        keepers = [Keeper(cold), Keeper(cold)]
+        granted: list[float] = []
+        for kind, amount, number in events:
+            keeper = keepers[number]
+            if kind == "wait":
+                time.now += amount
+            elif kind == "split":
+                keepers[0].heard, keepers[1].heard = amount * 2, 1.0 - amount * 2
+            elif kind == "heal":
+                keepers[0].heard = keepers[1].heard = 1.0
+            elif kind in ("move", "restart"):
+                keeper.rations.forget()
+            while kind == "ask" and keeper.rations.has_turn("e1"):
+                keeper.rations.granted("e1", 1500)
+                granted.append(time.now)
+            cold.doubted("e1")
+        # A permit may be used at any moment of its life, so those of that much more
+        # than a second may all arrive within one.
+        span = 1.0 + slow_start.PERMIT_MS / 1000.0
+        worst = collections.Counter()
+        for first in granted:
+            worst[first] = sum(first <= other <= first + span for other in granted)
+        assert max(worst.values(), default=0) <= BOUND
+
+
+def test_a_shard_that_is_closed_begins_with_empty_rations(time) -> None:
+    """What the keeper before has granted is not known to the next one."""
+    site = Site(time)
+    time.now += 1.0
+    assert site.shard.rations.has_turn("e1")
+    site.shard.close()
+    assert not site.shard.rations.has_turn("e1")
+
+
+def test_a_refused_connection_makes_a_server_cold(time) -> None:
+    site = Site(time)
+    time.now += COLD_SECONDS + 1.0
+    assert not site.cold.is_cold("e2")
+    site.demand(avoid=["e2"])
+    assert site.cold.is_cold("e2")
+
+
+def test_shards_need_no_slow_start() -> None:
+    found = shards.Shard(fakes.SHARD, fakes.settings())
+    assert found.rations.has_turn("anything")
