Ask a platform that is away seldom, but for the first readers in order

Cause: while the platform's store turns everybody away, the list is too old at all instances, and each of them read it again every 0.15 s.

All others ask each 1.0 to 1.4 s.

--- a/packages/daemon/cassiaquay_daemon/fleet/servers.py
+++ b/packages/daemon/cassiaquay_daemon/fleet/servers.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import random
 
 import xxhash
 
@@ -30,7 +31,11 @@
 # A list older than this at its renewal says that the platform was away. Registrations
 # run out after three of their periods of 1.2 s, and never sooner than this.
 AWAY_SECONDS = 2.0
+# Pause after a failed read of the first readers in order. The others ask seldom: while
+# the platform is away nobody's list is new, and all of them would ask all the time.
 RETRY_SECONDS = 0.15
+OTHERS_RETRY_SECONDS = 1.0
+RETRY_JITTER = 0.4
 TICK_SECONDS = 0.1
 MOST_AGE_SECONDS = 3600.0
 NEVER = float("-inf")
@@ -118,7 +123,7 @@
                 await asyncio.sleep(max(left, TICK_SECONDS))
                 continue
             if not await self.read_once():
-                await asyncio.sleep(RETRY_SECONDS)
+                await asyncio.sleep(self._retry_seconds())
 
     async def read_once(self) -> bool:
         """Read the list now; return whether the platform answered."""
@@ -141,6 +146,11 @@
         self._confirm(found.revision, began)
         return True
 
+    def _retry_seconds(self) -> float:
+        if self._rank < LAST_RANK:
+            return RETRY_SECONDS
+        return OTHERS_RETRY_SECONDS * (1.0 + RETRY_JITTER * random.random())
+
     def _patience(self) -> float:
         serving = self._membership.serving()
         if serving is not self._ranked:
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -8,6 +8,7 @@
 from cassiaquay_daemon import exceptions, platform
 from cassiaquay_daemon.configured import snapshots
 from cassiaquay_daemon.fleet import configuration, freshness, servers
+from cassiaquay_dev.lab import virtual_time
 from cassiaquay_schema import messages
 
 
@@ -372,3 +373,22 @@
     _evacuate(site, 20, "a")
     site.read()
     assert site.list.state.digest != before
+
+
+@pytest.mark.parametrize(("rank", "least", "most"), [(0, 25, 40), (2, 3, 6)])
+def test_most_instances_ask_seldom_while_the_platform_is_away(
+    rank, least, most, monkeypatch
+) -> None:
+    """Each failed call counts, and hundreds of instances find their list too old."""
+    monkeypatch.setattr(servers.Servers, "_rank_among", lambda *_: rank)
+
+    async def work() -> int:
+        site = Site(_entry("i-1"))
+        assert await site.list.read_once()
+        site.store.down = True
+        reading = asyncio.create_task(site.list.read())
+        await asyncio.sleep(5.0)
+        reading.cancel()
+        return site.store.reads
+
+    assert least <= virtual_time.run(work()) <= most
