--- a/packages/daemon/cassiaquay_daemon/command.py
+++ b/packages/daemon/cassiaquay_daemon/command.py
@@ -9,7 +9,7 @@
 from cassiaquay_schema import exceptions as schema_exceptions
 from cassiaquay_schema import texts
 
-from . import daemon, early, logs, names, reloading
+from . import daemon, early_bind, logs, names, reloading
 from .platform import documents, store
 
 # Imported for what they register.
@@ -49,7 +49,7 @@
 
 def run() -> None:
     """Read the command line."""
-    path = early.settings_path(sys.argv)
+    path = early_bind.settings_path(sys.argv)
     if path:
         serve(path)
         return
--- a/packages/daemon/cassiaquay_daemon/daemon.py
+++ b/packages/daemon/cassiaquay_daemon/daemon.py
@@ -11,7 +11,7 @@
 
 from cassiaquay_schema import settings as settings_schema
 
-from . import early, listeners, logs, pause, platform, reloading
+from . import early_bind, listeners, logs, pause, platform, reloading
 from .adapters import backends
 from .engines import engine_reports, reconciler
 from .fleet import configuration, members, renewal, servers
@@ -150,13 +150,13 @@
         admin_socket = bound[0][1]
         if self._gateway is not None:
             self._membership.http_address = settings.gateway.front
-            self._gateway.accounts.on_ended(noted.passed)
-            self._gateway.accounts.on_refused(noted.refused)
+            self._gateway.accounting.on_ended(noted.passed)
+            self._gateway.accounting.on_refused(noted.refused)
             self._gateway.start()
         else:
             bound.append(self._listen(callers.application(), settings.http_port))
             self._membership.http_address = _address(bound[1][1])
-        early.close_rest()
+        early_bind.close_rest()
         self._membership.admin_address = _address(admin_socket)
         tasks = [asyncio.create_task(work) for work in self._work()]
         tasks.append(asyncio.create_task(noted.watch_lag()))
--- a/packages/daemon/cassiaquay_daemon/decisions/candidates.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/candidates.py
@@ -12,7 +12,7 @@
 from cassiaquay_schema import fleet, messages
 
 from .. import clock
-from . import loads, pace, shards, slow_start
+from . import loads, service_times, shards, slow_start
 
 # A server is left to its probes only when it fails by so much more than the median one
 # of its shard.
@@ -28,7 +28,7 @@
         As configured.
     load : Load
         What is out on it; changes during the pass.
-    pace : Pace
+    times : ServiceTimes
         What is known of its speed and health.
     usual_failing : float
         Share of requests that the median server of its shard fails.
@@ -38,7 +38,7 @@
 
     server: fleet.Server
     load: loads.Load
-    pace: pace.Pace
+    times: service_times.ServiceTimes
     usual_failing: float
     ration: slow_start.Ration | None = None
 
@@ -50,15 +50,15 @@
 
     def has_slot(self, now: float) -> bool:
         """Tell whether one more request may go there now."""
-        if self.load.count >= self.server.slots or self.pace.is_silent(now):
+        if self.load.count >= self.server.slots or self.times.is_silent(now):
             return False
         if self.ration is not None and not self.ration.turns:
             return False
-        if not self.pace.is_broken(now):
+        if not self.times.is_broken(now):
             return True
         # Where all fail alike there is no sound server to wait for: held back, callers
         # would be refused while nearly all slots are free.
-        return self.pace.failing(now) < self.usual_failing + BROKEN_EXCESS
+        return self.times.failing(now) < self.usual_failing + BROKEN_EXCESS
 
 
 class Candidates:
@@ -68,19 +68,19 @@
     ----------
     shard : Shard
         Whose servers they are.
-    pace_of : callable
+    times_of : callable
         Returns what is known of a server's speed.
     """
 
     def __init__(
         self,
         shard: shards.Shard,
-        pace_of: collections.abc.Callable[[str], pace.Pace],
+        times_of: collections.abc.Callable[[str], service_times.ServiceTimes],
     ):
         self._shard = shard
-        self._pace_of = pace_of
+        self._times_of = times_of
         self.open: list[Candidate] = []
-        self.paces: dict[str, pace.Pace] = {}
+        self.times: dict[str, service_times.ServiceTimes] = {}
         self._reachable: list[Candidate] = []
         # Fixed seconds and tokens a second of those that are fastest for some prompt.
         self._fastest: list[tuple[float, float]] = []
@@ -88,7 +88,7 @@
 
     def refresh(self) -> None:
         """Look at all servers anew."""
-        self.paces = {name: self._pace_of(name) for name in self._shard.servers}
+        self.times = {name: self._times_of(name) for name in self._shard.servers}
         self.open = []
         self._reachable = []
         servers = self._shard.open_servers()
@@ -96,13 +96,13 @@
         for server in servers:
             load = self._shard.load(server.name)
             ration = self._shard.rations.of(server.name)
-            found = Candidate(server, load, self.paces[server.name], usual, ration)
+            found = Candidate(server, load, self.times[server.name], usual, ration)
             self.open.append(found)
             if not self._shard.is_refusing(server.name):
                 self._reachable.append(found)
         self._fastest = _fastest(self.open)
         self._least_event_seconds = min(
-            (found.pace.event_seconds for found in self.open), default=0.0
+            (found.times.event_seconds for found in self.open), default=0.0
         )
 
     def with_slots(
@@ -147,13 +147,13 @@
 
     def _usual_failing(self, servers: list[fleet.Server]) -> float:
         now = clock.now()
-        found = [self.paces[server.name].failing(now) for server in servers]
+        found = [self.times[server.name].failing(now) for server in servers]
         return statistics.median(found) if found else 0.0
 
 
 def _fastest(found: list[Candidate]) -> list[tuple[float, float]]:
     """Return the speeds that no other server beats for every prompt."""
-    speeds = sorted((item.pace.base_seconds, -item.pace.rate) for item in found)
+    speeds = sorted((item.times.base_seconds, -item.times.rate) for item in found)
     best: list[tuple[float, float]] = []
     for base, slowness in speeds:
         rate = -slowness
--- a/packages/daemon/cassiaquay_daemon/decisions/forecasts.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/forecasts.py
@@ -2,7 +2,7 @@
 
 Load pattern: under overload the wait for a slot decides whether a request is in time.
 It is reckoned from the ends of what runs: events that are left of each answer at the
-pace of its server. More important requests that arrive meanwhile go before.
+speed of its server. More important requests that arrive meanwhile go before.
 """
 
 import bisect
@@ -50,7 +50,7 @@
         found = [0.0] * self._servers.free_slots()
         found += self._servers.next_turns()
         for running in self._shard.running.values():
-            if running.server in self._servers.paces:
+            if running.server in self._servers.times:
                 found.append(self._left(running, now))
         found.sort()
         self._free_at = found
@@ -73,7 +73,7 @@
         return ends[place] * max((ahead + 1) / len(ends), 1.0)
 
     def _left(self, running: shards.Running, now: float) -> float:
-        known = self._servers.paces[running.server]
+        known = self._servers.times[running.server]
         if running.demand is None:
             return known.base_seconds
         events = float(running.demand.output_tokens - running.produced)
--- a/packages/daemon/cassiaquay_daemon/decisions/objectives.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/objectives.py
@@ -23,10 +23,10 @@
     choices,
     forecasts,
     loads,
-    pace,
     policies,
     queues,
     reservations,
+    service_times,
     shards,
     shedding,
 )
@@ -36,8 +36,7 @@
 MARGIN_SECONDS = 0.03
 # Share of the pause that may be used: events also wait on their way to the caller.
 PAUSE_SHARE = 0.8
-# Most prompt tokens that an engine reads between two events of a running stream: five
-# steps (tokens of an event) with a chunk of 2,048 tokens each.
+# Most prompt tokens that an engine reads between two events of a running stream.
 INTERLEAVED_TOKENS = 10_240
 # Share of the time left that an answer may take by its estimate: the callers' hints of
 # its length are right only at the median.
@@ -55,11 +54,9 @@
 # Demands over which the growth of the wait in a shard is measured: about as many as are
 # moved there between two of its reports.
 STEPS = 4
-# Share of its time left after which a refused caller is back, spread up to half as much
-# again: a third is the most that callers wait. Its answer is late whenever it is back,
-# and bursts last for seconds: back in the same one, it is refused for good. Of 172
-# refused for good on one played day 114 remained.
-AWAY_SHARE = 2.0 / 9.0
+# Retry-After as a share of the time left, spread up to half as much again: callers wait
+# for a third at most, and an overload lasts for seconds.
+RETRY_AFTER_SHARE = 2.0 / 9.0
 
 
 class _TeamQueue:
@@ -83,13 +80,13 @@
     def __init__(self, shard: shards.Shard):
         self._shard = shard
         self._tiers: dict[int, dict[str, _TeamQueue]] = {}
-        self._paces: dict[str, tuple[int, pace.Pace]] = {}
+        self._service_times: dict[str, tuple[int, service_times.ServiceTimes]] = {}
         self._arrivals = arrivals.Arrivals()
         self._reserved = reservations.Reservations()
         self._late_at: dict[str, float] = {}
         # Since when each rank has been held back without a break.
         self._held_since: dict[int, float] = {}
-        self._servers = candidates.Candidates(shard, self._pace)
+        self._servers = candidates.Candidates(shard, self._times_of)
         self._forecast = forecasts.Forecast(shard, self._servers, self._arrivals)
         shard.observe(self)
         shard.waits = self.waits
@@ -106,7 +103,7 @@
             queue = teams[demand.team] = _TeamQueue()
         if not queue.ids:
             active = [item.virtual for item in teams.values() if item.ids]
-            queue.virtual = queues.virtual_of_comer(queue.virtual, active)
+            queue.virtual = queues.virtual_of_newcomer(queue.virtual, active)
         queue.ids[demand.id] = None
         objective = demand.first_ms or demand.remaining_ms
         self._late_at[demand.id] = clock.now() + objective / 1000.0
@@ -119,11 +116,11 @@
 
     def advanced(self, server: str, tokens: int, seconds: float) -> None:
         """Learn the time between events."""
-        self._pace(server).advanced(tokens, seconds)
+        self._times_of(server).advanced(tokens, seconds)
 
     def started(self, running: shards.Running, found: loads.Started) -> None:
         """Learn from a first event."""
-        self._pace(running.server).read(
+        self._times_of(running.server).read(
             found.tokens, found.alone_seconds, found.seconds
         )
 
@@ -134,7 +131,7 @@
 
     def learn(self, release: messages.Release) -> None:
         """Take in how a request ended."""
-        known = self._pace(release.server)
+        known = self._times_of(release.server)
         now = clock.now()
         if release.outcome == "completed":
             known.ended(True, now)
@@ -152,7 +149,7 @@
         looked = 0
         ahead = 0
         for rank in sorted(self._tiers):
-            if self._shard.held.holds_for_others(rank):
+            if self._shard.cutoffs.holds_for_others(rank):
                 self._held_since.setdefault(rank, now)
                 self._settle_held(rank, now)
                 continue
@@ -181,7 +178,7 @@
         found = []
         ahead = 0
         for rank in sorted(self._tiers):
-            if self._shard.held.holds_for_others(rank):
+            if self._shard.cutoffs.holds_for_others(rank):
                 break
             for queue in self._tiers[rank].values():
                 ahead += len(queue.ids)
@@ -200,7 +197,7 @@
             choice = None
             if item.has_slot(now):
                 choice = self._weigh(demand, item, now, 0.0, 0.0)
-            expected = item.pace.expect(float(demand.prompt_tokens))
+            expected = item.times.expect(float(demand.prompt_tokens))
             finish = expected.first_seconds
             finish += demand.output_tokens * expected.event_seconds
             found.append(
@@ -311,12 +308,14 @@
                     continue
                 # The floor that is there stays as it is: renewed by those whom it
                 # holds back, it would never end.
-                self._shard.held.hold_back(rank, now + FLOOR_SECONDS)
-                self._shard.shed(waiting, "shed_overload", self._away_ms(waiting, now))
+                self._shard.cutoffs.hold_back(rank, now + FLOOR_SECONDS)
+                self._shard.shed(
+                    waiting, "shed_overload", self._retry_after_ms(waiting, now)
+                )
 
-    def _away_ms(self, waiting: shards.Waiting, now: float) -> int:
+    def _retry_after_ms(self, waiting: shards.Waiting, now: float) -> int:
         """Return when a refused caller should be back."""
-        return shedding.retry_after_ms((waiting.deadline - now) * AWAY_SHARE)
+        return shedding.retry_after_ms((waiting.deadline - now) * RETRY_AFTER_SHARE)
 
     def _is_over(self, waiting: shards.Waiting, now: float) -> bool:
         patience = waiting.arrived_at + PATIENCE_SECONDS
@@ -325,16 +324,16 @@
     def _shed(self, waiting: shards.Waiting, now: float) -> None:
         """Give a demand up, and keep a slot for its tier while it could be in time."""
         rank = waiting.demand.rank
-        retry_after_ms = self._away_ms(waiting, now)
+        retry_after_ms = self._retry_after_ms(waiting, now)
         self._reserved.add(rank, self._late_at[waiting.demand.id])
-        self._shard.held.raise_floor(rank, now + FLOOR_SECONDS, retry_after_ms)
+        self._shard.cutoffs.raise_floor(rank, now + FLOOR_SECONDS, retry_after_ms)
         self._shard.shed(waiting, "shed_overload", retry_after_ms)
 
     def _grant(self, waiting: shards.Waiting, choice: choices.Choice) -> None:
         demand = waiting.demand
         queue = self._tiers[demand.rank][demand.team]
         weight = self._shard.weights.get(demand.team, 1.0)
-        self._pace(choice.server).granted(clock.now())
+        self._times_of(choice.server).granted(clock.now())
         self._reserved.use(demand.rank)
         queue.virtual += (demand.prompt_tokens + demand.output_tokens + 1) / weight
         self._shard.grant(waiting, choice.server, 0, choice.first_seconds)
@@ -388,7 +387,7 @@
         late_at: float,
         left: float,
     ) -> choices.Choice | None:
-        server, load, known = found.server, found.load, found.pace
+        server, load, known = found.server, found.load, found.times
         unread = load.backlog_seconds(known.rate, now) * known.rate
         unread += demand.prompt_tokens
         expected = known.expect(unread)
@@ -424,7 +423,7 @@
             tokens, seconds = load.overdue(now)
             if not seconds:
                 continue
-            known = self._pace(server)
+            known = self._times_of(server)
             expected = known.expect(float(tokens)).first_seconds
             patience = known.patience(expected)
             # One call of a plain service may be long by its nature; two at once that
@@ -434,13 +433,16 @@
                 known.doubt(now, seconds)
                 self._shard.rations.cold.doubted(server)
 
-    def _pace(self, server: str) -> pace.Pace:
+    def _times_of(self, server: str) -> service_times.ServiceTimes:
         found = self._shard.servers.get(server)
         started_ms = found.started_ms if found is not None else 0
-        known = self._paces.get(server)
+        known = self._service_times.get(server)
         if known is None or (found is not None and known[0] != started_ms):
             # A server that started again under its name is another one.
-            known = self._paces[server] = (started_ms, pace.Pace(server))
+            known = self._service_times[server] = (
+                started_ms,
+                service_times.ServiceTimes(server),
+            )
         return known[1]
 
 
--- a/packages/daemon/cassiaquay_daemon/decisions/held_tiers.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/priority_cutoffs.py
@@ -5,7 +5,7 @@
 ALL_PASS = (-1, 0)
 
 
-class HeldTiers:
+class PriorityCutoffs:
     """What a shard holds back, for its own sheds and for those of its pool's others."""
 
     def __init__(self) -> None:
--- a/packages/daemon/cassiaquay_daemon/decisions/queues.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/queues.py
@@ -90,7 +90,7 @@
             queue = teams[demand.team] = TeamQueue()
         if not queue.count:
             active = [item.virtual for item in teams.values() if item.count]
-            queue.virtual = virtual_of_comer(queue.virtual, active)
+            queue.virtual = virtual_of_newcomer(queue.virtual, active)
         work = self._measure(waiting)
         place = Place(demand.rank, demand.team, size_of(work), work)
         queue.add(place.size, waiting)
@@ -161,7 +161,7 @@
         return self._tiers[rank][team].last()
 
 
-def virtual_of_comer(virtual: float, active: list[float]) -> float:
+def virtual_of_newcomer(virtual: float, active: list[float]) -> float:
     """Return the virtual time of a team that begins to wait beside active ones.
 
     A team that was idle gets no credit for that: it would be served alone until it had
--- a/packages/daemon/cassiaquay_daemon/decisions/pace.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/service_times.py
@@ -58,7 +58,7 @@
     event_seconds: float
 
 
-class Pace:
+class ServiceTimes:
     """What is known of one server's speed and health.
 
     Parameters
--- a/packages/daemon/cassiaquay_daemon/decisions/shards.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/shards.py
@@ -7,7 +7,7 @@
 from cassiaquay_schema import settings as settings_schema
 
 from .. import clock, logs
-from . import held_tiers, loads, prefixes, slow_start
+from . import loads, prefixes, priority_cutoffs, slow_start
 
 # Time for the news of a dispatch to reach the keeper after a permit's last moment.
 NEWS_SECONDS = 0.4
@@ -39,7 +39,7 @@
         Where the answer goes.
     arrived_at, deadline : float
         Seconds on this clock.
-    told_at : float
+    renewed_at : float
         When the owner said so last; seconds on this clock.
     """
 
@@ -47,7 +47,7 @@
     replier: Replier
     arrived_at: float
     deadline: float
-    told_at: float = 0.0
+    renewed_at: float = 0.0
 
 
 class Running(typing.NamedTuple):
@@ -135,9 +135,9 @@
         self.may_shed: collections.abc.Callable[[int], bool] = _always
         # Returns the shard of the pool in which a demand waits less than so many
         # seconds, or nothing; and what demands would wait here.
-        self.find_room: collections.abc.Callable[[Waiting, float], str] = _nowhere
+        self.find_sibling: collections.abc.Callable[[Waiting, float], str] = _nowhere
         self.waits: collections.abc.Callable[[], list[messages.RankWait]] = list
-        self.held = held_tiers.HeldTiers()
+        self.cutoffs = priority_cutoffs.PriorityCutoffs()
         self.rations = slow_start.Rations(cold or slow_start.SlowStart(settings))
         self._refused: dict[str, float] = {}
         self._loads: dict[str, loads.Load] = {}
@@ -206,7 +206,7 @@
         deadline = now + demand.remaining_ms / 1000.0
         if waiting is not None:
             self.queue[demand.id] = waiting._replace(
-                demand=demand, replier=replier, deadline=deadline, told_at=now
+                demand=demand, replier=replier, deadline=deadline, renewed_at=now
             )
             return
         waiting = Waiting(demand, replier, now, deadline, now)
@@ -332,7 +332,7 @@
 
     def move(self, waiting: Waiting, limit: float) -> bool:
         """Send a demand to a shard where it waits less; False when there is none."""
-        target = self.find_room(waiting, limit)
+        target = self.find_sibling(waiting, limit)
         if not target:
             return False
         demand = waiting.demand
@@ -356,7 +356,7 @@
                 self._stop(request_id)
         horizon = now - self.settings.keeper.renew_seconds * STALE_PERIODS
         for request_id in list(self.queue):
-            if self.queue[request_id].told_at < horizon:
+            if self.queue[request_id].renewed_at < horizon:
                 self._unqueue(request_id)
 
     def health(self) -> tuple[int, int]:
@@ -367,7 +367,7 @@
         up = [item for item in self.open_servers() if not self.is_refusing(item.name)]
         if not up:
             return 0, DOWN_RETRY_MS
-        return self.held.floor
+        return self.cutoffs.floor
 
     def is_refusing(self, server: str) -> bool:
         """Tell whether a server refused a connection and has done nothing since."""
--- a/packages/daemon/cassiaquay_daemon/decisions/tiered.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/tiered.py
@@ -156,7 +156,7 @@
         self._weighed = 0
         self._passed.clear()
         for rank in self._queues.ranks():
-            if self._shard.held.holds(rank):
+            if self._shard.cutoffs.holds(rank):
                 break
             self._serve_tier(rank, views)
             full = all(view.is_full for view in views)
@@ -268,7 +268,7 @@
         # Whoever sees this tier shed must not see a lower one served meanwhile.
         rank = waiting.demand.rank
         retry_after_ms = self._drain.retry_after_ms(seconds)
-        self._shard.held.raise_floor(rank, now + FLOOR_SECONDS, retry_after_ms)
+        self._shard.cutoffs.raise_floor(rank, now + FLOOR_SECONDS, retry_after_ms)
         self._shard.shed(waiting, "shed_overload", retry_after_ms)
 
     def _serve_tier(self, rank: int, views: list[placement.View]) -> None:
--- a/packages/daemon/cassiaquay_daemon/fleet/sharers.py
+++ b/packages/daemon/cassiaquay_daemon/fleet/budget_peers.py
@@ -11,7 +11,7 @@
 REMEMBER_SECONDS = 60.0
 
 
-class Sharers:
+class BudgetPeers:
     """The most instances known of late."""
 
     def __init__(self) -> None:
--- a/packages/daemon/cassiaquay_daemon/fleet/members.py
+++ b/packages/daemon/cassiaquay_daemon/fleet/members.py
@@ -14,7 +14,7 @@
 
 from .. import clock, exceptions, logs, platform, rendezvous
 from ..links import peers
-from . import facts, freshness, sharers, spread, watching
+from . import budget_peers, facts, freshness, spread, watching
 
 # Load is told of when it has moved by this much: enough to spread callers, and rare
 # enough that hundreds of instances do not fill the budget with it.
@@ -77,7 +77,7 @@
         self._number = 0
         self._load = 0.0
         self._load_at = clock.now()
-        self._sharers = sharers.Sharers()
+        self._budget_peers = budget_peers.BudgetPeers()
         self._lost: dict[str, _Lost] = {}
         self._spread = spread.Spread(
             settings.instance, self.facts, settings.membership.spread_bytes
@@ -188,7 +188,7 @@
 
     def fleet_size(self) -> int:
         """Return how many instances may spend from a budget of the whole fleet."""
-        return self._sharers.count(max(len(self.facts.records), len(self._seeds)))
+        return self._budget_peers.count(max(len(self.facts.records), len(self._seeds)))
 
     def last_heard(self, instance: str) -> messages.Member | None:
         """Return what was heard last of another instance, also when silent now."""
--- a/packages/daemon/cassiaquay_daemon/fleet/servers.py
+++ b/packages/daemon/cassiaquay_daemon/fleet/servers.py
@@ -142,7 +142,7 @@
         is_changed = self._take(found.revision, found.entries, began)
         if self._evacuate(self._texts.evacuated) or is_changed:
             self._publish()
-            self._tell()
+            self._notify()
         self._confirm(found.revision, began)
         return True
 
@@ -255,7 +255,7 @@
             snapshots.Registered(pools, self.evacuated.domains)
         )
 
-    def _tell(self) -> None:
+    def _notify(self) -> None:
         # A server that leaves must get no new work within seconds: those who hear of
         # it tell their neighbours at once, each list once.
         message = self._message()
@@ -304,7 +304,7 @@
         evacuated = platform.Evacuated(found.evacuated_revision, found.evacuated)
         if self._evacuate(evacuated) or is_changed:
             self._publish()
-            self._tell()
+            self._notify()
 
 
 def _digest(entries: dict[str, messages.ServerEntry], evacuated: list[str]) -> int:
--- a/packages/daemon/cassiaquay_daemon/gateway/accounts.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/accounting.py
@@ -12,7 +12,7 @@
 RefusalNote = collections.abc.Callable[[exceptions.Refusal, str, str], None]
 
 
-class Accounts:
+class Accounting:
     """Tells whoever listens of each request that has ended."""
 
     def __init__(self) -> None:
--- a/packages/daemon/cassiaquay_daemon/gateway/front.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/front.py
@@ -5,7 +5,7 @@
 from .. import clock, exceptions, logs
 from ..owners import streams
 from ..platform import headers
-from . import accepting, accounts, progress, replies, serving
+from . import accepting, accounting, progress, replies, serving
 
 
 class Front:
@@ -28,7 +28,7 @@
         accepted: accepting.Accepting,
         served: serving.Serving,
         reply: replies.Replies,
-        noted: accounts.Accounts,
+        noted: accounting.Accounting,
     ):
         self.open_count = 0
         self._accepting = accepted
--- a/packages/daemon/cassiaquay_daemon/gateway/service.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/service.py
@@ -8,14 +8,14 @@
 
 from cassiaquay_schema import settings as settings_schema
 
-from .. import early, listeners, logs, pause
+from .. import early_bind, listeners, logs, pause
 from ..decisions import budgets, slow_start
 from ..fleet import configuration, members, servers
 from ..keepers import demands, quotas
 from ..links import peers
 from . import (
     accepting,
-    accounts,
+    accounting,
     admission,
     connections,
     directory,
@@ -76,7 +76,7 @@
         self._parts = parts
         accepted = accepting.Accepting(shared.configured, shared.known, shared.pauses)
         self._front = front.Front(
-            accepted, serving.Serving(parts), parts.reply, parts.accounts
+            accepted, serving.Serving(parts), parts.reply, parts.accounting
         )
         self._directory = directory.Directory(
             settings, shared.membership, shared.configured, shared.pauses, self._front
@@ -85,9 +85,9 @@
         self._serving: list[asyncio.Task[None]] = []
 
     @property
-    def accounts(self) -> accounts.Accounts:
+    def accounting(self) -> accounting.Accounting:
         """What became of requests."""
-        return self._parts.accounts
+        return self._parts.accounting
 
     def start(self) -> None:
         """Listen on all addresses."""
@@ -138,7 +138,7 @@
                 busy_at = loop.time()
 
     def _listen(self, application: listeners.Application, address: str) -> None:
-        bound = early.take(address)
+        bound = early_bind.take(address)
         server = listeners.server(application, IDLE_SECONDS)
         self._servers.append(server)
         self._serving.append(asyncio.create_task(server.serve([bound])))
@@ -154,6 +154,6 @@
         quotas.Quotas(settings, shared.links, shared.membership, shared.configured),
         shared.pauses,
         replies.Replies(),
-        accounts.Accounts(),
+        accounting.Accounting(),
     )
     return Gateway(settings, shared, parts)
--- a/packages/daemon/cassiaquay_daemon/gateway/serving.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/serving.py
@@ -15,7 +15,7 @@
 from ..keepers import quotas
 from . import (
     accepting,
-    accounts,
+    accounting,
     admission,
     calls,
     forwarding,
@@ -61,7 +61,7 @@
         Whether this process knows what is true now.
     reply : Replies
         The way to callers.
-    accounts : Accounts
+    accounting : Accounts
         Told of each end.
     """
 
@@ -72,7 +72,7 @@
     limited: quotas.Quotas
     pauses: pause.Pauses
     reply: replies.Replies
-    accounts: accounts.Accounts
+    accounting: accounting.Accounting
 
 
 class Serving:
@@ -287,7 +287,7 @@
         call = known.call
         replies.log_refused(call.facts, refusal, call.began_at, known)
         outcome = refusal.outcome or "not_run"
-        self._parts.accounts.ended(known, outcome, refusal.code, 0.0)
+        self._parts.accounting.ended(known, outcome, refusal.code, 0.0)
         if known.started:
             # The caller has a part: returning without its end breaks the connection,
             # so that the part does not look whole.
@@ -303,7 +303,7 @@
             first_ms = round((tally.first_at - call.began_at) * 1000.0, 1)
         first_at = tally.first_at or clock.now()
         outcome = "failed" if status >= forwarding.FIRST_FAILURE else "completed"
-        self._parts.accounts.ended(known, outcome, outcome, first_at - call.began_at)
+        self._parts.accounting.ended(known, outcome, outcome, first_at - call.began_at)
         logs.event(
             "ended",
             id=call.facts.attempt,
--- a/packages/daemon/cassiaquay_daemon/keepers/demands.py
+++ b/packages/daemon/cassiaquay_daemon/keepers/demands.py
@@ -131,7 +131,7 @@
         links.on(messages.RenewalQuery, self.answer)
         links.on_up(self._up)
         membership.on_change(self._moved)
-        local.on_ask(self._told_local)
+        local.on_ask(self._renewal_asked)
 
     async def obtain(
         self, demand: messages.Demand, deadline: float, patience: float | None = None
@@ -152,7 +152,7 @@
         if patience is not None:
             demand = demand._replace(acknowledge=True)
         self._pending[demand.id] = Pending(demand, deadline, future, clock.now())
-        self._tell(demand.shard, demand)
+        self._notify(demand.shard, demand)
         try:
             if patience is not None:
                 await self._watch(demand.id, patience)
@@ -166,7 +166,7 @@
 
     def give_back(self, demand: messages.Demand) -> None:
         """Give back a permission that was not used."""
-        self._tell(demand.shard, messages.Withdraw(demand.id, demand.shard))
+        self._notify(demand.shard, messages.Withdraw(demand.id, demand.shard))
 
     def dispatched(
         self,
@@ -183,7 +183,7 @@
         sent = self._outstanding.get(message.shard, {}).pop(message.id, None)
         if sent is not None and message.outcome == "completed":
             self._learn(sent.item, message)
-        self._tell(message.shard, message)
+        self._notify(message.shard, message)
 
     def answer(self, replier: shards.Replier, message: messages.Message) -> None:
         """Take a keeper's answer."""
@@ -221,7 +221,7 @@
             for shard in list(self._outstanding):
                 self._renew(shard)
             for pending in list(self._pending.values()):
-                self._tell_again(pending)
+                self._resend(pending)
 
     async def report(self) -> None:
         """Tell keepers of dispatches and first events for ever."""
@@ -236,18 +236,18 @@
         """Return with the answer; raise KeeperSilent when nobody gives a sign."""
         future = self._pending[name].future
         while True:
-            told_at = clock.now()
+            renewed_at = clock.now()
             done, _ = await asyncio.wait([future], timeout=patience)
             if done:
                 return
-            if self._signs.get(name, 0.0) < told_at:
+            if self._signs.get(name, 0.0) < renewed_at:
                 raise exceptions.KeeperSilent(self._pending[name].demand.shard)
             done, _ = await asyncio.wait([future], timeout=PROBE_SECONDS - patience)
             if done:
                 return
-            self._tell_again(self._pending[name])
+            self._resend(self._pending[name])
 
-    def _told_local(self, shard: str) -> None:
+    def _renewal_asked(self, shard: str) -> None:
         self._keeper.renewal(self._local, self._renewal(shard))
 
     def _report(self, shard: str) -> None:
@@ -258,7 +258,7 @@
             if step is not None:
                 steps.append(step)
         if steps:
-            self._tell(shard, messages.Progress(shard, steps))
+            self._notify(shard, messages.Progress(shard, steps))
 
     def _renewal(self, shard: str) -> messages.Renewal:
         sent = self._outstanding.get(shard, {})
@@ -266,7 +266,7 @@
 
     def _renew(self, shard: str) -> None:
         if self._outstanding[shard]:
-            self._tell(shard, self._renewal(shard))
+            self._notify(shard, self._renewal(shard))
             return
         del self._outstanding[shard]
         if not self._outstanding:
@@ -300,7 +300,7 @@
             return
         link = self._membership.link(message.keeper)
         if message.keeper == self._settings.instance:
-            self._tell_local(self._now(pending))
+            self._notify_local(self._now(pending))
         elif link is not None:
             link.send(self._now(pending))
 
@@ -315,7 +315,7 @@
         )
         pending = self._pending[message.id] = pending._replace(demand=demand)
         self._signs[message.id] = clock.now()
-        self._tell_again(pending)
+        self._resend(pending)
 
     def _permit(self, replier: shards.Replier, permit: messages.Permit) -> None:
         pending = self._pending.get(permit.id)
@@ -335,7 +335,7 @@
             # long as that, and the callers' disconnections lie there too: taken now,
             # it would dispatch work that nobody waits for. Ask again instead.
             replier.send(messages.Withdraw(permit.id, permit.shard))
-            self._tell_again(pending)
+            self._resend(pending)
             return
         expires_at = clock.now() + permit.lifetime_ms / 1000.0
         pending.future.set_result(
@@ -364,21 +364,21 @@
         late = LATE_RENEWALS * self._settings.keeper.renew_seconds
         return clock.now() - self._renewed_at > late
 
-    def _tell_again(self, pending: Pending) -> None:
+    def _resend(self, pending: Pending) -> None:
         if not pending.future.done():
-            self._tell(pending.demand.shard, self._now(pending))
+            self._notify(pending.demand.shard, self._now(pending))
 
-    def _tell(self, shard: str, message: ToKeeper) -> None:
+    def _notify(self, shard: str, message: ToKeeper) -> None:
         name = self._keeper.keeper_of(shard)
         self._keepers[shard] = name
         if name == self._settings.instance:
-            self._tell_local(message)
+            self._notify_local(message)
             return
         link = self._membership.link(name)
         if link is not None:
             link.send(message)
 
-    def _tell_local(self, message: ToKeeper) -> None:
+    def _notify_local(self, message: ToKeeper) -> None:
         if isinstance(message, messages.Demand):
             self._keeper.demand(self._local, message)
         elif isinstance(message, messages.Withdraw):
@@ -394,7 +394,7 @@
         # Frames sent on the old connection may be lost: tell everything anew.
         for shard, name in list(self._keepers.items()):
             if name == link.instance:
-                self._tell_shard(shard)
+                self._resend_shard(shard)
 
     def _moved(self) -> None:
         for shard, name in list(self._keepers.items()):
@@ -403,11 +403,11 @@
             logs.event(
                 "keeper_moved", shard=shard, keeper=self._keeper.keeper_of(shard)
             )
-            self._tell_shard(shard)
+            self._resend_shard(shard)
 
-    def _tell_shard(self, shard: str) -> None:
+    def _resend_shard(self, shard: str) -> None:
         if shard in self._outstanding:
             self._renew(shard)
         for pending in list(self._pending.values()):
             if pending.demand.shard == shard:
-                self._tell_again(pending)
+                self._resend(pending)
--- a/packages/daemon/cassiaquay_daemon/keepers/keeper.py
+++ b/packages/daemon/cassiaquay_daemon/keepers/keeper.py
@@ -16,7 +16,7 @@
 from ..decisions import objectives, policies, shards, slow_start, tiered
 from ..fleet import configuration, members
 from ..links import peers
-from . import baselines, floors, rooms, siblings
+from . import baselines, floors, siblings, spillover
 
 DEFAULT_POLICY = tiered.NAME
 # Imported for what they register.
@@ -81,7 +81,7 @@
             settings.instance, membership, self.keeper_of, self._snapshot
         )
         self._floors = floors.Floors(links, self, mates)
-        self._rooms = rooms.Rooms(links, self, mates)
+        self._spillover = spillover.SpillOver(links, self, mates)
         links.on(messages.Demand, self.demand)
         links.on(messages.Withdraw, self.withdraw)
         links.on(messages.Release, self.release)
@@ -163,7 +163,7 @@
         shard = self._shard(floor.shard) if self.keeps(floor.shard) else None
         if shard is None:
             return False
-        shard.held.hold_back(floor.rank, clock.now() + floor.hold_ms / 1000.0)
+        shard.cutoffs.hold_back(floor.rank, clock.now() + floor.hold_ms / 1000.0)
         return True
 
     def health(self, name: str) -> messages.Health:
@@ -203,7 +203,7 @@
                 self._update(shard)
                 self._ask(shard)
             self._serve(name)
-        self._rooms.tell()
+        self._spillover.tell()
 
     def _open_early(self) -> None:
         """Take up the shards to be kept here before the first demand comes.
@@ -259,7 +259,7 @@
         shard.close(self._owners())
         shard.rations.heard = self._heard
         shard.may_shed = functools.partial(self._floors.ready, name)
-        shard.find_room = functools.partial(self._rooms.move, name)
+        shard.find_sibling = functools.partial(self._spillover.move, name)
         self.shards[name] = shard
         policy = policies.policies.get(self._settings.keeper.policy)
         self._policies[name] = policy(shard)
--- a/packages/daemon/cassiaquay_daemon/keepers/limits.py
+++ b/packages/daemon/cassiaquay_daemon/keepers/limits.py
@@ -116,7 +116,7 @@
             for key in held:
                 stash = self._stashes[key]
                 stash.held -= 1
-                self._tell(key, messages.LimitReturn(key, stash.held))
+                self._notify(key, messages.LimitReturn(key, stash.held))
 
     def answer(self, replier: shards.Replier, message: messages.Message) -> None:
         """Take permits from a keeper."""
@@ -138,7 +138,7 @@
         if limit.concurrent is None:
             stash.add(left, end)
         elif left:
-            self._tell(message.key, messages.LimitReturn(message.key, stash.held))
+            self._notify(message.key, messages.LimitReturn(message.key, stash.held))
 
     async def renew(self) -> None:
         """Renew what runs under limits of concurrency, for ever."""
@@ -146,7 +146,7 @@
             await asyncio.sleep(self._settings.keeper.renew_seconds)
             for key, stash in self._stashes.items():
                 if stash.held:
-                    self._tell(key, messages.LimitReturn(key, stash.held))
+                    self._notify(key, messages.LimitReturn(key, stash.held))
 
     async def _take(self, key: str, limit: limit_keepers.Limit, rank: int) -> None:
         stash = self._stashes.setdefault(key, _Stash())
@@ -177,13 +177,13 @@
         stash.asked_at = now
         needed = sum(1 for waiter in stash.waiters if not waiter.done())
         wanted = max(needed, CHUNK)
-        self._tell(key, messages.LimitQuery(key, needed, wanted, stash.held))
+        self._notify(key, messages.LimitQuery(key, needed, wanted, stash.held))
 
     def _spread(self, retry_after_ms: int, rank: int) -> int:
         factor = 1.0 + RANK_FACTOR * rank + JITTER * self._random.random()
         return int(retry_after_ms * factor)
 
-    def _tell(
+    def _notify(
         self, key: str, message: messages.LimitQuery | messages.LimitReturn
     ) -> None:
         name = self._membership.keeper_of(f"limit {key}")
--- a/packages/daemon/cassiaquay_daemon/keepers/rooms.py
+++ b/packages/daemon/cassiaquay_daemon/keepers/spillover.py
@@ -58,7 +58,7 @@
         self._moved += 1
 
 
-class Rooms:
+class SpillOver:
     """What the shards of this instance's pools know of each other.
 
     Parameters
--- a/packages/daemon/cassiaquay_daemon/links/peers.py
+++ b/packages/daemon/cassiaquay_daemon/links/peers.py
@@ -15,7 +15,7 @@
 from cassiaquay_schema import messages
 from cassiaquay_schema import settings as settings_schema
 
-from .. import clock, early, exceptions, logs
+from .. import clock, early_bind, exceptions, logs
 from . import frames
 
 PROTOCOL_VERSION = 1
@@ -155,7 +155,9 @@
         """Listen for peers."""
         settings = self._settings
         where = settings.peer_listen or f"{settings.host}:{settings.peer_port}"
-        self._server = await asyncio.start_server(self._accept, sock=early.take(where))
+        self._server = await asyncio.start_server(
+            self._accept, sock=early_bind.take(where)
+        )
         host, port = self._server.sockets[0].getsockname()[:2]
         self.address = f"{host}:{port}"
 
--- a/packages/daemon/cassiaquay_daemon/main.py
+++ b/packages/daemon/cassiaquay_daemon/main.py
@@ -6,7 +6,7 @@
 import signal
 import sys
 
-from . import early
+from . import early_bind
 
 # Variables from which OpenSSL takes the certificate store.
 CERTIFICATES = ("SSL_CERT_FILE", "SSL_CERT_DIR")
@@ -18,9 +18,9 @@
     # would end the process before its own handler is there. Nothing is missed by
     # ignoring it: the settings file is read after the modules.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
-    path = early.settings_path(sys.argv)
+    path = early_bind.settings_path(sys.argv)
     if path:
-        early.listen_all(path)
+        early_bind.listen_all(path)
     # What the modules create stays; looking for garbage among it takes a sixth of the
     # time that they take to load. The command starts collections again.
     gc.disable()
--- a/packages/daemon/cassiaquay_daemon/operators/burn.py
+++ b/packages/daemon/cassiaquay_daemon/operators/burn.py
@@ -10,7 +10,7 @@
 
 from cassiaquay_schema import bodies
 
-from . import heaviest
+from . import top_counts
 
 FAST_BUCKET_SECONDS = 60.0
 FAST_BUCKETS = 60
@@ -129,7 +129,7 @@
         for cell in cells:
             if cell not in counts and len(counts) >= self._max_cells:
                 if cell.axis != "all":
-                    cell = cell._replace(name=heaviest.OTHER)
+                    cell = cell._replace(name=top_counts.OTHER)
             count = counts.setdefault(cell, [0, 0])
             count[0] += 1
             count[1] += good
@@ -192,8 +192,8 @@
             "fast": Ring(FAST_BUCKET_SECONDS * scale, FAST_BUCKETS, max_cells),
             "slow": Ring(SLOW_BUCKET_SECONDS * scale, SLOW_BUCKETS, max_cells),
         }
-        self._by_requests = heaviest.Heaviest(teams)
-        self._by_failures = heaviest.Heaviest(teams)
+        self._by_requests = top_counts.TopCounts(teams)
+        self._by_failures = top_counts.TopCounts(teams)
         self._excluded = 0
 
     def add(self, now: float, ended: Ended) -> None:
@@ -206,7 +206,7 @@
         if not good:
             self._by_failures.add(ended.team)
         team = self._by_requests.label(ended.team)
-        if team == heaviest.OTHER:
+        if team == top_counts.OTHER:
             # A small team whose requests all fail is worth its name too.
             team = self._by_failures.label(ended.team)
         cells = [
--- a/packages/daemon/cassiaquay_daemon/operators/reports.py
+++ b/packages/daemon/cassiaquay_daemon/operators/reports.py
@@ -13,7 +13,7 @@
 from ..keepers import keeper
 from ..links import peers
 from ..owners import owner, recovery
-from . import burn, heaviest, history, metrics
+from . import burn, history, metrics, top_counts
 
 LAG_PERIOD = 0.5
 
@@ -81,7 +81,7 @@
             clock.now(),
         )
         self._parts = parts
-        self._teams = heaviest.Heaviest(chosen.heaviest_teams)
+        self._teams = top_counts.TopCounts(chosen.heaviest_teams)
         logs.also(self.history)
         parts.owned.on_ended(self.ended)
         parts.owned.on_wasted(self.wasted)
--- a/packages/daemon/cassiaquay_daemon/operators/heaviest.py
+++ b/packages/daemon/cassiaquay_daemon/operators/top_counts.py
@@ -10,7 +10,7 @@
 COUNTERS_PER_NAME = 8
 
 
-class Heaviest:
+class TopCounts:
     """Which names were counted most often.
 
     Parameters
--- a/packages/dev/cassiaquay_dev/lab/mechanisms.py
+++ b/packages/dev/cassiaquay_dev/lab/mechanisms.py
@@ -10,7 +10,7 @@
 import typing
 
 from cassiaquay_daemon.decisions import forecasts, objectives, reservations
-from cassiaquay_daemon.keepers import keeper, rooms
+from cassiaquay_daemon.keepers import keeper, spillover
 from cassiaquay_schema import registry
 
 Without = collections.abc.Callable[[], contextlib.AbstractContextManager[None]]
@@ -45,7 +45,9 @@
 @mechanisms.register("moves")
 def _moves() -> contextlib.AbstractContextManager[None]:
     """Send no demand to another shard."""
-    return _replaced(rooms.Rooms, "move", lambda self, source, waiting, limit: "")
+    return _replaced(
+        spillover.SpillOver, "move", lambda self, source, waiting, limit: ""
+    )
 
 
 @mechanisms.register("overrun")
@@ -83,7 +85,7 @@
 @mechanisms.register("return-later")
 def _return_later() -> contextlib.AbstractContextManager[None]:
     """Tell refused callers to be back as soon as may be."""
-    return _replaced(objectives, "AWAY_SHARE", 0.0)
+    return _replaced(objectives, "RETRY_AFTER_SHARE", 0.0)
 
 
 @mechanisms.register("early-shards")
--- a/packages/dev/cassiaquay_dev/lab/ownership_model.py
+++ b/packages/dev/cassiaquay_dev/lab/ownership_model.py
@@ -138,44 +138,44 @@
             state = ABSENT
         if state == ABSENT:
             if world.expired and self._follows("first seen after expiry is unknown"):
-                yield _tell(f"expired {number}", world, number, UNKNOWN)
+                yield _notify(f"expired {number}", world, number, UNKNOWN)
                 return
             yield _move(f"{number} is accepted", world, number, WAITING)
             refused = _move(f"{number} is shed", world, number, REFUSED)
-            yield _tell(refused.name, refused.state, number, NOT_RUN)
+            yield _notify(refused.name, refused.state, number, NOT_RUN)
             return
         if state == REFUSED:
-            yield _tell(f"{number} stays refused", world, number, NOT_RUN)
+            yield _notify(f"{number} stays refused", world, number, NOT_RUN)
         if state == FINISHED:
-            yield _tell(f"{number} is answered", world, number, COMPLETED)
+            yield _notify(f"{number} is answered", world, number, COMPLETED)
 
     def _elsewhere(self, world: World, number: int) -> Steps:
         """Let an instance that cannot reach the owner look at the back ends."""
         if world.runs[number]:
-            yield _tell(f"{number} is found at an engine", world, number, COMPLETED)
+            yield _notify(f"{number} is found at an engine", world, number, COMPLETED)
         told = UNKNOWN if self._follows("an unreachable owner is unknown") else NOT_RUN
-        yield _tell(f"{number} is found nowhere", world, number, told)
+        yield _notify(f"{number} is found nowhere", world, number, told)
 
     def _cancel(self, world: World, number: int) -> Steps:
         state = world.table[number]
         if state in (WAITING, CONNECTING):
             refused = _move(f"{number} is cancelled", world, number, REFUSED)
-            yield _tell(refused.name, refused.state, number, NOT_RUN)
+            yield _notify(refused.name, refused.state, number, NOT_RUN)
         if state == DISPATCHED:
-            yield _tell(f"{number} is cancelled late", world, number, UNKNOWN)
+            yield _notify(f"{number} is cancelled late", world, number, UNKNOWN)
         if state == ABSENT and not world.expired:
             closed = REFUSED
             if not self._follows("cancelling an unseen id closes it"):
                 closed = ABSENT
             refused = _move(f"{number} is cancelled unseen", world, number, closed)
-            yield _tell(refused.name, refused.state, number, NOT_RUN)
+            yield _notify(refused.name, refused.state, number, NOT_RUN)
 
     def _owner(self, world: World, number: int) -> Steps:
         state = world.table[number]
         if state == WAITING:
             yield _move(f"{number} has a permit, connects", world, number, CONNECTING)
             refused = _move(f"{number} is shed waiting", world, number, REFUSED)
-            yield _tell(refused.name, refused.state, number, NOT_RUN)
+            yield _notify(refused.name, refused.state, number, NOT_RUN)
         if state == CONNECTING:
             yield _move(f"{number} cannot connect", world, number, WAITING)
             yield _dispatch(world, number, DISPATCHED)
@@ -183,7 +183,7 @@
             yield _dispatch(world, number, REFUSED)
         if state == DISPATCHED:
             yield _move(f"{number} ends", world, number, FINISHED)
-            yield _tell(f"{number} breaks off", world, number, UNKNOWN)
+            yield _notify(f"{number} breaks off", world, number, UNKNOWN)
             if not self._follows("never unmarks a dispatch"):
                 yield _move(f"{number} is tried again", world, number, WAITING)
         if state in (FINISHED, REFUSED):
@@ -214,7 +214,7 @@
     return explorer.Step(name, world._replace(table=_put(world.table, number, state)))
 
 
-def _tell(name: str, world: World, number: int, word: str) -> explorer.Step[World]:
+def _notify(name: str, world: World, number: int, word: str) -> explorer.Step[World]:
     # The first word stands: callers act on it.
     if world.told[number] != NOTHING:
         return explorer.Step(name, world)
--- a/packages/dev/cassiaquay_dev/sizing/measure_changes.py
+++ b/packages/dev/cassiaquay_dev/sizing/measure_changes.py
@@ -88,12 +88,12 @@
     took = time.monotonic() - start
     results = await load
     print(f"restart_all_seconds={took:.1f} exit_codes={set(codes)}", flush=True)
-    _tell("restart_all", results)
+    _notify("restart_all", results)
 
 
 async def new_version(started: cluster.Cluster) -> None:
     """Print the goodput with and without a change of the model's version."""
-    _tell("no_change", await _load(started, 25.0))
+    _notify("no_change", await _load(started, 25.0))
     text = deployments.fleet_text(started.deployment, started.addresses)
     text = text.replace('version = "1"', 'version = "2"\nserving_minimum = 4')
     load = asyncio.create_task(_load(started, 25.0))
@@ -111,7 +111,7 @@
 
     took = await _until(all_changed)
     print(f"new_version_seconds={time.monotonic() - start:.1f} of {took:.1f}")
-    _tell("new_version", await load)
+    _notify("new_version", await load)
 
 
 async def _load(started: cluster.Cluster, seconds: float) -> list[driver.Result]:
@@ -120,7 +120,7 @@
     return await sender.run(arrivals)
 
 
-def _tell(name: str, results: list[driver.Result]) -> None:
+def _notify(name: str, results: list[driver.Result]) -> None:
     outcomes = collections.Counter((one.outcome, one.code) for one in results)
     in_time = sum(1 for one in results if one.in_time)
     seconds = sorted(one.seconds for one in results)
--- a/packages/dev/cassiaquay_dev/sizing/reports_cost.py
+++ b/packages/dev/cassiaquay_dev/sizing/reports_cost.py
@@ -9,7 +9,7 @@
 
 from aioprometheus import collectors
 
-from cassiaquay_daemon.operators import burn, heaviest, metrics
+from cassiaquay_daemon.operators import burn, metrics, top_counts
 
 REQUESTS = 50_000
 TEAMS = 500
@@ -25,7 +25,7 @@
     """Return microseconds a request: counters, histograms, teams, burn windows."""
     counted = metrics.Metrics()
     windows = burn.Burn(1.0, 10, 1000, 0.0)
-    teams = heaviest.Heaviest(10)
+    teams = top_counts.TopCounts(10)
     requests = [_ended(number) for number in range(REQUESTS)]
     start = time.perf_counter()
     for number, ended in enumerate(requests):
--- a/tests/objectives_fakes.py
+++ b/tests/objectives_fakes.py
@@ -50,7 +50,7 @@
 
     def know(self, server: str, rate: float, event_seconds: float) -> None:
         """Let the policy know a server's speed."""
-        found = self.policy._pace(server)
+        found = self.policy._times_of(server)
         found.rate = rate
         found.event_seconds = event_seconds
         found.base_seconds = 0.04
--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -10,7 +10,7 @@
 from cassiaquay_daemon import exceptions
 from cassiaquay_daemon.configured import routing
 from cassiaquay_daemon.decisions import budgets
-from cassiaquay_daemon.fleet import sharers
+from cassiaquay_daemon.fleet import budget_peers
 from cassiaquay_daemon.keepers import quotas
 from cassiaquay_schema import messages, settings
 
@@ -296,7 +296,7 @@
 
 def test_the_silent_count_as_sharers_for_a_while(time) -> None:
     """Half of the fleet falls silent: cut off, it may go on spending its part."""
-    found = sharers.Sharers()
+    found = budget_peers.BudgetPeers()
     assert found.count(8) == 8
     time.now += 30.0
     assert found.count(4) == 8
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -90,7 +90,7 @@
         assert not status.shedding_lines(fleet)
         shard = instance.kept._shard("engines#0")
         assert shard is not None
-        shard.held.raise_floor(2, clock.now() + 60.0, 1000)
+        shard.cutoffs.raise_floor(2, clock.now() + 60.0, 1000)
         fleet = await status.collect(client)
         assert status.shedding_lines(fleet) == [
             "engines#0 sheds tier standard and holds lower ones back"
--- a/tests/test_early.py
+++ b/tests/test_early_bind.py
@@ -9,7 +9,7 @@
 import subprocess
 import sys
 
-from cassiaquay_daemon import early
+from cassiaquay_daemon import early_bind
 
 TEXT = """
 peer_listen = "127.0.0.1:{peers}"
@@ -25,8 +25,8 @@
     def run(self):
         heavy = {{"uvloop", "aiohttp", "msgspec"}} & set(sys.modules)
         caller = socket.create_connection(("127.0.0.1", {front}), timeout=5.0)
-        from cassiaquay_daemon import early
-        found = early.take("127.0.0.1:{front}")
+        from cassiaquay_daemon import early_bind
+        found = early_bind.take("127.0.0.1:{front}")
         found.settimeout(5.0)
         print(len(heavy), found.accept()[1] == caller.getsockname())
 
@@ -70,11 +70,11 @@
     A caller there must be refused, not left waiting for nobody.
     """
     path, front, peers = _settings(tmp_path)
-    early.listen_all(str(path))
-    early.take(f"127.0.0.1:{front}").close()
+    early_bind.listen_all(str(path))
+    early_bind.take(f"127.0.0.1:{front}").close()
     with socket.create_connection(("127.0.0.1", peers), timeout=5.0):
         pass
-    early.close_rest()
+    early_bind.close_rest()
     try:
         socket.create_connection(("127.0.0.1", peers), timeout=5.0)
     except ConnectionRefusedError:
@@ -87,6 +87,6 @@
     path = tmp_path / "settings.toml"
     for text in ("front = ", 'gateway = 3\npeer_listen = "nowhere"'):
         path.write_text(text)
-        early.listen_all(str(path))
-    early.listen_all(str(tmp_path / "missing.toml"))
-    early.close_rest()
+        early_bind.listen_all(str(path))
+    early_bind.listen_all(str(tmp_path / "missing.toml"))
+    early_bind.close_rest()
--- a/tests/test_objectives.py
+++ b/tests/test_objectives.py
@@ -181,7 +181,7 @@
     leaves has waited for nothing: it is told to come back once it cannot be in time.
     """
     bench = objectives_fakes.Bench(time, {"a": 4})
-    bench.shard.held.hold_back(0, time.now + 5.0)
+    bench.shard.cutoffs.hold_back(0, time.now + 5.0)
     name = bench.demand(rank=1)
     bench.serve()
     assert name not in bench.owner.sheds()
@@ -194,7 +194,7 @@
 def test_whoever_is_held_back_does_not_make_the_hold_longer(time) -> None:
     """The hold of the urgent tier ends; the lower tier gets slots at once."""
     bench = objectives_fakes.Bench(time, {"a": 4})
-    bench.shard.held.hold_back(0, time.now + 1.0)
+    bench.shard.cutoffs.hold_back(0, time.now + 1.0)
     bench.demand(rank=1)
     time.now += 0.9
     bench.serve()
@@ -212,7 +212,7 @@
     caller can come back while there is time left.
     """
     bench = objectives_fakes.Bench(time, {"a": 4})
-    bench.shard.held.hold_back(0, time.now + 5.0)
+    bench.shard.cutoffs.hold_back(0, time.now + 5.0)
     bench.demand(rank=1)
     bench.serve()
     time.now += 0.5
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -152,7 +152,7 @@
     shard = fakes.shard({"a": 4})
     policy = fakes.policy(shard)
     owner = fakes.Owner()
-    shard.held.raise_floor(1, time.now + 0.5, 1000)
+    shard.cutoffs.raise_floor(1, time.now + 0.5, 1000)
     shard.add(fakes.demand("background", rank=3), owner)
     shard.add(fakes.demand("same", rank=1), owner)
     policy.serve()
--- a/tests/test_reports.py
+++ b/tests/test_reports.py
@@ -7,7 +7,7 @@
 import operators_fakes as fakes
 
 from cassiaquay_daemon import exceptions
-from cassiaquay_daemon.operators import burn, heaviest, metrics
+from cassiaquay_daemon.operators import burn, metrics, top_counts
 
 PAGE = pathlib.Path(__file__).parents[1] / "docs" / "METRICS.md"
 UNITS = ("_seconds", "_total", "_requests", "_entries", "_revision", "_revisions")
@@ -80,15 +80,15 @@
 
 def test_the_heaviest_are_found_among_many_names() -> None:
     chooser = random.Random(4)
-    found = heaviest.Heaviest(3)
+    found = top_counts.TopCounts(3)
     for _ in range(20_000):
         if chooser.random() < 0.6:
             found.add(f"large-{chooser.randrange(3)}")
             continue
         found.add(f"small-{chooser.randrange(23_000)}")
     assert found._top == {"large-0", "large-1", "large-2"}
-    assert len(found._counts) == 3 * heaviest.COUNTERS_PER_NAME
-    assert found.label("small-1") == heaviest.OTHER
+    assert len(found._counts) == 3 * top_counts.COUNTERS_PER_NAME
+    assert found.label("small-1") == top_counts.OTHER
 
 
 def test_late_and_shed_requests_burn_the_budget() -> None:
--- a/tests/test_servers_health.py
+++ b/tests/test_servers_health.py
@@ -4,7 +4,7 @@
 import policy_fakes as fakes
 import pytest
 
-from cassiaquay_daemon.decisions import pace
+from cassiaquay_daemon.decisions import service_times
 
 
 @pytest.fixture(name="time")
@@ -32,7 +32,7 @@
             bench.end(name, "cut")
         time.now += 0.02
     assert 4 <= lost <= 5
-    time.now += pace.PROBE_SECONDS
+    time.now += service_times.PROBE_SECONDS
     probe = bench.demand(avoid=["good"])
     bench.serve()
     assert bench.owner.permits()[probe] == "broken"
@@ -59,7 +59,7 @@
     later = [bench.demand() for _ in range(3)]
     bench.serve()
     assert {bench.owner.permits()[name] for name in later} == {"b"}
-    time.now += pace.STALL_SECONDS + 0.01
+    time.now += service_times.STALL_SECONDS + 0.01
     tries = [bench.demand() for _ in range(3)]
     bench.serve()
     servers = [bench.owner.permits()[name] for name in tries]
@@ -122,11 +122,11 @@
     bench.shard.servers["a"] = type(old)(
         name="a", address=old.address, slots=9, started_ms=5
     )
-    assert bench.policy._pace("a").rate == pace.START_RATE
+    assert bench.policy._times_of("a").rate == service_times.START_RATE
 
 
 def test_a_server_that_slows_down_is_noticed_by_its_events(time) -> None:
-    found = pace.Pace("a")
+    found = service_times.ServiceTimes("a")
     for _ in range(20):
         found.advanced(10, 0.2)
     assert found.event_seconds == pytest.approx(0.02)
@@ -167,4 +167,4 @@
         fails = server == "broken" or number % 8 == 0
         bench.end(name, "failed" if fails else "completed")
         time.now += 0.01
-    assert lost <= 4 + 200 * 0.01 / pace.PROBE_SECONDS + 1
+    assert lost <= 4 + 200 * 0.01 / service_times.PROBE_SECONDS + 1
--- a/tests/test_rooms.py
+++ b/tests/test_spillover.py
@@ -6,7 +6,7 @@
 import pytest
 
 from cassiaquay_daemon.decisions import objectives, shards
-from cassiaquay_daemon.keepers import demands, rooms, siblings
+from cassiaquay_daemon.keepers import demands, siblings, spillover
 from cassiaquay_schema import messages
 
 HERE, THERE, BUSY = "tutor#0", "tutor#1", "tutor#2"
@@ -47,8 +47,8 @@
         members = fakes.Membership("cq-1", [self.other])
         role = Role(self.shard)
         mates = siblings.Siblings("cq-1", members, role.keeper_of, lambda: Snapshot())
-        self.rooms = rooms.Rooms(self.links, role, mates)
-        self.shard.find_room = lambda waiting, limit: self.rooms.move(
+        self.spillover = spillover.SpillOver(self.links, role, mates)
+        self.shard.find_sibling = lambda waiting, limit: self.spillover.move(
             HERE, waiting, limit
         )
 
@@ -59,7 +59,7 @@
 
     def fill(self) -> None:
         """Let an answer of some seconds take the only slot."""
-        self.policy._pace("a").event_seconds = 0.05
+        self.policy._times_of("a").event_seconds = 0.05
         self.demand("full", output_tokens=100)
         self.policy.serve()
         assert "full" in self.owner.permits()
@@ -134,7 +134,7 @@
     pool = Pool()
     pool.fill()
     pool.told(THERE, (0, 0.0, 0.0))
-    time.now += rooms.TRUST_SECONDS + 0.05
+    time.now += spillover.TRUST_SECONDS + 0.05
     pool.demand("late")
     pool.policy.serve()
     assert not pool.moved()
@@ -144,7 +144,7 @@
     pool = Pool()
     pool.fill()
     pool.told(THERE, (0, 0.0, 0.0))
-    pool.demand("tired", moves=rooms.MOST_MOVES)
+    pool.demand("tired", moves=spillover.MOST_MOVES)
     pool.policy.serve()
     assert not pool.moved()
 
@@ -153,7 +153,7 @@
     pool = Pool()
     pool.demand("first")
     pool.policy.serve()
-    pool.rooms.tell()
+    pool.spillover.tell()
     [told] = pool.other.sent
     assert isinstance(told, messages.Waits)
     assert told.shard == HERE
