Grant short answers ahead, so that slots are not empty between two of them

An end has to reach the keeper, its permit an owner, and the request the server: some 38 ms in which the slot is empty.

A server may now have as many requests more as end while that news is on its way, at most its slots again; the wait in the server counts in the estimates. Long answers get none. The order of teams moves to a module of its own, unchanged.

--- a/packages/daemon/cassiaquay_daemon/decisions/candidates.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/candidates.py
@@ -17,6 +17,9 @@
 # A server is left to its probes only when it fails by so much more than the median one
 # of its shard.
 BROKEN_EXCESS = 0.3
+# From the end of an answer until the next request arrives at its server: the end goes
+# to the keeper, its permit to an owner, the request to the server.
+TURNOVER_SECONDS = 0.06
 
 
 class Candidate(typing.NamedTuple):
@@ -42,15 +45,33 @@
     usual_failing: float
     ration: slow_start.Ration | None = None
 
+    @property
+    def capacity(self) -> int:
+        """Requests that it may have at a time.
+
+        Its slots, and those that it starts while the news of an end is on its way: with
+        answers as short as that, slots would stand empty for a third of the time while
+        callers are refused. They wait in the server for less than one answer.
+        """
+        slots = self.server.slots
+        seconds = max(self.times.whole_seconds, TURNOVER_SECONDS)
+        return slots + int(slots * TURNOVER_SECONDS / seconds)
+
+    @property
+    def queue_seconds(self) -> float:
+        """Time that one more request would wait in the server."""
+        queued = self.load.count - self.server.slots + 1
+        return max(queued, 0) * self.times.whole_seconds / self.server.slots
+
     @property
     def free_slots(self) -> int:
         """Requests that it may get now, where it may get any."""
-        free = self.server.slots - self.load.count
+        free = self.capacity - self.load.count
         return free if self.ration is None else min(free, self.ration.turns)
 
     def has_slot(self, now: float) -> bool:
         """Tell whether one more request may go there now."""
-        if self.load.count >= self.server.slots or self.times.is_silent(now):
+        if self.load.count >= self.capacity or self.times.is_silent(now):
             return False
         if self.ration is not None and not self.ration.turns:
             return False
@@ -128,7 +149,7 @@
         for item in self.open:
             if item.ration is None:
                 continue
-            free = item.server.slots - item.load.count
+            free = item.capacity - item.load.count
             turns = item.ration.turn_seconds(max(free, 0))
             found += [seconds for seconds in turns if seconds > 0.0]
         return found
--- a/packages/daemon/cassiaquay_daemon/decisions/objectives.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/objectives.py
@@ -24,11 +24,11 @@
     forecasts,
     loads,
     policies,
-    queues,
     reservations,
     service_times,
     shards,
     shedding,
+    team_order,
 )
 
 NAME = "objectives"
@@ -59,14 +59,6 @@
 RETRY_AFTER_SHARE = 2.0 / 9.0
 
 
-class _TeamQueue:
-    """Waiting demands of one team in one tier, in order of arrival."""
-
-    def __init__(self) -> None:
-        self.virtual = 0.0
-        self.ids: dict[str, None] = {}
-
-
 @policies.policies.register(NAME)
 class Objectives:
     """Strict tiers, fair teams, first events in time.
@@ -79,7 +71,7 @@
 
     def __init__(self, shard: shards.Shard):
         self._shard = shard
-        self._tiers: dict[int, dict[str, _TeamQueue]] = {}
+        self._order = team_order.TeamOrder()
         self._service_times: dict[str, tuple[int, service_times.ServiceTimes]] = {}
         self._arrivals = arrivals.Arrivals()
         self._reserved = reservations.Reservations()
@@ -97,21 +89,14 @@
         """Take in a new demand; a team that was idle gets no credit for that."""
         demand = waiting.demand
         self._arrivals.add(demand.rank)
-        teams = self._tiers.setdefault(demand.rank, {})
-        queue = teams.get(demand.team)
-        if queue is None:
-            queue = teams[demand.team] = _TeamQueue()
-        if not queue.ids:
-            active = [item.virtual for item in teams.values() if item.ids]
-            queue.virtual = queues.virtual_of_newcomer(queue.virtual, active)
-        queue.ids[demand.id] = None
+        self._order.add(demand)
         objective = demand.first_ms or demand.remaining_ms
         self._late_at[demand.id] = clock.now() + objective / 1000.0
 
     def unqueued(self, waiting: shards.Waiting) -> None:
         """Take in that a demand has left."""
         demand = waiting.demand
-        self._tiers[demand.rank][demand.team].ids.pop(demand.id, None)
+        self._order.remove(demand)
         self._late_at.pop(demand.id, None)
 
     def advanced(self, server: str, tokens: int, seconds: float) -> None:
@@ -135,6 +120,7 @@
         now = clock.now()
         if release.outcome == "completed":
             known.ended(True, now)
+            known.completed(release.total_ms / 1000.0)
             if not release.prompt_tokens:
                 known.served(release.total_ms / 1000.0)
         elif release.outcome in ("cut", "failed", "declined"):
@@ -148,13 +134,13 @@
         is_reckoned = False
         looked = 0
         ahead = 0
-        for rank in sorted(self._tiers):
+        for rank in self._order.ranks():
             if self._shard.cutoffs.holds_for_others(rank):
                 self._held_since.setdefault(rank, now)
                 self._settle_held(rank, now)
                 continue
             self._held_since.pop(rank, None)
-            order = self._in_order(rank)
+            order = self._order.order(rank)
             near = order[: max(MOST_LOOKED - looked, 0)]
             looked += len(near)
             left = self._grant_in_time(near, now)
@@ -177,11 +163,10 @@
         self._forecast.refresh()
         found = []
         ahead = 0
-        for rank in sorted(self._tiers):
+        for rank in self._order.ranks():
             if self._shard.cutoffs.holds_for_others(rank):
                 break
-            for queue in self._tiers[rank].values():
-                ahead += len(queue.ids)
+            ahead += self._order.count(rank)
             before = ahead + self._reserved.above(rank, now)
             wait = self._forecast.wait_seconds(rank, before)
             step = (self._forecast.wait_seconds(rank, before + STEPS) - wait) / STEPS
@@ -299,19 +284,17 @@
         lasted for longer than a request can wait will most likely outlast it too: its
         caller is told at once, and others when their time has passed.
         """
-        for queue in self._tiers[rank].values():
-            for request_id in list(queue.ids):
-                waiting = self._shard.queue[request_id]
-                late_at = self._late_at[request_id]
-                lasts = now - self._held_since[rank] > late_at - waiting.arrived_at
-                if now + MARGIN_SECONDS <= late_at and not lasts:
-                    continue
-                # The floor that is there stays as it is: renewed by those whom it
-                # holds back, it would never end.
-                self._shard.cutoffs.hold_back(rank, now + FLOOR_SECONDS)
-                self._shard.shed(
-                    waiting, "shed_overload", self._retry_after_ms(waiting, now)
-                )
+        for request_id in self._order.arrived(rank):
+            waiting = self._shard.queue[request_id]
+            late_at = self._late_at[request_id]
+            lasts = now - self._held_since[rank] > late_at - waiting.arrived_at
+            if now + MARGIN_SECONDS <= late_at and not lasts:
+                continue
+            # The floor that is there stays as it is: renewed by those whom it holds
+            # back, it would never end.
+            self._shard.cutoffs.hold_back(rank, now + FLOOR_SECONDS)
+            retry_after_ms = self._retry_after_ms(waiting, now)
+            self._shard.shed(waiting, "shed_overload", retry_after_ms)
 
     def _retry_after_ms(self, waiting: shards.Waiting, now: float) -> int:
         """Return when a refused caller should be back."""
@@ -331,32 +314,13 @@
 
     def _grant(self, waiting: shards.Waiting, choice: choices.Choice) -> None:
         demand = waiting.demand
-        queue = self._tiers[demand.rank][demand.team]
         weight = self._shard.weights.get(demand.team, 1.0)
         self._times_of(choice.server).granted(clock.now())
         self._reserved.use(demand.rank)
-        queue.virtual += (demand.prompt_tokens + demand.output_tokens + 1) / weight
+        self._order.charge(demand, weight)
         self._shard.grant(waiting, choice.server, 0, choice.first_seconds)
         self._forecast.granted(demand.id)
 
-    def _in_order(self, rank: int) -> list[str]:
-        """Return the demands of a tier as they are served.
-
-        One of each team in turn, the team that had least first: what a flood of one
-        team brings stands behind the few of the others.
-        """
-        teams = [queue for queue in self._tiers[rank].values() if queue.ids]
-        teams.sort(key=_virtual)
-        rows = [list(queue.ids) for queue in teams]
-        found: list[str] = []
-        depth = 0
-        while any(len(row) > depth for row in rows):
-            for row in rows:
-                if len(row) > depth:
-                    found.append(row[depth])
-            depth += 1
-        return found
-
     def _best(
         self, waiting: shards.Waiting, late_at: float, now: float
     ) -> choices.Choice | None:
@@ -396,15 +360,16 @@
             pause = expected.event_seconds + reading
             if pause > demand.pause_ms / 1000.0 * PAUSE_SHARE:
                 return None
-        cost = expected.first_seconds + demand.output_tokens * expected.event_seconds
-        is_late = now + expected.first_seconds + MARGIN_SECONDS > late_at
+        first = found.queue_seconds + expected.first_seconds
+        cost = first + demand.output_tokens * expected.event_seconds
+        is_late = now + first + MARGIN_SECONDS > late_at
         if cost > left * FINISH_SHARE:
             # Begun in time, a long answer would be cut off at its deadline there.
             is_late = True
         cost += FAILURE_SECONDS * known.failing(now)
         # Of servers that are equal otherwise the emptier one.
         cost += expected.first_seconds * load.count / server.slots
-        return choices.Choice(server.name, expected.first_seconds, cost, is_late)
+        return choices.Choice(server.name, first, cost, is_late)
 
     def _is_too_long(self, waiting: shards.Waiting, now: float) -> bool:
         """Tell whether an answer would be cut off at the fastest server, too."""
@@ -444,7 +409,3 @@
                 service_times.ServiceTimes(server),
             )
         return known[1]
-
-
-def _virtual(queue: _TeamQueue) -> float:
-    return queue.virtual
--- a/packages/daemon/cassiaquay_daemon/decisions/service_times.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/service_times.py
@@ -19,6 +19,9 @@
 # Prompts below this say more about the fixed part of the first event than of the rate.
 LEAST_SAMPLE_TOKENS = 1500
 SLOWER_WEIGHT = 0.4
+# Weight of one whole answer in the mean of their lengths.
+WHOLE_WEIGHT = 0.1
+START_WHOLE_SECONDS = 1.0
 FASTER_WEIGHT = 0.15
 LEAST_RATE = 500.0
 MOST_RATE = 1_000_000.0
@@ -72,6 +75,8 @@
         self.rate = START_RATE
         self.event_seconds = START_EVENT_SECONDS
         self.base_seconds = START_BASE_SECONDS
+        self.whole_seconds = START_WHOLE_SECONDS
+        self._whole_known = False
         self._rate_known = False
         self._events_known = False
         self._base_known = False
@@ -168,6 +173,14 @@
         self._alive()
         self._learn_base(seconds)
 
+    def completed(self, seconds: float) -> None:
+        """Learn how long a request occupies a slot."""
+        if not self._whole_known:
+            self._whole_known = True
+            self.whole_seconds = seconds
+            return
+        self.whole_seconds += WHOLE_WEIGHT * (seconds - self.whole_seconds)
+
     def ended(self, well: bool, now: float) -> None:
         """Learn from an end, as far as the server is answerable for it."""
         share = self.failing(now)
