Plain words in comments; no answers granted ahead where they are long

Answers of model engines differ a hundredfold in length, so their mean says little of when a slot comes free.

--- a/packages/daemon/cassiaquay_daemon/configured/snapshots.py
+++ b/packages/daemon/cassiaquay_daemon/configured/snapshots.py
@@ -128,7 +128,7 @@
 
 
 class Registered(typing.NamedTuple):
-    """What the platform tells of backend servers.
+    """What the platform publishes of backend servers.
 
     Attributes
     ----------
--- a/packages/daemon/cassiaquay_daemon/decisions/buckets.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/buckets.py
@@ -7,9 +7,9 @@
 what was spent before and what it fills up with are never more than one bucket's depth
 and its rate over any window.
 
-Where room comes soon, a request is told when: it waits for some hundredths of a second
-instead of coming back seconds later, and each has a moment of its own, so that those
-who wait do not all try at the same one.
+Where there will be room soon, a request gets a reservation: it waits for some
+hundredths of a second instead of coming back seconds later, and each has a moment of
+its own, so that those who wait do not all try at once.
 """
 
 import math
--- a/packages/daemon/cassiaquay_daemon/decisions/candidates.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/candidates.py
@@ -20,6 +20,9 @@
 # From the end of an answer until the next request arrives at its server: the end goes
 # to the keeper, its permit to an owner, the request to the server.
 TURNOVER_SECONDS = 0.06
+# Answers longer than this gain too little from requests that wait in the server, where
+# they are served in order of arrival.
+SHORT_SECONDS = 3.0 * TURNOVER_SECONDS
 
 
 class Candidate(typing.NamedTuple):
@@ -54,6 +57,8 @@
         callers are refused. They wait in the server for less than one answer.
         """
         slots = self.server.slots
+        if self.times.whole_seconds > SHORT_SECONDS:
+            return slots
         seconds = max(self.times.whole_seconds, TURNOVER_SECONDS)
         return slots + int(slots * TURNOVER_SECONDS / seconds)
 
--- a/packages/daemon/cassiaquay_daemon/decisions/objectives.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/objectives.py
@@ -1,9 +1,9 @@
 """The policy for callers that count first events: in time, or refused at once.
 
 Load pattern: bursts of twice the capacity for seconds, prompts whose lengths differ a
-hundredfold, servers that differ threefold in speed. An answer that begins late is worth
-a third of one in time, and one that is refused after a long wait is worth less than one
-refused at once, since its caller could have come back.
+hundredfold, servers that differ threefold in speed. A late answer is worth less than
+one in time, and a refusal after a long wait less than one at once, since its caller
+could have come back.
 
 - Order: strict tiers; within a tier the team that had least, then arrival. Not the
   shortest first: long requests must be served about as often as short ones.
@@ -49,7 +49,7 @@
 FAILURE_SECONDS = 3.0
 # Demands weighed against every server in one pass, which must stay short.
 MOST_LOOKED = 48
-# How long others are told that a tier is being shed here.
+# How long a shed is reported to others.
 FLOOR_SECONDS = 0.3
 # Demands over which the growth of the wait in a shard is measured: about as many as are
 # moved there between two of its reports.
@@ -83,7 +83,7 @@
         shard.observe(self)
         shard.waits = self.waits
 
-    # What the shard tells.
+    # Called by the shard.
 
     def queued(self, waiting: shards.Waiting) -> None:
         """Take in a new demand; a team that was idle gets no credit for that."""
@@ -112,7 +112,7 @@
     def stopped(self, running: shards.Running) -> None:
         """Do nothing: :meth:`learn` has the figures."""
 
-    # What the keeper calls.
+    # Called by the keeper.
 
     def learn(self, release: messages.Release) -> None:
         """Take in how a request ended."""
@@ -152,8 +152,8 @@
                 is_reckoned = True
             kept = self._reserved.above(rank, now)
             waiting = self._settle(left, ahead + kept, now)
-            # Those behind are too many to be weighed one by one. Whoever stands there
-            # in vain must be told so no later for that.
+            # Those behind are too many to be weighed one by one, but those who cannot
+            # be in time must be refused no later for that.
             ahead = self._settle_far(far, waiting, now) - kept
 
     def waits(self) -> list[messages.RankWait]:
@@ -248,11 +248,11 @@
     ) -> bool:
         """Tell whether a demand that will be late waits for a slot all the same.
 
-        Whoever comes into a queue that is too long is told so at once and can come back
-        when it is short. The others wait for a while: one that has waited and is the
-        next of its tier, one that was promised a slot that came late, and one whose
-        prompt takes most of its time: refused whenever slots are short, the longest
-        would hardly ever be served.
+        A request that arrives at a queue that is too long is refused at once and can
+        come back when it is short. Others wait for a while: one that has waited and is
+        the next of its tier, one whose slot came later than estimated, and one whose
+        prompt takes most of its objective. Refused whenever slots are short, the
+        longest would hardly ever be served.
         """
         now = clock.now()
         late_at = self._late_at[waiting.demand.id]
@@ -264,7 +264,7 @@
         return not self._is_over(waiting, now + wait)
 
     def _settle_far(self, order: list[str], ahead: int, now: float) -> int:
-        """Shed those far behind who stand there in vain; return how many wait."""
+        """Shed those far behind who cannot be in time; return how many wait."""
         for request_id in order:
             waiting = self._shard.queue[request_id]
             wait = self._forecast.wait_seconds(waiting.demand.rank, ahead)
@@ -278,11 +278,11 @@
         return ahead
 
     def _settle_held(self, rank: int, now: float) -> None:
-        """Shed those of a tier that is held back who wait there in vain.
+        """Shed those of a tier that is held back who cannot be in time.
 
-        Most holds are short, and what waits is then served in time. One that has
-        lasted for longer than a request can wait will most likely outlast it too: its
-        caller is told at once, and others when their time has passed.
+        Most holds are short, and what waits is then served in time. A hold that has
+        lasted longer than a request can wait will probably outlast it too: that request
+        is refused at once, the others when their objective has passed.
         """
         for request_id in self._order.arrived(rank):
             waiting = self._shard.queue[request_id]
--- a/packages/daemon/cassiaquay_daemon/decisions/service_times.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/service_times.py
@@ -12,7 +12,7 @@
 
 from .. import clock, logs
 
-# Where nothing is known yet: of the engines met so far the middle ones.
+# Assumed until a server's own work shows its speed.
 START_RATE = 60_000.0
 START_EVENT_SECONDS = 0.025
 START_BASE_SECONDS = 0.05
--- a/packages/daemon/cassiaquay_daemon/decisions/shards.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/shards.py
@@ -40,7 +40,7 @@
     arrived_at, deadline : float
         Seconds on this clock.
     renewed_at : float
-        When the owner said so last; seconds on this clock.
+        When the owner sent it last; seconds on this clock.
     """
 
     demand: messages.Demand
@@ -51,7 +51,7 @@
 
 
 class Running(typing.NamedTuple):
-    """A permit given, or a dispatch that an owner told of.
+    """A permit given, or a dispatch that an owner reported.
 
     Attributes
     ----------
@@ -64,7 +64,7 @@
     expires_at : float
         Seconds on this clock; renewals move it on.
     demand : Demand or None
-        What was granted; None where only an owner's renewal told of it.
+        What was granted; None where only an owner's renewal reported it.
     dispatched : bool
         Whether the owner has put the permit to use.
     cached_tokens : int
@@ -106,7 +106,7 @@
 
 
 class Shard:
-    """The keeper's state of one shard. All of it is soft: owners can tell it anew.
+    """The keeper's state of one shard: soft state that owners can report again.
 
     Parameters
     ----------
@@ -152,12 +152,12 @@
         return not self._unheard or clock.now() >= self._opens_at
 
     def close(self, owners: typing.Collection[str] | None = None) -> None:
-        """Grant nothing until the owners have told what is out.
+        """Grant nothing until the owners have reported what is outstanding.
 
         Parameters
         ----------
         owners : collection of str, optional
-            Live instances; the shard opens early when all of them have told.
+            Live instances; the shard opens early when all of them have reported.
         """
         # A new keeper that granted at once would put a second load on engines that
         # are full already: callers would see every answer come late.
@@ -167,7 +167,7 @@
 
     @property
     def unheard(self) -> set[str]:
-        """Owners that have not told what they have out; empty once open."""
+        """Owners that have not reported what is outstanding; empty once open."""
         return set() if self.is_open else self._unheard
 
     def observe(self, observer: Observer) -> None:
@@ -230,7 +230,7 @@
                 self._unqueue(request_id)
 
     def drop_queue(self) -> None:
-        """Forget all demands; their owners tell those that still wait again."""
+        """Forget all demands; their owners send those that still wait again."""
         for request_id in list(self.queue):
             self._unqueue(request_id)
 
@@ -318,7 +318,7 @@
         waiting.replier.send(permit)
 
     def shed(self, waiting: Waiting, code: str, retry_after_ms: int) -> None:
-        """Give a demand up; the owner tells its caller at once."""
+        """Give a demand up; the owner refuses it at once."""
         self._unqueue(waiting.demand.id)
         logs.event(
             "shed",
--- a/packages/daemon/cassiaquay_daemon/decisions/shedding.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/shedding.py
@@ -1,11 +1,11 @@
-"""How fast a shard's queue drains, and so who waits in vain and when to come back."""
+"""How fast a shard's queue drains: who cannot be in time, and Retry-After."""
 
 import random
 
 from .. import clock
 
 HALF_LIFE_SECONDS = 2.0
-# Seconds of saturation seen before the measured drain is believed.
+# Seconds of saturation needed before the measured drain is used.
 BELIEF_SECONDS = 0.7
 LEAST_RETRY_MS = 200
 MOST_RETRY_MS = 15_000
@@ -69,8 +69,8 @@
 def retry_after_ms(seconds: float) -> int:
     """Return when to ask again, at least ``seconds`` from now.
 
-    Spread, because callers that were told the same moment would come back together
-    and be shed together.
+    Spread, because callers with the same Retry-After would return together and be shed
+    together.
     """
     milliseconds = min(max(seconds * 1000.0, LEAST_RETRY_MS), MOST_RETRY_MS)
     return int(milliseconds * (1.0 + JITTER * random.random()))
--- a/packages/daemon/cassiaquay_daemon/decisions/tiered.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/tiered.py
@@ -14,7 +14,7 @@
 MOST_WEIGHED = 64
 # After a tier was shed for overload, no tier below it gets a grant for this long.
 FLOOR_SECONDS = 0.5
-# So long before a demand must be given up the other shards of the pool are told.
+# The other shards of the pool are asked to hold back so long before a shed.
 NOTICE_SECONDS = 0.05
 # With more than so many waiting, prefill is dear: it is taken from somebody.
 PRESSURE_QUEUE = 8
@@ -46,7 +46,7 @@
         self._passed: set[str] = set()
         shard.observe(self)
 
-    # What the shard tells.
+    # Called by the shard.
 
     def queued(self, waiting: shards.Waiting) -> None:
         """Take in a new demand."""
@@ -210,7 +210,7 @@
         return found
 
     def _admit(self, views: list[placement.View], now: float) -> None:
-        """Look at new demands once: what would wait in vain is told so at once."""
+        """Look at new demands once, and shed those that cannot be in time."""
         fresh, self._new = self._new, []
         for request_id in fresh:
             waiting = self._shard.queue.get(request_id)
--- a/packages/daemon/cassiaquay_daemon/early_bind.py
+++ b/packages/daemon/cassiaquay_daemon/early_bind.py
@@ -13,8 +13,7 @@
 import socket
 import tomllib
 
-# Callers that wait for one start: a burst of a second at ten times the usual rate of an
-# instance today.
+# Callers that may wait for one start.
 BACKLOG = 1024
 SETTINGS_FLAG = "--settings"
 # Where settings name addresses that callers and other instances connect to.
--- a/packages/daemon/cassiaquay_daemon/fleet/members.py
+++ b/packages/daemon/cassiaquay_daemon/fleet/members.py
@@ -110,7 +110,7 @@
 
     @property
     def me(self) -> messages.Member:
-        """What the others are told of this instance."""
+        """What the others know of this instance."""
         return self.update()
 
     def update(self, again: bool = False) -> messages.Member:
@@ -265,7 +265,7 @@
         self._notice()
 
     def learn(self, member: messages.Member) -> None:
-        """Take in a fact that a peer told."""
+        """Take in a fact from a peer."""
         if member.instance == self._settings.instance:
             if member.incarnation != self._incarnation and member.born > self._born:
                 logs.trouble("instance_name_used_twice", by=member.incarnation)
--- a/packages/daemon/cassiaquay_daemon/fleet/servers.py
+++ b/packages/daemon/cassiaquay_daemon/fleet/servers.py
@@ -21,7 +21,7 @@
 from . import configuration, freshness, members, transit
 
 # The reader's place in the order of readers adds this much to the age at which it
-# reads: time for the one before it to read and for a heartbeat to tell of it.
+# reads: time for the one before it to read and for a heartbeat to arrive.
 RANK_SECONDS = 0.35
 # Those behind this place read at the same age: all of them together are still few.
 LAST_RANK = 2
@@ -112,7 +112,7 @@
 
     @property
     def state(self) -> freshness.Freshness:
-        """What heartbeats tell of the list."""
+        """What heartbeats say of the list."""
         return freshness.Freshness(self._revision, self.age_ms, self._digest)
 
     async def read(self) -> None:
@@ -171,7 +171,7 @@
     ) -> bool:
         """Take in a list; return whether what may be used has changed."""
         if revision < self._revision:
-            # Read before what another instance has told meanwhile.
+            # Read before what another instance has sent meanwhile.
             return False
         if self._revision and read_at - self._confirmed_at > AWAY_SECONDS:
             self._back_at = read_at
@@ -257,7 +257,7 @@
 
     def _notify(self) -> None:
         # A server that leaves must get no new work within seconds: those who hear of
-        # it tell their neighbours at once, each list once.
+        # it send the list to their neighbours at once, each list once.
         message = self._message()
         for instance, address in self._membership.neighbours().items():
             link = self._links.link(instance, address)
--- a/packages/daemon/cassiaquay_daemon/fleet/spread.py
+++ b/packages/daemon/cassiaquay_daemon/fleet/spread.py
@@ -9,29 +9,29 @@
 from ..links import peers
 from . import facts
 
-# Sizes of one fact and one suspicion on the wire, measured and rounded up: the budget
-# needs no encoding of its own.
+# Upper bounds of one fact and one suspicion on the wire, so that keeping to the budget
+# needs no encoding.
 MEMBER_BYTES = 130
 SUSPICION_BYTES = 40
 BURST_SECONDS = 20.0
 
 
 class Portion(typing.NamedTuple):
-    """What one heartbeat tells."""
+    """What one heartbeat carries."""
 
     members: list[messages.Member]
     suspicions: list[messages.Suspicion]
 
 
 class Spread:
-    """Chooses what to tell over each link.
+    """Chooses what to send over each link.
 
     Parameters
     ----------
     instance : str
         Name of this instance.
     known : Facts
-        What there is to tell.
+        What there is to send.
     bytes_per_second : int
         Budget of all links together. Unused budget adds up for some seconds: a
         failure domain that goes at once is told of at once.
@@ -48,7 +48,7 @@
         )
 
     def portion(self, link: peers.Link) -> Portion:
-        """Return what the peer has not been told, as far as the budget goes."""
+        """Return what the peer does not know yet, as far as the budget goes."""
         self._fill()
         portion = Portion([], [])
         change = self._told.setdefault(link, None)
--- a/packages/daemon/cassiaquay_daemon/gateway/admission.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/admission.py
@@ -21,7 +21,7 @@
 
 
 class Tally:
-    """Events of an answer so far, as renewals tell them to the keeper."""
+    """Events of an answer so far, as renewals report them to the keeper."""
 
     def __init__(self) -> None:
         self.count = 0
@@ -35,7 +35,7 @@
 
 
 class Ticket(typing.NamedTuple):
-    """Leave to dispatch one request to one server.
+    """Permission to dispatch one request to one server.
 
     Attributes
     ----------
@@ -59,7 +59,7 @@
 
 
 class Admission:
-    """Asks for capacity and tells how it was used.
+    """Asks for capacity and reports how it was used.
 
     Parameters
     ----------
--- a/packages/daemon/cassiaquay_daemon/gateway/service.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/service.py
@@ -25,8 +25,8 @@
     serving,
 )
 
-# Callers reuse idle connections for most of the idle bound that the configuration
-# gives them, 15 s today; a connection closed before would cost one of them a request.
+# Callers reuse idle connections for most of the configuration's idle timeout. Closing
+# one earlier would lose the request that is just being sent on it.
 IDLE_SECONDS = 75
 # Share of the grace time in which a stopping instance still takes new requests. Answers
 # of the directory that name it are mostly over by then, and a stream of five seconds
--- a/packages/daemon/cassiaquay_daemon/gateway/serving.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/serving.py
@@ -35,7 +35,7 @@
 # two seconds and more between events, still has time for another one.
 STREAM_SILENCE_SECONDS = 1.2
 LEAST_SILENCE_SECONDS = 0.25
-# Prompt tokens a second of the slowest engines met; long prompts take their time.
+# Prompt tokens a second of a slow engine: long prompts delay the first event.
 SLOW_RATE = 20_000.0
 # Connections that may fail before a request is refused: servers that crashed are still
 # listed for a while, and two of them together must not cost a request.
--- a/packages/daemon/cassiaquay_daemon/keepers/demands.py
+++ b/packages/daemon/cassiaquay_daemon/keepers/demands.py
@@ -1,7 +1,7 @@
 """The owner's side of admission: demands out, permits in, leases renewed.
 
-Demands are told to whichever instance is the keeper now; when that changes, or its
-connection breaks, they are told again.
+Demands are sent to whichever instance is the keeper now; when that changes, or its
+connection breaks, they are sent again.
 """
 
 import asyncio
@@ -16,9 +16,8 @@
 from ..links import peers
 from . import keeper, sending
 
-# How often news of dispatches and first events is sent. A keeper holds back until it
-# hears that a prompt has been read; 50 ms here cost a twentieth of goodput
-# (docs/experiments/shard-lab.md).
+# How often dispatches and first events are reported. A keeper holds back until it hears
+# that a prompt has been read, so a longer period leaves engines idle.
 PROGRESS_SECONDS = 0.02
 
 
@@ -26,10 +25,10 @@
 # it permits are not taken: enough for all that lay in the sockets to be read.
 LATE_RENEWALS = 3.0
 VOID_SECONDS = 0.2
-# A keeper that lives tells within a few round trips that it has a demand; when it does
-# not, it died, sleeps or is cut off. Well under the shortest objective of 400 ms.
+# A live keeper acknowledges a demand within a few round trips. One that does not has
+# died, is paused or cut off.
 PATIENCE_SECONDS = 0.15
-# How often a demand that waits is told again, to see whether its keeper still lives.
+# How often a waiting demand is sent again, to see whether its keeper still lives.
 PROBE_SECONDS = 0.5
 
 
@@ -307,8 +306,8 @@
     def _elsewhere(self, message: messages.Moved) -> None:
         pending = self._pending.get(message.id)
         if pending is None or pending.demand.shard != message.shard:
-            # It has ended, or has been moved before: the word comes twice when the
-            # demand was told twice.
+            # It has ended, or has been moved before: a demand that was sent twice is
+            # moved twice.
             return
         demand = pending.demand._replace(
             shard=message.target, moves=pending.demand.moves + 1
@@ -328,7 +327,7 @@
             return
         if pending.future.done() or permit.server in pending.demand.avoid:
             # A repeat, or one given before the keeper knew that this server refused a
-            # connection. The keeper has been told, or the permit ends by itself.
+            # connection. The keeper knows by now, or the permit expires.
             return
         if self._is_late() or clock.now() < self._void_until:
             # This process was paused. The permit may have lain in the socket for as
@@ -391,7 +390,7 @@
             self._keeper.renewal(self._local, message)
 
     def _up(self, link: peers.Link) -> None:
-        # Frames sent on the old connection may be lost: tell everything anew.
+        # Frames sent on the old connection may be lost: send everything again.
         for shard, name in list(self._keepers.items()):
             if name == link.instance:
                 self._resend_shard(shard)
--- a/packages/daemon/cassiaquay_daemon/keepers/keeper.py
+++ b/packages/daemon/cassiaquay_daemon/keepers/keeper.py
@@ -70,7 +70,7 @@
         self._due: set[str] = set()
         # When the next pass over a shard's queue may begin; seconds on this clock.
         self._rested_at: dict[str, float] = {}
-        # Demands whose owners have not been told yet that they are in the queue.
+        # Demands that have not been acknowledged to their owners yet.
         self._fresh: dict[str, dict[str, shards.Replier]] = {}
         self._pauses = pauses or pause.Pauses(pause.shortest_lease(settings))
         self._pauses.on_overslept(self._overslept)
@@ -203,7 +203,7 @@
                 self._update(shard)
                 self._ask(shard)
             self._serve(name)
-        self._spillover.tell()
+        self._spillover.announce()
 
     def _open_early(self) -> None:
         """Take up the shards to be kept here before the first demand comes.
@@ -325,7 +325,7 @@
         self._due.discard(name)
         shard = self.shards[name]
         if not self.keeps(name):
-            # Handed over: the owners tell the new keeper, nothing is lost here.
+            # Handed over: the owners ask the new keeper, nothing is lost here.
             shard.drop_queue()
             self._fresh.pop(name, None)
             return
--- a/packages/daemon/cassiaquay_daemon/keepers/quotas.py
+++ b/packages/daemon/cassiaquay_daemon/keepers/quotas.py
@@ -12,8 +12,8 @@
 
 Under overload requests that have their share of the limit are refused for want of a
 slot, and their callers come back. What they were given goes back, too: counted each
-time, refusals would use the limit up, and a team that stays below it would be told
-that it is over.
+time, refusals would use the limit up, and a team below its limit would be refused for
+being over it.
 """
 
 import asyncio
@@ -36,7 +36,7 @@
 # Part of that which instances may spend without asking, in a fleet of up to this many.
 # In larger ones an own share would be less than one long request, and what nobody can
 # spend is lost to the team: there the part shrinks, and more is asked for. The larger
-# part is the keeper's: a prompt of 54,600 tokens, the longest met, must fit its depth.
+# part is the keeper's: the longest prompt must fit its depth.
 OWN_SHARE = 0.3
 OWN_INSTANCES = 12
 # A keeper that lives answers within a few round trips, of which some may go for the
--- a/packages/daemon/cassiaquay_daemon/keepers/sending.py
+++ b/packages/daemon/cassiaquay_daemon/keepers/sending.py
@@ -1,4 +1,4 @@
-"""A dispatched request, as its keeper is told of it."""
+"""A dispatched request, as it is reported to its keeper."""
 
 import typing
 
@@ -8,7 +8,7 @@
 
 
 class Counted(typing.Protocol):
-    """An answer in the making, as far as renewals tell of it."""
+    """An answer in progress, as far as renewals report it."""
 
     @property
     def count(self) -> int:
@@ -20,7 +20,7 @@
 
 
 class Sent:
-    """A dispatched request, with what its keeper has not been told yet.
+    """A dispatched request, with what has not been reported to its keeper yet.
 
     Parameters
     ----------
@@ -39,7 +39,7 @@
 
     @property
     def renewed(self) -> messages.Outstanding:
-        """The request as a renewal tells of it."""
+        """The request as a renewal reports it."""
         produced = self.answer.count if self.answer is not None else 0
         return self.item._replace(produced=produced)
 
--- a/packages/daemon/cassiaquay_daemon/keepers/spillover.py
+++ b/packages/daemon/cassiaquay_daemon/keepers/spillover.py
@@ -1,13 +1,13 @@
-"""Room in the other shards of a pool, for demands that cannot be in time in their own.
+"""Spill-over between the shards of a pool, for demands that would be late in their own.
 
 Load pattern: a pool of many servers has several shards with a keeper each, and requests
 are spread over them by their prompts. At any moment one of them has the slower servers,
 the longer prompts or the busier sessions. Alone it would refuse requests, and have all
 shards hold lower tiers back for that, while others have free slots.
 
-Keepers tell each other how long a new demand of each rank would wait. A demand that
-cannot be in time in its shard goes to the one where it waits least, if it is in time
-there; what is in time nowhere is shed as in a pool of one shard.
+Keepers report to each other how long a new demand of each rank would wait. A demand
+that cannot be in time in its shard goes to the one where it waits least, if it is in
+time there; what is in time nowhere is shed as in a pool of one shard.
 """
 
 import typing
@@ -19,9 +19,9 @@
 from ..links import peers
 from . import siblings
 
-# Waits are told at each tick of the keeper, every 0.1 s; what is moved meanwhile is
-# added by the sender. After three ticks without news nothing is moved there: its keeper
-# may be paused or cut off.
+# Waits are reported at each tick of the keeper, every 0.1 s; what is moved meanwhile is
+# added by the sender. After three ticks without a report nothing is moved there: its
+# keeper may be paused or cut off.
 TRUST_SECONDS = 0.3
 # A demand is moved only when it gains more than the way there and an estimate's error.
 GAIN_SECONDS = 0.03
@@ -30,7 +30,7 @@
 
 
 class Role(typing.Protocol):
-    """The keeper role, as rooms need it."""
+    """The keeper role, as spill-over needs it."""
 
     shards: dict[str, shards.Shard]
 
@@ -38,8 +38,8 @@
         """Tell whether this instance should be the keeper of a shard."""
 
 
-class _Told:
-    """What another shard has told, and what was moved there since."""
+class _Report:
+    """What another shard has reported, and what was moved there since."""
 
     def __init__(self, waits: list[messages.RankWait]):
         self.at = clock.now()
@@ -59,7 +59,7 @@
 
 
 class SpillOver:
-    """What the shards of this instance's pools know of each other.
+    """What the shards of this instance's pools know of each other's waits.
 
     Parameters
     ----------
@@ -74,7 +74,7 @@
     def __init__(self, links: peers.Peers, kept: Role, mates: siblings.Siblings):
         self._kept = kept
         self._siblings = mates
-        self._told: dict[str, _Told] = {}
+        self._reports: dict[str, _Report] = {}
         links.on(messages.Waits, self.heard)
 
     def move(self, source: str, waiting: shards.Waiting, limit: float) -> str:
@@ -95,18 +95,18 @@
         best = ""
         least = limit - GAIN_SECONDS
         for shard in self._siblings.of(source):
-            told = self._told.get(shard)
-            if told is None or told.at < since:
+            report = self._reports.get(shard)
+            if report is None or report.at < since:
                 continue
-            wait = told.wait(waiting.demand.rank)
+            wait = report.wait(waiting.demand.rank)
             if wait < least:
                 best, least = shard, wait
         if best:
-            self._told[best].moved()
+            self._reports[best].moved()
         return best
 
-    def tell(self) -> None:
-        """Tell the keepers of other shards what demands wait in those kept here."""
+    def announce(self) -> None:
+        """Report to other shards' keepers how long demands wait in those kept here."""
         for name, shard in self._kept.shards.items():
             if not self._kept.keeps(name):
                 continue
@@ -116,9 +116,9 @@
             message = messages.Waits(name, shard.waits())
             for keeper in sorted({self._siblings.keeper_of(other) for other in others}):
                 if not self._siblings.send(keeper, message):
-                    self._told[message.shard] = _Told(message.waits)
+                    self._reports[message.shard] = _Report(message.waits)
 
     def heard(self, replier: shards.Replier, message: messages.Waits) -> None:
-        """Take in what another shard tells."""
+        """Take in what another shard reports."""
         if self._siblings.keeper_of(message.shard) == replier.instance:
-            self._told[message.shard] = _Told(message.waits)
+            self._reports[message.shard] = _Report(message.waits)
--- a/packages/daemon/cassiaquay_daemon/platform/store.py
+++ b/packages/daemon/cassiaquay_daemon/platform/store.py
@@ -26,8 +26,8 @@
 ITEM_PATH = "/cassiaquay/kv-key"
 RANGE_PATH = "/cassiaquay/kv-range"
 WATCH_PATH = "/cassiaquay/kv-watch"
-# The store answers in 4 ms and, when slow, in some 70 times that; what takes longer is
-# a lost answer, and its connection returns nothing more.
+# What takes longer, on a slow store too, is a lost answer: its connection returns
+# nothing more.
 ANSWER_SECONDS = 0.6
 # A fleet of thousands of servers fits; a listing that never ends must not be followed.
 MOST_PAGES = 200
