--- a/packages/daemon/cassiaquay_daemon/decisions/slow_start.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/slow_start.py
@@ -113,8 +113,8 @@
         self._terms: dict[str, Terms] = {}
         self._seen: dict[str, _Seen] = {}
         self._cold_until: dict[str, float] = {}
-        # Servers that may have crashed: cold until a while after their next answer.
-        self._doubted: set[str] = set()
+        # Servers that may have crashed, and until when that is not known.
+        self._doubted_until: dict[str, float] = {}
 
     def adopt(self, settings: settings_schema.Settings) -> None:
         """Take in changed settings."""
@@ -126,7 +126,7 @@
         seen: dict[str, _Seen] = {}
         terms: dict[str, Terms] = {}
         for pool in fleet.pools.values():
-            if not pool.cold_seconds:
+            if not pool.cold_seconds or not pool.cold_requests_per_second:
                 continue
             found = Terms(pool.cold_seconds, self._flow(pool))
             for server in pool.servers:
@@ -139,28 +139,33 @@
                 self._look(server, found.seconds, seen[server.name], is_first)
         self._seen = seen
         self._terms = terms
-        for name in [name for name in self._cold_until if name not in terms]:
-            del self._cold_until[name]
-        self._doubted.intersection_update(terms)
+        for known in (self._cold_until, self._doubted_until):
+            for name in [name for name in known if name not in terms]:
+                del known[name]
 
     def doubted(self, server: str) -> None:
         """Take in that a server refuses connections or has fallen silent.
 
-        It may have crashed. The list shows its new start seconds after it serves again.
+        It may have crashed. The list shows its new start seconds after it serves again,
+        and no start by then says that there was none.
         """
-        if server in self._terms and server not in self._doubted:
-            self._doubted.add(server)
-            _log(server, 0.0, "doubted")
+        terms = self._terms.get(server)
+        if terms is None:
+            return
+        seconds = terms.seconds + REPORT_SECONDS
+        if not self._is_doubted(server):
+            _log(server, seconds, "doubted")
+        self._doubted_until[server] = clock.now() + seconds
 
     def answered(self, server: str) -> None:
         """Take in a sign of life."""
-        if server in self._doubted:
-            self._doubted.remove(server)
+        if self._is_doubted(server):
+            del self._doubted_until[server]
             self._note(server, self._terms[server].seconds, "back")
 
     def is_cold(self, server: str) -> bool:
         """Tell whether a server may be cold."""
-        return server in self._doubted or self.seconds_left(server) > 0.0
+        return self._is_doubted(server) or self.seconds_left(server) > 0.0
 
     def seconds_left(self, server: str) -> float:
         """Return how long a server is still taken for cold."""
@@ -175,6 +180,10 @@
         """Return what one keeper that hears all instances may grant to a server."""
         return self._terms[server].flow
 
+    def _is_doubted(self, server: str) -> bool:
+        until = self._doubted_until.get(server)
+        return until is not None and clock.now() < until
+
     def _flow(self, pool: fleet_schema.Pool) -> buckets.Flow:
         rate = pool.cold_requests_per_second
         bound = rate * self._keeper.cold_excess + self._keeper.cold_slack
