--- a/packages/dev/cassiaquay_dev/sizing/capacity_page.py
+++ b/packages/dev/cassiaquay_dev/sizing/capacity_page.py
@@ -15,6 +15,10 @@
 """
 
 
+# The event loop may be held up by this much.
+MOST_READING_SECONDS = 0.1
+
+
 class Reach(typing.NamedTuple):
     """One demand of the size, what today's mechanism gives, and what would do."""
 
@@ -127,31 +131,48 @@
     size: capacity_roles.Size, known: capacity_roles.Slopes
 ) -> list[Reach]:
     found = []
+    for check in (_text_bytes, _text_seconds, _wire, _full_passes, _recovery):
+        found += check(size, known)
+    return found
+
+
+def _text_bytes(size: capacity_roles.Size, known: capacity_roles.Slopes) -> list[Reach]:
     text = capacity_roles.product(
         known, ("configuration_text_bytes_per_team", float(size.teams))
     )
-    if text is not None and text > size.platform_value_bytes:
-        found.append(
-            Reach(
-                f"one text with {size.teams} teams in a value of"
-                f" {_bytes(size.platform_value_bytes)}",
-                f"{_bytes(text)}",
-                "teams in texts of their own by hash, named with their revisions by the"
-                " first text; each accepted whole with it",
-            )
+    if text is None or text <= size.platform_value_bytes:
+        return []
+    return [
+        Reach(
+            f"one text with {size.teams} teams in a value of"
+            f" {_bytes(size.platform_value_bytes)}",
+            f"{_bytes(text)}",
+            "teams in texts of their own by hash, named with their revisions by the"
+            " first text; each accepted whole with it",
         )
+    ]
+
+
+def _text_seconds(
+    size: capacity_roles.Size, known: capacity_roles.Slopes
+) -> list[Reach]:
     reading = capacity_roles.product(
         known, ("configuration_seconds_per_team", float(size.teams))
     )
-    if reading is not None and reading > 0.1:
-        found.append(
-            Reach(
-                "a change does not hold up requests",
-                f"reading the text takes {reading:.1f} s of the event loop",
-                "read only the teams' text that changed, in steps between which the"
-                " loop goes on",
-            )
+    if reading is None or reading <= MOST_READING_SECONDS:
+        return []
+    return [
+        Reach(
+            "a change does not hold up requests",
+            f"reading the text takes {reading:.1f} s of the event loop",
+            "read only the teams' text that changed, in steps between which the"
+            " loop goes on",
         )
+    ]
+
+
+def _wire(size: capacity_roles.Size, known: capacity_roles.Slopes) -> list[Reach]:
+    found = []
     for name, limit_name in (
         (f"3 keeper of {capacity_roles.BUSIEST_SHARDS} shards", "demands"),
         ("4 renewals at that keeper", "renewals"),
@@ -167,27 +188,36 @@
                 WOULD[limit_name],
             )
         )
+    return found
+
+
+def _full_passes(
+    size: capacity_roles.Size, known: capacity_roles.Slopes
+) -> list[Reach]:
     events = 2.0 * size.requests_per_second / size.shards
     overload = capacity_roles.product(known, ("keeper_seconds_per_full_pass", events))
-    if overload is not None and overload > size.core_share:
-        found.append(
-            Reach(
-                "a keeper goes on under overload",
-                f"a pass at each of {events:.0f} demands and releases a second over a"
-                f" queue of 300 takes {_core(overload)} for one shard",
-                "passes at most every few milliseconds; look only at the servers that a"
-                " release has touched",
-            )
+    if overload is None or overload <= size.core_share:
+        return []
+    return [
+        Reach(
+            "a keeper goes on under overload",
+            f"a pass at each of {events:.0f} demands and releases a second over a"
+            f" queue of 300 takes {_core(overload)} for one shard",
+            "passes at most every few milliseconds; look only at the servers that a"
+            " release has touched",
         )
-    found.append(
+    ]
+
+
+def _recovery(size: capacity_roles.Size, known: capacity_roles.Slopes) -> list[Reach]:
+    return [
         Reach(
             "a dead owner's streams are found again",
             f"{size.open_requests / size.daemons:.0f} streams, each looked for at all"
             f" {-(-size.engines // size.models)} engines of its model",
             "ask the shard's keeper first: it knows the engine from renewals",
         )
-    )
-    return found
+    ]
 
 
 WOULD = {
