--- a/packages/daemon/cassiaquay_daemon/daemon.py
+++ b/packages/daemon/cassiaquay_daemon/daemon.py
@@ -198,6 +198,7 @@
         ]
         if self._file is not None:
             self._file.on_change(self._membership.adopt)
+            self._file.on_change(self._keeper.cold.adopt)
             self._file.on_change(logs.adopt)
             work.append(self._file.run())
         if self._servers is not None:
--- a/packages/daemon/cassiaquay_daemon/decisions/candidates.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/candidates.py
@@ -72,13 +72,13 @@
     def free_slots(self) -> int:
         """Requests that it may get now, where it may get any."""
         free = self.capacity - self.load.count
-        return free if self.ration is None else min(free, self.ration.turns)
+        return free if self.ration is None else min(free, self.ration.available)
 
     def has_slot(self, now: float) -> bool:
         """Tell whether one more request may go there now."""
         if self.load.count >= self.capacity or self.times.is_silent(now):
             return False
-        if self.ration is not None and not self.ration.turns:
+        if self.ration is not None and not self.ration.available:
             return False
         if not self.times.is_broken(now):
             return True
@@ -148,15 +148,15 @@
                 count += found.free_slots
         return count
 
-    def next_turns(self) -> list[float]:
-        """Return in how many seconds free slots of cold servers may be used."""
+    def cold_waits(self) -> list[float]:
+        """Return the seconds until free slots of cold servers may be used."""
         found: list[float] = []
         for item in self.open:
             if item.ration is None:
                 continue
             free = item.capacity - item.load.count
-            turns = item.ration.turn_seconds(max(free, 0))
-            found += [seconds for seconds in turns if seconds > 0.0]
+            waits = item.ration.waits(max(free, 0))
+            found += [seconds for seconds in waits if seconds > 0.0]
         return found
 
     def least_first_seconds(self, tokens: int) -> float:
--- a/packages/daemon/cassiaquay_daemon/decisions/forecasts.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/forecasts.py
@@ -48,7 +48,7 @@
         """Reckon from all that runs now."""
         now = clock.now()
         found = [0.0] * self._servers.free_slots()
-        found += self._servers.next_turns()
+        found += self._servers.cold_waits()
         for running in self._shard.running.values():
             if running.server in self._servers.times:
                 found.append(self._left(running, now))
--- a/packages/daemon/cassiaquay_daemon/decisions/slow_start.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/slow_start.py
@@ -79,7 +79,7 @@
         return self._whole.part(self._share())
 
     @property
-    def turns(self) -> int:
+    def available(self) -> int:
         """Requests that it may get now."""
         return int(self._bucket.level(self._flow))
 
@@ -87,8 +87,8 @@
         """Note that it gets one."""
         self._bucket.spend(1.0, self._flow)
 
-    def turn_seconds(self, count: int) -> list[float]:
-        """Return in how many seconds each of the next ``count`` turns comes."""
+    def waits(self, count: int) -> list[float]:
+        """Return the seconds until each of the next ``count`` requests may go."""
         flow = self._flow
         if not flow.rate or flow.depth < 1.0:
             return []
@@ -136,7 +136,7 @@
                     server.cold_ms > 0,
                     server.domain in fleet.evacuated,
                 )
-                self._look(server, found.seconds, seen[server.name], is_first)
+                self._compare(server, found.seconds, seen[server.name], is_first)
         self._seen = seen
         self._terms = terms
         for known in (self._cold_until, self._doubted_until):
@@ -161,7 +161,7 @@
         """Take in a sign of life."""
         if self._is_doubted(server):
             del self._doubted_until[server]
-            self._note(server, self._terms[server].seconds, "back")
+            self._set_cold(server, self._terms[server].seconds, "back")
 
     def is_cold(self, server: str) -> bool:
         """Tell whether a server may be cold."""
@@ -193,22 +193,22 @@
         most = (bound - depth) / (MOST_KEEPERS * seconds)
         return buckets.Flow(min(rate, most), depth)
 
-    def _look(
+    def _compare(
         self, server: fleet_schema.Server, seconds: float, now: _Seen, is_first: bool
     ) -> None:
         before = self._seen.get(server.name)
         if before is None:
             # All servers are new to an instance that has just started.
             if not is_first:
-                self._note(server.name, seconds, "new")
+                self._set_cold(server.name, seconds, "new")
         elif before.started_ms != now.started_ms:
-            self._note(server.name, seconds, "restarted")
+            self._set_cold(server.name, seconds, "restarted")
         elif before.is_evacuated and not now.is_evacuated:
-            self._note(server.name, seconds + REPORT_SECONDS, "evacuated")
+            self._set_cold(server.name, seconds + REPORT_SECONDS, "evacuated")
         if now.is_cold and (before is None or not before.is_cold):
-            self._note(server.name, server.cold_ms / 1000.0, "reported")
+            self._set_cold(server.name, server.cold_ms / 1000.0, "reported")
 
-    def _note(self, server: str, seconds: float, cause: str) -> None:
+    def _set_cold(self, server: str, seconds: float, cause: str) -> None:
         until = clock.now() + seconds
         if until <= self._cold_until.get(server, -math.inf):
             return
@@ -242,10 +242,10 @@
             found = self._known[server] = Ration(self.cold.flow(server), self.heard)
         return found
 
-    def has_turn(self, server: str) -> bool:
+    def allows(self, server: str) -> bool:
         """Tell whether a server may have one more request now."""
         ration = self.of(server)
-        return ration is None or ration.turns > 0
+        return ration is None or ration.available > 0
 
     def granted(self, server: str, permit_ms: int) -> int:
         """Note a grant; return for how many milliseconds its permit may live."""
--- a/tests/test_slow_start.py
+++ b/tests/test_slow_start.py
@@ -149,7 +149,7 @@
         self.shard.rations = slow_start.Rations(self.cold)
         for name in SERVERS:
             self.know(name, 100_000.0, 0.005)
-        assert not self.shard.rations.has_turn("e1")
+        assert not self.shard.rations.allows("e1")
 
     def granted(self, server: str) -> list[str]:
         """Return the requests that a server got."""
@@ -241,7 +241,7 @@
                 keepers[0].heard = keepers[1].heard = 1.0
             elif kind in ("move", "restart"):
                 keeper.rations.forget()
-            while kind == "ask" and keeper.rations.has_turn("e1"):
+            while kind == "ask" and keeper.rations.allows("e1"):
                 keeper.rations.granted("e1", 1500)
                 granted.append(time.now)
             cold.doubted("e1")
@@ -258,9 +258,9 @@
     """What the keeper before has granted is not known to the next one."""
     site = Site(time)
     time.now += 1.0
-    assert site.shard.rations.has_turn("e1")
+    assert site.shard.rations.allows("e1")
     site.shard.close()
-    assert not site.shard.rations.has_turn("e1")
+    assert not site.shard.rations.allows("e1")
 
 
 def test_a_refused_connection_makes_a_server_cold(time) -> None:
@@ -273,4 +273,13 @@
 
 def test_shards_need_no_slow_start() -> None:
     found = shards.Shard(fakes.SHARD, fakes.settings())
-    assert found.rations.has_turn("anything")
+    assert found.rations.allows("anything")
+
+
+def test_changed_settings_bind_from_the_next_list_on(time) -> None:
+    cold = _cold()
+    cold.update(_fleet(e1=_server("e1")))
+    before = cold.flow("e1")
+    cold.adopt(fakes.settings(cold_excess=EXCESS, cold_slack=0.0))
+    cold.update(_fleet(e1=_server("e1")))
+    assert cold.flow("e1").rate < before.rate
