Log from whom a list of servers came, what it added, and which missing server is kept

Adds source= and added= to servers_in_force (at most 8 names a line) and the events server_retained and platform_returned. No change of logic.

--- a/packages/daemon/cassiaquay_daemon/fleet/servers.py
+++ b/packages/daemon/cassiaquay_daemon/fleet/servers.py
@@ -38,6 +38,9 @@
 RETRY_JITTER = 0.4
 TICK_SECONDS = 0.1
 MOST_AGE_SECONDS = 3600.0
+# A log line names at most so many servers: at a start all of them are new.
+MOST_NAMED = 8
+PLATFORM = "platform"
 NEVER = float("-inf")
 
 
@@ -84,6 +87,7 @@
         self._rank = LAST_RANK
         self._transit = transit.Transit()
         self._missing: dict[str, float] = {}
+        self._added: list[str] = []
         self._back_at = NEVER
         self._failing = False
         links.on(messages.ServerListQuery, self._query)
@@ -141,7 +145,7 @@
         self._failing = False
         is_changed = self._take(found.revision, found.entries, began)
         if self._evacuate(self._texts.evacuated) or is_changed:
-            self._publish()
+            self._publish(PLATFORM)
             self._notify()
         self._confirm(found.revision, began)
         return True
@@ -173,8 +177,10 @@
         if revision < self._revision:
             # Read before what another instance has sent meanwhile.
             return False
-        if self._revision and read_at - self._confirmed_at > AWAY_SECONDS:
+        away = read_at - self._confirmed_at
+        if self._revision and away > AWAY_SECONDS:
             self._back_at = read_at
+            logs.event("platform_returned", away_ms=round(away * 1000))
         self._revision = revision
         return self._merge(entries, revision)
 
@@ -210,6 +216,8 @@
         for entry in entries:
             named.add(entry.name)
             known = self.entries.get(entry.name)
+            if known is None:
+                self._added.append(entry.name)
             if known is None or entry.revision >= known.revision:
                 self.entries[entry.name] = entry
             self._missing.pop(entry.name, None)
@@ -217,10 +225,19 @@
         for name, known in list(self.entries.items()):
             if name in named or known.revision > revision:
                 continue
+            is_known = name in self._missing
             since = self._missing.setdefault(name, now)
             # Right after the platform's return a missing entry may only have run out:
             # dropped at once, a fleet that lives would be left without a server.
-            if now < self._back_at + RETURN_SECONDS and not known.leaving:
+            left = self._back_at + RETURN_SECONDS - now
+            if left > 0.0 and not known.leaving:
+                if not is_known:
+                    logs.event(
+                        "server_retained",
+                        server=name,
+                        revision=revision,
+                        left_ms=round(left * 1000),
+                    )
                 continue
             logs.event(
                 "server_gone", server=name, missing_ms=round((now - since) * 1000)
@@ -231,7 +248,7 @@
         self._digest = self._digest_now()
         return self._digest != before
 
-    def _publish(self) -> None:
+    def _publish(self, source: str) -> None:
         pools: dict[str, list[fleet_schema.Server]] = {}
         for name, entry in sorted(self.entries.items()):
             if entry.leaving:
@@ -248,9 +265,13 @@
         logs.event(
             "servers_in_force",
             revision=self._revision,
+            source=source,
             usable=sum(len(servers) for servers in pools.values()),
             known=len(self.entries),
+            added=",".join(sorted(self._added)[:MOST_NAMED]) or None,
+            added_count=len(self._added) or None,
         )
+        self._added.clear()
         self._configured.use_servers(
             snapshots.Registered(pools, self.evacuated.domains)
         )
@@ -303,7 +324,7 @@
             is_changed = self._take(found.revision, found.entries, read_at)
         evacuated = platform.Evacuated(found.evacuated_revision, found.evacuated)
         if self._evacuate(evacuated) or is_changed:
-            self._publish()
+            self._publish(link.instance)
             self._notify()
 
 
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -392,3 +392,26 @@
         return site.store.reads
 
     assert least <= virtual_time.run(work()) <= most
+
+
+def test_the_log_names_the_source_of_each_change(time, caplog) -> None:
+    """Guards against lists whose effect cannot be traced to who sent them."""
+    caplog.set_level("INFO", logger="cassiaquay")
+    site = Site(_entry("i-1"), _entry("i-2"))
+    site.read()
+    site.store.down = True
+    time.now += 5.0
+    assert not site.read()
+    site.store.down = False
+    site.store.entries.pop()
+    site.read()
+    news = messages.ServerList(99, 0, [_entry("i-1"), _entry("i-3")])
+    site.links.handlers[messages.ServerList](site.members.owners["cq-2"], news)
+    lines = {}
+    for record in caplog.records:
+        lines.setdefault(record.message, []).append(record)
+    first, last = lines["servers_in_force"]
+    assert (first.source, first.added) == ("platform", "i-1,i-2")
+    assert (last.source, last.added) == ("cq-2", "i-3")
+    assert lines["platform_returned"][0].away_ms == 5000
+    assert [record.server for record in lines["server_retained"]] == ["i-2"]
