Send other instances only the servers that the platform lists

What callers saw: requests served by a server that had left 2.0 to 2.5 s before (DRAIN).

Cause: one map held both what the platform lists and what an instance keeps for 2.2 s after a return of the platform. The whole map was sent on as the list of a revision. Others had dropped the server and took it in as new, since the revision was higher.

Why it works: listed and retained servers are kept apart; only listed ones are sent and make the digest, so a retained server cannot leave the instance that guessed it. Since the digests then agree, a retained server ends with the first confirmation that is old enough, also where heartbeats alone confirm the list.

--- /dev/null
+++ b/packages/daemon/cassiaquay_daemon/fleet/server_list.py
@@ -0,0 +1,131 @@
+"""Registered backend servers: those the platform lists, and those kept without it."""
+
+import collections.abc
+import typing
+
+import xxhash
+
+from cassiaquay_schema import fleet as fleet_schema
+from cassiaquay_schema import messages
+
+
+class Change(typing.NamedTuple):
+    """What a newer list has changed.
+
+    Attributes
+    ----------
+    added : list of str
+        Servers that were not in use before.
+    retained : list of str
+        Missing servers that are kept from now on.
+    gone : list of str
+        Missing servers that are dropped.
+    """
+
+    added: list[str]
+    retained: list[str]
+    gone: list[str]
+
+
+class ServerList:
+    """Entries by name, as of one revision of the platform.
+
+    Only listed entries are sent to other instances and make the digest. A retained one
+    is this instance's own guess: sent on under a newer revision it would count as
+    listed, and bring a server that has left back into use everywhere.
+    """
+
+    def __init__(self) -> None:
+        self._listed: dict[str, messages.ServerEntry] = {}
+        self._retained: dict[str, messages.ServerEntry] = {}
+
+    @property
+    def listed(self) -> list[messages.ServerEntry]:
+        """Entries that the platform has."""
+        return list(self._listed.values())
+
+    @property
+    def retained(self) -> list[str]:
+        """Names of the missing servers that are kept."""
+        return list(self._retained)
+
+    @property
+    def size(self) -> int:
+        """Number of servers that are known."""
+        return len(self._listed) + len(self._retained)
+
+    def digest(self, evacuated: list[str]) -> int:
+        """Return a digest of what decides about the use of listed servers.
+
+        Their heartbeats change other fields all the time.
+        """
+        lines: list[object] = list(evacuated)
+        for name in sorted(self._listed):
+            entry = self._listed[name]
+            lines.append(
+                (
+                    name,
+                    entry.service,
+                    entry.address,
+                    entry.slots,
+                    entry.leaving,
+                    entry.started_ms,
+                    entry.cold_ms > 0,
+                )
+            )
+        return xxhash.xxh3_64_intdigest(repr(lines).encode())
+
+    def take(
+        self,
+        revision: int,
+        entries: collections.abc.Iterable[messages.ServerEntry],
+        retains: bool,
+    ) -> Change:
+        """Take in all entries of a revision; keep missing ones where ``retains``."""
+        change = Change([], [], [])
+        before = self._listed
+        self._listed = {}
+        for entry in entries:
+            known = before.pop(entry.name, None)
+            if known is None and entry.name not in self._retained:
+                change.added.append(entry.name)
+            if known is not None and known.revision > entry.revision:
+                entry = known
+            self._listed[entry.name] = entry
+            self._retained.pop(entry.name, None)
+        for name, entry in before.items():
+            if entry.revision > revision:
+                # Written after this list was read.
+                self._listed[name] = entry
+            elif retains and not entry.leaving:
+                self._retained[name] = entry
+                change.retained.append(name)
+            else:
+                change.gone.append(name)
+        if not retains:
+            change.gone.extend(self.drop_retained())
+        return change
+
+    def drop_retained(self) -> list[str]:
+        """Drop the missing servers that are kept; return their names."""
+        dropped = self.retained
+        self._retained.clear()
+        return dropped
+
+    def pools(self) -> dict[str, list[fleet_schema.Server]]:
+        """Return the servers that may get new work, by service."""
+        found: dict[str, list[fleet_schema.Server]] = {}
+        known = {**self._listed, **self._retained}
+        for name, entry in sorted(known.items()):
+            if entry.leaving:
+                continue
+            server = fleet_schema.Server(
+                name=name,
+                address=entry.address,
+                domain=entry.domain,
+                slots=entry.slots,
+                started_ms=entry.started_ms,
+                cold_ms=entry.cold_ms,
+            )
+            found.setdefault(entry.service, []).append(server)
+        return found
--- a/packages/daemon/cassiaquay_daemon/fleet/servers.py
+++ b/packages/daemon/cassiaquay_daemon/fleet/servers.py
@@ -9,16 +9,13 @@
 import asyncio
 import random
 
-import xxhash
-
-from cassiaquay_schema import fleet as fleet_schema
 from cassiaquay_schema import messages
 from cassiaquay_schema import settings as settings_schema
 
 from .. import clock, exceptions, logs, platform, rendezvous
 from ..configured import snapshots
 from ..links import peers
-from . import configuration, freshness, members, transit
+from . import configuration, freshness, members, server_list, transit
 
 # The reader's place in the order of readers adds this much to the age at which it
 # reads: time for the one before it to read and for a heartbeat to arrive.
@@ -72,7 +69,6 @@
         store: platform.ServerStore,
         texts: platform.ConfigurationService,
     ):
-        self.entries: dict[str, messages.ServerEntry] = {}
         self.evacuated = platform.NOTHING_EVACUATED
         self._settings = settings
         self._links = links
@@ -86,7 +82,7 @@
         self._ranked: list[messages.Member] | None = None
         self._rank = LAST_RANK
         self._transit = transit.Transit()
-        self._missing: dict[str, float] = {}
+        self._registered = server_list.ServerList()
         self._added: list[str] = []
         self._back_at = NEVER
         self._failing = False
@@ -99,6 +95,11 @@
         """Revision of the list, 0 before there is one."""
         return self._revision
 
+    @property
+    def count(self) -> int:
+        """Number of servers that are known here."""
+        return self._registered.size
+
     @property
     def age(self) -> float:
         """Seconds since the platform confirmed the list and the configuration here."""
@@ -182,7 +183,7 @@
             self._back_at = read_at
             logs.event("platform_returned", away_ms=round(away * 1000))
         self._revision = revision
-        return self._merge(entries, revision)
+        return self._merge(entries, revision, read_at)
 
     def _evacuate(self, found: platform.Evacuated) -> bool:
         """Take in what is evacuated; return whether that has changed."""
@@ -202,72 +203,57 @@
         return True
 
     def _digest_now(self) -> int:
-        return _digest(self.entries, self.evacuated.domains)
+        return self._registered.digest(self.evacuated.domains)
 
     def _confirm(self, revision: int, read_at: float) -> None:
         if revision < self._revision:
             return
         self._revision = revision
         self._confirmed_at = max(self._confirmed_at, read_at)
+        self._drop_retained()
 
-    def _merge(self, entries: list[messages.ServerEntry], revision: int) -> bool:
+    def _merge(
+        self, entries: list[messages.ServerEntry], revision: int, read_at: float
+    ) -> bool:
         """Take in a full list; return whether what may be used has changed."""
-        named = set()
-        for entry in entries:
-            named.add(entry.name)
-            known = self.entries.get(entry.name)
-            if known is None:
-                self._added.append(entry.name)
-            if known is None or entry.revision >= known.revision:
-                self.entries[entry.name] = entry
-            self._missing.pop(entry.name, None)
-        now = clock.now()
-        for name, known in list(self.entries.items()):
-            if name in named or known.revision > revision:
-                continue
-            is_known = name in self._missing
-            since = self._missing.setdefault(name, now)
-            # Right after the platform's return a missing entry may only have run out:
-            # dropped at once, a fleet that lives would be left without a server.
-            left = self._back_at + RETURN_SECONDS - now
-            if left > 0.0 and not known.leaving:
-                if not is_known:
-                    logs.event(
-                        "server_retained",
-                        server=name,
-                        revision=revision,
-                        left_ms=round(left * 1000),
-                    )
-                continue
+        # Right after the platform's return a missing entry may only have run out:
+        # dropped at once, a fleet that lives would be left without a server.
+        left = self._back_at + RETURN_SECONDS - read_at
+        change = self._registered.take(revision, entries, left > 0.0)
+        for name in change.retained:
             logs.event(
-                "server_gone", server=name, missing_ms=round((now - since) * 1000)
+                "server_retained",
+                server=name,
+                revision=revision,
+                left_ms=round(left * 1000),
             )
-            del self.entries[name]
-            self._missing.pop(name, None)
+        self._log_gone(change.gone)
+        self._added.extend(change.added)
         before = self._digest
         self._digest = self._digest_now()
-        return self._digest != before
+        return self._digest != before or bool(change.gone)
+
+    def _drop_retained(self) -> None:
+        """Drop what is kept once a list read late enough still lacks it."""
+        if not self._registered.retained:
+            return
+        if self._confirmed_at < self._back_at + RETURN_SECONDS:
+            return
+        self._log_gone(self._registered.drop_retained())
+        self._publish(PLATFORM)
+
+    def _log_gone(self, names: list[str]) -> None:
+        for name in names:
+            logs.event("server_gone", server=name)
 
     def _publish(self, source: str) -> None:
-        pools: dict[str, list[fleet_schema.Server]] = {}
-        for name, entry in sorted(self.entries.items()):
-            if entry.leaving:
-                continue
-            server = fleet_schema.Server(
-                name=name,
-                address=entry.address,
-                domain=entry.domain,
-                slots=entry.slots,
-                started_ms=entry.started_ms,
-                cold_ms=entry.cold_ms,
-            )
-            pools.setdefault(entry.service, []).append(server)
+        pools = self._registered.pools()
         logs.event(
             "servers_in_force",
             revision=self._revision,
             source=source,
             usable=sum(len(servers) for servers in pools.values()),
-            known=len(self.entries),
+            known=self.count,
             added=",".join(sorted(self._added)[:MOST_NAMED]) or None,
             added_count=len(self._added) or None,
         )
@@ -286,11 +272,10 @@
                 link.send(message)
 
     def _message(self) -> messages.ServerList:
-        entries = list(self.entries.values())
         return messages.ServerList(
             self._revision,
             self.age_ms,
-            entries,
+            self._registered.listed,
             self.evacuated.domains,
             self.evacuated.revision,
         )
@@ -326,25 +311,3 @@
         if self._evacuate(evacuated) or is_changed:
             self._publish(link.instance)
             self._notify()
-
-
-def _digest(entries: dict[str, messages.ServerEntry], evacuated: list[str]) -> int:
-    """Return a digest of what decides about the use of servers.
-
-    Their heartbeats change other fields all the time.
-    """
-    lines: list[object] = list(evacuated)
-    for name in sorted(entries):
-        entry = entries[name]
-        lines.append(
-            (
-                name,
-                entry.service,
-                entry.address,
-                entry.slots,
-                entry.leaving,
-                entry.started_ms,
-                entry.cold_ms > 0,
-            )
-        )
-    return xxhash.xxh3_64_intdigest(repr(lines).encode())
