Say in a list of servers when it was read, not when it was last confirmed

A list was sent before its own read counted as a confirmation, so that it named the age of the one before: after an outage of 5 s receivers took it for 5 s old, saw no gap and would drop servers whose registrations had only run out. It went unnoticed while senders put the servers that they kept into the list. Test: test_a_kept_server_is_dropped_where_only_heartbeats_confirm_the_list (failed before: the server was dropped at once at the instances that did not read).

--- a/packages/daemon/cassiaquay_daemon/fleet/servers.py
+++ b/packages/daemon/cassiaquay_daemon/fleet/servers.py
@@ -79,6 +79,7 @@
         self._revision = 0
         self._digest = 0
         self._confirmed_at = NEVER
+        self._read_at = NEVER
         self._ranked: list[messages.Member] | None = None
         self._rank = LAST_RANK
         self._transit = transit.Transit()
@@ -108,7 +109,7 @@
     @property
     def age_ms(self) -> int:
         """The same in milliseconds, bounded."""
-        return int(min(self.age, MOST_AGE_SECONDS) * 1000)
+        return _milliseconds(self.age)
 
     @property
     def is_behind(self) -> bool:
@@ -183,6 +184,7 @@
             self._back_at = read_at
             logs.event("platform_returned", away_ms=round(away * 1000))
         self._revision = revision
+        self._read_at = max(self._read_at, read_at)
         return self._merge(entries, revision, read_at)
 
     def _evacuate(self, found: platform.Evacuated) -> bool:
@@ -210,6 +212,7 @@
             return
         self._revision = revision
         self._confirmed_at = max(self._confirmed_at, read_at)
+        self._read_at = max(self._read_at, read_at)
         self._drop_retained()
 
     def _merge(
@@ -272,9 +275,11 @@
                 link.send(message)
 
     def _message(self) -> messages.ServerList:
+        # Not the age of the confirmation, which says more: that the configuration, too,
+        # was current. A receiver works out from this whether the platform was away.
         return messages.ServerList(
             self._revision,
-            self.age_ms,
+            _milliseconds(clock.now() - self._read_at),
             self._registered.listed,
             self.evacuated.domains,
             self.evacuated.revision,
@@ -311,3 +316,7 @@
         if self._evacuate(evacuated) or is_changed:
             self._publish(link.instance)
             self._notify()
+
+
+def _milliseconds(seconds: float) -> int:
+    return int(min(seconds, MOST_AGE_SECONDS) * 1000)
