Tell an outage of the platform from an own absence

Cause: any gap of over 2 s between two confirmations of the list counted as an outage, also where nobody had asked, or only this instance was paused or cut off.

Why it works: an outage needs a read of this instance that failed since the list was last confirmed; a paused process has none. One that was cut off has some: heartbeats now say for how long the sender's list was confirmed without a gap (one integer), and who was in touch corrects who was not. A heartbeat from before an outage that both saw corrects nothing (a mutant without that line fails test_who_has_not_seen_the_return_yet_...).

tests/test_servers.py compares an empty Freshness as a whole: it has one field more, so has the expected value.

--- a/packages/daemon/cassiaquay_daemon/fleet/freshness.py
+++ b/packages/daemon/cassiaquay_daemon/fleet/freshness.py
@@ -14,8 +14,11 @@
         Milliseconds since that read.
     digest : int
         Digest of what decides about the use of the servers.
+    steady_ms : int
+        For how long the list has been confirmed without a gap, in milliseconds.
     """
 
     revision: int = 0
     age_ms: int = 0
     digest: int = 0
+    steady_ms: int = 0
--- a/packages/daemon/cassiaquay_daemon/fleet/members.py
+++ b/packages/daemon/cassiaquay_daemon/fleet/members.py
@@ -290,6 +290,7 @@
         # This instance's own fact is among the records that are spread.
         self.update()
         _, revision = self._measure()
+        listed = self.servers_state()
         for link in self._links_to_use():
             portion = self._spread.portion(link)
             link.send(
@@ -300,8 +301,11 @@
                     portion.members,
                     portion.suspicions,
                     self.facts.digest,
-                    *self.servers_state(),
+                    listed.revision,
+                    listed.age_ms,
+                    listed.digest,
                     int(clock.now() * 1000.0),
+                    listed.steady_ms,
                 )
             )
 
--- a/packages/daemon/cassiaquay_daemon/fleet/servers.py
+++ b/packages/daemon/cassiaquay_daemon/fleet/servers.py
@@ -15,19 +15,13 @@
 from .. import clock, exceptions, logs, platform, rendezvous
 from ..configured import snapshots
 from ..links import peers
-from . import configuration, freshness, members, server_list, transit
+from . import configuration, freshness, members, outages, server_list, transit
 
 # The reader's place in the order of readers adds this much to the age at which it
 # reads: time for the one before it to read and for a heartbeat to arrive.
 RANK_SECONDS = 0.35
 # Those behind this place read at the same age: all of them together are still few.
 LAST_RANK = 2
-# Registrations that ran out while the platform was away are back within two seconds of
-# its return; the list is read at least this long before one that is missing is gone.
-RETURN_SECONDS = 2.2
-# A list older than this at its renewal says that the platform was away. Registrations
-# run out after three of their periods of 1.2 s, and never sooner than this.
-AWAY_SECONDS = 2.0
 # Pause after a failed read of the first readers in order. The others ask seldom: while
 # the platform is away nobody's list is new, and all of them would ask all the time.
 RETRY_SECONDS = 0.15
@@ -78,14 +72,13 @@
         self._texts = texts
         self._revision = 0
         self._digest = 0
-        self._confirmed_at = NEVER
+        self._outages = outages.Outages()
         self._read_at = NEVER
         self._ranked: list[messages.Member] | None = None
         self._rank = LAST_RANK
         self._transit = transit.Transit()
         self._registered = server_list.ServerList()
         self._added: list[str] = []
-        self._back_at = NEVER
         self._failing = False
         links.on(messages.ServerListQuery, self._query)
         links.on(messages.ServerList, self._list)
@@ -104,7 +97,7 @@
     @property
     def age(self) -> float:
         """Seconds since the platform confirmed the list and the configuration here."""
-        return clock.now() - self._confirmed_at
+        return clock.now() - self._outages.confirmed_at
 
     @property
     def age_ms(self) -> int:
@@ -119,7 +112,10 @@
     @property
     def state(self) -> freshness.Freshness:
         """What heartbeats say of the list."""
-        return freshness.Freshness(self._revision, self.age_ms, self._digest)
+        steady = clock.now() - self._outages.steady_since if self._revision else 0.0
+        return freshness.Freshness(
+            self._revision, self.age_ms, self._digest, _milliseconds(steady)
+        )
 
     async def read(self) -> None:
         """Read the list whenever nobody else has lately, for ever."""
@@ -141,6 +137,7 @@
             if not self._failing:
                 logs.event("servers_unreadable", cause=str(error), age_ms=self.age_ms)
             self._failing = True
+            self._outages.failed(began)
             return False
         if self._failing:
             logs.event("servers_readable", age_ms=self.age_ms)
@@ -179,10 +176,7 @@
         if revision < self._revision:
             # Read before what another instance has sent meanwhile.
             return False
-        away = read_at - self._confirmed_at
-        if self._revision and away > AWAY_SECONDS:
-            self._back_at = read_at
-            logs.event("platform_returned", away_ms=round(away * 1000))
+        self._outages.took(read_at)
         self._revision = revision
         self._read_at = max(self._read_at, read_at)
         return self._merge(entries, revision, read_at)
@@ -211,7 +205,7 @@
         if revision < self._revision:
             return
         self._revision = revision
-        self._confirmed_at = max(self._confirmed_at, read_at)
+        self._outages.confirmed(read_at)
         self._read_at = max(self._read_at, read_at)
         self._drop_retained()
 
@@ -221,7 +215,7 @@
         """Take in a full list; return whether what may be used has changed."""
         # Right after the platform's return a missing entry may only have run out:
         # dropped at once, a fleet that lives would be left without a server.
-        left = self._back_at + RETURN_SECONDS - read_at
+        left = self._outages.retained_until - read_at
         change = self._registered.take(revision, entries, left > 0.0)
         for name in change.retained:
             logs.event(
@@ -240,7 +234,7 @@
         """Drop what is kept once a list read late enough still lacks it."""
         if not self._registered.retained:
             return
-        if self._confirmed_at < self._back_at + RETURN_SECONDS:
+        if self._outages.confirmed_at < self._outages.retained_until:
             return
         self._log_gone(self._registered.drop_retained())
         self._publish(PLATFORM)
@@ -287,6 +281,12 @@
 
     def _heard(self, link: peers.Link, beat: messages.Heartbeat) -> None:
         delay = self._transit.seconds(link, beat.sent_ms)
+        age = beat.servers_age_ms / 1000.0 + delay
+        if beat.servers_steady_ms:
+            now = clock.now()
+            steady_since = now - beat.servers_steady_ms / 1000.0
+            self._outages.heard(steady_since, now - age)
+            self._drop_retained()
         if not beat.servers_revision or beat.servers_revision < self._revision:
             return
         if beat.servers_digest != self._digest:
@@ -300,7 +300,6 @@
             return
         # The same servers, confirmed later: nothing needs to be sent. The age was true
         # when the heartbeat was sent, so what it has spent on the way is added.
-        age = beat.servers_age_ms / 1000.0 + delay
         self._confirm(beat.servers_revision, clock.now() - age)
 
     def _query(self, link: peers.Link, query: messages.ServerListQuery) -> None:
--- a/packages/schema/cassiaquay_schema/messages.py
+++ b/packages/schema/cassiaquay_schema/messages.py
@@ -109,6 +109,8 @@
         xxh3-64 of what decides about the use of those servers.
     sent_ms : int
         When it was sent, on the sender's steady clock; 0 where it does not say.
+    servers_steady_ms : int
+        For how long that list has been confirmed there without a gap.
     """
 
     number: int
@@ -121,6 +123,7 @@
     servers_age_ms: int = 0
     servers_digest: int = 0
     sent_ms: int = 0
+    servers_steady_ms: int = 0
 
 
 class ConfigurationQuery(typing.NamedTuple):
--- a/tests/test_server_lists.py
+++ b/tests/test_server_lists.py
@@ -86,7 +86,9 @@
     def beat(self, sender: str) -> None:
         """Let an instance send its heartbeats."""
         state = self.lists[sender].state
-        beat = messages.Heartbeat(1, 0, 0, [], [], 0, *state)
+        beat = messages.Heartbeat(
+            1, 0, 0, [], [], 0, *state[:3], servers_steady_ms=state.steady_ms
+        )
         for name in NAMES:
             if name != sender:
                 self.queue.append((sender, name, beat))
@@ -202,3 +204,49 @@
             fleet.beat("cq-1")
             fleet.deliver()
         assert fleet.in_use("cq-3") == {"i-1"}
+
+
+def _cut_off(time: fakes.Time, fleet: Fleet) -> None:
+    """Let cq-3 reach nobody for 5 s; its reads fail."""
+    for _ in range(10):
+        time.now += 0.5
+        fleet.store.down = True
+        assert not fleet.read("cq-3")
+        fleet.store.down = False
+        fleet.read("cq-1")
+        fleet.beat("cq-1")
+        fleet.deliver(asleep="cq-3")
+    fleet.queue.clear()
+
+
+def test_who_was_cut_off_follows_those_that_read_the_platform_meanwhile() -> None:
+    """Guards against keeping a server that left while this instance was cut off."""
+    with fakes.Time().used() as time:
+        fleet = _fleet("i-1", "i-2")
+        _cut_off(time, fleet)
+        _remove(fleet, "i-2")
+        fleet.read("cq-1")
+        fleet.read("cq-3")
+        assert fleet.in_use("cq-3") == {"i-1", "i-2"}
+        fleet.beat("cq-1")
+        fleet.deliver()
+        assert fleet.in_use("cq-3") == {"i-1"}
+
+
+def test_who_has_not_seen_the_return_yet_does_not_deny_the_outage() -> None:
+    """Guards against dropping servers by a heartbeat of before the outage."""
+    with fakes.Time().used() as time:
+        fleet = _fleet("i-1", "i-2")
+        time.now += 1.0
+        fleet.read("cq-1")
+        fleet.store.down = True
+        time.now += 4.0
+        for name in NAMES:
+            assert not fleet.read(name)
+        fleet.store.down = False
+        _remove(fleet, "i-2")
+        fleet.read("cq-3")
+        fleet.beat("cq-1")
+        fleet.deliver()
+        assert fleet.in_use("cq-3") == {"i-1", "i-2"}
+        assert fleet.in_use("cq-1") == {"i-1", "i-2"}
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -284,7 +284,7 @@
     assert not site.list.is_behind
     time.now += 2.5
     assert site.list.is_behind
-    assert freshness.Freshness() == (0, 0, 0)
+    assert freshness.Freshness() == (0, 0, 0, 0)
 
 
 def test_a_heartbeat_that_was_long_on_its_way_confirms_nothing_new(time) -> None:
