Read the list as soon as it shows which servers were kept in vain

After a return of the platform missing servers are kept for 2.2 s; the list that ends it was read up to 0.6 s later, when the one before it was too old. The first reader now reads at the end of the 2.2 s. test_the_list_is_read_as_soon_as_it_shows_which_servers_were_kept_in_vain failed before.

--- a/packages/daemon/cassiaquay_daemon/fleet/servers.py
+++ b/packages/daemon/cassiaquay_daemon/fleet/servers.py
@@ -120,7 +120,7 @@
     async def read(self) -> None:
         """Read the list whenever nobody else has lately, for ever."""
         while True:
-            left = self._patience() - self.age
+            left = self._due_at() - clock.now()
             if left > 0.0:
                 await asyncio.sleep(max(left, TICK_SECONDS))
                 continue
@@ -154,6 +154,15 @@
             return RETRY_SECONDS
         return OTHERS_RETRY_SECONDS * (1.0 + RETRY_JITTER * random.random())
 
+    def _due_at(self) -> float:
+        """Return when the list is to be read here; seconds on this clock."""
+        due_at = self._outages.confirmed_at + self._patience()
+        if not self._registered.retained:
+            return due_at
+        # What is kept in vain gets requests until a list of then shows it.
+        retained_until = self._outages.retained_until + self._rank * RANK_SECONDS
+        return min(due_at, retained_until)
+
     def _patience(self) -> float:
         serving = self._membership.serving()
         if serving is not self._ranked:
--- a/tests/test_server_lists.py
+++ b/tests/test_server_lists.py
@@ -6,7 +6,9 @@
 import policy_fakes as fakes
 import test_servers as stand_ins
 
+from cassiaquay_daemon import clock
 from cassiaquay_daemon.fleet import servers
+from cassiaquay_dev.lab import virtual_time
 from cassiaquay_schema import messages
 
 NAMES = ("cq-1", "cq-2", "cq-3")
@@ -250,3 +252,25 @@
         fleet.deliver()
         assert fleet.in_use("cq-3") == {"i-1", "i-2"}
         assert fleet.in_use("cq-1") == {"i-1", "i-2"}
+
+
+def test_the_list_is_read_as_soon_as_it_shows_which_servers_were_kept_in_vain() -> None:
+    """Guards against requests to a server that left, for as long as a list is fresh."""
+
+    async def dropped_after() -> float:
+        fleet = Fleet(stand_ins._entry("i-1"), stand_ins._entry("i-2"))
+        known = fleet.lists["cq-1"]
+        known._rank_among = lambda _: 0
+        await known.read_once()
+        fleet.store.down = True
+        reading = asyncio.create_task(known.read())
+        await asyncio.sleep(5.0)
+        _remove(fleet, "i-2")
+        fleet.store.down = False
+        returned_at = clock.now()
+        while "i-2" in fleet.in_use("cq-1"):
+            await asyncio.sleep(0.01)
+        reading.cancel()
+        return clock.now() - returned_at
+
+    assert 2.0 < virtual_time.run(dropped_after()) < 2.6
