--- a/packages/daemon/cassiaquay_daemon/gateway/accepting.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/accepting.py
@@ -59,6 +59,7 @@
         body = await _read_body(receive, snapshot.routes.bounds)
         if scope["query_string"]:
             target += "?" + scope["query_string"].decode("latin-1")
+        caller = team.name if team is not None else facts.key
         return calls.Call(
             scope["method"],
             target,
@@ -71,6 +72,7 @@
             snapshot,
             began_at,
             calls.deadline(began_at, facts, route),
+            calls.content(facts.host, scope["method"], target, caller, body),
         )
 
     def _team(
--- a/packages/daemon/cassiaquay_daemon/gateway/serving.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/serving.py
@@ -151,6 +151,7 @@
         logs.event(
             "answer_cut",
             id=call.facts.attempt,
+            content=call.content,
             server=known.server,
             cause=str(error),
             after=known.last_event,
@@ -267,6 +268,7 @@
         logs.event(
             "dispatch",
             id=call.facts.attempt,
+            content=call.content,
             server=ticket.server.name,
             route=call.route.name,
             team=call.team_name,
