--- a/tests/gateway_fakes.py
+++ b/tests/gateway_fakes.py
@@ -109,9 +109,14 @@
             await asyncio.sleep(0.02)
 
     async def ask(
-        self, path: str, method: str = "POST", body: bytes = b"b", **headers: str
+        self,
+        path: str,
+        method: str = "POST",
+        body: bytes = b"b",
+        at: int = 0,
+        **headers: str,
     ) -> "Got":
-        """Send a request as a caller and read its answer to the end."""
+        """Send a request to one daemon as a caller and read its answer to the end."""
         self._count += 1
         attempt = f"attempt{self._count}"
         pairs = {
@@ -128,7 +133,7 @@
             }
         for name, value in headers.items():
             pairs[name.replace("_", "-")] = value
-        url = yarl.URL(f"http://{self.settings[0].gateway.front}{path}", encoded=True)
+        url = yarl.URL(f"http://{self.settings[at].gateway.front}{path}", encoded=True)
         async with self.http.request(method, url, data=body, headers=pairs) as response:
             read = b""
             try:
