Refuse requests under which servers end, at all instances

Cause: attempts were judged one by one. Each has an id of its own, the budget of repeats counts dispatches, and no instance kept what a request had done to servers.

Why it works: attempts of one request share a digest of method, host, path, caller and body. The servers (by start) that closed or reset a connection under a digest are noted and spread to all instances at once; heartbeats compare digests of all that is known, so that whoever was away gets the rest. After three of them the request is refused with 503, which is true: this attempt was not sent. What ran beside it is cleared by any completion, before or after, anywhere. Silence, odd bytes and failures are no crashes. No shared state is written: what is known dies with the last process.

Settings gateway.quarantine_crashes and gateway.quarantine_seconds, code crashes_servers, alarm request_quarantined, metric cassiaquay_quarantined_requests.

--- a/packages/daemon/cassiaquay_daemon/daemon.py
+++ b/packages/daemon/cassiaquay_daemon/daemon.py
@@ -13,8 +13,9 @@
 
 from . import early_bind, listeners, logs, pause, platform, reloading
 from .adapters import backends
+from .decisions import quarantine
 from .engines import engine_reports, reconciler
-from .fleet import configuration, members, renewal, servers
+from .fleet import configuration, crash_reports, members, renewal, servers
 from .gateway import service
 from .interface import addresses, relay, web
 from .keepers import demands, keeper, limit_keepers, limits
@@ -107,6 +108,10 @@
             self._http, chosen.configuration
         )
         self._servers = self._registered()
+        self._quarantine = quarantine.Quarantine(settings)
+        self._crashes = crash_reports.CrashReports(
+            self._quarantine, self._peers, self._membership
+        )
         self._gateway = self._passing_through()
 
     async def run(self) -> None:
@@ -126,6 +131,7 @@
             self._peers,
             relay.Relay(settings, self._http, self._membership.find),
             recovery.Recovery(self._http),
+            self._quarantine,
         )
         noted = reports.Reports(settings, parts)
         callers = web.Web(
@@ -199,6 +205,7 @@
         if self._file is not None:
             self._file.on_change(self._membership.adopt)
             self._file.on_change(self._keeper.cold.adopt)
+            self._file.on_change(self._quarantine.adopt)
             self._file.on_change(logs.adopt)
             work.append(self._file.run())
         if self._servers is not None:
@@ -276,6 +283,7 @@
             self._peers,
             self._demands,
             self._keeper.cold,
+            self._crashes,
             self._pauses,
         )
         gateway = service.assemble(self._settings, shared)
--- /dev/null
+++ b/packages/daemon/cassiaquay_daemon/decisions/quarantine.py
@@ -0,0 +1,173 @@
+"""Which requests crash the servers that run them, and are not sent to another one.
+
+Load pattern: a request ends each server that begins to run it, and with it all else
+that runs there. Its caller comes again, at any instance, until no server is left. One
+crash proves nothing: all that ran on the server is suspect. A request under which
+several servers in a row have ended, and that none has completed, is the cause or as
+good as that.
+"""
+
+import collections
+import typing
+
+import xxhash
+
+from cassiaquay_schema import settings as settings_schema
+
+from .. import clock
+
+# A crash of a server makes suspects of all that ran on it.
+MOST_SUSPECTS = 4096
+MOST_COMPLETED = 8192
+# Pause between two looks for what is old enough to be forgotten.
+FORGET_SECONDS = 1.0
+
+
+class Report(typing.NamedTuple):
+    """What is known of one request.
+
+    Attributes
+    ----------
+    content : str
+        Digest that all attempts of the request share.
+    servers : frozenset of str
+        Starts of servers that have ended under it.
+    is_cleared : bool
+        Whether a server has completed it.
+    age : float
+        Seconds since the last crash or attempt.
+    """
+
+    content: str
+    servers: frozenset[str]
+    is_cleared: bool
+    age: float
+
+
+class _Suspect:
+    def __init__(self) -> None:
+        self.servers: set[str] = set()
+        self.is_cleared = False
+        self.seen_at = float("-inf")
+
+
+class Quarantine:
+    """Requests by content, and the servers that have ended under them.
+
+    Parameters
+    ----------
+    settings : Settings
+        How many crashes are enough, and for how long a request is remembered.
+    """
+
+    def __init__(self, settings: settings_schema.Settings):
+        self._gateway = settings.gateway
+        self._suspects: collections.OrderedDict[str, _Suspect]
+        self._suspects = collections.OrderedDict()
+        self._forgot_at = float("-inf")
+        self._completed: collections.OrderedDict[str, None] = collections.OrderedDict()
+        self._digest: int | None = 0
+
+    @property
+    def count(self) -> int:
+        """Number of requests that are held."""
+        return sum(self._is_held(found) for found in self._suspects.values())
+
+    @property
+    def digest(self) -> int:
+        """Digest of all that is known, 0 for nothing; equal at equal knowledge."""
+        self._forget()
+        if self._digest is None:
+            self._digest = self._digest_now()
+        return self._digest
+
+    def adopt(self, settings: settings_schema.Settings) -> None:
+        """Take in changed settings."""
+        self._gateway = settings.gateway
+
+    def holds(self, content: str) -> bool:
+        """Return whether a request must not be sent to a server."""
+        found = self._suspects.get(content)
+        return found is not None and self._is_held(found)
+
+    def turned_away(self, content: str) -> None:
+        """Remember a held request for as long as its caller keeps coming."""
+        found = self._suspects.get(content)
+        if found is not None:
+            self._see(content, found, clock.now())
+
+    def crashed(self, content: str, server: str) -> bool:
+        """Note a server that ended under a request; return whether that is news."""
+        return self.learn(Report(content, frozenset([server]), False, 0.0))
+
+    def completed(self, content: str) -> bool:
+        """Note that a server has completed a request; return whether that is news."""
+        self._completed[content] = None
+        self._completed.move_to_end(content)
+        if len(self._completed) > MOST_COMPLETED:
+            self._completed.popitem(last=False)
+        if content not in self._suspects:
+            return False
+        return self.learn(Report(content, frozenset(), True, 0.0))
+
+    def learn(self, report: Report) -> bool:
+        """Take in what another instance knows; return whether something is news."""
+        seen_at = clock.now() - report.age
+        if report.age > self._gateway.quarantine_seconds:
+            return False
+        found = self._suspects.get(report.content)
+        if found is None:
+            found = self._suspects[report.content] = _Suspect()
+            if len(self._suspects) > MOST_SUSPECTS:
+                self._suspects.popitem(last=False)
+        # Only this instance may know that the request has run well before.
+        is_cleared = report.is_cleared or report.content in self._completed
+        before = len(found.servers), found.is_cleared
+        found.servers |= report.servers
+        found.is_cleared |= is_cleared
+        self._see(report.content, found, seen_at)
+        is_news = (len(found.servers), found.is_cleared) != before
+        if is_news:
+            self._digest = None
+        return is_news
+
+    def report(self, content: str) -> Report:
+        """Return what is known of a request."""
+        found = self._suspects.get(content) or _Suspect()
+        age = max(clock.now() - found.seen_at, 0.0)
+        return Report(content, frozenset(found.servers), found.is_cleared, age)
+
+    def reports(self) -> list[Report]:
+        """Return all that is known."""
+        return [self.report(content) for content in self._suspects]
+
+    def _is_held(self, found: _Suspect) -> bool:
+        if found.is_cleared:
+            return False
+        return len(found.servers) >= self._gateway.quarantine_crashes
+
+    def _see(self, content: str, found: _Suspect, seen_at: float) -> None:
+        # The one that was seen last stands at the end.
+        if seen_at > found.seen_at:
+            found.seen_at = seen_at
+            self._suspects.move_to_end(content)
+
+    def _forget(self) -> None:
+        now = clock.now()
+        if not self._suspects or now < self._forgot_at + FORGET_SECONDS:
+            return
+        self._forgot_at = now
+        horizon = now - self._gateway.quarantine_seconds
+        for content, found in list(self._suspects.items()):
+            if found.seen_at >= horizon:
+                continue
+            del self._suspects[content]
+            self._digest = None
+
+    def _digest_now(self) -> int:
+        if not self._suspects:
+            return 0
+        lines = []
+        for content, found in sorted(self._suspects.items()):
+            lines.append((content, sorted(found.servers), found.is_cleared))
+        return xxhash.xxh3_64_intdigest(repr(lines).encode())
--- a/packages/daemon/cassiaquay_daemon/exceptions.py
+++ b/packages/daemon/cassiaquay_daemon/exceptions.py
@@ -79,6 +79,12 @@
     code = "backend_cut"
 
 
+class ConnectionBroken(StreamCut):
+    """The server closed or reset the connection in the middle of a request."""
+
+    code = "backend_broken"
+
+
 class StreamMissing(BackendError):
     """The backend server does not hold the stream that was asked for."""
 
@@ -209,6 +215,12 @@
     code = "deadline_infeasible"
 
 
+class Quarantined(Refusal):
+    """Servers end under this request; it is not sent to another one."""
+
+    code = "crashes_servers"
+
+
 class LimitReached(Refusal):
     """A limit of the team or service is reached."""
 
--- a/packages/daemon/cassiaquay_daemon/fleet/members.py
+++ b/packages/daemon/cassiaquay_daemon/fleet/members.py
@@ -62,6 +62,7 @@
         self.digest: collections.abc.Callable[[], int] = int
         self.servers_state: collections.abc.Callable[[], freshness.Freshness]
         self.servers_state = freshness.Freshness
+        self.crashes_digest: collections.abc.Callable[[], int] = int
         self.mint = mint
         self.facts = facts.Facts()
         self.admin_address = ""
@@ -306,6 +307,7 @@
                     listed.digest,
                     int(clock.now() * 1000.0),
                     listed.steady_ms,
+                    self.crashes_digest(),
                 )
             )
 
--- a/packages/daemon/cassiaquay_daemon/gateway/forwarding.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/forwarding.py
@@ -103,7 +103,7 @@
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             raise exceptions.Unreachable(repr(error)) from error
         except (TimeoutError, aiohttp.ClientError, OSError, ValueError) as error:
-            raise exceptions.StreamCut(repr(error)) from error
+            raise _cut(error) from error
         try:
             return self._check(call, response)
         except exceptions.BackendError:
@@ -143,4 +143,15 @@
         async for part in answer.response.content.iter_any():
             yield part
     except (TimeoutError, aiohttp.ClientError, OSError) as error:
-        raise exceptions.StreamCut(repr(error)) from error
+        raise _cut(error) from error
+
+
+def _cut(error: Exception) -> exceptions.StreamCut:
+    """Tell a connection that the server broke from silence and from odd bytes."""
+    if isinstance(error, TimeoutError):
+        return exceptions.StreamCut(repr(error))
+    if isinstance(error, (aiohttp.ClientPayloadError, OSError)):
+        return exceptions.ConnectionBroken(repr(error))
+    if isinstance(error, aiohttp.ServerDisconnectedError):
+        return exceptions.ConnectionBroken(repr(error))
+    return exceptions.StreamCut(repr(error))
--- a/packages/daemon/cassiaquay_daemon/gateway/progress.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/progress.py
@@ -23,6 +23,8 @@
         Whether the caller has the beginning of an answer.
     server : str
         Server that was chosen last.
+    server_start : str
+        The same, with the start of its process.
     refused : list of str
         Servers that could not be reached.
     tried : list of str
@@ -36,6 +38,7 @@
         self.last_event = call.facts.last_event
         self.started = False
         self.server = ""
+        self.server_start = ""
         self.refused: list[str] = []
         self.tried: list[str] = []
 
--- a/packages/daemon/cassiaquay_daemon/gateway/service.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/service.py
@@ -10,7 +10,7 @@
 
 from .. import early_bind, listeners, logs, pause
 from ..decisions import budgets, slow_start
-from ..fleet import configuration, members, servers
+from ..fleet import configuration, crash_reports, members, servers
 from ..keepers import demands, quotas
 from ..links import peers
 from . import (
@@ -49,6 +49,7 @@
     links: peers.Peers
     demanded: demands.Demands
     cold: slow_start.SlowStart
+    crashes: crash_reports.CrashReports
     pauses: pause.Pauses
 
 
@@ -151,6 +152,7 @@
         admission.Admission(shared.demanded, shared.membership, shared.cold),
         forwarding.Forwarder(connections.session()),
         budgets.RetryBudget(settings, shared.membership.fleet_size),
+        shared.crashes,
         quotas.Quotas(settings, shared.links, shared.membership, shared.configured),
         shared.pauses,
         replies.Replies(),
--- a/packages/daemon/cassiaquay_daemon/gateway/serving.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/serving.py
@@ -11,7 +11,7 @@
 from .. import clock, exceptions, logs, pause
 from ..configured import routing
 from ..decisions import budgets
-from ..fleet import configuration
+from ..fleet import configuration, crash_reports
 from ..keepers import quotas
 from . import (
     accepting,
@@ -26,6 +26,8 @@
 
 # Retry-After when servers keep refusing or cannot be reached.
 UNREACHABLE_RETRY_MS = 300
+# Retry-After of a request that crashes servers: it would be refused again sooner.
+QUARANTINE_RETRY_MS = 60_000
 # Share of the time to its objective that a request may wait for room in its team's
 # limit; the other half is for its slot and its first event.
 LIMIT_WAIT_SHARE = 0.5
@@ -55,6 +57,8 @@
         The way to servers.
     budget : RetryBudget
         Repeats.
+    crashes : CrashReports
+        Requests under which servers end.
     limited : Quotas
         Teams' limits.
     pauses : Pauses
@@ -69,6 +73,7 @@
     admitted: admission.Admission
     forwarder: forwarding.Forwarder
     budget: budgets.RetryBudget
+    crashes: crash_reports.CrashReports
     limited: quotas.Quotas
     pauses: pause.Pauses
     reply: replies.Replies
@@ -93,6 +98,7 @@
         self._parts.budget.count(call.service)
         taken: quotas.Taken | None = None
         try:
+            self._check_quarantine(known)
             async with asyncio.timeout(max(call.left, 0.0)):
                 patience = call.first_left * LIMIT_WAIT_SHARE
                 taken = await self._parts.limited.take(call.team, call.facts, patience)
@@ -157,10 +163,13 @@
             after=known.last_event,
             runs=known.runs,
         )
+        if isinstance(error, exceptions.ConnectionBroken):
+            self._parts.crashes.crashed(call.content, known.server_start)
         if not known.may_repeat:
             raise exceptions.AnswerLost() from error
         if known.started and not call.is_stream:
             raise exceptions.AnswerLost() from error
+        self._check_quarantine(known)
         if not self._parts.budget.take(call.service):
             raise exceptions.AnswerLost("the budget of repeats is spent") from error
 
@@ -171,6 +180,7 @@
             call, known.tries, known.refused, known.tried
         )
         known.server = ticket.server.name
+        known.server_start = f"{ticket.server.name}/{ticket.server.started_ms}"
         sent_at = 0.0
 
         def before_sending() -> None:
@@ -245,6 +255,7 @@
         # with a ticket that is over, a server that has left or a key that was taken
         # away: nothing may be sent on what was true before.
         call = known.call
+        self._check_quarantine(known)
         if not self._parts.pauses.current:
             raise exceptions.Overslept("this process was paused")
         if clock.now() >= min(ticket.expires_at, call.deadline):
@@ -260,6 +271,13 @@
             "the route or key has gone", retry_after_ms=accepting.NOT_READY_RETRY_MS
         )
 
+    def _check_quarantine(self, known: progress.Progress) -> None:
+        if not self._parts.crashes.holds(known.call.content):
+            return
+        if known.sent:
+            raise exceptions.AnswerLost("servers end under this request")
+        raise exceptions.Quarantined(retry_after_ms=QUARANTINE_RETRY_MS)
+
     def _mark(self, known: progress.Progress, ticket: admission.Ticket) -> None:
         # From here on it may run: only the server's own word unmarks it.
         known.runs += 1
@@ -305,6 +323,8 @@
             first_ms = round((tally.first_at - call.began_at) * 1000.0, 1)
         first_at = tally.first_at or clock.now()
         outcome = "failed" if status >= forwarding.FIRST_FAILURE else "completed"
+        if outcome == "completed":
+            self._parts.crashes.completed(known.call.content)
         self._parts.accounting.ended(known, outcome, outcome, first_at - call.began_at)
         logs.event(
             "ended",
--- a/packages/daemon/cassiaquay_daemon/operators/metrics.py
+++ b/packages/daemon/cassiaquay_daemon/operators/metrics.py
@@ -142,6 +142,12 @@
     ("server",),
     "Tokens that this keeper takes to be in flight on a backend server.",
 )
+QUARANTINED = Family(
+    "cassiaquay_quarantined_requests",
+    "gauge",
+    (),
+    "Requests that are refused here since servers ended under them.",
+)
 COLD_SERVERS = Family(
     "cassiaquay_cold_servers",
     "gauge",
@@ -220,6 +226,7 @@
     QUEUE,
     PERMITS,
     SERVER_TOKENS,
+    QUARANTINED,
     COLD_SERVERS,
     COLD_GRANTS,
     EVACUATED,
--- a/packages/daemon/cassiaquay_daemon/operators/reports.py
+++ b/packages/daemon/cassiaquay_daemon/operators/reports.py
@@ -8,6 +8,7 @@
 from cassiaquay_schema import settings as settings_schema
 
 from .. import clock, exceptions, logs
+from ..decisions import quarantine
 from ..fleet import configuration, members
 from ..interface import relay
 from ..keepers import keeper
@@ -28,6 +29,7 @@
     links: peers.Peers
     passing: relay.Relay
     recovering: recovery.Recovery
+    held: quarantine.Quarantine
 
 
 class Finished(typing.NamedTuple):
@@ -217,6 +219,7 @@
             for item in shard.running.values():
                 tokens[(item.server,)] = tokens.get((item.server,), 0) + item.tokens
         self._read_cold()
+        self.metrics.replace(metrics.QUARANTINED, {(): self._parts.held.count})
         self.metrics.replace(metrics.QUEUE, queued)
         self.metrics.replace(metrics.PERMITS, running)
         self.metrics.replace(metrics.SERVER_TOKENS, tokens)
--- a/packages/schema/cassiaquay_schema/messages.py
+++ b/packages/schema/cassiaquay_schema/messages.py
@@ -111,6 +111,8 @@
         When it was sent, on the sender's steady clock; 0 where it does not say.
     servers_steady_ms : int
         For how long that list has been confirmed there without a gap.
+    crashes_digest : int
+        xxh3-64 of what is known of requests that crash servers; 0 for nothing.
     """
 
     number: int
@@ -124,6 +126,7 @@
     servers_digest: int = 0
     sent_ms: int = 0
     servers_steady_ms: int = 0
+    crashes_digest: int = 0
 
 
 class ConfigurationQuery(typing.NamedTuple):
@@ -852,6 +855,39 @@
     number: int
 
 
+class CrashReport(typing.NamedTuple):
+    """A request under which servers have ended.
+
+    Attributes
+    ----------
+    content : str
+        Digest of method, host, path, caller and body.
+    servers : list[str]
+        Starts of servers that have ended under it.
+    cleared : bool
+        A server has completed it: it is not the cause.
+    age_ms : int
+        Time since the last crash or attempt.
+    """
+
+    content: str
+    servers: list[str]
+    cleared: bool
+    age_ms: int
+
+
+class CrashReports(typing.NamedTuple):
+    """What the sender knows of requests that crash servers.
+
+    Attributes
+    ----------
+    reports : list[CrashReport]
+        Requests.
+    """
+
+    reports: list[CrashReport]
+
+
 Message = (
     Hello
     | Proof
@@ -894,6 +930,8 @@
     | QuotaQuery
     | QuotaAnswer
     | QuotaReturn
+    | CrashReport
+    | CrashReports
 )
 
 BY_CODE: dict[int, type] = {
@@ -938,6 +976,8 @@
     53: QuotaQuery,
     54: QuotaAnswer,
     58: QuotaReturn,
+    59: CrashReport,
+    60: CrashReports,
 }
 
 CODES: dict[type, int] = {kind: code for code, kind in BY_CODE.items()}
--- a/packages/schema/cassiaquay_schema/settings.py
+++ b/packages/schema/cassiaquay_schema/settings.py
@@ -232,6 +232,10 @@
         Dispatches that the fleet may send besides, in a window.
     retry_window_seconds : float
         Window of that budget.
+    quarantine_crashes : int
+        Servers that end under a request before it is refused.
+    quarantine_seconds : float
+        Time after its last attempt for which such a request is remembered.
     """
 
     front: str = ""
@@ -247,6 +251,8 @@
     retry_share: typing.Annotated[float, msgspec.Meta(ge=0)] = 0.2
     retry_extra: typing.Annotated[float, msgspec.Meta(ge=0)] = 0.0
     retry_window_seconds: typing.Annotated[float, msgspec.Meta(gt=0)] = 10.0
+    quarantine_crashes: typing.Annotated[int, msgspec.Meta(ge=1)] = 3
+    quarantine_seconds: typing.Annotated[float, msgspec.Meta(gt=0)] = 900.0
 
 
 class Settings(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
--- a/tests/operators_fakes.py
+++ b/tests/operators_fakes.py
@@ -10,6 +10,7 @@
 from starlette import applications, types
 
 from cassiaquay_daemon.adapters import answers
+from cassiaquay_daemon.decisions import quarantine
 from cassiaquay_daemon.fleet import configuration, members
 from cassiaquay_daemon.interface import relay
 from cassiaquay_daemon.keepers import demands, keeper
@@ -83,6 +84,7 @@
             links,
             relay.Relay(chosen, http, self.membership.find),
             recovery.Recovery(http),
+            quarantine.Quarantine(chosen),
         )
         self.reports = reports.Reports(chosen, self.parts)
         self.drained = False
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -4,6 +4,7 @@
 
 import gateway_fakes as fakes
 
+from cassiaquay_dev.network import ports
 from cassiaquay_dev.standins import platform_standins as standins
 from cassiaquay_dev.standins import raw_servers
 
@@ -14,12 +15,11 @@
 
 
 class Crashes:
-    """Servers that end under one body, and are registered anew a moment later."""
+    """Servers that end under one body, and come back at once under another name."""
 
     def __init__(self, site: fakes.Site):
         self.arrivals: list[str] = []
         self._site = site
-        self._born = 1
         for engine in site.engines:
             engine.act = self._act
 
@@ -30,11 +30,12 @@
             await standins.whole(request, writer)
             return
         self.arrivals.append(request.attempt)
-        name = request.headers["cassiaquay-expect-instance"]
-        self._born += 1
-        for engine in self._site.engines:
-            if engine.name == name.removesuffix("-plain"):
-                self._site.enlist(engine, born=self._born)
+        name = request.headers["cassiaquay-expect-instance"].removesuffix("-plain")
+        [engine] = [one for one in self._site.engines if one.name == name]
+        self._site.store.remove(f"servers/{name}")
+        self._site.store.remove(f"servers/{name}-plain")
+        engine.name = f"i-{len(self.arrivals)}-again"
+        self._site.enlist(engine)
         raw_servers.reset(writer)
 
 
@@ -57,3 +58,64 @@
         assert (got.status, got.body) == (200, standins.stream())
 
     fakes.run(work, 3)
+
+
+def test_what_was_broken_off_by_a_crash_is_not_refused_as_its_cause() -> None:
+    """Guards against refusing callers whose requests ran beside the cause."""
+
+    async def work(site: fakes.Site) -> None:
+        seen: set[str] = set()
+
+        async def once(
+            request: raw_servers.Request, writer: raw_servers.Writer
+        ) -> None:
+            if request.attempt in seen:
+                await standins.whole(request, writer)
+                return
+            seen.add(request.attempt)
+            raw_servers.reset(writer)
+
+        for engine in site.engines:
+            engine.act = once
+        for number in range(6):
+            got = await site.ask("/stream/x", at=number % 2)
+            assert (got.status, got.body) == (200, standins.stream())
+
+    fakes.run(work, 2)
+
+
+def test_an_instance_that_starts_learns_which_requests_crash_servers() -> None:
+    """Guards against a restarted instance that lets each server end once more."""
+
+    async def work(site: fakes.Site) -> None:
+        crashes = Crashes(site)
+        while len(crashes.arrivals) < CRASHES:
+            await site.ask("/stream/x", body=POISON)
+        peer = f"127.0.0.1:{ports.free_port()}"
+        await site.add("cq-2", peer, [*site.settings[0].seeds, peer])
+        await site.until_ready(site.settings[1])
+        while not site.daemons[1]._quarantine.count:
+            await asyncio.sleep(0.02)
+        got = await site.ask("/stream/x", body=POISON, at=1)
+        assert got.status == 503
+        assert "retry-after" in got.headers
+        assert len(crashes.arrivals) == CRASHES
+
+    fakes.run(work)
+
+
+def test_silence_is_not_taken_for_a_crash() -> None:
+    """Guards against holding a request that servers are too slow for."""
+
+    async def work(site: fakes.Site) -> None:
+        async def silent(
+            request: raw_servers.Request, writer: raw_servers.Writer
+        ) -> None:
+            await asyncio.sleep(60)
+
+        for engine in site.engines:
+            engine.act = silent
+        await site.ask("/safe/x", "GET", b"")
+        assert not site.daemons[0]._quarantine.reports()
+
+    fakes.run(work)
