Refuse requests under which servers end at the own interface too

Owners now note broken connections and lost streams under a digest of service, team and body, and refuse with crashes_servers. Servers of a fleet text have no start that could tell two ends apart: there the id of the attempt does.

tests/test_owner.py::test_a_request_under_which_servers_end_is_refused_under_new_ids: on the code before, the fourth request is dispatched like the first three. The digest and the reading of a client's errors moved to modules that both interfaces use.

--- a/packages/daemon/cassiaquay_daemon/adapters/backends.py
+++ b/packages/daemon/cassiaquay_daemon/adapters/backends.py
@@ -14,7 +14,7 @@
 from cassiaquay_schema import fleet, registry
 
 from .. import exceptions
-from . import answers
+from . import answers, breaks
 
 CONNECT_SECONDS = 2.0
 CANCEL_SECONDS = 3.0
@@ -200,7 +200,7 @@
                 answer.open()
                 return await _read(response, answer)
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
-            raise exceptions.StreamCut(repr(error)) from error
+            raise breaks.cut(error) from error
 
     async def cancel(self, server: fleet.Server, key: str) -> Waste | None:
         """Stop a stream."""
@@ -223,12 +223,14 @@
     ) -> Figures:
         # Reading a held stream again is no second dispatch: the engine knows the id
         # and neither prefills nor generates anew.
+        kind: type[exceptions.StreamCut] = exceptions.StreamCut
         for _ in range(RESUME_TRIES):
             try:
                 return await self.resume(server, key, answer)
-            except exceptions.StreamCut:
+            except exceptions.StreamCut as error:
+                kind = type(error)
                 await asyncio.sleep(RESUME_PAUSE)
-        raise exceptions.StreamCut(f"the stream of {server.name} broke off for good")
+        raise kind(f"the stream of {server.name} broke off for good")
 
 
 @backends.register("plain-http")
@@ -268,7 +270,7 @@
             raise exceptions.NotSent(str(error)) from error
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             # It may have run; plain services hold no answers to be read again.
-            raise exceptions.StreamCut(repr(error)) from error
+            raise breaks.cut(error) from error
         try:
             msgspec.json.decode(body)
         except msgspec.DecodeError as error:
--- a/packages/daemon/cassiaquay_daemon/daemon.py
+++ b/packages/daemon/cassiaquay_daemon/daemon.py
@@ -112,6 +112,7 @@
         self._crashes = crash_reports.CrashReports(
             self._quarantine, self._peers, self._membership
         )
+        self._owner.heed_crashes(self._crashes)
         self._gateway = self._passing_through()
 
     async def run(self) -> None:
--- a/packages/daemon/cassiaquay_daemon/decisions/quarantine.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/quarantine.py
@@ -16,6 +16,8 @@
 
 from .. import clock
 
+# Retry-After of a held request: it would be refused again sooner.
+RETRY_MS = 60_000
 # A crash of a server makes suspects of all that ran on it.
 MOST_SUSPECTS = 4096
 MOST_COMPLETED = 8192
--- a/packages/daemon/cassiaquay_daemon/gateway/accepting.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/accepting.py
@@ -2,6 +2,7 @@
 
 from .. import exceptions, pause
 from ..configured import routing
+from ..decisions import contents
 from ..fleet import configuration, servers
 from ..platform import headers
 from . import calls, replies
@@ -72,7 +73,7 @@
             snapshot,
             began_at,
             calls.deadline(began_at, facts, route),
-            calls.content(facts.host, scope["method"], target, caller, body),
+            contents.digest([facts.host, scope["method"], target, caller], body),
         )
 
     def _team(
--- a/packages/daemon/cassiaquay_daemon/gateway/calls.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/calls.py
@@ -1,6 +1,5 @@
 """One caller's request at the gateway, from its headers to its end."""
 
-import hashlib
 import typing
 
 from .. import clock
@@ -10,7 +9,6 @@
 # The caller's clock runs from when it sent the first byte; ours from when the headers
 # were read. Its wait ends a moment before ours would.
 MARGIN_SECONDS = 0.01
-CONTENT_BYTES = 8
 
 
 class Call(typing.NamedTuple):
@@ -93,15 +91,3 @@
     if facts.deadline_ms:
         seconds = min(seconds, facts.deadline_ms / 1000.0)
     return began_at + seconds - MARGIN_SECONDS
-
-
-def content(host: str, method: str, target: str, caller: str, body: bytes) -> str:
-    """Return a digest that all attempts of the same request share, in hexadecimal.
-
-    Each attempt has an id of its own, and may come to any instance.
-    """
-    digest = hashlib.blake2b(digest_size=CONTENT_BYTES)
-    for text in (host, method, target, caller):
-        digest.update(text.encode() + b"\0")
-    digest.update(body)
-    return digest.hexdigest()
--- a/packages/daemon/cassiaquay_daemon/gateway/forwarding.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/forwarding.py
@@ -9,6 +9,7 @@
 from cassiaquay_schema import fleet
 
 from .. import exceptions
+from ..adapters import breaks
 from ..platform import headers
 from . import calls
 
@@ -103,7 +104,7 @@
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             raise exceptions.Unreachable(repr(error)) from error
         except (TimeoutError, aiohttp.ClientError, OSError, ValueError) as error:
-            raise _cut(error) from error
+            raise breaks.cut(error) from error
         try:
             return self._check(call, response)
         except exceptions.BackendError:
@@ -143,15 +144,4 @@
         async for part in answer.response.content.iter_any():
             yield part
     except (TimeoutError, aiohttp.ClientError, OSError) as error:
-        raise _cut(error) from error
-
-
-def _cut(error: Exception) -> exceptions.StreamCut:
-    """Tell a connection that the server broke from silence and from odd bytes."""
-    if isinstance(error, TimeoutError):
-        return exceptions.StreamCut(repr(error))
-    if isinstance(error, (aiohttp.ClientPayloadError, OSError)):
-        return exceptions.ConnectionBroken(repr(error))
-    if isinstance(error, aiohttp.ServerDisconnectedError):
-        return exceptions.ConnectionBroken(repr(error))
-    return exceptions.StreamCut(repr(error))
+        raise breaks.cut(error) from error
--- a/packages/daemon/cassiaquay_daemon/gateway/serving.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/serving.py
@@ -10,7 +10,7 @@
 
 from .. import clock, exceptions, logs, pause
 from ..configured import routing
-from ..decisions import budgets
+from ..decisions import budgets, quarantine
 from ..fleet import configuration, crash_reports
 from ..keepers import quotas
 from . import (
@@ -26,8 +26,6 @@
 
 # Retry-After when servers keep refusing or cannot be reached.
 UNREACHABLE_RETRY_MS = 300
-# Retry-After of a request that crashes servers: it would be refused again sooner.
-QUARANTINE_RETRY_MS = 60_000
 # Share of the time to its objective that a request may wait for room in its team's
 # limit; the other half is for its slot and its first event.
 LIMIT_WAIT_SHARE = 0.5
@@ -276,7 +274,7 @@
             return
         if known.sent:
             raise exceptions.AnswerLost("servers end under this request")
-        raise exceptions.Quarantined(retry_after_ms=QUARANTINE_RETRY_MS)
+        raise exceptions.Quarantined(retry_after_ms=quarantine.RETRY_MS)
 
     def _mark(self, known: progress.Progress, ticket: admission.Ticket) -> None:
         # From here on it may run: only the server's own word unmarks it.
--- a/packages/daemon/cassiaquay_daemon/owners/dispatching.py
+++ b/packages/daemon/cassiaquay_daemon/owners/dispatching.py
@@ -10,7 +10,7 @@
 
 from .. import clock, exceptions, logs, pause
 from ..adapters import answers, backends
-from ..decisions import prefixes
+from ..decisions import prefixes, quarantine
 from ..keepers import demands
 from . import entries, table
 
@@ -18,6 +18,8 @@
 # How long the answer of a request that cannot be stopped is still waited for after its
 # caller was told "unknown", so that its outcome can be asked for later.
 SETTLE_SECONDS = 60.0
+# The connection is broken for good, or the stream is gone with the engine's process.
+SERVER_ENDED = (exceptions.ConnectionBroken, exceptions.StreamMissing)
 
 
 class Capacity(typing.Protocol):
@@ -43,6 +45,19 @@
         """Note that a dispatched request has ended."""
 
 
+class Crashes(typing.Protocol):
+    """What is known of requests under which servers end."""
+
+    def holds(self, content: str) -> bool:
+        """Return whether a request is turned away."""
+
+    def crashed(self, content: str, server: str) -> object:
+        """Note a start of a server that ended under a request."""
+
+    def completed(self, content: str) -> object:
+        """Note that a server has completed a request."""
+
+
 class Dispatcher:
     """Dispatches the requests of one owner.
 
@@ -67,6 +82,7 @@
     ):
         self.background: set[asyncio.Task[None]] = set()
         self.pauses: pause.Pauses | None = None
+        self.crashes: Crashes | None = None
         self._on_wasted: list[collections.abc.Callable[[int], None]] = []
         self._capacity = capacity
         self._table = requests
@@ -93,11 +109,16 @@
         avoid: list[str] = []
         while not entry.ended:
             await entry.read.wait()
+            self._check_quarantine(entry)
             demand = _demand(entry, avoid)
             entry.shard = demand.shard
             permission = await self._capacity.obtain(demand, entry.deadline)
             demand = demand._replace(shard=permission.shard)
             entry.shard = demand.shard
+            if self._is_held(entry):
+                # Others have seen the servers end while this one waited.
+                self._capacity.give_back(demand)
+                continue
             server = entry.accepted.snapshot.server(
                 entry.accepted.pool, permission.server
             )
@@ -153,12 +174,34 @@
             raise
         except exceptions.BackendError as error:
             self._failed(attempt, backend)
+            if isinstance(
+                error, (exceptions.ConnectionBroken, exceptions.StreamMissing)
+            ):
+                self._note_crash(attempt)
             raise _refusal(error) from error
         except Exception:
             self._failed(attempt, backend)
             raise
         entry.figures = figures
         self._release(attempt, "completed", figures)
+        if self.crashes is not None:
+            self.crashes.completed(entry.content)
+
+    def _is_held(self, entry: entries.Entry) -> bool:
+        return self.crashes is not None and self.crashes.holds(entry.content)
+
+    def _check_quarantine(self, entry: entries.Entry) -> None:
+        if self._is_held(entry):
+            raise exceptions.Quarantined(retry_after_ms=quarantine.RETRY_MS)
+
+    def _note_crash(self, attempt: "_Attempt") -> None:
+        if self.crashes is None:
+            return
+        entry, demand, server, _ = attempt
+        # A server of the fleet text does not say when it started: two attempts that it
+        # broke off for good count as two ends.
+        start = server.started_ms or demand.id
+        self.crashes.crashed(entry.content, f"{server.name}/{start}")
 
     def _check(
         self,
--- a/packages/daemon/cassiaquay_daemon/owners/entries.py
+++ b/packages/daemon/cassiaquay_daemon/owners/entries.py
@@ -6,6 +6,7 @@
 
 from .. import clock, exceptions
 from ..adapters import answers, backends
+from ..decisions import contents
 from . import requests
 
 
@@ -51,6 +52,9 @@
         ledger = ledger or answers.Ledger()
         self.accepted = accepted
         self.fingerprint = requests.fingerprint(accepted.body)
+        self.content = contents.digest(
+            [accepted.service, accepted.team], self.fingerprint
+        )
         self.answer = answers.Answer(ledger)
         self.refusal: exceptions.Refusal | None = None
         self.state = State.WAITING
--- a/packages/daemon/cassiaquay_daemon/owners/owner.py
+++ b/packages/daemon/cassiaquay_daemon/owners/owner.py
@@ -84,6 +84,10 @@
         """Send nothing while this process does not know what is true now."""
         self._dispatcher.pauses = pauses
 
+    def heed_crashes(self, crashes: dispatching.Crashes) -> None:
+        """Send no request under which servers end, and note those that did."""
+        self._dispatcher.crashes = crashes
+
     def on_ended(self, call: collections.abc.Callable[[entries.Entry], None]) -> None:
         """Call ``call`` with each entry whose outcome has become final."""
         self._on_ended.append(call)
--- a/tests/owner_fakes.py
+++ b/tests/owner_fakes.py
@@ -9,9 +9,11 @@
 from cassiaquay_daemon import clock, exceptions
 from cassiaquay_daemon.adapters import answers, backends
 from cassiaquay_daemon.configured import snapshots
+from cassiaquay_daemon.decisions import quarantine
 from cassiaquay_daemon.keepers import demands
 from cassiaquay_daemon.owners import owner, tokens
 from cassiaquay_schema import fleet, messages, texts
+from cassiaquay_schema import settings as settings_schema
 
 KEY = "key"
 SETTINGS = """
@@ -85,6 +87,10 @@
     raise exceptions.StreamCut("cut")
 
 
+async def broken(answer: answers.Answer) -> None:
+    raise exceptions.ConnectionBroken("reset")
+
+
 class FakeEngine:
     can_stop = True
 
@@ -163,6 +169,16 @@
         self.released.append(message)
 
 
+class Crashes:
+    """What this instance alone knows of requests under which servers end."""
+
+    def __init__(self, settings: settings_schema.Settings):
+        self._quarantine = quarantine.Quarantine(settings)
+        self.holds = self._quarantine.holds
+        self.crashed = self._quarantine.crashed
+        self.completed = self._quarantine.completed
+
+
 class Bench:
     """An owner between fakes."""
 
@@ -180,6 +196,7 @@
             lambda name: name in self.leaving,
             lambda: "127.0.0.1:9",
         )
+        self.owner.heed_crashes(Crashes(settings))
         self._count = 0
 
     def new_id(self, seconds: float | None = None) -> tokens.RequestId:
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -447,3 +447,22 @@
     other = requests.read(json.dumps({"service": "s", "payload": 1}).encode())
     assert requests.fingerprint(one) == requests.fingerprint(two)
     assert requests.fingerprint(one) != requests.fingerprint(other)
+
+
+def test_a_request_under_which_servers_end_is_refused_under_new_ids():
+    """Guards against a caller that starts over and ends one server after the other."""
+
+    async def work() -> None:
+        bench = owner_fakes.Bench()
+        bench.servers.script = [owner_fakes.broken]
+        for _ in range(3):
+            final = await owner_fakes.ended(bench.submit(bench.new_id()))
+            assert final["code"] == "answer_lost"
+        final = await owner_fakes.ended(bench.submit(bench.new_id()))
+        assert (final["outcome"], final["code"]) == ("not_run", "crashes_servers")
+        assert len(bench.servers.seen) == 3
+        bench.servers.script = [owner_fakes.complete]
+        other = await owner_fakes.ended(bench.submit(bench.new_id(), prompt="how?"))
+        assert other["outcome"] == "completed"
+
+    run(work())
