Hold a crashing request sooner where the whole fleet has lost its memory

An instance that did not start with the fleet and hears nobody who ran before it now holds a request after one end less. Only requests with several ends are compared by heartbeats: a crash of many servers makes thousands of suspects with one end each, which would be sent again and again where tables are full. Only an answer of success clears a request.

--- a/packages/daemon/cassiaquay_daemon/daemon.py
+++ b/packages/daemon/cassiaquay_daemon/daemon.py
@@ -110,7 +110,10 @@
         self._servers = self._registered()
         self._quarantine = quarantine.Quarantine(settings)
         self._crashes = crash_reports.CrashReports(
-            self._quarantine, self._peers, self._membership
+            self._quarantine,
+            self._peers,
+            self._membership,
+            settings.gateway.first_start,
         )
         self._owner.heed_crashes(self._crashes)
         self._gateway = self._passing_through()
--- a/packages/daemon/cassiaquay_daemon/decisions/quarantine.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/quarantine.py
@@ -8,6 +8,7 @@
 """
 
 import collections
+import collections.abc
 import typing
 
 import xxhash
@@ -21,6 +22,9 @@
 # A crash of a server makes suspects of all that ran on it.
 MOST_SUSPECTS = 4096
 MOST_COMPLETED = 8192
+# Ends of servers from which on a request is sent again to instances that missed it. A
+# crash of many servers at once makes thousands of suspects with one end each.
+SERIOUS_ENDS = 2
 # Pause between two looks for what is old enough to be forgotten.
 FORGET_SECONDS = 1.0
 
@@ -60,9 +64,15 @@
     ----------
     settings : Settings
         How many crashes are enough, and for how long a request is remembered.
+
+    Attributes
+    ----------
+    has_forgotten : callable
+        Tells whether all that was known was lost; one end less is enough then.
     """
 
     def __init__(self, settings: settings_schema.Settings):
+        self.has_forgotten: collections.abc.Callable[[], bool] = bool
         self._gateway = settings.gateway
         self._suspects: collections.OrderedDict[str, _Suspect]
         self._suspects = collections.OrderedDict()
@@ -75,9 +85,14 @@
         """Number of requests that are held."""
         return sum(self._is_held(found) for found in self._suspects.values())
 
+    @property
+    def suspect_count(self) -> int:
+        """Number of requests under which a server has ended."""
+        return len(self._suspects)
+
     @property
     def digest(self) -> int:
-        """Digest of all that is known, 0 for nothing; equal at equal knowledge."""
+        """Digest of what :meth:`reports` returns, 0 for nothing."""
         self._forget()
         if self._digest is None:
             self._digest = self._digest_now()
@@ -140,13 +155,20 @@
         return Report(content, frozenset(found.servers), found.is_cleared, age)
 
     def reports(self) -> list[Report]:
-        """Return all that is known."""
-        return [self.report(content) for content in self._suspects]
+        """Return what is known of requests under which several servers have ended."""
+        found = []
+        for content, suspect in self._suspects.items():
+            if len(suspect.servers) >= SERIOUS_ENDS:
+                found.append(self.report(content))
+        return found
 
     def _is_held(self, found: _Suspect) -> bool:
         if found.is_cleared:
             return False
-        return len(found.servers) >= self._gateway.quarantine_crashes
+        missing = self._gateway.quarantine_crashes - len(found.servers)
+        if missing == 1 and found.servers:
+            return self.has_forgotten()
+        return missing <= 0
 
     def _see(self, content: str, found: _Suspect, seen_at: float) -> None:
         # The one that was seen last stands at the end.
@@ -167,9 +189,9 @@
             self._digest = None
 
     def _digest_now(self) -> int:
-        if not self._suspects:
-            return 0
         lines = []
-        for content, found in sorted(self._suspects.items()):
-            lines.append((content, sorted(found.servers), found.is_cleared))
-        return xxhash.xxh3_64_intdigest(repr(lines).encode())
+        for report in self.reports():
+            lines.append((report.content, sorted(report.servers), report.is_cleared))
+        if not lines:
+            return 0
+        return xxhash.xxh3_64_intdigest(repr(sorted(lines)).encode())
--- a/packages/daemon/cassiaquay_daemon/fleet/crash_reports.py
+++ b/packages/daemon/cassiaquay_daemon/fleet/crash_reports.py
@@ -32,6 +32,8 @@
         Connections to the others.
     membership : Membership
         Who they are.
+    is_first_start : bool
+        Whether no process of the fleet has run before, which could have known more.
     """
 
     def __init__(
@@ -39,6 +41,7 @@
         held: quarantine.Quarantine,
         links: peers.Peers,
         membership: members.Membership,
+        is_first_start: bool,
     ):
         self._quarantine = held
         self._links = links
@@ -48,6 +51,8 @@
         links.on(messages.CrashReports, self._received)
         membership.on_heard(self._heard)
         membership.crashes_digest = lambda: held.digest
+        if not is_first_start:
+            held.has_forgotten = lambda: not membership.has_elders()
 
     def holds(self, content: str) -> bool:
         """Return whether a request is turned away, since servers end under it."""
--- a/packages/daemon/cassiaquay_daemon/fleet/members.py
+++ b/packages/daemon/cassiaquay_daemon/fleet/members.py
@@ -25,6 +25,10 @@
 RETRY_SECONDS = 7200.0
 
 
+# Instances that lose power together are up again within this time of each other.
+START_SPREAD_SECONDS = 5.0
+
+
 class _Lost(typing.NamedTuple):
     """A buried instance: where it was, and since when it is lost."""
 
@@ -187,6 +191,14 @@
         """Return the seconds since a known member's start, or a little less."""
         return self.facts.records[instance].uptime
 
+    def has_elders(self) -> bool:
+        """Return whether an instance is alive that ran before this one started."""
+        own = clock.now() - self._started + START_SPREAD_SECONDS
+        for record in self.facts.records.values():
+            if record.suspected_at is None and record.uptime > own:
+                return True
+        return False
+
     def fleet_size(self) -> int:
         """Return how many instances may spend from a budget of the whole fleet."""
         return self._budget_peers.count(max(len(self.facts.records), len(self._seeds)))
--- a/packages/daemon/cassiaquay_daemon/gateway/forwarding.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/forwarding.py
@@ -17,6 +17,7 @@
 # connections or a dead machine, and another server answers sooner.
 CONNECT_SECONDS = 0.5
 MOST_ANSWER_BYTES = 16 * 1024 * 1024
+FIRST_REDIRECT = 300
 FIRST_FAILURE = 500
 
 BeforeSending = collections.abc.Callable[[], None]
--- a/packages/daemon/cassiaquay_daemon/gateway/serving.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/serving.py
@@ -321,7 +321,7 @@
             first_ms = round((tally.first_at - call.began_at) * 1000.0, 1)
         first_at = tally.first_at or clock.now()
         outcome = "failed" if status >= forwarding.FIRST_FAILURE else "completed"
-        if outcome == "completed":
+        if status < forwarding.FIRST_REDIRECT:
             self._parts.crashes.completed(known.call.content)
         self._parts.accounting.ended(known, outcome, outcome, first_at - call.began_at)
         logs.event(
--- /dev/null
+++ b/tests/mesh_fakes.py
@@ -0,0 +1,104 @@
+"""Instances that hear each other by messages which wait until they are delivered."""
+
+import collections
+
+import policy_fakes as fakes
+
+from cassiaquay_schema import messages
+
+NAMES = ("cq-1", "cq-2", "cq-3")
+
+
+class Wire(fakes.Links):
+    """An instance's links to all others."""
+
+    def __init__(self, mesh: "Mesh", name: str):
+        super().__init__()
+        self._mesh = mesh
+        self._name = name
+
+    def link(self, instance: str, address: str) -> "End":
+        """Return the link to an instance."""
+        return self._mesh.end(self._name, instance)
+
+
+class End:
+    """One end of a link, at the instance that sends."""
+
+    def __init__(self, mesh: "Mesh", sender: str, instance: str):
+        self.instance = instance
+        self._mesh = mesh
+        self._sender = sender
+
+    def send(self, message: messages.Message) -> bool:
+        """Queue a message."""
+        self._mesh.queue.append((self._sender, self.instance, message))
+        return True
+
+
+class Members(fakes.Membership):
+    """All instances are neighbours."""
+
+    def __init__(self, own: str):
+        super().__init__("", [fakes.Owner(name) for name in NAMES])
+        self.heard: list = []
+        self._own = own
+
+    def on_heard(self, call) -> None:
+        """Keep a callback."""
+        self.heard.append(call)
+
+    def serving(self) -> list:
+        """Return all of them."""
+        return list(self.owners.values())
+
+    def neighbours(self) -> dict[str, str]:
+        """Return the others."""
+        return {name: "h:1" for name in self.owners if name != self._own}
+
+    def has_elders(self) -> bool:
+        """Return whether an instance ran before this one."""
+        return True
+
+
+class Mesh:
+    """The wires between instances."""
+
+    def __init__(self) -> None:
+        self.queue: collections.deque = collections.deque()
+        self.members: dict[str, Members] = {}
+        self.wires: dict[str, Wire] = {}
+        self._ends: dict[tuple[str, str], End] = {}
+        for name in NAMES:
+            self.members[name] = Members(name)
+            self.wires[name] = Wire(self, name)
+
+    def end(self, sender: str, receiver: str) -> End:
+        """Return the sender's end of a link."""
+        key = (sender, receiver)
+        return self._ends.setdefault(key, End(self, sender, receiver))
+
+    def beat(self, sender: str, beat: messages.Heartbeat) -> None:
+        """Let an instance send a heartbeat to all others."""
+        for name in NAMES:
+            if name != sender:
+                self.queue.append((sender, name, beat))
+
+    def deliver(self, asleep: str = "") -> None:
+        """Deliver all that is under way, and what is sent in answer.
+
+        What is sent to the instance ``asleep`` waits.
+        """
+        waiting = []
+        while self.queue:
+            sender, receiver, message = self.queue.popleft()
+            if receiver == asleep:
+                waiting.append((sender, receiver, message))
+                continue
+            link = self.end(receiver, sender)
+            if isinstance(message, messages.Heartbeat):
+                for call in self.members[receiver].heard:
+                    call(link, message)
+                continue
+            self.wires[receiver].handlers[type(message)](link, message)
+        self.queue.extend(waiting)
--- /dev/null
+++ b/tests/test_crash_reports.py
@@ -0,0 +1,118 @@
+"""What instances tell each other of requests under which servers end."""
+
+import hypothesis
+import mesh_fakes
+import msgspec
+import policy_fakes as fakes
+from hypothesis import strategies
+
+from cassiaquay_daemon.decisions import quarantine
+from cassiaquay_daemon.fleet import crash_reports
+from cassiaquay_schema import messages
+
+NAMES = mesh_fakes.NAMES
+
+
+class Fleet(mesh_fakes.Mesh):
+    """Instances that see servers end."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.held: dict[str, quarantine.Quarantine] = {}
+        self.reports: dict[str, crash_reports.CrashReports] = {}
+        for name in NAMES:
+            self.start(name)
+
+    def start(self, name: str) -> None:
+        """Start an instance that knows nothing."""
+        settings = fakes.settings(name)
+        gateway = msgspec.structs.replace(settings.gateway, quarantine_seconds=900.0)
+        settings = msgspec.structs.replace(settings, gateway=gateway)
+        self.members[name].heard.clear()
+        self.held[name] = quarantine.Quarantine(settings)
+        self.reports[name] = crash_reports.CrashReports(
+            self.held[name], self.wires[name], self.members[name], False
+        )
+
+    def say(self) -> None:
+        """Let all instances send their heartbeats, and deliver all."""
+        for name in NAMES:
+            digest = self.held[name].digest
+            beat = messages.Heartbeat(1, 0, 0, [], [], 0, crashes_digest=digest)
+            self.beat(name, beat)
+        self.deliver()
+
+
+def _crash(fleet: Fleet) -> None:
+    for number, name in enumerate(NAMES):
+        fleet.reports[name].crashed("poison", f"i-{number}/1")
+
+
+def test_all_instances_hold_a_request_that_each_saw_once() -> None:
+    with fakes.Time().used():
+        fleet = Fleet()
+        _crash(fleet)
+        fleet.deliver()
+        for name in NAMES:
+            assert fleet.reports[name].holds("poison")
+        assert not fleet.queue, "news goes round once"
+
+
+def test_a_completion_anywhere_releases_a_request_everywhere() -> None:
+    """Guards against a request that some serve and others refuse."""
+    with fakes.Time().used():
+        fleet = Fleet()
+        _crash(fleet)
+        fleet.deliver()
+        fleet.reports["cq-2"].completed("poison")
+        fleet.deliver()
+        for name in NAMES:
+            assert not fleet.reports[name].holds("poison")
+
+
+def test_an_instance_that_starts_anew_is_told_by_its_first_heartbeat() -> None:
+    """Guards against a restarted instance that sends what all others refuse."""
+    with fakes.Time().used():
+        fleet = Fleet()
+        _crash(fleet)
+        fleet.deliver()
+        fleet.start("cq-3")
+        assert not fleet.reports["cq-3"].holds("poison")
+        fleet.say()
+        assert fleet.reports["cq-3"].holds("poison")
+
+
+STEPS = strategies.lists(
+    strategies.tuples(
+        strategies.sampled_from(["crash", "lose", "restart", "deliver", "wait"]),
+        strategies.sampled_from(NAMES),
+    ),
+    max_size=20,
+)
+
+
+@hypothesis.settings(max_examples=150, deadline=None, derandomize=True)
+@hypothesis.given(STEPS)
+def test_heartbeats_bring_all_instances_to_the_same_knowledge(steps) -> None:
+    """Guards against lost messages, restarts and pauses that leave one behind."""
+    with fakes.Time().used() as time:
+        fleet = Fleet()
+        ended = 0
+        for kind, name in steps:
+            if kind == "crash":
+                ended += 1
+                fleet.reports[name].crashed("poison", f"i-{ended}/1")
+            elif kind == "lose":
+                fleet.queue.clear()
+            elif kind == "restart":
+                fleet.start(name)
+            elif kind == "deliver":
+                fleet.deliver(asleep=name)
+            else:
+                time.now += 0.3
+        for _ in range(3):
+            time.now += crash_reports.RESEND_SECONDS
+            fleet.say()
+        digests = {fleet.held[name].digest for name in NAMES}
+        assert len(digests) == 1
+        assert len({fleet.reports[name].holds("poison") for name in NAMES}) == 1
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -116,6 +116,6 @@
         for engine in site.engines:
             engine.act = silent
         await site.ask("/safe/x", "GET", b"")
-        assert not site.daemons[0]._quarantine.reports()
+        assert not site.daemons[0]._quarantine.suspect_count
 
     fakes.run(work)
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -8,7 +8,7 @@
 import pytest
 
 from cassiaquay_daemon import exceptions
-from cassiaquay_daemon.fleet import watching
+from cassiaquay_daemon.fleet import members, watching
 from cassiaquay_daemon.interface import addresses
 from cassiaquay_daemon.links import frames, peers
 from cassiaquay_daemon.owners import tokens
@@ -443,3 +443,21 @@
             assert two.view == set(fleet.lives)
 
     asyncio.run(run())
+
+
+def test_an_instance_that_starts_later_knows_that_others_ran_before(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a restart that is taken for the loss of the whole fleet."""
+    monkeypatch.setattr(members, "START_SPREAD_SECONDS", 0.05)
+
+    async def run() -> None:
+        async with fleets.fleet() as fleet:
+            first = await fleet.add("cq-1")
+            await asyncio.sleep(0.1)
+            second = await fleet.add("cq-2")
+            await fleet.agree()
+            assert second.membership.has_elders()
+            assert not first.membership.has_elders()
+
+    asyncio.run(run())
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -69,9 +69,21 @@
 
 def test_what_another_instance_has_forgotten_does_not_come_back(time) -> None:
     held = _quarantine(quarantine_seconds=100.0)
-    report = quarantine.Report("poison", frozenset(["i-1"]), False, 120.0)
+    report = quarantine.Report("poison", frozenset(["i-1", "i-2"]), False, 120.0)
     assert not held.learn(report)
-    assert held.digest == 0
+    assert held.suspect_count == 0
+
+
+def test_what_nobody_remembers_is_held_sooner(time) -> None:
+    """Guards against a request that crashes servers anew after all instances died."""
+    held = _quarantine()
+    held.has_forgotten = lambda: True
+    held.crashed("poison", "i-1")
+    assert not held.holds("poison")
+    held.crashed("poison", "i-2")
+    assert held.holds("poison")
+    held.has_forgotten = lambda: False
+    assert not held.holds("poison")
 
 
 def test_many_suspects_do_not_fill_the_memory(time) -> None:
@@ -79,7 +91,8 @@
     for number in range(quarantine.MOST_SUSPECTS + 100):
         time.now += 0.001
         held.crashed(f"request {number}", "i-1")
-    assert len(held.reports()) == quarantine.MOST_SUSPECTS
+    assert held.suspect_count == quarantine.MOST_SUSPECTS
+    assert not held.reports()
 
 
 _REPORTS = strategies.builds(
--- a/tests/test_server_lists.py
+++ b/tests/test_server_lists.py
@@ -1,8 +1,8 @@
 """Lists of backend servers between instances: what one keeps stays its own."""
 
 import asyncio
-import collections
 
+import mesh_fakes
 import policy_fakes as fakes
 import test_servers as stand_ins
 
@@ -11,67 +11,24 @@
 from cassiaquay_dev.lab import virtual_time
 from cassiaquay_schema import messages
 
-NAMES = ("cq-1", "cq-2", "cq-3")
+NAMES = mesh_fakes.NAMES
 
 
-class Wire(fakes.Links):
-    """An instance's links to all others: a message waits until it is delivered."""
-
-    def __init__(self, fleet: "Fleet", name: str):
-        super().__init__()
-        self._fleet = fleet
-        self._name = name
-
-    def link(self, instance: str, address: str) -> "End":
-        """Return the link to an instance."""
-        return End(self._fleet, self._name, instance)
-
-
-class End:
-    """One end of a link, at the instance that sends."""
-
-    def __init__(self, fleet: "Fleet", sender: str, instance: str):
-        self.instance = instance
-        self._fleet = fleet
-        self._sender = sender
-
-    def send(self, message: messages.Message) -> bool:
-        """Queue a message."""
-        self._fleet.queue.append((self._sender, self.instance, message))
-        return True
-
-
-class Members(stand_ins.Members):
-    """All instances are neighbours."""
-
-    def __init__(self, own: str):
-        super().__init__(*NAMES)
-        self._own = own
-
-    def neighbours(self) -> dict[str, str]:
-        """Return the others."""
-        return {name: "h:1" for name in self.owners if name != self._own}
-
-
-class Fleet:
+class Fleet(mesh_fakes.Mesh):
     """Instances before one store."""
 
     def __init__(self, *entries: messages.ServerEntry):
-        self.queue: collections.deque = collections.deque()
+        super().__init__()
         self.store = stand_ins.Store(*entries)
         self.texts = stand_ins.Texts()
         self.lists: dict[str, servers.Servers] = {}
         self.configured: dict[str, stand_ins.Configured] = {}
-        self._members: dict[str, Members] = {}
-        self._wires: dict[str, Wire] = {}
         for name in NAMES:
-            self._members[name] = Members(name)
-            self._wires[name] = Wire(self, name)
             self.configured[name] = stand_ins.Configured()
             self.lists[name] = servers.Servers(
                 fakes.settings(name),
-                self._wires[name],
-                self._members[name],
+                self.wires[name],
+                self.members[name],
                 self.configured[name],
                 self.store,
                 self.texts,
@@ -85,34 +42,15 @@
         """Let an instance read the store."""
         return asyncio.run(self.lists[name].read_once())
 
-    def beat(self, sender: str) -> None:
+    def say(self, sender: str) -> None:
         """Let an instance send its heartbeats."""
         state = self.lists[sender].state
-        beat = messages.Heartbeat(
-            1, 0, 0, [], [], 0, *state[:3], servers_steady_ms=state.steady_ms
+        self.beat(
+            sender,
+            messages.Heartbeat(
+                1, 0, 0, [], [], 0, *state[:3], servers_steady_ms=state.steady_ms
+            ),
         )
-        for name in NAMES:
-            if name != sender:
-                self.queue.append((sender, name, beat))
-
-    def deliver(self, asleep: str = "") -> None:
-        """Deliver all that is under way, and what is sent in answer.
-
-        What is sent to the instance ``asleep`` waits.
-        """
-        waiting = []
-        while self.queue:
-            sender, receiver, message = self.queue.popleft()
-            if receiver == asleep:
-                waiting.append((sender, receiver, message))
-                continue
-            link = End(self, receiver, sender)
-            if isinstance(message, messages.Heartbeat):
-                for call in self._members[receiver].heard:
-                    call(link, message)
-                continue
-            self._wires[receiver].handlers[type(message)](link, message)
-        self.queue.extend(waiting)
 
 
 def _fleet(*names: str) -> Fleet:
@@ -135,7 +73,7 @@
         for _ in range(5):
             time.now += 1.0
             fleet.read("cq-1")
-            fleet.beat("cq-1")
+            fleet.say("cq-1")
             fleet.deliver(asleep="cq-3")
         fleet.read("cq-3")
         fleet.deliver()
@@ -203,7 +141,7 @@
         for _ in range(5):
             time.now += 0.5
             fleet.read("cq-1")
-            fleet.beat("cq-1")
+            fleet.say("cq-1")
             fleet.deliver()
         assert fleet.in_use("cq-3") == {"i-1"}
 
@@ -216,7 +154,7 @@
         assert not fleet.read("cq-3")
         fleet.store.down = False
         fleet.read("cq-1")
-        fleet.beat("cq-1")
+        fleet.say("cq-1")
         fleet.deliver(asleep="cq-3")
     fleet.queue.clear()
 
@@ -230,7 +168,7 @@
         fleet.read("cq-1")
         fleet.read("cq-3")
         assert fleet.in_use("cq-3") == {"i-1", "i-2"}
-        fleet.beat("cq-1")
+        fleet.say("cq-1")
         fleet.deliver()
         assert fleet.in_use("cq-3") == {"i-1"}
 
@@ -248,7 +186,7 @@
         fleet.store.down = False
         _remove(fleet, "i-2")
         fleet.read("cq-3")
-        fleet.beat("cq-1")
+        fleet.say("cq-1")
         fleet.deliver()
         assert fleet.in_use("cq-3") == {"i-1", "i-2"}
         assert fleet.in_use("cq-1") == {"i-1", "i-2"}
