--- a/packages/daemon/cassiaquay_daemon/fleet/facts.py
+++ b/packages/daemon/cassiaquay_daemon/fleet/facts.py
@@ -16,6 +16,8 @@
 # A dead instance's last facts may still be on their way from slow peers. For this long
 # they are refused, so that nobody brings it back; nothing is under way longer.
 TOMBSTONE_SECONDS = 120.0
+# Instances that lose power together are up again within this time of each other.
+START_SPREAD_SECONDS = 5.0
 
 Order = tuple[float, int]
 
@@ -68,6 +70,15 @@
         """Records by instance."""
         return self._records
 
+    def has_older(self, uptime: float) -> bool:
+        """Return whether an unsuspected instance has run for clearly longer."""
+        for record in self.records.values():
+            if record.suspected_at is not None:
+                continue
+            if record.uptime > uptime + START_SPREAD_SECONDS:
+                return True
+        return False
+
     def learn(self, member: messages.Member) -> bool:
         """Take a fact in; return whether it was news."""
         order = (member.born, member.sequence)
--- a/packages/daemon/cassiaquay_daemon/fleet/members.py
+++ b/packages/daemon/cassiaquay_daemon/fleet/members.py
@@ -25,10 +25,6 @@
 RETRY_SECONDS = 7200.0
 
 
-# Instances that lose power together are up again within this time of each other.
-START_SPREAD_SECONDS = 5.0
-
-
 class _Lost(typing.NamedTuple):
     """A buried instance: where it was, and since when it is lost."""
 
@@ -193,11 +189,7 @@
 
     def has_elders(self) -> bool:
         """Return whether an instance is alive that ran before this one started."""
-        own = clock.now() - self._started + START_SPREAD_SECONDS
-        for record in self.facts.records.values():
-            if record.suspected_at is None and record.uptime > own:
-                return True
-        return False
+        return self.facts.has_older(clock.now() - self._started)
 
     def fleet_size(self) -> int:
         """Return how many instances may spend from a budget of the whole fleet."""
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -8,7 +8,7 @@
 import pytest
 
 from cassiaquay_daemon import exceptions
-from cassiaquay_daemon.fleet import members, watching
+from cassiaquay_daemon.fleet import facts, watching
 from cassiaquay_daemon.interface import addresses
 from cassiaquay_daemon.links import frames, peers
 from cassiaquay_daemon.owners import tokens
@@ -449,7 +449,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Guards against a restart that is taken for the loss of the whole fleet."""
-    monkeypatch.setattr(members, "START_SPREAD_SECONDS", 0.05)
+    monkeypatch.setattr(facts, "START_SPREAD_SECONDS", 0.05)
 
     async def run() -> None:
         async with fleets.fleet() as fleet:
