--- a/packages/dev/cassiaquay_dev/soak/callers.py
+++ b/packages/dev/cassiaquay_dev/soak/callers.py
@@ -17,6 +17,8 @@
 # Share of the requests whose caller leaves in the middle.
 LEAVING_SHARE = 0.04
 LEAVES_AFTER = 0.06
+# Share of the requests that are the one under which engines end, while it comes.
+SAME_SHARE = 0.08
 # Statuses that promise that the request has not run and never will.
 NOT_RUN = (408, 421, 429, 503)
 FINAL = (400, 401, 404, 413, 431)
@@ -98,10 +100,15 @@
         key = self._chance.choice(self.keys)
         group = self._chance.choice(self._groups)
         deadline = records.now() + DEADLINE_SECONDS
+        same = ""
+        if self._seen.coming and self._chance.random() < SAME_SHARE:
+            kind, key = "stream", "key-a"
+            same = self._chance.choice(sorted(self._seen.coming))
         for _ in range(TRIES):
             self._count += 1
             name = f"c{self._count}"
-            attempt = records.Attempt(name, kind, f"{path}{name}?a=%2F", key, BODY)
+            target = same or f"{path}{name}?a=%2F"
+            attempt = records.Attempt(name, kind, target, key, BODY)
             attempt.deadline = deadline
             self._seen.attempts[name] = attempt
             await self._try(group, attempt)
--- a/packages/dev/cassiaquay_dev/soak/checks.py
+++ b/packages/dev/cassiaquay_dev/soak/checks.py
@@ -25,6 +25,8 @@
 # A request that crosses the close of its connection has not been taken.
 CROSSING_SECONDS = 0.2
 FEW = 3
+# Engines that end under a request before it is known for that.
+ENDS = 3
 # After the faults, and this long for recovery, so many must be served.
 RECOVER_SECONDS = 5.0
 LEAST_SERVED = 0.9
@@ -326,6 +328,26 @@
         yield from late
 
 
+@in_touch.register("crashing")
+def crashing(seen: records.Records) -> collections.abc.Iterator[str]:
+    """Find requests that are sent on after three engines have ended under them."""
+    for path in sorted(seen.crashing):
+        runs = [run for run in seen.runs if run.request.target == path]
+        ends = _executed(runs)
+        if len(ends) < ENDS:
+            continue
+        since = ends[ENDS - 1].at + site.CONTACT_SECONDS
+        late = []
+        for run in runs:
+            attempt = seen.attempts.get(run.request.attempt)
+            if attempt is None or run.at <= since:
+                continue
+            if seen.is_calm(attempt.daemon, run.at - site.CONTACT_SECONDS, run.at):
+                late.append(run.engine)
+        if len(late) > FEW:
+            yield f"{path} reached {late} after {ENDS} engines had ended"
+
+
 @in_touch.register("recovered")
 def recovered(seen: records.Records) -> collections.abc.Iterator[str]:
     """After the faults have ended, requests are served again."""
@@ -336,6 +358,8 @@
             continue
         if attempt.gave_up or attempt.status in (401, 404) or attempt.key == "key-c":
             continue
+        if attempt.path in seen.crashing:
+            continue
         asked += 1
         served += attempt.is_served
     if asked and served < LEAST_SERVED * asked:
--- a/packages/dev/cassiaquay_dev/soak/engines.py
+++ b/packages/dev/cassiaquay_dev/soak/engines.py
@@ -1,6 +1,7 @@
 """Engines with slots, a queue and faults; every arrival is recorded."""
 
 import asyncio
+import collections.abc
 import random
 
 from ..standins import raw_servers
@@ -29,10 +30,17 @@
         Gets the arrivals.
     chance : Random
         Decides about faults.
+    ends : callable
+        Called with its name when it ends under a request.
     """
 
     def __init__(
-        self, name: str, service: str, seen: records.Records, chance: random.Random
+        self,
+        name: str,
+        service: str,
+        seen: records.Records,
+        chance: random.Random,
+        ends: collections.abc.Callable[[str], None],
     ):
         super().__init__()
         self.name = name
@@ -41,6 +49,7 @@
         self.slow = 1.0
         self._seen = seen
         self._chance = chance
+        self._ends = ends
         self._waiting = 0
         self._slots = asyncio.Semaphore(SLOTS)
 
@@ -78,6 +87,10 @@
             fault = self._chance.choice(FAULTS)
             run.harmed = True
         await asyncio.sleep(WORK_SECONDS * self.slow * self._chance.uniform(0.5, 2.0))
+        if run.request.target in self._seen.crashing:
+            run.harmed = True
+            self._ends(self.name)
+            return
         if fault == "error":
             run.status = 500
             await raw_servers.send(writer, 500, b"failed", _seal(run))
--- a/packages/dev/cassiaquay_dev/soak/faults.py
+++ b/packages/dev/cassiaquay_dev/soak/faults.py
@@ -212,13 +212,8 @@
 async def engine_crash(at: site.Site, chance: random.Random) -> None:
     """Let an engine crash; a new one comes, its entry stays for a while."""
     name = chance.choice(sorted(at.engines))
-    service = at.engines[name].service
     with _Disturbed(at, name):
-        at.seen.leaving[name] = records.FOREVER
-        at.fronts[name].reset()
-        await at.remove_engine(name)
-        await asyncio.sleep(chance.uniform(0.1, 1.0))
-        await at.add_engine(service)
+        await at.crash_engine(name, chance.uniform(0.1, 1.0))
         await asyncio.sleep(chance.uniform(0.1, 3.0))
         at.store.items.pop(f"servers/{name}", None)
         at.store.revision += 1
@@ -265,3 +260,13 @@
     for _ in range(chance.choice([1, 1, 2, 5])):
         _change(at, chance)
         await asyncio.sleep(chance.uniform(0.0, 0.6))
+
+
+@faults.register("crashing_request")
+async def crashing_request(at: site.Site, chance: random.Random) -> None:
+    """Let callers send one request, again and again, under which engines end."""
+    path = f"/stream/crashes{len(at.seen.crashing)}?a=%2F"
+    at.seen.crashing.add(path)
+    at.seen.coming.add(path)
+    await asyncio.sleep(chance.uniform(4.0, 10.0))
+    at.seen.coming.discard(path)
--- a/packages/dev/cassiaquay_dev/soak/site.py
+++ b/packages/dev/cassiaquay_dev/soak/site.py
@@ -28,6 +28,8 @@
 WINDOW_SECONDS = 8.0
 EXCESS = 0.25
 SLACK = 2000.0
+# An engine that ended under a request is replaced after this time.
+BACK_SECONDS = 1.0
 
 
 class SoakSettings(typing.NamedTuple):
@@ -155,6 +157,7 @@
         self._count = 0
         self._folder = pathlib.Path(settings.folder)
         self._watch: asyncio.Task[None] | None = None
+        self._ends: set[asyncio.Task[None]] = set()
 
     async def start(self) -> None:
         """Start everything and wait until every daemon is ready."""
@@ -189,6 +192,8 @@
         """Stop everything."""
         if self._watch is not None:
             self._watch.cancel()
+        for task in self._ends:
+            task.cancel()
         await asyncio.gather(*(one.stop() for one in self.daemons))
         for one in self.daemons:
             for proxy in one.proxies:
@@ -248,7 +253,7 @@
         """Start an engine with a proxy before it and list it; return its id."""
         self._count += 1
         name = f"i-{self._count}"
-        engine = engines.Engine(name, service, self.seen, self.chance)
+        engine = engines.Engine(name, service, self.seen, self.chance, self._ended)
         await engine.start()
         proxy = proxies.Proxy(engine.address)
         await proxy.start()
@@ -274,6 +279,31 @@
         await self.fronts.pop(name).stop()
         await self.engines.pop(name).stop()
 
+    async def crash_engine(self, name: str, down: float) -> None:
+        """Let an engine crash; a new one comes after some seconds."""
+        service = self.engines[name].service
+        self.seen.leaving[name] = records.FOREVER
+        self.fronts[name].reset()
+        await self.remove_engine(name)
+        await asyncio.sleep(down)
+        await self.add_engine(service)
+
+    def _ended(self, name: str) -> None:
+        """Let an engine crash under a request."""
+        if name not in self.engines:
+            return
+        task = asyncio.create_task(self._end_under_request(name))
+        self._ends.add(task)
+        task.add_done_callback(self._ends.discard)
+
+    async def _end_under_request(self, name: str) -> None:
+        start = records.now()
+        self.seen.faults.add(name, start)
+        await self.crash_engine(name, BACK_SECONDS)
+        self.store.items.pop(f"servers/{name}", None)
+        self.store.revision += 1
+        self.seen.faults.end(name, start, records.now())
+
     async def _watch_ends(self) -> None:
         while True:
             await asyncio.sleep(0.1)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -200,6 +200,14 @@
         _attempt(seen, "safe", status=503)
 
 
+def _sent_on(seen: records.Records) -> None:
+    seen.crashing.add("/stream/crashes")
+    for number in range(9):
+        attempt = _attempt(seen, "stream", path="/stream/crashes")
+        run = _run(seen, attempt, f"i-{number}", harmed=True)
+        run.at = START + 2.0 * number
+
+
 @pytest.mark.parametrize(
     ("check", "spoil"),
     [
@@ -225,6 +233,7 @@
         ("deadline", _too_long),
         ("gone", _after_its_caller),
         ("recovered", _never_again),
+        ("crashing", _sent_on),
     ],
 )
 def test_a_check_finds_what_it_is_for(check: str, spoil) -> None:
@@ -246,7 +255,7 @@
 
     async def work() -> None:
         seen = records.Records()
-        engine = engines.Engine("i-1", "plain", seen, random.Random(1))
+        engine = engines.Engine("i-1", "plain", seen, random.Random(1), print)
         await engine.start()
         proxy = proxies.Proxy(engine.address)
         await proxy.start()
