--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -286,6 +286,7 @@
             ends(*asked)
 
         parts.admitted.obtain = obtain
+        parts.crashes.holds.return_value = False
         await serving.Serving(parts).serve(known, mock.AsyncMock())
         assert parts.limited.give_back.call_count == returned
         assert parts.reply.refuse.await_count == 1
