--- a/packages/dev/cassiaquay_dev/soak/faults.py
+++ b/packages/dev/cassiaquay_dev/soak/faults.py
@@ -21,6 +21,8 @@
 ]
 faults: registry.Registry[Fault] = registry.Registry("soak fault")
 ALL = "all"
+# Played when asked for only: a seed that was kept must play the faults that it found.
+BY_REQUEST = ("crashing_request",)
 # Planned work on several daemons leaves so much between them, as an operator would.
 ROLLING_SECONDS = 0.7
 DRAIN_SECONDS = 2.0
--- a/packages/dev/cassiaquay_dev/soak/main.py
+++ b/packages/dev/cassiaquay_dev/soak/main.py
@@ -67,7 +67,7 @@
     traffic.extra_paths = ["/extra0/", "/extra1/", "/extra2/"]
     ended = asyncio.Event()
     calls = asyncio.create_task(traffic.run(settings.rate, ended))
-    names = settings.only.split(",") if settings.only else faults.faults.names()
+    names = _kinds(settings)
     plan = random.Random(settings.seed)
     counts: collections.Counter[str] = collections.Counter()
     running: list[asyncio.Task[None]] = []
@@ -88,6 +88,15 @@
     return counts
 
 
+def _kinds(settings: site.SoakSettings) -> list[str]:
+    if settings.only:
+        return settings.only.split(",")
+    found = [name for name in faults.faults.names() if name not in faults.BY_REQUEST]
+    if settings.also:
+        found += settings.also.split(",")
+    return found
+
+
 def main(
     seed: int = 1,
     count: int = 1,
--- a/packages/dev/cassiaquay_dev/soak/site.py
+++ b/packages/dev/cassiaquay_dev/soak/site.py
@@ -50,7 +50,9 @@
     pause : float
         Mean seconds between the starts of faults; they overlap.
     only : str
-        Kinds of faults, comma-separated; empty for all.
+        Kinds of faults, comma-separated; empty for the usual ones.
+    also : str
+        Kinds of faults beside the usual ones, comma-separated.
     """
 
     seed: int = 1
@@ -61,6 +63,7 @@
     seconds: float = 20.0
     pause: float = 1.0
     only: str = ""
+    also: str = ""
 
 
 class Daemon:
@@ -290,7 +293,7 @@
 
     def _ended(self, name: str) -> None:
         """Let an engine crash under a request."""
-        if name not in self.engines:
+        if name not in self.fronts:
             return
         task = asyncio.create_task(self._end_under_request(name))
         self._ends.add(task)
