--- a/packages/daemon/cassiaquay_daemon/adapters/breaks.py
+++ b/packages/daemon/cassiaquay_daemon/adapters/breaks.py
@@ -1,4 +1,4 @@
-"""How an answer broke off: by the server's connection, by silence or by odd bytes."""
+"""Why an answer broke off: a closed connection, silence or invalid bytes."""
 
 import aiohttp
 
@@ -6,7 +6,7 @@
 
 
 def cut(error: Exception) -> exceptions.StreamCut:
-    """Return the error of an answer that broke off with an error of the client."""
+    """Return the error that an error of the HTTP client stands for."""
     if isinstance(error, TimeoutError):
         return exceptions.StreamCut(repr(error))
     if isinstance(error, (aiohttp.ClientPayloadError, OSError)):
--- a/packages/daemon/cassiaquay_daemon/decisions/quarantine.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/quarantine.py
@@ -1,10 +1,9 @@
-"""Which requests crash the servers that run them, and are not sent to another one.
+"""Requests that crash the servers which run them, and are refused for that.
 
-Load pattern: a request ends each server that begins to run it, and with it all else
-that runs there. Its caller comes again, at any instance, until no server is left. One
-crash proves nothing: all that ran on the server is suspect. A request under which
-several servers in a row have ended, and that none has completed, is the cause or as
-good as that.
+Load pattern: a request crashes each server that begins to run it, and so breaks off all
+else that runs there. Its caller retries at any instance until no server is left. One
+crash proves nothing, since everything on the server is suspect. A request that was on
+several servers when they crashed, and that none has completed, is taken for the cause.
 """
 
 import collections
@@ -22,9 +21,9 @@
 # A crash of a server makes suspects of all that ran on it.
 MOST_SUSPECTS = 4096
 MOST_COMPLETED = 8192
-# Ends of servers from which on a request is sent again to instances that missed it. A
-# crash of many servers at once makes thousands of suspects with one end each.
-SERIOUS_ENDS = 2
+# Suspects with fewer crashes are left out of the comparison with other instances: when
+# many servers crash at once, they are thousands.
+LEAST_COMPARED_CRASHES = 2
 # Pause between two looks for what is old enough to be forgotten.
 FORGET_SECONDS = 1.0
 
@@ -37,7 +36,7 @@
     content : str
         Digest that all attempts of the request share.
     servers : frozenset of str
-        Starts of servers that have ended under it.
+        Servers, by their starts, that crashed while they ran it.
     is_cleared : bool
         Whether a server has completed it.
     age : float
@@ -58,7 +57,7 @@
 
 
 class Quarantine:
-    """Requests by content, and the servers that have ended under them.
+    """Suspected requests by content, and the servers that crashed while running them.
 
     Parameters
     ----------
@@ -68,7 +67,7 @@
     Attributes
     ----------
     has_forgotten : callable
-        Tells whether all that was known was lost; one end less is enough then.
+        Tells whether earlier knowledge was lost; one crash less is enough then.
     """
 
     def __init__(self, settings: settings_schema.Settings):
@@ -87,7 +86,7 @@
 
     @property
     def suspect_count(self) -> int:
-        """Number of requests under which a server has ended."""
+        """Number of requests that were on a server when it crashed."""
         return len(self._suspects)
 
     @property
@@ -108,13 +107,13 @@
         return found is not None and self._is_held(found)
 
     def turned_away(self, content: str) -> None:
-        """Remember a held request for as long as its caller keeps coming."""
+        """Keep a held request for as long as its caller retries."""
         found = self._suspects.get(content)
         if found is not None:
             self._see(content, found, clock.now())
 
     def crashed(self, content: str, server: str) -> bool:
-        """Note a server that ended under a request; return whether that is news."""
+        """Note a server that crashed with a request; return whether that is news."""
         return self.learn(Report(content, frozenset([server]), False, 0.0))
 
     def completed(self, content: str) -> bool:
@@ -137,7 +136,7 @@
             found = self._suspects[report.content] = _Suspect()
             if len(self._suspects) > MOST_SUSPECTS:
                 self._suspects.popitem(last=False)
-        # Only this instance may know that the request has run well before.
+        # This instance may have seen the request complete before the first crash.
         is_cleared = report.is_cleared or report.content in self._completed
         before = len(found.servers), found.is_cleared
         found.servers |= report.servers
@@ -155,10 +154,10 @@
         return Report(content, frozenset(found.servers), found.is_cleared, age)
 
     def reports(self) -> list[Report]:
-        """Return what is known of requests under which several servers have ended."""
+        """Return what is known of requests with several crashes."""
         found = []
         for content, suspect in self._suspects.items():
-            if len(suspect.servers) >= SERIOUS_ENDS:
+            if len(suspect.servers) >= LEAST_COMPARED_CRASHES:
                 found.append(self.report(content))
         return found
 
--- a/packages/daemon/cassiaquay_daemon/exceptions.py
+++ b/packages/daemon/cassiaquay_daemon/exceptions.py
@@ -216,7 +216,7 @@
 
 
 class Quarantined(Refusal):
-    """Servers end under this request; it is not sent to another one."""
+    """The request has crashed several servers; it is not sent to another one."""
 
     code = "crashes_servers"
 
--- a/packages/daemon/cassiaquay_daemon/fleet/crash_reports.py
+++ b/packages/daemon/cassiaquay_daemon/fleet/crash_reports.py
@@ -1,8 +1,8 @@
-"""What instances tell each other of requests that crash servers.
+"""The exchange of crash reports between instances.
 
-Each piece of news goes on to all neighbours at once, so that it is everywhere within a
-few round trips. Heartbeats compare digests of all that is known: whoever was away, or
-lost a message with its connection, gets the rest then.
+News is flooded to all neighbours at once and reaches every instance within a few round
+trips. Heartbeats carry a digest of the table, so that an instance which was away, or
+lost a message with its connection, is sent the table.
 """
 
 import collections.abc
@@ -15,25 +15,25 @@
 from ..links import peers
 from . import members
 
-# Two tables that differ, since one of them forgets a moment sooner, are not sent with
-# each heartbeat.
+# Tables differ for a moment whenever one instance forgets sooner than another: they are
+# not sent with each heartbeat.
 RESEND_SECONDS = 1.0
 NEVER = float("-inf")
 
 
 class CrashReports:
-    """Keeps a quarantine the same at all instances.
+    """Keeps the quarantine of all instances alike.
 
     Parameters
     ----------
     held : Quarantine
-        What this instance knows.
+        The table of this instance.
     links : Peers
         Connections to the others.
     membership : Membership
         Who they are.
     is_first_start : bool
-        Whether no process of the fleet has run before, which could have known more.
+        Whether the whole fleet starts for the first time.
     """
 
     def __init__(
@@ -55,20 +55,20 @@
             held.has_forgotten = lambda: not membership.has_elders()
 
     def holds(self, content: str) -> bool:
-        """Return whether a request is turned away, since servers end under it."""
+        """Return whether a request must be refused; its caller has just sent it."""
         if not self._quarantine.holds(content):
             return False
         self._quarantine.turned_away(content)
         return True
 
     def crashed(self, content: str, server: str) -> None:
-        """Note that a server ended under a request here."""
+        """Report a server that crashed while it ran a request of this instance."""
         logs.event("request_suspected", content=content, server=server)
         if self._learn(quarantine.Report(content, frozenset([server]), False, 0.0)):
             self._spread([content], "")
 
     def completed(self, content: str) -> None:
-        """Note that a server completed a request here."""
+        """Report that a server completed a request of this instance."""
         was_held = self._quarantine.holds(content)
         if self._quarantine.completed(content):
             self._log(content, was_held)
--- a/packages/daemon/cassiaquay_daemon/fleet/outages.py
+++ b/packages/daemon/cassiaquay_daemon/fleet/outages.py
@@ -61,12 +61,12 @@
     def heard(self, steady_since: float, confirmed_at: float) -> None:
         """Note between which times another instance's list was confirmed without a gap.
 
-        To an instance that was cut off from the platform and from the others, its own
-        gap looks like an outage; who was in touch meanwhile knows better.
+        An instance that was cut off from the platform and from the others cannot tell
+        its own gap from an outage; those that were in touch can.
         """
         # An older confirmation may be of before an outage that both have seen.
         if confirmed_at <= self._back_at - AWAY_SECONDS:
             return
         if steady_since < self._back_at:
             self._back_at = steady_since
-            logs.event("platform_was_there")
+            logs.event("platform_was_reachable")
--- a/packages/daemon/cassiaquay_daemon/fleet/server_list.py
+++ b/packages/daemon/cassiaquay_daemon/fleet/server_list.py
@@ -30,9 +30,9 @@
 class ServerList:
     """Entries by name, as of one revision of the platform.
 
-    Only listed entries are sent to other instances and make the digest. A retained one
-    is this instance's own guess: sent on under a newer revision it would count as
-    listed, and bring a server that has left back into use everywhere.
+    Only listed entries are sent to other instances and enter the digest. A retained one
+    is this instance's own guess: sent on under a newer revision, it would put a server
+    that has left back into use everywhere.
     """
 
     def __init__(self) -> None:
--- a/packages/daemon/cassiaquay_daemon/fleet/servers.py
+++ b/packages/daemon/cassiaquay_daemon/fleet/servers.py
@@ -159,7 +159,7 @@
         due_at = self._outages.confirmed_at + self._patience()
         if not self._registered.retained:
             return due_at
-        # What is kept in vain gets requests until a list of then shows it.
+        # A retained server that has left gets requests until a list of then lacks it.
         retained_until = self._outages.retained_until + self._rank * RANK_SECONDS
         return min(due_at, retained_until)
 
--- a/packages/daemon/cassiaquay_daemon/gateway/serving.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/serving.py
@@ -56,7 +56,7 @@
     budget : RetryBudget
         Repeats.
     crashes : CrashReports
-        Requests under which servers end.
+        Requests that crash servers.
     limited : Quotas
         Teams' limits.
     pauses : Pauses
@@ -273,7 +273,7 @@
         if not self._parts.crashes.holds(known.call.content):
             return
         if known.sent:
-            raise exceptions.AnswerLost("servers end under this request")
+            raise exceptions.AnswerLost("the request has crashed several servers")
         raise exceptions.Quarantined(retry_after_ms=quarantine.RETRY_MS)
 
     def _mark(self, known: progress.Progress, ticket: admission.Ticket) -> None:
--- a/packages/daemon/cassiaquay_daemon/operators/metrics.py
+++ b/packages/daemon/cassiaquay_daemon/operators/metrics.py
@@ -146,7 +146,7 @@
     "cassiaquay_quarantined_requests",
     "gauge",
     (),
-    "Requests that are refused here since servers ended under them.",
+    "Requests that are refused here since they have crashed servers.",
 )
 COLD_SERVERS = Family(
     "cassiaquay_cold_servers",
--- a/packages/daemon/cassiaquay_daemon/owners/dispatching.py
+++ b/packages/daemon/cassiaquay_daemon/owners/dispatching.py
@@ -18,8 +18,8 @@
 # How long the answer of a request that cannot be stopped is still waited for after its
 # caller was told "unknown", so that its outcome can be asked for later.
 SETTLE_SECONDS = 60.0
-# The connection is broken for good, or the stream is gone with the engine's process.
-SERVER_ENDED = (exceptions.ConnectionBroken, exceptions.StreamMissing)
+# The connection is broken for good, or the engine has restarted without the stream.
+SERVER_CRASHED = (exceptions.ConnectionBroken, exceptions.StreamMissing)
 
 
 class Capacity(typing.Protocol):
@@ -46,16 +46,16 @@
 
 
 class Crashes(typing.Protocol):
-    """What is known of requests under which servers end."""
+    """What is known of requests that crash servers."""
 
     def holds(self, content: str) -> bool:
-        """Return whether a request is turned away."""
+        """Return whether a request must be refused."""
 
     def crashed(self, content: str, server: str) -> object:
-        """Note a start of a server that ended under a request."""
+        """Report a start of a server that crashed with a request."""
 
     def completed(self, content: str) -> object:
-        """Note that a server has completed a request."""
+        """Report that a server has completed a request."""
 
 
 class Dispatcher:
@@ -116,7 +116,7 @@
             demand = demand._replace(shard=permission.shard)
             entry.shard = demand.shard
             if self._is_held(entry):
-                # Others have seen the servers end while this one waited.
+                # Reports of other instances came while this request waited.
                 self._capacity.give_back(demand)
                 continue
             server = entry.accepted.snapshot.server(
@@ -174,9 +174,7 @@
             raise
         except exceptions.BackendError as error:
             self._failed(attempt, backend)
-            if isinstance(
-                error, (exceptions.ConnectionBroken, exceptions.StreamMissing)
-            ):
+            if isinstance(error, SERVER_CRASHED):
                 self._note_crash(attempt)
             raise _refusal(error) from error
         except Exception:
@@ -198,8 +196,8 @@
         if self.crashes is None:
             return
         entry, demand, server, _ = attempt
-        # A server of the fleet text does not say when it started: two attempts that it
-        # broke off for good count as two ends.
+        # The fleet text does not say when a server started: each attempt that it breaks
+        # off for good counts as a crash.
         start = server.started_ms or demand.id
         self.crashes.crashed(entry.content, f"{server.name}/{start}")
 
--- a/packages/daemon/cassiaquay_daemon/owners/owner.py
+++ b/packages/daemon/cassiaquay_daemon/owners/owner.py
@@ -85,7 +85,7 @@
         self._dispatcher.pauses = pauses
 
     def heed_crashes(self, crashes: dispatching.Crashes) -> None:
-        """Send no request under which servers end, and note those that did."""
+        """Refuse requests that crash servers, and report crashes."""
         self._dispatcher.crashes = crashes
 
     def on_ended(self, call: collections.abc.Callable[[entries.Entry], None]) -> None:
--- a/packages/dev/cassiaquay_dev/soak/callers.py
+++ b/packages/dev/cassiaquay_dev/soak/callers.py
@@ -17,7 +17,7 @@
 # Share of the requests whose caller leaves in the middle.
 LEAVING_SHARE = 0.04
 LEAVES_AFTER = 0.06
-# Share of the requests that are the one under which engines end, while it comes.
+# Share of the requests that are the one that crashes engines, while it comes.
 SAME_SHARE = 0.08
 # Statuses that promise that the request has not run and never will.
 NOT_RUN = (408, 421, 429, 503)
--- a/packages/dev/cassiaquay_dev/soak/checks.py
+++ b/packages/dev/cassiaquay_dev/soak/checks.py
@@ -25,8 +25,8 @@
 # A request that crosses the close of its connection has not been taken.
 CROSSING_SECONDS = 0.2
 FEW = 3
-# Engines that end under a request before it is known for that.
-ENDS = 3
+# Engines that a request crashes before it must be refused.
+CRASHES = 3
 # After the faults, and this long for recovery, so many must be served.
 RECOVER_SECONDS = 5.0
 LEAST_SERVED = 0.9
@@ -330,13 +330,13 @@
 
 @in_touch.register("crashing")
 def crashing(seen: records.Records) -> collections.abc.Iterator[str]:
-    """Find requests that are sent on after three engines have ended under them."""
+    """Find requests that are sent on after they have crashed three engines."""
     for path in sorted(seen.crashing):
         runs = [run for run in seen.runs if run.request.target == path]
         ends = _executed(runs)
-        if len(ends) < ENDS:
+        if len(ends) < CRASHES:
             continue
-        since = ends[ENDS - 1].at + site.CONTACT_SECONDS
+        since = ends[CRASHES - 1].at + site.CONTACT_SECONDS
         late = []
         for run in runs:
             attempt = seen.attempts.get(run.request.attempt)
@@ -345,7 +345,7 @@
             if seen.is_calm(attempt.daemon, run.at - site.CONTACT_SECONDS, run.at):
                 late.append(run.engine)
         if len(late) > FEW:
-            yield f"{path} reached {late} after {ENDS} engines had ended"
+            yield f"{path} reached {late} after it had crashed {CRASHES} engines"
 
 
 @in_touch.register("recovered")
--- a/packages/dev/cassiaquay_dev/soak/engines.py
+++ b/packages/dev/cassiaquay_dev/soak/engines.py
@@ -30,8 +30,8 @@
         Gets the arrivals.
     chance : Random
         Decides about faults.
-    ends : callable
-        Called with its name when it ends under a request.
+    on_crash : callable
+        Called with its name when a request crashes it.
     """
 
     def __init__(
@@ -40,7 +40,7 @@
         service: str,
         seen: records.Records,
         chance: random.Random,
-        ends: collections.abc.Callable[[str], None],
+        on_crash: collections.abc.Callable[[str], None],
     ):
         super().__init__()
         self.name = name
@@ -49,7 +49,7 @@
         self.slow = 1.0
         self._seen = seen
         self._chance = chance
-        self._ends = ends
+        self._on_crash = on_crash
         self._waiting = 0
         self._slots = asyncio.Semaphore(SLOTS)
 
@@ -89,7 +89,7 @@
         await asyncio.sleep(WORK_SECONDS * self.slow * self._chance.uniform(0.5, 2.0))
         if run.request.target in self._seen.crashing:
             run.harmed = True
-            self._ends(self.name)
+            self._on_crash(self.name)
             return
         if fault == "error":
             run.status = 500
--- a/packages/dev/cassiaquay_dev/soak/faults.py
+++ b/packages/dev/cassiaquay_dev/soak/faults.py
@@ -266,7 +266,7 @@
 
 @faults.register("crashing_request")
 async def crashing_request(at: site.Site, chance: random.Random) -> None:
-    """Let callers send one request, again and again, under which engines end."""
+    """Let callers send one request that crashes engines, again and again."""
     path = f"/stream/crashes{len(at.seen.crashing)}?a=%2F"
     at.seen.crashing.add(path)
     at.seen.coming.add(path)
--- a/packages/dev/cassiaquay_dev/soak/records.py
+++ b/packages/dev/cassiaquay_dev/soak/records.py
@@ -110,7 +110,7 @@
         self.planned = Disturbances()
         self.changes: list[Change] = []
         self.leaving: dict[str, float] = {}
-        # Requests under which engines end, by path; callers send those in `coming`.
+        # Requests that crash engines, by path; callers send those in `coming`.
         self.crashing: set[str] = set()
         self.coming: set[str] = set()
         self.unasked_bytes: list[str] = []
--- a/packages/dev/cassiaquay_dev/soak/site.py
+++ b/packages/dev/cassiaquay_dev/soak/site.py
@@ -28,7 +28,7 @@
 WINDOW_SECONDS = 8.0
 EXCESS = 0.25
 SLACK = 2000.0
-# An engine that ended under a request is replaced after this time.
+# An engine that crashed with a request is replaced after this time.
 BACK_SECONDS = 1.0
 
 
--- a/packages/schema/cassiaquay_schema/messages.py
+++ b/packages/schema/cassiaquay_schema/messages.py
@@ -856,16 +856,16 @@
 
 
 class CrashReport(typing.NamedTuple):
-    """A request under which servers have ended.
+    """A request that was on servers when they crashed.
 
     Attributes
     ----------
     content : str
         Digest of method, host, path, caller and body.
     servers : list[str]
-        Starts of servers that have ended under it.
+        Servers, by their starts, that crashed while they ran it.
     cleared : bool
-        A server has completed it: it is not the cause.
+        Whether a server has completed it, so that it is not the cause.
     age_ms : int
         Time since the last crash or attempt.
     """
--- a/packages/schema/cassiaquay_schema/settings.py
+++ b/packages/schema/cassiaquay_schema/settings.py
@@ -233,9 +233,9 @@
     retry_window_seconds : float
         Window of that budget.
     quarantine_crashes : int
-        Servers that end under a request before it is refused.
+        Servers that a request may crash before it is refused.
     quarantine_seconds : float
-        Time after its last attempt for which such a request is remembered.
+        Time after its last attempt for which such a request is refused.
     """
 
     front: str = ""
--- a/tests/test_crash_reports.py
+++ b/tests/test_crash_reports.py
@@ -1,4 +1,4 @@
-"""What instances tell each other of requests under which servers end."""
+"""The exchange of reports on requests that crash servers."""
 
 import hypothesis
 import mesh_fakes
@@ -14,7 +14,7 @@
 
 
 class Fleet(mesh_fakes.Mesh):
-    """Instances that see servers end."""
+    """Instances that see servers crash."""
 
     def __init__(self) -> None:
         super().__init__()
@@ -70,7 +70,7 @@
             assert not fleet.reports[name].holds("poison")
 
 
-def test_an_instance_that_starts_anew_is_told_by_its_first_heartbeat() -> None:
+def test_a_restarted_instance_learns_by_its_first_heartbeat() -> None:
     """Guards against a restarted instance that sends what all others refuse."""
     with fakes.Time().used():
         fleet = Fleet()
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -15,7 +15,7 @@
 
 
 class Crashes:
-    """Servers that end under one body, and come back at once under another name."""
+    """Servers that one body crashes, and that restart at once under another name."""
 
     def __init__(self, site: fakes.Site):
         self.arrivals: list[str] = []
@@ -40,7 +40,7 @@
 
 
 def test_a_request_that_crashes_servers_is_soon_refused_at_all_instances() -> None:
-    """Guards against a request that ends one server after the other for ever."""
+    """Guards against a request that crashes one server after the other for ever."""
 
     async def work(site: fakes.Site) -> None:
         crashes = Crashes(site)
@@ -85,7 +85,7 @@
 
 
 def test_an_instance_that_starts_learns_which_requests_crash_servers() -> None:
-    """Guards against a restarted instance that lets each server end once more."""
+    """Guards against a restarted instance that crashes each server once more."""
 
     async def work(site: fakes.Site) -> None:
         crashes = Crashes(site)
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -449,8 +449,8 @@
     assert requests.fingerprint(one) != requests.fingerprint(other)
 
 
-def test_a_request_under_which_servers_end_is_refused_under_new_ids():
-    """Guards against a caller that starts over and ends one server after the other."""
+def test_a_request_that_crashes_servers_is_refused_under_new_ids():
+    """Guards against a caller that starts over and crashes one server after the other."""
 
     async def work() -> None:
         bench = owner_fakes.Bench()
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -1,4 +1,4 @@
-"""Which requests are held since servers end under them."""
+"""Which requests are held since they crash servers."""
 
 import hypothesis
 import msgspec
@@ -21,7 +21,7 @@
     return quarantine.Quarantine(msgspec.structs.replace(settings, gateway=gateway))
 
 
-def test_a_request_is_held_once_enough_servers_have_ended_under_it(time) -> None:
+def test_a_request_is_held_once_it_has_crashed_enough_servers(time) -> None:
     held = _quarantine()
     for server in ("i-1", "i-2", "i-2", "i-1"):
         held.crashed("poison", server)
@@ -32,7 +32,7 @@
 
 
 def test_what_ran_beside_it_goes_on(time) -> None:
-    """Guards against refusing all that was on a server when it ended."""
+    """Guards against refusing all that was on a server when it crashed."""
     held = _quarantine()
     for server in ("i-1", "i-2", "i-3"):
         held.crashed("poison", server)
