--- a/packages/dev/cassiaquay_dev/soak/checks.py
+++ b/packages/dev/cassiaquay_dev/soak/checks.py
@@ -333,10 +333,10 @@
     """Find requests that are sent on after they have crashed three engines."""
     for path in sorted(seen.crashing):
         runs = [run for run in seen.runs if run.request.target == path]
-        ends = _executed(runs)
-        if len(ends) < CRASHES:
+        crashes = _executed(runs)
+        if len(crashes) < CRASHES:
             continue
-        since = ends[CRASHES - 1].at + site.CONTACT_SECONDS
+        since = crashes[CRASHES - 1].at + site.CONTACT_SECONDS
         late = []
         for run in runs:
             attempt = seen.attempts.get(run.request.attempt)
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -450,7 +450,7 @@
 
 
 def test_a_request_that_crashes_servers_is_refused_under_new_ids():
-    """Guards against a caller that starts over and crashes one server after the other."""
+    """Guards against a caller that starts over and crashes server after server."""
 
     async def work() -> None:
         bench = owner_fakes.Bench()
