--- a/tests/test_server_lists.py
+++ b/tests/test_server_lists.py
@@ -2,9 +2,11 @@
 
 import asyncio
 
+import hypothesis
 import mesh_fakes
 import policy_fakes as fakes
 import test_servers as stand_ins
+from hypothesis import strategies
 
 from cassiaquay_daemon import clock
 from cassiaquay_daemon.fleet import servers
@@ -212,3 +214,70 @@
         return clock.now() - returned_at
 
     assert 2.0 < virtual_time.run(dropped_after()) < 2.6
+
+
+STEPS = strategies.lists(
+    strategies.tuples(
+        strategies.sampled_from(
+            [
+                "read",
+                "read",
+                "beat",
+                "deliver",
+                "wait",
+                "sleep",
+                "leave",
+                "come",
+                "away",
+            ]
+        ),
+        strategies.sampled_from(NAMES),
+    ),
+    max_size=40,
+)
+
+
+def _step(
+    kind: str, name: str, fleet: Fleet, time: fakes.Time, served: dict[int, set[str]]
+) -> None:
+    store = fleet.store
+    if kind == "read":
+        fleet.read(name)
+    elif kind == "beat":
+        fleet.say(name)
+    elif kind == "deliver":
+        fleet.deliver(asleep=name)
+    elif kind == "wait":
+        time.now += 0.8
+    elif kind == "sleep":
+        time.now += 3.0
+    elif kind == "leave" and store.entries:
+        store.entries = store.entries[1:]
+    elif kind == "come":
+        number = len(served) + 10
+        store.entries = [*store.entries, stand_ins._entry(f"i-{number}", number)]
+    elif kind == "away":
+        store.down = True
+        time.now += 3.0
+        for one in NAMES:
+            fleet.read(one)
+        store.down = False
+    served[store.revision + 1] = {entry.name for entry in store.entries}
+
+
+@hypothesis.settings(max_examples=300, deadline=None, derandomize=True)
+@hypothesis.given(STEPS)
+def test_a_server_comes_into_use_only_by_a_list_that_the_platform_gave(steps) -> None:
+    """Guards against servers that come back by what an instance kept for itself."""
+    with fakes.Time().used() as time:
+        fleet = _fleet("i-1", "i-2", "i-3")
+        served = {fleet.store.revision + 1: fleet.in_use("cq-1")}
+        for number in range(fleet.store.revision + 1):
+            served[number] = fleet.in_use("cq-1")
+        before = {name: fleet.in_use(name) for name in NAMES}
+        for kind, name in steps:
+            _step(kind, name, fleet, time, served)
+            for one in NAMES:
+                come = fleet.in_use(one) - before[one]
+                assert come <= served[fleet.lists[one].revision]
+                before[one] = fleet.in_use(one)
