--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -64,19 +64,12 @@
     """Guards against refusing callers whose requests ran beside the cause."""
 
     async def work(site: fakes.Site) -> None:
-        seen: set[str] = set()
-
-        async def once(
+        async def reset(
             request: raw_servers.Request, writer: raw_servers.Writer
         ) -> None:
-            if request.attempt in seen:
-                await standins.whole(request, writer)
-                return
-            seen.add(request.attempt)
             raw_servers.reset(writer)
 
-        for engine in site.engines:
-            engine.act = once
+        site.let(reset)
         for number in range(6):
             got = await site.ask("/stream/x", at=number % 2)
             assert (got.status, got.body) == (200, standins.stream())
--- a/tests/test_server_lists.py
+++ b/tests/test_server_lists.py
@@ -63,6 +63,15 @@
     return fleet
 
 
+def _outage(time: fakes.Time, fleet: Fleet, seconds: float) -> None:
+    """Let the store be away, and all instances ask it in vain."""
+    fleet.store.down = True
+    time.now += seconds
+    for name in NAMES:
+        assert not fleet.read(name)
+    fleet.store.down = False
+
+
 def _remove(fleet: Fleet, server: str) -> None:
     left = [entry for entry in fleet.store.entries if entry.name != server]
     fleet.store.entries = left
@@ -106,11 +115,7 @@
     """Guards against a server that is kept anew by each instance in turn."""
     with fakes.Time().used() as time:
         fleet = _fleet("i-1", "i-2")
-        fleet.store.down = True
-        time.now += 5.0
-        for name in NAMES:
-            assert not fleet.read(name)
-        fleet.store.down = False
+        _outage(time, fleet, 5.0)
         _remove(fleet, "i-2")
         fleet.read("cq-1")
         time.now += 1.5
@@ -131,11 +136,7 @@
     """Guards against a server that is kept for ever by whoever reads no list itself."""
     with fakes.Time().used() as time:
         fleet = _fleet("i-1", "i-2")
-        fleet.store.down = True
-        time.now += 5.0
-        for name in NAMES:
-            assert not fleet.read(name)
-        fleet.store.down = False
+        _outage(time, fleet, 5.0)
         _remove(fleet, "i-2")
         fleet.read("cq-1")
         fleet.deliver()
@@ -181,11 +182,7 @@
         fleet = _fleet("i-1", "i-2")
         time.now += 1.0
         fleet.read("cq-1")
-        fleet.store.down = True
-        time.now += 4.0
-        for name in NAMES:
-            assert not fleet.read(name)
-        fleet.store.down = False
+        _outage(time, fleet, 4.0)
         _remove(fleet, "i-2")
         fleet.read("cq-3")
         fleet.say("cq-1")
@@ -257,11 +254,7 @@
         number = len(served) + 10
         store.entries = [*store.entries, stand_ins._entry(f"i-{number}", number)]
     elif kind == "away":
-        store.down = True
-        time.now += 3.0
-        for one in NAMES:
-            fleet.read(one)
-        store.down = False
+        _outage(time, fleet, 3.0)
     served[store.revision + 1] = {entry.name for entry in store.entries}
 
 
