--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies
 
 from cassiaquay_daemon.decisions import quarantine
+from cassiaquay_schema import settings as settings_schema
 
 
 @pytest.fixture(name="time")
@@ -15,10 +16,14 @@
         yield time
 
 
-def _quarantine(**fields) -> quarantine.Quarantine:
+def _settings(**fields) -> settings_schema.Settings:
     settings = fakes.settings("cq-1")
     gateway = msgspec.structs.replace(settings.gateway, **fields)
-    return quarantine.Quarantine(msgspec.structs.replace(settings, gateway=gateway))
+    return msgspec.structs.replace(settings, gateway=gateway)
+
+
+def _quarantine(**fields) -> quarantine.Quarantine:
+    return quarantine.Quarantine(_settings(**fields))
 
 
 def test_a_request_is_held_once_it_has_crashed_enough_servers(time) -> None:
@@ -121,3 +126,12 @@
         assert one.digest == other.digest
         for content in "abc":
             assert one.holds(content) == other.holds(content)
+
+
+def test_an_operator_lets_a_held_request_through_by_changed_settings(time) -> None:
+    held = _quarantine()
+    for server in ("i-1", "i-2", "i-3"):
+        held.crashed("poison", server)
+    assert held.holds("poison")
+    held.adopt(_settings(quarantine_crashes=100))
+    assert not held.holds("poison")
