--- a/packages/dev/cassiaquay_dev/soak/engines.py
+++ b/packages/dev/cassiaquay_dev/soak/engines.py
@@ -30,7 +30,7 @@
         Gets the arrivals.
     chance : Random
         Decides about faults.
-    on_crash : callable
+    on_crash : callable, optional
         Called with its name when a request crashes it.
     """
 
@@ -40,7 +40,7 @@
         service: str,
         seen: records.Records,
         chance: random.Random,
-        on_crash: collections.abc.Callable[[str], None],
+        on_crash: collections.abc.Callable[[str], None] | None = None,
     ):
         super().__init__()
         self.name = name
@@ -89,7 +89,8 @@
         await asyncio.sleep(WORK_SECONDS * self.slow * self._chance.uniform(0.5, 2.0))
         if run.request.target in self._seen.crashing:
             run.harmed = True
-            self._on_crash(self.name)
+            if self._on_crash is not None:
+                self._on_crash(self.name)
             return
         if fault == "error":
             run.status = 500
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -255,7 +255,7 @@
 
     async def work() -> None:
         seen = records.Records()
-        engine = engines.Engine("i-1", "plain", seen, random.Random(1), print)
+        engine = engines.Engine("i-1", "plain", seen, random.Random(1))
         await engine.start()
         proxy = proxies.Proxy(engine.address)
         await proxy.start()
