--- a/packages/dev/cassiaquay_dev/soak/site.py
+++ b/packages/dev/cassiaquay_dev/soak/site.py
@@ -160,7 +160,7 @@
         self._count = 0
         self._folder = pathlib.Path(settings.folder)
         self._watch: asyncio.Task[None] | None = None
-        self._ends: set[asyncio.Task[None]] = set()
+        self._crashes: set[asyncio.Task[None]] = set()
 
     async def start(self) -> None:
         """Start everything and wait until every daemon is ready."""
@@ -195,7 +195,7 @@
         """Stop everything."""
         if self._watch is not None:
             self._watch.cancel()
-        for task in self._ends:
+        for task in self._crashes:
             task.cancel()
         await asyncio.gather(*(one.stop() for one in self.daemons))
         for one in self.daemons:
@@ -256,7 +256,7 @@
         """Start an engine with a proxy before it and list it; return its id."""
         self._count += 1
         name = f"i-{self._count}"
-        engine = engines.Engine(name, service, self.seen, self.chance, self._ended)
+        engine = engines.Engine(name, service, self.seen, self.chance, self._crashed)
         await engine.start()
         proxy = proxies.Proxy(engine.address)
         await proxy.start()
@@ -291,15 +291,16 @@
         await asyncio.sleep(down)
         await self.add_engine(service)
 
-    def _ended(self, name: str) -> None:
+    def _crashed(self, name: str) -> None:
         """Let an engine crash under a request."""
+        task = asyncio.create_task(self._crash_by_request(name))
+        self._crashes.add(task)
+        task.add_done_callback(self._crashes.discard)
+
+    async def _crash_by_request(self, name: str) -> None:
         if name not in self.fronts:
+            # Another request has crashed it a moment before.
             return
-        task = asyncio.create_task(self._end_under_request(name))
-        self._ends.add(task)
-        task.add_done_callback(self._ends.discard)
-
-    async def _end_under_request(self, name: str) -> None:
         start = records.now()
         self.seen.faults.add(name, start)
         await self.crash_engine(name, BACK_SECONDS)
