--- a/tests/test_crash_reports.py
+++ b/tests/test_crash_reports.py
@@ -49,6 +49,7 @@
 
 
 def test_all_instances_hold_a_request_that_each_saw_once() -> None:
+    """Guards against instances that count only the crashes they saw themselves."""
     with fakes.Time().used():
         fleet = Fleet()
         _crash(fleet)
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -27,6 +27,7 @@
 
 
 def test_a_request_is_held_once_it_has_crashed_enough_servers(time) -> None:
+    """Guards against holding by one server that crashes, or breaks off, repeatedly."""
     held = _quarantine()
     for server in ("i-1", "i-2", "i-2", "i-1"):
         held.crashed("poison", server)
@@ -59,6 +60,7 @@
 
 
 def test_a_held_request_is_remembered_as_long_as_its_caller_keeps_coming(time) -> None:
+    """Guards against a slow retry that outlives the memory of its crashes."""
     held = _quarantine(quarantine_seconds=100.0)
     for server in ("i-1", "i-2", "i-3"):
         held.crashed("poison", server)
@@ -73,6 +75,7 @@
 
 
 def test_what_another_instance_has_forgotten_does_not_come_back(time) -> None:
+    """Guards against reports that instances keep alive by resending them."""
     held = _quarantine(quarantine_seconds=100.0)
     report = quarantine.Report("poison", frozenset(["i-1", "i-2"]), False, 120.0)
     assert not held.learn(report)
@@ -92,6 +95,7 @@
 
 
 def test_many_suspects_do_not_fill_the_memory(time) -> None:
+    """Guards against growth without bound when all servers crash."""
     held = _quarantine()
     for number in range(quarantine.MOST_SUSPECTS + 100):
         time.now += 0.001
@@ -129,6 +133,7 @@
 
 
 def test_an_operator_lets_a_held_request_through_by_changed_settings(time) -> None:
+    """Guards against a request held by mistake that only waiting would release."""
     held = _quarantine()
     for server in ("i-1", "i-2", "i-3"):
         held.crashed("poison", server)
