Crash reports: note a crash by the quarantine's own method, as completions are

Quarantine.crashed was called by tests only, while CrashReports built the same report again. Behaviour unchanged; 22 tests of the exchange, the quarantine and the gateway pass.

--- a/packages/daemon/cassiaquay_daemon/fleet/crash_reports.py
+++ b/packages/daemon/cassiaquay_daemon/fleet/crash_reports.py
@@ -64,7 +64,9 @@
     def crashed(self, content: str, server: str) -> None:
         """Report a server that crashed while it ran a request of this instance."""
         logs.event("request_suspected", content=content, server=server)
-        if self._learn(quarantine.Report(content, frozenset([server]), False, 0.0)):
+        was_held = self._quarantine.holds(content)
+        if self._quarantine.crashed(content, server):
+            self._log(content, was_held)
             self._spread([content], "")
 
     def completed(self, content: str) -> None:
@@ -83,18 +85,13 @@
                 report.cleared,
                 report.age_ms / 1000.0,
             )
-            if self._learn(learned):
+            was_held = self._quarantine.holds(report.content)
+            if self._quarantine.learn(learned):
+                self._log(report.content, was_held)
                 news.append(report.content)
         if news:
             self._spread(news, link.instance)
 
-    def _learn(self, report: quarantine.Report) -> bool:
-        was_held = self._quarantine.holds(report.content)
-        if not self._quarantine.learn(report):
-            return False
-        self._log(report.content, was_held)
-        return True
-
     def _log(self, content: str, was_held: bool) -> None:
         is_held = self._quarantine.holds(content)
         if is_held == was_held:
