Log the limit that a server names in its answers

An answer's limit was forwarded and otherwise dropped, so the logs could not tell whether an instance knew of it when it sent the next request. The header is decoded in platform/headers.py and logged with the end of the request. A caller's header of that name is not forwarded to servers: a server that reflects request headers would let callers set the limit.

--- a/packages/daemon/cassiaquay_daemon/gateway/forwarding.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/forwarding.py
@@ -8,7 +8,7 @@
 
 from cassiaquay_schema import fleet
 
-from .. import exceptions
+from .. import exceptions, logs
 from ..adapters import breaks
 from ..platform import headers
 from . import calls
@@ -34,11 +34,14 @@
         HTTP status.
     headers : list of pairs
         Headers to send to the caller.
+    server_limit : float or None
+        Requests per second to which the server limits the fleet, if it names a limit.
     """
 
     response: aiohttp.ClientResponse
     status: int
     headers: list[tuple[bytes, bytes]]
+    server_limit: float | None = None
 
     @property
     def is_failure(self) -> bool:
@@ -107,7 +110,7 @@
         except (TimeoutError, aiohttp.ClientError, OSError, ValueError) as error:
             raise breaks.to_stream_interrupted(error) from error
         try:
-            return self._check_answer(call, response)
+            return self._check_answer(call, server, response)
         except exceptions.BackendError:
             response.close()
             raise
@@ -117,7 +120,7 @@
         await self._http.close()
 
     def _check_answer(
-        self, call: calls.Call, response: aiohttp.ClientResponse
+        self, call: calls.Call, server: fleet.Server, response: aiohttp.ClientResponse
     ) -> Answer:
         answer_headers = response.headers
         if headers.NOT_EXECUTED in answer_headers or response.status == 421:
@@ -127,10 +130,23 @@
             # and may be another caller's.
             raise exceptions.StreamInterrupted("the answer is not of this request")
         return Answer(
-            response, response.status, headers.towards_caller(answer_headers.items())
+            response,
+            response.status,
+            headers.towards_caller(answer_headers.items()),
+            _server_limit(server, response),
         )
 
 
+def _server_limit(
+    server: fleet.Server, response: aiohttp.ClientResponse
+) -> float | None:
+    try:
+        return headers.server_limit(response.headers)
+    except ValueError as error:
+        logs.detail("server_limit_invalid", server=server.name, cause=str(error))
+        return None
+
+
 async def read_body(answer: Answer) -> bytes:
     """Return the complete body; raise StreamInterrupted when it is cut off."""
     parts = []
--- a/packages/daemon/cassiaquay_daemon/gateway/serving.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/serving.py
@@ -260,7 +260,7 @@
             # Closing the connection makes the server stop a request that still runs.
             # After a completely read answer, the connection stays in the pool.
             answer.response.close()
-        self._log_completed(state, answer.status, ticket.tally)
+        self._log_completed(state, answer, ticket.tally)
         return "failed" if answer.is_failure else "completed"
 
     def _check_before_sending(
@@ -333,9 +333,13 @@
         await self._parts.reply.refuse(send, refusal)
 
     def _log_completed(
-        self, state: progress.RequestState, status: int, tally: admission.Tally
+        self,
+        state: progress.RequestState,
+        answer: forwarding.Answer,
+        tally: admission.Tally,
     ) -> None:
         call = state.call
+        status = answer.status
         first_ms = None
         if tally.first_at:
             first_ms = round((tally.first_at - call.began_at) * 1000.0, 1)
@@ -354,6 +358,7 @@
             outcome=outcome,
             status=status,
             server=state.server,
+            server_limit=answer.server_limit,
             route=call.route.name,
             events=tally.count,
             prompt_tokens=call.parsed.prompt_tokens or None,
--- a/packages/daemon/cassiaquay_daemon/platform/headers.py
+++ b/packages/daemon/cassiaquay_daemon/platform/headers.py
@@ -1,8 +1,10 @@
 """Decodes callers' request headers and filters headers in both directions."""
 
 import collections.abc
+import math
 import typing
 
+import multidict
 import xxhash
 
 from cassiaquay_schema import messages
@@ -23,6 +25,9 @@
 TEAM = "Cassiaquay-Tenant"
 # Answer header: the server did not begin to execute the request.
 NOT_EXECUTED = "Cassiaquay-Not-Executed"
+# Answer header: the requests per second that the server takes from all instances
+# together, for as long as its answers carry the header.
+SERVER_LIMIT = "Server-Limit"
 
 # Headers that only this system may send to a server. A caller's headers of these names
 # are dropped: they could pin memory, claim another caller's capacity or forge a team.
@@ -41,6 +46,7 @@
     b"cassiaquay-kv-backup",
     b"kv-fetch",
     b"kv-from",
+    b"server-limit",
     b"wait-ms",
 }
 # Hop-by-hop headers, which a proxy must not forward (RFC 9110, 7.6.1).
@@ -176,6 +182,28 @@
     return pairs
 
 
+def server_limit(answer_headers: multidict.CIMultiDictProxy[str]) -> float | None:
+    """Return the requests per second to which a server limits the fleet.
+
+    Returns
+    -------
+    float or None
+        The lowest of several values; None when the answer names no limit.
+
+    Raises
+    ------
+    ValueError
+        A value is not a finite number from 0 on.
+    """
+    limits = []
+    for text in answer_headers.getall(SERVER_LIMIT, []):
+        limit = float(text)
+        if not math.isfinite(limit) or limit < 0.0:
+            raise ValueError(f"limit {text!r}")
+        limits.append(limit)
+    return min(limits, default=None)
+
+
 def _connection_options(headers: Headers) -> set[bytes]:
     named: set[bytes] = set()
     for name, value in headers:
