Separate the budgets of limited servers from slow start

Slow start decides which servers are cold; the token buckets by which a keeper limits its grants move to decisions/rate_budgets.py and take any number of reasons. No behaviour changes; tests keep their assertions.

--- a/packages/daemon/cassiaquay_daemon/decisions/candidates.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/candidates.py
@@ -13,7 +13,7 @@
 from cassiaquay_schema import fleet, messages
 
 from .. import clock
-from . import loads, service_times, shards, slow_start
+from . import loads, rate_budgets, service_times, shards
 
 # A broken server is limited to probes only when its share of failures exceeds that of
 # the shard's median server by this much.
@@ -40,15 +40,15 @@
         Its learned speed and health.
     median_failure_share : float
         Share of requests that fail at the median server of its shard.
-    cold_budget : ColdBudget or None
-        The grants that it may still get during slow start; None when it is warm.
+    rate_budget : RateBudget or None
+        The grants that it may still get while its rate is limited; None for no limit.
     """
 
     server: fleet.Server
     load: loads.Load
     times: service_times.ServiceTimes
     median_failure_share: float
-    cold_budget: slow_start.ColdBudget | None = None
+    rate_budget: rate_budgets.RateBudget | None = None
 
     @property
     def capacity(self) -> int:
@@ -76,14 +76,14 @@
         """Number of requests that it may get now, if `has_slot` holds."""
         free = self.capacity - self.load.count
         return (
-            free if self.cold_budget is None else min(free, self.cold_budget.available)
+            free if self.rate_budget is None else min(free, self.rate_budget.available)
         )
 
     def has_slot(self, now: float) -> bool:
         """Return whether the server may get one more request now."""
         if self.load.count >= self.capacity or self.times.is_silent(now):
             return False
-        if self.cold_budget is not None and not self.cold_budget.available:
+        if self.rate_budget is not None and not self.rate_budget.available:
             return False
         if not self.times.is_broken(now):
             return True
@@ -130,9 +130,9 @@
         median_share = self._median_failure_share(servers)
         for server in servers:
             load = self._shard.load(server.name)
-            cold_budget = self._shard.cold_budgets.get(server.name)
+            rate_budget = self._shard.rate_budgets.get(server.name)
             candidate = Candidate(
-                server, load, self.times[server.name], median_share, cold_budget
+                server, load, self.times[server.name], median_share, rate_budget
             )
             self.open.append(candidate)
             if not self._shard.is_refusing(server.name):
@@ -159,16 +159,16 @@
                 count += candidate.free_slots
         return count
 
-    def cold_slot_waits(self) -> list[float]:
-        """Return the seconds until each free slot of a cold server may be used."""
-        cold_waits: list[float] = []
+    def limited_slot_waits(self) -> list[float]:
+        """Return the seconds until each free slot of a limited server may be used."""
+        limited_waits: list[float] = []
         for candidate in self.open:
-            if candidate.cold_budget is None:
+            if candidate.rate_budget is None:
                 continue
             free = candidate.capacity - candidate.load.count
-            waits = candidate.cold_budget.waits(max(free, 0))
-            cold_waits += [seconds for seconds in waits if seconds > 0.0]
-        return cold_waits
+            waits = candidate.rate_budget.waits(max(free, 0))
+            limited_waits += [seconds for seconds in waits if seconds > 0.0]
+        return limited_waits
 
     def min_first_seconds(self, tokens: int) -> float:
         """Return the time to the first event of a prompt on the fastest server."""
--- a/packages/daemon/cassiaquay_daemon/decisions/forecasts.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/forecasts.py
@@ -49,7 +49,7 @@
         """Recompute the forecast from all running requests."""
         now = clock.now()
         free_in_seconds = [0.0] * self._servers.free_slots()
-        free_in_seconds += self._servers.cold_slot_waits()
+        free_in_seconds += self._servers.limited_slot_waits()
         for running in self._shard.running.values():
             if running.server in self._servers.times:
                 free_in_seconds.append(self._remaining_seconds(running, now))
--- a/packages/daemon/cassiaquay_daemon/decisions/objectives.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/objectives.py
@@ -409,7 +409,7 @@
             needed = 1 if tokens else 2
             if load.count_silent(silence_limit, now) >= needed:
                 times.mark_silent(now, seconds)
-                self._shard.cold_budgets.cold.suspect_restart(server)
+                self._shard.cold.suspect_restart(server)
 
     def _times_of(self, server: str) -> service_times.ServiceTimes:
         listed = self._shard.servers.get(server)
--- a/packages/daemon/cassiaquay_daemon/decisions/placement.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/placement.py
@@ -61,7 +61,7 @@
         """Whether the engine can take no request of any size now."""
         return (
             self.is_reserved
-            or not self._shard.cold_budgets.allows(self.name)
+            or not self._shard.rate_budgets.allows(self.name)
             or self._load.count + self._foreign >= self.engine.server.slots
             or self.backlog > MAX_BACKLOG_SECONDS
         )
--- /dev/null
+++ b/packages/daemon/cassiaquay_daemon/decisions/rate_budgets.py
@@ -0,0 +1,168 @@
+"""Limits on the rate of requests that the whole fleet sends to one server.
+
+Load pattern: a server has free slots but handles only a few requests a second, because
+it has just started or reports that it needs relief. Placement by free slots would send
+it every waiting request.
+
+Only the keeper of a server's shard grants requests to it, from a token bucket for each
+reason of a limit, so instances need not agree with each other. The rate is low enough
+for two keepers, since during a handover two instances may act as keeper. A bucket
+starts empty, so that keepers in quick succession stay within the limit together; in a
+partition each keeper grants a share in proportion to the instances that it can reach.
+"""
+
+import collections.abc
+import typing
+
+from .. import clock
+from . import buckets
+
+# Lifetime of a permit for a limited server: one that is used later would arrive
+# together with the permits granted then.
+PERMIT_MS = 200
+# Number of keepers that may grant for one server at the same time.
+MAX_KEEPERS = 2
+# Part of the limit that may be granted at once.
+DEPTH_SHARE = 0.125
+
+
+class Source(typing.Protocol):
+    """A reason to limit the rate of requests to servers."""
+
+    def limit(self, server: str) -> buckets.Flow | None:
+        """Return the flow of a keeper that reaches the whole fleet; None for none."""
+
+
+def keeper_flow(
+    rate: float, max_requests: float, window_seconds: float
+) -> buckets.Flow:
+    """Return the flow of one keeper that reaches the whole fleet.
+
+    Parameters
+    ----------
+    rate : float
+        Requests per second that the server takes.
+    max_requests : float
+        Requests that may reach it within any window.
+    window_seconds : float
+        Length of the window.
+    """
+    depth = max(max_requests * DEPTH_SHARE, min(max_requests, 1.0))
+    # Permits granted over this much time may all be used within one window.
+    seconds = window_seconds + PERMIT_MS / 1000.0
+    max_rate = (max_requests - depth) / (MAX_KEEPERS * seconds)
+    return buckets.Flow(min(rate, max_rate), depth)
+
+
+def is_limited(sources: collections.abc.Iterable[Source], server: str) -> bool:
+    """Return whether any source limits the rate of requests to a server."""
+    return any(source.limit(server) is not None for source in sources)
+
+
+class RateBudget:
+    """The requests that one keeper may still grant to one limited server.
+
+    Parameters
+    ----------
+    share : callable
+        Returns the share of the fleet's instances that this keeper can reach.
+    """
+
+    def __init__(self, share: collections.abc.Callable[[], float]):
+        self._share = share
+        self._flows: dict[int, buckets.Flow] = {}
+        self._buckets: dict[int, buckets.Bucket] = {}
+
+    @property
+    def available(self) -> int:
+        """Number of requests that may be granted now."""
+        levels = []
+        for key, flow in self._scaled_flows().items():
+            levels.append(int(self._buckets[key].level(flow)))
+        return min(levels)
+
+    def adopt(self, flows: dict[int, buckets.Flow]) -> None:
+        """Use the current flows, one for each source; a new one starts empty."""
+        for key in [key for key in self._buckets if key not in flows]:
+            del self._buckets[key]
+        for key in flows:
+            if key not in self._buckets:
+                self._buckets[key] = buckets.Bucket(clock.now())
+        self._flows = flows
+
+    def use(self) -> None:
+        """Spend one grant."""
+        for key, flow in self._scaled_flows().items():
+            self._buckets[key].spend(1.0, flow)
+
+    def waits(self, count: int) -> list[float]:
+        """Return the seconds until each of the next ``count`` grants is allowed."""
+        waits = [0.0] * count
+        for key, flow in self._scaled_flows().items():
+            if not flow.rate or flow.depth < 1.0:
+                return []
+            level = self._buckets[key].level(flow)
+            for number in range(count):
+                seconds = max(number + 1 - level, 0.0) / flow.rate
+                waits[number] = max(waits[number], seconds)
+        return waits
+
+    def _scaled_flows(self) -> dict[int, buckets.Flow]:
+        share = self._share()
+        return {key: flow.scaled(share) for key, flow in self._flows.items()}
+
+
+class RateBudgets:
+    """The budgets of one shard's keeper for its limited servers.
+
+    Parameters
+    ----------
+    sources : sequence of Source
+        Reasons to limit servers.
+    """
+
+    def __init__(self, sources: collections.abc.Sequence[Source]):
+        # Returns the share of the fleet's instances that this keeper can reach.
+        self.reachable_share: collections.abc.Callable[[], float] = _whole_fleet
+        self.granted_count = 0
+        self._sources = sources
+        self._budgets: dict[str, RateBudget] = {}
+
+    def get(self, server: str) -> RateBudget | None:
+        """Return the budget of a limited server; None for any other."""
+        flows: dict[int, buckets.Flow] = {}
+        for number, source in enumerate(self._sources):
+            flow = source.limit(server)
+            if flow is not None:
+                flows[number] = flow
+        if not flows:
+            self._budgets.pop(server, None)
+            return None
+        budget = self._budgets.get(server)
+        if budget is None:
+            budget = self._budgets[server] = RateBudget(self.reachable_share)
+        budget.adopt(flows)
+        return budget
+
+    def allows(self, server: str) -> bool:
+        """Return whether a server may get one more request now."""
+        budget = self.get(server)
+        return budget is None or budget.available > 0
+
+    def granted(self, server: str, permit_ms: int) -> int:
+        """Record a grant; return the lifetime of its permit in milliseconds."""
+        budget = self.get(server)
+        if budget is None:
+            return permit_ms
+        budget.use()
+        self.granted_count += 1
+        return min(permit_ms, PERMIT_MS)
+
+    def clear(self) -> None:
+        """Start with empty budgets: the previous keeper's grants are unknown."""
+        self._budgets.clear()
+
+
+def _whole_fleet() -> float:
+    """Return the share of a keeper that reaches the whole fleet."""
+    return 1.0
--- a/packages/daemon/cassiaquay_daemon/decisions/shards.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/shards.py
@@ -7,7 +7,7 @@
 from cassiaquay_schema import settings as settings_schema
 
 from .. import clock, logs
-from . import loads, prefixes, priority_cutoffs, slow_start
+from . import loads, prefixes, priority_cutoffs, rate_budgets, slow_start
 
 # Time for the report of a dispatch to reach the keeper after the permit has expired.
 DISPATCH_REPORT_SECONDS = 0.4
@@ -134,9 +134,8 @@
         self.find_sibling: collections.abc.Callable[[Waiting, float], str] = _no_sibling
         self.waits: collections.abc.Callable[[], list[messages.RankWait]] = list
         self.cutoffs = priority_cutoffs.PriorityCutoffs()
-        self.cold_budgets = slow_start.ColdBudgets(
-            cold or slow_start.SlowStart(settings)
-        )
+        self.cold = cold or slow_start.SlowStart(settings)
+        self.rate_budgets = rate_budgets.RateBudgets([self.cold])
         self._refused: dict[str, float] = {}
         self._loads: dict[str, loads.Load] = {}
         self._observers: list[Observer] = []
@@ -161,7 +160,7 @@
         # placeholder for unknown owners never reports: `_opens_at` opens the shard.
         self._unreported_owners = {"nobody"} if owners is None else set(owners)
         self._opens_at = clock.now() + self.settings.keeper.renew_seconds * 1.5
-        self.cold_budgets.clear()
+        self.rate_budgets.clear()
 
     @property
     def unreported_owners(self) -> set[str]:
@@ -184,7 +183,7 @@
         now = clock.now()
         for server in demand.avoid:
             self._refused[server] = now
-            self.cold_budgets.cold.suspect_restart(server)
+            self.cold.suspect_restart(server)
         if not prefixes.is_consistent(demand.blocks, demand.block_count):
             # Other versions sample other blocks; no affinity beats a wrong one.
             demand = demand._replace(blocks=[], block_count=0)
@@ -261,7 +260,7 @@
                 continue
             finished = self.load(running.server).finish_prefill(step.id, at)
             self._refused.pop(running.server, None)
-            self.cold_budgets.cold.confirm_alive(running.server)
+            self.cold.confirm_alive(running.server)
             if finished is None:
                 continue
             self.running[step.id] = self.running[step.id]._replace(
@@ -295,7 +294,7 @@
         now = clock.now()
         keeper = self.settings.keeper
         # Unused permits are not renewed; their capacity is released after they expire.
-        permit_ms = self.cold_budgets.granted(server, keeper.permit_ms)
+        permit_ms = self.rate_budgets.granted(server, keeper.permit_ms)
         expires_at = now + permit_ms / 1000.0 + DISPATCH_REPORT_SECONDS
         tokens = demand.prompt_tokens + demand.output_tokens
         running = Running(
--- a/packages/daemon/cassiaquay_daemon/decisions/slow_start.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/slow_start.py
@@ -5,15 +5,9 @@
 free at that time, so placement by free slots would send it every waiting request: after
 the loss of a failure domain at peak load its servers would crash again and again.
 
-The limit applies to all requests that the fleet sends to one server in a second. Only
-the keeper of its shard grants them, from a token bucket, so instances need not agree
-with each other. The rate is low enough for two keepers, since during a handover two
-instances may act as keeper. A bucket starts empty, so that keepers in quick succession
-stay within the limit together; in a partition each keeper grants a share in proportion
-to the instances that it can reach.
+The keeper of its shard grants it no more than that; see ``rate_budgets``.
 """
 
-import collections.abc
 import math
 import typing
 
@@ -21,15 +15,8 @@
 from cassiaquay_schema import settings as settings_schema
 
 from .. import clock, logs
-from . import buckets
-
-# Lifetime of a permit for a cold server: one that is used a second later would arrive
-# together with the permits of that second.
-PERMIT_MS = 200
-# Number of keepers that may grant for one server at the same time.
-MAX_KEEPERS = 2
-# Part of the limit that may be granted at once.
-DEPTH_SHARE = 0.125
+from . import buckets, rate_budgets
+
 # Maximum delay of a server's own report that it is cold: the period of its heartbeats,
 # their way through the store and the next read of the server list.
 MAX_REPORT_DELAY_SECONDS = 2.5
@@ -58,47 +45,6 @@
     is_evacuated: bool
 
 
-class ColdBudget:
-    """The requests that one keeper may still grant to one cold server.
-
-    Parameters
-    ----------
-    flow : Flow
-        Limit of a keeper that reaches the whole fleet.
-    share : callable
-        Returns the share of the fleet's instances that this keeper can reach.
-    """
-
-    def __init__(self, flow: buckets.Flow, share: collections.abc.Callable[[], float]):
-        self._full_flow = flow
-        self._share = share
-        self._bucket = buckets.Bucket(clock.now())
-
-    @property
-    def _flow(self) -> buckets.Flow:
-        return self._full_flow.scaled(self._share())
-
-    @property
-    def available(self) -> int:
-        """Number of requests that may be granted now."""
-        return int(self._bucket.level(self._flow))
-
-    def use(self) -> None:
-        """Spend one grant."""
-        self._bucket.spend(1.0, self._flow)
-
-    def waits(self, count: int) -> list[float]:
-        """Return the seconds until each of the next ``count`` grants is allowed."""
-        flow = self._flow
-        if not flow.rate or flow.depth < 1.0:
-            return []
-        level = self._bucket.level(flow)
-        wait_seconds = []
-        for number in range(1, count + 1):
-            wait_seconds.append(max(number - level, 0.0) / flow.rate)
-        return wait_seconds
-
-
 class SlowStart:
     """Tracks which servers are cold, from the server lists and from failures.
 
@@ -179,21 +125,21 @@
         return sorted(name for name in self._terms if self.is_cold(name))
 
     def flow(self, server: str) -> buckets.Flow:
-        """Return the limit of a keeper that reaches the whole fleet."""
+        """Return the flow of a keeper that reaches the whole fleet to a cold server."""
         return self._terms[server].flow
 
+    def limit(self, server: str) -> buckets.Flow | None:
+        """Return the flow to a server that is cold now; None for a warm one."""
+        return self.flow(server) if self.is_cold(server) else None
+
     def _is_suspected(self, server: str) -> bool:
         until = self._suspected_until.get(server)
         return until is not None and clock.now() < until
 
     def _flow(self, pool: fleet_schema.Pool) -> buckets.Flow:
         rate = pool.cold_requests_per_second
-        limit = rate * self._keeper.cold_excess + self._keeper.cold_slack
-        depth = max(limit * DEPTH_SHARE, min(limit, 1.0))
-        # Permits granted over this much time may all be used within one second.
-        seconds = 1.0 + PERMIT_MS / 1000.0
-        max_rate = (limit - depth) / (MAX_KEEPERS * seconds)
-        return buckets.Flow(min(rate, max_rate), depth)
+        max_requests = rate * self._keeper.cold_excess + self._keeper.cold_slack
+        return rate_budgets.keeper_flow(rate, max_requests, 1.0)
 
     def _compare(
         self,
@@ -222,58 +168,6 @@
         _log_cold(server, seconds, cause)
 
 
-class ColdBudgets:
-    """The budgets of one shard's keeper for its cold servers.
-
-    Parameters
-    ----------
-    cold : SlowStart
-        Tracks which servers are cold.
-    """
-
-    def __init__(self, cold: SlowStart):
-        self.cold = cold
-        # Returns the share of the fleet's instances that this keeper can reach.
-        self.reachable_share: collections.abc.Callable[[], float] = _whole_fleet
-        self.granted_count = 0
-        self._budgets: dict[str, ColdBudget] = {}
-
-    def get(self, server: str) -> ColdBudget | None:
-        """Return the budget of a cold server; None for a warm one."""
-        if not self.cold.is_cold(server):
-            self._budgets.pop(server, None)
-            return None
-        cold_budget = self._budgets.get(server)
-        if cold_budget is None:
-            cold_budget = self._budgets[server] = ColdBudget(
-                self.cold.flow(server), self.reachable_share
-            )
-        return cold_budget
-
-    def allows(self, server: str) -> bool:
-        """Return whether a server may get one more request now."""
-        cold_budget = self.get(server)
-        return cold_budget is None or cold_budget.available > 0
-
-    def granted(self, server: str, permit_ms: int) -> int:
-        """Record a grant; return the lifetime of its permit in milliseconds."""
-        cold_budget = self.get(server)
-        if cold_budget is None:
-            return permit_ms
-        cold_budget.use()
-        self.granted_count += 1
-        return min(permit_ms, PERMIT_MS)
-
-    def clear(self) -> None:
-        """Start with empty budgets: the previous keeper's grants are unknown."""
-        self._budgets.clear()
-
-
-def _whole_fleet() -> float:
-    """Return the share of a keeper that reaches the whole fleet."""
-    return 1.0
-
-
 def _log_cold(server: str, seconds: float, cause: str) -> None:
     logs.event(
         "server_cold", server=server, for_ms=round(seconds * 1000.0), cause=cause
--- a/packages/daemon/cassiaquay_daemon/keepers/keeper.py
+++ b/packages/daemon/cassiaquay_daemon/keepers/keeper.py
@@ -262,7 +262,7 @@
             return None
         shard = shards.Shard(name, self._settings, self.cold)
         shard.close(self._owners_to_query())
-        shard.cold_budgets.reachable_share = self._alive_share
+        shard.rate_budgets.reachable_share = self._alive_share
         shard.may_shed = functools.partial(self._floors.may_shed, name)
         shard.find_sibling = functools.partial(self._spillover.move, name)
         self.shards[name] = shard
--- a/packages/daemon/cassiaquay_daemon/operators/keeper_view.py
+++ b/packages/daemon/cassiaquay_daemon/operators/keeper_view.py
@@ -90,7 +90,7 @@
         verdict = "leaving: gets no new work"
     elif count >= server.slots:
         verdict = "all slots taken"
-    elif not shard.cold_budgets.allows(name):
+    elif not shard.rate_budgets.allows(name):
         verdict = "cold: gets more in a moment"
     elif estimate is not None and not estimate.fits:
         verdict = "full: unread prompts or tokens in flight"
--- a/packages/daemon/cassiaquay_daemon/operators/reports.py
+++ b/packages/daemon/cassiaquay_daemon/operators/reports.py
@@ -232,7 +232,7 @@
         kept = self._parts.kept
         granted: dict[metrics.Key, float] = {}
         for name, shard in kept.shards.items():
-            granted[(name,)] = shard.cold_budgets.granted_count
+            granted[(name,)] = shard.rate_budgets.granted_count
         self.metrics.replace(metrics.COLD_GRANTS, granted)
         self.metrics.replace(metrics.COLD_SERVERS, {(): len(kept.cold.cold_servers())})
         snapshot = self._parts.configured.current
--- a/packages/daemon/cassiaquay_daemon/operators/views.py
+++ b/packages/daemon/cassiaquay_daemon/operators/views.py
@@ -136,7 +136,7 @@
         return "evacuated"
     if server.name in shard.closed_servers:
         return "leaving"
-    cold = shard.cold_budgets.cold
+    cold = shard.cold
     if cold.is_cold(server.name):
         return f"cold, {cold.seconds_left(server.name):.1f} s left"
     return "open"
--- a/tests/test_slow_start.py
+++ b/tests/test_slow_start.py
@@ -8,7 +8,7 @@
 import pytest
 from hypothesis import strategies
 
-from cassiaquay_daemon.decisions import shards, slow_start
+from cassiaquay_daemon.decisions import rate_budgets, shards, slow_start
 from cassiaquay_schema import fleet, messages
 
 COLD_SECONDS = 3.0
@@ -147,10 +147,11 @@
         self.cold = _slow_start()
         self.cold.update(_fleet(e1=_server("e1"), e2=_server("e2")))
         self.cold.update(_fleet(e1=_server("e1", started_ms=2), e2=_server("e2")))
-        self.shard.cold_budgets = slow_start.ColdBudgets(self.cold)
+        self.shard.cold = self.cold
+        self.shard.rate_budgets = rate_budgets.RateBudgets([self.cold])
         for name in SERVERS:
             self.set_speed(name, 100_000.0, 0.005)
-        assert not self.shard.cold_budgets.allows("e1")
+        assert not self.shard.rate_budgets.allows("e1")
 
     def granted(self, server: str) -> list[str]:
         """Return the requests that were granted on a server."""
@@ -197,7 +198,7 @@
     site.serve()
     (permit,) = [item for item in site.owner.sent if isinstance(item, messages.Permit)]
     assert permit.server == "e1"
-    assert permit.lifetime_ms == slow_start.PERMIT_MS
+    assert permit.lifetime_ms == rate_budgets.PERMIT_MS
 
 
 class Keeper:
@@ -205,8 +206,8 @@
 
     def __init__(self, cold: slow_start.SlowStart):
         self.reachable_share = 1.0
-        self.cold_budgets = slow_start.ColdBudgets(cold)
-        self.cold_budgets.reachable_share = lambda: self.reachable_share
+        self.rate_budgets = rate_budgets.RateBudgets([cold])
+        self.rate_budgets.reachable_share = lambda: self.reachable_share
 
 
 EVENTS = strategies.lists(
@@ -245,14 +246,14 @@
             elif kind == "heal":
                 keepers[0].reachable_share = keepers[1].reachable_share = 1.0
             elif kind in ("move", "restart"):
-                keeper.cold_budgets.clear()
-            while kind == "grant" and keeper.cold_budgets.allows("e1"):
-                keeper.cold_budgets.granted("e1", 1500)
+                keeper.rate_budgets.clear()
+            while kind == "grant" and keeper.rate_budgets.allows("e1"):
+                keeper.rate_budgets.granted("e1", 1500)
                 granted.append(time.now)
             cold.suspect_restart("e1")
         # A permit may be used at any time of its lifetime, so the permits of a span
         # that is longer by one lifetime may all arrive within one second.
-        span = 1.0 + slow_start.PERMIT_MS / 1000.0
+        span = 1.0 + rate_budgets.PERMIT_MS / 1000.0
         arrivals_by_start = collections.Counter()
         for first in granted:
             arrivals_by_start[first] = sum(
@@ -261,13 +262,13 @@
         assert max(arrivals_by_start.values(), default=0) <= BOUND
 
 
-def test_closed_shard_restarts_with_empty_cold_budgets(time) -> None:
+def test_closed_shard_restarts_with_empty_rate_budgets(time) -> None:
     """A new keeper has no record of the grants of the previous one."""
     site = Site(time)
     time.now += 1.0
-    assert site.shard.cold_budgets.allows("e1")
+    assert site.shard.rate_budgets.allows("e1")
     site.shard.close()
-    assert not site.shard.cold_budgets.allows("e1")
+    assert not site.shard.rate_budgets.allows("e1")
 
 
 def test_refused_connection_makes_a_server_cold(time) -> None:
@@ -280,7 +281,7 @@
 
 def test_shard_without_slow_start_allows_any_server() -> None:
     shard = shards.Shard(fakes.SHARD, fakes.settings())
-    assert shard.cold_budgets.allows("anything")
+    assert shard.rate_budgets.allows("anything")
 
 
 def test_changed_settings_apply_from_the_next_server_list(time) -> None:
