Count the bucket depth of both keepers of a cold server

Two instances that both act as keeper could grant 24 requests to a cold server in a window of 1.2 s where 23 are allowed: the rate left room for two keepers, but the depth was counted once. Ruled out: the empty start of a bucket (both had filled up). The depth is now counted for each, and halved, so the rate stays as it was (8.4 a second in the test's deployment). The generated schedules had not filled both buckets before granting; the test does so and failed before (24 <= 23).

--- a/packages/daemon/cassiaquay_daemon/decisions/rate_budgets.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/rate_budgets.py
@@ -22,8 +22,8 @@
 PERMIT_MS = 200
 # Number of keepers that may grant for one server at the same time.
 MAX_KEEPERS = 2
-# Part of the limit that may be granted at once.
-DEPTH_SHARE = 0.125
+# Part of the limit that each keeper may grant at once.
+DEPTH_SHARE = 1.0 / 16.0
 
 
 class Source(typing.Protocol):
@@ -50,7 +50,7 @@
     depth = max(max_requests * DEPTH_SHARE, min(max_requests, 1.0))
     # Permits granted over this much time may all be used within one window.
     seconds = window_seconds + PERMIT_MS / 1000.0
-    max_rate = (max_requests - depth) / (MAX_KEEPERS * seconds)
+    max_rate = max(max_requests / MAX_KEEPERS - depth, 0.0) / seconds
     return buckets.Flow(min(rate, max_rate), depth)
 
 
--- a/tests/test_slow_start.py
+++ b/tests/test_slow_start.py
@@ -262,6 +262,27 @@
         assert max(arrivals_by_start.values(), default=0) <= BOUND
 
 
+def test_two_keepers_with_full_buckets_stay_within_the_limit(time) -> None:
+    """Guards against two keepers that each grant the whole depth of their buckets."""
+    cold = _slow_start()
+    cold.update(_fleet(e1=_server("e1")))
+    cold.update(_fleet(e1=_server("e1", started_ms=2)))
+    keepers = [Keeper(cold), Keeper(cold)]
+    for keeper in keepers:
+        assert not keeper.rate_budgets.allows("e1")
+    time.now += 1.0
+    ends_at = time.now + 1.0 + rate_budgets.PERMIT_MS / 1000.0
+    granted = 0
+    while time.now <= ends_at:
+        cold.suspect_restart("e1")
+        for keeper in keepers:
+            while keeper.rate_budgets.allows("e1"):
+                keeper.rate_budgets.granted("e1", 1500)
+                granted += 1
+        time.now += 0.001
+    assert BOUND / 2 < granted <= BOUND
+
+
 def test_closed_shard_restarts_with_empty_rate_budgets(time) -> None:
     """A new keeper has no record of the grants of the previous one."""
     site = Site(time)
