Separate the replication of a table from the crash reports

Flooding of changes and repair by digests move to fleet/replication.py, so that another table can use them; the list of servers uses the same loop over the neighbours. No behaviour changes.

--- a/packages/daemon/cassiaquay_daemon/fleet/crash_reports.py
+++ b/packages/daemon/cassiaquay_daemon/fleet/crash_reports.py
@@ -1,24 +1,13 @@
-"""Exchanges reports of requests that crash servers between instances.
-
-A changed report is flooded to all neighbours at once and reaches every instance within
-a few round trips. Heartbeats carry a digest of the table of reports; where it differs,
-for example after a restart or a lost connection, the whole table is sent.
-"""
+"""Exchanges reports of requests that crash servers between instances."""
 
 import collections.abc
-import weakref
 
 from cassiaquay_schema import messages
 
-from .. import clock, logs
+from .. import logs
 from ..decisions import quarantine
 from ..links import peers
-from . import members
-
-# Instances expire reports at slightly different times, so tables differ briefly; the
-# table is therefore not resent with each heartbeat.
-RESEND_INTERVAL_SECONDS = 1.0
-NEVER = float("-inf")
+from . import members, replication
 
 
 class CrashReports:
@@ -44,16 +33,26 @@
         is_first_start: bool,
     ):
         self._quarantine = held
-        self._links = links
-        self._membership = membership
-        self._sent_at: weakref.WeakKeyDictionary[peers.Link, float]
-        self._sent_at = weakref.WeakKeyDictionary()
+        self._replication = replication.Replication(links, membership, self)
         links.on(messages.CrashReports, self._handle_reports)
-        membership.on_heartbeat(self._handle_heartbeat)
         membership.crashes_digest = lambda: held.digest
         if not is_first_start:
             held.is_history_lost = lambda: not membership.has_older_instances()
 
+    @property
+    def digest(self) -> int:
+        """Digest of the reports; 0 when there are none."""
+        return self._quarantine.digest
+
+    def digest_in(self, beat: messages.Heartbeat) -> int:
+        """Return the digest of the sender's reports."""
+        return beat.crashes_digest
+
+    def snapshot(self) -> messages.CrashReports | None:
+        """Return a message with all reports; None when there are none."""
+        reports = self._quarantine.reports()
+        return _message(reports) if reports else None
+
     def holds(self, content: str) -> bool:
         """Return whether a request is quarantined; note the refusal if it is."""
         if not self._quarantine.holds(content):
@@ -102,25 +101,9 @@
         else:
             logs.event("request_released", content=content, crashes=crashes)
 
-    def _handle_heartbeat(self, link: peers.Link, beat: messages.Heartbeat) -> None:
-        if beat.crashes_digest == self._quarantine.digest:
-            return
-        now = clock.now()
-        if now - self._sent_at.get(link, NEVER) < RESEND_INTERVAL_SECONDS:
-            return
-        self._sent_at[link] = now
-        reports = self._quarantine.reports()
-        if reports:
-            link.send(_message(reports))
-
     def _flood(self, contents: list[str], sender: str) -> None:
-        message = _message([self._quarantine.report(content) for content in contents])
-        for instance, address in self._membership.neighbours().items():
-            if instance == sender:
-                continue
-            link = self._links.link(instance, address)
-            if link is not None:
-                link.send(message)
+        reports = [self._quarantine.report(content) for content in contents]
+        self._replication.flood(_message(reports), sender)
 
 
 def _message(
--- a/packages/daemon/cassiaquay_daemon/fleet/servers.py
+++ b/packages/daemon/cassiaquay_daemon/fleet/servers.py
@@ -15,7 +15,15 @@
 from .. import clock, exceptions, logs, platform, rendezvous
 from ..configured import snapshots
 from ..links import peers
-from . import configuration, freshness, members, outages, server_list, transit
+from . import (
+    configuration,
+    freshness,
+    members,
+    outages,
+    replication,
+    server_list,
+    transit,
+)
 
 # Each rank in the order of readers adds this to the age at which an instance reads:
 # time for the reader before it to read and for a heartbeat to arrive.
@@ -273,11 +281,7 @@
     def _send_to_neighbours(self) -> None:
         # A leaving server must get no new requests within seconds, so each instance
         # forwards a changed list to its neighbours at once, each list once.
-        message = self._message()
-        for instance, address in self._membership.neighbours().items():
-            link = self._links.link(instance, address)
-            if link is not None:
-                link.send(message)
+        replication.send_to_neighbours(self._links, self._membership, self._message())
 
     def _message(self) -> messages.ServerList:
         # This is the age of the read, not of the confirmation, which also covers the
--- a/tests/test_crash_reports.py
+++ b/tests/test_crash_reports.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies
 
 from cassiaquay_daemon.decisions import quarantine
-from cassiaquay_daemon.fleet import crash_reports
+from cassiaquay_daemon.fleet import crash_reports, replication
 from cassiaquay_schema import messages
 
 NAMES = mesh_fakes.NAMES
@@ -112,7 +112,7 @@
             else:
                 time.now += 0.3
         for _ in range(3):
-            time.now += crash_reports.RESEND_INTERVAL_SECONDS
+            time.now += replication.RESEND_INTERVAL_SECONDS
             fleet.send_heartbeats()
         digests = {fleet.held[name].digest for name in NAMES}
         assert len(digests) == 1
