--- a/packages/daemon/cassiaquay_daemon/decisions/forecasts.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/forecasts.py
@@ -9,7 +9,7 @@
 import bisect
 
 from .. import clock
-from . import arrivals, candidates, shards
+from . import arrivals, candidates, grants, shards
 
 # Callers wait at least two seconds for the first event of a stream and then close it:
 # the prefill of a request that has waited longer than this would be wasted.
@@ -75,7 +75,7 @@
         position = min(ahead + int(rate * wait), len(free_in) - 1)
         return free_in[position] * max((ahead + 1) / len(free_in), 1.0)
 
-    def _remaining_seconds(self, running: shards.Running, now: float) -> float:
+    def _remaining_seconds(self, running: grants.Running, now: float) -> float:
         times = self._servers.times[running.server]
         if running.demand is None:
             return times.base_seconds
--- /dev/null
+++ b/packages/daemon/cassiaquay_daemon/decisions/grants.py
@@ -0,0 +1,42 @@
+"""Outstanding grants of a keeper: permits, and the dispatches that used them."""
+
+import typing
+
+from cassiaquay_schema import messages
+
+
+class Running(typing.NamedTuple):
+    """An outstanding permit, or a dispatch that an owner reported.
+
+    Attributes
+    ----------
+    owner, server : str
+        Instance that holds it, and backend server.
+    tokens : int
+        Estimated tokens that it occupies on the server.
+    expires_at : float
+        Seconds on this clock; each renewal extends it.
+    demand : Demand or None
+        The granted demand; None when only an owner's renewal reported the dispatch.
+    dispatched : bool
+        Whether the owner has used the permit.
+    cached_tokens : int
+        Prompt tokens that the engine's cache probably held at the grant.
+    produced : int
+        Tokens of the answer at the last renewal.
+    produced_at : float
+        Time of that renewal; seconds on this clock.
+    is_charged : bool
+        Whether the grant counts against a limit that the server has named.
+    """
+
+    owner: str
+    server: str
+    tokens: int
+    expires_at: float
+    demand: messages.Demand | None = None
+    dispatched: bool = False
+    cached_tokens: int = 0
+    produced: int = 0
+    produced_at: float = 0.0
+    is_charged: bool = False
--- a/packages/daemon/cassiaquay_daemon/decisions/objectives.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/objectives.py
@@ -22,6 +22,7 @@
     candidates,
     choices,
     forecasts,
+    grants,
     loads,
     policies,
     reservations,
@@ -106,13 +107,13 @@
         """Update the estimated time between events."""
         self._times_of(server).advanced(tokens, seconds)
 
-    def started(self, running: shards.Running, found: loads.FinishedPrefill) -> None:
+    def started(self, running: grants.Running, found: loads.FinishedPrefill) -> None:
         """Update the estimated prefill rate from a first event."""
         self._times_of(running.server).prefilled(
             found.tokens, found.head_seconds, found.seconds
         )
 
-    def stopped(self, running: shards.Running) -> None:
+    def stopped(self, running: grants.Running) -> None:
         """Do nothing: :meth:`learn` receives the measured times."""
 
     # Called by the keeper.
--- a/packages/daemon/cassiaquay_daemon/decisions/shards.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/shards.py
@@ -8,6 +8,7 @@
 
 from .. import clock, logs
 from . import (
+    grants,
     loads,
     prefixes,
     priority_cutoffs,
@@ -55,43 +56,6 @@
     renewed_at: float = 0.0
 
 
-class Running(typing.NamedTuple):
-    """An outstanding permit, or a dispatch that an owner reported.
-
-    Attributes
-    ----------
-    owner, server : str
-        Instance that holds it, and backend server.
-    tokens : int
-        Estimated tokens that it occupies on the server.
-    expires_at : float
-        Seconds on this clock; each renewal extends it.
-    demand : Demand or None
-        The granted demand; None when only an owner's renewal reported the dispatch.
-    dispatched : bool
-        Whether the owner has used the permit.
-    cached_tokens : int
-        Prompt tokens that the engine's cache probably held at the grant.
-    produced : int
-        Tokens of the answer at the last renewal.
-    produced_at : float
-        Time of that renewal; seconds on this clock.
-    is_charged : bool
-        Whether the grant counts against a limit that the server has named.
-    """
-
-    owner: str
-    server: str
-    tokens: int
-    expires_at: float
-    demand: messages.Demand | None = None
-    dispatched: bool = False
-    cached_tokens: int = 0
-    produced: int = 0
-    produced_at: float = 0.0
-    is_charged: bool = False
-
-
 class Observer(typing.Protocol):
     """Receives each change of a shard, which avoids scanning its whole state."""
 
@@ -104,10 +68,10 @@
     def advanced(self, server: str, tokens: int, seconds: float) -> None:
         """Handle an answer that grew by ``tokens`` (possibly 0) in ``seconds``."""
 
-    def started(self, running: Running, finished: loads.FinishedPrefill) -> None:
+    def started(self, running: grants.Running, finished: loads.FinishedPrefill) -> None:
         """Handle the first event after a prompt's prefill."""
 
-    def stopped(self, running: Running) -> None:
+    def stopped(self, running: grants.Running) -> None:
         """Handle the end of a permit or a dispatch, with whatever outcome."""
 
 
@@ -136,7 +100,7 @@
         self.name = name
         self.settings = settings
         self.queue: dict[str, Waiting] = {}
-        self.running: dict[str, Running] = {}
+        self.running: dict[str, grants.Running] = {}
         self.servers: dict[str, fleet.Server] = {}
         self.closed_servers: set[str] = set()
         self.weights: dict[str, float] = {}
@@ -315,7 +279,7 @@
         permit_ms = self.rate_budgets.granted(server, keeper.permit_ms)
         expires_at = now + permit_ms / 1000.0 + DISPATCH_REPORT_SECONDS
         tokens = demand.prompt_tokens + demand.output_tokens
-        running = Running(
+        running = grants.Running(
             waiting.replier.instance,
             server,
             tokens,
@@ -415,12 +379,14 @@
             running = None
         if running is None:
             tokens = item.prompt_tokens + item.output_tokens
-            running = Running(owner, item.server, tokens, lease, produced_at=now)
+            running = grants.Running(owner, item.server, tokens, lease, produced_at=now)
             self._add_running(item.id, running)
         running = running._replace(owner=owner, expires_at=lease, dispatched=True)
         self.running[item.id] = self._grow(item, running, now)
 
-    def _grow(self, item: messages.Outstanding, prior: Running, now: float) -> Running:
+    def _grow(
+        self, item: messages.Outstanding, prior: grants.Running, now: float
+    ) -> grants.Running:
         if not item.produced:
             return prior
         finished = self.load(prior.server).finish_prefill(item.id, now)
@@ -442,7 +408,7 @@
         for observer in self._observers:
             observer.unqueued(waiting)
 
-    def _add_running(self, request_id: str, running: Running) -> None:
+    def _add_running(self, request_id: str, running: grants.Running) -> None:
         self.running[request_id] = running
         load = self.load(running.server)
         load.count += 1
--- a/packages/daemon/cassiaquay_daemon/decisions/tiered.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/tiered.py
@@ -5,7 +5,7 @@
 from cassiaquay_schema import messages
 
 from .. import clock
-from . import loads, placement, policies, queues, shards, shedding
+from . import grants, loads, placement, policies, queues, shards, shedding
 
 NAME = "tiered"
 # Demands of one team weighed in one pass: later demands may fit where the first do not,
@@ -81,7 +81,7 @@
         else:
             engine.speed.stalled(seconds)
 
-    def started(self, running: shards.Running, found: loads.FinishedPrefill) -> None:
+    def started(self, running: grants.Running, found: loads.FinishedPrefill) -> None:
         """Update the prefill rate and the limit of tokens in flight."""
         engine = self._engines.get(running.server)
         if engine is None:
@@ -98,7 +98,7 @@
             found.expected_seconds, found.seconds, in_flight, clock.now()
         )
 
-    def stopped(self, running: shards.Running) -> None:
+    def stopped(self, running: grants.Running) -> None:
         """Cancel the pending blocks of a prompt whose prefill did not finish."""
         demand = running.demand
         if demand is None or demand.id not in self._unread_ids:
--- a/packages/daemon/cassiaquay_daemon/fleet/members.py
+++ b/packages/daemon/cassiaquay_daemon/fleet/members.py
@@ -119,11 +119,10 @@
         """Refresh this instance's own fact; issue a new one on change or ``force``."""
         load, revision = self._measure()
         self._note_load(load)
-        settings = self._settings
         fact = messages.Member(
-            settings.instance,
+            self._settings.instance,
             self._incarnation,
-            settings.domain,
+            self._settings.domain,
             self.http_address,
             self._settings.advertised_peer or self._links.address,
             self._sequence,
@@ -134,7 +133,7 @@
             self.admin_address,
             clock.now() - self._started,
         )
-        known = self.facts.records.get(settings.instance)
+        known = self.facts.records.get(self._settings.instance)
         if known is not None and not force and _has_same_state(known.member, fact):
             return fact
         self._sequence += 1
@@ -318,7 +317,7 @@
             )
 
     def _choose_neighbours(self) -> dict[str, str]:
-        addresses: dict[str, str] = {}
+        addresses = {}
         for line in self._listed.values():
             if line.kind == "entry" and line.peer and line.name not in self._lost:
                 addresses[line.name] = line.peer
--- a/packages/daemon/cassiaquay_daemon/keepers/demands.py
+++ b/packages/daemon/cassiaquay_daemon/keepers/demands.py
@@ -62,16 +62,6 @@
     is_charged: bool = False
 
 
-class ServerLimits(typing.Protocol):
-    """The limits that servers have named."""
-
-    def is_limited(self, server: str) -> bool:
-        """Return whether a limit of the server is in force."""
-
-    def send_to(self, link: shards.Replier, server: str) -> None:
-        """Send a server's limit to one instance."""
-
-
 class Pending(typing.NamedTuple):
     """A demand that is neither granted nor refused yet."""
 
@@ -124,7 +114,7 @@
         links: peers.Peers,
         membership: members.Membership,
         local: keeper.Keeper,
-        limits: ServerLimits | None = None,
+        limits: sending.ServerLimits | None = None,
     ):
         self._limits = limits
         self._settings = settings
--- a/packages/daemon/cassiaquay_daemon/keepers/sending.py
+++ b/packages/daemon/cassiaquay_daemon/keepers/sending.py
@@ -1,10 +1,11 @@
-"""Dispatched requests, with the progress that is still to be reported to the keeper."""
+"""What an owner sends to keepers: progress of dispatched requests, servers' limits."""
 
 import typing
 
 from cassiaquay_schema import messages
 
 from .. import clock
+from ..decisions import shards
 
 
 class Counted(typing.Protocol):
@@ -19,6 +20,16 @@
         """Time of the first event; seconds on this clock."""
 
 
+class ServerLimits(typing.Protocol):
+    """The limits that servers have named."""
+
+    def is_limited(self, server: str) -> bool:
+        """Return whether a limit of the server is in force."""
+
+    def send_to(self, link: shards.Replier, server: str) -> None:
+        """Send a server's limit to one instance."""
+
+
 class Sent:
     """A dispatched request whose progress is reported to its keeper.
 
