Reckon with a server's limit when its running requests end

The forecast of free slots counted every running request of a limited server as a slot to come, though the limit allows far fewer: demands waited until they were late instead of being refused at once. A slot now counts from when it is free and the limit allows one more. The test failed before: 0 of 8 demands refused at once behind 8 running requests and a limit of 2 a second.

--- a/packages/daemon/cassiaquay_daemon/decisions/candidates.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/candidates.py
@@ -159,17 +159,33 @@
                 count += candidate.free_slots
         return count
 
-    def limited_slot_waits(self) -> list[float]:
-        """Return the seconds until each free slot of a limited server may be used."""
+    def limited_slot_waits(self, ends: dict[str, list[float]]) -> list[float]:
+        """Return the seconds until each slot of a limited server may be used.
+
+        A slot is of use once it is free and the limit allows one more request. Slots
+        that may be used now are left out.
+
+        Parameters
+        ----------
+        ends : dict of str to list of float
+            Seconds until each running request ends, by server.
+        """
         limited_waits: list[float] = []
         for candidate in self.open:
             if candidate.rate_budget is None:
                 continue
-            free = candidate.capacity - candidate.load.count
-            waits = candidate.rate_budget.waits(max(free, 0))
-            limited_waits += [seconds for seconds in waits if seconds > 0.0]
+            free = max(candidate.capacity - candidate.load.count, 0)
+            slot_waits = [0.0] * free + sorted(ends.get(candidate.server.name, []))
+            budget_waits = candidate.rate_budget.waits(len(slot_waits))
+            for waits in zip(slot_waits, budget_waits, strict=False):
+                if max(waits) > 0.0:
+                    limited_waits.append(max(waits))
         return limited_waits
 
+    def is_limited(self, server: str) -> bool:
+        """Return whether a limit on the rate of requests to a server is in force."""
+        return self._shard.rate_budgets.get(server) is not None
+
     def min_first_seconds(self, tokens: int) -> float:
         """Return the time to the first event of a prompt on the fastest server."""
         return min(
--- a/packages/daemon/cassiaquay_daemon/decisions/forecasts.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/forecasts.py
@@ -48,11 +48,16 @@
     def refresh(self) -> None:
         """Recompute the forecast from all running requests."""
         now = clock.now()
-        free_in_seconds = [0.0] * self._servers.free_slots()
-        free_in_seconds += self._servers.limited_slot_waits()
+        ends: dict[str, list[float]] = {}
         for running in self._shard.running.values():
             if running.server in self._servers.times:
-                free_in_seconds.append(self._remaining_seconds(running, now))
+                remaining = self._remaining_seconds(running, now)
+                ends.setdefault(running.server, []).append(remaining)
+        free_in_seconds = [0.0] * self._servers.free_slots()
+        free_in_seconds += self._servers.limited_slot_waits(ends)
+        for server, remaining_seconds in ends.items():
+            if not self._servers.is_limited(server):
+                free_in_seconds += remaining_seconds
         free_in_seconds.sort()
         self._free_in_seconds = free_in_seconds
 
--- a/tests/test_limit_reports.py
+++ b/tests/test_limit_reports.py
@@ -4,6 +4,7 @@
 
 import hypothesis
 import mesh_fakes
+import objectives_fakes
 import policy_fakes as fakes
 import pytest
 from hypothesis import strategies
@@ -275,3 +276,55 @@
                 count += 1
         time.now += 0.001
     assert 0 < count <= rate * WINDOW_SECONDS * EXCESS + SLACK
+
+
+def test_forecast_reckons_with_the_rate_of_a_limited_server(time) -> None:
+    """Guards against waits by the ends of requests that the limit makes useless.
+
+    All slots of the only server are taken and end soon, but it takes two requests a
+    second: demands behind the first few must be refused at once, not when late.
+    """
+    bench = objectives_fakes.Bench(time, {SERVER: 8})
+    bench.set_speed(SERVER, 100_000.0, 0.005)
+    for _ in range(8):
+        bench.demand()
+    bench.serve()
+    running = list(bench.owner.permits())
+    assert len(running) == 8
+    for name in running:
+        bench.start(name)
+    bench.shard.limits.answered(SERVER, 0, 2.0)
+    bench.serve()
+    for _ in range(8):
+        bench.demand()
+    bench.serve()
+    assert len(bench.owner.sheds()) >= 7
+
+
+def test_demands_go_to_servers_that_have_room(time) -> None:
+    """Guards against demands that wait for a limited server while another is free."""
+    bench = objectives_fakes.Bench(time, {SERVER: 8, "e2": 8})
+    for server in (SERVER, "e2"):
+        bench.set_speed(server, 100_000.0, 0.005)
+    bench.shard.limits.answered(SERVER, 0, 2.0)
+    for _ in range(8):
+        bench.demand(events=5)
+    bench.serve()
+    assert set(bench.owner.permits().values()) == {"e2"}
+
+
+def test_higher_tiers_get_a_limited_server_first(time) -> None:
+    """Guards against a limit that is spent on requests in order of arrival."""
+    bench = objectives_fakes.Bench(time, {SERVER: 8})
+    bench.set_speed(SERVER, 100_000.0, 0.005)
+    bench.shard.limits.answered(SERVER, 0, 4.0)
+    bench.serve()
+    low = [bench.demand(rank=2, first_ms=1500) for _ in range(3)]
+    high = [bench.demand(rank=0, first_ms=1500) for _ in range(2)]
+    for _ in range(60):
+        time.now += 0.01
+        bench.serve()
+    permits = bench.owner.permits()
+    assert permits
+    assert set(permits) <= set(high)
+    assert not set(permits) & set(low)
