Let the tiered policy reckon with limits when a demand might wait

A demand could wait for an engine that caches its prompt although that engine's limit (or slow start) allowed nothing for seconds: the wait was estimated from its load alone. The test failed before: the demand got no permit while another engine was free.

--- a/packages/daemon/cassiaquay_daemon/decisions/placement.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/placement.py
@@ -5,6 +5,7 @@
 cached prefix, a short queue and a fast engine are thus compared in one unit.
 """
 
+import math
 import typing
 
 from cassiaquay_schema import fleet, messages
@@ -112,10 +113,20 @@
     @property
     def slot_wait_seconds(self) -> float:
         """Estimated wait besides the backlog: for earlier demands and for a slot."""
-        if self._load.count < self.engine.server.slots:
-            return self._awaiting_seconds
-        # The slots are staggered: one becomes free after about one token's time.
-        return self._awaiting_seconds + self.estimate.token_seconds
+        wait = self._awaiting_seconds
+        if self._load.count >= self.engine.server.slots:
+            # The slots are staggered: one becomes free after about one token's time.
+            wait += self.estimate.token_seconds
+        return max(wait, self._budget_wait_seconds)
+
+    @property
+    def _budget_wait_seconds(self) -> float:
+        """Time until a limit on the engine's rate allows one more request."""
+        budget = self._shard.rate_budgets.get(self.name)
+        if budget is None:
+            return 0.0
+        waits = budget.waits(1)
+        return waits[0] if waits else math.inf
 
     @property
     def wait_seconds(self) -> float:
--- a/tests/test_limit_reports.py
+++ b/tests/test_limit_reports.py
@@ -328,3 +328,23 @@
     assert permits
     assert set(permits) <= set(high)
     assert not set(permits) & set(low)
+
+
+def test_demand_does_not_wait_for_a_limited_engine_that_caches_its_prefix(time) -> None:
+    """Guards against a wait for an engine by its load, whatever its limit allows."""
+    prompt = "measure " * 2000
+    shard = fakes.shard({SERVER: 4, "e2": 4})
+    policy = fakes.policy(shard)
+    owner = fakes.Owner()
+    shard.add(fakes.demand("first", prompt=prompt), owner)
+    policy.serve()
+    [cached] = owner.permits().values()
+    time.now += 0.5
+    step = messages.Step("first", cached, True, 0.0)
+    shard.progress(messages.Progress(shard.name, [step]))
+    policy.learn(fakes.release("first", cached))
+    shard.drop("first")
+    shard.limits.answered(cached, 0, 0.5)
+    shard.add(fakes.demand("second", prompt=prompt), owner)
+    policy.serve()
+    assert owner.permits()["second"] != cached
