--- a/packages/daemon/cassiaquay_daemon/decisions/server_limits.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/server_limits.py
@@ -158,7 +158,13 @@
         return self._set(server, limit)
 
     def retain(self, listed: frozenset[str]) -> None:
-        """Forget all servers that are not in the list, now and in later reports."""
+        """Forget all servers that are not in the list, now and in later reports.
+
+        An empty list does nothing: an instance that has just started has no list yet,
+        and the limits that it receives meanwhile are to be kept.
+        """
+        if not listed:
+            return
         self._listed = listed
         for server in [server for server in self._limits if server not in listed]:
             del self._limits[server]
--- a/packages/dev/cassiaquay_dev/soak/engines.py
+++ b/packages/dev/cassiaquay_dev/soak/engines.py
@@ -47,6 +47,10 @@
         self.service = service
         self.faulty_share = 0.0
         self.slowdown = 1.0
+        # Requests a second that its answers name, 0 for no limit, and when it was named
+        # first.
+        self.limit = 0.0
+        self.limited_at = 0.0
         self._recorded = recorded
         self._rng = rng
         self._on_crash = on_crash
@@ -94,7 +98,7 @@
             return
         if fault == "error":
             run.status = 500
-            await raw_servers.send(writer, 500, b"failed", _seal_headers(run))
+            await raw_servers.send(writer, 500, b"failed", self._answer_headers(run))
             return
         if fault == "silent":
             await asyncio.sleep(60.0)
@@ -108,21 +112,32 @@
         if fault == "truncate":
             head = f"HTTP/1.1 200 X\r\nContent-Length: {len(body)}\r\n"
             head += "".join(
-                f"{name}: {value}\r\n" for name, value in _seal_headers(run).items()
+                f"{name}: {value}\r\n"
+                for name, value in self._answer_headers(run).items()
             )
             writer.write(f"{head}\r\n".encode() + body[:-3])
             await writer.drain()
             writer.close()
             return
-        await raw_servers.send(writer, 200, body, _seal_headers(run))
+        await raw_servers.send(writer, 200, body, self._answer_headers(run))
         if fault == "extra":
             writer.write(b"HTTP/1.1 200 X\r\nContent-Length: 5\r\n\r\nextra")
 
+    def _answer_headers(self, run: records.Run) -> dict[str, str]:
+        headers = {
+            "Cassiaquay-Attempt-Id": run.request.attempt,
+            "Cassiaquay-Response-Seal": run.seal,
+        }
+        if self.limit:
+            headers["Server-Limit"] = f"{self.limit:.1f}"
+            self.limited_at = self.limited_at or records.now()
+        return headers
+
     async def _stream(
         self, run: records.Run, writer: raw_servers.Writer, fault: str
     ) -> None:
         head = "".join(
-            f"{name}: {value}\r\n" for name, value in _seal_headers(run).items()
+            f"{name}: {value}\r\n" for name, value in self._answer_headers(run).items()
         )
         head = f"HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n{head}\r\n"
         writer.write(head.encode())
@@ -155,10 +170,3 @@
 def event_of(attempt: str, number: int) -> bytes:
     """Return event ``number`` of the streamed answer to an attempt."""
     return b"id: %d\ndata: piece %d of %b\n\n" % (number, number, attempt.encode())
-
-
-def _seal_headers(run: records.Run) -> dict[str, str]:
-    return {
-        "Cassiaquay-Attempt-Id": run.request.attempt,
-        "Cassiaquay-Response-Seal": run.seal,
-    }
--- a/packages/dev/cassiaquay_dev/soak/faults.py
+++ b/packages/dev/cassiaquay_dev/soak/faults.py
@@ -23,7 +23,7 @@
 ALL = "all"
 # Run only when named by `only` or `also`: adding them to the usual faults would change
 # the faults that the kept seeds reproduce.
-EXPLICIT_ONLY = ("crashing_request",)
+EXPLICIT_ONLY = ("crashing_request", "engine_limit")
 # Longest pause between planned stops of several daemons, as an operator leaves one.
 MAX_ROLLING_PAUSE_SECONDS = 0.7
 DRAIN_SECONDS = 2.0
@@ -284,3 +284,19 @@
     deployment.recorded.active_crashing_targets.add(path)
     await asyncio.sleep(rng.uniform(4.0, 10.0))
     deployment.recorded.active_crashing_targets.discard(path)
+
+
+@faults.register("engine_limit")
+async def engine_limit(deployment: site.Site, rng: random.Random) -> None:
+    """Let an engine name a limit in its answers for a while."""
+    engine = deployment.engines[rng.choice(sorted(deployment.engines))]
+    if engine.limit:
+        return
+    engine.limit = round(rng.uniform(0.5, 6.0), 1)
+    engine.limited_at = 0.0
+    await asyncio.sleep(rng.uniform(8.0, 11.0))
+    if engine.limited_at:
+        deployment.recorded.limits.append(
+            records.Named(engine.name, engine.limit, engine.limited_at, records.now())
+        )
+    engine.limit = 0.0
--- a/packages/dev/cassiaquay_dev/soak/records.py
+++ b/packages/dev/cassiaquay_dev/soak/records.py
@@ -101,6 +101,15 @@
     services: dict[str, str]
 
 
+class Named(typing.NamedTuple):
+    """A limit of an engine: requests a second, and when it held."""
+
+    engine: str
+    rate: float
+    start: float
+    end: float
+
+
 class Records:
     """Everything that one soak recorded."""
 
@@ -116,6 +125,8 @@
         # Targets of requests that crash engines; callers send the active ones.
         self.crashing_targets: set[str] = set()
         self.active_crashing_targets: set[str] = set()
+        # Limits that engines have named, each from its first answer on.
+        self.limits: list[Named] = []
         self.protocol_errors: list[str] = []
         self.unexpected_exits: list[str] = []
         self.faults_ended_at = FOREVER
--- a/tests/test_limit_reports.py
+++ b/tests/test_limit_reports.py
@@ -130,6 +130,8 @@
     limits.retain(frozenset([SERVER]))
     limits.answered(SERVER, 0, 4.0)
     limits.retain(frozenset())
+    assert limits.is_limited(SERVER), "an instance without a list keeps what it hears"
+    limits.retain(frozenset(["e2"]))
     assert limits.digest == 0
     assert not limits.learn(SERVER, server_limits.Limit(3, 4.0))
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -212,6 +212,14 @@
         run.at = START + 2.0 * number
 
 
+def _more_arrivals_than_a_named_limit(recorded: records.Records) -> None:
+    recorded.limits.append(records.Named("i-0", 1.0, START - 4.0, START + 8.0))
+    for number in range(12):
+        attempt = _add_attempt(recorded, "safe")
+        run = _add_run(recorded, attempt, "i-0")
+        run.at = START + 0.25 * number
+
+
 @pytest.mark.parametrize(
     ("check", "violate"),
     [
@@ -238,6 +246,7 @@
         ("gone", _work_after_disconnect),
         ("recovered", _nothing_served_after_faults),
         ("crashing", _crashing_request_resent),
+        ("limit", _more_arrivals_than_a_named_limit),
     ],
 )
 def test_check_detects_its_violation(check: str, violate) -> None:
