--- a/packages/dev/cassiaquay_dev/lab/batching.py
+++ b/packages/dev/cassiaquay_dev/lab/batching.py
@@ -38,7 +38,10 @@
         self.produced = 0
         self.on_event = on_event
         self.ended: asyncio.Future[None]
+        self.started: asyncio.Future[None]
         self.ended = asyncio.get_running_loop().create_future()
+        # Set with the first event.
+        self.started = asyncio.get_running_loop().create_future()
 
 
 class Engine:
@@ -117,6 +120,8 @@
                 continue
             run.produced += 1
             run.on_event()
+            if not run.started.done():
+                run.started.set_result(None)
             if run.produced >= run.events:
                 self._running.remove(run)
                 if not run.ended.done():
--- a/packages/dev/cassiaquay_dev/lab/days.py
+++ b/packages/dev/cassiaquay_dev/lab/days.py
@@ -93,6 +93,27 @@
     kind: str = ""
 
 
+class ServerLimit(
+    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
+):
+    """A limit that some engines name in their answers for a while.
+
+    Attributes
+    ----------
+    at, seconds : float
+        Start, counted from the start of the load, and duration.
+    count : int
+        Number of engines that name it, the first ones in order of their names.
+    per_second : float
+        Requests a second that each of them takes from all instances.
+    """
+
+    at: float
+    seconds: float
+    count: int
+    per_second: float
+
+
 class Day(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
     """A simulated scenario.
 
@@ -117,6 +138,8 @@
         Kinds of request by name.
     bursts : list of Burst
         Bursts in any order.
+    limits : list of ServerLimit
+        Limits of engines, in any order.
     """
 
     instances: int
@@ -130,6 +153,7 @@
     caller_ms: float = 3.0
     hint_spread: float = 0.5
     bursts: list[Burst] = []
+    limits: list[ServerLimit] = []
 
 
 def read(name: str) -> Day:
--- a/packages/dev/cassiaquay_dev/lab/instances.py
+++ b/packages/dev/cassiaquay_dev/lab/instances.py
@@ -6,7 +6,8 @@
 
 from cassiaquay_daemon import pause, rendezvous
 from cassiaquay_daemon.configured import routing, snapshots
-from cassiaquay_daemon.decisions import objectives
+from cassiaquay_daemon.decisions import objectives, server_limits
+from cassiaquay_daemon.fleet import limit_reports
 from cassiaquay_daemon.gateway import admission, calls
 from cassiaquay_daemon.keepers import demands, keeper
 from cassiaquay_daemon.platform import headers
@@ -65,8 +66,16 @@
         links = typing.cast(typing.Any, network.links[name])
         known = typing.cast(typing.Any, configured)
         self.pauses = pause.Pauses(pause.shortest_lease(settings))
-        self.keeper = keeper.Keeper(settings, links, members, known, self.pauses)
-        self.demands = demands.Demands(settings, links, members, self.keeper)
+        self.server_limits = server_limits.ServerLimits(settings)
+        self.limit_reports = limit_reports.LimitReports(
+            self.server_limits, links, members
+        )
+        self.keeper = keeper.Keeper(
+            settings, links, members, known, self.pauses, self.server_limits
+        )
+        self.demands = demands.Demands(
+            settings, links, members, self.keeper, self.limit_reports
+        )
         self.admission = admission.Admission(
             self.demands, members, self.keeper.rate_limits
         )
--- a/packages/dev/cassiaquay_dev/lab/simulated_network.py
+++ b/packages/dev/cassiaquay_dev/lab/simulated_network.py
@@ -5,11 +5,14 @@
 """
 
 import asyncio
+import collections
 import collections.abc
 import typing
 
 from cassiaquay_daemon import rendezvous
+from cassiaquay_daemon.fleet import failure_detector
 from cassiaquay_schema import messages
+from cassiaquay_schema import settings as settings_schema
 
 Handler = collections.abc.Callable[["Channel", typing.Any], None]
 # Minimum time between messages of a channel, so that they arrive in order.
@@ -17,11 +20,27 @@
 
 
 class Links:
-    """Message handlers of one instance, registered by its roles."""
+    """Message handlers of one instance, registered by its roles.
 
-    def __init__(self) -> None:
+    Parameters
+    ----------
+    network : Network
+        All instances.
+    instance : str
+        Name of the instance.
+    """
+
+    def __init__(self, network: "Network", instance: str):
         self.handlers: dict[type, Handler] = {}
         self.received = 0
+        # Messages received by type, for measurements.
+        self.received_by_kind: collections.Counter[type] = collections.Counter()
+        self._network = network
+        self._instance = instance
+
+    def link(self, instance: str, address: str) -> "Channel":
+        """Return the channel to an instance."""
+        return self._network.channel(self._instance, instance)
 
     def on(self, kind: type, handler: Handler) -> None:
         """Register the handler for messages of one type."""
@@ -62,6 +81,7 @@
     def _deliver(self, message: messages.Message) -> None:
         links = self._network.links[self.instance]
         links.received += 1
+        links.received_by_kind[type(message)] += 1
         handler = links.handlers.get(type(message))
         if handler is not None:
             handler(self._network.channel(self.instance, self._source), message)
@@ -86,7 +106,7 @@
 
     def __init__(self, zones: dict[str, str], crossing_seconds: float):
         self.zones = zones
-        self.links = {name: Links() for name in zones}
+        self.links = {name: Links(self, name) for name in zones}
         self.members = [LiveInstance(name) for name in zones]
         self._crossing_seconds = crossing_seconds
         self._channels: dict[tuple[str, str], Channel] = {}
@@ -125,6 +145,8 @@
 
     def __init__(self, network: Network, instance: str):
         self.listed: dict[str, typing.Any] = {}
+        self.limits_digest: collections.abc.Callable[[], int] = int
+        self._neighbour_count = settings_schema.Membership().neighbours
         self._network = network
         self._instance = instance
 
@@ -150,5 +172,14 @@
             return None
         return self._network.channel(self._instance, instance)
 
+    def neighbours(self) -> dict[str, str]:
+        """Return the addresses of the instances that this one sends heartbeats to."""
+        others = [name for name in self._network.zones if name != self._instance]
+        ranked = failure_detector.rank(self._instance, others)
+        return {name: name for name in ranked[: self._neighbour_count]}
+
+    def on_heartbeat(self, call: collections.abc.Callable[..., None]) -> None:
+        """Do nothing: no message is ever lost, so heartbeats would repair nothing."""
+
     def on_change(self, call: collections.abc.Callable[[], None]) -> None:
         """Do nothing: membership never changes."""
--- a/packages/dev/cassiaquay_dev/lab/simulation.py
+++ b/packages/dev/cassiaquay_dev/lab/simulation.py
@@ -7,12 +7,15 @@
 
 from cassiaquay_daemon import clock, exceptions
 from cassiaquay_daemon.gateway import admission, calls
+from cassiaquay_schema import messages
 
 from . import batching, days, instances, simulated_network, traffic
 
 # Lets instances discover each other and all shards open before the load begins.
 WARM_UP_SECONDS = 3.0
 SAMPLE_SECONDS = 0.1
+# Precision of the times at which instances learn of a limit.
+WATCH_SECONDS = 0.001
 # A refused caller retries once.
 MAX_ATTEMPTS = 2
 IN_TIME, LATE, REFUSED, ABANDONED = "in time", "late", "refused", "left"
@@ -61,6 +64,21 @@
     waiting: int
 
 
+class Arrival(typing.NamedTuple):
+    """The arrival of a request at an engine.
+
+    Attributes
+    ----------
+    engine : str
+        Name of the engine.
+    at : float
+        Seconds from the start of the load.
+    """
+
+    engine: str
+    at: float
+
+
 class DayResult(typing.NamedTuple):
     """The result of a simulated day.
 
@@ -74,12 +92,21 @@
         Times of refused attempts, in seconds from the start of the load.
     received : int
         Number of messages received by instances.
+    arrivals : list of Arrival
+        Arrivals at all engines, in order of time.
+    limits_known_at : list of float
+        Times at which instances learned of the first limit, in order of time.
+    limit_messages : int
+        Number of messages about limits that instances received.
     """
 
     ended: list[EndedRequest]
     samples: list[Sample]
     refused_at: list[float]
     received: int
+    arrivals: list[Arrival]
+    limits_known_at: list[float]
+    limit_messages: int
 
 
 class Fleet:
@@ -98,6 +125,8 @@
         self.ended: list[EndedRequest] = []
         self.samples: list[Sample] = []
         self.refused_at: list[float] = []
+        self.arrivals: list[Arrival] = []
+        self.limits_known_at: list[float] = []
         self._load_started_at = 0.0
         self._rng = random.Random(seed)
         self._snapshot = instances.snapshot(day)
@@ -122,13 +151,16 @@
             instance.start()
         await asyncio.sleep(WARM_UP_SECONDS)
         load_started_at = self._load_started_at = clock.now()
-        sampler = asyncio.create_task(self._sample())
+        watchers = [asyncio.create_task(self._sample())]
+        if self.day.limits:
+            watchers.append(asyncio.create_task(self._watch_first_limit()))
         callers = []
         for request in requests:
             await asyncio.sleep(max(load_started_at + request.at - clock.now(), 0.0))
             callers.append(asyncio.create_task(self._run_caller(request)))
         await asyncio.gather(*callers)
-        sampler.cancel()
+        for watcher in watchers:
+            watcher.cancel()
 
     async def _run_caller(self, request: traffic.Request) -> None:
         """Send a request, and retry once if it is refused with a usable Retry-After."""
@@ -177,21 +209,48 @@
         monitor: "_LatenessMonitor",
     ) -> None:
         ticket = await instance.admission.obtain(attempt, 1, [], [])
+        server = ticket.server.name
         run = batching.Run(
             request.prompt_tokens, request.events, _event_recorder(ticket, monitor)
         )
-        engine = self.engines[ticket.server.name]
+        engine = self.engines[server]
         sent_at = clock.now()
+        version = instance.limit_reports.version(server)
+        self.arrivals.append(Arrival(server, sent_at - self._load_started_at))
         instance.admission.report_dispatched(ticket)
         engine.submit(run)
         outcome = "cut"
         try:
+            if self.day.limits:
+                await run.started
+                rate = self._named_limit(server)
+                instance.limit_reports.answered(server, version, rate)
             await run.ended
             outcome = "completed"
         finally:
             engine.cancel(run)
             instance.admission.report_ended(ticket, sent_at, outcome)
 
+    def _named_limit(self, server: str) -> float | None:
+        """Return the limit that an engine names now."""
+        now = clock.now() - self._load_started_at
+        for limit in self.day.limits:
+            if not limit.at <= now < limit.at + limit.seconds:
+                continue
+            if server in list(self.engines)[: limit.count]:
+                return limit.per_second
+        return None
+
+    async def _watch_first_limit(self) -> None:
+        """Record when each instance learns of its first limit."""
+        while len(self.limits_known_at) < len(self.instances):
+            knowing = 0
+            for instance in self.instances:
+                knowing += bool(instance.server_limits.digest)
+            now = clock.now() - self._load_started_at
+            self.limits_known_at += [now] * (knowing - len(self.limits_known_at))
+            await asyncio.sleep(WATCH_SECONDS)
+
     async def _sample(self) -> None:
         factors = [engine.time_factor for engine in self.engines.values()]
         mean_factor = sum(factors) / len(factors)
@@ -258,5 +317,16 @@
     random.seed(seed)
     fleet = Fleet(day, seed)
     await fleet.play(traffic.build(day, seed))
-    received = sum(links.received for links in fleet.network.links.values())
-    return DayResult(fleet.ended, fleet.samples, fleet.refused_at, received)
+    received = limit_messages = 0
+    for links in fleet.network.links.values():
+        received += links.received
+        limit_messages += links.received_by_kind[messages.ServerLimits]
+    return DayResult(
+        fleet.ended,
+        fleet.samples,
+        fleet.refused_at,
+        received,
+        fleet.arrivals,
+        fleet.limits_known_at,
+        limit_messages,
+    )
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -1,6 +1,7 @@
 """The lab: validation of days, virtual time, reproducibility and ablation."""
 
 import asyncio
+import bisect
 
 import msgspec
 import pytest
@@ -12,12 +13,14 @@
     ablation,
     batching,
     days,
+    instances,
     mechanisms,
     simulation,
     traffic,
     virtual_time,
 )
 from cassiaquay_schema import exceptions
+from cassiaquay_schema import settings as settings_schema
 
 SMALL_DAY = msgspec.structs.replace(
     days.read("burst"), instances=8, seconds=2.0, load=0.2
@@ -140,3 +143,23 @@
     with pytest.raises(SystemExit):
         lab.main("burst", without="nothing")
     assert "kept-slots" in capsys.readouterr().err
+
+
+def test_all_instances_keep_to_the_limits_that_engines_name() -> None:
+    """Guards against limits that spread too slowly or that a keeper exceeds."""
+    day = msgspec.structs.replace(days.read("limits"), instances=24)
+    found = virtual_time.run(simulation.play(day, 1))
+    [limit] = day.limits
+    known_at = found.limits_known_at
+    assert len(known_at) == day.instances
+    assert known_at[-1] - known_at[0] < 0.1
+    settings = settings_schema.Keeper()
+    window = settings.limit_window_seconds
+    bound = limit.per_second * window * settings.limit_excess + settings.limit_slack
+    for number in range(limit.count):
+        name = instances.engine_name(number)
+        arrivals = [item.at for item in found.arrivals if item.engine == name]
+        for first, start in enumerate(arrivals):
+            if limit.at + 0.5 <= start and start + window <= limit.at + limit.seconds:
+                assert bisect.bisect(arrivals, start + window) - first <= bound
+    assert simulation.worth(found.ended) > 0.9
