Compute the flows of a limited server once in each pass

Each look at a budget asked the membership for the reachable share, which lists all instances; a limit can last much longer than a cold start. The flows are now taken when a pass looks the server up. No decision changes.

--- a/packages/daemon/cassiaquay_daemon/decisions/rate_budgets.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/rate_budgets.py
@@ -69,16 +69,9 @@
 
 
 class RateBudget:
-    """The requests that one keeper may still grant to one limited server.
+    """The requests that one keeper may still grant to one limited server."""
 
-    Parameters
-    ----------
-    share : callable
-        Returns the share of the fleet's instances that this keeper can reach.
-    """
-
-    def __init__(self, share: collections.abc.Callable[[], float]):
-        self._share = share
+    def __init__(self) -> None:
         self._flows: dict[str, buckets.Flow] = {}
         self._buckets: dict[str, buckets.Bucket] = {}
 
@@ -91,28 +84,35 @@
     def available(self) -> int:
         """Number of requests that may be granted now."""
         levels = []
-        for key, flow in self._scaled_flows().items():
+        for key, flow in self._flows.items():
             levels.append(int(self._buckets[key].level(flow)))
         return min(levels)
 
-    def adopt(self, flows: dict[str, buckets.Flow]) -> None:
-        """Use the current flows, one for each source; a new one starts empty."""
+    def adopt(self, flows: dict[str, buckets.Flow], share: float) -> None:
+        """Use the current flows, one for each reason; a new one starts empty.
+
+        ``share`` is that of the fleet's instances which this keeper can reach.
+        """
         for key in [key for key in self._buckets if key not in flows]:
             del self._buckets[key]
-        for key in flows:
+        self._flows = {}
+        for key, flow in flows.items():
             if key not in self._buckets:
                 self._buckets[key] = buckets.Bucket(clock.now())
-        self._flows = flows
+            scaled = flow.scaled(share)
+            # With a depth under one request, nothing could ever be granted.
+            depth = max(scaled.depth, min(flow.depth, 1.0))
+            self._flows[key] = scaled._replace(depth=depth)
 
     def use(self) -> None:
         """Spend one grant."""
-        for key, flow in self._scaled_flows().items():
+        for key, flow in self._flows.items():
             self._buckets[key].spend(1.0, flow)
 
     def waits(self, count: int) -> list[float]:
         """Return the seconds until each of the next ``count`` grants is allowed."""
         waits = [0.0] * count
-        for key, flow in self._scaled_flows().items():
+        for key, flow in self._flows.items():
             if not flow.rate or flow.depth < 1.0:
                 return []
             level = self._buckets[key].level(flow)
@@ -121,15 +121,6 @@
                 waits[number] = max(waits[number], seconds)
         return waits
 
-    def _scaled_flows(self) -> dict[str, buckets.Flow]:
-        share = self._share()
-        flows: dict[str, buckets.Flow] = {}
-        for key, flow in self._flows.items():
-            scaled = flow.scaled(share)
-            # With a depth under one request, nothing could ever be granted.
-            flows[key] = scaled._replace(depth=max(scaled.depth, min(flow.depth, 1.0)))
-        return flows
-
 
 class RateBudgets:
     """The budgets of one shard's keeper for its limited servers.
@@ -160,8 +151,8 @@
             return None
         budget = self._budgets.get(server)
         if budget is None:
-            budget = self._budgets[server] = RateBudget(self.reachable_share)
-        budget.adopt(flows)
+            budget = self._budgets[server] = RateBudget()
+        budget.adopt(flows, self.reachable_share())
         return budget
 
     def allows(self, server: str) -> bool:
--- a/packages/daemon/cassiaquay_daemon/decisions/server_limits.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/server_limits.py
@@ -106,7 +106,7 @@
         """Return the names of the servers whose limits are in force."""
         return sorted(name for name in self._limits if self.is_limited(name))
 
-    def all(self) -> dict[str, Limit]:
+    def entries(self) -> dict[str, Limit]:
         """Return all limits by server, ended ones included."""
         return dict(self._limits)
 
--- a/packages/daemon/cassiaquay_daemon/fleet/limit_reports.py
+++ b/packages/daemon/cassiaquay_daemon/fleet/limit_reports.py
@@ -60,7 +60,7 @@
 
     def snapshot(self) -> messages.ServerLimits | None:
         """Return a message with all limits; None when there are none."""
-        servers = self._limits.all()
+        servers = self._limits.entries()
         return self._message(servers) if servers else None
 
     def version(self, server: str) -> int:
