Test permits from before a limit, and limits that cannot be read

The tests with daemons reach the limited server by bursts: sent one by one, the requests all went to the other, idle server in one run at a load of 9, and the test ran into its time limit (a wait in the test, nothing in the daemon).

--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -30,6 +30,10 @@
         """Return three members."""
         return [None] * 3
 
+    def fleet_size(self) -> int:
+        """Return the number of owners, all of which are alive."""
+        return len(self.owners)
+
 
 class Configured(fakes.Configured):
     """A configuration with two servers of three slots each."""
@@ -119,6 +123,72 @@
     _run(work)
 
 
+def test_uncharged_permit_for_a_limited_server_is_returned() -> None:
+    """Guards against a limit that a keeper which has just started does not know."""
+
+    async def work(site: Site) -> None:
+        limits = mock.Mock(is_limited=lambda server: server == "i-2")
+        site.demands._limits = limits
+        asking = site.obtain(1)
+        await asyncio.sleep(0.01)
+        [demand] = site.keeper.sent
+        permit = messages.Permit("a1", "i-2", 1500, demand.shard)
+        site.demands.answer(site.keeper, permit)
+        limits.send_to.assert_called_once_with(site.keeper, "i-2")
+        kinds = [type(message) for message in site.keeper.sent]
+        assert kinds == [messages.Demand, messages.Withdraw, messages.Demand]
+        site.demands.answer(site.keeper, permit._replace(is_charged=True))
+        ticket = await asking
+        assert ticket.is_charged
+
+    _run(work)
+
+
+def test_own_uncharged_permit_for_a_limited_server_is_granted_anew() -> None:
+    """The limit became known between this instance's grant and the permit's use."""
+
+    async def work(site: Site) -> None:
+        site.members.keeper = "cq-1"
+        local = site.demands._keeper
+        site.demands._limits = mock.Mock(is_limited=local.limits.is_limited)
+        asking = site.obtain(1)
+        await asyncio.sleep(0.01)
+        for server in ("i-1", "i-2"):
+            local.limits.answered(server, 0, 50.0)
+        permit = messages.Permit("a1", "i-2", 1500, "chat#0")
+        site.demands.answer(site.demands._local, permit)
+        assert not asking.done()
+        assert "a1" in local.shards["chat#0"].queue
+        while not asking.done():
+            local.tick_once()
+            await asyncio.sleep(0.01)
+        assert asking.result().is_charged
+
+    _run(work)
+
+
+def test_limit_named_after_the_permit_stops_the_request_before_its_first_byte() -> None:
+    """Guards against permits from before a limit that are used after it."""
+
+    async def work(site: Site) -> None:
+        parts = mock.Mock()
+        parts.crashes.holds.return_value = False
+        parts.limits.is_limited = lambda server: server == "i-2"
+        state = progress.RequestState(site.call(1))
+        parts.configured.current = state.call.snapshot
+        handler = serving.RequestHandler(parts)
+        server = state.call.snapshot.open_server("chat", "i-2")
+        until = state.call.deadline
+        ticket = admission.Ticket(
+            mock.Mock(), server, until, admission.Tally(), False, False
+        )
+        with pytest.raises(exceptions.LimitNotCharged):
+            handler._check_before_sending(state, ticket)
+        handler._check_before_sending(state, ticket._replace(is_charged=True))
+
+    _run(work)
+
+
 def test_request_is_admitted_locally_while_keeper_is_silent() -> None:
     """The keeper's process is paused: its connection is open, but it sends nothing.
 
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -5,6 +5,7 @@
 import re
 
 import hypothesis
+import multidict
 import pytest
 from hypothesis import strategies
 
@@ -232,6 +233,7 @@
         (b"kv-from", b"1.2.3.4:5/x"),
         (b"kv-fetch", b"1.2.3.4:5"),
         (b"cassiaquay-expect-instance", b"i-x"),
+        (b"server-limit", b"0"),
         (b"transfer-encoding", b"chunked"),
         (b"connection", b"x-private, cassiaquay-model"),
         (b"x-private", b"1"),
@@ -246,6 +248,7 @@
     assert names.count("cassiaquay-expect-instance") == 1
     for name in ("api-key", "x-private", "kv-from", "kv-fetch", "cassiaquay-hold"):
         assert name not in names
+    assert "server-limit" not in names
     # Headers that identify the request stay, even if listed in Connection.
     assert values["cassiaquay-model"] == "m"
     assert values["cassiaquay-attempt-id"] == "9c41d07be2a35f68"
@@ -254,6 +257,24 @@
     assert "Cassiaquay-Tenant" not in resumed
 
 
+@pytest.mark.parametrize(
+    ("values", "limit"),
+    [([], None), (["3.9"], 3.9), (["0"], 0.0), (["4", "2.5"], 2.5), ([" 7 "], 7.0)],
+)
+def test_limit_header_is_decoded(values: list[str], limit: float | None) -> None:
+    pairs = [("Server-Limit", value) for value in values]
+    found = multidict.CIMultiDictProxy(multidict.CIMultiDict(pairs))
+    assert headers.server_limit(found) == limit
+
+
+@pytest.mark.parametrize("value", ["", "many", "-1", "nan", "inf", "1e999", "1,5"])
+def test_unreadable_limit_header_is_reported(value: str) -> None:
+    pairs = [("server-limit", value), ("server-limit", "3")]
+    found = multidict.CIMultiDictProxy(multidict.CIMultiDict(pairs))
+    with pytest.raises(ValueError):
+        headers.server_limit(found)
+
+
 @hypothesis.given(strategies.binary(max_size=60), strategies.binary(max_size=60))
 def test_arbitrary_header_values_raise_nothing(counts: bytes, prefix: bytes) -> None:
     parsed = headers.read(
--- a/tests/test_server_limits.py
+++ b/tests/test_server_limits.py
@@ -20,6 +20,8 @@
 PROPAGATION_SECONDS = 1.0
 # Long enough that the other server is busy, so that placement uses both.
 ANSWER_SECONDS = 0.1
+# More than one server has slots for.
+BURST_REQUESTS = 6
 
 
 class LimitedServer:
@@ -58,6 +60,23 @@
     await standins.send_complete_answer(request, writer)
 
 
+async def _reach(
+    site: fakes.Site, limited: LimitedServer
+) -> list[fakes.CallerResponse]:
+    """Send requests until the limited server has answered; return the last answers.
+
+    They come in bursts that one server has no room for: of two idle ones, the same
+    could be chosen each time.
+    """
+    arrival_count = len(limited.arrivals)
+    answers: list[fakes.CallerResponse] = []
+    while len(limited.arrivals) == arrival_count:
+        burst = [site.ask("/safe/x", "GET", b"") for _ in range(BURST_REQUESTS)]
+        answers = await asyncio.gather(*burst)
+        assert {answer.status for answer in answers} == {200}
+    return answers
+
+
 async def _send_for(site: fakes.Site, seconds: float, per_second: float) -> list[int]:
     """Send requests to all daemons in turn at a steady rate; return the statuses."""
     tasks = []
@@ -73,8 +92,7 @@
 
     async def work(site: fakes.Site) -> None:
         limited = LimitedServer(site)
-        while not limited.arrivals:
-            await site.ask("/safe/x", "GET", b"")
+        await _reach(site, limited)
         since = clock.now() + PROPAGATION_SECONDS
         statuses = await _send_for(site, PROPAGATION_SECONDS + WINDOW_SECONDS, 30.0)
         assert set(statuses) == {200}, "the other server has room"
@@ -88,8 +106,7 @@
 
     async def work(site: fakes.Site) -> None:
         limited = LimitedServer(site)
-        while not limited.arrivals:
-            await site.ask("/safe/x", "GET", b"")
+        await _reach(site, limited)
         peer = f"127.0.0.1:{ports.free_port()}"
         await site.add("cq-2", peer, [*site.settings[0].seeds, peer])
         await site.until_ready(site.settings[1])
@@ -99,3 +116,21 @@
         assert 0 < limited.max_arrivals(since) <= BOUND
 
     fakes.run(work)
+
+
+def test_unreadable_limit_changes_nothing_and_the_answer_is_delivered() -> None:
+    """Guards against an answer that is lost, or a limit that ends, by a bad header."""
+
+    async def work(site: fakes.Site) -> None:
+        limited = LimitedServer(site)
+        limits = site.daemons[0]._server_limits
+        await _reach(site, limited)
+        before = limits.entries()
+        assert before
+        limited.limit = "many"
+        answers = await _reach(site, limited)
+        named = [answer.headers.get("server-limit") for answer in answers]
+        assert "many" in named, "the answer is passed on as the server gave it"
+        assert limits.entries() == before
+
+    fakes.run(work)
