--- a/packages/dev/cassiaquay_dev/soak/faults.py
+++ b/packages/dev/cassiaquay_dev/soak/faults.py
@@ -242,7 +242,8 @@
     deployment.recorded.leaving_since[name] = records.now()
     if rng.random() < 0.7:
         deployment.write_entry(name, "draining")
-    else:
+    elif f"servers/{name}" in deployment.store.items:
+        # Unless the entry has expired while the store was down.
         deployment.store.remove(f"servers/{name}")
     await asyncio.sleep(DRAIN_SECONDS + rng.uniform(1.0, 4.0))
     with _Disturbance(deployment, name):
