--- a/packages/daemon/cassiaquay_daemon/fleet/limit_reports.py
+++ b/packages/daemon/cassiaquay_daemon/fleet/limit_reports.py
@@ -1,12 +1,11 @@
 """Exchanges the limits that servers name between instances."""
 
 import collections.abc
-import typing
 
 from cassiaquay_schema import messages
 
 from .. import logs
-from ..decisions import server_limits
+from ..decisions import server_limits, shards
 from ..links import peers
 from . import members, replication
 
@@ -14,13 +13,6 @@
 LONG_SECONDS = 60.0
 
 
-class Receiver(typing.Protocol):
-    """A link to an instance."""
-
-    def send(self, message: messages.Message) -> bool:
-        """Send a message; return False when it cannot be sent."""
-
-
 class LimitReports:
     """Keeps the server limits of all instances in sync.
 
@@ -83,7 +75,7 @@
             self._unreadable.add(server)
             logs.trouble("server_limit_unreadable", server=server, cause=cause)
 
-    def send_to(self, link: Receiver, server: str) -> None:
+    def send_to(self, link: shards.Replier, server: str) -> None:
         """Send a server's limit to one instance."""
         link.send(self._message([server]))
 
