Log answers in which a server says that it leaves or asks for a pause

An answer's headers are now decoded into one typed value by the platform's adapter, and event=server_signals names what the answer says.

--- a/packages/daemon/cassiaquay_daemon/gateway/forwarding.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/forwarding.py
@@ -8,8 +8,8 @@
 
 from cassiaquay_schema import fleet
 
-from .. import exceptions
-from ..adapters import breaks
+from .. import exceptions, logs
+from ..adapters import breaks, signals
 from ..platform import headers
 from . import calls
 
@@ -22,6 +22,7 @@
 WRONG_SERVER_STATUS = 421
 FIRST_SERVER_ERROR_STATUS = 500
 
+NO_SIGNALS = signals.Signals()
 BeforeSending = collections.abc.Callable[[], None]
 
 
@@ -36,14 +37,14 @@
         HTTP status.
     headers : list of pairs
         Headers to send to the caller.
-    server_limit : float or None
-        Requests per second to which the server limits the fleet, if it names a limit.
+    reported : Signals
+        What it says about the server.
     """
 
     response: aiohttp.ClientResponse
     status: int
     headers: list[tuple[bytes, bytes]]
-    server_limit: float | None = None
+    reported: signals.Signals = NO_SIGNALS
 
     @property
     def is_failure(self) -> bool:
@@ -134,42 +135,50 @@
             raise exceptions.Unreachable(repr(error)) from error
         except (TimeoutError, aiohttp.ClientError, OSError, ValueError) as error:
             raise breaks.to_stream_interrupted(error) from error
-        server_limit = self._report_limit(call, server, limit_version, response)
+        found = _read_signals(call, response)
+        if found is not None:
+            self._report_signals(call, server, limit_version, response, found)
         try:
             answer = self._check_answer(call, response)
         except exceptions.BackendError:
             response.close()
             raise
-        return answer._replace(server_limit=server_limit)
+        return answer._replace(reported=found or NO_SIGNALS)
 
     async def close(self) -> None:
         """Close all connections."""
         await self._http.close()
 
-    def _report_limit(
+    def _report_signals(
         self,
         call: calls.Call,
         server: fleet.Server,
         sent_version: int,
         response: aiohttp.ClientResponse,
-    ) -> float | None:
-        """Report and return the limit that an answer names; None for no limit."""
-        is_declined = headers.NOT_EXECUTED in response.headers
-        if response.status == WRONG_SERVER_STATUS:
-            return None
-        if not is_declined and not _is_answer_to(call, response):
-            return None
-        try:
-            rate = headers.server_limit(response.headers)
-        except ValueError as error:
-            self._limits.unreadable(server.name, str(error))
-            return None
-        is_failure = is_declined or response.status >= FIRST_SERVER_ERROR_STATUS
+        found: signals.Signals,
+    ) -> None:
+        if found.is_leaving or found.retry_after is not None:
+            logs.event(
+                "server_signals",
+                id=call.parsed.attempt,
+                server=server.name,
+                status=response.status,
+                leaving=found.is_leaving or None,
+                retry_after_s=found.retry_after,
+            )
+        if headers.SIGNALS.limit in found.unreadable:
+            self._limits.unreadable(
+                server.name, f"limit {found.unreadable[headers.SIGNALS.limit]!r}"
+            )
+            return
         # A failure may come without the headers of a regular answer: only a success
         # shows that the limit has ended.
-        if rate is not None or not is_failure:
-            self._limits.answered(server.name, sent_version, rate)
-        return rate
+        is_failure = (
+            headers.NOT_EXECUTED in response.headers
+            or response.status >= FIRST_SERVER_ERROR_STATUS
+        )
+        if found.limit is not None or not is_failure:
+            self._limits.answered(server.name, sent_version, found.limit)
 
     def _check_answer(
         self, call: calls.Call, response: aiohttp.ClientResponse
@@ -186,6 +195,18 @@
         )
 
 
+def _read_signals(
+    call: calls.Call, response: aiohttp.ClientResponse
+) -> signals.Signals | None:
+    """Return the signals of an answer; None if it may be another server's."""
+    if response.status == WRONG_SERVER_STATUS:
+        return None
+    is_declined = headers.NOT_EXECUTED in response.headers
+    if not is_declined and not _is_answer_to(call, response):
+        return None
+    return headers.read_signals(response.status, response.headers)
+
+
 def _is_answer_to(call: calls.Call, response: aiohttp.ClientResponse) -> bool:
     return response.headers.get(headers.ATTEMPT.decode(), "") == call.parsed.attempt
 
--- a/packages/daemon/cassiaquay_daemon/gateway/serving.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/serving.py
@@ -363,7 +363,7 @@
             outcome=outcome,
             status=status,
             server=state.server,
-            server_limit=answer.server_limit,
+            server_limit=answer.reported.limit,
             route=call.route.name,
             events=tally.count,
             prompt_tokens=call.parsed.prompt_tokens or None,
--- a/packages/daemon/cassiaquay_daemon/platform/headers.py
+++ b/packages/daemon/cassiaquay_daemon/platform/headers.py
@@ -1,7 +1,6 @@
 """Decodes callers' request headers and filters headers in both directions."""
 
 import collections.abc
-import math
 import typing
 
 import multidict
@@ -9,6 +8,8 @@
 
 from cassiaquay_schema import messages
 
+from ..adapters import signals
+
 Headers = collections.abc.Iterable[tuple[bytes, bytes]]
 Pairs = list[tuple[str, str]]
 
@@ -25,9 +26,9 @@
 TEAM = "Cassiaquay-Tenant"
 # Answer header: the server did not begin to execute the request.
 NOT_EXECUTED = "Cassiaquay-Not-Executed"
-# Answer header: the requests per second that the server takes from all instances
-# together, for as long as its answers carry the header.
-SERVER_LIMIT = "Server-Limit"
+# Answer headers in which a server reports its state. It sends the first two for as long
+# as they hold.
+SIGNALS = signals.HeaderNames("Server-Limit", "Server-Leaving", "Retry-After")
 
 # Headers that only this system may send to a server. A caller's headers of these names
 # are dropped: they could pin memory, claim another caller's capacity or forge a team.
@@ -46,6 +47,7 @@
     b"cassiaquay-kv-backup",
     b"kv-fetch",
     b"kv-from",
+    b"server-leaving",
     b"server-limit",
     b"wait-ms",
 }
@@ -182,26 +184,11 @@
     return pairs
 
 
-def server_limit(answer_headers: multidict.CIMultiDictProxy[str]) -> float | None:
-    """Return the requests per second to which a server limits the fleet.
-
-    Returns
-    -------
-    float or None
-        The lowest of several values; None when the answer names no limit.
-
-    Raises
-    ------
-    ValueError
-        A value is not a finite number from 0 on.
-    """
-    limits = []
-    for text in answer_headers.getall(SERVER_LIMIT, []):
-        limit = float(text)
-        if not math.isfinite(limit) or limit < 0.0:
-            raise ValueError(f"limit {text!r}")
-        limits.append(limit)
-    return min(limits, default=None)
+def read_signals(
+    status: int, answer_headers: multidict.CIMultiDictProxy[str]
+) -> signals.Signals:
+    """Return what an answer says about its server."""
+    return signals.read(SIGNALS, status, answer_headers)
 
 
 def _connection_options(headers: Headers) -> set[bytes]:
