--- a/tests/gateway_fakes.py
+++ b/tests/gateway_fakes.py
@@ -29,6 +29,8 @@
         self.daemons: list[daemon.Daemon] = []
         self.settings: list[settings_schema.Settings] = []
         self.http: aiohttp.ClientSession
+        # Index of the daemon that each attempt was sent to.
+        self.asked_at: dict[str, int] = {}
         self._count = 0
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -119,6 +121,7 @@
         """Send a request to one daemon as a caller and read the complete answer."""
         self._count += 1
         attempt = f"attempt{self._count}"
+        self.asked_at[attempt] = at
         pairs = {
             "Host": standins.HOST,
             "Cassiaquay-Attempt-Id": attempt,
