--- a/tests/test_server_signals.py
+++ b/tests/test_server_signals.py
@@ -1,4 +1,4 @@
-"""Servers that say in their answers that they leave."""
+"""Servers that say in their answers that they leave, or ask an instance to wait."""
 
 import asyncio
 
@@ -10,6 +10,9 @@
 
 # Time from the first answer that says so until no instance uses the server.
 PROPAGATION_SECONDS = 1.0
+RETRY_AFTER_SECONDS = 2.0
+# Requests that may still be under way for this long after a 503 with Retry-After.
+IN_FLIGHT_SECONDS = 0.5
 # Long enough that the other server is busy, so that placement uses both.
 ANSWER_SECONDS = 0.1
 REQUESTS_PER_SECOND = 30.0
@@ -32,6 +35,47 @@
         await raw_servers.send(writer, 200, b"b", headers)
 
 
+class BusyServer:
+    """A server that turns the requests of the first instance away.
+
+    Its 503 asks for ``RETRY_AFTER_SECONDS``; other instances' requests are served.
+    """
+
+    def __init__(self, site: fakes.Site, engine: standins.Engine):
+        self.arrivals: list[float] = []
+        self.turned_away: list[float] = []
+        self.served = 0
+        self._site = site
+        engine.responder = self._respond
+
+    async def _respond(
+        self, request: raw_servers.Request, writer: raw_servers.Writer
+    ) -> None:
+        if self._site.asked_at[request.attempt] != 0:
+            self.served += 1
+            await answer_slowly(request, writer)
+            return
+        self.arrivals.append(clock.now())
+        headers = standins.seal_headers(request) | {
+            "Cassiaquay-Not-Executed": "1",
+            "Retry-After": str(RETRY_AFTER_SECONDS),
+        }
+        await raw_servers.send(writer, 503, b"", headers)
+        self.turned_away.append(clock.now())
+
+    @property
+    def max_excess(self) -> int:
+        """Most requests in the part of any asked time that allows only two."""
+        most = 0
+        for asked_at in self.turned_away:
+            count = 0
+            for arrived_at in self.arrivals:
+                passed = arrived_at - asked_at
+                count += IN_FLIGHT_SECONDS <= passed < RETRY_AFTER_SECONDS
+            most = max(most, count)
+        return most
+
+
 async def answer_slowly(
     request: raw_servers.Request, writer: raw_servers.Writer
 ) -> None:
@@ -63,3 +107,18 @@
         assert leaving.arrivals[-1] < last_allowed
 
     fakes.run(work, 3)
+
+
+def test_instance_that_servers_ask_to_wait_sends_them_nothing_meanwhile() -> None:
+    """Guards against a Retry-After of a server that only its own request keeps."""
+
+    async def work(site: fakes.Site) -> None:
+        servers = [BusyServer(site, engine) for engine in site.engines]
+        refused, served = await send_for(site, RETRY_AFTER_SECONDS * 2.0)
+        assert set(refused) == {503}
+        assert set(served) == {200}, "the servers take the other instance's requests"
+        for server in servers:
+            assert server.turned_away, "the server was in use"
+            assert server.max_excess <= 2
+
+    fakes.run(work, 2)
