Send nothing to a server whose answers say that it leaves

Cause: an answer's header Server-Leaving was passed on and read by nobody; the list was the only source of a server's departure. Class: what a server says in its answers is dropped at the proxy, as its limit was once.

Ruled out: old permits or queued requests (they would have waited 2 s), and instances that had not seen such an answer.

Now the head of an answer changes one state of the server, which holds its limit and its departure; every sender asks it right before the first byte, keepers leave a leaving server out, and an owner that is granted one corrects its keeper. A departure names the start of the server's process and is spread like limits are, so all instances know it within a round trip, and a server that was started again is used as soon as the list shows that. The last answer that carries it wins over the list, which may be late; only a later start ends it.

The replicated tables now share the heartbeat's digest field by name, and limits lose their own reader of headers.

--- a/packages/daemon/cassiaquay_daemon/adapters/signals.py
+++ b/packages/daemon/cassiaquay_daemon/adapters/signals.py
@@ -40,12 +40,15 @@
         Seconds for which it wants no request from this instance.
     unreadable : dict of str to str
         Invalid values by header name; their fields have their defaults.
+    is_limit_readable : bool
+        False if the answer names a limit that cannot be read.
     """
 
     limit: float | None = None
     is_leaving: bool = False
     retry_after: float | None = None
     unreadable: collections.abc.Mapping[str, str] = {}
+    is_limit_readable: bool = True
 
 
 def read(names: HeaderNames, status: int, headers: HeaderMap) -> Signals:
@@ -61,7 +64,11 @@
         retry_after = max(times, default=None)
     leaving = [text.strip() for text in headers.getall(names.leaving, [])]
     return Signals(
-        min(limits, default=None), LEAVING in leaving, retry_after, unreadable
+        min(limits, default=None),
+        LEAVING in leaving,
+        retry_after,
+        unreadable,
+        names.limit not in unreadable,
     )
 
 
--- a/packages/daemon/cassiaquay_daemon/configured/snapshots.py
+++ b/packages/daemon/cassiaquay_daemon/configured/snapshots.py
@@ -103,12 +103,13 @@
         return None
 
     @property
-    def server_names(self) -> frozenset[str]:
-        """Names of the backend servers of all pools."""
-        names: set[str] = set()
+    def server_starts(self) -> dict[str, int]:
+        """Start times of all pools' backend servers in Unix ms, 0 if unknown."""
+        starts: dict[str, int] = {}
         for pool in self.fleet.pools.values():
-            names.update(server.name for server in pool.servers)
-        return frozenset(names)
+            for server in pool.servers:
+                starts[server.name] = server.started_ms
+        return starts
 
     def is_evacuated(self, server: fleet_schema.Server) -> bool:
         """Return whether a server's failure domain is evacuated, or out of use."""
--- a/packages/daemon/cassiaquay_daemon/daemon.py
+++ b/packages/daemon/cassiaquay_daemon/daemon.py
@@ -13,14 +13,14 @@
 
 from . import early_bind, listeners, logs, pause, platform, reloading
 from .adapters import backends
-from .decisions import quarantine, server_limits
+from .decisions import quarantine, server_states
 from .engines import engine_reports, reconciler
 from .fleet import (
     configuration,
     crash_reports,
-    limit_reports,
     members,
     renewal,
+    server_reports,
     servers,
 )
 from .gateway import service
@@ -72,9 +72,9 @@
         self._membership = members.Membership(
             settings, self._incarnation, self._peers, self._mint, self._measure
         )
-        self._server_limits = server_limits.ServerLimits(settings)
-        self._limit_reports = limit_reports.LimitReports(
-            self._server_limits, self._peers, self._membership
+        self._server_states = server_states.ServerStates(settings)
+        self._server_reports = server_reports.ServerReports(
+            self._server_states, self._peers, self._membership
         )
         self._keeper = keeper.Keeper(
             settings,
@@ -82,10 +82,10 @@
             self._membership,
             self._configuration,
             self._pauses,
-            self._server_limits,
+            self._server_states,
         )
         self._demands = demands.Demands(
-            settings, self._peers, self._membership, self._keeper, self._limit_reports
+            settings, self._peers, self._membership, self._keeper, self._server_reports
         )
         self._limits = limits.Limits(
             settings,
@@ -128,7 +128,7 @@
             settings.gateway.first_start,
         )
         self._owner.use_crash_reports(self._crashes)
-        self._owner.use_limit_reports(self._limit_reports)
+        self._owner.use_server_reports(self._server_reports)
         self._gateway = self._create_gateway()
 
     async def run(self) -> None:
@@ -224,7 +224,7 @@
         if self._file is not None:
             self._file.on_change(self._membership.adopt)
             self._file.on_change(self._keeper.cold.adopt)
-            self._file.on_change(self._server_limits.adopt)
+            self._file.on_change(self._server_states.adopt)
             self._file.on_change(self._quarantine.adopt)
             self._file.on_change(logs.adopt)
             work.append(self._file.run())
@@ -303,7 +303,7 @@
             self._peers,
             self._demands,
             self._keeper.rate_limits,
-            self._limit_reports,
+            self._server_reports,
             self._crashes,
             self._pauses,
         )
--- /dev/null
+++ b/packages/daemon/cassiaquay_daemon/decisions/server_states.py
@@ -0,0 +1,56 @@
+"""What backend servers report about themselves, and whether a request may be sent.
+
+All senders ask here right before the first byte: requests of both interfaces, with and
+without a keeper.
+"""
+
+import collections.abc
+
+from cassiaquay_schema import settings as settings_schema
+
+from . import departures, server_limits
+
+
+class ServerStates:
+    """The reported states of all servers, as known to this instance.
+
+    Parameters
+    ----------
+    settings : Settings
+        Tolerances by which a limit may be exceeded.
+
+    Attributes
+    ----------
+    limits : ServerLimits
+        Limits on the requests from the whole fleet.
+    departures : Departures
+        Servers that are shutting down.
+    """
+
+    def __init__(self, settings: settings_schema.Settings):
+        self.limits = server_limits.ServerLimits(settings)
+        self.departures = departures.Departures()
+
+    def adopt(self, settings: settings_schema.Settings) -> None:
+        """Use changed settings from now on."""
+        self.limits.adopt(settings)
+
+    def retain(self, listed: collections.abc.Mapping[str, int]) -> None:
+        """Use a newer list of servers with the start times of their processes."""
+        self.limits.retain(frozenset(listed))
+        self.departures.retain(listed)
+
+    def is_leaving(self, server: str) -> bool:
+        """Return whether a server is shutting down and gets no new request."""
+        return self.departures.get(server) is not None
+
+    def blocking_cause(self, server: str, is_charged: bool) -> str:
+        """Return why a request may not be sent to a server now; empty if it may.
+
+        ``is_charged`` tells whether its permit counts against the server's limit.
+        """
+        if self.is_leaving(server):
+            return "the server is leaving"
+        if not is_charged and self.limits.is_limited(server):
+            return "the server has named a limit"
+        return ""
--- a/packages/daemon/cassiaquay_daemon/decisions/shards.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/shards.py
@@ -13,7 +13,7 @@
     prefixes,
     priority_cutoffs,
     rate_budgets,
-    server_limits,
+    server_states,
     slow_start,
 )
 
@@ -86,8 +86,8 @@
         Lifetimes of permits and leases, limits.
     cold : SlowStart, optional
         Tracks which servers are cold.
-    limits : ServerLimits, optional
-        The limits that servers have named.
+    states : ServerStates, optional
+        What servers have reported about themselves.
     """
 
     def __init__(
@@ -95,7 +95,7 @@
         name: str,
         settings: settings_schema.Settings,
         cold: slow_start.SlowStart | None = None,
-        limits: server_limits.ServerLimits | None = None,
+        states: server_states.ServerStates | None = None,
     ):
         self.name = name
         self.settings = settings
@@ -112,8 +112,8 @@
         self.waits: collections.abc.Callable[[], list[messages.RankWait]] = list
         self.cutoffs = priority_cutoffs.PriorityCutoffs()
         self.cold = cold or slow_start.SlowStart(settings)
-        self.limits = limits or server_limits.ServerLimits(settings)
-        self.rate_budgets = rate_budgets.RateBudgets([self.cold, self.limits])
+        self.states = states or server_states.ServerStates(settings)
+        self.rate_budgets = rate_budgets.RateBudgets([self.cold, self.states.limits])
         self._refused: dict[str, float] = {}
         self._loads: dict[str, loads.Load] = {}
         self._observers: list[Observer] = []
@@ -286,7 +286,7 @@
             expires_at,
             demand,
             cached_tokens=cached_tokens,
-            is_charged=self.limits.is_limited(server),
+            is_charged=self.states.limits.is_limited(server),
         )
         self._add_running(demand.id, running)
         uncached = max(demand.prompt_tokens - cached_tokens, 0)
@@ -356,11 +356,12 @@
 
     def open_servers(self) -> list[fleet.Server]:
         """Return the servers that may get new work."""
-        return [
-            server
-            for server in self.servers.values()
-            if server.name not in self.closed_servers
-        ]
+        servers = []
+        for name, server in self.servers.items():
+            if name in self.closed_servers or self.states.is_leaving(name):
+                continue
+            servers.append(server)
+        return servers
 
     def tokens_on(self, server: str) -> int:
         """Return the tokens in flight on a server."""
--- a/packages/daemon/cassiaquay_daemon/exceptions.py
+++ b/packages/daemon/cassiaquay_daemon/exceptions.py
@@ -98,10 +98,10 @@
     code = "backend_overslept"
 
 
-class LimitNotCharged(NotSent):
-    """The permit does not count against the limit that the server has named."""
+class ServerUnavailable(NotSent):
+    """The server may get no request now by what it has reported about itself."""
 
-    code = "backend_limit"
+    code = "backend_unavailable"
 
 
 class SupersededOrder(BackendError):
--- a/packages/daemon/cassiaquay_daemon/fleet/crash_reports.py
+++ b/packages/daemon/cassiaquay_daemon/fleet/crash_reports.py
@@ -25,6 +25,8 @@
         Whether the whole fleet starts for the first time.
     """
 
+    digest_field = "crashes_digest"
+
     def __init__(
         self,
         held: quarantine.Quarantine,
@@ -35,7 +37,6 @@
         self._quarantine = held
         self._replication = replication.Replication(links, membership, self)
         links.on(messages.CrashReports, self._handle_reports)
-        membership.crashes_digest = lambda: held.digest
         if not is_first_start:
             held.is_history_lost = lambda: not membership.has_older_instances()
 
@@ -44,10 +45,6 @@
         """Digest of the reports; 0 when there are none."""
         return self._quarantine.digest
 
-    def digest_in(self, beat: messages.Heartbeat) -> int:
-        """Return the digest of the sender's reports."""
-        return beat.crashes_digest
-
     def snapshot(self) -> messages.CrashReports | None:
         """Return a message with all reports; None when there are none."""
         reports = self._quarantine.reports()
--- a/packages/daemon/cassiaquay_daemon/fleet/limit_reports.py
+++ b/packages/daemon/cassiaquay_daemon/fleet/limit_reports.py
@@ -26,6 +26,8 @@
         Supplies the neighbours and their heartbeats.
     """
 
+    digest_field = "limits_digest"
+
     def __init__(
         self,
         limits: server_limits.ServerLimits,
@@ -33,23 +35,17 @@
         membership: members.Membership,
     ):
         self._limits = limits
-        # Servers with an unreadable limit, and those with a long one, that were logged.
-        self._unreadable: set[str] = set()
+        # Servers with a limit that lasts long, which were logged.
         self._long: set[str] = set()
         self._replication = replication.Replication(links, membership, self)
         links.on(messages.ServerLimits, self._handle_limits)
         membership.on_heartbeat(self._check_durations)
-        membership.limits_digest = lambda: limits.digest
 
     @property
     def digest(self) -> int:
         """Digest of the limits; 0 when there are none."""
         return self._limits.digest
 
-    def digest_in(self, beat: messages.Heartbeat) -> int:
-        """Return the digest of the sender's limits."""
-        return beat.limits_digest
-
     def snapshot(self) -> messages.ServerLimits | None:
         """Return a message with all limits; None when there are none."""
         servers = self._limits.entries()
@@ -59,25 +55,16 @@
         """Return the current version of a server's limit."""
         return self._limits.current(server).version
 
-    def is_limited(self, server: str) -> bool:
-        """Return whether a limit of the server is in force."""
-        return self._limits.is_limited(server)
-
     def answered(self, server: str, sent_version: int, rate: float | None) -> None:
         """Handle an answer of a server; see :meth:`ServerLimits.answered`."""
         if self._limits.answered(server, sent_version, rate):
             self._log(server, "")
             self._replication.flood(self._message([server]))
 
-    def unreadable(self, server: str, cause: str) -> None:
-        """Handle an answer whose limit cannot be read: it changes nothing."""
-        if server not in self._unreadable:
-            self._unreadable.add(server)
-            logs.trouble("server_limit_unreadable", server=server, cause=cause)
-
     def send_to(self, link: shards.Replier, server: str) -> None:
-        """Send a server's limit to one instance."""
-        link.send(self._message([server]))
+        """Send a server's limit to one instance; nothing if it has never named one."""
+        if self.version(server):
+            link.send(self._message([server]))
 
     def _handle_limits(self, link: peers.Link, message: messages.ServerLimits) -> None:
         changed = []
--- a/packages/daemon/cassiaquay_daemon/fleet/members.py
+++ b/packages/daemon/cassiaquay_daemon/fleet/members.py
@@ -62,8 +62,8 @@
         self.digest: collections.abc.Callable[[], int] = int
         self.servers_state: collections.abc.Callable[[], freshness.Freshness]
         self.servers_state = freshness.Freshness
-        self.crashes_digest: collections.abc.Callable[[], int] = int
-        self.limits_digest: collections.abc.Callable[[], int] = int
+        # Digests of replicated tables, by their field in heartbeats.
+        self.table_digests: dict[str, collections.abc.Callable[[], int]] = {}
         self.mint = mint
         self.facts = facts.Facts()
         self.admin_address = ""
@@ -296,6 +296,7 @@
         self.update()
         _, revision = self._measure()
         listed = self.servers_state()
+        digests = {field: digest() for field, digest in self.table_digests.items()}
         for link in self._links_to_use():
             portion = self._gossip.portion(link)
             link.send(
@@ -311,8 +312,7 @@
                     listed.digest,
                     int(clock.now() * 1000.0),
                     listed.steady_ms,
-                    self.crashes_digest(),
-                    self.limits_digest(),
+                    **digests,
                 )
             )
 
--- a/packages/daemon/cassiaquay_daemon/fleet/replication.py
+++ b/packages/daemon/cassiaquay_daemon/fleet/replication.py
@@ -21,15 +21,20 @@
 
 
 class Table(typing.Protocol):
-    """A table that all instances hold."""
+    """A table that all instances hold.
+
+    Attributes
+    ----------
+    digest_field : str
+        Field of heartbeats that carries its digest.
+    """
+
+    digest_field: str
 
     @property
     def digest(self) -> int:
         """Digest of the entries; 0 when there are none."""
 
-    def digest_in(self, beat: messages.Heartbeat) -> int:
-        """Return the digest of the sender's table."""
-
     def snapshot(self) -> messages.Message | None:
         """Return a message with all entries; None when there are none."""
 
@@ -55,6 +60,7 @@
         self._table = table
         self._sent_at: weakref.WeakKeyDictionary[peers.Link, float]
         self._sent_at = weakref.WeakKeyDictionary()
+        membership.table_digests[table.digest_field] = lambda: table.digest
         membership.on_heartbeat(self._handle_heartbeat)
 
     def flood(self, message: messages.Message, sender: str = "") -> None:
@@ -62,7 +68,7 @@
         send_to_neighbours(self._links, self._membership, message, sender)
 
     def _handle_heartbeat(self, link: peers.Link, beat: messages.Heartbeat) -> None:
-        if self._table.digest_in(beat) == self._table.digest:
+        if getattr(beat, self._table.digest_field) == self._table.digest:
             return
         now = clock.now()
         if now - self._sent_at.get(link, NEVER) < RESEND_INTERVAL_SECONDS:
--- a/packages/daemon/cassiaquay_daemon/gateway/admission.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/admission.py
@@ -66,6 +66,13 @@
     is_charged: bool = False
 
 
+class States(typing.Protocol):
+    """What servers have reported about themselves."""
+
+    def is_leaving(self, server: str) -> bool:
+        """Return whether a server is shutting down and gets no new request."""
+
+
 class Admission:
     """Obtains capacity for requests and reports its use to the keepers.
 
@@ -77,6 +84,8 @@
         Lists the instances that share the servers.
     rate_limits : sequence of Source
         Reasons to limit servers; only a keeper may admit requests to limited ones.
+    states : States
+        What servers have reported about themselves.
     """
 
     def __init__(
@@ -84,11 +93,15 @@
         demand_client: demands.Demands,
         membership: members.Membership,
         rate_limits: collections.abc.Sequence[rate_budgets.Source],
+        states: States,
     ):
         self._demands = demand_client
         self._membership = membership
         self._rate_limits = rate_limits
+        self._states = states
         self._outstanding: collections.Counter[str] = collections.Counter()
+        # Services of which all servers were leaving at the last look.
+        self._left_services: set[str] = set()
 
     async def obtain(
         self, call: calls.Call, number: int, unreachable: list[str], tried: list[str]
@@ -107,7 +120,7 @@
             Servers that received the request and gave no usable answer.
         """
         demand = _demand(call, number, unreachable, tried)
-        if not call.snapshot.open_servers(call.service):
+        if not self._open_servers(call):
             raise exceptions.NoServers(retry_after_ms=NO_SERVERS_RETRY_MS)
         try:
             permission = await self._demands.obtain(
@@ -169,6 +182,17 @@
             )
         )
 
+    def _open_servers(self, call: calls.Call) -> list[fleet.Server]:
+        """Return the servers of a call's service that may get new requests."""
+        servers = call.snapshot.open_servers(call.service)
+        staying = [item for item in servers if not self._states.is_leaving(item.name)]
+        if staying:
+            self._left_services.discard(call.service)
+        elif servers and call.service not in self._left_services:
+            self._left_services.add(call.service)
+            logs.trouble("service_left", service=call.service, servers=len(servers))
+        return staying
+
     def _obtain_without_keeper(
         self, call: calls.Call, demand: messages.Demand
     ) -> Ticket:
@@ -177,7 +201,7 @@
         # do not overload it.
         live = max(len(self._membership.serving()), 1)
         best: fleet.Server | None = None
-        servers = call.snapshot.open_servers(call.service)
+        servers = self._open_servers(call)
         # All instances lose a keeper at the same time: without shuffling, all of them
         # would send to the same server.
         random.shuffle(servers)
--- a/packages/daemon/cassiaquay_daemon/gateway/forwarding.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/forwarding.py
@@ -8,8 +8,9 @@
 
 from cassiaquay_schema import fleet
 
-from .. import exceptions, logs
+from .. import exceptions
 from ..adapters import breaks, signals
+from ..fleet import server_reports
 from ..platform import headers
 from . import calls
 
@@ -52,19 +53,6 @@
         return self.status >= FIRST_SERVER_ERROR_STATUS
 
 
-class Limits(typing.Protocol):
-    """The limits that servers have named."""
-
-    def version(self, server: str) -> int:
-        """Return the current version of a server's limit."""
-
-    def answered(self, server: str, sent_version: int, rate: float | None) -> None:
-        """Handle an answer that names a limit, or none."""
-
-    def unreadable(self, server: str, cause: str) -> None:
-        """Handle an answer whose limit cannot be read."""
-
-
 class Forwarder:
     """Sends requests to backend servers.
 
@@ -72,13 +60,15 @@
     ----------
     http : ClientSession
         The session that :func:`connections.create_session` returns.
-    limits : Limits
-        Receives the limits that servers name.
+    reports : ServerReports
+        Receives what servers report about themselves.
     """
 
-    def __init__(self, http: aiohttp.ClientSession, limits: Limits):
+    def __init__(
+        self, http: aiohttp.ClientSession, reports: server_reports.ServerReports
+    ):
         self._http = http
-        self._limits = limits
+        self._reports = reports
 
     async def send(
         self,
@@ -110,12 +100,12 @@
             int(call.seconds_left * 1000),
             last_event,
         )
-        limit_version = 0
+        sent = self._reports.sent(call.parsed.attempt, server)
 
         def connected() -> None:
-            nonlocal limit_version
+            nonlocal sent
             before_sending()
-            limit_version = self._limits.version(server.name)
+            sent = self._reports.sent(call.parsed.attempt, server)
 
         timeout = aiohttp.ClientTimeout(
             total=None, sock_connect=CONNECT_TIMEOUT_SECONDS, sock_read=read_timeout
@@ -137,7 +127,7 @@
             raise breaks.to_stream_interrupted(error) from error
         found = _read_signals(call, response)
         if found is not None:
-            self._report_signals(call, server, limit_version, response, found)
+            self._reports.answered(sent, found, _is_failure(response))
         try:
             answer = self._check_answer(call, response)
         except exceptions.BackendError:
@@ -149,42 +139,10 @@
         """Close all connections."""
         await self._http.close()
 
-    def _report_signals(
-        self,
-        call: calls.Call,
-        server: fleet.Server,
-        sent_version: int,
-        response: aiohttp.ClientResponse,
-        found: signals.Signals,
-    ) -> None:
-        if found.is_leaving or found.retry_after is not None:
-            logs.event(
-                "server_signals",
-                id=call.parsed.attempt,
-                server=server.name,
-                status=response.status,
-                leaving=found.is_leaving or None,
-                retry_after_s=found.retry_after,
-            )
-        if headers.SIGNALS.limit in found.unreadable:
-            self._limits.unreadable(
-                server.name, f"limit {found.unreadable[headers.SIGNALS.limit]!r}"
-            )
-            return
-        # A failure may come without the headers of a regular answer: only a success
-        # shows that the limit has ended.
-        is_failure = (
-            headers.NOT_EXECUTED in response.headers
-            or response.status >= FIRST_SERVER_ERROR_STATUS
-        )
-        if found.limit is not None or not is_failure:
-            self._limits.answered(server.name, sent_version, found.limit)
-
     def _check_answer(
         self, call: calls.Call, response: aiohttp.ClientResponse
     ) -> Answer:
-        is_declined = headers.NOT_EXECUTED in response.headers
-        if is_declined or response.status == WRONG_SERVER_STATUS:
+        if _is_declined(response) or response.status == WRONG_SERVER_STATUS:
             raise exceptions.Declined(f"status {response.status}")
         if not _is_answer_to(call, response):
             # A surplus answer on a kept-alive connection belongs to an earlier request
@@ -201,12 +159,19 @@
     """Return the signals of an answer; None if it may be another server's."""
     if response.status == WRONG_SERVER_STATUS:
         return None
-    is_declined = headers.NOT_EXECUTED in response.headers
-    if not is_declined and not _is_answer_to(call, response):
+    if not _is_declined(response) and not _is_answer_to(call, response):
         return None
     return headers.read_signals(response.status, response.headers)
 
 
+def _is_declined(response: aiohttp.ClientResponse) -> bool:
+    return headers.NOT_EXECUTED in response.headers
+
+
+def _is_failure(response: aiohttp.ClientResponse) -> bool:
+    return _is_declined(response) or response.status >= FIRST_SERVER_ERROR_STATUS
+
+
 def _is_answer_to(call: calls.Call, response: aiohttp.ClientResponse) -> bool:
     return response.headers.get(headers.ATTEMPT.decode(), "") == call.parsed.attempt
 
--- a/packages/daemon/cassiaquay_daemon/gateway/service.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/service.py
@@ -11,7 +11,7 @@
 
 from .. import early_bind, listeners, logs, pause
 from ..decisions import budgets, rate_budgets
-from ..fleet import configuration, crash_reports, limit_reports, members, servers
+from ..fleet import configuration, crash_reports, members, server_reports, servers
 from ..keepers import demands, quotas
 from ..links import peers
 from . import (
@@ -50,7 +50,7 @@
     links: peers.Peers
     demand_client: demands.Demands
     rate_limits: collections.abc.Sequence[rate_budgets.Source]
-    limits: limit_reports.LimitReports
+    reports: server_reports.ServerReports
     crashes: crash_reports.CrashReports
     pauses: pause.Pauses
 
@@ -154,12 +154,15 @@
     parts = serving.Parts(
         shared.configured,
         admission.Admission(
-            shared.demand_client, shared.membership, shared.rate_limits
+            shared.demand_client,
+            shared.membership,
+            shared.rate_limits,
+            shared.reports,
         ),
-        forwarding.Forwarder(connections.create_session(), shared.limits),
+        forwarding.Forwarder(connections.create_session(), shared.reports),
         budgets.RetryBudget(settings, shared.membership.fleet_size),
         shared.crashes,
-        shared.limits,
+        shared.reports,
         quotas.Quotas(settings, shared.links, shared.membership, shared.configured),
         shared.pauses,
         replies.Replies(),
--- a/packages/daemon/cassiaquay_daemon/gateway/serving.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/serving.py
@@ -11,7 +11,7 @@
 from .. import clock, exceptions, logs, pause
 from ..configured import routing
 from ..decisions import budgets, quarantine
-from ..fleet import configuration, crash_reports, limit_reports
+from ..fleet import configuration, crash_reports, server_reports
 from ..keepers import quotas
 from . import (
     accepting,
@@ -58,8 +58,8 @@
         Limits retries.
     crashes : CrashReports
         Quarantines requests that crash servers.
-    limits : LimitReports
-        Tells which servers have named a limit.
+    servers : ServerReports
+        Tells which servers may get requests by their own reports.
     team_limits : Quotas
         Enforces the teams' limits.
     pauses : Pauses
@@ -75,7 +75,7 @@
     forwarder: forwarding.Forwarder
     budget: budgets.RetryBudget
     crashes: crash_reports.CrashReports
-    limits: limit_reports.LimitReports
+    servers: server_reports.ServerReports
     team_limits: quotas.Quotas
     pauses: pause.Pauses
     reply: replies.Replies
@@ -278,8 +278,11 @@
             raise exceptions.StaleAfterPause("this process was paused")
         if clock.now() >= min(ticket.expires_at, call.deadline):
             raise exceptions.NotSent("the permit has expired")
-        if not ticket.is_charged and self._parts.limits.is_limited(ticket.server.name):
-            raise exceptions.LimitNotCharged("the server has named a limit")
+        cause = self._parts.servers.blocking_cause(
+            ticket.server.name, ticket.is_charged
+        )
+        if cause:
+            raise exceptions.ServerUnavailable(cause)
         snapshot = self._parts.configured.current
         if snapshot is None or snapshot.routes is None:
             raise exceptions.NotSent("no configuration")
--- a/packages/daemon/cassiaquay_daemon/keepers/demands.py
+++ b/packages/daemon/cassiaquay_daemon/keepers/demands.py
@@ -104,8 +104,8 @@
         Links to live instances; reports changes of keepers.
     local : Keeper
         This instance's own keeper role.
-    limits : ServerLimits, optional
-        The limits that servers have named.
+    reports : ServerReports, optional
+        What servers have reported about themselves.
     """
 
     def __init__(
@@ -114,9 +114,9 @@
         links: peers.Peers,
         membership: members.Membership,
         local: keeper.Keeper,
-        limits: sending.ServerLimits | None = None,
+        reports: sending.ServerReports | None = None,
     ):
-        self._limits = limits
+        self._reports = reports
         self._settings = settings
         self._membership = membership
         self._keeper = local
@@ -348,7 +348,7 @@
             self._withdraw(replier, permit)
             self._resend(pending)
             return
-        if self._must_be_charged(permit):
+        if self._is_blocked(permit):
             self._correct_keeper(replier, permit)
             self._resend(pending)
             return
@@ -359,17 +359,17 @@
             )
         )
 
-    def _must_be_charged(self, permit: messages.Permit) -> bool:
-        """Return whether a permit ignores a limit that the server has named."""
-        if permit.is_charged or self._limits is None:
+    def _is_blocked(self, permit: messages.Permit) -> bool:
+        """Return whether a permit ignores what its server has reported."""
+        if self._reports is None:
             return False
-        return self._limits.is_limited(permit.server)
+        return bool(self._reports.blocking_cause(permit.server, permit.is_charged))
 
     def _correct_keeper(self, replier: shards.Replier, permit: messages.Permit) -> None:
-        # The keeper has just started, or granted before it learned of the limit. It
+        # The keeper has just started, or granted before it learned of the report. It
         # answers with its own knowledge if that is newer.
-        if self._limits is not None and replier is not self._local:
-            self._limits.send_to(replier, permit.server)
+        if self._reports is not None and replier is not self._local:
+            self._reports.send_to(replier, permit.server)
         self._withdraw(replier, permit)
 
     def _return_permit(self, replier: shards.Replier, permit: messages.Permit) -> None:
--- a/packages/daemon/cassiaquay_daemon/keepers/keeper.py
+++ b/packages/daemon/cassiaquay_daemon/keepers/keeper.py
@@ -18,7 +18,7 @@
     objectives,
     policies,
     rate_budgets,
-    server_limits,
+    server_states,
     shards,
     slow_start,
     tiered,
@@ -59,8 +59,8 @@
         The pools.
     pauses : Pauses, optional
         Reports when this process was paused for longer than its leases.
-    limits : ServerLimits, optional
-        The limits that servers have named.
+    states : ServerStates, optional
+        What servers have reported about themselves.
     """
 
     def __init__(
@@ -70,13 +70,13 @@
         membership: members.Membership,
         configured: configuration.Configuration,
         pauses: pause.Pauses | None = None,
-        limits: server_limits.ServerLimits | None = None,
+        states: server_states.ServerStates | None = None,
     ):
         self.shards: dict[str, shards.Shard] = {}
         # Engines that are about to load a model or have not finished loading it.
         self.draining: set[str] = set()
         self.cold = slow_start.SlowStart(settings)
-        self.limits = limits or server_limits.ServerLimits(settings)
+        self.states = states or server_states.ServerStates(settings)
         self._settings = settings
         self._membership = membership
         self._configured = configured
@@ -109,7 +109,7 @@
     @property
     def rate_limits(self) -> collections.abc.Sequence[rate_budgets.Source]:
         """Reasons to limit the rate of requests to servers."""
-        return (self.cold, self.limits)
+        return (self.cold, self.states.limits)
 
     def keeper_of(self, shard: str) -> str:
         """Return the instance that should be the keeper of a shard."""
@@ -277,7 +277,7 @@
         snapshot = self._configured.current
         if snapshot is None or not snapshot.shard_servers(name):
             return None
-        shard = shards.Shard(name, self._settings, self.cold, self.limits)
+        shard = shards.Shard(name, self._settings, self.cold, self.states)
         shard.close(self._owners_to_query())
         shard.rate_budgets.reachable_share = self._alive_share
         shard.may_shed = functools.partial(self._floors.may_shed, name)
@@ -314,7 +314,7 @@
         snapshot = self._configured.current
         if snapshot is not None:
             self.cold.update(snapshot.fleet)
-            self.limits.retain(snapshot.server_names)
+            self.states.retain(snapshot.server_starts)
         for shard in self.shards.values():
             self._update_shard(shard)
 
--- a/packages/daemon/cassiaquay_daemon/keepers/sending.py
+++ b/packages/daemon/cassiaquay_daemon/keepers/sending.py
@@ -1,4 +1,4 @@
-"""What an owner sends to keepers: progress of dispatched requests, servers' limits."""
+"""What an owner sends to keepers: progress of dispatched requests, servers' reports."""
 
 import typing
 
@@ -20,14 +20,14 @@
         """Time of the first event; seconds on this clock."""
 
 
-class ServerLimits(typing.Protocol):
-    """The limits that servers have named."""
+class ServerReports(typing.Protocol):
+    """What servers have reported about themselves."""
 
-    def is_limited(self, server: str) -> bool:
-        """Return whether a limit of the server is in force."""
+    def blocking_cause(self, server: str, is_charged: bool) -> str:
+        """Return why a request may not be sent to a server now; empty if it may."""
 
     def send_to(self, link: shards.Replier, server: str) -> None:
-        """Send a server's limit to one instance."""
+        """Send the state of a server that concerns all instances to one of them."""
 
 
 class Sent:
--- a/packages/daemon/cassiaquay_daemon/operators/keeper_view.py
+++ b/packages/daemon/cassiaquay_daemon/operators/keeper_view.py
@@ -86,7 +86,7 @@
     verdict = "fits"
     if is_evacuated:
         verdict = "evacuated: gets no new work"
-    elif name in shard.closed_servers:
+    elif name in shard.closed_servers or shard.states.is_leaving(name):
         verdict = "leaving: gets no new work"
     elif count >= server.slots:
         verdict = "all slots taken"
--- a/packages/daemon/cassiaquay_daemon/operators/metrics.py
+++ b/packages/daemon/cassiaquay_daemon/operators/metrics.py
@@ -166,6 +166,12 @@
     (),
     "Backend servers that limit the requests a second by their answers.",
 )
+LEAVING_SERVERS = Family(
+    "cassiaquay_leaving_servers",
+    "gauge",
+    (),
+    "Backend servers that report in their answers that they are shutting down.",
+)
 LIMITED_GRANTS = Family(
     "cassiaquay_keeper_limited_grants_total",
     "counter",
--- a/packages/daemon/cassiaquay_daemon/operators/reports.py
+++ b/packages/daemon/cassiaquay_daemon/operators/reports.py
@@ -235,12 +235,14 @@
         for name, shard in kept.shards.items():
             counts = shard.rate_budgets.granted_counts
             cold_grants[(name,)] = counts[shard.cold.name]
-            limited_grants[(name,)] = counts[shard.limits.name]
+            limited_grants[(name,)] = counts[shard.states.limits.name]
         self.metrics.replace(metrics.COLD_GRANTS, cold_grants)
         self.metrics.replace(metrics.COLD_SERVERS, {(): len(kept.cold.cold_servers())})
         self.metrics.replace(metrics.LIMITED_GRANTS, limited_grants)
-        limited_count = len(kept.limits.limited_servers())
+        limited_count = len(kept.states.limits.limited_servers())
         self.metrics.replace(metrics.LIMITED_SERVERS, {(): limited_count})
+        leaving_count = len(kept.states.departures.leaving_servers())
+        self.metrics.replace(metrics.LEAVING_SERVERS, {(): leaving_count})
         snapshot = self._parts.configured.current
         evacuated = len(snapshot.fleet.evacuated) if snapshot is not None else 0
         self.metrics.replace(metrics.EVACUATED, {(): evacuated})
--- a/packages/daemon/cassiaquay_daemon/operators/views.py
+++ b/packages/daemon/cassiaquay_daemon/operators/views.py
@@ -6,6 +6,7 @@
 from cassiaquay_schema import bodies, fleet
 from cassiaquay_schema import settings as settings_schema
 
+from .. import clock
 from ..decisions import shards
 from ..fleet import members
 from . import reports, viewers
@@ -91,7 +92,7 @@
         return None
     # A keeper creates a shard at its first demand. Until then this temporary shard
     # shows the servers; it is not stored.
-    shard = shards.Shard(name, settings, parts.kept.cold, parts.kept.limits)
+    shard = shards.Shard(name, settings, parts.kept.cold, parts.kept.states)
     shard.servers = {server.name: server for server in servers}
     for server in servers:
         line = parts.membership.listed.get(server.name)
@@ -134,14 +135,19 @@
     snapshot = parts.configured.current
     if snapshot is not None and snapshot.is_evacuated(server):
         return "evacuated"
+    departure = shard.states.departures.get(server.name)
+    if departure is not None:
+        seconds = clock.now() - departure.learned_at
+        source = departure.source or "its own answer"
+        return f"leaving, known for {seconds:.0f} s from {source}"
     if server.name in shard.closed_servers:
         return "leaving"
     cold = shard.cold
     if cold.is_cold(server.name):
         return f"cold, {cold.seconds_left(server.name):.1f} s left"
-    rate = shard.limits.current(server.name).rate
+    rate = shard.states.limits.current(server.name).rate
     if rate is not None:
-        seconds = shard.limits.seconds_limited(server.name)
+        seconds = shard.states.limits.seconds_limited(server.name)
         return f"limited to {rate:g}/s for {seconds:.0f} s"
     return "open"
 
--- a/packages/daemon/cassiaquay_daemon/owners/dispatching.py
+++ b/packages/daemon/cassiaquay_daemon/owners/dispatching.py
@@ -58,11 +58,11 @@
         """Report that a server has completed a request."""
 
 
-class Limits(typing.Protocol):
-    """The limits that servers have named."""
+class Servers(typing.Protocol):
+    """What servers have reported about themselves."""
 
-    def is_limited(self, server: str) -> bool:
-        """Return whether a limit of the server is in force."""
+    def blocking_cause(self, server: str, is_charged: bool) -> str:
+        """Return why a request may not be sent to a server now; empty if it may."""
 
 
 class Dispatcher:
@@ -90,7 +90,7 @@
         self.background: set[asyncio.Task[None]] = set()
         self.pauses: pause.Pauses | None = None
         self.crashes: Crashes | None = None
-        self.limits: Limits | None = None
+        self.servers: Servers | None = None
         self._on_wasted: list[collections.abc.Callable[[int], None]] = []
         self._capacity = capacity
         self._table = requests
@@ -139,7 +139,7 @@
             try:
                 await self._dispatch(entry, demand, permission, server)
                 return
-            except (exceptions.StaleAfterPause, exceptions.LimitNotCharged):
+            except (exceptions.StaleAfterPause, exceptions.ServerUnavailable):
                 # The server has not failed: it may be chosen again.
                 self._capacity.give_back(demand)
                 await asyncio.sleep(NOT_SENT_PAUSE_SECONDS)
@@ -225,9 +225,10 @@
             raise exceptions.NotSent("no caller is connected")
         if clock.now() >= min(permission.expires_at, entry.deadline):
             raise exceptions.NotSent("the permit has expired")
-        if self.limits is not None and not permission.is_charged:
-            if self.limits.is_limited(server.name):
-                raise exceptions.LimitNotCharged("the server has named a limit")
+        if self.servers is not None:
+            cause = self.servers.blocking_cause(server.name, permission.is_charged)
+            if cause:
+                raise exceptions.ServerUnavailable(cause)
         # The keeper may have granted just before the list showed the server as leaving.
         if self._is_leaving(server.name):
             raise exceptions.NotSent("the server is leaving")
--- a/packages/daemon/cassiaquay_daemon/owners/owner.py
+++ b/packages/daemon/cassiaquay_daemon/owners/owner.py
@@ -87,9 +87,9 @@
         """Dispatch nothing after a pause until the process's leases are renewed."""
         self._dispatcher.pauses = pauses
 
-    def use_limit_reports(self, limits: dispatching.Limits) -> None:
-        """Check before each dispatch that a server's limit is respected."""
-        self._dispatcher.limits = limits
+    def use_server_reports(self, servers: dispatching.Servers) -> None:
+        """Check before each dispatch what the server has reported about itself."""
+        self._dispatcher.servers = servers
 
     def use_crash_reports(self, crashes: dispatching.Crashes) -> None:
         """Refuse quarantined requests, and report requests that crash servers."""
--- a/packages/schema/cassiaquay_schema/messages.py
+++ b/packages/schema/cassiaquay_schema/messages.py
@@ -115,6 +115,8 @@
         xxh3-64 of the sender's reports of requests that crash servers; 0 for none.
     limits_digest : int
         xxh3-64 of the limits that servers have named to the sender; 0 for none.
+    departures_digest : int
+        xxh3-64 of the departures of servers that the sender knows; 0 for none.
     """
 
     number: int
@@ -130,6 +132,7 @@
     servers_steady_ms: int = 0
     crashes_digest: int = 0
     limits_digest: int = 0
+    departures_digest: int = 0
 
 
 class ConfigurationQuery(typing.NamedTuple):
@@ -927,6 +930,33 @@
     limits: list[ServerLimit]
 
 
+class ServerDeparture(typing.NamedTuple):
+    """A backend server that reports in its answers that it is shutting down.
+
+    Attributes
+    ----------
+    server : str
+        Backend server.
+    started_ms : int
+        Start time of its process in Unix milliseconds; 0 if unknown.
+    """
+
+    server: str
+    started_ms: int
+
+
+class ServerDepartures(typing.NamedTuple):
+    """The sender's knowledge of servers that are shutting down.
+
+    Attributes
+    ----------
+    servers : list[ServerDeparture]
+        Departures by server.
+    """
+
+    servers: list[ServerDeparture]
+
+
 Message = (
     Hello
     | Proof
@@ -973,6 +1003,8 @@
     | CrashReports
     | ServerLimit
     | ServerLimits
+    | ServerDeparture
+    | ServerDepartures
 )
 
 BY_CODE: dict[int, type] = {
@@ -1021,6 +1053,8 @@
     60: CrashReports,
     61: ServerLimit,
     62: ServerLimits,
+    63: ServerDeparture,
+    64: ServerDepartures,
 }
 
 CODES: dict[type, int] = {kind: code for code, kind in BY_CODE.items()}
--- a/tests/policy_fakes.py
+++ b/tests/policy_fakes.py
@@ -79,6 +79,7 @@
         self.keeper = keeper
         self.listed: dict[str, typing.Any] = {}
         self.owners = {owner.instance: owner for owner in owners}
+        self.table_digests: dict[str, collections.abc.Callable[[], int]] = {}
         self.changed: list[collections.abc.Callable[[], None]] = []
 
     def keeper_of(self, key: str) -> str:
