Leave the slots of servers that get no new work out of the forecast

Callers: under overload, demands waited for slots that nobody gets, and were refused late. The forecast counted the ends of all running requests of a shard's servers, also of those that leave or are evacuated.

--- a/packages/daemon/cassiaquay_daemon/decisions/candidates.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/candidates.py
@@ -170,19 +170,19 @@
         Parameters
         ----------
         ends : dict of str to list of float
-            Seconds until each running request ends, by server; also those of servers
-            that get no new work, whose slots others take over.
+            Seconds until each running request ends, by server. The slots of servers
+            that get no new work are of no use.
         now : float
             Seconds on this clock.
         """
-        waits = {name: list(seconds) for name, seconds in ends.items()}
+        waits = {}
         for candidate in self.open:
             name = candidate.server.name
             free = [0.0] * candidate.free_slots if candidate.has_slot(now) else []
-            if candidate.rate_budget is None:
-                waits[name] = free + waits.get(name, [])
-            else:
-                waits[name] = free + _limited_waits(candidate, waits.get(name, []))
+            later = ends.get(name, [])
+            if candidate.rate_budget is not None:
+                later = _limited_waits(candidate, later)
+            waits[name] = free + later
         return waits
 
     def min_first_seconds(self, tokens: int) -> float:
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -2,6 +2,7 @@
 
 import hypothesis
 import mesh_fakes
+import objectives_fakes
 import policy_fakes as fakes
 import pytest
 from hypothesis import strategies
@@ -219,3 +220,23 @@
             time.now += RESEND_SECONDS
             played.fleet.send_heartbeats()
         assert len(set(played.fleet.leaving())) == 1, "all instances agree"
+
+
+def test_forecast_leaves_out_the_slots_of_a_leaving_server(time) -> None:
+    """Guards against demands that wait for slots which nobody will get.
+
+    The leaving server's requests end at once; the other server is busy for long.
+    """
+    bench = objectives_fakes.Bench(time, {SERVER: 4, "e2": 2})
+    for server in (SERVER, "e2"):
+        bench.set_speed(server, 100_000.0, 0.02)
+    running = [bench.demand(tried=["e2"], events=5) for _ in range(4)]
+    running += [bench.demand(tried=[SERVER], events=200) for _ in range(2)]
+    bench.serve()
+    assert sorted(bench.owner.permits().values()) == [SERVER] * 4 + ["e2"] * 2
+    for name in running:
+        bench.start(name)
+    bench.shard.states.departures.learn(SERVER, 1, "")
+    waiting = [bench.demand() for _ in range(4)]
+    bench.serve()
+    assert len(set(bench.owner.sheds()) & set(waiting)) >= 3
