--- a/packages/daemon/cassiaquay_daemon/adapters/backends.py
+++ b/packages/daemon/cassiaquay_daemon/adapters/backends.py
@@ -14,14 +14,19 @@
 from cassiaquay_schema import fleet, registry
 
 from .. import exceptions
-from . import answers, breaks
+from . import answers, breaks, signals
 
 CONNECT_TIMEOUT_SECONDS = 2.0
 CANCEL_TIMEOUT_SECONDS = 3.0
 RESUME_TRIES = 3
+FIRST_FAILURE_STATUS = 500
 RESUME_PAUSE_SECONDS = 0.1
 
+SIGNALS = signals.HeaderNames("Server-Limit", "Server-Leaving", "Retry-After")
+
 BeforeSending = collections.abc.Callable[[], None]
+# Receives what an answer says about its server, and whether the server failed.
+OnSignals = collections.abc.Callable[[signals.Signals, bool], None]
 
 
 class Call(typing.NamedTuple):
@@ -86,12 +91,13 @@
         call: Call,
         answer: answers.Answer,
         before_sending: BeforeSending,
+        on_signals: OnSignals,
     ) -> TokenUsage:
         """Dispatch a request and read its answer to the end.
 
         ``before_sending`` is called when the connection is established and no byte of
         the request has been written; it may raise :class:`~exceptions.NotSent` to stop
-        the dispatch.
+        the dispatch. ``on_signals`` is called with the head of the answer.
         """
 
     async def resume(
@@ -155,6 +161,7 @@
         call: Call,
         answer: answers.Answer,
         before_sending: BeforeSending,
+        on_signals: OnSignals,
     ) -> TokenUsage:
         """Dispatch a request and read its stream; resume the stream if it is cut."""
         body = {
@@ -172,6 +179,7 @@
         )
         try:
             async with request as response:
+                _report_signals(response, on_signals)
                 await _check(response)
                 answer.open()
                 return await _read(response, answer)
@@ -251,6 +259,7 @@
         call: Call,
         answer: answers.Answer,
         before_sending: BeforeSending,
+        on_signals: OnSignals,
     ) -> TokenUsage:
         """Dispatch a request and keep its body as the answer's only event."""
         request = self._http.post(
@@ -263,6 +272,7 @@
         )
         try:
             async with request as response:
+                _report_signals(response, on_signals)
                 body = await response.read()
                 if response.status >= 300:
                     text = body[:200].decode(errors="replace")
@@ -292,6 +302,11 @@
         return None
 
 
+def _report_signals(response: aiohttp.ClientResponse, on_signals: OnSignals) -> None:
+    found = signals.read(SIGNALS, response.status, response.headers)
+    on_signals(found, response.status >= FIRST_FAILURE_STATUS)
+
+
 async def _check(response: aiohttp.ClientResponse) -> None:
     if response.status == 200:
         return
--- a/packages/daemon/cassiaquay_daemon/operators/metrics.py
+++ b/packages/daemon/cassiaquay_daemon/operators/metrics.py
@@ -172,6 +172,12 @@
     (),
     "Backend servers that report in their answers that they are shutting down.",
 )
+BACKOFF_SERVERS = Family(
+    "cassiaquay_backoff_servers",
+    "gauge",
+    (),
+    "Backend servers that want no request from this instance now.",
+)
 LIMITED_GRANTS = Family(
     "cassiaquay_keeper_limited_grants_total",
     "counter",
--- a/packages/daemon/cassiaquay_daemon/operators/reports.py
+++ b/packages/daemon/cassiaquay_daemon/operators/reports.py
@@ -243,6 +243,8 @@
         self.metrics.replace(metrics.LIMITED_SERVERS, {(): limited_count})
         leaving_count = len(kept.states.departures.leaving_servers())
         self.metrics.replace(metrics.LEAVING_SERVERS, {(): leaving_count})
+        backoff_count = len(kept.states.backoffs.servers())
+        self.metrics.replace(metrics.BACKOFF_SERVERS, {(): backoff_count})
         snapshot = self._parts.configured.current
         evacuated = len(snapshot.fleet.evacuated) if snapshot is not None else 0
         self.metrics.replace(metrics.EVACUATED, {(): evacuated})
--- a/packages/daemon/cassiaquay_daemon/owners/dispatching.py
+++ b/packages/daemon/cassiaquay_daemon/owners/dispatching.py
@@ -9,8 +9,9 @@
 from cassiaquay_schema import fleet, messages
 
 from .. import clock, exceptions, logs, pause
-from ..adapters import answers, backends
+from ..adapters import answers, backends, signals
 from ..decisions import prefixes, quarantine
+from ..fleet import server_reports
 from ..keepers import permissions
 from . import entries, table
 
@@ -61,6 +62,14 @@
 class Servers(typing.Protocol):
     """What servers have reported about themselves."""
 
+    def sent(self, attempt: str, server: fleet.Server) -> server_reports.Sent:
+        """Return the record of a request whose first byte is about to be written."""
+
+    def answered(
+        self, sent: server_reports.Sent, found: signals.Signals, is_failure: bool
+    ) -> None:
+        """Handle the head of an answer."""
+
     def blocking_cause(self, server: str, is_charged: bool) -> str:
         """Return why a request may not be sent to a server now; empty if it may."""
 
@@ -160,12 +169,23 @@
         backend = self._backends[entry.accepted.adapter_name]
         attempt = _Attempt(entry, demand, server, clock.now())
 
+        sent: server_reports.Sent | None = None
+
         def before_sending() -> None:
+            nonlocal sent
             self._check_before_sending(entry, permission, server)
             self._mark_dispatched(attempt)
+            if self.servers is not None:
+                sent = self.servers.sent(demand.id, server)
+
+        def on_signals(found: signals.Signals, is_failure: bool) -> None:
+            if self.servers is not None and sent is not None:
+                self.servers.answered(sent, found, is_failure)
 
         run_task = asyncio.create_task(
-            backend.run(server, entry.accepted.call, entry.answer, before_sending)
+            backend.run(
+                server, entry.accepted.call, entry.answer, before_sending, on_signals
+            )
         )
         try:
             usage = await asyncio.shield(run_task)
--- a/tests/owner_fakes.py
+++ b/tests/owner_fakes.py
@@ -103,6 +103,7 @@
         call: backends.Call,
         answer: answers.Answer,
         before_sending: backends.BeforeSending,
+        on_signals: backends.OnSignals,
     ) -> backends.TokenUsage:
         if self._servers.connecting is not None:
             await self._servers.connecting.wait()
--- a/tests/test_pause.py
+++ b/tests/test_pause.py
@@ -102,6 +102,7 @@
         call: backends.Call,
         answer: object,
         before_sending: backends.BeforeSending,
+        on_signals: backends.OnSignals,
     ) -> backends.TokenUsage:
         before_sending()
         self.sent.append(call.key)
