Refuse waiting demands at once when all servers of their shard leave

Callers of long prompts were refused up to 1.8 s late: without a server the time to the first event is endless, which passed for a prompt whose reading takes most of its objective.

--- a/packages/daemon/cassiaquay_daemon/decisions/objectives.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/objectives.py
@@ -263,6 +263,8 @@
         estimated, and one whose prefill takes most of its objective. If the longest
         prompts were refused whenever slots are short, they would hardly ever be served.
         """
+        if not self._servers.open:
+            return False
         now = clock.now()
         objective_at = self._objective_at[waiting.demand.id]
         if is_next and now + min_seconds <= objective_at:
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -240,3 +240,16 @@
     waiting = [bench.demand() for _ in range(4)]
     bench.serve()
     assert len(set(bench.owner.sheds()) & set(waiting)) >= 3
+
+
+def test_waiting_demands_are_refused_at_once_when_all_servers_leave(time) -> None:
+    """Guards against late refusals of long prompts by a shard without servers."""
+    bench = objectives_fakes.Bench(time, {SERVER: 1})
+    running = bench.demand(events=200)
+    bench.serve()
+    bench.start(running)
+    time.now += 0.01
+    waiting = [bench.demand(prompt=prompt) for prompt in (600, 40_000)]
+    bench.shard.states.departures.learn(SERVER, 1, "")
+    bench.serve()
+    assert set(waiting) <= set(bench.owner.sheds())
