--- a/packages/dev/cassiaquay_dev/soak/checks.py
+++ b/packages/dev/cassiaquay_dev/soak/checks.py
@@ -5,7 +5,6 @@
 is too busy to keep the bounds, their findings do not prove a fault of the code.
 """
 
-import bisect
 import collections
 import collections.abc
 import typing
@@ -30,10 +29,6 @@
 MAX_TOLERATED = 3
 # Number of engines that a request may crash before daemons must refuse it.
 CRASH_LIMIT = 3
-# Requests that an engine may get within a window while it names a limit.
-LIMIT_WINDOW_SECONDS = 4.0
-LIMIT_EXCESS = 1.5
-LIMIT_SLACK = 5
 # From this long after the last fault, at least this share of requests must be served.
 RECOVERY_SECONDS = 5.0
 MIN_SERVED_SHARE = 0.9
@@ -374,31 +369,6 @@
             yield f"{path} reached {late} after it had crashed {CRASH_LIMIT} engines"
 
 
-@timed_checks.register("limit")
-def find_exceeded_limits(recorded: records.Records) -> collections.abc.Iterator[str]:
-    """Find engines that got more requests than the limit that they had named."""
-    for limit in recorded.limits:
-        arrivals = []
-        for run in recorded.runs:
-            attempt = recorded.attempts.get(run.request.attempt)
-            if run.engine != limit.engine or attempt is None:
-                continue
-            if recorded.is_undisturbed(
-                attempt.daemon, run.at - site.CONTACT_SECONDS, run.at
-            ):
-                arrivals.append(run.at)
-        bound = limit.rate * LIMIT_WINDOW_SECONDS * LIMIT_EXCESS + LIMIT_SLACK
-        since = limit.start + site.CONTACT_SECONDS
-        for first, start in enumerate(arrivals):
-            end = start + LIMIT_WINDOW_SECONDS
-            if start < since or end > limit.end:
-                continue
-            count = bisect.bisect(arrivals, end) - first
-            if count > bound:
-                yield f"{limit.engine} got {count} requests, allowed {bound:.0f}"
-                break
-
-
 @timed_checks.register("recovered")
 def find_missing_recovery(recorded: records.Records) -> collections.abc.Iterator[str]:
     """Find a low share of served requests after the faults have ended."""
--- a/packages/dev/cassiaquay_dev/soak/engines.py
+++ b/packages/dev/cassiaquay_dev/soak/engines.py
@@ -51,6 +51,10 @@
         # first.
         self.limit = 0.0
         self.limited_at = 0.0
+        # Whether its answers say that it leaves.
+        self.is_leaving = False
+        # Seconds that it asks for with each 503; while not 0, it takes no request.
+        self.retry_after = 0.0
         self._recorded = recorded
         self._rng = rng
         self._on_crash = on_crash
@@ -68,6 +72,9 @@
             await raw_servers.send(writer, 421, b"", headers)
             return
         self._recorded.runs.append(run)
+        if self.retry_after:
+            await self._turn_away(run, writer)
+            return
         if self._slots.locked() and self._waiting >= QUEUE_LENGTH:
             await raw_servers.send(writer, 503, b"", {"Cassiaquay-Not-Executed": "1"})
             return
@@ -82,6 +89,16 @@
         finally:
             self._slots.release()
 
+    async def _turn_away(self, run: records.Run, writer: raw_servers.Writer) -> None:
+        headers = {
+            "Cassiaquay-Not-Executed": "1",
+            "Retry-After": f"{self.retry_after:.1f}",
+        }
+        await raw_servers.send(writer, 503, b"", headers)
+        report = self._recorded.report(run, round(self.retry_after, 1))
+        if report is not None:
+            self._recorded.backoffs.append(report)
+
     async def _execute(self, run: records.Run, writer: raw_servers.Writer) -> None:
         number = len(self._recorded.runs)
         run.seal = f"{run.request.attempt}.{number}"
@@ -131,6 +148,11 @@
         if self.limit:
             headers["Server-Limit"] = f"{self.limit:.1f}"
             self.limited_at = self.limited_at or records.now()
+        if self.is_leaving:
+            headers["Server-Leaving"] = "1"
+            report = self._recorded.report(run, records.FOREVER)
+            if report is not None and not run.has_engine_fault:
+                self._recorded.departures.append(report)
         return headers
 
     async def _stream(
--- a/packages/dev/cassiaquay_dev/soak/faults.py
+++ b/packages/dev/cassiaquay_dev/soak/faults.py
@@ -23,7 +23,12 @@
 ALL = "all"
 # Run only when named by `only` or `also`: adding them to the usual faults would change
 # the faults that the kept seeds reproduce.
-EXPLICIT_ONLY = ("crashing_request", "engine_limit")
+EXPLICIT_ONLY = (
+    "crashing_request",
+    "engine_limit",
+    "engine_departure",
+    "engine_backoff",
+)
 # Longest pause between planned stops of several daemons, as an operator leaves one.
 MAX_ROLLING_PAUSE_SECONDS = 0.7
 DRAIN_SECONDS = 2.0
@@ -301,3 +306,32 @@
             records.Named(engine.name, engine.limit, engine.limited_at, records.now())
         )
     engine.limit = 0.0
+
+
+@faults.register("engine_departure")
+async def engine_departure(deployment: site.Site, rng: random.Random) -> None:
+    """Let an engine say in its answers that it leaves, while it stays listed."""
+    name = rng.choice(sorted(deployment.engines))
+    engine = deployment.engines[name]
+    of_service = [
+        other
+        for other in deployment.engines.values()
+        if other.service == engine.service and not other.is_leaving
+    ]
+    if engine.is_leaving or len(of_service) < 2:
+        return
+    engine.is_leaving = True
+    await asyncio.sleep(rng.uniform(4.0, 8.0))
+    if name in deployment.engines:
+        await deployment.crash_engine(name, RETURN_SECONDS)
+
+
+@faults.register("engine_backoff")
+async def engine_backoff(deployment: site.Site, rng: random.Random) -> None:
+    """Let an engine turn all requests away and ask for time, again and again."""
+    engine = deployment.engines[rng.choice(sorted(deployment.engines))]
+    if engine.retry_after:
+        return
+    engine.retry_after = rng.choice([0.3, 1.0, 1.5, 3.0])
+    await asyncio.sleep(rng.uniform(2.0, 8.0))
+    engine.retry_after = 0.0
--- a/packages/dev/cassiaquay_dev/soak/main.py
+++ b/packages/dev/cassiaquay_dev/soak/main.py
@@ -11,7 +11,10 @@
 
 import fire
 
-from . import callers, checks, faults, records, site
+from . import callers, checks, faults, records, report_checks, site
+
+# Imported because they register checks.
+CHECKS = (checks, report_checks)
 
 # Callers send requests for this long after the last fault, to check the recovery.
 RECOVERY_SECONDS = 9.0
--- a/packages/dev/cassiaquay_dev/soak/records.py
+++ b/packages/dev/cassiaquay_dev/soak/records.py
@@ -110,6 +110,30 @@
     end: float
 
 
+class Report(typing.NamedTuple):
+    """An answer in which an engine says something about itself to one daemon.
+
+    Attributes
+    ----------
+    engine : str
+        The engine.
+    daemon : str
+        The daemon that was answered.
+    daemon_start : int
+        Counts the starts of that daemon.
+    at : float
+        Time of the answer.
+    seconds : float
+        Time for which the engine wants no request; `FOREVER` if it leaves.
+    """
+
+    engine: str
+    daemon: str
+    daemon_start: int
+    at: float
+    seconds: float
+
+
 class Records:
     """Everything that one soak recorded."""
 
@@ -127,10 +151,19 @@
         self.active_crashing_targets: set[str] = set()
         # Limits that engines have named, each from its first answer on.
         self.limits: list[Named] = []
+        self.departures: list[Report] = []
+        self.backoffs: list[Report] = []
         self.protocol_errors: list[str] = []
         self.unexpected_exits: list[str] = []
         self.faults_ended_at = FOREVER
 
+    def report(self, run: Run, seconds: float) -> Report | None:
+        """Return the report of an answer to a run; None for an unknown attempt."""
+        attempt = self.attempts.get(run.request.attempt)
+        if attempt is None:
+            return None
+        return Report(run.engine, attempt.daemon, attempt.daemon_start, now(), seconds)
+
     def is_undisturbed(self, daemon: str, start: float, end: float) -> bool:
         """Return whether a daemon, its links and the store were undisturbed."""
         for name in (daemon, "store"):
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -220,6 +220,23 @@
         run.at = START + 0.25 * number
 
 
+def _request_after_a_departure(recorded: records.Records) -> None:
+    attempt = _add_attempt(recorded, "safe")
+    recorded.departures.append(
+        records.Report("i-0", attempt.daemon, 0, START - 4.0, records.FOREVER)
+    )
+    attempt.sent_at = START
+    _add_run(recorded, attempt, "i-0").at = START
+
+
+def _requests_within_an_asked_time(recorded: records.Records) -> None:
+    for number in range(3):
+        attempt = _add_attempt(recorded, "safe")
+        run = _add_run(recorded, attempt, "i-0")
+        run.at = START + 0.1 * number
+    recorded.backoffs.append(records.Report("i-0", attempt.daemon, 0, START - 1.0, 3.0))
+
+
 @pytest.mark.parametrize(
     ("check", "violate"),
     [
@@ -247,6 +264,8 @@
         ("recovered", _nothing_served_after_faults),
         ("crashing", _crashing_request_resent),
         ("limit", _more_arrivals_than_a_named_limit),
+        ("departure", _request_after_a_departure),
+        ("backoff", _requests_within_an_asked_time),
     ],
 )
 def test_check_detects_its_violation(check: str, violate) -> None:
