--- a/packages/dev/cassiaquay_dev/lab/days.py
+++ b/packages/dev/cassiaquay_dev/lab/days.py
@@ -114,6 +114,21 @@
     per_second: float
 
 
+class Departure(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """Engines that say in their answers that they leave, and stay listed.
+
+    Attributes
+    ----------
+    at : float
+        Start, counted from the start of the load.
+    count : int
+        Number of engines, the last ones in order of their names.
+    """
+
+    at: float
+    count: int
+
+
 class Day(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
     """A simulated scenario.
 
@@ -140,6 +155,8 @@
         Bursts in any order.
     limits : list of ServerLimit
         Limits of engines, in any order.
+    departures : list of Departure
+        Departures of engines, in any order.
     """
 
     instances: int
@@ -154,6 +171,7 @@
     hint_spread: float = 0.5
     bursts: list[Burst] = []
     limits: list[ServerLimit] = []
+    departures: list[Departure] = []
 
 
 def read(name: str) -> Day:
--- a/packages/dev/cassiaquay_dev/lab/simulation.py
+++ b/packages/dev/cassiaquay_dev/lab/simulation.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import collections.abc
 import random
 import typing
 
@@ -97,6 +98,8 @@
         Arrivals at all engines, in order of time.
     limits_known_at : list of float
         Times at which instances learned of the first limit, in order of time.
+    departures_known_at : list of float
+        Times at which instances learned of the first departure, in order of time.
     limit_messages : int
         Number of messages about limits that instances received.
     """
@@ -107,6 +110,7 @@
     received: int
     arrivals: list[Arrival]
     limits_known_at: list[float]
+    departures_known_at: list[float]
     limit_messages: int
 
 
@@ -128,6 +132,7 @@
         self.refused_at: list[float] = []
         self.arrivals: list[Arrival] = []
         self.limits_known_at: list[float] = []
+        self.departures_known_at: list[float] = []
         self._load_started_at = 0.0
         self._rng = random.Random(seed)
         self._snapshot = instances.snapshot(day)
@@ -154,7 +159,15 @@
         load_started_at = self._load_started_at = clock.now()
         watchers = [asyncio.create_task(self._sample())]
         if self.day.limits:
-            watchers.append(asyncio.create_task(self._watch_first_limit()))
+            watchers.append(
+                asyncio.create_task(self._watch(_knows_limit, self.limits_known_at))
+            )
+        if self.day.departures:
+            watchers.append(
+                asyncio.create_task(
+                    self._watch(_knows_departure, self.departures_known_at)
+                )
+            )
         callers = []
         for request in requests:
             await asyncio.sleep(max(load_started_at + request.at - clock.now(), 0.0))
@@ -222,9 +235,11 @@
         engine.submit(run)
         outcome = "cut"
         try:
-            if self.day.limits:
+            if self.day.limits or self.day.departures:
                 await run.started
-                found = signals.Signals(limit=self._named_limit(server))
+                found = signals.Signals(
+                    limit=self._named_limit(server), is_leaving=self._is_leaving(server)
+                )
                 instance.server_reports.answered(sent, found, False)
             await run.ended
             outcome = "completed"
@@ -242,14 +257,26 @@
                 return limit.per_second
         return None
 
-    async def _watch_first_limit(self) -> None:
-        """Record when each instance learns of its first limit."""
-        while len(self.limits_known_at) < len(self.instances):
+    def _is_leaving(self, server: str) -> bool:
+        now = clock.now() - self._load_started_at
+        names = list(self.engines)
+        for departure in self.day.departures:
+            if now >= departure.at and server in names[-departure.count :]:
+                return True
+        return False
+
+    async def _watch(
+        self,
+        knows: collections.abc.Callable[[instances.Instance], bool],
+        known_at: list[float],
+    ) -> None:
+        """Record when each instance learns of the first report of its kind."""
+        while len(known_at) < len(self.instances):
             knowing = 0
             for instance in self.instances:
-                knowing += bool(instance.server_states.limits.digest)
+                knowing += knows(instance)
             now = clock.now() - self._load_started_at
-            self.limits_known_at += [now] * (knowing - len(self.limits_known_at))
+            known_at += [now] * (knowing - len(known_at))
             await asyncio.sleep(WATCH_SECONDS)
 
     async def _sample(self) -> None:
@@ -329,5 +356,14 @@
         received,
         fleet.arrivals,
         fleet.limits_known_at,
+        fleet.departures_known_at,
         limit_messages,
     )
+
+
+def _knows_limit(instance: instances.Instance) -> bool:
+    return bool(instance.server_states.limits.digest)
+
+
+def _knows_departure(instance: instances.Instance) -> bool:
+    return bool(instance.server_states.departures.leaving_servers())
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -163,3 +163,19 @@
             if limit.at + 0.5 <= start and start + window <= limit.at + limit.seconds:
                 assert bisect.bisect(arrivals, start + window) - first <= bound
     assert simulation.worth(found.ended) > 0.9
+
+
+def test_no_instance_sends_requests_to_engines_that_leave() -> None:
+    """Guards against departures that spread too slowly or that a keeper ignores."""
+    day = msgspec.structs.replace(days.read("departures"), instances=24, seconds=8.0)
+    found = virtual_time.run(simulation.play(day, 1))
+    [departure] = day.departures
+    known_at = found.departures_known_at
+    assert len(known_at) == day.instances
+    assert known_at[-1] - known_at[0] < 0.1
+    for number in range(day.engines.count - departure.count, day.engines.count):
+        name = instances.engine_name(number)
+        arrivals = [item.at for item in found.arrivals if item.engine == name]
+        told = [at for at in arrivals if at >= departure.at]
+        assert not told or told[-1] < told[0] + 2.0
+    assert simulation.worth(found.ended) > 0.9
