--- a/packages/cli/cassiaquay_cli/trace.py
+++ b/packages/cli/cassiaquay_cli/trace.py
@@ -19,8 +19,10 @@
     "platform_returned",
     "ready",
     "reload_asked",
+    "server_departing",
     "server_gone",
     "server_retained",
+    "server_signals",
     "server_silent",
     "servers_in_force",
     "servers_readable",
@@ -70,6 +72,15 @@
     )
 
 
+@causes.register("servers_busy")
+def _explain_servers_busy(request_lines: Lines) -> str:
+    wait = request_lines[-1].fields.get("retry_after_ms", "?")
+    return (
+        f"all servers of its service had asked {request_lines[-1].instance} to wait; "
+        f"nothing was sent; retry after {wait} ms"
+    )
+
+
 @causes.register("answer_lost")
 def _explain_answer_lost(request_lines: Lines) -> str:
     line = _last_line(request_lines, "answer_cut")
--- a/packages/daemon/cassiaquay_daemon/operators/views.py
+++ b/packages/daemon/cassiaquay_daemon/operators/views.py
@@ -142,6 +142,9 @@
         return f"leaving, known for {seconds:.0f} s from {source}"
     if server.name in shard.closed_servers:
         return "leaving"
+    backoff_s = shard.states.backoff_seconds(server.name)
+    if backoff_s > 0.0:
+        return f"asked this instance to wait, {backoff_s:.1f} s left"
     cold = shard.cold
     if cold.is_cold(server.name):
         return f"cold, {cold.seconds_left(server.name):.1f} s left"
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -259,6 +259,25 @@
     fakes.run(test)
 
 
+def test_servers_that_leave_or_ask_for_time_are_shown() -> None:
+    """Guards against an operator who cannot see why a server gets no requests."""
+
+    async def test(instance: fakes.Instance) -> None:
+        states = instance.kept.states
+        states.departures.learn("tutor-1", 1, "cq-2")
+        states.backoffs.add("tutor-2", 30.0)
+        found = (await instance.call("/v1/servers")).json
+        shown = {item["server"]: item["state"] for item in found}
+        assert shown["tutor-1"] == "leaving, known for 0 s from cq-2"
+        assert shown["tutor-2"].startswith("asked this instance to wait, ")
+        path = f"/v1/explain?service=tutor-assist&team={SMALL.name}&tier=standard"
+        placement = (await instance.call(path)).json["placement"]
+        verdicts = {item["server"]: item["verdict"] for item in placement["servers"]}
+        assert verdicts["tutor-1"] == "leaving: gets no new work"
+
+    fakes.run(test)
+
+
 def test_placement_of_a_long_answer_finishes_later_than_a_short_one() -> None:
     """Guards against losing `output_tokens` in the call to the keeper.
 
--- a/tests/test_trace.py
+++ b/tests/test_trace.py
@@ -80,6 +80,7 @@
     [
         ("code=limit_reached outcome=not_run retry_after_ms=400", "over its limit"),
         ("code=deadline_exceeded outcome=outcome_unknown", "before the deadline"),
+        ("code=servers_busy outcome=not_run retry_after_ms=9", "had asked"),
         ("code=unauthorized outcome=not_run", "no team"),
         ("code=no_route outcome=not_run", "no route"),
         ("code=deadline_infeasible outcome=not_run", "before it was sent"),
