Demand again only after the time in which permits are rejected

Callers: right after a pause of an instance, or a stall while it starts, a request could be refused (shed_overload) while servers had room. The owner returned each permit and demanded again at once, was granted and returned it, some 60 times in 150 ms. The keeper never acknowledged the demand as queued, so the owner took it for silent and used its own share.

Now the owner waits until permits are accepted again, and takes a permit as a sign of a live keeper. The test failed before.

--- a/packages/daemon/cassiaquay_daemon/keepers/demands.py
+++ b/packages/daemon/cassiaquay_daemon/keepers/demands.py
@@ -316,9 +316,13 @@
         if self._was_paused() or clock.now() < self._rejects_permits_until:
             # This process was paused. The permit may be as old as the pause, and the
             # disconnections of callers may still be unread: using the permit could
-            # dispatch a request without a caller. Return it and demand again.
+            # dispatch a request without a caller. Return it and demand again later:
+            # a permit that is granted at once would be rejected, too.
             self._withdraw(replier, permit)
-            self._resend(pending)
+            self._acknowledged_at[permit.id] = clock.now()
+            asyncio.get_running_loop().call_later(
+                REJECT_PERMITS_SECONDS, self._repeat, permit.id
+            )
             return
         if self._is_blocked(permit):
             self._correct_keeper(replier, permit)
@@ -370,6 +374,11 @@
         limit_seconds = PAUSE_RENEWALS * self._settings.keeper.renew_seconds
         return clock.now() - self._renewed_at > limit_seconds
 
+    def _repeat(self, request_id: str) -> None:
+        pending = self._pending.get(request_id)
+        if pending is not None:
+            self._resend(pending)
+
     def _resend(self, pending: permissions.Pending) -> None:
         if not pending.future.done():
             self._send(pending.demand.shard, self._updated_demand(pending))
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -195,6 +195,30 @@
     _run(work)
 
 
+def test_permit_right_after_a_pause_is_demanded_again_later() -> None:
+    """Guards against a tight loop of grants and returned permits after a pause.
+
+    The keeper grants each repeated demand at once and never acknowledges one as
+    queued, so the request was admitted locally, where its share was in use.
+    """
+
+    async def work(site: Site) -> None:
+        site.demands._rejects_permits_until = demands.clock.now() + 0.3
+        asking = site.obtain(1)
+        grants = 0
+        while not asking.done():
+            await asyncio.sleep(0.005)
+            sent = [item for item in site.keeper.sent if type(item) is messages.Demand]
+            for demand in sent[grants:]:
+                permit = messages.Permit("a1", "i-2", 1500, demand.shard)
+                site.demands.answer(site.keeper, permit)
+                grants += 1
+        assert not asking.result().is_without_keeper
+        assert grants <= 4
+
+    _run(work)
+
+
 def test_request_is_admitted_locally_while_keeper_is_silent() -> None:
     """The keeper's process is paused: its connection is open, but it sends nothing.
 
