--- a/packages/dev/cassiaquay_dev/soak/report_checks.py
+++ b/packages/dev/cassiaquay_dev/soak/report_checks.py
@@ -44,7 +44,7 @@
 def find_requests_after_departures(
     recorded: records.Records,
 ) -> collections.abc.Iterator[str]:
-    """Find requests to an engine whose answer told the daemon that it leaves."""
+    """Find requests to an engine that has reported to the daemon that it leaves."""
     for report in recorded.departures:
         since = report.at + checks.DRAIN_SECONDS
         for run in _runs_after(recorded, report, since, records.FOREVER):
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -173,8 +173,8 @@
         self.fleet.list_servers(1)
         self.started_ms = 1
         self.listed = dict.fromkeys(NAMES, 1)
-        # Run of the server that an instance knows to be leaving.
-        self.told: dict[str, int] = {}
+        # Run of the server whose departure was reported to an instance.
+        self.reported: dict[str, int] = {}
 
     def play(self, step: str, name: str) -> None:
         """Play one step."""
@@ -182,7 +182,7 @@
         if step == "answer":
             # The answer is of the run that the instance has listed.
             fleet.reports[name].answered(SERVER, self.listed[name])
-            self.told[name] = self.listed[name]
+            self.reported[name] = self.listed[name]
         elif step == "list":
             self.listed[name] = self.started_ms
             fleet.list_servers(self.started_ms, name)
@@ -191,7 +191,7 @@
             fleet.list_servers(self.listed[name], name)
         elif step == "start":
             fleet.start(name)
-            self.told.pop(name, None)
+            self.reported.pop(name, None)
             fleet.list_servers(self.listed[name], name)
         elif step == "restart server":
             self.started_ms += 1
@@ -202,7 +202,7 @@
             fleet.deliver()
         elif step == "lose":
             fleet.queue.clear()
-        for knowing, started_ms in self.told.items():
+        for knowing, started_ms in self.reported.items():
             if started_ms >= self.listed[knowing]:
                 assert fleet.known[knowing].get(SERVER) is not None
 
@@ -223,7 +223,7 @@
 
 
 def test_forecast_leaves_out_the_slots_of_a_leaving_server(time) -> None:
-    """Guards against demands that wait for slots which nobody will get.
+    """Guards against demands that wait for slots that no demand will get.
 
     The leaving server's requests end at once; the other server is busy for long.
     """
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -176,6 +176,6 @@
     for number in range(day.engines.count - departure.count, day.engines.count):
         name = instances.engine_name(number)
         arrivals = [item.at for item in found.arrivals if item.engine == name]
-        told = [at for at in arrivals if at >= departure.at]
-        assert not told or told[-1] < told[0] + 2.0
+        later = [at for at in arrivals if at >= departure.at]
+        assert not later or later[-1] < later[0] + 2.0
     assert simulation.worth(found.ended) > 0.9
