--- a/packages/daemon/cassiaquay_daemon/decisions/candidates.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/candidates.py
@@ -181,7 +181,7 @@
             free = [0.0] * candidate.free_slots if candidate.has_slot(now) else []
             later = ends.get(name, [])
             if candidate.rate_budget is not None:
-                later = _limited_waits(candidate, later)
+                later = _limited_waits(candidate, candidate.rate_budget, later)
             waits[name] = free + later
         return waits
 
@@ -216,12 +216,13 @@
     return best
 
 
-def _limited_waits(candidate: Candidate, ends: list[float]) -> list[float]:
+def _limited_waits(
+    candidate: Candidate, budget: rate_budgets.RateBudget, ends: list[float]
+) -> list[float]:
     """Return the waits for the slots of a limited server that may not be used now."""
-    assert candidate.rate_budget is not None
     free = max(candidate.capacity - candidate.load.count, 0)
     slot_waits = [0.0] * free + sorted(ends)
-    budget_waits = candidate.rate_budget.waits(len(slot_waits))
+    budget_waits = budget.waits(len(slot_waits))
     limited_waits = []
     for waits in zip(slot_waits, budget_waits, strict=False):
         if max(waits) > 0.0:
--- a/packages/daemon/cassiaquay_daemon/gateway/admission.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/admission.py
@@ -109,7 +109,7 @@
         self._states = states
         self._outstanding: collections.Counter[str] = collections.Counter()
         # Services of which all servers were leaving at the last look.
-        self._left_services: set[str] = set()
+        self._services_leaving: set[str] = set()
 
     async def obtain(
         self, call: calls.Call, number: int, unreachable: list[str], tried: list[str]
@@ -208,10 +208,12 @@
         servers = call.snapshot.open_servers(call.service)
         staying = [item for item in servers if not self._states.is_leaving(item.name)]
         if staying:
-            self._left_services.discard(call.service)
-        elif servers and call.service not in self._left_services:
-            self._left_services.add(call.service)
-            logs.trouble("service_left", service=call.service, servers=len(servers))
+            self._services_leaving.discard(call.service)
+        elif servers and call.service not in self._services_leaving:
+            self._services_leaving.add(call.service)
+            logs.trouble(
+                "all_servers_leaving", service=call.service, servers=len(servers)
+            )
         return staying
 
     def _obtain_without_keeper(
