--- a/packages/daemon/cassiaquay_daemon/decisions/departures.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/departures.py
@@ -80,6 +80,8 @@
 
     def leaving_servers(self) -> list[str]:
         """Return the names of all servers that are leaving."""
+        if not self._departures:
+            return []
         return sorted(name for name in self._departures if self.get(name) is not None)
 
     def learn(self, server: str, started_ms: int, source: str) -> bool:
--- a/packages/daemon/cassiaquay_daemon/decisions/shards.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/shards.py
@@ -356,12 +356,8 @@
 
     def open_servers(self) -> list[fleet.Server]:
         """Return the servers that may get new work."""
-        servers = []
-        for name, server in self.servers.items():
-            if name in self.closed_servers or self.states.is_leaving(name):
-                continue
-            servers.append(server)
-        return servers
+        closed = self.closed_servers.union(self.states.departures.leaving_servers())
+        return [server for name, server in self.servers.items() if name not in closed]
 
     def tokens_on(self, server: str) -> int:
         """Return the tokens in flight on a server."""
--- a/packages/daemon/cassiaquay_daemon/decisions/slow_start.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/slow_start.py
@@ -132,6 +132,9 @@
 
     def limit(self, server: str) -> buckets.Flow | None:
         """Return the flow to a server that is cold now; None for a warm one."""
+        if server not in self._cold_until and server not in self._suspected_until:
+            # Nearly all servers, at each pass of a keeper.
+            return None
         return self.flow(server) if self.is_cold(server) else None
 
     def _is_suspected(self, server: str) -> bool:
