--- a/tests/test_gateway_schedules.py
+++ b/tests/test_gateway_schedules.py
@@ -176,7 +176,7 @@
 def _accept_any_answer(monkeypatch) -> None:
     """Accept any answer on a connection without checking its attempt id."""
 
-    def check(self, call, response) -> forwarding.Answer:
+    def check(self, call, response, found) -> forwarding.Answer:
         if headers.NOT_EXECUTED in response.headers:
             raise exceptions.Declined("not executed")
         pairs = headers.towards_caller(response.headers.items())
