--- a/packages/daemon/cassiaquay_daemon/decisions/server_states.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/server_states.py
@@ -54,7 +54,7 @@
     def blocking_cause(self, server: str, is_charged: bool) -> str:
         """Return why a request may not be sent to a server now; empty if it may.
 
-        ``is_charged`` tells whether its permit counts against the server's limit.
+        ``is_charged`` is true if its permit counts against the server's limit.
         """
         if self.is_leaving(server):
             return "the server is leaving"
--- a/packages/daemon/cassiaquay_daemon/gateway/serving.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/serving.py
@@ -59,7 +59,7 @@
     crashes : CrashReports
         Quarantines requests that crash servers.
     servers : ServerReports
-        Tells which servers may get requests by their own reports.
+        Returns why a server may get no request, by what it has reported.
     team_limits : Quotas
         Enforces the teams' limits.
     pauses : Pauses
