Log how much time a refused demand had left and would have needed

Which estimate led to a refusal for the deadline could not be told from the log, so a refusal from a wrong speed and one from a real overload looked alike. `shed` now has `left_ms`, and `needed_ms` where an estimate of the whole answer decided.

--- a/packages/daemon/cassiaquay_daemon/decisions/shards.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/shards.py
@@ -297,9 +297,30 @@
         )
         waiting.replier.send(permit)
 
-    def shed(self, waiting: Waiting, code: str, retry_after_ms: int) -> None:
-        """Remove a demand and send its owner a refusal for the caller."""
+    def shed(
+        self,
+        waiting: Waiting,
+        code: str,
+        retry_after_ms: int,
+        needed_seconds: float | None = None,
+    ) -> None:
+        """Remove a demand and send its owner a refusal for the caller.
+
+        Parameters
+        ----------
+        waiting : Waiting
+            A demand of the queue.
+        code : str
+            Code of the refusal.
+        retry_after_ms : int
+            When the caller may try again; 0 for no statement.
+        needed_seconds : float, optional
+            Estimated time to the end of the answer that led to the refusal.
+        """
         self._unqueue(waiting.demand.id)
+        needed_ms = None
+        if needed_seconds is not None:
+            needed_ms = round(needed_seconds * 1000.0, 1)
         logs.event(
             "shed",
             id=waiting.demand.id,
@@ -307,6 +328,8 @@
             rank=waiting.demand.rank,
             code=code,
             waited_ms=round((clock.now() - waiting.arrived_at) * 1000.0, 1),
+            left_ms=round((waiting.deadline - clock.now()) * 1000.0, 1),
+            needed_ms=needed_ms,
         )
         waiting.replier.send(messages.Shed(waiting.demand.id, code, retry_after_ms))
 
--- a/packages/daemon/cassiaquay_daemon/decisions/tiered.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/tiered.py
@@ -222,7 +222,9 @@
             latest_start = waiting.deadline - options.min_finish_seconds
             if views and latest_start < now:
                 # Late even on an idle engine: a retry would not help.
-                self._shard.shed(waiting, "deadline_infeasible", 0)
+                self._shard.shed(
+                    waiting, "deadline_infeasible", 0, options.min_finish_seconds
+                )
                 continue
             heapq.heappush(
                 self._latest_starts, (min(latest_start, waiting.deadline), request_id)
@@ -250,7 +252,10 @@
             before = self._queues.work_before(waiting.demand.id)
             wait = self._drain.wait_seconds(waiting.demand.rank, before)
             self._shard.shed(
-                waiting, "deadline_infeasible", self._drain.retry_after_ms(wait)
+                waiting,
+                "deadline_infeasible",
+                self._drain.retry_after_ms(wait),
+                options.min_finish_seconds,
             )
         for item in not_yet:
             heapq.heappush(self._latest_starts, item)
