Refuse late demands before a lower rank gets a slot

Callers saw: under overload, background requests were served while standard ones that had waited longer were refused with deadline_infeasible.

Cause: a demand whose answer would be late on every engine as loaded now, but not on an idle one, was neither granted nor refused, and no engine was reserved for it. Until its last moment a lower rank with more time left, or better luck with the estimates, was granted past it. Other shards were asked to hold lower ranks back before such a refusal; the shard itself did nothing of the kind.

Fix: the pass remembers the late demands of each rank and refuses them right before it grants to a lower rank, after the other shards have agreed; while no lower rank could get a slot they stay and hope for an idle engine, as before.

--- a/packages/daemon/cassiaquay_daemon/decisions/tiered.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/tiered.py
@@ -46,6 +46,8 @@
         self._sessions: dict[str, dict[str, None]] = {}
         self._weighed_count = 0
         self._unplaced_ids: set[str] = set()
+        # Demands by rank that no server could serve in time in this pass.
+        self._late: dict[int, dict[str, float]] = {}
         shard.observe(self)
 
     # Called by the shard.
@@ -157,6 +159,7 @@
         self._trim_queue()
         self._weighed_count = 0
         self._unplaced_ids.clear()
+        self._late.clear()
         for rank in self._queues.ranks():
             if self._shard.cutoffs.is_held_back(rank):
                 break
@@ -249,17 +252,31 @@
             if latest_start > now and now < waiting.deadline:
                 heapq.heappush(self._latest_starts, (latest_start, request_id))
                 continue
-            before = self._queues.work_before(waiting.demand.id)
-            wait = self._drain.wait_seconds(waiting.demand.rank, before)
-            self._shard.shed(
-                waiting,
-                "deadline_infeasible",
-                self._drain.retry_after_ms(wait),
-                options.min_finish_seconds,
-            )
+            self._shed_too_late(waiting, options.min_finish_seconds)
         for item in not_yet:
             heapq.heappush(self._latest_starts, item)
 
+    def _shed_late_above(self, rank: int) -> bool:
+        """Shed the late demands of more important ranks; return whether all are shed.
+
+        A late demand can still hope for an engine that becomes idle, so it stays in the
+        queue. Granting to a lower rank ends that hope: it would be refused moments
+        after less important work was preferred to it.
+        """
+        for late_rank in [other for other in self._late if other < rank]:
+            if not self._shard.may_shed(late_rank):
+                return False
+            for request_id, needed_seconds in self._late.pop(late_rank).items():
+                waiting = self._shard.queue[request_id]
+                self._shed_too_late(waiting, needed_seconds)
+        return True
+
+    def _shed_too_late(self, waiting: shards.Waiting, needed_seconds: float) -> None:
+        before = self._queues.work_before(waiting.demand.id)
+        wait = self._drain.wait_seconds(waiting.demand.rank, before)
+        retry_after_ms = self._drain.retry_after_ms(wait)
+        self._shard.shed(waiting, "deadline_infeasible", retry_after_ms, needed_seconds)
+
     def _trim_queue(self) -> None:
         limit = self._shard.settings.keeper.max_queue
         while len(self._queues) > limit:
@@ -323,9 +340,14 @@
                 waiting.demand, waiting.deadline, views, self._prefill_weight(), margin
             )
             if options.best is not None:
+                if not self._shed_late_above(rank):
+                    return False
                 self._grant(waiting, options.best)
                 return True
             self._unplaced_ids.add(request_id)
+            if not options.usable:
+                late = self._late.setdefault(rank, {})
+                late[request_id] = options.min_finish_seconds
             if options.awaited is None:
                 reserved.update(options.usable)
                 continue
