Measure the speed of engines on the owner's clock

Callers saw: after the keeper's process had not run for 0.6 s, most requests of an overload were refused with deadline_infeasible while the engines were idle.

Cause: the growth of an answer was divided by the time between two renewals at the keeper. Renewals that wait for a keeper without processor time are read together, so an engine seemed many times slower before the pause and many times faster after it.

Fix: a renewal says how long the answer has grown on its owner's clock, which goes on while the keeper waits. Instances before this field report 0; their renewals are measured as before.

Test: test_paused_keeper_measures_the_speed_of_engines_as_it_was fails on the code before (0.09 s a token at first, then 0).

--- a/packages/daemon/cassiaquay_daemon/decisions/grants.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/grants.py
@@ -26,6 +26,8 @@
         Tokens of the answer at the last renewal.
     produced_at : float
         Time of that renewal; seconds on this clock.
+    produced_age : float
+        Seconds from the first token to that renewal, as its owner measured them.
     is_charged : bool
         Whether the grant counts against a limit that the server has named.
     """
@@ -39,4 +41,5 @@
     cached_tokens: int = 0
     produced: int = 0
     produced_at: float = 0.0
+    produced_age: float = 0.0
     is_charged: bool = False
--- a/packages/daemon/cassiaquay_daemon/decisions/shards.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/shards.py
@@ -415,11 +415,16 @@
                 observer.started(prior, finished)
         if prior.produced:
             grown = item.produced - prior.produced
+            seconds = _seconds_between(prior, item, now)
             for observer in self._observers:
-                observer.advanced(prior.server, grown, now - prior.produced_at)
+                observer.advanced(prior.server, grown, seconds)
             if grown <= 0:
                 return prior
-        return prior._replace(produced=item.produced, produced_at=now)
+        return prior._replace(
+            produced=item.produced,
+            produced_at=now,
+            produced_age=item.age_ms / 1000.0,
+        )
 
     def _unqueue(self, request_id: str) -> None:
         waiting = self.queue.pop(request_id, None)
@@ -446,6 +451,20 @@
             observer.stopped(running)
 
 
+def _seconds_between(
+    prior: grants.Running, item: messages.Outstanding, now: float
+) -> float:
+    """Return the seconds between two reports on the growth of one answer.
+
+    They are the owner's if it reports them. Reports that wait for a paused keeper are
+    read at the same moment: by the keeper's clock, engines would seem to be many times
+    slower before the pause and many times faster after it.
+    """
+    if item.age_ms > 0.0:
+        return item.age_ms / 1000.0 - prior.produced_age
+    return now - prior.produced_at
+
+
 def _no_sibling(waiting: Waiting, limit: float) -> str:
     """Return an empty string: there is no other shard."""
     return ""
--- a/packages/daemon/cassiaquay_daemon/keepers/sending.py
+++ b/packages/daemon/cassiaquay_daemon/keepers/sending.py
@@ -54,8 +54,10 @@
     @property
     def renewed(self) -> messages.Outstanding:
         """The request as a renewal reports it."""
-        produced = self.answer.count if self.answer is not None else 0
-        return self.item._replace(produced=produced)
+        if self.answer is None or not self.answer.count:
+            return self.item
+        age_ms = (clock.now() - self.answer.first_at) * 1000.0
+        return self.item._replace(produced=self.answer.count, age_ms=age_ms)
 
     def step(self, now: float) -> messages.Step | None:
         """Return a step that is not reported yet, or None; each step only once."""
--- a/packages/schema/cassiaquay_schema/messages.py
+++ b/packages/schema/cassiaquay_schema/messages.py
@@ -357,6 +357,8 @@
         Estimated tokens of the answer.
     produced : int
         Tokens of the answer received by the owner so far.
+    age_ms : float
+        Owner time since the first of these tokens; 0 when unknown.
     """
 
     id: str
@@ -367,6 +369,7 @@
     prompt_tokens: int
     output_tokens: int
     produced: int = 0
+    age_ms: float = 0.0
 
 
 class Renewal(typing.NamedTuple):
--- /dev/null
+++ b/tests/test_speed_samples.py
@@ -0,0 +1,59 @@
+"""Samples of an engine's speed that reach the keeper late, in bursts or with gaps."""
+
+import policy_fakes as fakes
+import pytest
+
+from cassiaquay_daemon.decisions import shards
+from cassiaquay_schema import messages
+
+TOKEN_SECONDS = 0.01
+
+
+@pytest.fixture(name="time")
+def _time():
+    with fakes.Time().used() as time:
+        yield time
+
+
+class _Samples:
+    """Observer of a shard that records the growth of answers."""
+
+    def __init__(self) -> None:
+        self.seconds_per_token: list[float] = []
+
+    def advanced(self, server: str, tokens: int, seconds: float) -> None:
+        """Record one sample."""
+        self.seconds_per_token.append(seconds / tokens)
+
+    def __getattr__(self, name: str):
+        return lambda *args: None
+
+
+def _renew(shard: shards.Shard, seconds: float) -> None:
+    """Report an answer that has grown for ``seconds`` on its owner's clock."""
+    produced = 1 + round(seconds / TOKEN_SECONDS)
+    item = messages.Outstanding(
+        "runs", "", "", 0, "a", 40, 20, produced, seconds * 1000.0
+    )
+    shard.renew("cq-1", [item])
+
+
+def test_paused_keeper_measures_the_speed_of_engines_as_it_was(time) -> None:
+    """Guards against engines that seem slow, then fast, after a pause of the keeper.
+
+    Two reports of the owner wait in the socket while the keeper does not run; it reads
+    both at the same moment.
+    """
+    shard = fakes.shard({"a": 1})
+    samples = _Samples()
+    shard.observe(samples)
+    owner = fakes.Owner()
+    fakes.policy(shard).serve()
+    shard.add(fakes.demand("runs"), owner)
+    shard.grant(shard.queue["runs"], "a")
+    step = messages.Step("runs", "a", True, 0.0)
+    shard.progress(messages.Progress(shard.name, [step]))
+    time.now += 0.9
+    _renew(shard, 0.1)
+    _renew(shard, 0.8)
+    assert samples.seconds_per_token == pytest.approx([TOKEN_SECONDS] * 2)
