Take no first sample of an engine's speed from fewer than four tokens

Callers saw: engines idle for 0.9 s while 67 requests waited until their deadlines.

Cause: the first sample replaced the start value whole, however small it was. An owner that is late reads two tokens within 0.2 ms; the shortest time per token, which may rise by 1 % a sample, was then 0.2 ms for the rest of the run. No demand was late on an idle engine any more, so late ones were not refused and kept all engines from lower ranks.

The same in the other policy's time between events, without the floor. Test: test_two_tokens_read_at_once_... fails on the code before (0.206 ms).

--- a/packages/daemon/cassiaquay_daemon/decisions/service_times.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/service_times.py
@@ -21,6 +21,9 @@
 # are samples of `base_seconds`, longer ones of `rate`.
 MIN_RATE_SAMPLE_TOKENS = 1500
 SLOWER_WEIGHT = 0.4
+# Fewer events say little about the time between them: an instance that is late reads
+# several at once.
+MIN_FIRST_SAMPLE_EVENTS = 4
 # Weight of one request in the mean time for which requests occupy a slot.
 SLOT_WEIGHT = 0.1
 START_SLOT_SECONDS = 1.0
@@ -162,7 +165,7 @@
             return
         self._mark_responsive()
         sample = seconds / events
-        if not self._has_event_sample:
+        if not self._has_event_sample and events >= MIN_FIRST_SAMPLE_EVENTS:
             self._has_event_sample = True
             self.event_seconds = sample
             return
--- a/packages/daemon/cassiaquay_daemon/decisions/speeds.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/speeds.py
@@ -39,6 +39,9 @@
 # The floor is the shortest recent time per token; it may rise by this factor with each
 # sample.
 FLOOR_RISE_FACTOR = 1.01
+# Fewer tokens say little about the time between them: an owner that is late reads
+# several at once.
+MIN_FLOOR_TOKENS = 4
 
 
 class Estimate(typing.NamedTuple):
@@ -134,14 +137,14 @@
         if tokens < 1 or seconds <= 0.0:
             return
         sample = seconds / tokens
-        if not self._has_token_sample:
+        if not self._has_token_sample and tokens >= MIN_FLOOR_TOKENS:
             self._has_token_sample = True
             self.token_seconds = self._floor = sample
             return
         weight = SLOWER_WEIGHT if sample > self.token_seconds else FASTER_WEIGHT
         weight *= min(tokens / 8.0, 1.0)
         self.token_seconds += weight * (sample - self.token_seconds)
-        if tokens >= 4:
+        if tokens >= MIN_FLOOR_TOKENS:
             self._floor = min(self._floor * FLOOR_RISE_FACTOR, sample)
 
     def served(self, seconds: float) -> None:
--- a/tests/test_speed_samples.py
+++ b/tests/test_speed_samples.py
@@ -3,7 +3,7 @@
 import policy_fakes as fakes
 import pytest
 
-from cassiaquay_daemon.decisions import shards
+from cassiaquay_daemon.decisions import service_times, shards, speeds
 from cassiaquay_schema import messages
 
 TOKEN_SECONDS = 0.01
@@ -57,3 +57,21 @@
     _renew(shard, 0.1)
     _renew(shard, 0.8)
     assert samples.seconds_per_token == pytest.approx([TOKEN_SECONDS] * 2)
+
+
+def test_two_tokens_read_at_once_do_not_make_an_engine_infinitely_fast() -> None:
+    """Guards against a first sample of one token that sets the shortest time for good.
+
+    An owner that is late reads two tokens at once. Demands would then never be refused
+    as too late, and hold engines until their deadlines.
+    """
+    speed = speeds.Speed(8000, None)
+    speed.generated(1, 0.0002)
+    for _ in range(3):
+        speed.generated(16, 16 * TOKEN_SECONDS)
+    estimate = speed.estimate(0.0, False)
+    assert estimate.floor_seconds > TOKEN_SECONDS / 2
+    assert estimate.token_seconds == pytest.approx(TOKEN_SECONDS, rel=0.2)
+    times = service_times.ServiceTimes("a")
+    times.advanced(1, 0.0002)
+    assert times.event_seconds > service_times.START_EVENT_SECONDS / 2
