Forget that an engine stalled once it generates again

Cause: a stream without a token for over 0.5 s raised the mean time per token to the whole gap, from which it recovers by 30 % a sample: with 10 ms a token and a gap of 0.8 s it is still 563 ms after 16 tokens, and no demand is in time on that engine.

Fix: the gap bounds the estimate only until the next tokens. They count the gap in, so a slow engine is still learned as one.

--- a/packages/daemon/cassiaquay_daemon/decisions/speeds.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/speeds.py
@@ -80,6 +80,7 @@
         self._max_tokens = float(max_tokens) if max_tokens else None
         self._has_rate_sample = False
         self._has_token_sample = False
+        self._stalled_seconds = 0.0
         self._floor = START_TOKEN_SECONDS
         self._sampled_at = float("-inf")
         self._is_growing_fast = True
@@ -95,7 +96,8 @@
         idle : bool
             Whether the engine has no request in flight, so that no sample can arrive.
         """
-        rate, token, floor = self.prefill_rate, self.token_seconds, self._floor
+        rate, floor = self.prefill_rate, self._floor
+        token = max(self.token_seconds, self._stalled_seconds)
         age = now - self._sampled_at - FRESH_SECONDS
         if not idle or age <= 0.0 or not math.isfinite(age):
             return Estimate(rate, token, min(floor, token))
@@ -137,6 +139,7 @@
         if tokens < 1 or seconds <= 0.0:
             return
         sample = seconds / tokens
+        self._stalled_seconds = 0.0
         if not self._has_token_sample and tokens >= MIN_FLOOR_TOKENS:
             self._has_token_sample = True
             self.token_seconds = self._floor = sample
@@ -157,9 +160,13 @@
         self._floor = min(self._floor * FLOOR_RISE_FACTOR, seconds)
 
     def stalled(self, seconds: float) -> None:
-        """Learn from a stream that has received no token for ``seconds``."""
+        """Learn from a stream that has received no token for ``seconds``.
+
+        It bounds the estimate until the engine generates again. Kept in the mean, it
+        would make demands late for seconds after one gap in the reports of a stream.
+        """
         if seconds > STALL_SECONDS:
-            self.token_seconds = max(self.token_seconds, seconds)
+            self._stalled_seconds = max(self._stalled_seconds, seconds)
 
     def started(
         self, expected: float, seconds: float, in_flight: int, now: float
--- a/tests/test_speed_samples.py
+++ b/tests/test_speed_samples.py
@@ -75,3 +75,18 @@
     times = service_times.ServiceTimes("a")
     times.advanced(1, 0.0002)
     assert times.event_seconds > service_times.START_EVENT_SECONDS / 2
+
+
+def test_stalled_engine_is_as_fast_as_before_once_it_generates_again() -> None:
+    """Guards against refusals for seconds after a gap in the reports of one stream.
+
+    A stall is all that is known while it lasts; the next tokens show that it is over.
+    """
+    speed = speeds.Speed(8000, None)
+    for _ in range(3):
+        speed.generated(16, 16 * TOKEN_SECONDS)
+    speed.stalled(0.8)
+    assert speed.estimate(0.0, False).token_seconds >= 0.8
+    speed.generated(16, 16 * TOKEN_SECONDS)
+    estimate = speed.estimate(0.0, False)
+    assert estimate.token_seconds == pytest.approx(TOKEN_SECONDS, rel=0.2)
