State the time left when a request is written, not when it is formed

Cause: the header with the time left was made before the connection to the server was opened. Opening one takes up to half a second, and longer where the process gets no processor time; for that long the server works for a caller that has given up.

Fix: the request shortens the header by its age at the moment at which it is written. Test: test_slow_connection_is_taken_from_the_time_of_the_server fails on the code before (3,989 ms handed on by a request whose connection took 600 of 4,000 ms).

--- a/packages/daemon/cassiaquay_daemon/gateway/connections.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/connections.py
@@ -7,7 +7,9 @@
 import aiohttp
 from aiohttp import client_proto
 
+from .. import clock
 from ..adapters import backends
+from ..platform import headers
 
 # Shorter than the servers' own keep-alive time: a server that closes a connection while
 # a request is being sent on it leaves the request's outcome unknown.
@@ -33,6 +35,24 @@
         super().connection_lost(exc)
 
 
+class _TimedRequest(aiohttp.ClientRequest):
+    """Request that states the time left when it is written.
+
+    Opening a connection takes up to half a second, and longer on a busy machine. The
+    server would work for that long after the caller has given up.
+    """
+
+    def __init__(self, *args: typing.Any, **options: typing.Any) -> None:
+        super().__init__(*args, **options)
+        self._formed_at = clock.now()
+
+    async def send(self, conn: aiohttp.connector.Connection) -> aiohttp.ClientResponse:
+        """Write the request to an open connection."""
+        elapsed_ms = int((clock.now() - self._formed_at) * 1000)
+        headers.shorten_deadline(self.headers, elapsed_ms)
+        return await super().send(conn)
+
+
 def create_session() -> aiohttp.ClientSession:
     """Return the session for proxied requests."""
     connector = aiohttp.TCPConnector(
@@ -45,6 +65,7 @@
     connector._factory = factory
     session = aiohttp.ClientSession(
         connector=connector,
+        request_class=_TimedRequest,
         cookie_jar=aiohttp.DummyCookieJar(),
         auto_decompress=False,
         trace_configs=[backends.tracing()],
--- a/packages/daemon/cassiaquay_daemon/platform/headers.py
+++ b/packages/daemon/cassiaquay_daemon/platform/headers.py
@@ -164,7 +164,7 @@
     for name, value in headers:
         if name not in dropped:
             pairs.append((name.decode("latin-1"), value.decode("latin-1")))
-    pairs.append((DEADLINE.decode(), str(max(remaining_ms, 1))))
+    pairs.append((DEADLINE.decode(), _deadline_value(remaining_ms)))
     pairs.append((EXPECT_SERVER, server))
     if team:
         pairs.append((TEAM, team))
@@ -173,6 +173,15 @@
     return pairs
 
 
+def shorten_deadline(
+    pairs: collections.abc.MutableMapping[str, str], elapsed_ms: int
+) -> None:
+    """Subtract the time since the headers were formed from the deadline in them."""
+    name = DEADLINE.decode()
+    if name in pairs:
+        pairs[name] = _deadline_value(int(pairs[name]) - elapsed_ms)
+
+
 def towards_caller(
     headers: collections.abc.Iterable[tuple[str, str]],
 ) -> list[tuple[bytes, bytes]]:
@@ -222,3 +231,7 @@
     if not text.isdigit() or len(text) > 12:
         return default
     return min(int(text), MAX_TOKENS)
+
+
+def _deadline_value(remaining_ms: int) -> str:
+    return str(max(remaining_ms, 1))
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -2,12 +2,15 @@
 
 import asyncio
 
+import aiohttp
 import gateway_fakes as fakes
 import pytest
 
 from cassiaquay_dev.standins import platform_standins as standins
 from cassiaquay_dev.standins import raw_servers
 
+SLOW_CONNECT_SECONDS = 0.6
+
 
 async def _reset_connection(
     request: raw_servers.Request, writer: raw_servers.Writer
@@ -159,6 +162,28 @@
     fakes.run(work)
 
 
+def test_slow_connection_is_taken_from_the_time_of_the_server(monkeypatch) -> None:
+    """Guards against a server that is given more time than its caller has left.
+
+    Opening the connection takes 0.6 s, as on a machine without processor time.
+    """
+    connect = aiohttp.TCPConnector.connect
+
+    async def connect_slowly(self, *args, **options):
+        await asyncio.sleep(SLOW_CONNECT_SECONDS)
+        return await connect(self, *args, **options)
+
+    async def work(site: fakes.Site) -> None:
+        monkeypatch.setattr(aiohttp.TCPConnector, "connect", connect_slowly)
+        got = await site.ask("/book/x")
+        [engine] = site.engines_of(got.attempt)
+        [request] = engine.requests
+        left_ms = 4000 - SLOW_CONNECT_SECONDS * 1000
+        assert int(request.headers["cassiaquay-deadline-ms"]) < left_ms
+
+    fakes.run(work)
+
+
 @pytest.mark.parametrize("path", ["/stream/x", "/string/x"])
 def test_cut_stream_is_resumed_only_on_resumable_route(path: str) -> None:
     """A server resets its connection in the middle of its fourth event.
