Count a caller's time from when its request may have arrived

Cause: the time of a request ran from the moment at which the daemon read it. While the process does not run or its event loop stands still, requests wait in sockets; the time that their callers spent meanwhile was handed on to servers.

Fix: the check that detects pauses also knows since when the event loop has not come round. Requests that are read before it has caught up count from then. A request that arrived late in the gap gets less time than it has, by the gap at most.

Tests: a request written to a socket before the process stands still for 0.5 s is handed on with 3,788 of 4,000 ms on the code before; under 3,500 now.

--- a/packages/daemon/cassiaquay_daemon/gateway/front.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/front.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from .. import clock, exceptions, logs
+from .. import exceptions, logs, pause
 from ..owners import streams
 from ..platform import headers
 from . import accepting, accounting, progress, replies, serving
@@ -21,6 +21,8 @@
         Builds the answers; announces the shutdown to callers.
     accounts : Accounting
         Records requests that are refused before they have a route.
+    pauses : Pauses
+        Tells since when a request may have waited to be read.
     """
 
     def __init__(
@@ -29,12 +31,14 @@
         handler: serving.RequestHandler,
         reply: replies.Replies,
         accounts: accounting.Accounting,
+        pauses: pause.Pauses,
     ):
         self.open_count = 0
         self._acceptor = acceptor
         self._handler = handler
         self._replies = reply
         self._accounts = accounts
+        self._pauses = pauses
 
     @property
     def leaving(self) -> bool:
@@ -58,7 +62,7 @@
     async def _serve(
         self, scope: replies.Scope, receive: replies.Receive, send: replies.Send
     ) -> None:
-        began_at = clock.now()
+        began_at = self._pauses.earliest_arrival()
         parsed = headers.read(scope["headers"])
         try:
             call = await self._acceptor.accept(scope, receive, parsed, began_at)
--- a/packages/daemon/cassiaquay_daemon/gateway/service.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/service.py
@@ -81,7 +81,11 @@
             shared.configured, shared.server_list, shared.pauses
         )
         self._front = front.Front(
-            acceptor, serving.RequestHandler(parts), parts.reply, parts.accounting
+            acceptor,
+            serving.RequestHandler(parts),
+            parts.reply,
+            parts.accounting,
+            shared.pauses,
         )
         self._directory = directory.Directory(
             settings, shared.membership, shared.configured, shared.pauses, self._front
--- a/packages/daemon/cassiaquay_daemon/pause.py
+++ b/packages/daemon/cassiaquay_daemon/pause.py
@@ -13,6 +13,11 @@
 from . import clock, logs
 
 CHECK_INTERVAL_SECONDS = 0.1
+# A check that is later than this shows that the event loop did not run.
+LATE_SECONDS = 0.05
+# Iterations of the event loop after a late check in which it accepts the connections
+# and reads the requests that have waited in sockets meanwhile.
+CATCH_UP_ITERATIONS = 4
 
 
 def shortest_lease(settings: settings_schema.Settings) -> float:
@@ -43,6 +48,7 @@
         self._limit = limit
         self._now = now
         self._checked_at = now()
+        self._caught_up_at = now()
         self._is_current = asyncio.Event()
         self._is_current.set()
         self._on_resume: list[collections.abc.Callable[[], None]] = []
@@ -53,6 +59,12 @@
         self._check()
         return self._is_current.is_set()
 
+    @property
+    def _is_late(self) -> bool:
+        """Whether the periodic check is, or was, late."""
+        seconds = self._now() - self._caught_up_at
+        return seconds > CHECK_INTERVAL_SECONDS + LATE_SECONDS
+
     def on_resume(self, call: collections.abc.Callable[[], None]) -> None:
         """Call ``call`` after each pause, as soon as it is detected."""
         self._on_resume.append(call)
@@ -77,11 +89,25 @@
             return False
         return True
 
+    def earliest_arrival(self) -> float:
+        """Return the earliest time at which input read now may have arrived.
+
+        While this process gets no processor time, requests wait in sockets. Their
+        callers' time runs, so counting from the read would let servers work for
+        callers that have given up.
+        """
+        return self._caught_up_at if self._is_late else self._now()
+
     async def check_periodically(self) -> None:
         """Check for pauses periodically until cancelled."""
         while True:
             self._check()
+            self._caught_up_at = self._now()
             await asyncio.sleep(CHECK_INTERVAL_SECONDS)
+            if not self._is_late:
+                continue
+            for _ in range(CATCH_UP_ITERATIONS):
+                await asyncio.sleep(0)
 
     def _check(self) -> None:
         now = self._now()
--- a/tests/test_pause.py
+++ b/tests/test_pause.py
@@ -1,9 +1,12 @@
 """A process that was paused must not act on state from before the pause."""
 
 import asyncio
+import socket
+import time
 
 import aiohttp
 import fleets
+import gateway_fakes
 
 from cassiaquay_daemon import clock, pause
 from cassiaquay_daemon.adapters import backends
@@ -12,6 +15,7 @@
 from cassiaquay_daemon.links import peers
 from cassiaquay_daemon.owners import owner, tokens
 from cassiaquay_dev.sizing import light
+from cassiaquay_dev.standins import platform_standins
 from cassiaquay_schema import messages
 
 SETTINGS = light.settings_of("cq-1")
@@ -203,3 +207,59 @@
         task.cancel()
 
     asyncio.run(run())
+
+
+def test_request_that_waited_for_a_busy_process_counts_as_that_old() -> None:
+    """Guards against time that is handed on though the caller no longer has it.
+
+    The event loop stands still for 0.5 s; a request that it reads then may have arrived
+    at any time since. The next one is counted from when it is read.
+    """
+
+    async def work() -> None:
+        pauses = pause.Pauses(5.0)
+        checking = asyncio.create_task(pauses.check_periodically())
+        await asyncio.sleep(0.05)
+        before = clock.now()
+        assert pauses.earliest_arrival() >= before
+        _stand_still(0.5)
+        assert pauses.earliest_arrival() <= before + 0.01
+        await asyncio.sleep(0)
+        assert pauses.earliest_arrival() <= before + 0.01
+        while pauses.earliest_arrival() <= before + 0.01:
+            await asyncio.sleep(0.01)
+        after = clock.now()
+        assert pauses.earliest_arrival() >= after
+        checking.cancel()
+
+    asyncio.run(work())
+
+
+def test_server_gets_no_time_that_passed_while_the_daemon_did_not_run() -> None:
+    """Guards against counting a caller's time from when a late process reads it."""
+
+    async def work(site: gateway_fakes.Site) -> None:
+        host, _, port = site.settings[0].gateway.front.rpartition(":")
+        head = [
+            "POST /book/x HTTP/1.1",
+            f"Host: {platform_standins.HOST}",
+            "Content-Length: 0",
+            "Cassiaquay-Attempt-Id: waits",
+            "Cassiaquay-Deadline-Ms: 4000",
+            "Api-Key: key",
+        ]
+        with socket.create_connection((host, int(port))) as caller:
+            caller.sendall("\r\n".join([*head, "", ""]).encode())
+            _stand_still(0.5)
+            while not site.engines_of("waits"):
+                await asyncio.sleep(0.01)
+        [engine] = site.engines_of("waits")
+        [request] = engine.requests
+        assert int(request.headers["cassiaquay-deadline-ms"]) < 3500
+
+    gateway_fakes.run(work)
+
+
+def _stand_still(seconds: float) -> None:
+    """Let no other task of this process run."""
+    time.sleep(seconds)
