Bound the servers that an attempt is sent to, also if they decline it

Cause: only runs counted; a declined request was sent on for as long as engines declined it and the retry budget lasted.

Fix: every server that the request was written to counts. A 421 does not: it is not from the server that the request was sent to. Once none may be tried any more, the caller gets 503 with Retry-After, and it is true that the request has not run.

Test: test_declined_request_goes_to_no_more_servers_than_its_route_allows, 3 of 2 before.

--- a/packages/daemon/cassiaquay_daemon/gateway/forwarding.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/forwarding.py
@@ -148,6 +148,8 @@
         if _is_declined(response) or response.status == WRONG_SERVER_STATUS:
             if found.retry_after is not None:
                 raise exceptions.Deferred(f"retry after {found.retry_after:g} s")
+            if response.status == WRONG_SERVER_STATUS:
+                raise exceptions.Misdirected(f"status {response.status}")
             raise exceptions.Declined(f"status {response.status}")
         if not _is_answer_to(call, response):
             # A surplus answer on a kept-alive connection belongs to an earlier request
--- a/packages/daemon/cassiaquay_daemon/gateway/progress.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/progress.py
@@ -29,6 +29,8 @@
         Servers that could not be reached.
     tried : list of str
         Servers that received it and gave no usable answer.
+    receivers : set of str
+        Servers that it was sent to, also those that declined it.
     """
 
     def __init__(self, call: calls.Call):
@@ -41,14 +43,19 @@
         self.server_start = ""
         self.unreachable: list[str] = []
         self.tried: list[str] = []
+        self.receivers: set[str] = set()
 
     @property
     def may_have_run(self) -> bool:
         """Whether any server may have run it."""
         return self.runs > 0
 
+    @property
+    def has_attempts_left(self) -> bool:
+        """Whether its route allows to send it to one more server."""
+        return len(self.receivers) < self.call.route.attempts
+
     @property
     def is_repeatable_now(self) -> bool:
-        """Whether it may be sent to one more server."""
-        route = self.call.route
-        return route.is_repeatable and self.runs < route.attempts
+        """Whether it may be sent to one more server though one may have run it."""
+        return self.call.route.is_repeatable and self.has_attempts_left
--- a/packages/daemon/cassiaquay_daemon/gateway/serving.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/serving.py
@@ -151,6 +151,8 @@
                     raise _unserved_refusal(state) from error
                 await asyncio.sleep(RETRY_PAUSE_SECONDS)
             except exceptions.Declined as error:
+                if not state.has_attempts_left:
+                    raise _unserved_refusal(state) from error
                 if not self._parts.budget.take(state.call.service):
                     raise _unserved_refusal(state) from error
             except _RetryableFailure as error:
@@ -215,6 +217,8 @@
             is_deferred = isinstance(error, exceptions.Deferred)
             outcome = "deferred" if is_deferred else "declined"
             state.tried.append(ticket.server.name)
+            if isinstance(error, exceptions.Misdirected):
+                state.receivers.discard(ticket.server.name)
             logs.event(
                 "declined",
                 id=call.parsed.attempt,
@@ -311,6 +315,7 @@
         # From here on the request may run. Only a server that reports that it did not
         # run it takes this back.
         state.runs += 1
+        state.receivers.add(ticket.server.name)
         self._parts.capacity.report_dispatched(ticket)
         call = state.call
         logs.event(
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -183,6 +183,29 @@
     fakes.run(work)
 
 
+def test_declined_request_goes_to_no_more_servers_than_its_route_allows() -> None:
+    """Guards against sending an attempt on for as long as servers decline it.
+
+    Two of three servers may get it, also if the first one declines.
+    """
+
+    async def work(site: fakes.Site) -> None:
+        third = standins.Engine("i-3")
+        await third.start()
+        site.engines.append(third)
+        site.register(third)
+        for engine in site.engines:
+            engine.responder = _decline
+        await _wait_until(lambda: site.daemons[0]._servers.count == 6)
+        got = await site.ask("/book/x")
+        assert got.status == 503
+        assert b'"outcome":"not_run"' in got.body
+        sent_to = [one for one in site.engines if got.attempt in one.runs]
+        assert len(sent_to) == 2
+
+    fakes.run(work)
+
+
 def test_request_ends_at_route_timeout() -> None:
     """The route's timeout is 300 ms; the server sends nothing for longer."""
 
