Kill an instance in tests only while requests of its own are in progress

test_callers_of_a_killed_instance_get_whole_answers failed at times: no answer of the killed instance was left for others to read.

Nothing of its own ran at an engine then, so nothing could be read there. The product answered every caller.

The test and its checks are unchanged.

--- a/tests/fault_runs.py
+++ b/tests/fault_runs.py
@@ -1,6 +1,7 @@
 """Runs clusters of real processes under faults and checks their recorded history."""
 
 import asyncio
+import collections
 import collections.abc
 import contextlib
 import pathlib
@@ -10,9 +11,11 @@
 import cassiaquay
 from cassiaquay_dev import cluster, deployments
 from cassiaquay_dev.network import partition
+from cassiaquay_dev.standins import engine_stream
 from cassiaquay_dev.trials import checker, history
 
 TIMEOUT_SECONDS = 60.0
+IN_PROGRESS_STATES = (engine_stream.PREFILL, engine_stream.DECODING)
 ENGINE = deployments.EngineSpec("tutor-1", "derby", 20_000, 10.0, 4, 40_000)
 # Engines that are slow enough for a test to inject faults while they stream.
 SMALL = deployments.BRINDLEY._replace(
@@ -70,12 +73,32 @@
             return error
 
     async def find_busiest(self) -> str:
-        """Return the running instance with the most open requests."""
-        counts = {}
-        for name, process in self.cluster.daemons.items():
-            if process.returncode is None:
-                counts[name] = (await self.cluster.status(name))["open"]
-        return max(counts, key=lambda name: counts[name])
+        """Return the running instance with the most requests in progress.
+
+        It waits until there is one. Instances whose requests all wait for a permit
+        don't count, however many they are: nothing of theirs runs at a back end.
+        """
+        async with asyncio.timeout(TIMEOUT_SECONDS):
+            while True:
+                counts = await self._count_in_progress()
+                if counts:
+                    return counts.most_common(1)[0][0]
+                await asyncio.sleep(0.02)
+
+    async def _count_in_progress(self) -> collections.Counter[str]:
+        """Return the requests that model engines are serving, by running instance."""
+        collected = history.History()
+        await history.collect_back_ends(self.cluster, collected)
+        engine_names = {engine.name for engine in self.cluster.deployment.engines}
+        counts: collections.Counter[str] = collections.Counter()
+        for event in collected.of(history.Arrived):
+            owner = event.key.partition(".")[0]
+            process = self.cluster.daemons[owner]
+            if event.server not in engine_names or process.returncode is not None:
+                continue
+            if event.state in IN_PROGRESS_STATES:
+                counts[owner] += 1
+        return counts
 
     async def wait_until_open(self, name: str, count: int) -> None:
         """Wait until an instance has ``count`` open requests."""
