Skip the state of the servers in passes without a waiting demand

Most passes of a keeper follow reports of progress, renewals and ticks. With an empty queue there is nothing to grant or refuse, but the state of all servers was rebuilt.

--- a/packages/daemon/cassiaquay_daemon/decisions/objectives.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/objectives.py
@@ -134,6 +134,9 @@
         """Grant demands tier by tier, and shed those that cannot be in time."""
         now = clock.now()
         self._mark_silent_servers(now)
+        if not self._shard.queue:
+            # Most passes follow reports of progress and find nothing to decide.
+            return
         self._servers.refresh()
         is_forecast_fresh = False
         weighed_count = 0
