--- a/tests/test_rank_order.py
+++ b/tests/test_rank_order.py
@@ -5,7 +5,7 @@
 import pytest
 from hypothesis import strategies
 
-from cassiaquay_daemon.decisions import tiered
+from cassiaquay_daemon.decisions import objectives, tiered
 from cassiaquay_schema import messages
 
 LOADED_TOKEN_SECONDS = 0.1
@@ -20,11 +20,22 @@
 
 def _set_speed(policy: tiered.Tiered, server: str, token_seconds: float) -> None:
     """Let an engine take this long for a token; its idle time stays the shortest."""
+    if server not in policy._engines:
+        return
     speed = policy._engines[server].speed
     speed.generated(100, 100 * IDLE_TOKEN_SECONDS)
     speed.token_seconds = token_seconds
 
 
+def _set_event_seconds(
+    policy: objectives.Objectives, server: str, event_seconds: float
+) -> None:
+    policy._times_of(server).event_seconds = event_seconds
+
+
+SET_SPEED = {tiered.NAME: _set_speed, objectives.NAME: _set_event_seconds}
+
+
 def test_lower_rank_gets_no_slot_before_a_late_demand_is_refused(time) -> None:
     """Guards against grants to a lower rank while a late demand of a higher one waits.
 
@@ -105,13 +116,14 @@
 )
 
 
+@pytest.mark.parametrize("name", [tiered.NAME, objectives.NAME])
 @hypothesis.settings(max_examples=150, deadline=None, derandomize=True)
 @hypothesis.given(schedule=SCHEDULES)
-def test_no_rank_is_granted_past_a_waiting_higher_one(schedule) -> None:
+def test_no_rank_is_granted_past_a_waiting_higher_one(name, schedule) -> None:
     """Guards against any order of arrivals, pauses and speeds that inverts ranks."""
     with fakes.Time().used() as time:
         shard = fakes.shard({"a": 3})
-        policy = fakes.policy(shard)
+        policy = fakes.policy(shard, name)
         owner = fakes.Owner()
         ranks = {}
         for number, (kind, *values) in enumerate(schedule):
@@ -124,11 +136,11 @@
                     remaining_ms=remaining_ms,
                 )
                 ranks[demand.id] = rank
-                shard.add(demand, owner)
+                shard.add(demand._replace(first_ms=remaining_ms // 2), owner)
             elif kind == "pause":
                 time.now += values[0]
-            elif kind == "speed" and policy._engines:
-                _set_speed(policy, "a", values[0])
+            elif kind == "speed":
+                SET_SPEED[name](policy, "a", values[0])
             elif kind == "end" and shard.running:
                 ended = sorted(shard.running)[values[0] % len(shard.running)]
                 shard.drop(ended)
