--- a/tests/fault_runs.py
+++ b/tests/fault_runs.py
@@ -100,12 +100,6 @@
                 counts[owner] += 1
         return counts
 
-    async def wait_until_open(self, name: str, count: int) -> None:
-        """Wait until an instance has ``count`` open requests."""
-        async with asyncio.timeout(TIMEOUT_SECONDS):
-            while (await self.cluster.status(name))["open"] < count:
-                await asyncio.sleep(0.02)
-
     async def collect_arrivals(self) -> list[history.Arrived]:
         """Return the requests that backend servers have received so far."""
         collected = history.History()
