--- a/packages/daemon/cassiaquay_daemon/decisions/grants.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/grants.py
@@ -43,3 +43,14 @@
     produced_at: float = 0.0
     produced_age: float = 0.0
     is_charged: bool = False
+
+    def seconds_until(self, item: messages.Outstanding, now: float) -> float:
+        """Return the seconds from the last renewal to the one with ``item``.
+
+        They are the owner's if it reports them. Renewals that wait for a paused keeper
+        are read at the same moment: by the keeper's clock, engines would seem to be
+        many times slower before the pause and many times faster after it.
+        """
+        if item.age_ms > 0.0:
+            return item.age_ms / 1000.0 - self.produced_age
+        return now - self.produced_at
--- a/packages/daemon/cassiaquay_daemon/decisions/shards.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/shards.py
@@ -304,19 +304,7 @@
         retry_after_ms: int,
         needed_seconds: float | None = None,
     ) -> None:
-        """Remove a demand and send its owner a refusal for the caller.
-
-        Parameters
-        ----------
-        waiting : Waiting
-            A demand of the queue.
-        code : str
-            Code of the refusal.
-        retry_after_ms : int
-            When the caller may try again; 0 for no statement.
-        needed_seconds : float, optional
-            Estimated time to the end of the answer that led to the refusal.
-        """
+        """Refuse a demand; ``needed_seconds`` is the estimate that led to it."""
         self._unqueue(waiting.demand.id)
         needed_ms = None
         if needed_seconds is not None:
@@ -415,7 +403,7 @@
                 observer.started(prior, finished)
         if prior.produced:
             grown = item.produced - prior.produced
-            seconds = _seconds_between(prior, item, now)
+            seconds = prior.seconds_until(item, now)
             for observer in self._observers:
                 observer.advanced(prior.server, grown, seconds)
             if grown <= 0:
@@ -451,20 +439,6 @@
             observer.stopped(running)
 
 
-def _seconds_between(
-    prior: grants.Running, item: messages.Outstanding, now: float
-) -> float:
-    """Return the seconds between two reports on the growth of one answer.
-
-    They are the owner's if it reports them. Reports that wait for a paused keeper are
-    read at the same moment: by the keeper's clock, engines would seem to be many times
-    slower before the pause and many times faster after it.
-    """
-    if item.age_ms > 0.0:
-        return item.age_ms / 1000.0 - prior.produced_age
-    return now - prior.produced_at
-
-
 def _no_sibling(waiting: Waiting, limit: float) -> str:
     """Return an empty string: there is no other shard."""
     return ""
--- a/packages/daemon/cassiaquay_daemon/exceptions.py
+++ b/packages/daemon/cassiaquay_daemon/exceptions.py
@@ -73,12 +73,6 @@
     code = "backend_deferred"
 
 
-class Misdirected(Declined):
-    """Another server has the address of the intended one; it declined the request."""
-
-    code = "backend_misdirected"
-
-
 class Rejected(BackendError):
     """The backend server validated or ran the request and returned an error."""
 
--- a/packages/daemon/cassiaquay_daemon/gateway/forwarding.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/forwarding.py
@@ -53,6 +53,10 @@
         return self.status >= FIRST_SERVER_ERROR_STATUS
 
 
+class Misdirected(exceptions.Declined):
+    """Another server has the address of the intended one; it declined the request."""
+
+
 class Forwarder:
     """Sends requests to backend servers.
 
@@ -149,7 +153,7 @@
             if found.retry_after is not None:
                 raise exceptions.Deferred(f"retry after {found.retry_after:g} s")
             if response.status == WRONG_SERVER_STATUS:
-                raise exceptions.Misdirected(f"status {response.status}")
+                raise Misdirected(f"status {response.status}")
             raise exceptions.Declined(f"status {response.status}")
         if not _is_answer_to(call, response):
             # A surplus answer on a kept-alive connection belongs to an earlier request
--- a/packages/daemon/cassiaquay_daemon/gateway/serving.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/serving.py
@@ -217,7 +217,7 @@
             is_deferred = isinstance(error, exceptions.Deferred)
             outcome = "deferred" if is_deferred else "declined"
             state.tried.append(ticket.server.name)
-            if isinstance(error, exceptions.Misdirected):
+            if isinstance(error, forwarding.Misdirected):
                 state.receivers.discard(ticket.server.name)
             logs.event(
                 "declined",
