--- a/packages/daemon/cassiaquay_daemon/gateway/forwarding.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/forwarding.py
@@ -56,6 +56,8 @@
 class Misdirected(exceptions.Declined):
     """Another server has the address of the intended one; it declined the request."""
 
+    code = "backend_misdirected"
+
 
 class Forwarder:
     """Sends requests to backend servers.
