--- a/tests/test_pause.py
+++ b/tests/test_pause.py
@@ -215,7 +215,6 @@
     The event loop stands still for 0.5 s; a request that it reads then may have arrived
     at any time since. The next one is counted from when it is read.
     """
-
     time_now = 100.0
 
     async def work() -> None:
