--- a/packages/daemon/cassiaquay_daemon/gateway/front.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/front.py
@@ -22,7 +22,7 @@
     accounts : Accounting
         Records requests that are refused before they have a route.
     pauses : Pauses
-        Tells since when a request may have waited to be read.
+        Gives the time since when a request may have waited to be read.
     """
 
     def __init__(
--- a/tests/test_rank_order.py
+++ b/tests/test_rank_order.py
@@ -5,7 +5,7 @@
 import pytest
 from hypothesis import strategies
 
-from cassiaquay_daemon.decisions import objectives, tiered
+from cassiaquay_daemon.decisions import objectives, shards, tiered
 from cassiaquay_schema import messages
 
 LOADED_TOKEN_SECONDS = 0.1
@@ -36,12 +36,8 @@
 SET_SPEED = {tiered.NAME: _set_speed, objectives.NAME: _set_event_seconds}
 
 
-def test_lower_rank_gets_no_slot_before_a_late_demand_is_refused(time) -> None:
-    """Guards against grants to a lower rank while a late demand of a higher one waits.
-
-    The rank-2 demand is late on the loaded engine and feasible on an idle one, so it
-    was neither granted nor refused, and nothing kept the free slot from rank 3.
-    """
+def _queue_late_demand() -> tuple[shards.Shard, tiered.Tiered, fakes.Owner]:
+    """Queue a demand of rank 2 that is late on a loaded engine with free slots."""
     shard = fakes.shard({"a": 4})
     policy = fakes.policy(shard)
     owner = fakes.Owner()
@@ -49,6 +45,16 @@
     policy.serve()
     _set_speed(policy, "a", LOADED_TOKEN_SECONDS)
     shard.add(fakes.demand("late", rank=2, remaining_ms=1_500), owner)
+    return shard, policy, owner
+
+
+def test_lower_rank_gets_no_slot_before_a_late_demand_is_refused(time) -> None:
+    """Guards against grants to a lower rank while a late demand of a higher one waits.
+
+    The rank-2 demand is late on the loaded engine and feasible on an idle one, so it
+    was neither granted nor refused, and nothing kept the free slot from rank 3.
+    """
+    shard, policy, owner = _queue_late_demand()
     shard.add(fakes.demand("lower", rank=3), owner)
     policy.serve()
     decided = [
@@ -65,13 +71,7 @@
 
 def test_late_demand_waits_for_an_idle_engine_while_no_lower_rank_does(time) -> None:
     """Guards against refusing a late demand that delays no other work."""
-    shard = fakes.shard({"a": 4})
-    policy = fakes.policy(shard)
-    owner = fakes.Owner()
-    shard.add(fakes.demand("running"), owner)
-    policy.serve()
-    _set_speed(policy, "a", LOADED_TOKEN_SECONDS)
-    shard.add(fakes.demand("late", rank=2, remaining_ms=1_500), owner)
+    shard, policy, owner = _queue_late_demand()
     policy.serve()
     assert "late" in shard.queue
     _set_speed(policy, "a", IDLE_TOKEN_SECONDS)
@@ -83,14 +83,8 @@
     time,
 ) -> None:
     """Guards against grants to a lower rank while the other shards are asked."""
-    shard = fakes.shard({"a": 4})
+    shard, policy, owner = _queue_late_demand()
     shard.may_shed = lambda rank: False
-    policy = fakes.policy(shard)
-    owner = fakes.Owner()
-    shard.add(fakes.demand("running"), owner)
-    policy.serve()
-    _set_speed(policy, "a", LOADED_TOKEN_SECONDS)
-    shard.add(fakes.demand("late", rank=2, remaining_ms=1_500), owner)
     shard.add(fakes.demand("lower", rank=3), owner)
     policy.serve()
     assert list(owner.permits()) == ["running"]
