Log which server a keeper leaves out, and on whose report

A keeper gives a server no work for two seconds after an owner could not connect to it. Nothing showed that; a refusal for want of a slot and a refusal since all servers were left out looked the same. The state moves to a module of its own.

--- a/packages/daemon/cassiaquay_daemon/decisions/shards.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/shards.py
@@ -8,6 +8,7 @@
 
 from .. import clock, logs
 from . import (
+    exclusions,
     grants,
     loads,
     prefixes,
@@ -22,8 +23,6 @@
 # Owners repeat unanswered demands every renewal period; one not repeated for this many
 # periods has lost its owner, or was read after a pause of this process.
 STALE_PERIODS = 4.0
-# How long a server counts as down after it refused a connection.
-REFUSED_SECONDS = 2.0
 DOWN_RETRY_MS = 2000
 
 
@@ -114,7 +113,7 @@
         self.cold = cold or slow_start.SlowStart(settings)
         self.states = states or server_states.ServerStates(settings)
         self.rate_budgets = rate_budgets.RateBudgets([self.cold, self.states.limits])
-        self._refused: dict[str, float] = {}
+        self._exclusions = exclusions.Exclusions(name)
         self._loads: dict[str, loads.Load] = {}
         self._observers: list[Observer] = []
         self._unreported_owners: set[str] = set()
@@ -160,7 +159,7 @@
         """Queue a demand, or renew it when its owner repeats it."""
         now = clock.now()
         for server in demand.avoid:
-            self._refused[server] = now
+            self._exclusions.report(server, replier.instance, demand.id)
             self.cold.suspect_restart(server)
         if not prefixes.is_consistent(demand.blocks, demand.block_count):
             # Other versions sample other blocks; no affinity beats a wrong one.
@@ -241,7 +240,7 @@
             if not step.started:
                 continue
             finished = self.load(running.server).finish_prefill(step.id, at)
-            self._refused.pop(running.server, None)
+            self._exclusions.confirm_alive(running.server)
             self.cold.confirm_alive(running.server)
             if finished is None:
                 continue
@@ -362,8 +361,7 @@
 
     def is_refusing(self, server: str) -> bool:
         """Return whether a server refused a connection; cleared by a first event."""
-        age = clock.now() - self._refused.get(server, float("-inf"))
-        return age < REFUSED_SECONDS
+        return self._exclusions.is_excluded(server)
 
     def open_servers(self) -> list[fleet.Server]:
         """Return the servers that may get new work."""
