--- a/tests/gateway_fakes.py
+++ b/tests/gateway_fakes.py
@@ -171,6 +171,31 @@
         for engine in self.engines:
             engine.responder = once
 
+    def connector(self, at: int) -> typing.Any:
+        """Return the connector of one daemon's connections to servers."""
+        gateway = self.daemons[at]._gateway
+        assert gateway is not None
+        return gateway._parts.forwarder._http.connector
+
+    def server_addresses(self) -> set[str]:
+        """Return the addresses of all servers."""
+        return {engine.address for engine in self.engines}
+
+    def reset_connections(
+        self, at: int, addresses: collections.abc.Collection[str] | None = None
+    ) -> None:
+        """Reset the open connections of one daemon to servers."""
+        connector = self.connector(at)
+        for handler in [
+            *connector._acquired,
+            *(handler for pooled in connector._conns.values() for handler, _ in pooled),
+        ]:
+            if handler.transport is None:
+                continue
+            host, port = handler.transport.get_extra_info("peername")[:2]
+            if f"{host}:{port}" in (addresses or self.server_addresses()):
+                handler.transport.abort()
+
     async def stop(self) -> None:
         """Stop the daemons, the store and the engines."""
         for made in self.daemons:
