Keep a server from all only after two owners report it unreachable

What callers saw: while one instance of nine had no path to the servers, the others' callers were refused (shed_overload) at idle servers. Cause: the keeper took one owner's failed connection for a property of the server and left it out for all for two seconds, renewed by each further report. Class: one observer's failure taken for a property of what it observes.

Now a report keeps the server from its reporter; two owners' reports, without an answer of the server in between, keep it from all. A crashed server so costs one more failed connection.

The cut instances' own callers are still refused.

--- a/packages/daemon/cassiaquay_daemon/decisions/shards.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/shards.py
@@ -113,7 +113,7 @@
         self.cold = cold or slow_start.SlowStart(settings)
         self.states = states or server_states.ServerStates(settings)
         self.rate_budgets = rate_budgets.RateBudgets([self.cold, self.states.limits])
-        self._exclusions = exclusions.Exclusions(name)
+        self.exclusions = exclusions.Exclusions(name)
         self._loads: dict[str, loads.Load] = {}
         self._observers: list[Observer] = []
         self._unreported_owners: set[str] = set()
@@ -159,8 +159,9 @@
         """Queue a demand, or renew it when its owner repeats it."""
         now = clock.now()
         for server in demand.avoid:
-            self._exclusions.report(server, replier.instance, demand.id)
+            self.exclusions.report(server, replier.instance, demand.id)
             self.cold.suspect_restart(server)
+        demand = self.exclusions.apply(demand, replier.instance)
         if not prefixes.is_consistent(demand.blocks, demand.block_count):
             # Other versions sample other blocks; no affinity beats a wrong one.
             demand = demand._replace(blocks=[], block_count=0)
@@ -240,7 +241,7 @@
             if not step.started:
                 continue
             finished = self.load(running.server).finish_prefill(step.id, at)
-            self._exclusions.confirm_alive(running.server)
+            self.exclusions.confirm_alive(running.server, running.owner)
             self.cold.confirm_alive(running.server)
             if finished is None:
                 continue
@@ -341,6 +342,7 @@
     def expire(self) -> None:
         """Remove leases that were not renewed and demands that were not repeated."""
         now = clock.now()
+        self.exclusions.expire()
         for request_id in list(self.running):
             if self.running[request_id].expires_at < now:
                 self._remove_running(request_id)
@@ -360,8 +362,8 @@
         return self.cutoffs.floor
 
     def is_refusing(self, server: str) -> bool:
-        """Return whether a server refused a connection; cleared by a first event."""
-        return self._exclusions.is_excluded(server)
+        """Return whether owners could not connect to a server."""
+        return self.exclusions.is_excluded(server)
 
     def open_servers(self) -> list[fleet.Server]:
         """Return the servers that may get new work."""
--- a/packages/daemon/cassiaquay_daemon/keepers/keeper.py
+++ b/packages/daemon/cassiaquay_daemon/keepers/keeper.py
@@ -280,6 +280,7 @@
         shard = shards.Shard(name, self._settings, self.cold, self.states)
         shard.close(self._owners_to_query())
         shard.rate_budgets.reachable_share = self._alive_share
+        shard.exclusions.count_owners = self._count_alive
         shard.may_shed = functools.partial(self._floors.may_shed, name)
         shard.find_sibling = functools.partial(self._spillover.move, name)
         self.shards[name] = shard
@@ -305,6 +306,9 @@
     def _on_members_changed(self) -> None:
         self._members_changed_at = clock.now()
 
+    def _count_alive(self) -> int:
+        return max(len(self._membership.alive()), 1)
+
     def _alive_share(self) -> float:
         """Return the share of the fleet's instances that this one considers alive."""
         alive = len(self._membership.alive())
