Let the kernel drop dead connections to instances and the platform, too

Connections to servers had a user timeout but no keepalive probes, so an idle one behind a partition looked alive until a request was lost on it; links between instances and connections to the store had neither. Linux lets the user timeout decide when probes give up, whatever TCP_KEEPCNT says, so no count is set.

--- a/packages/daemon/cassiaquay_daemon/daemon.py
+++ b/packages/daemon/cassiaquay_daemon/daemon.py
@@ -11,7 +11,7 @@
 
 from cassiaquay_schema import settings as settings_schema
 
-from . import early_bind, listeners, logs, pause, platform, reloading
+from . import early_bind, listeners, logs, pause, platform, reloading, sockets
 from .adapters import backends
 from .decisions import quarantine, server_states
 from .engines import engine_reports, reconciler
@@ -61,7 +61,9 @@
         self._incarnation = tokens.new_incarnation()
         self._http = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(
-                limit=0, keepalive_timeout=MAX_IDLE_CONNECTION_SECONDS
+                limit=0,
+                keepalive_timeout=MAX_IDLE_CONNECTION_SECONDS,
+                socket_factory=sockets.create,
             ),
             trace_configs=[backends.tracing()],
             auto_decompress=False,
--- a/packages/daemon/cassiaquay_daemon/gateway/service.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/service.py
@@ -9,7 +9,7 @@
 
 from cassiaquay_schema import settings as settings_schema
 
-from .. import early_bind, listeners, logs, pause
+from .. import early_bind, listeners, logs, pause, sockets
 from ..configured import snapshots
 from ..decisions import budgets, paths, rate_budgets
 from ..fleet import configuration, crash_reports, members, server_reports, servers
@@ -186,6 +186,9 @@
 
     def _listen(self, application: listeners.Application, address: str) -> None:
         bound = early_bind.take(address)
+        if address == self._gateway.relay:
+            # Accepted connections inherit the options of the listening socket.
+            sockets.set_timeouts(bound)
         server = listeners.server(application, IDLE_TIMEOUT_SECONDS)
         self._servers.append(server)
         self._serving.append(asyncio.create_task(server.serve([bound])))
--- a/packages/daemon/cassiaquay_daemon/links/peers.py
+++ b/packages/daemon/cassiaquay_daemon/links/peers.py
@@ -15,7 +15,7 @@
 from cassiaquay_schema import messages
 from cassiaquay_schema import settings as settings_schema
 
-from .. import clock, early_bind, exceptions, logs
+from .. import clock, early_bind, exceptions, logs, sockets
 from . import frames
 
 PROTOCOL_VERSION = 1
@@ -212,6 +212,7 @@
             self._failed_at[instance] = clock.now()
             await asyncio.sleep(REDIAL_SECONDS)
             return
+        sockets.set_timeouts(writer.get_extra_info("socket"))
         link = Link(reader, writer, dialled=True)
         try:
             async with asyncio.timeout(HANDSHAKE_SECONDS):
@@ -237,6 +238,7 @@
     async def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        sockets.set_timeouts(writer.get_extra_info("socket"))
         link = Link(reader, writer)
         self._accepted.add(link)
         try:
