Soak: cut daemons off from engines while others reach them

Each daemon now connects from an address of its own, by which proxies reset or silence its open connections, and new ones are refused or hang in its own process. The check compares first tries at cut daemons with those at the others, by the users' bound.

--- a/packages/dev/cassiaquay_dev/network/proxies.py
+++ b/packages/dev/cassiaquay_dev/network/proxies.py
@@ -41,7 +41,7 @@
     Parameters
     ----------
     source : str
-        Name of the client, if the proxy knows it.
+        Name of the client if the proxy knows it, else its IP address.
     inner, outer : StreamWriter
         Writers to the client and to the target.
     """
@@ -83,14 +83,14 @@
         self.outward = Direction()
         self._pairs: set[Pair] = set()
 
-    def reset(self) -> None:
-        """Reset all connections."""
-        for pair in self._pairs:
+    def reset(self, source: str = "") -> None:
+        """Reset all connections, or those of one client."""
+        for pair in self._pairs_of(source):
             pair.abort()
 
-    def silence(self) -> None:
+    def silence(self, source: str = "") -> None:
         """Drop all further bytes of the connections that are open now."""
-        for pair in self._pairs:
+        for pair in self._pairs_of(source):
             pair.silent = True
 
     def heal(self) -> None:
@@ -100,6 +100,9 @@
             direction.delay = 0.0
             direction.heal()
 
+    def _pairs_of(self, source: str) -> list[Pair]:
+        return [pair for pair in self._pairs if source in ("", pair.source)]
+
     async def _admit(self, reader: asyncio.StreamReader) -> Opening | None:
         """Return the bytes read to identify the client; None refuses it."""
         return Opening()
@@ -121,7 +124,8 @@
             writer.transport.abort()
             return
         server_writer.write(opening.data)
-        pair = Pair(opening.source, writer, server_writer)
+        source = opening.source or writer.get_extra_info("peername")[0]
+        pair = Pair(source, writer, server_writer)
         self._pairs.add(pair)
         try:
             await asyncio.gather(
--- a/packages/dev/cassiaquay_dev/soak/faults.py
+++ b/packages/dev/cassiaquay_dev/soak/faults.py
@@ -13,8 +13,8 @@
 
 from cassiaquay_schema import registry
 
-from ..network import proxies
-from . import records, site
+from ..network import cuts, proxies
+from . import launch, records, site
 
 Fault = collections.abc.Callable[
     [site.Site, random.Random], collections.abc.Coroutine[typing.Any, typing.Any, None]
@@ -28,6 +28,7 @@
     "engine_limit",
     "engine_departure",
     "engine_backoff",
+    "lost_paths",
 )
 # Longest pause between planned stops of several daemons, as an operator leaves one.
 MAX_ROLLING_PAUSE_SECONDS = 0.7
@@ -335,3 +336,41 @@
     engine.retry_after = rng.choice([0.3, 1.0, 1.5, 3.0])
     await asyncio.sleep(rng.uniform(2.0, 8.0))
     engine.retry_after = 0.0
+
+
+@faults.register("lost_paths")
+async def lost_paths(deployment: site.Site, rng: random.Random) -> None:
+    """Cut daemons off from all engines, or from some, while others reach them."""
+    most = len(deployment.daemons) - 1
+    chosen = rng.sample(deployment.daemons, rng.randint(1, max(most, 1)))
+    names = sorted(deployment.engines)
+    is_whole = rng.random() < 0.7
+    if not is_whole:
+        names = rng.sample(names, len(names) // 2)
+    addresses = [deployment.engine_proxies[name].address for name in names]
+    mode: cuts.Mode = rng.choice(["refused", "silent"])
+    open_ones = rng.choice(["live", "reset", "silence"])
+    start = records.now()
+    with cuts.hole() as hole:
+        for one in chosen:
+            launch.write_cut(one.control, cuts.Cut(mode, addresses, hole))
+            for name in names:
+                proxy = deployment.engine_proxies.get(name)
+                if proxy is None or open_ones == "live":
+                    continue
+                if open_ones == "reset":
+                    proxy.reset(one.source)
+                else:
+                    proxy.silence(one.source)
+        if open_ones != "live":
+            # Answers that were on their way are lost; the kernel drops the connections
+            # within this time.
+            for name in names:
+                end = start + site.CONTACT_SECONDS
+                deployment.recorded.faults.add(name, start, end)
+        await asyncio.sleep(rng.uniform(3.0, 8.0))
+        for one in chosen:
+            one.control.unlink(missing_ok=True)
+    if is_whole:
+        daemons = frozenset(one.name for one in chosen)
+        deployment.recorded.cuts.append(records.Cut(daemons, start, records.now()))
--- a/packages/dev/cassiaquay_dev/soak/records.py
+++ b/packages/dev/cassiaquay_dev/soak/records.py
@@ -134,6 +134,22 @@
     seconds: float
 
 
+class Cut(typing.NamedTuple):
+    """Daemons without a path to all engines, and for how long.
+
+    Attributes
+    ----------
+    daemons : frozenset of str
+        Their names.
+    start, end : float
+        Seconds of this clock.
+    """
+
+    daemons: frozenset[str]
+    start: float
+    end: float
+
+
 class Records:
     """Everything that one soak recorded."""
 
@@ -152,6 +168,7 @@
         # Limits that engines have named, each from its first answer on.
         self.limits: list[Named] = []
         self.departures: list[Report] = []
+        self.cuts: list[Cut] = []
         self.backoffs: list[Report] = []
         self.protocol_errors: list[str] = []
         self.unexpected_exits: list[str] = []
--- a/packages/dev/cassiaquay_dev/soak/report_checks.py
+++ b/packages/dev/cassiaquay_dev/soak/report_checks.py
@@ -1,4 +1,4 @@
-"""Checks that daemons heed what engines say about themselves in their answers."""
+"""Checks of what daemons learn about engines: by their answers, by their absence."""
 
 import bisect
 import collections.abc
@@ -13,6 +13,11 @@
 # which others may be under way.
 BACKOFF_SLACK = 2
 IN_FLIGHT_SECONDS = 0.5
+# While daemons are cut off from the engines, this many first tries may fail there, and
+# this share of all; more only if they are served this much as often as the others.
+CUT_SLACK = 10
+CUT_FAILED_SHARE = 1.0 / 50.0
+CUT_SERVED_SHARE = 2.0 / 3.0
 
 
 @checks.timed_checks.register("limit")
@@ -77,3 +82,34 @@
         if recorded.faults.is_undisturbed(attempt.daemon, report.at, run.at):
             runs.append(run)
     return runs
+
+
+@checks.timed_checks.register("cut")
+def find_unserved_at_cut_daemons(
+    recorded: records.Records,
+) -> collections.abc.Iterator[str]:
+    """Find daemons without a path to the engines whose callers fare far worse."""
+    for cut in recorded.cuts:
+        since = cut.start + site.CONTACT_SECONDS
+        asked = {True: 0, False: 0}
+        served = {True: 0, False: 0}
+        for attempt in recorded.attempts.values():
+            if not since <= attempt.sent_at < cut.end or attempt.status in (401, 404):
+                continue
+            if attempt.gave_up or attempt.key == "key-c":
+                continue
+            start = attempt.sent_at - site.CONTACT_SECONDS
+            if not recorded.is_undisturbed(attempt.daemon, start, attempt.ended_at):
+                continue
+            is_cut = attempt.daemon in cut.daemons
+            asked[is_cut] += 1
+            served[is_cut] += attempt.is_served
+        failed = asked[True] - served[True]
+        if failed <= CUT_SLACK + sum(asked.values()) * CUT_FAILED_SHARE:
+            continue
+        others = served[False] / max(asked[False], 1)
+        if served[True] < asked[True] * others * CUT_SERVED_SHARE:
+            yield (
+                f"{sorted(cut.daemons)} served {served[True]} of {asked[True]}, "
+                f"the others {served[False]} of {asked[False]}"
+            )
--- a/packages/dev/cassiaquay_dev/soak/site.py
+++ b/packages/dev/cassiaquay_dev/soak/site.py
@@ -20,7 +20,7 @@
 APPLY_SECONDS = 2.0
 RETRY_SHARE = 0.2
 RETRY_EXTRA = 60.0
-LISTENERS = ("front", "ready", "directory", "peer")
+LISTENERS = ("front", "ready", "directory", "peer", "relay")
 TEAMS = {"key-a": "blue", "key-b": "green", "key-c": "small"}
 # Quota of the team `small`: tokens per second, and burst in tokens.
 SMALL_RATE = 300.0
@@ -77,8 +77,14 @@
         folder: pathlib.Path,
         store: str,
         free: collections.abc.Iterator[int],
+        source: str,
     ):
         self.name = name
+        # IP address from which it connects to engines.
+        self.source = source
+        # Lists the engines that it is cut off from, while the file exists.
+        self.control = folder / f"{name}.cut"
+        self.control.unlink(missing_ok=True)
         self.start_count = 0
         self.expected_running = False
         self.addresses = {use: f"127.0.0.1:{next(free)}" for use in LISTENERS}
@@ -89,7 +95,15 @@
         self._lock = asyncio.Lock()
         self.file = folder / f"{name}.toml"
         self._process = processes.Process(
-            name, ["-m", "cassiaquay_dev.soak.launch", str(self.file)], folder
+            name,
+            [
+                "-m",
+                "cassiaquay_dev.soak.launch",
+                str(self.file),
+                source,
+                str(self.control),
+            ],
+            folder,
         )
 
     @property
@@ -180,7 +194,8 @@
         free = ports.free_ports()
         for number in range(self.settings.daemons):
             name = f"cq-{number + 1}"
-            daemon = Daemon(name, self._folder, self.store.address, free)
+            source = f"127.0.1.{number + 1}"
+            daemon = Daemon(name, self._folder, self.store.address, free, source)
             self.daemons.append(daemon)
             for proxy in daemon.proxies:
                 await proxy.start()
@@ -352,6 +367,7 @@
 front = "{one.addresses["front"]}"
 ready = "{one.addresses["ready"]}"
 directory = "{one.addresses["directory"]}"
+relay = "{one.addresses["relay"]}"
 first_start = {str(first).lower()}
 grace_seconds = {GRACE_SECONDS}
 apply_seconds = {APPLY_SECONDS}
--- a/tests/test_lost_paths.py
+++ b/tests/test_lost_paths.py
@@ -6,6 +6,8 @@
 import gateway_fakes as fakes
 import pytest
 
+from cassiaquay_dev.network import cuts
+
 REQUESTS = 6
 # Between the requests of a steady load; several arrive while a server is left out.
 GAP_SECONDS = 0.05
@@ -29,7 +31,7 @@
 
 @pytest.mark.parametrize("mode", ["refused", "silent"])
 def test_callers_of_an_instance_without_a_path_to_servers_are_served(
-    mode: cut_fakes.Modes,
+    mode: cuts.Mode,
 ) -> None:
     """Guards against refusals at an instance whose neighbours reach all servers."""
 
