Give each port to one listener of a test process only

A test of relays failed once beside three others: its site was not ready within 15 s. A site now says so.

--- a/packages/dev/cassiaquay_dev/network/ports.py
+++ b/packages/dev/cassiaquay_dev/network/ports.py
@@ -21,6 +21,9 @@
         yield port
 
 
+_unused = free_ports()
+
+
 def free_port() -> int:
-    """Return a port without a listener."""
-    return next(free_ports())
+    """Return a port without a listener that this process has not returned before."""
+    return next(_unused)
--- a/tests/gateway_fakes.py
+++ b/tests/gateway_fakes.py
@@ -101,7 +101,10 @@
     async def until_ready(self, settings: settings_schema.Settings) -> None:
         """Wait until a daemon is ready and has read the registered servers."""
         url = f"http://{settings.gateway.ready}/cassiaquay/ready"
+        running = self._tasks[self.settings.index(settings)]
         while True:
+            if running.done():
+                raise AssertionError("a daemon has ended") from running.exception()
             with contextlib.suppress(aiohttp.ClientError):
                 async with self.http.get(url) as response:
                     if response.status == 200:
