Keep brittle servers from rejecting more requests than they bear

Servers that say Server-Brittle fall over when they reject more than so many requests in a second for want of room. Nothing read it: keepers let requests for short answers wait inside the servers.

The number is known to the fleet by the way of limits: values that servers report, merged by versions, flooded and repaired by heartbeats, now in one piece of code for both. A keeper gives such a server its slots and no more, fewer after each rejection, none near the bound, in a partition its side's share; without a keeper instances send it nothing.

--- a/packages/daemon/cassiaquay_daemon/adapters/backends.py
+++ b/packages/daemon/cassiaquay_daemon/adapters/backends.py
@@ -22,7 +22,9 @@
 FIRST_FAILURE_STATUS = 500
 RESUME_PAUSE_SECONDS = 0.1
 
-SIGNALS = signals.HeaderNames("Server-Limit", "Server-Leaving", "Retry-After")
+SIGNALS = signals.HeaderNames(
+    "Server-Limit", "Server-Leaving", "Retry-After", "Server-Brittle"
+)
 
 BeforeSending = collections.abc.Callable[[], None]
 # Receives what an answer says about its server, and whether the server failed.
--- a/packages/daemon/cassiaquay_daemon/adapters/signals.py
+++ b/packages/daemon/cassiaquay_daemon/adapters/signals.py
@@ -18,13 +18,14 @@
 
     Attributes
     ----------
-    limit, leaving, retry_after : str
+    limit, leaving, retry_after, brittle : str
         Headers of the fields of :class:`Signals`.
     """
 
     limit: str
     leaving: str
     retry_after: str
+    brittle: str
 
 
 class Signals(typing.NamedTuple):
@@ -42,6 +43,10 @@
         Invalid values by header name; their fields have their defaults.
     is_limit_readable : bool
         False if the answer names a limit that cannot be read.
+    brittle : float or None
+        Rejections in a second above which the server falls over.
+    is_brittle_readable : bool
+        False if the answer gives that number and it cannot be read.
     """
 
     limit: float | None = None
@@ -49,6 +54,8 @@
     retry_after: float | None = None
     unreadable: collections.abc.Mapping[str, str] = {}
     is_limit_readable: bool = True
+    brittle: float | None = None
+    is_brittle_readable: bool = True
 
 
 def read(names: HeaderNames, status: int, headers: HeaderMap) -> Signals:
@@ -58,6 +65,7 @@
     """
     unreadable: dict[str, str] = {}
     limits = _read_numbers(headers, names.limit, unreadable)
+    brittle = _read_numbers(headers, names.brittle, unreadable)
     retry_after = None
     if status == TURNED_AWAY_STATUS:
         times = _read_numbers(headers, names.retry_after, unreadable)
@@ -69,6 +77,8 @@
         retry_after,
         unreadable,
         names.limit not in unreadable,
+        min(brittle, default=None),
+        names.brittle not in unreadable,
     )
 
 
--- a/packages/daemon/cassiaquay_daemon/decisions/candidates.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/candidates.py
@@ -42,6 +42,8 @@
         Share of requests that fail at the median server of its shard.
     rate_budget : RateBudget or None
         The grants that it may still get while its rate is limited; None for no limit.
+    room : int or None
+        Requests at a time that it takes while it is brittle; None if it is not.
     """
 
     server: fleet.Server
@@ -49,6 +51,7 @@
     times: service_times.ServiceTimes
     median_failure_share: float
     rate_budget: rate_budgets.RateBudget | None = None
+    room: int | None = None
 
     @property
     def capacity(self) -> int:
@@ -60,6 +63,8 @@
         the duration of one answer.
         """
         slots = self.server.slots
+        if self.room is not None:
+            return self.room
         if self.times.slot_seconds > SHORT_ANSWER_SECONDS:
             return slots
         seconds = max(self.times.slot_seconds, TURNOVER_SECONDS)
@@ -132,10 +137,15 @@
             load = self._shard.load(server.name)
             rate_budget = self._shard.rate_budgets.get(server.name)
             candidate = Candidate(
-                server, load, self.times[server.name], median_share, rate_budget
+                server,
+                load,
+                self.times[server.name],
+                median_share,
+                rate_budget,
+                self._shard.rooms.capacity(server.name, server.slots),
             )
             self.open.append(candidate)
-            if not self._shard.is_refusing(server.name):
+            if not self._shard.exclusions.is_excluded(server.name):
                 self._reachable.append(candidate)
         self._fastest_speeds = _fastest_speeds(self.open)
         self._min_event_seconds = min(
--- a/packages/daemon/cassiaquay_daemon/decisions/placement.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/placement.py
@@ -63,10 +63,17 @@
         return (
             self.is_reserved
             or not self._shard.rate_budgets.allows(self.name)
-            or self._load.count + self._foreign >= self.engine.server.slots
+            or self._load.count + self._foreign >= self._capacity
             or self.backlog > MAX_BACKLOG_SECONDS
         )
 
+    @property
+    def _capacity(self) -> int:
+        """Requests at a time that the engine takes."""
+        slots = self.engine.server.slots
+        room = self._shard.rooms.capacity(self.name, slots)
+        return slots if room is None else room
+
     def find(self, demand: messages.Demand) -> affinity.CachedPrefix:
         """Return how much of a demand's prompt the engine caches, now and soon."""
         cached_prefix = self.engine.index.find(
@@ -114,7 +121,7 @@
     def slot_wait_seconds(self) -> float:
         """Estimated wait besides the backlog: for earlier demands and for a slot."""
         wait = self._awaiting_seconds
-        if self._load.count >= self.engine.server.slots:
+        if self._load.count >= self._capacity:
             # The slots are staggered: one becomes free after about one token's time.
             wait += self.estimate.token_seconds
         return max(wait, self._budget_wait_seconds)
--- a/packages/daemon/cassiaquay_daemon/decisions/server_states.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/server_states.py
@@ -8,7 +8,7 @@
 
 from cassiaquay_schema import settings as settings_schema
 
-from . import backoffs, departures, server_limits
+from . import backoffs, brittle_servers, departures, server_limits
 
 
 class ServerStates:
@@ -27,12 +27,15 @@
         Servers that are shutting down.
     backoffs : Backoffs
         Servers that want no request from this instance for some time.
+    brittle : BrittleServers
+        Servers that bear few rejections.
     """
 
     def __init__(self, settings: settings_schema.Settings):
         self.limits = server_limits.ServerLimits(settings)
         self.departures = departures.Departures()
         self.backoffs = backoffs.Backoffs()
+        self.brittle = brittle_servers.BrittleServers()
 
     def adopt(self, settings: settings_schema.Settings) -> None:
         """Use changed settings from now on."""
@@ -40,7 +43,9 @@
 
     def retain(self, listed: collections.abc.Mapping[str, int]) -> None:
         """Use a newer list of servers with the start times of their processes."""
-        self.limits.retain(frozenset(listed))
+        names = frozenset(listed)
+        self.limits.retain(names)
+        self.brittle.retain(names)
         self.departures.retain(listed)
 
     def is_leaving(self, server: str) -> bool:
@@ -51,6 +56,10 @@
         """Return how long a server wants no request of this instance; 0 for none."""
         return self.backoffs.seconds_left(server)
 
+    def is_brittle(self, server: str) -> bool:
+        """Return whether a server bears few rejections."""
+        return self.brittle.holds(server)
+
     def blocking_cause(self, server: str, is_charged: bool) -> str:
         """Return why a request may not be sent to a server now; empty if it may.
 
@@ -60,6 +69,6 @@
             return "the server is leaving"
         if self.backoff_seconds(server) > 0.0:
             return "the server has asked this instance to wait"
-        if not is_charged and self.limits.is_limited(server):
+        if not is_charged and self.limits.holds(server):
             return "the server has named a limit"
         return ""
--- a/packages/daemon/cassiaquay_daemon/decisions/shards.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/shards.py
@@ -8,6 +8,7 @@
 
 from .. import clock, logs
 from . import (
+    brittle_servers,
     exclusions,
     grants,
     loads,
@@ -112,6 +113,7 @@
         self.cutoffs = priority_cutoffs.PriorityCutoffs()
         self.cold = cold or slow_start.SlowStart(settings)
         self.states = states or server_states.ServerStates(settings)
+        self.rooms = brittle_servers.Rooms(self.states.brittle)
         self.rate_budgets = rate_budgets.RateBudgets([self.cold, self.states.limits])
         self.exclusions = exclusions.Exclusions(name)
         self._loads: dict[str, loads.Load] = {}
@@ -286,7 +288,7 @@
             expires_at,
             demand,
             cached_tokens=cached_tokens,
-            is_charged=self.states.limits.is_limited(server),
+            is_charged=self.states.limits.holds(server),
         )
         self._add_running(demand.id, running)
         uncached = max(demand.prompt_tokens - cached_tokens, 0)
@@ -356,15 +358,11 @@
 
         The rank is -1 when no rank is refused, 0 when no server can be reached.
         """
-        up = [item for item in self.open_servers() if not self.is_refusing(item.name)]
-        if not up:
+        is_excluded = self.exclusions.is_excluded
+        if all(is_excluded(item.name) for item in self.open_servers()):
             return 0, DOWN_RETRY_MS
         return self.cutoffs.floor
 
-    def is_refusing(self, server: str) -> bool:
-        """Return whether owners could not connect to a server."""
-        return self.exclusions.is_excluded(server)
-
     def open_servers(self) -> list[fleet.Server]:
         """Return the servers that may get new work."""
         closed = self.closed_servers.union(self.states.departures.leaving_servers())
--- a/packages/daemon/cassiaquay_daemon/decisions/tiered.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/tiered.py
@@ -209,7 +209,11 @@
         servers = self._shard.open_servers()
         # A server that refuses connections is idle and would be preferred for every
         # request. When all servers refuse, any of them may be tried.
-        reachable = [item for item in servers if not self._shard.is_refusing(item.name)]
+        reachable = [
+            item
+            for item in servers
+            if not self._shard.exclusions.is_excluded(item.name)
+        ]
         for server in reachable or servers:
             engine = self._engines[server.name]
             views.append(placement.View(engine, self._shard, now))
--- a/packages/daemon/cassiaquay_daemon/fleet/server_reports.py
+++ b/packages/daemon/cassiaquay_daemon/fleet/server_reports.py
@@ -8,7 +8,7 @@
 from ..adapters import signals
 from ..decisions import server_states, shards
 from ..links import peers
-from . import departure_reports, limit_reports, members
+from . import departure_reports, members, value_reports
 
 
 class Sent(typing.NamedTuple):
@@ -20,13 +20,14 @@
         Id of the request's attempt.
     server : Server
         The server as listed when the request was sent.
-    limit_version : int
-        Version of its limit at that time.
+    limit_version, brittle_version : int
+        Versions of its limit and of its brittleness at that time.
     """
 
     attempt: str
     server: fleet.Server
     limit_version: int
+    brittle_version: int
 
 
 class ServerReports:
@@ -49,7 +50,12 @@
         membership: members.Membership,
     ):
         self._states = states
-        self._limits = limit_reports.LimitReports(states.limits, links, membership)
+        self._limits = value_reports.ValueReports(
+            value_reports.LIMITS, states.limits, links, membership
+        )
+        self._brittle = value_reports.ValueReports(
+            value_reports.BRITTLE, states.brittle, links, membership
+        )
         self._departures = departure_reports.DepartureReports(
             states.departures, links, membership
         )
@@ -58,7 +64,10 @@
 
     def sent(self, attempt: str, server: fleet.Server) -> Sent:
         """Return the record of a request whose first byte is about to be written."""
-        return Sent(attempt, server, self._limits.version(server.name))
+        name = server.name
+        return Sent(
+            attempt, server, self._limits.version(name), self._brittle.version(name)
+        )
 
     def answered(self, sent: Sent, found: signals.Signals, is_failure: bool) -> None:
         """Handle the head of an answer.
@@ -88,16 +97,20 @@
         if found.retry_after is not None:
             self._states.backoffs.add(server.name, found.retry_after)
         # A failure may come without the headers of a regular answer: only a success
-        # shows that the limit has ended.
-        if not found.is_limit_readable:
-            return
-        if found.limit is not None or not is_failure:
+        # shows that a value has ended.
+        if found.is_limit_readable and (found.limit is not None or not is_failure):
             self._limits.answered(server.name, sent.limit_version, found.limit)
+        if found.is_brittle_readable and (found.brittle is not None or not is_failure):
+            self._brittle.answered(server.name, sent.brittle_version, found.brittle)
 
     def is_leaving(self, server: str) -> bool:
         """Return whether a server is shutting down and gets no new request."""
         return self._states.is_leaving(server)
 
+    def is_brittle(self, server: str) -> bool:
+        """Return whether a server bears few rejections."""
+        return self._states.is_brittle(server)
+
     def backoff_seconds(self, server: str) -> float:
         """Return how long a server wants no request of this instance; 0 for none."""
         return self._states.backoff_seconds(server)
@@ -114,6 +127,7 @@
         """Send the state of a server that concerns all instances to one of them."""
         self._departures.send_to(link, server)
         self._limits.send_to(link, server)
+        self._brittle.send_to(link, server)
 
     def _report_unreadable(self, server: str, header: str, value: str) -> None:
         if (server, header) in self._unreadable:
--- a/packages/daemon/cassiaquay_daemon/gateway/admission.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/admission.py
@@ -77,6 +77,9 @@
     def is_leaving(self, server: str) -> bool:
         """Return whether a server is shutting down and gets no new request."""
 
+    def is_brittle(self, server: str) -> bool:
+        """Return whether a server bears few rejections."""
+
     def backoff_seconds(self, server: str) -> float:
         """Return how long a server wants no request of this instance; 0 for none."""
 
@@ -238,6 +241,9 @@
             # send.
             if rate_budgets.is_limited(self._rate_limits, server.name):
                 continue
+            # What all instances send together may be more than it has slots.
+            if self._states.is_brittle(server.name):
+                continue
             if self._outstanding[server.name] >= share:
                 continue
             if (
--- a/packages/daemon/cassiaquay_daemon/keepers/keeper.py
+++ b/packages/daemon/cassiaquay_daemon/keepers/keeper.py
@@ -44,6 +44,10 @@
 MAX_QUERIED_OWNERS = 32
 
 
+# Outcomes of requests that a server has rejected.
+REJECTED_OUTCOMES = ("declined", "deferred")
+
+
 class Keeper:
     """Admits requests to all shards that this instance keeps.
 
@@ -161,6 +165,8 @@
         if shard is None:
             return
         self._policies[shard.name].learn(message)
+        if message.outcome in REJECTED_OUTCOMES:
+            shard.rooms.rejected(message.server, shard.count_on(message.server))
         shard.drop(message.id)
         self.serve_soon(message.shard)
 
@@ -280,6 +286,7 @@
         shard = shards.Shard(name, self._settings, self.cold, self.states)
         shard.close(self._owners_to_query())
         shard.rate_budgets.reachable_share = self._alive_share
+        shard.rooms.reachable_share = self._alive_share
         shard.exclusions.count_owners = self._count_alive
         shard.may_shed = functools.partial(self._floors.may_shed, name)
         shard.find_sibling = functools.partial(self._spillover.move, name)
--- a/packages/daemon/cassiaquay_daemon/operators/metrics.py
+++ b/packages/daemon/cassiaquay_daemon/operators/metrics.py
@@ -166,6 +166,12 @@
     (),
     "Backend servers that limit the requests a second by their answers.",
 )
+BRITTLE_SERVERS = Family(
+    "cassiaquay_brittle_servers",
+    "gauge",
+    (),
+    "Backend servers that report in their answers that they bear few rejections.",
+)
 LEAVING_SERVERS = Family(
     "cassiaquay_leaving_servers",
     "gauge",
@@ -265,6 +271,7 @@
     QUARANTINED,
     COLD_SERVERS,
     COLD_GRANTS,
+    BRITTLE_SERVERS,
     LEAVING_SERVERS,
     BACKOFF_SERVERS,
     UNREACHABLE_SERVERS,
--- a/packages/daemon/cassiaquay_daemon/operators/views.py
+++ b/packages/daemon/cassiaquay_daemon/operators/views.py
@@ -148,10 +148,14 @@
     cold = shard.cold
     if cold.is_cold(server.name):
         return f"cold, {cold.seconds_left(server.name):.1f} s left"
-    rate = shard.states.limits.current(server.name).rate
+    rate = shard.states.limits.current(server.name).number
     if rate is not None:
-        seconds = shard.states.limits.seconds_limited(server.name)
+        seconds = shard.states.limits.seconds_held(server.name)
         return f"limited to {rate:g}/s for {seconds:.0f} s"
+    bears = shard.states.brittle.current(server.name).number
+    if bears is not None:
+        seconds = shard.states.brittle.seconds_held(server.name)
+        return f"brittle, bears {bears:g} rejections/s, for {seconds:.0f} s"
     return "open"
 
 
--- a/packages/daemon/cassiaquay_daemon/platform/headers.py
+++ b/packages/daemon/cassiaquay_daemon/platform/headers.py
@@ -26,9 +26,11 @@
 TEAM = "Cassiaquay-Tenant"
 # Answer header: the server did not begin to execute the request.
 NOT_EXECUTED = "Cassiaquay-Not-Executed"
-# Answer headers in which a server reports its state. It sends the first two for as long
-# as they hold.
-SIGNALS = signals.HeaderNames("Server-Limit", "Server-Leaving", "Retry-After")
+# Answer headers in which a server reports its state. It sends them for as long as they
+# hold, except for Retry-After.
+SIGNALS = signals.HeaderNames(
+    "Server-Limit", "Server-Leaving", "Retry-After", "Server-Brittle"
+)
 
 # Headers that only this system may send to a server. A caller's headers of these names
 # are dropped: they could pin memory, claim another caller's capacity or forge a team.
@@ -47,6 +49,7 @@
     b"cassiaquay-kv-backup",
     b"kv-fetch",
     b"kv-from",
+    b"server-brittle",
     b"server-leaving",
     b"server-limit",
     b"wait-ms",
--- a/packages/dev/cassiaquay_dev/soak/engines.py
+++ b/packages/dev/cassiaquay_dev/soak/engines.py
@@ -1,6 +1,7 @@
 """Engines with slots, a queue and faults, which record every arriving request."""
 
 import asyncio
+import collections
 import collections.abc
 import random
 
@@ -55,6 +56,11 @@
         self.is_leaving = False
         # Seconds that it asks for with each 503; while not 0, it takes no request.
         self.retry_after = 0.0
+        # Rejections in a second that it bears, as its answers say; None for any number.
+        self.bears: int | None = None
+        # Whether it lets requests wait for a slot.
+        self.has_queue = True
+        self._rejected_at: collections.deque[float] = collections.deque()
         self._recorded = recorded
         self._rng = rng
         self._on_crash = on_crash
@@ -75,8 +81,9 @@
         if self.retry_after:
             await self._turn_away(run, writer)
             return
-        if self._slots.locked() and self._waiting >= QUEUE_LENGTH:
-            await raw_servers.send(writer, 503, b"", {"Cassiaquay-Not-Executed": "1"})
+        queue_length = QUEUE_LENGTH if self.has_queue else 0
+        if self._slots.locked() and self._waiting >= queue_length:
+            await self._reject(writer)
             return
         self._waiting += 1
         try:
@@ -89,6 +96,22 @@
         finally:
             self._slots.release()
 
+    async def _reject(self, writer: raw_servers.Writer) -> None:
+        headers = {"Cassiaquay-Not-Executed": "1"} | self._state_headers()
+        await raw_servers.send(writer, 503, b"", headers)
+        now = records.now()
+        self._rejected_at.append(now)
+        while self._rejected_at[0] < now - 1.0:
+            self._rejected_at.popleft()
+        if self.bears is None or self.has_queue:
+            return
+        if len(self._rejected_at) > self.bears and self._on_crash is not None:
+            self._recorded.falls.append(records.Fall(self.name, self.service, now))
+            self._on_crash(self.name)
+
+    def _state_headers(self) -> dict[str, str]:
+        return {} if self.bears is None else {"Server-Brittle": str(self.bears)}
+
     async def _turn_away(self, run: records.Run, writer: raw_servers.Writer) -> None:
         headers = {
             "Cassiaquay-Not-Executed": "1",
@@ -144,7 +167,7 @@
         headers = {
             "Cassiaquay-Attempt-Id": run.request.attempt,
             "Cassiaquay-Response-Seal": run.seal,
-        }
+        } | self._state_headers()
         if self.limit:
             headers["Server-Limit"] = f"{self.limit:.1f}"
             self.limited_at = self.limited_at or records.now()
--- a/packages/dev/cassiaquay_dev/soak/faults.py
+++ b/packages/dev/cassiaquay_dev/soak/faults.py
@@ -29,6 +29,7 @@
     "engine_departure",
     "engine_backoff",
     "lost_paths",
+    "engines_brittle",
 )
 # Longest pause between planned stops of several daemons, as an operator leaves one.
 MAX_ROLLING_PAUSE_SECONDS = 0.7
@@ -374,3 +375,25 @@
     if is_whole:
         daemons = frozenset(one.name for one in chosen)
         deployment.recorded.cuts.append(records.Cut(daemons, start, records.now()))
+
+
+@faults.register("engines_brittle")
+async def engines_brittle(deployment: site.Site, rng: random.Random) -> None:
+    """Let all engines of a service bear few rejections, and later have no queue."""
+    service = rng.choice(["chat", "plain"])
+    if service in deployment.brittle:
+        return
+    bears = rng.choice([1, 2, 4, 8])
+    deployment.brittle[service] = site.Brittle(bears, True)
+    deployment.apply_brittle()
+    await asyncio.sleep(site.CONTACT_SECONDS)
+    deployment.brittle[service] = site.Brittle(bears, False)
+    deployment.apply_brittle()
+    start = records.now()
+    await asyncio.sleep(rng.uniform(3.0, 6.0))
+    del deployment.brittle[service]
+    deployment.apply_brittle()
+    count = sum(one.service == service for one in deployment.engines.values())
+    deployment.recorded.brittle_times.append(
+        records.BrittleTime(service, count, start, records.now())
+    )
--- a/packages/dev/cassiaquay_dev/soak/records.py
+++ b/packages/dev/cassiaquay_dev/soak/records.py
@@ -150,6 +150,23 @@
     end: float
 
 
+class Fall(typing.NamedTuple):
+    """A brittle engine that fell over since it had to reject too many requests."""
+
+    engine: str
+    service: str
+    at: float
+
+
+class BrittleTime(typing.NamedTuple):
+    """A time in which the engines of a service were brittle and had no queue."""
+
+    service: str
+    engines: int
+    start: float
+    end: float
+
+
 class Records:
     """Everything that one soak recorded."""
 
@@ -169,6 +186,8 @@
         self.limits: list[Named] = []
         self.departures: list[Report] = []
         self.cuts: list[Cut] = []
+        self.falls: list[Fall] = []
+        self.brittle_times: list[BrittleTime] = []
         self.backoffs: list[Report] = []
         self.protocol_errors: list[str] = []
         self.unexpected_exits: list[str] = []
--- a/packages/dev/cassiaquay_dev/soak/report_checks.py
+++ b/packages/dev/cassiaquay_dev/soak/report_checks.py
@@ -18,6 +18,10 @@
 CUT_SLACK = 10
 CUT_FAILED_SHARE = 1.0 / 50.0
 CUT_SERVED_SHARE = 2.0 / 3.0
+# Brittle engines of a service that may fall over in one such time: this many, and this
+# share of them.
+FALL_SLACK = 2
+FALL_SHARE = 0.1
 
 
 @checks.timed_checks.register("limit")
@@ -113,3 +117,15 @@
                 f"{sorted(cut.daemons)} served {served[True]} of {asked[True]}, "
                 f"the others {served[False]} of {asked[False]}"
             )
+
+
+@checks.timed_checks.register("fell")
+def find_fallen_engines(recorded: records.Records) -> collections.abc.Iterator[str]:
+    """Find brittle engines that had to reject more requests than they bear."""
+    for time in recorded.brittle_times:
+        fallen = []
+        for fall in recorded.falls:
+            if fall.service == time.service and time.start <= fall.at <= time.end:
+                fallen.append(fall.engine)
+        if len(fallen) > FALL_SLACK + FALL_SHARE * time.engines:
+            yield f"{fallen} of {time.engines} brittle engines fell over"
--- a/packages/dev/cassiaquay_dev/soak/site.py
+++ b/packages/dev/cassiaquay_dev/soak/site.py
@@ -30,6 +30,8 @@
 # Allowed excess over the quota: a share of it, and tokens.
 EXCESS = 0.25
 SLACK = 2000.0
+# Factor by which brittle engines are slower, so that they are full.
+BRITTLE_SLOWDOWN = 3.0
 # Time after which an engine that a request crashed is replaced.
 CRASH_RESTART_SECONDS = 1.0
 
@@ -68,6 +70,21 @@
     also: str = ""
 
 
+class Brittle(typing.NamedTuple):
+    """How the engines of a service are brittle.
+
+    Attributes
+    ----------
+    bears : int
+        Rejections in a second above which one falls over.
+    has_queue : bool
+        Whether they still let requests wait.
+    """
+
+    bears: int
+    has_queue: bool
+
+
 class Daemon:
     """One daemon process and the proxies around it."""
 
@@ -177,6 +194,8 @@
         self.engine_proxies: dict[str, proxies.Proxy] = {}
         self.keys = {"key-a", "key-c"}
         self.services = {path: _service(kind) for kind, path in callers.PATHS.items()}
+        # Services whose engines are brittle.
+        self.brittle: dict[str, Brittle] = {}
         self._engine_count = 0
         self._folder = pathlib.Path(settings.folder)
         self._watch_task: asyncio.Task[None] | None = None
@@ -287,9 +306,18 @@
         await proxy.start()
         self.engines[name] = engine
         self.engine_proxies[name] = proxy
+        self.apply_brittle()
         self.write_entry(name, "ready")
         return name
 
+    def apply_brittle(self) -> None:
+        """Make the engines brittle, or not, by `brittle`."""
+        for engine in self.engines.values():
+            brittle = self.brittle.get(engine.service)
+            engine.bears = None if brittle is None else brittle.bears
+            engine.has_queue = brittle is None or brittle.has_queue
+            engine.slowdown = 1.0 if brittle is None else BRITTLE_SLOWDOWN
+
     def write_entry(self, name: str, state: str) -> None:
         """Write an engine's entry to the store."""
         entry = {
--- a/packages/schema/cassiaquay_schema/messages.py
+++ b/packages/schema/cassiaquay_schema/messages.py
@@ -123,6 +123,8 @@
         xxh3-64 of the limits that servers have named to the sender; 0 for none.
     departures_digest : int
         xxh3-64 of the departures of servers that the sender knows; 0 for none.
+    brittle_digest : int
+        xxh3-64 of the brittle servers that the sender knows; 0 for none.
     """
 
     number: int
@@ -139,6 +141,7 @@
     crashes_digest: int = 0
     limits_digest: int = 0
     departures_digest: int = 0
+    brittle_digest: int = 0
 
 
 class ConfigurationQuery(typing.NamedTuple):
@@ -906,37 +909,49 @@
     reports: list[CrashReport]
 
 
-class ServerLimit(typing.NamedTuple):
-    """The requests a second that a server takes from the whole fleet.
+class ServerValue(typing.NamedTuple):
+    """A value that a server reports in its answers.
 
     Attributes
     ----------
     server : str
         Backend server.
     version : int
-        Number of changes of its limit, by which an older report is recognized.
-    is_limited : bool
-        Whether the limit is in force.
-    rate : float
-        Requests a second; 0 when it has ended.
+        Number of changes of its value, by which an older report is recognized.
+    holds : bool
+        Whether the value is in force.
+    number : float
+        The value; 0 when it has ended.
     """
 
     server: str
     version: int
-    is_limited: bool
-    rate: float
+    holds: bool
+    number: float
 
 
 class ServerLimits(typing.NamedTuple):
-    """The sender's knowledge of servers' limits.
+    """The sender's knowledge of servers' limits in requests a second.
 
     Attributes
     ----------
-    limits : list[ServerLimit]
+    servers : list[ServerValue]
         Limits by server.
     """
 
-    limits: list[ServerLimit]
+    servers: list[ServerValue]
+
+
+class BrittleServers(typing.NamedTuple):
+    """The sender's knowledge of the rejections a second that brittle servers bear.
+
+    Attributes
+    ----------
+    servers : list[ServerValue]
+        Rejections by server.
+    """
+
+    servers: list[ServerValue]
 
 
 class ServerDeparture(typing.NamedTuple):
@@ -1010,8 +1025,9 @@
     | QuotaReturn
     | CrashReport
     | CrashReports
-    | ServerLimit
+    | ServerValue
     | ServerLimits
+    | BrittleServers
     | ServerDeparture
     | ServerDepartures
 )
@@ -1060,8 +1076,9 @@
     58: QuotaReturn,
     59: CrashReport,
     60: CrashReports,
-    61: ServerLimit,
+    61: ServerValue,
     62: ServerLimits,
+    65: BrittleServers,
     63: ServerDeparture,
     64: ServerDepartures,
 }
--- a/tests/test_limit_reports.py
+++ b/tests/test_limit_reports.py
@@ -9,8 +9,12 @@
 import pytest
 from hypothesis import strategies
 
-from cassiaquay_daemon.decisions import rate_budgets, server_limits
-from cassiaquay_daemon.fleet import limit_reports, replication
+from cassiaquay_daemon.decisions import (
+    rate_budgets,
+    reported_values,
+    server_limits,
+)
+from cassiaquay_daemon.fleet import replication, value_reports
 from cassiaquay_schema import messages
 
 NAMES = mesh_fakes.NAMES
@@ -36,7 +40,7 @@
     def __init__(self) -> None:
         super().__init__()
         self.limits: dict[str, server_limits.ServerLimits] = {}
-        self.reports: dict[str, limit_reports.LimitReports] = {}
+        self.reports: dict[str, value_reports.ValueReports] = {}
         self.budgets: dict[str, rate_budgets.RateBudgets] = {}
         for name in NAMES:
             self.start(name)
@@ -45,8 +49,11 @@
         """Start an instance that knows no limits."""
         self.members[name].heartbeat_callbacks.clear()
         self.limits[name] = _limits()
-        self.reports[name] = limit_reports.LimitReports(
-            self.limits[name], self.wires[name], self.members[name]
+        self.reports[name] = value_reports.ValueReports(
+            value_reports.LIMITS,
+            self.limits[name],
+            self.wires[name],
+            self.members[name],
         )
         self.budgets[name] = rate_budgets.RateBudgets([self.limits[name]])
 
@@ -65,7 +72,7 @@
 
     def rates(self) -> list[float | None]:
         """Return the limit in force at each instance."""
-        return [self.limits[name].current(SERVER).rate for name in NAMES]
+        return [self.limits[name].current(SERVER).number for name in NAMES]
 
 
 def test_limit_reaches_all_instances_and_ends_on_all(time) -> None:
@@ -110,9 +117,9 @@
     assert not limits.answered(SERVER, sent_version, None)
     assert not limits.answered(SERVER, sent_version, 9.0)
     assert limits.answered(SERVER, sent_version, 2.0)
-    assert limits.current(SERVER).rate == 2.0
+    assert limits.current(SERVER).number == 2.0
     assert limits.answered(SERVER, limits.current(SERVER).version, None)
-    assert not limits.is_limited(SERVER)
+    assert not limits.holds(SERVER)
 
 
 @pytest.mark.parametrize("first", [True, False])
@@ -130,10 +137,10 @@
     limits.retain(frozenset([SERVER]))
     limits.answered(SERVER, 0, 4.0)
     limits.retain(frozenset())
-    assert limits.is_limited(SERVER), "an instance without a list keeps what it hears"
+    assert limits.holds(SERVER), "an instance without a list keeps what it hears"
     limits.retain(frozenset(["e2"]))
     assert limits.digest == 0
-    assert not limits.learn(SERVER, server_limits.Limit(3, 4.0))
+    assert not limits.learn(SERVER, reported_values.Value(3, 4.0))
 
 
 def test_server_with_a_limit_of_zero_gets_a_request_now_and_then(time) -> None:
@@ -172,7 +179,7 @@
     fleet = Fleet()
     fleet.answer("cq-1", 4.0)
     fleet.deliver()
-    time.now += limit_reports.LONG_SECONDS
+    time.now += value_reports.LONG_SECONDS
     for _ in range(2):
         fleet.send_heartbeats()
     found = [item for item in caplog.records if item.message == "server_limit_lasts"]
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -237,6 +237,22 @@
     recorded.backoffs.append(records.Report("i-0", attempt.daemon, 0, START - 1.0, 3.0))
 
 
+def _cut_daemon_serves_nobody(recorded: records.Records) -> None:
+    start = START - site.CONTACT_SECONDS - 1.0
+    recorded.cuts.append(records.Cut(frozenset({"cq-1"}), start, START + 9.0))
+    for _ in range(20):
+        _add_attempt(recorded, "safe", status=503)
+        _add_served(recorded, "safe", daemon="cq-2")
+
+
+def _brittle_engines_fall_over(recorded: records.Records) -> None:
+    recorded.brittle_times.append(
+        records.BrittleTime("plain", 3, START - 1.0, START + 9.0)
+    )
+    for number in range(3):
+        recorded.falls.append(records.Fall(f"i-{number}", "plain", START))
+
+
 @pytest.mark.parametrize(
     ("check", "violate"),
     [
@@ -266,6 +282,8 @@
         ("limit", _more_arrivals_than_a_named_limit),
         ("departure", _request_after_a_departure),
         ("backoff", _requests_within_an_asked_time),
+        ("cut", _cut_daemon_serves_nobody),
+        ("fell", _brittle_engines_fall_over),
     ],
 )
 def test_check_detects_its_violation(check: str, violate) -> None:
