Do not take a server for silent while another instance receives its events

A stream of an instance that is cut off stalls, and each of its renewals had the keeper give the server nothing for half a second, for all. Only a server that nobody has heard for that long is silent now. test_stalled_stream_of_one_owner... failed before.

--- a/packages/daemon/cassiaquay_daemon/decisions/service_times.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/service_times.py
@@ -90,6 +90,8 @@
         self._silent_until = 0.0
         self._broken_until = 0.0
         self._is_unresponsive = False
+        # When an event or answer was last reported by any instance.
+        self._heard_at = float("-inf")
 
     def expect(self, unread_tokens: float) -> Expected:
         """Return the expected times of a request.
@@ -160,7 +162,9 @@
     def advanced(self, events: int, seconds: float) -> None:
         """Learn from consecutive events of one stream, or from a pause without any."""
         if events <= 0:
-            if seconds > STALL_SECONDS:
+            # While others receive events, the path to this receiver may be broken.
+            silent_seconds = min(seconds, clock.now() - self._heard_at)
+            if silent_seconds > STALL_SECONDS:
                 self.mark_silent(clock.now(), seconds)
             return
         self._mark_responsive()
@@ -222,6 +226,7 @@
         if self._is_unresponsive:
             logs.event("server_heard", server=self._server)
         self._is_unresponsive = False
+        self._heard_at = clock.now()
         self._silent_until = 0.0
         self._broken_until = 0.0
 
--- a/tests/test_servers_health.py
+++ b/tests/test_servers_health.py
@@ -5,6 +5,7 @@
 import pytest
 
 from cassiaquay_daemon.decisions import service_times
+from cassiaquay_schema import messages
 
 
 @pytest.fixture(name="time")
@@ -174,3 +175,50 @@
         bench.end(name, "failed" if fails else "completed")
         time.now += 0.01
     assert lost <= 4 + 200 * 0.01 / service_times.PROBE_SECONDS + 1
+
+
+def test_stalled_stream_of_one_owner_keeps_no_work_from_a_server(time) -> None:
+    """Guards against a server taken for silent since one instance is cut off from it."""
+    bench = objectives_fakes.Bench(time, {"a": 9})
+    # The stalled one reports last.
+    owners = {name: fakes.Owner(name) for name in ("cq-2", "cq-1")}
+    streams = {}
+    for name, owner in owners.items():
+        bench.owner = owner
+        streams[name] = bench.demand(events=400)
+        bench.serve()
+        bench.start(streams[name])
+    produced = dict.fromkeys(owners, 1)
+    for _ in range(10):
+        time.now += 0.3
+        # The events of cq-1 do not arrive any more, those of cq-2 do.
+        produced["cq-2"] += 10
+        for name, request_id in streams.items():
+            item = messages.Outstanding(
+                request_id, "", "", 0, "a", 600, 400, produced=produced[name]
+            )
+            bench.shard.renew(name, [item])
+        asked = bench.demand(events=1)
+        bench.serve()
+        assert asked in bench.owner.permits()
+        bench.start(asked)
+        bench.end(asked)
+
+
+def test_overdue_first_events_of_one_owner_keep_no_work_from_a_server(time) -> None:
+    """Guards against a server taken for silent since one instance is cut off from it."""
+    bench = objectives_fakes.Bench(time, {"a": 9})
+    bench.set_speed("a", 75_000.0, 0.01)
+    cut, other = fakes.Owner("cq-1"), fakes.Owner("cq-2")
+    bench.owner = cut
+    for _ in range(3):
+        bench.demand()
+    bench.serve()
+    bench.owner = other
+    for _ in range(20):
+        time.now += 0.1
+        asked = bench.demand(events=1)
+        bench.serve()
+        assert asked in other.permits()
+        bench.start(asked)
+        bench.end(asked)
