Send the reports of requests that one crash has ended together

A crash ends all requests of a server within milliseconds; each was flooded by itself, and by every instance that received it. They wait 10 ms for each other now. The two new tests failed before: 40 messages for 20 requests of one crash to two neighbours, now two.

--- a/packages/daemon/cassiaquay_daemon/fleet/crash_reports.py
+++ b/packages/daemon/cassiaquay_daemon/fleet/crash_reports.py
@@ -1,5 +1,10 @@
-"""Exchanges reports of requests that crash servers between instances."""
+"""Exchanges reports of requests that crash servers between instances.
 
+Load pattern: a crash ends all requests of a server, dozens within milliseconds, and each
+instance passes each report on. Reports are sent together after a short delay.
+"""
+
+import asyncio
 import collections.abc
 
 from cassiaquay_schema import messages
@@ -10,6 +15,16 @@
 from . import members, replication
 
 
+# Requests are reported together if their server's crash ends them within this time.
+BATCH_SECONDS = 0.01
+
+Flush = collections.abc.Callable[[], None]
+
+
+def _flush_later(flush: Flush) -> None:
+    asyncio.get_running_loop().call_later(BATCH_SECONDS, flush)
+
+
 class CrashReports:
     """Keeps the quarantine tables of all instances in sync.
 
@@ -23,6 +38,8 @@
         Supplies the neighbours and their heartbeats.
     is_first_start : bool
         Whether the whole fleet starts for the first time.
+    schedule : callable, optional
+        Calls its argument after `BATCH_SECONDS`.
     """
 
     digest_field = "crashes_digest"
@@ -33,7 +50,11 @@
         links: peers.Peers,
         membership: members.Membership,
         is_first_start: bool,
+        schedule: collections.abc.Callable[[Flush], None] = _flush_later,
     ):
+        # Changed reports that are about to be sent, with the instances they came from.
+        self._unsent: dict[str, str] = {}
+        self._schedule = schedule
         self._quarantine = held
         self._replication = replication.Replication(links, membership, self)
         links.on(messages.CrashReports, self._handle_reports)
@@ -99,7 +120,20 @@
             logs.event("request_released", content=content, crashes=crashes)
 
     def _flood(self, contents: list[str], sender: str) -> None:
-        reports = [self._quarantine.report(content) for content in contents]
+        is_scheduled = bool(self._unsent)
+        for content in contents:
+            # What came from two instances is news to both.
+            known_sender = self._unsent.get(content, sender)
+            self._unsent[content] = sender if known_sender == sender else ""
+        if not is_scheduled:
+            self._schedule(self._send)
+
+    def _send(self) -> None:
+        unsent, self._unsent = self._unsent, {}
+        reports = [self._quarantine.report(content) for content in unsent]
+        senders = set(unsent.values())
+        # One that has sent only some of the reports must get the others.
+        sender = senders.pop() if len(senders) == 1 else ""
         self._replication.flood(_message(reports), sender)
 
 
--- a/tests/test_crash_reports.py
+++ b/tests/test_crash_reports.py
@@ -20,6 +20,8 @@
         super().__init__()
         self.held: dict[str, quarantine.Quarantine] = {}
         self.reports: dict[str, crash_reports.CrashReports] = {}
+        # Batches of reports that instances are about to send.
+        self.flushes: list[crash_reports.Flush] = []
         for name in NAMES:
             self.start(name)
 
@@ -31,9 +33,20 @@
         self.members[name].heartbeat_callbacks.clear()
         self.held[name] = quarantine.Quarantine(settings)
         self.reports[name] = crash_reports.CrashReports(
-            self.held[name], self.wires[name], self.members[name], False
+            self.held[name],
+            self.wires[name],
+            self.members[name],
+            False,
+            self.flushes.append,
         )
 
+    def deliver(self, paused: str = "") -> None:
+        """Send all batches and deliver all messages until there are none."""
+        while self.flushes or (self.queue and not paused):
+            while self.flushes:
+                self.flushes.pop(0)()
+            super().deliver(paused)
+
     def send_heartbeats(self) -> None:
         """Send the heartbeats of all instances and deliver all messages."""
         for name in NAMES:
@@ -83,6 +96,34 @@
         assert fleet.reports["cq-3"].holds("poison")
 
 
+def test_reports_of_one_crash_are_sent_together() -> None:
+    """Guards against a message to each neighbour for each request of a crashed server."""
+    with fakes.Time().used():
+        fleet = Fleet()
+        for number in range(20):
+            fleet.reports["cq-1"].crashed(f"request-{number}", "i-1/1")
+        while fleet.flushes:
+            fleet.flushes.pop(0)()
+        assert len(fleet.queue) == len(NAMES) - 1
+        fleet.deliver()
+        for name in NAMES:
+            assert fleet.held[name].suspect_count == 20
+
+
+def test_report_changed_by_its_receiver_goes_back_to_its_sender() -> None:
+    """Guards against a batch that leaves out the instance that needs it."""
+    with fakes.Time().used():
+        fleet = Fleet()
+        fleet.reports["cq-2"].crashed("poison", "i-2/1")
+        fleet.reports["cq-1"].crashed("poison", "i-1/1")
+        fleet.flushes.pop()()
+        # The report of cq-1 arrives while that of cq-2 waits to be sent.
+        super(Fleet, fleet).deliver()
+        fleet.deliver()
+        crashed = {frozenset(fleet.held[n].report("poison").servers) for n in NAMES}
+        assert crashed == {frozenset({"i-1/1", "i-2/1"})}
+
+
 STEPS = strategies.lists(
     strategies.tuples(
         strategies.sampled_from(["crash", "lose", "restart", "deliver", "wait"]),
