--- a/packages/daemon/cassiaquay_daemon/fleet/crash_reports.py
+++ b/packages/daemon/cassiaquay_daemon/fleet/crash_reports.py
@@ -1,7 +1,7 @@
 """Exchanges reports of requests that crash servers between instances.
 
-Load pattern: a crash ends all requests of a server, dozens within milliseconds, and each
-instance passes each report on. Reports are sent together after a short delay.
+Load pattern: a crash ends all requests of a server, dozens within milliseconds, and
+each instance passes each report on. Reports are sent together after a short delay.
 """
 
 import asyncio
@@ -14,7 +14,6 @@
 from ..links import peers
 from . import members, replication
 
-
 # Requests are reported together if their server's crash ends them within this time.
 BATCH_SECONDS = 0.01
 
--- a/tests/test_crash_reports.py
+++ b/tests/test_crash_reports.py
@@ -97,7 +97,7 @@
 
 
 def test_reports_of_one_crash_are_sent_together() -> None:
-    """Guards against a message to each neighbour for each request of a crashed server."""
+    """Guards against one message to each neighbour for each request of a server."""
     with fakes.Time().used():
         fleet = Fleet()
         for number in range(20):
--- a/tests/test_servers_health.py
+++ b/tests/test_servers_health.py
@@ -178,7 +178,7 @@
 
 
 def test_stalled_stream_of_one_owner_keeps_no_work_from_a_server(time) -> None:
-    """Guards against a server taken for silent since one instance is cut off from it."""
+    """Guards against a server taken for silent since one instance is cut off."""
     bench = objectives_fakes.Bench(time, {"a": 9})
     # The stalled one reports last.
     owners = {name: fakes.Owner(name) for name in ("cq-2", "cq-1")}
@@ -206,7 +206,7 @@
 
 
 def test_overdue_first_events_of_one_owner_keep_no_work_from_a_server(time) -> None:
-    """Guards against a server taken for silent since one instance is cut off from it."""
+    """Guards against a server taken for silent since one instance is cut off."""
     bench = objectives_fakes.Bench(time, {"a": 9})
     bench.set_speed("a", 75_000.0, 0.01)
     cut, other = fakes.Owner("cq-1"), fakes.Owner("cq-2")
