Test lost paths to some servers, with open connections, and ones that come and go

A site of several daemons counts as started once each knows the others: one that has just started knows no relay yet and refuses as not run, which the new test of a flapping path met.

--- a/tests/cut_fakes.py
+++ b/tests/cut_fakes.py
@@ -12,7 +12,11 @@
 
 @contextlib.contextmanager
 def cut(
-    site: fakes.Site, at: int, mode: cuts.Mode = "refused", keep_open: bool = False
+    site: fakes.Site,
+    at: int,
+    mode: cuts.Mode = "refused",
+    keep_open: bool = False,
+    servers: collections.abc.Collection[str] | None = None,
 ) -> collections.abc.Iterator[None]:
     """Cut one daemon off from the servers for the duration of the context.
 
@@ -26,18 +30,21 @@
         What becomes of new connections.
     keep_open : bool
         Whether open connections live on; otherwise they are reset.
+    servers : collection of str, optional
+        Addresses of the servers; all by default.
     """
+    addresses = site.server_addresses() if servers is None else servers
     dialer = site.gateway(at)._prober._dialer
     usual = dialer.create_socket
     with cuts.hole() as hole:
-        made = cuts.Cut(mode, site.server_addresses(), hole)
+        made = cuts.Cut(mode, addresses, hole)
 
         def create(info: tuple[typing.Any, ...]) -> socket.socket:
             return cuts.create(info, made, usual)
 
         dialer.create_socket = create
         if not keep_open:
-            site.reset_connections(at)
+            site.reset_connections(at, addresses)
         try:
             yield
         finally:
--- a/tests/gateway_fakes.py
+++ b/tests/gateway_fakes.py
@@ -47,6 +47,9 @@
             await self.add(f"cq-{number + 1}", seeds[number], seeds)
         for found in self.settings:
             await self.until_ready(found)
+        for made in self.daemons:
+            while len(made._membership.serving()) < count:
+                await asyncio.sleep(0.01)
 
     def register(self, engine: standins.Engine, **more: object) -> None:
         """Register an engine for both services."""
--- a/tests/test_lost_paths.py
+++ b/tests/test_lost_paths.py
@@ -1,6 +1,7 @@
 """Instances that lose their path to the backend servers while others keep theirs."""
 
 import asyncio
+import contextlib
 
 import cut_fakes
 import gateway_fakes as fakes
@@ -55,3 +56,58 @@
         assert answers[1:] == [[200] * REQUESTS] * 2
 
     fakes.run(work, 3)
+
+
+def test_open_connections_that_live_on_and_some_lost_servers_change_nothing() -> None:
+    """Guards against refusals when only new connections fail, or only some servers."""
+
+    async def work(site: fakes.Site) -> None:
+        await _ask_all_kinds(site, 0)
+        with cut_fakes.cut(site, 0, keep_open=True):
+            burst = [_ask_all_kinds(site, 0) for _ in range(3)]
+            assert await asyncio.gather(*burst) == [[200] * REQUESTS] * 3
+        lost = {site.engines[0].address}
+        with cut_fakes.cut(site, 0, servers=lost):
+            burst = [_ask_all_kinds(site, 0) for _ in range(3)]
+            assert await asyncio.gather(*burst) == [[200] * REQUESTS] * 3
+            assert site.gateway(0)._paths.lost <= lost
+
+    fakes.run(work, 3)
+
+
+def test_path_that_comes_and_goes_costs_no_request() -> None:
+    """Guards against a path that is believed for longer than it lasts."""
+
+    async def work(site: fakes.Site) -> None:
+        ended = asyncio.Event()
+
+        async def flap() -> None:
+            while not ended.is_set():
+                with cut_fakes.cut(site, 0, keep_open=True):
+                    await asyncio.sleep(0.2)
+                await asyncio.sleep(0.2)
+
+        flapping = asyncio.create_task(flap())
+        for _ in range(4):
+            assert await _ask_all_kinds(site, 0) == [200] * REQUESTS
+        ended.set()
+        await flapping
+
+    fakes.run(work, 3)
+
+
+def test_servers_that_are_down_for_all_make_no_instance_leave_the_directory() -> None:
+    """Guards against a fleet that takes itself for cut off when its servers crash."""
+
+    async def work(site: fakes.Site) -> None:
+        await asyncio.gather(*(_ask_all_kinds(site, at) for at in range(3)))
+        with contextlib.ExitStack() as stack:
+            for at in range(3):
+                stack.enter_context(cut_fakes.cut(site, at))
+            answers = [await site.ask("/safe/x", "GET", b"", at) for at in range(3)]
+            assert {answer.status for answer in answers} == {503}
+            for made in site.daemons:
+                for member in made._membership.alive():
+                    assert member.lost_services == []
+
+    fakes.run(work, 3)
