Send crash reports with the next loop iteration; tell owners of crashes behind relays

All requests of a crashed server end in one iteration, so that no delay is needed to report them together. A relay that sees the server break the connection before an answer says so, and the owner counts the crash itself; both name the same start of the server, so it counts once.

--- a/packages/daemon/cassiaquay_daemon/fleet/crash_reports.py
+++ b/packages/daemon/cassiaquay_daemon/fleet/crash_reports.py
@@ -1,7 +1,8 @@
 """Exchanges reports of requests that crash servers between instances.
 
 Load pattern: a crash ends all requests of a server, dozens within milliseconds, and
-each instance passes each report on. Reports are sent together after a short delay.
+each instance passes each report on. The reports of one iteration of the event loop are
+sent together.
 """
 
 import asyncio
@@ -14,14 +15,13 @@
 from ..links import peers
 from . import members, replication
 
-# Requests are reported together if their server's crash ends them within this time.
-BATCH_SECONDS = 0.01
-
 Flush = collections.abc.Callable[[], None]
 
 
-def _flush_later(flush: Flush) -> None:
-    asyncio.get_running_loop().call_later(BATCH_SECONDS, flush)
+def _flush_soon(flush: Flush) -> None:
+    # The requests of a crashed server all end in the same iteration. A longer delay
+    # would let callers repeat a crashing request before others know of it.
+    asyncio.get_running_loop().call_soon(flush)
 
 
 class CrashReports:
@@ -38,7 +38,7 @@
     is_first_start : bool
         Whether the whole fleet starts for the first time.
     schedule : callable, optional
-        Calls its argument after `BATCH_SECONDS`.
+        Calls its argument in the next iteration of the event loop.
     """
 
     digest_field = "crashes_digest"
@@ -49,7 +49,7 @@
         links: peers.Peers,
         membership: members.Membership,
         is_first_start: bool,
-        schedule: collections.abc.Callable[[Flush], None] = _flush_later,
+        schedule: collections.abc.Callable[[Flush], None] = _flush_soon,
     ):
         # Changed reports that are about to be sent, with the instances they came from.
         self._unsent: dict[str, str] = {}
--- a/packages/daemon/cassiaquay_daemon/gateway/forwarding.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/forwarding.py
@@ -262,6 +262,9 @@
             response.close()
             self._relays.failed(relay, call.service)
             return None
+        if outcome == relays.BROKEN:
+            response.close()
+            raise exceptions.ConnectionBroken("by the server, behind the relay")
         if outcome != relays.SENT:
             response.close()
             raise exceptions.StreamInterrupted("the relay has lost the answer")
--- a/packages/daemon/cassiaquay_daemon/gateway/relaying.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/relaying.py
@@ -135,9 +135,11 @@
             await _reply(send, relays.NOT_SENT, str(error))
             return
         except exceptions.StreamInterrupted as error:
-            _log(parsed.attempt, target, relays.LOST, str(error))
+            is_broken = isinstance(error, exceptions.ConnectionBroken)
+            outcome = relays.BROKEN if is_broken else relays.LOST
+            _log(parsed.attempt, target, outcome, str(error))
             self._report_crash(target, server, error)
-            await _reply(send, relays.LOST, str(error))
+            await _reply(send, outcome, str(error))
             return
         self.sent_count += 1
         _log(parsed.attempt, target, relays.SENT, "")
--- a/packages/daemon/cassiaquay_daemon/gateway/relays.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/relays.py
@@ -23,8 +23,9 @@
 # The relay has sent no byte of the request and will not send any.
 NOT_SENT = "not-sent"
 SENT = "sent"
-# The relay has sent the request and got no answer.
+# The relay has sent the request and got no answer, or the server broke the connection.
 LOST = "lost"
+BROKEN = "broken"
 # Status of a relay's own answers; owners go by the header alone.
 STATUS = 502
 # Relays that are tried for one dispatch.
