--- a/packages/daemon/cassiaquay_daemon/fleet/server_list.py
+++ b/packages/daemon/cassiaquay_daemon/fleet/server_list.py
@@ -1,5 +1,6 @@
 """Registered backend servers: listed by the platform, or retained after an outage."""
 
+import collections
 import collections.abc
 import typing
 
@@ -71,6 +72,7 @@
                     entry.leaving,
                     entry.started_ms,
                     entry.cold_ms > 0,
+                    entry.software,
                 )
             )
         return xxhash.xxh3_64_intdigest(repr(lines).encode())
@@ -129,6 +131,15 @@
                 slots=entry.slots,
                 started_ms=entry.started_ms,
                 cold_ms=entry.cold_ms,
+                software=entry.software,
             )
             pools.setdefault(entry.service, []).append(server)
         return pools
+
+
+def count_software(pools: dict[str, list[fleet_schema.Server]]) -> str:
+    """Return how many servers of each software version the services have, for logs."""
+    counts: collections.Counter[str] = collections.Counter()
+    for service, servers in pools.items():
+        counts.update(f"{service}/{item.software}" for item in servers if item.software)
+    return ",".join(f"{name}={count}" for name, count in sorted(counts.items()))
--- a/packages/daemon/cassiaquay_daemon/fleet/servers.py
+++ b/packages/daemon/cassiaquay_daemon/fleet/servers.py
@@ -272,6 +272,7 @@
             known=self.count,
             added=",".join(sorted(self._added)[:MAX_LOGGED_NAMES]) or None,
             added_count=len(self._added) or None,
+            software=server_list.count_software(pools) or None,
         )
         self._added.clear()
         self._configured.set_registered_servers(
--- a/packages/daemon/cassiaquay_daemon/gateway/serving.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/serving.py
@@ -332,6 +332,8 @@
             id=call.parsed.attempt,
             content=call.content,
             server=ticket.server.name,
+            software=ticket.server.software or None,
+            resumes=call.parsed.resumes or None,
             route=call.route.name,
             team=call.team_name,
             rank=call.rank,
--- a/packages/daemon/cassiaquay_daemon/platform/entries.py
+++ b/packages/daemon/cassiaquay_daemon/platform/entries.py
@@ -3,6 +3,7 @@
 import typing
 
 import msgspec
+import xxhash
 
 from cassiaquay_schema import messages
 
@@ -11,6 +12,8 @@
 READY = "ready"
 DRAINING = "draining"
 MAX_SLOTS = 100_000
+# Longer versions are replaced by a digest, which also tells them apart.
+MAX_SOFTWARE_CHARACTERS = 64
 
 
 class _Entry(msgspec.Struct):
@@ -24,6 +27,8 @@
     born: int = 0
     # Time for which it stays cold, that is, takes only a limited request rate.
     cold_left_ms: float = msgspec.field(name="cold-left-ms", default=0.0)
+    # Version of the server's software. It is only compared, so it may have any type.
+    version: typing.Any = ""
 
 
 def decode(name: str, value: bytes, revision: int) -> messages.ServerEntry | None:
@@ -53,9 +58,20 @@
         entry.born,
         revision,
         max(int(entry.cold_left_ms), 0),
+        _software(entry.version),
     )
 
 
+def _software(version: typing.Any) -> str:
+    """Return a version as text; empty for none."""
+    if version is None:
+        return ""
+    text = version if isinstance(version, str) else repr(version)
+    if len(text) <= MAX_SOFTWARE_CHARACTERS:
+        return text
+    return xxhash.xxh3_64_hexdigest(text.encode())
+
+
 def _is_address(text: str) -> bool:
     host, _, port = text.rpartition(":")
     parts = host.split(".")
--- a/packages/daemon/cassiaquay_daemon/platform/headers.py
+++ b/packages/daemon/cassiaquay_daemon/platform/headers.py
@@ -22,6 +22,8 @@
 PREFIX = b"cassiaquay-prompt-prefix"
 LENGTH_HINT = b"cassiaquay-length-hint"
 LAST_EVENT = b"last-event-id"
+# The attempt that brought the first event of the stream that the caller takes up.
+RESUMES = b"resumes"
 EXPECT_SERVER = "Cassiaquay-Expect-Instance"
 TEAM = "Cassiaquay-Tenant"
 # Answer header: the server did not begin to execute the request.
@@ -97,6 +99,9 @@
         up to and including that part.
     last_event : int
         Id of the last event that the caller has received; -1 for a new stream.
+    resumes : str
+        Id of the attempt that brought the first event of a stream that the caller takes
+        up again; empty if it names none.
     """
 
     host: str
@@ -108,6 +113,7 @@
     output_tokens: int
     parts: list[messages.PromptPart]
     last_event: int
+    resumes: str = ""
 
     @property
     def counts_tokens(self) -> bool:
@@ -141,6 +147,7 @@
         length_hint,
         _prompt_parts(first_values.get(MODEL, b""), first_values.get(PREFIX, b"")),
         _parse_number(first_values.get(LAST_EVENT, b""), -1),
+        first_values.get(RESUMES, b"").decode("latin-1"),
     )
 
 
--- a/packages/schema/cassiaquay_schema/fleet.py
+++ b/packages/schema/cassiaquay_schema/fleet.py
@@ -89,6 +89,8 @@
         Unix time of its start in milliseconds; 0 if unknown.
     cold_ms : int
         Remaining cold time that the server reports; 0 when warm.
+    software : str
+        Version of its software, not of the weights; empty if unknown.
     """
 
     name: typing.Annotated[str, msgspec.Meta(min_length=1)]
@@ -100,6 +102,7 @@
     max_tokens_in_flight: typing.Annotated[int, msgspec.Meta(ge=1)] | None = None
     started_ms: typing.Annotated[int, msgspec.Meta(ge=0)] = 0
     cold_ms: typing.Annotated[int, msgspec.Meta(ge=0)] = 0
+    software: str = ""
 
 
 class Pool(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
--- a/packages/schema/cassiaquay_schema/messages.py
+++ b/packages/schema/cassiaquay_schema/messages.py
@@ -776,6 +776,8 @@
         Revision of the entry.
     cold_ms : int
         Remaining cold time when the entry was written; 0 when warm.
+    software : str
+        Version of its software, not of the weights; empty if not given.
     """
 
     name: str
@@ -787,6 +789,7 @@
     started_ms: int
     revision: int
     cold_ms: int = 0
+    software: str = ""
 
 
 class ServerList(typing.NamedTuple):
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -184,6 +184,32 @@
     assert entries.decode("i-1", json.dumps(ENTRY | change).encode(), 9) is None
 
 
+@pytest.mark.parametrize(
+    ("version", "software"),
+    [("v1.1", "v1.1"), ("", ""), (None, ""), (3, "3"), ([1], "[1]"), ({}, "{}")],
+)
+def test_software_version_of_any_type_is_decoded(
+    version: object, software: str
+) -> None:
+    """Guards against a server left out for a version that is only compared."""
+    entry = ENTRY | {"version": version}
+    found = entries.decode("i-1", json.dumps(entry).encode(), 9)
+    assert found is not None
+    assert found.software == software
+
+
+def test_long_software_versions_differ() -> None:
+    """Guards against two long versions that are cut to the same text."""
+    seen = set()
+    for suffix in ("a", "b"):
+        entry = ENTRY | {"version": "v" * 200 + suffix}
+        found = entries.decode("i-1", json.dumps(entry).encode(), 9)
+        assert found is not None
+        assert len(found.software) <= entries.MAX_SOFTWARE_CHARACTERS
+        seen.add(found.software)
+    assert len(seen) == 2
+
+
 @hypothesis.given(strategies.binary(max_size=200))
 def test_entry_of_arbitrary_bytes_raises_nothing(data: bytes) -> None:
     found = entries.decode("i-1", data, 9)
