--- a/tests/gateway_fakes.py
+++ b/tests/gateway_fakes.py
@@ -65,6 +65,14 @@
             name = engine.name if service == "chat" else f"{engine.name}-plain"
             self.store.put(f"servers/{name}", entry | more)
 
+    async def add_engine(self, name: str, **more: object) -> standins.Engine:
+        """Start and register one more engine."""
+        engine = standins.Engine(name)
+        self.engines.append(engine)
+        await engine.start()
+        self.register(engine, **more)
+        return engine
+
     async def add(self, name: str, peer: str, seeds: list[str]) -> None:
         """Start a daemon."""
         address = self.store.address
--- /dev/null
+++ b/tests/test_stream_versions.py
@@ -0,0 +1,54 @@
+"""Streams go on only at servers of the software version that began them."""
+
+import asyncio
+
+import gateway_fakes as fakes
+import version_fakes
+
+VERSIONS = {"i-1": "v1", "i-2": "v2", "i-3": "v1", "i-4": "v2"}
+STREAMS = 12
+
+
+def _run(work, daemons: int = 1, versions: dict[str, str] = VERSIONS) -> None:
+    async def with_versions(site: fakes.Site) -> None:
+        versioned = version_fakes.VersionedSite(site, dict(versions))
+        await versioned.start()
+        await work(versioned)
+
+    fakes.run(with_versions, daemons)
+
+
+def _streams(versioned: version_fakes.VersionedSite) -> list[version_fakes.Stream]:
+    return [version_fakes.Stream(versioned, f"s{n}") for n in range(STREAMS)]
+
+
+def _count_mixed(streams: list[version_fakes.Stream]) -> int:
+    """Return how many streams have events of more than one version."""
+    return sum(len(stream.versions) > 1 for stream in streams)
+
+
+def test_cut_stream_goes_on_at_the_version_that_began_it() -> None:
+    """Guards against events of two software versions in one answer."""
+
+    async def work(versioned: version_fakes.VersionedSite) -> None:
+        versioned.cuts_new_streams = True
+        streams = _streams(versioned)
+        await asyncio.gather(*(stream.ask(0) for stream in streams))
+        assert _count_mixed(streams) == 0
+        assert all(stream.is_complete for stream in streams)
+
+    _run(work)
+
+
+def test_caller_takes_its_stream_up_at_the_version_that_began_it() -> None:
+    """Guards against events of two software versions over a caller's tries."""
+
+    async def work(versioned: version_fakes.VersionedSite) -> None:
+        streams = _streams(versioned)
+        await asyncio.gather(*(s.ask(n % 3, 2) for n, s in enumerate(streams)))
+        await versioned.add({"i-3": "v2", "i-4": "v2"})
+        await asyncio.gather(*(s.ask((n + 1) % 3) for n, s in enumerate(streams)))
+        assert _count_mixed(streams) == 0
+        assert all(stream.is_complete for stream in streams)
+
+    _run(work, 3, {"i-1": "v1", "i-2": "v1"})
