Resume a cut stream only at the software version that began it

Callers got events of two software versions in one answer: when a server broke off, the instance demanded any other server of the service and sent Last-Event-Id.

The version of the server that writes the first complete event is now part of the request's state. Each further demand carries it, and all policies, the admission without a keeper and the last check before sending keep to it. A stream whose version has no server left ends at once (no_matching_servers). Before the first event any version may answer.

The admin interface's refusals move to their own module; the check whether a newer configuration allows a request moves to the module that accepts it.

--- a/packages/daemon/cassiaquay_daemon/decisions/objectives.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/objectives.py
@@ -29,6 +29,7 @@
     service_times,
     shards,
     shedding,
+    software_versions,
     team_order,
 )
 
@@ -231,7 +232,9 @@
             objective_at = self._objective_at[demand.id]
             min_seconds = self._min_first_seconds(demand)
             wait = self._forecast.wait_seconds(
-                demand.rank, ahead, frozenset(demand.tried)
+                demand.rank,
+                ahead,
+                software_versions.excluded(demand, self._shard.servers),
             )
             if self._is_too_long(waiting, now):
                 # Neither another server nor a later start would help.
@@ -285,7 +288,9 @@
         for request_id in order:
             waiting = self._shard.queue[request_id]
             wait = self._forecast.wait_seconds(
-                waiting.demand.rank, ahead, frozenset(waiting.demand.tried)
+                waiting.demand.rank,
+                ahead,
+                software_versions.excluded(waiting.demand, self._shard.servers),
             )
             if now + wait <= self._objective_at[request_id]:
                 ahead += 1
@@ -354,7 +359,9 @@
         left = waiting.deadline - now
         demand = waiting.demand
         best: choices.Choice | None = None
-        avoid = {*demand.avoid, *demand.tried}
+        avoid = software_versions.excluded(demand, self._shard.servers).union(
+            demand.avoid
+        )
         for candidate in self._servers.with_free_slots(avoid, now):
             choice = self._weigh(demand, candidate, now, objective_at, left)
             if choice is None:
--- a/packages/daemon/cassiaquay_daemon/decisions/placement.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/placement.py
@@ -228,6 +228,8 @@
     for view in views:
         if view.name in avoid:
             continue
+        if demand.software not in (None, view.engine.server.software):
+            continue
         choice = _choose(demand, tokens, view, prefill_weight)
         min_seconds = min(min_seconds, _idle_seconds(demand, choice))
         if not in_time(choice.finish_seconds, left, margin):
--- a/packages/daemon/cassiaquay_daemon/decisions/shards.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/shards.py
@@ -325,10 +325,13 @@
 
     def move(self, waiting: Waiting, limit: float) -> bool:
         """Redirect a demand to a shard where it waits less; False if there is none."""
+        demand = waiting.demand
+        if demand.software is not None:
+            # Its owner has chosen the shard by the servers of that version.
+            return False
         target = self.find_sibling(waiting, limit)
         if not target:
             return False
-        demand = waiting.demand
         self._unqueue(demand.id)
         logs.event(
             "moved",
--- a/packages/daemon/cassiaquay_daemon/gateway/accepting.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/accepting.py
@@ -113,3 +113,14 @@
         parts.append(part)
         if not message.get("more_body", False):
             return b"".join(parts)
+
+
+def is_allowed(call: calls.Call, routes: routing.Routing) -> bool:
+    """Return whether a newer configuration still allows the request."""
+    route = routes.find(call.parsed.host, call.target.partition("?")[0])
+    if route is None or call.service not in {share.service for share in route.shares}:
+        return False
+    if call.team is None:
+        return route.is_public or not routes.needs_keys
+    team = routes.teams_by_key.get(call.parsed.key)
+    return team is not None and team.name == call.team.name
--- a/packages/daemon/cassiaquay_daemon/gateway/admission.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/admission.py
@@ -14,10 +14,10 @@
 from cassiaquay_schema import fleet, messages
 
 from .. import clock, exceptions, logs
-from ..decisions import rate_budgets
+from ..decisions import rate_budgets, software_versions
 from ..fleet import members
 from ..keepers import demands
-from . import calls
+from . import calls, progress
 
 # Retry-After while a service has no registered servers: registrations are read again
 # several times in this time.
@@ -114,26 +114,16 @@
         # Services of which all servers were leaving at the last look.
         self._services_leaving: set[str] = set()
 
-    async def obtain(
-        self, call: calls.Call, number: int, unreachable: list[str], tried: list[str]
-    ) -> Ticket:
-        """Return a ticket to dispatch the request; raise Refusal for no capacity.
-
-        Parameters
-        ----------
-        call : Call
-            The request.
-        number : int
-            Ordinal of this demand for the request, from 1.
-        unreachable : list of str
-            Servers that could not be reached.
-        tried : list of str
-            Servers that received the request and gave no usable answer.
-        """
-        demand = _demand(call, number, unreachable, tried)
+    async def obtain(self, state: progress.RequestState) -> Ticket:
+        """Return a ticket to dispatch the request; raise Refusal for no capacity."""
+        call = state.call
+        demand = _demand(state)
         servers = self._open_servers(call)
         if not servers:
             raise exceptions.NoServers(retry_after_ms=NO_SERVERS_RETRY_MS)
+        servers = software_versions.matching(servers, state.software)
+        if not servers:
+            raise exceptions.NoMatchingServers(retry_after_ms=NO_SERVERS_RETRY_MS)
         await self._wait_for_backoffs(call, servers)
         try:
             permission = await self._demands.obtain(
@@ -143,7 +133,7 @@
             return self._obtain_without_keeper(call, demand)
         demand = demand._replace(shard=permission.shard)
         server = call.snapshot.open_server(call.service, permission.server)
-        if server is None:
+        if server is None or not software_versions.matching([server], state.software):
             self._demands.give_back(demand)
             raise exceptions.NotSent("the server is not in force here")
         return Ticket(
@@ -227,7 +217,7 @@
         # do not overload it.
         live = max(len(self._membership.serving()), 1)
         best: fleet.Server | None = None
-        servers = self._open_servers(call)
+        servers = software_versions.matching(self._open_servers(call), demand.software)
         # All instances lose a keeper at the same time: without shuffling, all of them
         # would send to the same server.
         random.shuffle(servers)
@@ -263,15 +253,31 @@
         return Ticket(demand, best, call.deadline, Tally(), True)
 
 
-def _demand(
-    call: calls.Call, number: int, unreachable: list[str], tried: list[str]
-) -> messages.Demand:
+def _shard(state: progress.RequestState) -> str:
+    """Return the shard to ask for capacity."""
+    call = state.call
     parsed = call.parsed
     key = str(parsed.parts[-1].key) if parsed.parts else parsed.attempt
+    shard = call.snapshot.shard_of(call.service, key)
+    if state.software is None:
+        return shard
+    # Only some shards may have servers of the version; the usual one wins a tie.
+    shards = [shard, *call.snapshot.siblings(shard)]
+    counts = {}
+    for name in shards:
+        members = call.snapshot.shard_servers(name)
+        counts[name] = len(software_versions.matching(members, state.software))
+    return max(shards, key=counts.__getitem__)
+
+
+def _demand(state: progress.RequestState) -> messages.Demand:
+    call = state.call
+    parsed = call.parsed
+    number = state.tries
     name = parsed.attempt if number == 1 else f"{parsed.attempt}.{number}"
     return messages.Demand(
         name,
-        call.snapshot.shard_of(call.service, key),
+        _shard(state),
         call.service,
         call.team_name,
         call.rank,
@@ -280,9 +286,10 @@
         max(int(call.seconds_left * 1000.0), 0),
         "",
         [],
-        list(unreachable),
+        list(state.unreachable),
         first_ms=max(int(call.objective_seconds_left * 1000.0), 1),
         pause_ms=int(call.route.pause_seconds * 1000.0),
         parts=parsed.parts,
-        tried=list(tried),
+        tried=list(state.tried),
+        software=state.software,
     )
--- a/packages/daemon/cassiaquay_daemon/gateway/passing.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/passing.py
@@ -1,8 +1,12 @@
 """Forwards a server's answer to the caller, buffered whole or event by event."""
 
+import collections.abc
+
 from .. import exceptions
 from . import admission, events, forwarding, progress, replies
 
+BeforeEvents = collections.abc.Callable[[], None]
+
 
 async def pass_buffered(
     state: progress.RequestState,
@@ -34,8 +38,12 @@
     tally: admission.Tally,
     reply: replies.Replies,
     send: replies.Send,
+    before_events: BeforeEvents,
 ) -> None:
-    """Forward events as they arrive; raise StreamInterrupted when they are cut off."""
+    """Forward events as they arrive; raise StreamInterrupted when they are cut off.
+
+    ``before_events`` is called before complete events are sent to the caller.
+    """
     splitter = events.Splitter()
     if not state.started:
         state.started = True
@@ -48,6 +56,7 @@
         if not received.event_count:
             continue
         _check_event_order(state, received)
+        before_events()
         tally.add(received.event_count)
         if received.last != events.NO_EVENT:
             state.last_event = received.last
--- a/packages/daemon/cassiaquay_daemon/gateway/progress.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/progress.py
@@ -19,6 +19,9 @@
         Number of times that capacity was requested.
     last_event : int
         Id of the last event sent to the caller; -1 for none.
+    software : str or None
+        Software version of the server that began the stream; other versions must not
+        go on with it. None before the first event.
     started : bool
         Whether the status and headers of an answer were sent to the caller.
     server : str
@@ -38,6 +41,7 @@
         self.runs = 0
         self.tries = 0
         self.last_event = call.parsed.last_event
+        self.software: str | None = None
         self.started = False
         self.server = ""
         self.server_start = ""
--- a/packages/daemon/cassiaquay_daemon/gateway/serving.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/serving.py
@@ -6,10 +6,10 @@
 """
 
 import asyncio
+import functools
 import typing
 
 from .. import clock, exceptions, logs, pause
-from ..configured import routing
 from ..decisions import budgets, quarantine
 from ..fleet import configuration, crash_reports, server_reports
 from ..keepers import quotas
@@ -17,7 +17,6 @@
     accepting,
     accounting,
     admission,
-    calls,
     forwarding,
     passing,
     progress,
@@ -194,9 +193,7 @@
     ) -> None:
         """Dispatch once and forward the answer to the caller."""
         call = state.call
-        ticket = await self._parts.capacity.obtain(
-            call, state.tries, state.unreachable, state.tried
-        )
+        ticket = await self._parts.capacity.obtain(state)
         state.server = ticket.server.name
         state.server_start = f"{ticket.server.name}/{ticket.server.started_ms}"
         sent_at = 0.0
@@ -272,7 +269,12 @@
                     raise _RetryableFailure(answer)
             if call.is_stream and answer.status == 200:
                 await passing.pass_streamed(
-                    state, answer, ticket.tally, self._parts.reply, send
+                    state,
+                    answer,
+                    ticket.tally,
+                    self._parts.reply,
+                    send,
+                    functools.partial(self._note_software, state, ticket),
                 )
             else:
                 await passing.pass_buffered(state, answer, self._parts.reply, send)
@@ -305,7 +307,9 @@
             raise exceptions.NotSent("no configuration")
         if snapshot.open_server(call.service, ticket.server.name) is None:
             raise exceptions.NotSent("the server has left or is evacuated")
-        if snapshot is call.snapshot or _is_allowed(call, snapshot.routes):
+        if state.software not in (None, ticket.server.software):
+            raise exceptions.NotSent("the stream began at another software version")
+        if snapshot is call.snapshot or accepting.is_allowed(call, snapshot.routes):
             return
         raise exceptions.NotReady(
             "the route or key has gone", retry_after_ms=accepting.NOT_READY_RETRY_MS
@@ -344,6 +348,12 @@
             configuration=call.snapshot.revision,
         )
 
+    def _note_software(
+        self, state: progress.RequestState, ticket: admission.Ticket
+    ) -> None:
+        if state.software is None:
+            state.software = ticket.server.software
+
     async def _end_refused(
         self,
         state: progress.RequestState,
@@ -420,17 +430,6 @@
     )
 
 
-def _is_allowed(call: calls.Call, routes: routing.Routing) -> bool:
-    """Return whether a newer configuration still allows the request."""
-    route = routes.find(call.parsed.host, call.target.partition("?")[0])
-    if route is None or call.service not in {share.service for share in route.shares}:
-        return False
-    if call.team is None:
-        return route.is_public or not routes.needs_keys
-    team = routes.teams_by_key.get(call.parsed.key)
-    return team is not None and team.name == call.team.name
-
-
 def _read_timeout_seconds(state: progress.RequestState) -> float | None:
     """Return the read timeout after which the request goes to another server.
 
--- a/packages/daemon/cassiaquay_daemon/keepers/baselines.py
+++ b/packages/daemon/cassiaquay_daemon/keepers/baselines.py
@@ -14,7 +14,7 @@
 from cassiaquay_schema import fleet, messages
 
 from .. import clock, rendezvous
-from ..decisions import policies, shards
+from ..decisions import policies, shards, software_versions
 
 # Under this policy each owner is the keeper of every shard for its own requests.
 LOCAL = "first-come-local"
@@ -31,7 +31,8 @@
         """Grant all queued demands in order of arrival."""
         shard = self._shard
         for waiting in list(shard.queue.values()):
-            avoid = {*waiting.demand.avoid, *waiting.demand.tried}
+            excluded = software_versions.excluded(waiting.demand, shard.servers)
+            avoid = excluded.union(waiting.demand.avoid)
             servers = [
                 server for server in shard.open_servers() if server.name not in avoid
             ]
@@ -147,8 +148,9 @@
     def _least_loaded_server(self, demand: messages.Demand) -> fleet.Server | None:
         shard = self._shard
         free = []
+        avoid = software_versions.excluded(demand, shard.servers).union(demand.avoid)
         for server in shard.open_servers():
-            if server.name in demand.avoid or server.name in demand.tried:
+            if server.name in avoid:
                 continue
             if shard.count_on(server.name) < server.slots:
                 free.append(server)
--- a/packages/daemon/cassiaquay_daemon/operators/admin.py
+++ b/packages/daemon/cassiaquay_daemon/operators/admin.py
@@ -14,7 +14,16 @@
 from cassiaquay_schema import settings as settings_schema
 
 from .. import clock, exceptions, logs
-from . import burn, explain, keeper_view, metrics, reports, viewers, views
+from . import (
+    burn,
+    explain,
+    keeper_view,
+    metrics,
+    refusals,
+    reports,
+    viewers,
+    views,
+)
 
 MAX_HISTORY = 1000
 DEFAULT_HISTORY = 100
@@ -91,7 +100,7 @@
         async def handle(request: requests.Request) -> responses.Response:
             try:
                 return await endpoint(request, self._viewers.authenticate(request))
-            except exceptions.AdminRefusal as error:
+            except refusals.AdminRefusal as error:
                 body = {"code": error.code, "message": str(error)}
                 return _json(body, int(error.status))
 
@@ -279,7 +288,7 @@
     if not text:
         return default
     if not text.isascii() or not text.isdecimal() or len(text) > 9:
-        raise exceptions.AdminBadRequest(f"{name}: a whole number")
+        raise refusals.AdminBadRequest(f"{name}: a whole number")
     return min(int(text), limit)
 
 
--- a/packages/daemon/cassiaquay_daemon/operators/explain.py
+++ b/packages/daemon/cassiaquay_daemon/operators/explain.py
@@ -11,7 +11,7 @@
 from .. import clock, exceptions
 from ..configured import snapshots
 from ..owners import owner, tokens
-from . import keeper_view, reports, viewers
+from . import keeper_view, refusals, reports, viewers
 
 FETCH_TIMEOUT_SECONDS = 3.0
 
@@ -59,12 +59,12 @@
         try:
             request_id = tokens.parse(self._settings.keys, text)
         except exceptions.BadId as error:
-            raise exceptions.AdminBadRequest("not an id of this fleet") from error
+            raise refusals.AdminBadRequest("not an id of this fleet") from error
         if self._parts.owned.owns(request_id):
             return await self._explain_owned(text, viewer, authorization)
         member = self._parts.membership.find(request_id.instance)
         if member is None or member.incarnation != request_id.incarnation:
-            raise exceptions.AdminNotFound(
+            raise refusals.AdminNotFound(
                 f"its owner, {request_id.instance} in its life"
                 f" {request_id.incarnation}, is gone; with it went what it knew"
             )
@@ -77,16 +77,16 @@
         """Return the limits, tier and placement that a described request would get."""
         snapshot = self._parts.configured.current
         if snapshot is None:
-            raise exceptions.AdminNotFound("no configuration is in force here yet")
+            raise refusals.AdminNotFound("no configuration is in force here yet")
         service = snapshot.fleet.services.get(description.service)
         if service is None:
-            raise exceptions.AdminBadRequest(f"no service {description.service!r}")
+            raise refusals.AdminBadRequest(f"no service {description.service!r}")
         team = snapshot.fleet.teams.get(description.team)
         if team is None:
-            raise exceptions.AdminBadRequest(f"no team {description.team!r}")
+            raise refusals.AdminBadRequest(f"no team {description.team!r}")
         tier = description.tier or team.tiers[0]
         if tier not in snapshot.fleet.tiers:
-            raise exceptions.AdminBadRequest(f"no tier {tier!r}")
+            raise refusals.AdminBadRequest(f"no tier {tier!r}")
         reasons = _limit_reasons(snapshot, description.service, description.team)
         if not description.tier:
             reasons.append(f"tier {tier}: the first of the team's tiers")
@@ -127,7 +127,7 @@
     ) -> bodies.Explanation:
         entry = self._parts.owned.table.get(text)
         if entry is None or (viewer.team and entry.accepted.team != viewer.team):
-            raise exceptions.AdminNotFound("its owner does not know this id")
+            raise refusals.AdminNotFound("its owner does not know this id")
         accepted = entry.accepted
         reasons = _limit_reasons(accepted.snapshot, accepted.service, accepted.team)
         reasons.extend(_progress_reasons(entry))
@@ -197,7 +197,7 @@
                 )
             member = self._parts.membership.find(keeper)
             if member is None:
-                raise exceptions.AdminInstanceUnreachable("its address is not known")
+                raise refusals.AdminInstanceUnreachable("its address is not known")
             target = (
                 f"/v1/placement?shard={demand.shard.replace('#', '%23')}"
                 f"&id={demand.id}&rank={demand.rank}"
@@ -206,7 +206,7 @@
             )
             body = await self._fetch(member, target, authorization)
             return msgspec.json.decode(body, type=bodies.Placement)
-        except exceptions.AdminRefusal as error:
+        except refusals.AdminRefusal as error:
             reasons.append(f"the keeper, {keeper}, could not tell: {error}")
             return None
 
@@ -214,7 +214,7 @@
         self, member: messages.Member, target: str, authorization: str
     ) -> bytes:
         if not member.admin:
-            raise exceptions.AdminInstanceUnreachable(
+            raise refusals.AdminInstanceUnreachable(
                 f"{member.instance} has no such address"
             )
         headers = {"Authorization": authorization} if authorization else {}
@@ -226,14 +226,14 @@
             ) as response:
                 body = await response.read()
                 if response.status == 404:
-                    raise exceptions.AdminNotFound(_message(body))
+                    raise refusals.AdminNotFound(_message(body))
                 if response.status != 200:
-                    raise exceptions.AdminInstanceUnreachable(
+                    raise refusals.AdminInstanceUnreachable(
                         f"{member.instance}: status {response.status}: {_message(body)}"
                     )
                 return body
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
-            raise exceptions.AdminInstanceUnreachable(
+            raise refusals.AdminInstanceUnreachable(
                 f"{member.instance}: {error!r}"
             ) from error
 
--- a/packages/daemon/cassiaquay_daemon/operators/keeper_view.py
+++ b/packages/daemon/cassiaquay_daemon/operators/keeper_view.py
@@ -6,9 +6,8 @@
 from cassiaquay_schema import bodies, messages
 from cassiaquay_schema import settings as settings_schema
 
-from .. import exceptions
 from ..decisions import policies, shards
-from . import reports, views
+from . import refusals, reports, views
 
 
 def explain_placement(
@@ -19,7 +18,7 @@
     """Return where this instance, as the shard's keeper, would place a demand."""
     shard = views.shard_at_keeper(parts, settings, demand.shard)
     if shard is None:
-        raise exceptions.AdminNotFound(f"no shard {demand.shard!r} is kept here")
+        raise refusals.AdminNotFound(f"no shard {demand.shard!r} is kept here")
     waiting = shard.queue.get(demand.id)
     if waiting is not None:
         # The queued demand holds the prefix hashes, which the query does not contain.
--- a/packages/daemon/cassiaquay_daemon/operators/viewers.py
+++ b/packages/daemon/cassiaquay_daemon/operators/viewers.py
@@ -12,8 +12,8 @@
 
 from cassiaquay_schema import settings as settings_schema
 
-from .. import exceptions
 from ..fleet import configuration
+from . import refusals
 
 
 class Viewer(typing.NamedTuple):
@@ -35,7 +35,7 @@
     def require_operator(self) -> None:
         """Raise AdminForbidden unless the client is an operator."""
         if not self.is_operator:
-            raise exceptions.AdminForbidden("only operators may ask for this")
+            raise refusals.AdminForbidden("only operators may ask for this")
 
 
 class Viewers:
@@ -71,7 +71,7 @@
         from_page = "origin" in request.headers
         if not self._settings.operators and _is_loopback(request) and not from_page:
             return Viewer("")
-        raise exceptions.AdminUnauthorized("an Authorization header of type Bearer")
+        raise refusals.AdminUnauthorized("an Authorization header of type Bearer")
 
     def _by_credential(self, credential: str) -> Viewer:
         digest = hashlib.sha256(credential.encode()).hexdigest()
@@ -81,7 +81,7 @@
         snapshot = self._configured.current
         team = snapshot.team_of(credential) if snapshot is not None else None
         if team is None:
-            raise exceptions.AdminUnauthorized("the credential is unknown")
+            raise refusals.AdminUnauthorized("the credential is unknown")
         return Viewer(team)
 
 
--- a/packages/dev/cassiaquay_dev/lab/simulation.py
+++ b/packages/dev/cassiaquay_dev/lab/simulation.py
@@ -8,7 +8,7 @@
 
 from cassiaquay_daemon import clock, exceptions
 from cassiaquay_daemon.adapters import signals
-from cassiaquay_daemon.gateway import admission, calls
+from cassiaquay_daemon.gateway import admission, calls, progress
 from cassiaquay_schema import messages
 
 from . import batching, days, instances, simulated_network, traffic
@@ -222,7 +222,9 @@
         request: traffic.Request,
         monitor: "_LatenessMonitor",
     ) -> None:
-        ticket = await instance.admission.obtain(attempt, 1, [], [])
+        state = progress.RequestState(attempt)
+        state.tries = 1
+        ticket = await instance.admission.obtain(state)
         server = ticket.server.name
         run = batching.Run(
             request.prompt_tokens, request.events, _event_recorder(ticket, monitor)
--- a/packages/schema/cassiaquay_schema/messages.py
+++ b/packages/schema/cassiaquay_schema/messages.py
@@ -215,6 +215,8 @@
         Whether the keeper should confirm that the demand is queued.
     moves : int
         Number of times that it was moved to another shard.
+    software : str | None
+        Software version that began the stream and must go on with it; none for any.
     """
 
     id: str
@@ -235,6 +237,7 @@
     tried: list[str] = []
     acknowledge: bool = False
     moves: int = 0
+    software: str | None = None
 
 
 class PromptPart(typing.NamedTuple):
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -91,11 +91,11 @@
 
     def obtain(self, number: int, **lists) -> "asyncio.Task[admission.Ticket]":
         """Start to obtain capacity for a request."""
-        unreachable = lists.get("unreachable", [])
-        work = self.admission.obtain(
-            self.call(number), 1, unreachable, lists.get("tried", [])
-        )
-        return asyncio.create_task(work)
+        state = progress.RequestState(self.call(number))
+        state.tries = 1
+        state.unreachable = lists.get("unreachable", [])
+        state.tried = lists.get("tried", [])
+        return asyncio.create_task(self.admission.obtain(state))
 
 
 def _run(work) -> None:
--- a/tests/test_pages.py
+++ b/tests/test_pages.py
@@ -15,6 +15,7 @@
 from cassiaquay import exceptions as caller_exceptions
 from cassiaquay_cli import exceptions as cli_exceptions
 from cassiaquay_daemon import exceptions as daemon_exceptions
+from cassiaquay_daemon.operators import refusals
 from cassiaquay_schema import exceptions as schema_exceptions
 
 ROOT = pathlib.Path(__file__).parents[1]
@@ -22,7 +23,7 @@
 TABLES = {
     "What callers are told": daemon_exceptions.Refusal,
     "Inside the daemon": daemon_exceptions.DaemonError,
-    "The operators' address": daemon_exceptions.AdminRefusal,
+    "The operators' address": refusals.AdminRefusal,
     "Fleet texts and settings": schema_exceptions.SchemaError,
     "The command line": cli_exceptions.CommandError,
     "The caller package": caller_exceptions.CassiaquayError,
@@ -65,9 +66,9 @@
     for title, root in TABLES.items():
         kinds = _exception_classes(root)
         if root is daemon_exceptions.DaemonError:
-            refusals = _exception_classes(daemon_exceptions.Refusal)
-            refusals += _exception_classes(daemon_exceptions.AdminRefusal)
-            kinds = [kind for kind in kinds if kind not in refusals]
+            described = _exception_classes(daemon_exceptions.Refusal)
+            described += _exception_classes(refusals.AdminRefusal)
+            kinds = [kind for kind in kinds if kind not in described]
         expected = sorted(_attribute(kind, "code") for kind in kinds)
         assert sorted(row[0] for row in _rows(page, title)) == expected, title
 
@@ -81,7 +82,7 @@
         expected.add((_attribute(kind, "code"), outcome, status))
     assert {tuple(row[:3]) for row in _rows(page, "What callers are told")} == expected
     expected = set()
-    for kind in _exception_classes(daemon_exceptions.AdminRefusal):
+    for kind in _exception_classes(refusals.AdminRefusal):
         status = str(int(_attribute(kind, "status")))
         expected.add((_attribute(kind, "code"), status))
     assert {tuple(row[:2]) for row in _rows(page, "The operators' address")} == expected
