Take streams up at the version that began them, at any instance

Callers got events of two software versions over their tries: an instance they came back to did not know the version of the first one, and Resumes was not read.

An instance records the origin (service and version) of each stream before its first event goes out, and sends it to two instances chosen by a hash of team and attempt, in other failure domains if there are any. What an instance keeps is bounded by the callers' time limits and by count, and is sent again when a link comes up, since a restarted instance has lost it. If the entry of a server that was restarted under its name follows late, the version of the streams that it began is corrected, and a stream that it took up is not passed on.

--- a/packages/daemon/cassiaquay_daemon/daemon.py
+++ b/packages/daemon/cassiaquay_daemon/daemon.py
@@ -22,6 +22,7 @@
     renewal,
     server_reports,
     servers,
+    stream_origins,
 )
 from .gateway import service
 from .interface import addresses, relay, web
@@ -129,6 +130,9 @@
             self._membership,
             settings.gateway.first_start,
         )
+        self._origins = stream_origins.StreamOrigins(
+            settings, self._peers, self._membership
+        )
         self._owner.use_crash_reports(self._crashes)
         self._owner.use_server_reports(self._server_reports)
         self._gateway = self._create_gateway()
@@ -310,6 +314,7 @@
             self._server_reports,
             self._crashes,
             self._pauses,
+            self._origins,
         )
         gateway = service.assemble(self._settings, shared)
         if self._file is not None:
--- a/packages/daemon/cassiaquay_daemon/exceptions.py
+++ b/packages/daemon/cassiaquay_daemon/exceptions.py
@@ -215,6 +215,12 @@
     code = "no_servers"
 
 
+class OriginUnknown(Refusal):
+    """No instance knows at which software version the stream began."""
+
+    code = "origin_unknown"
+
+
 class NoMatchingServers(Refusal):
     """No backend server has the software version that began the stream."""
 
--- a/packages/daemon/cassiaquay_daemon/gateway/progress.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/progress.py
@@ -1,5 +1,6 @@
 """Mutable state of one caller's request while it is served."""
 
+from ..configured import snapshots
 from . import calls
 
 
@@ -22,6 +23,13 @@
     software : str or None
         Software version of the server that began the stream; other versions must not
         go on with it. None before the first event.
+    first_writer : str
+        Id of the demand of the server that began the stream; empty if the stream began
+        at an earlier attempt.
+    checked_writer, checked_snapshot : str and Snapshot or None
+        Demand and snapshot for which the version of the events was checked last.
+    is_origin_recorded : bool
+        Whether the version was recorded under this attempt.
     started : bool
         Whether the status and headers of an answer were sent to the caller.
     server : str
@@ -42,6 +50,10 @@
         self.tries = 0
         self.last_event = call.parsed.last_event
         self.software: str | None = None
+        self.first_writer = ""
+        self.checked_writer = ""
+        self.checked_snapshot: snapshots.Snapshot | None = None
+        self.is_origin_recorded = False
         self.started = False
         self.server = ""
         self.server_start = ""
--- /dev/null
+++ b/packages/daemon/cassiaquay_daemon/gateway/resuming.py
@@ -0,0 +1,123 @@
+"""Decides which software version may go on with a stream, and records where it began.
+
+A caller whose stream broke off names the attempt that brought its first event. What the
+caller has received counts: an attempt that brought it no event is never named.
+"""
+
+from .. import exceptions, logs
+from ..decisions import software_versions, stream_origins
+from ..fleet import configuration
+from ..fleet import stream_origins as origin_reports
+from . import admission, calls, progress
+
+# Retry-After when the instances that may know a stream's origin have not answered.
+UNKNOWN_RETRY_MS = 300
+
+
+class Resuming:
+    """Knows the origins of streams and the versions of all services.
+
+    Parameters
+    ----------
+    configured : Configuration
+        Lists the servers with their versions.
+    origins : StreamOrigins
+        Keeps the origins of streams on several instances.
+    """
+
+    def __init__(
+        self,
+        configured: configuration.Configuration,
+        origins: origin_reports.StreamOrigins,
+    ):
+        self._configured = configured
+        self._origins = origins
+        self._history = software_versions.History()
+        configured.on_accept(self._update_history)
+
+    async def resolve(self, state: progress.RequestState) -> None:
+        """Set the service and version at which a caller's stream must go on.
+
+        Raises
+        ------
+        OriginUnknown
+            The service has several versions, or the route has left the service.
+        """
+        call = state.call
+        parsed = call.parsed
+        if not call.is_stream or not (parsed.resumes or parsed.last_event >= 0):
+            return
+        origin = None
+        if parsed.resumes:
+            key = stream_origins.key_of(call.team_name, parsed.resumes)
+            origin = await self._origins.find(key)
+        versions = self._history.recent(call.service)
+        logs.event(
+            "stream_resumes",
+            id=parsed.attempt,
+            resumes=parsed.resumes or None,
+            after=parsed.last_event,
+            service=origin.service if origin else None,
+            software=origin.software if origin else None,
+            is_known=origin is not None,
+            versions=",".join(sorted(versions)),
+        )
+        if origin is None:
+            if len(versions) > 1:
+                raise exceptions.OriginUnknown(retry_after_ms=UNKNOWN_RETRY_MS)
+            return
+        if origin.service not in {share.service for share in call.route.shares}:
+            raise exceptions.OriginUnknown("the route has left the service")
+        state.call = call._replace(service=origin.service)
+        state.software = origin.software
+
+    def note_events(
+        self, state: progress.RequestState, ticket: admission.Ticket
+    ) -> None:
+        """Record which version writes a stream; called before events are passed on.
+
+        Raises
+        ------
+        StreamInterrupted
+            The server turns out to be of another version than the stream began at.
+        """
+        writer = ticket.demand.id
+        snapshot = self._configured.current
+        if state.checked_writer == writer and state.checked_snapshot is snapshot:
+            return
+        state.checked_writer = writer
+        state.checked_snapshot = snapshot
+        software = self._software_of(state.call, ticket)
+        if state.software is None:
+            state.first_writer = writer
+        elif state.software != software and state.first_writer != writer:
+            raise exceptions.StreamInterrupted("of another software version")
+        if state.software == software and state.is_origin_recorded:
+            return
+        # The entry of a server that was restarted under its name may follow late: the
+        # version of a stream that it began is then corrected.
+        state.software = software
+        state.is_origin_recorded = True
+        self._record(state.call, software)
+
+    def _record(self, call: calls.Call, software: str) -> None:
+        lifetime = max(call.parsed.deadline_ms / 1000.0, call.route.timeout_seconds)
+        self._origins.add(
+            stream_origins.key_of(call.team_name, call.parsed.attempt),
+            stream_origins.Origin(call.service, software),
+            lifetime + stream_origins.MARGIN_SECONDS,
+        )
+
+    def _software_of(self, call: calls.Call, ticket: admission.Ticket) -> str:
+        """Return the listed version of the server that a request was sent to."""
+        snapshot = self._configured.current
+        if snapshot is not None and call.service in snapshot.fleet.pools:
+            server = snapshot.server(call.service, ticket.server.name)
+            if server is not None:
+                return server.software
+        return ticket.server.software
+
+    def _update_history(self) -> None:
+        snapshot = self._configured.current
+        if snapshot is not None:
+            self._history.update(snapshot.fleet)
--- a/packages/daemon/cassiaquay_daemon/gateway/service.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/service.py
@@ -12,7 +12,14 @@
 from .. import early_bind, listeners, logs, pause, sockets
 from ..configured import snapshots
 from ..decisions import budgets, paths, rate_budgets
-from ..fleet import configuration, crash_reports, members, server_reports, servers
+from ..fleet import (
+    configuration,
+    crash_reports,
+    members,
+    server_reports,
+    servers,
+    stream_origins,
+)
 from ..keepers import demands, quotas
 from ..links import peers
 from ..operators import reports
@@ -28,6 +35,7 @@
     relaying,
     relays,
     replies,
+    resuming,
     serving,
 )
 
@@ -59,6 +67,7 @@
     reports: server_reports.ServerReports
     crashes: crash_reports.CrashReports
     pauses: pause.Pauses
+    origins: stream_origins.StreamOrigins
 
 
 class Gateway:
@@ -219,6 +228,7 @@
         shared.pauses,
         replies.Replies(),
         accounting.Accounting(),
+        resuming.Resuming(shared.configured, shared.origins),
     )
     relay_parts = relaying.Parts(
         shared.configured,
--- a/packages/daemon/cassiaquay_daemon/gateway/serving.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/serving.py
@@ -21,6 +21,7 @@
     passing,
     progress,
     replies,
+    resuming,
 )
 
 # Retry-After when all servers tried declined the request or could not be reached.
@@ -67,6 +68,8 @@
         Builds answers to callers.
     accounting : Accounting
         Reports the outcome of each request.
+    resuming : Resuming
+        Knows at which software version a stream must go on.
     """
 
     configured: configuration.Configuration
@@ -79,6 +82,7 @@
     pauses: pause.Pauses
     reply: replies.Replies
     accounting: accounting.Accounting
+    resuming: resuming.Resuming
 
 
 class RequestHandler:
@@ -95,12 +99,13 @@
 
     async def serve(self, state: progress.RequestState, send: replies.Send) -> None:
         """Serve one request; return after its final answer has been sent."""
-        call = state.call
-        self._parts.budget.count(call.service)
+        self._parts.budget.count(state.call.service)
         taken: quotas.Taken | None = None
         try:
             self._check_quarantine(state)
-            async with asyncio.timeout(max(call.seconds_left, 0.0)):
+            async with asyncio.timeout(max(state.call.seconds_left, 0.0)):
+                await self._parts.resuming.resolve(state)
+                call = state.call
                 patience = call.objective_seconds_left * LIMIT_WAIT_SHARE
                 taken = await self._parts.team_limits.take(
                     call.team, call.parsed, patience
@@ -117,7 +122,8 @@
             await self._end_refused(state, send, late())
         except Exception as error:
             # Also after an unexpected error, the caller gets the correct outcome.
-            logs.trouble("request_crashed", id=call.parsed.attempt, cause=repr(error))
+            attempt = state.call.parsed.attempt
+            logs.trouble("request_crashed", id=attempt, cause=repr(error))
             lost = (
                 exceptions.OutcomeUnknown
                 if state.may_have_run
@@ -274,7 +280,7 @@
                     ticket.tally,
                     self._parts.reply,
                     send,
-                    functools.partial(self._note_software, state, ticket),
+                    functools.partial(self._parts.resuming.note_events, state, ticket),
                 )
             else:
                 await passing.pass_buffered(state, answer, self._parts.reply, send)
@@ -348,12 +354,6 @@
             configuration=call.snapshot.revision,
         )
 
-    def _note_software(
-        self, state: progress.RequestState, ticket: admission.Ticket
-    ) -> None:
-        if state.software is None:
-            state.software = ticket.server.software
-
     async def _end_refused(
         self,
         state: progress.RequestState,
--- a/packages/schema/cassiaquay_schema/messages.py
+++ b/packages/schema/cassiaquay_schema/messages.py
@@ -987,6 +987,63 @@
     servers: list[ServerDeparture]
 
 
+class StreamOrigin(typing.NamedTuple):
+    """Where a stream began, for instances that its caller may return to.
+
+    Attributes
+    ----------
+    key : int
+        Hash of the team and of the attempt that brought events.
+    service : str
+        Service of the server.
+    software : str
+        Software version of the server.
+    lifetime_ms : int
+        Time for which its caller may take the stream up again.
+    """
+
+    key: int
+    service: str
+    software: str
+    lifetime_ms: int
+
+
+class OriginQuery(typing.NamedTuple):
+    """Asks where a stream began.
+
+    Attributes
+    ----------
+    number : int
+        Number of the query, counted by the sender.
+    key : int
+        Hash of the team and of the attempt.
+    """
+
+    number: int
+    key: int
+
+
+class OriginAnswer(typing.NamedTuple):
+    """Answer to an origin query.
+
+    Attributes
+    ----------
+    number : int
+        Number of the query.
+    is_known : bool
+        Whether the sender knows where the stream began.
+    service : str
+        Service of the server.
+    software : str
+        Software version of the server.
+    """
+
+    number: int
+    is_known: bool
+    service: str = ""
+    software: str = ""
+
+
 Message = (
     Hello
     | Proof
@@ -1036,6 +1093,9 @@
     | BrittleServers
     | ServerDeparture
     | ServerDepartures
+    | StreamOrigin
+    | OriginQuery
+    | OriginAnswer
 )
 
 BY_CODE: dict[int, type] = {
@@ -1087,6 +1147,9 @@
     65: BrittleServers,
     63: ServerDeparture,
     64: ServerDepartures,
+    66: StreamOrigin,
+    67: OriginQuery,
+    68: OriginAnswer,
 }
 
 CODES: dict[type, int] = {kind: code for code, kind in BY_CODE.items()}
--- a/tests/mesh_fakes.py
+++ b/tests/mesh_fakes.py
@@ -39,8 +39,8 @@
 class Members(fakes.Membership):
     """A membership in which all instances are neighbours."""
 
-    def __init__(self, own: str):
-        super().__init__("", [fakes.Owner(name) for name in NAMES])
+    def __init__(self, own: str, names: tuple[str, ...] = NAMES):
+        super().__init__("", [fakes.Owner(name) for name in names])
         self.heartbeat_callbacks: list = []
         self._own = own
 
@@ -64,13 +64,13 @@
 class Mesh:
     """All instances, the links between them and the queue of sent messages."""
 
-    def __init__(self) -> None:
+    def __init__(self, names: tuple[str, ...] = NAMES) -> None:
         self.queue: collections.deque = collections.deque()
         self.members: dict[str, Members] = {}
         self.wires: dict[str, Wire] = {}
         self._ends: dict[tuple[str, str], End] = {}
-        for name in NAMES:
-            self.members[name] = Members(name)
+        for name in names:
+            self.members[name] = Members(name, names)
             self.wires[name] = Wire(self, name)
 
     def end(self, sender: str, receiver: str) -> End:
@@ -80,7 +80,7 @@
 
     def send_heartbeat(self, sender: str, heartbeat: messages.Heartbeat) -> None:
         """Queue a heartbeat from one instance to all others."""
-        for name in NAMES:
+        for name in self.members:
             if name != sender:
                 self.queue.append((sender, name, heartbeat))
 
