Send a resumed stream to servers that were added after its start

Each dispatch now looks at the newest list; route and team stay those of the acceptance. The test fails before (the stream ends when its only server breaks off) and passes after.

The test of returned limits gets fakes for what the handler now asks.

--- a/packages/daemon/cassiaquay_daemon/gateway/admission.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/admission.py
@@ -118,7 +118,7 @@
         """Return a ticket to dispatch the request; raise Refusal for no capacity."""
         call = state.call
         demand = _demand(state)
-        servers = self._open_servers(call)
+        servers = self._open_servers(state)
         if not servers:
             raise exceptions.NoServers(retry_after_ms=NO_SERVERS_RETRY_MS)
         servers = software_versions.matching(servers, state.software)
@@ -130,9 +130,9 @@
                 demand, call.deadline, demands.ACKNOWLEDGE_TIMEOUT_SECONDS
             )
         except exceptions.KeeperUnresponsive:
-            return self._obtain_without_keeper(call, demand)
+            return self._obtain_without_keeper(state, demand)
         demand = demand._replace(shard=permission.shard)
-        server = call.snapshot.open_server(call.service, permission.server)
+        server = state.snapshot.open_server(call.service, permission.server)
         if server is None or not software_versions.matching([server], state.software):
             self._demands.give_back(demand)
             raise exceptions.NotSent("the server is not in force here")
@@ -196,9 +196,10 @@
             raise exceptions.ServersBusy(retry_after_ms=math.ceil(seconds * 1000.0))
         await asyncio.sleep(seconds)
 
-    def _open_servers(self, call: calls.Call) -> list[fleet.Server]:
-        """Return the servers of a call's service that may get new requests."""
-        servers = call.snapshot.open_servers(call.service)
+    def _open_servers(self, state: progress.RequestState) -> list[fleet.Server]:
+        """Return the servers of a request's service that may get new requests."""
+        call = state.call
+        servers = state.snapshot.open_servers(call.service)
         staying = [item for item in servers if not self._states.is_leaving(item.name)]
         if staying:
             self._services_leaving.discard(call.service)
@@ -210,14 +211,14 @@
         return staying
 
     def _obtain_without_keeper(
-        self, call: calls.Call, demand: messages.Demand
+        self, state: progress.RequestState, demand: messages.Demand
     ) -> Ticket:
         # The keeper has crashed, is paused or is partitioned off. Each instance then
         # uses only its own share of each server's slots, so that all instances together
         # do not overload it.
         live = max(len(self._membership.serving()), 1)
         best: fleet.Server | None = None
-        servers = software_versions.matching(self._open_servers(call), demand.software)
+        servers = software_versions.matching(self._open_servers(state), demand.software)
         # All instances lose a keeper at the same time: without shuffling, all of them
         # would send to the same server.
         random.shuffle(servers)
@@ -250,22 +251,22 @@
         )
         if best is None:
             raise exceptions.Shed(retry_after_ms=NO_KEEPER_RETRY_MS)
-        return Ticket(demand, best, call.deadline, Tally(), True)
+        return Ticket(demand, best, state.call.deadline, Tally(), True)
 
 
 def _shard(state: progress.RequestState) -> str:
     """Return the shard to ask for capacity."""
-    call = state.call
-    parsed = call.parsed
+    snapshot = state.snapshot
+    parsed = state.call.parsed
     key = str(parsed.parts[-1].key) if parsed.parts else parsed.attempt
-    shard = call.snapshot.shard_of(call.service, key)
+    shard = snapshot.shard_of(state.call.service, key)
     if state.software is None:
         return shard
     # Only some shards may have servers of the version; the usual one wins a tie.
-    shards = [shard, *call.snapshot.siblings(shard)]
+    shards = [shard, *snapshot.siblings(shard)]
     counts = {}
     for name in shards:
-        members = call.snapshot.shard_servers(name)
+        members = snapshot.shard_servers(name)
         counts[name] = len(software_versions.matching(members, state.software))
     return max(shards, key=counts.__getitem__)
 
--- a/packages/daemon/cassiaquay_daemon/gateway/progress.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/progress.py
@@ -14,6 +14,9 @@
 
     Attributes
     ----------
+    snapshot : Snapshot
+        Lists the servers that it may be sent to; newer than that of the call once it is
+        sent again.
     runs : int
         Number of servers that may have run it.
     tries : int
@@ -46,6 +49,7 @@
 
     def __init__(self, call: calls.Call):
         self.call = call
+        self.snapshot = call.snapshot
         self.runs = 0
         self.tries = 0
         self.last_event = call.parsed.last_event
--- a/packages/daemon/cassiaquay_daemon/gateway/serving.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/serving.py
@@ -199,6 +199,10 @@
     ) -> None:
         """Dispatch once and forward the answer to the caller."""
         call = state.call
+        newest = self._parts.configured.current
+        if newest is not None and call.service in newest.fleet.pools:
+            # Servers may have come and gone since the request was accepted.
+            state.snapshot = newest
         ticket = await self._parts.capacity.obtain(state)
         state.server = ticket.server.name
         state.server_start = f"{ticket.server.name}/{ticket.server.started_ms}"
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -405,6 +405,8 @@
             ends(*asked)
 
         parts.capacity.obtain = obtain
+        parts.configured.current = None
+        parts.resuming.resolve = mock.AsyncMock()
         parts.crashes.holds.return_value = False
         await serving.RequestHandler(parts).serve(state, mock.AsyncMock())
         assert parts.team_limits.give_back.call_count == returned
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -31,7 +31,7 @@
     """Guards against events of two software versions in one answer."""
 
     async def work(versioned: version_fakes.VersionedSite) -> None:
-        versioned.cuts_new_streams = True
+        versioned.cut_at_event = 2
         streams = _streams(versioned)
         await asyncio.gather(*(stream.ask(0) for stream in streams))
         assert _count_mixed(streams) == 0
@@ -52,3 +52,24 @@
         assert all(stream.is_complete for stream in streams)
 
     _run(work, 3, {"i-1": "v1", "i-2": "v1"})
+
+
+def test_stream_goes_on_at_a_server_that_was_added_after_its_start() -> None:
+    """Guards against streams that end since they know only the servers of their start.
+
+    The server of the stream is the only one of its version when the stream begins.
+    """
+
+    async def work(versioned: version_fakes.VersionedSite) -> None:
+        versioned.cut_at_event = 4
+        stream = version_fakes.Stream(versioned, "s")
+        versioned.released.clear()
+        asking = asyncio.create_task(stream.ask(0))
+        while not stream.body:
+            await asyncio.sleep(0.01)
+        await versioned.add({"i-3": "v1", "i-4": "v2"})
+        versioned.released.set()
+        await asking
+        assert (stream.is_complete, len(stream.versions)) == (True, 1)
+
+    _run(work, 1, {"i-1": "v1", "i-2": "v2"})
--- a/tests/version_fakes.py
+++ b/tests/version_fakes.py
@@ -13,8 +13,6 @@
 from cassiaquay_dev.standins import platform_standins as standins
 from cassiaquay_dev.standins import raw_servers
 
-# Events after which a server breaks a stream off.
-CUT_AFTER = 2
 EVENT_GAP_SECONDS = 0.02
 VERSION = re.compile(rb"data: \d+ by (\S+)")
 
@@ -33,8 +31,12 @@
     def __init__(self, site: fakes.Site, versions: dict[str, str]):
         self.site = site
         self.versions = versions
-        # Whether servers break off the streams that begin at them.
-        self.cuts_new_streams = False
+        # Event before which servers break off the streams that begin at them; -1 for
+        # none.
+        self.cut_at_event = -1
+        # Servers send the events after the first one once this is set.
+        self.released = asyncio.Event()
+        self.released.set()
 
     async def start(self) -> None:
         """Start all servers and wait until all daemons know their versions."""
@@ -73,7 +75,9 @@
         first = int(request.headers.get("last-event-id", "-1")) + 1
         for number in range(first, standins.EVENT_COUNT):
             event = b"id: %d\ndata: %d by %b\n\n" % (number, number, version.encode())
-            if self.cuts_new_streams and first == 0 and number == CUT_AFTER:
+            if number:
+                await self.released.wait()
+            if first == 0 and number == self.cut_at_event:
                 raw_servers.reset(writer)
                 return
             writer.write(b"%x\r\n%b\r\n" % (len(event), event))
