Serve resumed streams before new ones at the servers that can go on with them

Only the servers of one version can take a resumed stream, new ones can go elsewhere. Resumed ones now go first within their rank, wait for a slot up to 1.5 s (their objective has passed anyway, and callers wait two seconds), and new streams prefer servers whose version another server has, too. A lone server is still used when the others are full, and nothing changes while a service has one version.

--- a/packages/daemon/cassiaquay_daemon/decisions/candidates.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/candidates.py
@@ -13,7 +13,7 @@
 from cassiaquay_schema import fleet, messages
 
 from .. import clock
-from . import loads, rate_budgets, service_times, shards
+from . import loads, rate_budgets, service_times, shards, software_versions
 
 # A broken server is limited to probes only when its share of failures exceeds that of
 # the shard's median server by this much.
@@ -44,6 +44,9 @@
         The grants that it may still get while its rate is limited; None for no limit.
     room : int or None
         Requests at a time that it takes while it is brittle; None if it is not.
+    is_lone : bool
+        Whether it is the only open server of its software version among several: if it
+        fails, no other one can go on with its streams.
     """
 
     server: fleet.Server
@@ -52,6 +55,7 @@
     median_failure_share: float
     rate_budget: rate_budgets.RateBudget | None = None
     room: int | None = None
+    is_lone: bool = False
 
     @property
     def capacity(self) -> int:
@@ -133,6 +137,7 @@
         self._reachable = []
         servers = self._shard.open_servers()
         median_share = self._median_failure_share(servers)
+        lone_versions = software_versions.lone(servers)
         for server in servers:
             load = self._shard.load(server.name)
             rate_budget = self._shard.rate_budgets.get(server.name)
@@ -143,6 +148,7 @@
                 median_share,
                 rate_budget,
                 self._shard.rooms.capacity(server.name, server.slots),
+                server.software in lone_versions,
             )
             self.open.append(candidate)
             if not self._shard.exclusions.is_excluded(server.name):
--- a/packages/daemon/cassiaquay_daemon/decisions/objectives.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/objectives.py
@@ -52,6 +52,9 @@
 LONG_SHARE = 0.5
 # Cost of a server that fails all its requests: the time of a retry on another server.
 FAILURE_SECONDS = 3.0
+# Cost of beginning a stream at the only server of its software version: other servers
+# that are about as fast are preferred.
+LONE_VERSION_SECONDS = 0.1
 # Demands weighed against every server in one pass; bounds the duration of a pass.
 MAX_WEIGHED_DEMANDS = 48
 # Time for which a shed is reported to the other shards of the pool.
@@ -397,6 +400,8 @@
             # The first event would be in time, but the deadline would cut the answer.
             is_late = True
         cost += FAILURE_SECONDS * times.failure_share(now)
+        if candidate.is_lone and demand.pause_ms and demand.software is None:
+            cost += LONE_VERSION_SECONDS
         # Tie-break between equal servers: the less loaded one.
         cost += expected.first_seconds * load.count / server.slots
         return choices.Choice(server.name, first, cost, is_late)
--- a/packages/daemon/cassiaquay_daemon/decisions/software_versions.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/software_versions.py
@@ -5,6 +5,7 @@
 without a name is a version of its own.
 """
 
+import collections
 import collections.abc
 
 from cassiaquay_schema import fleet, messages
@@ -22,6 +23,14 @@
     return [server for server in servers if server.software == software]
 
 
+def lone(servers: list[fleet.Server]) -> set[str]:
+    """Return the versions of one server only, if other versions have more servers."""
+    counts = collections.Counter(server.software for server in servers)
+    if len(counts) <= 1 or max(counts.values()) == 1:
+        return set()
+    return {software for software, count in counts.items() if count == 1}
+
+
 def excluded(
     demand: messages.Demand, servers: collections.abc.Mapping[str, fleet.Server]
 ) -> frozenset[str]:
--- a/packages/daemon/cassiaquay_daemon/decisions/team_order.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/team_order.py
@@ -4,6 +4,9 @@
 and the teams take turns, so that the flood queues behind the few demands of the others.
 Within a team the order is that of arrival, not shortest first: long requests must be
 served about as often as short ones.
+
+Streams that are resumed go before the new ones of their rank: only the servers of one
+software version can take them, and their callers have a part of the answer.
 """
 
 import collections.abc
@@ -26,6 +29,7 @@
 
     def __init__(self) -> None:
         self._ranks: dict[int, dict[str, _Team]] = {}
+        self._resumed: set[str] = set()
 
     def add(self, demand: messages.Demand) -> None:
         """Add a demand; its team gets no credit for time without demands."""
@@ -37,9 +41,12 @@
             active = [item.virtual_time for item in teams.values() if item.ids]
             team.virtual_time = queues.initial_virtual_time(team.virtual_time, active)
         team.ids[demand.id] = None
+        if demand.software is not None:
+            self._resumed.add(demand.id)
 
     def remove(self, demand: messages.Demand) -> None:
         """Remove a demand."""
+        self._resumed.discard(demand.id)
         self._ranks[demand.rank][demand.team].ids.pop(demand.id, None)
 
     def charge(self, demand: messages.Demand, weight: float) -> None:
@@ -75,8 +82,13 @@
                 if len(row) > depth:
                     request_ids.append(row[depth])
             depth += 1
+        if self._resumed:
+            request_ids.sort(key=self._is_new)
         return request_ids
 
+    def _is_new(self, request_id: str) -> bool:
+        return request_id not in self._resumed
+
 
 def _virtual_time(team: _Team) -> float:
     return team.virtual_time
--- a/packages/daemon/cassiaquay_daemon/gateway/admission.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/admission.py
@@ -29,6 +29,10 @@
 # asked for time; the rest is for obtaining a slot and for the first event.
 BACKOFF_WAIT_SHARE = 0.5
 
+# Time for which a resumed stream waits for a slot: its events are late anyway, and only
+# some servers can go on with it. Callers wait for two seconds or more between events.
+RESUME_WAIT_SECONDS = 1.5
+
 
 class Tally:
     """Counts an answer's events; permit renewals report the count to the keeper."""
@@ -271,6 +275,13 @@
     return max(shards, key=counts.__getitem__)
 
 
+def _patience_seconds(state: progress.RequestState) -> float:
+    """Return how long the first event may take."""
+    if state.software is None:
+        return state.call.objective_seconds_left
+    return min(RESUME_WAIT_SECONDS, state.call.seconds_left)
+
+
 def _demand(state: progress.RequestState) -> messages.Demand:
     call = state.call
     parsed = call.parsed
@@ -288,7 +299,7 @@
         "",
         [],
         list(state.unreachable),
-        first_ms=max(int(call.objective_seconds_left * 1000.0), 1),
+        first_ms=max(int(_patience_seconds(state) * 1000.0), 1),
         pause_ms=int(call.route.pause_seconds * 1000.0),
         parts=parsed.parts,
         tried=list(state.tried),
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -413,3 +413,20 @@
         assert parts.reply.refuse.await_count == 1
 
     _run(work)
+
+
+def test_resumed_stream_may_wait_longer_than_a_new_one() -> None:
+    """Guards against streams that end for a short queue at the servers they can use."""
+
+    async def work(site: Site) -> None:
+        state = progress.RequestState(site.call(1))
+        state.tries = 2
+        state.software = ""
+        asking = asyncio.create_task(site.admission.obtain(state))
+        await asyncio.sleep(0.01)
+        [demand] = [item for item in site.keeper.sent if item.id == "a1.2"]
+        assert demand.first_ms > ROUTE.objective_seconds * 1000.0
+        assert demand.first_ms <= admission.RESUME_WAIT_SECONDS * 1000.0
+        asking.cancel()
+
+    _run(work)
--- a/tests/test_objectives.py
+++ b/tests/test_objectives.py
@@ -1,5 +1,6 @@
 """The objectives policy: first events in time, or an immediate refusal."""
 
+import msgspec
 import objectives_fakes
 import policy_fakes as fakes
 import pytest
@@ -307,3 +308,53 @@
     bench.serve()
     assert name in bench.owner.permits()
     assert "lower" not in bench.owner.permits()
+
+
+def _set_versions(bench: objectives_fakes.Bench, **versions: str) -> None:
+    servers = bench.shard.servers
+    for name, version in versions.items():
+        servers[name] = msgspec.structs.replace(servers[name], software=version)
+
+
+def test_resumed_stream_gets_the_slot_that_a_new_one_could_have_elsewhere(time) -> None:
+    """Guards against streams that end since new ones fill the servers of their version.
+
+    The resumed one can use one server only, and arrives last.
+    """
+    bench = objectives_fakes.Bench(time, {"a": 1, "b": 1})
+    _set_versions(bench, a="v1", b="v2")
+    running = [bench.demand(events=2) for _ in range(2)]
+    bench.serve()
+    for request_id in running:
+        bench.start(request_id)
+    on_a = next(i for i in running if bench.owner.permits()[i] == "a")
+    bench.demand(name="new")
+    bench.demand(name="resumed", team="feedback", software="v1", first_ms=1500)
+    bench.end(on_a)
+    bench.serve()
+    assert "new" not in bench.owner.permits()
+    assert bench.owner.permits()["resumed"] == "a"
+
+
+def test_resumed_stream_is_never_placed_at_another_version(time) -> None:
+    """Guards against a permit that its owner can only return."""
+    bench = objectives_fakes.Bench(time, {"a": 1, "b": 4})
+    _set_versions(bench, a="v1", b="v2")
+    for number in range(3):
+        bench.demand(name=f"r{number}", software="v1", first_ms=1500)
+    bench.serve()
+    assert set(bench.owner.permits().values()) == {"a"}
+    assert len(bench.owner.permits()) == 1
+
+
+def test_new_streams_begin_where_they_could_go_on(time) -> None:
+    """Guards against streams that end with the only server of their version.
+
+    The lone server is the less loaded one; when the others are full, it is used.
+    """
+    bench = objectives_fakes.Bench(time, {"a": 2, "b": 2, "lone": 8})
+    _set_versions(bench, a="v1", b="v1", lone="v2")
+    names = [bench.demand() for _ in range(5)]
+    bench.serve()
+    permits = bench.owner.permits()
+    assert sorted(permits[name] for name in names) == ["a", "a", "b", "b", "lone"]
