Check the version at relays; count the streams that callers take up

A relay may know more recently than the owner that a server was restarted in another version; it then sends nothing. Metrics show how many streams were taken up with a known origin, by the sole version or without either, and how many origins an instance keeps.

--- a/packages/daemon/cassiaquay_daemon/gateway/forwarding.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/forwarding.py
@@ -239,7 +239,9 @@
         """Send a request by a relay; return None if it has not passed it on."""
         server = outgoing.server
         sent = self._reports.sent(outgoing.attempt, server)
-        target = relays.Target(call.service, server.name, call.content, call.target)
+        target = relays.Target(
+            call.service, server.name, call.content, server.software, call.target
+        )
         try:
             response = await self._request(
                 self._relays.url(relay, target), outgoing, before_sending
--- a/packages/daemon/cassiaquay_daemon/gateway/relaying.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/relaying.py
@@ -163,6 +163,8 @@
         server = snapshot.open_server(target.service, target.server)
         if server is None:
             raise exceptions.NotSent("the server has left or is evacuated")
+        if server.software != target.software:
+            raise exceptions.NotSent("the server has another software version")
         return server
 
     def _check_before_sending(self, target: relays.Target) -> None:
--- a/packages/daemon/cassiaquay_daemon/gateway/relays.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/relays.py
@@ -33,6 +33,9 @@
 # Time for which a relay that did not reach a service is tried last.
 FAILED_SECONDS = 1.0
 TOKEN_LENGTH = 32
+# Fields of a relay's URL before the path; an empty one would be lost on the way.
+FIELD_COUNT = 5
+EMPTY = "-"
 TOKEN_PURPOSE = b"relay"
 
 
@@ -45,6 +48,8 @@
         The server, and the service that it belongs to.
     content : str
         Digest of what all attempts of the request have in common.
+    software : str
+        Software version of the server, as its owner knows it.
     path : str
         Target of the request to the server: the path with its query.
     """
@@ -52,6 +57,7 @@
     service: str
     server: str
     content: str
+    software: str
     path: str
 
 
@@ -99,20 +105,23 @@
     def url(self, member: messages.Member, target: Target) -> str:
         """Return the URL at which a relay takes a request for a server."""
         token = _token(self._settings.keys[0], member.incarnation)
-        parts = [token, target.service, target.server, target.content or "-"]
-        quoted = [urllib.parse.quote(part, safe="") for part in parts]
+        parts = [token, target.service, target.server, target.content, target.software]
+        quoted = [urllib.parse.quote(part or EMPTY, safe="") for part in parts]
         return f"http://{member.relay}/{'/'.join(quoted)}{target.path}"
 
     def parse(self, path: str, query: str, incarnation: str) -> Target | None:
         """Return what a received path names; None if its sender has no shared key."""
-        parts = path.split("/", 5)
-        if len(parts) < 6:
+        parts = path.split("/", FIELD_COUNT + 1)
+        if len(parts) < FIELD_COUNT + 2:
             return None
-        token, service, server, content = map(urllib.parse.unquote, parts[1:5])
+        fields = [urllib.parse.unquote(part) for part in parts[1 : FIELD_COUNT + 1]]
+        fields = ["" if field == EMPTY else field for field in fields]
+        token, service, server, content, software = fields
         for key in self._settings.keys:
             if hmac.compare_digest(_token(key, incarnation).encode(), token.encode()):
                 suffix = f"?{query}" if query else ""
-                return Target(service, server, content, f"/{parts[5]}{suffix}")
+                path = f"/{parts[-1]}{suffix}"
+                return Target(service, server, content, software, path)
         return None
 
 
--- a/packages/daemon/cassiaquay_daemon/gateway/resuming.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/resuming.py
@@ -4,6 +4,8 @@
 caller has received counts: an attempt that brought it no event is never named.
 """
 
+import collections
+
 from .. import exceptions, logs
 from ..decisions import software_versions, stream_origins
 from ..fleet import configuration
@@ -12,6 +14,11 @@
 
 # Retry-After when the instances that may know a stream's origin have not answered.
 UNKNOWN_RETRY_MS = 300
+# What was known of the origin of a stream that a caller took up: its version, or that
+# the service has had only one.
+KNOWN = "known"
+SOLE = "sole"
+UNKNOWN = "unknown"
 
 
 class Resuming:
@@ -33,6 +40,8 @@
         self._configured = configured
         self._origins = origins
         self._history = software_versions.History()
+        # Streams that callers took up, by what was known of their origins.
+        self.counts: collections.Counter[str] = collections.Counter()
         configured.on_accept(self._update_history)
 
     async def resolve(self, state: progress.RequestState) -> None:
@@ -62,8 +71,11 @@
             is_known=origin is not None,
             versions=",".join(sorted(versions)),
         )
+        is_sole = len(versions) <= 1
+        kind = KNOWN if origin is not None else SOLE if is_sole else UNKNOWN
+        self.counts[kind] += 1
         if origin is None:
-            if len(versions) > 1:
+            if not is_sole:
                 raise exceptions.OriginUnknown(retry_after_ms=UNKNOWN_RETRY_MS)
             return
         if origin.service not in {share.service for share in call.route.shares}:
--- a/packages/daemon/cassiaquay_daemon/gateway/service.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/service.py
@@ -101,6 +101,7 @@
         self._relay = relay
         self._prober = prober
         self._paths = observed
+        self._origin_count = shared.origins.__len__
         self._gateway = settings.gateway
         self._membership = shared.membership
         self._parts = parts
@@ -132,6 +133,8 @@
             self._paths.lost_counts(),
             self._paths.relayed_count,
             self._relay.sent_count,
+            dict(self._parts.resuming.counts),
+            self._origin_count(),
         )
 
     def start(self) -> None:
--- a/packages/daemon/cassiaquay_daemon/operators/metrics.py
+++ b/packages/daemon/cassiaquay_daemon/operators/metrics.py
@@ -196,6 +196,18 @@
     ("role",),
     "Requests that reached their server by a relay: as their owner, or as the relay.",
 )
+RESUMED_STREAMS = Family(
+    "cassiaquay_gateway_resumed_streams_total",
+    "counter",
+    ("origin",),
+    "Streams that callers took up here: origin known, the sole version, or unknown.",
+)
+STREAM_ORIGINS = Family(
+    "cassiaquay_stream_origins",
+    "gauge",
+    (),
+    "Streams of which this instance knows where they began.",
+)
 LIMITED_GRANTS = Family(
     "cassiaquay_keeper_limited_grants_total",
     "counter",
--- a/packages/daemon/cassiaquay_daemon/operators/reports.py
+++ b/packages/daemon/cassiaquay_daemon/operators/reports.py
@@ -71,11 +71,17 @@
         Number of servers that it cannot connect to, by service.
     as_owner, as_relay : int
         Requests of its own that others sent to a server, and the reverse.
+    resumed : dict of str to int
+        Streams that callers took up, by what was known of their origins.
+    origins : int
+        Streams of which it knows where they began.
     """
 
     lost_paths: dict[str, int]
     as_owner: int
     as_relay: int
+    resumed: dict[str, int]
+    origins: int
 
 
 class Reports:
@@ -280,6 +286,11 @@
         counts[("owner",)] = reach.as_owner
         counts[("relay",)] = reach.as_relay
         self.metrics.replace(metrics.RELAYED_REQUESTS, counts)
+        resumed: dict[metrics.Key, float] = {}
+        for origin, count in reach.resumed.items():
+            resumed[(origin,)] = count
+        self.metrics.replace(metrics.RESUMED_STREAMS, resumed)
+        self.metrics.replace(metrics.STREAM_ORIGINS, {(): reach.origins})
 
     def _tier_name(self, demand: messages.Demand) -> str:
         snapshot = self._parts.configured.current
@@ -321,7 +332,7 @@
 
 def _no_gateway() -> Reach:
     """Return that nothing is lost or relayed: there is no gateway."""
-    return Reach({}, 0, 0)
+    return Reach({}, 0, 0, {}, 0)
 
 
 def _within_seconds(entry: owner.Entry) -> float:
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -19,13 +19,13 @@
 GONE_SECONDS = 0.5
 
 
-def _relay_urls(site: fakes.Site, at: int, token: str = "") -> str:
+def _relay_urls(site: fakes.Site, at: int, token: str = "", software: str = "") -> str:
     """Return the URL of the first server at a daemon's relay."""
     own = site.daemons[OWNER]
     chosen = site.gateway(OWNER)._parts.forwarder._relays
     member = own._membership.find(f"cq-{at + 1}")
     assert member is not None
-    target = relays.Target("plain", "i-1-plain", "", "/book/x?a=%2F")
+    target = relays.Target("plain", "i-1-plain", "", software, "/book/x?a=%2F")
     url = chosen.url(member, target)
     return url.replace(url.split("/")[3], token) if token else url
 
@@ -57,6 +57,18 @@
     fakes.run(work, 2)
 
 
+def test_relay_sends_nothing_to_a_server_of_another_version() -> None:
+    """Guards against a detour to a server that was restarted in another version."""
+
+    async def work(site: fakes.Site) -> None:
+        url = _relay_urls(site, 1, software="v2")
+        async with await _send(site, url, "a1") as answer:
+            assert answer.headers[relays.OUTCOME] == relays.NOT_SENT
+        assert not site.engines[0].requests
+
+    fakes.run(work, 2)
+
+
 def test_relayed_request_and_answer_are_unchanged() -> None:
     """Guards against a detour that changes what server or caller get."""
 
