Compare the version that is in force right before sending

A server that was restarted under its name while a demand waited had the version of the list that the demand was made with. The last check before the first byte now takes the server from the newest list. A new test restarts a server in another version under its name, with its entry at once and 0.2 s later: 0 of 12 streams mix versions (it passed before, too: the case needs a restart between demand and permit). The read timeout of a request moves to its state.

--- a/packages/daemon/cassiaquay_daemon/gateway/progress.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/progress.py
@@ -3,6 +3,14 @@
 from ..configured import snapshots
 from . import calls
 
+# Read timeout of a stream. Callers wait at least two seconds between events, which
+# leaves time to resume the stream at another server.
+STREAM_READ_TIMEOUT_SECONDS = 1.2
+MIN_READ_TIMEOUT_SECONDS = 0.25
+# Prefill rate of a slow engine; it lengthens the read timeout for long prompts, which
+# delay the first event.
+SLOW_PREFILL_TOKENS_PER_SECOND = 20_000.0
+
 
 class RequestState:
     """State of one request from its acceptance to its end.
@@ -80,3 +88,19 @@
     def is_repeatable_now(self) -> bool:
         """Whether it may be sent to one more server though one may have run it."""
         return self.call.route.is_repeatable and self.has_attempts_left
+
+    @property
+    def read_timeout_seconds(self) -> float | None:
+        """Read timeout after which the request goes to another server.
+
+        None if it may not be retried: then only its deadline ends it.
+        """
+        call = self.call
+        if not self.is_repeatable_now:
+            return None
+        if not call.is_stream:
+            return max(call.route.objective_seconds, MIN_READ_TIMEOUT_SECONDS)
+        return (
+            STREAM_READ_TIMEOUT_SECONDS
+            + call.parsed.prompt_tokens / SLOW_PREFILL_TOKENS_PER_SECOND
+        )
--- a/packages/daemon/cassiaquay_daemon/gateway/serving.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/serving.py
@@ -31,13 +31,6 @@
 LIMIT_WAIT_SHARE = 0.5
 # Pause before capacity at another server is requested after a failed connection.
 RETRY_PAUSE_SECONDS = 0.01
-# Read timeout of a stream. Callers wait at least two seconds between events, which
-# leaves time to resume the stream at another server.
-STREAM_READ_TIMEOUT_SECONDS = 1.2
-MIN_READ_TIMEOUT_SECONDS = 0.25
-# Prefill rate of a slow engine; it lengthens the read timeout for long prompts, which
-# delay the first event.
-SLOW_PREFILL_TOKENS_PER_SECOND = 20_000.0
 # Dispatches that may fail before sending until the request is refused. Crashed servers
 # stay listed for a while, and two crashed at once must not make a request fail.
 MAX_UNSENT_DISPATCHES = 4
@@ -270,7 +263,7 @@
             call,
             ticket.server,
             state.last_event,
-            _read_timeout_seconds(state),
+            state.read_timeout_seconds,
             before_sending,
         )
         try:
@@ -315,9 +308,10 @@
         snapshot = self._parts.configured.current
         if snapshot is None or snapshot.routes is None:
             raise exceptions.NotSent("no configuration")
-        if snapshot.open_server(call.service, ticket.server.name) is None:
+        server = snapshot.open_server(call.service, ticket.server.name)
+        if server is None:
             raise exceptions.NotSent("the server has left or is evacuated")
-        if state.software not in (None, ticket.server.software):
+        if state.software not in (None, server.software):
             raise exceptions.NotSent("the stream began at another software version")
         if snapshot is call.snapshot or accepting.is_allowed(call, snapshot.routes):
             return
@@ -432,19 +426,3 @@
     return exceptions.ServerDeclined(
         "no server took it", retry_after_ms=UNREACHABLE_RETRY_MS
     )
-
-
-def _read_timeout_seconds(state: progress.RequestState) -> float | None:
-    """Return the read timeout after which the request goes to another server.
-
-    None if it may not be retried: then only its deadline ends it.
-    """
-    call = state.call
-    if not state.is_repeatable_now:
-        return None
-    if not call.is_stream:
-        return max(call.route.objective_seconds, MIN_READ_TIMEOUT_SECONDS)
-    return (
-        STREAM_READ_TIMEOUT_SECONDS
-        + call.parsed.prompt_tokens / SLOW_PREFILL_TOKENS_PER_SECOND
-    )
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import gateway_fakes as fakes
+import pytest
 import version_fakes
 
 VERSIONS = {"i-1": "v1", "i-2": "v2", "i-3": "v1", "i-4": "v2"}
@@ -73,3 +74,31 @@
         assert (stream.is_complete, len(stream.versions)) == (True, 1)
 
     _run(work, 1, {"i-1": "v1", "i-2": "v2"})
+
+
+@pytest.mark.parametrize("entry_after", [0.0, 0.2])
+def test_stream_of_a_server_restarted_under_its_name_keeps_its_version(
+    entry_after: float,
+) -> None:
+    """Guards against taking a server for the one that began the stream, by its name."""
+
+    async def work(versioned: version_fakes.VersionedSite) -> None:
+        streams = _streams(versioned)
+        versioned.released.clear()
+        asking = [
+            asyncio.create_task(stream.ask(number % 3))
+            for number, stream in enumerate(streams)
+        ]
+        while not all(stream.body for stream in streams):
+            await asyncio.sleep(0.01)
+        restarting = asyncio.create_task(versioned.restart("i-1", "v2", entry_after))
+        versioned.released.set()
+        await asyncio.gather(*asking)
+        for number, stream in enumerate(streams):
+            if not stream.is_complete:
+                await stream.ask((number + 1) % 3)
+        await restarting
+        assert _count_mixed(streams) == 0
+        assert all(stream.is_complete for stream in streams)
+
+    _run(work, 3, {"i-1": "v1", "i-2": "v1", "i-3": "v1", "i-4": "v2"})
--- a/tests/version_fakes.py
+++ b/tests/version_fakes.py
@@ -34,6 +34,8 @@
         # Event before which servers break off the streams that begin at them; -1 for
         # none.
         self.cut_at_event = -1
+        # Connections of open streams by server.
+        self._open: dict[str, set[raw_servers.Writer]] = {}
         # Servers send the events after the first one once this is set.
         self.released = asyncio.Event()
         self.released.set()
@@ -56,6 +58,18 @@
         for made in self.site.daemons:
             await self._until_known(made)
 
+    async def restart(self, name: str, version: str, entry_after: float) -> None:
+        """Restart a server under its name in another version.
+
+        Its entry follows after ``entry_after`` seconds.
+        """
+        self.versions[name] = version
+        for writer in list(self._open.get(name, ())):
+            raw_servers.reset(writer)
+        await asyncio.sleep(entry_after)
+        engine = next(item for item in self.site.engines if item.name == name)
+        self.site.register(engine, version=version, born=2)
+
     async def _until_known(self, made: daemon.Daemon) -> None:
         while True:
             snapshot = made._configuration.current
@@ -71,6 +85,16 @@
     ) -> None:
         name = request.headers["cassiaquay-expect-instance"]
         version = self.versions[name]
+        writers = self._open.setdefault(name, set())
+        writers.add(writer)
+        try:
+            await self._write_stream(request, writer, version)
+        finally:
+            writers.discard(writer)
+
+    async def _write_stream(
+        self, request: raw_servers.Request, writer: raw_servers.Writer, version: str
+    ) -> None:
         await standins.write_stream_head(request, writer)
         first = int(request.headers.get("last-event-id", "-1")) + 1
         for number in range(first, standins.EVENT_COUNT):
