--- a/packages/daemon/cassiaquay_daemon/operators/metrics.py
+++ b/packages/daemon/cassiaquay_daemon/operators/metrics.py
@@ -203,7 +203,7 @@
     "Streams that callers took up here: origin known, the sole version, or unknown.",
 )
 STREAM_ORIGINS = Family(
-    "cassiaquay_stream_origins",
+    "cassiaquay_stream_origin_entries",
     "gauge",
     (),
     "Streams of which this instance knows where they began.",
