Soak: servers of several software versions, callers that take streams up

Engines name their version in each event, releases replace some of them, and callers leave streams midway and come back with Resumes. Two checks: streams of several versions, and the share of resumed streams that go on beside that of new ones.

--- a/packages/dev/cassiaquay_dev/soak/callers.py
+++ b/packages/dev/cassiaquay_dev/soak/callers.py
@@ -17,6 +17,9 @@
 # Share of the requests whose caller disconnects before the answer is complete.
 EARLY_DISCONNECT_SHARE = 0.04
 LEAVE_AFTER_SECONDS = 0.06
+# The same while callers break streams off, and the latest time at which they leave.
+BROKEN_STREAM_SHARE = 0.3
+MAX_LEAVE_AFTER_SECONDS = 0.2
 # Share of the requests that crash engines, while the fault `crashing_request` lasts.
 CRASHING_REQUEST_SHARE = 0.08
 # Statuses that guarantee that the request has not run and never will.
@@ -77,6 +80,8 @@
     ):
         self.keys = ["key-a"]
         self.extra_paths: list[str] = []
+        # Whether callers leave many streams midway and take them up elsewhere.
+        self.breaks_streams = False
         self._fronts = fronts
         self._start_count_of = start_count_of
         self._recorded = recorded
@@ -112,20 +117,34 @@
             crashing_target = self._rng.choice(
                 sorted(self._recorded.active_crashing_targets)
             )
+        begun: records.Attempt | None = None
         for _ in range(MAX_TRIES):
             self._count += 1
             name = f"c{self._count}"
             target = crashing_target or f"{path}{name}?a=%2F"
             attempt = records.Attempt(name, kind, target, key, BODY)
             attempt.deadline = deadline
+            if begun is not None:
+                attempt.stream = begun.stream
+                attempt.first_event = begun.event_count
             self._recorded.attempts[name] = attempt
             await self._send_attempt(group, attempt)
-            if attempt.is_served or attempt.gave_up or attempt.status in FINAL_STATUSES:
+            if attempt.is_served or attempt.status in FINAL_STATUSES:
                 return
+            if attempt.gave_up and not self._returns(attempt):
+                return
+            if kind == "stream" and attempt.event_count > attempt.first_event:
+                begun = attempt
             if not attempt.may_repeat and attempt.status not in NOT_RUN:
                 return
             await asyncio.sleep(self._retry_delay(attempt))
 
+    def _returns(self, attempt: records.Attempt) -> bool:
+        """Return whether the caller takes a stream up that it has left midway."""
+        if not self.breaks_streams or attempt.kind != "stream":
+            return False
+        return records.now() < attempt.deadline and attempt.event_count > 0
+
     def _retry_delay(self, attempt: records.Attempt) -> float:
         remaining_s = max(attempt.deadline - records.now(), 0.0)
         retry_after_s = float(attempt.headers.get("retry-after", "0.05"))
@@ -133,12 +152,13 @@
 
     async def _send_attempt(self, group: _Group, attempt: records.Attempt) -> None:
         remaining_s = attempt.deadline - records.now()
-        leaves_early = self._rng.random() < EARLY_DISCONNECT_SHARE
+        share = BROKEN_STREAM_SHARE if self.breaks_streams else EARLY_DISCONNECT_SHARE
+        leaves_early = self._rng.random() < share
         connection: exchange.Connection | None = None
         is_reusable = False
         try:
             async with asyncio.timeout(
-                LEAVE_AFTER_SECONDS if leaves_early else remaining_s
+                self._leave_after() if leaves_early else remaining_s
             ):
                 connection = await self._open_or_reuse(group)
                 if connection is None:
@@ -166,6 +186,11 @@
                 else:
                     connection.close()
 
+    def _leave_after(self) -> float:
+        if not self.breaks_streams:
+            return LEAVE_AFTER_SECONDS
+        return self._rng.uniform(LEAVE_AFTER_SECONDS, MAX_LEAVE_AFTER_SECONDS)
+
     async def _open_or_reuse(self, group: _Group) -> exchange.Connection | None:
         await self._resolve(group)
         while group.idle_connections and self._rng.random() < 0.8:
@@ -225,4 +250,7 @@
             "Cassiaquay-Token-Counts: 100,8",
             "Cassiaquay-Prompt-Prefix: aa:60,bb:40",
         ]
+    if attempt.is_resumed:
+        lines.append(f"Resumes: {attempt.stream}")
+        lines.append(f"Last-Event-Id: {attempt.first_event - 1}")
     return "\r\n".join(lines) + "\r\n\r\n"
--- a/packages/dev/cassiaquay_dev/soak/checks.py
+++ b/packages/dev/cassiaquay_dev/soak/checks.py
@@ -101,15 +101,20 @@
             continue
         if not attempt.complete:
             continue
-        if attempt.answer not in _expected_answers(sealed[0], name):
+        answer = engines.without_versions(attempt.answer)
+        if answer not in _expected_answers(sealed[0], attempt):
             yield f"{name} got another body than {seal!r} stands for"
 
 
-def _expected_answers(run: records.Run, name: str) -> list[bytes]:
+def _expected_answers(run: records.Run, attempt: records.Attempt) -> list[bytes]:
     if run.service == "plain":
         return [engines.body_of(run.seal)]
-    events = [engines.event_of(name, number) for number in range(engines.EVENT_COUNT)]
-    return [b"".join(events)]
+    return [_expected_events(attempt)]
+
+
+def _expected_events(attempt: records.Attempt) -> bytes:
+    numbers = range(attempt.first_event, engines.EVENT_COUNT)
+    return b"".join(engines.event_of(attempt.name, number) for number in numbers)
 
 
 @safety_checks.register("order")
@@ -118,10 +123,8 @@
     for name, attempt in recorded.attempts.items():
         if attempt.status != 200 or attempt.kind not in ("stream", "string"):
             continue
-        events = [
-            engines.event_of(name, number) for number in range(engines.EVENT_COUNT)
-        ]
-        if not b"".join(events).startswith(attempt.answer):
+        answer = engines.without_versions(attempt.answer)
+        if not _expected_events(attempt).startswith(answer):
             yield f"{name} got events out of order: {attempt.answer[-200:]!r}"
 
 
--- a/packages/dev/cassiaquay_dev/soak/engines.py
+++ b/packages/dev/cassiaquay_dev/soak/engines.py
@@ -4,6 +4,7 @@
 import collections
 import collections.abc
 import random
+import re
 
 from ..standins import raw_servers
 from . import records
@@ -16,6 +17,7 @@
 EVENT_GAP_SECONDS = 0.02
 EVENT_COUNT = 8
 SLOW = 8.0
+VERSION_LINE = re.compile(rb"^version: (\S+)\n", re.MULTILINE)
 # Faults that an engine may inject into one request.
 FAULTS = ("reset", "truncate", "extra", "silent", "error", "mid_event", "anew")
 
@@ -33,6 +35,8 @@
         Source of the random choice of faults and durations.
     on_crash : callable, optional
         Called with the engine's name when a request crashes it.
+    software : str, optional
+        Version of its software, which its events name.
     """
 
     def __init__(
@@ -42,9 +46,11 @@
         recorded: records.Records,
         rng: random.Random,
         on_crash: collections.abc.Callable[[str], None] | None = None,
+        software: str = "",
     ):
         super().__init__()
         self.name = name
+        self.software = software
         self.service = service
         self.faulty_share = 0.0
         self.slowdown = 1.0
@@ -190,7 +196,7 @@
         if fault == "anew":
             first = 0
         for number in range(first, EVENT_COUNT):
-            event = event_of(run.request.attempt, number)
+            event = event_of(run.request.attempt, number, self.software)
             if fault in ("truncate", "mid_event") and number >= EVENT_COUNT // 2:
                 part = event[:7] if fault == "mid_event" else b""
                 if part:
@@ -212,6 +218,17 @@
     return f"body under {seal}".encode() * 20
 
 
-def event_of(attempt: str, number: int) -> bytes:
+def event_of(attempt: str, number: int, software: str = "") -> bytes:
     """Return event ``number`` of the streamed answer to an attempt."""
-    return b"id: %d\ndata: piece %d of %b\n\n" % (number, number, attempt.encode())
+    version = f"version: {software}\n" if software else ""
+    return f"id: {number}\ndata: piece {number} of {attempt}\n{version}\n".encode()
+
+
+def versions_of(answer: bytes) -> set[str]:
+    """Return the software versions that the events of an answer name."""
+    return {text.decode() for text in VERSION_LINE.findall(answer)}
+
+
+def without_versions(answer: bytes) -> bytes:
+    """Return an answer as an engine without a software version would write it."""
+    return VERSION_LINE.sub(b"", answer)
--- a/packages/dev/cassiaquay_dev/soak/faults.py
+++ b/packages/dev/cassiaquay_dev/soak/faults.py
@@ -30,6 +30,8 @@
     "engine_backoff",
     "lost_paths",
     "engines_brittle",
+    "engine_release",
+    "stream_cuts",
 )
 # Longest pause between planned stops of several daemons, as an operator leaves one.
 MAX_ROLLING_PAUSE_SECONDS = 0.7
@@ -245,8 +247,14 @@
         if name not in deployment.recorded.leaving_since
     ]
     name = rng.choice(names)
-    await deployment.add_engine(deployment.engines[name].service)
+    engine = deployment.engines[name]
+    await deployment.add_engine(engine.service, engine.software)
+    await _drain_engine(deployment, rng, name)
+
+
+async def _drain_engine(deployment: site.Site, rng: random.Random, name: str) -> None:
     deployment.recorded.leaving_since[name] = records.now()
+    deployment.end_engine_time(name)
     if rng.random() < 0.7:
         deployment.write_entry(name, "draining")
     elif f"servers/{name}" in deployment.store.items:
@@ -397,3 +405,40 @@
     deployment.recorded.brittle_times.append(
         records.BrittleTime(service, count, start, records.now())
     )
+
+
+@faults.register("engine_release")
+async def engine_release(deployment: site.Site, rng: random.Random) -> None:
+    """Replace some model engines by ones of another software version."""
+    names = [
+        name
+        for name, engine in sorted(deployment.engines.items())
+        if engine.service == "chat" and name not in deployment.recorded.leaving_since
+    ]
+    software = f"v{rng.randrange(1, 4)}"
+    for name in rng.sample(names, min(len(names), rng.randint(1, 2))):
+        if name not in deployment.engines:
+            continue
+        deployment.recorded.leaving_since.setdefault(name, records.FOREVER)
+        await deployment.add_engine("chat", software)
+        await asyncio.sleep(rng.uniform(0.2, 1.0))
+        if name in deployment.engines:
+            await _drain_engine(deployment, rng, name)
+
+
+@faults.register("stream_cuts")
+async def stream_cuts(deployment: site.Site, rng: random.Random) -> None:
+    """Reset all connections of one model engine or of all, several times."""
+    names = [
+        name
+        for name, engine in sorted(deployment.engines.items())
+        if engine.service == "chat"
+    ]
+    chosen = rng.choice([names, rng.sample(names, 1)])
+    with _Disturbance(deployment, *chosen):
+        for _ in range(rng.randint(1, 4)):
+            for name in chosen:
+                proxy = deployment.engine_proxies.get(name)
+                if proxy is not None:
+                    proxy.reset()
+            await asyncio.sleep(rng.uniform(0.1, 0.8))
--- a/packages/dev/cassiaquay_dev/soak/main.py
+++ b/packages/dev/cassiaquay_dev/soak/main.py
@@ -11,10 +11,10 @@
 
 import fire
 
-from . import callers, checks, faults, records, report_checks, site
+from . import callers, checks, faults, records, report_checks, site, stream_checks
 
 # Imported because they register checks.
-CHECKS = (checks, report_checks)
+CHECKS = (checks, report_checks, stream_checks)
 
 # Callers send requests for this long after the last fault, to check the recovery.
 RECOVERY_SECONDS = 9.0
@@ -68,6 +68,7 @@
     traffic = deployment.callers()
     traffic.keys = sorted(site.TEAMS)
     traffic.extra_paths = ["/extra0/", "/extra1/", "/extra2/"]
+    traffic.breaks_streams = "engine_release" in _fault_names(settings)
     ended = asyncio.Event()
     calls = asyncio.create_task(traffic.run(settings.rate, ended))
     names = _fault_names(settings)
--- a/packages/dev/cassiaquay_dev/soak/records.py
+++ b/packages/dev/cassiaquay_dev/soak/records.py
@@ -51,6 +51,21 @@
         self.headers: dict[str, str] = {}
         self.answer = b""
         self.complete = False
+        # The attempt that brought the first event of the stream that this one takes up;
+        # its own name if it begins a stream.
+        self.stream = name
+        # Number of the first event that it lacks.
+        self.first_event = 0
+
+    @property
+    def is_resumed(self) -> bool:
+        """Whether it takes up the stream of an earlier attempt."""
+        return self.stream != self.name
+
+    @property
+    def event_count(self) -> int:
+        """Number of events that the caller has, those of earlier attempts included."""
+        return self.first_event + self.answer.count(b"\n\n")
 
     @property
     def may_repeat(self) -> bool:
@@ -167,6 +182,16 @@
     end: float
 
 
+class EngineTime(typing.NamedTuple):
+    """A time in which an engine took new requests."""
+
+    engine: str
+    service: str
+    software: str
+    start: float
+    end: float
+
+
 class Records:
     """Everything that one soak recorded."""
 
@@ -189,6 +214,7 @@
         self.falls: list[Fall] = []
         self.brittle_times: list[BrittleTime] = []
         self.backoffs: list[Report] = []
+        self.engine_times: dict[str, EngineTime] = {}
         self.protocol_errors: list[str] = []
         self.unexpected_exits: list[str] = []
         self.faults_ended_at = FOREVER
--- a/packages/dev/cassiaquay_dev/soak/site.py
+++ b/packages/dev/cassiaquay_dev/soak/site.py
@@ -196,6 +196,8 @@
         self.services = {path: _service(kind) for kind, path in callers.PATHS.items()}
         # Services whose engines are brittle.
         self.brittle: dict[str, Brittle] = {}
+        # Software version of the engines that are started from now on, by service.
+        self.software = {"chat": "v1", "plain": "v1"}
         self._engine_count = 0
         self._folder = pathlib.Path(settings.folder)
         self._watch_task: asyncio.Task[None] | None = None
@@ -294,12 +296,17 @@
             records.Change(records.now(), frozenset(self.keys), dict(self.services))
         )
 
-    async def add_engine(self, service: str) -> str:
-        """Start an engine and its proxy and write its entry; return its id."""
+    async def add_engine(self, service: str, software: str = "") -> str:
+        """Start an engine, by default of the newest version; return its id."""
         self._engine_count += 1
         name = f"i-{self._engine_count}"
         engine = engines.Engine(
-            name, service, self.recorded, self.rng, self._start_crash
+            name,
+            service,
+            self.recorded,
+            self.rng,
+            self._start_crash,
+            software or self.software[service],
         )
         await engine.start()
         proxy = proxies.Proxy(engine.address)
@@ -308,8 +315,17 @@
         self.engine_proxies[name] = proxy
         self.apply_brittle()
         self.write_entry(name, "ready")
+        self.recorded.engine_times[name] = records.EngineTime(
+            name, service, engine.software, records.now(), records.FOREVER
+        )
         return name
 
+    def end_engine_time(self, name: str) -> None:
+        """Record that an engine takes no new requests from now on."""
+        known = self.recorded.engine_times[name]
+        if known.end == records.FOREVER:
+            self.recorded.engine_times[name] = known._replace(end=records.now())
+
     def apply_brittle(self) -> None:
         """Make the engines brittle, or not, by `brittle`."""
         for engine in self.engines.values():
@@ -327,22 +343,24 @@
             "slots": engines.SLOTS,
             "state": state,
             "born": self._engine_count,
+            "version": self.engines[name].software,
         }
         self.store.put(f"servers/{name}", entry)
 
     async def remove_engine(self, name: str) -> None:
         """Stop an engine and its proxy."""
+        self.end_engine_time(name)
         await self.engine_proxies.pop(name).stop()
         await self.engines.pop(name).stop()
 
     async def crash_engine(self, name: str, down: float) -> None:
         """Crash an engine; start its replacement after ``down`` seconds."""
-        service = self.engines[name].service
+        service, software = self.engines[name].service, self.engines[name].software
         self.recorded.leaving_since[name] = records.FOREVER
         self.engine_proxies[name].reset()
         await self.remove_engine(name)
         await asyncio.sleep(down)
-        await self.add_engine(service)
+        await self.add_engine(service, software)
 
     def _start_crash(self, name: str) -> None:
         """Start a task that crashes and replaces an engine; called by the engine."""
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -7,7 +7,15 @@
 
 from cassiaquay_dev import gateway_demo
 from cassiaquay_dev.network import proxies
-from cassiaquay_dev.soak import checks, engines, exchange, main, records, site
+from cassiaquay_dev.soak import (
+    checks,
+    engines,
+    exchange,
+    main,
+    records,
+    site,
+    stream_checks,
+)
 from cassiaquay_dev.standins import raw_servers
 
 START = 1000.0
@@ -253,6 +261,30 @@
         recorded.falls.append(records.Fall(f"i-{number}", "plain", START))
 
 
+def _add_resumed(recorded: records.Records, software: str, status: int) -> None:
+    """Add a stream that broke off after an event of v1, and the attempt to go on."""
+    begun = _add_attempt(recorded, "stream", status=200)
+    begun.answer = engines.event_of(begun.name, 0, "v1")
+    again = _add_attempt(recorded, "stream", status=status)
+    again.stream, again.first_event = begun.name, 1
+    if status == 200:
+        again.answer = engines.event_of(again.name, 1, software)
+
+
+def _streams_of_two_versions(recorded: records.Records) -> None:
+    for _ in range(stream_checks.MAX_MIXED + 1):
+        _add_resumed(recorded, "v2", 200)
+
+
+def _streams_that_do_not_go_on(recorded: records.Records) -> None:
+    for name in ("i-1", "i-2"):
+        recorded.engine_times[name] = records.EngineTime(
+            name, "chat", "v1", START - 100.0, records.FOREVER
+        )
+    for _ in range(stream_checks.MIN_RESUMED):
+        _add_resumed(recorded, "v1", 503)
+
+
 @pytest.mark.parametrize(
     ("check", "violate"),
     [
@@ -284,6 +316,8 @@
         ("backoff", _requests_within_an_asked_time),
         ("cut", _cut_daemon_serves_nobody),
         ("fell", _brittle_engines_fall_over),
+        ("versions", _streams_of_two_versions),
+        ("resumed", _streams_that_do_not_go_on),
     ],
 )
 def test_check_detects_its_violation(check: str, violate) -> None:
@@ -340,6 +374,15 @@
     assert outcome.served > 0
 
 
+def test_short_soak_run_with_releases_mixes_no_versions(tmp_path) -> None:
+    """Guards against streams of several versions when releases and deaths overlap."""
+    only = "engine_release,engine_release,stream_cuts,kill"
+    settings = SHORT._replace(folder=str(tmp_path), engines=8, only=only)
+    outcome = asyncio.run(main.run_seed(settings, timed=False))
+    assert not outcome.findings
+    assert outcome.faults["engine_release"] > 0
+
+
 def test_gateway_demo_breaks_no_promise(capsys) -> None:
     """A graceful stop and restart of one daemon breaks no promise to callers."""
     assert gateway_demo.run(seconds=3.0, rate=20.0, daemons=2) == 0
