--- a/packages/cli/cassiaquay_cli/trace.py
+++ b/packages/cli/cassiaquay_cli/trace.py
@@ -52,6 +52,11 @@
     lines: Lines
     circumstances: Lines
 
+    @property
+    def has_several_attempts(self) -> bool:
+        """Whether it takes up the stream of another attempt."""
+        return any("resumes" in line.fields for line in self.lines)
+
 
 @causes.register("limit_reached")
 def _explain_limit_reached(request_lines: Lines) -> str:
@@ -93,6 +98,25 @@
     )
 
 
+@causes.register("origin_unknown")
+def _explain_origin_unknown(request_lines: Lines) -> str:
+    fields = request_lines[-1].fields
+    line = _last_line(request_lines, "stream_resumes")
+    if line is not None:
+        fields = line.fields
+    return (
+        f"no instance knew the software version of {fields.get('resumes', '?')}, whose "
+        f"stream it takes up; open were {fields.get('versions', '?')}; nothing was sent"
+    )
+
+
+@causes.register("no_matching_servers")
+def _explain_no_matching_servers(request_lines: Lines) -> str:
+    line = _last_line(request_lines, "stream_resumes")
+    software = line.fields.get("software") if line is not None else "that version"
+    return f"its stream began at {software}, and no server of it is left"
+
+
 @causes.register("deadline_exceeded")
 def _explain_deadline_exceeded(request_lines: Lines) -> str:
     sent = _last_line(request_lines, "dispatch")
@@ -123,13 +147,22 @@
 
 
 def trace(id: str, lines: Lines) -> Traced:
-    """Return the lines of a request, its cause and its circumstances."""
-    request_lines = [
-        line for line in lines if _is_same_request(line.fields.get("id", ""), id)
-    ]
+    """Return the lines of a request, its cause and its circumstances.
+
+    The lines of the attempt whose stream it takes up come with its own.
+    """
+    first_id = _resumed_id(id, lines)
+    request_lines = []
+    for line in lines:
+        logged_id = line.fields.get("id", "")
+        if _is_same_request(logged_id, id) or _is_same_request(logged_id, first_id):
+            request_lines.append(line)
     if not request_lines:
         return Traced("no line carries this id", [], [])
-    end = request_lines[-1]
+    own_lines = [
+        line for line in request_lines if _is_same_request(line.fields["id"], id)
+    ]
+    end = own_lines[-1]
     instances = {line.instance for line in request_lines}
     circumstances = []
     for line in lines:
@@ -137,7 +170,7 @@
             continue
         if end.at - CIRCUMSTANCES_WINDOW_SECONDS <= line.at <= end.at:
             circumstances.append(line)
-    return Traced(_explain_outcome(request_lines), request_lines, circumstances)
+    return Traced(_explain_outcome(own_lines), request_lines, circumstances)
 
 
 def format_text(traced: Traced) -> str:
@@ -183,6 +216,14 @@
     return None
 
 
+def _resumed_id(id: str, lines: Lines) -> str:
+    """Return the id of the attempt whose stream a request takes up, or its own."""
+    for line in lines:
+        if _is_same_request(line.fields.get("id", ""), id) and "resumes" in line.fields:
+            return line.fields["resumes"]
+    return id
+
+
 def _is_same_request(logged_id: str, request_id: str) -> bool:
     # Repeated dispatches of a request append a dot and a number to its id.
     return logged_id == request_id or logged_id.startswith(f"{request_id}.")
@@ -201,7 +242,7 @@
 def _rows(traced: Traced, start_at: float) -> list[list[str]]:
     rows = []
     for line in traced.lines:
-        hidden = ("level", "id")
+        hidden = ("level",) if traced.has_several_attempts else ("level", "id")
         pairs = [f"{k}={v}" for k, v in line.fields.items() if k not in hidden]
         elapsed_ms = f"{(line.at - start_at) * 1000.0:.1f}"
         rows.append([elapsed_ms, line.instance, line.event, " ".join(pairs)])
--- a/tests/test_trace.py
+++ b/tests/test_trace.py
@@ -106,6 +106,24 @@
     assert len(found.lines) == 2
 
 
+def test_resumed_stream_shows_the_attempt_that_began_it(tmp_path) -> None:
+    """Guards against a resumed stream whose first server is not to be found."""
+    began = DISPATCH + " software=v1"
+    resumes = (
+        "at=101.0 event=stream_resumes instance=cq-2 id=c7 resumes=c1 after=3 "
+        "software=v1 is_known=true versions=v1,v2"
+    )
+    refused = (
+        "at=101.1 event=ended instance=cq-2 id=c7 outcome=not_run "
+        "code=no_matching_servers status=503"
+    )
+    found = trace.trace("c7", _read(tmp_path, a=[began], b=[resumes, refused]))
+    events = [line.event for line in found.lines]
+    assert events == ["dispatch", "stream_resumes", "ended"]
+    assert "began at v1" in found.cause
+    assert "id=c1" in trace.format_text(found)
+
+
 def test_json_lines_and_collector_prefixes_are_parsed() -> None:
     line = log_lines.parse('{"at": 1.5, "event": "ready", "instance": "cq-1", "n": 2}')
     assert line == log_lines.Line(1.5, "cq-1", "ready", {"n": "2"})
