Fix the version of an unknown stream to the sole one; none while isolated

A stream of unknown origin in a service of one version was sent without a condition, so that another version listed a moment later could take it; and an instance cut off from the platform and all others took the version of its old list for the sole one. tests/test_resuming.py covers both, the services of a route, and entries that are listed late; the two tests of these faults fail before (no condition; no refusal).

--- a/packages/daemon/cassiaquay_daemon/fleet/stream_origins.py
+++ b/packages/daemon/cassiaquay_daemon/fleet/stream_origins.py
@@ -88,6 +88,11 @@
     def __len__(self) -> int:
         return len(self._own) + len(self._kept)
 
+    @property
+    def is_alone(self) -> bool:
+        """Whether there is no other instance to ask."""
+        return len(self._membership.serving()) <= 1
+
     def add(self, key: int, origin: stream_origins.Origin, lifetime: float) -> None:
         """Record where a stream of this instance began, here and at its keepers."""
         self._own.add(key, origin, lifetime)
--- a/packages/daemon/cassiaquay_daemon/gateway/resuming.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/resuming.py
@@ -8,7 +8,7 @@
 
 from .. import exceptions, logs
 from ..decisions import software_versions, stream_origins
-from ..fleet import configuration
+from ..fleet import configuration, servers
 from ..fleet import stream_origins as origin_reports
 from . import admission, calls, progress
 
@@ -30,13 +30,17 @@
         Lists the servers with their versions.
     origins : StreamOrigins
         Keeps the origins of streams on several instances.
+    server_list : Servers
+        Tells whether this instance's list of servers may be outdated.
     """
 
     def __init__(
         self,
         configured: configuration.Configuration,
         origins: origin_reports.StreamOrigins,
+        server_list: servers.Servers,
     ):
+        self._servers = server_list
         self._configured = configured
         self._origins = origins
         self._history = software_versions.History()
@@ -71,12 +75,14 @@
             is_known=origin is not None,
             versions=",".join(sorted(versions)),
         )
-        is_sole = len(versions) <= 1
+        is_sole = len(versions) <= 1 and not self._is_isolated
         kind = KNOWN if origin is not None else SOLE if is_sole else UNKNOWN
         self.counts[kind] += 1
         if origin is None:
             if not is_sole:
                 raise exceptions.OriginUnknown(retry_after_ms=UNKNOWN_RETRY_MS)
+            # Servers of another version may be listed before this one is sent.
+            state.software = next(iter(versions), None)
             return
         if origin.service not in {share.service for share in call.route.shares}:
             raise exceptions.OriginUnknown("the route has left the service")
@@ -112,6 +118,11 @@
         state.is_origin_recorded = True
         self._record(state.call, software)
 
+    @property
+    def _is_isolated(self) -> bool:
+        """Whether others may know of versions that this instance has not heard of."""
+        return self._servers.is_behind and self._origins.is_alone
+
     def _record(self, call: calls.Call, software: str) -> None:
         lifetime = max(call.parsed.deadline_ms / 1000.0, call.route.timeout_seconds)
         self._origins.add(
--- a/packages/daemon/cassiaquay_daemon/gateway/service.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/service.py
@@ -231,7 +231,7 @@
         shared.pauses,
         replies.Replies(),
         accounting.Accounting(),
-        resuming.Resuming(shared.configured, shared.origins),
+        resuming.Resuming(shared.configured, shared.origins, shared.server_list),
     )
     relay_parts = relaying.Parts(
         shared.configured,
--- /dev/null
+++ b/tests/test_resuming.py
@@ -0,0 +1,165 @@
+"""At which service and version a resumed stream goes on, by what is known of it."""
+
+import asyncio
+from unittest import mock
+
+import pytest
+
+from cassiaquay_daemon import exceptions
+from cassiaquay_daemon.configured import routing
+from cassiaquay_daemon.decisions import stream_origins
+from cassiaquay_daemon.gateway import calls, progress, resuming
+from cassiaquay_daemon.platform import headers
+from cassiaquay_schema import fleet
+
+STREAM = routing.Kind.STREAM
+
+
+class _Configured:
+    """A configuration whose servers' versions a test changes."""
+
+    def __init__(self, **versions: str):
+        self._calls: list = []
+        self.current = mock.Mock()
+        self.put(**versions)
+
+    def on_accept(self, call) -> None:
+        """Record a callback."""
+        self._calls.append(call)
+
+    def put(self, **versions: str) -> None:
+        """Publish servers of the service `chat` with their versions."""
+        servers = {}
+        for name, version in versions.items():
+            servers[name] = fleet.Server(name=name, address="h:1", software=version)
+        snapshot = mock.Mock()
+        snapshot.fleet.pools = {"chat": mock.Mock(servers=list(servers.values()))}
+        snapshot.server = lambda service, name: servers.get(name)
+        self.current = snapshot
+        for call in self._calls:
+            call()
+
+
+class _Bench:
+    """A `Resuming` whose origins and list of servers a test sets."""
+
+    def __init__(self, **versions: str):
+        self.configured = _Configured(**versions)
+        self.origin: stream_origins.Origin | None = None
+        self.recorded: list[stream_origins.Origin] = []
+        self.origins = mock.Mock(is_alone=False)
+        self.origins.find = self._find
+        self.origins.add = lambda key, origin, lifetime: self.recorded.append(origin)
+        self.servers = mock.Mock(is_behind=False)
+        self.resuming = resuming.Resuming(self.configured, self.origins, self.servers)
+        self.configured.put(**versions)
+
+    async def _find(self, key: int) -> stream_origins.Origin | None:
+        return self.origin
+
+    def state(self, *services: str) -> progress.RequestState:
+        """Return a resumed stream on a route to some services."""
+        shares = tuple(routing.Share(name, 1) for name in services or ("chat",))
+        route = routing.Route(
+            "r", "h", "/", STREAM, shares, 15.0, 0.4, 0.3, 0, 2, True, True
+        )
+        pairs = [(b"cassiaquay-attempt-id", b"a2"), (b"resumes", b"a1")]
+        parsed = headers.read([*pairs, (b"last-event-id", b"3")])
+        service = shares[0].service
+        snapshot = self.configured.current
+        return progress.RequestState(
+            calls.Call(
+                "POST",
+                "/",
+                pairs,
+                parsed,
+                b"",
+                route,
+                service,
+                None,
+                snapshot,
+                0.0,
+                9.0,
+            )
+        )
+
+    def resolve(self, state: progress.RequestState) -> None:
+        """Resolve the origin of a stream."""
+        asyncio.run(self.resuming.resolve(state))
+
+    def note(self, state: progress.RequestState, server: str, demand: str) -> None:
+        """Note events of a server."""
+        ticket = mock.Mock()
+        ticket.server = fleet.Server(name=server, address="h:1", software="v1")
+        ticket.demand.id = demand
+        self.resuming.note_events(state, ticket)
+
+
+def test_known_origin_sets_the_version() -> None:
+    """Guards against a resumed stream without a condition."""
+    bench = _Bench(a="v1", b="v2")
+    bench.origin = stream_origins.Origin("chat", "v2")
+    state = bench.state()
+    bench.resolve(state)
+    assert state.software == "v2"
+
+
+def test_unknown_stream_goes_on_at_the_sole_version_only() -> None:
+    """Guards against another version that is listed before the stream is sent."""
+    bench = _Bench(a="v1", b="v1")
+    state = bench.state()
+    bench.resolve(state)
+    assert state.software == "v1"
+
+
+def test_unknown_stream_ends_where_a_service_has_several_versions() -> None:
+    """Guards against a guess; its caller is told when to come back."""
+    bench = _Bench(a="v1", b="v2")
+    with pytest.raises(exceptions.OriginUnknown) as refused:
+        bench.resolve(bench.state())
+    assert refused.value.retry_after_ms == resuming.UNKNOWN_RETRY_MS
+
+
+def test_isolated_instance_does_not_take_its_version_for_the_sole_one() -> None:
+    """Guards against a list of before the release, which others have left behind."""
+    bench = _Bench(a="v1")
+    bench.servers.is_behind = True
+    bench.resolve(bench.state())
+    bench.origins.is_alone = True
+    with pytest.raises(exceptions.OriginUnknown):
+        bench.resolve(bench.state())
+
+
+def test_stream_goes_on_at_its_service_or_not_at_all() -> None:
+    """Guards against another service in which the same version is in use."""
+    bench = _Bench(a="v1")
+    bench.origin = stream_origins.Origin("other", "v1")
+    shared = bench.state("chat", "other")
+    bench.resolve(shared)
+    assert shared.call.service == "other"
+    with pytest.raises(exceptions.OriginUnknown):
+        bench.resolve(bench.state("chat"))
+
+
+def test_version_of_a_stream_follows_the_entry_of_its_server() -> None:
+    """Guards against the version of the process before, whose entry was listed late."""
+    bench = _Bench(a="v1")
+    state = bench.state()
+    bench.note(state, "a", "a2")
+    bench.note(state, "a", "a2")
+    bench.configured.put(a="v2")
+    bench.note(state, "a", "a2")
+    assert [origin.software for origin in bench.recorded] == ["v1", "v2"]
+    assert state.software == "v2"
+
+
+def test_events_of_another_version_are_not_passed_on() -> None:
+    """Guards against a server that was restarted in another version before it ran."""
+    bench = _Bench(a="v1", b="v2")
+    bench.origin = stream_origins.Origin("chat", "v1")
+    state = bench.state()
+    bench.resolve(state)
+    bench.configured.put(a="v2", b="v2")
+    with pytest.raises(exceptions.StreamInterrupted):
+        bench.note(state, "a", "a2")
+    assert not bench.recorded
