--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -102,3 +102,20 @@
         assert all(stream.is_complete for stream in streams)
 
     _run(work, 3, {"i-1": "v1", "i-2": "v1", "i-3": "v1", "i-4": "v2"})
+
+
+def test_returning_caller_gets_no_events_of_a_restart_that_is_not_listed() -> None:
+    """Guards against a server restarted under its name whose entry names the old one.
+
+    The callers return at another daemon before the entry follows.
+    """
+
+    async def work(versioned: version_fakes.VersionedSite) -> None:
+        streams = _streams(versioned)
+        await asyncio.gather(*(stream.ask(0, 2) for stream in streams))
+        restarting = asyncio.create_task(versioned.restart("i-1", "v2", 1.0))
+        await asyncio.gather(*(stream.ask(1) for stream in streams))
+        await restarting
+        assert _count_mixed(streams) == 0
+
+    _run(work, 2, {"i-1": "v1", "i-2": "v1"})
