Keep no slot for a resumed stream that was refused

A refused demand keeps a slot for its rank and holds lower ranks back. A resumed stream can use the servers of one version only: with none of them in the shard, servers of other versions stood idle for up to 1.5 s for each such stream. test_shed_of_a_resumed_stream_takes_no_slot_from_others fails before.

--- a/packages/daemon/cassiaquay_daemon/decisions/objectives.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/objectives.py
@@ -339,8 +339,10 @@
         """Shed a demand, and keep a slot for its tier until its objective."""
         rank = waiting.demand.rank
         retry_after_ms = self._retry_after_ms(waiting, now)
-        self._kept_slots.add(rank, self._objective_at[waiting.demand.id])
-        self._shard.cutoffs.raise_floor(rank, now + FLOOR_SECONDS, retry_after_ms)
+        if waiting.demand.software is None:
+            # A resumed stream could not use the slots of most servers.
+            self._kept_slots.add(rank, self._objective_at[waiting.demand.id])
+            self._shard.cutoffs.raise_floor(rank, now + FLOOR_SECONDS, retry_after_ms)
         self._shard.shed(waiting, "shed_overload", retry_after_ms)
 
     def _grant(self, waiting: shards.Waiting, choice: choices.Choice) -> None:
--- a/tests/test_objectives.py
+++ b/tests/test_objectives.py
@@ -347,6 +347,21 @@
     assert len(bench.owner.permits()) == 1
 
 
+def test_shed_of_a_resumed_stream_takes_no_slot_from_others(time) -> None:
+    """Guards against idle servers kept for a stream that they can't go on with.
+
+    No server of its version is in the shard; a less important request arrives.
+    """
+    bench = objectives_fakes.Bench(time, {"b": 1})
+    _set_versions(bench, b="v2")
+    bench.demand(name="resumed", rank=0, software="v1", first_ms=1500)
+    bench.serve()
+    assert "resumed" in bench.owner.sheds()
+    bench.demand(name="new", rank=5)
+    bench.serve()
+    assert bench.owner.permits() == {"new": "b"}
+
+
 def test_new_streams_begin_where_they_could_go_on(time) -> None:
     """Guards against streams that end with the only server of their version.
 
