--- a/packages/dev/cassiaquay_dev/soak/faults.py
+++ b/packages/dev/cassiaquay_dev/soak/faults.py
@@ -416,6 +416,7 @@
         if engine.service == "chat" and name not in deployment.recorded.leaving_since
     ]
     software = f"v{rng.randrange(1, 4)}"
+    drains = []
     for name in rng.sample(names, min(len(names), rng.randint(1, 2))):
         if name not in deployment.engines:
             continue
@@ -423,7 +424,9 @@
         await deployment.add_engine("chat", software)
         await asyncio.sleep(rng.uniform(0.2, 1.0))
         if name in deployment.engines:
-            await _drain_engine(deployment, rng, name)
+            drains.append(_drain_engine(deployment, rng, name))
+    # Both drain at the same time: a fault must end within the soak's timeout.
+    await asyncio.gather(*drains)
 
 
 @faults.register("stream_cuts")
