Log the prompt parts of a cut answer

Of broken requests the log showed a digest of the whole request, so it could not be seen whether those of several crashes share a part. Part ids are recognized by model wherever they stand in a prompt; the request's own last part is left out.

--- a/packages/daemon/cassiaquay_daemon/gateway/serving.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/serving.py
@@ -173,6 +173,7 @@
             id=call.parsed.attempt,
             content=call.content,
             server=state.server,
+            parts=",".join(call.parsed.shared_parts) or None,
             cause=str(error),
             after=state.last_event,
             runs=state.runs,
--- a/packages/daemon/cassiaquay_daemon/platform/headers.py
+++ b/packages/daemon/cassiaquay_daemon/platform/headers.py
@@ -74,6 +74,8 @@
 
 MAX_TOKENS = 100_000_000
 MAX_PROMPT_PARTS = 64
+# Parts of one prompt that can be recognized in other prompts.
+MAX_SHARED_PARTS = 256
 
 
 class ParsedHeaders(typing.NamedTuple):
@@ -102,6 +104,9 @@
     resumes : str
         Id of the attempt that brought the first event of a stream that the caller takes
         up again; empty if it names none.
+    shared_parts : tuple of str
+        Digests of all parts but the last, by model, without repeats. Unlike the keys of
+        ``parts`` they don't depend on what stands before a part.
     """
 
     host: str
@@ -114,6 +119,7 @@
     parts: list[messages.PromptPart]
     last_event: int
     resumes: str = ""
+    shared_parts: tuple[str, ...] = ()
 
     @property
     def counts_tokens(self) -> bool:
@@ -137,6 +143,7 @@
         )
         or max_output_tokens
     )
+    model, prefix = first_values.get(MODEL, b""), first_values.get(PREFIX, b"")
     return ParsedHeaders(
         host.partition(":")[0],
         first_values.get(ATTEMPT, b"").decode("latin-1"),
@@ -145,9 +152,10 @@
         prompt_tokens,
         max_output_tokens,
         length_hint,
-        _prompt_parts(first_values.get(MODEL, b""), first_values.get(PREFIX, b"")),
+        _prompt_parts(model, prefix),
         _parse_number(first_values.get(LAST_EVENT, b""), -1),
         first_values.get(RESUMES, b"").decode("latin-1"),
+        _shared_parts(model, prefix),
     )
 
 
@@ -242,16 +250,31 @@
 def _prompt_parts(model: bytes, text: bytes) -> list[messages.PromptPart]:
     parts: list[messages.PromptPart] = []
     chain = xxhash.xxh3_64_intdigest(model)
-    for piece in text.split(b",")[:MAX_PROMPT_PARTS]:
-        name, _, count = piece.strip().rpartition(b":")
-        tokens = _parse_number(count, 0)
-        if not name or not tokens:
-            continue
+    for name, tokens in _split_prompt(text, MAX_PROMPT_PARTS):
         chain = xxhash.xxh3_64_intdigest(chain.to_bytes(8, "big") + name)
         parts.append(messages.PromptPart(chain, tokens))
     return parts
 
 
+def _shared_parts(model: bytes, text: bytes) -> tuple[str, ...]:
+    names = [name for name, _ in _split_prompt(text, MAX_SHARED_PARTS)]
+    digests: dict[str, None] = {}
+    for name in names[:-1]:
+        digests[xxhash.xxh3_64_hexdigest(model + b"\0" + name.lower())] = None
+    return tuple(digests)
+
+
+def _split_prompt(
+    text: bytes, most: int
+) -> collections.abc.Iterator[tuple[bytes, int]]:
+    """Yield the id and tokens of each valid part of a prompt."""
+    for piece in text.split(b",")[:most]:
+        name, _, count = piece.strip().rpartition(b":")
+        tokens = _parse_number(count, 0)
+        if name and tokens:
+            yield name, tokens
+
+
 def _parse_number(text: bytes, default: int) -> int:
     text = text.strip()
     if not text.isdigit() or len(text) > 12:
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -239,6 +239,31 @@
     assert hinted.output_tokens == 30
 
 
+def _shared_parts(prefix: bytes, model: bytes = b"m") -> tuple[str, ...]:
+    pairs = [(b"cassiaquay-model", model), (b"cassiaquay-prompt-prefix", prefix)]
+    return headers.read(pairs).shared_parts
+
+
+def test_prompt_part_is_recognized_wherever_it_stands() -> None:
+    """Guards against taking one part of several prompts for different parts."""
+    [first, middle] = _shared_parts(b"a:1,b:2,own:3")
+    assert _shared_parts(b"B:7,own:3") == (middle,)
+    assert _shared_parts(b"c:1,b:2,a:4,b:2,own:3")[1:] == (middle, first)
+
+
+def test_same_part_of_another_model_is_another_part() -> None:
+    """Guards against judging a part by what another model does with it."""
+    assert _shared_parts(b"a:1,own:3") != _shared_parts(b"a:1,own:3", b"other")
+
+
+def test_requests_own_part_is_not_shared() -> None:
+    """Guards against records of parts that no other request has."""
+    for prefix in (b"", b"own:3", b"a,own:3", b":5,own:3", b"a:x,own:3"):
+        assert _shared_parts(prefix) == ()
+    long = b",".join(b"%x:1" % number for number in range(100))
+    assert len(_shared_parts(long)) == 99
+
+
 def test_equal_prompt_parts_after_different_parts_have_different_keys() -> None:
     """A prompt cache can reuse a part only after identical preceding parts."""
     one = headers.read([(b"cassiaquay-prompt-prefix", b"a:1,b:2")]).parts
