Add a failing test of a prompt part that crashes servers

Three daemons, five servers that crash when they begin to answer a prompt with the part and are back under a new name after 0.6 s; 12 such requests a second, all different, 25 sound ones that share their other parts.

--- a/packages/dev/cassiaquay_dev/standins/platform_standins.py
+++ b/packages/dev/cassiaquay_dev/standins/platform_standins.py
@@ -125,10 +125,9 @@
     request: raw_servers.Request, writer: raw_servers.Writer
 ) -> None:
     """Write the response head of a stream."""
-    head = "".join(
-        f"{name}: {value}\r\n" for name, value in seal_headers(request).items()
+    raw_servers.write_head(
+        writer, {"Transfer-Encoding": "chunked"} | seal_headers(request)
     )
-    writer.write(f"HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n{head}\r\n".encode())
 
 
 async def write_events(
@@ -137,16 +136,19 @@
     """Write the events up to ``until``, from the first one that the request lacks."""
     first = int(request.headers.get("last-event-id", "-1")) + 1
     for number in range(first, until):
-        event = b"id: %d\ndata: piece %d\n\n" % (number, number)
-        writer.write(b"%x\r\n%b\r\n" % (len(event), event))
+        data = event(number)
+        writer.write(b"%x\r\n%b\r\n" % (len(data), data))
         await writer.drain()
 
 
+def event(number: int) -> bytes:
+    """Return one event of a stream."""
+    return b"id: %d\ndata: piece %d\n\n" % (number, number)
+
+
 def stream_events(until: int = EVENT_COUNT) -> bytes:
     """Return the events 0 to ``until - 1`` as event-stream bytes."""
-    return b"".join(
-        b"id: %d\ndata: piece %d\n\n" % (number, number) for number in range(until)
-    )
+    return b"".join(event(number) for number in range(until))
 
 
 def route(
--- a/packages/dev/cassiaquay_dev/standins/raw_servers.py
+++ b/packages/dev/cassiaquay_dev/standins/raw_servers.py
@@ -102,14 +102,17 @@
     return Request(method, target, headers, body)
 
 
+def write_head(writer: Writer, headers: dict[str, str], status: int = 200) -> None:
+    """Write the head of a response."""
+    lines = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
+    writer.write(f"HTTP/1.1 {status} X\r\n{lines}\r\n".encode())
+
+
 async def send(
     writer: Writer, status: int, body: bytes, headers: dict[str, str]
 ) -> None:
     """Write a response with a content length."""
-    head = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
-    writer.write(
-        f"HTTP/1.1 {status} X\r\nContent-Length: {len(body)}\r\n{head}\r\n".encode()
-    )
+    write_head(writer, {"Content-Length": str(len(body))} | headers, status)
     writer.write(body)
     await writer.drain()
 
--- /dev/null
+++ b/tests/test_crashing_parts.py
@@ -0,0 +1,33 @@
+"""Prompts with one part that crashes servers, across several daemons."""
+
+import crashing_fakes as crashing
+import gateway_fakes as fakes
+
+# Requests with the part that may reach servers once all instances can know of it.
+MAX_LATE_ARRIVALS = 3
+# Sound requests begin at least this share as often as before the crashes.
+MIN_SHARE = 0.5
+
+
+async def _check(site: fakes.Site, load: crashing.Load) -> None:
+    servers, callers = await crashing.play(site, load)
+    assert servers.crash_times, "no server has crashed"
+    learned_at = servers.crash_times[: crashing.CRASHES_TO_LEARN][-1]
+    late = [
+        at
+        for at in servers.bad_arrival_times
+        if at > learned_at + crashing.CONTACT_SECONDS
+    ]
+    began_at = callers.outcomes[0].sent_at
+    before = callers.share_begun(began_at, began_at + load.warm_up_seconds)
+    after = callers.share_begun(learned_at + 2 * crashing.CONTACT_SECONDS, float("inf"))
+    assert (len(late) <= MAX_LATE_ARRIVALS, after >= MIN_SHARE * before) == (
+        True,
+        True,
+    ), f"{len(late)} late, {len(servers.crash_times)} crashes, {before}, {after}"
+
+
+def test_prompt_part_that_crashes_servers_is_quarantined_at_all_instances() -> None:
+    """Guards against prompts with one crashing part that are sent without end."""
+    load = crashing.Load(instances=3, seconds=6.0)
+    fakes.run(lambda site: _check(site, load), load.instances)
