Quarantine prompt parts that crash servers, as whole requests are

Cause: records of crashes were kept by a digest of the whole request, so each new request began at nothing.

The quarantine now also records the parts of prompts, recognized by id and model wherever they stand. A part that was on three crashing servers, under two different requests at least, and that nothing has completed is held everywhere. Completions clear the parts that sound requests share; where two parts came together only, a request with one of them is sent, and its end tells which it was. One instance tries a held part 30 s after the last crash, four times later after each further one: two trials before the fifth crash, and what follows comes after 8 minutes and more.

--- a/packages/daemon/cassiaquay_daemon/daemon.py
+++ b/packages/daemon/cassiaquay_daemon/daemon.py
@@ -128,7 +128,7 @@
             self._quarantine,
             self._peers,
             self._membership,
-            settings.gateway.first_start,
+            settings,
         )
         self._origins = stream_origins.StreamOrigins(
             settings, self._peers, self._membership
--- a/packages/daemon/cassiaquay_daemon/fleet/crash_reports.py
+++ b/packages/daemon/cassiaquay_daemon/fleet/crash_reports.py
@@ -1,4 +1,4 @@
-"""Exchanges reports of requests that crash servers between instances.
+"""Exchanges reports of requests and prompt parts that crash servers.
 
 Load pattern: a crash ends all requests of a server, dozens within milliseconds, and
 each instance passes each report on. The reports of one iteration of the event loop are
@@ -6,16 +6,20 @@
 """
 
 import asyncio
+import collections
 import collections.abc
+import functools
 
 from cassiaquay_schema import messages
+from cassiaquay_schema import settings as settings_schema
 
-from .. import logs
+from .. import clock, logs, rendezvous
 from ..decisions import quarantine
 from ..links import peers
 from . import members, replication
 
 Flush = collections.abc.Callable[[], None]
+MAX_ENDED_SERVERS = 1024
 
 
 def _flush_soon(flush: Flush) -> None:
@@ -35,8 +39,8 @@
         Connections to the other instances.
     membership : Membership
         Supplies the neighbours and their heartbeats.
-    is_first_start : bool
-        Whether the whole fleet starts for the first time.
+    settings : Settings
+        Name of this instance, and whether the whole fleet starts for the first time.
     schedule : callable, optional
         Calls its argument in the next iteration of the event loop.
     """
@@ -48,16 +52,20 @@
         held: quarantine.Quarantine,
         links: peers.Peers,
         membership: members.Membership,
-        is_first_start: bool,
+        settings: settings_schema.Settings,
         schedule: collections.abc.Callable[[Flush], None] = _flush_soon,
     ):
         # Changed reports that are about to be sent, with the instances they came from.
         self._unsent: dict[str, str] = {}
         self._schedule = schedule
         self._quarantine = held
+        self._instance = settings.instance
+        self._membership = membership
+        # Servers, by their starts, with the time of the first report of their crash.
+        self._ended_at: collections.OrderedDict[str, float] = collections.OrderedDict()
         self._replication = replication.Replication(links, membership, self)
         links.on(messages.CrashReports, self._handle_reports)
-        if not is_first_start:
+        if not settings.gateway.first_start:
             held.is_history_lost = lambda: not membership.has_older_instances()
 
     @property
@@ -70,27 +78,82 @@
         reports = self._quarantine.reports()
         return _message(reports) if reports else None
 
-    def holds(self, content: str) -> bool:
-        """Return whether a request is quarantined; note the refusal if it is."""
-        if not self._quarantine.holds(content):
+    def holds(
+        self,
+        content: str,
+        parts: collections.abc.Sequence[str] = (),
+        is_sent_now: bool = False,
+    ) -> bool:
+        """Return whether a request is quarantined; note the refusal if it is.
+
+        ``parts`` are digests of the parts of its prompt. ``is_sent_now`` tells that the
+        request is about to be sent, which may be the trial of a quarantined part.
+        """
+        blocking = self._quarantine.blocking(content, parts)
+        if not blocking:
+            return False
+        if len(blocking) == 1 and self._may_try(blocking[0]):
+            if is_sent_now:
+                logs.event("prompt_part_tried", part=blocking[0], content=content)
+                self._quarantine.record_trial(blocking[0])
             return False
-        self._quarantine.record_refusal(content)
+        for key in blocking:
+            self._quarantine.record_refusal(key)
         return True
 
-    def crashed(self, content: str, server: str) -> None:
+    def has_ended(self, server: str, since: float) -> bool:
+        """Return whether a server's crash was reported since then.
+
+        ``server`` is identified by its start, ``since`` is in seconds on this clock.
+        """
+        return self._ended_at.get(server, since - 1.0) >= since
+
+    def crashed(
+        self, content: str, server: str, parts: collections.abc.Iterable[str] = ()
+    ) -> None:
         """Report a server that crashed while it ran a request of this instance."""
         logs.event("request_suspected", content=content, server=server)
-        was_held = self._quarantine.holds(content)
-        if self._quarantine.crashed(content, server):
-            self._log(content, was_held)
-            self._flood([content], "")
+        self._record_ended(server)
+        changed = []
+        if self._change(content, lambda: self._quarantine.crashed(content, server)):
+            changed.append(content)
+        for part in parts:
+            crashed = functools.partial(self._quarantine.crashed, part, server, content)
+            if self._change(part, crashed):
+                changed.append(part)
+        if changed:
+            self._flood(changed, "")
 
-    def completed(self, content: str) -> None:
+    def completed(
+        self, content: str, parts: collections.abc.Iterable[str] = ()
+    ) -> None:
         """Report that a server completed a request of this instance."""
-        was_held = self._quarantine.holds(content)
-        if self._quarantine.completed(content):
-            self._log(content, was_held)
-            self._flood([content], "")
+        changed = []
+        for key in (content, *parts):
+            if self._change(key, functools.partial(self._quarantine.completed, key)):
+                changed.append(key)
+        if changed:
+            self._flood(changed, "")
+
+    def _may_try(self, key: str) -> bool:
+        if not self._quarantine.is_trial_due(key):
+            return False
+        # One instance tries a part, since each trial may crash a server.
+        names = {member.instance for member in self._membership.serving()}
+        return rendezvous.first(key, names | {self._instance}) == self._instance
+
+    def _record_ended(self, server: str) -> None:
+        self._ended_at.setdefault(server, clock.now())
+        if len(self._ended_at) > MAX_ENDED_SERVERS:
+            self._ended_at.popitem(last=False)
+
+    def _change(self, key: str, change: collections.abc.Callable[[], bool]) -> bool:
+        """Apply a change of one report; log whether it begins or ends a hold."""
+        was_held = self._quarantine.holds(key)
+        if not change():
+            return False
+        self._log(key, was_held)
+        return True
 
     def _handle_reports(self, link: peers.Link, message: messages.CrashReports) -> None:
         changed = []
@@ -100,10 +163,13 @@
                 frozenset(report.servers),
                 report.cleared,
                 report.age_ms / 1000.0,
+                frozenset(report.requests),
+                report.crash_age_ms / 1000.0,
             )
-            was_held = self._quarantine.holds(report.content)
-            if self._quarantine.learn(received):
-                self._log(report.content, was_held)
+            for server in report.servers:
+                self._record_ended(server)
+            learn = functools.partial(self._quarantine.learn, received)
+            if self._change(report.content, learn):
                 changed.append(report.content)
         if changed:
             self._flood(changed, link.instance)
@@ -112,8 +178,19 @@
         is_held = self._quarantine.holds(content)
         if is_held == was_held:
             return
-        crashes = len(self._quarantine.report(content).servers)
-        if is_held:
+        report = self._quarantine.report(content)
+        crashes = len(report.servers)
+        if report.requests and is_held:
+            logs.trouble(
+                "prompt_part_quarantined",
+                part=content,
+                crashes=crashes,
+                servers=",".join(sorted(report.servers)),
+                requests=",".join(sorted(report.requests)),
+            )
+        elif report.requests:
+            logs.event("prompt_part_released", part=content, crashes=crashes)
+        elif is_held:
             logs.trouble("request_quarantined", content=content, crashes=crashes)
         else:
             logs.event("request_released", content=content, crashes=crashes)
@@ -147,6 +224,8 @@
                 sorted(report.servers),
                 report.is_cleared,
                 int(report.age * 1000.0),
+                sorted(report.requests),
+                int(report.crash_age * 1000.0),
             )
         )
     return messages.CrashReports(encoded)
--- a/packages/daemon/cassiaquay_daemon/gateway/passing.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/passing.py
@@ -56,6 +56,7 @@
         if not received.event_count:
             continue
         _check_event_order(state, received)
+        state.note_events()
         before_events()
         tally.add(received.event_count)
         if received.last != events.NO_EVENT:
--- a/packages/daemon/cassiaquay_daemon/gateway/progress.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/progress.py
@@ -1,5 +1,6 @@
 """Mutable state of one caller's request while it is served."""
 
+from .. import clock
 from ..configured import snapshots
 from . import calls
 
@@ -7,6 +8,8 @@
 # leaves time to resume the stream at another server.
 STREAM_READ_TIMEOUT_SECONDS = 1.2
 MIN_READ_TIMEOUT_SECONDS = 0.25
+# A prompt that crashes its server does so when the server begins to answer it.
+CRASH_SECONDS = 0.5
 # Prefill rate of a slow engine; it lengthens the read timeout for long prompts, which
 # delay the first event.
 SLOW_PREFILL_TOKENS_PER_SECOND = 20_000.0
@@ -47,6 +50,8 @@
         Name of the server chosen last.
     server_start : str
         That server's name with the start time of its process.
+    events_began_at : float
+        Time of the first event from that server; seconds on this clock, 0 before it.
     unreachable : list of str
         Servers that could not be reached.
     tried : list of str
@@ -69,6 +74,7 @@
         self.started = False
         self.server = ""
         self.server_start = ""
+        self.events_began_at = 0.0
         self.unreachable: list[str] = []
         self.tried: list[str] = []
         self.receivers: set[str] = set()
@@ -78,6 +84,18 @@
         """Whether any server may have run it."""
         return self.runs > 0
 
+    @property
+    def suspected_parts(self) -> tuple[str, ...]:
+        """Parts of its prompt that may be the cause if its server crashes now."""
+        began_at = self.events_began_at
+        if began_at and clock.now() >= began_at + CRASH_SECONDS:
+            return ()
+        return self.call.parsed.shared_parts
+
+    def note_events(self) -> None:
+        """Record that events have arrived."""
+        self.events_began_at = self.events_began_at or clock.now()
+
     @property
     def has_attempts_left(self) -> bool:
         """Whether its route allows to send it to one more server."""
--- a/packages/daemon/cassiaquay_daemon/gateway/relaying.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/relaying.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import collections.abc
 import typing
 
 from cassiaquay_schema import fleet
@@ -128,7 +129,8 @@
                 server,
             )
             response = await self._parts.forwarder.relay(
-                outgoing, lambda: self._check_before_sending(target)
+                outgoing,
+                lambda: self._check_before_sending(target, parsed.shared_parts),
             )
         except exceptions.NotSent as error:
             _log(parsed.attempt, target, relays.NOT_SENT, str(error))
@@ -138,7 +140,7 @@
             is_broken = isinstance(error, exceptions.ConnectionBroken)
             outcome = relays.BROKEN if is_broken else relays.LOST
             _log(parsed.attempt, target, outcome, str(error))
-            self._report_crash(target, server, error)
+            self._report_crash(target, parsed.shared_parts, server, error)
             await _reply(send, outcome, str(error))
             return
         self.sent_count += 1
@@ -152,7 +154,7 @@
             # Returning without the last message breaks the connection to the owner, so
             # that the part does not look complete.
             _log(parsed.attempt, target, relays.LOST, str(error))
-            self._report_crash(target, server, error)
+            self._report_crash(target, parsed.shared_parts, server, error)
         finally:
             response.close()
 
@@ -167,11 +169,16 @@
             raise exceptions.NotSent("the server has another software version")
         return server
 
-    def _check_before_sending(self, target: relays.Target) -> None:
+    def _check_before_sending(
+        self, target: relays.Target, parts: collections.abc.Sequence[str]
+    ) -> None:
         # This process may have been paused since it read the request.
         if not self._parts.pauses.is_current:
             raise exceptions.StaleAfterPause("the relay was paused")
         self._find_server(target)
+        # Crashes may have been reported since the owner has checked it.
+        if self._parts.crashes.holds(target.content, parts):
+            raise exceptions.NotSent("the request is quarantined")
         # The owner's permit accounts for the server's limit.
         cause = self._parts.servers.blocking_cause(target.server, True)
         if cause:
@@ -180,12 +187,13 @@
     def _report_crash(
         self,
         target: relays.Target,
+        parts: collections.abc.Sequence[str],
         server: fleet.Server,
         error: exceptions.StreamInterrupted,
     ) -> None:
         if isinstance(error, exceptions.ConnectionBroken):
             start = f"{server.name}/{server.started_ms}"
-            self._parts.crashes.crashed(target.content, start)
+            self._parts.crashes.crashed(target.content, start, parts)
 
 
 async def _pass(answer: forwarding.Answer, send: replies.Send) -> None:
--- a/packages/daemon/cassiaquay_daemon/gateway/serving.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/serving.py
@@ -179,7 +179,9 @@
             runs=state.runs,
         )
         if isinstance(error, exceptions.ConnectionBroken):
-            self._parts.crashes.crashed(call.content, state.server_start)
+            self._parts.crashes.crashed(
+                call.content, state.server_start, state.suspected_parts
+            )
         if not state.is_repeatable_now:
             raise exceptions.AnswerLost() from error
         if state.started and not call.is_stream:
@@ -200,6 +202,7 @@
         ticket = await self._parts.capacity.obtain(state)
         state.server = ticket.server.name
         state.server_start = f"{ticket.server.name}/{ticket.server.started_ms}"
+        state.events_began_at = 0.0
         sent_at = 0.0
         is_first_receipt = ticket.server.name not in state.receivers
 
@@ -296,7 +299,7 @@
         # have expired, the server left or the key been revoked; nothing may be sent on
         # outdated state.
         call = state.call
-        self._check_quarantine(state)
+        self._check_quarantine(state, is_sent_now=True)
         if not self._parts.pauses.is_current:
             raise exceptions.StaleAfterPause("this process was paused")
         if clock.now() >= min(ticket.expires_at, call.deadline):
@@ -320,8 +323,12 @@
             "the route or key has gone", retry_after_ms=accepting.NOT_READY_RETRY_MS
         )
 
-    def _check_quarantine(self, state: progress.RequestState) -> None:
-        if not self._parts.crashes.holds(state.call.content):
+    def _check_quarantine(
+        self, state: progress.RequestState, is_sent_now: bool = False
+    ) -> None:
+        call = state.call
+        parts = call.parsed.shared_parts
+        if not self._parts.crashes.holds(call.content, parts, is_sent_now):
             return
         if state.may_have_run:
             raise exceptions.AnswerLost("the request has crashed several servers")
@@ -385,7 +392,7 @@
             "failed" if status >= forwarding.FIRST_SERVER_ERROR_STATUS else "completed"
         )
         if status < forwarding.FIRST_REDIRECT_STATUS:
-            self._parts.crashes.completed(state.call.content)
+            self._parts.crashes.completed(call.content, call.parsed.shared_parts)
         self._parts.accounting.record_ended(
             state, outcome, outcome, first_at - call.began_at
         )
--- a/packages/daemon/cassiaquay_daemon/operators/metrics.py
+++ b/packages/daemon/cassiaquay_daemon/operators/metrics.py
@@ -148,6 +148,12 @@
     (),
     "Requests that are refused here since they have crashed servers.",
 )
+QUARANTINED_PARTS = Family(
+    "cassiaquay_quarantined_prompt_parts",
+    "gauge",
+    (),
+    "Parts of prompts whose requests are refused here since they have crashed servers.",
+)
 COLD_SERVERS = Family(
     "cassiaquay_cold_servers",
     "gauge",
@@ -281,6 +287,7 @@
     PERMITS,
     SERVER_TOKENS,
     QUARANTINED,
+    QUARANTINED_PARTS,
     COLD_SERVERS,
     COLD_GRANTS,
     BRITTLE_SERVERS,
--- a/packages/daemon/cassiaquay_daemon/operators/reports.py
+++ b/packages/daemon/cassiaquay_daemon/operators/reports.py
@@ -248,7 +248,9 @@
             for item in shard.running.values():
                 tokens[(item.server,)] = tokens.get((item.server,), 0) + item.tokens
         self._read_limits()
-        self.metrics.replace(metrics.QUARANTINED, {(): self._parts.held.count})
+        held = self._parts.held
+        self.metrics.replace(metrics.QUARANTINED, {(): held.count})
+        self.metrics.replace(metrics.QUARANTINED_PARTS, {(): held.part_count})
         self.metrics.replace(metrics.QUEUE, queued)
         self.metrics.replace(metrics.PERMITS, running)
         self.metrics.replace(metrics.SERVER_TOKENS, tokens)
--- a/packages/schema/cassiaquay_schema/messages.py
+++ b/packages/schema/cassiaquay_schema/messages.py
@@ -883,24 +883,30 @@
 
 
 class CrashReport(typing.NamedTuple):
-    """A request that was running on servers when they crashed.
+    """A request, or a part of prompts, that was running on servers when they crashed.
 
     Attributes
     ----------
     content : str
-        Digest of method, host, path, caller and body.
+        Digest of method, host, path, caller and body, or of the part.
     servers : list[str]
         Crashed servers that ran it, identified by their starts.
     cleared : bool
         Whether a server has completed it, so that it is not the cause.
     age_ms : int
         Time since the last crash or attempt.
+    requests : list[str]
+        Of a part, digests of some requests that had it; empty for a request.
+    crash_age_ms : int
+        Time since the last crash.
     """
 
     content: str
     servers: list[str]
     cleared: bool
     age_ms: int
+    requests: list[str] = []
+    crash_age_ms: int = 0
 
 
 class CrashReports(typing.NamedTuple):
--- a/packages/schema/cassiaquay_schema/settings.py
+++ b/packages/schema/cassiaquay_schema/settings.py
@@ -247,6 +247,8 @@
         Servers that a request may crash before it is refused.
     quarantine_seconds : float
         Time after its last attempt for which such a request is refused.
+    quarantine_trial_seconds : float
+        Time from the last crash to a trial of a refused prompt part.
     """
 
     front: str = ""
@@ -265,6 +267,7 @@
     retry_window_seconds: typing.Annotated[float, msgspec.Meta(gt=0)] = 10.0
     quarantine_crashes: typing.Annotated[int, msgspec.Meta(ge=1)] = 3
     quarantine_seconds: typing.Annotated[float, msgspec.Meta(gt=0)] = 900.0
+    quarantine_trial_seconds: typing.Annotated[float, msgspec.Meta(gt=0)] = 30.0
 
 
 class Settings(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
--- a/tests/crashing_fakes.py
+++ b/tests/crashing_fakes.py
@@ -83,15 +83,18 @@
         request: raw_servers.Request,
         writer: raw_servers.Writer,
     ) -> None:
+        if engine in self._restarts:
+            # It was accepted before the listener closed.
+            raw_servers.reset(writer)
+            return
         is_bad = BAD_PART in request.headers.get("cassiaquay-prompt-prefix", "")
-        now = asyncio.get_running_loop().time()
         if is_bad:
-            self.bad_arrival_times.append(now)
+            self.bad_arrival_times.append(asyncio.get_running_loop().time())
+        await asyncio.sleep(PREFILL_SECONDS)
+        self._write_head(request, writer)
+        await writer.drain()
         self._writers[engine].add(writer)
         try:
-            await asyncio.sleep(PREFILL_SECONDS)
-            self._write_head(request, writer)
-            await writer.drain()
             if is_bad:
                 self._crash(engine)
                 await asyncio.sleep(RESTART_SECONDS)
@@ -131,7 +134,7 @@
         self.crash_times.append(asyncio.get_running_loop().time())
         for writer in self._writers[engine]:
             # The process dies while it writes an event of each stream.
-            writer.write(b"id: 9\nda")
+            self._write(writer, b"id: 9\nda")
             if self._load.is_reset:
                 raw_servers.reset(writer)
         self._restarts[engine] = asyncio.create_task(self._restart(engine))
--- a/tests/test_crash_reports.py
+++ b/tests/test_crash_reports.py
@@ -36,7 +36,7 @@
             self.held[name],
             self.wires[name],
             self.members[name],
-            False,
+            settings,
             self.flushes.append,
         )
 
--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -2,6 +2,7 @@
 
 import crashing_fakes as crashing
 import gateway_fakes as fakes
+import pytest
 
 # Requests with the part that may reach servers once all instances can know of it.
 MAX_LATE_ARRIVALS = 3
@@ -31,3 +32,10 @@
     """Guards against prompts with one crashing part that are sent without end."""
     load = crashing.Load(instances=3, seconds=6.0)
     fakes.run(lambda site: _check(site, load), load.instances)
+
+
+@pytest.mark.parametrize("position", [0, 1, 2])
+def test_part_is_quarantined_wherever_it_stands(position) -> None:
+    """Guards against recognizing a part by what stands before it."""
+    load = crashing.Load(1, position, is_reset=True, seconds=6.0)
+    fakes.run(lambda site: _check(site, load), load.instances)
