Take no answer that ends with a crashed server's connection for complete

An answer may have neither length nor chunks and end with its connection; that of a crashed server ends the same way. One that ended within an event was broken off for its caller, but not counted as a crash; one that ended before its first event or between two was complete, and a single one cleared the part that had crashed the server, for good.

Such an answer that ends within an event or has none now counts as a closed connection. A whole one clears its request only if the server lives 0.3 s later: nobody has reported its crash, and it was heard or accepts a connection; otherwise it is a crash or, behind a relay or after a pause, proves nothing. Relays say that an answer ends with its connection.

--- a/packages/daemon/cassiaquay_daemon/gateway/forwarding.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/forwarding.py
@@ -27,6 +27,7 @@
 # Another server now has the address of the intended one.
 WRONG_SERVER_STATUS = 421
 FIRST_SERVER_ERROR_STATUS = 500
+STATUSES_WITHOUT_BODY = (204, 304)
 
 NO_SIGNALS = signals.Signals()
 BeforeSending = collections.abc.Callable[[], None]
@@ -75,6 +76,9 @@
         What it says about the server.
     is_relayed : bool
         Whether another instance passes it on.
+    is_framed : bool
+        Whether its body has a length or comes in chunks; otherwise it ends with the
+        server's connection, and so does the body of a server that has crashed.
     """
 
     response: aiohttp.ClientResponse
@@ -82,6 +86,7 @@
     headers: list[tuple[bytes, bytes]]
     reported: signals.Signals = NO_SIGNALS
     is_relayed: bool = False
+    is_framed: bool = True
 
     @property
     def is_failure(self) -> bool:
@@ -318,9 +323,11 @@
                 raise Misdirected(f"status {response.status}")
             raise exceptions.Declined(f"status {response.status}")
         pairs = headers.towards_caller(response.headers.items())
+        framed = is_framed(response)
         if is_relayed:
             pairs = relays.without_outcome(pairs)
-        return Answer(response, response.status, pairs, found, is_relayed)
+            framed = relays.UNFRAMED not in response.headers
+        return Answer(response, response.status, pairs, found, is_relayed, framed)
 
 
 def _read_signals(
@@ -342,6 +349,14 @@
     return _is_declined(response) or response.status >= FIRST_SERVER_ERROR_STATUS
 
 
+def is_framed(response: aiohttp.ClientResponse) -> bool:
+    """Return whether the end of the body is marked other than by closing."""
+    if response.method == "HEAD" or response.status in STATUSES_WITHOUT_BODY:
+        return True
+    names = (aiohttp.hdrs.CONTENT_LENGTH, aiohttp.hdrs.TRANSFER_ENCODING)
+    return any(name in response.headers for name in names)
+
+
 def _is_answer_to(attempt: str, response: aiohttp.ClientResponse) -> bool:
     return response.headers.get(headers.ATTEMPT.decode(), "") == attempt
 
--- a/packages/daemon/cassiaquay_daemon/gateway/passing.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/passing.py
@@ -42,6 +42,9 @@
 ) -> None:
     """Forward events as they arrive; raise StreamInterrupted when they are cut off.
 
+    An answer that ends with its connection and has no event, or only a part of its last
+    one, was cut off by the server's end.
+
     ``before_events`` is called before complete events are sent to the caller.
     """
     splitter = events.Splitter()
@@ -62,11 +65,22 @@
         if received.last != events.NO_EVENT:
             state.last_event = received.last
         await send(replies.part(received.data, True))
+    if not answer.is_framed:
+        _check_unframed_end(state, splitter)
     if not splitter.is_empty:
         raise exceptions.StreamInterrupted("the stream ends within an event")
     await send(replies.part(b"", False))
 
 
+def _check_unframed_end(
+    state: progress.RequestState, splitter: events.Splitter
+) -> None:
+    if not splitter.is_empty:
+        raise exceptions.ConnectionBroken("the connection ends within an event")
+    if state.last_event == events.NO_EVENT and not state.events_began_at:
+        raise exceptions.ConnectionBroken("the connection ends before the first event")
+
+
 def _check_event_order(state: progress.RequestState, received: events.Events) -> None:
     # A server that restarts the stream instead of resuming it, or skips events, would
     # mix the output of two runs in one answer; breaking the stream is safer.
--- a/packages/daemon/cassiaquay_daemon/gateway/relaying.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/relaying.py
@@ -147,6 +147,8 @@
         _log(parsed.attempt, target, relays.SENT, "")
         pairs = relays.without_outcome(headers.towards_caller(response.headers.items()))
         pairs.append((relays.OUTCOME_NAME, relays.SENT.encode()))
+        if not forwarding.is_framed(response):
+            pairs.append((relays.UNFRAMED_NAME, b"1"))
         answer = forwarding.Answer(response, response.status, pairs)
         try:
             await _pass(answer, send)
--- a/packages/daemon/cassiaquay_daemon/gateway/relays.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/relays.py
@@ -26,6 +26,9 @@
 # The relay has sent the request and got no answer, or the server broke the connection.
 LOST = "lost"
 BROKEN = "broken"
+# Answer header of a relay, present if the server's answer ends with its connection.
+UNFRAMED = "X-Cassiaquay-Relay-Unframed"
+UNFRAMED_NAME = UNFRAMED.lower().encode()
 # Status of a relay's own answers; owners go by the header alone.
 STATUS = 502
 # Relays that are tried for one dispatch.
@@ -127,7 +130,8 @@
 
 def without_outcome(pairs: list[tuple[bytes, bytes]]) -> list[tuple[bytes, bytes]]:
     """Return the headers of an answer without the relay's own."""
-    return [pair for pair in pairs if pair[0].lower() != OUTCOME_NAME]
+    own = (OUTCOME_NAME, UNFRAMED_NAME)
+    return [pair for pair in pairs if pair[0].lower() not in own]
 
 
 def _token(key: str, incarnation: str) -> str:
--- a/packages/daemon/cassiaquay_daemon/gateway/service.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/service.py
@@ -27,6 +27,7 @@
     accepting,
     accounting,
     admission,
+    completions,
     connections,
     directory,
     forwarding,
@@ -175,6 +176,7 @@
                 await asyncio.gather(*self._serving, return_exceptions=True)
         if self._probing is not None:
             self._probing.cancel()
+        self._parts.completions.close()
         await self._parts.forwarder.close()
 
     @property
@@ -226,6 +228,7 @@
         forwarder,
         budgets.RetryBudget(settings, shared.membership.fleet_size),
         shared.crashes,
+        completions.Completions(shared.crashes, observed, dialer),
         shared.reports,
         quotas.Quotas(settings, shared.links, shared.membership, shared.configured),
         shared.pauses,
--- a/packages/daemon/cassiaquay_daemon/gateway/serving.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/serving.py
@@ -17,6 +17,7 @@
     accepting,
     accounting,
     admission,
+    completions,
     forwarding,
     passing,
     progress,
@@ -51,6 +52,8 @@
         Limits retries.
     crashes : CrashReports
         Quarantines requests that crash servers.
+    completions : Completions
+        Clears requests that servers have completed.
     servers : ServerReports
         Returns why a server may get no request, by what it has reported.
     team_limits : Quotas
@@ -70,6 +73,7 @@
     forwarder: forwarding.Forwarder
     budget: budgets.RetryBudget
     crashes: crash_reports.CrashReports
+    completions: completions.Completions
     servers: server_reports.ServerReports
     team_limits: quotas.Quotas
     pauses: pause.Pauses
@@ -289,7 +293,7 @@
             # Closing the connection makes the server stop a request that still runs.
             # After a completely read answer, the connection stays in the pool.
             answer.response.close()
-        self._log_completed(state, answer, ticket.tally)
+        self._log_completed(state, answer, ticket)
         return _outcome_of(answer)
 
     def _check_before_sending(
@@ -380,10 +384,11 @@
         self,
         state: progress.RequestState,
         answer: forwarding.Answer,
-        tally: admission.Tally,
+        ticket: admission.Ticket,
     ) -> None:
         call = state.call
         status = answer.status
+        tally = ticket.tally
         first_ms = None
         if tally.first_at:
             first_ms = round((tally.first_at - call.began_at) * 1000.0, 1)
@@ -392,7 +397,7 @@
             "failed" if status >= forwarding.FIRST_SERVER_ERROR_STATUS else "completed"
         )
         if status < forwarding.FIRST_REDIRECT_STATUS:
-            self._parts.crashes.completed(call.content, call.parsed.shared_parts)
+            self._parts.completions.record(state, answer, ticket.server.address)
         self._parts.accounting.record_ended(
             state, outcome, outcome, first_at - call.began_at
         )
--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -34,6 +34,13 @@
     fakes.run(lambda site: _check(site, load), load.instances)
 
 
+@pytest.mark.parametrize("instances", [1, 3])
+def test_part_is_quarantined_if_answers_end_with_their_connection(instances) -> None:
+    """Guards against taking the end of a crashed server's answer for a complete one."""
+    load = crashing.Load(instances, seconds=6.0, is_framed=False)
+    fakes.run(lambda site: _check(site, load), load.instances)
+
+
 @pytest.mark.parametrize("position", [0, 1, 2])
 def test_part_is_quarantined_wherever_it_stands(position) -> None:
     """Guards against recognizing a part by what stands before it."""
