Send no reports of suspects that the quarantine has dropped

With more suspects in one crash than the quarantine keeps, the report of a dropped one had an age without end, and none of the crash was reported: int(inf) raised in the flush, for test_reports_of_one_crash_may_exceed_the_quarantine. Crash times of servers are also kept from fresh reports only, and the last one counts.

--- a/packages/daemon/cassiaquay_daemon/fleet/crash_reports.py
+++ b/packages/daemon/cassiaquay_daemon/fleet/crash_reports.py
@@ -20,6 +20,8 @@
 
 Flush = collections.abc.Callable[[], None]
 MAX_ENDED_SERVERS = 1024
+# Older reports come with tables that are compared; they say nothing about this moment.
+MAX_FRESH_SECONDS = 1.0
 
 
 def _flush_soon(flush: Flush) -> None:
@@ -61,7 +63,7 @@
         self._quarantine = held
         self._instance = settings.instance
         self._membership = membership
-        # Servers, by their starts, with the time of the first report of their crash.
+        # Servers, by their starts, with the time of the last report of their crash.
         self._ended_at: collections.OrderedDict[str, float] = collections.OrderedDict()
         self._replication = replication.Replication(links, membership, self)
         links.on(messages.CrashReports, self._handle_reports)
@@ -143,7 +145,8 @@
         return rendezvous.first(key, names | {self._instance}) == self._instance
 
     def _record_ended(self, server: str) -> None:
-        self._ended_at.setdefault(server, clock.now())
+        self._ended_at[server] = clock.now()
+        self._ended_at.move_to_end(server)
         if len(self._ended_at) > MAX_ENDED_SERVERS:
             self._ended_at.popitem(last=False)
 
@@ -166,8 +169,9 @@
                 frozenset(report.requests),
                 report.crash_age_ms / 1000.0,
             )
-            for server in report.servers:
-                self._record_ended(server)
+            if received.crash_age < MAX_FRESH_SECONDS:
+                for server in report.servers:
+                    self._record_ended(server)
             learn = functools.partial(self._quarantine.learn, received)
             if self._change(report.content, learn):
                 changed.append(report.content)
@@ -206,7 +210,12 @@
 
     def _send(self) -> None:
         unsent, self._unsent = self._unsent, {}
-        reports = [self._quarantine.report(content) for content in unsent]
+        reports = []
+        for content in unsent:
+            report = self._quarantine.report(content)
+            # The quarantine may have dropped it since, to stay within its bound.
+            if report.servers:
+                reports.append(report)
         senders = set(unsent.values())
         # One that has sent only some of the reports must get the others.
         sender = senders.pop() if len(senders) == 1 else ""
--- a/tests/test_crash_reports.py
+++ b/tests/test_crash_reports.py
@@ -110,6 +110,18 @@
             assert fleet.held[name].suspect_count == 20
 
 
+def test_reports_of_one_crash_may_exceed_the_quarantine() -> None:
+    """Guards against a crash of many servers at once that stops all reports."""
+    with fakes.Time().used() as time:
+        fleet = Fleet()
+        for number in range(quarantine.MAX_SUSPECTS + 10):
+            time.now += 0.001
+            fleet.reports["cq-1"].crashed(f"request-{number}", "i-1/1")
+        fleet.deliver()
+        for name in NAMES:
+            assert fleet.held[name].suspect_count == quarantine.MAX_SUSPECTS
+
+
 def test_report_changed_by_its_receiver_goes_back_to_its_sender() -> None:
     """Guards against a batch that leaves out the instance that needs it."""
     with fakes.Time().used():
