Soak: prompts with a part that crashes engines

The fault crashing_part lets callers send many requests with one part; engines end while they write the first event of an answer without length or chunks.

--- a/packages/dev/cassiaquay_dev/soak/callers.py
+++ b/packages/dev/cassiaquay_dev/soak/callers.py
@@ -22,6 +22,8 @@
 MAX_LEAVE_AFTER_SECONDS = 0.2
 # Share of the requests that crash engines, while the fault `crashing_request` lasts.
 CRASHING_REQUEST_SHARE = 0.08
+# The same for requests with a part that crashes engines, while `crashing_part` lasts.
+CRASHING_PART_SHARE = 0.15
 # Statuses that guarantee that the request has not run and never will.
 NOT_RUN = (408, 421, 429, 503)
 FINAL_STATUSES = (400, 401, 404, 413, 431)
@@ -117,6 +119,9 @@
             crashing_target = self._rng.choice(
                 sorted(self._recorded.active_crashing_targets)
             )
+        part = "" if crashing_target else self._choose_crashing_part()
+        if part:
+            kind, path, key = "stream", PATHS["stream"], "key-a"
         begun: records.Attempt | None = None
         for _ in range(MAX_TRIES):
             self._count += 1
@@ -124,6 +129,7 @@
             target = crashing_target or f"{path}{name}?a=%2F"
             attempt = records.Attempt(name, kind, target, key, BODY)
             attempt.deadline = deadline
+            attempt.crashing_part = part
             if begun is not None:
                 attempt.stream = begun.stream
                 attempt.first_event = begun.event_count
@@ -139,6 +145,13 @@
                 return
             await asyncio.sleep(self._retry_delay(attempt))
 
+    def _choose_crashing_part(self) -> str:
+        now = records.now()
+        for part, span in self._recorded.crashing_parts.items():
+            if span.end > now and self._rng.random() < CRASHING_PART_SHARE:
+                return part
+        return ""
+
     def _returns(self, attempt: records.Attempt) -> bool:
         """Return whether the caller takes a stream up that it has left midway."""
         if not self.breaks_streams or attempt.kind != "stream":
@@ -248,9 +261,15 @@
         lines += [
             "Cassiaquay-Model: m",
             "Cassiaquay-Token-Counts: 100,8",
-            "Cassiaquay-Prompt-Prefix: aa:60,bb:40",
+            f"Cassiaquay-Prompt-Prefix: aa:60,{_own_parts(attempt)}",
         ]
     if attempt.is_resumed:
         lines.append(f"Resumes: {attempt.stream}")
         lines.append(f"Last-Event-Id: {attempt.first_event - 1}")
     return "\r\n".join(lines) + "\r\n\r\n"
+
+
+def _own_parts(attempt: records.Attempt) -> str:
+    if not attempt.crashing_part:
+        return "bb:40"
+    return f"{attempt.crashing_part}:30,{attempt.name}:10"
--- a/packages/dev/cassiaquay_dev/soak/checks.py
+++ b/packages/dev/cassiaquay_dev/soak/checks.py
@@ -382,7 +382,7 @@
             continue
         if attempt.gave_up or attempt.status in (401, 404) or attempt.key == "key-c":
             continue
-        if attempt.path in recorded.crashing_targets:
+        if attempt.path in recorded.crashing_targets or attempt.crashing_part:
             continue
         asked += 1
         served += attempt.is_served
--- a/packages/dev/cassiaquay_dev/soak/engines.py
+++ b/packages/dev/cassiaquay_dev/soak/engines.py
@@ -137,7 +137,14 @@
             fault = self._rng.choice(FAULTS)
             run.has_engine_fault = True
         await asyncio.sleep(WORK_SECONDS * self.slowdown * self._rng.uniform(0.5, 2.0))
-        if run.request.target in self._recorded.crashing_targets:
+        if self._crashing_part(run):
+            # The process ends while it writes the first event, without a length.
+            raw_servers.write_head(writer, self._answer_headers(run))
+            writer.write(event_of(run.request.attempt, 0)[:7])
+            await writer.drain()
+        if self._crashing_part(run) or (
+            run.request.target in self._recorded.crashing_targets
+        ):
             run.has_engine_fault = True
             if self._on_crash is not None:
                 self._on_crash(self.name)
@@ -169,6 +176,13 @@
         if fault == "extra":
             writer.write(b"HTTP/1.1 200 X\r\nContent-Length: 5\r\n\r\nextra")
 
+    def _crashing_part(self, run: records.Run) -> str:
+        prompt = run.request.headers.get("cassiaquay-prompt-prefix", "")
+        for part in self._recorded.crashing_parts:
+            if part in prompt:
+                return part
+        return ""
+
     def _answer_headers(self, run: records.Run) -> dict[str, str]:
         headers = {
             "Cassiaquay-Attempt-Id": run.request.attempt,
--- a/packages/dev/cassiaquay_dev/soak/faults.py
+++ b/packages/dev/cassiaquay_dev/soak/faults.py
@@ -25,6 +25,7 @@
 # the faults that the kept seeds reproduce.
 EXPLICIT_ONLY = (
     "crashing_request",
+    "crashing_part",
     "engine_limit",
     "engine_departure",
     "engine_backoff",
@@ -302,6 +303,19 @@
     deployment.recorded.active_crashing_targets.discard(path)
 
 
+@faults.register("crashing_part")
+async def crashing_part(deployment: site.Site, rng: random.Random) -> None:
+    """Let callers send many requests with one part that crashes engines."""
+    parts = deployment.recorded.crashing_parts
+    start = records.now()
+    if any(span.end > start for span in parts.values()):
+        return
+    part = f"bad{len(parts)}"
+    parts[part] = records.Span(start, records.FOREVER)
+    await asyncio.sleep(rng.uniform(8.0, 12.0))
+    parts[part] = records.Span(start, records.now())
+
+
 @faults.register("engine_limit")
 async def engine_limit(deployment: site.Site, rng: random.Random) -> None:
     """Let an engine name a limit in its answers for a while."""
--- a/packages/dev/cassiaquay_dev/soak/main.py
+++ b/packages/dev/cassiaquay_dev/soak/main.py
@@ -11,10 +11,19 @@
 
 import fire
 
-from . import callers, checks, faults, records, report_checks, site, stream_checks
+from . import (
+    callers,
+    checks,
+    faults,
+    part_checks,
+    records,
+    report_checks,
+    site,
+    stream_checks,
+)
 
 # Imported because they register checks.
-CHECKS = (checks, report_checks, stream_checks)
+CHECKS = (checks, part_checks, report_checks, stream_checks)
 
 # Callers send requests for this long after the last fault, to check the recovery.
 RECOVERY_SECONDS = 9.0
--- a/packages/dev/cassiaquay_dev/soak/records.py
+++ b/packages/dev/cassiaquay_dev/soak/records.py
@@ -56,6 +56,8 @@
         self.stream = name
         # Number of the first event that it lacks.
         self.first_event = 0
+        # Part of its prompt that crashes engines; empty if none does.
+        self.crashing_part = ""
 
     @property
     def is_resumed(self) -> bool:
@@ -207,6 +209,8 @@
         # Targets of requests that crash engines; callers send the active ones.
         self.crashing_targets: set[str] = set()
         self.active_crashing_targets: set[str] = set()
+        # Parts of prompts that crash engines, with the times of the fault.
+        self.crashing_parts: dict[str, Span] = {}
         # Limits that engines have named, each from its first answer on.
         self.limits: list[Named] = []
         self.departures: list[Report] = []
--- a/packages/dev/cassiaquay_dev/soak/stream_checks.py
+++ b/packages/dev/cassiaquay_dev/soak/stream_checks.py
@@ -40,6 +40,8 @@
         start = attempt.sent_at - site.CONTACT_SECONDS
         if attempt.kind != "stream" or attempt.path in recorded.crashing_targets:
             continue
+        if attempt.crashing_part:
+            continue
         if not recorded.is_undisturbed(attempt.daemon, start, attempt.ended_at):
             continue
         if attempt.key == "key-c" or attempt.status in (401, 404):
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -12,6 +12,7 @@
     engines,
     exchange,
     main,
+    part_checks,
     records,
     site,
     stream_checks,
@@ -220,6 +221,22 @@
         run.at = START + 2.0 * number
 
 
+def _crashing_part_resent(recorded: records.Records) -> None:
+    recorded.crashing_parts["bad0"] = records.Span(START, START + 60.0)
+    for number in range(12):
+        attempt = _add_attempt(recorded, "stream", crashing_part="bad0")
+        run = _add_run(recorded, attempt, f"i-{number}", has_engine_fault=True)
+        run.at = START + 2.0 * number
+
+
+def _sound_streams_refused_beside_a_part(recorded: records.Records) -> None:
+    _crashing_part_resent(recorded)
+    for number in range(part_checks.MIN_ASKED):
+        _add_served(recorded, "stream", sent_at=START - 10.0)
+        sent_at = START + 20.0 + number
+        _add_attempt(recorded, "stream", status=503, sent_at=sent_at)
+
+
 def _more_arrivals_than_a_named_limit(recorded: records.Records) -> None:
     recorded.limits.append(records.Named("i-0", 1.0, START - 4.0, START + 8.0))
     for number in range(12):
@@ -311,6 +328,8 @@
         ("gone", _work_after_disconnect),
         ("recovered", _nothing_served_after_faults),
         ("crashing", _crashing_request_resent),
+        ("crashing part", _crashing_part_resent),
+        ("sound", _sound_streams_refused_beside_a_part),
         ("limit", _more_arrivals_than_a_named_limit),
         ("departure", _request_after_a_departure),
         ("backoff", _requests_within_an_asked_time),
