--- a/packages/dev/cassiaquay_dev/soak/report_checks.py
+++ b/packages/dev/cassiaquay_dev/soak/report_checks.py
@@ -100,7 +100,7 @@
         for attempt in recorded.attempts.values():
             if not since <= attempt.sent_at < cut.end or attempt.status in (401, 404):
                 continue
-            if attempt.gave_up or attempt.key == "key-c":
+            if attempt.gave_up or attempt.key == "key-c" or attempt.crashing_part:
                 continue
             start = attempt.sent_at - site.CONTACT_SECONDS
             if not recorded.is_undisturbed(attempt.daemon, start, attempt.ended_at):
--- a/tests/test_quarantined_parts.py
+++ b/tests/test_quarantined_parts.py
@@ -84,6 +84,17 @@
     assert held.blocking("new", ["bad"]) == ["bad"]
 
 
+def test_two_bad_parts_are_both_held(time) -> None:
+    """Guards against a bad part that another one's crashes keep in use."""
+    held = _quarantine()
+    _crash(held, CRASHES, "bad", "worse")
+    _crash(held, 1, "bad")
+    assert held.blocking("new", ["bad"]) == ["bad"]
+    assert not held.blocking("new", ["worse"]), "the other part explains its crashes"
+    held.crashed("worse", "i-9/1", "with the worse one only")
+    assert held.blocking("new", ["worse"]) == ["worse"]
+
+
 def test_trials_of_a_held_part_become_rare(time) -> None:
     """Guards against trials that crash more servers than the fleet can bear."""
     held = _quarantine()
