--- a/packages/daemon/cassiaquay_daemon/fleet/crash_reports.py
+++ b/packages/daemon/cassiaquay_daemon/fleet/crash_reports.py
@@ -103,6 +103,10 @@
             self._quarantine.record_refusal(key)
         return True
 
+    def blocking(self, content: str, parts: collections.abc.Sequence[str]) -> list[str]:
+        """Return the digests that a request is quarantined for."""
+        return self._quarantine.blocking(content, parts)
+
     def has_ended(self, server: str, since: float) -> bool:
         """Return whether a server's crash was reported since then.
 
--- a/packages/daemon/cassiaquay_daemon/gateway/serving.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/serving.py
@@ -334,6 +334,12 @@
         parts = call.parsed.shared_parts
         if not self._parts.crashes.holds(call.content, parts, is_sent_now):
             return
+        logs.event(
+            "request_held",
+            id=call.parsed.attempt,
+            content=call.content,
+            by=",".join(self._parts.crashes.blocking(call.content, parts)),
+        )
         if state.may_have_run:
             raise exceptions.AnswerLost("the request has crashed several servers")
         raise exceptions.Quarantined(retry_after_ms=quarantine.RETRY_MS)
--- a/packages/dev/cassiaquay_dev/soak/main.py
+++ b/packages/dev/cassiaquay_dev/soak/main.py
@@ -18,11 +18,13 @@
     part_checks,
     records,
     report_checks,
+    request_faults,
     site,
     stream_checks,
 )
 
-# Imported because they register checks.
+# Imported because they register faults and checks.
+FAULTS = (faults, request_faults)
 CHECKS = (checks, part_checks, report_checks, stream_checks)
 
 # Callers send requests for this long after the last fault, to check the recovery.
--- a/tests/crashing_fakes.py
+++ b/tests/crashing_fakes.py
@@ -30,6 +30,8 @@
     is_framed: bool = True
     # Whether the connections of a crashed server are reset instead of closed.
     is_reset: bool = False
+    # What a crashing server still writes of each stream.
+    last_bytes: bytes = b"id: 9\nda"
     sound_per_second: int = 25
     bad_per_second: int = 12
     warm_up_seconds: float = 1.0
@@ -133,8 +135,7 @@
             return
         self.crash_times.append(asyncio.get_running_loop().time())
         for writer in self._writers[engine]:
-            # The process dies while it writes an event of each stream.
-            self._write(writer, b"id: 9\nda")
+            self._write(writer, self._load.last_bytes)
             if self._load.is_reset:
                 raw_servers.reset(writer)
         self._restarts[engine] = asyncio.create_task(self._restart(engine))
--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -41,6 +41,14 @@
     fakes.run(lambda site: _check(site, load), load.instances)
 
 
+@pytest.mark.parametrize("instances", [1, 3])
+def test_part_is_quarantined_if_crashes_leave_whole_events(instances) -> None:
+    """Guards against a part that answers cleared which were cut between two events."""
+    whole = b"id: 0\ndata: piece 0\n\n"
+    load = crashing.Load(instances, seconds=6.0, is_framed=False, last_bytes=whole)
+    fakes.run(lambda site: _check(site, load), load.instances)
+
+
 @pytest.mark.parametrize("position", [0, 1, 2])
 def test_part_is_quarantined_wherever_it_stands(position) -> None:
     """Guards against recognizing a part by what stands before it."""
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -4,6 +4,7 @@
 
 import gateway_fakes as fakes
 
+from cassiaquay_daemon import logs
 from cassiaquay_dev.network import ports
 from cassiaquay_dev.standins import platform_standins as standins
 from cassiaquay_dev.standins import raw_servers
@@ -112,3 +113,28 @@
         assert not site.daemons[0]._quarantine.suspect_count
 
     fakes.run(work)
+
+
+def test_log_names_what_a_request_is_refused_for(monkeypatch) -> None:
+    """Guards against refusals of which nobody can tell the crashes behind them."""
+    seen: list[dict[str, str]] = []
+
+    def record(name: str, **fields: str) -> None:
+        if name == "request_held":
+            seen.append(fields)
+
+    async def work(site: fakes.Site) -> None:
+        for number in range(CRASHES_TO_QUARANTINE):
+            site.daemons[0]._crashes.crashed(f"r{number}", f"i-{number}/1", ["bad"])
+        parts = site.daemons[0]._crashes.blocking("new", ["bad", "sound"])
+        assert parts == ["bad"]
+        crashing = CrashingServers(site)
+        while len(crashing.arrivals) < CRASHES_TO_QUARANTINE:
+            await site.ask("/stream/x", body=CRASHING_BODY)
+        got = await site.ask("/stream/x", body=CRASHING_BODY)
+        assert got.status == 503
+        assert seen[-1]["id"] == got.attempt
+        assert seen[-1]["by"] == seen[-1]["content"]
+
+    monkeypatch.setattr(logs, "event", record)
+    fakes.run(work)
