Do not take bytes in flight for a sign that a server lives

What a server wrote on other connections just before it crashed is read after the end of its answer without length; the answer's part would then be cleared for good. Only what is heard 0.15 s later counts (test_bytes_in_flight_...: failed before).

--- a/packages/daemon/cassiaquay_daemon/gateway/completions.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/completions.py
@@ -20,6 +20,8 @@
 # Crashes reach other instances within a few round trips; a server that has crashed
 # needs seconds to start again.
 CONFIRMATION_SECONDS = 0.3
+# Bytes that a server sent on other connections before it crashed may be read this late.
+IN_FLIGHT_SECONDS = 0.15
 # After a longer pause of this process, another server may have the address.
 MAX_CONFIRMATION_SECONDS = 1.0
 
@@ -105,11 +107,12 @@
             return
         if not ended.address:
             return
-        if self._paths.is_silent(ended.address, ended.at):
+        alive_since = ended.at + IN_FLIGHT_SECONDS
+        if self._paths.is_silent(ended.address, alive_since):
             await self._dialer.probe(ended.address)
         if clock.now() - ended.at > MAX_CONFIRMATION_SECONDS:
             return
-        if self._paths.is_silent(ended.address, ended.at):
+        if self._paths.is_silent(ended.address, alive_since):
             self._report_crash(ended)
             return
         self._crashes.completed(ended.content, ended.parts)
--- a/tests/test_unframed_answers.py
+++ b/tests/test_unframed_answers.py
@@ -96,6 +96,20 @@
     fakes.run(work)
 
 
+def test_bytes_in_flight_do_not_show_that_a_server_lives() -> None:
+    """Guards against clearing a part by what its server wrote before it crashed."""
+
+    async def work(site: fakes.Site) -> None:
+        made = site.daemons[0]
+        observed = site.gateway(0)._paths
+        assert await _ask(site, _close, standins.stream_events(2), True)
+        observed.heard(site.engines[0].address)
+        await _wait_for(lambda: made._quarantine.suspect_count == 3)
+        assert not made._quarantine._completed
+
+    fakes.run(work)
+
+
 def test_answer_of_a_server_that_lives_on_clears_its_parts() -> None:
     """Guards against sound parts that stay suspects where no answer has a length."""
 
