--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -14,18 +14,14 @@
     servers, callers = await crashing.play(site, load)
     assert servers.crash_times, "no server has crashed"
     learned_at = servers.crash_times[: crashing.CRASHES_TO_LEARN][-1]
-    late = [
-        at
-        for at in servers.bad_arrival_times
-        if at > learned_at + crashing.CONTACT_SECONDS
-    ]
+    since = learned_at + crashing.CONTACT_SECONDS
+    late_count = sum(at > since for at in servers.bad_arrival_times)
+    crash_count = len(servers.crash_times)
+    assert late_count <= MAX_LATE_ARRIVALS, f"{crash_count} crashes"
     began_at = callers.outcomes[0].sent_at
     before = callers.share_begun(began_at, began_at + load.warm_up_seconds)
     after = callers.share_begun(learned_at + 2 * crashing.CONTACT_SECONDS, float("inf"))
-    assert (len(late) <= MAX_LATE_ARRIVALS, after >= MIN_SHARE * before) == (
-        True,
-        True,
-    ), f"{len(late)} late, {len(servers.crash_times)} crashes, {before}, {after}"
+    assert after >= MIN_SHARE * before, f"{crash_count} crashes"
 
 
 def test_prompt_part_that_crashes_servers_is_quarantined_at_all_instances() -> None:
