--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -22,6 +22,8 @@
     before = callers.share_begun(began_at, began_at + load.warm_up_seconds)
     after = callers.share_begun(learned_at + 2 * crashing.CONTACT_SECONDS, float("inf"))
     assert after >= MIN_SHARE * before, f"{crash_count} crashes"
+    for made in site.daemons:
+        assert made._quarantine.part_count == 1, "sound parts are not held"
 
 
 def test_prompt_part_that_crashes_servers_is_quarantined_at_all_instances() -> None:
