--- a/packages/daemon/cassiaquay_daemon/operators/metrics.py
+++ b/packages/daemon/cassiaquay_daemon/operators/metrics.py
@@ -149,7 +149,7 @@
     "Requests that are refused here since they have crashed servers.",
 )
 QUARANTINED_PARTS = Family(
-    "cassiaquay_quarantined_prompt_parts",
+    "cassiaquay_quarantined_prompt_part_entries",
     "gauge",
     (),
     "Parts of prompts whose requests are refused here since they have crashed servers.",
