--- a/packages/daemon/cassiaquay_daemon/fleet/crash_reports.py
+++ b/packages/daemon/cassiaquay_daemon/fleet/crash_reports.py
@@ -88,7 +88,7 @@
     ) -> bool:
         """Return whether a request is quarantined; note the refusal if it is.
 
-        ``parts`` are digests of the parts of its prompt. ``is_sent_now`` tells that the
+        ``parts`` are digests of the parts of its prompt. ``is_sent_now`` means that the
         request is about to be sent, which may be the trial of a quarantined part.
         """
         blocking = self._quarantine.blocking(content, parts)
--- a/packages/daemon/cassiaquay_daemon/gateway/completions.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/completions.py
@@ -58,7 +58,7 @@
     crashes : CrashReports
         Receives completions, and crashes that were taken for completions.
     observed : Paths
-        Tells when a server was heard last.
+        Records when each server was heard last.
     dialer : Dialer
         Opens a connection to a server that was not heard since.
     """
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -116,7 +116,7 @@
 
 
 def test_log_names_what_a_request_is_refused_for(monkeypatch) -> None:
-    """Guards against refusals of which nobody can tell the crashes behind them."""
+    """Guards against refusals whose cause is not in the log."""
     seen: list[dict[str, str]] = []
 
     def record(name: str, **fields: str) -> None:
--- a/tests/test_quarantined_parts.py
+++ b/tests/test_quarantined_parts.py
@@ -111,7 +111,7 @@
 
 
 def test_request_is_not_tried(time) -> None:
-    """Guards against trials of one request, whose caller can be told at once."""
+    """Guards against trials of a request that a trial would only repeat."""
     held = _quarantine()
     for number in range(CRASHES):
         held.crashed("poison", f"i-{number}/1")
--- a/tests/test_unframed_answers.py
+++ b/tests/test_unframed_answers.py
@@ -136,7 +136,7 @@
         assert got.complete == is_whole
         assert not any(name.startswith("x-cassiaquay-relay") for name in got.headers)
         assert held.suspect_count == (0 if is_whole else 3)
-        # Nothing tells whether a server behind a relay lives.
+        # The owner cannot see whether a server behind a relay lives.
         await asyncio.sleep(2 * completions.CONFIRMATION_SECONDS)
         assert not held._completed
 
