--- a/packages/daemon/cassiaquay_daemon/fleet/servers.py
+++ b/packages/daemon/cassiaquay_daemon/fleet/servers.py
@@ -89,6 +89,7 @@
         self._registered = server_list.ServerList()
         self._added: list[str] = []
         self._is_failing = False
+        self._is_discarding = False
         links.on(messages.ServerListQuery, self._handle_query)
         links.on(messages.ServerList, self._handle_list)
         membership.on_heartbeat(self._handle_heartbeat)
@@ -194,7 +195,13 @@
         """Apply a list; return whether the usable servers have changed."""
         if revision < self._revision:
             # It is older than a list that another instance has sent meanwhile.
+            if not self._is_discarding:
+                logs.event(
+                    "server_list_discarded", revision=revision, known=self._revision
+                )
+            self._is_discarding = True
             return False
+        self._is_discarding = False
         self._outages.note_read(read_at)
         self._revision = revision
         self._read_at = max(self._read_at, read_at)
--- a/packages/daemon/cassiaquay_daemon/platform/store.py
+++ b/packages/daemon/cassiaquay_daemon/platform/store.py
@@ -14,7 +14,7 @@
 
 from cassiaquay_schema import messages
 
-from .. import exceptions, platform
+from .. import exceptions, logs, platform
 from . import entries
 
 # The operator's keys: the configuration, and one key for each evacuated zone. One read
@@ -29,6 +29,8 @@
 # Longer than a slow store takes to answer. After this time the answer is taken for lost
 # and its connection for broken.
 ANSWER_TIMEOUT_SECONDS = 0.6
+# Answer header: number of times that the store has been restored from a copy.
+EPOCH_HEADER = "Store-Era"
 # Enough for thousands of servers; bounds the read of a listing that never ends.
 MAX_PAGES = 200
 
@@ -85,6 +87,7 @@
     def __init__(self, http: aiohttp.ClientSession, address: str):
         self._http = http
         self._base = f"http://{address}"
+        self._epoch = ""
 
     async def item(self, key: str) -> Item | None:
         """Return the item of ``key``, or None if there is no such key."""
@@ -145,6 +148,10 @@
             async with self._http.get(
                 self._base + path, params=query, timeout=timeout
             ) as response:
+                epoch = response.headers.get(EPOCH_HEADER, "")
+                if epoch != self._epoch:
+                    logs.event("store_epoch", epoch=epoch, before=self._epoch)
+                self._epoch = epoch
                 return response.status, await response.read()
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             raise exceptions.PlatformError(repr(error)) from error
@@ -158,6 +165,7 @@
         self.evacuated = platform.NOTHING_EVACUATED
         self._store = Store(http, address)
         self._after = 0
+        self._discarded = 0
 
     async def watch(self, after: int, wait: float) -> platform.Published | None:
         """Return a revision newer than ``after``, or None after ``wait`` seconds."""
@@ -173,6 +181,11 @@
         item = await self._read()
         if item is None:
             return None
+        if item.revision < self._after and item.revision != self._discarded:
+            self._discarded = item.revision
+            logs.event(
+                "configuration_discarded", revision=item.revision, known=self._after
+            )
         self._after = max(self._after, item.revision)
         if item.revision <= after:
             return None
--- a/packages/dev/cassiaquay_dev/standins/platform_standins.py
+++ b/packages/dev/cassiaquay_dev/standins/platform_standins.py
@@ -1,6 +1,8 @@
 """Minimal stand-ins for the users' platform: store, engines, configuration document."""
 
+import asyncio
 import base64
+import contextlib
 import json
 import typing
 import urllib.parse
@@ -12,30 +14,65 @@
 EVENT_COUNT = 6
 
 
+class Copy(typing.NamedTuple):
+    """The content of the store at one revision."""
+
+    revision: int
+    items: dict[str, tuple[int, bytes]]
+
+
 class Store(raw_servers.RawServer):
-    """The platform's key-value store: the configuration and the servers' entries."""
+    """The platform's key-value store: the configuration and the servers' entries.
+
+    Attributes
+    ----------
+    epoch : str
+        Value of the header that counts the returns from a copy; empty for no header.
+    calls : int
+        Number of answered calls.
+    """
 
     def __init__(self) -> None:
         super().__init__()
         self.revision = 1
+        self.epoch = "1"
         self.down = False
+        self.calls = 0
         self.items: dict[str, tuple[int, bytes]] = {}
+        # Revision and key of each change since the last return from a copy.
+        self._history: list[tuple[int, str]] = []
+        self._history_start = 0
+        self._changed = asyncio.Event()
 
     def put(self, key: str, value: object) -> None:
         """Write a key; bytes are stored unchanged, other values as JSON."""
-        self.revision += 1
         data = value if isinstance(value, bytes) else json.dumps(value).encode()
+        self._note_change(key)
         self.items[key] = (self.revision, data)
 
     def remove(self, key: str) -> None:
         """Remove a key."""
-        self.revision += 1
+        self._note_change(key)
         del self.items[key]
 
+    def copy(self) -> Copy:
+        """Return a copy of the content."""
+        return Copy(self.revision, dict(self.items))
+
+    def restore(self, copy: Copy) -> None:
+        """Return from a copy, in a new epoch and without history."""
+        self.revision = copy.revision
+        self.items = dict(copy.items)
+        self.epoch = str(int(self.epoch or "1") + 1)
+        self._history = []
+        self._history_start = copy.revision
+        self._wake_watches()
+
     async def respond(
         self, request: raw_servers.Request, writer: raw_servers.Writer
     ) -> None:
-        """Answer a read of a key or of a range of keys."""
+        """Answer a read of a key or of a range of keys, or a watch."""
+        self.calls += 1
         path, _, query = request.target.partition("?")
         parameters = dict(urllib.parse.parse_qsl(query))
         status, body = 404, {}
@@ -45,13 +82,25 @@
             status, body = 200, self._item(parameters["key"])
         elif path == "/cassiaquay/kv-range":
             status, body = 200, self._page(parameters)
+        elif path == "/cassiaquay/kv-watch":
+            status, body = await self._watch(parameters)
         data = json.dumps(body | {"current-rev": self.revision}).encode()
-        writer.write(
-            b"HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n" % (status, len(data))
-        )
+        writer.write(b"HTTP/1.1 %d X\r\nContent-Length: %d\r\n" % (status, len(data)))
+        if self.epoch:
+            writer.write(b"Store-Era: %b\r\n" % self.epoch.encode())
+        writer.write(b"\r\n")
         writer.write(data)
         await writer.drain()
 
+    def _note_change(self, key: str) -> None:
+        self.revision += 1
+        self._history.append((self.revision, key))
+        self._wake_watches()
+
+    def _wake_watches(self) -> None:
+        changed, self._changed = self._changed, asyncio.Event()
+        changed.set()
+
     def _item(self, key: str) -> dict[str, typing.Any]:
         revision, value = self.items[key]
         text = base64.b64encode(value).decode()
@@ -71,6 +120,25 @@
             "truncated": len(keys) > 2,
         }
 
+    async def _watch(
+        self, parameters: dict[str, str]
+    ) -> tuple[int, dict[str, typing.Any]]:
+        after = int(parameters["after"])
+        prefix = parameters["path-prefix"]
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(int(parameters["wait-ms"]) / 1000):
+                while True:
+                    if not self._history_start <= after <= self.revision:
+                        return 410, {}
+                    events = []
+                    for revision, key in self._history:
+                        if revision > after and key.startswith(prefix):
+                            events.append({"key": key, "revision": revision})
+                    if events:
+                        return 200, {"events": events}
+                    await self._changed.wait()
+        return 200, {"events": []}
+
 
 class Engine(raw_servers.RawServer):
     """A backend server whose answers the callable `responder` writes."""
