--- a/packages/daemon/cassiaquay_daemon/configured/snapshots.py
+++ b/packages/daemon/cassiaquay_daemon/configured/snapshots.py
@@ -15,7 +15,7 @@
 from cassiaquay_schema import exceptions, registry, texts
 from cassiaquay_schema import fleet as fleet_schema
 
-from .. import rendezvous
+from .. import positions, rendezvous
 from ..adapters import backends
 from . import routing
 
@@ -34,7 +34,7 @@
     Attributes
     ----------
     revision : int
-        Its position in the platform's order of publication.
+        The platform's revision at which it was written.
     text : str
         The fleet text as published.
     fleet : Fleet
@@ -43,6 +43,10 @@
         Team names by SHA-256 hex digest of a credential.
     routes : Routing or None
         Routes of callers' plain HTTP requests; None when the configuration has none.
+    epoch : int
+        Epoch of the platform in which it was written.
+    number : int
+        The operators' number of the text; 0 if it has none.
     """
 
     revision: int
@@ -50,6 +54,18 @@
     fleet: fleet_schema.Fleet
     teams_by_credential: dict[str, str]
     routes: routing.Routing | None = None
+    epoch: int = 0
+    number: int = 0
+
+    @property
+    def label(self) -> int:
+        """What operators see: their number of the text, else the revision."""
+        return self.number or self.revision
+
+    @property
+    def fence(self) -> int:
+        """Fencing number of orders under this text; never lower for a newer text."""
+        return self.number or self.epoch << positions.REVISION_BITS | self.revision
 
     def team_of(self, credential: str) -> str | None:
         """Return the team that a credential belongs to."""
--- a/packages/daemon/cassiaquay_daemon/daemon.py
+++ b/packages/daemon/cassiaquay_daemon/daemon.py
@@ -115,7 +115,7 @@
         )
         self._owner.use_pauses(self._pauses)
         self._membership.on_heartbeat(self._configuration.handle_heartbeat)
-        self._membership.digest = lambda: self._configuration.digest
+        self._membership.text_version = lambda: self._configuration.version_in_force
         self._configuration.on_accept(self._membership.update)
         self._pauses.on_resume(self._membership.restart_silence_timers)
         platform_settings = settings.platform
--- /dev/null
+++ b/packages/daemon/cassiaquay_daemon/decisions/withdrawals.py
@@ -0,0 +1,114 @@
+"""Backend servers that the platform has shown to leave, remembered across its epochs.
+
+Load pattern: the platform returns from a copy that is some seconds old. The copy lists
+servers as ready that have left since; requests to them fail, and their addresses may
+belong to other servers. Their entries are written or removed again within seconds.
+"""
+
+import typing
+
+from cassiaquay_schema import messages
+
+from .. import clock
+
+# Longer than a copy is old and than its entries take to be written again.
+RETENTION_SECONDS = 60.0
+
+
+class Withdrawal(typing.NamedTuple):
+    """A server that has left.
+
+    Attributes
+    ----------
+    epoch : int
+        Epoch of the platform that showed it.
+    sequence : int
+        Sequence of the server's last entry; 0 if not given.
+    is_announced : bool
+        Whether the server itself reported that it leaves; otherwise its entry is gone,
+        which also happens to a server that the platform did not hear for a while.
+    kept_until : float
+        When it is forgotten, in seconds on the local clock.
+    """
+
+    epoch: int
+    sequence: int
+    is_announced: bool
+    kept_until: float
+
+    @property
+    def order(self) -> tuple[int, bool, int]:
+        """Of two withdrawals of one server, the greater one is kept."""
+        return self.epoch, self.is_announced, self.sequence
+
+
+class Withdrawals:
+    """The withdrawals known to this instance."""
+
+    def __init__(self) -> None:
+        self._withdrawals: dict[str, Withdrawal] = {}
+
+    def note_leaving(self, entry: messages.ServerEntry, epoch: int) -> None:
+        """Note a server whose entry says that it leaves."""
+        self._note(entry, epoch, is_announced=True)
+
+    def note_gone(self, entry: messages.ServerEntry, epoch: int) -> None:
+        """Note a server whose entry is gone."""
+        known = self._withdrawals.get(entry.name)
+        is_announced = known is not None and known.is_announced
+        self._note(entry, epoch, is_announced)
+
+    def applies_to(self, entry: messages.ServerEntry, epoch: int) -> bool:
+        """Return whether a server has left although an entry of an epoch is ready."""
+        known = self._withdrawals.get(entry.name)
+        if known is None or clock.now() >= known.kept_until:
+            return False
+        if known.epoch >= epoch:
+            # The platform shows it again in the same epoch: it had only fallen silent.
+            return False
+        # A server that announced its leaving never returns under its id. One whose
+        # entry had run out may have registered again; it has counted on.
+        return known.is_announced or entry.sequence <= known.sequence
+
+    def learn(self, message: messages.ServerWithdrawal) -> bool:
+        """Note a withdrawal from another instance; return whether it is new here."""
+        kept_until = clock.now() + RETENTION_SECONDS - message.age_ms / 1000.0
+        learned = Withdrawal(
+            message.epoch, message.sequence, message.is_announced, kept_until
+        )
+        known = self._withdrawals.get(message.server)
+        if known is not None and known.order >= learned.order:
+            return False
+        self._withdrawals[message.server] = learned
+        return True
+
+    def to_send(self) -> list[messages.ServerWithdrawal]:
+        """Return all withdrawals for sending."""
+        now = clock.now()
+        sent = []
+        for server, known in self._withdrawals.items():
+            left_s = known.kept_until - now
+            if left_s <= 0.0:
+                continue
+            age_ms = int((RETENTION_SECONDS - left_s) * 1000)
+            sent.append(
+                messages.ServerWithdrawal(
+                    server, known.epoch, known.sequence, known.is_announced, age_ms
+                )
+            )
+        return sent
+
+    def expire(self) -> None:
+        """Forget old withdrawals."""
+        now = clock.now()
+        for server, known in list(self._withdrawals.items()):
+            if now >= known.kept_until:
+                del self._withdrawals[server]
+
+    def _note(
+        self, entry: messages.ServerEntry, epoch: int, is_announced: bool
+    ) -> None:
+        kept_until = clock.now() + RETENTION_SECONDS
+        self._withdrawals[entry.name] = Withdrawal(
+            epoch, entry.sequence, is_announced, kept_until
+        )
--- a/packages/daemon/cassiaquay_daemon/engines/orders.py
+++ b/packages/daemon/cassiaquay_daemon/engines/orders.py
@@ -95,10 +95,10 @@
 def fence(snapshot: snapshots.Snapshot) -> int:
     """Return the fencing number of all orders under a configuration.
 
-    Two keepers with the same revision send identical orders, so an equal number does
-    no harm. Engines refuse the orders of a keeper with an older revision.
+    Two keepers with the same text send identical orders, so an equal number does no
+    harm. Engines refuse the orders of a keeper with an older text.
     """
-    return snapshot.revision
+    return snapshot.fence
 
 
 def may_load(engines: list[Engine], minimum: int, at_once: int) -> list[str]:
--- a/packages/daemon/cassiaquay_daemon/fleet/configuration.py
+++ b/packages/daemon/cassiaquay_daemon/fleet/configuration.py
@@ -1,12 +1,13 @@
 """The configuration in force: a few instances read it and distribute it to the others.
 
-Texts are ordered by the platform's revision, then by the digest of the text; an
-instance never goes back to a lower one. docs/design/configuration.md explains why.
+Texts are ordered by the operators' number, then by where they were written in the
+platform's history, then by digest; an instance never goes back to a lower one.
+docs/design/configuration.md explains why.
 """
 
 import asyncio
+import collections
 import collections.abc
-import typing
 
 import xxhash
 
@@ -14,7 +15,7 @@
 from cassiaquay_schema import messages
 from cassiaquay_schema import settings as settings_schema
 
-from .. import clock, exceptions, logs, platform, rendezvous
+from .. import clock, exceptions, logs, platform, positions, rendezvous
 from ..configured import changes, snapshots
 from ..links import peers
 from . import members
@@ -31,16 +32,11 @@
 # heartbeats and responses.
 MIN_CHARACTERS_FOR_THREAD = 32_768
 MAX_REMEMBERED_REJECTIONS = 16
-
-
-class TextVersion(typing.NamedTuple):
-    """Version of a configuration text; versions compare by revision, then digest."""
-
-    revision: int
-    digest: int
-
-
-NO_VERSION = TextVersion(0, 0)
+# Former texts without a number that are recognized when a copy brings them back.
+MAX_REMEMBERED_TEXTS = 64
+# The operators have written their newest text again this long after the platform's
+# return from a copy, or it is lost there.
+LOST_TEXT_SECONDS = 10.0
 
 
 def digest_of(text: str) -> int:
@@ -68,8 +64,14 @@
         # The snapshot in force without registered servers, and those servers.
         self._in_force: snapshots.Snapshot | None = None
         self._servers: snapshots.RegisteredServers | None = None
-        self._newest_version = NO_VERSION
-        self._rejected_versions: dict[TextVersion, str] = {}
+        self._newest_version = positions.NO_VERSION
+        self._rejected_versions: dict[positions.TextVersion, str] = {}
+        # Revision and digest of former texts without a number.
+        self._former: collections.OrderedDict[tuple[int, int], None]
+        self._former = collections.OrderedDict()
+        # Where the platform's text was that this instance read last.
+        self._read_position = positions.START
+        self._older_since: float | None = None
         self._previous_text = ""
         self._is_held = False
         self._requested_at = 0.0
@@ -81,18 +83,18 @@
 
     @property
     def revision(self) -> int:
-        """Revision in force; 0 before the first one."""
-        return self.current.revision if self.current else 0
+        """Label of the text in force; 0 before the first one."""
+        return self.current.label if self.current else 0
 
     @property
-    def newest_version(self) -> TextVersion:
+    def newest_version(self) -> positions.TextVersion:
         """Version of the newest valid text, in force or held back."""
         return self._newest_version
 
     @property
-    def digest(self) -> int:
-        """Digest of the newest valid text."""
-        return self._newest_version.digest
+    def version_in_force(self) -> positions.TextVersion:
+        """Version of the text in force, as sent in heartbeats."""
+        return self._newest_version if self.current else positions.NO_VERSION
 
     def on_accept(self, call: collections.abc.Callable[[], object]) -> None:
         """Call ``call`` after each newly accepted text."""
@@ -118,30 +120,39 @@
         if self._in_force is not None:
             self._publish(self._in_force)
 
-    def accept(self, revision: int, text: str) -> bool:
+    def accept(self, published: platform.Published) -> bool:
         """Put a text in force when it is newer and valid; return whether it was."""
-        version = TextVersion(revision, digest_of(text))
+        version = self._version_of(published)
         if not self._is_newer(version):
             return False
-        return self._apply_parsed(version, text, _parse(self._reader, revision, text))
+        parsed = self._parse_unless_known(version, published.text)
+        return self._apply_parsed(version, published.text, parsed)
 
-    async def offer(self, revision: int, text: str) -> bool:
+    async def offer(self, published: platform.Published) -> bool:
         """Do the same as :meth:`accept`, but parse large texts in a thread."""
+        text = published.text
         if len(text) < MIN_CHARACTERS_FOR_THREAD:
-            return self.accept(revision, text)
-        version = TextVersion(revision, digest_of(text))
+            return self.accept(published)
+        version = self._version_of(published)
         if not self._is_newer(version):
             return False
-        parsed = await asyncio.to_thread(_parse, self._reader, revision, text)
+        parsed = await asyncio.to_thread(self._parse_unless_known, version, text)
         return self._is_newer(version) and self._apply_parsed(version, text, parsed)
 
-    def should_fetch(self, version: TextVersion) -> bool:
-        """Return whether a text of this version is newer and not yet rejected."""
-        return version > self._newest_version and version not in self._rejected_versions
+    def should_fetch(self, version: positions.TextVersion) -> bool:
+        """Return whether a text of this version is newer and was not refused."""
+        if version <= self._newest_version or version in self._rejected_versions:
+            return False
+        return bool(version.number) or not self._is_former(version)
 
     def handle_heartbeat(self, link: peers.Link, beat: messages.Heartbeat) -> None:
         """Request a neighbour's configuration when its heartbeat shows a newer one."""
-        if not self.should_fetch(TextVersion(beat.revision, beat.digest)):
+        version = positions.version_in(beat)
+        if not self.should_fetch(version):
+            return
+        if self._newest is not None and version.has_text_of(self._newest_version):
+            # The same text, written again after the platform's return from a copy.
+            self._apply_parsed(version, self._newest.text, self._newest)
             return
         if clock.now() - self._requested_at >= REQUEST_TIMEOUT_SECONDS:
             self.send_query(link)
@@ -149,7 +160,12 @@
     def send_query(self, link: peers.Link) -> None:
         """Request the configuration of another instance."""
         self._requested_at = clock.now()
-        link.send(messages.ConfigurationQuery(*self._newest_version))
+        newest = self._newest_version
+        link.send(
+            messages.ConfigurationQuery(
+                newest.revision, newest.digest, newest.number, newest.epoch
+            )
+        )
 
     async def watch(
         self, source: platform.ConfigurationService, membership: members.Membership
@@ -172,13 +188,16 @@
         self, source: platform.ConfigurationService, wait: float
     ) -> bool:
         """Read the service once; return whether it answered."""
+        began = clock.now()
         try:
             is_accepted = await self.read_once(source, wait)
         except exceptions.PlatformError as error:
             logs.detail("configuration_unreadable", cause=str(error))
             await asyncio.sleep(RETRY_SECONDS)
             return False
-        if is_accepted is False:
+        is_early = wait > 0.0 and clock.now() - began < RETRY_SECONDS
+        if is_accepted is False or (is_accepted is None and is_early):
+            # A service that ends each watch at once is not read without a pause.
             await asyncio.sleep(RETRY_SECONDS)
         return True
 
@@ -189,11 +208,15 @@
 
         None when the service has no newer text.
         """
-        known = max([self._newest_version.revision, *self.rejected])
+        known = max(self._newest_version.position, self._read_position)
         published = await source.watch(known, wait)
         if published is None:
+            self._check_lost()
             return None
-        return await self.offer(published.revision, published.text)
+        is_accepted = await self.offer(published)
+        self._read_position = max(self._read_position, published.position)
+        self._note_published(self._version_of(published))
+        return is_accepted
 
     def is_watcher(self, membership: members.Membership) -> bool:
         """Return whether this instance long-polls the service."""
@@ -209,35 +232,93 @@
         name = self._settings.instance
         return name in ranked[:WATCHER_COUNT] or name == first_of_domain
 
-    def _is_newer(self, version: TextVersion) -> bool:
-        if version.revision == self._newest_version.revision != 0:
-            if version.digest != self._newest_version.digest:
+    def _version_of(self, published: platform.Published) -> positions.TextVersion:
+        number = published.number
+        if number is None:
+            # The text is invalid; it is parsed so that its refusal is logged.
+            number = self._newest_version.number
+        digest = digest_of(published.text)
+        return positions.TextVersion(number, *published.position, digest)
+
+    def _is_former(self, version: positions.TextVersion) -> bool:
+        """Return whether a text without a number was in force before, at its place.
+
+        A platform that returns from a copy shows it in a newer epoch. Written anew by
+        the operators, it would be at another revision.
+        """
+        return (version.revision, version.digest) in self._former
+
+    def _note_published(self, version: positions.TextVersion) -> None:
+        """Note which text the platform shows, to find one that it has lost."""
+        if version >= self._newest_version or version in self._rejected_versions:
+            self._older_since = None
+            return
+        if self._older_since is None:
+            self._older_since = clock.now()
+        logs.event(
+            "configuration_older_published",
+            number=version.number,
+            epoch=version.epoch,
+            revision=version.revision,
+            in_force=self.revision,
+        )
+
+    def _check_lost(self) -> None:
+        """Log once when the platform does not show the text in force again."""
+        since = self._older_since
+        if since is None or clock.now() - since < LOST_TEXT_SECONDS:
+            return
+        self._older_since = None
+        logs.trouble("configuration_lost", in_force=self.revision)
+
+    def _is_newer(self, version: positions.TextVersion) -> bool:
+        newest = self._newest_version
+        if newest.revision and version[:-1] == newest[:-1]:
+            if version.digest != newest.digest:
                 # The platform published two texts under one revision. All instances
                 # must converge on one of them, so the greater digest wins.
                 logs.trouble("configuration_conflict", revision=version.revision)
         return self.should_fetch(version)
 
+    def _parse_unless_known(
+        self, version: positions.TextVersion, text: str
+    ) -> snapshots.Snapshot | schema_exceptions.SchemaError:
+        if self._newest is not None and version.has_text_of(self._newest_version):
+            return self._newest
+        return _parse(self._reader, version.revision, text)
+
     def _apply_parsed(
         self,
-        version: TextVersion,
+        version: positions.TextVersion,
         text: str,
         parsed: snapshots.Snapshot | schema_exceptions.SchemaError,
     ) -> bool:
         if isinstance(parsed, schema_exceptions.SchemaError):
             self._reject(version, parsed)
             return False
-        self._previous_text = self._newest.text if self._newest else ""
-        self._newest = parsed
+        if self._newest is not None and self._newest.text != text:
+            self._remember_former(self._newest_version)
+            self._previous_text = self._newest.text
+        self._newest = parsed._replace(
+            revision=version.revision, epoch=version.epoch, number=version.number
+        )
         self._newest_version = version
         if not self._is_held:
-            self._put_in_force(parsed)
+            self._put_in_force(self._newest)
         return True
 
+    def _remember_former(self, version: positions.TextVersion) -> None:
+        if version.number:
+            return
+        self._former[version.revision, version.digest] = None
+        while len(self._former) > MAX_REMEMBERED_TEXTS:
+            self._former.popitem(last=False)
+
     def _reject(
-        self, version: TextVersion, error: schema_exceptions.SchemaError
+        self, version: positions.TextVersion, error: schema_exceptions.SchemaError
     ) -> None:
         self._rejected_versions[version] = str(error)
-        self.rejected[version.revision] = str(error)
+        self.rejected[version.number or version.revision] = str(error)
         while len(self._rejected_versions) > MAX_REMEMBERED_REJECTIONS:
             del self._rejected_versions[min(self._rejected_versions)]
         while len(self.rejected) > MAX_REMEMBERED_REJECTIONS:
@@ -251,7 +332,12 @@
 
     def _put_in_force(self, snapshot: snapshots.Snapshot) -> None:
         self._in_force = snapshot
-        logs.event("configuration_in_force", revision=snapshot.revision)
+        logs.event(
+            "configuration_in_force",
+            revision=snapshot.revision,
+            epoch=snapshot.epoch or None,
+            number=snapshot.number or None,
+        )
         self._publish(snapshot)
 
     def _publish(self, snapshot: snapshots.Snapshot) -> None:
@@ -265,43 +351,62 @@
         self, link: peers.Link, query: messages.ConfigurationQuery
     ) -> None:
         newest = self._newest
-        if newest is None or self._newest_version <= TextVersion(*query):
+        version = self._newest_version
+        if newest is None or version <= positions.version_in(query):
             return
         if query.digest and query.digest == digest_of(self._previous_text):
             # Most changes touch a few lines of a text of up to 1 MB: send the diff.
             change = changes.difference(self._previous_text, newest.text)
             link.send(
                 messages.ConfigurationChange(
-                    newest.revision, self._newest_version.digest, query.digest, *change
+                    version.revision,
+                    version.digest,
+                    query.digest,
+                    *change,
+                    text_number=version.number,
+                    epoch=version.epoch,
                 )
             )
             return
-        link.send(messages.ConfigurationText(newest.revision, newest.text))
+        link.send(
+            messages.ConfigurationText(
+                version.revision, newest.text, version.number, version.epoch
+            )
+        )
 
     def _handle_text(
         self, link: peers.Link, message: messages.ConfigurationText
     ) -> None:
-        self._schedule_offer(message.revision, message.text)
+        self._schedule_offer(
+            platform.Published(
+                message.revision, message.text, message.epoch, message.text_number
+            )
+        )
 
     def _handle_change(
         self, link: peers.Link, message: messages.ConfigurationChange
     ) -> None:
-        if not self.should_fetch(TextVersion(message.revision, message.digest)):
+        version = positions.version_in(message)
+        if not self.should_fetch(version):
             return
         if self._newest is not None and message.base == self._newest_version.digest:
             change = changes.Change(message.start, message.end, message.part)
             text = changes.apply(self._newest.text, change)
             if digest_of(text) == message.digest:
-                self._schedule_offer(message.revision, text)
+                self._schedule_offer(
+                    platform.Published(
+                        version.revision, text, version.epoch, version.number
+                    )
+                )
                 return
         # The diff does not apply to the text held here: request the whole text.
         link.send(messages.ConfigurationQuery(0, 0))
 
-    def _schedule_offer(self, revision: int, text: str) -> None:
-        if len(text) < MIN_CHARACTERS_FOR_THREAD:
-            self.accept(revision, text)
+    def _schedule_offer(self, published: platform.Published) -> None:
+        if len(published.text) < MIN_CHARACTERS_FOR_THREAD:
+            self.accept(published)
             return
-        task = asyncio.create_task(self.offer(revision, text))
+        task = asyncio.create_task(self.offer(published))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
--- a/packages/daemon/cassiaquay_daemon/fleet/freshness.py
+++ b/packages/daemon/cassiaquay_daemon/fleet/freshness.py
@@ -2,14 +2,16 @@
 
 import typing
 
+from .. import positions
+
 
 class Freshness(typing.NamedTuple):
-    """Revision, age and content digest of a list of backend servers.
+    """Position, age and content digest of a list of backend servers.
 
     Attributes
     ----------
-    revision : int
-        Revision of the platform at the last read; 0 before the first read.
+    position : Position
+        Position of the platform at the last read.
     age_ms : int
         Milliseconds since that read.
     digest : int
@@ -18,7 +20,7 @@
         Milliseconds for which the list has been confirmed current without a gap.
     """
 
-    revision: int = 0
+    position: positions.Position = positions.START
     age_ms: int = 0
     digest: int = 0
     steady_ms: int = 0
--- a/packages/daemon/cassiaquay_daemon/fleet/members.py
+++ b/packages/daemon/cassiaquay_daemon/fleet/members.py
@@ -11,7 +11,7 @@
 from cassiaquay_schema import messages
 from cassiaquay_schema import settings as settings_schema
 
-from .. import clock, exceptions, logs, platform, rendezvous
+from .. import clock, exceptions, logs, platform, positions, rendezvous
 from ..links import peers
 from . import (
     budget_peers,
@@ -59,7 +59,8 @@
         self.relay_address = ""
         # Services whose servers other instances reach and this one does not.
         self.lost_services: collections.abc.Callable[[], list[str]] = list
-        self.digest: collections.abc.Callable[[], int] = int
+        self.text_version: collections.abc.Callable[[], positions.TextVersion]
+        self.text_version = lambda: positions.NO_VERSION
         self.servers_state: collections.abc.Callable[[], freshness.Freshness]
         self.servers_state = freshness.Freshness
         # Digests of replicated tables, by their field in heartbeats.
@@ -296,7 +297,7 @@
     def _send(self) -> None:
         # The gossip includes this instance's own fact, so refresh it first.
         self.update()
-        _, revision = self._measure()
+        text = self.text_version()
         listed = self.servers_state()
         digests = {field: digest() for field, digest in self.table_digests.items()}
         for link in self._links_to_use():
@@ -304,17 +305,20 @@
             link.send(
                 messages.Heartbeat(
                     self._round,
-                    revision,
-                    self.digest(),
+                    text.revision,
+                    text.digest,
                     portion.members,
                     portion.suspicions,
                     self.facts.digest,
-                    listed.revision,
+                    listed.position.revision,
                     listed.age_ms,
                     listed.digest,
                     int(clock.now() * 1000.0),
                     listed.steady_ms,
                     **digests,
+                    text_number=text.number,
+                    epoch=text.epoch,
+                    servers_epoch=listed.position.epoch,
                 )
             )
 
@@ -374,7 +378,7 @@
             self._note_suspicion(link, suspicion)
         self._gossip.compare(link.instance, beat.table)
         self._detector.note_heartbeat(link)
-        self.facts.note_revision(link.instance, beat.revision)
+        self.facts.note_revision(link.instance, beat.text_number or beat.revision)
         to_refute = self.facts.suspicion_of(link.instance)
         if to_refute is not None:
             # The sender is alive but suspected here, and can refute the suspicion.
--- a/packages/daemon/cassiaquay_daemon/fleet/outages.py
+++ b/packages/daemon/cassiaquay_daemon/fleet/outages.py
@@ -59,6 +59,15 @@
         self._returned_at = read_at
         logs.event("platform_returned", away_ms=round(gap_s * 1000))
 
+    def note_restored(self, read_at: float) -> None:
+        """Note the platform's return from a copy.
+
+        The copy may lack servers that have registered since; it takes them as long as
+        after an outage to register again, however short the outage was.
+        """
+        self._returned_at = max(self._returned_at, read_at)
+        self._steady_since = max(self._steady_since, read_at)
+
     def confirm(self, read_at: float) -> None:
         """Note that the list was confirmed current at a time."""
         if read_at - self._confirmed_at > MIN_OUTAGE_SECONDS:
--- a/packages/daemon/cassiaquay_daemon/fleet/renewal.py
+++ b/packages/daemon/cassiaquay_daemon/fleet/renewal.py
@@ -9,7 +9,7 @@
 from cassiaquay_schema import messages
 from cassiaquay_schema import settings as settings_schema
 
-from .. import clock, logs, pause, platform
+from .. import clock, logs, pause, platform, positions
 from ..links import peers
 from . import configuration, members
 
@@ -151,10 +151,10 @@
             await asyncio.sleep(POLL_INTERVAL_SECONDS)
 
     async def _fetch_newest_text(self) -> None:
-        highest = configuration.NO_VERSION
+        highest = positions.NO_VERSION
         holder = ""
         for name, answer in self._answers.items():
-            version = configuration.TextVersion(answer.revision, answer.digest)
+            version = positions.version_in(answer)
             if version > highest:
                 highest = version
                 holder = name
@@ -165,11 +165,15 @@
             await asyncio.sleep(configuration.REQUEST_TIMEOUT_SECONDS / 4)
 
     def _handle_refresh(self, link: peers.Link, question: messages.Refresh) -> None:
+        newest = self._configured.newest_version
         link.send(
             messages.Refreshed(
                 question.number,
-                *self._configured.newest_version,
+                newest.revision,
+                newest.digest,
                 self._membership.facts_to_send(),
+                newest.number,
+                newest.epoch,
             )
         )
 
--- a/packages/daemon/cassiaquay_daemon/fleet/server_list.py
+++ b/packages/daemon/cassiaquay_daemon/fleet/server_list.py
@@ -9,6 +9,9 @@
 from cassiaquay_schema import fleet as fleet_schema
 from cassiaquay_schema import messages
 
+from .. import positions
+from ..decisions import withdrawals
+
 
 class Change(typing.NamedTuple):
     """Names of the servers that a newer list added, retained or dropped.
@@ -29,7 +32,7 @@
 
 
 class ServerList:
-    """Entries by name, as of one revision of the platform.
+    """Entries by name, as of one position of the platform.
 
     Only listed entries are sent to other instances and enter the digest. A retained
     entry is a local guess: sent on under a newer revision, it would bring a server that
@@ -37,6 +40,8 @@
     """
 
     def __init__(self) -> None:
+        self.withdrawals = withdrawals.Withdrawals()
+        self._position = positions.START
         self._listed: dict[str, messages.ServerEntry] = {}
         self._retained: dict[str, messages.ServerEntry] = {}
 
@@ -55,6 +60,11 @@
         """Number of listed and retained servers."""
         return len(self._listed) + len(self._retained)
 
+    @property
+    def position(self) -> positions.Position:
+        """Position of the platform at the read of the list."""
+        return self._position
+
     def digest(self, evacuated: list[str]) -> int:
         """Return a digest of the evacuated domains and of the listed servers.
 
@@ -69,7 +79,7 @@
                     entry.service,
                     entry.address,
                     entry.slots,
-                    entry.leaving,
+                    self._is_leaving(entry),
                     entry.started_ms,
                     entry.cold_ms > 0,
                     entry.software,
@@ -79,41 +89,52 @@
 
     def replace_entries(
         self,
-        revision: int,
+        position: positions.Position,
         entries: collections.abc.Iterable[messages.ServerEntry],
         retains: bool,
     ) -> Change:
-        """Replace the entries by those of a revision.
+        """Replace the entries by those of a position.
 
         Missing ones are retained if ``retains`` is true, unless they were leaving.
         """
         change = Change([], [], [])
+        is_same_epoch = position.epoch == self._position.epoch
         old_entries = self._listed
         self._listed = {}
+        self._position = position
         for entry in entries:
             old_entry = old_entries.pop(entry.name, None)
             if old_entry is None and entry.name not in self._retained:
                 change.added.append(entry.name)
-            if old_entry is not None and old_entry.revision > entry.revision:
+            if old_entry is not None and _is_newer(old_entry, entry, is_same_epoch):
+                if not is_same_epoch:
+                    # Whatever is written from now on replaces it.
+                    old_entry = old_entry._replace(revision=entry.revision)
                 entry = old_entry
             self._listed[entry.name] = entry
             self._retained.pop(entry.name, None)
+            if entry.leaving:
+                self.withdrawals.note_leaving(entry, position.epoch)
         for name, entry in old_entries.items():
-            if entry.revision > revision:
+            if is_same_epoch and entry.revision > position.revision:
                 # The entry was written after this list was read.
                 self._listed[name] = entry
-            elif retains and not entry.leaving:
+            elif retains and not self._is_leaving(entry):
                 self._retained[name] = entry
                 change.retained.append(name)
             else:
+                self.withdrawals.note_gone(entry, position.epoch)
                 change.gone.append(name)
         if not retains:
             change.gone.extend(self.drop_retained())
+        self.withdrawals.expire()
         return change
 
     def drop_retained(self) -> list[str]:
         """Drop the retained servers; return their names."""
         dropped = self.retained
+        for entry in self._retained.values():
+            self.withdrawals.note_gone(entry, self._position.epoch)
         self._retained.clear()
         return dropped
 
@@ -122,7 +143,7 @@
         pools: dict[str, list[fleet_schema.Server]] = {}
         entries = {**self._listed, **self._retained}
         for name, entry in sorted(entries.items()):
-            if entry.leaving:
+            if self._is_leaving(entry):
                 continue
             server = fleet_schema.Server(
                 name=name,
@@ -136,6 +157,23 @@
             pools.setdefault(entry.service, []).append(server)
         return pools
 
+    def _is_leaving(self, entry: messages.ServerEntry) -> bool:
+        if entry.leaving:
+            return True
+        return self.withdrawals.applies_to(entry, self._position.epoch)
+
+
+def _is_newer(
+    old_entry: messages.ServerEntry, entry: messages.ServerEntry, is_same_epoch: bool
+) -> bool:
+    """Return whether the known entry of a server is newer than a listed one.
+
+    Across the platform's return from a copy only the server's own count tells.
+    """
+    if is_same_epoch:
+        return old_entry.revision >= entry.revision
+    return old_entry.sequence > entry.sequence
+
 
 def count_software(pools: dict[str, list[fleet_schema.Server]]) -> str:
     """Return how many servers of each software version the services have, for logs."""
--- a/packages/daemon/cassiaquay_daemon/fleet/servers.py
+++ b/packages/daemon/cassiaquay_daemon/fleet/servers.py
@@ -12,11 +12,12 @@
 from cassiaquay_schema import messages
 from cassiaquay_schema import settings as settings_schema
 
-from .. import clock, exceptions, logs, platform, rendezvous
+from .. import clock, exceptions, logs, platform, positions, rendezvous
 from ..configured import snapshots
 from ..links import peers
 from . import (
     configuration,
+    evacuations,
     freshness,
     members,
     outages,
@@ -72,14 +73,13 @@
         store: platform.ServerStore,
         texts: platform.ConfigurationService,
     ):
-        self.evacuated = platform.NOTHING_EVACUATED
         self._settings = settings
         self._links = links
         self._membership = membership
         self._configured = configured
         self._store = store
         self._texts = texts
-        self._revision = 0
+        self._position = positions.START
         self._digest = 0
         self._outages = outages.Outages()
         self._read_at = NEVER
@@ -87,17 +87,20 @@
         self._rank = LAST_RANK
         self._transit = transit.Transit()
         self._registered = server_list.ServerList()
+        self._evacuations = evacuations.Evacuations()
+        self._domains_in_force: list[str] = []
         self._added: list[str] = []
         self._is_failing = False
         self._is_discarding = False
         links.on(messages.ServerListQuery, self._handle_query)
         links.on(messages.ServerList, self._handle_list)
+        links.on(messages.ServerWithdrawals, self._handle_withdrawals)
         membership.on_heartbeat(self._handle_heartbeat)
 
     @property
-    def revision(self) -> int:
-        """Revision of the list; 0 before the first one."""
-        return self._revision
+    def position(self) -> positions.Position:
+        """Position of the platform at the last read of the list."""
+        return self._position
 
     @property
     def count(self) -> int:
@@ -121,10 +124,12 @@
 
     @property
     def state(self) -> freshness.Freshness:
-        """Revision, age and digest of the list, as sent in heartbeats."""
-        steady = clock.now() - self._outages.steady_since if self._revision else 0.0
+        """Position, age and digest of the list, as sent in heartbeats."""
+        steady = 0.0
+        if self._position.revision:
+            steady = clock.now() - self._outages.steady_since
         return freshness.Freshness(
-            self._revision, self.age_ms, self._digest, _milliseconds(steady)
+            self._position, self.age_ms, self._digest, _milliseconds(steady)
         )
 
     async def read(self) -> None:
@@ -152,11 +157,12 @@
         if self._is_failing:
             logs.event("servers_readable", age_ms=self.age_ms)
         self._is_failing = False
-        is_changed = self._apply(registered.revision, registered.entries, began)
-        if self._apply_evacuated(self._texts.evacuated) or is_changed:
+        is_changed = self._apply(registered.position, registered.entries, began)
+        self._evacuations.apply(self._texts.evacuated)
+        if self._note_domains() or is_changed:
             self._publish(PLATFORM)
             self._send_to_neighbours()
-        self._confirm(registered.revision, began)
+        self._confirm(registered.position, began)
         return True
 
     def _retry_delay(self) -> float:
@@ -190,64 +196,79 @@
         return min(ranked.index(own), LAST_RANK)
 
     def _apply(
-        self, revision: int, entries: list[messages.ServerEntry], read_at: float
+        self,
+        position: positions.Position,
+        entries: list[messages.ServerEntry],
+        read_at: float,
     ) -> bool:
         """Apply a list; return whether the usable servers have changed."""
-        if revision < self._revision:
+        if position < self._position:
             # It is older than a list that another instance has sent meanwhile.
             if not self._is_discarding:
                 logs.event(
-                    "server_list_discarded", revision=revision, known=self._revision
+                    "server_list_discarded",
+                    revision=position.revision,
+                    epoch=position.epoch or None,
+                    known=self._position.revision,
+                    known_epoch=self._position.epoch or None,
                 )
             self._is_discarding = True
             return False
         self._is_discarding = False
         self._outages.note_read(read_at)
-        self._revision = revision
+        if position.epoch > self._position.epoch and self._position.revision:
+            logs.event(
+                "servers_restored",
+                revision=position.revision,
+                epoch=position.epoch,
+                known=self._position.revision,
+            )
+            self._outages.note_restored(read_at)
+        self._position = position
         self._read_at = max(self._read_at, read_at)
-        return self._merge(entries, revision, read_at)
+        return self._merge(entries, read_at)
 
-    def _apply_evacuated(self, evacuated: platform.Evacuated) -> bool:
-        """Apply the evacuated domains; return whether they have changed."""
-        if evacuated.revision < self.evacuated.revision:
-            return False
-        before = self.evacuated.domains
-        self.evacuated = evacuated
-        if evacuated.domains == before:
+    def _note_domains(self) -> bool:
+        """Return whether the domains out of use have changed; log the change."""
+        before = self._domains_in_force
+        domains = self._evacuations.domains
+        if domains == before:
             return False
+        self._domains_in_force = domains
         logs.event(
             "domains_evacuated",
-            domains=",".join(evacuated.domains),
+            domains=",".join(domains),
             before=",".join(before),
-            revision=evacuated.revision,
+            retained=",".join(self._evacuations.retained) or None,
+            revision=self._evacuations.listed.position.revision,
         )
         self._digest = self._compute_digest()
         return True
 
     def _compute_digest(self) -> int:
-        return self._registered.digest(self.evacuated.domains)
+        return self._registered.digest(self._domains_in_force)
 
-    def _confirm(self, revision: int, read_at: float) -> None:
-        if revision < self._revision:
+    def _confirm(self, position: positions.Position, read_at: float) -> None:
+        if position < self._position:
             return
-        self._revision = revision
+        self._position = position
         self._outages.confirm(read_at)
         self._read_at = max(self._read_at, read_at)
         self._drop_retained()
 
-    def _merge(
-        self, entries: list[messages.ServerEntry], revision: int, read_at: float
-    ) -> bool:
+    def _merge(self, entries: list[messages.ServerEntry], read_at: float) -> bool:
         """Merge a full list; return whether the usable servers have changed."""
         # Right after an outage of the platform a missing entry may only have expired.
         # Dropping such entries at once could leave a working fleet without servers.
         retention_s = self._outages.retained_until - read_at
-        change = self._registered.replace_entries(revision, entries, retention_s > 0.0)
+        change = self._registered.replace_entries(
+            self._position, entries, retention_s > 0.0
+        )
         for name in change.retained:
             logs.event(
                 "server_retained",
                 server=name,
-                revision=revision,
+                revision=self._position.revision,
                 left_ms=round(retention_s * 1000),
             )
         self._log_gone(change.gone)
@@ -257,13 +278,14 @@
         return self._digest != before or bool(change.gone)
 
     def _drop_retained(self) -> None:
-        """Drop the retained servers that a list read late enough still lacks."""
-        if not self._registered.retained:
-            return
-        if self._outages.confirmed_at < self._outages.retained_until:
-            return
-        self._log_gone(self._registered.drop_retained())
-        self._publish(PLATFORM)
+        """Drop what is retained and what a list read late enough still lacks."""
+        is_changed = self._note_domains()
+        is_late = self._outages.confirmed_at >= self._outages.retained_until
+        if is_late and self._registered.retained:
+            self._log_gone(self._registered.drop_retained())
+            is_changed = True
+        if is_changed:
+            self._publish(PLATFORM)
 
     def _log_gone(self, names: list[str]) -> None:
         for name in names:
@@ -273,7 +295,8 @@
         pools = self._registered.pools()
         logs.event(
             "servers_in_force",
-            revision=self._revision,
+            revision=self._position.revision,
+            epoch=self._position.epoch or None,
             source=source,
             usable=sum(len(servers) for servers in pools.values()),
             known=self.count,
@@ -283,59 +306,106 @@
         )
         self._added.clear()
         self._configured.set_registered_servers(
-            snapshots.RegisteredServers(pools, self.evacuated.domains)
+            snapshots.RegisteredServers(pools, self._domains_in_force)
         )
 
     def _send_to_neighbours(self) -> None:
         # A leaving server must get no new requests within seconds, so each instance
         # forwards a changed list to its neighbours at once, each list once.
-        replication.send_to_neighbours(self._links, self._membership, self._message())
+        for message in self._messages():
+            replication.send_to_neighbours(self._links, self._membership, message)
+
+    def _messages(self) -> list[messages.Message]:
+        """Return the list for sending, after what corrects it."""
+        withdrawn = self._withdrawals()
+        listed = self._message()
+        return [listed] if withdrawn is None else [withdrawn, listed]
 
     def _message(self) -> messages.ServerList:
         # This is the age of the read, not of the confirmation, which also covers the
         # configuration. The receiver derives platform outages from it.
+        listed = self._evacuations.listed
         return messages.ServerList(
-            self._revision,
+            self._position.revision,
             _milliseconds(clock.now() - self._read_at),
             self._registered.listed,
-            self.evacuated.domains,
-            self.evacuated.revision,
+            listed.domains,
+            listed.position.revision,
+            epoch=self._position.epoch,
+            evacuated_epoch=listed.position.epoch,
         )
 
+    def _withdrawals(self) -> messages.ServerWithdrawals | None:
+        """Return what corrects a restored platform's list; None for nothing."""
+        servers = self._registered.withdrawals.to_send()
+        retained = self._evacuations.retained
+        if not servers and not retained:
+            return None
+        left_ms = _milliseconds(min(retained.values(), default=0.0))
+        return messages.ServerWithdrawals(servers, list(retained), left_ms)
+
     def _handle_heartbeat(self, link: peers.Link, beat: messages.Heartbeat) -> None:
         delay = self._transit.seconds(link, beat.sent_ms)
         age = beat.servers_age_ms / 1000.0 + delay
-        if beat.servers_steady_ms:
+        position = positions.Position(beat.servers_epoch, beat.servers_revision)
+        if beat.servers_steady_ms and position.epoch == self._position.epoch:
             now = clock.now()
             steady_since = now - beat.servers_steady_ms / 1000.0
             self._outages.note_peer_interval(steady_since, now - age)
             self._drop_retained()
-        if not beat.servers_revision or beat.servers_revision < self._revision:
+        if not position.revision or position < self._position:
             return
-        if beat.servers_digest != self._digest:
-            link.send(messages.ServerListQuery(self._revision))
+        is_restored = position.epoch > self._position.epoch
+        if is_restored or beat.servers_digest != self._digest:
+            link.send(
+                messages.ServerListQuery(
+                    self._position.revision, self._position.epoch, self._digest
+                )
+            )
             return
         # A neighbour with a newer configuration does not confirm this list: until its
         # text arrives, requests are served by the older text, and a revoked key would
         # be accepted all that time.
-        position = configuration.TextVersion(beat.revision, beat.digest)
-        if self._configured.should_fetch(position):
+        if self._configured.should_fetch(positions.version_in(beat)):
             return
         # The lists are equal, so only the later confirmation counts. Its age was
         # correct when the heartbeat was sent; the transit time is added.
-        self._confirm(beat.servers_revision, clock.now() - age)
+        self._confirm(position, clock.now() - age)
 
     def _handle_query(self, link: peers.Link, query: messages.ServerListQuery) -> None:
-        if self._revision > query.revision:
-            link.send(self._message())
+        position = positions.Position(query.epoch, query.revision)
+        if position < self._position:
+            for message in self._messages():
+                link.send(message)
+            return
+        # Lists of one position differ by what the instances know to be wrong in them.
+        withdrawn = self._withdrawals()
+        is_equal = position == self._position and query.digest == self._digest
+        if withdrawn is not None and not is_equal:
+            link.send(withdrawn)
+
+    def _handle_withdrawals(
+        self, link: peers.Link, message: messages.ServerWithdrawals
+    ) -> None:
+        for withdrawal in message.servers:
+            self._registered.withdrawals.learn(withdrawal)
+        self._evacuations.learn(message.evacuated, message.evacuated_ms / 1000.0)
+        before = self._digest
+        self._digest = self._compute_digest()
+        if self._note_domains() or self._digest != before:
+            self._publish(link.instance)
 
     def _handle_list(self, link: peers.Link, message: messages.ServerList) -> None:
+        position = positions.Position(message.epoch, message.revision)
         is_changed = False
-        if message.revision > self._revision:
+        if position > self._position:
             read_at = clock.now() - message.age_ms / 1000.0
-            is_changed = self._apply(message.revision, message.entries, read_at)
-        evacuated = platform.Evacuated(message.evacuated_revision, message.evacuated)
-        if self._apply_evacuated(evacuated) or is_changed:
+            is_changed = self._apply(position, message.entries, read_at)
+        evacuated_at = positions.Position(
+            message.evacuated_epoch, message.evacuated_revision
+        )
+        self._evacuations.apply(platform.Evacuated(evacuated_at, message.evacuated))
+        if self._note_domains() or is_changed:
             self._publish(link.instance)
             self._send_to_neighbours()
 
--- a/packages/daemon/cassiaquay_daemon/gateway/serving.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/serving.py
@@ -367,7 +367,7 @@
             after=state.last_event if state.last_event >= 0 else None,
             alone=ticket.is_without_keeper or None,
             waited_ms=replies.elapsed_ms(call.began_at),
-            configuration=call.snapshot.revision,
+            configuration=call.snapshot.label,
         )
 
     async def _end_refused(
--- a/packages/daemon/cassiaquay_daemon/operators/explain.py
+++ b/packages/daemon/cassiaquay_daemon/operators/explain.py
@@ -117,7 +117,7 @@
             state="described" if allowed else "refused",
             tier=tier,
             deadline_ms=service.deadline_ms,
-            revision=snapshot.revision,
+            revision=snapshot.label,
             reasons=reasons,
             placement=placement,
         )
@@ -153,7 +153,7 @@
             state=entry.state.value,
             tier=accepted.tier,
             deadline_ms=int(accepted.deadline_seconds * 1000),
-            revision=accepted.snapshot.revision,
+            revision=accepted.snapshot.label,
             reasons=reasons,
             placement=placement,
         )
--- a/packages/daemon/cassiaquay_daemon/operators/views.py
+++ b/packages/daemon/cassiaquay_daemon/operators/views.py
@@ -218,11 +218,11 @@
 
 
 def configuration(parts: reports.Parts, with_text: bool) -> ConfigurationView:
-    """Return the configuration in force; ``pending`` is a newer revision, or 0."""
-    revisions = [parts.configured.revision]
+    """Return the configuration in force; ``pending`` is a newer label, or 0."""
+    labels = [parts.configured.revision]
     for member in parts.membership.alive():
-        revisions.append(member.revision)
-    newest = max(revisions)
+        labels.append(member.revision)
+    newest = max(labels)
     current = parts.configured.current
     return ConfigurationView(
         revision=parts.configured.revision,
--- a/packages/daemon/cassiaquay_daemon/platform/__init__.py
+++ b/packages/daemon/cassiaquay_daemon/platform/__init__.py
@@ -5,6 +5,7 @@
 settings select it by name.
 """
 
+import collections.abc
 import typing
 
 import aiohttp
@@ -12,16 +13,35 @@
 
 from cassiaquay_schema import messages, registry
 
-from .. import exceptions
+from .. import exceptions, positions
+from . import epochs
 
 ANSWER_TIMEOUT_SECONDS = 3.0
 
 
 class Published(typing.NamedTuple):
-    """A configuration text with its revision."""
+    """A configuration text and where it was written.
+
+    Attributes
+    ----------
+    revision, epoch : int
+        Place in the platform's history.
+    text : str
+        The text.
+    number : int or None
+        The operators' number of the text, by which texts are ordered; 0 if texts of
+        this platform have none, None if it cannot be read.
+    """
 
     revision: int
     text: str
+    epoch: int = 0
+    number: int | None = 0
+
+    @property
+    def position(self) -> positions.Position:
+        """Place in the platform's history where the text was written."""
+        return positions.Position(self.epoch, self.revision)
 
 
 class ListedInstance(typing.NamedTuple):
@@ -48,13 +68,13 @@
 
 
 class Evacuated(typing.NamedTuple):
-    """Failure domains that the operator has evacuated, at a revision."""
+    """Failure domains that the operator has evacuated, as read at a position."""
 
-    revision: int
+    position: positions.Position
     domains: list[str]
 
 
-NOTHING_EVACUATED = Evacuated(0, [])
+NOTHING_EVACUATED = Evacuated(positions.START, [])
 
 
 class ConfigurationService(typing.Protocol):
@@ -71,8 +91,8 @@
 
     def __init__(self, http: aiohttp.ClientSession, address: str): ...
 
-    async def watch(self, after: int, wait: float) -> Published | None:
-        """Return a revision newer than ``after``, or None after ``wait`` seconds."""
+    async def watch(self, after: positions.Position, wait: float) -> Published | None:
+        """Return a text written after a position, or None after ``wait`` seconds."""
 
 
 class InstanceList(typing.Protocol):
@@ -85,9 +105,9 @@
 
 
 class ServersRead(typing.NamedTuple):
-    """The registered backend servers at one revision of the platform."""
+    """The registered backend servers as read at a position."""
 
-    revision: int
+    position: positions.Position
     entries: list[messages.ServerEntry]
 
 
@@ -112,9 +132,11 @@
 )
 
 
-class _PublishedBody(typing.TypedDict):
+class _PublishedBody(msgspec.Struct):
     revision: int
     text: str
+    # The operators' number of the text.
+    number: int = 0
 
 
 class _ListedBody(typing.TypedDict):
@@ -130,13 +152,17 @@
     instances: list[_ListedBody]
 
 
-async def _get(
-    http: aiohttp.ClientSession, url: str, seconds: float
-) -> tuple[int, bytes]:
+class _Answer(typing.NamedTuple):
+    status: int
+    body: bytes
+    headers: collections.abc.Mapping[str, str]
+
+
+async def _get(http: aiohttp.ClientSession, url: str, seconds: float) -> _Answer:
     timeout = aiohttp.ClientTimeout(total=seconds)
     try:
         async with http.get(url, timeout=timeout) as response:
-            return response.status, await response.read()
+            return _Answer(response.status, await response.read(), response.headers)
     except (TimeoutError, aiohttp.ClientError, OSError) as error:
         raise exceptions.PlatformError(repr(error)) from error
 
@@ -149,20 +175,32 @@
         self.evacuated = NOTHING_EVACUATED
         self._http = http
         self._url = f"http://{address}/v1/config"
-
-    async def watch(self, after: int, wait: float) -> Published | None:
-        """Return a revision newer than ``after``, or None after ``wait`` seconds."""
-        url = f"{self._url}?after={after}&wait={wait}"
-        status, body = await _get(self._http, url, wait + ANSWER_TIMEOUT_SECONDS)
-        if status == 204:
+        self._epochs = epochs.Epochs()
+
+    async def watch(self, after: positions.Position, wait: float) -> Published | None:
+        """Return a text written after a position, or None after ``wait`` seconds."""
+        answer, epoch = await self._read(after.revision, wait)
+        if epoch > after.epoch and after.revision:
+            # Revisions of different epochs do not compare: read what there is.
+            answer, epoch = await self._read(0, 0.0)
+        if answer.status == 204:
             return None
-        if status != 200:
-            raise exceptions.PlatformError(f"configuration service: status {status}")
         try:
-            decoded = msgspec.json.decode(body, type=_PublishedBody)
+            decoded = msgspec.json.decode(answer.body, type=_PublishedBody)
         except msgspec.DecodeError as error:
             raise exceptions.PlatformError(str(error)) from error
-        return Published(decoded["revision"], decoded["text"])
+        found = Published(decoded.revision, decoded.text, epoch, decoded.number)
+        return found if found.position > after else None
+
+    async def _read(self, after: int, wait: float) -> tuple[_Answer, int]:
+        """Return an answer with or without a text, and its epoch."""
+        url = f"{self._url}?after={after}&wait={wait}"
+        answer = await _get(self._http, url, wait + ANSWER_TIMEOUT_SECONDS)
+        if answer.status not in (200, 204):
+            raise exceptions.PlatformError(
+                f"configuration service: status {answer.status}"
+            )
+        return answer, self._epochs.read(answer.headers)
 
 
 @instance_lists.register("instances-http")
@@ -175,11 +213,11 @@
 
     async def read(self) -> list[ListedInstance]:
         """Return all entries."""
-        status, body = await _get(self._http, self._url, ANSWER_TIMEOUT_SECONDS)
-        if status != 200:
-            raise exceptions.PlatformError(f"instance list: status {status}")
+        answer = await _get(self._http, self._url, ANSWER_TIMEOUT_SECONDS)
+        if answer.status != 200:
+            raise exceptions.PlatformError(f"instance list: status {answer.status}")
         try:
-            decoded = msgspec.json.decode(body, type=_ListBody)
+            decoded = msgspec.json.decode(answer.body, type=_ListBody)
         except msgspec.DecodeError as error:
             raise exceptions.PlatformError(str(error)) from error
         lines = []
--- a/packages/daemon/cassiaquay_daemon/platform/documents.py
+++ b/packages/daemon/cassiaquay_daemon/platform/documents.py
@@ -81,6 +81,18 @@
     tenants: list[_Tenant] | None = None
 
 
+class _Numbered(msgspec.Struct):
+    version: int
+
+
+def number_of(text: str) -> int | None:
+    """Return the operators' number of a document, or None if it has no valid one."""
+    try:
+        return msgspec.json.decode(text, type=_Numbered).version
+    except (msgspec.DecodeError, RecursionError):
+        return None
+
+
 @snapshots.readers.register(FORMAT_NAME)
 def read(revision: int, text: str) -> snapshots.Snapshot:
     """Return the snapshot of a document; raise SchemaError if it is invalid."""
--- a/packages/daemon/cassiaquay_daemon/platform/entries.py
+++ b/packages/daemon/cassiaquay_daemon/platform/entries.py
@@ -27,6 +27,8 @@
     born: int = 0
     # Time for which it stays cold, that is, takes only a limited request rate.
     cold_left_ms: float = msgspec.field(name="cold-left-ms", default=0.0)
+    # Count of its reports when the entry was written.
+    seq: typing.Any = 0
     # Version of the server's software. It is only compared, so it may have any type.
     version: typing.Any = ""
 
@@ -59,6 +61,7 @@
         revision,
         max(int(entry.cold_left_ms), 0),
         _software(entry.version),
+        entry.seq if isinstance(entry.seq, int) else 0,
     )
 
 
--- a/packages/daemon/cassiaquay_daemon/platform/store.py
+++ b/packages/daemon/cassiaquay_daemon/platform/store.py
@@ -2,7 +2,8 @@
 
 The store numbers its changes with one counter, its revision. A read by key or prefix is
 linearizable. A watch waits for changes after a revision; if the store has already
-compacted them, it answers 410 and the client reads the key again.
+compacted them, it answers 410 and the client reads the key again. When the store
+returns from a copy, revisions go back and its epoch, sent with each answer, rises.
 """
 
 import base64
@@ -14,8 +15,8 @@
 
 from cassiaquay_schema import messages
 
-from .. import exceptions, logs, platform
-from . import entries
+from .. import exceptions, platform, positions
+from . import documents, entries, epochs
 
 # The operator's keys: the configuration, and one key for each evacuated zone. One read
 # by this prefix returns both.
@@ -29,8 +30,6 @@
 # Longer than a slow store takes to answer. After this time the answer is taken for lost
 # and its connection for broken.
 ANSWER_TIMEOUT_SECONDS = 0.6
-# Answer header: number of times that the store has been restored from a copy.
-EPOCH_HEADER = "Store-Era"
 # Enough for thousands of servers; bounds the read of a listing that never ends.
 MAX_PAGES = 200
 
@@ -67,12 +66,18 @@
 
 
 class Items(typing.NamedTuple):
-    """All keys under a prefix, and the store's revision when the read began."""
+    """All keys under a prefix, and the store's position when the read began."""
 
-    revision: int
+    position: positions.Position
     items: list[Item]
 
 
+class _Answer(typing.NamedTuple):
+    status: int
+    body: bytes
+    epoch: int
+
+
 class Store:
     """Client of the platform's store.
 
@@ -87,72 +92,78 @@
     def __init__(self, http: aiohttp.ClientSession, address: str):
         self._http = http
         self._base = f"http://{address}"
-        self._epoch = ""
+        self._epochs = epochs.Epochs()
 
     async def item(self, key: str) -> Item | None:
         """Return the item of ``key``, or None if there is no such key."""
-        status, body = await self._get(ITEM_PATH, {"key": key}, ANSWER_TIMEOUT_SECONDS)
-        if status == 404:
+        answer = await self._get(ITEM_PATH, {"key": key}, ANSWER_TIMEOUT_SECONDS)
+        if answer.status == 404:
             return None
-        _check_status(status)
-        return _decode_item(_parse(body, _ItemBody))
+        _check_status(answer.status)
+        return _decode_item(_parse(answer.body, _ItemBody))
 
     async def items(self, prefix: str) -> Items:
         """Return all keys under a prefix.
 
         The pages are not one snapshot. The result has the revision of the first page,
         so a key that changes during the read has a higher revision than the result.
+
+        Raises
+        ------
+        PlatformError
+            When the store cannot be read, or returns from a copy between two pages.
         """
         items: list[Item] = []
-        revision = 0
+        position: positions.Position | None = None
         after = ""
         for _ in range(MAX_PAGES):
             query = {"path-prefix": prefix}
             if after:
                 query["after"] = after
-            status, body = await self._get(RANGE_PATH, query, ANSWER_TIMEOUT_SECONDS)
-            _check_status(status)
-            page = _parse(body, _RangeBody)
-            revision = revision or page.current
+            answer = await self._get(RANGE_PATH, query, ANSWER_TIMEOUT_SECONDS)
+            _check_status(answer.status)
+            page = _parse(answer.body, _RangeBody)
+            if position is None:
+                position = positions.Position(answer.epoch, page.current)
+            if position.epoch != answer.epoch:
+                raise exceptions.PlatformError(f"{prefix}: pages of two epochs")
             for item in page.items:
                 items.append(_decode_item(item))
             if not page.truncated or not page.items:
-                return Items(revision, items)
+                return Items(position, items)
             after = page.items[-1].key
         raise exceptions.PlatformError(f"{prefix}: more than {MAX_PAGES} pages")
 
-    async def wait_for_change(self, prefix: str, after: int, wait: float) -> int | None:
-        """Wait for a change after a revision; return the revision to watch from next.
+    async def wait_for_change(
+        self, prefix: str, after: positions.Position, wait: float
+    ) -> positions.Position | None:
+        """Wait for a change after a position; return the one to watch from next.
 
-        Returns None if the store no longer has the changes after that revision.
+        Returns None if the store does not have the changes after that position.
         """
         query = {
             "path-prefix": prefix,
-            "after": str(after),
+            "after": str(after.revision),
             "wait-ms": str(int(wait * 1000)),
         }
-        status, body = await self._get(WATCH_PATH, query, wait + ANSWER_TIMEOUT_SECONDS)
-        if status == 410:
+        answer = await self._get(WATCH_PATH, query, wait + ANSWER_TIMEOUT_SECONDS)
+        if answer.status == 410 or answer.epoch != after.epoch:
             return None
-        _check_status(status)
-        watched = _parse(body, _WatchBody)
+        _check_status(answer.status)
+        watched = _parse(answer.body, _WatchBody)
         if watched.events:
-            return watched.current
+            return positions.Position(answer.epoch, watched.current)
         return after
 
-    async def _get(
-        self, path: str, query: dict[str, str], seconds: float
-    ) -> tuple[int, bytes]:
+    async def _get(self, path: str, query: dict[str, str], seconds: float) -> _Answer:
         timeout = aiohttp.ClientTimeout(total=seconds)
         try:
             async with self._http.get(
                 self._base + path, params=query, timeout=timeout
             ) as response:
-                epoch = response.headers.get(EPOCH_HEADER, "")
-                if epoch != self._epoch:
-                    logs.event("store_epoch", epoch=epoch, before=self._epoch)
-                self._epoch = epoch
-                return response.status, await response.read()
+                body = await response.read()
+                epoch = self._epochs.read(response.headers)
+                return _Answer(response.status, body, epoch)
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             raise exceptions.PlatformError(repr(error)) from error
 
@@ -164,39 +175,38 @@
     def __init__(self, http: aiohttp.ClientSession, address: str):
         self.evacuated = platform.NOTHING_EVACUATED
         self._store = Store(http, address)
-        self._after = 0
-        self._discarded = 0
+        self._read_position = positions.START
 
-    async def watch(self, after: int, wait: float) -> platform.Published | None:
-        """Return a revision newer than ``after``, or None after ``wait`` seconds."""
+    async def watch(
+        self, after: positions.Position, wait: float
+    ) -> platform.Published | None:
+        """Return a text written after a position, or None after ``wait`` seconds."""
         # The watch only triggers a read of the key, which returns the current value: a
         # watch with truncated or compacted events costs one read and misses no change.
-        if after and wait:
-            revision = max(self._after, after)
-            next_revision = await self._store.wait_for_change(
-                CONFIGURATION_KEY, revision, wait
+        if after.revision and wait:
+            watched = max(self._read_position, after)
+            next_position = await self._store.wait_for_change(
+                CONFIGURATION_KEY, watched, wait
             )
-            if next_revision == revision:
+            if next_position == watched:
                 return None
         item = await self._read()
         if item is None:
             return None
-        if item.revision < self._after and item.revision != self._discarded:
-            self._discarded = item.revision
-            logs.event(
-                "configuration_discarded", revision=item.revision, known=self._after
-            )
-        self._after = max(self._after, item.revision)
-        if item.revision <= after:
+        epoch = self._read_position.epoch
+        if positions.Position(epoch, item.revision) <= after:
             return None
         try:
-            return platform.Published(item.revision, item.value.decode())
+            text = item.value.decode()
         except UnicodeDecodeError as error:
             raise exceptions.PlatformError(f"configuration: {error}") from error
+        number = documents.number_of(text)
+        return platform.Published(item.revision, text, epoch, number)
 
     async def _read(self) -> Item | None:
         """Return the configuration's item; update the evacuated domains."""
         operator_keys = await self._store.items(OPERATOR_PREFIX)
+        self._read_position = operator_keys.position
         domains = []
         configuration = None
         for item in operator_keys.items:
@@ -204,7 +214,7 @@
                 configuration = item
             elif item.key.startswith(EVACUATED_PREFIX):
                 domains.append(item.key.removeprefix(EVACUATED_PREFIX))
-        self.evacuated = platform.Evacuated(operator_keys.revision, sorted(domains))
+        self.evacuated = platform.Evacuated(operator_keys.position, sorted(domains))
         return configuration
 
 
@@ -224,7 +234,7 @@
             entry = entries.decode(name, item.value, item.revision)
             if entry is not None:
                 servers.append(entry)
-        return platform.ServersRead(registered.revision, servers)
+        return platform.ServersRead(registered.position, servers)
 
 
 @platform.instance_lists.register("none")
--- a/packages/dev/cassiaquay_dev/sizing/light.py
+++ b/packages/dev/cassiaquay_dev/sizing/light.py
@@ -7,7 +7,7 @@
 import asyncio
 import collections.abc
 
-from cassiaquay_daemon import clock, exceptions, pause, platform
+from cassiaquay_daemon import clock, exceptions, pause, platform, positions
 from cassiaquay_daemon.fleet import configuration, members, renewal
 from cassiaquay_daemon.links import peers
 from cassiaquay_daemon.owners import tokens
@@ -35,18 +35,20 @@
         changed, self._changed = self._changed, asyncio.Event()
         changed.set()
 
-    async def watch(self, after: int, wait: float) -> platform.Published | None:
-        """Return a revision newer than ``after``, or None after ``wait`` seconds."""
+    async def watch(
+        self, after: positions.Position, wait: float
+    ) -> platform.Published | None:
+        """Return a text written after a position, or None after ``wait`` seconds."""
         self.calls += 1
         if self.down:
             raise exceptions.PlatformError("down")
-        if self.revision <= after and wait:
+        if self.revision <= after.revision and wait:
             try:
                 async with asyncio.timeout(wait):
                     await self._changed.wait()
             except TimeoutError:
                 return None
-        if self.revision <= after:
+        if self.revision <= after.revision:
             return None
         return platform.Published(self.revision, self.text)
 
@@ -143,7 +145,7 @@
             listing,
         )
         self.membership.on_heartbeat(self.configuration.handle_heartbeat)
-        self.membership.digest = lambda: self.configuration.digest
+        self.membership.text_version = lambda: self.configuration.version_in_force
         self.configuration.on_accept(self.membership.update)
         self.configuration.on_accept(self._record_revision)
         self.pauses.on_resume(self.membership.restart_silence_timers)
--- a/packages/schema/cassiaquay_schema/messages.py
+++ b/packages/schema/cassiaquay_schema/messages.py
@@ -61,7 +61,7 @@
     load : float
         Open requests, rounded coarsely, to distribute callers by.
     revision : int
-        Configuration revision in force there; 0 before it may serve.
+        Label of the configuration in force there; 0 before it may serve.
     born : float
         Wall-clock second of its start; orders the incarnations of an instance.
     admin : str
@@ -98,7 +98,7 @@
     number : int
         Number of the heartbeat, counted by the sender.
     revision : int
-        Configuration revision in force at the sender.
+        Platform revision of the configuration in force at the sender; 0 for none.
     digest : int
         xxh3-64 of that configuration's text.
     members : list[Member]
@@ -125,6 +125,12 @@
         xxh3-64 of the departures of servers that the sender knows; 0 for none.
     brittle_digest : int
         xxh3-64 of the brittle servers that the sender knows; 0 for none.
+    text_number : int
+        Operators' number of that text; 0 if it has none.
+    epoch : int
+        Epoch of the platform in which that revision was written.
+    servers_epoch : int
+        Epoch of the platform in which the list of backend servers was read.
     """
 
     number: int
@@ -142,6 +148,9 @@
     limits_digest: int = 0
     departures_digest: int = 0
     brittle_digest: int = 0
+    text_number: int = 0
+    epoch: int = 0
+    servers_epoch: int = 0
 
 
 class ConfigurationQuery(typing.NamedTuple):
@@ -153,10 +162,16 @@
         Revision in force at the sender.
     digest : int
         xxh3-64 of its text.
+    text_number : int
+        Operators' number of that text; 0 if it has none.
+    epoch : int
+        Epoch of the platform in which that revision was written.
     """
 
     revision: int
     digest: int
+    text_number: int = 0
+    epoch: int = 0
 
 
 class ConfigurationText(typing.NamedTuple):
@@ -168,10 +183,16 @@
         Revision at the platform.
     text : str
         The fleet text.
+    text_number : int
+        Operators' number of that text; 0 if it has none.
+    epoch : int
+        Epoch of the platform in which that revision was written.
     """
 
     revision: int
     text: str
+    text_number: int = 0
+    epoch: int = 0
 
 
 class Demand(typing.NamedTuple):
@@ -529,12 +550,18 @@
         xxh3-64 of its text.
     members : list[Member]
         All members that the sender does not suspect.
+    text_number : int
+        Operators' number of that text; 0 if it has none.
+    epoch : int
+        Epoch of the platform in which that revision was written.
     """
 
     number: int
     revision: int
     digest: int
     members: list[Member]
+    text_number: int = 0
+    epoch: int = 0
 
 
 class ConfigurationChange(typing.NamedTuple):
@@ -554,6 +581,10 @@
         Index of the first character after the replaced range.
     part : str
         Text that replaces the range.
+    text_number : int
+        Operators' number of that text; 0 if it has none.
+    epoch : int
+        Epoch of the platform in which that revision was written.
     """
 
     revision: int
@@ -562,6 +593,8 @@
     start: int
     end: int
     part: str
+    text_number: int = 0
+    epoch: int = 0
 
 
 class LimitQuery(typing.NamedTuple):
@@ -781,6 +814,8 @@
         Remaining cold time when the entry was written; 0 when warm.
     software : str
         Version of its software, not of the weights; empty if not given.
+    sequence : int
+        Count of the server's own reports when it wrote the entry; 0 if not given.
     """
 
     name: str
@@ -793,6 +828,49 @@
     revision: int
     cold_ms: int = 0
     software: str = ""
+    sequence: int = 0
+
+
+class ServerWithdrawal(typing.NamedTuple):
+    """A backend server that has left according to the platform.
+
+    Attributes
+    ----------
+    server : str
+        Id of the server.
+    epoch : int
+        Epoch of the platform that showed it.
+    sequence : int
+        Sequence of its last entry; 0 if not given.
+    is_announced : bool
+        Whether the server itself reported that it leaves; otherwise its entry is gone.
+    age_ms : int
+        Time since the sender learned of it.
+    """
+
+    server: str
+    epoch: int
+    sequence: int
+    is_announced: bool
+    age_ms: int
+
+
+class ServerWithdrawals(typing.NamedTuple):
+    """What a restored platform's list of backend servers may get wrong.
+
+    Attributes
+    ----------
+    servers : list[ServerWithdrawal]
+        Servers that the sender knows to have left.
+    evacuated : list[str]
+        Evacuated failure domains that the platform does not name yet.
+    evacuated_ms : int
+        Time for which those are still treated as evacuated.
+    """
+
+    servers: list[ServerWithdrawal]
+    evacuated: list[str] = []
+    evacuated_ms: int = 0
 
 
 class ServerList(typing.NamedTuple):
@@ -810,6 +888,10 @@
         Failure domains whose servers get no new requests.
     evacuated_revision : int
         Revision of the platform at which `evacuated` was read.
+    epoch : int
+        Epoch of the platform at the read.
+    evacuated_epoch : int
+        Epoch of the platform at which `evacuated` was read.
     """
 
     revision: int
@@ -817,6 +899,8 @@
     entries: list[ServerEntry]
     evacuated: list[str] = []
     evacuated_revision: int = 0
+    epoch: int = 0
+    evacuated_epoch: int = 0
 
 
 class ServerListQuery(typing.NamedTuple):
@@ -826,9 +910,15 @@
     ----------
     revision : int
         Revision of the sender's list.
+    epoch : int
+        Epoch of the platform in which it was read.
+    digest : int
+        Digest of the sender's list, as in its heartbeats.
     """
 
     revision: int
+    epoch: int = 0
+    digest: int = 0
 
 
 class QuotaQuery(typing.NamedTuple):
@@ -1087,6 +1177,8 @@
     | Waits
     | Queued
     | ServerEntry
+    | ServerWithdrawal
+    | ServerWithdrawals
     | ServerList
     | ServerListQuery
     | QuotaQuery
@@ -1141,6 +1233,8 @@
     56: Waits,
     49: Queued,
     50: ServerEntry,
+    69: ServerWithdrawal,
+    70: ServerWithdrawals,
     51: ServerList,
     52: ServerListQuery,
     53: QuotaQuery,
--- a/tests/operators_fakes.py
+++ b/tests/operators_fakes.py
@@ -9,6 +9,7 @@
 import msgspec
 from starlette import applications, types
 
+from cassiaquay_daemon import platform
 from cassiaquay_daemon.adapters import answers
 from cassiaquay_daemon.decisions import quarantine
 from cassiaquay_daemon.fleet import configuration, members
@@ -88,7 +89,7 @@
         )
         self.reports = reports.Reports(chosen, self.parts)
         self.drained = False
-        self.configured.accept(1, TEXT)
+        self.configured.accept(platform.Published(1, TEXT))
         self.application: applications.Starlette = admin.Admin(
             chosen, "abcdefabcdef", self.parts, self.reports, http, self._drain
         ).application()
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -5,7 +5,7 @@
 import operators_fakes as fakes
 import pytest
 
-from cassiaquay_daemon import exceptions, logs
+from cassiaquay_daemon import exceptions, logs, platform
 from cassiaquay_daemon.decisions import shards
 from cassiaquay_schema import messages
 
@@ -326,7 +326,7 @@
 
 def test_configuration_shows_rejected_and_pending_revisions() -> None:
     async def test(instance: fakes.Instance) -> None:
-        instance.configured.accept(2, "tiers = 1")
+        instance.configured.accept(platform.Published(2, "tiers = 1"))
         instance.membership.learn(
             messages.Member(
                 "cq-2", "b" * 12, "leicester", "h", "p", 1, False, 0.0, 3, 1.0, "a", 1.0
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -7,6 +7,7 @@
 import pytest
 from hypothesis import strategies
 
+from cassiaquay_daemon import platform
 from cassiaquay_daemon.configured import changes
 from cassiaquay_daemon.fleet import configuration
 from cassiaquay_daemon.links import peers
@@ -58,8 +59,8 @@
 def test_malformed_texts_are_rejected(text: str) -> None:
     links = peers.Peers(light.settings_of("cq-1"), "a" * 12)
     configured = configuration.Configuration(light.settings_of("cq-1"), links)
-    configured.accept(1, fleets.text(1))
-    assert not configured.accept(2, text)
+    configured.accept(platform.Published(1, fleets.text(1)))
+    assert not configured.accept(platform.Published(2, text))
     assert configured.revision == 1
     assert configured.rejected[2]
 
@@ -282,7 +283,9 @@
             assert not two.pauses.is_current
             link = two.peers.link("cq-1", one.peers.address)
             assert link is not None
-            stale = messages.Refreshed(0, 1, one.configuration.digest, [])
+            stale = messages.Refreshed(
+                0, 1, one.configuration.newest_version.digest, []
+            )
             two.peers._handlers[messages.Refreshed](link, stale)
             assert not two.pauses.is_current
             await light.until(lambda: two.pauses.is_current, 10)
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -10,7 +10,7 @@
 import msgspec
 from hypothesis import strategies
 
-from cassiaquay_daemon import pause
+from cassiaquay_daemon import pause, platform
 from cassiaquay_daemon.decisions import shards
 from cassiaquay_daemon.engines import orders, reconciler
 from cassiaquay_daemon.fleet import configuration, members
@@ -65,7 +65,7 @@
         membership.keeper_of = lambda shard: self.keepers.get(  # type: ignore[method-assign]
             shard, "cq-1"
         )
-        configured.accept(revision, text)
+        configured.accept(platform.Published(revision, text))
         pauses = pause.Pauses(60.0)
         kept = keeper.Keeper(settings, links, membership, configured, pauses)
         reconciling = reconciler.Reconciler(
--- a/tests/test_pause.py
+++ b/tests/test_pause.py
@@ -8,7 +8,7 @@
 import fleets
 import gateway_fakes
 
-from cassiaquay_daemon import clock, pause
+from cassiaquay_daemon import clock, pause, platform
 from cassiaquay_daemon.adapters import backends
 from cassiaquay_daemon.fleet import configuration, members
 from cassiaquay_daemon.keepers import demands, keeper, permissions
@@ -50,7 +50,7 @@
     membership = members.Membership(
         SETTINGS, "a" * 12, links, str, lambda: (0.0, configured.revision)
     )
-    configured.accept(1, fleets.text(1))
+    configured.accept(platform.Published(1, fleets.text(1)))
     return keeper.Keeper(SETTINGS, links, membership, configured, pauses)
 
 
@@ -152,7 +152,7 @@
             local_owner.use_pauses(pauses)
             configured = configuration.Configuration(SETTINGS, links)
             text = fleets.text(1).replace("plain-http", "noting")
-            configured.accept(1, text)
+            configured.accept(platform.Published(1, text))
             snapshot = configured.current
             assert snapshot is not None
             token = tokens.mint(light.KEY, "cq-1", "a" * 12, 60.0)
@@ -200,7 +200,7 @@
         text = fleets.TEXT[:start] + fleets.TEXT[end:]
         plain = fleets.deployments.BRINDLEY.plain_service
         text = text.replace(f'depends_on = ["{plain}"]', "")
-        assert local_keeper._configured.accept(2, text)
+        assert local_keeper._configured.accept(platform.Published(2, text))
         task = asyncio.create_task(local_keeper.tick())
         await light.until(lambda: len(owner_link.messages) == 1, 10)
         assert isinstance(owner_link.messages[0], messages.Permit)
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -6,7 +6,7 @@
 import aiohttp
 import pytest
 
-from cassiaquay_daemon import exceptions
+from cassiaquay_daemon import exceptions, positions
 from cassiaquay_daemon.platform import store
 from cassiaquay_dev.standins import platform_standins as standins
 from cassiaquay_dev.standins import raw_servers
@@ -64,7 +64,7 @@
         assert [item.key for item in found.items] == [
             f"servers/i-{number}" for number in range(7)
         ]
-        assert found.revision == served.revision
+        assert found.position == (1, served.revision)
 
     _run(work)
 
@@ -123,18 +123,18 @@
 
     async def work(served: ScriptedStore, http: aiohttp.ClientSession) -> None:
         texts = store.ConfigurationStore(http, served.address)
-        assert await texts.watch(0, 0.0) is None
+        assert await texts.watch(positions.START, 0.0) is None
         served.put("op/config", b"one")
-        first = await texts.watch(0, 0.0)
+        first = await texts.watch(positions.START, 0.0)
         assert first is not None
         served.put("op/config", b"two")
         served.raw = [_raw_answer(410)]
-        second = await texts.watch(first.revision, 1.0)
+        second = await texts.watch(first.position, 1.0)
         assert second is not None
         assert second.text == "two"
         served.raw = [
             _raw_answer(200, f'{{"events":[],"current-rev":{second.revision}}}')
         ]
-        assert await texts.watch(second.revision, 1.0) is None
+        assert await texts.watch(second.position, 1.0) is None
 
     _run(work)
--- a/tests/test_server_lists.py
+++ b/tests/test_server_lists.py
@@ -50,7 +50,17 @@
         self.send_heartbeat(
             sender,
             messages.Heartbeat(
-                1, 0, 0, [], [], 0, *state[:3], servers_steady_ms=state.steady_ms
+                1,
+                0,
+                0,
+                [],
+                [],
+                0,
+                state.position.revision,
+                state.age_ms,
+                state.digest,
+                servers_steady_ms=state.steady_ms,
+                servers_epoch=state.position.epoch,
             ),
         )
 
@@ -272,5 +282,5 @@
             _apply_step(kind, name, fleet, time, served)
             for instance in NAMES:
                 added = fleet.in_use(instance) - before[instance]
-                assert added <= served[fleet.lists[instance].revision]
+                assert added <= served[fleet.lists[instance].position.revision]
                 before[instance] = fleet.in_use(instance)
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -5,9 +5,9 @@
 import policy_fakes as fakes
 import pytest
 
-from cassiaquay_daemon import exceptions, platform
+from cassiaquay_daemon import exceptions, platform, positions
 from cassiaquay_daemon.configured import snapshots
-from cassiaquay_daemon.fleet import configuration, freshness, servers
+from cassiaquay_daemon.fleet import freshness, servers
 from cassiaquay_dev.lab import virtual_time
 from cassiaquay_schema import messages
 
@@ -23,6 +23,7 @@
     """A fake of the platform's server store."""
 
     def __init__(self, *entries: messages.ServerEntry):
+        self.epoch = 0
         self.revision = 10
         self.entries = list(entries)
         self.down = False
@@ -34,7 +35,8 @@
         if self.down:
             raise exceptions.PlatformError("down")
         self.revision += 1
-        return platform.ServersRead(self.revision, list(self.entries))
+        position = positions.Position(self.epoch, self.revision)
+        return platform.ServersRead(position, list(self.entries))
 
 
 class Configured:
@@ -45,9 +47,9 @@
         self.evacuated: list[str] = []
         self.revision = 0
 
-    def should_fetch(self, position: configuration.TextVersion) -> bool:
+    def should_fetch(self, version: positions.TextVersion) -> bool:
         """Return whether the version has a newer revision."""
-        return position.revision > self.revision
+        return version.revision > self.revision
 
     def set_registered_servers(self, registered: snapshots.RegisteredServers) -> None:
         """Record the servers."""
@@ -226,7 +228,7 @@
     time.now += 1.5
     assert site.list.age == pytest.approx(1.5)
     state = site.list.state
-    site.receive_heartbeat(state.revision + 5, 200, state.digest)
+    site.receive_heartbeat(state.position.revision + 5, 200, state.digest)
     assert site.list.age == pytest.approx(0.2)
 
 
@@ -242,12 +244,12 @@
     time.now += 2.5
     state = site.list.state
     site.receive_heartbeat(
-        state.revision + 5, 0, state.digest, configuration_revision=7
+        state.position.revision + 5, 0, state.digest, configuration_revision=7
     )
     assert site.list.is_behind
     site.configured.revision = 7
     site.receive_heartbeat(
-        state.revision + 5, 0, state.digest, configuration_revision=7
+        state.position.revision + 5, 0, state.digest, configuration_revision=7
     )
     assert not site.list.is_behind
 
@@ -272,7 +274,7 @@
     news = messages.ServerList(99, 0, [_entry("i-1", 98, leaving=True)])
     site.links.handlers[messages.ServerList](link, news)
     assert not site.configured.names
-    assert site.list.revision == 99
+    assert site.list.position.revision == 99
     # An older list that arrives later is ignored.
     old = messages.ServerList(50, 0, [_entry("i-1", 49)])
     site.links.handlers[messages.ServerList](link, old)
@@ -288,7 +290,7 @@
     assert not site.list.is_behind
     time.now += 2.5
     assert site.list.is_behind
-    assert freshness.Freshness() == (0, 0, 0, 0)
+    assert freshness.Freshness() == ((0, 0), 0, 0, 0)
 
 
 def test_a_delayed_heartbeat_does_not_refresh_the_age(time) -> None:
@@ -324,7 +326,8 @@
 
 
 def _evacuate(site: Site, revision: int, *domains: str) -> None:
-    site.texts.evacuated = platform.Evacuated(revision, list(domains))
+    position = positions.Position(0, revision)
+    site.texts.evacuated = platform.Evacuated(position, list(domains))
 
 
 def test_an_evacuation_is_in_force_with_the_list_that_names_it(time) -> None:
@@ -356,7 +359,9 @@
     _evacuate(site, 15)
     site.read()
     assert site.configured.evacuated == ["a"]
-    old = messages.ServerList(site.list.revision + 1, 0, [_entry("i-1")], [], 19)
+    old = messages.ServerList(
+        site.list.position.revision + 1, 0, [_entry("i-1")], [], 19
+    )
     site.links.handlers[messages.ServerList](site.members.owners["cq-2"], old)
     assert site.configured.evacuated == ["a"]
 
