--- a/packages/daemon/cassiaquay_daemon/fleet/evacuations.py
+++ b/packages/daemon/cassiaquay_daemon/fleet/evacuations.py
@@ -6,12 +6,21 @@
 costs servers for seconds, a request to an evacuated one may harm the operators' work.
 """
 
+import typing
+
 from .. import clock, platform, positions
 
 # Operators have written an evacuation again this long after the platform's return.
 RETENTION_SECONDS = 5.0
 
 
+class InForce(typing.NamedTuple):
+    """Domains out of use, and which of them the platform does not name."""
+
+    domains: list[str]
+    retained: list[str]
+
+
 class Evacuations:
     """The evacuated domains in force at this instance."""
 
@@ -31,10 +40,15 @@
         now = clock.now()
         left = {}
         for name, until in self._retained.items():
-            if until > now and name not in self._listed.domains:
+            if until > now:
                 left[name] = until - now
         return left
 
+    @property
+    def in_force(self) -> InForce:
+        """All domains out of use, and the retained ones among them."""
+        return InForce(self.domains, sorted(self.retained))
+
     @property
     def domains(self) -> list[str]:
         """All domains out of use."""
@@ -48,6 +62,9 @@
         if is_restored and self._listed.position > positions.START:
             until = clock.now() + RETENTION_SECONDS
             self._retained = dict.fromkeys(self.domains, until)
+        for name in listed.domains:
+            # From now on the platform says when it ends.
+            self._retained.pop(name, None)
         self._listed = listed
 
     def learn(self, domains: list[str], seconds: float) -> None:
--- a/packages/daemon/cassiaquay_daemon/fleet/server_list.py
+++ b/packages/daemon/cassiaquay_daemon/fleet/server_list.py
@@ -11,6 +11,7 @@
 
 from .. import positions
 from ..decisions import withdrawals
+from . import evacuations
 
 
 class Change(typing.NamedTuple):
@@ -65,7 +66,7 @@
         """Position of the platform at the read of the list."""
         return self._position
 
-    def digest(self, evacuated: list[str]) -> int:
+    def digest(self, evacuated: evacuations.InForce) -> int:
         """Return a digest of the evacuated domains and of the listed servers.
 
         It omits the fields that change with each of a server's heartbeats.
--- a/packages/daemon/cassiaquay_daemon/fleet/servers.py
+++ b/packages/daemon/cassiaquay_daemon/fleet/servers.py
@@ -88,7 +88,7 @@
         self._transit = transit.Transit()
         self._registered = server_list.ServerList()
         self._evacuations = evacuations.Evacuations()
-        self._domains_in_force: list[str] = []
+        self._evacuated = self._evacuations.in_force
         self._added: list[str] = []
         self._is_failing = False
         self._is_discarding = False
@@ -230,23 +230,22 @@
 
     def _note_domains(self) -> bool:
         """Return whether the domains out of use have changed; log the change."""
-        before = self._domains_in_force
-        domains = self._evacuations.domains
-        if domains == before:
+        before = self._evacuated
+        self._evacuated = self._evacuations.in_force
+        if self._evacuated == before:
             return False
-        self._domains_in_force = domains
         logs.event(
             "domains_evacuated",
-            domains=",".join(domains),
-            before=",".join(before),
-            retained=",".join(self._evacuations.retained) or None,
+            domains=",".join(self._evacuated.domains),
+            before=",".join(before.domains),
+            retained=",".join(self._evacuated.retained) or None,
             revision=self._evacuations.listed.position.revision,
         )
         self._digest = self._compute_digest()
         return True
 
     def _compute_digest(self) -> int:
-        return self._registered.digest(self._domains_in_force)
+        return self._registered.digest(self._evacuated)
 
     def _confirm(self, position: positions.Position, read_at: float) -> None:
         if position < self._position:
@@ -306,7 +305,7 @@
         )
         self._added.clear()
         self._configured.set_registered_servers(
-            snapshots.RegisteredServers(pools, self._domains_in_force)
+            snapshots.RegisteredServers(pools, self._evacuated.domains)
         )
 
     def _send_to_neighbours(self) -> None:
