--- a/packages/dev/cassiaquay_dev/sizing/light.py
+++ b/packages/dev/cassiaquay_dev/sizing/light.py
@@ -25,12 +25,18 @@
         self.calls = 0
         self.down = False
         self.revision = 0
+        self.epoch = 0
+        self.number: int | None = 0
         self.text = ""
         self._changed = asyncio.Event()
 
-    def publish(self, revision: int, text: str) -> None:
+    def publish(
+        self, revision: int, text: str, epoch: int = 0, number: int | None = 0
+    ) -> None:
         """Publish a text; an older revision simulates a stale service."""
         self.revision = revision
+        self.epoch = epoch
+        self.number = number
         self.text = text
         changed, self._changed = self._changed, asyncio.Event()
         changed.set()
@@ -42,15 +48,19 @@
         self.calls += 1
         if self.down:
             raise exceptions.PlatformError("down")
-        if self.revision <= after.revision and wait:
+        if self._position <= after and wait:
             try:
                 async with asyncio.timeout(wait):
                     await self._changed.wait()
             except TimeoutError:
                 return None
-        if self.revision <= after.revision:
+        if self._position <= after:
             return None
-        return platform.Published(self.revision, self.text)
+        return platform.Published(self.revision, self.text, self.epoch, self.number)
+
+    @property
+    def _position(self) -> positions.Position:
+        return positions.Position(self.epoch, self.revision)
 
 
 class Listing:
