Soak: the store returns from a copy

store_restored brings the store back from a copy some seconds old, once or twice in a row, and then writes configuration and entries again; it overlaps with all other faults. The daemon processes move to a module of their own.

--- a/packages/dev/cassiaquay_dev/soak/faults.py
+++ b/packages/dev/cassiaquay_dev/soak/faults.py
@@ -14,7 +14,7 @@
 from cassiaquay_schema import registry
 
 from ..network import cuts, proxies
-from . import launch, records, site
+from . import daemons, launch, records, site
 
 Fault = collections.abc.Callable[
     [site.Site, random.Random], collections.abc.Coroutine[typing.Any, typing.Any, None]
@@ -33,6 +33,7 @@
     "engines_brittle",
     "engine_release",
     "stream_cuts",
+    "store_restored",
 )
 # Longest pause between planned stops of several daemons, as an operator leaves one.
 MAX_ROLLING_PAUSE_SECONDS = 0.7
@@ -40,13 +41,13 @@
 RETURN_SECONDS = 2.0
 
 
-def _choose_daemons(deployment: site.Site, rng: random.Random) -> list[site.Daemon]:
+def _choose_daemons(deployment: site.Site, rng: random.Random) -> list[daemons.Daemon]:
     """Return a random choice of one daemon, two or all."""
     count = rng.choice([1, 1, 1, 2, len(deployment.daemons)])
     return rng.sample(deployment.daemons, min(count, len(deployment.daemons)))
 
 
-class _Disturbance:
+class Disturbance:
     """Context manager that records a disturbance of daemons or links."""
 
     def __init__(self, deployment: site.Site, *names: str):
@@ -65,9 +66,9 @@
 
 
 async def _kill(
-    deployment: site.Site, rng: random.Random, chosen: list[site.Daemon]
+    deployment: site.Site, rng: random.Random, chosen: list[daemons.Daemon]
 ) -> None:
-    with _Disturbance(deployment, *(one.name for one in chosen)):
+    with Disturbance(deployment, *(one.name for one in chosen)):
         down = rng.uniform(0.1, 2.0)
         for one in chosen:
             await one.kill()
@@ -94,7 +95,7 @@
 async def pause(deployment: site.Site, rng: random.Random) -> None:
     """Suspend daemons with SIGSTOP for a while."""
     chosen = _choose_daemons(deployment, rng)
-    with _Disturbance(deployment, *(one.name for one in chosen)):
+    with Disturbance(deployment, *(one.name for one in chosen)):
         for one in chosen:
             one.send(signal.SIGSTOP)
         await asyncio.sleep(rng.uniform(0.1, 4.0))
@@ -129,7 +130,7 @@
 async def clock(deployment: site.Site, rng: random.Random) -> None:
     """Shift the wall clock of daemons for a while."""
     chosen = _choose_daemons(deployment, rng)
-    with _Disturbance(deployment, *(one.name for one in chosen)):
+    with Disturbance(deployment, *(one.name for one in chosen)):
         for one in chosen:
             one.send_if_handled(signal.SIGUSR1)
         await asyncio.sleep(rng.uniform(0.5, 4.0))
@@ -166,7 +167,7 @@
     """Disturb the links between daemons."""
     chosen = _choose_daemons(deployment, rng)
     # Every daemon that talks to one with disturbed links is disturbed as well.
-    with _Disturbance(deployment, *(one.name for one in deployment.daemons)):
+    with Disturbance(deployment, *(one.name for one in deployment.daemons)):
         await _disturb_links(rng, [one.peer for one in chosen])
 
 
@@ -174,14 +175,14 @@
 async def callers_links(deployment: site.Site, rng: random.Random) -> None:
     """Disturb the links between callers and daemons."""
     chosen = _choose_daemons(deployment, rng)
-    with _Disturbance(deployment, *(one.name for one in chosen)):
+    with Disturbance(deployment, *(one.name for one in chosen)):
         await _disturb_links(rng, [one.front for one in chosen])
 
 
 @faults.register("store")
 async def store_links(deployment: site.Site, rng: random.Random) -> None:
     """Disturb the links between the store and one, two or all daemons."""
-    with _Disturbance(deployment, "store"):
+    with Disturbance(deployment, "store"):
         await _disturb_links(
             rng, [one.store for one in _choose_daemons(deployment, rng)]
         )
@@ -190,7 +191,7 @@
 @faults.register("store_down")
 async def store_down(deployment: site.Site, rng: random.Random) -> None:
     """Let the store answer 503 while the entries of half of the engines expire."""
-    with _Disturbance(deployment, "store"):
+    with Disturbance(deployment, "store"):
         deployment.store.down = True
         await asyncio.sleep(rng.uniform(0.5, 5.0))
         expired = rng.sample(sorted(deployment.engines), len(deployment.engines) // 2)
@@ -210,7 +211,7 @@
 async def engine_links(deployment: site.Site, rng: random.Random) -> None:
     """Disturb the links to an engine."""
     name = rng.choice(sorted(deployment.engine_proxies))
-    with _Disturbance(deployment, name):
+    with Disturbance(deployment, name):
         await _disturb_links(rng, [deployment.engine_proxies[name]])
 
 
@@ -218,7 +219,7 @@
 async def engine_faulty(deployment: site.Site, rng: random.Random) -> None:
     """Let an engine send invalid answers, or answer slowly."""
     engine = deployment.engines[rng.choice(sorted(deployment.engines))]
-    with _Disturbance(deployment, engine.name):
+    with Disturbance(deployment, engine.name):
         if rng.random() < 0.5:
             engine.slowdown = rng.uniform(2.0, 20.0)
         else:
@@ -232,11 +233,10 @@
 async def engine_crash(deployment: site.Site, rng: random.Random) -> None:
     """Crash and replace an engine; its entry in the store stays for a while."""
     name = rng.choice(sorted(deployment.engines))
-    with _Disturbance(deployment, name):
+    with Disturbance(deployment, name):
         await deployment.crash_engine(name, rng.uniform(0.1, 1.0))
         await asyncio.sleep(rng.uniform(0.1, 3.0))
-        deployment.store.items.pop(f"servers/{name}", None)
-        deployment.store.revision += 1
+        deployment.remove_entry(name)
 
 
 @faults.register("engine_leaves")
@@ -258,15 +258,13 @@
     deployment.end_engine_time(name)
     if rng.random() < 0.7:
         deployment.write_entry(name, "draining")
-    elif f"servers/{name}" in deployment.store.items:
-        # Unless the entry has expired while the store was down.
-        deployment.store.remove(f"servers/{name}")
+    else:
+        deployment.remove_entry(name)
     await asyncio.sleep(DRAIN_SECONDS + rng.uniform(1.0, 4.0))
-    with _Disturbance(deployment, name):
+    with Disturbance(deployment, name):
         if name in deployment.engines:
             await deployment.remove_engine(name)
-        if f"servers/{name}" in deployment.store.items:
-            deployment.store.remove(f"servers/{name}")
+        deployment.remove_entry(name)
 
 
 def _change_configuration(deployment: site.Site, rng: random.Random) -> None:
@@ -429,7 +427,7 @@
         if engine.service == "chat"
     ]
     chosen = rng.choice([names, rng.sample(names, 1)])
-    with _Disturbance(deployment, *chosen):
+    with Disturbance(deployment, *chosen):
         for _ in range(rng.randint(1, 4)):
             for name in chosen:
                 proxy = deployment.engine_proxies.get(name)
--- a/packages/dev/cassiaquay_dev/soak/main.py
+++ b/packages/dev/cassiaquay_dev/soak/main.py
@@ -20,11 +20,12 @@
     report_checks,
     request_faults,
     site,
+    store_faults,
     stream_checks,
 )
 
 # Imported because they register faults and checks.
-FAULTS = (faults, request_faults)
+FAULTS = (faults, request_faults, store_faults)
 CHECKS = (checks, part_checks, report_checks, stream_checks)
 
 # Callers send requests for this long after the last fault, to check the recovery.
--- a/packages/dev/cassiaquay_dev/soak/site.py
+++ b/packages/dev/cassiaquay_dev/soak/site.py
@@ -1,26 +1,22 @@
 """The deployment of a soak: store, engines, daemons, and proxies between them."""
 
 import asyncio
-import collections.abc
 import pathlib
 import random
-import signal
 import typing
 
 import uvloop
 
 from ..network import ports, processes, proxies
 from ..standins import platform_standins
-from . import callers, engines, exchange, records
+from . import callers, daemons, engines, records
 
 READY_TIMEOUT_SECONDS = 15.0
 # Time without a disturbance after which a daemon must keep its time bounds.
 CONTACT_SECONDS = 3.0
-GRACE_SECONDS = 4.0
 APPLY_SECONDS = 2.0
 RETRY_SHARE = 0.2
 RETRY_EXTRA = 60.0
-LISTENERS = ("front", "ready", "directory", "peer", "relay")
 TEAMS = {"key-a": "blue", "key-b": "green", "key-c": "small"}
 # Quota of the team `small`: tokens per second, and burst in tokens.
 SMALL_RATE = 300.0
@@ -85,101 +81,6 @@
     has_queue: bool
 
 
-class Daemon:
-    """One daemon process and the proxies around it."""
-
-    def __init__(
-        self,
-        name: str,
-        folder: pathlib.Path,
-        store: str,
-        free: collections.abc.Iterator[int],
-        source: str,
-    ):
-        self.name = name
-        # IP address from which it connects to engines.
-        self.source = source
-        # Lists the engines that it is cut off from, while the file exists.
-        self.control = folder / f"{name}.cut"
-        self.control.unlink(missing_ok=True)
-        self.start_count = 0
-        self.expected_running = False
-        self.addresses = {use: f"127.0.0.1:{next(free)}" for use in LISTENERS}
-        self.front = proxies.Proxy(self.addresses["front"])
-        self.peer = proxies.Proxy(self.addresses["peer"])
-        self.store = proxies.Proxy(store)
-        # Faults overlap: one start or kill at a time.
-        self._lock = asyncio.Lock()
-        self.file = folder / f"{name}.toml"
-        self._process = processes.Process(
-            name,
-            [
-                "-m",
-                "cassiaquay_dev.soak.launch",
-                str(self.file),
-                source,
-                str(self.control),
-            ],
-            folder,
-        )
-
-    @property
-    def proxies(self) -> list[proxies.Proxy]:
-        """The proxies before its front and peer port, and to the store."""
-        return [self.front, self.peer, self.store]
-
-    @property
-    def is_running(self) -> bool:
-        """Whether the process was started and has not ended."""
-        return self.start_count > 0 and self._process.returncode is None
-
-    async def start(self) -> None:
-        """Start the process, unless it is running."""
-        async with self._lock:
-            if self.is_running:
-                return
-            await self._process.start()
-            self.start_count += 1
-            self.expected_running = True
-
-    def send(self, number: signal.Signals) -> None:
-        """Send a signal to the process."""
-        self._process.send(number)
-
-    def send_if_handled(self, number: signal.Signals) -> None:
-        """Send a signal if the process handles it.
-
-        A process whose interpreter is still starting has no handler yet, and the
-        signal would end it.
-        """
-        if self.is_running and _handles(self._process.pid, number):
-            self._process.send(number)
-
-    async def kill(self) -> None:
-        """Kill the process."""
-        async with self._lock:
-            self.expected_running = False
-            await self._process.kill()
-
-    async def stop(self) -> None:
-        """Send SIGTERM; kill the process after `GRACE_SECONDS`."""
-        start_count = self.start_count
-        self.expected_running = False
-        self._process.send(signal.SIGTERM)
-        end = records.now() + GRACE_SECONDS
-        while self.is_running and records.now() < end:
-            await asyncio.sleep(0.05)
-            if self.start_count != start_count:
-                # Another fault has killed and restarted the process meanwhile.
-                return
-        await self.kill()
-
-    async def is_ready(self) -> bool:
-        """Return whether the daemon's readiness endpoint answers 200."""
-        found = await exchange.get(self.addresses["ready"], "/cassiaquay/ready", 1.0)
-        return found is not None and found.status == 200
-
-
 class Site:
     """The store, engines, daemons and proxies of a soak, and its records."""
 
@@ -189,10 +90,13 @@
         self.rng = random.Random(settings.seed)
         self.recorded = records.Records()
         self.store = platform_standins.Store()
-        self.daemons: list[Daemon] = []
+        self.daemons: list[daemons.Daemon] = []
         self.engines: dict[str, engines.Engine] = {}
         self.engine_proxies: dict[str, proxies.Proxy] = {}
         self.keys = {"key-a", "key-c"}
+        self._document: dict[str, typing.Any] = {}
+        # State in each engine's entry, while it has one.
+        self._entry_states: dict[str, str] = {}
         self.services = {path: _service(kind) for kind, path in callers.PATHS.items()}
         # Services whose engines are brittle.
         self.brittle: dict[str, Brittle] = {}
@@ -216,7 +120,9 @@
         for number in range(self.settings.daemons):
             name = f"cq-{number + 1}"
             source = f"127.0.1.{number + 1}"
-            daemon = Daemon(name, self._folder, self.store.address, free, source)
+            daemon = daemons.Daemon(
+                name, self._folder, self.store.address, free, source
+            )
             self.daemons.append(daemon)
             for proxy in daemon.proxies:
                 await proxy.start()
@@ -291,11 +197,16 @@
         document = platform_standins.configuration(
             len(self.recorded.changes) + 1, routes=routes, tenants=teams
         )
-        self.store.put("op/config", document)
+        self._document = document
+        self.publish_again()
         self.recorded.changes.append(
             records.Change(records.now(), frozenset(self.keys), dict(self.services))
         )
 
+    def publish_again(self) -> None:
+        """Write the newest configuration version."""
+        self.store.put("op/config", self._document)
+
     async def add_engine(self, service: str, software: str = "") -> str:
         """Start an engine, by default of the newest version; return its id."""
         self._engine_count += 1
@@ -346,6 +257,24 @@
             "version": self.engines[name].software,
         }
         self.store.put(f"servers/{name}", entry)
+        self._entry_states[name] = state
+
+    def remove_entry(self, name: str) -> None:
+        """Remove an engine's entry, unless it has expired."""
+        self._entry_states.pop(name, None)
+        if f"servers/{name}" in self.store.items:
+            self.store.remove(f"servers/{name}")
+
+    def write_entries_again(self) -> None:
+        """Write the entries of all engines, and remove those of engines that left."""
+        for name in list(self.engines):
+            if name in self._entry_states:
+                self.write_entry(name, self._entry_states[name])
+        prefix = "servers/"
+        for key in list(self.store.items):
+            name = key.removeprefix(prefix)
+            if key.startswith(prefix) and name not in self._entry_states:
+                self.remove_entry(name)
 
     async def remove_engine(self, name: str) -> None:
         """Stop an engine and its proxy."""
@@ -375,8 +304,7 @@
         start = records.now()
         self.recorded.faults.add(name, start)
         await self.crash_engine(name, CRASH_RESTART_SECONDS)
-        self.store.items.pop(f"servers/{name}", None)
-        self.store.revision += 1
+        self.remove_entry(name)
         self.recorded.faults.end(name, start, records.now())
 
     async def _watch_unexpected_exits(self) -> None:
@@ -389,7 +317,7 @@
                     )
                     one.expected_running = False
 
-    def _settings_text(self, one: Daemon, first: bool) -> str:
+    def _settings_text(self, one: daemons.Daemon, first: bool) -> str:
         seeds = ", ".join(f'"{other.peer.address}"' for other in self.daemons[:3])
         store = one.store.address
         return f"""\
@@ -415,7 +343,7 @@
 directory = "{one.addresses["directory"]}"
 relay = "{one.addresses["relay"]}"
 first_start = {str(first).lower()}
-grace_seconds = {GRACE_SECONDS}
+grace_seconds = {daemons.GRACE_SECONDS}
 apply_seconds = {APPLY_SECONDS}
 quota_window_seconds = {WINDOW_SECONDS}
 quota_excess = {EXCESS}
@@ -429,20 +357,6 @@
     return "chat" if kind in ("stream", "string") else "plain"
 
 
-def _handles(pid: int, number: signal.Signals) -> bool:
-    """Return whether a process catches or ignores a signal."""
-    handled = 0
-    try:
-        lines = pathlib.Path(f"/proc/{pid}/status").read_text().splitlines()
-    except OSError:
-        return False
-    for line in lines:
-        name, _, mask = line.partition(":")
-        if name in ("SigIgn", "SigCgt"):
-            handled |= int(mask, 16)
-    return bool(handled >> (number - 1) & 1)
-
-
 def run(work: typing.Coroutine[typing.Any, typing.Any, typing.Any]) -> typing.Any:
     """Run a coroutine in a uvloop event loop."""
     return uvloop.run(work)
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -4,10 +4,14 @@
 import contextlib
 
 import aiohttp
+import fleets
 import pytest
 
-from cassiaquay_daemon import exceptions, positions
+from cassiaquay_daemon import clock, exceptions, positions
+from cassiaquay_daemon.fleet import configuration
+from cassiaquay_daemon.links import peers
 from cassiaquay_daemon.platform import store
+from cassiaquay_dev.sizing import light
 from cassiaquay_dev.standins import platform_standins as standins
 from cassiaquay_dev.standins import raw_servers
 
@@ -138,3 +142,100 @@
         assert await texts.watch(second.position, 1.0) is None
 
     _run(work)
+
+
+def _page(items: str, epoch: str, truncated: bool = False) -> bytes:
+    body = (
+        f'{{"items": [{items}], "current-rev": 9,'
+        f' "truncated": {"true" if truncated else "false"}}}'
+    )
+    head = f"HTTP/1.1 200 X\r\nContent-Length: {len(body)}\r\n"
+    if epoch:
+        head += f"Store-Era: {epoch}\r\n"
+    return f"{head}\r\n{body}".encode()
+
+
+ITEM = '{"key": "a", "value": "eA==", "revision": 1}'
+
+
+def test_pages_of_two_epochs_are_no_list() -> None:
+    """Guards against a list that is half of before a return and half of after it."""
+
+    async def work(served: ScriptedStore, http: aiohttp.ClientSession) -> None:
+        served.raw = [_page(ITEM, "1", truncated=True), _page(ITEM, "2")]
+        client = store.Store(http, served.address)
+        with pytest.raises(exceptions.PlatformError):
+            await client.items("")
+        served.raw = [_page(ITEM, "2")]
+        assert (await client.items("")).position == (2, 9)
+
+    _run(work)
+
+
+@pytest.mark.parametrize("header", ["", "x", "-1", "9" * 40, "\u0663"])
+def test_an_answer_without_a_readable_epoch_is_of_the_last_known_one(
+    header: str,
+) -> None:
+    """Guards against a bad header that takes the fleet back to another epoch."""
+
+    async def work(served: ScriptedStore, http: aiohttp.ClientSession) -> None:
+        client = store.Store(http, served.address)
+        served.raw = [_page(ITEM, "3"), _page(ITEM, header)]
+        assert (await client.items("")).position == (3, 9)
+        assert (await client.items("")).position == (3, 9)
+
+    _run(work)
+
+
+def test_an_answer_of_an_epoch_that_has_ended_is_refused() -> None:
+    """Guards against an answer that was made before a return and comes late."""
+
+    async def work(served: ScriptedStore, http: aiohttp.ClientSession) -> None:
+        client = store.Store(http, served.address)
+        served.raw = [_page(ITEM, "3"), _page(ITEM, "2")]
+        await client.items("")
+        with pytest.raises(exceptions.PlatformError):
+            await client.items("")
+
+    _run(work)
+
+
+def test_a_watch_sees_what_was_written_after_a_return() -> None:
+    """Guards against a watch from a revision that the new epoch has passed already."""
+
+    async def work(served: ScriptedStore, http: aiohttp.ClientSession) -> None:
+        texts = store.ConfigurationStore(http, served.address)
+        copy = served.copy()
+        served.put("other", {})
+        served.put("op/config", b"one")
+        first = await texts.watch(positions.START, 0.0)
+        served.restore(copy)
+        served.put("op/config", b"two")
+        for _ in range(5):
+            served.put("other", {})
+        second = await texts.watch(first.position, 0.2)
+        assert second.text == "two"
+
+    _run(work)
+
+
+def test_a_store_that_ends_all_watches_is_read_with_pauses() -> None:
+    """Guards against calls without a pause while the store answers 410."""
+
+    async def work(served: ScriptedStore, http: aiohttp.ClientSession) -> None:
+        settings = light.settings_of("cq-1")
+        links = peers.Peers(settings, "a" * 12)
+        configured = configuration.Configuration(settings, links)
+        texts = store.ConfigurationStore(http, served.address)
+        served.put("op/config", fleets.text(1).encode())
+        await configured.watch_once(texts, 0.0)
+        before = served.calls
+        for _ in range(3):
+            served.raw = [_raw_answer(410)]
+            await configured.watch_once(texts, 2.0)
+        # One watch, which does not count, and one read for each.
+        assert served.calls - before == 3
+
+    began = clock.now()
+    _run(work)
+    assert clock.now() - began >= 3 * configuration.RETRY_SECONDS
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -402,6 +402,15 @@
     assert outcome.faults["engine_release"] > 0
 
 
+def test_short_soak_run_with_returns_from_a_copy_reverts_nothing(tmp_path) -> None:
+    """Guards against older configurations when the store returns from a copy."""
+    only = "store_restored,store_restored,change,stop,engine_leaves"
+    settings = SHORT._replace(folder=str(tmp_path), only=only)
+    outcome = asyncio.run(main.run_seed(settings, timed=False))
+    assert not outcome.findings
+    assert outcome.faults["store_restored"] > 0
+
+
 def test_gateway_demo_breaks_no_promise(capsys) -> None:
     """A graceful stop and restart of one daemon breaks no promise to callers."""
     assert gateway_demo.run(seconds=3.0, rate=20.0, daemons=2) == 0
