--- a/packages/daemon/cassiaquay_daemon/decisions/withdrawals.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/withdrawals.py
@@ -82,13 +82,13 @@
         self._withdrawals[message.server] = learned
         return True
 
-    def to_send(self) -> list[messages.ServerWithdrawal]:
-        """Return all withdrawals for sending."""
+    def to_send(self, epoch: int) -> list[messages.ServerWithdrawal]:
+        """Return the withdrawals that a list of an epoch may lack."""
         now = clock.now()
         sent = []
         for server, known in self._withdrawals.items():
             left_s = known.kept_until - now
-            if left_s <= 0.0:
+            if left_s <= 0.0 or known.epoch >= epoch:
                 continue
             age_ms = int((RETENTION_SECONDS - left_s) * 1000)
             sent.append(
--- a/packages/daemon/cassiaquay_daemon/fleet/configuration.py
+++ b/packages/daemon/cassiaquay_daemon/fleet/configuration.py
@@ -235,7 +235,7 @@
     def _version_of(self, published: platform.Published) -> positions.TextVersion:
         number = published.number
         if number is None:
-            # The text is invalid; it is parsed so that its refusal is logged.
+            # If the text is invalid, it is parsed so that its refusal is logged.
             number = self._newest_version.number
         digest = digest_of(published.text)
         return positions.TextVersion(number, *published.position, digest)
--- a/packages/daemon/cassiaquay_daemon/fleet/servers.py
+++ b/packages/daemon/cassiaquay_daemon/fleet/servers.py
@@ -336,7 +336,8 @@
 
     def _withdrawals(self) -> messages.ServerWithdrawals | None:
         """Return what corrects a restored platform's list; None for nothing."""
-        servers = self._registered.withdrawals.to_send()
+        epoch = self._position.epoch
+        servers = self._registered.withdrawals.to_send(epoch)
         retained = self._evacuations.retained
         if not servers and not retained:
             return None
--- a/packages/daemon/cassiaquay_daemon/operators/metrics.py
+++ b/packages/daemon/cassiaquay_daemon/operators/metrics.py
@@ -230,7 +230,13 @@
     "cassiaquay_configuration_revision",
     "gauge",
     (),
-    "Configuration revision in force here; 0 before there is one.",
+    "Number of the configuration in force, or its revision; 0 before there is one.",
+)
+PLATFORM_RETURNS = Family(
+    "cassiaquay_platform_returns_total",
+    "counter",
+    (),
+    "Epoch of the configuration in force: returns of the platform from a copy.",
 )
 REJECTED = Family(
     "cassiaquay_configuration_rejected_revisions",
@@ -301,6 +307,7 @@
     LIMITED_GRANTS,
     EVACUATED,
     REVISION,
+    PLATFORM_RETURNS,
     REJECTED,
     MEMBERS,
     PEER_SENT,
--- a/packages/daemon/cassiaquay_daemon/operators/reports.py
+++ b/packages/daemon/cassiaquay_daemon/operators/reports.py
@@ -311,6 +311,8 @@
         states[("leaving",)] = len(alive) - serving
         self.metrics.replace(metrics.MEMBERS, states)
         self.metrics.replace(metrics.REVISION, {(): configured.revision})
+        epoch = configured.newest_version.epoch
+        self.metrics.replace(metrics.PLATFORM_RETURNS, {(): epoch})
         self.metrics.replace(metrics.REJECTED, {(): len(configured.rejected)})
 
     def _read_peers(self) -> None:
--- a/tests/test_reports.py
+++ b/tests/test_reports.py
@@ -67,6 +67,7 @@
         )
         assert 'cassiaquay_open_requests{state="waiting"} 0' in page
         assert "cassiaquay_configuration_revision 1" in page
+        assert "cassiaquay_platform_returns_total 0" in page
 
     fakes.run(test)
 
