--- a/packages/daemon/cassiaquay_daemon/fleet/members.py
+++ b/packages/daemon/cassiaquay_daemon/fleet/members.py
@@ -23,7 +23,7 @@
     reported_load,
 )
 
-# A process claims a later start this often; more often, a second one has its name.
+# If a process must claim a later start more often, a second one has its name.
 MAX_OUTRANK_COUNT = 2
 BORN_STEP_SECONDS = 0.001
 
@@ -274,8 +274,7 @@
     def learn(self, member: messages.Member) -> None:
         """Store a fact received from a peer."""
         if member.instance == self._settings.instance:
-            is_other = member.incarnation != self._incarnation
-            if is_other and member.born > self._born and not self._outrank(member.born):
+            if member.born > self._born and not self._outrank(member.born):
                 logs.trouble("instance_name_used_twice", by=member.incarnation)
             return
         if self.facts.learn(member):
@@ -291,7 +290,7 @@
         return current_facts
 
     def restart_silence_timers(self) -> None:
-        """Ignore the silence of other instances during this process's own pause."""
+        """Ignore the silence of others during this process's own pause."""
         self._detector.reset()
 
     def _send(self) -> None:
@@ -399,11 +398,9 @@
             self.update(force=True)
 
     def _outrank(self, born: float) -> bool:
-        """Claim a later start than the former process; return whether this may.
-
-        The wall clock may have gone back between the two starts. Others would take
-        this process's facts for older ones and ignore them.
-        """
+        """Claim a later start than the former process; return whether this may."""
+        # The wall clock may have gone back between the two starts. Others would take
+        # this process's facts for older ones and ignore them.
         if self._outrank_count >= MAX_OUTRANK_COUNT:
             return False
         self._outrank_count += 1
