--- a/tests/restored_fakes.py
+++ b/tests/restored_fakes.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections.abc
+import typing
 
 import gateway_fakes as fakes
 
@@ -133,3 +134,18 @@
     seeds = [settings.peer_listen for settings in site.settings]
     await site.add(f"cq-{len(site.daemons) + 1}", f"{host}:0", seeds)
     await site.until_ready(site.settings[-1])
+
+
+def run_at_all_places(
+    work: collections.abc.Callable[[fakes.Site, int], typing.Any], count: int
+) -> None:
+    """Run a test's coroutine for each place of the next write, on sites of its own."""
+
+    async def run_at(place: int) -> None:
+        async with fakes.site(count) as site, asyncio.timeout(fakes.TIMEOUT_SECONDS):
+            await work(site, place)
+
+    async def run_all() -> None:
+        await asyncio.gather(*(run_at(place) for place in ALL_PLACES))
+
+    asyncio.run(run_all())
