--- a/packages/daemon/cassiaquay_daemon/fleet/server_list.py
+++ b/packages/daemon/cassiaquay_daemon/fleet/server_list.py
@@ -169,7 +169,7 @@
 ) -> bool:
     """Return whether the known entry of a server is newer than a listed one.
 
-    Across the platform's return from a copy only the server's own count tells.
+    Revisions of two epochs do not compare; the server's own count does.
     """
     if is_same_epoch:
         return old_entry.revision >= entry.revision
--- a/tests/test_restored_texts.py
+++ b/tests/test_restored_texts.py
@@ -182,7 +182,7 @@
 
 
 def test_a_text_that_the_platform_has_lost_raises_an_alarm(caplog) -> None:
-    """Guards against a lost text that nobody notices."""
+    """Guards against a text that is lost without an alarm."""
     with fakes.Time().used() as time:
         fleet, operator = _fleet(True)
         operator.copy()
