Use servers again that a restored platform lists for longer than five seconds

Cause: a server whose entry had run out, or that was retained after a return and not written again within 2.2 s, was noted as gone. The next return listed it again, and without a higher count in its entry it was refused for 60 s.

Now only an entry that was removed while no return was recent says that its server has gone, and that holds for 5 s from the return: its removal is written again or its lease ends meanwhile, so what stays is alive. Draining servers stay out as before. Instances that do not read put the end in force when a neighbour's digest differs.

--- a/packages/daemon/cassiaquay_daemon/decisions/withdrawals.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/withdrawals.py
@@ -13,6 +13,10 @@
 
 # Longer than a copy is old and than its entries take to be written again.
 RETENTION_SECONDS = 60.0
+# Entries of servers that have gone are removed again, or run out, this long after the
+# platform's return. What is listed then is alive.
+REMOVAL_SECONDS = 5.0
+NEVER = float("-inf")
 
 
 class Withdrawal(typing.NamedTuple):
@@ -47,6 +51,12 @@
 
     def __init__(self) -> None:
         self._withdrawals: dict[str, Withdrawal] = {}
+        # When the platform's present epoch was first seen.
+        self._epoch_began_at = NEVER
+
+    def begin_epoch(self) -> None:
+        """Note the platform's return from a copy."""
+        self._epoch_began_at = clock.now()
 
     def note_leaving(self, entry: messages.ServerEntry, epoch: int) -> None:
         """Note a server whose entry says that it leaves."""
@@ -66,9 +76,12 @@
         if known.epoch >= epoch:
             # The platform shows it again in the same epoch: it had only fallen silent.
             return False
-        # A server that announced its leaving never returns under its id. One whose
-        # entry had run out may have registered again; it has counted on.
-        return known.is_announced or entry.sequence <= known.sequence
+        if known.is_announced:
+            # Such a server never returns under its id.
+            return True
+        # The entry of a live server may have run out; it has registered again since.
+        is_removable = clock.now() < self._epoch_began_at + REMOVAL_SECONDS
+        return is_removable and entry.sequence <= known.sequence
 
     def learn(self, message: messages.ServerWithdrawal) -> bool:
         """Note a withdrawal from another instance; return whether it is new here."""
--- a/packages/daemon/cassiaquay_daemon/fleet/server_list.py
+++ b/packages/daemon/cassiaquay_daemon/fleet/server_list.py
@@ -103,6 +103,8 @@
         old_entries = self._listed
         self._listed = {}
         self._position = position
+        if not is_same_epoch:
+            self.withdrawals.begin_epoch()
         for entry in entries:
             old_entry = old_entries.pop(entry.name, None)
             if old_entry is None and entry.name not in self._retained:
@@ -134,8 +136,6 @@
     def drop_retained(self) -> list[str]:
         """Drop the retained servers; return their names."""
         dropped = self.retained
-        for entry in self._retained.values():
-            self.withdrawals.note_gone(entry, self._position.epoch)
         self._retained.clear()
         return dropped
 
--- a/packages/daemon/cassiaquay_daemon/fleet/servers.py
+++ b/packages/daemon/cassiaquay_daemon/fleet/servers.py
@@ -244,6 +244,13 @@
         self._digest = self._compute_digest()
         return True
 
+    def _update_digest(self) -> None:
+        """Put in force what has changed without a list: withdrawals end by time."""
+        before = self._digest
+        self._digest = self._compute_digest()
+        if self._note_domains() or self._digest != before:
+            self._publish(PLATFORM)
+
     def _compute_digest(self) -> int:
         return self._registered.digest(self._evacuated)
 
@@ -355,6 +362,8 @@
             self._drop_retained()
         if not position.revision or position < self._position:
             return
+        if beat.servers_digest != self._digest:
+            self._update_digest()
         is_restored = position.epoch > self._position.epoch
         if is_restored or beat.servers_digest != self._digest:
             link.send(
@@ -390,10 +399,7 @@
         for withdrawal in message.servers:
             self._registered.withdrawals.learn(withdrawal)
         self._evacuations.learn(message.evacuated, message.evacuated_ms / 1000.0)
-        before = self._digest
-        self._digest = self._compute_digest()
-        if self._note_domains() or self._digest != before:
-            self._publish(link.instance)
+        self._update_digest()
 
     def _handle_list(self, link: peers.Link, message: messages.ServerList) -> None:
         position = positions.Position(message.epoch, message.revision)
