Log the first return of the platform, too

The first epoch of the store is zero, which Epochs took for none: the first return left servers_restored, but no platform_restored. The test fails on the code before.

--- a/packages/daemon/cassiaquay_daemon/platform/epochs.py
+++ b/packages/daemon/cassiaquay_daemon/platform/epochs.py
@@ -14,6 +14,7 @@
 
     def __init__(self) -> None:
         self._highest = 0
+        self._is_known = False
         self._is_unreadable = False
 
     def read(self, headers: collections.abc.Mapping[str, str]) -> int:
@@ -37,7 +38,8 @@
             raise exceptions.PlatformError(
                 f"answer of epoch {epoch} after one of epoch {self._highest}"
             )
-        if epoch > self._highest and self._highest:
+        if epoch > self._highest and self._is_known:
             logs.event("platform_restored", epoch=epoch, before=self._highest)
         self._highest = epoch
+        self._is_known = True
         return epoch
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -200,6 +200,21 @@
     _run(work)
 
 
+def test_the_first_return_is_logged(caplog) -> None:
+    """Guards against a return that leaves no line since the first epoch is zero."""
+
+    async def work(served: ScriptedStore, http: aiohttp.ClientSession) -> None:
+        client = store.Store(http, served.address)
+        served.raw = [_page(ITEM, "0"), _page(ITEM, "1")]
+        await client.items("")
+        assert "platform_restored" not in caplog.messages
+        await client.items("")
+        assert "platform_restored" in caplog.messages
+
+    with caplog.at_level("INFO"):
+        _run(work)
+
+
 def test_a_watch_sees_what_was_written_after_a_return() -> None:
     """Guards against a watch from a revision that the new epoch has passed already."""
 
