--- a/packages/daemon/cassiaquay_daemon/gateway/replies.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/replies.py
@@ -85,6 +85,7 @@
         id=parsed.attempt,
         outcome=refusal.outcome or "not_run",
         code=refusal.code,
+        cause=refusal.message,
         status=status_of(refusal),
         retry_after_ms=refusal.retry_after_ms or None,
         route=state.call.route.name if state else None,
--- a/packages/daemon/cassiaquay_daemon/gateway/serving.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/serving.py
@@ -181,13 +181,16 @@
             cause=str(error),
             after=state.last_event,
             runs=state.runs,
+            sent_to=len(state.receivers),
+            attempts=call.route.attempts,
+            seconds_left=round(call.seconds_left, 3),
         )
         if isinstance(error, exceptions.ConnectionBroken):
             self._parts.crashes.crashed(
                 call.content, state.server_start, state.suspected_parts
             )
         if not state.is_repeatable_now:
-            raise exceptions.AnswerLost() from error
+            raise exceptions.AnswerLost("no other server may get it") from error
         if state.started and not call.is_stream:
             raise exceptions.AnswerLost() from error
         self._check_quarantine(state)
