Add reports of silent servers to the gateway's accounting

What silences lasted and how they ended, and why a silent server kept its request: requests that wait for a silent server left no trace but the code that they ended with. Nothing calls these yet.

--- a/packages/daemon/cassiaquay_daemon/gateway/accounting.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/accounting.py
@@ -10,6 +10,8 @@
 EndedListener = collections.abc.Callable[[reports.Finished], None]
 # Called with the refusal, the caller's attempt id and an empty team name.
 RefusedListener = collections.abc.Callable[[exceptions.Refusal, str, str], None]
+SilenceListener = collections.abc.Callable[[reports.Silence], None]
+KeptListener = collections.abc.Callable[[reports.Kept], None]
 
 
 class Accounting:
@@ -18,6 +20,8 @@
     def __init__(self) -> None:
         self._listeners: list[EndedListener] = []
         self._refusal_listeners: list[RefusedListener] = []
+        self._silence_listeners: list[SilenceListener] = []
+        self._kept_listeners: list[KeptListener] = []
 
     def on_ended(self, listener: EndedListener) -> None:
         """Call ``listener`` for each accepted request that ends."""
@@ -27,6 +31,24 @@
         """Call ``listener`` for each request refused before it had a route."""
         self._refusal_listeners.append(listener)
 
+    def on_silence(self, listener: SilenceListener) -> None:
+        """Call ``listener`` for each silence of a server that owed an answer."""
+        self._silence_listeners.append(listener)
+
+    def on_kept(self, listener: KeptListener) -> None:
+        """Call ``listener`` each time that a silent server could not be replaced."""
+        self._kept_listeners.append(listener)
+
+    def record_silence(self, silence: reports.Silence) -> None:
+        """Report how long a server was silent, and how that silence ended."""
+        for listener in self._silence_listeners:
+            listener(silence)
+
+    def record_kept(self, kept: reports.Kept) -> None:
+        """Report why no other server could replace a silent one."""
+        for listener in self._kept_listeners:
+            listener(kept)
+
     def record_refused(
         self, parsed: headers.ParsedHeaders, refusal: exceptions.Refusal
     ) -> None:
--- a/packages/daemon/cassiaquay_daemon/operators/reports.py
+++ b/packages/daemon/cassiaquay_daemon/operators/reports.py
@@ -62,6 +62,42 @@
     output_tokens: int
 
 
+class Silence(typing.NamedTuple):
+    """The longest silence of a server that owed an answer.
+
+    Attributes
+    ----------
+    service, server : str
+        Names.
+    seconds : float
+        Longest time without a byte while the answer was due.
+    outcome : str
+        "answered": the server answered after all; "moved": another server took over;
+        "ended": the request's time ended first; "left": the caller disconnected.
+    """
+
+    service: str
+    server: str
+    seconds: float
+    outcome: str
+
+
+class Kept(typing.NamedTuple):
+    """A silent server that kept its request because no other could take it.
+
+    Attributes
+    ----------
+    service : str
+        Name of the service.
+    cause : str
+        Why no other took it: "attempts", "budget", "quarantined", "no_permit",
+        "unreachable", "declined", or "silent" if the other broke or was silent, too.
+    """
+
+    service: str
+    cause: str
+
+
 class Reach(typing.NamedTuple):
     """Which servers this instance reaches, and what relays have done.
 
