Never end an answer because its server is silent

What callers saw: while sound servers were silent for a second, requests that may be repeated ended with a 502 or a closed connection; those that may not were answered.

Cause: a read timeout gave up the silent server first and only then asked whether the request could go on: attempts (counted before the present try, so the last permitted server had a timeout, too), retry budget, quarantine, a keeper's permit, the second server. Each could say no.

Now nothing but the deadline ends an answer that a server still owes. After the same patience as before the request is also sent to a second server, if attempts, budget, quarantine and a keeper allow it, while the first is read on; whichever goes on first wins and the other is closed before the winner's bytes are passed on. Streams leave the silent server at the latest 0.25 s after another one that is alive has the request, so that no two servers work on one for long. Bytes that arrived while the process stood still are read before anything is decided.

Tests: the mutant of test_gateway_schedules replaces read_part, which took the place of stream_body. test_stream_of_silent_server_... waits up to 0.5 s for the engine to notice the close, which now comes with the winner's first bytes and no longer before its request; it still has to be that attempt and no other.

--- a/packages/daemon/cassiaquay_daemon/decisions/budgets.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/budgets.py
@@ -47,19 +47,26 @@
         """Count a caller's first attempt at a service."""
         self._window(self._requests, service).add(1.0)
 
+    def is_spent(self, service: str) -> bool:
+        """Return whether no retry is left now."""
+        retries = self._window(self._retries, service)
+        return retries.sum() + 1.0 > self._bound(service)
+
     def take(self, service: str) -> bool:
         """Spend one retry; return False when the budget is used up."""
+        if self.is_spent(service):
+            return False
+        self._window(self._retries, service).add(1.0)
+        return True
+
+    def _bound(self, service: str) -> float:
         requests = self._window(self._requests, service).sum()
         retries = self._window(self._retries, service)
         extra = self._gateway.retry_extra / self._fleet_size()
         if not self._gateway.first_start:
             # The previous process of this instance may have spent it just before.
             extra *= 1.0 - retries.unknown_share
-        bound = USED_SHARE * (self._gateway.retry_share * requests + extra)
-        if retries.sum() + 1.0 > bound:
-            return False
-        retries.add(1.0)
-        return True
+        return USED_SHARE * (self._gateway.retry_share * requests + extra)
 
     def _window(
         self, by_service: dict[str, windows.Window], service: str
--- /dev/null
+++ b/packages/daemon/cassiaquay_daemon/decisions/hedges.py
@@ -0,0 +1,92 @@
+"""Decides when a request whose server is silent is sent to a second server as well.
+
+Load pattern: servers stop for a second or two, one, half or all of a service, and go on
+where they were; others never answer again. From one instance both look alike. A request
+that leaves its server is lost if no other one takes it, and while all servers stand
+still, none does. A request that stays is lost if its server has crashed.
+
+So no silence ends an answer. After a patience the request also goes to a second server,
+and the first of them to answer goes on. Only streams must not run twice for long: the
+silent server is left when another one that is known to be alive has the request.
+"""
+
+import enum
+import typing
+
+# Callers wait at least two seconds between events, which leaves time to resume the
+# stream at another server.
+STREAM_PATIENCE_SECONDS = 1.2
+MIN_PATIENCE_SECONDS = 0.25
+# Prefill rate of a slow engine; long prompts delay the first event.
+SLOW_PREFILL_TOKENS_PER_SECOND = 20_000.0
+# Interval at which another server is sought again while none is to be had.
+SEARCH_INTERVAL_SECONDS = 0.25
+# Time for which two servers may work on one stream. Callers' pages allow 0.4 s.
+OVERLAP_SECONDS = 0.25
+# Interval at which a waiting request looks at its servers.
+CHECK_SECONDS = 0.05
+
+
+class Action(enum.Enum):
+    """What a request does while its server is silent."""
+
+    WAIT = "wait"
+    SEARCH = "search"
+    MOVE = "move"
+
+
+class Silence(typing.NamedTuple):
+    """A request whose server is silent.
+
+    Attributes
+    ----------
+    is_stream : bool
+        Whether the answer is a stream.
+    is_searching : bool
+        Whether capacity at another server is being requested.
+    searched_seconds : float
+        Time since the last such request has failed; infinite if none has.
+    obstacle : str
+        Why no other server may get the request; empty if one may.
+    patience_seconds : float
+        Time after which a server counts as silent.
+    newest_seconds : float or None
+        Time since the newest of the other servers has had the request; None if no other
+        one has it.
+    is_other_alive : bool
+        Whether one of the other servers has sent anything since it has the request.
+    """
+
+    is_stream: bool
+    is_searching: bool
+    searched_seconds: float
+    obstacle: str
+    patience_seconds: float
+    newest_seconds: float | None
+    is_other_alive: bool
+
+
+def patience_seconds(
+    is_stream: bool, objective_seconds: float, prompt_tokens: int
+) -> float:
+    """Return the time without a byte after which a server counts as silent."""
+    if not is_stream:
+        return max(objective_seconds, MIN_PATIENCE_SECONDS)
+    prefill_seconds = prompt_tokens / SLOW_PREFILL_TOKENS_PER_SECOND
+    return STREAM_PATIENCE_SECONDS + prefill_seconds
+
+
+def decide(silence: Silence) -> Action:
+    """Return what to do now."""
+    newest_seconds = silence.newest_seconds
+    if newest_seconds is not None:
+        is_overdue = newest_seconds >= OVERLAP_SECONDS
+        if silence.is_stream and silence.is_other_alive and is_overdue:
+            return Action.MOVE
+        if newest_seconds < silence.patience_seconds:
+            return Action.WAIT
+    if silence.is_searching or silence.obstacle:
+        return Action.WAIT
+    if silence.searched_seconds < SEARCH_INTERVAL_SECONDS:
+        return Action.WAIT
+    return Action.SEARCH
--- a/packages/daemon/cassiaquay_daemon/gateway/forwarding.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/forwarding.py
@@ -48,8 +48,6 @@
         The complete body.
     server : Server
         The server.
-    read_timeout : float or None
-        Seconds without a byte of the answer after which it counts as lost.
     """
 
     attempt: str
@@ -58,7 +56,6 @@
     pairs: headers.Pairs
     body: bytes
     server: fleet.Server
-    read_timeout: float | None = None
 
 
 class Answer(typing.NamedTuple):
@@ -94,6 +91,29 @@
         return self.status >= FIRST_SERVER_ERROR_STATUS
 
 
+class Piece(typing.NamedTuple):
+    """A part of an answer.
+
+    Attributes
+    ----------
+    answer : Answer
+        Status and headers.
+    data : bytes
+        Part of a stream, empty for its head; the complete body of any other answer.
+    is_last : bool
+        Whether the answer is complete.
+    """
+
+    answer: Answer
+    data: bytes
+    is_last: bool
+
+    @property
+    def is_head(self) -> bool:
+        """Whether nothing of a stream's body has arrived."""
+        return not self.data and not self.is_last
+
+
 class Misdirected(exceptions.Declined):
     """Another server has the address of the intended one; it declined the request."""
 
@@ -132,12 +152,10 @@
         call: calls.Call,
         server: fleet.Server,
         last_event: int,
-        read_timeout: float | None,
         before_sending: BeforeSending,
     ) -> Answer:
         """Send a request; return its answer once the headers have arrived.
 
-        ``read_timeout`` is in seconds, None for no timeout.
         ``before_sending`` is called when a connection is established and no byte of
         the request has been written; it may raise NotSent. It is called again for each
         relay, if those before it did not send the request.
@@ -167,7 +185,6 @@
                 pairs,
                 call.body,
                 server,
-                read_timeout,
             )
 
         candidates = self._relays.choose(call.service)
@@ -230,6 +247,10 @@
             raise exceptions.Unreachable("no path from the relay either")
         return await self.send_directly(outgoing, before_sending)
 
+    def was_heard(self, address: str, since: float) -> bool:
+        """Return whether this instance has received bytes from a server."""
+        return not self._paths.is_silent(address, since)
+
     async def close(self) -> None:
         """Close all connections."""
         await self._http.close()
@@ -288,7 +309,6 @@
         timeout = aiohttp.ClientTimeout(
             total=None,
             sock_connect=connections.CONNECT_TIMEOUT_SECONDS,
-            sock_read=outgoing.read_timeout,
         )
         try:
             return await self._http.request(
@@ -361,23 +381,14 @@
     return response.headers.get(headers.ATTEMPT.decode(), "") == attempt
 
 
-async def read_body(answer: Answer) -> bytes:
-    """Return the complete body; raise StreamInterrupted when it is cut off."""
-    parts = []
-    size = 0
-    async for part in stream_body(answer):
-        parts.append(part)
-        size += len(part)
-        if size > MAX_ANSWER_BYTES:
-            raise exceptions.StreamInterrupted("the answer is too large")
-    return b"".join(parts)
-
+async def read_part(answer: Answer) -> bytes:
+    """Return the next bytes of the body, none at its end.
 
-async def stream_body(answer: Answer) -> collections.abc.AsyncIterator[bytes]:
-    """Yield the body as it arrives; raise StreamInterrupted when it is cut off."""
+    May be cancelled and called again; raises StreamInterrupted when the body is cut
+    off.
+    """
     try:
-        async for part in answer.response.content.iter_any():
-            yield part
+        return await answer.response.content.readany()
     except (TimeoutError, aiohttp.ClientError, OSError) as error:
         interrupted = breaks.to_stream_interrupted(error)
         if answer.is_relayed:
--- /dev/null
+++ b/packages/daemon/cassiaquay_daemon/gateway/hedging.py
@@ -0,0 +1,330 @@
+"""Reads the answer of one server and, while it is silent, that of another one, too.
+
+The first server to go on wins; the others are closed before any of its bytes are passed
+on. A server that declines, fails or is silent, too, costs the request nothing but an
+attempt.
+"""
+
+import asyncio
+import collections.abc
+import typing
+
+from .. import clock, exceptions, logs
+from ..decisions import budgets, hedges
+from ..operators import reports
+from . import accounting, admission, forwarding, progress, tries
+
+# Passes of the event loop from received bytes to the task that reads them.
+LOOP_PASSES = 2
+
+
+class Parts(typing.NamedTuple):
+    """Components that send a request to a second server.
+
+    Attributes
+    ----------
+    capacity : Admission
+        Obtains capacity at other servers.
+    budget : RetryBudget
+        Limits the tries at other servers.
+    accounting : Accounting
+        Receives silences, and why they were waited for.
+    start : callable
+        Starts a try with a ticket.
+    is_held : callable
+        Returns whether the request is quarantined.
+    note_cut : callable
+        Records that the answer of a try was cut off.
+    """
+
+    capacity: admission.Admission
+    budget: budgets.RetryBudget
+    accounting: accounting.Accounting
+    start: collections.abc.Callable[[admission.Ticket], tries.Try]
+    is_held: collections.abc.Callable[[], bool]
+    note_cut: collections.abc.Callable[[tries.Try, exceptions.StreamInterrupted], None]
+
+
+class HedgedAnswer:
+    """The answer to one request, from the first server or from another one.
+
+    Parameters
+    ----------
+    parts : Parts
+        Components that send the request to a second server.
+    state : RequestState
+        The request.
+    first : Try
+        The try whose answer is read.
+
+    Attributes
+    ----------
+    current : Try
+        The try that the last piece came from.
+    """
+
+    def __init__(self, parts: Parts, state: progress.RequestState, first: tries.Try):
+        self.current = first
+        self._parts = parts
+        self._state = state
+        self._others: list[tries.Try] = []
+        self._search: asyncio.Task[admission.Ticket] | None = None
+        self._searched_at = float("-inf")
+        self._obstacle = ""
+        call = state.call
+        self._patience_seconds = hedges.patience_seconds(
+            call.is_stream, call.route.objective_seconds, call.parsed.prompt_tokens
+        )
+        state.adopt(first.server, first.server_start)
+
+    async def read(self) -> forwarding.Piece:
+        """Return the next piece; raise like :meth:`Try.take` if no server has one."""
+        if not self._state.call.route.is_repeatable:
+            piece = await self.current.read(None)
+            assert piece is not None
+            return piece
+        while True:
+            idle_seconds = clock.now() - self.current.heard_at
+            patience_seconds = self._patience_seconds - idle_seconds
+            if patience_seconds <= 0.0:
+                await _read_buffers()
+            piece = await self.current.read(max(patience_seconds, 0.0))
+            if piece is not None:
+                return piece
+            if patience_seconds <= 0.0:
+                return await self._read_from_any()
+
+    def close(self) -> None:
+        """Close the tries that are left."""
+        self._close_others()
+        self.current.close()
+
+    async def _read_from_any(self) -> forwarding.Piece:
+        """Return the next piece of the first server that has one."""
+        silent = self.current
+        silent_since = silent.heard_at
+        self._log("server_quiet", silent, since=silent_since)
+        self._obstacle = ""
+        outcome = "ended"
+        try:
+            while True:
+                self._act()
+                await self._wait()
+                piece = self._take()
+                if piece is not None:
+                    break
+            outcome = "answered" if self.current is silent else "moved"
+            if self.current is silent:
+                self._log("server_answered", silent, since=silent_since)
+            return piece
+        except exceptions.BackendError:
+            outcome = "broken"
+            raise
+        except asyncio.CancelledError:
+            if self._state.call.seconds_left > 0.0:
+                outcome = "left"
+            raise
+        finally:
+            self._close_others()
+            seconds = clock.now() - silent_since
+            service = self._state.call.service
+            self._parts.accounting.record_silence(
+                reports.Silence(service, silent.server, seconds, outcome)
+            )
+
+    def _act(self) -> None:
+        now = clock.now()
+        newest_seconds = None
+        if self._others:
+            newest_seconds = now - (self._others[-1].sent_at or now)
+        silence = hedges.Silence(
+            self._state.call.is_stream,
+            self._search is not None,
+            now - self._searched_at,
+            self._find_obstacle(),
+            self._patience_seconds,
+            newest_seconds,
+            any(other.is_alive for other in self._others),
+        )
+        action = hedges.decide(silence)
+        if action is hedges.Action.SEARCH:
+            self._search = asyncio.create_task(self._obtain())
+        if action is hedges.Action.MOVE:
+            for other in self._others:
+                if other.is_alive:
+                    self._promote(other)
+                    break
+
+    def _find_obstacle(self) -> str:
+        """Return why no other server may get the request now."""
+        obstacle = ""
+        if not self._state.has_attempts_left:
+            obstacle = "attempts"
+        elif self._parts.budget.is_spent(self._state.call.service):
+            obstacle = "budget"
+        elif self._parts.is_held():
+            obstacle = "quarantined"
+        if obstacle and not self._others and self._search is None:
+            self._note_kept(obstacle)
+        return obstacle
+
+    async def _wait(self) -> None:
+        waiting: list[asyncio.Task[typing.Any]] = [self.current.step()]
+        for other in self._others:
+            waiting.append(other.step())
+        if self._search is not None:
+            waiting.append(self._search)
+        done, _ = await asyncio.wait(
+            waiting,
+            timeout=hedges.CHECK_SECONDS,
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        if not done:
+            await _read_buffers()
+
+    def _take(self) -> forwarding.Piece | None:
+        """Return the next piece of the answer if there is one."""
+        if self.current.is_ready:
+            piece = self._take_current()
+            if piece is not None:
+                return piece
+        for other in list(self._others):
+            if not other.is_ready:
+                continue
+            piece = self._take_other(other)
+            if piece is not None:
+                return piece
+        if self._search is not None and self._search.done():
+            self._take_ticket(self._search)
+        return None
+
+    def _take_current(self) -> forwarding.Piece | None:
+        try:
+            piece = self.current.take()
+        except exceptions.BackendError as error:
+            if not self._others:
+                raise
+            if isinstance(error, exceptions.StreamInterrupted):
+                self._parts.note_cut(self.current, error)
+            self._promote(self._others[0])
+            return None
+        if self._others and piece.answer.is_failure:
+            self._state.failure = piece
+            self._promote(self._others[0])
+            return None
+        return piece
+
+    def _take_other(self, other: tries.Try) -> forwarding.Piece | None:
+        try:
+            piece = other.take()
+        except (exceptions.BackendError, exceptions.Refusal) as error:
+            if isinstance(error, exceptions.StreamInterrupted):
+                self._parts.note_cut(other, error)
+            self._drop(other, _cause_of(error))
+            return None
+        if piece.is_head:
+            return None
+        if piece.answer.is_failure:
+            self._state.failure = piece
+        elif not self._state.started or piece.answer.status == 200:
+            self._promote(other)
+            return piece
+        self._drop(other, "declined")
+        return None
+
+    def _take_ticket(self, search: "asyncio.Task[admission.Ticket]") -> None:
+        self._search = None
+        self._searched_at = clock.now()
+        try:
+            ticket = search.result()
+        except (exceptions.BackendError, exceptions.Refusal) as error:
+            self._note_kept("no_permit", error)
+            return
+        receivers = [self.current, *self._others]
+        if any(ticket.server.name == item.server for item in receivers):
+            self._parts.capacity.return_unused(ticket)
+            self._note_kept("no_permit")
+            return
+        if not self._parts.budget.take(self._state.call.service):
+            self._parts.capacity.return_unused(ticket)
+            self._note_kept("budget")
+            return
+        self._others.append(self._parts.start(ticket))
+
+    async def _obtain(self) -> admission.Ticket:
+        state = self._state
+        for item in [self.current, *self._others]:
+            state.add_tried(item.server)
+        state.tries += 1
+        return await self._parts.capacity.obtain(state)
+
+    def _promote(self, other: tries.Try) -> None:
+        """Close the current try; the answer goes on with another one."""
+        left, self.current = self.current, other
+        self._others.remove(other)
+        if left.outcome == tries.UNKNOWN:
+            left.outcome = tries.CUT
+        left.close()
+        self._state.adopt(other.server, other.server_start)
+        self._log("server_replaced", left, since=left.heard_at, by=other.server)
+
+    def _drop(self, other: tries.Try, cause: str) -> None:
+        self._others.remove(other)
+        other.close()
+        self._note_kept(cause)
+
+    def _close_others(self) -> None:
+        for other in self._others:
+            other.close()
+        self._others = []
+        search, self._search = self._search, None
+        if search is None:
+            return
+        if search.done() and not search.cancelled() and search.exception() is None:
+            self._parts.capacity.return_unused(search.result())
+        search.cancel()
+
+    def _note_kept(self, cause: str, error: Exception | None = None) -> None:
+        """Record why the silent server is kept; once for each change of the cause."""
+        if cause == self._obstacle:
+            return
+        self._obstacle = cause
+        self._parts.accounting.record_kept(
+            reports.Kept(self._state.call.service, cause)
+        )
+        logs.event(
+            "server_kept",
+            id=self._state.call.parsed.attempt,
+            server=self.current.server,
+            cause=cause,
+            error=str(error) if error is not None else None,
+        )
+
+    def _log(
+        self, event: str, silent: tries.Try, since: float, by: str | None = None
+    ) -> None:
+        logs.event(
+            event,
+            id=self._state.call.parsed.attempt,
+            server=silent.server,
+            by=by,
+            silent_ms=round((clock.now() - since) * 1000.0),
+            after=self._state.last_event,
+            sent_to=len(self._state.receivers),
+            attempts=self._state.call.route.attempts,
+        )
+
+
+async def _read_buffers() -> None:
+    """Let the loop deliver bytes that arrived while this process stood still."""
+    for _ in range(LOOP_PASSES):
+        await asyncio.sleep(0)
+
+
+def _cause_of(error: Exception) -> str:
+    """Return why a second server has not taken over."""
+    if isinstance(error, exceptions.Unreachable):
+        return "unreachable"
+    if isinstance(error, exceptions.StreamInterrupted):
+        return "silent"
+    return "declined"
--- a/packages/daemon/cassiaquay_daemon/gateway/passing.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/passing.py
@@ -1,75 +1,98 @@
-"""Forwards a server's answer to the caller, buffered whole or event by event."""
+"""Passes a server's answer on to the caller, whole or event by event."""
 
 import collections.abc
 
 from .. import exceptions
-from . import admission, events, forwarding, progress, replies
+from . import events, forwarding, hedging, progress, replies, tries
 
-BeforeEvents = collections.abc.Callable[[], None]
+BeforeEvents = collections.abc.Callable[[tries.Try], None]
 
 
-async def pass_buffered(
+async def pass_whole(
     state: progress.RequestState,
-    answer: forwarding.Answer,
+    piece: forwarding.Piece,
     reply: replies.Replies,
     send: replies.Send,
 ) -> None:
-    """Read an answer to its end, then send it.
+    """Send an answer whose body is complete.
 
     Nothing is sent before the body is complete: an answer that is cut off can still be
     retried at another server, and no caller gets a truncated body that looks complete.
     """
-    body = await forwarding.read_body(answer)
     if state.started:
         # Part of a stream has been sent; it cannot continue with a non-stream answer.
         raise exceptions.StreamInterrupted(
-            f"status {answer.status} for the rest of a stream"
+            f"status {piece.answer.status} for the rest of a stream"
         )
-    pairs = replies.drop_content_length(answer.headers)
-    pairs.append((b"content-length", str(len(body)).encode()))
+    pairs = replies.drop_content_length(piece.answer.headers)
+    pairs.append((b"content-length", str(len(piece.data)).encode()))
     state.started = True
-    await send(reply.start(answer.status, pairs))
-    await send(replies.part(body, False))
+    await send(reply.start(piece.answer.status, pairs))
+    await send(replies.part(piece.data, False))
 
 
 async def pass_streamed(
     state: progress.RequestState,
-    answer: forwarding.Answer,
-    tally: admission.Tally,
+    piece: forwarding.Piece,
+    answer: hedging.HedgedAnswer,
     reply: replies.Replies,
     send: replies.Send,
     before_events: BeforeEvents,
-) -> None:
-    """Forward events as they arrive; raise StreamInterrupted when they are cut off.
+) -> forwarding.Piece:
+    """Pass events on as they arrive; raise StreamInterrupted when they are cut off.
 
     An answer that ends with its connection and has no event, or only a part of its last
     one, was cut off by the server's end.
 
-    ``before_events`` is called before complete events are sent to the caller.
+    Parameters
+    ----------
+    state : RequestState
+        The request.
+    piece : Piece
+        First piece of the answer.
+    answer : HedgedAnswer
+        Returns the other pieces.
+    reply, send : Replies and callable
+        Build and send the messages to the caller.
+    before_events : callable
+        Called before complete events are sent to the caller.
+
+    Returns
+    -------
+    Piece
+        The last piece.
     """
+    writer = answer.current
     splitter = events.Splitter()
     if not state.started:
         state.started = True
-        pairs = replies.drop_content_length(answer.headers)
-        await send(reply.start(answer.status, pairs))
-    async for data in forwarding.stream_body(answer):
-        received = splitter.feed(data)
+        pairs = replies.drop_content_length(piece.answer.headers)
+        await send(reply.start(piece.answer.status, pairs))
+    while True:
+        if answer.current is not writer:
+            # Another server goes on after the last complete event.
+            writer = answer.current
+            splitter = events.Splitter()
+        received = splitter.feed(piece.data)
         if splitter.is_too_long:
             raise exceptions.StreamInterrupted("an event is too long")
-        if not received.event_count:
-            continue
-        _check_event_order(state, received)
-        state.note_events()
-        before_events()
-        tally.add(received.event_count)
-        if received.last != events.NO_EVENT:
-            state.last_event = received.last
-        await send(replies.part(received.data, True))
-    if not answer.is_framed:
+        if received.event_count:
+            _check_event_order(state, received)
+            state.note_events()
+            before_events(writer)
+            writer.ticket.tally.add(received.event_count)
+            if received.last != events.NO_EVENT:
+                state.last_event = received.last
+            await send(replies.part(received.data, True))
+        if piece.is_last:
+            break
+        piece = await answer.read()
+    if not piece.answer.is_framed:
         _check_unframed_end(state, splitter)
     if not splitter.is_empty:
         raise exceptions.StreamInterrupted("the stream ends within an event")
     await send(replies.part(b"", False))
+    return piece
 
 
 def _check_unframed_end(
--- a/packages/daemon/cassiaquay_daemon/gateway/progress.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/progress.py
@@ -2,17 +2,10 @@
 
 from .. import clock
 from ..configured import snapshots
-from . import calls
+from . import calls, forwarding
 
-# Read timeout of a stream. Callers wait at least two seconds between events, which
-# leaves time to resume the stream at another server.
-STREAM_READ_TIMEOUT_SECONDS = 1.2
-MIN_READ_TIMEOUT_SECONDS = 0.25
 # A prompt that crashes its server does so when the server begins to answer it.
 CRASH_SECONDS = 0.5
-# Prefill rate of a slow engine; it lengthens the read timeout for long prompts, which
-# delay the first event.
-SLOW_PREFILL_TOKENS_PER_SECOND = 20_000.0
 
 
 class RequestState:
@@ -47,7 +40,7 @@
     started : bool
         Whether the status and headers of an answer were sent to the caller.
     server : str
-        Name of the server chosen last.
+        Name of the server whose answer is read.
     server_start : str
         That server's name with the start time of its process.
     events_began_at : float
@@ -58,6 +51,8 @@
         Servers that received it and gave no usable answer.
     receivers : set of str
         Servers that it was sent to, also those that declined it.
+    failure : Piece or None
+        A server's complete failure answer, passed on if no other server answers.
     """
 
     def __init__(self, call: calls.Call):
@@ -78,6 +73,7 @@
         self.unreachable: list[str] = []
         self.tried: list[str] = []
         self.receivers: set[str] = set()
+        self.failure: forwarding.Piece | None = None
 
     @property
     def may_have_run(self) -> bool:
@@ -92,6 +88,17 @@
             return ()
         return self.call.parsed.shared_parts
 
+    def adopt(self, server: str, server_start: str) -> None:
+        """Take the answer from a server from now on."""
+        self.server = server
+        self.server_start = server_start
+        self.events_began_at = 0.0
+
+    def add_tried(self, server: str) -> None:
+        """Record a server that should not get the request again."""
+        if server not in self.tried:
+            self.tried.append(server)
+
     def note_events(self) -> None:
         """Record that events have arrived."""
         self.events_began_at = self.events_began_at or clock.now()
@@ -106,19 +113,3 @@
     def is_repeatable_now(self) -> bool:
         """Whether it may be sent to one more server though one may have run it."""
         return self.call.route.is_repeatable and self.has_attempts_left
-
-    @property
-    def read_timeout_seconds(self) -> float | None:
-        """Read timeout after which the request goes to another server.
-
-        None if it may not be retried: then only its deadline ends it.
-        """
-        call = self.call
-        if not self.is_repeatable_now:
-            return None
-        if not call.is_stream:
-            return max(call.route.objective_seconds, MIN_READ_TIMEOUT_SECONDS)
-        return (
-            STREAM_READ_TIMEOUT_SECONDS
-            + call.parsed.prompt_tokens / SLOW_PREFILL_TOKENS_PER_SECOND
-        )
--- a/packages/daemon/cassiaquay_daemon/gateway/relaying.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/relaying.py
@@ -207,7 +207,7 @@
             "headers": answer.headers,
         }
     )
-    async for data in forwarding.stream_body(answer):
+    while data := await forwarding.read_part(answer):
         await send(replies.part(data, True))
     await send(replies.part(b"", False))
 
--- a/packages/daemon/cassiaquay_daemon/gateway/serving.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/serving.py
@@ -19,10 +19,12 @@
     admission,
     completions,
     forwarding,
+    hedging,
     passing,
     progress,
     replies,
     resuming,
+    tries,
 )
 
 # Retry-After when all servers tried declined the request or could not be reached.
@@ -167,16 +169,19 @@
             except exceptions.StreamInterrupted as error:
                 self._check_repeat(state, error)
 
-    def _check_repeat(
-        self, state: progress.RequestState, error: exceptions.StreamInterrupted
+    def _note_cut(
+        self,
+        state: progress.RequestState,
+        cut: tries.Try,
+        error: exceptions.StreamInterrupted,
     ) -> None:
-        """Return if the request may be sent to another server; raise otherwise."""
+        """Record that the answer of one try was cut off."""
         call = state.call
         logs.event(
             "answer_cut",
             id=call.parsed.attempt,
             content=call.content,
-            server=state.server,
+            server=cut.server,
             parts=",".join(call.parsed.shared_parts) or None,
             cause=str(error),
             after=state.last_event,
@@ -185,10 +190,18 @@
             attempts=call.route.attempts,
             seconds_left=round(call.seconds_left, 3),
         )
-        if isinstance(error, exceptions.ConnectionBroken):
-            self._parts.crashes.crashed(
-                call.content, state.server_start, state.suspected_parts
-            )
+        if not isinstance(error, exceptions.ConnectionBroken):
+            return
+        suspected = call.parsed.shared_parts
+        if cut.server == state.server:
+            suspected = state.suspected_parts
+        self._parts.crashes.crashed(call.content, cut.server_start, suspected)
+
+    def _check_repeat(
+        self, state: progress.RequestState, error: exceptions.StreamInterrupted
+    ) -> None:
+        """Return if the request may be sent to another server; raise otherwise."""
+        call = state.call
         if not state.is_repeatable_now:
             raise exceptions.AnswerLost("no other server may get it") from error
         if state.started and not call.is_stream:
@@ -207,97 +220,65 @@
             # Servers may have come and gone since the request was accepted.
             state.snapshot = newest
         ticket = await self._parts.capacity.obtain(state)
-        state.server = ticket.server.name
-        state.server_start = f"{ticket.server.name}/{ticket.server.started_ms}"
-        state.events_began_at = 0.0
-        sent_at = 0.0
-        is_first_receipt = ticket.server.name not in state.receivers
-
-        def before_sending() -> None:
-            nonlocal sent_at
-            self._check_before_sending(state, ticket)
-            if not sent_at:
-                sent_at = clock.now()
-                self._mark_dispatched(state, ticket)
-
-        outcome = "unknown"
+        answer = hedging.HedgedAnswer(
+            hedging.Parts(
+                self._parts.capacity,
+                self._parts.budget,
+                self._parts.accounting,
+                functools.partial(self._start_try, state),
+                functools.partial(self._is_held, state),
+                functools.partial(self._note_cut, state),
+            ),
+            state,
+            self._start_try(state, ticket),
+        )
         try:
-            outcome = await self._exchange(state, ticket, send, before_sending)
-        except exceptions.Declined as error:
-            # The server reports that it did not run the request.
-            state.runs -= 1
-            # A server that asks for time has not failed.
-            is_deferred = isinstance(error, exceptions.Deferred)
-            outcome = "deferred" if is_deferred else "declined"
-            state.tried.append(ticket.server.name)
-            if isinstance(error, forwarding.Misdirected):
-                state.receivers.discard(ticket.server.name)
-            logs.event(
-                "declined",
-                id=call.parsed.attempt,
-                server=ticket.server.name,
-                cause=str(error),
-            )
-            raise
-        except exceptions.NotSent as error:
-            if sent_at:
-                # Relays have received the request and report that they did not send it.
-                outcome = "unsent"
-                state.runs -= 1
-                if is_first_receipt:
-                    state.receivers.discard(ticket.server.name)
-            if isinstance(error, exceptions.Unreachable):
-                state.unreachable.append(ticket.server.name)
+            piece = await self._pass_answer(state, answer, send)
+        except exceptions.StreamInterrupted as error:
+            answer.current.mark_cut()
+            self._note_cut(state, answer.current, error)
             raise
-        except (exceptions.StreamInterrupted, _RetryableFailure) as error:
-            outcome = "cut"
-            if isinstance(error, _RetryableFailure):
-                outcome = _outcome_of(error.answer)
-            state.tried.append(ticket.server.name)
+        except _RetryableFailure:
+            state.add_tried(answer.current.server)
             raise
         finally:
-            if sent_at:
-                self._parts.capacity.report_ended(ticket, sent_at, outcome)
-            else:
-                self._parts.capacity.return_unused(ticket)
+            answer.close()
+        ticket = answer.current.ticket
+        self._log_completed(state, piece.answer, ticket.tally, ticket.server.address)
+
+    def _start_try(
+        self, state: progress.RequestState, ticket: admission.Ticket
+    ) -> tries.Try:
+        hooks = tries.Hooks(self._check_before_sending, self._mark_dispatched)
+        return tries.Try(
+            state, ticket, self._parts.capacity, self._parts.forwarder, hooks
+        )
 
-    async def _exchange(
+    async def _pass_answer(
         self,
         state: progress.RequestState,
-        ticket: admission.Ticket,
+        answer: hedging.HedgedAnswer,
         send: replies.Send,
-        before_sending: forwarding.BeforeSending,
-    ) -> str:
-        """Send a request and forward its answer; return the outcome for the keeper."""
-        call = state.call
-        answer = await self._parts.forwarder.send(
-            call,
-            ticket.server,
-            state.last_event,
-            state.read_timeout_seconds,
-            before_sending,
-        )
-        try:
-            if answer.is_failure and not state.started and state.is_repeatable_now:
-                if self._parts.budget.take(call.service):
-                    raise _RetryableFailure(answer)
-            if call.is_stream and answer.status == 200:
-                await passing.pass_streamed(
-                    state,
-                    answer,
-                    ticket.tally,
-                    self._parts.reply,
-                    send,
-                    functools.partial(self._parts.resuming.note_events, state, ticket),
-                )
-            else:
-                await passing.pass_buffered(state, answer, self._parts.reply, send)
-        finally:
-            # Closing the connection makes the server stop a request that still runs.
-            # After a completely read answer, the connection stays in the pool.
-            answer.response.close()
-        self._log_completed(state, answer, ticket)
-        return _outcome_of(answer)
+    ) -> forwarding.Piece:
+        """Pass an answer on to the caller; return its last piece."""
+        piece = await answer.read()
+        if state.call.is_stream and piece.answer.status == 200:
+            return await passing.pass_streamed(
+                state,
+                piece,
+                answer,
+                self._parts.reply,
+                send,
+                functools.partial(self._note_events, state),
+            )
+        if piece.answer.is_failure and not state.started and state.is_repeatable_now:
+            if self._parts.budget.take(state.call.service):
+                raise _RetryableFailure(piece.answer)
+        await passing.pass_whole(state, piece, self._parts.reply, send)
+        return piece
+
+    def _note_events(self, state: progress.RequestState, writer: tries.Try) -> None:
+        self._parts.resuming.note_events(state, writer.ticket)
 
     def _check_before_sending(
         self, state: progress.RequestState, ticket: admission.Ticket
@@ -330,6 +311,10 @@
             "the route or key has gone", retry_after_ms=accepting.NOT_READY_RETRY_MS
         )
 
+    def _is_held(self, state: progress.RequestState) -> bool:
+        call = state.call
+        return self._parts.crashes.holds(call.content, call.parsed.shared_parts, False)
+
     def _check_quarantine(
         self, state: progress.RequestState, is_sent_now: bool = False
     ) -> None:
@@ -393,11 +378,11 @@
         self,
         state: progress.RequestState,
         answer: forwarding.Answer,
-        ticket: admission.Ticket,
+        tally: admission.Tally,
+        address: str,
     ) -> None:
         call = state.call
         status = answer.status
-        tally = ticket.tally
         first_ms = None
         if tally.first_at:
             first_ms = round((tally.first_at - call.began_at) * 1000.0, 1)
@@ -406,7 +391,7 @@
             "failed" if status >= forwarding.FIRST_SERVER_ERROR_STATUS else "completed"
         )
         if status < forwarding.FIRST_REDIRECT_STATUS:
-            self._parts.completions.record(state, answer, ticket.server.address)
+            self._parts.completions.record(state, answer, address)
         self._parts.accounting.record_ended(
             state, outcome, outcome, first_at - call.began_at
         )
@@ -434,14 +419,6 @@
         self.answer = answer
 
 
-def _outcome_of(answer: forwarding.Answer) -> str:
-    """Return the outcome of an answered request for the keeper."""
-    if not answer.is_failure:
-        return "completed"
-    # A server that asks for time has not failed, whether it ran the request or not.
-    return "deferred" if answer.reported.retry_after is not None else "failed"
-
-
 def _unserved_refusal(state: progress.RequestState) -> exceptions.Refusal:
     if state.may_have_run:
         return exceptions.AnswerLost()
--- /dev/null
+++ b/packages/daemon/cassiaquay_daemon/gateway/tries.py
@@ -0,0 +1,243 @@
+"""One try of a request: its dispatch to one server and the answer of that server."""
+
+import asyncio
+import collections.abc
+import typing
+
+from .. import clock, exceptions, logs
+from . import admission, forwarding, progress
+
+# Outcomes of tries, for the keeper.
+UNKNOWN = "unknown"
+UNSENT = "unsent"
+DECLINED = "declined"
+DEFERRED = "deferred"
+CUT = "cut"
+FAILED = "failed"
+COMPLETED = "completed"
+
+
+class Hooks(typing.NamedTuple):
+    """What a request handler contributes to each try.
+
+    Attributes
+    ----------
+    check : callable
+        Raises NotSent or Refusal if the request must not be sent now.
+    mark_dispatched : callable
+        Records that the first byte is about to be written.
+    """
+
+    check: collections.abc.Callable[[progress.RequestState, admission.Ticket], None]
+    mark_dispatched: collections.abc.Callable[
+        [progress.RequestState, admission.Ticket], None
+    ]
+
+
+class Try:
+    """Sends a request to the server of one ticket and reads the answer in pieces.
+
+    Reading may be interrupted and taken up again without losing any byte.
+
+    Parameters
+    ----------
+    state : RequestState
+        The request.
+    ticket : Ticket
+        Permission to dispatch it.
+    capacity : Admission
+        Receives the end of the dispatch.
+    forwarder : Forwarder
+        Sends the request.
+    hooks : Hooks
+        Checks and records of the request handler.
+
+    Attributes
+    ----------
+    outcome : str
+        Outcome for the keeper.
+    sent_at : float
+        Time of the first byte; seconds on this clock, 0 before it.
+    heard_at : float
+        Time of the last byte of the answer, or of the dispatch.
+    """
+
+    def __init__(
+        self,
+        state: progress.RequestState,
+        ticket: admission.Ticket,
+        capacity: admission.Admission,
+        forwarder: forwarding.Forwarder,
+        hooks: Hooks,
+    ):
+        self.ticket = ticket
+        self.outcome = UNKNOWN
+        self.sent_at = 0.0
+        self.heard_at = clock.now()
+        self._state = state
+        self._capacity = capacity
+        self._forwarder = forwarder
+        self._hooks = hooks
+        self._answer: forwarding.Answer | None = None
+        self._body = bytearray()
+        self._step: asyncio.Task[forwarding.Piece] | None = None
+        self._is_closed = False
+        self._is_first_receipt = ticket.server.name not in state.receivers
+
+    @property
+    def server(self) -> str:
+        """Name of the server."""
+        return self.ticket.server.name
+
+    @property
+    def server_start(self) -> str:
+        """Name of the server with the start time of its process."""
+        return f"{self.server}/{self.ticket.server.started_ms}"
+
+    @property
+    def is_alive(self) -> bool:
+        """Whether the server has sent anything, on any connection, since it has it."""
+        if not self.sent_at:
+            return False
+        return self._forwarder.was_heard(self.ticket.server.address, self.sent_at)
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether the task of :meth:`step` is done."""
+        return self._step is not None and self._step.done()
+
+    async def read(self, patience_seconds: float | None) -> forwarding.Piece | None:
+        """Return the next piece, or None if no byte arrives for the given time."""
+        if self._step is None and self._answer is not None:
+            try:
+                async with asyncio.timeout(patience_seconds):
+                    return await self._read_checked()
+            except TimeoutError:
+                return None
+        await asyncio.wait([self.step()], timeout=patience_seconds)
+        if self.is_ready:
+            return self.take()
+        return None
+
+    def step(self) -> "asyncio.Task[forwarding.Piece]":
+        """Return the task that reads the next piece, until :meth:`take` is called."""
+        if self._step is None:
+            self._step = asyncio.create_task(self._read_checked())
+            self._step.add_done_callback(_retrieve)
+        return self._step
+
+    def take(self) -> forwarding.Piece:
+        """Return the piece that was read, or raise why there is none."""
+        step, self._step = self._step, None
+        assert step is not None
+        return step.result()
+
+    def mark_cut(self) -> None:
+        """Record that its answer is of no use."""
+        self.outcome = CUT
+        self._state.add_tried(self.server)
+
+    def close(self) -> None:
+        """Stop the server's work on the request and report the end of the dispatch."""
+        if self._is_closed:
+            return
+        self._is_closed = True
+        if self._step is not None:
+            self._step.cancel()
+        if self._answer is not None:
+            # Closing the connection makes the server stop a request that still runs.
+            # After a completely read answer, the connection stays in the pool.
+            self._answer.response.close()
+        if self.sent_at:
+            self._capacity.report_ended(self.ticket, self.sent_at, self.outcome)
+        else:
+            self._capacity.return_unused(self.ticket)
+
+    async def _read_checked(self) -> forwarding.Piece:
+        try:
+            piece = await self._read()
+        except exceptions.BackendError as error:
+            self._note_failure(error)
+            raise
+        if piece.is_last:
+            self.outcome = _outcome_of(piece.answer)
+        return piece
+
+    async def _read(self) -> forwarding.Piece:
+        is_stream = self._state.call.is_stream
+        if self._answer is None:
+            self._answer = await self._forwarder.send(
+                self._state.call,
+                self.ticket.server,
+                self._state.last_event,
+                self._before_sending,
+            )
+            self.heard_at = clock.now()
+            if is_stream and self._answer.status == 200:
+                return forwarding.Piece(self._answer, b"", False)
+        answer = self._answer
+        if is_stream and answer.status == 200:
+            data = await self._read_part(answer)
+            return forwarding.Piece(answer, data, not data)
+        while True:
+            data = await self._read_part(answer)
+            if not data:
+                return forwarding.Piece(answer, bytes(self._body), True)
+            self._body += data
+            if len(self._body) > forwarding.MAX_ANSWER_BYTES:
+                raise exceptions.StreamInterrupted("the answer is too large")
+
+    async def _read_part(self, answer: forwarding.Answer) -> bytes:
+        data = await forwarding.read_part(answer)
+        self.heard_at = clock.now()
+        return data
+
+    def _before_sending(self) -> None:
+        self._hooks.check(self._state, self.ticket)
+        if self.sent_at:
+            return
+        self.sent_at = self.heard_at = clock.now()
+        self._hooks.mark_dispatched(self._state, self.ticket)
+
+    def _note_failure(self, error: exceptions.BackendError) -> None:
+        state = self._state
+        if isinstance(error, exceptions.Declined):
+            # The server reports that it did not run the request.
+            state.runs -= 1
+            # A server that asks for time has not failed.
+            is_deferred = isinstance(error, exceptions.Deferred)
+            self.outcome = DEFERRED if is_deferred else DECLINED
+            state.add_tried(self.server)
+            if isinstance(error, forwarding.Misdirected):
+                state.receivers.discard(self.server)
+            logs.event(
+                "declined",
+                id=state.call.parsed.attempt,
+                server=self.server,
+                cause=str(error),
+            )
+        elif isinstance(error, exceptions.NotSent):
+            if self.sent_at:
+                # Relays have received the request and report that they did not send it.
+                self.outcome = UNSENT
+                state.runs -= 1
+                if self._is_first_receipt:
+                    state.receivers.discard(self.server)
+            if isinstance(error, exceptions.Unreachable):
+                state.unreachable.append(self.server)
+        else:
+            self.mark_cut()
+
+
+def _outcome_of(answer: forwarding.Answer) -> str:
+    """Return the outcome of an answered request for the keeper."""
+    if not answer.is_failure:
+        return COMPLETED
+    # A server that asks for time has not failed, whether it ran the request or not.
+    return DEFERRED if answer.reported.retry_after is not None else FAILED
+
+
+def _retrieve(step: "asyncio.Task[forwarding.Piece]") -> None:
+    """Mark the error of a step that is not taken as handled."""
+    if not step.cancelled():
+        step.exception()
--- a/packages/daemon/cassiaquay_daemon/operators/reports.py
+++ b/packages/daemon/cassiaquay_daemon/operators/reports.py
@@ -73,7 +73,8 @@
         Longest time without a byte while the answer was due.
     outcome : str
         "answered": the server answered after all; "moved": another server took over;
-        "ended": the request's time ended first; "left": the caller disconnected.
+        "broken": it broke the connection; "ended": the request's time ended first;
+        "left": the caller disconnected.
     """
 
     service: str
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -297,7 +297,12 @@
         site.answer_first_run_with(send_two_events)
         got = await site.ask("/stream/x")
         assert (got.body, got.complete) == (standins.stream_events(), True)
-        closed = [name for engine in site.engines for name in engine.aborted_attempts]
+        closed: list[str] = []
+        async with asyncio.timeout(0.5):
+            while not closed:
+                await asyncio.sleep(0.01)
+                for engine in site.engines:
+                    closed += engine.aborted_attempts
         assert closed == [got.attempt]
 
     fakes.run(work)
--- a/tests/test_gateway_schedules.py
+++ b/tests/test_gateway_schedules.py
@@ -154,14 +154,13 @@
 def _accept_truncated(monkeypatch) -> None:
     """Accept a truncated answer as complete."""
 
-    async def stream_truncated_body(answer):
+    async def read_truncated_part(answer) -> bytes:
         try:
-            async for part in answer.response.content.iter_any():
-                yield part
+            return await answer.response.content.readany()
         except (TimeoutError, aiohttp.ClientError, OSError):
-            return
+            return b""
 
-    monkeypatch.setattr(forwarding, "stream_body", stream_truncated_body)
+    monkeypatch.setattr(forwarding, "read_part", read_truncated_part)
     monkeypatch.setattr(engines, "FAULTS", ("truncate",))
 
 
