Report a request that a server has run as such when no other takes it

What callers saw: 503 "not run" for a repeatable request whose first server had it and was lost, when the keeper shed the repeat or no server was left; and a 502 or 503 of the daemon's own in place of a server's 500 that had been dropped for a repeat which no server took.

Cause: a refusal of the second try was passed on as that of the request. What a request has done so far now decides: a kept failure answer is passed on, otherwise the outcome is unknown (502).

--- a/packages/daemon/cassiaquay_daemon/gateway/serving.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/serving.py
@@ -272,6 +272,7 @@
                 functools.partial(self._note_events, state),
             )
         if piece.answer.is_failure and not state.started and state.is_repeatable_now:
+            state.failure = piece
             if self._parts.budget.take(state.call.service):
                 raise _RetryableFailure(piece.answer)
         await passing.pass_whole(state, piece, self._parts.reply, send)
@@ -365,6 +366,12 @@
         refusal: exceptions.Refusal,
     ) -> None:
         call = state.call
+        if state.failure is not None and not state.started:
+            # No other server took the request: this is its answer.
+            await self._pass_failure(state, state.failure, send)
+            return
+        if state.may_have_run and not isinstance(refusal, exceptions.OutcomeUnknown):
+            refusal = exceptions.AnswerLost(f"{refusal.code} after it was sent")
         replies.log_refused(call.parsed, refusal, call.began_at, state)
         outcome = refusal.outcome or "not_run"
         self._parts.accounting.record_ended(state, outcome, refusal.code, 0.0)
@@ -374,6 +381,15 @@
             return
         await self._parts.reply.refuse(send, refusal)
 
+    async def _pass_failure(
+        self,
+        state: progress.RequestState,
+        failure: forwarding.Piece,
+        send: replies.Send,
+    ) -> None:
+        await passing.pass_whole(state, failure, self._parts.reply, send)
+        self._log_completed(state, failure.answer, admission.Tally(), "")
+
     def _log_completed(
         self,
         state: progress.RequestState,
