Metrics of silent servers and lost answers; alarm answers_given_up

An operator saw answer_lost rise, but not how long servers had been silent, why no other one took the request, or that the same servers answered others meanwhile. A histogram of silences by outcome, counters of what kept a request at its silent server and of lost answers by cause, and one log line a service in ten seconds when servers answer after answers of theirs were lost. The counter of lost answers needs the refusal's message in record_ended; without it all count as 'other'.

--- a/packages/daemon/cassiaquay_daemon/daemon.py
+++ b/packages/daemon/cassiaquay_daemon/daemon.py
@@ -179,8 +179,11 @@
         admin_socket = bound[0][1]
         if self._gateway is not None:
             self._membership.http_address = settings.gateway.front
-            self._gateway.accounting.on_ended(operator_reports.record_gateway_request)
-            self._gateway.accounting.on_refused(operator_reports.record_refusal)
+            accounts = self._gateway.accounting
+            accounts.on_ended(operator_reports.record_gateway_request)
+            accounts.on_refused(operator_reports.record_refusal)
+            accounts.on_silence(operator_reports.record_silence)
+            accounts.on_kept(operator_reports.record_kept)
             operator_reports.read_reach = self._gateway.reach
             self._gateway.start()
         else:
--- a/packages/daemon/cassiaquay_daemon/gateway/accounting.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/accounting.py
@@ -71,8 +71,9 @@
         outcome: str,
         code: str,
         first_seconds: float,
+        cause: str = "",
     ) -> None:
-        """Report the end of an accepted request."""
+        """Report the end of an accepted request; ``cause`` is a refusal's message."""
         call = state.call
         finished = reports.Finished(
             call.service,
@@ -86,6 +87,7 @@
             call.route.objective_seconds,
             call.parsed.prompt_tokens,
             call.parsed.output_tokens,
+            cause,
         )
         for listener in self._listeners:
             listener(finished)
--- a/packages/daemon/cassiaquay_daemon/operators/history.py
+++ b/packages/daemon/cassiaquay_daemon/operators/history.py
@@ -7,9 +7,19 @@
 
 Field = str | int | float | bool | list[str] | None
 
-# Events of every request are counted in metrics instead: they would fill the buffer
-# within seconds.
-EXCLUDED_EVENTS = frozenset({"dispatch", "ended", "relay", "relayed", "wasted"})
+# Events of every request, or of each one at a silent server, are counted in metrics
+# instead: they would fill the buffer within seconds.
+EXCLUDED_EVENTS = frozenset(
+    {
+        "dispatch",
+        "ended",
+        "relay",
+        "relayed",
+        "server_answered",
+        "server_quiet",
+        "wasted",
+    }
+)
 # Attributes of a log record that are not fields of the event.
 _STANDARD_ATTRIBUTES = frozenset(vars(logging.makeLogRecord({}))) | {
     "message",
--- a/packages/daemon/cassiaquay_daemon/operators/metrics.py
+++ b/packages/daemon/cassiaquay_daemon/operators/metrics.py
@@ -16,6 +16,7 @@
 
 FIRST_EVENT_BOUNDS_SECONDS = (0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8, 25.6)
 DURATION_BOUNDS_SECONDS = (0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 20.0, 40.0, 80.0)
+SILENCE_BOUNDS_SECONDS = (0.1, 0.25, 0.5, 0.75, 1.0, 1.5, 2.0, 3.0, 5.0, 10.0)
 LAG_BOUNDS_SECONDS = (0.001, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 5.0)
 
 
@@ -99,6 +100,25 @@
     (),
     "Prompt tokens that engines had read for requests which were then stopped.",
 )
+SILENCES = Family(
+    "cassiaquay_gateway_silence_seconds",
+    "histogram",
+    ("service", "outcome"),
+    "Longest time without a byte of servers that fell silent while an answer was due.",
+    SILENCE_BOUNDS_SECONDS,
+)
+KEPT_SERVERS = Family(
+    "cassiaquay_gateway_kept_servers_total",
+    "counter",
+    ("service", "cause"),
+    "Times that no other server could take the request of a silent one, by cause.",
+)
+LOST_ANSWERS = Family(
+    "cassiaquay_gateway_lost_answers_total",
+    "counter",
+    ("service", "cause"),
+    "Requests that ended as `answer_lost`; the cause is that of their line `ended`.",
+)
 LAG = Family(
     "cassiaquay_event_loop_lag_seconds",
     "histogram",
@@ -285,6 +305,9 @@
     CACHED_TOKENS,
     OUTPUT_TOKENS,
     WASTED_TOKENS,
+    SILENCES,
+    KEPT_SERVERS,
+    LOST_ANSWERS,
     LAG,
     ALARMS,
     OPEN,
--- a/packages/daemon/cassiaquay_daemon/operators/reports.py
+++ b/packages/daemon/cassiaquay_daemon/operators/reports.py
@@ -15,9 +15,13 @@
 from ..keepers import keeper
 from ..links import peers
 from ..owners import owner, recovery
-from . import burn, history, metrics, top_counts
+from . import burn, history, metrics, silences, top_counts
 
 LAG_PERIOD_SECONDS = 0.5
+# Causes of lost answers that metrics tell apart. They are messages of refusals, which
+# are constants of the gateway today; a varying one must not grow the page.
+MAX_LOST_CAUSES = 16
+OTHER_CAUSE = "other"
 
 
 class Parts(typing.NamedTuple):
@@ -47,6 +51,8 @@
         and the time that the objective allows.
     prompt_tokens, output_tokens : int
         As counted by the server, or by the caller when the server reports none.
+    cause : str
+        The refusal's message, if the gateway ended the request.
     """
 
     service: str
@@ -60,6 +66,7 @@
     within_seconds: float
     prompt_tokens: int
     output_tokens: int
+    cause: str = ""
 
 
 class Silence(typing.NamedTuple):
@@ -144,6 +151,8 @@
         )
         self.read_reach: collections.abc.Callable[[], Reach] = _no_gateway
         self._parts = parts
+        self._given_up = silences.GivenUpAnswers()
+        self._lost_causes: set[str] = set()
         self._teams = top_counts.TopCounts(report_settings.heaviest_teams)
         logs.add_handler(self.history)
         parts.owned.on_ended(self.record_ended_request)
@@ -194,6 +203,28 @@
         # Gateway objectives apply to the first event; answers that are not streamed
         # have only an end.
         self._count_burn(finished, finished.first_seconds or finished.seconds)
+        if finished.code == silences.LOST_CODE:
+            cause = self._lost_cause(finished.cause)
+            self.metrics.count(metrics.LOST_ANSWERS, (finished.service, cause))
+        self._given_up.record_end(
+            finished.service, finished.server, finished.outcome, finished.code
+        )
+
+    def record_silence(self, silence: Silence) -> None:
+        """Record the silence of a server that owed an answer."""
+        key = (silence.service, silence.outcome)
+        self.metrics.observe(metrics.SILENCES, key, silence.seconds)
+        self._given_up.record_silence(silence.service, silence.server, silence.outcome)
+
+    def record_kept(self, kept: Kept) -> None:
+        """Record why a silent server kept its request."""
+        self.metrics.count(metrics.KEPT_SERVERS, (kept.service, kept.cause))
+
+    def _lost_cause(self, message: str) -> str:
+        """Return the label for a refusal's message; few are told apart."""
+        if message and len(self._lost_causes) < MAX_LOST_CAUSES:
+            self._lost_causes.add(message)
+        return message if message in self._lost_causes else OTHER_CAUSE
 
     def _count_metrics(self, finished: Finished) -> None:
         """Add an ended request to the metrics."""
