trace: name silent servers, what kept the request there, and requests that ended alike

From the id of a 502 it took reading every file to learn what the daemon had waited for. trace tells how long a server had sent nothing when the request ended, why no other one took over (server_kept), who took over or that it answered after all, the cause in the line ended of a lost answer, and how many others ended with the same code within half a second, by instance and server.

tests/test_trace.py and tests/test_cli.py pass.

--- a/packages/cli/cassiaquay_cli/trace.py
+++ b/packages/cli/cassiaquay_cli/trace.py
@@ -1,15 +1,19 @@
 """``cassiaquay trace``: the outcome of a request and its cause, from log files only."""
 
+import collections
 import typing
 
 from cassiaquay_schema import registry
 
-from . import commands, log_lines, outputs
+from . import commands, log_lines, outputs, silences
 
 # Circumstances logged this long before a request's end may have influenced its outcome.
 CIRCUMSTANCES_WINDOW_SECONDS = 5.0
+# Requests that ended with the same code this long before or after may share its cause.
+ALIKE_WINDOW_SECONDS = 0.5
 # Events that report a process's view of servers, keepers and the platform.
 CIRCUMSTANCES = (
+    "answers_given_up",
     "configuration_in_force",
     "keeper_moved",
     "keeper_paused",
@@ -34,6 +38,27 @@
 causes: registry.Registry[Cause] = registry.Registry("cause")
 
 
+class Alike(typing.NamedTuple):
+    """Other requests that ended with the same code at the same time.
+
+    Attributes
+    ----------
+    code : str
+        The code.
+    request_count : int
+        Number of these requests.
+    instances : dict of str to int
+        Their number by instance.
+    servers : dict of str to int
+        Their number by the server that had them last, most first.
+    """
+
+    code: str
+    request_count: int
+    instances: dict[str, int]
+    servers: dict[str, int]
+
+
 class Traced(typing.NamedTuple):
     """Log lines of a request and the cause of its outcome.
 
@@ -46,11 +71,14 @@
     circumstances : list of Line
         Events at the same instances, shortly before the request's end, that may have
         influenced its outcome.
+    alike : Alike or None
+        Requests that ended like it; None if it completed.
     """
 
     cause: str
     lines: Lines
     circumstances: Lines
+    alike: Alike | None = None
 
     @property
     def has_several_attempts(self) -> bool:
@@ -88,14 +116,18 @@
 
 @causes.register("answer_lost")
 def _explain_answer_lost(request_lines: Lines) -> str:
+    cause = request_lines[-1].fields.get("cause")
     line = _last_line(request_lines, "answer_cut")
+    if line is None and cause:
+        return f"a server had it and its answer was lost: {cause}"
     if line is None:
         return "a server broke off; its line is not in these files"
     fields = line.fields
-    return (
+    text = (
         f"{fields.get('server')} broke off after event {fields.get('after')} "
         f"({fields.get('cause')}) and it could not be sent again"
     )
+    return f"{text}: {cause}" if cause else text
 
 
 @causes.register("origin_unknown")
@@ -170,7 +202,9 @@
             continue
         if end.at - CIRCUMSTANCES_WINDOW_SECONDS <= line.at <= end.at:
             circumstances.append(line)
-    return Traced(_explain_outcome(own_lines), request_lines, circumstances)
+    return Traced(
+        _explain_outcome(own_lines), request_lines, circumstances, _alike(end, lines)
+    )
 
 
 def format_text(traced: Traced) -> str:
@@ -178,7 +212,10 @@
     if not traced.lines:
         return traced.cause
     start_at = traced.lines[0].at
-    parts = [f"cause: {traced.cause}", ""]
+    parts = [f"cause: {traced.cause}"]
+    if traced.alike is not None:
+        parts.append(_format_alike(traced.alike))
+    parts.append("")
     parts.append(
         outputs.table(["ms", "instance", "event", ""], _rows(traced, start_at))
     )
@@ -230,8 +267,14 @@
 
 
 def _explain_outcome(request_lines: Lines) -> str:
+    text = _explain_end(request_lines)
+    silent = silences.describe(request_lines)
+    return f"{text}; {silent}" if silent else text
+
+
+def _explain_end(request_lines: Lines) -> str:
     end = request_lines[-1]
-    code = end.event if end.event == "caller_gone" else end.fields.get("code", "")
+    code = _code_of(end)
     if code in causes.names():
         return causes.get(code)(request_lines)
     if end.fields.get("outcome") == "completed":
@@ -239,6 +282,44 @@
     return f"it ended with {code or end.event}; see docs/ERRORS.md for this code"
 
 
+def _code_of(end: log_lines.Line) -> str:
+    """Return the code of a request's last line; empty if it completed."""
+    return end.event if end.event == "caller_gone" else end.fields.get("code", "")
+
+
+def _alike(end: log_lines.Line, lines: Lines) -> Alike | None:
+    """Return the requests that ended like another one; None if that completed."""
+    code = _code_of(end)
+    if not code:
+        return None
+    instances: collections.Counter[str] = collections.Counter()
+    servers: collections.Counter[str] = collections.Counter()
+    own_id = end.fields["id"]
+    for line in lines:
+        if line.event != end.event or _code_of(line) != code:
+            continue
+        if abs(line.at - end.at) > ALIKE_WINDOW_SECONDS:
+            continue
+        if line.fields.get("id") == own_id:
+            continue
+        instances[line.instance] += 1
+        if "server" in line.fields:
+            servers[line.fields["server"]] += 1
+    return Alike(code, instances.total(), dict(instances), dict(servers.most_common()))
+
+
+def _format_alike(alike: Alike) -> str:
+    seconds = ALIKE_WINDOW_SECONDS
+    if not alike.request_count:
+        return f"alike: no other request ended with {alike.code} within {seconds:g} s"
+    text = (
+        f"alike: {alike.request_count} others ended with {alike.code} "
+        f"within {seconds:g} s of it, at {len(alike.instances)} instances"
+    )
+    names = [f"{name} ({count})" for name, count in alike.servers.items()]
+    return f"{text}; servers: {', '.join(names)}" if names else text
+
+
 def _rows(traced: Traced, start_at: float) -> list[list[str]]:
     rows = []
     for line in traced.lines:
--- a/tests/test_trace.py
+++ b/tests/test_trace.py
@@ -37,6 +37,30 @@
 )
 
 
+SERVER_QUIET = (
+    "at=101.2 level=INFO event=server_quiet instance=cq-1 id=c1 server=i-1 "
+    "silent_ms=1200 after=3 sent_to=1 attempts=2"
+)
+SERVER_KEPT = (
+    "at=101.2 level=INFO event=server_kept instance=cq-1 id=c1 server=i-1 cause=budget"
+)
+SERVER_REPLACED = (
+    "at=101.5 level=INFO event=server_replaced instance=cq-1 id=c1 server=i-1 by=i-2 "
+    "silent_ms=1500 after=3 sent_to=2 attempts=2"
+)
+SERVER_ANSWERED = (
+    "at=101.6 level=INFO event=server_answered instance=cq-1 id=c1 server=i-1 "
+    "silent_ms=1600 after=3 sent_to=1 attempts=2"
+)
+ENDED_LATE = (
+    "at=102.0 level=INFO event=ended instance=cq-1 id=c1 outcome=outcome_unknown "
+    "code=deadline_exceeded status=504 server=i-1"
+)
+ENDED_COMPLETED = (
+    "at=102.0 level=INFO event=ended instance=cq-1 id=c1 outcome=completed server=i-2"
+)
+
+
 def _read(folder: pathlib.Path, **files: list[str]) -> list[log_lines.Line]:
     paths = []
     for name, lines in files.items():
@@ -106,6 +130,101 @@
     assert len(found.lines) == 2
 
 
+def test_lost_answer_shows_why_it_was_not_sent_again(tmp_path) -> None:
+    """Guards against one text for all causes of a lost answer."""
+    ended = ENDED_LOST + ' cause="the budget of repeats is spent"'
+    found = trace.trace("c1", _read(tmp_path, a=[DISPATCH, ANSWER_CUT, ended]))
+    assert "could not be sent again: the budget of repeats is spent" in found.cause
+    found = trace.trace("c1", _read(tmp_path, a=[DISPATCH, ended]))
+    assert "answer was lost: the budget of repeats is spent" in found.cause
+
+
+def test_silent_server_at_the_end_is_named_with_its_obstacles(tmp_path) -> None:
+    """Guards against a request that waited for a silent server for no visible cause."""
+    no_room = SERVER_KEPT.replace("at=101.2", "at=101.4").replace(
+        "cause=budget", 'cause=no_permit error="more important work has the capacity"'
+    )
+    lines = [DISPATCH, SERVER_QUIET, SERVER_KEPT, no_room, ENDED_LATE]
+    found = trace.trace("c1", _read(tmp_path, a=lines))
+    assert "i-1 had sent nothing for 2000 ms after event 3 when it ended" in found.cause
+    assert (
+        "no other server took over: the retry budget was spent, then no other server "
+        "had room (more important work has the capacity)"
+    ) in found.cause
+
+
+@pytest.mark.parametrize(
+    ("cause", "expected"),
+    [
+        ("attempts", "its route allows no further server"),
+        ("budget", "the retry budget was spent"),
+        ("quarantined", "refused to other servers since it may have crashed some"),
+        ("no_permit", "no other server had room"),
+        ("unreachable", "the other server could not be reached"),
+        ("declined", "the other server declined it"),
+        ("silent", "the other server broke off or was silent, too"),
+        ("something_new", "something_new"),
+    ],
+)
+def test_each_obstacle_has_words(tmp_path, cause: str, expected: str) -> None:
+    kept = SERVER_KEPT.replace("cause=budget", f"cause={cause}")
+    found = trace.trace("c1", _read(tmp_path, a=[SERVER_QUIET, kept, ENDED_LATE]))
+    assert "; no other server took over: " in found.cause
+    assert found.cause.endswith(expected)
+
+
+def test_second_server_that_is_silent_too_is_named(tmp_path) -> None:
+    second = DISPATCH.replace("at=100.0", "at=101.3").replace("i-1", "i-2")
+    lines = [DISPATCH, SERVER_QUIET, second, ENDED_LATE]
+    found = trace.trace("c1", _read(tmp_path, a=lines))
+    assert found.cause.endswith("when it ended; i-2 got it, too")
+
+
+def test_silent_server_that_lost_no_answer_is_named(tmp_path) -> None:
+    replaced = [DISPATCH, SERVER_QUIET, SERVER_REPLACED, ENDED_COMPLETED]
+    found = trace.trace("c1", _read(tmp_path, a=replaced))
+    assert "nothing went wrong" in found.cause
+    assert "i-1 was silent for 1500 ms after event 3, then i-2 took over" in found.cause
+    assert found.alike is None
+    answered = [DISPATCH, SERVER_QUIET, SERVER_KEPT, SERVER_ANSWERED, ENDED_COMPLETED]
+    found = trace.trace("c1", _read(tmp_path, a=answered))
+    assert "silent for 1600 ms after event 3, then answered after all" in found.cause
+
+
+def test_each_silence_of_a_request_is_told(tmp_path) -> None:
+    """A server falls silent before its answer, goes on, and falls silent again."""
+    first = SERVER_QUIET.replace("101.2", "100.3").replace("after=3", "after=-1")
+    woken = SERVER_ANSWERED.replace("101.6", "100.4")
+    lines = [DISPATCH, first, woken, SERVER_QUIET, ENDED_LATE]
+    found = trace.trace("c1", _read(tmp_path, a=lines))
+    assert "i-1 was silent for 1600 ms, then answered after all" in found.cause
+    assert "i-1 had sent nothing for 2000 ms after event 3" in found.cause
+
+
+def test_requests_that_ended_alike_are_counted(tmp_path) -> None:
+    """Guards against a common cause that the lines of one request do not show."""
+    alike = []
+    for number, (instance, server) in enumerate(
+        [("cq-1", "i-1"), ("cq-2", "i-1"), ("cq-3", "i-2")]
+    ):
+        line = ENDED_LATE.replace("cq-1", instance).replace("i-1", server)
+        alike.append(line.replace("id=c1", f"id=d{number}"))
+    earlier = ENDED_LATE.replace("102.0", "101.4").replace("id=c1", "id=e1")
+    another = ENDED_LOST.replace("100.6", "102.0").replace("id=c1", "id=e2")
+    lines = [DISPATCH, ENDED_LATE, *alike, earlier, another]
+    found = trace.trace("c1", _read(tmp_path, a=lines))
+    assert found.alike == trace.Alike(
+        "deadline_exceeded", 3, {"cq-1": 1, "cq-2": 1, "cq-3": 1}, {"i-1": 2, "i-2": 1}
+    )
+    shown = trace.format_text(found)
+    assert (
+        "alike: 3 others ended with deadline_exceeded within 0.5 s of it, "
+        "at 3 instances; servers: i-1 (2), i-2 (1)"
+    ) in shown
+    found = trace.trace("c1", _read(tmp_path, a=[DISPATCH, ENDED_LATE]))
+    assert "no other request ended with deadline_exceeded" in trace.format_text(found)
+
+
 def test_resumed_stream_shows_the_attempt_that_began_it(tmp_path) -> None:
     """Guards against a resumed stream whose first server is not to be found."""
     began = DISPATCH + " software=v1"
