Operations: silent servers, and the way from the id of a 502 to its cause

The pages named answer_cut only: not how long nothing had come, nor why no other server was asked. A test holds both pages to the causes that trace explains.

--- a/packages/cli/cassiaquay_cli/silences.py
+++ b/packages/cli/cassiaquay_cli/silences.py
@@ -7,7 +7,7 @@
 Lines = list[log_lines.Line]
 
 # Words for `cause` of the event `server_kept`.
-_KEPT_CAUSES = {
+KEPT_CAUSES = {
     "attempts": "its route allows no further server",
     "budget": "the retry budget was spent",
     "quarantined": "it was refused to other servers since it may have crashed some",
@@ -98,7 +98,7 @@
 
 def _obstacle(line: log_lines.Line) -> str:
     cause = line.fields.get("cause", "?")
-    words = _KEPT_CAUSES.get(cause, cause)
+    words = KEPT_CAUSES.get(cause, cause)
     error = line.fields.get("error")
     return f"{words} ({error})" if error else words
 
--- a/tests/test_pages.py
+++ b/tests/test_pages.py
@@ -14,6 +14,7 @@
 import cassiaquay_schema
 from cassiaquay import exceptions as caller_exceptions
 from cassiaquay_cli import exceptions as cli_exceptions
+from cassiaquay_cli import silences as cli_silences
 from cassiaquay_daemon import exceptions as daemon_exceptions
 from cassiaquay_daemon.operators import refusals
 from cassiaquay_schema import exceptions as schema_exceptions
@@ -113,6 +114,17 @@
     assert all(row[-1] for row in rows)
 
 
+def test_every_cause_of_a_kept_server_is_documented() -> None:
+    page = (DOCS / "OPERATIONS.md").read_text()
+    rows = _rows(page, "Servers that fall silent")
+    causes = {row[0] for row in rows if len(row) == 3}
+    assert causes == set(cli_silences.KEPT_CAUSES)
+    metrics_page = (DOCS / "METRICS.md").read_text()
+    pattern = r"Causes of\s`cassiaquay_gateway_kept_servers_total`:(.*?)\. Causes"
+    [listed] = re.findall(pattern, metrics_page, re.S)
+    assert set(re.findall(r"`(\w+)`", listed)) == causes
+
+
 def test_every_call_of_the_operators_address_is_documented() -> None:
     source = (
         ROOT / "packages" / "daemon" / "cassiaquay_daemon" / "operators" / "admin.py"
