--- a/packages/cli/cassiaquay_cli/trace.py
+++ b/packages/cli/cassiaquay_cli/trace.py
@@ -48,7 +48,7 @@
     request_count : int
         Number of these requests.
     instances : dict of str to int
-        Their number by instance.
+        Their number by instance, most first.
     servers : dict of str to int
         Their number by the server that had them last, most first.
     """
@@ -151,9 +151,13 @@
 
 @causes.register("deadline_exceeded")
 def _explain_deadline_exceeded(request_lines: Lines) -> str:
-    sent = _last_line(request_lines, "dispatch")
-    server = sent.fields.get("server") if sent is not None else "no server"
-    return f"dispatched to {server}; no complete response before the deadline"
+    servers: list[str] = []
+    for line in request_lines:
+        server = line.fields.get("server", "?")
+        if line.event == "dispatch" and server not in servers:
+            servers.append(server)
+    names = " and ".join(servers) or "no server"
+    return f"dispatched to {names}; no complete response before the deadline"
 
 
 @causes.register("deadline_infeasible")
@@ -305,7 +309,12 @@
         instances[line.instance] += 1
         if "server" in line.fields:
             servers[line.fields["server"]] += 1
-    return Alike(code, instances.total(), dict(instances), dict(servers.most_common()))
+    return Alike(
+        code,
+        instances.total(),
+        dict(instances.most_common()),
+        dict(servers.most_common()),
+    )
 
 
 def _format_alike(alike: Alike) -> str:
@@ -314,10 +323,13 @@
         return f"alike: no other request ended with {alike.code} within {seconds:g} s"
     text = (
         f"alike: {alike.request_count} others ended with {alike.code} "
-        f"within {seconds:g} s of it, at {len(alike.instances)} instances"
+        f"within {seconds:g} s of it"
     )
-    names = [f"{name} ({count})" for name, count in alike.servers.items()]
-    return f"{text}; servers: {', '.join(names)}" if names else text
+    for title, counts in (("instances", alike.instances), ("servers", alike.servers)):
+        names = [f"{name} ({count})" for name, count in counts.items()]
+        if names:
+            text += f"; {title}: {', '.join(names)}"
+    return text
 
 
 def _rows(traced: Traced, start_at: float) -> list[list[str]]:
--- a/tests/test_trace.py
+++ b/tests/test_trace.py
@@ -177,6 +177,7 @@
     second = DISPATCH.replace("at=100.0", "at=101.3").replace("i-1", "i-2")
     lines = [DISPATCH, SERVER_QUIET, second, ENDED_LATE]
     found = trace.trace("c1", _read(tmp_path, a=lines))
+    assert "dispatched to i-1 and i-2; no complete response" in found.cause
     assert found.cause.endswith("when it ended; i-2 got it, too")
 
 
@@ -218,8 +219,8 @@
     )
     shown = trace.format_text(found)
     assert (
-        "alike: 3 others ended with deadline_exceeded within 0.5 s of it, "
-        "at 3 instances; servers: i-1 (2), i-2 (1)"
+        "alike: 3 others ended with deadline_exceeded within 0.5 s of it; "
+        "instances: cq-1 (1), cq-2 (1), cq-3 (1); servers: i-1 (2), i-2 (1)"
     ) in shown
     found = trace.trace("c1", _read(tmp_path, a=[DISPATCH, ENDED_LATE]))
     assert "no other request ended with deadline_exceeded" in trace.format_text(found)
