--- a/packages/daemon/cassiaquay_daemon/gateway/serving.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/serving.py
@@ -374,7 +374,9 @@
             refusal = exceptions.AnswerLost(f"{refusal.code} after it was sent")
         replies.log_refused(call.parsed, refusal, call.began_at, state)
         outcome = refusal.outcome or "not_run"
-        self._parts.accounting.record_ended(state, outcome, refusal.code, 0.0)
+        self._parts.accounting.record_ended(
+            state, outcome, refusal.code, 0.0, refusal.message
+        )
         if state.started:
             # Part of an answer was sent. Returning without its last message makes the
             # listener break the connection, so that the part does not look complete.
