--- a/packages/daemon/cassiaquay_daemon/gateway/hedging.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/hedging.py
@@ -84,14 +84,14 @@
             assert piece is not None
             return piece
         while True:
-            idle_seconds = clock.now() - self.current.heard_at
-            patience_seconds = self._patience_seconds - idle_seconds
+            heard_at = self.current.heard_at
+            patience_seconds = heard_at + self._patience_seconds - clock.now()
             if patience_seconds <= 0.0:
                 await _read_buffers()
             piece = await self.current.read(max(patience_seconds, 0.0))
             if piece is not None:
                 return piece
-            if patience_seconds <= 0.0:
+            if self.current.heard_at == heard_at:
                 return await self._read_from_any()
 
     def close(self) -> None:
