Never end a stream as whole with a failure answer of the second server

What callers saw: a resumable stream whose first server fell silent and broke off, and whose second one answered 500 with an empty body, ended as complete with its last events missing. With a body, the bytes were fed to the splitter as events.

Cause: the next piece of a stream may come from another server since two are read at once; its status was only checked for the first piece.

Evidence: test_stream_is_not_completed_by_a_failure_of_the_second_server, 2 of 6 events and a proper end before; a broken stream now.

--- a/packages/daemon/cassiaquay_daemon/gateway/passing.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/passing.py
@@ -21,9 +21,7 @@
     """
     if state.started:
         # Part of a stream has been sent; it cannot continue with a non-stream answer.
-        raise exceptions.StreamInterrupted(
-            f"status {piece.answer.status} for the rest of a stream"
-        )
+        raise _not_a_stream(piece)
     pairs = replies.drop_content_length(piece.answer.headers)
     pairs.append((b"content-length", str(len(piece.data)).encode()))
     state.started = True
@@ -71,6 +69,7 @@
     while True:
         if answer.current is not writer:
             # Another server goes on after the last complete event.
+            _check_is_stream(piece)
             writer = answer.current
             splitter = events.Splitter()
         received = splitter.feed(piece.data)
@@ -95,6 +94,16 @@
     return piece
 
 
+def _check_is_stream(piece: forwarding.Piece) -> None:
+    if piece.answer.status != 200:
+        raise _not_a_stream(piece)
+
+
+def _not_a_stream(piece: forwarding.Piece) -> exceptions.StreamInterrupted:
+    status = piece.answer.status
+    return exceptions.StreamInterrupted(f"status {status} for the rest of a stream")
+
+
 def _check_unframed_end(
     state: progress.RequestState, splitter: events.Splitter
 ) -> None:
