Seek a second server in the current list

What callers saw: a long stream whose server fell silent for good ended at its time limit although a server that had been listed since then had free slots.

Cause: the search for a second server used the list of servers of the time at which the request was dispatched. A replacement of servers meanwhile leaves only servers in it that are gone; each permit for a new one was returned as not in force.

Evidence: test_silent_server_is_replaced_by_one_that_was_listed_since, 2 of 6 events and a broken connection before, whole now.

--- a/packages/daemon/cassiaquay_daemon/gateway/hedging.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/hedging.py
@@ -24,11 +24,13 @@
     Attributes
     ----------
     capacity : Admission
-        Obtains capacity at other servers.
+        Receives unused tickets.
     budget : RetryBudget
         Limits the tries at other servers.
     accounting : Accounting
         Receives silences, and why they were waited for.
+    obtain : callable
+        Obtains capacity at another server.
     start : callable
         Starts a try with a ticket.
     is_held : callable
@@ -40,6 +42,9 @@
     capacity: admission.Admission
     budget: budgets.RetryBudget
     accounting: accounting.Accounting
+    obtain: collections.abc.Callable[
+        [], collections.abc.Coroutine[typing.Any, typing.Any, admission.Ticket]
+    ]
     start: collections.abc.Callable[[admission.Ticket], tries.Try]
     is_held: collections.abc.Callable[[], bool]
     note_cut: collections.abc.Callable[[tries.Try, exceptions.StreamInterrupted], None]
@@ -256,7 +261,7 @@
         for item in [self.current, *self._others]:
             state.add_tried(item.server)
         state.tries += 1
-        return await self._parts.capacity.obtain(state)
+        return await self._parts.obtain()
 
     def _promote(self, other: tries.Try) -> None:
         """Close the current try; the answer goes on with another one."""
--- a/packages/daemon/cassiaquay_daemon/gateway/serving.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/serving.py
@@ -214,17 +214,13 @@
         self, state: progress.RequestState, send: replies.Send
     ) -> None:
         """Dispatch once and forward the answer to the caller."""
-        call = state.call
-        newest = self._parts.configured.current
-        if newest is not None and call.service in newest.fleet.pools:
-            # Servers may have come and gone since the request was accepted.
-            state.snapshot = newest
-        ticket = await self._parts.capacity.obtain(state)
+        ticket = await self._obtain(state)
         answer = hedging.HedgedAnswer(
             hedging.Parts(
                 self._parts.capacity,
                 self._parts.budget,
                 self._parts.accounting,
+                functools.partial(self._obtain, state),
                 functools.partial(self._start_try, state),
                 functools.partial(self._is_held, state),
                 functools.partial(self._note_cut, state),
@@ -246,6 +242,13 @@
         ticket = answer.current.ticket
         self._log_completed(state, piece.answer, ticket.tally, ticket.server.address)
 
+    async def _obtain(self, state: progress.RequestState) -> admission.Ticket:
+        newest = self._parts.configured.current
+        if newest is not None and state.call.service in newest.fleet.pools:
+            # Servers may have come and gone since the request was accepted.
+            state.snapshot = newest
+        return await self._parts.capacity.obtain(state)
+
     def _start_try(
         self, state: progress.RequestState, ticket: admission.Ticket
     ) -> tries.Try:
--- a/tests/test_hedging.py
+++ b/tests/test_hedging.py
@@ -40,3 +40,25 @@
         assert not got.complete
 
     fakes.run(work)
+
+
+def test_silent_server_is_replaced_by_one_that_was_listed_since() -> None:
+    """Guards against seeking a second server in an outdated list."""
+
+    async def work(site: fakes.Site) -> None:
+        await silence_fakes.prepare(site)
+        silence = silence_fakes.Silence()
+        for engine in site.engines:
+            engine.responder = silence.responder("events")
+        asked = asyncio.create_task(site.ask("/stream/2/x"))
+        while not silence.open_runs:
+            await asyncio.sleep(0.01)
+        await site.add_engine("i-3", slots=silence_fakes.SLOTS)
+        for engine in site.engines[:2]:
+            if not engine.runs:
+                site.store.remove(f"servers/{engine.name}")
+        got = await asked
+        assert not silence_fakes.lost("/stream/2/", [got])
+        assert site.engines_of(got.attempt)[1:] == site.engines[2:]
+
+    fakes.run(work)
