Count a server as silent only once it has the request

What callers saw: nothing; a request of a route with one attempt ran at two servers if the path to the first one hung and the way by a relay took longer than the patience.

Cause: the patience ran while a connection was being opened (0.3 s, and again for each relay), when the request does not count as an attempt yet.

--- a/packages/daemon/cassiaquay_daemon/gateway/hedging.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/hedging.py
@@ -89,7 +89,9 @@
             assert piece is not None
             return piece
         while True:
-            idle_seconds = clock.now() - self.current.heard_at
+            # A server that is still being connected to is not silent.
+            is_sent = bool(self.current.sent_at)
+            idle_seconds = clock.now() - self.current.heard_at if is_sent else 0.0
             patience_seconds = self._patience_seconds - idle_seconds
             if patience_seconds <= 0.0:
                 await _read_buffers()
@@ -163,6 +165,9 @@
     def _find_obstacle(self) -> str:
         """Return why no other server may get the request now."""
         obstacle = ""
+        if not self.current.sent_at:
+            # It is not counted as an attempt yet.
+            return "connecting"
         if not self._state.has_attempts_left:
             obstacle = "attempts"
         elif self._parts.budget.is_spent(self._state.call.service):
--- a/tests/test_hedging.py
+++ b/tests/test_hedging.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import cut_fakes
 import gateway_fakes as fakes
 import silence_fakes
 
@@ -62,3 +63,15 @@
         assert site.engines_of(got.attempt)[1:] == site.engines[2:]
 
     fakes.run(work)
+
+
+def test_attempts_hold_while_the_first_server_is_being_connected_to() -> None:
+    """Guards against a second server while the first one is about to get a request."""
+
+    async def work(site: fakes.Site) -> None:
+        await silence_fakes.prepare(site)
+        with cut_fakes.cut(site, 0, "silent"):
+            got = await site.ask("/plain/1/x")
+        assert len(site.engines_of(got.attempt)) == 1
+
+    fakes.run(work, 2)
