Leave a silent server only for one that has begun to answer the stream

What callers saw: a stream cut though its silent server went on a second later, when the second server turned the request down after the first had been left for it. And two servers worked on one stream for as long as the second one was quiet.

Cause: a stream left its server for one that was heard on any connection since it had the request. That says nothing about the request, and an opened connection counted, which a stopped process accepts, too. If the second one was not heard, both stayed.

Now a stream moves when the second server has sent the head of its answer. If the first one is heard again before that (bytes, not a connection), it keeps the stream and the second one is closed.

Not covered: a first server that works on the stream and is heard on no connection, beside a second one that sends no head.

--- a/packages/cli/cassiaquay_cli/silences.py
+++ b/packages/cli/cassiaquay_cli/silences.py
@@ -14,6 +14,7 @@
     "no_permit": "no other server had room",
     "unreachable": "the other server could not be reached",
     "declined": "the other server declined it",
+    "woke_up": "it went on with other requests before the other one had begun",
     "silent": "the other server broke off or was silent, too",
 }
 
--- a/packages/daemon/cassiaquay_daemon/decisions/hedges.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/hedges.py
@@ -7,7 +7,8 @@
 
 So no silence ends an answer. After a patience the request also goes to a second server,
 and the first of them to answer goes on. Only streams must not run twice for long: the
-silent server is left when another one that is known to be alive has the request.
+silent server is left when another one has begun to answer, and if it wakes up before
+that, the other one is left.
 """
 
 import enum
@@ -33,6 +34,7 @@
     WAIT = "wait"
     SEARCH = "search"
     MOVE = "move"
+    STAY = "stay"
 
 
 class Silence(typing.NamedTuple):
@@ -53,8 +55,11 @@
     newest_seconds : float or None
         Time since the newest of the other servers has had the request; None if no other
         one has it.
-    is_other_alive : bool
-        Whether one of the other servers has sent anything since it has the request.
+    has_other_begun : bool
+        Whether one of the other servers has begun to answer.
+    is_awake : bool
+        Whether the silent server has sent anything, on any connection, since the newest
+        of the others has the request.
     """
 
     is_stream: bool
@@ -63,7 +68,8 @@
     obstacle: str
     patience_seconds: float
     newest_seconds: float | None
-    is_other_alive: bool
+    has_other_begun: bool
+    is_awake: bool
 
 
 def patience_seconds(
@@ -80,9 +86,11 @@
     """Return what to do now."""
     newest_seconds = silence.newest_seconds
     if newest_seconds is not None:
-        is_overdue = newest_seconds >= OVERLAP_SECONDS
-        if silence.is_stream and silence.is_other_alive and is_overdue:
-            return Action.MOVE
+        if silence.is_stream and newest_seconds >= OVERLAP_SECONDS:
+            if silence.has_other_begun:
+                return Action.MOVE
+            if silence.is_awake:
+                return Action.STAY
         if newest_seconds < silence.patience_seconds:
             return Action.WAIT
     if silence.is_searching or silence.obstacle:
--- a/packages/daemon/cassiaquay_daemon/decisions/paths.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/paths.py
@@ -64,6 +64,7 @@
         self._list_servers = list_servers
         self._doubts: dict[str, _Doubt] = {}
         self._heard_at: dict[str, float] = {}
+        self._received_at: dict[str, float] = {}
 
     @property
     def lost(self) -> set[str]:
@@ -99,9 +100,16 @@
         """Return whether nothing was received from a server since ``since``."""
         return self._heard_at.get(address, since - 1.0) < since
 
+    def has_sent(self, address: str, since: float) -> bool:
+        """Return whether bytes were received from a server since ``since``.
+
+        Connections do not count: those to a stopped process are opened, too.
+        """
+        return self._received_at.get(address, since - 1.0) >= since
+
     def heard(self, address: str) -> None:
         """Record that bytes were received from a server."""
-        self._heard_at[address] = clock.now()
+        self._heard_at[address] = self._received_at[address] = clock.now()
 
     def doubt(self, address: str, cause: str) -> None:
         """Probe the path to a server, unless it was connected to a moment ago."""
@@ -115,7 +123,7 @@
 
     def connected(self, address: str) -> None:
         """Record that a connection to a server was opened."""
-        self.heard(address)
+        self._heard_at[address] = clock.now()
         doubt = self._doubts.pop(address, None)
         if doubt is not None and doubt.is_lost:
             lost_ms = round((clock.now() - doubt.since) * 1000.0)
@@ -177,7 +185,7 @@
 
     def _forget_unlisted(self) -> None:
         listed = self._listed()
-        for table in (self._doubts, self._heard_at):
+        for table in (self._doubts, self._heard_at, self._received_at):
             for address in [name for name in table if name not in listed]:
                 del table[address]
 
--- a/packages/daemon/cassiaquay_daemon/gateway/forwarding.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/forwarding.py
@@ -249,7 +249,7 @@
 
     def was_heard(self, address: str, since: float) -> bool:
         """Return whether this instance has received bytes from a server."""
-        return not self._paths.is_silent(address, since)
+        return self._paths.has_sent(address, since)
 
     async def close(self) -> None:
         """Close all connections."""
--- a/packages/daemon/cassiaquay_daemon/gateway/hedging.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/hedging.py
@@ -142,8 +142,11 @@
     def _act(self) -> None:
         now = clock.now()
         newest_seconds = None
+        is_awake = False
         if self._others:
-            newest_seconds = now - (self._others[-1].sent_at or now)
+            newest_at = self._others[-1].sent_at or now
+            newest_seconds = now - newest_at
+            is_awake = self.current.was_heard(newest_at)
         silence = hedges.Silence(
             self._state.call.is_stream,
             self._search is not None,
@@ -151,16 +154,20 @@
             self._find_obstacle(),
             self._patience_seconds,
             newest_seconds,
-            any(other.is_alive for other in self._others),
+            any(other.has_begun for other in self._others),
+            is_awake,
         )
         action = hedges.decide(silence)
         if action is hedges.Action.SEARCH:
             self._search = asyncio.create_task(self._obtain())
         if action is hedges.Action.MOVE:
             for other in self._others:
-                if other.is_alive:
+                if other.has_begun:
                     self._promote(other)
                     break
+        if action is hedges.Action.STAY:
+            for other in list(self._others):
+                self._drop(other, "woke_up")
 
     def _find_obstacle(self) -> str:
         """Return why no other server may get the request now."""
--- a/packages/daemon/cassiaquay_daemon/gateway/tries.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/tries.py
@@ -95,17 +95,19 @@
         return f"{self.server}/{self.ticket.server.started_ms}"
 
     @property
-    def is_alive(self) -> bool:
-        """Whether the server has sent anything, on any connection, since it has it."""
-        if not self.sent_at:
-            return False
-        return self._forwarder.was_heard(self.ticket.server.address, self.sent_at)
+    def has_begun(self) -> bool:
+        """Whether the server has begun to answer with success."""
+        return self._answer is not None and self._answer.status == 200
 
     @property
     def is_ready(self) -> bool:
         """Whether the task of :meth:`step` is done."""
         return self._step is not None and self._step.done()
 
+    def was_heard(self, since: float) -> bool:
+        """Return whether the server has sent anything, on any connection."""
+        return self._forwarder.was_heard(self.ticket.server.address, since)
+
     async def read(self, patience_seconds: float | None) -> forwarding.Piece | None:
         """Return the next piece, or None if no byte arrives for the given time."""
         if self._step is None and self._answer is not None:
--- a/packages/daemon/cassiaquay_daemon/operators/reports.py
+++ b/packages/daemon/cassiaquay_daemon/operators/reports.py
@@ -99,7 +99,9 @@
         Name of the service.
     cause : str
         Why no other took it: "attempts", "budget", "quarantined", "no_permit",
-        "unreachable", "declined", or "silent" if the other broke or was silent, too.
+        "unreachable", "declined", "woke_up" if the silent server went on with other
+        requests before the other had begun to answer, or "silent" if the other broke
+        or was silent, too.
     """
 
     service: str
--- a/tests/test_hedging.py
+++ b/tests/test_hedging.py
@@ -6,6 +6,7 @@
 import gateway_fakes as fakes
 import silence_fakes
 
+from cassiaquay_daemon import clock
 from cassiaquay_dev.standins import platform_standins as standins
 from cassiaquay_dev.standins import raw_servers
 
@@ -75,3 +76,87 @@
         assert len(site.engines_of(got.attempt)) == 1
 
     fakes.run(work, 2)
+
+
+def test_stream_is_not_left_for_a_server_that_declines_it() -> None:
+    """Guards against leaving a silent server for one that turns the request down."""
+
+    async def work(site: fakes.Site) -> None:
+        silence = silence_fakes.Silence()
+        silent = silence.responder("events")
+        count = 0
+
+        async def respond(
+            request: raw_servers.Request, writer: raw_servers.Writer
+        ) -> None:
+            nonlocal count
+            if not request.target.startswith("/stream/"):
+                await asyncio.sleep(0.05)
+                await standins.send_complete_answer(request, writer)
+                return
+            count += 1
+            if count == 1:
+                await silent(request, writer)
+                return
+            await asyncio.sleep(0.4)
+            declined = {"Cassiaquay-Not-Executed": "full"}
+            await raw_servers.send(
+                writer, 503, b"", declined | standins.seal_headers(request)
+            )
+
+        await silence_fakes.prepare(site)
+        for engine in site.engines:
+            engine.responder = respond
+        silence.end_after(2.5)
+        asked = asyncio.create_task(site.ask("/stream/2/x"))
+        while not asked.done():
+            # Both servers are heard on other connections.
+            await silence_fakes.ask_each(site, "/plain/1/", 8)
+        got = await asked
+        assert not silence_fakes.lost("/stream/2/", [got])
+
+    fakes.run(work)
+
+
+def test_two_servers_do_not_work_on_one_stream_for_long() -> None:
+    """Guards against a stream at a second server while the first one works on it."""
+
+    async def work(site: fakes.Site) -> None:
+        # Begin and end of the runs at the two servers.
+        runs: list[list[float]] = []
+
+        async def respond(
+            request: raw_servers.Request, writer: raw_servers.Writer
+        ) -> None:
+            if not request.target.startswith("/stream/"):
+                await standins.send_complete_answer(request, writer)
+                return
+            runs.append([clock.now(), 0.0])
+            run = runs[-1]
+            try:
+                if len(runs) == 1:
+                    await standins.write_stream_head(request, writer)
+                    await standins.write_events(request, writer, 2)
+                await asyncio.sleep(2.0)
+                await standins.write_stream_head(request, writer)
+            finally:
+                run[1] = clock.now()
+
+        await silence_fakes.prepare(site)
+        for engine in site.engines:
+            engine.responder = respond
+        asked = asyncio.create_task(site.ask("/stream/2/x"))
+        while not runs:
+            await asyncio.sleep(0.01)
+        for engine in site.engines:
+            if not engine.runs:
+                site.store.remove(f"servers/{engine.name}-plain")
+        while len(runs) < 2 or not (runs[0][1] or runs[1][1]):
+            # The first server answers other requests.
+            await site.ask("/plain/1/other")
+            await asyncio.sleep(0.01)
+        asked.cancel()
+        overlap_seconds = max(runs[0][1], runs[1][1]) - runs[1][0]
+        assert overlap_seconds <= 0.4
+
+    fakes.run(work)
