Spend no retry on a second server that does not get the request

What callers saw: 502 with the budget of repeats spent, for requests whose server had really crashed, while other requests waited at silent servers.

Cause: a retry was taken with the permit. A server that could not be reached, or was refused by the last check before the first byte, cost one, every quarter of a second and for each waiting request.

--- a/packages/daemon/cassiaquay_daemon/decisions/budgets.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/budgets.py
@@ -59,6 +59,10 @@
         self._window(self._retries, service).add(1.0)
         return True
 
+    def give_back(self, service: str) -> None:
+        """Return a retry that was not sent."""
+        self._window(self._retries, service).take_back()
+
     def _bound(self, service: str) -> float:
         requests = self._window(self._requests, service).sum()
         retries = self._window(self._retries, service)
--- a/packages/daemon/cassiaquay_daemon/decisions/windows.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/windows.py
@@ -25,6 +25,11 @@
         self._amounts.append((clock.now(), amount))
         self._sum += amount
 
+    def take_back(self) -> None:
+        """Remove the last amount."""
+        if self._amounts:
+            self._sum -= self._amounts.pop()[1]
+
     def sum(self) -> float:
         """Return the sum over the window that ends now."""
         horizon = clock.now() - self._seconds
--- a/packages/daemon/cassiaquay_daemon/gateway/hedging.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/hedging.py
@@ -287,12 +287,17 @@
 
     def _drop(self, other: tries.Try, cause: str) -> None:
         self._others.remove(other)
-        other.close()
+        self._close_other(other)
         self._note_kept(cause)
 
+    def _close_other(self, other: tries.Try) -> None:
+        other.close()
+        if not other.sent_at:
+            self._parts.budget.give_back(self._state.call.service)
+
     def _close_others(self) -> None:
         for other in self._others:
-            other.close()
+            self._close_other(other)
         self._others = []
         search, self._search = self._search, None
         if search is None:
--- a/tests/test_hedging.py
+++ b/tests/test_hedging.py
@@ -160,3 +160,25 @@
         assert overlap_seconds <= 0.4
 
     fakes.run(work)
+
+
+def test_servers_that_cannot_be_reached_cost_no_retry() -> None:
+    """Guards against a retry budget that is spent though nothing is sent."""
+
+    async def work(site: fakes.Site) -> None:
+        await silence_fakes.prepare(site)
+        silence = silence_fakes.Silence()
+        for engine in site.engines:
+            engine.responder = silence.responder("events")
+        asked = asyncio.create_task(site.ask("/stream/2/x"))
+        while not silence.open_runs:
+            await asyncio.sleep(0.01)
+        for engine in site.engines:
+            if not engine.runs:
+                await engine.stop()
+        silence.end_after(2.0)
+        got = await asked
+        assert not silence_fakes.lost("/stream/2/", [got])
+        assert site.gateway(0)._parts.budget._retries["chat"].sum() == 0.0
+
+    fakes.run(work)
