--- a/packages/daemon/cassiaquay_daemon/gateway/hedging.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/hedging.py
@@ -24,11 +24,13 @@
     Attributes
     ----------
     capacity : Admission
-        Obtains capacity at other servers.
+        Receives unused tickets.
     budget : RetryBudget
         Limits the tries at other servers.
     accounting : Accounting
         Receives silences, and why they were waited for.
+    obtain : callable
+        Obtains capacity at another server.
     start : callable
         Starts a try with a ticket.
     is_held : callable
@@ -40,6 +42,9 @@
     capacity: admission.Admission
     budget: budgets.RetryBudget
     accounting: accounting.Accounting
+    obtain: collections.abc.Callable[
+        [], collections.abc.Coroutine[typing.Any, typing.Any, admission.Ticket]
+    ]
     start: collections.abc.Callable[[admission.Ticket], tries.Try]
     is_held: collections.abc.Callable[[], bool]
     note_cut: collections.abc.Callable[[tries.Try, exceptions.StreamInterrupted], None]
@@ -85,7 +90,10 @@
             return piece
         while True:
             heard_at = self.current.heard_at
-            patience_seconds = heard_at + self._patience_seconds - clock.now()
+            patience_seconds = self._patience_seconds
+            # A server that is still being connected to is not silent.
+            if self.current.sent_at:
+                patience_seconds += heard_at - clock.now()
             if patience_seconds <= 0.0:
                 await _read_buffers()
             piece = await self.current.read(max(patience_seconds, 0.0))
@@ -135,8 +143,11 @@
     def _act(self) -> None:
         now = clock.now()
         newest_seconds = None
+        is_awake = False
         if self._others:
-            newest_seconds = now - (self._others[-1].sent_at or now)
+            newest_at = self._others[-1].sent_at or now
+            newest_seconds = now - newest_at
+            is_awake = self.current.was_heard(newest_at)
         silence = hedges.Silence(
             self._state.call.is_stream,
             self._search is not None,
@@ -144,20 +155,27 @@
             self._find_obstacle(),
             self._patience_seconds,
             newest_seconds,
-            any(other.is_alive for other in self._others),
+            any(other.has_begun for other in self._others),
+            is_awake,
         )
         action = hedges.decide(silence)
         if action is hedges.Action.SEARCH:
             self._search = asyncio.create_task(self._obtain())
         if action is hedges.Action.MOVE:
             for other in self._others:
-                if other.is_alive:
+                if other.has_begun:
                     self._promote(other)
                     break
+        if action is hedges.Action.STAY:
+            for other in list(self._others):
+                self._drop(other, "woke_up")
 
     def _find_obstacle(self) -> str:
         """Return why no other server may get the request now."""
         obstacle = ""
+        if not self.current.sent_at:
+            # It is not counted as an attempt yet.
+            return "connecting"
         if not self._state.has_attempts_left:
             obstacle = "attempts"
         elif self._parts.budget.is_spent(self._state.call.service):
@@ -256,7 +274,7 @@
         for item in [self.current, *self._others]:
             state.add_tried(item.server)
         state.tries += 1
-        return await self._parts.capacity.obtain(state)
+        return await self._parts.obtain()
 
     def _promote(self, other: tries.Try) -> None:
         """Close the current try; the answer goes on with another one."""
@@ -270,12 +288,17 @@
 
     def _drop(self, other: tries.Try, cause: str) -> None:
         self._others.remove(other)
-        other.close()
+        self._close_other(other)
         self._note_kept(cause)
 
+    def _close_other(self, other: tries.Try) -> None:
+        other.close()
+        if not other.sent_at:
+            self._parts.budget.give_back(self._state.call.service)
+
     def _close_others(self) -> None:
         for other in self._others:
-            other.close()
+            self._close_other(other)
         self._others = []
         search, self._search = self._search, None
         if search is None:
