Use paused servers at once when they go on with their old requests

What callers saw: all servers of a service are silent for 1.4 s, go on, and most callers are refused for five to eight seconds more, where the pool limits cold servers.

Cause: a keeper took an overdue first event for a possible crash, and the next first event for the return of a restarted server: cold for cold_seconds. Nobody looked at whether the request that was answered had been sent before the silence, which only a process that has not restarted can answer. Plain servers report no first events, so for them the doubt ran out only after cold_seconds + 2.5 s.

Now a keeper records when each request was dispatched. An event or an answer of one that its server got before its last sign of life ends the doubt. Refused connections are doubted as before: events from before a crash may be reported after it.

One case is open: an owner that was paused itself may report events from before its server's crash late. The server then counts as warm until the list shows the restart, or until it refuses a connection.

--- a/packages/daemon/cassiaquay_daemon/decisions/grants.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/grants.py
@@ -1,5 +1,6 @@
 """Outstanding grants of a keeper: permits, and the dispatches that used them."""
 
+import math
 import typing
 
 from cassiaquay_schema import messages
@@ -30,6 +31,9 @@
         Seconds from the first token to that renewal, as its owner measured them.
     is_charged : bool
         Whether the grant counts against a limit that the server has named.
+    sent_at : float
+        When its server certainly had it; infinity before the owner has reported the
+        dispatch. Seconds on this clock.
     """
 
     owner: str
@@ -43,6 +47,11 @@
     produced_at: float = 0.0
     produced_age: float = 0.0
     is_charged: bool = False
+    sent_at: float = math.inf
+
+    def note_sent(self, at: float) -> "Running":
+        """Return it as dispatched; ``at`` counts if it is the first report of that."""
+        return self._replace(dispatched=True, sent_at=min(self.sent_at, at))
 
     def seconds_until(self, item: messages.Outstanding, now: float) -> float:
         """Return the seconds from the last renewal to the one with ``item``.
--- a/packages/daemon/cassiaquay_daemon/decisions/objectives.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/objectives.py
@@ -128,6 +128,7 @@
         now = clock.now()
         if release.outcome == "completed":
             times.ended(True, now)
+            self._shard.cold.rule_out_restart(self._shard.running.get(release.id))
             times.completed(release.total_ms / 1000.0)
             if not release.prompt_tokens:
                 times.served(release.total_ms / 1000.0)
@@ -426,14 +427,13 @@
             if not seconds:
                 continue
             times = self._times_of(server)
-            expected = times.expect(float(tokens)).first_seconds
-            silence_limit = times.silence_limit(expected)
+            silence_limit = times.silence_limit(times.expect(tokens).first_seconds)
             # A single call of a plain service may legitimately take long. Two calls
             # without an answer, and none answered since, indicate a silent server.
             needed = 1 if tokens else 2
             if load.count_silent(silence_limit, now) >= needed:
                 times.mark_silent(now, seconds)
-                self._shard.cold.suspect_restart(server)
+                self._shard.cold.suspect_restart(server, times.heard_at)
 
     def _times_of(self, server: str) -> service_times.ServiceTimes:
         listed = self._shard.servers.get(server)
--- a/packages/daemon/cassiaquay_daemon/decisions/service_times.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/service_times.py
@@ -91,7 +91,7 @@
         self._broken_until = 0.0
         self._is_unresponsive = False
         # When an event or answer was last reported by any instance.
-        self._heard_at = float("-inf")
+        self.heard_at = float("-inf")
 
     def expect(self, unread_tokens: float) -> Expected:
         """Return the expected times of a request.
@@ -163,7 +163,7 @@
         """Learn from consecutive events of one stream, or from a pause without any."""
         if events <= 0:
             # While others receive events, the path to this receiver may be broken.
-            silent_seconds = min(seconds, clock.now() - self._heard_at)
+            silent_seconds = min(seconds, clock.now() - self.heard_at)
             if silent_seconds > STALL_SECONDS:
                 self.mark_silent(clock.now(), seconds)
             return
@@ -226,7 +226,7 @@
         if self._is_unresponsive:
             logs.event("server_heard", server=self._server)
         self._is_unresponsive = False
-        self._heard_at = clock.now()
+        self.heard_at = clock.now()
         self._silent_until = 0.0
         self._broken_until = 0.0
 
--- a/packages/daemon/cassiaquay_daemon/decisions/shards.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/shards.py
@@ -239,12 +239,12 @@
                 continue
             at = now - step.age_ms / 1000.0
             lease = now + self.settings.keeper.lease_seconds
-            self.running[step.id] = running._replace(dispatched=True, expires_at=lease)
+            self.running[step.id] = running.note_sent(at)._replace(expires_at=lease)
             if not step.started:
                 continue
             finished = self.load(running.server).finish_prefill(step.id, at)
             self.exclusions.confirm_alive(running.server, running.owner)
-            self.cold.confirm_alive(running.server)
+            self.cold.confirm_alive(running.server, running.sent_at)
             if finished is None:
                 continue
             self.running[step.id] = self.running[step.id]._replace(
@@ -280,11 +280,10 @@
         # Unused permits are not renewed; their capacity is released after they expire.
         permit_ms = self.rate_budgets.granted(server, keeper.permit_ms)
         expires_at = now + permit_ms / 1000.0 + DISPATCH_REPORT_SECONDS
-        tokens = demand.prompt_tokens + demand.output_tokens
         running = grants.Running(
             waiting.replier.instance,
             server,
-            tokens,
+            demand.prompt_tokens + demand.output_tokens,
             expires_at,
             demand,
             cached_tokens=cached_tokens,
@@ -390,7 +389,7 @@
             tokens = item.prompt_tokens + item.output_tokens
             running = grants.Running(owner, item.server, tokens, lease, produced_at=now)
             self._add_running(item.id, running)
-        running = running._replace(owner=owner, expires_at=lease, dispatched=True)
+        running = running.note_sent(now)._replace(owner=owner, expires_at=lease)
         self.running[item.id] = self._grow(item, running, now)
 
     def _grow(
@@ -409,6 +408,7 @@
                 observer.advanced(prior.server, grown, seconds)
             if grown <= 0:
                 return prior
+            self.cold.rule_out_restart(prior)
         return prior._replace(
             produced=item.produced,
             produced_at=now,
--- a/packages/daemon/cassiaquay_daemon/decisions/slow_start.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/slow_start.py
@@ -15,7 +15,7 @@
 from cassiaquay_schema import settings as settings_schema
 
 from .. import clock, logs
-from . import buckets, rate_budgets
+from . import buckets, grants, rate_budgets
 
 # Maximum delay of a server's own report that it is cold: the period of its heartbeats,
 # their way through the store and the next read of the server list.
@@ -45,6 +45,26 @@
     is_evacuated: bool
 
 
+class _Suspicion(typing.NamedTuple):
+    """A server that may have restarted without being noticed.
+
+    Attributes
+    ----------
+    until : float
+        Seconds on this clock.
+    heard_at : float
+        Time of its last sign of life before it fell silent: a request that it got by
+        then and answers later shows that it has not restarted. Minus infinity if no
+        request can show that.
+    is_back : bool
+        Whether it has answered a request since then.
+    """
+
+    until: float
+    heard_at: float
+    is_back: bool = False
+
+
 class SlowStart:
     """Tracks which servers are cold, from the server lists and from failures.
 
@@ -61,8 +81,7 @@
         self._terms: dict[str, SlowStartTerms] = {}
         self._previous: dict[str, _ServerState] = {}
         self._cold_until: dict[str, float] = {}
-        # Servers that may have crashed, and when that suspicion expires.
-        self._suspected_until: dict[str, float] = {}
+        self._suspicions: dict[str, _Suspicion] = {}
 
     def adopt(self, settings: settings_schema.Settings) -> None:
         """Use changed settings from the next server list on."""
@@ -89,38 +108,75 @@
                 )
         self._previous = current
         self._terms = terms
-        for expiry_times in (self._cold_until, self._suspected_until):
-            for name in [name for name in expiry_times if name not in terms]:
-                del expiry_times[name]
+        for table in (self._cold_until, self._suspicions):
+            for name in [name for name in table if name not in terms]:
+                del table[name]
 
-    def suspect_restart(self, server: str) -> None:
+    def suspect_restart(self, server: str, heard_at: float = -math.inf) -> None:
         """Treat a server as cold that refused a connection or has fallen silent.
 
         It may have crashed. The server list shows its restart only seconds after it
         serves again; a list without a restart by then rules out a crash.
+
+        Parameters
+        ----------
+        server : str
+            Name of the server.
+        heard_at : float
+            Time of the last sign of life of a silent server; seconds on this clock.
         """
         terms = self._terms.get(server)
         if terms is None:
             return
         seconds = terms.seconds + MAX_REPORT_DELAY_SECONDS
-        if not self._is_suspected(server):
+        earlier = self._suspicion(server)
+        if earlier is None:
             _log_cold(server, seconds, "doubted")
-        self._suspected_until[server] = clock.now() + seconds
+        else:
+            heard_at = min(heard_at, earlier.heard_at)
+        self._suspicions[server] = _Suspicion(clock.now() + seconds, heard_at)
 
-    def confirm_alive(self, server: str) -> None:
-        """Handle a first event; a server suspected of a restart is cold from now on."""
-        if self._is_suspected(server):
-            del self._suspected_until[server]
-            self._set_cold(server, self._terms[server].seconds, "back")
+    def confirm_alive(self, server: str, sent_at: float = math.inf) -> None:
+        """Handle the first event of a request that the server got at ``sent_at``.
+
+        A server suspected of a restart is cold from now on.
+        """
+        suspicion = self._suspicion(server)
+        if suspicion is None:
+            return
+        if sent_at <= suspicion.heard_at:
+            self._drop_suspicion(server)
+            return
+        if suspicion.is_back:
+            return
+        seconds = self._terms[server].seconds
+        self._suspicions[server] = suspicion._replace(
+            until=clock.now() + seconds, is_back=True
+        )
+        _log_cold(server, seconds, "back")
+
+    def rule_out_restart(self, running: grants.Running | None) -> None:
+        """Handle an answer, or further events, of a request; None if it is unknown.
+
+        A server that goes on with a request from before its silence was only paused.
+        """
+        if running is None:
+            return
+        suspicion = self._suspicion(running.server)
+        if suspicion is not None and running.sent_at <= suspicion.heard_at:
+            self._drop_suspicion(running.server)
 
     def is_cold(self, server: str) -> bool:
         """Return whether a server is cold or suspected of a restart."""
-        return self._is_suspected(server) or self.seconds_left(server) > 0.0
+        return self._suspicion(server) is not None or self.seconds_left(server) > 0.0
 
     def seconds_left(self, server: str) -> float:
         """Return the seconds for which a server is still cold."""
-        until = self._cold_until.get(server)
-        return max(until - clock.now(), 0.0) if until is not None else 0.0
+        until = self._cold_until.get(server, -math.inf)
+        suspicion = self._suspicion(server)
+        if suspicion is not None and suspicion.is_back:
+            until = max(until, suspicion.until)
+        return max(until - clock.now(), 0.0)
 
     def cold_servers(self) -> list[str]:
         """Return the names of all servers that are cold or suspected of a restart."""
@@ -132,14 +188,21 @@
 
     def limit(self, server: str) -> buckets.Flow | None:
         """Return the flow to a server that is cold now; None for a warm one."""
-        if server not in self._cold_until and server not in self._suspected_until:
+        if server not in self._cold_until and server not in self._suspicions:
             # Nearly all servers, at each pass of a keeper.
             return None
         return self.flow(server) if self.is_cold(server) else None
 
-    def _is_suspected(self, server: str) -> bool:
-        until = self._suspected_until.get(server)
-        return until is not None and clock.now() < until
+    def _suspicion(self, server: str) -> _Suspicion | None:
+        """Return the suspicion of a server's restart unless it has expired."""
+        suspicion = self._suspicions.get(server)
+        if suspicion is None or clock.now() >= suspicion.until:
+            return None
+        return suspicion
+
+    def _drop_suspicion(self, server: str) -> None:
+        del self._suspicions[server]
+        logs.event("server_not_restarted", server=server)
 
     def _flow(self, pool: fleet_schema.Pool) -> buckets.Flow:
         rate = pool.cold_requests_per_second
--- a/tests/objectives_fakes.py
+++ b/tests/objectives_fakes.py
@@ -41,10 +41,10 @@
         self.shard.progress(messages.Progress(fakes.SHARD, steps[:1]))
         self.shard.progress(messages.Progress(fakes.SHARD, steps[1:]))
 
-    def end(self, request_id: str, outcome: str = "completed") -> None:
+    def end(self, request_id: str, outcome: str = "completed", **fields) -> None:
         """Report the end of a granted request."""
         server = self.owner.permits()[request_id]
-        release = fakes.release(request_id, server)._replace(outcome=outcome)
+        release = fakes.release(request_id, server)._replace(outcome=outcome, **fields)
         self.policy.learn(release)
         self.shard.drop(request_id)
 
--- a/tests/test_slow_start.py
+++ b/tests/test_slow_start.py
@@ -112,6 +112,31 @@
     assert not cold.is_cold("e1")
 
 
+def test_server_that_goes_on_with_old_requests_has_not_restarted(time) -> None:
+    """Guards against a limit on a server that was only paused."""
+    cold = _slow_start()
+    cold.update(_fleet(e1=_server("e1")))
+    heard_at = time.now
+    time.now += 1.0
+    cold.suspect_restart("e1", heard_at)
+    cold.confirm_alive("e1", heard_at + 0.5)
+    assert cold.is_cold("e1")
+    cold.confirm_alive("e1", heard_at - 0.1)
+    assert not cold.is_cold("e1")
+
+
+def test_old_requests_do_not_rule_out_the_restart_of_a_refusing_server(time) -> None:
+    """Guards against events from before a crash that are reported after it."""
+    cold = _slow_start()
+    cold.update(_fleet(e1=_server("e1")))
+    heard_at = time.now
+    cold.suspect_restart("e1", heard_at)
+    cold.suspect_restart("e1")
+    cold.suspect_restart("e1", heard_at)
+    cold.confirm_alive("e1", heard_at - 0.1)
+    assert cold.is_cold("e1")
+
+
 def test_suspicion_of_a_refusing_server_expires(time) -> None:
     """Guards against a suspicion that never expires.
 
