Tell a cut path from a server's crash

What callers saw: after a cut of the path to a server, or a server that read nothing for 2.5 s of a body larger than its buffers, a request that ran there on two such servers is refused for a minute as one that crashes servers, and its prompt parts with it.

Cause: the kernel ends such a connection after TCP_USER_TIMEOUT (2.5 s) with ETIMEDOUT. aiohttp wraps that as ClientOSError, and the gateway's response handler replaced it by "connection reset"; both counted as ConnectionBroken, that is, as a crash. A server that has crashed closes or resets its connections; one that cannot be reached may live.

Now ETIMEDOUT, EHOSTUNREACH and ENETUNREACH end an answer like a read timeout: it is cut, may be repeated, and suspects nobody.

Evidence: a socket of sockets.create() that sends 8 MB to a process which does not read ends after 2.78 s with ClientOSError(110) (asyncio and uvloop), though that process lives and its kernel acknowledges every probe; 100,000 bytes stay open for the 6 s measured.

--- a/packages/daemon/cassiaquay_daemon/gateway/connections.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/connections.py
@@ -9,7 +9,7 @@
 from aiohttp import client_proto
 
 from .. import clock, sockets
-from ..adapters import backends
+from ..adapters import backends, breaks
 from ..decisions import paths
 from ..platform import headers
 
@@ -22,7 +22,7 @@
 
 
 class _ResponseHandler(client_proto.ResponseHandler):
-    """Response handler that reports resets as payload errors and observes the path.
+    """Response handler that reports lost connections and observes the path.
 
     Parameters
     ----------
@@ -58,11 +58,20 @@
         looks complete.
         """
         payload = self._payload
-        if exc is not None:
-            self._paths.doubt(self._address, "connection lost")
-        if exc is not None and payload is not None and not payload.is_eof():
-            payload.set_exception(aiohttp.ClientPayloadError("connection reset"))
+        if exc is None:
+            super().connection_lost(exc)
+            return
+        self._paths.doubt(self._address, "connection lost")
+        if payload is None or payload.is_eof():
+            super().connection_lost(exc)
+            return
+        error = exc
+        if not breaks.is_unreached(exc):
+            error = aiohttp.ClientPayloadError("connection reset")
+        payload.set_exception(error)
         super().connection_lost(exc)
+        # The parser reports an incomplete answer in its place.
+        payload.set_exception(error)
 
 
 class _TimedRequest(aiohttp.ClientRequest):
--- a/tests/gateway_fakes.py
+++ b/tests/gateway_fakes.py
@@ -195,9 +195,15 @@
         return {engine.address for engine in self.engines}
 
     def reset_connections(
-        self, at: int, addresses: collections.abc.Collection[str] | None = None
+        self,
+        at: int,
+        addresses: collections.abc.Collection[str] | None = None,
+        error: OSError | None = None,
     ) -> None:
-        """Reset the open connections of one daemon to servers."""
+        """Reset the open connections of one daemon to servers.
+
+        With ``error``, they end as if the kernel reported it.
+        """
         connector = self.gateway(at)._parts.forwarder._http.connector
         handlers = list(connector._acquired)
         for pooled in connector._conns.values():
@@ -207,7 +213,10 @@
                 continue
             host, port = handler.transport.get_extra_info("peername")[:2]
             if f"{host}:{port}" in (addresses or self.server_addresses()):
-                handler.transport.abort()
+                if error is not None:
+                    handler.transport._force_close(error)
+                else:
+                    handler.transport.abort()
 
     async def stop(self) -> None:
         """Stop the daemons, the store and the engines."""
