Suspect nobody of a silence after a whole answer

What callers saw: a request whose answer has no length, and came whole, is counted as the crash of its server if that server is silent a moment later; after two of them it is refused for a minute, and so are the parts of its prompt.

Cause: 0.3 s after such an answer the gateway opens a connection to see whether the server lives, and took any failure for a crash. A stopped process whose accept queue is full and a cut path let the connection hang; only a process that has ended refuses it.

Now a refusal is a crash, an accepted connection a completion, and no answer neither: the request stays as it was.

--- a/packages/daemon/cassiaquay_daemon/gateway/completions.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/completions.py
@@ -6,7 +6,8 @@
 
 An answer that ends with its connection therefore counts only if its server is alive a
 moment later. A server that has crashed breaks off its other answers, too, and refuses
-connections.
+connections. One that is merely silent may be paused: its answer neither clears the
+request nor suspects it.
 """
 
 import asyncio
@@ -108,14 +109,15 @@
         if not ended.address:
             return
         alive_since = ended.at + IN_FLIGHT_SECONDS
+        is_refused = False
         if self._paths.is_silent(ended.address, alive_since):
-            await self._dialer.probe(ended.address)
+            is_refused = await self._dialer.probe(ended.address)
         if clock.now() - ended.at > MAX_CONFIRMATION_SECONDS:
             return
-        if self._paths.is_silent(ended.address, alive_since):
+        if not self._paths.is_silent(ended.address, alive_since):
+            self._crashes.completed(ended.content, ended.parts)
+        elif is_refused:
             self._report_crash(ended)
-            return
-        self._crashes.completed(ended.content, ended.parts)
 
     def _report_crash(self, ended: _Ended) -> None:
         self._crashes.crashed(ended.content, ended.server, ended.suspected_parts)
--- a/packages/daemon/cassiaquay_daemon/gateway/connections.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/connections.py
@@ -135,8 +135,15 @@
         session._retry_connection = False
         return session
 
-    async def probe(self, address: str) -> None:
-        """Open a connection to a server and close it; record whether that works."""
+    async def probe(self, address: str) -> bool:
+        """Open a connection to a server and close it; record whether that works.
+
+        Returns
+        -------
+        bool
+            Whether it was refused. A server that does not answer at all may be paused
+            with a full accept queue, or behind a partition.
+        """
         host, _, port = address.rpartition(":")
         target = (host, int(port))
         info = (socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP, "", target)
@@ -145,11 +152,12 @@
                 probing.setblocking(False)
                 async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
                     await asyncio.get_running_loop().sock_connect(probing, target)
-        except OSError:
+        except OSError as error:
             # Also after the timeout.
             self._paths.failed(address)
-            return
+            return not breaks.is_unreached(error)
         self._paths.connected(address)
+        return False
 
     def _create_socket(self, info: tuple[typing.Any, ...]) -> socket.socket:
         return self.create_socket(info)
--- a/packages/daemon/cassiaquay_daemon/gateway/probing.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/probing.py
@@ -22,7 +22,7 @@
         self._paths = observed
         self._dialer = dialer
         self._wake = asyncio.Event()
-        self._probes: set[asyncio.Task[None]] = set()
+        self._probes: set[asyncio.Task[bool]] = set()
         observed.on_probe_due = self._wake.set
 
     async def run(self) -> None:
@@ -50,7 +50,7 @@
         self._probes.add(task)
         task.add_done_callback(self._ended)
 
-    def _ended(self, task: asyncio.Task[None]) -> None:
+    def _ended(self, task: asyncio.Task[bool]) -> None:
         self._probes.discard(task)
         if not task.cancelled() and task.exception() is not None:
             logs.trouble("probe_failed", cause=repr(task.exception()))
--- a/tests/test_unframed_answers.py
+++ b/tests/test_unframed_answers.py
@@ -14,6 +14,8 @@
 OWN_PART = "aa:50,bb:50,own:10"
 # Time in which an instance finds out whether a server lives on.
 BOUND_SECONDS = 2.0
+# Longer than that finding takes at a server that does not answer.
+SILENT_SECONDS = 1.2
 
 End = collections.abc.Callable[[raw_servers.Writer], None]
 
@@ -122,6 +124,37 @@
     fakes.run(work)
 
 
+def test_answer_of_a_server_that_falls_silent_is_no_crash() -> None:
+    """Guards against suspecting what a server completed before it was paused."""
+
+    async def work(site: fakes.Site) -> None:
+        held = site.daemons[0]._quarantine
+        assert await _ask(site, _close, standins.stream_events(), False)
+        with cut_fakes.cut(site, 0, "silent", True):
+            await asyncio.sleep(SILENT_SECONDS)
+        assert not held.suspect_count
+        # Nobody has seen that it lives on, either.
+        assert not held._completed
+
+    fakes.run(work)
+
+
+def test_server_that_is_stopped_after_its_answer_has_completed_it() -> None:
+    """Guards against a stopped server, whose kernel accepts, that counts as crashed."""
+
+    async def work(site: fakes.Site) -> None:
+        held = site.daemons[0]._quarantine
+        loop = asyncio.get_running_loop()
+        assert await _ask(site, _close, standins.stream_events(), False)
+        for listening in site.engines[0]._server.sockets:
+            loop.remove_reader(listening.fileno())
+        await _wait_for(lambda: len(held._completed) == 3)
+        await asyncio.sleep(SILENT_SECONDS)
+        assert not held.suspect_count
+
+    fakes.run(work)
+
+
 @pytest.mark.parametrize(("rest", "is_whole"), [(b"id: 2\nda", False), (b"", True)])
 def test_relayed_answer_that_ends_with_its_connection(rest, is_whole) -> None:
     """Guards against a relay that makes the truncated answer of a crash complete."""
