Keep connections whose server reads a long body late

What callers saw: a server that answers before it has read a long body, or is stopped while it reads one, loses the connection 2.5 s later in the middle of its answer; a request that may not be repeated is lost.

Cause: Linux counts TCP_USER_TIMEOUT also against a peer whose receive window is full, although its kernel acknowledges every probe. So a bound that is meant for unreachable machines ended answers of reachable ones.

Now a request whose body may be longer than the peer's buffers is sent without a user timeout; the next one on that connection sets it again. Shorter bodies are acknowledged whole, whether the process reads or not, and keep the 2.5 s for cut paths. A long body behind a cut path ends with its request's time.

The test fails on the code before: pytest tests/test_sockets.py

--- a/packages/daemon/cassiaquay_daemon/gateway/connections.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/connections.py
@@ -1,6 +1,7 @@
 """Connections to backend servers, with a client session that never retries."""
 
 import asyncio
+import contextlib
 import functools
 import socket
 import typing
@@ -75,7 +76,7 @@
 
 
 class _TimedRequest(aiohttp.ClientRequest):
-    """Request that states the time left when it is written.
+    """Request that states the time left when it is written, and adapts its socket.
 
     Opening a connection takes up to a third of a second, and longer on a busy machine.
     The server would work for that long after the caller has given up.
@@ -89,6 +90,11 @@
         """Write the request to an open connection."""
         elapsed_ms = int((clock.now() - self._formed_at) * 1000)
         headers.shorten_deadline(self.headers, elapsed_ms)
+        # A server may answer, or be paused, before it has read a long body.
+        size = int(self.headers.get(aiohttp.hdrs.CONTENT_LENGTH, "0"))
+        if conn.transport is not None:
+            with contextlib.suppress(OSError):
+                sockets.set_user_timeout(conn.transport.get_extra_info("socket"), size)
         return await super().send(conn)
 
 
--- a/packages/daemon/cassiaquay_daemon/sockets.py
+++ b/packages/daemon/cassiaquay_daemon/sockets.py
@@ -14,6 +14,9 @@
 # The kernel drops a connection whose data or probes have not been acknowledged for this
 # long. Machines that stand still for a second or two are back before that.
 USER_TIMEOUT_MS = 2500
+# Linux counts it also against a peer that acknowledges every probe and reads nothing.
+# Data of this size fits into the peer's buffers, whether it reads or not.
+MAX_BUFFERED_BYTES = 32 * 1024
 
 
 def set_timeouts(target: socket.socket) -> None:
@@ -26,6 +29,12 @@
     target.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
 
 
+def set_user_timeout(target: socket.socket, size: int) -> None:
+    """Set the user timeout for a message of ``size`` bytes; none for a long one."""
+    timeout_ms = USER_TIMEOUT_MS if size <= MAX_BUFFERED_BYTES else 0
+    target.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms)
+
+
 def create(info: tuple[typing.Any, ...]) -> socket.socket:
     """Return a socket for an outgoing connection; ``info`` is as of ``getaddrinfo``."""
     family, kind, protocol = info[:3]
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -6,6 +6,8 @@
 import gateway_fakes as fakes
 
 from cassiaquay_daemon import sockets
+from cassiaquay_daemon.decisions import paths
+from cassiaquay_daemon.gateway import connections
 
 OPTIONS = {
     (socket.SOL_SOCKET, socket.SO_KEEPALIVE): 1,
@@ -14,6 +16,11 @@
     (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT): sockets.USER_TIMEOUT_MS,
 }
 
+RECEIVE_BYTES = 65_536
+LONG_BODY = b"x" * 1_000_000
+# Longer than the user timeout.
+UNREAD_SECONDS = 3.0
+
 
 def _options(transport: asyncio.BaseTransport) -> dict[tuple[int, int], int]:
     sock = transport.get_extra_info("socket")
@@ -42,3 +49,47 @@
             assert _options(transport) == OPTIONS
 
     fakes.run(work, 2)
+
+
+async def _answer_before_reading(
+    reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+) -> None:
+    """Send a part of an answer, and the rest long before reading the body."""
+    head = (await reader.readuntil(b"\r\n\r\n")).lower()
+    size = int(head.partition(b"content-length: ")[2].partition(b"\r\n")[0])
+    writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\npart")
+    if size > sockets.MAX_BUFFERED_BYTES:
+        await asyncio.sleep(UNREAD_SECONDS)
+    await reader.readexactly(size)
+    writer.write(b"rest")
+    await writer.drain()
+
+
+async def _serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    try:
+        while not reader.at_eof():
+            await _answer_before_reading(reader, writer)
+    except (asyncio.IncompleteReadError, ConnectionError):
+        writer.close()
+
+
+def test_server_that_reads_a_long_body_late_is_not_given_up() -> None:
+    """Guards against an answer that is cut while its server's kernel acknowledges."""
+
+    async def work() -> None:
+        listening = socket.create_server(("127.0.0.1", 0))
+        listening.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BYTES)
+        server = await asyncio.start_server(_serve, sock=listening, limit=1000)
+        address = ":".join(map(str, listening.getsockname()))
+        dialer = connections.Dialer(paths.Paths(lambda: {"plain": [address]}))
+        async with dialer.create_session() as session:
+            for body in (LONG_BODY, b"short"):
+                async with session.post(f"http://{address}/", data=body) as response:
+                    assert await response.read() == b"partrest"
+            (pooled,) = session.connector._conns.values()
+            # Both requests used one connection, and the second set its timeout again.
+            ((handler, _),) = pooled
+            assert _options(handler.transport) == OPTIONS
+        server.close()
+
+    asyncio.run(work())
