Leave connections in time that servers will close

What callers saw: a 502 for a request that may not be repeated, sent to a sound server over a connection that this server closes at that moment, since it keeps idle connections for less than four seconds; and a crash of that server, in the records of what crashes servers.

Cause: servers state in Keep-Alive for how long they keep a connection. The HTTP client does not read it (docs/design/server-signals.md said that it does), and the gateway's own limit is 4 s for all servers.

Now a connection is used again for four fifths of the stated time at most.

Evidence: with a server that states one second and closes, unread, what arrives after 0.9 s, the third of three requests ended with 502 before, and is answered over a new connection now: pytest tests/test_silences_elsewhere.py -k may_close How often that crossing happens under load was not measured.

--- a/packages/daemon/cassiaquay_daemon/gateway/connections.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/connections.py
@@ -3,10 +3,12 @@
 import asyncio
 import contextlib
 import functools
+import math
 import socket
 import typing
 
 import aiohttp
+import multidict
 from aiohttp import client_proto
 
 from .. import clock, sockets
@@ -20,6 +22,11 @@
 # A connection takes one round trip. One that takes longer waits in a full accept queue,
 # for a crashed machine or behind a partition, and another way is faster.
 CONNECT_TIMEOUT_SECONDS = 0.3
+# Share of the idle time that a server states for which its connection is used again.
+STATED_IDLE_SHARE = 0.8
+
+
+_Received = tuple[aiohttp.http.RawResponseMessage, aiohttp.StreamReader]
 
 
 class _ResponseHandler(client_proto.ResponseHandler):
@@ -37,6 +44,22 @@
         super().__init__(loop)
         self._paths = observed
         self._address = ""
+        # As stated by the last answer.
+        self._idle_seconds = math.inf
+        self._reusable_until = math.inf
+
+    def is_connected(self) -> bool:
+        """Return whether the connection may be used again."""
+        return super().is_connected() and clock.now() < self._reusable_until
+
+    def feed_data(self, data: _Received, size: int = 0) -> None:
+        """Read from the head of an answer how long the server keeps idle connections.
+
+        The client library ignores it.
+        """
+        message, _ = data
+        self._idle_seconds = _read_idle_seconds(message.headers)
+        super().feed_data(data, size)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Record the server that this connects to."""
@@ -50,6 +73,7 @@
         """Record that the server was heard."""
         self._paths.heard(self._address)
         super().data_received(data)
+        self._reusable_until = clock.now() + self._idle_seconds
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Fail an answer that was being read when the connection was reset.
@@ -167,3 +191,12 @@
 
     def _create_socket(self, info: tuple[typing.Any, ...]) -> socket.socket:
         return self.create_socket(info)
+
+
+def _read_idle_seconds(pairs: multidict.CIMultiDictProxy[str]) -> float:
+    """Return for how long an idle connection is used again; infinity if not stated."""
+    for item in pairs.get(aiohttp.hdrs.KEEP_ALIVE, "").split(","):
+        name, _, seconds = item.strip().partition("=")
+        if name.lower() == "timeout" and seconds.isdecimal():
+            return int(seconds) * STATED_IDLE_SHARE
+    return math.inf
--- a/tests/test_silences_elsewhere.py
+++ b/tests/test_silences_elsewhere.py
@@ -15,6 +15,8 @@
 PAUSE_SECONDS = 1.4
 # Requests that wait for the end of the pause are shed when it comes too late for them.
 MAX_LATE_SHEDS = 8
+# Idle time at which a server closes a connection that it keeps for a second.
+CLOSING_SECONDS = 0.9
 
 
 @pytest.fixture(name="time")
@@ -87,3 +89,46 @@
         assert site.daemons[0]._quarantine.suspect_count == suspects
 
     gateway_fakes.run(work)
+
+
+class _ClosingServer:
+    """Answers of a server that closes connections which were idle for some time.
+
+    A request that arrives on one at that moment is not read.
+    """
+
+    def __init__(self, stated: str):
+        self._stated = stated
+        self._used_at: dict[raw_servers.Writer, float] = {}
+
+    async def respond(
+        self, request: raw_servers.Request, writer: raw_servers.Writer
+    ) -> None:
+        """Answer a request, or close its connection."""
+        now = asyncio.get_running_loop().time()
+        if now - self._used_at.get(writer, now) > CLOSING_SECONDS:
+            writer.close()
+            return
+        stated = {"Keep-Alive": self._stated}
+        pairs = standins.seal_headers(request) | stated
+        await raw_servers.send(writer, 200, b"x", pairs)
+        self._used_at[writer] = asyncio.get_running_loop().time()
+
+
+@pytest.mark.parametrize("stated", ["timeout=1", "max=9, Timeout=1"])
+def test_connection_is_not_used_when_its_server_may_close_it(stated) -> None:
+    """Guards against a request that crosses the close which its server announced."""
+
+    async def work(site: gateway_fakes.Site) -> None:
+        site.store.remove("servers/i-2-plain")
+        closing = _ClosingServer(stated)
+        site.engines[0].responder = closing.respond
+        while site.daemons[0]._servers.count != 3:
+            await asyncio.sleep(0.02)
+        for seconds, count in ((0.2, 1), (CLOSING_SECONDS, 1), (0.05, 2)):
+            assert (await site.ask("/book/x")).status == 200
+            assert len(closing._used_at) == count
+            await asyncio.sleep(seconds)
+        assert not site.daemons[0]._quarantine.suspect_count
+
+    gateway_fakes.run(work)
