Take each complete answer as a sign of life of its server

Evidence: with daemons and stand-ins, four requests are held at two servers while others are answered, until the keeper doubts the servers, and are then answered.

--- a/packages/daemon/cassiaquay_daemon/decisions/service_times.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/service_times.py
@@ -185,6 +185,7 @@
 
     def completed(self, seconds: float) -> None:
         """Learn from the time for which a request occupied a slot."""
+        self.heard_at = clock.now()
         if not self._has_slot_sample:
             self._has_slot_sample = True
             self.slot_seconds = seconds
--- a/tests/test_silences_elsewhere.py
+++ b/tests/test_silences_elsewhere.py
@@ -132,3 +132,47 @@
         assert not site.daemons[0]._quarantine.suspect_count
 
     gateway_fakes.run(work)
+
+
+def _targets(engine: standins.Engine) -> list[str]:
+    return [request.target for request in engine.requests]
+
+
+@pytest.mark.parametrize("path", ["/book/", "/stream/"])
+def test_daemons_take_a_paused_server_for_warm(path) -> None:
+    """Guards against answers after a silence that do not reach the doubt of a crash."""
+
+    async def work(site: gateway_fakes.Site) -> None:
+        released = asyncio.Event()
+
+        async def respond(
+            request: raw_servers.Request, writer: raw_servers.Writer
+        ) -> None:
+            if request.target.endswith("held"):
+                await released.wait()
+            await standins.send_complete_answer(request, writer)
+
+        for engine in site.engines:
+            engine.responder = respond
+        cold = {"cold-start-s": 5, "cold-per-s": 4}
+        services = [{"name": name} | cold for name in ("chat", "plain")]
+        site.store.put("op/config", standins.configuration(2, services=services))
+        kept = site.daemons[0]._keeper.cold
+        while not kept._terms:
+            await asyncio.sleep(0.02)
+        held = []
+        for _ in range(4):
+            held.append(asyncio.create_task(site.ask(f"{path}held")))
+            await asyncio.sleep(0.02)
+        # Both servers answer after they have got the held requests.
+        while not all(f"{path}quick" in _targets(engine) for engine in site.engines):
+            await asyncio.gather(*(site.ask(f"{path}quick") for _ in range(4)))
+        while not kept.cold_servers():
+            await asyncio.sleep(0.02)
+        released.set()
+        for task in held:
+            assert (await task).status == 200
+        await asyncio.sleep(0.1)
+        assert not kept.cold_servers()
+
+    gateway_fakes.run(work)
