--- a/packages/daemon/cassiaquay_daemon/gateway/connections.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/connections.py
@@ -1,15 +1,18 @@
 """Connections to backend servers, with a client session that never retries."""
 
 import asyncio
+import contextlib
 import functools
+import math
 import socket
 import typing
 
 import aiohttp
+import multidict
 from aiohttp import client_proto
 
 from .. import clock, sockets
-from ..adapters import backends
+from ..adapters import backends, breaks
 from ..decisions import paths
 from ..platform import headers
 
@@ -19,10 +22,15 @@
 # A connection takes one round trip. One that takes longer waits in a full accept queue,
 # for a crashed machine or behind a partition, and another way is faster.
 CONNECT_TIMEOUT_SECONDS = 0.3
+# Share of the idle time that a server states for which its connection is used again.
+STATED_IDLE_SHARE = 0.8
+
+
+_Received = tuple[aiohttp.http.RawResponseMessage, aiohttp.StreamReader]
 
 
 class _ResponseHandler(client_proto.ResponseHandler):
-    """Response handler that reports resets as payload errors and observes the path.
+    """Response handler that reports lost connections and observes the path.
 
     Parameters
     ----------
@@ -36,6 +44,22 @@
         super().__init__(loop)
         self._paths = observed
         self._address = ""
+        # As stated by the last answer.
+        self._idle_seconds = math.inf
+        self._reusable_until = math.inf
+
+    def is_connected(self) -> bool:
+        """Return whether the connection may be used again."""
+        return super().is_connected() and clock.now() < self._reusable_until
+
+    def feed_data(self, data: _Received, size: int = 0) -> None:
+        """Read from the head of an answer how long the server keeps idle connections.
+
+        The client library ignores it.
+        """
+        message, _ = data
+        self._idle_seconds = _read_idle_seconds(message.headers)
+        super().feed_data(data, size)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Record the server that this connects to."""
@@ -49,6 +73,7 @@
         """Record that the server was heard."""
         self._paths.heard(self._address)
         super().data_received(data)
+        self._reusable_until = clock.now() + self._idle_seconds
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Fail an answer that was being read when the connection was reset.
@@ -58,15 +83,24 @@
         looks complete.
         """
         payload = self._payload
-        if exc is not None:
-            self._paths.doubt(self._address, "connection lost")
-        if exc is not None and payload is not None and not payload.is_eof():
-            payload.set_exception(aiohttp.ClientPayloadError("connection reset"))
+        if exc is None:
+            super().connection_lost(exc)
+            return
+        self._paths.doubt(self._address, "connection lost")
+        if payload is None or payload.is_eof():
+            super().connection_lost(exc)
+            return
+        error = exc
+        if not breaks.is_unreached(exc):
+            error = aiohttp.ClientPayloadError("connection reset")
+        payload.set_exception(error)
         super().connection_lost(exc)
+        # The parser reports an incomplete answer in its place.
+        payload.set_exception(error)
 
 
 class _TimedRequest(aiohttp.ClientRequest):
-    """Request that states the time left when it is written.
+    """Request that states the time left when it is written, and adapts its socket.
 
     Opening a connection takes up to a third of a second, and longer on a busy machine.
     The server would work for that long after the caller has given up.
@@ -80,6 +114,11 @@
         """Write the request to an open connection."""
         elapsed_ms = int((clock.now() - self._formed_at) * 1000)
         headers.shorten_deadline(self.headers, elapsed_ms)
+        # A server may answer, or be paused, before it has read a long body.
+        size = int(self.headers.get(aiohttp.hdrs.CONTENT_LENGTH, "0"))
+        if conn.transport is not None:
+            with contextlib.suppress(OSError):
+                sockets.set_user_timeout(conn.transport.get_extra_info("socket"), size)
         return await super().send(conn)
 
 
@@ -126,8 +165,15 @@
         session._retry_connection = False
         return session
 
-    async def probe(self, address: str) -> None:
-        """Open a connection to a server and close it; record whether that works."""
+    async def probe(self, address: str) -> bool:
+        """Open a connection to a server and close it; record whether that works.
+
+        Returns
+        -------
+        bool
+            Whether it was refused. A server that does not answer at all may be paused
+            with a full accept queue, or behind a partition.
+        """
         host, _, port = address.rpartition(":")
         target = (host, int(port))
         info = (socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP, "", target)
@@ -136,11 +182,21 @@
                 probing.setblocking(False)
                 async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
                     await asyncio.get_running_loop().sock_connect(probing, target)
-        except OSError:
+        except OSError as error:
             # Also after the timeout.
             self._paths.failed(address)
-            return
+            return not breaks.is_unreached(error)
         self._paths.connected(address)
+        return False
 
     def _create_socket(self, info: tuple[typing.Any, ...]) -> socket.socket:
         return self.create_socket(info)
+
+
+def _read_idle_seconds(pairs: multidict.CIMultiDictProxy[str]) -> float:
+    """Return for how long an idle connection is used again; infinity if not stated."""
+    for item in pairs.get(aiohttp.hdrs.KEEP_ALIVE, "").split(","):
+        name, _, seconds = item.strip().partition("=")
+        if name.lower() == "timeout" and seconds.isdecimal():
+            return int(seconds) * STATED_IDLE_SHARE
+    return math.inf
