--- a/tests/gateway_fakes.py
+++ b/tests/gateway_fakes.py
@@ -18,12 +18,20 @@
 # Imported because they register adapters.
 ADAPTERS = (documents, store)
 TIMEOUT_SECONDS = 15.0
+GRACE_SECONDS = 3.0
 
 
 class Site:
-    """A fake store, two fake engines and some daemons that use them."""
+    """A fake store, two fake engines and some daemons that use them.
 
-    def __init__(self) -> None:
+    Parameters
+    ----------
+    grace_seconds : float
+        The daemons' grace period; a third of it passes before they stop.
+    """
+
+    def __init__(self, grace_seconds: float = GRACE_SECONDS) -> None:
+        self.grace_seconds = grace_seconds
         self.store = standins.Store()
         self.engines = [standins.Engine("i-1"), standins.Engine("i-2")]
         self.daemons: list[daemon.Daemon] = []
@@ -99,7 +107,7 @@
                 ready=f"127.0.0.1:{ports.free_port()}",
                 directory=f"127.0.0.1:{ports.free_port()}",
                 relay=f"127.0.0.1:{ports.free_port()}",
-                grace_seconds=3.0,
+                grace_seconds=self.grace_seconds,
                 retry_extra=1000.0,
                 first_start=True,
             ),
@@ -230,9 +238,11 @@
 
 
 @contextlib.asynccontextmanager
-async def site(count: int = 1) -> collections.abc.AsyncIterator[Site]:
+async def site(
+    count: int = 1, grace_seconds: float = GRACE_SECONDS
+) -> collections.abc.AsyncIterator[Site]:
     """Yield a started site."""
-    made = Site()
+    made = Site(grace_seconds)
     async with asyncio.timeout(TIMEOUT_SECONDS):
         await made.start(count)
     try:
