--- a/tests/silence_fakes.py
+++ b/tests/silence_fakes.py
@@ -157,13 +157,14 @@
     """
     async with fakes.site(daemon_count, grace_seconds) as made:
         async with asyncio.timeout(fakes.TIMEOUT_SECONDS):
-            await _prepare(made, engine_count)
+            await prepare(made, engine_count)
             if is_spent:
                 _spend_budget(made)
             yield made
 
 
-async def _prepare(site: fakes.Site, engine_count: int) -> None:
+async def prepare(site: fakes.Site, engine_count: int = 2) -> None:
+    """Publish the routes and give the servers slots for all requests."""
     for number in range(len(site.engines), engine_count):
         await site.add_engine(f"i-{number + 1}")
     for engine in site.engines:
--- a/tests/test_hedging.py
+++ b/tests/test_hedging.py
@@ -10,6 +10,9 @@
 from cassiaquay_dev.standins import platform_standins as standins
 from cassiaquay_dev.standins import raw_servers
 
+# Its servers are silent after some events.
+STREAM = "/stream/2/events/x"
+
 
 def test_stream_is_not_completed_by_a_failure_of_the_second_server() -> None:
     """Guards against a stream that ends as whole where a second server has failed."""
@@ -36,7 +39,7 @@
         await silence_fakes.prepare(site)
         for engine in site.engines:
             engine.responder = respond
-        got = await site.ask("/stream/2/x")
+        got = await site.ask(STREAM)
         assert len(site.engines_of(got.attempt)) == 2
         assert got.body == standins.stream_events(2)
         assert not got.complete
@@ -51,8 +54,8 @@
         await silence_fakes.prepare(site)
         silence = silence_fakes.Silence()
         for engine in site.engines:
-            engine.responder = silence.responder("events")
-        asked = asyncio.create_task(site.ask("/stream/2/x"))
+            engine.responder = silence.respond
+        asked = asyncio.create_task(site.ask(STREAM))
         while not silence.open_runs:
             await asyncio.sleep(0.01)
         await site.add_engine("i-3", slots=silence_fakes.SLOTS)
@@ -60,7 +63,7 @@
             if not engine.runs:
                 site.store.remove(f"servers/{engine.name}")
         got = await asked
-        assert not silence_fakes.lost("/stream/2/", [got])
+        assert silence_fakes.Asked(STREAM, got, 0.0).is_whole
         assert site.engines_of(got.attempt)[1:] == site.engines[2:]
 
     fakes.run(work)
@@ -72,7 +75,7 @@
     async def work(site: fakes.Site) -> None:
         await silence_fakes.prepare(site)
         with cut_fakes.cut(site, 0, "silent"):
-            got = await site.ask("/plain/1/x")
+            got = await site.ask("/plain/1/head/x")
         assert len(site.engines_of(got.attempt)) == 1
 
     fakes.run(work, 2)
@@ -83,7 +86,7 @@
 
     async def work(site: fakes.Site) -> None:
         silence = silence_fakes.Silence()
-        silent = silence.responder("events")
+        silent = silence.respond
         count = 0
 
         async def respond(
@@ -108,12 +111,12 @@
         for engine in site.engines:
             engine.responder = respond
         silence.end_after(2.5)
-        asked = asyncio.create_task(site.ask("/stream/2/x"))
+        asked = asyncio.create_task(site.ask(STREAM))
         while not asked.done():
             # Both servers are heard on other connections.
-            await silence_fakes.ask_each(site, "/plain/1/", 8)
+            await asyncio.gather(*silence_fakes.ask_all(site, ["/plain/1/head/x"] * 8))
         got = await asked
-        assert not silence_fakes.lost("/stream/2/", [got])
+        assert silence_fakes.Asked(STREAM, got, 0.0).is_whole
 
     fakes.run(work)
 
@@ -145,7 +148,7 @@
         await silence_fakes.prepare(site)
         for engine in site.engines:
             engine.responder = respond
-        asked = asyncio.create_task(site.ask("/stream/2/x"))
+        asked = asyncio.create_task(site.ask(STREAM))
         while not runs:
             await asyncio.sleep(0.01)
         for engine in site.engines:
@@ -153,7 +156,7 @@
                 site.store.remove(f"servers/{engine.name}-plain")
         while len(runs) < 2 or not (runs[0][1] or runs[1][1]):
             # The first server answers other requests.
-            await site.ask("/plain/1/other")
+            await site.ask("/plain/1/head/x")
             await asyncio.sleep(0.01)
         asked.cancel()
         overlap_seconds = max(runs[0][1], runs[1][1]) - runs[1][0]
@@ -169,8 +172,8 @@
         await silence_fakes.prepare(site)
         silence = silence_fakes.Silence()
         for engine in site.engines:
-            engine.responder = silence.responder("events")
-        asked = asyncio.create_task(site.ask("/stream/2/x"))
+            engine.responder = silence.respond
+        asked = asyncio.create_task(site.ask(STREAM))
         while not silence.open_runs:
             await asyncio.sleep(0.01)
         for engine in site.engines:
@@ -178,7 +181,7 @@
                 await engine.stop()
         silence.end_after(2.0)
         got = await asked
-        assert not silence_fakes.lost("/stream/2/", [got])
+        assert silence_fakes.Asked(STREAM, got, 0.0).is_whole
         assert site.gateway(0)._parts.budget._retries["chat"].sum() == 0.0
 
     fakes.run(work)
--- a/tests/test_silences_elsewhere.py
+++ b/tests/test_silences_elsewhere.py
@@ -5,9 +5,9 @@
 import os
 
 import gateway_fakes
+import paused_fakes
 import policy_fakes as fakes
 import pytest
-import paused_fakes
 
 from cassiaquay_dev.standins import platform_standins as standins
 from cassiaquay_dev.standins import raw_servers
