Test that bytes are read that arrive while the daemon stands still (fails)

What callers saw: an answer that had arrived whole was replaced by a 502, or the stream was cut, after the daemon's own event loop had stood still for longer than a read timeout. Cause: after the handling of reads, uvloop runs the timers that are due before it reads on; the read timeout fires while the bytes lie in the buffer of the connection.

--- a/tests/test_silent_repeats.py
+++ b/tests/test_silent_repeats.py
@@ -5,6 +5,7 @@
 import collections.abc
 import contextlib
 import os
+import socket
 import time
 
 import gateway_fakes as fakes
@@ -245,18 +246,35 @@
             _register_second(site)
             while buffered.count < len(STANDSTILL_TARGETS):
                 await asyncio.sleep(0.01)
-            buffered.send()
-            _stand_still()
+            await _stand_still(buffered.send)
             asked = await asyncio.gather(*asking)
             assert silence_fakes.faults(site, asked) == {}
+            assert not site.engines[1].runs
 
-    # As in the daemon's process; this loop runs due timers before it reads.
+    # As in the daemon's process.
     uvloop.run(run())
 
 
-def _stand_still() -> None:
-    """Let no other task of this process run."""
-    time.sleep(STANDSTILL_SECONDS)
+async def _stand_still(before: collections.abc.Callable[[], None]) -> None:
+    """Call a function, then let no other task of this process run.
+
+    This happens while the loop handles a read, after which it runs the timers that are
+    due before it reads on.
+    """
+    loop = asyncio.get_running_loop()
+    done = loop.create_future()
+
+    def stand_still() -> None:
+        loop.remove_reader(waking)
+        before()
+        time.sleep(STANDSTILL_SECONDS)
+        done.set_result(None)
+
+    waking, waker = socket.socketpair()
+    with waking, waker:
+        loop.add_reader(waking, stand_still)
+        waker.send(b"x")
+        await done
 
 
 async def _play_failure(second: str) -> dict[str, int]:
