--- a/tests/test_silences_elsewhere.py
+++ b/tests/test_silences_elsewhere.py
@@ -1,9 +1,10 @@
-"""Sound servers that fall silent, as keepers and the own interface see them."""
+"""Sound servers that fall silent, as keepers, relays and connections see them."""
 
 import asyncio
 import errno
 import os
 
+import cut_fakes
 import gateway_fakes
 import policy_fakes as fakes
 import pytest
@@ -134,6 +135,37 @@
     gateway_fakes.run(work)
 
 
+@pytest.mark.parametrize("path", ["/book/x", "/string/x"])
+def test_relay_waits_for_a_silent_server_as_its_owner_does(path) -> None:
+    """Guards against a second timer on the way that fires before the owner's."""
+
+    async def respond(request: raw_servers.Request, writer: raw_servers.Writer) -> None:
+        if path == "/book/x":
+            await asyncio.sleep(PAUSE_SECONDS)
+            await standins.send_complete_answer(request, writer)
+            return
+        await standins.write_stream_head(request, writer)
+        await standins.write_events(request, writer, 2)
+        await asyncio.sleep(PAUSE_SECONDS)
+        for number in range(2, standins.EVENT_COUNT):
+            data = standins.event(number)
+            writer.write(b"%x\r\n%b\r\n" % (len(data), data))
+        writer.write(b"0\r\n\r\n")
+        await writer.drain()
+
+    async def work(site: gateway_fakes.Site) -> None:
+        for engine in site.engines:
+            engine.responder = respond
+        with cut_fakes.cut(site, 0):
+            got = await site.ask(path)
+        assert got.status == 200
+        assert got.complete
+        assert site.gateway(1)._relay.sent_count == 1
+        assert len(site.engines_of(got.attempt)) == 1
+
+    gateway_fakes.run(work, 2)
+
+
 def _targets(engine: standins.Engine) -> list[str]:
     return [request.target for request in engine.requests]
 
