Test that a long body survives a silence of its server (fails)

What callers see: 502 after 2.8 s for a request with a body of 1 MB, also one that may not be repeated, whose server is stopped for 3.2 s. With 50 kB, or 2.0 s, they get their answer.

Cause: TCP_USER_TIMEOUT (2.5 s) also runs while the receive window of the other end is full, though its kernel answers the probes of the window.

--- a/tests/test_hedging.py
+++ b/tests/test_hedging.py
@@ -182,3 +182,27 @@
         assert site.gateway(0)._parts.budget._retries["chat"].sum() == 0.0
 
     fakes.run(work)
+
+
+def test_long_body_reaches_a_server_that_reads_on_after_a_silence(monkeypatch) -> None:
+    """Guards against a connection that ends because a stopped server reads nothing."""
+    silence_seconds = 3.2
+    serve_connection = standins.Engine._serve_connection
+
+    async def serve_later(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        writer.transport.pause_reading()
+        await asyncio.sleep(silence_seconds)
+        writer.transport.resume_reading()
+        await serve_connection(self, reader, writer)
+
+    monkeypatch.setattr(standins.Engine, "_serve_connection", serve_later)
+
+    async def work(site: fakes.Site) -> None:
+        await silence_fakes.prepare(site)
+        await silence_fakes.publish(site, 3, limits={"max-body-bytes": 2_000_000})
+        got = await site.ask("/book/1/x", body=b"x" * 1_000_000)
+        assert got.status == 200
+
+    fakes.run(work)
