--- a/tests/test_hedging.py
+++ b/tests/test_hedging.py
@@ -1,12 +1,15 @@
 """Requests that two servers have at once because the first one is silent."""
 
 import asyncio
+import errno
 
+import aiohttp
 import cut_fakes
 import gateway_fakes as fakes
 import silence_fakes
 
-from cassiaquay_daemon import clock
+from cassiaquay_daemon import clock, exceptions
+from cassiaquay_daemon.adapters import breaks
 from cassiaquay_dev.standins import platform_standins as standins
 from cassiaquay_dev.standins import raw_servers
 
@@ -206,3 +209,10 @@
         assert got.status == 200
 
     fakes.run(work)
+
+
+def test_server_whose_kernel_is_silent_has_not_crashed() -> None:
+    """Guards against a request that is suspected since its server stood still."""
+    error = aiohttp.ClientOSError(errno.ETIMEDOUT, "Connection timed out")
+    found = breaks.to_stream_interrupted(error)
+    assert not isinstance(found, exceptions.ConnectionBroken)
