Send nothing for a caller that has gone

What callers saw: nothing; a request that may not be repeated could reach its server after its caller had closed the connection, and be cut there at once.

Cause: requests are sent by a task of their own since two servers are read at once. If its connection was established in the same pass of the loop, it went on for one pass after the request had been cancelled.

--- a/packages/daemon/cassiaquay_daemon/gateway/front.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/front.py
@@ -94,6 +94,7 @@
         # request runs to its end, because an abort could leave its work half done.
         call = state.call
         if call.is_stream or call.route.is_repeatable or not state.may_have_run:
+            state.is_abandoned = True
             work.cancel()
             self._accounts.record_abandoned(state)
         logs.event(
--- a/packages/daemon/cassiaquay_daemon/gateway/progress.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/progress.py
@@ -37,6 +37,8 @@
         Demand and snapshot for which the version of the events was checked last.
     is_origin_recorded : bool
         Whether the version was recorded under this attempt.
+    is_abandoned : bool
+        Whether its caller has gone and it is being cancelled.
     started : bool
         Whether the status and headers of an answer were sent to the caller.
     server : str
@@ -66,6 +68,7 @@
         self.checked_writer = ""
         self.checked_snapshot: snapshots.Snapshot | None = None
         self.is_origin_recorded = False
+        self.is_abandoned = False
         self.started = False
         self.server = ""
         self.server_start = ""
--- a/packages/daemon/cassiaquay_daemon/gateway/serving.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/serving.py
@@ -291,6 +291,8 @@
         # have expired, the server left or the key been revoked; nothing may be sent on
         # outdated state.
         call = state.call
+        if state.is_abandoned:
+            raise exceptions.NotSent("the caller has gone")
         self._check_quarantine(state, is_sent_now=True)
         if not self._parts.pauses.is_current:
             raise exceptions.StaleAfterPause("this process was paused")
--- a/tests/test_hedging.py
+++ b/tests/test_hedging.py
@@ -10,6 +10,7 @@
 
 from cassiaquay_daemon import clock, exceptions
 from cassiaquay_daemon.adapters import breaks
+from cassiaquay_daemon.gateway import forwarding, front
 from cassiaquay_dev.standins import platform_standins as standins
 from cassiaquay_dev.standins import raw_servers
 
@@ -216,3 +217,32 @@
     error = aiohttp.ClientOSError(errno.ETIMEDOUT, "Connection timed out")
     found = breaks.to_stream_interrupted(error)
     assert not isinstance(found, exceptions.ConnectionBroken)
+
+
+def test_request_whose_caller_has_gone_is_not_sent(monkeypatch) -> None:
+    """Guards against sending a request between its caller's end and its own."""
+    sent: list[str] = []
+
+    async def work(site: fakes.Site) -> None:
+        connected = asyncio.Event()
+        handle_disconnect = front.Front._handle_disconnect
+
+        async def send(self, call, server, last_event, before_sending) -> None:
+            await connected.wait()
+            before_sending()
+            sent.append(call.parsed.attempt)
+
+        def connect_and_handle(self, state, task) -> None:
+            connected.set()
+            handle_disconnect(self, state, task)
+
+        monkeypatch.setattr(forwarding.Forwarder, "send", send)
+        monkeypatch.setattr(front.Front, "_handle_disconnect", connect_and_handle)
+        asked = asyncio.create_task(site.ask("/book/x"))
+        await asyncio.sleep(0.2)
+        asked.cancel()
+        await connected.wait()
+        await asyncio.sleep(0.05)
+
+    fakes.run(work)
+    assert not sent
