--- a/tests/test_hedging.py
+++ b/tests/test_hedging.py
@@ -1,12 +1,16 @@
 """Requests that two servers have at once because the first one is silent."""
 
 import asyncio
+import errno
 
+import aiohttp
 import cut_fakes
 import gateway_fakes as fakes
 import silence_fakes
 
-from cassiaquay_daemon import clock
+from cassiaquay_daemon import clock, exceptions
+from cassiaquay_daemon.adapters import breaks
+from cassiaquay_daemon.gateway import forwarding, front
 from cassiaquay_dev.standins import platform_standins as standins
 from cassiaquay_dev.standins import raw_servers
 
@@ -185,3 +189,63 @@
         assert site.gateway(0)._parts.budget._retries["chat"].sum() == 0.0
 
     fakes.run(work)
+
+
+def test_long_body_reaches_a_server_that_reads_on_after_a_silence(monkeypatch) -> None:
+    """Guards against a connection that ends because a stopped server reads nothing."""
+    silence_seconds = 3.2
+    serve_connection = standins.Engine._serve_connection
+
+    async def serve_later(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        writer.transport.pause_reading()
+        await asyncio.sleep(silence_seconds)
+        writer.transport.resume_reading()
+        await serve_connection(self, reader, writer)
+
+    monkeypatch.setattr(standins.Engine, "_serve_connection", serve_later)
+
+    async def work(site: fakes.Site) -> None:
+        await silence_fakes.prepare(site)
+        await silence_fakes.publish(site, 3, limits={"max-body-bytes": 2_000_000})
+        got = await site.ask("/book/1/x", body=b"x" * 1_000_000)
+        assert got.status == 200
+
+    fakes.run(work)
+
+
+def test_server_whose_kernel_is_silent_has_not_crashed() -> None:
+    """Guards against a request that is suspected since its server stood still."""
+    error = aiohttp.ClientOSError(errno.ETIMEDOUT, "Connection timed out")
+    found = breaks.to_stream_interrupted(error)
+    assert not isinstance(found, exceptions.ConnectionBroken)
+
+
+def test_request_whose_caller_has_gone_is_not_sent(monkeypatch) -> None:
+    """Guards against sending a request between its caller's end and its own."""
+    sent: list[str] = []
+
+    async def work(site: fakes.Site) -> None:
+        connected = asyncio.Event()
+        handle_disconnect = front.Front._handle_disconnect
+
+        async def send(self, call, server, last_event, before_sending) -> None:
+            await connected.wait()
+            before_sending()
+            sent.append(call.parsed.attempt)
+
+        def connect_and_handle(self, state, task) -> None:
+            connected.set()
+            handle_disconnect(self, state, task)
+
+        monkeypatch.setattr(forwarding.Forwarder, "send", send)
+        monkeypatch.setattr(front.Front, "_handle_disconnect", connect_and_handle)
+        asked = asyncio.create_task(site.ask("/book/x"))
+        await asyncio.sleep(0.2)
+        asked.cancel()
+        await connected.wait()
+        await asyncio.sleep(0.05)
+
+    fakes.run(work)
+    assert not sent
