--- a/packages/dev/cassiaquay_dev/soak/engines.py
+++ b/packages/dev/cassiaquay_dev/soak/engines.py
@@ -85,10 +85,12 @@
             return
         self._recorded.runs.append(run)
         if self.retry_after:
+            run.rejected = True
             await self._turn_away(run, writer)
             return
         queue_length = QUEUE_LENGTH if self.has_queue else 0
         if self._slots.locked() and self._waiting >= queue_length:
+            run.rejected = True
             await self._reject(writer)
             return
         self._waiting += 1
@@ -99,6 +101,8 @@
         try:
             run.executed = True
             await self._execute(run, writer)
+            if run.broke_off_at == records.FOREVER:
+                run.answered_at = records.now()
         finally:
             self._slots.release()
 
@@ -146,6 +150,7 @@
             run.request.target in self._recorded.crashing_targets
         ):
             run.has_engine_fault = True
+            run.broke_off_at = records.now()
             if self._on_crash is not None:
                 self._on_crash(self.name)
             return
@@ -155,6 +160,9 @@
             return
         if fault == "silent":
             await asyncio.sleep(60.0)
+        elif fault:
+            # All others break the answer off or break the protocol in it.
+            run.broke_off_at = records.now()
         if fault == "reset":
             raw_servers.reset(writer)
             return
--- a/packages/dev/cassiaquay_dev/soak/faults.py
+++ b/packages/dev/cassiaquay_dev/soak/faults.py
@@ -34,6 +34,7 @@
     "engine_release",
     "stream_cuts",
     "store_restored",
+    site.PAUSE_FAULT,
 )
 # Longest pause between planned stops of several daemons, as an operator leaves one.
 MAX_ROLLING_PAUSE_SECONDS = 0.7
@@ -48,21 +49,27 @@
 
 
 class Disturbance:
-    """Context manager that records a disturbance of daemons or links."""
+    """Context manager that records a disturbance of daemons or links.
 
-    def __init__(self, deployment: site.Site, *names: str):
-        self._deployment = deployment
+    Without ``breaks``, it is one that breaks no connection.
+    """
+
+    def __init__(self, deployment: site.Site, *names: str, breaks: bool = True):
+        recorded = deployment.recorded
+        self._kinds = [recorded.faults, recorded.breaks][: 1 + breaks]
         self._names = names
         self._start = 0.0
 
     def __enter__(self) -> None:
         self._start = records.now()
-        for name in self._names:
-            self._deployment.recorded.faults.add(name, self._start)
+        for kind in self._kinds:
+            for name in self._names:
+                kind.add(name, self._start)
 
     def __exit__(self, *error: object) -> None:
-        for name in self._names:
-            self._deployment.recorded.faults.end(name, self._start, records.now())
+        for kind in self._kinds:
+            for name in self._names:
+                kind.end(name, self._start, records.now())
 
 
 async def _kill(
@@ -219,7 +226,7 @@
 async def engine_faulty(deployment: site.Site, rng: random.Random) -> None:
     """Let an engine send invalid answers, or answer slowly."""
     engine = deployment.engines[rng.choice(sorted(deployment.engines))]
-    with Disturbance(deployment, engine.name):
+    with Disturbance(deployment, engine.name, breaks=False):
         if rng.random() < 0.5:
             engine.slowdown = rng.uniform(2.0, 20.0)
         else:
@@ -366,6 +373,7 @@
             for name in names:
                 end = start + site.CONTACT_SECONDS
                 deployment.recorded.faults.add(name, start, end)
+                deployment.recorded.breaks.add(name, start, end)
         await asyncio.sleep(rng.uniform(3.0, 8.0))
         for one in chosen:
             one.control.unlink(missing_ok=True)
--- a/packages/dev/cassiaquay_dev/soak/main.py
+++ b/packages/dev/cassiaquay_dev/soak/main.py
@@ -14,6 +14,7 @@
 from . import (
     callers,
     checks,
+    engine_faults,
     faults,
     part_checks,
     records,
@@ -25,11 +26,9 @@
 )
 
 # Imported because they register faults and checks.
-FAULTS = (faults, request_faults, store_faults)
+FAULTS = (faults, engine_faults, request_faults, store_faults)
 CHECKS = (checks, part_checks, report_checks, stream_checks)
 
-# Callers send requests for this long after the last fault, to check the recovery.
-RECOVERY_SECONDS = 9.0
 # Longest time for faults to end after the last one has started.
 FAULT_TIMEOUT_SECONDS = 12.0
 MAX_SHOWN_FINDINGS = 10
@@ -98,7 +97,7 @@
     async with asyncio.timeout(FAULT_TIMEOUT_SECONDS):
         await asyncio.gather(*running)
     deployment.recorded.faults_ended_at = records.now()
-    await asyncio.sleep(RECOVERY_SECONDS)
+    await asyncio.sleep(settings.recovery)
     ended.set()
     await calls
     return counts
@@ -113,6 +112,10 @@
     return found
 
 
+def _listed(counts: collections.Counter[str]) -> str:
+    return " ".join(f"{name}={count}" for name, count in sorted(counts.items()))
+
+
 def main(
     seed: int = 1,
     count: int = 1,
@@ -126,13 +129,12 @@
         folder = f"{flags.get('folder', 'target/soak')}/{number}"
         settings = site.SoakSettings(**flags | {"seed": number, "folder": folder})
         outcome = site.run(run_seed(settings, timed))
-        fault_counts = " ".join(
-            f"{name}={n}" for name, n in sorted(outcome.faults.items())
-        )
+        found = collections.Counter(one.check for one in outcome.findings)
         print(
             f"seed={number} sent={outcome.sent} served={outcome.served} "
             f"refused={outcome.refused} runs={outcome.runs} "
-            f"findings={len(outcome.findings)} faults: {fault_counts}",
+            f"findings={len(outcome.findings)} faults: {_listed(outcome.faults)} "
+            f"checks: {_listed(found) or 'none'}",
             flush=True,
         )
         for finding in outcome.findings[:MAX_SHOWN_FINDINGS]:
--- a/packages/dev/cassiaquay_dev/soak/records.py
+++ b/packages/dev/cassiaquay_dev/soak/records.py
@@ -25,6 +25,11 @@
         self.executed = False
         # Whether the engine injected a fault into this run.
         self.has_engine_fault = False
+        # Whether the engine turned the request away without running it.
+        self.rejected = False
+        # When the engine had written its whole answer, and when it broke that off.
+        self.answered_at = FOREVER
+        self.broke_off_at = FOREVER
         self.seal = ""
         self.status = 0
 
@@ -102,12 +107,17 @@
         self._spans[name].remove(Span(start, FOREVER))
         self.add(name, start, end)
 
-    def is_undisturbed(self, name: str, start: float, end: float) -> bool:
-        """Return whether no disturbance of ``name`` overlaps the time span."""
+    def overlapping(self, name: str, start: float, end: float) -> list[Span]:
+        """Return the disturbances of ``name`` that overlap the time span."""
+        found = []
         for span in self._spans.get(name, []):
             if span.start <= end and span.end >= start:
-                return False
-        return True
+                found.append(span)
+        return found
+
+    def is_undisturbed(self, name: str, start: float, end: float) -> bool:
+        """Return whether no disturbance of ``name`` overlaps the time span."""
+        return not self.overlapping(name, start, end)
 
 
 class Change(typing.NamedTuple):
@@ -202,6 +212,10 @@
         self.runs: list[Run] = []
         # Disturbances by faults, without planned stops and reloads.
         self.faults = Disturbances()
+        # Faults that may break connections: ends of processes, harmed links.
+        self.breaks = Disturbances()
+        # Times in which a signal had stopped an engine.
+        self.pauses = Disturbances()
         # Disturbances by planned stops and reloads.
         self.planned = Disturbances()
         self.changes: list[Change] = []
--- a/packages/dev/cassiaquay_dev/soak/site.py
+++ b/packages/dev/cassiaquay_dev/soak/site.py
@@ -7,7 +7,7 @@
 
 import uvloop
 
-from ..network import ports, processes, proxies
+from ..network import forwarding, ports, processes, proxies
 from ..standins import platform_standins
 from . import callers, daemons, engines, records
 
@@ -30,6 +30,8 @@
 BRITTLE_SLOWDOWN = 3.0
 # Time after which an engine that a request crashed is replaced.
 CRASH_RESTART_SECONDS = 1.0
+# Name of the fault for which each engine gets a process that a signal can stop.
+PAUSE_FAULT = "engine_paused"
 
 
 class SoakSettings(typing.NamedTuple):
@@ -53,6 +55,8 @@
         Names of the faults to run, comma-separated; empty for the usual ones.
     also : str
         Names of faults to run beside the usual ones, comma-separated.
+    recovery : float
+        Seconds for which callers go on after the last fault, to check the recovery.
     """
 
     seed: int = 1
@@ -64,6 +68,12 @@
     pause: float = 1.0
     only: str = ""
     also: str = ""
+    recovery: float = 9.0
+
+    @property
+    def has_forwarders(self) -> bool:
+        """Whether a forwarding process stands before each engine."""
+        return PAUSE_FAULT in (*self.only.split(","), *self.also.split(","))
 
 
 class Brittle(typing.NamedTuple):
@@ -93,6 +103,8 @@
         self.daemons: list[daemons.Daemon] = []
         self.engines: dict[str, engines.Engine] = {}
         self.engine_proxies: dict[str, proxies.Proxy] = {}
+        # Between an engine and its proxy, for the fault that pauses engines.
+        self.forwarders: dict[str, forwarding.Forwarder] = {}
         self.keys = {"key-a", "key-c"}
         self._document: dict[str, typing.Any] = {}
         # State in each engine's entry, while it has one.
@@ -141,6 +153,12 @@
 
     async def stop(self) -> None:
         """Stop everything."""
+        try:
+            await self._stop()
+        finally:
+            await asyncio.gather(*(one.kill() for one in self.forwarders.values()))
+
+    async def _stop(self) -> None:
         if self._watch_task is not None:
             self._watch_task.cancel()
         for task in self._crash_tasks:
@@ -220,7 +238,13 @@
             software or self.software[service],
         )
         await engine.start()
-        proxy = proxies.Proxy(engine.address)
+        address = engine.address
+        if self.settings.has_forwarders:
+            forwarder = forwarding.Forwarder(name, address, self._folder)
+            self.forwarders[name] = forwarder
+            await forwarder.start()
+            address = forwarder.address
+        proxy = proxies.Proxy(address)
         await proxy.start()
         self.engines[name] = engine
         self.engine_proxies[name] = proxy
@@ -231,6 +255,10 @@
         )
         return name
 
+    def is_paused(self, name: str) -> bool:
+        """Return whether a signal has stopped an engine."""
+        return name in self.forwarders and self.forwarders[name].is_paused
+
     def end_engine_time(self, name: str) -> None:
         """Record that an engine takes no new requests from now on."""
         known = self.recorded.engine_times[name]
@@ -279,8 +307,11 @@
     async def remove_engine(self, name: str) -> None:
         """Stop an engine and its proxy."""
         self.end_engine_time(name)
+        self.recorded.breaks.add(name, records.now())
         await self.engine_proxies.pop(name).stop()
         await self.engines.pop(name).stop()
+        if name in self.forwarders:
+            await self.forwarders.pop(name).kill()
 
     async def crash_engine(self, name: str, down: float) -> None:
         """Crash an engine; start its replacement after ``down`` seconds."""
