Soak: check that no request ends because its engine is silent

The check `silenced` finds each request that an engine had in work, in its queue or answered, and that ends without an answer of an engine. It is not bound to time, so it holds with `--timed False`, too. Exceptions, as the platform's rules state them: the caller left; its deadline or the route's timeout was reached (20 ms before it at most, since daemons end a request 10 ms early); the engine that had it last broke off, or a fault may have broken its connections; a fault disturbed the daemon; the engine was at work in the last sixth of a stop's grace time on a request sent no later than 3 s after SIGTERM. The exceptions beside a configuration (rate of cuts, seven tenths of the time) are not taken.

Stricter than "no 502, no closed connection" in one point: an own 503 after the engine had the request counts, too. The log of such a request shows the same read timeout, then `shed_overload` for its second server.

--- a/packages/dev/cassiaquay_dev/soak/main.py
+++ b/packages/dev/cassiaquay_dev/soak/main.py
@@ -20,6 +20,7 @@
     records,
     report_checks,
     request_faults,
+    silence_checks,
     site,
     store_faults,
     stream_checks,
@@ -27,7 +28,7 @@
 
 # Imported because they register faults and checks.
 FAULTS = (faults, engine_faults, request_faults, store_faults)
-CHECKS = (checks, part_checks, report_checks, stream_checks)
+CHECKS = (checks, part_checks, report_checks, silence_checks, stream_checks)
 
 # Longest time for faults to end after the last one has started.
 FAULT_TIMEOUT_SECONDS = 12.0
--- /dev/null
+++ b/packages/dev/cassiaquay_dev/soak/silence_checks.py
@@ -0,0 +1,106 @@
+"""Checks of requests whose engine is silent: daemons wait while they may."""
+
+import collections
+import collections.abc
+
+from ..standins import platform_standins
+from . import checks, daemons, records, site
+
+SEAL = "cassiaquay-response-seal"
+ROUTE_TIMEOUT_SECONDS: float = (
+    platform_standins.route("", "", "")["timeout-ms"] / 1000.0
+)
+# A daemon ends a request this long before its time at most: callers name whole
+# milliseconds, and its answer needs some to reach them.
+DEADLINE_MARGIN_SECONDS = 0.02
+# A daemon that stops may break off what an engine works on in this last part of its
+# grace time, if the request was sent no later than this after SIGTERM.
+LAST_GRACE_SHARE = 1.0 / 6.0
+MAX_SENT_AFTER_STOP_SECONDS = 3.0
+
+
+@checks.safety_checks.register("silenced")
+def find_silenced_requests(recorded: records.Records) -> collections.abc.Iterator[str]:
+    """Find requests that an engine had and that end without its whole answer.
+
+    The only exceptions: the caller left, or its deadline or the route's timeout was
+    reached; the engine that had the request last broke off, or a fault broke its
+    connections; a fault disturbed the daemon; the grace time of a stop ran out while
+    the engine was at work. The store's disturbances and an engine's silence are none.
+    """
+    runs: dict[str, list[records.Run]] = collections.defaultdict(list)
+    for run in recorded.runs:
+        if not run.rejected:
+            runs[run.request.attempt].append(run)
+    for name, attempt in recorded.attempts.items():
+        had = runs.get(name, [])
+        if not had or attempt.gave_up or (attempt.complete and SEAL in attempt.headers):
+            continue
+        if _is_time_over(attempt) or _is_daemon_disturbed(recorded, attempt):
+            continue
+        if _has_broken_off(recorded, attempt, had):
+            continue
+        if any(_is_grace_over(recorded, attempt, run) for run in had):
+            continue
+        yield _describe(attempt, had)
+
+
+def _describe(attempt: records.Attempt, runs: list[records.Run]) -> str:
+    engines = [run.engine for run in runs]
+    seconds = attempt.ended_at - attempt.sent_at
+    end = f"with {attempt.status}" if attempt.complete else "broken off"
+    return (
+        f"{attempt.name} ({attempt.kind}) at {attempt.daemon} ended {end} after "
+        f"{seconds:.2f} s, {attempt.deadline - attempt.ended_at:.2f} s early, "
+        f"{attempt.event_count} events, runs at {engines}"
+    )
+
+
+def _is_time_over(attempt: records.Attempt) -> bool:
+    limit = min(attempt.deadline, attempt.sent_at + ROUTE_TIMEOUT_SECONDS)
+    return attempt.ended_at >= limit - DEADLINE_MARGIN_SECONDS
+
+
+def _is_daemon_disturbed(recorded: records.Records, attempt: records.Attempt) -> bool:
+    start = attempt.sent_at - site.CONTACT_SECONDS
+    return not recorded.faults.is_undisturbed(attempt.daemon, start, attempt.ended_at)
+
+
+def _has_broken_off(
+    recorded: records.Records, attempt: records.Attempt, runs: list[records.Run]
+) -> bool:
+    """Return whether an engine broke off, or was cut off, since the last run began.
+
+    Breaks before it have been answered by that run, which has to end well itself.
+    """
+    last = max(runs, key=lambda run: run.at)
+    for run in runs:
+        if last.at <= run.broke_off_at < records.FOREVER:
+            return True
+        start = attempt.sent_at - site.CONTACT_SECONDS if run is last else last.at
+        if not recorded.breaks.is_undisturbed(run.engine, start, attempt.ended_at):
+            return True
+    return False
+
+
+def _is_grace_over(
+    recorded: records.Records, attempt: records.Attempt, run: records.Run
+) -> bool:
+    """Return whether the engine was at work in the last part of a stop's grace time."""
+    for stop in recorded.planned.overlapping(
+        attempt.daemon, attempt.sent_at, attempt.ended_at
+    ):
+        last_part = stop.start + daemons.GRACE_SECONDS * (1.0 - LAST_GRACE_SHARE)
+        if attempt.sent_at > stop.start + MAX_SENT_AFTER_STOP_SECONDS:
+            continue
+        if min(attempt.ended_at, _delivered_at(recorded, run)) >= last_part:
+            return True
+    return False
+
+
+def _delivered_at(recorded: records.Records, run: records.Run) -> float:
+    """Return when an engine's whole answer was on its way, after pauses."""
+    at = run.answered_at
+    for pause in recorded.pauses.overlapping(run.engine, at, at):
+        at = max(at, pause.end)
+    return at
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -6,7 +6,7 @@
 import pytest
 
 from cassiaquay_dev import gateway_demo
-from cassiaquay_dev.network import proxies
+from cassiaquay_dev.network import forwarding, proxies
 from cassiaquay_dev.soak import (
     checks,
     engines,
@@ -14,6 +14,7 @@
     main,
     part_checks,
     records,
+    silence_checks,
     site,
     stream_checks,
 )
@@ -278,6 +279,55 @@
         recorded.falls.append(records.Fall(f"i-{number}", "plain", START))
 
 
+def _add_silenced(
+    recorded: records.Records, kind: str = "safe", **fields: object
+) -> tuple[records.Attempt, records.Run]:
+    """Add a request that is answered 502 while its engine is paused."""
+    status = {"status": 502, "complete": True, "ended_at": START + 1.1}
+    attempt = _add_attempt(recorded, kind, **status | fields)
+    run = _add_run(recorded, attempt)
+    recorded.faults.add(run.engine, START, START + 2.0)
+    recorded.pauses.add(run.engine, START, START + 2.0)
+    return attempt, run
+
+
+def _stream_of_a_silent_engine_closed(recorded: records.Records) -> None:
+    attempt, run = _add_silenced(recorded, "stream", status=200, complete=False)
+    attempt.headers[silence_checks.SEAL] = run.seal
+
+
+def _answer_replaced_after_the_pause(recorded: records.Records) -> None:
+    _, run = _add_silenced(recorded, "book", ended_at=START + 2.5)
+    run.answered_at = START + 0.1
+
+
+def _second_engine_cut_after_a_break(recorded: records.Records) -> None:
+    attempt, run = _add_silenced(recorded)
+    run.broke_off_at = START + 0.1
+    _add_run(recorded, attempt, "i-2", at=START + 0.2)
+
+
+def _cut_while_only_the_store_is_disturbed(recorded: records.Records) -> None:
+    _add_silenced(recorded)
+    recorded.faults.add("store", START - 1.0, START + 2.0)
+
+
+def _cut_early_in_the_grace_time(recorded: records.Records) -> None:
+    _add_silenced(recorded)
+    recorded.planned.add("cq-1", START - 1.0, START + 6.0)
+
+
+def _cut_late_in_the_grace_time_after_the_answer(recorded: records.Records) -> None:
+    _, run = _add_silenced(recorded, ended_at=START + 3.5)
+    run.answered_at = START + 1.0
+    recorded.planned.add("cq-1", START - 0.1, START + 6.0)
+
+
+def _run_at_a_server_that_wakes_after_the_cut(recorded: records.Records) -> None:
+    _, run = _add_silenced(recorded)
+    run.at = START + 2.0
+
+
 def _add_resumed(recorded: records.Records, software: str, status: int) -> None:
     """Add a stream that broke off after an event of v1, and the attempt to go on."""
     begun = _add_attempt(recorded, "stream", status=200)
@@ -337,6 +387,14 @@
         ("fell", _brittle_engines_fall_over),
         ("versions", _streams_of_two_versions),
         ("resumed", _streams_that_do_not_go_on),
+        ("silenced", _add_silenced),
+        ("silenced", _stream_of_a_silent_engine_closed),
+        ("silenced", _answer_replaced_after_the_pause),
+        ("silenced", _second_engine_cut_after_a_break),
+        ("silenced", _cut_while_only_the_store_is_disturbed),
+        ("silenced", _cut_early_in_the_grace_time),
+        ("silenced", _cut_late_in_the_grace_time_after_the_answer),
+        ("silenced", _run_at_a_server_that_wakes_after_the_cut),
     ],
 )
 def test_check_detects_its_violation(check: str, violate) -> None:
@@ -345,6 +403,66 @@
     assert check in _failed_checks(recorded)
 
 
+def _answer_after_the_pause(recorded: records.Records) -> None:
+    attempt, run = _add_silenced(recorded, status=200)
+    attempt.headers[silence_checks.SEAL] = run.seal
+    attempt.answer = engines.body_of(run.seal)
+
+
+def _ended_at_the_deadline(recorded: records.Records) -> None:
+    _add_silenced(recorded, status=504, ended_at=START + 3.99)
+
+
+def _caller_has_left(recorded: records.Records) -> None:
+    _add_silenced(recorded, gave_up=True, status=0, complete=False)
+
+
+def _rejected_by_the_engine(recorded: records.Records) -> None:
+    _, run = _add_silenced(recorded, status=503)
+    run.executed, run.rejected = False, True
+
+
+def _engine_broke_off(recorded: records.Records) -> None:
+    _, run = _add_silenced(recorded)
+    run.broke_off_at = START + 1.0
+
+
+def _engine_crashed(recorded: records.Records) -> None:
+    _, run = _add_silenced(recorded)
+    recorded.breaks.add(run.engine, START + 1.0)
+
+
+def _daemon_killed(recorded: records.Records) -> None:
+    _add_silenced(recorded, complete=False)
+    recorded.faults.add("cq-1", START + 1.0)
+
+
+def _engine_at_work_when_the_grace_time_ends(recorded: records.Records) -> None:
+    _, run = _add_silenced(recorded, ended_at=START + 3.5)
+    recorded.pauses.add(run.engine, START + 1.5, START + 3.7)
+    run.answered_at = START + 1.6
+    recorded.planned.add("cq-1", START - 0.1, START + 6.0)
+
+
+@pytest.mark.parametrize(
+    "play",
+    [
+        _answer_after_the_pause,
+        _ended_at_the_deadline,
+        _caller_has_left,
+        _rejected_by_the_engine,
+        _engine_broke_off,
+        _engine_crashed,
+        _daemon_killed,
+        _engine_at_work_when_the_grace_time_ends,
+    ],
+)
+def test_check_of_silenced_requests_allows_the_exceptions(play) -> None:
+    recorded = _make_records()
+    play(recorded)
+    assert "silenced" not in _failed_checks(recorded)
+
+
 def test_timed_check_skips_disturbed_daemon() -> None:
     recorded = _make_records()
     _replaced_configuration_in_use(recorded)
@@ -379,6 +497,32 @@
     asyncio.run(work())
 
 
+def test_paused_forwarder_delivers_everything_when_it_wakes(tmp_path) -> None:
+    """Connections are accepted meanwhile; `kill` ends also a stopped process."""
+
+    async def work() -> None:
+        engine = engines.Engine("i-1", "plain", records.Records(), random.Random(1))
+        await engine.start()
+        forwarder = forwarding.Forwarder("i-1", engine.address, tmp_path)
+        try:
+            await forwarder.start()
+            forwarder.pause()
+            asked = asyncio.create_task(exchange.get(forwarder.address, "/", 5.0))
+            await asyncio.sleep(0.2)
+            assert not asked.done()
+            assert not engine.requests
+            forwarder.resume()
+            found = await asked
+            assert found is not None and found.status == 421
+            forwarder.pause()
+        finally:
+            await forwarder.kill()
+            await engine.stop()
+        assert forwarder.returncode is not None
+
+    asyncio.run(work())
+
+
 def test_short_soak_run_has_no_safety_findings(tmp_path) -> None:
     """Daemons are killed, paused, cut off and reloaded while callers send requests.
 
