--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -555,6 +555,23 @@
     assert outcome.faults["store_restored"] > 0
 
 
+def test_short_soak_run_with_paused_engines_waits_for_them(tmp_path) -> None:
+    """Guards against requests that end because all their backend servers are silent."""
+    settings = SHORT._replace(
+        seed=2970,
+        folder=str(tmp_path),
+        daemons=2,
+        rate=60.0,
+        seconds=1.0,
+        pause=0.3,
+        recovery=0.0,
+        only="engine_paused",
+    )
+    outcome = asyncio.run(main.run_seed(settings, timed=False))
+    assert not outcome.findings
+    assert outcome.faults["engine_paused"] > 0
+
+
 def test_gateway_demo_breaks_no_promise(capsys) -> None:
     """A graceful stop and restart of one daemon breaks no promise to callers."""
     assert gateway_demo.run(seconds=3.0, rate=20.0, daemons=2) == 0
