--- a/packages/daemon/cassiaquay_daemon/gateway/hedging.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/hedging.py
@@ -141,6 +141,19 @@
             )
 
     def _act(self) -> None:
+        action = hedges.decide(self._describe_silence())
+        if action is hedges.Action.SEARCH:
+            self._search = asyncio.create_task(self._obtain())
+        if action is hedges.Action.MOVE:
+            for other in self._others:
+                if other.has_begun:
+                    self._promote(other)
+                    break
+        if action is hedges.Action.STAY:
+            for other in list(self._others):
+                self._drop(other, "woke_up")
+
+    def _describe_silence(self) -> hedges.Silence:
         now = clock.now()
         newest_seconds = None
         is_awake = False
@@ -148,7 +161,7 @@
             newest_at = self._others[-1].sent_at or now
             newest_seconds = now - newest_at
             is_awake = self.current.was_heard(newest_at)
-        silence = hedges.Silence(
+        return hedges.Silence(
             self._state.call.is_stream,
             self._search is not None,
             now - self._searched_at,
@@ -158,17 +171,6 @@
             any(other.has_begun for other in self._others),
             is_awake,
         )
-        action = hedges.decide(silence)
-        if action is hedges.Action.SEARCH:
-            self._search = asyncio.create_task(self._obtain())
-        if action is hedges.Action.MOVE:
-            for other in self._others:
-                if other.has_begun:
-                    self._promote(other)
-                    break
-        if action is hedges.Action.STAY:
-            for other in list(self._others):
-                self._drop(other, "woke_up")
 
     def _find_obstacle(self) -> str:
         """Return why no other server may get the request now."""
