Leave a silent server after 0.2 s at the latest; test the overlap in virtual time

Eight runs there that measure it: overlap 0.249 to 0.310 s, while the event loop was late by up to 0.107 s; the bound is 0.4 s. A busy daemon now has 0.15 s to spare. The test keeps its bound and is played in virtual time, where it fails without the limit (OVERLAP_SECONDS = 60).

--- a/packages/daemon/cassiaquay_daemon/decisions/hedges.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/hedges.py
@@ -23,7 +23,7 @@
 # Interval at which another server is sought again while none is to be had.
 SEARCH_INTERVAL_SECONDS = 0.25
 # Time for which two servers may work on one stream; 0.4 s is the most allowed.
-OVERLAP_SECONDS = 0.25
+OVERLAP_SECONDS = 0.2
 # Interval at which a waiting request looks at its servers.
 CHECK_SECONDS = 0.05
 
--- a/tests/test_hedging.py
+++ b/tests/test_hedging.py
@@ -8,7 +8,7 @@
 import gateway_fakes as fakes
 import silence_fakes
 
-from cassiaquay_daemon import clock, exceptions
+from cassiaquay_daemon import exceptions
 from cassiaquay_daemon.adapters import breaks
 from cassiaquay_daemon.gateway import forwarding, front
 from cassiaquay_dev.standins import platform_standins as standins
@@ -125,50 +125,6 @@
     fakes.run(work)
 
 
-def test_two_servers_do_not_work_on_one_stream_for_long() -> None:
-    """Guards against a stream at a second server while the first one works on it."""
-
-    async def work(site: fakes.Site) -> None:
-        # Begin and end of the runs at the two servers.
-        runs: list[list[float]] = []
-
-        async def respond(
-            request: raw_servers.Request, writer: raw_servers.Writer
-        ) -> None:
-            if not request.target.startswith("/stream/"):
-                await standins.send_complete_answer(request, writer)
-                return
-            runs.append([clock.now(), 0.0])
-            run = runs[-1]
-            try:
-                if len(runs) == 1:
-                    await standins.write_stream_head(request, writer)
-                    await standins.write_events(request, writer, 2)
-                await asyncio.sleep(2.0)
-                await standins.write_stream_head(request, writer)
-            finally:
-                run[1] = clock.now()
-
-        await silence_fakes.prepare(site)
-        for engine in site.engines:
-            engine.responder = respond
-        asked = asyncio.create_task(site.ask(STREAM))
-        while not runs:
-            await asyncio.sleep(0.01)
-        for engine in site.engines:
-            if not engine.runs:
-                site.store.remove(f"servers/{engine.name}-plain")
-        while len(runs) < 2 or not (runs[0][1] or runs[1][1]):
-            # The first server answers other requests.
-            await site.ask("/plain/1/head/x")
-            await asyncio.sleep(0.01)
-        asked.cancel()
-        overlap_seconds = max(runs[0][1], runs[1][1]) - runs[1][0]
-        assert overlap_seconds <= 0.4
-
-    fakes.run(work)
-
-
 def test_servers_that_cannot_be_reached_cost_no_retry() -> None:
     """Guards against a retry budget that is spent though nothing is sent."""
 
--- a/tests/test_hedging_schedules.py
+++ b/tests/test_hedging_schedules.py
@@ -124,6 +124,17 @@
     assert not _violations(_play(seed))
 
 
+def test_two_servers_do_not_work_on_one_stream_for_long() -> None:
+    """Guards against a stream at a second server while the first one works on it."""
+    servers = fakes.Fleet([fakes.Plan([])] * 2, random.Random(1), [0.01, 2.0])
+    route = fakes.route(True, 2, 0.4)
+    answer = virtual_time.run(fakes.ask(servers, route, SECONDS_LEFT, 100.0))
+    assert answer.body == standins.stream_events(2)
+    assert len(servers.runs) == 2
+    played = Played(True, 2, 100.0, 2, servers, answer)
+    assert 0.0 < _overlap_seconds(played) <= MAX_OVERLAP_SECONDS
+
+
 def _leave_at_once(monkeypatch) -> None:
     """Close the silent server's connection when another one may get the request."""
     take_ticket = hedging.HedgedAnswer._take_ticket
