Name the server of a failure answer that is passed on late

What operators saw: ended server= and the counts by server named a server that had never had the request, for a 500 that was kept while another server was sought.

Cause: the name was that of the last server that was tried.

--- a/packages/daemon/cassiaquay_daemon/gateway/hedging.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/hedging.py
@@ -227,7 +227,7 @@
             self._promote(self._others[0])
             return None
         if self._others and piece.answer.is_failure:
-            self._state.failure = piece
+            self._state.keep_failure(piece, self.current.server)
             self._promote(self._others[0])
             return None
         return piece
@@ -243,7 +243,7 @@
         if piece.is_head:
             return None
         if piece.answer.is_failure:
-            self._state.failure = piece
+            self._state.keep_failure(piece, other.server)
         elif not self._state.started or piece.answer.status == 200:
             self._promote(other)
             return piece
--- a/packages/daemon/cassiaquay_daemon/gateway/progress.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/progress.py
@@ -55,6 +55,8 @@
         Servers that it was sent to, also those that declined it.
     failure : Piece or None
         A server's complete failure answer, passed on if no other server answers.
+    failed_server : str
+        Name of that server.
     """
 
     def __init__(self, call: calls.Call):
@@ -77,6 +79,7 @@
         self.tried: list[str] = []
         self.receivers: set[str] = set()
         self.failure: forwarding.Piece | None = None
+        self.failed_server = ""
 
     @property
     def may_have_run(self) -> bool:
@@ -102,6 +105,11 @@
         if server not in self.tried:
             self.tried.append(server)
 
+    def keep_failure(self, failure: forwarding.Piece, server: str) -> None:
+        """Keep a server's failure answer in case that no other server answers."""
+        self.failure = failure
+        self.failed_server = server
+
     def note_events(self) -> None:
         """Record that events have arrived."""
         self.events_began_at = self.events_began_at or clock.now()
--- a/packages/daemon/cassiaquay_daemon/gateway/serving.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/serving.py
@@ -275,7 +275,7 @@
                 functools.partial(self._note_events, state),
             )
         if piece.answer.is_failure and not state.started and state.is_repeatable_now:
-            state.failure = piece
+            state.keep_failure(piece, answer.current.server)
             if self._parts.budget.take(state.call.service):
                 raise _RetryableFailure(piece.answer)
         await passing.pass_whole(state, piece, self._parts.reply, send)
@@ -373,7 +373,7 @@
         call = state.call
         if state.failure is not None and not state.started:
             # No other server took the request: this is its answer.
-            await self._pass_failure(state, state.failure, send)
+            await self._pass_failure(state, send)
             return
         if state.may_have_run and not isinstance(refusal, exceptions.OutcomeUnknown):
             refusal = exceptions.AnswerLost(f"{refusal.code} after it was sent")
@@ -389,12 +389,12 @@
         await self._parts.reply.refuse(send, refusal)
 
     async def _pass_failure(
-        self,
-        state: progress.RequestState,
-        failure: forwarding.Piece,
-        send: replies.Send,
+        self, state: progress.RequestState, send: replies.Send
     ) -> None:
+        failure = state.failure
+        assert failure is not None
         await passing.pass_whole(state, failure, self._parts.reply, send)
+        state.server = state.failed_server
         self._log_completed(state, failure.answer, admission.Tally(), "")
 
     def _log_completed(
