Learn no speed from times that a server's silence is part of

The keeper learned the length of a pause, from each request that had waited, as the server's time to the first event, and would refuse requests that could be in time. tests/test_speed_samples.py: the estimate of 0.05 s rises before, and stays now.

--- a/packages/daemon/cassiaquay_daemon/decisions/service_times.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/service_times.py
@@ -90,6 +90,8 @@
         self._silent_until = 0.0
         self._broken_until = 0.0
         self._is_unresponsive = False
+        # End of its last silence.
+        self._resumed_at = float("-inf")
         # When an event or answer was last reported by any instance.
         self.heard_at = float("-inf")
 
@@ -142,6 +144,8 @@
             Time from the permit to the first event.
         """
         self._mark_responsive()
+        if self._spans_silence(seconds):
+            return
         if tokens < MIN_RATE_SAMPLE_TOKENS:
             sample = min(head_seconds, seconds) - tokens / self.rate
             self._learn_base(max(sample, 0.0))
@@ -181,7 +185,8 @@
     def served(self, seconds: float) -> None:
         """Learn from a complete answer of a plain service."""
         self._mark_responsive()
-        self._learn_base(seconds)
+        if not self._spans_silence(seconds):
+            self._learn_base(seconds)
 
     def completed(self, seconds: float) -> None:
         """Learn from the time for which a request occupied a slot."""
@@ -226,11 +231,20 @@
     def _mark_responsive(self) -> None:
         if self._is_unresponsive:
             logs.event("server_heard", server=self._server)
+            self._resumed_at = clock.now()
         self._is_unresponsive = False
         self.heard_at = clock.now()
         self._silent_until = 0.0
         self._broken_until = 0.0
 
+    def _spans_silence(self, seconds: float) -> bool:
+        """Return whether a time that ends now began before the last silence ended.
+
+        Times of a paused server say nothing about its speed: learned from a burst of
+        them, they would have new requests refused for seconds after the pause.
+        """
+        return clock.now() - seconds < self._resumed_at
+
     def _learn_base(self, sample: float) -> None:
         if not math.isfinite(sample):
             return
--- a/tests/test_speed_samples.py
+++ b/tests/test_speed_samples.py
@@ -90,3 +90,23 @@
     speed.generated(16, 16 * TOKEN_SECONDS)
     estimate = speed.estimate(0.0, False)
     assert estimate.token_seconds == pytest.approx(TOKEN_SECONDS, rel=0.2)
+
+
+def test_silence_of_a_server_is_not_learned_as_its_speed(time) -> None:
+    """Guards against requests that are refused for seconds after a mere pause."""
+    times = service_times.ServiceTimes("a")
+    for _ in range(5):
+        times.prefilled(100, 0.05, 0.05)
+        times.served(0.05)
+    before = times.expect(100.0).first_seconds
+    time.now += 1.6
+    times.mark_silent(time.now, 1.6)
+    for _ in range(8):
+        time.now += 0.001
+        times.prefilled(100, 1.6, 1.6)
+        times.prefilled(2000, 1.6, 1.6)
+        times.served(1.6)
+    assert times.expect(100.0).first_seconds == pytest.approx(before)
+    time.now += 0.5
+    times.prefilled(100, 0.4, 0.4)
+    assert times.expect(100.0).first_seconds > before
