End the silence of a server with each complete answer

What callers saw: after a pause of all servers, 503 shed_overload for new streams at idle servers, for good where all streams are short. Cause: only reported progress ended a silence. A stream that ends before its first progress report left its server silent, with one request each 0.8 s.

--- a/packages/daemon/cassiaquay_daemon/decisions/service_times.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/service_times.py
@@ -189,7 +189,11 @@
             self._learn_base(seconds)
 
     def completed(self, seconds: float) -> None:
-        """Learn from the time for which a request occupied a slot."""
+        """Learn from the time for which a request occupied a slot.
+
+        A short stream ends before any progress of it is reported.
+        """
+        self._mark_responsive()
         self.heard_at = clock.now()
         if not self._has_slot_sample:
             self._has_slot_sample = True
--- a/tests/test_speed_samples.py
+++ b/tests/test_speed_samples.py
@@ -110,3 +110,13 @@
     time.now += 0.5
     times.prefilled(100, 0.4, 0.4)
     assert times.expect(100.0).first_seconds > before
+
+
+def test_completed_stream_ends_the_silence_of_its_server(time) -> None:
+    """Guards against servers of short streams that stay silent for good."""
+    times = service_times.ServiceTimes("a")
+    times.mark_silent(time.now, 1.6)
+    times.completed(1.6)
+    assert not times.is_silent(time.now)
+    times.granted(time.now)
+    assert not times.is_silent(time.now)
