Soak: forwarders that no shell's end can kill; notice one that ends by itself

Cause: a process group that loses the shell above it while a process in it is stopped gets SIGHUP. Evidence: a forwarder paused by a script in such a job ended with -1 (SIGHUP) and so did a stopped `sleep`; with a session of its own it went on. Now each forwarder has its own session, and a soak whose forwarder has ended by itself raises StartError instead of reporting a seed without findings.

--- a/packages/dev/cassiaquay_dev/network/forwarding.py
+++ b/packages/dev/cassiaquay_dev/network/forwarding.py
@@ -41,6 +41,7 @@
 
     async def start(self) -> None:
         """Start the process, wait until it listens and set ``address``."""
+        self.path.unlink(missing_ok=True)
         await super().start()
         await self.wait_for(lambda lines: any(READY in line for line in lines))
         self.address = self.lines()[-1].partition("=")[2]
@@ -73,6 +74,8 @@
     """Forward connections until a signal ends the process, or its parent's end."""
     # A process that is stopped cannot notice the end of its parent by itself.
     ctypes.CDLL(None).prctl(PARENT_DEATH_SIGNAL_OPTION, signal.SIGKILL)
+    # The kernel ends stopped processes whose process group loses the shell above it.
+    os.setsid()
     if os.getppid() == parent:
         uvloop.run(_forward(target))
 
--- a/packages/dev/cassiaquay_dev/soak/main.py
+++ b/packages/dev/cassiaquay_dev/soak/main.py
@@ -61,6 +61,7 @@
     try:
         await deployment.start()
         counts = await _run_faults(deployment)
+        deployment.check_forwarders()
         recorded = deployment.recorded
     finally:
         await deployment.stop()
--- a/packages/dev/cassiaquay_dev/soak/site.py
+++ b/packages/dev/cassiaquay_dev/soak/site.py
@@ -259,6 +259,12 @@
         """Return whether a signal has stopped an engine."""
         return name in self.forwarders and self.forwarders[name].is_paused
 
+    def check_forwarders(self) -> None:
+        """Raise StartError if a forwarding process has ended by itself."""
+        for one in self.forwarders.values():
+            if one.returncode is not None:
+                raise processes.StartError(f"{one.name} ended with {one.returncode}")
+
     def end_engine_time(self, name: str) -> None:
         """Record that an engine takes no new requests from now on."""
         known = self.recorded.engine_times[name]
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,6 +1,7 @@
 """The fault soak: each check detects its violation, and a short run has no findings."""
 
 import asyncio
+import os
 import random
 
 import pytest
@@ -506,6 +507,7 @@
         forwarder = forwarding.Forwarder("i-1", engine.address, tmp_path)
         try:
             await forwarder.start()
+            assert os.getsid(forwarder.pid) == forwarder.pid
             forwarder.pause()
             asked = asyncio.create_task(exchange.get(forwarder.address, "/", 5.0))
             await asyncio.sleep(0.2)
