--- a/packages/daemon/cassiaquay_daemon/gateway/hedging.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/hedging.py
@@ -221,7 +221,7 @@
     def _take_current(self) -> forwarding.Piece | None:
         try:
             piece = self.current.take()
-        except exceptions.BackendError as error:
+        except (exceptions.BackendError, exceptions.Refusal) as error:
             if not self._others:
                 raise
             if isinstance(error, exceptions.StreamInterrupted):
--- a/packages/daemon/cassiaquay_daemon/gateway/serving.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/serving.py
@@ -319,7 +319,8 @@
 
     def _is_held(self, state: progress.RequestState) -> bool:
         call = state.call
-        return self._parts.crashes.holds(call.content, call.parsed.shared_parts, False)
+        parts = call.parsed.shared_parts
+        return bool(self._parts.crashes.blocking(call.content, parts))
 
     def _check_quarantine(
         self, state: progress.RequestState, is_sent_now: bool = False
--- a/tests/hedging_fakes.py
+++ b/tests/hedging_fakes.py
@@ -241,6 +241,7 @@
     parts = mock.Mock()
     parts.configured.current = snapshot
     parts.crashes.holds.return_value = False
+    parts.crashes.blocking.return_value = []
     parts.servers.blocking_cause.return_value = ""
     parts.team_limits.take = mock.AsyncMock(return_value=None)
     parts.resuming.resolve = mock.AsyncMock()
