--- a/packages/daemon/cassiaquay_daemon/gateway/passing.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/passing.py
@@ -3,9 +3,9 @@
 import collections.abc
 
 from .. import exceptions
-from . import events, forwarding, hedging, progress, replies, tries
+from . import admission, events, forwarding, hedging, progress, replies
 
-BeforeEvents = collections.abc.Callable[[tries.Try], None]
+BeforeEvents = collections.abc.Callable[[admission.Ticket], None]
 
 
 async def pass_whole(
@@ -53,7 +53,7 @@
     reply, send : Replies and callable
         Build and send the messages to the caller.
     before_events : callable
-        Called before complete events are sent to the caller.
+        Called with the ticket of their server before complete events are sent.
 
     Returns
     -------
@@ -78,7 +78,7 @@
         if received.event_count:
             _check_event_order(state, received)
             state.note_events()
-            before_events(writer)
+            before_events(writer.ticket)
             writer.ticket.tally.add(received.event_count)
             if received.last != events.NO_EVENT:
                 state.last_event = received.last
--- a/packages/daemon/cassiaquay_daemon/gateway/serving.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/serving.py
@@ -272,7 +272,7 @@
                 answer,
                 self._parts.reply,
                 send,
-                functools.partial(self._note_events, state),
+                functools.partial(self._parts.resuming.note_events, state),
             )
         if piece.answer.is_failure and not state.started and state.is_repeatable_now:
             state.keep_failure(piece, answer.current.server)
@@ -281,9 +281,6 @@
         await passing.pass_whole(state, piece, self._parts.reply, send)
         return piece
 
-    def _note_events(self, state: progress.RequestState, writer: tries.Try) -> None:
-        self._parts.resuming.note_events(state, writer.ticket)
-
     def _check_before_sending(
         self, state: progress.RequestState, ticket: admission.Ticket
     ) -> None:
--- a/packages/daemon/cassiaquay_daemon/operators/reports.py
+++ b/packages/daemon/cassiaquay_daemon/operators/reports.py
@@ -224,7 +224,7 @@
         self.metrics.count(metrics.KEPT_SERVERS, (kept.service, kept.cause))
 
     def _lost_cause(self, message: str) -> str:
-        """Return the label for a refusal's message; few are told apart."""
+        """Return the label for a refusal's message; only a few are kept distinct."""
         if message and len(self._lost_causes) < MAX_LOST_CAUSES:
             self._lost_causes.add(message)
         return message if message in self._lost_causes else OTHER_CAUSE
--- a/packages/daemon/cassiaquay_daemon/operators/silences.py
+++ b/packages/daemon/cassiaquay_daemon/operators/silences.py
@@ -1,7 +1,8 @@
 """Alarm for answers that are given up although their servers answer other requests.
 
-A server that crashed answers nobody afterwards. One that was paused, or that is slower
-than the time of a route, goes on to answer: its requests were given up too early.
+A server that has crashed completes no request afterwards. One that was paused, or that
+is slower than the time of a route, goes on to answer: its requests were given up too
+early.
 """
 
 import typing
@@ -50,7 +51,7 @@
         self.alarmed_at = float("-inf")
 
     def drop_old(self, now: float) -> None:
-        """Forget losses whose servers have answered nobody in time."""
+        """Forget losses whose servers have completed no request in time."""
         for server, losses in list(self.losses.items()):
             if now - losses.ended_at > WINDOW_SECONDS:
                 del self.losses[server]
--- a/tests/silence_fakes.py
+++ b/tests/silence_fakes.py
@@ -1,6 +1,6 @@
 """Backend servers that are silent for a time and then go on, with routes to them.
 
-The target of a request tells where in its answer a server is silent:
+The target of a request names the place in its answer at which a server is silent:
 ``/<route>/<attempts>/<place>/...`` with a :data:`Place`.
 """
 
--- a/tests/test_silence_metrics.py
+++ b/tests/test_silence_metrics.py
@@ -176,7 +176,7 @@
 
 
 def test_alarm_names_servers_that_answer_after_answers_were_given_up(alarms) -> None:
-    """Guards against lost answers of sound servers that no alarm tells of."""
+    """Guards against lost answers of sound servers without an alarm."""
     alarms.fall_silent("i-1")
     alarms.lose("i-2")
     alarms.lose("i-1")
--- a/tests/test_unframed_answers.py
+++ b/tests/test_unframed_answers.py
@@ -133,7 +133,7 @@
         with cut_fakes.cut(site, 0, "silent", True):
             await asyncio.sleep(SILENT_SECONDS)
         assert not held.suspect_count
-        # Nobody has seen that it lives on, either.
+        # No instance has seen that it lives on, either.
         assert not held._completed
 
     fakes.run(work)
