--- a/packages/daemon/cassiaquay_daemon/gateway/connections.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/connections.py
@@ -117,6 +117,7 @@
         # A server may answer, or be paused, before it has read a long body.
         size = int(self.headers.get(aiohttp.hdrs.CONTENT_LENGTH, "0"))
         if conn.transport is not None:
+            # On a connection that was lost meanwhile, sending fails and reports it.
             with contextlib.suppress(OSError):
                 sockets.set_user_timeout(conn.transport.get_extra_info("socket"), size)
         return await super().send(conn)
