--- a/packages/daemon/cassiaquay_daemon/decisions/hedges.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/hedges.py
@@ -31,8 +31,8 @@
 class Action(enum.Enum):
     """What a request does while its server is silent.
 
-    SEARCH requests capacity at another server, MOVE leaves the silent server for another
-    one, STAY leaves the others.
+    SEARCH requests capacity at another server, MOVE leaves the silent server for
+    another one, STAY leaves the others.
     """
 
     WAIT = "wait"
