Soak: count no stream whose last engine answered the rest with a failure as silenced

Traced by a run that prints what the check weighs: streams that had begun, whose first engine broke off and whose second one answered the rest with its own 500 (runs 200 broken off, then 500). The check still finds a second engine that is cut while it is silent. The schedules import the check themselves; before, it took part only if another test file of the same worker had imported it.

--- a/packages/dev/cassiaquay_dev/soak/silence_checks.py
+++ b/packages/dev/cassiaquay_dev/soak/silence_checks.py
@@ -7,6 +7,7 @@
 from . import checks, daemons, records, site
 
 SEAL = "cassiaquay-response-seal"
+FAILURE_STATUS = 500
 ROUTE_TIMEOUT_SECONDS: float = (
     platform_standins.route("", "", "")["timeout-ms"] / 1000.0
 )
@@ -25,8 +26,9 @@
 
     The only exceptions: the caller left, or its deadline or the route's timeout was
     reached; the engine that had the request last broke off, or a fault broke its
-    connections; a fault disturbed the daemon; the grace time of a stop ran out while
-    the engine was at work. The store's disturbances and an engine's silence are none.
+    connections, or it failed the rest of a stream; a fault disturbed the daemon; the
+    grace time of a stop ran out while the engine was at work. The store's disturbances
+    and an engine's silence are none.
     """
     runs: dict[str, list[records.Run]] = collections.defaultdict(list)
     for run in recorded.runs:
@@ -40,11 +42,26 @@
             continue
         if _has_broken_off(recorded, attempt, had):
             continue
+        if _has_failed_midway(attempt, had):
+            continue
         if any(_is_grace_over(recorded, attempt, run) for run in had):
             continue
         yield _describe(attempt, had)
 
 
+def _began_at(run: records.Run) -> float:
+    return run.at
+
+
+def _has_failed_midway(attempt: records.Attempt, runs: list[records.Run]) -> bool:
+    """Return whether a stream had begun and its last engine answered with a failure.
+
+    No failure can be passed on then, as the head of the answer was that of a success.
+    """
+    has_begun = attempt.status == 200 and not attempt.complete
+    return has_begun and max(runs, key=_began_at).status >= FAILURE_STATUS
+
+
 def _describe(attempt: records.Attempt, runs: list[records.Run]) -> str:
     engines = [run.engine for run in runs]
     seconds = attempt.ended_at - attempt.sent_at
@@ -73,7 +90,7 @@
 
     Breaks before it have been answered by that run, which has to end well itself.
     """
-    last = max(runs, key=lambda run: run.at)
+    last = max(runs, key=_began_at)
     for run in runs:
         if last.at <= run.broke_off_at < records.FOREVER:
             return True
--- a/tests/test_gateway_schedules.py
+++ b/tests/test_gateway_schedules.py
@@ -16,10 +16,12 @@
 from cassiaquay_daemon.gateway import forwarding, passing, serving
 from cassiaquay_daemon.keepers import quotas
 from cassiaquay_daemon.platform import headers
-from cassiaquay_dev.soak import callers, checks, engines, records
+from cassiaquay_dev.soak import callers, checks, engines, records, silence_checks
 from cassiaquay_dev.soak import site as soak_site
 from cassiaquay_dev.standins import platform_standins as standins
 
+# Imported because it registers a check.
+CHECKS = (silence_checks,)
 SEEDS = (1, 2)
 RATE = 200.0
 SECONDS = 1.0
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -445,9 +445,16 @@
     recorded.planned.add("cq-1", START - 0.1, START + 6.0)
 
 
+def _rest_of_a_stream_failed_by_the_second_engine(recorded: records.Records) -> None:
+    attempt, run = _add_silenced(recorded, "stream", status=200, complete=False)
+    run.broke_off_at = START + 0.1
+    _add_run(recorded, attempt, "i-2", at=START + 0.2, status=500)
+
+
 @pytest.mark.parametrize(
     "play",
     [
+        _rest_of_a_stream_failed_by_the_second_engine,
         _answer_after_the_pause,
         _ended_at_the_deadline,
         _caller_has_left,
