--- a/packages/daemon/cassiaquay_daemon/decisions/withdrawals.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/withdrawals.py
@@ -83,17 +83,16 @@
         is_removable = clock.now() < self._epoch_began_at + REMOVAL_SECONDS
         return is_removable and entry.sequence <= known.sequence
 
-    def learn(self, message: messages.ServerWithdrawal) -> bool:
-        """Note a withdrawal from another instance; return whether it is new here."""
+    def learn(self, message: messages.ServerWithdrawal) -> None:
+        """Note a withdrawal that another instance has sent."""
         kept_until = clock.now() + RETENTION_SECONDS - message.age_ms / 1000.0
         learned = Withdrawal(
             message.epoch, message.sequence, message.is_announced, kept_until
         )
         known = self._withdrawals.get(message.server)
         if known is not None and known.order >= learned.order:
-            return False
+            return
         self._withdrawals[message.server] = learned
-        return True
 
     def to_send(self, epoch: int) -> list[messages.ServerWithdrawal]:
         """Return the withdrawals that a list of an epoch may lack."""
--- a/packages/daemon/cassiaquay_daemon/fleet/configuration.py
+++ b/packages/daemon/cassiaquay_daemon/fleet/configuration.py
@@ -122,22 +122,11 @@
 
     def accept(self, published: platform.Published) -> bool:
         """Put a text in force when it is newer and valid; return whether it was."""
-        version = self._version_of(published)
-        if not self._is_newer(version):
-            return False
-        parsed = self._parse_unless_known(version, published.text)
-        return self._apply_parsed(version, published.text, parsed)
+        return self._accept(self._version_of(published), published.text)
 
     async def offer(self, published: platform.Published) -> bool:
         """Do the same as :meth:`accept`, but parse large texts in a thread."""
-        text = published.text
-        if len(text) < MIN_CHARACTERS_FOR_THREAD:
-            return self.accept(published)
-        version = self._version_of(published)
-        if not self._is_newer(version):
-            return False
-        parsed = await asyncio.to_thread(self._parse_unless_known, version, text)
-        return self._is_newer(version) and self._apply_parsed(version, text, parsed)
+        return await self._offer(self._version_of(published), published.text)
 
     def should_fetch(self, version: positions.TextVersion) -> bool:
         """Return whether a text of this version is newer and was not refused."""
@@ -213,9 +202,10 @@
         if published is None:
             self._check_lost()
             return None
-        is_accepted = await self.offer(published)
+        version = self._version_of(published)
+        is_accepted = await self._offer(version, published.text)
         self._read_position = max(self._read_position, published.position)
-        self._note_published(self._version_of(published))
+        self._note_published(version)
         return is_accepted
 
     def is_watcher(self, membership: members.Membership) -> bool:
@@ -240,6 +230,20 @@
         digest = digest_of(published.text)
         return positions.TextVersion(number, *published.position, digest)
 
+    def _accept(self, version: positions.TextVersion, text: str) -> bool:
+        if not self._is_newer(version):
+            return False
+        parsed = self._parse_unless_known(version, text)
+        return self._apply_parsed(version, text, parsed)
+
+    async def _offer(self, version: positions.TextVersion, text: str) -> bool:
+        if len(text) < MIN_CHARACTERS_FOR_THREAD:
+            return self._accept(version, text)
+        if not self._is_newer(version):
+            return False
+        parsed = await asyncio.to_thread(self._parse_unless_known, version, text)
+        return self._is_newer(version) and self._apply_parsed(version, text, parsed)
+
     def _is_former(self, version: positions.TextVersion) -> bool:
         """Return whether a text without a number was in force before, at its place.
 
--- a/packages/daemon/cassiaquay_daemon/fleet/server_list.py
+++ b/packages/daemon/cassiaquay_daemon/fleet/server_list.py
@@ -61,11 +61,6 @@
         """Number of listed and retained servers."""
         return len(self._listed) + len(self._retained)
 
-    @property
-    def position(self) -> positions.Position:
-        """Position of the platform at the read of the list."""
-        return self._position
-
     def digest(self, evacuated: evacuations.InForce) -> int:
         """Return a digest of the evacuated domains and of the listed servers.
 
