--- a/packages/dev/cassiaquay_dev/network/processes.py
+++ b/packages/dev/cassiaquay_dev/network/processes.py
@@ -7,6 +7,8 @@
 import sys
 import typing
 
+from . import process_state
+
 START_SECONDS = 20.0
 STOP_SECONDS = 20.0
 POLL_SECONDS = 0.02
@@ -75,7 +77,8 @@
         while not found(self.lines()):
             if self.returncode is not None or loop.time() > end:
                 text = "\n".join(self.lines()[-20:])
-                raise StartError(f"{self.name} did not become ready:\n{text}")
+                state = process_state.describe(self.pid)
+                raise StartError(f"{self.name} did not become ready, {state}:\n{text}")
             await asyncio.sleep(POLL_SECONDS)
 
     def send(self, number: signal.Signals) -> None:
