--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -16,7 +16,9 @@
     monkeypatch.setattr(processes, "START_SECONDS", 0.1)
 
     async def start() -> None:
-        late = processes.Process("late", ["-c", "import time; time.sleep(60)"], tmp_path)
+        late = processes.Process(
+            "late", ["-c", "import time; time.sleep(60)"], tmp_path
+        )
         await late.start()
         try:
             await late.wait_for(lambda lines: bool(lines))
