--- a/packages/dev/cassiaquay_dev/network/process_state.py
+++ b/packages/dev/cassiaquay_dev/network/process_state.py
@@ -9,7 +9,7 @@
 
 
 def describe(pid: int) -> str:
-    """Return state, processor time and page faults of a process, and the memory left."""
+    """Return the state, times and faults of a process, and the memory that is left."""
     try:
         # The name stands in parentheses and may contain blanks.
         fields = (PROC / str(pid) / "stat").read_text().rpartition(")")[2].split()
