Own interface: bound the body of a server's failure in size and time

A server of the own interface that answered 500 and then sent without end was read until the request's deadline: the status was there at once, but the caller got "deadline exceeded", and each such request filled the memory meanwhile. A body that drips kept the caller as long.

The status decides; the body is only quoted in the message. It is read to its end up to 64 KiB and 0.3 s, so that the connections of usual failures are used again, then closed. The answer to a cancellation is bounded likewise, and a failed one is logged.

A failure whose body breaks off is treated as before.

--- a/packages/daemon/cassiaquay_daemon/adapters/backends.py
+++ b/packages/daemon/cassiaquay_daemon/adapters/backends.py
@@ -13,7 +13,7 @@
 
 from cassiaquay_schema import fleet, registry
 
-from .. import exceptions
+from .. import bounded_http, exceptions, logs
 from . import answers, breaks, signals
 
 CONNECT_TIMEOUT_SECONDS = 2.0
@@ -21,6 +21,12 @@
 RESUME_TRIES = 3
 FIRST_FAILURE_STATUS = 500
 RESUME_PAUSE_SECONDS = 0.1
+MAX_CANCEL_BYTES = 64 * 1024
+# The status of a failure counts; its body is only quoted. Within these bounds it is
+# read to its end, so that the connection can be used again.
+MAX_FAILURE_BYTES = 64 * 1024
+FAILURE_BODY_SECONDS = 0.3
+QUOTED_BYTES = 200
 
 SIGNALS = signals.HeaderNames(
     "Server-Limit", "Server-Leaving", "Retry-After", "Server-Brittle"
@@ -221,9 +227,10 @@
             async with self._http.delete(url, timeout=timeout) as response:
                 if response.status != 200:
                     return None
-                body = await response.read()
+                body = await bounded_http.read_body(response, MAX_CANCEL_BYTES)
                 body_fields = msgspec.json.decode(body, type=_CancelBody)
-        except (TimeoutError, aiohttp.ClientError, OSError):
+        except (TimeoutError, aiohttp.ClientError, OSError) as error:
+            logs.detail("cancel_failed", server=server.name, cause=repr(error))
             return None
         except msgspec.DecodeError:
             return None
@@ -275,10 +282,9 @@
         try:
             async with request as response:
                 _report_signals(response, on_signals)
-                body = await response.read()
                 if response.status >= 300:
-                    text = body[:200].decode(errors="replace")
-                    raise exceptions.Rejected(f"status {response.status}: {text}")
+                    raise exceptions.Rejected(await _failure_message(response))
+                body = await response.read()
         except aiohttp.ClientConnectorError as error:
             raise exceptions.NotSent(str(error)) from error
         except aiohttp.ConnectionTimeoutError as error:
@@ -312,8 +318,7 @@
 async def _check(response: aiohttp.ClientResponse) -> None:
     if response.status == 200:
         return
-    text = (await response.read())[:200].decode(errors="replace")
-    message = f"status {response.status}: {text}"
+    message = await _failure_message(response)
     if response.status in (400, 503):
         raise exceptions.Declined(message)
     if response.status == 409:
@@ -322,6 +327,21 @@
     raise exceptions.Rejected(message)
 
 
+async def _failure_message(response: aiohttp.ClientResponse) -> str:
+    body = bytearray()
+    try:
+        async with asyncio.timeout(FAILURE_BODY_SECONDS):
+            while len(body) <= MAX_FAILURE_BYTES:
+                data = await response.content.readany()
+                if not data:
+                    break
+                body += data
+    except TimeoutError:
+        logs.detail("failure_incomplete", status=response.status, bytes=len(body))
+    text = body[:QUOTED_BYTES].decode(errors="replace")
+    return f"status {response.status}: {text}"
+
+
 async def _read(response: aiohttp.ClientResponse, answer: answers.Answer) -> TokenUsage:
     incomplete = b""
     async for data in response.content.iter_any():
--- /dev/null
+++ b/tests/test_endless_own.py
@@ -0,0 +1,100 @@
+"""Backend servers of the own interface that send answers without end."""
+
+import asyncio
+import contextlib
+import typing
+
+import aiohttp
+import endless_fakes
+import pytest
+
+from cassiaquay_daemon import exceptions
+from cassiaquay_daemon.adapters import answers, backends
+from cassiaquay_dev.standins import raw_servers
+from cassiaquay_schema import fleet
+
+MIB = 1024 * 1024
+# What the kernel's buffers of a connection take although nobody reads.
+SOCKET_BYTES = 6 * MIB
+LIMIT_SECONDS = 8.0
+
+
+@contextlib.asynccontextmanager
+async def _backend(adapter: str, standin: raw_servers.RawServer):
+    await standin.start()
+    server = fleet.Server(name="s-1", address=standin.address)
+    trace_configs = [backends.tracing()]
+    try:
+        async with aiohttp.ClientSession(trace_configs=trace_configs) as http:
+            yield backends.backends.get(adapter)(http), server
+    finally:
+        await standin.stop()
+
+
+async def _run(
+    backend: backends.Backend, server: fleet.Server, answer: answers.Answer
+) -> typing.Any:
+    call = backends.Call("k", "m", "", "p", 1, "/p", b"{}")
+    return await backend.run(
+        server, call, answer, lambda: None, lambda found, is_failure: None
+    )
+
+
+@pytest.mark.parametrize(
+    ("adapter", "kind", "error", "max_bytes"),
+    [
+        ("plain-http", "garbage", exceptions.StreamInterrupted, 0),
+        ("plain-http", "failure", exceptions.Rejected, 0),
+        ("plain-http", "failure_unframed", exceptions.Rejected, 0),
+        ("engine-http", "garbage", exceptions.StreamInterrupted, 0),
+        ("engine-http", "failure", exceptions.Rejected, 0),
+        ("engine-http", "failure_unframed", exceptions.Rejected, 0),
+    ],
+)
+def test_endless_answer_is_given_up(
+    adapter: str, kind: str, error: type[Exception], max_bytes: int
+) -> None:
+    """Guards against an answer that is read until it fills the memory."""
+    flood = endless_fakes.Flood(kind)
+    ledger = answers.Ledger()
+
+    async def work() -> Exception:
+        standin = endless_fakes.FloodServer(flood)
+        async with _backend(adapter, standin) as (backend, server):
+            async with asyncio.timeout(LIMIT_SECONDS):
+                with pytest.raises(error) as caught:
+                    await _run(backend, server, answers.Answer(ledger))
+        return caught.value
+
+    # A server that sends without end has not crashed.
+    assert type(asyncio.run(work())) is error
+    assert flood.sent_bytes < max_bytes + flood.count * SOCKET_BYTES
+    assert ledger.used == 0
+
+
+@pytest.mark.parametrize("adapter", ["plain-http", "engine-http"])
+def test_failure_whose_body_drips_ends_with_its_status(adapter: str) -> None:
+    """Guards against a wait for the end of a body whose status says it all."""
+    flood = endless_fakes.Flood("failure", drips=True)
+
+    async def work() -> None:
+        standin = endless_fakes.FloodServer(flood)
+        async with _backend(adapter, standin) as (backend, server):
+            async with asyncio.timeout(LIMIT_SECONDS):
+                with pytest.raises(exceptions.Rejected, match="status 500"):
+                    await _run(backend, server, answers.Answer())
+
+    asyncio.run(work())
+
+
+def test_endless_answer_to_a_cancellation_is_given_up() -> None:
+    """Guards against a stopped stream whose last figures fill the memory."""
+    flood = endless_fakes.Flood("body")
+
+    async def work() -> backends.WastedTokens | None:
+        standin = endless_fakes.FloodServer(flood)
+        async with _backend("engine-http", standin) as (backend, server):
+            return await backend.cancel(server, "k")
+
+    assert asyncio.run(work()) is None
+    assert flood.sent_bytes < SOCKET_BYTES
