Own interface: bound answers, events and what all answers hold together

An answer of status 200 whose body or event never ends was read until the request's deadline. Each read of an engine's stream also split and copied the incomplete event from its start.

- An answer may have 32 MiB, an event of an engine 1 MiB.
Beyond it the answer is lost (outcome_unknown, answer_lost): nobody knows whether the request ran, and a server that sends too much has not crashed.
An engine's stream is resumed as after a cut, three times; each read is bounded.
- Bytes of an answer in progress count in the owner's ledger.
Beyond a quarter of `max_answer_bytes` large answers stop reading and wait, except for one at a time: sound answers are all completed (ten of 16 MiB at once under 64 MiB), endless ones use their 32 MiB one after the other, and at the default the table does not count as full for them.
Answers up to 64 KiB never wait.
- Events are collected by `Blocks`, which searches no byte twice.

Many tiny chunks still cost the loop much: 24 streams of 64-byte chunks delay it by up to 0.8 s, before and now (aiohttp's parser); open.

--- a/packages/daemon/cassiaquay_daemon/adapters/answers.py
+++ b/packages/daemon/cassiaquay_daemon/adapters/answers.py
@@ -1,16 +1,21 @@
 """Buffers the events of an answer while it is received, for any number of readers."""
 
 import asyncio
+import math
 import typing
 
 import msgspec
 import xxhash
 
-from .. import clock
+from .. import clock, exceptions
 
 # Memory overhead of an event object. If it were not counted, answers of many short
 # events would use more than twice their memory limit (docs/experiments/outcomes.md).
 EVENT_OVERHEAD_BYTES = 48
+# Larger than any answer that callers use; a server in trouble may send without end.
+MAX_ANSWER_BYTES = 32 * 1024 * 1024
+# Answers up to this size are received whatever the others hold.
+SMALL_ANSWER_BYTES = 64 * 1024
 
 
 class Final(typing.TypedDict):
@@ -26,14 +31,54 @@
 
 
 class Ledger:
-    """Counts the bytes that many answers and requests hold together."""
+    """Counts the bytes that many answers and requests hold together.
 
-    def __init__(self) -> None:
+    Large answers are received until a quarter of the bound is used. Beyond it they
+    wait, except for one at a time, so that each is completed in its turn.
+
+    Parameters
+    ----------
+    max_bytes : float
+        Bound on the bytes of all answers and requests.
+    """
+
+    def __init__(self, max_bytes: float = math.inf) -> None:
         self.used = 0
+        self._shared_bytes = max_bytes / 4
+        self._turn_bytes = max(max_bytes / 2, MAX_ANSWER_BYTES)
+        self._waiting_bytes = 0
+        self._in_turn: Answer | None = None
+        self._waiters: list[asyncio.Future[None]] = []
 
     def add(self, size: int) -> None:
         """Add ``size`` bytes to the count; a negative size subtracts."""
         self.used += size
+        if size < 0:
+            self._waiters = _wake(self._waiters)
+
+    async def wait_for_room(self, answer: "Answer", size: int) -> None:
+        """Wait until more of a large answer, of ``size`` by now, may be received."""
+        self._waiting_bytes += size
+        try:
+            while not self._has_room(answer):
+                await _wait_in(self._waiters)
+        finally:
+            self._waiting_bytes -= size
+
+    def stop_receiving(self, answer: "Answer") -> None:
+        """End the turn of an answer."""
+        if self._in_turn is answer:
+            self._in_turn = None
+            self._waiters = _wake(self._waiters)
+
+    def _has_room(self, answer: "Answer") -> bool:
+        if self.used <= self._shared_bytes:
+            return True
+        # Those that wait must not keep all of them from a turn.
+        others = self.used - self._waiting_bytes
+        if self._in_turn is None and others <= self._turn_bytes:
+            self._in_turn = answer
+        return self._in_turn is answer
 
 
 class Answer:
@@ -56,6 +101,7 @@
         self.forgotten = False
         self.opened = False
         self._count = 0
+        self._incomplete_bytes = 0
         self._events: list[bytes] = []
         self._digest = xxhash.xxh3_128()
         self._waiters: list[asyncio.Future[None]] = []
@@ -75,6 +121,26 @@
         self.opened = True
         self._wake_waiters()
 
+    async def receive(self, incomplete_bytes: int) -> None:
+        """Count the received bytes of an incomplete event; wait for room for more.
+
+        Raises
+        ------
+        StreamInterrupted
+            When the answer is larger than any may be.
+        """
+        self._count_incomplete(incomplete_bytes)
+        size = self.size + incomplete_bytes
+        if size > MAX_ANSWER_BYTES:
+            raise exceptions.StreamInterrupted(f"over {MAX_ANSWER_BYTES} bytes")
+        if size > SMALL_ANSWER_BYTES:
+            await self._ledger.wait_for_room(self, size)
+
+    def stop_receiving(self) -> None:
+        """Count no incomplete event any more."""
+        self._count_incomplete(0)
+        self._ledger.stop_receiving(self)
+
     def append(self, data: bytes) -> None:
         """Append one event with ``data`` as its payload."""
         if not self._count:
@@ -146,13 +212,26 @@
         """Return the final event as bytes."""
         return b"event: final\ndata: %b\n\n" % msgspec.json.encode(self.final)
 
+    def _count_incomplete(self, size: int) -> None:
+        self._ledger.add(size - self._incomplete_bytes)
+        self._incomplete_bytes = size
+
     async def _wait_for_change(self) -> None:
-        waiter = asyncio.get_running_loop().create_future()
-        self._waiters.append(waiter)
-        await waiter
+        await _wait_in(self._waiters)
 
     def _wake_waiters(self) -> None:
-        waiters, self._waiters = self._waiters, []
-        for waiter in waiters:
-            if not waiter.done():
-                waiter.set_result(None)
+        self._waiters = _wake(self._waiters)
+
+
+async def _wait_in(waiters: list[asyncio.Future[None]]) -> None:
+    waiter = asyncio.get_running_loop().create_future()
+    waiters.append(waiter)
+    await waiter
+
+
+def _wake(waiters: list[asyncio.Future[None]]) -> list[asyncio.Future[None]]:
+    """Wake all waiters; return those that wait, none."""
+    for waiter in waiters:
+        if not waiter.done():
+            waiter.set_result(None)
+    return []
--- a/packages/daemon/cassiaquay_daemon/adapters/backends.py
+++ b/packages/daemon/cassiaquay_daemon/adapters/backends.py
@@ -14,13 +14,15 @@
 from cassiaquay_schema import fleet, registry
 
 from .. import bounded_http, exceptions, logs
-from . import answers, breaks, signals
+from . import answers, blocks, breaks, signals
 
 CONNECT_TIMEOUT_SECONDS = 2.0
 CANCEL_TIMEOUT_SECONDS = 3.0
 RESUME_TRIES = 3
 FIRST_FAILURE_STATUS = 500
 RESUME_PAUSE_SECONDS = 0.1
+# Engines send an event for each token.
+MAX_EVENT_BYTES = 1024 * 1024
 MAX_CANCEL_BYTES = 64 * 1024
 # The status of a failure counts; its body is only quoted. Within these bounds it is
 # read to its end, so that the connection can be used again.
@@ -284,7 +286,7 @@
                 _report_signals(response, on_signals)
                 if response.status >= 300:
                     raise exceptions.Rejected(await _failure_message(response))
-                body = await response.read()
+                body = await _read_whole(response, answer)
         except aiohttp.ClientConnectorError as error:
             raise exceptions.NotSent(str(error)) from error
         except aiohttp.ConnectionTimeoutError as error:
@@ -292,6 +294,8 @@
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             # The request may have run, and plain services keep no answer to read again.
             raise breaks.to_stream_interrupted(error) from error
+        finally:
+            answer.stop_receiving()
         try:
             msgspec.json.decode(body)
         except msgspec.DecodeError as error:
@@ -342,22 +346,48 @@
     return f"status {response.status}: {text}"
 
 
+async def _read_whole(
+    response: aiohttp.ClientResponse, answer: answers.Answer
+) -> bytes:
+    if (response.content_length or 0) > answers.MAX_ANSWER_BYTES:
+        raise exceptions.StreamInterrupted(f"{response.content_length} bytes announced")
+    body = bytearray()
+    while data := await response.content.readany():
+        body += data
+        await answer.receive(len(body))
+    return bytes(body)
+
+
 async def _read(response: aiohttp.ClientResponse, answer: answers.Answer) -> TokenUsage:
-    incomplete = b""
-    async for data in response.content.iter_any():
-        blocks = (incomplete + data).split(b"\n\n")
-        incomplete = blocks.pop()
-        for block in blocks:
-            head, _, payload = block.partition(b"\ndata: ")
-            if head == b"event: done":
-                return _final_usage(payload, answer)
-            if head != b"id: %d" % answer.count:
-                # A missing or repeated event would change the answer.
-                raise exceptions.StreamInterrupted(f"event out of order: {head[:40]!r}")
-            answer.append(payload)
+    received = blocks.Blocks()
+    try:
+        async for data in response.content.iter_any():
+            usage = _append_events(received.feed(data), answer)
+            if usage is not None:
+                return usage
+            if received.size > MAX_EVENT_BYTES:
+                raise exceptions.StreamInterrupted(
+                    f"event of over {MAX_EVENT_BYTES} bytes"
+                )
+            await answer.receive(received.size)
+    finally:
+        answer.stop_receiving()
     raise exceptions.StreamInterrupted("the stream ended without its last event")
 
 
+def _append_events(complete: bytes, answer: answers.Answer) -> TokenUsage | None:
+    """Append complete events; return the tokens used if the last one is among them."""
+    for block in complete.split(blocks.END_OF_BLOCK)[:-1]:
+        head, _, payload = block.partition(b"\ndata: ")
+        if head == b"event: done":
+            return _final_usage(payload, answer)
+        if head != b"id: %d" % answer.count:
+            # A missing or repeated event would change the answer.
+            raise exceptions.StreamInterrupted(f"event out of order: {head[:40]!r}")
+        answer.append(payload)
+    return None
+
+
 def _final_usage(payload: bytes, answer: answers.Answer) -> TokenUsage:
     try:
         done = msgspec.json.decode(payload, type=_DoneBody)
--- a/packages/daemon/cassiaquay_daemon/owners/table.py
+++ b/packages/daemon/cassiaquay_daemon/owners/table.py
@@ -23,7 +23,7 @@
     def __init__(self, settings: settings_schema.Owner):
         self.entries: dict[str, entries.Entry] = {}
         self.closed = tombstones.Tombstones(settings.max_closed)
-        self.ledger = answers.Ledger()
+        self.ledger = answers.Ledger(settings.max_answer_bytes)
         self._settings = settings
         self._waiting: dict[int, dict[str, entries.Entry]] = {}
         self._ended: dict[int, dict[str, entries.Entry]] = {}
--- a/tests/test_endless_own.py
+++ b/tests/test_endless_own.py
@@ -17,6 +17,19 @@
 # What the kernel's buffers of a connection take although nobody reads.
 SOCKET_BYTES = 6 * MIB
 LIMIT_SECONDS = 8.0
+# An engine's stream is read once and resumed three times.
+READS = 1 + backends.RESUME_TRIES
+LARGE_ANSWER = b'"%b"' % (b"x" * (16 * MIB))
+
+
+class LargeServer(raw_servers.RawServer):
+    """A plain server with large sound answers."""
+
+    async def respond(
+        self, request: raw_servers.Request, writer: raw_servers.Writer
+    ) -> None:
+        """Send the large answer."""
+        await raw_servers.send(writer, 200, LARGE_ANSWER, {})
 
 
 @contextlib.asynccontextmanager
@@ -43,9 +56,15 @@
 @pytest.mark.parametrize(
     ("adapter", "kind", "error", "max_bytes"),
     [
+        ("plain-http", "body", exceptions.StreamInterrupted, 32 * MIB),
+        ("plain-http", "unframed", exceptions.StreamInterrupted, 32 * MIB),
+        ("plain-http", "length", exceptions.StreamInterrupted, 0),
         ("plain-http", "garbage", exceptions.StreamInterrupted, 0),
         ("plain-http", "failure", exceptions.Rejected, 0),
         ("plain-http", "failure_unframed", exceptions.Rejected, 0),
+        ("engine-http", "event", exceptions.StreamInterrupted, READS * MIB),
+        ("engine-http", "unframed", exceptions.StreamInterrupted, READS * MIB),
+        ("engine-http", "comments", exceptions.StreamInterrupted, 0),
         ("engine-http", "garbage", exceptions.StreamInterrupted, 0),
         ("engine-http", "failure", exceptions.Rejected, 0),
         ("engine-http", "failure_unframed", exceptions.Rejected, 0),
@@ -98,3 +117,50 @@
 
     assert asyncio.run(work()) is None
     assert flood.sent_bytes < SOCKET_BYTES
+
+
+def test_endless_answers_together_stay_within_the_bound() -> None:
+    """Guards against many endless answers that are each within their bound."""
+    ledger = answers.Ledger(64 * MIB)
+    held = []
+
+    async def one(backend: backends.Backend, server: fleet.Server) -> None:
+        with pytest.raises(exceptions.StreamInterrupted):
+            await _run(backend, server, answers.Answer(ledger))
+
+    async def watch() -> None:
+        while True:
+            held.append(ledger.used)
+            await asyncio.sleep(0.001)
+
+    async def work() -> None:
+        standin = endless_fakes.FloodServer(endless_fakes.Flood("unframed"))
+        async with _backend("plain-http", standin) as (backend, server):
+            watching = asyncio.create_task(watch())
+            async with asyncio.timeout(3 * LIMIT_SECONDS):
+                await asyncio.gather(*[one(backend, server) for _ in range(24)])
+            watching.cancel()
+
+    asyncio.run(work())
+    assert 16 * MIB < max(held) < 64 * MIB
+    assert ledger.used == 0
+
+
+def test_large_answers_at_once_are_all_received() -> None:
+    """Guards against a bound that gives sound answers up or stops them for good."""
+    ledger = answers.Ledger(64 * MIB)
+
+    async def one(backend: backends.Backend, server: fleet.Server) -> None:
+        answer = answers.Answer(ledger)
+        await _run(backend, server, answer)
+        chunk, count = answer.chunk(0)
+        assert (chunk, count) == (b"id: 0\ndata: %b\n\n" % LARGE_ANSWER, 1)
+        answer.forget()
+
+    async def work() -> None:
+        async with _backend("plain-http", LargeServer()) as (backend, server):
+            async with asyncio.timeout(3 * LIMIT_SECONDS):
+                await asyncio.gather(*[one(backend, server) for _ in range(10)])
+
+    asyncio.run(work())
+    assert ledger.used == 0
