Own interface: send large answers to slow readers in small pieces

Each reader of an answer was handed all its events in one copy, which stayed in the connection's buffer for as long as the reader took, counted nowhere.

--- a/packages/daemon/cassiaquay_daemon/adapters/answers.py
+++ b/packages/daemon/cassiaquay_daemon/adapters/answers.py
@@ -16,6 +16,8 @@
 MAX_ANSWER_BYTES = 32 * 1024 * 1024
 # Answers up to this size are received whatever the others hold.
 SMALL_ANSWER_BYTES = 64 * 1024
+# A slow reader holds as much as this beside the answer.
+CHUNK_BYTES = 64 * 1024
 
 
 class Final(typing.TypedDict):
@@ -197,9 +199,13 @@
             await self._wait_for_change()
 
     def chunk(self, after: int) -> tuple[bytes, int]:
-        """Return the events from number ``after`` on as bytes, and the next number."""
-        events = self._events[after:]
-        return b"".join(events), after + len(events)
+        """Return some events from number ``after`` on as bytes, and the next number."""
+        size = 0
+        end = after
+        while end < len(self._events) and size < CHUNK_BYTES:
+            size += len(self._events[end])
+            end += 1
+        return b"".join(self._events[after:end]), end
 
     def forget(self) -> None:
         """Free the events; keep the count, the digest and the final event."""
--- a/packages/daemon/cassiaquay_daemon/owners/streams.py
+++ b/packages/daemon/cassiaquay_daemon/owners/streams.py
@@ -131,12 +131,18 @@
         await _send_start(send, 200, [(b"content-type", EVENT_STREAM)])
         while True:
             chunk, after = answer.chunk(after)
-            ended = answer.final is not None
+            # Events of a forgotten answer do not come any more.
+            is_last = answer.forgotten or after >= answer.count
+            ended = answer.final is not None and is_last
+            start = 0
+            while len(chunk) - start > answers.CHUNK_BYTES:
+                end = start + answers.CHUNK_BYTES
+                await _send_body(send, chunk[start:end], True)
+                start = end
+            chunk = chunk[start:]
             if ended:
                 chunk += answer.final_event()
-            await send(
-                {"type": "http.response.body", "body": chunk, "more_body": not ended}
-            )
+            await _send_body(send, chunk, not ended)
             if ended:
                 self._delivered = True
                 return
@@ -149,6 +155,10 @@
     await send({"type": "http.response.start", "status": status, "headers": headers})
 
 
+async def _send_body(send: types.Send, body: bytes, more_body: bool) -> None:
+    await send({"type": "http.response.body", "body": body, "more_body": more_body})
+
+
 async def disconnected(receive: types.Receive) -> None:
     """Return when the caller disconnects; its body must have been read in full."""
     while True:
--- a/tests/test_endless_own.py
+++ b/tests/test_endless_own.py
@@ -10,6 +10,7 @@
 
 from cassiaquay_daemon import exceptions
 from cassiaquay_daemon.adapters import answers, backends
+from cassiaquay_daemon.owners import streams
 from cassiaquay_dev.standins import raw_servers
 from cassiaquay_schema import fleet
 
@@ -164,3 +165,31 @@
 
     asyncio.run(work())
     assert ledger.used == 0
+
+
+def test_slow_reader_is_sent_small_pieces() -> None:
+    """Guards against a copy of a large answer for each of its slow readers."""
+    answer = answers.Answer()
+    answer.append(b"x" * MIB)
+    for _ in range(20000):
+        answer.append(b'{"text":"token"}')
+    answer.finish("completed", "completed")
+    expected = b""
+    after = 0
+    while after < answer.count:
+        chunk, after = answer.chunk(after)
+        expected += chunk
+    sent: list[bytes] = []
+
+    async def send(message: typing.Any) -> None:
+        sent.append(message.get("body", b""))
+
+    async def work() -> None:
+        response = streams.AnswerResponse(
+            answer, 0, lambda: None, lambda: None, lambda delivered: None
+        )
+        await response({}, asyncio.Event().wait, send)
+
+    asyncio.run(work())
+    assert b"".join(sent) == expected + answer.final_event()
+    assert max(len(piece) for piece in sent) < 2 * answers.CHUNK_BYTES
