Platform: bound what a read of the store, the configuration or the list takes

A store in trouble that sent without end was read for each call's time (0.6 s for a page or value, up to 5.6 s for a watch, 3 s and more for the own platform's services): in the test with one daemon, three reads took 1,922 MB, in an instance that has 300 MB.

A page, value or watch of the store may have 4 MiB (it holds values of at most 1 MiB, a page has about 500 items or 1 MB), a listing 16 MiB in all, an answer of the own platform's services 8 MiB. Beyond it the read fails as when the store is unreachable: it is logged, the daemon serves with what it has and takes the next change.

--- a/packages/daemon/cassiaquay_daemon/platform/__init__.py
+++ b/packages/daemon/cassiaquay_daemon/platform/__init__.py
@@ -13,10 +13,12 @@
 
 from cassiaquay_schema import messages, registry
 
-from .. import exceptions, positions
+from .. import bounded_http, exceptions, positions
 from . import epochs
 
 ANSWER_TIMEOUT_SECONDS = 3.0
+# Twice the longest message between instances, by which texts spread as well.
+MAX_ANSWER_BYTES = 8 * 1024 * 1024
 
 
 class Published(typing.NamedTuple):
@@ -162,7 +164,8 @@
     timeout = aiohttp.ClientTimeout(total=seconds)
     try:
         async with http.get(url, timeout=timeout) as response:
-            return _Answer(response.status, await response.read(), response.headers)
+            body = await bounded_http.read_body(response, MAX_ANSWER_BYTES)
+            return _Answer(response.status, body, response.headers)
     except (TimeoutError, aiohttp.ClientError, OSError) as error:
         raise exceptions.PlatformError(repr(error)) from error
 
--- a/packages/daemon/cassiaquay_daemon/platform/store.py
+++ b/packages/daemon/cassiaquay_daemon/platform/store.py
@@ -15,7 +15,7 @@
 
 from cassiaquay_schema import messages
 
-from .. import exceptions, platform, positions
+from .. import bounded_http, exceptions, platform, positions
 from . import documents, entries, epochs
 
 # The operator's keys: the configuration, and one key for each evacuated zone. One read
@@ -32,6 +32,10 @@
 ANSWER_TIMEOUT_SECONDS = 0.6
 # Enough for thousands of servers; bounds the read of a listing that never ends.
 MAX_PAGES = 200
+# A page has at most 1 MB of values or one more value of 1 MiB, longer in base64.
+MAX_ANSWER_BYTES = 4 * 1024 * 1024
+# Of all pages of a listing.
+MAX_LISTING_BYTES = 16 * 1024 * 1024
 
 
 class _Item(msgspec.Struct):
@@ -116,12 +120,18 @@
         items: list[Item] = []
         position: positions.Position | None = None
         after = ""
+        size = 0
         for _ in range(MAX_PAGES):
             query = {"path-prefix": prefix}
             if after:
                 query["after"] = after
             answer = await self._get(RANGE_PATH, query, ANSWER_TIMEOUT_SECONDS)
             _check_status(answer.status)
+            size += len(answer.body)
+            if size > MAX_LISTING_BYTES:
+                raise exceptions.PlatformError(
+                    f"{prefix}: over {MAX_LISTING_BYTES} bytes"
+                )
             page = _parse(answer.body, _RangeBody)
             if position is None:
                 position = positions.Position(answer.epoch, page.current)
@@ -161,7 +171,7 @@
             async with self._http.get(
                 self._base + path, params=query, timeout=timeout
             ) as response:
-                body = await response.read()
+                body = await bounded_http.read_body(response, MAX_ANSWER_BYTES)
                 epoch = self._epochs.read(response.headers)
                 return _Answer(response.status, body, epoch)
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
