Bound what engines' reports, orders, explanations and held requests are read to

Only the time of each call bounded these reads (0.5 to 3 s; the wait for the end of a held request at its owner had none). An engine in trouble need not run a request for that: every keeper polls it twice a second.

Load reports may have 64 KiB, cache events 4 MiB, states 1 MiB, explanations of other instances 1 MiB, the end of a held request 64 KiB. Beyond it the read fails as when nobody answers: BackendError, AdminInstanceUnreachable, OwnerUnreachable. Reads of engines that fail are logged now, at level DEBUG.

--- a/packages/daemon/cassiaquay_daemon/engines/engine_orders.py
+++ b/packages/daemon/cassiaquay_daemon/engines/engine_orders.py
@@ -10,10 +10,12 @@
 
 from cassiaquay_schema import fleet, registry
 
-from .. import exceptions
+from .. import bounded_http, exceptions
 from . import orders
 
 RESPONSE_TIMEOUT_SECONDS = 2.0
+# A state names the adapters that an engine has loaded.
+MAX_RESPONSE_BYTES = 1024 * 1024
 
 
 class EngineOrders(typing.Protocol):
@@ -97,6 +99,7 @@
                 headers={"Content-Type": "application/json"},
                 timeout=aiohttp.ClientTimeout(total=RESPONSE_TIMEOUT_SECONDS),
             ) as response:
-                return response.status, await response.read()
+                body = await bounded_http.read_body(response, MAX_RESPONSE_BYTES)
+                return response.status, body
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             raise exceptions.BackendError(repr(error)) from error
--- a/packages/daemon/cassiaquay_daemon/engines/engine_reports.py
+++ b/packages/daemon/cassiaquay_daemon/engines/engine_reports.py
@@ -14,13 +14,16 @@
 
 from cassiaquay_schema import fleet, registry
 
-from .. import clock, exceptions
+from .. import bounded_http, clock, exceptions, logs
 from ..decisions import policies, shards
 from ..fleet import configuration
 from ..keepers import keeper
 
 PERIOD_SECONDS = 0.5
 TIMEOUT_SECONDS = 1.0
+# Cache events name each block that was stored or removed.
+MAX_EVENTS_BYTES = 4 * 1024 * 1024
+MAX_LOAD_BYTES = 64 * 1024
 
 
 class CacheEvent(msgspec.Struct):
@@ -74,7 +77,8 @@
 
     async def read_events(self, server: fleet.Server, after: int) -> CacheEvents:
         """Return the cache events after a sequence number."""
-        body = await self._get(server, f"/v1/kv/events?after={after}")
+        path = f"/v1/kv/events?after={after}"
+        body = await self._get(server, path, MAX_EVENTS_BYTES)
         try:
             return _EVENTS.decode(body)
         except msgspec.DecodeError as error:
@@ -82,18 +86,18 @@
 
     async def read_load(self, server: fleet.Server) -> LoadReport:
         """Return the latest load report."""
-        body = await self._get(server, "/v1/load")
+        body = await self._get(server, "/v1/load", MAX_LOAD_BYTES)
         try:
             return _LOAD.decode(body)
         except msgspec.DecodeError as error:
             raise exceptions.BackendError(str(error)) from error
 
-    async def _get(self, server: fleet.Server, path: str) -> bytes:
+    async def _get(self, server: fleet.Server, path: str, max_bytes: int) -> bytes:
         timeout = aiohttp.ClientTimeout(total=TIMEOUT_SECONDS)
         url = f"http://{server.address}{path}"
         try:
             async with self._http.get(url, timeout=timeout) as response:
-                return await response.read()
+                return await bounded_http.read_body(response, max_bytes)
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             raise exceptions.BackendError(repr(error)) from error
 
@@ -158,8 +162,9 @@
                 return
             after = self._sequences.get(server.name, 0)
             cache_events = await reader.read_events(server, after)
-        except exceptions.BackendError:
+        except exceptions.BackendError as error:
             # The keeper's own counts stay in use until the next report.
+            logs.detail("report_unreadable", server=server.name, cause=str(error))
             return
         if cache_events.sequence < after:
             # Sequence numbers went back: the engine restarted with an empty cache.
--- a/packages/daemon/cassiaquay_daemon/engines/reconciler.py
+++ b/packages/daemon/cassiaquay_daemon/engines/reconciler.py
@@ -274,7 +274,8 @@
     async def read_or_none(target: _Target) -> orders.Actual | None:
         try:
             return await target.protocol.read(target.server)
-        except exceptions.BackendError:
+        except exceptions.BackendError as error:
+            logs.detail("state_unreadable", server=target.server.name, cause=str(error))
             return None
 
     return list(await asyncio.gather(*(read_or_none(target) for target in targets)))
--- a/packages/daemon/cassiaquay_daemon/interface/relay.py
+++ b/packages/daemon/cassiaquay_daemon/interface/relay.py
@@ -9,12 +9,14 @@
 from cassiaquay_schema import messages
 from cassiaquay_schema import settings as settings_schema
 
-from .. import exceptions, logs
+from .. import bounded_http, exceptions, logs
 from ..owners import streams
 
 HOP_HEADER = "X-Cassiaquay-Hop"
 CONNECT_TIMEOUT_SECONDS = 1.0
 POLL_SECONDS = 0.25
+# The final event of an answer.
+MAX_FINAL_BYTES = 64 * 1024
 FORWARDED_HEADERS = ("authorization", "content-type")
 
 
@@ -153,7 +155,7 @@
             "GET", url, self._forwarded_headers(headers), b""
         )
         try:
-            await response.read()
+            await bounded_http.read_body(response, MAX_FINAL_BYTES)
         except (aiohttp.ClientError, OSError) as error:
             raise OwnerUnreachable(repr(error)) from error
         finally:
--- a/packages/daemon/cassiaquay_daemon/keepers/baselines.py
+++ b/packages/daemon/cassiaquay_daemon/keepers/baselines.py
@@ -13,12 +13,13 @@
 
 from cassiaquay_schema import fleet, messages
 
-from .. import clock, rendezvous
+from .. import bounded_http, clock, logs, rendezvous
 from ..decisions import policies, shards, software_versions
 
 # Under this policy each owner is the keeper of every shard for its own requests.
 LOCAL = "first-come-local"
 POLL_SECONDS = 0.5
+MAX_LOAD_BYTES = 64 * 1024
 
 
 class _Immediate:
@@ -115,10 +116,17 @@
                 url = f"http://{server.address}/v1/load"
                 try:
                     async with http.get(url) as response:
-                        body = await response.read()
+                        body = await bounded_http.read_body(response, MAX_LOAD_BYTES)
                     load = msgspec.json.decode(body, type=_Load)
-                except (TimeoutError, aiohttp.ClientError, msgspec.DecodeError):
+                except (
+                    TimeoutError,
+                    aiohttp.ClientError,
+                    msgspec.DecodeError,
+                ) as error:
                     # Plain services report no load, and an engine may be down.
+                    logs.detail(
+                        "load_unreadable", server=server.name, cause=repr(error)
+                    )
                     continue
                 self._reports[server.name] = load["tokens_in_flight"]
 
--- a/packages/daemon/cassiaquay_daemon/operators/explain.py
+++ b/packages/daemon/cassiaquay_daemon/operators/explain.py
@@ -8,12 +8,13 @@
 from cassiaquay_schema import bodies, messages
 from cassiaquay_schema import settings as settings_schema
 
-from .. import clock, exceptions
+from .. import bounded_http, clock, exceptions
 from ..configured import snapshots
 from ..owners import owner, tokens
 from . import keeper_view, refusals, reports, viewers
 
 FETCH_TIMEOUT_SECONDS = 3.0
+MAX_ANSWER_BYTES = 1024 * 1024
 
 
 class Description(typing.NamedTuple):
@@ -224,7 +225,7 @@
             async with self._http.get(
                 url, headers=headers, timeout=timeout
             ) as response:
-                body = await response.read()
+                body = await bounded_http.read_body(response, MAX_ANSWER_BYTES)
                 if response.status == 404:
                     raise refusals.AdminNotFound(_message(body))
                 if response.status != 200:
--- /dev/null
+++ b/tests/test_endless_reads.py
@@ -0,0 +1,146 @@
+"""Answers without end to what a daemon asks engines and other instances."""
+
+import asyncio
+import collections.abc
+import typing
+
+import aiohttp
+import endless_fakes
+import pytest
+
+from cassiaquay_daemon import exceptions
+from cassiaquay_daemon.engines import engine_orders, engine_reports, orders
+from cassiaquay_daemon.interface import relay
+from cassiaquay_daemon.keepers import baselines
+from cassiaquay_daemon.operators import explain, refusals
+from cassiaquay_schema import fleet, messages
+from cassiaquay_schema import settings as settings_schema
+
+MIB = 1024 * 1024
+# What the kernel's buffers of a connection take although nobody reads.
+SOCKET_BYTES = 6 * MIB
+LIMIT_SECONDS = 8.0
+NOBODY: typing.Any = None
+SETTINGS = settings_schema.Settings(
+    instance="cq-1",
+    domain="a",
+    keys=["key"],
+    platform=settings_schema.Platform(
+        configuration="127.0.0.1:1", instances="127.0.0.1:1"
+    ),
+)
+Read = collections.abc.Callable[
+    [aiohttp.ClientSession, str], collections.abc.Awaitable[object]
+]
+
+
+def _server(address: str) -> fleet.Server:
+    return fleet.Server(name="e-1", address=address)
+
+
+def _member(address: str) -> messages.Member:
+    return messages.Member(
+        "cq-2", "i", "a", address, "", 1, False, 0.0, 1, 0.0, address, 1.0
+    )
+
+
+def _read_load(http: aiohttp.ClientSession, address: str) -> typing.Any:
+    return engine_reports.EngineHttp(http).read_load(_server(address))
+
+
+def _read_events(http: aiohttp.ClientSession, address: str) -> typing.Any:
+    return engine_reports.EngineHttp(http).read_events(_server(address), 0)
+
+
+def _read_state(http: aiohttp.ClientSession, address: str) -> typing.Any:
+    return engine_orders.EngineOrdersHttp(http).read(_server(address))
+
+
+def _send_order(http: aiohttp.ClientSession, address: str) -> typing.Any:
+    order = orders.Order(1, orders.LOAD_MODEL, "m", "1", "", "")
+    return engine_orders.EngineOrdersHttp(http).send(_server(address), order)
+
+
+def _explain(http: aiohttp.ClientSession, address: str) -> typing.Any:
+    explainer = explain.Explainer(SETTINGS, NOBODY, http)
+    return explainer._fetch(_member(address), "/v1/explain?id=x", "")
+
+
+def _hold(http: aiohttp.ClientSession, address: str) -> typing.Any:
+    passing = relay.Relay(SETTINGS, http, lambda name: None)
+    return passing.wait_for_end(_member(address), "/v1/requests/x?from=9", {})
+
+
+READS: dict[Read, type[Exception]] = {
+    _read_load: exceptions.BackendError,
+    _read_events: exceptions.BackendError,
+    _read_state: exceptions.BackendError,
+    _send_order: exceptions.BackendError,
+    _explain: refusals.AdminInstanceUnreachable,
+    _hold: relay.OwnerUnreachable,
+}
+
+
+@pytest.mark.parametrize("kind", ["unframed", "failure"])
+@pytest.mark.parametrize("read", READS)
+def test_endless_answer_is_given_up(read: Read, kind: str) -> None:
+    """Guards against a read whose time alone bounds what it takes."""
+    flood = endless_fakes.Flood(kind)
+
+    async def work() -> None:
+        standin = endless_fakes.FloodServer(flood)
+        await standin.start()
+        async with aiohttp.ClientSession() as http:
+            async with asyncio.timeout(LIMIT_SECONDS):
+                with pytest.raises(READS[read], match="over"):
+                    await read(http, standin.address)
+        await standin.stop()
+
+    asyncio.run(work())
+    assert flood.sent_bytes < engine_reports.MAX_EVENTS_BYTES + SOCKET_BYTES
+
+
+def test_endless_load_leaves_the_reports_of_other_servers() -> None:
+    """Guards against a poll that ends with the first server in trouble."""
+    flood = endless_fakes.Flood("unframed")
+
+    async def work() -> None:
+        standin = endless_fakes.FloodServer(flood)
+        await standin.start()
+        policy = baselines.LeastReported(NOBODY)
+        await policy._poll_loads([_server(standin.address)] * 2)
+        await standin.stop()
+
+    asyncio.run(work())
+    assert flood.count == 2
+    assert flood.sent_bytes < 2 * SOCKET_BYTES
+
+
+def test_slow_caller_of_a_relay_stops_the_owner() -> None:
+    """Guards against a relay that buffers what its caller does not read."""
+    flood = endless_fakes.Flood("body")
+
+    async def work() -> None:
+        standin = endless_fakes.FloodServer(flood)
+        await standin.start()
+        owner = _member(standin.address)
+        never = asyncio.Event()
+
+        async def send(message: typing.Any) -> None:
+            if message["type"] == "http.response.body":
+                await never.wait()
+
+        async with aiohttp.ClientSession() as http:
+            passing = relay.Relay(SETTINGS, http, lambda name: owner)
+            response = await passing.forward(owner, "GET", "/v1/requests/x", {}, b"")
+            running = asyncio.create_task(response({}, never.wait, send))
+            before = -1
+            while before != flood.sent_bytes:
+                before = flood.sent_bytes
+                await asyncio.sleep(0.1)
+            running.cancel()
+            await asyncio.gather(running, return_exceptions=True)
+        await standin.stop()
+
+    asyncio.run(work())
+    assert 0 < flood.sent_bytes < SOCKET_BYTES
