Callers: bound heads, trailers and pipelined requests of a connection

The HTTP server's parser bounds no head.

A connection may send 256 KiB without completing a head or sending a byte of body; then it gets 431, or is closed if an answer is under way on it. The configuration's `max-header-bytes` and `header-timeout-ms` are still read by nobody, so a head that drips keeps its connection: open.

--- a/packages/daemon/cassiaquay_daemon/listeners.py
+++ b/packages/daemon/cassiaquay_daemon/listeners.py
@@ -7,14 +7,67 @@
 import typing
 
 import uvicorn
+from uvicorn.protocols.http import httptools_impl
+
+from . import logs
 
 Application = typing.Any
 KEEP_ALIVE_SECONDS = 5
+# Bytes of a head, or of chunk extensions and trailers, without a byte of body. Above
+# any limit of operators; the library's parser has none.
+MAX_HEAD_BYTES = 256 * 1024
+HEAD_TOO_LARGE = (
+    b"HTTP/1.1 431 Request Header Fields Too Large\r\n"
+    b"content-length: 0\r\nconnection: close\r\n\r\n"
+)
 
 # The library logs a stack trace for each response that is aborted on purpose.
 logging.getLogger("uvicorn.error").disabled = True
 
 
+class _Protocol(httptools_impl.HttpToolsProtocol):
+    """A connection that is closed when a head on it does not end."""
+
+    def __init__(self, *args: typing.Any, **options: typing.Any):
+        super().__init__(*args, **options)
+        self._head_bytes = 0
+        self._has_progressed = False
+
+    def data_received(self, data: bytes) -> None:
+        """Parse received bytes."""
+        self._has_progressed = False
+        super().data_received(data)
+        if self._has_progressed:
+            self._head_bytes = 0
+            return
+        self._head_bytes += len(data)
+        if self._head_bytes > MAX_HEAD_BYTES and not self.transport.is_closing():
+            self._refuse()
+
+    def on_headers_complete(self) -> None:
+        """Start a request."""
+        self._has_progressed = True
+        super().on_headers_complete()
+
+    def on_body(self, body: bytes) -> None:
+        """Pass a part of a request's body on."""
+        self._has_progressed = True
+        super().on_body(body)
+
+    def on_response_complete(self) -> None:
+        """Start the next pipelined request; read more only when none is left."""
+        super().on_response_complete()
+        if self.pipeline:
+            # The library resumes with each response, however many requests wait.
+            self.flow.pause_reading()
+
+    def _refuse(self) -> None:
+        logs.event("head_too_large", bytes=self._head_bytes)
+        if self.cycle is None or self.cycle.response_complete:
+            self.transport.write(HEAD_TOO_LARGE)
+        self.transport.close()
+
+
 class _Server(uvicorn.Server):
     """A server without signal handlers, whose main loop waits for an exit event.
 
@@ -64,7 +117,7 @@
         log_config=None,
         access_log=False,
         lifespan="off",
-        http="httptools",
+        http=_Protocol,
         ws="none",
         server_header=False,
         date_header=False,
