--- a/packages/daemon/cassiaquay_daemon/adapters/backends.py
+++ b/packages/daemon/cassiaquay_daemon/adapters/backends.py
@@ -13,14 +13,22 @@
 
 from cassiaquay_schema import fleet, registry
 
-from .. import exceptions
-from . import answers, breaks, signals
+from .. import bounded_http, exceptions, logs
+from . import answers, blocks, breaks, signals
 
 CONNECT_TIMEOUT_SECONDS = 2.0
 CANCEL_TIMEOUT_SECONDS = 3.0
 RESUME_TRIES = 3
 FIRST_FAILURE_STATUS = 500
 RESUME_PAUSE_SECONDS = 0.1
+# Engines send an event for each token.
+MAX_EVENT_BYTES = 1024 * 1024
+MAX_CANCEL_BYTES = 64 * 1024
+# The status of a failure counts; its body is only quoted. Within these bounds it is
+# read to its end, so that the connection can be used again.
+MAX_FAILURE_BYTES = 64 * 1024
+FAILURE_BODY_SECONDS = 0.3
+QUOTED_BYTES = 200
 
 SIGNALS = signals.HeaderNames(
     "Server-Limit", "Server-Leaving", "Retry-After", "Server-Brittle"
@@ -221,9 +229,10 @@
             async with self._http.delete(url, timeout=timeout) as response:
                 if response.status != 200:
                     return None
-                body = await response.read()
+                body = await bounded_http.read_body(response, MAX_CANCEL_BYTES)
                 body_fields = msgspec.json.decode(body, type=_CancelBody)
-        except (TimeoutError, aiohttp.ClientError, OSError):
+        except (TimeoutError, aiohttp.ClientError, OSError) as error:
+            logs.detail("cancel_failed", server=server.name, cause=repr(error))
             return None
         except msgspec.DecodeError:
             return None
@@ -275,10 +284,9 @@
         try:
             async with request as response:
                 _report_signals(response, on_signals)
-                body = await response.read()
                 if response.status >= 300:
-                    text = body[:200].decode(errors="replace")
-                    raise exceptions.Rejected(f"status {response.status}: {text}")
+                    raise exceptions.Rejected(await _failure_message(response))
+                body = await _read_whole(response, answer)
         except aiohttp.ClientConnectorError as error:
             raise exceptions.NotSent(str(error)) from error
         except aiohttp.ConnectionTimeoutError as error:
@@ -286,6 +294,8 @@
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             # The request may have run, and plain services keep no answer to read again.
             raise breaks.to_stream_interrupted(error) from error
+        finally:
+            answer.stop_receiving()
         try:
             msgspec.json.decode(body)
         except msgspec.DecodeError as error:
@@ -312,8 +322,7 @@
 async def _check(response: aiohttp.ClientResponse) -> None:
     if response.status == 200:
         return
-    text = (await response.read())[:200].decode(errors="replace")
-    message = f"status {response.status}: {text}"
+    message = await _failure_message(response)
     if response.status in (400, 503):
         raise exceptions.Declined(message)
     if response.status == 409:
@@ -322,22 +331,63 @@
     raise exceptions.Rejected(message)
 
 
+async def _failure_message(response: aiohttp.ClientResponse) -> str:
+    body = bytearray()
+    try:
+        async with asyncio.timeout(FAILURE_BODY_SECONDS):
+            while len(body) <= MAX_FAILURE_BYTES:
+                data = await response.content.readany()
+                if not data:
+                    break
+                body += data
+    except TimeoutError:
+        logs.detail("failure_incomplete", status=response.status, bytes=len(body))
+    text = body[:QUOTED_BYTES].decode(errors="replace")
+    return f"status {response.status}: {text}"
+
+
+async def _read_whole(
+    response: aiohttp.ClientResponse, answer: answers.Answer
+) -> bytes:
+    if (response.content_length or 0) > answers.MAX_ANSWER_BYTES:
+        raise exceptions.StreamInterrupted(f"{response.content_length} bytes announced")
+    body = bytearray()
+    while data := await response.content.readany():
+        body += data
+        await answer.receive(len(body))
+    return bytes(body)
+
+
 async def _read(response: aiohttp.ClientResponse, answer: answers.Answer) -> TokenUsage:
-    incomplete = b""
-    async for data in response.content.iter_any():
-        blocks = (incomplete + data).split(b"\n\n")
-        incomplete = blocks.pop()
-        for block in blocks:
-            head, _, payload = block.partition(b"\ndata: ")
-            if head == b"event: done":
-                return _final_usage(payload, answer)
-            if head != b"id: %d" % answer.count:
-                # A missing or repeated event would change the answer.
-                raise exceptions.StreamInterrupted(f"event out of order: {head[:40]!r}")
-            answer.append(payload)
+    received = blocks.Blocks()
+    try:
+        async for data in response.content.iter_any():
+            usage = _append_events(received.feed(data), answer)
+            if usage is not None:
+                return usage
+            if received.size > MAX_EVENT_BYTES:
+                raise exceptions.StreamInterrupted(
+                    f"event of over {MAX_EVENT_BYTES} bytes"
+                )
+            await answer.receive(received.size)
+    finally:
+        answer.stop_receiving()
     raise exceptions.StreamInterrupted("the stream ended without its last event")
 
 
+def _append_events(complete: bytes, answer: answers.Answer) -> TokenUsage | None:
+    """Append complete events; return the tokens used if the last one is among them."""
+    for block in complete.split(blocks.END_OF_BLOCK)[:-1]:
+        head, _, payload = block.partition(b"\ndata: ")
+        if head == b"event: done":
+            return _final_usage(payload, answer)
+        if head != b"id: %d" % answer.count:
+            # A missing or repeated event would change the answer.
+            raise exceptions.StreamInterrupted(f"event out of order: {head[:40]!r}")
+        answer.append(payload)
+    return None
+
+
 def _final_usage(payload: bytes, answer: answers.Answer) -> TokenUsage:
     try:
         done = msgspec.json.decode(payload, type=_DoneBody)
