Pass on answers whose headers or status the listener refuses

A server's answer with a control character in a header, or with a status from 600 on, left its caller with no byte: the listener refuses such a message after it has marked the answer as begun, so nothing else could be sent and the connection was closed. A header value with characters outside of Latin-1 ended as 502 outcome_unknown though the request had run, and status 101 was passed on as if the connection changed its protocol.

Control characters are replaced by blanks, as RFC 9110 (5.5) suggests; values outside of Latin-1 go on as the bytes that came. A status that is not final is no answer: 502, or another server where the route permits it, also behind a relay.

--- a/packages/daemon/cassiaquay_daemon/gateway/forwarding.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/forwarding.py
@@ -23,10 +23,12 @@
 # come earlier, and a probe costs the server little.
 SILENCE_SECONDS = 0.25
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
+FIRST_FINAL_STATUS = 200
 FIRST_REDIRECT_STATUS = 300
 # Another server now has the address of the intended one.
 WRONG_SERVER_STATUS = 421
 FIRST_SERVER_ERROR_STATUS = 500
+LAST_STATUS = 599
 STATUSES_WITHOUT_BODY = (204, 304)
 
 NO_SIGNALS = signals.Signals()
@@ -229,6 +231,9 @@
         finally:
             if watch is not None:
                 watch.cancel()
+        if not FIRST_FINAL_STATUS <= response.status <= LAST_STATUS:
+            response.close()
+            raise exceptions.StreamInterrupted(f"status {response.status} is invalid")
         found = _read_signals(outgoing.attempt, response)
         if found is None and response.status != WRONG_SERVER_STATUS:
             # A surplus answer on a kept-alive connection belongs to an earlier request
--- a/packages/daemon/cassiaquay_daemon/platform/headers.py
+++ b/packages/daemon/cassiaquay_daemon/platform/headers.py
@@ -1,6 +1,7 @@
 """Decodes callers' request headers and filters headers in both directions."""
 
 import collections.abc
+import re
 import typing
 
 import multidict
@@ -72,6 +73,9 @@
 }
 _HOP_BY_HOP_RESPONSE = {name.decode() for name in _HOP_BY_HOP} - {"content-length"}
 
+# Control characters, which are invalid in a header's value (RFC 9110, 5.5).
+_CONTROL = re.compile("[\x00-\x08\x0a-\x1f\x7f]")
+
 MAX_TOKENS = 100_000_000
 MAX_PROMPT_PARTS = 64
 # Parts of one prompt that can be recognized in other prompts.
@@ -222,8 +226,12 @@
     """Return the headers of a server's answer to send to the caller."""
     pairs = []
     for name, value in headers:
-        if name.lower() not in _HOP_BY_HOP_RESPONSE:
-            pairs.append((name.encode("latin-1"), value.encode("latin-1")))
+        if name.lower() in _HOP_BY_HOP_RESPONSE:
+            continue
+        if not value.isprintable():
+            # The listener refuses them, and the whole answer would be lost.
+            value = _CONTROL.sub(" ", value)
+        pairs.append((name.encode("latin-1"), _encode_value(value)))
     return pairs
 
 
@@ -234,6 +242,14 @@
     return signals.read(SIGNALS, status, answer_headers)
 
 
+def _encode_value(value: str) -> bytes:
+    try:
+        return value.encode("latin-1")
+    except UnicodeEncodeError:
+        # The HTTP client decodes values as UTF-8.
+        return value.encode("utf-8", "surrogateescape")
+
+
 def _connection_options(headers: Headers) -> set[bytes]:
     named: set[bytes] = set()
     for name, value in headers:
