Refuse requests whose service has left the configuration without an alarm

No request was lost or run, but the callers got no time to come back.

A pool that is gone has no servers and no shards: no_servers, or server_declined for those that held a permit.

The test publishes sixteen kinds of changes (no routes, no pools, limits far below use, 300 routes, forty versions at once, keys dropped, time limits of 1 ms, servers removed, the store back from a copy, ...) beside sixteen running, eight waiting and twenty arriving requests of all kinds.

--- a/packages/daemon/cassiaquay_daemon/configured/snapshots.py
+++ b/packages/daemon/cassiaquay_daemon/configured/snapshots.py
@@ -76,7 +76,7 @@
         """Return the number of shards of a pool, a power of two."""
         # A change of the count redistributes requests and servers. Powers of two keep
         # it constant while single servers are added and removed.
-        needed = -(-len(self.fleet.pools[pool].servers) // SHARD_SERVERS)
+        needed = -(-len(self._servers(pool)) // SHARD_SERVERS)
         return 1 << (needed - 1).bit_length() if needed else 0
 
     def siblings(self, shard: str) -> list[str]:
@@ -113,7 +113,7 @@
 
     def server(self, pool: str, name: str) -> fleet_schema.Server | None:
         """Return a backend server by name."""
-        for server in self.fleet.pools[pool].servers:
+        for server in self._servers(pool):
             if server.name == name:
                 return server
         return None
@@ -148,9 +148,14 @@
 
     def open_servers(self, pool: str) -> list[fleet_schema.Server]:
         """Return the backend servers of a pool that may get new work."""
-        servers = self.fleet.pools[pool].servers
+        servers = self._servers(pool)
         return [server for server in servers if not self.is_evacuated(server)]
 
+    def _servers(self, pool: str) -> list[fleet_schema.Server]:
+        """Return the backend servers of a pool; none if the pool has been removed."""
+        found = self.fleet.pools.get(pool)
+        return [] if found is None else found.servers
+
 
 Reader = collections.abc.Callable[[int, str], Snapshot]
 readers: registry.Registry[Reader] = registry.Registry("text format")
--- a/tests/test_unanswered.py
+++ b/tests/test_unanswered.py
@@ -1,6 +1,7 @@
 """Requests that were read whole: each gets an answer or a refusal, or is counted."""
 
 import asyncio
+import collections.abc
 import typing
 
 import gateway_fakes as fakes
@@ -128,3 +129,157 @@
             assert b"x-note: %b\r\n" % expected[1] in ended.data.lower()
 
     fakes.run(work)
+
+
+PATHS = ("/safe/x", "/book/x", "/stream/x", "/string/x")
+# Requests of each path; the servers have slots for two thirds of them.
+REQUESTS = 6
+# Objectives that are long enough for all of them to wait.
+ROUTES = [route | {"slo-ms": 4000} for route in standins.ROUTES]
+MOVED = {"chat": "plain", "plain": "chat"}
+Change = collections.abc.Callable[[fakes.Site, int], None]
+
+
+class Held:
+    """Engines that begin to answer, and go on when they are told to."""
+
+    def __init__(self) -> None:
+        self.go_on = asyncio.Event()
+
+    async def respond(
+        self, request: raw_servers.Request, writer: raw_servers.Writer
+    ) -> None:
+        """Answer a request."""
+        if not request.target.startswith("/st"):
+            await self.go_on.wait()
+            pairs = standins.seal_headers(request)
+            await raw_servers.send(writer, 200, BODY, pairs)
+            return
+        await standins.write_stream_head(request, writer)
+        await standins.write_events(request, writer, 2)
+        await self.go_on.wait()
+        for number in range(2, standins.EVENT_COUNT):
+            data = standins.event(number)
+            writer.write(b"%x\r\n%b\r\n" % (len(data), data))
+        writer.write(b"0\r\n\r\n")
+        await writer.drain()
+
+
+def put(site: fakes.Site, version: int, **overrides: object) -> None:
+    """Publish a configuration."""
+    wanted = {"routes": ROUTES} | overrides
+    site.store.put("op/config", standins.configuration(version, **wanted))
+
+
+def put_routes(site: fakes.Site, version: int, **overrides: object) -> None:
+    """Publish a configuration with changed routes."""
+    put(site, version, routes=[route | overrides for route in ROUTES])
+
+
+def put_team(site: fakes.Site, version: int, **overrides: object) -> None:
+    """Publish a configuration with a changed team."""
+    team = {"name": "blue", "api-keys": ["key"]} | overrides
+    put(site, version, tenants=[team])
+
+
+def put_many(site: fakes.Site, version: int) -> None:
+    """Publish a configuration with 300 more routes."""
+    more = [standins.route(f"/{n}/", "idempotent", "plain") for n in range(300)]
+    put(site, version, routes=ROUTES + more)
+
+
+def put_storm(site: fakes.Site, version: int) -> None:
+    """Publish forty configurations at once; each second one has no routes."""
+    for number in range(40):
+        put(site, version + number, routes=ROUTES if number % 2 else [])
+
+
+def move_routes(site: fakes.Site, version: int) -> None:
+    """Exchange the services of all routes."""
+    moved = [route | {"service": MOVED[route["service"]]} for route in ROUTES]
+    put(site, version, routes=moved)
+
+
+def remove_servers(site: fakes.Site, version: int) -> None:
+    """Remove the entries of all servers."""
+    for key in [key for key in site.store.items if key.startswith("servers/")]:
+        site.store.remove(key)
+
+
+def return_from_copy(site: fakes.Site, version: int) -> None:
+    """Let the store return from a copy that lacks the last configuration."""
+    copy = site.store.copy()
+    put(site, version, routes=[])
+    site.store.restore(copy)
+
+
+CHANGES: dict[str, Change] = {
+    "no routes": lambda site, version: put(site, version, routes=[]),
+    "no pools": lambda site, version: put(site, version, services=[]),
+    "nothing": lambda site, version: put(site, version, services=[], routes=[]),
+    "services exchanged": move_routes,
+    "limits far below use": lambda site, version: put_team(
+        site, version, **{"rate-per-s": 0.01, "burst": 0.01}
+    ),
+    "key dropped": lambda site, version: put_team(
+        site, version, **{"api-keys": ["other"]}
+    ),
+    "no teams": lambda site, version: put(site, version, tenants=[]),
+    "no bodies": lambda site, version: put(site, version, limits={"max-body-bytes": 0}),
+    "short time limit": lambda site, version: put_routes(
+        site, version, **{"timeout-ms": 1, "slo-ms": 1}
+    ),
+    "one attempt": lambda site, version: put_routes(site, version, attempts=1),
+    "unreadable": lambda site, version: site.store.put("op/config", b"{no"),
+    "removed": lambda site, version: site.store.remove("op/config"),
+    "300 routes": put_many,
+    "storm of versions": put_storm,
+    "servers removed": remove_servers,
+    "store back from a copy": return_from_copy,
+}
+
+
+async def change_beside_requests(
+    site: fakes.Site, change: Change
+) -> tuple[list[Ended], list[Ended]]:
+    """Return how requests ended that ran, and that waited or came, at a change."""
+    held = Held()
+    respond_with(site, held.respond)
+    put(site, 2)
+    while site.gateway(0)._parts.configured.current.routes.version < 2:
+        await asyncio.sleep(0.01)
+    sent = {}
+    for number in range(REQUESTS):
+        for path in PATHS:
+            attempt = f"{path[1:-2]}{number}"
+            sent[attempt] = asyncio.create_task(ask(site, path, attempt))
+    slots = 2 * sum(4 for _ in site.engines)
+    while sum(len(engine.runs) for engine in site.engines) < slots:
+        await asyncio.sleep(0.01)
+    running = {attempt for engine in site.engines for attempt in engine.runs}
+    change(site, 3)
+    for number in range(20):
+        path = PATHS[number % len(PATHS)]
+        attempt = f"late{number}"
+        sent[attempt] = asyncio.create_task(ask(site, path, attempt))
+        await asyncio.sleep(0.02)
+    held.go_on.set()
+    ran, others = [], []
+    for attempt, task in sent.items():
+        (ran if attempt in running else others).append(await task)
+    return ran, others
+
+
+@pytest.mark.parametrize("name", CHANGES)
+def test_change_beside_requests_leaves_none_without_an_answer(name: str) -> None:
+    """A change of the configuration ended requests with neither answer nor refusal."""
+
+    async def work(site: fakes.Site) -> None:
+        ran, others = await change_beside_requests(site, CHANGES[name])
+        assert all(ended.is_whole for ended in ran + others)
+        assert {ended.status for ended in ran} == {200}
+        assert not {ended.status for ended in others} & {500, 502, 504}
+        # Refusals name their cause, and none is an error of the daemon.
+        assert "internal_error" not in {ended.code for ended in others}
+
+    fakes.run(work)
