--- /dev/null
+++ b/tests/test_unanswered.py
@@ -0,0 +1,285 @@
+"""Requests that were read whole: each gets an answer or a refusal, or is counted."""
+
+import asyncio
+import collections.abc
+import typing
+
+import gateway_fakes as fakes
+import pytest
+
+from cassiaquay_dev.standins import platform_standins as standins
+from cassiaquay_dev.standins import raw_servers
+
+BODY = b"the body"
+# Time in which a connection must bring an answer or be closed.
+READ_SECONDS = 8.0
+
+
+class Ended(typing.NamedTuple):
+    """What a caller read until its connection was closed, or for its first answer."""
+
+    data: bytes
+
+    @property
+    def status(self) -> int:
+        """Status of the first answer; 0 if no byte has come."""
+        return int(self.data.split(b" ", 2)[1]) if self.data else 0
+
+    @property
+    def code(self) -> str:
+        """Code of a refusal; empty for other answers."""
+        _, _, rest = self.data.partition(b'"code":"')
+        return rest.partition(b'"')[0].decode()
+
+    @property
+    def is_whole(self) -> bool:
+        """Whether there is one answer, and it is complete."""
+        head, _, body = self.data.partition(b"\r\n\r\n")
+        if body.count(b"HTTP/1.1"):
+            return False
+        for line in head.lower().split(b"\r\n"):
+            name, _, value = line.partition(b":")
+            if name == b"content-length":
+                return len(body) == int(value)
+        return body.endswith(b"0\r\n\r\n")
+
+
+def form(path: str, attempt: str, **more: str) -> bytes:
+    """Return the bytes of a request after which the connection is to be closed."""
+    pairs = {
+        "Host": standins.HOST,
+        "Cassiaquay-Attempt-Id": attempt,
+        "Cassiaquay-Deadline-Ms": "5000",
+        "Api-Key": "key",
+        "Content-Length": "1",
+        "Connection": "close",
+    }
+    if path.startswith("/st"):
+        pairs["Cassiaquay-Model"] = "m"
+        pairs["Cassiaquay-Token-Counts"] = "100,6"
+        pairs["Cassiaquay-Prompt-Prefix"] = "aa:100"
+    for name, value in more.items():
+        pairs[name.replace("_", "-")] = value
+    lines = "".join(f"{name}: {value}\r\n" for name, value in pairs.items())
+    return f"POST {path} HTTP/1.1\r\n{lines}\r\nb".encode("latin-1")
+
+
+async def connect(
+    site: fakes.Site,
+) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    """Open a connection to the daemon, as a caller."""
+    host, _, port = site.settings[0].gateway.front.rpartition(":")
+    return await asyncio.open_connection(host, int(port))
+
+
+async def read_end(reader: asyncio.StreamReader) -> Ended:
+    """Return what comes until the connection is closed."""
+    async with asyncio.timeout(READ_SECONDS):
+        return Ended(await reader.read())
+
+
+async def ask(site: fakes.Site, path: str, attempt: str = "a1") -> Ended:
+    """Send a request on a connection of its own and return how it ended."""
+    reader, writer = await connect(site)
+    writer.write(form(path, attempt))
+    try:
+        return await read_end(reader)
+    finally:
+        writer.close()
+
+
+def respond_with(site: fakes.Site, respond: raw_servers.Respond) -> None:
+    """Let all engines answer by a function."""
+    for engine in site.engines:
+        engine.responder = respond
+
+
+@pytest.mark.parametrize(
+    ("status", "value", "expected"),
+    [
+        (200, "a\x01b", (200, b"a b")),
+        (200, "\u20ac", (200, "\u20ac".encode())),
+        (200, "\udcff", (200, b"\xff")),
+        (101, "a", (502, b"")),
+        (600, "a", (502, b"")),
+        (999, "a", (502, b"")),
+    ],
+)
+@pytest.mark.parametrize("path", ["/book/x", "/string/x"])
+def test_answer_that_the_listener_would_refuse_leaves_no_caller_without_a_status(
+    path: str, status: int, value: str, expected: tuple[int, bytes]
+) -> None:
+    """A server's invalid header or status closed its caller's connection at once."""
+
+    async def respond(request: raw_servers.Request, writer: raw_servers.Writer) -> None:
+        head = f"HTTP/1.1 {status} X\r\nX-Note: {value}\r\n"
+        writer.write(head.encode(errors="surrogateescape"))
+        for name, text in standins.seal_headers(request).items():
+            writer.write(f"{name}: {text}\r\n".encode())
+        data = standins.stream_events() if path.startswith("/st") else BODY
+        writer.write(b"Content-Length: %d\r\n\r\n%b" % (len(data), data))
+        await writer.drain()
+
+    async def work(site: fakes.Site) -> None:
+        respond_with(site, respond)
+        ended = await ask(site, path)
+        assert ended.is_whole
+        assert ended.status == expected[0]
+        if expected[1]:
+            assert b"x-note: %b\r\n" % expected[1] in ended.data.lower()
+
+    fakes.run(work)
+
+
+PATHS = ("/safe/x", "/book/x", "/stream/x", "/string/x")
+# Requests of each path; the servers have slots for two thirds of them.
+REQUESTS = 6
+# Objectives that are long enough for all of them to wait.
+ROUTES = [route | {"slo-ms": 4000} for route in standins.ROUTES]
+MOVED = {"chat": "plain", "plain": "chat"}
+Change = collections.abc.Callable[[fakes.Site, int], None]
+
+
+class Held:
+    """Engines that begin to answer, and go on when they are told to."""
+
+    def __init__(self) -> None:
+        self.go_on = asyncio.Event()
+
+    async def respond(
+        self, request: raw_servers.Request, writer: raw_servers.Writer
+    ) -> None:
+        """Answer a request."""
+        if not request.target.startswith("/st"):
+            await self.go_on.wait()
+            pairs = standins.seal_headers(request)
+            await raw_servers.send(writer, 200, BODY, pairs)
+            return
+        await standins.write_stream_head(request, writer)
+        await standins.write_events(request, writer, 2)
+        await self.go_on.wait()
+        for number in range(2, standins.EVENT_COUNT):
+            data = standins.event(number)
+            writer.write(b"%x\r\n%b\r\n" % (len(data), data))
+        writer.write(b"0\r\n\r\n")
+        await writer.drain()
+
+
+def put(site: fakes.Site, version: int, **overrides: object) -> None:
+    """Publish a configuration."""
+    wanted = {"routes": ROUTES} | overrides
+    site.store.put("op/config", standins.configuration(version, **wanted))
+
+
+def put_routes(site: fakes.Site, version: int, **overrides: object) -> None:
+    """Publish a configuration with changed routes."""
+    put(site, version, routes=[route | overrides for route in ROUTES])
+
+
+def put_team(site: fakes.Site, version: int, **overrides: object) -> None:
+    """Publish a configuration with a changed team."""
+    team = {"name": "blue", "api-keys": ["key"]} | overrides
+    put(site, version, tenants=[team])
+
+
+def put_many(site: fakes.Site, version: int) -> None:
+    """Publish a configuration with 300 more routes."""
+    more = [standins.route(f"/{n}/", "idempotent", "plain") for n in range(300)]
+    put(site, version, routes=ROUTES + more)
+
+
+def put_storm(site: fakes.Site, version: int) -> None:
+    """Publish forty configurations at once; each second one has no routes."""
+    for number in range(40):
+        put(site, version + number, routes=ROUTES if number % 2 else [])
+
+
+def move_routes(site: fakes.Site, version: int) -> None:
+    """Exchange the services of all routes."""
+    moved = [route | {"service": MOVED[route["service"]]} for route in ROUTES]
+    put(site, version, routes=moved)
+
+
+def remove_servers(site: fakes.Site, version: int) -> None:
+    """Remove the entries of all servers."""
+    for key in [key for key in site.store.items if key.startswith("servers/")]:
+        site.store.remove(key)
+
+
+def return_from_copy(site: fakes.Site, version: int) -> None:
+    """Let the store return from a copy that lacks the last configuration."""
+    copy = site.store.copy()
+    put(site, version, routes=[])
+    site.store.restore(copy)
+
+
+CHANGES: dict[str, Change] = {
+    "no routes": lambda site, version: put(site, version, routes=[]),
+    "no pools": lambda site, version: put(site, version, services=[]),
+    "nothing": lambda site, version: put(site, version, services=[], routes=[]),
+    "services exchanged": move_routes,
+    "limits far below use": lambda site, version: put_team(
+        site, version, **{"rate-per-s": 0.01, "burst": 0.01}
+    ),
+    "key dropped": lambda site, version: put_team(
+        site, version, **{"api-keys": ["other"]}
+    ),
+    "no teams": lambda site, version: put(site, version, tenants=[]),
+    "no bodies": lambda site, version: put(site, version, limits={"max-body-bytes": 0}),
+    "short time limit": lambda site, version: put_routes(
+        site, version, **{"timeout-ms": 1, "slo-ms": 1}
+    ),
+    "one attempt": lambda site, version: put_routes(site, version, attempts=1),
+    "unreadable": lambda site, version: site.store.put("op/config", b"{no"),
+    "removed": lambda site, version: site.store.remove("op/config"),
+    "300 routes": put_many,
+    "storm of versions": put_storm,
+    "servers removed": remove_servers,
+    "store back from a copy": return_from_copy,
+}
+
+
+async def change_beside_requests(
+    site: fakes.Site, change: Change
+) -> tuple[list[Ended], list[Ended]]:
+    """Return how requests ended that ran, and that waited or came, at a change."""
+    held = Held()
+    respond_with(site, held.respond)
+    put(site, 2)
+    while site.gateway(0)._parts.configured.current.routes.version < 2:
+        await asyncio.sleep(0.01)
+    sent = {}
+    for number in range(REQUESTS):
+        for path in PATHS:
+            attempt = f"{path[1:-2]}{number}"
+            sent[attempt] = asyncio.create_task(ask(site, path, attempt))
+    slots = 2 * sum(4 for _ in site.engines)
+    while sum(len(engine.runs) for engine in site.engines) < slots:
+        await asyncio.sleep(0.01)
+    running = {attempt for engine in site.engines for attempt in engine.runs}
+    change(site, 3)
+    for number in range(20):
+        path = PATHS[number % len(PATHS)]
+        attempt = f"late{number}"
+        sent[attempt] = asyncio.create_task(ask(site, path, attempt))
+        await asyncio.sleep(0.02)
+    held.go_on.set()
+    ran, others = [], []
+    for attempt, task in sent.items():
+        (ran if attempt in running else others).append(await task)
+    return ran, others
+
+
+@pytest.mark.parametrize("name", CHANGES)
+def test_change_beside_requests_leaves_none_without_an_answer(name: str) -> None:
+    """A change of the configuration ended requests with neither answer nor refusal."""
+
+    async def work(site: fakes.Site) -> None:
+        ran, others = await change_beside_requests(site, CHANGES[name])
+        assert all(ended.is_whole for ended in ran + others)
+        assert {ended.status for ended in ran} == {200}
+        assert not {ended.status for ended in others} & {500, 502, 504}
+        # Refusals name their cause, and none is an error of the daemon.
+        assert "internal_error" not in {ended.code for ended in others}
+
+    fakes.run(work)
