Bound what a server sends beside the bodies of its answers

What callers saw: a server in trouble that sent blank lines, interim answers or a chunk extension without end held its requests until their deadlines (504), and a flood of surplus answers on idle connections filled the memory of the instance.

Cause: aiohttp bounds each line of a head and the number of headers, but not blank lines before a status line, interim answers, chunk extensions, nor what arrives on a connection on which no answer is awaited; its queue of answers has no bound.

Why this works: the handler of each client connection counts the bytes since the request was sent, the head was complete or a byte of body arrived; beyond a bound it closes the connection and fails the answer. The errors are neither of the two kinds that count as a crashed server, so that a request is not quarantined. Only the first interim answer and the first final one are queued. Errors of the library quote what was received; they are shortened, since up to 256 KiB went into the log.

Open: an answer of which head and body arrive together with surplus bytes that cannot be parsed is lost, as before; the parser drops it.

--- a/packages/daemon/cassiaquay_daemon/bounded_http.py
+++ b/packages/daemon/cassiaquay_daemon/bounded_http.py
@@ -1,16 +1,191 @@
 """Bounds on what HTTP servers may send to this process.
 
 A server in trouble may send bytes without end. Without bounds they fill the memory of
-the instance, which is then killed with all its requests.
+the instance, which is then killed with all its requests. The client library bounds each
+line of a head, but not how many heads, blank lines, chunk extensions or surplus answers
+a server sends.
 """
 
+import asyncio
+import collections.abc
+import functools
+import typing
+
 import aiohttp
+from aiohttp import client_proto, http_exceptions
+
+from . import logs
+
+# Bytes of the head of one answer, with the interim answers before it.
+MAX_HEAD_BYTES = 64 * 1024
+# A server that works for long may send one each second until it answers.
+MAX_INTERIM_ANSWERS = 300
+# Bytes of chunk sizes, chunk extensions and trailers without a byte of body.
+MAX_FRAMING_BYTES = 64 * 1024
+# Reading from a connection stops while twice as many bytes are unread.
+READ_BUFFER_BYTES = 64 * 1024
+# Characters of the client library's errors, which quote what was received.
+MAX_ERROR_CHARACTERS = 200
+SWITCHING_PROTOCOLS_STATUS = 101
+FIRST_FINAL_STATUS = 200
+
+Received = tuple[aiohttp.http.RawResponseMessage, aiohttp.StreamReader]
 
 
 class ResponseTooLarge(aiohttp.ClientError):
     """A response is larger than its reader accepts."""
 
 
+class InvalidResponse(aiohttp.ClientError):
+    """A server sent bytes that belong to no response."""
+
+
+class BoundedHandler(client_proto.ResponseHandler):
+    """Response handler that closes a connection once a bound is exceeded.
+
+    The answer fails with ResponseTooLarge or InvalidResponse: a server that sends too
+    much has not crashed.
+
+    Parameters
+    ----------
+    loop : AbstractEventLoop
+        The event loop.
+    """
+
+    def __init__(self, loop: asyncio.AbstractEventLoop):
+        super().__init__(loop)
+        # Whether a request is under way whose answer is not complete.
+        self._is_awaited = False
+        self._interim_count = 0
+        self._has_surplus = False
+        # Body of the answer, once its head is complete, and its length so far.
+        self._body: aiohttp.StreamReader | None = None
+        self._body_bytes = 0
+        # Received without the end of the head or a byte of body.
+        self._other_bytes = 0
+
+    def set_response_params(self, **options: typing.Any) -> None:
+        """Prepare for the answer to a request that is about to be sent."""
+        self._is_awaited = self._exception is None
+        self._interim_count = 0
+        self._has_surplus = False
+        self._body = None
+        self._other_bytes = 0
+        super().set_response_params(**options)
+
+    def feed_data(self, data: Received, size: int = 0) -> None:
+        """Queue the head of an answer."""
+        message, body = data
+        if self._body is not None:
+            self._has_surplus = True
+            return
+        if not _is_interim(message.code):
+            self._body = body
+            self._body_bytes = -1
+            self._other_bytes = 0
+            super().feed_data(data, size)
+            return
+        self._interim_count += 1
+        # The first one lets the client send a body that waits for it.
+        if self._interim_count == 1:
+            super().feed_data(data, size)
+
+    def data_received(self, data: bytes) -> None:
+        """Parse received bytes; close the connection once a bound is exceeded."""
+        if not self._is_awaited:
+            if data and self._exception is None:
+                self._refuse(len(data))
+            return
+        super().data_received(data)
+        body = self._body
+        if body is None:
+            self._check_head(len(data))
+            return
+        if body.is_eof():
+            self._is_awaited = False
+            if self._has_surplus:
+                self._refuse(len(data))
+        elif body.total_bytes != self._body_bytes:
+            self._body_bytes = body.total_bytes
+            self._other_bytes = 0
+        else:
+            self._check_framing(len(data))
+
+    def set_exception(self, exc: BaseException, *causes: BaseException) -> None:
+        """Fail the answer."""
+        if isinstance(exc, http_exceptions.HttpProcessingError):
+            exc = InvalidResponse(exc.message[:MAX_ERROR_CHARACTERS])
+        super().set_exception(exc, *causes)
+
+    def _check_head(self, size: int) -> None:
+        self._other_bytes += size
+        if self._other_bytes > MAX_HEAD_BYTES:
+            self._fail(ResponseTooLarge(f"{self._other_bytes} bytes and no head"))
+        elif self._interim_count > MAX_INTERIM_ANSWERS:
+            count = self._interim_count
+            self._fail(ResponseTooLarge(f"{count} interim answers and no other"))
+
+    def _check_framing(self, size: int) -> None:
+        self._other_bytes += size
+        if self._other_bytes > MAX_FRAMING_BYTES:
+            self._fail(
+                ResponseTooLarge(f"{self._other_bytes} bytes and none of the body")
+            )
+
+    def _refuse(self, size: int) -> None:
+        """Close a connection on which bytes have arrived that no request asked for."""
+        peer = self.transport and self.transport.get_extra_info("peername")
+        logs.event("surplus_bytes", address=_format(peer), bytes=size)
+        self._fail(InvalidResponse(f"surplus among {size} bytes"))
+
+    def _fail(self, error: BaseException) -> None:
+        self._is_awaited = False
+        self.set_exception(error)
+        if self._body is not None and not self._body.is_eof():
+            self._body.set_exception(error)
+        # Otherwise its parser would report an incomplete body when it is closed.
+        self._payload = None
+        if self.transport is not None:
+            self.transport.abort()
+
+
+class BoundedRequest(aiohttp.ClientRequest):
+    """Request that is not written to a connection that has failed."""
+
+    async def send(self, conn: aiohttp.connector.Connection) -> aiohttp.ClientResponse:
+        """Write the request to an open connection."""
+        error = conn.protocol and conn.protocol.exception()
+        if error:
+            raise error
+        return await super().send(conn)
+
+
+Factory = collections.abc.Callable[
+    [asyncio.AbstractEventLoop], client_proto.ResponseHandler
+]
+
+
+def create_connector(
+    create_handler: Factory = BoundedHandler, **options: typing.Any
+) -> aiohttp.TCPConnector:
+    """Return a connector without a limit of connections and with bounded handlers."""
+    connector = aiohttp.TCPConnector(limit=0, **options)
+    # aiohttp has no public way to set the protocol class of a connector.
+    factory: typing.Any = functools.partial(create_handler, connector._loop)
+    connector._factory = factory
+    return connector
+
+
+def create_session(
+    connector: aiohttp.TCPConnector, **options: typing.Any
+) -> aiohttp.ClientSession:
+    """Return a session whose connections buffer little."""
+    options = {"request_class": BoundedRequest} | options
+    return aiohttp.ClientSession(
+        connector=connector, read_bufsize=READ_BUFFER_BYTES, **options
+    )
+
+
 async def read_body(response: aiohttp.ClientResponse, max_bytes: int) -> bytes:
     """Return the complete body of a response; raise ResponseTooLarge over a bound."""
     if (response.content_length or 0) > max_bytes:
@@ -21,3 +196,13 @@
         if len(body) > max_bytes:
             raise ResponseTooLarge(f"over {max_bytes} bytes")
     return bytes(body)
+
+
+def _is_interim(status: int) -> bool:
+    if status == SWITCHING_PROTOCOLS_STATUS:
+        return False
+    return status < FIRST_FINAL_STATUS
+
+
+def _format(peer: typing.Any) -> str:
+    return f"{peer[0]}:{peer[1]}" if peer else ""
--- a/packages/daemon/cassiaquay_daemon/daemon.py
+++ b/packages/daemon/cassiaquay_daemon/daemon.py
@@ -5,13 +5,21 @@
 import signal
 import socket
 
-import aiohttp
 import uvicorn
 from starlette import applications
 
 from cassiaquay_schema import settings as settings_schema
 
-from . import early_bind, listeners, logs, pause, platform, reloading, sockets
+from . import (
+    bounded_http,
+    early_bind,
+    listeners,
+    logs,
+    pause,
+    platform,
+    reloading,
+    sockets,
+)
 from .adapters import backends
 from .decisions import quarantine, server_states
 from .engines import engine_reports, reconciler
@@ -60,9 +68,8 @@
         self._file = file
         self._stopping = asyncio.Event()
         self._incarnation = tokens.new_incarnation()
-        self._http = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(
-                limit=0,
+        self._http = bounded_http.create_session(
+            bounded_http.create_connector(
                 keepalive_timeout=MAX_IDLE_CONNECTION_SECONDS,
                 socket_factory=sockets.create,
             ),
--- a/packages/daemon/cassiaquay_daemon/gateway/connections.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/connections.py
@@ -9,9 +9,8 @@
 
 import aiohttp
 import multidict
-from aiohttp import client_proto
 
-from .. import clock, sockets
+from .. import bounded_http, clock, sockets
 from ..adapters import backends, breaks
 from ..decisions import paths
 from ..platform import headers
@@ -26,10 +25,7 @@
 STATED_IDLE_SHARE = 0.8
 
 
-_Received = tuple[aiohttp.http.RawResponseMessage, aiohttp.StreamReader]
-
-
-class _ResponseHandler(client_proto.ResponseHandler):
+class _ResponseHandler(bounded_http.BoundedHandler):
     """Response handler that reports lost connections and observes the path.
 
     Parameters
@@ -52,13 +48,14 @@
         """Return whether the connection may be used again."""
         return super().is_connected() and clock.now() < self._reusable_until
 
-    def feed_data(self, data: _Received, size: int = 0) -> None:
+    def feed_data(self, data: bounded_http.Received, size: int = 0) -> None:
         """Read from the head of an answer how long the server keeps idle connections.
 
         The client library ignores it.
         """
         message, _ = data
         self._idle_seconds = _read_idle_seconds(message.headers)
+        self._reusable_until = math.inf
         super().feed_data(data, size)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -71,9 +68,11 @@
 
     def data_received(self, data: bytes) -> None:
         """Record that the server was heard."""
-        self._paths.heard(self._address)
+        if data:
+            self._paths.heard(self._address)
         super().data_received(data)
-        self._reusable_until = clock.now() + self._idle_seconds
+        if self._idle_seconds < math.inf:
+            self._reusable_until = clock.now() + self._idle_seconds
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Fail an answer that was being read when the connection was reset.
@@ -99,7 +98,7 @@
         payload.set_exception(error)
 
 
-class _TimedRequest(aiohttp.ClientRequest):
+class _TimedRequest(bounded_http.BoundedRequest):
     """Request that states the time left when it is written, and adapts its socket.
 
     Opening a connection takes up to a third of a second, and longer on a busy machine.
@@ -138,18 +137,13 @@
 
     def create_session(self) -> aiohttp.ClientSession:
         """Return the session for proxied requests."""
-        connector = aiohttp.TCPConnector(
-            limit=0,
+        connector = bounded_http.create_connector(
+            functools.partial(_ResponseHandler, self._paths),
             keepalive_timeout=IDLE_TIMEOUT_SECONDS,
             socket_factory=self._create_socket,
         )
-        # aiohttp has no public way to set the protocol class of a connector.
-        factory: typing.Any = functools.partial(
-            _ResponseHandler, self._paths, loop=connector._loop
-        )
-        connector._factory = factory
-        session = aiohttp.ClientSession(
-            connector=connector,
+        session = bounded_http.create_session(
+            connector,
             request_class=_TimedRequest,
             cookie_jar=aiohttp.DummyCookieJar(),
             auto_decompress=False,
--- a/packages/daemon/cassiaquay_daemon/keepers/baselines.py
+++ b/packages/daemon/cassiaquay_daemon/keepers/baselines.py
@@ -13,12 +13,13 @@
 
 from cassiaquay_schema import fleet, messages
 
-from .. import clock, rendezvous
+from .. import bounded_http, clock, rendezvous
 from ..decisions import policies, shards, software_versions
 
 # Under this policy each owner is the keeper of every shard for its own requests.
 LOCAL = "first-come-local"
 POLL_SECONDS = 0.5
+MAX_LOAD_BYTES = 64 * 1024
 
 
 class _Immediate:
@@ -110,12 +111,13 @@
 
     async def _poll_loads(self, servers: list[fleet.Server]) -> None:
         timeout = aiohttp.ClientTimeout(total=POLL_SECONDS)
-        async with aiohttp.ClientSession(timeout=timeout) as http:
+        connector = bounded_http.create_connector()
+        async with bounded_http.create_session(connector, timeout=timeout) as http:
             for server in servers:
                 url = f"http://{server.address}/v1/load"
                 try:
                     async with http.get(url) as response:
-                        body = await response.read()
+                        body = await bounded_http.read_body(response, MAX_LOAD_BYTES)
                     load = msgspec.json.decode(body, type=_Load)
                 except (TimeoutError, aiohttp.ClientError, msgspec.DecodeError):
                     # Plain services report no load, and an engine may be down.
