End an answer at once whose chunks cannot be parsed

What callers saw: a body with a malformed chunk size or trailer ended at the deadline of its request, or left the server only after a silence, although nothing more can come.

The handler passes the error on to the body. It is not a broken connection: the server lives.

--- a/packages/daemon/cassiaquay_daemon/bounded_http.py
+++ b/packages/daemon/cassiaquay_daemon/bounded_http.py
@@ -97,6 +97,10 @@
                 self._refuse(len(data))
             return
         super().data_received(data)
+        if isinstance(self._exception, InvalidResponse):
+            # aiohttp fails the head only; the body would be awaited for ever.
+            self._fail(self._exception)
+            return
         body = self._body
         if body is None:
             self._check_head(len(data))
--- a/tests/test_endless_heads.py
+++ b/tests/test_endless_heads.py
@@ -255,6 +255,7 @@
 
 
 _ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+_CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n"
 
 
 @pytest.mark.parametrize("more", [b"HTTP/1.1 200 OK\r\n\r\n", b"\r\n", b"x"])
@@ -288,6 +289,21 @@
     asyncio.run(work())
 
 
+@pytest.mark.parametrize("bad", [b"zz\r\n", b"0\r\nno trailer\r\n\r\n"])
+def test_bad_chunk_ends_its_answer_at_once(bad: bytes) -> None:
+    """Guards against a body whose reader waits for the rest until its deadline."""
+
+    async def work() -> None:
+        server = _Server(pieces=(_CHUNKED, bad))
+        async with _session(server) as http:
+            response = await http.get(f"http://{server.address}/")
+            async with asyncio.timeout(CLOSED_SECONDS):
+                with pytest.raises(bounded_http.InvalidResponse):
+                    await response.read()
+
+    asyncio.run(work())
+
+
 def test_sound_interim_answers_and_large_heads_pass() -> None:
     """Guards against bounds that a sound server meets."""
 
