Count a server as awake only while it sends answers

What callers saw: streams ended at their deadlines (504) at a server whose head or trailers never came to an end, though another server would have answered.

Cause: any byte counted as a sign of life. While a request is at a second server, a first one that is awake keeps the stream and the second is left after 0.2 s; with a server that drips bytes of no answer, each second server that needs longer for its head was left, until no attempt was left.

Now a server is awake when the head of an answer is complete or bytes of a body arrive. Any byte still shows that the path to it is open. Bytes parsed from a buffer, after a pause of the reader, are no longer a sign of either.

--- a/packages/daemon/cassiaquay_daemon/bounded_http.py
+++ b/packages/daemon/cassiaquay_daemon/bounded_http.py
@@ -114,6 +114,13 @@
             self._other_bytes = 0
         else:
             self._check_framing(len(data))
+            return
+        # Without data, bytes that had arrived before were parsed.
+        if data:
+            self.progressed()
+
+    def progressed(self) -> None:
+        """Note that the head of an answer, or bytes of its body, have arrived."""
 
     def set_exception(self, exc: BaseException, *causes: BaseException) -> None:
         """Fail the answer."""
--- a/packages/daemon/cassiaquay_daemon/decisions/paths.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/paths.py
@@ -64,7 +64,7 @@
         self._list_servers = list_servers
         self._doubts: dict[str, _Doubt] = {}
         self._heard_at: dict[str, float] = {}
-        self._received_at: dict[str, float] = {}
+        self._answered_at: dict[str, float] = {}
 
     @property
     def lost(self) -> set[str]:
@@ -101,15 +101,20 @@
         return self._heard_at.get(address, since - 1.0) < since
 
     def has_sent(self, address: str, since: float) -> bool:
-        """Return whether bytes were received from a server since ``since``.
+        """Return whether a part of an answer came from a server since ``since``.
 
-        Connections do not count: those to a stopped process are opened, too.
+        Connections do not count: those to a stopped process are opened, too. Nor do
+        bytes that belong to no answer: a server in trouble may send them without end.
         """
-        return self._received_at.get(address, since - 1.0) >= since
+        return self._answered_at.get(address, since - 1.0) >= since
 
     def heard(self, address: str) -> None:
         """Record that bytes were received from a server."""
-        self._heard_at[address] = self._received_at[address] = clock.now()
+        self._heard_at[address] = clock.now()
+
+    def answered(self, address: str) -> None:
+        """Record that the head or a part of the body of an answer was received."""
+        self._answered_at[address] = clock.now()
 
     def doubt(self, address: str, cause: str) -> None:
         """Probe the path to a server, unless it was connected to a moment ago."""
@@ -185,7 +190,7 @@
 
     def _forget_unlisted(self) -> None:
         listed = self._listed()
-        for table in (self._doubts, self._heard_at, self._received_at):
+        for table in (self._doubts, self._heard_at, self._answered_at):
             for address in [name for name in table if name not in listed]:
                 del table[address]
 
--- a/packages/daemon/cassiaquay_daemon/gateway/connections.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/connections.py
@@ -74,6 +74,10 @@
         if self._idle_seconds < math.inf:
             self._reusable_until = clock.now() + self._idle_seconds
 
+    def progressed(self) -> None:
+        """Record that the server answers."""
+        self._paths.answered(self._address)
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Fail an answer that was being read when the connection was reset.
 
--- a/tests/silence_fakes.py
+++ b/tests/silence_fakes.py
@@ -170,6 +170,11 @@
     for engine in site.engines:
         site.register(engine, slots=SLOTS)
     await publish(site, 2)
+    await until_listed(site, engine_count)
+
+
+async def until_listed(site: fakes.Site, engine_count: int) -> None:
+    """Wait until each daemon lists this number of engines."""
     for number in range(len(site.daemons)):
         while not _has_slots(_snapshot(site, number), engine_count):
             await asyncio.sleep(0.01)
--- a/tests/test_endless_heads.py
+++ b/tests/test_endless_heads.py
@@ -37,6 +37,8 @@
 WHOLE_SECONDS = 2.6
 # Time in which a client that got too much closes its connection.
 CLOSED_SECONDS = 1.0
+# Time before the head of a sound answer.
+PREFILL_SECONDS = 0.4
 OWNER = 0
 RELAYED = pytest.mark.parametrize("relayed", [False, True], ids=["direct", "relayed"])
 
@@ -84,6 +86,14 @@
                 await asyncio.sleep(0.01)
 
 
+async def _respond_late(
+    request: raw_servers.Request, writer: raw_servers.Writer
+) -> None:
+    """Answer after a time that is longer than two servers may work on a stream."""
+    await asyncio.sleep(PREFILL_SECONDS)
+    await standins.send_complete_answer(request, writer)
+
+
 class Asked(typing.NamedTuple):
     """An answer with its route, what its servers did and how long it took."""
 
@@ -172,6 +182,32 @@
     asyncio.run(work())
 
 
+@RELAYED
+def test_drops_around_a_body_cost_no_answer(relayed: bool) -> None:
+    """Guards against requests that stay with a server whose drops are no answer."""
+
+    async def work() -> None:
+        troubled = Troubled(drips=True)
+        async with silence_fakes.site(2 if relayed else 1) as site:
+            first, second = site.engines
+            first.responder = troubled.respond
+            second.responder = _respond_late
+            for name in (second.name, f"{second.name}-plain"):
+                site.store.remove(f"servers/{name}")
+            await silence_fakes.until_listed(site, 1)
+            with _relayed(site, relayed):
+                # An answer before surplus bytes has ended before they come.
+                kinds = [*HEADS, *FRAMINGS]
+                asking = _ask_all(site, ROUTES, kinds)
+                await silence_fakes.until_run(site, len(ROUTES) * len(kinds))
+                site.register(second, slots=silence_fakes.SLOTS)
+                assert not _faults(site, await asking, drips=True)
+            await troubled.until_closed()
+            assert not _suspects(site)
+
+    asyncio.run(work())
+
+
 def test_floods_of_all_servers_end_each_request_clearly() -> None:
     """Guards against requests that wait for servers that send no answer."""
 
