Fuzz the responses of servers

Any bytes in any pieces, with or without an end, end in a whole response or an error before the server could send 64 MiB.

--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -3,15 +3,17 @@
 import asyncio
 import typing
 
+import aiohttp
 import hypothesis
 import msgpack
 import owner_fakes
 import pytest
 from hypothesis import strategies
 
-from cassiaquay_daemon import exceptions
+from cassiaquay_daemon import bounded_http, exceptions
 from cassiaquay_daemon.links import frames, peers
 from cassiaquay_daemon.owners import requests, tokens
+from cassiaquay_dev.network import listening
 from cassiaquay_schema import exceptions as schema_exceptions
 from cassiaquay_schema import messages, texts
 
@@ -33,6 +35,33 @@
     strategies.sampled_from(sorted(messages.BY_CODE)),
     strategies.lists(VALUES, max_size=12),
 )
+RESPONSE_PARTS = [
+    b"HTTP/1.1 200 OK\r\n",
+    b"HTTP/1.1 100 Continue\r\n\r\n",
+    b"Content-Length: 5\r\n",
+    b"Transfer-Encoding: chunked\r\n",
+    b"\r\n",
+    b"\n",
+    b"5\r\nhello\r\n",
+    b"5;a=",
+    b"0\r\n\r\n",
+    b"0\r\nX: ",
+    b"hello",
+    b"id: 0\ndata: ",
+]
+RESPONSE_STARTS = [
+    b"",
+    b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n",
+    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n",
+]
+PIECES = strategies.lists(
+    strategies.sampled_from(RESPONSE_PARTS) | strategies.binary(min_size=1, max_size=9),
+    min_size=1,
+    max_size=4,
+)
+MAX_BODY_BYTES = 100_000
+FLOOD_BYTES = 64 * 1024 * 1024
 
 
 @REPEATABLE
@@ -127,3 +156,68 @@
             await listening.stop()
 
     asyncio.run(work())
+
+
+class _Sender(listening.Listener):
+    """Answers with pieces; repeats the last one until the client closes."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.pieces: list[bytes] = []
+        self.is_endless = False
+        self.sent_bytes = 0
+
+    async def _serve_connection(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            await reader.readuntil(b"\r\n\r\n")
+            for piece in self.pieces:
+                writer.write(piece)
+                await writer.drain()
+                await asyncio.sleep(0)
+            block = self.pieces[-1] * (65536 // len(self.pieces[-1]))
+            while self.is_endless and self.sent_bytes < FLOOD_BYTES:
+                writer.write(block)
+                self.sent_bytes += len(block)
+                await writer.drain()
+                await asyncio.sleep(0)
+        except ConnectionError:
+            return
+
+
+def test_arbitrary_bytes_of_a_server_end_in_a_whole_response_or_an_error():
+    """Guards against a response that is awaited, or buffered, without a bound."""
+
+    async def fetch(sender: _Sender, http: aiohttp.ClientSession) -> None:
+        async with asyncio.timeout(5.0):
+            try:
+                async with http.get(f"http://{sender.address}/") as response:
+                    await bounded_http.read_body(response, MAX_BODY_BYTES)
+            except aiohttp.ClientError:
+                return
+
+    with asyncio.Runner() as runner:
+        sender = _Sender()
+        runner.run(sender.start())
+        http = runner.run(_open())
+
+        @REPEATABLE
+        @hypothesis.given(
+            strategies.sampled_from(RESPONSE_STARTS), PIECES, strategies.booleans()
+        )
+        def check(start: bytes, pieces: list[bytes], is_endless: bool) -> None:
+            sender.pieces, sender.is_endless = [start, *pieces], is_endless
+            sender.sent_bytes = 0
+            runner.run(fetch(sender, http))
+            assert sender.sent_bytes < FLOOD_BYTES
+
+        try:
+            check()
+        finally:
+            runner.run(http.close())
+            runner.run(sender.stop())
+
+
+async def _open() -> aiohttp.ClientSession:
+    return bounded_http.create_session(bounded_http.create_connector())
