Take a server that drips for a silent one: progress is not bytes

What callers saw: a server in trouble that sent a byte now and then, in a plain body, in the body of a failure, in an event that never ended or in comments, was never silent. No second server was asked, and the request ended at its deadline: 504, or a resumable stream that was cut, while two servers idled.

Now a try is heard when its answer goes on: at its head, with each event of a stream (comments are passed on with the next one), with each 16 KiB of a body and at its end. A failure whose body does not come is silent after 0.25 s. A plain body that still grows at half of the request's time may have no end, so that another server is asked then, too. A second server is left for a silent one that wakes up only if an answer of the latter has gone on, not for its drips. Over 1 MiB from one event to the next, comments included, a stream is cut and resumed elsewhere. No received byte of a stream is searched twice.

Drips now come in 30% of the generated schedules of silences.

test_events_without_ids_are_counted counted a comment as an event; it now counts two events, and two new tests say what becomes of comments.

Logs: answer_cut says at which part the answer was, how much had come, the bound that it met and the time without progress; answer_late the same at a deadline.

--- a/packages/daemon/cassiaquay_daemon/decisions/hedges.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/hedges.py
@@ -24,6 +24,12 @@
 SEARCH_INTERVAL_SECONDS = 0.25
 # Time for which two servers may work on one stream; 0.4 s is the most allowed.
 OVERLAP_SECONDS = 0.2
+# Bytes of a body that count as progress. A server in trouble may send some bytes now
+# and then, which must not keep the request from another server.
+PROGRESS_BYTES = 16 * 1024
+# Share of its time after which a plain answer that still grows counts as silent. It may
+# have no end, and a second server needs time, too.
+GROWTH_SHARE = 0.5
 # Interval at which a waiting request looks at its servers.
 CHECK_SECONDS = 0.05
 
@@ -62,8 +68,8 @@
     has_other_begun : bool
         Whether one of the other servers has begun to answer.
     is_awake : bool
-        Whether the silent server has sent anything, on any connection, since the newest
-        of the others has the request.
+        Whether any answer of the silent server has gone on since the newest of the
+        others has the request.
     """
 
     is_stream: bool
@@ -77,9 +83,18 @@
 
 
 def patience_seconds(
-    is_stream: bool, objective_seconds: float, prompt_tokens: int
+    is_stream: bool,
+    objective_seconds: float,
+    prompt_tokens: int,
+    is_failure: bool = False,
 ) -> float:
-    """Return the time without a byte after which a server counts as silent."""
+    """Return the time without progress after which a server counts as silent.
+
+    Once the answer is known to be a failure (``is_failure``), nothing but its body is
+    left to wait for.
+    """
+    if is_failure:
+        return MIN_PATIENCE_SECONDS
     if not is_stream:
         return max(objective_seconds, MIN_PATIENCE_SECONDS)
     prefill_seconds = prompt_tokens / SLOW_PREFILL_TOKENS_PER_SECOND
--- a/packages/daemon/cassiaquay_daemon/gateway/events.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/events.py
@@ -2,12 +2,21 @@
 
 A server may fail in the middle of an event. Only complete events are forwarded, so that
 a stream resumed at another server continues at the start of an event.
+
+Comments and blank blocks are no events. They are passed on with the next event, so that
+a server that sends nothing else counts as silent.
 """
 
+import re
 import typing
 
+from ..adapters import blocks
+
+# Bound on the bytes from one event to the next, comments included.
 MAX_EVENT_BYTES = 1024 * 1024
 NO_EVENT = -1
+# A line that makes a block an event.
+_EVENT_LINE = re.compile(rb"^(?:id|data)(?::|$)", re.MULTILINE)
 
 
 class Events(typing.NamedTuple):
@@ -16,7 +25,7 @@
     Attributes
     ----------
     data : bytes
-        Their bytes, as the server sent them.
+        Their bytes, as the server sent them, and those of the comments between them.
     event_count : int
         Number of events.
     last : int
@@ -31,50 +40,71 @@
     last: int
 
 
+NOTHING = Events(b"", 0, NO_EVENT, NO_EVENT)
+
+
 class Splitter:
     """Buffers received bytes and returns complete events."""
 
     def __init__(self) -> None:
-        self._incomplete = b""
+        self._blocks = blocks.Blocks()
+        self._comments = bytearray()
 
     @property
     def is_empty(self) -> bool:
         """Whether no incomplete event is buffered."""
-        return not self._incomplete
+        return not self._blocks.size
+
+    @property
+    def size(self) -> int:
+        """Number of buffered bytes."""
+        return self._blocks.size + len(self._comments)
 
     @property
     def is_too_long(self) -> bool:
-        """Whether the incomplete event exceeds the size limit."""
-        return len(self._incomplete) > MAX_EVENT_BYTES
+        """Whether the bytes since the last event exceed the size limit."""
+        return self.size > MAX_EVENT_BYTES
 
     def feed(self, data: bytes) -> Events:
         """Buffer ``data`` and return the events that it completes."""
-        text = self._incomplete + data
-        end = text.rfind(b"\n\n")
-        if end < 0:
-            self._incomplete = text
-            return Events(b"", 0, NO_EVENT, NO_EVENT)
-        whole, self._incomplete = text[: end + 2], text[end + 2 :]
+        complete = self._blocks.feed(data)
+        if not complete:
+            return NOTHING
+        if not _EVENT_LINE.search(complete):
+            self._comments += complete
+            return NOTHING
         first, last, count = NO_EVENT, NO_EVENT, 0
-        for event in whole.split(b"\n\n"):
-            if not event.strip():
+        for block in complete.split(blocks.END_OF_BLOCK):
+            is_event, event_id = _read_block(block)
+            if not is_event:
                 continue
             count += 1
-            event_id = _event_id(event)
             if event_id == NO_EVENT:
                 continue
             last = event_id
             if first == NO_EVENT:
                 first = event_id
-        return Events(whole, count, first, last)
+        if self._comments:
+            complete = self.take_comments() + complete
+        return Events(complete, count, first, last)
+
+    def take_comments(self) -> bytes:
+        """Return the complete blocks since the last event."""
+        taken, self._comments = self._comments, bytearray()
+        return bytes(taken)
 
 
-def _event_id(event: bytes) -> int:
-    for line in event.split(b"\n"):
+def _read_block(block: bytes) -> tuple[bool, int]:
+    """Return whether a block is an event, and its id."""
+    is_event = False
+    for line in block.split(b"\n"):
         name, _, value = line.partition(b":")
+        if name == b"data":
+            is_event = True
         if name != b"id":
             continue
+        is_event = True
         value = value.strip()
         if value.isdigit() and len(value) <= 12:
-            return int(value)
-    return NO_EVENT
+            return True, int(value)
+    return is_event, NO_EVENT
--- a/packages/daemon/cassiaquay_daemon/gateway/forwarding.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/forwarding.py
@@ -17,7 +17,7 @@
 from ..decisions import paths
 from ..fleet import server_reports
 from ..platform import headers
-from . import calls, connections, relays
+from . import calls, connections, events, relays
 
 # Time without a byte from a server after which its path is probed. Most first events
 # come earlier, and a probe costs the server little.
@@ -102,17 +102,25 @@
         Part of a stream, empty for its head; the complete body of any other answer.
     is_last : bool
         Whether the answer is complete.
+    received : Events
+        The events in a part of a stream.
     """
 
     answer: Answer
     data: bytes
     is_last: bool
+    received: events.Events = events.NOTHING
 
     @property
     def is_head(self) -> bool:
-        """Whether nothing of a stream's body has arrived."""
+        """Whether nothing of the body has arrived."""
         return not self.data and not self.is_last
 
+    @property
+    def is_failed_head(self) -> bool:
+        """Whether it is the head of a failure."""
+        return self.is_head and self.answer.is_failure
+
 
 class Misdirected(exceptions.Declined):
     """Another server has the address of the intended one; it declined the request."""
@@ -247,9 +255,13 @@
             raise exceptions.Unreachable("no path from the relay either")
         return await self.send_directly(outgoing, before_sending)
 
-    def was_heard(self, address: str, since: float) -> bool:
-        """Return whether this instance has received bytes from a server."""
-        return self._paths.has_sent(address, since)
+    def note_progress(self, address: str) -> None:
+        """Record that an answer of a server has gone on."""
+        self._paths.went_on(address)
+
+    def has_gone_on(self, address: str, since: float) -> bool:
+        """Return whether any answer of a server has gone on."""
+        return self._paths.has_gone_on(address, since)
 
     async def close(self) -> None:
         """Close all connections."""
--- a/packages/daemon/cassiaquay_daemon/gateway/hedging.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/hedging.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import collections.abc
+import math
 import typing
 
 from .. import clock, exceptions, logs
@@ -76,30 +77,31 @@
         self._search: asyncio.Task[admission.Ticket] | None = None
         self._searched_at = float("-inf")
         self._obstacle = ""
+        self._whole_by = math.inf
         call = state.call
-        self._patience_seconds = hedges.patience_seconds(
-            call.is_stream, call.route.objective_seconds, call.parsed.prompt_tokens
-        )
+        if not call.is_stream:
+            self._whole_by = clock.now() + call.seconds_left * hedges.GROWTH_SHARE
         state.adopt(first.server, first.server_start)
 
     async def read(self) -> forwarding.Piece:
         """Return the next piece; raise like :meth:`Try.take` if no server has one."""
         if not self._state.call.route.is_repeatable:
-            piece = await self.current.read(None)
-            assert piece is not None
-            return piece
+            return await self._read_patiently()
         while True:
             heard_at = self.current.heard_at
-            patience_seconds = self._patience_seconds
+            patience_seconds = self._patience_seconds(self.current)
             # A server that is still being connected to is not silent.
             if self.current.sent_at:
-                patience_seconds += heard_at - clock.now()
+                silent_at = min(heard_at + patience_seconds, self._whole_by)
+                patience_seconds = silent_at - clock.now()
             if patience_seconds <= 0.0:
                 await _read_buffers()
             piece = await self.current.read(max(patience_seconds, 0.0))
-            if piece is not None:
+            if piece is not None and not piece.is_failed_head:
                 return piece
-            if self.current.heard_at == heard_at:
+            if piece is not None:
+                continue
+            if self.current.heard_at == heard_at or clock.now() >= self._whole_by:
                 return await self._read_from_any()
 
     def close(self) -> None:
@@ -107,6 +109,24 @@
         self._close_others()
         self.current.close()
 
+    async def _read_patiently(self) -> forwarding.Piece:
+        """Return the next piece of the only server that may get the request."""
+        while True:
+            piece = await self.current.read(None)
+            assert piece is not None
+            if not piece.is_failed_head:
+                return piece
+
+    def _patience_seconds(self, asked: tries.Try) -> float:
+        """Return the time without progress after which a try counts as silent."""
+        call = self._state.call
+        return hedges.patience_seconds(
+            call.is_stream,
+            call.route.objective_seconds,
+            call.parsed.prompt_tokens,
+            asked.has_failed,
+        )
+
     async def _read_from_any(self) -> forwarding.Piece:
         """Return the next piece of the first server that has one."""
         silent = self.current
@@ -157,16 +177,18 @@
         now = clock.now()
         newest_seconds = None
         is_awake = False
+        newest = self.current
         if self._others:
-            newest_at = self._others[-1].sent_at or now
+            newest = self._others[-1]
+            newest_at = newest.sent_at or now
             newest_seconds = now - newest_at
-            is_awake = self.current.was_heard(newest_at)
+            is_awake = self.current.has_gone_on(newest_at)
         return hedges.Silence(
             self._state.call.is_stream,
             self._search is not None,
             now - self._searched_at,
             self._find_obstacle(),
-            self._patience_seconds,
+            self._patience_seconds(newest),
             newest_seconds,
             any(other.has_begun for other in self._others),
             is_awake,
@@ -228,6 +250,8 @@
                 self._parts.note_cut(self.current, error)
             self._promote(self._others[0])
             return None
+        if piece.is_failed_head:
+            return None
         if self._others and piece.answer.is_failure:
             self._state.keep_failure(piece, self.current.server)
             self._promote(self._others[0])
--- a/packages/daemon/cassiaquay_daemon/gateway/passing.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/passing.py
@@ -39,8 +39,8 @@
 ) -> forwarding.Piece:
     """Pass events on as they arrive; raise StreamInterrupted when they are cut off.
 
-    An answer that ends with its connection and has no event, or only a part of its last
-    one, was cut off by the server's end.
+    An answer that ends with its connection and has no event was cut off by the server's
+    end.
 
     Parameters
     ----------
@@ -61,7 +61,6 @@
         The last piece.
     """
     writer = answer.current
-    splitter = events.Splitter()
     if not state.started:
         state.started = True
         pairs = replies.drop_content_length(piece.answer.headers)
@@ -71,10 +70,7 @@
             # Another server goes on after the last complete event.
             _check_is_stream(piece)
             writer = answer.current
-            splitter = events.Splitter()
-        received = splitter.feed(piece.data)
-        if splitter.is_too_long:
-            raise exceptions.StreamInterrupted("an event is too long")
+        received = piece.received
         if received.event_count:
             _check_event_order(state, received)
             state.note_events()
@@ -87,10 +83,8 @@
             break
         piece = await answer.read()
     if not piece.answer.is_framed:
-        _check_unframed_end(state, splitter)
-    if not splitter.is_empty:
-        raise exceptions.StreamInterrupted("the stream ends within an event")
-    await send(replies.part(b"", False))
+        _check_has_events(state)
+    await send(replies.part(piece.data, False))
     return piece
 
 
@@ -104,11 +98,7 @@
     return exceptions.StreamInterrupted(f"status {status} for the rest of a stream")
 
 
-def _check_unframed_end(
-    state: progress.RequestState, splitter: events.Splitter
-) -> None:
-    if not splitter.is_empty:
-        raise exceptions.ConnectionBroken("the connection ends within an event")
+def _check_has_events(state: progress.RequestState) -> None:
     if state.last_event == events.NO_EVENT and not state.events_began_at:
         raise exceptions.ConnectionBroken("the connection ends before the first event")
 
--- a/packages/daemon/cassiaquay_daemon/gateway/serving.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/serving.py
@@ -18,6 +18,7 @@
     accounting,
     admission,
     completions,
+    cuts,
     forwarding,
     hedging,
     passing,
@@ -176,26 +177,13 @@
         error: exceptions.StreamInterrupted,
     ) -> None:
         """Record that the answer of one try was cut off."""
-        call = state.call
-        logs.event(
-            "answer_cut",
-            id=call.parsed.attempt,
-            content=call.content,
-            server=cut.server,
-            parts=",".join(call.parsed.shared_parts) or None,
-            cause=str(error),
-            after=state.last_event,
-            runs=state.runs,
-            sent_to=len(state.receivers),
-            attempts=call.route.attempts,
-            seconds_left=round(call.seconds_left, 3),
-        )
+        cuts.log_cut(state, cut, error)
         if not isinstance(error, exceptions.ConnectionBroken):
             return
-        suspected = call.parsed.shared_parts
+        suspected = state.call.parsed.shared_parts
         if cut.server == state.server:
             suspected = state.suspected_parts
-        self._parts.crashes.crashed(call.content, cut.server_start, suspected)
+        self._parts.crashes.crashed(state.call.content, cut.server_start, suspected)
 
     def _check_repeat(
         self, state: progress.RequestState, error: exceptions.StreamInterrupted
@@ -237,6 +225,10 @@
         except _RetryableFailure:
             state.add_tried(answer.current.server)
             raise
+        except asyncio.CancelledError:
+            if state.call.seconds_left <= 0.0:
+                cuts.log_late(state, answer.current)
+            raise
         finally:
             answer.close()
         ticket = answer.current.ticket
--- a/packages/daemon/cassiaquay_daemon/gateway/tries.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/tries.py
@@ -5,7 +5,8 @@
 import typing
 
 from .. import clock, exceptions, logs
-from . import admission, forwarding, progress
+from ..decisions import hedges
+from . import admission, events, forwarding, progress
 
 # Outcomes of tries, for the keeper.
 UNKNOWN = "unknown"
@@ -16,6 +17,11 @@
 FAILED = "failed"
 COMPLETED = "completed"
 
+# Parts of an answer in which it may be cut off.
+HEAD = "head"
+BODY = "body"
+EVENT = "event"
+
 
 class Hooks(typing.NamedTuple):
     """What a request handler contributes to each try.
@@ -59,7 +65,12 @@
     sent_at : float
         Time of the first byte; seconds on this clock, 0 before it.
     heard_at : float
-        Time of the last byte of the answer, or of the dispatch.
+        Time at which the answer went on last, or of the dispatch. Bytes that bring it
+        no closer to its end do not count.
+    received_bytes : int
+        Bytes of its body.
+    met_bound : int
+        Bound that it exceeds; bytes, 0 while it exceeds none.
     """
 
     def __init__(
@@ -74,12 +85,15 @@
         self.outcome = UNKNOWN
         self.sent_at = 0.0
         self.heard_at = clock.now()
+        self.received_bytes = 0
+        self.met_bound = 0
         self._state = state
         self._capacity = capacity
         self._forwarder = forwarder
         self._hooks = hooks
         self._answer: forwarding.Answer | None = None
         self._body = bytearray()
+        self._splitter = events.Splitter()
         self._step: asyncio.Task[forwarding.Piece] | None = None
         self._is_closed = False
         self._is_first_receipt = ticket.server.name not in state.receivers
@@ -99,17 +113,29 @@
         """Whether the server has begun to answer with success."""
         return self._answer is not None and self._answer.status == 200
 
+    @property
+    def has_failed(self) -> bool:
+        """Whether the server has begun to answer with a failure."""
+        return self._answer is not None and self._answer.is_failure
+
+    @property
+    def part(self) -> str:
+        """The part of the answer that is being read."""
+        if self._answer is None:
+            return HEAD
+        return EVENT if self._is_streamed(self._answer) else BODY
+
     @property
     def is_ready(self) -> bool:
         """Whether the task of :meth:`step` is done."""
         return self._step is not None and self._step.done()
 
-    def was_heard(self, since: float) -> bool:
-        """Return whether the server has sent anything, on any connection."""
-        return self._forwarder.was_heard(self.ticket.server.address, since)
+    def has_gone_on(self, since: float) -> bool:
+        """Return whether the server has gone on with any answer."""
+        return self._forwarder.has_gone_on(self.ticket.server.address, since)
 
     async def read(self, patience_seconds: float | None) -> forwarding.Piece | None:
-        """Return the next piece, or None if no byte arrives for the given time."""
+        """Return the next piece, or None if there is none after the given time."""
         if self._step is None and self._answer is not None:
             try:
                 async with asyncio.timeout(patience_seconds):
@@ -166,7 +192,6 @@
         return piece
 
     async def _read(self) -> forwarding.Piece:
-        is_stream = self._state.call.is_stream
         if self._answer is None:
             self._answer = await self._forwarder.send(
                 self._state.call,
@@ -175,25 +200,65 @@
                 self._before_sending,
             )
             self.heard_at = clock.now()
-            if is_stream and self._answer.status == 200:
+            if self._is_streamed(self._answer) or self._answer.is_failure:
                 return forwarding.Piece(self._answer, b"", False)
-        answer = self._answer
-        if is_stream and answer.status == 200:
+        if self._is_streamed(self._answer):
+            return await self._read_events(self._answer)
+        return await self._read_body(self._answer)
+
+    async def _read_events(self, answer: forwarding.Answer) -> forwarding.Piece:
+        """Return the next events of a stream, or its end."""
+        while True:
             data = await self._read_part(answer)
-            return forwarding.Piece(answer, data, not data)
+            if not data:
+                self._check_end(answer)
+                self._note_progress()
+                return forwarding.Piece(answer, self._splitter.take_comments(), True)
+            found = self._splitter.feed(data)
+            if self._splitter.is_too_long:
+                self._fail_at(events.MAX_EVENT_BYTES)
+            if found.event_count:
+                self._note_progress()
+                return forwarding.Piece(answer, found.data, False, found)
+
+    async def _read_body(self, answer: forwarding.Answer) -> forwarding.Piece:
+        """Return the complete body of any other answer."""
         while True:
             data = await self._read_part(answer)
             if not data:
+                self._note_progress()
                 return forwarding.Piece(answer, bytes(self._body), True)
+            counted = len(self._body) // hedges.PROGRESS_BYTES
             self._body += data
             if len(self._body) > forwarding.MAX_ANSWER_BYTES:
-                raise exceptions.StreamInterrupted("the answer is too large")
+                self._fail_at(forwarding.MAX_ANSWER_BYTES)
+            if len(self._body) // hedges.PROGRESS_BYTES > counted:
+                self._note_progress()
 
     async def _read_part(self, answer: forwarding.Answer) -> bytes:
         data = await forwarding.read_part(answer)
-        self.heard_at = clock.now()
+        self.received_bytes += len(data)
         return data
 
+    def _is_streamed(self, answer: forwarding.Answer) -> bool:
+        return self._state.call.is_stream and answer.status == 200
+
+    def _note_progress(self) -> None:
+        self.heard_at = clock.now()
+        self._forwarder.note_progress(self.ticket.server.address)
+
+    def _check_end(self, answer: forwarding.Answer) -> None:
+        """Raise if a stream ends within an event; a crashed server's may."""
+        if self._splitter.is_empty:
+            return
+        if not answer.is_framed:
+            raise exceptions.ConnectionBroken("the connection ends within an event")
+        raise exceptions.StreamInterrupted("the stream ends within an event")
+
+    def _fail_at(self, bound: int) -> typing.NoReturn:
+        self.met_bound = bound
+        raise exceptions.StreamInterrupted(f"the {self.part} is over {bound} bytes")
+
     def _before_sending(self) -> None:
         self._hooks.check(self._state, self.ticket)
         if self.sent_at:
--- a/tests/hedging_fakes.py
+++ b/tests/hedging_fakes.py
@@ -30,6 +30,8 @@
 NEVER = float("inf")
 CONNECT_SECONDS = 0.001
 SERVICE = "chat"
+DRIP_SECONDS = 0.1
+COMMENT = b": wait\n\n"
 
 
 class Plan(typing.NamedTuple):
@@ -43,11 +45,14 @@
         Time after which it sends nothing and keeps its connections open.
     declines : bool
         Whether it declines each request.
+    drips : bool
+        Whether it sends comments in a stream while it has no event.
     """
 
     stops: list[tuple[float, float]]
     dies_at: float = NEVER
     declines: bool = False
+    drips: bool = False
 
     def ends_at(self, start: float, work_seconds: float) -> float:
         """Return when work that begins at ``start`` is done."""
@@ -74,19 +79,23 @@
 class _Response:
     """A server's response; the bytes arrive when the server has made them."""
 
-    def __init__(self, pieces: list[tuple[float, bytes]], run: Run):
+    def __init__(self, pieces: list[tuple[float, bytes]], run: Run, drips: bool):
         self.content = self
         self.method = "POST"
         self.status = 200
         self.headers = {aiohttp.hdrs.TRANSFER_ENCODING: "chunked"}
         self._pieces = pieces
         self._run = run
+        self._drips = drips
 
     async def readany(self) -> bytes:
         """Return the next bytes, none at the end."""
         if not self._pieces:
             return b""
         at, data = self._pieces[0]
+        if self._drips and at > clock.now() + DRIP_SECONDS:
+            await asyncio.sleep(DRIP_SECONDS)
+            return COMMENT
         await _sleep_until(at)
         del self._pieces[0]
         if not self._pieces:
@@ -166,10 +175,13 @@
             raise
         finally:
             self.runs.append(run)
-        response: typing.Any = _Response(pieces, run)
+        response: typing.Any = _Response(pieces, run, plan.drips and call.is_stream)
         return forwarding.Answer(response, 200, [])
 
-    def was_heard(self, address: str, since: float) -> bool:
+    def note_progress(self, address: str) -> None:
+        """Do nothing: the plans tell which servers go on."""
+
+    def has_gone_on(self, address: str, since: float) -> bool:
         """Return whether a server runs now and thus answers other requests."""
         return self.plans[address].ends_at(clock.now(), 0.0) == clock.now()
 
--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -41,10 +41,28 @@
 
 
 def test_events_without_ids_are_counted() -> None:
-    found = events.Splitter().feed(b": note\n\ndata: x\n\n")
+    found = events.Splitter().feed(b"data: y\n\ndata: x\n\n")
     assert (found.event_count, found.first, found.last) == (2, -1, -1)
 
 
+def test_comments_are_no_events_and_are_passed_on_with_the_next_one() -> None:
+    splitter = events.Splitter()
+    for part in (b": note\n\n", b"\n\n", b"retry: 1\n\n: no"):
+        assert splitter.feed(part) == events.NOTHING
+    found = splitter.feed(b"te\n\ndata: x\n\n: more\n\nid: 1")
+    assert found.data == b": note\n\n\n\nretry: 1\n\n: note\n\ndata: x\n\n: more\n\n"
+    assert (found.event_count, found.first, found.last) == (1, -1, -1)
+    assert splitter.size == len(b"id: 1")
+
+
+def test_comments_count_to_the_size_limit() -> None:
+    splitter = events.Splitter()
+    for _ in range(events.MAX_EVENT_BYTES // 8 + 1):
+        assert not splitter.is_too_long
+        splitter.feed(b": wait\n\n")
+    assert splitter.is_too_long
+
+
 def test_oversized_event_is_detected() -> None:
     splitter = events.Splitter()
     splitter.feed(b"x" * (events.MAX_EVENT_BYTES + 1))
--- a/tests/test_hedging_schedules.py
+++ b/tests/test_hedging_schedules.py
@@ -28,7 +28,7 @@
     answer: fakes.gateway_fakes.CallerResponse
 
 
-def _plans(chance: random.Random) -> list[fakes.Plan]:
+def _plans(chance: random.Random, drip_chance: random.Random) -> list[fakes.Plan]:
     """Return plans of servers of which all, half or one stop at the same time."""
     count = chance.choice([2, 3, 5])
     stopped = chance.choice([1, (count + 1) // 2, count])
@@ -43,7 +43,8 @@
         is_silent = number < stopped
         dies_at = chance.uniform(0.0, 2.0) if chance.random() < 0.15 else fakes.NEVER
         declines = number > 0 and chance.random() < 0.15
-        plans.append(fakes.Plan(stops if is_silent else [], dies_at, declines))
+        drips = drip_chance.random() < 0.3
+        plans.append(fakes.Plan(stops if is_silent else [], dies_at, declines, drips))
     chance.shuffle(plans)
     return plans
 
@@ -56,7 +57,7 @@
     events = chance.randint(1, 8)
     slowest = chance.choice([0.3, 1.5])
     work = [round(chance.uniform(0.01, slowest), 2) for _ in range(events)]
-    servers = fakes.Fleet(_plans(chance), chance, work)
+    servers = fakes.Fleet(_plans(chance, random.Random(seed)), chance, work)
     servers.shed_share = chance.choice([0.0, 0.5, 1.0])
     route = fakes.route(is_stream, attempts, chance.choice([0.06, 0.4, 5.0]))
     asking = fakes.ask(servers, route, SECONDS_LEFT, retry_extra)
@@ -112,7 +113,7 @@
         if _overlap_seconds(played) > MAX_OVERLAP_SECONDS:
             found.append("overlap")
     if played.answer.status == 200:
-        body = played.answer.body
+        body = played.answer.body.replace(fakes.COMMENT, b"")
         if body != whole and (played.answer.complete or not whole.startswith(body)):
             found.append("mixed")
     return found
