Bound the bytes of all answers that an instance holds

What callers saw: an answer is held until it is complete, up to 16 MiB each, and nothing bounded all of them. Bytes in tiny chunks also took the whole loop: one such connection is read at 0.44 MB a second of processor time, 20 ms a read.

Now all held answers fit into 48 MiB (decisions/held_bytes.py). An answer at the bound stops reading and waits; the banker's rule leaves room for the largest to come to its end, so that they cannot wait for each other. Up to 64 KiB are free. A length over 16 MiB is refused at the head. A waiting server is not silent. Large bodies are passed on in parts, so that they count while a slow caller reads; such an answer is ready, and its request's deadline does not cut it (10 s without a part taken does). The whole body is no longer copied. A failure of more than 64 KiB is not kept beside a second answer.

Answers that come faster than they are read take turns, one in each pass of the loop, also at a relay; costly ones (tiny chunks) are read in smaller parts and leave the loop two thirds of the time. Growth of a body is no sign that the server goes on with other answers: floods made streams leave a sound server for the flooding one (server_kept woke_up).

--- a/packages/daemon/cassiaquay_daemon/decisions/paths.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/paths.py
@@ -103,8 +103,8 @@
     def has_gone_on(self, address: str, since: float) -> bool:
         """Return whether an answer of a server went on since ``since``.
 
-        Neither connections count, which a stopped process opens, too, nor bytes that
-        bring no answer closer to its end.
+        Events and ends of answers count. Connections do not, which a stopped process
+        opens, too, nor do other bytes, which a server in trouble may send without end.
         """
         return self._went_on_at.get(address, since - 1.0) >= since
 
--- a/packages/daemon/cassiaquay_daemon/gateway/forwarding.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/forwarding.py
@@ -14,15 +14,14 @@
 
 from .. import clock, exceptions, logs
 from ..adapters import breaks, signals
-from ..decisions import paths
+from ..decisions import held_bytes, paths
 from ..fleet import server_reports
 from ..platform import headers
-from . import calls, connections, events, relays
+from . import calls, connections, events, holding, relays
 
 # Time without a byte from a server after which its path is probed. Most first events
 # come earlier, and a probe costs the server little.
 SILENCE_SECONDS = 0.25
-MAX_ANSWER_BYTES = 16 * 1024 * 1024
 FIRST_REDIRECT_STATUS = 300
 # Another server now has the address of the intended one.
 WRONG_SERVER_STATUS = 421
@@ -90,6 +89,13 @@
         """Whether the status is a server error."""
         return self.status >= FIRST_SERVER_ERROR_STATUS
 
+    @property
+    def announced_bytes(self) -> int:
+        """Length of the body by the head, 0 if it says none."""
+        if _has_no_body(self.response):
+            return 0
+        return self.response.content_length or 0
+
 
 class Piece(typing.NamedTuple):
     """A part of an answer.
@@ -98,7 +104,7 @@
     ----------
     answer : Answer
         Status and headers.
-    data : bytes
+    data : bytes or bytearray
         Part of a stream, empty for its head; the complete body of any other answer.
     is_last : bool
         Whether the answer is complete.
@@ -107,7 +113,7 @@
     """
 
     answer: Answer
-    data: bytes
+    data: bytes | bytearray
     is_last: bool
     received: events.Events = events.NOTHING
 
@@ -383,27 +389,45 @@
 
 def is_framed(response: aiohttp.ClientResponse) -> bool:
     """Return whether the end of the body is marked other than by closing."""
-    if response.method == "HEAD" or response.status in STATUSES_WITHOUT_BODY:
+    if _has_no_body(response):
         return True
     names = (aiohttp.hdrs.CONTENT_LENGTH, aiohttp.hdrs.TRANSFER_ENCODING)
     return any(name in response.headers for name in names)
 
 
+def _has_no_body(response: aiohttp.ClientResponse) -> bool:
+    return response.method == "HEAD" or response.status in STATUSES_WITHOUT_BODY
+
+
 def _is_answer_to(attempt: str, response: aiohttp.ClientResponse) -> bool:
     return response.headers.get(headers.ATTEMPT.decode(), "") == attempt
 
 
-async def read_part(answer: Answer) -> bytes:
+def has_backlog(answer: Answer, read_bytes: int) -> bool:
+    """Return whether more of the body has been received than read."""
+    return answer.response.content.total_bytes > read_bytes
+
+
+async def read_part(answer: Answer, max_bytes: int = held_bytes.PART_BYTES) -> bytes:
     """Return the next bytes of the body, none at its end.
 
     May be cancelled and called again; raises StreamInterrupted when the body is cut
     off.
     """
     try:
-        return await answer.response.content.readany()
+        return await answer.response.content.read(max_bytes)
     except (TimeoutError, aiohttp.ClientError, OSError) as error:
         interrupted = breaks.to_stream_interrupted(error)
         if answer.is_relayed:
             # The relay or the server has failed; the relay reports a server's crash.
             interrupted = exceptions.StreamInterrupted(str(interrupted))
         raise interrupted from error
+
+
+async def read_in_turn(answer: Answer, max_bytes: int, hold: holding.Hold) -> bytes:
+    """Return bytes of the body that have been received; see :func:`read_part`."""
+    await hold.take_turn()
+    began_at = clock.now()
+    data = await read_part(answer, min(max_bytes, hold.part_bytes))
+    hold.note_cost(clock.now() - began_at)
+    return data
--- a/packages/daemon/cassiaquay_daemon/gateway/passing.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/passing.py
@@ -1,10 +1,15 @@
 """Passes a server's answer on to the caller, whole or event by event."""
 
+import asyncio
 import collections.abc
 
 from .. import exceptions
+from ..decisions import held_bytes
 from . import admission, events, forwarding, hedging, progress, replies
 
+# Time without a part taken after which a caller counts as gone.
+STALL_SECONDS = 10.0
+
 BeforeEvents = collections.abc.Callable[[admission.Ticket], None]
 
 
@@ -26,7 +31,27 @@
     pairs.append((b"content-length", str(len(piece.data)).encode()))
     state.started = True
     await send(reply.start(piece.answer.status, pairs))
-    await send(replies.part(piece.data, False))
+    if len(piece.data) <= held_bytes.PART_BYTES:
+        await send(replies.part(bytes(piece.data), False))
+        return
+    # A caller that reads slowly gets its answer after the deadline, too.
+    state.lift_limit()
+    await _send_parts(memoryview(piece.data), send)
+
+
+async def _send_parts(data: memoryview, send: replies.Send) -> None:
+    """Send a large body no faster than the caller reads it.
+
+    Sent at once, it would be held in the buffer of the connection, where no bound
+    applies.
+    """
+    try:
+        for start in range(0, len(data), held_bytes.PART_BYTES):
+            end = start + held_bytes.PART_BYTES
+            async with asyncio.timeout(STALL_SECONDS):
+                await send(replies.part(bytes(data[start:end]), end < len(data)))
+    except TimeoutError as error:
+        raise exceptions.CallerDisconnectedWhileRunning("it reads nothing") from error
 
 
 async def pass_streamed(
@@ -84,7 +109,7 @@
         piece = await answer.read()
     if not piece.answer.is_framed:
         _check_has_events(state)
-    await send(replies.part(piece.data, False))
+    await send(replies.part(bytes(piece.data), False))
     return piece
 
 
--- a/packages/daemon/cassiaquay_daemon/gateway/progress.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/progress.py
@@ -1,7 +1,10 @@
 """Mutable state of one caller's request while it is served."""
 
+import asyncio
+
 from .. import clock
 from ..configured import snapshots
+from ..decisions import held_bytes
 from . import calls, forwarding
 
 # A prompt that crashes its server does so when the server begins to answer it.
@@ -57,6 +60,8 @@
         A server's complete failure answer, passed on if no other server answers.
     failed_server : str
         Name of that server.
+    limit : Timeout or None
+        Ends the request at its deadline.
     """
 
     def __init__(self, call: calls.Call):
@@ -80,6 +85,7 @@
         self.receivers: set[str] = set()
         self.failure: forwarding.Piece | None = None
         self.failed_server = ""
+        self.limit: asyncio.Timeout | None = None
 
     @property
     def may_have_run(self) -> bool:
@@ -106,10 +112,20 @@
             self.tried.append(server)
 
     def keep_failure(self, failure: forwarding.Piece, server: str) -> None:
-        """Keep a server's failure answer in case that no other server answers."""
+        """Keep a server's failure answer in case that no other server answers.
+
+        A large one is not kept: its request would hold room for two answers.
+        """
+        if len(failure.data) > held_bytes.FREE_BYTES:
+            return
         self.failure = failure
         self.failed_server = server
 
+    def lift_limit(self) -> None:
+        """Do not end the request at its deadline: its answer is ready."""
+        if self.limit is not None and not self.limit.expired():
+            self.limit.reschedule(None)
+
     def note_events(self) -> None:
         """Record that events have arrived."""
         self.events_began_at = self.events_began_at or clock.now()
--- a/packages/daemon/cassiaquay_daemon/gateway/relaying.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/relaying.py
@@ -11,10 +11,11 @@
 from cassiaquay_schema import fleet
 
 from .. import clock, exceptions, logs, pause
+from ..decisions import held_bytes
 from ..fleet import configuration, crash_reports, server_reports
 from ..owners import streams
 from ..platform import headers
-from . import accepting, forwarding, relays, replies
+from . import accepting, forwarding, holding, relays, replies
 
 
 class Parts(typing.NamedTuple):
@@ -34,6 +35,8 @@
         Tells whether this process's state is current after a start or a pause.
     chosen_relays : Relays
         Checks that the sender is an instance of this fleet.
+    room : Room
+        Lets answers that keep coming read on in turn.
     """
 
     configured: configuration.Configuration
@@ -42,6 +45,7 @@
     servers: server_reports.ServerReports
     pauses: pause.Pauses
     chosen_relays: relays.Relays
+    room: holding.Room
 
 
 class RelayServer:
@@ -149,7 +153,7 @@
             pairs.append((relays.UNFRAMED_NAME, b"1"))
         answer = forwarding.Answer(response, response.status, pairs)
         try:
-            await _pass(answer, send)
+            await _pass(answer, send, self._parts.room)
         except exceptions.StreamInterrupted as error:
             # Returning without the last message breaks the connection to the owner, so
             # that the part does not look complete.
@@ -196,7 +200,9 @@
             self._parts.crashes.crashed(target.content, start, parts)
 
 
-async def _pass(answer: forwarding.Answer, send: replies.Send) -> None:
+async def _pass(
+    answer: forwarding.Answer, send: replies.Send, room: holding.Room
+) -> None:
     """Pass an answer on as it arrives; raise StreamInterrupted when it is cut off."""
     await send(
         {
@@ -205,7 +211,16 @@
             "headers": answer.headers,
         }
     )
-    while data := await forwarding.read_part(answer):
+    hold = holding.Hold(room)
+    read_bytes = 0
+    while True:
+        if forwarding.has_backlog(answer, read_bytes):
+            data = await forwarding.read_in_turn(answer, held_bytes.PART_BYTES, hold)
+        else:
+            data = await forwarding.read_part(answer)
+        if not data:
+            break
+        read_bytes += len(data)
         await send(replies.part(data, True))
     await send(replies.part(b"", False))
 
--- a/packages/daemon/cassiaquay_daemon/gateway/service.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/service.py
@@ -11,7 +11,7 @@
 
 from .. import early_bind, listeners, logs, pause, sockets
 from ..configured import snapshots
-from ..decisions import budgets, paths, rate_budgets
+from ..decisions import budgets, held_bytes, paths, rate_budgets
 from ..fleet import (
     configuration,
     crash_reports,
@@ -32,6 +32,7 @@
     directory,
     forwarding,
     front,
+    holding,
     probing,
     relaying,
     relays,
@@ -130,12 +131,16 @@
 
     def reach(self) -> reports.Reach:
         """Return which servers are reached, and what relays have done."""
+        room = self._parts.room
         return reports.Reach(
             self._paths.lost_counts(),
             self._paths.relayed_count,
             self._relay.sent_count,
             dict(self._parts.resuming.counts),
             self._origin_count(),
+            room.held.used,
+            room.held.peak,
+            room.waiting_count,
         )
 
     def start(self) -> None:
@@ -217,6 +222,7 @@
     forwarder = forwarding.Forwarder(
         dialer.create_session(), shared.reports, observed, chosen_relays
     )
+    room = holding.Room(held_bytes.HeldBytes())
     parts = serving.Parts(
         shared.configured,
         admission.Admission(
@@ -235,6 +241,7 @@
         replies.Replies(),
         accounting.Accounting(),
         resuming.Resuming(shared.configured, shared.origins, shared.server_list),
+        room,
     )
     relay_parts = relaying.Parts(
         shared.configured,
@@ -243,6 +250,7 @@
         shared.reports,
         shared.pauses,
         chosen_relays,
+        room,
     )
     relay = relaying.RelayServer(relay_parts, shared.incarnation)
     prober = probing.Prober(observed, dialer)
--- a/packages/daemon/cassiaquay_daemon/gateway/serving.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/serving.py
@@ -21,6 +21,7 @@
     cuts,
     forwarding,
     hedging,
+    holding,
     passing,
     progress,
     replies,
@@ -69,6 +70,8 @@
         Reports the outcome of each request.
     resuming : Resuming
         Knows at which software version a stream must go on.
+    room : Room
+        Memory for the answers that are read.
     """
 
     configured: configuration.Configuration
@@ -83,6 +86,7 @@
     reply: replies.Replies
     accounting: accounting.Accounting
     resuming: resuming.Resuming
+    room: holding.Room
 
 
 class RequestHandler:
@@ -103,7 +107,8 @@
         taken: quotas.Taken | None = None
         try:
             self._check_quarantine(state)
-            async with asyncio.timeout(max(state.call.seconds_left, 0.0)):
+            async with asyncio.timeout(max(state.call.seconds_left, 0.0)) as limit:
+                state.limit = limit
                 await self._parts.resuming.resolve(state)
                 call = state.call
                 patience = call.objective_seconds_left * LIMIT_WAIT_SHARE
@@ -245,8 +250,9 @@
         self, state: progress.RequestState, ticket: admission.Ticket
     ) -> tries.Try:
         hooks = tries.Hooks(self._check_before_sending, self._mark_dispatched)
+        parts = self._parts
         return tries.Try(
-            state, ticket, self._parts.capacity, self._parts.forwarder, hooks
+            state, ticket, parts.capacity, parts.forwarder, hooks, parts.room
         )
 
     async def _pass_answer(
--- a/packages/daemon/cassiaquay_daemon/gateway/tries.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/tries.py
@@ -5,8 +5,8 @@
 import typing
 
 from .. import clock, exceptions, logs
-from ..decisions import hedges
-from . import admission, events, forwarding, progress
+from ..decisions import hedges, held_bytes
+from . import admission, events, forwarding, holding, progress
 
 # Outcomes of tries, for the keeper.
 UNKNOWN = "unknown"
@@ -57,6 +57,8 @@
         Sends the request.
     hooks : Hooks
         Checks and records of the request handler.
+    room : Room
+        Memory for the answers of this process.
 
     Attributes
     ----------
@@ -64,9 +66,6 @@
         Outcome for the keeper.
     sent_at : float
         Time of the first byte; seconds on this clock, 0 before it.
-    heard_at : float
-        Time at which the answer went on last, or of the dispatch. Bytes that bring it
-        no closer to its end do not count.
     received_bytes : int
         Bytes of its body.
     met_bound : int
@@ -80,11 +79,11 @@
         capacity: admission.Admission,
         forwarder: forwarding.Forwarder,
         hooks: Hooks,
+        room: holding.Room,
     ):
         self.ticket = ticket
         self.outcome = UNKNOWN
         self.sent_at = 0.0
-        self.heard_at = clock.now()
         self.received_bytes = 0
         self.met_bound = 0
         self._state = state
@@ -94,6 +93,8 @@
         self._answer: forwarding.Answer | None = None
         self._body = bytearray()
         self._splitter = events.Splitter()
+        self._heard_at = clock.now()
+        self._hold = holding.Hold(room)
         self._step: asyncio.Task[forwarding.Piece] | None = None
         self._is_closed = False
         self._is_first_receipt = ticket.server.name not in state.receivers
@@ -108,6 +109,15 @@
         """Name of the server with the start time of its process."""
         return f"{self.server}/{self.ticket.server.started_ms}"
 
+    @property
+    def heard_at(self) -> float:
+        """Time at which the answer went on last, or of the dispatch.
+
+        Bytes that bring it no closer to its end do not count, and a server is not
+        silent while its answer waits for room.
+        """
+        return clock.now() if self._hold.is_waiting else self._heard_at
+
     @property
     def has_begun(self) -> bool:
         """Whether the server has begun to answer with success."""
@@ -176,6 +186,7 @@
             # Closing the connection makes the server stop a request that still runs.
             # After a completely read answer, the connection stays in the pool.
             self._answer.response.close()
+        self._hold.close()
         if self.sent_at:
             self._capacity.report_ended(self.ticket, self.sent_at, self.outcome)
         else:
@@ -199,7 +210,8 @@
                 self._state.last_event,
                 self._before_sending,
             )
-            self.heard_at = clock.now()
+            self._heard_at = clock.now()
+            self._check_announced(self._answer)
             if self._is_streamed(self._answer) or self._answer.is_failure:
                 return forwarding.Piece(self._answer, b"", False)
         if self._is_streamed(self._answer):
@@ -208,8 +220,11 @@
 
     async def _read_events(self, answer: forwarding.Answer) -> forwarding.Piece:
         """Return the next events of a stream, or its end."""
+        if self._splitter.size < held_bytes.FREE_BYTES:
+            # The events that were held have been passed on.
+            self._hold.free()
         while True:
-            data = await self._read_part(answer)
+            data = await self._read_part(answer, self._splitter.size)
             if not data:
                 self._check_end(answer)
                 self._note_progress()
@@ -224,27 +239,51 @@
     async def _read_body(self, answer: forwarding.Answer) -> forwarding.Piece:
         """Return the complete body of any other answer."""
         while True:
-            data = await self._read_part(answer)
+            data = await self._read_part(answer, len(self._body))
             if not data:
                 self._note_progress()
-                return forwarding.Piece(answer, bytes(self._body), True)
+                return forwarding.Piece(answer, self._body, True)
             counted = len(self._body) // hedges.PROGRESS_BYTES
             self._body += data
-            if len(self._body) > forwarding.MAX_ANSWER_BYTES:
-                self._fail_at(forwarding.MAX_ANSWER_BYTES)
+            if len(self._body) > held_bytes.MAX_ANSWER_BYTES:
+                self._fail_at(held_bytes.MAX_ANSWER_BYTES)
             if len(self._body) // hedges.PROGRESS_BYTES > counted:
-                self._note_progress()
-
-    async def _read_part(self, answer: forwarding.Answer) -> bytes:
-        data = await forwarding.read_part(answer)
+                # It may have no end: this says nothing of the server's other answers.
+                self._heard_at = clock.now()
+
+    async def _read_part(self, answer: forwarding.Answer, held: int) -> bytes:
+        """Return the next bytes of an answer of which ``held`` bytes are held."""
+        size = held_bytes.FREE_BYTES - held
+        if size <= 0:
+            size = held_bytes.PART_BYTES
+            await self._grow(min(held + size, held_bytes.MAX_ANSWER_BYTES))
+        if not forwarding.has_backlog(answer, self.received_bytes):
+            data = await forwarding.read_part(answer, size)
+        else:
+            data = await forwarding.read_in_turn(answer, size, self._hold)
         self.received_bytes += len(data)
         return data
 
+    async def _grow(self, size: int) -> None:
+        if self._hold.try_grow(size):
+            return
+        try:
+            await self._hold.grow(size)
+        finally:
+            self._heard_at = clock.now()
+
+    def _check_announced(self, answer: forwarding.Answer) -> None:
+        """Raise if the length of a body exceeds the bound by the head."""
+        if self._is_streamed(answer):
+            return
+        if answer.announced_bytes > held_bytes.MAX_ANSWER_BYTES:
+            self._fail_at(held_bytes.MAX_ANSWER_BYTES)
+
     def _is_streamed(self, answer: forwarding.Answer) -> bool:
         return self._state.call.is_stream and answer.status == 200
 
     def _note_progress(self) -> None:
-        self.heard_at = clock.now()
+        self._heard_at = clock.now()
         self._forwarder.note_progress(self.ticket.server.address)
 
     def _check_end(self, answer: forwarding.Answer) -> None:
@@ -263,7 +302,7 @@
         self._hooks.check(self._state, self.ticket)
         if self.sent_at:
             return
-        self.sent_at = self.heard_at = clock.now()
+        self.sent_at = self._heard_at = clock.now()
         self._hooks.mark_dispatched(self._state, self.ticket)
 
     def _note_failure(self, error: exceptions.BackendError) -> None:
--- a/packages/daemon/cassiaquay_daemon/operators/metrics.py
+++ b/packages/daemon/cassiaquay_daemon/operators/metrics.py
@@ -234,6 +234,18 @@
     (),
     "Streams of which this instance knows where they began.",
 )
+HELD_BYTES = Family(
+    "cassiaquay_gateway_held_bytes",
+    "gauge",
+    ("at",),
+    "Bytes of answers held until they are complete: now, and the most so far.",
+)
+UNREAD_REQUESTS = Family(
+    "cassiaquay_gateway_unread_requests",
+    "gauge",
+    (),
+    "Requests whose answers are not read on: those held here are at their bound.",
+)
 LIMITED_GRANTS = Family(
     "cassiaquay_keeper_limited_grants_total",
     "counter",
@@ -326,6 +338,8 @@
     RELAYED_REQUESTS,
     RESUMED_STREAMS,
     STREAM_ORIGINS,
+    HELD_BYTES,
+    UNREAD_REQUESTS,
     LIMITED_SERVERS,
     LIMITED_GRANTS,
     EVACUATED,
--- a/packages/daemon/cassiaquay_daemon/operators/reports.py
+++ b/packages/daemon/cassiaquay_daemon/operators/reports.py
@@ -121,6 +121,10 @@
         Streams that callers took up, by what was known of their origins.
     origins : int
         Streams of which it knows where they began.
+    held_bytes, most_held_bytes : int
+        Bytes of answers that are held now, and the most so far.
+    waiting_answers : int
+        Answers that wait for room.
     """
 
     lost_paths: dict[str, int]
@@ -128,6 +132,9 @@
     as_relay: int
     resumed: dict[str, int]
     origins: int
+    held_bytes: int = 0
+    most_held_bytes: int = 0
+    waiting_answers: int = 0
 
 
 class Reports:
@@ -363,6 +370,11 @@
             resumed[(origin,)] = count
         self.metrics.replace(metrics.RESUMED_STREAMS, resumed)
         self.metrics.replace(metrics.STREAM_ORIGINS, {(): reach.origins})
+        held: dict[metrics.Key, float] = {}
+        held[("now",)] = reach.held_bytes
+        held[("most",)] = reach.most_held_bytes
+        self.metrics.replace(metrics.HELD_BYTES, held)
+        self.metrics.replace(metrics.UNREAD_REQUESTS, {(): reach.waiting_answers})
 
     def _tier_name(self, demand: messages.Demand) -> str:
         snapshot = self._parts.configured.current
