Answer requests that meet an unexpected error; count those without an answer

An error outside of the handler, or one that escaped it, reached the listener, which answered 500 with a text of its own and no log line: 500 promises nothing, though the request had not run. A task cancelled by anybody but the caller ended alike. Nothing counted answers that ended midway, or requests without a status.

The front now answers these as not run, or as outcome unknown once a server may have run the request, and logs request_crashed. It passes what is sent through a Delivery, which knows whether the answer has begun and is complete. Requests that were read whole and got no complete answer are counted by cause in cassiaquay_gateway_unanswered_requests_total and logged as unanswered; cause crashed must be 0 and raises an alarm. trace adds the cause to the outcome.

--- a/packages/cli/cassiaquay_cli/trace.py
+++ b/packages/cli/cassiaquay_cli/trace.py
@@ -11,6 +11,13 @@
 CIRCUMSTANCES_WINDOW_SECONDS = 5.0
 # Requests that ended with the same code this long before or after may share its cause.
 ALIKE_WINDOW_SECONDS = 0.5
+# Words for `cause` of the event `unanswered`, which follows the end of a request.
+UNANSWERED_CAUSES = {
+    "caller_left": "its caller closed before its answer was complete",
+    "stream_cut": "its caller got a part of the stream, and the connection was closed",
+    "deadline": "its time ended within the answer, and the connection was closed",
+    "crashed": "an error of the instance closed the connection: a defect",
+}
 # Events that report a process's view of servers, keepers and the platform.
 CIRCUMSTANCES = (
     "answers_given_up",
@@ -198,7 +205,7 @@
     own_lines = [
         line for line in request_lines if _is_same_request(line.fields["id"], id)
     ]
-    end = own_lines[-1]
+    end = _end_of(own_lines)
     instances = {line.instance for line in request_lines}
     circumstances = []
     for line in lines:
@@ -270,10 +277,27 @@
     return logged_id == request_id or logged_id.startswith(f"{request_id}.")
 
 
+def _end_of(request_lines: Lines) -> log_lines.Line:
+    """Return the line with a request's outcome, or its last line."""
+    for line in reversed(request_lines):
+        if line.event != "unanswered":
+            return line
+    return request_lines[-1]
+
+
 def _explain_outcome(request_lines: Lines) -> str:
-    text = _explain_end(request_lines)
-    silent = silences.describe(request_lines)
-    return f"{text}; {silent}" if silent else text
+    until_end = _until_end(request_lines)
+    texts = [_explain_end(until_end), silences.describe(until_end)]
+    line = _last_line(request_lines, "unanswered")
+    if line is not None:
+        cause = line.fields.get("cause", "")
+        texts.append(UNANSWERED_CAUSES.get(cause, f"unanswered: {cause}"))
+    return "; ".join(text for text in texts if text)
+
+
+def _until_end(request_lines: Lines) -> Lines:
+    """Return the lines up to the one with a request's outcome."""
+    return request_lines[: request_lines.index(_end_of(request_lines)) + 1]
 
 
 def _explain_end(request_lines: Lines) -> str:
--- a/packages/daemon/cassiaquay_daemon/daemon.py
+++ b/packages/daemon/cassiaquay_daemon/daemon.py
@@ -184,6 +184,7 @@
             accounts.on_refused(operator_reports.record_refusal)
             accounts.on_silence(operator_reports.record_silence)
             accounts.on_kept(operator_reports.record_kept)
+            accounts.on_unanswered(operator_reports.record_unanswered)
             operator_reports.read_reach = self._gateway.reach
             self._gateway.start()
         else:
--- a/packages/daemon/cassiaquay_daemon/gateway/accounting.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/accounting.py
@@ -12,6 +12,7 @@
 RefusedListener = collections.abc.Callable[[exceptions.Refusal, str, str], None]
 SilenceListener = collections.abc.Callable[[reports.Silence], None]
 KeptListener = collections.abc.Callable[[reports.Kept], None]
+UnansweredListener = collections.abc.Callable[[reports.Unanswered], None]
 
 
 class Accounting:
@@ -22,6 +23,7 @@
         self._refusal_listeners: list[RefusedListener] = []
         self._silence_listeners: list[SilenceListener] = []
         self._kept_listeners: list[KeptListener] = []
+        self._unanswered_listeners: list[UnansweredListener] = []
 
     def on_ended(self, listener: EndedListener) -> None:
         """Call ``listener`` for each accepted request that ends."""
@@ -39,6 +41,15 @@
         """Call ``listener`` each time that a silent server could not be replaced."""
         self._kept_listeners.append(listener)
 
+    def on_unanswered(self, listener: UnansweredListener) -> None:
+        """Call ``listener`` for each whole request without a complete answer."""
+        self._unanswered_listeners.append(listener)
+
+    def record_unanswered(self, unanswered: reports.Unanswered) -> None:
+        """Report a request that was read whole and got no complete answer."""
+        for listener in self._unanswered_listeners:
+            listener(unanswered)
+
     def record_silence(self, silence: reports.Silence) -> None:
         """Report how long a server was silent, and how that silence ended."""
         for listener in self._silence_listeners:
@@ -74,6 +85,7 @@
         cause: str = "",
     ) -> None:
         """Report the end of an accepted request; ``cause`` is a refusal's message."""
+        state.end_code = code
         call = state.call
         finished = reports.Finished(
             call.service,
--- /dev/null
+++ b/packages/daemon/cassiaquay_daemon/gateway/deliveries.py
@@ -0,0 +1,75 @@
+"""What the caller of a request has been sent, and requests without a whole answer."""
+
+import collections.abc
+
+from .. import logs
+from ..operators import reports
+from . import progress, replies
+
+# Causes of requests that were read whole and got no complete answer.
+CALLER_LEFT = "caller_left"
+STREAM_CUT = "stream_cut"
+DEADLINE = "deadline"
+CRASHED = "crashed"
+# Codes under which requests end whose answer has begun.
+_CAUSES_BY_CODE = {"answer_lost": STREAM_CUT, "deadline_exceeded": DEADLINE}
+
+
+class Delivery:
+    """Passes the messages of one answer on and records how far it has come.
+
+    Parameters
+    ----------
+    send : callable
+        The listener's function that sends a message.
+
+    Attributes
+    ----------
+    status : int
+        Status that the listener was given; 0 before the answer has begun.
+    is_complete : bool
+        Whether the listener has taken the last message.
+    """
+
+    def __init__(self, send: replies.Send):
+        self.status = 0
+        self.is_complete = False
+        self._send = send
+
+    def __call__(self, message: replies.Message) -> collections.abc.Awaitable[None]:
+        """Send one message of the answer."""
+        if message["type"] == "http.response.start":
+            self.status = message["status"]
+            return self._send(message)
+        if message["more_body"]:
+            return self._send(message)
+        return self._complete(message)
+
+    async def _complete(self, message: replies.Message) -> None:
+        await self._send(message)
+        self.is_complete = True
+
+
+def cause_of(state: progress.RequestState) -> str:
+    """Return why an answer that had begun was not completed."""
+    return _CAUSES_BY_CODE.get(state.end_code, CRASHED)
+
+
+def log(
+    state: progress.RequestState, delivery: Delivery, unanswered: reports.Unanswered
+) -> None:
+    """Log a request without a complete answer."""
+    call = state.call
+    logs.event(
+        "unanswered",
+        id=call.parsed.attempt,
+        cause=unanswered.cause,
+        dispatched=unanswered.was_dispatched,
+        status=delivery.status or None,
+        server=state.server or None,
+        after=state.last_event if state.last_event >= 0 else None,
+        ms=replies.elapsed_ms(call.began_at),
+        configuration=call.snapshot.label,
+    )
+    if unanswered.cause == CRASHED:
+        logs.trouble("unanswered_without_cause", id=call.parsed.attempt)
--- a/packages/daemon/cassiaquay_daemon/gateway/front.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/front.py
@@ -3,9 +3,10 @@
 import asyncio
 
 from .. import exceptions, logs, pause
+from ..operators import reports
 from ..owners import streams
 from ..platform import headers
-from . import accepting, accounting, progress, replies, serving
+from . import accepting, accounting, calls, deliveries, progress, replies, serving
 
 
 class Front:
@@ -20,7 +21,8 @@
     reply : Replies
         Builds the answers; announces the shutdown to callers.
     accounts : Accounting
-        Records requests that are refused before they have a route.
+        Records requests that are refused before they have a route, and those that get
+        no complete answer.
     pauses : Pauses
         Gives the time since when a request may have waited to be read.
     """
@@ -54,37 +56,86 @@
     ) -> None:
         """Serve one request."""
         self.open_count += 1
+        delivery = deliveries.Delivery(send)
         try:
-            await self._serve(scope, receive, send)
+            call = await self._accept(scope, receive, delivery)
+            if call is not None:
+                await self._serve(call, receive, delivery)
         finally:
             self.open_count -= 1
 
-    async def _serve(
-        self, scope: replies.Scope, receive: replies.Receive, send: replies.Send
-    ) -> None:
+    async def _accept(
+        self,
+        scope: replies.Scope,
+        receive: replies.Receive,
+        delivery: deliveries.Delivery,
+    ) -> calls.Call | None:
+        """Return the validated request; None if it has ended before it had a route."""
         began_at = self._pauses.earliest_arrival()
-        parsed = headers.read(scope["headers"])
         try:
-            call = await self._acceptor.accept(scope, receive, parsed, began_at)
-        except exceptions.Refusal as refusal:
-            replies.log_refused(parsed, refusal, began_at)
-            self._accounts.record_refused(parsed, refusal)
-            await self._replies.refuse(send, refusal)
-            return
+            parsed = headers.read(scope["headers"])
+            try:
+                return await self._acceptor.accept(scope, receive, parsed, began_at)
+            except exceptions.Refusal as refusal:
+                replies.log_refused(parsed, refusal, began_at)
+                self._accounts.record_refused(parsed, refusal)
+                await self._replies.refuse(delivery, refusal)
         except replies.CallerDisconnected:
             logs.event("caller_gone", id=parsed.attempt, sent=False)
-            return
+        except Exception as error:
+            _log_crash(_attempt_of(scope), repr(error))
+            if not delivery.status:
+                await self._replies.refuse(delivery, exceptions.InternalError())
+        return None
+
+    async def _serve(
+        self,
+        call: calls.Call,
+        receive: replies.Receive,
+        delivery: deliveries.Delivery,
+    ) -> None:
         state = progress.RequestState(call)
-        work = asyncio.create_task(self._handler.serve(state, send))
+        work = asyncio.create_task(self._handler.serve(state, delivery))
         disconnected = asyncio.create_task(streams.disconnected(receive))
         done, _ = await asyncio.wait(
             [work, disconnected], return_when=asyncio.FIRST_COMPLETED
         )
-        if work in done:
-            disconnected.cancel()
-        else:
+        has_left = work not in done
+        if has_left:
             self._handle_disconnect(state, work)
+        disconnected.cancel()
         await asyncio.gather(work, disconnected, return_exceptions=True)
+        if not work.cancelled() and work.exception() is not None:
+            _log_crash(call.parsed.attempt, repr(work.exception()))
+        if has_left:
+            self._record_unanswered(state, delivery, deliveries.CALLER_LEFT)
+        elif not delivery.status:
+            if work.cancelled():
+                _log_crash(call.parsed.attempt, "cancelled")
+            await self._refuse_crashed(state, delivery)
+        elif not delivery.is_complete:
+            # Returning makes the listener break the connection, so that the part of the
+            # answer that was sent does not look complete.
+            self._record_unanswered(state, delivery, deliveries.cause_of(state))
+
+    async def _refuse_crashed(
+        self, state: progress.RequestState, delivery: deliveries.Delivery
+    ) -> None:
+        refusal: exceptions.Refusal = exceptions.InternalError()
+        if state.may_have_run:
+            refusal = exceptions.OutcomeUnknown()
+        call = state.call
+        replies.log_refused(call.parsed, refusal, call.began_at, state)
+        await self._replies.refuse(delivery, refusal)
+        if not state.end_code:
+            self._accounts.record_ended(state, refusal.outcome, refusal.code, 0.0)
+
+    def _record_unanswered(
+        self, state: progress.RequestState, delivery: deliveries.Delivery, cause: str
+    ) -> None:
+        unanswered = reports.Unanswered(cause, state.may_have_run)
+        deliveries.log(state, delivery, unanswered)
+        self._accounts.record_unanswered(unanswered)
 
     def _handle_disconnect(
         self, state: progress.RequestState, work: "asyncio.Task[None]"
@@ -104,3 +155,15 @@
             server=state.server or None,
             ms=replies.elapsed_ms(call.began_at),
         )
+
+
+def _log_crash(attempt: str, cause: str) -> None:
+    logs.trouble("request_crashed", id=attempt, cause=cause)
+
+
+def _attempt_of(scope: replies.Scope) -> str:
+    """Return the id of the attempt of a request whose headers were not read."""
+    for name, value in scope["headers"]:
+        if name == headers.ATTEMPT:
+            return str(value, "latin-1")
+    return ""
--- a/packages/daemon/cassiaquay_daemon/gateway/progress.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/progress.py
@@ -57,6 +57,8 @@
         A server's complete failure answer, passed on if no other server answers.
     failed_server : str
         Name of that server.
+    end_code : str
+        Code under which it was recorded as ended; empty before.
     """
 
     def __init__(self, call: calls.Call):
@@ -80,6 +82,7 @@
         self.receivers: set[str] = set()
         self.failure: forwarding.Piece | None = None
         self.failed_server = ""
+        self.end_code = ""
 
     @property
     def may_have_run(self) -> bool:
--- a/packages/daemon/cassiaquay_daemon/operators/metrics.py
+++ b/packages/daemon/cassiaquay_daemon/operators/metrics.py
@@ -119,6 +119,12 @@
     ("service", "cause"),
     "Requests that ended as `answer_lost`; the cause is that of their line `ended`.",
 )
+UNANSWERED = Family(
+    "cassiaquay_gateway_unanswered_requests_total",
+    "counter",
+    ("cause", "dispatched"),
+    "Requests that were read whole and got no complete answer.",
+)
 LAG = Family(
     "cassiaquay_event_loop_lag_seconds",
     "histogram",
@@ -308,6 +314,7 @@
     SILENCES,
     KEPT_SERVERS,
     LOST_ANSWERS,
+    UNANSWERED,
     LAG,
     ALARMS,
     OPEN,
--- a/packages/daemon/cassiaquay_daemon/operators/reports.py
+++ b/packages/daemon/cassiaquay_daemon/operators/reports.py
@@ -108,6 +108,23 @@
     cause: str
 
 
+class Unanswered(typing.NamedTuple):
+    """A request that was read whole and got no complete answer.
+
+    Attributes
+    ----------
+    cause : str
+        "caller_left": the caller disconnected; "stream_cut": its stream was cut off and
+        could not go on; "deadline": its time ended within the answer; "crashed": an
+        error of this instance.
+    was_dispatched : bool
+        Whether a server may have run it.
+    """
+
+    cause: str
+    was_dispatched: bool
+
+
 class Reach(typing.NamedTuple):
     """Which servers this instance reaches, and what relays have done.
 
@@ -223,6 +240,11 @@
         """Record why a silent server kept its request."""
         self.metrics.count(metrics.KEPT_SERVERS, (kept.service, kept.cause))
 
+    def record_unanswered(self, unanswered: Unanswered) -> None:
+        """Record a whole request that got no complete answer."""
+        dispatched = "yes" if unanswered.was_dispatched else "no"
+        self.metrics.count(metrics.UNANSWERED, (unanswered.cause, dispatched))
+
     def _lost_cause(self, message: str) -> str:
         """Return the label for a refusal's message; only a few are kept distinct."""
         if message and len(self._lost_causes) < MAX_LOST_CAUSES:
--- a/tests/test_trace.py
+++ b/tests/test_trace.py
@@ -257,3 +257,19 @@
     assert trace.trace("c9", _read(tmp_path, a=[SHED])).cause.startswith("no line")
     with pytest.raises(exceptions.FileUnreadable):
         log_lines.read([str(tmp_path / "nothing.log")])
+
+
+@pytest.mark.parametrize("cause", [*trace.UNANSWERED_CAUSES, "something_new"])
+def test_end_without_an_answer_is_told_after_the_outcome(tmp_path, cause: str) -> None:
+    """Guards against an outcome that says nothing of what its caller got."""
+    unanswered = (
+        "at=100.7 level=INFO event=unanswered instance=cq-1 id=c1 "
+        f"cause={cause} dispatched=true status=200 server=i-1 after=3"
+    )
+    found = trace.trace(
+        "c1", _read(tmp_path, a=[DISPATCH, ANSWER_CUT, ENDED_LOST, unanswered])
+    )
+    assert "i-1 broke off after event 3" in found.cause
+    expected = trace.UNANSWERED_CAUSES.get(cause, cause)
+    assert found.cause.endswith(expected)
+    assert found.alike is not None
--- a/tests/test_unanswered.py
+++ b/tests/test_unanswered.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections.abc
+import re
 import typing
 
 import gateway_fakes as fakes
@@ -283,3 +284,118 @@
         assert "internal_error" not in {ended.code for ended in others}
 
     fakes.run(work)
+
+
+async def counts(site: fakes.Site) -> dict[tuple[str, str], int]:
+    """Return the requests without a complete answer by cause and dispatch."""
+    url = f"http://{site.daemons[0]._membership.admin_address}/metrics"
+    async with site.http.get(url) as response:
+        page = await response.text()
+    pattern = r'_unanswered_requests_total\{cause="(\w+)",dispatched="(\w+)"\} (\d+)'
+    found = {}
+    for cause, dispatched, count in re.findall(pattern, page):
+        found[cause, dispatched] = int(count)
+    return found
+
+
+async def until_counted(site: fakes.Site, expected: dict[tuple[str, str], int]) -> None:
+    """Wait until requests without a complete answer are counted so."""
+    while await counts(site) != expected:
+        await asyncio.sleep(0.01)
+
+
+async def fail(*args: object) -> None:
+    """Raise an error that nobody expects."""
+    raise RuntimeError("unexpected")
+
+
+async def be_cancelled(*args: object) -> None:
+    """End as a task does that somebody has cancelled."""
+    raise asyncio.CancelledError
+
+
+def fail_at_once(*args: object) -> None:
+    """Raise an error that nobody expects."""
+    raise RuntimeError("unexpected")
+
+
+async def cut(request: raw_servers.Request, writer: raw_servers.Writer) -> None:
+    """Break a stream off after two events."""
+    await standins.write_stream_head(request, writer)
+    await standins.write_events(request, writer, 2)
+    raw_servers.reset(writer)
+
+
+@pytest.mark.parametrize(
+    ("path", "cause"),
+    [
+        ("/string/cut", "stream_cut"),
+        ("/string/late", "deadline"),
+        ("/string/crash", "crashed"),
+        ("/string/left", "caller_left"),
+        ("/safe/left", "caller_left"),
+        ("/book/left", "caller_left"),
+    ],
+)
+def test_request_without_a_complete_answer_is_counted_by_its_cause(
+    path: str, cause: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Requests ended in the middle of their answers, and nothing counted them."""
+    held = Held()
+
+    async def work(site: fakes.Site) -> None:
+        respond_with(site, cut if path.endswith("cut") else held.respond)
+        resuming = site.gateway(0)._parts.resuming
+        if path.endswith("crash"):
+            monkeypatch.setattr(type(resuming), "note_events", fail_at_once)
+        reader, writer = await connect(site)
+        more = {"Cassiaquay-Deadline-Ms": "300"} if path.endswith("late") else {}
+        writer.write(form(path, "a1", **more))
+        while not any(engine.runs for engine in site.engines):
+            await asyncio.sleep(0.01)
+        if path.endswith("left"):
+            writer.close()
+            await asyncio.sleep(0.05)
+            held.go_on.set()
+        else:
+            assert not (await read_end(reader)).is_whole
+            writer.close()
+        await until_counted(site, {(cause, "yes"): 1})
+
+    fakes.run(work)
+
+
+@pytest.mark.parametrize(
+    ("target", "replacement"),
+    [
+        ("platform.headers.read", fail_at_once),
+        ("gateway.calls.compute_deadline", fail_at_once),
+        ("keepers.quotas.Quotas.take", fail),
+        ("keepers.quotas.Quotas.take", be_cancelled),
+        ("gateway.accounting.Accounting.record_ended", fail_at_once),
+    ],
+)
+def test_unexpected_error_leaves_no_caller_without_a_refusal(
+    target: str,
+    replacement: object,
+    monkeypatch: pytest.MonkeyPatch,
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """An error before or after the handler became a status 500 that nothing logged."""
+
+    async def work(site: fakes.Site) -> None:
+        for engine in site.engines:
+            site.register(engine, state="draining")
+        while site.gateway(0)._parts.configured.current.open_servers("plain"):
+            await asyncio.sleep(0.01)
+        monkeypatch.setattr(f"cassiaquay_daemon.{target}", replacement)
+        ended = await ask(site, "/book/x")
+        assert ended.is_whole
+        # Not run, whatever has failed.
+        assert ended.status == 503
+        assert await counts(site) == {}
+        monkeypatch.undo()
+
+    fakes.run(work)
+    crashes = [item for item in caplog.records if item.message == "request_crashed"]
+    assert [vars(item)["id"] for item in crashes] == ["a1"]
