Give a caller that closes only its sending side a status

A caller that had sent a whole request and then the end of its side got no byte: the end was taken for its leaving, and the connection was closed at once, also under a request that ran on since it may not be repeated, whose answer was then thrown away.

Until bytes are written, a caller that left and one that only stopped sending look alike, and HTTP (RFC 9112) does not tell them apart either. No server may work on for a caller that left, so the end of the request stays the same: what waits or may be repeated is cancelled, and a stream is cut. But the connection stays half open until then: the caller gets 503 caller_gone, 502 caller_gone_running, or the answer of a request that ran on. To a caller that has left, these bytes are lost as before.

Requests that wait behind the last answer of a connection (pipelined, Connection: close) are counted, too.

--- /dev/null
+++ b/packages/daemon/cassiaquay_daemon/gateway/caller_connections.py
@@ -0,0 +1,66 @@
+"""Connections of callers: ends that the HTTP library decides without the application.
+
+A caller that has sent a whole request and closes its sending side may still read, or
+may have left: both look alike until something is written. Its request ends as if the
+caller had left, but it gets the status of that end, and the answer of a request that
+runs on.
+"""
+
+import typing
+
+from uvicorn.protocols.http import httptools_impl
+
+from .. import logs
+from ..operators import reports
+from ..platform import headers
+from . import accounting, deliveries, replies
+
+# Key of the connection in the extensions of the ASGI scope.
+EXTENSION = "cassiaquay.connection"
+
+
+class CallerConnection(httptools_impl.HttpToolsProtocol):
+    """The server's side of one connection of a caller.
+
+    Parameters
+    ----------
+    accounts : Accounting
+        Records whole requests that are dropped unread by the application.
+    **options
+        What the library gives to its own class.
+    """
+
+    def __init__(self, accounts: accounting.Accounting, **options: typing.Any):
+        super().__init__(**options)
+        self.is_half_closed = False
+        self._accounts = accounts
+
+    def on_message_begin(self) -> None:
+        """Begin the next request."""
+        super().on_message_begin()
+        # The type of the library's scope has no extensions.
+        typing.cast(replies.Scope, self.scope)["extensions"] = {EXTENSION: self}
+
+    def eof_received(self) -> bool | None:  # type: ignore[override]
+        """Keep the connection half open until the request in progress has ended."""
+        self.is_half_closed = True
+        cycle = self.cycle
+        if cycle is None or cycle.response_complete or cycle.more_body:
+            return False
+        cycle.keep_alive = False
+        # Wakes the application, which waits for the end of the connection.
+        cycle.message_event.set()
+        return True
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Record the requests that wait behind the one in progress."""
+        has_left = exc is not None or self.is_half_closed
+        cause = deliveries.CALLER_LEFT if has_left else deliveries.PIPELINED
+        while self.pipeline:
+            cycle, _ = self.pipeline.pop()
+            if cycle.more_body:
+                continue
+            attempt = headers.attempt_of(cycle.scope["headers"])
+            logs.event("unanswered", id=attempt, cause=cause, dispatched=False)
+            self._accounts.record_unanswered(reports.Unanswered(cause, False))
+        super().connection_lost(exc)
--- a/packages/daemon/cassiaquay_daemon/gateway/front.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/front.py
@@ -1,12 +1,23 @@
 """ASGI application that receives callers' requests."""
 
 import asyncio
+import collections.abc
 
 from .. import exceptions, logs, pause
 from ..operators import reports
-from ..owners import streams
 from ..platform import headers
-from . import accepting, accounting, calls, deliveries, progress, replies, serving
+from . import (
+    accepting,
+    accounting,
+    caller_connections,
+    calls,
+    deliveries,
+    progress,
+    replies,
+    serving,
+)
+
+CLOSED = "The caller closed its side of the connection."
 
 
 class Front:
@@ -60,7 +71,8 @@
         try:
             call = await self._accept(scope, receive, delivery)
             if call is not None:
-                await self._serve(call, receive, delivery)
+                left = _until_left(scope, receive)
+                await self._serve(call, left, delivery)
         finally:
             self.open_count -= 1
 
@@ -83,7 +95,7 @@
         except replies.CallerDisconnected:
             logs.event("caller_gone", id=parsed.attempt, sent=False)
         except Exception as error:
-            _log_crash(_attempt_of(scope), repr(error))
+            _log_crash(headers.attempt_of(scope["headers"]), repr(error))
             if not delivery.status:
                 await self._replies.refuse(delivery, exceptions.InternalError())
         return None
@@ -91,12 +103,12 @@
     async def _serve(
         self,
         call: calls.Call,
-        receive: replies.Receive,
+        left: collections.abc.Coroutine[None, None, None],
         delivery: deliveries.Delivery,
     ) -> None:
         state = progress.RequestState(call)
         work = asyncio.create_task(self._handler.serve(state, delivery))
-        disconnected = asyncio.create_task(streams.disconnected(receive))
+        disconnected = asyncio.create_task(left)
         done, _ = await asyncio.wait(
             [work, disconnected], return_when=asyncio.FIRST_COMPLETED
         )
@@ -108,6 +120,7 @@
         if not work.cancelled() and work.exception() is not None:
             _log_crash(call.parsed.attempt, repr(work.exception()))
         if has_left:
+            await self._refuse_left(state, delivery)
             self._record_unanswered(state, delivery, deliveries.CALLER_LEFT)
         elif not delivery.status:
             if work.cancelled():
@@ -118,6 +131,17 @@
             # answer that was sent does not look complete.
             self._record_unanswered(state, delivery, deliveries.cause_of(state))
 
+    async def _refuse_left(
+        self, state: progress.RequestState, delivery: deliveries.Delivery
+    ) -> None:
+        """Refuse a request whose caller may have closed its sending side only."""
+        if delivery.status:
+            return
+        lost: exceptions.Refusal = exceptions.CallerDisconnected(CLOSED)
+        if state.may_have_run:
+            lost = exceptions.CallerDisconnectedWhileRunning(CLOSED)
+        await self._replies.refuse(delivery, lost)
+
     async def _refuse_crashed(
         self, state: progress.RequestState, delivery: deliveries.Delivery
     ) -> None:
@@ -157,13 +181,14 @@
         )
 
 
-def _log_crash(attempt: str, cause: str) -> None:
-    logs.trouble("request_crashed", id=attempt, cause=cause)
+async def _until_left(scope: replies.Scope, receive: replies.Receive) -> None:
+    """Return when the caller has closed its connection or its sending side."""
+    connection = scope["extensions"][caller_connections.EXTENSION]
+    while not connection.is_half_closed:
+        message = await receive()
+        if message["type"] == "http.disconnect":
+            return
 
 
-def _attempt_of(scope: replies.Scope) -> str:
-    """Return the id of the attempt of a request whose headers were not read."""
-    for name, value in scope["headers"]:
-        if name == headers.ATTEMPT:
-            return str(value, "latin-1")
-    return ""
+def _log_crash(attempt: str, cause: str) -> None:
+    logs.trouble("request_crashed", id=attempt, cause=cause)
--- a/packages/daemon/cassiaquay_daemon/gateway/service.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/service.py
@@ -3,9 +3,11 @@
 import asyncio
 import collections.abc
 import contextlib
+import functools
 import typing
 
 import uvicorn
+from uvicorn.protocols.http import httptools_impl
 
 from cassiaquay_schema import settings as settings_schema
 
@@ -27,6 +29,7 @@
     accepting,
     accounting,
     admission,
+    caller_connections,
     completions,
     connections,
     directory,
@@ -141,7 +144,10 @@
     def start(self) -> None:
         """Listen on all addresses."""
         gateway = self._gateway
-        self._listen(self._front, gateway.front)
+        protocol = functools.partial(
+            caller_connections.CallerConnection, self._parts.accounting
+        )
+        self._listen(self._front, gateway.front, protocol)
         if gateway.ready:
             self._listen(self._directory.readiness(), gateway.ready)
         if gateway.directory:
@@ -198,12 +204,17 @@
             if self._open_count:
                 busy_at = loop.time()
 
-    def _listen(self, application: listeners.Application, address: str) -> None:
+    def _listen(
+        self,
+        application: listeners.Application,
+        address: str,
+        protocol: listeners.Protocol = httptools_impl.HttpToolsProtocol,
+    ) -> None:
         bound = early_bind.take(address)
         if address == self._gateway.relay:
             # Accepted connections inherit the options of the listening socket.
             sockets.set_timeouts(bound)
-        server = listeners.server(application, IDLE_TIMEOUT_SECONDS)
+        server = listeners.server(application, IDLE_TIMEOUT_SECONDS, protocol)
         self._servers.append(server)
         self._serving.append(asyncio.create_task(server.serve([bound])))
 
--- a/packages/daemon/cassiaquay_daemon/listeners.py
+++ b/packages/daemon/cassiaquay_daemon/listeners.py
@@ -7,8 +7,10 @@
 import typing
 
 import uvicorn
+from uvicorn.protocols.http import httptools_impl
 
 Application = typing.Any
+Protocol = collections.abc.Callable[..., asyncio.Protocol]
 KEEP_ALIVE_SECONDS = 5
 
 # The library logs a stack trace for each response that is aborted on purpose.
@@ -48,7 +50,9 @@
 
 
 def server(
-    application: Application, idle_seconds: int = KEEP_ALIVE_SECONDS
+    application: Application,
+    idle_seconds: int = KEEP_ALIVE_SECONDS,
+    protocol: Protocol = httptools_impl.HttpToolsProtocol,
 ) -> uvicorn.Server:
     """Return a server for an ASGI application; its sockets are passed to ``serve``.
 
@@ -58,13 +62,16 @@
         The ASGI application.
     idle_seconds : int
         How long an idle keep-alive connection stays open.
+    protocol : callable
+        Returns the protocol of a new connection.
     """
     config = uvicorn.Config(
         application,
         log_config=None,
         access_log=False,
         lifespan="off",
-        http="httptools",
+        # The library calls it as it would call a class.
+        http=typing.cast(type[asyncio.Protocol], protocol),
         ws="none",
         server_header=False,
         date_header=False,
--- a/packages/daemon/cassiaquay_daemon/platform/headers.py
+++ b/packages/daemon/cassiaquay_daemon/platform/headers.py
@@ -163,6 +163,14 @@
     )
 
 
+def attempt_of(headers: Headers) -> str:
+    """Return the caller's id of an attempt, or empty."""
+    for name, value in headers:
+        if name == ATTEMPT:
+            return value.decode("latin-1")
+    return ""
+
+
 def towards_server(
     headers: Headers, server: str, team: str, remaining_ms: int, last_event: int
 ) -> Pairs:
--- a/tests/test_unanswered.py
+++ b/tests/test_unanswered.py
@@ -399,3 +399,72 @@
     fakes.run(work)
     crashes = [item for item in caplog.records if item.message == "request_crashed"]
     assert [vars(item)["id"] for item in crashes] == ["a1"]
+
+
+async def until_all_run(site: fakes.Site, count: int) -> None:
+    """Wait until servers have received this number of requests."""
+    while sum(len(engine.runs) for engine in site.engines) < count:
+        await asyncio.sleep(0.01)
+
+
+@pytest.mark.parametrize(
+    ("path", "waits", "status", "code"),
+    [
+        ("/book/x", True, 503, "caller_gone"),
+        ("/safe/x", False, 502, "caller_gone_running"),
+        ("/book/x", False, 200, ""),
+    ],
+)
+def test_caller_that_closes_its_sending_side_only_gets_a_status(
+    path: str, waits: bool, status: int, code: str
+) -> None:
+    """A caller that sent a whole request and then its end got no byte at all."""
+    held = Held()
+
+    async def work(site: fakes.Site) -> None:
+        respond_with(site, held.respond)
+        put(site, 2)
+        while site.gateway(0)._parts.configured.current.routes.version < 2:
+            await asyncio.sleep(0.01)
+        slots = 4 * len(site.engines) if waits else 0
+        others = []
+        for number in range(slots):
+            others.append(asyncio.create_task(ask(site, "/book/x", f"b{number}")))
+        await until_all_run(site, slots)
+        reader, writer = await connect(site)
+        writer.write(form(path, "a1"))
+        if not waits:
+            await until_all_run(site, 1)
+        writer.write_eof()
+        if status != 200:
+            ended = await read_end(reader)
+            assert (ended.status, ended.code) == (status, code)
+            assert ended.is_whole
+            await until_counted(site, {("caller_left", "no" if waits else "yes"): 1})
+        held.go_on.set()
+        if status == 200:
+            assert (await read_end(reader)).data.endswith(BODY)
+        writer.close()
+        assert {(await other).status for other in others} <= {200}
+        run = sum(engine.runs.count("a1") for engine in site.engines)
+        assert run == (0 if waits else 1)
+
+    fakes.run(work)
+
+
+def test_request_behind_the_last_answer_of_a_connection_is_counted() -> None:
+    """A pipelined request was dropped when the connection was closed before it."""
+
+    async def work(site: fakes.Site) -> None:
+        respond_with(site, Held().respond)
+        site.gateway(0)._front.leave()
+        reader, writer = await connect(site)
+        first = form("/missing/x", "a1", Connection="keep-alive")
+        writer.write(first + form("/book/x", "a2"))
+        ended = await read_end(reader)
+        assert (ended.status, ended.is_whole) == (404, True)
+        writer.close()
+        await until_counted(site, {("pipelined", "no"): 1})
+        assert not any(engine.runs for engine in site.engines)
+
+    fakes.run(work)
