--- a/packages/daemon/cassiaquay_daemon/gateway/progress.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/progress.py
@@ -62,6 +62,8 @@
         Name of that server.
     limit : Timeout or None
         Ends the request at its deadline.
+    end_code : str
+        Code under which it was recorded as ended; empty before.
     """
 
     def __init__(self, call: calls.Call):
@@ -86,6 +88,7 @@
         self.failure: forwarding.Piece | None = None
         self.failed_server = ""
         self.limit: asyncio.Timeout | None = None
+        self.end_code = ""
 
     @property
     def may_have_run(self) -> bool:
--- a/packages/daemon/cassiaquay_daemon/listeners.py
+++ b/packages/daemon/cassiaquay_daemon/listeners.py
@@ -12,6 +12,7 @@
 from . import logs
 
 Application = typing.Any
+Protocol = collections.abc.Callable[..., asyncio.Protocol]
 KEEP_ALIVE_SECONDS = 5
 # Bytes of a head, or of chunk extensions and trailers, without a byte of body. Above
 # any limit of operators; the library's parser has none.
@@ -25,7 +26,7 @@
 logging.getLogger("uvicorn.error").disabled = True
 
 
-class _Protocol(httptools_impl.HttpToolsProtocol):
+class Connection(httptools_impl.HttpToolsProtocol):
     """A connection that is closed when a head on it does not end."""
 
     def __init__(self, *args: typing.Any, **options: typing.Any):
@@ -101,7 +102,9 @@
 
 
 def server(
-    application: Application, idle_seconds: int = KEEP_ALIVE_SECONDS
+    application: Application,
+    idle_seconds: int = KEEP_ALIVE_SECONDS,
+    protocol: Protocol = Connection,
 ) -> uvicorn.Server:
     """Return a server for an ASGI application; its sockets are passed to ``serve``.
 
@@ -111,13 +114,16 @@
         The ASGI application.
     idle_seconds : int
         How long an idle keep-alive connection stays open.
+    protocol : callable
+        Returns the protocol of a new connection.
     """
     config = uvicorn.Config(
         application,
         log_config=None,
         access_log=False,
         lifespan="off",
-        http=_Protocol,
+        # The library calls it as it would call a class.
+        http=typing.cast(type[asyncio.Protocol], protocol),
         ws="none",
         server_header=False,
         date_header=False,
--- a/packages/daemon/cassiaquay_daemon/operators/reports.py
+++ b/packages/daemon/cassiaquay_daemon/operators/reports.py
@@ -15,7 +15,7 @@
 from ..keepers import keeper
 from ..links import peers
 from ..owners import owner, recovery
-from . import burn, history, metrics, silences, top_counts
+from . import burn, history, metrics, silences, top_counts, unanswered
 
 LAG_PERIOD_SECONDS = 0.5
 # Causes of lost answers that metrics tell apart. They are messages of refusals, which
@@ -230,6 +230,11 @@
         """Record why a silent server kept its request."""
         self.metrics.count(metrics.KEPT_SERVERS, (kept.service, kept.cause))
 
+    def record_unanswered(self, found: unanswered.Unanswered) -> None:
+        """Record a whole request that got no complete answer."""
+        dispatched = "yes" if found.was_dispatched else "no"
+        self.metrics.count(metrics.UNANSWERED, (found.cause, dispatched))
+
     def _lost_cause(self, message: str) -> str:
         """Return the label for a refusal's message; only a few are kept distinct."""
         if message and len(self._lost_causes) < MAX_LOST_CAUSES:
--- a/tests/test_unanswered.py
+++ b/tests/test_unanswered.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections.abc
+import re
 import typing
 
 import gateway_fakes as fakes
@@ -283,3 +284,208 @@
         assert "internal_error" not in {ended.code for ended in others}
 
     fakes.run(work)
+
+
+async def counts(site: fakes.Site) -> dict[tuple[str, str], int]:
+    """Return the requests without a complete answer by cause and dispatch."""
+    url = f"http://{site.daemons[0]._membership.admin_address}/metrics"
+    async with site.http.get(url) as response:
+        page = await response.text()
+    pattern = r'_unanswered_requests_total\{cause="(\w+)",dispatched="(\w+)"\} (\d+)'
+    found = {}
+    for cause, dispatched, count in re.findall(pattern, page):
+        found[cause, dispatched] = int(count)
+    return found
+
+
+async def until_counted(site: fakes.Site, expected: dict[tuple[str, str], int]) -> None:
+    """Wait until requests without a complete answer are counted so."""
+    while await counts(site) != expected:
+        await asyncio.sleep(0.01)
+
+
+async def fail(*args: object) -> None:
+    """Raise an error that nobody expects."""
+    raise RuntimeError("unexpected")
+
+
+async def be_cancelled(*args: object) -> None:
+    """End as a task does that somebody has cancelled."""
+    raise asyncio.CancelledError
+
+
+def fail_at_once(*args: object) -> None:
+    """Raise an error that nobody expects."""
+    raise RuntimeError("unexpected")
+
+
+async def cut(request: raw_servers.Request, writer: raw_servers.Writer) -> None:
+    """Break a stream off after two events."""
+    await standins.write_stream_head(request, writer)
+    await standins.write_events(request, writer, 2)
+    raw_servers.reset(writer)
+
+
+@pytest.mark.parametrize(
+    ("path", "cause"),
+    [
+        ("/string/cut", "stream_cut"),
+        ("/string/late", "deadline"),
+        ("/string/crash", "crashed"),
+        ("/string/left", "caller_left"),
+        ("/safe/left", "caller_left"),
+        ("/book/left", "caller_left"),
+    ],
+)
+def test_request_without_a_complete_answer_is_counted_by_its_cause(
+    path: str, cause: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Requests ended in the middle of their answers, and nothing counted them."""
+    held = Held()
+
+    async def work(site: fakes.Site) -> None:
+        respond_with(site, cut if path.endswith("cut") else held.respond)
+        resuming = site.gateway(0)._parts.resuming
+        if path.endswith("crash"):
+            monkeypatch.setattr(type(resuming), "note_events", fail_at_once)
+        reader, writer = await connect(site)
+        more = {"Cassiaquay-Deadline-Ms": "300"} if path.endswith("late") else {}
+        writer.write(form(path, "a1", **more))
+        while not any(engine.runs for engine in site.engines):
+            await asyncio.sleep(0.01)
+        if path.endswith("left"):
+            writer.close()
+            await asyncio.sleep(0.05)
+            held.go_on.set()
+        else:
+            assert not (await read_end(reader)).is_whole
+            writer.close()
+        await until_counted(site, {(cause, "yes"): 1})
+
+    fakes.run(work)
+
+
+@pytest.mark.parametrize(
+    ("target", "replacement"),
+    [
+        ("platform.headers.read", fail_at_once),
+        ("gateway.calls.compute_deadline", fail_at_once),
+        ("keepers.quotas.Quotas.take", fail),
+        ("keepers.quotas.Quotas.take", be_cancelled),
+        ("gateway.accounting.Accounting.record_ended", fail_at_once),
+    ],
+)
+def test_unexpected_error_leaves_no_caller_without_a_refusal(
+    target: str,
+    replacement: object,
+    monkeypatch: pytest.MonkeyPatch,
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """An error before or after the handler became a status 500 that nothing logged."""
+
+    async def work(site: fakes.Site) -> None:
+        for engine in site.engines:
+            site.register(engine, state="draining")
+        while site.gateway(0)._parts.configured.current.open_servers("plain"):
+            await asyncio.sleep(0.01)
+        monkeypatch.setattr(f"cassiaquay_daemon.{target}", replacement)
+        ended = await ask(site, "/book/x")
+        assert ended.is_whole
+        # Not run, whatever has failed.
+        assert ended.status == 503
+        assert await counts(site) == {}
+        monkeypatch.undo()
+
+    fakes.run(work)
+    crashes = [item for item in caplog.records if item.message == "request_crashed"]
+    assert [vars(item)["id"] for item in crashes] == ["a1"]
+
+
+async def until_all_run(site: fakes.Site, count: int) -> None:
+    """Wait until servers have received this number of requests."""
+    while sum(len(engine.runs) for engine in site.engines) < count:
+        await asyncio.sleep(0.01)
+
+
+@pytest.mark.parametrize(
+    ("path", "waits", "status", "code"),
+    [
+        ("/book/x", True, 503, "caller_gone"),
+        ("/safe/x", False, 502, "caller_gone_running"),
+        ("/book/x", False, 200, ""),
+    ],
+)
+def test_caller_that_closes_its_sending_side_only_gets_a_status(
+    path: str, waits: bool, status: int, code: str
+) -> None:
+    """A caller that sent a whole request and then its end got no byte at all."""
+    held = Held()
+
+    async def work(site: fakes.Site) -> None:
+        respond_with(site, held.respond)
+        put(site, 2)
+        while site.gateway(0)._parts.configured.current.routes.version < 2:
+            await asyncio.sleep(0.01)
+        slots = 4 * len(site.engines) if waits else 0
+        others = []
+        for number in range(slots):
+            others.append(asyncio.create_task(ask(site, "/book/x", f"b{number}")))
+        await until_all_run(site, slots)
+        reader, writer = await connect(site)
+        writer.write(form(path, "a1"))
+        if not waits:
+            await until_all_run(site, 1)
+        writer.write_eof()
+        if status != 200:
+            ended = await read_end(reader)
+            assert (ended.status, ended.code) == (status, code)
+            assert ended.is_whole
+            await until_counted(site, {("caller_left", "no" if waits else "yes"): 1})
+        held.go_on.set()
+        if status == 200:
+            assert (await read_end(reader)).data.endswith(BODY)
+        writer.close()
+        assert {(await other).status for other in others} <= {200}
+        run = sum(engine.runs.count("a1") for engine in site.engines)
+        assert run == (0 if waits else 1)
+
+    fakes.run(work)
+
+
+@pytest.mark.parametrize("path", ["/book/x", "/string/x"])
+def test_bytes_after_a_whole_request_do_not_replace_its_answer(path: str) -> None:
+    """Bytes that are no request were answered with 400 in the midst of an answer."""
+    held = Held()
+
+    async def work(site: fakes.Site) -> None:
+        respond_with(site, held.respond)
+        reader, writer = await connect(site)
+        writer.write(form(path, "a1"))
+        await until_all_run(site, 1)
+        for _ in range(2):
+            writer.write(b"\x00 no request\r\n\r\n")
+            await asyncio.sleep(0.05)
+        held.go_on.set()
+        ended = await read_end(reader)
+        assert (ended.status, ended.is_whole) == (200, True)
+        writer.close()
+
+    fakes.run(work)
+
+
+def test_request_behind_the_last_answer_of_a_connection_is_counted() -> None:
+    """A pipelined request was dropped when the connection was closed before it."""
+
+    async def work(site: fakes.Site) -> None:
+        respond_with(site, Held().respond)
+        site.gateway(0)._front.leave()
+        reader, writer = await connect(site)
+        first = form("/missing/x", "a1", Connection="keep-alive")
+        writer.write(first + form("/book/x", "a2"))
+        ended = await read_end(reader)
+        assert (ended.status, ended.is_whole) == (404, True)
+        writer.close()
+        await until_counted(site, {("pipelined", "no"): 1})
+        assert not any(engine.runs for engine in site.engines)
+
+    fakes.run(work)
