Soak: engines whose answers do not end, and what daemons do beside them

`silenced` counts a dripping answer as a slow one, which nothing may end but its time, a bound or another engine's answer.

Callers count the events that they have received by their ids: an endless answer may hold comments, which are no events. Comments that such an engine has sent are no finding in `mixed` and `order`; they remain one in every other answer.

--- a/packages/dev/cassiaquay_dev/soak/checks.py
+++ b/packages/dev/cassiaquay_dev/soak/checks.py
@@ -25,6 +25,8 @@
 # A request whose connection closes this soon was not accepted: the daemon closed the
 # connection while the request was on its way.
 CROSSING_SECONDS = 0.2
+# Lags of the soak's event loop count until this long before and after a request.
+LAG_MARGIN_SECONDS = 1.0
 # Number of findings that some of the timed checks tolerate.
 MAX_TOLERATED = 3
 # Number of engines that a request may crash before daemons must refuse it.
@@ -101,11 +103,19 @@
             continue
         if not attempt.complete:
             continue
-        answer = engines.without_versions(attempt.answer)
+        answer = _sound_answer(attempt, runs.get(name, []))
         if answer not in _expected_answers(sealed[0], attempt):
             yield f"{name} got another body than {seal!r} stands for"
 
 
+def _sound_answer(attempt: records.Attempt, runs: list[records.Run]) -> bytes:
+    """Return an answer without versions, and without comments of an endless one."""
+    answer = engines.without_versions(attempt.answer)
+    if any(run.is_endless for run in runs):
+        answer = engines.without_comments(answer)
+    return answer
+
+
 def _expected_answers(run: records.Run, attempt: records.Attempt) -> list[bytes]:
     if run.service == "plain":
         return [engines.body_of(run.seal)]
@@ -120,10 +130,11 @@
 @safety_checks.register("order")
 def find_event_order_errors(recorded: records.Records) -> collections.abc.Iterator[str]:
     """Find streams, also incomplete ones, with missing, repeated or swapped events."""
+    runs = _runs_by_attempt(recorded)
     for name, attempt in recorded.attempts.items():
         if attempt.status != 200 or attempt.kind not in ("stream", "string"):
             continue
-        answer = engines.without_versions(attempt.answer)
+        answer = _sound_answer(attempt, runs.get(name, []))
         if not _expected_events(attempt).startswith(answer):
             yield f"{name} got events out of order: {attempt.answer[-200:]!r}"
 
@@ -391,10 +402,22 @@
 
 
 class Finding(typing.NamedTuple):
-    """One violation that a check has found."""
+    """One violation that a check has found.
+
+    Attributes
+    ----------
+    check : str
+        The check.
+    text : str
+        What it has found.
+    lag : float
+        Seconds by which the soak's event loop was late at most around the request that
+        the text begins with; 0 for other texts.
+    """
 
     check: str
     text: str
+    lag: float = 0.0
 
 
 def run(recorded: records.Records, timed: bool) -> list[Finding]:
@@ -404,5 +427,13 @@
     for checks in registries:
         for name in checks.names():
             for text in checks.get(name)(recorded):
-                found.append(Finding(name, text))
+                found.append(Finding(name, text, _lag_around(recorded, text)))
     return found
+
+
+def _lag_around(recorded: records.Records, text: str) -> float:
+    attempt = recorded.attempts.get(text.partition(" ")[0])
+    if attempt is None:
+        return 0.0
+    start, end = attempt.sent_at, attempt.ended_at
+    return recorded.max_lag(start - LAG_MARGIN_SECONDS, end + LAG_MARGIN_SECONDS)
--- a/packages/dev/cassiaquay_dev/soak/daemons.py
+++ b/packages/dev/cassiaquay_dev/soak/daemons.py
@@ -101,6 +101,11 @@
                 return
         await self.kill()
 
+    def read_memory_peak(self) -> int:
+        """Return the most bytes of memory that the process has used; 0 if it ended."""
+        text = _read_status(self._process.pid).get("VmHWM", "0 kB")
+        return int(text.split()[0]) * 1024
+
     async def is_ready(self) -> bool:
         """Return whether the daemon's readiness endpoint answers 200."""
         found = await exchange.get(self.addresses["ready"], "/cassiaquay/ready", 1.0)
@@ -109,13 +114,17 @@
 
 def _handles(pid: int, number: signal.Signals) -> bool:
     """Return whether a process catches or ignores a signal."""
+    status = _read_status(pid)
     handled = 0
+    for name in ("SigIgn", "SigCgt"):
+        handled |= int(status.get(name, "0"), 16)
+    return bool(handled >> (number - 1) & 1)
+
+
+def _read_status(pid: int) -> dict[str, str]:
+    """Return what the kernel tells about a process; nothing if it has ended."""
     try:
         lines = pathlib.Path(f"/proc/{pid}/status").read_text().splitlines()
     except OSError:
-        return False
-    for line in lines:
-        name, _, mask = line.partition(":")
-        if name in ("SigIgn", "SigCgt"):
-            handled |= int(mask, 16)
-    return bool(handled >> (number - 1) & 1)
+        return {}
+    return {name: text.strip() for name, _, text in (x.partition(":") for x in lines)}
--- a/packages/dev/cassiaquay_dev/soak/engines.py
+++ b/packages/dev/cassiaquay_dev/soak/engines.py
@@ -5,8 +5,9 @@
 import collections.abc
 import random
 import re
+import typing
 
-from ..standins import raw_servers
+from ..standins import endless, raw_servers
 from . import records
 
 SLOTS = 4
@@ -17,11 +18,46 @@
 EVENT_GAP_SECONDS = 0.02
 EVENT_COUNT = 8
 SLOW = 8.0
+# Comment of the endless answer that consists of complete comments.
+COMMENT = re.compile(rb"^: wait\n\n", re.MULTILINE)
 VERSION_LINE = re.compile(rb"^version: (\S+)\n", re.MULTILINE)
 # Faults that an engine may inject into one request.
 FAULTS = ("reset", "truncate", "extra", "silent", "error", "mid_event", "anew")
 
 
+# Endless answers that begin with the whole answer, or with a failure.
+SURPLUS = ("surplus", "surplus_answers")
+FAILURES = ("failure", "failure_unframed")
+# Endless answers that are no valid ones from their first bytes on.
+INVALID = ("garbage", "blank_lines")
+
+
+class Endlessness(typing.NamedTuple):
+    """How the answers of an engine in trouble do not end.
+
+    Attributes
+    ----------
+    kind : str
+        One of the endless answers.
+    drips : bool
+        Whether they come slowly.
+    allowance : Allowance
+        Bounds what the engines of one fault send.
+    """
+
+    kind: str
+    drips: bool
+    allowance: endless.Allowance
+
+    @property
+    def is_slow(self) -> bool:
+        """Whether an answer looks like a sound one that takes long.
+
+        Nothing may then end it but its time or another engine's answer.
+        """
+        return self.drips and self.kind not in FAILURES + INVALID + SURPLUS
+
+
 class Engine(raw_servers.RawServer):
     """One engine process; a restarted engine is another object with another name.
 
@@ -54,6 +90,8 @@
         self.service = service
         self.faulty_share = 0.0
         self.slowdown = 1.0
+        # How its answers do not end; None while they do.
+        self.endlessness: Endlessness | None = None
         # Requests a second that its answers name, 0 for no limit, and when it was named
         # first.
         self.limit = 0.0
@@ -101,7 +139,7 @@
         try:
             run.executed = True
             await self._execute(run, writer)
-            if run.broke_off_at == records.FOREVER:
+            if run.broke_off_at == records.FOREVER and not run.is_endless:
                 run.answered_at = records.now()
         finally:
             self._slots.release()
@@ -154,6 +192,9 @@
             if self._on_crash is not None:
                 self._on_crash(self.name)
             return
+        if self.endlessness is not None:
+            await self._answer_endlessly(run, writer, self.endlessness)
+            return
         if fault == "error":
             run.status = 500
             await raw_servers.send(writer, 500, b"failed", self._answer_headers(run))
@@ -166,6 +207,11 @@
         if fault == "reset":
             raw_servers.reset(writer)
             return
+        await self._answer(run, writer, fault)
+
+    async def _answer(
+        self, run: records.Run, writer: raw_servers.Writer, fault: str
+    ) -> None:
         if self.service == "chat":
             await self._stream(run, writer, fault)
             return
@@ -184,6 +230,24 @@
         if fault == "extra":
             writer.write(b"HTTP/1.1 200 X\r\nContent-Length: 5\r\n\r\nextra")
 
+    async def _answer_endlessly(
+        self, run: records.Run, writer: raw_servers.Writer, how: Endlessness
+    ) -> None:
+        run.has_engine_fault = True
+        run.endless_kind = f"{how.kind}, {'slow' if how.drips else 'fast'}"
+        if how.kind in SURPLUS:
+            await self._answer(run, writer, "")
+            run.answered_at = records.now()
+            surplus = endless.endless.get(how.kind)(b"").repeated
+            await endless.repeat(writer, surplus, how.drips, how.allowance)
+            return
+        if how.kind in FAILURES:
+            run.status = 500
+        if not how.is_slow:
+            run.broke_off_at = records.now()
+        headers = self._answer_headers(run)
+        await endless.send(writer, how.kind, headers, how.drips, how.allowance)
+
     def _crashing_part(self, run: records.Run) -> str:
         prompt = run.request.headers.get("cassiaquay-prompt-prefix", "")
         for part in self._recorded.crashing_parts:
@@ -251,6 +315,11 @@
     return {text.decode() for text in VERSION_LINE.findall(answer)}
 
 
+def without_comments(answer: bytes) -> bytes:
+    """Return an answer without the comments of an endless one."""
+    return COMMENT.sub(b"", answer)
+
+
 def without_versions(answer: bytes) -> bytes:
     """Return an answer as an engine without a software version would write it."""
     return VERSION_LINE.sub(b"", answer)
--- a/packages/dev/cassiaquay_dev/soak/exchange.py
+++ b/packages/dev/cassiaquay_dev/soak/exchange.py
@@ -59,13 +59,17 @@
         return attempt.headers.get("connection", "").lower() != "close"
 
     async def _read_chunks(self, attempt: records.Attempt) -> None:
-        while True:
-            line = await self._reader.readuntil(b"\r\n")
-            size = int(line, 16)
-            data = await self._reader.readexactly(size + 2)
-            attempt.answer += data[:-2]
-            if not size:
-                return
+        received = bytearray()
+        try:
+            while True:
+                line = await self._reader.readuntil(b"\r\n")
+                size = int(line, 16)
+                data = await self._reader.readexactly(size + 2)
+                received += data[:-2]
+                if not size:
+                    return
+        finally:
+            attempt.answer = bytes(received)
 
     def close(self) -> None:
         """Close the connection."""
--- a/packages/dev/cassiaquay_dev/soak/faults.py
+++ b/packages/dev/cassiaquay_dev/soak/faults.py
@@ -34,6 +34,7 @@
     "engine_release",
     "stream_cuts",
     "store_restored",
+    "engine_endless",
     site.PAUSE_FAULT,
 )
 # Longest pause between planned stops of several daemons, as an operator leaves one.
--- a/packages/dev/cassiaquay_dev/soak/main.py
+++ b/packages/dev/cassiaquay_dev/soak/main.py
@@ -14,6 +14,8 @@
 from . import (
     callers,
     checks,
+    endless_checks,
+    endless_faults,
     engine_faults,
     faults,
     part_checks,
@@ -27,8 +29,15 @@
 )
 
 # Imported because they register faults and checks.
-FAULTS = (faults, engine_faults, request_faults, store_faults)
-CHECKS = (checks, part_checks, report_checks, silence_checks, stream_checks)
+FAULTS = (faults, endless_faults, engine_faults, request_faults, store_faults)
+CHECKS = (
+    checks,
+    endless_checks,
+    part_checks,
+    report_checks,
+    silence_checks,
+    stream_checks,
+)
 
 # Longest time for faults to end after the last one has started.
 FAULT_TIMEOUT_SECONDS = 12.0
@@ -53,6 +62,8 @@
     served: int
     refused: int
     runs: int
+    max_lag: float
+    memory_peak: int
 
 
 async def run_seed(settings: site.SoakSettings, timed: bool = True) -> Outcome:
@@ -73,6 +84,8 @@
         sum(1 for one in attempts if one.is_served),
         sum(1 for one in attempts if one.status in callers.NOT_RUN),
         len(recorded.runs),
+        recorded.max_lag(),
+        max(recorded.memory_peaks.values(), default=0),
     )
 
 
@@ -135,12 +148,14 @@
         print(
             f"seed={number} sent={outcome.sent} served={outcome.served} "
             f"refused={outcome.refused} runs={outcome.runs} "
+            f"lag={outcome.max_lag:.2f} memory_mb={outcome.memory_peak / 1e6:.0f} "
             f"findings={len(outcome.findings)} faults: {_listed(outcome.faults)} "
             f"checks: {_listed(found) or 'none'}",
             flush=True,
         )
         for finding in outcome.findings[:MAX_SHOWN_FINDINGS]:
-            print(f"  {finding.check}: {finding.text}", flush=True)
+            lag = f" lag={finding.lag:.2f}" if finding.lag else ""
+            print(f"  {finding.check}: {finding.text}{lag}", flush=True)
         failed_seeds += bool(outcome.findings)
     sys.exit(1 if failed_seeds else 0)
 
--- a/packages/dev/cassiaquay_dev/soak/records.py
+++ b/packages/dev/cassiaquay_dev/soak/records.py
@@ -1,11 +1,13 @@
 """Records of attempts, runs and faults of a soak, which the checks evaluate."""
 
+import re
 import time
 import typing
 
 from ..standins import raw_servers
 
 FOREVER = float("inf")
+EVENT = re.compile(rb"^id: \d+\n(?:.+\n)+\n", re.MULTILINE)
 
 
 def now() -> float:
@@ -25,6 +27,8 @@
         self.executed = False
         # Whether the engine injected a fault into this run.
         self.has_engine_fault = False
+        # Kind of the engine's answer if it has no end.
+        self.endless_kind = ""
         # Whether the engine turned the request away without running it.
         self.rejected = False
         # When the engine had written its whole answer, and when it broke that off.
@@ -33,6 +37,11 @@
         self.seal = ""
         self.status = 0
 
+    @property
+    def is_endless(self) -> bool:
+        """Whether the engine's answer has no end."""
+        return bool(self.endless_kind)
+
 
 class Attempt:
     """One attempt of a caller to get a request answered.
@@ -72,7 +81,7 @@
     @property
     def event_count(self) -> int:
         """Number of events that the caller has, those of earlier attempts included."""
-        return self.first_event + self.answer.count(b"\n\n")
+        return self.first_event + len(EVENT.findall(self.answer))
 
     @property
     def may_repeat(self) -> bool:
@@ -194,6 +203,13 @@
     end: float
 
 
+class Lag(typing.NamedTuple):
+    """A time at which the soak's own event loop was late, and by how many seconds."""
+
+    at: float
+    seconds: float
+
+
 class EngineTime(typing.NamedTuple):
     """A time in which an engine took new requests."""
 
@@ -235,8 +251,20 @@
         self.engine_times: dict[str, EngineTime] = {}
         self.protocol_errors: list[str] = []
         self.unexpected_exits: list[str] = []
+        # Most bytes of memory that a daemon has used, by its name and life.
+        self.memory_peaks: dict[str, int] = {}
+        self.lags: list[Lag] = []
         self.faults_ended_at = FOREVER
 
+    def max_lag(self, start: float = 0.0, end: float = FOREVER) -> float:
+        """Return by how much the soak's event loop was late at most within a time."""
+        found = 0.0
+        for lag in self.lags:
+            # It was late from the time at which it should have run.
+            if lag.at >= start and lag.at - lag.seconds <= end:
+                found = max(found, lag.seconds)
+        return found
+
     def report(self, run: Run, seconds: float) -> Report | None:
         """Return the report of an answer to a run; None for an unknown attempt."""
         attempt = self.attempts.get(run.request.attempt)
--- a/packages/dev/cassiaquay_dev/soak/silence_checks.py
+++ b/packages/dev/cassiaquay_dev/soak/silence_checks.py
@@ -38,15 +38,15 @@
         had = runs.get(name, [])
         if not had or attempt.gave_up or (attempt.complete and SEAL in attempt.headers):
             continue
-        if _is_time_over(attempt) or _is_daemon_disturbed(recorded, attempt):
+        if is_time_over(attempt) or is_daemon_disturbed(recorded, attempt):
             continue
         if _has_broken_off(recorded, attempt, had):
             continue
         if _has_failed_midway(attempt, had):
             continue
-        if any(_is_grace_over(recorded, attempt, run) for run in had):
+        if is_grace_over(recorded, attempt, had):
             continue
-        yield _describe(attempt, had)
+        yield describe(attempt, had)
 
 
 def _began_at(run: records.Run) -> float:
@@ -62,8 +62,9 @@
     return has_begun and max(runs, key=_began_at).status >= FAILURE_STATUS
 
 
-def _describe(attempt: records.Attempt, runs: list[records.Run]) -> str:
-    engines = [run.engine for run in runs]
+def describe(attempt: records.Attempt, runs: list[records.Run]) -> str:
+    """Return how a request ended, and the engines that had it."""
+    engines = [" ".join((run.engine, run.endless_kind)).strip() for run in runs]
     seconds = attempt.ended_at - attempt.sent_at
     end = f"with {attempt.status}" if attempt.complete else "broken off"
     return (
@@ -73,12 +74,14 @@
     )
 
 
-def _is_time_over(attempt: records.Attempt) -> bool:
+def is_time_over(attempt: records.Attempt) -> bool:
+    """Return whether a request ended at its deadline or its route's timeout."""
     limit = min(attempt.deadline, attempt.sent_at + ROUTE_TIMEOUT_SECONDS)
     return attempt.ended_at >= limit - DEADLINE_MARGIN_SECONDS
 
 
-def _is_daemon_disturbed(recorded: records.Records, attempt: records.Attempt) -> bool:
+def is_daemon_disturbed(recorded: records.Records, attempt: records.Attempt) -> bool:
+    """Return whether a fault disturbed a request's daemon or its callers' link."""
     start = attempt.sent_at - site.CONTACT_SECONDS
     return not recorded.faults.is_undisturbed(attempt.daemon, start, attempt.ended_at)
 
@@ -100,10 +103,16 @@
     return False
 
 
-def _is_grace_over(
+def is_grace_over(
+    recorded: records.Records, attempt: records.Attempt, runs: list[records.Run]
+) -> bool:
+    """Return whether an engine was at work in the last part of a stop's grace time."""
+    return any(_is_last_grace(recorded, attempt, run) for run in runs)
+
+
+def _is_last_grace(
     recorded: records.Records, attempt: records.Attempt, run: records.Run
 ) -> bool:
-    """Return whether the engine was at work in the last part of a stop's grace time."""
     for stop in recorded.planned.overlapping(
         attempt.daemon, attempt.sent_at, attempt.ended_at
     ):
--- a/packages/dev/cassiaquay_dev/soak/site.py
+++ b/packages/dev/cassiaquay_dev/soak/site.py
@@ -30,6 +30,9 @@
 BRITTLE_SLOWDOWN = 3.0
 # Time after which an engine that a request crashed is replaced.
 CRASH_RESTART_SECONDS = 1.0
+# Interval of the checks of the soak's own event loop, and the least lag that counts.
+LAG_CHECK_SECONDS = 0.02
+MIN_LAG_SECONDS = 0.03
 # Name of the fault for which each engine gets a process that a signal can stop.
 PAUSE_FAULT = "engine_paused"
 
@@ -116,7 +119,7 @@
         self.software = {"chat": "v1", "plain": "v1"}
         self._engine_count = 0
         self._folder = pathlib.Path(settings.folder)
-        self._watch_task: asyncio.Task[None] | None = None
+        self._watch_tasks: list[asyncio.Task[None]] = []
         self._crash_tasks: set[asyncio.Task[None]] = set()
 
     async def start(self) -> None:
@@ -149,7 +152,8 @@
                     await asyncio.sleep(0.05)
         for one in self.daemons:
             one.file.write_text(self._settings_text(one, first=False))
-        self._watch_task = asyncio.create_task(self._watch_unexpected_exits())
+        for watch in (self._watch_daemons(), self._watch_lag()):
+            self._watch_tasks.append(asyncio.create_task(watch))
 
     async def stop(self) -> None:
         """Stop everything."""
@@ -159,9 +163,7 @@
             await asyncio.gather(*(one.kill() for one in self.forwarders.values()))
 
     async def _stop(self) -> None:
-        if self._watch_task is not None:
-            self._watch_task.cancel()
-        for task in self._crash_tasks:
+        for task in (*self._watch_tasks, *self._crash_tasks):
             task.cancel()
         await asyncio.gather(*(one.stop() for one in self.daemons))
         for one in self.daemons:
@@ -344,14 +346,26 @@
         self.remove_entry(name)
         self.recorded.faults.end(name, start, records.now())
 
-    async def _watch_unexpected_exits(self) -> None:
+    async def _watch_lag(self) -> None:
+        """Record by how much the event loop is late."""
+        while True:
+            due_at = records.now() + LAG_CHECK_SECONDS
+            await asyncio.sleep(LAG_CHECK_SECONDS)
+            seconds = records.now() - due_at
+            if seconds > MIN_LAG_SECONDS:
+                self.recorded.lags.append(records.Lag(due_at + seconds, seconds))
+
+    async def _watch_daemons(self) -> None:
+        """Record the memory that daemons use, and those that end by themselves."""
+        peaks = self.recorded.memory_peaks
         while True:
             await asyncio.sleep(0.1)
             for one in self.daemons:
+                life = f"{one.name} in life {one.start_count}"
+                if one.is_running:
+                    peaks[life] = max(peaks.get(life, 0), one.read_memory_peak())
                 if one.expected_running and not one.is_running:
-                    self.recorded.unexpected_exits.append(
-                        f"{one.name} in life {one.start_count}"
-                    )
+                    self.recorded.unexpected_exits.append(life)
                     one.expected_running = False
 
     def _settings_text(self, one: daemons.Daemon, first: bool) -> str:
--- a/packages/dev/cassiaquay_dev/standins/endless.py
+++ b/packages/dev/cassiaquay_dev/standins/endless.py
@@ -167,28 +167,71 @@
     return Endless(complete, _OK + b"Content-Length: 0\r\n\r\n")
 
 
+class Allowance:
+    """Bounds how fast several answers together flood, and how much they send.
+
+    Parameters
+    ----------
+    rate : float
+        Bytes per second.
+    total : int
+        Bytes after which the answers only drip.
+    """
+
+    def __init__(self, rate: float, total: int):
+        self._rate = rate
+        self._left = total
+        self._free_at = 0.0
+
+    async def take(self, count: int) -> bool:
+        """Wait for the turn of ``count`` bytes; return False if they are too many."""
+        if count > self._left:
+            return False
+        self._left -= count
+        now = asyncio.get_running_loop().time()
+        turn = max(self._free_at, now)
+        self._free_at = turn + count / self._rate
+        await asyncio.sleep(turn - now)
+        return True
+
+
 async def send(
     writer: raw_servers.Writer,
     kind: str,
     headers: dict[str, str],
     drips: bool = False,
+    allowance: Allowance | None = None,
 ) -> None:
     """Send an answer without end, as fast as the client reads or drop by drop.
 
-    Returns when the client closes the connection, or at MAX_SECONDS or MAX_BYTES.
+    See :func:`repeat`.
     """
     lines = "".join(f"{name}: {value}\r\n" for name, value in headers.items()).encode()
     answer = endless.get(kind)(lines)
-    repeated = answer.repeated
-    if not drips:
-        repeated *= BLOCK_BYTES // len(repeated)
     writer.write(answer.start)
-    sent = len(answer.start)
+    await repeat(writer, answer.repeated, drips, allowance)
+
+
+async def repeat(
+    writer: raw_servers.Writer,
+    repeated: bytes,
+    drips: bool = False,
+    allowance: Allowance | None = None,
+) -> None:
+    """Send bytes again and again, in blocks within ``allowance`` or drop by drop.
+
+    Returns when the client closes the connection, or at MAX_SECONDS or MAX_BYTES.
+    """
+    block = repeated * (BLOCK_BYTES // len(repeated))
+    sent = 0
     ends_at = asyncio.get_running_loop().time() + MAX_SECONDS
     while sent < MAX_BYTES and asyncio.get_running_loop().time() < ends_at:
+        if not drips and allowance is not None:
+            drips = not await allowance.take(len(block))
         if writer.is_closing():
             return
-        writer.write(repeated)
-        sent += len(repeated)
+        part = repeated if drips else block
+        writer.write(part)
+        sent += len(part)
         await writer.drain()
         await asyncio.sleep(DRIP_SECONDS if drips else 0.0)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -10,6 +10,7 @@
 from cassiaquay_dev.network import forwarding, proxies
 from cassiaquay_dev.soak import (
     checks,
+    endless_checks,
     engines,
     exchange,
     main,
@@ -329,6 +330,38 @@
     run.at = START + 2.0
 
 
+def _add_flooded(
+    recorded: records.Records, kind: str = "safe", **fields: object
+) -> tuple[records.Attempt, records.Run]:
+    """Add a request that is answered 504 since its engine drips, beside a sound one."""
+    status = {"status": 504, "complete": True, "ended_at": START + 3.99}
+    attempt = _add_attempt(recorded, kind, **status | fields)
+    run = _add_run(recorded, attempt, endless_kind="body, slow")
+    recorded.faults.add(run.engine, START - 0.5, START + 4.0)
+    for name in ("i-1", "i-2"):
+        recorded.engine_times[name] = records.EngineTime(
+            name, run.service, "v1", START - 100.0, records.FOREVER
+        )
+    return attempt, run
+
+
+def _stream_held_by_an_endless_engine(recorded: records.Records) -> None:
+    _add_flooded(recorded, "stream", status=200, complete=False, gave_up=True)
+
+
+def _sound_engine_asked_too_late(recorded: records.Records) -> None:
+    attempt, _ = _add_flooded(recorded)
+    _add_run(recorded, attempt, "i-2", at=START + 3.95)
+
+
+def _ended_early_at_a_dripping_engine(recorded: records.Records) -> None:
+    _add_flooded(recorded, "book", status=502, ended_at=START + 1.0)
+
+
+def _daemon_outgrows_its_memory(recorded: records.Records) -> None:
+    recorded.memory_peaks["cq-1 in life 1"] = endless_checks.MEMORY_BYTES + 1
+
+
 def _add_resumed(recorded: records.Records, software: str, status: int) -> None:
     """Add a stream that broke off after an event of v1, and the attempt to go on."""
     begun = _add_attempt(recorded, "stream", status=200)
@@ -396,6 +429,11 @@
         ("silenced", _cut_early_in_the_grace_time),
         ("silenced", _cut_late_in_the_grace_time_after_the_answer),
         ("silenced", _run_at_a_server_that_wakes_after_the_cut),
+        ("silenced", _ended_early_at_a_dripping_engine),
+        ("flooded", _add_flooded),
+        ("flooded", _stream_held_by_an_endless_engine),
+        ("flooded", _sound_engine_asked_too_late),
+        ("memory", _daemon_outgrows_its_memory),
     ],
 )
 def test_check_detects_its_violation(check: str, violate) -> None:
@@ -471,6 +509,52 @@
     assert "silenced" not in _failed_checks(recorded)
 
 
+def _may_run_once(recorded: records.Records) -> None:
+    _add_flooded(recorded, "book")
+
+
+def _left_early(recorded: records.Records) -> None:
+    _add_flooded(recorded, status=0, complete=False, gave_up=True, ended_at=START + 1.0)
+
+
+def _sent_late(recorded: records.Records) -> None:
+    _add_flooded(recorded, deadline=START + 1.9)
+
+
+def _two_endless_engines(recorded: records.Records) -> None:
+    attempt, run = _add_flooded(recorded)
+    recorded.faults.add("i-2", START, START + 4.0)
+    other = _add_run(recorded, attempt, "i-2", endless_kind=run.endless_kind)
+    recorded.engine_times["i-3"] = recorded.engine_times[other.engine]
+
+
+def _only_one_engine(recorded: records.Records) -> None:
+    _add_flooded(recorded)
+    del recorded.engine_times["i-2"]
+
+
+def _daemon_paused(recorded: records.Records) -> None:
+    _add_flooded(recorded)
+    recorded.faults.add("cq-1", START - 1.0, START + 1.0)
+
+
+@pytest.mark.parametrize(
+    "play",
+    [
+        _may_run_once,
+        _left_early,
+        _sent_late,
+        _two_endless_engines,
+        _only_one_engine,
+        _daemon_paused,
+    ],
+)
+def test_check_of_flooded_requests_allows_the_exceptions(play) -> None:
+    recorded = _make_records()
+    play(recorded)
+    assert "flooded" not in _failed_checks(recorded)
+
+
 def test_timed_check_skips_disturbed_daemon() -> None:
     recorded = _make_records()
     _replaced_configuration_in_use(recorded)
@@ -581,6 +665,25 @@
     assert outcome.faults["engine_paused"] > 0
 
 
+def test_short_soak_run_with_endless_answers_bounds_memory(tmp_path) -> None:
+    """Guards against servers that send without end and so end daemons or requests."""
+    settings = SHORT._replace(
+        seed=6406,
+        folder=str(tmp_path),
+        daemons=2,
+        engines=6,
+        rate=60.0,
+        seconds=2.0,
+        pause=0.5,
+        recovery=0.0,
+        only="engine_endless",
+    )
+    outcome = asyncio.run(main.run_seed(settings, timed=False))
+    assert not outcome.findings
+    assert outcome.faults["engine_endless"] > 0
+    assert outcome.memory_peak > 0
+
+
 def test_gateway_demo_breaks_no_promise(capsys) -> None:
     """A graceful stop and restart of one daemon breaks no promise to callers."""
     assert gateway_demo.run(seconds=3.0, rate=20.0, daemons=2) == 0
