Soak: count a request as sent when it reaches the proxy before its engine

The check `gone` took the arrival of a request at its engine for its sending. A request that a daemon had sent before its caller left lies in the socket of a stopped engine until a signal wakes it, so the check found what daemons had done in time. The proxy before each engine, which runs in the soak's own process and is never stopped, now records by the attempt id in the head when it has read a request and when it has passed it on. `gone` uses the first time; of several copies at one engine, the last one read before the arrival counts, and where the proxy has seen none the arrival counts as before. The window in which a disturbed daemon is excused ends at the sending as well, so it is shorter. The check is as strict as it was: it still finds a daemon that sends after its caller has left, also one that repeats then what it had sent in time (the cases `_work_after_disconnect` and `_resent_after_disconnect`).

A finding of `deadline` now names how long before the arrival the proxy had read the request.

--- a/packages/dev/cassiaquay_dev/network/proxies.py
+++ b/packages/dev/cassiaquay_dev/network/proxies.py
@@ -100,6 +100,12 @@
             direction.delay = 0.0
             direction.heal()
 
+    def _note_arrival(self, data: bytes, direction: Direction) -> None:
+        """Observe bytes as they arrive; does nothing unless overridden."""
+
+    def _note_delivery(self, data: bytes, direction: Direction) -> None:
+        """Observe bytes as they are passed on; does nothing unless overridden."""
+
     def _pairs_of(self, source: str) -> list[Pair]:
         return [pair for pair in self._pairs if source in ("", pair.source)]
 
@@ -145,11 +151,13 @@
     ) -> None:
         try:
             while data := await reader.read(READ_BYTES):
+                self._note_arrival(data, direction)
                 await direction.wait_until_open()
                 if pair.silent:
                     continue
                 if writer.is_closing():
                     return
+                self._note_delivery(data, direction)
                 writer.write(data)
                 await writer.drain()
         except OSError:
--- a/packages/dev/cassiaquay_dev/soak/checks.py
+++ b/packages/dev/cassiaquay_dev/soak/checks.py
@@ -338,23 +338,32 @@
         if over > DEADLINE_SLACK_SECONDS and recorded.is_undisturbed(
             attempt.daemon, start, run.at
         ):
-            yield f"{attempt.name} was handed {over:.2f} s too much"
+            waited_s = run.at - recorded.sent_at(run)
+            yield (
+                f"{attempt.name} was handed {over:.2f} s too much, "
+                f"read by the proxy {waited_s:.3f} s before it arrived"
+            )
 
 
 @timed_checks.register("gone")
 def find_work_after_disconnect(
     recorded: records.Records,
 ) -> collections.abc.Iterator[str]:
-    """Find requests sent to an engine after their caller has disconnected."""
+    """Find requests sent to an engine after their caller has disconnected.
+
+    One that a daemon has sent may arrive later, when its engine wakes; what counts is
+    when it reached the proxy before the engine.
+    """
     late = []
     for run in recorded.runs:
         attempt = recorded.attempts.get(run.request.attempt)
         if attempt is None or not attempt.gave_up:
             continue
         start = attempt.sent_at - site.CONTACT_SECONDS
+        sent_at = recorded.sent_at(run)
         if (
-            run.at > attempt.ended_at + DISCONNECT_SLACK_SECONDS
-            and recorded.is_undisturbed(attempt.daemon, start, run.at)
+            sent_at > attempt.ended_at + DISCONNECT_SLACK_SECONDS
+            and recorded.is_undisturbed(attempt.daemon, start, sent_at)
         ):
             late.append(f"{attempt.name} reached {run.engine} after its caller left")
     if len(late) > MAX_TOLERATED:
--- a/packages/dev/cassiaquay_dev/soak/records.py
+++ b/packages/dev/cassiaquay_dev/soak/records.py
@@ -210,6 +210,21 @@
     seconds: float
 
 
+class Passing(typing.NamedTuple):
+    """A request at the proxy before an engine.
+
+    Attributes
+    ----------
+    arrived_at : float
+        Time at which the proxy read it: a daemon had sent it by then.
+    delivered_at : float
+        Time at which the proxy passed it on; `FOREVER` if it has not.
+    """
+
+    arrived_at: float
+    delivered_at: float
+
+
 class EngineTime(typing.NamedTuple):
     """A time in which an engine took new requests."""
 
@@ -254,8 +269,40 @@
         # Most bytes of memory that a daemon has used, by its name and life.
         self.memory_peaks: dict[str, int] = {}
         self.lags: list[Lag] = []
+        # By engine and attempt id.
+        self._passings: dict[tuple[str, str], list[Passing]] = {}
         self.faults_ended_at = FOREVER
 
+    def note_arrival(self, engine: str, attempt: str, at: float) -> None:
+        """Record that the proxy before an engine has read a request."""
+        passing = Passing(at, FOREVER)
+        self._passings.setdefault((engine, attempt), []).append(passing)
+
+    def note_delivery(self, engine: str, attempt: str, at: float) -> None:
+        """Record that the proxy has passed on the request that it read last."""
+        passings = self._passings.get((engine, attempt))
+        if passings:
+            passings[-1] = passings[-1]._replace(delivered_at=at)
+
+    def passing(self, run: Run) -> Passing | None:
+        """Return when the request of a run passed its engine's proxy, if known.
+
+        Of several, it is the last one that the proxy read before the run.
+        """
+        found = None
+        for passing in self._passings.get((run.engine, run.request.attempt), []):
+            if passing.arrived_at <= run.at:
+                found = passing
+        return found
+
+    def sent_at(self, run: Run) -> float:
+        """Return a time by which the request of a run had been sent to its engine.
+
+        That is the time of its arrival there if its proxy has not seen it.
+        """
+        passing = self.passing(run)
+        return run.at if passing is None else passing.arrived_at
+
     def max_lag(self, start: float = 0.0, end: float = FOREVER) -> float:
         """Return by how much the soak's event loop was late at most within a time."""
         found = 0.0
--- a/packages/dev/cassiaquay_dev/soak/site.py
+++ b/packages/dev/cassiaquay_dev/soak/site.py
@@ -9,7 +9,7 @@
 
 from ..network import forwarding, ports, processes, proxies
 from ..standins import platform_standins
-from . import callers, daemons, engines, records
+from . import callers, daemons, engine_proxies, engines, records
 
 READY_TIMEOUT_SECONDS = 15.0
 # Time without a disturbance after which a daemon must keep its time bounds.
@@ -246,7 +246,7 @@
             self.forwarders[name] = forwarder
             await forwarder.start()
             address = forwarder.address
-        proxy = proxies.Proxy(address)
+        proxy = engine_proxies.EngineProxy(name, address, self.recorded)
         await proxy.start()
         self.engines[name] = engine
         self.engine_proxies[name] = proxy
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -11,6 +11,7 @@
 from cassiaquay_dev.soak import (
     checks,
     endless_checks,
+    engine_proxies,
     engines,
     exchange,
     main,
@@ -210,6 +211,21 @@
         _add_run(recorded, _add_attempt(recorded, "safe", gave_up=True), at=START + 1.0)
 
 
+def _resent_after_disconnect(recorded: records.Records) -> None:
+    """Add requests of which one copy is sent in time and lost, and one sent late."""
+    for _ in range(checks.MAX_TOLERATED + 1):
+        attempt = _add_attempt(recorded, "safe", gave_up=True)
+        _add_run(recorded, attempt, at=START + 2.0)
+        for seconds in (0.05, 1.0):
+            _add_passing(recorded, attempt, START + seconds)
+
+
+def _add_passing(
+    recorded: records.Records, attempt: records.Attempt, at: float
+) -> None:
+    recorded.note_arrival("i-1", attempt.name, at)
+
+
 def _nothing_served_after_faults(recorded: records.Records) -> None:
     recorded.faults_ended_at = START - 50.0
     for _ in range(10):
@@ -410,6 +426,7 @@
         ("lost", _accepted_requests_dropped),
         ("deadline", _deadline_extended),
         ("gone", _work_after_disconnect),
+        ("gone", _resent_after_disconnect),
         ("recovered", _nothing_served_after_faults),
         ("crashing", _crashing_request_resent),
         ("crashing part", _crashing_part_resent),
@@ -555,6 +572,15 @@
     assert "flooded" not in _failed_checks(recorded)
 
 
+def test_request_sent_before_its_caller_left_may_arrive_later() -> None:
+    """It waited at an engine that a signal had stopped; the daemon sent it in time."""
+    recorded = _make_records()
+    _work_after_disconnect(recorded)
+    for attempt in recorded.attempts.values():
+        _add_passing(recorded, attempt, START + 0.05)
+    assert "gone" not in _failed_checks(recorded)
+
+
 def test_timed_check_skips_disturbed_daemon() -> None:
     recorded = _make_records()
     _replaced_configuration_in_use(recorded)
@@ -589,6 +615,40 @@
     asyncio.run(work())
 
 
+def test_proxy_records_when_a_request_was_sent_that_arrives_later() -> None:
+    """Guards against taking the arrival of a held request for its sending."""
+
+    async def work() -> None:
+        recorded = records.Records()
+        engine = engines.Engine("i-1", "plain", recorded, random.Random(1))
+        await engine.start()
+        proxy = engine_proxies.EngineProxy("i-1", engine.address, recorded)
+        await proxy.start()
+        connection = await exchange.Connection.open(proxy.address, 1.0)
+        attempt = records.Attempt("c1", "safe", "/safe/c1", "key-a", b"b")
+        head = "POST /safe/c1 HTTP/1.1\r\nContent-Length: 1\r\n"
+        head += "Cassiaquay-Attempt-Id: c1\r\n\r\n"
+        await connection.send(head, b"b")
+        await connection.read(attempt)
+        proxy.inward.cut()
+        await connection.send(head, b"b")
+        await asyncio.sleep(0.1)
+        healed_at = records.now()
+        proxy.heal()
+        await connection.read(attempt)
+        first, second = recorded.runs
+        assert recorded.sent_at(first) <= first.at
+        assert recorded.sent_at(first) < recorded.sent_at(second) < healed_at
+        passing = recorded.passing(second)
+        assert passing is not None
+        assert healed_at <= passing.delivered_at <= second.at
+        connection.close()
+        await proxy.stop()
+        await engine.stop()
+
+    asyncio.run(work())
+
+
 def test_paused_forwarder_delivers_everything_when_it_wakes(tmp_path) -> None:
     """Connections are accepted meanwhile; `kill` ends also a stopped process."""
 
