Soak: `flooded` excuses a spent retry budget and engines that closed unread

Two of the first findings on the code before were no faults by the platform's rules. The budget binds each daemon to its share in any partition, and a new process does not know what the one before it has spent, so the check excuses a request once half of that share is spent.

--- a/packages/dev/cassiaquay_dev/soak/records.py
+++ b/packages/dev/cassiaquay_dev/soak/records.py
@@ -269,6 +269,8 @@
         # Most bytes of memory that a daemon has used, by its name and life.
         self.memory_peaks: dict[str, int] = {}
         self.lags: list[Lag] = []
+        # Times at which processes of daemons were started, by name and life.
+        self.daemon_starts: dict[tuple[str, int], float] = {}
         # By engine and attempt id.
         self._passings: dict[tuple[str, str], list[Passing]] = {}
         self.faults_ended_at = FOREVER
@@ -295,6 +297,10 @@
                 found = passing
         return found
 
+    def receivers(self, attempt: str) -> set[str]:
+        """Return the engines whose proxies have read a request."""
+        return {engine for engine, name in self._passings if name == attempt}
+
     def sent_at(self, run: Run) -> float:
         """Return a time by which the request of a run had been sent to its engine.
 
--- a/packages/dev/cassiaquay_dev/soak/site.py
+++ b/packages/dev/cassiaquay_dev/soak/site.py
@@ -363,6 +363,8 @@
             for one in self.daemons:
                 life = f"{one.name} in life {one.start_count}"
                 if one.is_running:
+                    start = (one.name, one.start_count)
+                    self.recorded.daemon_starts.setdefault(start, records.now())
                     peaks[life] = max(peaks.get(life, 0), one.read_memory_peak())
                 if one.expected_running and not one.is_running:
                     self.recorded.unexpected_exits.append(life)
