--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -752,8 +752,8 @@
         daemons=2,
         engines=6,
         rate=60.0,
-        seconds=2.0,
-        pause=0.5,
+        seconds=1.0,
+        pause=0.3,
         recovery=0.0,
         only="engine_endless",
     )
