Soak: bytes after a whole answer count as broken off, as those of `extra` do

The users' pages let a faulty engine send bytes after a complete answer, and the project's tests (test_surplus_answer_on_kept_connection_reaches_no_caller) accept a failure then. `flooded` still holds for repeatable requests.

What is lost there is real and stays open: where the surplus comes in the same read as the end of the answer, the HTTP client drops the whole answer, and a request that may not be repeated ends with 502.

--- a/packages/dev/cassiaquay_dev/soak/engines.py
+++ b/packages/dev/cassiaquay_dev/soak/engines.py
@@ -237,7 +237,8 @@
         run.endless_kind = f"{how.kind}, {'slow' if how.drips else 'fast'}"
         if how.kind in SURPLUS:
             await self._answer(run, writer, "")
-            run.answered_at = records.now()
+            # Bytes after a whole answer break the protocol, as those of `extra` do.
+            run.answered_at = run.broke_off_at = records.now()
             surplus = endless.endless.get(how.kind)(b"").repeated
             await endless.repeat(writer, surplus, how.drips, how.allowance)
             return
