--- a/packages/dev/cassiaquay_dev/soak/records.py
+++ b/packages/dev/cassiaquay_dev/soak/records.py
@@ -1,11 +1,13 @@
 """Records of attempts, runs and faults of a soak, which the checks evaluate."""
 
+import re
 import time
 import typing
 
 from ..standins import raw_servers
 
 FOREVER = float("inf")
+EVENT = re.compile(rb"^id: \d+\n(?:.+\n)+\n", re.MULTILINE)
 
 
 def now() -> float:
@@ -25,6 +27,8 @@
         self.executed = False
         # Whether the engine injected a fault into this run.
         self.has_engine_fault = False
+        # Kind of the engine's answer if it has no end.
+        self.endless_kind = ""
         # Whether the engine turned the request away without running it.
         self.rejected = False
         # When the engine had written its whole answer, and when it broke that off.
@@ -33,6 +37,11 @@
         self.seal = ""
         self.status = 0
 
+    @property
+    def is_endless(self) -> bool:
+        """Whether the engine's answer has no end."""
+        return bool(self.endless_kind)
+
 
 class Attempt:
     """One attempt of a caller to get a request answered.
@@ -72,7 +81,7 @@
     @property
     def event_count(self) -> int:
         """Number of events that the caller has, those of earlier attempts included."""
-        return self.first_event + self.answer.count(b"\n\n")
+        return self.first_event + len(EVENT.findall(self.answer))
 
     @property
     def may_repeat(self) -> bool:
@@ -194,6 +203,28 @@
     end: float
 
 
+class Lag(typing.NamedTuple):
+    """A time at which the soak's own event loop was late, and by how many seconds."""
+
+    at: float
+    seconds: float
+
+
+class Passing(typing.NamedTuple):
+    """A request at the proxy before an engine.
+
+    Attributes
+    ----------
+    arrived_at : float
+        Time at which the proxy read it: a daemon had sent it by then.
+    delivered_at : float
+        Time at which the proxy passed it on; `FOREVER` if it has not.
+    """
+
+    arrived_at: float
+    delivered_at: float
+
+
 class EngineTime(typing.NamedTuple):
     """A time in which an engine took new requests."""
 
@@ -235,8 +266,58 @@
         self.engine_times: dict[str, EngineTime] = {}
         self.protocol_errors: list[str] = []
         self.unexpected_exits: list[str] = []
+        # Most bytes of memory that a daemon has used, by its name and life.
+        self.memory_peaks: dict[str, int] = {}
+        self.lags: list[Lag] = []
+        # Times at which processes of daemons were started, by name and life.
+        self.daemon_starts: dict[tuple[str, int], float] = {}
+        # By engine and attempt id.
+        self._passings: dict[tuple[str, str], list[Passing]] = {}
         self.faults_ended_at = FOREVER
 
+    def note_arrival(self, engine: str, attempt: str, at: float) -> None:
+        """Record that the proxy before an engine has read a request."""
+        passing = Passing(at, FOREVER)
+        self._passings.setdefault((engine, attempt), []).append(passing)
+
+    def note_delivery(self, engine: str, attempt: str, at: float) -> None:
+        """Record that the proxy has passed on the request that it read last."""
+        passings = self._passings.get((engine, attempt))
+        if passings:
+            passings[-1] = passings[-1]._replace(delivered_at=at)
+
+    def passing(self, run: Run) -> Passing | None:
+        """Return when the request of a run passed its engine's proxy, if known.
+
+        Of several, it is the last one that the proxy read before the run.
+        """
+        found = None
+        for passing in self._passings.get((run.engine, run.request.attempt), []):
+            if passing.arrived_at <= run.at:
+                found = passing
+        return found
+
+    def receivers(self, attempt: str) -> set[str]:
+        """Return the engines whose proxies have read a request."""
+        return {engine for engine, name in self._passings if name == attempt}
+
+    def sent_at(self, run: Run) -> float:
+        """Return a time by which the request of a run had been sent to its engine.
+
+        That is the time of its arrival there if its proxy has not seen it.
+        """
+        passing = self.passing(run)
+        return run.at if passing is None else passing.arrived_at
+
+    def max_lag(self, start: float = 0.0, end: float = FOREVER) -> float:
+        """Return by how much the soak's event loop was late at most within a time."""
+        found = 0.0
+        for lag in self.lags:
+            # It was late from the time at which it should have run.
+            if lag.at >= start and lag.at - lag.seconds <= end:
+                found = max(found, lag.seconds)
+        return found
+
     def report(self, run: Run, seconds: float) -> Report | None:
         """Return the report of an answer to a run; None for an unknown attempt."""
         attempt = self.attempts.get(run.request.attempt)
