Schedules: a stale answer comes while the next one is awaited

The test was right about the check of the attempt id, which is still needed for an answer that comes once the next request was sent.

The mutant's engines now send one then, before their own answer (fault `stale`), and the schedules without a mutant draw that fault, too, so that both safeguards are exercised. The soak draws the faults it drew before.

--- a/packages/dev/cassiaquay_dev/soak/engines.py
+++ b/packages/dev/cassiaquay_dev/soak/engines.py
@@ -23,6 +23,9 @@
 VERSION_LINE = re.compile(rb"^version: (\S+)\n", re.MULTILINE)
 # Faults that an engine may inject into one request.
 FAULTS = ("reset", "truncate", "extra", "silent", "error", "mid_event", "anew")
+# An answer that belongs to an earlier request, or to none, comes first.
+STALE = "stale"
+EXTRA_ANSWER = b"HTTP/1.1 200 X\r\nContent-Length: 5\r\n\r\nextra"
 
 
 # Endless answers that begin with the whole answer, or with a failure.
@@ -212,6 +215,8 @@
     async def _answer(
         self, run: records.Run, writer: raw_servers.Writer, fault: str
     ) -> None:
+        if fault == STALE:
+            writer.write(EXTRA_ANSWER)
         if self.service == "chat":
             await self._stream(run, writer, fault)
             return
@@ -228,7 +233,7 @@
             return
         await raw_servers.send(writer, 200, body, self._answer_headers(run))
         if fault == "extra":
-            writer.write(b"HTTP/1.1 200 X\r\nContent-Length: 5\r\n\r\nextra")
+            writer.write(EXTRA_ANSWER)
 
     async def _answer_endlessly(
         self, run: records.Run, writer: raw_servers.Writer, how: Endlessness
@@ -296,7 +301,7 @@
             await asyncio.sleep(EVENT_GAP_SECONDS * self.slowdown)
         writer.write(b"0\r\n\r\n")
         if fault == "extra":
-            writer.write(b"HTTP/1.1 200 X\r\nContent-Length: 5\r\n\r\nextra")
+            writer.write(EXTRA_ANSWER)
         await writer.drain()
 
 
--- a/tests/test_gateway_schedules.py
+++ b/tests/test_gateway_schedules.py
@@ -64,6 +64,11 @@
     monkeypatch.setattr(soak_site, "SLACK", 0.0)
 
 
+@pytest.fixture(autouse=True)
+def _stale_answers(monkeypatch) -> None:
+    monkeypatch.setattr(engines, "FAULTS", (*engines.FAULTS, engines.STALE))
+
+
 def _document() -> dict:
     teams = [
         {"name": "blue", "api-keys": ["key-a"]},
@@ -176,7 +181,8 @@
 def _accept_any_answer(monkeypatch) -> None:
     """Accept any answer on a connection without checking its attempt id."""
     monkeypatch.setattr(forwarding, "_is_answer_to", lambda attempt, response: True)
-    monkeypatch.setattr(engines, "FAULTS", ("extra",))
+    # Those that come while no answer is awaited end their connections.
+    monkeypatch.setattr(engines, "FAULTS", (engines.STALE,))
 
 
 def _forward_forged_team(monkeypatch) -> None:
