Callers' library and commands: bound what they read of an instance

The library kept an event for as long as it grew, copied it with each piece, and kept events without end; a command read a body for its 5 s. An event and an answer may have 32 MiB, as at the instances, a body for a command 64 MiB. The library then tries again as after a cut, so a caller still gets a whole answer from a sound instance; the command says that nobody answers there, and why.

--- a/packages/caller/cassiaquay/streams.py
+++ b/packages/caller/cassiaquay/streams.py
@@ -5,6 +5,10 @@
 import xxhash
 
 FINAL = "final"
+MAX_ANSWER_SIZE = 1 << 25
+"""Maximum size of an answer and of each of its events; instances keep no larger."""
+EVENT_OVERHEAD_SIZE = 48
+"""Memory overhead of an event, which counts towards the size of an answer."""
 
 
 class Event(typing.NamedTuple):
@@ -27,10 +31,11 @@
     """
 
     def __init__(self) -> None:
-        self._partial_line = b""
+        self._partial_line = bytearray()
         self._kind = ""
         self._number = -1
         self._data: list[str] = []
+        self._data_size = 0
 
     def feed(self, chunk: bytes) -> list[Event]:
         """Return the events that ``chunk`` completes.
@@ -38,10 +43,10 @@
         Raises
         ------
         BrokenStream
-            For bytes that are not UTF-8 and ids that are not numbers.
+            For bytes that are not UTF-8, ids that are not numbers and an event above
+            ``MAX_ANSWER_SIZE``.
         """
-        lines = (self._partial_line + chunk).split(b"\n")
-        self._partial_line = lines.pop()
+        lines = self._split_lines(chunk)
         events = []
         for line in lines:
             try:
@@ -50,8 +55,21 @@
                 raise BrokenStream(str(error)) from error
             if event is not None:
                 events.append(event)
+        if len(self._partial_line) + self._data_size > MAX_ANSWER_SIZE:
+            raise BrokenStream("an event is too large")
         return events
 
+    def _split_lines(self, chunk: bytes) -> list[bytes]:
+        """Return the lines that ``chunk`` completes; keep the rest."""
+        known = len(self._partial_line)
+        self._partial_line += chunk
+        end = self._partial_line.rfind(b"\n", known)
+        if end < 0:
+            return []
+        lines = bytes(self._partial_line[:end]).split(b"\n")
+        del self._partial_line[: end + 1]
+        return lines
+
     def _parse_line(self, line: str) -> Event | None:
         if not line:
             return self._complete_event()
@@ -59,6 +77,7 @@
         value = value.removeprefix(" ")
         if field == "data":
             self._data.append(value)
+            self._data_size += len(line)
         elif field == "event":
             self._kind = value
         elif field == "id":
@@ -71,6 +90,7 @@
             return None
         event = Event(self._kind, self._number, "\n".join(self._data))
         self._kind, self._number, self._data = "", -1, []
+        self._data_size = 0
         return event
 
 
@@ -79,6 +99,7 @@
 
     def __init__(self) -> None:
         self.events: list[str] = []
+        self._size = 0
         self._digest = xxhash.xxh3_128()
 
     @property
@@ -97,12 +118,15 @@
         Raises
         ------
         BrokenStream
-            When events before this one are missing.
+            When events before this one are missing, and above ``MAX_ANSWER_SIZE``.
         """
         if event.number < 0 or event.number > self.count:
             raise BrokenStream(f"event {event.number} follows {self.count} events")
         if event.number < self.count:
             return False
+        self._size += len(event.data) + EVENT_OVERHEAD_SIZE
+        if self._size > MAX_ANSWER_SIZE:
+            raise BrokenStream("the answer is too large")
         self.events.append(event.data)
         self._digest.update(event.data.encode())
         return True
--- a/packages/cli/cassiaquay_cli/clients.py
+++ b/packages/cli/cassiaquay_cli/clients.py
@@ -14,6 +14,8 @@
 ADDRESS_VARIABLE = "CASSIAQUAY_ADMIN"
 CREDENTIAL_VARIABLE = "CASSIAQUAY_CREDENTIAL"
 CALL_TIMEOUT_SECONDS = 5.0
+# Larger than the history of a busy instance.
+MAX_BODY_BYTES = 64 * 1024 * 1024
 
 Body = typing.TypeVar("Body")
 
@@ -135,7 +137,7 @@
         )
         try:
             async with request as response:
-                body = await response.read()
+                body = await _read_body(response)
                 _raise_for_status(at, path, response.status, body)
                 return body
         except (TimeoutError, aiohttp.ClientError, OSError, ValueError) as error:
@@ -151,6 +153,15 @@
     return [f"no answer of {item.instance}: {item.reason}" for item in missing]
 
 
+async def _read_body(response: aiohttp.ClientResponse) -> bytes:
+    body = bytearray()
+    while data := await response.content.readany():
+        body += data
+        if len(body) > MAX_BODY_BYTES:
+            raise aiohttp.ClientPayloadError(f"over {MAX_BODY_BYTES} bytes")
+    return bytes(body)
+
+
 def _raise_for_status(at: str, path: str, status: int, body: bytes) -> None:
     if status < 300:
         return
--- a/tests/test_endless_reads.py
+++ b/tests/test_endless_reads.py
@@ -1,13 +1,18 @@
-"""Answers without end to what a daemon asks engines and other instances."""
+"""Answers without end to what daemons, commands and callers ask."""
 
 import asyncio
 import collections.abc
 import typing
 
 import aiohttp
+import caller_fakes
 import endless_fakes
 import pytest
+from starlette import responses
 
+from cassiaquay import streams
+from cassiaquay_cli import clients
+from cassiaquay_cli import exceptions as command_exceptions
 from cassiaquay_daemon import exceptions
 from cassiaquay_daemon.engines import engine_orders, engine_reports, orders
 from cassiaquay_daemon.interface import relay
@@ -144,3 +149,60 @@
 
     asyncio.run(work())
     assert 0 < flood.sent_bytes < SOCKET_BYTES
+
+
+def test_endless_answer_to_a_command_is_given_up() -> None:
+    """Guards against a command that fills the memory of its machine."""
+    flood = endless_fakes.Flood("unframed")
+
+    async def work() -> None:
+        standin = endless_fakes.FloodServer(flood)
+        await standin.start()
+        async with aiohttp.ClientSession() as http:
+            client = clients.Client(standin.address, http)
+            async with asyncio.timeout(LIMIT_SECONDS):
+                with pytest.raises(command_exceptions.NoResponse, match="over"):
+                    await client.instances()
+        await standin.stop()
+
+    asyncio.run(work())
+    assert flood.sent_bytes < clients.MAX_BODY_BYTES + SOCKET_BYTES
+
+
+@pytest.mark.parametrize(
+    "repeated", [b"x" * 65536, b"data: %b\n" % (b"x" * 65536)], ids=["line", "lines"]
+)
+def test_endless_event_of_an_instance_is_given_up(repeated: bytes) -> None:
+    """Guards against a caller's library that keeps an event for as long as it grows."""
+    sent_bytes = 0
+
+    async def flood(start: int) -> responses.Response:
+        async def parts() -> collections.abc.AsyncIterator[bytes]:
+            nonlocal sent_bytes
+            yield b"id: 0\ndata: "
+            while True:
+                sent_bytes += len(repeated)
+                yield repeated
+                # Notices that the caller has closed.
+                await asyncio.sleep(0.0)
+
+        return responses.StreamingResponse(parts(), media_type="text/event-stream")
+
+    async def scenario() -> None:
+        script = [flood, caller_fakes.send_whole]
+        async with caller_fakes.serve(script) as (_, session):
+            async with asyncio.timeout(LIMIT_SECONDS):
+                answer = await session.ask("tutor-assist", "2+2?")
+        assert answer.events == caller_fakes.DATA
+
+    caller_fakes.run(scenario())
+    assert sent_bytes < streams.MAX_ANSWER_SIZE + 2 * SOCKET_BYTES
+
+
+def test_endless_events_of_an_instance_are_given_up() -> None:
+    """Guards against a caller's library that keeps events without end."""
+    transcript = streams.Transcript()
+    event = streams.Event("", 0, "x" * MIB)
+    with pytest.raises(streams.BrokenStream):
+        for number in range(2 * streams.MAX_ANSWER_SIZE // MIB):
+            transcript.append(event._replace(number=number))
