Instances: bound what a peer may send before it has proved its key

A frame may have 4 MiB, also the first one of a connection that nobody has authenticated. An array of empty arrays of that size took the process from 83 to 308 MB and its loop 1.8 s (the decoder alone, one run): any process that reaches the peers' address could do that, as often as it liked.

Until the handshake is over, a connection may send 128 KiB; a greeting and its proof have some hundred bytes. Later frames keep their 4 MiB: they come from instances.

The test failed before (one run).

--- a/packages/daemon/cassiaquay_daemon/links/peers.py
+++ b/packages/daemon/cassiaquay_daemon/links/peers.py
@@ -30,6 +30,8 @@
 # Prefix of the name under which a seed address is dialled.
 SEED = "seed "
 READ_BYTES = 65536
+# Until a peer has proved that it has a key; a frame may decode to fifty times its size.
+MAX_HANDSHAKE_BYTES = 2 * READ_BYTES
 # A peer that does not read (paused, cut off) must not exhaust this process's memory:
 # beyond this many unsent bytes its connection is aborted. State is resent on the next.
 MAX_UNSENT_BYTES = 8 * 1024 * 1024
@@ -90,6 +92,10 @@
             if not data:
                 return []
             self.received_bytes += len(data)
+            if not self.instance and self.received_bytes > MAX_HANDSHAKE_BYTES:
+                raise exceptions.PeerAuthenticationFailed(
+                    f"{self.received_bytes} bytes and no proof"
+                )
             self._ready = self._decoder.feed(data)
         received, self._ready = self._ready, []
         return received
--- a/tests/test_endless_reads.py
+++ b/tests/test_endless_reads.py
@@ -17,6 +17,7 @@
 from cassiaquay_daemon.engines import engine_orders, engine_reports, orders
 from cassiaquay_daemon.interface import relay
 from cassiaquay_daemon.keepers import baselines
+from cassiaquay_daemon.links import peers
 from cassiaquay_daemon.operators import explain, refusals
 from cassiaquay_schema import fleet, messages
 from cassiaquay_schema import settings as settings_schema
@@ -206,3 +207,28 @@
     with pytest.raises(streams.BrokenStream):
         for number in range(2 * streams.MAX_ANSWER_SIZE // MIB):
             transcript.append(event._replace(number=number))
+
+
+def test_endless_first_message_of_a_peer_is_given_up() -> None:
+    """Guards against memory that a process without a key can fill."""
+    sent_bytes = 0
+
+    async def work() -> None:
+        nonlocal sent_bytes
+        listening = peers.Peers(SETTINGS, "i")
+        await listening.start()
+        host, _, port = listening.address.rpartition(":")
+        _, writer = await asyncio.open_connection(host, int(port))
+        # An array of so many empty arrays.
+        writer.write(b"\xdd" + (4 * MIB - 100).to_bytes(4))
+        async with asyncio.timeout(LIMIT_SECONDS):
+            with pytest.raises(ConnectionError):
+                while True:
+                    writer.write(b"\x90" * peers.READ_BYTES)
+                    sent_bytes += peers.READ_BYTES
+                    await writer.drain()
+                    await asyncio.sleep(0.0)
+        await listening.stop()
+
+    asyncio.run(work())
+    assert sent_bytes < MIB
