Recovery: bound what the streams of failed owners hold together

Streams that are read again from engines were kept for 60 s, up to 1,000 of them, and their bytes counted nowhere: four of 20 MiB held 80 MiB. They now share a ledger of 64 MiB like an owner's answers; beyond half of it, ended ones without a reader are dropped and read again from their engine when a caller comes back. Searches that found nothing give back what they had read, and a dropped stream is not read on.

--- a/packages/daemon/cassiaquay_daemon/interface/web.py
+++ b/packages/daemon/cassiaquay_daemon/interface/web.py
@@ -223,7 +223,9 @@
             return _outcome_response(
                 entries.RequestStatus(final["outcome"], final["code"], "finished")
             )
-        hold = _RecoveredHold(self._holds, call.id, dict(call.request.headers))
+        hold = _RecoveredHold(
+            recovered, self._holds, call.id, dict(call.request.headers)
+        )
         return streams.AnswerResponse(
             recovered.answer,
             _first_event_number(call.request),
@@ -292,18 +294,22 @@
 
     def __init__(
         self,
+        recovered: recovery.RecoveredStream,
         holding: holds.Holds,
         request_id: tokens.RequestId,
         headers: dict[str, str],
     ):
+        self._recovered = recovered
         self._holding = holding
         self._request_id = request_id
         self._headers = headers
         self._stop: collections.abc.Callable[[], None] | None = None
 
     def start(self) -> None:
+        self._recovered.readers += 1
         self._stop = self._holding.start(self._request_id, self._headers)
 
     def stop(self, delivered: bool) -> None:
+        self._recovered.readers -= 1
         if self._stop is not None:
             self._stop()
--- a/packages/daemon/cassiaquay_daemon/owners/recovery.py
+++ b/packages/daemon/cassiaquay_daemon/owners/recovery.py
@@ -18,15 +18,24 @@
 STREAM_LIFETIME_SECONDS = 60.0
 # Kept for callers that reconnect; an evicted stream is read again from its engine.
 MAX_RECOVERED_STREAMS = 1000
+MAX_RECOVERED_BYTES = 64 * 1024 * 1024
 READ_ATTEMPTS = 3
 READ_RETRY_SECONDS = 0.1
 
 
 class RecoveredStream:
-    """A stream that is read from an engine on behalf of a failed owner."""
+    """A stream that is read from an engine on behalf of a failed owner.
 
-    def __init__(self) -> None:
-        self.answer = answers.Answer()
+    Parameters
+    ----------
+    ledger : Ledger
+        Counts the bytes of all recovered streams.
+    """
+
+    def __init__(self, ledger: answers.Ledger) -> None:
+        self.answer = answers.Answer(ledger)
+        self.readers = 0
+        self.task: asyncio.Task[None] | None = None
         self.refusal: exceptions.Refusal | None = None
         self.started_at = clock.now()
 
@@ -46,6 +55,7 @@
         self._backends: dict[str, backends.Backend] = {}
         for name in backends.backends.names():
             self._backends[name] = backends.backends.get(name)(http)
+        self._ledger = answers.Ledger(MAX_RECOVERED_BYTES)
         self._streams: dict[str, RecoveredStream] = {}
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -59,8 +69,9 @@
             return existing
         probes = []
         for backend, server in self._candidate_servers(snapshot, service):
-            recovered = RecoveredStream()
+            recovered = RecoveredStream(self._ledger)
             task = asyncio.create_task(self._read(backend, server, key, recovered))
+            recovered.task = task
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
             probes.append((task, recovered))
@@ -68,6 +79,7 @@
         for task, recovered in probes:
             if recovered is not stream:
                 task.cancel()
+                recovered.answer.forget()
         if stream is None:
             self.not_found += 1
             raise exceptions.OwnerLost()
@@ -130,10 +142,18 @@
 
     def _drop_expired_streams(self) -> None:
         min_started_at = clock.now() - STREAM_LIFETIME_SECONDS
-        for key in list(self._streams):
+        for key, stream in list(self._streams.items()):
             too_many = len(self._streams) > MAX_RECOVERED_STREAMS
-            if self._streams[key].started_at < min_started_at or too_many:
-                del self._streams[key]
+            too_large = self._ledger.used > MAX_RECOVERED_BYTES / 2
+            is_old = stream.started_at < min_started_at
+            if not (is_old or too_many or too_large):
+                continue
+            if stream.readers or (stream.answer.final is None and not is_old):
+                continue
+            if stream.task is not None:
+                stream.task.cancel()
+            stream.answer.forget()
+            del self._streams[key]
 
 
 async def _first_opened(candidates: list[RecoveredStream]) -> RecoveredStream | None:
--- a/tests/test_endless_own.py
+++ b/tests/test_endless_own.py
@@ -6,11 +6,12 @@
 
 import aiohttp
 import endless_fakes
+import owner_fakes
 import pytest
 
 from cassiaquay_daemon import exceptions
 from cassiaquay_daemon.adapters import answers, backends
-from cassiaquay_daemon.owners import streams
+from cassiaquay_daemon.owners import recovery, streams
 from cassiaquay_dev.standins import raw_servers
 from cassiaquay_schema import fleet
 
@@ -193,3 +194,33 @@
     asyncio.run(work())
     assert b"".join(sent) == expected + answer.final_event()
     assert max(len(piece) for piece in sent) < 2 * answers.CHUNK_BYTES
+
+
+def test_recovered_streams_together_stay_within_the_bound(monkeypatch) -> None:
+    """Guards against streams of failed owners that are kept whatever they hold."""
+    event = b"x" * (20 * MIB)
+
+    async def resume(
+        self: typing.Any, server: fleet.Server, key: str, answer: answers.Answer
+    ) -> backends.TokenUsage:
+        answer.open()
+        answer.append(event)
+        return backends.TokenUsage(1, 0, 1)
+
+    async def work() -> None:
+        monkeypatch.setattr(owner_fakes.FakeEngine, "resume", resume)
+        servers: typing.Any = owner_fakes.Servers()
+        recovering = recovery.Recovery(servers)
+        first = None
+        for number in range(6):
+            found = await recovering.find(f"k{number}", owner_fakes.SNAPSHOT, "tutor")
+            first = first or found
+            # A stream that is being read is kept.
+            first.readers = 1
+            await owner_fakes.until(lambda found=found: found.answer.final is not None)
+            kept = [stream.answer.size for stream in recovering._streams.values()]
+            assert sum(kept) < recovery.MAX_RECOVERED_BYTES
+        assert first is not None
+        assert first.answer.chunk(0) == (b"id: 0\ndata: %b\n\n" % event, 1)
+
+    asyncio.run(work())
