Own interface: check a plain answer's JSON without decoding it

A plain answer was decoded only to see that it is JSON. 16 MiB of empty arrays took 336 MB more and stalled the loop for 3.3 s, 16 MiB of small objects 387 MB (the decoder alone, one run each), though the answer is within its bound. Its syntax and its UTF-8 are checked without building values: 0 MB, 0.1 s. Arrays nested too deep for the decoder are rejected like other text that is not JSON; they ended as an error of the daemon. A number out of a double's range passes now: it is JSON.

Two of the four new tests failed before (one run); cut text and text that is not UTF-8 were rejected before as well.

--- a/packages/daemon/cassiaquay_daemon/adapters/backends.py
+++ b/packages/daemon/cassiaquay_daemon/adapters/backends.py
@@ -296,10 +296,7 @@
             raise breaks.to_stream_interrupted(error) from error
         finally:
             answer.stop_receiving()
-        try:
-            msgspec.json.decode(body)
-        except msgspec.DecodeError as error:
-            raise exceptions.Rejected("the answer is not JSON") from error
+        _check_json(body)
         answer.append(body.replace(b"\n", b" ").replace(b"\r", b" "))
         return TokenUsage(0, 0, 1)
 
@@ -358,6 +355,15 @@
     return bytes(body)
 
 
+def _check_json(body: bytes) -> None:
+    try:
+        # Decoded values may take fifty times the memory of their text.
+        msgspec.json.decode(body, type=msgspec.Raw)
+        body.decode()
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+        raise exceptions.Rejected("the answer is not JSON") from error
+
+
 async def _read(response: aiohttp.ClientResponse, answer: answers.Answer) -> TokenUsage:
     received = blocks.Blocks()
     try:
--- a/tests/test_endless_own.py
+++ b/tests/test_endless_own.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import tracemalloc
 import typing
 
 import aiohttp
@@ -25,13 +26,23 @@
 
 
 class LargeServer(raw_servers.RawServer):
-    """A plain server with large sound answers."""
+    """A plain server with large sound answers.
+
+    Parameters
+    ----------
+    body : bytes
+        The answer to each request.
+    """
+
+    def __init__(self, body: bytes = LARGE_ANSWER) -> None:
+        super().__init__()
+        self._body = body
 
     async def respond(
         self, request: raw_servers.Request, writer: raw_servers.Writer
     ) -> None:
         """Send the large answer."""
-        await raw_servers.send(writer, 200, LARGE_ANSWER, {})
+        await raw_servers.send(writer, 200, self._body, {})
 
 
 @contextlib.asynccontextmanager
@@ -168,6 +179,35 @@
     assert ledger.used == 0
 
 
+def test_large_answer_of_many_values_is_not_decoded() -> None:
+    """Guards against an answer within its bound whose values fill the memory."""
+    body = b"[%b[]]" % (b"[]," * (MIB // 3))
+
+    async def work() -> int:
+        async with _backend("plain-http", LargeServer(body)) as (backend, server):
+            tracemalloc.start()
+            await _run(backend, server, answers.Answer())
+            peak = tracemalloc.get_traced_memory()[1]
+            tracemalloc.stop()
+        return peak
+
+    assert asyncio.run(work()) < 8 * len(body)
+
+
+@pytest.mark.parametrize(
+    "body", [b"[1,", b'"\xff"', b"[" * 5000 + b"]" * 5000], ids=["cut", "text", "deep"]
+)
+def test_answer_that_is_not_json_is_rejected(body: bytes) -> None:
+    """Guards against an answer that callers cannot read and that looks complete."""
+
+    async def work() -> None:
+        async with _backend("plain-http", LargeServer(body)) as (backend, server):
+            with pytest.raises(exceptions.Rejected, match="not JSON"):
+                await _run(backend, server, answers.Answer())
+
+    asyncio.run(work())
+
+
 def test_slow_reader_is_sent_small_pieces() -> None:
     """Guards against a copy of a large answer for each of its slow readers."""
     answer = answers.Answer()
