--- a/packages/daemon/cassiaquay_daemon/gateway/passing.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/passing.py
@@ -1,10 +1,15 @@
 """Passes a server's answer on to the caller, whole or event by event."""
 
+import asyncio
 import collections.abc
 
 from .. import exceptions
+from ..decisions import held_bytes
 from . import admission, events, forwarding, hedging, progress, replies
 
+# Time without a part taken after which a caller counts as gone.
+STALL_SECONDS = 10.0
+
 BeforeEvents = collections.abc.Callable[[admission.Ticket], None]
 
 
@@ -26,7 +31,27 @@
     pairs.append((b"content-length", str(len(piece.data)).encode()))
     state.started = True
     await send(reply.start(piece.answer.status, pairs))
-    await send(replies.part(piece.data, False))
+    if len(piece.data) <= held_bytes.PART_BYTES:
+        await send(replies.part(bytes(piece.data), False))
+        return
+    # A caller that reads slowly gets its answer after the deadline, too.
+    state.lift_limit()
+    await _send_parts(memoryview(piece.data), send)
+
+
+async def _send_parts(data: memoryview, send: replies.Send) -> None:
+    """Send a large body no faster than the caller reads it.
+
+    Sent at once, it would be held in the buffer of the connection, where no bound
+    applies.
+    """
+    try:
+        for start in range(0, len(data), held_bytes.PART_BYTES):
+            end = start + held_bytes.PART_BYTES
+            async with asyncio.timeout(STALL_SECONDS):
+                await send(replies.part(bytes(data[start:end]), end < len(data)))
+    except TimeoutError as error:
+        raise exceptions.CallerDisconnectedWhileRunning("it reads nothing") from error
 
 
 async def pass_streamed(
@@ -39,8 +64,8 @@
 ) -> forwarding.Piece:
     """Pass events on as they arrive; raise StreamInterrupted when they are cut off.
 
-    An answer that ends with its connection and has no event, or only a part of its last
-    one, was cut off by the server's end.
+    An answer that ends with its connection and has no event was cut off by the server's
+    end.
 
     Parameters
     ----------
@@ -61,7 +86,6 @@
         The last piece.
     """
     writer = answer.current
-    splitter = events.Splitter()
     if not state.started:
         state.started = True
         pairs = replies.drop_content_length(piece.answer.headers)
@@ -71,10 +95,7 @@
             # Another server goes on after the last complete event.
             _check_is_stream(piece)
             writer = answer.current
-            splitter = events.Splitter()
-        received = splitter.feed(piece.data)
-        if splitter.is_too_long:
-            raise exceptions.StreamInterrupted("an event is too long")
+        received = piece.received
         if received.event_count:
             _check_event_order(state, received)
             state.note_events()
@@ -87,10 +108,8 @@
             break
         piece = await answer.read()
     if not piece.answer.is_framed:
-        _check_unframed_end(state, splitter)
-    if not splitter.is_empty:
-        raise exceptions.StreamInterrupted("the stream ends within an event")
-    await send(replies.part(b"", False))
+        _check_has_events(state)
+    await send(replies.part(bytes(piece.data), False))
     return piece
 
 
@@ -104,11 +123,7 @@
     return exceptions.StreamInterrupted(f"status {status} for the rest of a stream")
 
 
-def _check_unframed_end(
-    state: progress.RequestState, splitter: events.Splitter
-) -> None:
-    if not splitter.is_empty:
-        raise exceptions.ConnectionBroken("the connection ends within an event")
+def _check_has_events(state: progress.RequestState) -> None:
     if state.last_event == events.NO_EVENT and not state.events_began_at:
         raise exceptions.ConnectionBroken("the connection ends before the first event")
 
--- a/packages/daemon/cassiaquay_daemon/gateway/service.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/service.py
@@ -3,15 +3,17 @@
 import asyncio
 import collections.abc
 import contextlib
+import functools
 import typing
 
 import uvicorn
+from uvicorn.protocols.http import httptools_impl
 
 from cassiaquay_schema import settings as settings_schema
 
 from .. import early_bind, listeners, logs, pause, sockets
 from ..configured import snapshots
-from ..decisions import budgets, paths, rate_budgets
+from ..decisions import budgets, held_bytes, paths, rate_budgets
 from ..fleet import (
     configuration,
     crash_reports,
@@ -27,11 +29,13 @@
     accepting,
     accounting,
     admission,
+    caller_connections,
     completions,
     connections,
     directory,
     forwarding,
     front,
+    holding,
     probing,
     relaying,
     relays,
@@ -130,18 +134,25 @@
 
     def reach(self) -> reports.Reach:
         """Return which servers are reached, and what relays have done."""
+        room = self._parts.room
         return reports.Reach(
             self._paths.lost_counts(),
             self._paths.relayed_count,
             self._relay.sent_count,
             dict(self._parts.resuming.counts),
             self._origin_count(),
+            room.held.used,
+            room.held.peak,
+            room.waiting_count,
         )
 
     def start(self) -> None:
         """Listen on all addresses."""
         gateway = self._gateway
-        self._listen(self._front, gateway.front)
+        protocol = functools.partial(
+            caller_connections.CallerConnection, self._parts.accounting
+        )
+        self._listen(self._front, gateway.front, protocol)
         if gateway.ready:
             self._listen(self._directory.readiness(), gateway.ready)
         if gateway.directory:
@@ -198,12 +209,17 @@
             if self._open_count:
                 busy_at = loop.time()
 
-    def _listen(self, application: listeners.Application, address: str) -> None:
+    def _listen(
+        self,
+        application: listeners.Application,
+        address: str,
+        protocol: listeners.Protocol = httptools_impl.HttpToolsProtocol,
+    ) -> None:
         bound = early_bind.take(address)
         if address == self._gateway.relay:
             # Accepted connections inherit the options of the listening socket.
             sockets.set_timeouts(bound)
-        server = listeners.server(application, IDLE_TIMEOUT_SECONDS)
+        server = listeners.server(application, IDLE_TIMEOUT_SECONDS, protocol)
         self._servers.append(server)
         self._serving.append(asyncio.create_task(server.serve([bound])))
 
@@ -217,6 +233,7 @@
     forwarder = forwarding.Forwarder(
         dialer.create_session(), shared.reports, observed, chosen_relays
     )
+    room = holding.Room(held_bytes.HeldBytes())
     parts = serving.Parts(
         shared.configured,
         admission.Admission(
@@ -235,6 +252,7 @@
         replies.Replies(),
         accounting.Accounting(),
         resuming.Resuming(shared.configured, shared.origins, shared.server_list),
+        room,
     )
     relay_parts = relaying.Parts(
         shared.configured,
@@ -243,6 +261,7 @@
         shared.reports,
         shared.pauses,
         chosen_relays,
+        room,
     )
     relay = relaying.RelayServer(relay_parts, shared.incarnation)
     prober = probing.Prober(observed, dialer)
--- a/packages/daemon/cassiaquay_daemon/gateway/serving.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/serving.py
@@ -18,8 +18,10 @@
     accounting,
     admission,
     completions,
+    cuts,
     forwarding,
     hedging,
+    holding,
     passing,
     progress,
     replies,
@@ -68,6 +70,8 @@
         Reports the outcome of each request.
     resuming : Resuming
         Knows at which software version a stream must go on.
+    room : Room
+        Memory for the answers that are read.
     """
 
     configured: configuration.Configuration
@@ -82,6 +86,7 @@
     reply: replies.Replies
     accounting: accounting.Accounting
     resuming: resuming.Resuming
+    room: holding.Room
 
 
 class RequestHandler:
@@ -102,7 +107,8 @@
         taken: quotas.Taken | None = None
         try:
             self._check_quarantine(state)
-            async with asyncio.timeout(max(state.call.seconds_left, 0.0)):
+            async with asyncio.timeout(max(state.call.seconds_left, 0.0)) as limit:
+                state.limit = limit
                 await self._parts.resuming.resolve(state)
                 call = state.call
                 patience = call.objective_seconds_left * LIMIT_WAIT_SHARE
@@ -176,26 +182,13 @@
         error: exceptions.StreamInterrupted,
     ) -> None:
         """Record that the answer of one try was cut off."""
-        call = state.call
-        logs.event(
-            "answer_cut",
-            id=call.parsed.attempt,
-            content=call.content,
-            server=cut.server,
-            parts=",".join(call.parsed.shared_parts) or None,
-            cause=str(error),
-            after=state.last_event,
-            runs=state.runs,
-            sent_to=len(state.receivers),
-            attempts=call.route.attempts,
-            seconds_left=round(call.seconds_left, 3),
-        )
+        cuts.log_cut(state, cut, error)
         if not isinstance(error, exceptions.ConnectionBroken):
             return
-        suspected = call.parsed.shared_parts
+        suspected = state.call.parsed.shared_parts
         if cut.server == state.server:
             suspected = state.suspected_parts
-        self._parts.crashes.crashed(call.content, cut.server_start, suspected)
+        self._parts.crashes.crashed(state.call.content, cut.server_start, suspected)
 
     def _check_repeat(
         self, state: progress.RequestState, error: exceptions.StreamInterrupted
@@ -237,6 +230,10 @@
         except _RetryableFailure:
             state.add_tried(answer.current.server)
             raise
+        except asyncio.CancelledError:
+            if state.call.seconds_left <= 0.0:
+                cuts.log_late(state, answer.current)
+            raise
         finally:
             answer.close()
         ticket = answer.current.ticket
@@ -253,8 +250,9 @@
         self, state: progress.RequestState, ticket: admission.Ticket
     ) -> tries.Try:
         hooks = tries.Hooks(self._check_before_sending, self._mark_dispatched)
+        parts = self._parts
         return tries.Try(
-            state, ticket, self._parts.capacity, self._parts.forwarder, hooks
+            state, ticket, parts.capacity, parts.forwarder, hooks, parts.room
         )
 
     async def _pass_answer(
--- a/packages/daemon/cassiaquay_daemon/keepers/baselines.py
+++ b/packages/daemon/cassiaquay_daemon/keepers/baselines.py
@@ -111,7 +111,8 @@
 
     async def _poll_loads(self, servers: list[fleet.Server]) -> None:
         timeout = aiohttp.ClientTimeout(total=POLL_SECONDS)
-        async with aiohttp.ClientSession(timeout=timeout) as http:
+        connector = bounded_http.create_connector()
+        async with bounded_http.create_session(connector, timeout=timeout) as http:
             for server in servers:
                 url = f"http://{server.address}/v1/load"
                 try:
