Free the body of an answer that is given up at once

A process kept the bodies of all endless answers that it had given up, each up to the bound of one answer, until the garbage collector next traversed all objects: the exception that ends the read refers by its traceback to the frame that read, and so to the object with the body. The bound on held bytes counted them as freed.

The object now lets go of its body when it is closed; a piece that is being passed on has its own reference.

--- a/packages/daemon/cassiaquay_daemon/gateway/tries.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/tries.py
@@ -187,6 +187,9 @@
             # After a completely read answer, the connection stays in the pool.
             self._answer.response.close()
         self._hold.close()
+        # The traceback of an exception refers to this object until the next garbage
+        # collection.
+        self._body = bytearray()
         if self.sent_at:
             self._capacity.report_ended(self.ticket, self.sent_at, self.outcome)
         else:
--- a/tests/test_endless_bodies.py
+++ b/tests/test_endless_bodies.py
@@ -1,6 +1,7 @@
 """Requests whose servers send without end: they get answers, and memory is bounded."""
 
 import asyncio
+import gc
 import typing
 
 import cut_fakes
@@ -12,6 +13,7 @@
 
 from cassiaquay_daemon import clock
 from cassiaquay_daemon.decisions import held_bytes
+from cassiaquay_daemon.gateway import tries
 from cassiaquay_dev.standins import platform_standins as standins
 from cassiaquay_dev.standins import raw_servers
 
@@ -122,6 +124,25 @@
     asyncio.run(play_all())
 
 
+def test_answers_given_up_are_freed_without_a_garbage_collection() -> None:
+    """Guards against a process that keeps all endless answers that it has given up."""
+
+    async def play() -> None:
+        async with silence_fakes.site(engine_count=3) as site:
+            endless_engine_fakes.break_engines(site, 3, drips=False)
+            targets = endless_engine_fakes.targets(REPEATABLE, 3)
+            await asyncio.gather(*silence_fakes.ask_all(site, targets))
+            found = [one for one in gc.get_objects() if isinstance(one, tries.Try)]
+            assert sum(len(one._body) for one in found) == 0
+
+    gc.collect()
+    gc.disable()
+    try:
+        asyncio.run(play())
+    finally:
+        gc.enable()
+
+
 def test_stream_with_comments_before_a_late_event_is_whole() -> None:
     """Guards against giving up a server that works on a long first event."""
 
