Count the retry budget of a new process from its start, not from its first repeat

Callers of repeatable requests got 502 though the fleet's budget of repeats was unspent: a process that is not the fleet's first refused the first repeats for a service however long it had run. A new process does not know what the one before it has spent, so the fixed part of its budget grows over one window; that window began with the first repeat instead of the process. So the first server to fail after a restart met an instance with no fixed part at all and a full window to wait.

The budget now remembers when it was created. The test fails before (no repeat is allowed after 10.1 s).

--- a/packages/daemon/cassiaquay_daemon/decisions/budgets.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/budgets.py
@@ -11,6 +11,7 @@
 
 from cassiaquay_schema import settings as settings_schema
 
+from .. import clock
 from . import windows
 
 # Part of the budget that is used: the windows of the instances are not aligned with
@@ -36,6 +37,7 @@
     ):
         self._gateway = settings.gateway
         self._fleet_size = fleet_size
+        self._began_at = clock.now()
         self._requests: dict[str, windows.Window] = {}
         self._retries: dict[str, windows.Window] = {}
 
@@ -65,11 +67,11 @@
 
     def _bound(self, service: str) -> float:
         requests = self._window(self._requests, service).sum()
-        retries = self._window(self._retries, service)
         extra = self._gateway.retry_extra / self._fleet_size()
         if not self._gateway.first_start:
             # The previous process of this instance may have spent it just before.
-            extra *= 1.0 - retries.unknown_share
+            known_seconds = clock.now() - self._began_at
+            extra *= min(known_seconds / self._gateway.retry_window_seconds, 1.0)
         return USED_SHARE * (self._gateway.retry_share * requests + extra)
 
     def _window(
--- a/packages/daemon/cassiaquay_daemon/decisions/windows.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/windows.py
@@ -11,15 +11,9 @@
 
     def __init__(self, seconds: float):
         self._seconds = seconds
-        self._began_at = clock.now()
         self._amounts: collections.deque[tuple[float, float]] = collections.deque()
         self._sum = 0.0
 
-    @property
-    def unknown_share(self) -> float:
-        """Share of the window's time before this object began to count."""
-        return max(1.0 - (clock.now() - self._began_at) / self._seconds, 0.0)
-
     def add(self, amount: float) -> None:
         """Add an amount at the current time."""
         self._amounts.append((clock.now(), amount))
--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -146,6 +146,13 @@
     assert 0 < later <= 20
 
 
+def test_first_repeat_long_after_a_restart_finds_the_whole_budget(time) -> None:
+    """Guards against refusing the first repeats of a process that has run for long."""
+    budget = budgets.RetryBudget(_settings(first_start=False), lambda: 1)
+    time.now += 10.1
+    assert [budget.take("chat") for _ in range(41)] == [True] * 40 + [False]
+
+
 @pytest.mark.parametrize("parts", [1, 3, 9])
 def test_a_limit_holds_in_any_partition(time, parts: int) -> None:
     """A team overloads nine instances in one, three or nine partitions.
