Soak: an answer that announces more than any bound is no slow one

Its length of 1 TB is in the head, so the bound of an answer is met at once and a daemon may end the request.

--- a/packages/dev/cassiaquay_dev/soak/engines.py
+++ b/packages/dev/cassiaquay_dev/soak/engines.py
@@ -31,8 +31,9 @@
 # Endless answers that begin with the whole answer, or with a failure.
 SURPLUS = ("surplus", "surplus_answers")
 FAILURES = ("failure", "failure_unframed")
-# Endless answers that are no valid ones from their first bytes on.
-INVALID = ("garbage", "blank_lines")
+# Endless answers that are no valid ones, or announce more than any bound, from their
+# first bytes on.
+INVALID = ("garbage", "blank_lines", "length")
 
 
 class Endlessness(typing.NamedTuple):
