Leave room for two growing answers, so that one that is held up delays no others

Cause: room was reserved for the largest answer only, which ends and frees it. A complete answer that its caller does not read, or one that its server does not end, is the largest and reserves nothing; the others filled the rest and waited for each other.

Now room is reserved for the two largest that still grow; a complete one does not count as growing. When that is not to be had because a complete one is held, the largest goes on alone, and answers that wait look again when another one is complete.

--- a/packages/daemon/cassiaquay_daemon/gateway/holding.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/holding.py
@@ -57,6 +57,14 @@
     def free(self, hold: "Hold") -> None:
         """Give the room of an answer to those that wait, the first one first."""
         self.held.free(hold)
+        self._grant()
+
+    def complete(self, hold: "Hold") -> None:
+        """Record that an answer is complete; another one may be the largest now."""
+        self.held.complete(hold)
+        self._grant()
+
+    def _grant(self) -> None:
         for grown, (waiting, size) in list(self._waiting.items()):
             if grown.done() or waiting.is_closed:
                 continue
@@ -123,6 +131,11 @@
         self.part_bytes = max(self.part_bytes // 2, MIN_PART_BYTES)
         self._room.costly_turns.pause(seconds * PAUSE_FACTOR)
 
+    def complete(self) -> None:
+        """Record that the answer is complete; it keeps its room until it is closed."""
+        if self.size:
+            self._room.complete(self)
+
     def free(self) -> None:
         """Give the room back until the answer grows again."""
         if self.size:
--- a/packages/daemon/cassiaquay_daemon/gateway/tries.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/tries.py
@@ -241,6 +241,7 @@
         while True:
             data = await self._read_part(answer, len(self._body))
             if not data:
+                self._hold.complete()
                 self._note_progress()
                 return forwarding.Piece(answer, self._body, True)
             counted = len(self._body) // hedges.PROGRESS_BYTES
--- a/tests/test_held_bytes.py
+++ b/tests/test_held_bytes.py
@@ -45,6 +45,44 @@
     assert held.peak <= BOUND
 
 
+@hypothesis.given(
+    strategies.integers(1, MAX_ANSWER),
+    strategies.booleans(),
+    strategies.lists(strategies.integers(1, MAX_ANSWER), min_size=1, max_size=10),
+    strategies.lists(strategies.integers(0, 10), max_size=200),
+)
+def test_answer_that_is_held_up_lets_others_end(
+    stuck_at: int, is_complete: bool, lengths: list[int], order: list[int]
+) -> None:
+    """Guards against answers that all wait for one that is not sent or not read."""
+    held = _made()
+    held_up = len(lengths)
+    lengths = [*lengths, stuck_at]
+    sizes = dict.fromkeys(range(len(lengths)), 0)
+
+    def read_on(number: int) -> bool:
+        if sizes.get(number, lengths[number]) == lengths[number]:
+            return False
+        if not held.grow(number, sizes[number] + 1):
+            return False
+        sizes[number] += 1
+        assert held.used <= BOUND
+        if sizes[number] < lengths[number]:
+            return True
+        if number != held_up:
+            held.free(number)
+            del sizes[number]
+        elif is_complete:
+            held.complete(number)
+        return True
+
+    for number in order:
+        read_on(number % len(lengths))
+    while len(sizes) > 1:
+        progressed = [read_on(number) for number in list(sizes)]
+        assert any(progressed)
+
+
 def test_answer_waits_rather_than_take_the_room_of_the_largest() -> None:
     held = _made()
     assert held.grow("a", 12)
@@ -92,6 +130,24 @@
     _run(work())
 
 
+def test_answer_that_is_the_largest_once_another_is_complete_goes_on() -> None:
+    """Guards against an answer that waits for a caller of another one."""
+
+    async def work() -> None:
+        room = holding.Room(_made())
+        holds = [holding.Hold(room) for _ in range(4)]
+        for hold, size in zip(holds, (16, 12, 11, 4), strict=True):
+            assert hold.try_grow(size)
+        holds[0].complete()
+        assert not holds[2].try_grow(12)
+        waiting = asyncio.create_task(holds[2].grow(12))
+        await asyncio.sleep(0)
+        holds[1].complete()
+        await waiting
+
+    _run(work())
+
+
 def test_turns_are_given_in_order_and_survive_answers_that_leave() -> None:
     async def work() -> None:
         turns = holding.Turns()
