Pass on the bytes of a header's value as the server sent them

A value with e acute in UTF-8 (c3 a9) reached the caller as e9: the HTTP client decodes values as UTF-8, and those that fit were encoded as Latin-1. Encoding them as they were decoded gives back the server's bytes, whatever they are.

--- a/packages/daemon/cassiaquay_daemon/platform/headers.py
+++ b/packages/daemon/cassiaquay_daemon/platform/headers.py
@@ -239,7 +239,9 @@
         if not value.isprintable():
             # The listener refuses them, and the whole answer would be lost.
             value = _CONTROL.sub(" ", value)
-        pairs.append((name.encode("latin-1"), _encode_value(value)))
+        # As the HTTP client decodes them, so that the bytes are those of the server.
+        encoded = value.encode("utf-8", "surrogateescape")
+        pairs.append((name.encode("latin-1"), encoded))
     return pairs
 
 
@@ -250,14 +252,6 @@
     return signals.read(SIGNALS, status, answer_headers)
 
 
-def _encode_value(value: str) -> bytes:
-    try:
-        return value.encode("latin-1")
-    except UnicodeEncodeError:
-        # The HTTP client decodes values as UTF-8.
-        return value.encode("utf-8", "surrogateescape")
-
-
 def _connection_options(headers: Headers) -> set[bytes]:
     named: set[bytes] = set()
     for name, value in headers:
--- a/tests/test_unanswered.py
+++ b/tests/test_unanswered.py
@@ -100,6 +100,7 @@
     [
         (200, "a\x01b", (200, b"a b")),
         (200, "\u20ac", (200, "\u20ac".encode())),
+        (200, "\u00e9", (200, "\u00e9".encode())),
         (200, "\udcff", (200, b"\xff")),
         (101, "a", (502, b"")),
         (600, "a", (502, b"")),
