--- a/tests/test_unanswered.py
+++ b/tests/test_unanswered.py
@@ -474,6 +474,43 @@
     fakes.run(work)
 
 
+def test_malformed_pipelined_request_does_not_replace_the_answer_before_it() -> None:
+    """A request that ran was answered with the 400 of the one behind it."""
+    held = Held()
+
+    async def work(site: fakes.Site) -> None:
+        respond_with(site, held.respond)
+        reader, writer = await connect(site)
+        writer.write(form("/book/x", "a1", Connection="keep-alive"))
+        await until_all_run(site, 1)
+        chunked = form("/safe/x", "a2", Transfer_Encoding="chunked")
+        writer.write(chunked.replace(b"Content-Length: 1\r\n", b"") + b"no size\r\n")
+        await asyncio.sleep(0.05)
+        held.go_on.set()
+        ended = await read_end(reader)
+        assert (ended.status, ended.is_whole) == (200, True)
+        writer.close()
+
+    fakes.run(work)
+
+
+def test_caller_that_leaves_with_a_request_in_the_pipeline_stops_its_server() -> None:
+    """Servers worked to the deadline for callers that had left."""
+
+    async def work(site: fakes.Site) -> None:
+        respond_with(site, Held().respond)
+        _, writer = await connect(site)
+        first = form("/string/x", "a1", Connection="keep-alive")
+        writer.write(first + form("/safe/x", "a2"))
+        await until_all_run(site, 1)
+        writer.transport.abort()
+        async with asyncio.timeout(1.0):
+            while not any(engine.aborted_attempts for engine in site.engines):
+                await asyncio.sleep(0.01)
+
+    fakes.run(work)
+
+
 def test_request_behind_the_last_answer_of_a_connection_is_counted() -> None:
     """A pipelined request was dropped when the connection was closed before it."""
 
