Callers: an endless head waits for the answer of the whole request before it

A whole request followed by over 256 KiB of blank lines, or of a head without end, was closed without an answer by the bound on heads. Its answer comes first now: reading stops, and the connection closes after the answer.

--- a/packages/daemon/cassiaquay_daemon/listeners.py
+++ b/packages/daemon/cassiaquay_daemon/listeners.py
@@ -64,7 +64,14 @@
 
     def _refuse(self) -> None:
         logs.event("head_too_large", bytes=self._head_bytes)
-        if self.cycle is None or self.cycle.response_complete:
+        cycle = self.cycle
+        is_due = cycle is not None and not cycle.response_complete
+        if is_due and not cycle.more_body:
+            # The answer to the whole request before these bytes comes first.
+            cycle.keep_alive = False
+            self.flow.pause_reading()
+            return
+        if not is_due:
             self.transport.write(HEAD_TOO_LARGE)
         self.transport.close()
 
--- a/tests/test_endless_callers.py
+++ b/tests/test_endless_callers.py
@@ -22,15 +22,18 @@
 
 
 class _Application:
-    """Answers each request after a turn of the event loop."""
+    """Answers each request after a turn of the event loop, while it is open."""
 
     def __init__(self) -> None:
         self.count = 0
+        self.is_open = asyncio.Event()
+        self.is_open.set()
 
     async def __call__(
         self, scope: typing.Any, receive: typing.Any, send: typing.Any
     ) -> None:
         await asyncio.sleep(0.0)
+        await self.is_open.wait()
         self.count += 1
         await send({"type": "http.response.start", "status": 200, "headers": []})
         await send({"type": "http.response.body", "body": b"ok"})
@@ -100,6 +103,28 @@
     assert asyncio.run(work()).startswith(b"HTTP/1.1 431 ")
 
 
+def test_answer_of_a_whole_request_comes_before_the_end_of_an_endless_head() -> None:
+    """Guards against a whole request that is lost by the bytes behind it."""
+    application = _Application()
+
+    async def work() -> bytes:
+        async with _listener(application) as (server, port):
+            application.is_open.clear()
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.write(REQUEST + b"\r\n" * listeners.MAX_HEAD_BYTES)
+            while not server.server_state.connections:
+                await asyncio.sleep(0.01)
+            (connection,) = server.server_state.connections
+            while not connection.flow.read_paused:
+                await asyncio.sleep(0.01)
+            application.is_open.set()
+            with contextlib.suppress(ConnectionError):
+                return await reader.readuntil(b"ok")
+        return b""
+
+    assert asyncio.run(work()).startswith(b"HTTP/1.1 200 ")
+
+
 def test_endless_pipelined_requests_wait_unread() -> None:
     """Guards against a queue of one connection's requests that grows as it is served.
 
