Keep relayed answers whose owner waits for room

What callers saw: an answer of 15 MB by a relay ended with 502 answer_lost, two of two, when its owner had waited 3.5 s for room; after 1 s of waiting, two of two were whole.

Cause: connections to a relay have a user timeout of 2.5 s, which Linux counts also against a peer that acknowledges every probe and reads nothing. An owner at the bound of held answers reads nothing until others end.

Once an answer does not fit into the buffers of its reader, the relay's connection may stay unread for 30 s; the next request on it sets the short time again. The new test failed before (two of two).

--- a/packages/daemon/cassiaquay_daemon/gateway/relaying.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/relaying.py
@@ -10,12 +10,12 @@
 
 from cassiaquay_schema import fleet
 
-from .. import clock, exceptions, logs, pause
+from .. import clock, exceptions, logs, pause, sockets
 from ..decisions import held_bytes
 from ..fleet import configuration, crash_reports, server_reports
 from ..owners import streams
 from ..platform import headers
-from . import accepting, forwarding, holding, relays, replies
+from . import accepting, forwarding, holding, relay_connections, relays, replies
 
 
 class Parts(typing.NamedTuple):
@@ -153,7 +153,8 @@
             pairs.append((relays.UNFRAMED_NAME, b"1"))
         answer = forwarding.Answer(response, response.status, pairs)
         try:
-            await _pass(answer, send, self._parts.room)
+            connection = scope["extensions"][relay_connections.EXTENSION]
+            await _pass(answer, send, self._parts.room, connection)
         except exceptions.StreamInterrupted as error:
             # Returning without the last message breaks the connection to the owner, so
             # that the part does not look complete.
@@ -201,7 +202,10 @@
 
 
 async def _pass(
-    answer: forwarding.Answer, send: replies.Send, room: holding.Room
+    answer: forwarding.Answer,
+    send: replies.Send,
+    room: holding.Room,
+    connection: relay_connections.RelayConnection,
 ) -> None:
     """Pass an answer on as it arrives; raise StreamInterrupted when it is cut off."""
     await send(
@@ -220,6 +224,8 @@
             data = await forwarding.read_part(answer)
         if not data:
             break
+        if read_bytes <= sockets.MAX_BUFFERED_BYTES < read_bytes + len(data):
+            connection.allow_unread()
         read_bytes += len(data)
         await send(replies.part(data, True))
     await send(replies.part(b"", False))
--- a/packages/daemon/cassiaquay_daemon/gateway/service.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/service.py
@@ -37,6 +37,7 @@
     front,
     holding,
     probing,
+    relay_connections,
     relaying,
     relays,
     replies,
@@ -158,7 +159,7 @@
         if gateway.directory:
             self._listen(self._directory.directory(), gateway.directory)
         if gateway.relay:
-            self._listen(self._relay, gateway.relay)
+            self._listen(self._relay, gateway.relay, relay_connections.RelayConnection)
             self._membership.relay_address = gateway.relay
         self._probing = asyncio.create_task(self._prober.run())
 
--- a/packages/daemon/cassiaquay_daemon/sockets.py
+++ b/packages/daemon/cassiaquay_daemon/sockets.py
@@ -32,6 +32,11 @@
 def set_user_timeout(target: socket.socket, size: int) -> None:
     """Set the user timeout for a message of ``size`` bytes; none for a long one."""
     timeout_ms = USER_TIMEOUT_MS if size <= MAX_BUFFERED_BYTES else 0
+    set_exact_user_timeout(target, timeout_ms)
+
+
+def set_exact_user_timeout(target: socket.socket, timeout_ms: int) -> None:
+    """Set the user timeout in milliseconds."""
     target.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms)
 
 
--- a/tests/test_endless_bodies.py
+++ b/tests/test_endless_bodies.py
@@ -10,8 +10,9 @@
 import silence_fakes
 import yarl
 
-from cassiaquay_daemon import clock
+from cassiaquay_daemon import clock, sockets
 from cassiaquay_daemon.decisions import held_bytes
+from cassiaquay_daemon.gateway import holding
 from cassiaquay_dev.standins import platform_standins as standins
 from cassiaquay_dev.standins import raw_servers
 
@@ -225,3 +226,35 @@
                     await asyncio.sleep(0.01)
 
     asyncio.run(play())
+
+
+@pytest.mark.parametrize("target", ["/plain/1/x/", "/book/1/x/"])
+def test_relayed_answer_that_waits_for_room_is_whole(
+    target: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against the kernel, which drops connections that are not read."""
+    timeout_ms = 500
+    monkeypatch.setattr(sockets, "USER_TIMEOUT_MS", timeout_ms)
+
+    async def play() -> None:
+        async with silence_fakes.site(daemon_count=2) as site:
+            for engine in site.engines:
+                engine.responder = _send_largest
+            room = site.gateway(0)._parts.room
+            others = [holding.Hold(room) for _ in range(3)]
+            for other in others:
+                assert other.try_grow(held_bytes.MAX_ANSWER_BYTES)
+            with cut_fakes.cut(site, 0):
+                asking = asyncio.create_task(silence_fakes.ask(site, target))
+                while not room.waiting_count:
+                    await asyncio.sleep(0.01)
+                # The kernel looks at the time at its own intervals.
+                await asyncio.wait([asking], timeout=timeout_ms / 1000.0 * 4)
+                for other in others:
+                    other.close()
+                one = await asking
+            assert site.gateway(1)._relay.sent_count == 1
+            assert (one.got.status, one.got.body) == (200, LARGEST)
+            _check_held(site)
+
+    asyncio.run(play())
