Answer a whole request before the bytes that follow it are refused

Bytes that are no request, sent behind a whole request on its connection, were answered with 400 at once, and the connection was closed: a plain request that ran got this 400 as its answer, which callers do not send again, and a stream got the head of a response in the midst of its chunks.

The answer that is due comes first now, then the connection is closed. Such bytes are logged as request_malformed, which the listener did not do for any.

--- a/packages/daemon/cassiaquay_daemon/gateway/caller_connections.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/caller_connections.py
@@ -64,3 +64,16 @@
             logs.event("unanswered", id=attempt, cause=cause, dispatched=False)
             self._accounts.record_unanswered(reports.Unanswered(cause, False))
         super().connection_lost(exc)
+
+    def send_400_response(self, msg: str) -> None:
+        """Refuse bytes that are no request, unless an answer is due before."""
+        cycle = self.cycle
+        is_due = cycle is not None and not cycle.response_complete
+        if not is_due or cycle.more_body:
+            logs.event("request_malformed")
+            super().send_400_response(msg)
+            return
+        # These bytes follow a whole request, whose answer the caller must get first.
+        attempt = headers.attempt_of(cycle.scope["headers"])
+        logs.event("request_malformed", id=attempt)
+        cycle.keep_alive = False
--- a/tests/test_unanswered.py
+++ b/tests/test_unanswered.py
@@ -452,6 +452,27 @@
     fakes.run(work)
 
 
+@pytest.mark.parametrize("path", ["/book/x", "/string/x"])
+def test_bytes_after_a_whole_request_do_not_replace_its_answer(path: str) -> None:
+    """Bytes that are no request were answered with 400 in the midst of an answer."""
+    held = Held()
+
+    async def work(site: fakes.Site) -> None:
+        respond_with(site, held.respond)
+        reader, writer = await connect(site)
+        writer.write(form(path, "a1", Connection="keep-alive"))
+        await until_all_run(site, 1)
+        for _ in range(2):
+            writer.write(b"\x00 no request\r\n\r\n")
+            await asyncio.sleep(0.05)
+        held.go_on.set()
+        ended = await read_end(reader)
+        assert (ended.status, ended.is_whole) == (200, True)
+        writer.close()
+
+    fakes.run(work)
+
+
 def test_request_behind_the_last_answer_of_a_connection_is_counted() -> None:
     """A pipelined request was dropped when the connection was closed before it."""
 
