Refuse what is left when a shutdown's grace period ends

At the end of the grace period the client session was closed under the requests in progress. Those that ran ended as 502 answer_lost since their connections broke; those that waited for a slot got one then and ended as 503 internal_error, each with the alarm request_crashed; and whether any of this was still written before the process ended was left to chance.

They are ended first now: 503 instance_leaving for what no server has had, 502 answer_lost with its cause for what may have run; a stream that has begun is cut and counted as drained. Requests that are read later get instance_leaving.

--- a/packages/cli/cassiaquay_cli/trace.py
+++ b/packages/cli/cassiaquay_cli/trace.py
@@ -16,6 +16,7 @@
     "caller_left": "its caller closed before its answer was complete",
     "stream_cut": "its caller got a part of the stream, and the connection was closed",
     "deadline": "its time ended within the answer, and the connection was closed",
+    "drained": "the grace period of a shutdown ended within the answer",
     "pipelined": "the answer before it on its connection was the last one there",
     "crashed": "an error of the instance closed the connection: a defect",
 }
--- a/packages/daemon/cassiaquay_daemon/gateway/deliveries.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/deliveries.py
@@ -10,6 +10,7 @@
 CALLER_LEFT = "caller_left"
 STREAM_CUT = "stream_cut"
 DEADLINE = "deadline"
+DRAINED = "drained"
 PIPELINED = "pipelined"
 CRASHED = "crashed"
 # Codes under which requests end whose answer has begun.
--- a/packages/daemon/cassiaquay_daemon/gateway/front.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/front.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections.abc
+import typing
 
 from .. import exceptions, logs, pause
 from ..operators import reports
@@ -18,6 +19,9 @@
 )
 
 CLOSED = "The caller closed its side of the connection."
+GRACE_OVER = "The instance shut down while it ran."
+# Time in which requests that are ended by a shutdown send their last bytes.
+ENDING_SECONDS = 0.1
 
 
 class Front:
@@ -47,6 +51,9 @@
         pauses: pause.Pauses,
     ):
         self.open_count = 0
+        # Work of the handler by the listener's task that waits for it.
+        self._open: dict[asyncio.Task[typing.Any], asyncio.Task[None]] = {}
+        self._has_ended = False
         self._acceptor = acceptor
         self._handler = handler
         self._replies = reply
@@ -62,6 +69,15 @@
         """Send ``Connection: close`` with each answer from now on."""
         self._replies.leaving = True
 
+    async def end_requests(self) -> None:
+        """End all requests; those whose answers have not begun get a refusal."""
+        self._has_ended = True
+        waiting = list(self._open)
+        for work in self._open.values():
+            work.cancel()
+        if waiting:
+            await asyncio.wait(waiting, timeout=ENDING_SECONDS)
+
     async def __call__(
         self, scope: replies.Scope, receive: replies.Receive, send: replies.Send
     ) -> None:
@@ -87,7 +103,10 @@
         try:
             parsed = headers.read(scope["headers"])
             try:
-                return await self._acceptor.accept(scope, receive, parsed, began_at)
+                call = await self._acceptor.accept(scope, receive, parsed, began_at)
+                if self._has_ended:
+                    raise exceptions.InstanceLeaving()
+                return call
             except exceptions.Refusal as refusal:
                 replies.log_refused(parsed, refusal, began_at)
                 self._accounts.record_refused(parsed, refusal)
@@ -109,9 +128,15 @@
         state = progress.RequestState(call)
         work = asyncio.create_task(self._handler.serve(state, delivery))
         disconnected = asyncio.create_task(left)
-        done, _ = await asyncio.wait(
-            [work, disconnected], return_when=asyncio.FIRST_COMPLETED
-        )
+        task = asyncio.current_task()
+        assert task is not None
+        self._open[task] = work
+        try:
+            done, _ = await asyncio.wait(
+                [work, disconnected], return_when=asyncio.FIRST_COMPLETED
+            )
+        finally:
+            del self._open[task]
         has_left = work not in done
         if has_left:
             self._handle_disconnect(state, work)
@@ -123,13 +148,27 @@
             await self._refuse_left(state, delivery)
             self._record_unanswered(state, delivery, deliveries.CALLER_LEFT)
         elif not delivery.status:
-            if work.cancelled():
-                _log_crash(call.parsed.attempt, "cancelled")
-            await self._refuse_crashed(state, delivery)
+            await self._refuse(state, delivery, self._refusal_of(state, work))
         elif not delivery.is_complete:
             # Returning makes the listener break the connection, so that the part of the
             # answer that was sent does not look complete.
-            self._record_unanswered(state, delivery, deliveries.cause_of(state))
+            is_drained = self._has_ended and work.cancelled()
+            cause = deliveries.DRAINED if is_drained else deliveries.cause_of(state)
+            self._record_unanswered(state, delivery, cause)
+
+    def _refusal_of(
+        self, state: progress.RequestState, work: "asyncio.Task[None]"
+    ) -> exceptions.Refusal:
+        """Return the refusal of a request that the handler has not answered."""
+        if self._has_ended and work.cancelled():
+            if state.may_have_run:
+                return exceptions.AnswerLost(GRACE_OVER)
+            return exceptions.InstanceLeaving()
+        if work.cancelled():
+            _log_crash(state.call.parsed.attempt, "cancelled")
+        if state.may_have_run:
+            return exceptions.OutcomeUnknown()
+        return exceptions.InternalError()
 
     async def _refuse_left(
         self, state: progress.RequestState, delivery: deliveries.Delivery
@@ -142,17 +181,18 @@
             lost = exceptions.CallerDisconnectedWhileRunning(CLOSED)
         await self._replies.refuse(delivery, lost)
 
-    async def _refuse_crashed(
-        self, state: progress.RequestState, delivery: deliveries.Delivery
+    async def _refuse(
+        self,
+        state: progress.RequestState,
+        delivery: deliveries.Delivery,
+        refusal: exceptions.Refusal,
     ) -> None:
-        refusal: exceptions.Refusal = exceptions.InternalError()
-        if state.may_have_run:
-            refusal = exceptions.OutcomeUnknown()
         call = state.call
         replies.log_refused(call.parsed, refusal, call.began_at, state)
         await self._replies.refuse(delivery, refusal)
         if not state.end_code:
-            self._accounts.record_ended(state, refusal.outcome, refusal.code, 0.0)
+            outcome, code = refusal.outcome, refusal.code
+            self._accounts.record_ended(state, outcome, code, 0.0, refusal.message)
 
     def _record_unanswered(
         self, state: progress.RequestState, delivery: deliveries.Delivery, cause: str
--- a/packages/daemon/cassiaquay_daemon/gateway/service.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/service.py
@@ -175,6 +175,7 @@
             server.should_exit = True
         await self._wait_until_idle(ends_at)
         logs.event("drained", cut_off=self._open_count)
+        await self._front.end_requests()
         for server in self._servers:
             server.force_exit = True
         with contextlib.suppress(TimeoutError):
--- a/packages/daemon/cassiaquay_daemon/operators/reports.py
+++ b/packages/daemon/cassiaquay_daemon/operators/reports.py
@@ -115,9 +115,9 @@
     ----------
     cause : str
         "caller_left": the caller disconnected; "stream_cut": its stream was cut off and
-        could not go on; "deadline": its time ended within the answer; "pipelined":
-        the connection was closed after the answer before; "crashed": an error of this
-        instance.
+        could not go on; "deadline": its time ended within the answer; "drained": the
+        grace period of a shutdown did; "pipelined": the connection was closed after the
+        answer before; "crashed": an error of this instance.
     was_dispatched : bool
         Whether a server may have run it.
     """
--- a/tests/test_draining.py
+++ b/tests/test_draining.py
@@ -30,7 +30,7 @@
         server = Server()
         gateway = service.Gateway.__new__(service.Gateway)
         gateway._gateway = settings.Gateway(grace_seconds=8.0)
-        gateway._front = mock.Mock(open_count=0)
+        gateway._front = mock.Mock(open_count=0, end_requests=mock.AsyncMock())
         gateway._relay = mock.Mock(open_count=0)
         gateway._probing = None
         gateway._membership = fakes.Membership("cq-1", [])
--- a/tests/test_unanswered.py
+++ b/tests/test_unanswered.py
@@ -1,6 +1,7 @@
 """Requests that were read whole: each gets an answer or a refusal, or is counted."""
 
 import asyncio
+import collections
 import collections.abc
 import re
 import typing
@@ -8,12 +9,15 @@
 import gateway_fakes as fakes
 import pytest
 
+from cassiaquay_daemon.operators import reports
 from cassiaquay_dev.standins import platform_standins as standins
 from cassiaquay_dev.standins import raw_servers
 
 BODY = b"the body"
 # Time in which a connection must bring an answer or be closed.
 READ_SECONDS = 8.0
+# Shorter than the objectives, so that requests still wait at its end.
+GRACE_SECONDS = 2.0
 
 
 class Ended(typing.NamedTuple):
@@ -489,3 +493,39 @@
         assert not any(engine.runs for engine in site.engines)
 
     fakes.run(work)
+
+
+def test_each_request_gets_a_status_when_the_grace_period_ends() -> None:
+    """A shutdown closed connections of requests that waited or had no answer yet."""
+    held = Held()
+
+    async def work() -> None:
+        async with fakes.site(1, GRACE_SECONDS) as site, asyncio.timeout(READ_SECONDS):
+            respond_with(site, held.respond)
+            put(site, 2)
+            while site.gateway(0)._parts.configured.current.routes.version < 2:
+                await asyncio.sleep(0.01)
+            found = []
+            site.gateway(0).accounting.on_unanswered(found.append)
+            slots = 4 * len(site.engines)
+            sent = {}
+            for path, count in (("/book/x", slots + 2), ("/string/x", 1)):
+                for number in range(count):
+                    attempt = f"{path[1:-2]}{number}"
+                    sent[attempt] = asyncio.create_task(ask(site, path, attempt))
+            await until_all_run(site, slots + 1)
+            site.daemons[0]._stopping.set()
+            answers: collections.Counter[tuple[int, str]] = collections.Counter()
+            for attempt, task in sent.items():
+                ended = await task
+                assert ended.is_whole == attempt.startswith("book")
+                answers[ended.status, ended.code] += 1
+            assert answers == {
+                (502, "answer_lost"): slots,
+                (503, "instance_leaving"): 2,
+                (200, ""): 1,
+            }
+            assert found == [reports.Unanswered("drained", True)]
+            assert sum(len(engine.runs) for engine in site.engines) == slots + 1
+
+    asyncio.run(work())
