Wait in a shutdown for callers that still read their answers

For the application an answer is complete once the listener has taken its last byte. A shutdown that found no open request for half a second ended the process while a caller was still reading: the rest of a large answer was lost, with most of the grace period left.

Connections with unsent bytes count as busy until the end of the grace period.

--- a/packages/daemon/cassiaquay_daemon/gateway/service.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/service.py
@@ -191,18 +191,24 @@
         """Number of requests in progress, of callers and of other instances."""
         return self._front.open_count + self._relay.open_count
 
+    @property
+    def _has_unsent_bytes(self) -> bool:
+        """Whether bytes of an answer wait for their reader."""
+        return any(listeners.has_unsent_bytes(server) for server in self._servers)
+
     async def _wait_until_idle(self, ends_at: float) -> None:
         """Return when no request was open for QUIET_SECONDS, or at ``ends_at``.
 
         The listeners stop with a delay and until then read requests that callers send
         on kept-alive connections. Returning as soon as no request is open would cut
-        such a request off.
+        such a request off. A large answer is complete for the application while its
+        caller still reads it.
         """
         loop = asyncio.get_running_loop()
         busy_at = loop.time()
         while loop.time() < min(busy_at + QUIET_SECONDS, ends_at):
             await asyncio.sleep(POLL_SECONDS)
-            if self._open_count:
+            if self._open_count or self._has_unsent_bytes:
                 busy_at = loop.time()
 
     def _listen(
--- a/packages/daemon/cassiaquay_daemon/listeners.py
+++ b/packages/daemon/cassiaquay_daemon/listeners.py
@@ -78,3 +78,11 @@
         timeout_keep_alive=idle_seconds,
     )
     return _Server(config)
+
+
+def has_unsent_bytes(listening: uvicorn.Server) -> bool:
+    """Return whether bytes wait for the reader of any connection of a server."""
+    for connection in listening.server_state.connections:
+        if connection.transport.get_write_buffer_size():
+            return True
+    return False
--- a/tests/test_draining.py
+++ b/tests/test_draining.py
@@ -15,6 +15,7 @@
 
     should_exit = False
     force_exit = False
+    server_state = mock.Mock(connections=())
 
 
 def test_request_in_transit_when_listeners_stop_is_completed() -> None:
--- a/tests/test_unanswered.py
+++ b/tests/test_unanswered.py
@@ -18,6 +18,8 @@
 READ_SECONDS = 8.0
 # Shorter than the objectives, so that requests still wait at its end.
 GRACE_SECONDS = 2.0
+# Within the grace period of a site, and after a shutdown without open requests.
+UNREAD_SECONDS = 2.2
 
 
 class Ended(typing.NamedTuple):
@@ -529,3 +531,30 @@
             assert sum(len(engine.runs) for engine in site.engines) == slots + 1
 
     asyncio.run(work())
+
+
+def test_large_answer_is_read_to_its_end_during_a_shutdown() -> None:
+    """A shutdown ended with parts of answers that their callers were still reading."""
+    large = b"x" * 12 * 1024 * 1024
+
+    async def respond(request: raw_servers.Request, writer: raw_servers.Writer) -> None:
+        await raw_servers.send(writer, 200, large, standins.seal_headers(request))
+
+    async def work() -> None:
+        async with fakes.site(1) as site, asyncio.timeout(READ_SECONDS):
+            respond_with(site, respond)
+            reader, writer = await connect(site)
+            writer.write(form("/book/x", "a1"))
+            await until_all_run(site, 1)
+            await reader.readexactly(1)
+            # The rest is more than what the sockets hold.
+            site.daemons[0]._stopping.set()
+            [running] = site._tasks
+            await asyncio.wait([running], timeout=UNREAD_SECONDS)
+            assert not running.done()
+            ended = await read_end(reader)
+            assert ended.data.endswith(large)
+            writer.close()
+            await running
+
+    asyncio.run(work())
