Test kept connections in a shutdown

Six callers keep sending on open connections until the process is gone; no request that was passed on to a server goes without an answer, with either event loop.

--- a/tests/test_unanswered.py
+++ b/tests/test_unanswered.py
@@ -8,6 +8,7 @@
 
 import gateway_fakes as fakes
 import pytest
+import uvloop
 
 from cassiaquay_daemon.operators import reports
 from cassiaquay_dev.standins import platform_standins as standins
@@ -18,6 +19,7 @@
 READ_SECONDS = 8.0
 # Shorter than the objectives, so that requests still wait at its end.
 GRACE_SECONDS = 2.0
+CALLERS = 6
 # Within the grace period of a site, and after a shutdown without open requests.
 UNREAD_SECONDS = 2.2
 
@@ -558,3 +560,69 @@
             await running
 
     asyncio.run(work())
+
+
+async def keep_asking(
+    site: fakes.Site, name: str, unanswered: list[str], answered: list[int]
+) -> None:
+    """Send requests on one connection after the other until none can be opened.
+
+    A caller that finds its connection closed may send the same request again.
+    """
+    number = 0
+    while True:
+        try:
+            reader, writer = await connect(site)
+        except ConnectionError:
+            return
+        try:
+            while True:
+                number += 1
+                attempt = f"{name}-{number}"
+                writer.write(form("/book/x", attempt, Connection="keep-alive"))
+                unanswered.append(attempt)
+                head = await reader.readuntil(b"\r\n\r\n")
+                length = re.search(rb"content-length: (\d+)", head.lower())
+                assert length is not None
+                await reader.readexactly(int(length[1]))
+                unanswered.pop()
+                answered.append(int(head.split()[1]))
+        except (ConnectionError, asyncio.IncompleteReadError):
+            writer.close()
+
+
+@pytest.mark.parametrize("loop", [asyncio.new_event_loop, uvloop.new_event_loop])
+def test_kept_connections_lose_no_request_that_was_passed_on_in_a_shutdown(
+    loop: collections.abc.Callable[[], asyncio.AbstractEventLoop],
+) -> None:
+    """A shutdown closed connections on which requests had just been read."""
+
+    async def respond(request: raw_servers.Request, writer: raw_servers.Writer) -> None:
+        await asyncio.sleep(0.005)
+        await raw_servers.send(writer, 200, BODY, standins.seal_headers(request))
+
+    async def work() -> None:
+        async with fakes.site(1, GRACE_SECONDS) as site, asyncio.timeout(READ_SECONDS):
+            respond_with(site, respond)
+            found: list[reports.Unanswered] = []
+            site.gateway(0).accounting.on_unanswered(found.append)
+            unanswered: list[list[str]] = [[] for _ in range(CALLERS)]
+            answered: list[int] = []
+            callers = []
+            for number in range(CALLERS):
+                callers.append(
+                    asyncio.create_task(
+                        keep_asking(site, f"c{number}", unanswered[number], answered)
+                    )
+                )
+            while len(answered) < 10 * CALLERS:
+                await asyncio.sleep(0.01)
+            site.daemons[0]._stopping.set()
+            await asyncio.gather(*callers)
+            run = {attempt for engine in site.engines for attempt in engine.runs}
+            assert not run & {attempt for left in unanswered for attempt in left}
+            assert set(answered) <= {200, 503}
+            assert found == []
+
+    with asyncio.Runner(loop_factory=loop) as runner:
+        runner.run(work())
