--- a/tests/test_endless_bodies.py
+++ b/tests/test_endless_bodies.py
@@ -173,6 +173,25 @@
         gc.enable()
 
 
+def test_answers_given_up_are_freed_without_a_garbage_collection() -> None:
+    """Guards against a process that keeps all endless answers that it has given up."""
+
+    async def play() -> None:
+        async with silence_fakes.site(engine_count=3) as site:
+            endless_engine_fakes.break_engines(site, 3, drips=False)
+            targets = endless_engine_fakes.targets(REPEATABLE, 3)
+            await asyncio.gather(*silence_fakes.ask_all(site, targets))
+            found = [one for one in gc.get_objects() if isinstance(one, tries.Try)]
+            assert sum(one._body.size for one in found) == 0
+
+    gc.collect()
+    gc.disable()
+    try:
+        asyncio.run(play())
+    finally:
+        gc.enable()
+
+
 def test_stream_with_comments_before_a_late_event_is_whole() -> None:
     """Guards against giving up a server that works on a long first event."""
 
