--- a/packages/daemon/cassiaquay_daemon/gateway/service.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/service.py
@@ -37,6 +37,7 @@
     front,
     holding,
     probing,
+    relay_connections,
     relaying,
     relays,
     replies,
@@ -158,7 +159,7 @@
         if gateway.directory:
             self._listen(self._directory.directory(), gateway.directory)
         if gateway.relay:
-            self._listen(self._relay, gateway.relay)
+            self._listen(self._relay, gateway.relay, relay_connections.RelayConnection)
             self._membership.relay_address = gateway.relay
         self._probing = asyncio.create_task(self._prober.run())
 
@@ -180,6 +181,7 @@
             server.should_exit = True
         await self._wait_until_idle(ends_at)
         logs.event("drained", cut_off=self._open_count)
+        await self._front.end_requests()
         for server in self._servers:
             server.force_exit = True
         with contextlib.suppress(TimeoutError):
@@ -195,18 +197,24 @@
         """Number of requests in progress, of callers and of other instances."""
         return self._front.open_count + self._relay.open_count
 
+    @property
+    def _has_unsent_bytes(self) -> bool:
+        """Whether bytes of an answer wait for their reader."""
+        return any(listeners.has_unsent_bytes(server) for server in self._servers)
+
     async def _wait_until_idle(self, ends_at: float) -> None:
         """Return when no request was open for QUIET_SECONDS, or at ``ends_at``.
 
         The listeners stop with a delay and until then read requests that callers send
         on kept-alive connections. Returning as soon as no request is open would cut
-        such a request off.
+        such a request off. A large answer is complete for the application while its
+        caller still reads it.
         """
         loop = asyncio.get_running_loop()
         busy_at = loop.time()
         while loop.time() < min(busy_at + QUIET_SECONDS, ends_at):
             await asyncio.sleep(POLL_SECONDS)
-            if self._open_count:
+            if self._open_count or self._has_unsent_bytes:
                 busy_at = loop.time()
 
     def _listen(
