--- a/packages/daemon/cassiaquay_daemon/gateway/accounting.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/accounting.py
@@ -3,7 +3,7 @@
 import collections.abc
 
 from .. import clock, exceptions
-from ..operators import reports
+from ..operators import reports, unanswered
 from ..platform import headers
 from . import progress
 
@@ -12,7 +12,7 @@
 RefusedListener = collections.abc.Callable[[exceptions.Refusal, str, str], None]
 SilenceListener = collections.abc.Callable[[reports.Silence], None]
 KeptListener = collections.abc.Callable[[reports.Kept], None]
-UnansweredListener = collections.abc.Callable[[reports.Unanswered], None]
+UnansweredListener = collections.abc.Callable[[unanswered.Unanswered], None]
 
 
 class Accounting:
@@ -45,10 +45,10 @@
         """Call ``listener`` for each whole request without a complete answer."""
         self._unanswered_listeners.append(listener)
 
-    def record_unanswered(self, unanswered: reports.Unanswered) -> None:
+    def record_unanswered(self, ended: unanswered.Unanswered) -> None:
         """Report a request that was read whole and got no complete answer."""
         for listener in self._unanswered_listeners:
-            listener(unanswered)
+            listener(ended)
 
     def record_silence(self, silence: reports.Silence) -> None:
         """Report how long a server was silent, and how that silence ended."""
--- a/packages/daemon/cassiaquay_daemon/gateway/caller_connections.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/caller_connections.py
@@ -8,10 +8,8 @@
 
 import typing
 
-from uvicorn.protocols.http import httptools_impl
-
-from .. import logs
-from ..operators import reports
+from .. import listeners, logs
+from ..operators import unanswered
 from ..platform import headers
 from . import accounting, deliveries, replies
 
@@ -19,7 +17,7 @@
 EXTENSION = "cassiaquay.connection"
 
 
-class CallerConnection(httptools_impl.HttpToolsProtocol):
+class CallerConnection(listeners.Connection):
     """The server's side of one connection of a caller.
 
     Parameters
@@ -62,7 +60,7 @@
                 continue
             attempt = headers.attempt_of(cycle.scope["headers"])
             logs.event("unanswered", id=attempt, cause=cause, dispatched=False)
-            self._accounts.record_unanswered(reports.Unanswered(cause, False))
+            self._accounts.record_unanswered(unanswered.Unanswered(cause, False))
         super().connection_lost(exc)
 
     def send_400_response(self, msg: str) -> None:
--- a/packages/daemon/cassiaquay_daemon/gateway/deliveries.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/deliveries.py
@@ -3,7 +3,7 @@
 import collections.abc
 
 from .. import logs
-from ..operators import reports
+from ..operators import unanswered
 from . import progress, replies
 
 # Causes of requests that were read whole and got no complete answer.
@@ -58,20 +58,20 @@
 
 
 def log(
-    state: progress.RequestState, delivery: Delivery, unanswered: reports.Unanswered
+    state: progress.RequestState, delivery: Delivery, ended: unanswered.Unanswered
 ) -> None:
     """Log a request without a complete answer."""
     call = state.call
     logs.event(
         "unanswered",
         id=call.parsed.attempt,
-        cause=unanswered.cause,
-        dispatched=unanswered.was_dispatched,
+        cause=ended.cause,
+        dispatched=ended.was_dispatched,
         status=delivery.status or None,
         server=state.server or None,
         after=state.last_event if state.last_event >= 0 else None,
         ms=replies.elapsed_ms(call.began_at),
         configuration=call.snapshot.label,
     )
-    if unanswered.cause == CRASHED:
+    if ended.cause == CRASHED:
         logs.trouble("unanswered_without_cause", id=call.parsed.attempt)
--- a/packages/daemon/cassiaquay_daemon/gateway/front.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/front.py
@@ -5,7 +5,7 @@
 import typing
 
 from .. import exceptions, logs, pause
-from ..operators import reports
+from ..operators import unanswered
 from ..platform import headers
 from . import (
     accepting,
@@ -197,9 +197,9 @@
     def _record_unanswered(
         self, state: progress.RequestState, delivery: deliveries.Delivery, cause: str
     ) -> None:
-        unanswered = reports.Unanswered(cause, state.may_have_run)
-        deliveries.log(state, delivery, unanswered)
-        self._accounts.record_unanswered(unanswered)
+        ended = unanswered.Unanswered(cause, state.may_have_run)
+        deliveries.log(state, delivery, ended)
+        self._accounts.record_unanswered(ended)
 
     def _handle_disconnect(
         self, state: progress.RequestState, work: "asyncio.Task[None]"
--- a/packages/daemon/cassiaquay_daemon/operators/reports.py
+++ b/packages/daemon/cassiaquay_daemon/operators/reports.py
@@ -15,7 +15,7 @@
 from ..keepers import keeper
 from ..links import peers
 from ..owners import owner, recovery
-from . import burn, history, metrics, silences, top_counts
+from . import burn, history, metrics, silences, top_counts, unanswered
 
 LAG_PERIOD_SECONDS = 0.5
 # Causes of lost answers that metrics tell apart. They are messages of refusals, which
@@ -108,24 +108,6 @@
     cause: str
 
 
-class Unanswered(typing.NamedTuple):
-    """A request that was read whole and got no complete answer.
-
-    Attributes
-    ----------
-    cause : str
-        "caller_left": the caller disconnected; "stream_cut": its stream was cut off and
-        could not go on; "deadline": its time ended within the answer; "drained": the
-        grace period of a shutdown did; "pipelined": the connection was closed after the
-        answer before; "crashed": an error of this instance.
-    was_dispatched : bool
-        Whether a server may have run it.
-    """
-
-    cause: str
-    was_dispatched: bool
-
-
 class Reach(typing.NamedTuple):
     """Which servers this instance reaches, and what relays have done.
 
@@ -139,6 +121,10 @@
         Streams that callers took up, by what was known of their origins.
     origins : int
         Streams of which it knows where they began.
+    held_bytes, most_held_bytes : int
+        Bytes of answers that are held now, and the most so far.
+    waiting_answers : int
+        Answers that wait for room.
     """
 
     lost_paths: dict[str, int]
@@ -146,6 +132,9 @@
     as_relay: int
     resumed: dict[str, int]
     origins: int
+    held_bytes: int = 0
+    most_held_bytes: int = 0
+    waiting_answers: int = 0
 
 
 class Reports:
@@ -241,10 +230,10 @@
         """Record why a silent server kept its request."""
         self.metrics.count(metrics.KEPT_SERVERS, (kept.service, kept.cause))
 
-    def record_unanswered(self, unanswered: Unanswered) -> None:
+    def record_unanswered(self, found: unanswered.Unanswered) -> None:
         """Record a whole request that got no complete answer."""
-        dispatched = "yes" if unanswered.was_dispatched else "no"
-        self.metrics.count(metrics.UNANSWERED, (unanswered.cause, dispatched))
+        dispatched = "yes" if found.was_dispatched else "no"
+        self.metrics.count(metrics.UNANSWERED, (found.cause, dispatched))
 
     def _lost_cause(self, message: str) -> str:
         """Return the label for a refusal's message; only a few are kept distinct."""
@@ -386,6 +375,11 @@
             resumed[(origin,)] = count
         self.metrics.replace(metrics.RESUMED_STREAMS, resumed)
         self.metrics.replace(metrics.STREAM_ORIGINS, {(): reach.origins})
+        held: dict[metrics.Key, float] = {}
+        held[("now",)] = reach.held_bytes
+        held[("most",)] = reach.most_held_bytes
+        self.metrics.replace(metrics.HELD_BYTES, held)
+        self.metrics.replace(metrics.UNREAD_REQUESTS, {(): reach.waiting_answers})
 
     def _tier_name(self, demand: messages.Demand) -> str:
         snapshot = self._parts.configured.current
