--- a/packages/daemon/cassiaquay_daemon/bounded_http.py
+++ b/packages/daemon/cassiaquay_daemon/bounded_http.py
@@ -55,22 +55,22 @@
     def __init__(self, loop: asyncio.AbstractEventLoop):
         super().__init__(loop)
         # Whether a request is under way whose answer is not complete.
-        self._is_awaited = False
+        self._is_answer_due = False
         self._interim_count = 0
         self._has_surplus = False
         # Body of the answer, once its head is complete, and its length so far.
         self._body: aiohttp.StreamReader | None = None
         self._body_bytes = 0
         # Received without the end of the head or a byte of body.
-        self._other_bytes = 0
+        self._bytes_without_progress = 0
 
     def set_response_params(self, **options: typing.Any) -> None:
         """Prepare for the answer to a request that is about to be sent."""
-        self._is_awaited = self._exception is None
+        self._is_answer_due = self._exception is None
         self._interim_count = 0
         self._has_surplus = False
         self._body = None
-        self._other_bytes = 0
+        self._bytes_without_progress = 0
         super().set_response_params(**options)
 
     def feed_data(self, data: Received, size: int = 0) -> None:
@@ -82,7 +82,7 @@
         if not _is_interim(message.code):
             self._body = body
             self._body_bytes = -1
-            self._other_bytes = 0
+            self._bytes_without_progress = 0
             super().feed_data(data, size)
             return
         self._interim_count += 1
@@ -92,7 +92,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; close the connection once a bound is exceeded."""
-        if not self._is_awaited:
+        if not self._is_answer_due:
             if data and self._exception is None:
                 self._refuse(len(data))
             return
@@ -106,12 +106,12 @@
             self._check_head(len(data))
             return
         if body.is_eof():
-            self._is_awaited = False
+            self._is_answer_due = False
             if self._has_surplus:
                 self._refuse(len(data))
         elif body.total_bytes != self._body_bytes:
             self._body_bytes = body.total_bytes
-            self._other_bytes = 0
+            self._bytes_without_progress = 0
         else:
             self._check_framing(len(data))
 
@@ -122,18 +122,22 @@
         super().set_exception(exc, *causes)
 
     def _check_head(self, size: int) -> None:
-        self._other_bytes += size
-        if self._other_bytes > MAX_HEAD_BYTES:
-            self._fail(ResponseTooLarge(f"{self._other_bytes} bytes and no head"))
+        self._bytes_without_progress += size
+        if self._bytes_without_progress > MAX_HEAD_BYTES:
+            self._fail(
+                ResponseTooLarge(f"{self._bytes_without_progress} bytes and no head")
+            )
         elif self._interim_count > MAX_INTERIM_ANSWERS:
             count = self._interim_count
             self._fail(ResponseTooLarge(f"{count} interim answers and no other"))
 
     def _check_framing(self, size: int) -> None:
-        self._other_bytes += size
-        if self._other_bytes > MAX_FRAMING_BYTES:
+        self._bytes_without_progress += size
+        if self._bytes_without_progress > MAX_FRAMING_BYTES:
             self._fail(
-                ResponseTooLarge(f"{self._other_bytes} bytes and none of the body")
+                ResponseTooLarge(
+                    f"{self._bytes_without_progress} bytes and none of the body"
+                )
             )
 
     def _refuse(self, size: int) -> None:
@@ -143,7 +147,7 @@
         self._fail(InvalidResponse(f"surplus among {size} bytes"))
 
     def _fail(self, error: BaseException) -> None:
-        self._is_awaited = False
+        self._is_answer_due = False
         self.set_exception(error)
         if self._body is not None and not self._body.is_eof():
             self._body.set_exception(error)
--- a/packages/daemon/cassiaquay_daemon/decisions/held_bytes.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/held_bytes.py
@@ -21,7 +21,7 @@
 MAX_HELD_BYTES = 48 * 1024 * 1024
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
 # Bytes that each answer may have without being counted.
-FREE_BYTES = 64 * 1024
+UNCOUNTED_BYTES = 64 * 1024
 # Bytes that are read at once.
 PART_BYTES = 64 * 1024
 
--- a/packages/daemon/cassiaquay_daemon/decisions/paths.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/paths.py
@@ -64,7 +64,7 @@
         self._list_servers = list_servers
         self._doubts: dict[str, _Doubt] = {}
         self._heard_at: dict[str, float] = {}
-        self._went_on_at: dict[str, float] = {}
+        self._progressed_at: dict[str, float] = {}
 
     @property
     def lost(self) -> set[str]:
@@ -100,21 +100,21 @@
         """Return whether nothing was received from a server since ``since``."""
         return self._heard_at.get(address, since - 1.0) < since
 
-    def has_gone_on(self, address: str, since: float) -> bool:
+    def has_progressed(self, address: str, since: float) -> bool:
         """Return whether an answer of a server went on since ``since``.
 
         Events and ends of answers count. Connections do not, which a stopped process
         opens, too, nor do other bytes, which a server in trouble may send without end.
         """
-        return self._went_on_at.get(address, since - 1.0) >= since
+        return self._progressed_at.get(address, since - 1.0) >= since
 
     def heard(self, address: str) -> None:
         """Record that bytes were received from a server."""
         self._heard_at[address] = clock.now()
 
-    def went_on(self, address: str) -> None:
+    def progressed(self, address: str) -> None:
         """Record that an answer of a server has gone on."""
-        self._went_on_at[address] = clock.now()
+        self._progressed_at[address] = clock.now()
 
     def doubt(self, address: str, cause: str) -> None:
         """Probe the path to a server, unless it was connected to a moment ago."""
@@ -190,7 +190,7 @@
 
     def _forget_unlisted(self) -> None:
         listed = self._listed()
-        for table in (self._doubts, self._heard_at, self._went_on_at):
+        for table in (self._doubts, self._heard_at, self._progressed_at):
             for address in [name for name in table if name not in listed]:
                 del table[address]
 
--- a/packages/daemon/cassiaquay_daemon/gateway/cuts.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/cuts.py
@@ -45,5 +45,5 @@
         "at": cut.part,
         "received": cut.received_bytes,
         "bound": cut.met_bound or None,
-        "quiet_ms": round((clock.now() - cut.heard_at) * 1000.0),
+        "quiet_ms": round((clock.now() - cut.progressed_at) * 1000.0),
     }
--- a/packages/daemon/cassiaquay_daemon/gateway/forwarding.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/forwarding.py
@@ -276,11 +276,11 @@
 
     def note_progress(self, address: str) -> None:
         """Record that an answer of a server has gone on."""
-        self._paths.went_on(address)
+        self._paths.progressed(address)
 
-    def has_gone_on(self, address: str, since: float) -> bool:
+    def has_progressed(self, address: str, since: float) -> bool:
         """Return whether any answer of a server has gone on."""
-        return self._paths.has_gone_on(address, since)
+        return self._paths.has_progressed(address, since)
 
     async def close(self) -> None:
         """Close all connections."""
--- a/packages/daemon/cassiaquay_daemon/gateway/hedging.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/hedging.py
@@ -77,10 +77,10 @@
         self._search: asyncio.Task[admission.Ticket] | None = None
         self._searched_at = float("-inf")
         self._obstacle = ""
-        self._whole_by = math.inf
+        self._complete_by = math.inf
         call = state.call
         if not call.is_stream:
-            self._whole_by = clock.now() + call.seconds_left * hedges.GROWTH_SHARE
+            self._complete_by = clock.now() + call.seconds_left * hedges.GROWTH_SHARE
         state.adopt(first.server, first.server_start)
 
     async def read(self) -> forwarding.Piece:
@@ -88,11 +88,11 @@
         if not self._state.call.route.is_repeatable:
             return await self._read_patiently()
         while True:
-            heard_at = self.current.heard_at
+            progressed_at = self.current.progressed_at
             patience_seconds = self._patience_seconds(self.current)
             # A server that is still being connected to is not silent.
             if self.current.sent_at:
-                silent_at = min(heard_at + patience_seconds, self._whole_by)
+                silent_at = min(progressed_at + patience_seconds, self._complete_by)
                 patience_seconds = silent_at - clock.now()
             if patience_seconds <= 0.0:
                 await _read_buffers()
@@ -101,7 +101,10 @@
                 return piece
             if piece is not None:
                 continue
-            if self.current.heard_at == heard_at or clock.now() >= self._whole_by:
+            if (
+                self.current.progressed_at == progressed_at
+                or clock.now() >= self._complete_by
+            ):
                 return await self._read_from_any()
 
     def close(self) -> None:
@@ -130,7 +133,7 @@
     async def _read_from_any(self) -> forwarding.Piece:
         """Return the next piece of the first server that has one."""
         silent = self.current
-        silent_since = silent.heard_at
+        silent_since = silent.progressed_at
         self._log("server_quiet", silent, since=silent_since)
         self._obstacle = ""
         outcome = "ended"
@@ -182,7 +185,7 @@
             newest = self._others[-1]
             newest_at = newest.sent_at or now
             newest_seconds = now - newest_at
-            is_awake = self.current.has_gone_on(newest_at)
+            is_awake = self.current.has_progressed(newest_at)
         return hedges.Silence(
             self._state.call.is_stream,
             self._search is not None,
@@ -310,7 +313,7 @@
             left.outcome = tries.CUT
         left.close()
         self._state.adopt(other.server, other.server_start)
-        self._log("server_replaced", left, since=left.heard_at, by=other.server)
+        self._log("server_replaced", left, since=left.progressed_at, by=other.server)
 
     def _drop(self, other: tries.Try, cause: str) -> None:
         self._others.remove(other)
--- a/packages/daemon/cassiaquay_daemon/gateway/holding.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/holding.py
@@ -1,8 +1,8 @@
 """Bounds what all answers that are read take up together: bytes, and time of the loop.
 
-An answer without room stops reading, so that its server stops sending. Of the answers
-that keep coming, one reads on in each pass of the event loop; other requests do not
-wait for all of them.
+An answer without room stops reading, so that its server stops sending. An answer that
+has been received faster than it is read needs a turn for each part: one turn is given
+in each pass of the event loop, so that other requests do not wait for all of them.
 """
 
 import asyncio
@@ -11,10 +11,10 @@
 from .. import clock
 from ..decisions import held_bytes
 
-# Time to read a part above which it is costly, and the pause before the next costly
+# Time to read a part above which it is slow, and the pause before the next slow
 # one, as a multiple of that time. Bytes in tiny chunks cost a hundred times as much as
 # others.
-COSTLY_SECONDS = 0.001
+SLOW_READ_SECONDS = 0.001
 PAUSE_FACTOR = 2.0
 MAX_PAUSE_SECONDS = 0.05
 MIN_PART_BYTES = 512
@@ -30,14 +30,14 @@
 
     Attributes
     ----------
-    turns, costly_turns : Turns
-        Turns of answers whose last part was cheap, and costly.
+    turns, slow_turns : Turns
+        Turns of answers whose last part was read fast, and slowly.
     """
 
     def __init__(self, held: held_bytes.HeldBytes):
         self.held = held
         self.turns = Turns()
-        self.costly_turns = Turns()
+        self.slow_turns = Turns()
         self._waiting: dict[asyncio.Future[None], tuple[Hold, int]] = {}
 
     @property
@@ -99,7 +99,7 @@
         self.size = 0
         self.part_bytes = held_bytes.PART_BYTES
         self._room = room
-        self._is_costly = False
+        self._is_slow = False
 
     def try_grow(self, size: int) -> bool:
         """Reserve room for an answer of this size; return False if there is none."""
@@ -120,16 +120,16 @@
     async def take_turn(self) -> None:
         """Wait until the answer may read a part that has been received."""
         room = self._room
-        await (room.costly_turns if self._is_costly else room.turns).take()
+        await (room.slow_turns if self._is_slow else room.turns).take()
 
     def note_cost(self, seconds: float) -> None:
         """Record the time that it took to read a part in a turn."""
-        self._is_costly = seconds > COSTLY_SECONDS
-        if not self._is_costly:
+        self._is_slow = seconds > SLOW_READ_SECONDS
+        if not self._is_slow:
             self.part_bytes = min(self.part_bytes * 2, held_bytes.PART_BYTES)
             return
         self.part_bytes = max(self.part_bytes // 2, MIN_PART_BYTES)
-        self._room.costly_turns.pause(seconds * PAUSE_FACTOR)
+        self._room.slow_turns.pause(seconds * PAUSE_FACTOR)
 
     def complete(self) -> None:
         """Record that the answer is complete; it keeps its room until it is closed."""
--- a/packages/daemon/cassiaquay_daemon/gateway/passing.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/passing.py
@@ -34,7 +34,7 @@
         await send(replies.part(b"".join(piece.parts), False))
         return
     # A caller that reads slowly gets its answer after the deadline, too.
-    state.lift_limit()
+    state.remove_deadline()
     await _send_parts(piece.parts, send)
 
 
--- a/packages/daemon/cassiaquay_daemon/gateway/progress.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/progress.py
@@ -119,12 +119,12 @@
 
         A large one is not kept: its request would hold room for two answers.
         """
-        if failure.size > held_bytes.FREE_BYTES:
+        if failure.size > held_bytes.UNCOUNTED_BYTES:
             return
         self.failure = failure
         self.failed_server = server
 
-    def lift_limit(self) -> None:
+    def remove_deadline(self) -> None:
         """Do not end the request at its deadline: its answer is ready."""
         if self.limit is not None and not self.limit.expired():
             self.limit.reschedule(None)
--- a/packages/daemon/cassiaquay_daemon/gateway/tries.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/tries.py
@@ -93,7 +93,7 @@
         self._answer: forwarding.Answer | None = None
         self._body = bodies.Body()
         self._splitter = events.Splitter()
-        self._heard_at = clock.now()
+        self._progressed_at = clock.now()
         self._hold = holding.Hold(room)
         self._step: asyncio.Task[forwarding.Piece] | None = None
         self._is_closed = False
@@ -110,13 +110,13 @@
         return f"{self.server}/{self.ticket.server.started_ms}"
 
     @property
-    def heard_at(self) -> float:
+    def progressed_at(self) -> float:
         """Time at which the answer went on last, or of the dispatch.
 
         Bytes that bring it no closer to its end do not count, and a server is not
         silent while its answer waits for room.
         """
-        return clock.now() if self._hold.is_waiting else self._heard_at
+        return clock.now() if self._hold.is_waiting else self._progressed_at
 
     @property
     def has_begun(self) -> bool:
@@ -140,9 +140,9 @@
         """Whether the task of :meth:`step` is done."""
         return self._step is not None and self._step.done()
 
-    def has_gone_on(self, since: float) -> bool:
+    def has_progressed(self, since: float) -> bool:
         """Return whether the server has gone on with any answer."""
-        return self._forwarder.has_gone_on(self.ticket.server.address, since)
+        return self._forwarder.has_progressed(self.ticket.server.address, since)
 
     async def read(self, patience_seconds: float | None) -> forwarding.Piece | None:
         """Return the next piece, or None if there is none after the given time."""
@@ -221,7 +221,7 @@
                 self._state.last_event,
                 self._before_sending,
             )
-            self._heard_at = clock.now()
+            self._progressed_at = clock.now()
             self._check_announced(self._answer)
             if self._is_streamed(self._answer) or self._answer.is_failure:
                 return forwarding.Piece(self._answer, b"", False)
@@ -231,7 +231,7 @@
 
     async def _read_events(self, answer: forwarding.Answer) -> forwarding.Piece:
         """Return the next events of a stream, or its end."""
-        if self._splitter.size < held_bytes.FREE_BYTES:
+        if self._splitter.size < held_bytes.UNCOUNTED_BYTES:
             # The events that were held have been passed on.
             self._hold.free()
         while True:
@@ -261,11 +261,11 @@
                 self._fail_at(held_bytes.MAX_ANSWER_BYTES)
             if self._body.size // hedges.PROGRESS_BYTES > counted:
                 # It may have no end: this says nothing of the server's other answers.
-                self._heard_at = clock.now()
+                self._progressed_at = clock.now()
 
     async def _read_part(self, answer: forwarding.Answer, held: int) -> bytes:
         """Return the next bytes of an answer of which ``held`` bytes are held."""
-        size = held_bytes.FREE_BYTES - held
+        size = held_bytes.UNCOUNTED_BYTES - held
         if size <= 0:
             size = held_bytes.PART_BYTES
             await self._grow(min(held + size, held_bytes.MAX_ANSWER_BYTES))
@@ -282,7 +282,7 @@
         try:
             await self._hold.grow(size)
         finally:
-            self._heard_at = clock.now()
+            self._progressed_at = clock.now()
 
     def _check_announced(self, answer: forwarding.Answer) -> None:
         """Raise if the length of a body exceeds the bound by the head."""
@@ -295,7 +295,7 @@
         return self._state.call.is_stream and answer.status == 200
 
     def _note_progress(self) -> None:
-        self._heard_at = clock.now()
+        self._progressed_at = clock.now()
         self._forwarder.note_progress(self.ticket.server.address)
 
     def _check_end(self, answer: forwarding.Answer) -> None:
@@ -314,7 +314,7 @@
         self._hooks.check(self._state, self.ticket)
         if self.sent_at:
             return
-        self.sent_at = self._heard_at = clock.now()
+        self.sent_at = self._progressed_at = clock.now()
         self._hooks.mark_dispatched(self._state, self.ticket)
 
     def _note_failure(self, error: exceptions.BackendError) -> None:
--- a/packages/daemon/cassiaquay_daemon/operators/unanswered.py
+++ b/packages/daemon/cassiaquay_daemon/operators/unanswered.py
@@ -9,7 +9,8 @@
     Attributes
     ----------
     cause : str
-        "caller_left": the caller disconnected; "stream_cut": its stream was cut off and
+        "caller_left": the caller closed its connection, or only its sending side, and
+        may have got a status; "stream_cut": its stream was cut off and
         could not go on; "deadline": its time ended within the answer; "drained": the
         grace period of a shutdown did; "pipelined": the connection was closed after the
         answer before; "crashed": an error of this instance.
--- a/tests/hedging_fakes.py
+++ b/tests/hedging_fakes.py
@@ -184,7 +184,7 @@
     def note_progress(self, address: str) -> None:
         """Do nothing: the plans tell which servers go on."""
 
-    def has_gone_on(self, address: str, since: float) -> bool:
+    def has_progressed(self, address: str, since: float) -> bool:
         """Return whether a server runs now and thus answers other requests."""
         return self.plans[address].ends_at(clock.now(), 0.0) == clock.now()
 
