--- a/packages/daemon/cassiaquay_daemon/gateway/caller_connections.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/caller_connections.py
@@ -69,7 +69,7 @@
         super().connection_lost(exc)
         running = self._running
         if running is not None and not running.response_complete:
-            # The library tells the newest request only.
+            # The library notifies the newest request only.
             running.disconnected = True
             running.message_event.set()
 
--- a/packages/dev/cassiaquay_dev/network/process_state.py
+++ b/packages/dev/cassiaquay_dev/network/process_state.py
@@ -1,4 +1,4 @@
-"""What the kernel tells about a process that is late, for messages of failed starts."""
+"""Kernel state of a process that is late, for messages of failed starts."""
 
 import os
 import pathlib
--- a/packages/dev/cassiaquay_dev/soak/daemons.py
+++ b/packages/dev/cassiaquay_dev/soak/daemons.py
@@ -122,7 +122,7 @@
 
 
 def _read_status(pid: int) -> dict[str, str]:
-    """Return what the kernel tells about a process; nothing if it has ended."""
+    """Return the kernel status of a process; nothing if it has ended."""
     try:
         lines = pathlib.Path(f"/proc/{pid}/status").read_text().splitlines()
     except OSError:
--- a/packages/dev/cassiaquay_dev/soak/endless_checks.py
+++ b/packages/dev/cassiaquay_dev/soak/endless_checks.py
@@ -31,7 +31,7 @@
 
 @checks.safety_checks.register("flooded")
 def find_flooded_requests(recorded: records.Records) -> collections.abc.Iterator[str]:
-    """Find repeatable requests that an endless engine had and that nobody answers.
+    """Find repeatable requests that an endless engine had and that got no answer.
 
     The only exceptions: the caller left early, or had less than MIN_SECONDS when it
     sent the request; all attempts went to engines in trouble; the daemon's share of the
--- a/tests/test_endless_bodies.py
+++ b/tests/test_endless_bodies.py
@@ -1,6 +1,7 @@
 """Requests whose servers send without end: they get answers, and memory is bounded."""
 
 import asyncio
+import collections.abc
 import gc
 import typing
 
@@ -152,6 +153,17 @@
     asyncio.run(play())
 
 
+def _run_without_collection(
+    play: collections.abc.Callable[[], collections.abc.Coroutine[None, None, None]],
+) -> None:
+    gc.collect()
+    gc.disable()
+    try:
+        asyncio.run(play())
+    finally:
+        gc.enable()
+
+
 def test_ended_answers_are_freed_without_a_garbage_collection() -> None:
     """Guards against memory of answers that have ended."""
 
@@ -165,12 +177,7 @@
                 while any(isinstance(found, tries.Try) for found in gc.get_objects()):
                     await asyncio.sleep(0.05)
 
-    gc.collect()
-    gc.disable()
-    try:
-        asyncio.run(play())
-    finally:
-        gc.enable()
+    _run_without_collection(play)
 
 
 def test_answers_given_up_are_freed_without_a_garbage_collection() -> None:
@@ -184,12 +191,7 @@
             found = [one for one in gc.get_objects() if isinstance(one, tries.Try)]
             assert sum(one._body.size for one in found) == 0
 
-    gc.collect()
-    gc.disable()
-    try:
-        asyncio.run(play())
-    finally:
-        gc.enable()
+    _run_without_collection(play)
 
 
 def test_stream_with_comments_before_a_late_event_is_whole() -> None:
--- a/tests/test_endless_callers.py
+++ b/tests/test_endless_callers.py
@@ -12,7 +12,7 @@
 from cassiaquay_daemon import listeners
 
 BLOCK_BYTES = 64 * 1024
-# What the kernel's buffers of a connection take although nobody reads.
+# What the kernel's buffers of a connection take although they are not read.
 SOCKET_BYTES = 6 * 1024 * 1024
 # The most that a connection reads at once.
 READ_BYTES = 256 * 1024
--- a/tests/test_endless_own.py
+++ b/tests/test_endless_own.py
@@ -17,7 +17,7 @@
 from cassiaquay_schema import fleet
 
 MIB = 1024 * 1024
-# What the kernel's buffers of a connection take although nobody reads.
+# What the kernel's buffers of a connection take although they are not read.
 SOCKET_BYTES = 6 * MIB
 LIMIT_SECONDS = 8.0
 # An engine's stream is read once and resumed three times.
--- a/tests/test_endless_reads.py
+++ b/tests/test_endless_reads.py
@@ -23,7 +23,7 @@
 from cassiaquay_schema import settings as settings_schema
 
 MIB = 1024 * 1024
-# What the kernel's buffers of a connection take although nobody reads.
+# What the kernel's buffers of a connection take although they are not read.
 SOCKET_BYTES = 6 * MIB
 LIMIT_SECONDS = 8.0
 NOBODY: typing.Any = None
--- a/tests/test_endless_store.py
+++ b/tests/test_endless_store.py
@@ -14,7 +14,7 @@
 from cassiaquay_dev.standins import raw_servers
 
 MIB = 1024 * 1024
-# What the kernel's buffers of a connection take although nobody reads.
+# What the kernel's buffers of a connection take although they are not read.
 SOCKET_BYTES = 6 * MIB
 LIMIT_SECONDS = 8.0
 POSITION = positions.Position(0, 1)
