--- a/packages/daemon/cassiaquay_daemon/decisions/objectives.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/objectives.py
@@ -31,30 +31,14 @@
     shedding,
     software_versions,
     team_order,
+    weighing,
 )
 
 NAME = "objectives"
-# Safety margin for the error of the estimates: a first event expected this close to its
-# objective counts as late.
-MARGIN_SECONDS = 0.03
-# Share of the allowed pause that a prefill may use: events are also delayed on their
-# way to the caller.
-PAUSE_SHARE = 0.8
-# Maximum number of prompt tokens that an engine reads between two events of a running
-# stream.
-INTERLEAVED_TOKENS = 10_240
-# Share of the remaining time that an answer may take by its estimate: the callers'
-# hints of its length are right only at the median.
-FINISH_SHARE = 0.8
 ABANDON_SECONDS = forecasts.ABANDON_SECONDS
 # A prompt whose prefill takes more than this share of its objective is long: behind any
 # queue it is late.
 LONG_SHARE = 0.5
-# Cost of a server that fails all its requests: the time of a retry on another server.
-FAILURE_SECONDS = 3.0
-# Cost of beginning a stream at the only server of its software version: other servers
-# that are about as fast are preferred.
-LONE_VERSION_SECONDS = 0.1
 # Demands weighed against every server in one pass; bounds the duration of a pass.
 MAX_WEIGHED_DEMANDS = 48
 # Time for which a shed is reported to the other shards of the pool.
@@ -88,6 +72,7 @@
         self._held_since: dict[int, float] = {}
         self._servers = candidates.Candidates(shard, self._times_of)
         self._forecast = forecasts.Forecast(shard, self._servers, self._arrivals)
+        self._weighing = weighing.Weighing(shard, self._servers, self._kept_slots)
         shard.observe(self)
         shard.waits = self.waits
 
@@ -195,7 +180,7 @@
         for candidate in self._servers.open:
             choice = None
             if candidate.has_slot(now):
-                choice = self._weigh(demand, candidate, now, 0.0, 0.0)
+                choice = self._weighing.weigh(demand, candidate, now, 0.0, 0.0)
             expected = candidate.times.expect(float(demand.prompt_tokens))
             finish = expected.first_seconds
             finish += demand.output_tokens * expected.event_seconds
@@ -217,7 +202,7 @@
         for request_id in order:
             waiting = self._shard.queue[request_id]
             objective_at = self._objective_at[request_id]
-            best = self._best_choice(waiting, objective_at, now)
+            best = self._weighing.best_choice(waiting, objective_at, now)
             if best is not None and not best.is_late:
                 self._grant(waiting, best)
             else:
@@ -234,15 +219,15 @@
         for waiting in left:
             demand = waiting.demand
             objective_at = self._objective_at[demand.id]
-            min_seconds = self._min_first_seconds(demand)
+            min_seconds = self._weighing.min_first_seconds(demand)
             wait = self._forecast.wait_seconds(
                 demand.rank,
                 ahead,
                 software_versions.excluded(demand, self._shard.servers),
             )
-            if self._is_too_long(waiting, now):
+            if self._weighing.is_too_long(waiting, now):
                 # Neither another server nor a later start would help.
-                best = self._best_choice(waiting, objective_at, now)
+                best = self._weighing.best_choice(waiting, objective_at, now)
                 if best is not None:
                     self._grant(waiting, best)
                     continue
@@ -251,7 +236,7 @@
                 continue
             if self._shard.move(waiting, objective_at - now - min_seconds):
                 continue
-            best = self._best_choice(waiting, objective_at, now)
+            best = self._weighing.best_choice(waiting, objective_at, now)
             if best is not None:
                 self._grant(waiting, best)
                 continue
@@ -299,7 +284,7 @@
             if now + wait <= self._objective_at[request_id]:
                 ahead += 1
                 continue
-            min_seconds = self._min_first_seconds(waiting.demand)
+            min_seconds = self._weighing.min_first_seconds(waiting.demand)
             if self._shard.move(
                 waiting, self._objective_at[request_id] - now - min_seconds
             ):
@@ -320,7 +305,7 @@
             hold_outlasts = (
                 now - self._held_since[rank] > objective_at - waiting.arrived_at
             )
-            if now + MARGIN_SECONDS <= objective_at and not hold_outlasts:
+            if now + weighing.MARGIN_SECONDS <= objective_at and not hold_outlasts:
                 continue
             # Holds back the ranks below this one. The floor is not raised: if the
             # demands that a floor holds back renewed it, it would never end.
@@ -355,70 +340,6 @@
         self._shard.grant(waiting, choice.server, 0, choice.first_seconds)
         self._forecast.take_slot(demand.id)
 
-    def _best_choice(
-        self, waiting: shards.Waiting, objective_at: float, now: float
-    ) -> choices.Choice | None:
-        """Return the best server with a free slot; servers in time come first."""
-        kept_count = self._kept_slots.above(waiting.demand.rank, now)
-        if kept_count and self._servers.free_slots() <= kept_count:
-            return None
-        left = waiting.deadline - now
-        demand = waiting.demand
-        best: choices.Choice | None = None
-        avoid = software_versions.excluded(demand, self._shard.servers).union(
-            demand.avoid
-        )
-        for candidate in self._servers.with_free_slots(avoid, now):
-            choice = self._weigh(demand, candidate, now, objective_at, left)
-            if choice is None:
-                continue
-            if best is None or (choice.is_late, choice.cost) < (
-                best.is_late,
-                best.cost,
-            ):
-                best = choice
-        return best
-
-    def _weigh(
-        self,
-        demand: messages.Demand,
-        candidate: candidates.Candidate,
-        now: float,
-        objective_at: float,
-        left: float,
-    ) -> choices.Choice | None:
-        server, load, times = candidate.server, candidate.load, candidate.times
-        unread = load.backlog_seconds(times.rate, now) * times.rate
-        unread += demand.prompt_tokens
-        expected = times.expect(unread)
-        if load.count and demand.pause_ms and demand.prompt_tokens:
-            reading = min(unread, INTERLEAVED_TOKENS) / times.rate
-            pause = expected.event_seconds + reading
-            if pause > demand.pause_ms / 1000.0 * PAUSE_SHARE:
-                return None
-        first = candidate.queue_seconds + expected.first_seconds
-        cost = first + demand.output_tokens * expected.event_seconds
-        is_late = now + first + MARGIN_SECONDS > objective_at
-        if cost > left * FINISH_SHARE:
-            # The first event would be in time, but the deadline would cut the answer.
-            is_late = True
-        cost += FAILURE_SECONDS * times.failure_share(now)
-        if candidate.is_lone and demand.pause_ms and demand.software is None:
-            cost += LONE_VERSION_SECONDS
-        # Tie-break between equal servers: the less loaded one.
-        cost += expected.first_seconds * load.count / server.slots
-        return choices.Choice(server.name, first, cost, is_late)
-
-    def _is_too_long(self, waiting: shards.Waiting, now: float) -> bool:
-        """Return whether the answer would miss its deadline on any server."""
-        left = (waiting.deadline - now) * FINISH_SHARE
-        return self._servers.min_finish_seconds(waiting.demand) > left
-
-    def _min_first_seconds(self, demand: messages.Demand) -> float:
-        """Return the time to the first event on the fastest server, with margin."""
-        min_seconds = self._servers.min_first_seconds(demand.prompt_tokens)
-        return min_seconds + MARGIN_SECONDS
-
     def _mark_silent_servers(self, now: float) -> None:
         """Mark servers as silent whose first events are long overdue."""
         for server in self._shard.servers:
--- a/packages/dev/cassiaquay_dev/lab/mechanisms.py
+++ b/packages/dev/cassiaquay_dev/lab/mechanisms.py
@@ -10,7 +10,7 @@
 import math
 import typing
 
-from cassiaquay_daemon.decisions import forecasts, objectives, reservations
+from cassiaquay_daemon.decisions import forecasts, objectives, reservations, weighing
 from cassiaquay_daemon.keepers import keeper, spillover
 from cassiaquay_schema import registry
 
@@ -60,7 +60,7 @@
 @mechanisms.register("longest-at-once")
 def _longest_at_once() -> contextlib.AbstractContextManager[None]:
     """Queue the longest answers like all others instead of placing them at once."""
-    return _patched(objectives.Objectives, "_is_too_long", lambda self, waiting, now: 0)
+    return _patched(weighing.Weighing, "is_too_long", lambda self, waiting, now: False)
 
 
 @mechanisms.register("long-prompts-wait")
@@ -72,13 +72,13 @@
 @mechanisms.register("pause-guard")
 def _pause_guard() -> contextlib.AbstractContextManager[None]:
     """Place prompts regardless of the pauses that they cause in running streams."""
-    return _patched(objectives, "PAUSE_SHARE", math.inf)
+    return _patched(weighing, "PAUSE_SHARE", math.inf)
 
 
 @mechanisms.register("finish-guard")
 def _finish_guard() -> contextlib.AbstractContextManager[None]:
     """Place requests regardless of whether they can finish by their deadline."""
-    return _patched(objectives, "FINISH_SHARE", math.inf)
+    return _patched(weighing, "FINISH_SHARE", math.inf)
 
 
 @mechanisms.register("return-later")
