--- a/packages/dev/cassiaquay_dev/lab/batching.py
+++ b/packages/dev/cassiaquay_dev/lab/batching.py
@@ -9,6 +9,9 @@
 import asyncio
 import collections
 import collections.abc
+import random
+
+from cassiaquay_daemon import clock
 
 from . import days
 
@@ -53,11 +56,16 @@
         Parameters that all engines of a day share.
     time_factor : float
         Factor by which each step of this engine takes longer.
+    seed : str
+        Seed of its slowdowns.
     """
 
-    def __init__(self, settings: days.Engines, time_factor: float):
+    def __init__(self, settings: days.Engines, time_factor: float, seed: str = ""):
         self.time_factor = time_factor
         self._settings = settings
+        self._rng = random.Random(seed)
+        self._slow_until = 0.0
+        self._slowdown_factor = 1.0
         self._running: list[Run] = []
         self._queue: collections.deque[Run] = collections.deque()
         self._stepping = False
@@ -108,9 +116,21 @@
         )
         duration_ms += read / self._settings.prompt_tokens_per_ms
         loop = asyncio.get_running_loop()
-        seconds = duration_ms * self.time_factor / 1000.0
+        seconds = duration_ms * self.time_factor * self._slowdown() / 1000.0
         loop.call_later(seconds, self._apply, reading, decoding)
 
+    def _slowdown(self) -> float:
+        """Return the factor of the slowdown in force, drawn once in each period."""
+        slowdown = self._settings.slowdown
+        if slowdown is None:
+            return 1.0
+        now = clock.now()
+        if now >= self._slow_until:
+            self._slow_until = now + slowdown.period_ms / 1000.0
+            is_slow = self._rng.random() < slowdown.share
+            self._slowdown_factor = slowdown.factor if is_slow else 1.0
+        return self._slowdown_factor
+
     def _apply(self, reading: list[tuple[Run, int]], decoding: list[Run]) -> None:
         for run, tokens in reading:
             run.unread -= tokens
--- a/packages/dev/cassiaquay_dev/lab/days.py
+++ b/packages/dev/cassiaquay_dev/lab/days.py
@@ -9,6 +9,24 @@
 FOLDER = pathlib.Path(__file__).parent / "days"
 
 
+class Slowdown(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """Short slowdowns of engines, each independent of the others.
+
+    Attributes
+    ----------
+    share : float
+        Share of the time for which an engine is slow.
+    factor : float
+        Factor on step time meanwhile.
+    period_ms : float
+        Length of a slowdown; whether an engine is slow is drawn anew after it.
+    """
+
+    share: float
+    factor: float
+    period_ms: float
+
+
 class Engines(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
     """The engines of the single pool.
 
@@ -24,6 +42,8 @@
         Maximum prompt tokens prefilled per step; output tokens per event.
     time_factors : list of float
         Factors on step time, assigned to the engines in rotation.
+    slowdown : Slowdown, optional
+        Short slowdowns; none by default.
     """
 
     count: int
@@ -34,6 +54,7 @@
     chunk_tokens: int
     event_tokens: int
     time_factors: list[float]
+    slowdown: Slowdown | None = None
 
 
 class Kind(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
@@ -85,12 +106,15 @@
         Factor on the usual arrival rate.
     kind : str
         Kind of request that is affected; empty for all.
+    team : int
+        Number of the team whose requests increase; negative for all teams.
     """
 
     at: float
     seconds: float
     factor: float
     kind: str = ""
+    team: int = -1
 
 
 class ServerLimit(
@@ -144,6 +168,8 @@
         Number of teams; earlier teams send more requests.
     crossing_ms, caller_ms : float
         One-way delay between zones, and between callers and daemons.
+    swing, swing_seconds : float
+        Amplitude of the sinusoidal load, as a share of its mean, and its period.
     hint_spread : float
         Standard deviation of the logarithm of the error in callers' estimates of an
         answer's length.
@@ -168,6 +194,8 @@
     teams: int = 19
     crossing_ms: float = 1.4
     caller_ms: float = 3.0
+    swing: float = 0.15
+    swing_seconds: float = 11.0
     hint_spread: float = 0.5
     bursts: list[Burst] = []
     limits: list[ServerLimit] = []
--- a/packages/dev/cassiaquay_dev/lab/simulation.py
+++ b/packages/dev/cassiaquay_dev/lab/simulation.py
@@ -148,8 +148,10 @@
         self.engines: dict[str, batching.Engine] = {}
         factors = day.engines.time_factors
         for number in range(day.engines.count):
-            engine = batching.Engine(day.engines, factors[number % len(factors)])
-            self.engines[instances.engine_name(number)] = engine
+            name = instances.engine_name(number)
+            self.engines[name] = batching.Engine(
+                day.engines, factors[number % len(factors)], f"{seed} {name}"
+            )
 
     async def play(self, requests: list[traffic.Request]) -> None:
         """Simulate all requests until each has ended."""
--- a/packages/dev/cassiaquay_dev/lab/traffic.py
+++ b/packages/dev/cassiaquay_dev/lab/traffic.py
@@ -6,9 +6,6 @@
 
 from . import days
 
-# Amplitude of the sinusoidal load, as a share of its mean, and its period.
-LOAD_SWING = 0.15
-LOAD_SWING_PERIOD_SECONDS = 11.0
 # Request rate of each team as a share of the previous team's.
 TEAM_SHARE_RATIO = 0.8
 MIN_PROMPT_TOKENS = 16.0
@@ -52,7 +49,7 @@
     for name, kind in day.kinds.items():
         rng = random.Random(f"{seed} {name}")
         at = 0.0
-        most = max([1.0, *(burst.factor for burst in day.bursts)]) * (1.0 + LOAD_SWING)
+        most = max([1.0, *(burst.factor for burst in day.bursts)]) * (1.0 + day.swing)
         most *= kind.per_second * day.load
         while True:
             at += rng.expovariate(most)
@@ -61,23 +58,47 @@
             if rng.random() * most > kind.per_second * rate_factor(day, name, at):
                 continue
             found.append(_draw_request(day, name, at, len(found), rng))
+        found += _team_burst_requests(day, name, seed)
     return sorted(found, key=_arrival_time)
 
 
 def rate_factor(day: days.Day, kind: str, at: float) -> float:
     """Return the factor on a kind's base rate at a time."""
     factor = day.load * (
-        1.0 + LOAD_SWING * math.sin(2.0 * math.pi * at / LOAD_SWING_PERIOD_SECONDS)
+        1.0 + day.swing * math.sin(2.0 * math.pi * at / day.swing_seconds)
     )
     boost = 1.0
     for burst in day.bursts:
-        if burst.kind not in ("", kind):
+        if burst.kind not in ("", kind) or burst.team >= 0:
             continue
         if burst.at <= at < burst.at + burst.seconds:
             boost = max(boost, burst.factor)
     return factor * boost
 
 
+def _team_burst_requests(day: days.Day, name: str, seed: int) -> list[Request]:
+    """Return the additional requests of single teams during their bursts."""
+    found: list[Request] = []
+    weights = _team_weights(day.teams)
+    for number, burst in enumerate(day.bursts):
+        if burst.kind not in ("", name) or burst.team < 0:
+            continue
+        rng = random.Random(f"{seed} {name} burst {number}")
+        share = weights[burst.team] / sum(weights)
+        rate = day.kinds[name].per_second * day.load * share * (burst.factor - 1.0)
+        at = burst.at + rng.expovariate(rate)
+        while at < min(burst.at + burst.seconds, day.seconds):
+            request = _draw_request(day, name, at, len(found), rng)
+            found.append(
+                request._replace(
+                    name=f"{name}-burst-{number}-{len(found)}",
+                    team=f"team-{burst.team}",
+                )
+            )
+            at += rng.expovariate(rate)
+    return found
+
+
 def _draw_request(
     day: days.Day, name: str, at: float, number: int, rng: random.Random
 ) -> Request:
@@ -118,8 +139,11 @@
 
 
 def _draw_team(count: int, rng: random.Random) -> str:
-    weights = [TEAM_SHARE_RATIO**number for number in range(count)]
-    return f"team-{rng.choices(range(count), weights)[0]}"
+    return f"team-{rng.choices(range(count), _team_weights(count))[0]}"
+
+
+def _team_weights(count: int) -> list[float]:
+    return [TEAM_SHARE_RATIO**number for number in range(count)]
 
 
 def _arrival_time(request: Request) -> float:
