Keep the kept slots of a shard in one heap for each rank

Cause: under overload hundreds of slots are kept, and each of about ten calls of Reservations.above in a pass built and counted their list. Change: one heap of ends for each rank; above drops expired ends and adds up lengths. A test compares it with the plain list on generated calls.

--- a/packages/daemon/cassiaquay_daemon/decisions/reservations.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/reservations.py
@@ -11,36 +11,36 @@
 or until a request of its tier or above gets a slot.
 """
 
-import typing
-
-
-class _KeptSlot(typing.NamedTuple):
-    rank: int
-    until: float
+import heapq
 
 
 class Reservations:
     """The slots that one shard keeps."""
 
     def __init__(self) -> None:
-        self._kept: list[_KeptSlot] = []
+        # Ends of the kept slots by rank, each list a heap: under overload hundreds are
+        # kept, and their number is asked for several times in each pass.
+        self._kept: dict[int, list[float]] = {}
 
     def add(self, rank: int, until: float) -> None:
         """Keep one slot for a rank until a time, in seconds on the daemon's clock."""
-        self._kept.append(_KeptSlot(rank, until))
+        heapq.heappush(self._kept.setdefault(rank, []), until)
 
     def use(self, rank: int) -> None:
         """Release one kept slot after a request of a rank got a slot.
 
         That is the slot kept for the most important rank at or below this one.
         """
-        best_slot = min(
-            (slot for slot in self._kept if slot.rank >= rank), default=None
-        )
-        if best_slot is not None:
-            self._kept.remove(best_slot)
+        ranks = [kept for kept, ends in self._kept.items() if kept >= rank and ends]
+        if ranks:
+            heapq.heappop(self._kept[min(ranks)])
 
     def above(self, rank: int, now: float) -> int:
         """Return how many slots are kept for ranks more important than this one."""
-        self._kept = [slot for slot in self._kept if slot.until > now]
-        return sum(slot.rank < rank for slot in self._kept)
+        count = 0
+        for kept, ends in self._kept.items():
+            while ends and ends[0] <= now:
+                heapq.heappop(ends)
+            if kept < rank:
+                count += len(ends)
+        return count
--- a/tests/test_reservations.py
+++ b/tests/test_reservations.py
@@ -1,7 +1,40 @@
 """Slots that are kept for a tier after one of its requests was shed."""
 
+import hypothesis
+from hypothesis import strategies
+
 from cassiaquay_daemon.decisions import reservations
 
+_RANKS = strategies.integers(0, 3)
+_TIMES = strategies.integers(0, 12)
+_CALLS = strategies.one_of(
+    strategies.tuples(strategies.just("add"), _RANKS, _TIMES),
+    strategies.tuples(strategies.just("use"), _RANKS, _TIMES),
+    strategies.tuples(strategies.just("above"), _RANKS, _TIMES),
+)
+
+
+class _ListedSlots:
+    """The same slots as one list of rank and end, which each call scans."""
+
+    def __init__(self) -> None:
+        self._kept: list[tuple[int, float]] = []
+
+    def add(self, rank: int, until: float) -> None:
+        """Add a slot."""
+        self._kept.append((rank, until))
+
+    def use(self, rank: int) -> None:
+        """Remove the first slot of this rank or a lower one."""
+        usable = [slot for slot in self._kept if slot[0] >= rank]
+        if usable:
+            self._kept.remove(min(usable))
+
+    def above(self, rank: int, now: float) -> int:
+        """Remove the slots whose time is over, and count the others."""
+        self._kept = [slot for slot in self._kept if slot[1] > now]
+        return sum(slot[0] < rank for slot in self._kept)
+
 
 def test_one_slot_is_kept_for_each_shed_request() -> None:
     """Two requests of the top rank are shed, and one of the rank below it.
@@ -47,3 +80,16 @@
     assert reserved.above(2, 9.0) == 0
     reserved.use(0)
     assert reserved.above(2, 9.0) == 0
+
+
+@hypothesis.given(strategies.lists(_CALLS, max_size=40))
+def test_kept_slots_are_those_of_a_plain_list(calls) -> None:
+    """Guards against heaps by rank that keep, release or expire another slot."""
+    reserved, listed = reservations.Reservations(), _ListedSlots()
+    for name, rank, number in calls:
+        if name == "use":
+            reserved.use(rank)
+            listed.use(rank)
+            continue
+        expected = getattr(listed, name)(rank, float(number))
+        assert getattr(reserved, name)(rank, float(number)) == expected
