Forecast the ends of running requests in one call each

Cause: Forecast.refresh runs in most passes under overload, over all running requests; each took a method call, a lookup of its server, Expected and up to three calls of max. The arrival rate was summed up again for each demand. Change: a function with comparisons in place of these calls; the rate of each rank is computed once in a refresh. wait_seconds skips the forecast of arrivals for a place beyond the last slot.

--- a/packages/daemon/cassiaquay_daemon/decisions/forecasts.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/forecasts.py
@@ -9,7 +9,7 @@
 import bisect
 
 from .. import clock
-from . import arrivals, candidates, grants, shards
+from . import arrivals, candidates, grants, service_times, shards
 
 # Callers wait at least two seconds for the first event of a stream and then close it:
 # the prefill of a request that has waited longer than this would be wasted.
@@ -47,26 +47,37 @@
         self._free_in_seconds: list[float] = []
         # The latter without the slots of some servers.
         self._without: dict[frozenset[str], list[float]] = {}
+        # Arrivals per second of more important ranks, by rank.
+        self._rates_above: dict[int, float] = {}
 
     def refresh(self) -> None:
         """Recompute the forecast from all running requests."""
         now = clock.now()
         ends: dict[str, list[float]] = {}
+        known = self._servers.times
         for running in self._shard.running.values():
-            if running.server in self._servers.times:
-                remaining = self._remaining_seconds(running, now)
-                ends.setdefault(running.server, []).append(remaining)
+            server = running.server
+            times = known.get(server)
+            if times is None:
+                continue
+            remaining = _remaining_seconds(running, times, now)
+            if server in ends:
+                ends[server].append(remaining)
+            else:
+                ends[server] = [remaining]
         by_server = self._servers.slot_waits(ends, now)
         self._free_by_server = by_server
         self._free_in_seconds = _merge(by_server, frozenset())
         self._without.clear()
+        self._rates_above.clear()
 
     def take_slot(self, request_id: str) -> None:
         """Replace a free slot by the end of the request that was granted it."""
         if self._free_in_seconds and not self._free_in_seconds[0]:
             del self._free_in_seconds[0]
             running = self._shard.running[request_id]
-            remaining = self._remaining_seconds(running, clock.now())
+            times = self._servers.times[running.server]
+            remaining = _remaining_seconds(running, times, clock.now())
             bisect.insort(self._free_in_seconds, remaining)
             of_server = self._free_by_server.get(running.server, [])
             if 0.0 in of_server:
@@ -84,10 +95,14 @@
         free_in = self._slots_without(excluded)
         if not free_in:
             return ABANDON_SECONDS
-        rate = self._arriving.rate_above(rank)
-        wait = free_in[min(ahead, len(free_in) - 1)]
-        position = min(ahead + int(rate * wait), len(free_in) - 1)
-        return free_in[position] * max((ahead + 1) / len(free_in), 1.0)
+        rate = self._rates_above.get(rank)
+        if rate is None:
+            rate = self._rates_above[rank] = self._arriving.rate_above(rank)
+        last = len(free_in) - 1
+        if ahead > last:
+            return free_in[last] * ((ahead + 1) / len(free_in))
+        position = min(ahead + int(rate * free_in[ahead]), last)
+        return free_in[position]
 
     def _slots_without(self, excluded: frozenset[str]) -> list[float]:
         if not excluded:
@@ -96,18 +111,24 @@
             self._without[excluded] = _merge(self._free_by_server, excluded)
         return self._without[excluded]
 
-    def _remaining_seconds(self, running: grants.Running, now: float) -> float:
-        times = self._servers.times[running.server]
-        if running.demand is None:
-            return times.base_seconds
-        events = float(running.demand.output_tokens - running.produced)
-        if running.produced:
-            events = max(events, running.produced * OVERRUN_SHARE)
-            elapsed = now - running.produced_at
-            return max(events * times.event_seconds - elapsed, 0.0)
-        return times.expect(float(running.demand.prompt_tokens)).first_seconds + (
-            max(events, 0.0) * times.event_seconds
-        )
+
+def _remaining_seconds(
+    running: grants.Running, times: service_times.ServiceTimes, now: float
+) -> float:
+    # A refresh calls this for each running request, in most passes under overload.
+    demand = running.demand
+    if demand is None:
+        return times.base_seconds
+    produced = running.produced
+    events = demand.output_tokens - produced
+    if produced:
+        least = produced * OVERRUN_SHARE
+        if events < least:
+            events = least
+        left = events * times.event_seconds - (now - running.produced_at)
+        return left if left > 0.0 else 0.0
+    first = times.base_seconds + demand.prompt_tokens / times.rate
+    return first + events * times.event_seconds if events > 0 else first
 
 
 def _merge(
