--- a/packages/daemon/cassiaquay_daemon/fleet/members.py
+++ b/packages/daemon/cassiaquay_daemon/fleet/members.py
@@ -19,7 +19,7 @@
     failure_detector,
     freshness,
     gossip,
-    lost_members,
+    neighbours,
     reported_load,
 )
 
@@ -69,7 +69,6 @@
         self.admin_address = ""
         self._listed: dict[str, platform.ListedInstance] = {}
         self._settings = settings
-        self._seeds = settings.seeds
         self._incarnation = incarnation
         self._links = links
         self._measure = measure
@@ -80,18 +79,19 @@
         self._round = 0
         self._load = reported_load.ReportedLoad()
         self._budget_peers = budget_peers.BudgetPeers()
-        self._lost = lost_members.LostMembers()
         self._gossip = gossip.Gossip(
             settings.instance, self.facts, settings.membership.spread_bytes
         )
         self._detector = failure_detector.Detector(settings, self.facts, self._send_to)
+        self._neighbours = neighbours.Neighbours(
+            settings, self.facts, links, self._detector
+        )
         self._on_heartbeat: list[
             collections.abc.Callable[[peers.Link, messages.Heartbeat], None]
         ] = []
         self._on_change: list[collections.abc.Callable[[], None]] = []
         self._reported: set[str] = set()
         self._serving: list[messages.Member] | None = None
-        self._neighbours: dict[str, str] | None = None
         self._has_unreported_changes = True
         self._keepers: dict[str, str] = {}
         links.on(messages.Heartbeat, self._handle_heartbeat)
@@ -107,7 +107,7 @@
 
     @listed.setter
     def listed(self, lines: dict[str, platform.ListedInstance]) -> None:
-        self._listed = lines
+        self._listed = self._neighbours.listed = lines
         self._invalidate_caches()
 
     @property
@@ -146,7 +146,7 @@
 
     def adopt(self, settings: settings_schema.Settings) -> None:
         """Apply changed settings; only the seeds can change at run time."""
-        self._seeds = settings.seeds
+        self._neighbours.seeds = settings.seeds
 
     def on_heartbeat(
         self, call: collections.abc.Callable[[peers.Link, messages.Heartbeat], None]
@@ -195,7 +195,9 @@
 
     def fleet_size(self) -> int:
         """Return how many instances may spend from a fleet-wide budget."""
-        return self._budget_peers.count(max(len(self.facts.records), len(self._seeds)))
+        return self._budget_peers.count(
+            max(len(self.facts.records), len(self._neighbours.seeds))
+        )
 
     def last_known(self, instance: str) -> messages.Member | None:
         """Return the last known fact on an instance, even if it is suspected."""
@@ -225,9 +227,7 @@
 
     def neighbours(self) -> dict[str, str]:
         """Return the peer addresses of the instances to send heartbeats to, by name."""
-        if self._neighbours is None:
-            self._neighbours = self._choose_neighbours()
-        return self._neighbours
+        return self._neighbours.addresses()
 
     async def send_heartbeats(self) -> None:
         """Send heartbeats until cancelled."""
@@ -278,7 +278,7 @@
                 logs.trouble("instance_name_used_twice", by=member.incarnation)
             return
         if self.facts.learn(member):
-            self._lost.remove(member.instance)
+            self._neighbours.note_alive(member.instance)
             self._invalidate_caches()
 
     def facts_to_send(self) -> list[messages.Member]:
@@ -299,7 +299,7 @@
         text = self.text_version()
         listed = self.servers_state()
         digests = {field: digest() for field, digest in self.table_digests.items()}
-        for link in self._links_to_use():
+        for link in self._neighbours.links(self._round):
             portion = self._gossip.portion(link)
             link.send(
                 messages.Heartbeat(
@@ -321,50 +321,6 @@
                 )
             )
 
-    def _choose_neighbours(self) -> dict[str, str]:
-        addresses = {}
-        for line in self._listed.values():
-            if line.kind == "entry" and line.peer and line.name not in self._lost:
-                addresses[line.name] = line.peer
-        for name, record in self.facts.records.items():
-            if record.suspected_at is None:
-                addresses[name] = record.member.peer
-        addresses.pop(self._settings.instance, None)
-        if not addresses:
-            # The seeds are common to the fleet and may include this instance.
-            for seed in self._seeds:
-                if seed != self._links.address:
-                    addresses[f"{peers.SEED}{seed}"] = seed
-        ranked = failure_detector.rank(self._settings.instance, addresses)
-        chosen = ranked[: self._settings.membership.neighbours]
-        return {name: addresses[name] for name in chosen}
-
-    def _links_to_use(self) -> list[peers.Link]:
-        links = []
-        neighbours = self.neighbours()
-        for instance, address in [*neighbours.items(), *self._lost_to_redial()]:
-            link = self._links.link(instance, address)
-            if link is not None:
-                links.append(link)
-        # Reply to heartbeats on links that others dialled: an instance that none chose
-        # as neighbour would otherwise receive no heartbeats. Links dialled from here to
-        # former neighbours are left out: each side would reply to the other's replies
-        # indefinitely, and after a fleet start half of the instances would exchange
-        # heartbeats with the other half.
-        for link in self._detector.incoming_links():
-            if link.instance not in neighbours:
-                links.append(link)
-        return links
-
-    def _lost_to_redial(self) -> list[tuple[str, str]]:
-        for name, record in self.facts.records.items():
-            if record.suspected_at is not None:
-                if name not in self._lost:
-                    self._neighbours = None
-                self._lost.add(name, record.member.peer)
-        self._lost.expire(self._listed)
-        return self._lost.turn(self._round)
-
     def _send_to(self, instance: str, message: messages.Message) -> None:
         link = self.link(instance)
         if link is not None:
@@ -420,7 +376,7 @@
 
     def _invalidate_caches(self) -> None:
         self._serving = None
-        self._neighbours = None
+        self._neighbours.invalidate()
         self._has_unreported_changes = True
         self._keepers.clear()
 
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -250,7 +250,9 @@
 
             def has_expected_links() -> bool:
                 for name, one in fleet.instances.items():
-                    used = {link.instance for link in one.membership._links_to_use()}
+                    used = {
+                        link.instance for link in one.membership._neighbours.links(0)
+                    }
                     if used != chose[name]:
                         return False
                 return True
