Place keepers of shards on the instances with the best links

A keeper receives and sends some 500 KB/s in a burst, most of a link of 5 Mbit/s, and rendezvous hashing chose among all instances: of 86 instances, 8 have 100 Mbit/s.

With membership.placement = "capacity", instances state their share of a core and their link in their fact. Keepers of shards are chosen among the best class that is not slow, keepers of limits among all that are not slow. The choice is a function of the facts, so that equal views give equal keepers; while one instance places evenly, all do.

A fact has 130 to 132 bytes, before 120; sent only when it changes, as before.

--- a/packages/daemon/cassiaquay_daemon/fleet/gossip.py
+++ b/packages/daemon/cassiaquay_daemon/fleet/gossip.py
@@ -11,7 +11,7 @@
 
 # Upper bounds of the encoded size of a fact and a suspicion, so that the budget can be
 # charged without encoding them.
-MEMBER_BYTES = 130
+MEMBER_BYTES = 140
 SUSPICION_BYTES = 40
 # Unused budget accumulates for at most this time.
 BURST_SECONDS = 20.0
--- a/packages/daemon/cassiaquay_daemon/fleet/members.py
+++ b/packages/daemon/cassiaquay_daemon/fleet/members.py
@@ -11,7 +11,8 @@
 from cassiaquay_schema import messages
 from cassiaquay_schema import settings as settings_schema
 
-from .. import clock, exceptions, logs, platform, positions, rendezvous
+from .. import clock, exceptions, logs, platform, positions
+from ..decisions import capacities, keeper_placement
 from ..links import peers
 from . import (
     budget_peers,
@@ -19,6 +20,7 @@
     failure_detector,
     freshness,
     gossip,
+    keeper_roles,
     neighbours,
     reported_load,
 )
@@ -54,6 +56,8 @@
         measure: collections.abc.Callable[[], tuple[float, int]],
     ):
         self.leaving = False
+        # Whether this instance's event loop has been late for a while.
+        self.slow = False
         self.http_address = ""
         self.relay_address = ""
         # Services whose servers other instances reach and this one does not.
@@ -91,9 +95,10 @@
         ] = []
         self._on_change: list[collections.abc.Callable[[], None]] = []
         self._reported: set[str] = set()
+        self._roles = keeper_roles.KeeperRoles(settings)
+        self._reported_placement = self._roles.placement
         self._serving: list[messages.Member] | None = None
         self._has_unreported_changes = True
-        self._keepers: dict[str, str] = {}
         links.on(messages.Heartbeat, self._handle_heartbeat)
         links.on(messages.Suspicion, self._note_suspicion)
         links.on(messages.Probe, self._detector.answer_probe)
@@ -134,6 +139,7 @@
             clock.now() - self._started,
             self.relay_address,
             self.lost_services(),
+            *self._capacity_fields(),
         )
         known = self.facts.records.get(self._settings.instance)
         if known is not None and not force and _has_same_state(known.member, fact):
@@ -155,7 +161,7 @@
         self._on_heartbeat.append(call)
 
     def on_change(self, call: collections.abc.Callable[[], None]) -> None:
-        """Call ``call`` when an instance has joined, gone or begun to leave."""
+        """Call ``call`` after a change of the serving instances or possible keepers."""
         self._on_change.append(call)
 
     def alive(self) -> list[messages.Member]:
@@ -211,12 +217,8 @@
 
     def keeper_of(self, shard: str) -> str:
         """Return the instance that should be the keeper of a shard."""
-        serving = self.serving()
-        if shard not in self._keepers:
-            names = [member.instance for member in serving]
-            first = rendezvous.first(shard, names or [self._settings.instance])
-            self._keepers[shard] = first
-        return self._keepers[shard]
+        self._roles.update(self.serving())
+        return self._roles.keeper_of(shard)
 
     def link(self, instance: str) -> peers.Link | None:
         """Return the link to a member; without one, start dialling and return None."""
@@ -374,11 +376,15 @@
         # heartbeats say; a wrong guess costs capacity for a moment, but no request.
         return line is not None and line.leaving and line.http == member.http
 
+    def _capacity_fields(self) -> tuple[int, int, bool, bool]:
+        if self._settings.membership.placement != keeper_placement.CAPACITY:
+            return 0, 0, False, False
+        return *capacities.stated(self._settings), True, self.slow
+
     def _invalidate_caches(self) -> None:
         self._serving = None
         self._neighbours.invalidate()
         self._has_unreported_changes = True
-        self._keepers.clear()
 
     def _report_changes(self) -> None:
         if self._detector.take_changes():
@@ -388,12 +394,16 @@
             return
         self._has_unreported_changes = False
         current = {f"{m.instance}/{m.incarnation}" for m in self.serving()}
-        if current == self._reported:
+        self._roles.update(self.serving())
+        placement = self._roles.placement
+        if current == self._reported and placement == self._reported_placement:
             return
         joined = sorted(current - self._reported)
         gone = sorted(self._reported - current)
-        logs.event("members", count=len(current), come=joined, gone=gone)
+        if joined or gone:
+            logs.event("members", count=len(current), come=joined, gone=gone)
         self._reported = current
+        self._reported_placement = placement
         for call in self._on_change:
             call()
 
--- a/packages/daemon/cassiaquay_daemon/names.py
+++ b/packages/daemon/cassiaquay_daemon/names.py
@@ -3,12 +3,17 @@
 from cassiaquay_schema import exceptions, settings
 
 from . import platform
-from .decisions import policies
+from .decisions import keeper_placement, policies
 
 
 def check_settings(parsed_settings: settings.Settings) -> None:
     """Raise NameFault when the settings contain a name that is not registered."""
     check(policies.policies.names(), parsed_settings.keeper.policy, "keeper.policy")
+    check(
+        keeper_placement.placements.names(),
+        parsed_settings.membership.placement,
+        "membership.placement",
+    )
     check(
         platform.configuration_services.names(),
         parsed_settings.platform.configuration_adapter,
--- a/packages/schema/cassiaquay_schema/messages.py
+++ b/packages/schema/cassiaquay_schema/messages.py
@@ -72,6 +72,14 @@
         host:port that relays requests to servers; empty if none.
     lost_services : list[str]
         Services whose servers other instances reach and this one does not.
+    processor_permille : int
+        Thousandths of a core that its event loop gets; 0 if not given.
+    link_kbps : int
+        Rate of its network link in kbit/s; 0 if not given.
+    by_capacity : bool
+        Whether it chooses keepers by capacity.
+    slow : bool
+        Whether its event loop has been late for a while.
     """
 
     instance: str
@@ -88,6 +96,10 @@
     uptime: float
     relay: str = ""
     lost_services: list[str] = []
+    processor_permille: int = 0
+    link_kbps: int = 0
+    by_capacity: bool = False
+    slow: bool = False
 
 
 class Heartbeat(typing.NamedTuple):
--- a/packages/schema/cassiaquay_schema/settings.py
+++ b/packages/schema/cassiaquay_schema/settings.py
@@ -62,6 +62,8 @@
         Bytes of member facts sent per second, over all neighbours.
     refresh_seconds : float
         Maximum wait for platform and neighbours after a start or a pause.
+    placement : str
+        Registered name of how keepers and callers are placed: even or capacity.
     """
 
     neighbours: typing.Annotated[int, msgspec.Meta(ge=1)] = 8
@@ -70,6 +72,22 @@
     forget_after: typing.Annotated[float, msgspec.Meta(gt=0)] = 6.0
     spread_bytes: typing.Annotated[int, msgspec.Meta(ge=100)] = 4000
     refresh_seconds: typing.Annotated[float, msgspec.Meta(gt=0)] = 2.0
+    placement: str = "even"
+
+
+class Capacity(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """What this instance may use; used with `membership.placement = "capacity"`.
+
+    Attributes
+    ----------
+    processor_share : float
+        Share of a core, of which 1 counts at most; 0 if not given.
+    link_mbps : float
+        Rate of the network link in Mbit/s; 0 if not given.
+    """
+
+    processor_share: typing.Annotated[float, msgspec.Meta(ge=0)] = 0.0
+    link_mbps: typing.Annotated[float, msgspec.Meta(ge=0)] = 0.0
 
 
 class Owner(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
@@ -301,6 +319,8 @@
         Platform services.
     membership : Membership
         Heartbeats and failure detection.
+    capacity : Capacity
+        Capacity of this instance.
     owner : Owner
         Requests that this instance owns.
     keeper : Keeper
@@ -334,6 +354,7 @@
     seeds: list[str] = msgspec.field(default_factory=list)
     platform: Platform
     membership: Membership = msgspec.field(default_factory=Membership)
+    capacity: Capacity = msgspec.field(default_factory=Capacity)
     owner: Owner = msgspec.field(default_factory=Owner)
     keeper: Keeper = msgspec.field(default_factory=Keeper)
     orders: Orders = msgspec.field(default_factory=Orders)
