--- a/packages/daemon/cassiaquay_daemon/operators/metrics.py
+++ b/packages/daemon/cassiaquay_daemon/operators/metrics.py
@@ -6,44 +6,21 @@
 """
 
 import collections
-import typing
 
 from aioprometheus import collectors, renderer
 from aioprometheus import histogram as histograms
 
+from . import families
+
+Family = families.Family
+Key = families.Key
 Labels = dict[str, str]
-Key = tuple[str, ...]
 
 FIRST_EVENT_BOUNDS_SECONDS = (0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8, 25.6)
 DURATION_BOUNDS_SECONDS = (0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 20.0, 40.0, 80.0)
 SILENCE_BOUNDS_SECONDS = (0.1, 0.25, 0.5, 0.75, 1.0, 1.5, 2.0, 3.0, 5.0, 10.0)
 LAG_BOUNDS_SECONDS = (0.001, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 5.0)
 
-
-class Family(typing.NamedTuple):
-    """Definition of one metric.
-
-    Attributes
-    ----------
-    name : str
-        Name that ends in the unit, by the Prometheus conventions.
-    kind : str
-        ``counter``, ``gauge`` or ``histogram``.
-    labels : tuple of str
-        Names of the labels.
-    doc : str
-        Meaning of the metric.
-    buckets : tuple of float
-        Upper bounds, for histograms.
-    """
-
-    name: str
-    kind: str
-    labels: Key
-    doc: str
-    buckets: tuple[float, ...] = ()
-
-
 REQUESTS = Family(
     "cassiaquay_requests_total",
     "counter",
