Look up free slots once in a pass and weigh late demands once

Cause: each demand of a pass asked every server for a free slot, also when none had one; a late demand was weighed in _grant_in_time and again in _decide_late; overdue first events were looked for at servers whose prompts have just begun. Change: the free slots are listed once and again after each grant; without one, no demand is weighed. A late demand's choice holds while its server has got nothing else, as a grant makes no server better. The time to the first event is computed once for each length of prompt in a pass. tests/test_pass_work.py counts calls.

--- a/packages/daemon/cassiaquay_daemon/decisions/candidates.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/candidates.py
@@ -129,9 +129,17 @@
         # fastest for some length of prompt.
         self._fastest_speeds: list[tuple[float, float]] = []
         self._min_event_seconds = 0.0
+        # Times to the first event by length of prompt, as they are asked for.
+        self._min_first_seconds: dict[int, float] = {}
+        # Reachable servers with a free slot, and the number of free slots of all open
+        # ones; None after a grant. Within a pass nothing else takes or frees a slot.
+        self._free: list[Candidate] | None = None
+        self._free_count: int | None = None
 
     def refresh(self) -> None:
         """Rebuild the state of all servers at the start of a pass."""
+        self.granted()
+        self._min_first_seconds.clear()
         self.times = {name: self._times_of(name) for name in self._shard.servers}
         self.open = []
         self._reachable = []
@@ -158,22 +166,25 @@
             (candidate.times.event_seconds for candidate in self.open), default=0.0
         )
 
-    def with_free_slots(
-        self, avoid: collections.abc.Set[str], now: float
-    ) -> collections.abc.Iterator[Candidate]:
-        """Yield the servers that may get a demand now, except those to avoid."""
-        for candidate in self._reachable:
-            if candidate.has_slot(now) and candidate.server.name not in avoid:
-                yield candidate
+    def granted(self) -> None:
+        """Look up all free slots again, after a demand got one of them."""
+        self._free = None
+        self._free_count = None
 
-    def free_slots(self) -> int:
+    def with_free_slots(self, now: float) -> list[Candidate]:
+        """Return the servers that may get a demand now."""
+        if self._free is None:
+            self._free = [item for item in self._reachable if item.has_slot(now)]
+        return self._free
+
+    def free_slots(self, now: float) -> int:
         """Return the number of free slots on servers that may get work."""
-        now = clock.now()
-        count = 0
-        for candidate in self.open:
-            if candidate.has_slot(now):
-                count += candidate.free_slots
-        return count
+        if self._free_count is None:
+            self._free_count = 0
+            for candidate in self.open:
+                if candidate.has_slot(now):
+                    self._free_count += candidate.free_slots
+        return self._free_count
 
     def slot_waits(
         self, ends: dict[str, list[float]], now: float
@@ -203,10 +214,13 @@
 
     def min_first_seconds(self, tokens: int) -> float:
         """Return the time to the first event of a prompt on the fastest server."""
-        return min(
-            (base + tokens / rate for base, rate in self._fastest_speeds),
-            default=float("inf"),
-        )
+        least = self._min_first_seconds.get(tokens)
+        if least is None:
+            least = float("inf")
+            for base, rate in self._fastest_speeds:
+                least = min(least, base + tokens / rate)
+            self._min_first_seconds[tokens] = least
+        return least
 
     def min_finish_seconds(self, demand: messages.Demand) -> float:
         """Return a lower bound of the time to the end of an answer."""
@@ -216,7 +230,8 @@
     def _median_failure_share(self, servers: list[fleet.Server]) -> float:
         now = clock.now()
         shares = [self.times[server.name].failure_share(now) for server in servers]
-        return statistics.median(shares) if shares else 0.0
+        # Mostly no server has failed.
+        return statistics.median(shares) if any(shares) else 0.0
 
 
 def _fastest_speeds(servers: list[Candidate]) -> list[tuple[float, float]]:
--- a/packages/daemon/cassiaquay_daemon/decisions/forecasts.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/forecasts.py
@@ -120,7 +120,7 @@
     if demand is None:
         return times.base_seconds
     produced = running.produced
-    events = demand.output_tokens - produced
+    events: float = demand.output_tokens - produced
     if produced:
         least = produced * OVERRUN_SHARE
         if events < least:
--- a/packages/daemon/cassiaquay_daemon/decisions/objectives.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/objectives.py
@@ -14,6 +14,8 @@
   pool of several shards a demand is shed only when it would be late in all of them.
 """
 
+import typing
+
 from cassiaquay_schema import messages
 
 from .. import clock
@@ -51,6 +53,24 @@
 RETRY_AFTER_SHARE = 2.0 / 9.0
 
 
+class _LateDemand(typing.NamedTuple):
+    """A demand that no free slot serves in time.
+
+    Attributes
+    ----------
+    waiting : Waiting
+        The demand.
+    choice : Choice or None
+        The best server that has a free slot; None if it may have none.
+    in_flight : int
+        Requests in flight on that server.
+    """
+
+    waiting: shards.Waiting
+    choice: choices.Choice | None
+    in_flight: int
+
+
 @policies.policies.register(NAME)
 class Objectives:
     """Strict tiers, fair sharing between teams, first events in time.
@@ -140,7 +160,7 @@
             order = self._order.order(rank)
             near = order[: max(MAX_WEIGHED_DEMANDS - weighed_count, 0)]
             weighed_count += len(near)
-            left = self._grant_in_time(near, now)
+            left = self._grant_in_time(rank, near, now)
             far = order[len(near) :]
             if not left and not far:
                 continue
@@ -196,27 +216,51 @@
             )
         return estimates
 
-    def _grant_in_time(self, order: list[str], now: float) -> list[shards.Waiting]:
+    def _grant_in_time(
+        self, rank: int, order: list[str], now: float
+    ) -> list[_LateDemand]:
         """Grant the demands that can be in time now; return the others."""
         left = []
+        has_slot = self._weighing.has_slot(rank, now)
         for request_id in order:
             waiting = self._shard.queue[request_id]
-            objective_at = self._objective_at[request_id]
-            best = self._weighing.best_choice(waiting, objective_at, now)
-            if best is not None and not best.is_late:
-                self._grant(waiting, best)
+            best = None
+            if has_slot:
+                objective_at = self._objective_at[request_id]
+                best = self._weighing.best_choice(waiting, objective_at, now)
+            if best is None:
+                left.append(_LateDemand(waiting, None, 0))
+            elif best.is_late:
+                in_flight = self._shard.count_on(best.server)
+                left.append(_LateDemand(waiting, best, in_flight))
             else:
-                left.append(waiting)
+                self._grant(waiting, best)
+                has_slot = self._weighing.has_slot(rank, now)
         return left
 
-    def _decide_late(self, left: list[shards.Waiting], ahead: int, now: float) -> int:
+    def _late_choice(self, late: _LateDemand, now: float) -> choices.Choice | None:
+        """Return the best server of a late demand after the grants made since.
+
+        They take slots and lengthen prefill queues, so that no server has become
+        better: a choice holds while its server has got nothing else.
+        """
+        choice, demand = late.choice, late.waiting.demand
+        if choice is None or not self._weighing.has_slot(demand.rank, now):
+            return None
+        if self._shard.count_on(choice.server) == late.in_flight:
+            return choice
+        objective_at = self._objective_at[demand.id]
+        return self._weighing.best_choice(late.waiting, objective_at, now)
+
+    def _decide_late(self, left: list[_LateDemand], ahead: int, now: float) -> int:
         """Queue, move, grant late or shed demands that no free slot serves in time.
 
         Late demands only get slots that the in-time demands of their tier and of those
         above have left free. Returns ``ahead`` plus the demands that stay queued.
         """
         before = ahead
-        for waiting in left:
+        for late in left:
+            waiting = late.waiting
             demand = waiting.demand
             objective_at = self._objective_at[demand.id]
             min_seconds = self._weighing.min_first_seconds(demand)
@@ -227,7 +271,7 @@
             )
             if self._weighing.is_too_long(waiting, now):
                 # Neither another server nor a later start would help.
-                best = self._weighing.best_choice(waiting, objective_at, now)
+                best = self._late_choice(late, now)
                 if best is not None:
                     self._grant(waiting, best)
                     continue
@@ -236,7 +280,7 @@
                 continue
             if self._shard.move(waiting, objective_at - now - min_seconds):
                 continue
-            best = self._weighing.best_choice(waiting, objective_at, now)
+            best = self._late_choice(late, now)
             if best is not None:
                 self._grant(waiting, best)
                 continue
@@ -338,6 +382,7 @@
         self._kept_slots.use(demand.rank)
         self._order.charge(demand, weight)
         self._shard.grant(waiting, choice.server, 0, choice.first_seconds)
+        self._servers.granted()
         self._forecast.take_slot(demand.id)
 
     def _mark_silent_servers(self, now: float) -> None:
@@ -345,7 +390,8 @@
         for server in self._shard.servers:
             load = self._shard.load(server)
             tokens, seconds = load.current_prefill(now)
-            if not seconds:
+            if seconds < service_times.LATE_SECONDS:
+                # No limit is shorter.
                 continue
             times = self._times_of(server)
             silence_limit = times.silence_limit(times.expect(tokens).first_seconds)
--- a/packages/daemon/cassiaquay_daemon/decisions/service_times.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/service_times.py
@@ -108,6 +108,9 @@
 
     def failure_share(self, now: float) -> float:
         """Return the recent share of failed requests."""
+        if not self._failure_share:
+            # Nearly all servers, at each pass of a keeper.
+            return 0.0
         age = max(now - self._failure_share_at, 0.0)
         return float(self._failure_share * 0.5 ** (age / FAILURE_HALF_LIFE_SECONDS))
 
--- a/packages/daemon/cassiaquay_daemon/decisions/team_order.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/team_order.py
@@ -10,6 +10,7 @@
 """
 
 import collections.abc
+import itertools
 
 from cassiaquay_schema import messages
 
@@ -76,12 +77,8 @@
         teams.sort(key=_virtual_time)
         rows = [list(team.ids) for team in teams]
         request_ids: list[str] = []
-        depth = 0
-        while any(len(row) > depth for row in rows):
-            for row in rows:
-                if len(row) > depth:
-                    request_ids.append(row[depth])
-            depth += 1
+        for turn in itertools.zip_longest(*rows):
+            request_ids += [request_id for request_id in turn if request_id is not None]
         if self._resumed:
             request_ids.sort(key=self._is_new)
         return request_ids
--- a/packages/daemon/cassiaquay_daemon/decisions/weighing.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/weighing.py
@@ -51,20 +51,28 @@
         self._servers = servers
         self._kept_slots = kept_slots
 
+    def has_slot(self, rank: int, now: float) -> bool:
+        """Return whether some free slot is not kept for more important ranks."""
+        kept_count = self._kept_slots.above(rank, now)
+        if kept_count and self._servers.free_slots(now) <= kept_count:
+            return False
+        return bool(self._servers.with_free_slots(now))
+
     def best_choice(
         self, waiting: shards.Waiting, objective_at: float, now: float
     ) -> choices.Choice | None:
         """Return the best server with a free slot; servers in time come first."""
-        kept_count = self._kept_slots.above(waiting.demand.rank, now)
-        if kept_count and self._servers.free_slots() <= kept_count:
+        demand = waiting.demand
+        if not self.has_slot(demand.rank, now):
             return None
         left = waiting.deadline - now
-        demand = waiting.demand
         best: choices.Choice | None = None
         avoid = software_versions.excluded(demand, self._shard.servers).union(
             demand.avoid
         )
-        for candidate in self._servers.with_free_slots(avoid, now):
+        for candidate in self._servers.with_free_slots(now):
+            if candidate.server.name in avoid:
+                continue
             choice = self.weigh(demand, candidate, now, objective_at, left)
             if choice is None:
                 continue
