Look up less about each server at the start of a pass

Cause: Candidates.refresh asked each server of a shard for limits, room, failures and versions in a dozen calls, in each pass. Change: lone versions are kept until the open servers change; a server without limits, rejections or failures takes a short way.

--- a/packages/daemon/cassiaquay_daemon/decisions/brittle_servers.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/brittle_servers.py
@@ -71,8 +71,10 @@
         """Return how many requests a server may have; None if it is not brittle."""
         bears = self._brittle.current(server).number
         if bears is None:
-            self._rooms.pop(server, None)
-            self._rejected_at.pop(server, None)
+            # Nearly all servers, at each pass of a keeper.
+            if self._rejected_at:
+                self._rooms.pop(server, None)
+                self._rejected_at.pop(server, None)
             return None
         now = clock.now()
         if self._count_rejected(server, now) >= max(bears * STOP_SHARE, 1.0):
--- a/packages/daemon/cassiaquay_daemon/decisions/candidates.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/candidates.py
@@ -125,6 +125,9 @@
         self.open: list[Candidate] = []
         self.times: dict[str, service_times.ServiceTimes] = {}
         self._reachable: list[Candidate] = []
+        # The open servers at the last refresh, and their lone software versions.
+        self._open_servers: list[fleet.Server] = []
+        self._lone_versions: set[str] = set()
         # Base seconds and prefill rate (tokens per second) of the servers that are the
         # fastest for some length of prompt.
         self._fastest_speeds: list[tuple[float, float]] = []
@@ -140,30 +143,31 @@
         """Rebuild the state of all servers at the start of a pass."""
         self.granted()
         self._min_first_seconds.clear()
-        self.times = {name: self._times_of(name) for name in self._shard.servers}
+        shard = self._shard
+        self.times = {name: self._times_of(name) for name in shard.servers}
         self.open = []
         self._reachable = []
-        servers = self._shard.open_servers()
+        servers = shard.open_servers()
         median_share = self._median_failure_share(servers)
-        lone_versions = software_versions.lone(servers)
+        lone_versions = self._lone_versions_of(servers)
         for server in servers:
-            load = self._shard.load(server.name)
-            rate_budget = self._shard.rate_budgets.get(server.name)
+            name = server.name
             candidate = Candidate(
                 server,
-                load,
-                self.times[server.name],
+                shard.load(name),
+                self.times[name],
                 median_share,
-                rate_budget,
-                self._shard.rooms.capacity(server.name, server.slots),
+                shard.rate_budgets.get(name),
+                shard.rooms.capacity(name, server.slots),
                 server.software in lone_versions,
             )
             self.open.append(candidate)
-            if not self._shard.exclusions.is_excluded(server.name):
+            if not shard.exclusions.is_excluded(name):
                 self._reachable.append(candidate)
-        self._fastest_speeds = _fastest_speeds(self.open)
+        all_times = [candidate.times for candidate in self.open]
+        self._fastest_speeds = _fastest_speeds(all_times)
         self._min_event_seconds = min(
-            (candidate.times.event_seconds for candidate in self.open), default=0.0
+            [times.event_seconds for times in all_times], default=0.0
         )
 
     def granted(self) -> None:
@@ -227,6 +231,13 @@
         events = demand.output_tokens * self._min_event_seconds
         return self.min_first_seconds(demand.prompt_tokens) + events
 
+    def _lone_versions_of(self, servers: list[fleet.Server]) -> set[str]:
+        """Return the versions of one server only; the servers seldom change."""
+        if servers != self._open_servers:
+            self._open_servers = servers
+            self._lone_versions = software_versions.lone(servers)
+        return self._lone_versions
+
     def _median_failure_share(self, servers: list[fleet.Server]) -> float:
         now = clock.now()
         shares = [self.times[server.name].failure_share(now) for server in servers]
@@ -234,11 +245,11 @@
         return statistics.median(shares) if any(shares) else 0.0
 
 
-def _fastest_speeds(servers: list[Candidate]) -> list[tuple[float, float]]:
+def _fastest_speeds(
+    all_times: list[service_times.ServiceTimes],
+) -> list[tuple[float, float]]:
     """Return the speeds that no other server beats for all lengths of prompt."""
-    speeds = sorted(
-        (candidate.times.base_seconds, -candidate.times.rate) for candidate in servers
-    )
+    speeds = sorted([(times.base_seconds, -times.rate) for times in all_times])
     best: list[tuple[float, float]] = []
     for base, slowness in speeds:
         rate = -slowness
--- a/packages/daemon/cassiaquay_daemon/decisions/rate_budgets.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/rate_budgets.py
@@ -141,13 +141,16 @@
 
     def get(self, server: str) -> RateBudget | None:
         """Return the budget of a limited server; None for any other."""
-        flows: dict[str, buckets.Flow] = {}
+        flows: dict[str, buckets.Flow] | None = None
         for source in self._sources:
             flow = source.limit(server)
             if flow is not None:
+                flows = flows or {}
                 flows[source.name] = flow
-        if not flows:
-            self._budgets.pop(server, None)
+        if flows is None:
+            # Nearly all servers, at each pass of a keeper.
+            if self._budgets:
+                self._budgets.pop(server, None)
             return None
         budget = self._budgets.get(server)
         if budget is None:
