Format a log line without calls for each of its fields

Cause: each refusal writes several lines; a line took 26 us, most of it in generator expressions that look for marks to quote and in the library's calls for each attribute of a record. The history of events built a union type for each field. Change: PairsFormatter collects the fields in one loop and looks for the marks with a regular expression; one encoder serves all values. One line of the event shed, best of 15 times 500, with timeit: 25.5 us before, 18.0 us after; its entry in the history 5.3 us before, 3.5 us after.

--- a/packages/daemon/cassiaquay_daemon/logs.py
+++ b/packages/daemon/cassiaquay_daemon/logs.py
@@ -1,6 +1,7 @@
 """Structured logging: one event per line, as key=value pairs or JSON."""
 
 import logging
+import re
 import typing
 
 import msgspec
@@ -20,13 +21,34 @@
 logging.logMultiprocessing = False
 
 
+_ENCODER = msgspec.json.Encoder(enc_hook=str)
+_SPECIAL = re.compile(r'[ "=\n]')
+
+
 def _quote(value: object) -> str:
-    return msgspec.json.encode(value, enc_hook=str).decode()
+    return _ENCODER.encode(value).decode()
 
 
 class PairsFormatter(json_logger.MsgspecFormatter):
     """Formats the fields that the JSON formatter collects as key=value pairs."""
 
+    def add_fields(
+        self,
+        log_data: dict[str, typing.Any],
+        record: logging.LogRecord,
+        message_dict: dict[str, typing.Any],
+    ) -> None:
+        """Collect the fields as the library does, without calls for each of them."""
+        fields = record.__dict__
+        for field in self._required_fields:
+            log_data[self.rename_fields.get(field, field)] = fields.get(field)
+        log_data.update(self.static_fields)
+        log_data.update(message_dict)
+        skipped = self._skip_fields
+        for key, value in fields.items():
+            if key not in skipped and not key.startswith("_"):
+                log_data[key] = value
+
     def jsonify_log_record(self, log_data: dict[str, typing.Any]) -> str:
         """Return one line; values with blanks, quotes or '=' are quoted as JSON."""
         pairs = []
@@ -34,7 +56,7 @@
             if value is None:
                 continue
             text = value if isinstance(value, str) else _quote(value)
-            if not text or any(mark in text for mark in ' "=\n'):
+            if not text or _SPECIAL.search(text):
                 text = _quote(text)
             pairs.append(f"{key}={text}")
         return " ".join(pairs)
--- a/packages/daemon/cassiaquay_daemon/operators/history.py
+++ b/packages/daemon/cassiaquay_daemon/operators/history.py
@@ -25,6 +25,8 @@
     "message",
     "asctime",
 }
+# Types of fields that JSON encodes as they are.
+_PLAIN_TYPES = (str, int, float, bool)
 
 
 class Event(typing.TypedDict):
@@ -109,7 +111,7 @@
 def _encodable(value: object) -> Field:
     # A field may hold any object that a log line can format. One that JSON cannot
     # encode must not make the whole history unreadable.
-    if value is None or isinstance(value, str | int | float | bool):
+    if value is None or isinstance(value, _PLAIN_TYPES):
         return value
     if isinstance(value, list | tuple | set | frozenset):
         return [str(item) for item in value]
