--- a/packages/daemon/cassiaquay_daemon/decisions/candidates.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/candidates.py
@@ -125,55 +125,70 @@
         self.open: list[Candidate] = []
         self.times: dict[str, service_times.ServiceTimes] = {}
         self._reachable: list[Candidate] = []
+        # The open servers at the last refresh, and their lone software versions.
+        self._open_servers: list[fleet.Server] = []
+        self._lone_versions: set[str] = set()
         # Base seconds and prefill rate (tokens per second) of the servers that are the
         # fastest for some length of prompt.
         self._fastest_speeds: list[tuple[float, float]] = []
         self._min_event_seconds = 0.0
+        # Times to the first event by length of prompt, as they are asked for.
+        self._min_first_seconds: dict[int, float] = {}
+        # Reachable servers with a free slot, and the number of free slots of all open
+        # ones; None after a grant. Within a pass nothing else takes or frees a slot.
+        self._free: list[Candidate] | None = None
+        self._free_count: int | None = None
 
     def refresh(self) -> None:
         """Rebuild the state of all servers at the start of a pass."""
-        self.times = {name: self._times_of(name) for name in self._shard.servers}
+        self.granted()
+        self._min_first_seconds.clear()
+        shard = self._shard
+        self.times = {name: self._times_of(name) for name in shard.servers}
         self.open = []
         self._reachable = []
-        servers = self._shard.open_servers()
+        servers = shard.open_servers()
         median_share = self._median_failure_share(servers)
-        lone_versions = software_versions.lone(servers)
+        lone_versions = self._lone_versions_of(servers)
         for server in servers:
-            load = self._shard.load(server.name)
-            rate_budget = self._shard.rate_budgets.get(server.name)
+            name = server.name
             candidate = Candidate(
                 server,
-                load,
-                self.times[server.name],
+                shard.load(name),
+                self.times[name],
                 median_share,
-                rate_budget,
-                self._shard.rooms.capacity(server.name, server.slots),
+                shard.rate_budgets.get(name),
+                shard.rooms.capacity(name, server.slots),
                 server.software in lone_versions,
             )
             self.open.append(candidate)
-            if not self._shard.exclusions.is_excluded(server.name):
+            if not shard.exclusions.is_excluded(name):
                 self._reachable.append(candidate)
-        self._fastest_speeds = _fastest_speeds(self.open)
+        all_times = [candidate.times for candidate in self.open]
+        self._fastest_speeds = _fastest_speeds(all_times)
         self._min_event_seconds = min(
-            (candidate.times.event_seconds for candidate in self.open), default=0.0
+            [times.event_seconds for times in all_times], default=0.0
         )
 
-    def with_free_slots(
-        self, avoid: collections.abc.Set[str], now: float
-    ) -> collections.abc.Iterator[Candidate]:
-        """Yield the servers that may get a demand now, except those to avoid."""
-        for candidate in self._reachable:
-            if candidate.has_slot(now) and candidate.server.name not in avoid:
-                yield candidate
+    def granted(self) -> None:
+        """Look up all free slots again, after a demand got one of them."""
+        self._free = None
+        self._free_count = None
 
-    def free_slots(self) -> int:
+    def with_free_slots(self, now: float) -> list[Candidate]:
+        """Return the servers that may get a demand now."""
+        if self._free is None:
+            self._free = [item for item in self._reachable if item.has_slot(now)]
+        return self._free
+
+    def free_slots(self, now: float) -> int:
         """Return the number of free slots on servers that may get work."""
-        now = clock.now()
-        count = 0
-        for candidate in self.open:
-            if candidate.has_slot(now):
-                count += candidate.free_slots
-        return count
+        if self._free_count is None:
+            self._free_count = 0
+            for candidate in self.open:
+                if candidate.has_slot(now):
+                    self._free_count += candidate.free_slots
+        return self._free_count
 
     def slot_waits(
         self, ends: dict[str, list[float]], now: float
@@ -203,27 +218,38 @@
 
     def min_first_seconds(self, tokens: int) -> float:
         """Return the time to the first event of a prompt on the fastest server."""
-        return min(
-            (base + tokens / rate for base, rate in self._fastest_speeds),
-            default=float("inf"),
-        )
+        least = self._min_first_seconds.get(tokens)
+        if least is None:
+            least = float("inf")
+            for base, rate in self._fastest_speeds:
+                least = min(least, base + tokens / rate)
+            self._min_first_seconds[tokens] = least
+        return least
 
     def min_finish_seconds(self, demand: messages.Demand) -> float:
         """Return a lower bound of the time to the end of an answer."""
         events = demand.output_tokens * self._min_event_seconds
         return self.min_first_seconds(demand.prompt_tokens) + events
 
+    def _lone_versions_of(self, servers: list[fleet.Server]) -> set[str]:
+        """Return the versions of one server only; the servers seldom change."""
+        if servers != self._open_servers:
+            self._open_servers = servers
+            self._lone_versions = software_versions.lone(servers)
+        return self._lone_versions
+
     def _median_failure_share(self, servers: list[fleet.Server]) -> float:
         now = clock.now()
         shares = [self.times[server.name].failure_share(now) for server in servers]
-        return statistics.median(shares) if shares else 0.0
+        # Mostly no server has failed.
+        return statistics.median(shares) if any(shares) else 0.0
 
 
-def _fastest_speeds(servers: list[Candidate]) -> list[tuple[float, float]]:
+def _fastest_speeds(
+    all_times: list[service_times.ServiceTimes],
+) -> list[tuple[float, float]]:
     """Return the speeds that no other server beats for all lengths of prompt."""
-    speeds = sorted(
-        (candidate.times.base_seconds, -candidate.times.rate) for candidate in servers
-    )
+    speeds = sorted([(times.base_seconds, -times.rate) for times in all_times])
     best: list[tuple[float, float]] = []
     for base, slowness in speeds:
         rate = -slowness
