Move keeper roles away from slow instances

15% of the instances get 6.5 times less processor time for 4 s; requests to shards kept there are late, and nobody else can tell a slow instance from a slow network.

The bit travels in the instance's fact; a move of shards is told on at once. The former keeper redirects the owners of waiting demands, and a keeper that gets a shard back closes it until owners have reported: its view of the servers is as old as the hand-over and would fill them a second time. Both only with membership.placement = "capacity".

--- a/packages/daemon/cassiaquay_daemon/daemon.py
+++ b/packages/daemon/cassiaquay_daemon/daemon.py
@@ -125,6 +125,7 @@
         self._membership.text_version = lambda: self._configuration.version_in_force
         self._configuration.on_accept(self._membership.update)
         self._pauses.on_resume(self._membership.restart_silence_timers)
+        self._pauses.on_check(self._membership.note_lag)
         platform_settings = settings.platform
         self._texts = platform.configuration_services.get(
             platform_settings.configuration_adapter
@@ -164,6 +165,7 @@
             self._quarantine,
         )
         operator_reports = reports.Reports(settings, parts)
+        self._pauses.on_check(operator_reports.record_lag)
         caller_interface = web.Web(
             settings,
             self._configuration,
@@ -202,7 +204,6 @@
         early_bind.close_unclaimed()
         self._membership.admin_address = _address(admin_socket)
         tasks = [asyncio.create_task(work) for work in self._background_work()]
-        tasks.append(asyncio.create_task(operator_reports.measure_lag()))
         serving = []
         for server, listening in bound:
             serving.append(asyncio.create_task(server.serve([listening])))
--- a/packages/daemon/cassiaquay_daemon/fleet/members.py
+++ b/packages/daemon/cassiaquay_daemon/fleet/members.py
@@ -12,7 +12,7 @@
 from cassiaquay_schema import settings as settings_schema
 
 from .. import clock, exceptions, logs, platform, positions
-from ..decisions import capacities, keeper_placement
+from ..decisions import capacities, instance_load, keeper_placement
 from ..links import peers
 from . import (
     budget_peers,
@@ -56,8 +56,6 @@
         measure: collections.abc.Callable[[], tuple[float, int]],
     ):
         self.leaving = False
-        # Whether this instance's event loop has been late for a while.
-        self.slow = False
         self.http_address = ""
         self.relay_address = ""
         # Services whose servers other instances reach and this one does not.
@@ -82,6 +80,7 @@
         self._sequence = 0
         self._round = 0
         self._load = reported_load.ReportedLoad()
+        self.instance_load = instance_load.InstanceLoad()
         self._budget_peers = budget_peers.BudgetPeers()
         self._gossip = gossip.Gossip(
             settings.instance, self.facts, settings.membership.spread_bytes
@@ -115,6 +114,16 @@
         self._listed = self._neighbours.listed = lines
         self._invalidate_caches()
 
+    @property
+    def placement(self) -> keeper_placement.Placement:
+        """The instances that may be keepers."""
+        self._roles.update(self.serving())
+        return self._roles.placement
+
+    @property
+    def _is_by_capacity(self) -> bool:
+        return self._settings.membership.placement == keeper_placement.CAPACITY
+
     @property
     def own_fact(self) -> messages.Member:
         """The current fact on this instance, as sent to the others."""
@@ -154,6 +163,19 @@
         """Apply changed settings; only the seeds can change at run time."""
         self._neighbours.seeds = settings.seeds
 
+    def note_lag(self, lag_seconds: float) -> None:
+        """Note by how much the event loop was late; tell others if that lasts."""
+        if not self._is_by_capacity:
+            return
+        if not self.instance_load.note(clock.now(), lag_seconds):
+            return
+        if self.instance_load.is_slow:
+            logs.event("instance_slow", lag_ms=round(lag_seconds * 1000.0))
+        else:
+            logs.event("instance_recovered")
+        self.update()
+        self._report_changes()
+
     def on_heartbeat(
         self, call: collections.abc.Callable[[peers.Link, messages.Heartbeat], None]
     ) -> None:
@@ -377,9 +399,9 @@
         return line is not None and line.leaving and line.http == member.http
 
     def _capacity_fields(self) -> tuple[int, int, bool, bool]:
-        if self._settings.membership.placement != keeper_placement.CAPACITY:
+        if not self._is_by_capacity:
             return 0, 0, False, False
-        return *capacities.stated(self._settings), True, self.slow
+        return *capacities.stated(self._settings), True, self.instance_load.is_slow
 
     def _invalidate_caches(self) -> None:
         self._serving = None
@@ -402,8 +424,13 @@
         gone = sorted(self._reported - current)
         if joined or gone:
             logs.event("members", count=len(current), come=joined, gone=gone)
+        keepers_moved = placement.shards != self._reported_placement.shards
         self._reported = current
         self._reported_placement = placement
+        if keepers_moved and not joined and not gone:
+            # A role has moved between live instances. Until their owners know, demands
+            # go to the former keeper first, so this does not wait for the next round.
+            self._send()
         for call in self._on_change:
             call()
 
--- a/packages/daemon/cassiaquay_daemon/keepers/keeper.py
+++ b/packages/daemon/cassiaquay_daemon/keepers/keeper.py
@@ -25,7 +25,7 @@
 )
 from ..fleet import configuration, members
 from ..links import peers
-from . import baselines, floors, siblings, spillover
+from . import baselines, floors, hand_overs, siblings, spillover
 
 DEFAULT_POLICY = tiered.NAME
 # Imported so that they register their policies.
@@ -84,6 +84,7 @@
         self._settings = settings
         self._membership = membership
         self._configured = configured
+        self.hand_overs = hand_overs.HandOvers(settings, membership)
         self._policies: dict[str, policies.Policy] = {}
         self._scheduled: set[str] = set()
         # Earliest start of the next pass over a shard's queue; seconds on this clock.
@@ -295,6 +296,7 @@
         self._policies[name] = policy(shard)
         self._update_shard(shard)
         self._query_owners(shard)
+        self.hand_overs.update([shard], self.keeper_of)
         return shard
 
     def _owners_to_query(self) -> list[str] | None:
@@ -312,6 +314,9 @@
 
     def _on_members_changed(self) -> None:
         self._members_changed_at = clock.now()
+        for shard in self.hand_overs.update(self.shards.values(), self.keeper_of):
+            shard.close(self._owners_to_query())
+            self._query_owners(shard)
 
     def _count_alive(self) -> int:
         return max(len(self._membership.alive()), 1)
--- a/packages/daemon/cassiaquay_daemon/operators/metrics.py
+++ b/packages/daemon/cassiaquay_daemon/operators/metrics.py
@@ -277,6 +277,18 @@
     (),
     "Bytes read from other instances.",
 )
+SLOW_PERIODS = Family(
+    "cassiaquay_slow_periods_total",
+    "counter",
+    (),
+    "Times that this instance became slow: its event loop was late for a while.",
+)
+HAND_OVERS = Family(
+    "cassiaquay_keeper_hand_overs_total",
+    "counter",
+    ("cause",),
+    "Shards whose keeper role moved from this live instance: slow or placement.",
+)
 RELAYED = Family(
     "cassiaquay_relayed_requests_total",
     "counter",
@@ -333,6 +345,8 @@
     MEMBERS,
     PEER_SENT,
     PEER_RECEIVED,
+    SLOW_PERIODS,
+    HAND_OVERS,
     RELAYED,
     RECOVERIES,
 )
--- a/packages/daemon/cassiaquay_daemon/operators/reports.py
+++ b/packages/daemon/cassiaquay_daemon/operators/reports.py
@@ -1,6 +1,5 @@
 """Records ended requests for operators and reads gauges when metrics are requested."""
 
-import asyncio
 import collections.abc
 import time
 import typing
@@ -17,7 +16,6 @@
 from ..owners import owner, recovery
 from . import burn, history, metrics, silences, top_counts, unanswered
 
-LAG_PERIOD_SECONDS = 0.5
 # Causes of lost answers that metrics tell apart. They are messages of refusals, which
 # are constants of the gateway today; a varying one must not grow the page.
 MAX_LOST_CAUSES = 16
@@ -290,13 +288,9 @@
             message=refusal.message,
         )
 
-    async def measure_lag(self) -> None:
-        """Measure the event loop's lag every ``LAG_PERIOD_SECONDS`` until cancelled."""
-        while True:
-            before = clock.now()
-            await asyncio.sleep(LAG_PERIOD_SECONDS)
-            lag_seconds = max(clock.now() - before - LAG_PERIOD_SECONDS, 0.0)
-            self.metrics.observe(metrics.LAG, (), lag_seconds)
+    def record_lag(self, lag_seconds: float) -> None:
+        """Record by how much the event loop was late."""
+        self.metrics.observe(metrics.LAG, (), lag_seconds)
 
     def page(self, accept: list[str]) -> tuple[bytes, dict[str, str]]:
         """Update all gauges and return the metrics page and its headers."""
@@ -330,6 +324,10 @@
             for item in shard.running.values():
                 tokens[(item.server,)] = tokens.get((item.server,), 0) + item.tokens
         self._read_limits()
+        hand_overs: dict[metrics.Key, float] = {}
+        for cause, count in self._parts.kept.hand_overs.counts.items():
+            hand_overs[(cause,)] = count
+        self.metrics.replace(metrics.HAND_OVERS, hand_overs)
         held = self._parts.held
         self.metrics.replace(metrics.QUARANTINED, {(): held.count})
         self.metrics.replace(metrics.QUARANTINED_PARTS, {(): held.part_count})
@@ -397,6 +395,8 @@
         states[("serving",)] = serving
         states[("leaving",)] = len(alive) - serving
         self.metrics.replace(metrics.MEMBERS, states)
+        slow_count = self._parts.membership.instance_load.slow_count
+        self.metrics.replace(metrics.SLOW_PERIODS, {(): slow_count})
         self.metrics.replace(metrics.REVISION, {(): configured.revision})
         epoch = configured.newest_version.epoch
         self.metrics.replace(metrics.PLATFORM_RETURNS, {(): epoch})
--- a/packages/daemon/cassiaquay_daemon/pause.py
+++ b/packages/daemon/cassiaquay_daemon/pause.py
@@ -53,6 +53,7 @@
         self._is_current = asyncio.Event()
         self._is_current.set()
         self._on_resume: list[collections.abc.Callable[[], None]] = []
+        self._on_check: list[collections.abc.Callable[[float], None]] = []
 
     @property
     def is_current(self) -> bool:
@@ -70,6 +71,10 @@
         """Call ``call`` after each pause, as soon as it is detected."""
         self._on_resume.append(call)
 
+    def on_check(self, call: collections.abc.Callable[[float], None]) -> None:
+        """Call ``call`` with the event loop's lag in seconds after each check."""
+        self._on_check.append(call)
+
     def hold(self) -> None:
         """Stop this instance from acting until :meth:`release` is called."""
         self._is_current.clear()
@@ -105,6 +110,9 @@
             self._check()
             self._caught_up_at = self._now()
             await asyncio.sleep(CHECK_INTERVAL_SECONDS)
+            lag = self._now() - self._caught_up_at - CHECK_INTERVAL_SECONDS
+            for call in self._on_check:
+                call(max(lag, 0.0))
             if not self._is_late:
                 continue
             for _ in range(CATCH_UP_ITERATIONS):
--- a/packages/daemon/cassiaquay_daemon/reloading.py
+++ b/packages/daemon/cassiaquay_daemon/reloading.py
@@ -17,7 +17,15 @@
 # Polling interval of the settings file, for changes without a signal.
 POLL_INTERVAL_SECONDS = 2.0
 # Settings whose changes take effect only after a restart.
-RESTART_ONLY = ("instance", "domain", "host", "peer_listen", "admin_port", "platform")
+RESTART_ONLY = (
+    "instance",
+    "domain",
+    "host",
+    "peer_listen",
+    "admin_port",
+    "platform",
+    "capacity",
+)
 
 Adopt = collections.abc.Callable[[settings_schema.Settings], None]
 
--- a/tests/test_pause.py
+++ b/tests/test_pause.py
@@ -263,3 +263,21 @@
 def _stand_still(seconds: float) -> None:
     """Let no other task of this process run."""
     time.sleep(seconds)
+
+
+def test_each_check_tells_by_how_much_the_event_loop_was_late() -> None:
+    """Guards against a slow instance that does not notice it: one check, blocked."""
+
+    async def run() -> list[float]:
+        lags: list[float] = []
+        pauses = pause.Pauses(10.0)
+        pauses.on_check(lags.append)
+        task = asyncio.create_task(pauses.check_periodically())
+        await light.until(lambda: bool(lags), 5.0)
+        time.sleep(pause.CHECK_INTERVAL_SECONDS + 0.3)
+        seen = len(lags)
+        await light.until(lambda: len(lags) > seen, 5.0)
+        task.cancel()
+        return lags[seen:]
+
+    assert asyncio.run(run())[0] >= 0.25
