Spread callers by the processor shares of instances

Of 86 instances, 8 have 0.717 of a core, the others 0.516; the directory sent callers to all alike. With membership.placement = "capacity", an answer lists each instance with a probability in proportion to its processor share, and leaves slow ones out while at least half of the others remain. Equal instances: the same answers as before.

--- a/packages/daemon/cassiaquay_daemon/decisions/keeper_placement.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/keeper_placement.py
@@ -12,6 +12,7 @@
 """
 
 import collections.abc
+import operator
 import typing
 
 from cassiaquay_schema import messages, registry
@@ -33,6 +34,10 @@
 MIN_FAST_SIZE = 4
 
 Members = collections.abc.Sequence[messages.Member]
+# The fields that placements depend on. Others, like the load, change all the time.
+relevant_fields = operator.attrgetter(
+    "instance", "domain", "processor_permille", "link_kbps", "by_capacity", "slow"
+)
 
 
 class Placement(typing.NamedTuple):
--- a/packages/daemon/cassiaquay_daemon/fleet/keeper_roles.py
+++ b/packages/daemon/cassiaquay_daemon/fleet/keeper_roles.py
@@ -1,5 +1,7 @@
 """The keeper of each shard and each limit, in this instance's view of the fleet."""
 
+import typing
+
 from cassiaquay_schema import messages
 from cassiaquay_schema import settings as settings_schema
 
@@ -29,6 +31,7 @@
         self._place = keeper_placement.placements.get(settings.membership.placement)
         self.placement = self._place([])
         self._seen: list[messages.Member] | None = None
+        self._seen_fields: list[typing.Any] = []
         self._keepers: dict[str, str] = {}
 
     def update(self, serving: list[messages.Member]) -> None:
@@ -36,6 +39,10 @@
         if serving is self._seen:
             return
         self._seen = serving
+        fields = list(map(keeper_placement.relevant_fields, serving))
+        if fields == self._seen_fields:
+            return
+        self._seen_fields = fields
         placement = self._place(serving)
         if placement == self.placement:
             return
--- a/packages/daemon/cassiaquay_daemon/gateway/directory.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/directory.py
@@ -1,6 +1,6 @@
 """HTTP endpoints for address discovery by callers and for readiness checks."""
 
-import random
+import typing
 
 from starlette import applications, responses, routing
 from starlette import requests as web_requests
@@ -9,13 +9,11 @@
 from cassiaquay_schema import settings as settings_schema
 
 from .. import pause
+from ..decisions import caller_spread
 from ..fleet import configuration, members
 from ..platform import directory as wire
 from . import front
 
-# With a smaller share, the callers of all instances would overload a few.
-MIN_LISTED_SHARE = 0.25
-
 
 class Directory:
     """Handlers of the discovery and readiness endpoints.
@@ -23,7 +21,7 @@
     Parameters
     ----------
     settings : Settings
-        Gives the time for which callers may cache an answer.
+        Gives the time for which callers may cache an answer, and how they are spread.
     membership : Membership
         Lists the instances.
     configured : Configuration
@@ -47,6 +45,10 @@
         self._configured = configured
         self._pauses = pauses
         self._front = request_front
+        self._weigh = caller_spread.spreads.get(settings.membership.placement)
+        self._seen: list[messages.Member] | None = None
+        self._seen_fields: list[typing.Any] = []
+        self._spread = caller_spread.CallerSpread({}, wire.MAX_ADDRESSES)
 
     @property
     def is_ready(self) -> bool:
@@ -73,27 +75,25 @@
         # Right after a pause of this process all other members appear dead, and the
         # answer would direct all callers here; wait for the next membership refresh.
         await self._pauses.wait(self._settings.membership.refresh_seconds)
-        addresses = [member.http for member in self._members() if member.http]
-        random.shuffle(addresses)
+        addresses = self._current_spread().choose()
         if not addresses:
             return responses.Response(status_code=503)
-        body = wire.encode(
-            addresses[: wire.MAX_ADDRESSES],
-            self._settings.gateway.directory_seconds,
-        )
+        body = wire.encode(addresses, self._settings.gateway.directory_seconds)
         return responses.Response(body, media_type="application/json")
 
-    def _members(self) -> list[messages.Member]:
-        """Return the instances that callers should use.
-
-        Instances that do not reach the servers of a service serve its requests through
-        others. Callers do better without that detour while enough instances are left.
-        """
+    def _current_spread(self) -> caller_spread.CallerSpread:
         serving = self._membership.serving()
-        whole = [member for member in serving if not member.lost_services]
-        if len(whole) < len(serving) * MIN_LISTED_SHARE:
-            return serving
-        return whole
+        # Each change of a member replaces the list.
+        if serving is self._seen:
+            return self._spread
+        self._seen = serving
+        fields = list(map(caller_spread.relevant_fields, serving))
+        if fields != self._seen_fields:
+            self._seen_fields = fields
+            self._spread = caller_spread.CallerSpread(
+                self._weigh(serving), wire.MAX_ADDRESSES
+            )
+        return self._spread
 
     async def _ready(self, request: web_requests.Request) -> responses.Response:
         return responses.Response(status_code=200 if self.is_ready else 503)
