Show class, slowness and share of callers of each instance

Operators saw neither which instances may be keepers of shards nor why one has few callers. /v1/instances and cassiaquay status show them where instances are placed by capacity; other output is as before.

--- a/packages/cli/cassiaquay_cli/status.py
+++ b/packages/cli/cassiaquay_cli/status.py
@@ -100,9 +100,24 @@
             ]
         )
     header = ["instance", "domain", "state", "revision", "open", "up", "admin"]
+    if any("capacity" in item for item in fleet.instances):
+        header += ["class", "callers"]
+        for item, row in zip(fleet.instances, rows, strict=True):
+            row += capacity_cells(item)
     return outputs.table(header, rows)
 
 
+def capacity_cells(item: bodies.Instance) -> list[str]:
+    """Return the class of an instance and its share of callers."""
+    capacity = item.get("capacity")
+    if capacity is None:
+        return ["", ""]
+    name = "best" if capacity["best_class"] else "other"
+    if capacity["slow"]:
+        name += ", slow"
+    return [name, f"{capacity['caller_share']:.1%}"]
+
+
 def configuration_line(fleet: Fleet) -> str:
     """Return the configuration in force, and a line for each newer rejected one."""
     revisions = {item["revision"] for item in fleet.statuses.answers.values()}
--- a/packages/daemon/cassiaquay_daemon/fleet/members.py
+++ b/packages/daemon/cassiaquay_daemon/fleet/members.py
@@ -121,7 +121,8 @@
         return self._roles.placement
 
     @property
-    def _is_by_capacity(self) -> bool:
+    def is_by_capacity(self) -> bool:
+        """Whether keepers and callers are placed by the capacities of instances."""
         return self._settings.membership.placement == keeper_placement.CAPACITY
 
     @property
@@ -165,7 +166,7 @@
 
     def note_lag(self, lag_seconds: float) -> None:
         """Note by how much the event loop was late; tell others if that lasts."""
-        if not self._is_by_capacity:
+        if not self.is_by_capacity:
             return
         if not self.instance_load.note(clock.now(), lag_seconds):
             return
@@ -399,7 +400,7 @@
         return line is not None and line.leaving and line.http == member.http
 
     def _capacity_fields(self) -> tuple[int, int, bool, bool]:
-        if not self._is_by_capacity:
+        if not self.is_by_capacity:
             return 0, 0, False, False
         return *capacities.stated(self._settings), True, self.instance_load.is_slow
 
--- a/packages/daemon/cassiaquay_daemon/operators/views.py
+++ b/packages/daemon/cassiaquay_daemon/operators/views.py
@@ -7,8 +7,9 @@
 from cassiaquay_schema import settings as settings_schema
 
 from .. import clock
-from ..decisions import shards
+from ..decisions import caller_spread, keeper_placement, shards
 from ..fleet import members
+from ..platform import directory
 from . import reports, viewers
 
 
@@ -74,9 +75,30 @@
             load=0.0,
             born=0.0,
         )
+    for name, capacity in _capacities(membership).items():
+        if name in by_name:
+            by_name[name]["capacity"] = capacity
     return [by_name[name] for name in sorted(by_name)]
 
 
+def _capacities(membership: members.Membership) -> dict[str, bodies.InstanceCapacity]:
+    """Return the capacities of the serving members, if they are placed by them."""
+    if not membership.is_by_capacity:
+        return {}
+    serving = membership.serving()
+    best = {member.instance for member in keeper_placement.best_class(serving)}
+    weights = caller_spread.weigh_by_processor(serving)
+    shares = caller_spread.CallerSpread(weights, directory.MAX_ADDRESSES).shares
+    capacities = {}
+    for member in serving:
+        capacities[member.instance] = bodies.InstanceCapacity(
+            best_class=member.instance in best,
+            slow=member.slow,
+            caller_share=round(shares.get(member.http, 0.0), 4),
+        )
+    return capacities
+
+
 def shard_at_keeper(
     parts: reports.Parts, settings: settings_schema.Settings, name: str
 ) -> shards.Shard | None:
--- a/packages/schema/cassiaquay_schema/bodies.py
+++ b/packages/schema/cassiaquay_schema/bodies.py
@@ -13,6 +13,14 @@
     leaving: bool
 
 
+class InstanceCapacity(typing.TypedDict):
+    """How much of the fleet's work an instance gets, by its stated capacity."""
+
+    best_class: bool
+    slow: bool
+    caller_share: float
+
+
 class Instance(typing.TypedDict):
     """One instance, as another instance knows it by its membership records."""
 
@@ -25,6 +33,8 @@
     revision: int
     load: float
     born: float
+    # Absent if instances are placed evenly.
+    capacity: typing.NotRequired[InstanceCapacity]
 
 
 class ShardStatus(typing.TypedDict):
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -11,6 +11,7 @@
 from xml.etree import ElementTree
 
 import aiohttp
+import capacity_fakes
 import operators_fakes as fakes
 import policy_fakes
 import pytest
@@ -100,6 +101,31 @@
     _run_with_client(test)
 
 
+def test_status_shows_class_slowness_and_callers_of_each_instance() -> None:
+    """Guards against operators who don't see why an instance has no callers."""
+
+    async def test(instance: fakes.Instance, client: clients.Client) -> None:
+        instance.membership.http_address = "cq-1:80"
+        slow = capacity_fakes.member(2, capacity_fakes.SMALL, slow=True)
+        instance.membership.learn(slow)
+        instance.membership.learn(capacity_fakes.member(3, capacity_fakes.SMALL))
+        fleet = await status.collect(client)
+        rows = status.instance_table(fleet).splitlines()
+        assert rows[0].split()[-2:] == ["class", "callers"]
+        # Each answer lists both fast ones: callers need a second address.
+        assert [row.split()[-2:] for row in rows[1:]] == [
+            ["best", "50.0%"],
+            ["slow", "0.0%"],
+            ["other", "50.0%"],
+        ]
+
+    _run_with_client(
+        test,
+        membership={"placement": "capacity"},
+        capacity={"processor_share": 0.717, "link_mbps": 100},
+    )
+
+
 def test_history_merges_events_and_shows_refusals() -> None:
     async def test(instance: fakes.Instance, client: clients.Client) -> None:
         entry = instance.entry("feedback")
