Order the teams of a rank by their work in the whole pool, by a setting

Each keeper saw only its shard's part of a flood, and took turns by demand, not by tokens. A team that uses one shard got a third of what a team that floods three shards got, and long prompts counted like short ones. Keepers now count the granted tokens by team and rank with a half-life of 3 s, exchange the counts in Waits (a new field, empty by default), and serve demands by the work that their team has got before them. keeper.team_shares enables it; the default, shard, is the order as before.

--- a/packages/daemon/cassiaquay_daemon/decisions/objectives.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/objectives.py
@@ -63,7 +63,8 @@
 
     def __init__(self, shard: shards.Shard):
         self._shard = shard
-        self._order = team_order.TeamOrder()
+        order = team_order.orders.get(shard.settings.keeper.team_shares)
+        self._order = order(shard)
         self._service_times: dict[str, tuple[int, service_times.ServiceTimes]] = {}
         self._arrivals = arrivals.Arrivals()
         self._kept_slots = reservations.Reservations()
@@ -333,10 +334,9 @@
 
     def _grant(self, waiting: shards.Waiting, choice: choices.Choice) -> None:
         demand = waiting.demand
-        weight = self._shard.weights.get(demand.team, 1.0)
         self._times_of(choice.server).granted(clock.now())
         self._kept_slots.use(demand.rank)
-        self._order.charge(demand, weight)
+        self._order.charge(demand)
         self._shard.grant(waiting, choice.server, 0, choice.first_seconds)
         self._forecast.take_slot(demand.id)
 
--- a/packages/daemon/cassiaquay_daemon/decisions/shards.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/shards.py
@@ -12,6 +12,8 @@
     exclusions,
     grants,
     loads,
+    lone_shards,
+    pool_shares,
     prefixes,
     priority_cutoffs,
     rate_budgets,
@@ -105,11 +107,14 @@
         self.closed_servers: set[str] = set()
         self.weights: dict[str, float] = {}
         self.margins: dict[int, float] = {}
-        self.may_shed: collections.abc.Callable[[int], bool] = _may_always_shed
+        self.may_shed: collections.abc.Callable[[int], bool] = lone_shards.may_shed
         # Returns another shard of the pool in which a demand waits less than the given
         # seconds, or "". `waits` returns the expected wait here of new demands by rank.
-        self.find_sibling: collections.abc.Callable[[Waiting, float], str] = _no_sibling
+        self.find_sibling: collections.abc.Callable[[Waiting, float], str] = (
+            lone_shards.no_sibling
+        )
         self.waits: collections.abc.Callable[[], list[messages.RankWait]] = list
+        self.shares = pool_shares.PoolShares(settings)
         self.cutoffs = priority_cutoffs.PriorityCutoffs()
         self.cold = cold or slow_start.SlowStart(settings)
         self.states = states or server_states.ServerStates(settings)
@@ -310,11 +315,15 @@
         needed_ms = None
         if needed_seconds is not None:
             needed_ms = round(needed_seconds * 1000.0, 1)
+        rank, team = waiting.demand.rank, waiting.demand.team
+        share = self.shares.count_shed(rank, team, self.weights)
         logs.event(
             "shed",
             id=waiting.demand.id,
             shard=self.name,
-            rank=waiting.demand.rank,
+            rank=rank,
+            team_share=round(share.share, 3),
+            fair_share=round(share.fair_share, 3),
             code=code,
             waited_ms=round((clock.now() - waiting.arrived_at) * 1000.0, 1),
             left_ms=round((waiting.deadline - clock.now()) * 1000.0, 1),
@@ -438,13 +447,3 @@
         load.remove_prefill(request_id, clock.now())
         for observer in self._observers:
             observer.stopped(running)
-
-
-def _no_sibling(waiting: Waiting, limit: float) -> str:
-    """Return an empty string: there is no other shard."""
-    return ""
-
-
-def _may_always_shed(rank: int) -> bool:
-    """Allow shedding of any rank: the pool has one shard."""
-    return True
--- a/packages/daemon/cassiaquay_daemon/keepers/spillover.py
+++ b/packages/daemon/cassiaquay_daemon/keepers/spillover.py
@@ -118,12 +118,19 @@
             others = self._siblings.of(name)
             if not others:
                 continue
-            message = messages.Waits(name, shard.waits())
+            message = messages.Waits(name, shard.waits(), shard.shares.report())
             for keeper in sorted({self._siblings.keeper_of(other) for other in others}):
                 if not self._siblings.send(keeper, message):
-                    self._reports[message.shard] = _Report(message.waits)
+                    self._store(message)
 
     def on_waits(self, replier: shards.Replier, message: messages.Waits) -> None:
-        """Store the waits that another shard's keeper reports."""
+        """Store the waits and the granted work that another shard's keeper reports."""
         if self._siblings.keeper_of(message.shard) == replier.instance:
-            self._reports[message.shard] = _Report(message.waits)
+            self._store(message)
+
+    def _store(self, message: messages.Waits) -> None:
+        self._reports[message.shard] = _Report(message.waits)
+        for name in self._siblings.of(message.shard):
+            if name in self._local_keeper.shards:
+                shares = self._local_keeper.shards[name].shares
+                shares.receive(message.shard, message.work)
--- a/packages/schema/cassiaquay_schema/messages.py
+++ b/packages/schema/cassiaquay_schema/messages.py
@@ -759,6 +759,24 @@
     step_ms: float
 
 
+class TeamWork(typing.NamedTuple):
+    """Work that a shard granted to a team of late.
+
+    Attributes
+    ----------
+    team : str
+        Name of the team; empty for all teams that are not named.
+    ranks : list[int]
+        Ranks in which it got work.
+    tokens : list[int]
+        Prompt and output tokens in each of these ranks, decayed.
+    """
+
+    team: str
+    ranks: list[int]
+    tokens: list[int]
+
+
 class Waits(typing.NamedTuple):
     """Estimated waits in a shard, sent to the keepers of its pool's other shards.
 
@@ -768,10 +786,13 @@
         Pool and number of the shard.
     waits : list[RankWait]
         Waits by rank.
+    work : list[TeamWork]
+        Work of the teams that got the most, and of all others together.
     """
 
     shard: str
     waits: list[RankWait]
+    work: list[TeamWork] = []
 
 
 class Queued(typing.NamedTuple):
@@ -1174,6 +1195,7 @@
     | FloorHeld
     | Moved
     | RankWait
+    | TeamWork
     | Waits
     | Queued
     | ServerEntry
@@ -1230,6 +1252,7 @@
     47: FloorHeld,
     55: Moved,
     57: RankWait,
+    71: TeamWork,
     56: Waits,
     49: Queued,
     50: ServerEntry,
--- a/tests/test_spillover.py
+++ b/tests/test_spillover.py
@@ -4,81 +4,12 @@
 
 import policy_fakes as fakes
 import pytest
+import spillover_fakes
 
-from cassiaquay_daemon.decisions import objectives, shards
-from cassiaquay_daemon.keepers import demands, siblings, spillover
+from cassiaquay_daemon.keepers import demands, spillover
 from cassiaquay_schema import messages
 
-HERE, THERE, BUSY = "tutor#0", "tutor#1", "tutor#2"
-
-
-class Snapshot:
-    """Fake snapshot of a pool with three shards."""
-
-    def siblings(self, shard: str) -> list[str]:
-        """Return the other shards."""
-        return [name for name in (HERE, THERE, BUSY) if name != shard]
-
-
-class KeeperRole:
-    """Fake keeper of one shard; instance cq-2 keeps the others."""
-
-    def __init__(self, shard: shards.Shard):
-        self.shards = {HERE: shard}
-
-    def keeper_of(self, shard: str) -> str:
-        """Return the instance that keeps a shard."""
-        return "cq-1" if shard == HERE else "cq-2"
-
-    def keeps(self, shard: str) -> bool:
-        """Return whether this instance keeps a shard."""
-        return shard == HERE
-
-
-class Pool:
-    """One shard with its spill-over, and the reports of the other shards' keeper."""
-
-    def __init__(self) -> None:
-        self.shard = fakes.shard({"a": 1})
-        self.policy = fakes.policy(self.shard, objectives.NAME)
-        self.owner = fakes.Owner()
-        self.other = fakes.Owner("cq-2")
-        self.links = fakes.Links()
-        members = fakes.Membership("cq-1", [self.other])
-        role = KeeperRole(self.shard)
-        sibling_shards = siblings.Siblings(
-            "cq-1", members, role.keeper_of, lambda: Snapshot()
-        )
-        self.spillover = spillover.SpillOver(self.links, role, sibling_shards)
-        self.shard.find_sibling = lambda waiting, limit: self.spillover.move(
-            HERE, waiting, limit
-        )
-
-    def report_waits(self, shard: str, *waits: tuple[int, float, float]) -> None:
-        """Deliver another shard's report of its waits."""
-        rank_waits = [messages.RankWait(*wait) for wait in waits]
-        self.links.handlers[messages.Waits](
-            self.other, messages.Waits(shard, rank_waits)
-        )
-
-    def fill(self) -> None:
-        """Occupy the only slot with an answer of some seconds."""
-        self.policy._times_of("a").event_seconds = 0.05
-        self.demand("full", output_tokens=100)
-        self.policy.serve()
-        assert "full" in self.owner.permits()
-
-    def demand(self, name: str, rank: int = 0, **fields) -> None:
-        """Add a demand whose first event is due within 0.4 s."""
-        demand = fakes.demand(name, rank=rank)._replace(
-            first_ms=400, remaining_ms=12_000, pause_ms=300
-        )
-        self.shard.add(demand._replace(**fields), self.owner)
-
-    def moved(self) -> dict[str, str]:
-        """Return the target shard of each moved demand."""
-        moves = [item for item in self.owner.sent if isinstance(item, messages.Moved)]
-        return {item.id: item.target for item in moves}
+HERE, THERE, BUSY = spillover_fakes.HERE, spillover_fakes.THERE, spillover_fakes.BUSY
 
 
 @pytest.fixture(name="time")
@@ -93,7 +24,7 @@
     The only slot here is occupied for seconds. A shed would make the caller wait and
     retry, and make all shards hold lower tiers back in the meantime.
     """
-    pool = Pool()
+    pool = spillover_fakes.Pool()
     pool.fill()
     pool.report_waits(THERE, (0, 20.0, 5.0))
     pool.report_waits(BUSY, (0, 150.0, 5.0))
@@ -104,7 +35,7 @@
 
 
 def test_demand_is_not_moved_where_it_would_be_late(time) -> None:
-    pool = Pool()
+    pool = spillover_fakes.Pool()
     pool.fill()
     pool.report_waits(THERE, (0, 900.0, 5.0))
     pool.demand("late")
@@ -114,7 +45,7 @@
 
 def test_demand_is_not_moved_where_its_rank_is_held_back(time) -> None:
     """A shard reports no wait for ranks that get no slot in it."""
-    pool = Pool()
+    pool = spillover_fakes.Pool()
     pool.fill()
     pool.report_waits(THERE, (0, 0.0, 5.0))
     pool.demand("lower", rank=1)
@@ -127,7 +58,7 @@
 
     Ten demands arrive between two of its reports.
     """
-    pool = Pool()
+    pool = spillover_fakes.Pool()
     pool.fill()
     pool.report_waits(THERE, (0, 100.0, 60.0))
     for number in range(10):
@@ -138,7 +69,7 @@
 
 def test_old_report_is_ignored(time) -> None:
     """The other shard's keeper was paused after it had reported free capacity."""
-    pool = Pool()
+    pool = spillover_fakes.Pool()
     pool.fill()
     pool.report_waits(THERE, (0, 0.0, 0.0))
     time.now += spillover.REPORT_LIFETIME_SECONDS + 0.05
@@ -148,7 +79,7 @@
 
 
 def test_number_of_moves_of_a_demand_is_bounded(time) -> None:
-    pool = Pool()
+    pool = spillover_fakes.Pool()
     pool.fill()
     pool.report_waits(THERE, (0, 0.0, 0.0))
     pool.demand("moved", moves=spillover.MAX_MOVES)
@@ -157,7 +88,7 @@
 
 
 def test_keeper_reports_its_waits(time) -> None:
-    pool = Pool()
+    pool = spillover_fakes.Pool()
     pool.demand("first")
     pool.policy.serve()
     pool.spillover.report_waits()
