Show operators a team's share and why a demand waits for it

A demand of a team above its fair share is served after those of others, and nothing told an operator so. The keeper's part of an explanation has the team's share, its fair share and a sentence; the number of demands ahead of the same rank is that of the order of service. A team sees no other team's share.

--- a/packages/cli/cassiaquay_cli/explain.py
+++ b/packages/cli/cassiaquay_cli/explain.py
@@ -32,6 +32,8 @@
         f"- ahead of it: {placement['ahead_higher']} of higher tiers,"
         f" {placement['ahead_same']} of its own"
     )
+    if "team_reason" in placement:
+        lines.append(f"- {placement['team_reason']}")
     if placement["server"]:
         lines.append(f"- backend server: {placement['server']}")
     else:
--- a/packages/daemon/cassiaquay_daemon/decisions/objectives.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/objectives.py
@@ -173,6 +173,10 @@
             rank_waits.append(messages.RankWait(rank, wait * 1000.0, step * 1000.0))
         return rank_waits
 
+    def order(self, rank: int) -> list[str]:
+        """Return the waiting demands of a rank in the order of service."""
+        return self._order.order(rank) if rank in self._order.ranks() else []
+
     def explain(self, demand: messages.Demand) -> list[policies.ServerEstimate]:
         """Return each open server's estimate for a demand, for operators."""
         now = clock.now()
--- a/packages/daemon/cassiaquay_daemon/decisions/policies.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/policies.py
@@ -52,6 +52,14 @@
         """Return each open server's estimate for a demand."""
 
 
+@typing.runtime_checkable
+class OrderingPolicy(typing.Protocol):
+    """A policy with a definite order of service of the waiting demands of a rank."""
+
+    def order(self, rank: int) -> list[str]:
+        """Return the waiting demands of a rank in the order of service."""
+
+
 @typing.runtime_checkable
 class CacheAwarePolicy(typing.Protocol):
     """A policy that takes the prefix caches of engines into account."""
--- a/packages/daemon/cassiaquay_daemon/decisions/pool_shares.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/pool_shares.py
@@ -45,10 +45,13 @@
         Of the work of all teams.
     fair_share : float
         The team's weight as a share of the weights of all teams that got work.
+    is_pooled : bool
+        Whether the work of the pool's other shards is included.
     """
 
     share: float
     fair_share: float
+    is_pooled: bool
 
     @property
     def is_above(self) -> bool:
@@ -101,8 +104,8 @@
 
     def share(
         self, rank: int, team: str, weights: collections.abc.Mapping[str, float]
-    ) -> TeamShare:
-        """Return a team's share of a rank's recent work, and its fair share."""
+    ) -> TeamShare | None:
+        """Return a team's share of a rank's recent work; None if no team got any."""
         if rank not in self._totals:
             granted = self._granted.get(rank, {})
             elsewhere = self._elsewhere.get(rank, collections.Counter[str]())
@@ -110,19 +113,25 @@
                 sum(granted.values()) + sum(elsewhere.values()),
                 sum(weights.get(name, 1.0) for name in {*granted, *elsewhere} - {""}),
             )
+        totals = self._totals[rank]
+        if not totals.tokens:
+            return None
         work = self.work(rank, team)
         weight = weights.get(team, 1.0)
-        totals = self._totals[rank]
         total_weight = totals.weight if work else totals.weight + weight
-        share = work / totals.tokens if totals.tokens else 0.0
-        return TeamShare(min(share, 1.0), min(weight / max(total_weight, weight), 1.0))
+        return TeamShare(
+            min(work / totals.tokens, 1.0),
+            min(weight / max(total_weight, weight), 1.0),
+            self.is_pooled,
+        )
 
     def count_shed(
         self, rank: int, team: str, weights: collections.abc.Mapping[str, float]
-    ) -> TeamShare:
+    ) -> TeamShare | None:
         """Count a shed demand, and return the share of its team."""
         found = self.share(rank, team, weights)
-        self.shed_counts[found.is_above] += 1
+        if found is not None:
+            self.shed_counts[found.is_above] += 1
         return found
 
     def refresh(self) -> None:
--- a/packages/daemon/cassiaquay_daemon/operators/admin.py
+++ b/packages/daemon/cassiaquay_daemon/operators/admin.py
@@ -234,12 +234,13 @@
         self, request: requests.Request, viewer: viewers.Viewer
     ) -> responses.Response:
         # The keeper's part of an explanation. It holds server loads and queue lengths
-        # but no names of teams or requests, so teams may read it too.
+        # but no names of teams or requests, so teams may read it too. The share of a
+        # team is shown to that team and to operators.
         demand = messages.Demand(
             request.query_params.get("id", ""),
             request.query_params.get("shard", ""),
             "",
-            viewer.team,
+            viewer.team or request.query_params.get("team", ""),
             _number(request, "rank", 0, 1000),
             _number(request, "prompt_tokens", 0, 10_000_000),
             _number(request, "output_tokens", 0, 10_000_000),
--- a/packages/daemon/cassiaquay_daemon/operators/explain.py
+++ b/packages/daemon/cassiaquay_daemon/operators/explain.py
@@ -1,6 +1,7 @@
 """Explains the state of a request, or where a described request would be placed."""
 
 import typing
+import urllib.parse
 
 import aiohttp
 import msgspec
@@ -204,6 +205,7 @@
                 f"&id={demand.id}&rank={demand.rank}"
                 f"&prompt_tokens={demand.prompt_tokens}"
                 f"&output_tokens={demand.output_tokens}"
+                f"&team={urllib.parse.quote(demand.team, safe='')}"
             )
             body = await self._fetch(member, target, authorization)
             return msgspec.json.decode(body, type=bodies.Placement)
--- a/packages/daemon/cassiaquay_daemon/operators/keeper_view.py
+++ b/packages/daemon/cassiaquay_daemon/operators/keeper_view.py
@@ -19,11 +19,12 @@
     shard = views.shard_at_keeper(parts, settings, demand.shard)
     if shard is None:
         raise refusals.AdminNotFound(f"no shard {demand.shard!r} is kept here")
+    asking_team = demand.team
     waiting = shard.queue.get(demand.id)
     if waiting is not None:
         # The queued demand holds the prefix hashes, which the query does not contain.
         demand = waiting.demand
-    higher_count, same_count = _count_ahead(shard, demand)
+    higher_count, same_count = _count_ahead(parts, shard, demand)
     estimates = _estimates_by_server(parts, shard, demand)
     verdicts = []
     snapshot = parts.configured.current
@@ -37,7 +38,7 @@
         state = "running"
     elif waiting is not None:
         state = "waiting"
-    return bodies.Placement(
+    placement = bodies.Placement(
         shard=demand.shard,
         keeper=settings.instance,
         keeper_since_open=shard.is_open,
@@ -47,6 +48,33 @@
         server=server,
         servers=verdicts,
     )
+    if asking_team == demand.team:
+        _add_team_share(placement, shard, demand, waiting is not None)
+    return placement
+
+
+def _add_team_share(
+    placement: bodies.Placement,
+    shard: shards.Shard,
+    demand: messages.Demand,
+    is_waiting: bool,
+) -> None:
+    """Add the share of the demand's team, and what it means for its turn."""
+    found = shard.shares.share(demand.rank, demand.team, shard.weights)
+    if found is None or not demand.team:
+        return
+    placement["team_share"] = round(found.share, 3)
+    placement["fair_share"] = round(found.fair_share, 3)
+    scope = "pool" if found.is_pooled else "shard"
+    reason = (
+        f"its team got {found.share:.1%} of what this {scope} granted to its rank of"
+        f" late, its fair share is {found.fair_share:.1%}"
+    )
+    if found.is_above:
+        reason += ": teams that got less go first"
+    elif is_waiting:
+        reason += ": waits for a slot, not for the share of its team"
+    placement["team_reason"] = reason
 
 
 def _estimates_by_server(
@@ -58,7 +86,9 @@
     return {item.server: item for item in policy.explain(demand)}
 
 
-def _count_ahead(shard: shards.Shard, demand: messages.Demand) -> tuple[int, int]:
+def _count_ahead(
+    parts: reports.Parts, shard: shards.Shard, demand: messages.Demand
+) -> tuple[int, int]:
     higher_count = 0
     same_count = 0
     own = shard.queue.get(demand.id)
@@ -70,6 +100,9 @@
         elif waiting.demand.rank == demand.rank:
             if own is None or waiting.arrived_at < own.arrived_at:
                 same_count += 1
+    policy = parts.kept.policy(shard.name)
+    if own is not None and isinstance(policy, policies.OrderingPolicy):
+        same_count = policy.order(demand.rank).index(demand.id)
     return higher_count, same_count
 
 
--- a/packages/daemon/cassiaquay_daemon/operators/metrics.py
+++ b/packages/daemon/cassiaquay_daemon/operators/metrics.py
@@ -192,6 +192,12 @@
     ("shard",),
     "Permits of this keeper for cold backend servers.",
 )
+SHED = Family(
+    "cassiaquay_keeper_shed_requests_total",
+    "counter",
+    ("shard", "share"),
+    "Demands that this keeper shed, by whether their team was above its fair share.",
+)
 LIMITED_SERVERS = Family(
     "cassiaquay_limited_servers",
     "gauge",
@@ -338,6 +344,7 @@
     QUARANTINED_PARTS,
     COLD_SERVERS,
     COLD_GRANTS,
+    SHED,
     BRITTLE_SERVERS,
     LEAVING_SERVERS,
     BACKOFF_SERVERS,
--- a/packages/daemon/cassiaquay_daemon/operators/reports.py
+++ b/packages/daemon/cassiaquay_daemon/operators/reports.py
@@ -320,8 +320,11 @@
         queued: dict[metrics.Key, float] = {}
         running: dict[metrics.Key, float] = {}
         tokens: dict[metrics.Key, float] = {}
+        shed: dict[metrics.Key, float] = {}
         for name, shard in self._parts.kept.shards.items():
             running[(name,)] = len(shard.running)
+            for is_above, count in shard.shares.shed_counts.items():
+                shed[(name, "above" if is_above else "below")] = count
             for waiting in shard.queue.values():
                 key = (name, self._tier_name(waiting.demand))
                 queued[key] = queued.get(key, 0) + 1
@@ -333,6 +336,7 @@
         held = self._parts.held
         self.metrics.replace(metrics.QUARANTINED, {(): held.count})
         self.metrics.replace(metrics.QUARANTINED_PARTS, {(): held.part_count})
+        self.metrics.replace(metrics.SHED, shed)
         self.metrics.replace(metrics.QUEUE, queued)
         self.metrics.replace(metrics.PERMITS, running)
         self.metrics.replace(metrics.SERVER_TOKENS, tokens)
--- a/packages/schema/cassiaquay_schema/bodies.py
+++ b/packages/schema/cassiaquay_schema/bodies.py
@@ -130,6 +130,11 @@
     ahead_same: int
     server: str
     servers: list[ServerVerdict]
+    # Of the demand's team, as shares of 1; missing if no team got work of late, and
+    # from keepers of earlier versions.
+    team_share: typing.NotRequired[float]
+    fair_share: typing.NotRequired[float]
+    team_reason: typing.NotRequired[str]
 
 
 class Explanation(typing.TypedDict):
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -297,6 +297,31 @@
     fakes.run(test)
 
 
+def test_explains_why_a_team_above_its_share_waits() -> None:
+    """Guards against an operator who cannot see that a flood is held back by its share.
+
+    A team sees its own share only.
+    """
+
+    async def test(instance: fakes.Instance) -> None:
+        shard = _fill_queue(instance)
+        shard.shares.grant(0, LARGE.name, 900)
+        shard.shares.grant(0, SMALL.name, 100)
+        path = "/v1/placement?shard=engines%230&id=id-1&rank=0"
+        found = (await instance.call(f"{path}&team={LARGE.name}", fakes.OPERATOR)).json
+        assert (found["team_share"], found["fair_share"]) == (0.9, 0.5)
+        assert found["team_reason"].endswith("teams that got less go first")
+        assert found["ahead_same"] == 1
+        other = (await instance.call(path, SMALL.credential)).json
+        assert "team_share" not in other
+        shard.shed(shard.queue["id-1"], "shed_overload", 100)
+        page = (await instance.call("/metrics", fakes.OPERATOR)).body.decode()
+        assert 'shed_requests_total{shard="engines#0",share="above"} 1' in page
+
+    keeper = {"policy": "objectives", "team_shares": "pool"}
+    fakes.run(test, operators=OPERATORS, keeper=keeper)
+
+
 def test_explains_a_request_by_id_only_to_its_team() -> None:
     async def test(instance: fakes.Instance) -> None:
         entry = instance.entry(LARGE.name)
--- a/tests/test_pool_shares.py
+++ b/tests/test_pool_shares.py
@@ -32,7 +32,7 @@
     shares = _shares(a=100, b=300)
     shares.receive(THERE, _shares(a=900, c=300).report())
     assert [shares.work(0, team) for team in "abc"] == [1000, 300, 300]
-    assert shares.share(0, "a", {}) == (1000 / 1600, 1 / 3)
+    assert shares.share(0, "a", {}) == (1000 / 1600, 1 / 3, True)
 
 
 def test_weights_count_in_fair_shares(time) -> None:
