Let teams' counts decay where they are not exchanged

With keeper.team_shares = shard nothing called the decay, so the counts that explain and shed show grew for ever and named every team that was ever served.

--- a/packages/daemon/cassiaquay_daemon/decisions/pool_shares.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/pool_shares.py
@@ -104,6 +104,7 @@
 
     def grant(self, rank: int, team: str, tokens: int) -> None:
         """Count granted work."""
+        self.refresh()
         teams = self._granted.setdefault(rank, {})
         teams[team] = teams.get(team, 0.0) + tokens
         self._granted_sums[rank] = self._granted_sums.get(rank, 0.0) + tokens
--- a/tests/test_pool_shares.py
+++ b/tests/test_pool_shares.py
@@ -56,6 +56,15 @@
     assert not shares.report()
 
 
+def test_work_is_forgotten_without_exchange(time) -> None:
+    """Guards against counts by shard that grow with every team ever served."""
+    shares = pool_shares.PoolShares(fakes.settings())
+    shares.grant(0, "a", 80_000)
+    time.now += 60.0
+    shares.grant(0, "b", 100)
+    assert not shares.work(0, "a")
+
+
 def test_report_names_a_bounded_number_of_teams(time) -> None:
     """Guards against reports that grow with the number of teams."""
     shares = _shares(**{f"t{number}": 100 + number for number in range(1000)})
