--- a/packages/daemon/cassiaquay_daemon/gateway/serving.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/serving.py
@@ -19,6 +19,7 @@
     admission,
     completions,
     cuts,
+    endings,
     forwarding,
     hedging,
     holding,
@@ -100,6 +101,9 @@
 
     def __init__(self, parts: Parts):
         self._parts = parts
+        self._endings = endings.Endings(
+            parts.reply, parts.accounting, parts.completions
+        )
 
     async def serve(self, state: progress.RequestState, send: replies.Send) -> None:
         """Serve one request; return after its final answer has been sent."""
@@ -117,14 +121,14 @@
                 )
                 await self._dispatch_until_answered(state, send)
         except exceptions.Refusal as refusal:
-            await self._end_refused(state, send, refusal)
+            await self._endings.end_refused(state, send, refusal)
         except TimeoutError:
             late = (
                 exceptions.DeadlineExceeded
                 if state.may_have_run
                 else exceptions.DeadlineInfeasible
             )
-            await self._end_refused(state, send, late())
+            await self._endings.end_refused(state, send, late())
         except Exception as error:
             # Also after an unexpected error, the caller gets the correct outcome.
             attempt = state.call.parsed.attempt
@@ -134,7 +138,7 @@
                 if state.may_have_run
                 else exceptions.InternalError
             )
-            await self._end_refused(state, send, lost())
+            await self._endings.end_refused(state, send, lost())
         finally:
             if taken is not None and not state.may_have_run:
                 self._parts.team_limits.give_back(taken)
@@ -237,7 +241,9 @@
         finally:
             answer.close()
         ticket = answer.current.ticket
-        self._log_completed(state, piece.answer, ticket.tally, ticket.server.address)
+        self._endings.log_completed(
+            state, piece.answer, ticket.tally, ticket.server.address
+        )
 
     async def _obtain(self, state: progress.RequestState) -> admission.Ticket:
         newest = self._parts.configured.current
@@ -360,75 +366,6 @@
             configuration=call.snapshot.label,
         )
 
-    async def _end_refused(
-        self,
-        state: progress.RequestState,
-        send: replies.Send,
-        refusal: exceptions.Refusal,
-    ) -> None:
-        call = state.call
-        if state.failure is not None and not state.started:
-            # No other server took the request: this is its answer.
-            await self._pass_failure(state, send)
-            return
-        if state.may_have_run and not isinstance(refusal, exceptions.OutcomeUnknown):
-            refusal = exceptions.AnswerLost(f"{refusal.code} after it was sent")
-        replies.log_refused(call.parsed, refusal, call.began_at, state)
-        outcome = refusal.outcome or "not_run"
-        self._parts.accounting.record_ended(
-            state, outcome, refusal.code, 0.0, refusal.message
-        )
-        if state.started:
-            # Part of an answer was sent. Returning without its last message makes the
-            # listener break the connection, so that the part does not look complete.
-            return
-        await self._parts.reply.refuse(send, refusal)
-
-    async def _pass_failure(
-        self, state: progress.RequestState, send: replies.Send
-    ) -> None:
-        failure = state.failure
-        assert failure is not None
-        await passing.pass_whole(state, failure, self._parts.reply, send)
-        state.server = state.failed_server
-        self._log_completed(state, failure.answer, admission.Tally(), "")
-
-    def _log_completed(
-        self,
-        state: progress.RequestState,
-        answer: forwarding.Answer,
-        tally: admission.Tally,
-        address: str,
-    ) -> None:
-        call = state.call
-        status = answer.status
-        first_ms = None
-        if tally.first_at:
-            first_ms = round((tally.first_at - call.began_at) * 1000.0, 1)
-        first_at = tally.first_at or clock.now()
-        outcome = (
-            "failed" if status >= forwarding.FIRST_SERVER_ERROR_STATUS else "completed"
-        )
-        if status < forwarding.FIRST_REDIRECT_STATUS:
-            self._parts.completions.record(state, answer, address)
-        self._parts.accounting.record_ended(
-            state, outcome, outcome, first_at - call.began_at
-        )
-        logs.event(
-            "ended",
-            id=call.parsed.attempt,
-            outcome=outcome,
-            status=status,
-            server=state.server,
-            server_limit=answer.reported.limit,
-            route=call.route.name,
-            events=tally.count,
-            prompt_tokens=call.parsed.prompt_tokens or None,
-            output_tokens=call.parsed.output_tokens or None,
-            first_ms=first_ms,
-            ms=replies.elapsed_ms(call.began_at),
-        )
-
 
 class _RetryableFailure(Exception):
     """A server answered with an error, and the request is retried at another one."""
