Let requests that a server has received ask for capacity again

Cause: a request whose answer was cut or was garbage, that was declined or got a server's own failure asked the keeper for capacity once. If the keeper shed it at that moment, it ended with 502 (`shed_overload after it was sent`) with seconds left. Requests whose server is silent asked each 0.25 s.

Change: one mechanism for both (decisions/repeats.py, gateway/repeats.py). A request that may have run asks until its deadline, since its caller cannot be refused any more; one that was declined, or that holds a server's own failure, asks until its objective. It asks each 0.25 s, and once late at intervals of half the time for which it has been late and refused: each refusal costs the keeper a pass and holds back the ranks below for 0.3 s. The search ends when the caller leaves, no retry is left or the request is quarantined. A retry is spent when a ticket is used and given back if no server received the request, also when the second server of a silent request had taken over and was not reached.

--- a/packages/daemon/cassiaquay_daemon/decisions/hedges.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/hedges.py
@@ -20,8 +20,6 @@
 MIN_PATIENCE_SECONDS = 0.25
 # Prefill rate of a slow engine; long prompts delay the first event.
 SLOW_PREFILL_TOKENS_PER_SECOND = 20_000.0
-# Interval at which another server is sought again while none is to be had.
-SEARCH_INTERVAL_SECONDS = 0.25
 # Time for which two servers may work on one stream; 0.4 s is the most allowed.
 OVERLAP_SECONDS = 0.2
 # Bytes of a body that count as progress. A server in trouble may send some bytes now
@@ -58,6 +56,8 @@
         Whether capacity at another server is being requested.
     searched_seconds : float
         Time since the last such request has failed; infinite if none has.
+    interval_seconds : float
+        Time from a failed request to the next one.
     obstacle : str
         Why no other server may get the request; empty if one may.
     patience_seconds : float
@@ -75,6 +75,7 @@
     is_stream: bool
     is_searching: bool
     searched_seconds: float
+    interval_seconds: float
     obstacle: str
     patience_seconds: float
     newest_seconds: float | None
@@ -114,6 +115,6 @@
             return Action.WAIT
     if silence.is_searching or silence.obstacle:
         return Action.WAIT
-    if silence.searched_seconds < SEARCH_INTERVAL_SECONDS:
+    if silence.searched_seconds < silence.interval_seconds:
         return Action.WAIT
     return Action.SEARCH
--- a/packages/daemon/cassiaquay_daemon/gateway/hedging.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/hedging.py
@@ -13,7 +13,7 @@
 from .. import clock, exceptions, logs
 from ..decisions import budgets, hedges
 from ..operators import reports
-from . import accounting, admission, forwarding, progress, tries
+from . import accounting, admission, forwarding, progress, repeats, tries
 
 # Passes of the event loop from received bytes to the task that reads them.
 LOOP_PASSES = 2
@@ -28,12 +28,12 @@
         Receives unused tickets.
     budget : RetryBudget
         Limits the tries at other servers.
+    repeated : Repeats
+        Obtains capacity at another server.
     accounting : Accounting
         Receives silences, and why they were waited for.
-    obtain : callable
-        Obtains capacity at another server.
     start : callable
-        Starts a try with a ticket.
+        Starts a try with a ticket; returns None if no retry is left.
     is_held : callable
         Returns whether the request is quarantined.
     note_cut : callable
@@ -42,11 +42,9 @@
 
     capacity: admission.Admission
     budget: budgets.RetryBudget
+    repeated: repeats.Repeats
     accounting: accounting.Accounting
-    obtain: collections.abc.Callable[
-        [], collections.abc.Coroutine[typing.Any, typing.Any, admission.Ticket]
-    ]
-    start: collections.abc.Callable[[admission.Ticket], tries.Try]
+    start: collections.abc.Callable[[admission.Ticket], tries.Try | None]
     is_held: collections.abc.Callable[[], bool]
     note_cut: collections.abc.Callable[[tries.Try, exceptions.StreamInterrupted], None]
 
@@ -136,6 +134,7 @@
         silent_since = silent.progressed_at
         self._log("server_quiet", silent, since=silent_since)
         self._obstacle = ""
+        self._state.search_began_at = 0.0
         outcome = "ended"
         try:
             while True:
@@ -190,6 +189,7 @@
             self._state.call.is_stream,
             self._search is not None,
             now - self._searched_at,
+            self._parts.repeated.interval_seconds(self._state),
             self._find_obstacle(),
             self._patience_seconds(newest),
             newest_seconds,
@@ -292,18 +292,18 @@
             self._parts.capacity.return_unused(ticket)
             self._note_kept("no_permit")
             return
-        if not self._parts.budget.take(self._state.call.service):
-            self._parts.capacity.return_unused(ticket)
+        started = self._parts.start(ticket)
+        if started is None:
             self._note_kept("budget")
             return
-        self._others.append(self._parts.start(ticket))
+        self._others.append(started)
 
     async def _obtain(self) -> admission.Ticket:
         state = self._state
         for item in [self.current, *self._others]:
             state.add_tried(item.server)
-        state.tries += 1
-        return await self._parts.obtain()
+        state.is_repeat = True
+        return await self._parts.repeated.obtain_once(state)
 
     def _promote(self, other: tries.Try) -> None:
         """Close the current try; the answer goes on with another one."""
@@ -317,17 +317,12 @@
 
     def _drop(self, other: tries.Try, cause: str) -> None:
         self._others.remove(other)
-        self._close_other(other)
-        self._note_kept(cause)
-
-    def _close_other(self, other: tries.Try) -> None:
         other.close()
-        if not other.sent_at:
-            self._parts.budget.give_back(self._state.call.service)
+        self._note_kept(cause)
 
     def _close_others(self) -> None:
         for other in self._others:
-            self._close_other(other)
+            other.close()
         self._others = []
         search, self._search = self._search, None
         if search is None:
--- a/packages/daemon/cassiaquay_daemon/gateway/progress.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/progress.py
@@ -28,6 +28,11 @@
         Number of servers that may have run it.
     tries : int
         Number of times that capacity was requested.
+    is_repeat : bool
+        Whether a server has received it, so that sending it again takes a retry.
+    search_began_at : float
+        Time since which it seeks capacity for a repeat; seconds on this clock, 0 while
+        it does not.
     last_event : int
         Id of the last event sent to the caller; -1 for none.
     software : str or None
@@ -71,6 +76,8 @@
         self.snapshot = call.snapshot
         self.runs = 0
         self.tries = 0
+        self.is_repeat = False
+        self.search_began_at = 0.0
         self.last_event = call.parsed.last_event
         self.software: str | None = None
         self.first_writer = ""
--- a/packages/daemon/cassiaquay_daemon/gateway/serving.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/serving.py
@@ -25,13 +25,12 @@
     holding,
     passing,
     progress,
+    repeats,
     replies,
     resuming,
     tries,
 )
 
-# Retry-After when all servers tried declined the request or could not be reached.
-UNREACHABLE_RETRY_MS = 300
 # Share of the time to its objective that a request may wait for its team's limit; the
 # rest is for obtaining a slot and for the first event.
 LIMIT_WAIT_SHARE = 0.5
@@ -104,6 +103,9 @@
         self._endings = endings.Endings(
             parts.reply, parts.accounting, parts.completions
         )
+        self._repeats = repeats.Repeats(
+            self._obtain, parts.budget, self._check_quarantine
+        )
 
     async def serve(self, state: progress.RequestState, send: replies.Send) -> None:
         """Serve one request; return after its final answer has been sent."""
@@ -149,7 +151,6 @@
         """Dispatch until an answer is complete; raise Refusal for any other end."""
         unsent = 0
         while True:
-            state.tries += 1
             try:
                 await self._dispatch_once(state, send)
                 return
@@ -161,15 +162,19 @@
                     cause=str(error),
                 )
                 unsent += 1
-                if unsent >= MAX_UNSENT_DISPATCHES:
-                    raise _unserved_refusal(state) from error
-                await asyncio.sleep(RETRY_PAUSE_SECONDS)
+                if unsent < MAX_UNSENT_DISPATCHES:
+                    await asyncio.sleep(RETRY_PAUSE_SECONDS)
+                    continue
+                # A request that may have run cannot be refused.
+                if not state.may_have_run or not self._repeats.may_ask_again(state):
+                    raise repeats.unserved_refusal(state) from error
+                await asyncio.sleep(self._repeats.interval_seconds(state))
             except exceptions.Declined as error:
+                state.is_repeat = True
                 if not state.has_attempts_left:
-                    raise _unserved_refusal(state) from error
-                if not self._parts.budget.take(state.call.service):
-                    raise _unserved_refusal(state) from error
+                    raise repeats.unserved_refusal(state) from error
             except _RetryableFailure as error:
+                state.is_repeat = True
                 logs.event(
                     "repeated",
                     id=state.call.parsed.attempt,
@@ -177,6 +182,7 @@
                     cause=f"status {error}",
                 )
             except exceptions.StreamInterrupted as error:
+                state.is_repeat = True
                 self._check_repeat(state, error)
 
     def _note_cut(
@@ -203,27 +209,27 @@
             raise exceptions.AnswerLost("no other server may get it") from error
         if state.started and not call.is_stream:
             raise exceptions.AnswerLost() from error
-        self._check_quarantine(state)
-        if not self._parts.budget.take(call.service):
-            raise exceptions.AnswerLost("the budget of repeats is spent") from error
 
     async def _dispatch_once(
         self, state: progress.RequestState, send: replies.Send
     ) -> None:
         """Dispatch once and forward the answer to the caller."""
-        ticket = await self._obtain(state)
+        ticket = await self._repeats.obtain(state)
+        first = self._start_try(state, ticket)
+        if first is None:
+            raise repeats.spent_refusal(state)
         answer = hedging.HedgedAnswer(
             hedging.Parts(
                 self._parts.capacity,
                 self._parts.budget,
+                self._repeats,
                 self._parts.accounting,
-                functools.partial(self._obtain, state),
                 functools.partial(self._start_try, state),
                 functools.partial(self._is_held, state),
                 functools.partial(self._note_cut, state),
             ),
             state,
-            self._start_try(state, ticket),
+            first,
         )
         try:
             piece = await self._pass_answer(state, answer, send)
@@ -254,9 +260,18 @@
 
     def _start_try(
         self, state: progress.RequestState, ticket: admission.Ticket
-    ) -> tries.Try:
-        hooks = tries.Hooks(self._check_before_sending, self._mark_dispatched)
+    ) -> tries.Try | None:
+        """Return a try with a ticket; None if it is a repeat and no retry is left."""
         parts = self._parts
+        give_back = _do_nothing
+        if state.is_repeat:
+            if not self._repeats.take(state):
+                parts.capacity.return_unused(ticket)
+                return None
+            give_back = functools.partial(self._repeats.give_back, state)
+        hooks = tries.Hooks(
+            self._check_before_sending, self._mark_dispatched, give_back
+        )
         return tries.Try(
             state, ticket, parts.capacity, parts.forwarder, hooks, parts.room
         )
@@ -280,7 +295,7 @@
             )
         if piece.answer.is_failure and not state.started and state.is_repeatable_now:
             state.keep_failure(piece, answer.current.server)
-            if self._parts.budget.take(state.call.service):
+            if not self._parts.budget.is_spent(state.call.service):
                 raise _RetryableFailure(piece.answer)
         await passing.pass_whole(state, piece, self._parts.reply, send)
         return piece
@@ -346,6 +361,7 @@
         # From here on the request may run. Only a server that reports that it did not
         # run it takes this back, or a relay that reports that it did not send it.
         state.runs += 1
+        state.search_began_at = 0.0
         state.receivers.add(ticket.server.name)
         self._parts.capacity.report_dispatched(ticket)
         call = state.call
@@ -375,9 +391,5 @@
         self.answer = answer
 
 
-def _unserved_refusal(state: progress.RequestState) -> exceptions.Refusal:
-    if state.may_have_run:
-        return exceptions.AnswerLost()
-    return exceptions.ServerDeclined(
-        "no server took it", retry_after_ms=UNREACHABLE_RETRY_MS
-    )
+def _do_nothing() -> None:
+    """Keep the retry budget: a first try takes nothing from it."""
--- a/packages/daemon/cassiaquay_daemon/gateway/tries.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/tries.py
@@ -32,12 +32,15 @@
         Raises NotSent or Refusal if the request must not be sent now.
     mark_dispatched : callable
         Records that the first byte is about to be written.
+    give_back : callable
+        Called at the end if no server has received the request.
     """
 
     check: collections.abc.Callable[[progress.RequestState, admission.Ticket], None]
     mark_dispatched: collections.abc.Callable[
         [progress.RequestState, admission.Ticket], None
     ]
+    give_back: collections.abc.Callable[[], None]
 
 
 class Try:
@@ -202,6 +205,8 @@
             self._capacity.report_ended(self.ticket, self.sent_at, self.outcome)
         else:
             self._capacity.return_unused(self.ticket)
+        if not self.sent_at or self.outcome == UNSENT:
+            self._hooks.give_back()
 
     async def _read_checked(self) -> forwarding.Piece:
         try:
--- a/tests/hedging_fakes.py
+++ b/tests/hedging_fakes.py
@@ -48,12 +48,16 @@
         Whether it declines each request.
     drips : bool
         Whether it sends comments in a stream while it has no event.
+    fault : str
+        What it does with each request: "unreachable", "unsent" (a relay has not sent
+        it), "cut" before its first byte or "failed"; empty for none.
     """
 
     stops: list[tuple[float, float]]
     dies_at: float = NEVER
     declines: bool = False
     drips: bool = False
+    fault: str = ""
 
     def ends_at(self, start: float, work_seconds: float) -> float:
         """Return when work that begins at ``start`` is done."""
@@ -80,10 +84,16 @@
 class _Response:
     """A server's response; the bytes arrive when the server has made them."""
 
-    def __init__(self, pieces: list[tuple[float, bytes]], run: Run, drips: bool):
+    def __init__(
+        self,
+        pieces: list[tuple[float, bytes]],
+        run: Run,
+        drips: bool,
+        status: int = 200,
+    ):
         self.content = self
         self.method = "POST"
-        self.status = 200
+        self.status = status
         self.content_length = None
         self.total_bytes = 0
         self.headers = {aiohttp.hdrs.TRANSFER_ENCODING: "chunked"}
@@ -120,6 +130,12 @@
         self.tickets: list[admission.Ticket] = []
         self.ended: list[admission.Ticket] = []
         self.shed_share = 0.0
+        # Demands after the first that are refused, and the times of all demands.
+        self.sheds = 0
+        # Whether servers get requests in the order of their plans, not by chance.
+        self.is_ordered = False
+        self.demanded_at: list[float] = []
+        self.budget: budgets.RetryBudget
         self._chance = chance
         self._work = work
 
@@ -127,11 +143,15 @@
 
     async def obtain(self, state: progress.RequestState) -> admission.Ticket:
         """Return a ticket for a server that did not get the request."""
+        self.demanded_at.append(clock.now())
         await asyncio.sleep(self._chance.choice([0.0, 0.01, 0.05]))
-        free = [name for name in self.plans if name not in state.tried]
+        if 1 < len(self.demanded_at) <= 1 + self.sheds:
+            raise exceptions.Shed(retry_after_ms=300)
+        used = [*state.tried, *state.unreachable]
+        free = [name for name in self.plans if name not in used]
         if not free or (state.runs and self._chance.random() < self.shed_share):
             raise exceptions.Shed(retry_after_ms=300)
-        name = self._chance.choice(free)
+        name = free[0] if self.is_ordered else self._chance.choice(free)
         server = fleet.Server(name=name, address=name)
         ticket = admission.Ticket(
             mock.Mock(), server, state.call.deadline, admission.Tally(), False
@@ -164,22 +184,30 @@
     ) -> forwarding.Answer:
         """Send a request; return its head when the server has made its first bytes."""
         await asyncio.sleep(CONNECT_SECONDS)
-        before_sending()
         plan = self.plans[server.name]
+        if plan.fault == "unreachable":
+            raise exceptions.Unreachable("refused")
+        before_sending()
+        if plan.fault == "unsent":
+            raise exceptions.Unreachable("neither directly nor by a relay")
         if plan.declines:
             await _sleep_until(plan.ends_at(clock.now(), CONNECT_SECONDS))
             raise exceptions.Declined("status 503")
         run = Run(server.name, clock.now(), [])
         pieces = self._pieces(call, plan, last_event)
         try:
+            if plan.fault == "cut":
+                raise exceptions.StreamInterrupted("cut")
             await _sleep_until(pieces[0][0])
-        except asyncio.CancelledError:
+        except (asyncio.CancelledError, exceptions.StreamInterrupted):
             run.ended.append(clock.now())
             raise
         finally:
             self.runs.append(run)
-        response: typing.Any = _Response(pieces, run, plan.drips and call.is_stream)
-        return forwarding.Answer(response, 200, [])
+        status = 500 if plan.fault == "failed" else 200
+        drips = plan.drips and call.is_stream
+        response: typing.Any = _Response(pieces, run, drips, status)
+        return forwarding.Answer(response, status, [])
 
     def note_progress(self, address: str) -> None:
         """Do nothing: the plans tell which servers go on."""
@@ -202,13 +230,18 @@
         return pieces or [(plan.ends_at(clock.now(), 0.01), b"")]
 
 
-def route(is_stream: bool, attempts: int, objective_seconds: float) -> routing.Route:
-    """Return a route whose requests may be repeated."""
+def route(
+    is_stream: bool,
+    attempts: int,
+    objective_seconds: float,
+    kind: routing.Kind = routing.Kind.IDEMPOTENT,
+) -> routing.Route:
+    """Return a route; by default, its requests may be repeated."""
     return routing.Route(
         name="r",
         host=standins.HOST,
         prefix="/",
-        kind=routing.Kind.STREAM if is_stream else routing.Kind.IDEMPOTENT,
+        kind=routing.Kind.STREAM if is_stream else kind,
         shares=(routing.Share(SERVICE, 1.0),),
         timeout_seconds=10.0,
         objective_seconds=objective_seconds,
@@ -260,11 +293,12 @@
     parts.servers.blocking_cause.return_value = ""
     parts.team_limits.take = mock.AsyncMock(return_value=None)
     parts.resuming.resolve = mock.AsyncMock()
+    servers.budget = budgets.RetryBudget(settings, lambda: 1)
     return serving.Parts(
         parts.configured,
         typing.cast(typing.Any, servers),
         typing.cast(typing.Any, servers),
-        budgets.RetryBudget(settings, lambda: 1),
+        servers.budget,
         parts.crashes,
         parts.completions,
         parts.servers,
