--- a/packages/daemon/cassiaquay_daemon/gateway/serving.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/serving.py
@@ -19,19 +19,19 @@
     admission,
     completions,
     cuts,
+    endings,
     forwarding,
     hedging,
     holding,
     passing,
     process_checks,
     progress,
+    repeats,
     replies,
     resuming,
     tries,
 )
 
-# Retry-After when all servers tried declined the request or could not be reached.
-UNREACHABLE_RETRY_MS = 300
 # Share of the time to its objective that a request may wait for its team's limit; the
 # rest is for obtaining a slot and for the first event.
 LIMIT_WAIT_SHARE = 0.5
@@ -104,6 +104,12 @@
 
     def __init__(self, parts: Parts):
         self._parts = parts
+        self._endings = endings.Endings(
+            parts.reply, parts.accounting, parts.completions
+        )
+        self._repeats = repeats.Repeats(
+            self._obtain, parts.budget, self._check_quarantine
+        )
 
     async def serve(self, state: progress.RequestState, send: replies.Send) -> None:
         """Serve one request; return after its final answer has been sent."""
@@ -121,14 +127,14 @@
                 )
                 await self._dispatch_until_answered(state, send)
         except exceptions.Refusal as refusal:
-            await self._end_refused(state, send, refusal)
+            await self._endings.end_refused(state, send, refusal)
         except TimeoutError:
             late = (
                 exceptions.DeadlineExceeded
                 if state.may_have_run
                 else exceptions.DeadlineInfeasible
             )
-            await self._end_refused(state, send, late())
+            await self._endings.end_refused(state, send, late())
         except Exception as error:
             # Also after an unexpected error, the caller gets the correct outcome.
             attempt = state.call.parsed.attempt
@@ -138,7 +144,7 @@
                 if state.may_have_run
                 else exceptions.InternalError
             )
-            await self._end_refused(state, send, lost())
+            await self._endings.end_refused(state, send, lost())
         finally:
             if taken is not None and not state.may_have_run:
                 self._parts.team_limits.give_back(taken)
@@ -149,7 +155,6 @@
         """Dispatch until an answer is complete; raise Refusal for any other end."""
         unsent = 0
         while True:
-            state.tries += 1
             try:
                 await self._dispatch_once(state, send)
                 return
@@ -161,15 +166,19 @@
                     cause=str(error),
                 )
                 unsent += 1
-                if unsent >= MAX_UNSENT_DISPATCHES:
-                    raise _unserved_refusal(state) from error
-                await asyncio.sleep(RETRY_PAUSE_SECONDS)
+                if unsent < MAX_UNSENT_DISPATCHES:
+                    await asyncio.sleep(RETRY_PAUSE_SECONDS)
+                    continue
+                # A request that may have run cannot be refused.
+                if not state.may_have_run or not self._repeats.may_ask_again(state):
+                    raise repeats.unserved_refusal(state) from error
+                await asyncio.sleep(self._repeats.interval_seconds(state))
             except exceptions.Declined as error:
+                state.is_repeat = True
                 if not state.has_attempts_left:
-                    raise _unserved_refusal(state) from error
-                if not self._parts.budget.take(state.call.service):
-                    raise _unserved_refusal(state) from error
+                    raise repeats.unserved_refusal(state) from error
             except _RetryableFailure as error:
+                state.is_repeat = True
                 logs.event(
                     "repeated",
                     id=state.call.parsed.attempt,
@@ -177,6 +186,7 @@
                     cause=f"status {error}",
                 )
             except exceptions.StreamInterrupted as error:
+                state.is_repeat = True
                 self._check_repeat(state, error)
 
     def _note_cut(
@@ -203,27 +213,27 @@
             raise exceptions.AnswerLost("no other server may get it") from error
         if state.started and not call.is_stream:
             raise exceptions.AnswerLost() from error
-        self._check_quarantine(state)
-        if not self._parts.budget.take(call.service):
-            raise exceptions.AnswerLost("the budget of repeats is spent") from error
 
     async def _dispatch_once(
         self, state: progress.RequestState, send: replies.Send
     ) -> None:
         """Dispatch once and forward the answer to the caller."""
-        ticket = await self._obtain(state)
+        ticket = await self._repeats.obtain(state)
+        first = self._start_try(state, ticket)
+        if first is None:
+            raise repeats.spent_refusal(state)
         answer = hedging.HedgedAnswer(
             hedging.Parts(
                 self._parts.capacity,
                 self._parts.budget,
+                self._repeats,
                 self._parts.accounting,
-                functools.partial(self._obtain, state),
                 functools.partial(self._start_try, state),
                 functools.partial(self._is_held, state),
                 functools.partial(self._note_cut, state),
             ),
             state,
-            self._start_try(state, ticket),
+            first,
         )
         try:
             piece = await self._pass_answer(state, answer, send)
@@ -241,7 +251,9 @@
         finally:
             answer.close()
         ticket = answer.current.ticket
-        self._log_completed(state, piece.answer, ticket.tally, ticket.server.address)
+        self._endings.log_completed(
+            state, piece.answer, ticket.tally, ticket.server.address
+        )
 
     async def _obtain(self, state: progress.RequestState) -> admission.Ticket:
         newest = self._parts.configured.current
@@ -254,9 +266,18 @@
 
     def _start_try(
         self, state: progress.RequestState, ticket: admission.Ticket
-    ) -> tries.Try:
-        hooks = tries.Hooks(self._check_before_sending, self._mark_dispatched)
+    ) -> tries.Try | None:
+        """Return a try with a ticket; None if it is a repeat and no retry is left."""
         parts = self._parts
+        give_back = _do_nothing
+        if state.is_repeat:
+            if not self._repeats.take(state):
+                parts.capacity.return_unused(ticket)
+                return None
+            give_back = functools.partial(self._repeats.give_back, state)
+        hooks = tries.Hooks(
+            self._check_before_sending, self._mark_dispatched, give_back
+        )
         return tries.Try(
             state, ticket, parts.capacity, parts.forwarder, hooks, parts.room
         )
@@ -280,7 +301,7 @@
             )
         if piece.answer.is_failure and not state.started and state.is_repeatable_now:
             state.keep_failure(piece, answer.current.server)
-            if self._parts.budget.take(state.call.service):
+            if not self._parts.budget.is_spent(state.call.service):
                 raise _RetryableFailure(piece.answer)
         await passing.pass_whole(state, piece, self._parts.reply, send)
         return piece
@@ -288,8 +309,9 @@
     def _check_before_sending(
         self, state: progress.RequestState, ticket: admission.Ticket
     ) -> None:
-        # Last check before the first byte: after a pause of this process the ticket may
-        # have expired, the server left or the key been revoked.
+        # Last check before the first byte. After a pause of this process the ticket may
+        # have expired, the server left or the key been revoked; nothing may be sent on
+        # outdated state.
         call = state.call
         if state.is_abandoned:
             raise exceptions.NotSent("the caller has gone")
@@ -342,8 +364,10 @@
     def _mark_dispatched(
         self, state: progress.RequestState, ticket: admission.Ticket
     ) -> None:
-        # The request may run now, unless the server or a relay reports otherwise.
+        # From here on the request may run. Only a server that reports that it did not
+        # run it takes this back, or a relay that reports that it did not send it.
         state.runs += 1
+        state.search_began_at = 0.0
         state.receivers.add(ticket.server.name)
         self._parts.capacity.report_dispatched(ticket)
         call = state.call
@@ -364,75 +388,6 @@
             configuration=call.snapshot.label,
         )
 
-    async def _end_refused(
-        self,
-        state: progress.RequestState,
-        send: replies.Send,
-        refusal: exceptions.Refusal,
-    ) -> None:
-        call = state.call
-        if state.failure is not None and not state.started:
-            # No other server took it: this is its answer.
-            await self._pass_failure(state, send)
-            return
-        if state.may_have_run and not isinstance(refusal, exceptions.OutcomeUnknown):
-            refusal = exceptions.AnswerLost(f"{refusal.code} after it was sent")
-        replies.log_refused(call.parsed, refusal, call.began_at, state)
-        outcome = refusal.outcome or "not_run"
-        self._parts.accounting.record_ended(
-            state, outcome, refusal.code, 0.0, refusal.message
-        )
-        if state.started:
-            # Part of an answer was sent. Returning without its last message makes the
-            # listener break the connection, so that the part does not look complete.
-            return
-        await self._parts.reply.refuse(send, refusal)
-
-    async def _pass_failure(
-        self, state: progress.RequestState, send: replies.Send
-    ) -> None:
-        failure = state.failure
-        assert failure is not None
-        await passing.pass_whole(state, failure, self._parts.reply, send)
-        state.server = state.failed_server
-        self._log_completed(state, failure.answer, admission.Tally(), "")
-
-    def _log_completed(
-        self,
-        state: progress.RequestState,
-        answer: forwarding.Answer,
-        tally: admission.Tally,
-        address: str,
-    ) -> None:
-        call = state.call
-        status = answer.status
-        first_ms = None
-        if tally.first_at:
-            first_ms = round((tally.first_at - call.began_at) * 1000.0, 1)
-        first_at = tally.first_at or clock.now()
-        outcome = (
-            "failed" if status >= forwarding.FIRST_SERVER_ERROR_STATUS else "completed"
-        )
-        if status < forwarding.FIRST_REDIRECT_STATUS:
-            self._parts.completions.record(state, answer, address)
-        self._parts.accounting.record_ended(
-            state, outcome, outcome, first_at - call.began_at
-        )
-        logs.event(
-            "ended",
-            id=call.parsed.attempt,
-            outcome=outcome,
-            status=status,
-            server=state.server,
-            server_limit=answer.reported.limit,
-            route=call.route.name,
-            events=tally.count,
-            prompt_tokens=call.parsed.prompt_tokens or None,
-            output_tokens=call.parsed.output_tokens or None,
-            first_ms=first_ms,
-            ms=replies.elapsed_ms(call.began_at),
-        )
-
 
 class _RetryableFailure(Exception):
     """A server answered with an error, and the request is retried at another one."""
@@ -442,9 +397,5 @@
         self.answer = answer
 
 
-def _unserved_refusal(state: progress.RequestState) -> exceptions.Refusal:
-    if state.may_have_run:
-        return exceptions.AnswerLost()
-    return exceptions.ServerDeclined(
-        "no server took it", retry_after_ms=UNREACHABLE_RETRY_MS
-    )
+def _do_nothing() -> None:
+    """Keep the retry budget: a first try takes nothing from it."""
