Lab: callers wait for Retry-After for at most a third of their time

Cause: a caller of the lab waited for any Retry-After that ended before its time was up; real callers wait for at most a third of the time that they have left.

Change: the wait is bounded by that share.

--- a/packages/dev/cassiaquay_dev/lab/simulation.py
+++ b/packages/dev/cassiaquay_dev/lab/simulation.py
@@ -20,6 +20,8 @@
 WATCH_SECONDS = 0.001
 # A refused caller retries once.
 MAX_ATTEMPTS = 2
+# It waits for Retry-After, but for no more than this share of its remaining time.
+MAX_WAIT_SHARE = 1.0 / 3.0
 IN_TIME, LATE, REFUSED, ABANDONED = "in time", "late", "refused", "left"
 
 
@@ -179,7 +181,7 @@
             watcher.cancel()
 
     async def _run_caller(self, request: traffic.Request) -> None:
-        """Send a request, and retry once if it is refused with a usable Retry-After."""
+        """Send a request, and retry once if it is refused."""
         kind = self.day.kinds[request.kind]
         arrived_at = clock.now()
         gives_up_at = arrived_at + kind.deadline_ms / 1000.0
@@ -210,10 +212,9 @@
             except exceptions.Refusal as refusal:
                 outcome = REFUSED
                 self.refused_at.append(clock.now() - self._load_started_at)
-                retry_at = clock.now() + (refusal.retry_after_ms or 0) / 1000.0
-                if retry_at >= gives_up_at:
-                    break
-                await asyncio.sleep(retry_at - clock.now())
+                seconds_left = max(gives_up_at - clock.now(), 0.0)
+                retry_after = (refusal.retry_after_ms or 0) / 1000.0
+                await asyncio.sleep(min(retry_after, seconds_left * MAX_WAIT_SHARE))
         first = monitor.first_at - arrived_at if monitor.first_at else 0.0
         self.ended.append(EndedRequest(request, outcome, number, first))
 
