Recognise retries of refused callers and serve them behind requests in time

Cause: a refused caller retries once, and its objective counts from its first attempt. Retries were taken for new requests: one whose objective had passed was served before a new one that could still be in time, and was refused at once when no slot came free within an objective that it no longer had.

Change, with keeper.returns = "planned" (default: share, as before): - the owner learns which time the callers of a route usually have; a request with less has lost the difference in an earlier attempt, and its objective counts from there (decisions/return_visits.py); - a demand whose objective had passed on arrival is served after those of its rank that can be in time and before less important ranks, and does not count as ahead of the former (decisions/returns.py); - Retry-After is nearly a third of the remaining time. The event shed names retry_after_ms, retry_recognized is logged in detail, and cassiaquay_gateway_recognized_retries_total counts by route.

--- a/packages/daemon/cassiaquay_daemon/decisions/objectives.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/objectives.py
@@ -26,9 +26,9 @@
     loads,
     policies,
     reservations,
+    returns,
     service_times,
     shards,
-    shedding,
     software_versions,
     team_order,
     weighing,
@@ -46,9 +46,6 @@
 # Number of demands over which the growth of a shard's wait is averaged: about as many
 # as are moved there between two of its reports.
 WAIT_STEP_DEMANDS = 4
-# Retry-After as a share of the remaining time; jitter adds up to half of it, so that
-# callers wait for at most a third. An overload lasts for seconds.
-RETRY_AFTER_SHARE = 2.0 / 9.0
 
 
 @policies.policies.register(NAME)
@@ -64,6 +61,7 @@
     def __init__(self, shard: shards.Shard):
         self._shard = shard
         self._order = team_order.TeamOrder()
+        self._returns = returns.plans.get(shard.settings.keeper.returns)()
         self._service_times: dict[str, tuple[int, service_times.ServiceTimes]] = {}
         self._arrivals = arrivals.Arrivals()
         self._kept_slots = reservations.Reservations()
@@ -83,6 +81,7 @@
         demand = waiting.demand
         self._arrivals.add(demand.rank)
         self._order.add(demand)
+        self._returns.queued(demand)
         objective = demand.first_ms or demand.remaining_ms
         self._objective_at[demand.id] = clock.now() + objective / 1000.0
 
@@ -90,6 +89,7 @@
         """Remove a demand that has left the queue."""
         demand = waiting.demand
         self._order.remove(demand)
+        self._returns.unqueued(demand)
         self._objective_at.pop(demand.id, None)
 
     def advanced(self, server: str, tokens: int, seconds: float) -> None:
@@ -137,7 +137,7 @@
                 self._shed_held_back(rank, now)
                 continue
             self._held_since.pop(rank, None)
-            order = self._order.order(rank)
+            order = self._returns.order(self._order.order(rank))
             near = order[: max(MAX_WEIGHED_DEMANDS - weighed_count, 0)]
             weighed_count += len(near)
             left = self._grant_in_time(near, now)
@@ -164,7 +164,8 @@
             if self._shard.cutoffs.is_held_back_by_others(rank):
                 break
             ahead += self._order.count(rank)
-            before = ahead + self._kept_slots.above(rank, now)
+            before = ahead - self._returns.count_late(rank)
+            before += self._kept_slots.above(rank, now)
             wait = self._forecast.wait_seconds(rank, before)
             step = (
                 self._forecast.wait_seconds(rank, before + WAIT_STEP_DEMANDS) - wait
@@ -310,13 +311,9 @@
             # Holds back the ranks below this one. The floor is not raised: if the
             # demands that a floor holds back renewed it, it would never end.
             self._shard.cutoffs.hold_back(rank, now + FLOOR_SECONDS)
-            retry_after_ms = self._retry_after_ms(waiting, now)
+            retry_after_ms = self._returns.retry_after_ms(waiting.deadline - now)
             self._shard.shed(waiting, "shed_overload", retry_after_ms)
 
-    def _retry_after_ms(self, waiting: shards.Waiting, now: float) -> int:
-        """Return the Retry-After of a refused demand."""
-        return shedding.retry_after_ms((waiting.deadline - now) * RETRY_AFTER_SHARE)
-
     def _is_abandoned(self, waiting: shards.Waiting, now: float) -> bool:
         abandoned_at = waiting.arrived_at + ABANDON_SECONDS
         return now > min(abandoned_at, waiting.deadline)
@@ -324,7 +321,7 @@
     def _shed(self, waiting: shards.Waiting, now: float) -> None:
         """Shed a demand, and keep a slot for its tier until its objective."""
         rank = waiting.demand.rank
-        retry_after_ms = self._retry_after_ms(waiting, now)
+        retry_after_ms = self._returns.retry_after_ms(waiting.deadline - now)
         if waiting.demand.software is None:
             # A resumed stream could not use the slots of most servers.
             self._kept_slots.add(rank, self._objective_at[waiting.demand.id])
--- /dev/null
+++ b/packages/daemon/cassiaquay_daemon/decisions/returns.py
@@ -0,0 +1,101 @@
+"""Retries of refused callers at a keeper: when they are told to retry, who goes first.
+
+Load pattern: under overload many callers are refused, and each retries once. Their
+objectives count from their first attempts, so most retries are late whenever they come.
+A late retry that is served before a request that can still be in time makes two
+requests late.
+
+A keeper sees a retry as a demand whose objective had passed when it arrived: its owner
+counts the objective from the first attempt (`return_visits`). Such a demand is served
+after those of its rank that can be in time, and before all less important ranks.
+"""
+
+import collections
+import random
+
+from cassiaquay_schema import messages, registry
+
+from . import shedding
+
+plans: registry.Registry[type["ShareReturns"]] = registry.Registry("plan of retries")
+
+SHARE = "share"
+PLANNED = "planned"
+# Retry-After as a share of the remaining time; jitter adds up to half of it, so that
+# callers wait for at most a third. An overload lasts for seconds.
+RETRY_AFTER_SHARE = 2.0 / 9.0
+# Callers wait for Retry-After if that is at most this share of their remaining time.
+MAX_WAIT_SHARE = 1.0 / 3.0
+# Jitter of late retries as a share of their wait.
+LATE_JITTER_SHARE = 0.1
+# An owner sends at least 1 ms as the time to the objective, also when it has passed.
+PASSED_OBJECTIVE_MS = 1
+
+
+@plans.register(SHARE)
+class ShareReturns:
+    """Retries after a random share of the remaining time, served like new requests."""
+
+    def retry_after_ms(self, seconds_left: float) -> int:
+        """Return the Retry-After of a refused demand, in milliseconds.
+
+        Parameters
+        ----------
+        seconds_left : float
+            Seconds until the demand's deadline.
+        """
+        return shedding.retry_after_ms(seconds_left * RETRY_AFTER_SHARE)
+
+    def queued(self, demand: messages.Demand) -> None:
+        """Handle a demand that was added to the queue."""
+
+    def unqueued(self, demand: messages.Demand) -> None:
+        """Handle a demand that was removed from the queue."""
+
+    def order(self, request_ids: list[str]) -> list[str]:
+        """Return the demands of a rank in the order in which they are served."""
+        return request_ids
+
+    def count_late(self, rank: int) -> int:
+        """Return how many demands of a rank wait behind those that can be in time."""
+        return 0
+
+
+@plans.register(PLANNED)
+class PlannedReturns(ShareReturns):
+    """Retries as late as callers wait, behind the demands that can be in time."""
+
+    def __init__(self) -> None:
+        self._late_ids: set[str] = set()
+        self._late_counts: collections.Counter[int] = collections.Counter()
+
+    def retry_after_ms(self, seconds_left: float) -> int:
+        """Return nearly a third of the remaining time.
+
+        A refused caller will be late in nearly all cases, and late is late. The longer
+        it waits, the more capacity is left to callers that can still be in time.
+        """
+        share = MAX_WAIT_SHARE * (1.0 - LATE_JITTER_SHARE * random.random())
+        return max(int(seconds_left * share * 1000.0), 1)
+
+    def queued(self, demand: messages.Demand) -> None:
+        """Note a demand that is late whenever it is served."""
+        if demand.first_ms == PASSED_OBJECTIVE_MS:
+            self._late_ids.add(demand.id)
+            self._late_counts[demand.rank] += 1
+
+    def unqueued(self, demand: messages.Demand) -> None:
+        """Forget a demand."""
+        if demand.id in self._late_ids:
+            self._late_ids.remove(demand.id)
+            self._late_counts[demand.rank] -= 1
+
+    def order(self, request_ids: list[str]) -> list[str]:
+        """Return the demands that are late in any case after all others."""
+        if not self._late_ids:
+            return request_ids
+        return sorted(request_ids, key=self._late_ids.__contains__)
+
+    def count_late(self, rank: int) -> int:
+        """Return how many demands of a rank are late whenever they are served."""
+        return self._late_counts[rank]
--- a/packages/daemon/cassiaquay_daemon/decisions/shards.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/shards.py
@@ -307,9 +307,7 @@
     ) -> None:
         """Refuse a demand; ``needed_seconds`` is the estimate that led to it."""
         self._unqueue(waiting.demand.id)
-        needed_ms = None
-        if needed_seconds is not None:
-            needed_ms = round(needed_seconds * 1000.0, 1)
+        needed_ms = needed_seconds and round(needed_seconds * 1000.0, 1)
         logs.event(
             "shed",
             id=waiting.demand.id,
@@ -319,6 +317,7 @@
             waited_ms=round((clock.now() - waiting.arrived_at) * 1000.0, 1),
             left_ms=round((waiting.deadline - clock.now()) * 1000.0, 1),
             needed_ms=needed_ms,
+            retry_after_ms=retry_after_ms,
         )
         waiting.replier.send(messages.Shed(waiting.demand.id, code, retry_after_ms))
 
--- a/packages/daemon/cassiaquay_daemon/gateway/accepting.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/accepting.py
@@ -2,9 +2,9 @@
 
 import math
 
-from .. import exceptions, pause
+from .. import exceptions, logs, pause
 from ..configured import routing
-from ..decisions import contents
+from ..decisions import contents, return_visits
 from ..fleet import configuration, servers
 from ..platform import headers
 from . import calls, replies
@@ -28,6 +28,8 @@
         Tells whether this instance's view of the platform may be outdated.
     pauses : Pauses
         Tells whether this instance's state is current after a start or a pause.
+    visits : ReturnVisits, optional
+        Recognises retries; without it every attempt counts as the first.
     """
 
     def __init__(
@@ -35,7 +37,9 @@
         configured: configuration.Configuration,
         server_list: servers.Servers,
         pauses: pause.Pauses,
+        visits: return_visits.ReturnVisits | None = None,
     ):
+        self._visits = visits
         self._pauses = pauses
         self._configured = configured
         self._servers = server_list
@@ -76,8 +80,25 @@
             began_at,
             calls.compute_deadline(began_at, parsed, route),
             contents.digest([parsed.host, scope["method"], target, caller], body),
+            self._age_seconds(route, parsed),
         )
 
+    def _age_seconds(
+        self, route: routing.Route, parsed: headers.ParsedHeaders
+    ) -> float:
+        # A stream that its caller resumes has begun, and is not a refused request.
+        if self._visits is None or parsed.last_event >= 0 or parsed.resumes:
+            return 0.0
+        age_seconds = self._visits.age_seconds(route.name, parsed.deadline_ms)
+        if age_seconds:
+            logs.detail(
+                "retry_recognized",
+                id=parsed.attempt,
+                route=route.name,
+                age_ms=round(age_seconds * 1000.0, 1),
+            )
+        return age_seconds
+
     def _team(
         self,
         routes: routing.Routing,
--- a/packages/daemon/cassiaquay_daemon/gateway/admission.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/admission.py
@@ -278,7 +278,7 @@
 def _patience_seconds(state: progress.RequestState) -> float:
     """Return how long the first event may take."""
     if state.software is None:
-        return state.call.objective_seconds_left
+        return state.call.first_event_seconds_left
     return min(RESUME_WAIT_SECONDS, state.call.seconds_left)
 
 
--- a/packages/daemon/cassiaquay_daemon/gateway/calls.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/calls.py
@@ -36,6 +36,8 @@
         Seconds on this clock; the request ends at the deadline.
     content : str
         Digest of what all attempts of one request have in common.
+    age_seconds : float
+        Time from the caller's first attempt to this one; 0 if this is the first.
     """
 
     method: str
@@ -50,6 +52,7 @@
     began_at: float
     deadline: float
     content: str = ""
+    age_seconds: float = 0.0
 
     @property
     def seconds_left(self) -> float:
@@ -81,9 +84,14 @@
 
     @property
     def objective_seconds_left(self) -> float:
-        """Seconds until the answer, or its first event, misses the objective."""
+        """Seconds until the objective of this attempt has passed."""
         return self.began_at + self.route.objective_seconds - clock.now()
 
+    @property
+    def first_event_seconds_left(self) -> float:
+        """Seconds until the answer, or its first event, is late for the caller."""
+        return self.objective_seconds_left - self.age_seconds
+
 
 def compute_deadline(
     began_at: float, parsed: headers.ParsedHeaders, route: routing.Route
--- a/packages/daemon/cassiaquay_daemon/gateway/service.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/service.py
@@ -13,7 +13,14 @@
 
 from .. import early_bind, listeners, logs, pause, sockets
 from ..configured import snapshots
-from ..decisions import budgets, held_bytes, paths, rate_budgets
+from ..decisions import (
+    budgets,
+    held_bytes,
+    paths,
+    rate_budgets,
+    return_visits,
+    returns,
+)
 from ..fleet import (
     configuration,
     crash_reports,
@@ -111,8 +118,12 @@
         self._gateway = settings.gateway
         self._membership = shared.membership
         self._parts = parts
+        self._visits = return_visits.ReturnVisits()
         acceptor = accepting.Acceptor(
-            shared.configured, shared.server_list, shared.pauses
+            shared.configured,
+            shared.server_list,
+            shared.pauses,
+            self._visits if settings.keeper.returns == returns.PLANNED else None,
         )
         self._front = front.Front(
             acceptor,
@@ -142,6 +153,7 @@
             self._relay.sent_count,
             dict(self._parts.resuming.counts),
             self._origin_count(),
+            dict(self._visits.counts),
             room.held.used,
             room.held.peak,
             room.waiting_count,
--- a/packages/daemon/cassiaquay_daemon/operators/metrics.py
+++ b/packages/daemon/cassiaquay_daemon/operators/metrics.py
@@ -252,6 +252,12 @@
     (),
     "Requests whose answers are not read on: those held here are at their bound.",
 )
+RETRIES = Family(
+    "cassiaquay_gateway_recognized_retries_total",
+    "counter",
+    ("route",),
+    "Attempts recognized as retries of refused callers by the time that they had left.",
+)
 LIMITED_GRANTS = Family(
     "cassiaquay_keeper_limited_grants_total",
     "counter",
@@ -344,6 +350,7 @@
     UNREACHABLE_SERVERS,
     RELAYED_REQUESTS,
     RESUMED_STREAMS,
+    RETRIES,
     STREAM_ORIGINS,
     HELD_BYTES,
     UNREAD_REQUESTS,
--- a/packages/daemon/cassiaquay_daemon/operators/reports.py
+++ b/packages/daemon/cassiaquay_daemon/operators/reports.py
@@ -121,6 +121,8 @@
         Streams that callers took up, by what was known of their origins.
     origins : int
         Streams of which it knows where they began.
+    retries : dict of str to int
+        Recognised retries of refused callers, by route.
     held_bytes, most_held_bytes : int
         Bytes of answers that are held now, and the most so far.
     waiting_answers : int
@@ -132,6 +134,7 @@
     as_relay: int
     resumed: dict[str, int]
     origins: int
+    retries: dict[str, int]
     held_bytes: int = 0
     most_held_bytes: int = 0
     waiting_answers: int = 0
@@ -375,6 +378,10 @@
             resumed[(origin,)] = count
         self.metrics.replace(metrics.RESUMED_STREAMS, resumed)
         self.metrics.replace(metrics.STREAM_ORIGINS, {(): reach.origins})
+        retries: dict[metrics.Key, float] = {}
+        for route, count in reach.retries.items():
+            retries[(route,)] = count
+        self.metrics.replace(metrics.RETRIES, retries)
         held: dict[metrics.Key, float] = {}
         held[("now",)] = reach.held_bytes
         held[("most",)] = reach.most_held_bytes
@@ -423,7 +430,7 @@
 
 def _no_gateway() -> Reach:
     """Return that nothing is lost or relayed: there is no gateway."""
-    return Reach({}, 0, 0, {}, 0)
+    return Reach({}, 0, 0, {}, 0, {})
 
 
 def _within_seconds(entry: owner.Entry) -> float:
--- a/packages/dev/cassiaquay_dev/lab/instances.py
+++ b/packages/dev/cassiaquay_dev/lab/instances.py
@@ -6,7 +6,12 @@
 
 from cassiaquay_daemon import pause, rendezvous
 from cassiaquay_daemon.configured import routing, snapshots
-from cassiaquay_daemon.decisions import objectives, server_states
+from cassiaquay_daemon.decisions import (
+    objectives,
+    return_visits,
+    returns,
+    server_states,
+)
 from cassiaquay_daemon.fleet import server_reports
 from cassiaquay_daemon.gateway import admission, calls
 from cassiaquay_daemon.keepers import demands, keeper
@@ -19,6 +24,8 @@
 POOL = "engines"
 MODEL = "model"
 HOST = "lab"
+# Setting `keeper.returns` of all instances.
+RETURNS: typing.Literal["share", "planned"] = "planned"
 
 
 class StaticConfiguration:
@@ -58,7 +65,7 @@
             domain=network.zones[name],
             keys=["lab"],
             platform=settings_schema.Platform(configuration="", instances=""),
-            keeper=settings_schema.Keeper(policy=policy),
+            keeper=settings_schema.Keeper(policy=policy, returns=RETURNS),
         )
         # The stand-ins implement only the methods that the roles use; the casts bypass
         # the type check against the daemon's own classes.
@@ -79,6 +86,7 @@
         self.admission = admission.Admission(
             self.demands, members, self.keeper.rate_limits, self.server_reports
         )
+        self.visits = return_visits.ReturnVisits()
         self._tasks: list[asyncio.Task[None]] = []
 
     def start(self) -> None:
@@ -128,6 +136,7 @@
     started_at: float,
     deadline: float,
     current: snapshots.Snapshot,
+    visits: return_visits.ReturnVisits,
 ) -> calls.Call:
     """Return a caller's attempt in the form that the gateway passes to admission."""
     kind = day.kinds[request.kind]
@@ -138,7 +147,7 @@
     parsed = headers.ParsedHeaders(
         HOST,
         attempt,
-        0,
+        round((deadline - started_at) * 1000.0),
         "",
         request.prompt_tokens,
         request.hinted_events * tokens,
@@ -148,8 +157,22 @@
     )
     route = _route(request.kind, kind)
     team = routing.Team(request.team, None, None)
+    age_seconds = 0.0
+    if RETURNS == returns.PLANNED:
+        age_seconds = visits.age_seconds(route.name, parsed.deadline_ms)
     return calls.Call(
-        "POST", "/", [], parsed, b"", route, POOL, team, current, started_at, deadline
+        "POST",
+        "/",
+        [],
+        parsed,
+        b"",
+        route,
+        POOL,
+        team,
+        current,
+        started_at,
+        deadline,
+        age_seconds=age_seconds,
     )
 
 
--- a/packages/dev/cassiaquay_dev/lab/mechanisms.py
+++ b/packages/dev/cassiaquay_dev/lab/mechanisms.py
@@ -10,10 +10,19 @@
 import math
 import typing
 
-from cassiaquay_daemon.decisions import forecasts, objectives, reservations, weighing
+from cassiaquay_daemon.decisions import (
+    forecasts,
+    objectives,
+    reservations,
+    return_visits,
+    returns,
+    weighing,
+)
 from cassiaquay_daemon.keepers import keeper, spillover
 from cassiaquay_schema import registry
 
+from . import instances
+
 SwitchOff = collections.abc.Callable[[], contextlib.AbstractContextManager[None]]
 mechanisms: registry.Registry[SwitchOff] = registry.Registry("mechanism")
 
@@ -84,10 +93,24 @@
 @mechanisms.register("return-later")
 def _return_later() -> contextlib.AbstractContextManager[None]:
     """Set Retry-After of refusals to the shortest permitted time."""
-    return _patched(objectives, "RETRY_AFTER_SHARE", 0.0)
+    return _patched(returns, "MAX_WAIT_SHARE", 0.0)
 
 
 @mechanisms.register("early-shards")
 def _early_shards() -> contextlib.AbstractContextManager[None]:
     """Open a shard only when its first demand arrives."""
     return _patched(keeper.Keeper, "_open_early", lambda self: None)
+
+
+@mechanisms.register("return-visits")
+def _return_visits() -> contextlib.AbstractContextManager[None]:
+    """Count the objectives of retries from the retry."""
+    return _patched(
+        return_visits.ReturnVisits, "age_seconds", lambda self, route, deadline_ms: 0.0
+    )
+
+
+@mechanisms.register("planned-returns")
+def _planned_returns() -> contextlib.AbstractContextManager[None]:
+    """Let refused callers retry at random, and treat them like new ones."""
+    return _patched(instances, "RETURNS", returns.SHARE)
--- a/packages/dev/cassiaquay_dev/lab/simulation.py
+++ b/packages/dev/cassiaquay_dev/lab/simulation.py
@@ -200,6 +200,7 @@
                 clock.now(),
                 gives_up_at,
                 self._snapshot,
+                instance.visits,
             )
             try:
                 async with asyncio.timeout_at(gives_up_at):
--- a/tests/objectives_fakes.py
+++ b/tests/objectives_fakes.py
@@ -9,9 +9,9 @@
 class Bench:
     """A shard with the objectives policy; tests simulate its engines' answers."""
 
-    def __init__(self, time: fakes.Time, slots: dict[str, int], **tokens: int):
+    def __init__(self, time: fakes.Time, slots: dict[str, int], **keeper: str):
         self.time = time
-        self.shard: shards.Shard = fakes.shard(slots)
+        self.shard: shards.Shard = fakes.shard(slots, **keeper)
         self.policy = fakes.policy(self.shard, objectives.NAME)
         self.owner = fakes.Owner()
         self.count = 0
