--- a/packages/daemon/cassiaquay_daemon/operators/metrics.py
+++ b/packages/daemon/cassiaquay_daemon/operators/metrics.py
@@ -241,6 +241,12 @@
     (),
     "Requests whose answers are not read on: those held here are at their bound.",
 )
+RETRIES = Family(
+    "cassiaquay_gateway_recognized_retries_total",
+    "counter",
+    ("route",),
+    "Attempts recognized as retries of refused callers by the time that they had left.",
+)
 LIMITED_GRANTS = Family(
     "cassiaquay_keeper_limited_grants_total",
     "counter",
@@ -347,6 +353,7 @@
     RELAYED_REQUESTS,
     RESUMED_STREAMS,
     PROCESS_CHECKS,
+    RETRIES,
     STREAM_ORIGINS,
     HELD_BYTES,
     UNREAD_REQUESTS,
