--- a/packages/daemon/cassiaquay_daemon/gateway/service.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/service.py
@@ -31,7 +31,7 @@
 )
 from ..keepers import demands, quotas
 from ..links import peers
-from ..operators import reports
+from ..operators import reach
 from . import (
     accepting,
     accounting,
@@ -145,10 +145,10 @@
         """Reports the outcomes of requests to its listeners."""
         return self._parts.accounting
 
-    def reach(self) -> reports.Reach:
+    def reach(self) -> reach.Reach:
         """Return which servers are reached, and what relays have done."""
         room = self._parts.room
-        return reports.Reach(
+        return reach.Reach(
             self._paths.lost_counts(),
             self._paths.relayed_count,
             self._relay.sent_count,
--- a/packages/daemon/cassiaquay_daemon/operators/reports.py
+++ b/packages/daemon/cassiaquay_daemon/operators/reports.py
@@ -2,7 +2,6 @@
 
 import collections.abc
 import time
-import types
 import typing
 
 from cassiaquay_schema import messages
@@ -15,7 +14,7 @@
 from ..keepers import keeper
 from ..links import peers
 from ..owners import owner, recovery
-from . import burn, history, metrics, silences, top_counts, unanswered
+from . import burn, history, metrics, reach, silences, top_counts, unanswered
 
 # Causes of lost answers that metrics tell apart. They are messages of refusals, which
 # are constants of the gateway today; a varying one must not grow the page.
@@ -107,41 +106,6 @@
     cause: str
 
 
-class Reach(typing.NamedTuple):
-    """Which servers this instance reaches, and what relays have done.
-
-    Attributes
-    ----------
-    lost_paths : dict of str to int
-        Number of servers that it cannot connect to, by service.
-    as_owner, as_relay : int
-        Requests of its own that others sent to a server, and the reverse.
-    resumed : dict of str to int
-        Streams that callers took up, by what was known of their origins.
-    origins : int
-        Streams of which it knows where they began.
-    retries : dict of str to int
-        Recognised retries of refused callers, by route.
-    held_bytes, most_held_bytes : int
-        Bytes of answers that are held now, and the most so far.
-    waiting_answers : int
-        Answers that wait for room.
-    process_checks : mapping of str to int
-        Servers asked whether they have restarted, by result.
-    """
-
-    lost_paths: dict[str, int]
-    as_owner: int
-    as_relay: int
-    resumed: dict[str, int]
-    origins: int
-    retries: dict[str, int]
-    held_bytes: int = 0
-    most_held_bytes: int = 0
-    waiting_answers: int = 0
-    process_checks: collections.abc.Mapping[str, int] = types.MappingProxyType({})
-
-
 class Reports:
     """Metrics, burn windows and history of one instance.
 
@@ -164,7 +128,8 @@
             report_settings.burn_max_cells,
             clock.now(),
         )
-        self.read_reach: collections.abc.Callable[[], Reach] = _no_gateway
+        self.read_reach: collections.abc.Callable[[], reach.Reach]
+        self.read_reach = reach.nothing
         self._parts = parts
         self._given_up = silences.GivenUpAnswers()
         self._lost_causes: set[str] = set()
@@ -305,7 +270,7 @@
         self._read_keeper()
         self._read_members()
         self._read_peers()
-        self._read_reach()
+        reach.record(self.metrics, self.read_reach())
         return self.metrics.render(accept)
 
     def _read_owner(self) -> None:
@@ -369,35 +334,6 @@
         evacuated = len(snapshot.fleet.evacuated) if snapshot is not None else 0
         self.metrics.replace(metrics.EVACUATED, {(): evacuated})
 
-    def _read_reach(self) -> None:
-        reach = self.read_reach()
-        lost_paths: dict[metrics.Key, float] = {}
-        for service, count in reach.lost_paths.items():
-            lost_paths[(service,)] = count
-        self.metrics.replace(metrics.UNREACHABLE_SERVERS, lost_paths)
-        counts: dict[metrics.Key, float] = {}
-        counts[("owner",)] = reach.as_owner
-        counts[("relay",)] = reach.as_relay
-        self.metrics.replace(metrics.RELAYED_REQUESTS, counts)
-        resumed: dict[metrics.Key, float] = {}
-        for origin, count in reach.resumed.items():
-            resumed[(origin,)] = count
-        self.metrics.replace(metrics.RESUMED_STREAMS, resumed)
-        checks: dict[metrics.Key, float] = {}
-        for result, count in reach.process_checks.items():
-            checks[(result,)] = count
-        self.metrics.replace(metrics.PROCESS_CHECKS, checks)
-        self.metrics.replace(metrics.STREAM_ORIGINS, {(): reach.origins})
-        retries: dict[metrics.Key, float] = {}
-        for route, count in reach.retries.items():
-            retries[(route,)] = count
-        self.metrics.replace(metrics.RETRIES, retries)
-        held: dict[metrics.Key, float] = {}
-        held[("now",)] = reach.held_bytes
-        held[("most",)] = reach.most_held_bytes
-        self.metrics.replace(metrics.HELD_BYTES, held)
-        self.metrics.replace(metrics.UNREAD_REQUESTS, {(): reach.waiting_answers})
-
     def _tier_name(self, demand: messages.Demand) -> str:
         snapshot = self._parts.configured.current
         if snapshot is not None:
@@ -440,11 +376,6 @@
         replace(metrics.ALARMS, {(name,): n for name, n in alarms.items()})
 
 
-def _no_gateway() -> Reach:
-    """Return that nothing is lost or relayed: there is no gateway."""
-    return Reach({}, 0, 0, {}, 0, {})
-
-
 def _within_seconds(entry: owner.Entry) -> float:
     for objective in entry.accepted.service_settings.objectives:
         if objective.tier == entry.accepted.tier:
