--- a/tests/hedging_fakes.py
+++ b/tests/hedging_fakes.py
@@ -308,6 +308,7 @@
         accounting.Accounting(),
         parts.resuming,
         holding.Room(held_bytes.HeldBytes()),
+        parts.process_checks,
     )
 
 
