Keep the names of a shard's siblings

Cause: a keeper asks for them for each demand that it might move to another shard, 23 times for each refusal of a full queue; each time all names were built. Change: they are cached by shard and number of shards.

--- a/packages/daemon/cassiaquay_daemon/configured/snapshots.py
+++ b/packages/daemon/cassiaquay_daemon/configured/snapshots.py
@@ -84,8 +84,7 @@
         pool, _, _ = shard.rpartition("#")
         if pool not in self.fleet.pools:
             return []
-        names = [f"{pool}#{number}" for number in range(self.shard_count(pool))]
-        return [name for name in names if name != shard]
+        return list(_other_shards(shard, self.shard_count(pool)))
 
     def shard_servers(self, shard: str) -> list[fleet_schema.Server]:
         """Return the backend servers of a shard such as ``tutor#0``."""
@@ -157,6 +156,14 @@
         return [] if found is None else found.servers
 
 
+@functools.lru_cache(maxsize=256)
+def _other_shards(shard: str, count: int) -> tuple[str, ...]:
+    # Asked for each demand that a keeper might move to another shard.
+    pool, _, _ = shard.rpartition("#")
+    names = (f"{pool}#{number}" for number in range(count))
+    return tuple(name for name in names if name != shard)
+
+
 Reader = collections.abc.Callable[[int, str], Snapshot]
 readers: registry.Registry[Reader] = registry.Registry("text format")
 
