--- a/packages/daemon/cassiaquay_daemon/keepers/demands.py
+++ b/packages/daemon/cassiaquay_daemon/keepers/demands.py
@@ -137,6 +137,9 @@
                 await self._wait_acknowledged(demand.id, patience)
             return await future
         except (asyncio.CancelledError, exceptions.KeeperUnresponsive):
+            if future.done() and not future.cancelled():
+                # A refusal that has come too late; unread, it would be logged.
+                future.exception()
             self.give_back(self._pending[demand.id].demand)
             raise
         finally:
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -1,6 +1,7 @@
 """Capacity for the gateway's requests while keepers crash, pause or are unreachable."""
 
 import asyncio
+import gc
 from unittest import mock
 
 import policy_fakes as fakes
@@ -123,6 +124,31 @@
     _run(work)
 
 
+def test_refusal_of_a_request_that_is_given_up_leaves_no_unread_error() -> None:
+    """Guards against errors on standard error while requests are refused in numbers.
+
+    A second server is looked for, the search is given up, and the keeper's refusal
+    arrives in the same pass of the loop.
+    """
+
+    async def work(site: Site) -> None:
+        unread = mock.Mock()
+        asyncio.get_running_loop().set_exception_handler(unread)
+        asking = site.obtain(1)
+        await asyncio.sleep(0.01)
+        site.demands.answer(site.keeper, messages.Shed("a1", "shed_overload", 500))
+        asking.cancel()
+        with pytest.raises(asyncio.CancelledError):
+            await asking
+        del asking
+        # The step of the loop that ends the task still refers to it.
+        await asyncio.sleep(0)
+        gc.collect()
+        unread.assert_not_called()
+
+    _run(work)
+
+
 def test_uncharged_permit_for_a_limited_server_is_returned() -> None:
     """Guards against a limit that a keeper which has just started does not know."""
 
