Weigh late retries only while a slot is free, and let few of them wait

Change: late retries are no longer tried as demands in time, are weighed only while a slot is free, and at most 32 of a rank wait in a shard.

--- a/packages/daemon/cassiaquay_daemon/decisions/objectives.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/objectives.py
@@ -137,21 +137,21 @@
                 self._shed_held_back(rank, now)
                 continue
             self._held_since.pop(rank, None)
-            order = self._returns.order(self._order.order(rank))
+            order, late = self._returns.split(self._order.order(rank))
             near = order[: max(MAX_WEIGHED_DEMANDS - weighed_count, 0)]
             weighed_count += len(near)
             left = self._grant_in_time(near, now)
             far = order[len(near) :]
-            if not left and not far:
-                continue
-            if not is_forecast_fresh:
-                self._forecast.refresh()
-                is_forecast_fresh = True
-            kept_count = self._kept_slots.above(rank, now)
-            waiting = self._decide_late(left, ahead + kept_count, now)
-            # The remaining demands are too many to weigh one by one, but those that
-            # cannot be in time must still be refused in this pass.
-            ahead = self._decide_unweighed(far, waiting, now) - kept_count
+            if left or far:
+                if not is_forecast_fresh:
+                    self._forecast.refresh()
+                    is_forecast_fresh = True
+                kept_count = self._kept_slots.above(rank, now)
+                waiting = self._decide_late(left, ahead + kept_count, now)
+                # The remaining demands are too many to weigh one by one, but those that
+                # cannot be in time must still be refused in this pass.
+                ahead = self._decide_unweighed(far, waiting, now) - kept_count
+            ahead += self._serve_returned(late, rank, now)
 
     def waits(self) -> list[messages.RankWait]:
         """Return the estimated wait in this shard of a new demand of each rank."""
@@ -293,6 +293,29 @@
             self._shed(waiting, now)
         return ahead
 
+    def _serve_returned(self, late: list[str], rank: int, now: float) -> int:
+        """Grant late retries the slots that are still free; return how many wait.
+
+        Their callers retry no more, so a few wait for whatever slot is left. They are
+        not weighed while all slots are taken.
+        """
+        waiting_count = 0
+        has_slot = True
+        for request_id in late:
+            waiting = self._shard.queue[request_id]
+            if has_slot:
+                best = self._weighing.best_choice(waiting, now, now)
+                if best is not None:
+                    self._grant(waiting, best)
+                    continue
+                kept_count = self._kept_slots.above(rank, now)
+                has_slot = self._servers.free_slots() > kept_count
+            if waiting_count >= returns.MAX_WAITING or self._is_abandoned(waiting, now):
+                self._shed(waiting, now)
+                continue
+            waiting_count += 1
+        return waiting_count
+
     def _shed_held_back(self, rank: int, now: float) -> None:
         """Shed the demands of a held-back tier that cannot be in time.
 
--- a/packages/daemon/cassiaquay_daemon/decisions/returns.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/returns.py
@@ -28,6 +28,9 @@
 MAX_WAIT_SHARE = 1.0 / 3.0
 # Jitter of late retries as a share of their wait.
 LATE_JITTER_SHARE = 0.1
+# Late retries of one rank that wait in a shard. Under overload new ones arrive faster
+# than slots are left to them; more would only be looked at again in every pass.
+MAX_WAITING = 32
 # An owner sends at least 1 ms as the time to the objective, also when it has passed.
 PASSED_OBJECTIVE_MS = 1
 
@@ -52,9 +55,9 @@
     def unqueued(self, demand: messages.Demand) -> None:
         """Handle a demand that was removed from the queue."""
 
-    def order(self, request_ids: list[str]) -> list[str]:
-        """Return the demands of a rank in the order in which they are served."""
-        return request_ids
+    def split(self, request_ids: list[str]) -> tuple[list[str], list[str]]:
+        """Return the demands that can be in time and those that cannot, in order."""
+        return request_ids, []
 
     def count_late(self, rank: int) -> int:
         """Return how many demands of a rank wait behind those that can be in time."""
@@ -90,11 +93,16 @@
             self._late_ids.remove(demand.id)
             self._late_counts[demand.rank] -= 1
 
-    def order(self, request_ids: list[str]) -> list[str]:
-        """Return the demands that are late in any case after all others."""
+    def split(self, request_ids: list[str]) -> tuple[list[str], list[str]]:
+        """Return the demands that can be in time and those that cannot, in order."""
         if not self._late_ids:
-            return request_ids
-        return sorted(request_ids, key=self._late_ids.__contains__)
+            return request_ids, []
+        in_time: list[str] = []
+        late: list[str] = []
+        for request_id in request_ids:
+            is_late = request_id in self._late_ids
+            (late if is_late else in_time).append(request_id)
+        return in_time, late
 
     def count_late(self, rank: int) -> int:
         """Return how many demands of a rank are late whenever they are served."""
