--- a/packages/daemon/cassiaquay_daemon/decisions/objectives.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/objectives.py
@@ -358,7 +358,7 @@
                     self._grant(waiting, best)
                     continue
                 kept_count = self._kept_slots.above(rank, now)
-                has_slot = self._servers.free_slots() > kept_count
+                has_slot = self._servers.free_slots(now) > kept_count
             if waiting_count >= returns.MAX_WAITING or self._is_abandoned(waiting, now):
                 self._shed(waiting, now)
                 continue
