Look at one instance's links for each heartbeat

Cause: each heartbeat copied a record to store the revision that it already had, and went through the last changes sent over all links, held in a weak dictionary.

--- a/packages/daemon/cassiaquay_daemon/fleet/facts.py
+++ b/packages/daemon/cassiaquay_daemon/fleet/facts.py
@@ -119,7 +119,10 @@
     def note_revision(self, instance: str, revision: int) -> None:
         """Note a member's configuration revision without counting it as a change."""
         known = self._records.get(instance)
-        if known is not None and known.member.revision and revision:
+        if known is None or known.member.revision == revision:
+            # Nearly all heartbeats.
+            return
+        if known.member.revision and revision:
             member = known.member._replace(revision=revision)
             self._records[instance] = known._replace(member=member)
 
--- a/packages/daemon/cassiaquay_daemon/fleet/gossip.py
+++ b/packages/daemon/cassiaquay_daemon/fleet/gossip.py
@@ -17,6 +17,9 @@
 BURST_SECONDS = 20.0
 
 
+_SentChanges = weakref.WeakKeyDictionary[peers.Link, int | None]
+
+
 class Portion(typing.NamedTuple):
     """Facts and suspicions carried by one heartbeat."""
 
@@ -44,15 +47,15 @@
         self._rate = float(bytes_per_second)
         self._budget_bytes = self._rate * BURST_SECONDS
         self._filled_at = clock.now()
-        self._sent_change: weakref.WeakKeyDictionary[peers.Link, int | None] = (
-            weakref.WeakKeyDictionary()
-        )
+        # The last change sent over each link, by the instance at its other end.
+        self._sent_changes: dict[str, _SentChanges] = {}
 
     def portion(self, link: peers.Link) -> Portion:
         """Return the changes not yet sent to a peer, as far as the budget allows."""
         self._refill()
         portion = Portion([], [])
-        change = self._sent_change.setdefault(link, None)
+        sent_changes = self._sent_to(link.instance)
+        change = sent_changes.setdefault(link, None)
         if change is None:
             # The digest in the peer's first heartbeat will show whether it has all
             # facts, as it mostly does. Until then it gets only the one on the sender.
@@ -73,19 +76,30 @@
                 continue
             portion.members.append(facts.with_current_uptime(record))
             self._budget_bytes -= MEMBER_BYTES
-        self._sent_change[link] = change
+        sent_changes[link] = change
         return portion
 
     def compare(self, instance: str, digest: int) -> None:
         """Note from a peer's table digest whether it already has all facts."""
         is_equal = digest == self._facts.digest
-        for link, change in self._sent_change.items():
-            if link.instance != instance:
-                continue
+        sent_changes = self._sent_changes.get(instance)
+        if sent_changes is None:
+            return
+        for link, change in sent_changes.items():
             if is_equal:
-                self._sent_change[link] = self._facts.changes
+                sent_changes[link] = self._facts.changes
             elif change is None:
-                self._sent_change[link] = 0
+                sent_changes[link] = 0
+
+    def _sent_to(self, instance: str) -> _SentChanges:
+        """Return the last changes sent over the links to an instance."""
+        sent_changes = self._sent_changes.get(instance)
+        if sent_changes is None:
+            # A new instance is seldom; forget those without links on this occasion.
+            for name in [name for name, sent in self._sent_changes.items() if not sent]:
+                del self._sent_changes[name]
+            sent_changes = self._sent_changes[instance] = weakref.WeakKeyDictionary()
+        return sent_changes
 
     def _refill(self) -> None:
         now = clock.now()
