Load no certificates at a start whatever the environment names

Cause: the entry point left SSL_CERT_FILE and SSL_CERT_DIR alone where the environment sets them; the HTTP client library then loads that bundle at its import, though no connection uses TLS. Change: both are set in any case. The test fails without that.

--- a/packages/daemon/cassiaquay_daemon/main.py
+++ b/packages/daemon/cassiaquay_daemon/main.py
@@ -25,9 +25,10 @@
     # the import time. The command enables collections again.
     gc.disable()
     # The HTTP client library loads the machine's certificate store when it is imported,
-    # which takes 80 of the 430 ms of CPU time of a start. No connection uses TLS.
+    # which takes 80 of the 430 ms of CPU time of a start. No connection uses TLS. Many
+    # environments set these variables.
     for name in CERTIFICATE_VARIABLES:
-        os.environ.setdefault(name, os.devnull)
+        os.environ[name] = os.devnull
     importlib.import_module("cassiaquay_daemon.command").run()
 
 
--- a/tests/test_early_bind.py
+++ b/tests/test_early_bind.py
@@ -4,6 +4,7 @@
 not be refused by all of them, as it would give up.
 """
 
+import os
 import pathlib
 import socket
 import subprocess
@@ -35,6 +36,36 @@
 entry.run()
 """
 
+LOADED_CERTIFICATES = """
+import sys, types
+import cassiaquay_daemon.main as entry
+
+class Command(types.ModuleType):
+    def run(self):
+        import ssl
+        print(ssl.create_default_context().cert_store_stats()["x509"])
+
+sys.modules["cassiaquay_daemon.command"] = Command("command")
+entry.run()
+"""
+PLAIN_CONTEXT = """
+import ssl
+print(ssl.create_default_context().cert_store_stats()["x509"])
+"""
+# A certificate of its own authority, made for this test; no connection uses it.
+CERTIFICATE = """
+-----BEGIN CERTIFICATE-----
+MIIBdTCCARugAwIBAgIUPajN6iF4fBT35MxbllLHyK/Hv2gwCgYIKoZIzj0EAwIw
+DzENMAsGA1UEAwwEdGVzdDAgFw0yNjEyMDQxMjU2MjdaGA8yMTI2MTExMDEyNTYy
+N1owDzENMAsGA1UEAwwEdGVzdDBZMBMGByqGSM49AgEGCCqGSM49AwEHA0IABJza
+AOqdKti3vcOSI+v+D4Z3zXhhxa6T2+CtCFrLBqymerRZM2WUFMftYOnK1VtyUYeh
+74CbbgWv9cT6TowC2g6jUzBRMB0GA1UdDgQWBBS4f5L+n63FBDQ08zpgcRQDhWMY
+zTAfBgNVHSMEGDAWgBS4f5L+n63FBDQ08zpgcRQDhWMYzTAPBgNVHRMBAf8EBTAD
+AQH/MAoGCCqGSM49BAMCA0gAMEUCIGp/YXlTWVhU4whN5nJCOZDVQf2HRj6PE/dI
+JDW1rbkiAiEAo517D6Sx8emMkLtkm3Qk+T7UafU025zVpc/zircY9i8=
+-----END CERTIFICATE-----
+"""
+
 
 def _free_port() -> int:
     with socket.create_server(("127.0.0.1", 0)) as bound:
@@ -89,3 +120,21 @@
         early_bind.listen_all(str(path))
     early_bind.listen_all(str(tmp_path / "missing.toml"))
     early_bind.close_unclaimed()
+
+
+def test_no_certificates_are_loaded_whatever_the_environment_names(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guards against a start that spends a tenth of its time on a certificate store."""
+    bundle = tmp_path / "bundle.pem"
+    bundle.write_text(CERTIFICATE)
+    environment = os.environ | {"SSL_CERT_FILE": str(bundle)}
+    for program, count in ((LOADED_CERTIFICATES, 0), (PLAIN_CONTEXT, 1)):
+        done = subprocess.run(
+            [sys.executable, "-c", program],
+            capture_output=True,
+            text=True,
+            check=True,
+            env=environment,
+        )
+        assert int(done.stdout) == count
