--- a/packages/daemon/cassiaquay_daemon/decisions/pool_shares.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/pool_shares.py
@@ -33,7 +33,7 @@
 # Teams named in a report; bounds its size in a fleet of thousands of teams.
 MAX_REPORTED_TEAMS = 16
 # Counts go out with every third of the reports that keepers send every 0.1 s: in a pool
-# of 19 shards, counts in each would cost a keeper 2% of a core.
+# of 19 shards, counts in each would cost a keeper up to 1.9% of a core.
 REPORT_PERIOD_SECONDS = 0.25
 # After three missing reports the keeper may be paused or partitioned, and its counts
 # are ignored; likewise when it goes on to report without counts.
