--- a/packages/dev/cassiaquay_dev/lab/instances.py
+++ b/packages/dev/cassiaquay_dev/lab/instances.py
@@ -19,6 +19,8 @@
 POOL = "engines"
 MODEL = "model"
 HOST = "lab"
+# As in deploy/settings.toml.template.
+TEAM_SHARES: typing.Literal["shard", "pool"] = "pool"
 
 
 class StaticConfiguration:
@@ -58,7 +60,7 @@
             domain=network.zones[name],
             keys=["lab"],
             platform=settings_schema.Platform(configuration="", instances=""),
-            keeper=settings_schema.Keeper(policy=policy),
+            keeper=settings_schema.Keeper(policy=policy, team_shares=TEAM_SHARES),
         )
         # The stand-ins implement only the methods that the roles use; the casts bypass
         # the type check against the daemon's own classes.
--- a/packages/dev/cassiaquay_dev/lab/mechanisms.py
+++ b/packages/dev/cassiaquay_dev/lab/mechanisms.py
@@ -14,6 +14,8 @@
 from cassiaquay_daemon.keepers import keeper, spillover
 from cassiaquay_schema import registry
 
+from . import instances
+
 SwitchOff = collections.abc.Callable[[], contextlib.AbstractContextManager[None]]
 mechanisms: registry.Registry[SwitchOff] = registry.Registry("mechanism")
 
@@ -51,6 +53,12 @@
     )
 
 
+@mechanisms.register("pool-shares")
+def _pool_shares() -> contextlib.AbstractContextManager[None]:
+    """Order the teams of a rank by the work that they got in one shard."""
+    return _patched(instances, "TEAM_SHARES", "shard")
+
+
 @mechanisms.register("overrun")
 def _overrun() -> contextlib.AbstractContextManager[None]:
     """Assume that an answer longer than its estimate ends immediately."""
