--- a/packages/dev/cassiaquay_dev/lab/instances.py
+++ b/packages/dev/cassiaquay_dev/lab/instances.py
@@ -26,6 +26,8 @@
 HOST = "lab"
 # Setting `keeper.returns` of all instances.
 RETURNS: typing.Literal["share", "planned"] = "planned"
+# As in deploy/settings.toml.template.
+TEAM_SHARES: typing.Literal["shard", "pool"] = "pool"
 
 
 class StaticConfiguration:
@@ -65,7 +67,9 @@
             domain=network.zones[name],
             keys=["lab"],
             platform=settings_schema.Platform(configuration="", instances=""),
-            keeper=settings_schema.Keeper(policy=policy, returns=RETURNS),
+            keeper=settings_schema.Keeper(
+                policy=policy, returns=RETURNS, team_shares=TEAM_SHARES
+            ),
         )
         # The stand-ins implement only the methods that the roles use; the casts bypass
         # the type check against the daemon's own classes.
--- a/packages/dev/cassiaquay_dev/lab/mechanisms.py
+++ b/packages/dev/cassiaquay_dev/lab/mechanisms.py
@@ -60,6 +60,12 @@
     )
 
 
+@mechanisms.register("pool-shares")
+def _pool_shares() -> contextlib.AbstractContextManager[None]:
+    """Order the teams of a rank by the work that they got in one shard."""
+    return _patched(instances, "TEAM_SHARES", "shard")
+
+
 @mechanisms.register("overrun")
 def _overrun() -> contextlib.AbstractContextManager[None]:
     """Assume that an answer longer than its estimate ends immediately."""
