--- a/packages/daemon/cassiaquay_daemon/gateway/accounting.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/accounting.py
@@ -100,6 +100,7 @@
             call.parsed.prompt_tokens,
             call.parsed.output_tokens,
             cause,
+            state.was_offered,
         )
         for listener in self._listeners:
             listener(finished)
--- a/packages/daemon/cassiaquay_daemon/gateway/progress.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/progress.py
@@ -28,6 +28,8 @@
         Number of servers that may have run it.
     tries : int
         Number of times that capacity was requested.
+    was_offered : bool
+        Whether it was sent to any server, even if that declined it.
     is_repeat : bool
         Whether a server has received it, so that sending it again takes a retry.
     search_began_at : float
@@ -76,6 +78,7 @@
         self.snapshot = call.snapshot
         self.runs = 0
         self.tries = 0
+        self.was_offered = False
         self.is_repeat = False
         self.search_began_at = 0.0
         self.last_event = call.parsed.last_event
--- a/packages/daemon/cassiaquay_daemon/gateway/replies.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/replies.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from .. import clock, exceptions, logs
+from ..operators import unanswered
 from ..platform import headers
 from . import progress
 
@@ -91,10 +92,22 @@
         route=state.call.route.name if state else None,
         server=state.server if state else None,
         tries=state.tries if state else None,
+        unsent_late=_is_late(state) or None,
         ms=elapsed_ms(began_at),
     )
 
 
+def _is_late(state: progress.RequestState | None) -> bool:
+    """Return whether a request ends late without having been sent to a server."""
+    if state is None:
+        return False
+    call = state.call
+    seconds = clock.now() - call.began_at
+    return unanswered.is_late_refusal(
+        state.was_offered, seconds, call.route.objective_seconds
+    )
+
+
 def elapsed_ms(at: float) -> float:
     """Return the milliseconds since ``at``, rounded for logs."""
     return round((clock.now() - at) * 1000.0, 1)
--- a/packages/daemon/cassiaquay_daemon/gateway/serving.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/serving.py
@@ -361,6 +361,7 @@
         # From here on the request may run. Only a server that reports that it did not
         # run it takes this back, or a relay that reports that it did not send it.
         state.runs += 1
+        state.was_offered = True
         state.search_began_at = 0.0
         state.receivers.add(ticket.server.name)
         self._parts.capacity.report_dispatched(ticket)
--- a/packages/daemon/cassiaquay_daemon/operators/metrics.py
+++ b/packages/daemon/cassiaquay_daemon/operators/metrics.py
@@ -119,6 +119,12 @@
     ("service", "cause"),
     "Requests that ended as `answer_lost`; the cause is that of their line `ended`.",
 )
+LATE_REFUSALS = Family(
+    "cassiaquay_gateway_late_refusals_total",
+    "counter",
+    ("service", "code"),
+    "Requests that ended unsent later than an eighth of their objective, by code.",
+)
 UNANSWERED = Family(
     "cassiaquay_gateway_unanswered_requests_total",
     "counter",
@@ -326,6 +332,7 @@
     SILENCES,
     KEPT_SERVERS,
     LOST_ANSWERS,
+    LATE_REFUSALS,
     UNANSWERED,
     LAG,
     ALARMS,
--- a/packages/daemon/cassiaquay_daemon/operators/reports.py
+++ b/packages/daemon/cassiaquay_daemon/operators/reports.py
@@ -53,6 +53,8 @@
         As counted by the server, or by the caller when the server reports none.
     cause : str
         The refusal's message, if the gateway ended the request.
+    was_offered : bool
+        Whether it was sent to a server.
     """
 
     service: str
@@ -67,6 +69,7 @@
     prompt_tokens: int
     output_tokens: int
     cause: str = ""
+    was_offered: bool = True
 
 
 class Silence(typing.NamedTuple):
@@ -216,6 +219,10 @@
         if finished.code == silences.LOST_CODE:
             cause = self._lost_cause(finished.cause)
             self.metrics.count(metrics.LOST_ANSWERS, (finished.service, cause))
+        if unanswered.is_late_refusal(
+            finished.was_offered, finished.seconds, finished.within_seconds
+        ):
+            self.metrics.count(metrics.LATE_REFUSALS, (finished.service, finished.code))
         self._given_up.record_end(
             finished.service, finished.server, finished.outcome, finished.code
         )
--- a/tests/test_repeated_demands.py
+++ b/tests/test_repeated_demands.py
@@ -9,7 +9,7 @@
 import hedging_fakes as fakes
 import pytest
 
-from cassiaquay_daemon import clock
+from cassiaquay_daemon import clock, logs
 from cassiaquay_daemon.configured import routing
 from cassiaquay_daemon.decisions import repeats
 from cassiaquay_dev.lab import virtual_time
@@ -179,3 +179,20 @@
     virtual_time.run(work())
     assert len(servers.demanded_at) == 3
     assert servers.budget.take(fakes.SERVICE)
+
+
+def test_late_refusal_of_an_unsent_request_is_told_in_the_log(monkeypatch) -> None:
+    """Guards against late refusals that look like those of requests sent before."""
+    ended: list[object] = []
+
+    def record(name: str, **fields: object) -> None:
+        if name == "ended":
+            ended.append(fields.get("unsent_late"))
+
+    monkeypatch.setattr(logs, "event", record)
+    unreachable = fakes.Plan([], fault="unreachable")
+    # The objective is shorter than eight times the pause after a failed connection.
+    _play([unreachable] * 2, sheds=ALWAYS, objective_seconds=0.05)
+    _play([unreachable] * 2, sheds=ALWAYS)
+    _play(_first("declined"), sheds=ALWAYS)
+    assert ended == [True, None, None]
--- a/tests/test_silence_metrics.py
+++ b/tests/test_silence_metrics.py
@@ -119,6 +119,22 @@
     operators_fakes.run(test)
 
 
+def test_late_refusals_are_counted_by_code() -> None:
+    """Guards against refusals that come late and are not seen by operators."""
+
+    async def test(instance: operators_fakes.Instance) -> None:
+        record = instance.reports.record_gateway_request
+        # The objective is 2 s.
+        for seconds, was_offered in ((0.24, False), (0.26, False), (0.26, True)):
+            refused = _finished(code="shed_overload")
+            record(refused._replace(seconds=seconds, was_offered=was_offered))
+        page = (await instance.call("/metrics")).body.decode()
+        labels = f'code="shed_overload",service="{SERVICE}"'
+        assert f"cassiaquay_gateway_late_refusals_total{{{labels}}} 1\n" in page
+
+    operators_fakes.run(test)
+
+
 def test_lost_answers_are_counted_by_the_cause_that_the_log_names() -> None:
     """Guards against one code that stands for several causes in the metrics."""
 
