Leave Retry-After as it was; late retries wait for half a second

Change: one Retry-After for both settings; the value of the setting is called recognized, since nothing is planned; late retries wait for 0.5 s at most.

--- a/packages/daemon/cassiaquay_daemon/decisions/objectives.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/objectives.py
@@ -61,7 +61,7 @@
     def __init__(self, shard: shards.Shard):
         self._shard = shard
         self._order = team_order.TeamOrder()
-        self._returns = returns.plans.get(shard.settings.keeper.returns)()
+        self._returns = returns.treatments.get(shard.settings.keeper.returns)()
         self._service_times: dict[str, tuple[int, service_times.ServiceTimes]] = {}
         self._arrivals = arrivals.Arrivals()
         self._kept_slots = reservations.Reservations()
@@ -310,10 +310,11 @@
                     continue
                 kept_count = self._kept_slots.above(rank, now)
                 has_slot = self._servers.free_slots() > kept_count
-            if waiting_count >= returns.MAX_WAITING or self._is_abandoned(waiting, now):
-                self._shed(waiting, now)
+            may_wait = now <= waiting.arrived_at + returns.MAX_WAIT_SECONDS
+            if may_wait and waiting_count < returns.MAX_WAITING:
+                waiting_count += 1
                 continue
-            waiting_count += 1
+            self._shed(waiting, now)
         return waiting_count
 
     def _shed_held_back(self, rank: int, now: float) -> None:
--- a/packages/daemon/cassiaquay_daemon/decisions/returns.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/returns.py
@@ -1,4 +1,4 @@
-"""Retries of refused callers at a keeper: when they are told to retry, who goes first.
+"""Retries of refused callers at a keeper: when they come, and who is served first.
 
 Load pattern: under overload many callers are refused, and each retries once. Their
 objectives count from their first attempts, so most retries are late whenever they come.
@@ -11,33 +11,33 @@
 """
 
 import collections
-import random
 
 from cassiaquay_schema import messages, registry
 
 from . import shedding
 
-plans: registry.Registry[type["ShareReturns"]] = registry.Registry("plan of retries")
+treatments: registry.Registry[type["ShareReturns"]] = registry.Registry(
+    "treatment of retries"
+)
 
 SHARE = "share"
-PLANNED = "planned"
+RECOGNIZED = "recognized"
 # Retry-After as a share of the remaining time; jitter adds up to half of it, so that
 # callers wait for at most a third. An overload lasts for seconds.
 RETRY_AFTER_SHARE = 2.0 / 9.0
-# Callers wait for Retry-After if that is at most this share of their remaining time.
-MAX_WAIT_SHARE = 1.0 / 3.0
-# Jitter of late retries as a share of their wait.
-LATE_JITTER_SHARE = 0.1
 # Late retries of one rank that wait in a shard. Under overload new ones arrive faster
 # than slots are left to them; more would only be looked at again in every pass.
 MAX_WAITING = 32
+# Time for which a late retry waits. A slot that is left by then comes at the cost of no
+# request in time; a caller that gets none is told while it can still turn elsewhere.
+MAX_WAIT_SECONDS = 0.5
 # An owner sends at least 1 ms as the time to the objective, also when it has passed.
 PASSED_OBJECTIVE_MS = 1
 
 
-@plans.register(SHARE)
+@treatments.register(SHARE)
 class ShareReturns:
-    """Retries after a random share of the remaining time, served like new requests."""
+    """Retries are served like new requests."""
 
     def retry_after_ms(self, seconds_left: float) -> int:
         """Return the Retry-After of a refused demand, in milliseconds.
@@ -64,23 +64,14 @@
         return 0
 
 
-@plans.register(PLANNED)
-class PlannedReturns(ShareReturns):
-    """Retries as late as callers wait, behind the demands that can be in time."""
+@treatments.register(RECOGNIZED)
+class RecognizedReturns(ShareReturns):
+    """Late retries are served after the demands of their rank that can be in time."""
 
     def __init__(self) -> None:
         self._late_ids: set[str] = set()
         self._late_counts: collections.Counter[int] = collections.Counter()
 
-    def retry_after_ms(self, seconds_left: float) -> int:
-        """Return nearly a third of the remaining time.
-
-        A refused caller will be late in nearly all cases, and late is late. The longer
-        it waits, the more capacity is left to callers that can still be in time.
-        """
-        share = MAX_WAIT_SHARE * (1.0 - LATE_JITTER_SHARE * random.random())
-        return max(int(seconds_left * share * 1000.0), 1)
-
     def queued(self, demand: messages.Demand) -> None:
         """Note a demand that is late whenever it is served."""
         if demand.first_ms == PASSED_OBJECTIVE_MS:
--- a/packages/daemon/cassiaquay_daemon/gateway/service.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/service.py
@@ -123,7 +123,7 @@
             shared.configured,
             shared.server_list,
             shared.pauses,
-            self._visits if settings.keeper.returns == returns.PLANNED else None,
+            self._visits if settings.keeper.returns == returns.RECOGNIZED else None,
         )
         self._front = front.Front(
             acceptor,
--- a/packages/schema/cassiaquay_schema/settings.py
+++ b/packages/schema/cassiaquay_schema/settings.py
@@ -126,8 +126,8 @@
         Maximum number of demands in the queue of a shard.
     policy : str
         Registered name of the policy that orders and places demands.
-    returns : typing.Literal['share', 'planned']
-        When refused callers retry, and whether retries yield to demands in time.
+    returns : typing.Literal['share', 'recognized']
+        Whether retries of refused callers are recognized and yield to requests in time.
     start_tokens : int
         Initial limit of tokens in flight of an engine without measurements.
     cold_excess : float
@@ -147,7 +147,7 @@
     renew_seconds: typing.Annotated[float, msgspec.Meta(gt=0)] = 0.7
     max_queue: typing.Annotated[int, msgspec.Meta(ge=1)] = 4000
     policy: str = "tiered"
-    returns: typing.Literal["share", "planned"] = "share"
+    returns: typing.Literal["share", "recognized"] = "share"
     start_tokens: typing.Annotated[int, msgspec.Meta(ge=1)] = 8000
     cold_excess: typing.Annotated[float, msgspec.Meta(gt=0)] = 1.0
     cold_slack: typing.Annotated[float, msgspec.Meta(ge=0)] = 2.0
