--- a/tests/test_accepting.py
+++ b/tests/test_accepting.py
@@ -6,6 +6,8 @@
 import pytest
 
 from cassiaquay_daemon import clock, exceptions, pause
+from cassiaquay_daemon.configured import routing
+from cassiaquay_daemon.decisions import return_visits
 from cassiaquay_daemon.gateway import accepting
 from cassiaquay_daemon.platform import headers
 
@@ -23,7 +25,7 @@
 class Snapshot(typing.NamedTuple):
     """An active configuration."""
 
-    routes: Routes
+    routes: Routes | routing.Routing
 
 
 class Configured:
@@ -82,3 +84,35 @@
             await _accept(acceptor)
 
     asyncio.run(run())
+
+
+def test_retry_is_accepted_with_the_age_that_its_deadline_tells() -> None:
+    """A refused caller returns; a stream that its caller resumes is no retry."""
+    kind = routing.Kind.STREAM
+    shares = (routing.Share("chat", 1),)
+    route = routing.Route("r", "h", "/", kind, shares, 9.0, 0.4, 0.4, 0, 2, True, True)
+    bounds = routing.Bounds(0, 0, 0.0, 0.0)
+    configured = Configured()
+    routes = routing.Routing(1, {"h": [route]}, {}, {}, False, {}, bounds)
+    configured.current = Snapshot(routes)
+    visits = return_visits.ReturnVisits()
+    acceptor = accepting.Acceptor(
+        configured, CurrentServers(), pause.Pauses(60.0), visits
+    )
+
+    async def receive() -> dict[str, object]:
+        return {"type": "http.request", "body": b""}
+
+    async def age_seconds(deadline_ms: int, last_event: int = -1) -> float:
+        parsed = headers.read([(b"host", b"h"), (b"cassiaquay-attempt-id", b"a1")])
+        parsed = parsed._replace(deadline_ms=deadline_ms, last_event=last_event)
+        scope = {**SCOPE, "raw_path": b"/"}
+        return (await acceptor.accept(scope, receive, parsed, 0.0)).age_seconds
+
+    async def run() -> None:
+        for _ in range(4):
+            assert await age_seconds(9_000) == 0.0
+        assert await age_seconds(6_000) == pytest.approx(3.0, abs=0.01)
+        assert await age_seconds(6_000, last_event=7) == 0.0
+
+    asyncio.run(run())
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -123,6 +123,16 @@
     _run(work)
 
 
+@pytest.mark.parametrize(("age_seconds", "first_ms"), [(0.1, 300), (3.0, 1)])
+def test_objective_of_a_retry_counts_from_its_first_attempt(
+    age_seconds: float, first_ms: int
+) -> None:
+    """Guards against a retry that the keeper serves like a new request."""
+    call = Site().call(1)._replace(age_seconds=age_seconds)
+    demand = admission._demand(progress.RequestState(call))
+    assert demand.first_ms == pytest.approx(first_ms, abs=20)
+
+
 def test_uncharged_permit_for_a_limited_server_is_returned() -> None:
     """Guards against a limit that a keeper which has just started does not know."""
 
