--- a/tests/test_returns.py
+++ b/tests/test_returns.py
@@ -55,6 +55,15 @@
     assert bench.owner.permits().keys() == {"runs", "retry"}
 
 
+def test_lower_rank_behind_many_late_retries_is_refused_at_once(bench) -> None:
+    """Guards against a lower rank that waits in vain for slots that retries get."""
+    for _ in range(20):
+        bench.demand(first_ms=LATE_MS)
+    bench.demand(name="lower", rank=1)
+    bench.serve()
+    assert bench.owner.sheds().keys() == {"lower"}
+
+
 def test_waiting_retries_do_not_lead_to_refusals_of_new_requests(bench) -> None:
     """Guards against counting late retries as ahead of a request of their rank."""
     for _ in range(20):
