--- a/packages/schema/cassiaquay_schema/settings.py
+++ b/packages/schema/cassiaquay_schema/settings.py
@@ -146,8 +146,8 @@
         Registered name of the policy that orders and places demands.
     team_shares : typing.Literal['shard', 'pool']
         Whose granted work orders the teams of a rank; policy `objectives` only.
-    returns : typing.Literal['share', 'planned']
-        When refused callers retry, and whether retries yield to demands in time.
+    returns : typing.Literal['share', 'recognized']
+        Whether retries of refused callers are recognized and yield to requests in time.
     start_tokens : int
         Initial limit of tokens in flight of an engine without measurements.
     cold_excess : float
@@ -168,7 +168,7 @@
     max_queue: typing.Annotated[int, msgspec.Meta(ge=1)] = 4000
     policy: str = "tiered"
     team_shares: typing.Literal["shard", "pool"] = "shard"
-    returns: typing.Literal["share", "planned"] = "share"
+    returns: typing.Literal["share", "recognized"] = "share"
     start_tokens: typing.Annotated[int, msgspec.Meta(ge=1)] = 8000
     cold_excess: typing.Annotated[float, msgspec.Meta(gt=0)] = 1.0
     cold_slack: typing.Annotated[float, msgspec.Meta(ge=0)] = 2.0
