Parse nothing after a part of a body that was not paused

Cause: the client library calls resume_reading after each part that is read; without a pause it then runs the parser over no bytes, through three classes, and starts a transport that is running. Change: the response handler returns if nothing is paused.

--- a/packages/daemon/cassiaquay_daemon/bounded_http.py
+++ b/packages/daemon/cassiaquay_daemon/bounded_http.py
@@ -115,6 +115,15 @@
         else:
             self._check_framing(len(data))
 
+    def resume_reading(self, resume_parser: bool = True) -> None:
+        """Go on reading, if that was paused.
+
+        The client library calls this after each part of a body that is read; without a
+        pause it would parse no bytes and start a transport that is running.
+        """
+        if self._reading_paused or self._buffer_paused:
+            super().resume_reading(resume_parser)
+
     def set_exception(self, exc: BaseException, *causes: BaseException) -> None:
         """Fail the answer."""
         if isinstance(exc, http_exceptions.HttpProcessingError):
