Keep the shards of a pool apart within the best class

Among 8 instances, rendezvous hashing gives two of a pool's 4 shards to the same one in 599 of 1,000 pools (69 with even placement among 86), so two busy keepers share a core. The first shards of a pool, as many as half of the class, now go to instances that no earlier shard has: 0 of 1,000. Without a smaller class (equal instances) nothing changes.

--- a/packages/daemon/cassiaquay_daemon/fleet/keeper_roles.py
+++ b/packages/daemon/cassiaquay_daemon/fleet/keeper_roles.py
@@ -10,6 +10,9 @@
 
 # Keys of limits have a blank after their kind, as in `quota blue`; no shard has one.
 LIMIT_MARK = " "
+# The name of a shard is that of its pool, this mark and its number.
+SHARD_MARK = "#"
+MAX_SEPARATED_SHARE = 0.5
 
 
 class KeeperRoles:
@@ -56,7 +59,21 @@
     def keeper_of(self, key: str) -> str:
         """Return the instance that should be the keeper of a shard or a limit."""
         if key not in self._keepers:
-            is_limit = LIMIT_MARK in key
-            names = self.placement.limits if is_limit else self.placement.shards
-            self._keepers[key] = rendezvous.first(key, names or [self._instance])
+            self._keepers[key] = self._choose(key)
         return self._keepers[key]
+
+    def _choose(self, key: str) -> str:
+        placement = self.placement
+        if LIMIT_MARK in key:
+            return rendezvous.first(key, placement.limits or [self._instance])
+        names = set(placement.shards) or {self._instance}
+        pool, _, number = key.rpartition(SHARD_MARK)
+        is_class = placement.shards != placement.limits and number.isdecimal()
+        # The best class is small: by hashing alone, two of four shards of a pool would
+        # mostly be at one of eight instances and share its processor. Only as many
+        # shards as half of the class are kept apart. With more, an instance that drops
+        # out would move many shards of others.
+        if is_class and int(number) < len(names) * MAX_SEPARATED_SHARE:
+            for earlier in range(int(number)):
+                names.remove(self.keeper_of(f"{pool}{SHARD_MARK}{earlier}"))
+        return rendezvous.first(key, names)
