--- a/packages/daemon/cassiaquay_daemon/gateway/process_checks.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/process_checks.py
@@ -19,8 +19,9 @@
 from . import admission, progress
 
 # A report takes one round trip and no slot. A server that takes longer is paused, or
-# behind a partition, and another one goes on sooner.
-TIMEOUT_SECONDS = 0.3
+# behind a partition; callers wait two seconds for an event, so that another server can
+# still go on in time.
+TIMEOUT_SECONDS = 0.8
 MAX_REPORT_BYTES = 1024 * 1024
 OK_STATUS = 200
 
--- a/tests/refusal_fakes.py
+++ b/tests/refusal_fakes.py
@@ -281,6 +281,7 @@
     parts.crashes.blocking.return_value = []
     parts.servers.blocking_cause.return_value = ""
     parts.resuming.resolve = mock.AsyncMock()
+    parts.process_checks.check = mock.AsyncMock()
     parts.paths.is_open.return_value = schedule.is_path_open
     parts.paths.has_progressed.return_value = False
     parts.paths.is_silent.return_value = False
@@ -300,6 +301,7 @@
             accounting.Accounting(),
             parts.resuming,
             holding.Room(held_bytes.HeldBytes()),
+            parts.process_checks,
         )
     )
 
