Run the daemon's relay in the schedules of refusals

The schedules modelled what a relay answers, so a relay that wrongly reports that it sent nothing was not covered. The daemon's RelayServer now runs in them, with a mutant that reports lost requests as not sent.

--- a/tests/refusal_fakes.py
+++ b/tests/refusal_fakes.py
@@ -28,6 +28,8 @@
     front,
     holding,
     progress,
+    relay_connections,
+    relaying,
     relays,
     replies,
     serving,
@@ -73,6 +75,62 @@
         """Close the connection."""
 
 
+class _Hop:
+    """One request at the daemon's relay, and the response that its owner reads."""
+
+    def __init__(self, relay: relaying.RelayServer, server: str):
+        self.status = 0
+        self.method = "POST"
+        self.headers: multidict.CIMultiDict[str] = multidict.CIMultiDict()
+        self.content = self
+        self.content_length = len(BODY)
+        self.total_bytes = 0
+        self._disconnected = asyncio.Event()
+        self._messages: asyncio.Queue[replies.Message | None] = asyncio.Queue()
+        self._is_body_sent = False
+        scope = {
+            "method": "POST",
+            "raw_path": f"/{server}".encode(),
+            "query_string": b"",
+            "headers": [(b"cassiaquay-attempt-id", ATTEMPT.encode())],
+            "extensions": {relay_connections.EXTENSION: mock.Mock()},
+        }
+        work = asyncio.create_task(relay(scope, self._receive, self._messages.put))
+        work.add_done_callback(lambda ended: self._messages.put_nowait(None))
+        self._work = work
+
+    async def read_head(self) -> None:
+        """Read status and headers; raise if the relay sends none."""
+        message = await self._messages.get()
+        if message is None:
+            raise aiohttp.ServerDisconnectedError
+        self.status = message["status"]
+        for name, value in message["headers"]:
+            self.headers.add(name.decode(), value.decode())
+
+    async def read(self, max_bytes: int) -> bytes:
+        """Return the next bytes, none at the end."""
+        while True:
+            message = await self._messages.get()
+            if message is None:
+                raise aiohttp.ClientPayloadError("cut")
+            if message["body"]:
+                return message["body"]
+            if not message["more_body"]:
+                return b""
+
+    def close(self) -> None:
+        """Close the connection to the relay."""
+        self._disconnected.set()
+
+    async def _receive(self) -> replies.Message:
+        if not self._is_body_sent:
+            self._is_body_sent = True
+            return {"type": "http.request", "body": b"", "more_body": False}
+        await self._disconnected.wait()
+        return {"type": "http.disconnect"}
+
+
 class World:
     """Everything around one request: keeper, servers, relays and configuration."""
 
@@ -100,6 +158,7 @@
         # The configuration under which the request is accepted.
         self.first = self._snapshot(is_changed=False)
         self._changed = self._snapshot(is_changed=True)
+        self._relay_server = _relay_server(self)
 
     # The configuration.
 
@@ -186,7 +245,7 @@
 
     async def request(
         self, method: str, url: yarl.URL, **options: typing.Any
-    ) -> _Response:
+    ) -> _Response | _Hop:
         """Send a request to a server or a relay; return the head of the answer."""
         assert url.host is not None
         before_sending = options["trace_request_ctx"]
@@ -233,41 +292,59 @@
 
     async def _relay(
         self, act: str, server: str, before_sending: forwarding.BeforeSending
-    ) -> _Response:
+    ) -> _Response | _Hop:
         await asyncio.sleep(self._schedule.connect_seconds)
         if act == "refused":
             raise aiohttp.ConnectionTimeoutError
         before_sending()
         if act == "not_sent":
             return _Response(relays.STATUS, {relays.OUTCOME: relays.NOT_SENT})
-        serving_it = asyncio.create_task(self._serve(server, _ignore))
-        serving_it.add_done_callback(_retrieve)
+        hop = _Hop(self._relay_server, server)
         if act == "cut_early":
-            # The relay sends the request on after its owner has lost it.
+            # The relay notices it a moment later, and may send the request until then.
+            loop = asyncio.get_running_loop()
+            loop.call_later(self._schedule.delivery_seconds, hop.close)
             raise aiohttp.ServerDisconnectedError
         try:
-            response = await asyncio.shield(serving_it)
-        except aiohttp.ConnectionTimeoutError:
-            return _Response(relays.STATUS, {relays.OUTCOME: relays.NOT_SENT})
-        except aiohttp.ClientError:
-            return _Response(relays.STATUS, {relays.OUTCOME: relays.BROKEN})
+            await hop.read_head()
+        except asyncio.CancelledError:
+            hop.close()
+            raise
         if act == "cut":
+            hop.close()
             raise aiohttp.ServerDisconnectedError
         if act in ("lost", "broken"):
+            hop.close()
             outcome = relays.LOST if act == "lost" else relays.BROKEN
             return _Response(relays.STATUS, {relays.OUTCOME: outcome})
-        response.headers[relays.OUTCOME] = relays.SENT
-        return response
+        return hop
 
 
-def _ignore() -> None:
-    """Do nothing: the relay checks by itself."""
+def _relay_server(world: World) -> relaying.RelayServer:
+    """Return the daemon's relay in a world; it reaches the servers itself."""
+    parts = mock.Mock()
+    parts.crashes.holds.return_value = False
+    parts.servers.blocking_cause.return_value = ""
+    parts.chosen_relays.parse = _parse_target
+    parts.pauses.earliest_arrival = clock.now
+    modelled = typing.cast(typing.Any, world)
+    sender = forwarding.Forwarder(modelled, parts.reports, parts.paths, modelled)
+    return relaying.RelayServer(
+        relaying.Parts(
+            modelled,
+            sender,
+            parts.crashes,
+            parts.servers,
+            parts.pauses,
+            parts.chosen_relays,
+            holding.Room(held_bytes.HeldBytes()),
+        ),
+        "incarnation",
+    )
 
 
-def _retrieve(task: "asyncio.Task[_Response]") -> None:
-    """Mark the error of a task that nobody waits for as handled."""
-    if not task.cancelled():
-        task.exception()
+def _parse_target(path: str, query: str, incarnation: str) -> relays.Target:
+    return relays.Target(SERVICE, path.strip("/"), "", "", "/")
 
 
 def handler(world: World, schedule: refusal_plans.Schedule) -> serving.RequestHandler:
--- a/tests/test_refusal_schedules.py
+++ b/tests/test_refusal_schedules.py
@@ -17,6 +17,7 @@
     forwarding,
     front,
     hedging,
+    relays,
     serving,
     tries,
 )
@@ -149,6 +150,12 @@
     monkeypatch.setattr(forwarding.Forwarder, "_send_by", send)
 
 
+def _deny_lost_requests(monkeypatch) -> None:
+    """Let relays tell of requests whose servers were lost that they sent nothing."""
+    monkeypatch.setattr(relays, "LOST", relays.NOT_SENT)
+    monkeypatch.setattr(relays, "BROKEN", relays.NOT_SENT)
+
+
 def _refuse_at_the_deadline(monkeypatch) -> None:
     """Refuse each request at its deadline, and by the keeper's word, as not run."""
 
@@ -214,6 +221,7 @@
     (_mark_at_the_answer, "refused"),
     (_take_cuts_for_declined, "refused"),
     (_trust_lost_relays, "refused"),
+    (_deny_lost_requests, "refused"),
     (_refuse_at_the_deadline, "refused"),
     (_refuse_all_at_shutdown, "refused"),
     (_refuse_all_that_leave, "refused"),
