Let default arguments follow a replaced clock again

Change: clock.now is a function again; only the machine's clock is called directly. A test guards against it.

--- a/packages/daemon/cassiaquay_daemon/clock.py
+++ b/packages/daemon/cassiaquay_daemon/clock.py
@@ -11,16 +11,23 @@
 # suspension, so that leases that expired meanwhile count as expired after it.
 machine: Source = functools.partial(time.clock_gettime, time.CLOCK_BOOTTIME)
 
-# Returns seconds on the clock in use. A request asks for it about 60 times, a pass over
-# a queue 30 times, so it is the source itself, not a function that calls it.
-now: Source = machine
+_source: Source = machine
+
+
+def now() -> float:
+    """Return seconds on the clock in use.
+
+    A function, not the source itself: a default argument that holds it must follow
+    :func:`use`, too.
+    """
+    return _source()
 
 
 def use(source: Source) -> Source:
     """Replace the clock by ``source``, as tests do; return the previous one."""
-    global now
-    before = now
-    now = source
+    global _source
+    before = _source
+    _source = source
     return before
 
 
--- a/tests/test_pause.py
+++ b/tests/test_pause.py
@@ -263,3 +263,17 @@
 def _stand_still(seconds: float) -> None:
     """Let no other task of this process run."""
     time.sleep(seconds)
+
+
+def test_pauses_follow_a_clock_that_is_replaced_later() -> None:
+    """Guards against a default argument that keeps the clock of the import.
+
+    A simulated daemon would then look for pauses on the machine's clock.
+    """
+    before = clock.use(lambda: 5.0)
+    try:
+        pauses = pause.Pauses(1.0)
+        clock.use(lambda: 50.0)
+        assert not pauses.is_current
+    finally:
+        clock.use(before)
