--- a/tests/test_pause.py
+++ b/tests/test_pause.py
@@ -282,3 +282,17 @@
         return lags[seen:]
 
     assert asyncio.run(run())[0] >= 0.25
+
+
+def test_pauses_follow_a_clock_that_is_replaced_later() -> None:
+    """Guards against a default argument that keeps the clock of the import.
+
+    A simulated daemon would then look for pauses on the machine's clock.
+    """
+    before = clock.use(lambda: 5.0)
+    try:
+        pauses = pause.Pauses(1.0)
+        clock.use(lambda: 50.0)
+        assert not pauses.is_current
+    finally:
+        clock.use(before)
