--- a/packages/daemon/cassiaquay_daemon/decisions/instance_load.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/instance_load.py
@@ -1,7 +1,7 @@
 """Decides whether this instance is slow, from the lag of its own event loop.
 
 Load pattern: 15% of the instances get 6.5 times less of their processors for 4 s, or an
-instance starts on a busy machine. Nobody else can tell a slow instance from a busy
+instance starts on a busy machine. Others cannot tell a slow instance from a busy
 network, but its own timers fire late.
 
 A move of a keeper's role closes its shard for up to 0.45 s. So slowness must last
--- a/packages/daemon/cassiaquay_daemon/decisions/return_visits.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/return_visits.py
@@ -7,7 +7,7 @@
 Nothing but the remaining time that a caller states distinguishes a retry. The callers
 of a route usually begin with the same time; a request with clearly less of it has lost
 the difference in an earlier attempt. A caller that states less time than it has only
-gets a later position in the queue, so that nobody gains by it.
+gets a later position in the queue, so that no caller gains by it.
 """
 
 import collections
--- a/packages/daemon/cassiaquay_daemon/decisions/returns.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/returns.py
@@ -29,7 +29,7 @@
 # than slots are left to them; more would only be looked at again in every pass.
 MAX_WAITING = 32
 # Time for which a late retry waits. A slot that is left by then comes at the cost of no
-# request in time; a caller that gets none is told while it can still turn elsewhere.
+# request in time; a caller that gets none is refused while it can still turn elsewhere.
 MAX_WAIT_SECONDS = 0.5
 # An owner sends at least 1 ms as the time to the objective, also when it has passed.
 PASSED_OBJECTIVE_MS = 1
--- a/packages/daemon/cassiaquay_daemon/gateway/process_checks.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/process_checks.py
@@ -38,7 +38,7 @@
     http : ClientSession
         Session for requests to servers.
     observed : Paths
-        Tells which servers this instance reaches itself.
+        The servers that this instance reaches itself.
     capacity : Admission
         Takes back the tickets that are not used.
 
--- a/packages/daemon/cassiaquay_daemon/keepers/hand_overs.py
+++ b/packages/daemon/cassiaquay_daemon/keepers/hand_overs.py
@@ -2,7 +2,7 @@
 
 Load pattern: the keeper becomes slow while hundreds of demands wait in its queue. Their
 owners repeat them every renewal period, and learn of the new keeper by gossip, which
-takes longer in a large fleet. Told at once, they lose only a round trip.
+takes longer in a large fleet. Redirected at once, they lose only a round trip.
 """
 
 import collections
@@ -28,7 +28,7 @@
     settings : Settings
         How keepers are placed; without placement by capacity, this does nothing.
     membership : Membership
-        Tells whether this instance is slow.
+        Whether this instance is slow.
 
     Attributes
     ----------
--- a/tests/test_repeated_demands.py
+++ b/tests/test_repeated_demands.py
@@ -161,7 +161,7 @@
 
 
 def test_caller_that_leaves_ends_the_search() -> None:
-    """Guards against requests that ask for capacity for nobody."""
+    """Guards against requests that seek capacity after their callers left."""
     servers = fakes.Fleet(_first("cut"), random.Random(1), [0.01])
     servers.sheds = ALWAYS
     servers.is_ordered = True
--- a/tests/test_slow_keepers.py
+++ b/tests/test_slow_keepers.py
@@ -1,6 +1,6 @@
 """Keeper roles that move because an instance is slow, and views that differ meanwhile.
 
-A keeper gets 6.5 times less of its processor for some seconds. It tells the others, and
+A keeper gets 6.5 times less of its processor for some seconds. It informs the others, and
 its shards move to instances that are not slow; later they return.
 """
 
@@ -213,7 +213,7 @@
 
 
 def test_a_lost_update_about_a_slow_instance_is_repaired() -> None:
-    """Its connections break while it becomes slow, so that nobody is told.
+    """Its connections break while it becomes slow, so that no instance learns of it.
 
     Guards against a keeper that others use for as long as it runs.
     """
