--- a/tests/test_slow_keepers.py
+++ b/tests/test_slow_keepers.py
@@ -1,7 +1,7 @@
 """Keeper roles that move because an instance is slow, and views that differ meanwhile.
 
-A keeper gets 6.5 times less of its processor for some seconds. It informs the others, and
-its shards move to instances that are not slow; later they return.
+A keeper gets 6.5 times less of its processor for some seconds. It informs the others,
+and its shards move to instances that are not slow; later they return.
 """
 
 import asyncio
