--- a/review/standins/callers.py
+++ b/review/standins/callers.py
@@ -22,6 +22,11 @@
         API key.
     recorded : Record
         Receives what was sent and answered.
+
+    Attributes
+    ----------
+    attempt : str
+        Id of the last attempt.
     """
 
     def __init__(self, host: str, port: int, key: str, recorded: record.Record):
@@ -29,8 +34,14 @@
         self._port = port
         self._key = key
         self._recorded = recorded
+        self.attempt = ""
         self._streams: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
 
+    @property
+    def is_open(self) -> bool:
+        """Whether the next request is sent on a connection that was kept."""
+        return self._streams is not None
+
     async def ask(
         self,
         method: str,
@@ -40,7 +51,7 @@
         headers: http.Headers | None = None,
     ) -> http.Message | None:
         """Send one attempt; return its answer, None if it got none."""
-        attempt = f"{next(_NUMBERS):06x}{uuid.uuid4().hex[:10]}"
+        attempt = self.attempt = f"{next(_NUMBERS):06x}{uuid.uuid4().hex[:10]}"
         pairs = {
             "Host": "caller.example",
             "Cassiaquay-Attempt-Id": attempt,
