Review case 2: a random id as the number, readiness and the removed entry recorded

The entry's number is a random id of 128 bits, as another program may write; the script records that all instances say that they are ready, and takes the entry away again.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -29,8 +29,8 @@
 DRAIN_SECONDS = 2.0
 # Long after the release, and after the foreign entry has been taken away.
 SERVED_FROM_SECONDS = 28.0
-# As another program may write it: a service that is in no configuration, and a sequence
-# number of 128 bits.
+# As another program may write it: a service that is in no configuration, and a random
+# id of 128 bits as its sequence number.
 FOREIGN = {
     "service": "inventory",
     "addr": "127.0.0.1:9",
@@ -39,7 +39,7 @@
     "slots": 1,
     "state": "ready",
     "cold-left-ms": 0,
-    "seq": 2**128 - 1,
+    "seq": 0xC2A9_4F0E_7D13_4B6A_9E55_0B7C_21D8_F364,
 }
 
 
@@ -152,8 +152,10 @@
         await deployment.platform.remove("servers/inventory-7")
         recorded.note("foreign_entry_removed")
     await asyncio.gather(*asking)
+    ready = [await instance.is_ready() for instance in deployment.instances]
+    recorded.note("ready", instances=ready)
     recorded.note("after_release", served=use.served, unserved=use.unserved)
-    print(f"after the release: {use.served} served, {use.unserved} not")
+    print(f"after the release: {use.served} served, {use.unserved} not; ready: {ready}")
     return use.broken
 
 
