--- a/review/standins/store.py
+++ b/review/standins/store.py
@@ -10,6 +10,7 @@
 from . import http
 
 PAGE_ITEMS = 500
+PAGE_BYTES = 1_000_000
 
 
 class Store:
@@ -88,9 +89,16 @@
     def _page(self, prefix: str, after: str) -> dict[str, typing.Any]:
         keys = [key for key in sorted(self._items) if key > after]
         keys = [key for key in keys if key.startswith(prefix)]
+        items = []
+        size = 0
+        for key in keys[:PAGE_ITEMS]:
+            size += len(self._items[key][1])
+            if items and size > PAGE_BYTES:
+                break
+            items.append(self._item(key))
         return {
-            "items": [self._item(key) for key in keys[:PAGE_ITEMS]],
-            "truncated": len(keys) > PAGE_ITEMS,
+            "items": items,
+            "truncated": len(keys) > len(items),
             "current-rev": self._revision,
         }
 
