--- a/review/standins/http.py
+++ b/review/standins/http.py
@@ -58,7 +58,10 @@
         return await reader.readexactly(int(headers.get("content-length", "0")))
     body = b""
     while True:
-        size = int((await reader.readline()).split(b";")[0], 16)
+        line = await reader.readline()
+        if not line.endswith(b"\n"):
+            raise asyncio.IncompleteReadError(body, None)
+        size = int(line.split(b";")[0], 16)
         body += await reader.readexactly(size)
         await reader.readexactly(2)
         if not size:
