A late copy of a declined answer refuses no booking that runs

Callers saw: a booking answered 503, "not run", that had run. With two attempts on its route the instance could send it to a second server.

Cause: the attempt id of an answer was compared with the request's unless the answer bore Cassiaquay-Not-Executed or status 421. A server's late copy of an earlier such answer was taken for the booking's own. The check also came after the client library had put the connection back into its pool, so the next request could read the answer after that one.

Change: the response handler knows the attempt that it sent. It drops a complete answer that names another one, reads the awaited one behind it and does not use the connection again; an incomplete one fails the request as possibly run. After an answer that declines and names no id the connection is not used again: its copy could not be told from the next answer. One comparison serves direct and relayed answers. The same fault, fixed by it: a copy in place of a server's report counted as "no report", which confirmed a restarted server.

The mutant "accept any answer" of tests/test_gateway_schedules.py now disables both comparisons; what it checks is unchanged.

--- a/packages/daemon/cassiaquay_daemon/bounded_http.py
+++ b/packages/daemon/cassiaquay_daemon/bounded_http.py
@@ -79,7 +79,7 @@
         if self._body is not None:
             self._has_surplus = True
             return
-        if not _is_interim(message.code):
+        if not is_interim(message.code):
             self._body = body
             self._body_bytes = -1
             self._bytes_without_progress = 0
@@ -215,7 +215,8 @@
     return bytes(body)
 
 
-def _is_interim(status: int) -> bool:
+def is_interim(status: int) -> bool:
+    """Return whether another answer follows to the same request."""
     if status == SWITCHING_PROTOCOLS_STATUS:
         return False
     return status < FIRST_FINAL_STATUS
--- a/packages/daemon/cassiaquay_daemon/gateway/connections.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/connections.py
@@ -10,7 +10,7 @@
 import aiohttp
 import multidict
 
-from .. import bounded_http, clock, sockets
+from .. import bounded_http, clock, logs, sockets
 from ..adapters import backends, breaks
 from ..decisions import paths
 from ..platform import headers
@@ -26,7 +26,11 @@
 
 
 class _ResponseHandler(bounded_http.BoundedHandler):
-    """Response handler that reports lost connections and observes the path.
+    """Response handler that skips other requests' answers and observes the path.
+
+    A server may send a late copy of an earlier answer in place of the next one. It is
+    recognized here, before the client library puts the connection back into its pool
+    or takes the status for that of the request under way.
 
     Parameters
     ----------
@@ -40,6 +44,9 @@
         super().__init__(loop)
         self._paths = observed
         self._address = ""
+        # Id of the attempt whose answer is awaited; empty for a request without one.
+        self._attempt = ""
+        self._has_skipped = False
         # As stated by the last answer.
         self._idle_seconds = math.inf
         self._reusable_until = math.inf
@@ -48,16 +55,50 @@
         """Return whether the connection may be used again."""
         return super().is_connected() and clock.now() < self._reusable_until
 
-    def feed_data(self, data: bounded_http.Received, size: int = 0) -> None:
-        """Read from the head of an answer how long the server keeps idle connections.
+    def expect(self, attempt: str) -> None:
+        """Take the next answer for that of an attempt."""
+        self._attempt = attempt
 
-        The client library ignores it.
-        """
-        message, _ = data
+    def feed_data(self, data: bounded_http.Received, size: int = 0) -> None:
+        """Take the head of the awaited answer, and skip other requests' answers."""
+        message, body = data
+        if bounded_http.is_interim(message.code) or self._exception is not None:
+            super().feed_data(data, size)
+            return
+        answered = headers.answered_attempts(message.headers)
+        if answered - {self._attempt}:
+            self._skip(message, body)
+            return
+        if not answered and headers.is_not_executed(message.code, message.headers):
+            if self._has_skipped:
+                self._fail(bounded_http.InvalidResponse("an answer of no request"))
+                return
+            # A late copy of it could not be told from the next request's answer.
+            self.force_close()
+        # The client library ignores how long the server keeps idle connections.
         self._idle_seconds = _read_idle_seconds(message.headers)
         self._reusable_until = math.inf
         super().feed_data(data, size)
 
+    def _skip(
+        self, message: aiohttp.http.RawResponseMessage, body: aiohttp.StreamReader
+    ) -> None:
+        """Drop a complete answer of another request; fail if it is not complete."""
+        logs.event(
+            "surplus_answer",
+            address=self._address,
+            id=self._attempt,
+            status=message.code,
+        )
+        self._has_skipped = True
+        self.force_close()
+        if not body.is_eof():
+            # The rest of it would have to be read before the awaited answer.
+            self._fail(bounded_http.InvalidResponse("an answer of another request"))
+            return
+        # Otherwise reading from the connection would stay paused.
+        body.read_nowait()
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Record the server that this connects to."""
         peer = transport.get_extra_info("peername")
@@ -115,6 +156,8 @@
         headers.shorten_deadline(self.headers, elapsed_ms)
         # A server may answer, or be paused, before it has read a long body.
         size = int(self.headers.get(aiohttp.hdrs.CONTENT_LENGTH, "0"))
+        if isinstance(conn.protocol, _ResponseHandler):
+            conn.protocol.expect(self.headers.get(headers.ATTEMPT.decode(), ""))
         if conn.transport is not None:
             # On a connection that was lost meanwhile, sending fails and reports it.
             with contextlib.suppress(OSError):
--- a/packages/daemon/cassiaquay_daemon/gateway/forwarding.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/forwarding.py
@@ -24,8 +24,6 @@
 SILENCE_SECONDS = 0.25
 FIRST_FINAL_STATUS = 200
 FIRST_REDIRECT_STATUS = 300
-# Another server now has the address of the intended one.
-WRONG_SERVER_STATUS = 421
 FIRST_SERVER_ERROR_STATUS = 500
 LAST_STATUS = 599
 STATUSES_WITHOUT_BODY = (204, 304)
@@ -256,14 +254,7 @@
         if not FIRST_FINAL_STATUS <= response.status <= LAST_STATUS:
             response.close()
             raise exceptions.StreamInterrupted(f"status {response.status} is invalid")
-        found = _read_signals(outgoing.attempt, response)
-        if found is None and response.status != WRONG_SERVER_STATUS:
-            # A surplus answer on a kept-alive connection belongs to an earlier request
-            # and may be another caller's.
-            response.close()
-            raise exceptions.StreamInterrupted("the answer is not of this request")
-        if found is not None:
-            self._reports.answered(sent, found, _is_failure(response))
+        self._note_answer(outgoing.attempt, sent, response)
         return response
 
     async def relay(
@@ -329,11 +320,28 @@
             raise exceptions.StreamInterrupted("the relay has lost the answer")
         self._relays.succeeded(relay, call.service)
         self._paths.relayed(server.address)
-        found = _read_signals(outgoing.attempt, response)
-        if found is not None:
-            self._reports.answered(sent, found, _is_failure(response))
+        self._note_answer(outgoing.attempt, sent, response)
         return response
 
+    def _note_answer(
+        self,
+        attempt: str,
+        sent: server_reports.Sent,
+        response: aiohttp.ClientResponse,
+    ) -> None:
+        """Record what an answer says of its server; raise if it is another request's.
+
+        A late copy of an earlier answer may be another caller's, or say of another
+        request that it was not executed.
+        """
+        if not headers.may_answer(attempt, response.status, response.headers):
+            response.close()
+            raise exceptions.StreamInterrupted("the answer is not of this request")
+        if response.status == headers.MISDIRECTED_STATUS:
+            return
+        found = headers.read_signals(response.status, response.headers)
+        self._reports.answered(sent, found, _is_failure(response))
+
     async def _request(
         self, url: str, outgoing: Outgoing, connected: BeforeSending
     ) -> aiohttp.ClientResponse:
@@ -364,14 +372,14 @@
         self, call: calls.Call, response: aiohttp.ClientResponse, is_relayed: bool
     ) -> Answer:
         """Return the answer; raise Declined if the server did not run the request."""
-        attempt = call.parsed.attempt
-        found = _read_signals(attempt, response) or NO_SIGNALS
-        if _is_declined(response) or response.status == WRONG_SERVER_STATUS:
+        is_misdirected = response.status == headers.MISDIRECTED_STATUS
+        found = headers.read_signals(response.status, response.headers)
+        if headers.is_not_executed(response.status, response.headers):
             response.close()
+            if is_misdirected:
+                raise Misdirected(f"status {response.status}")
             if found.retry_after is not None:
                 raise exceptions.Deferred(f"retry after {found.retry_after:g} s")
-            if response.status == WRONG_SERVER_STATUS:
-                raise Misdirected(f"status {response.status}")
             raise exceptions.Declined(f"status {response.status}")
         pairs = headers.towards_caller(response.headers.items())
         framed = is_framed(response)
@@ -381,23 +389,10 @@
         return Answer(response, response.status, pairs, found, is_relayed, framed)
 
 
-def _read_signals(
-    attempt: str, response: aiohttp.ClientResponse
-) -> signals.Signals | None:
-    """Return the signals of an answer; None if it may be another server's."""
-    if response.status == WRONG_SERVER_STATUS:
-        return None
-    if not _is_declined(response) and not _is_answer_to(attempt, response):
-        return None
-    return headers.read_signals(response.status, response.headers)
-
-
-def _is_declined(response: aiohttp.ClientResponse) -> bool:
-    return headers.NOT_EXECUTED in response.headers
-
-
 def _is_failure(response: aiohttp.ClientResponse) -> bool:
-    return _is_declined(response) or response.status >= FIRST_SERVER_ERROR_STATUS
+    if headers.is_not_executed(response.status, response.headers):
+        return True
+    return response.status >= FIRST_SERVER_ERROR_STATUS
 
 
 def is_framed(response: aiohttp.ClientResponse) -> bool:
@@ -412,10 +407,6 @@
     return response.method == "HEAD" or response.status in STATUSES_WITHOUT_BODY
 
 
-def _is_answer_to(attempt: str, response: aiohttp.ClientResponse) -> bool:
-    return response.headers.get(headers.ATTEMPT.decode(), "") == attempt
-
-
 def has_backlog(answer: Answer, read_bytes: int) -> bool:
     """Return whether more of the body has been received than read."""
     return answer.response.content.total_bytes > read_bytes
--- a/packages/daemon/cassiaquay_daemon/platform/headers.py
+++ b/packages/daemon/cassiaquay_daemon/platform/headers.py
@@ -29,6 +29,8 @@
 TEAM = "Cassiaquay-Tenant"
 # Answer header: the server did not begin to execute the request.
 NOT_EXECUTED = "Cassiaquay-Not-Executed"
+# Another server now has the address of the intended one, and did not execute it either.
+MISDIRECTED_STATUS = 421
 # Answer headers in which a server reports its state. It sends them for as long as they
 # hold, except for Retry-After.
 SIGNALS = signals.HeaderNames(
@@ -245,6 +247,33 @@
     return pairs
 
 
+def answered_attempts(
+    answer_headers: multidict.CIMultiDictProxy[str],
+) -> set[str]:
+    """Return the attempts that an answer names; several make it no one's answer."""
+    return set(answer_headers.getall(ATTEMPT.decode(), [])) - {""}
+
+
+def is_not_executed(
+    status: int, answer_headers: multidict.CIMultiDictProxy[str]
+) -> bool:
+    """Return whether an answer says that its request was not executed."""
+    return status == MISDIRECTED_STATUS or NOT_EXECUTED in answer_headers
+
+
+def may_answer(
+    attempt: str, status: int, answer_headers: multidict.CIMultiDictProxy[str]
+) -> bool:
+    """Return whether an answer may be that of an attempt.
+
+    A server that does not execute a request may leave out its id.
+    """
+    named = answered_attempts(answer_headers)
+    if named or not attempt:
+        return named <= {attempt}
+    return is_not_executed(status, answer_headers)
+
+
 def read_signals(
     status: int, answer_headers: multidict.CIMultiDictProxy[str]
 ) -> signals.Signals:
--- a/tests/test_gateway_schedules.py
+++ b/tests/test_gateway_schedules.py
@@ -180,7 +180,8 @@
 
 def _accept_any_answer(monkeypatch) -> None:
     """Accept any answer on a connection without checking its attempt id."""
-    monkeypatch.setattr(forwarding, "_is_answer_to", lambda attempt, response: True)
+    monkeypatch.setattr(headers, "answered_attempts", lambda answer_headers: set())
+    monkeypatch.setattr(headers, "may_answer", lambda *answer: True)
     # Those that come while no answer is awaited end their connections.
     monkeypatch.setattr(engines, "FAULTS", (engines.STALE,))
 
