A foreign entry in the store ends no reading of the store

Callers saw: after one entry of another writer, no change of the configuration came into force at any instance, a dropped key went on to run requests, and once all servers were replaced nothing was served.

Cause: the decoder of entries accepted integers of any size. The reader applied the list and then sent it to its neighbours; msgpack raised OverflowError, which ended the task that reads servers and configuration, without a log line. The next reader by rank ended in the same way.

Change: numbers of entries and of the store's answers have 64 bits, names 256 characters; an entry beyond is skipped like one with a field of another type (a seq that is no integer was taken for 0 before). A message that no frame can carry raises an error of the links' own, is logged (message_unsendable) and not sent; its sender goes on.

--- a/packages/daemon/cassiaquay_daemon/exceptions.py
+++ b/packages/daemon/cassiaquay_daemon/exceptions.py
@@ -25,6 +25,12 @@
     code = "peer_frame"
 
 
+class UnencodableMessage(PeerError):
+    """A message has a value or a size that no frame can carry."""
+
+    code = "peer_message"
+
+
 class PeerAuthenticationFailed(PeerError):
     """A peer failed the handshake, for example because its shared key differs."""
 
--- a/packages/daemon/cassiaquay_daemon/links/frames.py
+++ b/packages/daemon/cassiaquay_daemon/links/frames.py
@@ -13,8 +13,21 @@
 
 
 def encode(message: messages.Message) -> bytes:
-    """Return the frame of a message."""
-    frame = msgpack.packb([messages.CODES[type(message)], *message])
+    """Return the frame of a message.
+
+    Raises
+    ------
+    UnencodableMessage
+        When it cannot be sent: an integer of more than 64 bits, text that is not valid
+        Unicode, or more bytes than its receiver would accept.
+    """
+    name = type(message).__name__
+    try:
+        frame = msgpack.packb([messages.CODES[type(message)], *message])
+    except (OverflowError, TypeError, ValueError) as error:
+        raise exceptions.UnencodableMessage(f"{name}: {error}") from error
+    if len(frame) > MAX_FRAME_BYTES:
+        raise exceptions.UnencodableMessage(f"{name}: {len(frame)} bytes")
     return typing.cast(bytes, frame)
 
 
--- a/packages/daemon/cassiaquay_daemon/links/peers.py
+++ b/packages/daemon/cassiaquay_daemon/links/peers.py
@@ -64,6 +64,7 @@
         self.sent_bytes = 0
         self.received_bytes = 0
         self._decoder = frames.Decoder()
+        self._unsendable: set[type] = set()
         self._ready: list[messages.Message] = []
 
     @property
@@ -72,7 +73,12 @@
         return self._writer.is_closing()
 
     def send(self, message: messages.Message) -> bool:
-        """Queue a message; return False when the link is closed or not being read."""
+        """Queue a message; return False if it is not sent.
+
+        That is when the link is closed or not being read, or if no frame can carry the
+        message. The sender goes on: one wrong value must not end what it does for
+        others.
+        """
         if self._writer.is_closing():
             return False
         transport = self._writer.transport
@@ -80,7 +86,11 @@
             logs.trouble("peer_not_reading", peer=self.instance)
             transport.abort()
             return False
-        frame = frames.encode(message)
+        try:
+            frame = frames.encode(message)
+        except exceptions.UnencodableMessage as error:
+            self._report_unsendable(message, error)
+            return False
         self.sent_bytes += len(frame)
         self._writer.write(frame)
         return True
@@ -108,6 +118,16 @@
             raise exceptions.PeerError("closed")
         return self._ready.pop(0)
 
+    def _report_unsendable(
+        self, message: messages.Message, error: exceptions.UnencodableMessage
+    ) -> None:
+        """Log the first message of each kind that cannot be sent on this link."""
+        kind = type(message)
+        if kind in self._unsendable:
+            return
+        self._unsendable.add(kind)
+        logs.trouble("message_unsendable", peer=self.instance, cause=str(error))
+
     def close(self) -> None:
         """Close the connection."""
         with contextlib.suppress(RuntimeError):
--- a/packages/daemon/cassiaquay_daemon/platform/entries.py
+++ b/packages/daemon/cassiaquay_daemon/platform/entries.py
@@ -8,27 +8,32 @@
 from cassiaquay_schema import messages
 
 from .. import logs
+from . import numbers
 
 READY = "ready"
 DRAINING = "draining"
 MAX_SLOTS = 100_000
 # Longer versions are replaced by a digest, which also tells them apart.
 MAX_SOFTWARE_CHARACTERS = 64
+# All instances keep each entry and send it on.
+MAX_NAME_CHARACTERS = 256
+
+Name = typing.Annotated[str, msgspec.Meta(max_length=MAX_NAME_CHARACTERS)]
 
 
 class _Entry(msgspec.Struct):
-    service: str
+    service: Name
     # Listen address as host:port.
     addr: str
     state: str
-    zone: str = ""
+    zone: Name = ""
     slots: int = 1
     # Start time of the server process, Unix milliseconds.
-    born: int = 0
+    born: numbers.Count = 0
     # Time for which it stays cold, that is, takes only a limited request rate.
-    cold_left_ms: float = msgspec.field(name="cold-left-ms", default=0.0)
+    cold_left_ms: numbers.Milliseconds = msgspec.field(name="cold-left-ms", default=0.0)
     # Count of its reports when the entry was written.
-    seq: typing.Any = 0
+    seq: numbers.Count = 0
     # Version of the server's software. It is only compared, so it may have any type.
     version: typing.Any = ""
 
@@ -37,8 +42,8 @@
     """Return the server that an entry describes, or None if the entry is invalid.
 
     Other programs may write entries, too. An entry with a missing field, a field of the
-    wrong type, an unknown state or undecodable bytes is skipped and does not affect the
-    other entries.
+    wrong type or size, an unknown state or undecodable bytes is skipped and does not
+    affect the other entries.
     """
     try:
         entry = msgspec.json.decode(value, type=_Entry)
@@ -61,7 +66,7 @@
         revision,
         max(int(entry.cold_left_ms), 0),
         _software(entry.version),
-        entry.seq if isinstance(entry.seq, int) else 0,
+        entry.seq,
     )
 
 
--- a/packages/daemon/cassiaquay_daemon/platform/store.py
+++ b/packages/daemon/cassiaquay_daemon/platform/store.py
@@ -16,7 +16,7 @@
 from cassiaquay_schema import messages
 
 from .. import bounded_http, exceptions, platform, positions
-from . import documents, entries, epochs
+from . import documents, entries, epochs, numbers
 
 # The operator's keys: the configuration, and one key for each evacuated zone. One read
 # by this prefix returns both.
@@ -41,24 +41,24 @@
 class _Item(msgspec.Struct):
     key: str
     value: str = ""
-    revision: int = 0
+    revision: numbers.Count = 0
 
 
 class _ItemBody(msgspec.Struct):
     key: str
     value: str
-    revision: int
+    revision: numbers.Count
 
 
 class _RangeBody(msgspec.Struct):
     items: list[_Item]
     truncated: bool = False
-    current: int = msgspec.field(name="current-rev", default=0)
+    current: numbers.Count = msgspec.field(name="current-rev", default=0)
 
 
 class _WatchBody(msgspec.Struct):
     events: list[_Item]
-    current: int = msgspec.field(name="current-rev", default=0)
+    current: numbers.Count = msgspec.field(name="current-rev", default=0)
 
 
 class Item(typing.NamedTuple):
--- /dev/null
+++ b/tests/test_foreign_entries.py
@@ -0,0 +1,97 @@
+"""Entries of other writers in the platform's store."""
+
+import asyncio
+import json
+
+import gateway_fakes as fakes
+import hypothesis
+import pytest
+from hypothesis import strategies
+
+from cassiaquay_daemon.links import frames
+from cassiaquay_daemon.platform import entries
+from cassiaquay_dev.standins import platform_standins as standins
+from cassiaquay_schema import messages
+
+HUGE = 0xC2A9_4F0E_7D13_4B6A_9E55_0B7C_21D8_F364
+ENTRY = {
+    "service": "inventory",
+    "addr": "127.0.0.1:9",
+    "zone": "a",
+    "version": "2.4",
+    "slots": 1,
+    "state": "ready",
+    "cold-left-ms": 0,
+    "seq": 1,
+    "born": 1,
+}
+CHANGES = [
+    {"seq": HUGE},
+    {"seq": -HUGE},
+    {"born": HUGE},
+    {"cold-left-ms": 1e300},
+    {"slots": HUGE},
+    {"service": "s" * 300_000},
+    {"zone": "z" * 300_000},
+]
+OPTIONAL = ["zone", "version", "cold-left-ms", "seq", "born"]
+SCALARS = (
+    strategies.none()
+    | strategies.booleans()
+    | strategies.sampled_from([HUGE, -HUGE, 2**64, 2**63, 1e300])
+    | strategies.integers()
+    | strategies.floats()
+    | strategies.text(max_size=300)
+)
+VALUES = SCALARS | strategies.lists(SCALARS, max_size=3)
+
+
+@pytest.mark.parametrize("change", CHANGES)
+def test_entry_beyond_the_bounds_is_skipped(change: dict) -> None:
+    """Guards against a foreign entry that no message to a neighbour can carry."""
+    assert entries.decode("i-7", json.dumps(ENTRY | change).encode(), 9) is None
+
+
+@hypothesis.given(
+    strategies.dictionaries(strategies.sampled_from(OPTIONAL), VALUES, max_size=2)
+)
+def test_each_decoded_entry_can_be_sent(change: dict) -> None:
+    """Guards against values of other writers that end the task which sends the list."""
+    found = entries.decode("i-7", json.dumps(ENTRY | change).encode(), 9)
+    if found is not None:
+        frames.encode(messages.ServerList(1, 0, [found]))
+
+
+@pytest.mark.parametrize("change", CHANGES)
+def test_configuration_changes_beside_a_foreign_entry(change: dict) -> None:
+    """Guards against instances that apply no change after one foreign entry."""
+
+    async def work(site: fakes.Site) -> None:
+        site.store.put("servers/inventory-7", ENTRY | change)
+        await _until_read(site)
+        await site.add_engine("i-3")
+        site.store.put("op/config", standins.configuration(2, tenants=[]))
+        for at in range(len(site.daemons)):
+            while (await site.ask("/book/x", at=at)).status != 401:
+                await asyncio.sleep(0.05)
+        for made in site.daemons:
+            while not {"i-3", "i-3-plain"} <= _usable(made):
+                await asyncio.sleep(0.02)
+
+    fakes.run(work, 2)
+
+
+async def _until_read(site: fakes.Site) -> None:
+    """Wait until each daemon has the list of servers as it is now."""
+    revision = site.store.revision
+    for made in site.daemons:
+        while made._servers.position.revision < revision:
+            await asyncio.sleep(0.02)
+
+
+def _usable(made) -> set[str]:
+    snapshot = made._configuration.current
+    names = set()
+    for pool in snapshot.fleet.pools.values():
+        names.update(server.name for server in pool.servers)
+    return names
