Background tasks are started again after an unexpected error

Operators saw nothing: a task that met an error which nobody handles ended without a log line, its instance stayed ready, and what the task does (reading the store, heartbeats, the keeper's passes, leases) stopped for the life of the process. An error in the handler of one message closed the link to its sender, without a line, and with it the heartbeats.

Change: a supervisor runs each task again after 0.1 to 2 s and logs task_failed with the task, the error and its place. The renewal asks for a refresh anew, or the instance would serve nothing. An error in a handler costs the message, not the link; one in a text offered by a peer is logged. Demands.renew has its step in a method of its own, as the other tasks.

--- a/packages/daemon/cassiaquay_daemon/daemon.py
+++ b/packages/daemon/cassiaquay_daemon/daemon.py
@@ -1,7 +1,7 @@
 """Assembles the components of one daemon, starts them and shuts them down in order."""
 
 import asyncio
-import collections.abc
+import functools
 import signal
 import socket
 
@@ -19,6 +19,7 @@
     platform,
     reloading,
     sockets,
+    supervision,
 )
 from .adapters import backends
 from .decisions import quarantine, server_states
@@ -67,6 +68,7 @@
         self._settings = settings
         self._file = file
         self._stopping = asyncio.Event()
+        self._background = supervision.Supervisor()
         self._incarnation = tokens.new_incarnation()
         self._http = bounded_http.create_session(
             bounded_http.create_connector(
@@ -203,7 +205,8 @@
             self._membership.http_address = _address(bound[1][1])
         early_bind.close_unclaimed()
         self._membership.admin_address = _address(admin_socket)
-        tasks = [asyncio.create_task(work) for work in self._background_work()]
+        for name, work in self._background_work().items():
+            self._background.start(name, work)
         serving = []
         for server, listening in bound:
             serving.append(asyncio.create_task(server.serve([listening])))
@@ -215,9 +218,10 @@
             incarnation=self._incarnation,
         )
         await self._stopping.wait()
-        await self._shut_down([server for server, _ in bound], serving, tasks)
+        await self._shut_down([server for server, _ in bound], serving)
 
-    def _background_work(self) -> list[collections.abc.Coroutine[None, None, None]]:
+    def _background_work(self) -> dict[str, supervision.Work]:
+        """Return what runs until the shutdown, by the names in log lines."""
         platform_settings = self._settings.platform
         listing = platform.instance_lists.get(platform_settings.instances_adapter)
         instances = listing(self._http, platform_settings.instances)
@@ -232,46 +236,47 @@
             instances,
         )
         renewing.start()
-        work = [
-            self._pauses.check_periodically(),
-            renewing.run(),
-            self._membership.send_heartbeats(),
-            self._keeper.tick(),
-            self._demands.renew(),
-            self._demands.report(),
-        ]
+        work: dict[str, supervision.Work] = {
+            "pauses": self._pauses.check_periodically,
+            "renewal": renewing.run,
+            "heartbeats": self._membership.send_heartbeats,
+            "keeper": self._keeper.tick,
+            "leases": self._demands.renew,
+            "progress": self._demands.report,
+        }
         if self._file is not None:
             self._file.on_change(self._membership.adopt)
             self._file.on_change(self._keeper.cold.adopt)
             self._file.on_change(self._server_states.adopt)
             self._file.on_change(self._quarantine.adopt)
             self._file.on_change(logs.adopt)
-            work.append(self._file.run())
+            work["settings"] = self._file.run
         if self._servers is not None:
-            return [*work, self._servers.read()]
-        return [
-            *work,
-            self._membership.read_list(instances),
-            self._configuration.watch(texts, self._membership),
-            reconciler.Reconciler(
-                self._settings,
-                self._http,
-                self._membership,
-                self._configuration,
-                self._keeper,
-                self._pauses,
-            ).run(),
-            self._limits.renew(),
-            self._dependencies.poll(),
-            self._engine_reports.poll(),
-            self._owner.sweep(),
-        ]
+            return work | {"servers": self._servers.read}
+        orders = reconciler.Reconciler(
+            self._settings,
+            self._http,
+            self._membership,
+            self._configuration,
+            self._keeper,
+            self._pauses,
+        )
+        return work | {
+            "instances": functools.partial(self._membership.read_list, instances),
+            "configuration": functools.partial(
+                self._configuration.watch, texts, self._membership
+            ),
+            "orders": orders.run,
+            "limits": self._limits.renew,
+            "dependencies": self._dependencies.poll,
+            "engine_reports": self._engine_reports.poll,
+            "table": self._owner.sweep,
+        }
 
     async def _shut_down(
         self,
         listening: list[uvicorn.Server],
         serving: list[asyncio.Task[None]],
-        tasks: list[asyncio.Task[None]],
     ) -> None:
         logs.event("leaving", open=self._owner.open_count)
         if self._gateway is not None:
@@ -283,9 +288,7 @@
         for server in listening:
             server.should_exit = True
         await asyncio.gather(*serving, return_exceptions=True)
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await self._background.stop()
         await self._peers.stop()
         await self._http.close()
         logs.event("stopped")
--- a/packages/daemon/cassiaquay_daemon/fleet/configuration.py
+++ b/packages/daemon/cassiaquay_daemon/fleet/configuration.py
@@ -15,7 +15,7 @@
 from cassiaquay_schema import messages
 from cassiaquay_schema import settings as settings_schema
 
-from .. import clock, exceptions, logs, platform, positions, rendezvous
+from .. import clock, exceptions, logs, platform, positions, rendezvous, supervision
 from ..configured import changes, snapshots
 from ..links import peers
 from . import members
@@ -412,7 +412,13 @@
             return
         task = asyncio.create_task(self.offer(published))
         self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(self._end_offer)
+
+    def _end_offer(self, task: asyncio.Task[bool]) -> None:
+        self._tasks.discard(task)
+        error = None if task.cancelled() else task.exception()
+        if error is not None:
+            supervision.log_failure("offered_text", error)
 
 
 def _parse(
--- a/packages/daemon/cassiaquay_daemon/fleet/renewal.py
+++ b/packages/daemon/cassiaquay_daemon/fleet/renewal.py
@@ -76,7 +76,12 @@
         while True:
             await self._is_refresh_needed.wait()
             self._is_refresh_needed.clear()
-            await self._refresh_once()
+            try:
+                await self._refresh_once()
+            except Exception:
+                # Until a refresh succeeds, this instance serves nothing.
+                self._is_refresh_needed.set()
+                raise
             if self._is_refresh_needed.is_set():
                 continue
             self._configured.release()
--- a/packages/daemon/cassiaquay_daemon/gateway/service.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/service.py
@@ -11,7 +11,7 @@
 
 from cassiaquay_schema import settings as settings_schema
 
-from .. import early_bind, listeners, logs, pause, sockets
+from .. import early_bind, listeners, logs, pause, sockets, supervision
 from ..configured import snapshots
 from ..decisions import (
     budgets,
@@ -138,7 +138,7 @@
         )
         self._servers: list[uvicorn.Server] = []
         self._serving: list[asyncio.Task[None]] = []
-        self._probing: asyncio.Task[None] | None = None
+        self._background = supervision.Supervisor()
 
     @property
     def accounting(self) -> accounting.Accounting:
@@ -175,7 +175,7 @@
         if gateway.relay:
             self._listen(self._relay, gateway.relay, relay_connections.RelayConnection)
             self._membership.relay_address = gateway.relay
-        self._probing = asyncio.create_task(self._prober.run())
+        self._background.start("probes", self._prober.run)
 
     def adopt(self, settings: settings_schema.Settings) -> None:
         """Apply changed settings of retry budgets and team limits."""
@@ -201,8 +201,7 @@
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(CLOSING_SECONDS / 2):
                 await asyncio.gather(*self._serving, return_exceptions=True)
-        if self._probing is not None:
-            self._probing.cancel()
+        await self._background.stop()
         self._parts.completions.close()
         await self._parts.forwarder.close()
 
--- a/packages/daemon/cassiaquay_daemon/keepers/demands.py
+++ b/packages/daemon/cassiaquay_daemon/keepers/demands.py
@@ -197,13 +197,17 @@
         """Renew leases and repeat unanswered demands until cancelled."""
         while True:
             await asyncio.sleep(self._settings.keeper.renew_seconds)
-            if self._was_paused():
-                self._rejects_permits_until = clock.now() + REJECT_PERMITS_SECONDS
-            self._renewed_at = clock.now()
-            for shard in list(self._outstanding):
-                self._renew(shard)
-            for pending in list(self._pending.values()):
-                self._resend(pending)
+            self.renew_once()
+
+    def renew_once(self) -> None:
+        """Renew leases and repeat unanswered demands once."""
+        if self._was_paused():
+            self._rejects_permits_until = clock.now() + REJECT_PERMITS_SECONDS
+        self._renewed_at = clock.now()
+        for shard in list(self._outstanding):
+            self._renew(shard)
+        for pending in list(self._pending.values()):
+            self._resend(pending)
 
     async def report(self) -> None:
         """Report dispatches and first events to keepers until cancelled."""
--- a/packages/daemon/cassiaquay_daemon/links/peers.py
+++ b/packages/daemon/cassiaquay_daemon/links/peers.py
@@ -15,7 +15,7 @@
 from cassiaquay_schema import messages
 from cassiaquay_schema import settings as settings_schema
 
-from .. import clock, early_bind, exceptions, logs, sockets
+from .. import clock, early_bind, exceptions, logs, sockets, supervision
 from . import frames
 
 PROTOCOL_VERSION = 1
@@ -330,7 +330,11 @@
                     raise exceptions.InvalidFrame(
                         f"unexpected {type(message).__name__}"
                     )
-                handler(link, message)
+                try:
+                    handler(link, message)
+                except Exception as error:
+                    # One message must not cost the link, and with it the heartbeats.
+                    supervision.log_failure(f"message {type(message).__name__}", error)
 
     def _close(self, link: Link) -> None:
         link.close()
--- a/tests/test_draining.py
+++ b/tests/test_draining.py
@@ -5,6 +5,7 @@
 
 import policy_fakes as fakes
 
+from cassiaquay_daemon import supervision
 from cassiaquay_daemon.gateway import service
 from cassiaquay_dev.lab import virtual_time
 from cassiaquay_schema import settings
@@ -33,7 +34,7 @@
         gateway._gateway = settings.Gateway(grace_seconds=8.0)
         gateway._front = mock.Mock(open_count=0, end_requests=mock.AsyncMock())
         gateway._relay = mock.Mock(open_count=0)
-        gateway._probing = None
+        gateway._background = supervision.Supervisor()
         gateway._membership = fakes.Membership("cq-1", [])
         gateway._membership.announce_leaving = mock.Mock()
         gateway._servers = [server]
