Configuration versions of more than 64 bits come into force

The version goes into each heartbeat, and the codec raised OverflowError.

Change: the number by which texts are ordered is clamped to 64 bits where it is decoded. Clamped numbers are equal, so their texts are ordered by their place in the platform's history. Revisions of the configuration service are bounded as those of the store.

--- a/packages/daemon/cassiaquay_daemon/platform/__init__.py
+++ b/packages/daemon/cassiaquay_daemon/platform/__init__.py
@@ -14,7 +14,7 @@
 from cassiaquay_schema import messages, registry
 
 from .. import bounded_http, exceptions, positions
-from . import epochs
+from . import epochs, numbers
 
 ANSWER_TIMEOUT_SECONDS = 3.0
 # Twice the longest message between instances, by which texts spread as well.
@@ -135,7 +135,7 @@
 
 
 class _PublishedBody(msgspec.Struct):
-    revision: int
+    revision: numbers.Count
     text: str
     # The operators' number of the text.
     number: int = 0
@@ -192,7 +192,8 @@
             decoded = msgspec.json.decode(answer.body, type=_PublishedBody)
         except msgspec.DecodeError as error:
             raise exceptions.PlatformError(str(error)) from error
-        found = Published(decoded.revision, decoded.text, epoch, decoded.number)
+        number = numbers.clamp(decoded.number)
+        found = Published(decoded.revision, decoded.text, epoch, number)
         return found if found.position > after else None
 
     async def _read(self, after: int, wait: float) -> tuple[_Answer, int]:
--- a/packages/daemon/cassiaquay_daemon/platform/documents.py
+++ b/packages/daemon/cassiaquay_daemon/platform/documents.py
@@ -8,6 +8,7 @@
 from cassiaquay_schema import fleet as fleet_schema
 
 from ..configured import routing, snapshots
+from . import numbers
 
 FORMAT_NAME = "store"
 # The document sets no lower bound; no request can be served in less time.
@@ -88,7 +89,7 @@
 def number_of(text: str) -> int | None:
     """Return the operators' number of a document, or None if it has no valid one."""
     try:
-        return msgspec.json.decode(text, type=_Numbered).version
+        return numbers.clamp(msgspec.json.decode(text, type=_Numbered).version)
     except (msgspec.DecodeError, RecursionError):
         return None
 
--- a/tests/test_foreign_entries.py
+++ b/tests/test_foreign_entries.py
@@ -10,6 +10,7 @@
 
 from cassiaquay_daemon.links import frames
 from cassiaquay_daemon.platform import entries
+from cassiaquay_dev.network import ports
 from cassiaquay_dev.standins import platform_standins as standins
 from cassiaquay_schema import messages
 
@@ -95,3 +96,27 @@
     for pool in snapshot.fleet.pools.values():
         names.update(server.name for server in pool.servers)
     return names
+
+
+def test_versions_of_any_size_come_into_force() -> None:
+    """Guards against heartbeats that end with a version such as a long time stamp."""
+
+    async def work(site: fakes.Site) -> None:
+        for version, tenants in [(HUGE, []), (HUGE + 1, None)]:
+            document = standins.configuration(version)
+            if tenants is not None:
+                document["tenants"] = tenants
+            site.store.put("op/config", document)
+            status = 401 if tenants == [] else 200
+            for at in range(2):
+                while (await site.ask("/book/x", at=at)).status != status:
+                    await asyncio.sleep(0.05)
+        seeds = [found.peer_listen for found in site.settings]
+        await site.add("cq-3", f"127.0.0.1:{ports.free_port()}", seeds)
+        await site.until_ready(site.settings[2])
+        for made in site.daemons:
+            while len(made._membership.serving()) < len(site.daemons):
+                await asyncio.sleep(0.02)
+        assert (await site.ask("/book/x", at=2)).status == 200
+
+    fakes.run(work, 2)
