Invalid Unicode in a logged value ends no logging

Operators saw: after a backend server's header value with a byte that is not UTF-8 was logged, a process wrote no line any more, or the request that it was logged for crashed.

Cause: header values are decoded with surrogates. The writer thread ended with UnicodeEncodeError; a value that had to be quoted raised it at the caller of logs.event.

Change: such characters are escaped, and a line that cannot be formatted is replaced by log_line_invalid with the name of its event.

Before, in a trial on the functions: the thread had ended after the first value ("a" and the surrogate), nothing was written after it, and the quoted value raised. tests/test_log_writer.py: the case json fails with the writer of before.

--- a/packages/daemon/cassiaquay_daemon/log_writer.py
+++ b/packages/daemon/cassiaquay_daemon/log_writer.py
@@ -58,7 +58,7 @@
         if is_over_rate or len(self._lines) >= MAX_BUFFERED_LINES:
             self._dropped += 1
             return
-        self._lines.append(self.format(record))
+        self._lines.append(self._format_safely(record))
 
     def flush(self) -> None:
         """Write the buffered lines; blocks while the reader does not read."""
@@ -71,7 +71,8 @@
             lines[-1] += f"count={dropped}"
         if not lines:
             return
-        data = ("\n".join(lines) + "\n").encode()
+        # Values from outside may hold what is not valid Unicode.
+        data = ("\n".join(lines) + "\n").encode(errors="backslashreplace")
         try:
             while data:
                 data = data[os.write(self._descriptor, data) :]
@@ -87,6 +88,15 @@
             self._thread = None
         super().close()
 
+    def _format_safely(self, record: logging.LogRecord) -> str:
+        """Return the line of a record; name its event if it cannot be formatted."""
+        try:
+            return self.format(record)
+        except Exception as error:
+            # A value must not end the work that it is logged for.
+            line = f"at={record.created} level=WARNING event=log_line_invalid "
+            return f"{line}of={record.getMessage()} cause={type(error).__name__}"
+
     def _run(self) -> None:
         while not self._stopping.wait(WRITE_INTERVAL_SECONDS):
             self.flush()
--- a/packages/daemon/cassiaquay_daemon/logs.py
+++ b/packages/daemon/cassiaquay_daemon/logs.py
@@ -56,19 +56,21 @@
             if value is None:
                 continue
             text = value if isinstance(value, str) else _quote(value)
+            if not text.isascii():
+                # Header values are decoded with surrogates in place of invalid bytes.
+                text = text.encode(errors="backslashreplace").decode()
             if not text or _SPECIAL.search(text):
                 text = _quote(text)
             pairs.append(f"{key}={text}")
         return " ".join(pairs)
 
 
+FORMATTERS = {"pairs": PairsFormatter, "json": json_logger.MsgspecFormatter}
+
+
 def set_up(settings: settings_schema.Settings) -> None:
     """Log to standard output in the format and at the level of the settings."""
-    kind = (
-        PairsFormatter
-        if settings.logs.format == "pairs"
-        else json_logger.MsgspecFormatter
-    )
+    kind = FORMATTERS[settings.logs.format]
     handler = log_writer.Writer()
     handler.setFormatter(
         kind(
--- a/tests/test_log_writer.py
+++ b/tests/test_log_writer.py
@@ -4,7 +4,9 @@
 import os
 import time
 
-from cassiaquay_daemon import log_writer
+import pytest
+
+from cassiaquay_daemon import log_writer, logs
 
 
 def _record(number: int, level: int = logging.INFO) -> logging.LogRecord:
@@ -59,3 +61,26 @@
     writer.emit(_record(1))
     writer.flush()
     os.close(writing)
+
+
+@pytest.mark.parametrize("log_format", ["pairs", "json"])
+def test_invalid_unicode_from_a_server_ends_no_logging(log_format: str) -> None:
+    """Guards against one header value after which no line is written any more."""
+    reading, writing = os.pipe()
+    writer = log_writer.Writer(writing)
+    kind = logs.FORMATTERS[log_format]
+    writer.setFormatter(kind("%(levelname)s %(message)s"))
+    writer.start()
+    # As the HTTP client decodes the byte FF; the second value has to be quoted.
+    for header in ("\udcff", "\udcff ="):
+        record = _record(1, logging.WARNING)
+        record.header = header
+        writer.emit(record)
+        writer.flush()
+    writer.emit(_record(2, logging.WARNING))
+    writer.close()
+    got = os.read(reading, 65536)
+    assert b"line 1" in got
+    assert b"line 2" in got
+    os.close(reading)
+    os.close(writing)
