The configuration is read before the entries of servers

Callers saw (found by a test): with 20 entries of 900 kB of another writer in the store, no change of the configuration came into force.

Cause: the reader read the configuration after the listing of servers. A listing over 16 MB fails each time, and the configuration was never read. In an outage of the store one call fails as before.

--- a/packages/daemon/cassiaquay_daemon/fleet/servers.py
+++ b/packages/daemon/cassiaquay_daemon/fleet/servers.py
@@ -146,8 +146,9 @@
         """Read the list now; return whether the platform answered."""
         began = clock.now()
         try:
-            registered = await self._store.read()
+            # The configuration must not wait for entries that anyone may write.
             await self._configured.read_once(self._texts)
+            registered = await self._store.read()
         except exceptions.PlatformError as error:
             if not self._is_failing:
                 logs.event("servers_unreadable", cause=str(error), age_ms=self.age_ms)
--- a/tests/test_foreign_entries.py
+++ b/tests/test_foreign_entries.py
@@ -120,3 +120,17 @@
         assert (await site.ask("/book/x", at=2)).status == 200
 
     fakes.run(work, 2)
+
+
+def test_configuration_changes_beside_a_listing_that_cannot_be_read() -> None:
+    """Guards against configurations that wait for entries of other writers."""
+
+    async def work(site: fakes.Site) -> None:
+        for number in range(20):
+            # The stand-in store has two items on a page.
+            site.store.put(f"servers/inventory-{number}", b"x" * 900_000)
+        site.store.put("op/config", standins.configuration(2, tenants=[]))
+        while (await site.ask("/book/x")).status != 401:
+            await asyncio.sleep(0.05)
+
+    fakes.run(work)
