A stream of unknown origin goes on only at a version that is shown to be alone

Callers saw (a report from a system like this one, and shown here by a test): after all instances had been killed, streams that were taken up ended with 200 and were joined of two software versions.

Cause: an instance without a record of a stream went on at the only version that it had seen itself. Right after a kill of all instances that is the list of the moment, without servers that leave, so the new version counted as the only one.

Change: such a stream goes on if the instance has observed one version for as long as a stream may last. Before that, it needs all of these: one version among the listed servers, leaving ones included; each of them started before that time; and the store's history shows no other version and no removal of an unknown server. The history is read once for each process, at the first such stream. No server listed yet: refused, too.

Before: tests/test_rejoined_streams.py, four of its six cases of two versions fail (old servers leaving or gone). After: all eight pass, and streams of one version all go on, with and without a history. tests/test_resuming.py gets new cases; its fake now has entries and a history, since a process that has just started no longer takes its list for proof. The stand-in store keeps values in its history and can discard it.

--- a/packages/daemon/cassiaquay_daemon/decisions/software_versions.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/software_versions.py
@@ -7,6 +7,7 @@
 
 import collections
 import collections.abc
+import typing
 
 from cassiaquay_schema import fleet, messages
 
@@ -48,10 +49,55 @@
     return frozenset(names)
 
 
+class Evidence(typing.NamedTuple):
+    """What is known of a service's servers before this instance observed them.
+
+    Attributes
+    ----------
+    listed : list of ServerEntry
+        Its servers that are listed now; those that leave, too.
+    written : list of ServerEntry
+        Entries of all services that were written a short time ago.
+    removed : collection of str
+        Names of servers whose entries were removed in that time.
+    """
+
+    listed: list[messages.ServerEntry]
+    written: list[messages.ServerEntry]
+    removed: collections.abc.Collection[str]
+
+
+def sole_version(
+    service: str, evidence: Evidence, window_seconds: float, now_ms: float
+) -> str | None:
+    """Return the one version that a service has had; None if there may be others.
+
+    After a kill of all instances none remembers the servers that have left since, and
+    the version that is left may not be the one that began a stream. A server that began
+    within the window may have replaced another one; one that was removed and of which
+    nothing else is known may have been of any service and version.
+    """
+    versions = set()
+    known_names = set()
+    for entry in [*evidence.listed, *evidence.written]:
+        known_names.add(entry.name)
+        if entry.service == service:
+            versions.add(entry.software)
+    if len(versions) != 1 or not known_names.issuperset(evidence.removed):
+        return None
+    youngest_ms = now_ms - window_seconds * 1000.0
+    for entry in evidence.listed:
+        if not 0 < entry.started_ms <= youngest_ms:
+            return None
+    return versions.pop()
+
+
 class History:
     """The software versions that each service has, or had until a short time ago."""
 
     def __init__(self) -> None:
+        # Time since which each service is observed.
+        self._observed_since: dict[str, float] = {}
         # Time at which each version was last listed, by service.
         self._listed_at: dict[str, dict[str, float]] = {}
         self._current: fleet.Fleet | None = None
@@ -62,6 +108,15 @@
         self._current = current
         self._record()
 
+    def note(self, service: str, software: str) -> None:
+        """Record a version that is listed now, if only at servers that leave."""
+        self._listed_at.setdefault(service, {})[software] = clock.now()
+
+    def covers(self, service: str, seconds: float) -> bool:
+        """Return whether a service has been observed for some time."""
+        now = clock.now()
+        return self._observed_since.get(service, now) <= now - seconds
+
     def recent(self, service: str) -> set[str]:
         """Return the versions that a service has had within the retention time."""
         self._record()
@@ -76,6 +131,7 @@
             return
         now = clock.now()
         for service, pool in self._current.pools.items():
+            self._observed_since.setdefault(service, now)
             listed_at = self._listed_at.setdefault(service, {})
             for server in pool.servers:
                 listed_at[server.software] = now
--- a/packages/daemon/cassiaquay_daemon/fleet/server_list.py
+++ b/packages/daemon/cassiaquay_daemon/fleet/server_list.py
@@ -61,6 +61,10 @@
         """Number of listed and retained servers."""
         return len(self._listed) + len(self._retained)
 
+    def entries(self) -> list[messages.ServerEntry]:
+        """Return the listed and retained entries, those of leaving servers, too."""
+        return [*self._listed.values(), *self._retained.values()]
+
     def digest(self, evacuated: evacuations.InForce) -> int:
         """Return a digest of the evacuated domains and of the listed servers.
 
--- /dev/null
+++ b/packages/daemon/cassiaquay_daemon/fleet/server_past.py
@@ -0,0 +1,60 @@
+"""What the platform still shows of backend servers that this instance has not seen.
+
+After a kill of all instances none remembers which servers left before or meanwhile. The
+platform keeps its last changes for a while, which are read once, when a stream is taken
+up that no instance knows.
+"""
+
+import asyncio
+
+from .. import exceptions, logs, platform, supervision
+from ..decisions import software_versions
+from . import servers
+
+# The caller of a stream waits for two seconds or more, and comes back when refused.
+PATIENCE_SECONDS = 0.4
+
+
+class ServerPast:
+    """Reads the changes of registrations of before this process began.
+
+    Parameters
+    ----------
+    server_list : Servers
+        The servers that are listed now.
+    """
+
+    def __init__(self, server_list: servers.Servers):
+        self._servers = server_list
+        self._reading: asyncio.Task[platform.ServersPast | None] | None = None
+
+    async def evidence(self, service: str) -> software_versions.Evidence | None:
+        """Return what is known of a service's servers; None if that cannot be read."""
+        if self._reading is None:
+            self._reading = asyncio.create_task(self._read())
+        reading = self._reading
+        await asyncio.wait([reading], timeout=PATIENCE_SECONDS)
+        if not reading.done():
+            return None
+        past = reading.result()
+        if past is None:
+            # The next stream asks again.
+            self._reading = None
+            return None
+        listed = []
+        for entry in self._servers.entries():
+            if entry.service == service:
+                listed.append(entry)
+        return software_versions.Evidence(listed, past.written, past.removed)
+
+    async def _read(self) -> platform.ServersPast | None:
+        try:
+            past = await self._servers.read_past()
+        except exceptions.PlatformError as error:
+            logs.event("servers_past_unreadable", cause=str(error))
+            return None
+        except Exception as error:
+            supervision.log_failure("servers_past", error)
+            return None
+        logs.event("servers_past", written=len(past.written), removed=len(past.removed))
+        return past
--- a/packages/daemon/cassiaquay_daemon/fleet/servers.py
+++ b/packages/daemon/cassiaquay_daemon/fleet/servers.py
@@ -132,6 +132,14 @@
             self._position, self.age_ms, self._digest, _milliseconds(steady)
         )
 
+    def entries(self) -> list[messages.ServerEntry]:
+        """Return the entries of all known servers, those that leave, too."""
+        return self._registered.entries()
+
+    async def read_past(self) -> platform.ServersPast:
+        """Return the changes of registrations that the platform still has."""
+        return await self._store.read_past()
+
     async def read(self) -> None:
         """Read the list whenever no other instance has recently, until cancelled."""
         while True:
--- a/packages/daemon/cassiaquay_daemon/gateway/resuming.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/resuming.py
@@ -5,10 +5,11 @@
 """
 
 import collections
+import time
 
 from .. import exceptions, logs
 from ..decisions import software_versions, stream_origins
-from ..fleet import configuration, servers
+from ..fleet import configuration, server_past, servers
 from ..fleet import stream_origins as origin_reports
 from . import admission, calls, progress
 
@@ -41,6 +42,7 @@
         server_list: servers.Servers,
     ):
         self._servers = server_list
+        self._past = server_past.ServerPast(server_list)
         self._configured = configured
         self._origins = origins
         self._history = software_versions.History()
@@ -65,6 +67,9 @@
             key = stream_origins.key_of(call.team_name, parsed.resumes)
             origin = await self._origins.find(key)
         versions = self._history.recent(call.service)
+        sole = None
+        if origin is None:
+            sole = await self._find_sole_version(call, versions)
         logs.event(
             "stream_resumes",
             id=parsed.attempt,
@@ -73,16 +78,17 @@
             service=origin.service if origin else None,
             software=origin.software if origin else None,
             is_known=origin is not None,
+            sole=sole,
             versions=",".join(sorted(versions)),
         )
-        is_sole = len(versions) <= 1 and not self._is_isolated
+        is_sole = sole is not None
         kind = KNOWN if origin is not None else SOLE if is_sole else UNKNOWN
         self.counts[kind] += 1
         if origin is None:
             if not is_sole:
                 raise exceptions.OriginUnknown(retry_after_ms=UNKNOWN_RETRY_MS)
             # Servers of another version may be listed before this one is sent.
-            state.software = next(iter(versions), None)
+            state.software = sole
             return
         if origin.service not in {share.service for share in call.route.shares}:
             raise exceptions.OriginUnknown("the route has left the service")
@@ -123,12 +129,28 @@
         """Whether others may know of versions that this instance has not heard of."""
         return self._servers.is_behind and self._origins.is_alone
 
+    async def _find_sole_version(
+        self, call: calls.Call, versions: set[str]
+    ) -> str | None:
+        """Return the only version that can have begun a stream; None if unknown."""
+        if self._is_isolated or len(versions) != 1:
+            return None
+        [software] = versions
+        window_seconds = _lifetime_seconds(call)
+        if self._history.covers(call.service, window_seconds):
+            return software
+        evidence = await self._past.evidence(call.service)
+        if evidence is None:
+            return None
+        return software_versions.sole_version(
+            call.service, evidence, window_seconds, time.time() * 1000.0
+        )
+
     def _record(self, call: calls.Call, software: str) -> None:
-        lifetime = max(call.parsed.deadline_ms / 1000.0, call.route.timeout_seconds)
         self._origins.add(
             stream_origins.key_of(call.team_name, call.parsed.attempt),
             stream_origins.Origin(call.service, software),
-            lifetime + stream_origins.MARGIN_SECONDS,
+            _lifetime_seconds(call),
         )
 
     def _software_of(self, call: calls.Call, ticket: admission.Ticket) -> str:
@@ -142,5 +164,14 @@
 
     def _update_history(self) -> None:
         snapshot = self._configured.current
-        if snapshot is not None:
-            self._history.update(snapshot.fleet)
+        if snapshot is None:
+            return
+        self._history.update(snapshot.fleet)
+        for entry in self._servers.entries():
+            self._history.note(entry.service, entry.software)
+
+
+def _lifetime_seconds(call: calls.Call) -> float:
+    """Return how long ago a stream that is taken up may have begun."""
+    longest = max(call.parsed.deadline_ms / 1000.0, call.route.timeout_seconds)
+    return longest + stream_origins.MARGIN_SECONDS
--- a/packages/daemon/cassiaquay_daemon/platform/__init__.py
+++ b/packages/daemon/cassiaquay_daemon/platform/__init__.py
@@ -113,6 +113,21 @@
     entries: list[messages.ServerEntry]
 
 
+class ServersPast(typing.NamedTuple):
+    """What the history of the platform shows of backend servers, oldest first.
+
+    Attributes
+    ----------
+    written : list of ServerEntry
+        Each valid entry as it was written.
+    removed : list of str
+        Names of the servers whose entries were removed.
+    """
+
+    written: list[messages.ServerEntry]
+    removed: list[str]
+
+
 class ServerStore(typing.Protocol):
     """Reads the registrations of backend servers."""
 
@@ -121,6 +136,9 @@
     async def read(self) -> ServersRead:
         """Return all registered servers."""
 
+    async def read_past(self) -> ServersPast:
+        """Return the changes of registrations that the platform still has."""
+
 
 configuration_services: registry.Registry[type[ConfigurationService]] = (
     registry.Registry("configuration adapter")
--- a/packages/daemon/cassiaquay_daemon/platform/store.py
+++ b/packages/daemon/cassiaquay_daemon/platform/store.py
@@ -36,6 +36,8 @@
 MAX_ANSWER_BYTES = 4 * 1024 * 1024
 # Of all pages of a listing.
 MAX_LISTING_BYTES = 16 * 1024 * 1024
+# Enough to find where the history begins among a million revisions.
+MAX_HISTORY_CALLS = 32
 
 
 class _Item(msgspec.Struct):
@@ -56,8 +58,15 @@
     current: numbers.Count = msgspec.field(name="current-rev", default=0)
 
 
+class _Event(msgspec.Struct):
+    key: str
+    # The item as it was written; a removed one has no value.
+    value: str | None = None
+    revision: numbers.Count = 0
+
+
 class _WatchBody(msgspec.Struct):
-    events: list[_Item]
+    events: list[_Event]
     current: numbers.Count = msgspec.field(name="current-rev", default=0)
 
 
@@ -69,6 +78,14 @@
     revision: int
 
 
+class Change(typing.NamedTuple):
+    """A change of a key: its value as written, None if it was removed."""
+
+    key: str
+    value: bytes | None
+    revision: int
+
+
 class Items(typing.NamedTuple):
     """All keys under a prefix, and the store's position when the read began."""
 
@@ -165,6 +182,54 @@
             return positions.Position(answer.epoch, watched.current)
         return after
 
+    async def history(self, prefix: str, current: int) -> list[Change]:
+        """Return the changes under a prefix that the store still has, oldest first.
+
+        Parameters
+        ----------
+        prefix : str
+            The prefix.
+        current : int
+            A recent revision of the store.
+
+        Raises
+        ------
+        PlatformError
+            When the store cannot be read.
+        """
+        changes: list[Change] = []
+        # The history begins after the first and not after the second revision.
+        expired, available = -1, current
+        distance = 1
+        for _ in range(MAX_HISTORY_CALLS):
+            if available - expired <= 1:
+                return changes
+            after = max(current - distance, 0)
+            if expired >= 0 or after >= available:
+                after = (expired + available) // 2
+            distance *= 4
+            found = await self._changes(prefix, after)
+            if found is None:
+                expired = after
+                continue
+            changes, available = found, after
+            if not after:
+                return changes
+        raise exceptions.PlatformError(f"{prefix}: the history has no beginning")
+
+    async def _changes(self, prefix: str, after: int) -> list[Change] | None:
+        """Return the changes after a revision, None if the store has them no more."""
+        query = {"path-prefix": prefix, "after": str(after), "wait-ms": "1"}
+        answer = await self._get(WATCH_PATH, query, ANSWER_TIMEOUT_SECONDS)
+        if answer.status == 410:
+            return None
+        _check_status(answer.status)
+        changes = []
+        for event in _parse(answer.body, _WatchBody).events:
+            value = None if event.value is None else _decode_value(event.value)
+            changes.append(Change(event.key, value, event.revision))
+        return changes
+
     async def _get(self, path: str, query: dict[str, str], seconds: float) -> _Answer:
         timeout = aiohttp.ClientTimeout(total=seconds)
         try:
@@ -246,6 +311,22 @@
                 servers.append(entry)
         return platform.ServersRead(registered.position, servers)
 
+    async def read_past(self) -> platform.ServersPast:
+        """Return the changes of registrations that the store still has."""
+        # One key tells the revision as well as a listing does.
+        operator_keys = await self._store.items(EVACUATED_PREFIX)
+        current = operator_keys.position.revision
+        past = platform.ServersPast([], [])
+        for change in await self._store.history(SERVERS_PREFIX, current):
+            name = change.key.removeprefix(SERVERS_PREFIX)
+            if change.value is None:
+                past.removed.append(name)
+                continue
+            entry = entries.decode(name, change.value, change.revision)
+            if entry is not None:
+                past.written.append(entry)
+        return past
+
 
 @platform.instance_lists.register("none")
 class NoInstances:
@@ -275,9 +356,12 @@
 
 
 def _decode_item(item: _Item | _ItemBody) -> Item:
+    return Item(item.key, _decode_value(item.value), item.revision)
+
+
+def _decode_value(text: str) -> bytes:
     try:
-        value = base64.b64decode(item.value, validate=True)
+        return base64.b64decode(text, validate=True)
     except (binascii.Error, ValueError):
         # Another program wrote an invalid value; the other keys are still read.
-        value = b""
-    return Item(item.key, value, item.revision)
+        return b""
--- a/packages/dev/cassiaquay_dev/standins/platform_standins.py
+++ b/packages/dev/cassiaquay_dev/standins/platform_standins.py
@@ -39,22 +39,29 @@
         self.down = False
         self.calls = 0
         self.items: dict[str, tuple[int, bytes]] = {}
-        # Revision and key of each change since the last return from a copy.
-        self._history: list[tuple[int, str]] = []
+        # Revision, key and new value (None: removed) of each change since the last
+        # return from a copy.
+        self._history: list[tuple[int, str, bytes | None]] = []
         self._history_start = 0
         self._changed = asyncio.Event()
 
     def put(self, key: str, value: object) -> None:
         """Write a key; bytes are stored unchanged, other values as JSON."""
         data = value if isinstance(value, bytes) else json.dumps(value).encode()
-        self._note_change(key)
+        self._note_change(key, data)
         self.items[key] = (self.revision, data)
 
     def remove(self, key: str) -> None:
         """Remove a key."""
-        self._note_change(key)
+        self._note_change(key, None)
         del self.items[key]
 
+    def forget(self) -> None:
+        """Discard the history of changes."""
+        self._history = []
+        self._history_start = self.revision
+        self._wake_watches()
+
     def copy(self) -> Copy:
         """Return a copy of the content."""
         return Copy(self.revision, dict(self.items))
@@ -92,9 +99,9 @@
         writer.write(data)
         await writer.drain()
 
-    def _note_change(self, key: str) -> None:
+    def _note_change(self, key: str, value: bytes | None) -> None:
         self.revision += 1
-        self._history.append((self.revision, key))
+        self._history.append((self.revision, key, value))
         self._wake_watches()
 
     def _wake_watches(self) -> None:
@@ -103,14 +110,7 @@
 
     def _item(self, key: str) -> dict[str, typing.Any]:
         revision, value = self.items[key]
-        text = base64.b64encode(value).decode()
-        return {
-            "key": key,
-            "value": text,
-            "revision": revision,
-            "created": revision,
-            "lease": 0,
-        }
+        return _item(key, revision, value)
 
     def _page(self, parameters: dict[str, str]) -> dict[str, typing.Any]:
         keys = [key for key in sorted(self.items) if key > parameters.get("after", "")]
@@ -131,15 +131,28 @@
                     if not self._history_start <= after <= self.revision:
                         return 410, {}
                     events = []
-                    for revision, key in self._history:
+                    for revision, key, value in self._history:
                         if revision > after and key.startswith(prefix):
-                            events.append({"key": key, "revision": revision})
+                            events.append(_item(key, revision, value))
                     if events:
                         return 200, {"events": events}
                     await self._changed.wait()
         return 200, {"events": []}
 
 
+def _item(key: str, revision: int, value: bytes | None) -> dict[str, typing.Any]:
+    """Return an item as it was written, or that it was removed."""
+    if value is None:
+        return {"key": key, "revision": revision, "tombstone": True}
+    return {
+        "key": key,
+        "value": base64.b64encode(value).decode(),
+        "revision": revision,
+        "created": revision,
+        "lease": 0,
+    }
+
+
 class Engine(raw_servers.RawServer):
     """A backend server whose answers the callable `responder` writes.
 
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -254,3 +254,25 @@
     began = clock.now()
     _run(work)
     assert clock.now() - began >= 3 * configuration.RETRY_SECONDS
+
+
+@pytest.mark.parametrize("count", [0, 1, 2, 7, 40, 900])
+@pytest.mark.parametrize("kept", [0, 1, 5, 33, 899])
+def test_all_changes_that_the_store_still_has_are_read(count: int, kept: int) -> None:
+    """Guards against departures that are overlooked in the oldest part of a history."""
+
+    async def work(standin: standins.Store, http: aiohttp.ClientSession) -> None:
+        client = store.Store(http, standin.address)
+        for number in range(count):
+            if number == max(count - kept, 0):
+                standin.forget()
+            standin.put(f"servers/i-{number}", b"{}")
+        if kept == 0:
+            standin.forget()
+        calls = standin.calls
+        found = await client.history("servers/", standin.revision)
+        expected = [f"servers/i-{n}" for n in range(max(count - kept, 0), count)]
+        assert [change.key for change in found] == expected
+        assert standin.calls - calls < store.MAX_HISTORY_CALLS
+
+    _run(work)
--- /dev/null
+++ b/tests/test_rejoined_streams.py
@@ -0,0 +1,107 @@
+"""Streams that callers take up after all instances were killed."""
+
+import asyncio
+import time
+
+import gateway_fakes as fakes
+import pytest
+import version_fakes
+
+from cassiaquay_dev.network import ports
+
+STREAMS = 12
+COUNT = 3
+
+
+async def _replace_all_instances(site: fakes.Site) -> None:
+    """Start as many instances, which know nothing of those before them."""
+    seeds = [f"127.0.0.1:{ports.free_port()}" for _ in range(COUNT)]
+    for number, seed in enumerate(seeds):
+        await site.add(f"new-{number}", seed, seeds)
+    for found in site.settings[COUNT:]:
+        await site.until_ready(found)
+    for made in site.daemons[COUNT:]:
+        while len(made._membership.serving()) < COUNT:
+            await asyncio.sleep(0.01)
+
+
+async def _begin(
+    versioned: version_fakes.VersionedSite,
+) -> list[version_fakes.Stream]:
+    """Return streams whose callers have got two events."""
+    streams = [version_fakes.Stream(versioned, f"s{n}") for n in range(STREAMS)]
+    await asyncio.gather(*(s.ask(n % COUNT, 2) for n, s in enumerate(streams)))
+    return streams
+
+
+async def _take_up(streams: list[version_fakes.Stream]) -> None:
+    """Take streams up at the new instances, twice at most, as callers do."""
+    for _ in range(2):
+        asking = []
+        for number, stream in enumerate(streams):
+            if not stream.is_complete:
+                asking.append(stream.ask(COUNT + number % COUNT))
+        await asyncio.gather(*asking)
+        await asyncio.sleep(0.3)
+
+
+def _run(work) -> None:
+    async def with_versions(site: fakes.Site) -> None:
+        versioned = version_fakes.VersionedSite(site, {"i-1": "v1", "i-2": "v1"})
+        await versioned.start()
+        await work(versioned)
+
+    fakes.run(with_versions, COUNT)
+
+
+@pytest.mark.parametrize("fate", ["serving", "leaving", "gone"])
+@pytest.mark.parametrize("is_new_young", [True, False])
+def test_no_stream_is_joined_of_two_versions_after_a_kill_of_all(
+    fate: str, is_new_young: bool
+) -> None:
+    """Guards against taking the version that is left for the one that began a stream.
+
+    Servers of another version have come; the old ones serve, leave or have gone.
+    """
+
+    async def work(versioned: version_fakes.VersionedSite) -> None:
+        site = versioned.site
+        born = int(time.time() * 1000) if is_new_young else 1
+        await versioned.add({"i-3": "v2", "i-4": "v2"}, born=born)
+        streams = await _begin(versioned)
+        begun = [stream for stream in streams if stream.versions == {b"v1"}]
+        for engine in site.engines[:2]:
+            for name in (engine.name, f"{engine.name}-plain"):
+                if fate == "leaving":
+                    site.register(engine, version="v1", state="draining")
+                elif fate == "gone":
+                    site.store.remove(f"servers/{name}")
+        await _replace_all_instances(site)
+        await _take_up(begun)
+        assert begun
+        for stream in begun:
+            assert len(stream.versions) == 1
+            assert set(stream.statuses) <= {200, 503}
+
+    _run(work)
+
+
+@pytest.mark.parametrize("has_history", [True, False])
+def test_streams_of_one_version_go_on_after_a_kill_of_all(has_history: bool) -> None:
+    """Guards against refusing all streams since nobody knows where they began."""
+
+    async def work(versioned: version_fakes.VersionedSite) -> None:
+        site = versioned.site
+        # Before their versions were set, its servers had none.
+        site.store.forget()
+        streams = await _begin(versioned)
+        if has_history:
+            for engine in site.engines:
+                site.register(engine, version="v1", slots=5)
+            await site.add_engine("i-3", version="v1")
+            site.store.remove("servers/i-3")
+        await _replace_all_instances(site)
+        await _take_up(streams)
+        assert all(stream.is_complete for stream in streams)
+
+    _run(work)
--- a/tests/test_resuming.py
+++ b/tests/test_resuming.py
@@ -1,16 +1,17 @@
 """At which service and version a resumed stream goes on, by what is known of it."""
 
 import asyncio
+import time
 from unittest import mock
 
 import pytest
 
-from cassiaquay_daemon import exceptions
+from cassiaquay_daemon import clock, exceptions, platform
 from cassiaquay_daemon.configured import routing
 from cassiaquay_daemon.decisions import stream_origins
 from cassiaquay_daemon.gateway import calls, progress, resuming
 from cassiaquay_daemon.platform import headers
-from cassiaquay_schema import fleet
+from cassiaquay_schema import fleet, messages
 
 STREAM = routing.Kind.STREAM
 
@@ -51,12 +52,37 @@
         self.origins.find = self._find
         self.origins.add = lambda key, origin, lifetime: self.recorded.append(origin)
         self.servers = mock.Mock(is_behind=False)
+        # Servers that leave, besides those in use; all began when `started_ms` says.
+        self.leaving: dict[str, str] = {}
+        self.started_ms = 1
+        self.past = platform.ServersPast([], [])
+        self.servers.entries = self._entries
+        self.servers.read_past = self._read_past
         self.resuming = resuming.Resuming(self.configured, self.origins, self.servers)
         self.configured.put(**versions)
 
     async def _find(self, key: int) -> stream_origins.Origin | None:
         return self.origin
 
+    async def _read_past(self) -> platform.ServersPast:
+        if self.past is None:
+            raise exceptions.PlatformError("unreadable")
+        return self.past
+
+    def _entries(self) -> list[messages.ServerEntry]:
+        found = []
+        for server in self.configured.current.fleet.pools["chat"].servers:
+            found.append(self.entry(server.name, server.software))
+        for name, version in self.leaving.items():
+            found.append(self.entry(name, version)._replace(leaving=True))
+        return found
+
+    def entry(self, name: str, version: str) -> messages.ServerEntry:
+        """Return the entry of a server."""
+        return messages.ServerEntry(
+            name, "chat", "h:1", "", 1, False, self.started_ms, 9, 0, version, 0
+        )
+
     def state(self, *services: str) -> progress.RequestState:
         """Return a resumed stream on a route to some services."""
         shares = tuple(routing.Share(name, 1) for name in services or ("chat",))
@@ -163,3 +189,62 @@
     with pytest.raises(exceptions.StreamInterrupted):
         bench.note(state, "a", "a2")
     assert not bench.recorded
+
+
+@pytest.mark.parametrize(
+    "cause", ["leaving", "young", "unstated", "gone", "unreadable"]
+)
+def test_version_that_others_may_have_preceded_is_not_the_sole_one(cause: str) -> None:
+    """Guards against a guess by an instance that has just started, as all others."""
+    bench = _Bench(a="v1")
+    if cause == "leaving":
+        bench.leaving["b"] = "v0"
+    elif cause == "young":
+        bench.started_ms = int(time.time() * 1000)
+    elif cause == "unstated":
+        bench.started_ms = 0
+    elif cause == "gone":
+        bench.past.removed.append("b")
+    else:
+        bench.past = None
+    with pytest.raises(exceptions.OriginUnknown):
+        bench.resolve(bench.state())
+
+
+def test_sole_version_that_was_observed_for_long_needs_no_evidence() -> None:
+    """Guards against reads of the platform for each stream that is taken up."""
+    bench = _Bench(a="v1")
+    bench.past = None
+    bench.started_ms = 0
+    later = clock.now() + 60.0
+    before = clock.use(lambda: later)
+    try:
+        state = bench.state()
+        bench.resolve(state)
+    finally:
+        clock.use(before)
+    assert state.software == "v1"
+
+
+@pytest.mark.parametrize(("version", "is_sole"), [("v1", True), ("v0", False)])
+def test_server_that_has_gone_is_known_by_what_it_wrote(
+    version: str, is_sole: bool
+) -> None:
+    """Guards against refusals after a server of the same version has left."""
+    bench = _Bench(a="v1")
+    bench.past.written.append(bench.entry("b", version))
+    bench.past.removed.append("b")
+    state = bench.state()
+    if is_sole:
+        bench.resolve(state)
+        assert state.software == "v1"
+        return
+    with pytest.raises(exceptions.OriginUnknown):
+        bench.resolve(state)
+
+
+def test_stream_waits_for_a_service_that_lists_no_server_yet() -> None:
+    """Guards against any version that is listed next, right after a start."""
+    bench = _Bench()
+    with pytest.raises(exceptions.OriginUnknown):
+        bench.resolve(bench.state())
--- a/tests/version_fakes.py
+++ b/tests/version_fakes.py
@@ -44,17 +44,19 @@
         """Start all servers and wait until all daemons know their versions."""
         await self.add(self.versions)
 
-    async def add(self, versions: dict[str, str]) -> None:
+    async def add(self, versions: dict[str, str], born: int = 1) -> None:
         """Add servers; return when all daemons know the versions of all servers."""
         self.versions |= versions
         for name, version in versions.items():
             known = {engine.name: engine for engine in self.site.engines}
             if name in known:
-                self.site.register(known[name], version=version)
+                self.site.register(known[name], version=version, born=born)
             else:
-                await self.site.add_engine(name, version=version)
+                await self.site.add_engine(name, version=version, born=born)
         for engine in self.site.engines:
             engine.responder = self._answer
+            if engine.name in versions:
+                engine.born = born
         for made in self.site.daemons:
             await self._until_known(made)
 
