Entries that are skipped are reported to operators

Operators saw nothing of entries that describe no server but lines at level DEBUG, one a read.

Change: the decoder raises InvalidEntry with the cause; the store's adapter logs server_entry_skipped once for each change of an entry, as an alarm, which is counted. Addresses have ASCII digits.

Tests that an invalid entry gives None expect InvalidEntry now; they check as much as before. New: one line a change over several reads, versions nested up to 100,000 deep, an address with other digits.

--- a/packages/daemon/cassiaquay_daemon/platform/entries.py
+++ b/packages/daemon/cassiaquay_daemon/platform/entries.py
@@ -7,7 +7,7 @@
 
 from cassiaquay_schema import messages
 
-from .. import logs
+from .. import exceptions, logs
 from . import numbers
 
 READY = "ready"
@@ -17,6 +17,7 @@
 MAX_SOFTWARE_CHARACTERS = 64
 # All instances keep each entry and send it on.
 MAX_NAME_CHARACTERS = 256
+MAX_CAUSE_CHARACTERS = 200
 
 Name = typing.Annotated[str, msgspec.Meta(max_length=MAX_NAME_CHARACTERS)]
 
@@ -38,23 +39,62 @@
     version: typing.Any = ""
 
 
-def decode(name: str, value: bytes, revision: int) -> messages.ServerEntry | None:
-    """Return the server that an entry describes, or None if the entry is invalid.
+class InvalidEntry(exceptions.PlatformError):
+    """An entry describes no server."""
+
+    code = "platform_entry"
+
+
+class Skipped:
+    """Logs entries that describe no server, once for each change of one."""
+
+    def __init__(self) -> None:
+        # Revision of each entry that was logged, and of those in the current listing.
+        self._logged: dict[str, int] = {}
+        self._current: dict[str, int] = {}
+
+    def note(self, name: str, revision: int, error: InvalidEntry) -> None:
+        """Log an entry of the current listing, unless it was logged before."""
+        self._current[name] = revision
+        if self._logged.get(name) == revision:
+            return
+        logs.trouble(
+            "server_entry_skipped",
+            server=name,
+            revision=revision,
+            cause=str(error)[:MAX_CAUSE_CHARACTERS],
+        )
+
+    def end_listing(self) -> None:
+        """Forget the entries that the current listing lacks."""
+        self._logged, self._current = self._current, {}
+
+
+def decode(name: str, value: bytes, revision: int) -> messages.ServerEntry:
+    """Return the server that an entry describes.
 
     Other programs may write entries, too. An entry with a missing field, a field of the
     wrong type or size, an unknown state or undecodable bytes is skipped and does not
     affect the other entries.
+
+    Raises
+    ------
+    InvalidEntry
+        When it describes none.
     """
     try:
         entry = msgspec.json.decode(value, type=_Entry)
+        software = _software(entry.version)
     except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
-        logs.detail("server_entry_unreadable", server=name, cause=str(error))
-        return None
-    if entry.state not in (READY, DRAINING) or not _is_address(entry.addr):
-        logs.detail("server_entry_unusable", server=name, state=entry.state)
-        return None
-    if not name or not entry.service or not 0 < entry.slots <= MAX_SLOTS:
-        return None
+        raise InvalidEntry(str(error)) from error
+    if not name or not entry.service:
+        raise InvalidEntry("it names no service or no server")
+    if entry.state not in (READY, DRAINING):
+        raise InvalidEntry("its state is unknown")
+    if not _is_address(entry.addr):
+        raise InvalidEntry("its address is invalid")
+    if not 0 < entry.slots <= MAX_SLOTS:
+        raise InvalidEntry(f"{entry.slots} slots")
     return messages.ServerEntry(
         name,
         entry.service,
@@ -65,7 +105,7 @@
         entry.born,
         revision,
         max(int(entry.cold_left_ms), 0),
-        _software(entry.version),
+        software,
         entry.seq,
     )
 
@@ -89,4 +129,5 @@
 
 
 def _is_decimal_below(text: typing.Any, bound: int) -> bool:
-    return text.isdecimal() and len(text) <= 5 and int(text) < bound
+    is_decimal = text.isascii() and text.isdecimal()
+    return is_decimal and len(text) <= 5 and int(text) < bound
--- a/packages/daemon/cassiaquay_daemon/platform/store.py
+++ b/packages/daemon/cassiaquay_daemon/platform/store.py
@@ -8,6 +8,7 @@
 
 import base64
 import binascii
+import contextlib
 import typing
 
 import aiohttp
@@ -299,6 +300,7 @@
 
     def __init__(self, http: aiohttp.ClientSession, address: str):
         self._store = Store(http, address)
+        self._skipped = entries.Skipped()
 
     async def read(self) -> platform.ServersRead:
         """Return all servers with a valid entry."""
@@ -306,9 +308,11 @@
         servers: list[messages.ServerEntry] = []
         for item in registered.items:
             name = item.key.removeprefix(SERVERS_PREFIX)
-            entry = entries.decode(name, item.value, item.revision)
-            if entry is not None:
-                servers.append(entry)
+            try:
+                servers.append(entries.decode(name, item.value, item.revision))
+            except entries.InvalidEntry as error:
+                self._skipped.note(name, item.revision, error)
+        self._skipped.end_listing()
         return platform.ServersRead(registered.position, servers)
 
     async def read_past(self) -> platform.ServersPast:
@@ -322,9 +326,9 @@
             if change.value is None:
                 past.removed.append(name)
                 continue
-            entry = entries.decode(name, change.value, change.revision)
-            if entry is not None:
-                past.written.append(entry)
+            # It was logged if it was in a listing.
+            with contextlib.suppress(entries.InvalidEntry):
+                past.written.append(entries.decode(name, change.value, change.revision))
         return past
 
 
--- a/tests/test_foreign_entries.py
+++ b/tests/test_foreign_entries.py
@@ -1,7 +1,9 @@
 """Entries of other writers in the platform's store."""
 
 import asyncio
+import contextlib
 import json
+import logging
 
 import gateway_fakes as fakes
 import hypothesis
@@ -50,7 +52,8 @@
 @pytest.mark.parametrize("change", CHANGES)
 def test_entry_beyond_the_bounds_is_skipped(change: dict) -> None:
     """Guards against a foreign entry that no message to a neighbour can carry."""
-    assert entries.decode("i-7", json.dumps(ENTRY | change).encode(), 9) is None
+    with pytest.raises(entries.InvalidEntry):
+        entries.decode("i-7", json.dumps(ENTRY | change).encode(), 9)
 
 
 @hypothesis.given(
@@ -58,11 +61,39 @@
 )
 def test_each_decoded_entry_can_be_sent(change: dict) -> None:
     """Guards against values of other writers that end the task which sends the list."""
-    found = entries.decode("i-7", json.dumps(ENTRY | change).encode(), 9)
-    if found is not None:
+    with contextlib.suppress(entries.InvalidEntry):
+        found = entries.decode("i-7", json.dumps(ENTRY | change).encode(), 9)
         frames.encode(messages.ServerList(1, 0, [found]))
 
 
+@pytest.mark.parametrize("depth", [10, 500, 900, 960, 980, 1000, 100_000])
+def test_deeply_nested_version_raises_nothing_else(depth: int) -> None:
+    """Guards against an error that is raised only when a decoded value is shown."""
+    entry = json.dumps(ENTRY | {"version": "V"}).replace(
+        '"V"', "[" * depth + "]" * depth
+    )
+    with contextlib.suppress(entries.InvalidEntry):
+        entries.decode("i-7", entry.encode(), 9)
+
+
+def test_skipped_entry_is_logged_once_for_each_change(caplog) -> None:
+    """Guards against entries that are skipped unseen, and against a line each read."""
+
+    async def work(site: fakes.Site) -> None:
+        for seq in (HUGE, HUGE + 1):
+            site.store.put("servers/inventory-7", ENTRY | {"seq": seq})
+            await _until_read(site)
+            for _ in range(3):
+                calls = site.store.calls
+                while site.store.calls < calls + 4:
+                    await asyncio.sleep(0.02)
+
+    with caplog.at_level(logging.WARNING, "cassiaquay"):
+        fakes.run(work)
+    lines = [item for item in caplog.records if item.msg == "server_entry_skipped"]
+    assert [line.server for line in lines] == ["inventory-7"] * 2
+
+
 @pytest.mark.parametrize("change", CHANGES)
 def test_configuration_changes_beside_a_foreign_entry(change: dict) -> None:
     """Guards against instances that apply no change after one foreign entry."""
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -1,5 +1,6 @@
 """Decoding of the platform's configuration document, registrations and headers."""
 
+import contextlib
 import json
 import pathlib
 import re
@@ -174,6 +175,7 @@
         {"addr": "10.0.0.9:99999"},
         {"addr": "10.0.0.900:80"},
         {"addr": None},
+        {"addr": "10.0.0.\u0669:8080"},
         {"slots": 0},
         {"slots": "many"},
         {"service": ""},
@@ -181,7 +183,8 @@
     ],
 )
 def test_invalid_entry_is_skipped(change: dict) -> None:
-    assert entries.decode("i-1", json.dumps(ENTRY | change).encode(), 9) is None
+    with pytest.raises(entries.InvalidEntry):
+        entries.decode("i-1", json.dumps(ENTRY | change).encode(), 9)
 
 
 @pytest.mark.parametrize(
@@ -212,8 +215,8 @@
 
 @hypothesis.given(strategies.binary(max_size=200))
 def test_entry_of_arbitrary_bytes_raises_nothing(data: bytes) -> None:
-    found = entries.decode("i-1", data, 9)
-    assert found is None or found.name == "i-1"
+    with contextlib.suppress(entries.InvalidEntry):
+        assert entries.decode("i-1", data, 9).name == "i-1"
 
 
 CALLER_HEADERS = [
