--- a/packages/dev/cassiaquay_dev/soak/engine_faults.py
+++ b/packages/dev/cassiaquay_dev/soak/engine_faults.py
@@ -1,4 +1,4 @@
-"""Faults of the engines' processes: signals that stop them and let them continue."""
+"""Faults of engines: signals that stop them, late copies, releases beside kills."""
 
 import asyncio
 import random
@@ -43,3 +43,26 @@
                 forwarder.resume()
             for name in names:
                 deployment.recorded.pauses.end(name, start, records.now())
+
+
+@faults.faults.register("engine_copies")
+async def engine_copies(deployment: site.Site, rng: random.Random) -> None:
+    """Let some engines decline requests and send copies of these answers later."""
+    names = sorted(deployment.engines)
+    chosen = rng.sample(names, rng.randint(1, len(names)))
+    with faults.Disturbance(deployment, *chosen, breaks=False):
+        for name in chosen:
+            deployment.engines[name].copying_share = rng.uniform(0.1, 0.6)
+        await asyncio.sleep(rng.uniform(1.0, 5.0))
+        for name in chosen:
+            if name in deployment.engines:
+                deployment.engines[name].copying_share = 0.0
+
+
+@faults.faults.register("release_and_kill")
+async def release_and_kill(deployment: site.Site, rng: random.Random) -> None:
+    """Kill all daemons at once while model engines get another software version."""
+    releasing = asyncio.create_task(faults.engine_release(deployment, rng))
+    await asyncio.sleep(rng.uniform(0.5, 6.0))
+    await faults.kill_together(deployment, rng, deployment.daemons)
+    await releasing
--- a/packages/dev/cassiaquay_dev/soak/engines.py
+++ b/packages/dev/cassiaquay_dev/soak/engines.py
@@ -6,6 +6,7 @@
 import random
 import re
 import typing
+import weakref
 
 from ..standins import endless, raw_servers
 from . import records
@@ -108,6 +109,11 @@
         self.bears: int | None = None
         # Whether it lets requests wait for a slot.
         self.has_queue = True
+        # Share of the requests that it declines, with an answer that it sends once more
+        # where that to the next request on the connection is due.
+        self.copying_share = 0.0
+        self._copies: weakref.WeakKeyDictionary[raw_servers.Writer, dict[str, str]]
+        self._copies = weakref.WeakKeyDictionary()
         self._rejected_at: collections.deque[float] = collections.deque()
         self._recorded = recorded
         self._rng = rng
@@ -126,6 +132,14 @@
             await raw_servers.send(writer, 421, b"", headers)
             return
         self._recorded.runs.append(run)
+        copied = self._copies.pop(writer, None)
+        if copied is not None:
+            run.has_engine_fault = True
+            await raw_servers.send(writer, 503, b"", copied)
+        if self.copying_share and self._rng.random() < self.copying_share:
+            run.rejected = True
+            await self._decline_twice(run, writer)
+            return
         if self.retry_after:
             run.rejected = True
             await self._turn_away(run, writer)
@@ -148,6 +162,14 @@
         finally:
             self._slots.release()
 
+    async def _decline_twice(
+        self, run: records.Run, writer: raw_servers.Writer
+    ) -> None:
+        headers = {"Cassiaquay-Not-Executed": "1"}
+        headers["Cassiaquay-Attempt-Id"] = run.request.attempt
+        await raw_servers.send(writer, 503, b"", headers)
+        self._copies[writer] = headers
+
     async def _reject(self, writer: raw_servers.Writer) -> None:
         headers = {"Cassiaquay-Not-Executed": "1"} | self._state_headers()
         await raw_servers.send(writer, 503, b"", headers)
--- a/packages/dev/cassiaquay_dev/soak/faults.py
+++ b/packages/dev/cassiaquay_dev/soak/faults.py
@@ -35,6 +35,9 @@
     "stream_cuts",
     "store_restored",
     "engine_endless",
+    "engine_copies",
+    "foreign_entries",
+    "release_and_kill",
     site.PAUSE_FAULT,
 )
 # Longest pause between planned stops of several daemons, as an operator leaves one.
@@ -73,9 +76,10 @@
                 kind.end(name, self._start, records.now())
 
 
-async def _kill(
+async def kill_together(
     deployment: site.Site, rng: random.Random, chosen: list[daemons.Daemon]
 ) -> None:
+    """Kill daemons at the same moment, and start them again together."""
     with Disturbance(deployment, *(one.name for one in chosen)):
         down = rng.uniform(0.1, 2.0)
         for one in chosen:
@@ -88,7 +92,7 @@
 @faults.register("kill")
 async def kill(deployment: site.Site, rng: random.Random) -> None:
     """Kill daemons and start them again."""
-    await _kill(deployment, rng, _choose_daemons(deployment, rng))
+    await kill_together(deployment, rng, _choose_daemons(deployment, rng))
 
 
 @faults.register("kill_after_change")
@@ -96,7 +100,7 @@
     """Kill all daemons right after a change of the configuration."""
     _change_configuration(deployment, rng)
     await asyncio.sleep(rng.uniform(0.0, 0.3))
-    await _kill(deployment, rng, deployment.daemons)
+    await kill_together(deployment, rng, deployment.daemons)
 
 
 @faults.register("pause")
--- a/packages/dev/cassiaquay_dev/soak/site.py
+++ b/packages/dev/cassiaquay_dev/soak/site.py
@@ -3,6 +3,7 @@
 import asyncio
 import pathlib
 import random
+import time
 import typing
 
 import uvloop
@@ -118,6 +119,8 @@
         # Software version of the engines that are started from now on, by service.
         self.software = {"chat": "v1", "plain": "v1"}
         self._engine_count = 0
+        # Start times of the engines by name, Unix milliseconds.
+        self._born: dict[str, int] = {}
         self._folder = pathlib.Path(settings.folder)
         self._watch_tasks: list[asyncio.Task[None]] = []
         self._crash_tasks: set[asyncio.Task[None]] = set()
@@ -289,7 +292,7 @@
             "zone": "a",
             "slots": engines.SLOTS,
             "state": state,
-            "born": self._engine_count,
+            "born": self._born.setdefault(name, int(time.time() * 1000)),
             "version": self.engines[name].software,
         }
         self.store.put(f"servers/{name}", entry)
--- a/tests/test_rejoined_streams.py
+++ b/tests/test_rejoined_streams.py
@@ -105,3 +105,45 @@
         assert all(stream.is_complete for stream in streams)
 
     _run(work)
+
+
+async def _stop(site: fakes.Site, at: int) -> None:
+    """Stop one daemon; its tasks end as those of a planned stop."""
+    site.daemons[at]._stopping.set()
+    await site._tasks[at]
+
+
+@pytest.mark.parametrize("survivors", [0, 1])
+def test_instances_that_come_back_one_by_one_join_no_streams(survivors: int) -> None:
+    """Guards against taking silence or an unknown origin for a sole version.
+
+    All instances but some end; new ones join one after the other, and the first of them
+    is replaced once more. Meanwhile the old servers go.
+    """
+
+    async def work(versioned: version_fakes.VersionedSite) -> None:
+        site = versioned.site
+        streams = await _begin(versioned)
+        born = int(time.time() * 1000)
+        await versioned.add({"i-3": "v2", "i-4": "v2"}, born=born)
+        seeds = [found.peer_listen for found in site.settings[:survivors]]
+        seeds += [f"127.0.0.1:{ports.free_port()}" for _ in range(COUNT)]
+        await asyncio.gather(*(_stop(site, at) for at in range(survivors, COUNT)))
+        for name in ("i-1", "i-2"):
+            site.store.remove(f"servers/{name}")
+        for number in range(COUNT):
+            await site.add(f"new-{number}", seeds[survivors + number], seeds)
+            await site.until_ready(site.settings[COUNT + number])
+            at = COUNT + number
+            await asyncio.gather(*(s.ask(at) for s in streams if not s.is_complete))
+            if not number:
+                await _stop(site, COUNT)
+                await site.add("new-0b", f"127.0.0.1:{ports.free_port()}", seeds)
+                for items in (site.daemons, site.settings, site._tasks):
+                    items[COUNT] = items.pop()
+                await site.until_ready(site.settings[COUNT])
+        for stream in streams:
+            assert len(stream.versions) == 1
+            assert set(stream.statuses) <= {200, 503}
+
+    _run(work)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -718,6 +718,16 @@
     assert outcome.faults["engine_release"] > 0
 
 
+def test_short_soak_run_with_late_copies_and_foreign_entries(tmp_path) -> None:
+    """Guards against false refusals, and against what one entry or a kill of all ends."""
+    only = "engine_copies,foreign_entries,release_and_kill"
+    settings = SHORT._replace(folder=str(tmp_path), engines=8, only=only)
+    outcome = asyncio.run(main.run_seed(settings, timed=False))
+    assert not outcome.findings
+    assert set(outcome.faults) <= set(only.split(","))
+    assert outcome.served > 0
+
+
 def test_short_soak_run_with_returns_from_a_copy_reverts_nothing(tmp_path) -> None:
     """Guards against older configurations when the store returns from a copy."""
     only = "store_restored,store_restored,change,stop,engine_leaves"
