The bodies of all requests together stay within the memory of an instance

Callers saw: in a burst of uploads within max-body-bytes the instances exceeded their memory and were killed; requests running at sound servers got no answer.

Cause: each body is read whole as soon as it arrives and held until its request ends. Bodies had a bound each, and none together.

Change: a body over 64 KiB reserves its length before it is read, one in chunks the configured limit. Relayed bodies count as well.

--- a/packages/daemon/cassiaquay_daemon/gateway/accepting.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/accepting.py
@@ -1,13 +1,11 @@
 """Validates callers' requests and resolves their route and team."""
 
-import math
-
 from .. import exceptions, logs, pause
 from ..configured import routing
-from ..decisions import contents, return_visits
+from ..decisions import body_bytes, contents, return_visits
 from ..fleet import configuration, servers
 from ..platform import headers
-from . import calls, replies
+from . import body_room, calls, replies
 
 # Retry-After while no configuration has been read yet, or it may be outdated.
 NOT_READY_RETRY_MS = 500
@@ -15,6 +13,8 @@
 # then serves the requests that arrived meanwhile. A request that waits longer than the
 # shortest objective in use is better retried at another instance.
 RENEWAL_WAIT_SECONDS = 0.4
+# Of a request that another instance has accepted, perhaps by a newer configuration.
+MAX_BODY_BYTES = 256 * 1024 * 1024
 
 
 class Acceptor:
@@ -50,8 +50,12 @@
         receive: replies.Receive,
         parsed: headers.ParsedHeaders,
         began_at: float,
+        hold: body_room.Hold,
     ) -> calls.Call:
-        """Return the validated request; raise a Refusal when it is not acceptable."""
+        """Return the validated request; raise a Refusal when it is not acceptable.
+
+        ``hold`` takes the memory of its body.
+        """
         await self._pauses.wait(RENEWAL_WAIT_SECONDS)
         snapshot = self._configured.current
         if snapshot is None or snapshot.routes is None:
@@ -63,7 +67,9 @@
         if route is None or not route.shares:
             raise self._or_not_ready(exceptions.NoRoute())
         team = self._team(snapshot.routes, route, parsed)
-        body = await read_body(receive, snapshot.routes.bounds.body_bytes)
+        body_bound = snapshot.routes.bounds.body_bytes
+        await hold.reserve(min(parsed.body_bytes, body_bound))
+        body = await read_body(receive, hold, body_bound)
         if scope["query_string"]:
             target += "?" + scope["query_string"].decode("latin-1")
         caller = team.name if team is not None else parsed.key
@@ -121,8 +127,14 @@
         return refusal
 
 
-async def read_body(receive: replies.Receive, max_bytes: float = math.inf) -> bytes:
-    """Return a request's complete body; raise TooLarge or CallerDisconnected."""
+async def read_body(
+    receive: replies.Receive, hold: body_room.Hold, max_bytes: int = MAX_BODY_BYTES
+) -> bytes:
+    """Return a request's complete body; raise TooLarge or CallerDisconnected.
+
+    One without a length may become as large as the bound: it waits for that much memory
+    once it is no small one.
+    """
     parts = []
     size = 0
     while True:
@@ -134,6 +146,8 @@
         if size > max_bytes:
             raise exceptions.TooLarge()
         parts.append(part)
+        if size > body_bytes.UNCOUNTED_BYTES:
+            await hold.reserve(max_bytes)
         if not message.get("more_body", False):
             return b"".join(parts)
 
--- a/packages/daemon/cassiaquay_daemon/gateway/front.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/front.py
@@ -10,6 +10,7 @@
 from . import (
     accepting,
     accounting,
+    body_room,
     caller_connections,
     calls,
     deliveries,
@@ -40,6 +41,8 @@
         no complete answer.
     pauses : Pauses
         Gives the time since when a request may have waited to be read.
+    bodies : BodyRoom
+        Memory for the bodies of requests.
     """
 
     def __init__(
@@ -49,8 +52,10 @@
         reply: replies.Replies,
         accounts: accounting.Accounting,
         pauses: pause.Pauses,
+        bodies: body_room.BodyRoom,
     ):
         self.open_count = 0
+        self._bodies = bodies
         # Work of the handler by the listener's task that waits for it.
         self._open: dict[asyncio.Task[typing.Any], asyncio.Task[None]] = {}
         self._has_ended = False
@@ -84,12 +89,14 @@
         """Serve one request."""
         self.open_count += 1
         delivery = deliveries.Delivery(send)
+        hold = body_room.Hold(self._bodies)
         try:
-            call = await self._accept(scope, receive, delivery)
+            call = await self._accept(scope, receive, delivery, hold)
             if call is not None:
                 left = _until_left(scope, receive)
                 await self._serve(call, left, delivery)
         finally:
+            hold.close()
             self.open_count -= 1
 
     async def _accept(
@@ -97,13 +104,16 @@
         scope: replies.Scope,
         receive: replies.Receive,
         delivery: deliveries.Delivery,
+        hold: body_room.Hold,
     ) -> calls.Call | None:
         """Return the validated request; None if it has ended before it had a route."""
         began_at = self._pauses.earliest_arrival()
         try:
             parsed = headers.read(scope["headers"])
             try:
-                call = await self._acceptor.accept(scope, receive, parsed, began_at)
+                call = await self._acceptor.accept(
+                    scope, receive, parsed, began_at, hold
+                )
                 if self._has_ended:
                     raise exceptions.InstanceLeaving()
                 return call
--- a/packages/daemon/cassiaquay_daemon/gateway/relaying.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/relaying.py
@@ -15,7 +15,15 @@
 from ..fleet import configuration, crash_reports, server_reports
 from ..owners import streams
 from ..platform import headers
-from . import accepting, forwarding, holding, relay_connections, relays, replies
+from . import (
+    accepting,
+    body_room,
+    forwarding,
+    holding,
+    relay_connections,
+    relays,
+    replies,
+)
 
 
 class Parts(typing.NamedTuple):
@@ -37,6 +45,8 @@
         Checks that the sender is an instance of this fleet.
     room : Room
         Lets answers that keep coming read on in turn.
+    bodies : BodyRoom
+        Memory for the bodies of requests.
     """
 
     configured: configuration.Configuration
@@ -46,6 +56,7 @@
     pauses: pause.Pauses
     chosen_relays: relays.Relays
     room: holding.Room
+    bodies: body_room.BodyRoom
 
 
 class RelayServer:
@@ -65,6 +76,11 @@
         self._parts = parts
         self._incarnation = incarnation
 
+    @property
+    def bodies(self) -> body_room.BodyRoom:
+        """Memory for the bodies of requests, those of callers, too."""
+        return self._parts.bodies
+
     async def __call__(
         self, scope: replies.Scope, receive: replies.Receive, send: replies.Send
     ) -> None:
@@ -91,11 +107,29 @@
         if snapshot is None or snapshot.routes is None:
             await _reply(send, relays.NOT_SENT, "no configuration")
             return
+        hold = body_room.Hold(self._parts.bodies)
         try:
+            await hold.reserve(headers.read(scope["headers"]).body_bytes)
             # The owner has checked the size, perhaps by a newer configuration.
-            body = await accepting.read_body(receive)
+            body = await accepting.read_body(receive, hold)
+            await self._send_on(scope, receive, target, body, arrived_at, send)
         except replies.CallerDisconnected:
             return
+        except exceptions.Refusal as refusal:
+            await _reply(send, relays.NOT_SENT, str(refusal))
+        finally:
+            hold.close()
+
+    async def _send_on(
+        self,
+        scope: replies.Scope,
+        receive: replies.Receive,
+        target: relays.Target,
+        body: bytes,
+        arrived_at: float,
+        send: replies.Send,
+    ) -> None:
+        """Send a request to its server until it ends, or its owner disconnects."""
         work = asyncio.create_task(
             self._exchange(scope, target, body, arrived_at, send)
         )
--- a/packages/daemon/cassiaquay_daemon/gateway/service.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/service.py
@@ -36,6 +36,7 @@
     accepting,
     accounting,
     admission,
+    body_room,
     caller_connections,
     completions,
     connections,
@@ -132,6 +133,7 @@
             parts.reply,
             parts.accounting,
             shared.pauses,
+            relay.bodies,
         )
         self._directory = directory.Directory(
             settings, shared.membership, shared.configured, shared.pauses, self._front
@@ -281,6 +283,7 @@
         shared.pauses,
         chosen_relays,
         room,
+        body_room.BodyRoom(settings.capacity.memory_mb),
     )
     relay = relaying.RelayServer(relay_parts, shared.incarnation)
     prober = probing.Prober(observed, dialer)
--- a/packages/daemon/cassiaquay_daemon/platform/headers.py
+++ b/packages/daemon/cassiaquay_daemon/platform/headers.py
@@ -113,6 +113,8 @@
     shared_parts : tuple of str
         Digests of all parts but the last, by model, without repeats. Unlike the keys of
         ``parts`` they don't depend on what stands before a part.
+    body_bytes : int
+        Length of the body; 0 if it is not given, as for one in chunks.
     """
 
     host: str
@@ -126,6 +128,7 @@
     last_event: int
     resumes: str = ""
     shared_parts: tuple[str, ...] = ()
+    body_bytes: int = 0
 
     @property
     def counts_tokens(self) -> bool:
@@ -162,6 +165,7 @@
         _parse_number(first_values.get(LAST_EVENT, b""), -1),
         first_values.get(RESUMES, b"").decode("latin-1"),
         _shared_parts(model, prefix),
+        _parse_number(first_values.get(b"content-length", b""), 0),
     )
 
 
--- a/packages/schema/cassiaquay_schema/settings.py
+++ b/packages/schema/cassiaquay_schema/settings.py
@@ -84,10 +84,13 @@
         Share of a core, of which 1 counts at most; 0 if not given.
     link_mbps : float
         Rate of the network link in Mbit/s; 0 if not given.
+    memory_mb : float
+        Memory in MB above which the process is killed; bounds bodies. 0 if not given.
     """
 
     processor_share: typing.Annotated[float, msgspec.Meta(ge=0)] = 0.0
     link_mbps: typing.Annotated[float, msgspec.Meta(ge=0)] = 0.0
+    memory_mb: typing.Annotated[float, msgspec.Meta(ge=0)] = 0.0
 
 
 class Owner(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
--- a/tests/refusal_fakes.py
+++ b/tests/refusal_fakes.py
@@ -22,6 +22,7 @@
 from cassiaquay_daemon.gateway import (
     accounting,
     admission,
+    body_room,
     caller_connections,
     calls,
     forwarding,
@@ -338,6 +339,7 @@
             parts.pauses,
             parts.chosen_relays,
             holding.Room(held_bytes.HeldBytes()),
+            body_room.BodyRoom(),
         ),
         "incarnation",
     )
@@ -409,6 +411,7 @@
         replies.Replies(),
         accounting.Accounting(),
         mock.Mock(),
+        body_room.BodyRoom(),
     )
     connection = mock.Mock(is_half_closed=False)
     scope = {
--- a/tests/test_accepting.py
+++ b/tests/test_accepting.py
@@ -8,7 +8,7 @@
 from cassiaquay_daemon import clock, exceptions, pause
 from cassiaquay_daemon.configured import routing
 from cassiaquay_daemon.decisions import return_visits
-from cassiaquay_daemon.gateway import accepting
+from cassiaquay_daemon.gateway import accepting, body_room
 from cassiaquay_daemon.platform import headers
 
 HEADERS = [(b"host", b"a.example"), (b"cassiaquay-attempt-id", b"a1")]
@@ -46,7 +46,8 @@
 
 async def _accept(acceptor: accepting.Acceptor) -> None:
     parsed = headers.read(HEADERS)
-    await acceptor.accept(SCOPE, _receive, parsed, clock.now())
+    hold = body_room.Hold(body_room.BodyRoom())
+    await acceptor.accept(SCOPE, _receive, parsed, clock.now(), hold)
 
 
 def test_request_waits_for_configuration_after_start() -> None:
@@ -107,7 +108,9 @@
         parsed = headers.read([(b"host", b"h"), (b"cassiaquay-attempt-id", b"a1")])
         parsed = parsed._replace(deadline_ms=deadline_ms, last_event=last_event)
         scope = {**SCOPE, "raw_path": b"/"}
-        return (await acceptor.accept(scope, receive, parsed, 0.0)).age_seconds
+        hold = body_room.Hold(body_room.BodyRoom())
+        call = await acceptor.accept(scope, receive, parsed, 0.0, hold)
+        return call.age_seconds
 
     async def run() -> None:
         for _ in range(4):
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -719,7 +719,7 @@
 
 
 def test_short_soak_run_with_late_copies_and_foreign_entries(tmp_path) -> None:
-    """Guards against false refusals, and against what one entry or a kill of all ends."""
+    """Guards against false refusals, and against work that one entry or a kill ends."""
     only = "engine_copies,foreign_entries,release_and_kill"
     settings = SHORT._replace(folder=str(tmp_path), engines=8, only=only)
     outcome = asyncio.run(main.run_seed(settings, timed=False))
