An answer of the store that names other keys is an error

A copy of the answer to an earlier call, read in place of the list of servers, was a list without any server, since no entry in it described one; all servers then counted as gone.

Change: keys in an answer must begin with the prefix that was asked for, or be the key that was asked for. An answer without any key cannot be told from that to another call: open. A copy of an older answer to the same call has a lower revision and is discarded, as before.

tests/test_platform_store.py: the new case fails with the daemon of before.

--- a/packages/daemon/cassiaquay_daemon/platform/store.py
+++ b/packages/daemon/cassiaquay_daemon/platform/store.py
@@ -122,7 +122,10 @@
         if answer.status == 404:
             return None
         _check_status(answer.status)
-        return _decode_item(_parse(answer.body, _ItemBody))
+        found = _parse(answer.body, _ItemBody)
+        if found.key != key:
+            raise exceptions.PlatformError(f"{key}: answered with another key")
+        return _decode_item(found)
 
     async def items(self, prefix: str) -> Items:
         """Return all keys under a prefix.
@@ -156,6 +159,7 @@
             if position.epoch != answer.epoch:
                 raise exceptions.PlatformError(f"{prefix}: pages of two epochs")
             for item in page.items:
+                _check_prefix(item.key, prefix)
                 items.append(_decode_item(item))
             if not page.truncated or not page.items:
                 return Items(position, items)
@@ -227,6 +231,7 @@
         _check_status(answer.status)
         changes = []
         for event in _parse(answer.body, _WatchBody).events:
+            _check_prefix(event.key, prefix)
             value = None if event.value is None else _decode_value(event.value)
             changes.append(Change(event.key, value, event.revision))
         return changes
@@ -349,6 +354,15 @@
         raise exceptions.PlatformError(f"store: status {status}")
 
 
+def _check_prefix(key: str, prefix: str) -> None:
+    """Raise if a key shows that an answer is that to another call.
+
+    The list of servers would be empty by the answer to a call for other keys.
+    """
+    if not key.startswith(prefix):
+        raise exceptions.PlatformError(f"{prefix}: answered with other keys")
+
+
 Body = typing.TypeVar("Body")
 
 
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -276,3 +276,23 @@
         assert standin.calls - calls < store.MAX_HISTORY_CALLS
 
     _run(work)
+
+
+def test_answer_to_another_call_is_no_empty_list() -> None:
+    """Guards against all servers being gone by a late copy of an earlier answer."""
+    item = '{"key": "op/config", "value": "e30=", "revision": 5}'
+    listing = f'{{"items": [{item}], "truncated": false, "current-rev": 5}}'
+    events = f'{{"events": [{item}], "current-rev": 5}}'
+
+    async def work(standin: ScriptedStore, http: aiohttp.ClientSession) -> None:
+        client = store.Store(http, standin.address)
+        for body, read in [
+            (listing, store.ServersStore(http, standin.address).read()),
+            (item, client.item("op/other")),
+            (events, client.history("servers/", 9)),
+        ]:
+            standin.raw = [_raw_answer(200, body)]
+            with pytest.raises(exceptions.PlatformError, match="answered with"):
+                await read
+
+    _run(work)
