--- a/tests/test_endless_store.py
+++ b/tests/test_endless_store.py
@@ -98,7 +98,7 @@
         self, request: raw_servers.Request, writer: raw_servers.Writer
     ) -> None:
         """Send a large page that is not the last one."""
-        item = b'{"key":"a","revision":1,"value":"%b"}' % (b"AAAA" * 250000)
+        item = b'{"key":"servers/a","revision":1,"value":"%b"}' % (b"AAAA" * 250000)
         body = b'{"items":[%b],"truncated":true}' % item
         self.sent_bytes += len(body)
         await raw_servers.send(writer, 200, body, {})
