Configured numbers that are too large are clamped

Found by generating values at the decoders: with a time of 1e308 ms, a rate of 1e308 or a rank, number of attempts or tokens of 2^70 in a configuration, the requests of its routes or teams crashed (request_crashed), at all instances.

Change: the numbers of routes, services, teams and limits are clamped to 2^40 when the document is decoded, so that the configuration still comes into force.

--- a/packages/daemon/cassiaquay_daemon/platform/documents.py
+++ b/packages/daemon/cassiaquay_daemon/platform/documents.py
@@ -101,6 +101,7 @@
         document = msgspec.json.decode(text, type=_Document)
     except (msgspec.DecodeError, RecursionError) as error:
         raise schema_exceptions.SchemaError(str(error)) from error
+    _clamp_numbers(document)
     teams = [(tenant, _team(tenant)) for tenant in document.tenants or []]
     routes = routing.Routing(
         document.version,
@@ -124,6 +125,22 @@
     return snapshots.Snapshot(revision, text, fleet, credentials, routes)
 
 
+def _clamp_numbers(document: _Document) -> None:
+    items: list[msgspec.Struct] = [
+        document.limits,
+        *document.routes,
+        *document.services,
+        *(document.tenants or []),
+    ]
+    for route in document.routes:
+        items.extend(route.backends)
+    for service in document.services:
+        if service.engine is not None:
+            items.append(service.engine)
+    for item in items:
+        numbers.clamp_fields(item)
+
+
 def _event_tokens(document: _Document) -> dict[str, int]:
     tokens_by_service = {}
     for item in document.services:
--- a/tests/test_extreme_values.py
+++ b/tests/test_extreme_values.py
@@ -1,5 +1,6 @@
 """Values at the edge of what their decoders accept."""
 
+import asyncio
 import logging
 
 import gateway_fakes as fakes
@@ -94,3 +95,44 @@
             parts=parsed.parts,
         )
     )
+
+
+ROUTE_VALUES = [
+    {"timeout-ms": 1e308},
+    {"slo-ms": 1e308},
+    {"gap-target-ms": 1e308},
+    {"priority": 2**70},
+    {"attempts": 2**70},
+]
+TEAM_VALUES = [
+    {"rate-per-s": 1e308, "burst": 1e308},
+    {"priority": 2**70},
+    {"rate-per-s": 10.0, "burst": 10.0, "unit": "tokens", "plain-tokens": 2**70},
+]
+
+
+@pytest.mark.parametrize("change", ROUTE_VALUES + TEAM_VALUES)
+def test_no_number_of_a_configuration_ends_what_it_passes_through(
+    change: dict, caplog
+) -> None:
+    """Guards against a configured number that no message or timer can carry."""
+
+    async def work(site: fakes.Site) -> None:
+        document = standins.configuration(2)
+        if change in ROUTE_VALUES:
+            document["routes"] = [item | change for item in document["routes"]]
+        else:
+            document["tenants"] = [document["tenants"][0] | change]
+        site.store.put("op/config", document)
+        for made in site.daemons:
+            while (
+                made._configuration.revision != 2 and not made._configuration.rejected
+            ):
+                await asyncio.sleep(0.02)
+        for path in ("/book/x", "/stream/x"):
+            for at in (0, 1):
+                assert (await site.ask(path, at=at)).status in (200, 429, 503)
+
+    with caplog.at_level(logging.WARNING, "cassiaquay"):
+        fakes.run(work, 2)
+    assert not {record.msg for record in caplog.records} & DEFECTS
