Wording, and versions are noted for configured services only

Entries of other writers could have grown the record of versions by a service each. Comments in the field's terms; no other behaviour changed.

--- a/packages/daemon/cassiaquay_daemon/gateway/body_room.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/body_room.py
@@ -7,7 +7,7 @@
 from ..decisions import body_bytes
 
 # Callers give up a request that is not read within a second; a refusal before that
-# tells them that it has not run.
+# states that it has not run.
 PATIENCE_SECONDS = 0.7
 RETRY_MS = 500
 CAUSE = "The bodies of other requests take up the memory of the instance."
--- a/packages/daemon/cassiaquay_daemon/gateway/connections.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/connections.py
@@ -73,7 +73,7 @@
             if self._has_skipped:
                 self._fail(bounded_http.InvalidResponse("an answer of no request"))
                 return
-            # A late copy of it could not be told from the next request's answer.
+            # A late copy of it could not be distinguished from the next answer.
             self.force_close()
         # The client library ignores how long the server keeps idle connections.
         self._idle_seconds = _read_idle_seconds(message.headers)
--- a/packages/daemon/cassiaquay_daemon/gateway/forwarding.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/forwarding.py
@@ -372,11 +372,10 @@
         self, call: calls.Call, response: aiohttp.ClientResponse, is_relayed: bool
     ) -> Answer:
         """Return the answer; raise Declined if the server did not run the request."""
-        is_misdirected = response.status == headers.MISDIRECTED_STATUS
         found = headers.read_signals(response.status, response.headers)
         if headers.is_not_executed(response.status, response.headers):
             response.close()
-            if is_misdirected:
+            if response.status == headers.MISDIRECTED_STATUS:
                 raise Misdirected(f"status {response.status}")
             if found.retry_after is not None:
                 raise exceptions.Deferred(f"retry after {found.retry_after:g} s")
--- a/packages/daemon/cassiaquay_daemon/gateway/resuming.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/resuming.py
@@ -168,7 +168,8 @@
             return
         self._history.update(snapshot.fleet)
         for entry in self._servers.entries():
-            self._history.note(entry.service, entry.software)
+            if entry.service in snapshot.fleet.pools:
+                self._history.note(entry.service, entry.software)
 
 
 def _lifetime_seconds(call: calls.Call) -> float:
--- a/packages/daemon/cassiaquay_daemon/platform/store.py
+++ b/packages/daemon/cassiaquay_daemon/platform/store.py
@@ -322,7 +322,7 @@
 
     async def read_past(self) -> platform.ServersPast:
         """Return the changes of registrations that the store still has."""
-        # One key tells the revision as well as a listing does.
+        # The shortest listing that gives the revision.
         operator_keys = await self._store.items(EVACUATED_PREFIX)
         current = operator_keys.position.revision
         past = platform.ServersPast([], [])
--- a/packages/daemon/cassiaquay_daemon/supervision.py
+++ b/packages/daemon/cassiaquay_daemon/supervision.py
@@ -1,6 +1,6 @@
 """Background tasks that are started again after an unexpected error.
 
-A task that has ended is noticed by nobody: the process goes on, says that it is ready,
+Nothing else notices that a task has ended: the process goes on, says that it is ready,
 and no longer reads its configuration, sends heartbeats or serves its queues.
 """
 
--- a/tests/test_rejoined_streams.py
+++ b/tests/test_rejoined_streams.py
@@ -88,7 +88,7 @@
 
 @pytest.mark.parametrize("has_history", [True, False])
 def test_streams_of_one_version_go_on_after_a_kill_of_all(has_history: bool) -> None:
-    """Guards against refusing all streams since nobody knows where they began."""
+    """Guards against refusing all streams since no instance knows their origins."""
 
     async def work(versioned: version_fakes.VersionedSite) -> None:
         site = versioned.site
