Log on what evidence a request is reported as not run

A promise follows from a request that was never sent, from a server that declined it or from a relay that did not send it. The line of its end had none of these, and the line of a declining answer did not say whether the answer named the request, so the hypotheses of the incident could not be told apart.

--- a/packages/daemon/cassiaquay_daemon/gateway/forwarding.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/forwarding.py
@@ -375,11 +375,16 @@
         found = headers.read_signals(response.status, response.headers)
         if headers.is_not_executed(response.status, response.headers):
             response.close()
+            cause = f"status {response.status}"
+            if not headers.answered_attempts(response.headers):
+                cause = f"{cause} without an id"
             if response.status == headers.MISDIRECTED_STATUS:
-                raise Misdirected(f"status {response.status}")
+                raise Misdirected(cause)
             if found.retry_after is not None:
-                raise exceptions.Deferred(f"retry after {found.retry_after:g} s")
-            raise exceptions.Declined(f"status {response.status}")
+                raise exceptions.Deferred(
+                    f"{cause}, retry after {found.retry_after:g} s"
+                )
+            raise exceptions.Declined(cause)
         pairs = headers.towards_caller(response.headers.items())
         framed = is_framed(response)
         if is_relayed:
--- a/packages/daemon/cassiaquay_daemon/gateway/progress.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/progress.py
@@ -30,6 +30,8 @@
         Number of times that capacity was requested.
     was_offered : bool
         Whether it was sent to any server, even if that declined it.
+    declines : int
+        Number of servers that reported that they did not run it.
     is_repeat : bool
         Whether a server has received it, so that sending it again takes a retry.
     search_began_at : float
@@ -79,6 +81,7 @@
         self.runs = 0
         self.tries = 0
         self.was_offered = False
+        self.declines = 0
         self.is_repeat = False
         self.search_began_at = 0.0
         self.last_event = call.parsed.last_event
--- a/packages/daemon/cassiaquay_daemon/gateway/replies.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/replies.py
@@ -92,6 +92,8 @@
         route=state.call.route.name if state else None,
         server=state.server if state else None,
         tries=state.tries if state else None,
+        was_sent=state.was_offered if state else None,
+        declines=state.declines if state else None,
         unsent_late=_is_late(state) or None,
         ms=elapsed_ms(began_at),
     )
--- a/packages/daemon/cassiaquay_daemon/gateway/tries.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/tries.py
@@ -327,6 +327,7 @@
         if isinstance(error, exceptions.Declined):
             # The server reports that it did not run the request.
             state.runs -= 1
+            state.declines += 1
             # A server that asks for time has not failed.
             is_deferred = isinstance(error, exceptions.Deferred)
             self.outcome = DEFERRED if is_deferred else DECLINED
