Answers behind one that has failed are dropped

Callers saw: 503 "not run" for a booking that a server had received and may run, and the booking was sent to a second server (REFUSED, TWICE).

Cause: a connection's handler fails an answer without an id that says "not executed" behind a skipped surplus answer, since it may be any request's. The client library parses a whole read before it hands the answers over, and feed_data queued every later answer of that read unseen once the handler had failed. A reader that was woken by an interim answer (102) of the same read takes the queue before the error, so it got the next "not executed" answer without an id as its own. Without an interim answer the reader gets the error.

Evidence: one read of 102, an answer of another request and two 503 "not executed" without an id.

Why it works: both handlers drop answers once the connection has failed; the failure is then the only thing that is left to read.

--- a/packages/daemon/cassiaquay_daemon/bounded_http.py
+++ b/packages/daemon/cassiaquay_daemon/bounded_http.py
@@ -74,8 +74,10 @@
         super().set_response_params(**options)
 
     def feed_data(self, data: Received, size: int = 0) -> None:
-        """Queue the head of an answer."""
+        """Queue the head of an answer; drop what follows a failure."""
         message, body = data
+        if self._exception is not None:
+            return
         if self._body is not None:
             self._has_surplus = True
             return
--- a/packages/daemon/cassiaquay_daemon/gateway/connections.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/connections.py
@@ -62,7 +62,10 @@
     def feed_data(self, data: bounded_http.Received, size: int = 0) -> None:
         """Take the head of the awaited answer, and skip other requests' answers."""
         message, body = data
-        if bounded_http.is_interim(message.code) or self._exception is not None:
+        if self._exception is not None:
+            # An answer behind the one that failed may be any request's.
+            return
+        if bounded_http.is_interim(message.code):
             super().feed_data(data, size)
             return
         answered = headers.answered_attempts(message.headers)
--- a/tests/test_declined_answers.py
+++ b/tests/test_declined_answers.py
@@ -1,6 +1,7 @@
 """Late copies of answers that say a request was not run."""
 
 import asyncio
+import contextlib
 import typing
 
 import cut_fakes
@@ -138,6 +139,37 @@
     fakes.run(work)
 
 
+def _plain_answer(status: int, *lines: str) -> bytes:
+    head = "\r\n".join([f"HTTP/1.1 {status} X", "Content-Length: 0", *lines])
+    return f"{head}\r\n\r\n".encode()
+
+
+@pytest.mark.parametrize("interim", [b"", b"HTTP/1.1 102 Processing\r\n\r\n"])
+@pytest.mark.parametrize("relayed", [False, True])
+def test_answer_behind_one_that_failed_refuses_no_booking(
+    interim: bytes, relayed: bool
+) -> None:
+    """Guards against "not run" for a booking, read after its answer has failed."""
+    other = _plain_answer(200, "Cassiaquay-Attempt-Id: other")
+    declined = _plain_answer(503, "Cassiaquay-Not-Executed: 1")
+
+    async def respond(request: raw_servers.Request, writer: raw_servers.Writer) -> None:
+        writer.write(interim + other + declined * 2)
+        await writer.drain()
+
+    async def work(site: fakes.Site) -> None:
+        for engine in site.engines:
+            engine.responder = respond
+        with contextlib.ExitStack() as stack:
+            if relayed:
+                stack.enter_context(cut_fakes.cut(site, 0))
+            got = await site.ask("/book/x")
+        assert got.status == 502
+        assert len(site.engines_of(got.attempt)) == 1
+
+    fakes.run(work, 2)
+
+
 def test_late_copy_of_declined_answer_behind_a_relay() -> None:
     """Guards against the same where another instance sends the booking."""
 
