An answer without an id on a used connection is no promise

Callers saw: a request that must run once answered 503, or sent to a second server, although it had run.

Cause: an answer that says "not executed" and names no request was taken for that of the request under way on any connection. On one that has brought an answer before it may be a late copy without an id, of an answer with one.

Such an answer now fails the request, which may have run; on a new connection, where no earlier answer exists, it counts as before. A relay adds the id to an answer without one that it has taken: its owner's connection to the relay is a used one.

--- a/packages/daemon/cassiaquay_daemon/gateway/connections.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/connections.py
@@ -47,6 +47,8 @@
         # Id of the attempt whose answer is awaited; empty for a request without one.
         self._attempt = ""
         self._has_skipped = False
+        # Whether an answer has been taken before, of which a copy may follow.
+        self._has_answered = False
         # As stated by the last answer.
         self._idle_seconds = math.inf
         self._reusable_until = math.inf
@@ -70,7 +72,7 @@
             self._skip(message, body)
             return
         if not answered and headers.is_not_executed(message.code, message.headers):
-            if self._has_skipped:
+            if self._has_answered or self._has_skipped:
                 self._fail(bounded_http.InvalidResponse("an answer of no request"))
                 return
             # A late copy of it could not be distinguished from the next answer.
@@ -78,6 +80,7 @@
         # The client library ignores how long the server keeps idle connections.
         self._idle_seconds = _read_idle_seconds(message.headers)
         self._reusable_until = math.inf
+        self._has_answered = True
         super().feed_data(data, size)
 
     def _skip(
--- a/packages/daemon/cassiaquay_daemon/gateway/relaying.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/relaying.py
@@ -183,6 +183,9 @@
         _log(parsed.attempt, target, relays.SENT, "")
         pairs = relays.without_outcome(headers.towards_caller(response.headers.items()))
         pairs.append((relays.OUTCOME_NAME, relays.SENT.encode()))
+        if not headers.answered_attempts(response.headers):
+            # The owner cannot tell whether the connection to the server was new.
+            pairs.append((headers.ATTEMPT, parsed.attempt.encode("latin-1")))
         if not forwarding.is_framed(response):
             pairs.append((relays.UNFRAMED_NAME, b"1"))
         answer = forwarding.Answer(response, response.status, pairs)
--- /dev/null
+++ b/tests/test_false_refusals.py
@@ -0,0 +1,200 @@
+"""Answers of servers that seem to say that a request was not run."""
+
+import asyncio
+import collections.abc
+import contextlib
+import functools
+import typing
+
+import cut_fakes
+import gateway_fakes as fakes
+import pytest
+
+from cassiaquay_dev.standins import platform_standins as standins
+from cassiaquay_dev.standins import raw_servers
+
+NOT_RUN_STATUSES = (408, 421, 429, 503)
+NOT_EXECUTED = {"Cassiaquay-Not-Executed": "1"}
+# A booking that one server may get, one that two may get, a request that may be
+# repeated, and a stream that may not.
+PATHS = ["/once/x", "/book/x", "/safe/x", "/string/x"]
+REPEATABLE = "/safe/x"
+ASKED_COUNT = 4
+# Long enough for the daemon to read an answer before the server's next one.
+LATER_SECONDS = 0.05
+
+Script = collections.abc.Callable[
+    ["Server", raw_servers.Request, raw_servers.Writer],
+    collections.abc.Awaitable[None],
+]
+
+
+class Server:
+    """Answers the requests to all engines by a script.
+
+    Attributes
+    ----------
+    executed : list of str
+        Attempt ids of the requests that it ran.
+    asked : dict
+        Requests by connection.
+    """
+
+    def __init__(self, script: Script):
+        self.executed: list[str] = []
+        self.asked: dict[raw_servers.Writer, list[raw_servers.Request]] = {}
+        self._script = script
+
+    async def respond(
+        self, request: raw_servers.Request, writer: raw_servers.Writer
+    ) -> None:
+        """Answer one request."""
+        self.asked.setdefault(writer, []).append(request)
+        await self._script(self, request, writer)
+
+    async def run(
+        self, request: raw_servers.Request, writer: raw_servers.Writer
+    ) -> None:
+        """Run a request and answer it."""
+        self.executed.append(request.attempt)
+        await standins.send_complete_answer(request, writer)
+
+    def is_first(self, writer: raw_servers.Writer) -> bool:
+        """Return whether a connection has brought one request so far."""
+        return len(self.asked[writer]) == 1
+
+
+class Asked(typing.NamedTuple):
+    """What became of a request."""
+
+    path: str
+    status: int
+    run_count: int
+
+    @property
+    def is_broken(self) -> bool:
+        """Whether it has run although it must not, or twice."""
+        if self.path == REPEATABLE:
+            return False
+        return self.run_count > 1 or bool(
+            self.run_count and self.status in NOT_RUN_STATUSES
+        )
+
+
+class Reply(typing.NamedTuple):
+    """An answer without a body."""
+
+    status: int
+    headers: dict[str, str]
+    is_identified: bool = False
+
+    async def send(
+        self, request: raw_servers.Request, writer: raw_servers.Writer
+    ) -> None:
+        """Send it as the answer to a request."""
+        headers = dict(self.headers)
+        if self.is_identified:
+            headers["Cassiaquay-Attempt-Id"] = request.attempt
+        await raw_servers.send(writer, self.status, b"", headers)
+
+
+async def _configure(site: fakes.Site) -> None:
+    """Add the route of requests that one server may get."""
+    once = standins.route("/once/", "non_idempotent", "plain", attempts=1)
+    routes = [*standins.ROUTES, once]
+    site.store.put("op/config", standins.configuration(2, routes=routes))
+    for made in site.daemons:
+        while made._configuration.current.routes.find(standins.HOST, "/once/x") is None:
+            await asyncio.sleep(0.01)
+
+
+def _play(script: Script, is_relayed: bool) -> list[Asked]:
+    """Send requests of each path in turn; return what became of them."""
+    server = Server(script)
+    answers: list[tuple[str, fakes.CallerResponse]] = []
+
+    async def work(site: fakes.Site) -> None:
+        await _configure(site)
+        for engine in site.engines:
+            engine.responder = server.respond
+        with contextlib.ExitStack() as stack:
+            if is_relayed:
+                stack.enter_context(cut_fakes.cut(site, 0))
+            for path in PATHS * ASKED_COUNT:
+                answers.append((path, await site.ask(path)))
+        await asyncio.sleep(LATER_SECONDS)
+
+    fakes.run(work, 2 if is_relayed else 1)
+    played = []
+    for path, got in answers:
+        run_count = server.executed.count(got.attempt)
+        played.append(Asked(path, got.status, run_count))
+    return played
+
+
+def _check(played: list[Asked]) -> None:
+    broken = [asked for asked in played if asked.is_broken]
+    assert not broken
+    # The script has run requests of each path.
+    assert {asked.path for asked in played if asked.run_count} == set(PATHS)
+
+
+async def _copy_on_kept(
+    copy: Reply,
+    server: Server,
+    request: raw_servers.Request,
+    writer: raw_servers.Writer,
+) -> None:
+    """Send a copy without an id before all answers of a connection but the first."""
+    if server.is_first(writer):
+        await server.run(request, writer)
+        return
+    server.executed.append(request.attempt)
+    await copy.send(request, writer)
+    if len(server.executed) % 2:
+        await asyncio.sleep(LATER_SECONDS)
+    await standins.send_complete_answer(request, writer)
+
+
+@pytest.mark.parametrize(
+    "copy",
+    [
+        Reply(503, NOT_EXECUTED),
+        Reply(429, NOT_EXECUTED),
+        Reply(421, {}),
+        Reply(400, NOT_EXECUTED),
+        Reply(503, {}),
+    ],
+)
+@pytest.mark.parametrize("is_relayed", [False, True])
+def test_answer_without_id_on_a_kept_connection_is_no_promise(
+    copy: Reply, is_relayed: bool
+) -> None:
+    """Guards against "not run", read from a copy without an id of an earlier answer."""
+    _check(_play(functools.partial(_copy_on_kept, copy), is_relayed))
+
+
+async def _send_interim(
+    status: int,
+    headers: dict[str, str],
+    server: Server,
+    request: raw_servers.Request,
+    writer: raw_servers.Writer,
+) -> None:
+    server.executed.append(request.attempt)
+    for _ in range(2):
+        raw_servers.write_head(writer, headers, status)
+    await writer.drain()
+    if len(server.executed) % 2:
+        await asyncio.sleep(LATER_SECONDS)
+    await standins.send_complete_answer(request, writer)
+
+
+@pytest.mark.parametrize("status", [100, 103])
+@pytest.mark.parametrize("is_relayed", [False, True])
+def test_interim_answer_is_no_promise(status: int, is_relayed: bool) -> None:
+    """Guards against "not run", read from an interim answer before the final one."""
+    headers = NOT_EXECUTED | {"Cassiaquay-Attempt-Id": "another"}
+    played = _play(functools.partial(_send_interim, status, headers), is_relayed)
+    _check(played)
+    assert {asked.status for asked in played} == {200}
