One unreadable item no longer hides the others of a listing

What operators would see: one item of the store's listing whose value is no text or whose revision is no number of 63 bits left the list of servers as it was, for as long as the item was there. An answer of the store that is nested about 1,000 deep ended the tasks that read the store again and again (`task_failed`), as RecursionError is no error of the decoder.

Cause: a page was decoded as a whole, and each reader named the decoder's errors itself; the store's client named one of three.

A page now decodes its items one by one; an unreadable one is an empty value, which is skipped and logged as an entry. `decoding.decode_json` turns every error of decoding into one; the readers of the platform's texts use it. Skipped entries are logged once their listing is complete.

--- a/packages/daemon/cassiaquay_daemon/exceptions.py
+++ b/packages/daemon/cassiaquay_daemon/exceptions.py
@@ -13,6 +13,12 @@
     code = "daemon"
 
 
+class UndecodableText(DaemonError):
+    """A text of another program is no JSON, or describes nothing of the type."""
+
+    code = "text"
+
+
 class PeerError(DaemonError):
     """A connection between two instances has failed."""
 
--- a/packages/daemon/cassiaquay_daemon/platform/__init__.py
+++ b/packages/daemon/cassiaquay_daemon/platform/__init__.py
@@ -13,7 +13,7 @@
 
 from cassiaquay_schema import messages, registry
 
-from .. import bounded_http, exceptions, positions
+from .. import bounded_http, decoding, exceptions, positions
 from . import epochs, numbers
 
 ANSWER_TIMEOUT_SECONDS = 3.0
@@ -207,8 +207,9 @@
         if answer.status == 204:
             return None
         try:
-            decoded = msgspec.json.decode(answer.body, type=_PublishedBody)
-        except msgspec.DecodeError as error:
+            decoded: _PublishedBody
+            decoded = decoding.decode_json(answer.body, _PublishedBody)
+        except exceptions.UndecodableText as error:
             raise exceptions.PlatformError(str(error)) from error
         number = numbers.clamp(decoded.number)
         found = Published(decoded.revision, decoded.text, epoch, number)
@@ -239,8 +240,8 @@
         if answer.status != 200:
             raise exceptions.PlatformError(f"instance list: status {answer.status}")
         try:
-            decoded = msgspec.json.decode(answer.body, type=_ListBody)
-        except msgspec.DecodeError as error:
+            decoded: _ListBody = decoding.decode_json(answer.body, _ListBody)
+        except exceptions.UndecodableText as error:
             raise exceptions.PlatformError(str(error)) from error
         lines = []
         for line in decoded["instances"]:
--- a/packages/daemon/cassiaquay_daemon/platform/documents.py
+++ b/packages/daemon/cassiaquay_daemon/platform/documents.py
@@ -7,6 +7,7 @@
 from cassiaquay_schema import exceptions as schema_exceptions
 from cassiaquay_schema import fleet as fleet_schema
 
+from .. import decoding, exceptions
 from ..configured import routing, snapshots
 from . import numbers
 
@@ -89,17 +90,18 @@
 def number_of(text: str) -> int | None:
     """Return the operators' number of a document, or None if it has no valid one."""
     try:
-        return numbers.clamp(msgspec.json.decode(text, type=_Numbered).version)
-    except (msgspec.DecodeError, RecursionError):
+        numbered: _Numbered = decoding.decode_json(text, _Numbered)
+    except exceptions.UndecodableText:
         return None
+    return numbers.clamp(numbered.version)
 
 
 @snapshots.readers.register(FORMAT_NAME)
 def read(revision: int, text: str) -> snapshots.Snapshot:
     """Return the snapshot of a document; raise SchemaError if it is invalid."""
     try:
-        document = msgspec.json.decode(text, type=_Document)
-    except (msgspec.DecodeError, RecursionError) as error:
+        document: _Document = decoding.decode_json(text, _Document)
+    except exceptions.UndecodableText as error:
         raise schema_exceptions.SchemaError(str(error)) from error
     _clamp_numbers(document)
     teams = [(tenant, _team(tenant)) for tenant in document.tenants or []]
--- a/packages/daemon/cassiaquay_daemon/platform/entries.py
+++ b/packages/daemon/cassiaquay_daemon/platform/entries.py
@@ -7,7 +7,7 @@
 
 from cassiaquay_schema import messages
 
-from .. import exceptions, logs
+from .. import decoding, exceptions, logs
 from . import numbers
 
 READY = "ready"
@@ -45,29 +45,34 @@
     code = "platform_entry"
 
 
+class SkippedEntry(typing.NamedTuple):
+    """An entry of a listing that describes no server."""
+
+    name: str
+    revision: int
+    error: InvalidEntry
+
+
 class Skipped:
     """Logs entries that describe no server, once for each change of one."""
 
     def __init__(self) -> None:
-        # Revision of each entry that was logged, and of those in the current listing.
+        # Revision of each one in the last complete listing.
         self._logged: dict[str, int] = {}
-        self._current: dict[str, int] = {}
-
-    def note(self, name: str, revision: int, error: InvalidEntry) -> None:
-        """Log an entry of the current listing, unless it was logged before."""
-        self._current[name] = revision
-        if self._logged.get(name) == revision:
-            return
-        logs.trouble(
-            "server_entry_skipped",
-            server=name,
-            revision=revision,
-            cause=str(error)[:MAX_CAUSE_CHARACTERS],
-        )
 
-    def end_listing(self) -> None:
-        """Forget the entries that the current listing lacks."""
-        self._logged, self._current = self._current, {}
+    def note(self, listed: list[SkippedEntry]) -> None:
+        """Log the entries of a complete listing that were not logged before."""
+        logged, self._logged = self._logged, {}
+        for entry in listed:
+            self._logged[entry.name] = entry.revision
+            if logged.get(entry.name) == entry.revision:
+                continue
+            logs.trouble(
+                "server_entry_skipped",
+                server=entry.name[:MAX_NAME_CHARACTERS],
+                revision=entry.revision,
+                cause=str(entry.error)[:MAX_CAUSE_CHARACTERS],
+            )
 
 
 def decode(name: str, value: bytes, revision: int) -> messages.ServerEntry:
@@ -83,9 +88,9 @@
         When it describes none.
     """
     try:
-        entry = msgspec.json.decode(value, type=_Entry)
+        entry: _Entry = decoding.decode_json(value, _Entry)
         software = _software(entry.version)
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+    except (exceptions.UndecodableText, RecursionError) as error:
         raise InvalidEntry(str(error)) from error
     if not name or not entry.service:
         raise InvalidEntry("it names no service or no server")
--- a/packages/daemon/cassiaquay_daemon/platform/reports.py
+++ b/packages/daemon/cassiaquay_daemon/platform/reports.py
@@ -2,6 +2,8 @@
 
 import msgspec
 
+from .. import decoding, exceptions
+
 REPORT_PATH = "/cassiaquay/report"
 
 
@@ -19,6 +21,7 @@
         0 if the report states none, None if it cannot be read.
     """
     try:
-        return msgspec.json.decode(body, type=_Report).born
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
+        report: _Report = decoding.decode_json(body, _Report)
+    except exceptions.UndecodableText:
         return None
+    return report.born
--- a/packages/daemon/cassiaquay_daemon/platform/store.py
+++ b/packages/daemon/cassiaquay_daemon/platform/store.py
@@ -8,6 +8,7 @@
 
 import base64
 import binascii
+import collections.abc
 import contextlib
 import typing
 
@@ -16,7 +17,7 @@
 
 from cassiaquay_schema import messages
 
-from .. import bounded_http, exceptions, platform, positions
+from .. import bounded_http, decoding, exceptions, platform, positions
 from . import documents, entries, epochs, numbers
 
 # The operator's keys: the configuration, and one key for each evacuated zone. One read
@@ -37,20 +38,23 @@
 MAX_ANSWER_BYTES = 4 * 1024 * 1024
 # Of all pages of a listing.
 MAX_LISTING_BYTES = 16 * 1024 * 1024
+# Value of the event of a removed key.
+REMOVED = msgspec.Raw(b"null")
 # Enough to find where the history begins among a million revisions.
 MAX_HISTORY_CALLS = 32
 
 
 class _Item(msgspec.Struct):
+    # Decoded one by one: an unreadable value must not hide the other items.
     key: str
-    value: str = ""
-    revision: numbers.Count = 0
+    value: msgspec.Raw = msgspec.Raw(b'""')
+    revision: msgspec.Raw = msgspec.Raw(b"0")
 
 
 class _ItemBody(msgspec.Struct):
     key: str
-    value: str
-    revision: numbers.Count
+    value: msgspec.Raw
+    revision: msgspec.Raw
 
 
 class _RangeBody(msgspec.Struct):
@@ -62,8 +66,8 @@
 class _Event(msgspec.Struct):
     key: str
     # The item as it was written; a removed one has no value.
-    value: str | None = None
-    revision: numbers.Count = 0
+    value: msgspec.Raw = msgspec.Raw(b"null")
+    revision: msgspec.Raw = msgspec.Raw(b"0")
 
 
 class _WatchBody(msgspec.Struct):
@@ -72,7 +76,10 @@
 
 
 class Item(typing.NamedTuple):
-    """A key of the store with its value and the revision of its last change."""
+    """A key of the store with its value and the revision of its last change.
+
+    Where either cannot be read, the value is empty and the revision 0.
+    """
 
     key: str
     value: bytes
@@ -88,7 +95,7 @@
 
 
 class Items(typing.NamedTuple):
-    """All keys under a prefix, and the store's position when the read began."""
+    """Keys under a prefix, and the store's position when the read began."""
 
     position: positions.Position
     items: list[Item]
@@ -128,17 +135,26 @@
         return _decode_item(found)
 
     async def items(self, prefix: str) -> Items:
-        """Return all keys under a prefix.
+        """Return all keys under a prefix; see :meth:`pages`."""
+        position = positions.START
+        items: list[Item] = []
+        async for page in self.pages(prefix):
+            position = page.position
+            items += page.items
+        return Items(position, items)
 
-        The pages are not one snapshot. The result has the revision of the first page,
-        so a key that changes during the read has a higher revision than the result.
+    async def pages(self, prefix: str) -> collections.abc.AsyncIterator[Items]:
+        """Yield the keys under a prefix, page by page.
+
+        Values may be large; whoever keeps only a part of each needs memory for one
+        page. The pages are not one snapshot. Each has the revision of the first page,
+        so a key that changes during the read has a higher revision.
 
         Raises
         ------
         PlatformError
             When the store cannot be read, or returns from a copy between two pages.
         """
-        items: list[Item] = []
         position: positions.Position | None = None
         after = ""
         size = 0
@@ -158,11 +174,13 @@
                 position = positions.Position(answer.epoch, page.current)
             if position.epoch != answer.epoch:
                 raise exceptions.PlatformError(f"{prefix}: pages of two epochs")
+            items = []
             for item in page.items:
                 _check_prefix(item.key, prefix)
                 items.append(_decode_item(item))
+            yield Items(position, items)
             if not page.truncated or not page.items:
-                return Items(position, items)
+                return
             after = page.items[-1].key
         raise exceptions.PlatformError(f"{prefix}: more than {MAX_PAGES} pages")
 
@@ -232,8 +250,10 @@
         changes = []
         for event in _parse(answer.body, _WatchBody).events:
             _check_prefix(event.key, prefix)
-            value = None if event.value is None else _decode_value(event.value)
-            changes.append(Change(event.key, value, event.revision))
+            if event.value == REMOVED:
+                changes.append(Change(event.key, None, 0))
+                continue
+            changes.append(Change(*_decode_item(event)))
         return changes
 
     async def _get(self, path: str, query: dict[str, str], seconds: float) -> _Answer:
@@ -286,16 +306,18 @@
 
     async def _read(self) -> Item | None:
         """Return the configuration's item; update the evacuated domains."""
-        operator_keys = await self._store.items(OPERATOR_PREFIX)
-        self._read_position = operator_keys.position
+        position = positions.START
         domains = []
         configuration = None
-        for item in operator_keys.items:
-            if item.key == CONFIGURATION_KEY:
-                configuration = item
-            elif item.key.startswith(EVACUATED_PREFIX):
-                domains.append(item.key.removeprefix(EVACUATED_PREFIX))
-        self.evacuated = platform.Evacuated(operator_keys.position, sorted(domains))
+        async for page in self._store.pages(OPERATOR_PREFIX):
+            position = page.position
+            for item in page.items:
+                if item.key == CONFIGURATION_KEY:
+                    configuration = item
+                elif item.key.startswith(EVACUATED_PREFIX):
+                    domains.append(item.key.removeprefix(EVACUATED_PREFIX))
+        self._read_position = position
+        self.evacuated = platform.Evacuated(position, sorted(domains))
         return configuration
 
 
@@ -309,16 +331,19 @@
 
     async def read(self) -> platform.ServersRead:
         """Return all servers with a valid entry."""
-        registered = await self._store.items(SERVERS_PREFIX)
+        position = positions.START
         servers: list[messages.ServerEntry] = []
-        for item in registered.items:
-            name = item.key.removeprefix(SERVERS_PREFIX)
-            try:
-                servers.append(entries.decode(name, item.value, item.revision))
-            except entries.InvalidEntry as error:
-                self._skipped.note(name, item.revision, error)
-        self._skipped.end_listing()
-        return platform.ServersRead(registered.position, servers)
+        skipped = []
+        async for page in self._store.pages(SERVERS_PREFIX):
+            position = page.position
+            for item in page.items:
+                name = item.key.removeprefix(SERVERS_PREFIX)
+                try:
+                    servers.append(entries.decode(name, item.value, item.revision))
+                except entries.InvalidEntry as error:
+                    skipped.append(entries.SkippedEntry(name, item.revision, error))
+        self._skipped.note(skipped)
+        return platform.ServersRead(position, servers)
 
     async def read_past(self) -> platform.ServersPast:
         """Return the changes of registrations that the store still has."""
@@ -368,18 +393,17 @@
 
 def _parse(body: bytes, kind: type[Body]) -> Body:
     try:
-        return msgspec.json.decode(body, type=kind)
-    except msgspec.DecodeError as error:
+        return decoding.decode_json(body, kind)
+    except exceptions.UndecodableText as error:
         raise exceptions.PlatformError(str(error)) from error
 
 
-def _decode_item(item: _Item | _ItemBody) -> Item:
-    return Item(item.key, _decode_value(item.value), item.revision)
-
-
-def _decode_value(text: str) -> bytes:
+def _decode_item(item: _Item | _ItemBody | _Event) -> Item:
     try:
-        return base64.b64decode(text, validate=True)
-    except (binascii.Error, ValueError):
-        # Another program wrote an invalid value; the other keys are still read.
-        return b""
+        text: str = decoding.decode_json(item.value, str)
+        value = base64.b64decode(text, validate=True)
+        revision: int = decoding.decode_json(item.revision, numbers.Count)
+    except (exceptions.UndecodableText, binascii.Error, ValueError):
+        # Another program wrote an invalid item; the other keys are still read.
+        return Item(item.key, b"", 0)
+    return Item(item.key, value, revision)
--- /dev/null
+++ b/tests/test_odd_entries.py
@@ -0,0 +1,166 @@
+"""Odd values of other writers: deeply nested, too large or no address."""
+
+import asyncio
+import base64
+import collections.abc
+import json
+
+import aiohttp
+import pytest
+
+from cassiaquay_daemon import exceptions, positions
+from cassiaquay_daemon.platform import documents, entries, reports, store
+from cassiaquay_dev.standins import platform_standins as standins
+from cassiaquay_dev.standins import raw_servers
+
+MIB = 1024 * 1024
+ENTRY = {
+    "service": "plain",
+    "addr": "127.0.0.1:9",
+    "zone": "a",
+    "version": "2.4",
+    "slots": 1,
+    "state": "draining",
+    "cold-left-ms": 0,
+    "seq": 1,
+    "born": 1,
+}
+FIELDS = [*ENTRY, "unknown"]
+DEPTHS = [10, 500, 980, 990, 995, 1000, 5000, 100_000, 500_000]
+
+
+def _nested(depth: int) -> dict[str, str]:
+    pairs = "[" * (depth // 2), "]" * (depth // 2)
+    return {
+        f"lists {depth}": "[" * depth + "]" * depth,
+        f"objects {depth}": '{"a":' * depth + "1" + "}" * depth,
+        f"mixed {depth}": '{"a":'.join(pairs[0]) + "1" + "}".join(pairs[1]),
+        f"open {depth}": "[" * depth,
+        f"open objects {depth}": '{"a":' * depth,
+    }
+
+
+NUMBERS = [
+    *(str(2**bits) for bits in (63, 64, 128)),
+    *(sign + number for sign in ("", "-") for number in ("1e308", "1e309", "0", "1")),
+    *("9" * digits for digits in (400, 4300, 4301, 100_000, MIB)),
+    *("0." + "1" * 100_000, "1e" + "9" * 30, "NaN", "Infinity", "1.5", '"1"'),
+]
+OTHERS = ["null", "true", "[]", "{}", '""', '"\\ud800"', '"\\u0000"', '"\udcff"', ""]
+NESTED = {name: text for depth in DEPTHS for name, text in _nested(depth).items()}
+VALUES = NESTED | {text[:20] + str(len(text)): text for text in NUMBERS + OTHERS}
+
+
+def _entry(field: str, text: str) -> bytes:
+    """Return an entry with a field of this JSON text."""
+    value = json.dumps(ENTRY | {field: "VALUE"}).replace('"VALUE"', text)
+    return value.encode(errors="surrogateescape")
+
+
+@pytest.mark.parametrize("field", FIELDS)
+def test_each_odd_value_of_a_field_is_decoded_or_skipped(field: str) -> None:
+    """Guards against an entry whose decoding raises what no reader handles."""
+    for text in VALUES.values():
+        for value in (_entry(field, text), text.encode(errors="surrogateescape")):
+            try:
+                entries.decode("i-7", value, 9)
+            except entries.InvalidEntry:
+                continue
+
+
+ODD_ITEMS = {
+    "value no text": '"value": 7, "revision": 1',
+    "value nested": f'"value": {"[" * 900 + "]" * 900}, "revision": 1',
+    "value no base64": '"value": "?", "revision": 1',
+    "value not ASCII": '"value": "\u00e9", "revision": 1',
+    "no value": '"revision": 1',
+    "revision text": '"value": "e30=", "revision": "1"',
+    "revision negative": '"value": "e30=", "revision": -1',
+    "revision too large": f'"value": "e30=", "revision": {2**64}',
+    "revision of digits": f'"value": "e30=", "revision": {"9" * 100_000}',
+    "revision nested": '"value": "e30=", "revision": [[[]]]',
+}
+
+
+class ScriptedStore(standins.Store):
+    """A store that answers all calls with one body, if it is given."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.body: bytes | None = None
+
+    async def respond(
+        self, request: raw_servers.Request, writer: raw_servers.Writer
+    ) -> None:
+        """Answer with the body, or as usual."""
+        if self.body is None:
+            await super().respond(request, writer)
+            return
+        await raw_servers.send(writer, 200, self.body, {})
+
+
+def _run_store(
+    work: collections.abc.Callable[
+        [ScriptedStore, aiohttp.ClientSession], collections.abc.Awaitable[None]
+    ],
+) -> None:
+    async def bounded() -> None:
+        standin = ScriptedStore()
+        await standin.start()
+        async with asyncio.timeout(20.0), aiohttp.ClientSession() as http:
+            await work(standin, http)
+        await standin.stop()
+
+    asyncio.run(bounded())
+
+
+@pytest.mark.parametrize("item", ODD_ITEMS.values(), ids=ODD_ITEMS)
+def test_odd_item_of_a_listing_hides_no_other(item: str) -> None:
+    """Guards against a list of servers that stays as it is for one item."""
+    value = base64.b64encode(json.dumps(ENTRY).encode()).decode()
+    sound = f'{{"key": "servers/i-1", "value": "{value}", "revision": 2}}'
+    body = f'{{"items": [{{"key": "servers/a", {item}}}, {sound}], "current-rev": 9}}'
+
+    async def work(standin: ScriptedStore, http: aiohttp.ClientSession) -> None:
+        standin.body = body.encode()
+        found = await store.ServersStore(http, standin.address).read()
+        assert [entry.name for entry in found.entries] == ["i-1"]
+
+    _run_store(work)
+
+
+@pytest.mark.parametrize("place", ["items", "current-rev", "events", "unknown", ""])
+def test_odd_answer_of_the_store_fails_as_any_other(place: str) -> None:
+    """Guards against answers whose decoding ends the task that reads the store."""
+
+    async def work(standin: ScriptedStore, http: aiohttp.ClientSession) -> None:
+        client = store.Store(http, standin.address)
+        for text in VALUES.values():
+            body = text
+            if place:
+                body = f'{{"items": [], "events": [], "{place}": {text}}}'
+            standin.body = body.encode(errors="surrogateescape")
+            for read in (
+                client.items("servers/"),
+                client.item("op/config"),
+                client.history("servers/", 9),
+                store.ConfigurationStore(http, standin.address).watch(
+                    positions.START, 0.0
+                ),
+            ):
+                try:
+                    await read
+                except exceptions.PlatformError:
+                    continue
+
+    _run_store(work)
+
+
+@pytest.mark.parametrize("name", VALUES)
+def test_odd_reports_and_documents_raise_nothing_else(name: str) -> None:
+    """Guards against reports and numbers that end the work they are read for."""
+    text = VALUES[name]
+    data = text.encode(errors="surrogateescape")
+    for body in (data, b'{"born": %b}' % data, b'{"born": 1, "unknown": %b}' % data):
+        reports.read_started_ms(body)
+        documents.number_of(body.decode(errors="replace").replace("born", "version"))
