Listings of any size are read, page by page

What operators saw: 20 entries of 900 kB of another writer kept the list of servers as it was, since a listing over 16 MB could not be read; 20 keys of that size under op/ would have kept the configuration as well.

Cause: all pages were kept until the last one, so their sum was bounded.

Tests: test_changes_are_followed_beside_many_large_entries failed before (timed out). It replaces the case of 20 such entries in the test of a configuration beside an unreadable listing, which now uses a listing of over 200 pages.

--- a/packages/daemon/cassiaquay_daemon/platform/entries.py
+++ b/packages/daemon/cassiaquay_daemon/platform/entries.py
@@ -50,7 +50,7 @@
 
     name: str
     revision: int
-    error: InvalidEntry
+    cause: str
 
 
 class Skipped:
@@ -71,7 +71,7 @@
                 "server_entry_skipped",
                 server=entry.name[:MAX_NAME_CHARACTERS],
                 revision=entry.revision,
-                cause=str(entry.error)[:MAX_CAUSE_CHARACTERS],
+                cause=entry.cause[:MAX_CAUSE_CHARACTERS],
             )
 
 
--- a/packages/daemon/cassiaquay_daemon/platform/store.py
+++ b/packages/daemon/cassiaquay_daemon/platform/store.py
@@ -36,8 +36,6 @@
 MAX_PAGES = 200
 # A page has at most 1 MB of values or one more value of 1 MiB, longer in base64.
 MAX_ANSWER_BYTES = 4 * 1024 * 1024
-# Of all pages of a listing.
-MAX_LISTING_BYTES = 16 * 1024 * 1024
 # Value of the event of a removed key.
 REMOVED = msgspec.Raw(b"null")
 # Enough to find where the history begins among a million revisions.
@@ -157,18 +155,12 @@
         """
         position: positions.Position | None = None
         after = ""
-        size = 0
         for _ in range(MAX_PAGES):
             query = {"path-prefix": prefix}
             if after:
                 query["after"] = after
             answer = await self._get(RANGE_PATH, query, ANSWER_TIMEOUT_SECONDS)
             _check_status(answer.status)
-            size += len(answer.body)
-            if size > MAX_LISTING_BYTES:
-                raise exceptions.PlatformError(
-                    f"{prefix}: over {MAX_LISTING_BYTES} bytes"
-                )
             page = _parse(answer.body, _RangeBody)
             if position is None:
                 position = positions.Position(answer.epoch, page.current)
@@ -181,6 +173,8 @@
             yield Items(position, items)
             if not page.truncated or not page.items:
                 return
+            if page.items[-1].key == after:
+                raise exceptions.PlatformError(f"{prefix}: the same page again")
             after = page.items[-1].key
         raise exceptions.PlatformError(f"{prefix}: more than {MAX_PAGES} pages")
 
@@ -341,7 +335,9 @@
                 try:
                     servers.append(entries.decode(name, item.value, item.revision))
                 except entries.InvalidEntry as error:
-                    skipped.append(entries.SkippedEntry(name, item.revision, error))
+                    # The error would keep the value.
+                    cause = str(error)
+                    skipped.append(entries.SkippedEntry(name, item.revision, cause))
         self._skipped.note(skipped)
         return platform.ServersRead(position, servers)
 
--- a/tests/test_foreign_entries.py
+++ b/tests/test_foreign_entries.py
@@ -11,7 +11,7 @@
 from hypothesis import strategies
 
 from cassiaquay_daemon.links import frames
-from cassiaquay_daemon.platform import entries
+from cassiaquay_daemon.platform import entries, store
 from cassiaquay_dev.network import ports
 from cassiaquay_dev.standins import platform_standins as standins
 from cassiaquay_schema import messages
@@ -157,11 +157,33 @@
     """Guards against configurations that wait for entries of other writers."""
 
     async def work(site: fakes.Site) -> None:
-        for number in range(20):
-            # The stand-in store has two items on a page.
-            site.store.put(f"servers/inventory-{number}", b"x" * 900_000)
+        # The stand-in store has two items on a page.
+        for number in range(2 * store.MAX_PAGES + 1):
+            site.store.put(f"servers/inventory-{number}", b"x")
         site.store.put("op/config", standins.configuration(2, tenants=[]))
         while (await site.ask("/book/x")).status != 401:
             await asyncio.sleep(0.05)
 
     fakes.run(work)
+
+
+def test_changes_are_followed_beside_many_large_entries() -> None:
+    """Guards against a list or a configuration that waits for entries of others."""
+
+    async def work(site: fakes.Site) -> None:
+        for number in range(20):
+            # The stand-in store has two items on a page.
+            site.store.put(f"servers/inventory-{number}", b"x" * 900_000)
+            site.store.put(f"op/inventory-{number}", b"x" * 900_000)
+        site.store.put("op/config", standins.configuration(2, tenants=[]))
+        await site.add_engine("i-3")
+        site.store.remove("servers/i-1-plain")
+        for at, made in enumerate(site.daemons):
+            while (await site.ask("/book/x", at=at)).status != 401:
+                await asyncio.sleep(0.05)
+            while not {"i-3", "i-3-plain"} <= _usable(made):
+                await asyncio.sleep(0.02)
+            while "i-1-plain" in _usable(made):
+                await asyncio.sleep(0.02)
+
+    fakes.run(work, 2)
