A long version of a server's software is not decoded at each read

Cause: a version may have any type, so it was decoded into Python objects, shown by repr and hashed, although it is only compared.

A version that is no text is compared by its JSON text now. Texts, numbers and null are the same as before; of a list or object only the blanks differ, so instances of both releases may show different digests of a list of servers with such a version while they are mixed.

Tests: test_largest_entry_holds_the_loop_for_milliseconds, 4 of 21 cases failed before (lists, numbers, objects and keys as a version).

--- a/packages/daemon/cassiaquay_daemon/platform/entries.py
+++ b/packages/daemon/cassiaquay_daemon/platform/entries.py
@@ -36,7 +36,8 @@
     # Count of its reports when the entry was written.
     seq: numbers.Count = 0
     # Version of the server's software. It is only compared, so it may have any type.
-    version: typing.Any = ""
+    # Decoded, a long one would hold the event loop at each read.
+    version: msgspec.Raw = msgspec.Raw(b"null")
 
 
 class InvalidEntry(exceptions.PlatformError):
@@ -90,7 +91,7 @@
     try:
         entry: _Entry = decoding.decode_json(value, _Entry)
         software = _software(entry.version)
-    except (exceptions.UndecodableText, RecursionError) as error:
+    except exceptions.UndecodableText as error:
         raise InvalidEntry(str(error)) from error
     if not name or not entry.service:
         raise InvalidEntry("it names no service or no server")
@@ -115,11 +116,13 @@
     )
 
 
-def _software(version: typing.Any) -> str:
+def _software(version: msgspec.Raw) -> str:
     """Return a version as text; empty for none."""
-    if version is None:
+    text = bytes(version).decode(errors="backslashreplace")
+    if text == "null":
         return ""
-    text = version if isinstance(version, str) else repr(version)
+    if text.startswith('"'):
+        text = decoding.decode_json(version, str)
     if len(text) <= MAX_SOFTWARE_CHARACTERS:
         return text
     return xxhash.xxh3_64_hexdigest(text.encode())
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -4,6 +4,7 @@
 import base64
 import collections.abc
 import json
+import time
 
 import aiohttp
 import pytest
@@ -68,6 +69,34 @@
                 continue
 
 
+@pytest.mark.parametrize(
+    "text",
+    [
+        "[" + "[]," * (MIB // 3 - 100) + "1]",
+        "[" + "1," * (MIB // 2 - 100) + "1]",
+        "[" + '{"a":1},' * (MIB // 8 - 100) + "1]",
+        "{" + ",".join(f'"{number:06}":1' for number in range(MIB // 11)) + "}",
+        '"' + "\\u00e9" * (MIB // 6) + '"',
+        "9" * MIB,
+        "[" * MIB,
+    ],
+    ids=["lists", "numbers", "objects", "keys", "text", "digits", "open"],
+)
+@pytest.mark.parametrize("field", ["version", "unknown", "service"])
+def test_largest_entry_holds_the_loop_for_milliseconds(field: str, text: str) -> None:
+    """Guards against an entry that costs a share of a second at each read."""
+    value = _entry(field, text)
+    seconds = []
+    for _ in range(3):
+        began_at = time.process_time()
+        try:
+            entries.decode("i-7", value, 9)
+        except entries.InvalidEntry:
+            pass
+        seconds.append(time.process_time() - began_at)
+    assert min(seconds) < 0.04
+
+
 ODD_ITEMS = {
     "value no text": '"value": 7, "revision": 1',
     "value nested": f'"value": {"[" * 900 + "]" * 900}, "revision": 1',
