Entries with an address or a name that no request can carry are skipped

What operators would see: an entry with port 0, with a host such as 010.0.0.1 (which a resolver reads as 8.0.0.1), 0.0.0.0 (the instance's own host), 255.255.255.255 or a multicast address was a server that is tried and probed; so was one whose name has a control character, although no header can carry it.

Cause: an address was four numbers below 256 and one below 65536, and a name was not looked at.

`sockets.split_address` says what host:port is; an entry's host must be an IPv4 address in its canonical form that one machine can have, and its name printable and of at most 256 characters. Such entries are skipped and logged as others.

Tests: tests/test_odd_entries.py; 11 failed before (6 addresses, 5 names). Ports from 65536 on, and texts that are no port, were skipped before, too.

--- a/packages/daemon/cassiaquay_daemon/platform/entries.py
+++ b/packages/daemon/cassiaquay_daemon/platform/entries.py
@@ -1,5 +1,6 @@
 """Decodes the registrations of backend servers in the platform's store."""
 
+import ipaddress
 import typing
 
 import msgspec
@@ -7,7 +8,7 @@
 
 from cassiaquay_schema import messages
 
-from .. import decoding, exceptions, logs
+from .. import decoding, exceptions, logs, sockets
 from . import numbers
 
 READY = "ready"
@@ -95,6 +96,9 @@
         raise InvalidEntry(str(error)) from error
     if not name or not entry.service:
         raise InvalidEntry("it names no service or no server")
+    if len(name) > MAX_NAME_CHARACTERS or not name.isprintable():
+        # Requests name their server in a header.
+        raise InvalidEntry("its name is invalid")
     if entry.state not in (READY, DRAINING):
         raise InvalidEntry("its state is unknown")
     if not _is_address(entry.addr):
@@ -129,13 +133,10 @@
 
 
 def _is_address(text: str) -> bool:
-    host, _, port = text.rpartition(":")
-    parts = host.split(".")
-    if len(parts) != 4 or not all(_is_decimal_below(part, 256) for part in parts):
+    try:
+        host, _ = sockets.split_address(text)
+        address = ipaddress.IPv4Address(host)
+    except ValueError:
         return False
-    return _is_decimal_below(port, 65536)
-
-
-def _is_decimal_below(text: typing.Any, bound: int) -> bool:
-    is_decimal = text.isascii() and text.isdecimal()
-    return is_decimal and len(text) <= 5 and int(text) < bound
+    # Connections to the unspecified address go to the host of this instance.
+    return not (address.is_unspecified or address.is_multicast or address.is_reserved)
--- a/packages/daemon/cassiaquay_daemon/sockets.py
+++ b/packages/daemon/cassiaquay_daemon/sockets.py
@@ -4,6 +4,7 @@
 connection to it looks alive for a quarter of an hour, or for ever while it is idle.
 """
 
+import re
 import socket
 import typing
 
@@ -17,6 +18,28 @@
 # Linux counts it also against a peer that acknowledges every probe and reads nothing.
 # Data of this size fits into the peer's buffers, whether it reads or not.
 MAX_BUFFERED_BYTES = 32 * 1024
+PORT = re.compile("[1-9][0-9]{0,4}")
+MAX_PORT = 65535
+MAX_HOST_CHARACTERS = 253
+MAX_QUOTED_CHARACTERS = 100
+
+
+def split_address(text: str) -> tuple[str, int]:
+    """Return host and port of an address as host:port.
+
+    A resolver may take a port that is out of range for another one.
+
+    Raises
+    ------
+    ValueError
+        When it has no host that a resolver would take, or no decimal port from 1 to
+        65535 without leading zeros.
+    """
+    host, _, port = text.rpartition(":")
+    is_host = 0 < len(host) <= MAX_HOST_CHARACTERS and host.isprintable()
+    if not is_host or PORT.fullmatch(port) is None or int(port) > MAX_PORT:
+        raise ValueError(f"no address: {text[:MAX_QUOTED_CHARACTERS]!r}")
+    return host, int(port)
 
 
 def set_timeouts(target: socket.socket) -> None:
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -97,6 +97,38 @@
     assert min(seconds) < 0.04
 
 
+@pytest.mark.parametrize(
+    "address",
+    [
+        *("127.0.0.1:" + port for port in ["0", "65536", "99999", "-1", "80.5", ""]),
+        *("127.0.0.1:" + port for port in ["0x50", "+80", " 80", "80 ", "80\n"]),
+        *("127.0.0.1:" + port for port in ["\uff18\uff10", "00080", "8" * 5000]),
+        *(host + ":80" for host in ["0.0.0.0", "255.255.255.255", "224.0.0.1"]),
+        *(host + ":80" for host in ["010.0.0.1", "1.2.3", "::1", "[::1]", "name"]),
+        *(host + ":80" for host in ["", "a" * 400, "127.0.0.1:80", "1.2.3.256"]),
+    ],
+)
+def test_address_that_no_server_has_is_skipped(address: str) -> None:
+    """Guards against connections to another port, or to the instance's own host."""
+    with pytest.raises(entries.InvalidEntry):
+        entries.decode("i-7", json.dumps(ENTRY | {"addr": address}).encode(), 9)
+
+
+@pytest.mark.parametrize("port", [1, 9, 65535])
+def test_each_port_in_range_is_that_of_a_server(port: int) -> None:
+    """Guards against servers that are skipped for the bounds of a port."""
+    address = f"127.0.0.1:{port}"
+    value = json.dumps(ENTRY | {"addr": address}).encode()
+    assert entries.decode("i-7", value, 9).address == address
+
+
+@pytest.mark.parametrize("name", ["", "i\n7", "i\r7", "i\0", "i" * 257, "\ud800"])
+def test_name_that_no_header_can_carry_is_skipped(name: str) -> None:
+    """Guards against servers to which no request can be addressed."""
+    with pytest.raises(entries.InvalidEntry):
+        entries.decode(name, json.dumps(ENTRY).encode(), 9)
+
+
 ODD_ITEMS = {
     "value no text": '"value": 7, "revision": 1',
     "value nested": f'"value": {"[" * 900 + "]" * 900}, "revision": 1',
