An address that is none costs no task, and no request its outcome

What callers saw in the test: a request that was to go by a relay whose address has a port out of range, no port or too long a host ended with 502 (`outcome_unknown`, `answer_lost`), although no byte had been sent. Operators saw ended tasks (`Task exception was never retrieved`): dialling an instance, or probing a server, at such an address raises OverflowError or ValueError; the next heartbeat dialled again at once, without the usual pause. With uvloop, which the daemons run on, the resolver takes port 99999 for 34463: the instance connects to another port.

Cause: each place took host:port apart by itself and handled OSError, and an error of the HTTP client before there is a connection counted as a cut answer.

`sockets.split_address` is used by links and probes. What fails with ValueError before there is a connection was not sent. The addresses and names in a list of servers of another instance, which may be of another release, are checked as well.

--- a/packages/daemon/cassiaquay_daemon/fleet/server_list.py
+++ b/packages/daemon/cassiaquay_daemon/fleet/server_list.py
@@ -9,7 +9,7 @@
 from cassiaquay_schema import fleet as fleet_schema
 from cassiaquay_schema import messages
 
-from .. import positions
+from .. import positions, sockets
 from ..decisions import withdrawals
 from . import evacuations
 
@@ -32,6 +32,24 @@
     gone: list[str]
 
 
+def reachable(
+    entries: collections.abc.Iterable[messages.ServerEntry],
+) -> list[messages.ServerEntry]:
+    """Return the entries with an address and a name that requests can carry.
+
+    An instance of another release may read entries otherwise.
+    """
+    found = []
+    for entry in entries:
+        try:
+            sockets.split_address(entry.address)
+        except ValueError:
+            continue
+        if entry.name.isprintable():
+            found.append(entry)
+    return found
+
+
 class ServerList:
     """Entries by name, as of one position of the platform.
 
--- a/packages/daemon/cassiaquay_daemon/fleet/servers.py
+++ b/packages/daemon/cassiaquay_daemon/fleet/servers.py
@@ -415,7 +415,8 @@
         is_changed = False
         if position > self._position:
             read_at = clock.now() - message.age_ms / 1000.0
-            is_changed = self._apply(position, message.entries, read_at)
+            entries = server_list.reachable(message.entries)
+            is_changed = self._apply(position, entries, read_at)
         evacuated_at = positions.Position(
             message.evacuated_epoch, message.evacuated_revision
         )
--- a/packages/daemon/cassiaquay_daemon/gateway/connections.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/connections.py
@@ -212,15 +212,14 @@
             Whether it was refused. A server that does not answer at all may be paused
             with a full accept queue, or behind a partition.
         """
-        host, _, port = address.rpartition(":")
-        target = (host, int(port))
-        info = (socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP, "", target)
         try:
+            target = sockets.split_address(address)
+            info = (socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP, "", target)
             with self._create_socket(info) as probing:
                 probing.setblocking(False)
                 async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
                     await asyncio.get_running_loop().sock_connect(probing, target)
-        except OSError as error:
+        except (OSError, ValueError) as error:
             # Also after the timeout.
             self._paths.failed(address)
             return not breaks.is_unreached(error)
--- a/packages/daemon/cassiaquay_daemon/gateway/forwarding.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/forwarding.py
@@ -349,6 +349,13 @@
             total=None,
             sock_connect=connections.CONNECT_TIMEOUT_SECONDS,
         )
+        is_connected = False
+
+        def note_connected() -> None:
+            nonlocal is_connected
+            is_connected = True
+            connected()
+
         try:
             return await self._http.request(
                 outgoing.method,
@@ -357,11 +364,13 @@
                 data=outgoing.body or None,
                 timeout=timeout,
                 allow_redirects=False,
-                trace_request_ctx=connected,
+                trace_request_ctx=note_connected,
             )
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             raise exceptions.Unreachable(repr(error)) from error
         except (TimeoutError, aiohttp.ClientError, OSError, ValueError) as error:
+            if isinstance(error, ValueError) and not is_connected:
+                raise exceptions.Unreachable(repr(error)) from error
             raise breaks.to_stream_interrupted(error) from error
 
     def _check_silence(self, address: str, since: float) -> None:
--- a/packages/daemon/cassiaquay_daemon/links/peers.py
+++ b/packages/daemon/cassiaquay_daemon/links/peers.py
@@ -228,12 +228,12 @@
                 task.cancel()
 
     async def _dial(self, instance: str) -> None:
-        host, _, port = self._addresses[instance].rpartition(":")
         try:
+            host, port = sockets.split_address(self._addresses[instance])
             # Not `wait_for`: in Python 3.11 it loses a cancellation that arrives
             # together with its result, and the shutdown would hang on this task.
             async with asyncio.timeout(DIAL_SECONDS):
-                reader, writer = await asyncio.open_connection(host, int(port))
+                reader, writer = await asyncio.open_connection(host, port)
         except (TimeoutError, OSError, ValueError):
             self._failed_at[instance] = clock.now()
             await asyncio.sleep(REDIAL_SECONDS)
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -3,16 +3,20 @@
 import asyncio
 import base64
 import collections.abc
+import gc
 import json
+import logging
 import time
 
 import aiohttp
+import gateway_fakes as fakes
 import pytest
 
 from cassiaquay_daemon import exceptions, positions
 from cassiaquay_daemon.platform import documents, entries, reports, store
 from cassiaquay_dev.standins import platform_standins as standins
 from cassiaquay_dev.standins import raw_servers
+from cassiaquay_schema import messages
 
 MIB = 1024 * 1024
 ENTRY = {
@@ -225,3 +229,118 @@
     for body in (data, b'{"born": %b}' % data, b'{"born": 1, "unknown": %b}' % data):
         reports.read_started_ms(body)
         documents.number_of(body.decode(errors="replace").replace("born", "version"))
+
+
+# No address at all, or one that a connection must not be tried at.
+NO_ADDRESSES = ["127.0.0.1:99999", "127.0.0.1:-1", "127.0.0.1", ":", "", "a" * 400]
+NO_ADDRESSES += [f"127.0.0.1:{'9' * 5000}", "a\0b:80", f"{'a' * 400}:80", "127.0.0.1:0"]
+DEFECTS = {"task_failed", "request_crashed", "message_unsendable", "relay_crashed"}
+DEFECTS |= {"probe_failed", "peer_refused", "log_line_invalid"}
+
+
+def _defects(caplog: pytest.LogCaptureFixture) -> list[str]:
+    """Return the lines of errors that nothing handles, also those of tasks."""
+    gc.collect()
+    lines = []
+    for record in caplog.records:
+        if record.msg in DEFECTS or record.name == "asyncio":
+            lines.append(f"{record.msg} {record.__dict__}")
+    return lines
+
+
+def test_instances_go_on_beside_a_member_without_an_address(caplog) -> None:
+    """Guards against links and relays that raise what no one handles."""
+
+    async def work(site: fakes.Site) -> None:
+        learn = site.daemons[0]._membership.facts.learn
+        for number, address in enumerate(NO_ADDRESSES):
+            name = f"cq-odd-{number}"
+            addresses = {"http": address, "peer": address, "relay": address}
+            odd = site.daemons[0]._membership.find("cq-2")
+            learn(odd._replace(instance=name, admin=address, **addresses))
+        for made in site.daemons:
+            while made._membership.find("cq-odd-1") is None:
+                await asyncio.sleep(0.02)
+        for round_number in range(20):
+            for at in range(2):
+                path = ("/book/x", "/safe/x", "/stream/x")[round_number % 3]
+                assert (await site.ask(path, at=at)).status == 200
+            await asyncio.sleep(0.05)
+        site.store.put("op/config", standins.configuration(2, tenants=[]))
+        for at in range(2):
+            while (await site.ask("/book/x", at=at)).status != 401:
+                await asyncio.sleep(0.05)
+
+    with caplog.at_level(logging.WARNING):
+        fakes.run(work, 2)
+    assert not _defects(caplog)
+
+
+@pytest.mark.parametrize("address", NO_ADDRESSES)
+def test_relay_without_an_address_has_sent_nothing(address: str) -> None:
+    """Guards against requests that end as if they had run, for an address."""
+
+    async def work(site: fakes.Site) -> None:
+        own = site.daemons[0]
+        odd = own._membership.find("cq-2")._replace(instance="odd", relay=address)
+        forwarder = site.gateway(0)._parts.forwarder
+        forwarder._relays.choose = lambda service: [odd]
+        for engine in site.engines:
+            forwarder._paths.doubt(engine.address, "test")
+            forwarder._paths.failed(engine.address)
+        forwarder._paths.is_open = lambda address: False
+        response = await site.ask("/book/x")
+        assert response.status == 503
+
+    fakes.run(work, 2)
+
+
+def test_list_of_another_instance_with_an_odd_entry_is_followed(caplog) -> None:
+    """Guards against addresses and names that another release has let through."""
+
+    async def work(site: fakes.Site) -> None:
+        sender, receiver = site.daemons
+        for made in site.daemons:
+            made._servers._store.read = _fail
+        entries_sent = sender._servers._registered.listed
+        for number, address in enumerate(NO_ADDRESSES):
+            odd = entries_sent[0]._replace(name=f"odd-{number}", address=address)
+            entries_sent.append(odd)
+        entries_sent.append(entries_sent[0]._replace(name="odd\nname"))
+        entries_sent.append(entries_sent[0]._replace(name="i-9", service="plain"))
+        position = receiver._servers.position
+        listed = messages.ServerList(
+            position.revision + 5, 0, entries_sent, epoch=position.epoch
+        )
+        for link in sender._peers.open_links():
+            link.send(listed)
+        while "i-9" not in _usable(receiver):
+            await asyncio.sleep(0.02)
+        assert not [name for name in _usable(receiver) if name.startswith("odd")]
+        for _ in range(10):
+            assert (await site.ask("/safe/x", at=1)).status == 200
+
+    with caplog.at_level(logging.WARNING):
+        fakes.run(work, 2)
+    assert not _defects(caplog)
+
+
+async def _fail() -> None:
+    raise exceptions.PlatformError("injected")
+
+
+def _usable(made) -> set[str]:
+    names = set()
+    for pool in made._configuration.current.fleet.pools.values():
+        names.update(server.name for server in pool.servers)
+    return names
+
+
+@pytest.mark.parametrize("address", NO_ADDRESSES)
+def test_probe_of_no_address_fails_as_any_other(address: str) -> None:
+    """Guards against probes that end with an error of the socket's own kind."""
+
+    async def work(site: fakes.Site) -> None:
+        await site.gateway(0)._prober._dialer.probe(address)
+
+    fakes.run(work)
