--- a/packages/daemon/cassiaquay_daemon/platform/entries.py
+++ b/packages/daemon/cassiaquay_daemon/platform/entries.py
@@ -1,5 +1,6 @@
 """Decodes the registrations of backend servers in the platform's store."""
 
+import ipaddress
 import typing
 
 import msgspec
@@ -7,7 +8,7 @@
 
 from cassiaquay_schema import messages
 
-from .. import exceptions, logs
+from .. import decoding, exceptions, logs, sockets
 from . import numbers
 
 READY = "ready"
@@ -36,7 +37,8 @@
     # Count of its reports when the entry was written.
     seq: numbers.Count = 0
     # Version of the server's software. It is only compared, so it may have any type.
-    version: typing.Any = ""
+    # Decoded, a long one would hold the event loop at each read.
+    version: msgspec.Raw = msgspec.Raw(b"null")
 
 
 class InvalidEntry(exceptions.PlatformError):
@@ -45,29 +47,34 @@
     code = "platform_entry"
 
 
+class SkippedEntry(typing.NamedTuple):
+    """An entry of a listing that describes no server."""
+
+    name: str
+    revision: int
+    cause: str
+
+
 class Skipped:
     """Logs entries that describe no server, once for each change of one."""
 
     def __init__(self) -> None:
-        # Revision of each entry that was logged, and of those in the current listing.
+        # Revision of each one in the last complete listing.
         self._logged: dict[str, int] = {}
-        self._current: dict[str, int] = {}
-
-    def note(self, name: str, revision: int, error: InvalidEntry) -> None:
-        """Log an entry of the current listing, unless it was logged before."""
-        self._current[name] = revision
-        if self._logged.get(name) == revision:
-            return
-        logs.trouble(
-            "server_entry_skipped",
-            server=name,
-            revision=revision,
-            cause=str(error)[:MAX_CAUSE_CHARACTERS],
-        )
 
-    def end_listing(self) -> None:
-        """Forget the entries that the current listing lacks."""
-        self._logged, self._current = self._current, {}
+    def note(self, listed: list[SkippedEntry]) -> None:
+        """Log the entries of a complete listing that were not logged before."""
+        logged, self._logged = self._logged, {}
+        for entry in listed:
+            self._logged[entry.name] = entry.revision
+            if logged.get(entry.name) == entry.revision:
+                continue
+            logs.trouble(
+                "server_entry_skipped",
+                server=entry.name[:MAX_NAME_CHARACTERS],
+                revision=entry.revision,
+                cause=entry.cause[:MAX_CAUSE_CHARACTERS],
+            )
 
 
 def decode(name: str, value: bytes, revision: int) -> messages.ServerEntry:
@@ -83,12 +90,15 @@
         When it describes none.
     """
     try:
-        entry = msgspec.json.decode(value, type=_Entry)
+        entry: _Entry = decoding.decode_json(value, _Entry)
         software = _software(entry.version)
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+    except exceptions.UndecodableText as error:
         raise InvalidEntry(str(error)) from error
     if not name or not entry.service:
         raise InvalidEntry("it names no service or no server")
+    if len(name) > MAX_NAME_CHARACTERS or not name.isprintable():
+        # Requests name their server in a header.
+        raise InvalidEntry("its name is invalid")
     if entry.state not in (READY, DRAINING):
         raise InvalidEntry("its state is unknown")
     if not _is_address(entry.addr):
@@ -110,24 +120,23 @@
     )
 
 
-def _software(version: typing.Any) -> str:
+def _software(version: msgspec.Raw) -> str:
     """Return a version as text; empty for none."""
-    if version is None:
+    text = bytes(version).decode(errors="backslashreplace")
+    if text == "null":
         return ""
-    text = version if isinstance(version, str) else repr(version)
+    if text.startswith('"'):
+        text = decoding.decode_json(version, str)
     if len(text) <= MAX_SOFTWARE_CHARACTERS:
         return text
     return xxhash.xxh3_64_hexdigest(text.encode())
 
 
 def _is_address(text: str) -> bool:
-    host, _, port = text.rpartition(":")
-    parts = host.split(".")
-    if len(parts) != 4 or not all(_is_decimal_below(part, 256) for part in parts):
+    try:
+        host, _ = sockets.split_address(text)
+        address = ipaddress.IPv4Address(host)
+    except ValueError:
         return False
-    return _is_decimal_below(port, 65536)
-
-
-def _is_decimal_below(text: typing.Any, bound: int) -> bool:
-    is_decimal = text.isascii() and text.isdecimal()
-    return is_decimal and len(text) <= 5 and int(text) < bound
+    # Connections to the unspecified address go to the host of this instance.
+    return not (address.is_unspecified or address.is_multicast or address.is_reserved)
