A server's own 503 is no promise for a request that must run once

Callers saw: a booking or a stream that cannot be resumed answered 503, 429 or 408 with the server's seal, although it had run.

Cause: a server's failure without Cassiaquay-Not-Executed was passed on unchanged.

--- a/tests/test_false_refusals.py
+++ b/tests/test_false_refusals.py
@@ -20,6 +20,8 @@
 PATHS = ["/once/x", "/book/x", "/safe/x", "/string/x"]
 REPEATABLE = "/safe/x"
 ASKED_COUNT = 4
+SEAL = "cassiaquay-response-seal"
+SEALED = {"Cassiaquay-Response-Seal": "s"}
 # Long enough for the daemon to read an answer before the server's next one.
 LATER_SECONDS = 0.05
 
@@ -70,6 +72,7 @@
     path: str
     status: int
     run_count: int
+    seal: str
 
     @property
     def is_broken(self) -> bool:
@@ -128,7 +131,8 @@
     played = []
     for path, got in answers:
         run_count = server.executed.count(got.attempt)
-        played.append(Asked(path, got.status, run_count))
+        seal = got.headers.get(SEAL, "")
+        played.append(Asked(path, got.status, run_count, seal))
     return played
 
 
@@ -174,6 +178,38 @@
     _check(_play(functools.partial(_copy_on_kept, copy), is_relayed))
 
 
+async def _fail_after_running(
+    failure: Reply,
+    server: Server,
+    request: raw_servers.Request,
+    writer: raw_servers.Writer,
+) -> None:
+    server.executed.append(request.attempt)
+    await failure.send(request, writer)
+
+
+@pytest.mark.parametrize(
+    "failure",
+    [
+        Reply(503, SEALED, True),
+        Reply(503, SEALED | {"Retry-After": "0.1"}, True),
+        Reply(429, SEALED, True),
+        Reply(408, SEALED, True),
+        Reply(503, {}),
+    ],
+)
+@pytest.mark.parametrize("is_relayed", [False, True])
+def test_failure_that_does_not_say_not_executed_is_no_promise(
+    failure: Reply, is_relayed: bool
+) -> None:
+    """Guards against a server's own 503 passed on for a booking that has run."""
+    played = _play(functools.partial(_fail_after_running, failure), is_relayed)
+    _check(played)
+    for asked in played:
+        # No seal with another status than that of the server.
+        assert asked.status == failure.status or not asked.seal
+
+
 async def _send_interim(
     status: int,
     headers: dict[str, str],
