After a 421 a connection is not used again

Callers saw: a booking answered 503, or sent to a further server, although it had run.

Cause: an address is given to another server, and both are listed for a while. A request for the first one gets 421 from the second one, and goes on to the second one under the same id, on the same kept connection. A late copy of the 421 bears the right id, and was taken for the answer to the second sending.

It is the only answer after which an attempt may be sent to the same address again: each server that has answered is excluded by its name.

--- a/packages/daemon/cassiaquay_daemon/gateway/connections.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/connections.py
@@ -77,6 +77,9 @@
                 return
             # A late copy of it could not be distinguished from the next answer.
             self.force_close()
+        elif message.code == headers.MISDIRECTED_STATUS:
+            # The request goes on to another server, which may have the same address.
+            self.force_close()
         # The client library ignores how long the server keeps idle connections.
         self._idle_seconds = _read_idle_seconds(message.headers)
         self._reusable_until = math.inf
--- a/tests/test_false_refusals.py
+++ b/tests/test_false_refusals.py
@@ -234,3 +234,64 @@
     played = _play(functools.partial(_send_interim, status, headers), is_relayed)
     _check(played)
     assert {asked.status for asked in played} == {200}
+
+
+async def _register_alone(
+    site: fakes.Site, addresses: dict[str, str], service: str = "plain"
+) -> None:
+    """Leave no servers of a service but some names with their addresses."""
+    for key in list(site.store.items):
+        if key.startswith("servers/") and key.endswith("-plain"):
+            site.store.remove(key)
+    for name, address in addresses.items():
+        entry = {"service": service, "addr": address, "zone": "a", "slots": 4}
+        site.store.put(f"servers/{name}", entry | {"state": "ready", "born": 1})
+    for made in site.daemons:
+        while not _knows(made, set(addresses)):
+            await asyncio.sleep(0.01)
+
+
+def _knows(made: typing.Any, names: set[str]) -> bool:
+    pool = made._configuration.current.fleet.pools["plain"]
+    return {server.name for server in pool.servers} == names
+
+
+async def _copy_misdirected(
+    server: Server, request: raw_servers.Request, writer: raw_servers.Writer
+) -> None:
+    """Answer 421 to requests for the server that had the address before."""
+    misdirected = Reply(421, NOT_EXECUTED, True)
+    if request.headers["cassiaquay-expect-instance"] == "i-0-plain":
+        await misdirected.send(request, writer)
+        return
+    server.executed.append(request.attempt)
+    before = server.asked[writer][:-1]
+    if request.attempt in [earlier.attempt for earlier in before]:
+        await misdirected.send(request, writer)
+        await asyncio.sleep(LATER_SECONDS)
+    await standins.send_complete_answer(request, writer)
+
+
+@pytest.mark.parametrize("is_relayed", [False, True])
+def test_copy_of_an_answer_to_the_same_attempt_is_no_promise(is_relayed: bool) -> None:
+    """Guards against "not run" by the answer to the address's former server."""
+    server = Server(_copy_misdirected)
+    answers: list[fakes.CallerResponse] = []
+
+    async def work(site: fakes.Site) -> None:
+        [engine, _] = site.engines
+        engine.respond = server.respond
+        address = engine.address
+        await _register_alone(site, {"i-0-plain": address, "i-1-plain": address})
+        with contextlib.ExitStack() as stack:
+            if is_relayed:
+                stack.enter_context(cut_fakes.cut(site, 0))
+            for _ in range(8):
+                answers.append(await site.ask("/book/x"))
+
+    fakes.run(work, 2 if is_relayed else 1)
+    asked = [request for requests in server.asked.values() for request in requests]
+    # Some came to the address by its former name first.
+    assert len(asked) > len(answers)
+    for got in answers:
+        assert (got.status, server.executed.count(got.attempt)) == (200, 1)
