After a relay's "not sent" a connection is not used again

Callers saw: nothing yet. A relay's answer that it has sent nothing names no request, and the connection to the relay was kept; a copy of it in place of the next answer, also to the same attempt, would have been a false "not run". No instance is known to send copies.

Evidence: tests/test_false_refusals.py, a stand-in of a relay that copies: failed before (three sendings read a copy), passes now. The owner closes the connection, so that older relays are covered.

--- a/packages/daemon/cassiaquay_daemon/gateway/connections.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/connections.py
@@ -14,6 +14,7 @@
 from ..adapters import backends, breaks
 from ..decisions import paths
 from ..platform import headers
+from . import relays
 
 # Shorter than the servers' own keep-alive time: a server that closes a connection while
 # a request is being sent on it leaves the request's outcome unknown.
@@ -80,6 +81,9 @@
         elif message.code == headers.MISDIRECTED_STATUS:
             # The request goes on to another server, which may have the same address.
             self.force_close()
+        elif message.headers.get(relays.OUTCOME) == relays.NOT_SENT:
+            # The request may be sent to the same relay again.
+            self.force_close()
         # The client library ignores how long the server keeps idle connections.
         self._idle_seconds = _read_idle_seconds(message.headers)
         self._reusable_until = math.inf
--- a/tests/test_false_refusals.py
+++ b/tests/test_false_refusals.py
@@ -10,6 +10,7 @@
 import gateway_fakes as fakes
 import pytest
 
+from cassiaquay_daemon.gateway import relays
 from cassiaquay_dev.standins import platform_standins as standins
 from cassiaquay_dev.standins import raw_servers
 
@@ -295,3 +296,51 @@
     assert len(asked) > len(answers)
     for got in answers:
         assert (got.status, server.executed.count(got.attempt)) == (200, 1)
+
+
+class CopyingRelay(raw_servers.RawServer):
+    """Sends nothing for the first request of a connection, and copies that answer."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.server = Server(self._answer)
+
+    async def respond(
+        self, request: raw_servers.Request, writer: raw_servers.Writer
+    ) -> None:
+        """Answer one request."""
+        await self.server.respond(request, writer)
+
+    async def _answer(
+        self,
+        server: Server,
+        request: raw_servers.Request,
+        writer: raw_servers.Writer,
+    ) -> None:
+        not_sent = {relays.OUTCOME: relays.NOT_SENT}
+        if not server.is_first(writer):
+            # What it answers to this request comes later.
+            server.executed.append(request.attempt)
+        await raw_servers.send(writer, relays.STATUS, b"no path", not_sent)
+
+
+def test_copy_of_a_relay_that_sent_nothing_is_no_promise() -> None:
+    """Guards against "not run" by a relay's answer to an earlier sending."""
+    relay = CopyingRelay()
+    answers: list[fakes.CallerResponse] = []
+
+    async def work(site: fakes.Site) -> None:
+        await relay.start()
+        chosen = site.gateway(0)._parts.forwarder._relays
+        own = site.daemons[0]._membership.serving()[0]
+        chosen.choose = lambda service: [own._replace(relay=relay.address)]
+        with cut_fakes.cut(site, 0):
+            for _ in range(4):
+                answers.append(await site.ask("/book/x"))
+        await relay.stop()
+
+    fakes.run(work)
+    assert {got.status for got in answers} == {503}
+    assert len(relay.requests) >= len(answers)
+    for got in answers:
+        assert got.attempt not in relay.server.executed
