--- a/tests/test_false_refusals.py
+++ b/tests/test_false_refusals.py
@@ -4,6 +4,7 @@
 import collections.abc
 import contextlib
 import functools
+import re
 import typing
 
 import cut_fakes
@@ -11,6 +12,7 @@
 import pytest
 
 from cassiaquay_daemon.gateway import relays
+from cassiaquay_dev.network import listening
 from cassiaquay_dev.standins import platform_standins as standins
 from cassiaquay_dev.standins import raw_servers
 
@@ -25,6 +27,8 @@
 SEALED = {"Cassiaquay-Response-Seal": "s"}
 # Long enough for the daemon to read an answer before the server's next one.
 LATER_SECONDS = 0.05
+# Longer than servers may be silent until requests that may be repeated go elsewhere.
+SILENT_SECONDS = 1.5
 
 Script = collections.abc.Callable[
     ["Server", raw_servers.Request, raw_servers.Writer],
@@ -344,3 +348,198 @@
     assert len(relay.requests) >= len(answers)
     for got in answers:
         assert got.attempt not in relay.server.executed
+
+
+class Cutting(typing.NamedTuple):
+    """When a server ends its connections.
+
+    Attributes
+    ----------
+    kept_count : int
+        Requests that a connection serves before.
+    read_bytes : int
+        Bytes of the next request that it reads; it has run then.
+    is_reset : bool
+        Whether it resets the connection.
+    answer : bytes
+        What it sends before the end.
+    """
+
+    kept_count: int
+    read_bytes: int
+    is_reset: bool
+    answer: bytes = b""
+
+
+class CuttingServer(listening.Listener):
+    """Ends its connections at some point of a request."""
+
+    def __init__(self, cutting: Cutting):
+        super().__init__()
+        self.executed: list[str] = []
+        self._cutting = cutting
+
+    async def _serve_connection(
+        self, reader: asyncio.StreamReader, writer: raw_servers.Writer
+    ) -> None:
+        for _ in range(self._cutting.kept_count):
+            request = await raw_servers._read_request(reader)
+            if request is None:
+                return
+            self.executed.append(request.attempt)
+            await standins.send_complete_answer(request, writer)
+        head = await reader.read(self._cutting.read_bytes)
+        found = re.search(rb"(?i)cassiaquay-attempt-id: (\S+)", head)
+        if found:
+            self.executed.append(found[1].decode())
+        writer.write(self._cutting.answer)
+        await asyncio.sleep(0)
+        if self._cutting.is_reset:
+            raw_servers.reset(writer)
+
+
+@pytest.mark.parametrize(
+    "cutting",
+    [
+        Cutting(0, 2000, True),
+        Cutting(0, 2000, False),
+        Cutting(1, 2000, True),
+        Cutting(1, 2000, False),
+        Cutting(0, 2000, False, b"HTTP/1.1 503 X\r\nCassiaquay-Not-Executed: 1\r\n"),
+        Cutting(1, 2000, True, b"HTTP/1.1 503 X\r\nCassiaquay-Not-Executed: 1\r\n"),
+        Cutting(1, 2000, False, b"HTTP/1.1 503 X\r\nCassiaquay-Not-Executed: 1\r\n"),
+        Cutting(
+            1, 2000, False, b"HTTP/1.1 100 X\r\nCassiaquay-Not-Executed: 1\r\n\r\n"
+        ),
+    ],
+)
+@pytest.mark.parametrize("is_relayed", [False, True])
+def test_connection_that_ends_within_a_request_is_no_promise(
+    cutting: Cutting, is_relayed: bool
+) -> None:
+    """Guards against a lost connection that is taken for one never opened."""
+    server = CuttingServer(cutting)
+    answers: list[fakes.CallerResponse] = []
+
+    async def work(site: fakes.Site) -> None:
+        await server.start()
+        other = CuttingServer(cutting)
+        other.executed = server.executed
+        await other.start()
+        addresses = {"i-8-plain": server.address, "i-9-plain": other.address}
+        await _register_alone(site, addresses)
+        site.server_addresses = lambda: set(addresses.values())
+        with contextlib.ExitStack() as stack:
+            if is_relayed:
+                stack.enter_context(cut_fakes.cut(site, 0))
+            for method in ["POST", "GET"] * 3:
+                answers.append(await site.ask("/book/x", method, b"b" * 90_000))
+        await server.stop()
+        await other.stop()
+
+    fakes.run(work, 2 if is_relayed else 1)
+    assert server.executed
+    for got in answers:
+        run_count = server.executed.count(got.attempt)
+        assert run_count <= 1
+        if got.status in NOT_RUN_STATUSES:
+            assert not run_count
+
+
+class EarlyServer(listening.Listener):
+    """Answers before it has read the body, and reads on.
+
+    Parameters
+    ----------
+    is_declining : bool
+        Whether it declines requests.
+    """
+
+    def __init__(self, is_declining: bool):
+        super().__init__()
+        self.executed: list[str] = []
+        self.is_declining = is_declining
+        self.bodies: list[bytes] = []
+
+    async def _serve_connection(
+        self, reader: asyncio.StreamReader, writer: raw_servers.Writer
+    ) -> None:
+        while True:
+            try:
+                head = await reader.readuntil(b"\r\n\r\n")
+            except (asyncio.IncompleteReadError, ConnectionError):
+                return
+            attempt = re.search(rb"(?i)cassiaquay-attempt-id: (\S+)", head)[1].decode()
+            length = int(re.search(rb"(?i)content-length: (\d+)", head)[1])
+            headers = {"Cassiaquay-Attempt-Id": attempt}
+            if self.is_declining:
+                headers |= NOT_EXECUTED
+            else:
+                self.executed.append(attempt)
+            await raw_servers.send(writer, 503, b"", headers)
+            await asyncio.sleep(LATER_SECONDS)
+            try:
+                self.bodies.append(await reader.readexactly(length))
+            except (asyncio.IncompleteReadError, ConnectionError):
+                return
+
+
+@pytest.mark.parametrize("is_declining", [False, True])
+@pytest.mark.parametrize("is_relayed", [False, True])
+def test_answer_before_the_body_is_read(is_declining: bool, is_relayed: bool) -> None:
+    """Guards against a false "not run", or a next request within the body."""
+    servers = [EarlyServer(is_declining), EarlyServer(is_declining)]
+    answers: list[fakes.CallerResponse] = []
+
+    async def work(site: fakes.Site) -> None:
+        addresses = {}
+        for number, server in enumerate(servers):
+            await server.start()
+            addresses[f"i-{number}-plain"] = server.address
+        await _register_alone(site, addresses)
+        site.server_addresses = lambda: set(addresses.values())
+        with contextlib.ExitStack() as stack:
+            if is_relayed:
+                stack.enter_context(cut_fakes.cut(site, 0))
+            for _ in range(8):
+                answers.append(await site.ask("/book/x", body=b"b" * 95_000))
+        await asyncio.sleep(LATER_SECONDS)
+        for server in servers:
+            await server.stop()
+
+    fakes.run(work, 2 if is_relayed else 1)
+    executed = servers[0].executed + servers[1].executed
+    for body in servers[0].bodies + servers[1].bodies:
+        assert not body.strip(b"b")
+    assert {got.status for got in answers} == {503 if is_declining else 502}
+    assert len(executed) == len(set(executed))
+
+
+async def _answer_late(
+    server: Server, request: raw_servers.Request, writer: raw_servers.Writer
+) -> None:
+    server.executed.append(request.attempt)
+    await asyncio.sleep(SILENT_SECONDS)
+    await standins.send_complete_answer(request, writer)
+
+
+@pytest.mark.parametrize("is_relayed", [False, True])
+def test_request_of_a_silent_server_is_sent_to_no_other(is_relayed: bool) -> None:
+    """Guards against a second run while the first server is silent."""
+    server = Server(_answer_late)
+    answers: list[fakes.CallerResponse] = []
+
+    async def work(site: fakes.Site) -> None:
+        await _configure(site)
+        for engine in site.engines:
+            engine.responder = server.respond
+        with contextlib.ExitStack() as stack:
+            if is_relayed:
+                stack.enter_context(cut_fakes.cut(site, 0))
+            paths = ["/once/x", "/book/x", "/string/x", "/short/x"]
+            answers.extend(await asyncio.gather(*[site.ask(path) for path in paths]))
+
+    fakes.run(work, 2 if is_relayed else 1)
+    assert [got.status for got in answers] == [200, 200, 200, 504]
+    for got in answers:
+        assert server.executed.count(got.attempt) == 1
