Answers on the own interface name their request

Callers saw: a request answered "not run" (503 server_declined) or "failed" that had run, or another request's answer.

The stand-ins repeat the id.

Requests bear X-Request-Id, and servers repeat it (docs/BACKENDS.md). An answer with another id fails its request, which may have run; a model engine's stream is then read again. Without ids, a connection is not used again after a failure, so that no copy of one can follow. Open: a copy of an answer with success of a plain service that repeats no id.

--- a/packages/daemon/cassiaquay_daemon/adapters/backends.py
+++ b/packages/daemon/cassiaquay_daemon/adapters/backends.py
@@ -14,7 +14,7 @@
 from cassiaquay_schema import fleet, registry
 
 from .. import bounded_http, exceptions, logs
-from . import answers, blocks, breaks, signals
+from . import answers, blocks, breaks, identified_http, signals
 
 CONNECT_TIMEOUT_SECONDS = 2.0
 CANCEL_TIMEOUT_SECONDS = 3.0
@@ -183,7 +183,7 @@
         request = self._http.post(
             f"http://{server.address}/v1/streams/{call.key}",
             data=msgspec.json.encode(body),
-            headers={"Content-Type": "application/json"},
+            headers=_headers(call.key),
             timeout=_timeout(),
             trace_request_ctx=before_sending,
         )
@@ -209,6 +209,7 @@
         """Read a stream that the engine still holds, from the end of ``answer`` on."""
         request = self._http.get(
             f"http://{server.address}/v1/streams/{key}?from={answer.count}",
+            headers={identified_http.REQUEST_ID: key},
             timeout=_timeout(),
         )
         try:
@@ -225,8 +226,10 @@
         """Stop a stream."""
         timeout = aiohttp.ClientTimeout(total=CANCEL_TIMEOUT_SECONDS)
         url = f"http://{server.address}/v1/streams/{key}"
+        named = {identified_http.REQUEST_ID: key}
+        request = self._http.delete(url, headers=named, timeout=timeout)
         try:
-            async with self._http.delete(url, timeout=timeout) as response:
+            async with request as response:
                 if response.status != 200:
                     return None
                 body = await bounded_http.read_body(response, MAX_CANCEL_BYTES)
@@ -276,7 +279,7 @@
         request = self._http.post(
             f"http://{server.address}{call.path}",
             data=call.payload,
-            headers={"Content-Type": "application/json", "X-Request-Id": call.key},
+            headers=_headers(call.key),
             timeout=_timeout(),
             allow_redirects=False,
             trace_request_ctx=before_sending,
@@ -311,6 +314,10 @@
         return None
 
 
+def _headers(key: str) -> dict[str, str]:
+    return {"Content-Type": "application/json", identified_http.REQUEST_ID: key}
+
+
 def _report_signals(response: aiohttp.ClientResponse, on_signals: OnSignals) -> None:
     found = signals.read(SIGNALS, response.status, response.headers)
     on_signals(found, response.status >= FIRST_FAILURE_STATUS)
--- a/packages/daemon/cassiaquay_daemon/daemon.py
+++ b/packages/daemon/cassiaquay_daemon/daemon.py
@@ -11,7 +11,6 @@
 from cassiaquay_schema import settings as settings_schema
 
 from . import (
-    bounded_http,
     early_bind,
     listeners,
     logs,
@@ -21,7 +20,7 @@
     sockets,
     supervision,
 )
-from .adapters import backends
+from .adapters import backends, identified_http
 from .decisions import quarantine, server_states
 from .engines import engine_reports, reconciler
 from .fleet import (
@@ -70,11 +69,11 @@
         self._stopping = asyncio.Event()
         self._background = supervision.Supervisor()
         self._incarnation = tokens.new_incarnation()
-        self._http = bounded_http.create_session(
-            bounded_http.create_connector(
-                keepalive_timeout=MAX_IDLE_CONNECTION_SECONDS,
-                socket_factory=sockets.create,
-            ),
+        self._http = identified_http.create_session(
+            {
+                "keepalive_timeout": MAX_IDLE_CONNECTION_SECONDS,
+                "socket_factory": sockets.create,
+            },
             trace_configs=[backends.tracing()],
             auto_decompress=False,
         )
--- a/packages/dev/cassiaquay_dev/standins/engine.py
+++ b/packages/dev/cassiaquay_dev/standins/engine.py
@@ -18,6 +18,7 @@
 
 from . import (
     blocks,
+    echoes,
     engine_answers,
     engine_control,
     engine_model,
@@ -58,6 +59,7 @@
                 *engine_control.routes(self.model, self.cuts),
             ]
         )
+        self.app.add_middleware(echoes.Echoes)
         self._task: asyncio.Task[None] | None = None
 
     def start(self) -> None:
--- a/packages/dev/cassiaquay_dev/standins/plain.py
+++ b/packages/dev/cassiaquay_dev/standins/plain.py
@@ -13,7 +13,7 @@
 import fire
 from starlette import applications, requests, responses, routing
 
-from . import serving
+from . import echoes, serving
 
 RUNNING = "running"
 COMPLETED = "completed"
@@ -59,6 +59,7 @@
                 routing.Route("/{path:path}", self._run, methods=["POST"]),
             ]
         )
+        self.app.add_middleware(echoes.Echoes)
         self._settings = settings
         self._random = random.Random(settings.seed)
         self._slots = asyncio.Semaphore(settings.slots)
