A late permit for a server that has had the request is not used

A request that a server has declined asks for capacity again under the same id. A permit from before, granted twice or delayed, was taken for the answer to the new demand, and the attempt was sent to the same server again: there a late copy of its own earlier answer bears the right id, and "not run" would be false. Permits for servers that refused a connection were dropped already.

Found by reading. tests/test_admission.py:: test_late_permit_for_a_server_that_has_answered_is_not_used failed before (1 of 1) and passes now.

--- a/packages/daemon/cassiaquay_daemon/keepers/demands.py
+++ b/packages/daemon/cassiaquay_daemon/keepers/demands.py
@@ -315,10 +315,11 @@
             # Granted by the shard that the demand has left; only one may be used.
             self._return_permit(replier, permit)
             return
-        if pending.future.done() or permit.server in pending.demand.avoid:
+        excluded = {*pending.demand.avoid, *pending.demand.tried}
+        if pending.future.done() or permit.server in excluded:
             # A duplicate, or a permit granted before the keeper received the report
-            # that this server refused a connection. The keeper has received it by now,
-            # or the permit expires.
+            # that this server refused a connection or has had the request. The keeper
+            # has received it by now, or the permit expires.
             return
         if self._was_paused() or clock.now() < self._rejects_permits_until:
             # This process was paused. The permit may be as old as the pause, and the
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -124,6 +124,25 @@
     _run(work)
 
 
+def test_late_permit_for_a_server_that_has_answered_is_not_used() -> None:
+    """Guards against an attempt sent twice to a server, where an old answer may come.
+
+    The permit was granted before the keeper has received the next demand.
+    """
+
+    async def work(site: Site) -> None:
+        asking = site.obtain(1, tried=["i-1"])
+        await asyncio.sleep(0.01)
+        [demand] = site.keeper.sent
+        late = messages.Permit("a1", "i-1", 1500, demand.shard)
+        site.demands.answer(site.keeper, late)
+        site.demands.answer(site.keeper, late._replace(server="i-2"))
+        ticket = await asking
+        assert (ticket.server.name, ticket.is_without_keeper) == ("i-2", False)
+
+    _run(work)
+
+
 def test_refusal_of_a_request_that_is_given_up_leaves_no_unread_error() -> None:
     """Guards against errors on standard error while requests are refused in numbers.
 
