A reset within a body without a length cuts the answer on every interface

Callers of the own interface would see: a completed answer 12 where a plain server had sent 123 without Content-Length or chunks, of which two digits came before its connection was reset; or a failed one ("the answer is not JSON") where nothing of the body came, although its outcome is unknown.

Cause: aiohttp ends a body without a length when its connection closes, and takes a reset for such an end. The gateway's handler failed these answers; the handler of all other requests did not.

Evidence: 12 cases in tests/test_cut_heads.py (a length, chunks, neither; no byte or two bytes of the body; both parsers).

Why it works: the check moves from the gateway's handler to the one that all sessions share. The reader gets the error of the connection, so a reset counts as a broken connection and a timeout of the kernel as an unreached server, as before; the parser is not asked to end the body any more.

--- a/packages/daemon/cassiaquay_daemon/bounded_http.py
+++ b/packages/daemon/cassiaquay_daemon/bounded_http.py
@@ -117,6 +117,22 @@
         else:
             self._check_framing(len(data))
 
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Fail an answer that was being read when the connection was reset.
+
+        An answer without Content-Length ends when the connection closes. aiohttp
+        treats a reset as that end, too, and a truncated body would look complete.
+        """
+        payload = self._payload
+        if exc is not None and payload is not None and not payload.is_eof():
+            error = exc
+            if not isinstance(exc, OSError):
+                error = aiohttp.ClientPayloadError(repr(exc))
+            payload.set_exception(error)
+            # It would end the body or report another error.
+            self._parser = None
+        super().connection_lost(exc)
+
     def resume_reading(self, resume_parser: bool = True) -> None:
         """Go on reading, if that was paused.
 
--- a/packages/daemon/cassiaquay_daemon/gateway/connections.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/connections.py
@@ -119,27 +119,10 @@
             self._reusable_until = clock.now() + self._idle_seconds
 
     def connection_lost(self, exc: BaseException | None) -> None:
-        """Fail an answer that was being read when the connection was reset.
-
-        An answer without Content-Length ends when the connection closes. aiohttp
-        treats a reset as that end, too, and the caller would get a truncated body that
-        looks complete.
-        """
-        payload = self._payload
-        if exc is None:
-            super().connection_lost(exc)
-            return
-        self._paths.doubt(self._address, "connection lost")
-        if payload is None or payload.is_eof():
-            super().connection_lost(exc)
-            return
-        error = exc
-        if not breaks.is_unreached(exc):
-            error = aiohttp.ClientPayloadError("connection reset")
-        payload.set_exception(error)
+        """Record that the connection was reset."""
+        if exc is not None:
+            self._paths.doubt(self._address, "connection lost")
         super().connection_lost(exc)
-        # The parser reports an incomplete answer in its place.
-        payload.set_exception(error)
 
 
 class _TimedRequest(bounded_http.BoundedRequest):
--- a/tests/test_cut_heads.py
+++ b/tests/test_cut_heads.py
@@ -415,6 +415,32 @@
     return answer
 
 
+async def _run_stopped(sent: bytes, end: str) -> answers.Answer:
+    standin = _Stopping(sent, end)
+    await standin.start()
+    try:
+        async with _own_session() as http:
+            return await _run("plain-http", http, standin.address)
+    finally:
+        await standin.stop()
+
+
+@PARSERS
+@pytest.mark.parametrize("framing", [LENGTH, CHUNKS, UNFRAMED])
+@pytest.mark.parametrize("body", [b"", b"12"])
+def test_own_answer_whose_body_is_reset_is_cut(
+    framing: str, body: bytes, parser: type, monkeypatch
+) -> None:
+    """Guards against a number whose last digits are missing, or a wrong outcome."""
+    monkeypatch.setattr(client_proto, "HttpResponseParser", parser)
+    kind = Kind(200, framing)
+    head = kind.head("k", b"123")
+    if framing == CHUNKS and body:
+        body = b"2\r\n%b\r\n" % body
+    with pytest.raises(exceptions.ConnectionBroken):
+        asyncio.run(_run_stopped(head + body, RESET))
+
+
 async def _read_process(http: aiohttp.ClientSession, address: str) -> None:
     server = fleet.Server(name="s-1", address=address, started_ms=5)
     checks = process_checks.ProcessChecks(http, *typing.cast("typing.Any", (None,) * 2))
