Servers are followed beside a configuration that is no text

What operators would see: while op/config held bytes that are not UTF-8, or msgpack, no instance followed the list of servers: new ones got no requests, and ones that had left went on to get them.

Cause: such bytes failed the read of the configuration as an unreachable store does, and the list is read behind it.

They are refused now as any other invalid document: one line `configuration_rejected` at each instance, and the list is read.

Tests: test_changes_are_followed_beside_an_odd_configuration, 2 of 7 values failed before (timed out).

--- a/packages/daemon/cassiaquay_daemon/platform/store.py
+++ b/packages/daemon/cassiaquay_daemon/platform/store.py
@@ -293,8 +293,10 @@
             return None
         try:
             text = item.value.decode()
-        except UnicodeDecodeError as error:
-            raise exceptions.PlatformError(f"configuration: {error}") from error
+        except UnicodeDecodeError:
+            # It is refused as any other invalid text; as a failed read, it would keep
+            # from being read what is read with it.
+            text = ""
         number = documents.number_of(text)
         return platform.Published(item.revision, text, epoch, number)
 
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import base64
+import collections
 import collections.abc
+import contextlib
 import gc
 import json
 import logging
@@ -13,9 +15,11 @@
 import pytest
 
 from cassiaquay_daemon import exceptions, positions
+from cassiaquay_daemon.links import frames
 from cassiaquay_daemon.platform import documents, entries, reports, store
 from cassiaquay_dev.standins import platform_standins as standins
 from cassiaquay_dev.standins import raw_servers
+from cassiaquay_schema import exceptions as schema_exceptions
 from cassiaquay_schema import messages
 
 MIB = 1024 * 1024
@@ -344,3 +348,184 @@
         await site.gateway(0)._prober._dialer.probe(address)
 
     fakes.run(work)
+
+
+DOCUMENT = standins.configuration(2)
+DOCUMENT["routes"][0]["backends"] = [{"service": "plain", "weight": 1.0}]
+DOCUMENT["services"] = [
+    {
+        "name": "chat",
+        "engine": {"stride": 1},
+        "cold-start-s": 1.0,
+        "cold-per-s": 1.0,
+    }
+]
+DOCUMENT["limits"] = {
+    "max-header-bytes": 1000,
+    "max-body-bytes": 1000,
+    "header-timeout-ms": 1000.0,
+    "idle-timeout-ms": 1000.0,
+}
+DOCUMENT["tenants"] = [
+    {
+        "name": "blue",
+        "api-keys": ["key"],
+        "priority": 1,
+        "unit": "tokens",
+        "plain-tokens": 1,
+        "rate-per-s": 1.0,
+        "burst": 1.0,
+    }
+]
+
+
+def _places(value: object, place: tuple = ()) -> list[tuple]:
+    """Return the place of each value within a document, the document's first."""
+    found = [place]
+    items: list = []
+    if isinstance(value, dict):
+        items = list(value.items())
+    elif isinstance(value, list):
+        items = list(enumerate(value))[:1]
+    for key, item in items:
+        found += _places(item, (*place, key))
+    return found
+
+
+def _with_value(value: object, place: tuple, text: str) -> str:
+    """Return a document as JSON with the value at a place replaced by a JSON text."""
+    document = json.loads(json.dumps(value))
+    if not place:
+        return text
+    parent = document
+    for key in place[:-1]:
+        parent = parent[key]
+    parent[place[-1]] = "VALUE"
+    return json.dumps(document).replace('"VALUE"', text)
+
+
+@pytest.mark.parametrize("place", _places(DOCUMENT), ids=str)
+def test_odd_value_in_a_configuration_is_refused_or_can_be_sent(place: tuple) -> None:
+    """Guards against configurations that raise where they are read or sent on."""
+    for text in VALUES.values():
+        data = _with_value(DOCUMENT, place, text).encode(errors="surrogateescape")
+        with contextlib.suppress(UnicodeDecodeError, schema_exceptions.SchemaError):
+            document = data.decode()
+            found = documents.read(7, document)
+            number = documents.number_of(document)
+            frames.encode(messages.ConfigurationText(7, found.text, number or 0, 1))
+
+
+ODD_ENTRIES: dict[str, object] = {
+    "nested": b"[" * 100_000,
+    "nested version": _entry("version", "[" * 900 + "]" * 900),
+    "nested unknown": _entry("unknown", '{"a":' * 500_000),
+    "large version": _entry("version", "[" + "[]," * (MIB // 4) + "1]"),
+    "seq": ENTRY | {"seq": 2**128, "state": "ready"},
+    "cold": _entry("cold-left-ms", "1e309"),
+    "slots": _entry("slots", "9" * 100_000),
+    "born": _entry("born", "9" * 400),
+    "port": ENTRY | {"addr": "127.0.0.1:99999", "state": "ready"},
+    "port 0": ENTRY | {"addr": "127.0.0.1:0", "state": "ready"},
+    "host": ENTRY | {"addr": "255.255.255.255:80", "state": "ready"},
+    "host long": ENTRY | {"addr": f"{'a' * 400}:80", "state": "ready"},
+    "packed": b"\x91" * 5000,
+    "bytes": b"\xff" * 100,
+    "empty": b"",
+    "null": b"null",
+    "": ENTRY,
+    "slash/slash": ENTRY | {"seq": -1},
+    "\u00e9" * 90: ENTRY | {"seq": "1"},
+}
+
+
+def _write_odd_entries(site: fakes.Site) -> None:
+    for name, value in ODD_ENTRIES.items():
+        site.store.put(f"servers/{name}", value)
+    # An entry that is whole but for its name, and so would get requests.
+    odd = ENTRY | {"addr": site.engines[0].address, "state": "ready", "slots": 4}
+    site.store.put("servers/odd\nname", odd)
+    site.store.put("op/inventory", b"[" * 100_000)
+    site.store.put("op/evacuate/", b"")
+    site.store.put("op/evacuate/\u00e9\n" + "z" * 150, b"\xff")
+
+
+async def _follow_changes(site: fakes.Site, number: int) -> None:
+    """Change servers and configuration, and wait until each daemon follows."""
+    added = await site.add_engine(f"i-{number}")
+    gone = f"i-{number - 1}-plain"
+    site.store.put(f"servers/{gone}", ENTRY)
+    tenants = [{"name": "blue", "api-keys": ["key", f"key-{number}"]}]
+    site.store.put("op/config", standins.configuration(number, tenants=tenants))
+    for at, made in enumerate(site.daemons):
+        while f"{added.name}-plain" not in _usable(made) or gone in _usable(made):
+            await asyncio.sleep(0.02)
+        while made._configuration.revision != number:
+            await asyncio.sleep(0.02)
+        for path in ("/book/x", "/safe/x", "/stream/x"):
+            answer = await site.ask(path, at=at, Api_Key=f"key-{number}")
+            assert answer.status == 200
+    assert not any(task.done() for task in site._tasks)
+
+
+def test_changes_are_followed_beside_odd_entries(caplog) -> None:
+    """Guards against instances that end, or follow nothing, beside odd entries."""
+
+    async def work(site: fakes.Site) -> None:
+        for number in (4, 6):
+            _write_odd_entries(site)
+            await _follow_changes(site, number)
+            for made in site.daemons:
+                assert "odd\nname" not in _usable(made)
+            for key in list(site.store.items):
+                if key.removeprefix("servers/") in {*ODD_ENTRIES, "odd\nname"}:
+                    site.store.remove(key)
+            await _follow_changes(site, number + 1)
+
+    async def run() -> None:
+        site = fakes.Site()
+        async with asyncio.timeout(40.0):
+            await site.engines[0].start()
+            _write_odd_entries(site)
+            await site.engines[0].stop()
+            await site.start(2)
+            try:
+                await work(site)
+            finally:
+                await site.stop()
+
+    with caplog.at_level(logging.WARNING):
+        asyncio.run(run())
+    assert not _defects(caplog)
+    logged = collections.Counter(
+        (record.server, record.revision)
+        for record in caplog.records
+        if record.msg == "server_entry_skipped"
+    )
+    # Once by each instance that has read the store.
+    assert max(logged.values()) <= 2
+
+
+@pytest.mark.parametrize(
+    "value",
+    [b"\xff", b"\x91" * 1000, b"[" * 100_000, b"null", b"[]", b"", b"9" * 100_000],
+    ids=["no text", "packed", "nested", "null", "list", "empty", "digits"],
+)
+def test_changes_are_followed_beside_an_odd_configuration(value: bytes, caplog) -> None:
+    """Guards against servers that are not followed while the configuration is odd."""
+
+    async def work(site: fakes.Site) -> None:
+        site.store.put("op/config", value)
+        await site.add_engine("i-3")
+        for at, made in enumerate(site.daemons):
+            while "i-3" not in _usable(made):
+                await asyncio.sleep(0.02)
+            assert (await site.ask("/book/x", at=at)).status == 200
+        await _follow_changes(site, 4)
+
+    with caplog.at_level(logging.WARNING):
+        fakes.run(work, 2)
+    assert not _defects(caplog)
+    rejected = [line for line in caplog.records if line.msg == "configuration_rejected"]
+    # Once by each instance that has read it.
+    assert 1 <= len(rejected) <= 2
