An evacuation without a name takes no server out of use

A key `op/evacuate/` of another writer named the empty failure domain, which is that of all servers whose entries name no zone: in a fleet without zones no server got requests any more. The key is ignored; so the operator's keys name at least one character.

Test: test_evacuation_without_a_name_takes_no_server_out_of_use, failed before.

--- a/packages/daemon/cassiaquay_daemon/platform/store.py
+++ b/packages/daemon/cassiaquay_daemon/platform/store.py
@@ -310,8 +310,11 @@
             for item in page.items:
                 if item.key == CONFIGURATION_KEY:
                     configuration = item
-                elif item.key.startswith(EVACUATED_PREFIX):
-                    domains.append(item.key.removeprefix(EVACUATED_PREFIX))
+                    continue
+                domain = item.key.removeprefix(EVACUATED_PREFIX)
+                # The empty one is not that of servers which name none.
+                if item.key.startswith(EVACUATED_PREFIX) and domain:
+                    domains.append(domain)
         self._read_position = position
         self.evacuated = platform.Evacuated(position, sorted(domains))
         return configuration
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -529,3 +529,20 @@
     rejected = [line for line in caplog.records if line.msg == "configuration_rejected"]
     # Once by each instance that has read it.
     assert 1 <= len(rejected) <= 2
+
+
+def test_evacuation_without_a_name_takes_no_server_out_of_use() -> None:
+    """Guards against a key of another writer that empties a fleet without zones."""
+
+    async def work(site: fakes.Site) -> None:
+        for engine in site.engines:
+            site.register(engine, zone="")
+        site.store.put("op/evacuate/", b"")
+        site.store.put("op/evacuate/b", b"")
+        made = site.daemons[0]
+        while "b" not in made._configuration.current.fleet.evacuated:
+            await asyncio.sleep(0.02)
+        assert made._configuration.current.fleet.evacuated == ["b"]
+        assert (await site.ask("/book/x")).status == 200
+
+    fakes.run(work)
