Deeply nested reports of engines and bodies of callers raise one error

What operators would see: an engine whose load report, cache events or state are nested about 1,000 deep ended the task that polls all engines, again at each poll (`task_failed`), so no engine was polled. On the own interface, a caller's body of that depth raised RecursionError where the service is read from it.

All readers of other programs' JSON in the daemon use `decoding.decode_json` now, but for two in operators/explain.py that read other instances' answers.

--- a/packages/daemon/cassiaquay_daemon/adapters/backends.py
+++ b/packages/daemon/cassiaquay_daemon/adapters/backends.py
@@ -13,7 +13,7 @@
 
 from cassiaquay_schema import fleet, registry
 
-from .. import bounded_http, exceptions, logs
+from .. import bounded_http, decoding, exceptions, logs
 from . import answers, blocks, breaks, signals
 
 CONNECT_TIMEOUT_SECONDS = 2.0
@@ -230,11 +230,11 @@
                 if response.status != 200:
                     return None
                 body = await bounded_http.read_body(response, MAX_CANCEL_BYTES)
-                body_fields = msgspec.json.decode(body, type=_CancelBody)
+                body_fields: _CancelBody = decoding.decode_json(body, _CancelBody)
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             logs.detail("cancel_failed", server=server.name, cause=repr(error))
             return None
-        except msgspec.DecodeError:
+        except exceptions.UndecodableText:
             return None
         return WastedTokens(
             body_fields["prefilled_tokens"], body_fields["generated_tokens"]
@@ -358,9 +358,9 @@
 def _check_json(body: bytes) -> None:
     try:
         # Decoded values may take fifty times the memory of their text.
-        msgspec.json.decode(body, type=msgspec.Raw)
+        decoding.decode_json(body, msgspec.Raw)
         body.decode()
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+    except (exceptions.UndecodableText, UnicodeDecodeError) as error:
         raise exceptions.Rejected("the answer is not JSON") from error
 
 
@@ -396,8 +396,8 @@
 
 def _final_usage(payload: bytes, answer: answers.Answer) -> TokenUsage:
     try:
-        done = msgspec.json.decode(payload, type=_DoneBody)
-    except msgspec.DecodeError as error:
+        done: _DoneBody = decoding.decode_json(payload, _DoneBody)
+    except exceptions.UndecodableText as error:
         raise exceptions.StreamInterrupted(str(error)) from error
     if done["count"] != answer.count:
         raise exceptions.StreamInterrupted(f"{answer.count} events of {done['count']}")
--- a/packages/daemon/cassiaquay_daemon/engines/engine_orders.py
+++ b/packages/daemon/cassiaquay_daemon/engines/engine_orders.py
@@ -10,7 +10,7 @@
 
 from cassiaquay_schema import fleet, registry
 
-from .. import bounded_http, exceptions
+from .. import bounded_http, decoding, exceptions
 from . import orders
 
 RESPONSE_TIMEOUT_SECONDS = 2.0
@@ -63,8 +63,8 @@
         if status != 200:
             raise exceptions.BackendError(f"{server.name}: status {status}")
         try:
-            decoded = msgspec.json.decode(body, type=_LoadBody)
-        except msgspec.DecodeError as error:
+            decoded: _LoadBody = decoding.decode_json(body, _LoadBody)
+        except exceptions.UndecodableText as error:
             raise exceptions.BackendError(str(error)) from error
         return orders.Actual(
             decoded["model"],
@@ -84,9 +84,10 @@
         if status != 200:
             raise exceptions.BackendError(f"{server.name}: status {status}")
         try:
-            return msgspec.json.decode(body, type=_StateBody)["state"]
-        except msgspec.DecodeError as error:
+            answer: _StateBody = decoding.decode_json(body, _StateBody)
+        except exceptions.UndecodableText as error:
             raise exceptions.BackendError(str(error)) from error
+        return answer["state"]
 
     async def _call(
         self, method: str, server: fleet.Server, path: str, data: bytes | None
--- a/packages/daemon/cassiaquay_daemon/engines/engine_reports.py
+++ b/packages/daemon/cassiaquay_daemon/engines/engine_reports.py
@@ -14,7 +14,7 @@
 
 from cassiaquay_schema import fleet, registry
 
-from .. import bounded_http, clock, exceptions, logs
+from .. import bounded_http, clock, decoding, exceptions, logs
 from ..decisions import policies, shards
 from ..fleet import configuration
 from ..keepers import keeper
@@ -49,10 +49,6 @@
     waiting: int
 
 
-_EVENTS = msgspec.json.Decoder(CacheEvents)
-_LOAD = msgspec.json.Decoder(LoadReport)
-
-
 class Reader(typing.Protocol):
     """Reads reports from backend servers by one protocol."""
 
@@ -80,16 +76,16 @@
         path = f"/v1/kv/events?after={after}"
         body = await self._get(server, path, MAX_EVENTS_BYTES)
         try:
-            return _EVENTS.decode(body)
-        except msgspec.DecodeError as error:
+            return decoding.decode_json(body, CacheEvents)
+        except exceptions.UndecodableText as error:
             raise exceptions.BackendError(str(error)) from error
 
     async def read_load(self, server: fleet.Server) -> LoadReport:
         """Return the latest load report."""
         body = await self._get(server, "/v1/load", MAX_LOAD_BYTES)
         try:
-            return _LOAD.decode(body)
-        except msgspec.DecodeError as error:
+            return decoding.decode_json(body, LoadReport)
+        except exceptions.UndecodableText as error:
             raise exceptions.BackendError(str(error)) from error
 
     async def _get(self, server: fleet.Server, path: str, max_bytes: int) -> bytes:
--- a/packages/daemon/cassiaquay_daemon/keepers/baselines.py
+++ b/packages/daemon/cassiaquay_daemon/keepers/baselines.py
@@ -9,11 +9,10 @@
 import typing
 
 import aiohttp
-import msgspec
 
 from cassiaquay_schema import fleet, messages
 
-from .. import bounded_http, clock, logs, rendezvous
+from .. import bounded_http, clock, decoding, exceptions, logs, rendezvous
 from ..decisions import policies, shards, software_versions
 
 # Under this policy each owner is the keeper of every shard for its own requests.
@@ -118,11 +117,11 @@
                 try:
                     async with http.get(url) as response:
                         body = await bounded_http.read_body(response, MAX_LOAD_BYTES)
-                    load = msgspec.json.decode(body, type=_Load)
+                    load: _Load = decoding.decode_json(body, _Load)
                 except (
                     TimeoutError,
                     aiohttp.ClientError,
-                    msgspec.DecodeError,
+                    exceptions.UndecodableText,
                 ) as error:
                     # Plain services report no load, and an engine may be down.
                     logs.detail(
--- a/packages/daemon/cassiaquay_daemon/operators/explain.py
+++ b/packages/daemon/cassiaquay_daemon/operators/explain.py
@@ -9,7 +9,7 @@
 from cassiaquay_schema import bodies, messages
 from cassiaquay_schema import settings as settings_schema
 
-from .. import bounded_http, clock, exceptions
+from .. import bounded_http, clock, decoding, exceptions
 from ..configured import snapshots
 from ..owners import owner, tokens
 from . import keeper_view, refusals, reports, viewers
@@ -247,9 +247,10 @@
 
 def _message(body: bytes) -> str:
     try:
-        return msgspec.json.decode(body, type=_Problem).message
-    except msgspec.DecodeError:
+        problem: _Problem = decoding.decode_json(body, _Problem)
+    except exceptions.UndecodableText:
         return body[:100].decode(errors="replace")
+    return problem.message
 
 
 def _limit_reasons(snapshot: snapshots.Snapshot, service: str, team: str) -> list[str]:
--- a/packages/daemon/cassiaquay_daemon/owners/requests.py
+++ b/packages/daemon/cassiaquay_daemon/owners/requests.py
@@ -7,7 +7,7 @@
 
 from cassiaquay_schema import fleet
 
-from .. import exceptions
+from .. import decoding, exceptions
 from ..adapters import backends
 from ..configured import snapshots
 from ..decisions import prefixes
@@ -86,8 +86,8 @@
 def read(data: bytes) -> Body:
     """Return the parsed body; raise BadRequest if it is malformed."""
     try:
-        return msgspec.json.decode(data, type=Body)
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+        return decoding.decode_json(data, Body)
+    except exceptions.UndecodableText as error:
         raise exceptions.BadRequest(str(error)) from error
 
 
@@ -166,6 +166,7 @@
 def service_of(data: bytes) -> str:
     """Return the service that a body names, or an empty string."""
     try:
-        return msgspec.json.decode(data, type=_ServiceName).service
-    except msgspec.DecodeError:
+        named: _ServiceName = decoding.decode_json(data, _ServiceName)
+    except exceptions.UndecodableText:
         return ""
+    return named.service
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -15,12 +15,14 @@
 import pytest
 
 from cassiaquay_daemon import exceptions, positions
+from cassiaquay_daemon.engines import engine_orders, engine_reports
 from cassiaquay_daemon.links import frames
+from cassiaquay_daemon.owners import requests
 from cassiaquay_daemon.platform import documents, entries, reports, store
 from cassiaquay_dev.standins import platform_standins as standins
 from cassiaquay_dev.standins import raw_servers
 from cassiaquay_schema import exceptions as schema_exceptions
-from cassiaquay_schema import messages
+from cassiaquay_schema import fleet, messages
 
 MIB = 1024 * 1024
 ENTRY = {
@@ -350,7 +352,41 @@
     fakes.run(work)
 
 
-DOCUMENT = standins.configuration(2)
+@pytest.mark.parametrize("place", ["unknown", "sequence", "running", "model", ""])
+def test_odd_report_of_an_engine_fails_as_any_other(place: str) -> None:
+    """Guards against reports whose decoding ends the task that polls engines."""
+    found = {"sequence": 1, "events": [], "age_ms": 1, "running": 1, "waiting": 1}
+    found |= {"model": "m", "version": "1", "adapters": [], "role": "r", "fence": 1}
+
+    async def work(standin: ScriptedStore, http: aiohttp.ClientSession) -> None:
+        server = fleet.Server(name="i-1", address=standin.address, domain="a")
+        reader = engine_reports.EngineHttp(http)
+        for text in VALUES.values():
+            odd = json.dumps(found | {place: "VALUE"}).replace('"VALUE"', text)
+            body = odd if place else text
+            standin.body = body.encode(errors="surrogateescape")
+            for read in (
+                reader.read_events(server, 1),
+                reader.read_load(server),
+                engine_orders.EngineOrdersHttp(http).read(server),
+            ):
+                with contextlib.suppress(exceptions.BackendError):
+                    await read
+
+    _run_store(work)
+
+
+@pytest.mark.parametrize("name", VALUES)
+def test_odd_body_of_a_caller_is_refused_or_read(name: str) -> None:
+    """Guards against bodies that end in another error than a refusal."""
+    data = VALUES[name].encode(errors="surrogateescape")
+    for body in (data, b'{"service": %b}' % data, b'{"unknown": %b}' % data):
+        requests.service_of(body)
+        with contextlib.suppress(exceptions.BadRequest):
+            requests.read(body)
+
+
+DOCUMENT = json.loads(json.dumps(standins.configuration(2)))
 DOCUMENT["routes"][0]["backends"] = [{"service": "plain", "weight": 1.0}]
 DOCUMENT["services"] = [
     {
