--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -582,3 +582,58 @@
         assert (await site.ask("/book/x")).status == 200
 
     fakes.run(work)
+
+
+PACKED = {
+    "number": b"\xcf" + b"\xff" * 8,
+    "negative": b"\xd3\x80" + b"\0" * 7,
+    "nan": b"\xcb\x7f\xf8" + b"\0" * 6,
+    "text": b"\xa2\xff\xff",
+    "long": b"\xdb\0\x10\0\0" + b"a" * MIB,
+    "list": b"\xdd\xff\xff\xff\xff",
+    "map": b"\x81\x90\x01",
+    "nested": b"\x91" * 900 + b"\x01",
+    "too nested": b"\x91" * 5000 + b"\x01",
+}
+
+
+def _frame(code: int, value: bytes) -> bytes:
+    """Return a message of a code whose fields all have one value."""
+    count = len(messages.BY_CODE[code]._fields) if code in messages.BY_CODE else 1
+    return b"\xdc\0%c%c" % (count + 1, code) + value * count
+
+
+def test_odd_frame_is_a_message_or_an_invalid_frame() -> None:
+    """Guards against bytes of a peer that raise more than the loss of its link."""
+    for code in range(128):
+        for value in PACKED.values():
+            with contextlib.suppress(exceptions.InvalidFrame):
+                frames.Decoder().feed(_frame(code, value))
+    for depth in (10, 1022, 1024, 5000, MIB):
+        for opening in (b"\x91", b"\x81\xa1a", b"\x81"):
+            with contextlib.suppress(exceptions.InvalidFrame):
+                frames.Decoder().feed(opening * depth + b"\x01")
+
+
+def test_instances_go_on_after_odd_frames(caplog) -> None:
+    """Guards against instances that stay apart, or end, after frames of a peer."""
+
+    async def work(site: fakes.Site) -> None:
+        sender = site.daemons[0]
+        for name, code in zip(PACKED, (1, 2, 3, 4, 5, 6, 3, 3, 127), strict=True):
+            while not sender._peers.open_links():
+                await asyncio.sleep(0.02)
+            for link in sender._peers.open_links():
+                link._writer.write(_frame(code, PACKED[name]))
+            await asyncio.sleep(0.2)
+            assert (await site.ask("/book/x", at=1)).status == 200
+        await _follow_changes(site, 4)
+        for made in site.daemons:
+            while len(made._membership.serving()) < 2:
+                await asyncio.sleep(0.02)
+
+    with caplog.at_level(logging.WARNING):
+        fakes.run(work, 2)
+    refused = [line for line in caplog.records if line.msg == "peer_refused"]
+    assert len(refused) <= 2 * len(PACKED)
+    assert not [line for line in _defects(caplog) if "peer_refused" not in line]
