A history is of one epoch, or none

Streams whose origin no instance knows go on if the platform's history shows only one version of the service. A store that returned from a copy between the calls of one reading has no history, so what it had before was lost and the reading looked complete: by design of the search, an instance could have taken the one version it saw for the only one (by reading; the wrong decision itself was not run).

Each answer is compared with the epoch of the position that the reading began at; another epoch fails it (`servers_past_unreadable`), and the next stream reads again.

--- a/packages/daemon/cassiaquay_daemon/platform/store.py
+++ b/packages/daemon/cassiaquay_daemon/platform/store.py
@@ -85,7 +85,7 @@
 
 
 class Change(typing.NamedTuple):
-    """A change of a key: its value as written, None if it was removed."""
+    """A change of a key: its item as written; no value and 0 if it was removed."""
 
     key: str
     value: bytes | None
@@ -199,33 +199,36 @@
             return positions.Position(answer.epoch, watched.current)
         return after
 
-    async def history(self, prefix: str, current: int) -> list[Change]:
+    async def history(self, prefix: str, current: positions.Position) -> list[Change]:
         """Return the changes under a prefix that the store still has, oldest first.
 
         Parameters
         ----------
         prefix : str
             The prefix.
-        current : int
-            A recent revision of the store.
+        current : Position
+            A recent position of the store.
 
         Raises
         ------
         PlatformError
-            When the store cannot be read.
+            When the store cannot be read, or has returned from a copy: it has no
+            history then, as if there had been no changes.
         """
         changes: list[Change] = []
         # The history begins after the first and not after the second revision.
-        expired, available = -1, current
+        expired, available = -1, current.revision
         distance = 1
         for _ in range(MAX_HISTORY_CALLS):
             if available - expired <= 1:
                 return changes
-            after = max(current - distance, 0)
+            after = max(current.revision - distance, 0)
             if expired >= 0 or after >= available:
                 after = (expired + available) // 2
             distance *= 4
-            found = await self._changes(prefix, after)
+            found = await self._changes(
+                prefix, positions.Position(current.epoch, after)
+            )
             if found is None:
                 expired = after
                 continue
@@ -234,10 +237,14 @@
                 return changes
         raise exceptions.PlatformError(f"{prefix}: the history has no beginning")
 
-    async def _changes(self, prefix: str, after: int) -> list[Change] | None:
-        """Return the changes after a revision, None if the store has them no more."""
-        query = {"path-prefix": prefix, "after": str(after), "wait-ms": "1"}
+    async def _changes(
+        self, prefix: str, after: positions.Position
+    ) -> list[Change] | None:
+        """Return the changes after a position, None if the store has them no more."""
+        query = {"path-prefix": prefix, "after": str(after.revision), "wait-ms": "1"}
         answer = await self._get(WATCH_PATH, query, ANSWER_TIMEOUT_SECONDS)
+        if answer.epoch != after.epoch:
+            raise exceptions.PlatformError(f"{prefix}: a history of two epochs")
         if answer.status == 410:
             return None
         _check_status(answer.status)
@@ -350,7 +357,7 @@
         """Return the changes of registrations that the store still has."""
         # The shortest listing that gives the revision.
         operator_keys = await self._store.items(EVACUATED_PREFIX)
-        current = operator_keys.position.revision
+        current = operator_keys.position
         past = platform.ServersPast([], [])
         for change in await self._store.history(SERVERS_PREFIX, current):
             name = change.key.removeprefix(SERVERS_PREFIX)
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -214,7 +214,7 @@
             for read in (
                 client.items("servers/"),
                 client.item("op/config"),
-                client.history("servers/", 9),
+                client.history("servers/", positions.Position(0, 9)),
                 store.ConfigurationStore(http, standin.address).watch(
                     positions.START, 0.0
                 ),
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -270,7 +270,9 @@
         if kept == 0:
             standin.forget()
         calls = standin.calls
-        found = await client.history("servers/", standin.revision)
+        found = await client.history(
+            "servers/", positions.Position(1, standin.revision)
+        )
         expected = [f"servers/i-{n}" for n in range(max(count - kept, 0), count)]
         assert [change.key for change in found] == expected
         assert standin.calls - calls < store.MAX_HISTORY_CALLS
@@ -289,10 +291,46 @@
         for body, read in [
             (listing, store.ServersStore(http, standin.address).read()),
             (item, client.item("op/other")),
-            (events, client.history("servers/", 9)),
+            (events, client.history("servers/", positions.Position(0, 9))),
         ]:
             standin.raw = [_raw_answer(200, body)]
             with pytest.raises(exceptions.PlatformError, match="answered with"):
                 await read
 
     _run(work)
+
+
+class ReturningStore(standins.Store):
+    """A store that returns from a copy before one of its answers."""
+
+    def __init__(self, number: int):
+        super().__init__()
+        self._number = number
+
+    async def respond(
+        self, request: raw_servers.Request, writer: raw_servers.Writer
+    ) -> None:
+        """Answer as usual, or return from the copy first."""
+        if self.calls == self._number:
+            self.restore(self.copy())
+        await super().respond(request, writer)
+
+
+@pytest.mark.parametrize("number", [1, 2, 3])
+def test_history_of_a_store_that_returns_from_a_copy_is_none(number: int) -> None:
+    """Guards against servers of another version that a lost history does not show."""
+
+    async def work() -> None:
+        standin = ReturningStore(number)
+        await standin.start()
+        for count in range(20):
+            standin.put(f"servers/i-{count}", {"service": "chat"})
+        async with aiohttp.ClientSession() as http:
+            past = store.ServersStore(http, standin.address)
+            with pytest.raises(exceptions.PlatformError, match="epoch"):
+                await past.read_past()
+            # The history of the new epoch is read whole.
+            await past.read_past()
+        await standin.stop()
+
+    asyncio.run(work())
