Control characters in logged values are quoted

A key of the store with a carriage return, a form feed or the like, and no blank, stood in a log line as it was, so that `cassiaquay trace` and other readers ended the line there. Line feeds, blanks and '=' were quoted before. Values with any control character but tabs are quoted now, and the command line splits at line feeds only, since U+0085 and the like are no end of a line of the log.

--- a/packages/cli/cassiaquay_cli/log_lines.py
+++ b/packages/cli/cassiaquay_cli/log_lines.py
@@ -59,7 +59,7 @@
             text = pathlib.Path(path).read_text(errors="replace")
         except OSError as error:
             raise exceptions.FileUnreadable(f"{path}: {error}") from error
-        for item in text.splitlines():
+        for item in text.split("\n"):
             line = parse(item)
             if line is not None:
                 lines.append(line)
--- a/packages/daemon/cassiaquay_daemon/logs.py
+++ b/packages/daemon/cassiaquay_daemon/logs.py
@@ -22,7 +22,8 @@
 
 
 _ENCODER = msgspec.json.Encoder(enc_hook=str)
-_SPECIAL = re.compile(r'[ "=\n]')
+# Blanks, quotes, '=' and control characters but tabs: some readers end a line at each.
+_SPECIAL = re.compile(r'[\x00-\x08\x0a-\x20"=]')
 
 
 def _quote(value: object) -> str:
@@ -50,7 +51,7 @@
                 log_data[key] = value
 
     def jsonify_log_record(self, log_data: dict[str, typing.Any]) -> str:
-        """Return one line; values with blanks, quotes or '=' are quoted as JSON."""
+        """Return one line; values with blanks, quotes, '=' and so on are quoted."""
         pairs = []
         for key, value in log_data.items():
             if value is None:
--- a/tests/test_log_writer.py
+++ b/tests/test_log_writer.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from cassiaquay_cli import log_lines
 from cassiaquay_daemon import log_writer, logs
 
 
@@ -84,3 +85,19 @@
     assert b"line 2" in got
     os.close(reading)
     os.close(writing)
+
+
+@pytest.mark.parametrize("mark", ["\n", "\r", "\v", "\f", "\0", "\x1b", "\x1c", "\x85"])
+def test_value_with_an_end_of_line_stays_on_its_line(mark: str, tmp_path) -> None:
+    """Guards against names of other writers that end a line of the log."""
+    record = _record(1, logging.WARNING)
+    record.server = f"i-1{mark}x"
+    formatter = logs.PairsFormatter(
+        "%(created)f %(message)s", rename_fields={"created": "at", "message": "event"}
+    )
+    line = formatter.format(record)
+    assert mark == "\x85" or mark not in line
+    path = tmp_path / "log"
+    path.write_text(f"{line}\n", newline="")
+    [found] = log_lines.read([str(path)])
+    assert found.fields["server"] == record.server
