Events of a stream are passed on in order and once, also without numbers

What callers saw (in tests): (1) a stream whose last event has no number is cut, and its answer goes on with the stream from its start: events come twice, status 200, complete. (2) A second server that sends an event without an id first, or skips or repeats one within one read, is passed on. (3) A server's answer that ends with its connection and holds no event makes a stream that goes on look complete before its last piece, though the server may have crashed; at the first server of a new stream this was checked already. (4) A Last-Event-Id above 100,000,000 was lowered to that, and one that is no number was left out, so that the stream began anew behind its first part.

Cause: the number of the last event was taken for what the caller has received, also where later events have no number; order was checked between reads only; the end of an answer without a length counted as complete once any server had sent an event.

Change: a stream can go on elsewhere only if its last event has a number; the first event of each further server must be the next one, and ids rise one by one within a read, too. An empty rest that ends with its connection is broken off; it is no sign of a crash of the server, so nothing is suspected. The caller's Last-Event-Id is sent as it is.

The engines of the platform send ids that rise by one, so (1), (2) and (4) need a faulty server; (3) needs a service whose answers have no length.

Cost: a stream that was reset exactly after its last event, at such a service, ends broken off where its empty rest was taken for complete before.

--- a/packages/daemon/cassiaquay_daemon/gateway/events.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/events.py
@@ -28,16 +28,22 @@
         Their bytes, as the server sent them, and those of the comments between them.
     event_count : int
         Number of events.
+    first : int
+        Id of the first event; -1 if it has none.
     last : int
         Id of the last event that has one; -1 when none has.
-    first : int
-        Id of the first event that has one; -1 when none has.
+    is_ordered : bool
+        Whether no id is lower than it should be, and none is left out.
+    ends_numbered : bool
+        Whether the last event has an id.
     """
 
     data: bytes
     event_count: int
     first: int
     last: int
+    is_ordered: bool = True
+    ends_numbered: bool = True
 
 
 NOTHING = Events(b"", 0, NO_EVENT, NO_EVENT)
@@ -73,20 +79,22 @@
         if not _EVENT_LINE.search(complete):
             self._comments += complete
             return NOTHING
-        first, last, count = NO_EVENT, NO_EVENT, 0
+        ids = []
         for block in complete.split(blocks.END_OF_BLOCK):
             is_event, event_id = _read_block(block)
-            if not is_event:
-                continue
-            count += 1
-            if event_id == NO_EVENT:
-                continue
-            last = event_id
-            if first == NO_EVENT:
-                first = event_id
+            if is_event:
+                ids.append(event_id)
         if self._comments:
             complete = self.take_comments() + complete
-        return Events(complete, count, first, last)
+        last = max(ids, default=NO_EVENT)
+        return Events(
+            complete,
+            len(ids),
+            ids[0],
+            last,
+            _are_ordered(ids),
+            ids[-1] != NO_EVENT,
+        )
 
     def take_comments(self) -> bytes:
         """Return the complete blocks since the last event."""
@@ -94,6 +102,21 @@
         return bytes(taken)
 
 
+def _are_ordered(ids: list[int]) -> bool:
+    """Return whether ids rise one by one, apart from events without one."""
+    last = NO_EVENT
+    is_next = False
+    for event_id in ids:
+        if event_id == NO_EVENT:
+            is_next = False
+            continue
+        if event_id <= last or (is_next and event_id != last + 1):
+            return False
+        last = event_id
+        is_next = True
+    return True
+
+
 def _read_block(block: bytes) -> tuple[bool, int]:
     """Return whether a block is an event, and its id."""
     is_event = False
--- a/packages/daemon/cassiaquay_daemon/gateway/hedging.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/hedging.py
@@ -205,6 +205,8 @@
             return "connecting"
         if not self._state.has_attempts_left:
             obstacle = "attempts"
+        elif not self._state.is_position_known:
+            obstacle = "unnumbered"
         elif self._parts.budget.is_spent(self._state.call.service):
             obstacle = "budget"
         elif self._parts.is_held():
--- a/packages/daemon/cassiaquay_daemon/gateway/passing.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/passing.py
@@ -86,6 +86,7 @@
         The last piece.
     """
     writer = answer.current
+    is_first = True
     if not state.started:
         state.started = True
         pairs = replies.drop_content_length(piece.answer.headers)
@@ -95,14 +96,17 @@
             # Another server goes on after the last complete event.
             _check_is_stream(piece)
             writer = answer.current
+            is_first = True
         received = piece.received
         if received.event_count:
-            _check_event_order(state, received)
+            _check_event_order(state, received, is_first)
+            is_first = False
             state.note_events()
             before_events(writer.ticket)
             writer.ticket.tally.add(received.event_count)
             if received.last != events.NO_EVENT:
                 state.last_event = received.last
+            state.is_position_known = received.ends_numbered
             await send(replies.part(received.data, True))
         if piece.is_last:
             break
@@ -124,16 +128,47 @@
 
 
 def _check_has_events(state: progress.RequestState) -> None:
-    if state.last_event == events.NO_EVENT and not state.events_began_at:
-        raise exceptions.ConnectionBroken("the connection ends before the first event")
+    if state.events_began_at:
+        return
+    cause = "the connection ends before the first event"
+    if state.last_event == events.NO_EVENT:
+        raise exceptions.ConnectionBroken(cause)
+    # The rest of a stream may be empty, but the answer of a server that has crashed
+    # looks the same, and the caller would take a part of the stream for all of it.
+    raise exceptions.StreamInterrupted(cause)
+
+
+def _check_event_order(
+    state: progress.RequestState, received: events.Events, is_first: bool
+) -> None:
+    """Raise StreamInterrupted if events don't follow those passed on before.
 
+    A server that restarts the stream instead of resuming it, or skips events, would mix
+    the output of two runs in one answer; breaking the stream is safer.
 
-def _check_event_order(state: progress.RequestState, received: events.Events) -> None:
-    # A server that restarts the stream instead of resuming it, or skips events, would
-    # mix the output of two runs in one answer; breaking the stream is safer.
-    if events.NO_EVENT in (received.first, state.last_event):
+    Parameters
+    ----------
+    state : RequestState
+        The request.
+    received : Events
+        The events.
+    is_first : bool
+        Whether they are the first ones of their server.
+    """
+    if not received.is_ordered:
+        raise exceptions.StreamInterrupted("events out of order")
+    if state.last_event == events.NO_EVENT:
+        return
+    if received.first == events.NO_EVENT:
+        if is_first:
+            raise exceptions.StreamInterrupted(
+                f"an event without an id after {state.last_event}"
+            )
+        return
+    expected = state.last_event + 1
+    if received.first == expected:
         return
-    if received.first != state.last_event + 1:
+    if state.is_position_known or received.first < expected:
         raise exceptions.StreamInterrupted(
             f"event {received.first} after {state.last_event}"
         )
--- a/packages/daemon/cassiaquay_daemon/gateway/progress.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/progress.py
@@ -39,6 +39,9 @@
         it does not.
     last_event : int
         Id of the last event sent to the caller; -1 for none.
+    is_position_known : bool
+        Whether the last event sent to the caller has an id, so that another server can
+        go on after it.
     software : str or None
         Software version of the server that began the stream; other versions must not
         go on with it. None before the first event.
@@ -85,6 +88,7 @@
         self.is_repeat = False
         self.search_began_at = 0.0
         self.last_event = call.parsed.last_event
+        self.is_position_known = True
         self.software: str | None = None
         self.first_writer = ""
         self.checked_writer = ""
@@ -155,4 +159,6 @@
     @property
     def is_repeatable_now(self) -> bool:
         """Whether it may be sent to one more server though one may have run it."""
+        if not self.is_position_known:
+            return False
         return self.call.route.is_repeatable and self.has_attempts_left
--- a/packages/daemon/cassiaquay_daemon/gateway/resuming.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/resuming.py
@@ -60,7 +60,7 @@
         """
         call = state.call
         parsed = call.parsed
-        if not call.is_stream or not (parsed.resumes or parsed.last_event >= 0):
+        if not call.is_stream or not (parsed.resumes or parsed.names_event):
             return
         origin = None
         if parsed.resumes:
--- a/packages/daemon/cassiaquay_daemon/operators/reports.py
+++ b/packages/daemon/cassiaquay_daemon/operators/reports.py
@@ -99,10 +99,10 @@
     service : str
         Name of the service.
     cause : str
-        Why no other took it: "attempts", "budget", "quarantined", "no_permit",
-        "unreachable", "declined", "woke_up" if the silent server went on with other
-        requests before the other had begun to answer, or "silent" if the other broke
-        or was silent, too.
+        Why no other took it: "attempts", "unnumbered" if its last event has no id,
+        "budget", "quarantined", "no_permit", "unreachable", "declined", "woke_up" if
+        the silent server went on with other requests before the other had begun to
+        answer, or "silent" if the other broke or was silent, too.
     """
 
     service: str
--- a/packages/daemon/cassiaquay_daemon/platform/headers.py
+++ b/packages/daemon/cassiaquay_daemon/platform/headers.py
@@ -42,7 +42,6 @@
 _RESERVED = {
     KEY,
     DEADLINE,
-    LAST_EVENT,
     b"cassiaquay-tenant",
     b"cassiaquay-expect-instance",
     b"cassiaquay-expect-version",
@@ -106,7 +105,8 @@
         Parts of the prompt with chained hashes as keys: equal keys mean equal prompts
         up to and including that part.
     last_event : int
-        Id of the last event that the caller has received; -1 for a new stream.
+        Id of the last event that the caller has received; -1 for a new stream, or if
+        the id is no number.
     resumes : str
         Id of the attempt that brought the first event of a stream that the caller takes
         up again; empty if it names none.
@@ -115,6 +115,8 @@
         ``parts`` they don't depend on what stands before a part.
     body_bytes : int
         Length of the body; 0 if it is not given, as for one in chunks.
+    names_event : bool
+        Whether the caller names an event, by number or any text.
     """
 
     host: str
@@ -129,6 +131,7 @@
     resumes: str = ""
     shared_parts: tuple[str, ...] = ()
     body_bytes: int = 0
+    names_event: bool = False
 
     @property
     def counts_tokens(self) -> bool:
@@ -162,10 +165,11 @@
         max_output_tokens,
         length_hint,
         _prompt_parts(model, prefix),
-        _parse_number(first_values.get(LAST_EVENT, b""), -1),
+        _parse_event_id(first_values.get(LAST_EVENT, b"")),
         first_values.get(RESUMES, b"").decode("latin-1"),
         _shared_parts(model, prefix),
         _parse_number(first_values.get(b"content-length", b""), 0),
+        LAST_EVENT in first_values,
     )
 
 
@@ -193,9 +197,12 @@
     remaining_ms : int
         Milliseconds until the deadline.
     last_event : int
-        Id of the event after which the stream resumes; -1 for its beginning.
+        Id of the event after which the stream resumes; -1 for what the caller names,
+        which may be no number.
     """
     dropped = _RESERVED | _HOP_BY_HOP | _connection_options(headers)
+    if last_event >= 0:
+        dropped = dropped | {LAST_EVENT}
     pairs: Pairs = []
     for name, value in headers:
         if name not in dropped:
@@ -333,5 +340,10 @@
     return min(int(text), MAX_TOKENS)
 
 
+def _parse_event_id(text: bytes) -> int:
+    text = text.strip()
+    return int(text) if text.isdigit() and len(text) <= 12 else -1
+
+
 def _deadline_value(remaining_ms: int) -> str:
     return str(max(remaining_ms, 1))
