Streams that begin at a restarted server go on at its version only

Cause: the version of a stream was that of the entry in force, and nothing showed which process had written its first event. The check of processes covers where a stream goes on.

Change: after a sign of a restart (a connection broke, any instance has seen a crash, this instance has just started, or another start was reported) the server that writes a new stream is asked for its report, beside the stream. Connections that were alive at the same time lead to one process, so one report identifies them all. Where the process is not the listed one, the origin names the server and the start time, here and at both copies, and the stream goes on at the version of the entry with that start time. Until then it is refused with 600 ms, or waits within its answer.

Cost: no call for a new stream without such a sign; with one, one report for each server and instance as long as a connection stays open. Records of such streams are longer by the server's name, others as before.

The stand-in's restart now closes idle connections too, as the end of a process does.

--- a/packages/daemon/cassiaquay_daemon/decisions/paths.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/paths.py
@@ -17,6 +17,7 @@
 import typing
 
 from .. import clock, logs
+from . import server_processes
 
 PROBE_INTERVAL_SECONDS = 0.5
 # Time after a successful connection in which a slow answer causes no probe.
@@ -54,6 +55,11 @@
     ----------
     list_servers : callable
         Returns the addresses of the listed servers by service.
+
+    Attributes
+    ----------
+    processes : Processes
+        The processes at the other ends of the connections.
     """
 
     def __init__(
@@ -61,6 +67,7 @@
     ):
         self.on_probe_due: collections.abc.Callable[[], None] = _ignore
         self.relayed_count = 0
+        self.processes = server_processes.Processes()
         self._list_servers = list_servers
         self._doubts: dict[str, _Doubt] = {}
         self._heard_at: dict[str, float] = {}
@@ -139,6 +146,7 @@
         now = clock.now()
         if not self._is_listed(address):
             return
+        self.processes.note_broken(address)
         doubt = self._doubts.get(address) or _Doubt(now, now)
         was_lost = doubt.is_lost
         doubt = doubt._replace(is_lost=True, probe_at=now + PROBE_INTERVAL_SECONDS)
--- a/packages/daemon/cassiaquay_daemon/decisions/stream_origins.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/stream_origins.py
@@ -28,10 +28,21 @@
         Service of the server that sent its first event.
     software : str
         Software version of that server; empty if it has none.
+    server : str
+        That server, if it has restarted and the version of its process is not known.
+    started_ms : int
+        Start time of that process, Unix milliseconds; 0 if it is not known either.
     """
 
     service: str
     software: str
+    server: str = ""
+    started_ms: int = 0
+
+    @property
+    def is_open(self) -> bool:
+        """Whether the version is still to be found."""
+        return bool(self.server)
 
 
 class _Entry(typing.NamedTuple):
--- a/packages/daemon/cassiaquay_daemon/fleet/crash_reports.py
+++ b/packages/daemon/cassiaquay_daemon/fleet/crash_reports.py
@@ -112,7 +112,11 @@
 
         ``server`` is identified by its start, ``since`` is in seconds on this clock.
         """
-        return self._ended_at.get(server, since - 1.0) >= since
+        return self.ended_at(server) >= since
+
+    def ended_at(self, server: str) -> float:
+        """Return when a server's crash was reported last; minus infinity if never."""
+        return self._ended_at.get(server, float("-inf"))
 
     def crashed(
         self, content: str, server: str, parts: collections.abc.Iterable[str] = ()
--- a/packages/daemon/cassiaquay_daemon/fleet/stream_origins.py
+++ b/packages/daemon/cassiaquay_daemon/fleet/stream_origins.py
@@ -133,7 +133,7 @@
         return None
 
     def _keep(self, link: peers.Link, message: messages.StreamOrigin) -> None:
-        origin = stream_origins.Origin(message.service, message.software)
+        origin = _origin(message)
         self._kept.add(message.key, origin, message.lifetime_ms / 1000.0)
 
     def _answer(self, link: peers.Link, query: messages.OriginQuery) -> None:
@@ -141,9 +141,7 @@
         if origin is None:
             link.send(messages.OriginAnswer(query.number, False))
             return
-        link.send(
-            messages.OriginAnswer(query.number, True, origin.service, origin.software)
-        )
+        link.send(messages.OriginAnswer(query.number, True, *origin))
 
     def _handle_answer(self, link: peers.Link, message: messages.OriginAnswer) -> None:
         query = self._queries.get(message.number)
@@ -151,7 +149,7 @@
             return
         origin = None
         if message.is_known:
-            origin = stream_origins.Origin(message.service, message.software)
+            origin = _origin(message)
         query.answer(link.instance, origin)
 
     def _send_all(self, link: peers.Link) -> None:
@@ -197,5 +195,18 @@
     key: int, origin: stream_origins.Origin, lifetime: float
 ) -> messages.StreamOrigin:
     return messages.StreamOrigin(
-        key, origin.service, origin.software, int(lifetime * 1000.0)
+        key,
+        origin.service,
+        origin.software,
+        int(lifetime * 1000.0),
+        origin.server,
+        origin.started_ms,
+    )
+
+
+def _origin(
+    message: messages.StreamOrigin | messages.OriginAnswer,
+) -> stream_origins.Origin:
+    return stream_origins.Origin(
+        message.service, message.software, message.server, message.started_ms
     )
--- a/packages/daemon/cassiaquay_daemon/gateway/connections.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/connections.py
@@ -25,7 +25,26 @@
 STATED_IDLE_SHARE = 0.8
 
 
-class _ResponseHandler(bounded_http.BoundedHandler):
+class ServerResponse(aiohttp.ClientResponse):
+    """Response that knows the connection on which it has arrived.
+
+    Attributes
+    ----------
+    handler : ResponseHandler or None
+        The connection.
+    """
+
+    handler: "ResponseHandler | None" = None
+
+    async def start(self, connection: aiohttp.connector.Connection) -> typing.Self:
+        """Read the head of the response."""
+        if isinstance(connection.protocol, ResponseHandler):
+            self.handler = connection.protocol
+        await super().start(connection)
+        return self
+
+
+class ResponseHandler(bounded_http.BoundedHandler):
     """Response handler that skips other requests' answers and observes the path.
 
     A server may send a late copy of an earlier answer in place of the next one. It is
@@ -44,6 +63,10 @@
         super().__init__(loop)
         self._paths = observed
         self._address = ""
+        # Start time of the server process, Unix milliseconds; None if not known.
+        self._started_ms: int | None = None
+        self._opened_at = 0.0
+        self._heard_at = 0.0
         # Id of the attempt whose answer is awaited; empty for a request without one.
         self._attempt = ""
         self._has_skipped = False
@@ -51,6 +74,20 @@
         self._idle_seconds = math.inf
         self._reusable_until = math.inf
 
+    @property
+    def started_ms(self) -> int | None:
+        """Start time that the server process has reported; None if not known."""
+        if self._started_ms is None:
+            self._started_ms = self._paths.processes.identify(
+                self._address, self._opened_at, self._heard_at
+            )
+        return self._started_ms
+
+    def note_report(self, started_ms: int) -> None:
+        """Record the start time that the server has reported on this connection."""
+        self._started_ms = started_ms
+        self._paths.processes.note_report(self._address, self._opened_at, started_ms)
+
     def is_connected(self) -> bool:
         """Return whether the connection may be used again."""
         return super().is_connected() and clock.now() < self._reusable_until
@@ -104,6 +141,7 @@
         peer = transport.get_extra_info("peername")
         if peer:
             self._address = f"{peer[0]}:{peer[1]}"
+        self._opened_at = self._heard_at = clock.now()
         self._paths.connected(self._address)
         super().connection_made(transport)
 
@@ -111,10 +149,20 @@
         """Record that the server was heard."""
         if data:
             self._paths.heard(self._address)
+            self._heard_at = clock.now()
+            self._started_ms = self._paths.processes.note_heard(
+                self._address, self._opened_at, self._started_ms
+            )
         super().data_received(data)
         if self._idle_seconds < math.inf:
             self._reusable_until = clock.now() + self._idle_seconds
 
+    def eof_received(self) -> None:
+        """Record that the server has closed a connection that was idle."""
+        if not self.should_close:
+            self._paths.processes.note_broken(self._address)
+        super().eof_received()
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Fail an answer that was being read when the connection was reset.
 
@@ -126,6 +174,7 @@
         if exc is None:
             super().connection_lost(exc)
             return
+        self._paths.processes.note_broken(self._address)
         self._paths.doubt(self._address, "connection lost")
         if payload is None or payload.is_eof():
             super().connection_lost(exc)
@@ -156,7 +205,7 @@
         headers.shorten_deadline(self.headers, elapsed_ms)
         # A server may answer, or be paused, before it has read a long body.
         size = int(self.headers.get(aiohttp.hdrs.CONTENT_LENGTH, "0"))
-        if isinstance(conn.protocol, _ResponseHandler):
+        if isinstance(conn.protocol, ResponseHandler):
             conn.protocol.expect(self.headers.get(headers.ATTEMPT.decode(), ""))
         if conn.transport is not None:
             # On a connection that was lost meanwhile, sending fails and reports it.
@@ -181,13 +230,14 @@
     def create_session(self) -> aiohttp.ClientSession:
         """Return the session for proxied requests."""
         connector = bounded_http.create_connector(
-            functools.partial(_ResponseHandler, self._paths),
+            functools.partial(ResponseHandler, self._paths),
             keepalive_timeout=IDLE_TIMEOUT_SECONDS,
             socket_factory=self._create_socket,
         )
         session = bounded_http.create_session(
             connector,
             request_class=_TimedRequest,
+            response_class=ServerResponse,
             cookie_jar=aiohttp.DummyCookieJar(),
             auto_decompress=False,
             trace_configs=[backends.tracing()],
--- a/packages/daemon/cassiaquay_daemon/gateway/passing.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/passing.py
@@ -4,12 +4,12 @@
 import collections.abc
 
 from .. import exceptions
-from . import admission, events, forwarding, hedging, progress, replies
+from . import events, forwarding, hedging, progress, replies, tries
 
 # Time without a part taken after which a caller counts as gone.
 STALL_SECONDS = 10.0
 
-BeforeEvents = collections.abc.Callable[[admission.Ticket], None]
+BeforeEvents = collections.abc.Callable[[tries.Try], None]
 
 
 async def pass_whole(
@@ -78,7 +78,7 @@
     reply, send : Replies and callable
         Build and send the messages to the caller.
     before_events : callable
-        Called with the ticket of their server before complete events are sent.
+        Called with the try that they come from before complete events are sent.
 
     Returns
     -------
@@ -102,7 +102,7 @@
             _check_event_order(state, received, is_first)
             is_first = False
             state.note_events()
-            before_events(writer.ticket)
+            before_events(writer)
             writer.ticket.tally.add(received.event_count)
             if received.last != events.NO_EVENT:
                 state.last_event = received.last
--- a/packages/daemon/cassiaquay_daemon/gateway/process_checks.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/process_checks.py
@@ -8,12 +8,13 @@
 
 import asyncio
 import collections
+import functools
 
 import aiohttp
 
 from cassiaquay_schema import fleet
 
-from .. import bounded_http, exceptions, logs
+from .. import bounded_http, clock, exceptions, logs
 from ..decisions import paths
 from ..platform import reports
 from . import admission, progress
@@ -22,6 +23,8 @@
 # behind a partition; callers wait two seconds for an event, so that another server can
 # still go on in time.
 TIMEOUT_SECONDS = 0.8
+# Time after which a server that has not answered is asked again.
+REPEAT_SECONDS = 0.5
 MAX_REPORT_BYTES = 1024 * 1024
 OK_STATUS = 200
 
@@ -55,6 +58,9 @@
         capacity: admission.Admission,
     ):
         self.counts: collections.Counter[str] = collections.Counter()
+        # Servers that are being asked, by address, and when they were asked last.
+        self._asking: dict[str, asyncio.Task[int | None]] = {}
+        self._asked_at: dict[str, float] = {}
         self._http = http
         self._paths = observed
         self._capacity = capacity
@@ -100,18 +106,53 @@
             state.add_tried(server.name)
         raise exceptions.NotSent(f"the listed process of the server is {result}")
 
+    async def learn(self, server: fleet.Server) -> None:
+        """Ask a server for the start time of its process, for its connections.
+
+        Requests share a question; one that fails is repeated after a while.
+        """
+        address = server.address
+        if address not in self._asking:
+            if clock.now() < self._asked_at.get(address, 0.0) + REPEAT_SECONDS:
+                return
+            self._asked_at[address] = clock.now()
+            asking = asyncio.create_task(self._ask(server))
+            self._asking[address] = asking
+            asking.add_done_callback(functools.partial(self._forget, address))
+        await asyncio.wait([self._asking[address]])
+
+    def close(self) -> None:
+        """Stop asking servers."""
+        for asking in self._asking.values():
+            asking.cancel()
+
+    def _forget(self, address: str, asking: "asyncio.Task[int | None]") -> None:
+        del self._asking[address]
+        if not asking.cancelled() and asking.exception() is not None:
+            logs.trouble("process_check_failed", cause=repr(asking.exception()))
+        elif not asking.cancelled() and asking.result() is not None:
+            del self._asked_at[address]
+
     async def _ask(self, server: fleet.Server) -> int | None:
         """Return the start time that a server reports; None without an answer."""
         url = f"http://{server.address}{reports.REPORT_PATH}"
         try:
             async with asyncio.timeout(TIMEOUT_SECONDS), self._http.get(url) as answer:
-                if answer.status != OK_STATUS:
-                    # It does not serve reports, as servers of other platforms.
-                    return 0
-                body = await bounded_http.read_body(answer, MAX_REPORT_BYTES)
+                started_ms = await _read_started_ms(answer)
+                handler = getattr(answer, "handler", None)
         except (OSError, aiohttp.ClientError):
             return None
-        return reports.read_started_ms(body)
+        if started_ms is not None and handler is not None:
+            handler.note_report(started_ms)
+        return started_ms
+
+
+async def _read_started_ms(answer: aiohttp.ClientResponse) -> int | None:
+    if answer.status != OK_STATUS:
+        # It does not serve reports, as servers of other platforms.
+        return 0
+    body = await bounded_http.read_body(answer, MAX_REPORT_BYTES)
+    return reports.read_started_ms(body)
 
 
 def _compare(reported_ms: int | None, listed_ms: int) -> str:
--- a/packages/daemon/cassiaquay_daemon/gateway/progress.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/progress.py
@@ -1,10 +1,11 @@
 """Mutable state of one caller's request while it is served."""
 
 import asyncio
+import enum
 
 from .. import clock
 from ..configured import snapshots
-from ..decisions import held_bytes
+from ..decisions import held_bytes, stream_origins
 from . import calls, forwarding
 
 # A prompt that crashes its server does so when the server begins to answer it.
@@ -48,10 +49,12 @@
     first_writer : str
         Id of the demand of the server that began the stream; empty if the stream began
         at an earlier attempt.
-    checked_writer, checked_snapshot : str and Snapshot or None
-        Demand and snapshot for which the version of the events was checked last.
-    is_origin_recorded : bool
-        Whether the version was recorded under this attempt.
+    checked_writer, checked_snapshot, checked_process : str, Snapshot, Process or None
+        Demand, snapshot and process for which the events were checked last.
+    is_writer_certain : bool
+        Whether the process that wrote the events is known to be the listed one.
+    origin : Origin or None
+        Where the stream began, as recorded under this attempt.
     is_abandoned : bool
         Whether its caller has gone and it is being cancelled.
     started : bool
@@ -93,7 +96,9 @@
         self.first_writer = ""
         self.checked_writer = ""
         self.checked_snapshot: snapshots.Snapshot | None = None
-        self.is_origin_recorded = False
+        self.checked_process: enum.Enum | None = None
+        self.is_writer_certain = False
+        self.origin: stream_origins.Origin | None = None
         self.is_abandoned = False
         self.started = False
         self.server = ""
--- a/packages/daemon/cassiaquay_daemon/gateway/resuming.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/resuming.py
@@ -5,16 +5,22 @@
 """
 
 import collections
+import functools
 import time
 
+from cassiaquay_schema import fleet
+
 from .. import exceptions, logs
 from ..decisions import software_versions, stream_origins
 from ..fleet import configuration, server_past, servers
 from ..fleet import stream_origins as origin_reports
-from . import admission, calls, progress
+from ..platform import headers
+from . import admission, calls, progress, writers
 
 # Retry-After when the instances that may know a stream's origin have not answered.
 UNKNOWN_RETRY_MS = 300
+# Retry-After while a process is not listed; servers register about each second.
+UNLISTED_RETRY_MS = 600
 # What was known of the origin of a stream that a caller took up: its version, or that
 # the service has had only one.
 KNOWN = "known"
@@ -33,6 +39,8 @@
         Keeps the origins of streams on several instances.
     server_list : Servers
         Tells whether this instance's list of servers may be outdated.
+    written : Writers
+        Tells which process of a server writes a stream.
     """
 
     def __init__(
@@ -40,11 +48,13 @@
         configured: configuration.Configuration,
         origins: origin_reports.StreamOrigins,
         server_list: servers.Servers,
+        written: writers.Writers,
     ):
         self._servers = server_list
         self._past = server_past.ServerPast(server_list)
         self._configured = configured
         self._origins = origins
+        self._writers = written
         self._history = software_versions.History()
         # Streams that callers took up, by what was known of their origins.
         self.counts: collections.Counter[str] = collections.Counter()
@@ -66,6 +76,8 @@
         if parsed.resumes:
             key = stream_origins.key_of(call.team_name, parsed.resumes)
             origin = await self._origins.find(key)
+        if origin is not None and origin.is_open:
+            origin = self._close(origin, parsed)
         versions = self._history.recent(call.service)
         sole = None
         if origin is None:
@@ -96,39 +108,152 @@
         state.software = origin.software
 
     def note_events(
-        self, state: progress.RequestState, ticket: admission.Ticket
+        self,
+        state: progress.RequestState,
+        ticket: admission.Ticket,
+        connection: writers.Connection | None = None,
     ) -> None:
         """Record which version writes a stream; called before events are passed on.
 
+        ``connection`` is that of the server, None behind a relay.
+
         Raises
         ------
         StreamInterrupted
             The server turns out to be of another version than the stream began at.
         """
         writer = ticket.demand.id
+        if state.checked_writer != writer:
+            state.is_writer_certain = False
+        elif state.is_writer_certain:
+            return
+        listed = self._listed_server(state.call, ticket)
+        process = self._writers.compare(listed, connection)
         snapshot = self._configured.current
-        if state.checked_writer == writer and state.checked_snapshot is snapshot:
+        checked = (writer, snapshot, process)
+        if checked == (
+            state.checked_writer,
+            state.checked_snapshot,
+            state.checked_process,
+        ):
             return
-        state.checked_writer = writer
-        state.checked_snapshot = snapshot
-        software = self._software_of(state.call, ticket)
-        if state.software is None:
+        state.checked_writer, state.checked_snapshot, state.checked_process = checked
+        state.is_writer_certain = process is writers.Process.LISTED
+        if state.origin is None and state.software is None:
             state.first_writer = writer
-        elif state.software != software and state.first_writer != writer:
-            raise exceptions.StreamInterrupted("of another software version")
-        if state.software == software and state.is_origin_recorded:
+        if state.first_writer == writer:
+            self._note_first_writer(state, listed, process, connection)
+        else:
+            self._check_next_writer(state, listed, process)
+        if process is writers.Process.UNKNOWN:
+            learned = functools.partial(
+                self._note_learned, state, ticket, connection, listed
+            )
+            self._writers.learn(listed, learned)
+
+    def settle_origin(self, state: progress.RequestState) -> None:
+        """Find the version of a stream that began at a server listed late.
+
+        Raises
+        ------
+        OriginUnknown
+            It is not listed yet, so that no server may go on with the stream.
+        """
+        origin = state.origin
+        if origin is None or not origin.is_open:
             return
-        # The entry of a server that was restarted under its name may follow late: the
-        # version of a stream that it began is then corrected.
+        software = self._find_listed_version(origin)
+        if software is None:
+            raise exceptions.OriginUnknown(retry_after_ms=UNLISTED_RETRY_MS)
         state.software = software
-        state.is_origin_recorded = True
-        self._record(state.call, software)
+        self._record(state, stream_origins.Origin(origin.service, software))
+
+    def _note_first_writer(
+        self,
+        state: progress.RequestState,
+        listed: fleet.Server,
+        process: writers.Process,
+        connection: writers.Connection | None,
+    ) -> None:
+        """Record where a stream began, as far as that is known now.
+
+        The entry of a server that was restarted under its name may follow late: the
+        version of a stream that it began is then corrected.
+        """
+        if process in (writers.Process.LISTED, writers.Process.ASSUMED):
+            state.software = listed.software
+            origin = stream_origins.Origin(state.call.service, listed.software)
+            self._record(state, origin)
+            return
+        started_ms = connection.started_ms or 0 if connection is not None else 0
+        state.software = None
+        self._record(
+            state,
+            stream_origins.Origin(state.call.service, "", listed.name, started_ms),
+        )
+
+    def _check_next_writer(
+        self,
+        state: progress.RequestState,
+        listed: fleet.Server,
+        process: writers.Process,
+    ) -> None:
+        """Raise StreamInterrupted unless a server may go on with a stream.
+
+        Its process was confirmed before the stream was sent there, so that only a
+        report of another start speaks against the listed one.
+        """
+        if process is writers.Process.OTHER:
+            raise exceptions.StreamInterrupted("of a process that is not listed")
+        if state.software != listed.software:
+            raise exceptions.StreamInterrupted("of another software version")
+        origin = stream_origins.Origin(state.call.service, listed.software)
+        self._record(state, origin)
+
+    def _note_learned(
+        self,
+        state: progress.RequestState,
+        ticket: admission.Ticket,
+        connection: writers.Connection | None,
+        asked: fleet.Server,
+    ) -> None:
+        """Correct the record of a stream once its server has reported its start."""
+        is_known = connection is not None and connection.started_ms is not None
+        if state.checked_writer != ticket.demand.id or not is_known:
+            # Its next events ask again.
+            state.checked_process = None
+            return
+        try:
+            self.note_events(state, ticket, connection)
+        except exceptions.StreamInterrupted:
+            # Its next events are not passed on.
+            state.checked_process = None
 
     @property
     def _is_isolated(self) -> bool:
         """Whether others may know of versions that this instance has not heard of."""
         return self._servers.is_behind and self._origins.is_alone
 
+    def _close(
+        self, origin: stream_origins.Origin, parsed: headers.ParsedHeaders
+    ) -> stream_origins.Origin:
+        """Return the origin with its version; raise OriginUnknown without one."""
+        software = self._find_listed_version(origin)
+        if software is not None:
+            return stream_origins.Origin(origin.service, software)
+        logs.event(
+            "stream_resumes",
+            id=parsed.attempt,
+            resumes=parsed.resumes,
+            after=parsed.last_event,
+            service=origin.service,
+            is_known=False,
+            server=origin.server,
+            started_ms=origin.started_ms or None,
+        )
+        self.counts[UNKNOWN] += 1
+        raise exceptions.OriginUnknown(retry_after_ms=UNLISTED_RETRY_MS)
+
     async def _find_sole_version(
         self, call: calls.Call, versions: set[str]
     ) -> str | None:
@@ -146,21 +271,46 @@
             call.service, evidence, window_seconds, time.time() * 1000.0
         )
 
-    def _record(self, call: calls.Call, software: str) -> None:
+    def _record(
+        self, state: progress.RequestState, origin: stream_origins.Origin
+    ) -> None:
+        if state.origin == origin:
+            return
+        state.origin = origin
+        call = state.call
         self._origins.add(
             stream_origins.key_of(call.team_name, call.parsed.attempt),
-            stream_origins.Origin(call.service, software),
+            origin,
             _lifetime_seconds(call),
         )
+        if origin.is_open:
+            logs.event(
+                "origin_open",
+                id=call.parsed.attempt,
+                server=origin.server,
+                started_ms=origin.started_ms or None,
+            )
 
-    def _software_of(self, call: calls.Call, ticket: admission.Ticket) -> str:
-        """Return the listed version of the server that a request was sent to."""
+    def _listed_server(
+        self, call: calls.Call, ticket: admission.Ticket
+    ) -> fleet.Server:
+        """Return the entry in force of the server that a request was sent to."""
         snapshot = self._configured.current
         if snapshot is not None and call.service in snapshot.fleet.pools:
             server = snapshot.server(call.service, ticket.server.name)
             if server is not None:
-                return server.software
-        return ticket.server.software
+                return server
+        return ticket.server
+
+    def _find_listed_version(self, origin: stream_origins.Origin) -> str | None:
+        """Return the version of a process; None if it is not listed."""
+        if not origin.started_ms:
+            return None
+        for entry in self._servers.entries():
+            is_same = entry.name == origin.server
+            if is_same and entry.started_ms == origin.started_ms:
+                return entry.software
+        return None
 
     def _update_history(self) -> None:
         snapshot = self._configured.current
--- a/packages/daemon/cassiaquay_daemon/gateway/service.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/service.py
@@ -52,6 +52,7 @@
     replies,
     resuming,
     serving,
+    writers,
 )
 
 # Callers reuse idle connections for most of the configuration's idle timeout. Closing
@@ -205,6 +206,7 @@
                 await asyncio.gather(*self._serving, return_exceptions=True)
         await self._background.stop()
         self._parts.completions.close()
+        self._parts.process_checks.close()
         await self._parts.forwarder.close()
 
     @property
@@ -252,6 +254,8 @@
     observed = paths.Paths(lambda: _addresses(shared.configured.current))
     shared.membership.lost_services = observed.lost_services
     chosen_relays = relays.Relays(settings, shared.membership)
+    if not settings.gateway.first_start:
+        observed.processes.doubt_all()
     dialer = connections.Dialer(observed)
     http = dialer.create_session()
     forwarder = forwarding.Forwarder(http, shared.reports, observed, chosen_relays)
@@ -259,6 +263,7 @@
     capacity = admission.Admission(
         shared.demand_client, shared.membership, shared.rate_limits, shared.reports
     )
+    checks = process_checks.ProcessChecks(http, observed, capacity)
     parts = serving.Parts(
         shared.configured,
         capacity,
@@ -271,9 +276,14 @@
         shared.pauses,
         replies.Replies(),
         accounting.Accounting(),
-        resuming.Resuming(shared.configured, shared.origins, shared.server_list),
+        resuming.Resuming(
+            shared.configured,
+            shared.origins,
+            shared.server_list,
+            writers.Writers(checks, observed, shared.crashes),
+        ),
         room,
-        process_checks.ProcessChecks(http, observed, capacity),
+        checks,
     )
     relay_parts = relaying.Parts(
         shared.configured,
--- a/packages/daemon/cassiaquay_daemon/gateway/serving.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/serving.py
@@ -260,6 +260,7 @@
         if newest is not None and state.call.service in newest.fleet.pools:
             # Servers may have come and gone since the request was accepted.
             state.snapshot = newest
+        self._parts.resuming.settle_origin(state)
         ticket = await self._parts.capacity.obtain(state)
         await self._parts.process_checks.check(state, ticket)
         return ticket
@@ -297,7 +298,7 @@
                 answer,
                 self._parts.reply,
                 send,
-                functools.partial(self._parts.resuming.note_events, state),
+                functools.partial(self._note_events, state),
             )
         if piece.answer.is_failure and not state.started and state.is_repeatable_now:
             state.keep_failure(piece, answer.current.server)
@@ -306,6 +307,9 @@
         await passing.pass_whole(state, piece, self._parts.reply, send)
         return piece
 
+    def _note_events(self, state: progress.RequestState, writer: tries.Try) -> None:
+        self._parts.resuming.note_events(state, writer.ticket, writer.connection)
+
     def _check_before_sending(
         self, state: progress.RequestState, ticket: admission.Ticket
     ) -> None:
--- a/packages/daemon/cassiaquay_daemon/gateway/tries.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/tries.py
@@ -6,7 +6,7 @@
 
 from .. import clock, exceptions, logs
 from ..decisions import hedges, held_bytes
-from . import admission, bodies, events, forwarding, holding, progress
+from . import admission, bodies, connections, events, forwarding, holding, progress
 
 # Outcomes of tries, for the keeper.
 UNKNOWN = "unknown"
@@ -112,6 +112,13 @@
         """Name of the server with the start time of its process."""
         return f"{self.server}/{self.ticket.server.started_ms}"
 
+    @property
+    def connection(self) -> connections.ResponseHandler | None:
+        """The connection to the server; None before an answer or behind a relay."""
+        if self._answer is None or self._answer.is_relayed:
+            return None
+        return getattr(self._answer.response, "handler", None)
+
     @property
     def progressed_at(self) -> float:
         """Time at which the answer went on last, or of the dispatch.
--- /dev/null
+++ b/packages/daemon/cassiaquay_daemon/gateway/writers.py
@@ -0,0 +1,91 @@
+"""Tells which process of a server writes the events of a stream.
+
+A server that was restarted under its name writes events of its new software version,
+while its registration still describes the process before. It is asked for its report
+only if there is a sign of a restart: a connection to it broke, some instance has seen
+it crash, or it has reported another start before.
+"""
+
+import asyncio
+import collections.abc
+import enum
+import functools
+
+from cassiaquay_schema import fleet
+
+from ..decisions import paths
+from ..fleet import crash_reports
+from . import connections, process_checks
+
+Connection = connections.ResponseHandler
+Done = collections.abc.Callable[[], None]
+
+
+class Process(enum.Enum):
+    """The process that writes a stream, compared with the listed one."""
+
+    # It is the listed one, by its report.
+    LISTED = "listed"
+    # Nothing speaks against the listed one.
+    ASSUMED = "assumed"
+    # It has reported another start.
+    OTHER = "other"
+    # The server may have restarted, and has not been asked yet.
+    UNKNOWN = "unknown"
+
+
+class Writers:
+    """Compares the processes that write streams with the listed ones.
+
+    Parameters
+    ----------
+    checks : ProcessChecks
+        Asks servers for their reports.
+    observed : Paths
+        Knows the processes at the other ends of the connections.
+    crashes : CrashReports
+        Knows which servers have crashed.
+    """
+
+    def __init__(
+        self,
+        checks: process_checks.ProcessChecks,
+        observed: paths.Paths,
+        crashes: crash_reports.CrashReports,
+    ):
+        self._checks = checks
+        self._processes = observed.processes
+        self._crashes = crashes
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def compare(self, listed: fleet.Server, connection: Connection | None) -> Process:
+        """Return what is known of the process at the other end of a connection.
+
+        Without a connection of this instance, or a listed start, there is nothing to
+        compare.
+        """
+        if connection is None or not listed.started_ms:
+            return Process.ASSUMED
+        started_ms = connection.started_ms
+        if started_ms is None:
+            name = f"{listed.name}/{listed.started_ms}"
+            is_doubtful = self._processes.is_doubtful(
+                listed.address, listed.started_ms, self._crashes.ended_at(name)
+            )
+            return Process.UNKNOWN if is_doubtful else Process.ASSUMED
+        if not started_ms:
+            return Process.ASSUMED
+        if started_ms == listed.started_ms:
+            return Process.LISTED
+        return Process.OTHER
+
+    def learn(self, server: fleet.Server, done: Done) -> None:
+        """Ask a server for its start, and call ``done`` afterwards."""
+        task = asyncio.create_task(self._checks.learn(server))
+        self._tasks.add(task)
+        task.add_done_callback(functools.partial(self._finish, done))
+
+    def _finish(self, done: Done, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled():
+            done()
--- a/packages/schema/cassiaquay_schema/messages.py
+++ b/packages/schema/cassiaquay_schema/messages.py
@@ -1129,12 +1129,18 @@
         Software version of the server.
     lifetime_ms : int
         Time for which its caller may take the stream up again.
+    server : str
+        Server that began it, if the version of its process is not known; else empty.
+    started_ms : int
+        Start time of that process, Unix milliseconds; 0 if it is not known either.
     """
 
     key: int
     service: str
     software: str
     lifetime_ms: int
+    server: str = ""
+    started_ms: int = 0
 
 
 class OriginQuery(typing.NamedTuple):
@@ -1165,12 +1171,18 @@
         Service of the server.
     software : str
         Software version of the server.
+    server : str
+        As in `StreamOrigin`.
+    started_ms : int
+        As in `StreamOrigin`.
     """
 
     number: int
     is_known: bool
     service: str = ""
     software: str = ""
+    server: str = ""
+    started_ms: int = 0
 
 
 Message = (
--- a/tests/test_resuming.py
+++ b/tests/test_resuming.py
@@ -9,7 +9,7 @@
 from cassiaquay_daemon import clock, exceptions, platform
 from cassiaquay_daemon.configured import routing
 from cassiaquay_daemon.decisions import stream_origins
-from cassiaquay_daemon.gateway import calls, progress, resuming
+from cassiaquay_daemon.gateway import calls, progress, resuming, writers
 from cassiaquay_daemon.platform import headers
 from cassiaquay_schema import fleet, messages
 
@@ -58,7 +58,10 @@
         self.past = platform.ServersPast([], [])
         self.servers.entries = self._entries
         self.servers.read_past = self._read_past
-        self.resuming = resuming.Resuming(self.configured, self.origins, self.servers)
+        written = writers.Writers(mock.Mock(), mock.Mock(), mock.Mock())
+        self.resuming = resuming.Resuming(
+            self.configured, self.origins, self.servers, written
+        )
         self.configured.put(**versions)
 
     async def _find(self, key: int) -> stream_origins.Origin | None:
--- a/tests/version_fakes.py
+++ b/tests/version_fakes.py
@@ -65,13 +65,28 @@
 
         Its entry follows after ``entry_after`` seconds.
         """
+        self.crash(name, version)
+        await asyncio.sleep(entry_after)
+        self.list(name)
+
+    def crash(self, name: str, version: str) -> None:
+        """End the process of a server; the next one answers at once, unlisted."""
         self.versions[name] = version
-        engine = next(item for item in self.site.engines if item.name == name)
-        engine.born = 2
+        engine = self.engine(name)
+        engine.born += 1
         for writer in list(self._open.get(name, ())):
             raw_servers.reset(writer)
-        await asyncio.sleep(entry_after)
-        self.site.register(engine, version=version, born=2)
+        for task in list(engine._tasks):
+            task.cancel()
+
+    def list(self, name: str) -> None:
+        """Write the entry of the process that a server has."""
+        engine = self.engine(name)
+        self.site.register(engine, version=self.versions[name], born=engine.born)
+
+    def engine(self, name: str) -> standins.Engine:
+        """Return a server by its name."""
+        return next(item for item in self.site.engines if item.name == name)
 
     async def _until_known(self, made: daemon.Daemon) -> None:
         while True:
