--- a/packages/daemon/cassiaquay_daemon/gateway/progress.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/progress.py
@@ -1,10 +1,11 @@
 """Mutable state of one caller's request while it is served."""
 
 import asyncio
+import enum
 
 from .. import clock
 from ..configured import snapshots
-from ..decisions import held_bytes
+from ..decisions import held_bytes, stream_origins
 from . import calls, forwarding
 
 # A prompt that crashes its server does so when the server begins to answer it.
@@ -39,16 +40,21 @@
         it does not.
     last_event : int
         Id of the last event sent to the caller; -1 for none.
+    is_position_known : bool
+        Whether the last event sent to the caller has an id, so that another server can
+        go on after it.
     software : str or None
         Software version of the server that began the stream; other versions must not
         go on with it. None before the first event.
     first_writer : str
         Id of the demand of the server that began the stream; empty if the stream began
         at an earlier attempt.
-    checked_writer, checked_snapshot : str and Snapshot or None
-        Demand and snapshot for which the version of the events was checked last.
-    is_origin_recorded : bool
-        Whether the version was recorded under this attempt.
+    checked_writer, checked_snapshot, checked_process : str, Snapshot, Process or None
+        Demand, snapshot and process for which the events were checked last.
+    is_writer_certain : bool
+        Whether the process that wrote the events is known to be the listed one.
+    origin : Origin or None
+        Where the stream began, as recorded under this attempt.
     is_abandoned : bool
         Whether its caller has gone and it is being cancelled.
     started : bool
@@ -85,11 +91,14 @@
         self.is_repeat = False
         self.search_began_at = 0.0
         self.last_event = call.parsed.last_event
+        self.is_position_known = True
         self.software: str | None = None
         self.first_writer = ""
         self.checked_writer = ""
         self.checked_snapshot: snapshots.Snapshot | None = None
-        self.is_origin_recorded = False
+        self.checked_process: enum.Enum | None = None
+        self.is_writer_certain = False
+        self.origin: stream_origins.Origin | None = None
         self.is_abandoned = False
         self.started = False
         self.server = ""
@@ -155,4 +164,6 @@
     @property
     def is_repeatable_now(self) -> bool:
         """Whether it may be sent to one more server though one may have run it."""
+        if not self.is_position_known:
+            return False
         return self.call.route.is_repeatable and self.has_attempts_left
