New streams begin at a version that their attempt's id gives

Cause: which version began a stream was known to instances only, and neither the servers nor what callers bring tells it.

Now, while a service lists several versions, a new stream that may be resumed begins at the version of the server that ranks first by weighted rendezvous hashing of its attempt. The demand names it (begins_at), and keepers keep to it unless none of the version's servers can be used; overload is no reason to depart. For an attempt that no instance knows, the servers that may have been listed since the stream can have begun (listed, seen, in the platform's history) are walked in the order of their ranks up to one that was there all the time. One version among them is the stream's; two, or one that is not known, refuse as before. The stream goes on only at servers that were there all the time and confirm it.

--- a/packages/daemon/cassiaquay_daemon/decisions/placement.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/placement.py
@@ -225,10 +225,15 @@
     if all(view.name in avoid for view in views):
         avoid = set()
     avoid |= set(demand.tried)
+    software = demand.software
+    if software is None and demand.begins_at is not None:
+        versions = {view.engine.server.software for view in views}
+        if demand.has_others or demand.begins_at in versions:
+            software = demand.begins_at
     for view in views:
         if view.name in avoid:
             continue
-        if demand.software not in (None, view.engine.server.software):
+        if software not in (None, view.engine.server.software):
             continue
         choice = _choose(demand, tokens, view, prefill_weight)
         min_seconds = min(min_seconds, _idle_seconds(demand, choice))
--- a/packages/daemon/cassiaquay_daemon/decisions/shards.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/shards.py
@@ -333,7 +333,7 @@
     def move(self, waiting: Waiting, limit: float) -> bool:
         """Redirect a demand to a shard where it waits less; False if there is none."""
         demand = waiting.demand
-        if demand.software is not None:
+        if demand.software is not None or demand.begins_at is not None:
             # Its owner has chosen the shard by the servers of that version.
             return False
         target = self.find_sibling(waiting, limit)
--- a/packages/daemon/cassiaquay_daemon/decisions/software_versions.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/software_versions.py
@@ -12,6 +12,7 @@
 from cassiaquay_schema import fleet, messages
 
 from .. import clock
+from . import shards
 
 # Streams that a server began before it left are taken up again within this time.
 RETENTION_SECONDS = 60.0
@@ -42,13 +43,52 @@
     """
     if demand.software is None:
         return frozenset(demand.tried)
+    return _without(demand, servers, demand.software)
+
+
+def excluded_now(demand: messages.Demand, shard: shards.Shard) -> frozenset[str]:
+    """Return the servers that a demand must not be sent to now, besides `avoid`.
+
+    These are also the servers of other versions than the one that a new stream begins
+    at. Its wait is estimated with the slots of all of them: new streams are spread over
+    the versions by slots, so each demand has those of its version before it.
+    """
+    if demand.begins_at is None or demand.software is not None:
+        return excluded(demand, shard.servers)
+    if not _is_usable(demand, shard):
+        return excluded(demand, shard.servers)
+    return _without(demand, shard.servers, demand.begins_at)
+
+
+def _without(
+    demand: messages.Demand,
+    servers: collections.abc.Mapping[str, fleet.Server],
+    software: str,
+) -> frozenset[str]:
+    """Return the servers that had a request and those of other versions."""
     names = set(demand.tried)
     for name, server in servers.items():
-        if server.software != demand.software:
+        if server.software != software:
             names.add(name)
     return frozenset(names)
 
 
+def _is_usable(demand: messages.Demand, shard: shards.Shard) -> bool:
+    """Return whether any server of the version of a new stream can be used.
+
+    Servers that the request was sent to count, and those that are full: they may still
+    be there when the stream is taken up, and do not show that it began elsewhere.
+    """
+    if demand.has_others:
+        return True
+    for server in shard.open_servers():
+        if server.software != demand.begins_at:
+            continue
+        if not shard.exclusions.is_excluded(server.name):
+            return True
+    return False
+
+
 class Evidence(typing.NamedTuple):
     """What is known of a service's servers before this instance observed them.
 
--- a/packages/daemon/cassiaquay_daemon/decisions/weighing.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/weighing.py
@@ -67,9 +67,7 @@
             return None
         left = waiting.deadline - now
         best: choices.Choice | None = None
-        avoid = software_versions.excluded(demand, self._shard.servers).union(
-            demand.avoid
-        )
+        avoid = software_versions.excluded_now(demand, self._shard).union(demand.avoid)
         for candidate in self._servers.with_free_slots(now):
             if candidate.server.name in avoid:
                 continue
--- a/packages/daemon/cassiaquay_daemon/fleet/server_past.py
+++ b/packages/daemon/cassiaquay_daemon/fleet/server_past.py
@@ -30,6 +30,17 @@
 
     async def evidence(self, service: str) -> software_versions.Evidence | None:
         """Return what is known of a service's servers; None if that cannot be read."""
+        past = await self.read()
+        if past is None:
+            return None
+        listed = []
+        for entry in self._servers.entries():
+            if entry.service == service:
+                listed.append(entry)
+        return software_versions.Evidence(listed, past.written, past.removed)
+
+    async def read(self) -> platform.ServersPast | None:
+        """Return the changes before this process began; None if not readable now."""
         if self._reading is None:
             self._reading = asyncio.create_task(self._read())
         reading = self._reading
@@ -40,12 +51,7 @@
         if past is None:
             # The next stream asks again.
             self._reading = None
-            return None
-        listed = []
-        for entry in self._servers.entries():
-            if entry.service == service:
-                listed.append(entry)
-        return software_versions.Evidence(listed, past.written, past.removed)
+        return past
 
     async def _read(self) -> platform.ServersPast | None:
         try:
--- a/packages/daemon/cassiaquay_daemon/gateway/admission.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/admission.py
@@ -14,7 +14,12 @@
 from cassiaquay_schema import fleet, messages
 
 from .. import clock, exceptions, logs
-from ..decisions import rate_budgets, software_versions
+from ..decisions import (
+    rate_budgets,
+    software_versions,
+    stream_origins,
+    version_choice,
+)
 from ..fleet import members
 from ..keepers import demands
 from . import calls, progress
@@ -75,6 +80,13 @@
     is_charged: bool = False
 
 
+class _ShardChoice(typing.NamedTuple):
+    """The shard to ask, and whether others have servers of the version, too."""
+
+    name: str
+    has_others: bool
+
+
 class States(typing.Protocol):
     """What servers have reported about themselves."""
 
@@ -121,13 +133,15 @@
     async def obtain(self, state: progress.RequestState) -> Ticket:
         """Return a ticket to dispatch the request; raise Refusal for no capacity."""
         call = state.call
-        demand = _demand(state)
         servers = self._open_servers(state)
         if not servers:
             raise exceptions.NoServers(retry_after_ms=NO_SERVERS_RETRY_MS)
         servers = software_versions.matching(servers, state.software)
         if not servers:
             raise exceptions.NoMatchingServers(retry_after_ms=NO_SERVERS_RETRY_MS)
+        state.begins_at = _first_version(state)
+        servers = software_versions.matching(servers, state.begins_at) or servers
+        demand = _demand(state)
         await self._wait_for_backoffs(call, servers)
         try:
             permission = await self._demands.obtain(
@@ -223,6 +237,7 @@
         live = max(len(self._membership.serving()), 1)
         best: fleet.Server | None = None
         servers = software_versions.matching(self._open_servers(state), demand.software)
+        servers = software_versions.matching(servers, demand.begins_at) or servers
         # All instances lose a keeper at the same time: without shuffling, all of them
         # would send to the same server.
         random.shuffle(servers)
@@ -258,21 +273,40 @@
         return Ticket(demand, best, state.call.deadline, Tally(), True)
 
 
-def _shard(state: progress.RequestState) -> str:
+def _first_version(state: progress.RequestState) -> str | None:
+    """Return the version that a new stream should begin at; None for any."""
+    call = state.call
+    if state.software is not None or not call.route.is_resumable:
+        return None
+    pool = state.snapshot.fleet.pools.get(call.service)
+    if pool is None:
+        return None
+    # Also servers of evacuated domains: an instance that takes the stream up does not
+    # know which were in use when it began.
+    key = stream_origins.key_of(call.team_name, call.parsed.attempt)
+    return version_choice.choose(key, pool.servers)
+
+
+def _choose_shard(state: progress.RequestState) -> _ShardChoice:
     """Return the shard to ask for capacity."""
     snapshot = state.snapshot
     parsed = state.call.parsed
     key = str(parsed.parts[-1].key) if parsed.parts else parsed.attempt
     shard = snapshot.shard_of(state.call.service, key)
-    if state.software is None:
-        return shard
+    software = state.begins_at if state.software is None else state.software
+    if software is None:
+        return _ShardChoice(shard, False)
     # Only some shards may have servers of the version; the usual one wins a tie.
     shards = [shard, *snapshot.siblings(shard)]
     counts = {}
     for name in shards:
         members = snapshot.shard_servers(name)
-        counts[name] = len(software_versions.matching(members, state.software))
-    return max(shards, key=counts.__getitem__)
+        counts[name] = len(software_versions.matching(members, software))
+    chosen = max(shards, key=counts.__getitem__)
+    if state.software is None and counts[shard]:
+        # The most servers of a version would get all new streams of it.
+        chosen = shard
+    return _ShardChoice(chosen, sum(counts.values()) > counts[chosen])
 
 
 def _patience_seconds(state: progress.RequestState) -> float:
@@ -284,12 +318,13 @@
 
 def _demand(state: progress.RequestState) -> messages.Demand:
     call = state.call
+    shard = _choose_shard(state)
     parsed = call.parsed
     number = state.tries
     name = parsed.attempt if number == 1 else f"{parsed.attempt}.{number}"
     return messages.Demand(
         name,
-        _shard(state),
+        shard.name,
         call.service,
         call.team_name,
         call.rank,
@@ -304,4 +339,6 @@
         parts=parsed.parts,
         tried=list(state.tried),
         software=state.software,
+        begins_at=state.begins_at,
+        has_others=shard.has_others and state.begins_at is not None,
     )
--- /dev/null
+++ b/packages/daemon/cassiaquay_daemon/gateway/derivations.py
@@ -0,0 +1,130 @@
+"""Derives the versions at which streams began that no instance knows.
+
+That is the state after a kill of all instances while servers of several versions serve.
+"""
+
+import math
+import time
+import typing
+
+from .. import clock
+from ..decisions import server_times, stream_ages, stream_origins, version_choice
+from ..fleet import server_past, servers
+from . import calls
+
+# Clocks of servers and callers differ, lists are up to a second old, and a server
+# registers a moment after its process has started.
+MARGIN_SECONDS = 4.0
+
+
+class Derived(typing.NamedTuple):
+    """The version of a stream.
+
+    Attributes
+    ----------
+    software : str
+        Software version at which it began.
+    young : list of str
+        Servers of that version which were not there all the time since.
+    """
+
+    software: str
+    young: list[str]
+
+
+class Derivations:
+    """Knows the servers that streams can have begun at.
+
+    Parameters
+    ----------
+    server_list : Servers
+        The servers that are listed now.
+    past : ServerPast
+        Reads what the platform shows of before this process began.
+    """
+
+    def __init__(self, server_list: servers.Servers, past: server_past.ServerPast):
+        self._servers = server_list
+        self._past = past
+        self._sightings = server_times.Sightings()
+        self._stated = stream_ages.StatedTimes()
+
+    def note_servers(self) -> None:
+        """Record the servers that are listed now."""
+        self._sightings.note(self._servers.entries())
+
+    def note_new(self, call: calls.Call) -> None:
+        """Record the time that a new stream has."""
+        self._stated.note(call.route.name, call.parsed.deadline_ms)
+
+    async def derive(self, call: calls.Call, lifetime: float) -> Derived | None:
+        """Return the version at which a caller's stream began; None if unknown.
+
+        Parameters
+        ----------
+        call : Call
+            The attempt that takes the stream up.
+        lifetime : float
+            Seconds that a stream of this route may last.
+        """
+        # A list that is outdated lacks servers, and a stream of a route to several
+        # services may have begun at another one.
+        is_sole_service = len(call.route.shares) == 1
+        if not call.parsed.resumes or not is_sole_service or self._servers.is_behind:
+            return None
+        # Lists that change no server in use are not published.
+        self.note_servers()
+        now_ms = time.time() * 1000.0
+        since_ms = now_ms - self._age_seconds(call, lifetime) * 1000.0
+        evidence = await self._find_evidence(call.service, since_ms, now_ms)
+        if evidence is None:
+            return None
+        key = stream_origins.key_of(call.team_name, call.parsed.resumes)
+        software = version_choice.derive(key, call.service, evidence, since_ms)
+        if software is None:
+            return None
+        young = version_choice.young_servers(evidence.listed, software, since_ms)
+        return Derived(software, young)
+
+    def _age_seconds(self, call: calls.Call, lifetime: float) -> float:
+        """Return how long ago a stream can have begun."""
+        age = self._stated.age_seconds(
+            call.route.name, call.parsed.deadline_ms, call.route.timeout_seconds
+        )
+        return min(age + MARGIN_SECONDS, lifetime)
+
+    async def _find_evidence(
+        self, service: str, since_ms: float, now_ms: float
+    ) -> version_choice.Evidence | None:
+        """Return what is known of a service's servers; None if it cannot be read."""
+        entries = self._servers.entries()
+        listed = [entry for entry in entries if entry.service == service]
+        now = clock.now()
+        oldest = now - (now_ms - since_ms) / 1000.0
+        seen = [*entries, *self._sightings.former_since(oldest)]
+        came_ms = {}
+        for name, age in self._sightings.came_ages().items():
+            came_ms[name] = now_ms - age * 1000.0
+        left_ms = {}
+        for name, age in self._sightings.left_ages().items():
+            left_ms[name] = now_ms - age * 1000.0
+        observed_since_ms = now_ms - (now - self._sightings.began_at) * 1000.0
+        if self._sightings.began_at < now and observed_since_ms <= since_ms:
+            return version_choice.Evidence(
+                listed, seen, came_ms, left_ms, observed_since_ms
+            )
+        past = await self._past.read()
+        if past is None:
+            return None
+        revisions = server_times.Revisions(past.written, entries, now_ms)
+        for name, revision in past.created_at.items():
+            came_ms.setdefault(name, revisions.latest_ms(revision))
+        for name in past.removed:
+            latest_ms = math.inf
+            if name in past.removed_at:
+                latest_ms = revisions.latest_ms(past.removed_at[name])
+            left_ms.setdefault(name, latest_ms)
+        covered_since_ms = -math.inf if past.is_whole else revisions.began_ms
+        return version_choice.Evidence(
+            listed, [*seen, *past.written], came_ms, left_ms, covered_since_ms
+        )
--- a/packages/daemon/cassiaquay_daemon/gateway/progress.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/progress.py
@@ -42,6 +42,8 @@
     software : str or None
         Software version of the server that began the stream; other versions must not
         go on with it. None before the first event.
+    begins_at : str or None
+        Software version that a new stream should begin at; None for any.
     first_writer : str
         Id of the demand of the server that began the stream; empty if the stream began
         at an earlier attempt.
@@ -86,6 +88,7 @@
         self.search_began_at = 0.0
         self.last_event = call.parsed.last_event
         self.software: str | None = None
+        self.begins_at: str | None = None
         self.first_writer = ""
         self.checked_writer = ""
         self.checked_snapshot: snapshots.Snapshot | None = None
--- a/packages/daemon/cassiaquay_daemon/gateway/resuming.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/resuming.py
@@ -11,14 +11,15 @@
 from ..decisions import software_versions, stream_origins
 from ..fleet import configuration, server_past, servers
 from ..fleet import stream_origins as origin_reports
-from . import admission, calls, progress
+from . import admission, calls, derivations, progress
 
 # Retry-After when the instances that may know a stream's origin have not answered.
 UNKNOWN_RETRY_MS = 300
-# What was known of the origin of a stream that a caller took up: its version, or that
-# the service has had only one.
+# What was known of the origin of a stream that a caller took up: its version, that the
+# service has had only one, or the version that the attempt's id gives.
 KNOWN = "known"
 SOLE = "sole"
+DERIVED = "derived"
 UNKNOWN = "unknown"
 
 
@@ -43,6 +44,7 @@
     ):
         self._servers = server_list
         self._past = server_past.ServerPast(server_list)
+        self._derivations = derivations.Derivations(server_list, self._past)
         self._configured = configured
         self._origins = origins
         self._history = software_versions.History()
@@ -60,7 +62,10 @@
         """
         call = state.call
         parsed = call.parsed
-        if not call.is_stream or not (parsed.resumes or parsed.last_event >= 0):
+        if not call.is_stream:
+            return
+        if not (parsed.resumes or parsed.last_event >= 0):
+            self._derivations.note_new(call)
             return
         origin = None
         if parsed.resumes:
@@ -68,8 +73,11 @@
             origin = await self._origins.find(key)
         versions = self._history.recent(call.service)
         sole = None
+        derived = None
         if origin is None:
             sole = await self._find_sole_version(call, versions)
+            if len(versions) > 1:
+                derived = await self._derivations.derive(call, _lifetime_seconds(call))
         logs.event(
             "stream_resumes",
             id=parsed.attempt,
@@ -79,17 +87,13 @@
             software=origin.software if origin else None,
             is_known=origin is not None,
             sole=sole,
+            derived=derived.software if derived else None,
             versions=",".join(sorted(versions)),
         )
-        is_sole = sole is not None
-        kind = KNOWN if origin is not None else SOLE if is_sole else UNKNOWN
-        self.counts[kind] += 1
         if origin is None:
-            if not is_sole:
-                raise exceptions.OriginUnknown(retry_after_ms=UNKNOWN_RETRY_MS)
-            # Servers of another version may be listed before this one is sent.
-            state.software = sole
+            self._set_version(state, sole, derived)
             return
+        self.counts[KNOWN] += 1
         if origin.service not in {share.service for share in call.route.shares}:
             raise exceptions.OriginUnknown("the route has left the service")
         state.call = call._replace(service=origin.service)
@@ -124,6 +128,26 @@
         state.is_origin_recorded = True
         self._record(state.call, software)
 
+    def _set_version(
+        self,
+        state: progress.RequestState,
+        sole: str | None,
+        derived: derivations.Derived | None,
+    ) -> None:
+        """Set the version of a stream whose origin no instance knows."""
+        if sole is not None:
+            self.counts[SOLE] += 1
+            # Servers of another version may be listed before this one is sent.
+            state.software = sole
+            return
+        if derived is None:
+            self.counts[UNKNOWN] += 1
+            raise exceptions.OriginUnknown(retry_after_ms=UNKNOWN_RETRY_MS)
+        self.counts[DERIVED] += 1
+        state.software = derived.software
+        for name in derived.young:
+            state.add_tried(name)
+
     @property
     def _is_isolated(self) -> bool:
         """Whether others may know of versions that this instance has not heard of."""
@@ -167,6 +191,7 @@
         if snapshot is None:
             return
         self._history.update(snapshot.fleet)
+        self._derivations.note_servers()
         for entry in self._servers.entries():
             if entry.service in snapshot.fleet.pools:
                 self._history.note(entry.service, entry.software)
--- a/packages/daemon/cassiaquay_daemon/keepers/baselines.py
+++ b/packages/daemon/cassiaquay_daemon/keepers/baselines.py
@@ -32,7 +32,7 @@
         """Grant all queued demands in order of arrival."""
         shard = self._shard
         for waiting in list(shard.queue.values()):
-            excluded = software_versions.excluded(waiting.demand, shard.servers)
+            excluded = software_versions.excluded_now(waiting.demand, shard)
             avoid = excluded.union(waiting.demand.avoid)
             servers = [
                 server for server in shard.open_servers() if server.name not in avoid
@@ -157,7 +157,7 @@
     def _least_loaded_server(self, demand: messages.Demand) -> fleet.Server | None:
         shard = self._shard
         free = []
-        avoid = software_versions.excluded(demand, shard.servers).union(demand.avoid)
+        avoid = software_versions.excluded_now(demand, shard).union(demand.avoid)
         for server in shard.open_servers():
             if server.name in avoid:
                 continue
--- a/packages/daemon/cassiaquay_daemon/operators/reach_families.py
+++ b/packages/daemon/cassiaquay_daemon/operators/reach_families.py
@@ -20,7 +20,8 @@
     "cassiaquay_gateway_resumed_streams_total",
     "counter",
     ("origin",),
-    "Streams that callers took up here: origin known, the sole version, or unknown.",
+    "Streams that callers took up here: origin known, the sole version, derived, or "
+    "unknown.",
 )
 PROCESS_CHECKS = Family(
     "cassiaquay_gateway_process_checks_total",
--- a/packages/daemon/cassiaquay_daemon/platform/__init__.py
+++ b/packages/daemon/cassiaquay_daemon/platform/__init__.py
@@ -6,6 +6,7 @@
 """
 
 import collections.abc
+import types
 import typing
 
 import aiohttp
@@ -122,10 +123,17 @@
         Each valid entry as it was written.
     removed : list of str
         Names of the servers whose entries were removed.
+    removed_at, created_at : mapping of str to int
+        Revisions of the last removal and creation of an entry, by its server's name.
+    is_whole : bool
+        Whether nothing was discarded before it.
     """
 
     written: list[messages.ServerEntry]
     removed: list[str]
+    removed_at: collections.abc.Mapping[str, int] = types.MappingProxyType({})
+    created_at: collections.abc.Mapping[str, int] = types.MappingProxyType({})
+    is_whole: bool = False
 
 
 class ServerStore(typing.Protocol):
--- a/packages/daemon/cassiaquay_daemon/platform/store.py
+++ b/packages/daemon/cassiaquay_daemon/platform/store.py
@@ -64,6 +64,7 @@
     # The item as it was written; a removed one has no value.
     value: str | None = None
     revision: numbers.Count = 0
+    created: numbers.Count = 0
 
 
 class _WatchBody(msgspec.Struct):
@@ -85,6 +86,14 @@
     key: str
     value: bytes | None
     revision: int
+    is_creation: bool = False
+
+
+class History(typing.NamedTuple):
+    """The changes that the store still has, and whether it has all of them."""
+
+    changes: list[Change]
+    is_whole: bool
 
 
 class Items(typing.NamedTuple):
@@ -188,7 +197,11 @@
         return after
 
     async def history(self, prefix: str, current: int) -> list[Change]:
-        """Return the changes under a prefix that the store still has, oldest first.
+        """Return the changes under a prefix that the store still has, oldest first."""
+        return (await self.whole_history(prefix, current)).changes
+
+    async def whole_history(self, prefix: str, current: int) -> History:
+        """Return the changes under a prefix, and whether none was discarded.
 
         Parameters
         ----------
@@ -208,7 +221,7 @@
         distance = 1
         for _ in range(MAX_HISTORY_CALLS):
             if available - expired <= 1:
-                return changes
+                return History(changes, False)
             after = max(current - distance, 0)
             if expired >= 0 or after >= available:
                 after = (expired + available) // 2
@@ -219,7 +232,7 @@
                 continue
             changes, available = found, after
             if not after:
-                return changes
+                return History(changes, True)
         raise exceptions.PlatformError(f"{prefix}: the history has no beginning")
 
     async def _changes(self, prefix: str, after: int) -> list[Change] | None:
@@ -233,7 +246,8 @@
         for event in _parse(answer.body, _WatchBody).events:
             _check_prefix(event.key, prefix)
             value = None if event.value is None else _decode_value(event.value)
-            changes.append(Change(event.key, value, event.revision))
+            is_creation = 0 < event.created == event.revision
+            changes.append(Change(event.key, value, event.revision, is_creation))
         return changes
 
     async def _get(self, path: str, query: dict[str, str], seconds: float) -> _Answer:
@@ -325,12 +339,18 @@
         # The shortest listing that gives the revision.
         operator_keys = await self._store.items(EVACUATED_PREFIX)
         current = operator_keys.position.revision
-        past = platform.ServersPast([], [])
-        for change in await self._store.history(SERVERS_PREFIX, current):
+        found = await self._store.whole_history(SERVERS_PREFIX, current)
+        removed_at: dict[str, int] = {}
+        created_at: dict[str, int] = {}
+        past = platform.ServersPast([], [], removed_at, created_at, found.is_whole)
+        for change in found.changes:
             name = change.key.removeprefix(SERVERS_PREFIX)
             if change.value is None:
                 past.removed.append(name)
+                removed_at[name] = change.revision
                 continue
+            if change.is_creation:
+                created_at[name] = change.revision
             # It was logged if it was in a listing.
             with contextlib.suppress(entries.InvalidEntry):
                 past.written.append(entries.decode(name, change.value, change.revision))
--- a/packages/daemon/cassiaquay_daemon/rendezvous.py
+++ b/packages/daemon/cassiaquay_daemon/rendezvous.py
@@ -24,12 +24,15 @@
     return max(names, key=lambda name: score(key, name))
 
 
-def weighted(key: str, weights: dict[str, float]) -> str:
-    """Return the name responsible for ``key``; shares are proportional to weights."""
+def weighted_score(key: str, name: str, weight: float) -> float:
+    """Return the score of a name that is to be first in proportion to its weight."""
+    # Weighted rendezvous hashing: log(u) / weight for a uniform u in (0, 1]. A new
+    # weight moves only the keys that its name gains or loses.
+    return math.log((score(key, name) + 1.0) / SCORES) / weight
 
-    def value(name: str) -> float:
-        # Weighted rendezvous hashing: log(u) / weight for a uniform u in (0, 1]. A new
-        # weight moves only the keys that its name gains or loses.
-        return math.log((score(key, name) + 1.0) / SCORES) / weights[name]
 
-    return max(sorted(weights), key=value)
+def weighted(key: str, weights: dict[str, float]) -> str:
+    """Return the name responsible for ``key``; shares are proportional to weights."""
+    return max(
+        sorted(weights), key=lambda name: weighted_score(key, name, weights[name])
+    )
--- a/packages/dev/cassiaquay_dev/standins/platform_standins.py
+++ b/packages/dev/cassiaquay_dev/standins/platform_standins.py
@@ -43,6 +43,8 @@
         # return from a copy.
         self._history: list[tuple[int, str, bytes | None]] = []
         self._history_start = 0
+        # Revision at which each key was created, by the revision of each change.
+        self._created: dict[int, int] = {}
         self._changed = asyncio.Event()
 
     def put(self, key: str, value: object) -> None:
@@ -101,6 +103,10 @@
 
     def _note_change(self, key: str, value: bytes | None) -> None:
         self.revision += 1
+        created = self.revision
+        if key in self.items:
+            created = self._created.get(self.items[key][0], created)
+        self._created[self.revision] = created
         self._history.append((self.revision, key, value))
         self._wake_watches()
 
@@ -110,7 +116,7 @@
 
     def _item(self, key: str) -> dict[str, typing.Any]:
         revision, value = self.items[key]
-        return _item(key, revision, value)
+        return _item(key, revision, value, self._created.get(revision, revision))
 
     def _page(self, parameters: dict[str, str]) -> dict[str, typing.Any]:
         keys = [key for key in sorted(self.items) if key > parameters.get("after", "")]
@@ -133,14 +139,17 @@
                     events = []
                     for revision, key, value in self._history:
                         if revision > after and key.startswith(prefix):
-                            events.append(_item(key, revision, value))
+                            created = self._created.get(revision, revision)
+                            events.append(_item(key, revision, value, created))
                     if events:
                         return 200, {"events": events}
                     await self._changed.wait()
         return 200, {"events": []}
 
 
-def _item(key: str, revision: int, value: bytes | None) -> dict[str, typing.Any]:
+def _item(
+    key: str, revision: int, value: bytes | None, created: int
+) -> dict[str, typing.Any]:
     """Return an item as it was written, or that it was removed."""
     if value is None:
         return {"key": key, "revision": revision, "tombstone": True}
@@ -148,7 +157,7 @@
         "key": key,
         "value": base64.b64encode(value).decode(),
         "revision": revision,
-        "created": revision,
+        "created": created,
         "lease": 0,
     }
 
--- a/packages/schema/cassiaquay_schema/messages.py
+++ b/packages/schema/cassiaquay_schema/messages.py
@@ -250,6 +250,10 @@
         Number of times that it was moved to another shard.
     software : str | None
         Software version that began the stream and must go on with it; none for any.
+    begins_at : str | None
+        Software version at which a new stream begins if a server has it; none for any.
+    has_others : bool
+        Whether other shards have servers of that version, too.
     """
 
     id: str
@@ -271,6 +275,8 @@
     acknowledge: bool = False
     moves: int = 0
     software: str | None = None
+    begins_at: str | None = None
+    has_others: bool = False
 
 
 class PromptPart(typing.NamedTuple):
--- a/tests/test_rejoined_streams.py
+++ b/tests/test_rejoined_streams.py
@@ -107,6 +107,51 @@
     _run(work)
 
 
+def _age(versioned: version_fakes.VersionedSite, seconds: float) -> None:
+    """Let the servers have served and reported for some time."""
+    site = versioned.site
+    born = int((time.time() - seconds) * 1000)
+    # The history begins with one of the first reports.
+    site.store.forget()
+    for seq in (5, 50):
+        for engine in site.engines:
+            engine.born = born
+            version = versioned.versions[engine.name]
+            site.register(engine, version=version, born=born, seq=seq)
+
+
+@pytest.mark.parametrize("change", ["none", "leaving", "gone", "added"])
+def test_streams_go_on_at_either_version_after_a_kill_of_all(change: str) -> None:
+    """Guards against refusing all streams while both their versions serve."""
+
+    async def work(versioned: version_fakes.VersionedSite) -> None:
+        site = versioned.site
+        await versioned.add({"i-3": "v2", "i-4": "v2"})
+        _age(versioned, 60.0)
+        streams = await _begin(versioned)
+        assert len({frozenset(stream.versions) for stream in streams}) == 2
+        if change == "leaving":
+            site.register(
+                site.engines[0],
+                version="v1",
+                born=site.engines[0].born,
+                seq=51,
+                state="draining",
+            )
+        elif change == "gone":
+            site.store.remove("servers/i-1")
+            site.store.remove("servers/i-1-plain")
+        elif change == "added":
+            await site.add_engine("i-5", version="v2", born=int(time.time() * 1000))
+        await _replace_all_instances(site)
+        await _take_up(streams)
+        assert all(len(stream.versions) == 1 for stream in streams)
+        whole = [stream.is_complete for stream in streams]
+        assert all(whole) if change == "none" else sum(whole) >= STREAMS // 4
+
+    _run(work)
+
+
 async def _stop(site: fakes.Site, at: int) -> None:
     """Stop one daemon; its tasks end as those of a planned stop."""
     site.daemons[at]._stopping.set()
--- /dev/null
+++ b/tests/test_version_choice.py
@@ -0,0 +1,90 @@
+"""The version at which a stream begins is found again after a kill of all instances."""
+
+import collections
+
+import pytest
+import version_schedules as schedules
+
+from cassiaquay_daemon.decisions import version_choice
+from cassiaquay_schema import fleet
+
+SEEDS = 1500
+
+
+def _servers(**slots: int) -> list[fleet.Server]:
+    """Return servers whose versions are the first letters of their names."""
+    found = []
+    for name, count in slots.items():
+        found.append(
+            fleet.Server(name=name, address="h:1", slots=count, software=name[0])
+        )
+    return found
+
+
+def _count_wrong(seeds: range, history: float = schedules.HISTORY_SECONDS) -> int:
+    """Return how many streams go on at another version, over all schedules."""
+    wrong = 0
+    for seed in seeds:
+        made = schedules.Schedule(seed, seed % 7, 70.0 + seed % 29, history)
+        for stream in made.begin(6):
+            found = made.derive(stream)
+            wrong += found not in (None, stream.version)
+    return wrong
+
+
+def test_new_streams_are_spread_over_versions_by_slots() -> None:
+    """Guards against a version whose slots stay empty while the other's are full."""
+    servers = _servers(a1=4, a2=4, b1=8)
+    counts = collections.Counter(
+        version_choice.choose(key, servers) for key in range(4000)
+    )
+    assert counts.keys() == {"a", "b"}
+    assert abs(counts["a"] - 2000) < 150
+
+
+def test_one_version_restricts_no_stream() -> None:
+    """Guards against demands of a version where nothing is to be chosen."""
+    assert version_choice.choose(1, _servers(a1=4, a2=4)) is None
+    assert version_choice.choose(1, []) is None
+
+
+def test_no_schedule_derives_a_wrong_version() -> None:
+    """Guards against streams that go on at another version than they began at."""
+    assert _count_wrong(range(SEEDS)) == 0
+
+
+@pytest.mark.parametrize("history", [0.0, 6.0])
+def test_no_schedule_with_a_short_history_derives_a_wrong_version(
+    history: float,
+) -> None:
+    """Guards against conclusions from a history that the platform has discarded."""
+    assert _count_wrong(range(SEEDS), history) == 0
+
+
+def test_all_streams_of_steady_versions_are_derived() -> None:
+    """Guards against refusals while nothing has changed since the streams began."""
+    for seed in range(100):
+        made = schedules.Schedule(seed, 0, 0.0)
+        for stream in made.begin(6):
+            assert made.derive(stream) == stream.version
+
+
+@pytest.mark.parametrize("mutant", ["removed", "young", "dead"])
+def test_schedules_catch_a_walk_that_ignores_servers(
+    mutant: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against schedules in which no server matters that has come or gone."""
+    known = version_choice._candidates
+
+    def ignore(service, evidence, since_ms):
+        if mutant == "young":
+            found = known(service, evidence, since_ms)
+            return [item._replace(is_steady=True) for item in found]
+        names = {item.name for item in evidence.listed}
+        return [i for i in known(service, evidence, since_ms) if i.name in names]
+
+    if mutant == "dead":
+        monkeypatch.setattr(version_choice, "young_servers", lambda *_: [])
+    else:
+        monkeypatch.setattr(version_choice, "_candidates", ignore)
+    assert _count_wrong(range(SEEDS))
