--- a/packages/daemon/cassiaquay_daemon/platform/store.py
+++ b/packages/daemon/cassiaquay_daemon/platform/store.py
@@ -66,6 +66,7 @@
     # The item as it was written; a removed one has no value.
     value: msgspec.Raw = msgspec.Raw(b"null")
     revision: msgspec.Raw = msgspec.Raw(b"0")
+    created: msgspec.Raw = msgspec.Raw(b"0")
 
 
 class _WatchBody(msgspec.Struct):
@@ -85,11 +86,19 @@
 
 
 class Change(typing.NamedTuple):
-    """A change of a key: its item as written; no value and 0 if it was removed."""
+    """A change of a key: its item as written, without a value if it was removed."""
 
     key: str
     value: bytes | None
     revision: int
+    is_creation: bool = False
+
+
+class History(typing.NamedTuple):
+    """The changes that the store still has, and whether it has all of them."""
+
+    changes: list[Change]
+    is_whole: bool
 
 
 class Items(typing.NamedTuple):
@@ -200,7 +209,11 @@
         return after
 
     async def history(self, prefix: str, current: positions.Position) -> list[Change]:
-        """Return the changes under a prefix that the store still has, oldest first.
+        """Return the changes under a prefix that the store still has, oldest first."""
+        return (await self.whole_history(prefix, current)).changes
+
+    async def whole_history(self, prefix: str, current: positions.Position) -> History:
+        """Return the changes under a prefix, and whether none was discarded.
 
         Parameters
         ----------
@@ -221,7 +234,7 @@
         distance = 1
         for _ in range(MAX_HISTORY_CALLS):
             if available - expired <= 1:
-                return changes
+                return History(changes, False)
             after = max(current.revision - distance, 0)
             if expired >= 0 or after >= available:
                 after = (expired + available) // 2
@@ -234,7 +247,7 @@
                 continue
             changes, available = found, after
             if not after:
-                return changes
+                return History(changes, True)
         raise exceptions.PlatformError(f"{prefix}: the history has no beginning")
 
     async def _changes(
@@ -251,10 +264,7 @@
         changes = []
         for event in _parse(answer.body, _WatchBody).events:
             _check_prefix(event.key, prefix)
-            if event.value == REMOVED:
-                changes.append(Change(event.key, None, 0))
-                continue
-            changes.append(Change(*_decode_item(event)))
+            changes.append(_decode_change(event))
         return changes
 
     async def _get(self, path: str, query: dict[str, str], seconds: float) -> _Answer:
@@ -358,12 +368,18 @@
         # The shortest listing that gives the revision.
         operator_keys = await self._store.items(EVACUATED_PREFIX)
         current = operator_keys.position
-        past = platform.ServersPast([], [])
-        for change in await self._store.history(SERVERS_PREFIX, current):
+        found = await self._store.whole_history(SERVERS_PREFIX, current)
+        removed_at: dict[str, int] = {}
+        created_at: dict[str, int] = {}
+        past = platform.ServersPast([], [], removed_at, created_at, found.is_whole)
+        for change in found.changes:
             name = change.key.removeprefix(SERVERS_PREFIX)
             if change.value is None:
                 past.removed.append(name)
+                removed_at[name] = change.revision
                 continue
+            if change.is_creation:
+                created_at[name] = change.revision
             # It was logged if it was in a listing.
             with contextlib.suppress(entries.InvalidEntry):
                 past.written.append(entries.decode(name, change.value, change.revision))
@@ -406,6 +422,22 @@
         raise exceptions.PlatformError(str(error)) from error
 
 
+def _decode_change(event: _Event) -> Change:
+    if event.value == REMOVED:
+        return Change(event.key, None, _decode_count(event.revision, numbers.MAX_COUNT))
+    item = _decode_item(event)
+    is_creation = 0 < _decode_count(event.created, 0) == item.revision
+    return Change(*item, is_creation)
+
+
+def _decode_count(text: msgspec.Raw, default: int) -> int:
+    try:
+        count: int = decoding.decode_json(text, numbers.Count)
+    except exceptions.UndecodableText:
+        return default
+    return count
+
+
 def _decode_item(item: _Item | _ItemBody | _Event) -> Item:
     try:
         text: str = decoding.decode_json(item.value, str)
