Soak and schedules let engines stop within the heads of their answers

engine_head_cuts: engines run a request, send a part of the head of an answer or of a refusal, with its lines in random order, and close or reset. The generated schedules draw the same trouble among the others.

The schedules find the same mutant by `mixed` and by `refused`.

--- a/packages/dev/cassiaquay_dev/soak/engine_faults.py
+++ b/packages/dev/cassiaquay_dev/soak/engine_faults.py
@@ -1,4 +1,4 @@
-"""Faults of engines: signals that stop them, late copies, releases beside kills."""
+"""Faults of engines: signals, late copies, heads cut off, releases beside kills."""
 
 import asyncio
 import random
@@ -59,6 +59,20 @@
                 deployment.engines[name].copying_share = 0.0
 
 
+@faults.faults.register("engine_head_cuts")
+async def engine_head_cuts(deployment: site.Site, rng: random.Random) -> None:
+    """Let some engines run requests and stop within the heads of their answers."""
+    names = sorted(deployment.engines)
+    chosen = rng.sample(names, rng.randint(1, len(names)))
+    with faults.Disturbance(deployment, *chosen, breaks=False):
+        for name in chosen:
+            deployment.engines[name].head_cut_share = rng.uniform(0.1, 0.6)
+        await asyncio.sleep(rng.uniform(1.0, 5.0))
+        for name in chosen:
+            if name in deployment.engines:
+                deployment.engines[name].head_cut_share = 0.0
+
+
 @faults.faults.register("release_and_kill")
 async def release_and_kill(deployment: site.Site, rng: random.Random) -> None:
     """Kill all daemons at once while model engines get another software version."""
--- a/packages/dev/cassiaquay_dev/soak/engines.py
+++ b/packages/dev/cassiaquay_dev/soak/engines.py
@@ -26,6 +26,8 @@
 FAULTS = ("reset", "truncate", "extra", "silent", "error", "mid_event", "anew")
 # An answer that belongs to an earlier request, or to none, comes first.
 STALE = "stale"
+# The engine stops within the head of its answer, whatever that says.
+MID_HEAD = "mid_head"
 EXTRA_ANSWER = b"HTTP/1.1 200 X\r\nContent-Length: 5\r\n\r\nextra"
 
 
@@ -112,6 +114,8 @@
         # Share of the requests that it declines, with an answer that it sends once more
         # where that to the next request on the connection is due.
         self.copying_share = 0.0
+        # Share of the requests that it runs and answers with a part of a head.
+        self.head_cut_share = 0.0
         self._copies: weakref.WeakKeyDictionary[raw_servers.Writer, dict[str, str]]
         self._copies = weakref.WeakKeyDictionary()
         self._rejected_at: collections.deque[float] = collections.deque()
@@ -204,6 +208,9 @@
         if self._rng.random() < self.faulty_share:
             fault = self._rng.choice(FAULTS)
             run.has_engine_fault = True
+        if self.head_cut_share and self._rng.random() < self.head_cut_share:
+            fault = MID_HEAD
+            run.has_engine_fault = True
         await asyncio.sleep(WORK_SECONDS * self.slowdown * self._rng.uniform(0.5, 2.0))
         if self._crashing_part(run):
             # The process ends while it writes the first event, without a length.
@@ -238,6 +245,9 @@
     async def _answer(
         self, run: records.Run, writer: raw_servers.Writer, fault: str
     ) -> None:
+        if fault == MID_HEAD:
+            await self._stop_within_head(run, writer)
+            return
         if fault == STALE:
             writer.write(EXTRA_ANSWER)
         if self.service == "chat":
@@ -258,6 +268,28 @@
         if fault == "extra":
             writer.write(EXTRA_ANSWER)
 
+    async def _stop_within_head(
+        self, run: records.Run, writer: raw_servers.Writer
+    ) -> None:
+        """Send a part of the head of an answer or of a refusal, and end."""
+        lines = [
+            f"{name}: {value}" for name, value in self._answer_headers(run).items()
+        ]
+        status = self._rng.choice([200, 503])
+        if status == 503:
+            lines.append("Cassiaquay-Not-Executed: 1")
+        lines.append(
+            self._rng.choice(["Transfer-Encoding: chunked", "Content-Length: 9"])
+        )
+        self._rng.shuffle(lines)
+        head = "\r\n".join([f"HTTP/1.1 {status} X", *lines]) + "\r\n\r\n"
+        writer.write(head[: self._rng.randrange(len(head))].encode())
+        await writer.drain()
+        if self._rng.random() < 0.5:
+            raw_servers.reset(writer)
+        else:
+            writer.close()
+
     async def _answer_endlessly(
         self, run: records.Run, writer: raw_servers.Writer, how: Endlessness
     ) -> None:
--- a/packages/dev/cassiaquay_dev/soak/faults.py
+++ b/packages/dev/cassiaquay_dev/soak/faults.py
@@ -36,6 +36,7 @@
     "store_restored",
     "engine_endless",
     "engine_copies",
+    "engine_head_cuts",
     "foreign_entries",
     "release_and_kill",
     site.PAUSE_FAULT,
--- a/tests/test_gateway_schedules.py
+++ b/tests/test_gateway_schedules.py
@@ -13,6 +13,7 @@
 import gateway_fakes as fakes
 import pytest
 
+from cassiaquay_daemon import bounded_http
 from cassiaquay_daemon.gateway import forwarding, passing, serving
 from cassiaquay_daemon.keepers import quotas
 from cassiaquay_daemon.platform import headers
@@ -65,8 +66,9 @@
 
 
 @pytest.fixture(autouse=True)
-def _stale_answers(monkeypatch) -> None:
-    monkeypatch.setattr(engines, "FAULTS", (*engines.FAULTS, engines.STALE))
+def _more_faults(monkeypatch) -> None:
+    more = (engines.STALE, engines.MID_HEAD)
+    monkeypatch.setattr(engines, "FAULTS", engines.FAULTS + more)
 
 
 def _document() -> dict:
@@ -186,6 +188,22 @@
     monkeypatch.setattr(engines, "FAULTS", (engines.STALE,))
 
 
+def _accept_heads_cut_off(monkeypatch) -> None:
+    """Take the part of a head that came before a connection ended for a whole one."""
+    connection_lost = bounded_http.BoundedHandler.connection_lost
+
+    def complete(self, error) -> None:
+        message = self._parser and self._payload is None and self._parser.feed_eof()
+        if message:
+            self.feed_data((message, aiohttp.EMPTY_PAYLOAD))
+            self.feed_eof()
+            self._parser = None
+        connection_lost(self, error)
+
+    monkeypatch.setattr(bounded_http.BoundedHandler, "connection_lost", complete)
+    monkeypatch.setattr(engines, "FAULTS", (engines.MID_HEAD,))
+
+
 def _forward_forged_team(monkeypatch) -> None:
     """Forward the team header that a caller sends."""
     reserved = headers._RESERVED - {b"cassiaquay-tenant"}
@@ -208,6 +226,8 @@
     (_accept_truncated, "mixed"),
     (_accept_any_event_order, "order"),
     (_accept_any_answer, "mixed"),
+    (_accept_heads_cut_off, "mixed"),
+    (_accept_heads_cut_off, "refused"),
     (_forward_forged_team, "unasked"),
     (_ignore_team_limits, "quota"),
 ]
