Soak: servers name the request that they decline

The protocol's pages say that servers echo the id in their answers; those of the soak left it out when full, asking for time or misdirected. Since an answer without an id on a used connection is no promise, such requests would end with 502.

--- a/packages/dev/cassiaquay_dev/soak/engines.py
+++ b/packages/dev/cassiaquay_dev/soak/engines.py
@@ -128,7 +128,8 @@
         run = records.Run(self.name, self.service, request)
         expected_instance = request.headers.get("cassiaquay-expect-instance", self.name)
         if not request.attempt or expected_instance != self.name:
-            headers = {"Cassiaquay-Instance-Id": self.name}
+            headers = _not_executed(request)
+            headers["Cassiaquay-Instance-Id"] = self.name
             await raw_servers.send(writer, 421, b"", headers)
             return
         self._recorded.runs.append(run)
@@ -147,7 +148,7 @@
         queue_length = QUEUE_LENGTH if self.has_queue else 0
         if self._slots.locked() and self._waiting >= queue_length:
             run.rejected = True
-            await self._reject(writer)
+            await self._reject(run, writer)
             return
         self._waiting += 1
         try:
@@ -165,13 +166,12 @@
     async def _decline_twice(
         self, run: records.Run, writer: raw_servers.Writer
     ) -> None:
-        headers = {"Cassiaquay-Not-Executed": "1"}
-        headers["Cassiaquay-Attempt-Id"] = run.request.attempt
+        headers = _not_executed(run.request)
         await raw_servers.send(writer, 503, b"", headers)
         self._copies[writer] = headers
 
-    async def _reject(self, writer: raw_servers.Writer) -> None:
-        headers = {"Cassiaquay-Not-Executed": "1"} | self._state_headers()
+    async def _reject(self, run: records.Run, writer: raw_servers.Writer) -> None:
+        headers = _not_executed(run.request) | self._state_headers()
         await raw_servers.send(writer, 503, b"", headers)
         now = records.now()
         self._rejected_at.append(now)
@@ -187,10 +187,8 @@
         return {} if self.bears is None else {"Server-Brittle": str(self.bears)}
 
     async def _turn_away(self, run: records.Run, writer: raw_servers.Writer) -> None:
-        headers = {
-            "Cassiaquay-Not-Executed": "1",
-            "Retry-After": f"{self.retry_after:.1f}",
-        }
+        headers = _not_executed(run.request)
+        headers["Retry-After"] = f"{self.retry_after:.1f}"
         await raw_servers.send(writer, 503, b"", headers)
         report = self._recorded.report(run, round(self.retry_after, 1))
         if report is not None:
@@ -352,3 +350,11 @@
 def without_versions(answer: bytes) -> bytes:
     """Return an answer as an engine without a software version would write it."""
     return VERSION_LINE.sub(b"", answer)
+
+
+def _not_executed(request: raw_servers.Request) -> dict[str, str]:
+    """Return the headers of an answer to a request that was not run."""
+    headers = {"Cassiaquay-Not-Executed": "1"}
+    if request.attempt:
+        headers["Cassiaquay-Attempt-Id"] = request.attempt
+    return headers
