--- a/tests/test_false_refusals.py
+++ b/tests/test_false_refusals.py
@@ -515,6 +515,27 @@
     assert len(executed) == len(set(executed))
 
 
+@pytest.mark.parametrize("is_reset", [False, True])
+def test_relay_that_ends_within_its_answer_is_no_promise(is_reset: bool) -> None:
+    """Guards against "not sent", read from an answer of a relay without its end."""
+    head = f"HTTP/1.1 502 X\r\n{relays.OUTCOME}: {relays.NOT_SENT}\r\n"
+    relay = CuttingServer(Cutting(0, 2000, is_reset, head.encode()))
+    answers: list[fakes.CallerResponse] = []
+
+    async def work(site: fakes.Site) -> None:
+        await relay.start()
+        chosen = site.gateway(0)._parts.forwarder._relays
+        own = site.daemons[0]._membership.serving()[0]
+        chosen.choose = lambda service: [own._replace(relay=relay.address)]
+        with cut_fakes.cut(site, 0):
+            answers.append(await site.ask("/book/x"))
+        await relay.stop()
+
+    fakes.run(work)
+    assert [got.status for got in answers] == [502]
+    assert relay.executed == [answers[0].attempt]
+
+
 async def _answer_late(
     server: Server, request: raw_servers.Request, writer: raw_servers.Writer
 ) -> None:
