A cut stream whose version cannot be found ends at once

What callers saw (in a test): a stream begins at a server that has restarted, the server does not report its start, and breaks off. The answer stayed open without an event until the deadline, as if the version could still be found.

Cause: the repeat asked again as for capacity. An entry can give the version of a process whose start is known; where it is not known, nothing will.

Change: such a stream ends when its server breaks off, and its caller is told at once.

Evidence: test_cut_stream_of_a_server_that_reports_nothing_ends_at_once, failed before (4 s, the time limit), passes now.

--- a/packages/daemon/cassiaquay_daemon/decisions/stream_origins.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/stream_origins.py
@@ -44,6 +44,11 @@
         """Whether the version is still to be found."""
         return bool(self.server)
 
+    @property
+    def is_lost(self) -> bool:
+        """Whether the version cannot be found once the server has broken off."""
+        return self.is_open and not self.started_ms
+
 
 class _Entry(typing.NamedTuple):
     origin: Origin
--- a/packages/daemon/cassiaquay_daemon/gateway/resuming.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/resuming.py
@@ -146,9 +146,7 @@
         else:
             self._check_next_writer(state, listed, process)
         if process is writers.Process.UNKNOWN:
-            learned = functools.partial(
-                self._note_learned, state, ticket, connection, listed
-            )
+            learned = functools.partial(self._note_learned, state, ticket, connection)
             self._writers.learn(listed, learned)
 
     def settle_origin(self, state: progress.RequestState) -> None:
@@ -215,7 +213,6 @@
         state: progress.RequestState,
         ticket: admission.Ticket,
         connection: writers.Connection | None,
-        asked: fleet.Server,
     ) -> None:
         """Correct the record of a stream once its server has reported its start."""
         is_known = connection is not None and connection.started_ms is not None
--- a/packages/daemon/cassiaquay_daemon/gateway/serving.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/serving.py
@@ -211,6 +211,8 @@
         call = state.call
         if not state.is_repeatable_now:
             raise exceptions.AnswerLost("no other server may get it") from error
+        if state.origin is not None and state.origin.is_lost:
+            raise exceptions.AnswerLost("its version is not known") from error
         if state.started and not call.is_stream:
             raise exceptions.AnswerLost() from error
 
--- a/tests/test_restarted_servers.py
+++ b/tests/test_restarted_servers.py
@@ -8,10 +8,13 @@
 import version_fakes
 
 from cassiaquay_daemon.decisions import server_processes
+from cassiaquay_dev.standins import raw_servers
 
 STREAMS = 12
 # Later than a server's report, and than the callers' first return.
 ENTRY_AFTER_SECONDS = 1.0
+# Shorter than the streams' time limit of 4 s.
+MAX_WAIT_SECONDS = 2.0
 
 
 def _run(work, versions: dict[str, str], daemons: int = 2) -> None:
@@ -117,6 +120,40 @@
     _run(work, {"i-1": "v1", "i-2": "v2", "i-3": "v1", "i-4": "v2"})
 
 
+def test_cut_stream_of_a_server_that_reports_nothing_ends_at_once() -> None:
+    """Guards against streams of unknown version that go on, or wait for nothing."""
+
+    async def work(versioned: version_fakes.VersionedSite) -> None:
+        await _warm(versioned)
+        engine = versioned.engine("i-1")
+        respond = engine.respond
+
+        async def respond_without_reports(
+            request: raw_servers.Request, writer: raw_servers.Writer
+        ) -> None:
+            if request.target == "/cassiaquay/report":
+                await asyncio.sleep(60.0)
+            await respond(request, writer)
+
+        engine.respond = respond_without_reports
+        versioned.crash("i-1", "v2")
+        versioned.cut_at_event = 3
+        streams = _streams(versioned)
+        asking = [asyncio.create_task(stream.ask(0)) for stream in streams]
+        await asyncio.sleep(MAX_WAIT_SECONDS)
+        begun_unlisted = [item for item in streams if item.versions == {b"v2"}]
+        assert begun_unlisted
+        for stream, task in zip(streams, asking, strict=True):
+            assert task.done() or stream not in begun_unlisted
+        assert not any(item.is_complete for item in begun_unlisted)
+        await asyncio.gather(*asking)
+        await _take_up(streams, 1)
+        assert _count_mixed(streams) == 0
+        assert {item.statuses[-1] for item in begun_unlisted} == {503}
+
+    _run(work, {"i-1": "v1", "i-2": "v1"})
+
+
 def test_connections_that_overlap_lead_to_one_process() -> None:
     """Guards against a report for each connection, and one taken for another's."""
     with fakes_time.Time().used() as time:
