--- a/packages/dev/cassiaquay_dev/soak/faults.py
+++ b/packages/dev/cassiaquay_dev/soak/faults.py
@@ -266,6 +266,9 @@
 
 
 async def _drain_engine(deployment: site.Site, rng: random.Random, name: str) -> None:
+    if name not in deployment.engines:
+        # Another fault has crashed it meanwhile.
+        return
     deployment.recorded.leaving_since[name] = records.now()
     deployment.end_engine_time(name)
     if rng.random() < 0.7:
