Revisions are timed by the servers' heartbeats, whatever their counts begin with

On a platform whose servers count their reports from a number other than 0 the history seemed to cover no time, so that no stream was derived. The settings of an instance name the time between two writes; the number of later writes of a server then gives the time of each.

--- a/packages/daemon/cassiaquay_daemon/decisions/server_times.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/server_times.py
@@ -1,8 +1,9 @@
 """When the entries of servers were written, listed and removed.
 
 The platform's history has revisions in place of times. Each server writes its entry
-again and again, and counts its reports since its start, which gives the time of each of
-its writes, and with it that of the revisions between them.
+again and again, which gives the time of each of its writes, and with it that of the
+revisions between them: by the time between two writes, or, if that is not known, by its
+start and its count of its reports since.
 """
 
 import bisect
@@ -29,6 +30,8 @@
         Entries as they were written, and the newest of each server that is listed.
     now_ms : float
         Unix time now. Entries that were read earlier make all estimates later.
+    heartbeat_seconds : float, optional
+        Time between two writes of a server; 0 if unknown.
     """
 
     def __init__(
@@ -36,22 +39,25 @@
         written: list[messages.ServerEntry],
         listed: list[messages.ServerEntry],
         now_ms: float,
+        heartbeat_seconds: float = 0.0,
     ):
         newest = {entry.name: entry for entry in listed}
+        by_name: dict[str, list[messages.ServerEntry]] = {}
         for entry in written:
             known = newest.get(entry.name)
-            if known is not None and entry.revision > known.revision:
+            if known is None or known.started_ms != entry.started_ms:
+                continue
+            by_name.setdefault(entry.name, []).append(entry)
+            if entry.revision > known.revision:
                 newest[entry.name] = entry
         marks = []
-        for entry in written:
-            last = newest.get(entry.name)
-            if last is None or last.started_ms != entry.started_ms:
-                continue
-            if not entry.started_ms or not entry.sequence or not last.sequence:
-                continue
-            share = entry.sequence / last.sequence
-            at_ms = entry.started_ms + (now_ms - entry.started_ms) * share
-            marks.append((entry.revision, at_ms))
+        for name, entries in by_name.items():
+            for later_count, entry in enumerate(reversed(entries)):
+                if heartbeat_seconds:
+                    seconds = later_count * heartbeat_seconds
+                else:
+                    seconds = _seconds_between(entry, newest[name], now_ms)
+                marks.append((entry.revision, now_ms - seconds * 1000.0))
         marks.sort()
         self._revisions = [revision for revision, _ in marks]
         self._times_ms = [at_ms for _, at_ms in marks]
@@ -71,6 +77,19 @@
         return self._times_ms[at] + ERROR_SECONDS * 1000.0
 
 
+def _seconds_between(
+    entry: messages.ServerEntry, newest: messages.ServerEntry, now_ms: float
+) -> float:
+    """Return the time from a write to the newest one by the server's count; 0 if none.
+
+    The time between two reports is that since its start by their number.
+    """
+    if not entry.started_ms or not entry.sequence or not newest.sequence:
+        return 0.0
+    share = 1.0 - entry.sequence / newest.sequence
+    return max(share * (now_ms - entry.started_ms) / 1000.0, 0.0)
+
+
 class Sightings:
     """The servers that this instance has seen listed, and when they came and went.
 
--- a/packages/daemon/cassiaquay_daemon/gateway/derivations.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/derivations.py
@@ -41,9 +41,17 @@
         The servers that are listed now.
     past : ServerPast
         Reads what the platform shows of before this process began.
+    heartbeat_seconds : float, optional
+        Time between two writes of a server's entry; 0 if unknown.
     """
 
-    def __init__(self, server_list: servers.Servers, past: server_past.ServerPast):
+    def __init__(
+        self,
+        server_list: servers.Servers,
+        past: server_past.ServerPast,
+        heartbeat_seconds: float = 0.0,
+    ):
+        self._heartbeat_seconds = heartbeat_seconds
         self._servers = server_list
         self._past = past
         self._sightings = server_times.Sightings()
@@ -116,7 +124,9 @@
         past = await self._past.read()
         if past is None:
             return None
-        revisions = server_times.Revisions(past.written, entries, now_ms)
+        revisions = server_times.Revisions(
+            past.written, entries, now_ms, self._heartbeat_seconds
+        )
         for name, revision in past.created_at.items():
             came_ms.setdefault(name, revisions.latest_ms(revision))
         for name in past.removed:
--- a/packages/daemon/cassiaquay_daemon/gateway/resuming.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/resuming.py
@@ -34,6 +34,8 @@
         Keeps the origins of streams on several instances.
     server_list : Servers
         Tells whether this instance's list of servers may be outdated.
+    heartbeat_seconds : float, optional
+        Time between two writes of a server's entry; 0 if unknown.
     """
 
     def __init__(
@@ -41,10 +43,13 @@
         configured: configuration.Configuration,
         origins: origin_reports.StreamOrigins,
         server_list: servers.Servers,
+        heartbeat_seconds: float = 0.0,
     ):
         self._servers = server_list
         self._past = server_past.ServerPast(server_list)
-        self._derivations = derivations.Derivations(server_list, self._past)
+        self._derivations = derivations.Derivations(
+            server_list, self._past, heartbeat_seconds
+        )
         self._configured = configured
         self._origins = origins
         self._history = software_versions.History()
--- a/packages/daemon/cassiaquay_daemon/gateway/service.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/service.py
@@ -271,7 +271,12 @@
         shared.pauses,
         replies.Replies(),
         accounting.Accounting(),
-        resuming.Resuming(shared.configured, shared.origins, shared.server_list),
+        resuming.Resuming(
+            shared.configured,
+            shared.origins,
+            shared.server_list,
+            settings.platform.heartbeat_seconds,
+        ),
         room,
         process_checks.ProcessChecks(http, observed, capacity),
     )
--- a/packages/schema/cassiaquay_schema/settings.py
+++ b/packages/schema/cassiaquay_schema/settings.py
@@ -31,6 +31,8 @@
         Adapter of that store.
     servers_seconds : float
         Age at which the list of backend servers is read again.
+    heartbeat_seconds : float
+        Time between two writes of a server's entry; 0 if not given.
     """
 
     configuration: str
@@ -43,6 +45,7 @@
     servers: str = ""
     servers_adapter: str = "store"
     servers_seconds: typing.Annotated[float, msgspec.Meta(gt=0)] = 0.6
+    heartbeat_seconds: typing.Annotated[float, msgspec.Meta(ge=0)] = 0.0
 
 
 class Membership(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
