--- a/packages/daemon/cassiaquay_daemon/gateway/resuming.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/resuming.py
@@ -42,6 +42,8 @@
         Tells whether this instance's list of servers may be outdated.
     written : Writers
         Tells which process of a server writes a stream.
+    heartbeat_seconds : float, optional
+        Time between two writes of a server's entry; 0 if unknown.
     """
 
     def __init__(
@@ -50,10 +52,13 @@
         origins: origin_reports.StreamOrigins,
         server_list: servers.Servers,
         written: writers.Writers,
+        heartbeat_seconds: float = 0.0,
     ):
         self._servers = server_list
         self._past = server_past.ServerPast(server_list)
-        self._derivations = derivations.Derivations(server_list, self._past)
+        self._derivations = derivations.Derivations(
+            server_list, self._past, heartbeat_seconds
+        )
         self._configured = configured
         self._origins = origins
         self._writers = written
