Streams of unknown origin are derived while one version is listed, too

A version that came within the last 25 s was refused although its servers had been there for longer than the stream. Also: a new stream whose version has servers in other shards only, or only unreachable ones in its own, asks there; a version whose servers all leave is not demanded; where a caller's time tells nothing, the window is not cut short by the route's timeout.

--- a/packages/daemon/cassiaquay_daemon/decisions/stream_ages.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/stream_ages.py
@@ -4,8 +4,6 @@
 usually begin with the same time.
 """
 
-import math
-
 # A caller that states about as much time as new ones doesn't count it down: it has at
 # least waited for events, for the end of its connection and to come back.
 MIN_AGE_SECONDS = 0.25
@@ -25,10 +23,14 @@
         if route in self._longest_ms or len(self._longest_ms) < MAX_ROUTES:
             self._longest_ms[route] = deadline_ms
 
+    def longest_seconds(self, route: str) -> float:
+        """Return the longest time of a route's new requests; 0 if none is known."""
+        return self._longest_ms.get(route, 0) / 1000.0
+
     def age_seconds(
         self, route: str, deadline_ms: int, timeout_seconds: float
-    ) -> float:
-        """Return how long ago a stream can have begun; infinite if unknown.
+    ) -> float | None:
+        """Return how long ago a stream can have begun; None if unknown.
 
         Parameters
         ----------
@@ -42,6 +44,6 @@
         longest_ms = self._longest_ms.get(route, 0)
         passed_seconds = (longest_ms - deadline_ms) / 1000.0
         if not deadline_ms or passed_seconds < MIN_AGE_SECONDS:
-            return math.inf
+            return None
         longest_seconds = max(longest_ms / 1000.0, timeout_seconds)
         return longest_seconds - deadline_ms / 1000.0
--- a/packages/daemon/cassiaquay_daemon/gateway/admission.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/admission.py
@@ -139,8 +139,8 @@
         servers = software_versions.matching(servers, state.software)
         if not servers:
             raise exceptions.NoMatchingServers(retry_after_ms=NO_SERVERS_RETRY_MS)
-        state.begins_at = _first_version(state)
-        servers = software_versions.matching(servers, state.begins_at) or servers
+        state.begins_at = _first_version(state, servers)
+        servers = software_versions.matching(servers, state.begins_at)
         demand = _demand(state)
         await self._wait_for_backoffs(call, servers)
         try:
@@ -273,10 +273,12 @@
         return Ticket(demand, best, state.call.deadline, Tally(), True)
 
 
-def _first_version(state: progress.RequestState) -> str | None:
+def _first_version(
+    state: progress.RequestState, usable: list[fleet.Server]
+) -> str | None:
     """Return the version that a new stream should begin at; None for any."""
     call = state.call
-    if state.software is not None or not call.route.is_resumable:
+    if state.software is not None or not call.is_stream or not call.route.is_resumable:
         return None
     pool = state.snapshot.fleet.pools.get(call.service)
     if pool is None:
@@ -284,7 +286,8 @@
     # Also servers of evacuated domains: an instance that takes the stream up does not
     # know which were in use when it began.
     key = stream_origins.key_of(call.team_name, call.parsed.attempt)
-    return version_choice.choose(key, pool.servers)
+    software = version_choice.choose(key, pool.servers)
+    return software if software_versions.matching(usable, software) else None
 
 
 def _choose_shard(state: progress.RequestState) -> _ShardChoice:
@@ -300,11 +303,11 @@
     shards = [shard, *snapshot.siblings(shard)]
     counts = {}
     for name in shards:
-        members = snapshot.shard_servers(name)
-        counts[name] = len(software_versions.matching(members, software))
+        members = software_versions.matching(snapshot.shard_servers(name), software)
+        counts[name] = sum(item.name not in state.unreachable for item in members)
     chosen = max(shards, key=counts.__getitem__)
     if state.software is None and counts[shard]:
-        # The most servers of a version would get all new streams of it.
+        # Else one shard would get all new streams of a version.
         chosen = shard
     return _ShardChoice(chosen, sum(counts.values()) > counts[chosen])
 
--- a/packages/daemon/cassiaquay_daemon/gateway/derivations.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/derivations.py
@@ -96,10 +96,13 @@
 
     def _age_seconds(self, call: calls.Call, lifetime: float) -> float:
         """Return how long ago a stream can have begun."""
+        route = call.route
         age = self._stated.age_seconds(
-            call.route.name, call.parsed.deadline_ms, call.route.timeout_seconds
+            route.name, call.parsed.deadline_ms, route.timeout_seconds
         )
-        return min(age + MARGIN_SECONDS, lifetime)
+        if age is None:
+            age = max(lifetime, self._stated.longest_seconds(route.name))
+        return age + MARGIN_SECONDS
 
     async def _find_evidence(
         self, service: str, since_ms: float, now_ms: float
--- a/packages/daemon/cassiaquay_daemon/gateway/resuming.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/resuming.py
@@ -81,7 +81,7 @@
         derived = None
         if origin is None:
             sole = await self._find_sole_version(call, versions)
-            if len(versions) > 1:
+            if sole is None:
                 derived = await self._derivations.derive(call, _lifetime_seconds(call))
         logs.event(
             "stream_resumes",
--- a/tests/version_schedules.py
+++ b/tests/version_schedules.py
@@ -129,12 +129,12 @@
             with mock.patch("time.time", return_value=EPOCH + at):
                 made = derivations.Derivations(known, past, self._heartbeat_seconds)
                 made.note_servers()
-                made.note_new(_call("new", CALLER_SECONDS))
+                made.note_new(call("new", CALLER_SECONDS))
                 # The caller may have made an attempt before the one that is named.
                 left = CALLER_SECONDS - (at - stream.began_at)
                 left -= min(self._random.choice([0.0, 0.5]), left - 0.001)
-                call = _call(stream.attempt, left)
-                derived = asyncio.run(made.derive(call, CALLER_SECONDS + 10.0))
+                asking = call(stream.attempt, left)
+                derived = asyncio.run(made.derive(asking, CALLER_SECONDS + 10.0))
         finally:
             clock.use(before)
         if derived is None:
@@ -256,7 +256,8 @@
         return int(at * 1000.0)
 
 
-def _call(attempt: str, seconds: float) -> typing.Any:
+def call(attempt: str, seconds: float) -> typing.Any:
+    """Return a call of a new stream, or of one that is taken up."""
     route = types.SimpleNamespace(name="r", shares=("chat",), timeout_seconds=15.0)
     parsed = types.SimpleNamespace(resumes=attempt, deadline_ms=int(seconds * 1000.0))
     return types.SimpleNamespace(
