A connection with a part of another answer behind the awaited one is closed

Callers would see: 502 for a booking that ran and was answered. A server had sent, in the read that ended an earlier answer, the beginning of one more; the connection was used again, the next answer stood behind the rest of that surplus, and both were lost as invalid bytes.

Cause: the handler refuses surplus answers, and bytes that come while no answer is awaited. A part of a head in the same read is neither: the parser keeps it, and the next request gets a new parser.

Evidence: a server that stops at each byte of the head of a second answer and sends the rest before its next answer. Before, both tests (default and pure Python parser) fail at the first byte; now both pass at every byte.

Why it works: when the awaited answer is complete, the handler asks the parser for what it has begun, and closes the connection as after any surplus. The answer itself is read as before.

--- a/packages/daemon/cassiaquay_daemon/bounded_http.py
+++ b/packages/daemon/cassiaquay_daemon/bounded_http.py
@@ -109,7 +109,7 @@
             return
         if body.is_eof():
             self._is_answer_due = False
-            if self._has_surplus:
+            if self._has_surplus or self._has_begun_another():
                 self._refuse(len(data))
         elif body.total_bytes != self._body_bytes:
             self._body_bytes = body.total_bytes
@@ -148,6 +148,18 @@
             exc = InvalidResponse(exc.message[:MAX_ERROR_CHARACTERS])
         super().set_exception(exc, *causes)
 
+    def _has_begun_another(self) -> bool:
+        """Return whether a part of another answer follows a complete one."""
+        parser: typing.Any = self._parser
+        # Only the pure Python parser shows what it holds of the first line.
+        if getattr(parser, "_tail", b""):
+            return True
+        try:
+            return parser is not None and parser.feed_eof() is not None
+        except Exception:
+            # Of any type: it parses the part as if it were whole.
+            return True
+
     def _check_head(self, size: int) -> None:
         self._bytes_without_progress += size
         if self._bytes_without_progress > MAX_HEAD_BYTES:
--- a/tests/test_cut_heads.py
+++ b/tests/test_cut_heads.py
@@ -19,8 +19,9 @@
 from cassiaquay import exceptions as caller_exceptions
 from cassiaquay_daemon import bounded_http, exceptions, platform, positions
 from cassiaquay_daemon.adapters import answers, backends
+from cassiaquay_daemon.decisions import paths
 from cassiaquay_daemon.engines import engine_reports
-from cassiaquay_daemon.gateway import process_checks
+from cassiaquay_daemon.gateway import connections, process_checks
 from cassiaquay_daemon.interface import relay
 from cassiaquay_daemon.platform import store
 from cassiaquay_dev.standins import platform_standins as standins
@@ -441,6 +442,57 @@
         asyncio.run(_run_stopped(head + body, RESET))
 
 
+class _Beginning(raw_servers.RawServer):
+    """Begins another answer behind the first one of a connection, and goes on later.
+
+    Parameters
+    ----------
+    begun : bytes
+        The beginning.
+    """
+
+    def __init__(self, begun: bytes) -> None:
+        super().__init__()
+        self._begun = begun
+        self._writers: set[raw_servers.Writer] = set()
+
+    async def respond(
+        self, request: raw_servers.Request, writer: raw_servers.Writer
+    ) -> None:
+        """Answer a request."""
+        answer = SERVED.head(request.attempt, BODY) + BODY
+        rest = DECLINED.head("other", BODY).removeprefix(self._begun) + BODY
+        is_first = writer not in self._writers
+        self._writers.add(writer)
+        writer.write(answer + self._begun if is_first else rest + answer)
+        await writer.drain()
+
+
+@PARSERS
+def test_connection_with_a_part_of_another_head_is_not_used_again(
+    parser: type, monkeypatch
+) -> None:
+    """Guards against a lost answer behind the rest of another request's."""
+    monkeypatch.setattr(client_proto, "HttpResponseParser", parser)
+    head = DECLINED.head("other", BODY)
+
+    async def ask(http: aiohttp.ClientSession, address: str) -> bytes:
+        attempt = {"Cassiaquay-Attempt-Id": "a1"}
+        async with http.post(f"http://{address}/", headers=attempt) as response:
+            return await response.read()
+
+    async def work() -> None:
+        for size in range(1, len(head)):
+            standin = _Beginning(head[:size])
+            await standin.start()
+            session = connections.Dialer(paths.Paths(dict)).create_session()
+            async with session as http:
+                assert [await ask(http, standin.address) for _ in "12"] == [BODY] * 2
+            await standin.stop()
+
+    asyncio.run(work())
+
+
 async def _read_process(http: aiohttp.ClientSession, address: str) -> None:
     server = fleet.Server(name="s-1", address=address, started_ms=5)
     checks = process_checks.ProcessChecks(http, *typing.cast("typing.Any", (None,) * 2))
