Signs of a restart are looked for five times a second, not at each event

Since each read of a stream compared the process of its server with the listed one: a look-up in the list of servers and in the reports of crashes. A stream without such a sign is compared again when the list changes and each 0.2 s.

--- a/packages/daemon/cassiaquay_daemon/gateway/resuming.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/resuming.py
@@ -10,7 +10,7 @@
 
 from cassiaquay_schema import fleet
 
-from .. import exceptions, logs
+from .. import clock, exceptions, logs
 from ..decisions import software_versions, stream_origins
 from ..fleet import configuration, server_past, servers
 from ..fleet import stream_origins as origin_reports
@@ -21,6 +21,9 @@
 UNKNOWN_RETRY_MS = 300
 # Retry-After while a process is not listed; servers register about each second.
 UNLISTED_RETRY_MS = 600
+# Signs of a restart are looked for this often while a stream goes on. Other instances
+# report a crash within a fraction of a second.
+RECHECK_SECONDS = 0.2
 # What was known of the origin of a stream that a caller took up: its version, or that
 # the service has had only one.
 KNOWN = "known"
@@ -123,13 +126,17 @@
             The server turns out to be of another version than the stream began at.
         """
         writer = ticket.demand.id
+        snapshot = self._configured.current
         if state.checked_writer != writer:
             state.is_writer_certain = False
-        elif state.is_writer_certain:
+            state.check_at = 0.0
+        is_same = state.checked_snapshot is snapshot and clock.now() < state.check_at
+        if state.is_writer_certain or is_same:
             return
         listed = self._listed_server(state.call, ticket)
         process = self._writers.compare(listed, connection)
-        snapshot = self._configured.current
+        if process is writers.Process.ASSUMED:
+            state.check_at = clock.now() + RECHECK_SECONDS
         checked = (writer, snapshot, process)
         if checked == (
             state.checked_writer,
--- a/tests/test_rejoined_streams.py
+++ b/tests/test_rejoined_streams.py
@@ -182,3 +182,37 @@
             assert stream.is_complete or is_lost
 
     _run(work)
+
+
+@pytest.mark.parametrize("killed", [1, 2])
+def test_streams_of_two_versions_go_on_after_a_kill_of_some(killed: int) -> None:
+    """Guards against origins that are lost when instances die one after another.
+
+    Each of them is replaced before the next one ends; callers return at the new ones.
+    """
+
+    async def work(versioned: version_fakes.VersionedSite) -> None:
+        site = versioned.site
+        await versioned.add({"i-3": "v2", "i-4": "v2"})
+        streams = await _begin(versioned)
+        assert len({frozenset(stream.versions) for stream in streams}) == 2
+        old_seeds = [found.peer_listen for found in site.settings]
+        for number in range(killed):
+            await _stop(site, number)
+            peer = f"127.0.0.1:{ports.free_port()}"
+            await site.add(f"new-{number}", peer, [*old_seeds, peer])
+            await site.until_ready(site.settings[-1])
+        while len(site.daemons[-1]._membership.serving()) < COUNT:
+            await asyncio.sleep(0.01)
+        for _ in range(3):
+            asking = []
+            for number, stream in enumerate(streams):
+                if not stream.is_complete:
+                    asking.append(stream.ask(COUNT + number % killed))
+            await asyncio.gather(*asking)
+        for stream in streams:
+            assert len(stream.versions) == 1
+            assert set(stream.statuses) <= {200, 503}
+        assert all(stream.is_complete for stream in streams)
+
+    _run(work)
