The time of a revision is also that of a server's registration

Streams of before a kill of all instances are derived only where the history is shown to reach back far enough.

A server's creation, with its start time, now gives the time of its revision, too.

--- a/packages/daemon/cassiaquay_daemon/decisions/server_times.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/server_times.py
@@ -1,13 +1,14 @@
 """When the entries of servers were written, listed and removed.
 
-The platform's history has revisions in place of times. Each server writes its entry
-again and again, which gives the time of each of its writes, and with it that of the
-revisions between them: by the time between two writes, or, if that is not known, by its
-start and its count of its reports since.
+The platform's history has revisions in place of times. A server registers when it has
+started, which gives the time of that revision. Where each report of a server is a change
+of its entry, these give the time of each of its writes: by the time between two writes,
+or, if that is not known, by its start and its count of its reports since.
 """
 
 import bisect
 import collections
+import collections.abc
 import math
 
 from cassiaquay_schema import messages
@@ -30,6 +31,8 @@
         Entries as they were written, and the newest of each server that is listed.
     now_ms : float
         Unix time now. Entries that were read earlier make all estimates later.
+    created_at : mapping of str to int
+        Revisions at which servers registered.
     heartbeat_seconds : float, optional
         Time between two writes of a server; 0 if unknown.
     """
@@ -39,6 +42,7 @@
         written: list[messages.ServerEntry],
         listed: list[messages.ServerEntry],
         now_ms: float,
+        created_at: collections.abc.Mapping[str, int],
         heartbeat_seconds: float = 0.0,
     ):
         newest = {entry.name: entry for entry in listed}
@@ -50,6 +54,7 @@
             by_name.setdefault(entry.name, []).append(entry)
             if entry.revision > known.revision:
                 newest[entry.name] = entry
+        self._created_at = created_at
         marks = []
         for name, entries in by_name.items():
             for later_count, entry in enumerate(reversed(entries)):
@@ -58,6 +63,9 @@
                 else:
                     seconds = _seconds_between(entry, newest[name], now_ms)
                 marks.append((entry.revision, now_ms - seconds * 1000.0))
+        for entry in written:
+            if entry.started_ms and created_at.get(entry.name) == entry.revision:
+                marks.append((entry.revision, float(entry.started_ms)))
         marks.sort()
         self._revisions = [revision for revision, _ in marks]
         self._times_ms = [at_ms for _, at_ms in marks]
@@ -76,6 +84,22 @@
             return math.inf
         return self._times_ms[at] + ERROR_SECONDS * 1000.0
 
+    def replacing(self, written: list[messages.ServerEntry]) -> frozenset[str]:
+        """Return the servers that have taken an entry over from another process.
+
+        The history shows the entries of the new process only.
+        """
+        first: dict[str, messages.ServerEntry] = {}
+        for entry in written:
+            first.setdefault(entry.name, entry)
+        oldest_ms = self.began_ms - 2.0 * ERROR_SECONDS * 1000.0
+        names = set()
+        for name, entry in first.items():
+            is_creation = self._created_at.get(name) == entry.revision
+            if not is_creation and entry.started_ms >= oldest_ms:
+                names.add(name)
+        return frozenset(names)
+
 
 def _seconds_between(
     entry: messages.ServerEntry, newest: messages.ServerEntry, now_ms: float
--- a/packages/daemon/cassiaquay_daemon/decisions/version_choice.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/version_choice.py
@@ -33,6 +33,9 @@
         rather than earlier.
     covered_since_ms : float
         Unix time since which no server is missing here.
+    replacing : set of str
+        Servers that have started again under their names, and whose former version is
+        not known.
     """
 
     listed: list[messages.ServerEntry]
@@ -40,6 +43,7 @@
     came_ms: collections.abc.Mapping[str, float]
     left_ms: collections.abc.Mapping[str, float]
     covered_since_ms: float
+    replacing: frozenset[str] = frozenset()
 
 
 class _Candidate(typing.NamedTuple):
@@ -154,7 +158,7 @@
                 candidates.append(
                     _Candidate(name, item.software, item.slots, is_steady)
                 )
-    for name in left - identities.keys():
+    for name in (left - identities.keys()) | evidence.replacing:
         candidates.append(_Candidate(name, None, most_slots, False))
     return candidates
 
--- a/packages/daemon/cassiaquay_daemon/gateway/derivations.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/derivations.py
@@ -128,7 +128,7 @@
         if past is None:
             return None
         revisions = server_times.Revisions(
-            past.written, entries, now_ms, self._heartbeat_seconds
+            past.written, entries, now_ms, past.created_at, self._heartbeat_seconds
         )
         for name, revision in past.created_at.items():
             came_ms.setdefault(name, revisions.latest_ms(revision))
@@ -139,5 +139,10 @@
             left_ms.setdefault(name, latest_ms)
         covered_since_ms = -math.inf if past.is_whole else revisions.began_ms
         return version_choice.Evidence(
-            listed, [*seen, *past.written], came_ms, left_ms, covered_since_ms
+            listed,
+            [*seen, *past.written],
+            came_ms,
+            left_ms,
+            covered_since_ms,
+            revisions.replacing(past.written),
         )
--- a/tests/test_version_choice.py
+++ b/tests/test_version_choice.py
@@ -22,13 +22,20 @@
 
 
 def _count_wrong(
-    history: float = schedules.HISTORY_SECONDS, is_heartbeat_known: bool = True
+    history: float = schedules.HISTORY_SECONDS,
+    is_heartbeat_known: bool = True,
+    has_heartbeats: bool = True,
 ) -> int:
     """Return how many streams go on at another version, over all schedules."""
     wrong = 0
     for seed in range(SEEDS):
         made = schedules.Schedule(
-            seed, seed % 7, 70.0 + seed % 29, history, is_heartbeat_known
+            seed,
+            seed % 7,
+            70.0 + seed % 29,
+            history,
+            is_heartbeat_known,
+            has_heartbeats,
         )
         for stream in made.begin(6):
             found = made.derive(stream)
@@ -61,6 +68,35 @@
     assert _count_wrong(history, is_heartbeat_known) == 0
 
 
+@pytest.mark.parametrize("is_heartbeat_known", [True, False])
+def test_history_without_heartbeats_derives_no_wrong_version(
+    is_heartbeat_known: bool,
+) -> None:
+    """Guards against the same where only changes of entries are in the history."""
+    history = schedules.HISTORY_SECONDS
+    assert _count_wrong(history, is_heartbeat_known, has_heartbeats=False) == 0
+
+
+@pytest.mark.parametrize("is_heartbeat_known", [True, False])
+def test_streams_after_a_release_are_derived_without_heartbeats(
+    is_heartbeat_known: bool,
+) -> None:
+    """Guards against refusals of all streams after a release and a kill of all."""
+    derived = begun = 0
+    for seed in range(200):
+        made = schedules.Schedule(
+            seed, 0, 0.0, schedules.HISTORY_SECONDS, is_heartbeat_known, False
+        )
+        made.start(schedules.KILLED_AT - 17.0)
+        for stream in made.begin(6):
+            begun += 1
+            found = made.derive(stream)
+            assert found in (None, stream.version)
+            derived += found is not None
+    assert begun
+    assert derived >= begun / 2
+
+
 @pytest.mark.parametrize("is_heartbeat_known", [True, False])
 def test_all_streams_of_steady_versions_are_derived(is_heartbeat_known: bool) -> None:
     """Guards against refusals while nothing has changed since the streams began."""
--- a/tests/version_schedules.py
+++ b/tests/version_schedules.py
@@ -82,6 +82,8 @@
         How far back the platform's history reaches.
     is_heartbeat_known : bool, optional
         Whether instances know the time between two writes of an entry.
+    has_heartbeats : bool, optional
+        Whether the platform's history has each report of a server.
     """
 
     def __init__(
@@ -91,8 +93,10 @@
         since: float,
         history_seconds: float = HISTORY_SECONDS,
         is_heartbeat_known: bool = True,
+        has_heartbeats: bool = True,
     ):
         self._heartbeat_seconds = HEARTBEAT_SECONDS if is_heartbeat_known else 0.0
+        self._has_heartbeats = has_heartbeats
         self._random = random.Random(seed)
         self._history_seconds = history_seconds
         self.taken_up_at = KILLED_AT + self._random.uniform(0.5, 4.0)
@@ -102,6 +106,10 @@
         for _ in range(changes):
             self._change(self._random.uniform(since, self.taken_up_at))
 
+    def start(self, born: float) -> None:
+        """Add a server."""
+        self._start(born)
+
     def begin(self, count: int) -> list[Stream]:
         """Return streams that begin by the rule in the time before the kill."""
         streams = []
@@ -222,7 +230,8 @@
         for server in self.servers:
             at = server.listed_at
             while at <= min(self.taken_up_at, server.removed_at, server.dead_at):
-                events.append((at, server, True))
+                if self._has_heartbeats or at == server.listed_at:
+                    events.append((at, server, True))
                 at += HEARTBEAT_SECONDS * self._random.uniform(0.95, 1.05)
             if server.removed_at <= self.taken_up_at and not self._is_listed_again(
                 server
@@ -240,7 +249,7 @@
                 removed.append(server.name)
                 removed_at[server.name] = revision
                 continue
-            if at == server.listed_at:
+            if at == server.listed_at and not self._is_replacing(server):
                 created_at[server.name] = revision
             written.append(server.entry(at, revision))
         return platform.ServersPast(written, removed, removed_at, created_at)
@@ -252,6 +261,13 @@
                 return True
         return False
 
+    def _is_replacing(self, new: Server) -> bool:
+        """Return whether a process takes over the entry of the one before."""
+        for server in self.servers:
+            if server.name == new.name and server.removed_at == new.listed_at:
+                return True
+        return False
+
     def _revision(self, at: float) -> int:
         return int(at * 1000.0)
 
