--- a/packages/daemon/cassiaquay_daemon/decisions/server_times.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/server_times.py
@@ -1,8 +1,8 @@
 """When the entries of servers were written, listed and removed.
 
 The platform's history has revisions in place of times. A server registers when it has
-started, which gives the time of that revision. Where each report of a server is a change
-of its entry, these give the time of each of its writes: by the time between two writes,
+started, which gives the time of that revision. Where each report of a server changes
+its entry, these give the time of each of its writes: by the time between two writes,
 or, if that is not known, by its start and its count of its reports since.
 """
 
