--- a/packages/dev/cassiaquay_dev/soak/engine_faults.py
+++ b/packages/dev/cassiaquay_dev/soak/engine_faults.py
@@ -80,3 +80,21 @@
     await asyncio.sleep(rng.uniform(0.5, 6.0))
     await faults.kill_together(deployment, rng, deployment.daemons)
     await releasing
+
+
+@faults.faults.register("stream_cuts")
+async def stream_cuts(deployment: site.Site, rng: random.Random) -> None:
+    """Reset all connections of one model engine or of all, several times."""
+    names = [
+        name
+        for name, engine in sorted(deployment.engines.items())
+        if engine.service == "chat"
+    ]
+    chosen = rng.choice([names, rng.sample(names, 1)])
+    with faults.Disturbance(deployment, *chosen):
+        for _ in range(rng.randint(1, 4)):
+            for name in chosen:
+                proxy = deployment.engine_proxies.get(name)
+                if proxy is not None:
+                    proxy.reset()
+            await asyncio.sleep(rng.uniform(0.1, 0.8))
--- a/packages/dev/cassiaquay_dev/soak/faults.py
+++ b/packages/dev/cassiaquay_dev/soak/faults.py
@@ -431,21 +431,3 @@
         drains.append(_drain_engine(deployment, rng, name))
     # Both drain at the same time: a fault must end within the soak's timeout.
     await asyncio.gather(*drains)
-
-
-@faults.register("stream_cuts")
-async def stream_cuts(deployment: site.Site, rng: random.Random) -> None:
-    """Reset all connections of one model engine or of all, several times."""
-    names = [
-        name
-        for name, engine in sorted(deployment.engines.items())
-        if engine.service == "chat"
-    ]
-    chosen = rng.choice([names, rng.sample(names, 1)])
-    with Disturbance(deployment, *chosen):
-        for _ in range(rng.randint(1, 4)):
-            for name in chosen:
-                proxy = deployment.engine_proxies.get(name)
-                if proxy is not None:
-                    proxy.reset()
-            await asyncio.sleep(rng.uniform(0.1, 0.8))
