A key with a lone surrogate hides no other

An encoder may write bytes of a key that are no text as JSON escapes of lone surrogates, which the decoder takes nowhere in a text: one such key of another writer, under servers/ or op/, left the list of servers and the configuration as they were. It can be avoided by no item-wise decoding, as the whole text fails.

An answer that cannot be decoded is decoded again with such escapes replaced.

--- a/packages/daemon/cassiaquay_daemon/platform/entries.py
+++ b/packages/daemon/cassiaquay_daemon/platform/entries.py
@@ -96,7 +96,8 @@
         raise InvalidEntry(str(error)) from error
     if not name or not entry.service:
         raise InvalidEntry("it names no service or no server")
-    if len(name) > MAX_NAME_CHARACTERS or not name.isprintable():
+    is_whole = name.isprintable() and decoding.REPLACEMENT not in name
+    if len(name) > MAX_NAME_CHARACTERS or not is_whole:
         # Requests name their server in a header.
         raise InvalidEntry("its name is invalid")
     if entry.state not in (READY, DRAINING):
--- a/packages/daemon/cassiaquay_daemon/platform/store.py
+++ b/packages/daemon/cassiaquay_daemon/platform/store.py
@@ -401,7 +401,10 @@
 
 def _parse(body: bytes, kind: type[Body]) -> Body:
     try:
-        return decoding.decode_json(body, kind)
+        with contextlib.suppress(exceptions.UndecodableText):
+            return decoding.decode_json(body, kind)
+        # A key may hold any bytes.
+        return decoding.decode_json(decoding.replace_lone_surrogates(body), kind)
     except exceptions.UndecodableText as error:
         raise exceptions.PlatformError(str(error)) from error
 
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -12,9 +12,11 @@
 
 import aiohttp
 import gateway_fakes as fakes
+import hypothesis
 import pytest
+from hypothesis import strategies
 
-from cassiaquay_daemon import exceptions, positions
+from cassiaquay_daemon import decoding, exceptions, positions
 from cassiaquay_daemon.engines import engine_orders, engine_reports
 from cassiaquay_daemon.links import frames
 from cassiaquay_daemon.owners import requests
@@ -637,3 +639,31 @@
     refused = [line for line in caplog.records if line.msg == "peer_refused"]
     assert len(refused) <= 2 * len(PACKED)
     assert not [line for line in _defects(caplog) if "peer_refused" not in line]
+
+
+@pytest.mark.parametrize("mark", ["\ud800", "\udcff", "\ud83d\ude00\udcff", "\\\udc80"])
+def test_key_with_a_lone_surrogate_hides_no_other(mark: str, caplog) -> None:
+    """Guards against a list that cannot be decoded for the bytes of one key."""
+
+    async def work(site: fakes.Site) -> None:
+        odd = ENTRY | {"addr": site.engines[0].address, "state": "ready", "slots": 4}
+        for name in (f"i-1{mark}", f"{mark}z", f"z{mark}"):
+            site.store.put(f"servers/{name}", odd)
+            site.store.put(f"op/{name}", b"")
+        await _follow_changes(site, 4)
+        for made in site.daemons:
+            assert not [name for name in _usable(made) if "\ufffd" in name]
+
+    with caplog.at_level(logging.WARNING):
+        fakes.run(work, 2)
+    assert not _defects(caplog)
+
+
+@hypothesis.given(
+    strategies.text('\ud800\udbff\udc00\udfff\\u"d8\U0001f600a', max_size=12)
+)
+def test_text_with_lone_surrogates_can_be_decoded(text: str) -> None:
+    """Guards against escapes that are replaced within other escapes."""
+    body = decoding.replace_lone_surrogates(json.dumps(text).encode())
+    joined = text.encode("utf-16-be", "surrogatepass").decode("utf-16-be", "replace")
+    assert decoding.decode_json(body, str) == joined
