--- a/tests/test_version_demands.py
+++ b/tests/test_version_demands.py
@@ -1,6 +1,7 @@
 """New streams begin at the version of their demand while it can be used."""
 
 import asyncio
+import types
 
 import gateway_fakes as fakes
 import msgspec
@@ -10,6 +11,8 @@
 import version_fakes
 
 from cassiaquay_daemon.decisions import shards, tiered
+from cassiaquay_daemon.gateway import admission
+from cassiaquay_schema import fleet
 
 STREAMS = 12
 
@@ -127,3 +130,40 @@
         assert {b"v2"} in found[0]
 
     fakes.run(work, 3)
+
+
+@pytest.mark.parametrize(
+    ("shards_of", "unreachable", "expected"),
+    [
+        # The usual shard has the version, though another one has more of it.
+        (["a1", "b1"], [], ("chat#0", True)),
+        (["a1"], [], ("chat#1", False)),
+        (["a1", "b1"], ["b1"], ("chat#1", False)),
+    ],
+)
+def test_new_stream_asks_a_shard_that_has_its_version(
+    shards_of: list[str], unreachable: list[str], expected: tuple[str, bool]
+) -> None:
+    """Guards against a shard that takes a version for gone that others still have."""
+    servers = {
+        "chat#0": [_server(name) for name in shards_of],
+        "chat#1": [_server("b2"), _server("b3")],
+    }
+    snapshot = types.SimpleNamespace(
+        shard_of=lambda service, key: "chat#0",
+        siblings=lambda shard: ["chat#1"],
+        shard_servers=servers.__getitem__,
+    )
+    parsed = types.SimpleNamespace(parts=[], attempt="s-0")
+    state = types.SimpleNamespace(
+        snapshot=snapshot,
+        call=types.SimpleNamespace(service="chat", parsed=parsed),
+        begins_at="b",
+        software=None,
+        unreachable=unreachable,
+    )
+    assert admission._choose_shard(state) == expected
+
+
+def _server(name: str) -> fleet.Server:
+    return fleet.Server(name=name, address="h:1", software=name[0])
