--- a/packages/cli/cassiaquay_cli/silences.py
+++ b/packages/cli/cassiaquay_cli/silences.py
@@ -9,6 +9,7 @@
 # Words for `cause` of the event `server_kept`.
 KEPT_CAUSES = {
     "attempts": "its route allows no further server",
+    "unnumbered": "no other server can go on after an event without a number",
     "budget": "the retry budget was spent",
     "quarantined": "it was refused to other servers since it may have crashed some",
     "no_permit": "no other server had room",
