--- a/packages/daemon/cassiaquay_daemon/platform/store.py
+++ b/packages/daemon/cassiaquay_daemon/platform/store.py
@@ -6,19 +6,16 @@
 returns from a copy, revisions go back and its epoch, sent with each answer, rises.
 """
 
-import base64
-import binascii
 import collections.abc
 import contextlib
 import typing
 
 import aiohttp
-import msgspec
 
 from cassiaquay_schema import messages
 
 from .. import bounded_http, decoding, exceptions, platform, positions
-from . import documents, entries, epochs, numbers
+from . import documents, entries, epochs, store_items
 
 # The operator's keys: the configuration, and one key for each evacuated zone. One read
 # by this prefix returns both.
@@ -36,68 +33,14 @@
 MAX_PAGES = 200
 # A page has at most 1 MB of values or one more value of 1 MiB, longer in base64.
 MAX_ANSWER_BYTES = 4 * 1024 * 1024
-# Value of the event of a removed key.
-REMOVED = msgspec.Raw(b"null")
 # Enough to find where the history begins among a million revisions.
 MAX_HISTORY_CALLS = 32
 
 
-class _Item(msgspec.Struct):
-    # Decoded one by one: an unreadable value must not hide the other items.
-    key: str
-    value: msgspec.Raw = msgspec.Raw(b'""')
-    revision: msgspec.Raw = msgspec.Raw(b"0")
-
-
-class _ItemBody(msgspec.Struct):
-    key: str
-    value: msgspec.Raw
-    revision: msgspec.Raw
-
-
-class _RangeBody(msgspec.Struct):
-    items: list[_Item]
-    truncated: bool = False
-    current: numbers.Count = msgspec.field(name="current-rev", default=0)
-
-
-class _Event(msgspec.Struct):
-    key: str
-    # The item as it was written; a removed one has no value.
-    value: msgspec.Raw = msgspec.Raw(b"null")
-    revision: msgspec.Raw = msgspec.Raw(b"0")
-    created: msgspec.Raw = msgspec.Raw(b"0")
-
-
-class _WatchBody(msgspec.Struct):
-    events: list[_Event]
-    current: numbers.Count = msgspec.field(name="current-rev", default=0)
-
-
-class Item(typing.NamedTuple):
-    """A key of the store with its value and the revision of its last change.
-
-    Where either cannot be read, the value is empty and the revision 0.
-    """
-
-    key: str
-    value: bytes
-    revision: int
-
-
-class Change(typing.NamedTuple):
-    """A change of a key: its item as written, without a value if it was removed."""
-
-    key: str
-    value: bytes | None
-    revision: int
-    is_creation: bool = False
-
-
 class History(typing.NamedTuple):
     """The changes that the store still has, and whether it has all of them."""
 
-    changes: list[Change]
+    changes: list[store_items.Change]
     is_whole: bool
 
 
@@ -105,7 +48,7 @@
     """Keys under a prefix, and the store's position when the read began."""
 
     position: positions.Position
-    items: list[Item]
+    items: list[store_items.Item]
 
 
 class _Answer(typing.NamedTuple):
@@ -130,21 +73,21 @@
         self._base = f"http://{address}"
         self._epochs = epochs.Epochs()
 
-    async def item(self, key: str) -> Item | None:
+    async def item(self, key: str) -> store_items.Item | None:
         """Return the item of ``key``, or None if there is no such key."""
         answer = await self._get(ITEM_PATH, {"key": key}, ANSWER_TIMEOUT_SECONDS)
         if answer.status == 404:
             return None
         _check_status(answer.status)
-        found = _parse(answer.body, _ItemBody)
+        found = _parse(answer.body, store_items.ItemBody)
         if found.key != key:
             raise exceptions.PlatformError(f"{key}: answered with another key")
-        return _decode_item(found)
+        return store_items.decode_item(found)
 
     async def items(self, prefix: str) -> Items:
         """Return all keys under a prefix; see :meth:`pages`."""
         position = positions.START
-        items: list[Item] = []
+        items: list[store_items.Item] = []
         async for page in self.pages(prefix):
             position = page.position
             items += page.items
@@ -170,7 +113,7 @@
                 query["after"] = after
             answer = await self._get(RANGE_PATH, query, ANSWER_TIMEOUT_SECONDS)
             _check_status(answer.status)
-            page = _parse(answer.body, _RangeBody)
+            page = _parse(answer.body, store_items.RangeBody)
             if position is None:
                 position = positions.Position(answer.epoch, page.current)
             if position.epoch != answer.epoch:
@@ -178,7 +121,7 @@
             items = []
             for item in page.items:
                 _check_prefix(item.key, prefix)
-                items.append(_decode_item(item))
+                items.append(store_items.decode_item(item))
             yield Items(position, items)
             if not page.truncated or not page.items:
                 return
@@ -203,12 +146,14 @@
         if answer.status == 410 or answer.epoch != after.epoch:
             return None
         _check_status(answer.status)
-        watched = _parse(answer.body, _WatchBody)
+        watched = _parse(answer.body, store_items.WatchBody)
         if watched.events:
             return positions.Position(answer.epoch, watched.current)
         return after
 
-    async def history(self, prefix: str, current: positions.Position) -> list[Change]:
+    async def history(
+        self, prefix: str, current: positions.Position
+    ) -> list[store_items.Change]:
         """Return the changes under a prefix that the store still has, oldest first."""
         return (await self.whole_history(prefix, current)).changes
 
@@ -228,7 +173,7 @@
             When the store cannot be read, or has returned from a copy: it has no
             history then, as if there had been no changes.
         """
-        changes: list[Change] = []
+        changes: list[store_items.Change] = []
         # The history begins after the first and not after the second revision.
         expired, available = -1, current.revision
         distance = 1
@@ -252,7 +197,7 @@
 
     async def _changes(
         self, prefix: str, after: positions.Position
-    ) -> list[Change] | None:
+    ) -> list[store_items.Change] | None:
         """Return the changes after a position, None if the store has them no more."""
         query = {"path-prefix": prefix, "after": str(after.revision), "wait-ms": "1"}
         answer = await self._get(WATCH_PATH, query, ANSWER_TIMEOUT_SECONDS)
@@ -262,9 +207,9 @@
             return None
         _check_status(answer.status)
         changes = []
-        for event in _parse(answer.body, _WatchBody).events:
+        for event in _parse(answer.body, store_items.WatchBody).events:
             _check_prefix(event.key, prefix)
-            changes.append(_decode_change(event))
+            changes.append(store_items.decode_change(event))
         return changes
 
     async def _get(self, path: str, query: dict[str, str], seconds: float) -> _Answer:
@@ -317,7 +262,7 @@
         number = documents.number_of(text)
         return platform.Published(item.revision, text, epoch, number)
 
-    async def _read(self) -> Item | None:
+    async def _read(self) -> store_items.Item | None:
         """Return the configuration's item; update the evacuated domains."""
         position = positions.START
         domains = []
@@ -423,30 +368,3 @@
         return decoding.decode_json(decoding.replace_lone_surrogates(body), kind)
     except exceptions.UndecodableText as error:
         raise exceptions.PlatformError(str(error)) from error
-
-
-def _decode_change(event: _Event) -> Change:
-    if event.value == REMOVED:
-        return Change(event.key, None, _decode_count(event.revision, numbers.MAX_COUNT))
-    item = _decode_item(event)
-    is_creation = 0 < _decode_count(event.created, 0) == item.revision
-    return Change(*item, is_creation)
-
-
-def _decode_count(text: msgspec.Raw, default: int) -> int:
-    try:
-        count: int = decoding.decode_json(text, numbers.Count)
-    except exceptions.UndecodableText:
-        return default
-    return count
-
-
-def _decode_item(item: _Item | _ItemBody | _Event) -> Item:
-    try:
-        text: str = decoding.decode_json(item.value, str)
-        value = base64.b64decode(text, validate=True)
-        revision: int = decoding.decode_json(item.revision, numbers.Count)
-    except (exceptions.UndecodableText, binascii.Error, ValueError):
-        # Another program wrote an invalid item; the other keys are still read.
-        return Item(item.key, b"", 0)
-    return Item(item.key, value, revision)
--- a/tests/test_endless_store.py
+++ b/tests/test_endless_store.py
@@ -10,7 +10,7 @@
 import pytest
 
 from cassiaquay_daemon import exceptions, platform, positions
-from cassiaquay_daemon.platform import store
+from cassiaquay_daemon.platform import store, store_items
 from cassiaquay_dev.standins import platform_standins as standins
 from cassiaquay_dev.standins import raw_servers
 
@@ -154,7 +154,7 @@
     """Guards against a bound below what the store may hold."""
     value = b"x" * MIB
 
-    async def work() -> list[store.Item]:
+    async def work() -> list[store_items.Item]:
         standin = standins.Store()
         await standin.start()
         standin.put("op/a", value)
