--- a/packages/daemon/cassiaquay_daemon/decisions/version_choice.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/version_choice.py
@@ -65,7 +65,9 @@
 
 
 def choose(key: int, servers: collections.abc.Sequence[fleet.Server]) -> str | None:
-    """Return the version at which a stream begins; None if there is only one.
+    """Return the version at which a stream begins; None if any will do.
+
+    Without the start times of all servers the version could not be derived later.
 
     Parameters
     ----------
@@ -79,6 +81,8 @@
     software = servers[0].software
     if all(server.software == software for server in servers):
         return None
+    if not all(server.started_ms for server in servers):
+        return None
     return max(servers, key=lambda item: _score(key, item.name, item.slots)).software
 
 
@@ -98,6 +102,9 @@
     """
     if evidence.covered_since_ms > since_ms:
         return None
+    for entry in [*evidence.listed, *evidence.seen]:
+        if entry.service == service and not entry.started_ms:
+            return None
     ranked = _candidates(service, evidence, since_ms)
     ranked.sort(key=lambda item: _score(key, item.name, item.slots), reverse=True)
     versions = set()
--- a/tests/version_schedules.py
+++ b/tests/version_schedules.py
@@ -167,6 +167,7 @@
                     address="h:1",
                     slots=server.slots,
                     software=server.version,
+                    started_ms=int((EPOCH + server.born) * 1000.0),
                 )
             )
         version = version_choice.choose(stream_origins.key_of("", attempt), listed)
