--- a/Makefile
+++ b/Makefile
@@ -34,7 +34,7 @@
 	$(PYTHON) -m cassiaquay_dev.lab $(ARGS)
 
 test: setup
-	$(PYTHON) -m pytest -n 4 --dist loadfile
+	$(PYTHON) -m pytest -n 6 --dist loadfile
 
 lint: setup
 	$(PYTHON) -m ruff format --check .
