A cut stream waits for the report of its server that is under way

Cause: after a reset a new stream's server is asked for its start. A stream that was cut before the report came ended at once, and a report on a connection that was opened after the cut identified no earlier one.

Change: the check comes again at each look for capacity and ends the stream only once the report has failed. A report that was asked for after a connection was opened, and states the start that was listed when the request was sent, identifies that connection: one process at a time has the address, and this one has lasted.

--- a/packages/daemon/cassiaquay_daemon/decisions/server_processes.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/server_processes.py
@@ -32,12 +32,15 @@
         Times at which it was certainly alive; seconds on this clock.
     reported_at : float
         Time of its last report; seconds on this clock.
+    asked_at : float
+        When it was asked for that report.
     """
 
     started_ms: int
     alive_from: float
     alive_until: float
     reported_at: float
+    asked_at: float
 
 
 class Processes:
@@ -76,14 +79,16 @@
             )
         return started_ms
 
-    def note_report(self, address: str, opened_at: float, started_ms: int) -> None:
+    def note_report(
+        self, address: str, opened_at: float, started_ms: int, asked_at: float
+    ) -> None:
         """Record the start time that a server has reported on a connection."""
         now = clock.now()
         process = self._processes.get(address)
         alive_from = opened_at
         if process is not None and process.started_ms == started_ms:
             alive_from = min(process.alive_from, opened_at)
-        self._processes[address] = _Process(started_ms, alive_from, now, now)
+        self._processes[address] = _Process(started_ms, alive_from, now, now, asked_at)
         self._trim()
 
     def identify(self, address: str, opened_at: float, heard_at: float) -> int | None:
@@ -95,6 +100,16 @@
             return process.started_ms
         return None
 
+    def has_lasted(self, address: str, started_ms: int, since: float) -> bool:
+        """Return whether a process was asked for its report after a time, and answered.
+
+        One that was listed at that time has then served since.
+        """
+        process = self._processes.get(address)
+        if process is None or process.started_ms != started_ms:
+            return False
+        return process.asked_at >= since
+
     def is_doubtful(self, address: str, listed_ms: int, crashed_at: float) -> bool:
         """Return whether a server may have restarted since it was listed.
 
--- a/packages/daemon/cassiaquay_daemon/decisions/stream_origins.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/stream_origins.py
@@ -46,7 +46,7 @@
 
     @property
     def is_lost(self) -> bool:
-        """Whether the version cannot be found once the server has broken off."""
+        """Whether only a report that is under way can still show the version."""
         return self.is_open and not self.started_ms
 
 
--- a/packages/daemon/cassiaquay_daemon/gateway/connections.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/connections.py
@@ -86,10 +86,17 @@
             )
         return self._started_ms
 
-    def note_report(self, started_ms: int) -> None:
+    @property
+    def opened_at(self) -> float:
+        """When it was opened; seconds on this clock."""
+        return self._opened_at
+
+    def note_report(self, started_ms: int, asked_at: float) -> None:
         """Record the start time that the server has reported on this connection."""
         self._started_ms = started_ms
-        self._paths.processes.note_report(self._address, self._opened_at, started_ms)
+        self._paths.processes.note_report(
+            self._address, self._opened_at, started_ms, asked_at
+        )
 
     def is_connected(self) -> bool:
         """Return whether the connection may be used again."""
--- a/packages/daemon/cassiaquay_daemon/gateway/process_checks.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/process_checks.py
@@ -136,6 +136,7 @@
     async def _ask(self, server: fleet.Server) -> int | None:
         """Return the start time that a server reports; None without an answer."""
         url = f"http://{server.address}{reports.REPORT_PATH}"
+        asked_at = clock.now()
         try:
             async with asyncio.timeout(TIMEOUT_SECONDS), self._http.get(url) as answer:
                 started_ms = await _read_started_ms(answer)
@@ -143,7 +144,7 @@
         except (OSError, aiohttp.ClientError):
             return None
         if started_ms is not None and handler is not None:
-            handler.note_report(started_ms)
+            handler.note_report(started_ms, asked_at)
         return started_ms
 
 
--- a/packages/daemon/cassiaquay_daemon/gateway/resuming.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/resuming.py
@@ -5,6 +5,7 @@
 """
 
 import collections
+import contextlib
 import functools
 import time
 
@@ -143,7 +144,7 @@
         if state.is_writer_certain or is_same:
             return
         listed = self._listed_server(state.call, ticket)
-        process = self._writers.compare(listed, connection)
+        process = self._writers.compare(listed, ticket.server, connection)
         if process is writers.Process.ASSUMED:
             state.check_at = clock.now() + RECHECK_SECONDS
         checked = (writer, snapshot, process)
@@ -230,17 +231,25 @@
         ticket: admission.Ticket,
         connection: writers.Connection | None,
     ) -> None:
-        """Correct the record of a stream once its server has reported its start."""
-        is_known = connection is not None and connection.started_ms is not None
-        if state.checked_writer != ticket.demand.id or not is_known:
-            # Its next events ask again.
-            state.checked_process = None
+        """Correct the record of a stream once its server was asked for its start."""
+        # Its next events ask again if that is not known.
+        state.checked_process = None
+        if state.checked_writer != ticket.demand.id:
             return
-        try:
+        listed = self._listed_server(state.call, ticket)
+        process = self._writers.compare(listed, ticket.server, connection)
+        if process not in (writers.Process.LISTED, writers.Process.OTHER):
+            return
+        # Its next events are not passed on if it is another process.
+        with contextlib.suppress(exceptions.StreamInterrupted):
             self.note_events(state, ticket, connection)
-        except exceptions.StreamInterrupted:
-            # Its next events are not passed on.
-            state.checked_process = None
+
+    def check_origin(self, state: progress.RequestState) -> None:
+        """Raise AnswerLost if nothing will show where a cut stream began."""
+        if state.origin is None or not state.origin.is_lost:
+            return
+        if state.checked_process is not writers.Process.UNKNOWN:
+            raise exceptions.AnswerLost("its version is not known")
 
     def _set_version(
         self,
--- a/packages/daemon/cassiaquay_daemon/gateway/serving.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/serving.py
@@ -111,7 +111,7 @@
             parts.reply, parts.accounting, parts.completions
         )
         self._repeats = repeats.Repeats(
-            self._obtain, parts.budget, self._check_quarantine
+            self._obtain, parts.budget, self._check_sendable
         )
 
     async def serve(self, state: progress.RequestState, send: replies.Send) -> None:
@@ -214,8 +214,6 @@
         call = state.call
         if not state.is_repeatable_now:
             raise exceptions.AnswerLost("no other server may get it") from error
-        if state.origin is not None and state.origin.is_lost:
-            raise exceptions.AnswerLost("its version is not known") from error
         if state.started and not call.is_stream:
             raise exceptions.AnswerLost() from error
 
@@ -354,6 +352,11 @@
         parts = call.parsed.shared_parts
         return bool(self._parts.crashes.blocking(call.content, parts))
 
+    def _check_sendable(self, state: progress.RequestState) -> None:
+        """Raise Refusal if no further server may get a request."""
+        self._parts.resuming.check_origin(state)
+        self._check_quarantine(state)
+
     def _check_quarantine(
         self, state: progress.RequestState, is_sent_now: bool = False
     ) -> None:
--- a/packages/daemon/cassiaquay_daemon/gateway/writers.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/writers.py
@@ -58,15 +58,24 @@
         self._crashes = crashes
         self._tasks: set[asyncio.Task[None]] = set()
 
-    def compare(self, listed: fleet.Server, connection: Connection | None) -> Process:
+    def compare(
+        self,
+        listed: fleet.Server,
+        sent_to: fleet.Server,
+        connection: Connection | None,
+    ) -> Process:
         """Return what is known of the process at the other end of a connection.
 
         Without a connection of this instance, or a listed start, there is nothing to
-        compare.
+        compare. ``sent_to`` is the server as it was listed at the dispatch.
         """
         if connection is None or not listed.started_ms:
             return Process.ASSUMED
         started_ms = connection.started_ms
+        if started_ms is None and self._processes.has_lasted(
+            sent_to.address, sent_to.started_ms, connection.opened_at
+        ):
+            started_ms = sent_to.started_ms
         if started_ms is None:
             name = f"{listed.name}/{listed.started_ms}"
             is_doubtful = self._processes.is_doubtful(
--- a/tests/test_restarted_servers.py
+++ b/tests/test_restarted_servers.py
@@ -161,7 +161,7 @@
         opened_at = time.now
         time.now += 1.0
         assert processes.note_heard("h:1", opened_at, None) is None
-        processes.note_report("h:1", opened_at, 7)
+        processes.note_report("h:1", opened_at, 7, opened_at)
         # Opened before the report, and open at that time.
         assert processes.identify("h:1", opened_at - 1.0, time.now) == 7
         # Closed before.
@@ -186,12 +186,22 @@
         processes.note_broken("h:1")
         assert processes.is_doubtful("h:1", 7, never)
         time.now += 1.0
-        processes.note_report("h:1", time.now, 7)
+        processes.note_report("h:1", time.now, 7, time.now)
         assert not processes.is_doubtful("h:1", 7, never)
         assert processes.is_doubtful("h:1", 8, never)
-        processes.note_report("h:1", time.now, 0)
+        processes.note_report("h:1", time.now, 0, time.now)
         assert not processes.is_doubtful("h:1", 8, never)
         processes.doubt_all()
         assert processes.is_doubtful("h:2", 8, never)
         time.now += server_processes.LISTING_SECONDS
         assert not processes.is_doubtful("h:2", 8, never)
+
+
+def test_report_shows_that_the_listed_process_has_lasted() -> None:
+    """Guards against a report from before a connection that identifies it."""
+    processes = server_processes.Processes()
+    processes.note_report("h:1", 5.0, 7, asked_at=4.0)
+    assert processes.has_lasted("h:1", 7, 3.0)
+    assert not processes.has_lasted("h:1", 7, 4.5)
+    assert not processes.has_lasted("h:1", 8, 3.0)
+    assert not processes.has_lasted("h:2", 7, 3.0)
