--- a/packages/daemon/cassiaquay_daemon/gateway/connections.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/connections.py
@@ -121,7 +121,7 @@
             return
         if not answered and headers.is_not_executed(message.code, message.headers):
             if self._has_answered or self._has_skipped:
-                self._fail(bounded_http.InvalidResponse("an answer of no request"))
+                self._fail(bounded_http.InvalidResponse("an answer without an id"))
                 return
             # A late copy of it could not be distinguished from the next answer.
             self.force_close()
@@ -178,7 +178,7 @@
             self._reusable_until = clock.now() + self._idle_seconds
 
     def eof_received(self) -> None:
-        """Record that the server has closed a connection that was idle."""
+        """Record that an idle connection was closed: its server may have restarted."""
         if not self.should_close:
             self._paths.processes.note_broken(self._address)
         super().eof_received()
--- a/packages/daemon/cassiaquay_daemon/gateway/events.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/events.py
@@ -33,7 +33,7 @@
     last : int
         Id of the last event that has one; -1 when none has.
     is_ordered : bool
-        Whether no id is lower than it should be, and none is left out.
+        Whether the ids rise one by one.
     ends_numbered : bool
         Whether the last event has an id.
     """
--- a/packages/daemon/cassiaquay_daemon/gateway/serving.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/serving.py
@@ -404,9 +404,9 @@
 
 
 def _check_promise(state: progress.RequestState, answer: forwarding.Answer) -> None:
-    """Raise AnswerLost if an answer promises what its server has not said.
+    """Raise AnswerLost if a status promises "not run" and the server did not say so.
 
-    Its caller would take the status for "not run" and send the request again.
+    The caller would send the request again.
     """
     if answer.status in NOT_RUN_STATUSES and not state.call.route.is_repeatable:
         raise exceptions.AnswerLost(f"status {answer.status} of a server")
