--- a/packages/daemon/cassiaquay_daemon/adapters/identified_http.py
+++ b/packages/daemon/cassiaquay_daemon/adapters/identified_http.py
@@ -71,7 +71,7 @@
 
 
 class IdentifiedRequest(bounded_http.BoundedRequest):
-    """Request that tells its connection which answer it awaits."""
+    """Request that sets the id of the answer that its connection awaits."""
 
     async def send(self, conn: aiohttp.connector.Connection) -> aiohttp.ClientResponse:
         """Write the request to an open connection."""
--- a/packages/daemon/cassiaquay_daemon/gateway/resuming.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/resuming.py
@@ -45,7 +45,7 @@
     server_list : Servers
         Tells whether this instance's list of servers may be outdated.
     written : Writers
-        Tells which process of a server writes a stream.
+        Compares the process that writes a stream with the listed one.
     heartbeat_seconds : float, optional
         Time between two writes of a server's entry; 0 if unknown.
     """
--- a/packages/daemon/cassiaquay_daemon/gateway/writers.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/writers.py
@@ -1,4 +1,4 @@
-"""Tells which process of a server writes the events of a stream.
+"""Finds out which process of a server writes the events of a stream.
 
 A server that was restarted under its name writes events of its new software version,
 while its registration still describes the process before. It is asked for its report
--- a/packages/daemon/cassiaquay_daemon/platform/store.py
+++ b/packages/daemon/cassiaquay_daemon/platform/store.py
@@ -96,7 +96,7 @@
     async def pages(self, prefix: str) -> collections.abc.AsyncIterator[Items]:
         """Yield the keys under a prefix, page by page.
 
-        Values may be large; whoever keeps only a part of each needs memory for one
+        Values may be large; a reader that keeps a part of each needs memory for one
         page. The pages are not one snapshot. Each has the revision of the first page,
         so a key that changes during the read has a higher revision.
 
