--- a/tests/test_cut_heads.py
+++ b/tests/test_cut_heads.py
@@ -111,7 +111,7 @@
     DECLINED,
     Kind(503, UNFRAMED, True),
 ]
-# An answer without a length that is closed early cannot be distinguished from a whole one.
+# An answer without a length that is closed early looks like a whole one.
 CUT_BODIES = [
     (Kind(200, LENGTH), CLOSE),
     (Kind(200, LENGTH), RESET),
