--- a/tests/test_gateway_schedules.py
+++ b/tests/test_gateway_schedules.py
@@ -202,6 +202,7 @@
 
     monkeypatch.setattr(bounded_http.BoundedHandler, "connection_lost", complete)
     monkeypatch.setattr(engines, "FAULTS", (engines.MID_HEAD,))
+    monkeypatch.setattr(sys.modules[__name__], "FAULTY_SHARE", 0.9)
 
 
 def _forward_forged_team(monkeypatch) -> None:
