The address of a connection's server is formatted in one place

The handler of identified answers had its own copy of what the bounded handler does for its log line; both use a property of the bounded one now. No log line changes.

--- a/packages/daemon/cassiaquay_daemon/adapters/identified_http.py
+++ b/packages/daemon/cassiaquay_daemon/adapters/identified_http.py
@@ -48,10 +48,9 @@
         named = set(message.headers.getall(REQUEST_ID, [])) - {""}
         is_failure = message.code >= FIRST_FAILURE_STATUS
         if self._expected and self._is_foreign(named, is_failure):
-            peer = self.transport and self.transport.get_extra_info("peername")
             logs.event(
                 "surplus_answer",
-                address=f"{peer[0]}:{peer[1]}" if peer else "",
+                address=self.peer_address,
                 id=self._expected,
                 status=message.code,
             )
--- a/packages/daemon/cassiaquay_daemon/bounded_http.py
+++ b/packages/daemon/cassiaquay_daemon/bounded_http.py
@@ -64,6 +64,12 @@
         # Received without the end of the head or a byte of body.
         self._bytes_without_progress = 0
 
+    @property
+    def peer_address(self) -> str:
+        """Address of the server as host:port; empty without a connection."""
+        peer = self.transport and self.transport.get_extra_info("peername")
+        return f"{peer[0]}:{peer[1]}" if peer else ""
+
     def set_response_params(self, **options: typing.Any) -> None:
         """Prepare for the answer to a request that is about to be sent."""
         self._is_answer_due = self._exception is None
@@ -181,8 +187,7 @@
 
     def _refuse(self, size: int) -> None:
         """Close a connection on which bytes have arrived that no request asked for."""
-        peer = self.transport and self.transport.get_extra_info("peername")
-        logs.event("surplus_bytes", address=_format(peer), bytes=size)
+        logs.event("surplus_bytes", address=self.peer_address, bytes=size)
         self._fail(InvalidResponse(f"surplus among {size} bytes"))
 
     def _fail(self, error: BaseException) -> None:
@@ -250,7 +255,3 @@
     if status == SWITCHING_PROTOCOLS_STATUS:
         return False
     return status < FIRST_FINAL_STATUS
-
-
-def _format(peer: typing.Any) -> str:
-    return f"{peer[0]}:{peer[1]}" if peer else ""
