Log how current the list and the answers are that a resumed stream is judged by

stream_resumes did not tell an instance that is cut off or was paused from one that knows all there is to know. It now has the number of instances asked and of those that answered, the position and age of the list, and since when the list has been confirmed without a gap. No decision changes.

--- a/packages/daemon/cassiaquay_daemon/fleet/servers.py
+++ b/packages/daemon/cassiaquay_daemon/fleet/servers.py
@@ -117,6 +117,16 @@
         """The age in milliseconds, at most ``MAX_AGE_SECONDS``."""
         return _milliseconds(self.age)
 
+    @property
+    def steady_seconds(self) -> float:
+        """Seconds since when the list has been confirmed without a gap."""
+        return clock.now() - self._outages.steady_since
+
+    @property
+    def steady_ms(self) -> int:
+        """The same in milliseconds, at most ``MAX_AGE_SECONDS``."""
+        return _milliseconds(self.steady_seconds)
+
     @property
     def is_behind(self) -> bool:
         """Whether a change that must already be in force may be missing here."""
@@ -125,12 +135,8 @@
     @property
     def state(self) -> freshness.Freshness:
         """Position, age and digest of the list, as sent in heartbeats."""
-        steady = 0.0
-        if self._position.revision:
-            steady = clock.now() - self._outages.steady_since
-        return freshness.Freshness(
-            self._position, self.age_ms, self._digest, _milliseconds(steady)
-        )
+        steady_ms = self.steady_ms if self._position.revision else 0
+        return freshness.Freshness(self._position, self.age_ms, self._digest, steady_ms)
 
     def entries(self) -> list[messages.ServerEntry]:
         """Return the entries of all known servers, those that leave, too."""
--- a/packages/daemon/cassiaquay_daemon/fleet/stream_origins.py
+++ b/packages/daemon/cassiaquay_daemon/fleet/stream_origins.py
@@ -12,6 +12,7 @@
 
 import asyncio
 import heapq
+import typing
 
 from cassiaquay_schema import messages
 from cassiaquay_schema import settings as settings_schema
@@ -32,6 +33,24 @@
 RETRY_SECONDS = 0.02
 
 
+class Lookup(typing.NamedTuple):
+    """What this instance and those that it asked know of a stream's origin.
+
+    Attributes
+    ----------
+    origin : Origin or None
+        Where the stream began; None if that is not known.
+    asked : int
+        Number of instances that were asked.
+    answered : int
+        Number of those that have answered.
+    """
+
+    origin: stream_origins.Origin | None
+    asked: int = 0
+    answered: int = 0
+
+
 class _Query:
     """One query and the instances that have not answered it."""
 
@@ -102,21 +121,23 @@
             if link is not None:
                 link.send(message)
 
-    async def find(self, key: int) -> stream_origins.Origin | None:
-        """Return where a stream began; None if no reachable instance knows it."""
+    async def find(self, key: int) -> Lookup:
+        """Return what is known here and at reachable instances of a stream's origin."""
         origin = self._own.find(key) or self._kept.find(key)
         if origin is not None:
-            return origin
+            return Lookup(origin)
         instances = [member.instance for member in self._rank(key)]
         if not instances:
-            return None
+            return Lookup(None)
         self._query_count += 1
         number = self._query_count
         query = self._queries[number] = _Query(instances)
         try:
-            return await self._ask(messages.OriginQuery(number, key), query)
+            origin = await self._ask(messages.OriginQuery(number, key), query)
         finally:
             del self._queries[number]
+        answered = len(instances) - len(query.unanswered)
+        return Lookup(origin, len(instances), answered)
 
     async def _ask(
         self, message: messages.OriginQuery, query: _Query
--- a/packages/daemon/cassiaquay_daemon/gateway/resuming.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/resuming.py
@@ -86,10 +86,11 @@
         if not (parsed.resumes or parsed.names_event):
             self._derivations.note_new(call)
             return
-        origin = None
+        lookup = origin_reports.Lookup(None)
         if parsed.resumes:
             key = stream_origins.key_of(call.team_name, parsed.resumes)
-            origin = await self._origins.find(key)
+            lookup = await self._origins.find(key)
+        origin = lookup.origin
         if origin is not None and origin.is_open:
             origin = self._close(origin, parsed)
         versions = self._history.recent(call.service)
@@ -110,6 +111,11 @@
             sole=sole,
             derived=derived.software if derived else None,
             versions=",".join(sorted(versions)),
+            asked=lookup.asked or None,
+            answered=lookup.answered if lookup.asked else None,
+            revision=self._servers.position.revision or None,
+            list_age_ms=self._servers.age_ms,
+            list_steady_ms=self._servers.steady_ms,
         )
         if origin is None:
             self._set_version(state, sole, derived)
--- a/tests/test_resuming.py
+++ b/tests/test_resuming.py
@@ -9,6 +9,7 @@
 from cassiaquay_daemon import clock, exceptions, platform
 from cassiaquay_daemon.configured import routing
 from cassiaquay_daemon.decisions import stream_origins
+from cassiaquay_daemon.fleet import stream_origins as origin_reports
 from cassiaquay_daemon.gateway import calls, progress, resuming, writers
 from cassiaquay_daemon.platform import headers
 from cassiaquay_schema import fleet, messages
@@ -51,7 +52,8 @@
         self.origins = mock.Mock(is_alone=False)
         self.origins.find = self._find
         self.origins.add = lambda key, origin, lifetime: self.recorded.append(origin)
-        self.servers = mock.Mock(is_behind=False)
+        self.servers = mock.Mock(is_behind=False, age_ms=0, steady_ms=0)
+        self.servers.position.revision = 1
         # Servers that leave, besides those in use; all began when `started_ms` says.
         self.leaving: dict[str, str] = {}
         self.started_ms = 1
@@ -64,8 +66,8 @@
         )
         self.configured.put(**versions)
 
-    async def _find(self, key: int) -> stream_origins.Origin | None:
-        return self.origin
+    async def _find(self, key: int) -> origin_reports.Lookup:
+        return origin_reports.Lookup(self.origin)
 
     async def _read_past(self) -> platform.ServersPast:
         if self.past is None:
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -86,7 +86,7 @@
             for _ in range(ROUND_TRIPS):
                 await asyncio.sleep(0)
                 self.deliver()
-            return await finding
+            return (await finding).origin
 
         return asyncio.run(work())
 
