An instance out of step does not take its only version for the service's only one

Callers got streams whose first events were of one software version and the rest of another (ORDER). The instance at which they were taken up had been cut off while servers of a new version joined: its list lacked them, the question for the origin was not answered, and "the service has had one version" was judged by its own list. It was kept from that only if its list was older than 2 s and it also had no serving instance, so not in the first 2 s of a cut, not until it suspected the others, and not after a pause.

Now the version must be shown to be the only one: - all instances that are asked for the origin have answered that they do not know it; - a read of the store that began after the stream was taken up (on demand, shared by all that wait, at most ten a second) shows no other version, nor does what was seen; - the listed processes have confirmed their start since then, so that no server has been restarted under its name whose entry follows late; - the time in which the stream can have begun was observed without a gap between two confirmations of the list. Else the platform's history must show it, which is read again after each gap; one that has never discarded anything needs no start times. Versions that are derived from an attempt's id need the same read and the same time.

test_isolated_instance_does_not_take_its_version_for_the_sole_one asked for both signs, an outdated list and no other instance; it held the fault in place. Its successor takes each sign alone: a list that cannot be confirmed, an instance that does not answer, a server that may have restarted. The mocks of the other tests have the new calls.

--- a/packages/daemon/cassiaquay_daemon/decisions/software_versions.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/software_versions.py
@@ -100,11 +100,14 @@
         Entries of all services that were written a short time ago.
     removed : collection of str
         Names of servers whose entries were removed in that time.
+    is_whole : bool
+        Whether these are all entries that the platform has ever had.
     """
 
     listed: list[messages.ServerEntry]
     written: list[messages.ServerEntry]
     removed: collections.abc.Collection[str]
+    is_whole: bool = False
 
 
 def sole_version(
@@ -125,6 +128,8 @@
             versions.add(entry.software)
     if len(versions) != 1 or not known_names.issuperset(evidence.removed):
         return None
+    if evidence.is_whole:
+        return versions.pop()
     youngest_ms = now_ms - window_seconds * 1000.0
     for entry in evidence.listed:
         if not 0 < entry.started_ms <= youngest_ms:
--- a/packages/daemon/cassiaquay_daemon/fleet/server_past.py
+++ b/packages/daemon/cassiaquay_daemon/fleet/server_past.py
@@ -1,13 +1,14 @@
 """What the platform still shows of backend servers that this instance has not seen.
 
-After a kill of all instances none remembers which servers left before or meanwhile. The
-platform keeps its last changes for a while, which are read once, when a stream is taken
-up that no instance knows.
+After a kill of all instances none remembers which servers left before or meanwhile, and
+an instance that was cut off or paused has not seen those that came and left in that
+time. The platform keeps its last changes for a while, which are read when a stream is
+taken up that no instance knows: once after a start, and once after each such time.
 """
 
 import asyncio
 
-from .. import exceptions, logs, platform, supervision
+from .. import clock, exceptions, logs, platform, supervision
 from ..decisions import software_versions
 from . import servers
 
@@ -16,7 +17,7 @@
 
 
 class ServerPast:
-    """Reads the changes of registrations of before this process began.
+    """Reads the changes of registrations that this process has not observed.
 
     Parameters
     ----------
@@ -27,6 +28,7 @@
     def __init__(self, server_list: servers.Servers):
         self._servers = server_list
         self._reading: asyncio.Task[platform.ServersPast | None] | None = None
+        self._began_at = 0.0
 
     async def evidence(self, service: str) -> software_versions.Evidence | None:
         """Return what is known of a service's servers; None if that cannot be read."""
@@ -37,11 +39,14 @@
         for entry in self._servers.entries():
             if entry.service == service:
                 listed.append(entry)
-        return software_versions.Evidence(listed, past.written, past.removed)
+        return software_versions.Evidence(
+            listed, past.written, past.removed, past.is_whole
+        )
 
     async def read(self) -> platform.ServersPast | None:
-        """Return the changes before this process began; None if not readable now."""
-        if self._reading is None:
+        """Return the changes that were not observed; None if not readable now."""
+        if self._reading is None or self._began_at < self._servers.steady_since:
+            self._began_at = clock.now()
             self._reading = asyncio.create_task(self._read())
         reading = self._reading
         await asyncio.wait([reading], timeout=PATIENCE_SECONDS)
--- a/packages/daemon/cassiaquay_daemon/fleet/servers.py
+++ b/packages/daemon/cassiaquay_daemon/fleet/servers.py
@@ -17,6 +17,7 @@
 from ..links import peers
 from . import (
     configuration,
+    demanded_reads,
     evacuations,
     freshness,
     members,
@@ -83,6 +84,7 @@
         self._digest = 0
         self._outages = outages.Outages()
         self._read_at = NEVER
+        self._reads = demanded_reads.DemandedReads(self._read_once)
         self._ranked: list[messages.Member] | None = None
         self._rank = LAST_RANK
         self._transit = transit.Transit()
@@ -118,14 +120,14 @@
         return _milliseconds(self.age)
 
     @property
-    def steady_seconds(self) -> float:
-        """Seconds since when the list has been confirmed without a gap."""
-        return clock.now() - self._outages.steady_since
+    def steady_since(self) -> float:
+        """Since when the list has been confirmed without a gap, on this clock."""
+        return self._outages.steady_since
 
     @property
     def steady_ms(self) -> int:
-        """The same in milliseconds, at most ``MAX_AGE_SECONDS``."""
-        return _milliseconds(self.steady_seconds)
+        """Milliseconds since then, at most ``MAX_AGE_SECONDS``."""
+        return _milliseconds(clock.now() - self.steady_since)
 
     @property
     def is_behind(self) -> bool:
@@ -156,9 +158,19 @@
             if not await self.read_once():
                 await asyncio.sleep(self._retry_delay())
 
+    async def read_since(self, since: float, seconds: float) -> bool:
+        """Return whether a read that began after a time shows what is current.
+
+        Heartbeats of others do not show as much: their age is an estimate.
+        """
+        return await self._reads.wait(since, seconds)
+
     async def read_once(self) -> bool:
         """Read the list now; return whether the platform answered."""
-        began = clock.now()
+        return await self._reads.run()
+
+    async def _read_once(self, began: float) -> demanded_reads.Result:
+        known = self._position
         try:
             # The configuration must not wait for entries that anyone may write.
             await self._configured.read_once(self._texts)
@@ -168,7 +180,7 @@
                 logs.event("servers_unreadable", cause=str(error), age_ms=self.age_ms)
             self._is_failing = True
             self._outages.note_failure(began)
-            return False
+            return demanded_reads.Result(False, False)
         if self._is_failing:
             logs.event("servers_readable", age_ms=self.age_ms)
         self._is_failing = False
@@ -178,7 +190,7 @@
             self._publish(PLATFORM)
             self._send_to_neighbours()
         self._confirm(registered.position, began)
-        return True
+        return demanded_reads.Result(True, registered.position >= known)
 
     def _retry_delay(self) -> float:
         if self._rank < LAST_RANK:
--- a/packages/daemon/cassiaquay_daemon/fleet/stream_origins.py
+++ b/packages/daemon/cassiaquay_daemon/fleet/stream_origins.py
@@ -44,11 +44,24 @@
         Number of instances that were asked.
     answered : int
         Number of those that have answered.
+    is_alone : bool
+        Whether the deployment has no other instance, as far as this one knows.
     """
 
     origin: stream_origins.Origin | None
     asked: int = 0
     answered: int = 0
+    is_alone: bool = False
+
+    @property
+    def is_unknown_to_all(self) -> bool:
+        """Whether all instances that may know the stream have answered: none does.
+
+        One that does not answer may be at the other end of a partition, and know more.
+        """
+        if self.origin is not None or self.answered < self.asked:
+            return False
+        return self.asked > 0 or self.is_alone
 
 
 class _Query:
@@ -107,11 +120,6 @@
     def __len__(self) -> int:
         return len(self._own) + len(self._kept)
 
-    @property
-    def is_alone(self) -> bool:
-        """Whether there is no other instance to ask."""
-        return len(self._membership.serving()) <= 1
-
     def add(self, key: int, origin: stream_origins.Origin, lifetime: float) -> None:
         """Record where a stream of this instance began, here and at its keepers."""
         self._own.add(key, origin, lifetime)
@@ -128,7 +136,7 @@
             return Lookup(origin)
         instances = [member.instance for member in self._rank(key)]
         if not instances:
-            return Lookup(None)
+            return Lookup(None, is_alone=self._membership.fleet_size() <= 1)
         self._query_count += 1
         number = self._query_count
         query = self._queries[number] = _Query(instances)
--- a/packages/daemon/cassiaquay_daemon/gateway/derivations.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/derivations.py
@@ -15,6 +15,8 @@
 # Clocks of servers and callers differ, lists are up to a second old, and a server
 # registers a moment after its process has started.
 MARGIN_SECONDS = 4.0
+# The callers of streams wait for two seconds or more, and come back when refused.
+PATIENCE_SECONDS = 0.4
 
 
 class Derived(typing.NamedTuple):
@@ -75,10 +77,13 @@
         lifetime : float
             Seconds that a stream of this route may last.
         """
-        # A list that is outdated lacks servers, and a stream of a route to several
-        # services may have begun at another one.
-        is_sole_service = len(call.route.shares) == 1
-        if not call.parsed.resumes or not is_sole_service or self._servers.is_behind:
+        # A stream of a route to several services may have begun at another one.
+        if not call.parsed.resumes or len(call.route.shares) > 1:
+            return None
+        if not self._state_starts(call.service):
+            return None
+        # A list that is outdated lacks servers.
+        if not await self._servers.read_since(clock.now(), PATIENCE_SECONDS):
             return None
         # Lists that change no server in use are not published.
         self.note_servers()
@@ -94,6 +99,13 @@
         young = version_choice.young_servers(evidence.listed, software, since_ms)
         return Derived(software, young)
 
+    def _state_starts(self, service: str) -> bool:
+        """Return whether all servers of a service state when they started."""
+        for entry in self._servers.entries():
+            if entry.service == service and not entry.started_ms:
+                return False
+        return True
+
     def _age_seconds(self, call: calls.Call, lifetime: float) -> float:
         """Return how long ago a stream can have begun."""
         route = call.route
@@ -119,8 +131,10 @@
         left_ms = {}
         for name, age in self._sightings.left_ages().items():
             left_ms[name] = now_ms - age * 1000.0
-        observed_since_ms = now_ms - (now - self._sightings.began_at) * 1000.0
-        if self._sightings.began_at < now and observed_since_ms <= since_ms:
+        # Servers can have come and gone unseen while the list was not confirmed.
+        observed_since = max(self._sightings.began_at, self._servers.steady_since)
+        observed_since_ms = now_ms - (now - observed_since) * 1000.0
+        if observed_since < now and observed_since_ms <= since_ms:
             return version_choice.Evidence(
                 listed, seen, came_ms, left_ms, observed_since_ms
             )
--- a/packages/daemon/cassiaquay_daemon/gateway/process_checks.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/process_checks.py
@@ -12,7 +12,7 @@
 
 import aiohttp
 
-from cassiaquay_schema import fleet
+from cassiaquay_schema import fleet, messages
 
 from .. import bounded_http, clock, exceptions, logs
 from ..decisions import paths
@@ -106,6 +106,18 @@
             state.add_tried(server.name)
         raise exceptions.NotSent(f"the listed process of the server is {result}")
 
+    async def confirm(self, entries: list[messages.ServerEntry], since: float) -> bool:
+        """Return whether all servers run the listed process, asked after a time.
+
+        Then none of them has run another one since the listed process began. Servers
+        that state no start time have nothing to compare.
+        """
+        asking = []
+        for entry in entries:
+            if entry.started_ms:
+                asking.append(self._has_lasted(entry, since))
+        return all(await asyncio.gather(*asking))
+
     async def learn(self, server: fleet.Server) -> None:
         """Ask a server for the start time of its process, for its connections.
 
@@ -121,6 +133,17 @@
             asking.add_done_callback(functools.partial(self._forget, address))
         await asyncio.wait([self._asking[address]])
 
+    async def _has_lasted(self, entry: messages.ServerEntry, since: float) -> bool:
+        processes = self._paths.processes
+        server = fleet.Server(name=entry.name, address=entry.address)
+        # A question that is under way may have been asked before that time.
+        for _ in range(2):
+            for started_ms in (entry.started_ms, 0):
+                if processes.has_lasted(entry.address, started_ms, since):
+                    return True
+            await self.learn(server)
+        return processes.has_lasted(entry.address, entry.started_ms, since)
+
     def close(self) -> None:
         """Stop asking servers."""
         for asking in self._asking.values():
--- a/packages/daemon/cassiaquay_daemon/gateway/resuming.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/resuming.py
@@ -7,7 +7,6 @@
 import collections
 import contextlib
 import functools
-import time
 
 from cassiaquay_schema import fleet
 
@@ -16,7 +15,15 @@
 from ..fleet import configuration, server_past, servers
 from ..fleet import stream_origins as origin_reports
 from ..platform import headers
-from . import admission, calls, derivations, progress, writers
+from . import (
+    admission,
+    calls,
+    derivations,
+    process_checks,
+    progress,
+    sole_versions,
+    writers,
+)
 
 # Retry-After when the instances that may know a stream's origin have not answered.
 UNKNOWN_RETRY_MS = 300
@@ -46,6 +53,8 @@
         Tells whether this instance's list of servers may be outdated.
     written : Writers
         Compares the process that writes a stream with the listed one.
+    checks : ProcessChecks
+        Asks servers whether they run the listed process.
     heartbeat_seconds : float, optional
         Time between two writes of a server's entry; 0 if unknown.
     """
@@ -56,17 +65,21 @@
         origins: origin_reports.StreamOrigins,
         server_list: servers.Servers,
         written: writers.Writers,
+        checks: process_checks.ProcessChecks,
         heartbeat_seconds: float = 0.0,
     ):
         self._servers = server_list
-        self._past = server_past.ServerPast(server_list)
+        self._history = software_versions.History()
+        past = server_past.ServerPast(server_list)
+        self._sole_versions = sole_versions.SoleVersions(
+            self._history, server_list, past, checks
+        )
         self._derivations = derivations.Derivations(
-            server_list, self._past, heartbeat_seconds
+            server_list, past, heartbeat_seconds
         )
         self._configured = configured
         self._origins = origins
         self._writers = written
-        self._history = software_versions.History()
         # Streams that callers took up, by what was known of their origins.
         self.counts: collections.Counter[str] = collections.Counter()
         configured.on_accept(self._update_history)
@@ -93,13 +106,14 @@
         origin = lookup.origin
         if origin is not None and origin.is_open:
             origin = self._close(origin, parsed)
-        versions = self._history.recent(call.service)
         sole = None
         derived = None
-        if origin is None:
-            sole = await self._find_sole_version(call, versions)
+        if origin is None and (lookup.is_unknown_to_all or not parsed.resumes):
+            lifetime = _lifetime_seconds(call)
+            sole = await self._sole_versions.find(call, lifetime)
             if sole is None:
-                derived = await self._derivations.derive(call, _lifetime_seconds(call))
+                derived = await self._derivations.derive(call, lifetime)
+        versions = self._history.recent(call.service)
         logs.event(
             "stream_resumes",
             id=parsed.attempt,
@@ -277,11 +291,6 @@
         for name in derived.young:
             state.add_tried(name)
 
-    @property
-    def _is_isolated(self) -> bool:
-        """Whether others may know of versions that this instance has not heard of."""
-        return self._servers.is_behind and self._origins.is_alone
-
     def _close(
         self, origin: stream_origins.Origin, parsed: headers.ParsedHeaders
     ) -> stream_origins.Origin:
@@ -302,23 +311,6 @@
         self.counts[UNKNOWN] += 1
         raise exceptions.OriginUnknown(retry_after_ms=UNLISTED_RETRY_MS)
 
-    async def _find_sole_version(
-        self, call: calls.Call, versions: set[str]
-    ) -> str | None:
-        """Return the only version that can have begun a stream; None if unknown."""
-        if self._is_isolated or len(versions) != 1:
-            return None
-        [software] = versions
-        window_seconds = _lifetime_seconds(call)
-        if self._history.covers(call.service, window_seconds):
-            return software
-        evidence = await self._past.evidence(call.service)
-        if evidence is None:
-            return None
-        return software_versions.sole_version(
-            call.service, evidence, window_seconds, time.time() * 1000.0
-        )
-
     def _record(
         self, state: progress.RequestState, origin: stream_origins.Origin
     ) -> None:
--- a/packages/daemon/cassiaquay_daemon/gateway/service.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/service.py
@@ -281,6 +281,7 @@
             shared.origins,
             shared.server_list,
             writers.Writers(checks, observed, shared.crashes),
+            checks,
             settings.platform.heartbeat_seconds,
         ),
         room,
--- a/tests/test_derivations.py
+++ b/tests/test_derivations.py
@@ -31,7 +31,8 @@
 
     def __init__(self) -> None:
         self.listed = [_entry("a1"), _entry("a2"), _entry("b1"), _entry("b2")]
-        self.servers = mock.Mock(is_behind=False)
+        self.servers = mock.Mock(steady_since=0.0)
+        self.servers.read_since = mock.AsyncMock(return_value=True)
         self.servers.entries = lambda: self.listed
         # Each server has written some times; the oldest write is 24 s old.
         written = []
@@ -85,7 +86,7 @@
     """Guards against a guess where a server may be missing."""
     bench = _Bench()
     if cause == "behind":
-        bench.servers.is_behind = True
+        bench.servers.read_since.return_value = False
     elif cause == "several services":
         bench.call.route.shares = ("chat", "other")
     elif cause == "not named":
--- a/tests/test_resuming.py
+++ b/tests/test_resuming.py
@@ -49,27 +49,34 @@
         self.configured = _Configured(**versions)
         self.origin: stream_origins.Origin | None = None
         self.recorded: list[stream_origins.Origin] = []
-        self.origins = mock.Mock(is_alone=False)
+        self.origins = mock.Mock()
+        # Whether each instance that may know the stream has answered.
+        self.has_all_answers = True
         self.origins.find = self._find
         self.origins.add = lambda key, origin, lifetime: self.recorded.append(origin)
-        self.servers = mock.Mock(is_behind=False, age_ms=0, steady_ms=0)
+        self.servers = mock.Mock(age_ms=0, steady_ms=0, steady_since=clock.now())
+        self.servers.read_since = mock.AsyncMock(return_value=True)
+        self.checks = mock.Mock()
+        self.checks.confirm = mock.AsyncMock(return_value=True)
         self.servers.position.revision = 1
         # Servers that leave, besides those in use; all began when `started_ms` says.
         self.leaving: dict[str, str] = {}
         self.started_ms = 1
         self.past = platform.ServersPast([], [])
+        self.past_reads = 0
         self.servers.entries = self._entries
         self.servers.read_past = self._read_past
         written = writers.Writers(mock.Mock(), mock.Mock(), mock.Mock())
         self.resuming = resuming.Resuming(
-            self.configured, self.origins, self.servers, written
+            self.configured, self.origins, self.servers, written, self.checks
         )
         self.configured.put(**versions)
 
     async def _find(self, key: int) -> origin_reports.Lookup:
-        return origin_reports.Lookup(self.origin)
+        return origin_reports.Lookup(self.origin, 2, 1 + self.has_all_answers)
 
     async def _read_past(self) -> platform.ServersPast:
+        self.past_reads += 1
         if self.past is None:
             raise exceptions.PlatformError("unreadable")
         return self.past
@@ -88,6 +95,11 @@
             name, "chat", "h:1", "", 1, False, self.started_ms, 9, 0, version, 0
         )
 
+    def age(self) -> None:
+        """Let the service have been observed for longer than a stream may last."""
+        self.servers.steady_since -= 60.0
+        self.resuming._history._observed_since["chat"] -= 60.0
+
     def state(self, *services: str) -> progress.RequestState:
         """Return a resumed stream on a route to some services."""
         shares = tuple(routing.Share(name, 1) for name in services or ("chat",))
@@ -151,16 +163,81 @@
     assert refused.value.retry_after_ms == resuming.UNKNOWN_RETRY_MS
 
 
-def test_isolated_instance_does_not_take_its_version_for_the_sole_one() -> None:
-    """Guards against a list of before the release, which others have left behind."""
+@pytest.mark.parametrize("cause", ["outdated", "unanswered", "restarted"])
+def test_version_known_here_is_not_the_sole_one_if_others_may_know_more(
+    cause: str,
+) -> None:
+    """Guards against a list of before a release that this instance has not seen."""
+    bench = _Bench(a="v1")
+    bench.age()
+    if cause == "outdated":
+        bench.servers.read_since.return_value = False
+    elif cause == "unanswered":
+        bench.has_all_answers = False
+    else:
+        bench.checks.confirm.return_value = False
+    with pytest.raises(exceptions.OriginUnknown):
+        bench.resolve(bench.state())
+
+
+def test_version_that_the_read_shows_is_not_overlooked() -> None:
+    """Guards against a decision by the list of before the stream was taken up."""
     bench = _Bench(a="v1")
-    bench.servers.is_behind = True
+    bench.age()
+
+    async def read(since: float, seconds: float) -> bool:
+        bench.configured.put(a="v1", b="v2")
+        return True
+
+    bench.servers.read_since = read
+    with pytest.raises(exceptions.OriginUnknown):
+        bench.resolve(bench.state())
+
+
+def test_time_in_which_the_list_was_not_confirmed_is_not_observed() -> None:
+    """Guards against versions that came and left while this instance was cut off."""
+    bench = _Bench(a="v1")
+    bench.started_ms = 0
+    bench.age()
     bench.resolve(bench.state())
-    bench.origins.is_alone = True
+    bench.servers.steady_since = clock.now()
     with pytest.raises(exceptions.OriginUnknown):
         bench.resolve(bench.state())
 
 
+def test_history_is_read_again_after_a_time_without_a_current_list() -> None:
+    """Guards against a history of before a cut that lacks the versions of meanwhile."""
+    bench = _Bench(a="v1")
+
+    async def work() -> None:
+        await bench.resuming.resolve(bench.state())
+        await bench.resuming.resolve(bench.state())
+        assert bench.past_reads == 1
+        bench.past.written.append(bench.entry("b", "v2"))
+        bench.past.removed.append("b")
+        bench.servers.steady_since = clock.now()
+        with pytest.raises(exceptions.OriginUnknown):
+            await bench.resuming.resolve(bench.state())
+        assert bench.past_reads == 2
+
+    asyncio.run(work())
+
+
+@pytest.mark.parametrize("is_whole", [True, False])
+def test_whole_history_shows_the_version_of_young_servers(is_whole: bool) -> None:
+    """Guards against refusals because servers have started a short time ago."""
+    bench = _Bench(a="v1")
+    bench.started_ms = int(time.time() * 1000)
+    bench.past = bench.past._replace(is_whole=is_whole)
+    state = bench.state()
+    if is_whole:
+        bench.resolve(state)
+        assert state.software == "v1"
+        return
+    with pytest.raises(exceptions.OriginUnknown):
+        bench.resolve(state)
+
+
 def test_stream_goes_on_at_its_service_or_not_at_all() -> None:
     """Guards against another service in which the same version is in use."""
     bench = _Bench(a="v1")
--- a/tests/version_schedules.py
+++ b/tests/version_schedules.py
@@ -124,7 +124,8 @@
     def derive(self, stream: Stream) -> str | None:
         """Return the version at which a caller's stream goes on; None if nowhere."""
         at = self.taken_up_at
-        known = mock.Mock(is_behind=False)
+        known = mock.Mock(steady_since=at)
+        known.read_since = mock.AsyncMock(return_value=True)
         known.entries = self._entries
         past, read_past = mock.Mock(), self._past()
 
