No version is derived that a server may have left for another one unseen

A stream of unknown origin went on at the version that its attempt's id gives, although it had begun at another one (ORDER): a server of the chosen version had been restarted under its name in another version, its entry followed late, and the stream began there. The walk over the servers ended at a steady one that ranks first and did not look at the others.

Now the listed processes must have confirmed their start since the stream was taken up, and no server that had the derived version may have been restarted in another one since the stream can have begun; a server whose former version is unknown counts as one.

The two new cases of test_stream_is_not_derived_without_evidence failed before.

--- a/packages/daemon/cassiaquay_daemon/decisions/version_choice.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/version_choice.py
@@ -113,7 +113,8 @@
         if len(versions) > 1 or candidate.software is None:
             return None
         if candidate.is_steady:
-            return candidate.software
+            was_left = _was_left(candidate.software, evidence, since_ms)
+            return None if was_left else candidate.software
     return None
 
 
@@ -134,6 +135,26 @@
     return names
 
 
+def _was_left(software: str, evidence: Evidence, since_ms: float) -> bool:
+    """Return whether a server may have changed from a version to another one.
+
+    Its entry followed late, so that a stream whose choice was the former version may
+    have begun at the new one there.
+    """
+    if evidence.replacing:
+        return True
+    versions: dict[str, set[str]] = {}
+    restarted = set()
+    for entry in [*evidence.listed, *evidence.seen]:
+        versions.setdefault(entry.name, set()).add(entry.software)
+        if entry.started_ms > since_ms:
+            restarted.add(entry.name)
+    for name in restarted:
+        if software in versions[name] and len(versions[name]) > 1:
+            return True
+    return False
+
+
 def _candidates(service: str, evidence: Evidence, since_ms: float) -> list[_Candidate]:
     """Return the servers that may have been listed since a time."""
     identities: dict[str, set[_Identity]] = {}
--- a/packages/daemon/cassiaquay_daemon/gateway/derivations.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/derivations.py
@@ -7,10 +7,12 @@
 import time
 import typing
 
+from cassiaquay_schema import messages
+
 from .. import clock
 from ..decisions import server_times, stream_ages, stream_origins, version_choice
 from ..fleet import server_past, servers
-from . import calls
+from . import calls, process_checks
 
 # Clocks of servers and callers differ, lists are up to a second old, and a server
 # registers a moment after its process has started.
@@ -43,6 +45,8 @@
         The servers that are listed now.
     past : ServerPast
         Reads what the platform shows of before this process began.
+    checks : ProcessChecks
+        Asks servers whether they run the listed process.
     heartbeat_seconds : float, optional
         Time between two writes of a server's entry; 0 if unknown.
     """
@@ -51,11 +55,13 @@
         self,
         server_list: servers.Servers,
         past: server_past.ServerPast,
+        checks: process_checks.ProcessChecks,
         heartbeat_seconds: float = 0.0,
     ):
         self._heartbeat_seconds = heartbeat_seconds
         self._servers = server_list
         self._past = past
+        self._checks = checks
         self._sightings = server_times.Sightings()
         self._stated = stream_ages.StatedTimes()
 
@@ -83,7 +89,12 @@
         if not self._state_starts(call.service):
             return None
         # A list that is outdated lacks servers.
-        if not await self._servers.read_since(clock.now(), PATIENCE_SECONDS):
+        taken_up_at = clock.now()
+        if not await self._servers.read_since(taken_up_at, PATIENCE_SECONDS):
+            return None
+        # A server that was restarted under its name may have begun the stream.
+        listed = self._list(call.service)
+        if not await self._checks.confirm(listed, taken_up_at):
             return None
         # Lists that change no server in use are not published.
         self.note_servers()
@@ -101,10 +112,11 @@
 
     def _state_starts(self, service: str) -> bool:
         """Return whether all servers of a service state when they started."""
-        for entry in self._servers.entries():
-            if entry.service == service and not entry.started_ms:
-                return False
-        return True
+        return all(entry.started_ms for entry in self._list(service))
+
+    def _list(self, service: str) -> list[messages.ServerEntry]:
+        entries = self._servers.entries()
+        return [entry for entry in entries if entry.service == service]
 
     def _age_seconds(self, call: calls.Call, lifetime: float) -> float:
         """Return how long ago a stream can have begun."""
@@ -121,7 +133,7 @@
     ) -> version_choice.Evidence | None:
         """Return what is known of a service's servers; None if it cannot be read."""
         entries = self._servers.entries()
-        listed = [entry for entry in entries if entry.service == service]
+        listed = self._list(service)
         now = clock.now()
         oldest = now - (now_ms - since_ms) / 1000.0
         seen = [*entries, *self._sightings.former_since(oldest)]
--- a/packages/daemon/cassiaquay_daemon/gateway/resuming.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/resuming.py
@@ -75,7 +75,7 @@
             self._history, server_list, past, checks
         )
         self._derivations = derivations.Derivations(
-            server_list, past, heartbeat_seconds
+            server_list, past, checks, heartbeat_seconds
         )
         self._configured = configured
         self._origins = origins
--- a/tests/test_derivations.py
+++ b/tests/test_derivations.py
@@ -33,6 +33,8 @@
         self.listed = [_entry("a1"), _entry("a2"), _entry("b1"), _entry("b2")]
         self.servers = mock.Mock(steady_since=0.0)
         self.servers.read_since = mock.AsyncMock(return_value=True)
+        self.checks = mock.Mock()
+        self.checks.confirm = mock.AsyncMock(return_value=True)
         self.servers.entries = lambda: self.listed
         # Each server has written some times; the oldest write is 24 s old.
         written = []
@@ -53,7 +55,7 @@
         before = clock.use(lambda: NOW)
         try:
             with mock.patch("time.time", return_value=schedules.EPOCH + NOW):
-                made = derivations.Derivations(self.servers, past, 1.2)
+                made = derivations.Derivations(self.servers, past, self.checks, 1.2)
                 made.note_servers()
                 if self.stated_seconds:
                     made.note_new(schedules.call("new", self.stated_seconds))
@@ -73,6 +75,8 @@
     "cause",
     [
         "behind",
+        "restarted, not listed yet",
+        "restarted in another version",
         "several services",
         "not named",
         "no time stated",
@@ -87,6 +91,14 @@
     bench = _Bench()
     if cause == "behind":
         bench.servers.read_since.return_value = False
+    elif cause == "restarted, not listed yet":
+        bench.checks.confirm.return_value = False
+    elif cause == "restarted in another version":
+        born = int((schedules.EPOCH + NOW - 1.0) * 1000.0)
+        last = bench.past.written[-1].revision + 1
+        restarted = _entry("b2", last, software="a", started_ms=born)
+        bench.listed[-1] = restarted
+        bench.past.written.append(restarted)
     elif cause == "several services":
         bench.call.route.shares = ("chat", "other")
     elif cause == "not named":
--- a/tests/test_rejoined_streams.py
+++ b/tests/test_rejoined_streams.py
@@ -142,7 +142,9 @@
             site.store.remove("servers/i-1")
             site.store.remove("servers/i-1-plain")
         elif change == "added":
-            await site.add_engine("i-5", version="v2", born=int(time.time() * 1000))
+            born = int(time.time() * 1000)
+            engine = await site.add_engine("i-5", version="v2", born=born)
+            engine.born = born
         await _replace_all_instances(site)
         await _take_up(streams)
         assert all(len(stream.versions) == 1 for stream in streams)
--- a/tests/test_version_choice.py
+++ b/tests/test_version_choice.py
@@ -50,6 +50,17 @@
     return wrong
 
 
+def _count_wrong_after_a_crash() -> int:
+    """Return the same where all servers of a version crash before the kill."""
+    wrong = 0
+    for seed in range(SEEDS):
+        made = schedules.Schedule(seed, 0, 0.0)
+        made.crash_version(schedules.KILLED_AT - 1.0)
+        for stream in made.begin(6):
+            wrong += made.derive(stream) not in (None, stream.version)
+    return wrong
+
+
 def test_new_streams_are_spread_over_versions_by_slots() -> None:
     """Guards against a version whose slots stay empty while the other's are full."""
     servers = _servers(a1=4, a2=4, b1=8)
@@ -137,6 +148,12 @@
 
     if mutant == "dead":
         monkeypatch.setattr(version_choice, "young_servers", lambda *_: [])
-    else:
-        monkeypatch.setattr(version_choice, "_candidates", ignore)
+        assert _count_wrong_after_a_crash()
+        return
+    monkeypatch.setattr(version_choice, "_candidates", ignore)
     assert _count_wrong()
+
+
+def test_version_whose_servers_had_crashed_is_not_derived() -> None:
+    """Guards against a server that came after the stream began at another version."""
+    assert _count_wrong_after_a_crash() == 0
--- a/tests/version_schedules.py
+++ b/tests/version_schedules.py
@@ -110,6 +110,16 @@
         """Add a server."""
         self._start(born)
 
+    def crash_version(self, at: float) -> None:
+        """Let all servers of one version crash, and another one of it start at once."""
+        version = self.servers[0].version
+        for number, server in enumerate(self.servers):
+            if server.version == version:
+                crashed = server._replace(dead_at=at, removed_at=at + 3.6)
+                self.servers[number] = crashed
+        self._start(at)
+        self.servers[-1] = self.servers[-1]._replace(version=version)
+
     def begin(self, count: int) -> list[Stream]:
         """Return streams that begin by the rule in the time before the kill."""
         streams = []
@@ -126,6 +136,8 @@
         at = self.taken_up_at
         known = mock.Mock(steady_since=at)
         known.read_since = mock.AsyncMock(return_value=True)
+        checks = mock.Mock()
+        checks.confirm = mock.AsyncMock(return_value=True)
         known.entries = self._entries
         past, read_past = mock.Mock(), self._past()
 
@@ -136,7 +148,9 @@
         before = clock.use(lambda: at)
         try:
             with mock.patch("time.time", return_value=EPOCH + at):
-                made = derivations.Derivations(known, past, self._heartbeat_seconds)
+                made = derivations.Derivations(
+                    known, past, checks, self._heartbeat_seconds
+                )
                 made.note_servers()
                 made.note_new(call("new", CALLER_SECONDS))
                 # The caller may have made an attempt before the one that is named.
