A keeper of team limits forgets its grants after a pause

Cause: a keeper of a team's limit that is paused for longer than its leases is taken for failed, and the next keeper grants from a bucket that begins empty. The paused one sees no change of the members when it wakes up. Its own bucket has filled up meanwhile, so what the pause brought is granted twice: it took "I have heard of no other keeper" for "there was none".

Change: Quotas follows the pauses of its process; after one, a keeper begins with an empty bucket, as after a restart. The instance's own share stays: nobody else spends it.

Ruled out: a keeper that is cut off sees the members change, and grants the part of the instances that it hears (tests/test_quota_schedules.py).

--- a/packages/daemon/cassiaquay_daemon/keepers/quotas.py
+++ b/packages/daemon/cassiaquay_daemon/keepers/quotas.py
@@ -23,7 +23,7 @@
 from cassiaquay_schema import messages
 from cassiaquay_schema import settings as settings_schema
 
-from .. import clock, exceptions
+from .. import clock, exceptions, pause
 from ..configured import routing
 from ..decisions import buckets, shards
 from ..fleet import configuration, members
@@ -123,6 +123,8 @@
         The keeper of each limit, and the number of instances that share it.
     configured : Configuration
         The limits in force.
+    pauses : Pauses, optional
+        Reports pauses of this process, in which others may have granted in its place.
     """
 
     def __init__(
@@ -131,6 +133,7 @@
         links: peers.Peers,
         membership: members.Membership,
         configured: configuration.Configuration,
+        pauses: pause.Pauses | None = None,
     ):
         self._settings = settings
         self._gateway = settings.gateway
@@ -154,6 +157,8 @@
         links.on(messages.QuotaReturn, self._on_return)
         links.on_up(self._on_link_up)
         membership.on_change(self._on_members_changed)
+        if pauses is not None:
+            pauses.on_resume(self._on_pause)
 
     def adopt(self, settings: settings_schema.Settings) -> None:
         """Apply changed settings."""
@@ -248,6 +253,13 @@
             if self._membership.keeper_of(_limit_key(team)) != self._settings.instance:
                 del self._granted[team]
 
+    def _on_pause(self) -> None:
+        # Others took this instance for failed, and the next keeper has granted what
+        # these buckets have gained meanwhile. This instance has seen no change of the
+        # members: it heard nothing.
+        self._granted_from = clock.now()
+        self._granted.clear()
+
     async def _query_keeper(
         self, keeper: str, team: str, units: int, patience: float
     ) -> messages.QuotaAnswer:
--- /dev/null
+++ b/tests/test_out_of_step_beliefs.py
@@ -0,0 +1,82 @@
+"""What an instance believes after a pause or a cut in which it heard nothing."""
+
+import math
+
+import policy_fakes as fakes
+import pytest
+import test_budgets as budgets_case
+import test_quota_schedules as quota_case
+
+from cassiaquay_daemon import pause, rendezvous
+from cassiaquay_daemon.keepers import quotas
+
+PAUSE_LIMIT_SECONDS = 1.5
+PAUSED_SECONDS = 5.0
+KEEPER = rendezvous.first(f"quota {budgets_case.TEAM.name}", quota_case.NAMES)
+
+
+class PausingFleet(quota_case.Fleet):
+    """Instances that share a team's limit, whose keeper is paused once.
+
+    The others take it for failed. It sees no change of the members itself.
+    """
+
+    def __init__(self, time: fakes.Time, seed: int, refused_share: float = 0.0):
+        self.pauses: dict[str, pause.Pauses] = {}
+        self.paused_until = math.inf
+        self.is_paused = False
+        self.has_woken = False
+        super().__init__(time, seed, refused_share)
+
+    def start(self, name: str, first: bool) -> None:
+        """Start a process that notices its pauses."""
+        super().start(name, first)
+        self.pauses[name] = pause.Pauses(PAUSE_LIMIT_SECONDS)
+        self.views[name] = quota_case.View(self, name)
+        self.quotas[name] = quotas.Quotas(
+            self.quotas[name]._settings,
+            fakes.Links(),
+            self.views[name],
+            budgets_case.Configured(),
+            self.pauses[name],
+        )
+
+    def reaches(self, source: str, target: str) -> bool:
+        """Return whether two instances run and reach each other."""
+        return not (self.is_paused and KEEPER in (source, target))
+
+    def inject_fault(self) -> bool:
+        """Pause the limit's keeper after its first grants; return what has changed."""
+        was_paused, self.is_paused = self.is_paused, False
+        if self.spent:
+            self.paused_until = min(self.paused_until, self.time.now + PAUSED_SECONDS)
+            self.is_paused = self.time.now < self.paused_until
+        for name, pauses in self.pauses.items():
+            if name != KEEPER or not self.is_paused:
+                is_current = name != KEEPER or not was_paused
+                assert pauses.is_current is is_current
+                pauses.release()
+        self.has_woken = was_paused and not self.is_paused
+        return self.is_paused is not was_paused
+
+    def notify_members_changed(self) -> None:
+        """Notify the instances that run, but not the keeper that has just woken up."""
+        for name, view in self.views.items():
+            if name == KEEPER and (self.is_paused or self.has_woken):
+                continue
+            for call in view.changed:
+                call()
+
+    async def flood(self, wait: list[float]) -> None:
+        """Send the team's requests to the instances that run."""
+        self.down_until[KEEPER] = self.paused_until if self.is_paused else -math.inf
+        await super().flood(wait)
+        self.down_until[KEEPER] = -math.inf
+
+
+@pytest.mark.parametrize("seed", quota_case.SEEDS)
+def test_limit_holds_while_its_keeper_is_paused(monkeypatch, seed: int) -> None:
+    """Guards against a keeper that grants again what others granted in its pause."""
+    monkeypatch.setattr(quota_case, "Fleet", PausingFleet)
+    share = quota_case.max_window_share(monkeypatch, seed)
+    assert 0.3 <= share <= quotas.USED_SHARE
