An instance that hears no older one has not lost the history of crashes

Cause: an instance that did not start with the fleet holds a request after one crash fewer while it knows no live instance older than itself, since the records may have died with the others. It asked that anew each time: an instance that was cut off from the others, or whose elders have left since (the first one that was restarted when all are restarted in turn), took "I hear no older instance" for "the history is lost", although its table had been compared with theirs. Innocent requests that were on two crashing servers were refused there.

Change: once an older instance was heard, the history counts as known until the end of the process: the table comes with the next heartbeats. An instance that has never heard one holds after one crash fewer, as before.

Test: a cut instance holds after the third crash; before, it did after the second (failed at the assertion after it). The case of a fleet of which all were restarted is a test as well and passed before. The files of quarantine and crash reports pass.

--- a/packages/daemon/cassiaquay_daemon/fleet/crash_reports.py
+++ b/packages/daemon/cassiaquay_daemon/fleet/crash_reports.py
@@ -67,8 +67,11 @@
         self._ended_at: collections.OrderedDict[str, float] = collections.OrderedDict()
         self._replication = replication.Replication(links, membership, self)
         links.on(messages.CrashReports, self._handle_reports)
-        if not settings.gateway.first_start:
-            held.is_history_lost = lambda: not membership.has_older_instances()
+        # Whether nothing was recorded before this start, or an older instance was heard
+        # since: its table comes with the next heartbeats.
+        self._has_history = settings.gateway.first_start
+        held.is_history_lost = self._is_history_lost
+        membership.on_heartbeat(self._note_older)
 
     @property
     def digest(self) -> int:
@@ -145,6 +148,14 @@
         if changed:
             self._flood(changed, "")
 
+    def _is_history_lost(self) -> bool:
+        return not self._has_history
+
+    def _note_older(self, link: peers.Link, beat: messages.Heartbeat) -> None:
+        # Older instances may leave or be cut off later; what they knew stays here.
+        if not self._has_history:
+            self._has_history = self._membership.has_older_instances()
+
     def _may_try(self, key: str) -> bool:
         if not self._quarantine.is_trial_due(key):
             return False
--- a/tests/test_out_of_step_beliefs.py
+++ b/tests/test_out_of_step_beliefs.py
@@ -5,6 +5,7 @@
 import policy_fakes as fakes
 import pytest
 import test_budgets as budgets_case
+import test_crash_reports as crashes_case
 import test_quota_schedules as quota_case
 
 from cassiaquay_daemon import pause, rendezvous
@@ -80,3 +81,32 @@
     monkeypatch.setattr(quota_case, "Fleet", PausingFleet)
     share = quota_case.max_window_share(monkeypatch, seed)
     assert 0.3 <= share <= quotas.USED_SHARE
+
+
+def test_instance_that_is_cut_off_keeps_the_history_of_crashes() -> None:
+    """Guards against a hold after too few crashes where no other instance is heard."""
+    with fakes.Time().used():
+        fleet = crashes_case.Fleet()
+        fleet.send_heartbeats()
+        for members in fleet.members.values():
+            members.has_older_instances = lambda: False
+        reports = fleet.reports["cq-1"]
+        reports.crashed("poison", "i-1/1")
+        reports.crashed("poison", "i-2/1")
+        assert not reports.holds("poison")
+        reports.crashed("poison", "i-3/1")
+        assert reports.holds("poison")
+
+
+def test_instance_that_never_heard_an_older_one_holds_after_two_crashes() -> None:
+    """Guards against a full series of crashes again after all instances restarted."""
+    with fakes.Time().used():
+        fleet = crashes_case.Fleet()
+        for members in fleet.members.values():
+            members.has_older_instances = lambda: False
+        fleet.send_heartbeats()
+        reports = fleet.reports["cq-1"]
+        reports.crashed("poison", "i-1/1")
+        assert not reports.holds("poison")
+        reports.crashed("poison", "i-2/1")
+        assert reports.holds("poison")
