After a pause an instance vouches for no other that it has not heard

Cause: after a pause of its process the failure detector restarted the timeouts of all instances, and with them the times at which it had received their heartbeats. An instance that asked whether it hears a third one was told so for another 0.9 s, although the third one may have failed during the pause; the asking one then stopped watching it. That two such instances must not confirm each other is what the times of received heartbeats are for.

Change: the timeouts restart; heartbeats of before the pause answer no probe. The next heartbeat, 0.3 s later, does.

--- a/packages/daemon/cassiaquay_daemon/fleet/failure_detector.py
+++ b/packages/daemon/cassiaquay_daemon/fleet/failure_detector.py
@@ -110,10 +110,12 @@
             del self._links[link.instance]
 
     def reset(self) -> None:
-        """Restart all timeouts, after a pause of this process itself."""
-        now = clock.now()
-        for name in self._expected_since:
-            self._expected_since[name] = self._received_at[name] = now
+        """Restart all timeouts, after a pause of this process itself.
+
+        Heartbeats of before the pause answer no probe: their senders may be gone.
+        """
+        self._expected_since = dict.fromkeys(self._expected_since, clock.now())
+        self._received_at.clear()
         self._probes.clear()
 
     def answer_probe(self, link: peers.Link, probe: messages.Probe) -> None:
--- a/tests/test_out_of_step_beliefs.py
+++ b/tests/test_out_of_step_beliefs.py
@@ -2,6 +2,7 @@
 
 import math
 
+import capacity_fakes
 import policy_fakes as fakes
 import pytest
 import test_budgets as budgets_case
@@ -9,7 +10,9 @@
 import test_quota_schedules as quota_case
 
 from cassiaquay_daemon import pause, rendezvous
+from cassiaquay_daemon.fleet import facts, failure_detector
 from cassiaquay_daemon.keepers import quotas
+from cassiaquay_schema import messages
 
 PAUSE_LIMIT_SECONDS = 1.5
 PAUSED_SECONDS = 5.0
@@ -110,3 +113,53 @@
         assert not reports.holds("poison")
         reports.crashed("poison", "i-2/1")
         assert reports.holds("poison")
+
+
+class Watch:
+    """The failure detector of cq-1, which hears cq-2 and cq-3."""
+
+    def __init__(self, time: fakes.Time):
+        self.time = time
+        self.settings = fakes.settings().membership
+        self.facts = facts.Facts()
+        self.asked: list[str] = []
+        self.detector = failure_detector.Detector(
+            fakes.settings(), self.facts, lambda name, message: self.asked.append(name)
+        )
+        self.owners = {name: fakes.Owner(name) for name in ("cq-2", "cq-3")}
+        for number in (2, 3):
+            assert self.facts.learn(capacity_fakes.member(number, (0, 0)))
+
+    @property
+    def suspected(self) -> list[str]:
+        """Names of the instances that are suspected."""
+        records = self.facts.records.items()
+        return [name for name, record in records if record.suspected_at is not None]
+
+    def hear(self, *names: str) -> None:
+        """Take in a heartbeat of each instance."""
+        for name in names:
+            self.detector.note_heartbeat(self.owners[name])
+
+    def run(self, seconds: float, *names: str) -> None:
+        """Go on for a while, in which heartbeats of these instances arrive."""
+        ends_at = self.time.now + seconds
+        while self.time.now < ends_at:
+            self.time.now += self.settings.period
+            self.hear(*names)
+            self.detector.update_suspicions()
+
+
+def test_instance_vouches_for_no_other_that_it_has_not_heard_since_a_pause() -> None:
+    """Guards against a failed instance that one which was paused still vouches for."""
+    with fakes.Time().used() as time:
+        watch = Watch(time)
+        watch.run(3.0, "cq-2", "cq-3")
+        time.now += 10.0
+        watch.detector.reset()
+        asking = watch.owners["cq-3"]
+        watch.detector.answer_probe(asking, messages.Probe("cq-2"))
+        assert not asking.sent
+        watch.hear("cq-2")
+        watch.detector.answer_probe(asking, messages.Probe("cq-2"))
+        assert asking.sent == [messages.Heard("cq-2")]
