Probes that a pause interrupts end in no suspicion

Cause: an instance that is not heard is probed through others for 0.6 s and suspected without an answer. The time ran on while the probing process itself stood still: after a pause of 0.6 s or more, the round of heartbeats could come before the bytes in the sockets were read, and an instance whose answers lay there was suspected. Pauses under the shortest lease (1.5 s) are not noticed as such, and longer ones only once somebody has asked for them.

Change: a round that comes later than the time of the probes restarts them, unless the round before was late as well: a process that is always late has read the answers.

--- a/packages/daemon/cassiaquay_daemon/fleet/failure_detector.py
+++ b/packages/daemon/cassiaquay_daemon/fleet/failure_detector.py
@@ -60,6 +60,8 @@
         self._probes: dict[str, float] = {}
         self._links: dict[str, peers.Link] = {}
         self._taken_change_count = 0
+        self._updated_at = NEVER
+        self._was_late = False
 
     @property
     def _probe_seconds(self) -> float:
@@ -135,6 +137,7 @@
     def update_suspicions(self) -> None:
         """Probe silent instances; suspect those that no helper has confirmed."""
         now = clock.now()
+        self._restart_late_probes(now)
         for name in list(self._expected_since):
             if self._silence(name) < self._settings.suspect_after - self._probe_seconds:
                 continue
@@ -161,6 +164,18 @@
         self._taken_change_count = self._facts.changes
         return changed
 
+    def _restart_late_probes(self, now: float) -> None:
+        """Restart the probes if this process has just stood still.
+
+        Their answers have not been read yet. A process that is late each time has read
+        them.
+        """
+        is_late = now - self._updated_at > self._probe_seconds
+        if is_late and not self._was_late:
+            self._probes = dict.fromkeys(self._probes, now)
+        self._updated_at = now
+        self._was_late = is_late
+
     def _silence(self, instance: str) -> float:
         return clock.now() - self._expected_since.get(instance, NEVER)
 
--- a/tests/test_out_of_step_beliefs.py
+++ b/tests/test_out_of_step_beliefs.py
@@ -163,3 +163,31 @@
         watch.hear("cq-2")
         watch.detector.answer_probe(asking, messages.Probe("cq-2"))
         assert asking.sent == [messages.Heard("cq-2")]
+
+
+@pytest.mark.parametrize("paused_seconds", [0.4, 1.0, 1.4, 8.0])
+def test_probe_that_a_pause_interrupts_ends_in_no_suspicion(paused_seconds) -> None:
+    """Guards against a suspicion whose refutation lies unread in a socket."""
+    with fakes.Time().used() as time:
+        watch = Watch(time)
+        watch.run(3.0, "cq-2", "cq-3")
+        while not watch.asked:
+            watch.run(watch.settings.period, "cq-3")
+        time.now += paused_seconds
+        watch.detector.update_suspicions()
+        assert not watch.suspected
+        watch.detector.note_answer(watch.owners["cq-3"], messages.Heard("cq-2"))
+        watch.run(3.0, "cq-3")
+        assert not watch.suspected
+
+
+def test_process_that_is_always_late_suspects_a_failed_instance() -> None:
+    """Guards against a slow instance that never finds out about a failed one."""
+    with fakes.Time().used() as time:
+        watch = Watch(time)
+        watch.run(3.0, "cq-2", "cq-3")
+        for _ in range(5):
+            time.now += 1.0
+            watch.hear("cq-3")
+            watch.detector.update_suspicions()
+        assert watch.suspected == ["cq-2"]
