A keeper of limits that was paused begins anew

Cause: the keeper of a limit takes a lease that was not renewed for ended. After a pause of its process all leases had ended unheard: it granted a limit of requests at a time once more, while the owners, who had renewed at the next keeper, still ran theirs. Of a rate it granted a whole second's permits, which the next keeper had granted as well.

Change: after a pause the keeper begins as a new one does: one permit of a rate, and nothing of a limit at a time until the owners have told what they run.

Test: a keeper that is paused for 5 s grants nothing while another owner runs all that the limit allows, and one permit of a rate; before, it granted one more request at once and ten permits (both failed). tests/test_limits.py passes.

--- a/packages/daemon/cassiaquay_daemon/daemon.py
+++ b/packages/daemon/cassiaquay_daemon/daemon.py
@@ -103,7 +103,11 @@
             self._peers,
             self._membership,
             limit_keepers.LimitKeeper(
-                settings, self._peers, self._membership, self._configuration
+                settings,
+                self._peers,
+                self._membership,
+                self._configuration,
+                self._pauses,
             ),
         )
         self._engine_reports = engine_reports.EngineReports(
--- a/packages/daemon/cassiaquay_daemon/keepers/limit_keepers.py
+++ b/packages/daemon/cassiaquay_daemon/keepers/limit_keepers.py
@@ -11,7 +11,7 @@
 from cassiaquay_schema import messages
 from cassiaquay_schema import settings as settings_schema
 
-from .. import clock
+from .. import clock, pause
 from ..decisions import shards
 from ..fleet import configuration, members
 from ..links import peers
@@ -112,6 +112,8 @@
         Reports membership changes, which may change the keeper of a limit.
     configured : Configuration
         The limits.
+    pauses : Pauses, optional
+        Reports pauses of this process, in which others may have granted in its place.
     """
 
     def __init__(
@@ -120,6 +122,7 @@
         links: peers.Peers,
         membership: members.Membership,
         configured: configuration.Configuration,
+        pauses: pause.Pauses | None = None,
     ):
         self._settings = settings
         self._configured = configured
@@ -128,6 +131,8 @@
         links.on(messages.LimitQuery, self.query)
         links.on(messages.LimitReturn, self.give_back)
         membership.on_change(self._on_members_changed)
+        if pauses is not None:
+            pauses.on_resume(self._on_pause)
 
     def query(self, replier: shards.Replier, query: messages.LimitQuery) -> None:
         """Answer an owner's query with permits."""
@@ -185,3 +190,9 @@
 
     def _on_members_changed(self) -> None:
         self._members_changed_at = clock.now()
+
+    def _on_pause(self) -> None:
+        # Leases have ended unheard, and another keeper has granted permits meanwhile:
+        # this one begins anew.
+        self._buckets.clear()
+        self._members_changed_at = clock.now()
--- a/tests/test_out_of_step_beliefs.py
+++ b/tests/test_out_of_step_beliefs.py
@@ -7,11 +7,12 @@
 import pytest
 import test_budgets as budgets_case
 import test_crash_reports as crashes_case
+import test_limits as limits_case
 import test_quota_schedules as quota_case
 
 from cassiaquay_daemon import pause, rendezvous
 from cassiaquay_daemon.fleet import facts, failure_detector
-from cassiaquay_daemon.keepers import quotas
+from cassiaquay_daemon.keepers import limit_keepers, quotas
 from cassiaquay_schema import messages
 
 PAUSE_LIMIT_SECONDS = 1.5
@@ -191,3 +192,45 @@
             watch.hear("cq-3")
             watch.detector.update_suspicions()
         assert watch.suspected == ["cq-2"]
+
+
+def _paused_limit_keeper(
+    time: fakes.Time, extra: str, seconds: float
+) -> limit_keepers.LimitKeeper:
+    """Return a keeper that has granted what its limit allows and was then paused."""
+    pauses = pause.Pauses(PAUSE_LIMIT_SECONDS)
+    limit_keeper = limit_keepers.LimitKeeper(
+        fakes.settings(),
+        fakes.Links(),
+        fakes.Membership("cq-1", []),
+        fakes.Configured(extra),
+        pauses,
+    )
+    time.now += 10.0
+    assert pauses.is_current is False
+    pauses.release()
+    time.now += PAUSE_LIMIT_SECONDS
+    limits_case._query(limit_keeper, fakes.Owner("cq-2"), needed=3)
+    time.now += seconds
+    assert not pauses.is_current
+    return limit_keeper
+
+
+def test_keeper_that_was_paused_waits_for_the_leases_of_all_owners() -> None:
+    """Guards against a limit of requests at a time that is granted twice."""
+    with fakes.Time().used() as time:
+        limit_keeper = _paused_limit_keeper(time, limits_case.CONCURRENT, 5.0)
+        other = fakes.Owner("cq-3")
+        assert not limits_case._query(limit_keeper, other).permits
+        renewed = messages.LimitReturn(limits_case.KEY, 3)
+        limit_keeper.give_back(fakes.Owner("cq-2"), renewed)
+        time.now += 2.0
+        assert not limits_case._query(limit_keeper, other).permits
+
+
+def test_keeper_that_was_paused_begins_with_one_permit_of_a_rate() -> None:
+    """Guards against a second of permits that another keeper has granted already."""
+    with fakes.Time().used() as time:
+        limit_keeper = _paused_limit_keeper(time, limits_case.RATE, 5.0)
+        granted = limits_case._query(limit_keeper, fakes.Owner("cq-3"), 10, 10).permits
+        assert granted == 1
