An instance that stood still does not take a keeper for silent

Cause: a keeper that has not acknowledged a demand 0.15 s after it was sent counts as crashed, paused or cut off, and the request is admitted by this instance's share of the slots, or refused. The loop runs the timers that are due before it reads, so that an instance that had stood still for that long itself found every keeper silent while their answers lay in its sockets, or while its demands had not left it. Such a standstill is far below the shortest lease (1.5 s) and is not noticed as a pause.

Change: before that verdict the loop delivers what has arrived, as for silent servers (the function of gateway/hedging.py moves to pause.py). If the time was over late, the keeper gets it once more.

Test: a standstill of 0.4 s on uvloop, with the acknowledgement in the socket and with the demand still unsent; both failed before (admitted without a keeper). test_admission, test_hedging, test_hedging_schedules, test_silent_repeats, test_repeated_demands, test_slow_keepers, test_keeper and test_pause pass.

--- a/packages/daemon/cassiaquay_daemon/gateway/hedging.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/hedging.py
@@ -10,14 +10,11 @@
 import math
 import typing
 
-from .. import clock, exceptions, logs
+from .. import clock, exceptions, logs, pause
 from ..decisions import budgets, hedges
 from ..operators import reports
 from . import accounting, admission, forwarding, progress, repeats, tries
 
-# Passes of the event loop from received bytes to the task that reads them.
-LOOP_PASSES = 2
-
 
 class Parts(typing.NamedTuple):
     """Components that send a request to a second server.
@@ -93,7 +90,7 @@
                 silent_at = min(progressed_at + patience_seconds, self._complete_by)
                 patience_seconds = silent_at - clock.now()
             if patience_seconds <= 0.0:
-                await _read_buffers()
+                await pause.read_buffers()
             piece = await self.current.read(max(patience_seconds, 0.0))
             if piece is not None and not piece.is_failed_head:
                 return piece
@@ -227,7 +224,7 @@
             return_when=asyncio.FIRST_COMPLETED,
         )
         if not done:
-            await _read_buffers()
+            await pause.read_buffers()
 
     def _take(self) -> forwarding.Piece | None:
         """Return the next piece of the answer if there is one."""
@@ -364,12 +361,6 @@
         )
 
 
-async def _read_buffers() -> None:
-    """Let the loop deliver bytes that arrived while this process stood still."""
-    for _ in range(LOOP_PASSES):
-        await asyncio.sleep(0)
-
-
 def _cause_of(error: Exception) -> str:
     """Return why a second server has not taken over."""
     if isinstance(error, exceptions.Unreachable):
--- a/packages/daemon/cassiaquay_daemon/keepers/demands.py
+++ b/packages/daemon/cassiaquay_daemon/keepers/demands.py
@@ -9,7 +9,7 @@
 from cassiaquay_schema import messages
 from cassiaquay_schema import settings as settings_schema
 
-from .. import clock, exceptions, logs
+from .. import clock, exceptions, logs, pause
 from ..decisions import lengths, shards
 from ..fleet import members
 from ..links import peers
@@ -224,15 +224,24 @@
         while True:
             checked_at = clock.now()
             done, _ = await asyncio.wait([future], timeout=patience)
-            if done:
+            if not done:
+                await pause.read_buffers()
+            is_late = clock.now() - checked_at > patience + pause.LATE_SECONDS
+            if is_late and not self._is_acknowledged(name, checked_at):
+                # This process stood still, and the demand may not have left it.
+                await asyncio.wait([future], timeout=patience)
+            if future.done():
                 return
-            if self._acknowledged_at.get(name, 0.0) < checked_at:
+            if not self._is_acknowledged(name, checked_at):
                 raise exceptions.KeeperUnresponsive(self._pending[name].demand.shard)
             done, _ = await asyncio.wait([future], timeout=PROBE_SECONDS - patience)
             if done:
                 return
             self._resend(self._pending[name])
 
+    def _is_acknowledged(self, name: str, since: float) -> bool:
+        return self._acknowledged_at.get(name, 0.0) >= since
+
     def _renew_locally(self, shard: str) -> None:
         self._keeper.renewal(self._local, self._renewal(shard))
 
--- a/packages/daemon/cassiaquay_daemon/pause.py
+++ b/packages/daemon/cassiaquay_daemon/pause.py
@@ -18,6 +18,14 @@
 # Iterations of the event loop after a late check in which it accepts the connections
 # and reads the requests that have waited in sockets meanwhile.
 CATCH_UP_ITERATIONS = 8
+# Passes of the event loop from received bytes to the task that reads them.
+LOOP_PASSES = 2
+
+
+async def read_buffers() -> None:
+    """Let the loop deliver bytes that arrived while this process stood still."""
+    for _ in range(LOOP_PASSES):
+        await asyncio.sleep(0)
 
 
 def shortest_lease(settings: settings_schema.Settings) -> float:
--- a/tests/test_out_of_step_beliefs.py
+++ b/tests/test_out_of_step_beliefs.py
@@ -1,14 +1,19 @@
 """What an instance believes after a pause or a cut in which it heard nothing."""
 
+import asyncio
 import math
+import socket
+import time as system_time
 
 import capacity_fakes
 import policy_fakes as fakes
 import pytest
+import test_admission as admission_case
 import test_budgets as budgets_case
 import test_crash_reports as crashes_case
 import test_limits as limits_case
 import test_quota_schedules as quota_case
+import uvloop
 
 from cassiaquay_daemon import pause, rendezvous
 from cassiaquay_daemon.fleet import facts, failure_detector
@@ -234,3 +239,49 @@
         limit_keeper = _paused_limit_keeper(time, limits_case.RATE, 5.0)
         granted = limits_case._query(limit_keeper, fakes.Owner("cq-3"), 10, 10).permits
         assert granted == 1
+
+
+STANDSTILL_SECONDS = 0.4
+
+
+@pytest.mark.parametrize("is_sent", [True, False], ids=["sent", "not sent"])
+def test_answer_of_a_keeper_that_a_standstill_holds_up_is_used(is_sent) -> None:
+    """Guards against a keeper taken for silent since this process stood still."""
+
+    async def run() -> None:
+        site = admission_case.Site()
+        reader, writer = await asyncio.open_connection(sock=ours)
+        asking = site.obtain(1)
+        waking = asyncio.create_task(_read_acknowledgement(site, reader))
+        await asyncio.sleep(0.02)
+        asyncio.get_running_loop().add_reader(alarm, stand_still)
+        waker.send(b"x")
+        await asyncio.sleep(0)
+        await waking
+        permit = messages.Permit("a1", "i-2", 1500, site.keeper.sent[0].shard)
+        site.demands.answer(site.keeper, permit)
+        assert not (await asking).is_without_keeper
+        writer.close()
+
+    def stand_still() -> None:
+        loop = asyncio.get_running_loop()
+        loop.remove_reader(alarm)
+        if is_sent:
+            theirs.send(b"x")
+        else:
+            loop.call_later(0.02, theirs.send, b"x")
+        system_time.sleep(STANDSTILL_SECONDS)
+
+    ours, theirs = socket.socketpair()
+    alarm, waker = socket.socketpair()
+    with theirs, alarm, waker:
+        # As in the daemon's process.
+        uvloop.run(run())
+
+
+async def _read_acknowledgement(
+    site: admission_case.Site, reader: asyncio.StreamReader
+) -> None:
+    """Take in the acknowledgement of a keeper once its bytes have arrived."""
+    await reader.readexactly(1)
+    site.demands.answer(site.keeper, messages.Queued("a1", site.keeper.sent[0].shard))
