An instance that stood still takes the grant of a limit's keeper

The keeper of a team's limit has 0.15 s to answer; an instance that stood still for that long took the grant in its socket for none, and refused a team below its limit.

Change: before that verdict the loop delivers what has arrived, and a time that was over late is given once more (pause.wait_answered).

Test: a standstill of 0.4 s on uvloop, with the grant in the socket and with the answer on its way later: LimitReached before.

--- a/packages/daemon/cassiaquay_daemon/keepers/quotas.py
+++ b/packages/daemon/cassiaquay_daemon/keepers/quotas.py
@@ -279,9 +279,8 @@
             link.send(query)
         # Without a link, a connection is being opened; the query is sent once it is up.
         try:
-            async with asyncio.timeout(QUERY_TIMEOUT_SECONDS):
-                return await pending.answer
-        except TimeoutError:
+            if await pause.wait_answered(pending.answer, QUERY_TIMEOUT_SECONDS):
+                return pending.answer.result()
             return messages.QuotaAnswer(query.number, 0)
         finally:
             del self._pending_queries[query.number]
--- a/packages/daemon/cassiaquay_daemon/pause.py
+++ b/packages/daemon/cassiaquay_daemon/pause.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import collections.abc
+import typing
 
 from cassiaquay_schema import settings as settings_schema
 
@@ -28,6 +29,22 @@
         await asyncio.sleep(0)
 
 
+async def wait_answered(answer: asyncio.Future[typing.Any], seconds: float) -> bool:
+    """Wait for an answer of another instance; return whether it has come.
+
+    If this process stood still meanwhile, the question may not have left it: the other
+    instance gets the time once more.
+    """
+    began_at = clock.now()
+    await asyncio.wait([answer], timeout=seconds)
+    if answer.done():
+        return True
+    await read_buffers()
+    if clock.now() - began_at > seconds + LATE_SECONDS and not answer.done():
+        await asyncio.wait([answer], timeout=seconds)
+    return answer.done()
+
+
 def shortest_lease(settings: settings_schema.Settings) -> float:
     """Return the longest pause, in seconds, during which no lease or permit expires."""
     keeper = settings.keeper
--- a/tests/test_out_of_step_beliefs.py
+++ b/tests/test_out_of_step_beliefs.py
@@ -1,9 +1,11 @@
 """What an instance believes after a pause or a cut in which it heard nothing."""
 
 import asyncio
+import collections.abc
 import math
 import socket
 import time as system_time
+import typing
 
 import capacity_fakes
 import policy_fakes as fakes
@@ -22,6 +24,7 @@
 
 PAUSE_LIMIT_SECONDS = 1.5
 PAUSED_SECONDS = 5.0
+STANDSTILL_SECONDS = 0.4
 KEEPER = rendezvous.first(f"quota {budgets_case.TEAM.name}", quota_case.NAMES)
 
 
@@ -241,47 +244,99 @@
         assert granted == 1
 
 
-STANDSTILL_SECONDS = 0.4
+class Standstill:
+    """A process that stands still while it waits for an answer of another one.
+
+    Parameters
+    ----------
+    is_sent : bool
+        Whether the answer is on its way before; otherwise it follows 20 ms later.
+    """
+
+    def __init__(self, is_sent: bool):
+        self._is_sent = is_sent
+        self._ours, self._theirs = socket.socketpair()
+        self._alarm, self._waker = socket.socketpair()
+
+    def run(self, work: collections.abc.Callable[[], typing.Any]) -> None:
+        """Run a test's coroutine on the loop of the daemon's process."""
+        with self._theirs, self._alarm, self._waker:
+            uvloop.run(work())
+
+    async def pass_by(self, answer: collections.abc.Callable[[], None]) -> None:
+        """Stand still; call ``answer`` in the task that reads the other's bytes."""
+        reader, writer = await asyncio.open_connection(sock=self._ours)
+        reading = asyncio.create_task(reader.readexactly(1))
+        reading.add_done_callback(lambda _: answer())
+        await asyncio.sleep(0.02)
+        asyncio.get_running_loop().add_reader(self._alarm, self._stand_still)
+        self._waker.send(b"x")
+        await reading
+        writer.close()
+
+    def _stand_still(self) -> None:
+        loop = asyncio.get_running_loop()
+        loop.remove_reader(self._alarm)
+        if self._is_sent:
+            self._theirs.send(b"x")
+        else:
+            loop.call_later(0.02, self._theirs.send, b"x")
+        system_time.sleep(STANDSTILL_SECONDS)
 
 
 @pytest.mark.parametrize("is_sent", [True, False], ids=["sent", "not sent"])
-def test_answer_of_a_keeper_that_a_standstill_holds_up_is_used(is_sent) -> None:
+def test_keeper_whose_answer_a_standstill_holds_up_is_not_silent(is_sent) -> None:
     """Guards against a keeper taken for silent since this process stood still."""
+    standstill = Standstill(is_sent)
 
     async def run() -> None:
         site = admission_case.Site()
-        reader, writer = await asyncio.open_connection(sock=ours)
         asking = site.obtain(1)
-        waking = asyncio.create_task(_read_acknowledgement(site, reader))
-        await asyncio.sleep(0.02)
-        asyncio.get_running_loop().add_reader(alarm, stand_still)
-        waker.send(b"x")
-        await asyncio.sleep(0)
-        await waking
+
+        def acknowledge() -> None:
+            queued = messages.Queued("a1", site.keeper.sent[0].shard)
+            site.demands.answer(site.keeper, queued)
+
+        await standstill.pass_by(acknowledge)
         permit = messages.Permit("a1", "i-2", 1500, site.keeper.sent[0].shard)
         site.demands.answer(site.keeper, permit)
         assert not (await asking).is_without_keeper
-        writer.close()
 
-    def stand_still() -> None:
-        loop = asyncio.get_running_loop()
-        loop.remove_reader(alarm)
-        if is_sent:
-            theirs.send(b"x")
-        else:
-            loop.call_later(0.02, theirs.send, b"x")
-        system_time.sleep(STANDSTILL_SECONDS)
+    standstill.run(run)
+
+
+@pytest.mark.parametrize("is_sent", [True, False], ids=["sent", "not sent"])
+def test_grant_that_a_standstill_holds_up_is_used(is_sent) -> None:
+    """Guards against a team refused below its limit since this process stood still."""
+    standstill = Standstill(is_sent)
+
+    async def run() -> None:
+        keeper = fakes.Owner("cq-2")
+        team_limits = quotas.Quotas(
+            budgets_case._settings(first_start=False),
+            fakes.Links(),
+            TwoMembers("cq-2", [keeper]),
+            budgets_case.Configured(),
+        )
+        facts_of_request = budgets_case.Facts(90)
+        taking = asyncio.create_task(
+            team_limits.take(budgets_case.TEAM, facts_of_request)
+        )
+
+        def grant() -> None:
+            number = keeper.sent[0].number
+            team_limits._on_answer(keeper, messages.QuotaAnswer(number, 90))
+
+        await standstill.pass_by(grant)
+        taken = await taking
+        assert (taken.units, taken.keeper) == (90, "cq-2")
+
+    standstill.run(run)
 
-    ours, theirs = socket.socketpair()
-    alarm, waker = socket.socketpair()
-    with theirs, alarm, waker:
-        # As in the daemon's process.
-        uvloop.run(run())
 
+class TwoMembers(fakes.Membership):
+    """The members of a fleet of two."""
 
-async def _read_acknowledgement(
-    site: admission_case.Site, reader: asyncio.StreamReader
-) -> None:
-    """Take in the acknowledgement of a keeper once its bytes have arrived."""
-    await reader.readexactly(1)
-    site.demands.answer(site.keeper, messages.Queued("a1", site.keeper.sent[0].shard))
+    def fleet_size(self) -> int:
+        """Return two."""
+        return 2
