A grant of a team's limit that comes too late is returned

Cause: an instance that has not heard of a grant within 0.15 s takes it for none and goes on. Where the keeper had granted after all (a cut or a pause that held its answer up, a caller that had left), nobody used the units and nobody returned them, and the team was refused below its limit until they filled up.

Change: a grant that no request waits for is returned at once. The keeper takes back what it has recorded, and each grant once, as before.

--- a/packages/daemon/cassiaquay_daemon/keepers/quotas.py
+++ b/packages/daemon/cassiaquay_daemon/keepers/quotas.py
@@ -347,6 +347,9 @@
         pending = self._pending_queries.get(answer.number)
         if pending is not None and not pending.answer.done():
             pending.answer.set_result(answer)
+        elif answer.units:
+            # Its request went on without these units.
+            link.send(messages.QuotaReturn(answer.number))
 
 
 def units_of(quota: routing.Quota, facts: TokenCounts) -> int:
--- a/tests/test_out_of_step_beliefs.py
+++ b/tests/test_out_of_step_beliefs.py
@@ -17,7 +17,7 @@
 import test_quota_schedules as quota_case
 import uvloop
 
-from cassiaquay_daemon import pause, rendezvous
+from cassiaquay_daemon import exceptions, pause, rendezvous
 from cassiaquay_daemon.fleet import facts, failure_detector
 from cassiaquay_daemon.keepers import limit_keepers, quotas
 from cassiaquay_schema import messages
@@ -312,15 +312,9 @@
 
     async def run() -> None:
         keeper = fakes.Owner("cq-2")
-        team_limits = quotas.Quotas(
-            budgets_case._settings(first_start=False),
-            fakes.Links(),
-            TwoMembers("cq-2", [keeper]),
-            budgets_case.Configured(),
-        )
-        facts_of_request = budgets_case.Facts(90)
+        team_limits = _team_limits(keeper)
         taking = asyncio.create_task(
-            team_limits.take(budgets_case.TEAM, facts_of_request)
+            team_limits.take(budgets_case.TEAM, budgets_case.Facts(90))
         )
 
         def grant() -> None:
@@ -334,9 +328,36 @@
     standstill.run(run)
 
 
+def test_grant_that_comes_too_late_is_returned() -> None:
+    """Guards against units that are neither used nor returned after a cut."""
+
+    async def run() -> None:
+        keeper = fakes.Owner("cq-2")
+        team_limits = _team_limits(keeper)
+        with pytest.raises(exceptions.LimitReached):
+            await team_limits.take(budgets_case.TEAM, budgets_case.Facts(90))
+        [query] = keeper.sent
+        team_limits._on_answer(keeper, messages.QuotaAnswer(query.number, 90))
+        assert keeper.sent[1:] == [messages.QuotaReturn(query.number)]
+        team_limits._on_answer(keeper, messages.QuotaAnswer(query.number, 0, 200))
+        assert len(keeper.sent) == 2
+
+    asyncio.run(run())
+
+
 class TwoMembers(fakes.Membership):
     """The members of a fleet of two."""
 
     def fleet_size(self) -> int:
         """Return two."""
         return 2
+
+
+def _team_limits(keeper: fakes.Owner) -> quotas.Quotas:
+    """Return the limits of an instance that has just started, beside their keeper."""
+    return quotas.Quotas(
+        budgets_case._settings(first_start=False),
+        fakes.Links(),
+        TwoMembers("cq-2", [keeper]),
+        budgets_case.Configured(),
+    )
