The platform's changes of servers are read again after a gap

Cause: whether a service has had one version only is judged, for an instance that has not run for long enough, by the platform's last changes of servers. They were read once in the life of a process. What changed in a pause or a cut after that was neither seen by the instance nor in that reading: a server of another version that came and left meanwhile did not exist for it, and a stream that had begun there could go on at the one version left.

Change: the reading counts while the list of servers has been confirmed without a gap since (the gap of 2 s of fleet/outages.py). After a gap the changes are read again, and while it lasts nothing is known unless the store answers.

The fake of tests/test_resuming.py states that its list was confirmed without a gap; no check there changes. test_resuming, test_stream_origins, test_stream_versions, test_version_choice, test_derivations, test_rejoined_streams, test_restarted_servers and test_platform_store pass.

--- a/packages/daemon/cassiaquay_daemon/fleet/server_past.py
+++ b/packages/daemon/cassiaquay_daemon/fleet/server_past.py
@@ -1,22 +1,23 @@
 """What the platform still shows of backend servers that this instance has not seen.
 
 After a kill of all instances none remembers which servers left before or meanwhile. The
-platform keeps its last changes for a while, which are read once, when a stream is taken
-up that no instance knows.
+platform keeps its last changes for a while, which are read when a stream is taken up
+that no instance knows: once, and again after a gap in which this instance may have
+missed changes.
 """
 
 import asyncio
 
-from .. import exceptions, logs, platform, supervision
+from .. import clock, exceptions, logs, platform, supervision
 from ..decisions import software_versions
-from . import servers
+from . import outages, servers
 
 # The caller of a stream waits for two seconds or more, and comes back when refused.
 PATIENCE_SECONDS = 0.4
 
 
 class ServerPast:
-    """Reads the changes of registrations of before this process began.
+    """Reads the changes of registrations that this process has not seen.
 
     Parameters
     ----------
@@ -27,6 +28,17 @@
     def __init__(self, server_list: servers.Servers):
         self._servers = server_list
         self._reading: asyncio.Task[platform.ServersPast | None] | None = None
+        # When the last reading began; seconds on this clock.
+        self._read_at = 0.0
+
+    @property
+    def _has_gap(self) -> bool:
+        """Whether the list was not confirmed all the time since the last reading."""
+        state = self._servers.state
+        seconds = clock.now() - self._read_at
+        if state.steady_ms / 1000.0 < seconds:
+            return True
+        return state.age_ms / 1000.0 > outages.MIN_OUTAGE_SECONDS
 
     async def evidence(self, service: str) -> software_versions.Evidence | None:
         """Return what is known of a service's servers; None if that cannot be read."""
@@ -40,8 +52,11 @@
         return software_versions.Evidence(listed, past.written, past.removed)
 
     async def read(self) -> platform.ServersPast | None:
-        """Return the changes before this process began; None if not readable now."""
+        """Return the changes that the platform still has; None if not readable now."""
+        if self._reading is not None and self._reading.done() and self._has_gap:
+            self._reading = None
         if self._reading is None:
+            self._read_at = clock.now()
             self._reading = asyncio.create_task(self._read())
         reading = self._reading
         await asyncio.wait([reading], timeout=PATIENCE_SECONDS)
--- a/tests/test_resuming.py
+++ b/tests/test_resuming.py
@@ -9,6 +9,7 @@
 from cassiaquay_daemon import clock, exceptions, platform
 from cassiaquay_daemon.configured import routing
 from cassiaquay_daemon.decisions import stream_origins
+from cassiaquay_daemon.fleet import freshness
 from cassiaquay_daemon.gateway import calls, progress, resuming, writers
 from cassiaquay_daemon.platform import headers
 from cassiaquay_schema import fleet, messages
@@ -52,6 +53,8 @@
         self.origins.find = self._find
         self.origins.add = lambda key, origin, lifetime: self.recorded.append(origin)
         self.servers = mock.Mock(is_behind=False)
+        # The list was confirmed without a gap since before this process began.
+        self.servers.state = freshness.Freshness(steady_ms=3_600_000)
         # Servers that leave, besides those in use; all began when `started_ms` says.
         self.leaving: dict[str, str] = {}
         self.started_ms = 1
