Test: the first request after a pause is not denied by an old text

Read in the pass in which the process wakes up, with neither store nor instances answering: 503 after a pause of 8 s; 404 after 1.0 and 1.9 s, within the time for changes, when all routes that must be there are.

--- a/tests/test_out_of_step_beliefs.py
+++ b/tests/test_out_of_step_beliefs.py
@@ -10,15 +10,18 @@
 import capacity_fakes
 import policy_fakes as fakes
 import pytest
+import test_accepting as accepting_case
 import test_admission as admission_case
 import test_budgets as budgets_case
 import test_crash_reports as crashes_case
 import test_limits as limits_case
 import test_quota_schedules as quota_case
+import test_servers as servers_case
 import uvloop
 
 from cassiaquay_daemon import exceptions, pause, rendezvous
 from cassiaquay_daemon.fleet import facts, failure_detector
+from cassiaquay_daemon.gateway import accepting
 from cassiaquay_daemon.keepers import limit_keepers, quotas
 from cassiaquay_schema import messages
 
@@ -361,3 +364,32 @@
         TwoMembers("cq-2", [keeper]),
         budgets_case.Configured(),
     )
+
+
+@pytest.mark.parametrize(
+    ("paused_seconds", "refusal"),
+    [(1.0, exceptions.NoRoute), (1.9, exceptions.NoRoute), (8.0, exceptions.NotReady)],
+)
+def test_first_request_after_a_pause_is_not_denied_by_an_old_configuration(
+    monkeypatch, paused_seconds, refusal
+) -> None:
+    """Guards against a new route that is taken for an unknown one after a pause.
+
+    Its request is read before anything else; neither store nor instances answer. What
+    was confirmed within the time for changes has all routes that must be there.
+    """
+    monkeypatch.setattr(accepting, "RENEWAL_WAIT_SECONDS", 0.01)
+
+    async def run() -> None:
+        configured = accepting_case.Configured()
+        configured.current = accepting_case.Snapshot(accepting_case.Routes())
+        pauses = pause.Pauses(PAUSE_LIMIT_SECONDS)
+        site = servers_case.Site()
+        assert await site.list.read_once()
+        acceptor = accepting.Acceptor(configured, site.list, pauses)
+        time.now += paused_seconds
+        with pytest.raises(refusal):
+            await accepting_case._accept(acceptor)
+
+    with fakes.Time().used() as time:
+        asyncio.run(run())
