Heartbeats that waited together on a new link confirm nothing

Cause: the delay of a heartbeat is estimated from the fastest one of its link. On a link that was opened shortly before a pause all heartbeats of the pause are read at once: the first counts as unknown, and each further one was the fastest so far, with no delay at all. A list that was 4 s old counted as confirmed now, so that an instance could deny routes and keys added in its pause, or take an old list for a current one.

Change: what arrives within 0.1 s of a link's first heartbeat has an unknown delay, too. Heartbeats are sent each 0.3 s.

Test: four heartbeats of a pause of 5 s; the second had a delay of 0 s before (failed). test_servers, test_server_lists, test_restored_lists, test_restored_servers and test_restored_store pass.

--- a/packages/daemon/cassiaquay_daemon/fleet/transit.py
+++ b/packages/daemon/cassiaquay_daemon/fleet/transit.py
@@ -15,8 +15,11 @@
 from .. import clock
 from ..links import peers
 
-# Returned for the first heartbeat of a link, whose delay cannot be estimated.
+# Returned for the first heartbeats of a link, whose delay cannot be estimated.
 UNKNOWN_DELAY_SECONDS = 3600.0
+# Heartbeats that arrive this soon after the first one may have waited with it, all of
+# them for about as long. Heartbeats are sent every few tenths of a second.
+BURST_SECONDS = 0.1
 
 
 class Transit:
@@ -25,6 +28,8 @@
     def __init__(self) -> None:
         self._smallest: weakref.WeakKeyDictionary[peers.Link, float]
         self._smallest = weakref.WeakKeyDictionary()
+        self._first_at: weakref.WeakKeyDictionary[peers.Link, float]
+        self._first_at = weakref.WeakKeyDictionary()
 
     def seconds(self, link: peers.Link, sent_ms: int) -> float:
         """Return a heartbeat's transit time beyond that of the fastest one.
@@ -33,10 +38,10 @@
         """
         if not sent_ms:
             return 0.0
-        difference = clock.now() - sent_ms / 1000.0
-        smallest = self._smallest.get(link)
-        if smallest is None:
-            self._smallest[link] = difference
+        now = clock.now()
+        difference = now - sent_ms / 1000.0
+        smallest = min(self._smallest.get(link, difference), difference)
+        self._smallest[link] = smallest
+        if now - self._first_at.setdefault(link, now) < BURST_SECONDS:
             return UNKNOWN_DELAY_SECONDS
-        self._smallest[link] = min(smallest, difference)
-        return difference - self._smallest[link]
+        return difference - smallest
--- a/tests/test_out_of_step_beliefs.py
+++ b/tests/test_out_of_step_beliefs.py
@@ -20,7 +20,7 @@
 import uvloop
 
 from cassiaquay_daemon import exceptions, pause, rendezvous
-from cassiaquay_daemon.fleet import facts, failure_detector
+from cassiaquay_daemon.fleet import facts, failure_detector, transit
 from cassiaquay_daemon.gateway import accepting
 from cassiaquay_daemon.keepers import limit_keepers, quotas
 from cassiaquay_schema import messages
@@ -393,3 +393,20 @@
 
     with fakes.Time().used() as time:
         asyncio.run(run())
+
+
+def test_heartbeats_that_waited_together_on_a_new_link_confirm_nothing() -> None:
+    """Guards against a list of before a pause that counts as confirmed after it."""
+    with fakes.Time().used() as time:
+        delays = transit.Transit()
+        link = fakes.Owner("cq-2")
+        began = time.now
+        time.now += 5.0
+        for number in range(4):
+            sent_ms = int((began + number * 0.3) * 1000.0)
+            assert delays.seconds(link, sent_ms) == transit.UNKNOWN_DELAY_SECONDS
+        time.now += 0.3
+        assert delays.seconds(link, int(time.now * 1000.0)) == 0.0
+        time.now += 2.0
+        late_ms = int((time.now - 1.7) * 1000.0)
+        assert 1.69 < delays.seconds(link, late_ms) < 1.71
