An instance serves after a pause once its list of servers is confirmed

Cause: after a start or a pause an instance asks the platform for the text and its neighbours for theirs, and then serves. The list of servers was read beside that, and nothing waited for it: for the first requests the servers of before the pause were those that there are.

Change: the renewal also waits until the list was confirmed since, by a read or by a heartbeat, for 0.3 s at most: while the platform is away nothing confirms it, and the instance goes on with what it has and says so (`renewed_without_servers`, with the age). No further call is made: the list is read at once after a pause as it is.

Test: an instance whose list is confirmed after 0.2 s, and never; before, it served after 0.02 s in both cases (failed). A list that was read just before the refresh costs no time (passed before). test_pause, test_faults_pause, test_configuration, test_restored_store, test_restored_servers, test_gateway, test_whole_path, test_evacuation and test_draining pass. Not measured: the time to readiness at a start while the store is down, which grows by up to 0.3 s.

--- a/packages/daemon/cassiaquay_daemon/daemon.py
+++ b/packages/daemon/cassiaquay_daemon/daemon.py
@@ -237,6 +237,7 @@
             self._configuration,
             texts,
             instances,
+            self._servers,
         )
         renewing.start()
         work: dict[str, supervision.Work] = {
--- a/packages/daemon/cassiaquay_daemon/fleet/renewal.py
+++ b/packages/daemon/cassiaquay_daemon/fleet/renewal.py
@@ -11,13 +11,18 @@
 
 from .. import clock, logs, pause, platform, positions
 from ..links import peers
-from . import configuration, members
+from . import configuration, members, servers
 
 POLL_INTERVAL_SECONDS = 0.02
 # Neighbours have this long to answer if the platform answers first; live ones take some
 # milliseconds. During a fleet start an instance's neighbours change with each instance
 # that it discovers, and waiting for all would refuse every caller for seconds.
 NEIGHBOUR_TIMEOUT_SECONDS = 0.3
+# The list of servers is read at once after a pause, perhaps just before the refresh
+# begins; what was read before a pause is older than this.
+READ_AHEAD_SECONDS = 0.3
+# While the platform is away nothing confirms the list.
+LIST_TIMEOUT_SECONDS = 0.3
 
 
 class Renewal:
@@ -39,6 +44,8 @@
         The platform's configuration service.
     listing : InstanceList
         The platform's instance list, read first to find the neighbours.
+    server_list : Servers, optional
+        The list of backend servers, if they register with the platform.
     """
 
     def __init__(
@@ -50,7 +57,9 @@
         configured: configuration.Configuration,
         service: platform.ConfigurationService,
         listing: platform.InstanceList,
+        server_list: servers.Servers | None = None,
     ):
+        self._servers = server_list
         self._timeout_s = settings.membership.refresh_seconds
         self._pauses = pauses
         self._links = links
@@ -107,6 +116,7 @@
                 # that no older text comes into force again.
                 await self._fetch_newest_text()
                 await (tried.wait() if self._answers else service)
+                await self._wait_for_list(began)
         except TimeoutError:
             # Peers that did not answer may have failed or be partitioned off; waiting
             # longer would only take this instance out of service too.
@@ -138,6 +148,17 @@
         finally:
             peers_task.cancel()
 
+    async def _wait_for_list(self, began: float) -> None:
+        """Wait briefly until the list of servers is confirmed."""
+        if self._servers is None:
+            return
+        ends_at = clock.now() + LIST_TIMEOUT_SECONDS
+        while self._servers.age > clock.now() - began + READ_AHEAD_SECONDS:
+            if clock.now() >= ends_at:
+                logs.event("renewed_without_servers", age_ms=self._servers.age_ms)
+                return
+            await asyncio.sleep(POLL_INTERVAL_SECONDS)
+
     async def _query_peers(self, began: float) -> None:
         queried: set[str] = set()
         while True:
--- a/tests/test_renewal.py
+++ b/tests/test_renewal.py
@@ -83,9 +83,17 @@
         Membership of its fleet.
     up : dict of str to Owner
         Links to running neighbours.
+    server_list : ServerList, optional
+        The list of backend servers.
     """
 
-    def __init__(self, lost: int, members: Members, up: dict[str, fakes.Owner]):
+    def __init__(
+        self,
+        lost: int,
+        members: Members,
+        up: dict[str, fakes.Owner],
+        server_list: "ServerList | None" = None,
+    ):
         settings = fakes.settings("cq-1")
         self.links = Links(up)
         links = typing.cast(typing.Any, self.links)
@@ -98,6 +106,7 @@
             configuration.Configuration(settings, links),
             typing.cast(typing.Any, Service(lost)),
             typing.cast(typing.Any, None),
+            typing.cast(typing.Any, server_list),
         )
 
     async def start(self) -> asyncio.Task[None]:
@@ -113,6 +122,60 @@
         return clock.now() - began
 
 
+class ServerList:
+    """A list that was confirmed a minute ago, and is confirmed again later.
+
+    Parameters
+    ----------
+    confirmed_in : float
+        Seconds from now.
+    """
+
+    def __init__(self, confirmed_in: float):
+        self._confirmed_at = clock.now() + confirmed_in
+
+    @property
+    def age(self) -> float:
+        """Seconds since the list was confirmed."""
+        since = clock.now() - self._confirmed_at
+        return since if since >= 0.0 else 60.0
+
+    @property
+    def age_ms(self) -> int:
+        """The age in milliseconds."""
+        return round(self.age * 1000.0)
+
+
+@pytest.mark.parametrize(
+    ("confirmed_in", "least", "most"),
+    [(-0.1, 0.0, 0.1), (0.2, 0.2, 0.3), (9.0, 0.3, 0.4)],
+)
+def test_instance_serves_once_its_list_of_servers_is_confirmed(
+    confirmed_in: float, least: float, most: float
+) -> None:
+    """Guards against serving by a list of servers of before a pause.
+
+    The platform's text comes at once. While the platform does not confirm the list, the
+    instance waits only briefly.
+    """
+
+    async def work() -> float:
+        neighbour = fakes.Owner("cq-2")
+        server_list = ServerList(confirmed_in)
+        site = Site(0, Running(), {"cq-2": neighbour}, server_list)
+        task = await site.start()
+        await asyncio.sleep(0.0)
+        while not neighbour.sent:
+            await asyncio.sleep(0.001)
+        answer = messages.Refreshed(1, 0, 0, [])
+        site.links.handlers[messages.Refreshed](neighbour, answer)
+        seconds = await site.until_current()
+        task.cancel()
+        return seconds
+
+    assert least <= virtual_time.run(work()) <= most
+
+
 @pytest.mark.parametrize(
     ("lost", "least", "most"), [(0, 0.0, 0.4), (1, 0.8, 1.1), (100, 1.9, 2.1)]
 )
