--- a/packages/daemon/cassiaquay_daemon/fleet/failure_detector.py
+++ b/packages/daemon/cassiaquay_daemon/fleet/failure_detector.py
@@ -60,6 +60,8 @@
         self._probes: dict[str, float] = {}
         self._links: dict[str, peers.Link] = {}
         self._taken_change_count = 0
+        self._updated_at = NEVER
+        self._was_late = False
 
     @property
     def _probe_seconds(self) -> float:
@@ -110,10 +112,12 @@
             del self._links[link.instance]
 
     def reset(self) -> None:
-        """Restart all timeouts, after a pause of this process itself."""
-        now = clock.now()
-        for name in self._expected_since:
-            self._expected_since[name] = self._received_at[name] = now
+        """Restart all timeouts, after a pause of this process itself.
+
+        Heartbeats of before the pause answer no probe: their senders may be gone.
+        """
+        self._expected_since = dict.fromkeys(self._expected_since, clock.now())
+        self._received_at.clear()
         self._probes.clear()
 
     def answer_probe(self, link: peers.Link, probe: messages.Probe) -> None:
@@ -133,6 +137,7 @@
     def update_suspicions(self) -> None:
         """Probe silent instances; suspect those that no helper has confirmed."""
         now = clock.now()
+        self._restart_late_probes(now)
         for name in list(self._expected_since):
             if self._silence(name) < self._settings.suspect_after - self._probe_seconds:
                 continue
@@ -159,6 +164,18 @@
         self._taken_change_count = self._facts.changes
         return changed
 
+    def _restart_late_probes(self, now: float) -> None:
+        """Restart the probes if this process has just stood still.
+
+        Their answers have not been read yet. A process that is late each time has read
+        them.
+        """
+        is_late = now - self._updated_at > self._probe_seconds
+        if is_late and not self._was_late:
+            self._probes = dict.fromkeys(self._probes, now)
+        self._updated_at = now
+        self._was_late = is_late
+
     def _silence(self, instance: str) -> float:
         return clock.now() - self._expected_since.get(instance, NEVER)
 
--- a/packages/daemon/cassiaquay_daemon/pause.py
+++ b/packages/daemon/cassiaquay_daemon/pause.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import collections.abc
+import typing
 
 from cassiaquay_schema import settings as settings_schema
 
@@ -18,6 +19,30 @@
 # Iterations of the event loop after a late check in which it accepts the connections
 # and reads the requests that have waited in sockets meanwhile.
 CATCH_UP_ITERATIONS = 8
+# Passes of the event loop from received bytes to the task that reads them.
+LOOP_PASSES = 2
+
+
+async def read_buffers() -> None:
+    """Let the loop deliver bytes that arrived while this process stood still."""
+    for _ in range(LOOP_PASSES):
+        await asyncio.sleep(0)
+
+
+async def wait_answered(answer: asyncio.Future[typing.Any], seconds: float) -> bool:
+    """Wait for an answer of another instance; return whether it has come.
+
+    If this process stood still meanwhile, the question may not have left it: the other
+    instance gets the time once more.
+    """
+    began_at = clock.now()
+    await asyncio.wait([answer], timeout=seconds)
+    if answer.done():
+        return True
+    await read_buffers()
+    if clock.now() - began_at > seconds + LATE_SECONDS and not answer.done():
+        await asyncio.wait([answer], timeout=seconds)
+    return answer.done()
 
 
 def shortest_lease(settings: settings_schema.Settings) -> float:
--- a/tests/test_resuming.py
+++ b/tests/test_resuming.py
@@ -54,7 +54,8 @@
         self.has_all_answers = True
         self.origins.find = self._find
         self.origins.add = lambda key, origin, lifetime: self.recorded.append(origin)
-        self.servers = mock.Mock(age_ms=0, steady_ms=0, steady_since=clock.now())
+        self.servers = mock.Mock(age=0.0, age_ms=0, steady_ms=0)
+        self.servers.steady_since = clock.now()
         self.servers.read_since = mock.AsyncMock(return_value=True)
         self.checks = mock.Mock()
         self.checks.confirm = mock.AsyncMock(return_value=True)
