--- a/tests/test_out_of_step.py
+++ b/tests/test_out_of_step.py
@@ -10,6 +10,8 @@
 STREAMS = 12
 # The instance that is cut off; the others serve the streams first.
 OUT_OF_STEP = 2
+# Longer than the time in which changes must be in force.
+STORE_AWAY_SECONDS = 2.5
 
 
 def _run(work, count: int = 3) -> None:
@@ -80,3 +82,41 @@
             assert stream.is_complete
 
     _run(work)
+
+
+async def _stop(site: fakes.Site, at: int) -> None:
+    """Stop one daemon; its tasks end as those of a planned stop."""
+    site.daemons[at]._stopping.set()
+    await site._tasks[at]
+
+
+@pytest.mark.parametrize("is_stopped", [True, False])
+@pytest.mark.parametrize("versions", [1, 2])
+def test_streams_of_known_origin_go_on_while_the_store_is_away(
+    versions: int, is_stopped: bool
+) -> None:
+    """Guards against refusals because no list can be confirmed.
+
+    The instance that served the streams may have gone; its copies of their origins are
+    at the others.
+    """
+
+    async def work(versioned: version_fakes.VersionedSite) -> None:
+        site = versioned.site
+        if versions == 2:
+            await versioned.add({"i-3": "v2", "i-4": "v2"})
+        for made in site.daemons:
+            step_fakes.Cut(made).from_store()
+        await asyncio.sleep(STORE_AWAY_SECONDS)
+        streams = [version_fakes.Stream(versioned, f"s{n}") for n in range(STREAMS)]
+        await asyncio.gather(*(stream.ask(0, 2) for stream in streams))
+        if is_stopped:
+            await _stop(site, 0)
+        for _ in range(3):
+            broken = [stream for stream in streams if not stream.is_complete]
+            await asyncio.gather(*(stream.ask(OUT_OF_STEP) for stream in broken))
+        for stream in streams:
+            assert len(stream.versions) == 1
+            assert stream.is_complete
+
+    _run(work)
--- a/tests/test_rejoined_streams.py
+++ b/tests/test_rejoined_streams.py
@@ -107,6 +107,30 @@
     _run(work)
 
 
+@pytest.mark.parametrize("is_whole", [True, False])
+def test_streams_of_young_servers_go_on_after_a_kill_of_all(is_whole: bool) -> None:
+    """Guards against refusing streams whose servers have started a short time ago.
+
+    A history of which the platform has discarded nothing shows all versions.
+    """
+
+    async def work(versioned: version_fakes.VersionedSite) -> None:
+        site = versioned.site
+        # Before their versions were set, its servers had none.
+        site.store.forget()
+        await versioned.add(versioned.versions, born=int(time.time() * 1000))
+        if is_whole:
+            site.store._history_start = 0
+        streams = await _begin(versioned)
+        await _replace_all_instances(site)
+        await _take_up(streams)
+        for stream in streams:
+            assert len(stream.versions) == 1
+            assert stream.is_complete == is_whole
+
+    _run(work)
+
+
 def _age(versioned: version_fakes.VersionedSite, seconds: float) -> None:
     """Let the servers have served and reported for some time."""
     site = versioned.site
