A keeper of limits notices its pause before it answers

Both keepers begin anew after a pause, but only once somebody has looked at the clock. They look now before each answer.

--- a/packages/daemon/cassiaquay_daemon/keepers/limit_keepers.py
+++ b/packages/daemon/cassiaquay_daemon/keepers/limit_keepers.py
@@ -131,11 +131,14 @@
         links.on(messages.LimitQuery, self.query)
         links.on(messages.LimitReturn, self.give_back)
         membership.on_change(self._on_members_changed)
+        self._pauses = pauses
         if pauses is not None:
             pauses.on_resume(self._on_pause)
 
     def query(self, replier: shards.Replier, query: messages.LimitQuery) -> None:
         """Answer an owner's query with permits."""
+        if self._pauses is not None:
+            self._pauses.check()
         limit = self.limit(query.key)
         now = clock.now()
         bucket = self._bucket(query.key, now)
--- a/packages/daemon/cassiaquay_daemon/keepers/quotas.py
+++ b/packages/daemon/cassiaquay_daemon/keepers/quotas.py
@@ -157,6 +157,7 @@
         links.on(messages.QuotaReturn, self._on_return)
         links.on_up(self._on_link_up)
         membership.on_change(self._on_members_changed)
+        self._pauses = pauses
         if pauses is not None:
             pauses.on_resume(self._on_pause)
 
@@ -292,6 +293,8 @@
 
     def _grant(self, instance: str, query: messages.QuotaQuery) -> messages.QuotaAnswer:
         """Grant units of the keeper's part, as the limit's keeper."""
+        if self._pauses is not None:
+            self._pauses.check()
         quota = self._quota(query.team)
         if quota is None:
             return messages.QuotaAnswer(query.number, 0)
--- a/packages/daemon/cassiaquay_daemon/pause.py
+++ b/packages/daemon/cassiaquay_daemon/pause.py
@@ -83,7 +83,7 @@
     @property
     def is_current(self) -> bool:
         """Whether this instance may grant permits, dispatch and hand out addresses."""
-        self._check()
+        self.check()
         return self._is_current.is_set()
 
     @property
@@ -106,7 +106,7 @@
 
     def release(self) -> None:
         """Let this instance act again."""
-        self._check()
+        self.check()
         self._is_current.set()
 
     async def wait(self, seconds: float) -> bool:
@@ -132,7 +132,7 @@
     async def check_periodically(self) -> None:
         """Check for pauses periodically until cancelled."""
         while True:
-            self._check()
+            self.check()
             self._caught_up_at = self._now()
             await asyncio.sleep(CHECK_INTERVAL_SECONDS)
             lag = self._now() - self._caught_up_at - CHECK_INTERVAL_SECONDS
@@ -143,7 +143,11 @@
             for _ in range(CATCH_UP_ITERATIONS):
                 await asyncio.sleep(0)
 
-    def _check(self) -> None:
+    def check(self) -> None:
+        """Detect a pause that has just ended.
+
+        Messages that waited in sockets may be handled before any timer fires.
+        """
         now = self._now()
         gap = now - self._checked_at
         self._checked_at = now
--- a/tests/test_out_of_step_beliefs.py
+++ b/tests/test_out_of_step_beliefs.py
@@ -35,8 +35,15 @@
     """Instances that share a team's limit, whose keeper is paused once.
 
     The others take it for failed. It sees no change of the members itself.
+
+    Attributes
+    ----------
+    reads_first : bool
+        Whether it reads messages before it notices the pause.
     """
 
+    reads_first = False
+
     def __init__(self, time: fakes.Time, seed: int, refused_share: float = 0.0):
         self.pauses: dict[str, pause.Pauses] = {}
         self.paused_until = math.inf
@@ -68,8 +75,13 @@
             self.paused_until = min(self.paused_until, self.time.now + PAUSED_SECONDS)
             self.is_paused = self.time.now < self.paused_until
         for name, pauses in self.pauses.items():
+            has_woken = name == KEEPER and was_paused
+            if has_woken and not self.is_paused and self.reads_first:
+                continue
             if name != KEEPER or not self.is_paused:
-                is_current = name != KEEPER or not was_paused
+                is_current = not has_woken
+                if name == KEEPER and self.has_woken and self.reads_first:
+                    is_current = pauses.is_current
                 assert pauses.is_current is is_current
                 pauses.release()
         self.has_woken = was_paused and not self.is_paused
@@ -90,9 +102,13 @@
         self.down_until[KEEPER] = -math.inf
 
 
+@pytest.mark.parametrize("reads_first", [True, False])
 @pytest.mark.parametrize("seed", quota_case.SEEDS)
-def test_limit_holds_while_its_keeper_is_paused(monkeypatch, seed: int) -> None:
+def test_limit_holds_while_its_keeper_is_paused(
+    monkeypatch, seed: int, reads_first: bool
+) -> None:
     """Guards against a keeper that grants again what others granted in its pause."""
+    monkeypatch.setattr(PausingFleet, "reads_first", reads_first)
     monkeypatch.setattr(quota_case, "Fleet", PausingFleet)
     share = quota_case.max_window_share(monkeypatch, seed)
     assert 0.3 <= share <= quotas.USED_SHARE
@@ -193,22 +209,28 @@
         assert not watch.suspected
 
 
-def test_process_that_is_always_late_suspects_a_failed_instance() -> None:
+@pytest.mark.parametrize("rounds", [(1.0, 1.0), (1.0, 0.3), (0.7, 0.3)])
+def test_process_that_is_often_late_suspects_a_failed_instance(
+    rounds: tuple[float, float],
+) -> None:
     """Guards against a slow instance that never finds out about a failed one."""
     with fakes.Time().used() as time:
         watch = Watch(time)
         watch.run(3.0, "cq-2", "cq-3")
-        for _ in range(5):
-            time.now += 1.0
+        for number in range(10):
+            time.now += rounds[number % 2]
             watch.hear("cq-3")
             watch.detector.update_suspicions()
         assert watch.suspected == ["cq-2"]
 
 
 def _paused_limit_keeper(
-    time: fakes.Time, extra: str, seconds: float
+    time: fakes.Time, extra: str, seconds: float, is_noticed: bool
 ) -> limit_keepers.LimitKeeper:
-    """Return a keeper that has granted what its limit allows and was then paused."""
+    """Return a keeper that has granted what its limit allows and was then paused.
+
+    It has noticed the pause, or reads messages first.
+    """
     pauses = pause.Pauses(PAUSE_LIMIT_SECONDS)
     limit_keeper = limit_keepers.LimitKeeper(
         fakes.settings(),
@@ -223,14 +245,19 @@
     time.now += PAUSE_LIMIT_SECONDS
     limits_case._query(limit_keeper, fakes.Owner("cq-2"), needed=3)
     time.now += seconds
-    assert not pauses.is_current
+    assert not (is_noticed and pauses.is_current)
     return limit_keeper
 
 
-def test_keeper_that_was_paused_waits_for_the_leases_of_all_owners() -> None:
+@pytest.mark.parametrize("is_noticed", [True, False])
+def test_keeper_that_was_paused_waits_for_the_leases_of_all_owners(
+    is_noticed: bool,
+) -> None:
     """Guards against a limit of requests at a time that is granted twice."""
     with fakes.Time().used() as time:
-        limit_keeper = _paused_limit_keeper(time, limits_case.CONCURRENT, 5.0)
+        limit_keeper = _paused_limit_keeper(
+            time, limits_case.CONCURRENT, 5.0, is_noticed
+        )
         other = fakes.Owner("cq-3")
         assert not limits_case._query(limit_keeper, other).permits
         renewed = messages.LimitReturn(limits_case.KEY, 3)
@@ -239,10 +266,13 @@
         assert not limits_case._query(limit_keeper, other).permits
 
 
-def test_keeper_that_was_paused_begins_with_one_permit_of_a_rate() -> None:
+@pytest.mark.parametrize("is_noticed", [True, False])
+def test_keeper_that_was_paused_begins_with_one_permit_of_a_rate(
+    is_noticed: bool,
+) -> None:
     """Guards against a second of permits that another keeper has granted already."""
     with fakes.Time().used() as time:
-        limit_keeper = _paused_limit_keeper(time, limits_case.RATE, 5.0)
+        limit_keeper = _paused_limit_keeper(time, limits_case.RATE, 5.0, is_noticed)
         granted = limits_case._query(limit_keeper, fakes.Owner("cq-3"), 10, 10).permits
         assert granted == 1
 
