What shows a stream's version is confirmed once, briefly, and by who can confirm it

A suspected instance was not asked, and counted as having answered. It asks nobody now, and shows the version by the list alone.

--- a/packages/daemon/cassiaquay_daemon/fleet/facts.py
+++ b/packages/daemon/cassiaquay_daemon/fleet/facts.py
@@ -83,6 +83,17 @@
                 return True
         return False
 
+    def has_missing(self, seconds: float) -> bool:
+        """Return whether an instance is suspected, or was so some seconds ago.
+
+        One that has announced that it leaves does not count until it is forgotten.
+        """
+        for record in self.records.values():
+            if record.suspected_at is not None and not record.member.leaving:
+                return True
+        forgotten_since = clock.now() - seconds
+        return any(at >= forgotten_since for _, at in self._tombstones.values())
+
     def learn(self, member: messages.Member) -> bool:
         """Store a fact if it is newer than the known one; return whether it was."""
         order = (member.born, member.sequence)
--- a/packages/daemon/cassiaquay_daemon/fleet/stream_origins.py
+++ b/packages/daemon/cassiaquay_daemon/fleet/stream_origins.py
@@ -120,6 +120,13 @@
     def __len__(self) -> int:
         return len(self._own) + len(self._kept)
 
+    def has_missing(self, seconds: float) -> bool:
+        """Return whether an instance is silent that was heard some seconds ago.
+
+        It may be cut off and have begun streams by a list that no other instance knows.
+        """
+        return self._membership.facts.has_missing(seconds)
+
     def add(self, key: int, origin: stream_origins.Origin, lifetime: float) -> None:
         """Record where a stream of this instance began, here and at its keepers."""
         self._own.add(key, origin, lifetime)
--- a/packages/daemon/cassiaquay_daemon/gateway/derivations.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/derivations.py
@@ -7,18 +7,14 @@
 import time
 import typing
 
-from cassiaquay_schema import messages
-
 from .. import clock
 from ..decisions import server_times, stream_ages, stream_origins, version_choice
 from ..fleet import server_past, servers
-from . import calls, process_checks
+from . import calls, list_checks
 
 # Clocks of servers and callers differ, lists are up to a second old, and a server
 # registers a moment after its process has started.
 MARGIN_SECONDS = 4.0
-# The callers of streams wait for two seconds or more, and come back when refused.
-PATIENCE_SECONDS = 0.4
 
 
 class Derived(typing.NamedTuple):
@@ -45,8 +41,8 @@
         The servers that are listed now.
     past : ServerPast
         Reads what the platform shows of before this process began.
-    checks : ProcessChecks
-        Asks servers whether they run the listed process.
+    checks : ListChecks
+        Returns the listed servers of a service.
     heartbeat_seconds : float, optional
         Time between two writes of a server's entry; 0 if unknown.
     """
@@ -55,7 +51,7 @@
         self,
         server_list: servers.Servers,
         past: server_past.ServerPast,
-        checks: process_checks.ProcessChecks,
+        checks: list_checks.ListChecks,
         heartbeat_seconds: float = 0.0,
     ):
         self._heartbeat_seconds = heartbeat_seconds
@@ -73,6 +69,17 @@
         """Record the time that a new stream has."""
         self._stated.note(call.route.name, call.parsed.deadline_ms)
 
+    def may_derive(self, call: calls.Call) -> bool:
+        """Return whether a derivation may show the version of a caller's stream.
+
+        A stream of a route to several services may have begun at another one. Servers
+        that state no start time cannot be compared.
+        """
+        if not call.parsed.resumes or len(call.route.shares) > 1:
+            return False
+        entries = self._checks.entries(call.service)
+        return all(entry.started_ms for entry in entries)
+
     async def derive(self, call: calls.Call, lifetime: float) -> Derived | None:
         """Return the version at which a caller's stream began; None if unknown.
 
@@ -83,18 +90,7 @@
         lifetime : float
             Seconds that a stream of this route may last.
         """
-        # A stream of a route to several services may have begun at another one.
-        if not call.parsed.resumes or len(call.route.shares) > 1:
-            return None
-        if not self._state_starts(call.service):
-            return None
-        # A list that is outdated lacks servers.
-        taken_up_at = clock.now()
-        if not await self._servers.read_since(taken_up_at, PATIENCE_SECONDS):
-            return None
-        # A server that was restarted under its name may have begun the stream.
-        listed = self._list(call.service)
-        if not await self._checks.confirm(listed, taken_up_at):
+        if not self.may_derive(call):
             return None
         # Lists that change no server in use are not published.
         self.note_servers()
@@ -110,14 +106,6 @@
         young = version_choice.young_servers(evidence.listed, software, since_ms)
         return Derived(software, young)
 
-    def _state_starts(self, service: str) -> bool:
-        """Return whether all servers of a service state when they started."""
-        return all(entry.started_ms for entry in self._list(service))
-
-    def _list(self, service: str) -> list[messages.ServerEntry]:
-        entries = self._servers.entries()
-        return [entry for entry in entries if entry.service == service]
-
     def _age_seconds(self, call: calls.Call, lifetime: float) -> float:
         """Return how long ago a stream can have begun."""
         route = call.route
@@ -133,7 +121,7 @@
     ) -> version_choice.Evidence | None:
         """Return what is known of a service's servers; None if it cannot be read."""
         entries = self._servers.entries()
-        listed = self._list(service)
+        listed = self._checks.entries(service)
         now = clock.now()
         oldest = now - (now_ms - since_ms) / 1000.0
         seen = [*entries, *self._sightings.former_since(oldest)]
--- a/packages/daemon/cassiaquay_daemon/gateway/process_checks.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/process_checks.py
@@ -27,6 +27,9 @@
 REPEAT_SECONDS = 0.5
 MAX_REPORT_BYTES = 1024 * 1024
 OK_STATUS = 200
+# Servers that refused a connection and are remembered.
+MAX_REFUSED = 2048
+NEVER = float("-inf")
 
 CONFIRMED = "confirmed"
 RESTARTED = "restarted"
@@ -61,6 +64,8 @@
         # Servers that are being asked, by address, and when they were asked last.
         self._asking: dict[str, asyncio.Task[int | None]] = {}
         self._asked_at: dict[str, float] = {}
+        # When those were asked that have refused the connection.
+        self._refused_at: dict[str, float] = {}
         self._http = http
         self._paths = observed
         self._capacity = capacity
@@ -107,10 +112,11 @@
         raise exceptions.NotSent(f"the listed process of the server is {result}")
 
     async def confirm(self, entries: list[messages.ServerEntry], since: float) -> bool:
-        """Return whether all servers run the listed process, asked after a time.
+        """Return whether no server runs another process than the listed one.
 
-        Then none of them has run another one since the listed process began. Servers
-        that state no start time have nothing to compare.
+        They are asked after a time. One that runs the listed process has run no other
+        since that began; one that refuses connections runs none. Servers that state no
+        start time have nothing to compare.
         """
         asking = []
         for entry in entries:
@@ -133,16 +139,25 @@
             asking.add_done_callback(functools.partial(self._forget, address))
         await asyncio.wait([self._asking[address]])
 
+    def _note_refused(self, address: str, asked_at: float) -> None:
+        if len(self._refused_at) >= MAX_REFUSED:
+            self._refused_at.clear()
+        self._refused_at[address] = asked_at
+        # It has answered at once, and may be asked again.
+        self._asked_at.pop(address, None)
+
     async def _has_lasted(self, entry: messages.ServerEntry, since: float) -> bool:
         processes = self._paths.processes
         server = fleet.Server(name=entry.name, address=entry.address)
         # A question that is under way may have been asked before that time.
         for _ in range(2):
+            await self.learn(server)
             for started_ms in (entry.started_ms, 0):
                 if processes.has_lasted(entry.address, started_ms, since):
                     return True
-            await self.learn(server)
-        return processes.has_lasted(entry.address, entry.started_ms, since)
+            if self._refused_at.get(entry.address, NEVER) >= since:
+                return True
+        return False
 
     def close(self) -> None:
         """Stop asking servers."""
@@ -164,13 +179,21 @@
             async with asyncio.timeout(TIMEOUT_SECONDS), self._http.get(url) as answer:
                 started_ms = await _read_started_ms(answer)
                 handler = getattr(answer, "handler", None)
-        except (OSError, aiohttp.ClientError):
+        except (OSError, aiohttp.ClientError) as error:
+            if _is_refused(error):
+                self._note_refused(server.address, asked_at)
             return None
         if started_ms is not None and handler is not None:
             handler.note_report(started_ms, asked_at)
         return started_ms
 
 
+def _is_refused(error: Exception) -> bool:
+    if not isinstance(error, aiohttp.ClientConnectorError):
+        return False
+    return isinstance(error.os_error, ConnectionRefusedError)
+
+
 async def _read_started_ms(answer: aiohttp.ClientResponse) -> int | None:
     if answer.status != OK_STATUS:
         # It does not serve reports, as servers of other platforms.
--- a/packages/daemon/cassiaquay_daemon/gateway/resuming.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/resuming.py
@@ -19,6 +19,7 @@
     admission,
     calls,
     derivations,
+    list_checks,
     process_checks,
     progress,
     sole_versions,
@@ -71,11 +72,12 @@
         self._servers = server_list
         self._history = software_versions.History()
         past = server_past.ServerPast(server_list)
+        self._list_checks = list_checks.ListChecks(server_list, checks)
         self._sole_versions = sole_versions.SoleVersions(
-            self._history, server_list, past, checks
+            self._history, server_list, past, self._list_checks
         )
         self._derivations = derivations.Derivations(
-            server_list, past, checks, heartbeat_seconds
+            server_list, past, self._list_checks, heartbeat_seconds
         )
         self._configured = configured
         self._origins = origins
@@ -108,11 +110,8 @@
             origin = self._close(origin, parsed)
         sole = None
         derived = None
-        if origin is None and (lookup.is_unknown_to_all or not parsed.resumes):
-            lifetime = _lifetime_seconds(call)
-            sole = await self._sole_versions.find(call, lifetime)
-            if sole is None:
-                derived = await self._derivations.derive(call, lifetime)
+        if origin is None:
+            sole, derived = await self._find_version(call, lookup)
         versions = self._history.recent(call.service)
         logs.event(
             "stream_resumes",
@@ -271,6 +270,30 @@
         if state.checked_process is not writers.Process.UNKNOWN:
             raise exceptions.AnswerLost("its version is not known")
 
+    async def _find_version(
+        self, call: calls.Call, lookup: origin_reports.Lookup
+    ) -> tuple[str | None, derivations.Derived | None]:
+        """Return the sole or derived version of a stream of unknown origin, if any."""
+        if lookup.answered < lookup.asked:
+            # One that does not answer may know it.
+            return None, None
+        lifetime = _lifetime_seconds(call)
+        may_derive = (
+            lookup.is_unknown_to_all
+            and not self._origins.has_missing(lifetime)
+            and self._derivations.may_derive(call)
+        )
+        sole = await self._sole_versions.find(call.service, lifetime)
+        # What cannot be shown costs no read.
+        if sole is None and not may_derive:
+            return None, None
+        if not await self._list_checks.confirm(call.service):
+            return None, None
+        sole = await self._sole_versions.find(call.service, lifetime)
+        if sole is not None or not may_derive:
+            return sole, None
+        return None, await self._derivations.derive(call, lifetime)
+
     def _set_version(
         self,
         state: progress.RequestState,
--- a/packages/daemon/cassiaquay_daemon/gateway/sole_versions.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/sole_versions.py
@@ -1,22 +1,15 @@
 """Finds the one software version at which a stream of unknown origin can have begun.
 
-An instance that was cut off from the store or from the others, or stood still, does not
-know the servers that have joined meanwhile, nor the streams that began at them. So that
-it has heard of one version only shows nothing: it must be shown that there has been no
-other.
+That this instance has heard of one version only shows nothing: it may have been cut off
+or have stood still. It must be shown that there has been no other.
 """
 
 import time
 
-from cassiaquay_schema import messages
-
 from .. import clock
 from ..decisions import software_versions
 from ..fleet import server_past, servers
-from . import calls, process_checks
-
-# The callers of streams wait for two seconds or more, and come back when refused.
-PATIENCE_SECONDS = 0.4
+from . import list_checks
 
 
 class SoleVersions:
@@ -27,11 +20,11 @@
     history : History
         The versions that this instance has seen listed.
     server_list : Servers
-        The servers that are listed now.
+        Tells for how long the list has been confirmed.
     past : ServerPast
         Reads what the platform shows of times that this instance has not observed.
-    checks : ProcessChecks
-        Asks servers whether they run the listed process.
+    checks : ListChecks
+        Returns the listed servers of a service.
     """
 
     def __init__(
@@ -39,40 +32,26 @@
         history: software_versions.History,
         server_list: servers.Servers,
         past: server_past.ServerPast,
-        checks: process_checks.ProcessChecks,
+        checks: list_checks.ListChecks,
     ):
         self._history = history
         self._servers = server_list
         self._past = past
         self._checks = checks
 
-    async def find(self, call: calls.Call, window_seconds: float) -> str | None:
-        """Return the only version that can have begun a stream; None if unknown.
+    async def find(self, service: str, window_seconds: float) -> str | None:
+        """Return the only version that a service has had; None if unknown.
 
         Parameters
         ----------
-        call : Call
-            The attempt that takes the stream up.
+        service : str
+            The service.
         window_seconds : float
-            How long ago it can have begun.
+            How long ago a stream can have begun that is taken up now.
         """
-        taken_up_at = clock.now()
-        service = call.service
-        # What cannot be shown costs no read.
-        if await self._find_shown(service, window_seconds) is None:
-            return None
-        if not await self._servers.read_since(taken_up_at, PATIENCE_SECONDS):
-            return None
-        # A server that was restarted under its name may have begun the stream in
-        # another version, and its entry may follow.
-        if not await self._checks.confirm(self._entries(service), taken_up_at):
-            return None
-        return await self._find_shown(service, window_seconds)
-
-    async def _find_shown(self, service: str, window_seconds: float) -> str | None:
-        """Return the only version that the service has had, as far as is known here."""
+        entries = self._checks.entries(service)
         versions = self._history.recent(service)
-        versions |= {entry.software for entry in self._entries(service)}
+        versions |= {entry.software for entry in entries}
         if len(versions) != 1:
             return None
         [software] = versions
@@ -87,7 +66,3 @@
         return software_versions.sole_version(
             service, evidence, window_seconds, time.time() * 1000.0
         )
-
-    def _entries(self, service: str) -> list[messages.ServerEntry]:
-        entries = self._servers.entries()
-        return [entry for entry in entries if entry.service == service]
--- a/tests/test_derivations.py
+++ b/tests/test_derivations.py
@@ -32,9 +32,7 @@
     def __init__(self) -> None:
         self.listed = [_entry("a1"), _entry("a2"), _entry("b1"), _entry("b2")]
         self.servers = mock.Mock(steady_since=0.0)
-        self.servers.read_since = mock.AsyncMock(return_value=True)
-        self.checks = mock.Mock()
-        self.checks.confirm = mock.AsyncMock(return_value=True)
+        self.checks = mock.Mock(entries=lambda service: self.listed)
         self.servers.entries = lambda: self.listed
         # Each server has written some times; the oldest write is 24 s old.
         written = []
@@ -74,8 +72,6 @@
 @pytest.mark.parametrize(
     "cause",
     [
-        "behind",
-        "restarted, not listed yet",
         "restarted in another version",
         "several services",
         "not named",
@@ -89,11 +85,7 @@
 def test_stream_is_not_derived_without_evidence(cause: str) -> None:
     """Guards against a guess where a server may be missing."""
     bench = _Bench()
-    if cause == "behind":
-        bench.servers.read_since.return_value = False
-    elif cause == "restarted, not listed yet":
-        bench.checks.confirm.return_value = False
-    elif cause == "restarted in another version":
+    if cause == "restarted in another version":
         born = int((schedules.EPOCH + NOW - 1.0) * 1000.0)
         last = bench.past.written[-1].revision + 1
         restarted = _entry("b2", last, software="a", started_ms=born)
--- a/tests/test_resuming.py
+++ b/tests/test_resuming.py
@@ -10,7 +10,7 @@
 from cassiaquay_daemon.configured import routing
 from cassiaquay_daemon.decisions import stream_origins
 from cassiaquay_daemon.fleet import stream_origins as origin_reports
-from cassiaquay_daemon.gateway import calls, progress, resuming, writers
+from cassiaquay_daemon.gateway import calls, derivations, progress, resuming, writers
 from cassiaquay_daemon.platform import headers
 from cassiaquay_schema import fleet, messages
 
@@ -50,6 +50,7 @@
         self.origin: stream_origins.Origin | None = None
         self.recorded: list[stream_origins.Origin] = []
         self.origins = mock.Mock()
+        self.origins.has_missing.return_value = False
         # Whether each instance that may know the stream has answered.
         self.has_all_answers = True
         self.origins.find = self._find
@@ -164,13 +165,21 @@
     assert refused.value.retry_after_ms == resuming.UNKNOWN_RETRY_MS
 
 
-@pytest.mark.parametrize("cause", ["outdated", "unanswered", "restarted"])
-def test_version_known_here_is_not_the_sole_one_if_others_may_know_more(
-    cause: str,
+@pytest.mark.parametrize("versions", [{"a": "v1"}, {"a": "v1", "b": "v2"}])
+@pytest.mark.parametrize("cause", ["none", "outdated", "unanswered", "restarted"])
+def test_version_is_not_concluded_if_others_may_know_more(
+    cause: str, versions: dict[str, str]
 ) -> None:
     """Guards against a list of before a release that this instance has not seen."""
-    bench = _Bench(a="v1")
+    bench = _Bench(**versions)
     bench.age()
+    derived = derivations.Derived("v1", [])
+    bench.resuming._derivations.derive = mock.AsyncMock(return_value=derived)
+    if cause == "none":
+        state = bench.state()
+        bench.resolve(state)
+        assert state.software == "v1"
+        return
     if cause == "outdated":
         bench.servers.read_since.return_value = False
     elif cause == "unanswered":
@@ -181,6 +190,17 @@
         bench.resolve(bench.state())
 
 
+def test_version_is_not_derived_while_an_instance_is_missing() -> None:
+    """Guards against streams that it begins by a list which nobody else has."""
+    bench = _Bench(a="v1", b="v2")
+    derived = derivations.Derived("v1", [])
+    bench.resuming._derivations.derive = mock.AsyncMock(return_value=derived)
+    bench.resolve(bench.state())
+    bench.origins.has_missing.return_value = True
+    with pytest.raises(exceptions.OriginUnknown):
+        bench.resolve(bench.state())
+
+
 def test_version_that_the_read_shows_is_not_overlooked() -> None:
     """Guards against a decision by the list of before the stream was taken up."""
     bench = _Bench(a="v1")
--- a/tests/version_schedules.py
+++ b/tests/version_schedules.py
@@ -135,9 +135,7 @@
         """Return the version at which a caller's stream goes on; None if nowhere."""
         at = self.taken_up_at
         known = mock.Mock(steady_since=at)
-        known.read_since = mock.AsyncMock(return_value=True)
-        checks = mock.Mock()
-        checks.confirm = mock.AsyncMock(return_value=True)
+        checks = mock.Mock(entries=lambda service: self._entries())
         known.entries = self._entries
         past, read_past = mock.Mock(), self._past()
 
