A report of teams' work is replaced although a team without work was dropped

The rest of a rank may be 0 tokens. The next decay drops teams whose sum over all shards is 0, and the next report of that shard then failed with KeyError(''): the old report was gone, the new one not taken, and the message counted as failed. The test failed before.

--- a/packages/daemon/cassiaquay_daemon/decisions/pool_shares.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/pool_shares.py
@@ -217,9 +217,10 @@
         if report is None:
             return
         for rank, teams in report.work.items():
-            elsewhere = self._elsewhere[rank]
+            # Teams whose sum was 0 have been dropped.
+            elsewhere = self._elsewhere.setdefault(rank, {})
             for team, tokens in teams.items():
-                elsewhere[team] -= tokens
+                elsewhere[team] = elsewhere.get(team, 0) - tokens
 
     def _decay(self, now: float) -> None:
         factor = 0.5 ** ((now - self._decayed_at) / HALF_LIFE_SECONDS)
--- a/tests/test_pool_shares.py
+++ b/tests/test_pool_shares.py
@@ -46,6 +46,16 @@
     assert (shares.work(0, "a"), shares.work(0, "b")) == (500, 0)
 
 
+def test_report_with_a_sum_of_nothing_is_replaced(time) -> None:
+    """Guards against reports that are dropped once a team without work was dropped."""
+    shares = _shares(a=100)
+    shares.receive(THERE, [messages.TeamWork("", [0, 1], [900, 0])])
+    time.now += pool_shares.DECAY_PERIOD_SECONDS
+    shares.refresh()
+    shares.receive(THERE, _shares(a=500).report())
+    assert shares.work(0, "a") == pytest.approx(600, abs=20)
+
+
 def test_work_is_forgotten(time) -> None:
     """A burst of a minute ago does not count against its team."""
     shares = _shares(a=80_000)
