--- a/packages/daemon/cassiaquay_daemon/fleet/demanded_reads.py
+++ b/packages/daemon/cassiaquay_daemon/fleet/demanded_reads.py
@@ -12,7 +12,7 @@
 
 # Least time between two reads, of which the later one is on demand. A read serves all
 # who wait when it begins.
-SPACING_SECONDS = 0.1
+SPACING_SECONDS = 0.25
 POLL_SECONDS = 0.01
 NEVER = float("-inf")
 
--- a/packages/daemon/cassiaquay_daemon/gateway/resuming.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/resuming.py
@@ -7,6 +7,7 @@
 import collections
 import contextlib
 import functools
+import typing
 
 from cassiaquay_schema import fleet
 
@@ -41,6 +42,24 @@
 UNKNOWN = "unknown"
 
 
+class _Version(typing.NamedTuple):
+    """The version of a stream of unknown origin, by one of two ways or by none.
+
+    Attributes
+    ----------
+    sole : str or None
+        The only version that the service has had.
+    derived : Derived or None
+        The version that the attempt's id gives.
+    """
+
+    sole: str | None
+    derived: derivations.Derived | None
+
+
+UNSHOWN = _Version(None, None)
+
+
 class Resuming:
     """Knows the origins of streams and the versions of all services.
 
@@ -108,10 +127,9 @@
         origin = lookup.origin
         if origin is not None and origin.is_open:
             origin = self._close(origin, parsed)
-        sole = None
-        derived = None
+        shown = UNSHOWN
         if origin is None:
-            sole, derived = await self._find_version(call, lookup)
+            shown = await self._find_version(call, lookup)
         versions = self._history.recent(call.service)
         logs.event(
             "stream_resumes",
@@ -121,8 +139,8 @@
             service=origin.service if origin else None,
             software=origin.software if origin else None,
             is_known=origin is not None,
-            sole=sole,
-            derived=derived.software if derived else None,
+            sole=shown.sole,
+            derived=shown.derived.software if shown.derived else None,
             versions=",".join(sorted(versions)),
             asked=lookup.asked or None,
             answered=lookup.answered if lookup.asked else None,
@@ -131,7 +149,7 @@
             list_steady_ms=self._servers.steady_ms,
         )
         if origin is None:
-            self._set_version(state, sole, derived)
+            self._set_version(state, shown)
             return
         self.counts[KNOWN] += 1
         if origin.service not in {share.service for share in call.route.shares}:
@@ -272,46 +290,44 @@
 
     async def _find_version(
         self, call: calls.Call, lookup: origin_reports.Lookup
-    ) -> tuple[str | None, derivations.Derived | None]:
-        """Return the sole or derived version of a stream of unknown origin, if any."""
+    ) -> _Version:
+        """Return the version of a stream of unknown origin, if it can be shown."""
         if lookup.answered < lookup.asked:
             # One that does not answer may know it.
-            return None, None
-        lifetime = _lifetime_seconds(call)
+            return UNSHOWN
         may_derive = (
             lookup.is_unknown_to_all
-            and not self._origins.has_missing(lifetime)
+            and not self._origins.has_missing(_lifetime_seconds(call))
             and self._derivations.may_derive(call)
         )
-        sole = await self._sole_versions.find(call.service, lifetime)
         # What cannot be shown costs no read.
-        if sole is None and not may_derive:
-            return None, None
+        if await self._find_shown(call, may_derive) == UNSHOWN:
+            return UNSHOWN
         if not await self._list_checks.confirm(call.service):
-            return None, None
+            return UNSHOWN
+        return await self._find_shown(call, may_derive)
+
+    async def _find_shown(self, call: calls.Call, may_derive: bool) -> _Version:
+        """Return the version that is shown by what is known here now."""
+        lifetime = _lifetime_seconds(call)
         sole = await self._sole_versions.find(call.service, lifetime)
         if sole is not None or not may_derive:
-            return sole, None
-        return None, await self._derivations.derive(call, lifetime)
+            return _Version(sole, None)
+        return _Version(None, await self._derivations.derive(call, lifetime))
 
-    def _set_version(
-        self,
-        state: progress.RequestState,
-        sole: str | None,
-        derived: derivations.Derived | None,
-    ) -> None:
+    def _set_version(self, state: progress.RequestState, shown: _Version) -> None:
         """Set the version of a stream whose origin no instance knows."""
-        if sole is not None:
+        if shown.sole is not None:
             self.counts[SOLE] += 1
             # Servers of another version may be listed before this one is sent.
-            state.software = sole
+            state.software = shown.sole
             return
-        if derived is None:
+        if shown.derived is None:
             self.counts[UNKNOWN] += 1
             raise exceptions.OriginUnknown(retry_after_ms=UNKNOWN_RETRY_MS)
         self.counts[DERIVED] += 1
-        state.software = derived.software
-        for name in derived.young:
+        state.software = shown.derived.software
+        for name in shown.derived.young:
             state.add_tried(name)
 
     def _close(
