Reads on demand wait for a slow store, and end with the daemon

With 0.5 s for each answer of the store none of 12 streams of unknown origin went on: a read takes two calls, and may wait for the one before; 0.8 s are allowed for it.

--- a/packages/daemon/cassiaquay_daemon/fleet/demanded_reads.py
+++ b/packages/daemon/cassiaquay_daemon/fleet/demanded_reads.py
@@ -78,6 +78,11 @@
             await asyncio.sleep(POLL_SECONDS)
         return self._current_at >= since
 
+    def close(self) -> None:
+        """End a read on demand that is under way."""
+        if self._demanded is not None:
+            self._demanded.cancel()
+
     def _demand(self) -> None:
         """Start a read, unless one is under way or the last one has just begun."""
         if self._demanded is not None and not self._demanded.done():
--- a/packages/daemon/cassiaquay_daemon/fleet/servers.py
+++ b/packages/daemon/cassiaquay_daemon/fleet/servers.py
@@ -144,6 +144,10 @@
         """Return the entries of all known servers, those that leave, too."""
         return self._registered.entries()
 
+    def close(self) -> None:
+        """End what was begun on demand."""
+        self._reads.close()
+
     async def read_past(self) -> platform.ServersPast:
         """Return the changes of registrations that the platform still has."""
         return await self._store.read_past()
@@ -159,10 +163,7 @@
                 await asyncio.sleep(self._retry_delay())
 
     async def read_since(self, since: float, seconds: float) -> bool:
-        """Return whether a read that began after a time shows what is current.
-
-        Heartbeats of others do not show as much: their age is an estimate.
-        """
+        """Return whether a read that began after a time shows what is current."""
         return await self._reads.wait(since, seconds)
 
     async def read_once(self) -> bool:
--- a/packages/daemon/cassiaquay_daemon/gateway/list_checks.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/list_checks.py
@@ -13,8 +13,10 @@
 from ..fleet import servers
 from . import process_checks
 
-# The callers of streams wait for two seconds or more, and come back when refused.
-PATIENCE_SECONDS = 0.4
+# The callers of streams wait for two seconds or more, and come back when refused. A read
+# of the store takes two calls and may wait for the one before.
+STORE_SECONDS = 0.8
+SERVERS_SECONDS = 0.4
 
 
 class ListChecks:
@@ -46,11 +48,12 @@
         its name may have begun it as well, and its entry may follow late.
         """
         taken_up_at = clock.now()
-        if not await self._servers.read_since(taken_up_at, PATIENCE_SECONDS):
+        # Heartbeats of others do not show as much: their age is an estimate.
+        if not await self._servers.read_since(taken_up_at, STORE_SECONDS):
             return False
         asking = self._checks.confirm(self.entries(service), taken_up_at)
         try:
-            async with asyncio.timeout(PATIENCE_SECONDS):
+            async with asyncio.timeout(SERVERS_SECONDS):
                 return await asking
         except TimeoutError:
             return False
--- a/packages/daemon/cassiaquay_daemon/gateway/resuming.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/resuming.py
@@ -105,6 +105,10 @@
         self.counts: collections.Counter[str] = collections.Counter()
         configured.on_accept(self._update_history)
 
+    def close(self) -> None:
+        """End what was begun for streams that are taken up."""
+        self._servers.close()
+
     async def resolve(self, state: progress.RequestState) -> None:
         """Set the service and version at which a caller's stream must go on.
 
--- a/packages/daemon/cassiaquay_daemon/gateway/service.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/service.py
@@ -207,6 +207,7 @@
         await self._background.stop()
         self._parts.completions.close()
         self._parts.process_checks.close()
+        self._parts.resuming.close()
         await self._parts.forwarder.close()
 
     @property
--- a/tests/test_list_checks.py
+++ b/tests/test_list_checks.py
@@ -105,3 +105,27 @@
         assert counted.await_count <= 5
 
     fakes.run(work)
+
+
+def test_read_on_demand_ends_with_the_daemon() -> None:
+    """Guards against tasks that nothing awaits or cancels."""
+
+    async def work(site: fakes.Site) -> None:
+        server_list = site.daemons[0]._servers
+        began = asyncio.Event()
+
+        async def read_for_long() -> object:
+            began.set()
+            await asyncio.sleep(60.0)
+            raise AssertionError
+
+        server_list._store.read = read_for_long
+        assert not await server_list.read_since(clock.now(), 0.4)
+        await began.wait()
+        reading = server_list._reads._demanded
+        site.daemons[0]._stopping.set()
+        await site._tasks[0]
+        await asyncio.sleep(0.0)
+        assert reading is None or reading.done()
+
+    fakes.run(work)
