A report speaks only for connections that were alive together with it

What callers could see: a stream of a server that had restarted under its name was taken for one of the new process, or the reverse, and went on at the wrong software version.

Cause: a connection counted as alive when its bytes were read. Bytes of a process that has ended may be read later: reading pauses while a caller is slow, and the loop may be late. A connection to the process before was then taken for one to the process that had reported meanwhile, and lowered the time since which that one was known to live, so that all older connections followed. The other way round, late bytes of a known process prolonged it, and a new connection was taken for one to the process before. A report that was under way when a connection broke cleared the sign, too.

Change: a connection is alive while the kernel has it as established. The end of a process closes or resets its connections, and this end arrives before the next process accepts one. A report shows a process alive when it was asked for, and later only by connections that are. A sign of a restart counts if it is newer than the question, not than the answer.

Cost: one getsockopt for each read of a connection to a server; no further report.

Limit: a reset that is lost on the way leaves a connection established until it is used.

--- a/packages/daemon/cassiaquay_daemon/decisions/server_processes.py
+++ b/packages/daemon/cassiaquay_daemon/decisions/server_processes.py
@@ -6,7 +6,8 @@
 
 One process at a time has an address, and its end closes all of its connections. So
 connections that were alive at the same time lead to one process, and one report is
-enough for all of them.
+enough for all of them. Bytes do not show that a connection is alive: those of a process
+that has ended may be read after the next one has reported.
 """
 
 import typing
@@ -30,23 +31,27 @@
         Its start as reported, Unix milliseconds; 0 if it states none.
     alive_from, alive_until : float
         Times at which it was certainly alive; seconds on this clock.
-    reported_at : float
-        Time of its last report; seconds on this clock.
     asked_at : float
-        When it was asked for that report.
+        When it was asked for its last report; seconds on this clock.
     """
 
     started_ms: int
     alive_from: float
     alive_until: float
-    reported_at: float
     asked_at: float
 
 
 class Processes:
-    """The processes that this instance has connections to, by address (host:port)."""
+    """The processes that this instance has connections to, by address (host:port).
+
+    Attributes
+    ----------
+    sign_count : int
+        Signs of a restart of any server so far.
+    """
 
     def __init__(self) -> None:
+        self.sign_count = 0
         self._processes: dict[str, _Process] = {}
         self._broken_at: dict[str, float] = {}
         self._all_doubted_until = NEVER
@@ -57,13 +62,14 @@
 
     def note_broken(self, address: str) -> None:
         """Record that a connection was reset or refused: its process may be gone."""
+        self.sign_count += 1
         self._broken_at[address] = clock.now()
         self._trim()
 
-    def note_heard(
+    def note_alive(
         self, address: str, opened_at: float, started_ms: int | None
     ) -> int | None:
-        """Record bytes of a connection; return the start time of its process.
+        """Record that a connection is alive; return the start time of its process.
 
         ``started_ms`` is what was known of it before, None if nothing.
         """
@@ -83,20 +89,28 @@
         self, address: str, opened_at: float, started_ms: int, asked_at: float
     ) -> None:
         """Record the start time that a server has reported on a connection."""
-        now = clock.now()
         process = self._processes.get(address)
         alive_from = opened_at
         if process is not None and process.started_ms == started_ms:
             alive_from = min(process.alive_from, opened_at)
-        self._processes[address] = _Process(started_ms, alive_from, now, now, asked_at)
+        else:
+            self.sign_count += 1
+        # It may have ended since it was asked.
+        alive_until = max(opened_at, asked_at)
+        self._processes[address] = _Process(
+            started_ms, alive_from, alive_until, asked_at
+        )
         self._trim()
 
-    def identify(self, address: str, opened_at: float, heard_at: float) -> int | None:
-        """Return the start time of the process of a connection; None if unknown."""
+    def identify(self, address: str, opened_at: float, alive_at: float) -> int | None:
+        """Return the start time of the process of a connection; None if unknown.
+
+        ``alive_at`` is when the connection was last known to be alive.
+        """
         process = self._processes.get(address)
         if process is None:
             return None
-        if opened_at <= process.alive_until and heard_at >= process.alive_from:
+        if opened_at <= process.alive_until and alive_at >= process.alive_from:
             return process.started_ms
         return None
 
@@ -110,7 +124,7 @@
             return False
         return process.asked_at >= since
 
-    def is_doubtful(self, address: str, listed_ms: int, crashed_at: float) -> bool:
+    def is_doubtful(self, address: str, listed_ms: int, broken_at: float) -> bool:
         """Return whether a server may have restarted since it was listed.
 
         Parameters
@@ -119,16 +133,16 @@
             Its address.
         listed_ms : int
             Start time of the listed process, Unix milliseconds.
-        crashed_at : float
-            When any instance has seen that process crash; seconds on this clock.
+        broken_at : float
+            When the server broke off an answer of any instance; seconds on this clock.
         """
-        broken_at = max(self._broken_at.get(address, NEVER), crashed_at)
+        broken_at = max(self._broken_at.get(address, NEVER), broken_at)
         process = self._processes.get(address)
         if process is None:
             return broken_at > NEVER or clock.now() < self._all_doubted_until
         if process.started_ms not in (0, listed_ms):
             return True
-        return broken_at > process.reported_at
+        return broken_at > process.asked_at
 
     def _trim(self) -> None:
         horizon = clock.now() - RETENTION_SECONDS
--- a/packages/daemon/cassiaquay_daemon/gateway/connections.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/connections.py
@@ -12,7 +12,7 @@
 
 from .. import bounded_http, clock, logs, sockets
 from ..adapters import backends, breaks
-from ..decisions import paths
+from ..decisions import paths, server_processes
 from ..platform import headers
 from . import relays
 
@@ -67,7 +67,8 @@
         # Start time of the server process, Unix milliseconds; None if not known.
         self._started_ms: int | None = None
         self._opened_at = 0.0
-        self._heard_at = 0.0
+        # When neither end was known to have closed it.
+        self._alive_at = server_processes.NEVER
         # Id of the attempt whose answer is awaited; empty for a request without one.
         self._attempt = ""
         self._has_skipped = False
@@ -80,9 +81,11 @@
     @property
     def started_ms(self) -> int | None:
         """Start time that the server process has reported; None if not known."""
+        if self._started_ms is None:
+            self._note_alive()
         if self._started_ms is None:
             self._started_ms = self._paths.processes.identify(
-                self._address, self._opened_at, self._heard_at
+                self._address, self._opened_at, self._alive_at
             )
         return self._started_ms
 
@@ -97,6 +100,7 @@
         self._paths.processes.note_report(
             self._address, self._opened_at, started_ms, asked_at
         )
+        self._note_alive()
 
     def is_connected(self) -> bool:
         """Return whether the connection may be used again."""
@@ -161,18 +165,16 @@
         peer = transport.get_extra_info("peername")
         if peer:
             self._address = f"{peer[0]}:{peer[1]}"
-        self._opened_at = self._heard_at = clock.now()
+        self._opened_at = clock.now()
         self._paths.connected(self._address)
         super().connection_made(transport)
+        self._note_alive()
 
     def data_received(self, data: bytes) -> None:
         """Record that the server was heard."""
         if data:
             self._paths.heard(self._address)
-            self._heard_at = clock.now()
-            self._started_ms = self._paths.processes.note_heard(
-                self._address, self._opened_at, self._started_ms
-            )
+            self._note_alive()
         super().data_received(data)
         if self._idle_seconds < math.inf:
             self._reusable_until = clock.now() + self._idle_seconds
@@ -190,6 +192,18 @@
             self._paths.doubt(self._address, "connection lost")
         super().connection_lost(exc)
 
+    def _note_alive(self) -> None:
+        """Record that the connection is alive, and so its process, if it is."""
+        if self.transport is None:
+            return
+        bound = self.transport.get_extra_info("socket")
+        if bound is None or not sockets.is_established(bound):
+            return
+        self._alive_at = clock.now()
+        self._started_ms = self._paths.processes.note_alive(
+            self._address, self._opened_at, self._started_ms
+        )
+
 
 class _TimedRequest(bounded_http.BoundedRequest):
     """Request that states the time left when it is written, and adapts its socket.
--- a/packages/daemon/cassiaquay_daemon/sockets.py
+++ b/packages/daemon/cassiaquay_daemon/sockets.py
@@ -18,6 +18,8 @@
 # Linux counts it also against a peer that acknowledges every probe and reads nothing.
 # Data of this size fits into the peer's buffers, whether it reads or not.
 MAX_BUFFERED_BYTES = 32 * 1024
+# State of a connection that neither end has closed or reset, first byte of `tcp_info`.
+ESTABLISHED = 1
 PORT = re.compile("[1-9][0-9]{0,4}")
 MAX_PORT = 65535
 MAX_HOST_CHARACTERS = 253
@@ -63,6 +65,18 @@
     target.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms)
 
 
+def is_established(target: socket.socket) -> bool:
+    """Return whether the other end of a connection has neither closed nor reset it.
+
+    Bytes that were received before its end may still be unread.
+    """
+    try:
+        state = target.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
+    except OSError:
+        return False
+    return state[0] == ESTABLISHED
+
+
 def create(info: tuple[typing.Any, ...]) -> socket.socket:
     """Return a socket for an outgoing connection; ``info`` is as of ``getaddrinfo``."""
     family, kind, protocol = info[:3]
--- a/tests/test_restarted_servers.py
+++ b/tests/test_restarted_servers.py
@@ -160,7 +160,7 @@
         processes = server_processes.Processes()
         opened_at = time.now
         time.now += 1.0
-        assert processes.note_heard("h:1", opened_at, None) is None
+        assert processes.note_alive("h:1", opened_at, None) is None
         processes.note_report("h:1", opened_at, 7, opened_at)
         # Opened before the report, and open at that time.
         assert processes.identify("h:1", opened_at - 1.0, time.now) == 7
@@ -171,7 +171,7 @@
         assert processes.identify("h:1", opened_later, time.now) is None
         # The first connection is still alive.
         time.now += 1.0
-        processes.note_heard("h:1", opened_at, 7)
+        processes.note_alive("h:1", opened_at, 7)
         assert processes.identify("h:1", opened_later, time.now) == 7
         assert processes.identify("h:2", opened_later, time.now) is None
 
