All instances hear which servers have broken answers off

Servers of one version broke their streams off and were back at once under their names in another version; entries followed after 0.1 to 0.6 s. Streams that began there at instances without a connection of their own to these servers were recorded as of the listed version, and went on at it.

Cause: an instance that sees no sign of a restart takes the process for the listed one. Signs of others came with reports of crashed requests only. These are withheld if the content has completed before, since such a request is not suspected: the quarantine does not change. Signs were also kept by the start that the entry stated where the break was seen, so that an instance with a newer entry did not find them; and they were looked for every 0.2 s, so that a stream cut before that kept its record.

Streams are compared with the next events after any new sign. An entry that has changed since a request was sent is a sign, too: the connection is older.

The reports of crashed requests have a new field at their end, with a default.

By design, not measured: after a break one report for each instance that begins streams there, and one comparison for each running stream and sign, instead of one each 0.2 s.

--- a/packages/daemon/cassiaquay_daemon/fleet/crash_reports.py
+++ b/packages/daemon/cassiaquay_daemon/fleet/crash_reports.py
@@ -16,7 +16,7 @@
 from .. import clock, logs, rendezvous
 from ..decisions import quarantine
 from ..links import peers
-from . import members, replication
+from . import members, replication, server_breaks
 
 Flush = collections.abc.Callable[[], None]
 MAX_ENDED_SERVERS = 1024
@@ -45,6 +45,11 @@
         Name of this instance, and whether the whole fleet starts for the first time.
     schedule : callable, optional
         Calls its argument in the next iteration of the event loop.
+
+    Attributes
+    ----------
+    breaks : ServerBreaks
+        When servers broke answers off, even if no request is suspected.
     """
 
     digest_field = "crashes_digest"
@@ -59,6 +64,7 @@
     ):
         # Changed reports that are about to be sent, with the instances they came from.
         self._unsent: dict[str, str] = {}
+        self._unsent_breaks: dict[messages.ServerBreak, str] = {}
         self._schedule = schedule
         self._quarantine = held
         self._instance = settings.instance
@@ -66,6 +72,7 @@
         # Servers, by their starts, with the time of the last report of their crash.
         self._ended_at: collections.OrderedDict[str, float] = collections.OrderedDict()
         self._replication = replication.Replication(links, membership, self)
+        self.breaks = server_breaks.ServerBreaks()
         links.on(messages.CrashReports, self._handle_reports)
         # Whether nothing was recorded before this start, or an older instance was heard
         # since: its table comes with the next heartbeats.
@@ -115,11 +122,7 @@
 
         ``server`` is identified by its start, ``since`` is in seconds on this clock.
         """
-        return self.ended_at(server) >= since
-
-    def ended_at(self, server: str) -> float:
-        """Return when a server's crash was reported last; minus infinity if never."""
-        return self._ended_at.get(server, float("-inf"))
+        return self._ended_at.get(server, float("-inf")) >= since
 
     def crashed(
         self, content: str, server: str, parts: collections.abc.Iterable[str] = ()
@@ -127,6 +130,9 @@
         """Report a server that crashed while it ran a request of this instance."""
         logs.event("request_suspected", content=content, server=server)
         self._record_ended(server)
+        broken = self.breaks.note(server.rpartition("/")[0])
+        if broken is not None:
+            self._flood_break(broken, "")
         changed = []
         if self._change(content, lambda: self._quarantine.crashed(content, server)):
             changed.append(content)
@@ -178,6 +184,9 @@
         return True
 
     def _handle_reports(self, link: peers.Link, message: messages.CrashReports) -> None:
+        for broken in message.breaks:
+            if self.breaks.learn(broken):
+                self._flood_break(broken, link.instance)
         changed = []
         for report in message.reports:
             received = quarantine.Report(
@@ -218,8 +227,14 @@
         else:
             logs.event("request_released", content=content, crashes=crashes)
 
+    def _flood_break(self, broken: messages.ServerBreak, sender: str) -> None:
+        is_scheduled = bool(self._unsent or self._unsent_breaks)
+        self._unsent_breaks[broken] = sender
+        if not is_scheduled:
+            self._schedule(self._send)
+
     def _flood(self, contents: list[str], sender: str) -> None:
-        is_scheduled = bool(self._unsent)
+        is_scheduled = bool(self._unsent or self._unsent_breaks)
         for content in contents:
             # What came from two instances is news to both.
             known_sender = self._unsent.get(content, sender)
@@ -229,20 +244,22 @@
 
     def _send(self) -> None:
         unsent, self._unsent = self._unsent, {}
+        breaks, self._unsent_breaks = self._unsent_breaks, {}
         reports = []
         for content in unsent:
             report = self._quarantine.report(content)
             # The quarantine may have dropped it since, to stay within its bound.
             if report.servers:
                 reports.append(report)
-        senders = set(unsent.values())
+        senders = {*unsent.values(), *breaks.values()}
         # One that has sent only some of the reports must get the others.
         sender = senders.pop() if len(senders) == 1 else ""
-        self._replication.flood(_message(reports), sender)
+        self._replication.flood(_message(reports, list(breaks)), sender)
 
 
 def _message(
     reports: collections.abc.Iterable[quarantine.Report],
+    breaks: collections.abc.Sequence[messages.ServerBreak] = (),
 ) -> messages.CrashReports:
     encoded = []
     for report in reports:
@@ -256,4 +273,4 @@
                 int(report.crash_age * 1000.0),
             )
         )
-    return messages.CrashReports(encoded)
+    return messages.CrashReports(encoded, list(breaks))
--- a/packages/daemon/cassiaquay_daemon/gateway/progress.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/progress.py
@@ -53,8 +53,8 @@
         at an earlier attempt.
     checked_writer, checked_snapshot, checked_process : str, Snapshot, Process or None
         Demand, snapshot and process for which the events were checked last.
-    check_at : float
-        Time of the next such check while nothing changes; seconds on this clock.
+    checked_signs : tuple
+        Numbers of signs of restarts at that time.
     is_writer_certain : bool
         Whether the process that wrote the events is known to be the listed one.
     origin : Origin or None
@@ -102,7 +102,7 @@
         self.checked_writer = ""
         self.checked_snapshot: snapshots.Snapshot | None = None
         self.checked_process: enum.Enum | None = None
-        self.check_at = 0.0
+        self.checked_signs = (0, 0)
         self.is_writer_certain = False
         self.origin: stream_origins.Origin | None = None
         self.is_abandoned = False
--- a/packages/daemon/cassiaquay_daemon/gateway/resuming.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/resuming.py
@@ -10,7 +10,7 @@
 
 from cassiaquay_schema import fleet
 
-from .. import clock, exceptions, logs
+from .. import exceptions, logs
 from ..decisions import software_versions, stream_origins
 from ..fleet import configuration, server_past, servers
 from ..fleet import stream_origins as origin_reports
@@ -30,9 +30,6 @@
 UNKNOWN_RETRY_MS = 300
 # Retry-After while a process is not listed; servers register about each second.
 UNLISTED_RETRY_MS = 600
-# Signs of a restart are looked for this often while a stream goes on. Other instances
-# report a crash within a fraction of a second.
-RECHECK_SECONDS = 0.2
 # What was known of the origin of a stream that a caller took up: its version, that the
 # service has had only one, or the version that the attempt's id gives.
 KNOWN = "known"
@@ -156,16 +153,18 @@
         """
         writer = ticket.demand.id
         snapshot = self._configured.current
+        signs = self._writers.sign_counts
         if state.checked_writer != writer:
             state.is_writer_certain = False
-            state.check_at = 0.0
-        is_same = state.checked_snapshot is snapshot and clock.now() < state.check_at
-        if state.is_writer_certain or is_same:
+        elif state.is_writer_certain or (
+            state.checked_process is writers.Process.ASSUMED
+            and state.checked_snapshot is snapshot
+            and state.checked_signs == signs
+        ):
             return
+        state.checked_signs = signs
         listed = self._listed_server(state.call, ticket)
         process = self._writers.compare(listed, ticket.server, connection)
-        if process is writers.Process.ASSUMED:
-            state.check_at = clock.now() + RECHECK_SECONDS
         checked = (writer, snapshot, process)
         if checked == (
             state.checked_writer,
--- a/packages/daemon/cassiaquay_daemon/gateway/service.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/service.py
@@ -286,7 +286,7 @@
             shared.configured,
             shared.origins,
             shared.server_list,
-            writers.Writers(checks, observed, shared.crashes),
+            writers.Writers(checks, observed, shared.crashes.breaks),
             checks,
             settings.platform.heartbeat_seconds,
         ),
--- a/packages/daemon/cassiaquay_daemon/gateway/writers.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/writers.py
@@ -2,8 +2,8 @@
 
 A server that was restarted under its name writes events of its new software version,
 while its registration still describes the process before. It is asked for its report
-only if there is a sign of a restart: a connection to it broke, some instance has seen
-it crash, or it has reported another start before.
+only if there is a sign of a restart: a connection to it broke, it has broken off an
+answer of any instance, its entry has changed, or it has reported another start before.
 """
 
 import asyncio
@@ -14,7 +14,7 @@
 from cassiaquay_schema import fleet
 
 from ..decisions import paths
-from ..fleet import crash_reports
+from ..fleet import server_breaks
 from . import connections, process_checks
 
 Connection = connections.ResponseHandler
@@ -43,21 +43,26 @@
         Asks servers for their reports.
     observed : Paths
         Knows the processes at the other ends of the connections.
-    crashes : CrashReports
-        Knows which servers have crashed.
+    breaks : ServerBreaks
+        Knows which servers have broken off answers of any instance.
     """
 
     def __init__(
         self,
         checks: process_checks.ProcessChecks,
         observed: paths.Paths,
-        crashes: crash_reports.CrashReports,
+        breaks: server_breaks.ServerBreaks,
     ):
         self._checks = checks
         self._processes = observed.processes
-        self._crashes = crashes
+        self._breaks = breaks
         self._tasks: set[asyncio.Task[None]] = set()
 
+    @property
+    def sign_counts(self) -> tuple[int, int]:
+        """Signs of restarts so far: at this instance, and answers broken off at any."""
+        return self._processes.sign_count, self._breaks.count
+
     def compare(
         self,
         listed: fleet.Server,
@@ -77,10 +82,7 @@
         ):
             started_ms = sent_to.started_ms
         if started_ms is None:
-            name = f"{listed.name}/{listed.started_ms}"
-            is_doubtful = self._processes.is_doubtful(
-                listed.address, listed.started_ms, self._crashes.ended_at(name)
-            )
+            is_doubtful = self._is_doubtful(listed, sent_to)
             return Process.UNKNOWN if is_doubtful else Process.ASSUMED
         if not started_ms:
             return Process.ASSUMED
@@ -94,6 +96,14 @@
         self._tasks.add(task)
         task.add_done_callback(functools.partial(self._finish, done))
 
+    def _is_doubtful(self, listed: fleet.Server, sent_to: fleet.Server) -> bool:
+        if listed.started_ms != sent_to.started_ms:
+            # The connection was opened before that entry was in force.
+            return True
+        return self._processes.is_doubtful(
+            listed.address, listed.started_ms, self._breaks.broken_at(listed.name)
+        )
+
     def _finish(self, done: Done, task: asyncio.Task[None]) -> None:
         self._tasks.discard(task)
         if not task.cancelled():
--- a/packages/schema/cassiaquay_schema/messages.py
+++ b/packages/schema/cassiaquay_schema/messages.py
@@ -1038,6 +1038,21 @@
     crash_age_ms: int = 0
 
 
+class ServerBreak(typing.NamedTuple):
+    """A backend server has broken off an answer, so that it may have restarted.
+
+    Attributes
+    ----------
+    number : int
+        Random number; each instance passes it on once.
+    server : str
+        Backend server.
+    """
+
+    number: int
+    server: str
+
+
 class CrashReports(typing.NamedTuple):
     """The sender's reports of requests that crash servers.
 
@@ -1045,9 +1060,12 @@
     ----------
     reports : list[CrashReport]
         Reports by request.
+    breaks : list[ServerBreak]
+        Servers that have just broken off answers.
     """
 
     reports: list[CrashReport]
+    breaks: list[ServerBreak] = []
 
 
 class ServerValue(typing.NamedTuple):
@@ -1237,6 +1255,7 @@
     | QuotaAnswer
     | QuotaReturn
     | CrashReport
+    | ServerBreak
     | CrashReports
     | ServerValue
     | ServerLimits
@@ -1294,6 +1313,7 @@
     54: QuotaAnswer,
     58: QuotaReturn,
     59: CrashReport,
+    72: ServerBreak,
     60: CrashReports,
     61: ServerValue,
     62: ServerLimits,
--- a/tests/test_connection_processes.py
+++ b/tests/test_connection_processes.py
@@ -5,9 +5,10 @@
 import pytest
 
 from cassiaquay_daemon import clock
-from cassiaquay_daemon.decisions import paths
-from cassiaquay_daemon.gateway import connections
+from cassiaquay_daemon.decisions import paths, server_processes
+from cassiaquay_daemon.gateway import connections, writers
 from cassiaquay_dev.standins import raw_servers
+from cassiaquay_schema import fleet
 
 OLD_START, NEW_START = 1, 2
 BYTES = b"HTTP/1.1 200 OK\r\n"
@@ -120,3 +121,27 @@
         assert latest.started_ms == NEW_START
 
     _run(work)
+
+
+def test_entry_that_is_newer_than_the_dispatch_is_a_sign_of_a_restart() -> None:
+    """Guards against a version taken from an entry that a connection preceded."""
+
+    async def work(ends: _Ends) -> None:
+        handler, _ = await ends.open()
+        found = writers.Writers(None, ends.observed, _NoBreaks())
+        address = f"{ends._address[0]}:{ends._address[1]}"
+        old = fleet.Server(name="i-1", address=address, started_ms=OLD_START)
+        new = fleet.Server(name="i-1", address=address, started_ms=NEW_START)
+        assert found.compare(old, old, handler) is writers.Process.ASSUMED
+        assert found.compare(new, old, handler) is writers.Process.UNKNOWN
+        handler.note_report(NEW_START, clock.now())
+        assert found.compare(new, old, handler) is writers.Process.LISTED
+
+    _run(work)
+
+
+class _NoBreaks:
+    count = 0
+
+    def broken_at(self, server: str) -> float:
+        return server_processes.NEVER
