An instance with an outdated list does not take a server's process for the listed one

An instance that was cut off from the store and the others began streams at a server that had been restarted under its name in another version. It had no connection to the server, so no sign of the restart.

While the list is older than the time in which changes must be in force (2 s), a server is asked for its start before the version of its stream counts as known: once for each server while any connection to it lives. Until it answers the stream goes on nowhere.

test_stream_of_a_restarted_server_at_an_instance_that_is_cut_off failed before.

--- a/packages/daemon/cassiaquay_daemon/gateway/list_checks.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/list_checks.py
@@ -13,8 +13,8 @@
 from ..fleet import servers
 from . import process_checks
 
-# The callers of streams wait for two seconds or more, and come back when refused. A read
-# of the store takes two calls and may wait for the one before.
+# The callers of streams wait for two seconds or more, and come back when refused. A
+# read of the store takes two calls and may wait for the one before.
 STORE_SECONDS = 0.8
 SERVERS_SECONDS = 0.4
 
--- a/packages/daemon/cassiaquay_daemon/gateway/service.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/service.py
@@ -287,7 +287,9 @@
             shared.configured,
             shared.origins,
             shared.server_list,
-            writers.Writers(checks, observed, shared.crashes.breaks),
+            writers.Writers(
+                checks, observed, shared.crashes.breaks, shared.server_list
+            ),
             checks,
             settings.platform.heartbeat_seconds,
         ),
--- a/packages/daemon/cassiaquay_daemon/gateway/writers.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/writers.py
@@ -3,7 +3,8 @@
 A server that was restarted under its name writes events of its new software version,
 while its registration still describes the process before. It is asked for its report
 only if there is a sign of a restart: a connection to it broke, it has broken off an
-answer of any instance, its entry has changed, or it has reported another start before.
+answer of any instance, its entry has changed, it has reported another start before, or
+this instance's list is outdated.
 """
 
 import asyncio
@@ -14,7 +15,7 @@
 from cassiaquay_schema import fleet
 
 from ..decisions import paths
-from ..fleet import server_breaks
+from ..fleet import server_breaks, servers
 from . import connections, process_checks
 
 Connection = connections.ResponseHandler
@@ -45,6 +46,8 @@
         Knows the processes at the other ends of the connections.
     breaks : ServerBreaks
         Knows which servers have broken off answers of any instance.
+    server_list : Servers
+        Tells whether this instance's list of servers may be outdated.
     """
 
     def __init__(
@@ -52,10 +55,12 @@
         checks: process_checks.ProcessChecks,
         observed: paths.Paths,
         breaks: server_breaks.ServerBreaks,
+        server_list: servers.Servers,
     ):
         self._checks = checks
         self._processes = observed.processes
         self._breaks = breaks
+        self._servers = server_list
         self._tasks: set[asyncio.Task[None]] = set()
 
     @property
@@ -100,6 +105,9 @@
         if listed.started_ms != sent_to.started_ms:
             # The connection was opened before that entry was in force.
             return True
+        if self._servers.is_behind:
+            # Others may know of a restart, and of its sign.
+            return True
         return self._processes.is_doubtful(
             listed.address, listed.started_ms, self._breaks.broken_at(listed.name)
         )
--- a/tests/test_connection_processes.py
+++ b/tests/test_connection_processes.py
@@ -1,6 +1,7 @@
 """Which process of a server a connection leads to, shown by real connections."""
 
 import asyncio
+from unittest import mock
 
 import pytest
 
@@ -128,7 +129,9 @@
 
     async def work(ends: _Ends) -> None:
         handler, _ = await ends.open()
-        found = writers.Writers(None, ends.observed, _NoBreaks())
+        found = writers.Writers(
+            None, ends.observed, _NoBreaks(), mock.Mock(is_behind=False)
+        )
         address = f"{ends._address[0]}:{ends._address[1]}"
         old = fleet.Server(name="i-1", address=address, started_ms=OLD_START)
         new = fleet.Server(name="i-1", address=address, started_ms=NEW_START)
--- a/tests/test_out_of_step.py
+++ b/tests/test_out_of_step.py
@@ -84,6 +84,35 @@
     _run(work)
 
 
+def test_stream_of_a_restarted_server_at_an_instance_that_is_cut_off() -> None:
+    """Guards against a version taken from an entry that cannot be confirmed.
+
+    Others have seen the restart, and their list has the new process.
+    """
+
+    async def work(versioned: version_fakes.VersionedSite) -> None:
+        site = versioned.site
+        cut = step_fakes.Cut(site.daemons[OUT_OF_STEP])
+        cut.from_others()
+        cut.from_store()
+        await versioned.restart("i-1", "v2", 0.0)
+        for made in site.daemons[:OUT_OF_STEP]:
+            await versioned._until_known(made)
+        await asyncio.sleep(STORE_AWAY_SECONDS)
+        streams = [version_fakes.Stream(versioned, f"s{n}") for n in range(STREAMS)]
+        await asyncio.gather(*(stream.ask(OUT_OF_STEP, 2) for stream in streams))
+        assert {b"v2"} in [stream.versions for stream in streams]
+        await asyncio.gather(*(stream.ask(OUT_OF_STEP) for stream in streams))
+        cut.heal()
+        await versioned._until_known(site.daemons[OUT_OF_STEP])
+        broken = [stream for stream in streams if not stream.is_complete]
+        await asyncio.gather(*(stream.ask(0) for stream in broken))
+        for stream in streams:
+            assert len(stream.versions) <= 1
+
+    _run(work)
+
+
 async def _stop(site: fakes.Site, at: int) -> None:
     """Stop one daemon; its tasks end as those of a planned stop."""
     site.daemons[at]._stopping.set()
--- a/tests/test_resuming.py
+++ b/tests/test_resuming.py
@@ -55,7 +55,7 @@
         self.has_all_answers = True
         self.origins.find = self._find
         self.origins.add = lambda key, origin, lifetime: self.recorded.append(origin)
-        self.servers = mock.Mock(age=0.0, age_ms=0, steady_ms=0)
+        self.servers = mock.Mock(age=0.0, age_ms=0, steady_ms=0, is_behind=False)
         self.servers.steady_since = clock.now()
         self.servers.read_since = mock.AsyncMock(return_value=True)
         self.checks = mock.Mock()
@@ -68,7 +68,7 @@
         self.past_reads = 0
         self.servers.entries = self._entries
         self.servers.read_past = self._read_past
-        written = writers.Writers(mock.Mock(), mock.Mock(), mock.Mock())
+        written = writers.Writers(mock.Mock(), mock.Mock(), mock.Mock(), self.servers)
         self.resuming = resuming.Resuming(
             self.configured, self.origins, self.servers, written, self.checks
         )
