Soak: engines report their start time, and can restart under their names

The soak's engines answered the report with 421, so daemons could not tell one process of a name from the next. They now state the start time that their entry has, as servers do. `restart_engine` replaces an engine under its name and address; its entry follows after some time.

--- a/packages/dev/cassiaquay_dev/soak/engines.py
+++ b/packages/dev/cassiaquay_dev/soak/engines.py
@@ -3,8 +3,10 @@
 import asyncio
 import collections
 import collections.abc
+import json
 import random
 import re
+import time
 import typing
 import weakref
 
@@ -28,6 +30,7 @@
 STALE = "stale"
 # The engine stops within the head of its answer, whatever that says.
 MID_HEAD = "mid_head"
+REPORT_TARGET = "/cassiaquay/report"
 EXTRA_ANSWER = b"HTTP/1.1 200 X\r\nContent-Length: 5\r\n\r\nextra"
 
 
@@ -94,6 +97,8 @@
         super().__init__()
         self.name = name
         self.software = software
+        # Start time of its process, Unix milliseconds.
+        self.born = int(time.time() * 1000)
         self.service = service
         self.faulty_share = 0.0
         self.slowdown = 1.0
@@ -129,6 +134,10 @@
         self, request: raw_servers.Request, writer: raw_servers.Writer
     ) -> None:
         """Answer one request; refuse it if it is misdirected or the queue is full."""
+        if request.target == REPORT_TARGET:
+            report = json.dumps({"stage": "mixed", "born": self.born}).encode()
+            await raw_servers.send(writer, 200, report, {})
+            return
         run = records.Run(self.name, self.service, request)
         expected_instance = request.headers.get("cassiaquay-expect-instance", self.name)
         if not request.attempt or expected_instance != self.name:
--- a/packages/dev/cassiaquay_dev/soak/site.py
+++ b/packages/dev/cassiaquay_dev/soak/site.py
@@ -3,7 +3,6 @@
 import asyncio
 import pathlib
 import random
-import time
 import typing
 
 import uvloop
@@ -119,8 +118,8 @@
         # Software version of the engines that are started from now on, by service.
         self.software = {"chat": "v1", "plain": "v1"}
         self._engine_count = 0
-        # Start times of the engines by name, Unix milliseconds.
-        self._born: dict[str, int] = {}
+        # Whether a daemon is out of step with a release.
+        self.is_out_of_step = False
         self._folder = pathlib.Path(settings.folder)
         self._watch_tasks: list[asyncio.Task[None]] = []
         self._crash_tasks: set[asyncio.Task[None]] = set()
@@ -234,14 +233,8 @@
         """Start an engine, by default of the newest version; return its id."""
         self._engine_count += 1
         name = f"i-{self._engine_count}"
-        engine = engines.Engine(
-            name,
-            service,
-            self.recorded,
-            self.rng,
-            self._start_crash,
-            software or self.software[service],
-        )
+        software = software or self.software[service]
+        engine = self._make_engine(name, service, software)
         await engine.start()
         address = engine.address
         if self.settings.has_forwarders:
@@ -255,11 +248,36 @@
         self.engine_proxies[name] = proxy
         self.apply_brittle()
         self.write_entry(name, "ready")
-        self.recorded.engine_times[name] = records.EngineTime(
-            name, service, engine.software, records.now(), records.FOREVER
-        )
+        self._start_engine_time(engine)
         return name
 
+    def _make_engine(self, name: str, service: str, software: str) -> engines.Engine:
+        return engines.Engine(
+            name, service, self.recorded, self.rng, self._start_crash, software
+        )
+
+    def _start_engine_time(self, engine: engines.Engine) -> None:
+        self.recorded.engine_times[engine.name] = records.EngineTime(
+            engine.name, engine.service, engine.software, records.now(), records.FOREVER
+        )
+
+    async def restart_engine(
+        self, name: str, software: str, entry_after: float
+    ) -> None:
+        """Restart an engine under its name; its entry follows after some seconds."""
+        self.recorded.breaks.add(name, records.now())
+        before = self.engines[name]
+        self.engine_proxies[name].reset()
+        await before.stop()
+        engine = self._make_engine(name, before.service, software)
+        await engine.start()
+        self.engines[name] = engine
+        self.engine_proxies[name].target = engine.address
+        self._start_engine_time(engine)
+        await asyncio.sleep(entry_after)
+        if name in self._entry_states:
+            self.write_entry(name, "ready")
+
     def is_paused(self, name: str) -> bool:
         """Return whether a signal has stopped an engine."""
         return name in self.forwarders and self.forwarders[name].is_paused
@@ -292,7 +310,7 @@
             "zone": "a",
             "slots": engines.SLOTS,
             "state": state,
-            "born": self._born.setdefault(name, int(time.time() * 1000)),
+            "born": self.engines[name].born,
             "version": self.engines[name].software,
         }
         self.store.put(f"servers/{name}", entry)
