Soak: releases while one daemon is out of step

`release_out_of_step` cuts one daemon off from the store, the others or both, in one direction or two, or stops it, for 0.3 to 4 s; meanwhile model engines of a new version join, streams begin at them through the others, break, and are taken up at that daemon first, some in the moment in which it wakes or heals. `restart_out_of_step` restarts engines under their names; `release_in_step` is the control.

--- a/packages/dev/cassiaquay_dev/network/partition.py
+++ b/packages/dev/cassiaquay_dev/network/partition.py
@@ -43,7 +43,7 @@
 
     async def _admit(self, reader: asyncio.StreamReader) -> proxies.Opening | None:
         first = await reader.read(proxies.READ_BYTES)
-        source = _source_instance(first)
+        source = source_instance(first)
         if self._partition.separates(source, self._name):
             return None
         return proxies.Opening(source, first)
@@ -82,7 +82,8 @@
             await proxy.stop()
 
 
-def _source_instance(first: bytes) -> str:
+def source_instance(first: bytes) -> str:
+    """Return the name of the instance that sent a first frame; empty if it has none."""
     unpacker = msgpack.Unpacker()
     unpacker.feed(first)
     try:
--- a/packages/dev/cassiaquay_dev/network/proxies.py
+++ b/packages/dev/cassiaquay_dev/network/proxies.py
@@ -106,6 +106,10 @@
     def _note_delivery(self, data: bytes, direction: Direction) -> None:
         """Observe bytes as they are passed on; does nothing unless overridden."""
 
+    async def _wait_until_open(self, pair: Pair, direction: Direction) -> None:
+        """Wait until bytes of a connection may be passed on."""
+        await direction.wait_until_open()
+
     def _pairs_of(self, source: str) -> list[Pair]:
         return [pair for pair in self._pairs if source in ("", pair.source)]
 
@@ -152,7 +156,7 @@
         try:
             while data := await reader.read(READ_BYTES):
                 self._note_arrival(data, direction)
-                await direction.wait_until_open()
+                await self._wait_until_open(pair, direction)
                 if pair.silent:
                     continue
                 if writer.is_closing():
@@ -165,6 +169,6 @@
             if not pair.silent:
                 pair.abort()
             return
-        await direction.wait_until_open()
+        await self._wait_until_open(pair, direction)
         if not pair.silent:
             writer.close()
--- a/packages/dev/cassiaquay_dev/soak/callers.py
+++ b/packages/dev/cassiaquay_dev/soak/callers.py
@@ -183,7 +183,7 @@
                 attempt.sent_at = records.now()
                 # Resolving and connecting took a part of the remaining time.
                 remaining_s = attempt.deadline - attempt.sent_at
-                await connection.send(_request_head(attempt, remaining_s), attempt.body)
+                await connection.send(request_head(attempt, remaining_s), attempt.body)
                 is_reusable = await connection.read(attempt)
         except TimeoutError:
             attempt.gave_up = True
@@ -247,7 +247,8 @@
             return
 
 
-def _request_head(attempt: records.Attempt, remaining_s: float) -> str:
+def request_head(attempt: records.Attempt, remaining_s: float) -> str:
+    """Return the head of the request of an attempt."""
     lines = [
         f"POST {attempt.path} HTTP/1.1",
         f"Host: {platform_standins.HOST}",
--- a/packages/dev/cassiaquay_dev/soak/daemons.py
+++ b/packages/dev/cassiaquay_dev/soak/daemons.py
@@ -6,9 +6,11 @@
 import signal
 
 from ..network import processes, proxies
-from . import exchange, records
+from . import exchange, peer_proxies, records
 
 GRACE_SECONDS = 4.0
+# Module that runs a daemon.
+LAUNCH = "cassiaquay_dev.soak.launch"
 LISTENERS = ("front", "ready", "directory", "peer", "relay")
 
 
@@ -33,7 +35,7 @@
         self.expected_running = False
         self.addresses = {use: f"127.0.0.1:{next(free)}" for use in LISTENERS}
         self.front = proxies.Proxy(self.addresses["front"])
-        self.peer = proxies.Proxy(self.addresses["peer"])
+        self.peer = peer_proxies.PeerProxy(self.addresses["peer"])
         self.store = proxies.Proxy(store)
         # Faults overlap: one start or kill at a time.
         self._lock = asyncio.Lock()
@@ -42,7 +44,7 @@
             name,
             [
                 "-m",
-                "cassiaquay_dev.soak.launch",
+                LAUNCH,
                 str(self.file),
                 source,
                 str(self.control),
--- a/packages/dev/cassiaquay_dev/soak/faults.py
+++ b/packages/dev/cassiaquay_dev/soak/faults.py
@@ -39,6 +39,9 @@
     "engine_head_cuts",
     "foreign_entries",
     "release_and_kill",
+    "release_out_of_step",
+    "restart_out_of_step",
+    "release_in_step",
     site.PAUSE_FAULT,
 )
 # Longest pause between planned stops of several daemons, as an operator leaves one.
--- a/packages/dev/cassiaquay_dev/soak/main.py
+++ b/packages/dev/cassiaquay_dev/soak/main.py
@@ -18,6 +18,7 @@
     endless_faults,
     engine_faults,
     faults,
+    out_of_step_faults,
     part_checks,
     records,
     report_checks,
@@ -29,7 +30,14 @@
 )
 
 # Imported because they register faults and checks.
-FAULTS = (faults, endless_faults, engine_faults, request_faults, store_faults)
+FAULTS = (
+    faults,
+    endless_faults,
+    engine_faults,
+    out_of_step_faults,
+    request_faults,
+    store_faults,
+)
 CHECKS = (
     checks,
     endless_checks,
@@ -50,6 +58,14 @@
     107: "callers computed the remaining time before they resolved an address",
     121: "as seed 107, and the delay of an engine's link counted as granted time",
     122: "the delay of an engine's link counted as granted time",
+    80003: "streams went on at a version derived from an outdated list",
+    80006: "streams went on at the only version that an outdated list had",
+}
+_RELEASES = {"only": "release_out_of_step", "seconds": 24.0, "rate": 80.0}
+# Settings with which a kept seed has found something, if not with the usual ones.
+KEPT_SETTINGS: dict[int, dict[str, typing.Any]] = {
+    80003: _RELEASES | {"daemons": 9},
+    80006: _RELEASES | {"daemons": 8},
 }
 
 
@@ -142,7 +158,8 @@
     failed_seeds = 0
     for number in KEPT if kept else range(seed, seed + count):
         folder = f"{flags.get('folder', 'target/soak')}/{number}"
-        settings = site.SoakSettings(**flags | {"seed": number, "folder": folder})
+        own = KEPT_SETTINGS.get(number, {}) if kept else {}
+        settings = site.SoakSettings(**own | flags | {"seed": number, "folder": folder})
         outcome = site.run(run_seed(settings, timed))
         found = collections.Counter(one.check for one in outcome.findings)
         print(
