test_texts imports what registers the names that it checks

Two cases of test_settings_with_an_unregistered_name_are_refused failed when the file was run alone, as no other test had imported the policies and adapters.

--- a/tests/test_texts.py
+++ b/tests/test_texts.py
@@ -2,11 +2,13 @@
 
 import pytest
 
-from cassiaquay_daemon import names
+from cassiaquay_daemon import daemon, names
 from cassiaquay_daemon.configured import snapshots
 from cassiaquay_dev import deployments
 from cassiaquay_schema import exceptions, texts
 
+# Imported because it registers policies and adapters.
+REGISTERED = (daemon,)
 DEPLOYMENT = deployments.BRINDLEY
 NAMES = [item.name for item in [*DEPLOYMENT.engines, *DEPLOYMENT.plains]]
 ADDRESSES = {name: f"127.0.0.1:{9000 + index}" for index, name in enumerate(NAMES)}
