--- a/tests/out_of_step_fakes.py
+++ b/tests/out_of_step_fakes.py
@@ -186,7 +186,7 @@
     def heard(self) -> None:
         """Record events."""
         self._heard_at = clock.now()
-        self._started_ms = self._processes.note_heard(
+        self._started_ms = self._processes.note_alive(
             self._address, self.opened_at, self._started_ms
         )
 
@@ -204,6 +204,8 @@
         await asyncio.sleep(REPORT_SECONDS)
         process = self._network.plan.running(server.name, clock.now())
         if process is None:
+            # Its machine refuses connections.
+            self._note_refused(server.address, asked_at)
             return None
         started_ms = process.started_ms
         opened_at = max(asked_at, process.born)
--- a/tests/out_of_step_instances.py
+++ b/tests/out_of_step_instances.py
@@ -3,7 +3,6 @@
 import asyncio
 import types
 import typing
-from unittest import mock
 
 import msgspec
 import out_of_step_fakes as surroundings
@@ -18,7 +17,7 @@
     stream_origins,
     version_choice,
 )
-from cassiaquay_daemon.fleet import members, servers
+from cassiaquay_daemon.fleet import members, server_breaks, servers
 from cassiaquay_daemon.fleet import stream_origins as origin_reports
 from cassiaquay_daemon.gateway import calls, progress, resuming, writers
 from cassiaquay_daemon.platform import headers
@@ -79,13 +78,12 @@
         self.origins = origin_reports.StreamOrigins(settings, wire, self.members)
         self.paths = paths.Paths(dict)
         self.checks = surroundings.Checks(made, self.paths)
-        crashes = mock.Mock()
-        crashes.ended_at.return_value = float("-inf")
+        breaks = server_breaks.ServerBreaks()
         self.resuming = resuming.Resuming(
             configured,
             self.origins,
             self.servers,
-            writers.Writers(self.checks, self.paths, crashes),
+            writers.Writers(self.checks, self.paths, breaks, self.servers),
             self.checks,
         )
         self.is_dead = False
