--- a/packages/daemon/cassiaquay_daemon/gateway/resuming.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/resuming.py
@@ -295,12 +295,13 @@
         self, call: calls.Call, lookup: origin_reports.Lookup
     ) -> _Version:
         """Return the version of a stream of unknown origin, if it can be shown."""
-        if lookup.answered < lookup.asked:
+        is_missing = self._origins.has_missing(_lifetime_seconds(call))
+        if lookup.answered < lookup.asked or (is_missing and not lookup.asked):
             # One that does not answer may know it.
             return UNSHOWN
         may_derive = (
             lookup.is_unknown_to_all
-            and not self._origins.has_missing(_lifetime_seconds(call))
+            and not is_missing
             and self._derivations.may_derive(call)
         )
         # What cannot be shown costs no read.
