The gateway's schedules list the start times that their engines report

Since the soak's engines state their start time, the schedules' entries (start 1) spoke against it: daemons took each server for a restarted one, and no stream went on. With the engine's own start in its entry all eleven tests pass. No check changed.

--- a/tests/test_gateway_schedules.py
+++ b/tests/test_gateway_schedules.py
@@ -52,7 +52,7 @@
             "zone": "a",
             "slots": engines.SLOTS,
             "state": "ready",
-            "born": 1,
+            "born": engine.born,
         }
         self.store.put(f"servers/{engine.name}", entry | more)
 
