--- a/packages/daemon/cassiaquay_daemon/gateway/sole_versions.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/sole_versions.py
@@ -20,7 +20,7 @@
     history : History
         The versions that this instance has seen listed.
     server_list : Servers
-        Tells for how long the list has been confirmed.
+        Knows since when the list has been confirmed.
     past : ServerPast
         Reads what the platform shows of times that this instance has not observed.
     checks : ListChecks
--- a/packages/daemon/cassiaquay_daemon/gateway/writers.py
+++ b/packages/daemon/cassiaquay_daemon/gateway/writers.py
@@ -47,7 +47,7 @@
     breaks : ServerBreaks
         Knows which servers have broken off answers of any instance.
     server_list : Servers
-        Tells whether this instance's list of servers may be outdated.
+        Knows whether this instance's list of servers may be outdated.
     """
 
     def __init__(
--- a/tests/out_of_step_choices.py
+++ b/tests/out_of_step_choices.py
@@ -82,8 +82,8 @@
 def make_killed(seed: int) -> plans.Plan:
     """Return a plan in which all others are killed while one is out of step.
 
-    Nobody knows the streams then, and all say so. A version may have come and gone
-    meanwhile.
+    No instance knows the streams then, and all answer so. A version may have come and
+    gone meanwhile.
     """
     plan = plans.Plan(seed, DOMAINS[seed % len(DOMAINS)])
     chance = plan.random
--- a/tests/test_resuming.py
+++ b/tests/test_resuming.py
@@ -191,7 +191,7 @@
 
 
 def test_version_is_not_derived_while_an_instance_is_missing() -> None:
-    """Guards against streams that it begins by a list which nobody else has."""
+    """Guards against streams that it begins by a list that no other one has."""
     bench = _Bench(a="v1", b="v2")
     derived = derivations.Derived("v1", [])
     bench.resuming._derivations.derive = mock.AsyncMock(return_value=derived)
